--- a/src/bin/dahliastand-adapter.rs
+++ b/src/bin/irisrouter-simhost.rs
@@ -1,6 +1,6 @@
 //! Runs the decision module on the simulator's wire: one line in, one line out.
 
-use dahliastand::wire::Adapter;
+use irisrouter::wire::Adapter;
 use std::io::{BufRead, Write};
 use std::process::ExitCode;
 
@@ -8,7 +8,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("dahliastand-adapter: {why}");
+            eprintln!("irisrouter-simhost: {why}");
             ExitCode::FAILURE
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small world for module tests: settings, members and a router driven by hand.
 #![allow(dead_code)]
 
-use dahliastand::api::*;
-use dahliastand::decide::Router;
+use irisrouter::api::*;
+use irisrouter::decide::Router;
 
 pub const MS: Ns = 1_000_000;
 pub const S: Ns = 1_000 * MS;
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use dahliastand::api::*;
+use irisrouter::api::*;
 
 #[test]
 fn writes_and_fresh_reads_go_to_the_primary() {
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use dahliastand::api::*;
+use irisrouter::api::*;
 
 fn many(checks: ServerChecks, proxies: u32, seed: u64) -> World {
     let mut s = settings(checks);
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use dahliastand::api::*;
-use dahliastand::decide::Router;
+use irisrouter::api::*;
+use irisrouter::decide::Router;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeMap;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use dahliastand::api::*;
+use irisrouter::api::*;
 
 #[test]
 fn a_held_request_gets_one_final_answer_in_time() {
