--- a/src/api.rs
+++ b/src/api.rs
@@ -25,6 +25,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct SessionId(pub u64);
 
+impl SessionId {
+    /// The same number for the same name, in every process (FNV-1a).
+    pub fn of(name: &[u8]) -> Self {
+        let step = |h: u64, &b: &u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+        SessionId(name.iter().fold(0xcbf2_9ce4_8422_2325, step))
+    }
+}
+
 /// How recent the data behind an answer must be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Freshness {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,5 +4,6 @@
 
 pub mod api;
 pub mod decide;
+pub mod settings;
 mod state;
 pub mod wire;
--- /dev/null
+++ b/src/net/backend.rs
@@ -0,0 +1,434 @@
+//! Database hosts: who they are, a pool of connections to each, attempts and probes.
+
+use super::buffers::{Buffer, Pool};
+use super::counters::{count, Counters};
+use super::discovery::{List, Phase};
+use super::log::log;
+use super::pg::{self, code, Reply};
+use super::{duration, nanoseconds};
+use bytes::Buf;
+use irisrouter::api::*;
+use irisrouter::settings::Names;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{timeout_at, Instant};
+
+const USER: &str = "web";
+const DATABASE: &str = "orders";
+const PROBE: &[u8] = b"SHOW usage";
+const NS_PER_MS: Ns = 1_000_000;
+/// Idle connections are retired after this share of the time at which a host closes them. Danger: a request
+/// written to a connection that its host has just closed ends as a reset, which may have run.
+const IDLE_SHARE: f64 = 0.8;
+/// How often idle connections are looked at.
+pub const SWEEP: Duration = Duration::from_millis(500);
+
+/// A request's statement, passed on byte for byte but for the time that is left.
+pub struct Statement {
+    /// Its text.
+    pub text: Buffer,
+    /// Where the milliseconds stand that its sender will wait.
+    pub wait_at: Range<usize>,
+}
+
+/// How an attempt ended.
+pub struct Attempted {
+    /// Its outcome.
+    pub outcome: Outcome,
+    /// What the answer tells of its host.
+    pub note: Option<Note>,
+    /// The row's messages, as the host sent them; with [`Outcome::Ok`] only.
+    pub row: Option<Buffer>,
+}
+
+impl From<Outcome> for Attempted {
+    fn from(outcome: Outcome) -> Self {
+        Attempted { outcome, note: None, row: None }
+    }
+}
+
+/// A place in the budget of descriptors, given back when dropped.
+struct Slot(Rc<Cell<usize>>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+struct Connection {
+    stream: TcpStream,
+    idle_since: Instant,
+    /// The host's incarnation that it leads to.
+    epoch: u64,
+    _slot: Slot,
+}
+
+struct Host {
+    name: String,
+    address: SocketAddr,
+    group: GroupId,
+    ready: bool,
+    started: f64,
+    /// Changes when its process or its address does: older connections are of no more use.
+    epoch: u64,
+    idle: Vec<Connection>,
+}
+
+/// All database hosts that the list has named, and the connections to them.
+pub struct Backend {
+    hosts: RefCell<Vec<Host>>,
+    ids: RefCell<HashMap<String, MemberId>>,
+    zones: RefCell<Names>,
+    pool: Rc<Pool>,
+    counters: Rc<Counters>,
+    connect_timeout: Duration,
+    idle_for: Duration,
+    most: usize,
+    open: Rc<Cell<usize>>,
+    on_list: Box<dyn Fn(Event)>,
+}
+
+/// Why an answer did not come.
+enum Broken {
+    /// The connection ended or failed.
+    Lost,
+    /// What came is not in the protocol.
+    Garbled(&'static str),
+}
+
+impl Backend {
+    /// No hosts yet. Each list goes to the module through `on_list`.
+    pub fn new(
+        s: &Settings,
+        zones: Names,
+        idle_close: Ns,
+        most: usize,
+        pool: Rc<Pool>,
+        counters: Rc<Counters>,
+        on_list: Box<dyn Fn(Event)>,
+    ) -> Self {
+        Backend {
+            hosts: RefCell::default(),
+            ids: RefCell::default(),
+            zones: RefCell::new(zones),
+            pool,
+            counters,
+            connect_timeout: duration(s.limits.connect_timeout),
+            idle_for: duration(idle_close).mul_f64(IDLE_SHARE),
+            most,
+            open: Rc::default(),
+            on_list,
+        }
+    }
+
+    /// The list has named a host of this group, or there is no list yet.
+    pub fn may_know(&self, group: GroupId) -> bool {
+        let hosts = self.hosts.borrow();
+        hosts.is_empty() || hosts.iter().any(|h| h.group == group)
+    }
+
+    /// Takes a list: from now on nothing is sent that it rules out.
+    pub fn apply(&self, list: &List) {
+        let mut hosts = self.hosts.borrow_mut();
+        let mut ids = self.ids.borrow_mut();
+        let mut zones = self.zones.borrow_mut();
+        let mut entries = Vec::with_capacity(list.members.len());
+        let mut named = BTreeSet::new();
+        for e in &list.members {
+            let member = *ids.entry(e.id.clone()).or_insert_with(|| {
+                hosts.push(Host {
+                    name: e.id.clone(),
+                    address: e.host_port,
+                    group: GroupId(e.cell),
+                    ready: false,
+                    started: e.up_since_ms,
+                    epoch: 0,
+                    idle: Vec::new(),
+                });
+                MemberId(hosts.len() as u32 - 1)
+            });
+            let host = &mut hosts[member.0 as usize];
+            host.ready = e.phase == Phase::InService;
+            if host.address != e.host_port || host.started != e.up_since_ms || e.phase == Phase::Terminated {
+                host.epoch += 1;
+                (host.address, host.started) = (e.host_port, e.up_since_ms);
+            }
+            if !host.ready || host.idle.first().is_some_and(|c| c.epoch != host.epoch) {
+                host.idle.clear();
+            }
+            named.insert(member);
+            entries.push(ListEntry {
+                member,
+                group: GroupId(e.cell),
+                zone: ZoneId(zones.number(&e.locality) as u32),
+                listed: match e.phase {
+                    Phase::InService => Listed::Ready,
+                    Phase::Terminating => Listed::Draining,
+                    Phase::Terminated => Listed::Gone,
+                },
+                primary: e.access.as_deref() == Some("writer"),
+                size: e.size,
+                started: (e.up_since_ms > 0.0).then_some((e.up_since_ms * NS_PER_MS as f64) as Ns),
+            });
+        }
+        if list.complete {
+            for (i, host) in hosts.iter_mut().enumerate() {
+                if !named.contains(&MemberId(i as u32)) {
+                    host.ready = false;
+                    host.idle.clear();
+                }
+            }
+        }
+        drop((hosts, ids, zones));
+        (self.on_list)(Event::List { complete: list.complete, entries });
+    }
+
+    /// Sends a statement to a host and waits for its answer, so long at most.
+    pub async fn attempt(&self, member: MemberId, statement: &Statement, limit: Ns) -> Attempted {
+        let ended = self.try_once(member, statement, Instant::now() + duration(limit)).await;
+        self.counters.attempt(ended.outcome);
+        ended
+    }
+
+    async fn try_once(&self, member: MemberId, statement: &Statement, end: Instant) -> Attempted {
+        let mut connection = match self.connection(member, end).await {
+            Ok(c) => c,
+            Err(outcome) => return outcome.into(),
+        };
+        // Danger: the list may have changed while the connection came up, and the first byte counts.
+        if !self.hosts.borrow()[member.0 as usize].ready {
+            self.check_in(member, connection);
+            return Outcome::Moot.into();
+        }
+        let mut out = self.pool.take();
+        let left = end.saturating_duration_since(Instant::now()).as_millis().max(1).to_string();
+        if !out.room(statement.text.len() + left.len() + 16) {
+            self.check_in(member, connection);
+            return Outcome::Moot.into();
+        }
+        pg::put(&mut out, b'Q', |b| {
+            b.extend_from_slice(&statement.text[..statement.wait_at.start]);
+            b.extend_from_slice(left.as_bytes());
+            b.extend_from_slice(&statement.text[statement.wait_at.end..]);
+            b.extend_from_slice(&[0]);
+        });
+        // Until its last byte is written, it can't have run.
+        if !matches!(timeout_at(end, connection.stream.write_all(&out)).await, Ok(Ok(()))) {
+            return Outcome::ConnectFailed.into();
+        }
+        out.clear();
+        match timeout_at(end, self.read_reply(&mut connection, out)).await {
+            Err(_) => Outcome::TimedOut.into(),
+            Ok(Err(Broken::Lost)) => Outcome::Reset.into(),
+            Ok(Err(Broken::Garbled(why))) => {
+                log!("{}: {why}", self.hosts.borrow()[member.0 as usize].name);
+                Outcome::Error.into()
+            }
+            Ok(Ok((reply, row))) => {
+                if reply.ready {
+                    self.check_in(member, connection);
+                }
+                let outcome = match reply.error.as_deref() {
+                    None if reply.served() => Outcome::Ok,
+                    Some(code::READ_ONLY | code::SNAPSHOT_TOO_OLD) => Outcome::Miss,
+                    Some(code::TOO_MANY_CONNECTIONS) => Outcome::Full,
+                    _ => Outcome::Error,
+                };
+                Attempted { outcome, note: note(&reply), row: (outcome == Outcome::Ok).then_some(row) }
+            }
+        }
+    }
+
+    /// Asks a host for its load report.
+    pub async fn probe(&self, member: MemberId) -> Event {
+        count(&self.counters.probes);
+        let start = Instant::now();
+        let (outcome, report) = self.probe_once(member, start + self.connect_timeout).await;
+        Event::Probed { member, outcome, elapsed: nanoseconds(start.elapsed()), report }
+    }
+
+    async fn probe_once(&self, member: MemberId, end: Instant) -> (Outcome, Option<Report>) {
+        let mut connection = match self.connection(member, end).await {
+            Ok(c) => c,
+            Err(outcome) => return (outcome, None),
+        };
+        let mut out = self.pool.take();
+        pg::put_query(&mut out, PROBE);
+        if !matches!(timeout_at(end, connection.stream.write_all(&out)).await, Ok(Ok(()))) {
+            return (Outcome::ConnectFailed, None);
+        }
+        out.clear();
+        match timeout_at(end, self.read_reply(&mut connection, out)).await {
+            Err(_) => (Outcome::TimedOut, None),
+            Ok(Err(Broken::Lost)) => (Outcome::Reset, None),
+            Ok(Err(Broken::Garbled(_))) => (Outcome::Error, None),
+            Ok(Ok((reply, _))) => {
+                if reply.ready {
+                    self.check_in(member, connection);
+                }
+                match reply.error.as_deref() {
+                    None if reply.served() => (Outcome::Ok, reply.value.as_deref().map(report)),
+                    Some(code::TOO_MANY_CONNECTIONS | code::CANNOT_CONNECT_NOW) => (Outcome::Full, None),
+                    _ => (Outcome::Error, None),
+                }
+            }
+        }
+    }
+
+    /// A warm connection if there is one, else a new one.
+    async fn connection(&self, member: MemberId, end: Instant) -> Result<Connection, Outcome> {
+        while let Some(c) = self.check_out(member) {
+            if usable(&c) {
+                return Ok(c);
+            }
+        }
+        let start = Instant::now();
+        let slot = self.slot().ok_or(Outcome::Moot)?;
+        let (address, epoch) = {
+            let host = &self.hosts.borrow()[member.0 as usize];
+            (host.address, host.epoch)
+        };
+        let up_by = end.min(start + self.connect_timeout);
+        let coming_up = async {
+            let mut stream = TcpStream::connect(address).await.map_err(|_| Outcome::ConnectFailed)?;
+            stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
+            let mut buffer = self.pool.take();
+            pg::put_startup(&mut buffer, USER, DATABASE);
+            stream.write_all(&buffer).await.map_err(|_| Outcome::ConnectFailed)?;
+            buffer.clear();
+            let mut c = Connection { stream, idle_since: start, epoch, _slot: slot };
+            let (reply, _) = self.read_reply(&mut c, buffer).await.map_err(|_| Outcome::ConnectFailed)?;
+            match reply.error.as_deref() {
+                None if reply.ready => Ok(c),
+                Some(code::TOO_MANY_CONNECTIONS) => Err(Outcome::Full),
+                _ => Err(Outcome::ConnectFailed),
+            }
+        };
+        match timeout_at(up_by, coming_up).await {
+            Ok(Ok(c)) => {
+                count(&self.counters.opened);
+                Ok(c)
+            }
+            Ok(Err(outcome)) => Err(outcome),
+            // The request's time was over first: that says nothing of the host.
+            Err(_) if end < start + self.connect_timeout => Err(Outcome::Moot),
+            Err(_) => Err(Outcome::ConnectFailed),
+        }
+    }
+
+    /// A place for one more connection; at the edge, that of the one that has been idle longest.
+    fn slot(&self) -> Option<Slot> {
+        if self.open.get() >= self.most {
+            let mut hosts = self.hosts.borrow_mut();
+            let idle = hosts.iter_mut().filter(|h| !h.idle.is_empty());
+            let oldest = idle.min_by_key(|h| h.idle[0].idle_since)?;
+            oldest.idle.remove(0);
+        }
+        self.open.set(self.open.get() + 1);
+        Some(Slot(Rc::clone(&self.open)))
+    }
+
+    /// The connection used last: it is the warmest, and the others can grow old.
+    fn check_out(&self, member: MemberId) -> Option<Connection> {
+        let host = &mut self.hosts.borrow_mut()[member.0 as usize];
+        let idle_for = self.idle_for;
+        host.idle.pop().filter(|c| c.idle_since.elapsed() < idle_for)
+    }
+
+    fn check_in(&self, member: MemberId, mut c: Connection) {
+        let host = &mut self.hosts.borrow_mut()[member.0 as usize];
+        if host.ready && host.epoch == c.epoch {
+            c.idle_since = Instant::now();
+            host.idle.push(c);
+        }
+    }
+
+    /// Retires idle connections before their hosts do, and those that are closed already.
+    pub fn sweep(&self) {
+        for host in self.hosts.borrow_mut().iter_mut() {
+            host.idle.retain(|c| c.idle_since.elapsed() < self.idle_for && usable(c));
+        }
+    }
+
+    /// Reads messages up to ReadyForQuery, or up to the end after an error. The buffer holds what has come;
+    /// what of it belongs to the row is returned in a buffer of its own.
+    async fn read_reply(&self, c: &mut Connection, mut buffer: Buffer) -> Result<(Reply, Buffer), Broken> {
+        let mut reply = Reply::default();
+        let mut row = self.pool.take();
+        loop {
+            while let Some(f) = pg::frame(&buffer).map_err(|e| Broken::Garbled(e.0))? {
+                let whole = f.body.end;
+                if reply.take(f.tag, &buffer[f.body]).map_err(|e| Broken::Garbled(e.0))?
+                    && !row.append(&buffer[..whole])
+                {
+                    return Err(Broken::Garbled("no room for its answer"));
+                }
+                buffer.advance(whole);
+                if reply.ready {
+                    // Bytes beyond the answer belong to no request: such a connection is not used again.
+                    reply.ready = buffer.is_empty();
+                    return Ok((reply, row));
+                }
+            }
+            if !buffer.room(buffer.len().clamp(1024, pg::LARGEST)) {
+                return Err(Broken::Garbled("no room for its answer"));
+            }
+            match c.stream.read_buf(&mut *buffer).await {
+                Ok(n) if n > 0 => {}
+                // A fatal error or a whole row needs no more.
+                _ if reply.error.is_some() || reply.served() => return Ok((reply, row)),
+                _ => return Err(Broken::Lost),
+            }
+        }
+    }
+}
+
+/// An idle connection on which nothing has come, not even its end.
+fn usable(c: &Connection) -> bool {
+    matches!(c.stream.try_read(&mut [0]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+}
+
+fn note(reply: &Reply) -> Option<Note> {
+    let role = match reply.role? {
+        pg::HostRole::Writer => Role::Primary,
+        pg::HostRole::Reader => Role::Replica,
+    };
+    Some(Note { role, position: reply.position_ms.map(|ms| ms * NS_PER_MS) })
+}
+
+/// A load report. Its position is in Unix seconds, with the milliseconds behind the point.
+fn report(text: &str) -> Report {
+    let mut r = Report::default();
+    for (name, value) in pg::report(text) {
+        match name {
+            // Down to the millisecond: a position rounded up would claim commits that are not there yet.
+            "x0" => r.position = Some((value * 1_000.0 + 0.001).floor() as Ns * NS_PER_MS),
+            "x1" => r.primary = Some(value > 0.5),
+            "inflight" | "queue" => r.inflight = r.inflight.or(Some(value)),
+            _ => {}
+        }
+    }
+    r
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_report_keeps_the_milliseconds_of_its_position() {
+        for ms in [1_767_225_600_123i64, 1_767_225_600_001, 1_767_225_600_999, 1_900_000_000_007] {
+            let text = format!("x0={}.{:03},x1=1,util=0.61", ms / 1_000, ms % 1_000);
+            let r = report(&text);
+            assert_eq!(r, Report { position: Some(ms * NS_PER_MS), primary: Some(true), inflight: None });
+        }
+        assert_eq!(report("nonsense,x0=,=1,inflight=7").inflight, Some(7.0));
+    }
+}
--- /dev/null
+++ b/src/net/counters.rs
@@ -0,0 +1,72 @@
+//! What the gateway takes in, sends and answers, printed on SIGUSR1 and at exit.
+
+use irisrouter::api::Outcome;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Counts since the start.
+#[derive(Default)]
+pub struct Counters {
+    /// Requests taken.
+    pub received: Cell<u64>,
+    /// Final answers: a row of a database host.
+    pub served: Cell<u64>,
+    /// Final answers: trying again is harmless.
+    pub refused: Cell<u64>,
+    /// Final answers: nothing is promised.
+    pub failed: Cell<u64>,
+    /// Clients that left before their answer.
+    pub left: Cell<u64>,
+    /// Statements that were malformed, and breaches of the protocol.
+    pub malformed: Cell<u64>,
+    /// Probes sent.
+    pub probes: Cell<u64>,
+    /// Connections to database hosts that came up.
+    pub opened: Cell<u64>,
+    /// Connections of clients.
+    pub accepted: Cell<u64>,
+    attempts: RefCell<BTreeMap<&'static str, u64>>,
+}
+
+/// One more.
+pub fn count(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
+}
+
+impl Counters {
+    /// An attempt ended.
+    pub fn attempt(&self, outcome: Outcome) {
+        let name = match outcome {
+            Outcome::Ok => "ok",
+            Outcome::Error => "error",
+            Outcome::Full => "full",
+            Outcome::TimedOut => "timed_out",
+            Outcome::ConnectFailed => "connect_failed",
+            Outcome::Reset => "reset",
+            Outcome::Cancelled => "cancelled",
+            Outcome::Moot => "moot",
+            Outcome::Miss => "miss",
+        };
+        *self.attempts.borrow_mut().entry(name).or_default() += 1;
+    }
+}
+
+impl fmt::Display for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let named = [
+            ("received", &self.received),
+            ("served", &self.served),
+            ("refused", &self.refused),
+            ("failed", &self.failed),
+            ("left", &self.left),
+            ("malformed", &self.malformed),
+            ("probes", &self.probes),
+            ("opened", &self.opened),
+            ("accepted", &self.accepted),
+        ];
+        write!(f, "counters")?;
+        named.iter().try_for_each(|(name, value)| write!(f, " {name}={}", value.get()))?;
+        self.attempts.borrow().iter().try_for_each(|(name, n)| write!(f, " attempt_{name}={n}"))
+    }
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,202 @@
+//! The list of database hosts: a long poll of discovery over one HTTP connection.
+//!
+//! Nothing else knows where the list comes from: it goes to the backend as a [`List`], whatever its source.
+
+use super::backend::Backend;
+use super::log::log;
+use bytes::{Buf, BytesMut};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+/// How long a watch may wait. Silence is known only after it, so that it is short: the agent answers for nothing.
+const HOLD: Duration = Duration::from_secs(4);
+/// How long an answer may take beyond that before discovery counts as silent.
+const SILENCE: Duration = Duration::from_secs(1);
+/// Pause after a failure. Danger: a refusing address would be called without end.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Largest answer that is read.
+const LARGEST: usize = 4 << 20;
+
+/// Whether a database host is in service.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// Takes requests.
+    InService,
+    /// Finishes what it has.
+    Terminating,
+    /// Withdrawn.
+    Terminated,
+}
+
+/// One database host of the list.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Entry {
+    /// The same at every gateway.
+    pub id: String,
+    /// Where it listens, as seen from here.
+    pub host_port: SocketAddr,
+    /// Its zone.
+    #[serde(default)]
+    pub locality: String,
+    /// Its group.
+    pub cell: i64,
+    /// Whether it is in service.
+    pub phase: Phase,
+    /// Its relative size.
+    #[serde(default = "one")]
+    pub size: f64,
+    /// Unix time in milliseconds of its last start; 0 for long ago.
+    #[serde(default)]
+    pub up_since_ms: f64,
+    /// Its role, where the list tells it.
+    #[serde(default)]
+    pub access: Option<String>,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// A list of database hosts, or the changes to one.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
+pub struct List {
+    /// Its version.
+    pub revision: u64,
+    /// All hosts, or only what has changed.
+    pub complete: bool,
+    /// The entries.
+    pub members: Vec<Entry>,
+}
+
+/// Watches the list for ever, and hands on each change before the next call.
+pub async fn watch(address: SocketAddr, mut revision: Option<u64>, backend: Rc<Backend>) {
+    loop {
+        let Err(why) = follow(address, &mut revision, &backend).await;
+        log!("discovery: {why}");
+        sleep(PAUSE).await;
+    }
+}
+
+async fn follow(
+    address: SocketAddr,
+    revision: &mut Option<u64>,
+    backend: &Backend,
+) -> Result<std::convert::Infallible, String> {
+    let connecting = timeout(SILENCE, TcpStream::connect(address)).await;
+    let mut stream = connecting
+        .map_err(|_| "no connection in time".to_string())?
+        .map_err(|e| format!("no connection: {e}"))?;
+    stream.set_nodelay(true).map_err(|e| e.to_string())?;
+    let mut buffer = BytesMut::new();
+    loop {
+        let path = match revision {
+            Some(r) => format!("/discovery/hosts?from={r}&hold_ms={}", HOLD.as_millis()),
+            None => "/discovery/hosts".to_string(),
+        };
+        let call = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
+        let answer = async {
+            stream.write_all(call.as_bytes()).await.map_err(|e| format!("cannot write: {e}"))?;
+            read_answer(&mut stream, &mut buffer).await
+        };
+        let body = timeout(HOLD + SILENCE, answer).await.map_err(|_| "silent".to_string())??;
+        let list: List = serde_json::from_slice(&body).map_err(|e| format!("malformed list: {e}"))?;
+        // A list that is older than ours (the agent has started again) is not a change.
+        if revision.is_none_or(|r| list.revision > r || list.complete) {
+            *revision = Some(list.revision);
+            backend.apply(&list);
+        }
+    }
+}
+
+/// Reads one answer, and leaves in the buffer what came after it.
+async fn read_answer(stream: &mut TcpStream, buffer: &mut BytesMut) -> Result<Vec<u8>, String> {
+    loop {
+        if let Some((body, used)) = parse_answer(buffer)? {
+            buffer.advance(used);
+            return Ok(body);
+        }
+        if buffer.len() > LARGEST {
+            return Err("an answer is too large".into());
+        }
+        let n = stream.read_buf(buffer).await.map_err(|e| format!("cannot read: {e}"))?;
+        if n == 0 {
+            return Err("the connection was closed".into());
+        }
+    }
+}
+
+/// A whole answer's body and its length with the head, or nothing yet.
+fn parse_answer(bytes: &[u8]) -> Result<Option<(Vec<u8>, usize)>, String> {
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut head = httparse::Response::new(&mut headers);
+    let parsed = head.parse(bytes).map_err(|e| format!("malformed answer: {e}"))?;
+    let httparse::Status::Complete(start) = parsed else { return Ok(None) };
+    if head.code != Some(200) {
+        return Err(format!("answer {}", head.code.unwrap_or(0)));
+    }
+    let header =
+        |name: &str| head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name)).map(|h| h.value);
+    if header("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case(b"chunked")) {
+        return parse_chunks(bytes, start);
+    }
+    let length = header("content-length").ok_or("an answer without a length")?;
+    let length: usize = (std::str::from_utf8(length).ok())
+        .and_then(|v| v.trim().parse().ok())
+        .filter(|&n| n <= LARGEST)
+        .ok_or("an answer with a malformed length")?;
+    Ok(bytes.get(start..start + length).map(|body| (body.to_vec(), start + length)))
+}
+
+fn parse_chunks(bytes: &[u8], mut at: usize) -> Result<Option<(Vec<u8>, usize)>, String> {
+    let mut body = Vec::new();
+    loop {
+        let parsed = httparse::parse_chunk_size(&bytes[at..]).map_err(|_| "a malformed chunk")?;
+        let httparse::Status::Complete((line, size)) = parsed else { return Ok(None) };
+        let size = usize::try_from(size).ok().filter(|n| *n <= LARGEST).ok_or("a chunk is too large")?;
+        let Some(chunk) = bytes.get(at + line..at + line + size + 2) else { return Ok(None) };
+        at += line + size + 2;
+        if size == 0 {
+            return Ok(Some((body, at)));
+        }
+        body.extend_from_slice(&chunk[..size]);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn answers_are_read_whole_with_a_length_or_in_chunks() {
+        let plain = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhelloHTTP";
+        for cut in 0..43 {
+            assert_eq!(parse_answer(&plain[..cut]), Ok(None), "{cut} bytes");
+        }
+        assert_eq!(parse_answer(plain), Ok(Some((b"hello".to_vec(), 43))));
+        let chunks = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n";
+        for cut in 0..chunks.len() {
+            assert_eq!(parse_answer(&chunks[..cut]), Ok(None), "{cut} bytes");
+        }
+        assert_eq!(parse_answer(chunks), Ok(Some((b"hello".to_vec(), chunks.len()))));
+    }
+
+    #[test]
+    fn bad_answers_are_errors() {
+        for bad in [
+            "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n",
+            "no HTTP at all\r\n\r\n",
+        ] {
+            assert!(parse_answer(bad.as_bytes()).is_err(), "{bad}");
+        }
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,48 @@
+//! The real gateway: sockets round the decision module, each part owning one concern.
+
+pub mod backend;
+pub mod buffers;
+pub mod config;
+pub mod counters;
+pub mod discovery;
+pub mod frontend;
+pub mod log;
+pub mod pg;
+pub mod request;
+pub mod router;
+
+use irisrouter::api::Ns;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// The one clock of the program: monotonic, anchored once to Unix time, in nanoseconds.
+///
+/// Positions and start times of database hosts are Unix times, so that the module can compare them with its
+/// own clock; a system clock that is set meanwhile must not turn time back.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+    unix: Ns,
+}
+
+impl Clock {
+    /// Anchors the clock to the present.
+    pub fn new() -> Self {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix: since.as_nanos() as Ns }
+    }
+
+    /// Nanoseconds of Unix time.
+    pub fn now(&self) -> Ns {
+        self.unix + self.start.elapsed().as_nanos() as Ns
+    }
+}
+
+/// A length of time of the module's clock; nothing for what has passed.
+pub fn duration(ns: Ns) -> Duration {
+    Duration::from_nanos(ns.max(0) as u64)
+}
+
+/// The other way round.
+pub fn nanoseconds(d: Duration) -> Ns {
+    Ns::try_from(d.as_nanos()).unwrap_or(Ns::MAX)
+}
--- /dev/null
+++ b/src/net/request.rs
@@ -0,0 +1,191 @@
+//! The life of one request: arrival, attempts, final answer. Any front that words its requests as a [`Call`]
+//! goes through the same decisions and rules.
+
+use super::backend::{Attempted, Backend, Statement};
+use super::buffers::Buffer;
+use super::counters::{count, Counters};
+use super::router::{Mailbox, Order};
+use super::{duration, nanoseconds, Clock};
+use irisrouter::api::*;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{sleep_until, Instant};
+
+/// An answer leaves so much before its deadline: timers are late by up to a millisecond, and it has to be written.
+const MARGIN: Duration = Duration::from_millis(4);
+
+/// A request, as a front hands it over.
+pub struct Call {
+    /// Its class, an index into the settings.
+    pub class: usize,
+    /// Its group.
+    pub group: GroupId,
+    /// Its session.
+    pub session: Option<SessionId>,
+    /// How long its client waits from now on.
+    pub wait: Duration,
+    /// The position that it has to see.
+    pub after: Option<Ns>,
+    /// The client says that it repeats.
+    pub retry: bool,
+    /// What is passed on.
+    pub statement: Statement,
+}
+
+/// The final answer.
+pub enum Answer {
+    /// A row, as a database host made it for this request.
+    Served(Buffer),
+    /// Trying again is harmless, after this pause.
+    Refused {
+        /// 0 for no advice.
+        pause: Ns,
+    },
+    /// Nothing is promised.
+    Failed,
+}
+
+/// What the requests share.
+pub struct Core {
+    /// The way to the module.
+    pub mailbox: Rc<Mailbox>,
+    /// The database hosts.
+    pub backend: Rc<Backend>,
+    /// The clock.
+    pub clock: Clock,
+    /// The counters.
+    pub counters: Rc<Counters>,
+}
+
+impl Core {
+    /// Takes a request and gives it exactly one answer. A client that leaves drops the receiver.
+    pub async fn serve(self: Rc<Self>, call: Call, answer: oneshot::Sender<Answer>) {
+        count(&self.counters.received);
+        let arrived = self.clock.now();
+        let wait = call.wait.saturating_sub(MARGIN);
+        let deadline = Instant::now() + wait;
+        let (id, mut orders) = self.mailbox.open();
+        self.mailbox.post(Event::Request {
+            id,
+            class: call.class,
+            tenant: None,
+            session: call.session,
+            deadline: arrived + nanoseconds(wait),
+            work: None,
+            group: call.group,
+            mark_age: call.after.map(|position| arrived - position),
+            retry: call.retry,
+        });
+        let statement = Rc::new(call.statement);
+        let mut owed = Some(answer);
+        let mut running: JoinSet<Attempted> = JoinSet::new();
+        // By their number: where each went and when, and how to stop waiting for it.
+        let mut attempts: Vec<(MemberId, Instant, AbortHandle)> = Vec::new();
+        while owed.is_some() || !running.is_empty() {
+            tokio::select! {
+                biased;
+                Some(ended) = running.join_next_with_id() => {
+                    let (task, attempted) = match ended {
+                        Ok((task, attempted)) => (task, attempted),
+                        Err(e) => (e.id(), Outcome::Cancelled.into()),
+                    };
+                    let Some(number) = attempts.iter().position(|a| a.2.id() == task) else { continue };
+                    let (member, sent, _) = &attempts[number];
+                    if attempted.outcome == Outcome::Cancelled {
+                        self.counters.attempt(Outcome::Cancelled);
+                    }
+                    if let Some(row) = attempted.row {
+                        if let Some(answer) = owed.take() {
+                            self.answer(answer, Answer::Served(row));
+                        }
+                    }
+                    self.mailbox.post(Event::Ended {
+                        id,
+                        attempt: number as u32,
+                        member: *member,
+                        outcome: attempted.outcome,
+                        elapsed: nanoseconds(sent.elapsed()),
+                        finished: owed.is_none(),
+                        note: attempted.note,
+                        report: None,
+                    });
+                }
+                Some(order) = orders.recv() => match order {
+                    Order::Send { member, limit } => {
+                        let (core, statement) = (Rc::clone(&self), Rc::clone(&statement));
+                        // Nothing new leaves for a request that is over, but the module hears of its attempt.
+                        let over = owed.is_none();
+                        let handle = running.spawn_local(async move {
+                            if over {
+                                return Outcome::Moot.into();
+                            }
+                            core.backend.attempt(member, &statement, limit).await
+                        });
+                        attempts.push((member, Instant::now(), handle));
+                    }
+                    Order::Cancel { attempt } => {
+                        attempts.iter().skip(attempt as usize).take(1).for_each(|a| a.2.abort());
+                    }
+                    Order::Refuse { pause } => {
+                        owed.take().into_iter().for_each(|a| self.answer(a, Answer::Refused { pause }));
+                    }
+                    Order::Fail => owed.take().into_iter().for_each(|a| self.answer(a, Answer::Failed)),
+                },
+                () = left(&mut owed) => {
+                    owed = None;
+                    count(&self.counters.left);
+                    self.mailbox.post(Event::Left { id });
+                }
+                // The module has not decided in time. Danger: a request without an answer is lost.
+                () = sleep_until(deadline), if owed.is_some() => {
+                    owed.take().into_iter().for_each(|a| self.answer(a, Answer::Failed));
+                    self.mailbox.post(Event::Left { id });
+                }
+            }
+        }
+        // Sends that were ordered before the module heard of the end: each attempt has its outcome.
+        orders.close();
+        while let Ok(order) = orders.try_recv() {
+            if let Order::Send { member, .. } = order {
+                let attempt = attempts.len() as u32;
+                let (outcome, finished) = (Outcome::Moot, true);
+                self.mailbox.post(Event::Ended {
+                    id,
+                    attempt,
+                    member,
+                    outcome,
+                    elapsed: 0,
+                    finished,
+                    note: None,
+                    report: None,
+                });
+            }
+        }
+        self.mailbox.close(id);
+    }
+
+    fn answer(&self, to: oneshot::Sender<Answer>, answer: Answer) {
+        count(match answer {
+            Answer::Served(_) => &self.counters.served,
+            Answer::Refused { .. } => &self.counters.refused,
+            Answer::Failed => &self.counters.failed,
+        });
+        // A client that has just left needs none.
+        let _ = to.send(answer);
+    }
+}
+
+/// The client has left; never, once nothing is owed.
+async fn left(owed: &mut Option<oneshot::Sender<Answer>>) {
+    match owed {
+        Some(answer) => answer.closed().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// The pause of a refusal in whole milliseconds, rounded up.
+pub fn pause_ms(pause: Ns) -> Option<u128> {
+    (pause > 0).then(|| duration(pause).as_nanos().div_ceil(1_000_000))
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,243 @@
+//! The settings object of the platform, read once into the module's [`Settings`] and the names behind its numbers.
+//!
+//! The simulator hands it over in its first message and a gateway finds it in its configuration, so both read
+//! it here.
+
+use crate::api::*;
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireClass {
+    name: String,
+    aim_ns: i64,
+    #[serde(default)]
+    aim_stretch: Option<f64>,
+    deadline_ns: i64,
+    effect: String,
+    group: Option<String>,
+    late_worth: f64,
+    #[serde(default)]
+    window_ns: Option<i64>,
+    worth: f64,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default, rename_all = "PascalCase")]
+struct WirePenalties {
+    probe: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireBounds {
+    cancel: bool,
+    connect_timeout_ns: i64,
+    max_retry_after_ns: i64,
+    #[serde(default)]
+    idle_close_ns: Option<i64>,
+    most_tries: u32,
+    probes: bool,
+    retry_after: bool,
+    second_copies: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireDomain {
+    catch_up_wait_ns: i64,
+    class_bound_ns: Vec<i64>,
+    freshness: Vec<String>,
+    position_zero_ns: i64,
+    role_in_list: String,
+    server_checks: String,
+    session_marks: String,
+    stamps: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireRules {
+    cold_ns: i64,
+    drain_grace_ns: i64,
+    overload_factor: f64,
+    start_capacity: f64,
+    tip_after_ns: i64,
+    #[serde(default)]
+    drain_binds_alone: Option<bool>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireLoadInfo {
+    how: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireTenant {
+    name: String,
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(crate) struct BootInfo {
+    balancers: u32,
+    classes: Vec<WireClass>,
+    bounds: WireBounds,
+    domain: WireDomain,
+    rules: WireRules,
+    load_info: WireLoadInfo,
+    membership_mode: String,
+    my_zone: String,
+    over_share_worth: f64,
+    #[serde(default)]
+    penalties: WirePenalties,
+    round_ns: i64,
+    #[serde(default)]
+    tenants: Vec<WireTenant>,
+    #[serde(default)]
+    zones: Vec<String>,
+}
+
+/// Names given out as small numbers, in order of first mention.
+#[derive(Clone, Debug, Default)]
+pub struct Names(Vec<String>);
+
+impl Names {
+    /// The number of a name that has been mentioned.
+    pub fn find(&self, name: &str) -> Option<usize> {
+        self.0.iter().position(|n| n == name)
+    }
+
+    /// The number of a name, a new one at its first mention.
+    pub fn number(&mut self, name: &str) -> usize {
+        self.find(name).unwrap_or_else(|| {
+            self.0.push(name.to_string());
+            self.0.len() - 1
+        })
+    }
+}
+
+/// What the settings object says, beyond what the module needs to know.
+#[derive(Clone, Debug)]
+pub struct Loaded {
+    /// The module's part.
+    pub settings: Settings,
+    /// Names of the classes, by their index in the settings.
+    pub classes: Names,
+    /// Names of the tenants, by their index in the settings.
+    pub tenants: Names,
+    /// Names of the zones.
+    pub zones: Names,
+    /// Clock time from which the simulator reckons positions.
+    pub position_zero: Ns,
+    /// A database host closes a connection that has stood idle for this long at the latest.
+    pub idle_close: Ns,
+}
+
+/// Idle time after which connections close, where the settings do not say.
+const IDLE_CLOSE: Ns = 30_000_000_000;
+
+impl Loaded {
+    /// Reads the settings object.
+    pub fn parse(json: serde_json::Value, seed: u64) -> Result<Self, String> {
+        let info: BootInfo = serde_json::from_value(json).map_err(|e| e.to_string())?;
+        Self::new(seed, &info)
+    }
+
+    pub(crate) fn new(seed: u64, info: &BootInfo) -> Result<Self, String> {
+        let mut zones = Names(info.zones.clone());
+        Ok(Loaded {
+            settings: settings(seed, info, &mut zones)?,
+            classes: Names(info.classes.iter().map(|c| c.name.clone()).collect()),
+            tenants: Names(info.tenants.iter().map(|t| t.name.clone()).collect()),
+            zones,
+            position_zero: info.domain.position_zero_ns,
+            idle_close: info.bounds.idle_close_ns.unwrap_or(IDLE_CLOSE),
+        })
+    }
+}
+
+fn settings(seed: u64, b: &BootInfo, zones: &mut Names) -> Result<Settings, String> {
+    let d = &b.domain;
+    let mut classes = Vec::new();
+    for (i, c) in b.classes.iter().enumerate() {
+        let bound = d.class_bound_ns.get(i).copied().unwrap_or(0);
+        let freshness = match d.freshness.get(i).map(String::as_str) {
+            Some("mutate") => Freshness::Write,
+            Some("strong") => Freshness::Fresh,
+            Some("causal") => Freshness::Session,
+            Some("lag_bound") => Freshness::Bounded(bound),
+            Some("eventual") => Freshness::Any,
+            other => return Err(format!("unknown freshness {other:?} of class {}", c.name)),
+        };
+        let scope = match c.group.as_deref() {
+            Some("zone") => RepeatScope::Zone,
+            Some("cell") => RepeatScope::Group,
+            _ => RepeatScope::All,
+        };
+        let repeat = match c.effect.as_str() {
+            "retryable" => Repeat::Safe,
+            "dedup" => Repeat::Keyed { scope, window: c.window_ns.unwrap_or(0) },
+            "fragile" => Repeat::Unsafe,
+            other => return Err(format!("unknown effect {other} of class {}", c.name)),
+        };
+        classes.push(Class {
+            aim: c.aim_ns,
+            aim_stretch: c.aim_stretch.unwrap_or(0.0),
+            deadline: c.deadline_ns,
+            worth: c.worth,
+            late_worth: c.late_worth,
+            repeat,
+            freshness,
+        });
+    }
+    Ok(Settings {
+        seed,
+        proxies: b.balancers,
+        zone: ZoneId(zones.number(&b.my_zone) as u32),
+        tick: b.round_ns,
+        classes,
+        tenants: b.tenants.iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
+        over_share_worth: b.over_share_worth,
+        probe_price: b.penalties.probe,
+        limits: Limits {
+            attempts: b.bounds.most_tries,
+            probes: b.bounds.probes,
+            cancel: b.bounds.cancel,
+            second_copies: b.bounds.second_copies,
+            pauses: b.bounds.retry_after,
+            max_pause: b.bounds.max_retry_after_ns,
+            connect_timeout: b.bounds.connect_timeout_ns,
+        },
+        rules: Rules {
+            drain_grace: b.rules.drain_grace_ns,
+            drain_binds_alone: b.rules.drain_binds_alone.unwrap_or(false),
+            cold_for: b.rules.cold_ns,
+            start_capacity: b.rules.start_capacity,
+            overload_multiple: b.rules.overload_factor,
+            overload_window: b.rules.tip_after_ns,
+        },
+        checks: match d.server_checks.as_str() {
+            "bounce" => ServerChecks::Refuse,
+            "await" => ServerChecks::Wait(d.catch_up_wait_ns),
+            "none" => ServerChecks::None,
+            other => return Err(format!("unknown server checks {other}")),
+        },
+        list_role: match d.role_in_list.as_str() {
+            "trailing" => ListRole::Late,
+            "static" => ListRole::Static,
+            _ => ListRole::None,
+        },
+        positions_in_answers: d.stamps,
+        marks_carried: d.session_marks == "brought",
+        reports: match b.load_info.how.as_str() {
+            "answers" => Reports::Answers,
+            "probe" => Reports::Probes,
+            _ => Reports::None,
+        },
+        list_on_request: b.membership_mode == "ask",
+    })
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -2,6 +2,7 @@
 
 use crate::api::*;
 use crate::decide::Router;
+use crate::settings::{BootInfo, Loaded, Names};
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 use std::collections::{BTreeMap, HashMap};
@@ -9,99 +10,6 @@
 
 const NS_PER_MS: i64 = 1_000_000;
 
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct WireClass {
-    name: String,
-    aim_ns: i64,
-    #[serde(default)]
-    aim_stretch: Option<f64>,
-    deadline_ns: i64,
-    effect: String,
-    group: Option<String>,
-    late_worth: f64,
-    #[serde(default)]
-    window_ns: Option<i64>,
-    worth: f64,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(default, rename_all = "PascalCase")]
-struct WirePenalties {
-    probe: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct WireBounds {
-    cancel: bool,
-    connect_timeout_ns: i64,
-    max_retry_after_ns: i64,
-    most_tries: u32,
-    probes: bool,
-    retry_after: bool,
-    second_copies: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct WireDomain {
-    catch_up_wait_ns: i64,
-    class_bound_ns: Vec<i64>,
-    freshness: Vec<String>,
-    position_zero_ns: i64,
-    role_in_list: String,
-    server_checks: String,
-    session_marks: String,
-    stamps: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct WireRules {
-    cold_ns: i64,
-    drain_grace_ns: i64,
-    overload_factor: f64,
-    start_capacity: f64,
-    tip_after_ns: i64,
-    #[serde(default)]
-    drain_binds_alone: Option<bool>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct WireLoadInfo {
-    how: String,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct WireTenant {
-    name: String,
-    quota_per_s: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct BootInfo {
-    balancers: u32,
-    classes: Vec<WireClass>,
-    bounds: WireBounds,
-    domain: WireDomain,
-    rules: WireRules,
-    load_info: WireLoadInfo,
-    membership_mode: String,
-    my_zone: String,
-    over_share_worth: f64,
-    #[serde(default)]
-    penalties: WirePenalties,
-    round_ns: i64,
-    #[serde(default)]
-    tenants: Vec<WireTenant>,
-    #[serde(default)]
-    zones: Vec<String>,
-}
-
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct WireEntry {
@@ -264,9 +172,9 @@
 struct Instance {
     router: Router,
     zero: i64,
-    classes: HashMap<String, usize>,
-    tenants: HashMap<String, usize>,
-    zones: Vec<String>,
+    classes: Names,
+    tenants: Names,
+    zones: Names,
     members: HashMap<String, MemberId>,
     member_names: Vec<String>,
     requests: HashMap<String, RequestId>,
@@ -276,96 +184,6 @@
     closing: Vec<RequestId>,
 }
 
-fn zone_id(zones: &mut Vec<String>, name: &str) -> ZoneId {
-    let at = zones.iter().position(|z| z == name).unwrap_or_else(|| {
-        zones.push(name.to_string());
-        zones.len() - 1
-    });
-    ZoneId(at as u32)
-}
-
-fn settings(seed: u64, b: &BootInfo, zones: &mut Vec<String>) -> Result<Settings, String> {
-    let d = &b.domain;
-    let mut classes = Vec::new();
-    for (i, c) in b.classes.iter().enumerate() {
-        let bound = d.class_bound_ns.get(i).copied().unwrap_or(0);
-        let freshness = match d.freshness.get(i).map(String::as_str) {
-            Some("mutate") => Freshness::Write,
-            Some("strong") => Freshness::Fresh,
-            Some("causal") => Freshness::Session,
-            Some("lag_bound") => Freshness::Bounded(bound),
-            Some("eventual") => Freshness::Any,
-            other => return Err(format!("unknown freshness {other:?} of class {}", c.name)),
-        };
-        let scope = match c.group.as_deref() {
-            Some("zone") => RepeatScope::Zone,
-            Some("cell") => RepeatScope::Group,
-            _ => RepeatScope::All,
-        };
-        let repeat = match c.effect.as_str() {
-            "retryable" => Repeat::Safe,
-            "dedup" => Repeat::Keyed { scope, window: c.window_ns.unwrap_or(0) },
-            "fragile" => Repeat::Unsafe,
-            other => return Err(format!("unknown effect {other} of class {}", c.name)),
-        };
-        classes.push(Class {
-            aim: c.aim_ns,
-            aim_stretch: c.aim_stretch.unwrap_or(0.0),
-            deadline: c.deadline_ns,
-            worth: c.worth,
-            late_worth: c.late_worth,
-            repeat,
-            freshness,
-        });
-    }
-    Ok(Settings {
-        seed,
-        proxies: b.balancers,
-        zone: zone_id(zones, &b.my_zone),
-        tick: b.round_ns,
-        classes,
-        tenants: b.tenants.iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
-        over_share_worth: b.over_share_worth,
-        probe_price: b.penalties.probe,
-        limits: Limits {
-            attempts: b.bounds.most_tries,
-            probes: b.bounds.probes,
-            cancel: b.bounds.cancel,
-            second_copies: b.bounds.second_copies,
-            pauses: b.bounds.retry_after,
-            max_pause: b.bounds.max_retry_after_ns,
-            connect_timeout: b.bounds.connect_timeout_ns,
-        },
-        rules: Rules {
-            drain_grace: b.rules.drain_grace_ns,
-            drain_binds_alone: b.rules.drain_binds_alone.unwrap_or(false),
-            cold_for: b.rules.cold_ns,
-            start_capacity: b.rules.start_capacity,
-            overload_multiple: b.rules.overload_factor,
-            overload_window: b.rules.tip_after_ns,
-        },
-        checks: match d.server_checks.as_str() {
-            "bounce" => ServerChecks::Refuse,
-            "await" => ServerChecks::Wait(d.catch_up_wait_ns),
-            "none" => ServerChecks::None,
-            other => return Err(format!("unknown server checks {other}")),
-        },
-        list_role: match d.role_in_list.as_str() {
-            "trailing" => ListRole::Late,
-            "static" => ListRole::Static,
-            _ => ListRole::None,
-        },
-        positions_in_answers: d.stamps,
-        marks_carried: d.session_marks == "brought",
-        reports: match b.load_info.how.as_str() {
-            "answers" => Reports::Answers,
-            "probe" => Reports::Probes,
-            _ => Reports::None,
-        },
-        list_on_request: b.membership_mode == "ask",
-    })
-}
-
 fn outcome(code: i64) -> Result<Outcome, String> {
     Ok(match code {
         1 => Outcome::Ok,
@@ -381,24 +199,14 @@
     })
 }
 
-/// The same number for the same session text, in every process.
-fn session_id(text: &str) -> SessionId {
-    let mut h: u64 = 0xcbf2_9ce4_8422_2325;
-    for b in text.bytes() {
-        h = (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
-    }
-    SessionId(h)
-}
-
 impl Instance {
     fn new(seed: u64, info: &BootInfo) -> Result<Self, String> {
-        let mut zones = info.zones.clone();
-        let settings = settings(seed, info, &mut zones)?;
+        let Loaded { settings, classes, tenants, zones, position_zero, .. } = Loaded::new(seed, info)?;
         Ok(Instance {
             router: Router::new(settings),
-            zero: info.domain.position_zero_ns,
-            classes: (info.classes.iter().enumerate()).map(|(i, c)| (c.name.clone(), i)).collect(),
-            tenants: (info.tenants.iter().enumerate()).map(|(i, t)| (t.name.clone(), i)).collect(),
+            zero: position_zero,
+            classes,
+            tenants,
             zones,
             members: HashMap::new(),
             member_names: Vec::new(),
@@ -443,7 +251,7 @@
             entries.push(ListEntry {
                 member: self.member(&e.member),
                 group: GroupId(e.db),
-                zone: zone_id(&mut self.zones, &e.area),
+                zone: ZoneId(self.zones.number(&e.area) as u32),
                 listed,
                 primary: e.primary.unwrap_or(0.0) > 0.5,
                 size: e.nominal.unwrap_or(1.0),
@@ -598,19 +406,19 @@
                 let Some(s) = self.instances.get_mut(&inst) else {
                     return Ok(None);
                 };
-                let class = *(s.classes.get(class.as_ref()))
-                    .ok_or_else(|| format!("unknown class {class} of a request"))?;
+                let class =
+                    (s.classes.find(&class)).ok_or_else(|| format!("unknown class {class} of a request"))?;
                 let id = RequestId(s.next_request);
                 s.next_request += 1;
                 s.requests.insert(call.to_string(), id);
                 let open = Open { name: call.into_owned(), attempts_out: 0, ended: false };
                 s.open.insert(id, open);
-                let tenant = team.and_then(|t| t.as_str().and_then(|t| s.tenants.get(t).copied()));
+                let tenant = team.and_then(|t| t.as_str().and_then(|t| s.tenants.find(t)));
                 let event = Event::Request {
                     id,
                     class,
                     tenant,
-                    session: session.map(|t| session_id(&t)),
+                    session: session.map(|t| SessionId::of(t.as_bytes())),
                     deadline,
                     work,
                     group: GroupId(group),
