Test the gateway as a process, and let the module decide before the guard does

Seen: a read that no host answered was failed (XX000), where the module refuses it with a pause. Cause: src/net/request.rs gave the guard against an undecided request the module's own deadline, so that the two raced and the guard won. The module's deadline now lies 5 ms before the client's and the guard's 1 ms. Test: a_request_that_no_host_answers_gets_one_answer_in_time.

--- a/src/main.rs
+++ b/src/main.rs
@@ -97,7 +97,8 @@
     spawn_local(discovery::watch(config.discovery, known, Rc::clone(&backend)));
     spawn_local(sweep(backend));
     let accepting = spawn_local(Rc::clone(&front).accept(Rc::clone(&listener)));
-    log!("{} listens on {}", config.name, config.listen);
+    let address = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
+    log!("{} listens on {address}", config.name);
 
     tell_until(&mut stop, &mut interrupt, &mut tell, &counters).await;
     log!("stopping");
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -252,7 +252,7 @@
                     pg::put_error(out, "ERROR", code::TOO_MANY_CONNECTIONS, text, detail.as_deref());
                 }
                 Answer::Failed => {
-                    let text = "not answered in time, and it may have run";
+                    let text = "no answer could be had, and it may have run";
                     pg::put_error(out, "ERROR", code::INTERNAL_ERROR, text, None);
                 }
             },
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -13,8 +13,12 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{sleep_until, Instant};
 
-/// An answer leaves so much before its deadline: timers are late by up to a millisecond, and it has to be written.
-const MARGIN: Duration = Duration::from_millis(4);
+/// The module's deadline lies so much before the client's: timers are late by up to a millisecond, and its
+/// decision has to be made and written.
+const MARGIN: Duration = Duration::from_millis(5);
+/// And the guard against no decision so much. Danger: with both at one moment, the guard answers first, and
+/// fails what the module would have refused.
+const LAST_MARGIN: Duration = Duration::from_millis(1);
 
 /// A request, as a front hands it over.
 pub struct Call {
@@ -65,7 +69,7 @@
         count(&self.counters.received);
         let arrived = self.clock.now();
         let wait = call.wait.saturating_sub(MARGIN);
-        let deadline = Instant::now() + wait;
+        let last = Instant::now() + call.wait.saturating_sub(LAST_MARGIN);
         let (id, mut orders) = self.mailbox.open();
         self.mailbox.post(Event::Request {
             id,
@@ -139,7 +143,7 @@
                     self.mailbox.post(Event::Left { id });
                 }
                 // The module has not decided in time. Danger: a request without an answer is lost.
-                () = sleep_until(deadline), if owed.is_some() => {
+                () = sleep_until(last), if owed.is_some() => {
                     owed.take().into_iter().for_each(|a| self.answer(a, Answer::Failed));
                     self.mailbox.post(Event::Left { id });
                 }
--- /dev/null
+++ b/tests/gateway/main.rs
@@ -0,0 +1,344 @@
+//! The real program as a process: its conversations with clients, database hosts and discovery.
+
+mod house;
+use house::*;
+use insta::assert_snapshot;
+use serde_json::json;
+use std::io::Read;
+use std::net::Shutdown;
+
+fn row(_: usize, _: &str) -> Say {
+    Say::Row("a1b2")
+}
+
+#[test]
+fn a_request_is_passed_on_byte_for_byte_and_its_row_comes_back() {
+    let host = Host::start("s-1", true, row);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let mut client = gateway.raw();
+    client.send(&[0, 0, 0, 8, 0x04, 0xd2, 0x16, 0x2f]);
+    assert_eq!(client.byte(), b'N', "no encryption here");
+    // The first query rides behind the startup message.
+    let first = "SELECT payload FROM entries WHERE ref = 'it''s /* d=1 */' /* id=9b1f,x=1, c=read ,d=9000,cluster=2 */ ;";
+    client.send(&[startup(), query(first)].concat());
+    assert_snapshot!(client.until_ready(), @r"
+    AuthenticationOk
+    ReadyForQuery
+    ");
+    assert_snapshot!(client.until_ready(), @r"
+    RowDescription
+    DataRow a1b2
+    CommandComplete SELECT 1
+    ReadyForQuery
+    ");
+    assert_snapshot!(client.ask(" ; "), @r"
+    EmptyQueryResponse
+    ReadyForQuery
+    ");
+    // Sent ahead of their answers: these come in order, on the connection that is warm.
+    client.send(&[query(&statement("once", 9_000)), query(""), query(&statement("read", 9_000))].concat());
+    let answers: Vec<String> = (0..3).map(|_| client.until_ready()).collect();
+    assert!(answers[0].contains("a1b2") && answers[1].starts_with("Empty") && answers[2].contains("a1b2"));
+    let lines = host.statements();
+    let seen: Vec<&str> = lines.iter().map(|l| l.split_once(": ").unwrap().1).collect();
+    assert_snapshot!(seen.join("\n"), @r"
+    SELECT payload FROM entries WHERE ref = 'it''s /* d=1 */' /* id=9b1f,x=1, c=read ,d=LEFT,cluster=2 */ ;
+    SELECT payload FROM entries WHERE ref = '7f3a' /* id=9b1f,c=once,d=LEFT,k=5c0f,cluster=2 */
+    SELECT payload FROM entries WHERE ref = '7f3a' /* id=9b1f,c=read,d=LEFT,k=5c0f,cluster=2 */
+    ");
+}
+
+#[test]
+fn bad_input_gets_an_error_and_the_gateway_goes_on() {
+    let host = Host::start("s-1", true, row);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let mut client = gateway.client();
+    let good = statement("read", 9_000);
+    let statements = [
+        "SELECT 1".to_string(),
+        good.replace("c=read", "c=unheard-of"),
+        good.replace("cluster=2", "cluster=77"),
+        good.replace("cluster=2", "cluster=two"),
+        good.replace("d=9000", "d=-1"),
+        good.replace("d=9000", "d=NaN"),
+        good.replace("id=9b1f,", ""),
+        good.replace("k=5c0f", "d=5"),
+        statement("order", 9_000).replace("k=5c0f,", ""),
+        good.replace("*/", "*"),
+    ];
+    let answers: Vec<String> = statements.iter().map(|s| client.ask(s)).collect();
+    assert_snapshot!(answers.join("\n").replace("\nReadyForQuery", ""), @r"
+    ErrorResponse SERROR VERROR C42601 Ma statement that does not end with its comment
+    ErrorResponse SERROR VERROR C42601 Man unknown class
+    ErrorResponse SERROR VERROR C42601 Man unknown cluster
+    ErrorResponse SERROR VERROR C42601 Mno cluster in the comment
+    ErrorResponse SERROR VERROR C42601 Md is no time in milliseconds
+    ErrorResponse SERROR VERROR C42601 Md is no time in milliseconds
+    ErrorResponse SERROR VERROR C42601 Mno id in the comment
+    ErrorResponse SERROR VERROR C42601 Ma name that stands twice in the comment
+    ErrorResponse SERROR VERROR C42601 Mno k in the comment of a keyed class
+    ErrorResponse SERROR VERROR C42601 Ma statement that does not end with its comment
+    ");
+    // The extended protocol is declined up to its Sync, and simple queries go on.
+    client.send(&[b"P\0\0\0\x08a\0b\0" as &[u8], b"B\0\0\0\x06a\0", b"S\0\0\0\x04"].concat());
+    assert_snapshot!(client.until_ready(), @r"
+    ErrorResponse SERROR VERROR C0A000 Monly simple queries are spoken here
+    ReadyForQuery
+    ");
+    assert!(client.ask(&good).contains("a1b2"));
+    // What breaks the protocol ends its connection, and no other.
+    let breaches: [&[u8]; 5] =
+        [b"Q\0\0\0\x06xx", b"Q\0\0\0\x03", b"Q\x7f\xff\xff\xff", b"Q\0\0\0\x07x\0\0", b"?\0\0\0\x04"];
+    for breach in breaches {
+        let mut c = gateway.client();
+        c.send(breach);
+        let told = c.until_ready();
+        assert!(told.starts_with("ErrorResponse SFATAL VFATAL C08P01"), "{told}");
+        assert!(told.ends_with("closed"));
+    }
+    for start in [b"\0\0\0\x01nonsense" as &[u8], b"GET / HTTP/1.1\r\n\r\n", b"\0\0\0\x08\0\x02\0\0"] {
+        let mut c = gateway.raw();
+        c.send(start);
+        assert!(c.until_ready().starts_with("ErrorResponse SFATAL VFATAL C08P01"));
+    }
+    // A frame that never gets whole.
+    let mut cut = gateway.client();
+    cut.send(&query(&good)[..20]);
+    cut.stream.shutdown(Shutdown::Both).unwrap();
+    assert!(client.ask(&good).contains("a1b2"));
+}
+
+#[test]
+fn a_garbled_answer_is_an_error_and_never_a_row() {
+    // Two columns, a length that lies, a row after an error, bytes that are no messages; then the true row.
+    let host = Host::start("s-1", true, |n, _| match n {
+        0 => Say::Raw(b"D\0\0\0\x10\0\x02\0\0\0\x01x\0\0\0\x01yZ\0\0\0\x05I"),
+        1 => Say::Raw(b"D\0\0\0\x0b\0\x01\0\0\0\x09xC\0\0\0\x0dSELECT 1\0Z\0\0\0\x05I"),
+        2 => Say::Raw(b"!!!!!!!!!!!!"),
+        3 => Say::Raw(b"C\0\0\0\x0dSELECT 0\0Z\0\0\0\x05I"),
+        _ => Say::Row("true"),
+    });
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let answer = gateway.client().ask(&statement("read", 9_000));
+    assert!(answer.contains("DataRow true"), "{answer}");
+    assert_eq!(host.statements().len(), 5);
+}
+
+#[test]
+fn what_may_have_run_is_not_sent_again() {
+    // The connection that has served the first breaks on the second: that is a reset, which may have run.
+    let host = Host::start("s-1", true, |n, _| if n == 1 { Say::End } else { Say::Row("a1b2") });
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let mut client = gateway.client();
+    assert!(client.ask(&statement("once", 9_000)).contains("a1b2"));
+    assert_snapshot!(client.ask(&statement("once", 9_000)), @r"
+    ErrorResponse SERROR VERROR CXX000 Mno answer could be had, and it may have run
+    ReadyForQuery
+    ");
+    assert_eq!(host.statements().len(), 2);
+    assert!(client.ask(&statement("once", 9_000)).contains("a1b2"));
+}
+
+#[test]
+fn what_never_ran_is_tried_again() {
+    for code in ["25006", "72000", "53300"] {
+        let script = match code {
+            "25006" => |n, _: &str| if n == 0 { Say::Error("25006") } else { Say::Row("a1b2") },
+            "72000" => |n, _: &str| if n == 0 { Say::Error("72000") } else { Say::Row("a1b2") },
+            _ => |n, _: &str| if n == 0 { Say::Error("53300") } else { Say::Row("a1b2") },
+        };
+        let host = Host::start("s-1", true, script);
+        let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+        let gateway = Gateway::start(&discovery, &[&host]);
+        assert!(gateway.client().ask(&statement("once", 19_000)).contains("a1b2"), "{code}");
+        assert_eq!(host.statements().len(), 2, "{code}");
+    }
+}
+
+#[test]
+fn a_write_that_meets_a_former_primary_goes_to_the_new_one() {
+    let one = Host::start("s-1", true, |n, _| if n == 0 { Say::Row("old") } else { Say::Error("25006") });
+    let two = Host::start("s-2", false, |_, _| Say::Row("new"));
+    let discovery = Discovery::start(vec![one.entry("in_service", 0), two.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&one, &two]);
+    let mut client = gateway.client();
+    assert!(client.ask(&statement("order", 9_000)).contains("old"), "its report says that it is the primary");
+    one.primary.change(|p| *p = false);
+    two.primary.change(|p| *p = true);
+    assert!(client.ask(&statement("order", 9_000)).contains("new"));
+}
+
+#[test]
+fn an_abandoned_connection_is_closed_and_not_used_again() {
+    let host = Host::start("s-1", true, |n, _| if n == 0 { Say::Silence } else { Say::Row("late") });
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let mut gone = gateway.client();
+    gone.send(&query(&statement("once", 9_000)));
+    host.seen.wait("the statement", |s| s.iter().any(|l| l.contains("c=once")).then_some(()));
+    let number = host.statements()[0].split_once(':').unwrap().0.to_string();
+    // The client leaves: so does its attempt.
+    drop(gone);
+    host.wait_for(&format!("{number}: closed"));
+    gateway.signal("-USR1");
+    gateway.log.wait("the counters", |l| l.iter().any(|l| l.contains(" left=1 ")).then_some(()));
+    assert!(gateway.client().ask(&statement("read", 9_000)).contains("late"));
+    assert!(!host.statements()[1].starts_with(&format!("{number}:")));
+}
+
+#[test]
+fn a_request_that_no_host_answers_gets_one_answer_in_time() {
+    let host = Host::start("s-1", true, |_, _| Say::Silence);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let mut client = gateway.client();
+    assert_snapshot!(client.ask(&statement("once", 300)), @r"
+    ErrorResponse SERROR VERROR CXX000 Mno answer could be had, and it may have run
+    ReadyForQuery
+    ");
+    // A read may be repeated: it is refused, with a pause to keep.
+    assert_snapshot!(client.ask(&statement("read", 300)), @r"
+    ErrorResponse SERROR VERROR C53300 Mturned away, trying again is harmless D1000
+    ReadyForQuery
+    ");
+    // Nothing more comes for either: the next answer is that of the next command.
+    assert!(client.ask("").starts_with("Empty"));
+}
+
+#[test]
+fn a_change_of_the_list_holds_from_the_next_request_on() {
+    let (one, two) = (Host::start("s-1", true, row), Host::start("s-2", false, row));
+    let discovery = Discovery::start(vec![one.entry("in_service", 0), two.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&one, &two]);
+    let mut client = gateway.client();
+    let both = |phase: &str| json!([one.entry("in_service", 0), two.entry(phase, 0)]);
+    discovery.publish(List::Is(both("terminating")));
+    let before = two.statements().len();
+    for _ in 0..10 {
+        assert!(client.ask(&statement("read", 9_000)).contains("a1b2"));
+    }
+    assert_eq!(two.statements().len(), before, "nothing new to one that drains");
+    // A malformed list changes nothing, and the next call comes on a new connection.
+    discovery.list.change(|l| *l = (l.0 + 1, List::Garbage));
+    let first = discovery.calls.wait("a new connection", |c| {
+        let again = c.iter().find(|c| c.split_once(':').is_some_and(|(n, _)| n != "0"));
+        again.cloned()
+    });
+    assert!(first.contains("from=2&"), "{first}");
+    assert!(client.ask(&statement("read", 9_000)).contains("a1b2"));
+    assert_eq!(two.statements().len(), before);
+    // A new process at an address of its own: the old connections lead nowhere.
+    let three = Host::start("s-1", true, |_, _| Say::Row("new"));
+    discovery.publish(List::Is(json!([three.entry("in_service", 1_700_000_000_000u64)])));
+    assert!(client.ask(&statement("once", 9_000)).contains("new"));
+}
+
+#[test]
+fn a_gateway_starts_from_the_list_it_knew() {
+    let host = Host::start("s-1", true, row);
+    // Discovery has nothing newer to say: it is silent.
+    let discovery = Discovery::start(vec![]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    assert!(gateway.client().ask(&statement("once", 9_000)).contains("a1b2"));
+    let call = discovery.calls.wait("a call", |c| c.first().cloned());
+    assert!(call.contains("from=1&hold_ms="), "{call}");
+}
+
+#[test]
+fn idle_connections_are_retired_before_their_host_closes_them() {
+    let host = Host::start("s-1", true, row);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let idle = |c: &mut serde_json::Value| c["settings"]["Bounds"]["IdleCloseNs"] = json!(1_000_000_000);
+    let gateway = Gateway::with(&discovery, &[&host], idle);
+    assert!(gateway.client().ask(&statement("read", 9_000)).contains("a1b2"));
+    host.wait_for("closed");
+}
+
+#[test]
+fn beyond_its_connections_a_gateway_says_so_and_goes_on_accepting() {
+    let host = Host::start("s-1", true, row);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let few = |c: &mut serde_json::Value| c["limits"]["sockets"] = json!(70);
+    let gateway = Gateway::with(&discovery, &[&host], few);
+    let mut clients: Vec<Client> = (0..3).map(|_| gateway.client()).collect();
+    let mut beyond = gateway.raw();
+    beyond.send(&[startup(), query(&statement("read", 9_000))].concat());
+    assert_snapshot!(beyond.until_ready(), @r"
+    ErrorResponse SFATAL VFATAL C53300 Mtoo many connections
+    closed
+    ");
+    clients.pop();
+    // One has left: there is room again as soon as the gateway has noticed.
+    let mut tries = (0..1_000_000).map(|_| {
+        let mut c = gateway.raw();
+        c.send(&startup());
+        c.until_ready()
+    });
+    assert!(tries.any(|t| t.starts_with("AuthenticationOk")));
+    assert!(clients[0].ask(&statement("read", 9_000)).contains("a1b2"));
+}
+
+#[test]
+fn after_sigterm_all_that_comes_is_served_and_what_was_taken_is_finished() {
+    let host = Host::start(
+        "s-1",
+        true,
+        |_, text| if text.contains("slow") { Say::Silence } else { Say::Row("a1b2") },
+    );
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let mut gateway = Gateway::start(&discovery, &[&host]);
+    let (mut idle, mut busy) = (gateway.client(), gateway.client());
+    busy.send(&query(&statement("once", 3_000).replace("7f3a", "slow")));
+    host.wait_for("slow");
+    gateway.signal("-TERM");
+    gateway.log.wait("the signal", |l| l.iter().any(|l| l.contains("stopping")).then_some(()));
+    assert!(
+        gateway.client().ask(&statement("once", 9_000)).contains("a1b2"),
+        "new connections are still taken"
+    );
+    assert!(idle.ask(&statement("once", 9_000)).contains("a1b2"), "and old ones served");
+    assert_eq!(idle.stream.read(&mut [0]).unwrap(), 0, "then closed between requests");
+    let last = busy.until_ready();
+    assert!(last.starts_with("ErrorResponse SERROR VERROR CXX000"), "finished before it is closed: {last}");
+    assert_eq!(gateway.exit_code(), Some(0));
+    let counters = gateway.log.wait("the counters", |l| l.iter().find(|l| l.contains("counters")).cloned());
+    let counts: Vec<&str> =
+        counters.split(' ').filter(|c| !c.starts_with("probes") && !c.starts_with("opened")).collect();
+    assert_snapshot!(counts.join(" "), @"irisrouter: counters received=3 served=2 refused=0 failed=1 left=0 malformed=0 accepted=3 attempt_ok=2 attempt_timed_out=1");
+}
+
+#[test]
+fn a_bad_configuration_is_told_plainly() {
+    let whole =
+        json!({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1", "settings": settings()});
+    let without = |key: &str, value: serde_json::Value| {
+        let mut c = whole.clone();
+        c[key] = value;
+        c.to_string()
+    };
+    let bad = [
+        "{".to_string(),
+        without("listen", json!(null)),
+        without("discovery", json!("nowhere")),
+        without("seed", json!("xyz")),
+        without("settings", json!({})),
+        without("limits", json!({"sockets": 10})),
+    ];
+    let told = bad.map(|c| {
+        let (exit, words) = refuses(&c);
+        assert_eq!(exit, Some(1), "{words}");
+        words
+    });
+    assert_snapshot!(told.join(""), @r"
+    irisrouter: CONFIG: EOF while parsing an object at line 1 column 1
+    irisrouter: CONFIG: no address: neither BALANCER_LISTEN nor the configuration has one
+    irisrouter: CONFIG: BALANCER_DISCOVERY: nowhere: invalid socket address syntax
+    irisrouter: CONFIG: seed xyz: invalid digit found in string
+    irisrouter: CONFIG: settings: missing field `Balancers`
+    irisrouter: 10 descriptors are too few
+    ");
+}
