Give up a request that was never sent before half of its client's patience

At fault: on_request and review in src/decide.rs, which held such a request to latest_send, near its end.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -47,6 +47,8 @@
 const COLD_SHORT: f64 = 2.0;
 /// A held request needs this many usual times left to be worth sending.
 const TIME_TO_ANSWER: f64 = 1.5;
+/// A request that no member has been sent is held for this share of its client's patience at most.
+const HOLD_SHARE: f64 = 0.45;
 /// Silence of so many usual times makes a member suspect.
 const SILENCE: f64 = 4.0;
 /// Long is this multiple of the shortest class; for this part of its aim it waits for the furthest behind.
@@ -488,6 +490,11 @@
         (self.end(r) - (self.usual[r.class] * TIME_TO_ANSWER) as Ns).min(r.deadline - 2 * self.s.tick)
     }
 
+    /// When a request that is held now is given up.
+    fn give_up_at(&self, r: &Request) -> Ns {
+        self.latest_send(r).min(r.hold_until)
+    }
+
     /// Whether a member that may be cold bears this request. Its budget is the rule's multiple of its present
     /// capacity; any number of proxies keep it together when each lets through that part of the requests, by
     /// a draw that is made once for each. Danger: what has piled up while it was away must not come all at
@@ -540,6 +547,7 @@
             deadline: *deadline,
             mark,
             held: true,
+            hold_until: Ns::MAX,
             ended: false,
             attempts: Vec::new(),
             proof_by: self.now + wait,
@@ -549,7 +557,6 @@
         self.need_probes = (self.need_probes + share).min(PROBES_MOST);
         self.calm_probes = (self.calm_probes + CALM_SHARE).min(PROBES_MOST);
         self.calm_probes();
-        self.reviews.insert((self.latest_send(&r).max(self.now + 1), *id));
         self.requests.insert(*id, r);
         self.extra = (self.extra + EXTRA_SHARE).min(EXTRA_MOST);
         self.hold(*id);
@@ -559,10 +566,16 @@
         let classes = self.s.classes.len();
         let Some(r) = self.requests.get_mut(&id) else { return };
         r.held = true;
+        // Danger: a client whose request is turned away late without a try has waited for nothing, and has too
+        // little time left to come back. Once half of its patience is spent, that is so whenever it hears.
+        let patient = r.arrived + ((r.deadline - r.arrived) as f64 * HOLD_SHARE) as Ns;
+        r.hold_until = if r.unsent() && self.now < patient { patient } else { Ns::MAX };
         let g = self.groups.entry(r.group).or_default();
         g.held.resize(classes, VecDeque::new());
         g.held[r.class].push_back(id);
         g.dirty = true;
+        let at = self.give_up_at(&self.requests[&id]).max(self.now + 1);
+        self.reviews.insert((at, id));
     }
 
     /// Requests whose time has come: to be given up, or to get a second copy.
@@ -573,10 +586,10 @@
             }
             self.reviews.pop_first();
             let Some(r) = self.requests.get(&id).filter(|r| !r.ended) else { continue };
-            if r.held && self.now >= self.latest_send(r) {
+            if r.held && self.now >= self.give_up_at(r) {
                 self.give_up(id);
             } else if r.held {
-                self.reviews.insert((self.latest_send(r).max(self.now + 1), id));
+                self.reviews.insert((self.give_up_at(r).max(self.now + 1), id));
             } else {
                 self.second_copy(id);
             }
@@ -675,8 +688,6 @@
         }
         self.extra -= f64::from(!free);
         self.hold(id);
-        let at = self.latest_send(&self.requests[&id]).max(self.now + 1);
-        self.reviews.insert((at, id));
     }
 
     /// What the end of an attempt says of the member's health and speed.
--- a/src/state.rs
+++ b/src/state.rs
@@ -63,6 +63,8 @@
     /// Position that a member must have reached (session reads).
     pub(crate) mark: Ns,
     pub(crate) held: bool,
+    /// Held with nothing sent, it is given up then.
+    pub(crate) hold_until: Ns,
     pub(crate) ended: bool,
     pub(crate) attempts: Vec<Attempt>,
     /// A read may wait until then for proof of a replica's position.
@@ -96,6 +98,12 @@
 }
 
 impl Request {
+    /// No member has been handed it.
+    pub(crate) fn unsent(&self) -> bool {
+        let never_left = |o| matches!(o, Outcome::ConnectFailed | Outcome::Moot);
+        self.attempts.iter().all(|a| a.outcome.is_some_and(never_left))
+    }
+
     /// The members at which it has an attempt out.
     pub(crate) fn out(&self) -> Vec<MemberId> {
         self.attempts.iter().filter(|a| a.outcome.is_none()).map(|a| a.member).collect()
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -330,3 +330,17 @@
     let back = room_after(&[&late[..], &[20 * MS; 40]].concat());
     assert!(back > slow, "{slow} then {back}");
 }
+
+#[test]
+fn a_request_that_was_never_sent_is_given_up_before_half_of_its_time() {
+    let mut w = World::new(settings(ServerChecks::Refuse));
+    let (first, _) = w.ask(WRITE, None);
+    w.end(first, 0, 0, Outcome::Miss, Role::Replica);
+    let (id, out) = w.ask(WRITE, None);
+    assert_eq!(sent(id, &out), None, "held: no primary is known");
+    let out = w.pass(800 * MS);
+    assert!(!refused(id, &out), "a new primary may show up");
+    let out = w.pass(200 * MS);
+    assert!(refused(id, &out), "its client waits for 2 s and can still come back");
+    assert!(!refused(first, &out), "that one was tried, and is held to its end");
+}
