--- a/src/decide.rs
+++ b/src/decide.rs
@@ -566,7 +566,7 @@
         let classes = self.s.classes.len();
         let Some(r) = self.requests.get_mut(&id) else { return };
         r.held = true;
-        // Danger: a client whose request is turned away late without a try has waited for nothing, and has too
+        // Danger: a client that is turned away late without a try has waited for nothing, and has too
         // little time left to come back. Once half of its patience is spent, that is so whenever it hears.
         let patient = r.arrived + ((r.deadline - r.arrived) as f64 * HOLD_SHARE) as Ns;
         r.hold_until = if r.unsent() && self.now < patient { patient } else { Ns::MAX };
