--- a/src/main.rs
+++ b/src/main.rs
@@ -28,6 +28,9 @@
 /// Descriptors beside those of clients and database hosts: standard streams, the runtime's own, the listener,
 /// discovery, and connections that are being turned away.
 const RESERVED: usize = 64;
+/// Of the others, one in so many is for database hosts. Clients need more: they hold connections while their
+/// requests wait, and hosts are sent no more at a time than the module lets them have.
+const HOSTS_PART: usize = 3;
 /// Clients that may wait to be accepted.
 const BACKLOG: u32 = 1024;
 /// The front layer goes on sending for a while after SIGTERM: so long the gateway takes all that comes.
@@ -60,8 +63,9 @@
     let listener =
         Rc::new(listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?);
 
-    let each = config.sockets.saturating_sub(RESERVED) / 2;
-    if each == 0 {
+    let free = config.sockets.saturating_sub(RESERVED);
+    let for_hosts = free / HOSTS_PART;
+    if for_hosts == 0 {
         return Err(format!("{} descriptors are too few", config.sockets));
     }
     let settings = config.loaded.settings;
@@ -71,7 +75,8 @@
     let to_module = Rc::clone(&mailbox);
     let on_list = Box::new(move |event| to_module.post(event));
     let (zones, idle) = (config.loaded.zones, config.loaded.idle_close);
-    let backend = Backend::new(&settings, zones, idle, each, Rc::clone(&pool), Rc::clone(&counters), on_list);
+    let backend =
+        Backend::new(&settings, zones, idle, for_hosts, Rc::clone(&pool), Rc::clone(&counters), on_list);
     let backend = Rc::new(backend);
     backend.apply(&config.known);
     let known = (!config.known.members.is_empty()).then_some(config.known.revision);
@@ -87,20 +92,24 @@
         pool,
         classes: config.loaded.classes,
         settings: settings.clone(),
-        most: each,
+        most: free - for_hosts,
         open: Cell::new(0),
         closing,
     });
     let longest = settings.classes.iter().map(|c| duration(c.deadline)).max().unwrap_or(LONGEST_KNOWN);
 
-    spawn_local(drive(Router::new(settings), Rc::clone(&mailbox), Rc::clone(&backend), clock));
+    let driven = spawn_local(drive(Router::new(settings), Rc::clone(&mailbox), Rc::clone(&backend), clock));
     spawn_local(discovery::watch(config.discovery, known, Rc::clone(&backend)));
     spawn_local(sweep(backend));
     let accepting = spawn_local(Rc::clone(&front).accept(Rc::clone(&listener)));
     let address = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
     log!("{} listens on {address}", config.name);
 
-    tell_until(&mut stop, &mut interrupt, &mut tell, &counters).await;
+    tokio::select! {
+        () = tell_until(&mut stop, &mut interrupt, &mut tell, &counters) => {}
+        // It never ends by itself. Danger: a gateway without decisions would go on taking requests.
+        _ = driven => return Err("the decision module has failed".to_string()),
+    }
     log!("stopping");
     sleep(GRACE).await;
     accepting.abort();
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -198,7 +198,7 @@
     }
 
     async fn try_once(&self, member: MemberId, statement: &Statement, end: Instant) -> Attempted {
-        let mut connection = match self.connection(member, end).await {
+        let connection = match self.connection(member, end).await {
             Ok(c) => c,
             Err(outcome) => return outcome.into(),
         };
@@ -219,29 +219,44 @@
             b.extend_from_slice(&statement.text[statement.wait_at.end..]);
             b.extend_from_slice(&[0]);
         });
+        let (reply, row) = match self.exchange(member, connection, out, end).await {
+            Ok(answer) => answer,
+            Err(outcome) => return outcome.into(),
+        };
+        let outcome = match reply.error.as_deref() {
+            None if reply.served() => Outcome::Ok,
+            Some(code::READ_ONLY | code::SNAPSHOT_TOO_OLD) => Outcome::Miss,
+            Some(code::TOO_MANY_CONNECTIONS) => Outcome::Full,
+            _ => Outcome::Error,
+        };
+        Attempted { outcome, note: note(&reply), row: (outcome == Outcome::Ok).then_some(row) }
+    }
+
+    /// Writes a query and reads its answer. The connection is used again only after a whole answer.
+    async fn exchange(
+        &self,
+        member: MemberId,
+        mut connection: Connection,
+        mut buffer: Buffer,
+        end: Instant,
+    ) -> Result<(Reply, Buffer), Outcome> {
         // Until its last byte is written, it can't have run.
-        if !matches!(timeout_at(end, connection.stream.write_all(&out)).await, Ok(Ok(()))) {
-            return Outcome::ConnectFailed.into();
+        if !matches!(timeout_at(end, connection.stream.write_all(&buffer)).await, Ok(Ok(()))) {
+            return Err(Outcome::ConnectFailed);
         }
-        out.clear();
-        match timeout_at(end, self.read_reply(&mut connection, out)).await {
-            Err(_) => Outcome::TimedOut.into(),
-            Ok(Err(Broken::Lost)) => Outcome::Reset.into(),
+        buffer.clear();
+        match timeout_at(end, self.read_reply(&mut connection, buffer)).await {
+            Err(_) => Err(Outcome::TimedOut),
+            Ok(Err(Broken::Lost)) => Err(Outcome::Reset),
             Ok(Err(Broken::Garbled(why))) => {
                 log!("{}: {why}", self.hosts.borrow()[member.0 as usize].name);
-                Outcome::Error.into()
+                Err(Outcome::Error)
             }
-            Ok(Ok((reply, row))) => {
-                if reply.ready {
+            Ok(Ok(answer)) => {
+                if answer.0.ready {
                     self.check_in(member, connection);
                 }
-                let outcome = match reply.error.as_deref() {
-                    None if reply.served() => Outcome::Ok,
-                    Some(code::READ_ONLY | code::SNAPSHOT_TOO_OLD) => Outcome::Miss,
-                    Some(code::TOO_MANY_CONNECTIONS) => Outcome::Full,
-                    _ => Outcome::Error,
-                };
-                Attempted { outcome, note: note(&reply), row: (outcome == Outcome::Ok).then_some(row) }
+                Ok(answer)
             }
         }
     }
@@ -255,30 +270,20 @@
     }
 
     async fn probe_once(&self, member: MemberId, end: Instant) -> (Outcome, Option<Report>) {
-        let mut connection = match self.connection(member, end).await {
-            Ok(c) => c,
+        let answer = async {
+            let connection = self.connection(member, end).await?;
+            let mut out = self.pool.take();
+            pg::put_query(&mut out, PROBE);
+            self.exchange(member, connection, out, end).await
+        };
+        let reply = match answer.await {
+            Ok((reply, _)) => reply,
             Err(outcome) => return (outcome, None),
         };
-        let mut out = self.pool.take();
-        pg::put_query(&mut out, PROBE);
-        if !matches!(timeout_at(end, connection.stream.write_all(&out)).await, Ok(Ok(()))) {
-            return (Outcome::ConnectFailed, None);
-        }
-        out.clear();
-        match timeout_at(end, self.read_reply(&mut connection, out)).await {
-            Err(_) => (Outcome::TimedOut, None),
-            Ok(Err(Broken::Lost)) => (Outcome::Reset, None),
-            Ok(Err(Broken::Garbled(_))) => (Outcome::Error, None),
-            Ok(Ok((reply, _))) => {
-                if reply.ready {
-                    self.check_in(member, connection);
-                }
-                match reply.error.as_deref() {
-                    None if reply.served() => (Outcome::Ok, reply.value.as_deref().map(report)),
-                    Some(code::TOO_MANY_CONNECTIONS | code::CANNOT_CONNECT_NOW) => (Outcome::Full, None),
-                    _ => (Outcome::Error, None),
-                }
-            }
+        match reply.error.as_deref() {
+            None if reply.served() => (Outcome::Ok, reply.value.as_deref().map(report)),
+            Some(code::TOO_MANY_CONNECTIONS | code::CANNOT_CONNECT_NOW) => (Outcome::Full, None),
+            _ => (Outcome::Error, None),
         }
     }
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 /// How long a watch may wait. Silence is known only after it, so that it is short: the agent answers for nothing.
 const HOLD: Duration = Duration::from_secs(4);
@@ -95,6 +95,7 @@
     stream.set_nodelay(true).map_err(|e| e.to_string())?;
     let mut buffer = BytesMut::new();
     loop {
+        let called = Instant::now();
         let path = match revision {
             Some(r) => format!("/discovery/hosts?from={r}&hold_ms={}", HOLD.as_millis()),
             None => "/discovery/hosts".to_string(),
@@ -106,10 +107,13 @@
         };
         let body = timeout(HOLD + SILENCE, answer).await.map_err(|_| "silent".to_string())??;
         let list: List = serde_json::from_slice(&body).map_err(|e| format!("malformed list: {e}"))?;
-        // A list that is older than ours (the agent has started again) is not a change.
+        // Changes to a list that is older than ours (the agent has started again) say nothing of ours.
         if revision.is_none_or(|r| list.revision > r || list.complete) {
             *revision = Some(list.revision);
             backend.apply(&list);
+        } else if called.elapsed() < PAUSE {
+            // Danger: an agent that does not wait would be called without end.
+            sleep(PAUSE).await;
         }
     }
 }
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -157,7 +157,7 @@
             let parsed = client.input.as_ref().map_or(Ok(None), |b| pg::startup(b));
             match parsed {
                 Err(why) => return Err(self.fatal(client, why.0).await),
-                Ok(None) => self.read(client).await?,
+                Ok(None) => self.read_on(client).await?,
                 Ok(Some((kind, length))) => {
                     client.input.iter_mut().for_each(|b| b.advance(length));
                     let mut out = self.pool.take();
@@ -180,7 +180,7 @@
         }
     }
 
-    /// The next whole message. Between messages, the connection may end.
+    /// The next whole message.
     async fn message(&self, client: &mut Client) -> Result<(u8, Buffer), End> {
         loop {
             let parsed = client.input.as_ref().map_or(Ok(None), |b| pg::frame(b));
@@ -195,20 +195,24 @@
                     }
                     return Ok((f.tag, body));
                 }
-                Ok(None) if client.input.as_ref().is_none_or(|b| b.is_empty()) => {
-                    // Nothing is owed: the buffer goes back while the client is silent.
-                    client.input = None;
-                    let mut closing = self.closing.clone();
-                    tokio::select! {
-                        biased;
-                        readable = client.stream.readable() => readable?,
-                        _ = closing.wait_for(|&c| c) => return Err(End::Closed),
-                    }
-                    self.read(client).await?;
-                }
-                Ok(None) => self.read(client).await?,
+                Ok(None) => self.read_on(client).await?,
+            }
+        }
+    }
+
+    /// Waits for more of the client's messages. Between two of them, the connection may end.
+    async fn read_on(&self, client: &mut Client) -> Result<(), End> {
+        if client.input.as_ref().is_none_or(|b| b.is_empty()) {
+            // Nothing is owed: the buffer goes back while the client is silent.
+            client.input = None;
+            let mut closing = self.closing.clone();
+            tokio::select! {
+                biased;
+                readable = client.stream.readable() => readable?,
+                _ = closing.wait_for(|&c| c) => return Err(End::Closed),
             }
         }
+        self.read(client).await
     }
 
     /// Reads what there is.
@@ -294,7 +298,8 @@
             let full = client.input.as_ref().is_some_and(|b| b.len() > pg::LARGEST);
             tokio::select! {
                 biased;
-                answer = &mut answer => return answer.map_err(|_| End::Gone),
+                // Without a word from its task the request still gets its answer.
+                answer = &mut answer => return Ok(answer.unwrap_or(Answer::Failed)),
                 readable = client.stream.readable(), if !full => {
                     readable?;
                     self.read(client).await?;
