--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -222,6 +222,7 @@
         assert!(client.ask(&statement("read", 9_000)).contains("a1b2"));
     }
     assert_eq!(two.statements().len(), before, "nothing new to one that drains");
+    discovery.calls.change(|c| assert!(c.iter().all(|c| c.starts_with("0: ")), "one connection: {c:?}"));
     // A malformed list changes nothing, and the next call comes on a new connection.
     discovery.list.change(|l| *l = (l.0 + 1, List::Garbage));
     let first = discovery.calls.wait("a new connection", |c| {
@@ -246,6 +247,9 @@
     assert!(gateway.client().ask(&statement("once", 9_000)).contains("a1b2"));
     let call = discovery.calls.wait("a call", |c| c.first().cloned());
     assert!(call.contains("from=1&hold_ms="), "{call}");
+    // Silence is given up, and the same asked again on a new connection.
+    let again = discovery.calls.wait("a second call", |c| c.get(1).cloned());
+    assert!(again.starts_with("1: ") && again.contains("from=1&hold_ms="), "{again}");
 }
 
 #[test]
