--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -90,6 +90,8 @@
     counters: Rc<Counters>,
     connect_timeout: Duration,
     idle_for: Duration,
+    /// Where only a listed drain binds, one that is gone or missing may still be sent to.
+    drain_binds_alone: bool,
     most: usize,
     open: Rc<Cell<usize>>,
     on_list: Box<dyn Fn(Event)>,
@@ -122,6 +124,7 @@
             counters,
             connect_timeout: duration(s.limits.connect_timeout),
             idle_for: duration(idle_close).mul_f64(IDLE_SHARE),
+            drain_binds_alone: s.rules.drain_binds_alone,
             most,
             open: Rc::default(),
             on_list,
@@ -155,7 +158,12 @@
                 MemberId(hosts.len() as u32 - 1)
             });
             let host = &mut hosts[member.0 as usize];
-            host.ready = e.phase == Phase::InService;
+            host.ready = match e.phase {
+                Phase::InService => true,
+                Phase::Terminating => false,
+                // One that was draining before it went stays closed.
+                Phase::Terminated => host.ready && self.drain_binds_alone,
+            };
             if host.address != e.host_port || host.started != e.up_since_ms || e.phase == Phase::Terminated {
                 host.epoch += 1;
                 (host.address, host.started) = (e.host_port, e.up_since_ms);
@@ -181,7 +189,7 @@
         if list.complete {
             for (i, host) in hosts.iter_mut().enumerate() {
                 if !named.contains(&MemberId(i as u32)) {
-                    host.ready = false;
+                    host.ready &= self.drain_binds_alone;
                     host.idle.clear();
                 }
             }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -346,3 +346,13 @@
     irisrouter: 10 descriptors are too few
     ");
 }
+
+#[test]
+fn where_only_drains_bind_a_gone_host_is_still_asked() {
+    let host = Host::start("s-1", true, row);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let alone = |c: &mut serde_json::Value| c["settings"]["Rules"]["DrainBindsAlone"] = json!(true);
+    let gateway = Gateway::with(&discovery, &[&host], alone);
+    discovery.publish(List::Is(json!([])));
+    assert!(gateway.client().ask(&statement("once", 9_000)).contains("a1b2"));
+}
