--- a/src/net/pg.rs
+++ b/src/net/pg.rs
@@ -223,6 +223,7 @@
     let wait_ms = (number(wait).filter(|n| (0.0..=LONGEST_WAIT_MS).contains(n)))
         .ok_or(Malformed("d is no time in milliseconds"))?;
     let after_ms = after.map(|v| number(v).ok_or(Malformed("after is no position"))).transpose()?;
+    // Where the value stands in the text, of which it is a part.
     let start = wait.as_ptr() as usize - text.as_ptr() as usize;
     Ok(Statement {
         class: class.ok_or(Malformed("no class in the comment"))?,
--- a/src/net/router.rs
+++ b/src/net/router.rs
@@ -106,7 +106,7 @@
                     let (mailbox, backend) = (Rc::clone(&mailbox), Rc::clone(&backend));
                     tokio::task::spawn_local(async move { mailbox.post(backend.probe(member).await) });
                 }
-                // A later one that is out already comes as well: the module takes any number of them.
+                // Only the earliest is kept: the module asks again at each wake-up while it needs one.
                 Action::Wake { after } => {
                     let at = Instant::now() + duration(after);
                     wake = Some(wake.map_or(at, |w| w.min(at)));
