--- a/src/decide.rs
+++ b/src/decide.rs
@@ -47,7 +47,7 @@
 const COLD_SHORT: f64 = 2.0;
 /// A held request needs this many usual times left to be worth sending.
 const TIME_TO_ANSWER: f64 = 1.5;
-/// A request that no member has been sent is held for this share of its client's patience at most.
+/// A read that no member has been sent is held for this share of its client's patience at most.
 const HOLD_SHARE: f64 = 0.45;
 /// Silence of so many usual times makes a member suspect.
 const SILENCE: f64 = 4.0;
@@ -575,8 +575,10 @@
         r.held = true;
         // Danger: a client that is turned away late without a try has waited for nothing, and has too
         // little time left to come back. Once half of its patience is spent, that is so whenever it hears.
+        // A write is held to its end: an election outlasts any shorter hold, and would fail them all.
+        let read = self.s.classes[r.class].freshness != Freshness::Write;
         let patient = r.arrived + ((r.deadline - r.arrived) as f64 * HOLD_SHARE) as Ns;
-        r.hold_until = if r.unsent() && self.now < patient { patient } else { Ns::MAX };
+        r.hold_until = if read && r.unsent() && self.now < patient { patient } else { Ns::MAX };
         let g = self.groups.entry(r.group).or_default();
         g.held.resize(classes, VecDeque::new());
         g.held[r.class].push_back(id);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -332,17 +332,22 @@
 }
 
 #[test]
-fn a_request_that_was_never_sent_is_given_up_before_half_of_its_time() {
-    let mut w = World::new(settings(ServerChecks::Refuse));
+fn a_read_that_was_never_sent_is_given_up_before_half_of_its_time_and_a_write_is_held() {
+    let mut s = settings(ServerChecks::Refuse);
+    s.classes[FRESH].aim = 2 * S;
+    let mut w = World::new(s);
     let (first, _) = w.ask(WRITE, None);
     w.end(first, 0, 0, Outcome::Miss, Role::Replica);
-    let (id, out) = w.ask(WRITE, None);
-    assert_eq!(sent(id, &out), None, "held: no primary is known");
+    let (write, _) = w.ask(WRITE, None);
+    let (read, out) = w.ask(FRESH, None);
+    assert_eq!(sent(read, &out), None, "held: no primary is known");
     let out = w.pass(800 * MS);
-    assert!(!refused(id, &out), "a new primary may show up");
+    assert!(!refused(read, &out), "a new primary may show up");
     let out = w.pass(200 * MS);
-    assert!(refused(id, &out), "its client waits for 2 s and can still come back");
-    assert!(!refused(first, &out), "that one was tried, and is held to its end");
+    assert!(refused(read, &out), "its client waits for 2 s and can still come back");
+    assert!(!refused(write, &out), "an election outlasts any shorter hold");
+    let out = w.report(1, true, w.now);
+    assert_eq!(sent(write, &out), Some(1));
 }
 
 #[test]
