Read the configuration again on SIGHUP and move the watch to its discovery

At fault: src/main.rs caught SIGTERM, SIGINT and SIGUSR1 alone, and BALANCER_DISCOVERY always won over the file (src/net/config.rs).

Changed: the file is read again; its discovery wins, the old watch is dropped at once and the new address called for the whole list within 1 s. Lists older than the newest seen undo nothing; an address that stays behind for 60 s is taken to number its lists anew. What else differs in the file is named in the log.

--- a/src/main.rs
+++ b/src/main.rs
@@ -9,11 +9,12 @@
 use net::buffers::Pool;
 use net::config::Config;
 use net::counters::Counters;
+use net::discovery::{self, Seen};
 use net::frontend::Frontend;
 use net::log::log;
 use net::request::Core;
 use net::router::{drive, Mailbox};
-use net::{discovery, duration, Clock};
+use net::{duration, Clock};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -58,8 +59,8 @@
 async fn run(config: Config) -> Result<(), String> {
     let clock = Clock::new();
     let catch = |kind| signal(kind).map_err(|e| format!("cannot catch signals: {e}"));
-    let (mut stop, mut tell) = (catch(SignalKind::terminate())?, catch(SignalKind::user_defined1())?);
-    let mut interrupt = catch(SignalKind::interrupt())?;
+    let (mut stop, mut interrupt) = (catch(SignalKind::terminate())?, catch(SignalKind::interrupt())?);
+    let (tell, reload) = (catch(SignalKind::user_defined1())?, catch(SignalKind::hangup())?);
     let listener =
         Rc::new(listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?);
 
@@ -68,18 +69,19 @@
     if for_hosts == 0 {
         return Err(format!("{} descriptors are too few", config.sockets));
     }
-    let settings = config.loaded.settings;
+    let settings = config.loaded.settings.clone();
     let counters = Rc::<Counters>::default();
     let pool = Pool::new(config.memory / 4);
     let mailbox = Rc::<Mailbox>::default();
     let to_module = Rc::clone(&mailbox);
     let on_list = Box::new(move |event| to_module.post(event));
-    let (zones, idle) = (config.loaded.zones, config.loaded.idle_close);
+    let (zones, idle) = (config.loaded.zones.clone(), config.loaded.idle_close);
     let backend =
         Backend::new(&settings, zones, idle, for_hosts, Rc::clone(&pool), Rc::clone(&counters), on_list);
     let backend = Rc::new(backend);
-    backend.apply(&config.known);
-    let known = (!config.known.members.is_empty()).then_some(config.known.revision);
+    let known = &config.file.known;
+    backend.apply(known);
+    let seen = Seen::at((!known.members.is_empty()).then_some(known.revision));
     let core = Core {
         mailbox: Rc::clone(&mailbox),
         backend: Rc::clone(&backend),
@@ -90,7 +92,7 @@
     let front = Rc::new(Frontend {
         core: Rc::new(core),
         pool,
-        classes: config.loaded.classes,
+        classes: config.loaded.classes.clone(),
         settings: settings.clone(),
         most: free - for_hosts,
         open: Cell::new(0),
@@ -99,14 +101,18 @@
     let longest = settings.classes.iter().map(|c| duration(c.deadline)).max().unwrap_or(LONGEST_KNOWN);
 
     let driven = spawn_local(drive(Router::new(settings), Rc::clone(&mailbox), Rc::clone(&backend), clock));
-    spawn_local(discovery::watch(config.discovery, known, Rc::clone(&backend)));
+    let (discovery, addresses) = watch::channel(config.discovery);
+    spawn_local(discovery::watch(addresses, seen, Rc::clone(&backend)));
     spawn_local(sweep(backend));
     let accepting = spawn_local(Rc::clone(&front).accept(Rc::clone(&listener)));
     let address = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
     log!("{} listens on {address}", config.name);
+    // To the very end: SIGHUP may also come while the gateway stops.
+    spawn_local(heed(tell, reload, config, discovery, Rc::clone(&counters)));
 
     tokio::select! {
-        () = tell_until(&mut stop, &mut interrupt, &mut tell, &counters) => {}
+        _ = stop.recv() => {}
+        _ = interrupt.recv() => {}
         // It never ends by itself. Danger: a gateway without decisions would go on taking requests.
         _ = driven => return Err("the decision module has failed".to_string()),
     }
@@ -125,13 +131,30 @@
     Ok(())
 }
 
-/// Prints the counters on each SIGUSR1, until the program is to stop.
-async fn tell_until(stop: &mut Signal, interrupt: &mut Signal, tell: &mut Signal, counters: &Counters) {
+/// Prints the counters on each SIGUSR1, and reads the file again on each SIGHUP.
+async fn heed(
+    mut tell: Signal,
+    mut reload: Signal,
+    config: Config,
+    discovery: watch::Sender<SocketAddr>,
+    counters: Rc<Counters>,
+) {
     loop {
         tokio::select! {
-            _ = stop.recv() => return,
-            _ = interrupt.recv() => return,
             _ = tell.recv() => eprintln!("irisrouter: {counters}"),
+            _ = reload.recv() => match config.reload() {
+                Err(why) => log!("the old configuration holds: {why}"),
+                Ok(new) => {
+                    let moved = new.discovery.is_some_and(|to| {
+                        discovery.send_if_modified(|at| std::mem::replace(at, to) != to)
+                    });
+                    log!("configuration read again: discovery at {}{}", *discovery.borrow(),
+                        if moved { ", newly" } else { ", as before" });
+                    if !new.waiting.is_empty() {
+                        log!("what waits for the next start: {}", new.waiting.join(", "));
+                    }
+                }
+            },
         }
     }
 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -9,6 +9,8 @@
 const SOCKETS: usize = 1024;
 /// Memory, likewise.
 const MEMORY_MB: usize = 192;
+/// The variable that a reread file overrides.
+const DISCOVERY: &str = "BALANCER_DISCOVERY";
 
 /// All that the program uses of its configuration.
 pub struct Config {
@@ -22,14 +24,16 @@
     pub sockets: usize,
     /// Memory that it may use, in bytes.
     pub memory: usize,
-    /// The list of database hosts as this gateway last had it.
-    pub known: List,
     /// The settings object.
     pub loaded: Loaded,
+    /// The file as it was read, and where.
+    pub file: File,
+    path: String,
 }
 
+/// The configuration file.
 #[derive(Deserialize)]
-struct File {
+pub struct File {
     #[serde(default)]
     name: String,
     listen: Option<String>,
@@ -37,41 +41,80 @@
     seed: String,
     #[serde(default)]
     limits: Limits,
+    /// The list of database hosts as this gateway last had it.
     #[serde(default)]
-    known: List,
+    pub known: List,
     settings: serde_json::Value,
 }
 
-#[derive(Default, Deserialize)]
+#[derive(Default, Deserialize, PartialEq)]
 struct Limits {
     memory_mb: Option<usize>,
     sockets: Option<usize>,
 }
 
+/// What a reread file changes in a running gateway, and what it does not.
+pub struct Reloaded {
+    /// Where discovery answers from now on, if the file says so.
+    pub discovery: Option<SocketAddr>,
+    /// Parts of the file that differ and wait for the next start.
+    pub waiting: Vec<&'static str>,
+}
+
 impl Config {
     /// Reads the environment and the file that it names.
     pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
         let path = variable("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
-        Self::parse(&text, variable).map_err(|e| format!("{path}: {e}"))
-    }
-
-    fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
-        let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
-        let address = |name: &str, filed: Option<String>| {
-            let text = (variable(name).filter(|v| !v.is_empty()).or(filed))
-                .ok_or_else(|| format!("no address: neither {name} nor the configuration has one"))?;
-            text.parse().map_err(|e| format!("{name}: {text}: {e}"))
-        };
-        let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed {}: {e}", file.seed))?;
+        let file = File::read(&path)?;
+        let at = |why| format!("{path}: {why}");
+        let set = |name: &str| variable(name).filter(|v| !v.is_empty());
         Ok(Config {
-            name: variable("BALANCER_NAME").unwrap_or(file.name),
-            listen: address("BALANCER_LISTEN", file.listen)?,
-            discovery: address("BALANCER_DISCOVERY", file.discovery)?,
+            name: variable("BALANCER_NAME").unwrap_or_else(|| file.name.clone()),
+            listen: address("BALANCER_LISTEN", set("BALANCER_LISTEN").as_ref().or(file.listen.as_ref()))
+                .map_err(at)?,
+            discovery: address(DISCOVERY, set(DISCOVERY).as_ref().or(file.discovery.as_ref())).map_err(at)?,
             sockets: file.limits.sockets.unwrap_or(SOCKETS).min(SOCKETS),
             memory: file.limits.memory_mb.unwrap_or(MEMORY_MB).min(MEMORY_MB) << 20,
-            known: file.known,
-            loaded: Loaded::parse(file.settings, seed).map_err(|e| format!("settings: {e}"))?,
+            loaded: file.loaded().map_err(at)?,
+            file,
+            path,
         })
     }
+
+    /// Reads the same file again. Its word on discovery wins over the environment's, which is as old as the
+    /// process. A file that could start no gateway changes nothing.
+    pub fn reload(&self) -> Result<Reloaded, String> {
+        let (old, new) = (&self.file, File::read(&self.path)?);
+        let at = |why: String| format!("{}: {why}", self.path);
+        new.loaded().map_err(at)?;
+        let named = new.discovery.as_ref().map(|text| address(DISCOVERY, Some(text)));
+        let discovery = named.transpose().map_err(at)?;
+        let parts = [
+            ("name", old.name != new.name),
+            ("listen", old.listen != new.listen),
+            ("seed", old.seed != new.seed),
+            ("limits", old.limits != new.limits),
+            ("known", old.known != new.known),
+            ("settings", old.settings != new.settings),
+        ];
+        let waiting = parts.into_iter().filter(|p| p.1).map(|p| p.0).collect();
+        Ok(Reloaded { discovery, waiting })
+    }
+}
+
+impl File {
+    fn read(path: &str) -> Result<Self, String> {
+        let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {path}: {e}"))?;
+        serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))
+    }
+
+    fn loaded(&self) -> Result<Loaded, String> {
+        let seed = u64::from_str_radix(&self.seed, 16).map_err(|e| format!("seed {}: {e}", self.seed))?;
+        Loaded::parse(&self.settings, seed).map_err(|e| format!("settings: {e}"))
+    }
+}
+
+fn address(name: &str, text: Option<&String>) -> Result<SocketAddr, String> {
+    let text = text.ok_or_else(|| format!("no address: neither {name} nor the configuration has one"))?;
+    text.parse().map_err(|e| format!("{name}: {text}: {e}"))
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
 
 /// How long a watch may wait. Silence is known only after it, so that it is short: the agent answers for nothing.
@@ -19,6 +20,8 @@
 const SILENCE: Duration = Duration::from_secs(1);
 /// Pause after a failure. Danger: a refusing address would be called without end.
 const PAUSE: Duration = Duration::from_millis(100);
+/// An address that has shown older lists for so long is taken at its word.
+const ANEW: Duration = Duration::from_secs(60);
 /// Largest answer that is read.
 const LARGEST: usize = 4 << 20;
 
@@ -74,18 +77,66 @@
     pub members: Vec<Entry>,
 }
 
-/// Watches the list for ever, and hands on each change before the next call.
-pub async fn watch(address: SocketAddr, mut revision: Option<u64>, backend: Rc<Backend>) {
+/// What has been learnt so far, whichever address told it.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// The newest version.
+    pub revision: Option<u64>,
+    /// Since when the address that is asked has had an older one.
+    behind: Option<Instant>,
+}
+
+impl Seen {
+    /// From the list of this version on.
+    pub fn at(revision: Option<u64>) -> Self {
+        Seen { revision, behind: None }
+    }
+
+    /// Whether a list is to be taken, and whether the next call asks for all of it. Danger: an address that has
+    /// not caught up yet would undo drains and drop hosts. One that stays behind numbers its lists anew.
+    fn takes(&mut self, list: &List) -> (bool, bool) {
+        let older = self.revision.is_some_and(|r| list.revision < r);
+        if !older {
+            self.behind = None;
+        }
+        let since = older.then(|| *self.behind.get_or_insert_with(Instant::now));
+        let anew = since.is_some_and(|t| t.elapsed() >= ANEW);
+        let news = self.revision.is_none_or(|r| list.revision > r);
+        let taken = if list.complete { !older || anew } else { news };
+        if taken {
+            (self.revision, self.behind) = (Some(list.revision), None);
+        }
+        (taken, anew && !taken)
+    }
+}
+
+/// Watches the list for ever at the address that holds, and hands on each change before the next call. A new
+/// address is called at once, for the whole list: a watch goes on at the address where it began.
+pub async fn watch(mut addresses: watch::Receiver<SocketAddr>, mut seen: Seen, backend: Rc<Backend>) {
+    let mut whole = seen.revision.is_none();
     loop {
-        let Err(why) = follow(address, &mut revision, &backend).await;
-        log!("discovery: {why}");
-        sleep(PAUSE).await;
+        let address = *addresses.borrow_and_update();
+        tokio::select! {
+            biased;
+            changed = addresses.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                (whole, seen.behind) = (true, None);
+            }
+            () = async {
+                let Err(why) = follow(address, &mut seen, &mut whole, &backend).await;
+                log!("discovery: {why}");
+                sleep(PAUSE).await;
+            } => {}
+        }
     }
 }
 
 async fn follow(
     address: SocketAddr,
-    revision: &mut Option<u64>,
+    seen: &mut Seen,
+    whole: &mut bool,
     backend: &Backend,
 ) -> Result<std::convert::Infallible, String> {
     let connecting = timeout(SILENCE, TcpStream::connect(address)).await;
@@ -96,20 +147,21 @@
     let mut buffer = BytesMut::new();
     loop {
         let called = Instant::now();
-        let path = match revision {
-            Some(r) => format!("/discovery/hosts?from={r}&hold_ms={}", HOLD.as_millis()),
-            None => "/discovery/hosts".to_string(),
+        // The whole list comes at once; changes to the newest one seen are waited for.
+        let (path, hold) = match seen.revision.filter(|_| !*whole) {
+            Some(r) => (format!("/discovery/hosts?from={r}&hold_ms={}", HOLD.as_millis()), HOLD),
+            None => ("/discovery/hosts".to_string(), Duration::ZERO),
         };
         let call = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
         let answer = async {
             stream.write_all(call.as_bytes()).await.map_err(|e| format!("cannot write: {e}"))?;
             read_answer(&mut stream, &mut buffer).await
         };
-        let body = timeout(HOLD + SILENCE, answer).await.map_err(|_| "silent".to_string())??;
+        let body = timeout(hold + SILENCE, answer).await.map_err(|_| "silent".to_string())??;
         let list: List = serde_json::from_slice(&body).map_err(|e| format!("malformed list: {e}"))?;
-        // Changes to a list that is older than ours (the agent has started again) say nothing of ours.
-        if revision.is_none_or(|r| list.revision > r || list.complete) {
-            *revision = Some(list.revision);
+        let taken;
+        (taken, *whole) = seen.takes(&list);
+        if taken {
             backend.apply(&list);
         } else if called.elapsed() < PAUSE {
             // Danger: an agent that does not wait would be called without end.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -142,8 +142,8 @@
 
 impl Loaded {
     /// Reads the settings object.
-    pub fn parse(json: serde_json::Value, seed: u64) -> Result<Self, String> {
-        let info: BootInfo = serde_json::from_value(json).map_err(|e| e.to_string())?;
+    pub fn parse(json: &serde_json::Value, seed: u64) -> Result<Self, String> {
+        let info = BootInfo::deserialize(json).map_err(|e| e.to_string())?;
         Self::new(seed, &info)
     }
 
--- a/tests/gateway/house.rs
+++ b/tests/gateway/house.rs
@@ -283,23 +283,25 @@
     child: Child,
     pub address: SocketAddr,
     pub log: Watched<Vec<String>>,
-    config: std::path::PathBuf,
+    pub config: Value,
+    path: std::path::PathBuf,
 }
 
 /// Starts the program with this text as its configuration.
-fn launch(config: &str) -> (Child, std::path::PathBuf) {
+fn launch(config: &str, discovery: Option<SocketAddr>) -> (Child, std::path::PathBuf) {
     static NUMBER: AtomicU32 = AtomicU32::new(0);
     let number = NUMBER.fetch_add(1, Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("irisrouter-{}-{number}", std::process::id()));
     std::fs::write(&path, config).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_irisrouter"));
-    command.env("BALANCER_CONFIG", &path).env_remove("BALANCER_LISTEN").env_remove("BALANCER_DISCOVERY");
+    command.env("BALANCER_CONFIG", &path).env_remove("BALANCER_LISTEN");
+    command.env("BALANCER_DISCOVERY", discovery.map_or(String::new(), |a| a.to_string()));
     (command.stderr(Stdio::piped()).spawn().unwrap(), path)
 }
 
 /// The exit code and the words of a program that does not start.
 pub fn refuses(config: &str) -> (Option<i32>, String) {
-    let (child, path) = launch(config);
+    let (child, path) = launch(config, None);
     let out = child.wait_with_output().unwrap();
     std::fs::remove_file(&path).unwrap();
     (out.status.code(), String::from_utf8(out.stderr).unwrap().replace(path.to_str().unwrap(), "CONFIG"))
@@ -316,14 +318,24 @@
             "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": {"revision": 1, "complete": true, "members": known}, "settings": settings()});
         change(&mut config);
-        let (mut child, config) = launch(&config.to_string());
+        let (mut child, path) = launch(&config.to_string(), Some(discovery.address));
         let log = Watched::new(Vec::<String>::new());
         let (lines, to) = (BufReader::new(child.stderr.take().unwrap()).lines(), log.clone());
         spawn(move || lines.map_while(Result::ok).for_each(|l| to.change(|t| t.push(l))));
         let listening =
             |l: &mut Vec<String>| l.iter().find_map(|l| l.rsplit_once("listens on ")?.1.parse().ok());
         let address = log.wait("the address", listening);
-        Gateway { child, address, log, config }
+        Gateway { child, address, log, config, path }
+    }
+
+    /// Replaces the configuration file and tells the program to read it.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.path, config).unwrap();
+        self.signal("-HUP");
+    }
+
+    pub fn wait_for_log(&self, words: &str) {
+        self.log.wait(words, |l| l.iter().any(|l| l.contains(words)).then_some(()));
     }
 
     pub fn client(&self) -> Client {
@@ -354,7 +366,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.config);
+        let _ = std::fs::remove_file(&self.path);
     }
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -238,6 +238,57 @@
     assert!(client.ask(&statement("once", 9_000)).contains("new"));
 }
 
+/// Guards against a SIGHUP that kills, that cuts requests off, or that leaves the gateway with the old discovery
+/// or with the older list of a new one.
+#[test]
+fn on_sighup_the_new_discovery_is_called_for_the_whole_list_and_an_older_one_undoes_nothing() {
+    let slow = |_, text: &str| if text.contains("slow") { Say::Silence } else { Say::Row("a1b2") };
+    let (one, two) = (Host::start("s-1", true, slow), Host::start("s-2", false, row));
+    let both = |phase: &str| json!([one.entry("in_service", 0), two.entry(phase, 0)]);
+    let (old, new) = (Discovery::start(vec![]), Discovery::start(vec![one.entry("in_service", 0)]));
+    let mut gateway = Gateway::start(&old, &[&one, &two]);
+    old.publish(List::Is(both("terminating")));
+    let (mut client, mut busy) = (gateway.client(), gateway.client());
+    busy.send(&query(&statement("once", 4_000).replace("7f3a", "slow")));
+    one.wait_for("slow");
+
+    // The environment still names the old address: the file wins. Its `known` is older than what has been told.
+    let mut config = gateway.config.clone();
+    config["discovery"] = json!(new.address.to_string());
+    config["known"]["members"] = both("in_service");
+    config["limits"]["sockets"] = json!(500);
+    new.list.change(|l| *l = (1, List::Is(both("in_service"))));
+    gateway.reload(&config.to_string());
+    new.calls.wait("the whole list", |c| (c.first()? == "0: /discovery/hosts").then_some(()));
+    new.calls.wait("what is newer", |c| c.get(1)?.contains("from=2&").then_some(()));
+    gateway.wait_for_log("what waits for the next start: limits");
+    let before = two.statements().len();
+    for _ in 0..10 {
+        assert!(client.ask(&statement("read", 9_000)).contains("a1b2"));
+    }
+    assert_eq!(two.statements().len(), before, "a drain undone by an older list");
+
+    // Neither an unusable file nor the old address changes anything any more.
+    old.list.change(|l| *l = (9, List::Is(json!([]))));
+    for unusable in ["{", "", "{}"] {
+        gateway.reload(unusable);
+    }
+    gateway.wait_for_log("the old configuration holds");
+    new.list.change(|l| *l = (2, List::Is(both("in_service"))));
+    new.publish(List::Is(both("in_service")));
+    while two.statements().len() == before {
+        assert!(client.ask(&statement("read", 9_000)).contains("a1b2"));
+    }
+    assert!(busy.until_ready().contains("XX000"), "its time was over, and no earlier");
+
+    gateway.signal("-TERM");
+    gateway.wait_for_log("stopping");
+    gateway.signal("-HUP");
+    gateway.reload(&config.to_string());
+    assert!(client.ask(&statement("read", 9_000)).contains("a1b2"));
+    assert_eq!(gateway.exit_code(), Some(0));
+}
+
 #[test]
 fn a_gateway_starts_from_the_list_it_knew() {
     let host = Host::start("s-1", true, row);
