Serve on after SIGTERM for as long as connections are used and time is left

Its counters, read each quarter second: SIGTERM at 13.0 s, connections closed between requests at 13.85 s, end at 15.1 s, listening again at 17.4 s, a time that does not depend on the end. With connections left open, clients went on using them until 14.8 s; from then to 18.2 s the front sends nothing at all, whatever the gateway does. At fault: main.rs closed all connections 0.8 s after SIGTERM, though no kill comes before the longest deadline (3 s at most) and 0.7 s more.

Changed: what comes is taken until 0.8 s before the kill, and what came after SIGTERM has its answer 0.3 s before it; with no connection left it ends at 0.8 s.

--- a/src/main.rs
+++ b/src/main.rs
@@ -16,6 +16,7 @@
 use net::request::Core;
 use net::router::{drive, Mailbox};
 use net::{duration, Clock};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -36,8 +37,12 @@
 const BACKLOG: u32 = 1024;
 /// The front layer goes on sending for a while after SIGTERM: so long the gateway takes all that comes.
 const GRACE: Duration = Duration::from_millis(800);
-/// What it has taken then is finished within the longest deadline, and no sooner is the process killed.
-const LONGEST_KNOWN: Duration = Duration::from_secs(3);
+/// The process is killed no sooner than so long after the longest deadline, and a deadline counts so much at most.
+const TO_KILL: Duration = Duration::from_millis(700);
+const LONGEST_COUNTED: Duration = Duration::from_secs(3);
+/// What comes after SIGTERM has its answer so long before that, and nothing is taken any more so long before that.
+const LAST_ANSWER: Duration = Duration::from_millis(300);
+const LAST_TAKEN: Duration = Duration::from_millis(800);
 /// How often a gateway that ends looks whether all is done.
 const LOOK: Duration = Duration::from_millis(5);
 
@@ -87,6 +92,7 @@
         backend: Rc::clone(&backend),
         clock,
         counters: Rc::clone(&counters),
+        answer_by: Cell::new(None),
     };
     let (close, closing) = watch::channel(false);
     let front = Rc::new(Frontend {
@@ -97,7 +103,7 @@
         places: Places::new(free - for_hosts),
         closing,
     });
-    let longest = settings.classes.iter().map(|c| duration(c.deadline)).max().unwrap_or(LONGEST_KNOWN);
+    let longest = settings.classes.iter().map(|c| duration(c.deadline)).max().unwrap_or(LONGEST_COUNTED);
 
     let driven = spawn_local(drive(Router::new(settings), Rc::clone(&mailbox), Rc::clone(&backend), clock));
     let (discovery, addresses) = watch::channel(config.discovery);
@@ -116,7 +122,16 @@
         _ = driven => return Err("the decision module has failed".to_string()),
     }
     log!("stopping");
+    // Clients use the connections that they have for as long as these stay open, so they do until little time is
+    // left. Danger: nobody takes over what a closed connection would have carried until the gateway is back.
+    let stopped = Instant::now();
+    let killed = stopped + longest.min(LONGEST_COUNTED) + TO_KILL;
+    front.core.answer_by.set(Some(killed - LAST_ANSWER));
+    let taken_until = (killed - LAST_TAKEN).max(stopped + GRACE);
     sleep(GRACE).await;
+    while front.places.open() > 0 && Instant::now() < taken_until {
+        sleep(LOOK).await;
+    }
     accepting.abort();
     let _ = accepting.await;
     front.accept_rest(&listener).await;
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -7,6 +7,7 @@
 use super::router::{Mailbox, Order};
 use super::{duration, nanoseconds, Clock};
 use irisrouter::api::*;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -61,6 +62,8 @@
     pub clock: Clock,
     /// The counters.
     pub counters: Rc<Counters>,
+    /// When the last answer has to be given, where the gateway is about to end.
+    pub answer_by: Cell<Option<Instant>>,
 }
 
 impl Core {
@@ -68,8 +71,10 @@
     pub async fn serve(self: Rc<Self>, call: Call, answer: oneshot::Sender<Answer>) {
         count(&self.counters.received);
         let arrived = self.clock.now();
-        let wait = call.wait.saturating_sub(MARGIN);
-        let last = Instant::now() + call.wait.saturating_sub(LAST_MARGIN);
+        let ending = self.answer_by.get().map(|end| end.saturating_duration_since(Instant::now()));
+        let patience = ending.map_or(call.wait, |left| left.min(call.wait));
+        let wait = patience.saturating_sub(MARGIN);
+        let last = Instant::now() + patience.saturating_sub(LAST_MARGIN);
         let (id, mut orders) = self.mailbox.open();
         self.mailbox.post(Event::Request {
             id,
