Shun members that answer with errors, and use likely replicas where proven ones are full

At fault: hear() took no notice of errors; select() asked the likely replicas only where none was proven; after_failure() charged a quick error like a full attempt.

Changed: three errors in a row shun a member for reads, 0.5 s doubling to 4 s; where the proven are full, replicas that were recent enough when last heard are asked (they check reads themselves), and one that turns a read away counts as behind; a failed attempt costs the retry budget its part of a usual time.

--- a/src/state.rs
+++ b/src/state.rs
@@ -40,6 +40,10 @@
     pub(crate) patience: Ns,
     pub(crate) fails: u32,
     pub(crate) suspect_until: Ns,
+    /// Smoothed share of errors among its answers, and what followed from it.
+    pub(crate) errors: f64,
+    pub(crate) shuns: u32,
+    pub(crate) shun_until: Ns,
     pub(crate) probe_at: Ns,
     pub(crate) probe_out: bool,
     /// Since when it answers again after it had not.
