--- a/src/decide.rs
+++ b/src/decide.rs
@@ -253,7 +253,7 @@
         if suitable.is_empty() && self.s.checks != ServerChecks::None {
             suitable = self.most_advanced(&replicas, r);
         }
-        // Danger: one that answers with errors does so at once, so that it always has room and draws all reads.
+        // Danger: one that answers with errors does so at once: it always has room, and draws all reads.
         if suitable.iter().any(|&m| !self.shunned(m)) {
             suitable.retain(|&m| !self.shunned(m));
         }
@@ -278,8 +278,8 @@
             if let Some(m) = self.pick(&admitted(&suitable)) {
                 return Some(m);
             }
-            // Those that are proven are full. Danger: the others stand idle, proven by no probe of late. Where
-            // replicas check reads themselves, one that is too far behind turns it away untouched.
+            // Those that are proven are full. Danger: the others stand idle, as no probe proved them. Where
+            // replicas check reads, one that is too far behind turns it away untouched.
             if self.s.checks != ServerChecks::None {
                 let mut likely = self.most_advanced(&replicas, r);
                 likely.retain(|&m| !self.shunned(m));
@@ -718,8 +718,8 @@
         }
         let again = self.s.classes[r.class].repeat != Repeat::Unsafe || !may_have_run(r);
         let in_time = self.now < self.latest_send(r) && (r.attempts.len() as u32) < self.s.limits.attempts;
-        // Attempts that cost no work are free; the others draw on a budget, so that retries feed no storm. One that
-        // failed at once cost little.
+        // Attempts that cost no work are free; the others draw on a budget, so that retries feed no storm.
+        // One that failed at once cost little.
         let free = never_ran(outcome) && outcome != Outcome::Full;
         let work = (elapsed as f64 / self.usual[r.class]).clamp(QUICK, 1.0);
         let cost = if free || outcome == Outcome::Full { f64::from(!free) } else { work };
