Check answers strictly, rest connections before reuse, and turn down ids of open requests

At fault: backend.rs check_out() took connections that had just come back, report() and note() multiplied unchecked; pg.rs Reply::take() asked for no order; frontend.rs call() kept no ids.

--- a/src/main.rs
+++ b/src/main.rs
@@ -16,7 +16,7 @@
 use net::request::Core;
 use net::router::{drive, Mailbox};
 use net::{duration, Clock};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -80,9 +80,8 @@
     let mailbox = Rc::<Mailbox>::default();
     let to_module = Rc::clone(&mailbox);
     let on_list = Box::new(move |event| to_module.post(event));
-    let (zones, idle) = (config.loaded.zones.clone(), config.loaded.idle_close);
-    let backend =
-        Backend::new(&settings, zones, idle, for_hosts, Rc::clone(&pool), Rc::clone(&counters), on_list);
+    let (shared, counted) = (Rc::clone(&pool), Rc::clone(&counters));
+    let backend = Backend::new(&config.loaded, for_hosts, shared, counted, clock, on_list);
     let backend = Rc::new(backend);
     let known = &config.file.known;
     backend.apply(known);
@@ -93,6 +92,7 @@
         clock,
         counters: Rc::clone(&counters),
         answer_by: Cell::new(None),
+        ids: RefCell::default(),
     };
     let (close, closing) = watch::channel(false);
     let front = Rc::new(Frontend {
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -5,10 +5,10 @@
 use super::discovery::{List, Phase};
 use super::log::log;
 use super::pg::{self, code, Reply};
-use super::{duration, nanoseconds};
+use super::{duration, nanoseconds, Clock};
 use bytes::Buf;
 use irisrouter::api::*;
-use irisrouter::settings::Names;
+use irisrouter::settings::{Loaded, Names};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -26,6 +26,14 @@
 /// Idle connections are retired after this share of the time at which a host closes them. Danger: a request
 /// written to a connection that its host has just closed ends as a reset, which may have run.
 const IDLE_SHARE: f64 = 0.8;
+/// A connection rests for so long before it is used again. Danger: what a host sends behind a good answer, such as
+/// a second copy, would be read as the next request's answer.
+const REST: Duration = Duration::from_millis(10);
+/// A position may be so far ahead of this clock. Danger: one from the future would prove for ever that its host is
+/// recent enough.
+const AHEAD: Ns = 100 * NS_PER_MS;
+/// More requests than this are held nowhere.
+const MOST_HELD: f64 = 1e6;
 /// How often idle connections are looked at.
 pub const SWEEP: Duration = Duration::from_millis(500);
 
@@ -88,6 +96,7 @@
     zones: RefCell<Names>,
     pool: Rc<Pool>,
     counters: Rc<Counters>,
+    clock: Clock,
     connect_timeout: Duration,
     idle_for: Duration,
     /// Where only a listed drain binds, one that is gone or missing may still be sent to.
@@ -108,22 +117,23 @@
 impl Backend {
     /// No hosts yet. Each list goes to the module through `on_list`.
     pub fn new(
-        s: &Settings,
-        zones: Names,
-        idle_close: Ns,
+        loaded: &Loaded,
         most: usize,
         pool: Rc<Pool>,
         counters: Rc<Counters>,
+        clock: Clock,
         on_list: Box<dyn Fn(Event)>,
     ) -> Self {
+        let s = &loaded.settings;
         Backend {
             hosts: RefCell::default(),
             ids: RefCell::default(),
-            zones: RefCell::new(zones),
+            zones: RefCell::new(loaded.zones.clone()),
             pool,
             counters,
+            clock,
             connect_timeout: duration(s.limits.connect_timeout),
-            idle_for: duration(idle_close).mul_f64(IDLE_SHARE),
+            idle_for: duration(loaded.idle_close).mul_f64(IDLE_SHARE),
             drain_binds_alone: s.rules.drain_binds_alone,
             most,
             open: Rc::default(),
@@ -237,7 +247,11 @@
             Some(code::TOO_MANY_CONNECTIONS) => Outcome::Full,
             _ => Outcome::Error,
         };
-        Attempted { outcome, note: note(&reply), row: (outcome == Outcome::Ok).then_some(row) }
+        Attempted {
+            outcome,
+            note: note(&reply, self.clock.now()),
+            row: (outcome == Outcome::Ok).then_some(row),
+        }
     }
 
     /// Writes a query and reads its answer. The connection is used again only after a whole answer.
@@ -289,7 +303,9 @@
             Err(outcome) => return (outcome, None),
         };
         match reply.error.as_deref() {
-            None if reply.served() => (Outcome::Ok, reply.value.as_deref().map(report)),
+            None if reply.served() => {
+                (Outcome::Ok, reply.value.as_deref().map(|text| report(text, self.clock.now())))
+            }
             Some(code::TOO_MANY_CONNECTIONS | code::CANNOT_CONNECT_NOW) => (Outcome::Full, None),
             _ => (Outcome::Error, None),
         }
@@ -348,11 +364,13 @@
         Some(Slot(Rc::clone(&self.open)))
     }
 
-    /// The connection used last: it is the warmest, and the others can grow old.
+    /// The connection used last of those that have rested: it is the warmest, and the others can grow old.
     fn check_out(&self, member: MemberId) -> Option<Connection> {
         let host = &mut self.hosts.borrow_mut()[member.0 as usize];
-        let idle_for = self.idle_for;
-        host.idle.pop().filter(|c| c.idle_since.elapsed() < idle_for)
+        let (idle_for, now) = (self.idle_for, Instant::now());
+        // They stand in the order in which they came back.
+        let rested = host.idle.iter().rposition(|c| now - c.idle_since >= REST)?;
+        Some(host.idle.remove(rested)).filter(|c| now - c.idle_since < idle_for)
     }
 
     fn check_in(&self, member: MemberId, mut c: Connection) {
@@ -408,23 +426,31 @@
     matches!(c.stream.try_read(&mut [0]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
 }
 
-fn note(reply: &Reply) -> Option<Note> {
+fn note(reply: &Reply, now: Ns) -> Option<Note> {
     let role = match reply.role? {
         pg::HostRole::Writer => Role::Primary,
         pg::HostRole::Reader => Role::Replica,
     };
-    Some(Note { role, position: reply.position_ms.map(|ms| ms * NS_PER_MS) })
+    Some(Note { role, position: reply.position_ms.and_then(|ms| position(ms, now)) })
 }
 
-/// A load report. Its position is in Unix seconds, with the milliseconds behind the point.
-fn report(text: &str) -> Report {
+/// A position in Unix milliseconds, unless it can't be true.
+fn position(ms: i64, now: Ns) -> Option<Ns> {
+    ms.checked_mul(NS_PER_MS).filter(|&p| p > 0 && p <= now.saturating_add(AHEAD))
+}
+
+/// A load report, without what can't be true. Its position is in Unix seconds, with the milliseconds behind the
+/// point.
+fn report(text: &str, now: Ns) -> Report {
     let mut r = Report::default();
     for (name, value) in pg::report(text) {
         match name {
             // Down to the millisecond: a position rounded up would claim commits that are not there yet.
-            "x0" => r.position = Some((value * 1_000.0 + 0.001).floor() as Ns * NS_PER_MS),
-            "x1" => r.primary = Some(value > 0.5),
-            "inflight" | "queue" => r.inflight = r.inflight.or(Some(value)),
+            "x0" => r.position = position((value * 1_000.0 + 0.001).floor() as i64, now),
+            "x1" if value == 0.0 || value == 1.0 => r.primary = Some(value == 1.0),
+            "inflight" | "queue" if (0.0..=MOST_HELD).contains(&value) => {
+                r.inflight = r.inflight.or(Some(value))
+            }
             _ => {}
         }
     }
@@ -439,9 +465,20 @@
     fn a_report_keeps_the_milliseconds_of_its_position() {
         for ms in [1_767_225_600_123i64, 1_767_225_600_001, 1_767_225_600_999, 1_900_000_000_007] {
             let text = format!("x0={}.{:03},x1=1,util=0.61", ms / 1_000, ms % 1_000);
-            let r = report(&text);
+            let r = report(&text, ms * NS_PER_MS);
             assert_eq!(r, Report { position: Some(ms * NS_PER_MS), primary: Some(true), inflight: None });
         }
-        assert_eq!(report("nonsense,x0=,=1,inflight=7").inflight, Some(7.0));
+        assert_eq!(report("nonsense,x0=,=1,inflight=7", 0).inflight, Some(7.0));
+    }
+
+    /// Guards against numbers that overflow, and against a position that no later one can take back.
+    #[test]
+    fn a_report_that_cannot_be_true_tells_nothing() {
+        let now = 1_767_225_600_000 * NS_PER_MS;
+        for x0 in ["1767225601", "1e300", "9e15", "-1e300", "-5", "NaN", "inf", "1767225600123999999999"] {
+            assert_eq!(report(&format!("x0={x0},x1=7,inflight=-3"), now), Report::default(), "{x0}");
+        }
+        assert_eq!(position(i64::MAX, now), None);
+        assert_eq!(report("x0=1767225600,inflight=1e300", now).position, Some(now));
     }
 }
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -351,7 +351,8 @@
             return Err("no room for so large a statement");
         }
         let statement = Statement { text: copy, wait_at: s.wait_at };
-        Ok(Call { class, group, session, wait, after, retry: s.retry, statement })
+        let id = self.core.take_id(s.id).ok_or("the id of a request that is open")?;
+        Ok(Call { id, class, group, session, wait, after, retry: s.retry, statement })
     }
 
     /// Waits for a request's answer, and meanwhile for the client to leave. What it sends ahead is kept.
--- a/src/net/pg.rs
+++ b/src/net/pg.rs
@@ -174,6 +174,8 @@
 /// What a statement says of itself: the comment at its end, and the key that it quotes first.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Statement<'a> {
+    /// The request's id.
+    pub id: &'a str,
     /// The class's name.
     pub class: &'a str,
     /// Where the milliseconds stand that the client will wait.
@@ -217,7 +219,7 @@
         }
     }
     let [id, class, wait, key, group, after, retry] = seen;
-    id.filter(|v| !v.is_empty()).ok_or(Malformed("no id in the comment"))?;
+    let id = id.filter(|v| !v.is_empty()).ok_or(Malformed("no id in the comment"))?;
     let wait = wait.ok_or(Malformed("no d in the comment"))?;
     let number = |v: &str| v.parse::<f64>().ok().filter(|n| n.is_finite());
     let wait_ms = (number(wait).filter(|n| (0.0..=LONGEST_WAIT_MS).contains(n)))
@@ -226,6 +228,7 @@
     // Where the value stands in the text, of which it is a part.
     let start = wait.as_ptr() as usize - text.as_ptr() as usize;
     Ok(Statement {
+        id,
         class: class.ok_or(Malformed("no class in the comment"))?,
         wait_at: start..start + wait.len(),
         wait_ms,
@@ -262,10 +265,8 @@
 /// A database host's answer to one query, as far as it has come.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Reply {
-    /// Rows of one column so far.
-    pub rows: u32,
-    /// CommandComplete has come.
-    pub complete: bool,
+    /// How far it has come.
+    pub stage: Stage,
     /// ErrorResponse has come, with this code.
     pub error: Option<String>,
     /// ReadyForQuery has come.
@@ -278,38 +279,67 @@
     pub value: Option<String>,
 }
 
+/// The messages of an answer: one of each, in this order.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Stage {
+    /// Nothing yet.
+    #[default]
+    Begun,
+    /// RowDescription, of one column.
+    Described,
+    /// DataRow, of one value.
+    Row,
+    /// CommandComplete.
+    Complete,
+}
+
 /// Longest value that may be a report.
 const LONGEST_REPORT: usize = 256;
 
 impl Reply {
-    /// Takes the next message. True where it belongs to the row that a client gets.
+    /// Takes the next message. True where it belongs to the row that a client gets. Danger: what is out of order
+    /// may be another answer's, and its row another request's.
     pub fn take(&mut self, tag: u8, body: &[u8]) -> Result<bool, Malformed> {
-        match tag {
-            b'T' if self.rows == 0 && !self.complete && self.error.is_none() => return Ok(true),
-            b'D' if self.rows == 0 && !self.complete && self.error.is_none() => {
+        let next = match (tag, self.stage, &self.error) {
+            (b'T', Stage::Begun, None) => {
+                one_field(body)?;
+                Stage::Described
+            }
+            (b'D', Stage::Described, None) => {
                 let value = one_column(body)?;
-                self.rows = 1;
                 if value.len() <= LONGEST_REPORT {
                     self.value = std::str::from_utf8(value).ok().map(str::to_string);
                 }
-                return Ok(true);
+                Stage::Row
+            }
+            (b'C', Stage::Row, None)
+                if body.split_last().is_some_and(|(end, tag)| *end == 0 && !tag.contains(&0)) =>
+            {
+                Stage::Complete
+            }
+            (b'E', _, None) => {
+                self.error = Some(error_code(body)?);
+                return Ok(false);
             }
-            b'C' if !self.complete && self.error.is_none() => {
-                self.complete = true;
-                return Ok(true);
+            (b'S', ..) => return self.status(body).map(|()| false),
+            (b'Z', Stage::Begun | Stage::Complete, _) | (b'Z', _, Some(_))
+                if matches!(body, [b'I' | b'T' | b'E']) =>
+            {
+                self.ready = true;
+                return Ok(false);
             }
-            b'E' => self.error = Some(error_code(body)?),
-            b'S' => self.status(body)?,
-            b'Z' => self.ready = true,
-            b'N' | b'A' | b'K' | b'R' | b'I' => {}
+            (b'N' | b'A', ..) => return Ok(false),
+            // A connection's start.
+            (b'K' | b'R', Stage::Begun, None) => return Ok(false),
             _ => return Err(Malformed("a message that does not belong in an answer")),
-        }
-        Ok(false)
+        };
+        self.stage = next;
+        Ok(true)
     }
 
     /// A whole row has come.
     pub fn served(&self) -> bool {
-        self.rows == 1 && self.complete && self.error.is_none()
+        self.stage == Stage::Complete && self.error.is_none()
     }
 
     fn status(&mut self, body: &[u8]) -> Result<(), Malformed> {
@@ -320,15 +350,21 @@
         match (name, value) {
             ("server_role", "writer") => self.role = Some(HostRole::Writer),
             ("server_role", "reader") => self.role = Some(HostRole::Reader),
-            ("commit_clock", v) => {
-                self.position_ms = v.parse::<f64>().ok().map(|p| p as i64).filter(|&p| p > 0)
-            }
+            ("commit_clock", v) => self.position_ms = v.parse().ok().filter(|&p| p > 0),
             _ => {}
         }
         Ok(())
     }
 }
 
+/// The description of a row of one column: a name, and what stands in the 18 bytes behind it.
+fn one_field(body: &[u8]) -> Result<(), Malformed> {
+    let fields = body.strip_prefix(&1u16.to_be_bytes());
+    let name = fields.and_then(|f| f.iter().position(|&b| b == 0));
+    let whole = name.zip(fields).is_some_and(|(name, f)| f.len() == name + 1 + 18);
+    whole.then_some(()).ok_or(Malformed("a description of something other than one column"))
+}
+
 /// The value of a row of one column.
 fn one_column(body: &[u8]) -> Result<&[u8], Malformed> {
     const WRONG: Malformed = Malformed("a row that is not one value");
@@ -392,7 +428,13 @@
     #[test]
     fn an_answer_is_served_only_when_it_is_whole_and_without_an_error() {
         let row = [0, 1, 0, 0, 0, 1, b'x'];
+        let column = [&[0, 1][..], b"payload\0", &[0; 18]].concat();
+        assert!(Reply::default().take(b'D', &row).is_err(), "a row that nothing describes");
+        assert!(Reply::default().take(b'T', &[&[0, 2][..], b"payload\0", &[0; 18]].concat()).is_err());
         let mut r = Reply::default();
+        assert_eq!(r.take(b'T', &column), Ok(true));
+        assert!(r.clone().take(b'T', &column).is_err(), "described twice");
+        assert!(r.clone().take(b'Z', b"I").is_err(), "an end without a row");
         assert_eq!(r.take(b'D', &row), Ok(true));
         assert!(!r.served(), "without CommandComplete it may not be whole");
         assert!(r.clone().take(b'D', &row).is_err(), "a second row");
@@ -405,7 +447,9 @@
         assert!(!r.served());
         // A null, a length that lies, two columns.
         for body in [&[0, 1, 255, 255, 255, 255][..], &[0, 1, 0, 0, 0, 9, 1], &[0, 2, 0, 0, 0, 1, 1]] {
-            assert!(Reply::default().take(b'D', body).is_err());
+            let mut r = Reply::default();
+            r.take(b'T', &column).expect("a description");
+            assert!(r.take(b'D', body).is_err());
         }
     }
 
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -7,7 +7,8 @@
 use super::router::{Mailbox, Order};
 use super::{duration, nanoseconds, Clock};
 use irisrouter::api::*;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -21,8 +22,19 @@
 /// fails what the module would have refused.
 const LAST_MARGIN: Duration = Duration::from_millis(1);
 
+/// A request's id, which no other may bear until this is dropped.
+pub struct OpenId(Rc<Core>, Box<str>);
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.0.ids.borrow_mut().remove(&self.1);
+    }
+}
+
 /// A request, as a front hands it over.
 pub struct Call {
+    /// Its id.
+    pub id: OpenId,
     /// Its class, an index into the settings.
     pub class: usize,
     /// Its group.
@@ -64,9 +76,18 @@
     pub counters: Rc<Counters>,
     /// When the last answer has to be given, where the gateway is about to end.
     pub answer_by: Cell<Option<Instant>>,
+    /// Ids of the requests that are not over.
+    pub ids: RefCell<HashSet<Box<str>>>,
 }
 
 impl Core {
+    /// Takes an id, unless an open request bears it. Danger: to a database host a second one of that id is the
+    /// first, sent again, and its answer another client's.
+    pub fn take_id(self: &Rc<Self>, id: &str) -> Option<OpenId> {
+        let new = self.ids.borrow_mut().insert(id.into());
+        new.then(|| OpenId(Rc::clone(self), id.into()))
+    }
+
     /// Takes a request and gives it exactly one answer. A client that leaves drops the receiver.
     pub async fn serve(self: Rc<Self>, call: Call, answer: oneshot::Sender<Answer>) {
         count(&self.counters.received);
@@ -88,6 +109,8 @@
             retry: call.retry,
         });
         let statement = Rc::new(call.statement);
+        // Until the last attempt has ended.
+        let _taken = call.id;
         let mut owed = Some(answer);
         let mut running: JoinSet<Attempted> = JoinSet::new();
         // By their number: where each went and when, and how to stop waiting for it.
--- a/tests/gateway/house.rs
+++ b/tests/gateway/house.rs
@@ -83,6 +83,8 @@
     Row(&'static str),
     Error(&'static str),
     Raw(&'static [u8]),
+    /// The row, and a little later a second copy of it that nobody has asked for.
+    Twice(&'static str),
     Silence,
     End,
 }
@@ -170,6 +172,12 @@
         let nth = count.change(|c| std::mem::replace(c, *c + 1));
         let out = match script(nth, &text) {
             Say::Row(value) => [row(value), ready.clone()].concat(),
+            Say::Twice(value) => {
+                let whole = [row(value), ready.clone()].concat();
+                stream.write_all(&whole).ok()?;
+                std::thread::sleep(Duration::from_millis(2));
+                whole
+            }
             Say::Error(code) => {
                 let error = format!("SERROR\0C{code}\0Mno\0\0");
                 [message(b'E', error.as_bytes()), ready.clone()].concat()
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -127,6 +127,47 @@
     assert_eq!(host.statements().len(), 5);
 }
 
+/// Guards against the worst case, a wrong value: what comes behind a good answer read as the next request's.
+#[test]
+fn a_second_copy_behind_a_good_answer_is_nobodys_answer() {
+    let host =
+        Host::start("s-1", true, |n, _| if n % 2 == 0 { Say::Twice("first") } else { Say::Row("second") });
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let mut client = gateway.client();
+    for _ in 0..5 {
+        assert!(client.ask(&statement("once", 9_000)).contains("first"));
+        assert!(client.ask(&statement("once", 9_000)).contains("second"));
+    }
+}
+
+/// Guards against a client that bears another's open request's id: a host takes it for the same request.
+#[test]
+fn the_id_of_an_open_request_is_turned_down_until_that_is_over() {
+    let host = Host::start(
+        "s-1",
+        true,
+        |_, text| {
+            if text.contains("slow") {
+                Say::Silence
+            } else {
+                Say::Row("a1b2")
+            }
+        },
+    );
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let (mut owner, mut other) = (gateway.client(), gateway.client());
+    owner.send(&query(&statement("once", 9_000).replace("7f3a", "slow")));
+    host.wait_for("slow");
+    let told = other.ask(&statement("read", 9_000));
+    assert!(told.contains("C42601 Mthe id of a request that is open"), "{told}");
+    assert_eq!(host.statements().len(), 1, "it reaches no host");
+    drop(owner);
+    host.wait_for("closed");
+    assert!((0..1_000_000).any(|_| other.ask(&statement("read", 9_000)).contains("a1b2")));
+}
+
 #[test]
 fn what_may_have_run_is_not_sent_again() {
     // The connection that has served the first breaks on the second: that is a reset, which may have run.
@@ -249,7 +290,7 @@
     let mut gateway = Gateway::start(&old, &[&one, &two]);
     old.publish(List::Is(both("terminating")));
     let (mut client, mut busy) = (gateway.client(), gateway.client());
-    busy.send(&query(&statement("once", 4_000).replace("7f3a", "slow")));
+    busy.send(&query(&statement("once", 4_000).replace("7f3a", "slow").replace("9b1f", "51")));
     one.wait_for("slow");
 
     // The environment still names the old address: the file wins. Its `known` is older than what has been told.
@@ -320,7 +361,8 @@
     let few = |c: &mut serde_json::Value| c["limits"]["sockets"] = json!(70);
     let gateway = Gateway::with(&discovery, &[&host], few);
     let mut clients: Vec<Client> = (0..4).map(|_| gateway.client()).collect();
-    clients.iter_mut().for_each(|c| c.send(&query(&statement("read", 19_000))));
+    let asks = clients.iter_mut().enumerate();
+    asks.for_each(|(n, c)| c.send(&query(&statement("read", 19_000).replace("9b1f", &n.to_string()))));
     let mut beyond = gateway.raw();
     beyond.send(&[startup(), query(&statement("read", 9_000))].concat());
     assert_snapshot!(beyond.until_ready(), @r"
@@ -393,7 +435,7 @@
     let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
     let mut gateway = Gateway::start(&discovery, &[&host]);
     let (mut idle, mut busy) = (gateway.client(), gateway.client());
-    busy.send(&query(&statement("once", 3_000).replace("7f3a", "slow")));
+    busy.send(&query(&statement("once", 3_000).replace("7f3a", "slow").replace("9b1f", "51")));
     host.wait_for("slow");
     gateway.signal("-TERM");
     gateway.log.wait("the signal", |l| l.iter().any(|l| l.contains("stopping")).then_some(()));
