Forget hosts and members that are gone

Numbers are not given out again, so that a late order for a forgotten host ends as Moot. One that went without a drain counts as missing for two warm-up times (the cold rule divides by it); drained ones go once nothing of them is out. Hosts are kept for 30 s, since they may come back under their id.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -134,6 +134,11 @@
         }
     }
 
+    /// How many members are remembered.
+    pub fn remembered(&self) -> usize {
+        self.members.len()
+    }
+
     /// Takes what happened, all of it first, then decides.
     pub fn batch(&mut self, now: Ns, events: &[Event]) -> Vec<Action> {
         self.now = now;
@@ -489,7 +494,8 @@
             Repeat::Keyed { scope, window } => {
                 let risky = || r.attempts.iter().filter(|a| a.outcome.is_none_or(|o| !never_ran(o)));
                 risky().all(|a| self.now - a.sent < window)
-                    && (scope != RepeatScope::Zone || risky().all(|a| self.members[&a.member].zone == m.zone))
+                    && (scope != RepeatScope::Zone
+                        || risky().all(|a| self.members.get(&a.member).is_some_and(|o| o.zone == m.zone)))
             }
         };
         // Rule 3: drains are kept, at once rather than at the end of the grace.
@@ -827,16 +833,37 @@
             self.members.values_mut().for_each(|m| m.gone = true);
         }
         entries.iter().for_each(|e| self.on_entry(e));
+        let now = self.now;
+        self.members.values_mut().for_each(|m| m.gone_at = if m.gone { m.gone_at.min(now) } else { Ns::MAX });
+        self.forget();
         self.groups.values_mut().for_each(|g| g.dirty = true);
     }
 
+    /// Members that are gone, with nothing out there, are forgotten. Danger: where they are replaced all day,
+    /// they pile up. One that went without a drain counts as missing until those that took over are warm.
+    fn forget(&mut self) {
+        let stale = |m: &Member| m.drained || self.now - m.gone_at > 2 * self.s.rules.cold_for;
+        let idle = |m: &Member| m.outstanding == 0 && !m.probe_out;
+        let over = |id: MemberId, m: &Member| m.gone && !self.in_service(id) && idle(m) && stale(m);
+        let gone: BTreeSet<MemberId> =
+            self.members.iter().filter(|(&id, m)| over(id, m)).map(|(&id, _)| id).collect();
+        self.members.retain(|id, _| !gone.contains(id));
+        self.groups.values_mut().for_each(|g| g.members.retain(|id| !gone.contains(id)));
+    }
+
     fn on_entry(&mut self, e: &ListEntry) {
         if !self.members.contains_key(&e.member) {
             self.groups.entry(e.group).or_default().members.push(e.member);
         }
         let start = LIMIT_START / f64::from(self.s.proxies.max(1));
-        let new =
-            || Member { group: e.group, zone: e.zone, limit: start, slowness: 1.0, ..Member::default() };
+        let new = || Member {
+            group: e.group,
+            zone: e.zone,
+            limit: start,
+            slowness: 1.0,
+            gone_at: Ns::MAX,
+            ..Member::default()
+        };
         let m = self.members.entry(e.member).or_insert_with(new);
         m.gone = e.listed == Listed::Gone;
         m.size = e.size;
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -10,7 +10,7 @@
 use irisrouter::api::*;
 use irisrouter::settings::{Loaded, Names};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
@@ -32,6 +32,8 @@
 /// A position may be so far ahead of this clock. Danger: one from the future would prove for ever that its host is
 /// recent enough.
 const AHEAD: Ns = 100 * NS_PER_MS;
+/// A host that is gone is remembered for so long, as it may come back.
+const KEPT_GONE: Duration = Duration::from_secs(30);
 /// More requests than this are held nowhere.
 const MOST_HELD: f64 = 1e6;
 /// How often idle connections are looked at.
@@ -81,18 +83,24 @@
 struct Host {
     name: String,
     address: SocketAddr,
-    group: GroupId,
     ready: bool,
     started: f64,
     /// Changes when its process or its address does: older connections are of no more use.
     epoch: u64,
     idle: Vec<Connection>,
+    /// Since when the list does not hold it any more.
+    gone: Option<Instant>,
 }
 
 /// All database hosts that the list has named, and the connections to them.
 pub struct Backend {
-    hosts: RefCell<Vec<Host>>,
+    /// Those that the list holds or held lately. A number is never given out again: late orders for a host that has been
+    /// forgotten must not reach another one.
+    hosts: RefCell<BTreeMap<MemberId, Host>>,
     ids: RefCell<HashMap<String, MemberId>>,
+    next: Cell<u32>,
+    /// All groups that the list has ever named.
+    groups: RefCell<BTreeSet<GroupId>>,
     zones: RefCell<Names>,
     pool: Rc<Pool>,
     counters: Rc<Counters>,
@@ -128,6 +136,8 @@
         Backend {
             hosts: RefCell::default(),
             ids: RefCell::default(),
+            next: Cell::new(0),
+            groups: RefCell::default(),
             zones: RefCell::new(loaded.zones.clone()),
             pool,
             counters,
@@ -143,8 +153,8 @@
 
     /// The list has named a host of this group, or there is no list yet.
     pub fn may_know(&self, group: GroupId) -> bool {
-        let hosts = self.hosts.borrow();
-        hosts.is_empty() || hosts.iter().any(|h| h.group == group)
+        let groups = self.groups.borrow();
+        groups.is_empty() || groups.contains(&group)
     }
 
     /// Takes a list: from now on nothing is sent that it rules out.
@@ -153,21 +163,24 @@
         let mut ids = self.ids.borrow_mut();
         let mut zones = self.zones.borrow_mut();
         let mut entries = Vec::with_capacity(list.members.len());
-        let mut named = BTreeSet::new();
         for e in &list.members {
+            if e.phase == Phase::Terminated && !ids.contains_key(&e.id) {
+                continue;
+            }
+            self.groups.borrow_mut().insert(GroupId(e.cell));
             let member = *ids.entry(e.id.clone()).or_insert_with(|| {
-                hosts.push(Host {
-                    name: e.id.clone(),
-                    address: e.host_port,
-                    group: GroupId(e.cell),
-                    ready: false,
-                    started: e.up_since_ms,
-                    epoch: 0,
-                    idle: Vec::new(),
-                });
-                MemberId(hosts.len() as u32 - 1)
+                self.next.set(self.next.get() + 1);
+                MemberId(self.next.get() - 1)
+            });
+            let host = hosts.entry(member).or_insert_with(|| Host {
+                name: e.id.clone(),
+                address: e.host_port,
+                ready: false,
+                started: e.up_since_ms,
+                epoch: 0,
+                idle: Vec::new(),
+                gone: None,
             });
-            let host = &mut hosts[member.0 as usize];
             host.ready = match e.phase {
                 Phase::InService => true,
                 Phase::Terminating => false,
@@ -181,7 +194,6 @@
             if !host.ready || host.idle.first().is_some_and(|c| c.epoch != host.epoch) {
                 host.idle.clear();
             }
-            named.insert(member);
             entries.push(ListEntry {
                 member,
                 group: GroupId(e.cell),
@@ -196,12 +208,14 @@
                 started: (e.up_since_ms > 0.0).then_some((e.up_since_ms * NS_PER_MS as f64) as Ns),
             });
         }
-        if list.complete {
-            for (i, host) in hosts.iter_mut().enumerate() {
-                if !named.contains(&MemberId(i as u32)) {
-                    host.ready &= self.drain_binds_alone;
-                    host.idle.clear();
-                }
+        for (member, host) in hosts.iter_mut() {
+            let listed = entries.iter().find(|e| e.member == *member).map(|e| e.listed);
+            if listed.map_or(list.complete, |l| l == Listed::Gone) {
+                host.ready &= self.drain_binds_alone;
+                host.gone = host.gone.or_else(|| Some(Instant::now()));
+                host.idle.clear();
+            } else if listed.is_some() {
+                host.gone = None;
             }
         }
         drop((hosts, ids, zones));
@@ -221,7 +235,7 @@
             Err(outcome) => return outcome.into(),
         };
         // Danger: the list may have changed while the connection came up, and the first byte counts.
-        if !self.hosts.borrow()[member.0 as usize].ready {
+        if !self.hosts.borrow().get(&member).is_some_and(|h| h.ready) {
             self.check_in(member, connection);
             return Outcome::Moot.into();
         }
@@ -271,7 +285,8 @@
             Err(_) => Err(Outcome::TimedOut),
             Ok(Err(Broken::Lost)) => Err(Outcome::Reset),
             Ok(Err(Broken::Garbled(why))) => {
-                log!("{}: {why}", self.hosts.borrow()[member.0 as usize].name);
+                let hosts = self.hosts.borrow();
+                log!("{}: {why}", hosts.get(&member).map_or("a former host", |h| &h.name));
                 Err(Outcome::Error)
             }
             Ok(Ok(answer)) => {
@@ -321,7 +336,8 @@
         let start = Instant::now();
         let slot = self.slot().ok_or(Outcome::Moot)?;
         let (address, epoch) = {
-            let host = &self.hosts.borrow()[member.0 as usize];
+            let hosts = self.hosts.borrow();
+            let host = hosts.get(&member).ok_or(Outcome::Moot)?;
             (host.address, host.epoch)
         };
         let up_by = end.min(start + self.connect_timeout);
@@ -356,7 +372,7 @@
     fn slot(&self) -> Option<Slot> {
         if self.open.get() >= self.most {
             let mut hosts = self.hosts.borrow_mut();
-            let idle = hosts.iter_mut().filter(|h| !h.idle.is_empty());
+            let idle = hosts.values_mut().filter(|h| !h.idle.is_empty());
             let oldest = idle.min_by_key(|h| h.idle[0].idle_since)?;
             oldest.idle.remove(0);
         }
@@ -366,7 +382,8 @@
 
     /// The connection used last of those that have rested: it is the warmest, and the others can grow old.
     fn check_out(&self, member: MemberId) -> Option<Connection> {
-        let host = &mut self.hosts.borrow_mut()[member.0 as usize];
+        let mut hosts = self.hosts.borrow_mut();
+        let host = hosts.get_mut(&member)?;
         let (idle_for, now) = (self.idle_for, Instant::now());
         // They stand in the order in which they came back.
         let rested = host.idle.iter().rposition(|c| now - c.idle_since >= REST)?;
@@ -374,16 +391,22 @@
     }
 
     fn check_in(&self, member: MemberId, mut c: Connection) {
-        let host = &mut self.hosts.borrow_mut()[member.0 as usize];
+        let mut hosts = self.hosts.borrow_mut();
+        let Some(host) = hosts.get_mut(&member) else { return };
         if host.ready && host.epoch == c.epoch {
             c.idle_since = Instant::now();
             host.idle.push(c);
         }
     }
 
-    /// Retires idle connections before their hosts do, and those that are closed already.
+    /// Retires idle connections before their hosts do, and those that are closed already. Forgets hosts that have
+    /// been gone for a while. Danger: where they are replaced all day, they would be kept for ever.
     pub fn sweep(&self) {
-        for host in self.hosts.borrow_mut().iter_mut() {
+        let (mut hosts, mut ids) = (self.hosts.borrow_mut(), self.ids.borrow_mut());
+        let gone = |h: &Host| !h.ready && h.gone.is_some_and(|t| t.elapsed() >= KEPT_GONE);
+        ids.retain(|_, member| hosts.get(member).is_some_and(|h| !gone(h)));
+        hosts.retain(|_, h| !gone(h));
+        for host in hosts.values_mut() {
             host.idle.retain(|c| c.idle_since.elapsed() < self.idle_for && usable(c));
         }
     }
--- a/src/net/buffers.rs
+++ b/src/net/buffers.rs
@@ -8,7 +8,7 @@
 /// Size of a buffer: most statements and rows fit in one.
 pub const SIZE: usize = 8 * 1024;
 /// Free buffers that are kept.
-const KEPT: usize = 512;
+const KEPT: usize = 64;
 
 /// The pool. What single messages need beyond a buffer's size comes from a budget that they share.
 pub struct Pool {
--- a/src/state.rs
+++ b/src/state.rs
@@ -12,6 +12,8 @@
     /// The list's last word; a drain counts until it is listed as ready again.
     pub(crate) gone: bool,
     pub(crate) drained: bool,
+    /// Since when it has been gone; for ever in the future while it is not.
+    pub(crate) gone_at: Ns,
     pub(crate) started: Option<Ns>,
     /// It has applied all commits up to here; it never regresses.
     pub(crate) position: Ns,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -93,6 +93,31 @@
     }
 }
 
+/// Guards against memory that grows all day where members are replaced, against forgetting one that still owes an
+/// answer, and against keeping one from coming back.
+#[test]
+fn members_that_are_gone_are_forgotten_once_nothing_of_them_is_out() {
+    let mut w = World::new(settings(ServerChecks::Refuse));
+    let change = |m, listed| Event::List { complete: false, entries: vec![entry(m, listed)] };
+    let (id, _) = w.ask(KEYED, None);
+    for m in 3..200 {
+        w.step(&[change(m, Listed::Ready), change(m, Listed::Draining)]);
+        w.step(&[change(m, Listed::Gone)]);
+        w.now += S;
+    }
+    assert_eq!(w.router.remembered(), 3, "those in service");
+    w.step(&[change(0, Listed::Draining), change(0, Listed::Gone)]);
+    assert_eq!(w.router.remembered(), 3, "the primary still has a request");
+    w.end(id, 0, 0, Outcome::Ok, Role::Primary);
+    w.report(0, true, w.now);
+    w.step(&[change(1, Listed::Ready)]);
+    assert_eq!(w.router.remembered(), 2);
+    w.step(&[change(0, Listed::Ready)]);
+    w.report(0, true, w.now);
+    let (id, out) = w.ask(WRITE, None);
+    assert_eq!(sent(id, &out), Some(0), "back in service");
+}
+
 #[test]
 fn nothing_goes_to_a_draining_or_gone_member() {
     for listed in [Listed::Draining, Listed::Gone] {
