--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -118,6 +118,18 @@
     assert_eq!(sent(id, &out), Some(0), "back in service");
 }
 
+/// Guards against a primary whose quick errors use the budget of further attempts up, as full attempts would.
+#[test]
+fn a_failed_attempt_costs_the_budget_as_much_as_it_took_time() {
+    let mut w = World::new(settings(ServerChecks::Refuse));
+    for n in 0..12 {
+        let (id, _) = w.ask(KEYED, None);
+        let out = w.end(id, 0, 0, Outcome::Error, Role::Primary);
+        assert_eq!(sent(id, &out), Some(0), "the {n}th, after 50 ms of a usual 125");
+        w.end(id, 1, 0, Outcome::Ok, Role::Primary);
+    }
+}
+
 #[test]
 fn nothing_goes_to_a_draining_or_gone_member() {
     for listed in [Listed::Draining, Listed::Gone] {
