--- a/src/main.rs
+++ b/src/main.rs
@@ -8,10 +8,12 @@
 use net::backend::{Backend, SWEEP};
 use net::buffers::Pool;
 use net::config::Config;
+use net::console;
 use net::counters::Counters;
 use net::discovery::{self, Seen};
 use net::frontend::Frontend;
 use net::log::log;
+use net::mode::Modes;
 use net::places::Places;
 use net::request::Core;
 use net::router::{drive, Mailbox};
@@ -27,8 +29,8 @@
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{interval, sleep, Instant};
 
-/// Descriptors beside those of clients and database hosts: standard streams, the runtime's own, the listener,
-/// discovery, and connections that are being turned away.
+/// Descriptors beside those of clients and database hosts: standard streams, the runtime's own, the listeners,
+/// discovery, the console's callers, and connections that are being turned away.
 const RESERVED: usize = 64;
 /// Of the others, one in so many is for database hosts. Clients need more: they hold connections while their
 /// requests wait, and hosts are sent no more at a time than the module lets them have.
@@ -94,14 +96,19 @@
         answer_by: Cell::new(None),
         ids: RefCell::default(),
     };
-    let (close, closing) = watch::channel(false);
+    let modes = Rc::<Modes>::default();
+    if let Some(at) = config.console {
+        let listener = listen(at).map_err(|e| format!("cannot listen on {at}: {e}"))?;
+        log!("operators call {}", listener.local_addr().map_err(|e| format!("no address: {e}"))?);
+        spawn_local(console::serve(listener, Rc::clone(&modes)));
+    }
     let front = Rc::new(Frontend {
         core: Rc::new(core),
         pool,
         classes: config.loaded.classes.clone(),
         settings: settings.clone(),
         places: Places::new(free - for_hosts),
-        closing,
+        modes: Rc::clone(&modes),
     });
     let longest = settings.classes.iter().map(|c| duration(c.deadline)).max().unwrap_or(LONGEST_COUNTED);
 
@@ -121,6 +128,7 @@
         // It never ends by itself. Danger: a gateway without decisions would go on taking requests.
         _ = driven => return Err("the decision module has failed".to_string()),
     }
+    modes.stop();
     log!("stopping");
     // Clients use the connections that they have for as long as these stay open, so they do until little time is
     // left. Danger: nobody takes over what a closed connection would have carried until the gateway is back.
@@ -136,7 +144,7 @@
     let _ = accepting.await;
     front.accept_rest(&listener).await;
     drop(listener);
-    let _ = close.send(true);
+    modes.close();
     let last = Instant::now() + longest;
     while (front.places.open() > 0 || mailbox.open_requests() > 0) && Instant::now() < last {
         sleep(LOOK).await;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -11,6 +11,7 @@
 const MEMORY_MB: usize = 192;
 /// The variable that a reread file overrides.
 const DISCOVERY: &str = "BALANCER_DISCOVERY";
+const CONSOLE: &str = "BALANCER_CONSOLE";
 
 /// All that the program uses of its configuration.
 pub struct Config {
@@ -20,6 +21,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub console: Option<SocketAddr>,
     /// Descriptors that the program may hold.
     pub sockets: usize,
     /// Memory that it may use, in bytes.
@@ -38,6 +41,7 @@
     name: String,
     listen: Option<String>,
     discovery: Option<String>,
+    console: Option<String>,
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -73,6 +77,12 @@
             listen: address("BALANCER_LISTEN", set("BALANCER_LISTEN").as_ref().or(file.listen.as_ref()))
                 .map_err(at)?,
             discovery: address(DISCOVERY, set(DISCOVERY).as_ref().or(file.discovery.as_ref())).map_err(at)?,
+            console: set(CONSOLE)
+                .as_ref()
+                .or(file.console.as_ref())
+                .map(|text| address(CONSOLE, Some(text)))
+                .transpose()
+                .map_err(at)?,
             sockets: file.limits.sockets.unwrap_or(SOCKETS).min(SOCKETS),
             memory: file.limits.memory_mb.unwrap_or(MEMORY_MB).min(MEMORY_MB) << 20,
             loaded: file.loaded().map_err(at)?,
@@ -92,6 +102,7 @@
         let parts = [
             ("name", old.name != new.name),
             ("listen", old.listen != new.listen),
+            ("console", old.console != new.console),
             ("seed", old.seed != new.seed),
             ("limits", old.limits != new.limits),
             ("known", old.known != new.known),
--- /dev/null
+++ b/src/net/console.rs
@@ -0,0 +1,93 @@
+//! The operators' console: a second address, where each connection carries one line and gets one line.
+
+use super::log::log;
+use super::mode::{Mode, Modes};
+use std::collections::VecDeque;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::{sleep, timeout};
+
+/// Callers at a time; the first to come makes room for the next. Danger: callers that say nothing would use up
+/// descriptors, or keep out those that do.
+pub const CALLERS: usize = 16;
+/// A caller has so long to say what it wants and to take the answer.
+const CALL_TIME: Duration = Duration::from_secs(3);
+/// And then so long to close.
+const LINGER: Duration = Duration::from_millis(500);
+/// Longest line that is read.
+const LONGEST: usize = 128;
+/// Pause when the system gives no descriptor.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Answers callers for ever.
+pub async fn serve(listener: TcpListener, modes: Rc<Modes>) {
+    let mut callers: VecDeque<AbortHandle> = VecDeque::new();
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                callers.retain(|c| !c.is_finished());
+                while callers.len() >= CALLERS {
+                    callers.pop_front().iter().for_each(AbortHandle::abort);
+                }
+                let modes = Rc::clone(&modes);
+                let call = async move { drop(timeout(CALL_TIME, attend(stream, &modes)).await) };
+                callers.push_back(spawn_local(call).abort_handle());
+            }
+            Err(e) => {
+                log!("the console cannot accept: {e}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn attend(mut stream: TcpStream, modes: &Modes) -> io::Result<()> {
+    let mut line = [0; LONGEST];
+    let mut read = 0;
+    let answer = loop {
+        if let Some(end) = line[..read].iter().position(|&b| b == b'\n') {
+            break answer(&line[..end], modes);
+        }
+        if read == line.len() {
+            break "-ERR the line is too long".to_string();
+        }
+        match stream.read(&mut line[read..]).await? {
+            0 => return Ok(()),
+            n => read += n,
+        }
+    };
+    stream.write_all(format!("{answer}\n").as_bytes()).await?;
+    stream.shutdown().await?;
+    // Danger: closing with bytes unread resets the connection, and takes the answer along.
+    let rest = async { while matches!(stream.read(&mut line).await, Ok(n) if n > 0) {} };
+    drop(timeout(LINGER, rest).await);
+    Ok(())
+}
+
+/// The answer to one line.
+fn answer(line: &[u8], modes: &Modes) -> String {
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    match line {
+        b"readyz" => match modes.get() {
+            Mode::Serving => "+OK ready".into(),
+            Mode::Starting => "-ERR starting".into(),
+            Mode::Drained => "-ERR drained".into(),
+            Mode::Stopping | Mode::Closing => "-ERR stopping".into(),
+        },
+        b"evacuate" => {
+            modes.evacuate();
+            log!("console: clients are sent away");
+            "+OK clients are sent away".into()
+        }
+        b"activate" if modes.activate() => {
+            log!("console: clients are welcome");
+            "+OK clients are welcome".into()
+        }
+        b"activate" => "-ERR stopping".into(),
+        _ => "-ERR unknown call: readyz, evacuate or activate".into(),
+    }
+}
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -5,6 +5,7 @@
 use super::counters::count;
 use super::duration;
 use super::log::log;
+use super::mode::Modes;
 use super::pg::{self, code, Startup};
 use super::places::{Place, Places, Quiet, Resting};
 use super::request::{pause_ms, Answer, Call, Core};
@@ -17,7 +18,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::oneshot;
 use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
@@ -34,6 +35,9 @@
 const COME_AGAIN: Ns = 250_000_000;
 /// What clients say of commits may be so far ahead of this clock.
 const AHEAD: Ns = 1_000_000_000;
+/// Where clients are sent away, a connection that is quiet for so long ends. Those that are used end behind an answer
+/// before that, so that few requests cross their connection's end.
+const SEND_AWAY: Duration = Duration::from_millis(250);
 /// Pause when the system gives no descriptor.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -49,8 +53,8 @@
     pub settings: Settings,
     /// Places for connections.
     pub places: Rc<Places>,
-    /// Connections close between requests once this is true.
-    pub closing: watch::Receiver<bool>,
+    /// Whether clients are welcome.
+    pub modes: Rc<Modes>,
 }
 
 /// Why a conversation ended.
@@ -94,6 +98,7 @@
 impl Frontend {
     /// Accepts clients for ever.
     pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
+        self.modes.ready();
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
@@ -195,6 +200,13 @@
                 _ => return Err(self.fatal(client, "an unknown message").await),
             }
             write(client, &out).await?;
+            // Right behind an answer the client knows at once, but for a request that is here already.
+            if self.modes.get().sends_away() && client.input.as_ref().is_none_or(|b| b.is_empty()) {
+                self.read(client)?;
+                if client.input.as_ref().is_none_or(|b| b.is_empty()) {
+                    return Err(End::Closed);
+                }
+            }
         }
     }
 
@@ -253,7 +265,19 @@
         }
         let idle = empty && kind == Quiet::Idle;
         let end = client.began + SAY_TIME;
-        let mut closing = self.closing.clone();
+        let mut mode = self.modes.watch();
+        let quiet_until = client.began + SEND_AWAY;
+        let away = async {
+            loop {
+                if mode.wait_for(|m| m.sends_away()).await.is_err() {
+                    return;
+                }
+                tokio::select! {
+                    _ = mode.wait_for(|m| !m.sends_away()) => {}
+                    () = sleep_until(quiet_until) => return,
+                }
+            }
+        };
         // Half a command holds its place as long as it may take; what has not begun does not.
         let kind = if client.place.crowded { Quiet::Leaving } else { kind };
         let mut resting = (empty || kind != Quiet::Idle).then(|| client.place.rest(kind));
@@ -263,7 +287,7 @@
                 readable?;
                 Come::More
             }
-            _ = closing.wait_for(|&c| c), if empty => Come::Closing,
+            () = away, if empty => Come::Closing,
             () = asked(&mut resting) => Come::Asked,
             () = sleep_until(end), if !idle => Come::Late,
         };
@@ -305,7 +329,12 @@
             Err(why) => return Err(self.fatal(client, why.0).await),
         };
         if pg::is_empty(text) {
-            pg::put(out, b'I', |_| {});
+            if self.modes.get().sends_away() {
+                let text = "clients are sent away";
+                pg::put_error(out, "ERROR", code::CANNOT_CONNECT_NOW, text, None);
+            } else {
+                pg::put(out, b'I', |_| {});
+            }
             pg::put_ready(out);
             return Ok(());
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,10 +3,12 @@
 pub mod backend;
 pub mod buffers;
 pub mod config;
+pub mod console;
 pub mod counters;
 pub mod discovery;
 pub mod frontend;
 pub mod log;
+pub mod mode;
 pub mod pg;
 pub mod places;
 pub mod request;
--- a/tests/gateway/house.rs
+++ b/tests/gateway/house.rs
@@ -302,7 +302,7 @@
     let path = std::env::temp_dir().join(format!("irisrouter-{}-{number}", std::process::id()));
     std::fs::write(&path, config).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_irisrouter"));
-    command.env("BALANCER_CONFIG", &path).env_remove("BALANCER_LISTEN");
+    command.env("BALANCER_CONFIG", &path).env_remove("BALANCER_LISTEN").env_remove("BALANCER_CONSOLE");
     command.env("BALANCER_DISCOVERY", discovery.map_or(String::new(), |a| a.to_string()));
     (command.stderr(Stdio::piped()).spawn().unwrap(), path)
 }
@@ -323,7 +323,7 @@
     pub fn with(discovery: &Discovery, hosts: &[&Host], change: impl FnOnce(&mut Value)) -> Self {
         let known: Vec<Value> = hosts.iter().map(|h| h.entry("in_service", 0)).collect();
         let mut config = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
-            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "console": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": {"revision": 1, "complete": true, "members": known}, "settings": settings()});
         change(&mut config);
         let (mut child, path) = launch(&config.to_string(), Some(discovery.address));
@@ -336,6 +336,22 @@
         Gateway { child, address, log, config, path }
     }
 
+    /// Where the console listens.
+    pub fn console(&self) -> SocketAddr {
+        self.log
+            .wait("the console", |l| l.iter().find_map(|l| l.rsplit_once("operators call ")?.1.parse().ok()))
+    }
+
+    /// What the console answers to these bytes.
+    pub fn call(&self, bytes: &str) -> String {
+        let mut stream = TcpStream::connect(self.console()).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(bytes.as_bytes()).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        answer
+    }
+
     /// Replaces the configuration file and tells the program to read it.
     pub fn reload(&self, config: &str) {
         std::fs::write(&self.path, config).unwrap();
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -437,6 +437,65 @@
     assert_eq!(client.stream.read(&mut [0]).unwrap(), 0, "an end and no reset");
 }
 
+/// Guards against clients that are kept, or cut off, while a gateway is drained, and against one that stays so.
+#[test]
+fn a_drained_gateway_sends_clients_away_behind_their_answers_until_it_is_activated() {
+    let host = Host::start("s-1", true, |_, text| {
+        if text.contains("slow") {
+            std::thread::sleep(std::time::Duration::from_millis(600));
+        }
+        Say::Row("a1b2")
+    });
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let mut gateway = Gateway::start(&discovery, &[&host]);
+    let (mut idle, mut busy) = (gateway.client(), gateway.client());
+    let slow = query(&statement("once", 9_000).replace("7f3a", "slow").replace("9b1f", "51"));
+    busy.send(&[slow, query("")].concat());
+    host.wait_for("slow");
+    assert_snapshot!(gateway.call("readyz\n"), @"+OK ready");
+    assert_snapshot!(gateway.call("evacuate\r\n"), @"+OK clients are sent away");
+    assert_snapshot!(gateway.call("evacuate\n"), @"+OK clients are sent away");
+    assert_snapshot!(gateway.call("readyz\n"), @"-ERR drained");
+    let mut new = gateway.raw();
+    new.send(&[startup(), query(&statement("once", 9_000))].concat());
+    new.until_ready();
+    assert!(new.until_ready().contains("a1b2"), "what still comes is served");
+    assert_eq!(new.until_ready(), "closed");
+    assert_eq!(idle.until_ready(), "closed");
+    assert!(busy.until_ready().contains("a1b2"), "what is under way is finished");
+    assert_snapshot!(busy.until_ready(), @r"
+    ErrorResponse SERROR VERROR C57P03 Mclients are sent away
+    ReadyForQuery
+    ");
+    assert_eq!(busy.until_ready(), "closed");
+    assert_snapshot!(gateway.call("activate\n"), @"+OK clients are welcome");
+    let mut back = gateway.client();
+    assert!(back.ask("").starts_with("Empty"));
+    assert!(back.ask(&statement("once", 9_000)).contains("a1b2"));
+    gateway.signal("-TERM");
+    gateway.wait_for_log("stopping");
+    assert_snapshot!(gateway.call("readyz\n"), @"-ERR stopping");
+    assert_snapshot!(gateway.call("activate\n"), @"-ERR stopping");
+    assert_eq!(gateway.exit_code(), Some(0));
+}
+
+/// Guards against callers that say nothing or too much: the console has few places, and others wait for an answer.
+#[test]
+fn the_console_answers_every_line_whoever_else_holds_a_connection() {
+    let discovery = Discovery::start(vec![]);
+    let gateway = Gateway::start(&discovery, &[]);
+    let mut silent: Vec<_> =
+        (0..40).map(|_| std::net::TcpStream::connect(gateway.console()).unwrap()).collect();
+    assert!(silent.iter_mut().all(|s| std::io::Write::write_all(s, b"evac").is_ok()));
+    assert_snapshot!(gateway.call("readyz\n"), @"+OK ready");
+    for wrong in ["\n", "READYZ\n", "readyz now\n", "\u{0}\r\n"] {
+        assert!(gateway.call(wrong).starts_with("-ERR unknown call"), "{wrong:?}");
+    }
+    assert_snapshot!(gateway.call(&"x".repeat(4_000)), @"-ERR the line is too long");
+    let left = silent.iter_mut().map(|s| s.read(&mut [0]));
+    assert!(left.into_iter().all(|end| !matches!(end, Ok(1))), "half a call has no answer, and an end");
+}
+
 #[test]
 fn after_sigterm_all_that_comes_is_served_and_what_was_taken_is_finished() {
     let host = Host::start(
