--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,7 @@
 mod net;
 
 use irisrouter::decide::Router;
+use listenfd::ListenFd;
 use net::backend::{Backend, SWEEP};
 use net::buffers::Pool;
 use net::config::Config;
@@ -27,7 +28,7 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::{interval, sleep, Instant};
+use tokio::time::{interval, sleep, timeout, Instant};
 
 /// Descriptors beside those of clients and database hosts: standard streams, the runtime's own, the listeners,
 /// discovery, the console's callers, and connections that are being turned away.
@@ -45,6 +46,8 @@
 /// What comes after SIGTERM has its answer so long before that, and nothing is taken any more so long before that.
 const LAST_ANSWER: Duration = Duration::from_millis(300);
 const LAST_TAKEN: Duration = Duration::from_millis(800);
+/// A process that inherits its listener waits so long for discovery before it takes clients.
+const TOLD: Duration = Duration::from_secs(1);
 /// How often a gateway that ends looks whether all is done.
 const LOOK: Duration = Duration::from_millis(5);
 
@@ -68,8 +71,9 @@
     let catch = |kind| signal(kind).map_err(|e| format!("cannot catch signals: {e}"));
     let (mut stop, mut interrupt) = (catch(SignalKind::terminate())?, catch(SignalKind::interrupt())?);
     let (tell, reload) = (catch(SignalKind::user_defined1())?, catch(SignalKind::hangup())?);
-    let listener =
-        Rc::new(listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?);
+    let passed = config.passed;
+    let listener = if passed { inherit() } else { listen(config.listen) };
+    let listener = Rc::new(listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?);
 
     let free = config.sockets.saturating_sub(RESERVED);
     let for_hosts = free / HOSTS_PART;
@@ -87,7 +91,7 @@
     let backend = Rc::new(backend);
     let known = &config.file.known;
     backend.apply(known);
-    let seen = Seen::at((!known.members.is_empty()).then_some(known.revision));
+    let mut seen = Seen::at((!known.members.is_empty()).then_some(known.revision));
     let core = Core {
         mailbox: Rc::clone(&mailbox),
         backend: Rc::clone(&backend),
@@ -114,9 +118,19 @@
 
     let driven = spawn_local(drive(Router::new(settings), Rc::clone(&mailbox), Rc::clone(&backend), clock));
     let (discovery, addresses) = watch::channel(config.discovery);
-    spawn_local(discovery::watch(addresses, seen, Rc::clone(&backend)));
+    seen.whole |= passed;
+    let (answered, mut told) = watch::channel(false);
+    spawn_local(discovery::watch(addresses, seen, Rc::clone(&backend), answered));
     spawn_local(sweep(backend));
-    let accepting = spawn_local(Rc::clone(&front).accept(Rc::clone(&listener)));
+    let (welcoming, at) = (Rc::clone(&front), Rc::clone(&listener));
+    let accepting = spawn_local(async move {
+        // Clients wait in the queue, or are served by the process that is there already. Danger: what discovery has
+        // told that one binds this one too.
+        if passed {
+            let _ = timeout(TOLD, told.wait_for(|&t| t)).await;
+        }
+        welcoming.accept(at).await;
+    });
     let address = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
     log!("{} listens on {address}", config.name);
     // To the very end: SIGHUP may also come while the gateway stops.
@@ -136,13 +150,18 @@
     let killed = stopped + longest.min(LONGEST_COUNTED) + TO_KILL;
     front.core.answer_by.set(Some(killed - LAST_ANSWER));
     let taken_until = (killed - LAST_TAKEN).max(stopped + GRACE);
-    sleep(GRACE).await;
-    while front.places.open() > 0 && Instant::now() < taken_until {
+    if !passed {
+        sleep(GRACE).await;
+    }
+    while !passed && front.places.open() > 0 && Instant::now() < taken_until {
         sleep(LOOK).await;
     }
     accepting.abort();
     let _ = accepting.await;
-    front.accept_rest(&listener).await;
+    // The queue of a socket that is passed on is the next process's, and so are the clients that are sent away.
+    if !passed {
+        front.accept_rest(&listener).await;
+    }
     drop(listener);
     modes.close();
     let last = Instant::now() + longest;
@@ -189,6 +208,17 @@
     }
 }
 
+/// The listener that each process of this gateway inherits, and that its platform holds.
+fn inherit() -> std::io::Result<TcpListener> {
+    // The crate knows descriptors by systemd's names, and 3 as their first.
+    std::env::set_var("LISTEN_FDS", "1");
+    std::env::remove_var("LISTEN_PID");
+    std::env::remove_var("LISTEN_FDS_FIRST_FD");
+    let listener = ListenFd::from_env().take_tcp_listener(0)?.ok_or(std::io::ErrorKind::NotFound)?;
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
+
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     // A gateway that starts again finds its address still in use by connections that are closing.
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -12,6 +12,8 @@
 /// The variable that a reread file overrides.
 const DISCOVERY: &str = "BALANCER_DISCOVERY";
 const CONSOLE: &str = "BALANCER_CONSOLE";
+/// Set where the platform holds the clients' listening socket, and each process inherits it.
+const PASSED: &str = "BALANCER_PASSED_SOCKET";
 
 /// All that the program uses of its configuration.
 pub struct Config {
@@ -23,6 +25,8 @@
     pub discovery: SocketAddr,
     /// Where operators call, if anywhere.
     pub console: Option<SocketAddr>,
+    /// The clients' listening socket is not bound here but inherited, as the first descriptor that can be.
+    pub passed: bool,
     /// Descriptors that the program may hold.
     pub sockets: usize,
     /// Memory that it may use, in bytes.
@@ -83,6 +87,7 @@
                 .map(|text| address(CONSOLE, Some(text)))
                 .transpose()
                 .map_err(at)?,
+            passed: set(PASSED).is_some(),
             sockets: file.limits.sockets.unwrap_or(SOCKETS).min(SOCKETS),
             memory: file.limits.memory_mb.unwrap_or(MEMORY_MB).min(MEMORY_MB) << 20,
             loaded: file.loaded().map_err(at)?,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -82,6 +82,8 @@
 pub struct Seen {
     /// The newest version.
     pub revision: Option<u64>,
+    /// The next call is for the whole list, which comes at once: changes are waited for.
+    pub whole: bool,
     /// Since when the address that is asked has had an older one.
     behind: Option<Instant>,
 }
@@ -89,12 +91,12 @@
 impl Seen {
     /// From the list of this version on.
     pub fn at(revision: Option<u64>) -> Self {
-        Seen { revision, behind: None }
+        Seen { revision, whole: revision.is_none(), behind: None }
     }
 
-    /// Whether a list is to be taken, and whether the next call asks for all of it. Danger: an address that has
+    /// Whether a list is to be taken. Danger: an address that has
     /// not caught up yet would undo drains and drop hosts. One that stays behind numbers its lists anew.
-    fn takes(&mut self, list: &List) -> (bool, bool) {
+    fn takes(&mut self, list: &List) -> bool {
         let older = self.revision.is_some_and(|r| list.revision < r);
         if !older {
             self.behind = None;
@@ -106,14 +108,20 @@
         if taken {
             (self.revision, self.behind) = (Some(list.revision), None);
         }
-        (taken, anew && !taken)
+        self.whole = anew && !taken;
+        taken
     }
 }
 
 /// Watches the list for ever at the address that holds, and hands on each change before the next call. A new
-/// address is called at once, for the whole list: a watch goes on at the address where it began.
-pub async fn watch(mut addresses: watch::Receiver<SocketAddr>, mut seen: Seen, backend: Rc<Backend>) {
-    let mut whole = seen.revision.is_none();
+/// address is called at once, for the whole list: a watch goes on at the address where it began. Tells once any has
+/// answered.
+pub async fn watch(
+    mut addresses: watch::Receiver<SocketAddr>,
+    mut seen: Seen,
+    backend: Rc<Backend>,
+    answered: watch::Sender<bool>,
+) {
     loop {
         let address = *addresses.borrow_and_update();
         tokio::select! {
@@ -122,10 +130,10 @@
                 if changed.is_err() {
                     return;
                 }
-                (whole, seen.behind) = (true, None);
+                (seen.whole, seen.behind) = (true, None);
             }
             () = async {
-                let Err(why) = follow(address, &mut seen, &mut whole, &backend).await;
+                let Err(why) = follow(address, &mut seen, &backend, &answered).await;
                 log!("discovery: {why}");
                 sleep(PAUSE).await;
             } => {}
@@ -136,8 +144,8 @@
 async fn follow(
     address: SocketAddr,
     seen: &mut Seen,
-    whole: &mut bool,
     backend: &Backend,
+    answered: &watch::Sender<bool>,
 ) -> Result<std::convert::Infallible, String> {
     let connecting = timeout(SILENCE, TcpStream::connect(address)).await;
     let mut stream = connecting
@@ -147,8 +155,7 @@
     let mut buffer = BytesMut::new();
     loop {
         let called = Instant::now();
-        // The whole list comes at once; changes to the newest one seen are waited for.
-        let (path, hold) = match seen.revision.filter(|_| !*whole) {
+        let (path, hold) = match seen.revision.filter(|_| !seen.whole) {
             Some(r) => (format!("/discovery/hosts?from={r}&hold_ms={}", HOLD.as_millis()), HOLD),
             None => ("/discovery/hosts".to_string(), Duration::ZERO),
         };
@@ -159,11 +166,12 @@
         };
         let body = timeout(hold + SILENCE, answer).await.map_err(|_| "silent".to_string())??;
         let list: List = serde_json::from_slice(&body).map_err(|e| format!("malformed list: {e}"))?;
-        let taken;
-        (taken, *whole) = seen.takes(&list);
+        let taken = seen.takes(&list);
         if taken {
             backend.apply(&list);
-        } else if called.elapsed() < PAUSE {
+        }
+        answered.send_replace(true);
+        if !taken && called.elapsed() < PAUSE {
             // Danger: an agent that does not wait would be called without end.
             sleep(PAUSE).await;
         }
--- a/tests/gateway/house.rs
+++ b/tests/gateway/house.rs
@@ -5,6 +5,7 @@
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -295,13 +296,22 @@
     path: std::path::PathBuf,
 }
 
-/// Starts the program with this text as its configuration.
-fn launch(config: &str, discovery: Option<SocketAddr>) -> (Child, std::path::PathBuf) {
+/// Starts the program with this text as its configuration, and perhaps a socket as its descriptor 3.
+fn launch(
+    config: &str,
+    discovery: Option<SocketAddr>,
+    passed: Option<&TcpListener>,
+) -> (Child, std::path::PathBuf) {
     static NUMBER: AtomicU32 = AtomicU32::new(0);
     let number = NUMBER.fetch_add(1, Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("irisrouter-{}-{number}", std::process::id()));
     std::fs::write(&path, config).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_irisrouter"));
+    if let Some(listener) = passed {
+        command = Command::new("sh");
+        command.args(["-c", "exec \"$0\" 3<&0 0</dev/null", env!("CARGO_BIN_EXE_irisrouter")]);
+        command.stdin(OwnedFd::from(listener.try_clone().unwrap())).env("BALANCER_PASSED_SOCKET", "3");
+    }
     command.env("BALANCER_CONFIG", &path).env_remove("BALANCER_LISTEN").env_remove("BALANCER_CONSOLE");
     command.env("BALANCER_DISCOVERY", discovery.map_or(String::new(), |a| a.to_string()));
     (command.stderr(Stdio::piped()).spawn().unwrap(), path)
@@ -309,7 +319,7 @@
 
 /// The exit code and the words of a program that does not start.
 pub fn refuses(config: &str) -> (Option<i32>, String) {
-    let (child, path) = launch(config, None);
+    let (child, path) = launch(config, None, None);
     let out = child.wait_with_output().unwrap();
     std::fs::remove_file(&path).unwrap();
     (out.status.code(), String::from_utf8(out.stderr).unwrap().replace(path.to_str().unwrap(), "CONFIG"))
@@ -321,12 +331,22 @@
     }
 
     pub fn with(discovery: &Discovery, hosts: &[&Host], change: impl FnOnce(&mut Value)) -> Self {
+        Self::at(None, discovery, hosts, change)
+    }
+
+    /// With the clients' socket as its platform passes it on, if it does.
+    pub fn at(
+        passed: Option<&TcpListener>,
+        discovery: &Discovery,
+        hosts: &[&Host],
+        change: impl FnOnce(&mut Value),
+    ) -> Self {
         let known: Vec<Value> = hosts.iter().map(|h| h.entry("in_service", 0)).collect();
         let mut config = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
             "console": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": {"revision": 1, "complete": true, "members": known}, "settings": settings()});
         change(&mut config);
-        let (mut child, path) = launch(&config.to_string(), Some(discovery.address));
+        let (mut child, path) = launch(&config.to_string(), Some(discovery.address), passed);
         let log = Watched::new(Vec::<String>::new());
         let (lines, to) = (BufReader::new(child.stderr.take().unwrap()).lines(), log.clone());
         spawn(move || lines.map_while(Result::ok).for_each(|l| to.change(|t| t.push(l))));
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -525,6 +525,55 @@
     assert_snapshot!(counts.join(" "), @"irisrouter: counters received=3 served=2 refused=0 failed=1 left=0 malformed=0 accepted=3 turned_away=0 made_room=0 attempt_ok=2 attempt_timed_out=1");
 }
 
+/// Guards against clients that are refused, reset or left unheard while one version follows another.
+#[test]
+fn a_passed_socket_outlives_each_process_and_its_queue_is_the_next_ones() {
+    let host = Host::start("s-1", true, |_, text| {
+        if text.contains("slow") {
+            std::thread::sleep(std::time::Duration::from_millis(300));
+        }
+        Say::Row("a1b2")
+    });
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let socket = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut old = Gateway::at(Some(&socket), &discovery, &[&host], |_| {});
+    assert_eq!(old.address, socket.local_addr().unwrap());
+    let (mut busy, mut idle) = (old.client(), old.client());
+    busy.send(&query(&statement("once", 9_000).replace("7f3a", "slow").replace("9b1f", "51")));
+    host.wait_for("slow");
+    old.signal("-TERM");
+    old.wait_for_log("stopping");
+    // Nobody accepts now.
+    let mut queued = old.raw();
+    queued.send(&[startup(), query(&statement("read", 9_000))].concat());
+    assert!(busy.until_ready().contains("a1b2"));
+    assert_eq!((busy.until_ready(), idle.until_ready()), ("closed".into(), "closed".into()));
+    assert_eq!(old.exit_code(), Some(0));
+    let new = Gateway::at(Some(&socket), &discovery, &[&host], |_| {});
+    assert!(queued.until_ready().starts_with("AuthenticationOk"));
+    assert!(queued.until_ready().contains("a1b2"));
+    assert_snapshot!(new.call("readyz\n"), @"+OK ready");
+}
+
+/// Guards against a process that takes clients before it knows which hosts drain: that binds both processes.
+#[test]
+fn a_process_beside_another_says_yes_once_discovery_has_answered() {
+    let host = Host::start("s-1", true, row);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let socket = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let new = Gateway::at(Some(&socket), &discovery, &[&host], |_| {});
+    let called = discovery.calls.wait("a call", |c| c.first().cloned());
+    assert_eq!(called, "0: /discovery/hosts", "the whole list, which comes at once");
+    discovery.calls.wait("what is newer", |c| c.get(1).cloned());
+    assert!((0..1_000_000).any(|_| new.call("readyz\n").starts_with("+OK")));
+    // An agent that has nothing keeps nobody out for long.
+    let silent = Discovery::start(vec![]);
+    silent.list.change(|l| l.0 = 0);
+    let socket = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let new = Gateway::at(Some(&socket), &silent, &[&host], |_| {});
+    assert!(new.client().ask(&statement("read", 9_000)).contains("a1b2"));
+}
+
 #[test]
 fn a_bad_configuration_is_told_plainly() {
     let whole =
