Take new settings at SIGHUP, whole or not at all, with classes that requests keep

At fault: Config::reload took `discovery` from any file that parsed, as settings.rs passed a deadline of -5 ns; and settings waited for the next start. Ruled out: a silent agent (the old address answered) and the empty file (refused as it should be). A key counts as missing where the file in force has it and the new one does not, at any depth, but for AimStretch and DrainBindsAlone, which the platform's page says may be absent.

--- a/src/api.rs
+++ b/src/api.rs
@@ -76,7 +76,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// Time within which an answer earns the full worth.
     pub aim: Ns,
@@ -362,6 +362,13 @@
         /// The load report.
         report: Option<Report>,
     },
+    /// The settings have changed.
+    Retuned {
+        /// The new ones. A class under way keeps its index.
+        settings: Box<Settings>,
+        /// For each class the index, until now, of the one whose experience it goes on from.
+        from: Vec<Option<usize>>,
+    },
     /// A wake-up that was asked for.
     Wake,
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -176,9 +176,19 @@
             Event::Ended { .. } => self.on_ended(e),
             Event::Left { id } => self.close(*id),
             Event::Probed { member, outcome, report, .. } => self.on_probed(*member, *outcome, *report),
+            Event::Retuned { settings, from } => self.retune(settings, from),
         }
     }
 
+    /// New settings: what holds from the next decision on. A class of the same name goes on from what was learnt.
+    fn retune(&mut self, s: &Settings, from: &[Option<usize>]) {
+        let kept = |learnt: &[f64], i: usize| from[i].and_then(|f| learnt.get(f).copied());
+        let guess = |i: usize| s.classes[i].aim as f64 * FIRST_GUESS;
+        self.usual = (0..from.len()).map(|i| kept(&self.usual, i).unwrap_or(guess(i))).collect();
+        self.told = (0..from.len()).map(|i| kept(&self.told, i).unwrap_or(0.0)).collect();
+        self.s = s.clone();
+    }
+
     /// How long news of a member counts: longer with so many proxies that each hears of it more rarely.
     fn memory(&self) -> Ns {
         let few = (f64::from(self.s.proxies) * SPARSE / LIMIT_START).max(1.0);
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,10 +4,13 @@
 
 mod net;
 
+use irisrouter::api::Event;
 use irisrouter::decide::Router;
+use irisrouter::settings::Loaded;
 use listenfd::ListenFd;
 use net::backend::{Backend, SWEEP};
 use net::buffers::Pool;
+use net::classes::Classes;
 use net::config::Config;
 use net::console;
 use net::counters::Counters;
@@ -80,7 +83,8 @@
     if for_hosts == 0 {
         return Err(format!("{} descriptors are too few", config.sockets));
     }
-    let settings = config.loaded.settings.clone();
+    let classes = Rc::new(Classes::new(&config.loaded));
+    let settings = classes.settings().clone();
     let counters = Rc::<Counters>::default();
     let pool = Pool::new(config.memory / 4);
     let mailbox = Rc::<Mailbox>::default();
@@ -109,19 +113,16 @@
     let front = Rc::new(Frontend {
         core: Rc::new(core),
         pool,
-        classes: config.loaded.classes.clone(),
-        settings: settings.clone(),
+        classes: Rc::clone(&classes),
         places: Places::new(free - for_hosts),
         modes: Rc::clone(&modes),
     });
-    let longest = settings.classes.iter().map(|c| duration(c.deadline)).max().unwrap_or(LONGEST_COUNTED);
-
     let driven = spawn_local(drive(Router::new(settings), Rc::clone(&mailbox), Rc::clone(&backend), clock));
     let (discovery, addresses) = watch::channel(config.discovery);
     seen.whole |= passed;
     let (answered, mut told) = watch::channel(false);
     spawn_local(discovery::watch(addresses, seen, Rc::clone(&backend), answered));
-    spawn_local(sweep(backend));
+    spawn_local(sweep(Rc::clone(&backend)));
     let (welcoming, at) = (Rc::clone(&front), Rc::clone(&listener));
     let accepting = spawn_local(async move {
         // Clients wait in the queue, or are served by the process that is there already. Danger: what discovery has
@@ -134,7 +135,14 @@
     let address = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
     log!("{} listens on {address}", config.name);
     // To the very end: SIGHUP may also come while the gateway stops.
-    spawn_local(heed(tell, reload, config, discovery, Rc::clone(&counters)));
+    let (swapped, posted) = (Rc::clone(&classes), Rc::clone(&mailbox));
+    let retune = move |mut loaded: Loaded| {
+        loaded.settings.zone = backend.retune(&loaded);
+        let from = swapped.swap(&loaded);
+        let settings = Box::new(swapped.settings().clone());
+        posted.post(Event::Retuned { settings, from });
+    };
+    spawn_local(heed(tell, reload, config, discovery, retune, Rc::clone(&counters)));
 
     tokio::select! {
         _ = stop.recv() => {}
@@ -147,6 +155,8 @@
     // Clients use the connections that they have for as long as these stay open, so they do until little time is
     // left. Danger: nobody takes over what a closed connection would have carried until the gateway is back.
     let stopped = Instant::now();
+    let deadlines: Vec<Duration> = classes.settings().classes.iter().map(|c| duration(c.deadline)).collect();
+    let longest = deadlines.into_iter().max().unwrap_or(LONGEST_COUNTED);
     let killed = stopped + longest.min(LONGEST_COUNTED) + TO_KILL;
     front.core.answer_by.set(Some(killed - LAST_ANSWER));
     let taken_until = (killed - LAST_TAKEN).max(stopped + GRACE);
@@ -176,8 +186,9 @@
 async fn heed(
     mut tell: Signal,
     mut reload: Signal,
-    config: Config,
+    mut config: Config,
     discovery: watch::Sender<SocketAddr>,
+    retune: impl Fn(Loaded),
     counters: Rc<Counters>,
 ) {
     loop {
@@ -186,6 +197,7 @@
             _ = reload.recv() => match config.reload() {
                 Err(why) => log!("the old configuration holds: {why}"),
                 Ok(new) => {
+                    retune(new.loaded);
                     let moved = new.discovery.is_some_and(|to| {
                         discovery.send_if_modified(|at| std::mem::replace(at, to) != to)
                     });
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -105,10 +105,10 @@
     pool: Rc<Pool>,
     counters: Rc<Counters>,
     clock: Clock,
-    connect_timeout: Duration,
-    idle_for: Duration,
+    connect_timeout: Cell<Duration>,
+    idle_for: Cell<Duration>,
     /// Where only a listed drain binds, one that is gone or missing may still be sent to.
-    drain_binds_alone: bool,
+    drain_binds_alone: Cell<bool>,
     most: usize,
     open: Rc<Cell<usize>>,
     on_list: Box<dyn Fn(Event)>,
@@ -132,8 +132,7 @@
         clock: Clock,
         on_list: Box<dyn Fn(Event)>,
     ) -> Self {
-        let s = &loaded.settings;
-        Backend {
+        let backend = Backend {
             hosts: RefCell::default(),
             ids: RefCell::default(),
             next: Cell::new(0),
@@ -142,13 +141,25 @@
             pool,
             counters,
             clock,
-            connect_timeout: duration(s.limits.connect_timeout),
-            idle_for: duration(loaded.idle_close).mul_f64(IDLE_SHARE),
-            drain_binds_alone: s.rules.drain_binds_alone,
+            connect_timeout: Cell::default(),
+            idle_for: Cell::default(),
+            drain_binds_alone: Cell::default(),
             most,
             open: Rc::default(),
             on_list,
-        }
+        };
+        backend.retune(loaded);
+        backend
+    }
+
+    /// What the settings say holds from now on. The zone gets the number that it has here.
+    pub fn retune(&self, loaded: &Loaded) -> ZoneId {
+        let s = &loaded.settings;
+        self.connect_timeout.set(duration(s.limits.connect_timeout));
+        self.idle_for.set(duration(loaded.idle_close).mul_f64(IDLE_SHARE));
+        self.drain_binds_alone.set(s.rules.drain_binds_alone);
+        let own = loaded.zones.iter().nth(s.zone.0 as usize).unwrap_or_default();
+        ZoneId(self.zones.borrow_mut().number(own) as u32)
     }
 
     /// The list has named a host of this group, or there is no list yet.
@@ -185,7 +196,7 @@
                 Phase::InService => true,
                 Phase::Terminating => false,
                 // One that was draining before it went stays closed.
-                Phase::Terminated => host.ready && self.drain_binds_alone,
+                Phase::Terminated => host.ready && self.drain_binds_alone.get(),
             };
             if host.address != e.host_port || host.started != e.up_since_ms || e.phase == Phase::Terminated {
                 host.epoch += 1;
@@ -211,7 +222,7 @@
         for (member, host) in hosts.iter_mut() {
             let listed = entries.iter().find(|e| e.member == *member).map(|e| e.listed);
             if listed.map_or(list.complete, |l| l == Listed::Gone) {
-                host.ready &= self.drain_binds_alone;
+                host.ready &= self.drain_binds_alone.get();
                 host.gone = host.gone.or_else(|| Some(Instant::now()));
                 host.idle.clear();
             } else if listed.is_some() {
@@ -302,7 +313,7 @@
     pub async fn probe(&self, member: MemberId) -> Event {
         count(&self.counters.probes);
         let start = Instant::now();
-        let (outcome, report) = self.probe_once(member, start + self.connect_timeout).await;
+        let (outcome, report) = self.probe_once(member, start + self.connect_timeout.get()).await;
         Event::Probed { member, outcome, elapsed: nanoseconds(start.elapsed()), report }
     }
 
@@ -340,7 +351,7 @@
             let host = hosts.get(&member).ok_or(Outcome::Moot)?;
             (host.address, host.epoch)
         };
-        let up_by = end.min(start + self.connect_timeout);
+        let up_by = end.min(start + self.connect_timeout.get());
         let coming_up = async {
             let mut stream = TcpStream::connect(address).await.map_err(|_| Outcome::ConnectFailed)?;
             stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
@@ -363,7 +374,7 @@
             }
             Ok(Err(outcome)) => Err(outcome),
             // The request's time was over first: that says nothing of the host.
-            Err(_) if end < start + self.connect_timeout => Err(Outcome::Moot),
+            Err(_) if end < start + self.connect_timeout.get() => Err(Outcome::Moot),
             Err(_) => Err(Outcome::ConnectFailed),
         }
     }
@@ -384,7 +395,7 @@
     fn check_out(&self, member: MemberId) -> Option<Connection> {
         let mut hosts = self.hosts.borrow_mut();
         let host = hosts.get_mut(&member)?;
-        let (idle_for, now) = (self.idle_for, Instant::now());
+        let (idle_for, now) = (self.idle_for.get(), Instant::now());
         // They stand in the order in which they came back.
         let rested = host.idle.iter().rposition(|c| now - c.idle_since >= REST)?;
         Some(host.idle.remove(rested)).filter(|c| now - c.idle_since < idle_for)
@@ -407,7 +418,7 @@
         ids.retain(|_, member| hosts.get(member).is_some_and(|h| !gone(h)));
         hosts.retain(|_, h| !gone(h));
         for host in hosts.values_mut() {
-            host.idle.retain(|c| c.idle_since.elapsed() < self.idle_for && usable(c));
+            host.idle.retain(|c| c.idle_since.elapsed() < self.idle_for.get() && usable(c));
         }
     }
 
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,8 +1,9 @@
 //! What the platform tells a gateway at its start: the environment and the configuration file.
 
 use super::discovery::List;
-use irisrouter::settings::Loaded;
+use irisrouter::settings::{Loaded, OPTIONAL};
 use serde::Deserialize;
+use serde_json::Value;
 use std::net::SocketAddr;
 
 /// Descriptors that a gateway may hold where the configuration does not say.
@@ -52,7 +53,7 @@
     /// The list of database hosts as this gateway last had it.
     #[serde(default)]
     pub known: List,
-    settings: serde_json::Value,
+    settings: Value,
 }
 
 #[derive(Default, Deserialize, PartialEq)]
@@ -65,6 +66,8 @@
 pub struct Reloaded {
     /// Where discovery answers from now on, if the file says so.
     pub discovery: Option<SocketAddr>,
+    /// The settings that hold from now on.
+    pub loaded: Loaded,
     /// Parts of the file that differ and wait for the next start.
     pub waiting: Vec<&'static str>,
 }
@@ -97,11 +100,22 @@
     }
 
     /// Reads the same file again. Its word on discovery wins over the environment's, which is as old as the
-    /// process. A file that could start no gateway changes nothing.
-    pub fn reload(&self) -> Result<Reloaded, String> {
-        let (old, new) = (&self.file, File::read(&self.path)?);
+    /// process. All of it is checked first: a file that could start no gateway, or lacks what the last one had,
+    /// changes nothing.
+    pub fn reload(&mut self) -> Result<Reloaded, String> {
+        let (old, mut new) = (&self.file, File::read(&self.path)?);
         let at = |why: String| format!("{}: {why}", self.path);
-        new.loaded().map_err(at)?;
+        let named = [
+            ("name", old.name.is_empty() || !new.name.is_empty()),
+            ("listen", old.listen.is_none() || new.listen.is_some()),
+            ("discovery", old.discovery.is_none() || new.discovery.is_some()),
+            ("limits", old.limits == Limits::default() || new.limits != Limits::default()),
+        ];
+        let missing = named.iter().find(|n| !n.1).map(|n| n.0.to_string());
+        if let Some(key) = missing.or_else(|| lacks(&old.settings, &new.settings)) {
+            return Err(at(format!("{key} is missing")));
+        }
+        let loaded = new.loaded().map_err(at)?;
         let named = new.discovery.as_ref().map(|text| address(DISCOVERY, Some(text)));
         let discovery = named.transpose().map_err(at)?;
         let parts = [
@@ -111,10 +125,10 @@
             ("seed", old.seed != new.seed),
             ("limits", old.limits != new.limits),
             ("known", old.known != new.known),
-            ("settings", old.settings != new.settings),
         ];
         let waiting = parts.into_iter().filter(|p| p.1).map(|p| p.0).collect();
-        Ok(Reloaded { discovery, waiting })
+        self.file.settings = std::mem::take(&mut new.settings);
+        Ok(Reloaded { discovery, loaded, waiting })
     }
 }
 
@@ -130,6 +144,23 @@
     }
 }
 
+/// A key that the old value has and the new one lacks, at any depth. Each entry of a list of objects has the keys of
+/// the first one. Danger: a file that was cut or edited wrongly may still be JSON, and have a default for what is gone.
+fn lacks(old: &Value, new: &Value) -> Option<String> {
+    match (old, new) {
+        (Value::Object(old), Value::Object(new)) => old.iter().find_map(|(key, was)| match new.get(key) {
+            None | Some(Value::Null) => (!OPTIONAL.contains(&&**key) && !was.is_null()).then(|| key.clone()),
+            Some(is) => lacks(was, is),
+        }),
+        (Value::Array(old), Value::Array(new)) => {
+            let first = old.first().filter(|v| v.is_object())?;
+            new.iter().find_map(|is| lacks(first, is))
+        }
+        (Value::Object(_) | Value::Array(_), _) => Some("an object or a list".into()),
+        _ => None,
+    }
+}
+
 fn address(name: &str, text: Option<&String>) -> Result<SocketAddr, String> {
     let text = text.ok_or_else(|| format!("no address: neither {name} nor the configuration has one"))?;
     text.parse().map_err(|e| format!("{name}: {text}: {e}"))
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -2,6 +2,7 @@
 
 use super::backend::Statement;
 use super::buffers::{Buffer, Pool};
+use super::classes::Classes;
 use super::counters::count;
 use super::duration;
 use super::log::log;
@@ -11,7 +12,6 @@
 use super::request::{pause_ms, Answer, Call, Core};
 use bytes::Buf;
 use irisrouter::api::*;
-use irisrouter::settings::Names;
 use std::convert::Infallible;
 use std::io;
 use std::rc::Rc;
@@ -47,10 +47,8 @@
     pub core: Rc<Core>,
     /// Buffers.
     pub pool: Rc<Pool>,
-    /// Names of the classes.
-    pub classes: Names,
-    /// What a class needs.
-    pub settings: Settings,
+    /// The classes, and what else the settings say.
+    pub classes: Rc<Classes>,
     /// Places for connections.
     pub places: Rc<Places>,
     /// Whether clients are welcome.
@@ -373,7 +371,7 @@
         if !self.core.backend.may_know(group) {
             return Err("an unknown cluster");
         }
-        let c = &self.settings.classes[class];
+        let c = &class.class;
         if matches!(c.repeat, Repeat::Keyed { .. }) && !s.keyed {
             return Err("no k in the comment of a keyed class");
         }
@@ -422,8 +420,10 @@
 
     /// Tells that there is no place: nothing that the client wanted has been begun.
     async fn crowded(&self, client: &mut Client) -> End {
-        let limits = &self.settings.limits;
-        let pause = pause_ms(if limits.pauses { COME_AGAIN.min(limits.max_pause) } else { 0 });
+        let pause = {
+            let limits = &self.classes.settings().limits;
+            pause_ms(if limits.pauses { COME_AGAIN.min(limits.max_pause) } else { 0 })
+        };
         let detail = pause.map(|ms| ms.to_string());
         self.last_word(client, code::TOO_MANY_CONNECTIONS, "too many connections", detail.as_deref()).await
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod backend;
 pub mod buffers;
+pub mod classes;
 pub mod config;
 pub mod console;
 pub mod counters;
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -3,6 +3,7 @@
 
 use super::backend::{Attempted, Backend, Statement};
 use super::buffers::Buffer;
+use super::classes::Held;
 use super::counters::{count, Counters};
 use super::router::{Mailbox, Order};
 use super::{duration, nanoseconds, Clock};
@@ -35,8 +36,8 @@
 pub struct Call {
     /// Its id.
     pub id: OpenId,
-    /// Its class, an index into the settings.
-    pub class: usize,
+    /// Its class, which is its own until it is over.
+    pub class: Rc<Held>,
     /// Its group.
     pub group: GroupId,
     /// Its session.
@@ -99,7 +100,7 @@
         let (id, mut orders) = self.mailbox.open();
         self.mailbox.post(Event::Request {
             id,
-            class: call.class,
+            class: call.class.slot,
             tenant: None,
             session: call.session,
             deadline: arrived + nanoseconds(wait),
@@ -110,7 +111,7 @@
         });
         let statement = Rc::new(call.statement);
         // Until the last attempt has ended.
-        let _taken = call.id;
+        let _taken = (call.id, call.class);
         let mut owed = Some(answer);
         let mut running: JoinSet<Attempted> = JoinSet::new();
         // By their number: where each went and when, and how to stop waiting for it.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -15,15 +15,14 @@
     aim_stretch: Option<f64>,
     deadline_ns: i64,
     effect: String,
-    group: Option<String>,
+    group: String,
     late_worth: f64,
-    #[serde(default)]
-    window_ns: Option<i64>,
+    window_ns: i64,
     worth: f64,
 }
 
-#[derive(Default, Deserialize)]
-#[serde(default, rename_all = "PascalCase")]
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
 struct WirePenalties {
     probe: f64,
 }
@@ -34,8 +33,7 @@
     cancel: bool,
     connect_timeout_ns: i64,
     max_retry_after_ns: i64,
-    #[serde(default)]
-    idle_close_ns: Option<i64>,
+    idle_close_ns: i64,
     most_tries: u32,
     probes: bool,
     retry_after: bool,
@@ -92,12 +90,9 @@
     membership_mode: String,
     my_zone: String,
     over_share_worth: f64,
-    #[serde(default)]
     penalties: WirePenalties,
     round_ns: i64,
-    #[serde(default)]
     tenants: Vec<WireTenant>,
-    #[serde(default)]
     zones: Vec<String>,
 }
 
@@ -106,6 +101,11 @@
 pub struct Names(Vec<String>);
 
 impl Names {
+    /// The names, by their numbers.
+    pub fn iter(&self) -> impl Iterator<Item = &str> {
+        self.0.iter().map(String::as_str)
+    }
+
     /// The number of a name that has been mentioned.
     pub fn find(&self, name: &str) -> Option<usize> {
         self.0.iter().position(|n| n == name)
@@ -137,8 +137,10 @@
     pub idle_close: Ns,
 }
 
-/// Idle time after which connections close, where the settings do not say.
-const IDLE_CLOSE: Ns = 30_000_000_000;
+/// The keys that may be absent: the platform's page names no others.
+pub const OPTIONAL: [&str; 2] = ["AimStretch", "DrainBindsAlone"];
+/// No time in the settings is longer. Danger: sums of two times would overflow.
+const LONGEST: Ns = 86_400_000_000_000;
 
 impl Loaded {
     /// Reads the settings object.
@@ -155,13 +157,35 @@
             tenants: Names(info.tenants.iter().map(|t| t.name.clone()).collect()),
             zones,
             position_zero: info.domain.position_zero_ns,
-            idle_close: info.bounds.idle_close_ns.unwrap_or(IDLE_CLOSE),
+            idle_close: info.bounds.idle_close_ns,
         })
     }
 }
 
+/// Figures with which nothing could be answered, or not twice the same.
+fn check(b: &BootInfo) -> Result<(), String> {
+    let time = |what: &str, ns: Ns| match ns {
+        1..=LONGEST => Ok(()),
+        _ => Err(format!("{what} is {ns} ns")),
+    };
+    for (i, c) in b.classes.iter().enumerate() {
+        time(&format!("the deadline of class {}", c.name), c.deadline_ns)?;
+        time(&format!("the aim of class {}", c.name), c.aim_ns)?;
+        if c.name.is_empty() || b.classes[..i].iter().any(|other| other.name == c.name) {
+            return Err(format!("two classes or none of the name {}", c.name));
+        }
+    }
+    time("the time to connect", b.bounds.connect_timeout_ns)?;
+    time("the time to close idle connections", b.bounds.idle_close_ns)?;
+    if b.bounds.most_tries == 0 || b.classes.is_empty() || b.balancers == 0 {
+        return Err("no attempts, no classes or no gateways".into());
+    }
+    Ok(())
+}
+
 fn settings(seed: u64, b: &BootInfo, zones: &mut Names) -> Result<Settings, String> {
     let d = &b.domain;
+    check(b)?;
     let mut classes = Vec::new();
     for (i, c) in b.classes.iter().enumerate() {
         let bound = d.class_bound_ns.get(i).copied().unwrap_or(0);
@@ -173,14 +197,14 @@
             Some("eventual") => Freshness::Any,
             other => return Err(format!("unknown freshness {other:?} of class {}", c.name)),
         };
-        let scope = match c.group.as_deref() {
-            Some("zone") => RepeatScope::Zone,
-            Some("cell") => RepeatScope::Group,
+        let scope = match c.group.as_str() {
+            "zone" => RepeatScope::Zone,
+            "cell" => RepeatScope::Group,
             _ => RepeatScope::All,
         };
         let repeat = match c.effect.as_str() {
             "retryable" => Repeat::Safe,
-            "dedup" => Repeat::Keyed { scope, window: c.window_ns.unwrap_or(0) },
+            "dedup" => Repeat::Keyed { scope, window: c.window_ns },
             "fragile" => Repeat::Unsafe,
             other => return Err(format!("unknown effect {other} of class {}", c.name)),
         };
--- a/tests/gateway/house.rs
+++ b/tests/gateway/house.rs
@@ -268,23 +268,7 @@
 
 /// The settings of a small deployment.
 pub fn settings() -> Value {
-    let class = |name: &str, effect: &str| {
-        json!({"AimNs": 8_000_000_000i64, "DeadlineNs": 20_000_000_000i64, "Effect": effect, "Group": "cell",
-            "LateWorth": 0.0, "Name": name, "Streamed": false, "WindowNs": 5_000_000_000i64, "Worth": 1.0})
-    };
-    json!({
-        "Balancers": 1,
-        "Classes": [class("read", "retryable"), class("order", "dedup"), class("once", "fragile"), class("own", "retryable")],
-        "Bounds": {"Cancel": true, "ConnectTimeoutNs": 2_000_000_000, "IdleCloseNs": 60_000_000_000i64,
-            "MaxRetryAfterNs": 1_000_000_000, "MostTries": 6, "Probes": true, "RetryAfter": true, "SecondCopies": true},
-        "Domain": {"CatchUpWaitNs": 0, "ClassBoundNs": [0, 0, 0, 0], "Freshness": ["eventual", "mutate", "mutate", "causal"],
-            "PositionZeroNs": 0, "RoleInList": "none", "ServerChecks": "bounce", "SessionMarks": "brought",
-            "Stamps": false},
-        "LoadInfo": {"How": "probe", "Fields": ["x0", "x1", "load_share"]}, "MembershipMode": "push",
-        "MyZone": "a", "OverShareWorth": 0.1, "RoundNs": 5_000_000, "Tenants": [], "Zones": ["a"],
-        "Rules": {"ColdNs": 1_000_000, "DrainGraceNs": 500_000_000, "OverloadFactor": 4.0, "StartCapacity": 0.5,
-            "TipAfterNs": 1_000_000_000},
-    })
+    serde_json::from_str(include_str!("settings.json")).unwrap()
 }
 
 /// The program under test.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -342,6 +342,83 @@
     assert_eq!(gateway.exit_code(), Some(0));
 }
 
+/// Guards against new settings that wait for a restart, that move a request under way to another class, or that hold in
+/// part where a file is broken.
+#[test]
+fn on_sighup_new_settings_hold_for_new_requests_and_a_broken_file_changes_nothing() {
+    let slow = |_, text: &str| if text.contains("slow") { Say::Silence } else { Say::Error("25006") };
+    let host = Host::start("s-1", true, slow);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let (mut client, mut busy) = (gateway.client(), gateway.client());
+    busy.send(&query(&statement("once", 3_000).replace("7f3a", "slow").replace("9b1f", "51")));
+    host.wait_for("slow");
+
+    let changed = |change: &dyn Fn(&mut serde_json::Value)| {
+        let mut config = gateway.config.clone();
+        change(&mut config);
+        config
+    };
+    let good = changed(&|c| {
+        let classes = c["settings"]["Classes"].as_array_mut().unwrap();
+        classes[1]["Name"] = json!("new");
+        classes[2]["DeadlineNs"] = json!(300_000_000);
+        c["settings"]["Bounds"]["MostTries"] = json!(2);
+    });
+    gateway.reload(&good.to_string());
+    gateway.wait_for_log("configuration read again");
+    let tries = |c: &mut Client, class: &str| {
+        let before = host.statements().len();
+        let answer = c.ask(&statement(class, 19_000));
+        (host.statements().len() - before, answer)
+    };
+    let (tried, answer) = tries(&mut client, "new");
+    assert!(tried == 2 && answer.contains("C53300"), "as often as is allowed now: {tried} {answer}");
+    assert!(client.ask(&statement("order", 9_000)).contains("an unknown class"));
+
+    // Each of these names another discovery as well, which must not be called.
+    let elsewhere = Discovery::start(vec![]);
+    let broken = |path: &str, value: serde_json::Value| {
+        let mut config = good.clone();
+        config["discovery"] = json!(elsewhere.address.to_string());
+        let (parent, key) = path.rsplit_once('/').unwrap();
+        let object = config.pointer_mut(parent).unwrap().as_object_mut().unwrap();
+        match value.is_null() {
+            true => drop(object.remove(key).unwrap()),
+            false => drop(object.insert(key.to_string(), value)),
+        }
+        config.to_string()
+    };
+    let whole = good.to_string();
+    let files = [
+        broken("/settings/Classes/0/DeadlineNs", json!(0)),
+        broken("/settings/Classes/3/DeadlineNs", json!(-5)),
+        broken("/settings/Bounds/MostTries", json!(0)),
+        broken("/settings/Classes/0/Name", json!("own")),
+        broken("/settings/Classes/3/WindowNs", json!(null)),
+        broken("/settings/Bounds/IdleCloseNs", json!(null)),
+        broken("/settings/LoadInfo/Fields", json!(null)),
+        broken("/settings", json!(null)),
+        broken("/listen", json!(null)),
+        broken("/limits", json!(null)),
+        whole[..whole.len() / 2].to_string(),
+        String::new(),
+    ];
+    for (n, file) in files.iter().enumerate() {
+        gateway.reload(file);
+        let told = |l: &mut Vec<String>| {
+            let told = l.iter().filter(|l| l.contains("the old configuration holds")).count();
+            assert!(!l.iter().any(|l| l.contains("newly")), "{file}");
+            (told > n).then_some(())
+        };
+        gateway.log.wait(file, told);
+    }
+    assert_eq!(tries(&mut client, "new").0, 2, "the last good file holds, whole");
+    elsewhere.calls.change(|c| assert!(c.is_empty(), "{c:?}"));
+    assert!(client.ask(&statement("once", 9_000).replace("7f3a", "slow")).contains("XX000"), "in 0.3 s");
+    assert!(busy.until_ready().contains("XX000"), "in the 3 s that its class had");
+}
+
 #[test]
 fn a_gateway_starts_from_the_list_it_knew() {
     let host = Host::start("s-1", true, row);
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -10,13 +10,13 @@
     };
     json!({
         "Balancers": 3, "Classes": [class("look", "retryable"), class("pay", "fragile")],
-        "Bounds": {"Cancel": true, "ConnectTimeoutNs": 250000000, "MaxRetryAfterNs": 2000000000, "MostTries": 8,
+        "Bounds": {"Cancel": true, "ConnectTimeoutNs": 250000000, "IdleCloseNs": 30000000000i64, "MaxRetryAfterNs": 2000000000, "MostTries": 8,
             "Probes": true, "RetryAfter": true, "SecondCopies": true},
         "Domain": {"CatchUpWaitNs": 0, "ClassBoundNs": [0, 0], "Freshness": ["eventual", "mutate"],
             "PositionZeroNs": 1000, "RoleInList": "static", "ServerChecks": "bounce", "SessionMarks": "brought",
             "Stamps": true},
         "LoadInfo": {"How": "probe", "Fields": []}, "MembershipMode": "push", "MyZone": "a", "OverShareWorth": 0.1,
-        "RoundNs": 5000000, "Tenants": [], "Zones": ["a"], "SomethingNew": {"skipped": [1, 2]},
+        "Penalties": {"Probe": 0.0}, "RoundNs": 5000000, "Tenants": [], "Zones": ["a"], "SomethingNew": {"skipped": [1, 2]},
         "Rules": {"ColdNs": 17000000000i64, "DrainGraceNs": 500000000, "OverloadFactor": 4.0, "StartCapacity": 0.17,
             "TipAfterNs": 1000000000},
     })
