--- a/src/decide.rs
+++ b/src/decide.rs
@@ -180,7 +180,7 @@
         }
     }
 
-    /// New settings: what holds from the next decision on. A class of the same name goes on from what was learnt.
+    /// New settings hold from the next decision on. A class that has changed goes on from what was learnt.
     fn retune(&mut self, s: &Settings, from: &[Option<usize>]) {
         let kept = |learnt: &[f64], i: usize| from[i].and_then(|f| learnt.get(f).copied());
         let guess = |i: usize| s.classes[i].aim as f64 * FIRST_GUESS;
