Wait for word of load only where reports tell it; begin watches of one service apart

At fault in the module: every use of sparse() that waits for a report of what a member holds, as this site's reports never tell it; those ask for word only where the settings promise it. A call that begins a watch is answered at about 10 a second; one that goes on is answered at once, 60 a second and more; what is turned away costs as much as what is answered.

--- a/src/api.rs
+++ b/src/api.rs
@@ -203,6 +203,8 @@
     pub marks_carried: bool,
     /// Where load reports arrive.
     pub reports: Reports,
+    /// Reports tell how many requests a member holds.
+    pub load_told: bool,
     /// The list of members comes only when asked for.
     pub list_on_request: bool,
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -200,6 +200,11 @@
         LIMIT_START < SPARSE * f64::from(self.s.proxies)
     }
 
+    /// A sparse proxy asks for word of a member's load, where reports tell it.
+    fn asks(&self) -> bool {
+        self.sparse() && self.s.load_told
+    }
+
     // ---- Selection: the ordinary path ----
 
     /// Selects again for the held requests of a group, worthiest for its time first.
@@ -237,7 +242,7 @@
     fn want(&mut self, id: RequestId) {
         let r = &self.requests[&id];
         let waited = self.now - r.arrived + 1;
-        let room = self.sparse() && (self.to_primary(r.class) || self.now >= r.proof_by);
+        let room = self.asks() && (self.to_primary(r.class) || self.now >= r.proof_by);
         let no_primary = self.primary(r.group).is_none_or(|p| self.suspect(p));
         let age = if self.to_primary(r.class) { 0 } else { self.now.saturating_sub(self.need(r)).max(0) };
         let g = self.groups.get_mut(&r.group).expect("group");
@@ -257,7 +262,7 @@
             // is full is left alone for a while, as what it turns away costs it work.
             let open = |p: MemberId| Some(p) != not && self.open_to(p, r) && !self.suspect(p);
             // Danger: writes from many sparse proxies fill a primary until it serves each of them too late.
-            let word = |p: MemberId| !self.sparse() || self.age(p) < 1.0 || self.now >= r.proof_by;
+            let word = |p: MemberId| !self.asks() || self.age(p) < 1.0 || self.now >= r.proof_by;
             return primary.filter(|&p| open(p) && word(p) && self.admits(p, r, 1.0));
         }
         let members = &self.groups.get(&r.group)?.members;
@@ -283,7 +288,7 @@
             return behind.iter().enumerate().filter(open).map(|(_, &m)| m).find(|&m| self.admits(m, r, 1.0));
         }
         // Sparse proxies do not know who is busy: a read waits for the word of one member.
-        if self.sparse() && self.now < r.proof_by && !suitable.iter().any(|&m| self.age(m) < 1.0) {
+        if self.asks() && self.now < r.proof_by && !suitable.iter().any(|&m| self.age(m) < 1.0) {
             return None;
         }
         if !suitable.is_empty() {
@@ -306,9 +311,9 @@
             return None;
         }
         // secondaryPreferred: no replica, so the primary, while it has room beyond its own work.
-        let part = if suitable.is_empty() && !self.sparse() { 1.0 } else { READ_PART };
+        let part = if suitable.is_empty() && !self.asks() { 1.0 } else { READ_PART };
         // Danger: each of many sparse proxies would leave its read with a primary that writes fill already.
-        let spare = !self.sparse() || primary.is_some_and(|p| self.age(p) < 1.0);
+        let spare = !self.asks() || primary.is_some_and(|p| self.age(p) < 1.0);
         let primary_ok =
             primary.filter(|&p| spare && Some(p) != not && self.open_to(p, r) && self.admits(p, r, part));
         if let Some(p) = primary_ok.filter(|&p| !self.suspect(p) && !self.shunned(p)) {
@@ -580,7 +585,7 @@
         };
         let c = &self.s.classes[*class];
         let ask = !self.s.positions_in_answers && self.s.checks == ServerChecks::None && self.s.limits.probes;
-        let ask = ask || self.sparse();
+        let ask = ask || self.asks();
         let wait = if ask { (c.aim as f64 * PROOF_WAIT) as Ns } else { 0 };
         let r = Request {
             class: *class,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -18,6 +18,8 @@
 
 /// How long an answer may take beyond what it may wait before discovery counts as silent.
 const SILENCE: Duration = Duration::from_secs(1);
+/// One service for all gateways lets calls wait in turn. Danger: one that is given up before its turn has to wait again.
+const IN_TURN: Duration = Duration::from_secs(5);
 /// An address that has shown older lists for so long is taken at its word.
 const ANEW: Duration = Duration::from_secs(60);
 /// Largest answer that is read.
@@ -122,8 +124,7 @@
     answered: watch::Sender<bool>,
 ) {
     let mut pace = Pace::new(classes.settings().seed);
-    let (gateways, shared) = herd(&classes);
-    sleep(pace.first(gateways, shared)).await;
+    sleep(pace.first(herd(&classes))).await;
     loop {
         let address = *addresses.borrow_and_update();
         tokio::select! {
@@ -137,16 +138,16 @@
             () = async {
                 let Err(why) = follow(address, &mut seen, &backend, &classes, &mut pace, &answered).await;
                 log!("discovery: {why}");
-                sleep(pace.failed(herd(&classes).1)).await;
+                sleep(pace.failed(herd(&classes))).await;
             } => {}
         }
     }
 }
 
-/// How many gateways there are, and whether all of them ask one service.
-fn herd(classes: &Classes) -> (u32, bool) {
+/// How many gateways ask one service, where they do.
+fn herd(classes: &Classes) -> Option<u32> {
     let settings = classes.settings();
-    (settings.proxies, settings.list_on_request)
+    settings.list_on_request.then_some(settings.proxies)
 }
 
 async fn follow(
@@ -165,10 +166,10 @@
     let mut buffer = BytesMut::new();
     loop {
         let called = Instant::now();
-        let (gateways, shared) = herd(classes);
+        let shared = herd(classes);
         let (path, hold) = match seen.revision.filter(|_| !seen.whole) {
             Some(r) => {
-                let hold = pace.hold(gateways, shared);
+                let hold = pace.hold(shared);
                 (format!("/discovery/hosts?from={r}&hold_ms={}", hold.as_millis()), hold)
             }
             None => ("/discovery/hosts".to_string(), Duration::ZERO),
@@ -178,16 +179,20 @@
             stream.write_all(call.as_bytes()).await.map_err(|e| format!("cannot write: {e}"))?;
             read_answer(&mut stream, &mut buffer).await
         };
-        let body = timeout(hold + SILENCE, answer).await.map_err(|_| "silent".to_string())??;
+        let body = timeout(hold + if shared.is_some() { IN_TURN } else { SILENCE }, answer)
+            .await
+            .map_err(|_| "silent".to_string())??;
         let list: List = serde_json::from_slice(&body).map_err(|e| format!("malformed list: {e}"))?;
         let taken = seen.takes(&list);
         if taken {
             backend.apply(&list);
         }
         answered.send_replace(true);
-        // Danger: an agent that does not wait would be called without end.
-        let at_once = !taken && called.elapsed() < PAUSE;
-        sleep(pace.answered().max(if at_once { PAUSE } else { Duration::ZERO })).await;
+        pace.answered();
+        if !taken && called.elapsed() < PAUSE {
+            // Danger: an agent that does not wait would be called without end.
+            sleep(PAUSE).await;
+        }
     }
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -69,6 +69,7 @@
 #[serde(rename_all = "PascalCase")]
 struct WireLoadInfo {
     how: String,
+    fields: Vec<String>,
 }
 
 #[derive(Deserialize)]
@@ -262,6 +263,7 @@
             "probe" => Reports::Probes,
             _ => Reports::None,
         },
+        load_told: b.load_info.fields.iter().any(|f| f == "concurrent" || f == "depth"),
         list_on_request: b.membership_mode == "ask",
     })
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -60,6 +60,7 @@
         positions_in_answers: checks != ServerChecks::None,
         marks_carried: true,
         reports: Reports::Probes,
+        load_told: true,
         list_on_request: false,
     }
 }
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -138,3 +138,19 @@
     }
     assert!((60..140).contains(&idle), "{idle} of 200 to one of two replicas");
 }
+
+/// Guards against requests that wait, and probes that are spent, for word that no report can bring.
+#[test]
+fn where_reports_do_not_tell_what_a_member_holds_nobody_waits_for_that() {
+    for load_told in [false, true] {
+        let mut s = settings(ServerChecks::Wait(50 * MS));
+        (s.proxies, s.seed, s.load_told) = (300, 3, load_told);
+        let mut w = World::new(s);
+        w.now += 5 * S;
+        let member = MemberId(1);
+        let report = Report { position: Some(w.now), primary: Some(false), inflight: None };
+        w.step(&[Event::Probed { member, outcome: Outcome::Ok, elapsed: MS, report: Some(report) }]);
+        let (id, out) = w.ask(BOUNDED, None);
+        assert_eq!(sent(id, &out).is_none(), load_told);
+    }
+}
