Let the processes of a gateway share its limits, and the older hand over what it knows

Before: each of two processes held itself to all of the descriptors and memory that both may have, and the new one began with the list of its file and no word of any member.

--- a/src/api.rs
+++ b/src/api.rs
@@ -2,6 +2,8 @@
 //!
 //! Nothing here decides anything. All times are nanoseconds on the batch clock.
 
+use serde::{Deserialize, Serialize};
+
 /// A point on the batch clock, or a length of time, in nanoseconds.
 pub type Ns = i64;
 
@@ -10,15 +12,15 @@
 pub struct RequestId(pub u64);
 
 /// A member (primary or replica) of some group; small numbers, given out in order of first mention.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Deserialize, Serialize, Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct MemberId(pub u32);
 
 /// A group: one primary and its replicas.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Deserialize, Serialize, Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct GroupId(pub i64);
 
 /// A zone, as an opaque number.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Deserialize, Serialize, Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ZoneId(pub u32);
 
 /// A session, as an opaque number.
@@ -364,6 +366,8 @@
         /// The load report.
         report: Option<Report>,
     },
+    /// What another router has learnt.
+    Learnt(Box<crate::state::Lore>),
     /// The settings have changed.
     Retuned {
         /// The new ones. A class under way keeps its index.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -134,11 +134,6 @@
         }
     }
 
-    /// How many members are remembered.
-    pub fn remembered(&self) -> usize {
-        self.members.len()
-    }
-
     /// Takes what happened, all of it first, then decides.
     pub fn batch(&mut self, now: Ns, events: &[Event]) -> Vec<Action> {
         self.now = now;
@@ -176,19 +171,23 @@
             Event::Ended { .. } => self.on_ended(e),
             Event::Left { id } => self.close(*id),
             Event::Probed { member, outcome, report, .. } => self.on_probed(*member, *outcome, *report),
+            Event::Learnt(l) => l.teach(self.now, &mut self.members, &mut self.usual, &mut self.told),
             Event::Retuned { settings, from } => self.retune(settings, from),
         }
     }
 
     /// New settings hold from the next decision on. A class that has changed goes on from what was learnt.
     fn retune(&mut self, s: &Settings, from: &[Option<usize>]) {
-        let kept = |learnt: &[f64], i: usize| from[i].and_then(|f| learnt.get(f).copied());
-        let guess = |i: usize| s.classes[i].aim as f64 * FIRST_GUESS;
-        self.usual = (0..from.len()).map(|i| kept(&self.usual, i).unwrap_or(guess(i))).collect();
-        self.told = (0..from.len()).map(|i| kept(&self.told, i).unwrap_or(0.0)).collect();
+        self.usual = carried(&self.usual, from, |i| s.classes[i].aim as f64 * FIRST_GUESS);
+        self.told = carried(&self.told, from, |_| 0.0);
         self.s = s.clone();
     }
 
+    /// What this router has learnt.
+    pub fn lore(&self) -> Lore {
+        Lore::new(&self.members, &self.usual, &self.told)
+    }
+
     /// How long news of a member counts: longer with so many proxies that each hears of it more rarely.
     fn memory(&self) -> Ns {
         let few = (f64::from(self.s.proxies) * SPARSE / LIMIT_START).max(1.0);
@@ -857,9 +856,8 @@
     /// Members that are gone, with nothing out there, are forgotten. Danger: where they are replaced all day,
     /// they pile up. One that went without a drain counts as missing until those that took over are warm.
     fn forget(&mut self) {
-        let stale = |m: &Member| m.drained || self.now - m.gone_at > 2 * self.s.rules.cold_for;
-        let idle = |m: &Member| m.outstanding == 0 && !m.probe_out;
-        let over = |id: MemberId, m: &Member| m.gone && !self.in_service(id) && idle(m) && stale(m);
+        let long_ago = self.now - 2 * self.s.rules.cold_for;
+        let over = |id: MemberId, m: &Member| !self.in_service(id) && m.over(long_ago);
         let gone: BTreeSet<MemberId> =
             self.members.iter().filter(|(&id, m)| over(id, m)).map(|(&id, _)| id).collect();
         self.members.retain(|id, _| !gone.contains(id));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,5 +5,5 @@
 pub mod api;
 pub mod decide;
 pub mod settings;
-mod state;
+pub mod state;
 pub mod wire;
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,6 +16,7 @@
 use net::counters::Counters;
 use net::discovery::{self, Seen};
 use net::frontend::Frontend;
+use net::kin::Kin;
 use net::log::log;
 use net::mode::Modes;
 use net::places::Places;
@@ -117,6 +118,20 @@
         places: Places::new(free - for_hosts),
         modes: Rc::clone(&modes),
     });
+    if let Some(path) = &config.meet {
+        let kin = Rc::new(Kin {
+            path: path.clone(),
+            reserved: RESERVED,
+            backend: Rc::clone(&backend),
+            places: Rc::clone(&front.places),
+            pool: Rc::clone(&front.pool),
+            mailbox: Rc::clone(&mailbox),
+            classes: Rc::clone(&classes),
+            others: Default::default(),
+        });
+        seen.revision = seen.revision.max(kin.meet().await);
+        spawn_local(kin.wait());
+    }
     let driven = spawn_local(drive(Router::new(settings), Rc::clone(&mailbox), Rc::clone(&backend), clock));
     let (discovery, addresses) = watch::channel(config.discovery);
     seen.whole |= passed;
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -2,7 +2,7 @@
 
 use super::buffers::{Buffer, Pool};
 use super::counters::{count, Counters};
-use super::discovery::{List, Phase};
+use super::discovery::{Entry, List, Phase};
 use super::log::log;
 use super::pg::{self, code, Reply};
 use super::{duration, nanoseconds, Clock};
@@ -11,7 +11,6 @@
 use irisrouter::settings::{Loaded, Names};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
@@ -103,10 +102,9 @@
 }
 
 struct Host {
-    name: String,
-    address: SocketAddr,
+    /// As the list last named it.
+    entry: Entry,
     ready: bool,
-    started: f64,
     /// Changes when its process or its address does: older connections are of no more use.
     epoch: u64,
     idle: Vec<Connection>,
@@ -133,6 +131,9 @@
     drain_binds_alone: Cell<bool>,
     most: usize,
     open: Rc<Cell<usize>>,
+    /// Connections of another process of this gateway.
+    pub elsewhere: Cell<usize>,
+    revision: Cell<u64>,
     on_list: Box<dyn Fn(Event)>,
 }
 
@@ -178,6 +179,8 @@
             drain_binds_alone: Cell::default(),
             most,
             open: Rc::default(),
+            elsewhere: Cell::new(0),
+            revision: Cell::new(0),
             on_list,
         };
         backend.retune(loaded);
@@ -200,11 +203,39 @@
         groups.is_empty() || groups.contains(&group)
     }
 
+    /// The list as it stands.
+    pub fn list(&self) -> List {
+        let hosts = self.hosts.borrow();
+        let members = hosts.values().filter(|h| h.gone.is_none()).map(|h| h.entry.clone()).collect();
+        List { revision: self.revision.get(), complete: true, members }
+    }
+
+    /// Its version.
+    pub fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
+    /// Connections now.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// The number of a host that the list names.
+    pub fn member(&self, name: &str) -> Option<MemberId> {
+        self.ids.borrow().get(name).copied()
+    }
+
+    /// And its name.
+    pub fn name(&self, member: MemberId) -> String {
+        self.hosts.borrow().get(&member).map(|h| h.entry.id.clone()).unwrap_or_default()
+    }
+
     /// Takes a list: from now on nothing is sent that it rules out.
     pub fn apply(&self, list: &List) {
         let mut hosts = self.hosts.borrow_mut();
         let mut ids = self.ids.borrow_mut();
         let mut zones = self.zones.borrow_mut();
+        self.revision.set(list.revision);
         let mut entries = Vec::with_capacity(list.members.len());
         for e in &list.members {
             if e.phase == Phase::Terminated && !ids.contains_key(&e.id) {
@@ -216,10 +247,8 @@
                 MemberId(self.next.get() - 1)
             });
             let host = hosts.entry(member).or_insert_with(|| Host {
-                name: e.id.clone(),
-                address: e.host_port,
+                entry: e.clone(),
                 ready: false,
-                started: e.up_since_ms,
                 epoch: 0,
                 idle: Vec::new(),
                 gone: None,
@@ -230,10 +259,10 @@
                 // One that was draining before it went stays closed.
                 Phase::Terminated => host.ready && self.drain_binds_alone.get(),
             };
-            if host.address != e.host_port || host.started != e.up_since_ms || e.phase == Phase::Terminated {
-                host.epoch += 1;
-                (host.address, host.started) = (e.host_port, e.up_since_ms);
-            }
+            let last = &host.entry;
+            let moved = last.host_port != e.host_port || last.up_since_ms != e.up_since_ms;
+            host.epoch += u64::from(moved || e.phase == Phase::Terminated);
+            host.entry = e.clone();
             if !host.ready || host.idle.first().is_some_and(|c| c.epoch != host.epoch) {
                 host.idle.clear();
             }
@@ -356,7 +385,7 @@
             Err(Broken::Left) => Err(Outcome::Cancelled),
             Err(Broken::Garbled(why)) => {
                 let hosts = self.hosts.borrow();
-                log!("{}: {why}", hosts.get(&member).map_or("a former host", |h| &h.name));
+                log!("{}: {why}", hosts.get(&member).map_or("a former host", |h| &h.entry.id));
                 Err(Outcome::Error)
             }
             Ok(answer) => {
@@ -446,7 +475,7 @@
         let (address, epoch) = {
             let hosts = self.hosts.borrow();
             let host = hosts.get(&member).ok_or(Outcome::Moot)?;
-            (host.address, host.epoch)
+            (host.entry.host_port, host.epoch)
         };
         let up_by = end.min(start + self.connect_timeout.get());
         let coming_up = async {
@@ -480,16 +509,23 @@
 
     /// A place for one more connection; at the edge, that of the one that has been idle longest.
     fn slot(&self) -> Option<Slot> {
-        if self.open.get() >= self.most {
-            let mut hosts = self.hosts.borrow_mut();
-            let idle = hosts.values_mut().filter(|h| !h.idle.is_empty());
-            let oldest = idle.min_by_key(|h| h.idle[0].idle_since)?;
-            oldest.idle.remove(0);
+        while self.open.get() + self.elsewhere.get() >= self.most {
+            if !self.retire() {
+                return None;
+            }
         }
         self.open.set(self.open.get() + 1);
         Some(Slot(Rc::clone(&self.open)))
     }
 
+    /// Closes the connection that has been idle longest, if there is one.
+    fn retire(&self) -> bool {
+        let mut hosts = self.hosts.borrow_mut();
+        let idle = hosts.values_mut().filter(|h| !h.idle.is_empty());
+        let oldest = idle.min_by_key(|h| h.idle[0].idle_since);
+        oldest.map(|host| host.idle.remove(0)).is_some()
+    }
+
     /// The connection used last of those that have rested: it is the warmest, and the others can grow old.
     fn check_out(&self, member: MemberId) -> Option<Connection> {
         let mut hosts = self.hosts.borrow_mut();
@@ -512,6 +548,7 @@
     /// Retires idle connections before their hosts do, and those that are closed already. Forgets hosts that have
     /// been gone for a while. Danger: where they are replaced all day, they would be kept for ever.
     pub fn sweep(&self) {
+        while self.open.get() + self.elsewhere.get() > self.most && self.retire() {}
         let (mut hosts, mut ids) = (self.hosts.borrow_mut(), self.ids.borrow_mut());
         let gone = |h: &Host| !h.ready && h.gone.is_some_and(|t| t.elapsed() >= KEPT_GONE);
         ids.retain(|_, member| hosts.get(member).is_some_and(|h| !gone(h)));
--- a/src/net/buffers.rs
+++ b/src/net/buffers.rs
@@ -15,6 +15,8 @@
     free: RefCell<Vec<BytesMut>>,
     grown: Cell<usize>,
     budget: usize,
+    /// Grown in another process of this gateway.
+    pub elsewhere: Cell<usize>,
 }
 
 /// A buffer that goes back to its pool when it is dropped.
@@ -27,7 +29,12 @@
 impl Pool {
     /// A pool whose buffers may hold so many bytes beyond their size, all together.
     pub fn new(budget: usize) -> Rc<Self> {
-        Rc::new(Pool { free: RefCell::default(), grown: Cell::new(0), budget })
+        Rc::new(Pool { free: RefCell::default(), grown: Cell::new(0), budget, elsewhere: Cell::new(0) })
+    }
+
+    /// What messages need now beyond a buffer's size.
+    pub fn grown(&self) -> usize {
+        self.grown.get()
     }
 
     /// An empty buffer.
@@ -45,7 +52,7 @@
         let needed = (self.bytes.len() + more).saturating_sub(SIZE);
         if needed > self.extra {
             let grown = self.pool.grown.get() + needed - self.extra;
-            if grown > self.pool.budget {
+            if grown + self.pool.elsewhere.get() > self.pool.budget {
                 return false;
             }
             self.pool.grown.set(grown);
--- a/src/net/classes.rs
+++ b/src/net/classes.rs
@@ -41,6 +41,13 @@
         self.newest.borrow().get(name).cloned()
     }
 
+    /// The newest name of each slot.
+    pub fn names(&self) -> Vec<String> {
+        let mut names = vec![String::new(); self.slots.borrow().len()];
+        self.newest.borrow().iter().for_each(|(name, held)| names[held.slot] = name.clone());
+        names
+    }
+
     /// The settings as the module has them.
     pub fn settings(&self) -> Ref<'_, Settings> {
         self.settings.borrow()
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 
 /// Descriptors that a gateway may hold where the configuration does not say.
 const SOCKETS: usize = 1024;
@@ -16,6 +17,10 @@
 /// Set where the platform holds the clients' listening socket, and each process inherits it.
 const PASSED: &str = "BALANCER_PASSED_SOCKET";
 
+/// The folder that they share, and the name of their meeting place in it.
+const FOLDER: &str = "TMPDIR";
+const MEET: &str = "irisrouter.sock";
+
 /// All that the program uses of its configuration.
 pub struct Config {
     /// The gateway's name, for its log.
@@ -28,6 +33,8 @@
     pub console: Option<SocketAddr>,
     /// The clients' listening socket is not bound here but inherited, as the first descriptor that can be.
     pub passed: bool,
+    /// Then, where the processes of this gateway meet, if they share a folder.
+    pub meet: Option<PathBuf>,
     /// Descriptors that the program may hold.
     pub sockets: usize,
     /// Memory that it may use, in bytes.
@@ -91,6 +98,7 @@
                 .transpose()
                 .map_err(at)?,
             passed: set(PASSED).is_some(),
+            meet: set(FOLDER).filter(|_| set(PASSED).is_some()).map(|folder| Path::new(&folder).join(MEET)),
             sockets: file.limits.sockets.unwrap_or(SOCKETS).min(SOCKETS),
             memory: file.limits.memory_mb.unwrap_or(MEMORY_MB).min(MEMORY_MB) << 20,
             loaded: file.loaded().map_err(at)?,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -7,7 +7,7 @@
 use super::log::log;
 use super::pace::{Pace, PAUSE};
 use bytes::{Buf, BytesMut};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,7 +26,7 @@
 const LARGEST: usize = 4 << 20;
 
 /// Whether a database host is in service.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
 #[serde(rename_all = "snake_case")]
 pub enum Phase {
     /// Takes requests.
@@ -38,7 +38,7 @@
 }
 
 /// One database host of the list.
-#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
 pub struct Entry {
     /// The same at every gateway.
     pub id: String,
@@ -67,7 +67,7 @@
 }
 
 /// A list of database hosts, or the changes to one.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq)]
 pub struct List {
     /// Its version.
     pub revision: u64,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,7 @@
 pub mod counters;
 pub mod discovery;
 pub mod frontend;
+pub mod kin;
 pub mod log;
 pub mod mode;
 pub mod pace;
--- a/src/net/places.rs
+++ b/src/net/places.rs
@@ -35,6 +35,8 @@
 /// The places of all client connections.
 pub struct Places {
     most: usize,
+    /// Taken by another process of this gateway.
+    pub elsewhere: Cell<usize>,
     /// Places that are taken, and connections.
     taken: Cell<usize>,
     open: Cell<usize>,
@@ -64,6 +66,7 @@
     pub fn new(most: usize) -> Rc<Self> {
         Rc::new(Places {
             most,
+            elsewhere: Cell::new(0),
             taken: Cell::new(0),
             open: Cell::new(0),
             quiet: RefCell::default(),
@@ -76,15 +79,19 @@
         self.open.get()
     }
 
+    fn most(&self) -> usize {
+        self.most.saturating_sub(self.elsewhere.get())
+    }
+
     /// None is left without somebody's going.
     pub fn full(&self) -> bool {
-        self.taken.get() >= self.most
+        self.taken.get() >= self.most()
     }
 
     /// A place for a new connection, if need be that of the one that has been quiet longest. None where even
     /// the room for turning connections away is used up.
     pub fn take(self: &Rc<Self>) -> Option<Place> {
-        if self.open.get() >= self.most + BEYOND && !self.free(Quiet::Leaving, Duration::ZERO) {
+        if self.open.get() >= self.most() + BEYOND && !self.free(Quiet::Leaving, Duration::ZERO) {
             return None;
         }
         // One that was asked before and was served once more has no place to give.
--- a/src/net/router.rs
+++ b/src/net/router.rs
@@ -6,11 +6,12 @@
 use super::{duration, Clock};
 use irisrouter::api::*;
 use irisrouter::decide::Router;
+use irisrouter::state::Lore;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
-use tokio::sync::Notify;
+use tokio::sync::{oneshot, Notify};
 use tokio::time::{sleep_until, Instant};
 
 /// What the module wants done for one request.
@@ -44,6 +45,7 @@
     ready: Notify,
     requests: RefCell<HashMap<RequestId, UnboundedSender<Order>>>,
     next: Cell<u64>,
+    asked: RefCell<Vec<oneshot::Sender<Lore>>>,
 }
 
 impl Mailbox {
@@ -53,6 +55,14 @@
         self.ready.notify_one();
     }
 
+    /// What the module has learnt.
+    pub async fn lore(&self) -> Lore {
+        let (sender, lore) = oneshot::channel();
+        self.asked.borrow_mut().push(sender);
+        self.ready.notify_one();
+        lore.await.unwrap_or_default()
+    }
+
     /// An id for a request that comes in, and the orders for it.
     pub fn open(&self) -> (RequestId, UnboundedReceiver<Order>) {
         let id = RequestId(self.next.get());
@@ -92,6 +102,9 @@
                 mailbox.events.borrow_mut().push(Event::Wake);
             }
         }
+        for asked in mailbox.asked.take() {
+            let _ = asked.send(router.lore());
+        }
         let events = mailbox.events.take();
         if events.is_empty() {
             continue;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,11 +1,13 @@
 //! What a router remembers of members, requests and groups. Nothing here decides anything, and no value is tuned.
 
 use crate::api::*;
-use std::collections::VecDeque;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
 
 /// What is known of a member.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Member {
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct Member {
     pub(crate) group: GroupId,
     pub(crate) zone: ZoneId,
     pub(crate) size: f64,
@@ -52,6 +54,78 @@
     pub(crate) well_since: Ns,
 }
 
+/// What a router has learnt, for another one of the same gateway.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct Lore {
+    /// The members, and what is known of them.
+    pub members: Vec<(MemberId, Member)>,
+    /// Usual time of an answer, by class, and the answers behind it.
+    pub(crate) usual: Vec<f64>,
+    pub(crate) told: Vec<f64>,
+}
+
+impl Lore {
+    pub(crate) fn new(members: &BTreeMap<MemberId, Member>, usual: &[f64], told: &[f64]) -> Self {
+        let members = members.iter().map(|(&id, m)| (id, m.clone())).collect();
+        Lore { members, usual: usual.to_vec(), told: told.to_vec() }
+    }
+
+    /// Numbers its members and classes anew, each by the number that it had, or leaves them out.
+    pub fn renumber(&mut self, members: Vec<Option<MemberId>>, classes: Vec<Option<usize>>) {
+        let known = std::mem::take(&mut self.members).into_iter().zip(members);
+        self.members = known.filter_map(|((_, m), id)| id.map(|id| (id, m))).collect();
+        let size = classes.iter().flatten().max().map_or(0, |most| most + 1);
+        let (mut usual, mut told) = (vec![0.0; size], vec![0.0; size]);
+        for (i, slot) in classes.iter().enumerate() {
+            let Some((slot, (&u, &t))) = slot.zip(self.usual.get(i).zip(self.told.get(i))) else { continue };
+            (usual[slot], told[slot]) = (u, t);
+        }
+        (self.usual, self.told) = (usual, told);
+    }
+
+    /// Adds to what is known here: news of members, but not what this router has out there itself.
+    pub(crate) fn teach(
+        &self,
+        now: Ns,
+        members: &mut BTreeMap<MemberId, Member>,
+        usual: &mut [f64],
+        told: &mut [f64],
+    ) {
+        for (id, theirs) in &self.members {
+            let Some(own) = members.get_mut(id).filter(|m| m.started == theirs.started) else { continue };
+            // Danger: a time that is not there yet would count for ever.
+            if [theirs.position, theirs.lag_at, theirs.primary_at, theirs.replica_at, theirs.heard]
+                .iter()
+                .any(|&t| t > now)
+            {
+                continue;
+            }
+            let theirs = theirs.clone();
+            *own = Member {
+                group: own.group,
+                zone: own.zone,
+                size: own.size,
+                gone: own.gone,
+                drained: own.drained,
+                gone_at: own.gone_at,
+                outstanding: own.outstanding,
+                free_at: own.free_at,
+                silent_since: own.silent_since,
+                patience: own.patience,
+                probe_at: own.probe_at,
+                probe_out: own.probe_out,
+                ..theirs
+            };
+        }
+        for (slot, (&u, &t)) in self.usual.iter().zip(&self.told).enumerate() {
+            if slot < usual.len() && t > told[slot] && u.is_finite() && u > 0.0 {
+                (usual[slot], told[slot]) = (u, t);
+            }
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub(crate) struct Attempt {
     pub(crate) member: MemberId,
@@ -122,6 +196,12 @@
         (-((now - self.heard) as f64) / memory as f64).exp()
     }
 
+    /// It is gone, with nothing out there, after a drain or since so long ago.
+    pub(crate) fn over(&self, long_ago: Ns) -> bool {
+        let idle = self.outstanding == 0 && !self.probe_out;
+        self.gone && idle && (self.drained || self.gone_at < long_ago)
+    }
+
     /// It answers: nothing is held against it any more.
     pub(crate) fn recover(&mut self, now: Ns) {
         if self.fails > 0 || self.well_since == 0 {
@@ -132,6 +212,12 @@
     }
 }
 
+/// What was learnt of classes, each from the one that it goes on from, or anew.
+pub(crate) fn carried(learnt: &[f64], from: &[Option<usize>], anew: impl Fn(usize) -> f64) -> Vec<f64> {
+    let kept = |f: &Option<usize>| f.and_then(|f| learnt.get(f).copied());
+    from.iter().enumerate().map(|(i, f)| kept(f).unwrap_or_else(|| anew(i))).collect()
+}
+
 /// An outcome that proves that nothing ran.
 pub(crate) fn never_ran(o: Outcome) -> bool {
     matches!(o, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss)
--- a/tests/gateway/house.rs
+++ b/tests/gateway/house.rs
@@ -297,21 +297,49 @@
     path: std::path::PathBuf,
 }
 
+/// What the platform passes on to each process of a gateway: the clients' socket, and the folder that they share.
+pub struct Passed {
+    pub listener: TcpListener,
+    pub folder: std::path::PathBuf,
+}
+
+impl Passed {
+    pub fn new() -> Self {
+        static NUMBER: AtomicU32 = AtomicU32::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("irisrouter-kin-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        Passed { listener: TcpListener::bind("127.0.0.1:0").unwrap(), folder }
+    }
+
+    /// With a socket of its own.
+    pub fn beside(&self) -> Self {
+        Passed { listener: TcpListener::bind("127.0.0.1:0").unwrap(), folder: self.folder.clone() }
+    }
+}
+
+impl Drop for Passed {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
 /// Starts the program with this text as its configuration, and perhaps a socket as its descriptor 3.
 fn launch(
     config: &str,
     discovery: Option<SocketAddr>,
-    passed: Option<&TcpListener>,
+    passed: Option<&Passed>,
 ) -> (Child, std::path::PathBuf) {
     static NUMBER: AtomicU32 = AtomicU32::new(0);
     let number = NUMBER.fetch_add(1, Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("irisrouter-{}-{number}", std::process::id()));
     std::fs::write(&path, config).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_irisrouter"));
-    if let Some(listener) = passed {
+    if let Some(Passed { listener, folder }) = passed {
         command = Command::new("sh");
         command.args(["-c", "exec \"$0\" 3<&0 0</dev/null", env!("CARGO_BIN_EXE_irisrouter")]);
         command.stdin(OwnedFd::from(listener.try_clone().unwrap())).env("BALANCER_PASSED_SOCKET", "3");
+        command.env("TMPDIR", folder);
     }
     command.env("BALANCER_CONFIG", &path).env_remove("BALANCER_LISTEN").env_remove("BALANCER_CONSOLE");
     command.env("BALANCER_DISCOVERY", discovery.map_or(String::new(), |a| a.to_string()));
@@ -337,7 +365,7 @@
 
     /// With the clients' socket as its platform passes it on, if it does.
     pub fn at(
-        passed: Option<&TcpListener>,
+        passed: Option<&Passed>,
         discovery: &Discovery,
         hosts: &[&Host],
         change: impl FnOnce(&mut Value),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -663,9 +663,9 @@
         Say::Row("a1b2")
     });
     let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
-    let socket = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let socket = Passed::new();
     let mut old = Gateway::at(Some(&socket), &discovery, &[&host], |_| {});
-    assert_eq!(old.address, socket.local_addr().unwrap());
+    assert_eq!(old.address, socket.listener.local_addr().unwrap());
     let (mut busy, mut idle) = (old.client(), old.client());
     busy.send(&query(&statement("once", 9_000).replace("7f3a", "slow").replace("9b1f", "51")));
     host.wait_for("slow");
@@ -688,7 +688,7 @@
 fn a_process_beside_another_says_yes_once_discovery_has_answered() {
     let host = Host::start("s-1", true, row);
     let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
-    let socket = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let socket = Passed::new();
     let new = Gateway::at(Some(&socket), &discovery, &[&host], |_| {});
     let called = discovery.calls.wait("a call", |c| c.first().cloned());
     assert_eq!(called, "0: /discovery/hosts", "the whole list, which comes at once");
@@ -697,11 +697,44 @@
     // An agent that has nothing keeps nobody out for long.
     let silent = Discovery::start(vec![]);
     silent.list.change(|l| l.0 = 0);
-    let socket = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let socket = Passed::new();
     let new = Gateway::at(Some(&socket), &silent, &[&host], |_| {});
     assert!(new.client().ask(&statement("read", 9_000)).contains("a1b2"));
 }
 
+/// Guards against two processes that hold twice what one may, and against a new one that undoes what the old one knows.
+#[test]
+fn an_older_process_hands_its_list_over_and_both_share_their_descriptors() {
+    let (one, two) = (Host::start("s-1", true, row), Host::start("s-2", false, row));
+    let discovery = Discovery::start(vec![one.entry("in_service", 0), two.entry("in_service", 0)]);
+    // Of 76 descriptors, 51 are for clients, and another process takes 64 for itself.
+    let few = |c: &mut serde_json::Value| c["limits"]["sockets"] = json!(140);
+    let passed = Passed::new();
+    let mut old = Gateway::at(Some(&passed), &discovery, &[&one, &two], few);
+    discovery.publish(List::Is(json!([one.entry("in_service", 0), two.entry("terminating", 0)])));
+    assert!(old.client().ask(&statement("once", 9_000)).contains("a1b2"));
+    // The new process knows an old list, and its discovery has nothing to say.
+    let silent = Discovery::start(vec![]);
+    silent.list.change(|l| l.0 = 0);
+    let beside = passed.beside();
+    let new = Gateway::at(Some(&beside), &silent, &[&one, &two], few);
+    new.wait_for_log("an older process hands over a list of 2");
+    let mut turned_away = new.raw();
+    turned_away.send(&startup());
+    assert!(turned_away.until_ready().contains("too many connections"));
+    old.signal("-TERM");
+    assert_eq!(old.exit_code(), Some(0));
+    let before = two.statements().len();
+    let mut client = new.welcomed();
+    for _ in 0..10 {
+        assert!(client.ask(&statement("read", 9_000)).contains("a1b2"));
+    }
+    assert_eq!(two.statements().len(), before, "a drain that the older list does not hold");
+    // Whoever comes next finds this one.
+    let last = Gateway::at(Some(&beside), &silent, &[], few);
+    last.wait_for_log("an older process hands over");
+}
+
 #[test]
 fn a_bad_configuration_is_told_plainly() {
     let whole =
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -105,13 +105,13 @@
         w.step(&[change(m, Listed::Gone)]);
         w.now += S;
     }
-    assert_eq!(w.router.remembered(), 3, "those in service");
+    assert_eq!(w.router.lore().members.len(), 3, "those in service");
     w.step(&[change(0, Listed::Draining), change(0, Listed::Gone)]);
-    assert_eq!(w.router.remembered(), 3, "the primary still has a request");
+    assert_eq!(w.router.lore().members.len(), 3, "the primary still has a request");
     w.end(id, 0, 0, Outcome::Ok, Role::Primary);
     w.report(0, true, w.now);
     w.step(&[change(1, Listed::Ready)]);
-    assert_eq!(w.router.remembered(), 2);
+    assert_eq!(w.router.lore().members.len(), 2);
     w.step(&[change(0, Listed::Ready)]);
     w.report(0, true, w.now);
     let (id, out) = w.ask(WRITE, None);
