Let quiet connections make room early in a crowd, as clients share a third of the descriptors

A trace of who holds the places, each half second: at 2.7 s, with 84 of 214 places taken, requests fall from 300 to 100 a second and then to 60, while 126 connections rest between two requests and 2 are busy: 128 together, a third of 384 descriptors, which is what the platform lets clients hold. So places were not what ran out, and what was tried before (2 s of quiet at the edge) came too late. At fault: Places::take, which frees a quiet connection only when no place is left. Ruled out: CPU (0.14 s in the busiest second) and turned-away clients (none yet then).

--- a/src/main.rs
+++ b/src/main.rs
@@ -19,7 +19,7 @@
 use net::kin::Kin;
 use net::log::log;
 use net::mode::Modes;
-use net::places::Places;
+use net::places::{Places, TIDY};
 use net::request::Core;
 use net::router::{drive, Mailbox};
 use net::{duration, Clock};
@@ -40,6 +40,8 @@
 /// Of the others, one in so many is for database hosts. Clients need more: they hold connections while their
 /// requests wait, and hosts are sent no more at a time than the module lets them have.
 const HOSTS_PART: usize = 3;
+/// Clients may hold a third of all descriptors; from half of that on, quiet ones make room for others.
+const CROWD_PART: usize = 6;
 /// Clients that may wait to be accepted.
 const BACKLOG: u32 = 1024;
 /// The front layer goes on sending for a while after SIGTERM: so long the gateway takes all that comes.
@@ -115,7 +117,7 @@
         core: Rc::new(core),
         pool,
         classes: Rc::clone(&classes),
-        places: Places::new(free - for_hosts),
+        places: Places::new(free - for_hosts, config.sockets / CROWD_PART),
         modes: Rc::clone(&modes),
     });
     if let Some(path) = &config.meet {
@@ -138,6 +140,7 @@
     let (answered, mut told) = watch::channel(false);
     spawn_local(discovery::watch(addresses, seen, Rc::clone(&backend), Rc::clone(&classes), answered));
     spawn_local(sweep(Rc::clone(&backend)));
+    spawn_local(tidy(Rc::clone(&front.places)));
     let (welcoming, at) = (Rc::clone(&front), Rc::clone(&listener));
     let accepting = spawn_local(async move {
         // Clients wait in the queue, or are served by the process that is there already. Danger: what discovery has
@@ -227,6 +230,14 @@
     }
 }
 
+async fn tidy(places: Rc<Places>) {
+    let mut turn = interval(TIDY);
+    loop {
+        turn.tick().await;
+        places.tidy();
+    }
+}
+
 async fn sweep(backend: Rc<Backend>) {
     let mut turn = interval(SWEEP);
     loop {
--- a/src/net/places.rs
+++ b/src/net/places.rs
@@ -14,6 +14,12 @@
 /// And one between two requests so long: the platform's word.
 const IDLE: Duration = Duration::from_secs(2);
 
+/// And where there are more than a usual number of connections, so long. Danger: the platform lets clients hold a third
+/// of a gateway's descriptors; crowds that ask once and stay would leave those that ask again and again none.
+const CROWDED: Duration = Duration::from_millis(150);
+/// How often that is looked at.
+pub const TIDY: Duration = Duration::from_millis(50);
+
 /// Why a connection waits with nothing owed to its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Quiet {
@@ -35,6 +41,8 @@
 /// The places of all client connections.
 pub struct Places {
     most: usize,
+    /// More than so many are a crowd.
+    usual: usize,
     /// Taken by another process of this gateway.
     pub elsewhere: Cell<usize>,
     /// Places that are taken, and connections.
@@ -62,10 +70,11 @@
 }
 
 impl Places {
-    /// So many places.
-    pub fn new(most: usize) -> Rc<Self> {
+    /// So many places, of which so many are in use on usual days.
+    pub fn new(most: usize, usual: usize) -> Rc<Self> {
         Rc::new(Places {
             most,
+            usual,
             elsewhere: Cell::new(0),
             taken: Cell::new(0),
             open: Cell::new(0),
@@ -102,6 +111,11 @@
         Some(Place { places: Rc::clone(self), counted: Rc::new(Cell::new(!crowded)), crowded })
     }
 
+    /// In a crowd, asks those to go that have been quiet longest between two requests.
+    pub fn tidy(&self) {
+        while self.taken.get() > self.usual && self.free(Quiet::Idle, CROWDED) {}
+    }
+
     /// Asks the first connection of a kind to go, if it has been quiet so long. Danger: clients that ask once
     /// and stay, or that connect and say nothing, would hold all places for ever.
     fn free(&self, kind: Quiet, spared: Duration) -> bool {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -531,6 +531,24 @@
     clients.iter_mut().for_each(|c| assert!(c.ask(&statement("read", 9_000)).contains("a1b2")));
 }
 
+/// Guards against crowds that ask once and stay: they would use up the third of the descriptors that all clients have
+/// together, while there are places left.
+#[test]
+fn in_a_crowd_quiet_connections_make_room_before_places_run_short() {
+    let host = Host::start("s-1", true, row);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    // 38 places, of which 20 are used on usual days.
+    let few = |c: &mut serde_json::Value| c["limits"]["sockets"] = json!(120);
+    let gateway = Gateway::with(&discovery, &[&host], few);
+    let mut clients: Vec<Client> = (0..30).map(|_| gateway.client()).collect();
+    clients.iter_mut().for_each(|c| assert!(c.ask(&statement("read", 9_000)).contains("a1b2")));
+    let mut usual = clients.split_off(10);
+    for c in &mut clients {
+        assert_eq!(c.stream.read(&mut [0]).unwrap(), 0, "those that have been quiet longest");
+    }
+    usual.iter_mut().for_each(|c| assert!(c.ask(&statement("read", 9_000)).contains("a1b2")));
+}
+
 /// Guards against clients that say nothing, or half of something, and hold their places for ever.
 #[test]
 fn whoever_does_not_say_what_it_wants_is_told_so_and_closed() {
