Let the budget of probes follow their price below one a request

At fault: the lower bound in on_request. The spend is 0.04 now, so that this site's usual price (0.04) pays for one a request as before, and the bound is gone.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -58,8 +58,8 @@
 const LONG_WAIT: Ns = 4;
 /// A fair part of a member's first limit below which limits of one proxy say nothing (they round to none).
 const SPARSE: f64 = 0.2;
-/// Probes that each request pays for: as many as take this part of the worth, but one or two; in calm times.
-const PROBE_SPEND: f64 = 0.02;
+/// Probes that each request pays for: as many as take this part of the worth, but two at most; in calm times.
+const PROBE_SPEND: f64 = 0.04;
 const NEED_MOST: f64 = 2.0;
 const CALM_SHARE: f64 = 0.1;
 /// Probes that may be saved up.
@@ -600,7 +600,7 @@
             proof_by: self.now + wait,
             draw: self.rng.rand_float(),
         };
-        let share = (PROBE_SPEND / self.s.probe_price.max(f64::EPSILON)).clamp(1.0, NEED_MOST);
+        let share = (PROBE_SPEND / self.s.probe_price.max(f64::EPSILON)).min(NEED_MOST);
         self.need_probes = (self.need_probes + share).min(PROBES_MOST);
         self.calm_probes = (self.calm_probes + CALM_SHARE).min(PROBES_MOST);
         self.calm_probes();
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -47,6 +47,36 @@
     }
 }
 
+/// Guards against probes that cost more than the requests that they are for are worth.
+#[test]
+fn dear_probes_are_fewer_than_the_requests_that_pay_for_them() {
+    for (price, least, most) in [(0.04, 300, 2_000), (0.4, 30, 200)] {
+        let mut s = settings(ServerChecks::None);
+        (s.proxies, s.seed, s.probe_price) = (1, 4, price);
+        let mut w = World::new(s);
+        let mut sum = 0;
+        for _ in 0..600 {
+            // Each read needs a replica that has just said how recent it is.
+            let (id, mut out) = w.ask(BOUNDED, None);
+            for _ in 0..8 {
+                sum += probes(&out);
+                let asked = out.iter().find_map(|a| match a {
+                    Action::Probe { member } => Some(*member),
+                    _ => None,
+                });
+                if let Some(m) = sent(id, &out) {
+                    w.end(id, 0, m, Outcome::Ok, Role::Replica);
+                }
+                out = match asked {
+                    Some(m) => told(&mut w, m.0, 0.0),
+                    None => w.pass(50 * MS),
+                };
+            }
+        }
+        assert!((least..most).contains(&sum), "{sum} probes at {price}");
+    }
+}
+
 #[test]
 fn a_sparse_proxy_holds_a_read_back_from_members_that_tell_they_are_full() {
     let mut w = many(ServerChecks::Refuse, 300, 3);
