Make the test of second copies wait until the copy has arrived

Seen: with six test runs at a time it failed in all six, as it relied on asking within 10 ms of an answer. Waiting for the copy showed why it had ever passed: the test's host left the copy to Nagle's algorithm, so that it came only with the next query on that connection, where no program can tell it from the answer. A trace with peek(2) on the idle connection showed that nothing had come, so the check of idle connections is ruled out as the cause. The host now sends at once, and the test asks again once the copy is out. It fails without the check (usable), and passes with three runs at a time.

--- a/tests/gateway/house.rs
+++ b/tests/gateway/house.rs
@@ -145,6 +145,8 @@
     primary: &Watched<bool>,
     count: &Watched<usize>,
 ) -> Option<()> {
+    // What is written leaves at once, and not only with the next acknowledgement.
+    stream.set_nodelay(true).unwrap();
     read_startup(&mut stream)?;
     let ready = message(b'Z', b"I");
     stream.write_all(&[message(b'R', &[0; 4]), ready.clone()].concat()).ok()?;
@@ -182,7 +184,9 @@
                 let whole = [row(value), ready.clone()].concat();
                 stream.write_all(&whole).ok()?;
                 std::thread::sleep(Duration::from_millis(2));
-                whole
+                stream.write_all(&whole).ok()?;
+                seen.change(|s| s.push("copied".into()));
+                continue;
             }
             Say::Error(code) => {
                 let error = format!("SERROR\0C{code}\0Mno\0\0");
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -137,9 +137,11 @@
     let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
     let gateway = Gateway::start(&discovery, &[&host]);
     let mut client = gateway.client();
-    for _ in 0..5 {
+    for n in 1..=5 {
         assert!(client.ask(&statement("once", 9_000)).contains("first"));
-        assert!(client.ask(&statement("once", 9_000)).contains("second"));
+        host.seen.wait("the copy", |s| (s.iter().filter(|l| *l == "copied").count() == n).then_some(()));
+        let second = client.ask(&statement("once", 9_000));
+        assert!(second.contains("second"), "{second}");
     }
 }
 
