--- a/src/net/pg.rs
+++ b/crates/pg/src/lib.rs
@@ -1,6 +1,9 @@
 //! PostgreSQL's wire protocol, version 3: framing, messages and the comment in which a statement carries what
 //! the gateway needs. Pure and bounded: no I/O, and nothing from outside is trusted.
 
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
 use bytes::{BufMut, BytesMut};
 use std::ops::Range;
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,11 +12,12 @@
 pub mod log;
 pub mod mode;
 pub mod pace;
-pub mod pg;
 pub mod places;
 pub mod request;
 pub mod router;
 
+pub use irisrouter_pg as pg;
+
 use irisrouter::api::Ns;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
