--- /dev/null
+++ b/crates/world/src/cpu.rs
@@ -0,0 +1,338 @@
+//! A host's cores, shared evenly by the jobs in work (processor sharing), with a capacity that ramps after a start.
+//!
+//! Exact, and cheap at any number of jobs: instead of each job's remaining work it keeps the service that a job
+//! present all along would have attained, and each job ends when that has grown by its work. While no job comes or
+//! goes the growth has a closed form, also along the ramp, so that nothing is stepped.
+
+use crate::Ns;
+use std::cmp::{Ordering, Reverse};
+use std::collections::BinaryHeap;
+
+/// Jobs whose end is this close, in nanoseconds of work, have ended: times are whole nanoseconds, service is not.
+const CLOSE: f64 = 0.75;
+
+/// A capacity that rises evenly from a part of the whole to the whole.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ramp {
+    /// When it begins.
+    pub start: Ns,
+    /// The part with which it begins.
+    pub from: f64,
+    /// How long it takes.
+    pub length: Ns,
+}
+
+impl Ramp {
+    /// Warm since long ago.
+    pub fn warm() -> Self {
+        Ramp { start: 0, from: 1.0, length: 0 }
+    }
+
+    /// The part at a time.
+    pub fn at(&self, t: Ns) -> f64 {
+        if t >= self.end() {
+            return 1.0;
+        }
+        let gone = (t - self.start).max(0) as f64 / self.length.max(1) as f64;
+        self.from + (1.0 - self.from) * gone
+    }
+
+    /// When it is over.
+    pub fn end(&self) -> Ns {
+        self.start + self.length
+    }
+
+    /// Rise of the part in a nanosecond.
+    fn slope(&self) -> f64 {
+        (1.0 - self.from) / self.length.max(1) as f64
+    }
+
+    /// The time at which the part is this much, within the ramp.
+    fn when(&self, part: f64) -> f64 {
+        self.start as f64 + (part - self.from) / self.slope().max(f64::MIN_POSITIVE)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Finish {
+    service: f64,
+    order: u64,
+    job: u64,
+}
+
+impl Eq for Finish {}
+
+impl Ord for Finish {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.service.total_cmp(&other.service).then(self.order.cmp(&other.order))
+    }
+}
+
+impl PartialOrd for Finish {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+/// The cores of a host and the jobs that share them.
+#[derive(Clone, Debug)]
+pub struct Cpu {
+    at: Ns,
+    service: f64,
+    cores: f64,
+    /// Efficiency over slowness: what a core does in a nanosecond.
+    pace: f64,
+    ramp: Ramp,
+    frozen: bool,
+    jobs: BinaryHeap<Reverse<Finish>>,
+    order: u64,
+    /// Core time used, in nanoseconds of work.
+    used: f64,
+}
+
+impl Cpu {
+    /// Idle and warm.
+    pub fn new(cores: f64, now: Ns) -> Self {
+        Cpu {
+            at: now,
+            service: 0.0,
+            cores,
+            pace: 1.0,
+            ramp: Ramp::warm(),
+            frozen: false,
+            jobs: BinaryHeap::new(),
+            order: 0,
+            used: 0.0,
+        }
+    }
+
+    /// Jobs in work.
+    pub fn busy(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// What it can do at a time, in cores.
+    pub fn capacity(&self, now: Ns) -> f64 {
+        self.cores * self.ramp.at(now) * self.pace
+    }
+
+    /// Work done so far, in nanoseconds on a core.
+    pub fn used(&self) -> f64 {
+        self.used
+    }
+
+    /// The ramp that it is on.
+    pub fn ramp(&self) -> Ramp {
+        self.ramp
+    }
+
+    /// Changes what it can do, from now on.
+    pub fn set(&mut self, now: Ns, cores: f64, pace: f64) {
+        self.advance(now);
+        (self.cores, self.pace) = (cores.max(0.01), pace.max(0.001));
+    }
+
+    /// Begins a ramp.
+    pub fn start(&mut self, now: Ns, ramp: Ramp) {
+        self.advance(now);
+        self.ramp = ramp;
+    }
+
+    /// Stops and goes on: what is in work stays there.
+    pub fn freeze(&mut self, now: Ns, frozen: bool) {
+        self.advance(now);
+        self.frozen = frozen;
+    }
+
+    /// All jobs are lost.
+    pub fn clear(&mut self, now: Ns) {
+        self.advance(now);
+        self.jobs.clear();
+    }
+
+    /// A job comes.
+    pub fn add(&mut self, now: Ns, work: Ns, job: u64) {
+        self.advance(now);
+        self.order += 1;
+        let service = self.service + work.max(1) as f64;
+        self.jobs.push(Reverse(Finish { service, order: self.order, job }));
+    }
+
+    /// When the next job ends if none comes, goes or changes before.
+    pub fn next(&self) -> Option<Ns> {
+        let Reverse(first) = self.jobs.peek()?;
+        if self.frozen {
+            return None;
+        }
+        let left = first.service - self.service;
+        Some(self.at + self.time_for(left.max(0.0)).ceil().max(0.0) as Ns)
+    }
+
+    /// The next job that has ended by now.
+    pub fn ended(&mut self, now: Ns) -> Option<u64> {
+        self.advance(now);
+        let Reverse(first) = self.jobs.peek()?;
+        if first.service > self.service + CLOSE {
+            return None;
+        }
+        self.jobs.pop().map(|Reverse(f)| f.job)
+    }
+
+    /// Service of one job from the time reached until then.
+    fn advance(&mut self, now: Ns) {
+        if now > self.at {
+            if !self.frozen && !self.jobs.is_empty() {
+                let gained = self.gain((now - self.at) as f64);
+                self.service += gained;
+                self.used += gained * self.jobs.len() as f64;
+            }
+            self.at = now;
+        }
+    }
+
+    /// A job runs at the pace of a core, or of its part of all of them where they are fewer than the jobs: this many
+    /// cores for each job, once warm.
+    fn part(&self) -> f64 {
+        self.cores / self.jobs.len().max(1) as f64
+    }
+
+    /// Until when, from the time reached, a job's part still grows: to the end of the ramp, or to a whole core.
+    fn growing(&self) -> f64 {
+        let at = self.at as f64;
+        let part = self.part();
+        if self.at >= self.ramp.end() || part * self.ramp.at(self.at) >= 1.0 {
+            return 0.0;
+        }
+        let whole = if part > 1.0 { self.ramp.when(1.0 / part) } else { f64::INFINITY };
+        (whole.min(self.ramp.end() as f64) - at).max(0.0)
+    }
+
+    fn gain(&self, time: f64) -> f64 {
+        let grows = self.growing().min(time);
+        let rate = self.part() * self.ramp.at(self.at);
+        let rise = self.part() * self.ramp.slope();
+        let first = if grows > 0.0 { rate * grows + rise * grows * grows / 2.0 } else { 0.0 };
+        let then = self.settled();
+        (first + then * (time - grows).max(0.0)) * self.pace
+    }
+
+    /// The rate once it no longer grows.
+    fn settled(&self) -> f64 {
+        let grew = self.growing();
+        let end = self.at as f64 + grew;
+        let part = if end >= self.ramp.end() as f64 { 1.0 } else { self.ramp.at(end as Ns) };
+        (self.part() * part).min(1.0)
+    }
+
+    fn time_for(&self, service: f64) -> f64 {
+        let need = service / self.pace;
+        let grows = self.growing();
+        let rate = self.part() * self.ramp.at(self.at);
+        let rise = self.part() * self.ramp.slope();
+        let first = rate * grows + rise * grows * grows / 2.0;
+        if grows > 0.0 && need <= first {
+            // rise/2 x^2 + rate x = need, in the form that stays exact where the rise is next to nothing.
+            return 2.0 * need / (rate + (rate * rate + 2.0 * rise * need).sqrt());
+        }
+        grows + (need - first) / self.settled().max(1e-12)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::dice::{Dice, Stream};
+    use crate::{MS, SECOND};
+
+    fn run(cpu: &mut Cpu) -> Vec<(Ns, u64)> {
+        let mut ends = Vec::new();
+        while let Some(t) = cpu.next() {
+            while let Some(job) = cpu.ended(t) {
+                ends.push((t, job));
+            }
+        }
+        ends
+    }
+
+    #[test]
+    fn jobs_share_the_cores() {
+        let mut cpu = Cpu::new(2.0, 0);
+        (0..4).for_each(|job| cpu.add(0, 10 * MS, job));
+        cpu.add(0, 5 * MS, 9);
+        // Five on two cores: the short one ends after 12.5 ms; then four share, with 5 ms left each.
+        assert_eq!(
+            run(&mut cpu),
+            [(12_500_000, 9), (22_500_000, 0), (22_500_000, 1), (22_500_000, 2), (22_500_000, 3)]
+        );
+        assert!((cpu.used() - 45e6).abs() < 10.0, "{}", cpu.used());
+    }
+
+    /// The ramp's integral: from a quarter to the whole in 4 s, a core does 2.5 s of work in these, and 1 s in each after.
+    #[test]
+    fn a_ramp_gives_its_integral() {
+        let ramp = Ramp { start: SECOND, from: 0.25, length: 4 * SECOND };
+        for (work, ends) in [(2.5, 4.0), (3.5, 5.0), (0.25 + 0.75 / 8.0, 1.0)] {
+            let mut cpu = Cpu::new(1.0, SECOND);
+            cpu.start(SECOND, ramp);
+            cpu.add(SECOND, (work * 1e9) as Ns, 1);
+            let (t, _) = run(&mut cpu)[0];
+            assert!((t - SECOND - (ends * 1e9) as Ns).abs() <= 2, "{work}: {t}");
+        }
+        // Two cores, one job: it has a whole core once half of the capacity is there, after 4/3 s.
+        let mut cpu = Cpu::new(2.0, SECOND);
+        cpu.start(SECOND, ramp);
+        cpu.add(SECOND, 3 * SECOND, 1);
+        let (t, _) = run(&mut cpu)[0];
+        assert!((t - SECOND - (10 * SECOND / 3)).abs() <= 2, "{t}");
+    }
+
+    #[test]
+    fn a_ramp_walked_in_steps_gives_the_same() {
+        let ramp = Ramp { start: 0, from: 0.15, length: 14 * SECOND };
+        let (mut whole, mut steps) = (Cpu::new(5.0, 0), Cpu::new(5.0, 0));
+        for cpu in [&mut whole, &mut steps] {
+            cpu.start(0, ramp);
+            (0..7).for_each(|j| cpu.add(0, SECOND * (1 + j), j as u64));
+        }
+        (0..3000).for_each(|i| steps.advance(i * 10_000_000));
+        whole.advance(30 * SECOND - 10_000_000);
+        assert!((whole.service - steps.service).abs() < 10.0, "{} {}", whole.service, steps.service);
+    }
+
+    /// M/M/c against its closed form (Erlang's C; sharing leaves the numbers in it as they are with a queue): the mean
+    /// time in the system, and Little's law.
+    #[test]
+    fn a_queue_has_the_time_that_theory_gives() {
+        let (cores, mean, load) = (3.0, 40.0 * MS as f64, 0.8);
+        let rate = load * cores / mean;
+        let mut dice = Dice::new(3, Stream::Arrivals);
+        let mut cpu = Cpu::new(cores, 0);
+        let (mut now, mut came, mut total, mut area, mut n) =
+            (0, std::collections::HashMap::new(), 0.0, 0.0, 0u64);
+        let count = 200_000;
+        let mut next = 0;
+        while n < count {
+            let end = cpu.next().unwrap_or(Ns::MAX);
+            let t = next.min(end);
+            area += cpu.busy() as f64 * (t - now) as f64;
+            now = t;
+            while let Some(job) = cpu.ended(now) {
+                total += (now - came.remove(&job).unwrap_or(now)) as f64;
+                n += 1;
+            }
+            if now == next {
+                came.insert(now as u64, now);
+                cpu.add(now, dice.exponential(mean as Ns), now as u64);
+                next = now + dice.exponential((1.0 / rate) as Ns).max(1);
+            }
+        }
+        let a: f64 = load * cores;
+        let (p, c) = (1.0 + a + a * a / 2.0, a.powi(3) / 6.0 / (1.0 - load));
+        let waits = c / (p + c);
+        let expected = mean * (1.0 + waits / (cores * (1.0 - load)));
+        let measured = total / n as f64;
+        assert!((measured / expected - 1.0).abs() < 0.03, "{measured} against {expected}");
+        let little = area / now as f64 / (n as f64 / now as f64);
+        assert!((little / measured - 1.0).abs() < 0.001, "{little} {measured}");
+    }
+}
