--- /dev/null
+++ b/crates/lab/src/compare.rs
@@ -0,0 +1,223 @@
+//! Two choices of one scenario, paired by seed: each seed draws one day, and both live through it. What differs between
+//! them is the choice, so that the mean of the differences needs far fewer days than the difference of the means.
+
+use crate::figures::{Figures, VERSION};
+use crate::scenario::Scenario;
+use crate::virtual_run;
+use irisrouter_world::dice::{Dice, Stream};
+use rayon::prelude::*;
+use serde::Serialize;
+
+/// Samples of the bootstrap.
+const RESAMPLES: usize = 10_000;
+/// The interval's ends: 95 % lies between them.
+const ENDS: [f64; 2] = [0.025, 0.975];
+
+/// A mean with its 95 % interval.
+#[derive(Clone, Copy, Debug, Serialize, PartialEq)]
+pub struct Interval {
+    /// The mean.
+    pub mean: f64,
+    /// The interval's lower end.
+    pub low: f64,
+    /// The interval's upper end.
+    pub high: f64,
+}
+
+impl Interval {
+    /// The mean of some values, with the interval that the percentile bootstrap gives (Efron 1979). Of fewer than two
+    /// values nothing is known: the interval is that value alone.
+    pub fn of(values: &[f64], seed: u64) -> Interval {
+        let n = values.len();
+        let mean = |v: &mut dyn Iterator<Item = f64>| v.sum::<f64>() / n.max(1) as f64;
+        let middle = mean(&mut values.iter().copied());
+        if n < 2 {
+            return Interval { mean: middle, low: middle, high: middle };
+        }
+        let mut dice = Dice::new(seed, Stream::Day);
+        let mut means: Vec<f64> =
+            (0..RESAMPLES).map(|_| mean(&mut (0..n).map(|_| values[dice.index(n)]))).collect();
+        means.sort_by(f64::total_cmp);
+        let at = |part: f64| means[((part * RESAMPLES as f64) as usize).min(RESAMPLES - 1)];
+        Interval { mean: middle, low: at(ENDS[0]), high: at(ENDS[1]) }
+    }
+
+    /// It holds 0: no difference is shown.
+    pub fn holds_zero(&self) -> bool {
+        self.low <= 0.0 && self.high >= 0.0
+    }
+}
+
+/// One figure of both choices.
+#[derive(Clone, Debug, Serialize, PartialEq)]
+pub struct Compared {
+    /// Its name.
+    pub name: String,
+    /// Of A.
+    pub a: Interval,
+    /// Of B.
+    pub b: Interval,
+    /// B less A, paired by seed.
+    pub difference: Interval,
+    /// `better`, `worse` or `no difference shown`: of B against A.
+    pub verdict: String,
+}
+
+/// A comparison.
+#[derive(Clone, Debug, Serialize)]
+pub struct Comparison {
+    /// The version of this form.
+    pub version: u32,
+    /// The scenario's title.
+    pub scenario: String,
+    /// What A sets.
+    pub a: String,
+    /// What B sets.
+    pub b: String,
+    /// The seeds.
+    pub seeds: Vec<u64>,
+    /// The figures.
+    pub figures: Vec<Compared>,
+    /// All runs of A, by seed, without what is kept by second and host.
+    pub runs_a: Vec<Figures>,
+    /// All runs of B.
+    pub runs_b: Vec<Figures>,
+    /// The first run of A, whole, for the report.
+    #[serde(skip)]
+    pub first_a: Option<Figures>,
+    /// The first run of B.
+    #[serde(skip)]
+    pub first_b: Option<Figures>,
+}
+
+/// Runs a scenario for several seeds, on all cores, in order of the seeds.
+///
+/// # Errors
+/// Where the settings are not taken.
+pub fn runs(s: &Scenario, seeds: &[u64], done: &(dyn Fn() + Sync)) -> Result<Vec<Figures>, String> {
+    seeds
+        .par_iter()
+        .map(|&seed| {
+            let figures = virtual_run::run(s, seed);
+            done();
+            figures
+        })
+        .collect()
+}
+
+/// Compares two choices over these seeds.
+///
+/// # Errors
+/// Where the settings of one are not taken.
+pub fn compare(
+    (a, a_name): (&Scenario, String),
+    (b, b_name): (&Scenario, String),
+    seeds: &[u64],
+    done: &(dyn Fn() + Sync),
+) -> Result<Comparison, String> {
+    // Both choices of all seeds at once: the longest run does not leave the other cores idle halfway.
+    let jobs: Vec<(bool, u64)> = seeds.iter().flat_map(|&s| [(false, s), (true, s)]).collect();
+    let all: Vec<Figures> = jobs
+        .par_iter()
+        .map(|&(of_b, seed)| {
+            let figures = virtual_run::run(if of_b { b } else { a }, seed);
+            done();
+            figures
+        })
+        .collect::<Result<_, _>>()?;
+    let (mut of_a, mut of_b) = (Vec::new(), Vec::new());
+    for ((is_b, _), figures) in jobs.into_iter().zip(all) {
+        (if is_b { &mut of_b } else { &mut of_a }).push(figures);
+    }
+    let figures = table(&of_a, &of_b);
+    let (first_a, first_b) = (of_a.first().cloned(), of_b.first().cloned());
+    of_a.iter_mut().chain(&mut of_b).for_each(shorten);
+    Ok(Comparison {
+        version: VERSION,
+        scenario: a.title.clone(),
+        a: a_name,
+        b: b_name,
+        seeds: seeds.to_vec(),
+        figures,
+        runs_a: of_a,
+        runs_b: of_b,
+        first_a,
+        first_b,
+    })
+}
+
+/// What is kept by second and host is too much for many runs.
+pub fn shorten(f: &mut Figures) {
+    f.seconds.clear();
+    f.hosts.clear();
+    f.marks.clear();
+}
+
+/// All figures of some runs, each with its interval.
+pub fn summary(runs: &[Figures]) -> Vec<(&'static str, Interval)> {
+    let rows: Vec<_> = runs.iter().map(Figures::compared).collect();
+    let Some(first) = rows.first() else { return Vec::new() };
+    (0..first.len())
+        .map(|i| {
+            let values: Vec<f64> = rows.iter().map(|r| r[i].1).collect();
+            (first[i].0, Interval::of(&values, i as u64))
+        })
+        .collect()
+}
+
+fn table(a: &[Figures], b: &[Figures]) -> Vec<Compared> {
+    let (rows_a, rows_b): (Vec<_>, Vec<_>) =
+        (a.iter().map(Figures::compared).collect(), b.iter().map(Figures::compared).collect());
+    let Some(first) = rows_a.first() else { return Vec::new() };
+    (0..first.len())
+        .map(|i| {
+            let (name, _, more_is_better) = first[i];
+            let values = |rows: &[Vec<(&str, f64, bool)>]| rows.iter().map(|r| r[i].1).collect::<Vec<f64>>();
+            let (of_a, of_b) = (values(&rows_a), values(&rows_b));
+            let differences: Vec<f64> = of_a.iter().zip(&of_b).map(|(a, b)| b - a).collect();
+            let difference = Interval::of(&differences, i as u64);
+            let verdict = match (difference.holds_zero(), (difference.mean > 0.0) == more_is_better) {
+                (true, _) => "no difference shown",
+                (false, true) => "better",
+                (false, false) => "worse",
+            };
+            Compared {
+                name: name.to_string(),
+                a: Interval::of(&of_a, i as u64),
+                b: Interval::of(&of_b, i as u64),
+                difference,
+                verdict: verdict.to_string(),
+            }
+        })
+        .collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_interval_is_as_wide_as_theory_says() {
+        let mut dice = Dice::new(4, Stream::Arrivals);
+        // The mean of 400 draws of an even distribution: 1.96 standard errors to each side.
+        let values: Vec<f64> = (0..400).map(|_| dice.unit()).collect();
+        let i = Interval::of(&values, 1);
+        let error = (1.0 / 12.0_f64).sqrt() / 20.0;
+        assert!((i.mean - 0.5).abs() < 3.0 * error);
+        assert!(((i.high - i.low) / (2.0 * 1.96 * error) - 1.0).abs() < 0.1, "{i:?}");
+        assert_eq!(Interval::of(&[2.0], 1), Interval { mean: 2.0, low: 2.0, high: 2.0 });
+    }
+
+    /// Guards against an interval that misses too often: of 300 comparisons of like with like about 5 % show a
+    /// difference.
+    #[test]
+    fn like_and_like_mostly_show_no_difference() {
+        let mut dice = Dice::new(8, Stream::Arrivals);
+        let shown = (0..300).filter(|&seed| {
+            let differences: Vec<f64> = (0..30).map(|_| dice.unit() - dice.unit()).collect();
+            !Interval::of(&differences, seed).holds_zero()
+        });
+        let shown = shown.count();
+        assert!((5..=35).contains(&shown), "{shown} of 300");
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,13 @@
+//! The laboratory: fleets of gateways in front of a model of the world, in virtual time and on loopback, with faults,
+//! figures, comparisons and reports. `docs/lab.md` says why it is as it is.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod compare;
+pub mod figures;
+pub mod gateway;
+pub mod report;
+pub mod scenario;
+pub mod settings;
+pub mod virtual_run;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,1 +1,296 @@
-fn main() {}
+//! `irisrouter-lab`: runs scenarios, compares choices, and writes reports.
+
+#![forbid(unsafe_code)]
+
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
+use irisrouter_config::Variables;
+use irisrouter_lab::compare;
+use irisrouter_lab::figures::Figures;
+use irisrouter_lab::scenario::Scenario;
+use irisrouter_lab::{report, virtual_run};
+use std::io::{IsTerminal, Write};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use tracing::{info, warn};
+
+/// The laboratory of irisrouter: whole fleets of gateways, database sets and clients, with everything that can go
+/// wrong, in virtual time or on this machine's loopback addresses.
+#[derive(Parser)]
+#[command(
+    version,
+    about,
+    after_help = "Exit codes: 0 done; 1 it ran and failed; 2 the input is wrong, and nothing \
+    was started."
+)]
+struct Cli {
+    /// How the log on standard error is written.
+    #[arg(long, value_enum, default_value_t = LogFormat::Text, global = true)]
+    log_format: LogFormat,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogFormat {
+    Text,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a scenario once, or for several seeds, and say what it came to.
+    Run(RunArgs),
+    /// Run two choices of a scenario on the same days, and say what differs.
+    Compare(CompareArgs),
+    /// List the scenarios and what can be varied in each.
+    Scenarios {
+        /// Where they stand.
+        #[arg(long, default_value = "scenarios")]
+        dir: PathBuf,
+    },
+    /// Check a scenario and print it with all its figures; nothing is run.
+    Check {
+        /// The file.
+        scenario: PathBuf,
+        /// Set what the file declares.
+        #[arg(short = 'V', long = "var", value_name = "NAME=VALUE")]
+        vars: Vec<String>,
+    },
+    /// Print the JSON Schema that scenarios are checked against.
+    Schema,
+}
+
+#[derive(Args)]
+struct RunArgs {
+    /// The file.
+    scenario: PathBuf,
+    /// The day is drawn from it.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// So many days, from this seed on, with the mean and its 95 % interval.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=100_000))]
+    seeds: u64,
+    /// Set what the file declares.
+    #[arg(short = 'V', long = "var", value_name = "NAME=VALUE")]
+    vars: Vec<String>,
+    /// Write the figures to a file, as JSON.
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// Write a report to a file, as one HTML page.
+    #[arg(long, value_name = "FILE")]
+    html: Option<PathBuf>,
+    /// End with 1 if a rule was broken.
+    #[arg(long)]
+    strict: bool,
+}
+
+#[derive(Args)]
+struct CompareArgs {
+    /// The file.
+    scenario: PathBuf,
+    /// What A sets; may be given several times.
+    #[arg(long, value_name = "NAME=VALUE")]
+    a: Vec<String>,
+    /// What B sets; may be given several times.
+    #[arg(long, value_name = "NAME=VALUE")]
+    b: Vec<String>,
+    /// How many days.
+    #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u64).range(2..=100_000))]
+    seeds: u64,
+    /// The first day's seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Set what the file declares, for both.
+    #[arg(short = 'V', long = "var", value_name = "NAME=VALUE")]
+    vars: Vec<String>,
+    /// Write the comparison to a file, as JSON.
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// Write a report to a file, as one HTML page.
+    #[arg(long, value_name = "FILE")]
+    html: Option<PathBuf>,
+}
+
+/// Why a command ended.
+enum Failed {
+    /// The input is wrong.
+    Input(String),
+    /// It ran and failed.
+    Run(String),
+}
+
+impl From<irisrouter_config::Error> for Failed {
+    fn from(e: irisrouter_config::Error) -> Self {
+        Failed::Input(e.to_string())
+    }
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let filter = tracing_subscriber::EnvFilter::try_from_default_env()
+        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match cli.log_format {
+        LogFormat::Text => log.with_target(false).init(),
+        LogFormat::Json => log.json().init(),
+    }
+    let result = match cli.command {
+        Command::Run(args) => run(&args),
+        Command::Compare(args) => compared(&args),
+        Command::Scenarios { dir } => scenarios(&dir),
+        Command::Check { scenario, vars } => check(&scenario, &vars),
+        Command::Schema => print_json(&irisrouter_config::schema::<Scenario>()),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Failed::Run(why)) => {
+            eprintln!("irisrouter-lab: {why}");
+            ExitCode::from(1)
+        }
+        Err(Failed::Input(why)) => {
+            eprintln!("irisrouter-lab: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn variables(pairs: &[String]) -> Result<Variables, Failed> {
+    let mut v = Variables::none();
+    pairs.iter().try_for_each(|p| v.add(p)).map_err(Failed::Input)?;
+    Ok(v)
+}
+
+fn load(file: &Path, variables: &Variables) -> Result<Scenario, Failed> {
+    Ok(irisrouter_config::load::<Scenario>(file, variables)?)
+}
+
+/// Writes to standard output. Whoever reads it may stop reading, as `head` does: that is no failure.
+fn say(text: &str) {
+    let _ = std::io::stdout().write_all(text.as_bytes());
+}
+
+fn print_json<T: serde::Serialize>(value: &T) -> Result<(), Failed> {
+    let text = serde_json::to_string_pretty(value).map_err(|e| Failed::Run(e.to_string()))?;
+    say(&format!("{text}\n"));
+    Ok(())
+}
+
+fn write(path: &Path, text: &str) -> Result<(), Failed> {
+    std::fs::write(path, text).map_err(|e| Failed::Run(format!("{}: {e}", path.display())))?;
+    info!(file = %path.display(), "written");
+    Ok(())
+}
+
+fn write_json<T: serde::Serialize>(path: &Path, value: &T) -> Result<(), Failed> {
+    let text = serde_json::to_string(value).map_err(|e| Failed::Run(e.to_string()))?;
+    write(path, &text)
+}
+
+fn bar(length: u64) -> ProgressBar {
+    let bar = ProgressBar::new(length);
+    if !std::io::stderr().is_terminal() {
+        bar.set_draw_target(ProgressDrawTarget::hidden());
+    }
+    if let Ok(style) = ProgressStyle::with_template("{elapsed_precise} {bar:40} {pos}/{len} {msg}") {
+        bar.set_style(style);
+    }
+    bar
+}
+
+fn run(args: &RunArgs) -> Result<(), Failed> {
+    let scenario = load(&args.scenario, &variables(&args.vars)?)?;
+    if args.seeds > 1 {
+        return run_many(args, &scenario);
+    }
+    info!(scenario = %scenario.title, seed = args.seed, "runs in virtual time");
+    let progress = bar(scenario.world.length_s as u64);
+    let figures = virtual_run::run_with(&scenario, args.seed, &mut |s| progress.set_position(s as u64));
+    progress.finish_and_clear();
+    let figures = figures.map_err(Failed::Run)?;
+    say(&report::text(&figures));
+    if let Some(path) = &args.json {
+        write_json(path, &figures)?;
+    }
+    if let Some(path) = &args.html {
+        let page = report::page(&figures).map_err(Failed::Run)?;
+        write(path, &page)?;
+    }
+    judged(args.strict, &[figures])
+}
+
+fn run_many(args: &RunArgs, scenario: &Scenario) -> Result<(), Failed> {
+    let seeds: Vec<u64> = (args.seed..args.seed.saturating_add(args.seeds)).collect();
+    let progress = bar(args.seeds);
+    let runs = compare::runs(scenario, &seeds, &|| progress.inc(1)).map_err(Failed::Run)?;
+    progress.finish_and_clear();
+    say(&report::summary_text(scenario, &seeds, &compare::summary(&runs)));
+    if let Some(path) = &args.json {
+        write_json(path, &runs)?;
+    }
+    if let Some(path) = &args.html {
+        let page = report::page(&runs[0]).map_err(Failed::Run)?;
+        write(path, &page)?;
+    }
+    judged(args.strict, &runs)
+}
+
+fn judged(strict: bool, runs: &[Figures]) -> Result<(), Failed> {
+    let mut broken: Vec<String> = Vec::new();
+    for f in runs {
+        for what in f.broken() {
+            warn!(seed = f.seed, %what, "rule broken");
+            broken.push(format!("seed {}: {what}", f.seed));
+        }
+    }
+    if strict && !broken.is_empty() {
+        return Err(Failed::Run(format!("rules broken: {}", broken.join("; "))));
+    }
+    Ok(())
+}
+
+fn compared(args: &CompareArgs) -> Result<(), Failed> {
+    let both = variables(&args.vars)?;
+    let (a, b) = (both.with(&variables(&args.a)?), both.with(&variables(&args.b)?));
+    let (scenario_a, scenario_b) = (load(&args.scenario, &a)?, load(&args.scenario, &b)?);
+    if scenario_a == scenario_b {
+        return Err(Failed::Input("A and B are the same".into()));
+    }
+    let seeds: Vec<u64> = (args.seed..args.seed.saturating_add(args.seeds)).collect();
+    let progress = bar(args.seeds * 2);
+    let (names, done) = ((a.to_string(), b.to_string()), || progress.inc(1));
+    let comparison = compare::compare((&scenario_a, names.0), (&scenario_b, names.1), &seeds, &done)
+        .map_err(Failed::Run)?;
+    progress.finish_and_clear();
+    say(&report::comparison_text(&comparison));
+    if let Some(path) = &args.json {
+        write_json(path, &comparison)?;
+    }
+    if let Some(path) = &args.html {
+        let page = report::comparison_page(&comparison).map_err(Failed::Run)?;
+        write(path, &page)?;
+    }
+    Ok(())
+}
+
+fn scenarios(dir: &Path) -> Result<(), Failed> {
+    let entries = std::fs::read_dir(dir).map_err(|e| Failed::Input(format!("{}: {e}", dir.display())))?;
+    let mut files: Vec<PathBuf> = entries.filter_map(|e| e.ok().map(|e| e.path())).collect();
+    files.retain(|f| f.extension().is_some_and(|x| x == "jsonnet"));
+    files.sort();
+    for file in files {
+        let scenario = load(&file, &Variables::none())?;
+        let parameters = irisrouter_config::parameters(&file)?;
+        say(&format!("{}\n    {}\n", file.display(), scenario.title));
+        if !parameters.is_empty() {
+            say(&format!("    -V {}\n", parameters.join(", ")));
+        }
+    }
+    Ok(())
+}
+
+fn check(file: &Path, vars: &[String]) -> Result<(), Failed> {
+    let scenario = load(file, &variables(vars)?)?;
+    irisrouter_lab::settings::load(&scenario, 1).map_err(Failed::Input)?;
+    print_json(&scenario)
+}
--- /dev/null
+++ b/crates/lab/src/virtual_run.rs
@@ -0,0 +1,728 @@
+//! A run in virtual time: discrete events round the decision module itself, one `Router` a gateway, in one world.
+//!
+//! Deterministic: one scenario and seed, one result, byte for byte. Events of one moment happen in the order in which they
+//! were planned, and everything random comes from a stream of its own.
+
+use crate::figures::{Collector, Figures};
+use crate::gateway::{self, Attempt, Gateway, Stage};
+use crate::scenario::Scenario;
+use irisrouter::api::{Action, Event as Heard, Outcome, RequestId, Settings};
+use irisrouter_world::clients::{Arrivals, Clients, Fate, Next, Try};
+use irisrouter_world::dice::{Dice, Stream};
+use irisrouter_world::fleet::{Answer, Fleet, Note, Output, Probe, Query, Taken};
+use irisrouter_world::spec::Day;
+use irisrouter_world::{ms, seconds, GatewayId, HostId, Ns, MS, SECOND};
+use std::cmp::{Ordering, Reverse};
+use std::collections::{BinaryHeap, HashMap};
+
+/// Where virtual time begins. The module takes 0 for never, and hosts that were started long ago for warm.
+const START: Ns = 1_000_000 * SECOND;
+/// A request that is not answered so long after its client's time is unanswered.
+const SLACK: Ns = 50 * MS;
+/// A run ends so long after the last arrival's deadline at the latest.
+const AFTER: Ns = 5 * SECOND;
+/// A gateway closes a connection that has been idle for the host's time less this.
+const IDLE_MARGIN: Ns = SECOND;
+
+#[derive(Clone, Debug)]
+enum Event {
+    /// The next request comes.
+    Arrival,
+    /// A client tries again.
+    Retry(u64),
+    /// A try reaches its gateway.
+    Reaches(Try),
+    /// A client hears of its try.
+    ClientHears { of: Try, fate: Fate },
+    /// A client's time is over; it has left if there was no answer.
+    ClientTime(Try),
+    /// A client leaves early.
+    ClientLeaves(Try),
+    /// A gateway hears that a client has left.
+    Left { gateway: GatewayId, life: u32, call: u64, number: u32 },
+    /// A gateway looks at what has come.
+    Batch { gateway: GatewayId, life: u32 },
+    /// A wake-up of a gateway's module.
+    Wake { gateway: GatewayId, life: u32 },
+    /// The guard against no decision.
+    Guard { gateway: GatewayId, life: u32, id: RequestId },
+    /// A connection is asked for, at the host.
+    ConnectReaches(Leg),
+    /// A connection is up, at the gateway.
+    ConnectedReaches(Leg, u32),
+    /// A statement reaches its host.
+    QueryReaches(Leg, u32, Query),
+    /// An answer reaches the gateway.
+    AnswerReaches(Leg, Answer, Note, Ns),
+    /// A connection is reset or refused, at the gateway.
+    ResetReaches(Leg),
+    /// A gateway stops waiting.
+    Timeout(Leg),
+    /// A gateway stops waiting for a connection.
+    ConnectTimeout(Leg),
+    /// A probe reaches its host.
+    ProbeReaches { gateway: GatewayId, life: u32, host: HostId, sent: Ns },
+    /// What it found reaches the gateway.
+    ProbeAnswers { gateway: GatewayId, life: u32, host: HostId, sent: Ns, found: Option<Probe> },
+    /// A look at all hosts.
+    Sample,
+}
+
+/// One attempt's place.
+#[derive(Clone, Copy, Debug)]
+struct Leg {
+    gateway: GatewayId,
+    life: u32,
+    id: RequestId,
+    attempt: u32,
+    host: HostId,
+}
+
+struct Due {
+    at: Ns,
+    order: u64,
+    event: Event,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+
+impl Eq for Due {}
+
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+/// What a ticket at a host belongs to.
+#[derive(Clone, Copy, Debug)]
+enum Ticket {
+    Connect(Leg),
+    Query(Leg),
+}
+
+/// A run.
+pub struct Run<'a> {
+    scenario: &'a Scenario,
+    settings: Settings,
+    day: Day,
+    fleet: Fleet,
+    clients: Clients,
+    arrivals: std::iter::Peekable<Arrivals>,
+    gateways: Vec<Gateway>,
+    queue: BinaryHeap<Reverse<Due>>,
+    order: u64,
+    tickets: HashMap<u64, Ticket>,
+    next_ticket: u64,
+    network: Dice,
+    seeds: Dice,
+    collector: Collector,
+    batch: Ns,
+    idle_close: Ns,
+    now: Ns,
+}
+
+/// Runs a scenario in virtual time.
+///
+/// # Errors
+/// Where the gateway's own code does not take the scenario's settings.
+pub fn run(scenario: &Scenario, seed: u64) -> Result<Figures, String> {
+    run_with(scenario, seed, &mut |_| ())
+}
+
+/// Runs a scenario and tells, each second of virtual time, how far it has come.
+///
+/// # Errors
+/// As [`run`].
+pub fn run_with(scenario: &Scenario, seed: u64, progress: &mut dyn FnMut(f64)) -> Result<Figures, String> {
+    let settings = gateway::settings_of(scenario, seed)?;
+    let world = &scenario.world;
+    let fleet = Fleet::new(world, seed, START);
+    let mut seeds = Dice::new(seed, Stream::Gateways);
+    let gateways = (0..world.gateways)
+        .map(|g| {
+            let own = Settings { seed: seeds.number(), ..settings.clone() };
+            Gateway::start(&own, 0, fleet.list().view(GatewayId(g)))
+        })
+        .collect();
+    let mut run = Run {
+        settings,
+        day: fleet.day().clone(),
+        clients: Clients::new(world, seed, START),
+        arrivals: Arrivals::new(world, seed).peekable(),
+        fleet,
+        gateways,
+        queue: BinaryHeap::new(),
+        order: 0,
+        tickets: HashMap::new(),
+        next_ticket: 0,
+        network: Dice::new(seed, Stream::Network),
+        seeds,
+        collector: Collector::new(scenario, START),
+        batch: (scenario.gateway.batch_us * 1000.0) as Ns,
+        idle_close: (seconds(world.hosts.idle_close_s) - IDLE_MARGIN).max(SECOND / 10),
+        now: START,
+        scenario,
+    };
+    run.go(progress);
+    Ok(run.collector.figures(scenario, "virtual", seed, &run.fleet))
+}
+
+impl Run<'_> {
+    fn go(&mut self, progress: &mut dyn FnMut(f64)) {
+        for g in 0..self.gateways.len() {
+            self.plan_batch(GatewayId(g as u32));
+        }
+        if let Some(first) = self.arrivals.peek().map(|a| START + a.at) {
+            self.push(first, Event::Arrival);
+        }
+        self.push(START, Event::Sample);
+        let length = seconds(self.scenario.world.length_s);
+        let longest = self.scenario.world.classes.iter().map(|c| ms(c.deadline_ms)).max().unwrap_or(0);
+        let tries = Ns::from(self.scenario.world.clients.retries) + 1;
+        let end = START + length + longest * tries + AFTER;
+        loop {
+            let own = self.queue.peek().map(|Reverse(d)| d.at);
+            let theirs = self.fleet.next();
+            let Some(at) = [own, theirs].into_iter().flatten().min().filter(|&at| at <= end) else { break };
+            if at >= START + length && self.arrivals.peek().is_none() && self.clients.open() == 0 {
+                break;
+            }
+            if at / SECOND != self.now / SECOND {
+                progress((at - START) as f64 / SECOND as f64);
+            }
+            self.now = at;
+            // At one moment the world goes first.
+            if theirs == Some(at) {
+                self.settle();
+            }
+            while self.queue.peek().is_some_and(|Reverse(d)| d.at == at) {
+                if let Some(Reverse(due)) = self.queue.pop() {
+                    self.happen(due.event);
+                }
+            }
+            self.settle();
+        }
+    }
+
+    fn push(&mut self, at: Ns, event: Event) {
+        self.order += 1;
+        self.queue.push(Reverse(Due { at: at.max(self.now), order: self.order, event }));
+    }
+
+    fn way(&mut self, usual: Ns) -> Ns {
+        (usual as f64 * (1.0 + self.day.jitter * self.network.unit())) as Ns
+    }
+
+    fn hostward(&mut self, event: Event) {
+        let at = self.now + self.way(self.day.host_way);
+        self.push(at, event);
+    }
+
+    fn clientward(&mut self, of: Try, fate: Fate) {
+        let at = self.now + self.way(self.day.client_way);
+        self.push(at, Event::ClientHears { of, fate });
+    }
+
+    /// What has come of the world by now.
+    fn settle(&mut self) {
+        loop {
+            let outputs = self.fleet.advance(self.now);
+            if outputs.is_empty() {
+                return;
+            }
+            outputs.into_iter().for_each(|o| self.world_says(o));
+        }
+    }
+
+    fn world_says(&mut self, output: Output) {
+        match output {
+            Output::Answered { ticket, answer, note, work, .. } => {
+                if let Some(Ticket::Query(leg)) = self.tickets.remove(&ticket) {
+                    self.hostward(Event::AnswerReaches(leg, answer, note, work));
+                }
+            }
+            Output::Connected { ticket, host } => {
+                let epoch = self.fleet.host(host).epoch;
+                if let Some(Ticket::Connect(leg)) = self.tickets.remove(&ticket) {
+                    self.hostward(Event::ConnectedReaches(leg, epoch));
+                }
+            }
+            Output::Broken { host } => self.broken(host),
+            Output::Told { gateway, entry } => {
+                if self.gateways[gateway.0 as usize].alive {
+                    self.gateways[gateway.0 as usize].told(&entry);
+                    self.plan_batch(gateway);
+                }
+            }
+            Output::Gateway { gateway, up } => self.gateway(gateway, up),
+            Output::DatagramsLost(_) => {}
+            Output::Fault { index, begins, hosts } => {
+                let p = &self.fleet.plan()[index];
+                let numbers: Vec<String> = hosts.iter().map(|h| h.0.to_string()).collect();
+                let of =
+                    if numbers.len() > 12 { format!("{} hosts", numbers.len()) } else { numbers.join(" ") };
+                let what = format!("{} #{index} {of}", p.name.replace('_', " "));
+                let returns = p.fault.silent.is_some() || p.fault.reset.is_some();
+                if begins {
+                    self.collector.mark(self.now, what, true);
+                } else {
+                    // It ends under the name that it began with: the hosts are the same.
+                    self.collector.ends(self.now, &what);
+                    if returns {
+                        self.collector.returned(self.now);
+                    }
+                }
+            }
+            Output::Primary { set, host } => {
+                let what = format!("set {} without a primary", set.0);
+                match host {
+                    None => self.collector.mark(self.now, what, true),
+                    Some(_) => self.collector.ends(self.now, &what),
+                }
+            }
+            Output::Fallen { host } => {
+                self.collector.mark(self.now, format!("host {} knocked over", host.0), false);
+            }
+        }
+    }
+
+    /// All connections to a host are reset: whoever waits on one is told.
+    fn broken(&mut self, host: HostId) {
+        for g in 0..self.gateways.len() {
+            let gateway = GatewayId(g as u32);
+            let life = self.gateways[g].life;
+            self.gateways[g].idle.remove(&host);
+            let mut legs: Vec<Leg> = Vec::new();
+            for (&id, open) in &self.gateways[g].open {
+                for (i, a) in open.attempts.iter().enumerate() {
+                    if a.host == host && a.stage != Stage::Over {
+                        legs.push(Leg { gateway, life, id, attempt: i as u32, host });
+                    }
+                }
+            }
+            // The table has no order of its own.
+            legs.sort_by_key(|l| (l.id, l.attempt));
+            legs.into_iter().for_each(|leg| self.hostward(Event::ResetReaches(leg)));
+        }
+    }
+
+    fn gateway(&mut self, gateway: GatewayId, up: bool) {
+        let g = gateway.0 as usize;
+        self.clients.gateway(self.now, gateway, up);
+        let what = format!("gateway {g} away");
+        if up {
+            let settings = Settings { seed: self.seeds.number(), ..self.settings.clone() };
+            let life = self.gateways[g].life + 1;
+            self.gateways[g] = Gateway::start(&settings, life, self.fleet.list().view(gateway));
+            self.collector.ends(self.now, &what);
+            return self.plan_batch(gateway);
+        }
+        self.collector.mark(self.now, what, true);
+        let old = &mut self.gateways[g];
+        old.alive = false;
+        old.life += 1;
+        let idle: Vec<(HostId, u32)> = {
+            let all = std::mem::take(&mut old.idle);
+            all.into_iter().flat_map(|(h, c)| c.into_iter().map(move |c| (h, c.epoch))).collect()
+        };
+        let mut open: Vec<(RequestId, gateway::Open)> = std::mem::take(&mut old.open).into_iter().collect();
+        open.sort_by_key(|(id, _)| *id);
+        let mut closed = idle;
+        for (_, o) in open {
+            if !o.over {
+                self.clientward(o.of, Fate::Broken);
+            }
+            let busy = o.attempts.iter().filter(|a| a.stage == Stage::Sent);
+            closed.extend(busy.map(|a| (a.host, a.epoch)));
+        }
+        closed.sort_unstable();
+        for (host, epoch) in closed {
+            self.fleet.close(self.now, host, epoch);
+        }
+    }
+
+    fn plan_batch(&mut self, gateway: GatewayId) {
+        let g = &mut self.gateways[gateway.0 as usize];
+        if g.alive && !g.batch_planned {
+            g.batch_planned = true;
+            let life = g.life;
+            self.push(self.now + self.batch, Event::Batch { gateway, life });
+        }
+    }
+
+    /// The gateway of a process that still runs.
+    fn living(&mut self, gateway: GatewayId, life: u32) -> Option<&mut Gateway> {
+        let g = &mut self.gateways[gateway.0 as usize];
+        (g.alive && g.life == life).then_some(g)
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Arrival => {
+                if let Some(arrival) = self.arrivals.next() {
+                    let of = self.clients.begin(self.now, arrival);
+                    self.send(of);
+                }
+                if let Some(next) = self.arrivals.peek().map(|a| START + a.at) {
+                    self.push(next, Event::Arrival);
+                }
+            }
+            Event::Retry(call) => {
+                if let Some(of) = self.clients.again(self.now, call) {
+                    self.send(of);
+                }
+            }
+            Event::Reaches(of) => self.reaches(of),
+            Event::ClientHears { of, fate } => self.client_ends(of, fate),
+            Event::ClientTime(of) => {
+                let (call, number) = (of.call, of.number);
+                let g = &self.gateways[of.gateway.0 as usize];
+                if g.alive && g.of_try.contains_key(&(call, number)) {
+                    self.collector.unanswered += 1;
+                }
+                self.client_ends(of, Fate::TimedOut);
+            }
+            Event::ClientLeaves(of) => {
+                let life = self.gateways[of.gateway.0 as usize].life;
+                let at = self.now + self.way(self.day.client_way);
+                let (gateway, call, number) = (of.gateway, of.call, of.number);
+                self.push(at, Event::Left { gateway, life, call, number });
+                self.client_ends(of, Fate::Left);
+            }
+            Event::Left { gateway, life, call, number } => {
+                let Some(g) = self.living(gateway, life) else { return };
+                if let Some(&id) = g.of_try.get(&(call, number)) {
+                    g.over(id);
+                    g.post(Heard::Left { id });
+                    self.plan_batch(gateway);
+                }
+            }
+            Event::Batch { gateway, life } => {
+                let now = self.now;
+                let Some(g) = self.living(gateway, life) else { return };
+                let actions = g.batch(now);
+                actions.into_iter().for_each(|a| self.act(gateway, a));
+            }
+            Event::Wake { gateway, life } => {
+                let now = self.now;
+                let Some(g) = self.living(gateway, life) else { return };
+                if g.wake.is_some_and(|w| w <= now) {
+                    g.wake = None;
+                    g.post(Heard::Wake);
+                    self.plan_batch(gateway);
+                }
+            }
+            Event::Guard { gateway, life, id } => {
+                let Some(g) = self.living(gateway, life) else { return };
+                if let Some(of) = g.over(id) {
+                    g.post(Heard::Left { id });
+                    self.plan_batch(gateway);
+                    self.clientward(of, Fate::Failed);
+                }
+            }
+            Event::ConnectReaches(leg) => self.connect_reaches(leg),
+            Event::ConnectedReaches(leg, epoch) => self.connected(leg, epoch),
+            Event::QueryReaches(leg, epoch, query) => self.query_reaches(leg, epoch, query),
+            Event::AnswerReaches(leg, answer, note, work) => self.answered(leg, answer, note, work),
+            Event::ResetReaches(leg) => {
+                let stage = self.attempt(leg).map(|a| a.stage);
+                let outcome = match stage {
+                    Some(Stage::Connecting) => Outcome::ConnectFailed,
+                    _ => Outcome::Reset,
+                };
+                self.ended(leg, outcome, None);
+            }
+            Event::Timeout(leg) => {
+                let outcome = match self.attempt(leg).map(|a| a.stage) {
+                    Some(Stage::Connecting) => Outcome::ConnectFailed,
+                    _ => Outcome::TimedOut,
+                };
+                self.give_up(leg, outcome);
+            }
+            Event::ConnectTimeout(leg) => {
+                if self.attempt(leg).is_some_and(|a| a.stage == Stage::Connecting) {
+                    self.give_up(leg, Outcome::ConnectFailed);
+                }
+            }
+            Event::ProbeReaches { gateway, life, host, sent } => {
+                let found = self.fleet.probe(self.now, gateway, host);
+                if found != Probe::Silence {
+                    self.hostward(Event::ProbeAnswers { gateway, life, host, sent, found: Some(found) });
+                }
+            }
+            Event::ProbeAnswers { gateway, life, host, sent, found } => {
+                let elapsed = self.now - sent;
+                let Some(g) = self.living(gateway, life) else { return };
+                if !g.probing.remove(&(host, sent)) {
+                    return;
+                }
+                let (outcome, report) = match found {
+                    Some(Probe::Report(r)) => (Outcome::Ok, Some(gateway::report(&r))),
+                    Some(Probe::Refused) => (Outcome::ConnectFailed, None),
+                    Some(Probe::Silence) | None => (Outcome::ConnectFailed, None),
+                };
+                g.post(Heard::Probed { member: gateway::member(host), outcome, elapsed, report });
+                self.plan_batch(gateway);
+            }
+            Event::Sample => {
+                self.collector.sample(self.now, &mut self.fleet);
+                if self.now + SECOND < START + seconds(self.scenario.world.length_s) {
+                    self.push(self.now + SECOND, Event::Sample);
+                }
+            }
+        }
+    }
+
+    // ---- Clients ----
+
+    fn send(&mut self, of: Try) {
+        self.collector.tried(self.now, of.number == 0);
+        let at = self.now + self.way(self.day.client_way);
+        self.push(at, Event::Reaches(of));
+        self.push(of.deadline + SLACK, Event::ClientTime(of));
+        if let Some(leaves) = of.leaves {
+            self.push(leaves, Event::ClientLeaves(of));
+        }
+    }
+
+    fn client_ends(&mut self, of: Try, fate: Fate) {
+        // An answer that comes when its client's time is over is none.
+        let fate = match fate {
+            Fate::Served { .. } if self.now > of.deadline + SLACK => Fate::TimedOut,
+            fate => fate,
+        };
+        match self.clients.ended(self.now, of.call, of.number, of.sent, fate) {
+            Next::Again(at) => self.push(at, Event::Retry(of.call)),
+            Next::Done(finished) => self.collector.finished(&finished),
+            Next::Nothing => {}
+        }
+    }
+
+    fn reaches(&mut self, of: Try) {
+        let now = self.now;
+        let gateway = of.gateway;
+        let g = &mut self.gateways[gateway.0 as usize];
+        if !g.alive {
+            return self.clientward(of, Fate::Unreachable);
+        }
+        let life = g.life;
+        let (id, last) = g.take(now, of);
+        self.push(last, Event::Guard { gateway, life, id });
+        self.plan_batch(gateway);
+    }
+
+    // ---- What the module wants ----
+
+    fn act(&mut self, gateway: GatewayId, action: Action) {
+        let now = self.now;
+        let life = self.gateways[gateway.0 as usize].life;
+        match action {
+            Action::Send { id, member, limit } => self.begin(gateway, id, HostId(member.0), limit),
+            Action::Cancel { id, attempt } => {
+                if let Some(host) = self.gateways[gateway.0 as usize]
+                    .open
+                    .get(&id)
+                    .and_then(|o| o.attempts.get(attempt as usize).map(|a| a.host))
+                {
+                    self.give_up(Leg { gateway, life, id, attempt, host }, Outcome::Cancelled);
+                }
+            }
+            Action::Refuse { id, pause } => {
+                if let Some(of) = self.gateways[gateway.0 as usize].over(id) {
+                    let pause = (pause > 0).then_some(pause);
+                    self.collector.refused(now, pause);
+                    self.clientward(of, Fate::Refused { pause });
+                }
+            }
+            Action::Fail { id } => {
+                if let Some(of) = self.gateways[gateway.0 as usize].over(id) {
+                    self.clientward(of, Fate::Failed);
+                }
+            }
+            Action::Probe { member } => {
+                let host = HostId(member.0);
+                self.collector.probe(now);
+                self.gateways[gateway.0 as usize].probing.insert((host, now));
+                self.hostward(Event::ProbeReaches { gateway, life, host, sent: now });
+                let found = None;
+                let late = now + self.settings.limits.connect_timeout;
+                self.push(late, Event::ProbeAnswers { gateway, life, host, sent: now, found });
+            }
+            Action::Wake { after } => {
+                let at = now + after.max(0);
+                let g = &mut self.gateways[gateway.0 as usize];
+                // The earliest alone is kept, as on sockets.
+                if g.wake.is_none_or(|w| at < w) {
+                    g.wake = Some(at);
+                    self.push(at, Event::Wake { gateway, life });
+                }
+            }
+            Action::Watch => {}
+        }
+    }
+
+    fn begin(&mut self, gateway: GatewayId, id: RequestId, host: HostId, limit: Ns) {
+        let now = self.now;
+        let (idle_close, epoch) = (self.idle_close, self.fleet.host(host).epoch);
+        let g = &mut self.gateways[gateway.0 as usize];
+        let (life, ready) = (g.life, g.ready(host));
+        let Some(open) = g.open.get_mut(&id) else {
+            // The request was over before: the module hears that this one never left.
+            let attempt = 0;
+            g.post(Heard::Ended {
+                id,
+                attempt,
+                member: gateway::member(host),
+                outcome: Outcome::Moot,
+                elapsed: 0,
+                finished: true,
+                note: None,
+                report: None,
+            });
+            return self.plan_batch(gateway);
+        };
+        let attempt = open.attempts.len() as u32;
+        let copy = open.attempts.iter().any(|a| a.stage != Stage::Over);
+        let over = open.over;
+        let end = now + limit.max(0);
+        open.attempts.push(Attempt { host, stage: Stage::Connecting, began: now, end, epoch });
+        let leg = Leg { gateway, life, id, attempt, host };
+        if over || !ready {
+            g.ended(now, id, attempt, Outcome::Moot, None);
+            return self.plan_batch(gateway);
+        }
+        self.collector.attempt(now, copy);
+        let (idle, closed) = self.gateways[gateway.0 as usize].check_out(now, host, epoch, idle_close);
+        for _ in 0..closed {
+            self.fleet.close(now, host, epoch);
+        }
+        self.push(end, Event::Timeout(leg));
+        match idle {
+            Some(c) => self.query(leg, c.epoch),
+            None => {
+                self.collector.connection(now);
+                self.push(now + self.settings.limits.connect_timeout, Event::ConnectTimeout(leg));
+                // The way there and back again to shake hands, and once more to begin.
+                let at = now + 3 * self.way(self.day.host_way);
+                self.push(at, Event::ConnectReaches(leg));
+            }
+        }
+    }
+
+    fn attempt(&self, leg: Leg) -> Option<&Attempt> {
+        let g = self.gateways.get(leg.gateway.0 as usize).filter(|g| g.alive && g.life == leg.life)?;
+        g.open.get(&leg.id)?.attempts.get(leg.attempt as usize)
+    }
+
+    fn ticket(&mut self, of: Ticket) -> u64 {
+        self.next_ticket += 1;
+        self.tickets.insert(self.next_ticket, of);
+        self.next_ticket
+    }
+
+    fn connect_reaches(&mut self, leg: Leg) {
+        if !self.attempt(leg).is_some_and(|a| a.stage == Stage::Connecting) {
+            return;
+        }
+        let ticket = self.ticket(Ticket::Connect(leg));
+        match self.fleet.connect(self.now, leg.gateway, leg.host, ticket) {
+            Taken::Yes | Taken::Silence => {}
+            Taken::Reset => self.hostward(Event::ResetReaches(leg)),
+        }
+    }
+
+    fn connected(&mut self, leg: Leg, epoch: u32) {
+        let waits = self.attempt(leg).is_some_and(|a| a.stage == Stage::Connecting);
+        let Some(g) = self.living(leg.gateway, leg.life).filter(|_| waits) else {
+            // Nobody waits for it any more.
+            return self.fleet.close(self.now, leg.host, epoch);
+        };
+        if !g.ready(leg.host) {
+            // The list has changed while it came up, and the first byte counts.
+            let now = self.now;
+            self.gateways[leg.gateway.0 as usize].ended(now, leg.id, leg.attempt, Outcome::Moot, None);
+            self.fleet.close(now, leg.host, epoch);
+            return self.plan_batch(leg.gateway);
+        }
+        self.query(leg, epoch);
+    }
+
+    fn query(&mut self, leg: Leg, epoch: u32) {
+        let ticket = self.ticket(Ticket::Query(leg));
+        let sent = self.now;
+        let Some(open) = self.gateways[leg.gateway.0 as usize].open.get_mut(&leg.id) else { return };
+        if let Some(a) = open.attempts.get_mut(leg.attempt as usize) {
+            (a.stage, a.epoch) = (Stage::Sent, epoch);
+        }
+        let (of, arrived) = (&open.of, open.came);
+        let query = Query {
+            ticket,
+            gateway: leg.gateway,
+            class: of.arrival.class,
+            work: of.arrival.work,
+            key: of.arrival.key,
+            mark: of.mark,
+            sent,
+            arrived,
+        };
+        self.hostward(Event::QueryReaches(leg, epoch, query));
+    }
+
+    /// What was written arrives, also where its gateway has given it up or died since.
+    fn query_reaches(&mut self, leg: Leg, epoch: u32, query: Query) {
+        if self.fleet.query(self.now, leg.host, epoch, query) == Taken::Reset {
+            self.hostward(Event::ResetReaches(leg));
+        }
+    }
+
+    fn answered(&mut self, leg: Leg, answer: Answer, note: Note, work: Ns) {
+        let now = self.now;
+        let live = self.attempt(leg).is_some_and(|a| a.stage == Stage::Sent);
+        let Some(g) = self.living(leg.gateway, leg.life).filter(|_| live) else {
+            return self.collector.worked(work, false);
+        };
+        let write = g.open.get(&leg.id).map(|o| o.of.arrival.key.is_some());
+        let committed = write == Some(true) && answer == Answer::Row;
+        let epoch =
+            g.open.get(&leg.id).and_then(|o| o.attempts.get(leg.attempt as usize)).map_or(0, |a| a.epoch);
+        g.check_in(now, leg.host, epoch);
+        let served = if answer == Answer::Row { g.over_but_open(leg.id) } else { None };
+        self.collector.worked(work, served.is_some());
+        if let Some(of) = served {
+            self.clientward(of, Fate::Served { commit: committed.then_some(note.position) });
+        }
+        self.ended(leg, gateway::outcome(answer), Some(gateway::note(&note, committed)));
+    }
+
+    /// An attempt has ended with its connection whole or gone.
+    fn ended(&mut self, leg: Leg, outcome: Outcome, note: Option<irisrouter::api::Note>) {
+        let now = self.now;
+        let Some(g) = self.living(leg.gateway, leg.life) else { return };
+        if g.ended(now, leg.id, leg.attempt, outcome, note).is_some() {
+            self.plan_batch(leg.gateway);
+        }
+    }
+
+    /// A gateway stops waiting for an attempt: its connection is closed. What the host holds goes on.
+    fn give_up(&mut self, leg: Leg, outcome: Outcome) {
+        let now = self.now;
+        let Some(g) = self.living(leg.gateway, leg.life) else { return };
+        if let Some(was) = g.ended(now, leg.id, leg.attempt, outcome, None) {
+            if was.stage == Stage::Sent {
+                self.fleet.close(now, was.host, was.epoch);
+            }
+            self.plan_batch(leg.gateway);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/virtual_time.rs
@@ -0,0 +1,128 @@
+//! Runs in virtual time: one result for one seed, and the rules of the world seen from the outside.
+
+use irisrouter_config::Variables;
+use irisrouter_lab::compare;
+use irisrouter_lab::figures::Figures;
+use irisrouter_lab::scenario::Scenario;
+use irisrouter_lab::virtual_run::run;
+use irisrouter_world::spec::{Between, Checks, Fault, Need, Pick, Silent, Slow, WriteRepeats};
+use std::path::{Path, PathBuf};
+
+fn scenarios() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios")
+}
+
+fn scenario(name: &str, pairs: &[&str]) -> Scenario {
+    let mut v = Variables::none();
+    pairs.iter().for_each(|p| v.add(p).expect("a variable"));
+    irisrouter_config::load(&scenarios().join(format!("{name}.jsonnet")), &v)
+        .unwrap_or_else(|e| panic!("{e}"))
+}
+
+fn json(f: &Figures) -> String {
+    serde_json::to_string(f).expect("figures as JSON")
+}
+
+#[test]
+fn every_scenario_is_taken_by_the_gateway_and_runs() {
+    let mut seen = 0;
+    for entry in std::fs::read_dir(scenarios()).expect("scenarios") {
+        let path = entry.expect("an entry").path();
+        if path.extension().is_some_and(|x| x == "jsonnet") {
+            let mut s: Scenario =
+                irisrouter_config::load(&path, &Variables::none()).unwrap_or_else(|e| panic!("{e}"));
+            s.world.length_s = 14.0;
+            let f = run(&s, 1).unwrap_or_else(|e| panic!("{}: {e}", path.display()));
+            assert!(f.requests > 1000 && f.service > 0.3, "{}: {}", path.display(), f.service);
+            assert_eq!((f.stale_reads, f.unanswered, f.lost_requests), (0, 0, 0), "{}", path.display());
+            seen += 1;
+        }
+    }
+    assert!(seen >= 14, "{seen} scenarios");
+}
+
+/// The same bytes from one thread and from many, in whatever order they run.
+#[test]
+fn one_seed_is_one_result_whatever_the_threads() {
+    let s = scenario("night", &["length=40", "gateways=4"]);
+    let alone: Vec<String> = (1..=4).map(|seed| json(&run(&s, seed).expect("a run"))).collect();
+    let many = compare::runs(&s, &[1, 2, 3, 4], &|| ()).expect("runs");
+    assert_eq!(alone, many.iter().map(json).collect::<Vec<_>>());
+    assert_ne!(alone[0], alone[1]);
+}
+
+/// Two choices live through the same day: what comes does not depend on what becomes of it.
+#[test]
+fn arrivals_and_faults_do_not_depend_on_the_choice() {
+    let a = run(&scenario("storm", &["length=30", "silent=10"]), 5).expect("a run");
+    let b = run(&scenario("storm", &["length=30", "silent=10", "retries=0"]), 5).expect("a run");
+    let asked = |f: &Figures| f.seconds.iter().map(|s| s.first_tries).collect::<Vec<_>>();
+    let silent = |f: &Figures| f.marks.iter().find(|m| m.what.starts_with("silent")).cloned();
+    assert_eq!((asked(&a), silent(&a)), (asked(&b), silent(&b)));
+    assert!(a.tries_per_request > b.tries_per_request && b.tries_per_request == 1.0);
+}
+
+/// Arrivals go on while nothing answers, and what was never answered is counted against service.
+#[test]
+fn an_outage_is_not_omitted() {
+    let mut s = scenario("calm", &["length=20"]);
+    s.world.faults = vec![Fault {
+        at_s: Between::Value(10.0),
+        for_s: Between::Value(60.0),
+        silent: Some(Silent { hosts: Pick { share: Some(1.0), ..Pick::default() }, hang: false }),
+        ..Fault::default()
+    }];
+    let f = run(&s, 3).expect("a run");
+    let calm = run(&scenario("calm", &["length=20"]), 3).expect("a run");
+    let after = |f: &Figures| f.seconds[11..].iter().map(|s| s.first_tries).sum::<u64>();
+    assert_eq!(after(&f), after(&calm));
+    assert!(f.seconds[11..].iter().all(|s| s.earned == 0.0), "nothing is served");
+    let share = f.seconds[3..10].iter().map(|s| s.asked).sum::<f64>()
+        / f.seconds[3..].iter().map(|s| s.asked).sum::<f64>();
+    assert!((f.service - share).abs() < 0.03, "{} {share}", f.service);
+    assert_eq!(f.unanswered, 0, "each has its final answer all the same");
+}
+
+/// A lab that cannot fail is no lab: faults that are planted in the world show in its figures.
+#[test]
+fn planted_faults_are_found() {
+    // Clients that send their writes again without end, to a primary that comes back after the window.
+    let mut s = scenario("hang", &["length=30", "hangs=0.9"]);
+    s.world.clients.writes = WriteRepeats::Always;
+    s.world.clients.backoff_ms = Between::Value(1500.0);
+    s.world.sets.window_s = 0.2;
+    s.world.clients.patience = Between::Value(0.42);
+    let twice: u64 = (1..=6).map(|seed| run(&s, seed).expect("a run").applied_twice).sum();
+    assert!(twice > 0);
+    // Replicas that answer from whatever they have, and a gateway that takes them for recent: told a wider bound than
+    // the class has in the world.
+    let mut s = scenario("slow-apply", &["length=30"]);
+    s.world.hosts.checks = Checks::None;
+    s.world.faults[0].slow_apply = Some(Slow { hosts: None, times: Between::Value(40.0) });
+    for c in &mut s.world.classes {
+        if c.need == Need::Any {
+            (c.need, c.bound_ms) = (Need::Bounded, 300.0);
+        }
+    }
+    let honest = run(&s, 2).expect("a run");
+    assert_eq!(honest.stale_reads, 0, "the gateway proves its replicas recent");
+    // A cold host with next to no capacity, of which gateways are told more.
+    let mut s = scenario("storm", &["length=60", "silent=10", "share=0.5", "load=0.7"]);
+    s.world.hosts.cold_start = Between::Value(0.01);
+    s.world.hosts.cold_s = Between::Value(600.0);
+    let knocked: u64 = (1..=3).map(|seed| run(&s, seed).expect("a run").knocked_over).sum();
+    assert!(knocked > 0);
+}
+
+#[test]
+fn like_is_like_and_a_real_difference_is_shown() {
+    let a = scenario("storm", &["length=25", "silent=10"]);
+    let b = scenario("storm", &["length=25", "silent=10", "retries=0"]);
+    let seeds: Vec<u64> = (1..=8).collect();
+    let c = compare::compare((&a, "a".into()), (&b, "b".into()), &seeds, &|| ()).expect("a comparison");
+    let of = |name: &str| c.figures.iter().find(|f| f.name == name).expect("the figure").clone();
+    assert_eq!(of("tries_per_request").verdict, "better");
+    assert!(of("tries_per_request").difference.high < 0.0);
+    let same = compare::compare((&a, "a".into()), (&a, "a".into()), &seeds, &|| ()).expect("a comparison");
+    assert!(same.figures.iter().all(|f| f.verdict == "no difference shown" && f.difference.mean == 0.0));
+}
--- a/crates/world/src/clients.rs
+++ b/crates/world/src/clients.rs
@@ -1,1 +1,564 @@
-//! To come.
+//! Clients: which requests come and when, whatever becomes of those before them (an open loop), and what a client does
+//! with the answer to a try. The front that spreads them over the gateways is here too.
+
+use crate::dice::{Dice, Stream};
+use crate::faults::{self, Planned};
+use crate::spec::{ClientSpec, Day, Need, Spec, WriteRepeats};
+use crate::{ms, seconds, GatewayId, Ns, SetId};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+
+/// A request as it comes, before any try of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Arrival {
+    /// When, since the start of the run.
+    pub at: Ns,
+    /// Its number, in order of drawing.
+    pub call: u64,
+    /// Its set.
+    pub set: SetId,
+    /// Its class, by its place in the settings.
+    pub class: usize,
+    /// Its work on a core.
+    pub work: Ns,
+    /// Its session, in classes that have sessions.
+    pub session: Option<u64>,
+    /// Its idempotency key, on a write.
+    pub key: Option<u64>,
+    /// Decides on which gateway it comes in.
+    pub pick: u64,
+    /// It comes to any gateway, not to its session's.
+    pub roams: bool,
+}
+
+/// All arrivals of a day, in order.
+pub struct Arrivals {
+    day: Day,
+    needs: Vec<Need>,
+    variations: Vec<f64>,
+    floods: Vec<Planned>,
+    swing: (f64, f64, f64),
+    sessions: u64,
+    end: Ns,
+    /// Rate of those that follow no other, and its bound.
+    base: f64,
+    bound: f64,
+    /// The share of each class among them.
+    shares: Vec<f64>,
+    /// Session reads behind each write, in the mean.
+    behind: f64,
+    at: f64,
+    next: u64,
+    dice: Dice,
+    followers: BinaryHeap<Reverse<Arrival>>,
+    coming: Option<Arrival>,
+}
+
+impl Arrivals {
+    /// The arrivals of a day.
+    pub fn new(spec: &Spec, seed: u64) -> Self {
+        let day = Day::draw(spec, seed);
+        let needs: Vec<Need> = spec.classes.iter().map(|c| c.need).collect();
+        let sum = |need: Need| -> f64 {
+            let of = needs.iter().zip(&day.class_shares);
+            of.filter(|(n, _)| **n == need).map(|(_, share)| share).sum()
+        };
+        let (reads, writes) = (sum(Need::Session), sum(Need::Write));
+        let follow = if writes > 0.0 { reads * day.follows } else { 0.0 };
+        let mut shares = day.class_shares.clone();
+        for (share, need) in shares.iter_mut().zip(&needs) {
+            if *need == Need::Session && reads > 0.0 {
+                *share *= 1.0 - follow / reads;
+            }
+        }
+        let floods: Vec<Planned> =
+            faults::plan(spec, seed).into_iter().filter(|p| p.fault.flood.is_some()).collect();
+        let mut dice = Dice::new(seed, Stream::Arrivals);
+        let phase = dice.between(0.0, std::f64::consts::TAU);
+        let base = day.rate * (1.0 - follow);
+        let most: f64 = floods.iter().map(|f| f.part).sum();
+        let mut arrivals = Arrivals {
+            needs,
+            variations: spec.classes.iter().map(|c| c.work_variation).collect(),
+            swing: (spec.traffic.swing, spec.traffic.swing_s * 1e9, phase),
+            sessions: u64::from(spec.traffic.sessions),
+            end: seconds(spec.length_s),
+            bound: base * (1.0 + spec.traffic.swing + most),
+            base,
+            shares,
+            behind: if writes > 0.0 { follow / writes } else { 0.0 },
+            day,
+            floods,
+            at: 0.0,
+            next: 0,
+            dice,
+            followers: BinaryHeap::new(),
+            coming: None,
+        };
+        arrivals.coming = arrivals.draw();
+        arrivals
+    }
+
+    /// The next one that follows no other.
+    fn draw(&mut self) -> Option<Arrival> {
+        loop {
+            // Drawn at the highest rate, and kept with the part that the rate of the moment is of it.
+            let step = self.dice.exponential((1e9 / self.bound) as Ns).max(1);
+            self.at += step as f64;
+            if self.at >= self.end as f64 {
+                return None;
+            }
+            let (part, period, phase) = self.swing;
+            let calm = 1.0 + part * (std::f64::consts::TAU * self.at / period + phase).sin();
+            let now = self.at as Ns;
+            let on = |f: &&Planned| f.from <= now && now < f.until;
+            let flood: f64 = self.floods.iter().filter(on).map(|f| f.part).sum();
+            let kept = self.dice.unit() * self.bound;
+            if kept >= self.base * (calm + flood) {
+                continue;
+            }
+            let set = if kept < self.base * calm { self.any_set() } else { self.flooded_set(now) };
+            let class = weighted(&self.shares, self.dice.unit());
+            let session = set.0 as u64 * self.sessions + self.dice.index(self.sessions as usize) as u64;
+            return Some(self.arrival(now, set, class, session));
+        }
+    }
+
+    fn any_set(&mut self) -> SetId {
+        SetId(weighted(&self.day.set_shares, self.dice.unit()) as u32)
+    }
+
+    fn flooded_set(&mut self, now: Ns) -> SetId {
+        let on: Vec<&Planned> = self.floods.iter().filter(|f| f.from <= now && now < f.until).collect();
+        let parts: Vec<f64> = on.iter().map(|f| f.part).collect();
+        let sum: f64 = parts.iter().sum();
+        let shares: Vec<f64> = parts.iter().map(|p| p / sum.max(1e-12)).collect();
+        let sets = on[weighted(&shares, self.dice.unit())].sets.clone();
+        sets[self.dice.index(sets.len())]
+    }
+
+    fn arrival(&mut self, at: Ns, set: SetId, class: usize, session: u64) -> Arrival {
+        self.next += 1;
+        let work = self.dice.log_normal(self.day.work[class], self.variations[class]);
+        let need = self.needs[class];
+        let has_session = matches!(need, Need::Session | Need::Write);
+        let (pick, roams) = (self.dice.number(), self.dice.chance(self.day.roams));
+        Arrival {
+            at,
+            call: self.next,
+            set,
+            class,
+            work: (work as Ns).max(1000),
+            session: has_session.then_some(session),
+            // Never 0, and the same for all tries.
+            key: (need == Need::Write).then_some(self.next << 8 | 1),
+            pick,
+            roams,
+        }
+    }
+}
+
+/// The place of this part of the whole among shares that sum up to 1.
+fn weighted(shares: &[f64], mut at: f64) -> usize {
+    let sum: f64 = shares.iter().sum();
+    at *= sum;
+    for (i, share) in shares.iter().enumerate() {
+        if at < *share {
+            return i;
+        }
+        at -= share;
+    }
+    shares.iter().rposition(|s| *s > 0.0).unwrap_or(0)
+}
+
+impl Iterator for Arrivals {
+    type Item = Arrival;
+
+    fn next(&mut self) -> Option<Arrival> {
+        let follower_first = match (self.followers.peek(), &self.coming) {
+            (Some(Reverse(f)), Some(c)) => (f.at, f.call) < (c.at, c.call),
+            (Some(_), None) => true,
+            (None, _) => false,
+        };
+        if follower_first {
+            return self.followers.pop().map(|Reverse(f)| f);
+        }
+        let arrival = self.coming.take()?;
+        if self.needs[arrival.class] == Need::Write {
+            let reads: Vec<f64> = (self.needs.iter().zip(&self.day.class_shares))
+                .map(|(n, share)| if *n == Need::Session { *share } else { 0.0 })
+                .collect();
+            for _ in 0..self.dice.poisson(self.behind) {
+                let at = arrival.at + self.dice.exponential(self.day.gap).max(1);
+                let class = weighted(&reads, self.dice.unit());
+                let session = arrival.session.unwrap_or(0);
+                let follower = self.arrival(at, arrival.set, class, session);
+                if at < self.end {
+                    self.followers.push(Reverse(follower));
+                }
+            }
+        }
+        self.coming = self.draw();
+        Some(arrival)
+    }
+}
+
+/// One try of a request, as a client sends it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Try {
+    /// The request.
+    pub call: u64,
+    /// Which try of it, from 0.
+    pub number: u32,
+    /// Where it is sent.
+    pub gateway: GatewayId,
+    /// Its set, class, work, session and key.
+    pub arrival: Arrival,
+    /// The commit that it has to see; 0 for none.
+    pub mark: Ns,
+    /// It is marked as a repeat.
+    pub marked: bool,
+    /// When it is sent.
+    pub sent: Ns,
+    /// When it is given up.
+    pub deadline: Ns,
+    /// When its client leaves, where that is before.
+    pub leaves: Option<Ns>,
+}
+
+/// How a try ended, as its client sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// A row; of a write, its commit.
+    Served {
+        /// The commit, in the clock of the run.
+        commit: Option<Ns>,
+    },
+    /// Refused, with the pause that was told.
+    Refused {
+        /// For so long the client is to stay away.
+        pause: Option<Ns>,
+    },
+    /// An error.
+    Failed,
+    /// No gateway was reached: it never came there.
+    Unreachable,
+    /// The connection broke before an answer.
+    Broken,
+    /// Nothing came in time.
+    TimedOut,
+    /// The client left of its own accord.
+    Left,
+}
+
+/// What has become of a request, with its retries folded into its first try.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Finished {
+    /// The request.
+    pub arrival: Arrival,
+    /// When it was served, if it was.
+    pub served: Option<Ns>,
+    /// Tries that it took.
+    pub tries: u32,
+    /// How the last one ended.
+    pub last: Fate,
+}
+
+/// What a client does next.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Next {
+    /// It tries again at this time.
+    Again(Ns),
+    /// It is done.
+    Done(Finished),
+    /// Nothing: the try is over already.
+    Nothing,
+}
+
+struct Call {
+    arrival: Arrival,
+    number: u32,
+    out: bool,
+    /// When the first try that may have run was sent.
+    may_have_run: Option<Ns>,
+    backoff: Ns,
+}
+
+/// The clients and their front.
+pub struct Clients {
+    spec: ClientSpec,
+    start: Ns,
+    deadlines: Vec<Ns>,
+    needs: Vec<Need>,
+    window: Ns,
+    patience: f64,
+    backoff: Ns,
+    honour: f64,
+    notice: Ns,
+    gateways: u32,
+    /// Gateways that are dead, and since when.
+    dead: BTreeMap<GatewayId, Ns>,
+    open: HashMap<u64, Call>,
+    /// The last commit that each session knows of.
+    marks: HashMap<u64, Ns>,
+    dice: Dice,
+}
+
+impl Clients {
+    /// The clients of a day that starts then.
+    pub fn new(spec: &Spec, seed: u64, start: Ns) -> Self {
+        let day = Day::draw(spec, seed);
+        Clients {
+            spec: spec.clients.clone(),
+            start,
+            deadlines: spec.classes.iter().map(|c| ms(c.deadline_ms)).collect(),
+            needs: spec.classes.iter().map(|c| c.need).collect(),
+            window: seconds(spec.sets.window_s),
+            patience: day.patience,
+            backoff: day.backoff,
+            honour: day.honour,
+            notice: day.front_notice,
+            gateways: spec.gateways,
+            dead: BTreeMap::new(),
+            open: HashMap::new(),
+            marks: HashMap::new(),
+            dice: Dice::new(seed, Stream::Clients),
+        }
+    }
+
+    /// Requests that are not finished.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// A gateway dies, or starts again.
+    pub fn gateway(&mut self, now: Ns, gateway: GatewayId, up: bool) {
+        if up {
+            self.dead.remove(&gateway);
+        } else {
+            self.dead.insert(gateway, now);
+        }
+    }
+
+    /// Where the front sends a request: to its session's gateway or to any. It goes on sending to a dead one until it
+    /// has noticed.
+    fn front(&self, now: Ns, arrival: &Arrival, number: u32) -> GatewayId {
+        let count = u64::from(self.gateways.max(1));
+        let sticky = arrival.session.filter(|_| !arrival.roams);
+        let pick = match sticky {
+            Some(session) => mix(session),
+            None => mix(arrival.pick ^ u64::from(number)),
+        };
+        let known_dead = |g: GatewayId| self.dead.get(&g).is_some_and(|&since| now >= since + self.notice);
+        let first = GatewayId((pick % count) as u32);
+        if !known_dead(first) {
+            return first;
+        }
+        let alive: Vec<GatewayId> = (0..self.gateways).map(GatewayId).filter(|&g| !known_dead(g)).collect();
+        if alive.is_empty() {
+            first
+        } else {
+            alive[(mix(pick) % alive.len() as u64) as usize]
+        }
+    }
+
+    /// A request comes: its first try.
+    pub fn begin(&mut self, now: Ns, arrival: Arrival) -> Try {
+        let call = Call { arrival, number: 0, out: false, may_have_run: None, backoff: self.backoff };
+        self.open.insert(arrival.call, call);
+        self.attempt(now, arrival.call)
+    }
+
+    /// A client tries again, at the time that it was told to.
+    pub fn again(&mut self, now: Ns, call: u64) -> Option<Try> {
+        self.open.contains_key(&call).then(|| self.attempt(now, call))
+    }
+
+    fn attempt(&mut self, now: Ns, id: u64) -> Try {
+        let call = &self.open[&id];
+        let arrival = call.arrival;
+        let number = call.number;
+        let patience = (self.deadlines[arrival.class] as f64 * self.patience) as Ns;
+        let gateway = self.front(now, &arrival, number);
+        let session_read = self.needs[arrival.class] == Need::Session;
+        let mark = arrival.session.filter(|_| session_read).and_then(|s| self.marks.get(&s)).copied();
+        // Whether this one leaves early is its own matter: the draws of others do not shift it.
+        let draw = mix(arrival.pick ^ 0x1eaf ^ u64::from(number)) as f64 / u64::MAX as f64;
+        let leaves = (draw < self.spec.impatient).then_some(now + patience / 2);
+        if let Some(call) = self.open.get_mut(&id) {
+            call.out = true;
+        }
+        let marked = self.spec.marked && number > 0;
+        let mark = mark.unwrap_or(0);
+        Try { call: id, number, gateway, arrival, mark, marked, sent: now, deadline: now + patience, leaves }
+    }
+
+    /// A try has ended: what its client does next. A try that is over already ends once only.
+    pub fn ended(&mut self, now: Ns, id: u64, number: u32, sent: Ns, fate: Fate) -> Next {
+        let Some(call) = self.open.get_mut(&id).filter(|c| c.out && c.number == number) else {
+            return Next::Nothing;
+        };
+        call.out = false;
+        let write = self.needs[call.arrival.class] == Need::Write;
+        if matches!(fate, Fate::Failed | Fate::Broken | Fate::TimedOut | Fate::Left) {
+            call.may_have_run.get_or_insert(sent);
+        }
+        if let Fate::Served { commit } = fate {
+            if let (Some(session), Some(commit)) = (call.arrival.session, commit) {
+                let mark = self.marks.entry(session).or_insert(commit);
+                *mark = (*mark).max(commit);
+            }
+            return self.done(id, Some(now), fate);
+        }
+        let (number, backoff, may_have_run) = (call.number, call.backoff, call.may_have_run);
+        let at = now + self.wait(backoff, fate);
+        let may = match (write, self.spec.writes, may_have_run) {
+            (false, ..) | (_, WriteRepeats::Always, _) | (_, _, None) => true,
+            (_, WriteRepeats::Refused, Some(_)) => false,
+            // Its set drops a repeat that comes within the window; a third of it is for the way and the queue.
+            (_, WriteRepeats::Window, Some(first)) => at < first + self.window * 2 / 3,
+        };
+        if number >= self.spec.retries || fate == Fate::Left || !may {
+            return self.done(id, None, fate);
+        }
+        if let Some(call) = self.open.get_mut(&id) {
+            call.number += 1;
+            call.backoff *= 2;
+        }
+        Next::Again(at)
+    }
+
+    fn wait(&mut self, backoff: Ns, fate: Fate) -> Ns {
+        let chance = self.dice.between(0.5, 1.5);
+        let own = (backoff as f64 * chance) as Ns;
+        let honours = self.dice.chance(self.honour);
+        match fate {
+            Fate::Refused { pause: Some(pause) } if honours => {
+                own.max(pause.min(ms(self.spec.longest_wait_ms)))
+            }
+            _ => own,
+        }
+    }
+
+    fn done(&mut self, id: u64, served: Option<Ns>, last: Fate) -> Next {
+        match self.open.remove(&id) {
+            Some(call) => {
+                Next::Done(Finished { arrival: call.arrival, served, tries: call.number + 1, last })
+            }
+            None => Next::Nothing,
+        }
+    }
+
+    /// Time since the start of the run.
+    pub fn since_start(&self, now: Ns) -> Ns {
+        now - self.start
+    }
+}
+
+/// Spreads a number over all numbers (the finaliser of SplitMix64).
+fn mix(x: u64) -> u64 {
+    let mut z = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::spec::{Between, Fault, Flood};
+    use crate::{MS, SECOND};
+
+    fn spec() -> Spec {
+        let mut s = Spec { length_s: 200.0, ..Spec::default() };
+        s.traffic.requests_per_s = Some(400.0);
+        s
+    }
+
+    #[test]
+    fn arrivals_come_in_order_at_their_rate_and_in_their_shares() {
+        let spec = spec();
+        let all: Vec<Arrival> = Arrivals::new(&spec, 5).collect();
+        assert!(all.windows(2).all(|w| w[0].at <= w[1].at));
+        let rate = all.len() as f64 / 200.0;
+        assert!((rate / 400.0 - 1.0).abs() < 0.03, "{rate}");
+        for (i, c) in spec.classes.iter().enumerate() {
+            let of = all.iter().filter(|a| a.class == i).count() as f64 / all.len() as f64;
+            assert!((of / (c.share / 0.993) - 1.0).abs() < 0.12, "{}: {of}", c.name);
+        }
+        assert_eq!(all, Arrivals::new(&spec, 5).collect::<Vec<_>>(), "one seed, one day");
+    }
+
+    #[test]
+    fn a_flood_strikes_its_sets_alone_and_leaves_the_rest_as_it_was() {
+        let mut flooded = spec();
+        flooded.faults = vec![Fault {
+            flood: Some(Flood { sets: 1, part: Between::Value(0.5) }),
+            ..serde_fault(50.0, 100.0)
+        }];
+        let set = faults::plan(&flooded, 5)[0].sets[0];
+        let count = |s: &Spec, set: SetId, within: bool| {
+            let inside = |a: &Arrival| (50 * SECOND..150 * SECOND).contains(&a.at) == within;
+            Arrivals::new(s, 5).filter(|a| a.set == set && inside(a)).count() as f64
+        };
+        let calm = spec();
+        assert!((count(&flooded, set, true) / count(&calm, set, true) - 2.0).abs() < 0.25);
+        let other = SetId(1 - set.0);
+        assert!((count(&flooded, other, true) / count(&calm, other, true) - 1.0).abs() < 0.1);
+    }
+
+    fn serde_fault(at: f64, long: f64) -> Fault {
+        Fault { at_s: Between::Value(at), for_s: Between::Value(long), ..Fault::default() }
+    }
+
+    fn write(clients: &mut Clients, call: u64) -> Try {
+        let arrival = Arrivals::new(&spec(), 5).find(|a| a.key.is_some()).expect("a write");
+        clients.begin(SECOND, Arrival { call, ..arrival })
+    }
+
+    #[test]
+    fn a_write_that_may_have_run_comes_again_only_within_the_window() {
+        let mut c = Clients::new(&spec(), 5, 0);
+        let t = write(&mut c, 1);
+        let Next::Again(at) = c.ended(SECOND + 100 * MS, 1, 0, SECOND, Fate::Failed) else {
+            panic!("no retry")
+        };
+        assert!(at < SECOND + 300 * MS);
+        let again = c.again(at, 1).expect("a try");
+        assert_eq!((again.number, again.marked, again.arrival.key), (1, true, t.arrival.key));
+        assert_eq!(c.ended(at, 1, 0, SECOND, Fate::Failed), Next::Nothing, "the first try is over");
+        let late = c.ended(SECOND + 900 * MS, 1, 1, at, Fate::Refused { pause: Some(500 * MS) });
+        assert!(matches!(late, Next::Done(Finished { served: None, tries: 2, .. })), "{late:?}");
+        // Refused each time, it has never run: it comes again as often as clients do.
+        write(&mut c, 2);
+        for number in 0..2 {
+            let next = c.ended(9 * SECOND, 2, number, SECOND, Fate::Refused { pause: None });
+            assert!(matches!(next, Next::Again(_)), "{next:?}");
+            c.again(9 * SECOND, 2).expect("a try");
+        }
+        assert!(matches!(c.ended(9 * SECOND, 2, 2, SECOND, Fate::Failed), Next::Done(_)));
+        assert_eq!(c.open(), 0);
+    }
+
+    #[test]
+    fn the_front_leaves_a_dead_gateway_once_it_has_noticed() {
+        let mut c = Clients::new(&spec(), 5, 0);
+        let t = write(&mut c, 1);
+        c.gateway(SECOND, t.gateway, false);
+        assert_eq!(write(&mut c, 2).gateway, t.gateway, "it has not noticed");
+        c.gateway(SECOND - c.notice, t.gateway, false);
+        assert_ne!(write(&mut c, 3).gateway, t.gateway);
+        c.gateway(SECOND, t.gateway, true);
+        assert_eq!(write(&mut c, 4).gateway, t.gateway);
+    }
+
+    #[test]
+    fn a_session_reads_what_it_knows_it_has_written() {
+        let mut c = Clients::new(&spec(), 5, 0);
+        let t = write(&mut c, 1);
+        let read = Arrival { class: 1, key: None, call: 2, ..t.arrival };
+        assert_eq!(c.begin(SECOND, read).mark, 0, "its write has not been answered");
+        c.ended(2 * SECOND, 1, 0, SECOND, Fate::Served { commit: Some(2 * SECOND - MS) });
+        assert_eq!(c.begin(2 * SECOND, Arrival { call: 3, ..read }).mark, 2 * SECOND - MS);
+    }
+}
--- /dev/null
+++ b/crates/world/src/faults.rs
@@ -0,0 +1,183 @@
+//! The faults of a day: when each begins and ends and what it strikes, drawn ahead, so that nothing that a gateway does
+//! shifts them. Which hosts are primaries is known only when a fault strikes; those are picked then, by the fleet.
+
+use crate::dice::{Dice, Stream};
+use crate::spec::{Between, Fault, Pick, Spec};
+use crate::{seconds, GatewayId, HostId, Ns, SetId};
+
+/// A fault of a day.
+#[derive(Clone, Debug)]
+pub struct Planned {
+    /// What it is, as the settings name it.
+    pub name: &'static str,
+    /// The settings.
+    pub fault: Fault,
+    /// From when, since the start of the run.
+    pub from: Ns,
+    /// Until when.
+    pub until: Ns,
+    /// So many times slower.
+    pub times: f64,
+    /// The part of all traffic that flooded sets draw more.
+    pub part: f64,
+    /// The flooded sets.
+    pub sets: Vec<SetId>,
+    /// Gateways that are killed, with the times of their end and of their return.
+    pub waves: Vec<(GatewayId, Ns, Ns)>,
+    /// Gateways that do not reach the hosts that are cut off.
+    pub cut: Vec<GatewayId>,
+}
+
+/// The faults of a day.
+pub fn plan(spec: &Spec, seed: u64) -> Vec<Planned> {
+    spec.faults.iter().enumerate().map(|(i, f)| planned(spec, f, seed, i as u64)).collect()
+}
+
+fn planned(spec: &Spec, fault: &Fault, seed: u64, index: u64) -> Planned {
+    // Each has its own numbers, so that one more fault leaves the others as they were.
+    let mut dice = Dice::new(seed ^ index.wrapping_mul(0x5851_f42d_4c95_7f2d), Stream::Faults);
+    let from = seconds(fault.at_s.draw(&mut dice));
+    let until = from + seconds(fault.for_s.draw(&mut dice));
+    let slow = fault.slow_apply.as_ref().or(fault.slowdown.as_ref());
+    let times = slow.map_or(1.0, |s| s.times.draw(&mut dice));
+    let flood = fault.flood.as_ref();
+    let part = flood.map_or(0.0, |f| f.part.draw(&mut dice));
+    let sets = flood.map_or(Vec::new(), |f| dice.choose(f.sets as usize, spec.set_count() as usize));
+    let waves = fault
+        .gateways_killed
+        .as_ref()
+        .map_or(Vec::new(), |w| waves(spec.gateways, w.share, w.at_a_time, w.down_s, from, until, &mut dice));
+    let cut = fault
+        .cut_off
+        .as_ref()
+        .map_or(Vec::new(), |c| dice.choose(part_of(c.gateways, spec.gateways), spec.gateways as usize));
+    Planned {
+        name: fault.kinds().first().copied().unwrap_or("nothing"),
+        fault: fault.clone(),
+        from,
+        until,
+        times,
+        part,
+        sets: sets.into_iter().map(|s| SetId(s as u32)).collect(),
+        waves,
+        cut: cut.into_iter().map(|g| GatewayId(g as u32)).collect(),
+    }
+}
+
+/// This part of so many, one at least where it is over 0.
+fn part_of(share: f64, of: u32) -> usize {
+    if share <= 0.0 {
+        return 0;
+    }
+    ((share * f64::from(of)).round() as usize).clamp(1, of as usize)
+}
+
+fn waves(
+    gateways: u32,
+    share: f64,
+    at_a_time: f64,
+    down: Between,
+    from: Ns,
+    until: Ns,
+    dice: &mut Dice,
+) -> Vec<(GatewayId, Ns, Ns)> {
+    let mut struck = dice.choose(part_of(share, gateways), gateways as usize);
+    // In any order, not by their numbers.
+    for i in (1..struck.len()).rev() {
+        let j = dice.index(i + 1);
+        struck.swap(i, j);
+    }
+    let batch = part_of(at_a_time, gateways).max(1);
+    let count = struck.len().div_ceil(batch).max(1) as Ns;
+    let mut all = Vec::new();
+    for (wave, gateways) in struck.chunks(batch).enumerate() {
+        let at = from + (until - from) * wave as Ns / count;
+        for &g in gateways {
+            all.push((GatewayId(g as u32), at, at + seconds(down.draw(dice))));
+        }
+    }
+    all
+}
+
+/// Picks hosts: so many of those that are there, a primary with the chance that the settings give.
+pub fn pick(
+    pick: &Pick,
+    hosts: &[HostId],
+    is_primary: impl Fn(HostId) -> bool,
+    dice: &mut Dice,
+) -> Vec<HostId> {
+    if let Some(these) = &pick.these {
+        return these.iter().map(|&h| HostId(h)).filter(|h| hosts.contains(h)).collect();
+    }
+    let count = match (pick.count, pick.share) {
+        (Some(count), _) => count as usize,
+        (None, share) => part_of(share.unwrap_or(0.0), hosts.len() as u32),
+    };
+    let mut left: Vec<HostId> = hosts.to_vec();
+    let mut picked = Vec::new();
+    while picked.len() < count && !left.is_empty() {
+        let wanted = pick.primaries.is_some_and(|p| dice.chance(p));
+        let pool: Vec<usize> = (0..left.len()).filter(|&i| !wanted || is_primary(left[i])).collect();
+        let at = if pool.is_empty() { dice.index(left.len()) } else { pool[dice.index(pool.len())] };
+        picked.push(left.swap_remove(at));
+        left.sort_unstable();
+    }
+    picked.sort_unstable();
+    picked
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::spec::Waves;
+    use crate::SECOND;
+
+    fn empty() -> Fault {
+        Fault { at_s: Between::Value(5.0), for_s: Between::Value(20.0), ..Fault::default() }
+    }
+
+    #[test]
+    fn waves_take_each_gateway_once_and_so_many_at_a_time() {
+        let killed = Waves { share: 0.9, at_a_time: 0.3, down_s: Between::Range([0.2, 1.5]) };
+        let fault = Fault { gateways_killed: Some(killed), ..empty() };
+        let spec = Spec { gateways: 10, faults: vec![fault], ..Spec::default() };
+        let p = &plan(&spec, 3)[0];
+        let mut gateways: Vec<u32> = p.waves.iter().map(|w| w.0 .0).collect();
+        gateways.sort_unstable();
+        gateways.dedup();
+        assert_eq!((p.waves.len(), gateways.len()), (9, 9));
+        for at in p.waves.iter().map(|w| w.1) {
+            assert!(
+                p.waves.iter().filter(|w| w.1 == at).count() == 3 && (5 * SECOND..25 * SECOND).contains(&at)
+            );
+        }
+    }
+
+    #[test]
+    fn one_more_fault_leaves_the_others_as_they_were() {
+        let flood = Fault {
+            at_s: Between::Range([1.0, 30.0]),
+            flood: Some(crate::spec::Flood { sets: 1, part: Between::Range([0.1, 0.9]) }),
+            ..empty()
+        };
+        let mut spec = Spec { faults: vec![flood.clone()], ..Spec::default() };
+        let alone = plan(&spec, 9)[0].clone();
+        spec.faults.push(flood);
+        let both = plan(&spec, 9);
+        assert_eq!((both[0].from, both[0].part), (alone.from, alone.part));
+        assert_ne!(both[1].from, alone.from);
+    }
+
+    #[test]
+    fn a_pick_takes_primaries_where_it_is_to() {
+        let hosts: Vec<HostId> = (0..12).map(HostId).collect();
+        let want = Pick { count: Some(2), primaries: Some(1.0), ..Pick::default() };
+        let mut dice = Dice::new(1, Stream::Faults);
+        let primary = |h: HostId| h.0.is_multiple_of(6);
+        assert_eq!(pick(&want, &hosts, primary, &mut dice), [HostId(0), HostId(6)]);
+        let all = Pick { count: Some(20), primaries: Some(1.0), ..Pick::default() };
+        assert_eq!(pick(&all, &hosts, primary, &mut dice), hosts);
+        let part = Pick { share: Some(0.18), ..Pick::default() };
+        assert_eq!(pick(&part, &hosts, primary, &mut dice).len(), 2);
+    }
+}
--- a/crates/world/src/host.rs
+++ b/crates/world/src/host.rs
@@ -1,1 +1,258 @@
-//! To come.
+//! One database host: its cores, slots and waiting room, its connections, its start from cold, and what pushes it over.
+
+use crate::cpu::{Cpu, Ramp};
+use crate::log::Applier;
+use crate::spec::HostSpec;
+use crate::{seconds, HostId, Ns, SetId};
+use std::collections::VecDeque;
+
+/// Whether a host's machine and process run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// They do.
+    Up,
+    /// The machine has vanished: no reset, no answer; what it held is lost.
+    Vanished,
+    /// The machine hangs: no reset, no answer; what it holds goes on when it comes back.
+    Hung,
+    /// The process is dead, and its connections are reset; it fell over, or was struck.
+    Down,
+}
+
+/// What a host says of itself when probed; as old as its last refresh.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Up to when it has applied all commits.
+    pub position: Ns,
+    /// Whether it is the primary.
+    pub primary: bool,
+    /// How busy its cores are, from 0 to 1.
+    pub util: f64,
+}
+
+/// The work that came within the last few seconds, against what the host can do.
+#[derive(Clone, Debug)]
+struct Window {
+    length: Ns,
+    parts: VecDeque<(Ns, f64)>,
+    sum: f64,
+    /// The highest multiple so far, and the highest while it was cold.
+    peak: f64,
+    cold_peak: f64,
+}
+
+/// Parts of a window that are kept apart.
+const PARTS: Ns = 60;
+
+impl Window {
+    fn new(length: Ns) -> Self {
+        Window { length, parts: VecDeque::new(), sum: 0.0, peak: 0.0, cold_peak: 0.0 }
+    }
+
+    /// Work arrives: what all of the window comes to, as a multiple of what the host can do now.
+    fn add(&mut self, now: Ns, work: f64, capacity: f64, cold: bool) -> f64 {
+        let step = (self.length / PARTS).max(1);
+        let part = now / step * step;
+        match self.parts.back_mut() {
+            Some(last) if last.0 == part => last.1 += work,
+            _ => self.parts.push_back((part, work)),
+        }
+        self.sum += work;
+        while self.parts.front().is_some_and(|p| p.0 + self.length <= now) {
+            self.sum -= self.parts.pop_front().map_or(0.0, |p| p.1);
+        }
+        let load = self.sum / (capacity.max(1e-9) * self.length as f64);
+        self.peak = self.peak.max(load);
+        if cold {
+            self.cold_peak = self.cold_peak.max(load);
+        }
+        load
+    }
+}
+
+/// A database host.
+#[derive(Clone, Debug)]
+pub struct Host {
+    /// Which.
+    pub id: HostId,
+    /// Its set.
+    pub set: SetId,
+    /// Whether it runs.
+    pub state: State,
+    /// Grows with each start: connections of an earlier one are void.
+    pub epoch: u32,
+    /// When its process started; 0 for long ago.
+    pub started: Ns,
+    /// Its cores.
+    pub cpu: Cpu,
+    /// Its copy of the log.
+    pub applier: Applier,
+    /// Connections open to it.
+    pub connections: u32,
+    /// It finishes its work and takes nothing new.
+    pub draining: bool,
+    /// It turns everything away.
+    pub refusing: bool,
+    /// Part of its answers that are errors.
+    pub errors: f64,
+    /// What it says when probed.
+    pub report: Report,
+    /// Requests in work, and those that wait for a slot.
+    pub running: u32,
+    /// Their jobs, oldest first.
+    pub waiting: VecDeque<u64>,
+    /// Reads that wait for its copy to catch up.
+    pub lagging: u32,
+    /// Long reads in work that stop its copy.
+    pub blocking: u32,
+    /// Its process fell over, and stays down.
+    pub fallen: bool,
+    /// So many times slower, for each reason that lasts.
+    slow: f64,
+    window: Window,
+    reported: (Ns, f64, f64),
+    applying: f64,
+}
+
+impl Host {
+    /// A warm host.
+    pub fn new(id: HostId, set: SetId, spec: &HostSpec, now: Ns, applier: Applier, tip: Ns) -> Self {
+        Host {
+            id,
+            set,
+            state: State::Up,
+            epoch: 0,
+            started: 0,
+            cpu: Cpu::new(spec.cores, now),
+            applier,
+            connections: 0,
+            draining: false,
+            refusing: false,
+            errors: spec.errors,
+            report: Report::default(),
+            running: 0,
+            waiting: VecDeque::new(),
+            lagging: 0,
+            blocking: 0,
+            fallen: false,
+            slow: 1.0,
+            window: Window::new(tip),
+            reported: (now, 0.0, 0.0),
+            applying: 0.0,
+        }
+    }
+
+    /// Requests that it holds.
+    pub fn held(&self) -> u32 {
+        self.running + self.waiting.len() as u32 + self.lagging
+    }
+
+    /// It has not warmed up since its start.
+    pub fn cold(&self, now: Ns) -> bool {
+        now < self.cpu.ramp().end()
+    }
+
+    /// What it can do now, in cores, whatever it holds.
+    pub fn can_do(&self, spec: &HostSpec, now: Ns) -> f64 {
+        spec.cores * self.cpu.ramp().at(now) / self.slow
+    }
+
+    /// The highest load of any window as a multiple of what it could do then: in all, and while it was cold.
+    pub fn peaks(&self) -> (f64, f64) {
+        (self.window.peak, self.window.cold_peak)
+    }
+
+    /// Work arrives, taken or turned away: the load of the window that ends now.
+    pub fn offered(&mut self, spec: &HostSpec, now: Ns, work: Ns) -> f64 {
+        let (can, cold) = (self.can_do(spec, now), self.cold(now));
+        self.window.add(now, work as f64, can, cold)
+    }
+
+    /// Slower by this factor, or by its inverse once that is over.
+    pub fn slow_by(&mut self, spec: &HostSpec, now: Ns, times: f64) {
+        self.slow = (self.slow * times).max(0.01);
+        self.retune(spec, now);
+    }
+
+    /// What it holds has changed, and with it how efficient it is.
+    pub fn retune(&mut self, spec: &HostSpec, now: Ns) {
+        let crowd = (f64::from(self.held()) / spec.cores - spec.crowded_from).max(0.0);
+        let crowded = (1.0 - spec.crowded_loss * crowd).max(0.25);
+        let table =
+            1.0 - spec.table_loss * (f64::from(self.connections) / f64::from(spec.connections)).min(1.0);
+        self.cpu.set(now, spec.cores - self.applying, crowded * table / self.slow);
+    }
+
+    /// Makes its report anew.
+    pub fn refresh(&mut self, spec: &HostSpec, now: Ns, position: Ns, primary: bool) {
+        let (at, used, applied) = self.reported;
+        let time = (now - at).max(1) as f64;
+        let util = ((self.cpu.used() - used) / time / spec.cores).clamp(0.0, 1.0);
+        self.applying = ((self.applier.busy() - applied) / time).clamp(0.0, 1.0).min(spec.cores * 0.9);
+        self.reported = (now, self.cpu.used(), self.applier.busy());
+        self.report = Report { position, primary, util: (util + self.applying / spec.cores).min(1.0) };
+        self.retune(spec, now);
+    }
+
+    /// All that it held is lost.
+    pub fn lose_all(&mut self, now: Ns) {
+        self.cpu.clear(now);
+        self.waiting.clear();
+        (self.running, self.lagging, self.connections) = (0, 0, 0);
+    }
+
+    /// Its process starts, cold.
+    pub fn start(&mut self, spec: &HostSpec, now: Ns, part: f64, warm_in: Ns) {
+        self.lose_all(now);
+        self.state = State::Up;
+        self.epoch += 1;
+        self.started = now;
+        (self.draining, self.refusing) = (false, false);
+        self.cpu.freeze(now, false);
+        self.cpu.start(now, Ramp { start: now, from: part, length: warm_in });
+        // What came before its start was work of another process.
+        (self.window.parts, self.window.sum) = (VecDeque::new(), 0.0);
+        self.retune(spec, now);
+    }
+}
+
+/// The window's length.
+pub fn tip(seconds_long: f64) -> Ns {
+    seconds(seconds_long).max(1)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::log::{Heard, Log, Source};
+    use crate::SECOND;
+
+    #[test]
+    fn a_window_counts_what_came_within_it_and_no_more() {
+        let mut w = Window::new(3 * SECOND);
+        // What a host of one core can do in 3 s: 3 s of work; half of it at the start, as much at the very end.
+        assert_eq!(w.add(SECOND, 1.5e9, 1.0, true), 0.5);
+        assert_eq!(w.add(4 * SECOND - 1, 1.5e9, 1.0, true), 1.0, "the last moment of the window");
+        assert_eq!(w.add(4 * SECOND, 1.5e9, 1.0, false), 1.0, "the first half has left");
+        assert_eq!((w.peak, w.cold_peak), (1.0, 1.0));
+    }
+
+    #[test]
+    fn a_crowd_and_a_slowdown_take_their_part() {
+        let spec = HostSpec::default();
+        let log = Log::default();
+        let from = Source { log: &log, heard: Heard { since: Some(0), stood: 0, ship: 1 }, cost: 1 };
+        let mut h = Host::new(HostId(0), SetId(0), &spec, 0, Applier::new(0, from), 3 * SECOND);
+        h.retune(&spec, 0);
+        assert_eq!(h.cpu.capacity(0), 5.0);
+        h.running = 30;
+        h.retune(&spec, 0);
+        assert!((h.cpu.capacity(0) - 5.0 * (1.0 - 0.03 * 2.0)).abs() < 1e-9);
+        h.running = 0;
+        h.slow_by(&spec, 0, 2.0);
+        assert_eq!((h.cpu.capacity(0), h.can_do(&spec, 0)), (2.5, 2.5));
+        h.slow_by(&spec, 0, 0.5);
+        h.start(&spec, SECOND, 0.2, 10 * SECOND);
+        assert!((h.can_do(&spec, SECOND) - 1.0).abs() < 1e-9 && h.cold(10 * SECOND) && !h.cold(11 * SECOND));
+    }
+}
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod clients;
 pub mod cpu;
 pub mod dice;
+pub mod faults;
 pub mod fleet;
 pub mod host;
 pub mod ledger;
--- a/crates/world/src/list.rs
+++ b/crates/world/src/list.rs
@@ -1,1 +1,193 @@
-//! To come.
+//! The list of hosts as each gateway is told it: seconds late, each gateway a little after the other, and not at all
+//! while discovery is silent. It knows whether a process runs, and nothing of roles or health.
+
+use crate::dice::{Dice, Stream};
+use crate::spec::ListSpec;
+use crate::{ms, seconds, GatewayId, HostId, Ns, SetId};
+use std::collections::BTreeMap;
+
+/// What the list says of a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    /// In service.
+    Ready,
+    /// Finishes its work, wants nothing new.
+    Draining,
+    /// Its process does not run.
+    Gone,
+}
+
+/// One line of the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// The host.
+    pub host: HostId,
+    /// Its set.
+    pub set: SetId,
+    /// What is said of it.
+    pub listed: Listed,
+    /// When its process started; 0 for long ago.
+    pub since: Ns,
+    /// Orders what is said of one host.
+    order: u64,
+}
+
+/// One gateway's list.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// Grows with each change.
+    pub version: u64,
+    entries: BTreeMap<HostId, Entry>,
+    /// Since when it has been told not to send to a host.
+    told: BTreeMap<HostId, Ns>,
+}
+
+impl View {
+    /// Its lines, by host.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+}
+
+/// A change on its way to a gateway.
+#[derive(Clone, Copy, Debug)]
+pub struct Telling {
+    /// When it arrives, unless discovery is silent then.
+    pub at: Ns,
+    /// Where.
+    pub gateway: GatewayId,
+    /// What.
+    pub entry: Entry,
+}
+
+/// The list and every gateway's view of it.
+#[derive(Clone, Debug)]
+pub struct List {
+    notice: (f64, f64),
+    silent_notice: (f64, f64),
+    spread: Ns,
+    dice: Dice,
+    views: Vec<View>,
+    order: u64,
+    muted: bool,
+    /// What would have been told while discovery was silent.
+    kept: Vec<(GatewayId, Entry)>,
+}
+
+impl List {
+    /// All hosts are known to all gateways, ready and started long ago.
+    pub fn new(
+        spec: &ListSpec,
+        seed: u64,
+        gateways: u32,
+        hosts: impl Iterator<Item = (HostId, SetId)>,
+    ) -> Self {
+        let mut dice = Dice::new(seed, Stream::List);
+        let line = |(host, set)| (host, Entry { host, set, listed: Listed::Ready, since: 0, order: 0 });
+        let view = View { version: 1, entries: hosts.map(line).collect(), told: BTreeMap::new() };
+        let ends = |b: crate::spec::Between| (b.ends()[0], b.ends()[1]);
+        List {
+            notice: ends(spec.notice_s),
+            silent_notice: ends(spec.silent_notice_s),
+            spread: ms(spec.spread_ms.draw(&mut dice)),
+            dice,
+            views: vec![view; gateways as usize],
+            order: 0,
+            muted: false,
+            kept: Vec::new(),
+        }
+    }
+
+    /// One gateway's list, as it has been told it.
+    pub fn view(&self, gateway: GatewayId) -> &View {
+        &self.views[gateway.0 as usize]
+    }
+
+    /// Something has happened to a host: who is told when. What makes no sound is noticed later.
+    pub fn change(
+        &mut self,
+        now: Ns,
+        host: HostId,
+        set: SetId,
+        listed: Listed,
+        since: Ns,
+        silent: bool,
+    ) -> Vec<Telling> {
+        self.order += 1;
+        let (low, high) = if silent { self.silent_notice } else { self.notice };
+        let noticed = now + seconds(self.dice.between(low, high));
+        let entry = Entry { host, set, listed, since, order: self.order };
+        let told = |g: usize, dice: &mut Dice| Telling {
+            at: noticed + (dice.unit() * self.spread as f64) as Ns,
+            gateway: GatewayId(g as u32),
+            entry,
+        };
+        let count = self.views.len();
+        let dice = &mut self.dice;
+        (0..count).map(|g| told(g, dice)).collect()
+    }
+
+    /// A change arrives. True where the gateway is told it now.
+    pub fn tell(&mut self, now: Ns, gateway: GatewayId, entry: Entry) -> bool {
+        if self.muted {
+            self.kept.push((gateway, entry));
+            return false;
+        }
+        let view = &mut self.views[gateway.0 as usize];
+        // Notices of one host may overtake each other: what is older by its order is no news.
+        if view.entries.get(&entry.host).is_some_and(|e| e.order >= entry.order) {
+            return false;
+        }
+        view.version += 1;
+        view.entries.insert(entry.host, entry);
+        if entry.listed == Listed::Ready {
+            view.told.remove(&entry.host);
+        } else {
+            view.told.entry(entry.host).or_insert(now);
+        }
+        true
+    }
+
+    /// Discovery falls silent, or speaks again: then what it has kept comes back, to be told now.
+    pub fn mute(&mut self, muted: bool) -> Vec<(GatewayId, Entry)> {
+        self.muted = muted;
+        if muted {
+            Vec::new()
+        } else {
+            std::mem::take(&mut self.kept)
+        }
+    }
+
+    /// Since when a gateway has known that a host drains or is gone.
+    pub fn told(&self, gateway: GatewayId, host: HostId) -> Option<Ns> {
+        self.views[gateway.0 as usize].told.get(&host).copied()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::SECOND;
+
+    #[test]
+    fn an_older_notice_never_beats_a_newer_and_silence_keeps_all() {
+        let spec = ListSpec::default();
+        let mut l = List::new(&spec, 1, 2, [(HostId(0), SetId(0))].into_iter());
+        let first = l.change(0, HostId(0), SetId(0), Listed::Draining, 0, false);
+        let second = l.change(SECOND, HostId(0), SetId(0), Listed::Ready, SECOND, false);
+        assert_eq!((first.len(), second.len()), (2, 2));
+        assert!(first.iter().all(|t| t.at >= seconds(1.1) && t.at <= seconds(4.7 + 0.38)));
+        let g = GatewayId(0);
+        assert!(l.tell(5 * SECOND, g, second[0].entry));
+        assert!(!l.tell(6 * SECOND, g, first[0].entry), "it is older");
+        assert_eq!(l.told(g, HostId(0)), None);
+        l.mute(true);
+        let gone = l.change(7 * SECOND, HostId(0), SetId(0), Listed::Gone, SECOND, false);
+        assert!(!l.tell(9 * SECOND, g, gone[0].entry));
+        assert_eq!((l.told(g, HostId(0)), l.view(g).version), (None, 2));
+        let kept = l.mute(false);
+        assert_eq!(kept.len(), 1);
+        assert!(l.tell(20 * SECOND, kept[0].0, kept[0].1));
+        assert_eq!(l.told(g, HostId(0)), Some(20 * SECOND));
+    }
+}
--- a/crates/world/src/spec.rs
+++ b/crates/world/src/spec.rs
@@ -17,6 +17,12 @@
     Range([f64; 2]),
 }
 
+impl Default for Between {
+    fn default() -> Self {
+        Between::Value(0.0)
+    }
+}
+
 impl Between {
     /// One value.
     pub fn draw(self, dice: &mut Dice) -> f64 {
@@ -544,7 +550,7 @@
 pub struct Mute {}
 
 /// A trouble: when, how long, and exactly one kind.
-#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize, JsonSchema, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Fault {
     /// When it begins, from the start of the run.
@@ -931,16 +937,7 @@
             for_s: Between::Value(1.0),
             silent: Some(Silent::default()),
             reset: Some(Strike::default()),
-            refusing: None,
-            spoilt: None,
-            slow_apply: None,
-            slowdown: None,
-            flood: None,
-            gateways_killed: None,
-            drain: None,
-            cut_off: None,
-            datagrams_lost: None,
-            discovery_silent: None,
+            ..Fault::default()
         };
         s.faults.push(both);
         let paths: Vec<String> = s.problems().into_iter().map(|p| p.0).collect();
--- /dev/null
+++ b/crates/world/tests/fleet.rs
@@ -0,0 +1,356 @@
+//! The fleet under what goes wrong: each hard case on its own, in a few lines of a script.
+
+use irisrouter_world::fleet::{Answer, Fleet, Output, Probe, Query, Taken};
+use irisrouter_world::host::State;
+use irisrouter_world::ledger::BreachKind;
+use irisrouter_world::spec::{Between, Checks, Fault, Mute, Pick, Silent, Spec, Strike};
+use irisrouter_world::{GatewayId, HostId, Ns, SetId, MS, SECOND};
+
+const PAGE: usize = 0;
+const OWN: usize = 1;
+const REPORT: usize = 3;
+const WRITE: usize = 4;
+
+/// One set of six, without chance where a test would feel it.
+fn spec(faults: Vec<Fault>) -> Spec {
+    let mut s = Spec { faults, gateways: 2, ..Spec::default() };
+    s.hosts.count = 6;
+    s.hosts.errors = 0.0;
+    s.hosts.table_loss = 0.0;
+    s.sets.ship_ms = Between::Value(5.0);
+    s.sets.detect_s = Between::Value(2.0);
+    s.sets.elect_s = Between::Value(3.0);
+    s
+}
+
+fn silent(host: u32, at: f64, long: f64, hang: bool) -> Fault {
+    let hosts = Pick { these: Some(vec![host]), ..Pick::default() };
+    let silent = Some(Silent { hosts, hang });
+    Fault { at_s: Between::Value(at), for_s: Between::Value(long), silent, ..Fault::default() }
+}
+
+struct Rig {
+    fleet: Fleet,
+    ticket: u64,
+    told: Vec<(Ns, GatewayId, HostId)>,
+    broken: Vec<(Ns, HostId)>,
+    answers: Vec<(Ns, u64, Answer, bool, Ns)>,
+}
+
+impl Rig {
+    fn new(spec: &Spec) -> Self {
+        let fleet = Fleet::new(spec, 1, 0);
+        Rig { fleet, ticket: 0, told: Vec::new(), broken: Vec::new(), answers: Vec::new() }
+    }
+
+    /// Lets time pass until then.
+    fn until(&mut self, t: Ns) {
+        while let Some(at) = self.fleet.next().filter(|&at| at <= t) {
+            self.take(at);
+        }
+        self.take(t);
+    }
+
+    fn take(&mut self, at: Ns) {
+        for o in self.fleet.advance(at) {
+            match o {
+                Output::Answered { ticket, answer, note, .. } => {
+                    self.answers.push((at, ticket, answer, note.primary, note.position));
+                }
+                Output::Told { gateway, entry } => self.told.push((at, gateway, entry.host)),
+                Output::Broken { host } => self.broken.push((at, host)),
+                _ => {}
+            }
+        }
+    }
+
+    fn ask(&mut self, now: Ns, host: u32, class: usize, with: impl FnOnce(&mut Query)) -> (u64, Taken) {
+        self.until(now);
+        self.ticket += 1;
+        let mut query = Query {
+            ticket: self.ticket,
+            gateway: GatewayId(0),
+            class,
+            work: 40 * MS,
+            key: None,
+            mark: 0,
+            sent: now,
+            arrived: now,
+        };
+        with(&mut query);
+        let epoch = self.fleet.host(HostId(host)).epoch;
+        let taken = self.fleet.query(now, HostId(host), epoch, query);
+        self.take(now);
+        (self.ticket, taken)
+    }
+
+    fn write(&mut self, now: Ns, host: u32, key: u64) -> u64 {
+        self.ask(now, host, WRITE, |q| q.key = Some(key)).0
+    }
+
+    fn answer(&self, ticket: u64) -> Option<(Ns, Answer)> {
+        self.answers.iter().find(|a| a.1 == ticket).map(|a| (a.0, a.2))
+    }
+
+    fn count(&self, kind: BreachKind) -> u64 {
+        self.fleet.ledger().count(kind)
+    }
+}
+
+#[test]
+fn a_repeat_is_dropped_within_the_window_and_applied_beyond_it() {
+    let mut r = Rig::new(&spec(Vec::new()));
+    let first = r.write(SECOND, 0, 7);
+    // The last moment of the window, counted from when the first one came.
+    let again = r.write(SECOND + 1200 * MS, 0, 7);
+    r.until(3 * SECOND);
+    assert_eq!(r.answer(first), Some((SECOND + 40 * MS, Answer::Row)));
+    assert_eq!(r.answer(again).map(|a| a.1), Some(Answer::Row));
+    let commits: Vec<Ns> = r.answers.iter().map(|a| a.4).collect();
+    assert_eq!(commits[0], commits[1], "the repeat is told of the first one's commit");
+    assert_eq!((r.fleet.ledger().writes(), r.count(BreachKind::AppliedTwice)), (1, 0));
+    // Planted: a repeat a moment later is a write like any other, and the ledger finds it.
+    r.write(3 * SECOND, 0, 8);
+    r.write(4 * SECOND + 200 * MS + 1, 0, 8);
+    r.until(5 * SECOND);
+    assert_eq!((r.fleet.ledger().writes(), r.count(BreachKind::AppliedTwice)), (2, 1));
+}
+
+/// Two copies in work at once: whichever ends first is applied, and the other is not.
+#[test]
+fn copies_in_work_at_once_are_applied_once() {
+    let mut r = Rig::new(&spec(Vec::new()));
+    r.ask(SECOND, 0, WRITE, |q| (q.key, q.work) = (Some(7), 90 * MS));
+    r.ask(SECOND + MS, 0, WRITE, |q| (q.key, q.work) = (Some(7), 10 * MS));
+    r.until(2 * SECOND);
+    assert_eq!((r.fleet.ledger().writes(), r.count(BreachKind::AppliedTwice)), (1, 0));
+    assert!(r.answers.iter().all(|a| a.2 == Answer::Row && a.4 == SECOND + 11 * MS), "{:?}", r.answers);
+}
+
+#[test]
+fn a_write_is_applied_though_its_gateway_no_longer_waits() {
+    let mut r = Rig::new(&spec(Vec::new()));
+    r.write(SECOND, 0, 7);
+    // A gateway that gives up closes its connection: that stops nothing.
+    r.fleet.close(SECOND + MS, HostId(0), 0);
+    r.until(2 * SECOND);
+    assert_eq!(r.fleet.ledger().commit(7), Some(SECOND + 40 * MS));
+}
+
+#[test]
+fn a_set_without_its_primary_takes_no_writes_until_another_has_taken_over() {
+    let mut r = Rig::new(&spec(vec![silent(0, 2.0, 15.0, false)]));
+    let before = r.write(SECOND, 0, 1);
+    let (lost, _) = r.ask(2 * SECOND - MS, 0, WRITE, |q| q.key = Some(2));
+    let (_, taken) = r.ask(2 * SECOND + MS, 0, WRITE, |q| q.key = Some(3));
+    assert_eq!(taken, Taken::Silence);
+    assert_eq!(r.fleet.probe(2 * SECOND + MS, GatewayId(0), HostId(0)), Probe::Silence);
+    assert_eq!(r.fleet.primary(SetId(0)), None);
+    r.until(7 * SECOND - MS);
+    assert_eq!(r.fleet.primary(SetId(0)), None, "given up after 2 s, replaced 3 s later");
+    let miss = r.write(7 * SECOND - MS, 1, 4);
+    r.until(7 * SECOND);
+    let new = r.fleet.primary(SetId(0)).expect("a new primary");
+    assert_ne!(new, HostId(0));
+    let after = r.write(7 * SECOND, new.0, 5);
+    r.until(10 * SECOND);
+    assert_eq!(
+        [before, miss, after].map(|t| r.answer(t).map(|a| a.1)),
+        [Some(Answer::Row), Some(Answer::Miss), Some(Answer::Row)]
+    );
+    assert_eq!(r.answer(lost), None, "what it held is lost with it, and nobody is told");
+    // Back after 15 s: cold, behind, a replica, and its connections of before are void.
+    r.until(17 * SECOND);
+    assert_eq!(r.broken, [(17 * SECOND, HostId(0))]);
+    assert!(r.fleet.host(HostId(0)).cold(18 * SECOND));
+    assert_eq!(r.fleet.primary(SetId(0)), Some(new));
+}
+
+#[test]
+fn positions_stand_still_while_a_set_has_no_primary() {
+    let mut r = Rig::new(&spec(vec![silent(0, 2.0, 15.0, false)]));
+    r.until(4 * SECOND);
+    assert_eq!(r.fleet.position(4 * SECOND, HostId(1)), 2 * SECOND);
+    let (late, _) = r.ask(4 * SECOND, 1, PAGE, |_| ());
+    r.until(5 * SECOND);
+    assert_eq!(
+        r.answer(late),
+        Some((4 * SECOND + 50 * MS, Answer::Miss)),
+        "it waits 50 ms, then turns it away"
+    );
+    let (any, _) = r.ask(5 * SECOND, 1, REPORT, |_| ());
+    r.until(6 * SECOND);
+    assert_eq!(r.answer(any).map(|a| a.1), Some(Answer::Row));
+}
+
+/// A primary hangs with a write in its hands, is replaced, comes back as a replica, and the write ends in an error.
+#[test]
+fn a_hung_primary_comes_back_as_a_replica_and_its_write_has_no_effect() {
+    let mut r = Rig::new(&spec(vec![silent(0, 2.0, 8.0, true)]));
+    let held = r.write(2 * SECOND - 10 * MS, 0, 1);
+    let (stalled, taken) = r.ask(3 * SECOND, 0, WRITE, |q| q.key = Some(2));
+    assert_eq!(taken, Taken::Silence);
+    r.until(8 * SECOND);
+    let new = r.fleet.primary(SetId(0)).expect("a new primary");
+    let elsewhere = r.write(8 * SECOND, new.0, 1);
+    r.until(12 * SECOND);
+    assert_eq!(
+        r.answer(held),
+        Some((10 * SECOND + 30 * MS, Answer::Error)),
+        "what was left of it, then no role"
+    );
+    assert_eq!(r.answer(stalled).map(|a| a.1), Some(Answer::Miss));
+    assert_eq!(r.answer(elsewhere).map(|a| a.1), Some(Answer::Row));
+    assert_eq!((r.fleet.ledger().writes(), r.count(BreachKind::AppliedTwice)), (1, 0));
+    assert!(r.broken.is_empty(), "its connections were never reset");
+}
+
+#[test]
+fn a_primary_that_hangs_for_a_moment_keeps_its_role() {
+    let mut r = Rig::new(&spec(vec![silent(0, 2.0, 1.0, true)]));
+    let held = r.write(2 * SECOND - 10 * MS, 0, 1);
+    r.until(9 * SECOND);
+    assert_eq!(r.fleet.primary(SetId(0)), Some(HostId(0)));
+    assert_eq!(r.answer(held), Some((3 * SECOND + 30 * MS, Answer::Row)));
+}
+
+/// The primary comes back as a replica while its successor is being elected.
+#[test]
+fn a_primary_back_before_the_election_is_a_candidate_like_others() {
+    let mut r = Rig::new(&spec(vec![silent(0, 2.0, 3.0, false)]));
+    r.until(6 * SECOND);
+    assert_eq!((r.fleet.primary(SetId(0)), r.fleet.host(HostId(0)).state), (None, State::Up));
+    let (miss, _) = r.ask(6 * SECOND, 0, WRITE, |q| q.key = Some(3));
+    r.until(8 * SECOND);
+    assert_eq!(r.answer(miss).map(|a| a.1), Some(Answer::Miss));
+    assert!(r.fleet.primary(SetId(0)).is_some());
+}
+
+#[test]
+fn a_drain_hands_over_and_the_audit_finds_what_is_sent_after_its_grace() {
+    let hosts = Pick { these: Some(vec![0]), ..Pick::default() };
+    let drain = Some(Strike { hosts });
+    let fault = Fault { at_s: Between::Value(2.0), for_s: Between::Value(9.0), drain, ..Fault::default() };
+    let mut r = Rig::new(&spec(vec![fault]));
+    r.until(2 * SECOND);
+    assert_eq!(r.fleet.primary(SetId(0)), None);
+    r.until(3 * SECOND);
+    assert!(r.fleet.primary(SetId(0)).is_some_and(|p| p != HostId(0)), "within 0.93 s");
+    r.until(8 * SECOND);
+    let &(told, ..) = r.told.iter().find(|t| t.1 == GatewayId(0)).expect("it is told");
+    assert!((2 * SECOND + 1100 * MS..=2 * SECOND + 5080 * MS).contains(&told), "{told}");
+    let (full, _) = r.ask(told + 500 * MS, 0, PAGE, |_| ());
+    r.until(told + 501 * MS);
+    assert_eq!((r.answer(full).map(|a| a.1), r.count(BreachKind::SentToDrained)), (Some(Answer::Full), 0));
+    r.ask(told + 501 * MS, 0, PAGE, |_| ());
+    assert_eq!(r.count(BreachKind::SentToDrained), 1, "planted: a millisecond beyond the grace");
+    r.until(13 * SECOND);
+    assert_eq!((r.fleet.host(HostId(0)).state, r.fleet.host(HostId(0)).epoch), (State::Up, 1), "a fresh one");
+}
+
+#[test]
+fn a_cold_host_falls_over_when_it_is_sent_too_much_and_only_then() {
+    let mut spec = spec(vec![silent(1, 1.0, 1.0, false)]);
+    spec.hosts.cold_start = Between::Value(0.2);
+    spec.hosts.cold_s = Between::Value(10.0);
+    // At its start it can do one core's work: twice that in 3 s is 6 s of work.
+    for (count, falls) in [(150, false), (151, true)] {
+        let mut r = Rig::new(&spec);
+        r.until(2 * SECOND);
+        for _ in 0..count {
+            r.ask(2 * SECOND, 1, REPORT, |_| ());
+        }
+        let fell = r.fleet.host(HostId(1)).state == State::Down;
+        assert_eq!((fell, r.count(BreachKind::KnockedOver)), (falls, u64::from(falls)), "{count}");
+        r.until(20 * SECOND);
+        assert_eq!(r.fleet.host(HostId(1)).state == State::Down, falls, "it stays down");
+    }
+}
+
+/// The window is three seconds long: what came before it no longer counts, what came at its very end does.
+#[test]
+fn a_host_tips_over_exactly_within_a_window() {
+    let mut spec = spec(vec![silent(1, 1.0, 1.0, false)]);
+    spec.hosts.cold_start = Between::Value(0.2);
+    spec.hosts.cold_s = Between::Value(1_000.0);
+    for (second, falls) in [(5 * SECOND - 60 * MS, true), (5 * SECOND, false)] {
+        let mut r = Rig::new(&spec);
+        r.until(2 * SECOND);
+        for at in [2 * SECOND, second] {
+            (0..80).for_each(|_| {
+                r.ask(at, 1, REPORT, |_| ());
+            });
+        }
+        assert_eq!(r.fleet.host(HostId(1)).state == State::Down, falls, "{second}");
+    }
+}
+
+#[test]
+fn without_checks_a_lagging_replica_answers_and_the_ledger_finds_it() {
+    let slow = irisrouter_world::spec::Slow { hosts: None, times: Between::Value(1000.0) };
+    let fault = Fault {
+        at_s: Between::Value(0.0),
+        for_s: Between::Value(60.0),
+        slow_apply: Some(slow),
+        ..Fault::default()
+    };
+    for (checks, stale) in [(Checks::Wait, 0), (Checks::None, 1)] {
+        let mut s = spec(vec![fault.clone()]);
+        s.hosts.checks = checks;
+        let mut r = Rig::new(&s);
+        let write = r.write(SECOND, 0, 1);
+        r.until(2 * SECOND);
+        let commit = r.answer(write).expect("an answer").0;
+        let (read, _) = r.ask(2 * SECOND, 1, OWN, |q| q.mark = commit);
+        r.until(3 * SECOND);
+        let expected = if stale == 0 { Answer::Miss } else { Answer::Row };
+        assert_eq!((r.answer(read).map(|a| a.1), r.count(BreachKind::StaleRead)), (Some(expected), stale));
+        // The primary has it all.
+        r.ask(3 * SECOND, 0, OWN, |q| q.mark = commit);
+        r.until(4 * SECOND);
+        assert_eq!(r.count(BreachKind::StaleRead), stale);
+    }
+}
+
+#[test]
+fn a_long_read_stops_its_replica_from_applying() {
+    let mut r = Rig::new(&spec(Vec::new()));
+    r.ask(SECOND, 1, REPORT, |q| q.work = SECOND);
+    r.write(SECOND + 100 * MS, 0, 1);
+    r.until(2 * SECOND - MS);
+    assert!(r.fleet.position(2 * SECOND - MS, HostId(1)) <= SECOND);
+    assert!(r.fleet.position(2 * SECOND - MS, HostId(2)) > SECOND + 900 * MS);
+    r.until(2 * SECOND + 200 * MS);
+    assert!(r.fleet.position(2 * SECOND + 200 * MS, HostId(1)) > 2 * SECOND);
+}
+
+#[test]
+fn what_discovery_would_have_said_in_its_silence_comes_after_it() {
+    let mute = Fault {
+        at_s: Between::Value(0.0),
+        for_s: Between::Value(20.0),
+        discovery_silent: Some(Mute {}),
+        ..Fault::default()
+    };
+    let mut r = Rig::new(&spec(vec![mute, silent(1, 1.0, 4.0, false)]));
+    r.until(20 * SECOND - 1);
+    assert!(r.told.is_empty());
+    r.until(20 * SECOND);
+    assert!(r.told.contains(&(20 * SECOND, GatewayId(1), HostId(1))), "{:?}", r.told);
+}
+
+#[test]
+fn slots_and_the_waiting_room_are_bounded_and_connections_too() {
+    let mut s = spec(Vec::new());
+    (s.hosts.slots, s.hosts.room, s.hosts.connections) = (3, 2, 4);
+    let mut r = Rig::new(&s);
+    let tickets: Vec<u64> = (0..6).map(|_| r.ask(SECOND, 1, REPORT, |_| ()).0).collect();
+    r.until(SECOND);
+    assert_eq!(r.answer(tickets[5]), Some((SECOND, Answer::Full)));
+    r.until(2 * SECOND);
+    assert!(tickets[..5].iter().all(|&t| r.answer(t).is_some_and(|a| a.1 == Answer::Row)));
+    let taken: Vec<Taken> = (0..5).map(|t| r.fleet.connect(2 * SECOND, GatewayId(0), HostId(1), t)).collect();
+    assert_eq!(taken, [Taken::Yes, Taken::Yes, Taken::Yes, Taken::Yes, Taken::Reset]);
+    r.fleet.close(2 * SECOND, HostId(1), 0);
+    assert_eq!(r.fleet.connect(2 * SECOND, GatewayId(0), HostId(1), 9), Taken::Yes);
+}
