Run real gateways on loopback in front of the same world, with a demonstration

The model is now behind sockets too: stand-in hosts on pgwire, discovery on hyper, a relay for datagrams, clients on tokio-postgres, gateways as processes that are killed and started again. Events wait in one queue whose heap moves small keys.

Found on the way: a statement that arrives after its client has ended is late, not made up.

--- /dev/null
+++ b/benches/batch.rs
@@ -0,0 +1,123 @@
+//! What a request costs the decision module as members and gateways grow: its events and its answer, on a calm set.
+//!
+//! The figure to watch is the ratio between the sizes of one run: a request's cost should not grow with members that are
+//! not of its set.
+
+use criterion::{criterion_group, criterion_main, BatchSize, BenchmarkId, Criterion};
+use irisrouter::api::*;
+use irisrouter::decide::Router;
+use irisrouter::settings::Loaded;
+use std::hint::black_box;
+
+const MS: Ns = 1_000_000;
+const MEMBERS_OF_A_SET: u32 = 5;
+
+fn settings(gateways: u32) -> Settings {
+    let json = serde_json::json!({
+        "Balancers": gateways,
+        "Bounds": { "Cancel": true, "ConnectTimeoutNs": 250 * MS, "IdleCloseNs": 30_000 * MS, "MaxRetryAfterNs": 1000 * MS,
+            "MostTries": 6, "Probes": true, "RetryAfter": true, "SecondCopies": true },
+        "Classes": [{ "Name": "report", "AimNs": 6000 * MS, "DeadlineNs": 12_000 * MS, "Effect": "retryable",
+            "Group": "all", "LateWorth": 0.0, "WindowNs": 0, "Worth": 1.0 }],
+        "Domain": { "CatchUpWaitNs": 50 * MS, "ClassBoundNs": [0], "Freshness": ["eventual"], "PositionZeroNs": 0,
+            "RoleInList": "none", "ServerChecks": "await", "SessionMarks": "brought", "Stamps": false },
+        "LoadInfo": { "How": "probe", "Fields": ["x0", "x1", "load_share"] },
+        "MembershipMode": "push", "MyZone": "a", "OverShareWorth": 0.1, "Penalties": { "Probe": 0.04 },
+        "RoundNs": 5 * MS, "Tenants": [], "Zones": ["a"],
+        "Rules": { "ColdNs": 14_000 * MS, "DrainGraceNs": 500 * MS, "OverloadFactor": 2.0, "StartCapacity": 0.15,
+            "TipAfterNs": 3000 * MS },
+    });
+    Loaded::parse(&json, 1).expect("settings").settings
+}
+
+/// A router that has served for a while, and how many requests it has had.
+struct Served {
+    router: Router,
+    now: Ns,
+    next: u64,
+    sets: u32,
+}
+
+impl Served {
+    fn new(members: u32, gateways: u32) -> Self {
+        let entry = |m: u32| ListEntry {
+            member: MemberId(m),
+            group: GroupId(i64::from(m / MEMBERS_OF_A_SET)),
+            zone: ZoneId(0),
+            listed: Listed::Ready,
+            primary: false,
+            size: 1.0,
+            started: None,
+        };
+        let mut router = Router::new(settings(gateways));
+        let now = 1_000_000_000_000;
+        let entries = (0..members).map(entry).collect();
+        router.batch(now, &[Event::List { complete: true, entries }]);
+        let mut served = Served { router, now, next: 0, sets: members.div_ceil(MEMBERS_OF_A_SET) };
+        (0..2000).for_each(|_| served.request());
+        served
+    }
+
+    /// A request comes and is answered; probes are answered too.
+    fn request(&mut self) {
+        let id = RequestId(self.next);
+        let group = GroupId((self.next % u64::from(self.sets)) as i64);
+        self.next += 1;
+        self.now += MS;
+        let deadline = self.now + 12_000 * MS;
+        let came = Event::Request {
+            id,
+            class: 0,
+            tenant: None,
+            session: None,
+            deadline,
+            work: None,
+            group,
+            mark_age: None,
+            retry: false,
+        };
+        let mut events = vec![came];
+        while !events.is_empty() {
+            let actions = self.router.batch(self.now, &events);
+            self.now += MS;
+            events = actions
+                .into_iter()
+                .filter_map(|a| match a {
+                    Action::Send { id, member, .. } => Some(Event::Ended {
+                        id,
+                        attempt: 0,
+                        member,
+                        outcome: Outcome::Ok,
+                        elapsed: 20 * MS,
+                        finished: true,
+                        note: Some(Note { role: Role::Replica, position: None }),
+                        report: None,
+                    }),
+                    Action::Probe { member } => {
+                        let position = Some(self.now - 10 * MS);
+                        let report = Report { position, primary: Some(false), inflight: None };
+                        let (outcome, elapsed) = (Outcome::Ok, MS);
+                        Some(Event::Probed { member, outcome, elapsed, report: Some(report) })
+                    }
+                    _ => None,
+                })
+                .collect();
+        }
+    }
+}
+
+fn request(c: &mut Criterion) {
+    for gateways in [2, 48] {
+        let mut group = c.benchmark_group(format!("request_{gateways}_gateways"));
+        for members in [10, 100, 1_000] {
+            group.bench_function(BenchmarkId::from_parameter(members), |b| {
+                let mut served = Served::new(members, gateways);
+                b.iter_batched(|| (), |()| black_box(&mut served).request(), BatchSize::SmallInput);
+            });
+        }
+        group.finish();
+    }
+}
+
+criterion_group!(benches, request);
+criterion_main!(benches);
--- a/crates/lab/src/figures.rs
+++ b/crates/lab/src/figures.rs
@@ -4,7 +4,8 @@
 use crate::scenario::Scenario;
 use hdrhistogram::Histogram;
 use irisrouter_world::clients::{Fate, Finished};
-use irisrouter_world::fleet::Fleet;
+use irisrouter_world::faults::Planned;
+use irisrouter_world::fleet::{Fleet, Output};
 use irisrouter_world::ledger::BreachKind;
 use irisrouter_world::spec::ClassSpec;
 use irisrouter_world::{ms, seconds, HostId, Ns, SECOND};
@@ -158,6 +159,12 @@
     pub lost_requests: u64,
     /// Requests that a running gateway had not answered when their client's time was over.
     pub unanswered: u64,
+    /// Rows that no host made for their request.
+    pub wrong_rows: u64,
+    /// Statements at hosts that no client sent in that form.
+    pub malformed: u64,
+    /// Datagrams of more than 256 bytes.
+    pub too_long_datagrams: u64,
     /// Different writes that were applied.
     pub writes_applied: u64,
     /// Time from each return of capacity until service is back at 95 % of what it was before, in seconds; the longest.
@@ -211,6 +218,9 @@
             ("sends to drained hosts", self.sent_to_drained),
             ("requests lost", self.lost_requests),
             ("requests not answered in time", self.unanswered),
+            ("rows that no host made", self.wrong_rows),
+            ("statements that no client sent", self.malformed),
+            ("datagrams of over 256 bytes", self.too_long_datagrams),
         ];
         counts.iter().filter(|(_, n)| *n > 0).map(|(what, n)| format!("{n} {what}")).collect()
     }
@@ -247,6 +257,7 @@
     marks: Vec<Mark>,
     open_marks: BTreeMap<String, usize>,
     returns: Vec<Ns>,
+    recent: Vec<(u64, u64)>,
     pauses: BTreeMap<String, u64>,
     asked_work: f64,
     done_work: f64,
@@ -265,6 +276,12 @@
     pub lost: u64,
     /// Likewise.
     pub unanswered: u64,
+    /// Rows that no host made for their request; on loopback.
+    pub wrong_rows: u64,
+    /// Statements that no client sent in that form; on loopback.
+    pub malformed: u64,
+    /// Datagrams of more than 256 bytes.
+    pub too_long: u64,
 }
 
 impl Collector {
@@ -295,6 +312,7 @@
             marks: Vec::new(),
             open_marks: BTreeMap::new(),
             returns: Vec::new(),
+            recent: vec![(0, 0); w.classes.len()],
             pauses: BTreeMap::new(),
             asked_work: 0.0,
             done_work: 0.0,
@@ -306,6 +324,9 @@
             datagram_bytes: 0,
             lost: 0,
             unanswered: 0,
+            wrong_rows: 0,
+            malformed: 0,
+            too_long: 0,
         }
     }
 
@@ -388,6 +409,8 @@
             s.asked += worth;
             s.earned += earned;
         }
+        let recent = &mut self.recent[a.class];
+        *recent = (recent.0 + 1, recent.1 + u64::from(part == 1.0));
         if a.at < self.warm_up {
             return;
         }
@@ -427,9 +450,49 @@
         }
     }
 
-    /// Hosts that were away are there again.
-    pub fn returned(&mut self, now: Ns) {
-        self.returns.push(now);
+    /// Notes what happens in the world, for the line of time.
+    pub fn world(&mut self, now: Ns, output: &Output, plan: &[Planned]) {
+        match output {
+            Output::Fault { index, begins, hosts } => {
+                let p = &plan[*index];
+                let numbers: Vec<String> = hosts.iter().map(|h| h.0.to_string()).collect();
+                let of =
+                    if numbers.len() > 12 { format!("{} hosts", numbers.len()) } else { numbers.join(" ") };
+                let what = format!("{} #{index} {of}", p.name.replace('_', " "));
+                if *begins {
+                    return self.mark(now, what, true);
+                }
+                // It ends under the name that it began with: the hosts are the same.
+                self.ends(now, &what);
+                if p.fault.silent.is_some() || p.fault.reset.is_some() {
+                    self.returns.push(now);
+                }
+            }
+            Output::Primary { set, host } => {
+                let what = format!("set {} without a primary", set.0);
+                match host {
+                    None if self.open_marks.contains_key(&what) => {}
+                    None => self.mark(now, what, true),
+                    Some(_) => self.ends(now, &what),
+                }
+            }
+            Output::Gateway { gateway, up } => {
+                let what = format!("gateway {} away", gateway.0);
+                if *up {
+                    self.ends(now, &what);
+                } else {
+                    self.mark(now, what, true);
+                }
+            }
+            Output::Fallen { host } => self.mark(now, format!("host {} knocked over", host.0), false),
+            _ => {}
+        }
+    }
+
+    /// What has been asked for and answered in time since this was last called, by class.
+    pub fn take_recent(&mut self) -> Vec<(u64, u64)> {
+        let none = vec![(0, 0); self.recent.len()];
+        std::mem::replace(&mut self.recent, none)
     }
 
     /// Looks at every host; once a second.
@@ -563,6 +626,9 @@
             sent_to_drained: ledger.count(BreachKind::SentToDrained),
             lost_requests: self.lost,
             unanswered: self.unanswered,
+            wrong_rows: self.wrong_rows,
+            malformed: self.malformed,
+            too_long_datagrams: self.too_long,
             writes_applied: ledger.writes(),
             recovery_s: self.recovery(),
             classes,
--- a/crates/lab/src/gateway.rs
+++ b/crates/lab/src/gateway.rs
@@ -8,7 +8,8 @@
 use irisrouter_world::fleet;
 use irisrouter_world::list::{Entry, View};
 use irisrouter_world::{HostId, MS};
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use rustc_hash::FxHashMap as HashMap;
+use std::collections::{BTreeSet, VecDeque};
 
 /// The module's deadline lies so much before the client's, as in `net/request.rs`.
 const MARGIN: Ns = 5 * MS;
@@ -122,12 +123,12 @@
             events: Vec::new(),
             batch_planned: false,
             wake: None,
-            open: HashMap::new(),
-            of_try: HashMap::new(),
+            open: HashMap::default(),
+            of_try: HashMap::default(),
             next_request: 0,
-            idle: HashMap::new(),
+            idle: HashMap::default(),
             probing: BTreeSet::new(),
-            ready: HashMap::new(),
+            ready: HashMap::default(),
         };
         let entries: Vec<ListEntry> = view.entries().map(list_entry).collect();
         g.ready = entries.iter().map(|e| (HostId(e.member.0), e.listed == Listed::Ready)).collect();
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,8 +5,10 @@
 #![warn(missing_docs)]
 
 pub mod compare;
+pub mod demo;
 pub mod figures;
 pub mod gateway;
+pub mod loopback;
 pub mod report;
 pub mod scenario;
 pub mod settings;
--- /dev/null
+++ b/crates/lab/src/loopback/mod.rs
@@ -0,0 +1,155 @@
+//! A run on loopback: real gateways as processes, and round them the same world as in virtual time, behind sockets and in
+//! real time. Every address is 127.0.0.1 with a port that the system gives; the load is bounded and stops by itself.
+
+pub mod discovery;
+pub mod front;
+pub mod host;
+pub mod house;
+pub mod peers;
+pub mod process;
+
+use crate::figures::Figures;
+use crate::scenario::Scenario;
+use crate::settings;
+use front::Front;
+use house::House;
+use irisrouter_world::clients::Arrivals;
+use irisrouter_world::{seconds, GatewayId, Ns, SECOND};
+use peers::Peers;
+use process::{Processes, Program};
+use serde_json::json;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::{spawn_local, JoinSet, LocalSet};
+
+/// What comes is bounded: a machine's loopback is not a fleet's network.
+const MOST_PER_S: f64 = 5_000.0;
+/// Gateways and hosts that one machine carries.
+const MOST_SOCKETS: u32 = 2_000;
+/// Between the last gateway's readiness and the first arrival.
+const BREATH: Ns = SECOND / 5;
+/// What is still open so long after the last arrival's deadline is given up.
+const AFTER: Duration = Duration::from_secs(3);
+
+/// How to run.
+pub struct Options<'a> {
+    /// The gateway's program.
+    pub gateway: PathBuf,
+    /// Called each second with the run so far.
+    pub each_second: &'a dyn Fn(&House),
+}
+
+/// Runs a scenario on loopback.
+///
+/// # Errors
+/// Where the settings are not taken, the scenario is too large for one machine, a gateway does not start or ends by
+/// itself, with its last log lines.
+pub fn run(scenario: &Scenario, seed: u64, options: &Options<'_>) -> Result<Figures, String> {
+    settings::load(scenario, seed)?;
+    let w = &scenario.world;
+    if w.gateways * w.hosts.count > MOST_SOCKETS {
+        return Err(format!(
+            "{} gateways times {} hosts are too many for one machine",
+            w.gateways, w.hosts.count
+        ));
+    }
+    let rate = irisrouter_world::spec::Day::draw(w, seed).rate;
+    if rate > MOST_PER_S {
+        return Err(format!(
+            "{rate:.0} requests a second are too many for one machine, {MOST_PER_S:.0} at most"
+        ));
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
+    LocalSet::new().block_on(&runtime, drive(scenario, seed, options))
+}
+
+async fn drive(scenario: &Scenario, seed: u64, options: &Options<'_>) -> Result<Figures, String> {
+    let w = &scenario.world;
+    let house = House::new(scenario, seed);
+    // Whatever ends this run ends all that it has started.
+    let mut tasks = JoinSet::new();
+    tasks.spawn_local(Rc::clone(&house).drive());
+    let peers = Peers::new(Rc::clone(&house), w.gateways).await?;
+    let mut programs = Vec::new();
+    for g in 0..w.gateways {
+        let gateway = GatewayId(g);
+        let mut addresses = Vec::new();
+        for h in 0..w.hosts.count {
+            let listener = house::listen().await?;
+            addresses.push(listener.local_addr().map_err(|e| e.to_string())?.to_string());
+            let here = Rc::clone(&house);
+            tasks.spawn_local(host::serve(here, listener, gateway, irisrouter_world::HostId(h)));
+        }
+        let listener = house::listen().await?;
+        let discovery = listener.local_addr().map_err(|e| e.to_string())?;
+        let (known, all) = peers.addresses(gateway)?;
+        let known: Vec<String> = known.iter().map(ToString::to_string).collect();
+        let addresses = Rc::new(addresses);
+        tasks.spawn_local(discovery::serve(Rc::clone(&house), listener, gateway, Rc::clone(&addresses)));
+        programs.push(Program {
+            name: format!("g{g}"),
+            file: options.gateway.clone(),
+            config: json!({
+                "name": format!("g{g}"),
+                "listen": "127.0.0.1:0",
+                "discovery": discovery.to_string(),
+                "seed": "0",
+                "peer_listen": peers.listen(gateway).to_string(),
+                "peers": known,
+                "peers_all": all.to_string(),
+                "limits": { "cores": 1.0, "memory_mb": scenario.gateway.memory_mb, "sockets": scenario.gateway.sockets },
+                "settings": settings::object(scenario),
+            }),
+            addresses,
+        });
+    }
+    tasks.spawn_local(peers.relay());
+    let processes = Processes::new(Rc::clone(&house), programs, seed)?;
+    for g in 0..w.gateways {
+        processes.start(GatewayId(g)).await?;
+    }
+    house.begin(BREATH);
+    let front = Front::new(Rc::clone(&house), Rc::clone(&processes));
+    let commands = Rc::clone(&processes);
+    tasks.spawn_local(async move { commands.obey().await });
+    let run = async {
+        let mut calls = JoinSet::new();
+        for arrival in Arrivals::new(w, seed) {
+            house.until(house.start() + arrival.at).await;
+            calls.spawn_local(Rc::clone(&front).call(arrival));
+            while calls.try_join_next().is_some() {}
+        }
+        let longest = w.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
+        let patience = Duration::from_secs_f64(longest / 1e3 * f64::from(w.clients.retries + 1)) + AFTER;
+        let _ = tokio::time::timeout(patience, async { while calls.join_next().await.is_some() {} }).await;
+    };
+    let sampling = async {
+        for second in 0..w.length_s.ceil() as Ns {
+            house.until(house.start() + second * SECOND).await;
+            house.sample();
+            (options.each_second)(&house);
+        }
+        std::future::pending::<()>().await
+    };
+    let result = tokio::select! {
+        () = run => Ok(()),
+        () = sampling => Ok(()),
+        why = processes.failed() => Err(why),
+    };
+    processes.stop().await;
+    tasks.shutdown().await;
+    result?;
+    Ok(house.figures(scenario, seed))
+}
+
+/// How long a run lasts at least.
+pub fn length(scenario: &Scenario) -> Duration {
+    Duration::from_nanos(seconds(scenario.world.length_s).max(0) as u64)
+}
+
+/// Runs a task beside the others.
+fn beside(task: impl std::future::Future<Output = ()> + 'static) {
+    spawn_local(task);
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,6 +7,8 @@
 use irisrouter_config::Variables;
 use irisrouter_lab::compare;
 use irisrouter_lab::figures::Figures;
+use irisrouter_lab::loopback::house::House;
+use irisrouter_lab::loopback::{self, Options};
 use irisrouter_lab::scenario::Scenario;
 use irisrouter_lab::{report, virtual_run};
 use std::io::{IsTerminal, Write};
@@ -37,8 +39,25 @@
     Json,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum Mode {
+    /// Discrete events round the decision module: exact, and faster than the clock.
+    Virtual,
+    /// Real gateways as processes, on 127.0.0.1, in real time.
+    Loopback,
+}
+
 #[derive(Subcommand)]
 enum Command {
+    /// See it work: a gateway, a set, clients, and a primary that vanishes; under half a minute.
+    Demo {
+        /// The day is drawn from it.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// The gateway's program; the one beside this program where nothing is said.
+        #[arg(long, value_name = "FILE")]
+        gateway: Option<PathBuf>,
+    },
     /// Run a scenario once, or for several seeds, and say what it came to.
     Run(RunArgs),
     /// Run two choices of a scenario on the same days, and say what differs.
@@ -71,6 +90,12 @@
     /// So many days, from this seed on, with the mean and its 95 % interval.
     #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=100_000))]
     seeds: u64,
+    /// How it is run.
+    #[arg(long, value_enum, default_value_t = Mode::Virtual)]
+    mode: Mode,
+    /// On loopback: the gateway's program; the one beside this program where nothing is said.
+    #[arg(long, value_name = "FILE")]
+    gateway: Option<PathBuf>,
     /// Set what the file declares.
     #[arg(short = 'V', long = "var", value_name = "NAME=VALUE")]
     vars: Vec<String>,
@@ -136,6 +161,7 @@
         LogFormat::Json => log.json().init(),
     }
     let result = match cli.command {
+        Command::Demo { seed, gateway } => demo(seed, gateway),
         Command::Run(args) => run(&args),
         Command::Compare(args) => compared(&args),
         Command::Scenarios { dir } => scenarios(&dir),
@@ -198,16 +224,54 @@
     bar
 }
 
+/// The gateway's program: where it is said to be, or beside this one.
+fn program(said: Option<&PathBuf>) -> Result<PathBuf, Failed> {
+    let path = match said {
+        Some(path) => path.clone(),
+        None => {
+            let own =
+                std::env::current_exe().map_err(|e| Failed::Run(format!("where is this program? {e}")))?;
+            own.with_file_name("irisrouter")
+        }
+    };
+    if path.is_file() {
+        return Ok(path);
+    }
+    let build = "build it with 'cargo build --release', or name it with --gateway";
+    Err(Failed::Run(format!("there is no gateway at {}; {build}", path.display())))
+}
+
+fn demo(seed: u64, gateway: Option<PathBuf>) -> Result<(), Failed> {
+    let gateway = program(gateway.as_ref())?;
+    let figures = irisrouter_lab::demo::run(gateway, seed, &say).map_err(Failed::Run)?;
+    say("\nIn all, with a client's retries counted as part of its first try:\n");
+    say(&report::text(&figures));
+    judged(true, &[figures])
+}
+
 fn run(args: &RunArgs) -> Result<(), Failed> {
     let scenario = load(&args.scenario, &variables(&args.vars)?)?;
+    if args.seeds > 1 && args.mode == Mode::Loopback {
+        return Err(Failed::Input("several seeds run in virtual time only".into()));
+    }
     if args.seeds > 1 {
         return run_many(args, &scenario);
     }
-    info!(scenario = %scenario.title, seed = args.seed, "runs in virtual time");
+    info!(scenario = %scenario.title, seed = args.seed, mode = ?args.mode, "runs");
     let progress = bar(scenario.world.length_s as u64);
-    let figures = virtual_run::run_with(&scenario, args.seed, &mut |s| progress.set_position(s as u64));
+    let figures = match args.mode {
+        Mode::Virtual => {
+            virtual_run::run_with(&scenario, args.seed, &mut |s| progress.set_position(s as u64))
+                .map_err(Failed::Run)
+        }
+        Mode::Loopback => {
+            let each_second = |house: &House| progress.set_position(house.elapsed().round() as u64);
+            let options = Options { gateway: program(args.gateway.as_ref())?, each_second: &each_second };
+            loopback::run(&scenario, args.seed, &options).map_err(Failed::Run)
+        }
+    };
     progress.finish_and_clear();
-    let figures = figures.map_err(Failed::Run)?;
+    let figures = figures?;
     say(&report::text(&figures));
     if let Some(path) = &args.json {
         write_json(path, &figures)?;
--- a/crates/lab/src/virtual_run.rs
+++ b/crates/lab/src/virtual_run.rs
@@ -10,10 +10,10 @@
 use irisrouter_world::clients::{Arrivals, Clients, Fate, Next, Try};
 use irisrouter_world::dice::{Dice, Stream};
 use irisrouter_world::fleet::{Answer, Fleet, Note, Output, Probe, Query, Taken};
+use irisrouter_world::queue::Queue;
 use irisrouter_world::spec::Day;
 use irisrouter_world::{ms, seconds, GatewayId, HostId, Ns, MS, SECOND};
-use std::cmp::{Ordering, Reverse};
-use std::collections::{BinaryHeap, HashMap};
+use rustc_hash::FxHashMap;
 
 /// Where virtual time begins. The module takes 0 for never, and hosts that were started long ago for warm.
 const START: Ns = 1_000_000 * SECOND;
@@ -78,32 +78,6 @@
     host: HostId,
 }
 
-struct Due {
-    at: Ns,
-    order: u64,
-    event: Event,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-
-impl Eq for Due {}
-
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
 /// What a ticket at a host belongs to.
 #[derive(Clone, Copy, Debug)]
 enum Ticket {
@@ -120,9 +94,8 @@
     clients: Clients,
     arrivals: std::iter::Peekable<Arrivals>,
     gateways: Vec<Gateway>,
-    queue: BinaryHeap<Reverse<Due>>,
-    order: u64,
-    tickets: HashMap<u64, Ticket>,
+    queue: Queue<Event>,
+    tickets: FxHashMap<u64, Ticket>,
     next_ticket: u64,
     network: Dice,
     seeds: Dice,
@@ -162,9 +135,8 @@
         arrivals: Arrivals::new(world, seed).peekable(),
         fleet,
         gateways,
-        queue: BinaryHeap::new(),
-        order: 0,
-        tickets: HashMap::new(),
+        queue: Queue::default(),
+        tickets: FxHashMap::default(),
         next_ticket: 0,
         network: Dice::new(seed, Stream::Network),
         seeds,
@@ -192,7 +164,7 @@
         let tries = Ns::from(self.scenario.world.clients.retries) + 1;
         let end = START + length + longest * tries + AFTER;
         loop {
-            let own = self.queue.peek().map(|Reverse(d)| d.at);
+            let own = self.queue.next();
             let theirs = self.fleet.next();
             let Some(at) = [own, theirs].into_iter().flatten().min().filter(|&at| at <= end) else { break };
             if at >= START + length && self.arrivals.peek().is_none() && self.clients.open() == 0 {
@@ -206,18 +178,15 @@
             if theirs == Some(at) {
                 self.settle();
             }
-            while self.queue.peek().is_some_and(|Reverse(d)| d.at == at) {
-                if let Some(Reverse(due)) = self.queue.pop() {
-                    self.happen(due.event);
-                }
+            while let Some((_, event)) = self.queue.pop(at) {
+                self.happen(event);
             }
             self.settle();
         }
     }
 
     fn push(&mut self, at: Ns, event: Event) {
-        self.order += 1;
-        self.queue.push(Reverse(Due { at: at.max(self.now), order: self.order, event }));
+        self.queue.push(at.max(self.now), event);
     }
 
     fn way(&mut self, usual: Ns) -> Ns {
@@ -246,6 +215,7 @@
     }
 
     fn world_says(&mut self, output: Output) {
+        self.collector.world(self.now, &output, self.fleet.plan());
         match output {
             Output::Answered { ticket, answer, note, work, .. } => {
                 if let Some(Ticket::Query(leg)) = self.tickets.remove(&ticket) {
@@ -259,41 +229,12 @@
                 }
             }
             Output::Broken { host } => self.broken(host),
-            Output::Told { gateway, entry } => {
-                if self.gateways[gateway.0 as usize].alive {
-                    self.gateways[gateway.0 as usize].told(&entry);
-                    self.plan_batch(gateway);
-                }
+            Output::Told { gateway, entry } if self.gateways[gateway.0 as usize].alive => {
+                self.gateways[gateway.0 as usize].told(&entry);
+                self.plan_batch(gateway);
             }
             Output::Gateway { gateway, up } => self.gateway(gateway, up),
-            Output::DatagramsLost(_) => {}
-            Output::Fault { index, begins, hosts } => {
-                let p = &self.fleet.plan()[index];
-                let numbers: Vec<String> = hosts.iter().map(|h| h.0.to_string()).collect();
-                let of =
-                    if numbers.len() > 12 { format!("{} hosts", numbers.len()) } else { numbers.join(" ") };
-                let what = format!("{} #{index} {of}", p.name.replace('_', " "));
-                let returns = p.fault.silent.is_some() || p.fault.reset.is_some();
-                if begins {
-                    self.collector.mark(self.now, what, true);
-                } else {
-                    // It ends under the name that it began with: the hosts are the same.
-                    self.collector.ends(self.now, &what);
-                    if returns {
-                        self.collector.returned(self.now);
-                    }
-                }
-            }
-            Output::Primary { set, host } => {
-                let what = format!("set {} without a primary", set.0);
-                match host {
-                    None => self.collector.mark(self.now, what, true),
-                    Some(_) => self.collector.ends(self.now, &what),
-                }
-            }
-            Output::Fallen { host } => {
-                self.collector.mark(self.now, format!("host {} knocked over", host.0), false);
-            }
+            _ => {}
         }
     }
 
@@ -320,15 +261,12 @@
     fn gateway(&mut self, gateway: GatewayId, up: bool) {
         let g = gateway.0 as usize;
         self.clients.gateway(self.now, gateway, up);
-        let what = format!("gateway {g} away");
         if up {
             let settings = Settings { seed: self.seeds.number(), ..self.settings.clone() };
             let life = self.gateways[g].life + 1;
             self.gateways[g] = Gateway::start(&settings, life, self.fleet.list().view(gateway));
-            self.collector.ends(self.now, &what);
             return self.plan_batch(gateway);
         }
-        self.collector.mark(self.now, what, true);
         let old = &mut self.gateways[g];
         old.alive = false;
         old.life += 1;
--- a/crates/world/src/faults.rs
+++ b/crates/world/src/faults.rs
@@ -24,7 +24,7 @@
     pub sets: Vec<SetId>,
     /// Gateways that are killed, with the times of their end and of their return.
     pub waves: Vec<(GatewayId, Ns, Ns)>,
-    /// Gateways that do not reach the hosts that are cut off.
+    /// Gateways that do not reach the hosts that are cut off, or that are on one side of a split.
     pub cut: Vec<GatewayId>,
 }
 
@@ -47,10 +47,9 @@
         .gateways_killed
         .as_ref()
         .map_or(Vec::new(), |w| waves(spec.gateways, w.share, w.at_a_time, w.down_s, from, until, &mut dice));
-    let cut = fault
-        .cut_off
-        .as_ref()
-        .map_or(Vec::new(), |c| dice.choose(part_of(c.gateways, spec.gateways), spec.gateways as usize));
+    let side = fault.cut_off.as_ref().map(|c| c.gateways).or(fault.split.as_ref().map(|s| s.part));
+    let cut =
+        side.map_or(Vec::new(), |part| dice.choose(part_of(part, spec.gateways), spec.gateways as usize));
     Planned {
         name: fault.kinds().first().copied().unwrap_or("nothing"),
         fault: fault.clone(),
--- a/crates/world/src/fleet.rs
+++ b/crates/world/src/fleet.rs
@@ -9,10 +9,11 @@
 use crate::ledger::Ledger;
 use crate::list::{Entry, List, Listed, Telling};
 use crate::log::{Applier, Heard, Log, Source};
+use crate::queue::Queue;
 use crate::spec::{Between, Checks, Day, Need, Spec};
 use crate::{ms, seconds, GatewayId, HostId, Ns, SetId, MS};
-use std::cmp::{Ordering, Reverse};
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use rustc_hash::FxHashMap;
+use std::collections::{HashMap, VecDeque};
 
 /// A set remembers keys for so many windows. Danger: a day's keys would fill memory.
 const REMEMBERED: Ns = 20;
@@ -171,33 +172,6 @@
     Gateway { gateway: GatewayId, up: bool },
 }
 
-#[derive(Debug)]
-struct Due {
-    at: Ns,
-    order: u64,
-    event: Event,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-
-impl Eq for Due {}
-
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
 /// A keyed write that a set remembers: when it first came, and its commit once it is applied.
 #[derive(Clone, Debug)]
 struct Remembered {
@@ -216,7 +190,7 @@
     /// Times that were drawn for it.
     draws: u32,
     log: Log,
-    keys: HashMap<u64, Vec<Remembered>>,
+    keys: FxHashMap<u64, Vec<Remembered>>,
     key_order: VecDeque<(Ns, u64)>,
 }
 
@@ -256,13 +230,12 @@
     start: Ns,
     hosts: Vec<Host>,
     sets: Vec<Set>,
-    jobs: HashMap<u64, Job>,
+    jobs: FxHashMap<u64, Job>,
     next_job: u64,
     stamps: Vec<u64>,
     /// What has come to a host that hangs.
     stalled: HashMap<HostId, Vec<Query>>,
-    queue: BinaryHeap<Reverse<Due>>,
-    order: u64,
+    queue: Queue<Event>,
     list: List,
     ledger: Ledger,
     dice: Dice,
@@ -288,7 +261,7 @@
                 term: 0,
                 draws: 0,
                 log: Log::default(),
-                keys: HashMap::new(),
+                keys: FxHashMap::default(),
                 key_order: VecDeque::new(),
             });
         }
@@ -312,11 +285,10 @@
             start,
             hosts,
             sets,
-            jobs: HashMap::new(),
+            jobs: FxHashMap::default(),
             next_job: 0,
             stalled: HashMap::new(),
-            queue: BinaryHeap::new(),
-            order: 0,
+            queue: Queue::default(),
             list,
             ledger: Ledger::default(),
             dice: Dice::new(seed, Stream::Fleet),
@@ -400,6 +372,14 @@
         })
     }
 
+    /// Whether datagrams of one gateway may reach another at all.
+    pub fn hears(&self, from: GatewayId, to: GatewayId) -> bool {
+        !self.struck.keys().any(|&i| {
+            let p = &self.plan[i];
+            p.fault.split.is_some() && p.cut.contains(&from) != p.cut.contains(&to)
+        })
+    }
+
     /// How far a host has applied its set's log, in truth.
     pub fn position(&mut self, now: Ns, host: HostId) -> Ns {
         let h = &mut self.hosts[host.0 as usize];
@@ -642,21 +622,19 @@
 
     /// When something happens next.
     pub fn next(&self) -> Option<Ns> {
-        self.queue.peek().map(|Reverse(d)| d.at)
+        self.queue.next()
     }
 
     /// Lets happen what is due by now, in order, and hands out all that has come of it and of what was handed in.
     pub fn advance(&mut self, now: Ns) -> Vec<Output> {
-        while self.queue.peek().is_some_and(|Reverse(d)| d.at <= now) {
-            let Some(Reverse(due)) = self.queue.pop() else { break };
-            self.happen(due.at, due.event);
+        while let Some((at, event)) = self.queue.pop(now) {
+            self.happen(at, event);
         }
         std::mem::take(&mut self.out)
     }
 
     fn push(&mut self, at: Ns, event: Event) {
-        self.order += 1;
-        self.queue.push(Reverse(Due { at, order: self.order, event }));
+        self.queue.push(at, event);
     }
 
     fn plan_finish(&mut self, now: Ns, host: HostId) {
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod clients;
 pub mod cpu;
+pub mod datagrams;
 pub mod dice;
 pub mod faults;
 pub mod fleet;
@@ -17,6 +18,7 @@
 pub mod ledger;
 pub mod list;
 pub mod log;
+pub mod queue;
 pub mod spec;
 
 /// A point in time on the runner's clock, or a length of time, in nanoseconds.
--- a/crates/world/src/list.rs
+++ b/crates/world/src/list.rs
@@ -158,6 +158,11 @@
         }
     }
 
+    /// Discovery is silent.
+    pub fn muted(&self) -> bool {
+        self.muted
+    }
+
     /// Since when a gateway has known that a host drains or is gone.
     pub fn told(&self, gateway: GatewayId, host: HostId) -> Option<Ns> {
         self.views[gateway.0 as usize].told.get(&host).copied()
--- /dev/null
+++ b/crates/world/src/queue.rs
@@ -0,0 +1,91 @@
+//! Events in order of time, and of planning where the time is the same.
+//!
+//! The heap moves small keys; the events, which may be large, stay where they are.
+
+use crate::Ns;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+/// Events that are due some time.
+#[derive(Clone, Debug)]
+pub struct Queue<E> {
+    keys: BinaryHeap<Reverse<(Ns, u64, u32)>>,
+    events: Vec<Option<E>>,
+    free: Vec<u32>,
+    order: u64,
+}
+
+impl<E> Default for Queue<E> {
+    fn default() -> Self {
+        Queue { keys: BinaryHeap::new(), events: Vec::new(), free: Vec::new(), order: 0 }
+    }
+}
+
+impl<E> Queue<E> {
+    /// Plans an event.
+    pub fn push(&mut self, at: Ns, event: E) {
+        let slot = match self.free.pop() {
+            Some(slot) => {
+                self.events[slot as usize] = Some(event);
+                slot
+            }
+            None => {
+                self.events.push(Some(event));
+                (self.events.len() - 1) as u32
+            }
+        };
+        self.order += 1;
+        self.keys.push(Reverse((at, self.order, slot)));
+    }
+
+    /// When the next one is due.
+    pub fn next(&self) -> Option<Ns> {
+        self.keys.peek().map(|Reverse((at, ..))| *at)
+    }
+
+    /// The next one that is due by now, with its time.
+    pub fn pop(&mut self, now: Ns) -> Option<(Ns, E)> {
+        self.next().filter(|&at| at <= now)?;
+        let Reverse((at, _, slot)) = self.keys.pop()?;
+        self.free.push(slot);
+        self.events[slot as usize].take().map(|event| (at, event))
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// There are none.
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        #[test]
+        fn events_come_in_order_of_time_and_then_of_planning(times in proptest::collection::vec(0..20i64, 0..200), cut in 0..20i64) {
+            let mut q = Queue::default();
+            times.iter().enumerate().for_each(|(i, &t)| q.push(t, i));
+            let mut came = Vec::new();
+            while let Some(e) = q.pop(cut) {
+                came.push(e);
+            }
+            // Slots are used again.
+            times.iter().enumerate().for_each(|(i, &t)| q.push(t + 100, 1000 + i));
+            while let Some(e) = q.pop(Ns::MAX) {
+                came.push(e);
+            }
+            let mut wanted: Vec<(Ns, usize)> = times.iter().enumerate().map(|(i, &t)| (t, i)).collect();
+            wanted.extend(times.iter().enumerate().map(|(i, &t)| (t + 100, 1000 + i)));
+            wanted.sort();
+            prop_assert_eq!(came, wanted);
+            prop_assert!(q.is_empty() && q.events.len() <= 2 * times.len());
+        }
+    }
+}
--- a/crates/world/src/spec.rs
+++ b/crates/world/src/spec.rs
@@ -544,6 +544,15 @@
     pub part: f64,
 }
 
+/// Gateways in two parts that do not hear each other.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Split {
+    /// The part of them on one side, one at least.
+    #[schemars(range(min = 0, max = 1))]
+    pub part: f64,
+}
+
 /// Discovery that says nothing.
 #[derive(Clone, Debug, Default, Deserialize, Serialize, JsonSchema, PartialEq)]
 #[serde(default, deny_unknown_fields)]
@@ -590,6 +599,9 @@
     /// Datagrams are lost.
     #[serde(default)]
     pub datagrams_lost: Option<Lost>,
+    /// Some gateways do not hear the others.
+    #[serde(default)]
+    pub split: Option<Split>,
     /// Discovery is silent.
     #[serde(default)]
     pub discovery_silent: Option<Mute>,
@@ -610,6 +622,7 @@
             ("drain", self.drain.is_some()),
             ("cut_off", self.cut_off.is_some()),
             ("datagrams_lost", self.datagrams_lost.is_some()),
+            ("split", self.split.is_some()),
             ("discovery_silent", self.discovery_silent.is_some()),
         ]
         .into_iter()
