--- a/crates/lab/src/gateway.rs
+++ b/crates/lab/src/gateway.rs
@@ -7,7 +7,7 @@
 use irisrouter_world::clients::Try;
 use irisrouter_world::fleet;
 use irisrouter_world::list::{Entry, View};
-use irisrouter_world::{HostId, MS};
+use irisrouter_world::{GatewayId, HostId, MS};
 use rustc_hash::FxHashMap as HashMap;
 use std::collections::{BTreeSet, VecDeque};
 
@@ -16,6 +16,19 @@
 /// And the guard against no decision so much.
 const LAST_MARGIN: Ns = MS;
 
+/// What a gateway says to the others, and hears: a subsystem that shares with its peers plugs in here. A gateway that is
+/// killed loses it with all else, and starts with a new one.
+pub trait Talk {
+    /// A datagram has come from another gateway, as its address tells.
+    fn heard(&mut self, now: Ns, from: GatewayId, body: &[u8]);
+
+    /// What it says now: to one gateway, or to all others.
+    fn says(&mut self, now: Ns) -> Vec<(Option<GatewayId>, Vec<u8>)>;
+
+    /// When it wants to be asked again, if nothing comes before.
+    fn due(&self) -> Option<Ns>;
+}
+
 /// A connection to a host that nothing is on.
 #[derive(Clone, Copy, Debug)]
 pub struct Idle {
@@ -85,6 +98,8 @@
     next_request: u64,
     /// Connections that nothing is on, by host, the one used last at the back.
     pub idle: HashMap<HostId, VecDeque<Idle>>,
+    /// Its part in what gateways tell one another.
+    pub talk: Option<Box<dyn Talk>>,
     /// Probes that are out, by host and when they were sent.
     pub probing: BTreeSet<(HostId, Ns)>,
     /// Hosts that it may send to.
@@ -127,6 +142,7 @@
             of_try: HashMap::default(),
             next_request: 0,
             idle: HashMap::default(),
+            talk: None,
             probing: BTreeSet::new(),
             ready: HashMap::default(),
         };
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -261,8 +261,10 @@
     let progress = bar(scenario.world.length_s as u64);
     let figures = match args.mode {
         Mode::Virtual => {
-            virtual_run::run_with(&scenario, args.seed, &mut |s| progress.set_position(s as u64))
-                .map_err(Failed::Run)
+            virtual_run::run_with(&scenario, args.seed, &mut |s| progress.set_position(s as u64), &|_, _| {
+                None
+            })
+            .map_err(Failed::Run)
         }
         Mode::Loopback => {
             let each_second = |house: &House| progress.set_position(house.elapsed().round() as u64);
--- a/crates/lab/src/virtual_run.rs
+++ b/crates/lab/src/virtual_run.rs
@@ -4,10 +4,11 @@
 //! were planned, and everything random comes from a stream of its own.
 
 use crate::figures::{Collector, Figures};
-use crate::gateway::{self, Attempt, Gateway, Stage};
+use crate::gateway::{self, Attempt, Gateway, Stage, Talk};
 use crate::scenario::Scenario;
 use irisrouter::api::{Action, Event as Heard, Outcome, RequestId, Settings};
 use irisrouter_world::clients::{Arrivals, Clients, Fate, Next, Try};
+use irisrouter_world::datagrams::Datagrams;
 use irisrouter_world::dice::{Dice, Stream};
 use irisrouter_world::fleet::{Answer, Fleet, Note, Output, Probe, Query, Taken};
 use irisrouter_world::queue::Queue;
@@ -64,6 +65,10 @@
     ProbeReaches { gateway: GatewayId, life: u32, host: HostId, sent: Ns },
     /// What it found reaches the gateway.
     ProbeAnswers { gateway: GatewayId, life: u32, host: HostId, sent: Ns, found: Option<Probe> },
+    /// A datagram reaches a gateway, whatever process of it runs then.
+    Datagram { to: GatewayId, from: GatewayId, body: Vec<u8> },
+    /// A gateway's talk is due.
+    Talk { gateway: GatewayId, life: u32 },
     /// A look at all hosts.
     Sample,
 }
@@ -85,6 +90,9 @@
     Query(Leg),
 }
 
+/// Makes each process of a gateway its part in what gateways tell one another, or none.
+pub type Talks<'a> = &'a dyn Fn(GatewayId, Ns) -> Option<Box<dyn Talk>>;
+
 /// A run.
 pub struct Run<'a> {
     scenario: &'a Scenario,
@@ -98,6 +106,8 @@
     tickets: FxHashMap<u64, Ticket>,
     next_ticket: u64,
     network: Dice,
+    datagrams: Datagrams,
+    talks: Talks<'a>,
     seeds: Dice,
     collector: Collector,
     batch: Ns,
@@ -110,14 +120,19 @@
 /// # Errors
 /// Where the gateway's own code does not take the scenario's settings.
 pub fn run(scenario: &Scenario, seed: u64) -> Result<Figures, String> {
-    run_with(scenario, seed, &mut |_| ())
+    run_with(scenario, seed, &mut |_| (), &|_, _| None)
 }
 
-/// Runs a scenario and tells, each second of virtual time, how far it has come.
+/// Runs a scenario with gateways that talk, and tells, each second of virtual time, how far it has come.
 ///
 /// # Errors
 /// As [`run`].
-pub fn run_with(scenario: &Scenario, seed: u64, progress: &mut dyn FnMut(f64)) -> Result<Figures, String> {
+pub fn run_with(
+    scenario: &Scenario,
+    seed: u64,
+    progress: &mut dyn FnMut(f64),
+    talks: Talks<'_>,
+) -> Result<Figures, String> {
     let settings = gateway::settings_of(scenario, seed)?;
     let world = &scenario.world;
     let fleet = Fleet::new(world, seed, START);
@@ -139,6 +154,8 @@
         tickets: FxHashMap::default(),
         next_ticket: 0,
         network: Dice::new(seed, Stream::Network),
+        datagrams: Datagrams::new(seed),
+        talks,
         seeds,
         collector: Collector::new(scenario, START),
         batch: (scenario.gateway.batch_us * 1000.0) as Ns,
@@ -147,6 +164,8 @@
         scenario,
     };
     run.go(progress);
+    run.collector.datagram_bytes = run.datagrams.bytes;
+    run.collector.too_long = run.datagrams.too_long;
     Ok(run.collector.figures(scenario, "virtual", seed, &run.fleet))
 }
 
@@ -154,6 +173,7 @@
     fn go(&mut self, progress: &mut dyn FnMut(f64)) {
         for g in 0..self.gateways.len() {
             self.plan_batch(GatewayId(g as u32));
+            self.start_talk(GatewayId(g as u32));
         }
         if let Some(first) = self.arrivals.peek().map(|a| START + a.at) {
             self.push(first, Event::Arrival);
@@ -265,10 +285,12 @@
             let settings = Settings { seed: self.seeds.number(), ..self.settings.clone() };
             let life = self.gateways[g].life + 1;
             self.gateways[g] = Gateway::start(&settings, life, self.fleet.list().view(gateway));
+            self.start_talk(gateway);
             return self.plan_batch(gateway);
         }
         let old = &mut self.gateways[g];
         old.alive = false;
+        old.talk = None;
         old.life += 1;
         let idle: Vec<(HostId, u32)> = {
             let all = std::mem::take(&mut old.idle);
@@ -290,6 +312,33 @@
         }
     }
 
+    fn start_talk(&mut self, gateway: GatewayId) {
+        self.gateways[gateway.0 as usize].talk = (self.talks)(gateway, self.now);
+        self.talk(gateway);
+    }
+
+    /// What a gateway has to say goes out, late or lost; to all others in the order of their numbers.
+    fn talk(&mut self, gateway: GatewayId) {
+        let now = self.now;
+        let count = self.gateways.len() as u32;
+        let g = &mut self.gateways[gateway.0 as usize];
+        let (life, Some(talk)) = (g.life, g.talk.as_mut()) else { return };
+        let said = talk.says(now);
+        let due = talk.due();
+        for (to, body) in said {
+            let all = (0..count).map(GatewayId).filter(|&g| g != gateway);
+            let to: Vec<GatewayId> = to.map_or_else(|| all.collect(), |to| vec![to]);
+            for to in to.into_iter().filter(|to| to.0 < count) {
+                if let Some(at) = self.datagrams.send(now, &self.fleet, gateway, to, body.len()) {
+                    self.push(at, Event::Datagram { to, from: gateway, body: body.clone() });
+                }
+            }
+        }
+        if let Some(due) = due {
+            self.push(due.max(now + 1), Event::Talk { gateway, life });
+        }
+    }
+
     fn plan_batch(&mut self, gateway: GatewayId) {
         let g = &mut self.gateways[gateway.0 as usize];
         if g.alive && !g.batch_planned {
@@ -413,6 +462,18 @@
                 g.post(Heard::Probed { member: gateway::member(host), outcome, elapsed, report });
                 self.plan_batch(gateway);
             }
+            Event::Datagram { to, from, body } => {
+                let now = self.now;
+                if let Some(talk) = self.gateways[to.0 as usize].talk.as_mut() {
+                    talk.heard(now, from, &body);
+                    self.talk(to);
+                }
+            }
+            Event::Talk { gateway, life } => {
+                if self.living(gateway, life).is_some() {
+                    self.talk(gateway);
+                }
+            }
             Event::Sample => {
                 self.collector.sample(self.now, &mut self.fleet);
                 if self.now + SECOND < START + seconds(self.scenario.world.length_s) {
--- a/crates/lab/tests/virtual_time.rs
+++ b/crates/lab/tests/virtual_time.rs
@@ -3,10 +3,17 @@
 use irisrouter_config::Variables;
 use irisrouter_lab::compare;
 use irisrouter_lab::figures::Figures;
+use irisrouter_lab::gateway::Talk;
 use irisrouter_lab::scenario::Scenario;
-use irisrouter_lab::virtual_run::run;
-use irisrouter_world::spec::{Between, Checks, Fault, Need, Pick, Silent, Slow, WriteRepeats};
+use irisrouter_lab::virtual_run::{run, run_with};
+use irisrouter_world::spec::{
+    Between, Checks, Fault, Lost, Need, Pick, Silent, Slow, Split, Waves, WriteRepeats,
+};
+use irisrouter_world::{GatewayId, Ns, MS};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 
 fn scenarios() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios")
@@ -101,6 +108,64 @@
     assert!(f.writes_applied > 100, "what was sent runs all the same");
 }
 
+/// Says its number to all each 100 ms, and counts what it hears.
+struct Chatter {
+    me: GatewayId,
+    next: Ns,
+    heard: Rc<RefCell<BTreeMap<(u32, u32), u64>>>,
+}
+
+impl Talk for Chatter {
+    fn heard(&mut self, _: Ns, from: GatewayId, body: &[u8]) {
+        assert_eq!(body, [from.0 as u8; 100]);
+        *self.heard.borrow_mut().entry((from.0, self.me.0)).or_insert(0) += 1;
+    }
+
+    fn says(&mut self, now: Ns) -> Vec<(Option<GatewayId>, Vec<u8>)> {
+        if now < self.next {
+            return Vec::new();
+        }
+        self.next = now + 100 * MS;
+        vec![(None, vec![self.me.0 as u8; 100])]
+    }
+
+    fn due(&self) -> Option<Ns> {
+        Some(self.next)
+    }
+}
+
+/// Datagrams are late, lost and paid for; a split keeps its sides apart; who is dead neither speaks nor hears.
+#[test]
+fn gateways_talk_over_a_network_that_loses() {
+    let chat = |faults: Vec<Fault>| {
+        let mut s = scenario("calm", &["gateways=4", "length=20", "load=0.2"]);
+        s.world.faults = faults;
+        let heard = Rc::new(RefCell::new(BTreeMap::new()));
+        let talks = |me: GatewayId, now: Ns| -> Option<Box<dyn Talk>> {
+            Some(Box::new(Chatter { me, next: now, heard: Rc::clone(&heard) }))
+        };
+        let f = run_with(&s, 1, &mut |_| (), &talks).expect("a run");
+        let heard = heard.borrow().clone();
+        (f, heard)
+    };
+    let fault = |f: Fault| Fault { at_s: Between::Value(0.0), for_s: Between::Value(100.0), ..f };
+    let (calm, heard) = chat(Vec::new());
+    assert!(heard.len() == 12 && heard.values().all(|&n| n >= 199), "{heard:?}");
+    let bytes =
+        calm.datagram_bytes_per_request * calm.seconds.iter().map(|s| s.first_tries as f64).sum::<f64>();
+    assert!(bytes >= 12.0 * 199.0 * 100.0, "each receiver is paid for: {bytes}");
+    let (_, lossy) =
+        chat(vec![fault(Fault { datagrams_lost: Some(Lost { part: 0.5 }), ..Fault::default() })]);
+    assert!(lossy.values().all(|&n| (60..140).contains(&n)), "{lossy:?}");
+    let (_, split) = chat(vec![fault(Fault { split: Some(Split { part: 0.5 }), ..Fault::default() })]);
+    // The first word of all goes out before the split begins.
+    assert_eq!(split.values().filter(|&&n| n > 1).count(), 4, "two pairs: {split:?}");
+    let killed = Waves { share: 1.0, at_a_time: 1.0, down_s: Between::Value(10.0) };
+    let half = Fault { at_s: Between::Value(5.0), for_s: Between::Value(1.0), ..Fault::default() };
+    let (_, waves) = chat(vec![Fault { gateways_killed: Some(killed), ..half }]);
+    assert!(waves.values().all(|&n| (95..=130).contains(&n)), "{waves:?}");
+}
+
 /// A lab that cannot fail is no lab: faults that are planted in the world show in its figures.
 #[test]
 fn planted_faults_are_found() {
