--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -50,7 +50,7 @@
 }
 
 /// Guards against a repeat that is decided on within the window and arrives beyond it, as its connection had to come up:
-/// the set takes it for another write (found by the laboratory at 48 gateways and 300 hosts).
+/// the set takes it for another write.
 #[test]
 fn a_keyed_request_is_repeated_only_while_a_new_connection_would_be_in_time() {
     for (after, repeated) in [(740 * MS, true), (750 * MS, false)] {
