--- a/crates/world/src/clients.rs
+++ b/crates/world/src/clients.rs
@@ -552,6 +552,22 @@
         assert_eq!(write(&mut c, 4).gateway, t.gateway);
     }
 
+    /// A roaming session's read may come to another gateway before its write has been answered: then it carries nothing,
+    /// and afterwards the commit goes with it wherever it comes.
+    #[test]
+    fn a_roaming_read_comes_to_any_gateway_with_what_its_session_knows() {
+        let mut c = Clients::new(&Spec { gateways: 8, ..spec() }, 5, 0);
+        let t = write(&mut c, 1);
+        let read = |call| Arrival { class: 1, key: None, roams: true, pick: call, call, ..t.arrival };
+        let early: Vec<Try> = (2..40).map(|call| c.begin(SECOND, read(call))).collect();
+        assert!(early.iter().any(|r| r.gateway != t.gateway) && early.iter().all(|r| r.mark == 0));
+        c.ended(2 * SECOND, 1, 0, SECOND, Fate::Served { commit: Some(SECOND + MS) });
+        let later: Vec<Try> = (40..80).map(|call| c.begin(2 * SECOND, read(call))).collect();
+        assert!(later.iter().any(|r| r.gateway != t.gateway) && later.iter().all(|r| r.mark == SECOND + MS));
+        let stays = c.begin(2 * SECOND, Arrival { roams: false, ..read(80) });
+        assert_ne!(stays.mark, 0);
+    }
+
     #[test]
     fn a_session_reads_what_it_knows_it_has_written() {
         let mut c = Clients::new(&spec(), 5, 0);
