--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -80,6 +80,20 @@
     Schema,
 }
 
+/// What every command that runs something takes.
+#[derive(Args)]
+struct Common {
+    /// Set what the file declares.
+    #[arg(short = 'V', long = "var", value_name = "NAME=VALUE")]
+    vars: Vec<String>,
+    /// Write what it came to to a file, as JSON.
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// Write a report to a file, as one HTML page.
+    #[arg(long, value_name = "FILE")]
+    html: Option<PathBuf>,
+}
+
 #[derive(Args)]
 struct RunArgs {
     /// The file.
@@ -96,15 +110,8 @@
     /// On loopback: the gateway's program; the one beside this program where nothing is said.
     #[arg(long, value_name = "FILE")]
     gateway: Option<PathBuf>,
-    /// Set what the file declares.
-    #[arg(short = 'V', long = "var", value_name = "NAME=VALUE")]
-    vars: Vec<String>,
-    /// Write the figures to a file, as JSON.
-    #[arg(long, value_name = "FILE")]
-    json: Option<PathBuf>,
-    /// Write a report to a file, as one HTML page.
-    #[arg(long, value_name = "FILE")]
-    html: Option<PathBuf>,
+    #[command(flatten)]
+    common: Common,
     /// End with 1 if a rule was broken.
     #[arg(long)]
     strict: bool,
@@ -126,15 +133,8 @@
     /// The first day's seed.
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// Set what the file declares, for both.
-    #[arg(short = 'V', long = "var", value_name = "NAME=VALUE")]
-    vars: Vec<String>,
-    /// Write the comparison to a file, as JSON.
-    #[arg(long, value_name = "FILE")]
-    json: Option<PathBuf>,
-    /// Write a report to a file, as one HTML page.
-    #[arg(long, value_name = "FILE")]
-    html: Option<PathBuf>,
+    #[command(flatten)]
+    common: Common,
 }
 
 /// Why a command ended.
@@ -250,7 +250,7 @@
 }
 
 fn run(args: &RunArgs) -> Result<(), Failed> {
-    let scenario = load(&args.scenario, &variables(&args.vars)?)?;
+    let scenario = load(&args.scenario, &variables(&args.common.vars)?)?;
     if args.seeds > 1 && args.mode == Mode::Loopback {
         return Err(Failed::Input("several seeds run in virtual time only".into()));
     }
@@ -275,10 +275,10 @@
     progress.finish_and_clear();
     let figures = figures?;
     say(&report::text(&figures));
-    if let Some(path) = &args.json {
+    if let Some(path) = &args.common.json {
         write_json(path, &figures)?;
     }
-    if let Some(path) = &args.html {
+    if let Some(path) = &args.common.html {
         let page = report::page(&figures).map_err(Failed::Run)?;
         write(path, &page)?;
     }
@@ -291,10 +291,10 @@
     let runs = compare::runs(scenario, &seeds, &|| progress.inc(1)).map_err(Failed::Run)?;
     progress.finish_and_clear();
     say(&report::summary_text(scenario, &seeds, &compare::summary(&runs)));
-    if let Some(path) = &args.json {
+    if let Some(path) = &args.common.json {
         write_json(path, &runs)?;
     }
-    if let Some(path) = &args.html {
+    if let Some(path) = &args.common.html {
         let page = report::page(&runs[0]).map_err(Failed::Run)?;
         write(path, &page)?;
     }
@@ -316,7 +316,7 @@
 }
 
 fn compared(args: &CompareArgs) -> Result<(), Failed> {
-    let both = variables(&args.vars)?;
+    let both = variables(&args.common.vars)?;
     let (a, b) = (both.with(&variables(&args.a)?), both.with(&variables(&args.b)?));
     let (scenario_a, scenario_b) = (load(&args.scenario, &a)?, load(&args.scenario, &b)?);
     if scenario_a == scenario_b {
@@ -329,10 +329,10 @@
         .map_err(Failed::Run)?;
     progress.finish_and_clear();
     say(&report::comparison_text(&comparison));
-    if let Some(path) = &args.json {
+    if let Some(path) = &args.common.json {
         write_json(path, &comparison)?;
     }
-    if let Some(path) = &args.html {
+    if let Some(path) = &args.common.html {
         let page = report::comparison_page(&comparison).map_err(Failed::Run)?;
         write(path, &page)?;
     }
