--- a/benches/batch.rs
+++ b/benches/batch.rs
@@ -95,7 +95,7 @@
                     }),
                     Action::Probe { member } => {
                         let position = Some(self.now - 10 * MS);
-                        let report = Report { position, primary: Some(false), inflight: None };
+                        let report = Report { position, primary: Some(false), inflight: None, in_use: None };
                         let (outcome, elapsed) = (Outcome::Ok, MS);
                         Some(Event::Probed { member, outcome, elapsed, report: Some(report) })
                     }
--- a/crates/lab/src/gateway.rs
+++ b/crates/lab/src/gateway.rs
@@ -284,7 +284,12 @@
 
 /// A report, in whole milliseconds, rounded down.
 pub fn report(r: &irisrouter_world::host::Report) -> Report {
-    Report { position: Some(r.position / MS * MS), primary: Some(r.primary), inflight: None }
+    Report {
+        position: Some(r.position / MS * MS),
+        primary: Some(r.primary),
+        inflight: None,
+        in_use: Some(r.util),
+    }
 }
 
 /// The outcome of an answer.
--- a/src/api.rs
+++ b/src/api.rs
@@ -268,6 +268,19 @@
     pub primary: Option<bool>,
     /// Requests it held (waiting ones included where told).
     pub inflight: Option<f64>,
+    /// Share of its cores that were in use.
+    pub in_use: Option<f64>,
+}
+
+/// What another gateway's probe has found.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Finding {
+    /// The member.
+    pub member: MemberId,
+    /// When it was found.
+    pub at: Ns,
+    /// What the member said of itself then.
+    pub report: Report,
 }
 
 /// How an attempt or a probe ended.
@@ -366,6 +379,8 @@
         /// The load report.
         report: Option<Report>,
     },
+    /// Members of a group were probed, by this gateway or another one.
+    Found(Vec<Finding>),
     /// What another router has learnt.
     Learnt(Box<crate::state::Lore>),
     /// The settings have changed.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,8 +1,7 @@
 //! Every decision of the proxy, and nothing else. The interface (settings, events, actions) is `src/api.rs`.
 //!
-//! The ordinary path: filter a group's members by role and last known position, keep those inside the
-//! window of the best smoothed round trip, pick one at random, hold when none is suitable, and select again
-//! on each status update. What follows it are the exceptions, each with the danger that it covers.
+//! The ordinary path: filter a group's members by role and last known position, keep those inside the window
+//! of the best round trip, pick one at random, hold when none is suitable. The rest are exceptions.
 //! Order: values, state, batch, selection, sending (the one chokepoint), requests, answers, news, probes.
 
 use crate::api::*;
@@ -31,8 +30,7 @@
 /// Requests that a member may hold from all proxies together before answers say more.
 const LIMIT_START: f64 = 6.0;
 /// A late answer takes this share of the limit away; one within this part of the aim (one in so many) adds
-/// LIMIT_RISE, for a limit of one, and less by this power of the number of proxies (two would balance alike
-/// for any number, but traffic is unequal). The limit shared by sparse proxies is larger, and so is its rise.
+/// LIMIT_RISE, for a limit of one, less by this power of the proxies. Sparse ones share a larger limit.
 const LIMIT_CUT: f64 = 0.15;
 const PROMPT: Ns = 2;
 const LIMIT_RISE: f64 = 0.2;
@@ -71,6 +69,13 @@
 const FULL_NEWS: Ns = 4;
 /// News of a member's load is good for so many usual times of the shortest class.
 const NEWS: f64 = 2.0;
+/// That share of cores in use is good for so many, and means so many requests for each core.
+const USE_NEWS: f64 = 12.0;
+const SATURATED: f64 = 1.1;
+/// Reads whose replicas are too far behind leave the primary this part of its cores.
+const SPARE: f64 = 0.3;
+/// Findings of gateways are news for so many connect time-outs.
+const FOUND_NEWS: Ns = 4;
 /// News of a member counts for so many connect time-outs: as long as a failed connection takes several times.
 const MEMORY: f64 = 8.0;
 /// A member is shunned once errors are this smoothed share of its answers: three in a row.
@@ -97,6 +102,8 @@
     told: Vec<f64>,
     /// Sparse proxies: requests that a member of size one may hold from all proxies, learnt from all answers.
     limit: f64,
+    /// How old reports are when they come, by those of primaries.
+    report_age: f64,
     /// Requests that members hold for their size, by all reports lately.
     held_usual: f64,
     need_probes: f64,
@@ -125,6 +132,7 @@
             usual,
             limit: LIMIT_START,
             held_usual: 1.0,
+            report_age: 0.0,
             need_probes: PROBES_MOST,
             calm_probes: PROBES_MOST,
             commits: HashMap::new(),
@@ -171,6 +179,7 @@
             Event::Ended { .. } => self.on_ended(e),
             Event::Left { id } => self.close(*id),
             Event::Probed { member, outcome, report, .. } => self.on_probed(*member, *outcome, *report),
+            Event::Found(found) => found.iter().for_each(|f| self.on_found(f)),
             Event::Learnt(l) => l.teach(self.now, &mut self.members, &mut self.usual, &mut self.told),
             Event::Retuned { settings, from } => self.retune(settings, from),
         }
@@ -204,6 +213,13 @@
         self.sparse() && self.s.load_told
     }
 
+    /// Gateways that share their findings have lately been heard on this group: no probes beside theirs.
+    fn informed(&self, g: GroupId) -> bool {
+        self.groups
+            .get(&g)
+            .is_some_and(|g| self.now - g.found_at < FOUND_NEWS * self.s.limits.connect_timeout)
+    }
+
     // ---- Selection: the ordinary path ----
 
     /// Selects again for the held requests of a group, worthiest for its time first.
@@ -218,11 +234,10 @@
             let queue = std::mem::take(&mut self.groups.get_mut(&gid).expect("group").held[c]);
             let mut left = VecDeque::new();
             let mut stuck = false;
-            // Newest first: in an overload the oldest would be sent with too little time left to be answered.
+            // Newest first: in an overload the oldest would be sent with too little time left.
             for id in queue.into_iter().rev() {
                 let Some(r) = self.requests.get(&id).filter(|r| r.held) else { continue };
-                // All of a class wait for the same thing, but for session reads, each with its own mark, and
-                // long reads, each with more replicas open to it the longer it has waited.
+                // All of a class wait for the same thing, but for session reads and long ones.
                 let own = self.s.classes[c].freshness == Freshness::Session || self.blocks(c);
                 let waits = stuck && !own;
                 if waits || !self.select(r, None).is_some_and(|m| self.send(id, m)) {
@@ -257,8 +272,7 @@
     fn select(&self, r: &Request, not: Option<MemberId>) -> Option<MemberId> {
         let primary = self.primary(r.group);
         if self.to_primary(r.class) {
-            // Danger: an unsafe write sent to a silent primary can only fail: held until one speaks. One that
-            // is full is left alone for a while, as what it turns away costs it work.
+            // Danger: an unsafe write sent to a silent primary can only fail.
             let open = |p: MemberId| Some(p) != not && self.open_to(p, r) && !self.suspect(p);
             // Danger: writes from many sparse proxies fill a primary until it serves each of them too late.
             let word = |p: MemberId| !self.asks() || self.age(p) < 1.0 || self.now >= r.proof_by;
@@ -269,7 +283,9 @@
         let replicas: Vec<MemberId> = members.iter().copied().filter(|&m| other(m)).collect();
         let mut suitable: Vec<MemberId> =
             replicas.iter().copied().filter(|&m| self.proven(m, r) && !self.suspect(m)).collect();
-        if suitable.is_empty() && self.s.checks != ServerChecks::None {
+        // Danger: the few that were asked last are proven, and all gateways would choose the same ones.
+        let informed = self.informed(r.group);
+        if (suitable.is_empty() || informed) && self.s.checks != ServerChecks::None {
             suitable = self.most_advanced(&replicas, r);
         }
         // Danger: one that answers with errors does so at once: it always has room, and draws all reads.
@@ -277,9 +293,8 @@
             suitable.retain(|&m| !self.shunned(m));
         }
         if self.blocks(r.class) && !suitable.is_empty() {
-            // Danger: a long read may stop its replica from applying the log. Spread over all replicas they
-            // leave none recent enough for other reads, so they gather on the one furthest behind, and on one
-            // more of those that follow with each such part of their aim that they have waited.
+            // Danger: a long read may stop its replica from applying the log, and many all replicas: they
+            // gather on the one furthest behind, and on one more with each such part of their aim.
             let mut behind = suitable;
             behind.sort_by_key(|m| std::cmp::Reverse((self.members[m].lag, *m)));
             let more = (self.now - r.arrived) * LONG_WAIT / self.s.classes[r.class].aim.max(1);
@@ -297,8 +312,7 @@
             if let Some(m) = self.pick(&admitted(&suitable)) {
                 return Some(m);
             }
-            // Those that are proven are full. Danger: the others stand idle, as no probe proved them. Where
-            // replicas check reads, one that is too far behind turns it away untouched.
+            // Those that are proven are full. Danger: the others stand idle, as no probe proved them.
             if self.s.checks != ServerChecks::None {
                 let mut likely = self.most_advanced(&replicas, r);
                 likely.retain(|&m| !self.shunned(m));
@@ -310,7 +324,7 @@
             return None;
         }
         // secondaryPreferred: no replica, so the primary, while it has room beyond its own work.
-        let part = if suitable.is_empty() && !self.asks() { 1.0 } else { READ_PART };
+        let part = if suitable.is_empty() && !self.asks() && !informed { 1.0 } else { READ_PART };
         // Danger: each of many sparse proxies would leave its read with a primary that writes fill already.
         let spare = !self.asks() || primary.is_some_and(|p| self.age(p) < 1.0);
         let primary_ok =
@@ -344,7 +358,6 @@
     fn most_advanced(&self, replicas: &[MemberId], r: &Request) -> Vec<MemberId> {
         let need = self.need(r);
         let calm: Vec<MemberId> = replicas.iter().copied().filter(|&m| !self.suspect(m)).collect();
-        // Unheard of, or not lately: worth asking, as one that is too far behind turns it away untouched.
         let likely: Vec<MemberId> =
             calm.iter().copied().filter(|&m| self.now - self.lag(m) >= need).collect();
         if likely.is_empty() && self.primary(r.group).is_none() {
@@ -360,12 +373,11 @@
         m.lag * Ns::from(self.now - m.lag_at < self.memory())
     }
 
-    /// Inside the window of the best, at random by size, leaning to those with room; own zone first.
+    /// Inside the window of the best, at random by size, leaning to those with room.
     fn pick(&self, from: &[MemberId]) -> Option<MemberId> {
         let best = from.iter().map(|m| self.slowness(*m)).fold(f64::INFINITY, f64::min);
         let window: Vec<MemberId> =
             from.iter().copied().filter(|&m| self.slowness(m) <= best.max(0.1) * WINDOW).collect();
-        // Danger: a cold member alone in its zone would get all reads of that zone.
         let full = |m: MemberId| self.load(m) / self.warmth(m);
         let least = |ms: &[MemberId]| ms.iter().map(|&m| full(m)).fold(f64::INFINITY, f64::min);
         let own: Vec<MemberId> =
@@ -386,8 +398,7 @@
         tagged.iter().copied().find(passed).or(tagged.last().copied())
     }
 
-    /// Its average, drawn to the usual where few answers stand behind it. Danger: a member shut out by its
-    /// average never answers again, so that it also fades with time.
+    /// Its average, drawn to the usual by few answers and by time.
     fn slowness(&self, m: MemberId) -> f64 {
         let m = &self.members[&m];
         let fade = m.fade(self.now, self.memory());
@@ -397,7 +408,8 @@
 
     /// Age of a member's report of load, against the time in which members answer and take others.
     fn age(&self, m: MemberId) -> f64 {
-        (self.now - self.members[&m].told_at) as f64 / (NEWS * self.short() / LONG)
+        let news = if self.s.load_told { NEWS } else { USE_NEWS };
+        (self.now - self.members[&m].told_at) as f64 / (news * self.short() / LONG)
     }
 
     /// Requests held, ours and the others', against what is usual for its size.
@@ -406,8 +418,7 @@
         (1.0 + f64::from(self.members[&m].outstanding) + self.others(m)) / (1.0 + usual)
     }
 
-    /// Requests that others hold at a member, by its last report. It ages within a few usual times, and then
-    /// what is usual for its size is the best guess.
+    /// Requests that others hold at a member: by its last report, and as that ages, what is usual.
     fn others(&self, m: MemberId) -> f64 {
         let usual = self.held_usual * self.members[&m].size;
         usual + (self.members[&m].others - usual) * (-self.age(m)).exp()
@@ -426,8 +437,7 @@
         !m.drained && (!m.gone || self.s.rules.drain_binds_alone)
     }
 
-    /// It may be asked: in service, not asked yet, and it has not just turned this request away or failed
-    /// to connect for it. Danger: a dead member refuses at once, and a request burns all its attempts on it.
+    /// It may be asked: in service, and not asked yet or just now.
     fn open_to(&self, m: MemberId, r: &Request) -> bool {
         let lately = |a: &Attempt| self.now - a.sent < self.s.limits.connect_timeout;
         let asked = |a: &Attempt| a.outcome.is_none_or(|o| never_ran(o) && lately(a));
@@ -453,6 +463,10 @@
         let at = &self.members[&m];
         let out = f64::from(at.outstanding);
         if self.sparse() {
+            if !self.s.load_told {
+                // Danger: when replicas fall behind, all gateways would leave their reads with the primary.
+                return self.bears(m, r) && (part >= 1.0 || r.draw < (1.0 - at.in_use) / SPARE);
+            }
             // One that said lately that it is full stays so until it says otherwise.
             let lately = self.now - at.told_at < FULL_NEWS * self.s.limits.connect_timeout;
             let held = self.others(m).max(if lately { at.others } else { 0.0 });
@@ -646,8 +660,7 @@
         }
     }
 
-    /// Covers a member that has fallen silent or been cut off: a safe read gets one copy elsewhere. Not for a
-    /// member that speaks: its read is long rather than lost, and copies of long reads only add load.
+    /// A safe read at a member that has fallen silent gets one copy elsewhere; one that speaks is slow.
     fn second_copy(&mut self, id: RequestId) {
         let r = &self.requests[&id];
         let out = r.out();
@@ -740,7 +753,6 @@
         let again = self.s.classes[r.class].repeat != Repeat::Unsafe || !may_have_run(r);
         let in_time = self.now < self.latest_send(r) && (r.attempts.len() as u32) < self.s.limits.attempts;
         // Attempts that cost no work are free; the others draw on a budget, so that retries feed no storm.
-        // One that failed at once cost little.
         let free = never_ran(outcome) && outcome != Outcome::Full;
         let work = (elapsed as f64 / self.usual[r.class]).clamp(QUICK, 1.0);
         let cost = if free || outcome == Outcome::Full { f64::from(!free) } else { work };
@@ -854,8 +866,8 @@
         self.groups.values_mut().for_each(|g| g.dirty = true);
     }
 
-    /// Members that are gone, with nothing out there, are forgotten. Danger: where they are replaced all day,
-    /// they pile up. One that went without a drain counts as missing until those that took over are warm.
+    /// Members that are gone are forgotten, lest they pile up; one that went without a drain only once those
+    /// that took over are warm.
     fn forget(&mut self) {
         let long_ago = self.now - 2 * self.s.rules.cold_for;
         let over = |id: MemberId, m: &Member| !self.in_service(id) && m.over(long_ago);
@@ -870,69 +882,55 @@
             self.groups.entry(e.group).or_default().members.push(e.member);
         }
         let start = LIMIT_START / f64::from(self.s.proxies.max(1));
-        let new = || Member {
-            group: e.group,
-            zone: e.zone,
-            limit: start,
-            slowness: 1.0,
-            gone_at: Ns::MAX,
-            ..Member::default()
-        };
-        let m = self.members.entry(e.member).or_insert_with(new);
-        m.gone = e.listed == Listed::Gone;
-        m.size = e.size;
-        m.drained = e.listed == Listed::Draining || m.drained && m.gone;
-        if e.started > m.started {
+        let m = self.members.entry(e.member).or_insert_with(|| Member::listed(e, start));
+        if m.take_entry(e) {
             // A new process: cold, and a replica whatever it was; old failures say nothing of it.
-            m.started = e.started;
-            m.replica_at = m.replica_at.max(e.started.unwrap_or(0));
             m.limit = m.limit.min(start);
             (m.errors, m.shuns, m.shun_until) = (0.0, 0, 0);
             m.recover(self.now);
         }
-        // The list's word on roles is late: a hint for members that have shown nothing themselves.
-        if e.primary && m.primary_at == 0 && m.replica_at == 0 {
-            m.primary_at = 1;
-        }
     }
 
     fn on_note(&mut self, id: MemberId, n: Note, write: bool, session: Option<SessionId>) {
-        let now = self.now;
-        let m = self.members.get_mut(&id).expect("member");
-        match n.role {
-            Role::Primary => m.primary_at = m.primary_at.max(now),
-            Role::Replica => m.replica_at = m.replica_at.max(now),
-        }
+        self.members.get_mut(&id).expect("member").take_note(n, self.now);
         let Some(p) = n.position else { return };
-        // A commit that the primary has answered is a position it has reached.
-        m.position = m.position.max(p);
-        (m.lag, m.lag_at) = (now - p, now);
         if let (true, Some(s), false) = (write, session, self.s.marks_carried) {
             let c = self.commits.entry(s).or_insert(p);
             *c = (*c).max(p);
         }
     }
 
+    /// Word of gateways on a member. Danger: where members check nothing, a gateway that is wrong would have
+    /// stale reads served.
+    fn on_found(&mut self, f: &Finding) {
+        let Some(m) = self.members.get_mut(&f.member).filter(|_| self.s.checks != ServerChecks::None) else {
+            return;
+        };
+        let g = self.groups.get_mut(&m.group).expect("group");
+        (g.dirty, g.found_at) = (true, g.found_at.max(f.at));
+        if let Some(u) = f.report.in_use.filter(|_| f.at >= m.told_at && !self.s.load_told) {
+            (m.in_use, m.told_at) = (u, f.at);
+            m.others = m.size * u / (SATURATED - u).max(SATURATED - 1.0);
+            self.held_usual += CLASS_SMOOTHING * (m.others / m.size.max(0.01) - self.held_usual);
+        }
+        // A primary is where the present was when it made its report: that is how old reports are.
+        match f.report.position.filter(|_| m.take_report(f.report, f.at)) {
+            Some(p) if f.report.primary == Some(true) => {
+                self.report_age += SMOOTHING * ((f.at - p) as f64 - self.report_age);
+            }
+            Some(_) => m.lag = (m.lag - self.report_age as Ns).max(0),
+            None => {}
+        }
+    }
+
     fn on_report(&mut self, id: MemberId, r: Report) {
-        let now = self.now;
         let m = self.members.get_mut(&id).expect("member");
+        m.take_report(r, self.now);
         if let Some(n) = r.inflight {
             m.others = (n - f64::from(m.outstanding)).max(0.0);
-            m.told_at = now;
+            m.told_at = self.now;
             self.held_usual += CLASS_SMOOTHING * (m.others / m.size.max(0.01) - self.held_usual);
         }
-        let Some(p) = r.position else { return };
-        // A primary's position is the time of its report, and positions never regress: that orders reports
-        // among themselves and against answers, however late they come.
-        match r.primary {
-            Some(true) => m.primary_at = m.primary_at.max(p),
-            Some(false) if p >= m.primary_at => m.replica_at = m.replica_at.max(p + 1),
-            _ => {}
-        }
-        if p >= m.position {
-            m.position = p;
-            (m.lag, m.lag_at) = (now - p, now);
-        }
     }
 
     // ---- Probes ----
@@ -949,11 +947,11 @@
         report.into_iter().for_each(|r| self.on_report(id, r));
     }
 
-    /// Probes for what held requests need: a primary that speaks, or proof of a replica's position. They come
-    /// from what the requests bring in; a primary is sought at times that double, as an election takes long.
+    /// Probes for what held requests need: a primary that speaks, or proof of a replica's position.
     fn probe_group(&mut self, gid: GroupId) {
         let timeout = self.s.limits.connect_timeout;
-        let Some(g) = self.groups.get_mut(&gid) else { return };
+        let informed = self.informed(gid);
+        let Some(g) = self.groups.get_mut(&gid).filter(|_| !informed) else { return };
         let mut due: Vec<MemberId> = Vec::new();
         let rested = |m: &Member, every: Ns| !m.probe_out && self.now - m.probe_at >= every;
         if g.wants_primary {
@@ -992,7 +990,12 @@
         let timeout = self.s.limits.connect_timeout;
         let every = |id: MemberId| if self.suspect(id) { timeout } else { timeout * MEMORY as Ns };
         let mut due: Vec<MemberId> = (self.members.iter())
-            .filter(|(id, m)| self.in_service(**id) && !m.probe_out && self.now - m.probe_at >= every(**id))
+            .filter(|(id, m)| {
+                self.in_service(**id)
+                    && !m.probe_out
+                    && !self.informed(m.group)
+                    && self.now - m.probe_at >= every(**id)
+            })
             .map(|(id, _)| *id)
             .collect();
         due.sort_by_key(|id| (!self.suspect(*id), self.members[id].probe_at));
--- a/src/main.rs
+++ b/src/main.rs
@@ -19,6 +19,7 @@
 use net::kin::Kin;
 use net::log::log;
 use net::mode::Modes;
+use net::peers::Sharing;
 use net::places::{Places, TIDY};
 use net::request::Core;
 use net::router::{drive, Mailbox};
@@ -139,6 +140,13 @@
     seen.whole |= passed;
     let (answered, mut told) = watch::channel(false);
     spawn_local(discovery::watch(addresses, seen, Rc::clone(&backend), Rc::clone(&classes), answered));
+    if let Some(peers) = config.peers.clone() {
+        let (mailbox, backend, counters) = (Rc::clone(&mailbox), Rc::clone(&backend), Rc::clone(&counters));
+        match Sharing::open(peers, mailbox, backend, counters, clock) {
+            Ok(sharing) => drop(spawn_local(sharing.run())),
+            Err(why) => log!("nothing is shared with other gateways: {why}"),
+        }
+    }
     spawn_local(sweep(Rc::clone(&backend)));
     spawn_local(tidy(Rc::clone(&front.places)));
     let (welcoming, at) = (Rc::clone(&front), Rc::clone(&listener));
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -9,6 +9,7 @@
 use bytes::{Buf, BufMut};
 use irisrouter::api::*;
 use irisrouter::settings::{Loaded, Names};
+use irisrouter_gossip::message;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::Range;
@@ -36,6 +37,8 @@
 const KEPT_GONE: Duration = Duration::from_secs(30);
 /// More requests than this are held nowhere.
 const MOST_HELD: f64 = 1e6;
+/// And no report, however noisy, tells of more cores in use, as a share.
+const MOST_IN_USE: f64 = 2.0;
 /// Pieces of a long value that wait for their client, the one being written aside. Danger: what a slow client does not
 /// take would pile up here; so its host waits.
 const PIECES: usize = 2;
@@ -102,6 +105,8 @@
 }
 
 struct Host {
+    /// What gateways call it among one another.
+    number: u32,
     /// As the list last named it.
     entry: Entry,
     ready: bool,
@@ -225,6 +230,33 @@
         self.ids.borrow().get(name).copied()
     }
 
+    /// The hosts in service of a group.
+    pub fn serving(&self, group: GroupId) -> Vec<MemberId> {
+        let hosts = self.hosts.borrow();
+        let of = |h: &Host| h.ready && h.entry.cell == group.0;
+        hosts.iter().filter(|(_, h)| of(h)).map(|(&id, _)| id).collect()
+    }
+
+    /// The groups that have any.
+    pub fn serving_groups(&self) -> Vec<i64> {
+        let hosts = self.hosts.borrow();
+        let groups: BTreeSet<i64> = hosts.values().filter(|h| h.ready).map(|h| h.entry.cell).collect();
+        groups.into_iter().collect()
+    }
+
+    /// What gateways call a host, and its group.
+    pub fn told_as(&self, member: MemberId) -> Option<(u32, i64)> {
+        self.hosts.borrow().get(&member).map(|h| (h.number, h.entry.cell))
+    }
+
+    /// The host in service that gateways call so, and its group; none where two have that number.
+    pub fn numbered(&self, number: u32) -> Option<(MemberId, i64)> {
+        let hosts = self.hosts.borrow();
+        let mut found = hosts.iter().filter(|(_, h)| h.number == number && h.ready);
+        let first = found.next().map(|(&id, h)| (id, h.entry.cell));
+        first.filter(|_| found.next().is_none())
+    }
+
     /// And its name.
     pub fn name(&self, member: MemberId) -> String {
         self.hosts.borrow().get(&member).map(|h| h.entry.id.clone()).unwrap_or_default()
@@ -247,6 +279,7 @@
                 MemberId(self.next.get() - 1)
             });
             let host = hosts.entry(member).or_insert_with(|| Host {
+                number: message::number(&e.id),
                 entry: e.clone(),
                 ready: false,
                 epoch: 0,
@@ -626,6 +659,7 @@
             // Down to the millisecond: a position rounded up would claim commits that are not there yet.
             "x0" => r.position = position((value * 1_000.0 + 0.001).floor() as i64, now),
             "x1" if value == 0.0 || value == 1.0 => r.primary = Some(value == 1.0),
+            "util" if (0.0..=MOST_IN_USE).contains(&value) => r.in_use = Some(value),
             "inflight" | "queue" if (0.0..=MOST_HELD).contains(&value) => {
                 r.inflight = r.inflight.or(Some(value))
             }
@@ -644,7 +678,15 @@
         for ms in [1_767_225_600_123i64, 1_767_225_600_001, 1_767_225_600_999, 1_900_000_000_007] {
             let text = format!("x0={}.{:03},x1=1,util=0.61", ms / 1_000, ms % 1_000);
             let r = report(&text, ms * NS_PER_MS);
-            assert_eq!(r, Report { position: Some(ms * NS_PER_MS), primary: Some(true), inflight: None });
+            assert_eq!(
+                r,
+                Report {
+                    position: Some(ms * NS_PER_MS),
+                    primary: Some(true),
+                    in_use: Some(0.61),
+                    ..Report::default()
+                }
+            );
         }
         assert_eq!(report("nonsense,x0=,=1,inflight=7", 0).inflight, Some(7.0));
     }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,6 +1,7 @@
 //! What the platform tells a gateway at its start: the environment and the configuration file.
 
 use super::discovery::List;
+use super::log::log;
 use irisrouter::settings::{Loaded, OPTIONAL};
 use serde::Deserialize;
 use serde_json::Value;
@@ -35,6 +36,8 @@
     pub passed: bool,
     /// Then, where the processes of this gateway meet, if they share a folder.
     pub meet: Option<PathBuf>,
+    /// The other gateways, where they can be told anything.
+    pub peers: Option<Peers>,
     /// Descriptors that the program may hold.
     pub sockets: usize,
     /// Memory that it may use, in bytes.
@@ -46,9 +49,26 @@
     path: String,
 }
 
+/// Where gateways hear one another.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Peers {
+    /// Where this one listens.
+    pub listen: SocketAddr,
+    /// Where to send what all are to hear.
+    pub all: SocketAddr,
+    /// From where each one sends, by its number.
+    pub each: Vec<SocketAddr>,
+    /// This one's number.
+    pub me: u32,
+}
+
 /// The configuration file.
 #[derive(Deserialize)]
 pub struct File {
+    peer_listen: Option<String>,
+    #[serde(default)]
+    peers: Value,
+    peers_all: Option<String>,
     #[serde(default)]
     name: String,
     listen: Option<String>,
@@ -86,6 +106,7 @@
         let file = File::read(&path)?;
         let at = |why| format!("{path}: {why}");
         let set = |name: &str| variable(name).filter(|v| !v.is_empty());
+        let loaded = file.loaded().map_err(at)?;
         Ok(Config {
             name: variable("BALANCER_NAME").unwrap_or_else(|| file.name.clone()),
             listen: address("BALANCER_LISTEN", set("BALANCER_LISTEN").as_ref().or(file.listen.as_ref()))
@@ -99,9 +120,10 @@
                 .map_err(at)?,
             passed: set(PASSED).is_some(),
             meet: set(FOLDER).filter(|_| set(PASSED).is_some()).map(|folder| Path::new(&folder).join(MEET)),
+            peers: file.peers(&loaded),
             sockets: file.limits.sockets.unwrap_or(SOCKETS).min(SOCKETS),
             memory: file.limits.memory_mb.unwrap_or(MEMORY_MB).min(MEMORY_MB) << 20,
-            loaded: file.loaded().map_err(at)?,
+            loaded,
             file,
             path,
         })
@@ -146,6 +168,28 @@
         serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))
     }
 
+    /// The other gateways. A file in which they can't be read starts a gateway that shares nothing, and says so.
+    fn peers(&self, loaded: &Loaded) -> Option<Peers> {
+        let (true, Some(listen), Some(all)) = (loaded.share, &self.peer_listen, &self.peers_all) else {
+            return None;
+        };
+        let read = || -> Result<Peers, String> {
+            let each: Vec<SocketAddr> =
+                Vec::<SocketAddr>::deserialize(&self.peers).map_err(|e| format!("peers: {e}"))?;
+            let me = loaded.me;
+            if me as usize >= each.len() || each.len() != loaded.settings.proxies as usize {
+                return Err(format!(
+                    "peers: {} addresses for {} gateways, this one's number is {me}",
+                    each.len(),
+                    loaded.settings.proxies
+                ));
+            }
+            let listen = address("peer_listen", Some(listen))?;
+            Ok(Peers { listen, all: address("peers_all", Some(all))?, each, me })
+        };
+        read().map_err(|why| log!("nothing is shared with other gateways: {why}")).ok()
+    }
+
     fn loaded(&self) -> Result<Loaded, String> {
         let seed = u64::from_str_radix(&self.seed, 16).map_err(|e| format!("seed {}: {e}", self.seed))?;
         Loaded::parse(&self.settings, seed).map_err(|e| format!("settings: {e}"))
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -24,6 +24,12 @@
     pub malformed: Cell<u64>,
     /// Probes sent.
     pub probes: Cell<u64>,
+    /// Datagrams sent to all other gateways, those of theirs that were used, and those that were not.
+    pub told: Cell<u64>,
+    /// Likewise.
+    pub heard: Cell<u64>,
+    /// Likewise.
+    pub unheard: Cell<u64>,
     /// Connections to database hosts that came up.
     pub opened: Cell<u64>,
     /// Connections of clients.
@@ -69,6 +75,9 @@
             ("left", &self.left),
             ("malformed", &self.malformed),
             ("probes", &self.probes),
+            ("told", &self.told),
+            ("heard", &self.heard),
+            ("unheard", &self.unheard),
             ("opened", &self.opened),
             ("accepted", &self.accepted),
             ("turned_away", &self.turned_away),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,6 +12,7 @@
 pub mod log;
 pub mod mode;
 pub mod pace;
+pub mod peers;
 pub mod places;
 pub mod request;
 pub mod router;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -31,6 +31,8 @@
 #[serde(rename_all = "PascalCase")]
 struct WireBounds {
     cancel: bool,
+    #[serde(default)]
+    peers: bool,
     connect_timeout_ns: i64,
     max_retry_after_ns: i64,
     idle_close_ns: i64,
@@ -83,6 +85,8 @@
 #[serde(rename_all = "PascalCase")]
 pub(crate) struct BootInfo {
     balancers: u32,
+    #[serde(default)]
+    me: u32,
     classes: Vec<WireClass>,
     bounds: WireBounds,
     domain: WireDomain,
@@ -132,6 +136,10 @@
     pub tenants: Names,
     /// Names of the zones.
     pub zones: Names,
+    /// This gateway's number among those of its tier.
+    pub me: u32,
+    /// Gateways may send one another datagrams, and hosts may be probed, which is what they tell of.
+    pub share: bool,
     /// Clock time from which the simulator reckons positions.
     pub position_zero: Ns,
     /// A database host closes a connection that has stood idle for this long at the latest.
@@ -140,6 +148,8 @@
 
 /// The keys that may be absent: the platform's page names no others.
 pub const OPTIONAL: [&str; 2] = ["AimStretch", "DrainBindsAlone"];
+/// From so many gateways on, one that probes for all is worth the datagrams. Fewer each see enough themselves.
+const MANY: u32 = 16;
 /// No time in the settings is longer. Danger: sums of two times would overflow.
 const LONGEST: Ns = 86_400_000_000_000;
 
@@ -157,6 +167,8 @@
             classes: Names(info.classes.iter().map(|c| c.name.clone()).collect()),
             tenants: Names(info.tenants.iter().map(|t| t.name.clone()).collect()),
             zones,
+            me: info.me,
+            share: info.bounds.peers && info.bounds.probes && info.balancers >= MANY,
             position_zero: info.domain.position_zero_ns,
             idle_close: info.bounds.idle_close_ns,
         })
--- a/src/state.rs
+++ b/src/state.rs
@@ -35,6 +35,8 @@
     pub(crate) others: f64,
     /// When that was told.
     pub(crate) told_at: Ns,
+    /// Share of its cores in use, by its last report.
+    pub(crate) in_use: f64,
     pub(crate) limit: f64,
     pub(crate) cut_at: Ns,
     /// While its limit is below one: the next send not before then.
@@ -163,6 +165,8 @@
     /// Age of data that some held read without a proven replica would take; 0 for none such.
     pub(crate) wants_proof: Ns,
     pub(crate) proof_at: Ns,
+    /// When gateways that share their findings were last heard on it.
+    pub(crate) found_at: Ns,
     pub(crate) wants_primary: bool,
     /// How long a held request has waited to hear whether the primary has room; 0 for none such.
     pub(crate) wants_spare: Ns,
@@ -202,6 +206,60 @@
         self.gone && idle && (self.drained || self.gone_at < long_ago)
     }
 
+    /// One that the list has just named.
+    pub(crate) fn listed(e: &ListEntry, limit: f64) -> Self {
+        let (group, zone) = (e.group, e.zone);
+        Member { group, zone, limit, slowness: 1.0, gone_at: Ns::MAX, ..Member::default() }
+    }
+
+    /// Takes the list's word, and tells whether its process is a new one.
+    pub(crate) fn take_entry(&mut self, e: &ListEntry) -> bool {
+        self.gone = e.listed == Listed::Gone;
+        self.size = e.size;
+        self.drained = e.listed == Listed::Draining || self.drained && self.gone;
+        let anew = e.started > self.started;
+        if anew {
+            self.started = e.started;
+            self.replica_at = self.replica_at.max(e.started.unwrap_or(0));
+        }
+        // The list's word on roles is late: a hint for members that have shown nothing themselves.
+        if e.primary && self.primary_at == 0 && self.replica_at == 0 {
+            self.primary_at = 1;
+        }
+        anew
+    }
+
+    /// Takes what an answer tells. A commit that the primary has answered is a position it has reached.
+    pub(crate) fn take_note(&mut self, n: Note, now: Ns) {
+        match n.role {
+            Role::Primary => self.primary_at = self.primary_at.max(now),
+            Role::Replica => self.replica_at = self.replica_at.max(now),
+        }
+        if let Some(p) = n.position {
+            self.position = self.position.max(p);
+            (self.lag, self.lag_at) = (now - p, now);
+        }
+    }
+
+    /// Takes the role and the position of a report that was had then, and tells whether the position is news.
+    ///
+    /// A primary's position is the time of its report, and positions never regress: that orders reports among
+    /// themselves and against answers, however late they come.
+    pub(crate) fn take_report(&mut self, r: Report, at: Ns) -> bool {
+        let Some(p) = r.position else { return false };
+        match r.primary {
+            Some(true) => self.primary_at = self.primary_at.max(p),
+            Some(false) if p >= self.primary_at => self.replica_at = self.replica_at.max(p + 1),
+            _ => {}
+        }
+        let news = p >= self.position;
+        if news {
+            self.position = p;
+            (self.lag, self.lag_at) = (at - p, at);
+        }
+        news
+    }
+
     /// It answers: nothing is held against it any more.
     pub(crate) fn recover(&mut self, now: Ns) {
         if self.fails > 0 || self.well_since == 0 {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -235,6 +235,7 @@
             position: get("x0").map(|s| self.zero + (s * 1e9) as i64),
             primary: get("x1").map(|v| v > 0.5),
             inflight: get("concurrent").or(get("depth")),
+            in_use: get("load_share").filter(|u| u.is_finite()),
         };
         Some(r)
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -111,7 +111,8 @@
     }
 
     pub fn report(&mut self, m: u32, primary: bool, position: Ns) -> Vec<Action> {
-        let report = Report { position: Some(position), primary: Some(primary), inflight: Some(0.0) };
+        let report =
+            Report { position: Some(position), primary: Some(primary), inflight: Some(0.0), in_use: None };
         let member = MemberId(m);
         self.step(&[Event::Probed { member, outcome: Outcome::Ok, elapsed: MS, report: Some(report) }])
     }
--- /dev/null
+++ b/tests/findings.rs
@@ -0,0 +1,122 @@
+//! What a router makes of the findings of other gateways.
+
+mod common;
+use common::*;
+use irisrouter::api::*;
+
+fn fleet(checks: ServerChecks) -> World {
+    let mut s = settings(checks);
+    (s.proxies, s.load_told, s.positions_in_answers) = (100, false, false);
+    s.zone = ZoneId(9);
+    let mut w = World::new(s);
+    // What it was told at its start is long past.
+    w.now += 2 * S;
+    w
+}
+
+fn found(w: &World, m: u32, lag: Ns, in_use: f64) -> Finding {
+    let (position, primary) = (Some(w.now - lag), Some(m == 0));
+    let report = Report { position, primary, inflight: None, in_use: Some(in_use) };
+    Finding { member: MemberId(m), at: w.now, report }
+}
+
+fn tell(w: &mut World, of: [(Ns, f64); 3]) -> Vec<Action> {
+    let found = (0..3).zip(of).map(|(m, (lag, in_use))| found(w, m, lag, in_use)).collect();
+    w.step(&[Event::Found(found)])
+}
+
+/// Where each of so many bounded reads goes, told anew before each.
+fn reads(w: &mut World, n: usize, of: [(Ns, f64); 3]) -> [usize; 3] {
+    let mut to = [0; 3];
+    for _ in 0..n {
+        w.now += 20 * MS;
+        tell(w, of);
+        let (id, mut out) = w.ask(BOUNDED, None);
+        out.extend(w.pass(20 * MS));
+        let Some(m) = sent(id, &out) else { continue };
+        to[m as usize] += 1;
+        w.end(id, 0, m, Outcome::Ok, if m == 0 { Role::Primary } else { Role::Replica });
+    }
+    to
+}
+
+/// Guards against a hundred gateways that each probe what one of them has just told.
+#[test]
+fn what_others_find_is_not_probed_again() {
+    let count = |told: bool| {
+        let mut w = fleet(ServerChecks::Wait(50 * MS));
+        let mut probes = 0;
+        for _ in 0..100 {
+            w.now += 50 * MS;
+            let mut out =
+                if told { tell(&mut w, [(0, 0.2), (20 * MS, 0.2), (20 * MS, 0.2)]) } else { vec![] };
+            let (id, sent_out) = w.ask(BOUNDED, None);
+            out.extend(sent_out);
+            if let Some(m) = sent(id, &out) {
+                out.extend(w.end(id, 0, m, Outcome::Ok, Role::Replica));
+            }
+            probes += out.iter().filter(|a| matches!(a, Action::Probe { .. })).count();
+        }
+        probes
+    };
+    assert_eq!(count(true), 0);
+    assert!(count(false) > 0, "without word it probes for itself");
+}
+
+/// Guards against reads that go where they are turned away, as what is known is seconds old.
+#[test]
+fn a_replica_that_was_found_too_far_behind_gets_no_read() {
+    let to = reads(&mut fleet(ServerChecks::Wait(50 * MS)), 200, [(0, 0.2), (30 * MS, 0.2), (900 * MS, 0.2)]);
+    assert_eq!(to, [0, 200, 0]);
+    let to = reads(&mut fleet(ServerChecks::Wait(50 * MS)), 200, [(0, 0.2), (30 * MS, 0.2), (60 * MS, 0.2)]);
+    assert!(to[1] > 50 && to[2] > 50, "{to:?}");
+}
+
+/// Guards against a fleet that leaves all reads with a primary which writes fill already.
+#[test]
+fn reads_without_a_replica_go_to_the_primary_as_far_as_it_has_room() {
+    let behind = (900 * MS, 0.2);
+    let at = |in_use| reads(&mut fleet(ServerChecks::Wait(50 * MS)), 200, [(0, in_use), behind, behind])[0];
+    assert_eq!(at(0.4), 200);
+    assert!((40..160).contains(&at(0.85)), "{}", at(0.85));
+    assert_eq!(at(1.0), 0);
+}
+
+/// Guards against picks that crowd on a host which others have filled.
+#[test]
+fn reads_lean_to_the_replica_with_cores_to_spare() {
+    let to = reads(&mut fleet(ServerChecks::Wait(50 * MS)), 300, [(0, 0.5), (30 * MS, 0.3), (30 * MS, 0.98)]);
+    assert!(to[1] > 4 * to[2], "{to:?}");
+}
+
+/// Guards against late word that displaces newer word, whatever the order, and however often it comes.
+#[test]
+fn older_findings_change_nothing() {
+    let mut w = fleet(ServerChecks::Wait(50 * MS));
+    let old = [found(&w, 0, 0, 0.2), found(&w, 1, 800 * MS, 0.2), found(&w, 2, 900 * MS, 1.0)].to_vec();
+    w.now += 100 * MS;
+    tell(&mut w, [(0, 0.2), (800 * MS, 0.2), (10 * MS, 0.2)]);
+    for _ in 0..3 {
+        w.step(&[Event::Found(old.clone())]);
+    }
+    let (id, out) = w.ask(SESSION, Some(20 * MS));
+    assert_eq!(sent(id, &out), Some(2), "{out:?}");
+}
+
+/// Guards against stale reads on a gateway's word where hosts check nothing.
+#[test]
+fn where_hosts_check_nothing_findings_prove_nothing() {
+    let mut w = fleet(ServerChecks::None);
+    w.now += 10 * S;
+    tell(&mut w, [(0, 0.2), (0, 0.2), (0, 0.2)]);
+    let (id, out) = w.ask(BOUNDED, None);
+    assert!(sent(id, &out).is_none_or(|m| m == 0), "{out:?}");
+}
+
+/// Guards against a host that the own list has not named.
+#[test]
+fn findings_of_unknown_hosts_are_passed_over() {
+    let mut w = fleet(ServerChecks::Wait(50 * MS));
+    let f = found(&w, 9, 0, 0.0);
+    assert_eq!(w.step(&[Event::Found(vec![f])]), vec![]);
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -670,7 +670,7 @@
     let counters = gateway.log.wait("the counters", |l| l.iter().find(|l| l.contains("counters")).cloned());
     let counts: Vec<&str> =
         counters.split(' ').filter(|c| !c.starts_with("probes") && !c.starts_with("opened")).collect();
-    assert_snapshot!(counts.join(" "), @"irisrouter: counters received=3 served=2 cut_off=0 refused=0 failed=1 left=0 malformed=0 accepted=3 turned_away=0 made_room=0 attempt_ok=2 attempt_timed_out=1");
+    assert_snapshot!(counts.join(" "), @"irisrouter: counters received=3 served=2 cut_off=0 refused=0 failed=1 left=0 malformed=0 told=0 heard=0 unheard=0 accepted=3 turned_away=0 made_room=0 attempt_ok=2 attempt_timed_out=1");
 }
 
 /// Guards against clients that are refused, reset or left unheard while one version follows another.
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -15,7 +15,8 @@
 }
 
 fn told(w: &mut World, m: u32, inflight: f64) -> Vec<Action> {
-    let report = Report { position: Some(w.now), primary: Some(m == 0), inflight: Some(inflight) };
+    let report =
+        Report { position: Some(w.now), primary: Some(m == 0), inflight: Some(inflight), in_use: None };
     let member = MemberId(m);
     w.step(&[Event::Probed { member, outcome: Outcome::Ok, elapsed: MS, report: Some(report) }])
 }
@@ -178,7 +179,7 @@
         let mut w = World::new(s);
         w.now += 5 * S;
         let member = MemberId(1);
-        let report = Report { position: Some(w.now), primary: Some(false), inflight: None };
+        let report = Report { position: Some(w.now), primary: Some(false), inflight: None, in_use: None };
         w.step(&[Event::Probed { member, outcome: Outcome::Ok, elapsed: MS, report: Some(report) }]);
         let (id, out) = w.ask(BOUNDED, None);
         assert_eq!(sent(id, &out).is_none(), load_told);
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -199,7 +199,12 @@
                 if primary {
                     w.was_primary.insert(m, true);
                 }
-                let report = Report { position: Some(position), primary: Some(primary), inflight: Some(1.0) };
+                let report = Report {
+                    position: Some(position),
+                    primary: Some(primary),
+                    inflight: Some(1.0),
+                    in_use: None,
+                };
                 let member = MemberId(m);
                 let (outcome, elapsed) = (Outcome::Ok, MS);
                 run(&mut w, now, vec![Event::Probed { member, outcome, elapsed, report: Some(report) }])?;
