--- a/crates/lab/src/loopback/peers.rs
+++ b/crates/lab/src/loopback/peers.rs
@@ -22,8 +22,16 @@
     all: Vec<Rc<UdpSocket>>,
 }
 
+/// Where gateways listen, and where the relay does.
+const GATEWAYS: &str = "127.0.0.2:0";
+const RELAY: &str = "127.0.0.1:0";
+
 async fn socket() -> Result<Rc<UdpSocket>, String> {
-    UdpSocket::bind("127.0.0.1:0").await.map(Rc::new).map_err(|e| format!("no socket for datagrams: {e}"))
+    socket_at(RELAY).await
+}
+
+async fn socket_at(address: &str) -> Result<Rc<UdpSocket>, String> {
+    UdpSocket::bind(address).await.map(Rc::new).map_err(|e| format!("no socket for datagrams: {e}"))
 }
 
 fn address(socket: &UdpSocket) -> Result<SocketAddr, String> {
@@ -38,8 +46,9 @@
     pub async fn new(house: Rc<House>, gateways: u32) -> Result<Rc<Self>, String> {
         let (mut listen, mut known, mut all) = (Vec::new(), Vec::new(), Vec::new());
         for _ in 0..gateways {
-            // The port is free again once this is dropped, and the system gives out others before it comes back to it.
-            listen.push(address(&*socket().await?)?);
+            // The port is free again once this is dropped. Danger: any other socket of the machine that asks for some
+            // port may be given it before the gateway starts; nothing else asks for one at this address.
+            listen.push(address(&*socket_at(GATEWAYS).await?)?);
             let mut others = Vec::new();
             for _ in 0..gateways {
                 others.push(socket().await?);
