--- a/src/decide.rs
+++ b/src/decide.rs
@@ -74,6 +74,10 @@
 const SATURATED: f64 = 1.1;
 /// Reads whose replicas are too far behind leave the primary this part of its cores.
 const SPARE: f64 = 0.3;
+/// A member is spared a share of its requests: it moves by this part of its cores in use beyond that.
+const SHED_GAIN: f64 = 0.5;
+const BUSY: f64 = 0.9;
+const SHED_MOST: f64 = 0.9;
 /// Findings of gateways are news for so many connect time-outs.
 const FOUND_NEWS: Ns = 4;
 /// News of a member counts for so many connect time-outs: as long as a failed connection takes several times.
@@ -203,7 +207,7 @@
         (MEMORY * few * self.s.limits.connect_timeout as f64) as Ns
     }
 
-    /// Limits on what one proxy holds at a member mean nothing: it seldom holds one request there.
+    /// Limits on what one proxy holds at a member mean nothing.
     fn sparse(&self) -> bool {
         LIMIT_START < SPARSE * f64::from(self.s.proxies)
     }
@@ -274,7 +278,6 @@
         if self.to_primary(r.class) {
             // Danger: an unsafe write sent to a silent primary can only fail.
             let open = |p: MemberId| Some(p) != not && self.open_to(p, r) && !self.suspect(p);
-            // Danger: writes from many sparse proxies fill a primary until it serves each of them too late.
             let word = |p: MemberId| !self.asks() || self.age(p) < 1.0 || self.now >= r.proof_by;
             return primary.filter(|&p| open(p) && word(p) && self.admits(p, r, 1.0));
         }
@@ -301,7 +304,6 @@
             let open = |&(i, _): &(usize, &MemberId)| i as Ns <= more;
             return behind.iter().enumerate().filter(open).map(|(_, &m)| m).find(|&m| self.admits(m, r, 1.0));
         }
-        // Sparse proxies do not know who is busy: a read waits for the word of one member.
         if self.asks() && self.now < r.proof_by && !suitable.iter().any(|&m| self.age(m) < 1.0) {
             return None;
         }
@@ -312,7 +314,6 @@
             if let Some(m) = self.pick(&admitted(&suitable)) {
                 return Some(m);
             }
-            // Those that are proven are full. Danger: the others stand idle, as no probe proved them.
             if self.s.checks != ServerChecks::None {
                 let mut likely = self.most_advanced(&replicas, r);
                 likely.retain(|&m| !self.shunned(m));
@@ -325,7 +326,6 @@
         }
         // secondaryPreferred: no replica, so the primary, while it has room beyond its own work.
         let part = if suitable.is_empty() && !self.asks() && !informed { 1.0 } else { READ_PART };
-        // Danger: each of many sparse proxies would leave its read with a primary that writes fill already.
         let spare = !self.asks() || primary.is_some_and(|p| self.age(p) < 1.0);
         let primary_ok =
             primary.filter(|&p| spare && Some(p) != not && self.open_to(p, r) && self.admits(p, r, part));
@@ -367,7 +367,7 @@
         }
     }
 
-    /// How far it was behind when last heard; none where that is long ago.
+    /// How far it was behind when last heard, where that is not long ago.
     fn lag(&self, m: MemberId) -> Ns {
         let m = &self.members[&m];
         m.lag * Ns::from(self.now - m.lag_at < self.memory())
@@ -389,7 +389,6 @@
             self.members[&m].size * self.warmth(m) / (load * self.slowness(m).max(0.1)).powf(LEAN)
         };
         let total: f64 = tagged.iter().map(|&m| weight(m)).sum();
-        // One draw from the instance's own numbers; copied so that a look costs no state.
         let mut at = self.rng.clone().rand_float() * total;
         let passed = |m: &MemberId| {
             at -= weight(*m);
@@ -406,7 +405,7 @@
         1.0 + (m.slowness - 1.0) * fade.sqrt() * answers / (answers + PRIOR)
     }
 
-    /// Age of a member's report of load, against the time in which members answer and take others.
+    /// Age of a member's report of load, against the time in which members answer.
     fn age(&self, m: MemberId) -> f64 {
         let news = if self.s.load_told { NEWS } else { USE_NEWS };
         (self.now - self.members[&m].told_at) as f64 / (news * self.short() / LONG)
@@ -464,8 +463,12 @@
         let out = f64::from(at.outstanding);
         if self.sparse() {
             if !self.s.load_told {
-                // Danger: when replicas fall behind, all gateways would leave their reads with the primary.
-                return self.bears(m, r) && (part >= 1.0 || r.draw < (1.0 - at.in_use) / SPARE);
+                // Danger: a member that is sent more than it can do serves all too late. Writes come last.
+                let write = self.s.classes[r.class].freshness == Freshness::Write;
+                let shed =
+                    if write { 2.0 * at.shed - 1.0 } else { at.shed } * f64::from(self.informed(r.group));
+                let room = part >= 1.0 || r.draw < (1.0 - at.in_use) / SPARE;
+                return self.bears(m, r) && room && r.draw < 1.0 - shed;
             }
             // One that said lately that it is full stays so until it says otherwise.
             let lately = self.now - at.told_at < FULL_NEWS * self.s.limits.connect_timeout;
@@ -540,7 +543,7 @@
     /// When an attempt stops being of use to its client.
     fn end(&self, r: &Request) -> Ns {
         let c = &self.s.classes[r.class];
-        // A safe read with no worth left after its aim should not hold capacity that others can use.
+        // A safe read with no worth left after its aim should hold no capacity.
         if c.late_worth == 0.0 && c.repeat == Repeat::Safe && c.aim_stretch == 0.0 {
             return r.deadline.min(r.arrived + c.aim);
         }
@@ -807,7 +810,6 @@
             }
             Outcome::Full => self.cut(id, class),
             Outcome::TimedOut => {
-                // One that was sent with little time left says nothing of the member.
                 if elapsed * PROMPT > aim {
                     self.cut(id, class);
                 }
@@ -821,7 +823,7 @@
         }
     }
 
-    /// Late or turned away: the member gets fewer at a time, at most one cut in a usual answer's time.
+    /// Late or turned away: the member gets fewer at a time, one cut in a usual answer's time.
     fn cut(&mut self, id: MemberId, class: usize) {
         let m = self.members.get_mut(&id).expect("member");
         if (self.now - m.cut_at) as f64 > self.usual[class] {
@@ -834,7 +836,7 @@
         }
     }
 
-    /// No connection or none any more: suspect for a time that doubles with each further failure.
+    /// No connection any more: suspect for a time that doubles with each further failure.
     fn doubt(&mut self, id: MemberId) {
         let timeout = self.s.limits.connect_timeout;
         let m = self.members.get_mut(&id).expect("member");
@@ -842,7 +844,7 @@
         m.suspect_until = self.now + timeout * (1 << m.fails.min(3));
     }
 
-    /// Failing to connect, or silent for longer than usual. Ends with any word, a good probe, or by itself.
+    /// Failing to connect, or silent for longer than usual.
     fn suspect(&self, id: MemberId) -> bool {
         let m = &self.members[&id];
         m.suspect_until > self.now || m.silent_since.is_some_and(|t| self.now - t > m.patience)
@@ -883,11 +885,8 @@
         }
         let start = LIMIT_START / f64::from(self.s.proxies.max(1));
         let m = self.members.entry(e.member).or_insert_with(|| Member::listed(e, start));
-        if m.take_entry(e) {
-            // A new process: cold, and a replica whatever it was; old failures say nothing of it.
+        if m.take_entry(e, self.now) {
             m.limit = m.limit.min(start);
-            (m.errors, m.shuns, m.shun_until) = (0.0, 0, 0);
-            m.recover(self.now);
         }
     }
 
@@ -910,6 +909,7 @@
         (g.dirty, g.found_at) = (true, g.found_at.max(f.at));
         if let Some(u) = f.report.in_use.filter(|_| f.at >= m.told_at && !self.s.load_told) {
             (m.in_use, m.told_at) = (u, f.at);
+            m.shed = (m.shed + SHED_GAIN * (u - BUSY)).clamp(0.0, SHED_MOST);
             m.others = m.size * u / (SATURATED - u).max(SATURATED - 1.0);
             self.held_usual += CLASS_SMOOTHING * (m.others / m.size.max(0.01) - self.held_usual);
         }
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -659,7 +659,7 @@
             // Down to the millisecond: a position rounded up would claim commits that are not there yet.
             "x0" => r.position = position((value * 1_000.0 + 0.001).floor() as i64, now),
             "x1" if value == 0.0 || value == 1.0 => r.primary = Some(value == 1.0),
-            "util" if (0.0..=MOST_IN_USE).contains(&value) => r.in_use = Some(value),
+            "util" | "load_share" if (0.0..=MOST_IN_USE).contains(&value) => r.in_use = Some(value),
             "inflight" | "queue" if (0.0..=MOST_HELD).contains(&value) => {
                 r.inflight = r.inflight.or(Some(value))
             }
@@ -676,7 +676,7 @@
     #[test]
     fn a_report_keeps_the_milliseconds_of_its_position() {
         for ms in [1_767_225_600_123i64, 1_767_225_600_001, 1_767_225_600_999, 1_900_000_000_007] {
-            let text = format!("x0={}.{:03},x1=1,util=0.61", ms / 1_000, ms % 1_000);
+            let text = format!("x0={}.{:03},x1=1,load_share=0.61", ms / 1_000, ms % 1_000);
             let r = report(&text, ms * NS_PER_MS);
             assert_eq!(
                 r,
--- a/src/state.rs
+++ b/src/state.rs
@@ -37,6 +37,8 @@
     pub(crate) told_at: Ns,
     /// Share of its cores in use, by its last report.
     pub(crate) in_use: f64,
+    /// Share of the requests that it is spared, as it has been too busy.
+    pub(crate) shed: f64,
     pub(crate) limit: f64,
     pub(crate) cut_at: Ns,
     /// While its limit is below one: the next send not before then.
@@ -213,14 +215,17 @@
     }
 
     /// Takes the list's word, and tells whether its process is a new one.
-    pub(crate) fn take_entry(&mut self, e: &ListEntry) -> bool {
+    pub(crate) fn take_entry(&mut self, e: &ListEntry, now: Ns) -> bool {
         self.gone = e.listed == Listed::Gone;
         self.size = e.size;
         self.drained = e.listed == Listed::Draining || self.drained && self.gone;
         let anew = e.started > self.started;
         if anew {
             self.started = e.started;
+            // A new process: cold, and a replica whatever it was; old failures say nothing of it.
             self.replica_at = self.replica_at.max(e.started.unwrap_or(0));
+            (self.errors, self.shuns, self.shun_until, self.shed) = (0.0, 0, 0, 0.0);
+            self.recover(now);
         }
         // The list's word on roles is late: a hint for members that have shown nothing themselves.
         if e.primary && self.primary_at == 0 && self.replica_at == 0 {
--- a/tests/findings.rs
+++ b/tests/findings.rs
@@ -120,3 +120,23 @@
     let f = found(&w, 9, 0, 0.0);
     assert_eq!(w.step(&[Event::Found(vec![f])]), vec![]);
 }
+
+/// Guards against a fleet that sends a host more than it can do until it serves nothing in time.
+#[test]
+fn a_host_that_stays_too_busy_is_spared_a_share_of_its_requests_and_writes_last() {
+    let part = |class: usize, in_use: f64| {
+        let mut w = fleet(ServerChecks::Wait(50 * MS));
+        for _ in 0..20 {
+            w.now += 200 * MS;
+            tell(&mut w, [(0, in_use), (20 * MS, in_use), (20 * MS, in_use)]);
+        }
+        let sent_at_once = |w: &mut World| {
+            let (id, out) = w.ask(class, None);
+            sent(id, &out).is_some()
+        };
+        (0..100).filter(|_| sent_at_once(&mut w)).count()
+    };
+    assert_eq!(part(FRESH, 0.8), 100);
+    assert!(part(FRESH, 1.0) < 20, "{}", part(FRESH, 1.0));
+    assert!(part(KEYED, 1.0) > part(FRESH, 1.0), "{} of {}", part(KEYED, 1.0), part(FRESH, 1.0));
+}
