--- a/src/decide.rs
+++ b/src/decide.rs
@@ -75,8 +75,8 @@
 /// Reads whose replicas are too far behind leave the primary this part of its cores.
 const SPARE: f64 = 0.3;
 /// A member is spared a share of its requests: it moves by this part of its cores in use beyond that.
-const SHED_GAIN: f64 = 0.5;
-const BUSY: f64 = 0.9;
+const SHED_GAIN: f64 = 0.15;
+const BUSY: f64 = 0.8;
 const SHED_MOST: f64 = 0.9;
 /// Findings of gateways are news for so many connect time-outs.
 const FOUND_NEWS: Ns = 4;
