Test on real sockets what a gateway tells, and that bad datagrams change nothing

Need: codec, duties and module had tests, their shell had none. Two tests with the real program among sixteen gateways: it tells a finding of its host, passes over empty, cut, too long, foreign-versioned and strangers' datagrams with one log line, serves, tells on, and ends with 0; peers that cannot be read are said, and it serves without sharing.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,7 +5,7 @@
 use insta::assert_snapshot;
 use serde_json::json;
 use std::io::Read;
-use std::net::Shutdown;
+use std::net::{Shutdown, UdpSocket};
 
 fn row(_: usize, _: &str) -> Say {
     Say::Row("a1b2")
@@ -796,3 +796,54 @@
     discovery.publish(List::Is(json!([])));
     assert!(gateway.client().ask(&statement("once", 9_000)).contains("a1b2"));
 }
+
+/// A gateway among sixteen, the second of which is this socket, as is the way to all.
+fn among_sixteen(config: &mut serde_json::Value, peer: &UdpSocket) {
+    let at = peer.local_addr().unwrap().to_string();
+    let own = UdpSocket::bind("127.0.0.3:0").unwrap().local_addr().unwrap().to_string();
+    let mut peers = vec![own.clone(), at.clone()];
+    // The others are silent: nobody listens at the port 1 of these.
+    peers.extend((2..16).map(|n| format!("127.0.1.{n}:1")));
+    config["peer_listen"] = json!(own);
+    config["peers"] = json!(peers);
+    config["peers_all"] = json!(at);
+    config["settings"]["Balancers"] = json!(16);
+    config["settings"]["Me"] = json!(0);
+    config["settings"]["Bounds"]["Peers"] = json!(true);
+}
+
+#[test]
+fn what_a_gateway_finds_it_tells_and_bad_datagrams_change_nothing() {
+    let host = Host::start("s-1", true, row);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let peer = UdpSocket::bind("127.0.0.4:0").unwrap();
+    peer.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut gateway = Gateway::with(&discovery, &[&host], |config| among_sixteen(config, &peer));
+    let mut datagram = [0; 512];
+    let (length, from) = peer.recv_from(&mut datagram).expect("a finding");
+    // The version, the time, and one host of six bytes that is a primary.
+    assert_eq!((length, datagram[0], datagram[10] & 0x80), (11, 1, 0x80));
+    let stranger = UdpSocket::bind("127.0.0.5:0").unwrap();
+    for bad in [&b""[..], b"no message", &[1; 11], &[2; 11], &[0xff; 256], &[0; 400]] {
+        peer.send_to(bad, from).unwrap();
+        stranger.send_to(&datagram[..length], from).unwrap();
+    }
+    gateway.wait_for_log("is not used");
+    assert!(gateway.client().ask(&statement("read", 9_000)).contains("a1b2"));
+    assert!(peer.recv_from(&mut datagram).is_ok(), "it goes on telling");
+    gateway.signal("-TERM");
+    assert_eq!(gateway.exit_code(), Some(0));
+}
+
+#[test]
+fn peers_that_cannot_be_read_are_told_and_the_gateway_serves() {
+    let host = Host::start("s-1", true, row);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let peer = UdpSocket::bind("127.0.0.4:0").unwrap();
+    let gateway = Gateway::with(&discovery, &[&host], |config| {
+        among_sixteen(config, &peer);
+        config["peers"] = json!(["nowhere"]);
+    });
+    gateway.wait_for_log("nothing is shared with other gateways: peers");
+    assert!(gateway.client().ask(&statement("read", 9_000)).contains("a1b2"));
+}
