Work out a set's order of gateways once, not at each datagram

Cause, found in review: Duties::sets is called before each wait for a datagram, and ranked all gateways for all sets each time (100 by 12 hashes), though only a new set's place is used. Change: only a new set is ranked. The decisions are the same; the tests of duties and of datagrams pass, clippy is clean.

--- a/crates/gossip/src/duty.rs
+++ b/crates/gossip/src/duty.rs
@@ -47,11 +47,15 @@
     /// The sets that there are now. A new one is due at once for the first in its order.
     pub fn sets(&mut self, now: i64, sets: &[i64]) {
         self.sets.retain(|set, _| sets.contains(set));
+        let (me, gateways) = (self.me, self.gateways);
         for &set in sets {
-            let own = weight(set, self.me);
-            let before = |g: &u32| *g != self.me && weight(set, *g) > own;
-            let place = (0..self.gateways).filter(before).count() as i64;
-            self.sets.entry(set).or_insert(Round { asked: now - PERIOD, asker: None, place });
+            // The order is worked out once a set: this is called at each datagram.
+            self.sets.entry(set).or_insert_with(|| {
+                let own = weight(set, me);
+                let before = |g: &u32| *g != me && weight(set, *g) > own;
+                let place = (0..gateways).filter(before).count() as i64;
+                Round { asked: now - PERIOD, asker: None, place }
+            });
         }
     }
 
