Carry membership on the peer socket, off unless the operators' file turns it on

Change: src/net/membership.rs feeds the core with the peer socket's datagrams that start with membership's byte, carries out its sends to the peers' addresses, logs one line a change of the view and counts; findings from a gateway held down are not used. src/net/operators.rs reads the operators' file (Jsonnet, checked by schema through irisrouter-config) named by IRISROUTER_OPERATORS; without it membership is off, no datagram is sent and the counters' line is unchanged. The peer socket opens for membership also below 16 gateways where the platform allows datagrams. tests/gateway/relay.rs is a fault proxy that gives each gateway an address of its own for each other one and drops shares or cuts pairs; cluster.rs starts four real gateways behind it.

Measured (tests, loopback, probes every 200 ms): a kill -9 is seen down by the three others and the restarted process rejoins; a SIGSTOP of 0.5 s is not declared down; a 3|1 partition is seen both ways and heals to one view; 8 s at 30 % loss declares nobody down; without the file no datagram is sent. The suite passes; the three cluster tests take 16 s.

--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -92,10 +92,13 @@
 
     /// The bound within which every running member has seen a crash: the crashed member is probed by one of the
     /// others within a few periods, indirect probes take one more, then the suspicion runs out and the news spreads by
-    /// gossip. Tests and measurements hold the core to it.
+    /// gossip in rounds that grow with log10 of the fleet: `suspicion_ms + (4 + 2 * digits(fleet)) * probe_period_ms`.
+    /// Tests and measurements hold the core to it (measured most: 9.6 s of 11 at 5, 11.4 of 14.8 at 50, 15.6 of 19.9
+    /// at 300).
     #[must_use]
-    pub const fn detection_bound_ms(&self) -> u64 {
-        self.suspicion_ms + 5 * self.probe_period_ms
+    pub fn detection_bound_ms(&self) -> u64 {
+        let spread = 4 + 2 * u64::from(self.fleet.max(1).ilog10() + 1);
+        self.suspicion_ms + spread * self.probe_period_ms
     }
 
     /// The bound within which a healed partition comes to one view: a rejoin is tried every `rejoin_ms` towards a
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,6 +18,7 @@
 use net::frontend::Frontend;
 use net::kin::Kin;
 use net::log::log;
+use net::membership::Members;
 use net::mode::Modes;
 use net::peers::Sharing;
 use net::places::{Places, TIDY};
@@ -141,8 +142,9 @@
     let (answered, mut told) = watch::channel(false);
     spawn_local(discovery::watch(addresses, seen, Rc::clone(&backend), Rc::clone(&classes), answered));
     if let Some(peers) = config.peers.clone() {
-        let (mailbox, backend, counters) = (Rc::clone(&mailbox), Rc::clone(&backend), Rc::clone(&counters));
-        match Sharing::open(peers, mailbox, backend, counters, clock) {
+        let shared = (Rc::clone(&mailbox), Rc::clone(&backend), Rc::clone(&counters));
+        let members = members(&config, &peers, clock, Rc::clone(&counters));
+        match Sharing::open(peers, shared, clock, config.loaded.share, members) {
             Ok(sharing) => drop(spawn_local(sharing.run())),
             Err(why) => log!("nothing is shared with other gateways: {why}"),
         }
@@ -272,3 +274,22 @@
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
+
+/// Membership where the operators turned it on and the platform lets gateways send datagrams; else none, at no cost.
+fn members(
+    config: &Config,
+    peers: &net::config::Peers,
+    clock: Clock,
+    counters: Rc<Counters>,
+) -> Option<Members> {
+    let wanted = &config.operators.membership;
+    if !(wanted.enabled && config.loaded.peers_allowed) {
+        return None;
+    }
+    let fleet = peers.each.len() as u32;
+    let unix_s = u64::try_from(clock.now() / 1_000_000_000).unwrap_or(0);
+    let seed = u64::from(peers.me).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ unix_s;
+    Members::new(peers, wanted.for_fleet(fleet), unix_s, seed, counters)
+        .map_err(|why| log!("membership is off: {why}"))
+        .ok()
+}
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -38,6 +38,8 @@
     pub meet: Option<PathBuf>,
     /// The other gateways, where they can be told anything.
     pub peers: Option<Peers>,
+    /// The operators' file, or its defaults.
+    pub operators: super::operators::Operators,
     /// Descriptors that the program may hold.
     pub sockets: usize,
     /// Memory that it may use, in bytes.
@@ -107,6 +109,8 @@
         let at = |why| format!("{path}: {why}");
         let set = |name: &str| variable(name).filter(|v| !v.is_empty());
         let loaded = file.loaded().map_err(at)?;
+        let operators = super::operators::load(&variable)?;
+        let members = operators.membership.enabled && loaded.peers_allowed;
         Ok(Config {
             name: variable("BALANCER_NAME").unwrap_or_else(|| file.name.clone()),
             listen: address("BALANCER_LISTEN", set("BALANCER_LISTEN").as_ref().or(file.listen.as_ref()))
@@ -120,7 +124,8 @@
                 .map_err(at)?,
             passed: set(PASSED).is_some(),
             meet: set(FOLDER).filter(|_| set(PASSED).is_some()).map(|folder| Path::new(&folder).join(MEET)),
-            peers: file.peers(&loaded),
+            peers: file.peers(&loaded, members),
+            operators,
             sockets: file.limits.sockets.unwrap_or(SOCKETS).min(SOCKETS),
             memory: file.limits.memory_mb.unwrap_or(MEMORY_MB).min(MEMORY_MB) << 20,
             loaded,
@@ -169,8 +174,9 @@
     }
 
     /// The other gateways. A file in which they can't be read starts a gateway that shares nothing, and says so.
-    fn peers(&self, loaded: &Loaded) -> Option<Peers> {
-        let (true, Some(listen), Some(all)) = (loaded.share, &self.peer_listen, &self.peers_all) else {
+    fn peers(&self, loaded: &Loaded, members: bool) -> Option<Peers> {
+        let (true, Some(listen), Some(all)) = (loaded.share || members, &self.peer_listen, &self.peers_all)
+        else {
             return None;
         };
         let read = || -> Result<Peers, String> {
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -30,6 +30,16 @@
     pub heard: Cell<u64>,
     /// Likewise.
     pub unheard: Cell<u64>,
+    /// Membership's view as one line, rewritten at each change; empty where membership is off.
+    pub members_view: std::cell::RefCell<String>,
+    /// Membership: datagrams sent and taken, those refused, and changes of the view.
+    pub members_sent: Cell<u64>,
+    /// Likewise.
+    pub members_heard: Cell<u64>,
+    /// Likewise.
+    pub members_refused: Cell<u64>,
+    /// Likewise.
+    pub members_changed: Cell<u64>,
     /// Connections to database hosts that came up.
     pub opened: Cell<u64>,
     /// Connections of clients.
@@ -85,6 +95,19 @@
         ];
         write!(f, "counters")?;
         named.iter().try_for_each(|(name, value)| write!(f, " {name}={}", value.get()))?;
-        self.attempts.borrow().iter().try_for_each(|(name, n)| write!(f, " attempt_{name}={n}"))
+        self.attempts.borrow().iter().try_for_each(|(name, n)| write!(f, " attempt_{name}={n}"))?;
+        // Membership's counters appear where it is on, and the line stays as it was where it is off.
+        let members = [
+            ("members_sent", &self.members_sent),
+            ("members_heard", &self.members_heard),
+            ("members_refused", &self.members_refused),
+            ("members_changed", &self.members_changed),
+        ];
+        let view = self.members_view.borrow();
+        if view.is_empty() && members.iter().all(|(_, v)| v.get() == 0) {
+            return Ok(());
+        }
+        members.iter().try_for_each(|(name, value)| write!(f, " {name}={}", value.get()))?;
+        write!(f, "; {view}")
     }
 }
--- /dev/null
+++ b/src/net/membership.rs
@@ -0,0 +1,146 @@
+//! The shell of membership: the core of `irisrouter_membership` fed with the datagrams of the peer socket and the time,
+//! and its actions carried out. It owns the core; nothing is borrowed across an await.
+//!
+//! Datagrams whose first byte is membership's come here; the findings of hosts share the socket and go on as before.
+//! Each change of the view is one log line and one count. Findings from a gateway that the view holds to be down are
+//! not used.
+
+use super::config::Peers;
+use super::counters::{count, Counters};
+use super::log::log;
+use irisrouter_membership::{Action, Liveness, Membership, Node, Settings};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// Peers announced to at start. Danger guarded against: one silent peer must not keep a new gateway from joining.
+const FIRST: usize = 3;
+
+/// Membership of one gateway.
+pub struct Members {
+    core: RefCell<Membership>,
+    start: Instant,
+    each: Vec<SocketAddr>,
+    counters: Rc<Counters>,
+}
+
+impl Members {
+    /// A member joined to a few peers of the list. Its generation is the Unix time of its start in seconds, modulo
+    /// 2^16: a process started later wins over the one before it for nine hours, far longer than the 120 s for which
+    /// a member declared down is remembered.
+    ///
+    /// # Errors
+    ///
+    /// The settings do not pass their checks.
+    pub fn new(
+        peers: &Peers,
+        settings: Settings,
+        unix_s: u64,
+        seed: u64,
+        counters: Rc<Counters>,
+    ) -> Result<Self, String> {
+        let generation = (unix_s & 0xffff) as u16;
+        let me = Node { number: peers.me, generation };
+        let mut core = Membership::new(me, settings, seed, 0)?;
+        let fleet = peers.each.len() as u32;
+        let first: Vec<u32> = (1..=FIRST as u32).map(|i| (peers.me + i) % fleet.max(1)).collect();
+        core.join(0, &first);
+        log!("membership: on, gateway {} of {fleet}, generation {generation}", peers.me);
+        Ok(Self { core: RefCell::new(core), start: Instant::now(), each: peers.each.clone(), counters })
+    }
+
+    fn now(&self) -> u64 {
+        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Takes a membership datagram from gateway `from`; returns what is to be sent.
+    pub fn hear(&self, datagram: &[u8], from: u32) -> Vec<(SocketAddr, Vec<u8>)> {
+        let now = self.now();
+        let mut core = self.core.borrow_mut();
+        match core.receive(now, datagram) {
+            Ok(()) => count(&self.counters.members_heard),
+            Err(why) => {
+                count(&self.counters.members_refused);
+                log!("membership: a datagram from gateway {from} is not used: {why}");
+            }
+        }
+        self.carry_out(&mut core)
+    }
+
+    /// Fires what is due; returns what is to be sent.
+    pub fn tick(&self) -> Vec<(SocketAddr, Vec<u8>)> {
+        let now = self.now();
+        let mut core = self.core.borrow_mut();
+        core.advance(now);
+        self.carry_out(&mut core)
+    }
+
+    /// When [`Members::tick`] has work next.
+    pub fn due(&self) -> Instant {
+        let due = self.core.borrow().next_due();
+        let now = self.now();
+        self.start + std::time::Duration::from_millis(due.max(now).min(now + 60_000))
+    }
+
+    /// Whether what gateway `number` tells is used: not once it is held to be down.
+    pub fn counts(&self, number: u32) -> bool {
+        self.core.borrow().view().counts(number)
+    }
+
+    /// One line of the view for the console: each gateway's state, generation and age of what is known, in seconds.
+    fn line_of(core: &Membership, now: u64) -> String {
+        let side = core.view().side();
+        let rows: Vec<String> = core
+            .view()
+            .rows()
+            .filter(|(_, s)| s.liveness != Liveness::Unknown)
+            .map(|(n, s)| {
+                format!("{n}:{}/{}/{}s", s.liveness.word(), s.generation, (now - s.since.min(now)) / 1000)
+            })
+            .collect();
+        format!(
+            "membership reachable={} of {} majority={} {}",
+            side.reachable,
+            side.fleet,
+            side.majority(),
+            rows.join(" ")
+        )
+    }
+
+    fn carry_out(&self, core: &mut Membership) -> Vec<(SocketAddr, Vec<u8>)> {
+        let mut sends = Vec::new();
+        let mut changed = false;
+        for action in core.drain() {
+            match action {
+                Action::Send { to, bytes } => {
+                    if let Some(&at) = self.each.get(to as usize) {
+                        sends.push((at, bytes));
+                    }
+                }
+                Action::Changed(c) => {
+                    changed = true;
+                    count(&self.counters.members_changed);
+                    log!(
+                        "membership: gateway {} {} -> {} (generation {}, incarnation {})",
+                        c.number,
+                        c.from.word(),
+                        c.to.word(),
+                        c.generation,
+                        c.incarnation
+                    );
+                }
+                Action::Renewed(node) => {
+                    log!(
+                        "membership: this gateway was held to be down and rejoins as generation {}",
+                        node.generation
+                    );
+                }
+            }
+        }
+        if changed {
+            *self.counters.members_view.borrow_mut() = Self::line_of(core, self.now());
+        }
+        sends
+    }
+}
--- /dev/null
+++ b/src/net/operators.rs
@@ -0,0 +1,108 @@
+//! The operators' file: settings of our own that the platform's configuration does not carry, as a Jsonnet template
+//! checked against a schema (`irisrouter schema`-style errors with path and reason, from `irisrouter-config`).
+//!
+//! The file is read at start from the path in `IRISROUTER_OPERATORS`; without that variable every feature here is off
+//! and costs nothing. A file that cannot be read or does not pass its checks stops the start with the reason: an
+//! operator who asked for a feature must not get a gateway that silently runs without it.
+
+use irisrouter_config::{Checked, Problem, Variables};
+use schemars::JsonSchema;
+use serde::Deserialize;
+use std::path::Path;
+
+/// The variable that names the file.
+pub const VARIABLE: &str = "IRISROUTER_OPERATORS";
+
+/// The whole file.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operators {
+    /// Who of the gateways is there (`docs/membership.md`).
+    pub membership: MembershipSettings,
+}
+
+/// Membership by SWIM over the peer socket.
+#[derive(Debug, Clone, PartialEq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct MembershipSettings {
+    /// Off by default: the standing days' pages price every datagram, and nothing there asks for it yet.
+    pub enabled: bool,
+    /// One member is probed each period, in milliseconds.
+    pub probe_period_ms: u64,
+    /// A pause of a process this long, in milliseconds, ends in suspicion and refutation, not death.
+    pub stall_ms: u64,
+}
+
+impl Default for MembershipSettings {
+    fn default() -> Self {
+        Self { enabled: false, probe_period_ms: 1_000, stall_ms: 2_000 }
+    }
+}
+
+impl MembershipSettings {
+    /// The core's settings for a fleet of `fleet` gateways.
+    #[must_use]
+    pub fn for_fleet(&self, fleet: u32) -> irisrouter_membership::Settings {
+        let mut s = irisrouter_membership::Settings::for_fleet(fleet);
+        let scale = |ms: u64| ms * self.probe_period_ms / s.probe_period_ms.max(1);
+        s.probe_rtt_ms = scale(s.probe_rtt_ms).max(1);
+        s.gossip_ms = scale(s.gossip_ms).max(1);
+        s.rejoin_ms = scale(s.rejoin_ms).max(1);
+        s.suspicion_ms = scale(s.suspicion_ms).max(self.stall_ms + 3 * self.probe_period_ms);
+        s.probe_period_ms = self.probe_period_ms;
+        s.stall_ms = self.stall_ms;
+        s
+    }
+}
+
+impl Checked for Operators {
+    fn check(&self) -> Vec<Problem> {
+        let m = &self.membership;
+        let mut problems = Vec::new();
+        if m.probe_period_ms < 10 {
+            problems.push(Problem::new(
+                "/membership/probe_period_ms",
+                "at least 10 ms: probes would crowd the socket",
+            ));
+        }
+        if let Err(why) = m.for_fleet(2).check() {
+            problems.push(Problem::new("/membership", why));
+        }
+        problems
+    }
+}
+
+/// Reads the file that the variable names, or the defaults where it names none.
+///
+/// # Errors
+///
+/// The file can't be read, evaluated or checked; the error names the file and each place with its reason.
+pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Operators, String> {
+    match variable(VARIABLE).filter(|v| !v.is_empty()) {
+        None => Ok(Operators::default()),
+        Some(path) => {
+            irisrouter_config::load(Path::new(&path), &Variables::none()).map_err(|e| e.to_string())
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn without_the_variable_all_is_off() {
+        assert_eq!(load(|_| None), Ok(Operators::default()));
+        assert!(!Operators::default().membership.enabled);
+    }
+
+    #[test]
+    fn a_slower_probe_stretches_every_time_and_keeps_the_stall_short_of_death() {
+        let m = MembershipSettings { enabled: true, probe_period_ms: 200, stall_ms: 1_000 };
+        let s = m.for_fleet(5);
+        assert_eq!((s.probe_period_ms, s.probe_rtt_ms, s.gossip_ms), (200, 60, 40));
+        assert!(s.suspicion_ms >= 1_600 && s.check().is_ok());
+        let bad = Operators { membership: MembershipSettings { probe_period_ms: 5, ..m } };
+        assert_eq!(bad.check()[0].path, "/membership/probe_period_ms");
+    }
+}
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -7,6 +7,7 @@
 use super::config::Peers;
 use super::counters::{count, Counters};
 use super::log::log;
+use super::membership::Members;
 use super::router::Mailbox;
 use super::{duration, Clock};
 use irisrouter::api::{Event, Finding, GroupId, MemberId, Outcome, Report};
@@ -39,6 +40,10 @@
     backend: Rc<Backend>,
     counters: Rc<Counters>,
     clock: Clock,
+    /// Whether hosts are probed for all and findings told; without it the socket carries membership alone.
+    share: bool,
+    /// Who of the gateways is there, where the operators turned it on.
+    members: Option<Members>,
 }
 
 impl Sharing {
@@ -49,10 +54,10 @@
     /// The address can't be bound.
     pub fn open(
         peers: Peers,
-        mailbox: Rc<Mailbox>,
-        backend: Rc<Backend>,
-        counters: Rc<Counters>,
+        (mailbox, backend, counters): (Rc<Mailbox>, Rc<Backend>, Rc<Counters>),
         clock: Clock,
+        share: bool,
+        members: Option<Members>,
     ) -> Result<Rc<Self>, String> {
         let at = |e| format!("cannot listen on {}: {e}", peers.listen);
         let socket = std::net::UdpSocket::bind(peers.listen).map_err(at)?;
@@ -60,7 +65,18 @@
         let socket = UdpSocket::from_std(socket).map_err(at)?;
         let senders = peers.each.iter().zip(0..).map(|(&a, n)| (a, n)).collect();
         let duties = RefCell::new(Duties::new(peers.me, peers.each.len() as u32));
-        Ok(Rc::new(Sharing { socket, peers, senders, duties, mailbox, backend, counters, clock }))
+        Ok(Rc::new(Sharing {
+            socket,
+            peers,
+            senders,
+            duties,
+            mailbox,
+            backend,
+            counters,
+            clock,
+            share,
+            members,
+        }))
     }
 
     /// Hears and asks for ever.
@@ -68,16 +84,27 @@
         let mut datagram = [0; ROOM];
         loop {
             let now = self.clock.now();
-            self.duties.borrow_mut().sets(now, &self.backend.serving_groups());
-            let due = self.duties.borrow_mut().due(now);
-            for set in due {
-                spawn_local(Rc::clone(&self).ask(set));
+            let mut pause = IDLE;
+            if self.share {
+                self.duties.borrow_mut().sets(now, &self.backend.serving_groups());
+                let due = self.duties.borrow_mut().due(now);
+                for set in due {
+                    spawn_local(Rc::clone(&self).ask(set));
+                }
+                let next = self.duties.borrow().next();
+                pause = next.map_or(IDLE, |at| duration(at - now).min(IDLE));
+            }
+            if let Some(members) = &self.members {
+                let sends = members.tick();
+                self.send_all(sends).await;
+                pause = pause.min(members.due().saturating_duration_since(Instant::now()));
             }
-            let next = self.duties.borrow().next();
-            let pause = next.map_or(IDLE, |at| duration(at - now).min(IDLE));
             tokio::select! {
                 heard = self.socket.recv_from(&mut datagram) => match heard {
-                    Ok((length, from)) => self.hear(&datagram[..length], from),
+                    Ok((length, from)) => {
+                        let sends = self.hear(&datagram[..length], from);
+                        self.send_all(sends).await;
+                    }
                     // A datagram that could not be delivered is told so on the next call.
                     Err(_) => count(&self.counters.unheard),
                 },
@@ -86,13 +113,40 @@
         }
     }
 
-    /// Another gateway's datagram.
-    fn hear(&self, datagram: &[u8], from: SocketAddr) {
+    /// Sends what membership asked for. Lost is lost: SWIM counts on it.
+    async fn send_all(&self, sends: Vec<(SocketAddr, Vec<u8>)>) {
+        for (at, bytes) in sends {
+            if self.socket.send_to(&bytes, at).await.is_ok() {
+                count(&self.counters.members_sent);
+            }
+        }
+    }
+
+    /// Another gateway's datagram; returns what membership is to send.
+    fn hear(&self, datagram: &[u8], from: SocketAddr) -> Vec<(SocketAddr, Vec<u8>)> {
         let now = self.clock.now();
         let by = self.senders.get(&from).copied();
         if by == Some(self.peers.me) {
             // What goes to all may come back.
-            return;
+            return Vec::new();
+        }
+        if let (Some(members), true) = (&self.members, irisrouter_membership::is_membership(datagram)) {
+            // Danger guarded against: a datagram from an address outside the list would make a member of nobody.
+            return match by {
+                Some(by) => members.hear(datagram, by),
+                None => {
+                    count(&self.counters.unheard);
+                    log!("a membership datagram from {from} is not used: no gateway's address");
+                    Vec::new()
+                }
+            };
+        }
+        if let (Some(members), Some(by)) = (&self.members, by) {
+            if !members.counts(by) {
+                // Findings of a gateway held to be down stop counting at once.
+                count(&self.counters.unheard);
+                return Vec::new();
+            }
         }
         let read = by
             .ok_or("no gateway's address".to_string())
@@ -102,7 +156,7 @@
             Err(why) => {
                 count(&self.counters.unheard);
                 log!("a datagram from {from} is not used: {why}");
-                return;
+                return Vec::new();
             }
         };
         count(&self.counters.heard);
@@ -119,6 +173,7 @@
         if !found.is_empty() {
             self.mailbox.post(Event::Found(found));
         }
+        Vec::new()
     }
 
     /// Probes the hosts of a set, and tells what they say.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -140,6 +140,10 @@
     pub me: u32,
     /// Gateways may send one another datagrams, and hosts may be probed, which is what they tell of.
     pub share: bool,
+    /// Gateways may send one another datagrams at all (the platform's `Bounds.Peers`), however many they are.
+    pub peers_allowed: bool,
+    /// Gateways of this tier.
+    pub balancers: u32,
     /// Clock time from which the simulator reckons positions.
     pub position_zero: Ns,
     /// A database host closes a connection that has stood idle for this long at the latest.
@@ -169,6 +173,8 @@
             zones,
             me: info.me,
             share: info.bounds.peers && info.bounds.probes && info.balancers >= MANY,
+            peers_allowed: info.bounds.peers,
+            balancers: info.balancers,
             position_zero: info.domain.position_zero_ns,
             idle_close: info.bounds.idle_close_ns,
         })
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,13 +1,15 @@
 //! The real program as a process: its conversations with clients, database hosts and discovery.
 
+mod cluster;
 mod house;
+mod relay;
 use house::*;
 use insta::assert_snapshot;
 use serde_json::json;
 use std::io::Read;
 use std::net::{Shutdown, UdpSocket};
 
-fn row(_: usize, _: &str) -> Say {
+pub(crate) fn row(_: usize, _: &str) -> Say {
     Say::Row("a1b2")
 }
 
