--- /dev/null
+++ b/deploy/operators.jsonnet
@@ -0,0 +1,13 @@
+// The operators' file: settings of irisrouter's own, beside the platform's configuration.
+// Read at start from the path in IRISROUTER_OPERATORS; `run` in balancer.toml names none, so all here is off there.
+// Checked against a schema: an unknown field or a bad value stops the start with its path and reason.
+{
+  // Who of the gateways is there (docs/membership.md). Off: the standing days price every datagram.
+  membership: {
+    enabled: false,
+    // One member is probed each period; suspicion and gossip scale with it.
+    probe_period_ms: 1000,
+    // A process paused this long is suspected and refutes, rather than being declared down.
+    stall_ms: 2000,
+  },
+}
--- a/src/net/operators.rs
+++ b/src/net/operators.rs
@@ -96,6 +96,23 @@
         assert!(!Operators::default().membership.enabled);
     }
 
+    #[test]
+    fn the_file_in_deploy_reads_and_keeps_membership_off() {
+        let path = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/operators.jsonnet");
+        let read = load(|_| Some(path.to_string())).expect("the deploy file reads");
+        assert_eq!(read, Operators::default());
+    }
+
+    #[test]
+    fn an_unknown_field_is_named_with_its_path() {
+        let dir = std::env::temp_dir().join(format!("irisrouter-operators-test-{}", std::process::id()));
+        std::fs::write(&dir, "{ membership: { enabled: true, probe_period_ms: 5, colour: 1 } }")
+            .expect("write");
+        let why = load(|_| Some(dir.to_string_lossy().into_owned())).expect_err("refused");
+        let _ = std::fs::remove_file(&dir);
+        assert!(why.contains("colour"), "{why}");
+    }
+
     #[test]
     fn a_slower_probe_stretches_every_time_and_keeps_the_stall_short_of_death() {
         let m = MembershipSettings { enabled: true, probe_period_ms: 200, stall_ms: 1_000 };
