Test on four real gateways that a one-way cut declares neither side down

Change: the stall-and-partition test of tests/gateway/cluster.rs cuts datagrams from gateway 0 to gateway 1 for 6 s through the fault proxy, and asserts that no gateway logged either as down.

--- a/tests/gateway/cluster.rs
+++ b/tests/gateway/cluster.rs
@@ -132,6 +132,20 @@
         assert_eq!(fleet.times(observer, 2, "down"), 0, "{observer} declared a stalled gateway down");
     }
 
+    // One way cut, 0 to 1: indirect probes through the others keep both alive.
+    fleet.relay.faults.lock().expect("faults").cuts.insert((0, 1));
+    std::thread::sleep(Duration::from_secs(6));
+    fleet.relay.heal();
+    for observer in 0..4 {
+        for member in [0, 1] {
+            assert_eq!(
+                fleet.times(observer, member, "down"),
+                0,
+                "{observer} declared {member} down by a one-way cut"
+            );
+        }
+    }
+
     // 3 | 1: each side comes to hold the other down; the one alone knows it has no majority.
     fleet.relay.partition(&[0, 1, 2], &[3]);
     for observer in 0..3 {
