--- a/crates/membership/src/sim.rs
+++ b/crates/membership/src/sim.rs
@@ -44,6 +44,8 @@
     cuts: BTreeSet<(u32, u32)>,
     /// Datagrams and bytes sent by each member.
     pub sent: Vec<(u64, u64)>,
+    /// Datagrams sent, by kind of message (the header's byte 15: ping 0 to turn-undead 10), and those not read as any.
+    pub kinds: [u64; 12],
     /// Every change of every view: who saw it, and the change.
     pub changes: Vec<(u32, Change)>,
     /// Members that learnt they had been declared down and took a new generation: when, and the new node.
@@ -83,6 +85,7 @@
             delay: (1, 5),
             cuts: BTreeSet::new(),
             sent: vec![(0, 0); size as usize],
+            kinds: [0; 12],
             changes: Vec::new(),
             refused: Vec::new(),
             renewed: Vec::new(),
@@ -262,6 +265,8 @@
             s.0 += 1;
             s.1 += bytes.len() as u64;
         }
+        let kind = bytes.get(15).map_or(11, |&k| usize::from(k).min(11));
+        self.kinds[kind] += 1;
         if self.cuts.contains(&(from, to)) || self.rng.random_bool(self.loss.clamp(0.0, 1.0)) {
             return;
         }
