Settle the simulated fleet in one place, and drop a test that only measured

The same settling loop stood in the fault tests and the measure example; an ignored test repeated what the measure example prints; a wrapper in the cluster tests only called Gateway::signal.

Change: Net::settle in sim.rs, used by both; the ignored test and the wrapper are gone.

--- a/crates/membership/examples/measure.rs
+++ b/crates/membership/examples/measure.rs
@@ -5,16 +5,6 @@
 use irisrouter_membership::sim::Net;
 use irisrouter_membership::{Liveness, Millis};
 
-fn settle(net: &mut Net, size: u32) -> Millis {
-    loop {
-        net.run_until(net.now() + 200);
-        let all = (0..size).all(|a| (0..size).all(|b| net.sees(a, b) == Some(Liveness::Alive)));
-        if all || net.now() > 120_000 {
-            return net.now();
-        }
-    }
-}
-
 fn quantile(sorted: &[Millis], q: f64) -> Millis {
     if sorted.is_empty() {
         return 0;
@@ -30,7 +20,7 @@
         let (mut datagrams, mut bytes, mut settled) = (0.0, 0.0, 0);
         for seed in 1..=seeds {
             let mut net = Net::start(size, seed);
-            let start = settle(&mut net, size);
+            let start = net.settle(120_000).unwrap_or(net.now());
             settled = settled.max(start);
             let before: (u64, u64) = net.sent.iter().fold((0, 0), |a, s| (a.0 + s.0, a.1 + s.1));
             net.run_until(start + 30_000);
@@ -74,7 +64,7 @@
             let mut renewals = 0;
             for seed in 1..=seeds {
                 let mut net = Net::start(size, seed);
-                let start = settle(&mut net, size);
+                let start = net.settle(120_000).unwrap_or(net.now());
                 net.loss = loss;
                 let before = net.kinds;
                 let renewed = net.renewed.len();
--- a/crates/membership/src/sim.rs
+++ b/crates/membership/src/sim.rs
@@ -196,6 +196,21 @@
         self.with_member(n, |m, now| m.join(now, peers));
     }
 
+    /// Runs in steps of 100 ms until every running member sees every other running member alive, or `limit` passes;
+    /// returns the time it came to that.
+    pub fn settle(&mut self, limit: Millis) -> Option<Millis> {
+        let end = self.now + limit;
+        let size = self.slots.len() as u32;
+        while self.now < end {
+            self.run_until(self.now + 100);
+            let running: Vec<u32> = (0..size).filter(|&n| self.runs(n)).collect();
+            if running.iter().all(|&a| running.iter().all(|&b| self.sees(a, b) == Some(Liveness::Alive))) {
+                return Some(self.now);
+            }
+        }
+        None
+    }
+
     /// Runs until `until`, delivering datagrams and firing timers in order of time.
     pub fn run_until(&mut self, until: Millis) {
         loop {
--- a/crates/membership/tests/faults.rs
+++ b/crates/membership/tests/faults.rs
@@ -4,22 +4,6 @@
 use irisrouter_membership::sim::Net;
 use irisrouter_membership::{Liveness, Millis, Settings};
 
-/// Runs until every running member sees every other running member alive, or `limit` passes; returns when.
-fn settle(net: &mut Net, size: u32, limit: Millis) -> Option<Millis> {
-    let end = net.now() + limit;
-    while net.now() < end {
-        let step = net.now() + 100;
-        net.run_until(step);
-        let all = (0..size)
-            .filter(|&a| net.runs(a))
-            .all(|a| (0..size).filter(|&b| net.runs(b)).all(|b| net.sees(a, b) == Some(Liveness::Alive)));
-        if all {
-            return Some(net.now());
-        }
-    }
-    None
-}
-
 /// The first time at which `observer` saw `member` become `to`, after `since`.
 fn first(net: &Net, observer: u32, member: u32, to: Liveness, since: Millis) -> Option<Millis> {
     net.changes
@@ -35,7 +19,7 @@
 #[test]
 fn a_fleet_comes_to_see_itself_whole() {
     let mut net = Net::start(7, 1);
-    let at = settle(&mut net, 7, 20_000).expect("seven members see each other alive");
+    let at = net.settle(20_000).expect("seven members see each other alive");
     assert!(at <= 10_000, "took {at} ms");
 }
 
@@ -43,7 +27,7 @@
 fn a_crash_is_seen_by_all_within_the_bound() {
     for seed in 1..=5 {
         let mut net = Net::start(7, seed);
-        let start = settle(&mut net, 7, 20_000).expect("settles");
+        let start = net.settle(20_000).expect("settles");
         let bound = Settings::for_fleet(7).detection_bound_ms();
         net.crash(3);
         net.run_until(start + bound);
@@ -59,7 +43,7 @@
     let mut suspected = 0;
     for seed in 1..=8 {
         let mut net = Net::start(5, seed);
-        let start = settle(&mut net, 5, 20_000).expect("settles");
+        let start = net.settle(20_000).expect("settles");
         net.stall(2);
         net.run_until(start + 2_000);
         net.resume(2);
@@ -83,7 +67,7 @@
 fn a_one_way_cut_does_not_make_either_side_dead() {
     for seed in 1..=5 {
         let mut net = Net::start(5, seed);
-        let start = settle(&mut net, 5, 20_000).expect("settles");
+        let start = net.settle(20_000).expect("settles");
         net.cut(0, 1);
         net.run_until(start + 60_000);
         assert!(!declared_down(&net, 0, start), "seed {seed}: 0 declared down by a one-way cut");
@@ -96,7 +80,7 @@
     let settings = Settings::for_fleet(5);
     for seed in 1..=5 {
         let mut net = Net::start(5, seed);
-        let start = settle(&mut net, 5, 20_000).expect("settles");
+        let start = net.settle(20_000).expect("settles");
         net.partition(&[0, 1, 2], &[3, 4]);
         net.run_until(start + settings.detection_bound_ms() + 2_000);
         for a in 0..3 {
@@ -110,7 +94,7 @@
         assert!(!view(3).majority(), "seed {seed}: the side of two thinks it has a majority");
         let cut_healed = net.now();
         net.heal();
-        let at = settle(&mut net, 5, 30_000).expect("the healed fleet comes to one view");
+        let at = net.settle(30_000).expect("the healed fleet comes to one view");
         assert!(
             at - cut_healed <= settings.heal_bound_ms(),
             "seed {seed}: healed in {} ms, bound {}",
@@ -124,7 +108,7 @@
 fn thirty_per_cent_of_datagrams_lost_brings_no_false_death_in_a_minute() {
     for seed in 1..=5 {
         let mut net = Net::start(7, seed);
-        let start = settle(&mut net, 7, 20_000).expect("settles");
+        let start = net.settle(20_000).expect("settles");
         net.loss = 0.3;
         net.run_until(start + 60_000);
         for member in 0..7 {
@@ -137,7 +121,7 @@
 fn a_restarted_member_rejoins_as_a_new_generation() {
     for seed in 1..=5 {
         let mut net = Net::start(5, seed);
-        let start = settle(&mut net, 5, 20_000).expect("settles");
+        let start = net.settle(20_000).expect("settles");
         net.crash(4);
         net.run_until(start + 1_000);
         net.restart(4, &[0]);
@@ -147,7 +131,7 @@
         while !new_everywhere(&net) && net.now() < start + 20_000 {
             net.run_until(net.now() + 100);
         }
-        let at = settle(&mut net, 5, 20_000).expect("the restarted member is seen alive again");
+        let at = net.settle(20_000).expect("the restarted member is seen alive again");
         for observer in 0..4 {
             let row = net.view(observer).and_then(|v| v.get(4)).copied().expect("row");
             assert_eq!(row.liveness, Liveness::Alive);
@@ -160,7 +144,7 @@
 #[test]
 fn what_a_member_declared_down_tells_stops_counting_at_once() {
     let mut net = Net::start(5, 9);
-    let start = settle(&mut net, 5, 20_000).expect("settles");
+    let start = net.settle(20_000).expect("settles");
     assert!(net.view(0).expect("runs").counts(2));
     net.crash(2);
     let bound = Settings::for_fleet(5).detection_bound_ms();
@@ -170,24 +154,3 @@
     assert!(!net.view(0).expect("runs").counts(2));
     assert!(!net.view(0).expect("runs").counts(99), "a number outside the list never counts");
 }
-
-#[test]
-#[ignore = "a measurement, outside CI: false deaths under loss over 40 seeds"]
-fn count_false_deaths_under_loss() {
-    for (name, loss) in [("none", 0.0), ("10 %", 0.1), ("30 %", 0.3), ("40 %", 0.4)] {
-        let mut bad = 0;
-        let mut suspicions = 0;
-        for seed in 1..=40 {
-            let mut net = Net::start(7, seed);
-            let start = settle(&mut net, 7, 20_000).expect("settles");
-            net.loss = loss;
-            net.run_until(start + 60_000);
-            if (0..7).any(|m| declared_down(&net, m, start)) {
-                bad += 1;
-            }
-            suspicions +=
-                net.changes.iter().filter(|(_, c)| c.to == Liveness::Suspect && c.at >= start).count();
-        }
-        println!("loss {name}: runs with a false death {bad} of 40, suspicions seen {suspicions}");
-    }
-}
--- a/tests/gateway/cluster.rs
+++ b/tests/gateway/cluster.rs
@@ -89,11 +89,6 @@
     }
 }
 
-/// Signals a process that this test started, by its id.
-fn signal(gateway: &Gateway, name: &str) {
-    gateway.signal(name);
-}
-
 #[test]
 fn a_crashed_gateway_is_seen_down_by_all_and_rejoins_when_started_again() {
     let mut fleet = Fleet::start(4, 11);
@@ -113,7 +108,7 @@
         fleet.wait_for(3, member, "alive", 1);
     }
     // The counters tell the view: who is reachable, and each member's state, generation and age.
-    signal(fleet.gateway(0), "-USR1");
+    fleet.gateway(0).signal("-USR1");
     fleet.gateway(0).wait_for_log("membership reachable=4 of 4 majority=true");
     eprintln!("crash seen by all three in {seen_in:?}");
 }
@@ -124,9 +119,9 @@
     fleet.all_see_all();
 
     // A stall well within the suspicion time: suspected perhaps, never declared down.
-    signal(fleet.gateway(2), "-STOP");
+    fleet.gateway(2).signal("-STOP");
     std::thread::sleep(Duration::from_millis(500));
-    signal(fleet.gateway(2), "-CONT");
+    fleet.gateway(2).signal("-CONT");
     std::thread::sleep(Duration::from_secs(4));
     for observer in [0, 1, 3] {
         assert_eq!(fleet.times(observer, 2, "down"), 0, "{observer} declared a stalled gateway down");
