--- a/tests/gateway/cluster.rs
+++ b/tests/gateway/cluster.rs
@@ -1,7 +1,7 @@
 //! Several real gateway processes with membership on, their datagrams carried by the fault proxy of `relay.rs`:
 //! crashes (kill -9), stalls (SIGSTOP and SIGCONT of a process started here), partitions, loss and restarts. Each
 //! test waits for conditions with the harness's patience; no step depends on a tight timing. Probes every 200 ms keep
-//! a run short; the stall survived is 2 s, so suspicion lasts 2.6 s and the stall of 0.5 s has a margin of five.
+//! a run short; the stall survived is 3 s, so suspicion lasts 3.6 s and the stall of 2 s has a margin of 1.6 s.
 
 use super::house::*;
 use super::relay::Relay;
@@ -27,7 +27,7 @@
             std::env::temp_dir().join(format!("irisrouter-operators-{}-{seed}.jsonnet", std::process::id()));
         std::fs::write(
             &operators,
-            "{ membership: { enabled: true, probe_period_ms: 200, stall_ms: 2000 } }\n",
+            "{ membership: { enabled: true, probe_period_ms: 200, stall_ms: 3000 } }\n",
         )
         .expect("the operators' file");
         let mut fleet = Fleet { gateways: Vec::new(), relay, discovery, host, operators };
@@ -66,6 +66,14 @@
         });
     }
 
+    /// Waits until the last change that gateway `observer` logged of gateway `member` is to `to`.
+    fn wait_until_last(&self, observer: usize, member: usize, to: &str) {
+        let (words, end) = (format!("membership: gateway {member} "), format!("-> {to} "));
+        self.gateway(observer).log.wait(&format!("{observer} to hold {member} {to}"), |lines| {
+            lines.iter().rev().find(|l| l.contains(&words)).filter(|l| l.contains(&end)).map(|_| ())
+        });
+    }
+
     fn times(&self, observer: usize, member: usize, to: &str) -> usize {
         let (words, end) = (format!("membership: gateway {member} "), format!("-> {to} "));
         self.gateway(observer)
@@ -114,24 +122,27 @@
 }
 
 #[test]
-fn a_short_stall_is_refuted_and_a_partition_heals_to_one_view() {
-    let fleet = Fleet::start(4, 12);
+fn a_stall_is_refuted_and_a_partition_heals_to_one_view() {
+    let fleet = Fleet::start(5, 12);
     fleet.all_see_all();
 
-    // A stall well within the suspicion time: suspected perhaps, never declared down.
+    // A stall of 2 s, within the suspicion time: ten probe periods, so suspected, and refuted on return.
     fleet.gateway(2).signal("-STOP");
-    std::thread::sleep(Duration::from_millis(500));
+    std::thread::sleep(Duration::from_secs(2));
     fleet.gateway(2).signal("-CONT");
-    std::thread::sleep(Duration::from_secs(4));
-    for observer in [0, 1, 3] {
+    std::thread::sleep(Duration::from_secs(5));
+    let others = [0, 1, 3, 4];
+    assert!(others.iter().any(|&o| fleet.times(o, 2, "suspect") > 0), "nobody suspected a stalled gateway");
+    for observer in others {
         assert_eq!(fleet.times(observer, 2, "down"), 0, "{observer} declared a stalled gateway down");
+        assert!(fleet.times(observer, 2, "alive") >= 1, "{observer} does not hold the stalled gateway alive");
     }
 
     // One way cut, 0 to 1: indirect probes through the others keep both alive.
-    fleet.relay.faults.lock().expect("faults").cuts.insert((0, 1));
+    fleet.relay.cut(0, 1);
     std::thread::sleep(Duration::from_secs(6));
     fleet.relay.heal();
-    for observer in 0..4 {
+    for observer in 0..5 {
         for member in [0, 1] {
             assert_eq!(
                 fleet.times(observer, member, "down"),
@@ -141,31 +152,37 @@
         }
     }
 
-    // 3 | 1: each side comes to hold the other down; the one alone knows it has no majority.
-    fleet.relay.partition(&[0, 1, 2], &[3]);
-    for observer in 0..3 {
-        fleet.wait_for(observer, 3, "down", 1);
-    }
-    for member in 0..3 {
-        fleet.wait_for(3, member, "down", 1);
+    // 3 | 2: each side comes to hold the other down, then the cut heals to one view.
+    fleet.relay.partition(&[0, 1, 2], &[3, 4]);
+    for (side, other) in
+        [([0, 1, 2].as_slice(), [3, 4].as_slice()), ([3, 4].as_slice(), [0, 1, 2].as_slice())]
+    {
+        for &observer in side {
+            for &member in other {
+                fleet.wait_for(observer, member, "down", 1);
+            }
+        }
     }
     fleet.relay.heal();
-    for observer in 0..3 {
-        fleet.wait_for(observer, 3, "alive", 2);
-    }
-    for member in 0..3 {
-        fleet.wait_for(3, member, "alive", 2);
+    for observer in 0..5 {
+        for member in (0..5).filter(|&m| m != observer) {
+            fleet.wait_until_last(observer, member, "alive");
+        }
     }
 
     // A third of datagrams lost for a while: nobody new is declared down.
     let before: Vec<Vec<usize>> =
-        (0..4).map(|o| (0..4).map(|m| fleet.times(o, m, "down")).collect()).collect();
+        (0..5).map(|o| (0..5).map(|m| fleet.times(o, m, "down")).collect()).collect();
     fleet.relay.set_loss(0.3);
     std::thread::sleep(Duration::from_secs(8));
     fleet.relay.set_loss(0.0);
+    // Every datagram 20 ms late, each way, for a while: within the probes' 60 ms, nobody new is declared down.
+    fleet.relay.set_delay(Duration::from_millis(20));
+    std::thread::sleep(Duration::from_secs(4));
+    fleet.relay.set_delay(Duration::ZERO);
     let after: Vec<Vec<usize>> =
-        (0..4).map(|o| (0..4).map(|m| fleet.times(o, m, "down")).collect()).collect();
-    assert_eq!(before, after, "a gateway was declared down under loss");
+        (0..5).map(|o| (0..5).map(|m| fleet.times(o, m, "down")).collect()).collect();
+    assert_eq!(before, after, "a gateway was declared down under loss or delay");
 }
 
 #[test]
--- a/tests/gateway/relay.rs
+++ b/tests/gateway/relay.rs
@@ -1,13 +1,14 @@
 //! A fault proxy for the datagrams between gateways on loopback, as the platform carries them: each gateway knows every
 //! other by an address of its own (a socket of the relay), and what it hears comes from that address. Between the
-//! two, the relay drops a share of datagrams and cuts pairs one way or both. Seeded; every thread ends with the relay.
+//! two, the relay drops a share of datagrams, delays them, and cuts pairs one way or both. Seeded: the same seed and
+//! the same order of datagrams give the same schedule of drops. Every thread ends with the relay; loopback only.
 
 use std::collections::BTreeSet;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{spawn, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What the relay does to datagrams.
 #[derive(Default)]
@@ -16,6 +17,8 @@
     pub loss: f64,
     /// Pairs (from, to) whose datagrams are dropped.
     pub cuts: BTreeSet<(usize, usize)>,
+    /// How long each datagram is held before it is passed on.
+    pub delay: Duration,
     state: u64,
 }
 
@@ -29,6 +32,7 @@
     }
 }
 
+/// The relay between `size` gateways; see the package's page.
 pub struct Relay {
     /// Where each gateway listens.
     pub listen: Vec<SocketAddr>,
@@ -41,13 +45,20 @@
     threads: Vec<JoinHandle<()>>,
 }
 
+/// How long a carrying thread waits for a datagram before it looks at its held ones and at the stop.
+const TICK: Duration = Duration::from_millis(5);
+/// Most datagrams held at once by one carrying thread; beyond, they are dropped, as a full queue would.
+const HELD: usize = 1024;
+
+/// A socket bound to a free port on loopback.
 fn bind() -> UdpSocket {
     let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket on loopback");
-    socket.set_read_timeout(Some(Duration::from_millis(50))).expect("a time-out");
+    socket.set_read_timeout(Some(TICK)).expect("a time-out");
     socket
 }
 
 impl Relay {
+    /// Binds every socket and starts the carrying threads: one a pair, one a gateway's way to all.
     pub fn new(size: usize, seed: u64) -> Self {
         // The gateways' own sockets: bound here to learn a free port, then left to the gateway.
         let listen: Vec<SocketAddr> = (0..size).map(|_| bind().local_addr().expect("address")).collect();
@@ -91,13 +102,25 @@
         }
     }
 
+    /// Lifts every cut.
     pub fn heal(&self) {
         self.faults.lock().expect("faults").cuts.clear();
     }
 
+    /// Drops this share of datagrams from now on, 0 to 1.
     pub fn set_loss(&self, loss: f64) {
         self.faults.lock().expect("faults").loss = loss;
     }
+
+    /// Holds every datagram this long from now on.
+    pub fn set_delay(&self, delay: Duration) {
+        self.faults.lock().expect("faults").delay = delay;
+    }
+
+    /// Cuts the datagrams from `from` to `to`, one way.
+    pub fn cut(&self, from: usize, to: usize) {
+        self.faults.lock().expect("faults").cuts.insert((from, to));
+    }
 }
 
 /// Carries what gateway `from` sends at one socket to each target, through the socket at which the target knows it.
@@ -109,17 +132,33 @@
     stop: &AtomicBool,
 ) {
     let mut buffer = [0u8; 1024];
+    // Held datagrams: when each is due, the bytes, and the target's index in `targets`.
+    let mut held: std::collections::VecDeque<(Instant, Vec<u8>, usize)> = std::collections::VecDeque::new();
     while !stop.load(Ordering::Relaxed) {
+        let now = Instant::now();
+        while held.front().is_some_and(|(due, _, _)| *due <= now) {
+            if let Some((_, bytes, i)) = held.pop_front() {
+                let (_, back, at) = &targets[i];
+                let _ = back.send_to(&bytes, at);
+            }
+        }
         let Ok((length, _)) = socket.recv_from(&mut buffer) else { continue };
         assert!(length <= 256, "a datagram of {length} bytes between gateways");
-        for (to, back, at) in targets {
-            let dropped = {
+        for (i, (to, back, at)) in targets.iter().enumerate() {
+            let (dropped, delay) = {
                 let mut f = faults.lock().expect("faults");
                 let lost = f.draw() < f.loss;
-                lost || f.cuts.contains(&(from, *to))
+                (lost || f.cuts.contains(&(from, *to)), f.delay)
             };
-            if !dropped {
+            if dropped {
+                continue;
+            }
+            if delay.is_zero() && held.is_empty() {
                 let _ = back.send_to(&buffer[..length], at);
+            } else if held.len() < HELD {
+                // Danger guarded against: a datagram sent at once while older ones wait would overtake them; the
+                // delay is the same for all, so the queue stays in order of due time.
+                held.push_back((Instant::now() + delay, buffer[..length].to_vec(), i));
             }
         }
     }
