One line test for the cluster's waits, and one queue for every datagram in the relay

Need: reading the change again, the three waits of cluster.rs each built the same two patterns, and the relay sent undelayed datagrams by a path of their own beside its queue of delayed ones. Change: change_of gives the two tests of a log line once; the relay queues every datagram that is not dropped with its due time (now, without delay) and sends what is due after each read.

--- a/tests/gateway/cluster.rs
+++ b/tests/gateway/cluster.rs
@@ -58,27 +58,23 @@
 
     /// Waits until gateway `observer` has logged that gateway `member` became `to`, `times` times in all.
     fn wait_for(&self, observer: usize, member: usize, to: &str, times: usize) {
-        let words = format!("membership: gateway {member} ");
-        let end = format!("-> {to} ");
+        let (_, to_it) = change_of(member, to);
         self.gateway(observer).log.wait(&format!("{observer} to see {member} {to}"), |lines| {
-            let seen = lines.iter().filter(|l| l.contains(&words) && l.contains(&end)).count();
-            (seen >= times).then_some(())
+            (lines.iter().filter(|l| to_it(l)).count() >= times).then_some(())
         });
     }
 
     /// Waits until the last change that gateway `observer` logged of gateway `member` is to `to`.
     fn wait_until_last(&self, observer: usize, member: usize, to: &str) {
-        let (words, end) = (format!("membership: gateway {member} "), format!("-> {to} "));
+        let (of, to_it) = change_of(member, to);
         self.gateway(observer).log.wait(&format!("{observer} to hold {member} {to}"), |lines| {
-            lines.iter().rev().find(|l| l.contains(&words)).filter(|l| l.contains(&end)).map(|_| ())
+            lines.iter().rev().find(|l| of(l)).filter(|l| to_it(l)).map(|_| ())
         });
     }
 
     fn times(&self, observer: usize, member: usize, to: &str) -> usize {
-        let (words, end) = (format!("membership: gateway {member} "), format!("-> {to} "));
-        self.gateway(observer)
-            .log
-            .change(|l| l.iter().filter(|l| l.contains(&words) && l.contains(&end)).count())
+        let (_, to_it) = change_of(member, to);
+        self.gateway(observer).log.change(|l| l.iter().filter(|l| to_it(l)).count())
     }
 
     fn all_see_all(&self) {
@@ -91,6 +87,16 @@
     }
 }
 
+/// Tests of a log line: whether it is a change of `member`, and whether it is one of `member` to `to`.
+fn change_of(member: usize, to: &str) -> (impl Fn(&str) -> bool, impl Fn(&str) -> bool) {
+    let (words, end) = (format!("membership: gateway {member} "), format!("-> {to} "));
+    let of = {
+        let words = words.clone();
+        move |l: &str| l.contains(&words)
+    };
+    (of, move |l: &str| l.contains(&words) && l.contains(&end))
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         let _ = std::fs::remove_file(&self.operators);
--- a/tests/gateway/relay.rs
+++ b/tests/gateway/relay.rs
@@ -135,32 +135,23 @@
     // Held datagrams: when each is due, the bytes, and the target's index in `targets`.
     let mut held: std::collections::VecDeque<(Instant, Vec<u8>, usize)> = std::collections::VecDeque::new();
     while !stop.load(Ordering::Relaxed) {
-        let now = Instant::now();
-        while held.front().is_some_and(|(due, _, _)| *due <= now) {
-            if let Some((_, bytes, i)) = held.pop_front() {
-                let (_, back, at) = &targets[i];
-                let _ = back.send_to(&bytes, at);
-            }
-        }
-        let Ok((length, _)) = socket.recv_from(&mut buffer) else { continue };
-        assert!(length <= 256, "a datagram of {length} bytes between gateways");
-        for (i, (to, back, at)) in targets.iter().enumerate() {
-            let (dropped, delay) = {
+        if let Ok((length, _)) = socket.recv_from(&mut buffer) {
+            assert!(length <= 256, "a datagram of {length} bytes between gateways");
+            for (i, (to, _, _)) in targets.iter().enumerate() {
                 let mut f = faults.lock().expect("faults");
-                let lost = f.draw() < f.loss;
-                (lost || f.cuts.contains(&(from, *to)), f.delay)
-            };
-            if dropped {
-                continue;
-            }
-            if delay.is_zero() && held.is_empty() {
-                let _ = back.send_to(&buffer[..length], at);
-            } else if held.len() < HELD {
-                // Danger guarded against: a datagram sent at once while older ones wait would overtake them; the
-                // delay is the same for all, so the queue stays in order of due time.
-                held.push_back((Instant::now() + delay, buffer[..length].to_vec(), i));
+                let dropped = f.draw() < f.loss || f.cuts.contains(&(from, *to));
+                // Danger guarded against: a datagram overtaking older ones; while the delay stands, every datagram
+                // waits in one queue in order of due time, so none is sent ahead of one held before it.
+                if !dropped && held.len() < HELD {
+                    held.push_back((Instant::now() + f.delay, buffer[..length].to_vec(), i));
+                }
             }
         }
+        let now = Instant::now();
+        while let Some((_, bytes, i)) = held.pop_front_if(|(due, _, _)| *due <= now) {
+            let (_, back, at) = &targets[i];
+            let _ = back.send_to(&bytes, at);
+        }
     }
 }
 
