Add the core of duties: rendezvous order, leases granted by a majority of voters, fencing epochs

A duty (the probing of a set) is to have one owner at a time, and another once its owner is gone. Not wired into the gateway yet.

A first form of the model was cut off at its limit unseen, since the limit counts transitions and the check counted states; the membership model had the same check, and is whole with the right one.

--- /dev/null
+++ b/crates/duties/src/codec.rs
@@ -0,0 +1,145 @@
+//! The duties' datagram: claims and votes between two gateways, several in one, bounded and versioned.
+//!
+//! ```text
+//! 0        magic and version: 0xB1 (findings begin with 0x01, membership with 0xA2: all share the peer socket)
+//! 1..3     the sender's generation (u16, big-endian); its number is that of its address
+//! 3        count of items, then 28 bytes each:
+//! 0        kind: 0 ask, 1 granted, 2 refused, 3 released, 4 offered
+//! 1..9     duty    9..17 epoch    17..19 round
+//! 19..23   holder's number (0xffff_ffff for none)   23..25 its generation
+//! 25..28   milliseconds left (u24, the most where longer)
+//! ```
+
+use crate::lease::Holder;
+use bytes::{Buf, BufMut};
+use std::fmt;
+
+/// First byte of every datagram: 0xB0 marks duties, the low nibble is the version.
+pub const MAGIC: u8 = 0xB1;
+/// The platform's longest datagram between gateways, in bytes.
+pub const DATAGRAM: usize = 256;
+const HEADER: usize = 4;
+const ITEM: usize = 28;
+/// Items that fit one datagram.
+pub const ITEMS: usize = (DATAGRAM - HEADER) / ITEM;
+
+/// What is said of a duty.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// "Let me hold it under this epoch."
+    Ask,
+    /// "You may, for a lease"; the holder is whoever held it before.
+    Granted,
+    /// "No": the epoch is the latest granted, the holder who has it, for so long still.
+    Refused,
+    /// "I give it up."
+    Released,
+    /// "It is free, and you are first in its order."
+    Offered,
+}
+
+const KINDS: [Kind; 5] = [Kind::Ask, Kind::Granted, Kind::Refused, Kind::Released, Kind::Offered];
+
+/// One claim or vote.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Item {
+    /// What.
+    pub kind: Kind,
+    /// Of which duty.
+    pub duty: u64,
+    /// Under which epoch.
+    pub epoch: u64,
+    /// Of which round of asking; comes back in the answer.
+    pub round: u16,
+    /// See the kinds.
+    pub holder: Option<Holder>,
+    /// See the kinds; at most 2^24 - 1.
+    pub left: u32,
+}
+
+/// Why bytes are no datagram of duties.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WireError {
+    /// Fewer bytes than its items need.
+    Short,
+    /// More than they need, or than a datagram may have.
+    Long,
+    /// Another version; carries the first byte.
+    Version(u8),
+    /// A kind that this version does not know.
+    Kind(u8),
+}
+
+impl fmt::Display for WireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Short => write!(f, "the datagram ends inside an item"),
+            Self::Long => write!(f, "the datagram is longer than its items"),
+            Self::Version(b) => write!(f, "first byte {b:#04x} is not duties version {MAGIC:#04x}"),
+            Self::Kind(k) => write!(f, "unknown kind {k}"),
+        }
+    }
+}
+
+impl std::error::Error for WireError {}
+
+/// The bytes of up to [`ITEMS`] items; what is beyond is left out.
+#[must_use]
+pub fn encode(generation: u16, items: &[Item]) -> Vec<u8> {
+    let items = &items[..items.len().min(ITEMS)];
+    let mut buf = Vec::with_capacity(HEADER + items.len() * ITEM);
+    buf.put_u8(MAGIC);
+    buf.put_u16(generation);
+    // At most ITEMS, which is 9.
+    buf.put_u8(items.len() as u8);
+    for item in items {
+        // Its place in KINDS, which has five.
+        buf.put_u8(KINDS.iter().position(|k| *k == item.kind).unwrap_or(0) as u8);
+        buf.put_u64(item.duty);
+        buf.put_u64(item.epoch);
+        buf.put_u16(item.round);
+        let holder = item.holder.unwrap_or(Holder { number: u32::MAX, generation: 0 });
+        buf.put_u32(holder.number);
+        buf.put_u16(holder.generation);
+        buf.put_uint(u64::from(item.left.min(0xff_ffff)), 3);
+    }
+    buf
+}
+
+/// Reads a datagram: the sender's generation, and the items.
+///
+/// # Errors
+/// The bytes are none of this version, or not as long as they say.
+pub fn decode(bytes: &[u8]) -> Result<(u16, Vec<Item>), WireError> {
+    let mut buf = bytes;
+    let magic = buf.try_get_u8().map_err(|_| WireError::Short)?;
+    if magic != MAGIC {
+        return Err(WireError::Version(magic));
+    }
+    let generation = buf.try_get_u16().map_err(|_| WireError::Short)?;
+    let count = usize::from(buf.try_get_u8().map_err(|_| WireError::Short)?);
+    match buf.remaining().cmp(&(count * ITEM)) {
+        std::cmp::Ordering::Less => return Err(WireError::Short),
+        std::cmp::Ordering::Greater => return Err(WireError::Long),
+        std::cmp::Ordering::Equal if count > ITEMS => return Err(WireError::Long),
+        std::cmp::Ordering::Equal => {}
+    }
+    let mut items = Vec::with_capacity(count);
+    for _ in 0..count {
+        let kind = buf.get_u8();
+        let kind = *KINDS.get(usize::from(kind)).ok_or(WireError::Kind(kind))?;
+        let (duty, epoch, round) = (buf.get_u64(), buf.get_u64(), buf.get_u16());
+        let holder = Holder { number: buf.get_u32(), generation: buf.get_u16() };
+        let holder = Some(holder).filter(|h| h.number != u32::MAX);
+        // Three bytes fit.
+        let left = buf.get_uint(3) as u32;
+        items.push(Item { kind, duty, epoch, round, holder, left });
+    }
+    Ok((generation, items))
+}
+
+/// Whether a datagram is one of duties', by its first byte.
+#[must_use]
+pub fn is_duties(datagram: &[u8]) -> bool {
+    datagram.first().is_some_and(|b| b & 0xf0 == MAGIC & 0xf0)
+}
--- a/crates/membership/tests/suspicion.rs
+++ b/crates/membership/tests/suspicion.rs
@@ -253,10 +253,10 @@
 fn broken(model: Suspicion, wanted: &[&'static str]) -> Vec<&'static str> {
     let names = ["never down", "down only after asking", "refuted in the end"];
     let checker = model.checker().threads(2).target_state_count(MOST).spawn_bfs().join();
-    let states = checker.unique_state_count();
+    let states = checker.state_count();
     assert!(states < MOST, "{states} states: not all of them were seen");
     assert!(states > 50, "{states} states: the model explored too little to prove anything");
-    eprintln!("{states} states");
+    eprintln!("{} states, {states} with those met again", checker.unique_state_count());
     let all: Vec<&'static str> = names.into_iter().filter(|n| checker.discovery(n).is_some()).collect();
     all.into_iter().filter(|n| wanted.contains(n)).collect()
 }
