Wire duties: a set is probed for all by its one owner, under a lease, where operators turn it on

The operators' file gains takeover (enabled, lease_ms, fence), the console 'duties'; one log line a change of owner, six counters. On the small side of a cut the gateways ask in turn by what they hear, as before.

--- a/crates/gossip/src/duty.rs
+++ b/crates/gossip/src/duty.rs
@@ -75,6 +75,21 @@
         due
     }
 
+    /// The sets to be asked now, of those that this gateway owns under a lease: one round each period, whoever else was
+    /// heard. They count as asked by this gateway.
+    pub fn due_of(&mut self, now: i64, owns: impl Fn(i64) -> bool) -> Vec<i64> {
+        let due = |r: &Round| r.asked + PERIOD <= now;
+        let due: Vec<i64> =
+            self.sets.iter().filter(|(&set, r)| due(r) && owns(set)).map(|(&set, _)| set).collect();
+        due.iter().for_each(|&set| self.heard(set, self.me, now));
+        due
+    }
+
+    /// When the next of those is due.
+    pub fn next_of(&self, owns: impl Fn(i64) -> bool) -> Option<i64> {
+        self.sets.iter().filter(|(&set, _)| owns(set)).map(|(_, r)| r.asked + PERIOD).min()
+    }
+
     /// When the next one is due, if nobody else is heard before.
     pub fn next(&self) -> Option<i64> {
         self.sets.values().map(|r| at(r, self.me)).min()
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -168,6 +168,12 @@
         self.me
     }
 
+    /// Whether this member has said that it stops.
+    #[must_use]
+    pub const fn left(&self) -> bool {
+        self.left
+    }
+
     /// Which side of a cut this gateway is on.
     #[must_use]
     pub fn side(&self) -> Side {
--- a/crates/pg/src/lib.rs
+++ b/crates/pg/src/lib.rs
@@ -33,6 +33,8 @@
     pub const TOO_MANY_CONNECTIONS: &str = "53300";
     /// Failed: nothing is promised.
     pub const INTERNAL_ERROR: &str = "XX000";
+    /// A probe under an epoch that is over.
+    pub const SERIALIZATION_FAILURE: &str = "40001";
     /// A write, and this is no primary.
     pub const READ_ONLY: &str = "25006";
     /// Too far behind for this read.
--- a/deploy/operators.jsonnet
+++ b/deploy/operators.jsonnet
@@ -10,4 +10,12 @@
     // A process paused this long is suspected and refutes, rather than being declared down.
     stall_ms: 2000,
   },
+  // One owner for each duty, and another once it is gone (docs/takeover.md). Needs membership.
+  takeover: {
+    enabled: false,
+    // An owner that hears from no majority of its duty's voters for so long owns it no more.
+    lease_ms: 2000,
+    // Probes carry their epoch in a comment; only for hosts that check it.
+    fence: false,
+  },
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,6 +15,7 @@
 use net::console::{self, Console};
 use net::counters::Counters;
 use net::discovery::{self, Seen};
+use net::duties::Owners;
 use net::frontend::Frontend;
 use net::kin::Kin;
 use net::log::log;
@@ -111,10 +112,12 @@
     };
     let modes = Rc::<Modes>::default();
     let members = members(&config, clock, &counters);
+    let owners = owners(&config, members.as_ref(), &counters);
     if let Some(at) = config.console {
         let listener = listen(at).map_err(|e| format!("cannot listen on {at}: {e}"))?;
         log!("operators call {}", listener.local_addr().map_err(|e| format!("no address: {e}"))?);
-        let console = Console { modes: Rc::clone(&modes), members: members.clone() };
+        let owners = owners.clone();
+        let console = Console { modes: Rc::clone(&modes), members: members.clone(), owners };
         spawn_local(console::serve(listener, Rc::new(console)));
     }
     let front = Rc::new(Frontend {
@@ -146,7 +149,8 @@
     let mut sharing = None;
     if let Some(peers) = config.peers.clone() {
         let shared = (Rc::clone(&mailbox), Rc::clone(&backend), Rc::clone(&counters));
-        match Sharing::open(peers, shared, clock, config.loaded.share, members.clone()) {
+        let share = config.loaded.share || owners.is_some();
+        match Sharing::open(peers, shared, clock, share, (members.clone(), owners)) {
             Ok(open) => {
                 sharing = Some(Rc::clone(&open));
                 spawn_local(open.run());
@@ -297,6 +301,17 @@
         .map(Rc::new)
 }
 
+/// Ownership of duties, where the operators turned it on, membership is on and the platform allows probes.
+fn owners(config: &Config, members: Option<&Rc<Members>>, counters: &Rc<Counters>) -> Option<Rc<Owners>> {
+    let wanted = &config.operators.takeover;
+    let peers = config.peers.as_ref().filter(|_| wanted.enabled && config.loaded.probes_allowed)?;
+    let (members, each) = (Rc::clone(members?), peers.each.clone());
+    Owners::new(members, each, wanted.lease_ms, wanted.fence, Rc::clone(counters))
+        .map_err(|why| log!("takeover is off: {why}"))
+        .ok()
+        .map(Rc::new)
+}
+
 /// The counters, and the view of the other gateways where membership is on.
 fn tell_all(counters: &Counters, members: Option<&Members>) {
     eprintln!("irisrouter: {counters}");
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -470,29 +470,46 @@
 
     /// Asks a host for its load report.
     pub async fn probe(&self, member: MemberId) -> Event {
+        self.probe_under(member, None).await.0
+    }
+
+    /// Likewise, with the duty and the epoch under which this gateway asks; also whether the host has seen a later one.
+    pub async fn probe_under(&self, member: MemberId, fence: Option<(u64, u64)>) -> (Event, bool) {
         count(&self.counters.probes);
         let start = Instant::now();
-        let (outcome, report) = self.probe_once(member, start + self.connect_timeout.get()).await;
-        Event::Probed { member, outcome, elapsed: nanoseconds(start.elapsed()), report }
+        let end = start + self.connect_timeout.get();
+        let (outcome, report, fenced) = self.probe_once(member, fence, end).await;
+        (Event::Probed { member, outcome, elapsed: nanoseconds(start.elapsed()), report }, fenced)
     }
 
-    async fn probe_once(&self, member: MemberId, end: Instant) -> (Outcome, Option<Report>) {
+    async fn probe_once(
+        &self,
+        member: MemberId,
+        fence: Option<(u64, u64)>,
+        end: Instant,
+    ) -> (Outcome, Option<Report>, bool) {
         let answer = async {
             let connection = self.connection(member, end).await?;
             let mut out = self.pool.take();
-            pg::put_query(&mut out, PROBE);
+            match fence {
+                None => pg::put_query(&mut out, PROBE),
+                Some((duty, epoch)) => {
+                    let text = format!("/* duty={duty},epoch={epoch} */");
+                    pg::put_query(&mut out, &[PROBE, b" ", text.as_bytes()].concat());
+                }
+            }
             self.exchange(member, connection, out, end, None::<fn(Streamed)>).await
         };
         let reply = match answer.await {
             Ok((reply, _)) => reply,
-            Err(outcome) => return (outcome, None),
+            Err(outcome) => return (outcome, None, false),
         };
         match reply.error.as_deref() {
             None if reply.served() => {
-                (Outcome::Ok, reply.value.as_deref().map(|text| report(text, self.clock.now())))
+                (Outcome::Ok, reply.value.as_deref().map(|text| report(text, self.clock.now())), false)
             }
-            Some(code::TOO_MANY_CONNECTIONS | code::CANNOT_CONNECT_NOW) => (Outcome::Full, None),
-            _ => (Outcome::Error, None),
+            Some(code::TOO_MANY_CONNECTIONS | code::CANNOT_CONNECT_NOW) => (Outcome::Full, None, false),
+            other => (Outcome::Error, None, fence.is_some() && other == Some(code::SERIALIZATION_FAILURE)),
         }
     }
 
--- a/src/net/console.rs
+++ b/src/net/console.rs
@@ -1,5 +1,6 @@
 //! The operators' console: a second address, where each connection carries one line and gets one line.
 
+use super::duties::Owners;
 use super::log::log;
 use super::membership::Members;
 use super::mode::{Mode, Modes};
@@ -30,6 +31,8 @@
     pub modes: Rc<Modes>,
     /// Who of the gateways is there, where that is on.
     pub members: Option<Rc<Members>>,
+    /// What this gateway owns, where that is on.
+    pub owners: Option<Rc<Owners>>,
 }
 
 /// Answers callers for ever.
@@ -102,6 +105,10 @@
             Some(members) => format!("+OK {}", members.line()),
             None => "-ERR membership is off".into(),
         },
-        _ => "-ERR unknown call: readyz, evacuate, activate or members".into(),
+        b"duties" => match &console.owners {
+            Some(owners) => format!("+OK {}", owners.line()),
+            None => "-ERR takeover is off".into(),
+        },
+        _ => "-ERR unknown call: readyz, evacuate, activate, members or duties".into(),
     }
 }
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -41,6 +41,19 @@
     pub members_changed: Cell<u64>,
     /// Likewise.
     pub members_refuted: Cell<u64>,
+    /// Duties: datagrams sent, taken and not taken, duties that became this gateway's and that it lost, tokens that a host
+    /// refused.
+    pub duties_sent: Cell<u64>,
+    /// Likewise.
+    pub duties_heard: Cell<u64>,
+    /// Likewise.
+    pub duties_refused: Cell<u64>,
+    /// Likewise.
+    pub duties_taken: Cell<u64>,
+    /// Likewise.
+    pub duties_lost: Cell<u64>,
+    /// Likewise.
+    pub duties_fenced: Cell<u64>,
     /// Connections to database hosts that came up.
     pub opened: Cell<u64>,
     /// Connections of clients.
@@ -104,6 +117,12 @@
             ("members_refused", &self.members_refused),
             ("members_changed", &self.members_changed),
             ("members_refuted", &self.members_refuted),
+            ("duties_sent", &self.duties_sent),
+            ("duties_heard", &self.duties_heard),
+            ("duties_refused", &self.duties_refused),
+            ("duties_taken", &self.duties_taken),
+            ("duties_lost", &self.duties_lost),
+            ("duties_fenced", &self.duties_fenced),
         ];
         if members.iter().all(|(_, v)| v.get() == 0) {
             return Ok(());
--- /dev/null
+++ b/src/net/duties.rs
@@ -0,0 +1,153 @@
+//! The shell of duties: the core of `irisrouter_duties` fed with datagrams, the time and membership's view, and its
+//! actions carried out. Today's duty is the probing of a set for all gateways; its number is the set's.
+//!
+//! Each change of owner is one log line and one count.
+
+use super::counters::{count, Counters};
+use super::log::log;
+use super::membership::Members;
+use irisrouter_duties::{Action, Duties, Holder, Settings, Why};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+/// The duties of one gateway.
+pub struct Owners {
+    core: RefCell<Duties>,
+    members: Rc<Members>,
+    start: Instant,
+    each: Vec<SocketAddr>,
+    counters: Rc<Counters>,
+    /// Probes carry the token.
+    fence: bool,
+}
+
+impl Owners {
+    /// A gateway that owns nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// The settings do not pass their checks.
+    pub fn new(
+        members: Rc<Members>,
+        each: Vec<SocketAddr>,
+        lease_ms: u64,
+        fence: bool,
+        counters: Rc<Counters>,
+    ) -> Result<Self, String> {
+        let me = members.me();
+        let me = Holder { number: me.number, generation: me.generation };
+        let core = Duties::new(me, Settings { fleet: each.len() as u32, lease_ms }, 0)?;
+        log!("duties: on, with leases of {lease_ms} ms");
+        Ok(Self { core: RefCell::new(core), members, start: Instant::now(), each, counters, fence })
+    }
+
+    fn now(&self) -> u64 {
+        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Takes a datagram of duties from gateway `from`; returns what is to be sent.
+    pub fn hear(&self, datagram: &[u8], from: u32) -> Vec<(SocketAddr, Vec<u8>)> {
+        let now = self.now();
+        let mut core = self.core.borrow_mut();
+        match core.receive(now, from, datagram) {
+            Ok(()) => count(&self.counters.duties_heard),
+            Err(why) => {
+                count(&self.counters.duties_refused);
+                log!("duties: a datagram from gateway {from} is not used: {why}");
+            }
+        }
+        self.carry_out(&mut core)
+    }
+
+    /// Brings the view and the sets up to date and does what is due; returns what is to be sent.
+    pub fn tick(&self, sets: &[i64]) -> Vec<(SocketAddr, Vec<u8>)> {
+        let now = self.now();
+        let (alive, majority) = self.members.alive();
+        let mut core = self.core.borrow_mut();
+        core.view(now, &alive, majority);
+        // A set's number as it is: the order and the voters need no more than that it is the same everywhere.
+        let duties: Vec<u64> = sets.iter().map(|&s| s as u64).collect();
+        core.duties(now, &duties);
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        core.advance(now, u64::try_from(unix.as_millis()).unwrap_or(0));
+        self.carry_out(&mut core)
+    }
+
+    /// When [`Owners::tick`] has work next.
+    pub fn due(&self) -> Instant {
+        let (due, now) = (self.core.borrow().next_due(), self.now());
+        self.start + Duration::from_millis(due.max(now).min(now + 60_000))
+    }
+
+    /// The token under which this gateway may probe a set now; to be asked before each act.
+    pub fn token(&self, set: i64) -> Option<u64> {
+        self.core.borrow().token(self.now(), set as u64)
+    }
+
+    /// What a probe of a set carries, where hosts check it.
+    pub fn fence(&self, set: i64, token: u64) -> Option<(u64, u64)> {
+        self.fence.then_some((set as u64, token))
+    }
+
+    /// A host refused the token of a set; returns what is to be sent.
+    pub fn fenced(&self, set: i64) -> Vec<(SocketAddr, Vec<u8>)> {
+        count(&self.counters.duties_fenced);
+        let mut core = self.core.borrow_mut();
+        core.fenced(self.now(), set as u64);
+        self.carry_out(&mut core)
+    }
+
+    /// Gives everything up, as the gateway stops; returns what is to be sent.
+    pub fn stop(&self) -> Vec<(SocketAddr, Vec<u8>)> {
+        let mut core = self.core.borrow_mut();
+        core.stop(self.now());
+        self.carry_out(&mut core)
+    }
+
+    /// What is owned, as one line: `set:epoch` each.
+    pub fn line(&self) -> String {
+        let owned = self.core.borrow().owned(self.now());
+        let owned: Vec<String> = owned.iter().map(|(duty, epoch)| format!("{duty}:{epoch}")).collect();
+        format!("duties owned={} {}", owned.len(), owned.join(" "))
+    }
+
+    fn carry_out(&self, core: &mut Duties) -> Vec<(SocketAddr, Vec<u8>)> {
+        let mut sends = Vec::new();
+        for action in core.drain() {
+            match action {
+                Action::Send { to, bytes } => {
+                    if let Some(&at) = self.each.get(to as usize) {
+                        sends.push((at, bytes));
+                    }
+                }
+                Action::Owned { duty, epoch, why } => {
+                    count(&self.counters.duties_taken);
+                    log!("duties: set {duty} is this gateway's under epoch {epoch} ({})", words(why));
+                }
+                Action::Lost { duty, epoch, why } => {
+                    count(&self.counters.duties_lost);
+                    log!(
+                        "duties: set {duty} is no longer this gateway's under epoch {epoch} ({})",
+                        words(why)
+                    );
+                }
+            }
+        }
+        sends
+    }
+}
+
+fn words(why: Why) -> String {
+    match why {
+        Why::Free => "it was free".into(),
+        Why::TakenOver(h) => format!("after gateway {}, generation {}", h.number, h.generation),
+        Why::RanOut => "its lease ran out".into(),
+        Why::Outbid => "a later epoch was seen".into(),
+        Why::HandedOver(n) => format!("handed over to gateway {n}, first in its order"),
+        Why::Stopped => "this gateway stops, or is on the small side of a cut".into(),
+        Why::Gone => "the set is gone".into(),
+    }
+}
--- a/src/net/membership.rs
+++ b/src/net/membership.rs
@@ -88,6 +88,24 @@
         self.core.borrow().view().counts(number)
     }
 
+    /// This process.
+    pub fn me(&self) -> Node {
+        self.core.borrow().me()
+    }
+
+    /// The gateways held alive, this one included, and whether that is the larger side of a cut; none and no once this
+    /// gateway has said that it stops.
+    pub fn alive(&self) -> (Vec<u32>, bool) {
+        let core = self.core.borrow();
+        let me = core.me().number;
+        if core.left() {
+            return (vec![me], false);
+        }
+        let rows = core.view().rows();
+        let alive = rows.filter(|(n, s)| *n == me || s.liveness == Liveness::Alive).map(|(n, _)| n).collect();
+        (alive, core.side().majority())
+    }
+
     /// Says to a few others that this gateway stops; returns what is to be sent.
     pub fn leave(&self) -> Vec<(SocketAddr, Vec<u8>)> {
         let now = self.now();
--- a/src/net/operators.rs
+++ b/src/net/operators.rs
@@ -19,6 +19,27 @@
 pub struct Operators {
     /// Who of the gateways is there (`docs/membership.md`).
     pub membership: MembershipSettings,
+    /// Who takes over what a gateway leaves (`docs/takeover.md`).
+    pub takeover: TakeoverSettings,
+}
+
+/// Takeover on top of membership.
+#[derive(Debug, Clone, PartialEq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct TakeoverSettings {
+    /// Off by default; needs membership.
+    pub enabled: bool,
+    /// How long an owner holds a duty without word from a majority of its voters, in milliseconds.
+    pub lease_ms: u64,
+    /// Probes carry the duty and its epoch in a comment, for hosts that refuse an older one. Other hosts may not
+    /// understand the statement.
+    pub fence: bool,
+}
+
+impl Default for TakeoverSettings {
+    fn default() -> Self {
+        Self { enabled: false, lease_ms: 2_000, fence: false }
+    }
 }
 
 /// Membership by SWIM over the peer socket.
@@ -57,6 +78,14 @@
                 "at least 10 ms: probes would crowd the socket",
             ));
         }
+        let takeover = &self.takeover;
+        if takeover.enabled && !m.enabled {
+            problems.push(Problem::new("/takeover/enabled", "needs /membership/enabled"));
+        }
+        let duties = irisrouter_duties::Settings { fleet: 2, lease_ms: takeover.lease_ms };
+        if let Err(why) = duties.check() {
+            problems.push(Problem::new("/takeover", why));
+        }
         if let Err(why) = m.for_fleet(2).check() {
             problems.push(Problem::new("/membership", why));
         }
@@ -105,13 +134,22 @@
         assert!(why.contains("colour"), "{why}");
     }
 
+    #[test]
+    fn takeover_needs_membership_and_a_lease_within_bounds() {
+        let takeover = TakeoverSettings { enabled: true, lease_ms: 50, fence: false };
+        let bad = Operators { takeover, ..Operators::default() };
+        let paths: Vec<String> = bad.check().into_iter().map(|p| p.path).collect();
+        assert_eq!(paths, ["/takeover/enabled", "/takeover"]);
+    }
+
     #[test]
     fn a_slower_probe_stretches_every_time_and_keeps_the_stall_short_of_death() {
         let m = MembershipSettings { enabled: true, probe_period_ms: 200, stall_ms: 1_000 };
         let s = m.for_fleet(5);
         assert_eq!((s.probe_period_ms, s.probe_rtt_ms, s.gossip_ms), (200, 60, 40));
         assert!(s.suspicion_ms >= 1_600 && s.check().is_ok());
-        let bad = Operators { membership: MembershipSettings { probe_period_ms: 5, ..m } };
+        let bad =
+            Operators { membership: MembershipSettings { probe_period_ms: 5, ..m }, ..Operators::default() };
         assert_eq!(bad.check()[0].path, "/membership/probe_period_ms");
     }
 }
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -6,13 +6,14 @@
 use super::backend::Backend;
 use super::config::Peers;
 use super::counters::{count, Counters};
+use super::duties::Owners;
 use super::log::log;
 use super::membership::Members;
 use super::router::Mailbox;
 use super::{duration, Clock};
 use irisrouter::api::{Event, Finding, GroupId, MemberId, Outcome, Report};
 use irisrouter_gossip::{duty::Duties, message};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -44,6 +45,8 @@
     share: bool,
     /// Who of the gateways is there, where the operators turned it on.
     members: Option<Rc<Members>>,
+    /// Which sets are this gateway's to ask, where the operators turned that on.
+    owners: Option<Rc<Owners>>,
 }
 
 impl Sharing {
@@ -57,7 +60,7 @@
         (mailbox, backend, counters): (Rc<Mailbox>, Rc<Backend>, Rc<Counters>),
         clock: Clock,
         share: bool,
-        members: Option<Rc<Members>>,
+        (members, owners): (Option<Rc<Members>>, Option<Rc<Owners>>),
     ) -> Result<Rc<Self>, String> {
         let at = |e| format!("cannot listen on {}: {e}", peers.listen);
         let socket = std::net::UdpSocket::bind(peers.listen).map_err(at)?;
@@ -76,6 +79,7 @@
             clock,
             share,
             members,
+            owners,
         }))
     }
 
@@ -83,27 +87,26 @@
     pub async fn run(self: Rc<Self>) {
         let mut datagram = [0; ROOM];
         loop {
-            let now = self.clock.now();
             let mut pause = IDLE;
             if self.share {
-                self.duties.borrow_mut().sets(now, &self.backend.serving_groups());
-                let due = self.duties.borrow_mut().due(now);
-                for set in due {
-                    spawn_local(Rc::clone(&self).ask(set));
+                let sets = self.backend.serving_groups();
+                if let Some(owners) = &self.owners {
+                    let sends = owners.tick(&sets);
+                    self.send_all(sends, &self.counters.duties_sent).await;
+                    pause = pause.min(owners.due().saturating_duration_since(Instant::now()));
                 }
-                let next = self.duties.borrow().next();
-                pause = next.map_or(IDLE, |at| duration(at - now).min(IDLE));
+                pause = pause.min(self.begin_rounds(&sets));
             }
             if let Some(members) = &self.members {
                 let sends = members.tick();
-                self.send_all(sends).await;
+                self.send_all(sends, &self.counters.members_sent).await;
                 pause = pause.min(members.due().saturating_duration_since(Instant::now()));
             }
             tokio::select! {
                 heard = self.socket.recv_from(&mut datagram) => match heard {
                     Ok((length, from)) => {
-                        let sends = self.hear(&datagram[..length], from);
-                        self.send_all(sends).await;
+                        let (sends, sent) = self.hear(&datagram[..length], from);
+                        self.send_all(sends, sent).await;
                     }
                     // A datagram that could not be delivered is told so on the next call.
                     Err(_) => count(&self.counters.unheard),
@@ -113,46 +116,81 @@
         }
     }
 
-    /// Tells a few others that this gateway stops.
+    /// Asks the sets that are due; returns the time until the next one is. On the larger side of a cut those are the
+    /// sets that this gateway owns; on the small side, and where ownership is off, those whose turn has come by what was
+    /// heard: doubt costs a second probe, never none.
+    fn begin_rounds(self: &Rc<Self>, sets: &[i64]) -> Duration {
+        let now = self.clock.now();
+        let mut duties = self.duties.borrow_mut();
+        duties.sets(now, sets);
+        let owners = self.owners.as_ref().filter(|_| self.members.as_ref().is_some_and(|m| m.alive().1));
+        let (due, next) = match owners {
+            Some(owners) => {
+                let owns = |set| owners.token(set).is_some();
+                (duties.due_of(now, owns), duties.next_of(owns))
+            }
+            None => (duties.due(now), duties.next()),
+        };
+        for set in due {
+            let token = owners.and_then(|o| o.token(set));
+            spawn_local(Rc::clone(self).ask(set, token));
+        }
+        next.map_or(IDLE, |at| duration(at - now))
+    }
+
+    /// Gives up what is owned, and tells a few others that this gateway stops.
     pub async fn leave(&self) {
+        if let Some(owners) = &self.owners {
+            self.send_all(owners.stop(), &self.counters.duties_sent).await;
+        }
         if let Some(members) = &self.members {
-            self.send_all(members.leave()).await;
+            self.send_all(members.leave(), &self.counters.members_sent).await;
         }
     }
 
-    /// Sends what membership asked for. Lost is lost: SWIM counts on it.
-    async fn send_all(&self, sends: Vec<(SocketAddr, Vec<u8>)>) {
+    /// Sends what a core asked for. Lost is lost: membership and leases count on it.
+    async fn send_all(&self, sends: Vec<(SocketAddr, Vec<u8>)>, sent: &Cell<u64>) {
         for (at, bytes) in sends {
             if self.socket.send_to(&bytes, at).await.is_ok() {
-                count(&self.counters.members_sent);
+                count(sent);
             }
         }
     }
 
-    /// Another gateway's datagram; returns what membership is to send.
-    fn hear(&self, datagram: &[u8], from: SocketAddr) -> Vec<(SocketAddr, Vec<u8>)> {
-        let now = self.clock.now();
+    /// Another gateway's datagram; returns what is to be sent for it, and where that is counted.
+    fn hear(&self, datagram: &[u8], from: SocketAddr) -> (Vec<(SocketAddr, Vec<u8>)>, &Cell<u64>) {
+        let c = &self.counters;
         let by = self.senders.get(&from).copied();
-        if by == Some(self.peers.me) {
+        match (&self.members, &self.owners) {
             // What goes to all may come back.
-            return Vec::new();
-        }
-        if let (Some(members), true) = (&self.members, irisrouter_membership::is_membership(datagram)) {
+            _ if by == Some(self.peers.me) => (Vec::new(), &c.members_sent),
             // Danger guarded against: a datagram from an address outside the list would make a member of nobody.
-            return match by {
-                Some(by) => members.hear(datagram, by),
-                None => {
-                    count(&self.counters.unheard);
-                    log!("a membership datagram from {from} is not used: no gateway's address");
-                    Vec::new()
-                }
-            };
+            (Some(_), _) if by.is_none() => {
+                count(&c.unheard);
+                log!("a datagram from {from} is not used: no gateway's address");
+                (Vec::new(), &c.members_sent)
+            }
+            (Some(members), _) if irisrouter_membership::is_membership(datagram) => {
+                (by.map_or_else(Vec::new, |by| members.hear(datagram, by)), &c.members_sent)
+            }
+            (_, Some(owners)) if irisrouter_duties::is_duties(datagram) => {
+                (by.map_or_else(Vec::new, |by| owners.hear(datagram, by)), &c.duties_sent)
+            }
+            _ => {
+                self.find(datagram, from, by);
+                (Vec::new(), &c.told)
+            }
         }
+    }
+
+    /// Another gateway's findings.
+    fn find(&self, datagram: &[u8], from: SocketAddr, by: Option<u32>) {
+        let now = self.clock.now();
         if let (Some(members), Some(by)) = (&self.members, by) {
             if !members.counts(by) {
                 // Findings of a gateway held to be down stop counting at once.
                 count(&self.counters.unheard);
-                return Vec::new();
+                return;
             }
         }
         let read = by
@@ -163,7 +201,7 @@
             Err(why) => {
                 count(&self.counters.unheard);
                 log!("a datagram from {from} is not used: {why}");
-                return Vec::new();
+                return;
             }
         };
         count(&self.counters.heard);
@@ -180,15 +218,14 @@
         if !found.is_empty() {
             self.mailbox.post(Event::Found(found));
         }
-        Vec::new()
     }
 
-    /// Probes the hosts of a set, and tells what they say.
-    async fn ask(self: Rc<Self>, set: i64) {
+    /// Probes the hosts of a set, and tells what they say; under a token only as long as that holds.
+    async fn ask(self: Rc<Self>, set: i64, token: Option<u64>) {
         let mut out = JoinSet::new();
         for member in self.backend.serving(GroupId(set)) {
             let of = Rc::clone(&self);
-            out.spawn_local(async move { of.probe(member).await });
+            out.spawn_local(async move { of.probe(member, set, token).await });
         }
         let mut by = Instant::now() + ROUND;
         while !out.is_empty() {
@@ -205,8 +242,17 @@
         }
     }
 
-    async fn probe(&self, member: MemberId) -> Option<Finding> {
-        let event = self.backend.probe(member).await;
+    async fn probe(&self, member: MemberId, set: i64, token: Option<u64>) -> Option<Finding> {
+        let owned = self.owners.as_ref().zip(token);
+        // Danger guarded against: a process that was stopped in the middle of a round goes on with it when it is back.
+        if owned.is_some_and(|(owners, token)| owners.token(set) != Some(token)) {
+            return None;
+        }
+        let fence = owned.and_then(|(owners, token)| owners.fence(set, token));
+        let (event, fenced) = self.backend.probe_under(member, fence).await;
+        if let (true, Some((owners, _))) = (fenced, owned) {
+            self.send_all(owners.fenced(set), &self.counters.duties_sent).await;
+        }
         let found = match &event {
             Event::Probed { outcome: Outcome::Ok, report: Some(report), .. } => {
                 Some(Finding { member, at: self.clock.now(), report: *report })
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -142,6 +142,8 @@
     pub share: bool,
     /// Gateways may send one another datagrams at all (the platform's `Bounds.Peers`), however many they are.
     pub peers_allowed: bool,
+    /// Hosts may be probed (`Bounds.Probes`).
+    pub probes_allowed: bool,
     /// Gateways of this tier.
     pub balancers: u32,
     /// Clock time from which the simulator reckons positions.
@@ -174,6 +176,7 @@
             me: info.me,
             share: info.bounds.peers && info.bounds.probes && info.balancers >= MANY,
             peers_allowed: info.bounds.peers,
+            probes_allowed: info.bounds.probes,
             balancers: info.balancers,
             position_zero: info.domain.position_zero_ns,
             idle_close: info.bounds.idle_close_ns,
