Note keyed writes with two other gateways, so that a repeat elsewhere is applied at most once

A write whose gateway died comes again at another, which knows neither that it was sent nor when: beyond the hosts' window it was applied a second time.

Change: crates/inhand (notes, questions, their datagram; no I/O), net/inhand.rs, and in request.rs a note before the first attempt leaves, a question where the client marks a repeat. Known: sent within the window of the first sending, else 'may have run'. Unknown to enough: a write like any other. Too few answer: 'may have run'. pg's Statement gives the idempotency key.

--- /dev/null
+++ b/crates/inhand/src/codec.rs
@@ -0,0 +1,127 @@
+//! The datagram of writes in hand: notes, questions and their answers, several in one, bounded and versioned.
+//!
+//! ```text
+//! 0      magic and version: 0xC1 (findings 0x01, membership 0xA2, duties 0xB1: all share the peer socket)
+//! 1      count of items, then 17 bytes each:
+//! 0      kind: 0 note, 1 noted, 2 ask, 3 known, 4 unknown, 5 forget
+//! 1..9   key (u64, big-endian)
+//! 9..17  Unix milliseconds (u64): of the first sending that may have run; 0 where the kind has none
+//! ```
+
+use bytes::{Buf, BufMut};
+use std::fmt;
+
+/// First byte of every datagram: 0xC0 marks writes in hand, the low nibble is the version.
+pub const MAGIC: u8 = 0xC1;
+/// The platform's longest datagram between gateways, in bytes.
+pub const DATAGRAM: usize = 256;
+const HEADER: usize = 2;
+const ITEM: usize = 17;
+/// Items that fit one datagram.
+pub const ITEMS: usize = (DATAGRAM - HEADER) / ITEM;
+
+/// What is said of a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// "From then on a write of this key may have run: keep that for me."
+    Note,
+    /// "I keep it."
+    Noted,
+    /// "What do you know of it?"
+    Ask,
+    /// "From then on it may have run."
+    Known,
+    /// "Nothing."
+    Unknown,
+    /// "What I had noted never ran."
+    Forget,
+}
+
+const KINDS: [Kind; 6] = [Kind::Note, Kind::Noted, Kind::Ask, Kind::Known, Kind::Unknown, Kind::Forget];
+
+/// One word about one key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Item {
+    /// What.
+    pub kind: Kind,
+    /// Of which key.
+    pub key: u64,
+    /// See the kinds.
+    pub at: u64,
+}
+
+/// Why bytes are no such datagram.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WireError {
+    /// Fewer bytes than its items need.
+    Short,
+    /// More than they need, or than a datagram may have.
+    Long,
+    /// Another version; carries the first byte.
+    Version(u8),
+    /// A kind that this version does not know.
+    Kind(u8),
+}
+
+impl fmt::Display for WireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Short => write!(f, "the datagram ends inside an item"),
+            Self::Long => write!(f, "the datagram is longer than its items"),
+            Self::Version(b) => {
+                write!(f, "first byte {b:#04x} is not version {MAGIC:#04x} of writes in hand")
+            }
+            Self::Kind(k) => write!(f, "unknown kind {k}"),
+        }
+    }
+}
+
+impl std::error::Error for WireError {}
+
+/// The bytes of up to [`ITEMS`] items; what is beyond is left out.
+#[must_use]
+pub fn encode(items: &[Item]) -> Vec<u8> {
+    let items = &items[..items.len().min(ITEMS)];
+    let mut buf = Vec::with_capacity(HEADER + items.len() * ITEM);
+    buf.put_u8(MAGIC);
+    // At most ITEMS, which is 14.
+    buf.put_u8(items.len() as u8);
+    for item in items {
+        // Its place in KINDS, which has six.
+        buf.put_u8(KINDS.iter().position(|k| *k == item.kind).unwrap_or(0) as u8);
+        buf.put_u64(item.key);
+        buf.put_u64(item.at);
+    }
+    buf
+}
+
+/// Reads a datagram.
+///
+/// # Errors
+/// The bytes are none of this version, or not as long as they say.
+pub fn decode(bytes: &[u8]) -> Result<Vec<Item>, WireError> {
+    let mut buf = bytes;
+    let magic = buf.try_get_u8().map_err(|_| WireError::Short)?;
+    if magic != MAGIC {
+        return Err(WireError::Version(magic));
+    }
+    let count = usize::from(buf.try_get_u8().map_err(|_| WireError::Short)?);
+    match buf.remaining().cmp(&(count * ITEM)) {
+        std::cmp::Ordering::Less => return Err(WireError::Short),
+        std::cmp::Ordering::Greater => return Err(WireError::Long),
+        std::cmp::Ordering::Equal if count > ITEMS => return Err(WireError::Long),
+        std::cmp::Ordering::Equal => {}
+    }
+    let item = |buf: &mut &[u8]| {
+        let kind = buf.get_u8();
+        let kind = *KINDS.get(usize::from(kind)).ok_or(WireError::Kind(kind))?;
+        Ok(Item { kind, key: buf.get_u64(), at: buf.get_u64() })
+    };
+    (0..count).map(|_| item(&mut buf)).collect()
+}
+
+/// Whether a datagram is one of writes in hand, by its first byte.
+#[must_use]
+pub fn is_inhand(datagram: &[u8]) -> bool {
+    datagram.first().is_some_and(|b| b & 0xf0 == MAGIC & 0xf0)
+}
--- a/crates/lab/src/cluster/schedule.rs
+++ b/crates/lab/src/cluster/schedule.rs
@@ -107,7 +107,7 @@
     #[must_use]
     pub fn operators(&self) -> String {
         let takeover = self.lease_ms.map_or(String::new(), |lease_ms| {
-            format!("takeover: {{ enabled: true, lease_ms: {lease_ms}, fence: true }},")
+            format!("takeover: {{ enabled: true, lease_ms: {lease_ms}, fence: true, writes: true }},")
         });
         format!(
             "{{ membership: {{ enabled: true, probe_period_ms: {}, stall_ms: {} }}, {takeover} }}\n",
--- a/crates/lab/src/cluster/stand_ins.rs
+++ b/crates/lab/src/cluster/stand_ins.rs
@@ -117,6 +117,13 @@
         *lock(&self.shared.pace) = (before, after);
     }
 
+    /// It has seen this token of a duty, by a way that no gateway knows of.
+    pub fn saw(&self, duty: u64, epoch: u64) {
+        let mut seen = self.seen();
+        let latest = seen.tokens.entry(duty).or_insert(epoch);
+        *latest = epoch.max(*latest);
+    }
+
     /// Its entry in the list of one gateway.
     pub fn entry(&self, gateway: usize) -> Value {
         json!({"id": self.id, "host_port": self.at[gateway].to_string(), "locality": self.zone, "flavor": "m",
--- a/crates/lab/tests/takeover.rs
+++ b/crates/lab/tests/takeover.rs
@@ -84,6 +84,28 @@
     }
 }
 
+#[test]
+fn an_owner_whose_token_a_host_refuses_gives_the_duty_up_and_claims_it_anew() {
+    let cluster = started(4, 27);
+    let owner = first(&cluster, 4, 1);
+    let token = |c: &Cluster| c.probes(1).iter().rev().find(|p| !p.refused).and_then(|p| p.token);
+    let (_, old) = token(&cluster).expect("a token");
+    for host in cluster.hosts.iter().filter(|h| h.set == 1) {
+        host.saw(1, old + 1);
+    }
+    wait("a refused probe", || cluster.probes(1).iter().any(|p| p.refused));
+    wait("a later token", || token(&cluster).is_some_and(|(_, now)| now > old + 1));
+    let gave_up = "duties: set 1 is no longer this gateway's";
+    cluster.history.look(|lines| {
+        let line = lines.iter().find(|l| l.gateway == owner && l.text.contains(gave_up)).expect("it says so");
+        assert!(line.text.contains("a later epoch was seen"), "{}", line.text);
+    });
+    assert!(!cluster.probes(1).iter().any(|p| !p.refused && p.token.is_some_and(|(_, e)| e == old) && {
+        let refused = cluster.probes(1).iter().find(|r| r.refused).map_or(u64::MAX, |r| r.at);
+        p.at > refused + 1_000
+    }));
+}
+
 #[test]
 fn a_partition_leaves_each_duty_with_the_larger_side_alone() {
     let cluster = started(5, 23);
@@ -114,3 +136,95 @@
         assert!(line.text.contains("this gateway stops"), "{}", line.text);
     });
 }
+
+/// A client that sends one statement on a connection of its own: the value it got, or the code of the refusal.
+fn ask(cluster: &Cluster, gateway: usize, text: &str) -> Result<String, String> {
+    let at = cluster.process(gateway).expect("runs").address;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let way = format!("host=127.0.0.1 port={} user=web dbname=orders", at.port());
+        let (client, connection) =
+            tokio_postgres::connect(&way, tokio_postgres::NoTls).await.map_err(|e| e.to_string())?;
+        let carried = tokio::spawn(connection);
+        let said = client.simple_query(text).await;
+        drop(client);
+        let _ = carried.await;
+        match said {
+            Ok(rows) => Ok(rows
+                .iter()
+                .find_map(|m| match m {
+                    tokio_postgres::SimpleQueryMessage::Row(row) => row.get(0).map(str::to_string),
+                    _ => None,
+                })
+                .unwrap_or_default()),
+            Err(e) => Err(e.code().map_or_else(|| "closed".into(), |c| c.code().to_string())),
+        }
+    })
+}
+
+fn write(id: &str, key: &str, repeat: bool) -> String {
+    let r = if repeat { ",r=1" } else { "" };
+    format!(
+        "INSERT INTO entries (ref, payload) VALUES ('7f3a', '\\x01') RETURNING payload \
+         /* id={id},c=count-write,d=1900,k={key},cluster=1{r} */"
+    )
+}
+
+/// Times at which the primary of set 1 applied a key.
+fn applied(cluster: &Cluster, key: &str) -> usize {
+    let host = cluster.hosts.iter().find(|h| h.set == 1 && h.primary).expect("a primary");
+    let seen = host.seen();
+    seen.applied.get(key).map_or(0, Vec::len)
+}
+
+/// Sends a write to a gateway that is killed once the host has it and before the host answers.
+fn in_flight(cluster: &mut Cluster, gateway: usize, key: &str) {
+    let host = cluster.hosts.iter().find(|h| h.set == 1 && h.primary).expect("a primary");
+    host.pace(Duration::from_millis(200), Duration::from_secs(2));
+    let text = write("a1", key, false);
+    std::thread::scope(|scope| {
+        let cluster_of = &*cluster;
+        let client = scope.spawn(move || ask(cluster_of, gateway, &text));
+        wait("the host has it", || {
+            host.seen().statements.iter().any(|s| s.1 == gateway && s.2.contains(&format!("k={key},")))
+        });
+        cluster_of.signal(gateway, "-KILL");
+        assert_eq!(client.join().expect("a client"), Err("closed".to_string()), "its gateway died");
+    });
+    cluster.crash(gateway);
+    wait("it is applied", || applied(cluster, key) == 1);
+    let host = cluster.hosts.iter().find(|h| h.set == 1 && h.primary).expect("a primary");
+    host.pace(Duration::ZERO, Duration::ZERO);
+}
+
+#[test]
+fn a_write_whose_gateway_died_is_applied_once_when_its_client_sends_it_to_another() {
+    let mut cluster = started(4, 25);
+    in_flight(&mut cluster, 2, "aa01");
+    // Within the window: sent again, discarded by the host, and answered.
+    let said = ask(&cluster, 0, &write("a2", "aa01", true));
+    assert_eq!(said, Ok("aa01".to_string()));
+    assert_eq!(applied(&cluster, "aa01"), 1);
+    // Beyond the window nobody sends it any more, whichever gateway is asked, and the answer says so.
+    std::thread::sleep(Duration::from_millis(1_500));
+    for (n, gateway) in [0, 1, 3].into_iter().enumerate() {
+        let said = ask(&cluster, gateway, &write(&format!("b{n}"), "aa01", true));
+        assert_eq!(said, Err("XX000".to_string()), "gateway {gateway}");
+    }
+    assert_eq!(applied(&cluster, "aa01"), 1);
+    // One that was never sent is a write like any other, marked or not.
+    assert_eq!(ask(&cluster, 1, &write("c1", "aa02", true)), Ok("aa02".to_string()));
+    assert_eq!(ask(&cluster, 3, &write("c2", "aa03", false)), Ok("aa03".to_string()));
+    assert_eq!((applied(&cluster, "aa02"), applied(&cluster, "aa03")), (1, 1));
+}
+
+#[test]
+fn a_repeat_of_which_nothing_can_be_proven_is_not_sent() {
+    let mut cluster = started(4, 26);
+    in_flight(&mut cluster, 1, "bb01");
+    std::thread::sleep(Duration::from_millis(1_500));
+    // Cut off from all that could know.
+    cluster.partition(&[0], &[2, 3]);
+    assert_eq!(ask(&cluster, 0, &write("d1", "bb01", true)), Err("XX000".to_string()));
+    assert_eq!(applied(&cluster, "bb01"), 1);
+}
--- a/crates/pg/src/lib.rs
+++ b/crates/pg/src/lib.rs
@@ -224,8 +224,8 @@
     pub wait_ms: f64,
     /// The group.
     pub group: i64,
-    /// It carries an idempotency key.
-    pub keyed: bool,
+    /// Its idempotency key.
+    pub idempotency: Option<&'a str>,
     /// The client says that it repeats.
     pub retry: bool,
     /// The position that a read has to see, in Unix milliseconds.
@@ -273,7 +273,7 @@
         wait_at: start..start + wait.len(),
         wait_ms,
         group: group.and_then(|v| v.parse().ok()).ok_or(Malformed("no cluster in the comment"))?,
-        keyed: key.is_some_and(|k| !k.is_empty()),
+        idempotency: key.filter(|k| !k.is_empty()),
         retry: retry == Some("1"),
         after_ms: after_ms.filter(|&p| p > 0.0),
         key: quoted(&inner[..open]),
@@ -454,10 +454,10 @@
         let s = statement(READ.as_bytes()).expect("a statement");
         assert_eq!(&READ[s.wait_at.clone()], "480");
         assert_eq!((s.class, s.group, s.after_ms), ("basket", 2, Some(1_767_225_600_123.0)));
-        assert_eq!((s.key, s.keyed, s.retry), (Some(b"k''1" as &[u8]), false, false));
+        assert_eq!((s.key, s.idempotency, s.retry), (Some(b"k''1" as &[u8]), None, false));
         let s = READ.replace("cluster", "r=1,k=5c,cluster").replace("after=1767225600123", "after=0");
         let s = statement(s.as_bytes()).expect("a statement");
-        assert_eq!((s.keyed, s.retry, s.after_ms), (true, true, None));
+        assert_eq!((s.idempotency.is_some(), s.retry, s.after_ms), (true, true, None));
     }
 
     #[test]
--- a/deploy/operators.jsonnet
+++ b/deploy/operators.jsonnet
@@ -17,5 +17,7 @@
     lease_ms: 2000,
     // Probes carry their epoch in a comment; only for hosts that check it.
     fence: false,
+    // Keyed writes are noted with two other gateways before they leave: one more way and back a write.
+    writes: false,
   },
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -17,6 +17,7 @@
 use net::discovery::{self, Seen};
 use net::duties::Owners;
 use net::frontend::Frontend;
+use net::inhand::Hand;
 use net::kin::Kin;
 use net::log::log;
 use net::membership::Members;
@@ -102,16 +103,18 @@
     let known = &config.file.known;
     backend.apply(known);
     let mut seen = Seen::at((!known.members.is_empty()).then_some(known.revision));
+    let members = members(&config, clock, &counters);
+    let hand = hand(&config, members.as_ref(), &counters);
     let core = Core {
         mailbox: Rc::clone(&mailbox),
         backend: Rc::clone(&backend),
         clock,
         counters: Rc::clone(&counters),
         answer_by: Cell::new(None),
+        hand: hand.clone(),
         ids: RefCell::default(),
     };
     let modes = Rc::<Modes>::default();
-    let members = members(&config, clock, &counters);
     let owners = owners(&config, members.as_ref(), &counters);
     if let Some(at) = config.console {
         let listener = listen(at).map_err(|e| format!("cannot listen on {at}: {e}"))?;
@@ -150,7 +153,7 @@
     if let Some(peers) = config.peers.clone() {
         let shared = (Rc::clone(&mailbox), Rc::clone(&backend), Rc::clone(&counters));
         let share = config.loaded.share || owners.is_some();
-        match Sharing::open(peers, shared, clock, share, (members.clone(), owners)) {
+        match Sharing::open(peers, shared, clock, share, (members.clone(), owners, hand)) {
             Ok(open) => {
                 sharing = Some(Rc::clone(&open));
                 spawn_local(open.run());
@@ -312,6 +315,14 @@
         .map(Rc::new)
 }
 
+/// Writes in hand, where the operators turned them on and membership is on.
+fn hand(config: &Config, members: Option<&Rc<Members>>, counters: &Rc<Counters>) -> Option<Rc<Hand>> {
+    let wanted = &config.operators.takeover;
+    let peers = config.peers.as_ref().filter(|_| wanted.enabled && wanted.writes)?;
+    let (members, each) = (Rc::clone(members?), peers.each.clone());
+    Some(Rc::new(Hand::new(members, each, config.marks_repeats(), Rc::clone(counters))))
+}
+
 /// The counters, and the view of the other gateways where membership is on.
 fn tell_all(counters: &Counters, members: Option<&Members>) {
     eprintln!("irisrouter: {counters}");
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -468,6 +468,11 @@
         }
     }
 
+    /// A connection has so long to come up.
+    pub fn connect_timeout(&self) -> Duration {
+        self.connect_timeout.get()
+    }
+
     /// Asks a host for its load report.
     pub async fn probe(&self, member: MemberId) -> Event {
         self.probe_under(member, None).await.0
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -102,6 +102,11 @@
 }
 
 impl Config {
+    /// Clients mark their repeats, as the settings say; any may be one where they do not.
+    pub fn marks_repeats(&self) -> bool {
+        self.file.settings.pointer("/Clients/MarksRetry").and_then(Value::as_bool).unwrap_or(false)
+    }
+
     /// Reads the environment and the file that it names.
     pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
         let path = variable("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -54,6 +54,19 @@
     pub duties_lost: Cell<u64>,
     /// Likewise.
     pub duties_fenced: Cell<u64>,
+    /// Writes in hand: datagrams sent, writes noted before they left and those that could not be, repeats that may have
+    /// run, that were never sent, and of which nothing could be proven.
+    pub writes_sent: Cell<u64>,
+    /// Likewise.
+    pub writes_noted: Cell<u64>,
+    /// Likewise.
+    pub writes_not_noted: Cell<u64>,
+    /// Likewise.
+    pub writes_known: Cell<u64>,
+    /// Likewise.
+    pub writes_unsent: Cell<u64>,
+    /// Likewise.
+    pub writes_unproven: Cell<u64>,
     /// Connections to database hosts that came up.
     pub opened: Cell<u64>,
     /// Connections of clients.
@@ -123,6 +136,12 @@
             ("duties_taken", &self.duties_taken),
             ("duties_lost", &self.duties_lost),
             ("duties_fenced", &self.duties_fenced),
+            ("writes_sent", &self.writes_sent),
+            ("writes_noted", &self.writes_noted),
+            ("writes_not_noted", &self.writes_not_noted),
+            ("writes_known", &self.writes_known),
+            ("writes_unsent", &self.writes_unsent),
+            ("writes_unproven", &self.writes_unproven),
         ];
         if members.iter().all(|(_, v)| v.get() == 0) {
             return Ok(());
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -383,7 +383,7 @@
             return Err("an unknown cluster");
         }
         let c = &class.class;
-        if matches!(c.repeat, Repeat::Keyed { .. }) && !s.keyed {
+        if matches!(c.repeat, Repeat::Keyed { .. }) && s.idempotency.is_none() {
             return Err("no k in the comment of a keyed class");
         }
         let sessions = matches!(c.freshness, Freshness::Session | Freshness::Write);
@@ -400,8 +400,10 @@
             return Err("no room for so large a statement");
         }
         let statement = Statement { text: copy, wait_at: s.wait_at };
+        let keyed = matches!(class.class.repeat, Repeat::Keyed { .. });
+        let key = s.idempotency.filter(|_| keyed).map(|k| irisrouter_inhand::number(group.0, k.as_bytes()));
         let id = self.core.take_id(s.id).ok_or("the id of a request that is open")?;
-        Ok(Call { id, class, group, session, wait, after, retry: s.retry, statement })
+        Ok(Call { id, class, group, session, wait, after, retry: s.retry, key, statement })
     }
 
     /// Passes a long answer on while it comes, and returns its end. One that breaks off ends the connection: the client
--- a/src/net/membership.rs
+++ b/src/net/membership.rs
@@ -106,6 +106,15 @@
         (alive, core.side().majority())
     }
 
+    /// The gateways that are not held down, this one included.
+    pub fn not_down(&self) -> Vec<u32> {
+        let core = self.core.borrow();
+        let rows = core.view().rows();
+        rows.filter(|(_, s)| !matches!(s.liveness, Liveness::Down | Liveness::Unknown))
+            .map(|(n, _)| n)
+            .collect()
+    }
+
     /// Says to a few others that this gateway stops; returns what is to be sent.
     pub fn leave(&self) -> Vec<(SocketAddr, Vec<u8>)> {
         let now = self.now();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 pub mod discovery;
 pub mod duties;
 pub mod frontend;
+pub mod inhand;
 pub mod kin;
 pub mod log;
 pub mod membership;
--- a/src/net/operators.rs
+++ b/src/net/operators.rs
@@ -34,11 +34,13 @@
     /// Probes carry the duty and its epoch in a comment, for hosts that refuse an older one. Other hosts may not
     /// understand the statement.
     pub fence: bool,
+    /// Keyed writes are noted with two other gateways before they leave, and repeats of them are asked after.
+    pub writes: bool,
 }
 
 impl Default for TakeoverSettings {
     fn default() -> Self {
-        Self { enabled: false, lease_ms: 2_000, fence: false }
+        Self { enabled: false, lease_ms: 2_000, fence: false, writes: false }
     }
 }
 
@@ -136,7 +138,7 @@
 
     #[test]
     fn takeover_needs_membership_and_a_lease_within_bounds() {
-        let takeover = TakeoverSettings { enabled: true, lease_ms: 50, fence: false };
+        let takeover = TakeoverSettings { enabled: true, lease_ms: 50, ..TakeoverSettings::default() };
         let bad = Operators { takeover, ..Operators::default() };
         let paths: Vec<String> = bad.check().into_iter().map(|p| p.path).collect();
         assert_eq!(paths, ["/takeover/enabled", "/takeover"]);
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -7,6 +7,7 @@
 use super::config::Peers;
 use super::counters::{count, Counters};
 use super::duties::Owners;
+use super::inhand::Hand;
 use super::log::log;
 use super::membership::Members;
 use super::router::Mailbox;
@@ -30,6 +31,9 @@
 /// One more than the longest datagram: what is longer shows.
 const ROOM: usize = message::LONGEST + 1;
 
+/// What the operators may have turned on: who is there, who owns what, and writes in hand.
+pub type Fleet = (Option<Rc<Members>>, Option<Rc<Owners>>, Option<Rc<Hand>>);
+
 /// The part of this gateway.
 pub struct Sharing {
     socket: UdpSocket,
@@ -47,6 +51,8 @@
     members: Option<Rc<Members>>,
     /// Which sets are this gateway's to ask, where the operators turned that on.
     owners: Option<Rc<Owners>>,
+    /// Writes in hand, likewise.
+    hand: Option<Rc<Hand>>,
 }
 
 impl Sharing {
@@ -60,7 +66,7 @@
         (mailbox, backend, counters): (Rc<Mailbox>, Rc<Backend>, Rc<Counters>),
         clock: Clock,
         share: bool,
-        (members, owners): (Option<Rc<Members>>, Option<Rc<Owners>>),
+        (members, owners, hand): Fleet,
     ) -> Result<Rc<Self>, String> {
         let at = |e| format!("cannot listen on {}: {e}", peers.listen);
         let socket = std::net::UdpSocket::bind(peers.listen).map_err(at)?;
@@ -80,6 +86,7 @@
             share,
             members,
             owners,
+            hand,
         }))
     }
 
@@ -102,6 +109,11 @@
                 self.send_all(sends, &self.counters.members_sent).await;
                 pause = pause.min(members.due().saturating_duration_since(Instant::now()));
             }
+            if let Some(hand) = &self.hand {
+                let sends = hand.tick();
+                self.send_all(sends, &self.counters.writes_sent).await;
+                pause = pause.min(hand.due().saturating_duration_since(Instant::now()));
+            }
             tokio::select! {
                 heard = self.socket.recv_from(&mut datagram) => match heard {
                     Ok((length, from)) => {
@@ -111,6 +123,7 @@
                     // A datagram that could not be delivered is told so on the next call.
                     Err(_) => count(&self.counters.unheard),
                 },
+                () = woken(self.hand.as_deref()) => {}
                 () = sleep(pause) => {}
             }
         }
@@ -173,6 +186,10 @@
             (Some(members), _) if irisrouter_membership::is_membership(datagram) => {
                 (by.map_or_else(Vec::new, |by| members.hear(datagram, by)), &c.members_sent)
             }
+            (Some(_), _) if irisrouter_inhand::is_inhand(datagram) => {
+                let sends = self.hand.as_ref().zip(by).map_or_else(Vec::new, |(h, by)| h.hear(datagram, by));
+                (sends, &c.writes_sent)
+            }
             (_, Some(owners)) if irisrouter_duties::is_duties(datagram) => {
                 (by.map_or_else(Vec::new, |by| owners.hear(datagram, by)), &c.duties_sent)
             }
@@ -282,3 +299,11 @@
         }
     }
 }
+
+/// Until a write is to be noted or asked after; never, where that is off.
+async fn woken(hand: Option<&Hand>) {
+    match hand {
+        Some(hand) => hand.woken().await,
+        None => std::future::pending().await,
+    }
+}
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -5,6 +5,7 @@
 use super::buffers::Buffer;
 use super::classes::Held;
 use super::counters::{count, Counters};
+use super::inhand::{Before, Hand};
 use super::router::{Mailbox, Order};
 use super::{duration, nanoseconds, Clock};
 use irisrouter::api::*;
@@ -14,7 +15,7 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{AbortHandle, JoinSet};
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep_until, timeout_at, Instant};
 
 /// The module's deadline lies so much before the client's: timers are late by up to a millisecond, and its
 /// decision has to be made and written.
@@ -48,6 +49,8 @@
     pub after: Option<Ns>,
     /// The client says that it repeats.
     pub retry: bool,
+    /// The number of its idempotency key and set, in a keyed class.
+    pub key: Option<u64>,
     /// What is passed on.
     pub statement: Statement,
 }
@@ -79,6 +82,8 @@
     pub counters: Rc<Counters>,
     /// When the last answer has to be given, where the gateway is about to end.
     pub answer_by: Cell<Option<Instant>>,
+    /// Writes in hand, where the operators turned that on.
+    pub hand: Option<Rc<Hand>>,
     /// Ids of the requests that are not over.
     pub ids: RefCell<HashSet<Box<str>>>,
 }
@@ -94,11 +99,26 @@
     /// Takes a request and gives it exactly one answer. A client that leaves drops the receiver.
     pub async fn serve(self: Rc<Self>, call: Call, answer: oneshot::Sender<Answer>) {
         count(&self.counters.received);
-        let arrived = self.clock.now();
         let ending = self.answer_by.get().map(|end| end.saturating_duration_since(Instant::now()));
-        let patience = ending.map_or(call.wait, |left| left.min(call.wait));
-        let wait = patience.saturating_sub(MARGIN);
-        let last = Instant::now() + patience.saturating_sub(LAST_MARGIN);
+        let mut end = Instant::now() + ending.map_or(call.wait, |left| left.min(call.wait));
+        let mut noted = self.hand.as_ref().zip(call.key).map(|(hand, key)| Noted::new(hand, key));
+        if let Some(noted) = noted.as_mut().filter(|n| n.hand.doubtful(call.retry)) {
+            // Never beyond the client's own time. What is not proven by then may have run.
+            let ask = timeout_at(end - LAST_MARGIN.min(call.wait), noted.hand.ask(noted.key)).await;
+            let sendable = match ask.unwrap_or(Before::Unproven) {
+                Before::Unsent => Some(end),
+                Before::MayHaveRun(at) => noted.until(at, &call.class.class, self.backend.connect_timeout()),
+                Before::Unproven => None,
+            };
+            match sendable {
+                Some(until) => end = end.min(until),
+                None => return self.answer(answer, Answer::Failed),
+            }
+        }
+        let noted = noted.map(Rc::new);
+        let (arrived, now) = (self.clock.now(), Instant::now());
+        let wait = end.saturating_duration_since(now).saturating_sub(MARGIN);
+        let last = (end - LAST_MARGIN).max(now);
         let (id, mut orders) = self.mailbox.open();
         self.mailbox.post(Event::Request {
             id,
@@ -147,6 +167,9 @@
                         Err(e) => (e.id(), Outcome::Cancelled.into()),
                     };
                     let Some(number) = attempts.iter().position(|a| a.2.id() == task) else { continue };
+                    if let Some(noted) = &noted {
+                        noted.ended(attempted.outcome);
+                    }
                     if streaming == Some(number) {
                         if attempted.outcome != Outcome::Ok {
                             count(&self.counters.cut_off);
@@ -178,10 +201,20 @@
                         let (core, statement) = (Rc::clone(&self), Rc::clone(&statement));
                         // Nothing new leaves for a request that is over, but the module hears of its attempt.
                         let (over, begin, number) = (owed.is_none(), begin.clone(), attempts.len());
+                        let noted = noted.clone();
                         let handle = running.spawn_local(async move {
                             if over {
                                 return Outcome::Moot.into();
                             }
+                            let asked = Instant::now();
+                            if let Some(noted) = noted {
+                                // Danger guarded against: a write that left unnoted would be sent again beyond its
+                                // window by a gateway that knows nothing of it.
+                                if !noted.note().await {
+                                    return Outcome::Moot.into();
+                                }
+                            }
+                            let limit = limit - nanoseconds(asked.elapsed());
                             let begin = |streamed| drop(begin.send((number, streamed)));
                             core.backend.attempt(member, &statement, limit, begin).await
                         });
@@ -191,7 +224,12 @@
                         attempts.iter().skip(attempt as usize).take(1).for_each(|a| a.2.abort());
                     }
                     Order::Refuse { pause } => {
-                        owed.take().into_iter().for_each(|a| self.answer(a, Answer::Refused { pause }));
+                        // What another gateway sent may have run, whatever became of it here.
+                        let earlier = noted.as_ref().is_some_and(|n| n.earlier.is_some());
+                        let refused = if earlier { Answer::Failed } else { Answer::Refused { pause } };
+                        if let Some(answer) = owed.take() {
+                            self.answer(answer, refused);
+                        }
                     }
                     Order::Fail => owed.take().into_iter().for_each(|a| self.answer(a, Answer::Failed)),
                 },
@@ -207,6 +245,9 @@
                 }
             }
         }
+        if let Some(noted) = &noted {
+            noted.over();
+        }
         // Sends that were ordered before the module heard of the end: each attempt has its outcome.
         orders.close();
         while let Ok(order) = orders.try_recv() {
@@ -239,6 +280,60 @@
     }
 }
 
+/// A keyed write that is noted with other gateways.
+struct Noted {
+    hand: Rc<Hand>,
+    key: u64,
+    /// From when on an earlier try of another gateway may have run, in Unix milliseconds.
+    earlier: Option<u64>,
+    /// This gateway has tried to note it.
+    tried: Cell<bool>,
+    /// It has been noted.
+    done: Cell<bool>,
+    /// An attempt of this gateway's may have run.
+    may_have_run: Cell<bool>,
+}
+
+impl Noted {
+    fn new(hand: &Rc<Hand>, key: u64) -> Self {
+        let no = || Cell::new(false);
+        Noted { hand: Rc::clone(hand), key, earlier: None, tried: no(), done: no(), may_have_run: no() }
+    }
+
+    /// Until when it may be sent again, after an earlier try; none where that time is over. The window counts from that
+    /// try, and what leaves at its end still needs a connection.
+    fn until(&mut self, at: u64, class: &Class, connect: Duration) -> Option<Instant> {
+        self.earlier = Some(at);
+        let Repeat::Keyed { window, .. } = class.repeat else { return None };
+        let passed = Duration::from_millis(Hand::unix_ms().saturating_sub(at));
+        let left = duration(window).checked_sub(passed)?.checked_sub(connect)?;
+        (left > MARGIN).then(|| Instant::now() + left)
+    }
+
+    /// Notes it before an attempt leaves, once.
+    async fn note(&self) -> bool {
+        if !self.done.get() {
+            self.tried.set(true);
+            let noted = self.hand.note(self.key, self.earlier.unwrap_or_else(Hand::unix_ms)).await;
+            self.done.set(self.done.get() || noted);
+        }
+        self.done.get()
+    }
+
+    /// An attempt ended.
+    fn ended(&self, outcome: Outcome) {
+        let never = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss);
+        self.may_have_run.set(self.may_have_run.get() || !never);
+    }
+
+    /// All attempts have ended: what never ran need not be known to anybody.
+    fn over(&self) {
+        if self.tried.get() && !self.may_have_run.get() {
+            self.hand.forget(self.key);
+        }
+    }
+}
+
 /// The client has left; never, once nothing is owed.
 async fn left(owed: &mut Option<oneshot::Sender<Answer>>) {
     match owed {
