--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -101,21 +101,10 @@
         count(&self.counters.received);
         let ending = self.answer_by.get().map(|end| end.saturating_duration_since(Instant::now()));
         let mut end = Instant::now() + ending.map_or(call.wait, |left| left.min(call.wait));
-        let mut noted = self.hand.as_ref().zip(call.key).map(|(hand, key)| Noted::new(hand, key));
-        if let Some(noted) = noted.as_mut().filter(|n| n.hand.doubtful(call.retry)) {
-            // Never beyond the client's own time. What is not proven by then may have run.
-            let ask = timeout_at(end - LAST_MARGIN.min(call.wait), noted.hand.ask(noted.key)).await;
-            let sendable = match ask.unwrap_or(Before::Unproven) {
-                Before::Unsent => Some(end),
-                Before::MayHaveRun(at) => noted.until(at, &call.class.class, self.backend.connect_timeout()),
-                Before::Unproven => None,
-            };
-            match sendable {
-                Some(until) => end = end.min(until),
-                None => return self.answer(answer, Answer::Failed),
-            }
-        }
-        let noted = noted.map(Rc::new);
+        let noted = match self.noted(&call, &mut end).await {
+            Ok(noted) => noted.map(Rc::new),
+            Err(MayHaveRun) => return self.answer(answer, Answer::Failed),
+        };
         let (arrived, now) = (self.clock.now(), Instant::now());
         let wait = end.saturating_duration_since(now).saturating_sub(MARGIN);
         let last = (end - LAST_MARGIN).max(now);
@@ -269,6 +258,25 @@
         self.mailbox.close(id);
     }
 
+    /// What is noted of a keyed write, where writes in hand are on; its end comes earlier where another gateway may have
+    /// sent it.
+    async fn noted(&self, call: &Call, end: &mut Instant) -> Result<Option<Noted>, MayHaveRun> {
+        let Some((hand, key)) = self.hand.as_ref().zip(call.key) else { return Ok(None) };
+        let mut noted = Noted::new(hand, key);
+        if !hand.doubtful(call.retry) {
+            return Ok(Some(noted));
+        }
+        // Never beyond the client's own time. What is not proven by then may have run.
+        let ask = timeout_at(*end - LAST_MARGIN.min(call.wait), hand.ask(key)).await;
+        let until = match ask.unwrap_or(Before::Unproven) {
+            Before::Unsent => Some(*end),
+            Before::MayHaveRun(at) => noted.until(at, &call.class.class, self.backend.connect_timeout()),
+            Before::Unproven => None,
+        };
+        *end = until.ok_or(MayHaveRun)?.min(*end);
+        Ok(Some(noted))
+    }
+
     fn answer(&self, to: oneshot::Sender<Answer>, answer: Answer) {
         count(match answer {
             Answer::Served(_) | Answer::Streamed(_) => &self.counters.served,
@@ -280,6 +288,9 @@
     }
 }
 
+/// A write that another gateway may have sent, and that can't be sent again.
+struct MayHaveRun;
+
 /// A keyed write that is noted with other gateways.
 struct Noted {
     hand: Rc<Hand>,
