--- a/crates/inhand/src/lib.rs
+++ b/crates/inhand/src/lib.rs
@@ -13,7 +13,8 @@
 //!
 //! Which gateways keep a key is rendezvous hashing over those that the asker does not hold down. A writer needs the word of
 //! [`KEEPERS`] of the first [`NOTE_AMONG`] (itself left out); a gateway with a repeat asks the first [`ASK_AMONG`], and takes
-//! it for unknown only if at most [`SILENT`] of them keeps silent. Two noted, one silent: at least one is heard.
+//! it for unknown only if at most [`SILENT`] of them keeps silent. Two noted, one silent: at least one is heard. A gateway
+//! that has just started may have kept what it no longer knows: of what it does not know it says nothing for [`KEPT`].
 //!
 //! No I/O, no clock, no tasks.
 
@@ -44,8 +45,8 @@
 const QUIET: Millis = 40;
 /// And after so long a note has failed, or a question is not answered.
 const GIVE_UP: Millis = 120;
-/// A note is kept for so long. Clients do not repeat a write for longer.
-pub const KEPT: Millis = 60_000;
+/// A note is kept for so long: clients do not repeat a write for longer (2 s a try, three tries, and pauses).
+pub const KEPT: Millis = 10_000;
 /// Notes that one gateway keeps. Danger guarded against: others' writes would fill the memory. Beyond it nothing is noted,
 /// and writers that get no word send nothing.
 pub const MOST: usize = 65_536;
@@ -114,6 +115,8 @@
     sent: usize,
     began: Millis,
     next: Millis,
+    /// This gateway has just started, and may have kept the key itself: one more that is silent.
+    fresh: bool,
 }
 
 /// Who noted a key, and from when on it may have run.
@@ -130,6 +133,7 @@
 /// One gateway's notes: those that it keeps for others, and its own under way.
 pub struct InHand {
     me: u32,
+    started: Millis,
     kept: BTreeMap<u64, Kept>,
     /// Keys by the time at which they were first noted.
     ages: VecDeque<(Millis, u64)>,
@@ -140,11 +144,12 @@
 }
 
 impl InHand {
-    /// Gateway number `me`.
+    /// Gateway number `me`, whose process starts, or begins to hear others, now.
     #[must_use]
-    pub fn new(me: u32) -> Self {
+    pub fn new(me: u32, now: Millis) -> Self {
         Self {
             me,
+            started: now,
             kept: BTreeMap::new(),
             ages: VecDeque::new(),
             open: Vec::new(),
@@ -196,6 +201,7 @@
                 Kind::Ask => {
                     let answer = match self.known(now, item.key) {
                         Some(at) => Item { kind: Kind::Known, at, ..item },
+                        None if self.fresh(now) => continue,
                         None => Item { kind: Kind::Unknown, at: 0, ..item },
                     };
                     self.out.entry(from).or_default().push(answer);
@@ -249,6 +255,11 @@
         self.kept.len()
     }
 
+    /// What was noted with the process before this one may still matter.
+    const fn fresh(&self, now: Millis) -> bool {
+        now < self.started + KEPT
+    }
+
     fn keepers(&self, key: u64, gateways: &[u32], among: usize) -> Vec<u32> {
         let others: Vec<u32> = gateways.iter().copied().filter(|&g| g != self.me).collect();
         let mut all = order(key, &others);
@@ -265,7 +276,9 @@
             self.actions.push(Action::Ended { ticket, outcome });
             return ticket;
         }
-        let open = Open { ticket, key, note, among, answered: Vec::new(), sent: 0, began: now, next: now };
+        let fresh = self.fresh(now);
+        let open =
+            Open { ticket, key, note, among, answered: Vec::new(), sent: 0, began: now, next: now, fresh };
         self.open.push(open);
         self.advance(now);
         ticket
@@ -360,7 +373,8 @@
 
 /// The outcome of a note or a question, if it has one by `now`.
 fn judged(o: &Open, now: Millis) -> Option<Outcome> {
-    let (waited, silent) = (now - o.began, o.among.len() - o.answered.len());
+    let waited = now.saturating_sub(o.began);
+    let silent = o.among.len() - o.answered.len() + usize::from(o.fresh);
     match o.note {
         Some(_) if o.answered.len() >= KEEPERS.min(o.among.len()) => Some(Outcome::Noted),
         // One other is there and it is dead, or says nothing: nothing is proven to have been noted.
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -150,6 +150,7 @@
         let mut settings = settings::object(&scenario);
         settings["Me"] = json!(gateway);
         settings["Bounds"]["Peers"] = json!(true);
+        settings["Clients"] = json!({ "MarksRetry": true });
         settings["MyZone"] = json!(self.zone(gateway));
         settings["Zones"] = json!(self.plan.zones);
         let members: Vec<Value> = self.hosts.iter().map(|h| h.entry(gateway)).collect();
--- a/crates/lab/tests/takeover.rs
+++ b/crates/lab/tests/takeover.rs
@@ -212,7 +212,8 @@
         assert_eq!(said, Err("XX000".to_string()), "gateway {gateway}");
     }
     assert_eq!(applied(&cluster, "aa01"), 1);
-    // One that was never sent is a write like any other, marked or not.
+    // One that was never sent is a write like any other, marked or not, once those asked have run long enough to know.
+    wait("all know", || cluster.clock.now() > 15_000);
     assert_eq!(ask(&cluster, 1, &write("c1", "aa02", true)), Ok("aa02".to_string()));
     assert_eq!(ask(&cluster, 3, &write("c2", "aa03", false)), Ok("aa03".to_string()));
     assert_eq!((applied(&cluster, "aa02"), applied(&cluster, "aa03")), (1, 1));
--- a/src/net/inhand.rs
+++ b/src/net/inhand.rs
@@ -43,7 +43,7 @@
     pub fn new(members: Rc<Members>, each: Vec<SocketAddr>, marked: bool, counters: Rc<Counters>) -> Self {
         log!("writes in hand: on, keyed writes are noted with other gateways before they leave");
         Self {
-            core: RefCell::new(InHand::new(members.me().number)),
+            core: RefCell::new(InHand::new(members.me().number, 0)),
             members,
             start: Instant::now(),
             each,
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -271,6 +271,8 @@
         let until = match ask.unwrap_or(Before::Unproven) {
             Before::Unsent => Some(*end),
             Before::MayHaveRun(at) => noted.until(at, &call.class.class, self.backend.connect_timeout()),
+            // Where clients mark nothing, a fleet that has just started would turn every write away.
+            Before::Unproven if !call.retry => Some(*end),
             Before::Unproven => None,
         };
         *end = until.ok_or(MayHaveRun)?.min(*end);
