--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -189,6 +189,13 @@
         })
     }
 
+    /// This process hears others from now on, and not since it was made: it grants nothing for a lease, as an older process
+    /// of the same gateway may have granted until now.
+    pub fn opened(&mut self, now: Millis) {
+        self.started = now;
+        self.votes.clear();
+    }
+
     /// The view of the fleet: who is alive, this one included, and whether that is the larger side of a cut. On the small
     /// side nothing is claimed, and what is owned is given up after a lease.
     pub fn view(&mut self, now: Millis, alive: &[u32], majority: bool) {
--- a/crates/duties/tests/fleet.rs
+++ b/crates/duties/tests/fleet.rs
@@ -210,6 +210,23 @@
     fleet.run(2_000);
 }
 
+#[test]
+fn a_voter_that_hears_others_only_from_later_on_grants_nothing_for_a_lease_from_then() {
+    let mut core = Duties::new(Holder { number: 0, generation: 1 }, settings(3), 0).expect("settings");
+    core.opened(10 * LEASE);
+    let ask = codec::Item { kind: codec::Kind::Ask, duty: 1, epoch: 50, round: 1, holder: None, left: 0 };
+    let mut answer = |at: Millis| {
+        core.receive(at, 1, &codec::encode(0, &[ask])).expect("reads");
+        let sent = core.drain().find_map(|a| match a {
+            Action::Send { bytes, .. } => Some(codec::decode(&bytes).expect("reads").1[0].kind),
+            _ => None,
+        });
+        sent.expect("an answer")
+    };
+    assert_eq!(answer(10 * LEASE + 1), codec::Kind::Refused);
+    assert_eq!(answer(11 * LEASE), codec::Kind::Granted);
+}
+
 #[test]
 fn the_small_side_of_a_cut_gives_up_and_the_large_side_takes_over() {
     let mut fleet = Fleet::new(5, 12, 4);
--- a/crates/inhand/src/lib.rs
+++ b/crates/inhand/src/lib.rs
@@ -159,6 +159,12 @@
         }
     }
 
+    /// This process hears others from now on, and not since it was made: an older process of the same gateway may have kept
+    /// notes until now.
+    pub fn opened(&mut self, now: Millis) {
+        self.started = now;
+    }
+
     /// Notes that a write of this key may have run from `at` (Unix milliseconds) on, with the keepers among the gateways
     /// that are not held down. Alone, a gateway notes with nobody: nobody could take the write over.
     pub fn note(&mut self, now: Millis, key: u64, at: u64, gateways: &[u32]) -> u64 {
--- a/src/main.rs
+++ b/src/main.rs
@@ -58,6 +58,8 @@
 const LAST_TAKEN: Duration = Duration::from_millis(800);
 /// A process that inherits its listener waits so long for discovery before it takes clients.
 const TOLD: Duration = Duration::from_secs(1);
+/// How often the peers' address is tried again while another process has it.
+const PEERS_AGAIN: Duration = Duration::from_millis(500);
 /// How often a gateway that ends looks whether all is done.
 const LOOK: Duration = Duration::from_millis(5);
 
@@ -149,17 +151,12 @@
     seen.whole |= passed;
     let (answered, mut told) = watch::channel(false);
     spawn_local(discovery::watch(addresses, seen, Rc::clone(&backend), Rc::clone(&classes), answered));
-    let mut sharing = None;
+    let sharing = Rc::<RefCell<Option<Rc<Sharing>>>>::default();
     if let Some(peers) = config.peers.clone() {
         let shared = (Rc::clone(&mailbox), Rc::clone(&backend), Rc::clone(&counters));
         let share = config.loaded.share || owners.is_some();
-        match Sharing::open(peers, shared, clock, share, (members.clone(), owners, hand)) {
-            Ok(open) => {
-                sharing = Some(Rc::clone(&open));
-                spawn_local(open.run());
-            }
-            Err(why) => log!("nothing is shared with other gateways: {why}"),
-        }
+        let fleet = (members.clone(), owners, hand);
+        spawn_local(share_when_free(Rc::clone(&sharing), peers, shared, clock, share, fleet));
     }
     spawn_local(sweep(Rc::clone(&backend)));
     spawn_local(tidy(Rc::clone(&front.places)));
@@ -193,8 +190,9 @@
     }
     modes.stop();
     log!("stopping");
-    if let Some(sharing) = &sharing {
-        sharing.leave().await;
+    let open = sharing.borrow().clone();
+    if let Some(open) = open {
+        open.leave().await;
     }
     // Clients use the connections that they have for as long as these stay open, so they do until little time is
     // left. Danger: nobody takes over what a closed connection would have carried until the gateway is back.
@@ -256,6 +254,36 @@
     }
 }
 
+/// Shares with other gateways for ever, from when the peers' address is free: while one version follows another, that is
+/// when the older process has ended.
+async fn share_when_free(
+    sharing: Rc<RefCell<Option<Rc<Sharing>>>>,
+    peers: net::config::Peers,
+    shared: (Rc<Mailbox>, Rc<Backend>, Rc<Counters>),
+    clock: Clock,
+    share: bool,
+    fleet: net::peers::Fleet,
+) {
+    let mut told = false;
+    loop {
+        match Sharing::open(peers.clone(), shared.clone(), clock, share, fleet.clone()) {
+            Ok(open) => {
+                if told {
+                    log!("shares with other gateways from now on");
+                }
+                sharing.replace(Some(Rc::clone(&open)));
+                return open.run().await;
+            }
+            Err(why) if !told => {
+                told = true;
+                log!("nothing is shared with other gateways yet: {why}");
+            }
+            Err(_) => {}
+        }
+        sleep(PEERS_AGAIN).await;
+    }
+}
+
 async fn tidy(places: Rc<Places>) {
     let mut turn = interval(TIDY);
     loop {
--- a/src/net/duties.rs
+++ b/src/net/duties.rs
@@ -48,6 +48,11 @@
         u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// This process hears others from now on.
+    pub fn opened(&self) {
+        self.core.borrow_mut().opened(self.now());
+    }
+
     /// Takes a datagram of duties from gateway `from`; returns what is to be sent.
     pub fn hear(&self, datagram: &[u8], from: u32) -> Vec<(SocketAddr, Vec<u8>)> {
         let now = self.now();
--- a/src/net/inhand.rs
+++ b/src/net/inhand.rs
@@ -59,6 +59,11 @@
         u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// This process hears others from now on.
+    pub fn opened(&self) {
+        self.core.borrow_mut().opened(self.now());
+    }
+
     /// Unix time in milliseconds: all machines of the platform read one clock.
     pub fn unix_ms() -> u64 {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -73,6 +73,10 @@
         socket.set_nonblocking(true).map_err(at)?;
         let socket = UdpSocket::from_std(socket).map_err(at)?;
         let senders = peers.each.iter().zip(0..).map(|(&a, n)| (a, n)).collect();
+        // Danger guarded against: what this gateway granted or kept for others with the process before this one, which had
+        // the address until now, is not known here.
+        owners.iter().for_each(|o| o.opened());
+        hand.iter().for_each(|h| h.opened());
         let duties = RefCell::new(Duties::new(peers.me, peers.each.len() as u32));
         Ok(Rc::new(Sharing {
             socket,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -835,6 +835,33 @@
     assert_eq!(gateway.exit_code(), Some(0));
 }
 
+/// Guards against a new version that never shares: the older process has the peers' address while both run.
+#[test]
+fn a_process_beside_another_shares_once_the_older_has_ended() {
+    let host = Host::start("s-1", true, row);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let socket = Passed::new();
+    let peer = UdpSocket::bind("127.0.0.6:0").unwrap();
+    peer.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut old = Gateway::at(Some(&socket), &discovery, &[&host], |config| among_sixteen(config, &peer));
+    let mut datagram = [0; 512];
+    peer.recv_from(&mut datagram).expect("a finding of the older");
+    let own = old.config["peer_listen"].clone();
+    let new = Gateway::at(Some(&socket), &discovery, &[&host], |config| {
+        among_sixteen(config, &peer);
+        config["peers"][0] = own.clone();
+        config["peer_listen"] = own;
+    });
+    new.wait_for_log("nothing is shared with other gateways yet");
+    old.signal("-TERM");
+    assert_eq!(old.exit_code(), Some(0));
+    new.wait_for_log("shares with other gateways from now on");
+    peer.set_nonblocking(true).unwrap();
+    while peer.recv_from(&mut datagram).is_ok() {}
+    peer.set_nonblocking(false).unwrap();
+    peer.recv_from(&mut datagram).expect("a finding of the newer");
+}
+
 #[test]
 fn peers_that_cannot_be_read_are_told_and_the_gateway_serves() {
     let host = Host::start("s-1", true, row);
