Put what is noted of a write beside the notes, and ask the duties for their own view

A write's note stood in the request's life; it belongs to writes in hand. The peer task worked out the view of the fleet a second time for each datagram; the duties have it.

--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -212,6 +212,12 @@
         self.small = if majority { None } else { self.small.or(Some(now)) };
     }
 
+    /// Whether this gateway is on the larger side of a cut, by the last view.
+    #[must_use]
+    pub const fn majority(&self) -> bool {
+        self.majority
+    }
+
     /// The duties that there are. New ones are claimed from the next [`Duties::advance`] on.
     pub fn duties(&mut self, now: Millis, duties: &[u64]) {
         let gone: Vec<u64> = self.wanted.keys().copied().filter(|d| !duties.contains(d)).collect();
--- a/src/net/duties.rs
+++ b/src/net/duties.rs
@@ -95,6 +95,11 @@
         self.start + Duration::from_millis(due.max(now).min(now + 60_000))
     }
 
+    /// This gateway is on the larger side of a cut, as of the last tick.
+    pub fn majority(&self) -> bool {
+        self.core.borrow().majority()
+    }
+
     /// The token under which this gateway may probe a set now; to be asked before each act.
     pub fn token(&self, set: i64) -> Option<u64> {
         self.core.borrow().token(self.now(), set as u64)
--- a/src/net/inhand.rs
+++ b/src/net/inhand.rs
@@ -2,11 +2,13 @@
 //! requests. What is to be sent leaves with the peer task, which is woken for it.
 
 use super::counters::{count, Counters};
+use super::duration;
 use super::log::log;
 use super::membership::Members;
 use super::peers::{Outbox, Sent};
+use irisrouter::api::{Class, Outcome as Attempt, Repeat};
 use irisrouter_inhand::{Action, InHand, Outcome};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,6 +16,9 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
 
+/// With less of its window left a write is not sent again: what decides on it needs a moment.
+const SOONEST: Duration = Duration::from_millis(5);
+
 /// What is known of a repeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Before {
@@ -167,3 +172,66 @@
         }
     }
 }
+
+/// A write that another gateway may have sent, and that can't be sent again.
+pub struct MayHaveRun;
+
+/// A keyed write that is noted with other gateways.
+pub struct Noted {
+    hand: Rc<Hand>,
+    key: u64,
+    /// From when on an earlier try of another gateway may have run, in Unix milliseconds.
+    earlier: Option<u64>,
+    /// This gateway has tried to note it.
+    tried: Cell<bool>,
+    /// It has been noted.
+    done: Cell<bool>,
+    /// An attempt of this gateway's may have run.
+    may_have_run: Cell<bool>,
+}
+
+impl Noted {
+    /// Nothing has been noted yet.
+    pub fn new(hand: &Rc<Hand>, key: u64) -> Self {
+        let no = || Cell::new(false);
+        Noted { hand: Rc::clone(hand), key, earlier: None, tried: no(), done: no(), may_have_run: no() }
+    }
+
+    /// Until when it may be sent again, after an earlier try; none where that time is over. The window counts from that
+    /// try, and what leaves at its end still needs a connection.
+    pub fn until(&mut self, at: u64, class: &Class, connect: Duration) -> Option<Instant> {
+        self.earlier = Some(at);
+        let Repeat::Keyed { window, .. } = class.repeat else { return None };
+        let passed = Duration::from_millis(Hand::unix_ms().saturating_sub(at));
+        let left = duration(window).checked_sub(passed)?.checked_sub(connect)?;
+        (left > SOONEST).then(|| Instant::now() + left)
+    }
+
+    /// Another gateway may have sent it.
+    pub const fn sent_elsewhere(&self) -> bool {
+        self.earlier.is_some()
+    }
+
+    /// Notes it before an attempt leaves, once.
+    pub async fn note(&self) -> bool {
+        if !self.done.get() {
+            self.tried.set(true);
+            let noted = self.hand.note(self.key, self.earlier.unwrap_or_else(Hand::unix_ms)).await;
+            self.done.set(self.done.get() || noted);
+        }
+        self.done.get()
+    }
+
+    /// An attempt ended.
+    pub fn ended(&self, outcome: Attempt) {
+        let never = matches!(outcome, Attempt::Full | Attempt::ConnectFailed | Attempt::Moot | Attempt::Miss);
+        self.may_have_run.set(self.may_have_run.get() || !never);
+    }
+
+    /// All attempts have ended: what never ran need not be known to anybody.
+    pub fn over(&self) {
+        if self.tried.get() && !self.may_have_run.get() {
+            self.hand.forget(self.key);
+        }
+    }
+}
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -173,7 +173,7 @@
         let now = self.clock.now();
         let mut duties = self.duties.borrow_mut();
         duties.sets(now, sets);
-        let owners = self.owners.as_ref().filter(|_| self.members.as_ref().is_some_and(|m| m.alive().1));
+        let owners = self.owners.as_ref().filter(|o| o.majority());
         let (due, next) = match owners {
             Some(owners) => {
                 let owns = |set| owners.token(set).is_some();
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -5,7 +5,7 @@
 use super::buffers::Buffer;
 use super::classes::Held;
 use super::counters::{count, Counters};
-use super::inhand::{Before, Hand};
+use super::inhand::{Before, Hand, MayHaveRun, Noted};
 use super::router::{Mailbox, Order};
 use super::{duration, nanoseconds, Clock};
 use irisrouter::api::*;
@@ -214,7 +214,7 @@
                     }
                     Order::Refuse { pause } => {
                         // What another gateway sent may have run, whatever became of it here.
-                        let earlier = noted.as_ref().is_some_and(|n| n.earlier.is_some());
+                        let earlier = noted.as_ref().is_some_and(|n| n.sent_elsewhere());
                         let refused = if earlier { Answer::Failed } else { Answer::Refused { pause } };
                         if let Some(answer) = owed.take() {
                             self.answer(answer, refused);
@@ -290,63 +290,6 @@
     }
 }
 
-/// A write that another gateway may have sent, and that can't be sent again.
-struct MayHaveRun;
-
-/// A keyed write that is noted with other gateways.
-struct Noted {
-    hand: Rc<Hand>,
-    key: u64,
-    /// From when on an earlier try of another gateway may have run, in Unix milliseconds.
-    earlier: Option<u64>,
-    /// This gateway has tried to note it.
-    tried: Cell<bool>,
-    /// It has been noted.
-    done: Cell<bool>,
-    /// An attempt of this gateway's may have run.
-    may_have_run: Cell<bool>,
-}
-
-impl Noted {
-    fn new(hand: &Rc<Hand>, key: u64) -> Self {
-        let no = || Cell::new(false);
-        Noted { hand: Rc::clone(hand), key, earlier: None, tried: no(), done: no(), may_have_run: no() }
-    }
-
-    /// Until when it may be sent again, after an earlier try; none where that time is over. The window counts from that
-    /// try, and what leaves at its end still needs a connection.
-    fn until(&mut self, at: u64, class: &Class, connect: Duration) -> Option<Instant> {
-        self.earlier = Some(at);
-        let Repeat::Keyed { window, .. } = class.repeat else { return None };
-        let passed = Duration::from_millis(Hand::unix_ms().saturating_sub(at));
-        let left = duration(window).checked_sub(passed)?.checked_sub(connect)?;
-        (left > MARGIN).then(|| Instant::now() + left)
-    }
-
-    /// Notes it before an attempt leaves, once.
-    async fn note(&self) -> bool {
-        if !self.done.get() {
-            self.tried.set(true);
-            let noted = self.hand.note(self.key, self.earlier.unwrap_or_else(Hand::unix_ms)).await;
-            self.done.set(self.done.get() || noted);
-        }
-        self.done.get()
-    }
-
-    /// An attempt ended.
-    fn ended(&self, outcome: Outcome) {
-        let never = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss);
-        self.may_have_run.set(self.may_have_run.get() || !never);
-    }
-
-    /// All attempts have ended: what never ran need not be known to anybody.
-    fn over(&self) {
-        if self.tried.get() && !self.may_have_run.get() {
-            self.hand.forget(self.key);
-        }
-    }
-}
-
 /// The client has left; never, once nothing is owed.
 async fn left(owed: &mut Option<oneshot::Sender<Answer>>) {
     match owed {
