Drain a database host on an operator's word, at all gateways, whoever of them dies

Change: `drain HOST`, `undrain HOST` and `drains` on the console, where takeover is on. The word is told until a majority of the fleet follows it; the owner of that duty (lease and epoch of crates/duties) asks all what they have open at the host, and says once that it is drained; the next owner asks anew. Core crates/drains without I/O, shell src/net/drains.rs. The backend counts what is open at a host and keeps a host out of service that a word takes out, never the last of its set. The parts that the peer socket serves are one struct, Fleet, no longer a tuple.

--- a/crates/datagram/src/lib.rs
+++ b/crates/datagram/src/lib.rs
@@ -19,6 +19,10 @@
     pub const INHAND: u8 = 0xC1;
     /// The plan for a lost site.
     pub const SITEPLAN: u8 = 0xD1;
+    /// Drains of database hosts.
+    pub const DRAINS: u8 = 0xE1;
+    /// The fleet's watch of the list of database hosts.
+    pub const LISTWATCH: u8 = 0xF1;
 }
 
 /// Whether a datagram is of this kind, in whatever version.
@@ -145,7 +149,15 @@
 
     #[test]
     fn marks_differ_in_their_kind_and_versions_do_not() {
-        let all = [mark::MEMBERSHIP, mark::DUTIES, mark::INHAND, mark::SITEPLAN, 0x01];
+        let all = [
+            mark::MEMBERSHIP,
+            mark::DUTIES,
+            mark::INHAND,
+            mark::SITEPLAN,
+            mark::DRAINS,
+            mark::LISTWATCH,
+            0x01,
+        ];
         for (n, a) in all.iter().enumerate() {
             assert!(all[n + 1..].iter().all(|b| !is(&[*b], *a)), "{a:#x}");
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,6 +15,7 @@
 use net::console::{self, Console};
 use net::counters::Counters;
 use net::discovery::{self, Seen};
+use net::drains::Drains;
 use net::duties::Owners;
 use net::frontend::Frontend;
 use net::inhand::Hand;
@@ -22,7 +23,7 @@
 use net::log::log;
 use net::membership::Members;
 use net::mode::Modes;
-use net::peers::Sharing;
+use net::peers::{Fleet, Sharing};
 use net::places::{Places, TIDY};
 use net::request::Core;
 use net::router::{drive, Mailbox};
@@ -118,11 +119,12 @@
     };
     let modes = Rc::<Modes>::default();
     let owners = owners(&config, members.as_ref(), &counters);
+    let drains = drains(&config, members.as_ref(), owners.as_ref(), (&backend, &counters));
     if let Some(at) = config.console {
         let listener = listen(at).map_err(|e| format!("cannot listen on {at}: {e}"))?;
         log!("operators call {}", listener.local_addr().map_err(|e| format!("no address: {e}"))?);
-        let owners = owners.clone();
-        let console = Console { modes: Rc::clone(&modes), members: members.clone(), owners };
+        let (owners, drains) = (owners.clone(), drains.clone());
+        let console = Console { modes: Rc::clone(&modes), members: members.clone(), owners, drains };
         spawn_local(console::serve(listener, Rc::new(console)));
     }
     let front = Rc::new(Frontend {
@@ -155,7 +157,7 @@
     if let Some(peers) = config.peers.clone() {
         let shared = (Rc::clone(&mailbox), Rc::clone(&backend), Rc::clone(&counters));
         let share = config.loaded.share || owners.is_some();
-        let fleet = (members.clone(), owners, hand);
+        let fleet = Fleet { members: members.clone(), owners, hand, drains };
         spawn_local(share_when_free(Rc::clone(&sharing), peers, shared, clock, share, fleet));
     }
     spawn_local(sweep(Rc::clone(&backend)));
@@ -262,7 +264,7 @@
     shared: (Rc<Mailbox>, Rc<Backend>, Rc<Counters>),
     clock: Clock,
     share: bool,
-    fleet: net::peers::Fleet,
+    fleet: Fleet,
 ) {
     let mut told = false;
     loop {
@@ -343,6 +345,18 @@
         .map(Rc::new)
 }
 
+/// Drains of database hosts, where duties have owners.
+fn drains(
+    config: &Config,
+    members: Option<&Rc<Members>>,
+    owners: Option<&Rc<Owners>>,
+    (backend, counters): (&Rc<Backend>, &Rc<Counters>),
+) -> Option<Rc<Drains>> {
+    let each = config.peers.as_ref()?.each.clone();
+    let around = (Rc::clone(members?), Rc::clone(owners?), Rc::clone(backend));
+    Some(Rc::new(Drains::new(around, each, config.operators.takeover.lease_ms, Rc::clone(counters))))
+}
+
 /// Writes in hand, where the operators turned them on and membership is on.
 fn hand(config: &Config, members: Option<&Rc<Members>>, counters: &Rc<Counters>) -> Option<Rc<Hand>> {
     let wanted = &config.operators.takeover;
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -9,6 +9,7 @@
 use bytes::{Buf, BufMut};
 use irisrouter::api::*;
 use irisrouter::settings::{Loaded, Names};
+use irisrouter_drains::Word;
 use irisrouter_gossip::message;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -87,9 +88,16 @@
     }
 }
 
-/// A place in the budget of descriptors, given back when dropped.
+/// One more in a count, until dropped: a place in the budget of descriptors, or a request that is open at a host.
 struct Slot(Rc<Cell<usize>>);
 
+impl Slot {
+    fn one_more(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Slot(Rc::clone(count))
+    }
+}
+
 impl Drop for Slot {
     fn drop(&mut self) {
         self.0.set(self.0.get() - 1);
@@ -115,6 +123,17 @@
     idle: Vec<Connection>,
     /// Since when the list does not hold it any more.
     gone: Option<Instant>,
+    /// An operator's word keeps it out of service, whatever the list says.
+    out: bool,
+    /// Requests that are open there.
+    busy: Rc<Cell<usize>>,
+}
+
+impl Host {
+    /// The list has it in service.
+    fn in_service(&self) -> bool {
+        self.gone.is_none() && self.entry.phase == Phase::InService
+    }
 }
 
 /// All database hosts that the list has named, and the connections to them.
@@ -139,6 +158,8 @@
     /// Connections of another process of this gateway.
     pub elsewhere: Cell<usize>,
     revision: Cell<u64>,
+    /// Operators' words on hosts, by their numbers.
+    words: RefCell<BTreeMap<u32, Word>>,
     on_list: Box<dyn Fn(Event)>,
 }
 
@@ -186,6 +207,7 @@
             open: Rc::default(),
             elsewhere: Cell::new(0),
             revision: Cell::new(0),
+            words: RefCell::default(),
             on_list,
         };
         backend.retune(loaded);
@@ -262,8 +284,63 @@
         self.hosts.borrow().get(&member).map(|h| h.entry.id.clone()).unwrap_or_default()
     }
 
+    /// Requests that are open at the host that gateways call so.
+    pub fn busy(&self, number: u32) -> usize {
+        self.hosts.borrow().values().filter(|h| h.number == number).map(|h| h.busy.get()).sum()
+    }
+
+    /// The name of the host that gateways call so; where the list has none, that number.
+    pub fn name_of(&self, number: u32) -> String {
+        let hosts = self.hosts.borrow();
+        let host = hosts.values().find(|h| h.number == number);
+        host.map_or_else(|| format!("host {number:06x}"), |h| h.entry.id.clone())
+    }
+
+    /// Whether another host of the same set would stay in service without this one.
+    pub fn spares(&self, number: u32) -> bool {
+        let hosts = self.hosts.borrow();
+        let set = hosts.values().find(|h| h.number == number).map(|h| h.entry.cell);
+        hosts.values().any(|h| Some(h.entry.cell) == set && h.number != number && h.ready)
+    }
+
+    /// An operator's word holds from now on: nothing is sent that it rules out.
+    pub fn follow(&self, word: Word) {
+        self.words.borrow_mut().insert(word.host, word);
+        self.reconsider();
+    }
+
+    /// Takes hosts out of service, or puts them back, as operators' words have it over the list.
+    fn reconsider(&self) {
+        let words = self.words.borrow();
+        if words.is_empty() {
+            return;
+        }
+        let mut sets: BTreeMap<i64, Vec<u32>> = BTreeMap::new();
+        for host in self.hosts.borrow().values().filter(|h| h.in_service()) {
+            sets.entry(host.entry.cell).or_default().push(host.number);
+        }
+        let out: BTreeSet<u32> = (sets.values())
+            .flat_map(|set| irisrouter_drains::taken_out(set, |h| words.get(&h).copied()))
+            .collect();
+        let mut changed = Vec::new();
+        for host in self.hosts.borrow_mut().values_mut().filter(|h| h.in_service()) {
+            if host.out != out.contains(&host.number) {
+                host.out = !host.out;
+                changed.push(host.entry.clone());
+            }
+        }
+        if !changed.is_empty() {
+            self.merge(&List { revision: self.revision.get(), complete: false, members: changed });
+        }
+    }
+
     /// Takes a list: from now on nothing is sent that it rules out.
     pub fn apply(&self, list: &List) {
+        self.merge(list);
+        self.reconsider();
+    }
+
+    fn merge(&self, list: &List) {
         let mut hosts = self.hosts.borrow_mut();
         let mut ids = self.ids.borrow_mut();
         let mut zones = self.zones.borrow_mut();
@@ -285,9 +362,11 @@
                 epoch: 0,
                 idle: Vec::new(),
                 gone: None,
+                out: false,
+                busy: Rc::default(),
             });
             host.ready = match e.phase {
-                Phase::InService => true,
+                Phase::InService => !host.out,
                 Phase::Terminating => false,
                 // One that was draining before it went stays closed.
                 Phase::Terminated => host.ready && self.drain_binds_alone.get(),
@@ -304,6 +383,7 @@
                 group: GroupId(e.cell),
                 zone: ZoneId(zones.number(&e.locality) as u32),
                 listed: match e.phase {
+                    Phase::InService if host.out => Listed::Draining,
                     Phase::InService => Listed::Ready,
                     Phase::Terminating => Listed::Draining,
                     Phase::Terminated => Listed::Gone,
@@ -353,10 +433,11 @@
             Err(outcome) => return outcome.into(),
         };
         // Danger: the list may have changed while the connection came up, and the first byte counts.
-        if !self.hosts.borrow().get(&member).is_some_and(|h| h.ready) {
+        let busy = self.hosts.borrow().get(&member).filter(|h| h.ready).map(|h| Slot::one_more(&h.busy));
+        let Some(_busy) = busy else {
             self.check_in(member, connection);
             return Outcome::Moot.into();
-        }
+        };
         let mut out = self.pool.take();
         let left = end.saturating_duration_since(Instant::now()).as_millis().max(1).to_string();
         if !out.room(statement.text.len() + left.len() + 16) {
@@ -569,8 +650,7 @@
                 return None;
             }
         }
-        self.open.set(self.open.get() + 1);
-        Some(Slot(Rc::clone(&self.open)))
+        Some(Slot::one_more(&self.open))
     }
 
     /// Closes the connection that has been idle longest, if there is one.
--- a/src/net/console.rs
+++ b/src/net/console.rs
@@ -1,5 +1,6 @@
 //! The operators' console: a second address, where each connection carries one line and gets one line.
 
+use super::drains::Drains;
 use super::duties::Owners;
 use super::log::log;
 use super::membership::Members;
@@ -33,6 +34,8 @@
     pub members: Option<Rc<Members>>,
     /// What this gateway owns, where that is on.
     pub owners: Option<Rc<Owners>>,
+    /// Drains of hosts, likewise.
+    pub drains: Option<Rc<Drains>>,
 }
 
 /// Answers callers for ever.
@@ -62,7 +65,7 @@
     let mut read = 0;
     let answer = loop {
         if let Some(end) = line[..read].iter().position(|&b| b == b'\n') {
-            break answer(&line[..end], console);
+            break answer(&line[..end], console).await;
         }
         if read == line.len() {
             break "-ERR the line is too long".to_string();
@@ -81,7 +84,7 @@
 }
 
 /// The answer to one line.
-fn answer(line: &[u8], console: &Console) -> String {
+async fn answer(line: &[u8], console: &Console) -> String {
     let modes = &console.modes;
     let line = line.strip_suffix(b"\r").unwrap_or(line);
     match line {
@@ -109,6 +112,30 @@
             Some(owners) => format!("+OK {}", owners.line()),
             None => "-ERR takeover is off".into(),
         },
-        _ => "-ERR unknown call: readyz, evacuate, activate, members or duties".into(),
+        b"drains" => match &console.drains {
+            Some(drains) => format!("+OK {}", drains.line()),
+            None => "-ERR takeover is off".into(),
+        },
+        _ => match (host(line, "drain "), host(line, "undrain ")) {
+            (Some(host), _) => say(console, host, true).await,
+            (None, Some(host)) => say(console, host, false).await,
+            _ => "-ERR unknown call: readyz, evacuate, activate, members, duties, drains, \
+                  drain HOST or undrain HOST"
+                .into(),
+        },
+    }
+}
+
+/// The host that a call names.
+fn host<'a>(line: &'a [u8], call: &str) -> Option<&'a str> {
+    std::str::from_utf8(line.strip_prefix(call.as_bytes())?).ok()
+}
+
+async fn say(console: &Console, host: &str, out: bool) -> String {
+    match &console.drains {
+        Some(drains) => {
+            drains.say(host, out).await.map_or_else(|e| format!("-ERR {e}"), |ok| format!("+OK {ok}"))
+        }
+        None => "-ERR takeover is off".into(),
     }
 }
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -67,6 +67,10 @@
     pub writes_unsent: Cell<u64>,
     /// Likewise.
     pub writes_unproven: Cell<u64>,
+    /// Drains: datagrams sent, and drains that this gateway saw through.
+    pub drains_sent: Cell<u64>,
+    /// Likewise.
+    pub drains_done: Cell<u64>,
     /// Connections to database hosts that came up.
     pub opened: Cell<u64>,
     /// Connections of clients.
@@ -142,6 +146,8 @@
             ("writes_known", &self.writes_known),
             ("writes_unsent", &self.writes_unsent),
             ("writes_unproven", &self.writes_unproven),
+            ("drains_sent", &self.drains_sent),
+            ("drains_done", &self.drains_done),
         ];
         if members.iter().all(|(_, v)| v.get() == 0) {
             return Ok(());
--- a/src/net/duties.rs
+++ b/src/net/duties.rs
@@ -1,5 +1,5 @@
 //! The shell of duties: the core of `irisrouter_duties` fed with datagrams, the time and membership's view, and its
-//! actions carried out. Today's duty is the probing of a set for all gateways; its number is the set's.
+//! actions carried out.
 //!
 //! Each change of owner is one log line and one count.
 
@@ -9,11 +9,48 @@
 use super::peers::{Outbox, Sent};
 use irisrouter_duties::{Action, Duties, Holder, Settings, Why};
 use std::cell::RefCell;
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
+/// What one gateway does for all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Duty {
+    /// The probing of a set.
+    Probing(i64),
+    /// The drain of a host, by the number that gateways call it.
+    Drain(u32),
+}
+
+impl Duty {
+    /// The same everywhere. A set's number as it is: the order and the voters need no more.
+    const fn number(self) -> u64 {
+        match self {
+            Duty::Probing(set) => set as u64,
+            Duty::Drain(host) => irisrouter_drains::duty(host),
+        }
+    }
+
+    const fn of(number: u64) -> Self {
+        let host = number as u32;
+        if irisrouter_drains::duty(host) == number {
+            return Duty::Drain(host);
+        }
+        Duty::Probing(number as i64)
+    }
+}
+
+impl fmt::Display for Duty {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Duty::Probing(set) => write!(f, "set {set}"),
+            Duty::Drain(host) => write!(f, "the drain of host {host:06x}"),
+        }
+    }
+}
+
 /// The duties of one gateway.
 pub struct Owners {
     core: RefCell<Duties>,
@@ -75,14 +112,13 @@
         self.carry_out(&mut core)
     }
 
-    /// Brings the view and the sets up to date and does what is due; returns what is to be sent.
-    pub fn tick(&self, sets: &[i64]) -> Vec<Sent> {
+    /// Brings the view and the duties up to date and does what is due; returns what is to be sent.
+    pub fn tick(&self, duties: impl Iterator<Item = Duty>) -> Vec<Sent> {
         let now = self.now();
         let (alive, majority) = self.members.alive();
         let mut core = self.core.borrow_mut();
         core.view(now, &alive, majority);
-        // A set's number as it is: the order and the voters need no more than that it is the same everywhere.
-        let duties: Vec<u64> = sets.iter().map(|&s| s as u64).collect();
+        let duties: Vec<u64> = duties.map(Duty::number).collect();
         core.duties(now, &duties);
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         core.advance(now, u64::try_from(unix.as_millis()).unwrap_or(0));
@@ -100,21 +136,21 @@
         self.core.borrow().majority()
     }
 
-    /// The token under which this gateway may probe a set now; to be asked before each act.
-    pub fn token(&self, set: i64) -> Option<u64> {
-        self.core.borrow().token(self.now(), set as u64)
+    /// The token under which this gateway may do a duty now; to be asked before each act.
+    pub fn token(&self, duty: Duty) -> Option<u64> {
+        self.core.borrow().token(self.now(), duty.number())
     }
 
     /// What a probe of a set carries, where hosts check it.
     pub fn fence(&self, set: i64, token: u64) -> Option<(u64, u64)> {
-        self.fence.then_some((set as u64, token))
+        self.fence.then_some((Duty::Probing(set).number(), token))
     }
 
     /// A host refused the token of a set; returns what is to be sent.
     pub fn fenced(&self, set: i64) -> Vec<Sent> {
         count(&self.counters.duties_fenced);
         let mut core = self.core.borrow_mut();
-        core.fenced(self.now(), set as u64);
+        core.fenced(self.now(), Duty::Probing(set).number());
         self.carry_out(&mut core)
     }
 
@@ -125,10 +161,15 @@
         self.carry_out(&mut core)
     }
 
-    /// What is owned, as one line: `set:epoch` each.
+    /// What is owned, as one line: `set:epoch` each, and `drain-host:epoch`.
     pub fn line(&self) -> String {
         let owned = self.core.borrow().owned(self.now());
-        let owned: Vec<String> = owned.iter().map(|(duty, epoch)| format!("{duty}:{epoch}")).collect();
+        let owned: Vec<String> = (owned.iter())
+            .map(|(duty, epoch)| match Duty::of(*duty) {
+                Duty::Probing(set) => format!("{set}:{epoch}"),
+                Duty::Drain(host) => format!("drain-{host:06x}:{epoch}"),
+            })
+            .collect();
         format!("duties owned={} {}", owned.len(), owned.join(" "))
     }
 
@@ -138,14 +179,13 @@
                 Action::Send { to, bytes } => self.out.push(to, bytes),
                 Action::Owned { duty, epoch, why } => {
                     count(&self.counters.duties_taken);
-                    log!("duties: set {duty} is this gateway's under epoch {epoch} ({})", words(why));
+                    let duty = Duty::of(duty);
+                    log!("duties: {duty} is this gateway's under epoch {epoch} ({})", words(why));
                 }
                 Action::Lost { duty, epoch, why } => {
                     count(&self.counters.duties_lost);
-                    log!(
-                        "duties: set {duty} is no longer this gateway's under epoch {epoch} ({})",
-                        words(why)
-                    );
+                    let duty = Duty::of(duty);
+                    log!("duties: {duty} is no longer this gateway's under epoch {epoch} ({})", words(why));
                 }
             }
         }
@@ -161,6 +201,6 @@
         Why::Outbid => "a later epoch was seen".into(),
         Why::HandedOver(n) => format!("handed over to gateway {n}, first in its order"),
         Why::Stopped => "this gateway stops, or is on the small side of a cut".into(),
-        Why::Gone => "the set is gone".into(),
+        Why::Gone => "there is no such duty any more".into(),
     }
 }
--- a/src/net/membership.rs
+++ b/src/net/membership.rs
@@ -113,13 +113,23 @@
 
     /// The gateways that are not held down, this one included.
     pub fn not_down(&self) -> Vec<u32> {
+        self.there().into_iter().map(|(number, _)| number).collect()
+    }
+
+    /// Likewise, with the generations of their processes.
+    pub fn there(&self) -> Vec<(u32, u16)> {
         let core = self.core.borrow();
         let rows = core.view().rows();
         rows.filter(|(_, s)| !matches!(s.liveness, Liveness::Down | Liveness::Unknown))
-            .map(|(n, _)| n)
+            .map(|(n, s)| (n, s.generation))
             .collect()
     }
 
+    /// Gateways in the fleet's list.
+    pub fn fleet(&self) -> u32 {
+        self.core.borrow().settings().fleet
+    }
+
     /// Says to a few others that this gateway stops; returns what is to be sent.
     pub fn leave(&self) -> Vec<Sent> {
         let now = self.now();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod console;
 pub mod counters;
 pub mod discovery;
+pub mod drains;
 pub mod duties;
 pub mod frontend;
 pub mod inhand;
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -6,7 +6,8 @@
 use super::backend::Backend;
 use super::config::Peers;
 use super::counters::{count, Counters};
-use super::duties::Owners;
+use super::drains::Drains;
+use super::duties::{Duty, Owners};
 use super::inhand::Hand;
 use super::log::log;
 use super::membership::Members;
@@ -64,8 +65,18 @@
     }
 }
 
-/// What the operators may have turned on: who is there, who owns what, and writes in hand.
-pub type Fleet = (Option<Rc<Members>>, Option<Rc<Owners>>, Option<Rc<Hand>>);
+/// What the operators may have turned on.
+#[derive(Clone, Default)]
+pub struct Fleet {
+    /// Who of the gateways is there.
+    pub members: Option<Rc<Members>>,
+    /// Who owns what.
+    pub owners: Option<Rc<Owners>>,
+    /// Writes in hand.
+    pub hand: Option<Rc<Hand>>,
+    /// Drains of hosts, with ownership.
+    pub drains: Option<Rc<Drains>>,
+}
 
 /// The part of this gateway.
 pub struct Sharing {
@@ -80,12 +91,7 @@
     clock: Clock,
     /// Whether hosts are probed for all and findings told; without it the socket carries membership alone.
     share: bool,
-    /// Who of the gateways is there, where the operators turned it on.
-    members: Option<Rc<Members>>,
-    /// Which sets are this gateway's to ask, where the operators turned that on.
-    owners: Option<Rc<Owners>>,
-    /// Writes in hand, likewise.
-    hand: Option<Rc<Hand>>,
+    fleet: Fleet,
 }
 
 impl Sharing {
@@ -99,7 +105,7 @@
         (mailbox, backend, counters): (Rc<Mailbox>, Rc<Backend>, Rc<Counters>),
         clock: Clock,
         share: bool,
-        (members, owners, hand): Fleet,
+        fleet: Fleet,
     ) -> Result<Rc<Self>, String> {
         let at = |e| format!("cannot listen on {}: {e}", peers.listen);
         let socket = std::net::UdpSocket::bind(peers.listen).map_err(at)?;
@@ -108,8 +114,8 @@
         let senders = peers.each.iter().zip(0..).map(|(&a, n)| (a, n)).collect();
         // Danger guarded against: what this gateway granted or kept for others with the process before this one, which had
         // the address until now, is not known here.
-        owners.iter().for_each(|o| o.opened());
-        hand.iter().for_each(|h| h.opened());
+        fleet.owners.iter().for_each(|o| o.opened());
+        fleet.hand.iter().for_each(|h| h.opened());
         let duties = RefCell::new(Duties::new(peers.me, peers.each.len() as u32));
         Ok(Rc::new(Sharing {
             socket,
@@ -121,9 +127,7 @@
             counters,
             clock,
             share,
-            members,
-            owners,
-            hand,
+            fleet,
         }))
     }
 
@@ -134,19 +138,25 @@
             let mut pause = IDLE;
             if self.share {
                 let sets = self.backend.serving_groups();
-                if let Some(owners) = &self.owners {
-                    let sends = owners.tick(&sets);
+                if let Some(owners) = &self.fleet.owners {
+                    let drains = self.fleet.drains.iter().flat_map(|d| d.duties()).map(Duty::Drain);
+                    let sends = owners.tick(sets.iter().copied().map(Duty::Probing).chain(drains));
                     self.send_all(sends, &self.counters.duties_sent).await;
                     pause = pause.min(owners.due().saturating_duration_since(Instant::now()));
                 }
+                if let Some(drains) = &self.fleet.drains {
+                    let sends = drains.tick();
+                    self.send_all(sends, &self.counters.drains_sent).await;
+                    pause = pause.min(drains.due());
+                }
                 pause = pause.min(self.begin_rounds(&sets));
             }
-            if let Some(members) = &self.members {
+            if let Some(members) = &self.fleet.members {
                 let sends = members.tick();
                 self.send_all(sends, &self.counters.members_sent).await;
                 pause = pause.min(members.due().saturating_duration_since(Instant::now()));
             }
-            if let Some(hand) = &self.hand {
+            if let Some(hand) = &self.fleet.hand {
                 let sends = hand.tick();
                 self.send_all(sends, &self.counters.writes_sent).await;
                 pause = pause.min(hand.due().saturating_duration_since(Instant::now()));
@@ -160,7 +170,8 @@
                     // A datagram that could not be delivered is told so on the next call.
                     Err(_) => count(&self.counters.unheard),
                 },
-                () = woken(self.hand.as_deref()) => {}
+                () = woken(self.fleet.hand.as_deref()) => {}
+                () = said(self.fleet.drains.as_deref()) => {}
                 () = sleep(pause) => {}
             }
         }
@@ -173,16 +184,16 @@
         let now = self.clock.now();
         let mut duties = self.duties.borrow_mut();
         duties.sets(now, sets);
-        let owners = self.owners.as_ref().filter(|o| o.majority());
+        let owners = self.fleet.owners.as_ref().filter(|o| o.majority());
         let (due, next) = match owners {
             Some(owners) => {
-                let owns = |set| owners.token(set).is_some();
+                let owns = |set| owners.token(Duty::Probing(set)).is_some();
                 (duties.due_of(now, owns), duties.next_of(owns))
             }
             None => (duties.due(now), duties.next()),
         };
         for set in due {
-            let token = owners.and_then(|o| o.token(set));
+            let token = owners.and_then(|o| o.token(Duty::Probing(set)));
             spawn_local(Rc::clone(self).ask(set, token));
         }
         next.map_or(IDLE, |at| duration(at - now))
@@ -190,10 +201,10 @@
 
     /// Gives up what is owned, and tells a few others that this gateway stops.
     pub async fn leave(&self) {
-        if let Some(owners) = &self.owners {
+        if let Some(owners) = &self.fleet.owners {
             self.send_all(owners.stop(), &self.counters.duties_sent).await;
         }
-        if let Some(members) = &self.members {
+        if let Some(members) = &self.fleet.members {
             self.send_all(members.leave(), &self.counters.members_sent).await;
         }
     }
@@ -211,7 +222,7 @@
     fn hear(&self, datagram: &[u8], from: SocketAddr) -> (Vec<Sent>, &Cell<u64>) {
         let c = &self.counters;
         let by = self.senders.get(&from).copied();
-        match (&self.members, &self.owners) {
+        match (&self.fleet.members, &self.fleet.owners) {
             // What goes to all may come back.
             _ if by == Some(self.peers.me) => (Vec::new(), &c.members_sent),
             // Danger guarded against: a datagram from an address outside the list would make a member of nobody.
@@ -224,9 +235,15 @@
                 (by.map_or_else(Vec::new, |by| members.hear(datagram, by)), &c.members_sent)
             }
             (Some(_), _) if irisrouter_inhand::is_inhand(datagram) => {
-                let sends = self.hand.as_ref().zip(by).map_or_else(Vec::new, |(h, by)| h.hear(datagram, by));
+                let sends =
+                    self.fleet.hand.as_ref().zip(by).map_or_else(Vec::new, |(h, by)| h.hear(datagram, by));
                 (sends, &c.writes_sent)
             }
+            (Some(_), _) if irisrouter_drains::is_drains(datagram) => {
+                let sends =
+                    self.fleet.drains.as_ref().zip(by).map_or_else(Vec::new, |(d, by)| d.hear(datagram, by));
+                (sends, &c.drains_sent)
+            }
             (_, Some(owners)) if irisrouter_duties::is_duties(datagram) => {
                 (by.map_or_else(Vec::new, |by| owners.hear(datagram, by)), &c.duties_sent)
             }
@@ -240,7 +257,7 @@
     /// Another gateway's findings.
     fn find(&self, datagram: &[u8], from: SocketAddr, by: Option<u32>) {
         let now = self.clock.now();
-        if let (Some(members), Some(by)) = (&self.members, by) {
+        if let (Some(members), Some(by)) = (&self.fleet.members, by) {
             if !members.counts(by) {
                 // Findings of a gateway held to be down stop counting at once.
                 count(&self.counters.unheard);
@@ -297,9 +314,9 @@
     }
 
     async fn probe(&self, member: MemberId, set: i64, token: Option<u64>) -> Option<Finding> {
-        let owned = self.owners.as_ref().zip(token);
+        let owned = self.fleet.owners.as_ref().zip(token);
         // Danger guarded against: a process that was stopped in the middle of a round goes on with it when it is back.
-        if owned.is_some_and(|(owners, token)| owners.token(set) != Some(token)) {
+        if owned.is_some_and(|(owners, token)| owners.token(Duty::Probing(set)) != Some(token)) {
             return None;
         }
         let fence = owned.and_then(|(owners, token)| owners.fence(set, token));
@@ -337,6 +354,14 @@
     }
 }
 
+/// Until a word is said to the fleet; never, where that is off.
+async fn said(drains: Option<&Drains>) {
+    match drains {
+        Some(drains) => drains.woken().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Until a write is to be noted or asked after; never, where that is off.
 async fn woken(hand: Option<&Hand>) {
     match hand {
