Let one gateway watch the list for all, where one service answers them

The list is one for all sets, so its watch is one duty.

Change: with `list_watch` on (off by default, without effect where lists are pushed: what an agent has counts as told) the owner holds the long poll and beats its version and the hosts out of service to all; those are left alone at once, the rest each gateway calls for in its turn. Without beats for four leases each watches for itself. Core crates/listwatch, shell src/net/listwatch.rs; the harness has one discovery whose list changes, that counts calls and can refuse a gateway.

--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -17,7 +17,7 @@
 use process::{History, Process};
 use relay::Relay;
 use serde_json::{json, Value};
-use stand_ins::Host;
+use stand_ins::{Discovery, Host};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::path::PathBuf;
@@ -71,6 +71,8 @@
     pub program: PathBuf,
     /// The text of the operators' file; none where it is empty.
     pub operators: String,
+    /// The list comes only when asked for, from one service for all; else it counts as pushed.
+    pub ask: bool,
 }
 
 /// Gateways, the network between them, and what stands round them.
@@ -86,7 +88,8 @@
     pub hosts: Vec<Host>,
     processes: Vec<Option<Process>>,
     runs: Vec<u32>,
-    discovery: Vec<std::net::SocketAddr>,
+    /// The list of database hosts.
+    pub discovery: Discovery,
     dir: PathBuf,
     /// Ends the stand-ins' thread when it is dropped.
     _stop: oneshot::Sender<()>,
@@ -150,6 +153,9 @@
         let mut settings = settings::object(&scenario);
         settings["Me"] = json!(gateway);
         settings["Bounds"]["Peers"] = json!(true);
+        if self.plan.ask {
+            settings["MembershipMode"] = json!("ask");
+        }
         settings["Clients"] = json!({ "MarksRetry": true });
         settings["MyZone"] = json!(self.zone(gateway));
         settings["Zones"] = json!(self.plan.zones);
@@ -159,7 +165,7 @@
             "name": format!("g{gateway}"),
             "listen": "127.0.0.1:0",
             "console": "127.0.0.1:0",
-            "discovery": self.discovery[gateway].to_string(),
+            "discovery": self.discovery.at[gateway].to_string(),
             "seed": format!("{:016x}", self.plan.seed ^ (gateway as u64) << 8 ^ u64::from(self.runs[gateway])),
             "peer_listen": self.relay.listen[gateway].to_string(),
             "peers": known,
@@ -323,7 +329,7 @@
     }
 }
 
-type Around = (Relay, Vec<Host>, Vec<std::net::SocketAddr>, oneshot::Sender<()>);
+type Around = (Relay, Vec<Host>, Discovery, oneshot::Sender<()>);
 
 /// Starts what stands round the gateways, on a thread of its own that ends with the cluster.
 fn around(plan: &Plan, clock: Clock) -> Result<Around, String> {
@@ -348,7 +354,7 @@
     Ok((relay, hosts, discovery, stop))
 }
 
-async fn make(plan: &Plan, clock: Clock) -> Result<(Relay, Vec<Host>, Vec<std::net::SocketAddr>), String> {
+async fn make(plan: &Plan, clock: Clock) -> Result<(Relay, Vec<Host>, Discovery), String> {
     let relay = Relay::start(plan.gateways, plan.seed).await?;
     let window = Duration::from_secs_f64(Spec::default().sets.window_s);
     let mut hosts = Vec::new();
@@ -359,10 +365,7 @@
             hosts.push(Host::start(host, plan.gateways, window, clock).await?);
         }
     }
-    let mut discovery = Vec::new();
-    for gateway in 0..plan.gateways {
-        let list = hosts.iter().map(|h| h.entry(gateway)).collect();
-        discovery.push(stand_ins::discovery(list).await?);
-    }
+    let seen = (0..plan.gateways).map(|g| hosts.iter().map(|h| h.entry(g)).collect());
+    let discovery = Discovery::start(seen.collect(), clock).await?;
     Ok((relay, hosts, discovery))
 }
--- a/crates/lab/src/cluster/stand_ins.rs
+++ b/crates/lab/src/cluster/stand_ins.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 /// A probe that a host was sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -229,24 +230,130 @@
     row(key, true)
 }
 
-/// Discovery as one gateway reaches it: a list that does not change.
-///
-/// # Errors
-/// Where there is no socket.
-pub async fn discovery(members: Vec<Value>) -> Result<SocketAddr, String> {
-    let listener = crate::loopback::house::listen().await?;
-    let at = listener.local_addr().map_err(|e| e.to_string())?;
-    let body = Arc::new(json!({"revision": 1, "complete": true, "members": members}).to_string());
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            let body = Arc::clone(&body);
-            tokio::spawn(async move { tell(stream, &body).await });
+/// Discovery: one list, which each gateway reaches at an address of its own, with the hosts' addresses as it sees them.
+pub struct Discovery {
+    /// Its addresses, one for each gateway.
+    pub at: Vec<SocketAddr>,
+    shared: Arc<Service>,
+}
+
+/// A call that discovery was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Call {
+    /// When, in milliseconds of the run.
+    pub at: u64,
+    /// By which gateway.
+    pub gateway: usize,
+    /// It waits for news.
+    pub watch: bool,
+}
+
+struct Service {
+    clock: Clock,
+    /// By gateway: the hosts as it sees them.
+    entries: Vec<Vec<Value>>,
+    /// The list's version, and the phases that are not `in_service`, by the hosts' ids.
+    list: watch::Sender<(u64, BTreeMap<String, String>)>,
+    calls: Mutex<Vec<Call>>,
+    watching: Mutex<BTreeMap<usize, usize>>,
+    /// Gateways that are answered 503.
+    refused: Mutex<BTreeSet<usize>>,
+}
+
+impl Discovery {
+    /// Starts it, with what each gateway sees of each host.
+    ///
+    /// # Errors
+    /// Where there are no sockets.
+    pub async fn start(entries: Vec<Vec<Value>>, clock: Clock) -> Result<Self, String> {
+        let gateways = entries.len();
+        let shared = Arc::new(Service {
+            clock,
+            entries,
+            list: watch::Sender::new((1, BTreeMap::new())),
+            calls: Mutex::default(),
+            watching: Mutex::default(),
+            refused: Mutex::default(),
+        });
+        let mut at = Vec::new();
+        for gateway in 0..gateways {
+            let listener = crate::loopback::house::listen().await?;
+            at.push(listener.local_addr().map_err(|e| e.to_string())?);
+            let shared = Arc::clone(&shared);
+            tokio::spawn(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let shared = Arc::clone(&shared);
+                    tokio::spawn(async move { tell(stream, &shared, gateway).await });
+                }
+            });
         }
-    });
-    Ok(at)
+        Ok(Discovery { at, shared })
+    }
+
+    /// A host is in another phase from now on, in the next version of the list.
+    pub fn phase(&self, id: &str, phase: &str) {
+        self.shared.list.send_modify(|(revision, phases)| {
+            *revision += 1;
+            phases.insert(id.into(), phase.into());
+        });
+    }
+
+    /// Answers a gateway 503, or lists again.
+    pub fn refuse(&self, gateway: usize, refuse: bool) {
+        let mut refused = lock(&self.shared.refused);
+        if refuse {
+            refused.insert(gateway);
+        } else {
+            refused.remove(&gateway);
+        }
+    }
+
+    /// The calls so far.
+    #[must_use]
+    pub fn calls(&self) -> Vec<Call> {
+        lock(&self.shared.calls).clone()
+    }
+
+    /// The gateways that have a watch open.
+    #[must_use]
+    pub fn watching(&self) -> Vec<usize> {
+        lock(&self.shared.watching).iter().filter(|(_, n)| **n > 0).map(|(&g, _)| g).collect()
+    }
+}
+
+impl Service {
+    fn body(&self, gateway: usize) -> (u64, String) {
+        let (revision, phases) = self.list.borrow().clone();
+        let mut members = self.entries[gateway].clone();
+        for member in &mut members {
+            if let Some(phase) = member["id"].as_str().and_then(|id| phases.get(id)) {
+                member["phase"] = json!(phase);
+            }
+        }
+        (revision, json!({"revision": revision, "complete": true, "members": members}).to_string())
+    }
+
+    /// Waits for a version after this one, so long at most; or until the caller goes.
+    async fn hold(
+        &self,
+        gateway: usize,
+        from: u64,
+        hold: Duration,
+        stream: &mut BufReader<TcpStream>,
+    ) -> Option<()> {
+        *lock(&self.watching).entry(gateway).or_default() += 1;
+        let mut list = self.list.subscribe();
+        let news = tokio::time::timeout(hold, list.wait_for(|(revision, _)| *revision > from));
+        let goes = tokio::select! {
+            _ = news => false,
+            more = stream.fill_buf() => more.map_or(true, <[u8]>::is_empty),
+        };
+        *lock(&self.watching).entry(gateway).or_default() -= 1;
+        (!goes).then_some(())
+    }
 }
 
-async fn tell(stream: TcpStream, body: &str) -> Option<()> {
+async fn tell(stream: TcpStream, shared: &Service, gateway: usize) -> Option<()> {
     let mut stream = BufReader::new(stream);
     loop {
         let mut call = String::new();
@@ -258,10 +365,21 @@
                 break;
             }
         }
-        if call.contains("from=") {
-            // A watch: there is never anything newer.
-            tokio::time::sleep(Duration::from_secs(10)).await;
+        let number = |name: &str| -> Option<u64> {
+            let value = call.split(['?', '&', ' ']).find_map(|w| w.strip_prefix(name))?;
+            value.parse().ok()
+        };
+        let hold = number("hold_ms=").unwrap_or(0);
+        let (at, watch) = (shared.clock.now(), hold > 0);
+        lock(&shared.calls).push(Call { at, gateway, watch });
+        if lock(&shared.refused).contains(&gateway) {
+            stream.write_all(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n").await.ok()?;
+            continue;
+        }
+        if let (Some(from), true) = (number("from="), watch) {
+            shared.hold(gateway, from, Duration::from_millis(hold), &mut stream).await?;
         }
+        let (_, body) = shared.body(gateway);
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
         stream.write_all(format!("{head}{body}").as_bytes()).await.ok()?;
     }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -421,6 +421,7 @@
             seed,
             program: program.clone(),
             operators: pace.operators(),
+            ask: false,
         };
         let verdict = schedule::run(plan, pace, draw(seed));
         progress.inc(1);
--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -30,13 +30,16 @@
 
 /// A small cluster: one set in one zone.
 pub fn plan(gateways: usize, seed: u64, operators: String) -> Plan {
-    Plan { gateways, sets: 1, zones: vec!["a".into()], seed, program: gateway(), operators }
+    Plan { gateways, sets: 1, zones: vec!["a".into()], seed, program: gateway(), operators, ask: false }
 }
 
 /// Gateways with duties on and three sets, each of which has its owner.
 pub fn started(gateways: usize, seed: u64) -> Cluster {
     let operators = Pace { lease_ms: Some(LEASE_MS), ..Pace::FAST }.operators();
-    let plan = Plan { gateways, sets: 3, zones: vec!["a".into()], seed, program: gateway(), operators };
+    started_with(Plan { sets: 3, ..plan(gateways, seed, operators) })
+}
+
+pub fn started_with(plan: Plan) -> Cluster {
     let cluster = Cluster::start(plan).expect("starts");
     cluster.settle(PATIENCE).expect("the fleet sees itself whole");
     wait("every set is probed", || (0..3).all(|set| cluster.prober(set, 300).is_some()));
--- a/crates/lab/tests/takeover.rs
+++ b/crates/lab/tests/takeover.rs
@@ -3,30 +3,10 @@
 
 mod common;
 
-use common::gateway;
+use common::{ask, started, wait, LEASE_MS};
 use irisrouter_lab::cluster::duties::{check, Bounds};
-use irisrouter_lab::cluster::schedule::Pace;
-use irisrouter_lab::cluster::{Cluster, Plan, PATIENCE};
-use std::time::{Duration, Instant};
-
-const LEASE_MS: u64 = 1_000;
-
-fn started(gateways: usize, seed: u64) -> Cluster {
-    let operators = Pace { lease_ms: Some(LEASE_MS), ..Pace::FAST }.operators();
-    let plan = Plan { gateways, sets: 3, zones: vec!["a".into()], seed, program: gateway(), operators };
-    let cluster = Cluster::start(plan).expect("starts");
-    cluster.settle(PATIENCE).expect("the fleet sees itself whole");
-    wait("every set is probed", || (0..3).all(|set| cluster.prober(set, 300).is_some()));
-    cluster
-}
-
-fn wait(what: &str, mut until: impl FnMut() -> bool) {
-    let end = Instant::now() + PATIENCE;
-    while !until() {
-        assert!(Instant::now() < end, "waited in vain: {what}");
-        std::thread::sleep(Duration::from_millis(20));
-    }
-}
+use irisrouter_lab::cluster::{Cluster, PATIENCE};
+use std::time::Duration;
 
 /// The owner of a set, once that is the first in its order, where it stays.
 fn first(cluster: &Cluster, gateways: u32, set: u64) -> usize {
@@ -203,31 +183,6 @@
     });
 }
 
-/// A client that sends one statement on a connection of its own: the value it got, or the code of the refusal.
-fn ask(cluster: &Cluster, gateway: usize, text: &str) -> Result<String, String> {
-    let at = cluster.process(gateway).expect("runs").address;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    runtime.block_on(async {
-        let way = format!("host=127.0.0.1 port={} user=web dbname=orders", at.port());
-        let (client, connection) =
-            tokio_postgres::connect(&way, tokio_postgres::NoTls).await.map_err(|e| e.to_string())?;
-        let carried = tokio::spawn(connection);
-        let said = client.simple_query(text).await;
-        drop(client);
-        let _ = carried.await;
-        match said {
-            Ok(rows) => Ok(rows
-                .iter()
-                .find_map(|m| match m {
-                    tokio_postgres::SimpleQueryMessage::Row(row) => row.get(0).map(str::to_string),
-                    _ => None,
-                })
-                .unwrap_or_default()),
-            Err(e) => Err(e.code().map_or_else(|| "closed".into(), |c| c.code().to_string())),
-        }
-    })
-}
-
 fn write(id: &str, key: &str, repeat: bool) -> String {
     let r = if repeat { ",r=1" } else { "" };
     format!(
--- a/deploy/operators.jsonnet
+++ b/deploy/operators.jsonnet
@@ -19,5 +19,7 @@
     fence: false,
     // Keyed writes are noted with two other gateways before they leave: one more way and back a write.
     writes: false,
+    // One gateway watches the list for all; only where one service answers all gateways (the list comes when asked for).
+    list_watch: false,
   },
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -20,6 +20,7 @@
 use net::frontend::Frontend;
 use net::inhand::Hand;
 use net::kin::Kin;
+use net::listwatch::ListWatch;
 use net::log::log;
 use net::membership::Members;
 use net::mode::Modes;
@@ -120,6 +121,7 @@
     let modes = Rc::<Modes>::default();
     let owners = owners(&config, members.as_ref(), &counters);
     let drains = drains(&config, members.as_ref(), owners.as_ref(), (&backend, &counters));
+    let list = list_watch(&config, members.as_ref(), owners.as_ref(), (&backend, &counters));
     if let Some(at) = config.console {
         let listener = listen(at).map_err(|e| format!("cannot listen on {at}: {e}"))?;
         log!("operators call {}", listener.local_addr().map_err(|e| format!("no address: {e}"))?);
@@ -152,12 +154,13 @@
     let (discovery, addresses) = watch::channel(config.discovery);
     seen.whole |= passed;
     let (answered, mut told) = watch::channel(false);
-    spawn_local(discovery::watch(addresses, seen, Rc::clone(&backend), Rc::clone(&classes), answered));
+    let calls = (Rc::clone(&backend), Rc::clone(&classes));
+    spawn_local(discovery::watch(addresses, seen, calls.0, calls.1, answered, list.clone()));
     let sharing = Rc::<RefCell<Option<Rc<Sharing>>>>::default();
     if let Some(peers) = config.peers.clone() {
         let shared = (Rc::clone(&mailbox), Rc::clone(&backend), Rc::clone(&counters));
         let share = config.loaded.share || owners.is_some();
-        let fleet = Fleet { members: members.clone(), owners, hand, drains };
+        let fleet = Fleet { members: members.clone(), owners, hand, drains, list };
         spawn_local(share_when_free(Rc::clone(&sharing), peers, shared, clock, share, fleet));
     }
     spawn_local(sweep(Rc::clone(&backend)));
@@ -357,6 +360,26 @@
     Some(Rc::new(Drains::new(around, each, config.operators.takeover.lease_ms, Rc::clone(counters))))
 }
 
+/// One watch of the list for all, where the operators turned it on, duties have owners, and one service answers all. An agent
+/// on each machine is watched by each: what it has counts as told, whoever else watches.
+fn list_watch(
+    config: &Config,
+    members: Option<&Rc<Members>>,
+    owners: Option<&Rc<Owners>>,
+    (backend, counters): (&Rc<Backend>, &Rc<Counters>),
+) -> Option<Rc<ListWatch>> {
+    let wanted = &config.operators.takeover;
+    if !wanted.list_watch {
+        return None;
+    }
+    if !config.loaded.settings.list_on_request {
+        log!("list watch: off, as the list is pushed to each gateway");
+        return None;
+    }
+    let around = (Rc::clone(members?), Rc::clone(owners?), Rc::clone(backend));
+    Some(Rc::new(ListWatch::new(around, wanted.lease_ms, Rc::clone(counters))))
+}
+
 /// Writes in hand, where the operators turned them on and membership is on.
 fn hand(config: &Config, members: Option<&Rc<Members>>, counters: &Rc<Counters>) -> Option<Rc<Hand>> {
     let wanted = &config.operators.takeover;
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -160,6 +160,8 @@
     revision: Cell<u64>,
     /// Operators' words on hosts, by their numbers.
     words: RefCell<BTreeMap<u32, Word>>,
+    /// Hosts that a later list than the own one has out of service, by its watcher's word, and its version.
+    news: RefCell<Option<(u64, BTreeSet<u32>)>>,
     on_list: Box<dyn Fn(Event)>,
 }
 
@@ -208,6 +210,7 @@
             elsewhere: Cell::new(0),
             revision: Cell::new(0),
             words: RefCell::default(),
+            news: RefCell::default(),
             on_list,
         };
         backend.retune(loaded);
@@ -309,24 +312,44 @@
         self.reconsider();
     }
 
-    /// Takes hosts out of service, or puts them back, as operators' words have it over the list.
+    /// Whoever watches the list for all has this version, with these hosts out of service. Until the own list is as new they
+    /// are left alone.
+    pub fn news(&self, revision: u64, out: &[u32]) {
+        if revision > self.revision.get() {
+            self.news.replace(Some((revision, out.iter().copied().collect())));
+            self.reconsider();
+        }
+    }
+
+    /// Hosts that the list has out of service, so many at most: those that it still names, and those gone of late.
+    pub fn out_of_service(&self, most: usize) -> Vec<u32> {
+        let hosts = self.hosts.borrow();
+        hosts.values().filter(|h| !h.in_service()).map(|h| h.number).take(most).collect()
+    }
+
+    /// Takes hosts out of service, or puts them back, as operators' words and a later list have it.
     fn reconsider(&self) {
         let words = self.words.borrow();
-        if words.is_empty() {
+        let news = self.news.take();
+        if words.is_empty() && news.is_none() {
             return;
         }
+        let news = news.filter(|(revision, _)| *revision > self.revision.get());
         let mut sets: BTreeMap<i64, Vec<u32>> = BTreeMap::new();
         for host in self.hosts.borrow().values().filter(|h| h.in_service()) {
             sets.entry(host.entry.cell).or_default().push(host.number);
         }
         let out: BTreeSet<u32> = (sets.values())
             .flat_map(|set| irisrouter_drains::taken_out(set, |h| words.get(&h).copied()))
+            .chain(news.iter().flat_map(|(_, out)| out.iter().copied()))
             .collect();
+        self.news.replace(news);
         let mut changed = Vec::new();
-        for host in self.hosts.borrow_mut().values_mut().filter(|h| h.in_service()) {
+        for host in self.hosts.borrow_mut().values_mut() {
             if host.out != out.contains(&host.number) {
                 host.out = !host.out;
-                changed.push(host.entry.clone());
+                // Danger: one that the list has out of service, too, would stay out once it is back there.
+                changed.extend(host.in_service().then(|| host.entry.clone()));
             }
         }
         if !changed.is_empty() {
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -71,6 +71,10 @@
     pub drains_sent: Cell<u64>,
     /// Likewise.
     pub drains_done: Cell<u64>,
+    /// The fleet's watch of the list: beats sent, and calls made for news that a beat told of.
+    pub list_beats: Cell<u64>,
+    /// Likewise.
+    pub list_fetches: Cell<u64>,
     /// Connections to database hosts that came up.
     pub opened: Cell<u64>,
     /// Connections of clients.
@@ -148,6 +152,8 @@
             ("writes_unproven", &self.writes_unproven),
             ("drains_sent", &self.drains_sent),
             ("drains_done", &self.drains_done),
+            ("list_beats", &self.list_beats),
+            ("list_fetches", &self.list_fetches),
         ];
         if members.iter().all(|(_, v)| v.get() == 0) {
             return Ok(());
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,6 +4,7 @@
 
 use super::backend::Backend;
 use super::classes::Classes;
+use super::listwatch::ListWatch;
 use super::log::log;
 use super::pace::{Pace, PAUSE};
 use bytes::{Buf, BytesMut};
@@ -122,6 +123,7 @@
     backend: Rc<Backend>,
     classes: Rc<Classes>,
     answered: watch::Sender<bool>,
+    fleet: Option<Rc<ListWatch>>,
 ) {
     let mut pace = Pace::new(classes.settings().seed);
     sleep(pace.first(herd(&classes))).await;
@@ -136,7 +138,12 @@
                 (seen.whole, seen.behind) = (true, None);
             }
             () = async {
-                let Err(why) = follow(address, &mut seen, &backend, &classes, &mut pace, &answered).await;
+                let fleet = fleet.as_deref();
+                let calls = follow(address, &mut seen, (&backend, fleet), &classes, &mut pace, &answered);
+                let Err(why) = calls.await else { return };
+                if let Some(fleet) = fleet {
+                    fleet.well(false);
+                }
                 log!("discovery: {why}");
                 sleep(pace.failed(herd(&classes))).await;
             } => {}
@@ -150,14 +157,19 @@
     settings.list_on_request.then_some(settings.proxies)
 }
 
+/// Calls until a call fails, or until another gateway is to watch for this one: that leaves no connection open.
 async fn follow(
     address: SocketAddr,
     seen: &mut Seen,
-    backend: &Backend,
+    (backend, fleet): (&Backend, Option<&ListWatch>),
     classes: &Classes,
     pace: &mut Pace,
     answered: &watch::Sender<bool>,
-) -> Result<std::convert::Infallible, String> {
+) -> Result<(), String> {
+    let mut waits = match fleet {
+        Some(fleet) => fleet.turn(seen).await,
+        None => true,
+    };
     let connecting = timeout(SILENCE, TcpStream::connect(address)).await;
     let mut stream = connecting
         .map_err(|_| "no connection in time".to_string())?
@@ -169,7 +181,7 @@
         let shared = herd(classes);
         let (path, hold) = match seen.revision.filter(|_| !seen.whole) {
             Some(r) => {
-                let hold = pace.hold(shared);
+                let hold = if waits { pace.hold(shared) } else { Duration::ZERO };
                 (format!("/discovery/hosts?from={r}&hold_ms={}", hold.as_millis()), hold)
             }
             None => ("/discovery/hosts".to_string(), Duration::ZERO),
@@ -179,9 +191,12 @@
             stream.write_all(call.as_bytes()).await.map_err(|e| format!("cannot write: {e}"))?;
             read_answer(&mut stream, &mut buffer).await
         };
-        let body = timeout(hold + if shared.is_some() { IN_TURN } else { SILENCE }, answer)
-            .await
-            .map_err(|_| "silent".to_string())??;
+        let body = tokio::select! {
+            answer = timeout(hold + if shared.is_some() { IN_TURN } else { SILENCE }, answer) => {
+                answer.map_err(|_| "silent".to_string())??
+            }
+            () = relieved(fleet.filter(|_| waits), seen) => return Ok(()),
+        };
         let list: List = serde_json::from_slice(&body).map_err(|e| format!("malformed list: {e}"))?;
         let taken = seen.takes(&list);
         if taken {
@@ -189,6 +204,11 @@
         }
         answered.send_replace(true);
         pace.answered();
+        if let Some(fleet) = fleet {
+            fleet.well(true);
+            let Some(next) = fleet.next(seen) else { return Ok(()) };
+            waits = next;
+        }
         if !taken && called.elapsed() < PAUSE {
             // Danger: an agent that does not wait would be called without end.
             sleep(PAUSE).await;
@@ -196,6 +216,14 @@
     }
 }
 
+/// Until another gateway watches for this one; never, where each watches for itself.
+async fn relieved(fleet: Option<&ListWatch>, seen: &Seen) {
+    match fleet {
+        Some(fleet) => fleet.relieved(seen).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Reads one answer, and leaves in the buffer what came after it.
 async fn read_answer(stream: &mut TcpStream, buffer: &mut BytesMut) -> Result<Vec<u8>, String> {
     loop {
--- a/src/net/duties.rs
+++ b/src/net/duties.rs
@@ -22,6 +22,8 @@
     Probing(i64),
     /// The drain of a host, by the number that gateways call it.
     Drain(u32),
+    /// The watch of the list of database hosts.
+    ListWatch,
 }
 
 impl Duty {
@@ -30,10 +32,14 @@
         match self {
             Duty::Probing(set) => set as u64,
             Duty::Drain(host) => irisrouter_drains::duty(host),
+            Duty::ListWatch => irisrouter_listwatch::DUTY,
         }
     }
 
     const fn of(number: u64) -> Self {
+        if number == irisrouter_listwatch::DUTY {
+            return Duty::ListWatch;
+        }
         let host = number as u32;
         if irisrouter_drains::duty(host) == number {
             return Duty::Drain(host);
@@ -47,6 +53,7 @@
         match self {
             Duty::Probing(set) => write!(f, "set {set}"),
             Duty::Drain(host) => write!(f, "the drain of host {host:06x}"),
+            Duty::ListWatch => write!(f, "the watch of the list"),
         }
     }
 }
@@ -161,13 +168,14 @@
         self.carry_out(&mut core)
     }
 
-    /// What is owned, as one line: `set:epoch` each, and `drain-host:epoch`.
+    /// What is owned, as one line: `set:epoch` each, `drain-host:epoch`, `list:epoch`.
     pub fn line(&self) -> String {
         let owned = self.core.borrow().owned(self.now());
         let owned: Vec<String> = (owned.iter())
             .map(|(duty, epoch)| match Duty::of(*duty) {
                 Duty::Probing(set) => format!("{set}:{epoch}"),
                 Duty::Drain(host) => format!("drain-{host:06x}:{epoch}"),
+                Duty::ListWatch => format!("list:{epoch}"),
             })
             .collect();
         format!("duties owned={} {}", owned.len(), owned.join(" "))
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,6 +12,7 @@
 pub mod frontend;
 pub mod inhand;
 pub mod kin;
+pub mod listwatch;
 pub mod log;
 pub mod membership;
 pub mod mode;
--- a/src/net/operators.rs
+++ b/src/net/operators.rs
@@ -36,11 +36,13 @@
     pub fence: bool,
     /// Keyed writes are noted with two other gateways before they leave, and repeats of them are asked after.
     pub writes: bool,
+    /// One gateway watches the list of database hosts for all, where one service answers all of them.
+    pub list_watch: bool,
 }
 
 impl Default for TakeoverSettings {
     fn default() -> Self {
-        Self { enabled: false, lease_ms: 2_000, fence: false, writes: false }
+        Self { enabled: false, lease_ms: 2_000, fence: false, writes: false, list_watch: false }
     }
 }
 
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -9,6 +9,7 @@
 use super::drains::Drains;
 use super::duties::{Duty, Owners};
 use super::inhand::Hand;
+use super::listwatch::ListWatch;
 use super::log::log;
 use super::membership::Members;
 use super::router::Mailbox;
@@ -76,6 +77,8 @@
     pub hand: Option<Rc<Hand>>,
     /// Drains of hosts, with ownership.
     pub drains: Option<Rc<Drains>>,
+    /// One watch of the list for all, likewise.
+    pub list: Option<Rc<ListWatch>>,
 }
 
 /// The part of this gateway.
@@ -140,7 +143,9 @@
                 let sets = self.backend.serving_groups();
                 if let Some(owners) = &self.fleet.owners {
                     let drains = self.fleet.drains.iter().flat_map(|d| d.duties()).map(Duty::Drain);
-                    let sends = owners.tick(sets.iter().copied().map(Duty::Probing).chain(drains));
+                    let list = self.fleet.list.iter().map(|_| Duty::ListWatch);
+                    let sets = sets.iter().copied().map(Duty::Probing);
+                    let sends = owners.tick(sets.chain(drains).chain(list));
                     self.send_all(sends, &self.counters.duties_sent).await;
                     pause = pause.min(owners.due().saturating_duration_since(Instant::now()));
                 }
@@ -149,6 +154,12 @@
                     self.send_all(sends, &self.counters.drains_sent).await;
                     pause = pause.min(drains.due());
                 }
+                if let Some(list) = &self.fleet.list {
+                    if let Some(beat) = list.tick() {
+                        self.send_all(vec![(self.peers.all, beat)], &self.counters.list_beats).await;
+                    }
+                    pause = pause.min(list.due());
+                }
                 pause = pause.min(self.begin_rounds(&sets));
             }
             if let Some(members) = &self.fleet.members {
@@ -172,6 +183,7 @@
                 },
                 () = woken(self.fleet.hand.as_deref()) => {}
                 () = said(self.fleet.drains.as_deref()) => {}
+                () = listed(self.fleet.list.as_deref()) => {}
                 () = sleep(pause) => {}
             }
         }
@@ -244,6 +256,11 @@
                     self.fleet.drains.as_ref().zip(by).map_or_else(Vec::new, |(d, by)| d.hear(datagram, by));
                 (sends, &c.drains_sent)
             }
+            (Some(members), _) if irisrouter_listwatch::is_listwatch(datagram) => {
+                let list = self.fleet.list.as_ref().zip(by).filter(|(_, by)| members.counts(*by));
+                list.iter().for_each(|(list, by)| list.hear(datagram, *by));
+                (Vec::new(), &c.list_beats)
+            }
             (_, Some(owners)) if irisrouter_duties::is_duties(datagram) => {
                 (by.map_or_else(Vec::new, |by| owners.hear(datagram, by)), &c.duties_sent)
             }
@@ -362,6 +379,14 @@
     }
 }
 
+/// Until the own list has news; never, where nobody is told of it.
+async fn listed(list: Option<&ListWatch>) {
+    match list {
+        Some(list) => list.woken().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Until a write is to be noted or asked after; never, where that is off.
 async fn woken(hand: Option<&Hand>) {
     match hand {
