Plan for lost sites: one gateway plans, all follow, and a return is led in

The core was there and nothing of it reached the gateway.

Change: each gateway tallies arrivals by class and what it hears of hosts by zone; the owner of the planning sums up and tells the plan to all; it goes to the decision module as Event::Planned. A refusal by a plan tells the plan's pause and no longer the class's aim where that is longer.

Seen and ruled out: without load no lost site was seen. Not the tallies, nor the majority rule: under load it was. A probe that waits its whole time for a new connection ends as Moot (Backend::connection), which counted as no word of the host; it is silence in the tally now.

A ramp as lower warmth was tried first and brought nothing: reads are shared with warm hosts of the set.

--- a/crates/datagram/src/lib.rs
+++ b/crates/datagram/src/lib.rs
@@ -17,8 +17,8 @@
     pub const DUTIES: u8 = 0xB1;
     /// Writes in hand.
     pub const INHAND: u8 = 0xC1;
-    /// The plan for a lost site.
-    pub const SITEPLAN: u8 = 0xD1;
+    /// The plan for lost sites, and the tallies that it is made of.
+    pub const SITEPLAN: u8 = 0xD2;
     /// Drains of database hosts.
     pub const DRAINS: u8 = 0xE1;
     /// The fleet's watch of the list of database hosts.
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -153,6 +153,7 @@
         let mut settings = settings::object(&scenario);
         settings["Me"] = json!(gateway);
         settings["Bounds"]["Peers"] = json!(true);
+        settings["Bounds"]["MaxRetryAfterNs"] = json!(5_000_000_000u64);
         if self.plan.ask {
             settings["MembershipMode"] = json!("ask");
         }
--- /dev/null
+++ b/crates/lab/tests/site_loss.rs
@@ -0,0 +1,220 @@
+//! The loss and the return of a whole site with real gateways and hosts in three zones: what is refused, how the return is
+//! led in, and who follows which plan while gateways die or are cut off.
+
+mod common;
+
+use common::{ask, plan, started_with, wait, LEASE_MS};
+use irisrouter_lab::cluster::schedule::Pace;
+use irisrouter_lab::cluster::{Cluster, Plan};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Mutex;
+use std::time::Duration;
+
+/// A host bears 40 a second, and reports are refused first.
+const SITES: &str = "sites: { enabled: true, capacity_per_s: 40, refuse: ['report', 'page-read'], \
+                     lost_after_ms: 500, back_after_ms: 500, ramp_from: 0.05, ramp_ms: 10000 }, ";
+
+fn started(gateways: usize, seed: u64) -> Cluster {
+    let pace = Pace { lease_ms: Some(LEASE_MS), ..Pace::FAST };
+    let operators = pace.operators().replace("{ membership", &format!("{{ {SITES}membership"));
+    let zones = ["a", "b", "c"].map(String::from).to_vec();
+    let cluster = started_with(Plan { sets: 3, zones, ..plan(gateways, seed, operators) });
+    wait("somebody plans", || planner(&cluster).is_some());
+    cluster
+}
+
+/// The gateway whose duty the planning is.
+fn planner(cluster: &Cluster) -> Option<usize> {
+    cluster.running().into_iter().find(|&g| cluster.call(g, "duties").contains("plan:"))
+}
+
+/// Cuts these gateways off from the hosts of a zone, or joins them again.
+fn cut(cluster: &Cluster, zone: &str, gateways: &[usize], cut: bool) {
+    for host in cluster.hosts.iter().filter(|h| h.zone == zone) {
+        gateways.iter().for_each(|&g| host.cut(g, cut));
+    }
+}
+
+fn says(cluster: &Cluster, gateway: usize, what: &str) -> bool {
+    cluster.call(gateway, "plan").contains(what)
+}
+
+/// An answer that a client got.
+#[derive(Debug, Clone)]
+struct Got {
+    at: u64,
+    class: &'static str,
+    set: usize,
+    refused: Option<(String, String)>,
+}
+
+/// Clients that ask all of some gateways, over and over.
+struct Load {
+    stop: AtomicBool,
+    got: Mutex<Vec<Got>>,
+}
+
+impl Load {
+    fn new() -> Self {
+        Load { stop: AtomicBool::new(false), got: Mutex::default() }
+    }
+
+    /// Six connections to each gateway, each of which asks again 30 ms after its answer.
+    fn run(&self, cluster: &Cluster, gateways: &[usize]) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        runtime.block_on(async {
+            let clients = gateways.iter().flat_map(|&g| (0..6).map(move |n| (g, n)));
+            let all = clients.map(|(g, n)| self.client(cluster, g, n));
+            futures(all.collect()).await;
+        });
+    }
+
+    async fn client(&self, cluster: &Cluster, gateway: usize, n: usize) {
+        let Some(at) = cluster.process(gateway).map(|p| p.address) else { return };
+        let way = format!("host=127.0.0.1 port={} user=web dbname=orders", at.port());
+        let mut turn = 0;
+        while !self.stop.load(Ordering::Relaxed) {
+            let Ok((client, connection)) = tokio_postgres::connect(&way, tokio_postgres::NoTls).await else {
+                return;
+            };
+            let carried = tokio::spawn(connection);
+            while !self.stop.load(Ordering::Relaxed) && !carried.is_finished() {
+                turn += 1;
+                let (set, class) = (turn % 3, if (turn / 3) % 6 == 0 { "page-read" } else { "report" });
+                let id = format!("{gateway:x}f{n:x}f{turn:x}");
+                let text = format!("SELECT payload FROM entries WHERE ref = '7f3a' /* id={id},c={class},d=900,cluster={set} */");
+                let refused = match client.simple_query(&text).await {
+                    Ok(_) => None,
+                    Err(e) => Some(e.as_db_error().map_or_else(
+                        || ("closed".to_string(), String::new()),
+                        |d| (d.code().code().to_string(), d.detail().unwrap_or_default().to_string()),
+                    )),
+                };
+                let at = cluster.clock.now();
+                self.got.lock().expect("got").push(Got { at, class, set, refused });
+                tokio::time::sleep(Duration::from_millis(30)).await;
+            }
+        }
+    }
+
+    fn got(&self, from: u64, to: u64) -> Vec<Got> {
+        let got = self.got.lock().expect("got");
+        got.iter().filter(|g| (from..to).contains(&g.at)).cloned().collect()
+    }
+}
+
+async fn futures(all: Vec<impl std::future::Future<Output = ()>>) {
+    let mut all: Vec<_> = all.into_iter().map(Box::pin).collect();
+    std::future::poll_fn(|cx| {
+        all.retain_mut(|f| f.as_mut().poll(cx).is_pending());
+        if all.is_empty() {
+            std::task::Poll::Ready(())
+        } else {
+            std::task::Poll::Pending
+        }
+    })
+    .await;
+}
+
+/// Ends the clients also where the test fails.
+struct Stop<'a>(&'a Load);
+
+impl Drop for Stop<'_> {
+    fn drop(&mut self) {
+        self.0.stop.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Statements that a host was sent between two times.
+fn sent(cluster: &Cluster, id: &str, from: u64, to: u64) -> usize {
+    let host = cluster.hosts.iter().find(|h| h.id == id).expect("a host");
+    let seen = host.seen();
+    seen.statements.iter().filter(|s| (from..to).contains(&s.0)).count()
+}
+
+#[test]
+fn a_lost_site_s_load_is_refused_in_order_and_its_return_is_led_in() {
+    let cluster = started(3, 51);
+    let (load, all) = (Load::new(), [0, 1, 2]);
+    std::thread::scope(|scope| {
+        let _stop = Stop(&load);
+        scope.spawn(|| load.run(&cluster, &all));
+        std::thread::sleep(Duration::from_secs(3));
+        let lost = cluster.clock.now();
+        cut(&cluster, "a", &all, true);
+        wait("all follow", || {
+            all.iter().all(|&g| says(&cluster, g, "a=lost") && says(&cluster, g, "report:"))
+        });
+        let followed = cluster.clock.now();
+        std::thread::sleep(Duration::from_secs(3));
+        let back = cluster.clock.now();
+        cut(&cluster, "a", &all, false);
+        // Set 1 has lost none of its hosts: what is refused there is refused by the plan.
+        let there: Vec<Got> = load.got(followed, back).into_iter().filter(|g| g.set == 1).collect();
+        let refused = |class| there.iter().filter(|g| g.class == class && g.refused.is_some()).count();
+        assert!(refused("report") > 0 && refused("page-read") == 0, "{there:?}");
+        for (code, detail) in there.iter().filter_map(|g| g.refused.clone()) {
+            let pause: u64 =
+                detail.chars().filter(char::is_ascii_digit).collect::<String>().parse().unwrap_or(0);
+            // Between one and two of twice the time after which a site counts as lost.
+            assert!(code == "53300" && (1_000..=2_001).contains(&pause), "{code} {detail}");
+        }
+        // The replica of set 2 comes back: in its first seconds it gets a small part of what it had.
+        std::thread::sleep(Duration::from_millis(2_500));
+        let now = cluster.clock.now();
+        let (before, after) =
+            (sent(&cluster, "h2-1", lost - 2_500, lost), sent(&cluster, "h2-1", back + 20, now));
+        assert!(before > 20 && after * 5 < before * 3, "{before} before, {after} after");
+        wait("led in", || all.iter().all(|&g| says(&cluster, g, "a=returning")));
+        wait("as usual", || all.iter().all(|&g| says(&cluster, g, "none in force")));
+        let usual = cluster.clock.now();
+        std::thread::sleep(Duration::from_secs(2));
+        let refused = load.got(usual, u64::MAX).iter().filter(|g| g.refused.is_some()).count();
+        assert_eq!(refused, 0);
+    });
+}
+
+#[test]
+fn a_site_that_is_cut_off_goes_on_for_itself_and_views_are_one_afterwards() {
+    let cluster = started(5, 52);
+    // Gateways 0 and 3 stand in zone a, with its hosts; the others have the rest.
+    let (inside, outside) = ([0, 3], [1, 2, 4]);
+    cluster.partition(&inside, &outside);
+    cut(&cluster, "a", &outside, true);
+    cut(&cluster, "b", &inside, true);
+    cut(&cluster, "c", &inside, true);
+    wait("seen outside", || outside.iter().all(|&g| says(&cluster, g, "a=lost")));
+    assert!(inside.iter().all(|&g| !says(&cluster, g, "a=lost")));
+    // Both sides serve what they reach: the replica of set 2 stands inside, its primary outside.
+    for gateway in [0, 1] {
+        wait("served on both sides", || {
+            let id = format!("{:x}f{gateway}", cluster.clock.now());
+            let text = format!(
+                "SELECT payload FROM entries WHERE ref = '7f3a' /* id={id},c=report,d=900,cluster=2 */"
+            );
+            ask(&cluster, gateway, &text).is_ok()
+        });
+    }
+    cluster.heal();
+    wait("as usual", || (0..5).all(|g| says(&cluster, g, "none in force")));
+}
+
+#[test]
+fn a_site_is_lost_while_the_gateway_that_plans_is_killed() {
+    let mut cluster = started(4, 53);
+    let first = planner(&cluster).expect("somebody plans");
+    let others: Vec<usize> = (0..4).filter(|&g| g != first).collect();
+    let zone =
+        ["a", "b", "c"].into_iter().find(|z| *z != cluster.zone(first)).expect("another zone").to_string();
+    cut(&cluster, &zone, &[0, 1, 2, 3], true);
+    cluster.crash(first);
+    let lost = format!("{zone}=lost");
+    wait("all that are left follow", || others.iter().all(|&g| says(&cluster, g, &lost)));
+    let next = planner(&cluster).expect("another plans");
+    assert_ne!(next, first);
+    // One that starts in the middle of it follows, too, and takes no lost site for one that is up.
+    cluster.launch(first).expect("starts again");
+    wait("it follows", || says(&cluster, first, &lost));
+    cut(&cluster, &zone, &[0, 1, 2, 3], false);
+    wait("as usual", || (0..4).all(|g| says(&cluster, g, "none in force")));
+}
--- a/crates/siteplan/src/codec.rs
+++ b/crates/siteplan/src/codec.rs
@@ -1,16 +1,22 @@
-//! A plan's datagram: bounded and versioned. Parts go in 1/65535, rounded down, so that what is read never adds up to more
-//! than what was planned; budgets in thousandths of a request a second.
+//! The datagrams of plans and tallies: bounded and versioned. Parts go in 1/65535, rounded down, so that what is read never
+//! adds up to more than what was planned; budgets in thousandths of a request a second.
 //!
 //! ```text
-//! 0      magic and version: 0xD1 (findings 0x01, membership 0xA2, duties 0xB1, writes in hand 0xC1)
-//! 1..9   epoch   9..13 number   13..17 gateways   17..21 pause (ms)   21 sites (n)   22 classes (m)
-//! then   n times: state (0 up, 1 lost, 2 returning), budget (u32), n parts (u16 each)
+//! 0      magic and version: 0xD2 (`irisrouter-datagram` has the list of those that share the peer socket)
+//! 1      kind: 0 a plan, 1 a tally
+//! a plan:
+//! 2..10  epoch   10..14 number   14..18 gateways   18..22 pause (ms)   22 sites (n)   23 classes (m)
+//! then   n times: state (0 up, 1 lost, 2 returning), budget (u32), ramp (u16), n parts (u16 each)
 //! then   m parts (u16 each)
+//! a tally:
+//! 2      site   3..5 period (ms)   5 sites (n)   6 classes (m)
+//! then   n times: hosts, silent, sent, answered (u16 each); m times: arrived (u16)
 //! ```
 //!
-//! Eight sites and sixteen classes make 23 + 8 * 21 + 32 = 223 bytes.
+//! Eight sites and sixteen classes make 24 + 8 * 23 + 32 = 240 bytes.
 
 use crate::planner::State;
+use crate::tally::{Reach, Tally};
 use crate::{Plan, SitePlan, MOST_CLASSES, MOST_SITES};
 use bytes::BufMut;
 use irisrouter_datagram::Reader;
@@ -19,12 +25,45 @@
 pub use irisrouter_datagram::{WireError, LONGEST as DATAGRAM};
 const WHOLE: f64 = 65_535.0;
 const THOUSAND: f64 = 1_000.0;
+const PLAN: u8 = 0;
+const TALLY: u8 = 1;
+
+/// What a datagram carries.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Message {
+    /// A plan, to be followed.
+    Plan(Plan),
+    /// A gateway's tally, for whoever plans.
+    Tally(Tally),
+}
+
+/// Whether a datagram is of plans, in whatever version.
+#[must_use]
+pub fn is_siteplan(datagram: &[u8]) -> bool {
+    irisrouter_datagram::is(datagram, MAGIC)
+}
 
 fn part(value: f64) -> u16 {
     // Within bounds, and rounded down, by the clamp.
     (value.clamp(0.0, 1.0) * WHOLE) as u16
 }
 
+/// The bytes of a tally; what is beyond the bounds of sites and classes is left out.
+#[must_use]
+pub fn encode_tally(tally: &Tally) -> Vec<u8> {
+    let sites = &tally.sites[..tally.sites.len().min(MOST_SITES)];
+    let classes = &tally.arrived[..tally.arrived.len().min(MOST_CLASSES)];
+    let mut buf = vec![MAGIC, TALLY, tally.site];
+    buf.put_u16(tally.period_ms);
+    // At most 8 and 16.
+    buf.put_u8(sites.len() as u8);
+    buf.put_u8(classes.len() as u8);
+    let reach = |r: &Reach| [r.hosts, r.silent, r.sent, r.answered];
+    sites.iter().flat_map(reach).for_each(|n| buf.put_u16(n));
+    classes.iter().for_each(|&n| buf.put_u16(n));
+    buf
+}
+
 /// The bytes of a plan; what is beyond the bounds of sites and classes is left out.
 #[must_use]
 pub fn encode(plan: &Plan) -> Vec<u8> {
@@ -32,6 +71,7 @@
     let classes = &plan.admitted[..plan.admitted.len().min(MOST_CLASSES)];
     let mut buf = Vec::with_capacity(DATAGRAM);
     buf.put_u8(MAGIC);
+    buf.put_u8(PLAN);
     buf.put_u64(plan.epoch);
     buf.put_u32(plan.number);
     buf.put_u32(plan.gateways);
@@ -46,6 +86,7 @@
             State::Returning => 2,
         });
         buf.put_u32((site.budget * THOUSAND).clamp(0.0, f64::from(u32::MAX)) as u32);
+        buf.put_u16(part(site.ramp));
         for to in 0..sites.len() {
             buf.put_u16(part(site.goes.get(to).copied().unwrap_or(0.0)));
         }
@@ -54,12 +95,35 @@
     buf
 }
 
-/// Reads a plan.
+/// Reads a datagram.
 ///
 /// # Errors
 /// Why the bytes are none.
-pub fn decode(bytes: &[u8]) -> Result<Plan, WireError> {
+pub fn decode(bytes: &[u8]) -> Result<Message, WireError> {
     let mut from = Reader::new(bytes, MAGIC)?;
+    match from.u8()? {
+        PLAN => plan(from).map(Message::Plan),
+        TALLY => tally(from).map(Message::Tally),
+        other => Err(WireError::Unknown("kind", other)),
+    }
+}
+
+fn tally(mut from: Reader<'_>) -> Result<Tally, WireError> {
+    let (site, period_ms) = (from.u8()?, from.u16()?);
+    let (n, m) = (usize::from(from.u8()?), usize::from(from.u8()?));
+    if n > MOST_SITES || m > MOST_CLASSES || usize::from(site) >= MOST_SITES || period_ms == 0 {
+        return Err(WireError::Value("the number of sites or classes, the site or the period"));
+    }
+    let reach = |from: &mut Reader<'_>| {
+        Ok(Reach { hosts: from.u16()?, silent: from.u16()?, sent: from.u16()?, answered: from.u16()? })
+    };
+    let sites = (0..n).map(|_| reach(&mut from)).collect::<Result<Vec<_>, WireError>>()?;
+    let arrived = (0..m).map(|_| from.u16()).collect::<Result<Vec<_>, WireError>>()?;
+    from.end()?;
+    Ok(Tally { site, period_ms, arrived, sites })
+}
+
+fn plan(mut from: Reader<'_>) -> Result<Plan, WireError> {
     let (epoch, number, gateways, pause_ms) = (from.u64()?, from.u32()?, from.u32()?, from.u32()?);
     let (n, m) = (usize::from(from.u8()?), usize::from(from.u8()?));
     if n > MOST_SITES || m > MOST_CLASSES || gateways == 0 {
@@ -75,12 +139,13 @@
             other => return Err(WireError::Unknown("state", other)),
         };
         let budget = f64::from(from.u32()?) / THOUSAND;
+        let ramp = part(&mut from)?;
         let goes = (0..n).map(|_| part(&mut from)).collect::<Result<Vec<f64>, WireError>>()?;
         // A little over one by rounding is none of ours: each part was rounded down.
         if goes.iter().sum::<f64>() > 1.0 + 1e-9 {
             return Err(WireError::Value("where a site's load goes"));
         }
-        sites.push(SitePlan { budget, state, goes });
+        sites.push(SitePlan { budget, state, ramp, goes });
     }
     let admitted = (0..m).map(|_| part(&mut from)).collect::<Result<Vec<f64>, WireError>>()?;
     from.end()?;
--- a/crates/siteplan/src/lib.rs
+++ b/crates/siteplan/src/lib.rs
@@ -13,13 +13,18 @@
 pub mod codec;
 mod follower;
 mod planner;
+pub mod tally;
 
+pub use codec::is_siteplan;
 pub use follower::Follower;
 pub use planner::{Planner, SiteSeen, State};
 
 /// Milliseconds on the caller's monotonic clock.
 pub type Millis = u64;
 
+/// The planning's number as a duty: beyond any set's that a platform gives out.
+pub const DUTY: u64 = 0x5349_5445_0000_0000;
+
 /// Sites and classes that a plan speaks of, at most: it fits one datagram.
 pub const MOST_SITES: usize = 8;
 /// Likewise.
@@ -106,6 +111,8 @@
     pub budget: f64,
     /// How it stands.
     pub state: State,
+    /// The part of its usual reads that its hosts get, 0 to 1: all while it is up, the beginning of its ramp while it is lost.
+    pub ramp: f64,
     /// Where its own load goes: a part for each site, itself included; together at most 1, and what lacks is refused.
     pub goes: Vec<f64>,
 }
--- a/crates/siteplan/src/planner.rs
+++ b/crates/siteplan/src/planner.rs
@@ -109,14 +109,21 @@
         changed
     }
 
-    /// What may be sent to a site by all gateways together.
-    fn budget(&self, site: &Site) -> f64 {
+    /// The part of its usual reads that a site gets.
+    fn ramp(&self, site: &Site) -> f64 {
         let s = &self.settings;
-        let part = match site.state {
+        match site.state {
             State::Up => 1.0,
-            State::Lost => 0.0,
+            // Whoever comes back before that is seen is led in all the same.
+            State::Lost => s.ramp_from,
             State::Returning => s.ramp_from + (1.0 - s.ramp_from) * site.ramp as f64 / s.ramp_ms as f64,
-        };
+        }
+    }
+
+    /// What may be sent to a site by all gateways together.
+    fn budget(&self, site: &Site) -> f64 {
+        let s = &self.settings;
+        let part = if site.state == State::Lost { 0.0 } else { self.ramp(site) };
         (site.seen.capacity * s.budget * part).max(0.0)
     }
 
@@ -153,7 +160,9 @@
             epoch,
             number: self.number,
             gateways: gateways.max(1),
-            sites: sites.map(|((s, budget), goes)| SitePlan { budget, state: s.state, goes }).collect(),
+            sites: sites
+                .map(|((s, budget), goes)| SitePlan { budget, state: s.state, ramp: self.ramp(s), goes })
+                .collect(),
             admitted,
             pause_ms: self.pause(),
         }
--- a/crates/siteplan/tests/plan.rs
+++ b/crates/siteplan/tests/plan.rs
@@ -1,6 +1,8 @@
 //! Plans for lost and returning sites: budgets, the order of refusal, the ramp, and who follows what.
 
-use irisrouter_siteplan::{codec, Follower, Plan, Planner, Settings, SiteSeen, State};
+use irisrouter_siteplan::codec::{self, Message};
+use irisrouter_siteplan::tally::{Reach, Tallies, Tally};
+use irisrouter_siteplan::{Follower, Plan, Planner, Settings, SiteSeen, State};
 use proptest::prelude::*;
 
 fn up(capacity: f64, load: f64) -> SiteSeen {
@@ -171,7 +173,7 @@
             }
             prop_assert!(plan.admitted[1] == 1.0 || plan.admitted[0] < 1e-9 || classes[0] == 0.0);
             prop_assert_eq!(plan.admitted[2], 1.0);
-            let read = codec::decode(&codec::encode(&plan)).expect("reads");
+            let Ok(Message::Plan(read)) = codec::decode(&codec::encode(&plan)) else { panic!("reads") };
             for (a, b) in read.sites.iter().zip(&plan.sites) {
                 prop_assert!(a.state == b.state && a.budget <= b.budget && b.budget - a.budget < 0.001_1);
                 prop_assert!(a.goes.iter().zip(&b.goes).all(|(a, b)| a <= b && b - a < 2e-5));
@@ -189,9 +191,49 @@
         if let (true, Some(first)) = (magic, bytes.first_mut()) {
             *first = codec::MAGIC;
         }
-        if let Ok(plan) = codec::decode(&bytes) {
+        if let Ok(Message::Plan(plan)) = codec::decode(&bytes) {
             prop_assert!(plan.sites.iter().all(|s| s.goes.iter().sum::<f64>() <= 1.0 + 1e-9));
             prop_assert!(codec::encode(&plan).len() <= codec::DATAGRAM);
         }
     }
 }
+
+/// Two gateways of site 0 and one of site 1 tell; what one told before, and what is too old, is not counted.
+#[test]
+fn tallies_add_up_over_gateways_and_the_last_of_each_counts() {
+    let reach = |hosts, silent, sent, answered| Reach { hosts, silent, sent, answered };
+    let tally = |site, arrived: &[u16], sites: &[Reach]| Tally {
+        site,
+        period_ms: 500,
+        arrived: arrived.to_vec(),
+        sites: sites.to_vec(),
+    };
+    let mut all = Tallies::default();
+    all.heard(0, 1, tally(0, &[900, 900], &[]));
+    all.heard(10, 1, tally(0, &[10, 0], &[reach(2, 2, 4, 0), reach(1, 0, 6, 6)]));
+    all.heard(10, 2, tally(0, &[0, 5], &[reach(1, 0, 4, 4), reach(3, 0, 0, 0)]));
+    all.heard(20, 3, tally(1, &[0, 20], &[]));
+    all.heard(20, 4, Tally { period_ms: 0, ..tally(1, &[9], &[]) });
+    assert_eq!((all.gateways(), all.classes(2)), (3, vec![20.0, 50.0]));
+    let seen = all.seen(&[100.0, 50.0]);
+    assert_eq!((seen[0].hosts, seen[0].silent, seen[0].load, seen[0].answered), (3, 2, 30.0, 0.5));
+    assert_eq!((seen[1].hosts, seen[1].silent, seen[1].load, seen[1].answered), (4, 0, 40.0, 1.0));
+    all.forget(15);
+    assert_eq!((all.gateways(), all.classes(2)), (1, vec![0.0, 40.0]));
+}
+
+proptest! {
+    #[test]
+    fn tallies_go_both_ways(
+        site in 0u8..8,
+        period_ms in 1u16..,
+        arrived in proptest::collection::vec(any::<u16>(), 0..=16),
+        sites in proptest::collection::vec(any::<(u16, u16, u16, u16)>(), 0..=8),
+    ) {
+        let reach = |(hosts, silent, sent, answered)| Reach { hosts, silent, sent, answered };
+        let tally = Tally { site, period_ms, arrived, sites: sites.into_iter().map(reach).collect() };
+        let bytes = codec::encode_tally(&tally);
+        prop_assert!(bytes.len() <= codec::DATAGRAM);
+        prop_assert_eq!(codec::decode(&bytes), Ok(Message::Tally(tally)));
+    }
+}
--- a/deploy/operators.jsonnet
+++ b/deploy/operators.jsonnet
@@ -22,4 +22,14 @@
     // One gateway watches the list for all; only where one service answers all gateways (the list comes when asked for).
     list_watch: false,
   },
+  // What happens when a whole zone is lost and returns (docs/site-loss.md). Needs takeover.
+  sites: {
+    enabled: false,
+    // Requests of mean work a second that a warm host of size one bears; has to be given where this is on.
+    capacity_per_s: 0,
+    // By zone: the zones that take its load, in order.
+    prefer: {},
+    // Classes in the order in which they are refused where there is no room; the others never are.
+    refuse: [],
+  },
 }
--- a/src/api.rs
+++ b/src/api.rs
@@ -291,7 +291,7 @@
     /// Zones whose members are led in, and the part of their capacity that they bear now, 0 to 1.
     pub ramps: Vec<(ZoneId, f64)>,
     /// Clients that are refused are to come again after this, and up to twice as long.
-    pub pause: Ns,
+    pub pause: Option<Ns>,
 }
 
 /// How an attempt or a probe ended.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -690,9 +690,8 @@
         let c = &self.s.classes[r.class];
         let dropped = matches!(c.repeat, Repeat::Keyed { scope: RepeatScope::All, .. });
         if c.repeat == Repeat::Safe || dropped || !may_have_run(r) {
-            let planned = (self.planned.pause as f64 * (1.0 + r.draw)) as Ns;
-            let pause =
-                if self.s.limits.pauses { c.aim.max(planned).min(self.s.limits.max_pause) } else { 0 };
+            let wish = self.planned.pause.map_or(c.aim, |p| (p as f64 * (1.0 + r.draw)) as Ns);
+            let pause = if self.s.limits.pauses { wish.min(self.s.limits.max_pause) } else { 0 };
             self.out.push(Action::Refuse { id, pause });
         } else {
             self.out.push(Action::Fail { id });
--- a/src/main.rs
+++ b/src/main.rs
@@ -28,6 +28,7 @@
 use net::places::{Places, TIDY};
 use net::request::Core;
 use net::router::{drive, Mailbox};
+use net::siteplan::{self, Sites};
 use net::{duration, Clock};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -109,6 +110,21 @@
     let mut seen = Seen::at((!known.members.is_empty()).then_some(known.revision));
     let members = members(&config, clock, &counters);
     let hand = hand(&config, members.as_ref(), &counters);
+    let owners = owners(&config, members.as_ref(), &counters);
+    let sites = match (&members, &owners) {
+        (Some(members), Some(owners)) => {
+            let around = siteplan::Around {
+                members: Rc::clone(members),
+                owners: Rc::clone(owners),
+                backend: Rc::clone(&backend),
+                classes: Rc::clone(&classes),
+                mailbox: Rc::clone(&mailbox),
+                counters: Rc::clone(&counters),
+            };
+            sites(&config, around)?
+        }
+        _ => None,
+    };
     let core = Core {
         mailbox: Rc::clone(&mailbox),
         backend: Rc::clone(&backend),
@@ -116,17 +132,17 @@
         counters: Rc::clone(&counters),
         answer_by: Cell::new(None),
         hand: hand.clone(),
+        sites: sites.clone(),
         ids: RefCell::default(),
     };
     let modes = Rc::<Modes>::default();
-    let owners = owners(&config, members.as_ref(), &counters);
     let drains = drains(&config, members.as_ref(), owners.as_ref(), (&backend, &counters));
     let list = list_watch(&config, members.as_ref(), owners.as_ref(), (&backend, &counters));
     if let Some(at) = config.console {
         let listener = listen(at).map_err(|e| format!("cannot listen on {at}: {e}"))?;
         log!("operators call {}", listener.local_addr().map_err(|e| format!("no address: {e}"))?);
-        let (owners, drains) = (owners.clone(), drains.clone());
-        let console = Console { modes: Rc::clone(&modes), members: members.clone(), owners, drains };
+        let (owners, drains, sites) = (owners.clone(), drains.clone(), sites.clone());
+        let console = Console { modes: Rc::clone(&modes), members: members.clone(), owners, drains, sites };
         spawn_local(console::serve(listener, Rc::new(console)));
     }
     let front = Rc::new(Frontend {
@@ -160,7 +176,7 @@
     if let Some(peers) = config.peers.clone() {
         let shared = (Rc::clone(&mailbox), Rc::clone(&backend), Rc::clone(&counters));
         let share = config.loaded.share || owners.is_some();
-        let fleet = Fleet { members: members.clone(), owners, hand, drains, list };
+        let fleet = Fleet { members: members.clone(), owners, hand, drains, list, sites };
         spawn_local(share_when_free(Rc::clone(&sharing), peers, shared, clock, share, fleet));
     }
     spawn_local(sweep(Rc::clone(&backend)));
@@ -380,6 +396,19 @@
     Some(Rc::new(ListWatch::new(around, wanted.lease_ms, Rc::clone(counters))))
 }
 
+/// Plans for lost sites, where the operators turned them on and duties have owners.
+fn sites(config: &Config, around: siteplan::Around) -> Result<Option<Rc<Sites>>, String> {
+    let wanted = &config.operators.sites;
+    let Some(peers) = config.peers.as_ref().filter(|_| wanted.enabled) else { return Ok(None) };
+    let all = |names: &irisrouter::settings::Names| names.iter().map(String::from).collect::<Vec<_>>();
+    let (zones, classes) = (all(&config.loaded.zones), all(&config.loaded.classes));
+    let settings = wanted.for_zones(&zones, &classes)?;
+    // At most eight sites, by the check above.
+    let names = siteplan::Names { zones, classes, mine: config.loaded.settings.zone.0 as u8 };
+    let ways = (peers.each.clone(), peers.all);
+    Sites::new(around, names, (settings, wanted.capacity_per_s), ways).map(Rc::new).map(Some)
+}
+
 /// Writes in hand, where the operators turned them on and membership is on.
 fn hand(config: &Config, members: Option<&Rc<Members>>, counters: &Rc<Counters>) -> Option<Rc<Hand>> {
     let wanted = &config.operators.takeover;
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -11,6 +11,7 @@
 use irisrouter::settings::{Loaded, Names};
 use irisrouter_drains::Word;
 use irisrouter_gossip::message;
+use irisrouter_siteplan::tally::Reach;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::Range;
@@ -45,6 +46,10 @@
 const PIECES: usize = 2;
 /// A host that says nothing more for so long in the middle of a long value has broken off.
 const SILENCE: Duration = Duration::from_secs(10);
+/// What was heard of a host longer ago says nothing of it now.
+const HEARD: Duration = Duration::from_secs(2);
+/// One that failed so often in a row is silent.
+const SILENT: u32 = 2;
 /// How often idle connections are looked at.
 pub const SWEEP: Duration = Duration::from_millis(500);
 
@@ -127,6 +132,19 @@
     out: bool,
     /// Requests that are open there.
     busy: Rc<Cell<usize>>,
+    heard: Heard,
+}
+
+/// What was heard of a host, where that is tallied.
+#[derive(Default)]
+struct Heard {
+    /// When it last answered or failed.
+    at: Option<Instant>,
+    /// Failures since it last answered.
+    failures: u32,
+    /// Requests that ended since the last tally, and those that it answered.
+    sent: u16,
+    answered: u16,
 }
 
 impl Host {
@@ -162,6 +180,8 @@
     words: RefCell<BTreeMap<u32, Word>>,
     /// Hosts that a later list than the own one has out of service, by its watcher's word, and its version.
     news: RefCell<Option<(u64, BTreeSet<u32>)>>,
+    /// What is heard of hosts is tallied.
+    tallied: Cell<bool>,
     on_list: Box<dyn Fn(Event)>,
 }
 
@@ -211,6 +231,7 @@
             revision: Cell::new(0),
             words: RefCell::default(),
             news: RefCell::default(),
+            tallied: Cell::new(false),
             on_list,
         };
         backend.retune(loaded);
@@ -312,6 +333,64 @@
         self.reconsider();
     }
 
+    /// From now on what is heard of hosts is tallied.
+    pub fn tally(&self) {
+        self.tallied.set(true);
+    }
+
+    /// An attempt or a probe ended.
+    fn heard(&self, member: MemberId, outcome: Outcome, probe: bool) {
+        if !self.tallied.get() {
+            return;
+        }
+        let mut hosts = self.hosts.borrow_mut();
+        let Some(heard) = hosts.get_mut(&member).map(|h| &mut h.heard) else { return };
+        let (spoke, served) = match outcome {
+            Outcome::Ok | Outcome::Miss => (true, true),
+            Outcome::Error | Outcome::Full => (true, false),
+            Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => (false, false),
+            // It says nothing of the host.
+            Outcome::Cancelled | Outcome::Moot => return,
+        };
+        heard.at = Some(Instant::now());
+        heard.failures = if spoke { 0 } else { heard.failures.saturating_add(1) };
+        if !probe {
+            heard.sent = heard.sent.saturating_add(1);
+            heard.answered = heard.answered.saturating_add(u16::from(served));
+        }
+    }
+
+    /// What was heard of the hosts of each zone since this was last asked.
+    pub fn reach(&self, zones: &[String]) -> Vec<Reach> {
+        let mut all = vec![Reach::default(); zones.len()];
+        for host in self.hosts.borrow_mut().values_mut() {
+            let zone = zones.iter().position(|z| *z == host.entry.locality);
+            let Some(reach) = zone.and_then(|z| all.get_mut(z)) else { continue };
+            reach.sent = reach.sent.saturating_add(std::mem::take(&mut host.heard.sent));
+            reach.answered = reach.answered.saturating_add(std::mem::take(&mut host.heard.answered));
+            if host.in_service() && host.heard.at.is_some_and(|at| at.elapsed() < HEARD) {
+                reach.hosts = reach.hosts.saturating_add(1);
+                reach.silent = reach.silent.saturating_add(u16::from(host.heard.failures >= SILENT));
+            }
+        }
+        all
+    }
+
+    /// The sizes of the hosts of each zone that the list has in service, silent ones included.
+    pub fn sizes(&self, zones: &[String]) -> Vec<f64> {
+        let hosts = self.hosts.borrow();
+        let size = |zone: &String| {
+            let of = hosts.values().filter(|h| h.in_service() && h.entry.locality == *zone);
+            of.map(|h| h.entry.size).sum()
+        };
+        zones.iter().map(size).collect()
+    }
+
+    /// The number of a zone in the decision module.
+    pub fn zone(&self, name: &str) -> ZoneId {
+        ZoneId(self.zones.borrow_mut().number(name) as u32)
+    }
+
     /// Whoever watches the list for all has this version, with these hosts out of service. Until the own list is as new they
     /// are left alone.
     pub fn news(&self, revision: u64, out: &[u32]) {
@@ -387,6 +466,7 @@
                 gone: None,
                 out: false,
                 busy: Rc::default(),
+                heard: Heard::default(),
             });
             host.ready = match e.phase {
                 Phase::InService => !host.out,
@@ -441,6 +521,7 @@
     ) -> Attempted {
         let ended = self.try_once(member, statement, Instant::now() + duration(limit), begin).await;
         self.counters.attempt(ended.outcome);
+        self.heard(member, ended.outcome, false);
         ended
     }
 
@@ -588,6 +669,9 @@
         let start = Instant::now();
         let end = start + self.connect_timeout.get();
         let (outcome, report, fenced) = self.probe_once(member, fence, end).await;
+        // A probe that waited its whole time for a connection has met silence; to the module that is no word of the host.
+        let silence = outcome == Outcome::Moot && start.elapsed() >= self.connect_timeout.get();
+        self.heard(member, if silence { Outcome::TimedOut } else { outcome }, true);
         (Event::Probed { member, outcome, elapsed: nanoseconds(start.elapsed()), report }, fenced)
     }
 
--- a/src/net/console.rs
+++ b/src/net/console.rs
@@ -5,6 +5,7 @@
 use super::log::log;
 use super::membership::Members;
 use super::mode::{Mode, Modes};
+use super::siteplan::Sites;
 use std::collections::VecDeque;
 use std::io;
 use std::rc::Rc;
@@ -36,6 +37,8 @@
     pub owners: Option<Rc<Owners>>,
     /// Drains of hosts, likewise.
     pub drains: Option<Rc<Drains>>,
+    /// Plans for lost sites, where that is on.
+    pub sites: Option<Rc<Sites>>,
 }
 
 /// Answers callers for ever.
@@ -112,6 +115,10 @@
             Some(owners) => format!("+OK {}", owners.line()),
             None => "-ERR takeover is off".into(),
         },
+        b"plan" => match &console.sites {
+            Some(sites) => format!("+OK {}", sites.line()),
+            None => "-ERR site plans are off".into(),
+        },
         b"drains" => match &console.drains {
             Some(drains) => format!("+OK {}", drains.line()),
             None => "-ERR takeover is off".into(),
@@ -119,7 +126,7 @@
         _ => match (host(line, "drain "), host(line, "undrain ")) {
             (Some(host), _) => say(console, host, true).await,
             (None, Some(host)) => say(console, host, false).await,
-            _ => "-ERR unknown call: readyz, evacuate, activate, members, duties, drains, \
+            _ => "-ERR unknown call: readyz, evacuate, activate, members, duties, plan, drains, \
                   drain HOST or undrain HOST"
                 .into(),
         },
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -75,6 +75,12 @@
     pub list_beats: Cell<u64>,
     /// Likewise.
     pub list_fetches: Cell<u64>,
+    /// Plans for lost sites: tallies and plans sent, plans made here, and heard.
+    pub plans_sent: Cell<u64>,
+    /// Likewise.
+    pub plans_made: Cell<u64>,
+    /// Likewise.
+    pub plans_heard: Cell<u64>,
     /// Connections to database hosts that came up.
     pub opened: Cell<u64>,
     /// Connections of clients.
@@ -154,6 +160,9 @@
             ("drains_done", &self.drains_done),
             ("list_beats", &self.list_beats),
             ("list_fetches", &self.list_fetches),
+            ("plans_sent", &self.plans_sent),
+            ("plans_made", &self.plans_made),
+            ("plans_heard", &self.plans_heard),
         ];
         if members.iter().all(|(_, v)| v.get() == 0) {
             return Ok(());
--- a/src/net/duties.rs
+++ b/src/net/duties.rs
@@ -24,6 +24,8 @@
     Drain(u32),
     /// The watch of the list of database hosts.
     ListWatch,
+    /// The plans for lost sites.
+    SitePlan,
 }
 
 impl Duty {
@@ -33,6 +35,7 @@
             Duty::Probing(set) => set as u64,
             Duty::Drain(host) => irisrouter_drains::duty(host),
             Duty::ListWatch => irisrouter_listwatch::DUTY,
+            Duty::SitePlan => irisrouter_siteplan::DUTY,
         }
     }
 
@@ -40,6 +43,9 @@
         if number == irisrouter_listwatch::DUTY {
             return Duty::ListWatch;
         }
+        if number == irisrouter_siteplan::DUTY {
+            return Duty::SitePlan;
+        }
         let host = number as u32;
         if irisrouter_drains::duty(host) == number {
             return Duty::Drain(host);
@@ -54,6 +60,7 @@
             Duty::Probing(set) => write!(f, "set {set}"),
             Duty::Drain(host) => write!(f, "the drain of host {host:06x}"),
             Duty::ListWatch => write!(f, "the watch of the list"),
+            Duty::SitePlan => write!(f, "the planning for lost sites"),
         }
     }
 }
@@ -168,7 +175,7 @@
         self.carry_out(&mut core)
     }
 
-    /// What is owned, as one line: `set:epoch` each, `drain-host:epoch`, `list:epoch`.
+    /// What is owned, as one line: `set:epoch` each, `drain-host:epoch`, `list:epoch`, `plan:epoch`.
     pub fn line(&self) -> String {
         let owned = self.core.borrow().owned(self.now());
         let owned: Vec<String> = (owned.iter())
@@ -176,6 +183,7 @@
                 Duty::Probing(set) => format!("{set}:{epoch}"),
                 Duty::Drain(host) => format!("drain-{host:06x}:{epoch}"),
                 Duty::ListWatch => format!("list:{epoch}"),
+                Duty::SitePlan => format!("plan:{epoch}"),
             })
             .collect();
         format!("duties owned={} {}", owned.len(), owned.join(" "))
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -22,6 +22,7 @@
 pub mod places;
 pub mod request;
 pub mod router;
+pub mod siteplan;
 
 pub use irisrouter_pg as pg;
 
--- a/src/net/operators.rs
+++ b/src/net/operators.rs
@@ -8,6 +8,7 @@
 use irisrouter_config::{Checked, Problem, Variables};
 use schemars::JsonSchema;
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::path::Path;
 
 /// The variable that names the file.
@@ -21,6 +22,87 @@
     pub membership: MembershipSettings,
     /// Who takes over what a gateway leaves (`docs/takeover.md`).
     pub takeover: TakeoverSettings,
+    /// Where a lost site's load goes, and how its return is paced (`docs/site-loss.md`).
+    pub sites: SitesSettings,
+}
+
+/// Plans for lost sites on top of takeover. A site is a zone of the platform's settings.
+#[derive(Debug, Clone, PartialEq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct SitesSettings {
+    /// Off by default; needs takeover.
+    pub enabled: bool,
+    /// Requests of mean work a second that a warm host of size one bears.
+    pub capacity_per_s: f64,
+    /// By zone: the zones that take its load, in order; those that are not named come last.
+    pub prefer: BTreeMap<String, Vec<String>>,
+    /// Classes in the order in which they are refused; those that are not named never are.
+    pub refuse: Vec<String>,
+    /// Part of a zone's capacity that a plan gives out, 0 to 1.
+    pub budget: f64,
+    /// A zone is lost once this part of its hosts, 0 to 1, is silent for `lost_after_ms`.
+    pub lost_part: f64,
+    /// See there, in milliseconds.
+    pub lost_after_ms: u64,
+    /// It returns once fewer than half of that part are silent for so long, in milliseconds.
+    pub back_after_ms: u64,
+    /// A returning zone begins with this part of its reads, 0 to 1.
+    pub ramp_from: f64,
+    /// And has all of them after so many milliseconds in which its hosts answered.
+    pub ramp_ms: u64,
+    /// A plan of which nothing more is heard is followed for so long, in milliseconds.
+    pub stale_ms: u64,
+}
+
+impl Default for SitesSettings {
+    fn default() -> Self {
+        let core = irisrouter_siteplan::Settings::for_sites(1);
+        Self {
+            enabled: false,
+            capacity_per_s: 0.0,
+            prefer: BTreeMap::new(),
+            refuse: Vec::new(),
+            budget: core.budget,
+            lost_part: core.lost_part,
+            lost_after_ms: core.lost_after_ms,
+            back_after_ms: core.back_after_ms,
+            ramp_from: core.ramp_from,
+            ramp_ms: core.ramp_ms,
+            stale_ms: core.stale_ms,
+        }
+    }
+}
+
+impl SitesSettings {
+    /// The core's settings, for the zones and classes of the platform's configuration.
+    ///
+    /// # Errors
+    ///
+    /// The path, and what is wrong there.
+    pub fn for_zones(
+        &self,
+        zones: &[String],
+        classes: &[String],
+    ) -> Result<irisrouter_siteplan::Settings, String> {
+        let number = |names: &[String], name: &String, path: &str| {
+            let at = names.iter().position(|n| n == name);
+            at.ok_or_else(|| {
+                format!("/sites/{path}: the configuration has no {name}, only {}", names.join(", "))
+            })
+        };
+        let mut core = irisrouter_siteplan::Settings::for_sites(zones.len());
+        for (zone, others) in &self.prefer {
+            let from = number(zones, zone, "prefer")?;
+            let path = format!("prefer/{zone}");
+            core.prefer[from] = others.iter().map(|o| number(zones, o, &path)).collect::<Result<_, _>>()?;
+        }
+        core.refuse = self.refuse.iter().map(|c| number(classes, c, "refuse")).collect::<Result<_, _>>()?;
+        (core.budget, core.lost_part, core.ramp_from) = (self.budget, self.lost_part, self.ramp_from);
+        (core.lost_after_ms, core.back_after_ms) = (self.lost_after_ms, self.back_after_ms);
+        (core.ramp_ms, core.stale_ms) = (self.ramp_ms, self.stale_ms);
+        core.check().map_err(|why| format!("/sites/{why}"))?;
+        Ok(core)
+    }
 }
 
 /// Takeover on top of membership.
@@ -90,6 +172,14 @@
         if let Err(why) = duties.check() {
             problems.push(Problem::new("/takeover", why));
         }
+        let sites = &self.sites;
+        if sites.enabled && !takeover.enabled {
+            problems.push(Problem::new("/sites/enabled", "needs /takeover/enabled"));
+        }
+        if sites.enabled && !(sites.capacity_per_s > 0.0 && sites.capacity_per_s.is_finite()) {
+            problems
+                .push(Problem::new("/sites/capacity_per_s", "what a host of size one bears has to be given"));
+        }
         if let Err(why) = m.for_fleet(2).check() {
             problems.push(Problem::new("/membership", why));
         }
@@ -146,6 +236,23 @@
         assert_eq!(paths, ["/takeover/enabled", "/takeover"]);
     }
 
+    #[test]
+    fn plans_for_sites_need_a_capacity_and_names_that_there_are() {
+        let sites =
+            SitesSettings { enabled: true, refuse: vec!["report".into()], ..SitesSettings::default() };
+        let bad = Operators { sites: sites.clone(), ..Operators::default() };
+        let paths: Vec<String> = bad.check().into_iter().map(|p| p.path).collect();
+        assert_eq!(paths, ["/sites/enabled", "/sites/capacity_per_s"]);
+        let names = |all: &[&str]| all.iter().map(ToString::to_string).collect::<Vec<_>>();
+        let (zones, classes) = (names(&["a", "b"]), names(&["read", "report"]));
+        assert_eq!(sites.for_zones(&zones, &classes).map(|s| s.refuse), Ok(vec![1]));
+        let why = sites.for_zones(&zones, &names(&["read"])).expect_err("no such class");
+        assert!(why.contains("/sites/refuse") && why.contains("report"), "{why}");
+        let prefer = BTreeMap::from([("a".to_string(), names(&["c"]))]);
+        let why = SitesSettings { prefer, ..sites }.for_zones(&zones, &classes).expect_err("no such zone");
+        assert!(why.contains("/sites/prefer/a"), "{why}");
+    }
+
     #[test]
     fn a_slower_probe_stretches_every_time_and_keeps_the_stall_short_of_death() {
         let m = MembershipSettings { enabled: true, probe_period_ms: 200, stall_ms: 1_000 };
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -13,6 +13,7 @@
 use super::log::log;
 use super::membership::Members;
 use super::router::Mailbox;
+use super::siteplan::Sites;
 use super::{duration, Clock};
 use irisrouter::api::{Event, Finding, GroupId, MemberId, Outcome, Report};
 use irisrouter_gossip::{duty::Duties, message};
@@ -79,6 +80,8 @@
     pub drains: Option<Rc<Drains>>,
     /// One watch of the list for all, likewise.
     pub list: Option<Rc<ListWatch>>,
+    /// Plans for lost sites, likewise.
+    pub sites: Option<Rc<Sites>>,
 }
 
 /// The part of this gateway.
@@ -144,8 +147,9 @@
                 if let Some(owners) = &self.fleet.owners {
                     let drains = self.fleet.drains.iter().flat_map(|d| d.duties()).map(Duty::Drain);
                     let list = self.fleet.list.iter().map(|_| Duty::ListWatch);
+                    let plan = self.fleet.sites.iter().map(|_| Duty::SitePlan);
                     let sets = sets.iter().copied().map(Duty::Probing);
-                    let sends = owners.tick(sets.chain(drains).chain(list));
+                    let sends = owners.tick(sets.chain(drains).chain(list).chain(plan));
                     self.send_all(sends, &self.counters.duties_sent).await;
                     pause = pause.min(owners.due().saturating_duration_since(Instant::now()));
                 }
@@ -160,6 +164,11 @@
                     }
                     pause = pause.min(list.due());
                 }
+                if let Some(sites) = &self.fleet.sites {
+                    let sends = sites.tick();
+                    self.send_all(sends, &self.counters.plans_sent).await;
+                    pause = pause.min(sites.due());
+                }
                 pause = pause.min(self.begin_rounds(&sets));
             }
             if let Some(members) = &self.fleet.members {
@@ -261,6 +270,11 @@
                 list.iter().for_each(|(list, by)| list.hear(datagram, *by));
                 (Vec::new(), &c.list_beats)
             }
+            (Some(members), _) if irisrouter_siteplan::is_siteplan(datagram) => {
+                let sites = self.fleet.sites.as_ref().zip(by).filter(|(_, by)| members.counts(*by));
+                sites.iter().for_each(|(sites, by)| sites.hear(datagram, *by));
+                (Vec::new(), &c.plans_sent)
+            }
             (_, Some(owners)) if irisrouter_duties::is_duties(datagram) => {
                 (by.map_or_else(Vec::new, |by| owners.hear(datagram, by)), &c.duties_sent)
             }
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -7,6 +7,7 @@
 use super::counters::{count, Counters};
 use super::inhand::{Before, Hand, MayHaveRun, Noted};
 use super::router::{Mailbox, Order};
+use super::siteplan::Sites;
 use super::{duration, nanoseconds, Clock};
 use irisrouter::api::*;
 use std::cell::{Cell, RefCell};
@@ -84,6 +85,8 @@
     pub answer_by: Cell<Option<Instant>>,
     /// Writes in hand, where the operators turned that on.
     pub hand: Option<Rc<Hand>>,
+    /// Plans for lost sites, likewise.
+    pub sites: Option<Rc<Sites>>,
     /// Ids of the requests that are not over.
     pub ids: RefCell<HashSet<Box<str>>>,
 }
@@ -99,6 +102,9 @@
     /// Takes a request and gives it exactly one answer. A client that leaves drops the receiver.
     pub async fn serve(self: Rc<Self>, call: Call, answer: oneshot::Sender<Answer>) {
         count(&self.counters.received);
+        if let Some(sites) = &self.sites {
+            sites.arrived(call.class.slot);
+        }
         let ending = self.answer_by.get().map(|end| end.saturating_duration_since(Instant::now()));
         let mut end = Instant::now() + ending.map_or(call.wait, |left| left.min(call.wait));
         let noted = match self.noted(&call, &mut end).await {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -23,7 +23,7 @@
     let mut w = World::new(s);
     let mut admitted = vec![1.0; 8];
     admitted[ANY] = 0.25;
-    let plan = Planned { admitted, pause: 3 * S, ..Planned::default() };
+    let plan = Planned { admitted, pause: Some(3 * S), ..Planned::default() };
     w.step(&[Event::Planned(plan)]);
     let mut pauses = Vec::new();
     for _ in 0..400 {
