End the gateways of a lab run that is told to end

Seen: a `site-loss` run ended by SIGTERM left its 21 gateways running; they had to be ended by hand. The stand-ins' threads and the processes' owners do not run on when the program is ended.

--- a/crates/lab/src/cluster/process.rs
+++ b/crates/lab/src/cluster/process.rs
@@ -3,11 +3,12 @@
 
 use super::Clock;
 use serde_json::Value;
+use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// A line of a gateway's log.
@@ -52,6 +53,21 @@
     }
 }
 
+/// The processes that were started here and have not been waited for.
+static STARTED: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
+
+fn started() -> MutexGuard<'static, BTreeSet<u32>> {
+    STARTED.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Ends every gateway that was started here, for a program that is told to end: their owners' threads don't run on.
+/// Danger guarded against: gateways that outlive a run, and load the machine for ever.
+pub fn end_all() {
+    for id in started().iter() {
+        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+    }
+}
+
 /// A gateway's process.
 pub struct Process {
     child: Child,
@@ -90,6 +106,7 @@
         }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = command.spawn().map_err(|e| format!("cannot start {}: {e}", program.display()))?;
+        started().insert(child.id());
         let Some(errors) = child.stderr.take() else { return Err("a gateway without a log".into()) };
         let to = history.clone();
         std::thread::spawn(move || {
@@ -107,6 +124,7 @@
             None => {
                 let _ = child.kill();
                 let _ = child.wait();
+                started().remove(&child.id());
                 let said = history.look(|l| {
                     let mine = l.iter().filter(|l| (l.gateway, l.run) == (gateway, run));
                     mine.map(|l| format!("  {}\n", l.text)).collect::<String>()
@@ -129,6 +147,7 @@
     /// Waits for its end: its exit code.
     pub fn ended(mut self) -> Option<i32> {
         let code = self.child.wait().ok().and_then(|s| s.code());
+        started().remove(&self.child.id());
         self.end();
         code
     }
@@ -136,6 +155,7 @@
     fn end(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        started().remove(&self.child.id());
         let _ = std::fs::remove_file(&self.config);
     }
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -424,7 +424,17 @@
     print_json(&scenario)
 }
 
+/// A run with gateways that is told to end (SIGINT, SIGTERM) ends them first.
+fn ends_with_its_gateways() -> Result<(), Failed> {
+    let end = || {
+        irisrouter_lab::cluster::process::end_all();
+        std::process::exit(1);
+    };
+    ctrlc::set_handler(end).map_err(|e| Failed::Run(format!("cannot catch signals: {e}")))
+}
+
 fn site_loss(args: &SiteLossArgs) -> Result<(), Failed> {
+    ends_with_its_gateways()?;
     let program = program(args.gateway.as_ref())?;
     let progress = bar(2 * args.seeds);
     // Both ways of a seed in turn, so that whatever else the machine does meets both alike.
@@ -457,6 +467,7 @@
         let drawn: Vec<_> = seeds.iter().map(|&s| (s, draw(s))).collect();
         return print_json(&drawn);
     }
+    ends_with_its_gateways()?;
     let program = program(args.gateway.as_ref())?;
     let progress = bar(args.seeds);
     let one = |seed: u64| {
--- a/crates/lab/tests/command_line.rs
+++ b/crates/lab/tests/command_line.rs
@@ -1,7 +1,10 @@
 //! The program as a newcomer meets it: what it prints, what it writes, and how it ends.
 
+mod common;
+
 use std::path::{Path, PathBuf};
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
+use std::time::{Duration, Instant};
 
 fn lab(args: &[&str]) -> Output {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
@@ -111,3 +114,48 @@
     assert_eq!(world["world"]["gateways"].as_u64(), Some(8));
     assert!(lab(&["schema"]).status.success() && lab(&["--help"]).status.success());
 }
+
+/// The processes that another one has started, as the system tells.
+fn started_by(parent: u32) -> Vec<u32> {
+    let all = std::fs::read_dir("/proc").expect("processes").filter_map(Result::ok);
+    let ids = all.filter_map(|e| e.file_name().to_string_lossy().parse::<u32>().ok());
+    let parent_of = |id: u32| -> Option<u32> {
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+        // Behind the name in brackets: the state, then the parent.
+        stat.rsplit_once(')')?.1.split_whitespace().nth(1)?.parse().ok()
+    };
+    ids.filter(|&id| parent_of(id) == Some(parent)).collect()
+}
+
+/// Guards against gateways that outlive the run that started them.
+#[test]
+fn a_run_that_is_told_to_end_ends_its_gateways() {
+    let gateway = common::gateway();
+    let mut run = Command::new(env!("CARGO_BIN_EXE_irisrouter-lab"))
+        .args(["cluster", "--gateways", "3", "--faults", "5", "--crashes", "--gateway"])
+        .arg(&gateway)
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("starts");
+    let end = Instant::now() + Duration::from_secs(60);
+    let gateways = loop {
+        let gateways = started_by(run.id());
+        if gateways.len() >= 3 {
+            break gateways;
+        }
+        assert!(Instant::now() < end, "three gateways");
+        std::thread::sleep(Duration::from_millis(20));
+    };
+    let told = Command::new("kill").args(["-TERM", &run.id().to_string()]).status();
+    assert!(told.is_ok_and(|s| s.success()));
+    assert_eq!(run.wait().expect("ends").code(), Some(1));
+    let alive = |id: &u32| {
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+        stat.contains("irisrouter") && !stat.contains(") Z ")
+    };
+    while gateways.iter().any(alive) {
+        assert!(Instant::now() < end, "{gateways:?} run on");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
