A cold member bears its part of what its group bore before a release emptied it

Drained members did not count as missing, and were forgotten once gone, though their part of the requests came to the few that were left; and any read within the shared chance could go to the one cold member that was fit. A group now remembers how many members the list named at once, and each read is for some of the cold members only, for a primary least.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -43,6 +43,8 @@
 const READ_PART: f64 = 0.5;
 /// Part of a cold member's budget that is used: the other proxies' shares are guessed.
 const COLD_SAFETY: f64 = 0.4;
+/// One cold member gets so much of its part by warmth at most, as when the others are full or behind.
+const COLD_ALONE: f64 = 1.5;
 /// Too long for a cold member from this part (one in so many) of that on: slow links lengthen all answers.
 const COLD_SHORT: f64 = 2.0;
 /// A held request needs this many usual times left to be worth sending.
@@ -575,15 +577,19 @@
             return led;
         }
         // Reads are shared with the other members by warmth; what only a primary takes is not. Those that
-        // died count as missing, as their part of the requests comes here too.
-        let here = || self.groups[&m.group].members.iter().filter(|o| !self.members[o].drained);
-        let open = here().filter(|&&o| o == to || !self.suspect(o) && self.open_to(o, r));
-        let shared = open.map(|&o| self.warmth(o)).sum::<f64>() / here().count().max(1) as f64;
-        let part = if writes { self.warmth(to) } else { shared };
+        // died or were drained count as missing: their part of the requests comes here too.
+        let g = &self.groups[&m.group];
+        let open = g.members.iter().filter(|&&o| o == to || !self.suspect(o) && self.open_to(o, r));
+        let sum = open.map(|&o| self.warmth(o)).sum::<f64>();
+        let part = if writes { self.warmth(to) } else { sum / g.most.max(1) as f64 };
         let chance = self.s.rules.overload_multiple * COLD_SAFETY * part;
         let turn = (r.draw / chance * self.s.rules.overload_window as f64) as Ns;
         let piled_up = r.arrived < m.well_since && self.now - m.well_since < turn;
-        (writes || self.usual[r.class] * COLD_SHORT <= self.short()) && r.draw < chance && !piled_up
+        // Each read is for some of the cold ones only, and least for a primary, lest one alone gets all.
+        let alone = COLD_ALONE * if self.primary(m.group) == Some(to) { READ_PART } else { 1.0 };
+        let its = writes || g.place(to, r.draw / chance) < alone * self.warmth(to) / sum;
+        let short = writes || self.usual[r.class] * COLD_SHORT <= self.short();
+        its && short && r.draw < chance && !piled_up
     }
 
     /// Share of its capacity that a member has by now at least.
@@ -772,8 +778,7 @@
 
     /// What the end of an attempt says of the member's health and speed.
     fn hear(&mut self, id: MemberId, class: usize, outcome: Outcome, elapsed: Ns) {
-        let aim = self.s.classes[class].aim;
-        let usual = self.usual[class];
+        let (aim, usual) = (self.s.classes[class].aim, self.usual[class]);
         let proxies = f64::from(self.s.proxies.max(1));
         let memory = self.memory();
         let m = self.members.get_mut(&id).expect("member");
@@ -862,18 +867,15 @@
     // ---- News of members ----
 
     fn on_list(&mut self, complete: bool, entries: &[ListEntry]) {
-        if complete {
-            self.members.values_mut().for_each(|m| m.gone = true);
-        }
+        self.members.values_mut().for_each(|m| m.gone |= complete);
         entries.iter().for_each(|e| self.on_entry(e));
         let now = self.now;
         self.members.values_mut().for_each(|m| m.gone_at = if m.gone { m.gone_at.min(now) } else { Ns::MAX });
         self.forget();
-        self.groups.values_mut().for_each(|g| g.dirty = true);
+        self.groups.values_mut().for_each(|g| g.relisted(&self.members));
     }
 
-    /// Members that are gone are forgotten, lest they pile up; one that went without a drain only once those
-    /// that took over are warm.
+    /// Members that are gone are forgotten; one that went without a drain once those that took over are warm.
     fn forget(&mut self) {
         let long_ago = self.now - 2 * self.s.rules.cold_for;
         let over = |id: MemberId, m: &Member| !self.in_service(id) && m.over(long_ago);
@@ -1009,8 +1011,7 @@
     fn probe(&mut self, id: MemberId) {
         if self.s.limits.probes {
             let m = self.members.get_mut(&id).expect("member");
-            m.probe_at = self.now;
-            m.probe_out = true;
+            (m.probe_at, m.probe_out) = (self.now, true);
             self.out.push(Action::Probe { member: id });
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -162,6 +162,9 @@
     pub(crate) members: Vec<MemberId>,
     /// Held requests by class, oldest first; entries of requests no longer held are skipped.
     pub(crate) held: Vec<VecDeque<RequestId>>,
+    /// So many members the list has named in it at once. Danger: while a release replaces them a few are left, and their
+    /// part of the requests is still that of all.
+    pub(crate) most: usize,
     /// Something changed: select again.
     pub(crate) dirty: bool,
     /// Age of data that some held read without a proven replica would take; 0 for none such.
@@ -177,6 +180,18 @@
 }
 
 impl Group {
+    /// The list has changed.
+    pub(crate) fn relisted(&mut self, members: &BTreeMap<MemberId, Member>) {
+        let named = self.members.iter().filter(|m| members.get(m).is_some_and(|m| !m.gone)).count();
+        (self.most, self.dirty) = (self.most.max(named), true);
+    }
+
+    /// Where a number stands as seen from a member: from 0 to 1, with the members' own points evenly apart.
+    pub(crate) fn place(&self, member: MemberId, number: f64) -> f64 {
+        let own = self.members.iter().position(|&m| m == member).unwrap_or(0);
+        (number - own as f64 / self.most.max(1) as f64).rem_euclid(1.0)
+    }
+
     /// Some request is held.
     pub(crate) fn waiting(&self) -> bool {
         self.held.iter().any(|q| !q.is_empty())
