--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -729,7 +729,8 @@
         let slot = self.slot().ok_or(Outcome::Moot)?;
         let (address, epoch) = {
             let hosts = self.hosts.borrow();
-            let host = hosts.get(&member).ok_or(Outcome::Moot)?;
+            // What was decided on before a drain opens nothing behind it.
+            let host = hosts.get(&member).filter(|h| h.ready).ok_or(Outcome::Moot)?;
             (host.entry.host_port, host.epoch)
         };
         let up_by = end.min(start + self.connect_timeout.get());
--- a/tests/gateway/endings.rs
+++ b/tests/gateway/endings.rs
@@ -370,3 +370,88 @@
     assert_eq!(two.statements().len(), before);
     drop(idle);
 }
+
+/// An answer as a host gives it.
+fn answer() -> Vec<u8> {
+    let column = [&b"T\0\0\0\x20\0\x01payload\0"[..], &[0; 18]].concat();
+    [&column[..], b"D\0\0\0\x0b\0\x01\0\0\0\x01x", b"C\0\0\0\x0dSELECT 1\0", b"Z\0\0\0\x05I"].concat()
+}
+
+/// Guards against an unfinished row that is passed on as one: the host breaks off behind each byte of its answer, by an end
+/// or by a reset.
+#[test]
+fn an_answer_that_breaks_off_is_a_row_from_its_last_message_on_and_never_before() {
+    let shy = Shy::start();
+    let discovery = Discovery::start(vec![shy.entry("in_service")]);
+    let gateway = Gateway::with(&discovery, &[], |c| {
+        c["known"]["members"] = json!([shy.entry("in_service")]);
+        c["settings"]["Bounds"]["Probes"] = json!(false);
+        c["settings"]["Bounds"]["MostTries"] = json!(1);
+        // A host that breaks off is left alone for a few of these.
+        c["settings"]["Bounds"]["ConnectTimeoutNs"] = json!(100_000_000u64);
+    });
+    let whole = answer();
+    let complete = whole.len() - 6;
+    let mut client = gateway.client();
+    for cut in 0..=whole.len() {
+        let reset = cut % 2 == 1;
+        client.send(&query(&statement("read", 9_000)));
+        let mut host = shy.next();
+        welcome(&mut host);
+        query_of(&mut host).expect("the statement");
+        host.write_all(&whole[..cut]).unwrap();
+        if reset {
+            // What has been sent is read before the reset, which would take it along.
+            std::thread::sleep(Duration::from_millis(10));
+            socket2::SockRef::from(&host).set_linger(Some(Duration::ZERO)).unwrap();
+        }
+        drop(host);
+        let told = client.until_ready();
+        let row = told.contains("DataRow x") && told.ends_with("ReadyForQuery");
+        assert_eq!(row, cut >= complete, "{cut} bytes, reset {reset}: {told}");
+        assert!(row || told.starts_with("ErrorResponse"), "{cut} bytes: {told}");
+    }
+}
+
+/// Guards against requests that are left without an answer by a planned stop: one hangs at its host, one waits for a
+/// connection, one comes last; and against a second signal that cuts them off.
+#[test]
+fn a_planned_stop_answers_what_hangs_what_waits_and_what_comes_last() {
+    let shy = Shy::start();
+    let discovery = Discovery::start(vec![shy.entry("in_service")]);
+    let mut gateway = Gateway::with(&discovery, &[], |c| {
+        c["known"]["members"] = json!([shy.entry("in_service")]);
+        c["settings"]["Bounds"]["Probes"] = json!(false);
+        // All deadlines are short, and times of the stop follow from the longest.
+        for class in c["settings"]["Classes"].as_array_mut().unwrap() {
+            class["DeadlineNs"] = json!(400_000_000);
+        }
+    });
+    let mut clients: Vec<Client> = (0..3).map(|_| gateway.client()).collect();
+    let any = |n: usize| query(&statement("read", 400).replace("9b1f", &n.to_string()));
+    clients[0].send(&any(0));
+    let mut hangs = shy.next();
+    welcome(&mut hangs);
+    query_of(&mut hangs).expect("one that hangs");
+    gateway.signal("-TERM");
+    gateway.wait_for_log("stopping");
+    gateway.signal("-TERM");
+    gateway.signal("-HUP");
+    clients[1].send(&any(1));
+    let _waits = shy.next();
+    let mut last = gateway.client();
+    // Half of it now, and the rest while the other two are waited for.
+    let bytes = any(2);
+    last.send(&bytes[..20]);
+    for c in &mut clients[..2] {
+        let told = c.until_ready();
+        assert!(told.contains("C53300") || told.contains("CXX000"), "{told}");
+    }
+    last.send(&bytes[20..]);
+    let told = last.until_ready();
+    assert!(told.starts_with("ErrorResponse") || told.contains("DataRow"), "{told}");
+    let mut idle = clients.pop().unwrap();
+    assert_eq!(idle.until_ready(), "closed");
+    assert_eq!(gateway.exit_code(), Some(0));
+    gateway.log.change(|l| assert!(!l.iter().any(|l| l.contains("received=0")), "{l:?}"));
+}
