Settings that are zero, huge or below zero have a meaning, and break no router

Seen with the new test on the sources before: ColdNs of the largest number overflows at decide.rs (forget, 2 * cold_for), and a tick of 0 lets a router that holds a request wake itself without end (plan_wake). The test plays 15 figures at 0, 1, the largest number and -1 against a router; what is refused at the start is refused with its reason.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -158,6 +158,8 @@
 const MANY: u32 = 16;
 /// No time in the settings is longer. Danger: sums of two times would overflow.
 const LONGEST: Ns = 86_400_000_000_000;
+/// And no tick is shorter. Danger: with none, a held request would be looked at without end.
+const SHORTEST_TICK: Ns = 1_000_000;
 
 impl Loaded {
     /// Reads the settings object.
@@ -205,6 +207,11 @@
     Ok(())
 }
 
+/// A time that may be none, and is never so long that sums of it overflow: beyond a day it is a day.
+fn some_time(ns: Ns) -> Ns {
+    ns.clamp(0, LONGEST)
+}
+
 fn settings(seed: u64, b: &BootInfo, zones: &mut Names) -> Result<Settings, String> {
     let d = &b.domain;
     check(b)?;
@@ -215,7 +222,7 @@
             Some("mutate") => Freshness::Write,
             Some("strong") => Freshness::Fresh,
             Some("causal") => Freshness::Session,
-            Some("lag_bound") => Freshness::Bounded(bound),
+            Some("lag_bound") => Freshness::Bounded(some_time(bound)),
             Some("eventual") => Freshness::Any,
             other => return Err(format!("unknown freshness {other:?} of class {}", c.name)),
         };
@@ -226,7 +233,7 @@
         };
         let repeat = match c.effect.as_str() {
             "retryable" => Repeat::Safe,
-            "dedup" => Repeat::Keyed { scope, window: c.window_ns },
+            "dedup" => Repeat::Keyed { scope, window: some_time(c.window_ns) },
             "fragile" => Repeat::Unsafe,
             other => return Err(format!("unknown effect {other} of class {}", c.name)),
         };
@@ -244,7 +251,7 @@
         seed,
         proxies: b.balancers,
         zone: ZoneId(zones.number(&b.my_zone) as u32),
-        tick: b.round_ns,
+        tick: b.round_ns.clamp(SHORTEST_TICK, LONGEST),
         classes,
         tenants: b.tenants.iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
         over_share_worth: b.over_share_worth,
@@ -255,16 +262,16 @@
             cancel: b.bounds.cancel,
             second_copies: b.bounds.second_copies,
             pauses: b.bounds.retry_after,
-            max_pause: b.bounds.max_retry_after_ns,
+            max_pause: some_time(b.bounds.max_retry_after_ns),
             connect_timeout: b.bounds.connect_timeout_ns,
         },
         rules: Rules {
-            drain_grace: b.rules.drain_grace_ns,
+            drain_grace: some_time(b.rules.drain_grace_ns),
             drain_binds_alone: b.rules.drain_binds_alone.unwrap_or(false),
-            cold_for: b.rules.cold_ns,
-            start_capacity: b.rules.start_capacity,
-            overload_multiple: b.rules.overload_factor,
-            overload_window: b.rules.tip_after_ns,
+            cold_for: some_time(b.rules.cold_ns),
+            start_capacity: b.rules.start_capacity.clamp(0.0, 1.0),
+            overload_multiple: b.rules.overload_factor.max(0.0),
+            overload_window: some_time(b.rules.tip_after_ns),
         },
         checks: match d.server_checks.as_str() {
             "bounce" => ServerChecks::Refuse,
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,106 @@
+//! Settings of another customer: what is zero, huge or below zero has a meaning, and no router spins or breaks off on it.
+
+use irisrouter::api::*;
+use irisrouter::decide::Router;
+use irisrouter::settings::Loaded;
+use serde_json::{json, Value};
+
+const MS: Ns = 1_000_000;
+
+/// Requests of each class while members come, are cold, answer, drain and go; how soon the router wakes itself at least.
+fn play(settings: &Value) -> Result<Ns, String> {
+    let loaded = Loaded::parse(settings, 7)?;
+    let mut router = Router::new(loaded.settings.clone());
+    let (mut now, mut soonest, mut next) = (1_000_000 * MS, Ns::MAX, 0);
+    let entry = |m: u32, listed, started| ListEntry {
+        member: MemberId(m),
+        group: GroupId(2),
+        zone: ZoneId(0),
+        listed,
+        primary: m == 0,
+        size: 1.0,
+        started,
+    };
+    for round in 0..200u32 {
+        now += 5 * MS;
+        let listed = if round > 150 { Listed::Draining } else { Listed::Ready };
+        let entries = vec![entry(0, listed, Some(now)), entry(1, Listed::Ready, None)];
+        let mut events = vec![Event::List { complete: round % 50 == 0, entries }, Event::Wake];
+        for class in 0..loaded.settings.classes.len() {
+            next += 1;
+            let deadline = now + loaded.settings.classes[class].deadline;
+            let (id, group) = (RequestId(next), GroupId(2));
+            let request = |session| Event::Request {
+                id,
+                class,
+                tenant: None,
+                session,
+                deadline,
+                work: None,
+                group,
+                mark_age: Some(MS),
+                retry: false,
+            };
+            events.push(request(Some(SessionId(1))));
+        }
+        let mut attempts = std::collections::BTreeMap::new();
+        for action in router.batch(now, &events) {
+            match action {
+                Action::Wake { after } => soonest = soonest.min(after),
+                Action::Send { id, member, limit } => {
+                    assert!(limit > 0);
+                    attempts.insert(id, member);
+                }
+                _ => {}
+            }
+        }
+        let outcome = [Outcome::Ok, Outcome::ConnectFailed, Outcome::Full][round as usize % 3];
+        let ended = attempts.into_iter().map(|(id, member)| Event::Ended {
+            id,
+            attempt: 0,
+            member,
+            outcome,
+            elapsed: MS,
+            finished: outcome == Outcome::Ok,
+            note: Some(Note { role: Role::Primary, position: Some(now) }),
+            report: None,
+        });
+        router.batch(now, &ended.collect::<Vec<_>>());
+    }
+    Ok(soonest)
+}
+
+/// Guards against figures that belong to one deployment, and against those that nobody thought of.
+#[test]
+fn a_figure_that_is_zero_huge_or_below_zero_breaks_no_router() {
+    let settings: Value = serde_json::from_str(include_str!("gateway/settings.json")).unwrap();
+    assert!(play(&settings).unwrap() >= MS);
+    let times = [
+        "/Rules/ColdNs",
+        "/Rules/DrainGraceNs",
+        "/Rules/TipAfterNs",
+        "/Rules/OverloadFactor",
+        "/Rules/StartCapacity",
+        "/RoundNs",
+        "/Bounds/MaxRetryAfterNs",
+        "/Bounds/ConnectTimeoutNs",
+        "/Bounds/IdleCloseNs",
+        "/Classes/1/WindowNs",
+        "/Classes/0/AimNs",
+        "/Classes/2/DeadlineNs",
+        "/Domain/ClassBoundNs/0",
+        "/Domain/CatchUpWaitNs",
+        "/Penalties/Probe",
+    ];
+    for path in times {
+        for value in [json!(0), json!(1), json!(i64::MAX), json!(-1)] {
+            let mut changed = settings.clone();
+            *changed.pointer_mut(path).unwrap() = value.clone();
+            match play(&changed) {
+                Ok(soonest) => assert!(soonest >= MS, "{path} = {value}: it wakes itself after {soonest} ns"),
+                // Or it is refused at the start, with the reason.
+                Err(why) => assert!(why.contains("ns") || why.contains("invalid"), "{path} = {value}: {why}"),
+            }
+        }
+    }
+}
