--- a/src/decide.rs
+++ b/src/decide.rs
@@ -44,7 +44,7 @@
 /// Part of a cold member's budget that is used: the other proxies' shares are guessed.
 const COLD_SAFETY: f64 = 0.4;
 /// One cold member gets so much of its part by warmth at most, as when the others are full or behind.
-const COLD_ALONE: f64 = 1.5;
+const COLD_ALONE: f64 = 2.0;
 /// Too long for a cold member from this part (one in so many) of that on: slow links lengthen all answers.
 const COLD_SHORT: f64 = 2.0;
 /// A held request needs this many usual times left to be worth sending.
--- a/src/state.rs
+++ b/src/state.rs
@@ -162,7 +162,7 @@
     pub(crate) members: Vec<MemberId>,
     /// Held requests by class, oldest first; entries of requests no longer held are skipped.
     pub(crate) held: Vec<VecDeque<RequestId>>,
-    /// So many members the list has named in it at once. Danger: while a release replaces them a few are left, and their
+    /// So many members the list has had in service at once. Danger: while a release replaces them a few are left, and their
     /// part of the requests is still that of all.
     pub(crate) most: usize,
     /// Something changed: select again.
@@ -182,8 +182,8 @@
 impl Group {
     /// The list has changed.
     pub(crate) fn relisted(&mut self, members: &BTreeMap<MemberId, Member>) {
-        let named = self.members.iter().filter(|m| members.get(m).is_some_and(|m| !m.gone)).count();
-        (self.most, self.dirty) = (self.most.max(named), true);
+        let serves = |m: &&MemberId| members.get(m).is_some_and(|m| !m.gone && !m.drained);
+        (self.most, self.dirty) = (self.most.max(self.members.iter().filter(serves).count()), true);
     }
 
     /// Where a number stands as seen from a member: from 0 to 1, with the members' own points evenly apart.
