Where one service answers all, discovery is called as slowly as before: the shorter times are open

The holds and first pauses for one service of all gateways are again what they were; an agent's stay short.

--- a/src/net/pace.rs
+++ b/src/net/pace.rs
@@ -1,9 +1,9 @@
-//! How fast discovery is called. A change counts as told 6 s after discovery had it and could be reached, whatever call
-//! failed: a watch is held, found silent and opened anew in less than that. On one machine discovery is an agent that
-//! answers for nothing. Where the list comes only when asked for, one service answers all gateways. To begin a watch there
-//! costs it much, to go on with one little, and what it turns away costs it as much as what it answers: once gateways begin
-//! faster than that, none is answered any more. So they begin apart, and the longer apart the more calls fail; and they go
-//! on at once: what changes within 0.2 s of an answer counts as told.
+//! How fast discovery is called. On one machine it is an agent that answers for nothing: a change counts as told 6 s after
+//! it had it and could be reached, so that a watch is held, found silent and opened anew in less than that. Where the list
+//! comes only when asked for, one service answers all gateways. To begin a watch there costs it much, to go on with one
+//! little, and what it turns away costs it as much as what it answers: once gateways begin faster than that, none is
+//! answered any more. So they begin rarely and apart, and go on at once: what changes within 0.2 s of an answer counts as
+//! told.
 
 use oorandom::Rand32;
 use std::time::Duration;
@@ -13,17 +13,16 @@
 const HOLD: Duration = Duration::from_secs(2);
 /// How long an answer may take beyond what it may wait before discovery counts as silent; a connection likewise.
 pub const SILENCE: Duration = Duration::from_secs(1);
-/// One service for all gateways lets calls that begin a watch wait in turn. Danger: one that is given up before its turn
-/// has to wait again.
-const IN_TURN: Duration = Duration::from_millis(2_500);
+/// And a call of a service for all. Open: a watch that falls silent there misses a change for longer than 6 s.
+const HOLD_SHARED: Duration = Duration::from_secs(20);
+/// One service for all gateways lets calls wait in turn. Danger: one that is given up before its turn has to wait again.
+const IN_TURN: Duration = Duration::from_secs(5);
 /// Pause after a first failure. Danger: a refusing address would be called without end.
 pub const PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause of an agent.
 const PAUSE_MOST: Duration = Duration::from_millis(500);
 /// For each gateway that asks the same service, so much is between two watches that one of them begins.
 const EACH: Duration = Duration::from_millis(100);
-/// A watch that breaks begins anew within this time, however many gateways ask; those that fail then wait for their turn.
-const ONCE: Duration = Duration::from_millis(500);
 /// Longest pause there.
 const SHARED_MOST: Duration = Duration::from_secs(20);
 
@@ -51,14 +50,15 @@
     }
 
     /// What the next call may take; not the same at all gateways that ask one service. Behind a failure, and at the start,
-    /// a call waits for no news. Danger: what was missed would be known no sooner than the hold of a call that fails, too.
+    /// a call of an agent waits for no news. Danger: what was missed would be known no sooner than the hold of a call that
+    /// fails, too.
     pub fn allowed(&mut self, shared: Option<u32>) -> Allowed {
         let hold = match (self.well, shared) {
-            (false, _) => Duration::ZERO,
+            (_, Some(_)) => self.part(HOLD_SHARED, 0.5),
+            (false, None) => Duration::ZERO,
             (true, None) => HOLD,
-            (true, Some(_)) => self.part(HOLD, 0.5),
         };
-        let beyond = if shared.is_some() && !self.well { IN_TURN } else { SILENCE };
+        let beyond = if shared.is_some() { IN_TURN } else { SILENCE };
         Allowed { hold, silence: hold + beyond }
     }
 
@@ -69,9 +69,7 @@
 
     /// The pause after a failure: longer each time.
     pub fn failed(&mut self, shared: Option<u32>) -> Duration {
-        if std::mem::replace(&mut self.well, false) && shared.is_some() {
-            return self.part(ONCE, 0.0);
-        }
+        self.well = false;
         let (least, most) = shared.map_or((PAUSE, PAUSE_MOST), |n| (turn(n), SHARED_MOST));
         self.pause = (self.pause * 2).clamp(least, most);
         self.part(self.pause, 0.5)
