--- /dev/null
+++ b/crates/datagram/tests/golden.rs
@@ -0,0 +1,161 @@
+//! Golden tests of what all datagrams between gateways have in common.
+//!
+//! Pinned are the bound of a datagram, the first bytes by which datagrams on the peer socket are told apart, the byte order
+//! in which fields are read, and the errors with their texts. A fleet is upgraded one gateway at a time, so gateways of the
+//! old and the new version exchange datagrams with each other: a change of the bound or of a first byte would make them
+//! drop what the others send. A refactoring must leave every literal in this file as it is.
+
+use irisrouter_datagram::{is, mark, Reader, WireError, LONGEST};
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+// Values: everything that is pinned here is built in this part of the file.
+
+const MARK: u8 = 0x71;
+
+/// The mark, and a field of each size.
+const FIELDS: [u8; 16] =
+    [0x71, 0x01, 0x11, 0x12, 0x21, 0x22, 0x23, 0x24, 0x31, 0x32, 0x33, 0x34, 0x35, 0x36, 0x37, 0x38];
+
+/// The mark, a count of two, and two items of two bytes.
+const TWO_ITEMS: [u8; 6] = [0x71, 0x02, 0x41, 0x42, 0x43, 0x44];
+
+fn marks() -> [u8; 6] {
+    [mark::MEMBERSHIP, mark::DUTIES, mark::INHAND, mark::SITEPLAN, mark::DRAINS, mark::LISTWATCH]
+}
+
+fn fields(datagram: &[u8]) -> Result<(u8, u16, u32, u64), WireError> {
+    let mut from = Reader::new(datagram, MARK)?;
+    let fields = (from.u8()?, from.u16()?, from.u32()?, from.u64()?);
+    from.end()?;
+    Ok(fields)
+}
+
+fn items(datagram: &[u8]) -> Result<Vec<u16>, WireError> {
+    Reader::new(datagram, MARK)?.items(2, Reader::u16)
+}
+
+// Helpers.
+
+/// The bytes with another value at a place.
+fn changed(bytes: &[u8], at: usize, value: u8) -> Vec<u8> {
+    let mut bytes = bytes.to_vec();
+    bytes[at] = value;
+    bytes
+}
+
+// Bounds and marks.
+
+#[test]
+fn longest_datagram_keeps_its_length() {
+    assert_eq!(LONGEST, 256);
+}
+
+#[test]
+fn first_bytes_keep_their_values() {
+    assert_eq!(mark::MEMBERSHIP, 0xa2);
+    assert_eq!(mark::DUTIES, 0xb1);
+    assert_eq!(mark::INHAND, 0xc1);
+    assert_eq!(mark::SITEPLAN, 0xd2);
+    assert_eq!(mark::DRAINS, 0xe1);
+    assert_eq!(mark::LISTWATCH, 0xf1);
+    assert_eq!(hex(&marks()), "a2b1c1d2e1f1");
+}
+
+#[test]
+fn datagram_is_told_by_the_high_half_of_its_first_byte_in_whatever_version() {
+    for mark in marks() {
+        let kind = mark & 0xf0;
+        for first in 0..=u8::MAX {
+            assert_eq!(is(&[first, mark], mark), first & 0xf0 == kind, "{first:#04x} against {mark:#04x}");
+        }
+        assert!(!is(&[], mark));
+    }
+}
+
+// Reading.
+
+#[test]
+fn fields_are_read_with_the_most_significant_byte_first() {
+    assert_eq!(fields(&FIELDS), Ok((0x01, 0x1112, 0x2122_2324, 0x3132_3334_3536_3738)));
+}
+
+#[test]
+fn items_are_read_in_the_order_in_which_they_stand() {
+    assert_eq!(items(&TWO_ITEMS), Ok(vec![0x4142, 0x4344]));
+    assert_eq!(items(&[0x71, 0x00]), Ok(Vec::new()));
+}
+
+#[test]
+fn datagram_of_the_longest_length_is_read_and_one_byte_more_is_refused_as_long() {
+    let longest = [&[0x71, 127][..], &[0x55; 254]].concat();
+    assert_eq!(items(&longest), Ok(vec![0x5555; 127]));
+    assert_eq!(items(&[longest, vec![0]].concat()), Err(WireError::Long));
+    // The length is looked at before the first byte.
+    assert_eq!(items(&[0x72; 257]), Err(WireError::Long));
+}
+
+// What is refused.
+
+#[test]
+fn empty_datagram_is_refused_as_short() {
+    assert_eq!(fields(&[]), Err(WireError::Short));
+    assert_eq!(items(&[]), Err(WireError::Short));
+}
+
+#[test]
+fn other_first_byte_is_refused_with_its_value() {
+    for first in [0x00, 0x70, 0x72, 0xff] {
+        assert_eq!(fields(&changed(&FIELDS, 0, first)), Err(WireError::Version(first)));
+        assert_eq!(items(&[first]), Err(WireError::Version(first)));
+    }
+}
+
+#[test]
+fn datagram_cut_anywhere_is_refused_as_short() {
+    for end in 0..FIELDS.len() {
+        assert_eq!(fields(&FIELDS[..end]), Err(WireError::Short), "{end} bytes");
+    }
+    for end in 0..TWO_ITEMS.len() {
+        assert_eq!(items(&TWO_ITEMS[..end]), Err(WireError::Short), "{end} bytes");
+    }
+}
+
+#[test]
+fn trailing_bytes_are_refused_as_long() {
+    assert_eq!(fields(&[&FIELDS[..], &[0]].concat()), Err(WireError::Long));
+    assert_eq!(items(&[&TWO_ITEMS[..], &[0]].concat()), Err(WireError::Long));
+    assert_eq!(items(&[&TWO_ITEMS[..], &[0, 0]].concat()), Err(WireError::Long));
+}
+
+#[test]
+fn count_other_than_the_items_that_follow_is_refused() {
+    assert_eq!(items(&changed(&TWO_ITEMS, 1, 3)), Err(WireError::Short));
+    assert_eq!(items(&changed(&TWO_ITEMS, 1, 255)), Err(WireError::Short));
+    assert_eq!(items(&changed(&TWO_ITEMS, 1, 1)), Err(WireError::Long));
+}
+
+#[test]
+fn error_of_an_item_is_the_error_of_the_datagram() {
+    let refuse = |from: &mut Reader<'_>| Err::<(), _>(WireError::Unknown("kind", from.u16()? as u8));
+    let read = Reader::new(&TWO_ITEMS, MARK).and_then(|from| from.items(2, refuse));
+    assert_eq!(read, Err(WireError::Unknown("kind", 0x42)));
+}
+
+#[test]
+fn errors_keep_their_texts() {
+    let texts = [
+        (WireError::Short, "the datagram ends inside a field"),
+        (WireError::Long, "the datagram is longer than what it says"),
+        (WireError::Version(0x0a), "first byte 0x0a is of another kind or version"),
+        (WireError::Version(0xb2), "first byte 0xb2 is of another kind or version"),
+        (WireError::Unknown("kind", 9), "unknown kind 9"),
+        (WireError::Unknown("state", 255), "unknown state 255"),
+        (WireError::Value("an epoch of nobody"), "an epoch of nobody can't be so"),
+    ];
+    for (error, text) in texts {
+        assert_eq!(error.to_string(), text);
+    }
+}
--- /dev/null
+++ b/crates/drains/tests/golden.rs
@@ -0,0 +1,251 @@
+//! Golden tests of the datagrams by which gateways drain database hosts on an operator's word.
+//!
+//! Pinned are the exact bytes of every kind of item, what the decoder says of these bytes and of malformed ones, the
+//! numbers of drains as duties, and the order of words. A fleet is upgraded one gateway at a time, so gateways of the old
+//! and the new version exchange these datagrams with each other, and have to agree on the owner of a drain and on the word
+//! that holds: a change of a single byte or number would leave a host in service at some gateways, or call a drain done
+//! that is not. A refactoring must leave every literal in this file as it is; a wanted change of the format needs a new
+//! first byte.
+//!
+//! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
+
+use irisrouter_drains::codec::{decode, encode, Item, Kind, WireError, DATAGRAM, ITEMS, MAGIC};
+use irisrouter_drains::{duty, is_drains, Word};
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+// Values: all items that are pinned here are built in this part of the file.
+
+fn word(out: bool) -> Word {
+    Word { host: 0x0102_0304, out, at: 0x1112_1314_1516_1718, by: 0x2122_2324 }
+}
+
+/// Of a host that is to be out of service.
+fn item(kind: Kind) -> Item {
+    Item { kind, word: word(true), epoch: 0x3132_3334_3536_3738, count: 0x4142_4344 }
+}
+
+/// Of a host that is to be back.
+fn of_return(kind: Kind) -> Item {
+    Item { word: word(false), ..item(kind) }
+}
+
+/// As it is sent by a teller that owns nothing.
+fn without_epoch_and_count(kind: Kind) -> Item {
+    Item { epoch: 0, count: 0, ..item(kind) }
+}
+
+fn with_largest_numbers() -> Item {
+    let word = Word { host: u32::MAX, out: true, at: u64::MAX, by: u32::MAX };
+    Item { kind: Kind::Done, word, epoch: u64::MAX, count: u32::MAX }
+}
+
+/// Items that differ in every field.
+fn many(count: u32) -> Vec<Item> {
+    let kinds = [Kind::Tell, Kind::Holds, Kind::Done];
+    let one = |i: u32| Item {
+        kind: kinds[i as usize % kinds.len()],
+        word: Word {
+            host: 0x0100_0000 + i,
+            out: i % 2 == 1,
+            at: 0x1100_0000_0000_0000 + u64::from(i),
+            by: 0x2100_0000 + i,
+        },
+        epoch: 0x3100_0000_0000_0000 + u64::from(i),
+        count: 0x4100_0000 + i,
+    };
+    (0..count).map(one).collect()
+}
+
+// Helpers.
+
+fn literal(expected: &str) -> String {
+    expected.split_whitespace().collect()
+}
+
+/// A datagram of these items has these bytes, and is `read` from them.
+#[track_caller]
+fn pins_as(items: &[Item], expected: &str, read: &[Item]) {
+    let bytes = encode(items);
+    assert_eq!(hex(&bytes), literal(expected));
+    assert_eq!(decode(&bytes).as_deref(), Ok(read));
+}
+
+#[track_caller]
+fn pins(items: &[Item], expected: &str) {
+    pins_as(items, expected, items);
+}
+
+#[track_caller]
+fn refuses(bytes: &[u8], expected: WireError, text: &str) {
+    let why = decode(bytes).expect_err("it is refused");
+    assert_eq!((why, why.to_string().as_str()), (expected, text), "{}", hex(bytes));
+}
+
+// The bytes.
+
+#[test]
+fn bounds_and_first_byte_keep_their_values() {
+    assert_eq!((DATAGRAM, ITEMS, MAGIC), (256, 8, 0xe1));
+}
+
+#[test]
+fn tell_item_keeps_its_bytes() {
+    let expected = "e1 01  00 01 01020304 1112131415161718 21222324 3132333435363738 41424344";
+    pins(&[item(Kind::Tell)], expected);
+}
+
+#[test]
+fn holds_item_keeps_its_bytes() {
+    let expected = "e1 01  01 01 01020304 1112131415161718 21222324 3132333435363738 41424344";
+    pins(&[item(Kind::Holds)], expected);
+}
+
+#[test]
+fn done_item_keeps_its_bytes() {
+    let expected = "e1 01  02 01 01020304 1112131415161718 21222324 3132333435363738 41424344";
+    pins(&[item(Kind::Done)], expected);
+}
+
+#[test]
+fn items_of_a_host_that_is_to_be_back_keep_their_bytes() {
+    pins(
+        &[of_return(Kind::Tell), of_return(Kind::Holds), of_return(Kind::Done)],
+        "e1 03
+        00 00 01020304 1112131415161718 21222324 3132333435363738 41424344
+        01 00 01020304 1112131415161718 21222324 3132333435363738 41424344
+        02 00 01020304 1112131415161718 21222324 3132333435363738 41424344",
+    );
+}
+
+#[test]
+fn item_of_a_teller_that_owns_nothing_keeps_its_bytes() {
+    let expected = "e1 01  00 01 01020304 1112131415161718 21222324 0000000000000000 00000000";
+    pins(&[without_epoch_and_count(Kind::Tell)], expected);
+}
+
+#[test]
+fn item_with_the_largest_numbers_keeps_its_bytes() {
+    let expected = "e1 01  02 01 ffffffff ffffffffffffffff ffffffff ffffffffffffffff ffffffff";
+    pins(&[with_largest_numbers()], expected);
+}
+
+#[test]
+fn datagram_without_items_keeps_its_bytes() {
+    pins(&[], "e1 00");
+}
+
+#[test]
+fn longest_datagram_keeps_its_bytes_and_items_beyond_it_are_left_out() {
+    pins_as(
+        &many(10),
+        "e1 08
+        00 00 01000000 1100000000000000 21000000 3100000000000000 41000000
+        01 01 01000001 1100000000000001 21000001 3100000000000001 41000001
+        02 00 01000002 1100000000000002 21000002 3100000000000002 41000002
+        00 01 01000003 1100000000000003 21000003 3100000000000003 41000003
+        01 00 01000004 1100000000000004 21000004 3100000000000004 41000004
+        02 01 01000005 1100000000000005 21000005 3100000000000005 41000005
+        00 00 01000006 1100000000000006 21000006 3100000000000006 41000006
+        01 01 01000007 1100000000000007 21000007 3100000000000007 41000007",
+        &many(8),
+    );
+}
+
+// What is refused.
+
+#[test]
+fn empty_datagram_is_refused_as_short() {
+    refuses(&[], WireError::Short, "the datagram ends inside a field");
+}
+
+#[test]
+fn other_first_byte_is_refused_as_another_kind_or_version() {
+    refuses(&[0xe2], WireError::Version(0xe2), "first byte 0xe2 is of another kind or version");
+    let mut bytes = encode(&many(2));
+    bytes[0] = 0xf1;
+    refuses(&bytes, WireError::Version(0xf1), "first byte 0xf1 is of another kind or version");
+}
+
+#[test]
+fn datagram_cut_anywhere_is_refused_as_short() {
+    let bytes = encode(&many(2));
+    for end in 0..bytes.len() {
+        refuses(&bytes[..end], WireError::Short, "the datagram ends inside a field");
+    }
+}
+
+#[test]
+fn trailing_bytes_are_refused_as_long() {
+    let text = "the datagram is longer than what it says";
+    refuses(&[encode(&many(2)), vec![0]].concat(), WireError::Long, text);
+    refuses(&[encode(&many(2)), vec![0; 30]].concat(), WireError::Long, text);
+    refuses(&[encode(&many(8)), vec![0]].concat(), WireError::Long, text);
+}
+
+#[test]
+fn unknown_kind_is_refused_with_its_number() {
+    let mut bytes = encode(&many(2));
+    for (kind, text) in [(3, "unknown kind 3"), (255, "unknown kind 255")] {
+        bytes[2 + 30] = kind;
+        refuses(&bytes, WireError::Unknown("kind", kind), text);
+    }
+}
+
+#[test]
+fn unknown_state_is_refused_with_its_number() {
+    let mut bytes = encode(&many(2));
+    for (state, text) in [(2, "unknown state 2"), (255, "unknown state 255")] {
+        bytes[2 + 30 + 1] = state;
+        refuses(&bytes, WireError::Unknown("state", state), text);
+    }
+}
+
+#[test]
+fn count_other_than_the_items_that_follow_is_refused() {
+    let mut bytes = encode(&many(2));
+    for count in [3, 9, 255] {
+        bytes[1] = count;
+        refuses(&bytes, WireError::Short, "the datagram ends inside a field");
+    }
+    bytes[1] = 1;
+    refuses(&bytes, WireError::Long, "the datagram is longer than what it says");
+}
+
+#[test]
+fn one_item_more_than_fit_is_refused_as_long() {
+    let mut bytes = [encode(&many(8)), vec![0; 30]].concat();
+    bytes[1] = 9;
+    refuses(&bytes, WireError::Long, "the datagram is longer than what it says");
+}
+
+#[test]
+fn datagram_of_drains_is_told_by_the_high_half_of_its_first_byte() {
+    assert!(is_drains(&[0xe1]) && is_drains(&[0xe0]) && is_drains(&[0xef, 0x00]));
+    assert!(!is_drains(&[]) && !is_drains(&[0x01, 0xe1]) && !is_drains(&[0xd1]) && !is_drains(&[0xf1]));
+}
+
+// Numbers on which all gateways agree.
+
+#[test]
+fn duty_of_a_host_s_drain_keeps_its_number() {
+    assert_eq!(duty(0), 0x4452_4149_0000_0000);
+    assert_eq!(duty(7), 0x4452_4149_0000_0007);
+    assert_eq!(duty(0x00ab_cdef), 0x4452_4149_00ab_cdef);
+    assert_eq!(duty(u32::MAX), 0x4452_4149_ffff_ffff);
+}
+
+#[test]
+fn words_are_ordered_by_time_then_by_gateway_then_by_state() {
+    assert_eq!(word(true).order(), (0x1112_1314_1516_1718, 0x2122_2324, true));
+    let in_order = [
+        Word { at: 1, by: 9, ..word(true) },
+        Word { at: 2, by: 3, ..word(true) },
+        Word { at: 2, by: 4, ..word(false) },
+        Word { at: 2, by: 4, ..word(true) },
+        Word { at: 3, by: 0, ..word(false) },
+    ];
+    assert!(in_order.windows(2).all(|pair| pair[0].order() < pair[1].order()));
+}
--- /dev/null
+++ b/crates/duties/tests/golden.rs
@@ -0,0 +1,353 @@
+//! Golden tests of the datagrams by which gateways claim, grant and give up duties.
+//!
+//! Pinned are the exact bytes of every kind of item, what the decoder says of these bytes and of malformed ones, and the
+//! orders by which a duty's owners and voters are found. A fleet is upgraded one gateway at a time, so gateways of the old
+//! and the new version exchange these datagrams with each other and have to come to the same owners and voters: a change of
+//! a single byte would leave duties without an owner, and other voters could grant one duty to two gateways at once. A
+//! refactoring must leave every literal in this file as it is; a wanted change of the format needs a new first byte.
+//!
+//! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
+
+use irisrouter_duties::codec::{decode, encode, Item, Kind, WireError, DATAGRAM, ITEMS, MAGIC};
+use irisrouter_duties::order::{owners, voters, VOTERS};
+use irisrouter_duties::{is_duties, Holder};
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+// Values: all items that are pinned here are built in this part of the file.
+
+/// The sender's generation.
+const GENERATION: u16 = 0x0a0b;
+
+fn item(kind: Kind) -> Item {
+    Item {
+        kind,
+        duty: 0x0102_0304_0506_0708,
+        epoch: 0x1112_1314_1516_1718,
+        round: 0x2122,
+        holder: Some(Holder { number: 0x3132_3334, generation: 0x3536 }),
+        left: 0x41_4243,
+    }
+}
+
+/// Nobody, and nothing left.
+fn bare(kind: Kind) -> Item {
+    Item { holder: None, left: 0, ..item(kind) }
+}
+
+fn with_most_left(left: u32) -> Item {
+    Item { left, ..item(Kind::Refused) }
+}
+
+fn with_largest_numbers() -> Item {
+    Item {
+        kind: Kind::Free,
+        duty: u64::MAX,
+        epoch: u64::MAX,
+        round: u16::MAX,
+        holder: Some(Holder { number: u32::MAX - 1, generation: u16::MAX }),
+        left: 0xff_ffff,
+    }
+}
+
+/// A holder whose number is the one that stands for none.
+fn with_holder_that_stands_for_none() -> Item {
+    Item { holder: Some(Holder { number: u32::MAX, generation: 0x3536 }), ..item(Kind::Granted) }
+}
+
+/// Items that differ in every field; the ninth has no holder.
+fn many(count: u32) -> Vec<Item> {
+    let kinds =
+        [Kind::Ask, Kind::Granted, Kind::Refused, Kind::Released, Kind::Offered, Kind::Look, Kind::Free];
+    let one = |i: u32| Item {
+        kind: kinds[i as usize % kinds.len()],
+        duty: 0x0100_0000_0000_0000 + u64::from(i),
+        epoch: 0x1100_0000_0000_0000 + u64::from(i),
+        round: 0x2100 + i as u16,
+        holder: Some(Holder { number: 0x3100_0000 + i, generation: 0x4100 + i as u16 }).filter(|_| i != 8),
+        left: 0x51_0000 + i,
+    };
+    (0..count).map(one).collect()
+}
+
+// Helpers.
+
+fn literal(expected: &str) -> String {
+    expected.split_whitespace().collect()
+}
+
+/// A datagram of these items has these bytes, and is `read` from them.
+#[track_caller]
+fn pins_as(items: &[Item], expected: &str, read: &[Item]) {
+    let bytes = encode(GENERATION, items);
+    assert_eq!(hex(&bytes), literal(expected));
+    assert_eq!(decode(&bytes), Ok((GENERATION, read.to_vec())));
+}
+
+#[track_caller]
+fn pins(items: &[Item], expected: &str) {
+    pins_as(items, expected, items);
+}
+
+#[track_caller]
+fn refuses(bytes: &[u8], expected: WireError, text: &str) {
+    let why = decode(bytes).expect_err("it is refused");
+    assert_eq!((why, why.to_string().as_str()), (expected, text), "{}", hex(bytes));
+}
+
+// The bytes.
+
+#[test]
+fn bounds_and_first_byte_keep_their_values() {
+    assert_eq!((DATAGRAM, ITEMS, MAGIC), (256, 9, 0xb1));
+}
+
+#[test]
+fn ask_item_keeps_its_bytes() {
+    pins(&[item(Kind::Ask)], "b1 0a0b 01  00 0102030405060708 1112131415161718 2122 31323334 3536 414243");
+}
+
+#[test]
+fn granted_item_keeps_its_bytes() {
+    pins(
+        &[item(Kind::Granted)],
+        "b1 0a0b 01  01 0102030405060708 1112131415161718 2122 31323334 3536 414243",
+    );
+}
+
+#[test]
+fn refused_item_keeps_its_bytes() {
+    pins(
+        &[item(Kind::Refused)],
+        "b1 0a0b 01  02 0102030405060708 1112131415161718 2122 31323334 3536 414243",
+    );
+}
+
+#[test]
+fn released_item_keeps_its_bytes() {
+    pins(
+        &[item(Kind::Released)],
+        "b1 0a0b 01  03 0102030405060708 1112131415161718 2122 31323334 3536 414243",
+    );
+}
+
+#[test]
+fn offered_item_keeps_its_bytes() {
+    pins(
+        &[item(Kind::Offered)],
+        "b1 0a0b 01  04 0102030405060708 1112131415161718 2122 31323334 3536 414243",
+    );
+}
+
+#[test]
+fn look_item_keeps_its_bytes() {
+    pins(&[item(Kind::Look)], "b1 0a0b 01  05 0102030405060708 1112131415161718 2122 31323334 3536 414243");
+}
+
+#[test]
+fn free_item_keeps_its_bytes() {
+    pins(&[item(Kind::Free)], "b1 0a0b 01  06 0102030405060708 1112131415161718 2122 31323334 3536 414243");
+}
+
+#[test]
+fn item_without_holder_keeps_its_bytes() {
+    pins(&[bare(Kind::Ask)], "b1 0a0b 01  00 0102030405060708 1112131415161718 2122 ffffffff 0000 000000");
+}
+
+#[test]
+fn item_with_the_largest_numbers_keeps_its_bytes() {
+    let expected = "b1 0a0b 01  06 ffffffffffffffff ffffffffffffffff ffff fffffffe ffff ffffff";
+    pins(&[with_largest_numbers()], expected);
+}
+
+#[test]
+fn time_left_beyond_24_bits_is_written_as_the_longest_one() {
+    let expected = "b1 0a0b 01  02 0102030405060708 1112131415161718 2122 31323334 3536 ffffff";
+    for left in [0x100_0000, u32::MAX] {
+        pins_as(&[with_most_left(left)], expected, &[with_most_left(0xff_ffff)]);
+    }
+}
+
+#[test]
+fn holder_with_the_number_that_stands_for_none_is_read_as_none() {
+    let read = Item { holder: None, ..with_holder_that_stands_for_none() };
+    let expected = "b1 0a0b 01  01 0102030405060708 1112131415161718 2122 ffffffff 3536 414243";
+    pins_as(&[with_holder_that_stands_for_none()], expected, &[read]);
+}
+
+#[test]
+fn datagram_without_items_keeps_its_bytes() {
+    pins(&[], "b1 0a0b 00");
+}
+
+#[test]
+fn longest_datagram_keeps_its_bytes_and_items_beyond_it_are_left_out() {
+    pins_as(
+        &many(11),
+        "b1 0a0b 09
+        00 0100000000000000 1100000000000000 2100 31000000 4100 510000
+        01 0100000000000001 1100000000000001 2101 31000001 4101 510001
+        02 0100000000000002 1100000000000002 2102 31000002 4102 510002
+        03 0100000000000003 1100000000000003 2103 31000003 4103 510003
+        04 0100000000000004 1100000000000004 2104 31000004 4104 510004
+        05 0100000000000005 1100000000000005 2105 31000005 4105 510005
+        06 0100000000000006 1100000000000006 2106 31000006 4106 510006
+        00 0100000000000007 1100000000000007 2107 31000007 4107 510007
+        01 0100000000000008 1100000000000008 2108 ffffffff 0000 510008",
+        &many(9),
+    );
+}
+
+// What is refused.
+
+#[test]
+fn empty_datagram_is_refused_as_short() {
+    refuses(&[], WireError::Short, "the datagram ends inside a field");
+}
+
+#[test]
+fn other_first_byte_is_refused_as_another_kind_or_version() {
+    refuses(&[0xb2], WireError::Version(0xb2), "first byte 0xb2 is of another kind or version");
+    let mut bytes = encode(GENERATION, &many(2));
+    bytes[0] = 0x01;
+    refuses(&bytes, WireError::Version(0x01), "first byte 0x01 is of another kind or version");
+}
+
+#[test]
+fn datagram_cut_anywhere_is_refused_as_short() {
+    let bytes = encode(GENERATION, &many(2));
+    for end in 0..bytes.len() {
+        refuses(&bytes[..end], WireError::Short, "the datagram ends inside a field");
+    }
+}
+
+#[test]
+fn trailing_bytes_are_refused_as_long() {
+    let text = "the datagram is longer than what it says";
+    refuses(&[encode(GENERATION, &many(2)), vec![0]].concat(), WireError::Long, text);
+    refuses(&[encode(GENERATION, &many(2)), vec![0; 28]].concat(), WireError::Long, text);
+    refuses(&[encode(GENERATION, &many(9)), vec![0]].concat(), WireError::Long, text);
+}
+
+#[test]
+fn unknown_kind_is_refused_with_its_number() {
+    let mut bytes = encode(GENERATION, &many(2));
+    for (kind, text) in [(7, "unknown kind 7"), (255, "unknown kind 255")] {
+        bytes[4 + 28] = kind;
+        refuses(&bytes, WireError::Unknown("kind", kind), text);
+    }
+}
+
+#[test]
+fn count_other_than_the_items_that_follow_is_refused() {
+    let mut bytes = encode(GENERATION, &many(2));
+    for count in [3, 10, 255] {
+        bytes[3] = count;
+        refuses(&bytes, WireError::Short, "the datagram ends inside a field");
+    }
+    bytes[3] = 1;
+    refuses(&bytes, WireError::Long, "the datagram is longer than what it says");
+}
+
+#[test]
+fn one_item_more_than_fit_is_refused_as_long() {
+    let mut bytes = [encode(GENERATION, &many(9)), vec![0; 28]].concat();
+    bytes[3] = 10;
+    refuses(&bytes, WireError::Long, "the datagram is longer than what it says");
+}
+
+#[test]
+fn datagram_of_duties_is_told_by_the_high_half_of_its_first_byte() {
+    assert!(is_duties(&[0xb1]) && is_duties(&[0xb0]) && is_duties(&[0xbf, 0x00]));
+    assert!(!is_duties(&[]) && !is_duties(&[0x01, 0xb1]) && !is_duties(&[0xa1]) && !is_duties(&[0xc1]));
+}
+
+// Numbers on which all gateways agree.
+
+/// Sets 0, 1, 42 and -7, the drains of three hosts, the watch of the list, the plans of sites, and the largest number.
+const DUTIES: [u64; 10] = [
+    0,
+    1,
+    42,
+    0xffff_ffff_ffff_fff9,
+    0x4452_4149_0000_0000,
+    0x4452_4149_00ab_cdef,
+    0x4452_4149_ffff_ffff,
+    0x5741_5443_4800_0000,
+    0x5349_5445_0000_0000,
+    u64::MAX,
+];
+
+#[test]
+fn owners_of_a_duty_among_seven_gateways_keep_their_order() {
+    let expected = [
+        [1, 0, 5, 3, 4, 2, 6],
+        [6, 0, 1, 4, 5, 2, 3],
+        [5, 2, 0, 4, 3, 1, 6],
+        [0, 2, 6, 3, 1, 4, 5],
+        [0, 6, 5, 1, 4, 3, 2],
+        [1, 3, 4, 0, 2, 5, 6],
+        [2, 6, 5, 3, 1, 4, 0],
+        [1, 5, 2, 0, 6, 3, 4],
+        [3, 0, 6, 2, 4, 1, 5],
+        [3, 1, 5, 4, 2, 0, 6],
+    ];
+    for (duty, expected) in DUTIES.into_iter().zip(expected) {
+        assert_eq!(owners(duty, &[0, 1, 2, 3, 4, 5, 6]), expected, "duty {duty:#x}");
+        assert_eq!(owners(duty, &[6, 2, 4, 0, 5, 3, 1]), expected, "duty {duty:#x}, named in another order");
+    }
+}
+
+#[test]
+fn owners_of_a_duty_among_gateways_with_gaps_and_large_numbers_keep_their_order() {
+    let expected = [
+        [250, 3, 65_536, 4_000_000_000, 17],
+        [17, 4_000_000_000, 65_536, 3, 250],
+        [250, 4_000_000_000, 65_536, 17, 3],
+        [250, 4_000_000_000, 65_536, 3, 17],
+        [65_536, 17, 3, 4_000_000_000, 250],
+        [65_536, 3, 4_000_000_000, 250, 17],
+        [250, 3, 17, 4_000_000_000, 65_536],
+        [250, 65_536, 17, 4_000_000_000, 3],
+        [3, 17, 4_000_000_000, 250, 65_536],
+        [3, 4_000_000_000, 17, 65_536, 250],
+    ];
+    for (duty, expected) in DUTIES.into_iter().zip(expected) {
+        assert_eq!(owners(duty, &[4_000_000_000, 3, 250, 17, 65_536]), expected, "duty {duty:#x}");
+    }
+    assert_eq!(owners(42, &[]), [0; 0]);
+}
+
+#[test]
+fn voters_of_a_duty_in_a_fleet_of_300_keep_their_order() {
+    let expected = [
+        [279, 204, 138, 91, 97],
+        [207, 291, 81, 285, 91],
+        [239, 9, 207, 129, 157],
+        [183, 243, 68, 59, 156],
+        [212, 162, 121, 219, 131],
+        [205, 188, 65, 206, 117],
+        [22, 107, 244, 69, 106],
+        [179, 23, 33, 166, 140],
+        [82, 79, 232, 206, 251],
+        [18, 170, 125, 191, 59],
+    ];
+    for (duty, expected) in DUTIES.into_iter().zip(expected) {
+        assert_eq!(voters(duty, 300), expected, "duty {duty:#x}");
+    }
+}
+
+#[test]
+fn voters_of_a_duty_in_small_fleets_keep_their_order() {
+    assert_eq!(VOTERS, 5);
+    assert_eq!(voters(42, 0), [0; 0]);
+    assert_eq!(voters(42, 1), [0]);
+    assert_eq!(voters(42, 3), [1, 2, 0]);
+    assert_eq!(voters(42, 5), [4, 1, 2, 3, 0]);
+    assert_eq!(voters(42, 7), [4, 5, 1, 2, 3]);
+    assert_eq!(voters(0x4452_4149_00ab_cdef, 7), [3, 1, 6, 0, 4]);
+    assert_eq!(voters(0x5741_5443_4800_0000, 7), [5, 2, 6, 0, 3]);
+    assert_eq!(voters(0x5349_5445_0000_0000, 7), [2, 0, 3, 6, 1]);
+}
--- /dev/null
+++ b/crates/gossip/tests/golden.rs
@@ -0,0 +1,297 @@
+//! Golden tests of what gateways tell one another of database hosts.
+//!
+//! Pinned are the exact bytes of the message of findings, what the decoder says of these bytes and of malformed ones, the
+//! numbers of hosts, and the order of gateways for a set with the times at which they take their turns. A fleet is
+//! upgraded one gateway at a time, so gateways of the old and the new version exchange these datagrams with each other:
+//! a change of a single byte or number would make them misread each other or probe the same set twice. A refactoring must
+//! leave every literal in this file as it is; a wanted change of the format needs a new version byte.
+//!
+//! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
+
+use irisrouter_gossip::duty::Duties;
+use irisrouter_gossip::message::{decode, encode, number, Finding, Malformed, Message, LONGEST, MOST};
+
+const MS: i64 = 1_000_000;
+/// The lower 32 bits of these milliseconds are 0x32e2_9314.
+const NOW: i64 = 1_796_150_039_316 * MS;
+/// The lower 32 bits of these milliseconds are 0: the time on the wire has just begun anew.
+const WRAP: i64 = (418 << 32) * MS;
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+// Values: all messages and findings that are pinned here are built in this part of the file.
+
+fn message(at: i64, findings: Vec<Finding>) -> Message {
+    Message { at, findings }
+}
+
+/// A primary that is 1,929 ms (0x0789) behind and uses 37 (0x25) hundredths of its cores.
+fn primary() -> Finding {
+    Finding { host: 0x12_3456, position: Some(NOW - 1_929 * MS), primary: true, in_use: Some(0.37) }
+}
+
+/// A replica that is 31 ms (0x1f) behind and uses 99 (0x63) hundredths.
+fn replica() -> Finding {
+    Finding { host: 0xfe_dcba, position: Some(NOW - 31 * MS), primary: false, in_use: Some(0.99) }
+}
+
+fn both() -> Message {
+    message(NOW, vec![primary(), replica()])
+}
+
+fn of_unknown_figures(primary: bool) -> Finding {
+    Finding { host: 0x00_abcd, position: None, primary, in_use: None }
+}
+
+/// A replica with this position and this share of its cores in use.
+fn with(position: i64, in_use: f64) -> Finding {
+    Finding { host: 0x01_0203, position: Some(position), primary: false, in_use: Some(in_use) }
+}
+
+/// The same with figures that were not told.
+fn without(position: Option<i64>, in_use: Option<f64>) -> Finding {
+    Finding { host: 0x01_0203, position, primary: false, in_use }
+}
+
+/// Findings that differ in every field; every second one is of a primary.
+fn many(count: u32) -> Vec<Finding> {
+    let one = |i: u32| Finding {
+        host: 0x0a_00ff + i * 0xff,
+        position: Some(NOW - i64::from(0x1000 + i) * MS),
+        primary: i % 2 == 1,
+        in_use: Some(f64::from(i + 1) / 100.0),
+    };
+    (0..count).map(one).collect()
+}
+
+/// The gateways of a fleet in the order in which they ask a set that nobody has asked yet.
+fn order(set: i64, gateways: u32) -> Vec<u32> {
+    let turn = |me: u32| first_turn(set, me, gateways);
+    let mut all: Vec<u32> = (0..gateways).collect();
+    all.sort_by_key(|&me| turn(me));
+    all
+}
+
+/// When this gateway asks the set if it hears nobody, for a set that appears at time 0.
+fn first_turn(set: i64, me: u32, gateways: u32) -> Option<i64> {
+    let mut duties = Duties::new(me, gateways);
+    duties.sets(0, &[set]);
+    duties.next()
+}
+
+/// When this gateway asks the set again, in a fleet of three, after another has asked it at time 0.
+fn next_turn(set: i64, me: u32, asker: u32) -> Option<i64> {
+    let mut duties = Duties::new(me, 3);
+    duties.sets(-1_000 * MS, &[set]);
+    duties.heard(set, asker, 0);
+    duties.next()
+}
+
+// Helpers.
+
+fn literal(expected: &str) -> String {
+    expected.split_whitespace().collect()
+}
+
+/// The message has these bytes, and is `read` from them at its own time.
+#[track_caller]
+fn pins(message: &Message, expected: &str, read: &Message) {
+    let bytes = encode(message);
+    assert_eq!(hex(&bytes), literal(expected));
+    assert_eq!(decode(&bytes, message.at).as_ref(), Ok(read));
+}
+
+// The bytes.
+
+#[test]
+fn bounds_keep_their_values() {
+    assert_eq!((LONGEST, MOST), (256, 41));
+}
+
+#[test]
+fn message_with_a_primary_and_a_replica_keeps_its_bytes() {
+    pins(&both(), "01 32e29314  123456 0789 a5  fedcba 001f 63", &both());
+}
+
+#[test]
+fn finding_without_known_figures_keeps_its_bytes() {
+    let sent = message(NOW, vec![of_unknown_figures(false), of_unknown_figures(true)]);
+    pins(&sent, "01 32e29314  00abcd ffff 7f  00abcd ffff ff", &sent);
+}
+
+#[test]
+fn finding_with_the_least_and_the_largest_figures_keeps_its_bytes() {
+    let sent = message(NOW, vec![with(NOW, 0.0), with(NOW - 65_534 * MS, 1.26)]);
+    pins(&sent, "01 32e29314  010203 0000 00  010203 fffe 7e", &sent);
+}
+
+#[test]
+fn position_beyond_the_range_of_the_field_is_written_as_unknown_or_as_no_lag() {
+    let sent = message(NOW, vec![with(NOW - 65_535 * MS, 0.01), with(0, 0.02), with(NOW + 7 * MS, 0.03)]);
+    let read = vec![without(None, Some(0.01)), without(None, Some(0.02)), with(NOW, 0.03)];
+    pins(&sent, "01 32e29314  010203 ffff 01  010203 ffff 02  010203 0000 03", &message(NOW, read));
+}
+
+#[test]
+fn share_of_cores_beyond_the_range_of_the_field_is_clamped_and_one_that_is_not_finite_is_written_as_unknown()
+{
+    let odd = [9.0, -0.5, 0.375, f64::NAN, f64::INFINITY, f64::NEG_INFINITY];
+    let read = [Some(1.26), Some(0.0), Some(0.38), None, None, None];
+    pins(
+        &message(NOW, odd.iter().map(|&in_use| with(NOW - 5 * MS, in_use)).collect()),
+        "01 32e29314  010203 0005 7e  010203 0005 00  010203 0005 26  010203 0005 7f  010203 0005 7f  010203 0005 7f",
+        &message(NOW, read.iter().map(|&in_use| without(Some(NOW - 5 * MS), in_use)).collect()),
+    );
+}
+
+#[test]
+fn times_are_written_in_whole_milliseconds_rounded_down() {
+    let sent = message(NOW + 999_999, vec![with(NOW + 999_999, 0.5), with(NOW - 1, 0.5)]);
+    let read = message(NOW, vec![with(NOW, 0.5), with(NOW - MS, 0.5)]);
+    pins(&sent, "01 32e29314  010203 0000 32  010203 0001 32", &read);
+}
+
+#[test]
+fn host_number_beyond_24_bits_is_written_by_its_lower_24_bits() {
+    let sent = Finding { host: 0x1234_5678, ..replica() };
+    let read = Finding { host: 0x34_5678, ..replica() };
+    pins(&message(NOW, vec![sent]), "01 32e29314  345678 001f 63", &message(NOW, vec![read]));
+}
+
+#[test]
+fn time_around_the_wrap_of_its_32_bits_keeps_its_bytes_and_is_read_as_the_nearest_one() {
+    let before = message(WRAP - MS, vec![with(WRAP - 18 * MS, 0.64)]);
+    pins(&before, "01 ffffffff  010203 0011 40", &before);
+    assert_eq!(decode(&encode(&before), WRAP + 4_000 * MS), Ok(before), "read after the wrap");
+    let after = message(WRAP, vec![with(WRAP - 18 * MS, 0.64)]);
+    pins(&after, "01 00000000  010203 0012 40", &after);
+    assert_eq!(decode(&encode(&after), WRAP - 10 * MS), Ok(after), "by a clock that is behind the wrap");
+}
+
+#[test]
+fn longest_message_keeps_its_bytes_and_findings_beyond_it_are_left_out() {
+    pins(
+        &message(NOW, many(43)),
+        "01 32e29314
+        0a00ff 1000 01  0a01fe 1001 82  0a02fd 1002 03  0a03fc 1003 84  0a04fb 1004 05  0a05fa 1005 86
+        0a06f9 1006 07  0a07f8 1007 88  0a08f7 1008 09  0a09f6 1009 8a  0a0af5 100a 0b  0a0bf4 100b 8c
+        0a0cf3 100c 0d  0a0df2 100d 8e  0a0ef1 100e 0f  0a0ff0 100f 90  0a10ef 1010 11  0a11ee 1011 92
+        0a12ed 1012 13  0a13ec 1013 94  0a14eb 1014 15  0a15ea 1015 96  0a16e9 1016 17  0a17e8 1017 98
+        0a18e7 1018 19  0a19e6 1019 9a  0a1ae5 101a 1b  0a1be4 101b 9c  0a1ce3 101c 1d  0a1de2 101d 9e
+        0a1ee1 101e 1f  0a1fe0 101f a0  0a20df 1020 21  0a21de 1021 a2  0a22dd 1022 23  0a23dc 1023 a4
+        0a24db 1024 25  0a25da 1025 a6  0a26d9 1026 27  0a27d8 1027 a8  0a28d7 1028 29",
+        &message(NOW, many(41)),
+    );
+}
+
+// What is refused. The error has no text of its own.
+
+#[test]
+fn empty_datagram_is_refused_for_its_length() {
+    assert_eq!(decode(&[], NOW), Err(Malformed::Length));
+}
+
+#[test]
+fn message_without_findings_is_written_and_refused_for_its_length() {
+    let bytes = encode(&message(NOW, Vec::new()));
+    assert_eq!(hex(&bytes), literal("01 32e29314"));
+    assert_eq!(decode(&bytes, NOW), Err(Malformed::Length));
+}
+
+#[test]
+fn other_first_byte_is_refused_as_another_version() {
+    for first in [0x00, 0x02, 0x11, 0xa2, 0xb1, 0xff] {
+        let mut bytes = encode(&both());
+        bytes[0] = first;
+        assert_eq!(decode(&bytes, NOW), Err(Malformed::Version), "{first:#04x}");
+    }
+    // The length is looked at first.
+    assert_eq!(decode(&[0x02], NOW), Err(Malformed::Length));
+    assert_eq!(decode(&[0x02; 257], NOW), Err(Malformed::Length));
+}
+
+#[test]
+fn datagram_cut_inside_a_finding_is_refused_for_its_length() {
+    let bytes = encode(&both());
+    for end in (0..bytes.len()).filter(|&end| end != 11) {
+        assert_eq!(decode(&bytes[..end], NOW), Err(Malformed::Length), "{end} bytes");
+    }
+}
+
+/// The format has no count of findings, so this can't be told from a shorter message.
+#[test]
+fn datagram_cut_between_two_findings_is_read_as_the_findings_before_the_cut() {
+    assert_eq!(decode(&encode(&both())[..11], NOW), Ok(message(NOW, vec![primary()])));
+}
+
+#[test]
+fn trailing_bytes_are_refused_for_their_length_unless_they_make_a_whole_finding() {
+    for more in 1..6 {
+        let bytes = [encode(&both()), vec![0; more]].concat();
+        assert_eq!(decode(&bytes, NOW), Err(Malformed::Length), "{more} more");
+    }
+    let bytes = [encode(&both()), vec![0x01, 0x02, 0x03, 0x00, 0x05, 0x40]].concat();
+    let read = message(NOW, vec![primary(), replica(), with(NOW - 5 * MS, 0.64)]);
+    assert_eq!(decode(&bytes, NOW), Ok(read));
+}
+
+#[test]
+fn one_finding_more_than_fit_is_refused_for_its_length() {
+    let bytes = [encode(&message(NOW, many(41))), vec![0x01, 0x02, 0x03, 0x00, 0x05, 0x40]].concat();
+    assert_eq!(bytes.len(), 257);
+    assert_eq!(decode(&bytes, NOW), Err(Malformed::Length));
+}
+
+#[test]
+fn message_is_refused_as_old_after_five_seconds_and_as_future_more_than_20_ms_ahead() {
+    let bytes = encode(&both());
+    assert_eq!(decode(&bytes, NOW + 5_000 * MS), Ok(both()));
+    assert_eq!(decode(&bytes, NOW + 5_000 * MS + 1), Err(Malformed::Old));
+    assert_eq!(decode(&bytes, NOW - 20 * MS), Ok(both()));
+    assert_eq!(decode(&bytes, NOW - 20 * MS - 1), Err(Malformed::Future));
+}
+
+// Numbers on which all gateways agree.
+
+#[test]
+fn numbers_of_hosts_keep_their_values() {
+    let numbers = [
+        ("", 0x1c_9d44),
+        ("a", 0x0c_29c8),
+        ("db-0001", 0xb3_2533),
+        ("db-0002", 0xb3_21cf),
+        ("replica-eu-west-17", 0xfe_3773),
+        ("pg/σύνολο-3", 0xf8_2ea7),
+    ];
+    for (id, expected) in numbers {
+        assert_eq!(number(id), expected, "{id:?}");
+    }
+}
+
+#[test]
+fn order_of_gateways_for_a_set_keeps_its_members_places() {
+    assert_eq!(order(0, 7), [3, 6, 0, 2, 1, 5, 4]);
+    assert_eq!(order(1, 7), [1, 2, 6, 5, 3, 4, 0]);
+    assert_eq!(order(42, 7), [1, 5, 3, 4, 0, 2, 6]);
+    assert_eq!(order(-7, 7), [0, 5, 2, 4, 6, 3, 1]);
+    assert_eq!(order(i64::MAX, 7), [4, 5, 0, 3, 6, 2, 1]);
+    assert_eq!(order(42, 12), [1, 9, 8, 5, 7, 3, 4, 0, 2, 6, 10, 11]);
+}
+
+#[test]
+fn turns_of_gateways_for_a_new_set_are_60_ms_apart() {
+    let turns: Vec<_> = order(42, 4).into_iter().map(|me| first_turn(42, me, 4)).collect();
+    assert_eq!(turns, [Some(0), Some(60 * MS), Some(120 * MS), Some(180 * MS)]);
+}
+
+#[test]
+fn asker_of_a_set_asks_again_after_200_ms_and_the_others_each_a_step_later() {
+    // In the order [1, 0, 2].
+    assert_eq!(order(42, 3), [1, 0, 2]);
+    assert_eq!(next_turn(42, 2, 2), Some(200 * MS));
+    assert_eq!(next_turn(42, 1, 2), Some(260 * MS));
+    assert_eq!(next_turn(42, 0, 2), Some(320 * MS));
+    assert_eq!(next_turn(42, 2, 1), Some(380 * MS));
+}
--- /dev/null
+++ b/crates/listwatch/tests/golden.rs
@@ -0,0 +1,174 @@
+//! Golden tests of the beat by which the fleet's watch of the list of database hosts is told.
+//!
+//! Pinned are the exact bytes of a beat, what the decoder says of these bytes and of malformed ones, and the number of the
+//! watch as a duty. A fleet is upgraded one gateway at a time, so gateways of the old and the new version exchange these
+//! datagrams with each other and have to agree on who watches: a change of a single byte or of the number would make half
+//! of the fleet watch for itself, or send requests to hosts that are out of service. A refactoring must leave every literal
+//! in this file as it is; a wanted change of the format needs a new first byte.
+//!
+//! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
+
+use irisrouter_listwatch::codec::{decode, encode, WireError, DATAGRAM, MAGIC};
+use irisrouter_listwatch::{is_listwatch, Beat, DUTY, MOST_OUT};
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+// Values: all beats that are pinned here are built in this part of the file.
+
+fn beat(out: &[u32]) -> Beat {
+    Beat { epoch: 0x0102_0304_0506_0708, revision: 0x1112_1314_1516_1718, out: out.to_vec() }
+}
+
+fn with_two_hosts() -> Beat {
+    beat(&[0x2122_2324, 0x00fe_dcba])
+}
+
+fn with_largest_numbers() -> Beat {
+    Beat { epoch: u64::MAX, revision: u64::MAX, out: vec![u32::MAX] }
+}
+
+fn with_least_numbers() -> Beat {
+    Beat { epoch: 1, revision: 0, out: vec![0] }
+}
+
+fn of_nobody() -> Beat {
+    Beat { epoch: 0, ..with_two_hosts() }
+}
+
+fn with_many_hosts(count: u32) -> Beat {
+    beat(&(0..count).map(|i| 0x2100_0000 + i).collect::<Vec<_>>())
+}
+
+// Helpers.
+
+fn literal(expected: &str) -> String {
+    expected.split_whitespace().collect()
+}
+
+/// A beat has these bytes, and is `read` from them.
+#[track_caller]
+fn pins_as(beat: &Beat, expected: &str, read: &Beat) {
+    let bytes = encode(beat);
+    assert_eq!(hex(&bytes), literal(expected));
+    assert_eq!(decode(&bytes).as_ref(), Ok(read));
+}
+
+#[track_caller]
+fn pins(beat: &Beat, expected: &str) {
+    pins_as(beat, expected, beat);
+}
+
+#[track_caller]
+fn refuses(bytes: &[u8], expected: WireError, text: &str) {
+    let why = decode(bytes).expect_err("it is refused");
+    assert_eq!((why, why.to_string().as_str()), (expected, text), "{}", hex(bytes));
+}
+
+// The bytes.
+
+#[test]
+fn bounds_and_first_byte_keep_their_values() {
+    assert_eq!((DATAGRAM, MOST_OUT, MAGIC), (256, 59, 0xf1));
+}
+
+#[test]
+fn beat_with_hosts_out_of_service_keeps_its_bytes() {
+    pins(&with_two_hosts(), "f1 0102030405060708 1112131415161718 02 21222324 00fedcba");
+}
+
+#[test]
+fn beat_without_hosts_out_of_service_keeps_its_bytes() {
+    pins(&beat(&[]), "f1 0102030405060708 1112131415161718 00");
+}
+
+#[test]
+fn beat_with_the_largest_and_the_least_numbers_keeps_its_bytes() {
+    pins(&with_largest_numbers(), "f1 ffffffffffffffff ffffffffffffffff 01 ffffffff");
+    pins(&with_least_numbers(), "f1 0000000000000001 0000000000000000 01 00000000");
+}
+
+#[test]
+fn longest_beat_keeps_its_bytes_and_hosts_beyond_it_are_left_out() {
+    pins_as(
+        &with_many_hosts(61),
+        "f1 0102030405060708 1112131415161718 3b
+        21000000 21000001 21000002 21000003 21000004 21000005 21000006 21000007 21000008 21000009
+        2100000a 2100000b 2100000c 2100000d 2100000e 2100000f 21000010 21000011 21000012 21000013
+        21000014 21000015 21000016 21000017 21000018 21000019 2100001a 2100001b 2100001c 2100001d
+        2100001e 2100001f 21000020 21000021 21000022 21000023 21000024 21000025 21000026 21000027
+        21000028 21000029 2100002a 2100002b 2100002c 2100002d 2100002e 2100002f 21000030 21000031
+        21000032 21000033 21000034 21000035 21000036 21000037 21000038 21000039 2100003a",
+        &with_many_hosts(59),
+    );
+}
+
+// What is refused. A beat has no kinds, so there is no unknown one.
+
+#[test]
+fn empty_datagram_is_refused_as_short() {
+    refuses(&[], WireError::Short, "the datagram ends inside a field");
+}
+
+#[test]
+fn other_first_byte_is_refused_as_another_kind_or_version() {
+    refuses(&[0xf2], WireError::Version(0xf2), "first byte 0xf2 is of another kind or version");
+    let mut bytes = encode(&with_two_hosts());
+    bytes[0] = 0xe1;
+    refuses(&bytes, WireError::Version(0xe1), "first byte 0xe1 is of another kind or version");
+}
+
+#[test]
+fn beat_under_epoch_0_is_written_and_refused_for_its_value() {
+    let bytes = encode(&of_nobody());
+    assert_eq!(hex(&bytes), literal("f1 0000000000000000 1112131415161718 02 21222324 00fedcba"));
+    refuses(&bytes, WireError::Value("an epoch of nobody"), "an epoch of nobody can't be so");
+}
+
+#[test]
+fn datagram_cut_anywhere_is_refused_as_short() {
+    let bytes = encode(&with_two_hosts());
+    for end in 0..bytes.len() {
+        refuses(&bytes[..end], WireError::Short, "the datagram ends inside a field");
+    }
+}
+
+#[test]
+fn trailing_bytes_are_refused_as_long() {
+    let text = "the datagram is longer than what it says";
+    refuses(&[encode(&with_two_hosts()), vec![0]].concat(), WireError::Long, text);
+    refuses(&[encode(&with_two_hosts()), vec![0; 4]].concat(), WireError::Long, text);
+    refuses(&[encode(&with_many_hosts(59)), vec![0]].concat(), WireError::Long, text);
+}
+
+#[test]
+fn count_other_than_the_hosts_that_follow_is_refused() {
+    let mut bytes = encode(&with_two_hosts());
+    for count in [3, 60, 255] {
+        bytes[17] = count;
+        refuses(&bytes, WireError::Short, "the datagram ends inside a field");
+    }
+    bytes[17] = 1;
+    refuses(&bytes, WireError::Long, "the datagram is longer than what it says");
+}
+
+#[test]
+fn one_host_more_than_fit_is_refused_as_long() {
+    let mut bytes = [encode(&with_many_hosts(59)), vec![0; 4]].concat();
+    bytes[17] = 60;
+    refuses(&bytes, WireError::Long, "the datagram is longer than what it says");
+}
+
+#[test]
+fn datagram_of_the_watch_is_told_by_the_high_half_of_its_first_byte() {
+    assert!(is_listwatch(&[0xf1]) && is_listwatch(&[0xf0]) && is_listwatch(&[0xff, 0x00]));
+    assert!(!is_listwatch(&[]) && !is_listwatch(&[0x01, 0xf1]) && !is_listwatch(&[0xe1]));
+}
+
+// Numbers on which all gateways agree.
+
+#[test]
+fn duty_of_the_watch_keeps_its_number() {
+    assert_eq!(DUTY, 0x5741_5443_4800_0000);
+}
--- /dev/null
+++ b/crates/membership/tests/golden.rs
@@ -0,0 +1,375 @@
+//! Golden tests of the datagrams by which gateways know who of them is there.
+//!
+//! Pinned are the exact bytes of every kind of datagram and of the words that it carries, what the decoder says of these
+//! bytes and of malformed ones, and how generations and incarnations are compared. A fleet is upgraded one gateway at a
+//! time, so gateways of the old and the new version exchange these datagrams with each other: a change of a single byte
+//! would make the two halves of the fleet hold each other down. A refactoring must leave every literal in this file as it
+//! is; a wanted change of the format needs a new first byte.
+//!
+//! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
+
+use irisrouter_membership::codec::{decode, encode, DATAGRAM, LONGEST_HEADER, MAGIC, WORD, WORDS};
+use irisrouter_membership::node::serial;
+use irisrouter_membership::{is_membership, Datagram, Kind, Node, WireError, Word};
+use std::cmp::Ordering;
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+// Values: all datagrams that are pinned here are built in this part of the file.
+
+fn datagram(kind: Kind, words: Vec<Word>) -> Datagram {
+    Datagram {
+        src: Node { number: 0x0102_0304, generation: 0x0506 },
+        incarnation: 0x0708,
+        dst: Node { number: 0x1112_1314, generation: 0x1516 },
+        kind,
+        words,
+    }
+}
+
+fn alive() -> Word {
+    Word { node: Node { number: 0x4142_4344, generation: 0x4546 }, incarnation: 0x4748, down: false }
+}
+
+fn down() -> Word {
+    Word { node: Node { number: 0x5152_5354, generation: 0x5556 }, incarnation: 0x5758, down: true }
+}
+
+/// With one word of each state.
+fn of(kind: Kind) -> Datagram {
+    datagram(kind, vec![alive(), down()])
+}
+
+fn ping() -> Kind {
+    Kind::Ping { seq: 0x2122 }
+}
+
+fn ack() -> Kind {
+    Kind::Ack { seq: 0x2122 }
+}
+
+fn ping_req() -> Kind {
+    Kind::PingReq { seq: 0x2122, target: 0x3132_3334 }
+}
+
+fn indirect_ack() -> Kind {
+    let target = Node { number: 0x3132_3334, generation: 0x3536 };
+    Kind::IndirectAck { seq: 0x2122, target, incarnation: 0x3738 }
+}
+
+fn join(from: Option<u32>) -> Kind {
+    Kind::Join { from }
+}
+
+fn all_kinds() -> [Kind; 9] {
+    [
+        ping(),
+        ack(),
+        ping_req(),
+        indirect_ack(),
+        join(Some(0x3132_3334)),
+        join(None),
+        Kind::Feed,
+        Kind::Gossip,
+        Kind::Leave,
+    ]
+}
+
+fn with_largest_numbers() -> Datagram {
+    let node = Node { number: u32::MAX, generation: u16::MAX };
+    Datagram {
+        src: node,
+        incarnation: u16::MAX,
+        dst: node,
+        kind: Kind::IndirectAck { seq: u16::MAX, target: node, incarnation: u16::MAX },
+        words: vec![Word { node, incarnation: u16::MAX, down: true }],
+    }
+}
+
+/// Words that differ in every field.
+fn many(count: u32) -> Vec<Word> {
+    let one = |i: u32| Word {
+        node: Node { number: 0x4100_0000 + i, generation: 0x5100 + i as u16 },
+        incarnation: 0x6100 + i as u16,
+        down: i % 2 == 1,
+    };
+    (0..count).map(one).collect()
+}
+
+// Helpers.
+
+/// Where the count of words stands in a datagram without words.
+fn count_at(kind: Kind) -> usize {
+    encode(&datagram(kind, Vec::new())).len() - 1
+}
+
+fn literal(expected: &str) -> String {
+    expected.split_whitespace().collect()
+}
+
+/// A datagram has these bytes, and is `read` from them.
+#[track_caller]
+fn pins_as(sent: &Datagram, expected: &str, read: &Datagram) {
+    let bytes = encode(sent);
+    assert_eq!(hex(&bytes), literal(expected));
+    assert_eq!(decode(&bytes).as_ref(), Ok(read));
+}
+
+#[track_caller]
+fn pins(sent: &Datagram, expected: &str) {
+    pins_as(sent, expected, sent);
+}
+
+#[track_caller]
+fn refuses(bytes: &[u8], expected: WireError, text: &str) {
+    let why = decode(bytes).expect_err("it is refused");
+    assert_eq!((why, why.to_string().as_str()), (expected, text), "{}", hex(bytes));
+}
+
+// The bytes.
+
+#[test]
+fn bounds_and_first_byte_keep_their_values() {
+    assert_eq!((DATAGRAM, LONGEST_HEADER, WORD, WORDS, MAGIC), (256, 26, 9, 25, 0xa2));
+}
+
+#[test]
+fn ping_datagram_keeps_its_bytes() {
+    pins(
+        &of(ping()),
+        "a2 01020304 0506 0708 11121314 1516  00 2122
+        02  41424344 4546 4748 00  51525354 5556 5758 01",
+    );
+}
+
+#[test]
+fn ack_datagram_keeps_its_bytes() {
+    pins(
+        &of(ack()),
+        "a2 01020304 0506 0708 11121314 1516  01 2122
+        02  41424344 4546 4748 00  51525354 5556 5758 01",
+    );
+}
+
+#[test]
+fn ping_req_datagram_keeps_its_bytes() {
+    pins(
+        &of(ping_req()),
+        "a2 01020304 0506 0708 11121314 1516  02 2122 31323334
+        02  41424344 4546 4748 00  51525354 5556 5758 01",
+    );
+}
+
+#[test]
+fn indirect_ack_datagram_keeps_its_bytes() {
+    pins(
+        &of(indirect_ack()),
+        "a2 01020304 0506 0708 11121314 1516  03 2122 31323334 3536 3738
+        02  41424344 4546 4748 00  51525354 5556 5758 01",
+    );
+}
+
+#[test]
+fn join_datagram_that_wants_to_be_told_of_members_keeps_its_bytes() {
+    pins(
+        &of(join(Some(0x3132_3334))),
+        "a2 01020304 0506 0708 11121314 1516  04 31323334
+        02  41424344 4546 4748 00  51525354 5556 5758 01",
+    );
+    pins(&datagram(join(Some(0)), Vec::new()), "a2 01020304 0506 0708 11121314 1516  04 00000000  00");
+}
+
+#[test]
+fn join_datagram_that_wants_nothing_keeps_its_bytes() {
+    pins(
+        &of(join(None)),
+        "a2 01020304 0506 0708 11121314 1516  04 ffffffff
+        02  41424344 4546 4748 00  51525354 5556 5758 01",
+    );
+}
+
+#[test]
+fn join_datagram_from_the_number_that_stands_for_none_is_read_as_wanting_nothing() {
+    pins_as(
+        &datagram(join(Some(u32::MAX)), Vec::new()),
+        "a2 01020304 0506 0708 11121314 1516  04 ffffffff  00",
+        &datagram(join(None), Vec::new()),
+    );
+}
+
+#[test]
+fn feed_datagram_keeps_its_bytes() {
+    pins(
+        &of(Kind::Feed),
+        "a2 01020304 0506 0708 11121314 1516  05
+        02  41424344 4546 4748 00  51525354 5556 5758 01",
+    );
+}
+
+#[test]
+fn gossip_datagram_keeps_its_bytes() {
+    pins(
+        &of(Kind::Gossip),
+        "a2 01020304 0506 0708 11121314 1516  06
+        02  41424344 4546 4748 00  51525354 5556 5758 01",
+    );
+}
+
+#[test]
+fn leave_datagram_keeps_its_bytes() {
+    pins(
+        &of(Kind::Leave),
+        "a2 01020304 0506 0708 11121314 1516  07
+        02  41424344 4546 4748 00  51525354 5556 5758 01",
+    );
+}
+
+#[test]
+fn datagram_without_words_keeps_its_bytes() {
+    pins(&datagram(ping(), Vec::new()), "a2 01020304 0506 0708 11121314 1516  00 2122  00");
+    pins(&datagram(Kind::Leave, Vec::new()), "a2 01020304 0506 0708 11121314 1516  07  00");
+}
+
+#[test]
+fn datagram_with_the_largest_numbers_keeps_its_bytes() {
+    pins(
+        &with_largest_numbers(),
+        "a2 ffffffff ffff ffff ffffffff ffff  03 ffff ffffffff ffff ffff  01  ffffffff ffff ffff 01",
+    );
+}
+
+#[test]
+fn longest_datagram_keeps_its_bytes_and_words_beyond_it_are_left_out() {
+    pins_as(
+        &datagram(indirect_ack(), many(27)),
+        "a2 01020304 0506 0708 11121314 1516  03 2122 31323334 3536 3738  19
+        41000000 5100 6100 00  41000001 5101 6101 01  41000002 5102 6102 00  41000003 5103 6103 01
+        41000004 5104 6104 00  41000005 5105 6105 01  41000006 5106 6106 00  41000007 5107 6107 01
+        41000008 5108 6108 00  41000009 5109 6109 01  4100000a 510a 610a 00  4100000b 510b 610b 01
+        4100000c 510c 610c 00  4100000d 510d 610d 01  4100000e 510e 610e 00  4100000f 510f 610f 01
+        41000010 5110 6110 00  41000011 5111 6111 01  41000012 5112 6112 00  41000013 5113 6113 01
+        41000014 5114 6114 00  41000015 5115 6115 01  41000016 5116 6116 00  41000017 5117 6117 01
+        41000018 5118 6118 00",
+        &datagram(indirect_ack(), many(25)),
+    );
+}
+
+#[test]
+fn words_beyond_the_bound_are_left_out_also_where_a_shorter_header_had_room_for_one_more() {
+    let bytes = encode(&datagram(Kind::Feed, many(26)));
+    assert_eq!((bytes.len(), bytes[16]), (16 + 1 + 25 * 9, 25));
+    assert_eq!(decode(&bytes), Ok(datagram(Kind::Feed, many(25))));
+}
+
+/// No gateway writes it, but it fits a datagram.
+#[test]
+fn datagram_with_one_word_more_than_is_written_is_read() {
+    let mut bytes = encode(&datagram(Kind::Feed, many(25)));
+    bytes[16] = 26;
+    bytes.extend([0x41, 0, 0, 0x19, 0x51, 0x19, 0x61, 0x19, 0x01]);
+    assert_eq!(bytes.len(), 251);
+    assert_eq!(decode(&bytes), Ok(datagram(Kind::Feed, many(26))));
+}
+
+// What is refused.
+
+#[test]
+fn empty_datagram_is_refused_as_short() {
+    refuses(&[], WireError::Short, "the datagram ends inside a field");
+}
+
+#[test]
+fn other_first_byte_is_refused_as_another_kind_or_version() {
+    refuses(&[0xa1], WireError::Version(0xa1), "first byte 0xa1 is of another kind or version");
+    let mut bytes = encode(&of(ping()));
+    bytes[0] = 0x01;
+    refuses(&bytes, WireError::Version(0x01), "first byte 0x01 is of another kind or version");
+}
+
+#[test]
+fn datagram_of_any_kind_cut_anywhere_is_refused_as_short() {
+    for kind in all_kinds() {
+        let bytes = encode(&of(kind));
+        for end in 0..bytes.len() {
+            refuses(&bytes[..end], WireError::Short, "the datagram ends inside a field");
+        }
+    }
+}
+
+#[test]
+fn trailing_bytes_are_refused_as_long() {
+    let text = "the datagram is longer than what it says";
+    for kind in all_kinds() {
+        refuses(&[encode(&of(kind)), vec![0]].concat(), WireError::Long, text);
+        refuses(&[encode(&of(kind)), vec![0; 9]].concat(), WireError::Long, text);
+    }
+    refuses(&[encode(&datagram(indirect_ack(), many(25))), vec![0; 5]].concat(), WireError::Long, text);
+}
+
+#[test]
+fn unknown_kind_is_refused_with_its_number() {
+    let mut bytes = encode(&of(Kind::Gossip));
+    for (kind, text) in [(8, "unknown kind 8"), (255, "unknown kind 255")] {
+        bytes[15] = kind;
+        refuses(&bytes, WireError::Unknown("kind", kind), text);
+    }
+}
+
+#[test]
+fn unknown_state_of_a_word_is_refused_with_its_number() {
+    let mut bytes = encode(&of(Kind::Gossip));
+    for (state, text) in [(2, "unknown state 2"), (255, "unknown state 255")] {
+        bytes[16 + 1 + 8] = state;
+        refuses(&bytes, WireError::Unknown("state", state), text);
+    }
+}
+
+#[test]
+fn count_other_than_the_words_that_follow_is_refused() {
+    for kind in all_kinds() {
+        let mut bytes = encode(&of(kind));
+        for count in [3, 26, 255] {
+            bytes[count_at(kind)] = count;
+            refuses(&bytes, WireError::Short, "the datagram ends inside a field");
+        }
+        bytes[count_at(kind)] = 1;
+        refuses(&bytes, WireError::Long, "the datagram is longer than what it says");
+    }
+}
+
+#[test]
+fn more_words_than_fit_are_refused_as_long() {
+    let mut bytes = [encode(&datagram(indirect_ack(), many(25))), vec![0; 9]].concat();
+    bytes[26] = 26;
+    assert_eq!(bytes.len(), 261);
+    refuses(&bytes, WireError::Long, "the datagram is longer than what it says");
+}
+
+#[test]
+fn datagram_of_membership_is_told_by_the_high_half_of_its_first_byte() {
+    assert!(is_membership(&[0xa2]) && is_membership(&[0xa0]) && is_membership(&[0xaf, 0x00]));
+    assert!(!is_membership(&[]) && !is_membership(&[0x01, 0xa2]) && !is_membership(&[0xb2]));
+}
+
+// Numbers on which all gateways agree.
+
+#[test]
+fn generations_and_incarnations_are_compared_around_their_wrap() {
+    let pairs = [
+        (5, 5, Ordering::Equal),
+        (6, 5, Ordering::Greater),
+        (5, 6, Ordering::Less),
+        (0, 0xffff, Ordering::Greater),
+        (0xffff, 0, Ordering::Less),
+        (0x7fff, 0, Ordering::Greater),
+        // At the distance of 2^15 each is less than the other.
+        (0x8000, 0, Ordering::Less),
+        (0, 0x8000, Ordering::Less),
+        (0x8001, 0, Ordering::Less),
+    ];
+    for (a, b, expected) in pairs {
+        assert_eq!(serial(a, b), expected, "{a:#x} and {b:#x}");
+    }
+}
--- /dev/null
+++ b/crates/siteplan/tests/golden.rs
@@ -0,0 +1,425 @@
+//! Golden tests of the datagrams that carry the plan for lost sites, and the tallies of which it is made.
+//!
+//! Pinned are the exact bytes of plans and tallies, how figures are rounded and clamped, what the decoder says of these
+//! bytes and of malformed ones, and the number of the planning as a duty. A fleet is upgraded one gateway at a time, so
+//! gateways of the old and the new version exchange these datagrams with each other and have to agree on who plans: a
+//! change of a single byte or of the number would make them follow different plans and send a site more than it bears. A
+//! refactoring must leave every literal in this file as it is; a wanted change of the format needs a new first byte.
+//!
+//! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
+
+use irisrouter_siteplan::codec::{decode, encode, encode_tally, Message, WireError, DATAGRAM, MAGIC};
+use irisrouter_siteplan::tally::{Reach, Tally};
+use irisrouter_siteplan::{is_siteplan, Plan, SitePlan, State, DUTY, MOST_CLASSES, MOST_SITES};
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+// Values: all plans and tallies that are pinned here are built in this part of the file.
+
+/// A part that is written as this number, and read from it again.
+fn part(number: u16) -> f64 {
+    f64::from(number) / 65_535.0
+}
+
+fn site(state: State, budget: f64, ramp: f64, goes: &[f64]) -> SitePlan {
+    SitePlan { budget, state, ramp, goes: goes.to_vec() }
+}
+
+fn plan(sites: Vec<SitePlan>, admitted: &[f64]) -> Plan {
+    Plan {
+        epoch: 0x0102_0304_0506_0708,
+        number: 0x1112_1314,
+        gateways: 0x2122_2324,
+        sites,
+        admitted: admitted.to_vec(),
+        pause_ms: 0x3132_3334,
+    }
+}
+
+/// One site of each state, with budgets of 1,500.25, 0 and 70,000.5 a second.
+fn plan_of_three_sites() -> Plan {
+    let sites = vec![
+        site(State::Up, 1_500.25, part(0x4142), &[part(0x5152), part(0x5354), part(0x0556)]),
+        site(State::Lost, 0.0, part(0x4344), &[part(0x6162), part(0x0364), part(0x6566)]),
+        site(State::Returning, 70_000.5, part(0x4546), &[part(0x0172), part(0x7374), part(0x7576)]),
+    ];
+    plan(sites, &[part(0x8182), part(0x8384)])
+}
+
+/// One site with these figures and one class.
+fn plan_with(budget: f64, ramp: f64, goes: f64, admitted: f64) -> Plan {
+    plan(vec![site(State::Returning, budget, ramp, &[goes])], &[admitted])
+}
+
+fn plan_of_nothing() -> Plan {
+    plan(Vec::new(), &[])
+}
+
+fn plan_with_largest_numbers() -> Plan {
+    Plan {
+        epoch: u64::MAX,
+        number: u32::MAX,
+        gateways: u32::MAX,
+        pause_ms: u32::MAX,
+        ..plan_with(4_294_967.295, 1.0, 1.0, 1.0)
+    }
+}
+
+/// Sites and classes that differ in every figure; each site's load goes to so many.
+fn plan_of_many(sites: u16, classes: u16, goes: u16) -> Plan {
+    let states = [State::Up, State::Lost, State::Returning];
+    let one = |n: u16| SitePlan {
+        budget: f64::from(1_000 + n),
+        state: states[usize::from(n) % states.len()],
+        ramp: part(0x8000 + n),
+        goes: (0..goes).map(|to| part(0x0100 + 16 * n + to)).collect(),
+    };
+    let admitted: Vec<f64> = (0..classes).map(|class| part(0xf000 + class)).collect();
+    plan((0..sites).map(one).collect(), &admitted)
+}
+
+fn tally() -> Tally {
+    Tally {
+        site: 5,
+        period_ms: 0x0102,
+        arrived: vec![0x3132, 0x3334, 0x3536],
+        sites: vec![
+            Reach { hosts: 0x1112, silent: 0x1314, sent: 0x1516, answered: 0x1718 },
+            Reach { hosts: 0x2122, silent: 0x2324, sent: 0x2526, answered: 0x2728 },
+        ],
+    }
+}
+
+fn tally_of_nothing() -> Tally {
+    Tally { site: 0, period_ms: 1, arrived: Vec::new(), sites: Vec::new() }
+}
+
+fn tally_with_largest_numbers() -> Tally {
+    let all = Reach { hosts: u16::MAX, silent: u16::MAX, sent: u16::MAX, answered: u16::MAX };
+    Tally { site: 7, period_ms: u16::MAX, arrived: vec![u16::MAX], sites: vec![all] }
+}
+
+/// Sites and classes that differ in every figure.
+fn tally_of_many(sites: u16, classes: u16) -> Tally {
+    let reach = |n| Reach { hosts: 0x1100 + n, silent: 0x1200 + n, sent: 0x1300 + n, answered: 0x1400 + n };
+    Tally {
+        site: 7,
+        period_ms: 0x0102,
+        arrived: (0..classes).map(|class| 0x2100 + class).collect(),
+        sites: (0..sites).map(reach).collect(),
+    }
+}
+
+// Helpers.
+
+fn literal(expected: &str) -> String {
+    expected.split_whitespace().collect()
+}
+
+/// A plan has these bytes, and is `read` from them.
+#[track_caller]
+fn pins_plan_as(plan: &Plan, expected: &str, read: &Plan) {
+    let bytes = encode(plan);
+    assert_eq!(hex(&bytes), literal(expected));
+    assert_eq!(decode(&bytes), Ok(Message::Plan(read.clone())));
+}
+
+#[track_caller]
+fn pins_plan(plan: &Plan, expected: &str) {
+    pins_plan_as(plan, expected, plan);
+}
+
+/// A tally has these bytes, and is `read` from them.
+#[track_caller]
+fn pins_tally_as(tally: &Tally, expected: &str, read: &Tally) {
+    let bytes = encode_tally(tally);
+    assert_eq!(hex(&bytes), literal(expected));
+    assert_eq!(decode(&bytes), Ok(Message::Tally(read.clone())));
+}
+
+#[track_caller]
+fn pins_tally(tally: &Tally, expected: &str) {
+    pins_tally_as(tally, expected, tally);
+}
+
+#[track_caller]
+fn refuses(bytes: &[u8], expected: WireError, text: &str) {
+    let why = decode(bytes).expect_err("it is refused");
+    assert_eq!((why, why.to_string().as_str()), (expected, text), "{}", hex(bytes));
+}
+
+/// The bytes with another value at a place.
+fn changed(mut bytes: Vec<u8>, at: usize, value: u8) -> Vec<u8> {
+    bytes[at] = value;
+    bytes
+}
+
+fn both() -> [Vec<u8>; 2] {
+    [encode(&plan_of_three_sites()), encode_tally(&tally())]
+}
+
+// The bytes of plans.
+
+#[test]
+fn bounds_and_first_byte_keep_their_values() {
+    assert_eq!((DATAGRAM, MOST_SITES, MOST_CLASSES, MAGIC), (256, 8, 16, 0xd2));
+}
+
+#[test]
+fn plan_with_a_site_of_each_state_keeps_its_bytes() {
+    pins_plan(
+        &plan_of_three_sites(),
+        "d2 00 0102030405060708 11121314 21222324 31323334 03 02
+        00 0016e45a 4142 5152 5354 0556
+        01 00000000 4344 6162 0364 6566
+        02 042c1f74 4546 0172 7374 7576
+        8182 8384",
+    );
+}
+
+#[test]
+fn plan_without_sites_and_classes_keeps_its_bytes() {
+    pins_plan(&plan_of_nothing(), "d2 00 0102030405060708 11121314 21222324 31323334 00 00");
+}
+
+#[test]
+fn plan_with_the_largest_numbers_keeps_its_bytes() {
+    pins_plan(
+        &plan_with_largest_numbers(),
+        "d2 00 ffffffffffffffff ffffffff ffffffff ffffffff 01 01  02 ffffffff ffff ffff  ffff",
+    );
+}
+
+#[test]
+fn parts_and_budgets_of_a_plan_are_rounded_down() {
+    pins_plan_as(
+        &plan_with(1_234.567_89, 0.15, 1.0 / 3.0, 0.999_999),
+        "d2 00 0102030405060708 11121314 21222324 31323334 01 01  02 0012d687 2666 5555  fffe",
+        &plan_with(1_234.567, part(0x2666), part(0x5555), part(0xfffe)),
+    );
+    // In binary this budget is a little less than it reads.
+    pins_plan_as(
+        &plan_with(1.001, 0.5, 0.5, 0.85),
+        "d2 00 0102030405060708 11121314 21222324 31323334 01 01  02 000003e8 7fff 7fff  d998",
+        &plan_with(1.0, part(0x7fff), part(0x7fff), part(0xd998)),
+    );
+}
+
+#[test]
+fn parts_and_budgets_of_a_plan_beyond_their_range_are_clamped() {
+    pins_plan_as(
+        &plan_with(5_000_000.0, 1.5, f64::INFINITY, 2.0),
+        "d2 00 0102030405060708 11121314 21222324 31323334 01 01  02 ffffffff ffff ffff  ffff",
+        &plan_with(4_294_967.295, 1.0, 1.0, 1.0),
+    );
+    pins_plan_as(
+        &plan_with(-1.0, -0.5, f64::NEG_INFINITY, -2.0),
+        "d2 00 0102030405060708 11121314 21222324 31323334 01 01  02 00000000 0000 0000  0000",
+        &plan_with(0.0, 0.0, 0.0, 0.0),
+    );
+    pins_plan_as(
+        &plan_with(f64::NAN, f64::NAN, f64::NAN, f64::NAN),
+        "d2 00 0102030405060708 11121314 21222324 31323334 01 01  02 00000000 0000 0000  0000",
+        &plan_with(0.0, 0.0, 0.0, 0.0),
+    );
+}
+
+#[test]
+fn plan_with_parts_for_fewer_or_more_sites_than_it_has_is_written_with_one_for_each() {
+    let expected_of = |goes: &str| {
+        format!("d2 00 0102030405060708 11121314 21222324 31323334 02 00  00 000f4240 8000 {goes}")
+    };
+    pins_plan_as(&plan_of_many(2, 0, 1), &(expected_of("0100 0000") + "01 000f4628 8001 0110 0000"), &{
+        let mut read = plan_of_many(2, 0, 1);
+        read.sites.iter_mut().for_each(|site| site.goes.push(0.0));
+        read
+    });
+    pins_plan_as(
+        &plan_of_many(2, 0, 3),
+        &(expected_of("0100 0101") + "01 000f4628 8001 0110 0111"),
+        &plan_of_many(2, 0, 2),
+    );
+}
+
+#[test]
+fn longest_plan_keeps_its_bytes_and_sites_and_classes_beyond_it_are_left_out() {
+    pins_plan_as(
+        &plan_of_many(9, 17, 9),
+        "d2 00 0102030405060708 11121314 21222324 31323334 08 10
+        00 000f4240 8000 0100 0101 0102 0103 0104 0105 0106 0107
+        01 000f4628 8001 0110 0111 0112 0113 0114 0115 0116 0117
+        02 000f4a10 8002 0120 0121 0122 0123 0124 0125 0126 0127
+        00 000f4df8 8003 0130 0131 0132 0133 0134 0135 0136 0137
+        01 000f51e0 8004 0140 0141 0142 0143 0144 0145 0146 0147
+        02 000f55c8 8005 0150 0151 0152 0153 0154 0155 0156 0157
+        00 000f59b0 8006 0160 0161 0162 0163 0164 0165 0166 0167
+        01 000f5d98 8007 0170 0171 0172 0173 0174 0175 0176 0177
+        f000 f001 f002 f003 f004 f005 f006 f007 f008 f009 f00a f00b f00c f00d f00e f00f",
+        &plan_of_many(8, 16, 8),
+    );
+}
+
+// The bytes of tallies.
+
+#[test]
+fn tally_keeps_its_bytes() {
+    pins_tally(
+        &tally(),
+        "d2 01 05 0102 02 03
+        1112 1314 1516 1718
+        2122 2324 2526 2728
+        3132 3334 3536",
+    );
+}
+
+#[test]
+fn tally_without_sites_and_classes_keeps_its_bytes() {
+    pins_tally(&tally_of_nothing(), "d2 01 00 0001 00 00");
+}
+
+#[test]
+fn tally_with_the_largest_numbers_keeps_its_bytes() {
+    pins_tally(&tally_with_largest_numbers(), "d2 01 07 ffff 01 01  ffff ffff ffff ffff  ffff");
+}
+
+#[test]
+fn longest_tally_keeps_its_bytes_and_sites_and_classes_beyond_it_are_left_out() {
+    pins_tally_as(
+        &tally_of_many(9, 17),
+        "d2 01 07 0102 08 10
+        1100 1200 1300 1400
+        1101 1201 1301 1401
+        1102 1202 1302 1402
+        1103 1203 1303 1403
+        1104 1204 1304 1404
+        1105 1205 1305 1405
+        1106 1206 1306 1406
+        1107 1207 1307 1407
+        2100 2101 2102 2103 2104 2105 2106 2107 2108 2109 210a 210b 210c 210d 210e 210f",
+        &tally_of_many(8, 16),
+    );
+}
+
+// What is refused.
+
+const OF_A_PLAN: &str = "the number of sites, classes or gateways";
+const OF_A_TALLY: &str = "the number of sites or classes, the site or the period";
+const TEXT_OF_A_PLAN: &str = "the number of sites, classes or gateways can't be so";
+const TEXT_OF_A_TALLY: &str = "the number of sites or classes, the site or the period can't be so";
+
+#[test]
+fn empty_datagram_is_refused_as_short() {
+    refuses(&[], WireError::Short, "the datagram ends inside a field");
+}
+
+#[test]
+fn other_first_byte_is_refused_as_another_kind_or_version() {
+    refuses(&[0xd1], WireError::Version(0xd1), "first byte 0xd1 is of another kind or version");
+    for bytes in both() {
+        let text = "first byte 0xc1 is of another kind or version";
+        refuses(&changed(bytes, 0, 0xc1), WireError::Version(0xc1), text);
+    }
+}
+
+#[test]
+fn datagram_of_either_kind_cut_anywhere_is_refused_as_short() {
+    for bytes in both() {
+        for end in 0..bytes.len() {
+            refuses(&bytes[..end], WireError::Short, "the datagram ends inside a field");
+        }
+    }
+}
+
+#[test]
+fn trailing_bytes_are_refused_as_long() {
+    let text = "the datagram is longer than what it says";
+    for bytes in both() {
+        refuses(&[&bytes[..], &[0]].concat(), WireError::Long, text);
+        refuses(&[&bytes[..], &[0; 200]].concat(), WireError::Long, text);
+    }
+    refuses(&[encode(&plan_of_many(8, 16, 8)), vec![0]].concat(), WireError::Long, text);
+    refuses(&[encode_tally(&tally_of_many(8, 16)), vec![0]].concat(), WireError::Long, text);
+}
+
+#[test]
+fn unknown_kind_is_refused_with_its_number() {
+    for bytes in both() {
+        refuses(&changed(bytes.clone(), 1, 2), WireError::Unknown("kind", 2), "unknown kind 2");
+        refuses(&changed(bytes, 1, 255), WireError::Unknown("kind", 255), "unknown kind 255");
+    }
+}
+
+#[test]
+fn unknown_state_of_a_site_is_refused_with_its_number() {
+    let bytes = encode(&plan_of_three_sites());
+    refuses(&changed(bytes.clone(), 24, 3), WireError::Unknown("state", 3), "unknown state 3");
+    refuses(&changed(bytes, 24, 255), WireError::Unknown("state", 255), "unknown state 255");
+}
+
+#[test]
+fn plan_with_too_large_counts_or_without_gateways_is_refused_for_its_value() {
+    let bytes = encode(&plan_of_three_sites());
+    for (at, value) in [(22, 9), (22, 255), (23, 17), (23, 255)] {
+        refuses(&changed(bytes.clone(), at, value), WireError::Value(OF_A_PLAN), TEXT_OF_A_PLAN);
+    }
+    let of_no_gateways = encode(&Plan { gateways: 0, ..plan_of_three_sites() });
+    refuses(&of_no_gateways, WireError::Value(OF_A_PLAN), TEXT_OF_A_PLAN);
+}
+
+#[test]
+fn plan_with_allowed_counts_other_than_what_follows_is_refused() {
+    let bytes = encode(&plan_of_three_sites());
+    for (at, value) in [(23, 3), (23, 16)] {
+        refuses(&changed(bytes.clone(), at, value), WireError::Short, "the datagram ends inside a field");
+    }
+    let text = "the datagram is longer than what it says";
+    refuses(&changed(bytes, 23, 1), WireError::Long, text);
+}
+
+#[test]
+fn plan_whose_parts_of_a_load_are_more_than_the_whole_is_refused_for_its_value() {
+    let of = |goes: &[u16]| {
+        let goes: Vec<f64> = goes.iter().map(|&number| part(number)).collect();
+        encode(&plan(vec![site(State::Up, 1.0, 1.0, &goes), site(State::Up, 1.0, 1.0, &goes)], &[]))
+    };
+    assert!(decode(&of(&[0x7fff, 0x8000])).is_ok(), "65,535 of 65,535 parts");
+    let text = "where a site's load goes can't be so";
+    refuses(&of(&[0x8000, 0x8000]), WireError::Value("where a site's load goes"), text);
+}
+
+#[test]
+fn tally_with_too_large_counts_or_site_or_without_a_period_is_refused_for_its_value() {
+    let bytes = encode_tally(&tally());
+    for (at, value) in [(2, 8), (2, 255), (5, 9), (5, 255), (6, 17), (6, 255)] {
+        refuses(&changed(bytes.clone(), at, value), WireError::Value(OF_A_TALLY), TEXT_OF_A_TALLY);
+    }
+    let of_no_time = encode_tally(&Tally { period_ms: 0, ..tally() });
+    refuses(&of_no_time, WireError::Value(OF_A_TALLY), TEXT_OF_A_TALLY);
+}
+
+#[test]
+fn tally_with_allowed_counts_other_than_what_follows_is_refused() {
+    let bytes = encode_tally(&tally());
+    for (at, value) in [(5, 3), (5, 8), (6, 4), (6, 16)] {
+        refuses(&changed(bytes.clone(), at, value), WireError::Short, "the datagram ends inside a field");
+    }
+    for (at, value) in [(5, 1), (6, 2)] {
+        let text = "the datagram is longer than what it says";
+        refuses(&changed(bytes.clone(), at, value), WireError::Long, text);
+    }
+}
+
+#[test]
+fn datagram_of_plans_is_told_by_the_high_half_of_its_first_byte() {
+    assert!(is_siteplan(&[0xd2]) && is_siteplan(&[0xd0]) && is_siteplan(&[0xdf, 0x00]));
+    assert!(!is_siteplan(&[]) && !is_siteplan(&[0x01, 0xd2]) && !is_siteplan(&[0xc2]));
+}
+
+// Numbers on which all gateways agree.
+
+#[test]
+fn duty_of_the_planning_keeps_its_number() {
+    assert_eq!(DUTY, 0x5349_5445_0000_0000);
+}
