--- a/crates/drains/src/codec.rs
+++ b/crates/drains/src/codec.rs
@@ -74,14 +74,21 @@
 pub fn decode(bytes: &[u8]) -> Result<Vec<Item>, WireError> {
     Reader::new(bytes, MAGIC)?.items(ITEM, |from| {
         let kind = from.u8()?;
-        let kind = *KINDS.get(usize::from(kind)).ok_or(WireError::Unknown("kind", kind))?;
+        let kind = *KINDS
+            .get(usize::from(kind))
+            .ok_or(WireError::Unknown("kind", kind))?;
         let out = match from.u8()? {
             0 => false,
             1 => true,
             other => return Err(WireError::Unknown("state", other)),
         };
         let (host, at, by) = (from.u32()?, from.u64()?, from.u32()?);
-        Ok(Item { kind, word: Word { host, out, at, by }, epoch: from.u64()?, count: from.u32()? })
+        Ok(Item {
+            kind,
+            word: Word { host, out, at, by },
+            epoch: from.u64()?,
+            count: from.u32()?,
+        })
     })
 }
 
--- a/crates/drains/src/lib.rs
+++ b/crates/drains/src/lib.rs
@@ -64,7 +64,12 @@
     /// For this fleet, as fast as leases are.
     #[must_use]
     pub const fn paced(fleet: u32, lease_ms: u64) -> Self {
-        Self { fleet, round_ms: lease_ms / 5, slow_ms: lease_ms, say_ms: 2_000 }
+        Self {
+            fleet,
+            round_ms: lease_ms / 5,
+            slow_ms: lease_ms,
+            say_ms: 2_000,
+        }
     }
 
     /// Gateways that make a majority of the fleet's list.
@@ -176,7 +181,14 @@
     #[must_use]
     pub fn new(me: u32, settings: Settings) -> Self {
         let there = BTreeMap::from([(me, 0)]);
-        Self { me, settings, known: BTreeMap::new(), there, out: BTreeMap::new(), actions: Vec::new() }
+        Self {
+            me,
+            settings,
+            known: BTreeMap::new(),
+            there,
+            out: BTreeMap::new(),
+            actions: Vec::new(),
+        }
     }
 
     /// The gateways that are not held down, with their generations.
@@ -191,11 +203,26 @@
     /// Too many hosts are spoken of.
     pub fn say(&mut self, now: Millis, unix_ms: u64, host: u32, out: bool) -> Result<(), String> {
         self.make_room(host)?;
-        let at = self.known.get(&host).map_or(unix_ms, |k| unix_ms.max(k.word.at + 1));
-        self.follow(now, Word { host, out, at, by: self.me });
+        let at = self
+            .known
+            .get(&host)
+            .map_or(unix_ms, |k| unix_ms.max(k.word.at + 1));
+        self.follow(
+            now,
+            Word {
+                host,
+                out,
+                at,
+                by: self.me,
+            },
+        );
         if let Some(k) = self.known.get_mut(&host) {
             let followed = BTreeSet::from([self.me]);
-            k.saying = Some(Saying { until: now + self.settings.say_ms, next: now, followed });
+            k.saying = Some(Saying {
+                until: now + self.settings.say_ms,
+                next: now,
+                followed,
+            });
         }
         Ok(())
     }
@@ -203,7 +230,11 @@
     /// The hosts whose drains are a duty: those that are to be out, and those whose return has not gone round.
     #[must_use]
     pub fn duties(&self) -> Vec<u32> {
-        self.known.iter().filter(|(_, k)| k.word.out || k.done.is_none()).map(|(&h, _)| h).collect()
+        self.known
+            .iter()
+            .filter(|(_, k)| k.word.out || k.done.is_none())
+            .map(|(&h, _)| h)
+            .collect()
     }
 
     /// All words, with how far each is.
@@ -215,8 +246,15 @@
         match (k.done, &k.lead) {
             (Some((_, unheard)), _) => Progress::Done(unheard),
             (None, Some(lead)) => Progress::Draining {
-                open: lead.answers.values().fold(0, |sum, a| sum.saturating_add(a.1)),
-                unheard: self.there.iter().filter(|(g, gen)| !answered(lead, **g, **gen)).count(),
+                open: lead
+                    .answers
+                    .values()
+                    .fold(0, |sum, a| sum.saturating_add(a.1)),
+                unheard: self
+                    .there
+                    .iter()
+                    .filter(|(g, gen)| !answered(lead, **g, **gen))
+                    .count(),
             },
             (None, None) => Progress::Elsewhere,
         }
@@ -275,7 +313,12 @@
             return Ok(());
         }
         let back = |k: &&Known| !k.word.out && k.done.is_some();
-        let oldest = self.known.values().filter(back).min_by_key(|k| k.word.at).map(|k| k.word.host);
+        let oldest = self
+            .known
+            .values()
+            .filter(back)
+            .min_by_key(|k| k.word.at)
+            .map(|k| k.word.host);
         let oldest = oldest.ok_or_else(|| format!("{MOST} hosts are spoken of already"))?;
         self.known.remove(&oldest);
         Ok(())
@@ -283,7 +326,14 @@
 
     /// A word later than what was known on its host holds from now on.
     fn follow(&mut self, now: Millis, word: Word) {
-        let known = Known { word, epoch: 0, heard: now, done: None, saying: None, lead: None };
+        let known = Known {
+            word,
+            epoch: 0,
+            heard: now,
+            done: None,
+            saying: None,
+            lead: None,
+        };
         // Epochs of a duty go on from word to word.
         let epoch = self.known.get(&word.host).map_or(0, |k| k.epoch);
         self.known.insert(word.host, Known { epoch, ..known });
@@ -301,7 +351,9 @@
             _ if self.make_room(word.host).is_err() => return,
             _ => self.follow(now, word),
         }
-        let Some(k) = self.known.get_mut(&word.host) else { return };
+        let Some(k) = self.known.get_mut(&word.host) else {
+            return;
+        };
         if epoch != 0 {
             if epoch < k.epoch {
                 return;
@@ -314,8 +366,16 @@
 
     /// A gateway follows a word and says what it has open.
     fn holds(&mut self, now: Millis, from: u32, item: &Item, around: &impl Surroundings) {
-        let Some(&generation) = self.there.get(&from) else { return };
-        let Some(k) = self.known.get_mut(&item.word.host).filter(|k| k.word == item.word) else { return };
+        let Some(&generation) = self.there.get(&from) else {
+            return;
+        };
+        let Some(k) = self
+            .known
+            .get_mut(&item.word.host)
+            .filter(|k| k.word == item.word)
+        else {
+            return;
+        };
         if let Some(saying) = &mut k.saying {
             saying.followed.insert(from);
         }
@@ -329,64 +389,108 @@
 
     /// An owner found a drain done.
     fn done(&mut self, now: Millis, item: &Item) {
-        let Some(k) = self.known.get_mut(&item.word.host).filter(|k| k.word == item.word) else { return };
+        let Some(k) = self
+            .known
+            .get_mut(&item.word.host)
+            .filter(|k| k.word == item.word)
+        else {
+            return;
+        };
         if item.epoch < k.epoch || item.epoch == 0 {
             return;
         }
         (k.epoch, k.heard) = (item.epoch, now);
         if k.done.replace((item.epoch, item.count)).is_none() {
             let (word, epoch, unheard) = (item.word, item.epoch, item.count);
-            self.actions.push(Action::Done { word, epoch, unheard, own: false });
+            self.actions.push(Action::Done {
+                word,
+                epoch,
+                unheard,
+                own: false,
+            });
         }
     }
 
     /// Tells the fleet a word that was said here, until its operator has an answer.
     fn say_on(&mut self, now: Millis, host: u32) {
         let (majority, round) = (self.settings.majority(), self.settings.round_ms);
-        let Some(k) = self.known.get_mut(&host) else { return };
-        let (word, Some(saying)) = (k.word, &mut k.saying) else { return };
+        let Some(k) = self.known.get_mut(&host) else {
+            return;
+        };
+        let (word, Some(saying)) = (k.word, &mut k.saying) else {
+            return;
+        };
         let by = saying.followed.len();
         if by >= majority || now >= saying.until {
             k.saying = None;
-            self.actions.push(Action::Said { host, by, majority: by >= majority });
+            self.actions.push(Action::Said {
+                host,
+                by,
+                majority: by >= majority,
+            });
             return;
         }
         if now < saying.next {
             return;
         }
         saying.next = now + round;
-        let to: Vec<u32> = self.there.keys().copied().filter(|g| !saying.followed.contains(g)).collect();
-        to.into_iter().for_each(|to| self.push(to, Kind::Tell, word, 0, 0));
+        let to: Vec<u32> = self
+            .there
+            .keys()
+            .copied()
+            .filter(|g| !saying.followed.contains(g))
+            .collect();
+        to.into_iter()
+            .for_each(|to| self.push(to, Kind::Tell, word, 0, 0));
     }
 
     /// Sees a drain through, under the token that holds now.
     fn lead(&mut self, now: Millis, host: u32, around: &impl Surroundings) {
         let (me, s) = (self.me, self.settings);
-        let Some(k) = self.known.get_mut(&host) else { return };
+        let Some(k) = self.known.get_mut(&host) else {
+            return;
+        };
         // Danger guarded against: an owner back from a stall would call a drain done by answers of another time.
         let Some(epoch) = around.token(host).filter(|&e| e >= k.epoch) else {
             k.lead = None;
             return;
         };
         if k.lead.as_ref().is_none_or(|l| l.epoch != epoch) {
-            k.lead = Some(Lead { epoch, next: now, slow: now, answers: BTreeMap::new() });
+            k.lead = Some(Lead {
+                epoch,
+                next: now,
+                slow: now,
+                answers: BTreeMap::new(),
+            });
         }
         (k.epoch, k.heard) = (epoch, now);
-        let (word, Some(lead)) = (k.word, &mut k.lead) else { return };
+        let (word, Some(lead)) = (k.word, &mut k.lead) else {
+            return;
+        };
         let generation = self.there.get(&me).copied().unwrap_or(0);
         lead.answers.insert(me, (generation, around.open(host)));
         let there = &self.there;
         lead.answers.retain(|g, _| there.contains_key(g));
-        let idle =
-            |g: &u32, gen: &u16| answered(lead, *g, *gen) && lead.answers.get(g).is_some_and(|a| a.1 == 0);
-        let waiting: Vec<u32> = there.iter().filter(|(g, gen)| !idle(g, gen)).map(|(&g, _)| g).collect();
+        let idle = |g: &u32, gen: &u16| {
+            answered(lead, *g, *gen) && lead.answers.get(g).is_some_and(|a| a.1 == 0)
+        };
+        let waiting: Vec<u32> = there
+            .iter()
+            .filter(|(g, gen)| !idle(g, gen))
+            .map(|(&g, _)| g)
+            .collect();
         // Danger guarded against: one that a cut left alone would speak for all.
         let heard = lead.answers.len() >= s.majority();
         if heard && waiting.is_empty() && k.done.is_none_or(|d| d.0 < epoch) {
             let unheard = s.fleet.saturating_sub(there.len() as u32);
             // Of a drain that an earlier owner found done, this is the same word again.
             if k.done.replace((epoch, unheard)).is_none() {
-                self.actions.push(Action::Done { word, epoch, unheard, own: true });
+                self.actions.push(Action::Done {
+                    word,
+                    epoch,
+                    unheard,
+                    own: true,
+                });
             }
             lead.slow = now;
         }
@@ -417,7 +521,9 @@
     /// since the word was said, none of them knows that there is anything to own.
     fn look_for_an_owner(&mut self, now: Millis, host: u32) {
         let (me, s) = (self.me, self.settings);
-        let Some(k) = self.known.get_mut(&host) else { return };
+        let Some(k) = self.known.get_mut(&host) else {
+            return;
+        };
         if now < k.heard + 4 * s.slow_ms || !(k.word.out || k.done.is_none()) {
             return;
         }
@@ -432,7 +538,12 @@
 
     fn push(&mut self, to: u32, kind: Kind, word: Word, epoch: u64, count: u32) {
         if to != self.me {
-            self.out.entry(to).or_default().push(Item { kind, word, epoch, count });
+            self.out.entry(to).or_default().push(Item {
+                kind,
+                word,
+                epoch,
+                count,
+            });
         }
     }
 
@@ -440,7 +551,10 @@
     fn flush(&mut self) {
         for (to, items) in std::mem::take(&mut self.out) {
             for part in items.chunks(codec::ITEMS) {
-                self.actions.push(Action::Send { to, bytes: codec::encode(part) });
+                self.actions.push(Action::Send {
+                    to,
+                    bytes: codec::encode(part),
+                });
             }
         }
     }
@@ -454,14 +568,19 @@
 
 /// Whether this process of a gateway has answered an owner.
 fn answered(lead: &Lead, gateway: u32, generation: u16) -> bool {
-    lead.answers.get(&gateway).is_some_and(|a| a.0 == generation)
+    lead.answers
+        .get(&gateway)
+        .is_some_and(|a| a.0 == generation)
 }
 
 /// Of the hosts in service of one set, those that words take out. All of them is too many: the one of the latest word
 /// stays, at every gateway the same. Danger guarded against: two operators that drain a set's two hosts at once.
 #[must_use]
 pub fn taken_out(set: &[u32], word: impl Fn(u32) -> Option<Word>) -> BTreeSet<u32> {
-    let words: Vec<Word> = set.iter().filter_map(|&h| word(h).filter(|w| w.out)).collect();
+    let words: Vec<Word> = set
+        .iter()
+        .filter_map(|&h| word(h).filter(|w| w.out))
+        .collect();
     let mut out: BTreeSet<u32> = words.iter().map(|w| w.host).collect();
     if out.len() == set.len() {
         if let Some(last) = words.iter().max_by_key(|w| (w.order(), w.host)) {
--- a/crates/duties/src/codec.rs
+++ b/crates/duties/src/codec.rs
@@ -40,8 +40,15 @@
     Free,
 }
 
-const KINDS: [Kind; 7] =
-    [Kind::Ask, Kind::Granted, Kind::Refused, Kind::Released, Kind::Offered, Kind::Look, Kind::Free];
+const KINDS: [Kind; 7] = [
+    Kind::Ask,
+    Kind::Granted,
+    Kind::Refused,
+    Kind::Released,
+    Kind::Offered,
+    Kind::Look,
+    Kind::Free,
+];
 
 /// One claim or vote.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -75,7 +82,10 @@
         buf.put_u64(item.duty);
         buf.put_u64(item.epoch);
         buf.put_u16(item.round);
-        let holder = item.holder.unwrap_or(Holder { number: u32::MAX, generation: 0 });
+        let holder = item.holder.unwrap_or(Holder {
+            number: u32::MAX,
+            generation: 0,
+        });
         buf.put_u32(holder.number);
         buf.put_u16(holder.generation);
         buf.put_uint(u64::from(item.left.min(0xff_ffff)), 3);
@@ -92,11 +102,23 @@
     let generation = from.u16()?;
     let items = from.items(ITEM, |from| {
         let kind = from.u8()?;
-        let kind = *KINDS.get(usize::from(kind)).ok_or(WireError::Unknown("kind", kind))?;
+        let kind = *KINDS
+            .get(usize::from(kind))
+            .ok_or(WireError::Unknown("kind", kind))?;
         let (duty, epoch, round) = (from.u64()?, from.u64()?, from.u16()?);
-        let holder = Holder { number: from.u32()?, generation: from.u16()? };
+        let holder = Holder {
+            number: from.u32()?,
+            generation: from.u16()?,
+        };
         let left = u32::from(from.u8()?) << 16 | u32::from(from.u16()?);
-        Ok(Item { kind, duty, epoch, round, holder: Some(holder).filter(|h| h.number != u32::MAX), left })
+        Ok(Item {
+            kind,
+            duty,
+            epoch,
+            round,
+            holder: Some(holder).filter(|h| h.number != u32::MAX),
+            left,
+        })
     })?;
     Ok((generation, items))
 }
--- a/crates/duties/src/lease.rs
+++ b/crates/duties/src/lease.rs
@@ -58,7 +58,11 @@
     /// A voter whose process started at `started`: it grants nothing before a lease has passed since then.
     #[must_use]
     pub const fn new(started: Millis, lease: Millis) -> Self {
-        Self { epoch: 0, holder: None, until: started + lease }
+        Self {
+            epoch: 0,
+            holder: None,
+            until: started + lease,
+        }
     }
 
     /// A claimant asks for an epoch, new or its own again.
@@ -68,7 +72,11 @@
         let free = now >= self.until || mine;
         if renews || (free && epoch > self.epoch) {
             let before = self.holder.filter(|h| *h != by);
-            *self = Self { epoch, holder: Some(by), until: now + lease };
+            *self = Self {
+                epoch,
+                holder: Some(by),
+                until: now + lease,
+            };
             return Vote::Granted { before };
         }
         self.refuses(now)
@@ -86,7 +94,11 @@
 
     fn refuses(&self, now: Millis) -> Vote {
         let left = self.until.saturating_sub(now);
-        Vote::Refused { epoch: self.epoch, holder: self.holder.filter(|_| left > 0), left }
+        Vote::Refused {
+            epoch: self.epoch,
+            holder: self.holder.filter(|_| left > 0),
+            left,
+        }
     }
 
     /// A holder gives its epoch up.
@@ -124,7 +136,10 @@
     /// A claim with so many voters, which asks for nothing yet.
     #[must_use]
     pub fn new(voters: usize) -> Self {
-        Self { granted: vec![None; voters], ..Self::default() }
+        Self {
+            granted: vec![None; voters],
+            ..Self::default()
+        }
     }
 
     /// The epoch asked for or held; 0 for none.
@@ -155,7 +170,9 @@
     /// A voter granted this epoch in this round.
     pub fn granted(&mut self, voter: usize, epoch: u64, round: u16) {
         let asked = self.rounds.iter().find(|r| r.0 == round).map(|r| r.1);
-        if let (Some(at), Some(granted), true) = (asked, self.granted.get_mut(voter), epoch == self.epoch) {
+        if let (Some(at), Some(granted), true) =
+            (asked, self.granted.get_mut(voter), epoch == self.epoch)
+        {
             *granted = (*granted).max(Some(at));
         }
     }
@@ -184,7 +201,9 @@
         let mut asked: Vec<Millis> = self.granted.iter().flatten().copied().collect();
         asked.sort_unstable_by(|a, b| b.cmp(a));
         let majority = self.granted.len() / 2 + 1;
-        asked.get(majority - 1).map_or(0, |&at| (at + lease).saturating_sub(margin))
+        asked
+            .get(majority - 1)
+            .map_or(0, |&at| (at + lease).saturating_sub(margin))
     }
 
     /// The fencing token, while the duty is held.
--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -72,7 +72,9 @@
             return Err("lease_ms: at least 100, or renewals would crowd the socket".into());
         }
         if self.lease_ms > 60_000 {
-            return Err("lease_ms: at most 60000, as a duty without its owner waits that long".into());
+            return Err(
+                "lease_ms: at most 60000, as a duty without its owner waits that long".into(),
+            );
         }
         Ok(())
     }
@@ -205,11 +207,21 @@
         self.alive = alive.to_vec();
         self.majority = majority;
         for (&duty, w) in &mut self.wanted {
-            place(&mut w.place, &mut w.first, duty, &self.alive, self.me.number);
+            place(
+                &mut w.place,
+                &mut w.first,
+                duty,
+                &self.alive,
+                self.me.number,
+            );
         }
         // Danger guarded against: a view that changes for a moment, under loss, would take all duties from their owners.
         // What keeps a second owner out is the voters, not this.
-        self.small = if majority { None } else { self.small.or(Some(now)) };
+        self.small = if majority {
+            None
+        } else {
+            self.small.or(Some(now))
+        };
     }
 
     /// Whether this gateway is on the larger side of a cut, by the last view.
@@ -220,7 +232,12 @@
 
     /// The duties that there are. New ones are claimed from the next [`Duties::advance`] on.
     pub fn duties(&mut self, now: Millis, duties: &[u64]) {
-        let gone: Vec<u64> = self.wanted.keys().copied().filter(|d| !duties.contains(d)).collect();
+        let gone: Vec<u64> = self
+            .wanted
+            .keys()
+            .copied()
+            .filter(|d| !duties.contains(d))
+            .collect();
         for duty in gone {
             self.give_up(now, duty, Why::Gone);
             self.wanted.remove(&duty);
@@ -242,7 +259,13 @@
                 before: None,
                 other_first: None,
             };
-            place(&mut w.place, &mut w.first, duty, &self.alive, self.me.number);
+            place(
+                &mut w.place,
+                &mut w.first,
+                duty,
+                &self.alive,
+                self.me.number,
+            );
             w.next = now + w.place as u64 * self.settings.step();
             self.wanted.insert(duty, w);
         }
@@ -253,7 +276,9 @@
     #[must_use]
     pub fn token(&self, now: Millis, duty: u64) -> Option<u64> {
         let w = self.wanted.get(&duty)?;
-        let token = w.claim.token(now, self.settings.lease_ms, self.settings.margin())?;
+        let token = w
+            .claim
+            .token(now, self.settings.lease_ms, self.settings.margin())?;
         (w.owned == Some(token)).then_some(token)
     }
 
@@ -277,7 +302,10 @@
     /// It can't be read; nothing is changed then.
     pub fn receive(&mut self, now: Millis, from: u32, datagram: &[u8]) -> Result<(), WireError> {
         let (generation, items) = codec::decode(datagram)?;
-        let by = Holder { number: from, generation };
+        let by = Holder {
+            number: from,
+            generation,
+        };
         for item in items {
             match item.kind {
                 Kind::Ask | Kind::Look => {
@@ -291,7 +319,11 @@
                     }
                 }
                 Kind::Offered => {
-                    if let Some(w) = self.wanted.get_mut(&item.duty).filter(|w| w.owned.is_none()) {
+                    if let Some(w) = self
+                        .wanted
+                        .get_mut(&item.duty)
+                        .filter(|w| w.owned.is_none())
+                    {
                         w.claim.refused(item.epoch);
                         w.next = now;
                     }
@@ -306,11 +338,19 @@
     /// Does what is due by `now`; `unix_ms` is the wall clock, by which epochs go on where all voters forgot theirs.
     pub fn advance(&mut self, now: Millis, unix_ms: u64) {
         self.unix_base = unix_ms.saturating_sub(now);
-        if self.small.is_some_and(|since| now >= since + self.settings.lease_ms) {
+        if self
+            .small
+            .is_some_and(|since| now >= since + self.settings.lease_ms)
+        {
             self.small = None;
             self.stop(now);
         }
-        let due: Vec<u64> = self.wanted.iter().filter(|(_, w)| w.next <= now).map(|(&d, _)| d).collect();
+        let due: Vec<u64> = self
+            .wanted
+            .iter()
+            .filter(|(_, w)| w.next <= now)
+            .map(|(&d, _)| d)
+            .collect();
         for duty in due {
             self.turn(now, duty);
         }
@@ -320,8 +360,15 @@
     /// When [`Duties::advance`] next has work.
     #[must_use]
     pub fn next_due(&self) -> Millis {
-        let small = self.small.map_or(Millis::MAX, |since| since + self.settings.lease_ms);
-        self.wanted.values().map(|w| w.next).min().unwrap_or(Millis::MAX).min(small)
+        let small = self
+            .small
+            .map_or(Millis::MAX, |since| since + self.settings.lease_ms);
+        self.wanted
+            .values()
+            .map(|w| w.next)
+            .min()
+            .unwrap_or(Millis::MAX)
+            .min(small)
     }
 
     /// What the shell is to do, in order.
@@ -332,24 +379,37 @@
     /// The duties owned at this moment, with their tokens.
     #[must_use]
     pub fn owned(&self, now: Millis) -> Vec<(u64, u64)> {
-        self.wanted.keys().filter_map(|&d| Some((d, self.token(now, d)?))).collect()
+        self.wanted
+            .keys()
+            .filter_map(|&d| Some((d, self.token(now, d)?)))
+            .collect()
     }
 
     /// One duty's turn: renew, claim, or see that the lease is over.
     fn turn(&mut self, now: Millis, duty: u64) {
         let s = self.settings;
-        let Some(w) = self.wanted.get_mut(&duty) else { return };
+        let Some(w) = self.wanted.get_mut(&duty) else {
+            return;
+        };
         if let Some(epoch) = w.owned {
             let held = w.claim.token(now, s.lease_ms, s.margin()).is_some();
             if !held {
                 w.owned = None;
                 w.claim.end();
                 w.next = now + s.step() * (1 + w.place as u64);
-                self.actions.push(Action::Lost { duty, epoch, why: Why::RanOut });
+                self.actions.push(Action::Lost {
+                    duty,
+                    epoch,
+                    why: Why::RanOut,
+                });
                 return;
             }
             // Danger guarded against: a view that changes for a moment would move duties to and fro.
-            let since = if w.place == 0 { None } else { w.other_first.or(Some(now)) };
+            let since = if w.place == 0 {
+                None
+            } else {
+                w.other_first.or(Some(now))
+            };
             w.other_first = since;
             if since.is_some_and(|at| now >= at + 2 * s.lease_ms) {
                 let first = w.first;
@@ -357,7 +417,10 @@
                 return;
             }
             // Renewed a moment ago: again when three tenths of the lease have passed since that was asked.
-            let renew = w.claim.until(s.lease_ms, s.margin()).saturating_sub(s.lease_ms * 6 / 10);
+            let renew = w
+                .claim
+                .until(s.lease_ms, s.margin())
+                .saturating_sub(s.lease_ms * 6 / 10);
             if now < renew {
                 w.next = renew;
                 return;
@@ -372,7 +435,9 @@
         } else if now >= w.began + s.lease_ms {
             // No majority in a whole lease: what was granted is let go, so that another may have it.
             self.release(now, duty);
-            let Some(w) = self.wanted.get_mut(&duty) else { return };
+            let Some(w) = self.wanted.get_mut(&duty) else {
+                return;
+            };
             w.claim.end();
             w.next = now + s.step() * (1 + w.place as u64);
             return;
@@ -386,17 +451,33 @@
     fn look(&mut self, now: Millis, duty: u64) {
         self.looks = self.looks.wrapping_add(1);
         let round = self.looks;
-        let Some(w) = self.wanted.get_mut(&duty) else { return };
+        let Some(w) = self.wanted.get_mut(&duty) else {
+            return;
+        };
         w.looking = Some((round, Vec::new()));
         w.next = now + self.settings.round();
-        self.ask_voters(now, Item { kind: Kind::Look, duty, epoch: 0, round, holder: None, left: 0 });
+        self.ask_voters(
+            now,
+            Item {
+                kind: Kind::Look,
+                duty,
+                epoch: 0,
+                round,
+                holder: None,
+                left: 0,
+            },
+        );
     }
 
     /// A voter would grant: with a majority of them the claim begins.
     fn free(&mut self, now: Millis, voter: usize, item: &Item) {
         let unix_ms = self.unix_base + now;
-        let Some(w) = self.wanted.get_mut(&item.duty) else { return };
-        let Some((round, voters)) = &mut w.looking else { return };
+        let Some(w) = self.wanted.get_mut(&item.duty) else {
+            return;
+        };
+        let Some((round, voters)) = &mut w.looking else {
+            return;
+        };
         if *round != item.round || voters.contains(&voter) {
             return;
         }
@@ -413,16 +494,27 @@
 
     /// A round of asking all voters for the epoch claimed or held.
     fn ask(&mut self, now: Millis, duty: u64) {
-        let Some(w) = self.wanted.get_mut(&duty) else { return };
+        let Some(w) = self.wanted.get_mut(&duty) else {
+            return;
+        };
         let round = w.claim.ask(now);
         w.next = now + self.settings.round();
-        let item = Item { kind: Kind::Ask, duty, epoch: w.claim.epoch(), round, holder: None, left: 0 };
+        let item = Item {
+            kind: Kind::Ask,
+            duty,
+            epoch: w.claim.epoch(),
+            round,
+            holder: None,
+            left: 0,
+        };
         self.ask_voters(now, item);
     }
 
     /// Sends all voters a question; this gateway's own answer, where it is one of them, comes at once.
     fn ask_voters(&mut self, now: Millis, item: Item) {
-        let Some(voters) = self.wanted.get(&item.duty).map(|w| w.voters.clone()) else { return };
+        let Some(voters) = self.wanted.get(&item.duty).map(|w| w.voters.clone()) else {
+            return;
+        };
         let me = self.me;
         for &voter in voters.iter().filter(|&&v| v != me.number) {
             self.out.entry(voter).or_default().push(item);
@@ -441,7 +533,8 @@
             return None;
         }
         if !self.votes.contains_key(&item.duty) && self.votes.len() >= MOST {
-            self.votes.retain(|_, v| !v.idle(now.saturating_sub(10 * s.lease_ms)));
+            self.votes
+                .retain(|_, v| !v.idle(now.saturating_sub(10 * s.lease_ms)));
             if self.votes.len() >= MOST {
                 return None;
             }
@@ -453,11 +546,30 @@
             _ => voter.asked(now, s.lease_ms, by, item.epoch),
         };
         Some(match vote {
-            Vote::Free { epoch } => Item { kind: Kind::Free, epoch, ..*item },
-            Vote::Granted { before } => Item { kind: Kind::Granted, holder: before, left: 0, ..*item },
-            Vote::Refused { epoch, holder, left } => {
+            Vote::Free { epoch } => Item {
+                kind: Kind::Free,
+                epoch,
+                ..*item
+            },
+            Vote::Granted { before } => Item {
+                kind: Kind::Granted,
+                holder: before,
+                left: 0,
+                ..*item
+            },
+            Vote::Refused {
+                epoch,
+                holder,
+                left,
+            } => {
                 let left = u32::try_from(left).unwrap_or(u32::MAX);
-                Item { kind: Kind::Refused, epoch, holder, left, ..*item }
+                Item {
+                    kind: Kind::Refused,
+                    epoch,
+                    holder,
+                    left,
+                    ..*item
+                }
             }
         })
     }
@@ -465,8 +577,12 @@
     /// A voter's answer to a claim.
     fn answered(&mut self, now: Millis, from: u32, item: &Item) {
         let s = self.settings;
-        let Some(w) = self.wanted.get_mut(&item.duty) else { return };
-        let Some(voter) = w.voters.iter().position(|&v| v == from) else { return };
+        let Some(w) = self.wanted.get_mut(&item.duty) else {
+            return;
+        };
+        let Some(voter) = w.voters.iter().position(|&v| v == from) else {
+            return;
+        };
         if item.kind == Kind::Free {
             return self.free(now, voter, item);
         }
@@ -479,7 +595,11 @@
                 w.other_first = None;
                 w.next = w.next.min(now + s.round());
                 let why = w.before.map_or(Why::Free, Why::TakenOver);
-                self.actions.push(Action::Owned { duty: item.duty, epoch, why });
+                self.actions.push(Action::Owned {
+                    duty: item.duty,
+                    epoch,
+                    why,
+                });
             }
             return;
         }
@@ -489,12 +609,20 @@
             if outbid {
                 w.owned = None;
                 w.next = now + s.lease_ms;
-                self.actions.push(Action::Lost { duty: item.duty, epoch, why: Why::Outbid });
+                self.actions.push(Action::Lost {
+                    duty: item.duty,
+                    epoch,
+                    why: Why::Outbid,
+                });
             }
         } else if outbid || other || item.left > 0 {
             // Somebody holds it, or the voter has just started: again when that is over, each in its turn.
             let again = now + u64::from(item.left).min(s.lease_ms) + s.step() * w.place as u64;
-            w.next = if w.claim.epoch() == 0 { again } else { w.next.max(again.min(w.began + s.lease_ms)) };
+            w.next = if w.claim.epoch() == 0 {
+                again
+            } else {
+                w.next.max(again.min(w.began + s.lease_ms))
+            };
         }
     }
 
@@ -502,7 +630,9 @@
     fn give_up(&mut self, now: Millis, duty: u64, why: Why) {
         let offered = self.release(now, duty);
         let s = self.settings;
-        let Some(w) = self.wanted.get_mut(&duty) else { return };
+        let Some(w) = self.wanted.get_mut(&duty) else {
+            return;
+        };
         w.claim.end();
         w.other_first = None;
         w.next = now + s.lease_ms;
@@ -510,7 +640,14 @@
         if let Some(epoch) = w.owned.take() {
             self.actions.push(Action::Lost { duty, epoch, why });
             if let (Some(epoch), true) = (offered, first != self.me.number) {
-                let item = Item { kind: Kind::Offered, duty, epoch, round: 0, holder: None, left: 0 };
+                let item = Item {
+                    kind: Kind::Offered,
+                    duty,
+                    epoch,
+                    round: 0,
+                    holder: None,
+                    left: 0,
+                };
                 self.out.entry(first).or_default().push(item);
             }
         }
@@ -520,7 +657,14 @@
     fn release(&mut self, now: Millis, duty: u64) -> Option<u64> {
         let w = self.wanted.get(&duty)?;
         let epoch = Some(w.claim.epoch()).filter(|&e| e != 0)?;
-        let item = Item { kind: Kind::Released, duty, epoch, round: 0, holder: None, left: 0 };
+        let item = Item {
+            kind: Kind::Released,
+            duty,
+            epoch,
+            round: 0,
+            holder: None,
+            left: 0,
+        };
         for &voter in w.voters.iter().filter(|&&v| v != self.me.number) {
             self.out.entry(voter).or_default().push(item);
         }
--- a/crates/gossip/src/duty.rs
+++ b/crates/gossip/src/duty.rs
@@ -32,7 +32,8 @@
 
 /// The weight of a gateway for a set (splitmix64's mix): the same everywhere.
 fn weight(set: i64, gateway: u32) -> u64 {
-    let mut x = (set as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (u64::from(gateway) + 1).rotate_left(32);
+    let mut x =
+        (set as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (u64::from(gateway) + 1).rotate_left(32);
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     x ^ (x >> 31)
@@ -41,7 +42,11 @@
 impl Duties {
     /// Gateway `me` of so many.
     pub fn new(me: u32, gateways: u32) -> Self {
-        Duties { me, gateways, sets: BTreeMap::new() }
+        Duties {
+            me,
+            gateways,
+            sets: BTreeMap::new(),
+        }
     }
 
     /// The sets that there are now. A new one is due at once for the first in its order.
@@ -54,7 +59,11 @@
                 let own = weight(set, me);
                 let before = |g: &u32| *g != me && weight(set, *g) > own;
                 let place = (0..gateways).filter(before).count() as i64;
-                Round { asked: now - PERIOD, asker: None, place }
+                Round {
+                    asked: now - PERIOD,
+                    asker: None,
+                    place,
+                }
             });
         }
     }
@@ -70,7 +79,12 @@
     /// The sets to be asked now. They count as asked by this gateway.
     pub fn due(&mut self, now: i64) -> Vec<i64> {
         let me = self.me;
-        let due: Vec<i64> = self.sets.iter().filter(|(_, r)| at(r, me) <= now).map(|(&set, _)| set).collect();
+        let due: Vec<i64> = self
+            .sets
+            .iter()
+            .filter(|(_, r)| at(r, me) <= now)
+            .map(|(&set, _)| set)
+            .collect();
         due.iter().for_each(|&set| self.heard(set, me, now));
         due
     }
@@ -79,15 +93,23 @@
     /// heard. They count as asked by this gateway.
     pub fn due_of(&mut self, now: i64, owns: impl Fn(i64) -> bool) -> Vec<i64> {
         let due = |r: &Round| r.asked + PERIOD <= now;
-        let due: Vec<i64> =
-            self.sets.iter().filter(|(&set, r)| due(r) && owns(set)).map(|(&set, _)| set).collect();
+        let due: Vec<i64> = self
+            .sets
+            .iter()
+            .filter(|(&set, r)| due(r) && owns(set))
+            .map(|(&set, _)| set)
+            .collect();
         due.iter().for_each(|&set| self.heard(set, self.me, now));
         due
     }
 
     /// When the next of those is due.
     pub fn next_of(&self, owns: impl Fn(i64) -> bool) -> Option<i64> {
-        self.sets.iter().filter(|(&set, _)| owns(set)).map(|(_, r)| r.asked + PERIOD).min()
+        self.sets
+            .iter()
+            .filter(|(&set, _)| owns(set))
+            .map(|(_, r)| r.asked + PERIOD)
+            .min()
     }
 
     /// When the next one is due, if nobody else is heard before.
--- a/crates/gossip/src/message.rs
+++ b/crates/gossip/src/message.rs
@@ -64,7 +64,9 @@
 
 /// The number of a host's id, 24 bits (FNV-1a, folded): the same at every gateway.
 pub fn number(id: &str) -> u32 {
-    let hash = id.bytes().fold(0x811c_9dc5_u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
+    let hash = id.bytes().fold(0x811c_9dc5_u32, |h, b| {
+        (h ^ u32::from(b)).wrapping_mul(0x0100_0193)
+    });
     (hash >> 24) ^ (hash & 0xff_ffff)
 }
 
@@ -81,7 +83,8 @@
         let lag = behind.map_or(UNKNOWN_LAG, |ms| ms.clamp(0, i64::from(UNKNOWN_LAG)) as u16);
         out.extend_from_slice(&lag.to_be_bytes());
         let in_use = f.in_use.filter(|u| u.is_finite());
-        let hundredths = in_use.map_or(UNKNOWN_USE, |u| (u * 100.0).round().clamp(0.0, 126.0) as u8);
+        let hundredths =
+            in_use.map_or(UNKNOWN_USE, |u| (u * 100.0).round().clamp(0.0, 126.0) as u8);
         out.push(hundredths | if f.primary { PRIMARY } else { 0 });
     }
     out
@@ -93,7 +96,10 @@
 ///
 /// Anything that [`encode`] does not write, and what is too old or lies ahead of the clock.
 pub fn decode(datagram: &[u8], now: i64) -> Result<Message, Malformed> {
-    let body = datagram.len().checked_sub(HEAD).filter(|n| *n > 0 && n % EACH == 0);
+    let body = datagram
+        .len()
+        .checked_sub(HEAD)
+        .filter(|n| *n > 0 && n % EACH == 0);
     if body.is_none() || datagram.len() > LONGEST {
         return Err(Malformed::Length);
     }
@@ -121,5 +127,8 @@
             in_use: (in_use != UNKNOWN_USE).then(|| f64::from(in_use) / 100.0),
         }
     };
-    Ok(Message { at, findings: datagram[HEAD..].chunks_exact(EACH).map(finding).collect() })
+    Ok(Message {
+        at,
+        findings: datagram[HEAD..].chunks_exact(EACH).map(finding).collect(),
+    })
 }
--- a/crates/inhand/src/codec.rs
+++ b/crates/inhand/src/codec.rs
@@ -35,7 +35,14 @@
     Forget,
 }
 
-const KINDS: [Kind; 6] = [Kind::Note, Kind::Noted, Kind::Ask, Kind::Known, Kind::Unknown, Kind::Forget];
+const KINDS: [Kind; 6] = [
+    Kind::Note,
+    Kind::Noted,
+    Kind::Ask,
+    Kind::Known,
+    Kind::Unknown,
+    Kind::Forget,
+];
 
 /// One word about one key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -72,8 +79,14 @@
 pub fn decode(bytes: &[u8]) -> Result<Vec<Item>, WireError> {
     Reader::new(bytes, MAGIC)?.items(ITEM, |from| {
         let kind = from.u8()?;
-        let kind = *KINDS.get(usize::from(kind)).ok_or(WireError::Unknown("kind", kind))?;
-        Ok(Item { kind, key: from.u64()?, at: from.u64()? })
+        let kind = *KINDS
+            .get(usize::from(kind))
+            .ok_or(WireError::Unknown("kind", kind))?;
+        Ok(Item {
+            kind,
+            key: from.u64()?,
+            at: from.u64()?,
+        })
     })
 }
 
--- a/crates/inhand/src/lib.rs
+++ b/crates/inhand/src/lib.rs
@@ -179,7 +179,10 @@
             return self.begin(now, key, None, gateways, ASK_AMONG);
         };
         self.tickets += 1;
-        self.actions.push(Action::Ended { ticket: self.tickets, outcome: Outcome::Known(at) });
+        self.actions.push(Action::Ended {
+            ticket: self.tickets,
+            outcome: Outcome::Known(at),
+        });
         self.tickets
     }
 
@@ -187,7 +190,11 @@
     pub fn forget(&mut self, key: u64, gateways: &[u32]) {
         self.drop_of(self.me, key);
         for to in self.keepers(key, gateways, NOTE_AMONG) {
-            self.out.entry(to).or_default().push(Item { kind: Kind::Forget, key, at: 0 });
+            self.out.entry(to).or_default().push(Item {
+                kind: Kind::Forget,
+                key,
+                at: 0,
+            });
         }
         self.flush();
     }
@@ -201,14 +208,25 @@
             match item.kind {
                 Kind::Note => {
                     if self.keep(now, from, item.key, item.at) {
-                        self.out.entry(from).or_default().push(Item { kind: Kind::Noted, ..item });
+                        self.out.entry(from).or_default().push(Item {
+                            kind: Kind::Noted,
+                            ..item
+                        });
                     }
                 }
                 Kind::Ask => {
                     let answer = match self.known(now, item.key) {
-                        Some(at) => Item { kind: Kind::Known, at, ..item },
+                        Some(at) => Item {
+                            kind: Kind::Known,
+                            at,
+                            ..item
+                        },
                         None if self.fresh(now) => continue,
-                        None => Item { kind: Kind::Unknown, at: 0, ..item },
+                        None => Item {
+                            kind: Kind::Unknown,
+                            at: 0,
+                            ..item
+                        },
                     };
                     self.out.entry(from).or_default().push(answer);
                 }
@@ -225,8 +243,11 @@
         for i in 0..self.open.len() {
             self.again(now, i);
         }
-        let ended: Vec<(u64, Outcome)> =
-            self.open.iter().filter_map(|o| Some((o.ticket, judged(o, now)?))).collect();
+        let ended: Vec<(u64, Outcome)> = self
+            .open
+            .iter()
+            .filter_map(|o| Some((o.ticket, judged(o, now)?)))
+            .collect();
         for (ticket, outcome) in ended {
             self.end(ticket, outcome);
         }
@@ -236,7 +257,9 @@
             }
             self.ages.pop_front();
             match self.kept.get(&key).map(|k| k.until) {
-                Some(until) if until > now => self.ages.push_back((until.saturating_sub(KEPT), key)),
+                Some(until) if until > now => {
+                    self.ages.push_back((until.saturating_sub(KEPT), key))
+                }
                 _ => drop(self.kept.remove(&key)),
             }
         }
@@ -246,7 +269,12 @@
     /// When [`InHand::advance`] next has work.
     #[must_use]
     pub fn next_due(&self) -> Millis {
-        let open = self.open.iter().map(|o| o.next).min().unwrap_or(Millis::MAX);
+        let open = self
+            .open
+            .iter()
+            .map(|o| o.next)
+            .min()
+            .unwrap_or(Millis::MAX);
         open.min(self.ages.front().map_or(Millis::MAX, |a| a.0 + KEPT))
     }
 
@@ -273,18 +301,38 @@
         all
     }
 
-    fn begin(&mut self, now: Millis, key: u64, note: Option<u64>, gateways: &[u32], among: usize) -> u64 {
+    fn begin(
+        &mut self,
+        now: Millis,
+        key: u64,
+        note: Option<u64>,
+        gateways: &[u32],
+        among: usize,
+    ) -> u64 {
         self.tickets += 1;
         let ticket = self.tickets;
         let among = self.keepers(key, gateways, among);
         if self.open.len() >= MOST_OPEN {
-            let outcome = if note.is_some() { Outcome::NotNoted } else { Outcome::Unproven };
+            let outcome = if note.is_some() {
+                Outcome::NotNoted
+            } else {
+                Outcome::Unproven
+            };
             self.actions.push(Action::Ended { ticket, outcome });
             return ticket;
         }
         let fresh = self.fresh(now);
-        let open =
-            Open { ticket, key, note, among, answered: Vec::new(), sent: 0, began: now, next: now, fresh };
+        let open = Open {
+            ticket,
+            key,
+            note,
+            among,
+            answered: Vec::new(),
+            sent: 0,
+            began: now,
+            next: now,
+            fresh,
+        };
         self.open.push(open);
         self.advance(now);
         ticket
@@ -293,7 +341,9 @@
     /// Sends a note or a question again to those that have not answered. A note goes to two first, and to one more each
     /// time, as one of them may be dead.
     fn again(&mut self, now: Millis, i: usize) {
-        let Some(o) = self.open.get_mut(i).filter(|o| o.next <= now) else { return };
+        let Some(o) = self.open.get_mut(i).filter(|o| o.next <= now) else {
+            return;
+        };
         o.next = now + AGAIN;
         let (kind, at) = o.note.map_or((Kind::Ask, 0), |at| (Kind::Note, at));
         o.sent = match kind {
@@ -303,13 +353,21 @@
         }
         .min(o.among.len());
         for &to in o.among[..o.sent].iter().filter(|n| !o.answered.contains(n)) {
-            self.out.entry(to).or_default().push(Item { kind, key: o.key, at });
+            self.out.entry(to).or_default().push(Item {
+                kind,
+                key: o.key,
+                at,
+            });
         }
     }
 
     fn answered(&mut self, from: u32, item: &Item) {
         let mut ended = Vec::new();
-        for o in self.open.iter_mut().filter(|o| o.key == item.key && o.among.contains(&from)) {
+        for o in self
+            .open
+            .iter_mut()
+            .filter(|o| o.key == item.key && o.among.contains(&from))
+        {
             let outcome = match (item.kind, o.note) {
                 (Kind::Known, None) => Some(Outcome::Known(item.at)),
                 (Kind::Noted, Some(at)) if at == item.at => None,
@@ -320,7 +378,11 @@
                 o.answered.push(from);
             }
             // Time brings no more than what has been heard says by itself: judged as at the beginning.
-            ended.extend(outcome.or_else(|| judged(o, o.began)).map(|outcome| (o.ticket, outcome)));
+            ended.extend(
+                outcome
+                    .or_else(|| judged(o, o.began))
+                    .map(|outcome| (o.ticket, outcome)),
+            );
         }
         for (ticket, outcome) in ended {
             self.end(ticket, outcome);
@@ -343,10 +405,17 @@
             }
             self.ages.push_back((now, key));
         }
-        let kept = self.kept.entry(key).or_insert(Kept { by: Vec::new(), until: 0 });
+        let kept = self.kept.entry(key).or_insert(Kept {
+            by: Vec::new(),
+            until: 0,
+        });
         kept.until = now + KEPT;
         let full = kept.by.len() >= WRITERS;
-        let place = kept.by.iter().position(|b| b.0 == by).or(full.then_some(WRITERS - 1));
+        let place = kept
+            .by
+            .iter()
+            .position(|b| b.0 == by)
+            .or(full.then_some(WRITERS - 1));
         match place.and_then(|place| kept.by.get_mut(place)) {
             Some(mine) => mine.1 = mine.1.min(at),
             None => kept.by.push((by, at)),
@@ -371,7 +440,10 @@
     fn flush(&mut self) {
         for (to, items) in std::mem::take(&mut self.out) {
             for part in items.chunks(codec::ITEMS) {
-                self.actions.push(Action::Send { to, bytes: codec::encode(part) });
+                self.actions.push(Action::Send {
+                    to,
+                    bytes: codec::encode(part),
+                });
             }
         }
     }
@@ -387,7 +459,9 @@
         Some(_) if waited >= GIVE_UP => Some(Outcome::NotNoted),
         Some(_) => None,
         None if silent == 0 => Some(Outcome::Unknown),
-        None if waited >= QUIET && silent <= SILENT && !o.answered.is_empty() => Some(Outcome::Unknown),
+        None if waited >= QUIET && silent <= SILENT && !o.answered.is_empty() => {
+            Some(Outcome::Unknown)
+        }
         None if waited >= GIVE_UP => Some(Outcome::Unproven),
         None => None,
     }
--- a/crates/lab/src/cluster/load.rs
+++ b/crates/lab/src/cluster/load.rs
@@ -52,7 +52,11 @@
     /// Clients that have not begun.
     #[must_use]
     pub fn new(shape: Shape) -> Self {
-        Load { shape, stop: AtomicBool::new(false), got: Mutex::default() }
+        Load {
+            shape,
+            stop: AtomicBool::new(false),
+            got: Mutex::default(),
+        }
     }
 
     /// Asks these gateways until it is stopped. A client whose gateway is gone ends.
@@ -60,11 +64,17 @@
     /// # Errors
     /// There is no runtime.
     pub fn run(&self, cluster: &Cluster, gateways: &[usize]) -> Result<(), String> {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build();
         let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
         runtime.block_on(async {
-            let each = gateways.iter().flat_map(|&g| (0..self.shape.each).map(move |n| (g, n)));
-            let mut clients: Vec<_> = each.map(|(g, n)| Box::pin(self.client(cluster, g, n))).collect();
+            let each = gateways
+                .iter()
+                .flat_map(|&g| (0..self.shape.each).map(move |n| (g, n)));
+            let mut clients: Vec<_> = each
+                .map(|(g, n)| Box::pin(self.client(cluster, g, n)))
+                .collect();
             std::future::poll_fn(|cx| {
                 clients.retain_mut(|client| client.as_mut().poll(cx).is_pending());
                 if clients.is_empty() {
@@ -82,11 +92,15 @@
     }
 
     async fn client(&self, cluster: &Cluster, gateway: usize, n: usize) {
-        let Some(at) = cluster.process(gateway).map(|p| p.address) else { return };
+        let Some(at) = cluster.process(gateway).map(|p| p.address) else {
+            return;
+        };
         let way = format!("host=127.0.0.1 port={} user=web dbname=orders", at.port());
         let mut turn = n as u64;
         while self.goes_on() {
-            let Ok((client, connection)) = tokio_postgres::connect(&way, tokio_postgres::NoTls).await else {
+            let Ok((client, connection)) =
+                tokio_postgres::connect(&way, tokio_postgres::NoTls).await
+            else {
                 return;
             };
             let carried = tokio::spawn(connection);
@@ -94,18 +108,34 @@
                 turn += 1;
                 let (set, page) = (turn % 3, (turn / 3).is_multiple_of(self.shape.pages));
                 let class = if page { "page-read" } else { "report" };
-                let (id, wait) = (format!("{gateway:x}f{n:x}f{turn:x}"), self.shape.patience_ms);
+                let (id, wait) = (
+                    format!("{gateway:x}f{n:x}f{turn:x}"),
+                    self.shape.patience_ms,
+                );
                 let text = format!(
                     "SELECT payload FROM entries WHERE ref = '7f3a' /* id={id},c={class},d={wait},cluster={set} */"
                 );
                 let refused = client.simple_query(&text).await.err().map(|e| {
                     e.as_db_error().map_or_else(
                         || ("closed".to_string(), String::new()),
-                        |d| (d.code().code().to_string(), d.detail().unwrap_or_default().to_string()),
+                        |d| {
+                            (
+                                d.code().code().to_string(),
+                                d.detail().unwrap_or_default().to_string(),
+                            )
+                        },
                     )
                 });
-                let got = Got { at: cluster.clock.now(), class, set, refused };
-                self.got.lock().unwrap_or_else(PoisonError::into_inner).push(got);
+                let got = Got {
+                    at: cluster.clock.now(),
+                    class,
+                    set,
+                    refused,
+                };
+                self.got
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .push(got);
                 tokio::time::sleep(self.shape.pause).await;
             }
         }
@@ -115,6 +145,9 @@
     #[must_use]
     pub fn got(&self, from: u64, to: u64) -> Vec<Got> {
         let got = self.got.lock().unwrap_or_else(PoisonError::into_inner);
-        got.iter().filter(|g| (from..to).contains(&g.at)).cloned().collect()
+        got.iter()
+            .filter(|g| (from..to).contains(&g.at))
+            .cloned()
+            .collect()
     }
 }
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -12,7 +12,13 @@
 
 /// The scenario.
 pub fn scenario() -> Scenario {
-    let silent = Silent { hosts: Pick { these: Some(vec![0]), ..Pick::default() }, hang: false };
+    let silent = Silent {
+        hosts: Pick {
+            these: Some(vec![0]),
+            ..Pick::default()
+        },
+        hang: false,
+    };
     Scenario {
         title: "One set, one gateway, and a primary that vanishes".into(),
         about: String::new(),
@@ -20,14 +26,21 @@
             gateways: 1,
             length_s: 16.0,
             warm_up_s: 0.0,
-            hosts: HostSpec { count: 4, cold_s: Between::Value(4.0), ..HostSpec::default() },
+            hosts: HostSpec {
+                count: 4,
+                cold_s: Between::Value(4.0),
+                ..HostSpec::default()
+            },
             sets: SetSpec {
                 members: 4,
                 detect_s: Between::Value(1.0),
                 elect_s: Between::Value(1.0),
                 ..SetSpec::default()
             },
-            traffic: TrafficSpec { requests_per_s: Some(100.0), ..TrafficSpec::default() },
+            traffic: TrafficSpec {
+                requests_per_s: Some(100.0),
+                ..TrafficSpec::default()
+            },
             faults: vec![Fault {
                 at_s: Between::Value(SILENT.0),
                 for_s: Between::Value(SILENT.1),
@@ -56,7 +69,11 @@
         SILENT.0,
         SILENT.0 + SILENT.1
     ));
-    let names: String = w.classes.iter().map(|c| format!("{:>13}", c.name)).collect();
+    let names: String = w
+        .classes
+        .iter()
+        .map(|c| format!("{:>13}", c.name))
+        .collect();
     say(&format!("{:>6}{names}  primary\n", ""));
     let each_second = |house: &House| {
         let recent = house.collector.borrow_mut().take_recent();
@@ -74,6 +91,9 @@
         let primary = primary.map_or("none".to_string(), |h| format!("host {}", h.0));
         say(&format!("{second:>4.0} s{shares}  {primary}\n"));
     };
-    let options = Options { gateway, each_second: &each_second };
+    let options = Options {
+        gateway,
+        each_second: &each_second,
+    };
     loopback::run(&scenario, seed, &options)
 }
