--- a/crates/lab/src/loopback/discovery.rs
+++ b/crates/lab/src/loopback/discovery.rs
@@ -22,7 +22,12 @@
 const LONGEST_HOLD: u64 = 60_000;
 
 /// Takes connections for ever.
-pub async fn serve(house: Rc<House>, listener: TcpListener, gateway: GatewayId, addresses: Rc<Vec<String>>) {
+pub async fn serve(
+    house: Rc<House>,
+    listener: TcpListener,
+    gateway: GatewayId,
+    addresses: Rc<Vec<String>>,
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(10)).await;
@@ -84,12 +89,15 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     if let Some(&from) = query.get("from") {
-        let hold = Duration::from_millis(query.get("hold_ms").copied().unwrap_or(0).min(LONGEST_HOLD));
+        let hold =
+            Duration::from_millis(query.get("hold_ms").copied().unwrap_or(0).min(LONGEST_HOLD));
         let _ = timeout(hold, versions.wait_for(|&v| v > from)).await;
     }
     let body = list(house, gateway, addresses).to_string();
     let mut response = Response::new(Full::new(Bytes::from(body)));
     let json = hyper::header::HeaderValue::from_static("application/json");
-    response.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, json);
     Ok(response)
 }
--- a/crates/lab/src/loopback/process.rs
+++ b/crates/lab/src/loopback/process.rs
@@ -104,7 +104,8 @@
             config["listen"] = address.to_string().into();
         }
         let file = self.dir.join(format!("{}.json", p.program.name));
-        std::fs::write(&file, config.to_string()).map_err(|e| format!("{}: {e}", file.display()))?;
+        std::fs::write(&file, config.to_string())
+            .map_err(|e| format!("{}: {e}", file.display()))?;
         let tmp = self.dir.join(format!("{}.tmp", p.program.name));
         std::fs::create_dir_all(&tmp).map_err(|e| format!("{}: {e}", tmp.display()))?;
         let mut command = Command::new(&p.program.file);
@@ -118,11 +119,17 @@
             command.env_remove(name);
         }
         command.env("BALANCER_CONFIG", &file).env("TMPDIR", &tmp);
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
+        command
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .kill_on_drop(true);
         let mut child = command
             .spawn()
             .map_err(|e| format!("cannot start the gateway {}: {e}", p.program.file.display()))?;
-        let Some(errors) = child.stderr.take() else { return Err("a gateway without a log".into()) };
+        let Some(errors) = child.stderr.take() else {
+            return Err("a gateway without a log".into());
+        };
         let (log, listens) = (Rc::clone(&p.log), Rc::new(Notify::new()));
         let (address, told) = (Rc::new(Cell::new(None)), Rc::clone(&listens));
         let found = Rc::clone(&address);
@@ -159,8 +166,15 @@
     fn with_log(&self, gateway: GatewayId, what: &str) -> String {
         let p = &self.all[gateway.0 as usize];
         let lines: Vec<String> = p.log.borrow().iter().map(|l| format!("  {l}")).collect();
-        let log = if lines.is_empty() { "  (it said nothing)".to_string() } else { lines.join("\n") };
-        format!("the gateway {} {what}; its last log lines:\n{log}", p.program.name)
+        let log = if lines.is_empty() {
+            "  (it said nothing)".to_string()
+        } else {
+            lines.join("\n")
+        };
+        format!(
+            "the gateway {} {what}; its last log lines:\n{log}",
+            p.program.name
+        )
     }
 
     /// A gateway that ends by itself fails the run.
@@ -198,7 +212,9 @@
 
     /// Kills and starts gateways as the world's faults have it, for ever.
     pub async fn obey(self: Rc<Self>) {
-        let Some(mut commands) = self.house.commands() else { return };
+        let Some(mut commands) = self.house.commands() else {
+            return;
+        };
         while let Some((gateway, up)) = commands.recv().await {
             if up {
                 if let Err(why) = self.start(gateway).await {
@@ -208,7 +224,10 @@
             } else {
                 self.kill(gateway).await;
             }
-            self.house.clients.borrow_mut().gateway(self.house.now(), gateway, up);
+            self.house
+                .clients
+                .borrow_mut()
+                .gateway(self.house.now(), gateway, up);
         }
     }
 
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -84,6 +84,8 @@
 impl Checked for Scenario {
     fn check(&self) -> Vec<Problem> {
         let world = self.world.problems().into_iter();
-        world.map(|(path, reason)| Problem::new(format!("/world{path}"), reason)).collect()
+        world
+            .map(|(path, reason)| Problem::new(format!("/world{path}"), reason))
+            .collect()
     }
 }
--- a/crates/listwatch/src/codec.rs
+++ b/crates/listwatch/src/codec.rs
@@ -40,7 +40,11 @@
     if epoch == 0 {
         return Err(WireError::Value("an epoch of nobody"));
     }
-    Ok(Beat { epoch, revision, out: from.items(HOST, Reader::u32)? })
+    Ok(Beat {
+        epoch,
+        revision,
+        out: from.items(HOST, Reader::u32)?,
+    })
 }
 
 /// Whether a datagram is of the fleet's watch, in whatever version.
--- a/crates/listwatch/src/lib.rs
+++ b/crates/listwatch/src/lib.rs
@@ -40,7 +40,12 @@
     /// make the whole fleet watch.
     #[must_use]
     pub const fn paced(lease_ms: u64) -> Self {
-        Self { beat_ms: lease_ms / 5, silent_ms: 4 * lease_ms, each_ms: 20, again_ms: 1_000 }
+        Self {
+            beat_ms: lease_ms / 5,
+            silent_ms: 4 * lease_ms,
+            each_ms: 20,
+            again_ms: 1_000,
+        }
     }
 }
 
@@ -102,7 +107,12 @@
     /// A gateway that has heard nobody.
     #[must_use]
     pub const fn new(settings: Settings) -> Self {
-        Self { settings, heard: None, well: false, told: None }
+        Self {
+            settings,
+            heard: None,
+            well: false,
+            told: None,
+        }
     }
 
     /// A beat came. Returns whether it counts: not one of an epoch older than the latest heard.
@@ -116,7 +126,13 @@
             // Danger guarded against: under one epoch a late datagram would bring an older list back.
             Some(h) if epoch == h.epoch && revision < h.revision => false,
             _ => {
-                self.heard = Some(Heard { epoch, revision, at: now, since: now, called: None });
+                self.heard = Some(Heard {
+                    epoch,
+                    revision,
+                    at: now,
+                    since: now,
+                    called: None,
+                });
                 true
             }
         }
@@ -131,10 +147,16 @@
     /// The beat that is due from this gateway now: where it owns the watch, and that is well. At once with a new revision.
     pub fn beat(&mut self, now: Millis, own: Own, out: impl FnOnce() -> Vec<u32>) -> Option<Beat> {
         let (epoch, revision) = own.token.zip(own.revision).filter(|_| self.well)?;
-        let due = self.told.is_none_or(|(told, at)| told != revision || now >= at + self.settings.beat_ms);
+        let due = self
+            .told
+            .is_none_or(|(told, at)| told != revision || now >= at + self.settings.beat_ms);
         due.then(|| {
             self.told = Some((revision, now));
-            Beat { epoch, revision, out: out() }
+            Beat {
+                epoch,
+                revision,
+                out: out(),
+            }
         })
     }
 
@@ -151,22 +173,29 @@
     /// Another gateway is heard to watch a list that is not older: this one need not.
     #[must_use]
     pub fn relieved(&self, now: Millis, own: Own) -> bool {
-        let fresh =
-            |h: &Heard| now < h.at + self.settings.silent_ms && own.revision.is_some_and(|r| h.revision >= r);
+        let fresh = |h: &Heard| {
+            now < h.at + self.settings.silent_ms && own.revision.is_some_and(|r| h.revision >= r)
+        };
         own.token.is_none() && !own.whole && self.heard.as_ref().is_some_and(fresh)
     }
 
     /// What this gateway does next about its own list; it is taken to do so.
     pub fn turn(&mut self, now: Millis, own: Own) -> Turn {
         let s = self.settings;
-        let Some(revision) = own.revision.filter(|_| !own.whole) else { return Turn::Fetch };
+        let Some(revision) = own.revision.filter(|_| !own.whole) else {
+            return Turn::Fetch;
+        };
         let relieved = self.relieved(now, own);
-        let Some(heard) = self.heard.as_mut().filter(|_| relieved) else { return Turn::Watch };
+        let Some(heard) = self.heard.as_mut().filter(|_| relieved) else {
+            return Turn::Watch;
+        };
         if heard.revision == revision {
             return Turn::Rest(heard.at + s.silent_ms - now);
         }
         // Danger guarded against: a service that is behind its own word would be called without end.
-        let due = heard.called.map_or(heard.since + own.place * s.each_ms, |at| at + s.again_ms);
+        let due = heard
+            .called
+            .map_or(heard.since + own.place * s.each_ms, |at| at + s.again_ms);
         if now < due {
             return Turn::Rest(due - now);
         }
--- a/crates/membership/src/asks.rs
+++ b/crates/membership/src/asks.rs
@@ -43,7 +43,8 @@
     /// Whether an answer with this sequence number is one to this ask.
     #[must_use]
     pub const fn answered_by(&self, seq: u16) -> bool {
-        self.round.is_some() && seq.wrapping_sub(self.seqs.0) <= self.seqs.1.wrapping_sub(self.seqs.0)
+        self.round.is_some()
+            && seq.wrapping_sub(self.seqs.0) <= self.seqs.1.wrapping_sub(self.seqs.0)
     }
 }
 
@@ -71,7 +72,13 @@
     /// Asks a member from the next [`Asks::due`] on; where it is being asked already, only `told` may change.
     pub fn ask(&mut self, number: u32, told: bool) {
         self.turns += 1;
-        let new = Ask { missed: 0, told, seqs: (0, 0), round: None, turn: self.turns };
+        let new = Ask {
+            missed: 0,
+            told,
+            seqs: (0, 0),
+            round: None,
+            turn: self.turns,
+        };
         let ask = self.all.entry(number).or_insert(new);
         ask.told |= told;
     }
@@ -98,7 +105,12 @@
         // A round that is over is its owner's to end or to begin again, within the same call.
         let waits = self.all.len() > under_way && under_way < AT_ONCE;
         let step = |&(began, step): &(Millis, u8)| began + after(step, settings);
-        let next = self.all.values().filter_map(|a| a.round.as_ref().map(step)).min().unwrap_or(Millis::MAX);
+        let next = self
+            .all
+            .values()
+            .filter_map(|a| a.round.as_ref().map(step))
+            .min()
+            .unwrap_or(Millis::MAX);
         if waits {
             0
         } else {
@@ -111,7 +123,9 @@
     pub fn due(&mut self, now: Millis, settings: &Settings) -> Vec<(u32, Due)> {
         let mut due = Vec::new();
         for (&number, ask) in &mut self.all {
-            let Some((began, step)) = ask.round else { continue };
+            let Some((began, step)) = ask.round else {
+                continue;
+            };
             if now < began + after(step, settings) {
                 continue;
             }
@@ -127,12 +141,18 @@
             });
         }
         let under_way = self.all.values().filter(|a| a.round.is_some()).count();
-        let mut waiting: Vec<(u64, u32)> =
-            self.all.iter().filter(|(_, a)| a.round.is_none()).map(|(&n, a)| (a.turn, n)).collect();
+        let mut waiting: Vec<(u64, u32)> = self
+            .all
+            .iter()
+            .filter(|(_, a)| a.round.is_none())
+            .map(|(&n, a)| (a.turn, n))
+            .collect();
         waiting.sort_unstable();
         for (_, number) in waiting.into_iter().take(AT_ONCE.saturating_sub(under_way)) {
             let seq = self.seq();
-            let Some(ask) = self.all.get_mut(&number) else { continue };
+            let Some(ask) = self.all.get_mut(&number) else {
+                continue;
+            };
             ask.seqs = (if ask.missed == 0 { seq } else { ask.seqs.0 }, seq);
             ask.round = Some((now, 1));
             due.push((number, Due::Ping));
--- a/crates/membership/src/codec.rs
+++ b/crates/membership/src/codec.rs
@@ -111,7 +111,11 @@
             seq(2, s);
             buf.put_u32(target);
         }
-        Kind::IndirectAck { seq: s, target, incarnation } => {
+        Kind::IndirectAck {
+            seq: s,
+            target,
+            incarnation,
+        } => {
             seq(3, s);
             put_node(&mut buf, target);
             buf.put_u16(incarnation);
@@ -135,7 +139,10 @@
 }
 
 fn get_node(from: &mut Reader<'_>) -> Result<Node, WireError> {
-    Ok(Node { number: from.u32()?, generation: from.u16()? })
+    Ok(Node {
+        number: from.u32()?,
+        generation: from.u16()?,
+    })
 }
 
 /// Reads a datagram.
@@ -149,9 +156,18 @@
     let kind = match from.u8()? {
         0 => Kind::Ping { seq: from.u16()? },
         1 => Kind::Ack { seq: from.u16()? },
-        2 => Kind::PingReq { seq: from.u16()?, target: from.u32()? },
-        3 => Kind::IndirectAck { seq: from.u16()?, target: get_node(&mut from)?, incarnation: from.u16()? },
-        4 => Kind::Join { from: Some(from.u32()?).filter(|&n| n != u32::MAX) },
+        2 => Kind::PingReq {
+            seq: from.u16()?,
+            target: from.u32()?,
+        },
+        3 => Kind::IndirectAck {
+            seq: from.u16()?,
+            target: get_node(&mut from)?,
+            incarnation: from.u16()?,
+        },
+        4 => Kind::Join {
+            from: Some(from.u32()?).filter(|&n| n != u32::MAX),
+        },
         5 => Kind::Feed,
         6 => Kind::Gossip,
         7 => Kind::Leave,
@@ -160,11 +176,21 @@
     let words = from.items(WORD, |from| {
         let (node, incarnation) = (get_node(from)?, from.u16()?);
         match from.u8()? {
-            state @ (0 | 1) => Ok(Word { node, incarnation, down: state == 1 }),
+            state @ (0 | 1) => Ok(Word {
+                node,
+                incarnation,
+                down: state == 1,
+            }),
             state => Err(WireError::Unknown("state", state)),
         }
     })?;
-    Ok(Datagram { src, incarnation, dst, kind, words })
+    Ok(Datagram {
+        src,
+        incarnation,
+        dst,
+        kind,
+        words,
+    })
 }
 
 /// Whether a datagram is one of membership's, by its first byte; the shell uses this to route datagrams that share
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -72,8 +72,14 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Wire(why) => write!(f, "membership datagram refused: {why}"),
-            Self::Source(n) => write!(f, "membership datagram refused: its source, {n}, is no other gateway"),
-            Self::Destination(n) => write!(f, "membership datagram refused: it was meant for gateway {n}"),
+            Self::Source(n) => write!(
+                f,
+                "membership datagram refused: its source, {n}, is no other gateway"
+            ),
+            Self::Destination(n) => write!(
+                f,
+                "membership datagram refused: it was meant for gateway {n}"
+            ),
         }
     }
 }
@@ -123,7 +129,10 @@
     pub fn new(me: Node, settings: Settings, seed: u64, now: Millis) -> Result<Self, String> {
         settings.check()?;
         if me.number >= settings.fleet {
-            return Err(format!("number {} lies outside a fleet of {}", me.number, settings.fleet));
+            return Err(format!(
+                "number {} lies outside a fleet of {}",
+                me.number, settings.fleet
+            ));
         }
         let mut rng = SmallRng::seed_from_u64(seed);
         // Danger guarded against: gateways started at once would probe and gossip in step.
@@ -282,8 +291,16 @@
         if self.left {
             return Millis::MAX;
         }
-        let gossip = if self.rumors.is_empty() { Millis::MAX } else { self.next_gossip };
-        self.next_probe.min(gossip).min(self.next_join).min(self.asks.next(&self.settings)).max(self.now)
+        let gossip = if self.rumors.is_empty() {
+            Millis::MAX
+        } else {
+            self.next_gossip
+        };
+        self.next_probe
+            .min(gossip)
+            .min(self.next_join)
+            .min(self.asks.next(&self.settings))
+            .max(self.now)
     }
 
     /// What the shell is to do, in order.
@@ -293,7 +310,9 @@
 
     /// Notes the source of a datagram; returns whether what it says of others counts.
     fn meet(&mut self, src: Node, incarnation: u16) -> bool {
-        let Some(&row) = self.view.get(src.number) else { return false };
+        let Some(&row) = self.view.get(src.number) else {
+            return false;
+        };
         match rules::meet(&row, src, incarnation) {
             Met::Same => {}
             Met::Alive => {
@@ -302,9 +321,16 @@
                 self.rumors.spread(src.number);
             }
             Met::Tell => {
-                let known = Node { number: src.number, generation: row.generation };
+                let known = Node {
+                    number: src.number,
+                    generation: row.generation,
+                };
                 let down = row.liveness == Liveness::Down;
-                let word = Word { node: known, incarnation: row.incarnation, down };
+                let word = Word {
+                    node: known,
+                    incarnation: row.incarnation,
+                    down,
+                };
                 self.say(src.number, Kind::Gossip, vec![word]);
                 return false;
             }
@@ -320,12 +346,18 @@
             self.hear_of_me(word, teller);
             return false;
         }
-        let Some(row) = self.view.get(number) else { return false };
+        let Some(row) = self.view.get(number) else {
+            return false;
+        };
         match rules::hear(row, word) {
             Heard::Old => {}
             Heard::Behind => return true,
             Heard::Take => {
-                let to = if word.down { Liveness::Down } else { Liveness::Alive };
+                let to = if word.down {
+                    Liveness::Down
+                } else {
+                    Liveness::Alive
+                };
                 self.asks.end(number);
                 self.set(word.node, word.incarnation, to);
                 self.rumors.spread(number);
@@ -370,16 +402,32 @@
             // Also to a member held down: its answer is what proves it alive.
             Kind::Ping { seq } => self.send(src, Kind::Ack { seq }),
             Kind::Ack { seq } if d.dst == self.me => {
-                if let Some(at) = self.relays.iter().position(|r| r.seq == seq && r.target == src) {
+                if let Some(at) = self
+                    .relays
+                    .iter()
+                    .position(|r| r.seq == seq && r.target == src)
+                {
                     if let Some(r) = self.relays.remove(at) {
                         let (target, incarnation) = (d.src, d.incarnation);
-                        self.send(r.origin, Kind::IndirectAck { seq: r.origin_seq, target, incarnation });
+                        self.send(
+                            r.origin,
+                            Kind::IndirectAck {
+                                seq: r.origin_seq,
+                                target,
+                                incarnation,
+                            },
+                        );
                     }
                 }
                 self.answered(d.src, d.incarnation, seq);
             }
             Kind::PingReq { seq, target } if counts && target != self.me.number => {
-                let relay = Relay { seq: self.asks.seq(), target, origin: src, origin_seq: seq };
+                let relay = Relay {
+                    seq: self.asks.seq(),
+                    target,
+                    origin: src,
+                    origin_seq: seq,
+                };
                 if target >= self.settings.fleet {
                     return;
                 }
@@ -389,7 +437,11 @@
                 self.relays.push_back(relay);
                 self.send(target, Kind::Ping { seq: relay.seq });
             }
-            Kind::IndirectAck { seq, target, incarnation } if counts && d.dst == self.me => {
+            Kind::IndirectAck {
+                seq,
+                target,
+                incarnation,
+            } if counts && d.dst == self.me => {
                 self.answered(target, incarnation, seq);
             }
             Kind::Join { from } => self.feed(src, from),
@@ -405,12 +457,21 @@
 
     /// A member answered an ask.
     fn answered(&mut self, node: Node, incarnation: u16, seq: u16) {
-        let Some(&row) = self.view.get(node.number) else { return };
-        let asked = self.asks.get(node.number).is_some_and(|a| a.answered_by(seq));
+        let Some(&row) = self.view.get(node.number) else {
+            return;
+        };
+        let asked = self
+            .asks
+            .get(node.number)
+            .is_some_and(|a| a.answered_by(seq));
         if !asked || row.generation != node.generation {
             return;
         }
-        if self.asks.end(node.number).is_some_and(|a| a.missed == 0 && !a.told) {
+        if self
+            .asks
+            .end(node.number)
+            .is_some_and(|a| a.missed == 0 && !a.told)
+        {
             self.remember(true);
         }
         if row.liveness == Liveness::Suspect {
@@ -423,10 +484,17 @@
 
     /// A round of asks passed without an answer.
     fn missed(&mut self, number: u32) {
-        let Some(ask) = self.asks.get(number) else { return };
+        let Some(ask) = self.asks.get(number) else {
+            return;
+        };
         let (missed, told) = (ask.missed + 1, ask.told);
-        let Some(&row) = self.view.get(number) else { return };
-        let node = Node { number, generation: row.generation };
+        let Some(&row) = self.view.get(number) else {
+            return;
+        };
+        let node = Node {
+            number,
+            generation: row.generation,
+        };
         if missed == 1 && !told {
             self.remember(false);
         }
@@ -458,7 +526,10 @@
                 self.turn.shuffle(&mut self.rng);
             }
             while let Some(number) = self.turn.pop() {
-                let alive = self.view.get(number).is_some_and(|s| s.liveness == Liveness::Alive);
+                let alive = self
+                    .view
+                    .get(number)
+                    .is_some_and(|s| s.liveness == Liveness::Alive);
                 if alive && self.asks.get(number).is_none() {
                     return Some(number);
                 }
@@ -483,18 +554,31 @@
     }
 
     fn ping(&mut self, number: u32) {
-        let Some(ask) = self.asks.get(number) else { return };
+        let Some(ask) = self.asks.get(number) else {
+            return;
+        };
         let (seq, told) = (ask.seqs.1, ask.told);
-        let Some(row) = self.view.get(number) else { return };
-        let node = Node { number, generation: row.generation };
+        let Some(row) = self.view.get(number) else {
+            return;
+        };
+        let node = Node {
+            number,
+            generation: row.generation,
+        };
         // Called down by others: it has to know, so that its answer outranks that word everywhere.
-        let word = Word { node, incarnation: row.incarnation, down: true };
+        let word = Word {
+            node,
+            incarnation: row.incarnation,
+            down: true,
+        };
         let words = if told { vec![word] } else { Vec::new() };
         self.say(number, Kind::Ping { seq }, words);
     }
 
     fn ask_others(&mut self, target: u32) {
-        let Some(seq) = self.asks.get(target).map(|a| a.seqs.1) else { return };
+        let Some(seq) = self.asks.get(target).map(|a| a.seqs.1) else {
+            return;
+        };
         for number in self.some_alive(self.settings.indirect_probes, target) {
             self.send(number, Kind::PingReq { seq, target });
         }
@@ -506,7 +590,9 @@
         let absent: Vec<u32> = self
             .view
             .rows()
-            .filter(|(n, s)| *n != self.me.number && matches!(s.liveness, Liveness::Unknown | Liveness::Down))
+            .filter(|(n, s)| {
+                *n != self.me.number && matches!(s.liveness, Liveness::Unknown | Liveness::Down)
+            })
             .map(|(n, _)| n)
             .collect();
         if absent.is_empty() {
@@ -523,14 +609,28 @@
     fn first_unknown(&self, from: u32) -> Option<u32> {
         let fleet = self.settings.fleet;
         (0..fleet).map(|i| (from + i) % fleet).find(|&n| {
-            n != self.me.number && self.view.get(n).is_some_and(|s| s.liveness == Liveness::Unknown)
+            n != self.me.number
+                && self
+                    .view
+                    .get(n)
+                    .is_some_and(|s| s.liveness == Liveness::Unknown)
         })
     }
 
     fn down_word(&self, number: u32) -> Option<Word> {
-        let row = self.view.get(number).filter(|s| s.liveness == Liveness::Down)?;
-        let node = Node { number, generation: row.generation };
-        Some(Word { node, incarnation: row.incarnation, down: true })
+        let row = self
+            .view
+            .get(number)
+            .filter(|s| s.liveness == Liveness::Down)?;
+        let node = Node {
+            number,
+            generation: row.generation,
+        };
+        Some(Word {
+            node,
+            incarnation: row.incarnation,
+            down: true,
+        })
     }
 
     /// Tells a member that joins of those from a number on.
@@ -551,9 +651,15 @@
     fn read_on(&mut self, from: u32, words: &[Word]) {
         let Some(last) = words.last() else { return };
         // Danger guarded against: two members without anything new would ask each other without end.
-        let fresh = words.iter().any(|w| self.view.get(w.node.number).is_some_and(|s| s.since == self.now));
-        if let (true, Some(next)) = (fresh, self.first_unknown((last.node.number + 1) % self.settings.fleet))
-        {
+        let fresh = words.iter().any(|w| {
+            self.view
+                .get(w.node.number)
+                .is_some_and(|s| s.since == self.now)
+        });
+        if let (true, Some(next)) = (
+            fresh,
+            self.first_unknown((last.node.number + 1) % self.settings.fleet),
+        ) {
             self.say(from, Kind::Join { from: Some(next) }, Vec::new());
         }
     }
@@ -561,7 +667,11 @@
     /// What this member says of another. Of one in doubt it says what it knew before: that outranks nothing.
     fn word_of(&self, number: u32) -> Option<Word> {
         if number == self.me.number {
-            return Some(Word { node: self.me, incarnation: self.incarnation, down: false });
+            return Some(Word {
+                node: self.me,
+                incarnation: self.incarnation,
+                down: false,
+            });
         }
         let row = self.view.get(number)?;
         let down = match row.liveness {
@@ -569,8 +679,15 @@
             Liveness::Down => true,
             Liveness::Unknown => return None,
         };
-        let node = Node { number, generation: row.generation };
-        Some(Word { node, incarnation: row.incarnation, down })
+        let node = Node {
+            number,
+            generation: row.generation,
+        };
+        Some(Word {
+            node,
+            incarnation: row.incarnation,
+            down,
+        })
     }
 
     fn send(&mut self, to: u32, kind: Kind) {
@@ -588,9 +705,17 @@
 
     fn push(&mut self, to: u32, kind: Kind, words: Vec<Word>) {
         let generation = self.view.get(to).map_or(0, |s| s.generation);
-        let dst = Node { number: to, generation };
-        let bytes =
-            codec::encode(&Datagram { src: self.me, incarnation: self.incarnation, dst, kind, words });
+        let dst = Node {
+            number: to,
+            generation,
+        };
+        let bytes = codec::encode(&Datagram {
+            src: self.me,
+            incarnation: self.incarnation,
+            dst,
+            kind,
+            words,
+        });
         self.out.push(Action::Send { to, bytes });
     }
 
--- a/crates/membership/src/node.rs
+++ b/crates/membership/src/node.rs
@@ -19,7 +19,10 @@
     /// The gateway with this number, in its first generation.
     #[must_use]
     pub const fn first(number: u32) -> Self {
-        Self { number, generation: 0 }
+        Self {
+            number,
+            generation: 0,
+        }
     }
 
     /// Whether `self` is a later generation than `other` (serial-number arithmetic on 16 bits).
@@ -31,7 +34,10 @@
     /// The generation after this one.
     #[must_use]
     pub const fn next(&self) -> Self {
-        Self { number: self.number, generation: self.generation.wrapping_add(1) }
+        Self {
+            number: self.number,
+            generation: self.generation.wrapping_add(1),
+        }
     }
 }
 
@@ -51,7 +57,10 @@
 
     #[test]
     fn later_generations_win_across_the_wrap() {
-        let old = Node { number: 3, generation: u16::MAX };
+        let old = Node {
+            number: 3,
+            generation: u16::MAX,
+        };
         let new = old.next();
         assert_eq!(new.generation, 0);
         assert!(new.newer_than(&old));
--- a/crates/membership/src/rules.rs
+++ b/crates/membership/src/rules.rs
@@ -96,7 +96,10 @@
     if row.liveness == Liveness::Unknown {
         return Met::Alive;
     }
-    match (serial(src.generation, row.generation), serial(incarnation, row.incarnation)) {
+    match (
+        serial(src.generation, row.generation),
+        serial(incarnation, row.incarnation),
+    ) {
         (Ordering::Less, _) => Met::Tell,
         (Ordering::Greater, _) | (_, Ordering::Greater) => Met::Alive,
         _ if row.liveness == Liveness::Down => Met::Tell,
@@ -107,8 +110,10 @@
 /// A word about this member itself.
 #[must_use]
 pub fn of_me(me: Node, incarnation: u16, word: &Word) -> OfMe {
-    let (process, incarnations) =
-        (serial(word.node.generation, me.generation), serial(word.incarnation, incarnation));
+    let (process, incarnations) = (
+        serial(word.node.generation, me.generation),
+        serial(word.incarnation, incarnation),
+    );
     match (process, incarnations) {
         (Ordering::Greater, _) => OfMe::Renew(word.node.generation.wrapping_add(1)),
         (Ordering::Less, _) | (_, Ordering::Less) => OfMe::Nothing,
--- a/crates/membership/src/rumors.rs
+++ b/crates/membership/src/rumors.rs
@@ -24,8 +24,12 @@
     /// The next up to `room` members to tell of, but not the one that hears it: the least told first, then by number.
     /// Each is counted as told, and is done with after `limit` times.
     pub fn next(&mut self, room: usize, hears: u32, limit: u32) -> Vec<u32> {
-        let mut all: Vec<(u32, u32)> =
-            self.told.iter().filter(|(&n, _)| n != hears).map(|(&n, &told)| (told, n)).collect();
+        let mut all: Vec<(u32, u32)> = self
+            .told
+            .iter()
+            .filter(|(&n, _)| n != hears)
+            .map(|(&n, &told)| (told, n))
+            .collect();
         all.sort_unstable();
         all.truncate(room);
         for &(told, n) in &all {
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -92,13 +92,19 @@
             return Err(format!("{name}: must be greater than zero"));
         }
         if self.probe_rtt_ms >= self.probe_period_ms {
-            return Err("probe_rtt_ms: must be shorter than probe_period_ms, or probes overlap".into());
+            return Err(
+                "probe_rtt_ms: must be shorter than probe_period_ms, or probes overlap".into(),
+            );
         }
         if self.gossip_ms > self.rejoin_ms {
-            return Err("gossip_ms: must not be longer than rejoin_ms, to which joins back off".into());
+            return Err(
+                "gossip_ms: must not be longer than rejoin_ms, to which joins back off".into(),
+            );
         }
         if self.suspicion_ms <= self.stall_ms {
-            return Err("suspicion_ms: must be longer than stall_ms, or a stall is taken for death".into());
+            return Err(
+                "suspicion_ms: must be longer than stall_ms, or a stall is taken for death".into(),
+            );
         }
         Ok(())
     }
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -104,8 +104,13 @@
 
 impl View {
     pub(crate) fn new(me: Node, fleet: u32) -> Self {
-        let unknown =
-            Seen { liveness: Liveness::Unknown, generation: 0, incarnation: 0, since: 0, heard: None };
+        let unknown = Seen {
+            liveness: Liveness::Unknown,
+            generation: 0,
+            incarnation: 0,
+            since: 0,
+            heard: None,
+        };
         let mut rows = vec![unknown; fleet as usize];
         if let Some(row) = rows.get_mut(me.number as usize) {
             row.liveness = Liveness::Alive;
@@ -124,7 +129,13 @@
         self.me = me;
         if let Some(row) = self.rows.get_mut(me.number as usize) {
             let generation = me.generation;
-            *row = Seen { liveness: Liveness::Alive, generation, incarnation: 0, since: at, heard: None };
+            *row = Seen {
+                liveness: Liveness::Alive,
+                generation,
+                incarnation: 0,
+                since: at,
+                heard: None,
+            };
         }
     }
 
@@ -142,13 +153,18 @@
     /// Whether what member `number` tells still counts: not once it is declared down, nor from outside the list.
     #[must_use]
     pub fn counts(&self, number: u32) -> bool {
-        self.get(number).is_some_and(|s| s.liveness != Liveness::Down)
+        self.get(number)
+            .is_some_and(|s| s.liveness != Liveness::Down)
     }
 
     /// Members alive, this gateway included.
     #[must_use]
     pub fn alive(&self) -> u32 {
-        let alive = self.rows.iter().filter(|s| s.liveness == Liveness::Alive).count();
+        let alive = self
+            .rows
+            .iter()
+            .filter(|s| s.liveness == Liveness::Alive)
+            .count();
         u32::try_from(alive).unwrap_or(u32::MAX)
     }
 
@@ -166,7 +182,13 @@
     }
 
     /// Sets the row of another member, as [`crate::rules`] decided, and says what changed.
-    pub(crate) fn set(&mut self, node: Node, incarnation: u16, to: Liveness, at: Millis) -> Option<Change> {
+    pub(crate) fn set(
+        &mut self,
+        node: Node,
+        incarnation: u16,
+        to: Liveness,
+        at: Millis,
+    ) -> Option<Change> {
         if node.number == self.me.number {
             return None;
         }
@@ -177,7 +199,11 @@
             liveness: to,
             generation: node.generation,
             incarnation,
-            since: if from == to && !replaced { row.since } else { at },
+            since: if from == to && !replaced {
+                row.since
+            } else {
+                at
+            },
             heard: row.heard,
         };
         (from != to).then_some(Change {
