--- a/crates/pg/src/lib.rs
+++ b/crates/pg/src/lib.rs
@@ -60,8 +60,12 @@
 
 /// The first message in these bytes, or nothing while it is not whole.
 pub fn frame(bytes: &[u8]) -> Result<Option<Frame>, Malformed> {
-    let Some((&tag, rest)) = bytes.split_first() else { return Ok(None) };
-    let Some(length) = rest.first_chunk() else { return Ok(None) };
+    let Some((&tag, rest)) = bytes.split_first() else {
+        return Ok(None);
+    };
+    let Some(length) = rest.first_chunk() else {
+        return Ok(None);
+    };
     let length = u32::from_be_bytes(*length) as usize;
     if length < 4 {
         return Err(Malformed("a message shorter than its own length"));
@@ -69,7 +73,10 @@
     if length > LARGEST {
         return Err(TOO_LARGE);
     }
-    Ok((bytes.len() > length).then_some(Frame { tag, body: 5..1 + length }))
+    Ok((bytes.len() > length).then_some(Frame {
+        tag,
+        body: 5..1 + length,
+    }))
 }
 
 const TOO_LARGE: Malformed = Malformed("a message is too large");
@@ -80,8 +87,12 @@
 /// little has come to tell, it is nothing too, and so far no frame. Danger: once its first bytes are passed on there is
 /// no way back, so that both of its lengths have to agree.
 pub fn long_row(bytes: &[u8]) -> Result<Option<usize>, Malformed> {
-    let Some((b'D', rest)) = bytes.split_first() else { return Ok(None) };
-    let Some(length) = rest.first_chunk() else { return Ok(None) };
+    let Some((b'D', rest)) = bytes.split_first() else {
+        return Ok(None);
+    };
+    let Some(length) = rest.first_chunk() else {
+        return Ok(None);
+    };
     let length = u32::from_be_bytes(*length) as usize;
     if length <= ROW_HEAD - 1 + LONG {
         return Ok(None);
@@ -89,7 +100,9 @@
     if length > LARGEST_ROW {
         return Err(TOO_LARGE);
     }
-    let Some(head) = bytes.get(5..ROW_HEAD) else { return Ok(None) };
+    let Some(head) = bytes.get(5..ROW_HEAD) else {
+        return Ok(None);
+    };
     let value = (length + 1 - ROW_HEAD) as u32;
     if head[..2] != 1u16.to_be_bytes() || head[2..] != value.to_be_bytes() {
         return Err(Malformed("a row that is not one value"));
@@ -99,7 +112,10 @@
 
 /// A row begins here that may be long, and more of it has to come to tell.
 pub fn unclear(bytes: &[u8]) -> bool {
-    let length = bytes.get(1..).and_then(|rest| rest.first_chunk()).map(|l| u32::from_be_bytes(*l) as usize);
+    let length = bytes
+        .get(1..)
+        .and_then(|rest| rest.first_chunk())
+        .map(|l| u32::from_be_bytes(*l) as usize);
     bytes.first() == Some(&b'D') && bytes.len() < ROW_HEAD && length.is_some_and(|l| l > LONG)
 }
 
@@ -120,17 +136,22 @@
 
 /// The first untyped message in these bytes and its length, or nothing while it is not whole.
 pub fn startup(bytes: &[u8]) -> Result<Option<(Startup, usize)>, Malformed> {
-    let Some(length) = bytes.first_chunk() else { return Ok(None) };
+    let Some(length) = bytes.first_chunk() else {
+        return Ok(None);
+    };
     let length = u32::from_be_bytes(*length) as usize;
     if !(8..=LARGEST_STARTUP).contains(&length) {
         return Err(Malformed("no startup message"));
     }
-    let Some(code) = bytes.get(4..length).and_then(|b| b.first_chunk()) else { return Ok(None) };
+    let Some(code) = bytes.get(4..length).and_then(|b| b.first_chunk()) else {
+        return Ok(None);
+    };
     let kind = match u32::from_be_bytes(*code) {
         SSL_REQUEST | GSS_REQUEST => Startup::Encryption,
         CANCEL_REQUEST => {
-            let key =
-                bytes[8..length].try_into().map_err(|_| Malformed("a cancel request without its key"))?;
+            let key = bytes[8..length]
+                .try_into()
+                .map_err(|_| Malformed("a cancel request without its key"))?;
             Startup::Cancel(key)
         }
         v if v >> 16 == VERSION_3 => Startup::Begin,
@@ -159,9 +180,14 @@
     let at = out.len();
     out.put_u32(0);
     out.put_u32(VERSION_3 << 16);
-    [b"user" as &[u8], user.as_bytes(), b"database", database.as_bytes()]
-        .iter()
-        .for_each(|t| put_text(out, t));
+    [
+        b"user" as &[u8],
+        user.as_bytes(),
+        b"database",
+        database.as_bytes(),
+    ]
+    .iter()
+    .for_each(|t| put_text(out, t));
     out.put_u8(0);
     let length = (out.len() - at) as u32;
     out[at..at + 4].copy_from_slice(&length.to_be_bytes());
@@ -195,9 +221,20 @@
 }
 
 /// Appends ErrorResponse.
-pub fn put_error(out: &mut BytesMut, severity: &str, code: &str, message: &str, detail: Option<&str>) {
+pub fn put_error(
+    out: &mut BytesMut,
+    severity: &str,
+    code: &str,
+    message: &str,
+    detail: Option<&str>,
+) {
     put(out, b'E', |b| {
-        let fields = [(b'S', severity), (b'V', severity), (b'C', code), (b'M', message)];
+        let fields = [
+            (b'S', severity),
+            (b'V', severity),
+            (b'C', code),
+            (b'M', message),
+        ];
         for (field, text) in fields.into_iter().chain(detail.map(|d| (b'D', d))) {
             b.put_u8(field);
             put_text(b, text.as_bytes());
@@ -254,17 +291,20 @@
 pub fn statement(text: &[u8]) -> Result<Statement<'_>, Malformed> {
     let whole = text.trim_ascii_end();
     let whole = whole.strip_suffix(b";").unwrap_or(whole).trim_ascii_end();
-    let inner =
-        whole.strip_suffix(b"*/").ok_or(Malformed("a statement that does not end with its comment"))?;
-    let open =
-        (inner.windows(2).rposition(|w| w == b"/*")).ok_or(Malformed("a comment without its start"))?;
-    let comment =
-        std::str::from_utf8(&inner[open + 2..]).map_err(|_| Malformed("a comment that is no text"))?;
+    let inner = whole
+        .strip_suffix(b"*/")
+        .ok_or(Malformed("a statement that does not end with its comment"))?;
+    let open = (inner.windows(2).rposition(|w| w == b"/*"))
+        .ok_or(Malformed("a comment without its start"))?;
+    let comment = std::str::from_utf8(&inner[open + 2..])
+        .map_err(|_| Malformed("a comment that is no text"))?;
     let mut seen: [Option<&str>; 7] = [None; 7];
     const NAMES: [&str; 7] = ["id", "c", "d", "k", "cluster", "after", "r"];
     for pair in comment.split(',') {
-        let (name, value) =
-            pair.trim().split_once('=').ok_or(Malformed("a name without a value in the comment"))?;
+        let (name, value) = pair
+            .trim()
+            .split_once('=')
+            .ok_or(Malformed("a name without a value in the comment"))?;
         if let Some(i) = NAMES.iter().position(|n| *n == name.trim()) {
             if seen[i].replace(value.trim()).is_some() {
                 return Err(Malformed("a name that stands twice in the comment"));
@@ -272,12 +312,16 @@
         }
     }
     let [id, class, wait, key, group, after, retry] = seen;
-    let id = id.filter(|v| !v.is_empty()).ok_or(Malformed("no id in the comment"))?;
+    let id = id
+        .filter(|v| !v.is_empty())
+        .ok_or(Malformed("no id in the comment"))?;
     let wait = wait.ok_or(Malformed("no d in the comment"))?;
     let number = |v: &str| v.parse::<f64>().ok().filter(|n| n.is_finite());
     let wait_ms = (number(wait).filter(|n| (0.0..=LONGEST_WAIT_MS).contains(n)))
         .ok_or(Malformed("d is no time in milliseconds"))?;
-    let after_ms = after.map(|v| number(v).ok_or(Malformed("after is no position"))).transpose()?;
+    let after_ms = after
+        .map(|v| number(v).ok_or(Malformed("after is no position")))
+        .transpose()?;
     // Where the value stands in the text, of which it is a part.
     let start = wait.as_ptr() as usize - text.as_ptr() as usize;
     Ok(Statement {
@@ -285,7 +329,9 @@
         class: class.ok_or(Malformed("no class in the comment"))?,
         wait_at: start..start + wait.len(),
         wait_ms,
-        group: group.and_then(|v| v.parse().ok()).ok_or(Malformed("no cluster in the comment"))?,
+        group: group
+            .and_then(|v| v.parse().ok())
+            .ok_or(Malformed("no cluster in the comment"))?,
         idempotency: key.filter(|k| !k.is_empty()),
         retry: retry == Some("1"),
         after_ms: after_ms.filter(|&p| p > 0.0),
@@ -366,7 +412,9 @@
                 Stage::Row
             }
             (b'C', Stage::Row, None)
-                if body.split_last().is_some_and(|(end, tag)| *end == 0 && !tag.contains(&0)) =>
+                if body
+                    .split_last()
+                    .is_some_and(|(end, tag)| *end == 0 && !tag.contains(&0)) =>
             {
                 Stage::Complete
             }
@@ -405,7 +453,9 @@
     }
 
     fn status(&mut self, body: &[u8]) -> Result<(), Malformed> {
-        let mut texts = body.split(|&b| b == 0).map(|t| std::str::from_utf8(t).unwrap_or_default());
+        let mut texts = body
+            .split(|&b| b == 0)
+            .map(|t| std::str::from_utf8(t).unwrap_or_default());
         let (Some(name), Some(value)) = (texts.next(), texts.next()) else {
             return Err(Malformed("a status without a value"));
         };
@@ -423,8 +473,12 @@
 fn one_field(body: &[u8]) -> Result<(), Malformed> {
     let fields = body.strip_prefix(&1u16.to_be_bytes());
     let name = fields.and_then(|f| f.iter().position(|&b| b == 0));
-    let whole = name.zip(fields).is_some_and(|(name, f)| f.len() == name + 1 + 18);
-    whole.then_some(()).ok_or(Malformed("a description of something other than one column"))
+    let whole = name
+        .zip(fields)
+        .is_some_and(|(name, f)| f.len() == name + 1 + 18);
+    whole.then_some(()).ok_or(Malformed(
+        "a description of something other than one column",
+    ))
 }
 
 /// The value of a row of one column.
@@ -441,8 +495,12 @@
 
 /// The code of an ErrorResponse.
 fn error_code(body: &[u8]) -> Result<String, Malformed> {
-    let code = body.split(|&b| b == 0).find_map(|field| field.strip_prefix(b"C"));
-    let code = code.and_then(|c| std::str::from_utf8(c).ok()).ok_or(Malformed("an error without a code"))?;
+    let code = body
+        .split(|&b| b == 0)
+        .find_map(|field| field.strip_prefix(b"C"));
+    let code = code
+        .and_then(|c| std::str::from_utf8(c).ok())
+        .ok_or(Malformed("an error without a code"))?;
     Ok(code.to_string())
 }
 
@@ -450,6 +508,9 @@
 pub fn report(text: &str) -> impl Iterator<Item = (&str, f64)> {
     text.split(',').filter_map(|pair| {
         let (name, value) = pair.split_once('=')?;
-        Some((name.trim(), value.trim().parse().ok().filter(|v: &f64| v.is_finite())?))
+        Some((
+            name.trim(),
+            value.trim().parse().ok().filter(|v: &f64| v.is_finite())?,
+        ))
     })
 }
--- a/crates/pg/tests/messages.rs
+++ b/crates/pg/tests/messages.rs
@@ -11,11 +11,22 @@
 fn a_statement_says_what_its_comment_holds() {
     let s = statement(READ.as_bytes()).expect("a statement");
     assert_eq!(&READ[s.wait_at.clone()], "480");
-    assert_eq!((s.class, s.group, s.after_ms), ("basket", 2, Some(1_767_225_600_123.0)));
-    assert_eq!((s.key, s.idempotency, s.retry), (Some(b"k''1" as &[u8]), None, false));
-    let s = READ.replace("cluster", "r=1,k=5c,cluster").replace("after=1767225600123", "after=0");
+    assert_eq!(
+        (s.class, s.group, s.after_ms),
+        ("basket", 2, Some(1_767_225_600_123.0))
+    );
+    assert_eq!(
+        (s.key, s.idempotency, s.retry),
+        (Some(b"k''1" as &[u8]), None, false)
+    );
+    let s = READ
+        .replace("cluster", "r=1,k=5c,cluster")
+        .replace("after=1767225600123", "after=0");
     let s = statement(s.as_bytes()).expect("a statement");
-    assert_eq!((s.idempotency.is_some(), s.retry, s.after_ms), (true, true, None));
+    assert_eq!(
+        (s.idempotency.is_some(), s.retry, s.after_ms),
+        (true, true, None)
+    );
 }
 
 #[test]
@@ -28,7 +39,10 @@
     let f = frame(&bytes).expect("well-formed").expect("whole");
     assert_eq!((f.tag, query(&bytes[f.body])), (b'Q', Ok(READ.as_bytes())));
     assert!(frame(b"Q\0\0\0\x03").is_err());
-    assert!(frame(&[b'Q', 0, 4, 0, 1]).is_err(), "one byte over 256 KiB, told from its head alone");
+    assert!(
+        frame(&[b'Q', 0, 4, 0, 1]).is_err(),
+        "one byte over 256 KiB, told from its head alone"
+    );
     assert!(startup(&[0, 0, 0x27, 0x11]).is_err());
 }
 
@@ -36,13 +50,22 @@
 #[test]
 fn a_row_is_long_only_where_both_of_its_lengths_say_so() {
     let row = |length: usize, columns: u16, value: usize| {
-        let head = [&b"D"[..], &(length as u32).to_be_bytes(), &columns.to_be_bytes()].concat();
+        let head = [
+            &b"D"[..],
+            &(length as u32).to_be_bytes(),
+            &columns.to_be_bytes(),
+        ]
+        .concat();
         [head, (value as u32).to_be_bytes().to_vec()].concat()
     };
     assert_eq!(long_row(&row(LONG + 11, 1, LONG + 1)), Ok(Some(LONG + 12)));
     assert_eq!(long_row(&row(LONG + 10, 1, LONG)), Ok(None));
     assert_eq!(long_row(&row(LONG + 11, 1, LONG + 1)[..10]), Ok(None));
-    for bad in [row(LONG + 11, 1, LONG), row(LONG + 11, 2, LONG + 1), row(1 << 30, 1, (1 << 30) - 10)] {
+    for bad in [
+        row(LONG + 11, 1, LONG),
+        row(LONG + 11, 2, LONG + 1),
+        row(1 << 30, 1, (1 << 30) - 10),
+    ] {
         assert!(long_row(&bad).is_err());
     }
     assert!(unclear(&row(LONG + 11, 1, LONG + 1)[..6]) && !unclear(b"D\0\0\0\x06\0\x01"));
@@ -53,8 +76,13 @@
 fn an_answer_is_served_only_when_it_is_whole_and_without_an_error() {
     let row = [0, 1, 0, 0, 0, 1, b'x'];
     let column = [&[0, 1][..], b"payload\0", &[0; 18]].concat();
-    assert!(Reply::default().take(b'D', &row).is_err(), "a row that nothing describes");
-    assert!(Reply::default().take(b'T', &[&[0, 2][..], b"payload\0", &[0; 18]].concat()).is_err());
+    assert!(
+        Reply::default().take(b'D', &row).is_err(),
+        "a row that nothing describes"
+    );
+    assert!(Reply::default()
+        .take(b'T', &[&[0, 2][..], b"payload\0", &[0; 18]].concat())
+        .is_err());
     let mut r = Reply::default();
     assert_eq!(r.take(b'T', &column), Ok(true));
     assert!(r.clone().take(b'T', &column).is_err(), "described twice");
@@ -65,12 +93,20 @@
     assert_eq!(r.take(b'C', b"SELECT 1\0"), Ok(true));
     assert!(r.served());
     r.take(b'S', b"server_role\0writer\0").expect("a status");
-    r.take(b'S', b"commit_clock\x001767225600123\0").expect("a status");
-    assert_eq!((r.role, r.position_ms), (Some(HostRole::Writer), Some(1_767_225_600_123)));
+    r.take(b'S', b"commit_clock\x001767225600123\0")
+        .expect("a status");
+    assert_eq!(
+        (r.role, r.position_ms),
+        (Some(HostRole::Writer), Some(1_767_225_600_123))
+    );
     r.take(b'E', b"SERROR\0CXX000\0Mno\0\0").expect("an error");
     assert!(!r.served());
     // A null, a length that lies, two columns.
-    for body in [&[0, 1, 255, 255, 255, 255][..], &[0, 1, 0, 0, 0, 9, 1], &[0, 2, 0, 0, 0, 1, 1]] {
+    for body in [
+        &[0, 1, 255, 255, 255, 255][..],
+        &[0, 1, 0, 0, 0, 9, 1],
+        &[0, 2, 0, 0, 0, 1, 1],
+    ] {
         let mut r = Reply::default();
         r.take(b'T', &column).expect("a description");
         assert!(r.take(b'D', body).is_err());
--- a/crates/siteplan/src/codec.rs
+++ b/crates/siteplan/src/codec.rs
@@ -112,15 +112,31 @@
     let (site, period_ms) = (from.u8()?, from.u16()?);
     let (n, m) = (usize::from(from.u8()?), usize::from(from.u8()?));
     if n > MOST_SITES || m > MOST_CLASSES || usize::from(site) >= MOST_SITES || period_ms == 0 {
-        return Err(WireError::Value("the number of sites or classes, the site or the period"));
+        return Err(WireError::Value(
+            "the number of sites or classes, the site or the period",
+        ));
     }
     let reach = |from: &mut Reader<'_>| {
-        Ok(Reach { hosts: from.u16()?, silent: from.u16()?, sent: from.u16()?, answered: from.u16()? })
+        Ok(Reach {
+            hosts: from.u16()?,
+            silent: from.u16()?,
+            sent: from.u16()?,
+            answered: from.u16()?,
+        })
     };
-    let sites = (0..n).map(|_| reach(&mut from)).collect::<Result<Vec<_>, WireError>>()?;
-    let arrived = (0..m).map(|_| from.u16()).collect::<Result<Vec<_>, WireError>>()?;
+    let sites = (0..n)
+        .map(|_| reach(&mut from))
+        .collect::<Result<Vec<_>, WireError>>()?;
+    let arrived = (0..m)
+        .map(|_| from.u16())
+        .collect::<Result<Vec<_>, WireError>>()?;
     from.end()?;
-    Ok(Tally { site, period_ms, arrived, sites })
+    Ok(Tally {
+        site,
+        period_ms,
+        arrived,
+        sites,
+    })
 }
 
 fn plan(mut from: Reader<'_>) -> Result<Plan, WireError> {
@@ -140,14 +156,30 @@
         };
         let budget = f64::from(from.u32()?) / THOUSAND;
         let ramp = part(&mut from)?;
-        let goes = (0..n).map(|_| part(&mut from)).collect::<Result<Vec<f64>, WireError>>()?;
+        let goes = (0..n)
+            .map(|_| part(&mut from))
+            .collect::<Result<Vec<f64>, WireError>>()?;
         // A little over one by rounding is none of ours: each part was rounded down.
         if goes.iter().sum::<f64>() > 1.0 + 1e-9 {
             return Err(WireError::Value("where a site's load goes"));
         }
-        sites.push(SitePlan { budget, state, ramp, goes });
+        sites.push(SitePlan {
+            budget,
+            state,
+            ramp,
+            goes,
+        });
     }
-    let admitted = (0..m).map(|_| part(&mut from)).collect::<Result<Vec<f64>, WireError>>()?;
+    let admitted = (0..m)
+        .map(|_| part(&mut from))
+        .collect::<Result<Vec<f64>, WireError>>()?;
     from.end()?;
-    Ok(Plan { epoch, number, gateways, sites, admitted, pause_ms })
+    Ok(Plan {
+        epoch,
+        number,
+        gateways,
+        sites,
+        admitted,
+        pause_ms,
+    })
 }
--- a/crates/siteplan/src/follower.rs
+++ b/crates/siteplan/src/follower.rs
@@ -13,13 +13,19 @@
     /// None yet: all is as without plans.
     #[must_use]
     pub const fn new(settings: &Settings) -> Self {
-        Self { plan: None, stale_ms: settings.stale_ms }
+        Self {
+            plan: None,
+            stale_ms: settings.stale_ms,
+        }
     }
 
     /// A plan was made or heard. Returns whether it is followed from now on: an older one is not, whoever says it.
     pub fn heard(&mut self, now: Millis, plan: Plan) -> bool {
         let key = |p: &Plan| (p.epoch, p.number);
-        let later = self.plan.as_ref().is_none_or(|(_, known)| key(&plan) > key(known));
+        let later = self
+            .plan
+            .as_ref()
+            .is_none_or(|(_, known)| key(&plan) > key(known));
         if later {
             self.plan = Some((now, plan));
         }
@@ -41,7 +47,9 @@
     /// The pause: between one and two of the plan's, by the same draw, so that those refused together do not come again
     /// together.
     pub fn admit(&self, now: Millis, class: usize, draw: f64) -> Result<(), u32> {
-        let Some(plan) = self.plan(now) else { return Ok(()) };
+        let Some(plan) = self.plan(now) else {
+            return Ok(());
+        };
         let part = plan.admitted.get(class).copied().unwrap_or(1.0);
         if draw < part {
             return Ok(());
--- a/crates/siteplan/src/lib.rs
+++ b/crates/siteplan/src/lib.rs
@@ -84,7 +84,9 @@
         }
         for (site, others) in self.prefer.iter().enumerate() {
             if others.iter().any(|&o| o >= sites || o == site) {
-                return Err(format!("prefer: site {site} names itself, or one that is not there"));
+                return Err(format!(
+                    "prefer: site {site} names itself, or one that is not there"
+                ));
             }
         }
         if let Some(class) = self.refuse.iter().find(|&&c| c >= MOST_CLASSES) {
@@ -96,7 +98,10 @@
             ("ramp_from", self.ramp_from),
             ("ramp_answers", self.ramp_answers),
         ];
-        match parts.iter().find(|(_, part)| !(*part > 0.0 && *part <= 1.0)) {
+        match parts
+            .iter()
+            .find(|(_, part)| !(*part > 0.0 && *part <= 1.0))
+        {
             Some((name, _)) => Err(format!("{name}: over 0, at most 1")),
             None if self.ramp_ms == 0 => Err("ramp_ms: must be greater than zero".into()),
             None => Ok(()),
--- a/crates/siteplan/src/planner.rs
+++ b/crates/siteplan/src/planner.rs
@@ -54,10 +54,26 @@
     /// The settings do not pass their check.
     pub fn new(settings: Settings) -> Result<Self, String> {
         settings.check()?;
-        let none = SiteSeen { hosts: 0, silent: 0, capacity: 0.0, load: 0.0, answered: 1.0 };
-        let site = Site { state: State::Up, doubt: None, ramp: 0, seen: none };
+        let none = SiteSeen {
+            hosts: 0,
+            silent: 0,
+            capacity: 0.0,
+            load: 0.0,
+            answered: 1.0,
+        };
+        let site = Site {
+            state: State::Up,
+            doubt: None,
+            ramp: 0,
+            seen: none,
+        };
         let sites = vec![site; settings.prefer.len()];
-        Ok(Self { settings, sites, last: None, number: 0 })
+        Ok(Self {
+            settings,
+            sites,
+            last: None,
+            number: 0,
+        })
     }
 
     /// Goes on from a plan that another gateway made: a duty that changes hands must not begin every ramp again, nor take a
@@ -84,9 +100,15 @@
         let mut changed = Vec::new();
         for (n, (site, seen)) in self.sites.iter_mut().zip(seen).enumerate() {
             site.seen = *seen;
-            let silent = if seen.hosts == 0 { 0.0 } else { f64::from(seen.silent) / f64::from(seen.hosts) };
+            let silent = if seen.hosts == 0 {
+                0.0
+            } else {
+                f64::from(seen.silent) / f64::from(seen.hosts)
+            };
             let (wanted, after) = match site.state {
-                State::Up | State::Returning if silent >= s.lost_part => (State::Lost, s.lost_after_ms),
+                State::Up | State::Returning if silent >= s.lost_part => {
+                    (State::Lost, s.lost_after_ms)
+                }
                 State::Lost if silent < s.lost_part / 2.0 => (State::Returning, s.back_after_ms),
                 same => (same, 0),
             };
@@ -98,7 +120,10 @@
                 continue;
             }
             // The ramp goes on only while what is sent is answered, and not while the site may be lost again.
-            if site.state == State::Returning && seen.answered >= s.ramp_answers && site.doubt.is_none() {
+            if site.state == State::Returning
+                && seen.answered >= s.ramp_answers
+                && site.doubt.is_none()
+            {
                 site.ramp = (site.ramp + passed).min(s.ramp_ms);
                 if site.ramp == s.ramp_ms {
                     site.state = State::Up;
@@ -116,14 +141,20 @@
             State::Up => 1.0,
             // Whoever comes back before that is seen is led in all the same.
             State::Lost => s.ramp_from,
-            State::Returning => s.ramp_from + (1.0 - s.ramp_from) * site.ramp as f64 / s.ramp_ms as f64,
+            State::Returning => {
+                s.ramp_from + (1.0 - s.ramp_from) * site.ramp as f64 / s.ramp_ms as f64
+            }
         }
     }
 
     /// What may be sent to a site by all gateways together.
     fn budget(&self, site: &Site) -> f64 {
         let s = &self.settings;
-        let part = if site.state == State::Lost { 0.0 } else { self.ramp(site) };
+        let part = if site.state == State::Lost {
+            0.0
+        } else {
+            self.ramp(site)
+        };
         (site.seen.capacity * s.budget * part).max(0.0)
     }
 
@@ -152,7 +183,12 @@
                 self.spread(n, goes, &mut left);
             }
         }
-        let kept: f64 = self.sites.iter().zip(&goes).map(|(s, g)| s.seen.load * g.iter().sum::<f64>()).sum();
+        let kept: f64 = self
+            .sites
+            .iter()
+            .zip(&goes)
+            .map(|(s, g)| s.seen.load * g.iter().sum::<f64>())
+            .sum();
         let load: f64 = self.sites.iter().map(|s| s.seen.load).sum();
         let admitted = self.admitted(classes, if usual { 0.0 } else { (load - kept).max(0.0) });
         let sites = self.sites.iter().zip(budgets).zip(goes);
@@ -161,7 +197,12 @@
             number: self.number,
             gateways: gateways.max(1),
             sites: sites
-                .map(|((s, budget), goes)| SitePlan { budget, state: s.state, ramp: self.ramp(s), goes })
+                .map(|((s, budget), goes)| SitePlan {
+                    budget,
+                    state: s.state,
+                    ramp: self.ramp(s),
+                    goes,
+                })
                 .collect(),
             admitted,
             pause_ms: self.pause(),
@@ -191,7 +232,9 @@
         let mut admitted = vec![1.0; classes.len()];
         let mut rest = excess;
         for &class in &self.settings.refuse {
-            let Some(&rate) = classes.get(class).filter(|&&r| r > 0.0) else { continue };
+            let Some(&rate) = classes.get(class).filter(|&&r| r > 0.0) else {
+                continue;
+            };
             let cut = rest.min(rate);
             admitted[class] = 1.0 - cut / rate;
             rest -= cut;
--- a/crates/siteplan/src/tally.rs
+++ b/crates/siteplan/src/tally.rs
@@ -70,8 +70,14 @@
                 hosts: sum(|r| r.hosts),
                 silent: sum(|r| r.silent),
                 capacity,
-                load: own.map(|(_, t)| t.arrived.iter().map(|&a| rate(a, t)).sum::<f64>()).sum(),
-                answered: if sent == 0 { 1.0 } else { f64::from(answered) / f64::from(sent) },
+                load: own
+                    .map(|(_, t)| t.arrived.iter().map(|&a| rate(a, t)).sum::<f64>())
+                    .sum(),
+                answered: if sent == 0 {
+                    1.0
+                } else {
+                    f64::from(answered) / f64::from(sent)
+                },
             }
         };
         capacity.iter().enumerate().map(site).collect()
@@ -81,7 +87,10 @@
     #[must_use]
     pub fn classes(&self, classes: usize) -> Vec<f64> {
         let all = |class: usize| {
-            let each = self.by.values().filter_map(|(_, t)| Some(rate(*t.arrived.get(class)?, t)));
+            let each = self
+                .by
+                .values()
+                .filter_map(|(_, t)| Some(rate(*t.arrived.get(class)?, t)));
             each.sum()
         };
         (0..classes).map(all).collect()
--- a/crates/siteplan/tests/golden.rs
+++ b/crates/siteplan/tests/golden.rs
@@ -8,7 +8,9 @@
 //!
 //! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
 
-use irisrouter_siteplan::codec::{decode, encode, encode_tally, Message, WireError, DATAGRAM, MAGIC};
+use irisrouter_siteplan::codec::{
+    decode, encode, encode_tally, Message, WireError, DATAGRAM, MAGIC,
+};
 use irisrouter_siteplan::tally::{Reach, Tally};
 use irisrouter_siteplan::{is_siteplan, Plan, SitePlan, State, DUTY, MOST_CLASSES, MOST_SITES};
 
@@ -24,7 +26,12 @@
 }
 
 fn site(state: State, budget: f64, ramp: f64, goes: &[f64]) -> SitePlan {
-    SitePlan { budget, state, ramp, goes: goes.to_vec() }
+    SitePlan {
+        budget,
+        state,
+        ramp,
+        goes: goes.to_vec(),
+    }
 }
 
 fn plan(sites: Vec<SitePlan>, admitted: &[f64]) -> Plan {
@@ -41,16 +48,34 @@
 /// One site of each state, with budgets of 1,500.25, 0 and 70,000.5 a second.
 fn plan_of_three_sites() -> Plan {
     let sites = vec![
-        site(State::Up, 1_500.25, part(0x4142), &[part(0x5152), part(0x5354), part(0x0556)]),
-        site(State::Lost, 0.0, part(0x4344), &[part(0x6162), part(0x0364), part(0x6566)]),
-        site(State::Returning, 70_000.5, part(0x4546), &[part(0x0172), part(0x7374), part(0x7576)]),
+        site(
+            State::Up,
+            1_500.25,
+            part(0x4142),
+            &[part(0x5152), part(0x5354), part(0x0556)],
+        ),
+        site(
+            State::Lost,
+            0.0,
+            part(0x4344),
+            &[part(0x6162), part(0x0364), part(0x6566)],
+        ),
+        site(
+            State::Returning,
+            70_000.5,
+            part(0x4546),
+            &[part(0x0172), part(0x7374), part(0x7576)],
+        ),
     ];
     plan(sites, &[part(0x8182), part(0x8384)])
 }
 
 /// One site with these figures and one class.
 fn plan_with(budget: f64, ramp: f64, goes: f64, admitted: f64) -> Plan {
-    plan(vec![site(State::Returning, budget, ramp, &[goes])], &[admitted])
+    plan(
+        vec![site(State::Returning, budget, ramp, &[goes])],
+        &[admitted],
+    )
 }
 
 fn plan_of_nothing() -> Plan {
@@ -86,24 +111,54 @@
         period_ms: 0x0102,
         arrived: vec![0x3132, 0x3334, 0x3536],
         sites: vec![
-            Reach { hosts: 0x1112, silent: 0x1314, sent: 0x1516, answered: 0x1718 },
-            Reach { hosts: 0x2122, silent: 0x2324, sent: 0x2526, answered: 0x2728 },
+            Reach {
+                hosts: 0x1112,
+                silent: 0x1314,
+                sent: 0x1516,
+                answered: 0x1718,
+            },
+            Reach {
+                hosts: 0x2122,
+                silent: 0x2324,
+                sent: 0x2526,
+                answered: 0x2728,
+            },
         ],
     }
 }
 
 fn tally_of_nothing() -> Tally {
-    Tally { site: 0, period_ms: 1, arrived: Vec::new(), sites: Vec::new() }
+    Tally {
+        site: 0,
+        period_ms: 1,
+        arrived: Vec::new(),
+        sites: Vec::new(),
+    }
 }
 
 fn tally_with_largest_numbers() -> Tally {
-    let all = Reach { hosts: u16::MAX, silent: u16::MAX, sent: u16::MAX, answered: u16::MAX };
-    Tally { site: 7, period_ms: u16::MAX, arrived: vec![u16::MAX], sites: vec![all] }
+    let all = Reach {
+        hosts: u16::MAX,
+        silent: u16::MAX,
+        sent: u16::MAX,
+        answered: u16::MAX,
+    };
+    Tally {
+        site: 7,
+        period_ms: u16::MAX,
+        arrived: vec![u16::MAX],
+        sites: vec![all],
+    }
 }
 
 /// Sites and classes that differ in every figure.
 fn tally_of_many(sites: u16, classes: u16) -> Tally {
-    let reach = |n| Reach { hosts: 0x1100 + n, silent: 0x1200 + n, sent: 0x1300 + n, answered: 0x1400 + n };
+    let reach = |n| Reach {
+        hosts: 0x1100 + n,
+        silent: 0x1200 + n,
+        sent: 0x1300 + n,
+        answered: 0x1400 + n,
+    };
     Tally {
         site: 7,
         period_ms: 0x0102,
@@ -147,7 +202,12 @@
 #[track_caller]
 fn refuses(bytes: &[u8], expected: WireError, text: &str) {
     let why = decode(bytes).expect_err("it is refused");
-    assert_eq!((why, why.to_string().as_str()), (expected, text), "{}", hex(bytes));
+    assert_eq!(
+        (why, why.to_string().as_str()),
+        (expected, text),
+        "{}",
+        hex(bytes)
+    );
 }
 
 /// The bytes with another value at a place.
@@ -164,7 +224,10 @@
 
 #[test]
 fn bounds_and_first_byte_keep_their_values() {
-    assert_eq!((DATAGRAM, MOST_SITES, MOST_CLASSES, MAGIC), (256, 8, 16, 0xd2));
+    assert_eq!(
+        (DATAGRAM, MOST_SITES, MOST_CLASSES, MAGIC),
+        (256, 8, 16, 0xd2)
+    );
 }
 
 #[test]
@@ -181,7 +244,10 @@
 
 #[test]
 fn plan_without_sites_and_classes_keeps_its_bytes() {
-    pins_plan(&plan_of_nothing(), "d2 00 0102030405060708 11121314 21222324 31323334 00 00");
+    pins_plan(
+        &plan_of_nothing(),
+        "d2 00 0102030405060708 11121314 21222324 31323334 00 00",
+    );
 }
 
 #[test]
@@ -231,11 +297,15 @@
     let expected_of = |goes: &str| {
         format!("d2 00 0102030405060708 11121314 21222324 31323334 02 00  00 000f4240 8000 {goes}")
     };
-    pins_plan_as(&plan_of_many(2, 0, 1), &(expected_of("0100 0000") + "01 000f4628 8001 0110 0000"), &{
-        let mut read = plan_of_many(2, 0, 1);
-        read.sites.iter_mut().for_each(|site| site.goes.push(0.0));
-        read
-    });
+    pins_plan_as(
+        &plan_of_many(2, 0, 1),
+        &(expected_of("0100 0000") + "01 000f4628 8001 0110 0000"),
+        &{
+            let mut read = plan_of_many(2, 0, 1);
+            read.sites.iter_mut().for_each(|site| site.goes.push(0.0));
+            read
+        },
+    );
     pins_plan_as(
         &plan_of_many(2, 0, 3),
         &(expected_of("0100 0101") + "01 000f4628 8001 0110 0111"),
@@ -281,7 +351,10 @@
 
 #[test]
 fn tally_with_the_largest_numbers_keeps_its_bytes() {
-    pins_tally(&tally_with_largest_numbers(), "d2 01 07 ffff 01 01  ffff ffff ffff ffff  ffff");
+    pins_tally(
+        &tally_with_largest_numbers(),
+        "d2 01 07 ffff 01 01  ffff ffff ffff ffff  ffff",
+    );
 }
 
 #[test]
@@ -316,7 +389,11 @@
 
 #[test]
 fn other_first_byte_is_refused_as_another_kind_or_version() {
-    refuses(&[0xd1], WireError::Version(0xd1), "first byte 0xd1 is of another kind or version");
+    refuses(
+        &[0xd1],
+        WireError::Version(0xd1),
+        "first byte 0xd1 is of another kind or version",
+    );
     for bytes in both() {
         let text = "first byte 0xc1 is of another kind or version";
         refuses(&changed(bytes, 0, 0xc1), WireError::Version(0xc1), text);
@@ -327,7 +404,11 @@
 fn datagram_of_either_kind_cut_anywhere_is_refused_as_short() {
     for bytes in both() {
         for end in 0..bytes.len() {
-            refuses(&bytes[..end], WireError::Short, "the datagram ends inside a field");
+            refuses(
+                &bytes[..end],
+                WireError::Short,
+                "the datagram ends inside a field",
+            );
         }
     }
 }
@@ -339,32 +420,63 @@
         refuses(&[&bytes[..], &[0]].concat(), WireError::Long, text);
         refuses(&[&bytes[..], &[0; 200]].concat(), WireError::Long, text);
     }
-    refuses(&[encode(&plan_of_many(8, 16, 8)), vec![0]].concat(), WireError::Long, text);
-    refuses(&[encode_tally(&tally_of_many(8, 16)), vec![0]].concat(), WireError::Long, text);
+    refuses(
+        &[encode(&plan_of_many(8, 16, 8)), vec![0]].concat(),
+        WireError::Long,
+        text,
+    );
+    refuses(
+        &[encode_tally(&tally_of_many(8, 16)), vec![0]].concat(),
+        WireError::Long,
+        text,
+    );
 }
 
 #[test]
 fn unknown_kind_is_refused_with_its_number() {
     for bytes in both() {
-        refuses(&changed(bytes.clone(), 1, 2), WireError::Unknown("kind", 2), "unknown kind 2");
-        refuses(&changed(bytes, 1, 255), WireError::Unknown("kind", 255), "unknown kind 255");
+        refuses(
+            &changed(bytes.clone(), 1, 2),
+            WireError::Unknown("kind", 2),
+            "unknown kind 2",
+        );
+        refuses(
+            &changed(bytes, 1, 255),
+            WireError::Unknown("kind", 255),
+            "unknown kind 255",
+        );
     }
 }
 
 #[test]
 fn unknown_state_of_a_site_is_refused_with_its_number() {
     let bytes = encode(&plan_of_three_sites());
-    refuses(&changed(bytes.clone(), 24, 3), WireError::Unknown("state", 3), "unknown state 3");
-    refuses(&changed(bytes, 24, 255), WireError::Unknown("state", 255), "unknown state 255");
+    refuses(
+        &changed(bytes.clone(), 24, 3),
+        WireError::Unknown("state", 3),
+        "unknown state 3",
+    );
+    refuses(
+        &changed(bytes, 24, 255),
+        WireError::Unknown("state", 255),
+        "unknown state 255",
+    );
 }
 
 #[test]
 fn plan_with_too_large_counts_or_without_gateways_is_refused_for_its_value() {
     let bytes = encode(&plan_of_three_sites());
     for (at, value) in [(22, 9), (22, 255), (23, 17), (23, 255)] {
-        refuses(&changed(bytes.clone(), at, value), WireError::Value(OF_A_PLAN), TEXT_OF_A_PLAN);
+        refuses(
+            &changed(bytes.clone(), at, value),
+            WireError::Value(OF_A_PLAN),
+            TEXT_OF_A_PLAN,
+        );
     }
-    let of_no_gateways = encode(&Plan { gateways: 0, ..plan_of_three_sites() });
+    let of_no_gateways = encode(&Plan {
+        gateways: 0,
+        ..plan_of_three_sites()
+    });
     refuses(&of_no_gateways, WireError::Value(OF_A_PLAN), TEXT_OF_A_PLAN);
 }
 
@@ -372,7 +484,11 @@
 fn plan_with_allowed_counts_other_than_what_follows_is_refused() {
     let bytes = encode(&plan_of_three_sites());
     for (at, value) in [(23, 3), (23, 16)] {
-        refuses(&changed(bytes.clone(), at, value), WireError::Short, "the datagram ends inside a field");
+        refuses(
+            &changed(bytes.clone(), at, value),
+            WireError::Short,
+            "the datagram ends inside a field",
+        );
     }
     let text = "the datagram is longer than what it says";
     refuses(&changed(bytes, 23, 1), WireError::Long, text);
@@ -382,20 +498,40 @@
 fn plan_whose_parts_of_a_load_are_more_than_the_whole_is_refused_for_its_value() {
     let of = |goes: &[u16]| {
         let goes: Vec<f64> = goes.iter().map(|&number| part(number)).collect();
-        encode(&plan(vec![site(State::Up, 1.0, 1.0, &goes), site(State::Up, 1.0, 1.0, &goes)], &[]))
+        encode(&plan(
+            vec![
+                site(State::Up, 1.0, 1.0, &goes),
+                site(State::Up, 1.0, 1.0, &goes),
+            ],
+            &[],
+        ))
     };
-    assert!(decode(&of(&[0x7fff, 0x8000])).is_ok(), "65,535 of 65,535 parts");
+    assert!(
+        decode(&of(&[0x7fff, 0x8000])).is_ok(),
+        "65,535 of 65,535 parts"
+    );
     let text = "where a site's load goes can't be so";
-    refuses(&of(&[0x8000, 0x8000]), WireError::Value("where a site's load goes"), text);
+    refuses(
+        &of(&[0x8000, 0x8000]),
+        WireError::Value("where a site's load goes"),
+        text,
+    );
 }
 
 #[test]
 fn tally_with_too_large_counts_or_site_or_without_a_period_is_refused_for_its_value() {
     let bytes = encode_tally(&tally());
     for (at, value) in [(2, 8), (2, 255), (5, 9), (5, 255), (6, 17), (6, 255)] {
-        refuses(&changed(bytes.clone(), at, value), WireError::Value(OF_A_TALLY), TEXT_OF_A_TALLY);
+        refuses(
+            &changed(bytes.clone(), at, value),
+            WireError::Value(OF_A_TALLY),
+            TEXT_OF_A_TALLY,
+        );
     }
-    let of_no_time = encode_tally(&Tally { period_ms: 0, ..tally() });
+    let of_no_time = encode_tally(&Tally {
+        period_ms: 0,
+        ..tally()
+    });
     refuses(&of_no_time, WireError::Value(OF_A_TALLY), TEXT_OF_A_TALLY);
 }
 
@@ -403,7 +539,11 @@
 fn tally_with_allowed_counts_other_than_what_follows_is_refused() {
     let bytes = encode_tally(&tally());
     for (at, value) in [(5, 3), (5, 8), (6, 4), (6, 16)] {
-        refuses(&changed(bytes.clone(), at, value), WireError::Short, "the datagram ends inside a field");
+        refuses(
+            &changed(bytes.clone(), at, value),
+            WireError::Short,
+            "the datagram ends inside a field",
+        );
     }
     for (at, value) in [(5, 1), (6, 2)] {
         let text = "the datagram is longer than what it says";
--- a/crates/siteplan/tests/plan.rs
+++ b/crates/siteplan/tests/plan.rs
@@ -6,7 +6,13 @@
 use proptest::prelude::*;
 
 fn up(capacity: f64, load: f64) -> SiteSeen {
-    SiteSeen { hosts: 10, silent: 0, capacity, load, answered: 1.0 }
+    SiteSeen {
+        hosts: 10,
+        silent: 0,
+        capacity,
+        load,
+        answered: 1.0,
+    }
 }
 
 fn gone(seen: SiteSeen) -> SiteSeen {
@@ -23,8 +29,15 @@
     }
 }
 
-fn observe_for(planner: &mut Planner, from: u64, length: u64, seen: &[SiteSeen]) -> Vec<(usize, State)> {
-    (0..=length / 100).flat_map(|i| planner.observe(from + i * 100, seen)).collect()
+fn observe_for(
+    planner: &mut Planner,
+    from: u64,
+    length: u64,
+    seen: &[SiteSeen],
+) -> Vec<(usize, State)> {
+    (0..=length / 100)
+        .flat_map(|i| planner.observe(from + i * 100, seen))
+        .collect()
 }
 
 #[test]
@@ -37,8 +50,15 @@
     };
     assert!(!usual.in_force(), "{usual:?}");
     let lost = [gone(well[0]), well[1], well[2]];
-    assert_eq!(observe_for(&mut planner, 2_100, 900, &lost), [], "not before its time");
-    assert_eq!(observe_for(&mut planner, 3_100, 0, &lost), [(0, State::Lost)]);
+    assert_eq!(
+        observe_for(&mut planner, 2_100, 900, &lost),
+        [],
+        "not before its time"
+    );
+    assert_eq!(
+        observe_for(&mut planner, 3_100, 0, &lost),
+        [(0, State::Lost)]
+    );
     let plan = planner.plan(1, &[30.0, 90.0, 60.0], 10);
     // 20 of 80 are free on each of the other two: 40 of 60 find room, 2 before 1.
     assert_eq!(plan.sites[0].budget, 0.0);
@@ -52,10 +72,15 @@
     // With fewer reports, all of those and then page reads; never a write.
     let plan = planner.plan(1, &[5.0, 30.0, 145.0], 10);
     assert!(
-        plan.admitted[0].abs() < 1e-9 && (plan.admitted[1] - 0.5).abs() < 1e-9 && plan.admitted[2] == 1.0
+        plan.admitted[0].abs() < 1e-9
+            && (plan.admitted[1] - 0.5).abs() < 1e-9
+            && plan.admitted[2] == 1.0
     );
     let all = planner.plan(1, &[5.0, 5.0, 170.0], 10);
-    assert_eq!((all.admitted[0], all.admitted[1], all.admitted[2]), (0.0, 0.0, 1.0));
+    assert_eq!(
+        (all.admitted[0], all.admitted[1], all.admitted[2]),
+        (0.0, 0.0, 1.0)
+    );
 }
 
 #[test]
@@ -73,16 +98,33 @@
     let half = budget(&mut planner);
     assert!((half - 80.0 * (0.15 + 0.85 * 0.5)).abs() < 1.0, "{half}");
     // It answers no more: the ramp stands still.
-    let mute = [SiteSeen { answered: 0.5, ..well[0] }, well[1], well[2]];
+    let mute = [
+        SiteSeen {
+            answered: 0.5,
+            ..well[0]
+        },
+        well[1],
+        well[2],
+    ];
     observe_for(&mut planner, 9_700, 5_000, &mute);
     assert!((budget(&mut planner) - half).abs() < 1.0);
     // Half of its hosts silent for a moment is no loss; most of them for a second is.
-    let some = [SiteSeen { silent: 5, ..well[0] }, well[1], well[2]];
+    let some = [
+        SiteSeen {
+            silent: 5,
+            ..well[0]
+        },
+        well[1],
+        well[2],
+    ];
     observe_for(&mut planner, 14_800, 3_000, &some);
     assert_eq!(planner.state(0), Some(State::Returning));
     observe_for(&mut planner, 17_900, 1_100, &lost);
     observe_for(&mut planner, 19_100, 1_100, &well);
-    assert!((budget(&mut planner) - 80.0 * 0.15).abs() < 2.0, "the ramp begins again");
+    assert!(
+        (budget(&mut planner) - 80.0 * 0.15).abs() < 2.0,
+        "the ramp begins again"
+    );
     observe_for(&mut planner, 20_300, 14_500, &well);
     assert_eq!(planner.state(0), Some(State::Up));
     assert!(!planner.plan(1, &[180.0], 4).in_force());
@@ -110,13 +152,29 @@
     observe_for(&mut planner, 0, 1_500, &seen);
     let plans: Vec<Plan> = (0..3).map(|_| planner.plan(7, &[20.0, 160.0], 5)).collect();
     let mut follower = Follower::new(&s);
-    assert_eq!(follower.admit(0, 0, 0.999), Ok(()), "nothing is refused without a plan");
+    assert_eq!(
+        follower.admit(0, 0, 0.999),
+        Ok(()),
+        "nothing is refused without a plan"
+    );
     assert!(follower.heard(0, plans[1].clone()));
     assert!(!follower.heard(1, plans[0].clone()), "an older one");
     assert!(!follower.heard(1, plans[1].clone()), "the same again");
-    assert!(!follower.heard(1, Plan { epoch: 6, number: 99, ..plans[2].clone() }), "of an older planner");
+    assert!(
+        !follower.heard(
+            1,
+            Plan {
+                epoch: 6,
+                number: 99,
+                ..plans[2].clone()
+            }
+        ),
+        "of an older planner"
+    );
     assert_eq!(follower.share(1, 0), Some(0.0));
-    let pause = follower.admit(1, 0, 0.5).expect_err("all reports are refused");
+    let pause = follower
+        .admit(1, 0, 0.5)
+        .expect_err("all reports are refused");
     assert!((2_000..=4_000).contains(&pause), "{pause}");
     // Cut off: the same plan until it is stale, and then none.
     assert!(follower.admit(s.stale_ms - 1, 0, 0.5).is_err());
@@ -128,7 +186,12 @@
     let bad = |change: &dyn Fn(&mut Settings)| {
         let mut s = settings();
         change(&mut s);
-        s.check().expect_err("refused").split(':').next().unwrap_or_default().to_string()
+        s.check()
+            .expect_err("refused")
+            .split(':')
+            .next()
+            .unwrap_or_default()
+            .to_string()
     };
     assert_eq!(bad(&|s| s.prefer[1] = vec![1]), "prefer");
     assert_eq!(bad(&|s| s.prefer.clear()), "prefer");
@@ -139,15 +202,20 @@
 }
 
 fn seen() -> impl Strategy<Value = SiteSeen> {
-    (1u32..20, 0u32..20, 0.0f64..500.0, 0.0f64..500.0, 0.0f64..=1.0).prop_map(
-        |(hosts, silent, capacity, load, answered)| SiteSeen {
+    (
+        1u32..20,
+        0u32..20,
+        0.0f64..500.0,
+        0.0f64..500.0,
+        0.0f64..=1.0,
+    )
+        .prop_map(|(hosts, silent, capacity, load, answered)| SiteSeen {
             hosts,
             silent: silent.min(hosts),
             capacity,
             load,
             answered,
-        },
-    )
+        })
 }
 
 proptest! {
@@ -201,7 +269,12 @@
 /// Two gateways of site 0 and one of site 1 tell; what one told before, and what is too old, is not counted.
 #[test]
 fn tallies_add_up_over_gateways_and_the_last_of_each_counts() {
-    let reach = |hosts, silent, sent, answered| Reach { hosts, silent, sent, answered };
+    let reach = |hosts, silent, sent, answered| Reach {
+        hosts,
+        silent,
+        sent,
+        answered,
+    };
     let tally = |site, arrived: &[u16], sites: &[Reach]| Tally {
         site,
         period_ms: 500,
@@ -210,14 +283,45 @@
     };
     let mut all = Tallies::default();
     all.heard(0, 1, tally(0, &[900, 900], &[]));
-    all.heard(10, 1, tally(0, &[10, 0], &[reach(2, 2, 4, 0), reach(1, 0, 6, 6)]));
-    all.heard(10, 2, tally(0, &[0, 5], &[reach(1, 0, 4, 4), reach(3, 0, 0, 0)]));
+    all.heard(
+        10,
+        1,
+        tally(0, &[10, 0], &[reach(2, 2, 4, 0), reach(1, 0, 6, 6)]),
+    );
+    all.heard(
+        10,
+        2,
+        tally(0, &[0, 5], &[reach(1, 0, 4, 4), reach(3, 0, 0, 0)]),
+    );
     all.heard(20, 3, tally(1, &[0, 20], &[]));
-    all.heard(20, 4, Tally { period_ms: 0, ..tally(1, &[9], &[]) });
+    all.heard(
+        20,
+        4,
+        Tally {
+            period_ms: 0,
+            ..tally(1, &[9], &[])
+        },
+    );
     assert_eq!((all.gateways(), all.classes(2)), (3, vec![20.0, 50.0]));
     let seen = all.seen(&[100.0, 50.0]);
-    assert_eq!((seen[0].hosts, seen[0].silent, seen[0].load, seen[0].answered), (3, 2, 30.0, 0.5));
-    assert_eq!((seen[1].hosts, seen[1].silent, seen[1].load, seen[1].answered), (4, 0, 40.0, 1.0));
+    assert_eq!(
+        (
+            seen[0].hosts,
+            seen[0].silent,
+            seen[0].load,
+            seen[0].answered
+        ),
+        (3, 2, 30.0, 0.5)
+    );
+    assert_eq!(
+        (
+            seen[1].hosts,
+            seen[1].silent,
+            seen[1].load,
+            seen[1].answered
+        ),
+        (4, 0, 40.0, 1.0)
+    );
     all.forget(15);
     assert_eq!((all.gateways(), all.classes(2)), (1, vec![0.0, 40.0]));
 }
--- a/crates/storm/src/budget.rs
+++ b/crates/storm/src/budget.rs
@@ -17,7 +17,11 @@
     /// Full.
     pub fn new(share: f64, most: f64) -> Self {
         let sound = |v: f64| if v.is_finite() { v.max(0.0) } else { 0.0 };
-        Budget { share: sound(share), most: sound(most), tokens: sound(most) }
+        Budget {
+            share: sound(share),
+            most: sound(most),
+            tokens: sound(most),
+        }
     }
 
     /// What is left.
@@ -55,7 +59,10 @@
     fn a_storm_starves_it_and_keeps_the_rest_for_what_is_worth_more() {
         let mut b = Budget::new(0.1, 10.0);
         (0..5).for_each(|_| assert!(b.spend(1.0, 0.1, 1.0)));
-        assert!(!b.spend(1.0, 0.1, 1.0) && b.spend(1.0, 1.0, 1.0), "what is worth most still may");
+        assert!(
+            !b.spend(1.0, 0.1, 1.0) && b.spend(1.0, 1.0, 1.0),
+            "what is worth most still may"
+        );
         (0..100).for_each(|_| b.earn(1.0));
         assert_eq!(b.left(), 4.0);
         (0..20).for_each(|_| b.earn(0.0));
--- a/crates/storm/src/calendar.rs
+++ b/crates/storm/src/calendar.rs
@@ -67,7 +67,11 @@
     /// taken back, but no slot that is full by the new figure takes more.
     pub fn free(&mut self, now: Ns, spare: f64) {
         self.turn(now);
-        self.spare = if spare.is_finite() { spare.max(0.0) } else { 0.0 };
+        self.spare = if spare.is_finite() {
+            spare.max(0.0)
+        } else {
+            0.0
+        };
         let room = self.spare * SLOT as f64;
         self.slots.iter_mut().for_each(|s| s.room = room);
     }
@@ -79,7 +83,10 @@
 
     /// No slot has more booked than it had room for when it was booked: the most that any is over what it takes now.
     pub fn over(&self) -> f64 {
-        self.slots.iter().map(|s| s.booked - s.room).fold(0.0, f64::max)
+        self.slots
+            .iter()
+            .map(|s| s.booked - s.room)
+            .fold(0.0, f64::max)
     }
 
     /// Refuses someone, whose request takes this work, not before a moment. `draw` is evenly from 0 to 1: the moment
@@ -88,14 +95,19 @@
         self.turn(now);
         // Whoever comes early is told the same place, not one in front of those who wait.
         if let Some(&at) = self.known.get(&origin).filter(|&&at| at > now) {
-            return Place { at, told_before: true, booked: true };
+            return Place {
+                at,
+                told_before: true,
+                booked: true,
+            };
         }
         let from = ((not_before.max(now) / SLOT) + 1 - self.first).max(0) as usize;
         let work = work.max(1) as f64;
         let mut need = work;
         let fits = |s: &Slot, need: f64| s.booked + need <= s.room;
         // One that is longer than a slot takes the room of several in a row; it returns in the first of them.
-        let spans = (self.spare > 0.0).then(|| (work / (self.spare * SLOT as f64)).ceil().max(1.0) as usize);
+        let spans = (self.spare > 0.0)
+            .then(|| (work / (self.spare * SLOT as f64)).ceil().max(1.0) as usize);
         let found = spans.and_then(|spans| {
             let last = self.slots.len().checked_sub(spans)?;
             let part = work / spans as f64;
@@ -105,7 +117,11 @@
         });
         let Some((slot, spans, part)) = found else {
             let end = (self.first + self.slots.len() as i64) * SLOT;
-            return Place { at: end, told_before: false, booked: false };
+            return Place {
+                at: end,
+                told_before: false,
+                booked: false,
+            };
         };
         for s in self.slots.range_mut(slot..slot + spans) {
             s.booked += part.min(need);
@@ -113,7 +129,11 @@
         }
         let at = (self.first + slot as i64) * SLOT + (draw.clamp(0.0, 0.999) * SLOT as f64) as Ns;
         self.remember(origin, at);
-        Place { at, told_before: false, booked: true }
+        Place {
+            at,
+            told_before: false,
+            booked: true,
+        }
     }
 
     /// Someone comes. True where that is before the place that was told.
@@ -148,7 +168,10 @@
         if past > 0 {
             let gone = (past as usize).min(self.slots.len());
             self.slots.drain(..gone);
-            let fresh = Slot { room: self.spare * SLOT as f64, booked: 0.0 };
+            let fresh = Slot {
+                room: self.spare * SLOT as f64,
+                booked: 0.0,
+            };
             self.slots.extend(std::iter::repeat_n(fresh, gone));
             self.first = present;
         }
@@ -174,11 +197,17 @@
         let mut c = Calendar::new(SECOND);
         c.free(0, 2.0);
         // Two cores: a slot of 20 ms takes 40 ms of work, four requests of 10 ms.
-        let places: Vec<Place> = (0..12).map(|i| c.book(0, Origin(i), 10 * MS, 0, 0.5)).collect();
+        let places: Vec<Place> = (0..12)
+            .map(|i| c.book(0, Origin(i), 10 * MS, 0, 0.5))
+            .collect();
         let slots: Vec<i64> = places.iter().map(|p| p.at / SLOT).collect();
         assert_eq!(slots, [1, 1, 1, 1, 2, 2, 2, 2, 3, 3, 3, 3]);
         assert!(places.iter().all(|p| p.booked && !p.told_before));
-        assert_eq!(c.book(0, Origin(99), 10 * MS, 500 * MS, 0.0).at / SLOT, 26, "not before");
+        assert_eq!(
+            c.book(0, Origin(99), 10 * MS, 500 * MS, 0.0).at / SLOT,
+            26,
+            "not before"
+        );
     }
 
     #[test]
@@ -189,20 +218,38 @@
         let booked = c.booked();
         assert!(c.came(50 * MS, Origin(7)));
         let again = c.book(50 * MS, Origin(7), 20 * MS, 50 * MS, 0.1);
-        assert_eq!((again.at, again.told_before, c.booked()), (first.at, true, booked));
+        assert_eq!(
+            (again.at, again.told_before, c.booked()),
+            (first.at, true, booked)
+        );
         assert!(!c.came(first.at, Origin(7)), "in time");
         assert!(!c.came(first.at, Origin(8)), "never told");
         let later = c.book(first.at + MS, Origin(7), 20 * MS, 0, 0.1);
-        assert!(!later.told_before && later.at > first.at, "refused anew, in time: a new place");
+        assert!(
+            !later.told_before && later.at > first.at,
+            "refused anew, in time: a new place"
+        );
     }
 
     #[test]
     fn with_nothing_free_or_all_full_the_horizon_is_told() {
         let mut c = Calendar::new(SECOND);
-        assert_eq!(c.book(0, Origin(1), MS, 0, 0.5), Place { at: SECOND, told_before: false, booked: false });
+        assert_eq!(
+            c.book(0, Origin(1), MS, 0, 0.5),
+            Place {
+                at: SECOND,
+                told_before: false,
+                booked: false
+            }
+        );
         c.free(0, 0.5);
-        let booked = (0..200).filter(|&i| c.book(0, Origin(i), 10 * MS, 0, 0.5).booked).count();
-        assert_eq!(booked, 49, "a second of half a core, less the slot that has begun");
+        let booked = (0..200)
+            .filter(|&i| c.book(0, Origin(i), 10 * MS, 0, 0.5).booked)
+            .count();
+        assert_eq!(
+            booked, 49,
+            "a second of half a core, less the slot that has begun"
+        );
         c.free(10 * MS, f64::NAN);
         assert!(!c.book(10 * MS, Origin(300), MS, 0, 0.5).booked);
     }
--- a/crates/storm/src/detect.rs
+++ b/crates/storm/src/detect.rs
@@ -128,7 +128,12 @@
 impl Detector {
     /// A try comes: a repeat, marked or recognised, or a first one; before the moment that was told, or not.
     pub fn tried(&mut self, now: Ns, repeat: bool, early: bool) {
-        (if repeat { &mut self.repeats } else { &mut self.first }).add(now, 1.0);
+        (if repeat {
+            &mut self.repeats
+        } else {
+            &mut self.first
+        })
+        .add(now, 1.0);
         if early {
             self.early.add(now, 1.0);
         }
@@ -182,7 +187,12 @@
         match &mut self.storm {
             None => {
                 part.filter(|p| *p >= BEGINS)?;
-                self.storm = Some(Storm { since: now, cause, peak: strength, calm_since: None });
+                self.storm = Some(Storm {
+                    since: now,
+                    cause,
+                    peak: strength,
+                    calm_since: None,
+                });
                 Some(Change::Began { cause, strength })
             }
             Some(s) => {
@@ -192,7 +202,10 @@
                 } else {
                     let since = *s.calm_since.get_or_insert(now);
                     if now - since >= CALM_FOR {
-                        let change = Change::Ended { lasted: now - s.since, peak: s.peak };
+                        let change = Change::Ended {
+                            lasted: now - s.since,
+                            peak: s.peak,
+                        };
                         self.storm = None;
                         return Some(change);
                     }
@@ -228,7 +241,10 @@
     use crate::MS;
 
     fn old() -> Signs {
-        Signs { up_for: 60 * SECOND, ..Signs::default() }
+        Signs {
+            up_for: 60 * SECOND,
+            ..Signs::default()
+        }
     }
 
     /// So many tries a second for so long, every nth a repeat; looks each 50 ms.
@@ -248,8 +264,14 @@
     #[test]
     fn it_begins_names_its_cause_and_ends_once() {
         let mut d = Detector::default();
-        assert!(run(&mut d, 0, 5 * SECOND, 20, &old()).is_empty(), "one in twenty is no storm");
-        let silent = Signs { no_primary: true, ..old() };
+        assert!(
+            run(&mut d, 0, 5 * SECOND, 20, &old()).is_empty(),
+            "one in twenty is no storm"
+        );
+        let silent = Signs {
+            no_primary: true,
+            ..old()
+        };
         let began = run(&mut d, 5 * SECOND, 3 * SECOND, 2, &silent);
         assert_eq!(began.len(), 1);
         assert!(
@@ -257,9 +279,18 @@
             "{began:?}"
         );
         assert!(d.strength(8 * SECOND) > 0.6);
-        let ended = run(&mut d, 8 * SECOND, 10 * SECOND, 0, &Signs { cold: 1, ..old() });
+        let ended = run(
+            &mut d,
+            8 * SECOND,
+            10 * SECOND,
+            0,
+            &Signs { cold: 1, ..old() },
+        );
         assert_eq!(ended.len(), 1);
-        assert!(matches!(ended[0].1, Change::Ended { peak, .. } if peak > 0.6), "{ended:?}");
+        assert!(
+            matches!(ended[0].1, Change::Ended { peak, .. } if peak > 0.6),
+            "{ended:?}"
+        );
         assert_eq!(d.strength(18 * SECOND), 0.0);
     }
 
@@ -280,21 +311,77 @@
         let mut d = Detector::default();
         for t in (0..5 * SECOND).step_by(MS as usize) {
             d.tried(t, false, false);
-            assert_eq!(d.look(t, &Signs { slower: 3.0, ..old() }), None);
+            assert_eq!(
+                d.look(
+                    t,
+                    &Signs {
+                        slower: 3.0,
+                        ..old()
+                    }
+                ),
+                None
+            );
         }
     }
 
     #[test]
     fn causes_are_told_by_what_shows_and_a_stronger_one_takes_over() {
-        let signs = |s: Signs| cause(&Signs { up_for: 60 * SECOND, ..s });
-        assert_eq!(signs(Signs { cold: 2, slower: 2.0, ..old() }), Cause::ColdReturn);
-        assert_eq!(signs(Signs { slower: 2.0, ..old() }), Cause::Slowdown);
+        let signs = |s: Signs| {
+            cause(&Signs {
+                up_for: 60 * SECOND,
+                ..s
+            })
+        };
+        assert_eq!(
+            signs(Signs {
+                cold: 2,
+                slower: 2.0,
+                ..old()
+            }),
+            Cause::ColdReturn
+        );
+        assert_eq!(
+            signs(Signs {
+                slower: 2.0,
+                ..old()
+            }),
+            Cause::Slowdown
+        );
         assert_eq!(cause(&Signs::default()), Cause::Restart);
         assert_eq!(signs(old()), Cause::Unknown);
         let mut d = Detector::default();
-        run(&mut d, 0, 2 * SECOND, 2, &Signs { slower: 2.0, ..old() });
-        let turned = run(&mut d, 2 * SECOND, SECOND, 2, &Signs { no_primary: true, ..old() });
-        assert!(matches!(turned[..], [(_, Change::Turned { cause: Cause::SilentPrimary })]), "{turned:?}");
+        run(
+            &mut d,
+            0,
+            2 * SECOND,
+            2,
+            &Signs {
+                slower: 2.0,
+                ..old()
+            },
+        );
+        let turned = run(
+            &mut d,
+            2 * SECOND,
+            SECOND,
+            2,
+            &Signs {
+                no_primary: true,
+                ..old()
+            },
+        );
+        assert!(
+            matches!(
+                turned[..],
+                [(
+                    _,
+                    Change::Turned {
+                        cause: Cause::SilentPrimary
+                    }
+                )]
+            ),
+            "{turned:?}"
+        );
         let back = run(&mut d, 3 * SECOND, SECOND, 2, &Signs { cold: 1, ..old() });
         assert!(back.is_empty(), "it stays the same storm");
     }
--- a/crates/storm/src/lend.rs
+++ b/crates/storm/src/lend.rs
@@ -86,7 +86,10 @@
 
     /// One for a host of which this gateway was told at a time when it had run for long: nothing of it can be lent yet.
     pub fn fresh(me: u16, own: u32, now: Ns, first: u32) -> Self {
-        Part { quiet_until: now, ..Part::new(me, own, now, first) }
+        Part {
+            quiet_until: now,
+            ..Part::new(me, own, now, first)
+        }
     }
 
     /// Of its own part what it may use or lend.
@@ -94,13 +97,22 @@
         if now < self.quiet_until {
             return 0;
         }
-        let out: u32 = self.lent.iter().filter(|l| now < l.back).map(|l| l.amount).sum();
+        let out: u32 = self
+            .lent
+            .iter()
+            .filter(|l| now < l.back)
+            .map(|l| l.amount)
+            .sum();
         self.own.saturating_sub(out)
     }
 
     /// What it may use in all.
     pub fn may(&self, now: Ns) -> u32 {
-        let borrowed = self.borrowed.values().filter(|b| now < b.until).map(|b| b.amount);
+        let borrowed = self
+            .borrowed
+            .values()
+            .filter(|b| now < b.until)
+            .map(|b| b.amount);
         self.free(now) + borrowed.sum::<u32>()
     }
 
@@ -116,9 +128,17 @@
             return None;
         }
         let until = now + long;
-        self.lent.push(Lent { amount, back: until + MARGIN });
+        self.lent.push(Lent {
+            amount,
+            back: until + MARGIN,
+        });
         self.lent.sort_by_key(|l| (l.back, l.amount));
-        let loan = Loan { to, number: self.next, amount, until };
+        let loan = Loan {
+            to,
+            number: self.next,
+            amount,
+            until,
+        };
         self.next = self.next.wrapping_add(1);
         Some(loan)
     }
@@ -141,7 +161,10 @@
         if self.borrowed.contains_key(&(from, loan.number)) {
             return Err(Refused::Known);
         }
-        let of_sender = self.borrowed.range((from, 0)..=(from, u32::MAX)).map(|(_, b)| b.amount);
+        let of_sender = self
+            .borrowed
+            .range((from, 0)..=(from, u32::MAX))
+            .map(|(_, b)| b.amount);
         // Whatever a sender says, it has no more than its part.
         if loan.amount == 0 || of_sender.sum::<u32>().saturating_add(loan.amount) > self.own {
             return Err(Refused::TooMuch);
@@ -149,7 +172,13 @@
         if self.borrowed.len() >= MOST {
             return Err(Refused::Full);
         }
-        self.borrowed.insert((from, loan.number), Borrowed { amount: loan.amount, until: loan.until });
+        self.borrowed.insert(
+            (from, loan.number),
+            Borrowed {
+                amount: loan.amount,
+                until: loan.until,
+            },
+        );
         Ok(())
     }
 
@@ -166,7 +195,10 @@
 
     #[test]
     fn what_is_lent_is_used_by_one_of_the_two() {
-        let (mut a, mut b) = (Part::fresh(0, 100, SECOND, 7), Part::fresh(1, 100, SECOND, 9));
+        let (mut a, mut b) = (
+            Part::fresh(0, 100, SECOND, 7),
+            Part::fresh(1, 100, SECOND, 9),
+        );
         let loan = a.lend(SECOND, 1, 60, 300 * MS).expect("a loan");
         assert_eq!((a.may(SECOND), b.may(SECOND)), (40, 100));
         assert_eq!(b.hear(SECOND + 5 * MS, 0, loan), Ok(()));
@@ -174,28 +206,76 @@
         assert_eq!(b.may(SECOND + 6 * MS), 160);
         let end = loan.until;
         assert_eq!((a.may(end - 1), b.may(end - 1)), (40, 160));
-        assert_eq!((a.may(end), b.may(end)), (40, 100), "neither, for the margin");
+        assert_eq!(
+            (a.may(end), b.may(end)),
+            (40, 100),
+            "neither, for the margin"
+        );
         assert_eq!(a.may(end + MARGIN), 100);
     }
 
     #[test]
     fn a_loan_that_cannot_be_is_refused() {
         let mut b = Part::fresh(1, 100, 0, 0);
-        let loan = Loan { to: 1, number: 1, amount: 50, until: 100 * MS };
+        let loan = Loan {
+            to: 1,
+            number: 1,
+            amount: 50,
+            until: 100 * MS,
+        };
         assert_eq!(b.hear(0, 0, Loan { to: 2, ..loan }), Err(Refused::Misled));
         assert_eq!(b.hear(0, 1, loan), Err(Refused::Misled), "from itself");
         assert_eq!(b.hear(100 * MS, 0, loan), Err(Refused::Lapsed));
-        assert_eq!(b.hear(0, 0, Loan { until: SECOND, ..loan }), Err(Refused::TooLong));
-        assert_eq!(b.hear(0, 0, Loan { amount: 101, ..loan }), Err(Refused::TooMuch));
+        assert_eq!(
+            b.hear(
+                0,
+                0,
+                Loan {
+                    until: SECOND,
+                    ..loan
+                }
+            ),
+            Err(Refused::TooLong)
+        );
+        assert_eq!(
+            b.hear(
+                0,
+                0,
+                Loan {
+                    amount: 101,
+                    ..loan
+                }
+            ),
+            Err(Refused::TooMuch)
+        );
         assert_eq!(b.hear(0, 0, loan), Ok(()));
-        assert_eq!(b.hear(0, 0, Loan { number: 2, amount: 51, ..loan }), Err(Refused::TooMuch), "in all");
-        assert_eq!(b.hear(0, 2, Loan { number: 1, ..loan }), Ok(()), "another sender's");
+        assert_eq!(
+            b.hear(
+                0,
+                0,
+                Loan {
+                    number: 2,
+                    amount: 51,
+                    ..loan
+                }
+            ),
+            Err(Refused::TooMuch),
+            "in all"
+        );
+        assert_eq!(
+            b.hear(0, 2, Loan { number: 1, ..loan }),
+            Ok(()),
+            "another sender's"
+        );
     }
 
     #[test]
     fn who_has_started_uses_nothing_until_its_loans_have_lapsed() {
         let mut a = Part::new(0, 100, SECOND, 0);
-        assert_eq!((a.may(SECOND + LONGEST), a.lend(SECOND, 1, 1, MS)), (0, None));
+        assert_eq!(
+            (a.may(SECOND + LONGEST), a.lend(SECOND, 1, 1, MS)),
+            (0, None)
+        );
         assert_eq!(a.may(SECOND + LONGEST + MARGIN), 100);
         assert_eq!(a.lend(2 * SECOND, 1, 1, LONGEST + 1), None);
         assert_eq!(a.lend(2 * SECOND, 0, 1, MS), None, "to itself");
--- a/crates/storm/tests/lending.rs
+++ b/crates/storm/tests/lending.rs
@@ -24,7 +24,12 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Step {
     Tick,
-    Lend { from: u16, to: u16, amount: u32, long: Ns },
+    Lend {
+        from: u16,
+        to: u16,
+        amount: u32,
+        long: Ns,
+    },
     Arrive(usize),
     Die(u16),
 }
@@ -43,8 +48,16 @@
     type Action = Step;
 
     fn init_states(&self) -> Vec<State> {
-        let gateways = (0..self.count).map(|g| Part::fresh(g, OWN, START, 0)).collect();
-        vec![State { now: START, gateways, messages: Vec::new(), deaths: 0, loans: 0 }]
+        let gateways = (0..self.count)
+            .map(|g| Part::fresh(g, OWN, START, 0))
+            .collect();
+        vec![State {
+            now: START,
+            gateways,
+            messages: Vec::new(),
+            deaths: 0,
+            loans: 0,
+        }]
     }
 
     fn actions(&self, s: &State, steps: &mut Vec<Step>) {
@@ -54,7 +67,12 @@
         for from in 0..self.count {
             for to in (0..self.count).filter(|&to| to != from && s.loans < self.loans) {
                 for long in [LONGEST, LONGEST / 2] {
-                    steps.extend([1, OWN].map(|amount| Step::Lend { from, to, amount, long }));
+                    steps.extend([1, OWN].map(|amount| Step::Lend {
+                        from,
+                        to,
+                        amount,
+                        long,
+                    }));
                 }
             }
             if s.deaths < 1 && s.loans > 0 {
@@ -74,7 +92,12 @@
                 let now = s.now;
                 s.messages.retain(|(_, l)| now < l.until);
             }
-            Step::Lend { from, to, amount, long } => {
+            Step::Lend {
+                from,
+                to,
+                amount,
+                long,
+            } => {
                 let loan = s.gateways[from as usize].lend(s.now, to, amount, long)?;
                 s.messages.push((from, loan));
                 s.messages.sort();
@@ -104,41 +127,68 @@
             }),
             Property::sometimes("all of the budget is used", |f: &Fleet, s: &State| {
                 s.loans > 0
-                    && s.gateways.iter().map(|g| g.may(s.now)).sum::<u32>() == OWN * u32::from(f.count)
+                    && s.gateways.iter().map(|g| g.may(s.now)).sum::<u32>()
+                        == OWN * u32::from(f.count)
             }),
         ]
     }
 }
 
 fn check(fleet: Fleet) -> (usize, bool) {
-    let checker = fleet.checker().threads(4).target_state_count(MOST).spawn_bfs().join();
-    let broken = checker.discovery("the sum stays within the budget").is_some();
+    let checker = fleet
+        .checker()
+        .threads(4)
+        .target_state_count(MOST)
+        .spawn_bfs()
+        .join();
+    let broken = checker
+        .discovery("the sum stays within the budget")
+        .is_some();
     if !broken {
         checker.assert_properties();
     }
     let states = checker.unique_state_count();
     eprintln!("{states} states");
-    assert!(broken || states < MOST, "{states} states: not all of them were seen");
+    assert!(
+        broken || states < MOST,
+        "{states} states: not all of them were seen"
+    );
     (states, broken)
 }
 
 #[test]
 fn two_gateways_and_three_loans() {
-    let (states, broken) =
-        check(Fleet { count: 2, tick: LONGEST / 4 + MARGIN / 2, end: 2 * LONGEST, loans: 3, hasty: false });
+    let (states, broken) = check(Fleet {
+        count: 2,
+        tick: LONGEST / 4 + MARGIN / 2,
+        end: 2 * LONGEST,
+        loans: 3,
+        hasty: false,
+    });
     assert!(!broken && states > 1_000, "{states} states");
 }
 
 #[test]
 fn three_gateways_and_two_loans() {
-    let (states, broken) =
-        check(Fleet { count: 3, tick: LONGEST / 2, end: LONGEST + LONGEST / 2, loans: 2, hasty: false });
+    let (states, broken) = check(Fleet {
+        count: 3,
+        tick: LONGEST / 2,
+        end: LONGEST + LONGEST / 2,
+        loans: 2,
+        hasty: false,
+    });
     assert!(!broken && states > 1_000, "{states} states");
 }
 
 /// A check that cannot fail is none: a gateway that forgets its loans and goes on at once breaks the sum.
 #[test]
 fn the_check_finds_a_gateway_that_does_not_wait_after_its_start() {
-    let (_, broken) = check(Fleet { count: 2, tick: LONGEST / 2, end: LONGEST, loans: 1, hasty: true });
+    let (_, broken) = check(Fleet {
+        count: 2,
+        tick: LONGEST / 2,
+        end: LONGEST,
+        loans: 1,
+        hasty: true,
+    });
     assert!(broken);
 }
--- a/crates/world/src/clients.rs
+++ b/crates/world/src/clients.rs
@@ -61,18 +61,26 @@
         let needs: Vec<Need> = spec.classes.iter().map(|c| c.need).collect();
         let sum = |need: Need| -> f64 {
             let of = needs.iter().zip(&day.class_shares);
-            of.filter(|(n, _)| **n == need).map(|(_, share)| share).sum()
+            of.filter(|(n, _)| **n == need)
+                .map(|(_, share)| share)
+                .sum()
         };
         let (reads, writes) = (sum(Need::Session), sum(Need::Write));
-        let follow = if writes > 0.0 { reads * day.follows } else { 0.0 };
+        let follow = if writes > 0.0 {
+            reads * day.follows
+        } else {
+            0.0
+        };
         let mut shares = day.class_shares.clone();
         for (share, need) in shares.iter_mut().zip(&needs) {
             if *need == Need::Session && reads > 0.0 {
                 *share *= 1.0 - follow / reads;
             }
         }
-        let floods: Vec<Planned> =
-            faults::plan(spec, seed).into_iter().filter(|p| p.fault.flood.is_some()).collect();
+        let floods: Vec<Planned> = faults::plan(spec, seed)
+            .into_iter()
+            .filter(|p| p.fault.flood.is_some())
+            .collect();
         let mut dice = Dice::new(seed, Stream::Arrivals);
         let phase = dice.between(0.0, std::f64::consts::TAU);
         let base = day.rate * (1.0 - follow);
@@ -117,9 +125,14 @@
             if kept >= self.base * (calm + flood) {
                 continue;
             }
-            let set = if kept < self.base * calm { self.any_set() } else { self.flooded_set(now) };
+            let set = if kept < self.base * calm {
+                self.any_set()
+            } else {
+                self.flooded_set(now)
+            };
             let class = weighted(&self.shares, self.dice.unit());
-            let session = set.0 as u64 * self.sessions + self.dice.index(self.sessions as usize) as u64;
+            let session =
+                set.0 as u64 * self.sessions + self.dice.index(self.sessions as usize) as u64;
             return Some(self.arrival(now, set, class, session));
         }
     }
@@ -129,7 +142,11 @@
     }
 
     fn flooded_set(&mut self, now: Ns) -> SetId {
-        let on: Vec<&Planned> = self.floods.iter().filter(|f| f.from <= now && now < f.until).collect();
+        let on: Vec<&Planned> = self
+            .floods
+            .iter()
+            .filter(|f| f.from <= now && now < f.until)
+            .collect();
         let parts: Vec<f64> = on.iter().map(|f| f.part).collect();
         let sum: f64 = parts.iter().sum();
         let shares: Vec<f64> = parts.iter().map(|p| p / sum.max(1e-12)).collect();
@@ -139,7 +156,9 @@
 
     fn arrival(&mut self, at: Ns, set: SetId, class: usize, session: u64) -> Arrival {
         self.next += 1;
-        let work = self.dice.log_normal(self.day.work[class], self.variations[class]);
+        let work = self
+            .dice
+            .log_normal(self.day.work[class], self.variations[class]);
         let need = self.needs[class];
         let has_session = matches!(need, Need::Session | Need::Write);
         let (pick, roams) = (self.dice.number(), self.dice.chance(self.day.roams));
@@ -349,12 +368,19 @@
             Some(session) => mix(session),
             None => mix(arrival.pick ^ u64::from(number)),
         };
-        let known_dead = |g: GatewayId| self.dead.get(&g).is_some_and(|&since| now >= since + self.notice);
+        let known_dead = |g: GatewayId| {
+            self.dead
+                .get(&g)
+                .is_some_and(|&since| now >= since + self.notice)
+        };
         let first = GatewayId((pick % count) as u32);
         if !known_dead(first) {
             return first;
         }
-        let alive: Vec<GatewayId> = (0..self.gateways).map(GatewayId).filter(|&g| !known_dead(g)).collect();
+        let alive: Vec<GatewayId> = (0..self.gateways)
+            .map(GatewayId)
+            .filter(|&g| !known_dead(g))
+            .collect();
         if alive.is_empty() {
             first
         } else {
@@ -364,14 +390,22 @@
 
     /// A request comes: its first try.
     pub fn begin(&mut self, now: Ns, arrival: Arrival) -> Try {
-        let call = Call { arrival, number: 0, out: false, may_have_run: None, backoff: self.backoff };
+        let call = Call {
+            arrival,
+            number: 0,
+            out: false,
+            may_have_run: None,
+            backoff: self.backoff,
+        };
         self.open.insert(arrival.call, call);
         self.attempt(now, arrival.call)
     }
 
     /// A client tries again, at the time that it was told to.
     pub fn again(&mut self, now: Ns, call: u64) -> Option<Try> {
-        self.open.contains_key(&call).then(|| self.attempt(now, call))
+        self.open
+            .contains_key(&call)
+            .then(|| self.attempt(now, call))
     }
 
     fn attempt(&mut self, now: Ns, id: u64) -> Try {
@@ -381,7 +415,11 @@
         let patience = (self.deadlines[arrival.class] as f64 * self.patience) as Ns;
         let gateway = self.front(now, &arrival, number);
         let session_read = self.needs[arrival.class] == Need::Session;
-        let mark = arrival.session.filter(|_| session_read).and_then(|s| self.marks.get(&s)).copied();
+        let mark = arrival
+            .session
+            .filter(|_| session_read)
+            .and_then(|s| self.marks.get(&s))
+            .copied();
         // Whether this one leaves early is its own matter: the draws of others do not shift it.
         let draw = mix(arrival.pick ^ 0x1eaf ^ u64::from(number)) as f64 / u64::MAX as f64;
         let leaves = (draw < self.spec.impatient).then_some(now + patience / 2);
@@ -390,17 +428,34 @@
         }
         let marked = self.spec.marked && number > 0;
         let mark = mark.unwrap_or(0);
-        Try { call: id, number, gateway, arrival, mark, marked, sent: now, deadline: now + patience, leaves }
+        Try {
+            call: id,
+            number,
+            gateway,
+            arrival,
+            mark,
+            marked,
+            sent: now,
+            deadline: now + patience,
+            leaves,
+        }
     }
 
     /// A try has ended: what its client does next. A try that is over already ends once only.
     pub fn ended(&mut self, now: Ns, id: u64, number: u32, sent: Ns, fate: Fate) -> Next {
-        let Some(call) = self.open.get_mut(&id).filter(|c| c.out && c.number == number) else {
+        let Some(call) = self
+            .open
+            .get_mut(&id)
+            .filter(|c| c.out && c.number == number)
+        else {
             return Next::Nothing;
         };
         call.out = false;
         let write = self.needs[call.arrival.class] == Need::Write;
-        if matches!(fate, Fate::Failed | Fate::Broken | Fate::TimedOut | Fate::Left) {
+        if matches!(
+            fate,
+            Fate::Failed | Fate::Broken | Fate::TimedOut | Fate::Left
+        ) {
             call.may_have_run.get_or_insert(sent);
         }
         if let Fate::Served { commit } = fate {
@@ -442,9 +497,12 @@
 
     fn done(&mut self, id: u64, served: Option<Ns>, last: Fate) -> Next {
         match self.open.remove(&id) {
-            Some(call) => {
-                Next::Done(Finished { arrival: call.arrival, served, tries: call.number + 1, last })
-            }
+            Some(call) => Next::Done(Finished {
+                arrival: call.arrival,
+                served,
+                tries: call.number + 1,
+                last,
+            }),
             None => Next::Nothing,
         }
     }
@@ -470,7 +528,10 @@
     use crate::{MS, SECOND};
 
     fn spec() -> Spec {
-        let mut s = Spec { length_s: 200.0, ..Spec::default() };
+        let mut s = Spec {
+            length_s: 200.0,
+            ..Spec::default()
+        };
         s.traffic.requests_per_s = Some(400.0);
         s
     }
@@ -484,22 +545,35 @@
         assert!((rate / 400.0 - 1.0).abs() < 0.03, "{rate}");
         for (i, c) in spec.classes.iter().enumerate() {
             let of = all.iter().filter(|a| a.class == i).count() as f64 / all.len() as f64;
-            assert!((of / (c.share / 0.993) - 1.0).abs() < 0.12, "{}: {of}", c.name);
+            assert!(
+                (of / (c.share / 0.993) - 1.0).abs() < 0.12,
+                "{}: {of}",
+                c.name
+            );
         }
-        assert_eq!(all, Arrivals::new(&spec, 5).collect::<Vec<_>>(), "one seed, one day");
+        assert_eq!(
+            all,
+            Arrivals::new(&spec, 5).collect::<Vec<_>>(),
+            "one seed, one day"
+        );
     }
 
     #[test]
     fn a_flood_strikes_its_sets_alone_and_leaves_the_rest_as_it_was() {
         let mut flooded = spec();
         flooded.faults = vec![Fault {
-            flood: Some(Flood { sets: 1, part: Between::Value(0.5) }),
+            flood: Some(Flood {
+                sets: 1,
+                part: Between::Value(0.5),
+            }),
             ..serde_fault(50.0, 100.0)
         }];
         let set = faults::plan(&flooded, 5)[0].sets[0];
         let count = |s: &Spec, set: SetId, within: bool| {
             let inside = |a: &Arrival| (50 * SECOND..150 * SECOND).contains(&a.at) == within;
-            Arrivals::new(s, 5).filter(|a| a.set == set && inside(a)).count() as f64
+            Arrivals::new(s, 5)
+                .filter(|a| a.set == set && inside(a))
+                .count() as f64
         };
         let calm = spec();
         assert!((count(&flooded, set, true) / count(&calm, set, true) - 2.0).abs() < 0.25);
@@ -508,11 +582,17 @@
     }
 
     fn serde_fault(at: f64, long: f64) -> Fault {
-        Fault { at_s: Between::Value(at), for_s: Between::Value(long), ..Fault::default() }
+        Fault {
+            at_s: Between::Value(at),
+            for_s: Between::Value(long),
+            ..Fault::default()
+        }
     }
 
     fn write(clients: &mut Clients, call: u64) -> Try {
-        let arrival = Arrivals::new(&spec(), 5).find(|a| a.key.is_some()).expect("a write");
+        let arrival = Arrivals::new(&spec(), 5)
+            .find(|a| a.key.is_some())
+            .expect("a write");
         clients.begin(SECOND, Arrival { call, ..arrival })
     }
 
@@ -525,10 +605,35 @@
         };
         assert!(at < SECOND + 300 * MS);
         let again = c.again(at, 1).expect("a try");
-        assert_eq!((again.number, again.marked, again.arrival.key), (1, true, t.arrival.key));
-        assert_eq!(c.ended(at, 1, 0, SECOND, Fate::Failed), Next::Nothing, "the first try is over");
-        let late = c.ended(SECOND + 900 * MS, 1, 1, at, Fate::Refused { pause: Some(500 * MS) });
-        assert!(matches!(late, Next::Done(Finished { served: None, tries: 2, .. })), "{late:?}");
+        assert_eq!(
+            (again.number, again.marked, again.arrival.key),
+            (1, true, t.arrival.key)
+        );
+        assert_eq!(
+            c.ended(at, 1, 0, SECOND, Fate::Failed),
+            Next::Nothing,
+            "the first try is over"
+        );
+        let late = c.ended(
+            SECOND + 900 * MS,
+            1,
+            1,
+            at,
+            Fate::Refused {
+                pause: Some(500 * MS),
+            },
+        );
+        assert!(
+            matches!(
+                late,
+                Next::Done(Finished {
+                    served: None,
+                    tries: 2,
+                    ..
+                })
+            ),
+            "{late:?}"
+        );
         // Refused each time, it has never run: it comes again as often as clients do.
         write(&mut c, 2);
         for number in 0..2 {
@@ -536,7 +641,10 @@
             assert!(matches!(next, Next::Again(_)), "{next:?}");
             c.again(9 * SECOND, 2).expect("a try");
         }
-        assert!(matches!(c.ended(9 * SECOND, 2, 2, SECOND, Fate::Failed), Next::Done(_)));
+        assert!(matches!(
+            c.ended(9 * SECOND, 2, 2, SECOND, Fate::Failed),
+            Next::Done(_)
+        ));
         assert_eq!(c.open(), 0);
     }
 
@@ -556,15 +664,48 @@
     /// and afterwards the commit goes with it wherever it comes.
     #[test]
     fn a_roaming_read_comes_to_any_gateway_with_what_its_session_knows() {
-        let mut c = Clients::new(&Spec { gateways: 8, ..spec() }, 5, 0);
+        let mut c = Clients::new(
+            &Spec {
+                gateways: 8,
+                ..spec()
+            },
+            5,
+            0,
+        );
         let t = write(&mut c, 1);
-        let read = |call| Arrival { class: 1, key: None, roams: true, pick: call, call, ..t.arrival };
+        let read = |call| Arrival {
+            class: 1,
+            key: None,
+            roams: true,
+            pick: call,
+            call,
+            ..t.arrival
+        };
         let early: Vec<Try> = (2..40).map(|call| c.begin(SECOND, read(call))).collect();
         assert!(early.iter().any(|r| r.gateway != t.gateway) && early.iter().all(|r| r.mark == 0));
-        c.ended(2 * SECOND, 1, 0, SECOND, Fate::Served { commit: Some(SECOND + MS) });
-        let later: Vec<Try> = (40..80).map(|call| c.begin(2 * SECOND, read(call))).collect();
-        assert!(later.iter().any(|r| r.gateway != t.gateway) && later.iter().all(|r| r.mark == SECOND + MS));
-        let stays = c.begin(2 * SECOND, Arrival { roams: false, ..read(80) });
+        c.ended(
+            2 * SECOND,
+            1,
+            0,
+            SECOND,
+            Fate::Served {
+                commit: Some(SECOND + MS),
+            },
+        );
+        let later: Vec<Try> = (40..80)
+            .map(|call| c.begin(2 * SECOND, read(call)))
+            .collect();
+        assert!(
+            later.iter().any(|r| r.gateway != t.gateway)
+                && later.iter().all(|r| r.mark == SECOND + MS)
+        );
+        let stays = c.begin(
+            2 * SECOND,
+            Arrival {
+                roams: false,
+                ..read(80)
+            },
+        );
         assert_ne!(stays.mark, 0);
     }
 
@@ -572,9 +713,29 @@
     fn a_session_reads_what_it_knows_it_has_written() {
         let mut c = Clients::new(&spec(), 5, 0);
         let t = write(&mut c, 1);
-        let read = Arrival { class: 1, key: None, call: 2, ..t.arrival };
-        assert_eq!(c.begin(SECOND, read).mark, 0, "its write has not been answered");
-        c.ended(2 * SECOND, 1, 0, SECOND, Fate::Served { commit: Some(2 * SECOND - MS) });
-        assert_eq!(c.begin(2 * SECOND, Arrival { call: 3, ..read }).mark, 2 * SECOND - MS);
+        let read = Arrival {
+            class: 1,
+            key: None,
+            call: 2,
+            ..t.arrival
+        };
+        assert_eq!(
+            c.begin(SECOND, read).mark,
+            0,
+            "its write has not been answered"
+        );
+        c.ended(
+            2 * SECOND,
+            1,
+            0,
+            SECOND,
+            Fate::Served {
+                commit: Some(2 * SECOND - MS),
+            },
+        );
+        assert_eq!(
+            c.begin(2 * SECOND, Arrival { call: 3, ..read }).mark,
+            2 * SECOND - MS
+        );
     }
 }
--- a/crates/world/src/cpu.rs
+++ b/crates/world/src/cpu.rs
@@ -25,7 +25,11 @@
 impl Ramp {
     /// Warm since long ago.
     pub fn warm() -> Self {
-        Ramp { start: 0, from: 1.0, length: 0 }
+        Ramp {
+            start: 0,
+            from: 1.0,
+            length: 0,
+        }
     }
 
     /// The part at a time.
@@ -64,7 +68,9 @@
 
 impl Ord for Finish {
     fn cmp(&self, other: &Self) -> Ordering {
-        self.service.total_cmp(&other.service).then(self.order.cmp(&other.order))
+        self.service
+            .total_cmp(&other.service)
+            .then(self.order.cmp(&other.order))
     }
 }
 
@@ -155,7 +161,11 @@
         self.advance(now);
         self.order += 1;
         let service = self.service + work.max(1) as f64;
-        self.jobs.push(Reverse(Finish { service, order: self.order, job }));
+        self.jobs.push(Reverse(Finish {
+            service,
+            order: self.order,
+            job,
+        }));
     }
 
     /// When the next job ends if none comes, goes or changes before.
@@ -203,7 +213,11 @@
         if self.at >= self.ramp.end() || part * self.ramp.at(self.at) >= 1.0 {
             return 0.0;
         }
-        let whole = if part > 1.0 { self.ramp.when(1.0 / part) } else { f64::INFINITY };
+        let whole = if part > 1.0 {
+            self.ramp.when(1.0 / part)
+        } else {
+            f64::INFINITY
+        };
         (whole.min(self.ramp.end() as f64) - at).max(0.0)
     }
 
@@ -211,7 +225,11 @@
         let grows = self.growing().min(time);
         let rate = self.part() * self.ramp.at(self.at);
         let rise = self.part() * self.ramp.slope();
-        let first = if grows > 0.0 { rate * grows + rise * grows * grows / 2.0 } else { 0.0 };
+        let first = if grows > 0.0 {
+            rate * grows + rise * grows * grows / 2.0
+        } else {
+            0.0
+        };
         let then = self.settled();
         (first + then * (time - grows).max(0.0)) * self.pace
     }
@@ -220,7 +238,11 @@
     fn settled(&self) -> f64 {
         let grew = self.growing();
         let end = self.at as f64 + grew;
-        let part = if end >= self.ramp.end() as f64 { 1.0 } else { self.ramp.at(end as Ns) };
+        let part = if end >= self.ramp.end() as f64 {
+            1.0
+        } else {
+            self.ramp.at(end as Ns)
+        };
         (self.part() * part).min(1.0)
     }
 
@@ -262,7 +284,13 @@
         // Five on two cores: the short one ends after 12.5 ms; then four share, with 5 ms left each.
         assert_eq!(
             run(&mut cpu),
-            [(12_500_000, 9), (22_500_000, 0), (22_500_000, 1), (22_500_000, 2), (22_500_000, 3)]
+            [
+                (12_500_000, 9),
+                (22_500_000, 0),
+                (22_500_000, 1),
+                (22_500_000, 2),
+                (22_500_000, 3)
+            ]
         );
         assert!((cpu.used() - 45e6).abs() < 10.0, "{}", cpu.used());
     }
@@ -270,7 +298,11 @@
     /// The ramp's integral: from a quarter to the whole in 4 s, a core does 2.5 s of work in these, and 1 s in each after.
     #[test]
     fn a_ramp_gives_its_integral() {
-        let ramp = Ramp { start: SECOND, from: 0.25, length: 4 * SECOND };
+        let ramp = Ramp {
+            start: SECOND,
+            from: 0.25,
+            length: 4 * SECOND,
+        };
         for (work, ends) in [(2.5, 4.0), (3.5, 5.0), (0.25 + 0.75 / 8.0, 1.0)] {
             let mut cpu = Cpu::new(1.0, SECOND);
             cpu.start(SECOND, ramp);
@@ -288,7 +320,11 @@
 
     #[test]
     fn a_ramp_walked_in_steps_gives_the_same() {
-        let ramp = Ramp { start: 0, from: 0.15, length: 14 * SECOND };
+        let ramp = Ramp {
+            start: 0,
+            from: 0.15,
+            length: 14 * SECOND,
+        };
         let (mut whole, mut steps) = (Cpu::new(5.0, 0), Cpu::new(5.0, 0));
         for cpu in [&mut whole, &mut steps] {
             cpu.start(0, ramp);
@@ -296,7 +332,12 @@
         }
         (0..3000).for_each(|i| steps.advance(i * 10_000_000));
         whole.advance(30 * SECOND - 10_000_000);
-        assert!((whole.service - steps.service).abs() < 10.0, "{} {}", whole.service, steps.service);
+        assert!(
+            (whole.service - steps.service).abs() < 10.0,
+            "{} {}",
+            whole.service,
+            steps.service
+        );
     }
 
     /// M/M/c against its closed form (Erlang's C; sharing leaves the numbers in it as they are with a queue): the mean
@@ -331,8 +372,14 @@
         let waits = c / (p + c);
         let expected = mean * (1.0 + waits / (cores * (1.0 - load)));
         let measured = total / n as f64;
-        assert!((measured / expected - 1.0).abs() < 0.03, "{measured} against {expected}");
+        assert!(
+            (measured / expected - 1.0).abs() < 0.03,
+            "{measured} against {expected}"
+        );
         let little = area / now as f64 / (n as f64 / now as f64);
-        assert!((little / measured - 1.0).abs() < 0.001, "{little} {measured}");
+        assert!(
+            (little / measured - 1.0).abs() < 0.001,
+            "{little} {measured}"
+        );
     }
 }
--- a/crates/world/src/datagrams.rs
+++ b/crates/world/src/datagrams.rs
@@ -24,7 +24,13 @@
 impl Datagrams {
     /// Nothing has been sent.
     pub fn new(seed: u64) -> Self {
-        Datagrams { dice: Dice::new(seed, Stream::Network), sent: 0, bytes: 0, lost: 0, too_long: 0 }
+        Datagrams {
+            dice: Dice::new(seed, Stream::Network),
+            sent: 0,
+            bytes: 0,
+            lost: 0,
+            too_long: 0,
+        }
     }
 
     /// One is sent to one gateway: when it arrives, if it does.
@@ -58,23 +64,59 @@
 
     #[test]
     fn some_are_lost_and_a_split_keeps_its_sides_apart() {
-        let fault = |at: f64, f: Fault| Fault { at_s: Between::Value(at), for_s: Between::Value(10.0), ..f };
-        let lost = fault(1.0, Fault { datagrams_lost: Some(Lost { part: 0.5 }), ..Fault::default() });
-        let split = fault(20.0, Fault { split: Some(Split { part: 0.5 }), ..Fault::default() });
-        let spec = Spec { gateways: 4, faults: vec![lost, split], ..Spec::default() };
+        let fault = |at: f64, f: Fault| Fault {
+            at_s: Between::Value(at),
+            for_s: Between::Value(10.0),
+            ..f
+        };
+        let lost = fault(
+            1.0,
+            Fault {
+                datagrams_lost: Some(Lost { part: 0.5 }),
+                ..Fault::default()
+            },
+        );
+        let split = fault(
+            20.0,
+            Fault {
+                split: Some(Split { part: 0.5 }),
+                ..Fault::default()
+            },
+        );
+        let spec = Spec {
+            gateways: 4,
+            faults: vec![lost, split],
+            ..Spec::default()
+        };
         let mut fleet = Fleet::new(&spec, 1, 0);
         let mut d = Datagrams::new(1);
         let mut arrive = |fleet: &mut Fleet, now: Ns| {
             fleet.advance(now);
-            (0..1000).filter(|_| d.send(now, fleet, GatewayId(0), GatewayId(1), 200).is_some()).count()
+            (0..1000)
+                .filter(|_| {
+                    d.send(now, fleet, GatewayId(0), GatewayId(1), 200)
+                        .is_some()
+                })
+                .count()
         };
         assert_eq!(arrive(&mut fleet, 0), 1000);
         assert!((430..570).contains(&arrive(&mut fleet, 2 * SECOND)));
         assert_eq!(arrive(&mut fleet, 12 * SECOND), 1000);
         fleet.advance(21 * SECOND);
-        let hears = |a: u32| (0..4).filter(|&b| a != b && fleet.hears(GatewayId(a), GatewayId(b))).count();
-        assert_eq!([hears(0), hears(1), hears(2), hears(3)], [1, 1, 1, 1], "two and two");
-        assert_eq!(d.send(0, &Fleet::new(&spec, 1, 0), GatewayId(0), GatewayId(1), 257), None);
+        let hears = |a: u32| {
+            (0..4)
+                .filter(|&b| a != b && fleet.hears(GatewayId(a), GatewayId(b)))
+                .count()
+        };
+        assert_eq!(
+            [hears(0), hears(1), hears(2), hears(3)],
+            [1, 1, 1, 1],
+            "two and two"
+        );
+        assert_eq!(
+            d.send(0, &Fleet::new(&spec, 1, 0), GatewayId(0), GatewayId(1), 257),
+            None
+        );
         assert_eq!((d.too_long, d.sent, d.bytes), (1, 3001, 3000 * 200 + 257));
     }
 }
--- a/crates/world/src/dice.rs
+++ b/crates/world/src/dice.rs
@@ -128,7 +128,10 @@
         let mut d = Dice::new(1, Stream::Faults);
         for _ in 0..100 {
             let c = d.choose(5, 9);
-            assert!(c.len() == 5 && c.windows(2).all(|w| w[0] < w[1]) && c[4] < 9, "{c:?}");
+            assert!(
+                c.len() == 5 && c.windows(2).all(|w| w[0] < w[1]) && c[4] < 9,
+                "{c:?}"
+            );
         }
         assert_eq!(d.choose(5, 3), [0, 1, 2]);
     }
--- a/crates/world/src/faults.rs
+++ b/crates/world/src/faults.rs
@@ -30,26 +30,47 @@
 
 /// The faults of a day.
 pub fn plan(spec: &Spec, seed: u64) -> Vec<Planned> {
-    spec.faults.iter().enumerate().map(|(i, f)| planned(spec, f, seed, i as u64)).collect()
+    spec.faults
+        .iter()
+        .enumerate()
+        .map(|(i, f)| planned(spec, f, seed, i as u64))
+        .collect()
 }
 
 fn planned(spec: &Spec, fault: &Fault, seed: u64, index: u64) -> Planned {
     // Each has its own numbers, so that one more fault leaves the others as they were.
-    let mut dice = Dice::new(seed ^ index.wrapping_mul(0x5851_f42d_4c95_7f2d), Stream::Faults);
+    let mut dice = Dice::new(
+        seed ^ index.wrapping_mul(0x5851_f42d_4c95_7f2d),
+        Stream::Faults,
+    );
     let from = seconds(fault.at_s.draw(&mut dice));
     let until = from + seconds(fault.for_s.draw(&mut dice));
     let slow = fault.slow_apply.as_ref().or(fault.slowdown.as_ref());
     let times = slow.map_or(1.0, |s| s.times.draw(&mut dice));
     let flood = fault.flood.as_ref();
     let part = flood.map_or(0.0, |f| f.part.draw(&mut dice));
-    let sets = flood.map_or(Vec::new(), |f| dice.choose(f.sets as usize, spec.set_count() as usize));
-    let waves = fault
-        .gateways_killed
+    let sets = flood.map_or(Vec::new(), |f| {
+        dice.choose(f.sets as usize, spec.set_count() as usize)
+    });
+    let waves = fault.gateways_killed.as_ref().map_or(Vec::new(), |w| {
+        waves(
+            spec.gateways,
+            w.share,
+            w.at_a_time,
+            w.down_s,
+            from,
+            until,
+            &mut dice,
+        )
+    });
+    let side = fault
+        .cut_off
         .as_ref()
-        .map_or(Vec::new(), |w| waves(spec.gateways, w.share, w.at_a_time, w.down_s, from, until, &mut dice));
-    let side = fault.cut_off.as_ref().map(|c| c.gateways).or(fault.split.as_ref().map(|s| s.part));
-    let cut =
-        side.map_or(Vec::new(), |part| dice.choose(part_of(part, spec.gateways), spec.gateways as usize));
+        .map(|c| c.gateways)
+        .or(fault.split.as_ref().map(|s| s.part));
+    let cut = side.map_or(Vec::new(), |part| {
+        dice.choose(part_of(part, spec.gateways), spec.gateways as usize)
+    });
     Planned {
         name: fault.kinds().first().copied().unwrap_or("nothing"),
         fault: fault.clone(),
@@ -106,7 +127,11 @@
     dice: &mut Dice,
 ) -> Vec<HostId> {
     if let Some(these) = &pick.these {
-        return these.iter().map(|&h| HostId(h)).filter(|h| hosts.contains(h)).collect();
+        return these
+            .iter()
+            .map(|&h| HostId(h))
+            .filter(|h| hosts.contains(h))
+            .collect();
     }
     let count = match (pick.count, pick.share) {
         (Some(count), _) => count as usize,
@@ -116,8 +141,14 @@
     let mut picked = Vec::new();
     while picked.len() < count && !left.is_empty() {
         let wanted = pick.primaries.is_some_and(|p| dice.chance(p));
-        let pool: Vec<usize> = (0..left.len()).filter(|&i| !wanted || is_primary(left[i])).collect();
-        let at = if pool.is_empty() { dice.index(left.len()) } else { pool[dice.index(pool.len())] };
+        let pool: Vec<usize> = (0..left.len())
+            .filter(|&i| !wanted || is_primary(left[i]))
+            .collect();
+        let at = if pool.is_empty() {
+            dice.index(left.len())
+        } else {
+            pool[dice.index(pool.len())]
+        };
         picked.push(left.swap_remove(at));
         left.sort_unstable();
     }
@@ -132,14 +163,29 @@
     use crate::SECOND;
 
     fn empty() -> Fault {
-        Fault { at_s: Between::Value(5.0), for_s: Between::Value(20.0), ..Fault::default() }
+        Fault {
+            at_s: Between::Value(5.0),
+            for_s: Between::Value(20.0),
+            ..Fault::default()
+        }
     }
 
     #[test]
     fn waves_take_each_gateway_once_and_so_many_at_a_time() {
-        let killed = Waves { share: 0.9, at_a_time: 0.3, down_s: Between::Range([0.2, 1.5]) };
-        let fault = Fault { gateways_killed: Some(killed), ..empty() };
-        let spec = Spec { gateways: 10, faults: vec![fault], ..Spec::default() };
+        let killed = Waves {
+            share: 0.9,
+            at_a_time: 0.3,
+            down_s: Between::Range([0.2, 1.5]),
+        };
+        let fault = Fault {
+            gateways_killed: Some(killed),
+            ..empty()
+        };
+        let spec = Spec {
+            gateways: 10,
+            faults: vec![fault],
+            ..Spec::default()
+        };
         let p = &plan(&spec, 3)[0];
         let mut gateways: Vec<u32> = p.waves.iter().map(|w| w.0 .0).collect();
         gateways.sort_unstable();
@@ -147,7 +193,8 @@
         assert_eq!((p.waves.len(), gateways.len()), (9, 9));
         for at in p.waves.iter().map(|w| w.1) {
             assert!(
-                p.waves.iter().filter(|w| w.1 == at).count() == 3 && (5 * SECOND..25 * SECOND).contains(&at)
+                p.waves.iter().filter(|w| w.1 == at).count() == 3
+                    && (5 * SECOND..25 * SECOND).contains(&at)
             );
         }
     }
@@ -156,10 +203,16 @@
     fn one_more_fault_leaves_the_others_as_they_were() {
         let flood = Fault {
             at_s: Between::Range([1.0, 30.0]),
-            flood: Some(crate::spec::Flood { sets: 1, part: Between::Range([0.1, 0.9]) }),
+            flood: Some(crate::spec::Flood {
+                sets: 1,
+                part: Between::Range([0.1, 0.9]),
+            }),
             ..empty()
         };
-        let mut spec = Spec { faults: vec![flood.clone()], ..Spec::default() };
+        let mut spec = Spec {
+            faults: vec![flood.clone()],
+            ..Spec::default()
+        };
         let alone = plan(&spec, 9)[0].clone();
         spec.faults.push(flood);
         let both = plan(&spec, 9);
@@ -170,13 +223,27 @@
     #[test]
     fn a_pick_takes_primaries_where_it_is_to() {
         let hosts: Vec<HostId> = (0..12).map(HostId).collect();
-        let want = Pick { count: Some(2), primaries: Some(1.0), ..Pick::default() };
+        let want = Pick {
+            count: Some(2),
+            primaries: Some(1.0),
+            ..Pick::default()
+        };
         let mut dice = Dice::new(1, Stream::Faults);
         let primary = |h: HostId| h.0.is_multiple_of(6);
-        assert_eq!(pick(&want, &hosts, primary, &mut dice), [HostId(0), HostId(6)]);
-        let all = Pick { count: Some(20), primaries: Some(1.0), ..Pick::default() };
+        assert_eq!(
+            pick(&want, &hosts, primary, &mut dice),
+            [HostId(0), HostId(6)]
+        );
+        let all = Pick {
+            count: Some(20),
+            primaries: Some(1.0),
+            ..Pick::default()
+        };
         assert_eq!(pick(&all, &hosts, primary, &mut dice), hosts);
-        let part = Pick { share: Some(0.18), ..Pick::default() };
+        let part = Pick {
+            share: Some(0.18),
+            ..Pick::default()
+        };
         assert_eq!(pick(&part, &hosts, primary, &mut dice).len(), 2);
     }
 }
--- a/crates/world/src/fleet.rs
+++ b/crates/world/src/fleet.rs
@@ -196,8 +196,16 @@
 
 impl Set {
     fn source<'a>(&'a self, day: &Day) -> Source<'a> {
-        let heard = Heard { since: self.since, stood: self.stood, ship: day.ship };
-        Source { log: &self.log, heard, cost: day.apply }
+        let heard = Heard {
+            since: self.since,
+            stood: self.stood,
+            ship: day.ship,
+        };
+        Source {
+            log: &self.log,
+            heard,
+            cost: day.apply,
+        }
     }
 }
 
@@ -303,7 +311,12 @@
             // Hosts make their reports each at its own time.
             let first = start + (fleet.dice.unit() * fleet.day.report_every as f64) as Ns;
             fleet.refresh(start, HostId(i as u32));
-            fleet.push(first, Event::Refresh { host: HostId(i as u32) });
+            fleet.push(
+                first,
+                Event::Refresh {
+                    host: HostId(i as u32),
+                },
+            );
         }
         for (i, p) in fleet.plan.clone().into_iter().enumerate() {
             fleet.push(start + p.from, Event::Begin(i));
@@ -447,7 +460,8 @@
     pub fn query(&mut self, now: Ns, host: HostId, epoch: u32, query: Query) -> Taken {
         if let Some(told) = self.list.told(query.gateway, host) {
             let grace = ms(self.spec.rules.drain_grace_ms);
-            self.ledger.sent(query.sent, query.gateway, host, told, grace);
+            self.ledger
+                .sent(query.sent, query.gateway, host, told, grace);
         }
         if !self.reaches(query.gateway, host) {
             return Taken::Silence;
@@ -488,23 +502,33 @@
             let known = set.keys.entry(key).or_default();
             // A repeat within the window of the first one is dropped; later it is a write like any other.
             if known.last().is_none_or(|k| now > k.came + window) {
-                known.push(Remembered { came: now, commit: None });
+                known.push(Remembered {
+                    came: now,
+                    commit: None,
+                });
                 set.key_order.push_back((now, key));
             }
             key_at = known.len() - 1;
-            while set.key_order.front().is_some_and(|k| k.0 + window * REMEMBERED < now) {
+            while set
+                .key_order
+                .front()
+                .is_some_and(|k| k.0 + window * REMEMBERED < now)
+            {
                 if let Some((_, old)) = set.key_order.pop_front() {
-                    if set
-                        .keys
-                        .get(&old)
-                        .is_some_and(|k| k.last().is_some_and(|k| k.came + window * REMEMBERED < now))
-                    {
+                    if set.keys.get(&old).is_some_and(|k| {
+                        k.last().is_some_and(|k| k.came + window * REMEMBERED < now)
+                    }) {
                         set.keys.remove(&old);
                     }
                 }
             }
         }
-        let kind = JobKind::Query { query, key_at, data: (0, 0), blocks: false };
+        let kind = JobKind::Query {
+            query,
+            key_at,
+            data: (0, 0),
+            blocks: false,
+        };
         self.next_job += 1;
         self.jobs.insert(self.next_job, Job { host, kind });
         let wait = match self.spec.hosts.checks {
@@ -517,7 +541,13 @@
 
     /// A read whose data are recent enough gets a slot or waits for one; another one waits to be, or is turned away.
     fn admit(&mut self, now: Ns, job: u64, until: Ns, first: bool) {
-        let Some(Job { host, kind: JobKind::Query { query, .. } }) = self.jobs.get(&job) else { return };
+        let Some(Job {
+            host,
+            kind: JobKind::Query { query, .. },
+        }) = self.jobs.get(&job)
+        else {
+            return;
+        };
         let (host, query) = (*host, query.clone());
         if !first {
             self.hosts[host.0 as usize].lagging -= 1;
@@ -529,7 +559,10 @@
                 self.answer(now, host, &query, Answer::Miss, 0);
             } else {
                 self.hosts[host.0 as usize].lagging += 1;
-                self.push((now + LOOK_AGAIN).min(until), Event::LookAgain { job, until });
+                self.push(
+                    (now + LOOK_AGAIN).min(until),
+                    Event::LookAgain { job, until },
+                );
             }
             return;
         }
@@ -566,7 +599,13 @@
 
     /// A statement gets its slot.
     fn begin(&mut self, now: Ns, job: u64) {
-        let Some(Job { host, kind: JobKind::Query { query, .. } }) = self.jobs.get(&job) else { return };
+        let Some(Job {
+            host,
+            kind: JobKind::Query { query, .. },
+        }) = self.jobs.get(&job)
+        else {
+            return;
+        };
         let (host, query) = (*host, query.clone());
         let (had, needed) = self.data(now, host, &query);
         let set = &self.sets[self.hosts[host.0 as usize].set.0 as usize];
@@ -574,10 +613,16 @@
         let primary = set.primary == Some(host);
         let stops = self.spec.classes[query.class].blocks && !primary;
         if stops {
-            self.hosts[host.0 as usize].applier.stop(now, set.source(&self.day), true);
+            self.hosts[host.0 as usize]
+                .applier
+                .stop(now, set.source(&self.day), true);
             self.hosts[host.0 as usize].blocking += 1;
         }
-        if let Some(Job { kind: JobKind::Query { data, blocks, .. }, .. }) = self.jobs.get_mut(&job) {
+        if let Some(Job {
+            kind: JobKind::Query { data, blocks, .. },
+            ..
+        }) = self.jobs.get_mut(&job)
+        {
             (*data, *blocks) = ((had, needed), stops);
         }
         let h = &mut self.hosts[host.0 as usize];
@@ -613,9 +658,19 @@
     fn answer(&mut self, now: Ns, host: HostId, query: &Query, answer: Answer, work: Ns) {
         let position = self.position(now, host);
         let set = &self.sets[self.hosts[host.0 as usize].set.0 as usize];
-        let note = Note { primary: set.primary == Some(host) && set.since.is_some(), position };
+        let note = Note {
+            primary: set.primary == Some(host) && set.since.is_some(),
+            position,
+        };
         let (ticket, gateway) = (query.ticket, query.gateway);
-        self.out.push(Output::Answered { ticket, gateway, host, answer, note, work });
+        self.out.push(Output::Answered {
+            ticket,
+            gateway,
+            host,
+            answer,
+            note,
+            work,
+        });
     }
 
     // ---- Time ----
@@ -641,7 +696,13 @@
         let i = host.0 as usize;
         self.stamps[i] += 1;
         if let Some(at) = self.hosts[i].cpu.next() {
-            self.push(at.max(now), Event::Finish { host, stamp: self.stamps[i] });
+            self.push(
+                at.max(now),
+                Event::Finish {
+                    host,
+                    stamp: self.stamps[i],
+                },
+            );
         }
     }
 
@@ -684,14 +745,20 @@
         }
         // Commits that every member has applied are forgotten.
         let s = &mut self.sets[set.0 as usize];
-        let least = s.members.iter().map(|m| self.hosts[m.0 as usize].applier.applied()).min();
+        let least = s
+            .members
+            .iter()
+            .map(|m| self.hosts[m.0 as usize].applier.applied())
+            .min();
         if let Some(least) = least.filter(|_| s.members.first() == Some(&host)) {
             s.log.forget(least.saturating_sub(10_000));
         }
     }
 
     fn finish(&mut self, now: Ns, job: u64) {
-        let Some(Job { host, kind }) = self.jobs.remove(&job) else { return };
+        let Some(Job { host, kind }) = self.jobs.remove(&job) else {
+            return;
+        };
         let i = host.0 as usize;
         match kind {
             JobKind::Probe => self.hosts[i].retune(&self.spec.hosts, now),
@@ -699,7 +766,12 @@
                 self.hosts[i].retune(&self.spec.hosts, now);
                 self.out.push(Output::Connected { ticket, host });
             }
-            JobKind::Query { query, key_at, data, blocks } => {
+            JobKind::Query {
+                query,
+                key_at,
+                data,
+                blocks,
+            } => {
                 if blocks {
                     self.unblock(now, host);
                 }
@@ -735,9 +807,15 @@
         if set.primary != Some(host) || set.since.is_none() {
             return self.answer(now, host, query, Answer::Error, query.work);
         }
-        let known = query.key.and_then(|k| set.keys.get_mut(&k)).and_then(|k| k.get_mut(key_at));
+        let known = query
+            .key
+            .and_then(|k| set.keys.get_mut(&k))
+            .and_then(|k| k.get_mut(key_at));
         let commit = match known {
-            Some(Remembered { commit: Some(commit), .. }) => *commit,
+            Some(Remembered {
+                commit: Some(commit),
+                ..
+            }) => *commit,
             known => {
                 set.log.push(now);
                 if let Some(k) = known {
@@ -752,9 +830,19 @@
         if spoilt {
             return self.answer(now, host, query, Answer::Error, query.work);
         }
-        let note = Note { primary: true, position: commit };
+        let note = Note {
+            primary: true,
+            position: commit,
+        };
         let (ticket, gateway, work) = (query.ticket, query.gateway, query.work);
-        self.out.push(Output::Answered { ticket, gateway, host, answer: Answer::Row, note, work });
+        self.out.push(Output::Answered {
+            ticket,
+            gateway,
+            host,
+            answer: Answer::Row,
+            note,
+            work,
+        });
     }
 
     // ---- Roles ----
@@ -778,7 +866,9 @@
         s.term += 1;
         let term = s.term;
         if let Some(old) = s.primary {
-            self.hosts[old.0 as usize].applier.catch_up(now, s.source(&self.day));
+            self.hosts[old.0 as usize]
+                .applier
+                .catch_up(now, s.source(&self.day));
         }
         self.out.push(Output::Primary { set, host: None });
         self.push(now + detect, Event::GiveUp { set, term });
@@ -811,12 +901,17 @@
                 best = Some((h.applier.applied(), m));
             }
         }
-        let Some((_, new)) = best else { return self.push(now + ELECT_AGAIN, Event::Elect { set, term }) };
+        let Some((_, new)) = best else {
+            return self.push(now + ELECT_AGAIN, Event::Elect { set, term });
+        };
         self.hosts[new.0 as usize].applier.catch_up(now, from);
         let s = &mut self.sets[set.0 as usize];
         (s.primary, s.since) = (Some(new), Some(now));
         s.term += 1;
-        self.out.push(Output::Primary { set, host: Some(new) });
+        self.out.push(Output::Primary {
+            set,
+            host: Some(new),
+        });
     }
 
     // ---- Starts and stops ----
@@ -860,7 +955,10 @@
             // Nobody has given it up yet.
             s.since = Some(now);
             s.term += 1;
-            self.out.push(Output::Primary { set, host: Some(host) });
+            self.out.push(Output::Primary {
+                set,
+                host: Some(host),
+            });
         }
         let from = self.sets[set.0 as usize].source(&self.day);
         self.hosts[i].applier.stop(now, from, false);
@@ -877,7 +975,12 @@
             return;
         }
         let vanished = self.hosts[i].state == State::Vanished;
-        self.hosts[i].start(&self.spec.hosts, now, self.day.cold_start, self.day.cold_for);
+        self.hosts[i].start(
+            &self.spec.hosts,
+            now,
+            self.day.cold_start,
+            self.day.cold_for,
+        );
         let set = self.hosts[i].set;
         let s = &mut self.sets[set.0 as usize];
         if s.primary == Some(host) {
@@ -894,7 +997,10 @@
     }
 
     fn list_change(&mut self, now: Ns, host: HostId, listed: Listed, silent: bool) {
-        let (set, since) = (self.hosts[host.0 as usize].set, self.hosts[host.0 as usize].started);
+        let (set, since) = (
+            self.hosts[host.0 as usize].set,
+            self.hosts[host.0 as usize].started,
+        );
         for telling in self.list.change(now, host, set, listed, since, silent) {
             self.push(telling.at, Event::Tell(telling));
         }
@@ -910,7 +1016,12 @@
 
     fn fault_begins(&mut self, now: Ns, index: usize) {
         let p = self.plan[index].clone();
-        let all: Vec<HostId> = self.hosts.iter().filter(|h| h.state == State::Up).map(|h| h.id).collect();
+        let all: Vec<HostId> = self
+            .hosts
+            .iter()
+            .filter(|h| h.state == State::Up)
+            .map(|h| h.id)
+            .collect();
         let f = &p.fault;
         let picks = [
             f.silent.as_ref().map(|s| &s.hosts),
@@ -923,7 +1034,10 @@
             f.slowdown.as_ref().and_then(|s| s.hosts.as_ref()),
         ];
         let everywhere = f.slow_apply.is_some() || f.slowdown.is_some();
-        let mut dice = Dice::new(self.seed ^ (index as u64 + 1).rotate_left(40), Stream::Faults);
+        let mut dice = Dice::new(
+            self.seed ^ (index as u64 + 1).rotate_left(40),
+            Stream::Faults,
+        );
         let hosts = match picks.into_iter().flatten().next() {
             Some(pick) => {
                 let (sets, own) = (&self.sets, &self.hosts);
@@ -944,7 +1058,11 @@
             self.list.mute(true);
         }
         self.struck.insert(index, hosts.clone());
-        self.out.push(Output::Fault { index, begins: true, hosts });
+        self.out.push(Output::Fault {
+            index,
+            begins: true,
+            hosts,
+        });
     }
 
     fn strike(&mut self, now: Ns, p: &Planned, host: HostId) {
@@ -952,7 +1070,11 @@
         let f = &p.fault;
         let from = self.sets[self.hosts[i].set.0 as usize].source(&self.day);
         if let Some(s) = &f.silent {
-            self.stop(now, host, if s.hang { State::Hung } else { State::Vanished });
+            self.stop(
+                now,
+                host,
+                if s.hang { State::Hung } else { State::Vanished },
+            );
             self.list_change(now, host, Listed::Gone, true);
         } else if f.reset.is_some() {
             self.stop(now, host, State::Down);
@@ -1022,7 +1144,11 @@
                 self.tell(now, gateway, entry);
             }
         }
-        self.out.push(Output::Fault { index, begins: false, hosts });
+        self.out.push(Output::Fault {
+            index,
+            begins: false,
+            hosts,
+        });
     }
 
     /// Time since the start of the run.
--- a/crates/world/src/host.rs
+++ b/crates/world/src/host.rs
@@ -46,7 +46,13 @@
 
 impl Window {
     fn new(length: Ns) -> Self {
-        Window { length, parts: VecDeque::new(), sum: 0.0, peak: 0.0, cold_peak: 0.0 }
+        Window {
+            length,
+            parts: VecDeque::new(),
+            sum: 0.0,
+            peak: 0.0,
+            cold_peak: 0.0,
+        }
     }
 
     /// Work arrives: what all of the window comes to, as a multiple of what the host can do now.
@@ -116,7 +122,14 @@
 
 impl Host {
     /// A warm host.
-    pub fn new(id: HostId, set: SetId, spec: &HostSpec, now: Ns, applier: Applier, tip: Ns) -> Self {
+    pub fn new(
+        id: HostId,
+        set: SetId,
+        spec: &HostSpec,
+        now: Ns,
+        applier: Applier,
+        tip: Ns,
+    ) -> Self {
         Host {
             id,
             set,
@@ -178,9 +191,11 @@
     pub fn retune(&mut self, spec: &HostSpec, now: Ns) {
         let crowd = (f64::from(self.held()) / spec.cores - spec.crowded_from).max(0.0);
         let crowded = (1.0 - spec.crowded_loss * crowd).max(0.25);
-        let table =
-            1.0 - spec.table_loss * (f64::from(self.connections) / f64::from(spec.connections)).min(1.0);
-        self.cpu.set(now, spec.cores - self.applying, crowded * table / self.slow);
+        let table = 1.0
+            - spec.table_loss
+                * (f64::from(self.connections) / f64::from(spec.connections)).min(1.0);
+        self.cpu
+            .set(now, spec.cores - self.applying, crowded * table / self.slow);
     }
 
     /// Makes its report anew.
@@ -188,9 +203,15 @@
         let (at, used, applied) = self.reported;
         let time = (now - at).max(1) as f64;
         let util = ((self.cpu.used() - used) / time / spec.cores).clamp(0.0, 1.0);
-        self.applying = ((self.applier.busy() - applied) / time).clamp(0.0, 1.0).min(spec.cores * 0.9);
+        self.applying = ((self.applier.busy() - applied) / time)
+            .clamp(0.0, 1.0)
+            .min(spec.cores * 0.9);
         self.reported = (now, self.cpu.used(), self.applier.busy());
-        self.report = Report { position, primary, util: (util + self.applying / spec.cores).min(1.0) };
+        self.report = Report {
+            position,
+            primary,
+            util: (util + self.applying / spec.cores).min(1.0),
+        };
         self.retune(spec, now);
     }
 
@@ -209,7 +230,14 @@
         self.started = now;
         (self.draining, self.refusing) = (false, false);
         self.cpu.freeze(now, false);
-        self.cpu.start(now, Ramp { start: now, from: part, length: warm_in });
+        self.cpu.start(
+            now,
+            Ramp {
+                start: now,
+                from: part,
+                length: warm_in,
+            },
+        );
         // What came before its start was work of another process.
         (self.window.parts, self.window.sum) = (VecDeque::new(), 0.0);
         self.retune(spec, now);
@@ -232,8 +260,16 @@
         let mut w = Window::new(3 * SECOND);
         // What a host of one core can do in 3 s: 3 s of work; half of it at the start, as much at the very end.
         assert_eq!(w.add(SECOND, 1.5e9, 1.0, true), 0.5);
-        assert_eq!(w.add(4 * SECOND - 1, 1.5e9, 1.0, true), 1.0, "the last moment of the window");
-        assert_eq!(w.add(4 * SECOND, 1.5e9, 1.0, false), 1.0, "the first half has left");
+        assert_eq!(
+            w.add(4 * SECOND - 1, 1.5e9, 1.0, true),
+            1.0,
+            "the last moment of the window"
+        );
+        assert_eq!(
+            w.add(4 * SECOND, 1.5e9, 1.0, false),
+            1.0,
+            "the first half has left"
+        );
         assert_eq!((w.peak, w.cold_peak), (1.0, 1.0));
     }
 
@@ -241,8 +277,23 @@
     fn a_crowd_and_a_slowdown_take_their_part() {
         let spec = HostSpec::default();
         let log = Log::default();
-        let from = Source { log: &log, heard: Heard { since: Some(0), stood: 0, ship: 1 }, cost: 1 };
-        let mut h = Host::new(HostId(0), SetId(0), &spec, 0, Applier::new(0, from), 3 * SECOND);
+        let from = Source {
+            log: &log,
+            heard: Heard {
+                since: Some(0),
+                stood: 0,
+                ship: 1,
+            },
+            cost: 1,
+        };
+        let mut h = Host::new(
+            HostId(0),
+            SetId(0),
+            &spec,
+            0,
+            Applier::new(0, from),
+            3 * SECOND,
+        );
         h.retune(&spec, 0);
         assert_eq!(h.cpu.capacity(0), 5.0);
         h.running = 30;
@@ -253,6 +304,10 @@
         assert_eq!((h.cpu.capacity(0), h.can_do(&spec, 0)), (2.5, 2.5));
         h.slow_by(&spec, 0, 0.5);
         h.start(&spec, SECOND, 0.2, 10 * SECOND);
-        assert!((h.can_do(&spec, SECOND) - 1.0).abs() < 1e-9 && h.cold(10 * SECOND) && !h.cold(11 * SECOND));
+        assert!(
+            (h.can_do(&spec, SECOND) - 1.0).abs() < 1e-9
+                && h.cold(10 * SECOND)
+                && !h.cold(11 * SECOND)
+        );
     }
 }
--- a/crates/world/src/ledger.rs
+++ b/crates/world/src/ledger.rs
@@ -47,7 +47,9 @@
         let times = *times;
         self.commits.entry(key).or_insert(at);
         if times == 2 {
-            self.breach(at, BreachKind::AppliedTwice, || format!("the write of key {key:x}"));
+            self.breach(at, BreachKind::AppliedTwice, || {
+                format!("the write of key {key:x}")
+            });
         }
     }
 
@@ -75,7 +77,10 @@
         if at > told + grace {
             self.breach(at, BreachKind::SentToDrained, || {
                 let late = (at - told) as f64 / 1e6;
-                format!("gateway {} sent to host {} {late:.1} ms after word of its drain", gateway.0, host.0)
+                format!(
+                    "gateway {} sent to host {} {late:.1} ms after word of its drain",
+                    gateway.0, host.0
+                )
             });
         }
     }
@@ -90,7 +95,11 @@
     fn breach(&mut self, at: Ns, kind: BreachKind, what: impl FnOnce() -> String) {
         *self.counts.entry(kind).or_insert(0) += 1;
         if self.breaches.len() < KEPT {
-            self.breaches.push(Breach { at, kind, what: what() });
+            self.breaches.push(Breach {
+                at,
+                kind,
+                what: what(),
+            });
         }
     }
 
--- a/crates/world/src/list.rs
+++ b/crates/world/src/list.rs
@@ -83,8 +83,23 @@
         hosts: impl Iterator<Item = (HostId, SetId)>,
     ) -> Self {
         let mut dice = Dice::new(seed, Stream::List);
-        let line = |(host, set)| (host, Entry { host, set, listed: Listed::Ready, since: 0, order: 0 });
-        let view = View { version: 1, entries: hosts.map(line).collect(), told: BTreeMap::new() };
+        let line = |(host, set)| {
+            (
+                host,
+                Entry {
+                    host,
+                    set,
+                    listed: Listed::Ready,
+                    since: 0,
+                    order: 0,
+                },
+            )
+        };
+        let view = View {
+            version: 1,
+            entries: hosts.map(line).collect(),
+            told: BTreeMap::new(),
+        };
         let ends = |b: crate::spec::Between| (b.ends()[0], b.ends()[1]);
         List {
             notice: ends(spec.notice_s),
@@ -114,9 +129,19 @@
         silent: bool,
     ) -> Vec<Telling> {
         self.order += 1;
-        let (low, high) = if silent { self.silent_notice } else { self.notice };
+        let (low, high) = if silent {
+            self.silent_notice
+        } else {
+            self.notice
+        };
         let noticed = now + seconds(self.dice.between(low, high));
-        let entry = Entry { host, set, listed, since, order: self.order };
+        let entry = Entry {
+            host,
+            set,
+            listed,
+            since,
+            order: self.order,
+        };
         let told = |g: usize, dice: &mut Dice| Telling {
             at: noticed + (dice.unit() * self.spread as f64) as Ns,
             gateway: GatewayId(g as u32),
@@ -135,7 +160,11 @@
         }
         let view = &mut self.views[gateway.0 as usize];
         // Notices of one host may overtake each other: what is older by its order is no news.
-        if view.entries.get(&entry.host).is_some_and(|e| e.order >= entry.order) {
+        if view
+            .entries
+            .get(&entry.host)
+            .is_some_and(|e| e.order >= entry.order)
+        {
             return false;
         }
         view.version += 1;
@@ -181,7 +210,9 @@
         let first = l.change(0, HostId(0), SetId(0), Listed::Draining, 0, false);
         let second = l.change(SECOND, HostId(0), SetId(0), Listed::Ready, SECOND, false);
         assert_eq!((first.len(), second.len()), (2, 2));
-        assert!(first.iter().all(|t| t.at >= seconds(1.1) && t.at <= seconds(4.7 + 0.38)));
+        assert!(first
+            .iter()
+            .all(|t| t.at >= seconds(1.1) && t.at <= seconds(4.7 + 0.38)));
         let g = GatewayId(0);
         assert!(l.tell(5 * SECOND, g, second[0].entry));
         assert!(!l.tell(6 * SECOND, g, first[0].entry), "it is older");
--- a/crates/world/src/log.rs
+++ b/crates/world/src/log.rs
@@ -28,7 +28,9 @@
 
     /// When a commit was made; nothing for those that are forgotten or not there yet.
     pub fn time(&self, number: u64) -> Option<Ns> {
-        self.commits.get(usize::try_from(number.checked_sub(self.base)?).ok()?).copied()
+        self.commits
+            .get(usize::try_from(number.checked_sub(self.base)?).ok()?)
+            .copied()
     }
 
     /// The number of commits made at or before a time.
@@ -38,7 +40,9 @@
 
     /// Forgets the commits before a number.
     pub fn forget(&mut self, before: u64) {
-        let count = before.saturating_sub(self.base).min(self.commits.len() as u64);
+        let count = before
+            .saturating_sub(self.base)
+            .min(self.commits.len() as u64);
         self.commits.drain(..count as usize);
         self.base += count;
     }
@@ -98,7 +102,15 @@
     /// One that has applied all.
     pub fn new(now: Ns, from: Source<'_>) -> Self {
         let (next, left) = (from.log.end(), from.cost as f64);
-        Applier { at: now, next, left, slow: 1.0, stops: 0, position: 0, busy: 0.0 }
+        Applier {
+            at: now,
+            next,
+            left,
+            slow: 1.0,
+            stops: 0,
+            position: 0,
+            busy: 0.0,
+        }
     }
 
     /// Commits that it has applied, by the number of the next one.
@@ -120,7 +132,11 @@
     /// One more reason to stand still, or one less.
     pub fn stop(&mut self, now: Ns, from: Source<'_>, stop: bool) {
         self.position(now, from);
-        self.stops = if stop { self.stops + 1 } else { self.stops.saturating_sub(1) };
+        self.stops = if stop {
+            self.stops + 1
+        } else {
+            self.stops.saturating_sub(1)
+        };
     }
 
     /// Has all that there is: it becomes the primary, or copies it.
@@ -160,7 +176,10 @@
         if self.stops == 0 {
             let known = from.heard.at(now);
             // What it has not applied it has not reached; also where another commit of that moment is applied.
-            let reached = from.log.time(self.next).map_or(known, |commit| known.min(commit - 1));
+            let reached = from
+                .log
+                .time(self.next)
+                .map_or(known, |commit| known.min(commit - 1));
             self.position = self.position.max(reached);
         }
         self.position
@@ -173,7 +192,15 @@
     use crate::{MS, SECOND};
 
     fn from(log: &Log, since: Option<Ns>, stood: Ns) -> Source<'_> {
-        Source { log, heard: Heard { since, stood, ship: 5 * MS }, cost: 10 * MS }
+        Source {
+            log,
+            heard: Heard {
+                since,
+                stood,
+                ship: 5 * MS,
+            },
+            cost: 10 * MS,
+        }
     }
 
     #[test]
@@ -188,7 +215,11 @@
         assert_eq!(at(&mut a, 4), SECOND - MS, "nothing of it has come");
         assert_eq!(at(&mut a, 34), SECOND - 1, "the third is not applied");
         assert_eq!(a.applied(), 2);
-        assert_eq!(at(&mut a, 35), SECOND + 30 * MS, "all three, 15 ms and 30 ms after they came");
+        assert_eq!(
+            at(&mut a, 35),
+            SECOND + 30 * MS,
+            "all three, 15 ms and 30 ms after they came"
+        );
         assert_eq!(a.applied(), 3);
     }
 
@@ -227,12 +258,19 @@
         });
         a.slow(10 * MS, from(&log, Some(0), 0), 4.0);
         a.advance(30 * MS, from(&log, Some(0), 0));
-        assert_eq!(a.applied(), 1, "the half that was left took four times as long");
+        assert_eq!(
+            a.applied(),
+            1,
+            "the half that was left took four times as long"
+        );
         a.advance(70 * MS - 1, from(&log, Some(0), 0));
         assert_eq!(a.applied(), 1);
         a.advance(70 * MS, from(&log, Some(0), 0));
         assert_eq!(a.applied(), 2);
         log.forget(1);
-        assert_eq!((log.end(), log.time(0), log.time(1), log.until(0)), (2, None, Some(0), 2));
+        assert_eq!(
+            (log.end(), log.time(0), log.time(1), log.until(0)),
+            (2, None, Some(0), 2)
+        );
     }
 }
--- a/crates/world/src/queue.rs
+++ b/crates/world/src/queue.rs
@@ -17,7 +17,12 @@
 
 impl<E> Default for Queue<E> {
     fn default() -> Self {
-        Queue { keys: BinaryHeap::new(), events: Vec::new(), free: Vec::new(), order: 0 }
+        Queue {
+            keys: BinaryHeap::new(),
+            events: Vec::new(),
+            free: Vec::new(),
+            order: 0,
+        }
     }
 }
 
--- a/crates/world/src/spec.rs
+++ b/crates/world/src/spec.rs
@@ -246,17 +246,57 @@
     vec![
         ClassSpec {
             bound_ms: 300.0,
-            ..class("page-read", 0.41, [49.0, 85.0], Need::Bounded, 300.0, 1000.0, 1.0)
+            ..class(
+                "page-read",
+                0.41,
+                [49.0, 85.0],
+                Need::Bounded,
+                300.0,
+                1000.0,
+                1.0,
+            )
         },
-        class("own-read", 0.37, [29.0, 51.0], Need::Session, 200.0, 500.0, 1.0),
-        class("fresh-read", 0.066, [49.0, 85.0], Need::Fresh, 300.0, 1200.0, 1.0),
+        class(
+            "own-read",
+            0.37,
+            [29.0, 51.0],
+            Need::Session,
+            200.0,
+            500.0,
+            1.0,
+        ),
+        class(
+            "fresh-read",
+            0.066,
+            [49.0, 85.0],
+            Need::Fresh,
+            300.0,
+            1200.0,
+            1.0,
+        ),
         ClassSpec {
             blocks: true,
-            ..class("report", 0.027, [730.0, 1300.0], Need::Any, 6000.0, 12_000.0, 6.0)
+            ..class(
+                "report",
+                0.027,
+                [730.0, 1300.0],
+                Need::Any,
+                6000.0,
+                12_000.0,
+                6.0,
+            )
         },
         ClassSpec {
             late_worth: 0.3,
-            ..class("count-write", 0.12, [29.0, 51.0], Need::Write, 400.0, 2000.0, 3.0)
+            ..class(
+                "count-write",
+                0.12,
+                [29.0, 51.0],
+                Need::Write,
+                400.0,
+                2000.0,
+                3.0,
+            )
         },
     ]
 }
@@ -697,9 +737,15 @@
         let mut range = |path: &str, b: Between, least: f64, most: f64| {
             let [low, high] = b.ends();
             if !(low.is_finite() && high.is_finite()) || low < least || high > most {
-                found.push((path.to_string(), format!("{low} to {high} is not within {least} to {most}")));
+                found.push((
+                    path.to_string(),
+                    format!("{low} to {high} is not within {least} to {most}"),
+                ));
             } else if low > high {
-                found.push((path.to_string(), format!("a range from {low} down to {high}")));
+                found.push((
+                    path.to_string(),
+                    format!("a range from {low} down to {high}"),
+                ));
             }
         };
         let (h, s, t, c) = (&self.hosts, &self.sets, &self.traffic, &self.clients);
@@ -730,21 +776,36 @@
         range("/net/datagram_ms", self.net.datagram_ms, 0.0, 10_000.0);
         range("/net/jitter", self.net.jitter, 0.0, 10.0);
         for (i, class) in self.classes.iter().enumerate() {
-            range(&format!("/classes/{i}/work_ms"), class.work_ms, 0.001, 3_600_000.0);
+            range(
+                &format!("/classes/{i}/work_ms"),
+                class.work_ms,
+                0.001,
+                3_600_000.0,
+            );
         }
         for (i, f) in self.faults.iter().enumerate() {
             range(&format!("/faults/{i}/at_s"), f.at_s, 0.0, day);
             range(&format!("/faults/{i}/for_s"), f.for_s, 0.0, day);
             for (name, slow) in [("slow_apply", &f.slow_apply), ("slowdown", &f.slowdown)] {
                 if let Some(slow) = slow {
-                    range(&format!("/faults/{i}/{name}/times"), slow.times, 1.0, 1000.0);
+                    range(
+                        &format!("/faults/{i}/{name}/times"),
+                        slow.times,
+                        1.0,
+                        1000.0,
+                    );
                 }
             }
             if let Some(flood) = &f.flood {
                 range(&format!("/faults/{i}/flood/part"), flood.part, 0.0, 10.0);
             }
             if let Some(w) = &f.gateways_killed {
-                range(&format!("/faults/{i}/gateways_killed/down_s"), w.down_s, 0.0, day);
+                range(
+                    &format!("/faults/{i}/gateways_killed/down_s"),
+                    w.down_s,
+                    0.0,
+                    day,
+                );
             }
         }
         found.extend(self.other_problems());
@@ -756,7 +817,10 @@
         let mut wrong = |path: String, reason: String| found.push((path, reason));
         if self.hosts.count < self.sets.members {
             let (hosts, members) = (self.hosts.count, self.sets.members);
-            wrong("/hosts/count".into(), format!("{hosts} hosts are too few for one set of {members}"));
+            wrong(
+                "/hosts/count".into(),
+                format!("{hosts} hosts are too few for one set of {members}"),
+            );
         }
         if self.warm_up_s >= self.length_s {
             wrong("/warm_up_s".into(), "no time is left after it".into());
@@ -766,30 +830,56 @@
         }
         for (i, c) in self.classes.iter().enumerate() {
             if self.classes[..i].iter().any(|other| other.name == c.name) {
-                wrong(format!("/classes/{i}/name"), format!("a second class {}", c.name));
+                wrong(
+                    format!("/classes/{i}/name"),
+                    format!("a second class {}", c.name),
+                );
             }
             let plain = |b: char| b.is_ascii_alphanumeric() || b == '-' || b == '_';
             if !c.name.chars().all(plain) {
-                wrong(format!("/classes/{i}/name"), "letters, digits, - and _ alone".into());
+                wrong(
+                    format!("/classes/{i}/name"),
+                    "letters, digits, - and _ alone".into(),
+                );
             }
             if c.aim_ms > c.deadline_ms {
-                wrong(format!("/classes/{i}/aim_ms"), "later than the deadline".into());
+                wrong(
+                    format!("/classes/{i}/aim_ms"),
+                    "later than the deadline".into(),
+                );
             }
             if (c.need == Need::Bounded) != (c.bound_ms > 0.0) {
-                wrong(format!("/classes/{i}/bound_ms"), "goes with the need 'bounded', and over 0".into());
+                wrong(
+                    format!("/classes/{i}/bound_ms"),
+                    "goes with the need 'bounded', and over 0".into(),
+                );
             }
         }
         for (i, f) in self.faults.iter().enumerate() {
             let kinds = f.kinds();
             if kinds.len() != 1 {
-                let what = if kinds.is_empty() { "none".to_string() } else { kinds.join(" and ") };
-                wrong(format!("/faults/{i}"), format!("exactly one kind of fault is expected, not {what}"));
+                let what = if kinds.is_empty() {
+                    "none".to_string()
+                } else {
+                    kinds.join(" and ")
+                };
+                wrong(
+                    format!("/faults/{i}"),
+                    format!("exactly one kind of fault is expected, not {what}"),
+                );
             }
             for (path, pick) in picks(f) {
                 let path = format!("/faults/{i}/{path}");
-                let ways = [pick.share.is_some(), pick.count.is_some(), pick.these.is_some()];
+                let ways = [
+                    pick.share.is_some(),
+                    pick.count.is_some(),
+                    pick.these.is_some(),
+                ];
                 if ways.iter().filter(|w| **w).count() != 1 {
-                    wrong(path.clone(), "exactly one of share, count and these is expected".into());
+                    wrong(
+                        path.clone(),
+                        "exactly one of share, count and these is expected".into(),
+                    );
                 }
                 for &n in pick.these.iter().flatten() {
                     if n >= self.hosts.count {
@@ -797,8 +887,14 @@
                     }
                 }
             }
-            if f.flood.as_ref().is_some_and(|flood| flood.sets > self.set_count()) {
-                wrong(format!("/faults/{i}/flood/sets"), format!("there are {} sets", self.set_count()));
+            if f.flood
+                .as_ref()
+                .is_some_and(|flood| flood.sets > self.set_count())
+            {
+                wrong(
+                    format!("/faults/{i}/flood/sets"),
+                    format!("there are {} sets", self.set_count()),
+                );
             }
         }
         found
@@ -813,8 +909,18 @@
     all.extend(f.spoilt.as_ref().map(|s| ("spoilt/hosts", &s.hosts)));
     all.extend(f.drain.as_ref().map(|s| ("drain/hosts", &s.hosts)));
     all.extend(f.cut_off.as_ref().map(|s| ("cut_off/hosts", &s.hosts)));
-    all.extend(f.slow_apply.as_ref().and_then(|s| s.hosts.as_ref()).map(|h| ("slow_apply/hosts", h)));
-    all.extend(f.slowdown.as_ref().and_then(|s| s.hosts.as_ref()).map(|h| ("slowdown/hosts", h)));
+    all.extend(
+        f.slow_apply
+            .as_ref()
+            .and_then(|s| s.hosts.as_ref())
+            .map(|h| ("slow_apply/hosts", h)),
+    );
+    all.extend(
+        f.slowdown
+            .as_ref()
+            .and_then(|s| s.hosts.as_ref())
+            .map(|h| ("slowdown/hosts", h)),
+    );
     all
 }
 
@@ -873,15 +979,22 @@
         let mut d = Dice::new(seed, Stream::Day);
         let total: f64 = spec.classes.iter().map(|c| c.share).sum();
         let class_shares: Vec<f64> = spec.classes.iter().map(|c| c.share / total).collect();
-        let work: Vec<f64> = spec.classes.iter().map(|c| ms(c.work_ms.draw(&mut d)) as f64).collect();
+        let work: Vec<f64> = spec
+            .classes
+            .iter()
+            .map(|c| ms(c.work_ms.draw(&mut d)) as f64)
+            .collect();
         let part = |fit: &dyn Fn(&ClassSpec) -> bool| -> f64 {
             let all = spec.classes.iter().zip(class_shares.iter().zip(&work));
-            all.filter(|(c, _)| fit(c)).map(|(_, (share, work))| share * work).sum()
+            all.filter(|(c, _)| fit(c))
+                .map(|(_, (share, work))| share * work)
+                .sum()
         };
         let members = f64::from(spec.hosts.count) / f64::from(spec.set_count());
         // Full: the cores of a set, or of its primary alone, are in use all the time.
         let by_cores = members * spec.hosts.cores / part(&|_| true);
-        let by_primary = spec.hosts.cores / part(&|c| matches!(c.need, Need::Write | Need::Fresh)).max(1e-9);
+        let by_primary =
+            spec.hosts.cores / part(&|c| matches!(c.need, Need::Write | Need::Fresh)).max(1e-9);
         let full = by_cores.min(by_primary) * 1e9 * f64::from(spec.set_count());
         let load = spec.traffic.load.draw(&mut d);
         let rate = spec.traffic.requests_per_s.unwrap_or(load * full);
@@ -891,7 +1004,9 @@
             .sum();
         let full_writes = full * writes / f64::from(spec.set_count());
         let apply_use = spec.sets.apply_use.draw(&mut d);
-        let sizes: Vec<f64> = (0..spec.set_count()).map(|_| d.log_normal(1.0, spec.sets.skew)).collect();
+        let sizes: Vec<f64> = (0..spec.set_count())
+            .map(|_| d.log_normal(1.0, spec.sets.skew))
+            .collect();
         let sum: f64 = sizes.iter().sum();
         let mut time = |b: Between| ms(b.draw(&mut d));
         Day {
@@ -903,7 +1018,11 @@
             probe_work: time(spec.hosts.probe_work_ms),
             report_every: time(spec.hosts.report_ms).max(1),
             ship: time(spec.sets.ship_ms),
-            apply: if full_writes > 0.0 { seconds(apply_use / full_writes) } else { 0 },
+            apply: if full_writes > 0.0 {
+                seconds(apply_use / full_writes)
+            } else {
+                0
+            },
             gap: time(spec.traffic.gap_ms),
             backoff: time(spec.clients.backoff_ms),
             host_way: time(spec.net.host_ms),
--- a/crates/world/tests/fleet.rs
+++ b/crates/world/tests/fleet.rs
@@ -13,7 +13,11 @@
 
 /// One set of six, without chance where a test would feel it.
 fn spec(faults: Vec<Fault>) -> Spec {
-    let mut s = Spec { faults, gateways: 2, ..Spec::default() };
+    let mut s = Spec {
+        faults,
+        gateways: 2,
+        ..Spec::default()
+    };
     s.hosts.count = 6;
     s.hosts.errors = 0.0;
     s.hosts.table_loss = 0.0;
@@ -24,9 +28,17 @@
 }
 
 fn silent(host: u32, at: f64, long: f64, hang: bool) -> Fault {
-    let hosts = Pick { these: Some(vec![host]), ..Pick::default() };
+    let hosts = Pick {
+        these: Some(vec![host]),
+        ..Pick::default()
+    };
     let silent = Some(Silent { hosts, hang });
-    Fault { at_s: Between::Value(at), for_s: Between::Value(long), silent, ..Fault::default() }
+    Fault {
+        at_s: Between::Value(at),
+        for_s: Between::Value(long),
+        silent,
+        ..Fault::default()
+    }
 }
 
 struct Rig {
@@ -40,7 +52,13 @@
 impl Rig {
     fn new(spec: &Spec) -> Self {
         let fleet = Fleet::new(spec, 1, 0);
-        Rig { fleet, ticket: 0, told: Vec::new(), broken: Vec::new(), answers: Vec::new() }
+        Rig {
+            fleet,
+            ticket: 0,
+            told: Vec::new(),
+            broken: Vec::new(),
+            answers: Vec::new(),
+        }
     }
 
     /// Lets time pass until then.
@@ -54,8 +72,14 @@
     fn take(&mut self, at: Ns) {
         for o in self.fleet.advance(at) {
             match o {
-                Output::Answered { ticket, answer, note, .. } => {
-                    self.answers.push((at, ticket, answer, note.primary, note.position));
+                Output::Answered {
+                    ticket,
+                    answer,
+                    note,
+                    ..
+                } => {
+                    self.answers
+                        .push((at, ticket, answer, note.primary, note.position));
                 }
                 Output::Told { gateway, entry } => self.told.push((at, gateway, entry.host)),
                 Output::Broken { host } => self.broken.push((at, host)),
@@ -64,7 +88,13 @@
         }
     }
 
-    fn ask(&mut self, now: Ns, host: u32, class: usize, with: impl FnOnce(&mut Query)) -> (u64, Taken) {
+    fn ask(
+        &mut self,
+        now: Ns,
+        host: u32,
+        class: usize,
+        with: impl FnOnce(&mut Query),
+    ) -> (u64, Taken) {
         self.until(now);
         self.ticket += 1;
         let mut query = Query {
@@ -89,7 +119,10 @@
     }
 
     fn answer(&self, ticket: u64) -> Option<(Ns, Answer)> {
-        self.answers.iter().find(|a| a.1 == ticket).map(|a| (a.0, a.2))
+        self.answers
+            .iter()
+            .find(|a| a.1 == ticket)
+            .map(|a| (a.0, a.2))
     }
 
     fn count(&self, kind: BreachKind) -> u64 {
@@ -107,13 +140,22 @@
     assert_eq!(r.answer(first), Some((SECOND + 40 * MS, Answer::Row)));
     assert_eq!(r.answer(again).map(|a| a.1), Some(Answer::Row));
     let commits: Vec<Ns> = r.answers.iter().map(|a| a.4).collect();
-    assert_eq!(commits[0], commits[1], "the repeat is told of the first one's commit");
-    assert_eq!((r.fleet.ledger().writes(), r.count(BreachKind::AppliedTwice)), (1, 0));
+    assert_eq!(
+        commits[0], commits[1],
+        "the repeat is told of the first one's commit"
+    );
+    assert_eq!(
+        (r.fleet.ledger().writes(), r.count(BreachKind::AppliedTwice)),
+        (1, 0)
+    );
     // Planted: a repeat a moment later is a write like any other, and the ledger finds it.
     r.write(3 * SECOND, 0, 8);
     r.write(4 * SECOND + 200 * MS + 1, 0, 8);
     r.until(5 * SECOND);
-    assert_eq!((r.fleet.ledger().writes(), r.count(BreachKind::AppliedTwice)), (2, 1));
+    assert_eq!(
+        (r.fleet.ledger().writes(), r.count(BreachKind::AppliedTwice)),
+        (2, 1)
+    );
 }
 
 /// Two copies in work at once: whichever ends first is applied, and the other is not.
@@ -121,10 +163,21 @@
 fn copies_in_work_at_once_are_applied_once() {
     let mut r = Rig::new(&spec(Vec::new()));
     r.ask(SECOND, 0, WRITE, |q| (q.key, q.work) = (Some(7), 90 * MS));
-    r.ask(SECOND + MS, 0, WRITE, |q| (q.key, q.work) = (Some(7), 10 * MS));
+    r.ask(SECOND + MS, 0, WRITE, |q| {
+        (q.key, q.work) = (Some(7), 10 * MS)
+    });
     r.until(2 * SECOND);
-    assert_eq!((r.fleet.ledger().writes(), r.count(BreachKind::AppliedTwice)), (1, 0));
-    assert!(r.answers.iter().all(|a| a.2 == Answer::Row && a.4 == SECOND + 11 * MS), "{:?}", r.answers);
+    assert_eq!(
+        (r.fleet.ledger().writes(), r.count(BreachKind::AppliedTwice)),
+        (1, 0)
+    );
+    assert!(
+        r.answers
+            .iter()
+            .all(|a| a.2 == Answer::Row && a.4 == SECOND + 11 * MS),
+        "{:?}",
+        r.answers
+    );
 }
 
 #[test]
@@ -144,10 +197,17 @@
     let (lost, _) = r.ask(2 * SECOND - MS, 0, WRITE, |q| q.key = Some(2));
     let (_, taken) = r.ask(2 * SECOND + MS, 0, WRITE, |q| q.key = Some(3));
     assert_eq!(taken, Taken::Silence);
-    assert_eq!(r.fleet.probe(2 * SECOND + MS, GatewayId(0), HostId(0)), Probe::Silence);
+    assert_eq!(
+        r.fleet.probe(2 * SECOND + MS, GatewayId(0), HostId(0)),
+        Probe::Silence
+    );
     assert_eq!(r.fleet.primary(SetId(0)), None);
     r.until(7 * SECOND - MS);
-    assert_eq!(r.fleet.primary(SetId(0)), None, "given up after 2 s, replaced 3 s later");
+    assert_eq!(
+        r.fleet.primary(SetId(0)),
+        None,
+        "given up after 2 s, replaced 3 s later"
+    );
     let miss = r.write(7 * SECOND - MS, 1, 4);
     r.until(7 * SECOND);
     let new = r.fleet.primary(SetId(0)).expect("a new primary");
@@ -158,7 +218,11 @@
         [before, miss, after].map(|t| r.answer(t).map(|a| a.1)),
         [Some(Answer::Row), Some(Answer::Miss), Some(Answer::Row)]
     );
-    assert_eq!(r.answer(lost), None, "what it held is lost with it, and nobody is told");
+    assert_eq!(
+        r.answer(lost),
+        None,
+        "what it held is lost with it, and nobody is told"
+    );
     // Back after 15 s: cold, behind, a replica, and its connections of before are void.
     r.until(17 * SECOND);
     assert_eq!(r.broken, [(17 * SECOND, HostId(0))]);
@@ -201,7 +265,10 @@
     );
     assert_eq!(r.answer(stalled).map(|a| a.1), Some(Answer::Miss));
     assert_eq!(r.answer(elsewhere).map(|a| a.1), Some(Answer::Row));
-    assert_eq!((r.fleet.ledger().writes(), r.count(BreachKind::AppliedTwice)), (1, 0));
+    assert_eq!(
+        (r.fleet.ledger().writes(), r.count(BreachKind::AppliedTwice)),
+        (1, 0)
+    );
     assert!(r.broken.is_empty(), "its connections were never reset");
 }
 
@@ -219,7 +286,10 @@
 fn a_primary_back_before_the_election_is_a_candidate_like_others() {
     let mut r = Rig::new(&spec(vec![silent(0, 2.0, 3.0, false)]));
     r.until(6 * SECOND);
-    assert_eq!((r.fleet.primary(SetId(0)), r.fleet.host(HostId(0)).state), (None, State::Up));
+    assert_eq!(
+        (r.fleet.primary(SetId(0)), r.fleet.host(HostId(0)).state),
+        (None, State::Up)
+    );
     let (miss, _) = r.ask(6 * SECOND, 0, WRITE, |q| q.key = Some(3));
     r.until(8 * SECOND);
     assert_eq!(r.answer(miss).map(|a| a.1), Some(Answer::Miss));
@@ -228,24 +298,56 @@
 
 #[test]
 fn a_drain_hands_over_and_the_audit_finds_what_is_sent_after_its_grace() {
-    let hosts = Pick { these: Some(vec![0]), ..Pick::default() };
+    let hosts = Pick {
+        these: Some(vec![0]),
+        ..Pick::default()
+    };
     let drain = Some(Strike { hosts });
-    let fault = Fault { at_s: Between::Value(2.0), for_s: Between::Value(9.0), drain, ..Fault::default() };
+    let fault = Fault {
+        at_s: Between::Value(2.0),
+        for_s: Between::Value(9.0),
+        drain,
+        ..Fault::default()
+    };
     let mut r = Rig::new(&spec(vec![fault]));
     r.until(2 * SECOND);
     assert_eq!(r.fleet.primary(SetId(0)), None);
     r.until(3 * SECOND);
-    assert!(r.fleet.primary(SetId(0)).is_some_and(|p| p != HostId(0)), "within 0.93 s");
+    assert!(
+        r.fleet.primary(SetId(0)).is_some_and(|p| p != HostId(0)),
+        "within 0.93 s"
+    );
     r.until(8 * SECOND);
-    let &(told, ..) = r.told.iter().find(|t| t.1 == GatewayId(0)).expect("it is told");
-    assert!((2 * SECOND + 1100 * MS..=2 * SECOND + 5080 * MS).contains(&told), "{told}");
+    let &(told, ..) = r
+        .told
+        .iter()
+        .find(|t| t.1 == GatewayId(0))
+        .expect("it is told");
+    assert!(
+        (2 * SECOND + 1100 * MS..=2 * SECOND + 5080 * MS).contains(&told),
+        "{told}"
+    );
     let (full, _) = r.ask(told + 500 * MS, 0, PAGE, |_| ());
     r.until(told + 501 * MS);
-    assert_eq!((r.answer(full).map(|a| a.1), r.count(BreachKind::SentToDrained)), (Some(Answer::Full), 0));
+    assert_eq!(
+        (
+            r.answer(full).map(|a| a.1),
+            r.count(BreachKind::SentToDrained)
+        ),
+        (Some(Answer::Full), 0)
+    );
     r.ask(told + 501 * MS, 0, PAGE, |_| ());
-    assert_eq!(r.count(BreachKind::SentToDrained), 1, "planted: a millisecond beyond the grace");
+    assert_eq!(
+        r.count(BreachKind::SentToDrained),
+        1,
+        "planted: a millisecond beyond the grace"
+    );
     r.until(13 * SECOND);
-    assert_eq!((r.fleet.host(HostId(0)).state, r.fleet.host(HostId(0)).epoch), (State::Up, 1), "a fresh one");
+    assert_eq!(
+        (r.fleet.host(HostId(0)).state, r.fleet.host(HostId(0)).epoch),
+        (State::Up, 1),
+        "a fresh one"
+    );
 }
 
 #[test]
@@ -261,9 +363,17 @@
             r.ask(2 * SECOND, 1, REPORT, |_| ());
         }
         let fell = r.fleet.host(HostId(1)).state == State::Down;
-        assert_eq!((fell, r.count(BreachKind::KnockedOver)), (falls, u64::from(falls)), "{count}");
+        assert_eq!(
+            (fell, r.count(BreachKind::KnockedOver)),
+            (falls, u64::from(falls)),
+            "{count}"
+        );
         r.until(20 * SECOND);
-        assert_eq!(r.fleet.host(HostId(1)).state == State::Down, falls, "it stays down");
+        assert_eq!(
+            r.fleet.host(HostId(1)).state == State::Down,
+            falls,
+            "it stays down"
+        );
     }
 }
 
@@ -281,13 +391,20 @@
                 r.ask(at, 1, REPORT, |_| ());
             });
         }
-        assert_eq!(r.fleet.host(HostId(1)).state == State::Down, falls, "{second}");
+        assert_eq!(
+            r.fleet.host(HostId(1)).state == State::Down,
+            falls,
+            "{second}"
+        );
     }
 }
 
 #[test]
 fn without_checks_a_lagging_replica_answers_and_the_ledger_finds_it() {
-    let slow = irisrouter_world::spec::Slow { hosts: None, times: Between::Value(1000.0) };
+    let slow = irisrouter_world::spec::Slow {
+        hosts: None,
+        times: Between::Value(1000.0),
+    };
     let fault = Fault {
         at_s: Between::Value(0.0),
         for_s: Between::Value(60.0),
@@ -303,8 +420,15 @@
         let commit = r.answer(write).expect("an answer").0;
         let (read, _) = r.ask(2 * SECOND, 1, OWN, |q| q.mark = commit);
         r.until(3 * SECOND);
-        let expected = if stale == 0 { Answer::Miss } else { Answer::Row };
-        assert_eq!((r.answer(read).map(|a| a.1), r.count(BreachKind::StaleRead)), (Some(expected), stale));
+        let expected = if stale == 0 {
+            Answer::Miss
+        } else {
+            Answer::Row
+        };
+        assert_eq!(
+            (r.answer(read).map(|a| a.1), r.count(BreachKind::StaleRead)),
+            (Some(expected), stale)
+        );
         // The primary has it all.
         r.ask(3 * SECOND, 0, OWN, |q| q.mark = commit);
         r.until(4 * SECOND);
@@ -336,7 +460,11 @@
     r.until(20 * SECOND - 1);
     assert!(r.told.is_empty());
     r.until(20 * SECOND);
-    assert!(r.told.contains(&(20 * SECOND, GatewayId(1), HostId(1))), "{:?}", r.told);
+    assert!(
+        r.told.contains(&(20 * SECOND, GatewayId(1), HostId(1))),
+        "{:?}",
+        r.told
+    );
 }
 
 #[test]
@@ -348,9 +476,19 @@
     r.until(SECOND);
     assert_eq!(r.answer(tickets[5]), Some((SECOND, Answer::Full)));
     r.until(2 * SECOND);
-    assert!(tickets[..5].iter().all(|&t| r.answer(t).is_some_and(|a| a.1 == Answer::Row)));
-    let taken: Vec<Taken> = (0..5).map(|t| r.fleet.connect(2 * SECOND, GatewayId(0), HostId(1), t)).collect();
-    assert_eq!(taken, [Taken::Yes, Taken::Yes, Taken::Yes, Taken::Yes, Taken::Reset]);
+    assert!(tickets[..5]
+        .iter()
+        .all(|&t| r.answer(t).is_some_and(|a| a.1 == Answer::Row)));
+    let taken: Vec<Taken> = (0..5)
+        .map(|t| r.fleet.connect(2 * SECOND, GatewayId(0), HostId(1), t))
+        .collect();
+    assert_eq!(
+        taken,
+        [Taken::Yes, Taken::Yes, Taken::Yes, Taken::Yes, Taken::Reset]
+    );
     r.fleet.close(2 * SECOND, HostId(1), 0);
-    assert_eq!(r.fleet.connect(2 * SECOND, GatewayId(0), HostId(1), 9), Taken::Yes);
+    assert_eq!(
+        r.fleet.connect(2 * SECOND, GatewayId(0), HostId(1), 9),
+        Taken::Yes
+    );
 }
--- a/src/api.rs
+++ b/src/api.rs
@@ -16,11 +16,15 @@
 pub struct MemberId(pub u32);
 
 /// A group: one primary and its replicas.
-#[derive(Deserialize, Serialize, Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(
+    Deserialize, Serialize, Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord,
+)]
 pub struct GroupId(pub i64);
 
 /// A zone, as an opaque number.
-#[derive(Deserialize, Serialize, Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(
+    Deserialize, Serialize, Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord,
+)]
 pub struct ZoneId(pub u32);
 
 /// A session, as an opaque number.
--- a/src/bin/irisrouter-simhost.rs
+++ b/src/bin/irisrouter-simhost.rs
@@ -21,7 +21,9 @@
     let mut line = String::new();
     loop {
         line.clear();
-        let n = input.read_line(&mut line).map_err(|e| format!("cannot read: {e}"))?;
+        let n = input
+            .read_line(&mut line)
+            .map_err(|e| format!("cannot read: {e}"))?;
         if n == 0 {
             return Ok(());
         }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -125,8 +125,16 @@
 impl Router {
     /// A router that knows its settings and nothing else.
     pub fn new(s: Settings) -> Self {
-        let usual: Vec<f64> = s.classes.iter().map(|c| c.aim as f64 * FIRST_GUESS).collect();
-        let first = s.list_on_request.then_some(Action::Watch).into_iter().collect();
+        let usual: Vec<f64> = s
+            .classes
+            .iter()
+            .map(|c| c.aim as f64 * FIRST_GUESS)
+            .collect();
+        let first = s
+            .list_on_request
+            .then_some(Action::Watch)
+            .into_iter()
+            .collect();
         Router {
             rng: oorandom::Rand64::new(u128::from(s.seed)),
             s,
@@ -154,8 +162,12 @@
     pub fn batch(&mut self, now: Ns, events: &[Event]) -> Vec<Action> {
         self.now = now;
         events.iter().for_each(|e| self.observe(e));
-        let groups: Vec<GroupId> =
-            self.groups.iter().filter(|(_, g)| g.dirty || g.waiting()).map(|(&g, _)| g).collect();
+        let groups: Vec<GroupId> = self
+            .groups
+            .iter()
+            .filter(|(_, g)| g.dirty || g.waiting())
+            .map(|(&g, _)| g)
+            .collect();
         for g in groups {
             self.release(g);
             self.probe_group(g);
@@ -171,10 +183,14 @@
         let step = self.s.tick * 2;
         let held = self.groups.values().any(Group::waiting);
         let due = self.reviews.first().map(|r| r.0.max(self.now + step));
-        let Some(at) = (if held { Some(self.now + step) } else { due }) else { return };
+        let Some(at) = (if held { Some(self.now + step) } else { due }) else {
+            return;
+        };
         if self.next_wake <= self.now || self.next_wake > at {
             self.next_wake = at;
-            self.out.push(Action::Wake { after: at - self.now });
+            self.out.push(Action::Wake {
+                after: at - self.now,
+            });
         }
     }
 
@@ -186,10 +202,17 @@
             Event::Streaming { .. } | Event::Wake => {}
             Event::Ended { .. } => self.on_ended(e),
             Event::Left { id } => self.close(*id),
-            Event::Probed { member, outcome, report, .. } => self.on_probed(*member, *outcome, *report),
+            Event::Probed {
+                member,
+                outcome,
+                report,
+                ..
+            } => self.on_probed(*member, *outcome, *report),
             Event::Found(found) => found.iter().for_each(|f| self.on_found(f)),
             Event::Planned(p) => self.planned = p.clone(),
-            Event::Learnt(l) => l.teach(self.now, &mut self.members, &mut self.usual, &mut self.told),
+            Event::Learnt(l) => {
+                l.teach(self.now, &mut self.members, &mut self.usual, &mut self.told)
+            }
             Event::Retuned { settings, from } => self.retune(settings, from),
         }
     }
@@ -233,10 +256,14 @@
 
     /// Selects again for the held requests of a group, worthiest for its time first.
     fn release(&mut self, gid: GroupId) {
-        let Some(g) = self.groups.get_mut(&gid) else { return };
+        let Some(g) = self.groups.get_mut(&gid) else {
+            return;
+        };
         g.seek_since = g.seek_since.filter(|_| g.wants_primary);
         (g.dirty, g.wants_proof, g.wants_primary, g.wants_spare) = (false, 0, false, 0);
-        let mut order: Vec<usize> = (0..g.held.len()).filter(|&c| !g.held[c].is_empty()).collect();
+        let mut order: Vec<usize> = (0..g.held.len())
+            .filter(|&c| !g.held[c].is_empty())
+            .collect();
         let density = |c: usize| self.s.classes[c].worth / self.usual[c];
         order.sort_by(|&a, &b| density(b).total_cmp(&density(a)).then(a.cmp(&b)));
         for c in order {
@@ -245,7 +272,9 @@
             let mut stuck = false;
             // Newest first: in an overload the oldest would be sent with too little time left.
             for id in queue.into_iter().rev() {
-                let Some(r) = self.requests.get(&id).filter(|r| r.held) else { continue };
+                let Some(r) = self.requests.get(&id).filter(|r| r.held) else {
+                    continue;
+                };
                 // All of a class wait for the same thing, but for session reads and long ones.
                 let own = self.s.classes[c].freshness == Freshness::Session || self.blocks(c);
                 let waits = stuck && !own;
@@ -267,7 +296,11 @@
         let waited = self.now - r.arrived + 1;
         let room = self.asks() && (self.to_primary(r.class) || self.now >= r.proof_by);
         let no_primary = self.primary(r.group).is_none_or(|p| self.suspect(p));
-        let age = if self.to_primary(r.class) { 0 } else { self.now.saturating_sub(self.need(r)).max(0) };
+        let age = if self.to_primary(r.class) {
+            0
+        } else {
+            self.now.saturating_sub(self.need(r)).max(0)
+        };
         let g = self.groups.get_mut(&r.group).expect("group");
         g.wants_proof = g.wants_proof.max(age);
         g.wants_primary |= no_primary;
@@ -289,8 +322,11 @@
         let members = &self.groups.get(&r.group)?.members;
         let other = |m: MemberId| Some(m) != primary && Some(m) != not && self.open_to(m, r);
         let replicas: Vec<MemberId> = members.iter().copied().filter(|&m| other(m)).collect();
-        let mut suitable: Vec<MemberId> =
-            replicas.iter().copied().filter(|&m| self.proven(m, r) && !self.suspect(m)).collect();
+        let mut suitable: Vec<MemberId> = replicas
+            .iter()
+            .copied()
+            .filter(|&m| self.proven(m, r) && !self.suspect(m))
+            .collect();
         // Danger: the few that were asked last are proven, and all gateways would choose the same ones.
         let informed = self.informed(r.group);
         if (suitable.is_empty() || informed) && self.s.checks != ServerChecks::None {
@@ -307,14 +343,22 @@
             behind.sort_by_key(|m| std::cmp::Reverse((self.members[m].lag, *m)));
             let more = (self.now - r.arrived) * LONG_WAIT / self.s.classes[r.class].aim.max(1);
             let open = |&(i, _): &(usize, &MemberId)| i as Ns <= more;
-            return behind.iter().enumerate().filter(open).map(|(_, &m)| m).find(|&m| self.admits(m, r, 1.0));
+            return behind
+                .iter()
+                .enumerate()
+                .filter(open)
+                .map(|(_, &m)| m)
+                .find(|&m| self.admits(m, r, 1.0));
         }
         if self.asks() && self.now < r.proof_by && !suitable.iter().any(|&m| self.age(m) < 1.0) {
             return None;
         }
         if !suitable.is_empty() {
             let admitted = |from: &[MemberId]| -> Vec<MemberId> {
-                from.iter().copied().filter(|&m| self.admits(m, r, 1.0)).collect()
+                from.iter()
+                    .copied()
+                    .filter(|&m| self.admits(m, r, 1.0))
+                    .collect()
             };
             if let Some(m) = self.pick(&admitted(&suitable)) {
                 return Some(m);
@@ -330,10 +374,14 @@
             return None;
         }
         // secondaryPreferred: no replica, so the primary, while it has room beyond its own work.
-        let part = if suitable.is_empty() && !self.asks() && !informed { 1.0 } else { READ_PART };
+        let part = if suitable.is_empty() && !self.asks() && !informed {
+            1.0
+        } else {
+            READ_PART
+        };
         let spare = !self.asks() || primary.is_some_and(|p| self.age(p) < 1.0);
-        let primary_ok =
-            primary.filter(|&p| spare && Some(p) != not && self.open_to(p, r) && self.admits(p, r, part));
+        let primary_ok = primary
+            .filter(|&p| spare && Some(p) != not && self.open_to(p, r) && self.admits(p, r, part));
         if let Some(p) = primary_ok.filter(|&p| !self.suspect(p) && !self.shunned(p)) {
             return Some(p);
         }
@@ -346,7 +394,10 @@
 
     /// Only the primary will do.
     fn to_primary(&self, class: usize) -> bool {
-        matches!(self.s.classes[class].freshness, Freshness::Write | Freshness::Fresh)
+        matches!(
+            self.s.classes[class].freshness,
+            Freshness::Write | Freshness::Fresh
+        )
     }
 
     /// Reads of this class are long, and may stop a replica from applying the log.
@@ -362,9 +413,16 @@
     /// Where replicas check reads: those that are probably far enough by now; with no primary known, all.
     fn most_advanced(&self, replicas: &[MemberId], r: &Request) -> Vec<MemberId> {
         let need = self.need(r);
-        let calm: Vec<MemberId> = replicas.iter().copied().filter(|&m| !self.suspect(m)).collect();
-        let likely: Vec<MemberId> =
-            calm.iter().copied().filter(|&m| self.now - self.lag(m) >= need).collect();
+        let calm: Vec<MemberId> = replicas
+            .iter()
+            .copied()
+            .filter(|&m| !self.suspect(m))
+            .collect();
+        let likely: Vec<MemberId> = calm
+            .iter()
+            .copied()
+            .filter(|&m| self.now - self.lag(m) >= need)
+            .collect();
         if likely.is_empty() && self.primary(r.group).is_none() {
             calm
         } else {
@@ -380,14 +438,27 @@
 
     /// Inside the window of the best, at random by size, leaning to those with room.
     fn pick(&self, from: &[MemberId]) -> Option<MemberId> {
-        let best = from.iter().map(|m| self.slowness(*m)).fold(f64::INFINITY, f64::min);
-        let window: Vec<MemberId> =
-            from.iter().copied().filter(|&m| self.slowness(m) <= best.max(0.1) * WINDOW).collect();
+        let best = from
+            .iter()
+            .map(|m| self.slowness(*m))
+            .fold(f64::INFINITY, f64::min);
+        let window: Vec<MemberId> = from
+            .iter()
+            .copied()
+            .filter(|&m| self.slowness(m) <= best.max(0.1) * WINDOW)
+            .collect();
         let full = |m: MemberId| self.load(m) / self.warmth(m);
         let least = |ms: &[MemberId]| ms.iter().map(|&m| full(m)).fold(f64::INFINITY, f64::min);
-        let own: Vec<MemberId> =
-            window.iter().copied().filter(|m| self.members[m].zone == self.s.zone).collect();
-        let tagged = if !own.is_empty() && least(&own) <= least(&window) * ZONE_SLACK { own } else { window };
+        let own: Vec<MemberId> = window
+            .iter()
+            .copied()
+            .filter(|m| self.members[m].zone == self.s.zone)
+            .collect();
+        let tagged = if !own.is_empty() && least(&own) <= least(&window) * ZONE_SLACK {
+            own
+        } else {
+            window
+        };
         let weight = |m: MemberId| {
             // Danger: a report of nothing held may be untrue: in sparse proxies it shuns, and does not draw.
             let load = self.load(m).max(f64::from(self.sparse()));
@@ -399,7 +470,11 @@
             at -= weight(*m);
             at <= 0.0
         };
-        tagged.iter().copied().find(passed).or(tagged.last().copied())
+        tagged
+            .iter()
+            .copied()
+            .find(passed)
+            .or(tagged.last().copied())
     }
 
     /// Its average, drawn to the usual by few answers and by time.
@@ -432,7 +507,9 @@
     fn primary(&self, g: GroupId) -> Option<MemberId> {
         let members = &self.groups.get(&g)?.members;
         (members.iter().copied())
-            .filter(|m| self.members[m].primary_at > self.members[m].replica_at && self.in_service(*m))
+            .filter(|m| {
+                self.members[m].primary_at > self.members[m].replica_at && self.in_service(*m)
+            })
             .max_by_key(|m| self.members[m].primary_at)
     }
 
@@ -470,8 +547,8 @@
             if !self.s.load_told {
                 // Danger: a member that is sent more than it can do serves all too late. Writes come last.
                 let write = self.s.classes[r.class].freshness == Freshness::Write;
-                let shed =
-                    if write { 2.0 * at.shed - 1.0 } else { at.shed } * f64::from(self.informed(r.group));
+                let shed = if write { 2.0 * at.shed - 1.0 } else { at.shed }
+                    * f64::from(self.informed(r.group));
                 let room = part >= 1.0 || r.draw < (1.0 - at.in_use) / SPARE;
                 return self.bears(m, r) && room && r.draw < 1.0 - shed;
             }
@@ -505,14 +582,25 @@
         m.patience = m.patience.max((usual * SILENCE) as Ns);
         let r = self.requests.get_mut(&id).expect("request");
         r.held = false;
-        r.attempts.push(Attempt { member: to, sent: self.now, outcome: None });
+        r.attempts.push(Attempt {
+            member: to,
+            sent: self.now,
+            outcome: None,
+        });
         let left = r.arrived + self.s.classes[class].aim - self.now;
         let copy_at = self.now + (COPY_AFTER * left as f64) as Ns;
-        if self.s.classes[class].repeat == Repeat::Safe && self.s.limits.second_copies && copy_at > self.now {
+        if self.s.classes[class].repeat == Repeat::Safe
+            && self.s.limits.second_copies
+            && copy_at > self.now
+        {
             self.reviews.insert((copy_at, id));
         }
         self.rng.rand_u64();
-        self.out.push(Action::Send { id, member: to, limit });
+        self.out.push(Action::Send {
+            id,
+            member: to,
+            limit,
+        });
         true
     }
 
@@ -521,18 +609,28 @@
         let class = &self.s.classes[r.class];
         let m = &self.members[&to];
         // Rule 1: nothing after the final answer, nothing that cannot be answered in time.
-        let open = !r.ended && self.now < self.end(r) && (r.attempts.len() as u32) < self.s.limits.attempts;
+        let open = !r.ended
+            && self.now < self.end(r)
+            && (r.attempts.len() as u32) < self.s.limits.attempts;
         // Rule 2: no effect twice.
         let copies = self.s.limits.second_copies || r.attempts.iter().all(|a| a.outcome.is_some());
         let repeat = match class.repeat {
             Repeat::Safe => true,
             Repeat::Unsafe => !may_have_run(r),
             Repeat::Keyed { scope, window } => {
-                let risky = || r.attempts.iter().filter(|a| a.outcome.is_none_or(|o| !never_ran(o)));
+                let risky = || {
+                    r.attempts
+                        .iter()
+                        .filter(|a| a.outcome.is_none_or(|o| !never_ran(o)))
+                };
                 // Danger: a connection may have to come up first, and what counts is when the repeat arrives.
                 risky().all(|a| self.now - a.sent + self.s.limits.connect_timeout < window)
                     && (scope != RepeatScope::Zone
-                        || risky().all(|a| self.members.get(&a.member).is_some_and(|o| o.zone == m.zone)))
+                        || risky().all(|a| {
+                            self.members
+                                .get(&a.member)
+                                .is_some_and(|o| o.zone == m.zone)
+                        }))
             }
         };
         // Rule 3: drains are kept, at once rather than at the end of the grace.
@@ -557,7 +655,8 @@
 
     /// A request still held then is given up: no member could answer it in time any more.
     fn latest_send(&self, r: &Request) -> Ns {
-        (self.end(r) - (self.usual[r.class] * TIME_TO_ANSWER) as Ns).min(r.deadline - 2 * self.s.tick)
+        (self.end(r) - (self.usual[r.class] * TIME_TO_ANSWER) as Ns)
+            .min(r.deadline - 2 * self.s.tick)
     }
 
     /// When a request that is held now is given up.
@@ -572,21 +671,37 @@
     fn bears(&self, to: MemberId, r: &Request) -> bool {
         let m = &self.members[&to];
         let writes = self.to_primary(r.class);
-        let led = self.planned.ramps.iter().all(|z| z.0 != m.zone || r.draw < z.1 || writes);
+        let led = self
+            .planned
+            .ramps
+            .iter()
+            .all(|z| z.0 != m.zone || r.draw < z.1 || writes);
         if self.warmth(to) >= 1.0 || !led {
             return led;
         }
         // Reads are shared with the other members by warmth; what only a primary takes is not. Those that
         // died or were drained count as missing: their part of the requests comes here too.
         let g = &self.groups[&m.group];
-        let open = g.members.iter().filter(|&&o| o == to || !self.suspect(o) && self.open_to(o, r));
+        let open = g
+            .members
+            .iter()
+            .filter(|&&o| o == to || !self.suspect(o) && self.open_to(o, r));
         let sum = open.map(|&o| self.warmth(o)).sum::<f64>();
-        let part = if writes { self.warmth(to) } else { sum / g.most.max(1) as f64 };
+        let part = if writes {
+            self.warmth(to)
+        } else {
+            sum / g.most.max(1) as f64
+        };
         let chance = self.s.rules.overload_multiple * COLD_SAFETY * part;
         let turn = (r.draw / chance * self.s.rules.overload_window as f64) as Ns;
         let piled_up = r.arrived < m.well_since && self.now - m.well_since < turn;
         // Each read is for some of the cold ones only, and least for a primary, lest one alone gets all.
-        let alone = COLD_ALONE * if self.primary(m.group) == Some(to) { READ_PART } else { 1.0 };
+        let alone = COLD_ALONE
+            * if self.primary(m.group) == Some(to) {
+                READ_PART
+            } else {
+                1.0
+            };
         let its = writes || g.place(to, r.draw / chance) < alone * self.warmth(to) / sum;
         let short = writes || self.usual[r.class] * COLD_SHORT <= self.short();
         its && short && r.draw < chance && !piled_up
@@ -595,7 +710,9 @@
     /// Share of its capacity that a member has by now at least.
     fn warmth(&self, m: MemberId) -> f64 {
         let rules = &self.s.rules;
-        let age = self.members[&m].started.map_or(rules.cold_for, |t| (self.now - t).max(0));
+        let age = self.members[&m]
+            .started
+            .map_or(rules.cold_for, |t| (self.now - t).max(0));
         let part = (age as f64 / rules.cold_for.max(1) as f64).min(1.0);
         rules.start_capacity + (1.0 - rules.start_capacity) * part
     }
@@ -603,7 +720,18 @@
     // ---- Requests ----
 
     fn on_request(&mut self, e: &Event) {
-        let Event::Request { id, class, session, deadline, group, mark_age, .. } = e else { return };
+        let Event::Request {
+            id,
+            class,
+            session,
+            deadline,
+            group,
+            mark_age,
+            ..
+        } = e
+        else {
+            return;
+        };
         let mark = match (self.s.marks_carried, session) {
             // Commits are rounded up and positions down: a millisecond on the safe side.
             (true, _) => mark_age.map_or(Ns::MIN, |age| self.now - age + 1_000_000),
@@ -611,9 +739,15 @@
             (false, None) => Ns::MIN,
         };
         let c = &self.s.classes[*class];
-        let ask = !self.s.positions_in_answers && self.s.checks == ServerChecks::None && self.s.limits.probes;
+        let ask = !self.s.positions_in_answers
+            && self.s.checks == ServerChecks::None
+            && self.s.limits.probes;
         let ask = ask || self.asks();
-        let wait = if ask { (c.aim as f64 * PROOF_WAIT) as Ns } else { 0 };
+        let wait = if ask {
+            (c.aim as f64 * PROOF_WAIT) as Ns
+        } else {
+            0
+        };
         let r = Request {
             class: *class,
             group: *group,
@@ -632,7 +766,12 @@
         self.requests.insert(*id, r);
         self.extra = (self.extra + EXTRA_SHARE).min(EXTRA_MOST);
         // The plan for a lost site leaves a part of each class out: at once, and with a time to come again.
-        if self.planned.admitted.get(*class).is_some_and(|&p| p < 1.0 && self.rng.rand_float() >= p) {
+        if self
+            .planned
+            .admitted
+            .get(*class)
+            .is_some_and(|&p| p < 1.0 && self.rng.rand_float() >= p)
+        {
             return self.give_up(*id);
         }
         self.hold(*id);
@@ -640,14 +779,20 @@
 
     fn hold(&mut self, id: RequestId) {
         let classes = self.s.classes.len();
-        let Some(r) = self.requests.get_mut(&id) else { return };
+        let Some(r) = self.requests.get_mut(&id) else {
+            return;
+        };
         r.held = true;
         // Danger: a client that is turned away late without a try has waited for nothing, and has too
         // little time left to come back. Once half of its patience is spent, that is so whenever it hears.
         // A write is held to its end: an election outlasts any shorter hold, and would fail them all.
         let read = self.s.classes[r.class].freshness != Freshness::Write;
         let patient = r.arrived + ((r.deadline - r.arrived) as f64 * HOLD_SHARE) as Ns;
-        r.hold_until = if read && r.unsent() && self.now < patient { patient } else { Ns::MAX };
+        r.hold_until = if read && r.unsent() && self.now < patient {
+            patient
+        } else {
+            Ns::MAX
+        };
         let g = self.groups.entry(r.group).or_default();
         g.held.resize(classes, VecDeque::new());
         g.held[r.class].push_back(id);
@@ -663,11 +808,14 @@
                 break;
             }
             self.reviews.pop_first();
-            let Some(r) = self.requests.get(&id).filter(|r| !r.ended) else { continue };
+            let Some(r) = self.requests.get(&id).filter(|r| !r.ended) else {
+                continue;
+            };
             if r.held && self.now >= self.give_up_at(r) {
                 self.give_up(id);
             } else if r.held {
-                self.reviews.insert((self.give_up_at(r).max(self.now + 1), id));
+                self.reviews
+                    .insert((self.give_up_at(r).max(self.now + 1), id));
             } else {
                 self.second_copy(id);
             }
@@ -682,22 +830,41 @@
             return;
         }
         if !self.suspect(out[0]) {
-            self.reviews.insert((self.now + self.members[&out[0]].patience / 2, id));
+            self.reviews
+                .insert((self.now + self.members[&out[0]].patience / 2, id));
             return;
         }
-        if self.select(r, Some(out[0])).is_some_and(|m| self.send(id, m)) {
+        if self
+            .select(r, Some(out[0]))
+            .is_some_and(|m| self.send(id, m))
+        {
             self.extra -= 1.0;
         }
     }
 
     /// The final answer of a request that is given up, at once.
     fn give_up(&mut self, id: RequestId) {
-        let Some(r) = self.requests.get(&id).filter(|r| !r.ended) else { return };
+        let Some(r) = self.requests.get(&id).filter(|r| !r.ended) else {
+            return;
+        };
         let c = &self.s.classes[r.class];
-        let dropped = matches!(c.repeat, Repeat::Keyed { scope: RepeatScope::All, .. });
+        let dropped = matches!(
+            c.repeat,
+            Repeat::Keyed {
+                scope: RepeatScope::All,
+                ..
+            }
+        );
         if c.repeat == Repeat::Safe || dropped || !may_have_run(r) {
-            let wish = self.planned.pause.map_or(c.aim, |p| (p as f64 * (1.0 + r.draw)) as Ns);
-            let pause = if self.s.limits.pauses { wish.min(self.s.limits.max_pause) } else { 0 };
+            let wish = self
+                .planned
+                .pause
+                .map_or(c.aim, |p| (p as f64 * (1.0 + r.draw)) as Ns);
+            let pause = if self.s.limits.pauses {
+                wish.min(self.s.limits.max_pause)
+            } else {
+                0
+            };
             self.out.push(Action::Refuse { id, pause });
         } else {
             self.out.push(Action::Fail { id });
@@ -707,33 +874,55 @@
 
     /// Nothing more for this request; attempts still out are cancelled, so that they free their places.
     fn close(&mut self, id: RequestId) {
-        let Some(r) = self.requests.get_mut(&id) else { return };
+        let Some(r) = self.requests.get_mut(&id) else {
+            return;
+        };
         let first = !std::mem::replace(&mut r.ended, true);
         r.held = false;
-        let out: Vec<u32> =
-            (0..r.attempts.len()).filter(|&i| r.attempts[i].outcome.is_none()).map(|i| i as u32).collect();
+        let out: Vec<u32> = (0..r.attempts.len())
+            .filter(|&i| r.attempts[i].outcome.is_none())
+            .map(|i| i as u32)
+            .collect();
         if out.is_empty() {
             self.requests.remove(&id);
         } else if first && self.s.limits.cancel {
-            self.out.extend(out.into_iter().map(|attempt| Action::Cancel { id, attempt }));
+            self.out.extend(
+                out.into_iter()
+                    .map(|attempt| Action::Cancel { id, attempt }),
+            );
         }
     }
 
     // ---- Answers ----
 
     fn on_ended(&mut self, e: &Event) {
-        let Event::Ended { id, attempt, member, outcome, elapsed, finished, note, report } = e else {
+        let Event::Ended {
+            id,
+            attempt,
+            member,
+            outcome,
+            elapsed,
+            finished,
+            note,
+            report,
+        } = e
+        else {
+            return;
+        };
+        let Some(r) = self.requests.get_mut(id) else {
             return;
         };
-        let Some(r) = self.requests.get_mut(id) else { return };
         let attempt = r.attempts.get_mut(*attempt as usize);
-        let Some(a) = attempt.filter(|a| a.outcome.is_none()) else { return };
+        let Some(a) = attempt.filter(|a| a.outcome.is_none()) else {
+            return;
+        };
         a.outcome = Some(*outcome);
         let (class, group, session) = (r.class, r.group, r.session);
         let write = self.s.classes[class].freshness == Freshness::Write;
         self.groups.get_mut(&group).expect("group").dirty = true;
         self.hear(*member, class, *outcome, *elapsed);
-        note.iter().for_each(|&n| self.on_note(*member, n, write, session));
+        note.iter()
+            .for_each(|&n| self.on_note(*member, n, write, session));
         report.iter().for_each(|&r| self.on_report(*member, r));
         if *outcome == Outcome::Miss {
             let need = self.requests.get(id).map_or(Ns::MIN, |r| self.need(r));
@@ -752,7 +941,11 @@
         } else {
             self.after_failure(*id, *outcome, *elapsed);
         }
-        if self.requests.get(id).is_some_and(|r| r.ended && r.attempts.iter().all(|a| a.outcome.is_some())) {
+        if self
+            .requests
+            .get(id)
+            .is_some_and(|r| r.ended && r.attempts.iter().all(|a| a.outcome.is_some()))
+        {
             self.requests.remove(id);
         }
     }
@@ -764,11 +957,16 @@
             return;
         }
         let again = self.s.classes[r.class].repeat != Repeat::Unsafe || !may_have_run(r);
-        let in_time = self.now < self.latest_send(r) && (r.attempts.len() as u32) < self.s.limits.attempts;
+        let in_time =
+            self.now < self.latest_send(r) && (r.attempts.len() as u32) < self.s.limits.attempts;
         // Attempts that cost no work are free; the others draw on a budget, so that retries feed no storm.
         let free = never_ran(outcome) && outcome != Outcome::Full;
         let work = (elapsed as f64 / self.usual[r.class]).clamp(QUICK, 1.0);
-        let cost = if free || outcome == Outcome::Full { f64::from(!free) } else { work };
+        let cost = if free || outcome == Outcome::Full {
+            f64::from(!free)
+        } else {
+            work
+        };
         if !again || !in_time || self.extra < cost {
             return self.give_up(id);
         }
@@ -784,7 +982,10 @@
         let m = self.members.get_mut(&id).expect("member");
         let fade = m.fade(self.now, memory);
         m.outstanding = m.outstanding.saturating_sub(1);
-        let spoke = matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::Miss);
+        let spoke = matches!(
+            outcome,
+            Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::Miss
+        );
         if spoke {
             m.heard = self.now;
             m.silent_since = (m.outstanding > 0).then_some(self.now);
@@ -812,8 +1013,9 @@
                 if elapsed > aim {
                     self.cut(id, class);
                 } else if elapsed * PROMPT < aim {
-                    m.limit = (m.limit + (LIMIT_RISE / m.limit / proxies.powf(SHARING)).min(m.limit))
-                        .min(LIMIT_MOST);
+                    m.limit = (m.limit
+                        + (LIMIT_RISE / m.limit / proxies.powf(SHARING)).min(m.limit))
+                    .min(LIMIT_MOST);
                     self.limit = (self.limit + SHARED_RISE / self.limit).min(LIMIT_MOST);
                 }
             }
@@ -870,37 +1072,60 @@
         self.members.values_mut().for_each(|m| m.gone |= complete);
         entries.iter().for_each(|e| self.on_entry(e));
         let now = self.now;
-        self.members.values_mut().for_each(|m| m.gone_at = if m.gone { m.gone_at.min(now) } else { Ns::MAX });
+        self.members
+            .values_mut()
+            .for_each(|m| m.gone_at = if m.gone { m.gone_at.min(now) } else { Ns::MAX });
         self.forget();
-        self.groups.values_mut().for_each(|g| g.relisted(&self.members));
+        self.groups
+            .values_mut()
+            .for_each(|g| g.relisted(&self.members));
     }
 
     /// Members that are gone are forgotten; one that went without a drain once those that took over are warm.
     fn forget(&mut self) {
         let long_ago = self.now - 2 * self.s.rules.cold_for;
         let over = |id: MemberId, m: &Member| !self.in_service(id) && m.over(long_ago);
-        let gone: BTreeSet<MemberId> =
-            self.members.iter().filter(|(&id, m)| over(id, m)).map(|(&id, _)| id).collect();
+        let gone: BTreeSet<MemberId> = self
+            .members
+            .iter()
+            .filter(|(&id, m)| over(id, m))
+            .map(|(&id, _)| id)
+            .collect();
         self.members.retain(|id, _| !gone.contains(id));
-        self.groups.values_mut().for_each(|g| g.members.retain(|id| !gone.contains(id)));
+        self.groups
+            .values_mut()
+            .for_each(|g| g.members.retain(|id| !gone.contains(id)));
     }
 
     fn on_entry(&mut self, e: &ListEntry) {
         if !self.members.contains_key(&e.member) {
-            self.groups.entry(e.group).or_default().members.push(e.member);
+            self.groups
+                .entry(e.group)
+                .or_default()
+                .members
+                .push(e.member);
         }
         let start = LIMIT_START / f64::from(self.s.proxies.max(1));
-        let m = self.members.entry(e.member).or_insert_with(|| Member::listed(e, start));
+        let m = self
+            .members
+            .entry(e.member)
+            .or_insert_with(|| Member::listed(e, start));
         if m.take_entry(e, self.now) {
             m.limit = m.limit.min(start);
         }
     }
 
     fn on_note(&mut self, id: MemberId, n: Note, write: bool, session: Option<SessionId>) {
-        self.members.get_mut(&id).expect("member").take_note(n, self.now);
+        self.members
+            .get_mut(&id)
+            .expect("member")
+            .take_note(n, self.now);
         let Some(p) = n.position else { return };
         if let (true, Some(s), false) = (write, session, self.s.marks_carried) {
-            self.commits.entry(s).and_modify(|c| *c = (*c).max(p)).or_insert(p);
+            self.commits
+                .entry(s)
+                .and_modify(|c| *c = (*c).max(p))
+                .or_insert(p);
         }
     }
 
@@ -908,10 +1133,16 @@
     /// stale reads served.
     fn on_found(&mut self, f: &Finding) {
         let member = self.members.get_mut(&f.member);
-        let Some(m) = member.filter(|_| self.s.checks != ServerChecks::None) else { return };
+        let Some(m) = member.filter(|_| self.s.checks != ServerChecks::None) else {
+            return;
+        };
         let g = self.groups.get_mut(&m.group).expect("group");
         (g.dirty, g.found_at) = (true, g.found_at.max(f.at));
-        if let Some(u) = f.report.in_use.filter(|_| f.at >= m.told_at && !self.s.load_told) {
+        if let Some(u) = f
+            .report
+            .in_use
+            .filter(|_| f.at >= m.told_at && !self.s.load_told)
+        {
             (m.in_use, m.told_at) = (u, f.at);
             m.shed = (m.shed + SHED_GAIN * (u - BUSY)).clamp(0.0, SHED_MOST);
             m.others = m.size * u / (SATURATED - u).max(SATURATED - 1.0);
@@ -940,12 +1171,17 @@
     // ---- Probes ----
 
     fn on_probed(&mut self, id: MemberId, outcome: Outcome, report: Option<Report>) {
-        let Some(m) = self.members.get_mut(&id) else { return };
+        let Some(m) = self.members.get_mut(&id) else {
+            return;
+        };
         m.probe_out = false;
         self.groups.get_mut(&m.group).expect("group").dirty = true;
         if outcome == Outcome::Ok {
             m.recover(self.now);
-        } else if matches!(outcome, Outcome::ConnectFailed | Outcome::Reset | Outcome::TimedOut) {
+        } else if matches!(
+            outcome,
+            Outcome::ConnectFailed | Outcome::Reset | Outcome::TimedOut
+        ) {
             self.doubt(id);
         }
         report.into_iter().for_each(|r| self.on_report(id, r));
@@ -955,7 +1191,9 @@
     fn probe_group(&mut self, gid: GroupId) {
         let timeout = self.s.limits.connect_timeout;
         let informed = self.informed(gid);
-        let Some(g) = self.groups.get_mut(&gid).filter(|_| !informed) else { return };
+        let Some(g) = self.groups.get_mut(&gid).filter(|_| !informed) else {
+            return;
+        };
         let mut due: Vec<MemberId> = Vec::new();
         let rested = |m: &Member, every: Ns| !m.probe_out && self.now - m.probe_at >= every;
         if g.wants_primary {
@@ -965,11 +1203,14 @@
         } else if g.wants_proof > 0 && self.now - g.proof_at >= timeout / PROOF_GAP {
             // One whose reports last came too old to prove anything is not asked again so soon.
             let age = g.wants_proof;
-            let fit = |m: &MemberId| rested(&self.members[m], timeout / PROOF_GAP) && age >= self.lag(*m);
+            let fit =
+                |m: &MemberId| rested(&self.members[m], timeout / PROOF_GAP) && age >= self.lag(*m);
             let members = &self.groups[&gid].members;
             let primary = self.primary(gid);
             let fit: Vec<MemberId> = (members.iter().copied())
-                .filter(|m| fit(m) && Some(*m) != primary && self.in_service(*m) && !self.suspect(*m))
+                .filter(|m| {
+                    fit(m) && Some(*m) != primary && self.in_service(*m) && !self.suspect(*m)
+                })
                 .collect();
             due.extend(self.pick(&fit));
             self.groups.get_mut(&gid).expect("group").proof_at = self.now;
@@ -977,7 +1218,10 @@
         // Nothing came of the replicas: has the primary room?
         let waited = self.groups[&gid].wants_spare;
         let every = (timeout / PROOF_GAP).max(waited / 2);
-        due.extend(self.primary(gid).filter(|p| waited > 0 && rested(&self.members[p], every)));
+        due.extend(
+            self.primary(gid)
+                .filter(|p| waited > 0 && rested(&self.members[p], every)),
+        );
         for id in due {
             if self.in_service(id) && self.need_probes >= 1.0 {
                 self.need_probes -= 1.0;
@@ -992,13 +1236,23 @@
             return;
         }
         let timeout = self.s.limits.connect_timeout;
-        let every = |id: MemberId| if self.suspect(id) { timeout } else { timeout * MEMORY as Ns };
+        let every = |id: MemberId| {
+            if self.suspect(id) {
+                timeout
+            } else {
+                timeout * MEMORY as Ns
+            }
+        };
         let due = |id: MemberId, m: &Member| {
             let late = self.now - m.probe_at >= every(id);
             late && self.in_service(id) && !m.probe_out && !self.informed(m.group)
         };
-        let mut due: Vec<MemberId> =
-            self.members.iter().filter(|(&id, m)| due(id, m)).map(|(&id, _)| id).collect();
+        let mut due: Vec<MemberId> = self
+            .members
+            .iter()
+            .filter(|(&id, m)| due(id, m))
+            .map(|(&id, _)| id)
+            .collect();
         due.sort_by_key(|id| (!self.suspect(*id), self.members[id].probe_at));
         for id in due {
             if self.calm_probes >= 1.0 {
