--- a/src/main.rs
+++ b/src/main.rs
@@ -63,7 +63,9 @@
 
 fn main() -> ExitCode {
     let result = Config::load(|name| std::env::var(name).ok()).and_then(|config| {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build();
         let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
         LocalSet::new().block_on(&runtime, run(config))
     });
@@ -79,11 +81,22 @@
 async fn run(config: Config) -> Result<(), String> {
     let clock = Clock::new();
     let catch = |kind| signal(kind).map_err(|e| format!("cannot catch signals: {e}"));
-    let (mut stop, mut interrupt) = (catch(SignalKind::terminate())?, catch(SignalKind::interrupt())?);
-    let (tell, reload) = (catch(SignalKind::user_defined1())?, catch(SignalKind::hangup())?);
+    let (mut stop, mut interrupt) = (
+        catch(SignalKind::terminate())?,
+        catch(SignalKind::interrupt())?,
+    );
+    let (tell, reload) = (
+        catch(SignalKind::user_defined1())?,
+        catch(SignalKind::hangup())?,
+    );
     let passed = config.passed;
-    let listener = if passed { inherit() } else { listen(config.listen) };
-    let listener = Rc::new(listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?);
+    let listener = if passed {
+        inherit()
+    } else {
+        listen(config.listen)
+    };
+    let listener =
+        Rc::new(listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?);
 
     let free = config.sockets.saturating_sub(RESERVED);
     let for_hosts = free / HOSTS_PART;
@@ -131,13 +144,34 @@
         ids: RefCell::default(),
     };
     let modes = Rc::<Modes>::default();
-    let drains = drains(&config, members.as_ref(), owners.as_ref(), (&backend, &counters));
-    let list = list_watch(&config, members.as_ref(), owners.as_ref(), (&backend, &counters));
+    let drains = drains(
+        &config,
+        members.as_ref(),
+        owners.as_ref(),
+        (&backend, &counters),
+    );
+    let list = list_watch(
+        &config,
+        members.as_ref(),
+        owners.as_ref(),
+        (&backend, &counters),
+    );
     if let Some(at) = config.console {
         let listener = listen(at).map_err(|e| format!("cannot listen on {at}: {e}"))?;
-        log!("operators call {}", listener.local_addr().map_err(|e| format!("no address: {e}"))?);
+        log!(
+            "operators call {}",
+            listener
+                .local_addr()
+                .map_err(|e| format!("no address: {e}"))?
+        );
         let (owners, drains, sites) = (owners.clone(), drains.clone(), sites.clone());
-        let console = Console { modes: Rc::clone(&modes), members: members.clone(), owners, drains, sites };
+        let console = Console {
+            modes: Rc::clone(&modes),
+            members: members.clone(),
+            owners,
+            drains,
+            sites,
+        };
         spawn_local(console::serve(listener, Rc::new(console)));
     }
     let front = Rc::new(Frontend {
@@ -162,18 +196,48 @@
         seen.revision = seen.revision.max(kin.meet().await);
         spawn_local(kin.wait());
     }
-    let driven = spawn_local(drive(Router::new(settings), Rc::clone(&mailbox), Rc::clone(&backend), clock));
+    let driven = spawn_local(drive(
+        Router::new(settings),
+        Rc::clone(&mailbox),
+        Rc::clone(&backend),
+        clock,
+    ));
     let (discovery, addresses) = watch::channel(config.discovery);
     seen.whole |= passed;
     let (answered, mut told) = watch::channel(false);
     let calls = (Rc::clone(&backend), Rc::clone(&classes));
-    spawn_local(discovery::watch(addresses, seen, calls.0, calls.1, answered, list.clone()));
+    spawn_local(discovery::watch(
+        addresses,
+        seen,
+        calls.0,
+        calls.1,
+        answered,
+        list.clone(),
+    ));
     let sharing = Rc::<RefCell<Option<Rc<Sharing>>>>::default();
     if let Some(peers) = config.peers.clone() {
-        let shared = (Rc::clone(&mailbox), Rc::clone(&backend), Rc::clone(&counters));
+        let shared = (
+            Rc::clone(&mailbox),
+            Rc::clone(&backend),
+            Rc::clone(&counters),
+        );
         let share = config.loaded.share || owners.is_some();
-        let fleet = Fleet { members: members.clone(), owners, hand, drains, list, sites };
-        spawn_local(share_when_free(Rc::clone(&sharing), peers, shared, clock, share, fleet));
+        let fleet = Fleet {
+            members: members.clone(),
+            owners,
+            hand,
+            drains,
+            list,
+            sites,
+        };
+        spawn_local(share_when_free(
+            Rc::clone(&sharing),
+            peers,
+            shared,
+            clock,
+            share,
+            fleet,
+        ));
     }
     spawn_local(sweep(Rc::clone(&backend)));
     spawn_local(tidy(Rc::clone(&front.places)));
@@ -186,7 +250,9 @@
         }
         welcoming.accept(at).await;
     });
-    let address = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
+    let address = listener
+        .local_addr()
+        .map_err(|e| format!("no address: {e}"))?;
     log!("{} listens on {address}", config.name);
     // To the very end: SIGHUP may also come while the gateway stops.
     let (swapped, posted) = (Rc::clone(&classes), Rc::clone(&mailbox));
@@ -321,13 +387,19 @@
     std::env::set_var("LISTEN_FDS", "1");
     std::env::remove_var("LISTEN_PID");
     std::env::remove_var("LISTEN_FDS_FIRST_FD");
-    let listener = ListenFd::from_env().take_tcp_listener(0)?.ok_or(std::io::ErrorKind::NotFound)?;
+    let listener = ListenFd::from_env()
+        .take_tcp_listener(0)?
+        .ok_or(std::io::ErrorKind::NotFound)?;
     listener.set_nonblocking(true)?;
     TcpListener::from_std(listener)
 }
 
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()
+    } else {
+        TcpSocket::new_v6()
+    }?;
     // A gateway that starts again finds its address still in use by connections that are closing.
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
@@ -337,25 +409,47 @@
 /// Membership where the operators turned it on and the platform lets gateways send datagrams; else none, at no cost.
 fn members(config: &Config, clock: Clock, counters: &Rc<Counters>) -> Option<Rc<Members>> {
     let wanted = &config.operators.membership;
-    let peers = config.peers.as_ref().filter(|_| wanted.enabled && config.loaded.peers_allowed)?;
+    let peers = config
+        .peers
+        .as_ref()
+        .filter(|_| wanted.enabled && config.loaded.peers_allowed)?;
     let fleet = peers.each.len() as u32;
     let unix_s = u64::try_from(clock.now() / 1_000_000_000).unwrap_or(0);
     let seed = u64::from(peers.me).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ unix_s;
-    Members::new(peers, wanted.for_fleet(fleet), unix_s, seed, Rc::clone(counters))
-        .map_err(|why| log!("membership is off: {why}"))
-        .ok()
-        .map(Rc::new)
+    Members::new(
+        peers,
+        wanted.for_fleet(fleet),
+        unix_s,
+        seed,
+        Rc::clone(counters),
+    )
+    .map_err(|why| log!("membership is off: {why}"))
+    .ok()
+    .map(Rc::new)
 }
 
 /// Ownership of duties, where the operators turned it on, membership is on and the platform allows probes.
-fn owners(config: &Config, members: Option<&Rc<Members>>, counters: &Rc<Counters>) -> Option<Rc<Owners>> {
+fn owners(
+    config: &Config,
+    members: Option<&Rc<Members>>,
+    counters: &Rc<Counters>,
+) -> Option<Rc<Owners>> {
     let wanted = &config.operators.takeover;
-    let peers = config.peers.as_ref().filter(|_| wanted.enabled && config.loaded.probes_allowed)?;
+    let peers = config
+        .peers
+        .as_ref()
+        .filter(|_| wanted.enabled && config.loaded.probes_allowed)?;
     let (members, each) = (Rc::clone(members?), peers.each.clone());
-    Owners::new(members, each, wanted.lease_ms, wanted.fence, Rc::clone(counters))
-        .map_err(|why| log!("takeover is off: {why}"))
-        .ok()
-        .map(Rc::new)
+    Owners::new(
+        members,
+        each,
+        wanted.lease_ms,
+        wanted.fence,
+        Rc::clone(counters),
+    )
+    .map_err(|why| log!("takeover is off: {why}"))
+    .ok()
+    .map(Rc::new)
 }
 
 /// Drains of database hosts, where duties have owners.
@@ -367,7 +461,12 @@
 ) -> Option<Rc<Drains>> {
     let each = config.peers.as_ref()?.each.clone();
     let around = (Rc::clone(members?), Rc::clone(owners?), Rc::clone(backend));
-    Some(Rc::new(Drains::new(around, each, config.operators.takeover.lease_ms, Rc::clone(counters))))
+    Some(Rc::new(Drains::new(
+        around,
+        each,
+        config.operators.takeover.lease_ms,
+        Rc::clone(counters),
+    )))
 }
 
 /// One watch of the list for all, where the operators turned it on, duties have owners, and one service answers all. An agent
@@ -387,28 +486,53 @@
         return None;
     }
     let around = (Rc::clone(members?), Rc::clone(owners?), Rc::clone(backend));
-    Some(Rc::new(ListWatch::new(around, wanted.lease_ms, Rc::clone(counters))))
+    Some(Rc::new(ListWatch::new(
+        around,
+        wanted.lease_ms,
+        Rc::clone(counters),
+    )))
 }
 
 /// Plans for lost sites, where the operators turned them on and duties have owners.
 fn sites(config: &Config, around: siteplan::Around) -> Result<Option<Rc<Sites>>, String> {
     let wanted = &config.operators.sites;
-    let Some(peers) = config.peers.as_ref().filter(|_| wanted.enabled) else { return Ok(None) };
-    let all = |names: &irisrouter::settings::Names| names.iter().map(String::from).collect::<Vec<_>>();
+    let Some(peers) = config.peers.as_ref().filter(|_| wanted.enabled) else {
+        return Ok(None);
+    };
+    let all =
+        |names: &irisrouter::settings::Names| names.iter().map(String::from).collect::<Vec<_>>();
     let (zones, classes) = (all(&config.loaded.zones), all(&config.loaded.classes));
     let settings = wanted.for_zones(&zones, &classes)?;
     // At most eight sites, by the check above.
-    let names = siteplan::Names { zones, classes, mine: config.loaded.settings.zone.0 as u8 };
+    let names = siteplan::Names {
+        zones,
+        classes,
+        mine: config.loaded.settings.zone.0 as u8,
+    };
     let ways = (peers.each.clone(), peers.all);
-    Sites::new(around, names, (settings, wanted.capacity_per_s), ways).map(Rc::new).map(Some)
+    Sites::new(around, names, (settings, wanted.capacity_per_s), ways)
+        .map(Rc::new)
+        .map(Some)
 }
 
 /// Writes in hand, where the operators turned them on and membership is on.
-fn hand(config: &Config, members: Option<&Rc<Members>>, counters: &Rc<Counters>) -> Option<Rc<Hand>> {
+fn hand(
+    config: &Config,
+    members: Option<&Rc<Members>>,
+    counters: &Rc<Counters>,
+) -> Option<Rc<Hand>> {
     let wanted = &config.operators.takeover;
-    let peers = config.peers.as_ref().filter(|_| wanted.enabled && wanted.writes)?;
+    let peers = config
+        .peers
+        .as_ref()
+        .filter(|_| wanted.enabled && wanted.writes)?;
     let (members, each) = (Rc::clone(members?), peers.each.clone());
-    Some(Rc::new(Hand::new(members, each, config.marks_repeats(), Rc::clone(counters))))
+    Some(Rc::new(Hand::new(
+        members,
+        each,
+        config.marks_repeats(),
+        Rc::clone(counters),
+    )))
 }
 
 /// The counters, and the view of the other gateways where membership is on.
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -89,7 +89,11 @@
 
 impl From<Outcome> for Attempted {
     fn from(outcome: Outcome) -> Self {
-        Attempted { outcome, note: None, row: None }
+        Attempted {
+            outcome,
+            note: None,
+            row: None,
+        }
     }
 }
 
@@ -242,9 +246,14 @@
     pub fn retune(&self, loaded: &Loaded) -> ZoneId {
         let s = &loaded.settings;
         self.connect_timeout.set(duration(s.limits.connect_timeout));
-        self.idle_for.set(duration(loaded.idle_close).mul_f64(IDLE_SHARE));
+        self.idle_for
+            .set(duration(loaded.idle_close).mul_f64(IDLE_SHARE));
         self.drain_binds_alone.set(s.rules.drain_binds_alone);
-        let own = loaded.zones.iter().nth(s.zone.0 as usize).unwrap_or_default();
+        let own = loaded
+            .zones
+            .iter()
+            .nth(s.zone.0 as usize)
+            .unwrap_or_default();
         ZoneId(self.zones.borrow_mut().number(own) as u32)
     }
 
@@ -257,8 +266,16 @@
     /// The list as it stands.
     pub fn list(&self) -> List {
         let hosts = self.hosts.borrow();
-        let members = hosts.values().filter(|h| h.gone.is_none()).map(|h| h.entry.clone()).collect();
-        List { revision: self.revision.get(), complete: true, members }
+        let members = hosts
+            .values()
+            .filter(|h| h.gone.is_none())
+            .map(|h| h.entry.clone())
+            .collect();
+        List {
+            revision: self.revision.get(),
+            complete: true,
+            members,
+        }
     }
 
     /// Its version.
@@ -280,19 +297,30 @@
     pub fn serving(&self, group: GroupId) -> Vec<MemberId> {
         let hosts = self.hosts.borrow();
         let of = |h: &Host| h.ready && h.entry.cell == group.0;
-        hosts.iter().filter(|(_, h)| of(h)).map(|(&id, _)| id).collect()
+        hosts
+            .iter()
+            .filter(|(_, h)| of(h))
+            .map(|(&id, _)| id)
+            .collect()
     }
 
     /// The groups that have any.
     pub fn serving_groups(&self) -> Vec<i64> {
         let hosts = self.hosts.borrow();
-        let groups: BTreeSet<i64> = hosts.values().filter(|h| h.ready).map(|h| h.entry.cell).collect();
+        let groups: BTreeSet<i64> = hosts
+            .values()
+            .filter(|h| h.ready)
+            .map(|h| h.entry.cell)
+            .collect();
         groups.into_iter().collect()
     }
 
     /// What gateways call a host, and its group.
     pub fn told_as(&self, member: MemberId) -> Option<(u32, i64)> {
-        self.hosts.borrow().get(&member).map(|h| (h.number, h.entry.cell))
+        self.hosts
+            .borrow()
+            .get(&member)
+            .map(|h| (h.number, h.entry.cell))
     }
 
     /// The host in service that gateways call so, and its group; none where two have that number.
@@ -305,12 +333,21 @@
 
     /// And its name.
     pub fn name(&self, member: MemberId) -> String {
-        self.hosts.borrow().get(&member).map(|h| h.entry.id.clone()).unwrap_or_default()
+        self.hosts
+            .borrow()
+            .get(&member)
+            .map(|h| h.entry.id.clone())
+            .unwrap_or_default()
     }
 
     /// Requests that are open at the host that gateways call so.
     pub fn busy(&self, number: u32) -> usize {
-        self.hosts.borrow().values().filter(|h| h.number == number).map(|h| h.busy.get()).sum()
+        self.hosts
+            .borrow()
+            .values()
+            .filter(|h| h.number == number)
+            .map(|h| h.busy.get())
+            .sum()
     }
 
     /// The name of the host that gateways call so; where the list has none, that number.
@@ -323,8 +360,13 @@
     /// Whether another host of the same set would stay in service without this one.
     pub fn spares(&self, number: u32) -> bool {
         let hosts = self.hosts.borrow();
-        let set = hosts.values().find(|h| h.number == number).map(|h| h.entry.cell);
-        hosts.values().any(|h| Some(h.entry.cell) == set && h.number != number && h.ready)
+        let set = hosts
+            .values()
+            .find(|h| h.number == number)
+            .map(|h| h.entry.cell);
+        hosts
+            .values()
+            .any(|h| Some(h.entry.cell) == set && h.number != number && h.ready)
     }
 
     /// An operator's word holds from now on: nothing is sent that it rules out.
@@ -344,7 +386,9 @@
             return;
         }
         let mut hosts = self.hosts.borrow_mut();
-        let Some(heard) = hosts.get_mut(&member).map(|h| &mut h.heard) else { return };
+        let Some(heard) = hosts.get_mut(&member).map(|h| &mut h.heard) else {
+            return;
+        };
         let (spoke, served) = match outcome {
             Outcome::Ok | Outcome::Miss => (true, true),
             Outcome::Error | Outcome::Full => (true, false),
@@ -353,7 +397,11 @@
             Outcome::Cancelled | Outcome::Moot => return,
         };
         heard.at = Some(Instant::now());
-        heard.failures = if spoke { 0 } else { heard.failures.saturating_add(1) };
+        heard.failures = if spoke {
+            0
+        } else {
+            heard.failures.saturating_add(1)
+        };
         if !probe {
             heard.sent = heard.sent.saturating_add(1);
             heard.answered = heard.answered.saturating_add(u16::from(served));
@@ -365,12 +413,20 @@
         let mut all = vec![Reach::default(); zones.len()];
         for host in self.hosts.borrow_mut().values_mut() {
             let zone = zones.iter().position(|z| *z == host.entry.locality);
-            let Some(reach) = zone.and_then(|z| all.get_mut(z)) else { continue };
-            reach.sent = reach.sent.saturating_add(std::mem::take(&mut host.heard.sent));
-            reach.answered = reach.answered.saturating_add(std::mem::take(&mut host.heard.answered));
+            let Some(reach) = zone.and_then(|z| all.get_mut(z)) else {
+                continue;
+            };
+            reach.sent = reach
+                .sent
+                .saturating_add(std::mem::take(&mut host.heard.sent));
+            reach.answered = reach
+                .answered
+                .saturating_add(std::mem::take(&mut host.heard.answered));
             if host.in_service() && host.heard.at.is_some_and(|at| at.elapsed() < HEARD) {
                 reach.hosts = reach.hosts.saturating_add(1);
-                reach.silent = reach.silent.saturating_add(u16::from(host.heard.failures >= SILENT));
+                reach.silent = reach
+                    .silent
+                    .saturating_add(u16::from(host.heard.failures >= SILENT));
             }
         }
         all
@@ -380,7 +436,9 @@
     pub fn sizes(&self, zones: &[String]) -> Vec<f64> {
         let hosts = self.hosts.borrow();
         let size = |zone: &String| {
-            let of = hosts.values().filter(|h| h.in_service() && h.entry.locality == *zone);
+            let of = hosts
+                .values()
+                .filter(|h| h.in_service() && h.entry.locality == *zone);
             of.map(|h| h.entry.size).sum()
         };
         zones.iter().map(size).collect()
@@ -395,7 +453,8 @@
     /// are left alone.
     pub fn news(&self, revision: u64, out: &[u32]) {
         if revision > self.revision.get() {
-            self.news.replace(Some((revision, out.iter().copied().collect())));
+            self.news
+                .replace(Some((revision, out.iter().copied().collect())));
             self.reconsider();
         }
     }
@@ -403,7 +462,12 @@
     /// Hosts that the list has out of service, so many at most: those that it still names, and those gone of late.
     pub fn out_of_service(&self, most: usize) -> Vec<u32> {
         let hosts = self.hosts.borrow();
-        hosts.values().filter(|h| !h.in_service()).map(|h| h.number).take(most).collect()
+        hosts
+            .values()
+            .filter(|h| !h.in_service())
+            .map(|h| h.number)
+            .take(most)
+            .collect()
     }
 
     /// Takes hosts out of service, or puts them back, as operators' words and a later list have it.
@@ -432,7 +496,11 @@
             }
         }
         if !changed.is_empty() {
-            self.merge(&List { revision: self.revision.get(), complete: false, members: changed });
+            self.merge(&List {
+                revision: self.revision.get(),
+                complete: false,
+                members: changed,
+            });
         }
     }
 
@@ -497,7 +565,10 @@
             });
         }
         for (member, host) in hosts.iter_mut() {
-            let listed = entries.iter().find(|e| e.member == *member).map(|e| e.listed);
+            let listed = entries
+                .iter()
+                .find(|e| e.member == *member)
+                .map(|e| e.listed);
             if listed.map_or(list.complete, |l| l == Listed::Gone) {
                 host.ready &= self.drain_binds_alone.get();
                 host.gone = host.gone.or_else(|| Some(Instant::now()));
@@ -507,7 +578,10 @@
             }
         }
         drop((hosts, ids, zones));
-        (self.on_list)(Event::List { complete: list.complete, entries });
+        (self.on_list)(Event::List {
+            complete: list.complete,
+            entries,
+        });
     }
 
     /// Sends a statement to a host and waits for its answer, so long at most; nothing, where it is not wanted any more once
@@ -546,7 +620,11 @@
             return Outcome::Moot.into();
         };
         let mut out = self.pool.take();
-        let left = end.saturating_duration_since(Instant::now()).as_millis().max(1).to_string();
+        let left = end
+            .saturating_duration_since(Instant::now())
+            .as_millis()
+            .max(1)
+            .to_string();
         if !out.room(statement.text.len() + left.len() + 16) {
             self.check_in(member, connection);
             return Outcome::Moot.into();
@@ -557,7 +635,10 @@
             b.extend_from_slice(&statement.text[statement.wait_at.end..]);
             b.extend_from_slice(&[0]);
         });
-        let (reply, row) = match self.exchange(member, connection, out, end, Some(begin)).await {
+        let (reply, row) = match self
+            .exchange(member, connection, out, end, Some(begin))
+            .await
+        {
             Ok(answer) => answer,
             Err(outcome) => return outcome.into(),
         };
@@ -576,7 +657,11 @@
 
     /// One more request that is open at a host, where something new may be sent there at this moment.
     fn busy_at(&self, member: MemberId) -> Option<Slot> {
-        self.hosts.borrow().get(&member).filter(|h| h.ready).map(|h| Slot::one_more(&h.busy))
+        self.hosts
+            .borrow()
+            .get(&member)
+            .filter(|h| h.ready)
+            .map(|h| Slot::one_more(&h.busy))
     }
 
     /// Writes a query and reads its answer, or passes it on where it is long and `begin` takes such. The connection is
@@ -590,20 +675,33 @@
         begin: Option<impl FnOnce(Streamed)>,
     ) -> Result<(Reply, Option<Buffer>), Outcome> {
         // Until its last byte is written, it can't have run.
-        if !matches!(timeout_at(end, connection.stream.write_all(&buffer)).await, Ok(Ok(()))) {
+        if !matches!(
+            timeout_at(end, connection.stream.write_all(&buffer)).await,
+            Ok(Ok(()))
+        ) {
             return Err(Outcome::ConnectFailed);
         }
         buffer.clear();
         let row = self.pool.take();
-        let reading = self.read_reply(&mut connection, Reply::default(), buffer, row, begin.is_some());
-        let come = timeout_at(end, reading).await.map_err(|_| Outcome::TimedOut)?;
+        let reading = self.read_reply(
+            &mut connection,
+            Reply::default(),
+            buffer,
+            row,
+            begin.is_some(),
+        );
+        let come = timeout_at(end, reading)
+            .await
+            .map_err(|_| Outcome::TimedOut)?;
         let answer = match (come, begin) {
             (Ok(Come::Whole(reply, row)), _) => Ok((reply, Some(row))),
             (Ok(Come::Long(reply, head, read, length)), Some(begin)) => self
                 .pass_on(&mut connection, reply, head, read, length, begin)
                 .await
                 .map(|reply| (reply, None)),
-            (Ok(Come::Long(..)), None) => Err(Broken::Garbled("a long value that nobody asked for")),
+            (Ok(Come::Long(..)), None) => {
+                Err(Broken::Garbled("a long value that nobody asked for"))
+            }
             (Err(why), _) => Err(why),
         };
         match answer {
@@ -611,7 +709,10 @@
             Err(Broken::Left) => Err(Outcome::Cancelled),
             Err(Broken::Garbled(why)) => {
                 let hosts = self.hosts.borrow();
-                log!("{}: {why}", hosts.get(&member).map_or("a former host", |h| &h.entry.id));
+                log!(
+                    "{}: {why}",
+                    hosts.get(&member).map_or("a former host", |h| &h.entry.id)
+                );
                 Err(Outcome::Error)
             }
             Ok(answer) => {
@@ -649,12 +750,18 @@
                 Ok(Ok(n)) if n > 0 => left -= n,
                 _ => return Err(Broken::Lost),
             }
-            pieces.send(Piece::More(piece)).await.map_err(|_| Broken::Left)?;
+            pieces
+                .send(Piece::More(piece))
+                .await
+                .map_err(|_| Broken::Left)?;
         }
         let tail = self.read_reply(c, reply, read, self.pool.take(), false);
         match timeout(SILENCE, tail).await.map_err(|_| Broken::Lost)?? {
             Come::Whole(reply, tail) if reply.served() => {
-                pieces.send(Piece::End(tail)).await.map_err(|_| Broken::Left)?;
+                pieces
+                    .send(Piece::End(tail))
+                    .await
+                    .map_err(|_| Broken::Left)?;
                 Ok(reply)
             }
             _ => Err(Broken::Garbled("an error behind its row")),
@@ -679,8 +786,20 @@
         let (outcome, report, fenced) = self.probe_once(member, fence, end).await;
         // A probe that waited its whole time for a connection has met silence; to the module that is no word of the host.
         let silence = outcome == Outcome::Moot && start.elapsed() >= self.connect_timeout.get();
-        self.heard(member, if silence { Outcome::TimedOut } else { outcome }, true);
-        (Event::Probed { member, outcome, elapsed: nanoseconds(start.elapsed()), report }, fenced)
+        self.heard(
+            member,
+            if silence { Outcome::TimedOut } else { outcome },
+            true,
+        );
+        (
+            Event::Probed {
+                member,
+                outcome,
+                elapsed: nanoseconds(start.elapsed()),
+                report,
+            },
+            fenced,
+        )
     }
 
     async fn probe_once(
@@ -703,18 +822,30 @@
                     pg::put_query(&mut out, &[PROBE, b" ", text.as_bytes()].concat());
                 }
             }
-            self.exchange(member, connection, out, end, None::<fn(Streamed)>).await
+            self.exchange(member, connection, out, end, None::<fn(Streamed)>)
+                .await
         };
         let reply = match answer.await {
             Ok((reply, _)) => reply,
             Err(outcome) => return (outcome, None, false),
         };
         match reply.error.as_deref() {
-            None if reply.served() => {
-                (Outcome::Ok, reply.value.as_deref().map(|text| report(text, self.clock.now())), false)
+            None if reply.served() => (
+                Outcome::Ok,
+                reply
+                    .value
+                    .as_deref()
+                    .map(|text| report(text, self.clock.now())),
+                false,
+            ),
+            Some(code::TOO_MANY_CONNECTIONS | code::CANNOT_CONNECT_NOW) => {
+                (Outcome::Full, None, false)
             }
-            Some(code::TOO_MANY_CONNECTIONS | code::CANNOT_CONNECT_NOW) => (Outcome::Full, None, false),
-            other => (Outcome::Error, None, fence.is_some() && other == Some(code::SERIALIZATION_FAILURE)),
+            other => (
+                Outcome::Error,
+                None,
+                fence.is_some() && other == Some(code::SERIALIZATION_FAILURE),
+            ),
         }
     }
 
@@ -730,21 +861,40 @@
         let (address, epoch) = {
             let hosts = self.hosts.borrow();
             // What was decided on before a drain opens nothing behind it.
-            let host = hosts.get(&member).filter(|h| h.ready).ok_or(Outcome::Moot)?;
+            let host = hosts
+                .get(&member)
+                .filter(|h| h.ready)
+                .ok_or(Outcome::Moot)?;
             (host.entry.host_port, host.epoch)
         };
         let up_by = end.min(start + self.connect_timeout.get());
         let coming_up = async {
-            let mut stream = TcpStream::connect(address).await.map_err(|_| Outcome::ConnectFailed)?;
-            stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
+            let mut stream = TcpStream::connect(address)
+                .await
+                .map_err(|_| Outcome::ConnectFailed)?;
+            stream
+                .set_nodelay(true)
+                .map_err(|_| Outcome::ConnectFailed)?;
             let mut buffer = self.pool.take();
             pg::put_startup(&mut buffer, USER, DATABASE);
-            stream.write_all(&buffer).await.map_err(|_| Outcome::ConnectFailed)?;
+            stream
+                .write_all(&buffer)
+                .await
+                .map_err(|_| Outcome::ConnectFailed)?;
             buffer.clear();
-            let mut c = Connection { stream, idle_since: start, epoch, _slot: slot };
+            let mut c = Connection {
+                stream,
+                idle_since: start,
+                epoch,
+                _slot: slot,
+            };
             let row = self.pool.take();
-            let reading = self.read_reply(&mut c, Reply::default(), buffer, row, false).await;
-            let Ok(Come::Whole(reply, _)) = reading else { return Err(Outcome::ConnectFailed) };
+            let reading = self
+                .read_reply(&mut c, Reply::default(), buffer, row, false)
+                .await;
+            let Ok(Come::Whole(reply, _)) = reading else {
+                return Err(Outcome::ConnectFailed);
+            };
             match reply.error.as_deref() {
                 None if reply.ready => Ok(c),
                 Some(code::TOO_MANY_CONNECTIONS) => Err(Outcome::Full),
@@ -793,7 +943,9 @@
 
     fn check_in(&self, member: MemberId, mut c: Connection) {
         let mut hosts = self.hosts.borrow_mut();
-        let Some(host) = hosts.get_mut(&member) else { return };
+        let Some(host) = hosts.get_mut(&member) else {
+            return;
+        };
         if host.ready && host.epoch == c.epoch {
             c.idle_since = Instant::now();
             host.idle.push(c);
@@ -809,7 +961,8 @@
         ids.retain(|_, member| hosts.get(member).is_some_and(|h| !gone(h)));
         hosts.retain(|_, h| !gone(h));
         for host in hosts.values_mut() {
-            host.idle.retain(|c| c.idle_since.elapsed() < self.idle_for.get() && usable(c));
+            host.idle
+                .retain(|c| c.idle_since.elapsed() < self.idle_for.get() && usable(c));
         }
     }
 
@@ -829,9 +982,13 @@
                 if let Some(length) = pg::long_row(&buffer).map_err(garbled)?.filter(|_| long) {
                     return Ok(Come::Long(reply, row, buffer, length));
                 }
-                let Some(f) = pg::frame(&buffer).map_err(garbled)? else { break };
+                let Some(f) = pg::frame(&buffer).map_err(garbled)? else {
+                    break;
+                };
                 let whole = f.body.end;
-                if reply.take(f.tag, &buffer[f.body]).map_err(garbled)? && !row.append(&buffer[..whole]) {
+                if reply.take(f.tag, &buffer[f.body]).map_err(garbled)?
+                    && !row.append(&buffer[..whole])
+                {
                     return Err(Broken::Garbled("no room for its answer"));
                 }
                 buffer.advance(whole);
@@ -864,12 +1021,16 @@
         pg::HostRole::Writer => Role::Primary,
         pg::HostRole::Reader => Role::Replica,
     };
-    Some(Note { role, position: reply.position_ms.and_then(|ms| position(ms, now)) })
+    Some(Note {
+        role,
+        position: reply.position_ms.and_then(|ms| position(ms, now)),
+    })
 }
 
 /// A position in Unix milliseconds, unless it can't be true.
 fn position(ms: i64, now: Ns) -> Option<Ns> {
-    ms.checked_mul(NS_PER_MS).filter(|&p| p > 0 && p <= now.saturating_add(AHEAD))
+    ms.checked_mul(NS_PER_MS)
+        .filter(|&p| p > 0 && p <= now.saturating_add(AHEAD))
 }
 
 /// A load report, without what can't be true. Its position is in Unix seconds, with the milliseconds behind the
--- a/src/net/buffers.rs
+++ b/src/net/buffers.rs
@@ -29,7 +29,12 @@
 impl Pool {
     /// A pool whose buffers may hold so many bytes beyond their size, all together.
     pub fn new(budget: usize) -> Rc<Self> {
-        Rc::new(Pool { free: RefCell::default(), grown: Cell::new(0), budget, elsewhere: Cell::new(0) })
+        Rc::new(Pool {
+            free: RefCell::default(),
+            grown: Cell::new(0),
+            budget,
+            elsewhere: Cell::new(0),
+        })
     }
 
     /// What messages need now beyond a buffer's size.
@@ -39,8 +44,16 @@
 
     /// An empty buffer.
     pub fn take(self: &Rc<Self>) -> Buffer {
-        let bytes = self.free.borrow_mut().pop().unwrap_or_else(|| BytesMut::with_capacity(SIZE));
-        Buffer { bytes, extra: 0, pool: Rc::clone(self) }
+        let bytes = self
+            .free
+            .borrow_mut()
+            .pop()
+            .unwrap_or_else(|| BytesMut::with_capacity(SIZE));
+        Buffer {
+            bytes,
+            extra: 0,
+            pool: Rc::clone(self),
+        }
     }
 }
 
--- a/src/net/cancel.rs
+++ b/src/net/cancel.rs
@@ -41,7 +41,10 @@
             }
         }
         self.open.borrow_mut().insert(key, None);
-        Some(Registered { cancels: Rc::clone(self), key })
+        Some(Registered {
+            cancels: Rc::clone(self),
+            key,
+        })
     }
 
     /// Cancels what the connection of this key waits for, if there is one and it waits.
@@ -62,8 +65,14 @@
     /// The connection waits for a query from now on.
     pub fn query(&self) -> Cancellable<'_> {
         let (cancel, cancelled) = oneshot::channel();
-        self.cancels.open.borrow_mut().insert(self.key, Some(cancel));
-        Cancellable { of: self, cancelled }
+        self.cancels
+            .open
+            .borrow_mut()
+            .insert(self.key, Some(cancel));
+        Cancellable {
+            of: self,
+            cancelled,
+        }
     }
 }
 
--- a/src/net/classes.rs
+++ b/src/net/classes.rs
@@ -46,7 +46,10 @@
     /// The newest name of each slot.
     pub fn names(&self) -> Vec<String> {
         let mut names = vec![String::new(); self.slots.borrow().len()];
-        self.newest.borrow().iter().for_each(|(name, held)| names[held.slot] = name.clone());
+        self.newest
+            .borrow()
+            .iter()
+            .for_each(|(name, held)| names[held.slot] = name.clone());
         names
     }
 
@@ -57,12 +60,22 @@
 
     /// How long a new request may wait at most.
     pub fn longest_wait(&self) -> Duration {
-        self.newest.borrow().values().map(|held| duration(held.class.deadline)).max().unwrap_or_default()
+        self.newest
+            .borrow()
+            .values()
+            .map(|held| duration(held.class.deadline))
+            .max()
+            .unwrap_or_default()
     }
 
     /// How long one may wait that is under way: it may be in a class that the settings no longer have.
     pub fn longest_wait_held(&self) -> Duration {
-        self.slots.borrow().iter().map(|held| duration(held.class.deadline)).max().unwrap_or_default()
+        self.slots
+            .borrow()
+            .iter()
+            .map(|held| duration(held.class.deadline))
+            .max()
+            .unwrap_or_default()
     }
 
     /// Takes new settings, and returns for each slot the one whose experience it goes on from, if there is one.
@@ -80,8 +93,14 @@
         }
         drop(old);
         for (name, class, before) in changed {
-            let slot = slots.iter().position(|held| Rc::strong_count(held) == 1).unwrap_or(slots.len());
-            let held = Rc::new(Held { slot, class: class.clone() });
+            let slot = slots
+                .iter()
+                .position(|held| Rc::strong_count(held) == 1)
+                .unwrap_or(slots.len());
+            let held = Rc::new(Held {
+                slot,
+                class: class.clone(),
+            });
             newest.insert(name.to_string(), Rc::clone(&held));
             if slot == slots.len() {
                 slots.push(held);
@@ -91,7 +110,10 @@
             }
         }
         let classes = slots.iter().map(|held| held.class.clone()).collect();
-        self.settings.replace(Settings { classes, ..loaded.settings.clone() });
+        self.settings.replace(Settings {
+            classes,
+            ..loaded.settings.clone()
+        });
         from
     }
 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -104,7 +104,11 @@
 impl Config {
     /// Clients mark their repeats, as the settings say; any may be one where they do not.
     pub fn marks_repeats(&self) -> bool {
-        self.file.settings.pointer("/Clients/MarksRetry").and_then(Value::as_bool).unwrap_or(false)
+        self.file
+            .settings
+            .pointer("/Clients/MarksRetry")
+            .and_then(Value::as_bool)
+            .unwrap_or(false)
     }
 
     /// Reads the environment and the file that it names.
@@ -118,9 +122,16 @@
         let members = operators.membership.enabled && loaded.peers_allowed;
         Ok(Config {
             name: variable("BALANCER_NAME").unwrap_or_else(|| file.name.clone()),
-            listen: address("BALANCER_LISTEN", set("BALANCER_LISTEN").as_ref().or(file.listen.as_ref()))
-                .map_err(at)?,
-            discovery: address(DISCOVERY, set(DISCOVERY).as_ref().or(file.discovery.as_ref())).map_err(at)?,
+            listen: address(
+                "BALANCER_LISTEN",
+                set("BALANCER_LISTEN").as_ref().or(file.listen.as_ref()),
+            )
+            .map_err(at)?,
+            discovery: address(
+                DISCOVERY,
+                set(DISCOVERY).as_ref().or(file.discovery.as_ref()),
+            )
+            .map_err(at)?,
             console: set(CONSOLE)
                 .as_ref()
                 .or(file.console.as_ref())
@@ -128,7 +139,9 @@
                 .transpose()
                 .map_err(at)?,
             passed: set(PASSED).is_some(),
-            meet: set(FOLDER).filter(|_| set(PASSED).is_some()).map(|folder| Path::new(&folder).join(MEET)),
+            meet: set(FOLDER)
+                .filter(|_| set(PASSED).is_some())
+                .map(|folder| Path::new(&folder).join(MEET)),
             peers: file.peers(&loaded, members),
             operators,
             sockets: file.limits.sockets.unwrap_or(SOCKETS).min(SOCKETS),
@@ -148,15 +161,24 @@
         let named = [
             ("name", old.name.is_empty() || !new.name.is_empty()),
             ("listen", old.listen.is_none() || new.listen.is_some()),
-            ("discovery", old.discovery.is_none() || new.discovery.is_some()),
-            ("limits", old.limits == Limits::default() || new.limits != Limits::default()),
+            (
+                "discovery",
+                old.discovery.is_none() || new.discovery.is_some(),
+            ),
+            (
+                "limits",
+                old.limits == Limits::default() || new.limits != Limits::default(),
+            ),
         ];
         let missing = named.iter().find(|n| !n.1).map(|n| n.0.to_string());
         if let Some(key) = missing.or_else(|| lacks(&old.settings, &new.settings)) {
             return Err(at(format!("{key} is missing")));
         }
         let loaded = new.loaded().map_err(at)?;
-        let named = new.discovery.as_ref().map(|text| address(DISCOVERY, Some(text)));
+        let named = new
+            .discovery
+            .as_ref()
+            .map(|text| address(DISCOVERY, Some(text)));
         let discovery = named.transpose().map_err(at)?;
         let parts = [
             ("name", old.name != new.name),
@@ -168,7 +190,11 @@
         ];
         let waiting = parts.into_iter().filter(|p| p.1).map(|p| p.0).collect();
         self.file.settings = std::mem::take(&mut new.settings);
-        Ok(Reloaded { discovery, loaded, waiting })
+        Ok(Reloaded {
+            discovery,
+            loaded,
+            waiting,
+        })
     }
 }
 
@@ -180,7 +206,8 @@
 
     /// The other gateways. A file in which they can't be read starts a gateway that shares nothing, and says so.
     fn peers(&self, loaded: &Loaded, members: bool) -> Option<Peers> {
-        let (true, Some(listen), Some(all)) = (loaded.share || members, &self.peer_listen, &self.peers_all)
+        let (true, Some(listen), Some(all)) =
+            (loaded.share || members, &self.peer_listen, &self.peers_all)
         else {
             return None;
         };
@@ -196,13 +223,21 @@
                 ));
             }
             let listen = address("peer_listen", Some(listen))?;
-            Ok(Peers { listen, all: address("peers_all", Some(all))?, each, me })
+            Ok(Peers {
+                listen,
+                all: address("peers_all", Some(all))?,
+                each,
+                me,
+            })
         };
-        read().map_err(|why| log!("nothing is shared with other gateways: {why}")).ok()
+        read()
+            .map_err(|why| log!("nothing is shared with other gateways: {why}"))
+            .ok()
     }
 
     fn loaded(&self) -> Result<Loaded, String> {
-        let seed = u64::from_str_radix(&self.seed, 16).map_err(|e| format!("seed {}: {e}", self.seed))?;
+        let seed =
+            u64::from_str_radix(&self.seed, 16).map_err(|e| format!("seed {}: {e}", self.seed))?;
         Loaded::parse(&self.settings, seed).map_err(|e| format!("settings: {e}"))
     }
 }
@@ -211,10 +246,14 @@
 /// the first one. Danger: a file that was cut or edited wrongly may still be JSON, and have a default for what is gone.
 fn lacks(old: &Value, new: &Value) -> Option<String> {
     match (old, new) {
-        (Value::Object(old), Value::Object(new)) => old.iter().find_map(|(key, was)| match new.get(key) {
-            None | Some(Value::Null) => (!OPTIONAL.contains(&&**key) && !was.is_null()).then(|| key.clone()),
-            Some(is) => lacks(was, is),
-        }),
+        (Value::Object(old), Value::Object(new)) => {
+            old.iter().find_map(|(key, was)| match new.get(key) {
+                None | Some(Value::Null) => {
+                    (!OPTIONAL.contains(&&**key) && !was.is_null()).then(|| key.clone())
+                }
+                Some(is) => lacks(was, is),
+            })
+        }
         (Value::Array(old), Value::Array(new)) => {
             let first = old.first().filter(|v| v.is_object())?;
             new.iter().find_map(|is| lacks(first, is))
@@ -225,6 +264,7 @@
 }
 
 fn address(name: &str, text: Option<&String>) -> Result<SocketAddr, String> {
-    let text = text.ok_or_else(|| format!("no address: neither {name} nor the configuration has one"))?;
+    let text =
+        text.ok_or_else(|| format!("no address: neither {name} nor the configuration has one"))?;
     text.parse().map_err(|e| format!("{name}: {text}: {e}"))
 }
--- a/src/net/console.rs
+++ b/src/net/console.rs
@@ -140,9 +140,10 @@
 
 async fn say(console: &Console, host: &str, out: bool) -> String {
     match &console.drains {
-        Some(drains) => {
-            drains.say(host, out).await.map_or_else(|e| format!("-ERR {e}"), |ok| format!("+OK {ok}"))
-        }
+        Some(drains) => drains
+            .say(host, out)
+            .await
+            .map_or_else(|e| format!("-ERR {e}"), |ok| format!("+OK {ok}")),
         None => "-ERR takeover is off".into(),
     }
 }
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -135,8 +135,13 @@
             ("made_room", &self.made_room),
         ];
         write!(f, "counters")?;
-        named.iter().try_for_each(|(name, value)| write!(f, " {name}={}", value.get()))?;
-        self.attempts.borrow().iter().try_for_each(|(name, n)| write!(f, " attempt_{name}={n}"))?;
+        named
+            .iter()
+            .try_for_each(|(name, value)| write!(f, " {name}={}", value.get()))?;
+        self.attempts
+            .borrow()
+            .iter()
+            .try_for_each(|(name, n)| write!(f, " attempt_{name}={n}"))?;
         // Membership's counters appear where it is on, and the line stays as it was where it is off.
         let members = [
             ("members_sent", &self.members_sent),
@@ -167,6 +172,8 @@
         if members.iter().all(|(_, v)| v.get() == 0) {
             return Ok(());
         }
-        members.iter().try_for_each(|(name, value)| write!(f, " {name}={}", value.get()))
+        members
+            .iter()
+            .try_for_each(|(name, value)| write!(f, " {name}={}", value.get()))
     }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -88,7 +88,11 @@
 impl Seen {
     /// From the list of this version on.
     pub fn at(revision: Option<u64>) -> Self {
-        Seen { revision, whole: revision.is_none(), behind: None }
+        Seen {
+            revision,
+            whole: revision.is_none(),
+            behind: None,
+        }
     }
 
     /// Whether a list is to be taken. Danger: an address that has
@@ -179,13 +183,20 @@
                 if !waits {
                     allowed.silence -= std::mem::take(&mut allowed.hold);
                 }
-                format!("/discovery/hosts?from={r}&hold_ms={}", allowed.hold.as_millis())
+                format!(
+                    "/discovery/hosts?from={r}&hold_ms={}",
+                    allowed.hold.as_millis()
+                )
             }
             None => "/discovery/hosts".to_string(),
         };
-        let call = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
+        let call =
+            format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
         let answer = async {
-            stream.write_all(call.as_bytes()).await.map_err(|e| format!("cannot write: {e}"))?;
+            stream
+                .write_all(call.as_bytes())
+                .await
+                .map_err(|e| format!("cannot write: {e}"))?;
             read_answer(&mut stream, &mut buffer).await
         };
         let body = tokio::select! {
@@ -196,7 +207,8 @@
             }
             () = relieved(fleet.filter(|_| waits), seen) => return Ok(()),
         };
-        let list: List = serde_json::from_slice(&body).map_err(|e| format!("malformed list: {e}"))?;
+        let list: List =
+            serde_json::from_slice(&body).map_err(|e| format!("malformed list: {e}"))?;
         let taken = seen.takes(&list);
         if taken {
             backend.apply(&list);
@@ -205,7 +217,9 @@
         pace.answered();
         if let Some(fleet) = fleet {
             fleet.well(true);
-            let Some(next) = fleet.next(seen) else { return Ok(()) };
+            let Some(next) = fleet.next(seen) else {
+                return Ok(());
+            };
             waits = next;
         }
         if !taken && called.elapsed() < PAUSE {
@@ -251,7 +265,10 @@
             return Err("an answer is too large".into());
         }
         // A reset is an error, and no end of a body without a length.
-        let n = stream.read_buf(buffer).await.map_err(|e| format!("cannot read: {e}"))?;
+        let n = stream
+            .read_buf(buffer)
+            .await
+            .map_err(|e| format!("cannot read: {e}"))?;
         if n == 0 {
             let whole = parse_answer(buffer, true)?.ok_or("the connection was closed")?;
             return Ok(whole.0);
@@ -264,13 +281,21 @@
 fn parse_answer(bytes: &[u8], ended: bool) -> Result<Option<(Answer, usize)>, String> {
     let mut headers = [httparse::EMPTY_HEADER; 32];
     let mut head = httparse::Response::new(&mut headers);
-    let parsed = head.parse(bytes).map_err(|e| format!("malformed answer: {e}"))?;
-    let httparse::Status::Complete(start) = parsed else { return Ok(None) };
+    let parsed = head
+        .parse(bytes)
+        .map_err(|e| format!("malformed answer: {e}"))?;
+    let httparse::Status::Complete(start) = parsed else {
+        return Ok(None);
+    };
     if head.code != Some(200) {
         return Err(format!("answer {}", head.code.unwrap_or(0)));
     }
-    let header =
-        |name: &str| head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name)).map(|h| h.value);
+    let header = |name: &str| {
+        head.headers
+            .iter()
+            .find(|h| h.name.eq_ignore_ascii_case(name))
+            .map(|h| h.value)
+    };
     let ends = ended || header("connection").is_some_and(|v| v.eq_ignore_ascii_case(b"close"));
     let whole = |(body, used): (Vec<u8>, usize)| (Answer { body, ends }, used);
     if header("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case(b"chunked")) {
@@ -283,16 +308,25 @@
         .and_then(|v| v.trim().parse().ok())
         .filter(|&n| n <= LARGEST)
         .ok_or("an answer with a malformed length")?;
-    Ok(bytes.get(start..start + length).map(|body| whole((body.to_vec(), start + length))))
+    Ok(bytes
+        .get(start..start + length)
+        .map(|body| whole((body.to_vec(), start + length))))
 }
 
 fn parse_chunks(bytes: &[u8], mut at: usize) -> Result<Option<(Vec<u8>, usize)>, String> {
     let mut body = Vec::new();
     loop {
         let parsed = httparse::parse_chunk_size(&bytes[at..]).map_err(|_| "a malformed chunk")?;
-        let httparse::Status::Complete((line, size)) = parsed else { return Ok(None) };
-        let size = usize::try_from(size).ok().filter(|n| *n <= LARGEST).ok_or("a chunk is too large")?;
-        let Some(chunk) = bytes.get(at + line..at + line + size + 2) else { return Ok(None) };
+        let httparse::Status::Complete((line, size)) = parsed else {
+            return Ok(None);
+        };
+        let size = usize::try_from(size)
+            .ok()
+            .filter(|n| *n <= LARGEST)
+            .ok_or("a chunk is too large")?;
+        let Some(chunk) = bytes.get(at + line..at + line + size + 2) else {
+            return Ok(None);
+        };
         at += line + size + 2;
         if size == 0 {
             return Ok(Some((body, at)));
--- a/src/net/drains.rs
+++ b/src/net/drains.rs
@@ -54,7 +54,10 @@
         lease_ms: u64,
         counters: Rc<Counters>,
     ) -> Self {
-        let core = Core::new(members.me().number, Settings::paced(each.len() as u32, lease_ms));
+        let core = Core::new(
+            members.me().number,
+            Settings::paced(each.len() as u32, lease_ms),
+        );
         Self {
             core: RefCell::new(core),
             members,
@@ -98,7 +101,13 @@
     /// How long [`Drains::tick`] has no work.
     pub fn due(&self) -> Duration {
         let now = self.now();
-        Duration::from_millis(self.core.borrow().next_due(now).saturating_sub(now).min(60_000))
+        Duration::from_millis(
+            self.core
+                .borrow()
+                .next_due(now)
+                .saturating_sub(now)
+                .min(60_000),
+        )
     }
 
     /// Waits until an operator has said something.
@@ -113,25 +122,36 @@
     /// Why it does not hold, or that too few gateways have heard of it so far.
     pub async fn say(&self, name: &str, out: bool) -> Result<String, String> {
         let backend = &self.around.backend;
-        let member = backend.member(name).ok_or_else(|| format!("the list names no host {name}"))?;
-        let (host, _) = backend.told_as(member).ok_or_else(|| format!("the list names no host {name}"))?;
+        let member = backend
+            .member(name)
+            .ok_or_else(|| format!("the list names no host {name}"))?;
+        let (host, _) = backend
+            .told_as(member)
+            .ok_or_else(|| format!("the list names no host {name}"))?;
         if out && !backend.spares(host) {
             return Err(format!("{name} is the last host of its set in service"));
         }
-        self.core.borrow_mut().say(self.now(), Hand::unix_ms(), host, out)?;
+        self.core
+            .borrow_mut()
+            .say(self.now(), Hand::unix_ms(), host, out)?;
         let (tell, told) = oneshot::channel();
         // A second operator who speaks of the same host meanwhile takes the first one's place.
         self.waiting.borrow_mut().insert(host, tell);
         self.wake.notify_one();
-        let (by, majority) =
-            told.await.map_err(|_| "another word on that host came in between".to_string())?;
+        let (by, majority) = told
+            .await
+            .map_err(|_| "another word on that host came in between".to_string())?;
         let to_be = if out { "out of" } else { "back in" };
-        let heard =
-            format!("{name} is to be {to_be} service; {by} of {} gateways follow", self.members.fleet());
+        let heard = format!(
+            "{name} is to be {to_be} service; {by} of {} gateways follow",
+            self.members.fleet()
+        );
         if majority {
             return Ok(heard);
         }
-        Err(format!("{heard}, which is no majority: it holds there, and goes on being told"))
+        Err(format!(
+            "{heard}, which is no majority: it holds there, and goes on being told"
+        ))
     }
 
     /// All drains as one line: `host:back`, `host:done` with the gateways that were not heard, `host:draining` with what is
@@ -159,7 +179,11 @@
                 Action::Send { to, bytes } => self.out.push(to, bytes),
                 Action::Follow(word) => {
                     let (name, by) = (self.around.backend.name_of(word.host), word.by);
-                    let how = if word.out { "taken out of" } else { "put back into" };
+                    let how = if word.out {
+                        "taken out of"
+                    } else {
+                        "put back into"
+                    };
                     log!("drains: {name} is {how} service on the word of gateway {by}");
                     self.around.backend.follow(word);
                 }
@@ -168,7 +192,12 @@
                         let _ = operator.send((by, majority));
                     }
                 }
-                Action::Done { word, epoch, unheard, own } => self.done(word, epoch, unheard, own),
+                Action::Done {
+                    word,
+                    epoch,
+                    unheard,
+                    own,
+                } => self.done(word, epoch, unheard, own),
             }
         }
         self.out.take()
--- a/src/net/duties.rs
+++ b/src/net/duties.rs
@@ -90,8 +90,18 @@
         counters: Rc<Counters>,
     ) -> Result<Self, String> {
         let me = members.me();
-        let me = Holder { number: me.number, generation: me.generation };
-        let core = Duties::new(me, Settings { fleet: each.len() as u32, lease_ms }, 0)?;
+        let me = Holder {
+            number: me.number,
+            generation: me.generation,
+        };
+        let core = Duties::new(
+            me,
+            Settings {
+                fleet: each.len() as u32,
+                lease_ms,
+            },
+            0,
+        )?;
         log!("duties: on, with leases of {lease_ms} ms");
         Ok(Self {
             core: RefCell::new(core),
@@ -134,7 +144,9 @@
         core.view(now, &alive, majority);
         let duties: Vec<u64> = duties.map(Duty::number).collect();
         core.duties(now, &duties);
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         core.advance(now, u64::try_from(unix.as_millis()).unwrap_or(0));
         self.carry_out(&mut core)
     }
@@ -196,12 +208,18 @@
                 Action::Owned { duty, epoch, why } => {
                     count(&self.counters.duties_taken);
                     let duty = Duty::of(duty);
-                    log!("duties: {duty} is this gateway's under epoch {epoch} ({})", words(why));
+                    log!(
+                        "duties: {duty} is this gateway's under epoch {epoch} ({})",
+                        words(why)
+                    );
                 }
                 Action::Lost { duty, epoch, why } => {
                     count(&self.counters.duties_lost);
                     let duty = Duty::of(duty);
-                    log!("duties: {duty} is no longer this gateway's under epoch {epoch} ({})", words(why));
+                    log!(
+                        "duties: {duty} is no longer this gateway's under epoch {epoch} ({})",
+                        words(why)
+                    );
                 }
             }
         }
--- a/src/net/ending.rs
+++ b/src/net/ending.rs
@@ -31,7 +31,11 @@
         let killed = longest.min(LONGEST_COUNTED) + TO_KILL;
         let taken_until = killed.saturating_sub(LAST_TAKEN).max(COMING);
         let left = LAST_ANSWER.min((killed - taken_until) / LAST_ANSWER_PART);
-        Ending { coming: COMING, taken_until, answer_by: killed - left }
+        Ending {
+            coming: COMING,
+            taken_until,
+            answer_by: killed - left,
+        }
     }
 }
 
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -153,22 +153,39 @@
 
     fn welcome(self: &Rc<Self>, stream: TcpStream) {
         count(&self.core.counters.accepted);
-        let Some(place) = self.places.take() else { return };
+        let Some(place) = self.places.take() else {
+            return;
+        };
         tokio::task::spawn_local(Rc::clone(self).attend(stream, place));
     }
 
     /// A connection's life, in its place.
     async fn attend(self: Rc<Self>, stream: TcpStream, place: Place) {
         let now = Instant::now();
-        let mut client =
-            Client { stream, place, input: None, began: now, heard: now, skipping: false, registered: None };
+        let mut client = Client {
+            stream,
+            place,
+            input: None,
+            began: now,
+            heard: now,
+            skipping: false,
+            registered: None,
+        };
         if client.place.crowded {
             count(&self.core.counters.turned_away);
         }
         let Err(mut end) = self.converse(&mut client).await;
         match end {
-            End::NoRoom => end = self.fatal(&mut client, "no room for so large a message").await,
-            End::Flood => end = self.fatal(&mut client, "too much is sent ahead of an answer").await,
+            End::NoRoom => {
+                end = self
+                    .fatal(&mut client, "no room for so large a message")
+                    .await
+            }
+            End::Flood => {
+                end = self
+                    .fatal(&mut client, "too much is sent ahead of an answer")
+                    .await
+            }
             End::Gone | End::Closed | End::Told => {}
         }
         match end {
@@ -254,10 +271,15 @@
                             self.cancels.cancel(&key);
                             return Err(End::Closed);
                         }
-                        Startup::Begin if client.place.crowded => return Err(self.crowded(client).await),
+                        Startup::Begin if client.place.crowded => {
+                            return Err(self.crowded(client).await)
+                        }
                         Startup::Begin => {
                             client.registered = self.cancels.register();
-                            pg::put_welcome(&mut out, client.registered.as_ref().map(Registered::key));
+                            pg::put_welcome(
+                                &mut out,
+                                client.registered.as_ref().map(Registered::key),
+                            );
                             return write(client, &out).await;
                         }
                     }
@@ -275,7 +297,10 @@
                 Err(why) => return Err(self.fatal(client, why.0).await),
                 Ok(Some(f)) => {
                     let mut body = self.pool.take();
-                    let fits = client.input.as_ref().is_some_and(|b| body.append(&b[f.body.clone()]));
+                    let fits = client
+                        .input
+                        .as_ref()
+                        .is_some_and(|b| body.append(&b[f.body.clone()]));
                     client.input.iter_mut().for_each(|b| b.advance(f.body.end));
                     if !fits {
                         return Err(End::NoRoom);
@@ -312,7 +337,11 @@
             }
         };
         // Half a command holds its place as long as it may take; what has not begun does not.
-        let kind = if client.place.crowded { Quiet::Leaving } else { kind };
+        let kind = if client.place.crowded {
+            Quiet::Leaving
+        } else {
+            kind
+        };
         let mut resting = (empty || kind != Quiet::Idle).then(|| client.place.rest(kind));
         let come = tokio::select! {
             biased;
@@ -336,9 +365,17 @@
             Come::Closing => return Err(End::Closed),
             Come::Asked => {
                 count(&self.core.counters.made_room);
-                return Err(if idle { End::Closed } else { self.crowded(client).await });
+                return Err(if idle {
+                    End::Closed
+                } else {
+                    self.crowded(client).await
+                });
+            }
+            Come::Late => {
+                return Err(self
+                    .fatal(client, "a message that does not become whole")
+                    .await)
             }
-            Come::Late => return Err(self.fatal(client, "a message that does not become whole").await),
         }
         client.heard = Instant::now();
         if idle {
@@ -411,11 +448,19 @@
                         return Err(End::Gone);
                     }
                 }
-                Waited::Come(Answer::Streamed(streamed)) => *out = self.pass_on(client, streamed).await?,
+                Waited::Come(Answer::Streamed(streamed)) => {
+                    *out = self.pass_on(client, streamed).await?
+                }
                 Waited::Come(Answer::Refused { pause }) => {
                     let detail = pause_ms(pause).map(|ms| ms.to_string());
                     let text = "turned away, trying again is harmless";
-                    pg::put_error(out, "ERROR", code::TOO_MANY_CONNECTIONS, text, detail.as_deref());
+                    pg::put_error(
+                        out,
+                        "ERROR",
+                        code::TOO_MANY_CONNECTIONS,
+                        text,
+                        detail.as_deref(),
+                    );
                 }
                 Waited::Come(Answer::Failed) => {
                     let text = "no answer could be had, and it may have run";
@@ -441,7 +486,10 @@
         }
         let sessions = matches!(c.freshness, Freshness::Session | Freshness::Write);
         let session = s.key.filter(|_| sessions).map(SessionId::of);
-        let after = s.after_ms.filter(|_| c.freshness == Freshness::Session).map(|ms| (ms * 1e6) as Ns);
+        let after = s
+            .after_ms
+            .filter(|_| c.freshness == Freshness::Session)
+            .map(|ms| (ms * 1e6) as Ns);
         // Danger: a position that is not there yet would be waited for, or overflow; a client that says that it
         // waits for ever would hold its request as long.
         if after.is_some_and(|p| p > self.core.clock.now().saturating_add(AHEAD)) {
@@ -452,11 +500,30 @@
         if !copy.append(text) {
             return Err("no room for so large a statement");
         }
-        let statement = Statement { text: copy, wait_at: s.wait_at };
+        let statement = Statement {
+            text: copy,
+            wait_at: s.wait_at,
+        };
         let keyed = matches!(class.class.repeat, Repeat::Keyed { .. });
-        let key = s.idempotency.filter(|_| keyed).map(|k| irisrouter_inhand::number(group.0, k.as_bytes()));
-        let id = self.core.take_id(s.id).ok_or("the id of a request that is open")?;
-        Ok(Call { id, class, group, session, wait, after, retry: s.retry, key, statement })
+        let key = s
+            .idempotency
+            .filter(|_| keyed)
+            .map(|k| irisrouter_inhand::number(group.0, k.as_bytes()));
+        let id = self
+            .core
+            .take_id(s.id)
+            .ok_or("the id of a request that is open")?;
+        Ok(Call {
+            id,
+            class,
+            group,
+            session,
+            wait,
+            after,
+            retry: s.retry,
+            key,
+            statement,
+        })
     }
 
     /// Passes a long answer on while it comes, and returns its end. One that breaks off ends the connection: the client
@@ -468,7 +535,13 @@
         loop {
             // In the middle of a row nothing else can be said.
             let meanwhile = self.meanwhile(client, rest.recv()).await;
-            match meanwhile.map_err(|end| if matches!(end, End::Flood) { End::Gone } else { end })? {
+            match meanwhile.map_err(|end| {
+                if matches!(end, End::Flood) {
+                    End::Gone
+                } else {
+                    end
+                }
+            })? {
                 Some(Piece::More(piece)) => write(client, &piece).await?,
                 Some(Piece::End(mut end)) => return end.room(16).then_some(end).ok_or(End::Gone),
                 None => return Err(End::Gone),
@@ -499,7 +572,11 @@
 
     /// Waits for something, and meanwhile for the client to leave. What it sends ahead is kept, so
     /// much at most.
-    async fn meanwhile<T>(&self, client: &mut Client, wait: impl Future<Output = T>) -> Result<T, End> {
+    async fn meanwhile<T>(
+        &self,
+        client: &mut Client,
+        wait: impl Future<Output = T>,
+    ) -> Result<T, End> {
         let mut wait = std::pin::pin!(wait);
         loop {
             tokio::select! {
@@ -519,20 +596,37 @@
     /// Tells of a breach of the protocol, and ends the connection.
     async fn fatal(&self, client: &mut Client, why: &str) -> End {
         count(&self.core.counters.malformed);
-        self.last_word(client, code::PROTOCOL_VIOLATION, why, None).await
+        self.last_word(client, code::PROTOCOL_VIOLATION, why, None)
+            .await
     }
 
     /// Tells that there is no place: nothing that the client wanted has been begun.
     async fn crowded(&self, client: &mut Client) -> End {
         let pause = {
             let limits = &self.classes.settings().limits;
-            pause_ms(if limits.pauses { COME_AGAIN.min(limits.max_pause) } else { 0 })
+            pause_ms(if limits.pauses {
+                COME_AGAIN.min(limits.max_pause)
+            } else {
+                0
+            })
         };
         let detail = pause.map(|ms| ms.to_string());
-        self.last_word(client, code::TOO_MANY_CONNECTIONS, "too many connections", detail.as_deref()).await
+        self.last_word(
+            client,
+            code::TOO_MANY_CONNECTIONS,
+            "too many connections",
+            detail.as_deref(),
+        )
+        .await
     }
 
-    async fn last_word(&self, client: &mut Client, code: &str, why: &str, detail: Option<&str>) -> End {
+    async fn last_word(
+        &self,
+        client: &mut Client,
+        code: &str,
+        why: &str,
+        detail: Option<&str>,
+    ) -> End {
         let mut out = self.pool.take();
         pg::put_error(&mut out, "FATAL", code, why, detail);
         write(client, &out).await.err().unwrap_or(End::Told)
@@ -559,6 +653,8 @@
     if out.is_empty() {
         return Ok(());
     }
-    timeout(WRITE_TIME, client.stream.write_all(out)).await.map_err(|_| End::Gone)??;
+    timeout(WRITE_TIME, client.stream.write_all(out))
+        .await
+        .map_err(|_| End::Gone)??;
     Ok(())
 }
--- a/src/net/inhand.rs
+++ b/src/net/inhand.rs
@@ -45,7 +45,12 @@
 
 impl Hand {
     /// A gateway that keeps nothing yet.
-    pub fn new(members: Rc<Members>, each: Vec<SocketAddr>, marked: bool, counters: Rc<Counters>) -> Self {
+    pub fn new(
+        members: Rc<Members>,
+        each: Vec<SocketAddr>,
+        marked: bool,
+        counters: Rc<Counters>,
+    ) -> Self {
         log!("writes in hand: on, keyed writes are noted with other gateways before they leave");
         Self {
             core: RefCell::new(InHand::new(members.me().number, 0)),
@@ -70,7 +75,9 @@
 
     /// Unix time in milliseconds: all machines of the platform read one clock.
     pub fn unix_ms() -> u64 {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         u64::try_from(unix.as_millis()).unwrap_or(u64::MAX)
     }
 
@@ -82,8 +89,15 @@
     /// Notes a write with its keepers before it leaves; no where too few of them say that they have it.
     pub async fn note(&self, key: u64, at: u64) -> bool {
         let gateways = self.members.not_down();
-        let noted = self.ended(|core, now| core.note(now, key, at, &gateways)).await == Some(Outcome::Noted);
-        count(if noted { &self.counters.writes_noted } else { &self.counters.writes_not_noted });
+        let noted = self
+            .ended(|core, now| core.note(now, key, at, &gateways))
+            .await
+            == Some(Outcome::Noted);
+        count(if noted {
+            &self.counters.writes_noted
+        } else {
+            &self.counters.writes_not_noted
+        });
         noted
     }
 
@@ -194,14 +208,23 @@
     /// Nothing has been noted yet.
     pub fn new(hand: &Rc<Hand>, key: u64) -> Self {
         let no = || Cell::new(false);
-        Noted { hand: Rc::clone(hand), key, earlier: None, tried: no(), done: no(), may_have_run: no() }
+        Noted {
+            hand: Rc::clone(hand),
+            key,
+            earlier: None,
+            tried: no(),
+            done: no(),
+            may_have_run: no(),
+        }
     }
 
     /// Until when it may be sent again, after an earlier try; none where that time is over. The window counts from that
     /// try, and what leaves at its end still needs a connection.
     pub fn until(&mut self, at: u64, class: &Class, connect: Duration) -> Option<Instant> {
         self.earlier = Some(at);
-        let Repeat::Keyed { window, .. } = class.repeat else { return None };
+        let Repeat::Keyed { window, .. } = class.repeat else {
+            return None;
+        };
         let passed = Duration::from_millis(Hand::unix_ms().saturating_sub(at));
         let left = duration(window).checked_sub(passed)?.checked_sub(connect)?;
         (left > SOONEST).then(|| Instant::now() + left)
@@ -216,7 +239,10 @@
     pub async fn note(&self) -> bool {
         if !self.done.get() {
             self.tried.set(true);
-            let noted = self.hand.note(self.key, self.earlier.unwrap_or_else(Hand::unix_ms)).await;
+            let noted = self
+                .hand
+                .note(self.key, self.earlier.unwrap_or_else(Hand::unix_ms))
+                .await;
             self.done.set(self.done.get() || noted);
         }
         self.done.get()
@@ -224,7 +250,10 @@
 
     /// An attempt ended.
     pub fn ended(&self, outcome: Attempt) {
-        let never = matches!(outcome, Attempt::Full | Attempt::ConnectFailed | Attempt::Moot | Attempt::Miss);
+        let never = matches!(
+            outcome,
+            Attempt::Full | Attempt::ConnectFailed | Attempt::Moot | Attempt::Miss
+        );
         self.may_have_run.set(self.may_have_run.get() || !never);
     }
 
--- a/src/net/kin.rs
+++ b/src/net/kin.rs
@@ -89,7 +89,10 @@
             Ok::<_, io::Error>((stream, handed))
         };
         let (stream, handed) = timeout(MEET, meeting).await.ok()?.ok()?;
-        log!("an older process hands over a list of {}", handed.list.members.len());
+        log!(
+            "an older process hands over a list of {}",
+            handed.list.members.len()
+        );
         self.hear(OLDER, handed.held);
         let revision = handed.list.revision;
         self.take(handed);
@@ -103,8 +106,16 @@
             self.backend.apply(&handed.list);
         }
         let mut lore = handed.lore;
-        let slots = handed.classes.iter().map(|name| self.classes.find(name).map(|held| held.slot)).collect();
-        let ids = handed.members.iter().map(|name| self.backend.member(name)).collect();
+        let slots = handed
+            .classes
+            .iter()
+            .map(|name| self.classes.find(name).map(|held| held.slot))
+            .collect();
+        let ids = handed
+            .members
+            .iter()
+            .map(|name| self.backend.member(name))
+            .collect();
         lore.renumber(ids, slots);
         self.mailbox.post(Event::Learnt(Box::new(lore)));
     }
@@ -130,7 +141,11 @@
         let lore = self.mailbox.lore().await;
         let handed = Handed {
             list: self.backend.list(),
-            members: lore.members.iter().map(|(id, _)| self.backend.name(*id)).collect(),
+            members: lore
+                .members
+                .iter()
+                .map(|(id, _)| self.backend.name(*id))
+                .collect(),
             classes: self.classes.names(),
             lore,
             held: self.held(NEWER),
@@ -186,7 +201,9 @@
     }
 }
 
-async fn read<T: for<'a> Deserialize<'a>>(from: &mut (impl AsyncBufReadExt + Unpin)) -> io::Result<T> {
+async fn read<T: for<'a> Deserialize<'a>>(
+    from: &mut (impl AsyncBufReadExt + Unpin),
+) -> io::Result<T> {
     let mut line = Vec::new();
     from.take(LONGEST).read_until(b'\n', &mut line).await?;
     Ok(serde_json::from_slice(&line)?)
--- a/src/net/listwatch.rs
+++ b/src/net/listwatch.rs
@@ -61,14 +61,23 @@
     fn own(&self, revision: Option<u64>, whole: bool) -> Own {
         let me = self.members.me().number;
         let place = self.members.not_down().iter().filter(|&&n| n < me).count() as u64;
-        Own { token: self.owners.token(Duty::ListWatch), revision, whole, place }
+        Own {
+            token: self.owners.token(Duty::ListWatch),
+            revision,
+            whole,
+            place,
+        }
     }
 
     /// Takes a beat of gateway `from`.
     pub fn hear(&self, datagram: &[u8], from: u32) {
         match codec::decode(datagram) {
             Ok(beat) => {
-                if self.core.borrow_mut().heard(self.now(), beat.epoch, beat.revision) {
+                if self
+                    .core
+                    .borrow_mut()
+                    .heard(self.now(), beat.epoch, beat.revision)
+                {
                     self.backend.news(beat.revision, &beat.out);
                     self.changed.notify_one();
                 }
@@ -84,13 +93,22 @@
     pub fn tick(&self) -> Option<Vec<u8>> {
         let own = self.own(Some(self.backend.revision()), false);
         let out = || self.backend.out_of_service(MOST_OUT);
-        self.core.borrow_mut().beat(self.now(), own, out).map(|beat| codec::encode(&beat))
+        self.core
+            .borrow_mut()
+            .beat(self.now(), own, out)
+            .map(|beat| codec::encode(&beat))
     }
 
     /// How long [`ListWatch::tick`] has none.
     pub fn due(&self) -> Duration {
         let (now, owned) = (self.now(), self.owners.token(Duty::ListWatch).is_some());
-        Duration::from_millis(self.core.borrow().next_beat(now, owned).saturating_sub(now).min(60_000))
+        Duration::from_millis(
+            self.core
+                .borrow()
+                .next_beat(now, owned)
+                .saturating_sub(now)
+                .min(60_000),
+        )
     }
 
     /// Waits until there is news to tell.
@@ -107,7 +125,10 @@
     /// Waits until this gateway is to call, and says whether that is to watch.
     pub async fn turn(&self, seen: &Seen) -> bool {
         loop {
-            let turn = self.core.borrow_mut().turn(self.now(), self.own(seen.revision, seen.whole));
+            let turn = self
+                .core
+                .borrow_mut()
+                .turn(self.now(), self.own(seen.revision, seen.whole));
             let rest = match turn {
                 Turn::Watch => return self.does(false, true),
                 Turn::Fetch => {
@@ -125,7 +146,11 @@
     pub async fn relieved(&self, seen: &Seen) {
         loop {
             self.changed.notified().await;
-            if self.core.borrow().relieved(self.now(), self.own(seen.revision, seen.whole)) {
+            if self
+                .core
+                .borrow()
+                .relieved(self.now(), self.own(seen.revision, seen.whole))
+            {
                 return;
             }
         }
@@ -133,7 +158,10 @@
 
     /// Whether this gateway goes on calling now, and whether that is to watch; none where it is to rest first.
     pub fn next(&self, seen: &Seen) -> Option<bool> {
-        let turn = self.core.borrow_mut().turn(self.now(), self.own(seen.revision, seen.whole));
+        let turn = self
+            .core
+            .borrow_mut()
+            .turn(self.now(), self.own(seen.revision, seen.whole));
         match turn {
             Turn::Watch => Some(self.does(false, true)),
             Turn::Fetch => {
--- a/src/net/membership.rs
+++ b/src/net/membership.rs
@@ -41,12 +41,20 @@
         counters: Rc<Counters>,
     ) -> Result<Self, String> {
         let generation = (unix_s & 0xffff) as u16;
-        let me = Node { number: peers.me, generation };
+        let me = Node {
+            number: peers.me,
+            generation,
+        };
         let mut core = Membership::new(me, settings, seed, 0)?;
         let fleet = peers.each.len() as u32;
-        let first: Vec<u32> = (1..=FIRST as u32).map(|i| (peers.me + i) % fleet.max(1)).collect();
+        let first: Vec<u32> = (1..=FIRST as u32)
+            .map(|i| (peers.me + i) % fleet.max(1))
+            .collect();
         core.join(0, &first);
-        log!("membership: on, gateway {} of {fleet}, generation {generation}", peers.me);
+        log!(
+            "membership: on, gateway {} of {fleet}, generation {generation}",
+            peers.me
+        );
         Ok(Self {
             core: RefCell::new(core),
             start: Instant::now(),
@@ -107,7 +115,10 @@
             return (vec![me], false);
         }
         let rows = core.view().rows();
-        let alive = rows.filter(|(n, s)| *n == me || s.liveness == Liveness::Alive).map(|(n, _)| n).collect();
+        let alive = rows
+            .filter(|(n, s)| *n == me || s.liveness == Liveness::Alive)
+            .map(|(n, _)| n)
+            .collect();
         (alive, core.side().majority())
     }
 
@@ -151,9 +162,14 @@
             .rows()
             .filter(|(_, s)| s.liveness != Liveness::Unknown)
             .map(|(n, s)| {
-                let heard = s.heard.map_or("-".to_string(), |at| format!("{}s", age(at)));
+                let heard = s
+                    .heard
+                    .map_or("-".to_string(), |at| format!("{}s", age(at)));
                 let state = (s.liveness.word(), s.generation, s.incarnation, age(s.since));
-                format!("{n}:{}/{}/{}/{}s/{heard}", state.0, state.1, state.2, state.3)
+                format!(
+                    "{n}:{}/{}/{}/{}s/{heard}",
+                    state.0, state.1, state.2, state.3
+                )
             })
             .collect();
         format!(
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -45,8 +45,13 @@
 impl Clock {
     /// Anchors the clock to the present.
     pub fn new() -> Self {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix: since.as_nanos() as Ns }
+        let since = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Clock {
+            start: Instant::now(),
+            unix: since.as_nanos() as Ns,
+        }
     }
 
     /// Nanoseconds of Unix time.
--- a/src/net/pace.rs
+++ b/src/net/pace.rs
@@ -46,7 +46,11 @@
 impl Pace {
     /// At the start.
     pub fn new(seed: u64) -> Self {
-        Pace { pause: Duration::ZERO, well: false, rng: Rand32::new(seed) }
+        Pace {
+            pause: Duration::ZERO,
+            well: false,
+            rng: Rand32::new(seed),
+        }
     }
 
     /// What the next call may take; not the same at all gateways that ask one service. Behind a failure, and at the start,
@@ -59,7 +63,10 @@
             (true, None) => HOLD,
         };
         let beyond = if shared.is_some() { IN_TURN } else { SILENCE };
-        Allowed { hold, silence: hold + beyond }
+        Allowed {
+            hold,
+            silence: hold + beyond,
+        }
     }
 
     /// The pause before the first call.
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -46,7 +46,10 @@
 impl Outbox {
     /// For the gateways at these addresses, by their numbers.
     pub const fn new(each: Vec<SocketAddr>) -> Self {
-        Outbox { each, out: RefCell::new(Vec::new()) }
+        Outbox {
+            each,
+            out: RefCell::new(Vec::new()),
+        }
     }
 
     /// One more, to the gateway with this number; nobody outside the list is sent anything.
@@ -145,7 +148,12 @@
             if self.share {
                 let sets = self.backend.serving_groups();
                 if let Some(owners) = &self.fleet.owners {
-                    let drains = self.fleet.drains.iter().flat_map(|d| d.duties()).map(Duty::Drain);
+                    let drains = self
+                        .fleet
+                        .drains
+                        .iter()
+                        .flat_map(|d| d.duties())
+                        .map(Duty::Drain);
                     let list = self.fleet.list.iter().map(|_| Duty::ListWatch);
                     let plan = self.fleet.sites.iter().map(|_| Duty::SitePlan);
                     let sets = sets.iter().copied().map(Duty::Probing);
@@ -160,7 +168,8 @@
                 }
                 if let Some(list) = &self.fleet.list {
                     if let Some(beat) = list.tick() {
-                        self.send_all(vec![(self.peers.all, beat)], &self.counters.list_beats).await;
+                        self.send_all(vec![(self.peers.all, beat)], &self.counters.list_beats)
+                            .await;
                     }
                     pause = pause.min(list.due());
                 }
@@ -223,10 +232,12 @@
     /// Gives up what is owned, and tells a few others that this gateway stops.
     pub async fn leave(&self) {
         if let Some(owners) = &self.fleet.owners {
-            self.send_all(owners.stop(), &self.counters.duties_sent).await;
+            self.send_all(owners.stop(), &self.counters.duties_sent)
+                .await;
         }
         if let Some(members) = &self.fleet.members {
-            self.send_all(members.leave(), &self.counters.members_sent).await;
+            self.send_all(members.leave(), &self.counters.members_sent)
+                .await;
         }
     }
 
@@ -252,32 +263,54 @@
                 log!("a datagram from {from} is not used: no gateway's address");
                 (Vec::new(), &c.members_sent)
             }
-            (Some(members), _) if irisrouter_membership::is_membership(datagram) => {
-                (by.map_or_else(Vec::new, |by| members.hear(datagram, by)), &c.members_sent)
-            }
+            (Some(members), _) if irisrouter_membership::is_membership(datagram) => (
+                by.map_or_else(Vec::new, |by| members.hear(datagram, by)),
+                &c.members_sent,
+            ),
             (Some(_), _) if irisrouter_inhand::is_inhand(datagram) => {
-                let sends =
-                    self.fleet.hand.as_ref().zip(by).map_or_else(Vec::new, |(h, by)| h.hear(datagram, by));
+                let sends = self
+                    .fleet
+                    .hand
+                    .as_ref()
+                    .zip(by)
+                    .map_or_else(Vec::new, |(h, by)| h.hear(datagram, by));
                 (sends, &c.writes_sent)
             }
             (Some(_), _) if irisrouter_drains::is_drains(datagram) => {
-                let sends =
-                    self.fleet.drains.as_ref().zip(by).map_or_else(Vec::new, |(d, by)| d.hear(datagram, by));
+                let sends = self
+                    .fleet
+                    .drains
+                    .as_ref()
+                    .zip(by)
+                    .map_or_else(Vec::new, |(d, by)| d.hear(datagram, by));
                 (sends, &c.drains_sent)
             }
             (Some(members), _) if irisrouter_listwatch::is_listwatch(datagram) => {
-                let list = self.fleet.list.as_ref().zip(by).filter(|(_, by)| members.counts(*by));
+                let list = self
+                    .fleet
+                    .list
+                    .as_ref()
+                    .zip(by)
+                    .filter(|(_, by)| members.counts(*by));
                 list.iter().for_each(|(list, by)| list.hear(datagram, *by));
                 (Vec::new(), &c.list_beats)
             }
             (Some(members), _) if irisrouter_siteplan::is_siteplan(datagram) => {
-                let sites = self.fleet.sites.as_ref().zip(by).filter(|(_, by)| members.counts(*by));
-                sites.iter().for_each(|(sites, by)| sites.hear(datagram, *by));
+                let sites = self
+                    .fleet
+                    .sites
+                    .as_ref()
+                    .zip(by)
+                    .filter(|(_, by)| members.counts(*by));
+                sites
+                    .iter()
+                    .for_each(|(sites, by)| sites.hear(datagram, *by));
                 (Vec::new(), &c.plans_sent)
             }
-            (_, Some(owners)) if irisrouter_duties::is_duties(datagram) => {
-                (by.map_or_else(Vec::new, |by| owners.hear(datagram, by)), &c.duties_sent)
-            }
+            (_, Some(owners)) if irisrouter_duties::is_duties(datagram) => (
+                by.map_or_else(Vec::new, |by| owners.hear(datagram, by)),
+                &c.duties_sent,
+            ),
             _ => {
                 self.find(datagram, from, by);
                 (Vec::new(), &c.told)
@@ -295,9 +328,11 @@
                 return;
             }
         }
-        let read = by
-            .ok_or("no gateway's address".to_string())
-            .and_then(|by| message::decode(datagram, now).map(|m| (by, m)).map_err(|e| format!("{e:?}")));
+        let read = by.ok_or("no gateway's address".to_string()).and_then(|by| {
+            message::decode(datagram, now)
+                .map(|m| (by, m))
+                .map_err(|e| format!("{e:?}"))
+        });
         let (by, told) = match read {
             Ok(read) => read,
             Err(why) => {
@@ -311,10 +346,17 @@
         let at = told.at.min(now);
         let mut found = Vec::with_capacity(told.findings.len());
         for f in &told.findings {
-            let Some((member, set)) = self.backend.numbered(f.host) else { continue };
+            let Some((member, set)) = self.backend.numbered(f.host) else {
+                continue;
+            };
             self.duties.borrow_mut().heard(set, by, at);
             let position = f.position.map(|p| p.min(at));
-            let report = Report { position, primary: Some(f.primary), inflight: None, in_use: f.in_use };
+            let report = Report {
+                position,
+                primary: Some(f.primary),
+                inflight: None,
+                in_use: f.in_use,
+            };
             found.push(Finding { member, at, report });
         }
         if !found.is_empty() {
@@ -353,12 +395,19 @@
         let fence = owned.and_then(|(owners, token)| owners.fence(set, token));
         let (event, fenced) = self.backend.probe_under(member, fence).await;
         if let (true, Some((owners, _))) = (fenced, owned) {
-            self.send_all(owners.fenced(set), &self.counters.duties_sent).await;
+            self.send_all(owners.fenced(set), &self.counters.duties_sent)
+                .await;
         }
         let found = match &event {
-            Event::Probed { outcome: Outcome::Ok, report: Some(report), .. } => {
-                Some(Finding { member, at: self.clock.now(), report: *report })
-            }
+            Event::Probed {
+                outcome: Outcome::Ok,
+                report: Some(report),
+                ..
+            } => Some(Finding {
+                member,
+                at: self.clock.now(),
+                report: *report,
+            }),
             _ => None,
         };
         self.mailbox.post(event);
@@ -370,7 +419,12 @@
         let finding = |f: &Finding| {
             let (host, _) = self.backend.told_as(f.member)?;
             let (position, in_use) = (f.report.position, f.report.in_use);
-            Some(message::Finding { host, position, primary: f.report.primary?, in_use })
+            Some(message::Finding {
+                host,
+                position,
+                primary: f.report.primary?,
+                in_use,
+            })
         };
         for part in found.chunks(message::MOST) {
             let findings: Vec<_> = part.iter().filter_map(finding).collect();
--- a/src/net/places.rs
+++ b/src/net/places.rs
@@ -104,11 +104,17 @@
             return None;
         }
         // One that was asked before and was served once more has no place to give.
-        while self.full() && (self.free(Quiet::Starting, STARTING) || self.free(Quiet::Idle, IDLE)) {}
+        while self.full() && (self.free(Quiet::Starting, STARTING) || self.free(Quiet::Idle, IDLE))
+        {
+        }
         let crowded = self.full();
         self.taken.set(self.taken.get() + usize::from(!crowded));
         self.open.set(self.open.get() + 1);
-        Some(Place { places: Rc::clone(self), counted: Rc::new(Cell::new(!crowded)), crowded })
+        Some(Place {
+            places: Rc::clone(self),
+            counted: Rc::new(Cell::new(!crowded)),
+            crowded,
+        })
     }
 
     /// In a crowd, asks those to go that have been quiet longest between two requests.
@@ -121,7 +127,9 @@
     fn free(&self, kind: Quiet, spared: Duration) -> bool {
         let mut quiet = self.quiet.borrow_mut();
         let first = quiet.range((kind, 0)..=(kind, u64::MAX)).next();
-        let due = first.filter(|(_, w)| w.since.elapsed() >= spared).map(|(&key, _)| key);
+        let due = first
+            .filter(|(_, w)| w.since.elapsed() >= spared)
+            .map(|(&key, _)| key);
         // Without its sender the one that waits is asked. Its place is free from now on.
         let freed = due.and_then(|key| quiet.remove(&key));
         freed.iter().for_each(|w| self.uncount(&w.counted));
@@ -129,7 +137,8 @@
     }
 
     fn uncount(&self, counted: &Cell<bool>) {
-        self.taken.set(self.taken.get() - usize::from(counted.replace(false)));
+        self.taken
+            .set(self.taken.get() - usize::from(counted.replace(false)));
     }
 }
 
@@ -143,7 +152,11 @@
         let key = (kind, places.next.get());
         places.next.set(key.1 + 1);
         let (ask, asked) = oneshot::channel();
-        let waiting = Waiting { since: Instant::now(), counted: Rc::clone(&self.counted), _ask: ask };
+        let waiting = Waiting {
+            since: Instant::now(),
+            counted: Rc::clone(&self.counted),
+            _ask: ask,
+        };
         places.quiet.borrow_mut().insert(key, waiting);
         Resting { places, key, asked }
     }
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -81,7 +81,10 @@
 }
 
 fn never_ran(outcome: Outcome) -> bool {
-    matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss)
+    matches!(
+        outcome,
+        Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss
+    )
 }
 
 /// What the requests share.
@@ -118,7 +121,10 @@
         if let Some(sites) = &self.sites {
             sites.arrived(call.class.slot);
         }
-        let ending = self.answer_by.get().map(|end| end.saturating_duration_since(Instant::now()));
+        let ending = self
+            .answer_by
+            .get()
+            .map(|end| end.saturating_duration_since(Instant::now()));
         let mut end = Instant::now() + ending.map_or(call.wait, |left| left.min(call.wait));
         let noted = match self.noted(&call, &mut end).await {
             Ok(noted) => noted.map(Rc::new),
@@ -293,7 +299,9 @@
     /// What is noted of a keyed write, where writes in hand are on; its end comes earlier where another gateway may have
     /// sent it.
     async fn noted(&self, call: &Call, end: &mut Instant) -> Result<Option<Noted>, MayHaveRun> {
-        let Some((hand, key)) = self.hand.as_ref().zip(call.key) else { return Ok(None) };
+        let Some((hand, key)) = self.hand.as_ref().zip(call.key) else {
+            return Ok(None);
+        };
         let mut noted = Noted::new(hand, key);
         if !hand.doubtful(call.retry) {
             return Ok(Some(noted));
@@ -302,7 +310,9 @@
         let ask = timeout_at(*end - LAST_MARGIN.min(call.wait), hand.ask(key)).await;
         let until = match ask.unwrap_or(Before::Unproven) {
             Before::Unsent => Some(*end),
-            Before::MayHaveRun(at) => noted.until(at, &call.class.class, self.backend.connect_timeout()),
+            Before::MayHaveRun(at) => {
+                noted.until(at, &call.class.class, self.backend.connect_timeout())
+            }
             // Where clients mark nothing, a fleet that has just started would turn every write away.
             Before::Unproven if !call.retry => Some(*end),
             Before::Unproven => None,
--- a/src/net/router.rs
+++ b/src/net/router.rs
@@ -111,13 +111,17 @@
         }
         for action in router.batch(clock.now(), &events) {
             match action {
-                Action::Send { id, member, limit } => mailbox.order(id, Order::Send { member, limit }),
+                Action::Send { id, member, limit } => {
+                    mailbox.order(id, Order::Send { member, limit })
+                }
                 Action::Cancel { id, attempt } => mailbox.order(id, Order::Cancel { attempt }),
                 Action::Refuse { id, pause } => mailbox.order(id, Order::Refuse { pause }),
                 Action::Fail { id } => mailbox.order(id, Order::Fail),
                 Action::Probe { member } => {
                     let (mailbox, backend) = (Rc::clone(&mailbox), Rc::clone(&backend));
-                    tokio::task::spawn_local(async move { mailbox.post(backend.probe(member).await) });
+                    tokio::task::spawn_local(
+                        async move { mailbox.post(backend.probe(member).await) },
+                    );
                 }
                 // Only the earliest is kept: the module asks again at each wake-up while it needs one.
                 Action::Wake { after } => {
--- a/src/net/siteplan.rs
+++ b/src/net/siteplan.rs
@@ -159,8 +159,11 @@
         let mut tallies = self.tallies.borrow_mut();
         tallies.heard(now, me, tally);
         tallies.forget(now.saturating_sub(FORGET_MS));
-        let planned =
-            self.around.owners.token(Duty::SitePlan).and_then(|e| self.plan(now, e, &tallies, alive.len()));
+        let planned = self
+            .around
+            .owners
+            .token(Duty::SitePlan)
+            .and_then(|e| self.plan(now, e, &tallies, alive.len()));
         drop(tallies);
         let mut sends = self.out.take();
         if let Some(plan) = planned {
@@ -188,7 +191,12 @@
         };
         let arrived = self.names.classes.iter().map(of).collect();
         let sites = self.around.backend.reach(&self.names.zones);
-        Tally { site: self.names.mine, period_ms, arrived, sites }
+        Tally {
+            site: self.names.mine,
+            period_ms,
+            arrived,
+            sites,
+        }
     }
 
     /// The plan, where this gateway makes one: while some site is not as usual, and a few times after that.
@@ -205,7 +213,10 @@
             }
         }
         let capacity = self.around.backend.sizes(&self.names.zones);
-        let capacity: Vec<f64> = capacity.into_iter().map(|size| size * self.capacity_per_s).collect();
+        let capacity: Vec<f64> = capacity
+            .into_iter()
+            .map(|size| size * self.capacity_per_s)
+            .collect();
         for (site, state) in planner.observe(now, &tallies.seen(&capacity)) {
             log!(
                 "site plan: site {} is {} by what {} gateways tell",
@@ -214,8 +225,16 @@
                 tallies.gateways()
             );
         }
-        let plan = planner.plan(epoch, &tallies.classes(self.names.classes.len()), alive as u32);
-        let over = if plan.in_force() { OVER } else { over.saturating_sub(1) };
+        let plan = planner.plan(
+            epoch,
+            &tallies.classes(self.names.classes.len()),
+            alive as u32,
+        );
+        let over = if plan.in_force() {
+            OVER
+        } else {
+            over.saturating_sub(1)
+        };
         self.planning.set((epoch, over));
         (over > 0).then_some(plan)
     }
@@ -246,32 +265,61 @@
         let slots = self.around.classes.names();
         let part = |name: &String| {
             let class = self.names.classes.iter().position(|n| n == name);
-            class.and_then(|c| plan.admitted.get(c)).copied().unwrap_or(1.0)
+            class
+                .and_then(|c| plan.admitted.get(c))
+                .copied()
+                .unwrap_or(1.0)
         };
-        let sites = self.names.zones.iter().zip(&plan.sites).filter(|(_, s)| s.ramp < 1.0);
+        let sites = self
+            .names
+            .zones
+            .iter()
+            .zip(&plan.sites)
+            .filter(|(_, s)| s.ramp < 1.0);
         Planned {
             admitted: slots.iter().map(part).collect(),
-            ramps: sites.map(|(zone, s)| (self.around.backend.zone(zone), s.ramp)).collect(),
+            ramps: sites
+                .map(|(zone, s)| (self.around.backend.zone(zone), s.ramp))
+                .collect(),
             pause: Some(Ns::from(plan.pause_ms) * NS_PER_MS),
         }
     }
 
     /// What of a plan is one event: the states of sites, and which classes are refused at all.
     fn words(&self, plan: &Plan) -> String {
-        let sites =
-            self.names.zones.iter().zip(&plan.sites).map(|(zone, s)| format!("{zone} {}", word(s.state)));
-        let refused =
-            self.names.classes.iter().zip(&plan.admitted).filter(|(_, &a)| a < 1.0).map(|(n, _)| n.as_str());
+        let sites = self
+            .names
+            .zones
+            .iter()
+            .zip(&plan.sites)
+            .map(|(zone, s)| format!("{zone} {}", word(s.state)));
+        let refused = self
+            .names
+            .classes
+            .iter()
+            .zip(&plan.admitted)
+            .filter(|(_, &a)| a < 1.0)
+            .map(|(n, _)| n.as_str());
         let (sites, refused): (Vec<String>, Vec<&str>) = (sites.collect(), refused.collect());
-        let refused = if refused.is_empty() { "nothing".into() } else { refused.join(", ") };
-        format!("followed under epoch {}: {}; refuses of {refused}", plan.epoch, sites.join(", "))
+        let refused = if refused.is_empty() {
+            "nothing".into()
+        } else {
+            refused.join(", ")
+        };
+        format!(
+            "followed under epoch {}: {}; refuses of {refused}",
+            plan.epoch,
+            sites.join(", ")
+        )
     }
 
     /// The plan in force as one line: of each site its state, budget and ramp and where its load goes, what is admitted of
     /// each class that is not admitted whole, and the pause.
     pub fn line(&self) -> String {
         let follower = self.follower.borrow();
-        let Some(plan) = follower.plan(self.now()) else { return "plan none in force".into() };
+        let Some(plan) = follower.plan(self.now()) else {
+            return "plan none in force".into();
+        };
         let zones = &self.names.zones;
         let site = |(zone, s): (&String, &irisrouter_siteplan::SitePlan)| {
             let goes = zones.iter().zip(&s.goes).filter(|(_, &part)| part > 0.0);
@@ -285,10 +333,19 @@
             )
         };
         let sites: Vec<String> = zones.iter().zip(&plan.sites).map(site).collect();
-        let classes = self.names.classes.iter().zip(&plan.admitted).filter(|(_, &a)| a < 1.0);
+        let classes = self
+            .names
+            .classes
+            .iter()
+            .zip(&plan.admitted)
+            .filter(|(_, &a)| a < 1.0);
         let classes: Vec<String> = classes.map(|(name, a)| format!("{name}:{a:.2}")).collect();
         let (epoch, number, pause) = (plan.epoch, plan.number, plan.pause_ms);
-        format!("plan {epoch}.{number} {} admits={} pause={pause}ms", sites.join(" "), classes.join("+"))
+        format!(
+            "plan {epoch}.{number} {} admits={} pause={pause}ms",
+            sites.join(" "),
+            classes.join("+")
+        )
     }
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -233,7 +233,10 @@
         };
         let repeat = match c.effect.as_str() {
             "retryable" => Repeat::Safe,
-            "dedup" => Repeat::Keyed { scope, window: some_time(c.window_ns) },
+            "dedup" => Repeat::Keyed {
+                scope,
+                window: some_time(c.window_ns),
+            },
             "fragile" => Repeat::Unsafe,
             other => return Err(format!("unknown effect {other} of class {}", c.name)),
         };
@@ -253,7 +256,13 @@
         zone: ZoneId(zones.number(&b.my_zone) as u32),
         tick: b.round_ns.clamp(SHORTEST_TICK, LONGEST),
         classes,
-        tenants: b.tenants.iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
+        tenants: b
+            .tenants
+            .iter()
+            .map(|t| Tenant {
+                quota_per_s: t.quota_per_s,
+            })
+            .collect(),
         over_share_worth: b.over_share_worth,
         probe_price: b.penalties.probe,
         limits: Limits {
@@ -291,7 +300,11 @@
             "probe" => Reports::Probes,
             _ => Reports::None,
         },
-        load_told: b.load_info.fields.iter().any(|f| f == "concurrent" || f == "depth"),
+        load_told: b
+            .load_info
+            .fields
+            .iter()
+            .any(|f| f == "concurrent" || f == "depth"),
         list_on_request: b.membership_mode == "ask",
     })
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -72,17 +72,25 @@
 impl Lore {
     pub(crate) fn new(members: &BTreeMap<MemberId, Member>, usual: &[f64], told: &[f64]) -> Self {
         let members = members.iter().map(|(&id, m)| (id, m.clone())).collect();
-        Lore { members, usual: usual.to_vec(), told: told.to_vec() }
+        Lore {
+            members,
+            usual: usual.to_vec(),
+            told: told.to_vec(),
+        }
     }
 
     /// Numbers its members and classes anew, each by the number that it had, or leaves them out.
     pub fn renumber(&mut self, members: Vec<Option<MemberId>>, classes: Vec<Option<usize>>) {
         let known = std::mem::take(&mut self.members).into_iter().zip(members);
-        self.members = known.filter_map(|((_, m), id)| id.map(|id| (id, m))).collect();
+        self.members = known
+            .filter_map(|((_, m), id)| id.map(|id| (id, m)))
+            .collect();
         let size = classes.iter().flatten().max().map_or(0, |most| most + 1);
         let (mut usual, mut told) = (vec![0.0; size], vec![0.0; size]);
         for (i, slot) in classes.iter().enumerate() {
-            let Some((slot, (&u, &t))) = slot.zip(self.usual.get(i).zip(self.told.get(i))) else { continue };
+            let Some((slot, (&u, &t))) = slot.zip(self.usual.get(i).zip(self.told.get(i))) else {
+                continue;
+            };
             (usual[slot], told[slot]) = (u, t);
         }
         (self.usual, self.told) = (usual, told);
@@ -97,11 +105,19 @@
         told: &mut [f64],
     ) {
         for (id, theirs) in &self.members {
-            let Some(own) = members.get_mut(id).filter(|m| m.started == theirs.started) else { continue };
+            let Some(own) = members.get_mut(id).filter(|m| m.started == theirs.started) else {
+                continue;
+            };
             // Danger: a time that is not there yet would count for ever.
-            if [theirs.position, theirs.lag_at, theirs.primary_at, theirs.replica_at, theirs.heard]
-                .iter()
-                .any(|&t| t > now)
+            if [
+                theirs.position,
+                theirs.lag_at,
+                theirs.primary_at,
+                theirs.replica_at,
+                theirs.heard,
+            ]
+            .iter()
+            .any(|&t| t > now)
             {
                 continue;
             }
@@ -183,7 +199,10 @@
     /// The list has changed.
     pub(crate) fn relisted(&mut self, members: &BTreeMap<MemberId, Member>) {
         let serves = |m: &&MemberId| members.get(m).is_some_and(|m| !m.gone && !m.drained);
-        (self.most, self.dirty) = (self.most.max(self.members.iter().filter(serves).count()), true);
+        (self.most, self.dirty) = (
+            self.most.max(self.members.iter().filter(serves).count()),
+            true,
+        );
     }
 
     /// Where a number stands as seen from a member: from 0 to 1, with the members' own points evenly apart.
@@ -202,12 +221,18 @@
     /// No member has been handed it.
     pub(crate) fn unsent(&self) -> bool {
         let never_left = |o| matches!(o, Outcome::ConnectFailed | Outcome::Moot);
-        self.attempts.iter().all(|a| a.outcome.is_some_and(never_left))
+        self.attempts
+            .iter()
+            .all(|a| a.outcome.is_some_and(never_left))
     }
 
     /// The members at which it has an attempt out.
     pub(crate) fn out(&self) -> Vec<MemberId> {
-        self.attempts.iter().filter(|a| a.outcome.is_none()).map(|a| a.member).collect()
+        self.attempts
+            .iter()
+            .filter(|a| a.outcome.is_none())
+            .map(|a| a.member)
+            .collect()
     }
 }
 
@@ -226,7 +251,14 @@
     /// One that the list has just named.
     pub(crate) fn listed(e: &ListEntry, limit: f64) -> Self {
         let (group, zone) = (e.group, e.zone);
-        Member { group, zone, limit, slowness: 1.0, gone_at: Ns::MAX, ..Member::default() }
+        Member {
+            group,
+            zone,
+            limit,
+            slowness: 1.0,
+            gone_at: Ns::MAX,
+            ..Member::default()
+        }
     }
 
     /// Takes the list's word, and tells whether its process is a new one.
@@ -291,17 +323,29 @@
 }
 
 /// What was learnt of classes, each from the one that it goes on from, or anew.
-pub(crate) fn carried(learnt: &[f64], from: &[Option<usize>], anew: impl Fn(usize) -> f64) -> Vec<f64> {
+pub(crate) fn carried(
+    learnt: &[f64],
+    from: &[Option<usize>],
+    anew: impl Fn(usize) -> f64,
+) -> Vec<f64> {
     let kept = |f: &Option<usize>| f.and_then(|f| learnt.get(f).copied());
-    from.iter().enumerate().map(|(i, f)| kept(f).unwrap_or_else(|| anew(i))).collect()
+    from.iter()
+        .enumerate()
+        .map(|(i, f)| kept(f).unwrap_or_else(|| anew(i)))
+        .collect()
 }
 
 /// An outcome that proves that nothing ran.
 pub(crate) fn never_ran(o: Outcome) -> bool {
-    matches!(o, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss)
+    matches!(
+        o,
+        Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss
+    )
 }
 
 /// Some attempt is out or ended without proof that it never ran.
 pub(crate) fn may_have_run(r: &Request) -> bool {
-    r.attempts.iter().any(|a| a.outcome.is_none_or(|o| !never_ran(o)))
+    r.attempts
+        .iter()
+        .any(|a| a.outcome.is_none_or(|o| !never_ran(o)))
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -144,7 +144,12 @@
 #[serde(rename_all = "PascalCase")]
 enum WireAction {
     #[serde(rename_all = "PascalCase")]
-    CallOut { i: i64, call: String, member: String, limit_ns: i64 },
+    CallOut {
+        i: i64,
+        call: String,
+        member: String,
+        limit_ns: i64,
+    },
     #[serde(rename_all = "PascalCase")]
     Recall { i: i64, call: String, seq_no: u32 },
     #[serde(rename_all = "PascalCase")]
@@ -154,7 +159,11 @@
     #[serde(rename_all = "PascalCase")]
     Touch { i: i64, member: String },
     #[serde(rename_all = "PascalCase")]
-    After { i: i64, in_ns: i64, name: &'static str },
+    After {
+        i: i64,
+        in_ns: i64,
+        name: &'static str,
+    },
     #[serde(rename_all = "PascalCase")]
     Tail { i: i64, active: bool },
     #[serde(rename_all = "PascalCase")]
@@ -201,7 +210,14 @@
 
 impl Instance {
     fn new(seed: u64, info: &BootInfo) -> Result<Self, String> {
-        let Loaded { settings, classes, tenants, zones, position_zero, .. } = Loaded::new(seed, info)?;
+        let Loaded {
+            settings,
+            classes,
+            tenants,
+            zones,
+            position_zero,
+            ..
+        } = Loaded::new(seed, info)?;
         Ok(Instance {
             router: Router::new(settings),
             zero: position_zero,
@@ -299,21 +315,35 @@
                     limit_ns: limit,
                 }
             }
-            Action::Cancel { id, attempt } => {
-                WireAction::Recall { i, call: call(self, id)?, seq_no: attempt }
-            }
+            Action::Cancel { id, attempt } => WireAction::Recall {
+                i,
+                call: call(self, id)?,
+                seq_no: attempt,
+            },
             Action::Refuse { id, pause } => {
                 self.ended(id);
-                WireAction::Bounce { i, call: call(self, id)?, pause_ns: pause }
+                WireAction::Bounce {
+                    i,
+                    call: call(self, id)?,
+                    pause_ns: pause,
+                }
             }
             Action::Fail { id } => {
                 self.ended(id);
-                WireAction::DropRequest { i, call: call(self, id)? }
-            }
-            Action::Probe { member } => {
-                WireAction::Touch { i, member: self.member_names[member.0 as usize].clone() }
+                WireAction::DropRequest {
+                    i,
+                    call: call(self, id)?,
+                }
             }
-            Action::Wake { after } => WireAction::After { i, in_ns: after, name: "wake" },
+            Action::Probe { member } => WireAction::Touch {
+                i,
+                member: self.member_names[member.0 as usize].clone(),
+            },
+            Action::Wake { after } => WireAction::After {
+                i,
+                in_ns: after,
+                name: "wake",
+            },
             Action::Watch => WireAction::Tail { i, active: true },
         })
     }
@@ -334,7 +364,8 @@
 
     /// Answers one line of the wire with one line, or says in plain words what is wrong with it.
     pub fn line(&mut self, line: &str) -> Result<String, String> {
-        let batch: Batch = serde_json::from_str(line).map_err(|e| format!("malformed batch: {e}"))?;
+        let batch: Batch =
+            serde_json::from_str(line).map_err(|e| format!("malformed batch: {e}"))?;
         let mut out = Vec::new();
         // Instances with events, in the order in which they were first named.
         let mut touched: Vec<i64> = Vec::new();
@@ -357,7 +388,10 @@
                 out.push(WireAction::Exception { i, msg });
             }
         }
-        let reply = Reply { frame: &batch.frame, output: out };
+        let reply = Reply {
+            frame: &batch.frame,
+            output: out,
+        };
         serde_json::to_string(&reply).map_err(|e| format!("cannot write a reply: {e}"))
     }
 
@@ -368,7 +402,10 @@
                 return Ok(None);
             }
             WireEvent::Init { inst, seed, info } => {
-                let seed = seed.as_u64().or(seed.as_i64().map(|s| s as u64)).unwrap_or_default();
+                let seed = seed
+                    .as_u64()
+                    .or(seed.as_i64().map(|s| s as u64))
+                    .unwrap_or_default();
                 self.instances.insert(inst, Instance::new(seed, &info)?);
                 return Ok(Some(inst));
             }
@@ -407,12 +444,16 @@
                 let Some(s) = self.instances.get_mut(&inst) else {
                     return Ok(None);
                 };
-                let class =
-                    (s.classes.find(&class)).ok_or_else(|| format!("unknown class {class} of a request"))?;
+                let class = (s.classes.find(&class))
+                    .ok_or_else(|| format!("unknown class {class} of a request"))?;
                 let id = RequestId(s.next_request);
                 s.next_request += 1;
                 s.requests.insert(call.to_string(), id);
-                let open = Open { name: call.into_owned(), attempts_out: 0, ended: false };
+                let open = Open {
+                    name: call.into_owned(),
+                    attempts_out: 0,
+                    ended: false,
+                };
                 s.open.insert(id, open);
                 let tenant = team.and_then(|t| t.as_str().and_then(|t| s.tenants.find(t)));
                 let event = Event::Request {
@@ -423,13 +464,18 @@
                     deadline,
                     work,
                     group: GroupId(group),
-                    mark_age: mark_age_ms.filter(|&a| a > 0.0).map(|a| (a * NS_PER_MS as f64) as i64),
+                    mark_age: mark_age_ms
+                        .filter(|&a| a > 0.0)
+                        .map(|a| (a * NS_PER_MS as f64) as i64),
                     retry: retry.unwrap_or(false),
                 };
                 (inst, Some(event))
             }
             WireEvent::Flowing { inst, call } => {
-                let known = self.instances.get(&inst).and_then(|s| s.requests.get(call.as_ref()));
+                let known = self
+                    .instances
+                    .get(&inst)
+                    .and_then(|s| s.requests.get(call.as_ref()));
                 (inst, known.map(|&id| Event::Streaming { id }))
             }
             WireEvent::ReportBack {
@@ -488,7 +534,13 @@
                 });
                 (inst, event)
             }
-            WireEvent::Probed { inst, member, elapsed, outcome: code, metrics } => {
+            WireEvent::Probed {
+                inst,
+                member,
+                elapsed,
+                outcome: code,
+                metrics,
+            } => {
                 let Some(s) = self.instances.get_mut(&inst) else {
                     return Ok(None);
                 };
