--- a/benches/batch.rs
+++ b/benches/batch.rs
@@ -4,12 +4,11 @@
 //! not of its set.
 
 use criterion::{criterion_group, criterion_main, BatchSize, BenchmarkId, Criterion};
-use irisrouter::api::*;
-use irisrouter::decide::Router;
-use irisrouter::settings::Loaded;
+use irisrouter::platform_settings::PlatformSettings;
+use irisrouter::routing::*;
 use std::hint::black_box;
 
-const MS: Ns = 1_000_000;
+const MS: Nanos = 1_000_000;
 const MEMBERS_OF_A_SET: u32 = 5;
 
 fn settings(gateways: u32) -> Settings {
@@ -27,24 +26,26 @@
         "Rules": { "ColdNs": 14_000 * MS, "DrainGraceNs": 500 * MS, "OverloadFactor": 2.0, "StartCapacity": 0.15,
             "TipAfterNs": 3000 * MS },
     });
-    Loaded::parse(&json, 1).expect("settings").settings
+    PlatformSettings::parse(&json, 1)
+        .expect("settings")
+        .settings
 }
 
 /// A router that has served for a while, and how many requests it has had.
 struct Served {
     router: Router,
-    now: Ns,
+    now: Nanos,
     next: u64,
     sets: u32,
 }
 
 impl Served {
     fn new(members: u32, gateways: u32) -> Self {
-        let entry = |m: u32| ListEntry {
+        let entry = |m: u32| Endpoint {
             member: MemberId(m),
             group: GroupId(i64::from(m / MEMBERS_OF_A_SET)),
             zone: ZoneId(0),
-            listed: Listed::Ready,
+            state: EndpointState::Ready,
             primary: false,
             size: 1.0,
             started: None,
@@ -54,9 +55,9 @@
         let entries = (0..members).map(entry).collect();
         router.batch(
             now,
-            &[Event::List {
+            &[Event::EndpointList {
                 complete: true,
-                entries,
+                endpoints: entries,
             }],
         );
         let mut served = Served {
@@ -84,7 +85,7 @@
             deadline,
             work: None,
             group,
-            mark_age: None,
+            last_write_age: None,
             retry: false,
         };
         let mut events = vec![came];
@@ -94,29 +95,29 @@
             events = actions
                 .into_iter()
                 .filter_map(|a| match a {
-                    Action::Send { id, member, .. } => Some(Event::Ended {
+                    Action::StartAttempt { id, member, .. } => Some(Event::AttemptEnded {
                         id,
                         attempt: 0,
                         member,
                         outcome: Outcome::Ok,
                         elapsed: 20 * MS,
                         finished: true,
-                        note: Some(Note {
+                        status: Some(ReplicationStatus {
                             role: Role::Replica,
                             position: None,
                         }),
                         report: None,
                     }),
-                    Action::Probe { member } => {
+                    Action::HealthCheck { member } => {
                         let position = Some(self.now - 10 * MS);
-                        let report = Report {
+                        let report = LoadReport {
                             position,
                             primary: Some(false),
-                            inflight: None,
-                            in_use: None,
+                            in_flight: None,
+                            cores_in_use: None,
                         };
                         let (outcome, elapsed) = (Outcome::Ok, MS);
-                        Some(Event::Probed {
+                        Some(Event::HealthChecked {
                             member,
                             outcome,
                             elapsed,
--- a/crates/datagram/src/lib.rs
+++ b/crates/datagram/src/lib.rs
@@ -7,22 +7,22 @@
 use std::fmt;
 
 /// The platform's longest datagram between gateways, in bytes.
-pub const LONGEST: usize = 256;
+pub const MAX_DATAGRAM_BYTES: usize = 256;
 
 /// First bytes: the high nibble says whose a datagram is, the low one its version.
-pub mod mark {
+pub mod magic {
     /// Who of the gateways is there.
     pub const MEMBERSHIP: u8 = 0xA2;
     /// Who owns which duty.
-    pub const DUTIES: u8 = 0xB1;
+    pub const LEASES: u8 = 0xB1;
     /// Writes in hand.
-    pub const INHAND: u8 = 0xC1;
+    pub const WRITE_INTENTS: u8 = 0xC1;
     /// The plan for lost sites, and the tallies that it is made of.
-    pub const SITEPLAN: u8 = 0xD2;
+    pub const SITE_FAILOVER: u8 = 0xD2;
     /// Drains of database hosts.
     pub const DRAINS: u8 = 0xE1;
     /// The fleet's watch of the list of database hosts.
-    pub const LISTWATCH: u8 = 0xF1;
+    pub const ENDPOINT_WATCH: u8 = 0xF1;
 }
 
 /// Whether a datagram is of this kind, in whatever version.
@@ -70,7 +70,7 @@
     /// # Errors
     /// It is too long, or of another kind or version.
     pub fn new(datagram: &'a [u8], mark: u8) -> Result<Self, WireError> {
-        if datagram.len() > LONGEST {
+        if datagram.len() > MAX_DATAGRAM_BYTES {
             return Err(WireError::Long);
         }
         let mut reader = Self(datagram);
@@ -150,18 +150,18 @@
     #[test]
     fn marks_differ_in_their_kind_and_versions_do_not() {
         let all = [
-            mark::MEMBERSHIP,
-            mark::DUTIES,
-            mark::INHAND,
-            mark::SITEPLAN,
-            mark::DRAINS,
-            mark::LISTWATCH,
+            magic::MEMBERSHIP,
+            magic::LEASES,
+            magic::WRITE_INTENTS,
+            magic::SITE_FAILOVER,
+            magic::DRAINS,
+            magic::ENDPOINT_WATCH,
             0x01,
         ];
         for (n, a) in all.iter().enumerate() {
             assert!(all[n + 1..].iter().all(|b| !is(&[*b], *a)), "{a:#x}");
         }
-        assert!(is(&[mark::DUTIES + 1], mark::DUTIES) && !is(&[], mark::DUTIES));
+        assert!(is(&[magic::LEASES + 1], magic::LEASES) && !is(&[], magic::LEASES));
     }
 
     #[test]
--- a/crates/datagram/tests/golden.rs
+++ b/crates/datagram/tests/golden.rs
@@ -5,7 +5,7 @@
 //! old and the new version exchange datagrams with each other: a change of the bound or of a first byte would make them
 //! drop what the others send. A refactoring must leave every literal in this file as it is.
 
-use irisrouter_datagram::{is, mark, Reader, WireError, LONGEST};
+use irisrouter_datagram::{is, magic, Reader, WireError, MAX_DATAGRAM_BYTES};
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
@@ -15,22 +15,22 @@
 
 const MARK: u8 = 0x71;
 
-/// The mark, and a field of each size.
+/// The magic, and a field of each size.
 const FIELDS: [u8; 16] = [
     0x71, 0x01, 0x11, 0x12, 0x21, 0x22, 0x23, 0x24, 0x31, 0x32, 0x33, 0x34, 0x35, 0x36, 0x37, 0x38,
 ];
 
-/// The mark, a count of two, and two items of two bytes.
+/// The magic, a count of two, and two items of two bytes.
 const TWO_ITEMS: [u8; 6] = [0x71, 0x02, 0x41, 0x42, 0x43, 0x44];
 
 fn marks() -> [u8; 6] {
     [
-        mark::MEMBERSHIP,
-        mark::DUTIES,
-        mark::INHAND,
-        mark::SITEPLAN,
-        mark::DRAINS,
-        mark::LISTWATCH,
+        magic::MEMBERSHIP,
+        magic::LEASES,
+        magic::WRITE_INTENTS,
+        magic::SITE_FAILOVER,
+        magic::DRAINS,
+        magic::ENDPOINT_WATCH,
     ]
 }
 
@@ -58,17 +58,17 @@
 
 #[test]
 fn longest_datagram_keeps_its_length() {
-    assert_eq!(LONGEST, 256);
+    assert_eq!(MAX_DATAGRAM_BYTES, 256);
 }
 
 #[test]
 fn first_bytes_keep_their_values() {
-    assert_eq!(mark::MEMBERSHIP, 0xa2);
-    assert_eq!(mark::DUTIES, 0xb1);
-    assert_eq!(mark::INHAND, 0xc1);
-    assert_eq!(mark::SITEPLAN, 0xd2);
-    assert_eq!(mark::DRAINS, 0xe1);
-    assert_eq!(mark::LISTWATCH, 0xf1);
+    assert_eq!(magic::MEMBERSHIP, 0xa2);
+    assert_eq!(magic::LEASES, 0xb1);
+    assert_eq!(magic::WRITE_INTENTS, 0xc1);
+    assert_eq!(magic::SITE_FAILOVER, 0xd2);
+    assert_eq!(magic::DRAINS, 0xe1);
+    assert_eq!(magic::ENDPOINT_WATCH, 0xf1);
     assert_eq!(hex(&marks()), "a2b1c1d2e1f1");
 }
 
--- a/crates/drain-coordination/src/codec.rs
+++ b/crates/drain-coordination/src/codec.rs
@@ -10,16 +10,16 @@
 //! 26..30   tell: 0; holds: requests open at the host; done: gateways that were not heard
 //! ```
 
-use crate::Word;
+use crate::DrainCommand;
 use bytes::BufMut;
 use irisrouter_datagram::Reader;
 
-pub use irisrouter_datagram::mark::DRAINS as MAGIC;
-pub use irisrouter_datagram::{WireError, LONGEST as DATAGRAM};
+pub use irisrouter_datagram::magic::DRAINS as MAGIC;
+pub use irisrouter_datagram::{WireError, MAX_DATAGRAM_BYTES};
 const HEADER: usize = 2;
 const ITEM: usize = 30;
 /// Items that fit one datagram.
-pub const ITEMS: usize = (DATAGRAM - HEADER) / ITEM;
+pub const ITEMS: usize = (MAX_DATAGRAM_BYTES - HEADER) / ITEM;
 
 /// What is said of a word.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,7 +40,7 @@
     /// What.
     pub kind: Kind,
     /// Of which word.
-    pub word: Word,
+    pub word: DrainCommand,
     /// Under which epoch; 0 for none.
     pub epoch: u64,
     /// See the kinds.
@@ -85,7 +85,7 @@
         let (host, at, by) = (from.u32()?, from.u64()?, from.u32()?);
         Ok(Item {
             kind,
-            word: Word { host, out, at, by },
+            word: DrainCommand { host, out, at, by },
             epoch: from.u64()?,
             count: from.u32()?,
         })
@@ -94,6 +94,6 @@
 
 /// Whether a datagram is of drains, in whatever version.
 #[must_use]
-pub fn is_drains(datagram: &[u8]) -> bool {
+pub fn recognizes(datagram: &[u8]) -> bool {
     irisrouter_datagram::is(datagram, MAGIC)
 }
--- a/crates/drain-coordination/src/lib.rs
+++ b/crates/drain-coordination/src/lib.rs
@@ -2,18 +2,18 @@
 //!
 //! A [`Word`] says that a host is to be out of service, or back. The gateway that was given it tells all others until more
 //! than half of the fleet follow it; from then on it is known wherever a majority is. Each gateway that knows a word
-//! follows it at once. Seeing it through is a duty (`irisrouter-duties`): its owner asks every gateway that is not held
+//! follows it at once. Seeing it through is a duty (`irisrouter-leases`): its owner asks every gateway that is not held
 //! down what it still has open at the host, and says that the drain is done once all have answered "nothing" under its
 //! epoch. When the owner dies the next one asks all anew; what an older owner still says is not heard. Later words win,
 //! whoever tells them, so that a gateway that was cut off can't bring an old drain back.
 //!
-//! No I/O, no clock, no tasks; the same shape as `irisrouter-duties`.
+//! No I/O, no clock, no tasks; the same shape as `irisrouter-leases`.
 
 #![forbid(unsafe_code)]
 
 pub mod codec;
 
-pub use codec::{is_drains, WireError};
+pub use codec::{recognizes, WireError};
 
 use codec::{Item, Kind};
 use std::collections::{BTreeMap, BTreeSet};
@@ -28,7 +28,7 @@
 
 /// An operator's word on one host. Of two, the later one holds; of two of one moment, that of the higher gateway.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Word {
+pub struct DrainCommand {
     /// The host, by the number that gateways call it.
     pub host: u32,
     /// It is to be out of service; else back.
@@ -39,7 +39,7 @@
     pub by: u32,
 }
 
-impl Word {
+impl DrainCommand {
     /// By which words on one host are ordered.
     #[must_use]
     pub const fn order(&self) -> (u64, u32, bool) {
@@ -89,7 +89,7 @@
         bytes: Vec<u8>,
     },
     /// From now on this word is followed: log it, and take the host out of service or back.
-    Follow(Word),
+    Follow(DrainCommand),
     /// Answer the operator: the word that was said here is followed by so many gateways, this one included, and that is a
     /// majority of the fleet or not.
     Said {
@@ -103,7 +103,7 @@
     /// A host is drained, as this gateway as the owner found, or as it heard: log it.
     Done {
         /// Which word.
-        word: Word,
+        word: DrainCommand,
         /// Under which epoch.
         epoch: u64,
         /// Gateways that were held down and not heard: those may still send to it.
@@ -147,7 +147,7 @@
 
 /// What is known of one host.
 struct Known {
-    word: Word,
+    word: DrainCommand,
     /// The latest epoch heard of or held.
     epoch: u64,
     /// When an owner was last heard, or the word itself.
@@ -166,7 +166,7 @@
 }
 
 /// All drains, as one gateway knows them.
-pub struct Drains {
+pub struct DrainCoordinator {
     me: u32,
     settings: Settings,
     known: BTreeMap<u32, Known>,
@@ -176,7 +176,7 @@
     actions: Vec<Action>,
 }
 
-impl Drains {
+impl DrainCoordinator {
     /// A gateway that knows of no word yet.
     #[must_use]
     pub fn new(me: u32, settings: Settings) -> Self {
@@ -209,7 +209,7 @@
             .map_or(unix_ms, |k| unix_ms.max(k.word.at + 1));
         self.follow(
             now,
-            Word {
+            DrainCommand {
                 host,
                 out,
                 at,
@@ -238,7 +238,7 @@
     }
 
     /// All words, with how far each is.
-    pub fn words(&self) -> impl Iterator<Item = (Word, Progress)> + '_ {
+    pub fn words(&self) -> impl Iterator<Item = (DrainCommand, Progress)> + '_ {
         self.known.values().map(|k| (k.word, self.progress(k)))
     }
 
@@ -325,7 +325,7 @@
     }
 
     /// A word later than what was known on its host holds from now on.
-    fn follow(&mut self, now: Millis, word: Word) {
+    fn follow(&mut self, now: Millis, word: DrainCommand) {
         let known = Known {
             word,
             epoch: 0,
@@ -530,13 +530,13 @@
         k.heard = now;
         let word = k.word;
         let there: Vec<u32> = self.there.keys().copied().collect();
-        let first = irisrouter_duties::order::owners(duty(host), &there);
+        let first = irisrouter_leases::rendezvous::candidates(task_id(host), &there);
         for to in first.into_iter().take(CANDIDATES).filter(|&g| g != me) {
             self.push(to, Kind::Tell, word, 0, 0);
         }
     }
 
-    fn push(&mut self, to: u32, kind: Kind, word: Word, epoch: u64, count: u32) {
+    fn push(&mut self, to: u32, kind: Kind, word: DrainCommand, epoch: u64, count: u32) {
         if to != self.me {
             self.out.entry(to).or_default().push(Item {
                 kind,
@@ -562,7 +562,7 @@
 
 /// The number of a host's drain as a duty: beyond any set's that a platform gives out.
 #[must_use]
-pub const fn duty(host: u32) -> u64 {
+pub const fn task_id(host: u32) -> u64 {
     0x4452_4149_0000_0000 | host as u64
 }
 
@@ -576,8 +576,8 @@
 /// Of the hosts in service of one set, those that words take out. All of them is too many: the one of the latest word
 /// stays, at every gateway the same. Danger guarded against: two operators that drain a set's two hosts at once.
 #[must_use]
-pub fn taken_out(set: &[u32], word: impl Fn(u32) -> Option<Word>) -> BTreeSet<u32> {
-    let words: Vec<Word> = set
+pub fn taken_out(set: &[u32], word: impl Fn(u32) -> Option<DrainCommand>) -> BTreeSet<u32> {
+    let words: Vec<DrainCommand> = set
         .iter()
         .filter_map(|&h| word(h).filter(|w| w.out))
         .collect();
--- a/crates/drain-coordination/tests/fleet.rs
+++ b/crates/drain-coordination/tests/fleet.rs
@@ -1,9 +1,10 @@
 //! Whole fleets of [`Drains`] on a simulated network, in virtual time and seeded: who follows a word, who says that a
 //! drain is done, and what is left of it when gateways crash, start again, are cut off or lose datagrams.
 
-use irisrouter_drains::codec::{self, Item, Kind};
-use irisrouter_drains::{
-    duty, taken_out, Action, Drains, Millis, Progress, Settings, Surroundings, Word,
+use irisrouter_drain_coordination::codec::{self, Item, Kind};
+use irisrouter_drain_coordination::{
+    taken_out, task_id, Action, DrainCommand, DrainCoordinator, Millis, Progress, Settings,
+    Surroundings,
 };
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
@@ -31,7 +32,7 @@
 
 struct Fleet {
     now: Millis,
-    cores: Vec<Option<Drains>>,
+    cores: Vec<Option<DrainCoordinator>>,
     around: Vec<Around>,
     generations: Vec<u16>,
     cuts: BTreeSet<(u32, u32)>,
@@ -50,7 +51,7 @@
 
 impl Fleet {
     fn new(size: usize, seed: u64) -> Self {
-        let core = |n: usize| Some(Drains::new(n as u32, settings(size)));
+        let core = |n: usize| Some(DrainCoordinator::new(n as u32, settings(size)));
         Fleet {
             now: 0,
             cores: (0..size).map(core).collect(),
@@ -68,7 +69,7 @@
 
     fn restart(&mut self, n: usize) {
         self.generations[n] += 1;
-        self.cores[n] = Some(Drains::new(n as u32, settings(self.cores.len())));
+        self.cores[n] = Some(DrainCoordinator::new(n as u32, settings(self.cores.len())));
         self.around[n] = Around::default();
     }
 
@@ -95,7 +96,7 @@
             .collect()
     }
 
-    fn with(&mut self, n: usize, step: impl FnOnce(&mut Drains, Millis, &Around)) {
+    fn with(&mut self, n: usize, step: impl FnOnce(&mut DrainCoordinator, Millis, &Around)) {
         let (there, now, around) = (self.there(n), self.now, self.around[n].clone());
         let Some(core) = self.cores[n].as_mut() else {
             return;
@@ -108,7 +109,7 @@
                 self.seen.push((n as u32, action));
                 continue;
             };
-            assert!(bytes.len() <= codec::DATAGRAM);
+            assert!(bytes.len() <= codec::MAX_DATAGRAM_BYTES);
             self.sent += 1;
             if self.cuts.contains(&(n as u32, to))
                 || self.rng.random_range(0..100) < self.loss_percent
@@ -137,7 +138,7 @@
         }
     }
 
-    fn word(&self, n: usize) -> Option<Word> {
+    fn word(&self, n: usize) -> Option<DrainCommand> {
         self.cores[n]
             .as_ref()?
             .words()
@@ -257,7 +258,7 @@
     assert!(fleet.word(3).is_some_and(|w| w.out));
     // All that were to own it start again: whoever still knows tells those.
     let there: Vec<u32> = (0..4).collect();
-    let first = irisrouter_duties::order::owners(duty(HOST), &there);
+    let first = irisrouter_leases::rendezvous::candidates(task_id(HOST), &there);
     first[..3].iter().for_each(|&n| fleet.restart(n as usize));
     fleet.run(5 * settings(4).slow_ms);
     assert!((0..4).all(|n| fleet.word(n).is_some_and(|w| w.out)));
@@ -294,7 +295,7 @@
     // It holds here all the same; after the cut those that are to own it hear of it, and one of them tells the others.
     fleet.cuts.clear();
     fleet.run(5 * settings(5).slow_ms);
-    let first = irisrouter_duties::order::owners(duty(HOST), &[0, 1, 2, 3, 4])[0];
+    let first = irisrouter_leases::rendezvous::candidates(task_id(HOST), &[0, 1, 2, 3, 4])[0];
     assert!(fleet.word(first as usize).is_some_and(|w| w.out));
     fleet.own(first as usize, 1);
     fleet.run(100);
@@ -303,7 +304,7 @@
 
 #[test]
 fn words_are_bounded_and_only_those_that_are_over_make_way() {
-    let mut one = Drains::new(0, settings(1));
+    let mut one = DrainCoordinator::new(0, settings(1));
     for host in 0..256 {
         one.say(0, 1, host, true).expect("room");
     }
@@ -321,7 +322,7 @@
 /// Guards against two operators who take a set's last two hosts out at once.
 #[test]
 fn of_a_set_that_words_would_empty_the_last_one_named_stays() {
-    let word = |host, at| Word {
+    let word = |host, at| DrainCommand {
         host,
         out: true,
         at,
@@ -332,7 +333,7 @@
         (2, word(2, 20)),
         (
             3,
-            Word {
+            DrainCommand {
                 out: false,
                 ..word(3, 30)
             },
@@ -351,7 +352,7 @@
     (kind, word, any::<u64>(), any::<u32>()).prop_map(
         |(kind, (host, out, at, by), epoch, count)| Item {
             kind,
-            word: Word { host, out, at, by },
+            word: DrainCommand { host, out, at, by },
             epoch,
             count,
         },
@@ -366,7 +367,7 @@
 
     #[test]
     fn arbitrary_bytes_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..300), seed in any::<u64>()) {
-        let mut core = Drains::new(0, settings(3));
+        let mut core = DrainCoordinator::new(0, settings(3));
         core.view([(0, 0), (1, 0)]);
         let mut marked = bytes.clone();
         marked.insert(0, codec::MAGIC);
--- a/crates/drain-coordination/tests/golden.rs
+++ b/crates/drain-coordination/tests/golden.rs
@@ -9,8 +9,10 @@
 //!
 //! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
 
-use irisrouter_drains::codec::{decode, encode, Item, Kind, WireError, DATAGRAM, ITEMS, MAGIC};
-use irisrouter_drains::{duty, is_drains, Word};
+use irisrouter_drain_coordination::codec::{
+    decode, encode, Item, Kind, WireError, ITEMS, MAGIC, MAX_DATAGRAM_BYTES,
+};
+use irisrouter_drain_coordination::{recognizes, task_id, DrainCommand};
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
@@ -18,8 +20,8 @@
 
 // Values: all items that are pinned here are built in this part of the file.
 
-fn word(out: bool) -> Word {
-    Word {
+fn word(out: bool) -> DrainCommand {
+    DrainCommand {
         host: 0x0102_0304,
         out,
         at: 0x1112_1314_1516_1718,
@@ -55,7 +57,7 @@
 }
 
 fn with_largest_numbers() -> Item {
-    let word = Word {
+    let word = DrainCommand {
         host: u32::MAX,
         out: true,
         at: u64::MAX,
@@ -74,7 +76,7 @@
     let kinds = [Kind::Tell, Kind::Holds, Kind::Done];
     let one = |i: u32| Item {
         kind: kinds[i as usize % kinds.len()],
-        word: Word {
+        word: DrainCommand {
             host: 0x0100_0000 + i,
             out: i % 2 == 1,
             at: 0x1100_0000_0000_0000 + u64::from(i),
@@ -120,7 +122,7 @@
 
 #[test]
 fn bounds_and_first_byte_keep_their_values() {
-    assert_eq!((DATAGRAM, ITEMS, MAGIC), (256, 8, 0xe1));
+    assert_eq!((MAX_DATAGRAM_BYTES, ITEMS, MAGIC), (256, 8, 0xe1));
 }
 
 #[test]
@@ -283,9 +285,12 @@
 
 #[test]
 fn datagram_of_drains_is_told_by_the_high_half_of_its_first_byte() {
-    assert!(is_drains(&[0xe1]) && is_drains(&[0xe0]) && is_drains(&[0xef, 0x00]));
+    assert!(recognizes(&[0xe1]) && recognizes(&[0xe0]) && recognizes(&[0xef, 0x00]));
     assert!(
-        !is_drains(&[]) && !is_drains(&[0x01, 0xe1]) && !is_drains(&[0xd1]) && !is_drains(&[0xf1])
+        !recognizes(&[])
+            && !recognizes(&[0x01, 0xe1])
+            && !recognizes(&[0xd1])
+            && !recognizes(&[0xf1])
     );
 }
 
@@ -293,10 +298,10 @@
 
 #[test]
 fn duty_of_a_host_s_drain_keeps_its_number() {
-    assert_eq!(duty(0), 0x4452_4149_0000_0000);
-    assert_eq!(duty(7), 0x4452_4149_0000_0007);
-    assert_eq!(duty(0x00ab_cdef), 0x4452_4149_00ab_cdef);
-    assert_eq!(duty(u32::MAX), 0x4452_4149_ffff_ffff);
+    assert_eq!(task_id(0), 0x4452_4149_0000_0000);
+    assert_eq!(task_id(7), 0x4452_4149_0000_0007);
+    assert_eq!(task_id(0x00ab_cdef), 0x4452_4149_00ab_cdef);
+    assert_eq!(task_id(u32::MAX), 0x4452_4149_ffff_ffff);
 }
 
 #[test]
@@ -306,27 +311,27 @@
         (0x1112_1314_1516_1718, 0x2122_2324, true)
     );
     let in_order = [
-        Word {
+        DrainCommand {
             at: 1,
             by: 9,
             ..word(true)
         },
-        Word {
+        DrainCommand {
             at: 2,
             by: 3,
             ..word(true)
         },
-        Word {
+        DrainCommand {
             at: 2,
             by: 4,
             ..word(false)
         },
-        Word {
+        DrainCommand {
             at: 2,
             by: 4,
             ..word(true)
         },
-        Word {
+        DrainCommand {
             at: 3,
             by: 0,
             ..word(false)
--- a/crates/endpoint-watch/src/codec.rs
+++ b/crates/endpoint-watch/src/codec.rs
@@ -6,19 +6,19 @@
 //! 17       count, then 4 bytes each: the number of a host that this list has out of service
 //! ```
 
-use crate::{Beat, MOST_OUT};
+use crate::{Heartbeat, MOST_OUT};
 use bytes::BufMut;
 use irisrouter_datagram::Reader;
 
-pub use irisrouter_datagram::mark::LISTWATCH as MAGIC;
-pub use irisrouter_datagram::{WireError, LONGEST as DATAGRAM};
+pub use irisrouter_datagram::magic::ENDPOINT_WATCH as MAGIC;
+pub use irisrouter_datagram::{WireError, MAX_DATAGRAM_BYTES};
 const HEADER: usize = 18;
 const HOST: usize = 4;
-const _: () = assert!(HEADER + MOST_OUT * HOST <= DATAGRAM);
+const _: () = assert!(HEADER + MOST_OUT * HOST <= MAX_DATAGRAM_BYTES);
 
 /// The bytes of a beat; hosts beyond [`MOST_OUT`] are left out.
 #[must_use]
-pub fn encode(beat: &Beat) -> Vec<u8> {
+pub fn encode(beat: &Heartbeat) -> Vec<u8> {
     let out = &beat.out[..beat.out.len().min(MOST_OUT)];
     let mut buf = Vec::with_capacity(HEADER + out.len() * HOST);
     buf.put_u8(MAGIC);
@@ -34,13 +34,13 @@
 ///
 /// # Errors
 /// Why the bytes are none.
-pub fn decode(bytes: &[u8]) -> Result<Beat, WireError> {
+pub fn decode(bytes: &[u8]) -> Result<Heartbeat, WireError> {
     let mut from = Reader::new(bytes, MAGIC)?;
     let (epoch, revision) = (from.u64()?, from.u64()?);
     if epoch == 0 {
         return Err(WireError::Value("an epoch of nobody"));
     }
-    Ok(Beat {
+    Ok(Heartbeat {
         epoch,
         revision,
         out: from.items(HOST, Reader::u32)?,
@@ -49,6 +49,6 @@
 
 /// Whether a datagram is of the fleet's watch, in whatever version.
 #[must_use]
-pub fn is_listwatch(datagram: &[u8]) -> bool {
+pub fn recognizes(datagram: &[u8]) -> bool {
     irisrouter_datagram::is(datagram, MAGIC)
 }
--- a/crates/endpoint-watch/src/lib.rs
+++ b/crates/endpoint-watch/src/lib.rs
@@ -1,6 +1,6 @@
 //! One watch of the list of database hosts for a whole fleet, where one service answers all gateways.
 //!
-//! Watching is a duty (`irisrouter-duties`): its owner holds the long poll, and while that is well it tells all others by a
+//! Watching is a duty (`irisrouter-leases`): its owner holds the long poll, and while that is well it tells all others by a
 //! small beat which revision it has and which hosts that list has out of service. The others hold no watch. Hosts that are
 //! out they leave alone at once, on the owner's word; all else they take from the service themselves, each in its turn, as
 //! an address is known to its own gateway only and a host that the own list has not named gets nothing. Whoever hears no
@@ -12,7 +12,7 @@
 
 pub mod codec;
 
-pub use codec::{is_listwatch, WireError};
+pub use codec::{recognizes, WireError};
 
 /// Milliseconds on the caller's monotonic clock.
 pub type Millis = u64;
@@ -20,7 +20,7 @@
 /// Hosts that a beat can name.
 pub const MOST_OUT: usize = 59;
 /// The duty's number: beyond any set's that a platform gives out, and any drain's.
-pub const DUTY: u64 = 0x5741_5443_4800_0000;
+pub const TASK_ID: u64 = 0x5741_5443_4800_0000;
 
 /// Settings; times in milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,7 +51,7 @@
 
 /// What the watcher tells.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Beat {
+pub struct Heartbeat {
     /// The epoch under which it watches; not 0.
     pub epoch: u64,
     /// The revision of its list.
@@ -62,7 +62,7 @@
 
 /// What a gateway does next about its own list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Turn {
+pub enum PollDecision {
     /// Watch: it is this gateway's duty, or nobody is heard to.
     Watch,
     /// Call once, without waiting for news.
@@ -95,7 +95,7 @@
 }
 
 /// The fleet's watch, as one gateway sees it.
-pub struct ListWatch {
+pub struct EndpointWatcher {
     settings: Settings,
     heard: Option<Heard>,
     /// When the own watch was last known to be well, and what was told last and when.
@@ -103,7 +103,7 @@
     told: Option<(u64, Millis)>,
 }
 
-impl ListWatch {
+impl EndpointWatcher {
     /// A gateway that has heard nobody.
     #[must_use]
     pub const fn new(settings: Settings) -> Self {
@@ -145,14 +145,19 @@
     }
 
     /// The beat that is due from this gateway now: where it owns the watch, and that is well. At once with a new revision.
-    pub fn beat(&mut self, now: Millis, own: Own, out: impl FnOnce() -> Vec<u32>) -> Option<Beat> {
+    pub fn beat(
+        &mut self,
+        now: Millis,
+        own: Own,
+        out: impl FnOnce() -> Vec<u32>,
+    ) -> Option<Heartbeat> {
         let (epoch, revision) = own.token.zip(own.revision).filter(|_| self.well)?;
         let due = self
             .told
             .is_none_or(|(told, at)| told != revision || now >= at + self.settings.beat_ms);
         due.then(|| {
             self.told = Some((revision, now));
-            Beat {
+            Heartbeat {
                 epoch,
                 revision,
                 out: out(),
@@ -180,26 +185,26 @@
     }
 
     /// What this gateway does next about its own list; it is taken to do so.
-    pub fn turn(&mut self, now: Millis, own: Own) -> Turn {
+    pub fn turn(&mut self, now: Millis, own: Own) -> PollDecision {
         let s = self.settings;
         let Some(revision) = own.revision.filter(|_| !own.whole) else {
-            return Turn::Fetch;
+            return PollDecision::Fetch;
         };
         let relieved = self.relieved(now, own);
         let Some(heard) = self.heard.as_mut().filter(|_| relieved) else {
-            return Turn::Watch;
+            return PollDecision::Watch;
         };
         if heard.revision == revision {
-            return Turn::Rest(heard.at + s.silent_ms - now);
+            return PollDecision::Rest(heard.at + s.silent_ms - now);
         }
         // Danger guarded against: a service that is behind its own word would be called without end.
         let due = heard
             .called
             .map_or(heard.since + own.place * s.each_ms, |at| at + s.again_ms);
         if now < due {
-            return Turn::Rest(due - now);
+            return PollDecision::Rest(due - now);
         }
         heard.called = Some(now);
-        Turn::Fetch
+        PollDecision::Fetch
     }
 }
--- a/crates/endpoint-watch/tests/golden.rs
+++ b/crates/endpoint-watch/tests/golden.rs
@@ -8,8 +8,8 @@
 //!
 //! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
 
-use irisrouter_listwatch::codec::{decode, encode, WireError, DATAGRAM, MAGIC};
-use irisrouter_listwatch::{is_listwatch, Beat, DUTY, MOST_OUT};
+use irisrouter_endpoint_watch::codec::{decode, encode, WireError, MAGIC, MAX_DATAGRAM_BYTES};
+use irisrouter_endpoint_watch::{recognizes, Heartbeat, MOST_OUT, TASK_ID};
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
@@ -17,42 +17,42 @@
 
 // Values: all beats that are pinned here are built in this part of the file.
 
-fn beat(out: &[u32]) -> Beat {
-    Beat {
+fn beat(out: &[u32]) -> Heartbeat {
+    Heartbeat {
         epoch: 0x0102_0304_0506_0708,
         revision: 0x1112_1314_1516_1718,
         out: out.to_vec(),
     }
 }
 
-fn with_two_hosts() -> Beat {
+fn with_two_hosts() -> Heartbeat {
     beat(&[0x2122_2324, 0x00fe_dcba])
 }
 
-fn with_largest_numbers() -> Beat {
-    Beat {
+fn with_largest_numbers() -> Heartbeat {
+    Heartbeat {
         epoch: u64::MAX,
         revision: u64::MAX,
         out: vec![u32::MAX],
     }
 }
 
-fn with_least_numbers() -> Beat {
-    Beat {
+fn with_least_numbers() -> Heartbeat {
+    Heartbeat {
         epoch: 1,
         revision: 0,
         out: vec![0],
     }
 }
 
-fn of_nobody() -> Beat {
-    Beat {
+fn of_nobody() -> Heartbeat {
+    Heartbeat {
         epoch: 0,
         ..with_two_hosts()
     }
 }
 
-fn with_many_hosts(count: u32) -> Beat {
+fn with_many_hosts(count: u32) -> Heartbeat {
     beat(&(0..count).map(|i| 0x2100_0000 + i).collect::<Vec<_>>())
 }
 
@@ -64,14 +64,14 @@
 
 /// A beat has these bytes, and is `read` from them.
 #[track_caller]
-fn pins_as(beat: &Beat, expected: &str, read: &Beat) {
+fn pins_as(beat: &Heartbeat, expected: &str, read: &Heartbeat) {
     let bytes = encode(beat);
     assert_eq!(hex(&bytes), literal(expected));
     assert_eq!(decode(&bytes).as_ref(), Ok(read));
 }
 
 #[track_caller]
-fn pins(beat: &Beat, expected: &str) {
+fn pins(beat: &Heartbeat, expected: &str) {
     pins_as(beat, expected, beat);
 }
 
@@ -90,7 +90,7 @@
 
 #[test]
 fn bounds_and_first_byte_keep_their_values() {
-    assert_eq!((DATAGRAM, MOST_OUT, MAGIC), (256, 59, 0xf1));
+    assert_eq!((MAX_DATAGRAM_BYTES, MOST_OUT, MAGIC), (256, 59, 0xf1));
 }
 
 #[test]
@@ -230,13 +230,13 @@
 
 #[test]
 fn datagram_of_the_watch_is_told_by_the_high_half_of_its_first_byte() {
-    assert!(is_listwatch(&[0xf1]) && is_listwatch(&[0xf0]) && is_listwatch(&[0xff, 0x00]));
-    assert!(!is_listwatch(&[]) && !is_listwatch(&[0x01, 0xf1]) && !is_listwatch(&[0xe1]));
+    assert!(recognizes(&[0xf1]) && recognizes(&[0xf0]) && recognizes(&[0xff, 0x00]));
+    assert!(!recognizes(&[]) && !recognizes(&[0x01, 0xf1]) && !recognizes(&[0xe1]));
 }
 
 // Numbers on which all gateways agree.
 
 #[test]
 fn duty_of_the_watch_keeps_its_number() {
-    assert_eq!(DUTY, 0x5741_5443_4800_0000);
+    assert_eq!(TASK_ID, 0x5741_5443_4800_0000);
 }
--- a/crates/gossip/src/duty.rs
+++ b/crates/gossip/src/health_check_schedule.rs
@@ -14,7 +14,7 @@
 const STEP: i64 = 60_000_000;
 
 /// Where one set stands.
-struct Round {
+struct HealthCheckRound {
     /// When it was last asked by anybody, or came up.
     asked: i64,
     /// By whom; none before anybody was heard.
@@ -24,10 +24,10 @@
 }
 
 /// The duties of one gateway. Times are nanoseconds.
-pub struct Duties {
+pub struct HealthCheckSchedule {
     me: u32,
     gateways: u32,
-    sets: BTreeMap<i64, Round>,
+    sets: BTreeMap<i64, HealthCheckRound>,
 }
 
 /// The weight of a gateway for a set (splitmix64's mix): the same everywhere.
@@ -39,10 +39,10 @@
     x ^ (x >> 31)
 }
 
-impl Duties {
+impl HealthCheckSchedule {
     /// Gateway `me` of so many.
     pub fn new(me: u32, gateways: u32) -> Self {
-        Duties {
+        HealthCheckSchedule {
             me,
             gateways,
             sets: BTreeMap::new(),
@@ -59,7 +59,7 @@
                 let own = weight(set, me);
                 let before = |g: &u32| *g != me && weight(set, *g) > own;
                 let place = (0..gateways).filter(before).count() as i64;
-                Round {
+                HealthCheckRound {
                     asked: now - PERIOD,
                     asker: None,
                     place,
@@ -92,7 +92,7 @@
     /// The sets to be asked now, of those that this gateway owns under a lease: one round each period, whoever else was
     /// heard. They count as asked by this gateway.
     pub fn due_of(&mut self, now: i64, owns: impl Fn(i64) -> bool) -> Vec<i64> {
-        let due = |r: &Round| r.asked + PERIOD <= now;
+        let due = |r: &HealthCheckRound| r.asked + PERIOD <= now;
         let due: Vec<i64> = self
             .sets
             .iter()
@@ -118,7 +118,7 @@
     }
 }
 
-fn at(round: &Round, me: u32) -> i64 {
+fn at(round: &HealthCheckRound, me: u32) -> i64 {
     let turn = match round.asker {
         Some(asker) if asker == me => 0,
         Some(_) => 1 + round.place,
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -6,5 +6,5 @@
 
 #![forbid(unsafe_code)]
 
-pub mod duty;
+pub mod health_check_schedule;
 pub mod message;
--- a/crates/gossip/tests/golden.rs
+++ b/crates/gossip/tests/golden.rs
@@ -8,7 +8,7 @@
 //!
 //! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
 
-use irisrouter_gossip::duty::Duties;
+use irisrouter_gossip::health_check_schedule::HealthCheckSchedule;
 use irisrouter_gossip::message::{
     decode, encode, number, Finding, Malformed, Message, LONGEST, MOST,
 };
@@ -103,14 +103,14 @@
 
 /// When this gateway asks the set if it hears nobody, for a set that appears at time 0.
 fn first_turn(set: i64, me: u32, gateways: u32) -> Option<i64> {
-    let mut duties = Duties::new(me, gateways);
+    let mut duties = HealthCheckSchedule::new(me, gateways);
     duties.sets(0, &[set]);
     duties.next()
 }
 
 /// When this gateway asks the set again, in a fleet of three, after another has asked it at time 0.
 fn next_turn(set: i64, me: u32, asker: u32) -> Option<i64> {
-    let mut duties = Duties::new(me, 3);
+    let mut duties = HealthCheckSchedule::new(me, 3);
     duties.sets(-1_000 * MS, &[set]);
     duties.heard(set, asker, 0);
     duties.next()
--- a/crates/gossip/tests/duty.rs
+++ b/crates/gossip/tests/health_check_schedule.rs
@@ -1,6 +1,6 @@
 //! Fleets that ask their sets, with deaths and losses, in a time of their own.
 
-use irisrouter_gossip::duty::Duties;
+use irisrouter_gossip::health_check_schedule::HealthCheckSchedule;
 use std::collections::BTreeMap;
 
 const MS: i64 = 1_000_000;
@@ -13,7 +13,9 @@
     lives: impl Fn(u32, i64) -> bool,
     hears: impl Fn(u32, u32) -> bool,
 ) -> BTreeMap<i64, Vec<i64>> {
-    let mut fleet: Vec<Duties> = (0..gateways).map(|g| Duties::new(g, gateways)).collect();
+    let mut fleet: Vec<HealthCheckSchedule> = (0..gateways)
+        .map(|g| HealthCheckSchedule::new(g, gateways))
+        .collect();
     fleet.iter_mut().for_each(|d| d.sets(0, &SETS));
     let mut asked: BTreeMap<i64, Vec<i64>> = BTreeMap::new();
     let mut word: Vec<(i64, i64, u32, i64)> = Vec::new();
@@ -88,7 +90,7 @@
 /// Guards against late word that takes a duty back.
 #[test]
 fn older_word_changes_nothing() {
-    let mut d = Duties::new(0, 2);
+    let mut d = HealthCheckSchedule::new(0, 2);
     d.sets(0, &[5]);
     d.heard(5, 1, 900 * MS);
     let next = d.next();
--- a/crates/leases/src/codec.rs
+++ b/crates/leases/src/codec.rs
@@ -14,12 +14,12 @@
 use bytes::BufMut;
 use irisrouter_datagram::Reader;
 
-pub use irisrouter_datagram::mark::DUTIES as MAGIC;
-pub use irisrouter_datagram::{WireError, LONGEST as DATAGRAM};
+pub use irisrouter_datagram::magic::LEASES as MAGIC;
+pub use irisrouter_datagram::{WireError, MAX_DATAGRAM_BYTES};
 const HEADER: usize = 4;
 const ITEM: usize = 28;
 /// Items that fit one datagram.
-pub const ITEMS: usize = (DATAGRAM - HEADER) / ITEM;
+pub const ITEMS: usize = (MAX_DATAGRAM_BYTES - HEADER) / ITEM;
 
 /// What is said of a duty.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -125,6 +125,6 @@
 
 /// Whether a datagram is one of duties', by its first byte.
 #[must_use]
-pub fn is_duties(datagram: &[u8]) -> bool {
+pub fn recognizes(datagram: &[u8]) -> bool {
     irisrouter_datagram::is(datagram, MAGIC)
 }
--- a/crates/leases/src/lib.rs
+++ b/crates/leases/src/lib.rs
@@ -1,6 +1,6 @@
 //! Who of the gateways owns which duty: one at a time, under a lease and a fencing epoch that grows with every change.
 //!
-//! A duty is a number (the probing of a set, say). The gateways alive, in the order of [`order::owners`], are to own it: the
+//! A duty is a number (the probing of a set, say). The gateways alive, in the order of [`rendezvous::candidates`], are to own it: the
 //! first claims it, the next two stand by, look, and claim it when the lease of whoever holds it has run out. Whether a claim
 //! succeeds is up to the duty's voters, five of the fleet's list at most, by majority ([`lease`]). An owner that is not the
 //! first in the order gives the duty up to the first once that one has been alive for a while.
@@ -14,9 +14,9 @@
 
 pub mod codec;
 pub mod lease;
-pub mod order;
+pub mod rendezvous;
 
-pub use codec::is_duties;
+pub use codec::recognizes;
 pub use lease::{Holder, Millis};
 
 use codec::{Item, Kind, WireError};
@@ -82,21 +82,21 @@
 
 /// Why a duty is owned or no longer owned.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Why {
+pub enum LeaseChange {
     /// It was nobody's.
-    Free,
+    Vacant,
     /// The lease of this one had run out.
     TakenOver(Holder),
     /// Its own lease ran out before it was renewed.
-    RanOut,
+    Expired,
     /// Another holds it under a later epoch.
-    Outbid,
+    Superseded,
     /// It was given up to the first in its order.
     HandedOver(u32),
     /// This gateway is on the small side of a cut, or stops.
     Stopped,
     /// There is no such duty any more.
-    Gone,
+    TaskRemoved,
 }
 
 /// What the shell is to do.
@@ -116,7 +116,7 @@
         /// Under which token.
         epoch: u64,
         /// From whom.
-        why: Why,
+        why: LeaseChange,
     },
     /// It no longer does.
     Lost {
@@ -125,7 +125,7 @@
         /// Which token is over.
         epoch: u64,
         /// Why.
-        why: Why,
+        why: LeaseChange,
     },
 }
 
@@ -151,7 +151,7 @@
 }
 
 /// All duties of one gateway.
-pub struct Duties {
+pub struct LeaseManager {
     me: Holder,
     settings: Settings,
     started: Millis,
@@ -168,7 +168,7 @@
     actions: Vec<Action>,
 }
 
-impl Duties {
+impl LeaseManager {
     /// A gateway that owns nothing; `started` is now.
     ///
     /// # Errors
@@ -239,14 +239,14 @@
             .filter(|d| !duties.contains(d))
             .collect();
         for duty in gone {
-            self.give_up(now, duty, Why::Gone);
+            self.give_up(now, duty, LeaseChange::TaskRemoved);
             self.wanted.remove(&duty);
         }
         for &duty in duties.iter().take(MOST) {
             if self.wanted.contains_key(&duty) {
                 continue;
             }
-            let voters = order::voters(duty, self.settings.fleet);
+            let voters = rendezvous::voters(duty, self.settings.fleet);
             let mut w = Wanted {
                 claim: Claim::new(voters.len()),
                 voters,
@@ -284,14 +284,14 @@
 
     /// A host refused the token of a duty: a later one has been there, so what is held here is over.
     pub fn fenced(&mut self, now: Millis, duty: u64) {
-        self.give_up(now, duty, Why::Outbid);
+        self.give_up(now, duty, LeaseChange::Superseded);
     }
 
     /// Gives up all duties, as the gateway stops or is on the small side of a cut.
     pub fn stop(&mut self, now: Millis) {
         let all: Vec<u64> = self.wanted.keys().copied().collect();
         for duty in all {
-            self.give_up(now, duty, Why::Stopped);
+            self.give_up(now, duty, LeaseChange::Stopped);
         }
         self.flush();
     }
@@ -400,7 +400,7 @@
                 self.actions.push(Action::Lost {
                     duty,
                     epoch,
-                    why: Why::RanOut,
+                    why: LeaseChange::Expired,
                 });
                 return;
             }
@@ -413,7 +413,7 @@
             w.other_first = since;
             if since.is_some_and(|at| now >= at + 2 * s.lease_ms) {
                 let first = w.first;
-                self.give_up(now, duty, Why::HandedOver(first));
+                self.give_up(now, duty, LeaseChange::HandedOver(first));
                 return;
             }
             // Renewed a moment ago: again when three tenths of the lease have passed since that was asked.
@@ -529,7 +529,7 @@
     /// This gateway's vote on a claim; none where it is no voter of the duty, or has too many on its mind.
     fn vote(&mut self, now: Millis, by: Holder, item: &Item) -> Option<Item> {
         let s = self.settings;
-        if !order::voters(item.duty, s.fleet).contains(&self.me.number) {
+        if !rendezvous::voters(item.duty, s.fleet).contains(&self.me.number) {
             return None;
         }
         if !self.votes.contains_key(&item.duty) && self.votes.len() >= MOST {
@@ -594,7 +594,7 @@
                 w.owned = Some(epoch);
                 w.other_first = None;
                 w.next = w.next.min(now + s.round());
-                let why = w.before.map_or(Why::Free, Why::TakenOver);
+                let why = w.before.map_or(LeaseChange::Vacant, LeaseChange::TakenOver);
                 self.actions.push(Action::Owned {
                     duty: item.duty,
                     epoch,
@@ -612,7 +612,7 @@
                 self.actions.push(Action::Lost {
                     duty: item.duty,
                     epoch,
-                    why: Why::Outbid,
+                    why: LeaseChange::Superseded,
                 });
             }
         } else if outbid || other || item.left > 0 {
@@ -627,7 +627,7 @@
     }
 
     /// Ends what is owned or claimed, and tells the voters, and the first in the order, that it is free.
-    fn give_up(&mut self, now: Millis, duty: u64, why: Why) {
+    fn give_up(&mut self, now: Millis, duty: u64, why: LeaseChange) {
         let offered = self.release(now, duty);
         let s = self.settings;
         let Some(w) = self.wanted.get_mut(&duty) else {
@@ -687,7 +687,7 @@
 
 /// This gateway's place in a duty's order, and the first's number.
 fn place(place: &mut usize, first: &mut u32, duty: u64, alive: &[u32], me: u32) {
-    let order = order::owners(duty, alive);
+    let order = rendezvous::candidates(duty, alive);
     *place = order.iter().position(|&n| n == me).unwrap_or(CANDIDATES);
     *first = order.first().copied().unwrap_or(me);
 }
--- a/crates/leases/src/order.rs
+++ b/crates/leases/src/rendezvous.rs
@@ -19,7 +19,7 @@
 
 /// These gateways in the order in which they are to own the duty; equal weights by number.
 #[must_use]
-pub fn owners(duty: u64, alive: &[u32]) -> Vec<u32> {
+pub fn candidates(duty: u64, alive: &[u32]) -> Vec<u32> {
     sorted(duty, alive.to_vec(), OWNERS)
 }
 
@@ -46,10 +46,10 @@
         let all: Vec<u32> = (0..7).collect();
         let mut owned = [0; 7];
         for duty in 0..700 {
-            let before = owners(duty, &all)[0];
+            let before = candidates(duty, &all)[0];
             owned[before as usize] += 1;
             let rest: Vec<u32> = all.iter().copied().filter(|&n| n != 3).collect();
-            let after = owners(duty, &rest)[0];
+            let after = candidates(duty, &rest)[0];
             assert!(before == after || before == 3);
         }
         assert!(owned.iter().all(|&n| (60..140).contains(&n)), "{owned:?}");
--- a/crates/leases/tests/fleet.rs
+++ b/crates/leases/tests/fleet.rs
@@ -2,7 +2,7 @@
 //! with views that lag behind. At every step no duty has two owners, epochs only grow, and a dead owner's duty has
 //! another within the bound.
 
-use irisrouter_duties::{codec, Action, Duties, Holder, Millis, Settings};
+use irisrouter_leases::{codec, Action, Holder, LeaseManager, Millis, Settings};
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -11,7 +11,7 @@
 const LEASE: Millis = 1_000;
 
 struct Gateway {
-    core: Duties,
+    core: LeaseManager,
     generation: u16,
     up: bool,
     stalled: bool,
@@ -46,7 +46,7 @@
     fn new(size: u32, duties: u64, seed: u64) -> Self {
         let gateways = (0..size)
             .map(|number| {
-                let core = Duties::new(
+                let core = LeaseManager::new(
                     Holder {
                         number,
                         generation: 0,
@@ -115,7 +115,7 @@
             number: g,
             generation: gateway.generation,
         };
-        gateway.core = Duties::new(me, settings(size), now).expect("settings");
+        gateway.core = LeaseManager::new(me, settings(size), now).expect("settings");
         gateway.core.duties(now, &duties);
         (gateway.up, gateway.stalled) = (true, false);
     }
@@ -129,7 +129,7 @@
         for action in actions {
             match action {
                 Action::Send { to, bytes } => {
-                    assert!(bytes.len() <= codec::DATAGRAM);
+                    assert!(bytes.len() <= codec::MAX_DATAGRAM_BYTES);
                     self.sent += 1;
                     if self.cuts.contains(&(g, to))
                         || self.rng.random_range(0..100) < self.loss_percent
@@ -204,7 +204,7 @@
     let mut fleet = Fleet::new(7, 40, 1);
     fleet.run(20_000);
     for duty in 0..40 {
-        let first = irisrouter_duties::order::owners(duty, &(0..7).collect::<Vec<_>>())[0];
+        let first = irisrouter_leases::rendezvous::candidates(duty, &(0..7).collect::<Vec<_>>())[0];
         assert!(
             fleet.gateways[first as usize]
                 .core
@@ -256,7 +256,7 @@
 
 #[test]
 fn a_voter_that_hears_others_only_from_later_on_grants_nothing_for_a_lease_from_then() {
-    let mut core = Duties::new(
+    let mut core = LeaseManager::new(
         Holder {
             number: 0,
             generation: 1,
@@ -404,7 +404,7 @@
         if let (true, Some(first)) = (magic, bytes.first_mut()) {
             *first = codec::MAGIC;
         }
-        let mut core = Duties::new(Holder { number: 0, generation: 0 }, settings(5), 0).expect("settings");
+        let mut core = LeaseManager::new(Holder { number: 0, generation: 0 }, settings(5), 0).expect("settings");
         if core.receive(10, 1, &bytes).is_err() {
             prop_assert_eq!(core.drain().count(), 0);
         }
@@ -432,7 +432,7 @@
             })
             .collect();
         let bytes = codec::encode(generation, &items);
-        prop_assert!(bytes.len() <= codec::DATAGRAM);
+        prop_assert!(bytes.len() <= codec::MAX_DATAGRAM_BYTES);
         prop_assert_eq!(codec::decode(&bytes), Ok((generation, items)));
     }
 }
@@ -442,8 +442,8 @@
 #[test]
 fn one_free_voter_is_no_reason_to_claim() {
     let (size, duty) = (5, 3);
-    let me = irisrouter_duties::order::owners(duty, &[0, 1, 2, 3, 4])[1];
-    let mut core = Duties::new(
+    let me = irisrouter_leases::rendezvous::candidates(duty, &[0, 1, 2, 3, 4])[1];
+    let mut core = LeaseManager::new(
         Holder {
             number: me,
             generation: 0,
@@ -455,7 +455,7 @@
     core.opened(0);
     core.view(0, &[0, 1, 2, 3, 4], true);
     core.duties(0, &[duty]);
-    let said = |core: &mut Duties, at: Millis| {
+    let said = |core: &mut LeaseManager, at: Millis| {
         core.advance(at, 1_000 + at);
         let mut items: Vec<(u32, codec::Item)> = Vec::new();
         for action in core.drain() {
--- a/crates/leases/tests/golden.rs
+++ b/crates/leases/tests/golden.rs
@@ -8,9 +8,11 @@
 //!
 //! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
 
-use irisrouter_duties::codec::{decode, encode, Item, Kind, WireError, DATAGRAM, ITEMS, MAGIC};
-use irisrouter_duties::order::{owners, voters, VOTERS};
-use irisrouter_duties::{is_duties, Holder};
+use irisrouter_leases::codec::{
+    decode, encode, Item, Kind, WireError, ITEMS, MAGIC, MAX_DATAGRAM_BYTES,
+};
+use irisrouter_leases::rendezvous::{candidates, voters, VOTERS};
+use irisrouter_leases::{recognizes, Holder};
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
@@ -136,7 +138,7 @@
 
 #[test]
 fn bounds_and_first_byte_keep_their_values() {
-    assert_eq!((DATAGRAM, ITEMS, MAGIC), (256, 9, 0xb1));
+    assert_eq!((MAX_DATAGRAM_BYTES, ITEMS, MAGIC), (256, 9, 0xb1));
 }
 
 #[test]
@@ -346,9 +348,12 @@
 
 #[test]
 fn datagram_of_duties_is_told_by_the_high_half_of_its_first_byte() {
-    assert!(is_duties(&[0xb1]) && is_duties(&[0xb0]) && is_duties(&[0xbf, 0x00]));
+    assert!(recognizes(&[0xb1]) && recognizes(&[0xb0]) && recognizes(&[0xbf, 0x00]));
     assert!(
-        !is_duties(&[]) && !is_duties(&[0x01, 0xb1]) && !is_duties(&[0xa1]) && !is_duties(&[0xc1])
+        !recognizes(&[])
+            && !recognizes(&[0x01, 0xb1])
+            && !recognizes(&[0xa1])
+            && !recognizes(&[0xc1])
     );
 }
 
@@ -384,12 +389,12 @@
     ];
     for (duty, expected) in DUTIES.into_iter().zip(expected) {
         assert_eq!(
-            owners(duty, &[0, 1, 2, 3, 4, 5, 6]),
+            candidates(duty, &[0, 1, 2, 3, 4, 5, 6]),
             expected,
             "duty {duty:#x}"
         );
         assert_eq!(
-            owners(duty, &[6, 2, 4, 0, 5, 3, 1]),
+            candidates(duty, &[6, 2, 4, 0, 5, 3, 1]),
             expected,
             "duty {duty:#x}, named in another order"
         );
@@ -412,12 +417,12 @@
     ];
     for (duty, expected) in DUTIES.into_iter().zip(expected) {
         assert_eq!(
-            owners(duty, &[4_000_000_000, 3, 250, 17, 65_536]),
+            candidates(duty, &[4_000_000_000, 3, 250, 17, 65_536]),
             expected,
             "duty {duty:#x}"
         );
     }
-    assert_eq!(owners(42, &[]), [0; 0]);
+    assert_eq!(candidates(42, &[]), [0; 0]);
 }
 
 #[test]
--- a/crates/leases/tests/leases.rs
+++ b/crates/leases/tests/leases.rs
@@ -7,8 +7,8 @@
 //! - without that check at the host, a stalled owner's act is accepted after its successor's: the model finds it;
 //! - were a voter that starts again to grant at once, two would hold: the model finds it.
 
-use irisrouter_duties::lease::{Claim, Vote, Voter};
-use irisrouter_duties::{Holder, Millis};
+use irisrouter_leases::lease::{Claim, Vote, Voter};
+use irisrouter_leases::{Holder, Millis};
 use stateright::{Checker, Model, Property};
 
 const LEASE: Millis = 2;
--- a/crates/membership/src/codec.rs
+++ b/crates/membership/src/codec.rs
@@ -20,14 +20,14 @@
 use bytes::BufMut;
 use irisrouter_datagram::Reader;
 
-pub use irisrouter_datagram::mark::MEMBERSHIP as MAGIC;
-pub use irisrouter_datagram::{WireError, LONGEST as DATAGRAM};
+pub use irisrouter_datagram::magic::MEMBERSHIP as MAGIC;
+pub use irisrouter_datagram::{WireError, MAX_DATAGRAM_BYTES};
 /// Bytes of one word.
 pub const WORD: usize = 9;
 /// Bytes of the longest header, without the count of words.
 pub const LONGEST_HEADER: usize = 26;
 /// Words that fit any datagram.
-pub const WORDS: usize = (DATAGRAM - LONGEST_HEADER - 1) / WORD;
+pub const WORDS: usize = (MAX_DATAGRAM_BYTES - LONGEST_HEADER - 1) / WORD;
 
 /// What a datagram asks or answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -196,6 +196,6 @@
 /// Whether a datagram is one of membership's, by its first byte; the shell uses this to route datagrams that share
 /// the peer socket.
 #[must_use]
-pub fn is_membership(datagram: &[u8]) -> bool {
+pub fn recognizes(datagram: &[u8]) -> bool {
     irisrouter_datagram::is(datagram, MAGIC)
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -21,7 +21,7 @@
 pub mod sim;
 pub mod view;
 
-pub use codec::{is_membership, Datagram, Kind, WireError};
+pub use codec::{recognizes, Datagram, Kind, WireError};
 pub use node::Node;
 pub use rules::Word;
 pub use settings::Settings;
--- a/crates/membership/src/sim.rs
+++ b/crates/membership/src/sim.rs
@@ -327,7 +327,7 @@
 
     fn send(&mut self, from: u32, to: u32, bytes: Vec<u8>) {
         assert!(
-            bytes.len() <= crate::codec::DATAGRAM,
+            bytes.len() <= crate::codec::MAX_DATAGRAM_BYTES,
             "a datagram of {} bytes",
             bytes.len()
         );
--- a/crates/membership/tests/codec.rs
+++ b/crates/membership/tests/codec.rs
@@ -58,7 +58,7 @@
     #[test]
     fn a_datagram_comes_back_as_it_was(sent in datagram()) {
         let bytes = encode(&sent);
-        prop_assert!(bytes.len() <= codec::DATAGRAM, "{} bytes", bytes.len());
+        prop_assert!(bytes.len() <= codec::MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
         prop_assert_eq!(decode(&bytes).expect("reads"), sent);
     }
 
@@ -118,9 +118,7 @@
     *bytes.last_mut().expect("a state") = 9;
     assert_eq!(decode(&bytes), Err(WireError::Unknown("state", 9)));
     assert!(
-        codec::is_membership(&[codec::MAGIC])
-            && !codec::is_membership(&[1])
-            && !codec::is_membership(&[])
+        codec::recognizes(&[codec::MAGIC]) && !codec::recognizes(&[1]) && !codec::recognizes(&[])
     );
 }
 
--- a/crates/membership/tests/golden.rs
+++ b/crates/membership/tests/golden.rs
@@ -8,9 +8,11 @@
 //!
 //! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
 
-use irisrouter_membership::codec::{decode, encode, DATAGRAM, LONGEST_HEADER, MAGIC, WORD, WORDS};
+use irisrouter_membership::codec::{
+    decode, encode, LONGEST_HEADER, MAGIC, MAX_DATAGRAM_BYTES, WORD, WORDS,
+};
 use irisrouter_membership::node::serial;
-use irisrouter_membership::{is_membership, Datagram, Kind, Node, WireError, Word};
+use irisrouter_membership::{recognizes, Datagram, Kind, Node, WireError, Word};
 use std::cmp::Ordering;
 
 fn hex(bytes: &[u8]) -> String {
@@ -182,7 +184,7 @@
 #[test]
 fn bounds_and_first_byte_keep_their_values() {
     assert_eq!(
-        (DATAGRAM, LONGEST_HEADER, WORD, WORDS, MAGIC),
+        (MAX_DATAGRAM_BYTES, LONGEST_HEADER, WORD, WORDS, MAGIC),
         (256, 26, 9, 25, 0xa2)
     );
 }
@@ -442,8 +444,8 @@
 
 #[test]
 fn datagram_of_membership_is_told_by_the_high_half_of_its_first_byte() {
-    assert!(is_membership(&[0xa2]) && is_membership(&[0xa0]) && is_membership(&[0xaf, 0x00]));
-    assert!(!is_membership(&[]) && !is_membership(&[0x01, 0xa2]) && !is_membership(&[0xb2]));
+    assert!(recognizes(&[0xa2]) && recognizes(&[0xa0]) && recognizes(&[0xaf, 0x00]));
+    assert!(!recognizes(&[]) && !recognizes(&[0x01, 0xa2]) && !recognizes(&[0xb2]));
 }
 
 // Numbers on which all gateways agree.
--- a/crates/retry-storm/tests/lending.rs
+++ b/crates/retry-storm/tests/lending.rs
@@ -1,8 +1,8 @@
 //! The lending of a cold host's budget, checked exhaustively at small sizes: every order of ticks, loans, arrivals, losses,
 //! repetitions, deaths and restarts. What all gateways together may send never exceeds the budget.
 
-use irisrouter_storm::lend::{Loan, Part, LONGEST, MARGIN};
-use irisrouter_storm::{Ns, MS};
+use irisrouter_retry_storm::lend::{Loan, Part, LONGEST, MARGIN};
+use irisrouter_retry_storm::{Ns, MS};
 use stateright::{Checker, Model, Property};
 
 const START: Ns = 10_000 * MS;
--- a/crates/simulation/tests/fleet.rs
+++ b/crates/simulation/tests/fleet.rs
@@ -1,10 +1,10 @@
 //! The fleet under what goes wrong: each hard case on its own, in a few lines of a script.
 
-use irisrouter_world::fleet::{Answer, Fleet, Output, Probe, Query, Taken};
-use irisrouter_world::host::State;
-use irisrouter_world::ledger::BreachKind;
-use irisrouter_world::spec::{Between, Checks, Fault, Mute, Pick, Silent, Spec, Strike};
-use irisrouter_world::{GatewayId, HostId, Ns, SetId, MS, SECOND};
+use irisrouter_simulation::fleet::{Answer, Fleet, Output, Probe, Query, Taken};
+use irisrouter_simulation::host::State;
+use irisrouter_simulation::ledger::BreachKind;
+use irisrouter_simulation::spec::{Between, Checks, Fault, Mute, Pick, Silent, Spec, Strike};
+use irisrouter_simulation::{GatewayId, HostId, Ns, SetId, MS, SECOND};
 
 const PAGE: usize = 0;
 const OWN: usize = 1;
@@ -401,7 +401,7 @@
 
 #[test]
 fn without_checks_a_lagging_replica_answers_and_the_ledger_finds_it() {
-    let slow = irisrouter_world::spec::Slow {
+    let slow = irisrouter_simulation::spec::Slow {
         hosts: None,
         times: Between::Value(1000.0),
     };
--- a/crates/site-failover/src/codec.rs
+++ b/crates/site-failover/src/codec.rs
@@ -15,14 +15,14 @@
 //!
 //! Eight sites and sixteen classes make 24 + 8 * 23 + 32 = 240 bytes.
 
+use crate::load_report::{SiteLoadReport, SiteReachability};
 use crate::planner::State;
-use crate::tally::{Reach, Tally};
 use crate::{Plan, SitePlan, MOST_CLASSES, MOST_SITES};
 use bytes::BufMut;
 use irisrouter_datagram::Reader;
 
-pub use irisrouter_datagram::mark::SITEPLAN as MAGIC;
-pub use irisrouter_datagram::{WireError, LONGEST as DATAGRAM};
+pub use irisrouter_datagram::magic::SITE_FAILOVER as MAGIC;
+pub use irisrouter_datagram::{WireError, MAX_DATAGRAM_BYTES};
 const WHOLE: f64 = 65_535.0;
 const THOUSAND: f64 = 1_000.0;
 const PLAN: u8 = 0;
@@ -34,12 +34,12 @@
     /// A plan, to be followed.
     Plan(Plan),
     /// A gateway's tally, for whoever plans.
-    Tally(Tally),
+    SiteLoadReport(SiteLoadReport),
 }
 
 /// Whether a datagram is of plans, in whatever version.
 #[must_use]
-pub fn is_siteplan(datagram: &[u8]) -> bool {
+pub fn recognizes(datagram: &[u8]) -> bool {
     irisrouter_datagram::is(datagram, MAGIC)
 }
 
@@ -50,15 +50,15 @@
 
 /// The bytes of a tally; what is beyond the bounds of sites and classes is left out.
 #[must_use]
-pub fn encode_tally(tally: &Tally) -> Vec<u8> {
-    let sites = &tally.sites[..tally.sites.len().min(MOST_SITES)];
-    let classes = &tally.arrived[..tally.arrived.len().min(MOST_CLASSES)];
-    let mut buf = vec![MAGIC, TALLY, tally.site];
-    buf.put_u16(tally.period_ms);
+pub fn encode_tally(load_report: &SiteLoadReport) -> Vec<u8> {
+    let sites = &load_report.sites[..load_report.sites.len().min(MOST_SITES)];
+    let classes = &load_report.arrived[..load_report.arrived.len().min(MOST_CLASSES)];
+    let mut buf = vec![MAGIC, TALLY, load_report.site];
+    buf.put_u16(load_report.period_ms);
     // At most 8 and 16.
     buf.put_u8(sites.len() as u8);
     buf.put_u8(classes.len() as u8);
-    let reach = |r: &Reach| [r.hosts, r.silent, r.sent, r.answered];
+    let reach = |r: &SiteReachability| [r.hosts, r.silent, r.sent, r.answered];
     sites.iter().flat_map(reach).for_each(|n| buf.put_u16(n));
     classes.iter().for_each(|&n| buf.put_u16(n));
     buf
@@ -69,7 +69,7 @@
 pub fn encode(plan: &Plan) -> Vec<u8> {
     let sites = &plan.sites[..plan.sites.len().min(MOST_SITES)];
     let classes = &plan.admitted[..plan.admitted.len().min(MOST_CLASSES)];
-    let mut buf = Vec::with_capacity(DATAGRAM);
+    let mut buf = Vec::with_capacity(MAX_DATAGRAM_BYTES);
     buf.put_u8(MAGIC);
     buf.put_u8(PLAN);
     buf.put_u64(plan.epoch);
@@ -103,12 +103,12 @@
     let mut from = Reader::new(bytes, MAGIC)?;
     match from.u8()? {
         PLAN => plan(from).map(Message::Plan),
-        TALLY => tally(from).map(Message::Tally),
+        TALLY => load_report(from).map(Message::SiteLoadReport),
         other => Err(WireError::Unknown("kind", other)),
     }
 }
 
-fn tally(mut from: Reader<'_>) -> Result<Tally, WireError> {
+fn load_report(mut from: Reader<'_>) -> Result<SiteLoadReport, WireError> {
     let (site, period_ms) = (from.u8()?, from.u16()?);
     let (n, m) = (usize::from(from.u8()?), usize::from(from.u8()?));
     if n > MOST_SITES || m > MOST_CLASSES || usize::from(site) >= MOST_SITES || period_ms == 0 {
@@ -117,7 +117,7 @@
         ));
     }
     let reach = |from: &mut Reader<'_>| {
-        Ok(Reach {
+        Ok(SiteReachability {
             hosts: from.u16()?,
             silent: from.u16()?,
             sent: from.u16()?,
@@ -131,7 +131,7 @@
         .map(|_| from.u16())
         .collect::<Result<Vec<_>, WireError>>()?;
     from.end()?;
-    Ok(Tally {
+    Ok(SiteLoadReport {
         site,
         period_ms,
         arrived,
--- a/crates/site-failover/src/lib.rs
+++ b/crates/site-failover/src/lib.rs
@@ -1,6 +1,6 @@
 //! The loss of a whole site: where its load goes, what is refused first, and how its return is paced.
 //!
-//! One gateway makes the plan (a duty of `irisrouter-duties`, so there is one at a time, and its epoch orders plans): from
+//! One gateway makes the plan (a duty of `irisrouter-leases`, so there is one at a time, and its epoch orders plans): from
 //! what the fleet's findings say of each site it decides which sites are lost or returning ([`Planner::observe`]), where a
 //! lost site's load goes, and what has to be refused ([`Planner::plan`]). All gateways follow the latest plan that they
 //! heard ([`Follower`]), also one that is cut off: it acts on the last agreed plan, not on its own guess, until that is too
@@ -12,10 +12,10 @@
 
 pub mod codec;
 mod follower;
+pub mod load_report;
 mod planner;
-pub mod tally;
 
-pub use codec::is_siteplan;
+pub use codec::recognizes;
 pub use follower::Follower;
 pub use planner::{Planner, SiteSeen, State};
 
@@ -23,7 +23,7 @@
 pub type Millis = u64;
 
 /// The planning's number as a duty: beyond any set's that a platform gives out.
-pub const DUTY: u64 = 0x5349_5445_0000_0000;
+pub const TASK_ID: u64 = 0x5349_5445_0000_0000;
 
 /// Sites and classes that a plan speaks of, at most: it fits one datagram.
 pub const MOST_SITES: usize = 8;
--- a/crates/site-failover/src/tally.rs
+++ b/crates/site-failover/src/load_report.rs
@@ -9,7 +9,7 @@
 
 /// What a gateway saw of one site since its last tally.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Reach {
+pub struct SiteReachability {
     /// Hosts of which it heard an answer or a failure lately.
     pub hosts: u16,
     /// Of those, the silent ones.
@@ -22,7 +22,7 @@
 
 /// What a gateway tells.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Tally {
+pub struct SiteLoadReport {
     /// The site where it stands.
     pub site: u8,
     /// The time that it tells of.
@@ -30,20 +30,20 @@
     /// Requests that came to it, by class.
     pub arrived: Vec<u16>,
     /// By site.
-    pub sites: Vec<Reach>,
+    pub sites: Vec<SiteReachability>,
 }
 
 /// The last tally of each gateway.
 #[derive(Debug, Clone, Default)]
-pub struct Tallies {
-    by: BTreeMap<u32, (Millis, Tally)>,
+pub struct SiteLoadReports {
+    by: BTreeMap<u32, (Millis, SiteLoadReport)>,
 }
 
-impl Tallies {
+impl SiteLoadReports {
     /// A gateway tells; what it told before is over.
-    pub fn heard(&mut self, now: Millis, by: u32, tally: Tally) {
-        if tally.period_ms > 0 {
-            self.by.insert(by, (now, tally));
+    pub fn heard(&mut self, now: Millis, by: u32, load_report: SiteLoadReport) {
+        if load_report.period_ms > 0 {
+            self.by.insert(by, (now, load_report));
         }
     }
 
@@ -63,7 +63,8 @@
     pub fn seen(&self, capacity: &[f64]) -> Vec<SiteSeen> {
         let site = |(n, &capacity): (usize, &f64)| {
             let reach = || self.by.values().filter_map(move |(_, t)| t.sites.get(n));
-            let sum = |of: fn(&Reach) -> u16| reach().map(|r| u32::from(of(r))).sum::<u32>();
+            let sum =
+                |of: fn(&SiteReachability) -> u16| reach().map(|r| u32::from(of(r))).sum::<u32>();
             let (sent, answered) = (sum(|r| r.sent), sum(|r| r.answered));
             let own = self.by.values().filter(|(_, t)| usize::from(t.site) == n);
             SiteSeen {
@@ -97,6 +98,6 @@
     }
 }
 
-fn rate(count: u16, of: &Tally) -> f64 {
+fn rate(count: u16, of: &SiteLoadReport) -> f64 {
     f64::from(count) * 1_000.0 / f64::from(of.period_ms.max(1))
 }
--- a/crates/site-failover/tests/golden.rs
+++ b/crates/site-failover/tests/golden.rs
@@ -8,11 +8,13 @@
 //!
 //! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
 
-use irisrouter_siteplan::codec::{
-    decode, encode, encode_tally, Message, WireError, DATAGRAM, MAGIC,
+use irisrouter_site_failover::codec::{
+    decode, encode, encode_tally, Message, WireError, MAGIC, MAX_DATAGRAM_BYTES,
+};
+use irisrouter_site_failover::load_report::{SiteLoadReport, SiteReachability};
+use irisrouter_site_failover::{
+    recognizes, Plan, SitePlan, State, MOST_CLASSES, MOST_SITES, TASK_ID,
 };
-use irisrouter_siteplan::tally::{Reach, Tally};
-use irisrouter_siteplan::{is_siteplan, Plan, SitePlan, State, DUTY, MOST_CLASSES, MOST_SITES};
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
@@ -105,19 +107,19 @@
     plan((0..sites).map(one).collect(), &admitted)
 }
 
-fn tally() -> Tally {
-    Tally {
+fn load_report() -> SiteLoadReport {
+    SiteLoadReport {
         site: 5,
         period_ms: 0x0102,
         arrived: vec![0x3132, 0x3334, 0x3536],
         sites: vec![
-            Reach {
+            SiteReachability {
                 hosts: 0x1112,
                 silent: 0x1314,
                 sent: 0x1516,
                 answered: 0x1718,
             },
-            Reach {
+            SiteReachability {
                 hosts: 0x2122,
                 silent: 0x2324,
                 sent: 0x2526,
@@ -127,8 +129,8 @@
     }
 }
 
-fn tally_of_nothing() -> Tally {
-    Tally {
+fn tally_of_nothing() -> SiteLoadReport {
+    SiteLoadReport {
         site: 0,
         period_ms: 1,
         arrived: Vec::new(),
@@ -136,14 +138,14 @@
     }
 }
 
-fn tally_with_largest_numbers() -> Tally {
-    let all = Reach {
+fn tally_with_largest_numbers() -> SiteLoadReport {
+    let all = SiteReachability {
         hosts: u16::MAX,
         silent: u16::MAX,
         sent: u16::MAX,
         answered: u16::MAX,
     };
-    Tally {
+    SiteLoadReport {
         site: 7,
         period_ms: u16::MAX,
         arrived: vec![u16::MAX],
@@ -152,14 +154,14 @@
 }
 
 /// Sites and classes that differ in every figure.
-fn tally_of_many(sites: u16, classes: u16) -> Tally {
-    let reach = |n| Reach {
+fn tally_of_many(sites: u16, classes: u16) -> SiteLoadReport {
+    let reach = |n| SiteReachability {
         hosts: 0x1100 + n,
         silent: 0x1200 + n,
         sent: 0x1300 + n,
         answered: 0x1400 + n,
     };
-    Tally {
+    SiteLoadReport {
         site: 7,
         period_ms: 0x0102,
         arrived: (0..classes).map(|class| 0x2100 + class).collect(),
@@ -188,15 +190,15 @@
 
 /// A tally has these bytes, and is `read` from them.
 #[track_caller]
-fn pins_tally_as(tally: &Tally, expected: &str, read: &Tally) {
-    let bytes = encode_tally(tally);
+fn pins_tally_as(load_report: &SiteLoadReport, expected: &str, read: &SiteLoadReport) {
+    let bytes = encode_tally(load_report);
     assert_eq!(hex(&bytes), literal(expected));
-    assert_eq!(decode(&bytes), Ok(Message::Tally(read.clone())));
+    assert_eq!(decode(&bytes), Ok(Message::SiteLoadReport(read.clone())));
 }
 
 #[track_caller]
-fn pins_tally(tally: &Tally, expected: &str) {
-    pins_tally_as(tally, expected, tally);
+fn pins_tally(load_report: &SiteLoadReport, expected: &str) {
+    pins_tally_as(load_report, expected, load_report);
 }
 
 #[track_caller]
@@ -217,7 +219,7 @@
 }
 
 fn both() -> [Vec<u8>; 2] {
-    [encode(&plan_of_three_sites()), encode_tally(&tally())]
+    [encode(&plan_of_three_sites()), encode_tally(&load_report())]
 }
 
 // The bytes of plans.
@@ -225,7 +227,7 @@
 #[test]
 fn bounds_and_first_byte_keep_their_values() {
     assert_eq!(
-        (DATAGRAM, MOST_SITES, MOST_CLASSES, MAGIC),
+        (MAX_DATAGRAM_BYTES, MOST_SITES, MOST_CLASSES, MAGIC),
         (256, 8, 16, 0xd2)
     );
 }
@@ -336,7 +338,7 @@
 #[test]
 fn tally_keeps_its_bytes() {
     pins_tally(
-        &tally(),
+        &load_report(),
         "d2 01 05 0102 02 03
         1112 1314 1516 1718
         2122 2324 2526 2728
@@ -520,7 +522,7 @@
 
 #[test]
 fn tally_with_too_large_counts_or_site_or_without_a_period_is_refused_for_its_value() {
-    let bytes = encode_tally(&tally());
+    let bytes = encode_tally(&load_report());
     for (at, value) in [(2, 8), (2, 255), (5, 9), (5, 255), (6, 17), (6, 255)] {
         refuses(
             &changed(bytes.clone(), at, value),
@@ -528,16 +530,16 @@
             TEXT_OF_A_TALLY,
         );
     }
-    let of_no_time = encode_tally(&Tally {
+    let of_no_time = encode_tally(&SiteLoadReport {
         period_ms: 0,
-        ..tally()
+        ..load_report()
     });
     refuses(&of_no_time, WireError::Value(OF_A_TALLY), TEXT_OF_A_TALLY);
 }
 
 #[test]
 fn tally_with_allowed_counts_other_than_what_follows_is_refused() {
-    let bytes = encode_tally(&tally());
+    let bytes = encode_tally(&load_report());
     for (at, value) in [(5, 3), (5, 8), (6, 4), (6, 16)] {
         refuses(
             &changed(bytes.clone(), at, value),
@@ -553,13 +555,13 @@
 
 #[test]
 fn datagram_of_plans_is_told_by_the_high_half_of_its_first_byte() {
-    assert!(is_siteplan(&[0xd2]) && is_siteplan(&[0xd0]) && is_siteplan(&[0xdf, 0x00]));
-    assert!(!is_siteplan(&[]) && !is_siteplan(&[0x01, 0xd2]) && !is_siteplan(&[0xc2]));
+    assert!(recognizes(&[0xd2]) && recognizes(&[0xd0]) && recognizes(&[0xdf, 0x00]));
+    assert!(!recognizes(&[]) && !recognizes(&[0x01, 0xd2]) && !recognizes(&[0xc2]));
 }
 
 // Numbers on which all gateways agree.
 
 #[test]
 fn duty_of_the_planning_keeps_its_number() {
-    assert_eq!(DUTY, 0x5349_5445_0000_0000);
+    assert_eq!(TASK_ID, 0x5349_5445_0000_0000);
 }
--- a/crates/site-failover/tests/plan.rs
+++ b/crates/site-failover/tests/plan.rs
@@ -1,8 +1,8 @@
 //! Plans for lost and returning sites: budgets, the order of refusal, the ramp, and who follows what.
 
-use irisrouter_siteplan::codec::{self, Message};
-use irisrouter_siteplan::tally::{Reach, Tallies, Tally};
-use irisrouter_siteplan::{Follower, Plan, Planner, Settings, SiteSeen, State};
+use irisrouter_site_failover::codec::{self, Message};
+use irisrouter_site_failover::load_report::{SiteLoadReport, SiteLoadReports, SiteReachability};
+use irisrouter_site_failover::{Follower, Plan, Planner, Settings, SiteSeen, State};
 use proptest::prelude::*;
 
 fn up(capacity: f64, load: f64) -> SiteSeen {
@@ -261,7 +261,7 @@
         }
         if let Ok(Message::Plan(plan)) = codec::decode(&bytes) {
             prop_assert!(plan.sites.iter().all(|s| s.goes.iter().sum::<f64>() <= 1.0 + 1e-9));
-            prop_assert!(codec::encode(&plan).len() <= codec::DATAGRAM);
+            prop_assert!(codec::encode(&plan).len() <= codec::MAX_DATAGRAM_BYTES);
         }
     }
 }
@@ -269,37 +269,37 @@
 /// Two gateways of site 0 and one of site 1 tell; what one told before, and what is too old, is not counted.
 #[test]
 fn tallies_add_up_over_gateways_and_the_last_of_each_counts() {
-    let reach = |hosts, silent, sent, answered| Reach {
+    let reach = |hosts, silent, sent, answered| SiteReachability {
         hosts,
         silent,
         sent,
         answered,
     };
-    let tally = |site, arrived: &[u16], sites: &[Reach]| Tally {
+    let load_report = |site, arrived: &[u16], sites: &[SiteReachability]| SiteLoadReport {
         site,
         period_ms: 500,
         arrived: arrived.to_vec(),
         sites: sites.to_vec(),
     };
-    let mut all = Tallies::default();
-    all.heard(0, 1, tally(0, &[900, 900], &[]));
+    let mut all = SiteLoadReports::default();
+    all.heard(0, 1, load_report(0, &[900, 900], &[]));
     all.heard(
         10,
         1,
-        tally(0, &[10, 0], &[reach(2, 2, 4, 0), reach(1, 0, 6, 6)]),
+        load_report(0, &[10, 0], &[reach(2, 2, 4, 0), reach(1, 0, 6, 6)]),
     );
     all.heard(
         10,
         2,
-        tally(0, &[0, 5], &[reach(1, 0, 4, 4), reach(3, 0, 0, 0)]),
+        load_report(0, &[0, 5], &[reach(1, 0, 4, 4), reach(3, 0, 0, 0)]),
     );
-    all.heard(20, 3, tally(1, &[0, 20], &[]));
+    all.heard(20, 3, load_report(1, &[0, 20], &[]));
     all.heard(
         20,
         4,
-        Tally {
+        SiteLoadReport {
             period_ms: 0,
-            ..tally(1, &[9], &[])
+            ..load_report(1, &[9], &[])
         },
     );
     assert_eq!((all.gateways(), all.classes(2)), (3, vec![20.0, 50.0]));
@@ -334,10 +334,10 @@
         arrived in proptest::collection::vec(any::<u16>(), 0..=16),
         sites in proptest::collection::vec(any::<(u16, u16, u16, u16)>(), 0..=8),
     ) {
-        let reach = |(hosts, silent, sent, answered)| Reach { hosts, silent, sent, answered };
-        let tally = Tally { site, period_ms, arrived, sites: sites.into_iter().map(reach).collect() };
-        let bytes = codec::encode_tally(&tally);
-        prop_assert!(bytes.len() <= codec::DATAGRAM);
-        prop_assert_eq!(codec::decode(&bytes), Ok(Message::Tally(tally)));
+        let reach = |(hosts, silent, sent, answered)| SiteReachability { hosts, silent, sent, answered };
+        let load_report = SiteLoadReport { site, period_ms, arrived, sites: sites.into_iter().map(reach).collect() };
+        let bytes = codec::encode_tally(&load_report);
+        prop_assert!(bytes.len() <= codec::MAX_DATAGRAM_BYTES);
+        prop_assert_eq!(codec::decode(&bytes), Ok(Message::SiteLoadReport(load_report)));
     }
 }
--- a/crates/testbed/src/cluster/duties.rs
+++ b/crates/testbed/src/cluster/duties.rs
@@ -9,7 +9,7 @@
 
 use super::stand_ins::Probe;
 use super::Cluster;
-use irisrouter_duties::Settings;
+use irisrouter_leases::Settings;
 use std::collections::BTreeMap;
 
 /// The stretch of a run that is looked at.
--- a/crates/testbed/src/cluster/mod.rs
+++ b/crates/testbed/src/cluster/mod.rs
@@ -15,7 +15,7 @@
 
 use crate::scenario::Scenario;
 use crate::settings;
-use irisrouter_world::spec::Spec;
+use irisrouter_simulation::spec::Spec;
 use process::{History, Process};
 use relay::Relay;
 use serde_json::{json, Value};
--- a/crates/testbed/src/cluster/relay.rs
+++ b/crates/testbed/src/cluster/relay.rs
@@ -2,7 +2,7 @@
 //! socket of the relay, and what it hears comes from that address, as on the platform. Between the two, datagrams are
 //! dropped by a seeded draw, held for a time, and cut one way or both.
 
-use irisrouter_world::dice::{Dice, Stream};
+use irisrouter_simulation::dice::{Dice, Stream};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/crates/testbed/src/cluster/schedule.rs
+++ b/crates/testbed/src/cluster/schedule.rs
@@ -1,5 +1,5 @@
 //! Sequences of faults drawn from a seed, run on a cluster, and checked: the same seed gives the same sequence, so that one
-//! that failed can be run again by itself (`irisrouter-lab cluster --seed N`).
+//! that failed can be run again by itself (`irisrouter-testbed cluster --seed N`).
 //!
 //! What has to hold, whatever the sequence:
 //!
@@ -10,7 +10,7 @@
 
 use super::{duties, Cluster, Plan};
 use irisrouter_membership::Settings;
-use irisrouter_world::dice::{Dice, Stream};
+use irisrouter_simulation::dice::{Dice, Stream};
 use serde::Serialize;
 use std::time::{Duration, Instant};
 
--- a/crates/testbed/src/compare.rs
+++ b/crates/testbed/src/compare.rs
@@ -4,7 +4,7 @@
 use crate::figures::{Figures, VERSION};
 use crate::scenario::Scenario;
 use crate::virtual_run;
-use irisrouter_world::dice::{Dice, Stream};
+use irisrouter_simulation::dice::{Dice, Stream};
 use rayon::prelude::*;
 use serde::Serialize;
 
--- a/crates/testbed/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -4,7 +4,9 @@
 use crate::loopback::house::House;
 use crate::loopback::{self, Options};
 use crate::scenario::{GatewaySpec, Scenario};
-use irisrouter_world::spec::{Between, Fault, HostSpec, Pick, SetSpec, Silent, Spec, TrafficSpec};
+use irisrouter_simulation::spec::{
+    Between, Fault, HostSpec, Pick, SetSpec, Silent, Spec, TrafficSpec,
+};
 use std::path::PathBuf;
 
 /// When the primary vanishes, and for how long, in seconds.
@@ -87,7 +89,10 @@
                 _ => format!("{:>11.0} %", 100.0 * served as f64 / asked as f64),
             })
             .collect();
-        let primary = house.fleet.borrow().primary(irisrouter_world::SetId(0));
+        let primary = house
+            .fleet
+            .borrow()
+            .primary(irisrouter_simulation::SetId(0));
         let primary = primary.map_or("none".to_string(), |h| format!("host {}", h.0));
         say(&format!("{second:>4.0} s{shares}  {primary}\n"));
     };
--- a/crates/testbed/src/figures.rs
+++ b/crates/testbed/src/figures.rs
@@ -3,12 +3,12 @@
 
 use crate::scenario::Scenario;
 use hdrhistogram::Histogram;
-use irisrouter_world::clients::{Fate, Finished};
-use irisrouter_world::faults::Planned;
-use irisrouter_world::fleet::{Fleet, Output};
-use irisrouter_world::ledger::BreachKind;
-use irisrouter_world::spec::ClassSpec;
-use irisrouter_world::{ms, seconds, HostId, Ns, SECOND};
+use irisrouter_simulation::clients::{Fate, Finished};
+use irisrouter_simulation::faults::Planned;
+use irisrouter_simulation::fleet::{Fleet, Output};
+use irisrouter_simulation::ledger::BreachKind;
+use irisrouter_simulation::spec::ClassSpec;
+use irisrouter_simulation::{ms, seconds, HostId, Ns, SECOND};
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -536,7 +536,7 @@
             let id = HostId(i as u32);
             let position = fleet.position(now, id);
             let host = fleet.host(id);
-            let up = host.state == irisrouter_world::host::State::Up;
+            let up = host.state == irisrouter_simulation::host::State::Up;
             self.hosts[i].held.push(host.held());
             self.hosts[i]
                 .lag_ms
--- a/crates/testbed/src/gateway.rs
+++ b/crates/testbed/src/gateway.rs
@@ -2,31 +2,30 @@
 //! margins, limits and order of things. It says what it wants done; the run does it.
 
 use crate::settings;
-use irisrouter::api::*;
-use irisrouter::decide::Router;
-use irisrouter_world::clients::Try;
-use irisrouter_world::fleet;
-use irisrouter_world::list::{Entry, View};
-use irisrouter_world::{GatewayId, HostId, MS};
+use irisrouter::routing::*;
+use irisrouter_simulation::clients::Try;
+use irisrouter_simulation::fleet;
+use irisrouter_simulation::list::{Entry, View};
+use irisrouter_simulation::{GatewayId, HostId, MS};
 use rustc_hash::FxHashMap as HashMap;
 use std::collections::{BTreeSet, VecDeque};
 
 /// The module's deadline lies so much before the client's, as in `net/request.rs`.
-const MARGIN: Ns = 5 * MS;
+const MARGIN: Nanos = 5 * MS;
 /// And the guard against no decision so much.
-const LAST_MARGIN: Ns = MS;
+const LAST_MARGIN: Nanos = MS;
 
 /// What a gateway says to the others, and hears: a subsystem that shares with its peers plugs in here. A gateway that is
 /// killed loses it with all else, and starts with a new one.
 pub trait Talk {
     /// A datagram has come from another gateway, as its address tells.
-    fn heard(&mut self, now: Ns, from: GatewayId, body: &[u8]);
+    fn heard(&mut self, now: Nanos, from: GatewayId, body: &[u8]);
 
     /// What it says now: to one gateway, or to all others.
-    fn says(&mut self, now: Ns) -> Vec<(Option<GatewayId>, Vec<u8>)>;
+    fn says(&mut self, now: Nanos) -> Vec<(Option<GatewayId>, Vec<u8>)>;
 
     /// When it wants to be asked again, if nothing comes before.
-    fn due(&self) -> Option<Ns>;
+    fn due(&self) -> Option<Nanos>;
 }
 
 /// A connection to a host that nothing is on.
@@ -35,7 +34,7 @@
     /// The host's process that it was made to.
     pub epoch: u32,
     /// Since when.
-    pub since: Ns,
+    pub since: Nanos,
 }
 
 /// How far an attempt has come.
@@ -57,9 +56,9 @@
     /// How far.
     pub stage: Stage,
     /// When it was ordered.
-    pub began: Ns,
+    pub began: Nanos,
     /// When the gateway stops waiting.
-    pub end: Ns,
+    pub end: Nanos,
     /// The process of the host that its connection was made to.
     pub epoch: u32,
 }
@@ -70,9 +69,9 @@
     /// As its client sent it.
     pub of: Try,
     /// When it came.
-    pub came: Ns,
+    pub came: Nanos,
     /// When the guard answers.
-    pub last: Ns,
+    pub last: Nanos,
     /// Its final answer has been given, or its client has left.
     pub over: bool,
     /// Its attempts, by number.
@@ -90,7 +89,7 @@
     /// A batch is planned.
     pub batch_planned: bool,
     /// The earliest wake-up asked for.
-    pub wake: Option<Ns>,
+    pub wake: Option<Nanos>,
     /// Requests, until their last attempt has ended.
     pub open: HashMap<RequestId, Open>,
     /// The request of each try, while it is open.
@@ -101,7 +100,7 @@
     /// Its part in what gateways tell one another.
     pub talk: Option<Box<dyn Talk>>,
     /// Probes that are out, by host and when they were sent.
-    pub probing: BTreeSet<(HostId, Ns)>,
+    pub probing: BTreeSet<(HostId, Nanos)>,
     /// Hosts that it may send to.
     ready: HashMap<HostId, bool>,
 }
@@ -111,16 +110,16 @@
     MemberId(host.0)
 }
 
-fn list_entry(e: &Entry) -> ListEntry {
-    use irisrouter_world::list::Listed as Said;
-    ListEntry {
+fn list_entry(e: &Entry) -> Endpoint {
+    use irisrouter_simulation::list::Listed as Said;
+    Endpoint {
         member: member(e.host),
         group: GroupId(i64::from(e.set.0)),
         zone: ZoneId(0),
-        listed: match e.listed {
-            Said::Ready => Listed::Ready,
-            Said::Draining => Listed::Draining,
-            Said::Gone => Listed::Gone,
+        state: match e.listed {
+            Said::Ready => EndpointState::Ready,
+            Said::Draining => EndpointState::Draining,
+            Said::Gone => EndpointState::Removed,
         },
         primary: false,
         size: 1.0,
@@ -146,14 +145,14 @@
             probing: BTreeSet::new(),
             ready: HashMap::default(),
         };
-        let entries: Vec<ListEntry> = view.entries().map(list_entry).collect();
+        let entries: Vec<Endpoint> = view.entries().map(list_entry).collect();
         g.ready = entries
             .iter()
-            .map(|e| (HostId(e.member.0), e.listed == Listed::Ready))
+            .map(|e| (HostId(e.member.0), e.state == EndpointState::Ready))
             .collect();
-        g.post(Event::List {
+        g.post(Event::EndpointList {
             complete: true,
-            entries,
+            endpoints: entries,
         });
         g
     }
@@ -167,13 +166,13 @@
     pub fn told(&mut self, entry: &Entry) {
         let entry = list_entry(entry);
         self.ready
-            .insert(HostId(entry.member.0), entry.listed == Listed::Ready);
-        if entry.listed != Listed::Ready {
+            .insert(HostId(entry.member.0), entry.state == EndpointState::Ready);
+        if entry.state != EndpointState::Ready {
             self.idle.remove(&HostId(entry.member.0));
         }
-        self.post(Event::List {
+        self.post(Event::EndpointList {
             complete: false,
-            entries: vec![entry],
+            endpoints: vec![entry],
         });
     }
 
@@ -183,7 +182,7 @@
     }
 
     /// Takes a request.
-    pub fn take(&mut self, now: Ns, of: Try) -> (RequestId, Ns) {
+    pub fn take(&mut self, now: Nanos, of: Try) -> (RequestId, Nanos) {
         let id = RequestId(self.next_request);
         self.next_request += 1;
         // What the client says it will wait counts from when its request has come.
@@ -198,7 +197,7 @@
             deadline: now + (wait - MARGIN).max(0),
             work: None,
             group: GroupId(i64::from(a.set.0)),
-            mark_age: (of.mark > 0).then(|| now - of.mark),
+            last_write_age: (of.mark > 0).then(|| now - of.mark),
             retry: of.marked,
         });
         self.of_try.insert((of.call, of.number), id);
@@ -216,7 +215,7 @@
     }
 
     /// All that has come since the last batch goes to the module.
-    pub fn batch(&mut self, now: Ns) -> Vec<Action> {
+    pub fn batch(&mut self, now: Nanos) -> Vec<Action> {
         self.batch_planned = false;
         let events = std::mem::take(&mut self.events);
         if events.is_empty() {
@@ -228,10 +227,10 @@
     /// A connection that can be used, and those that have been idle for too long, which are closed.
     pub fn check_out(
         &mut self,
-        now: Ns,
+        now: Nanos,
         host: HostId,
         epoch: u32,
-        idle_close: Ns,
+        idle_close: Nanos,
     ) -> (Option<Idle>, u32) {
         let Some(idle) = self.idle.get_mut(&host) else {
             return (None, 0);
@@ -243,7 +242,7 @@
     }
 
     /// A connection is free again.
-    pub fn check_in(&mut self, now: Ns, host: HostId, epoch: u32) {
+    pub fn check_in(&mut self, now: Nanos, host: HostId, epoch: u32) {
         self.idle
             .entry(host)
             .or_default()
@@ -272,11 +271,11 @@
     /// An attempt ends: the module hears of it, once.
     pub fn ended(
         &mut self,
-        now: Ns,
+        now: Nanos,
         id: RequestId,
         attempt: u32,
         outcome: Outcome,
-        note: Option<Note>,
+        note: Option<ReplicationStatus>,
     ) -> Option<Attempt> {
         let open = self.open.get_mut(&id)?;
         let a = open
@@ -286,14 +285,14 @@
         let was = a.clone();
         a.stage = Stage::Over;
         let finished = open.over;
-        self.events.push(Event::Ended {
+        self.events.push(Event::AttemptEnded {
             id,
             attempt,
             member: member(was.host),
             outcome,
             elapsed: now - was.began,
             finished,
-            note,
+            status: note,
             report: None,
         });
         self.tidy(id);
@@ -312,8 +311,8 @@
 }
 
 /// What an answer tells, as the platform words it: whole milliseconds, and a position only with a write's commit.
-pub fn note(n: &fleet::Note, committed: bool) -> Note {
-    Note {
+pub fn note(n: &fleet::Note, committed: bool) -> ReplicationStatus {
+    ReplicationStatus {
         role: if n.primary {
             Role::Primary
         } else {
@@ -324,12 +323,12 @@
 }
 
 /// A report, in whole milliseconds, rounded down.
-pub fn report(r: &irisrouter_world::host::Report) -> Report {
-    Report {
+pub fn report(r: &irisrouter_simulation::host::Report) -> LoadReport {
+    LoadReport {
         position: Some(r.position / MS * MS),
         primary: Some(r.primary),
-        inflight: None,
-        in_use: Some(r.util),
+        in_flight: None,
+        cores_in_use: Some(r.util),
     }
 }
 
@@ -339,7 +338,7 @@
         fleet::Answer::Row => Outcome::Ok,
         fleet::Answer::Error => Outcome::Error,
         fleet::Answer::Full => Outcome::Full,
-        fleet::Answer::Miss => Outcome::Miss,
+        fleet::Answer::Miss => Outcome::Unsuitable,
     }
 }
 
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,5 +1,5 @@
 //! The laboratory: fleets of gateways in front of a model of the world, in virtual time and on loopback, with faults,
-//! figures, comparisons and reports. `docs/lab.md` says why it is as it is.
+//! figures, comparisons and reports. `docs/testbed.md` says why it is as it is.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
--- a/crates/testbed/src/loopback/discovery.rs
+++ b/crates/testbed/src/loopback/discovery.rs
@@ -8,8 +8,8 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use irisrouter_world::list::Listed;
-use irisrouter_world::GatewayId;
+use irisrouter_simulation::list::Listed;
+use irisrouter_simulation::GatewayId;
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::convert::Infallible;
@@ -62,7 +62,7 @@
                 "cell": e.set.0,
                 "phase": if e.listed == Listed::Draining { "terminating" } else { "in_service" },
                 "size": 1.0,
-                "up_since_ms": (e.since / irisrouter_world::MS) as f64,
+                "up_since_ms": (e.since / irisrouter_simulation::MS) as f64,
             })
         })
         .collect();
--- a/crates/testbed/src/loopback/front.rs
+++ b/crates/testbed/src/loopback/front.rs
@@ -4,9 +4,9 @@
 use super::host::payload;
 use super::house::{Asked, House};
 use super::process::Processes;
-use irisrouter_world::clients::{Arrival, Fate, Next, Try};
-use irisrouter_world::spec::Need;
-use irisrouter_world::{GatewayId, Ns, MS};
+use irisrouter_simulation::clients::{Arrival, Fate, Next, Try};
+use irisrouter_simulation::spec::Need;
+use irisrouter_simulation::{GatewayId, Ns, MS};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
--- a/crates/testbed/src/loopback/host.rs
+++ b/crates/testbed/src/loopback/host.rs
@@ -6,9 +6,9 @@
 use super::beside;
 use super::house::{House, Word};
 use bytes::{BufMut, BytesMut};
-use irisrouter_world::fleet::{Answer, Note, Probe, Query, Taken};
-use irisrouter_world::host::State;
-use irisrouter_world::{seconds, GatewayId, HostId, Ns, MS, SECOND};
+use irisrouter_simulation::fleet::{Answer, Note, Probe, Query, Taken};
+use irisrouter_simulation::host::State;
+use irisrouter_simulation::{seconds, GatewayId, HostId, Ns, MS, SECOND};
 use pgwire::messages::data::{DataRow, FieldDescription, RowDescription};
 use pgwire::messages::response::{
     CommandComplete, EmptyQueryResponse, ErrorResponse, ReadyForQuery, SslResponse,
--- a/crates/testbed/src/loopback/house.rs
+++ b/crates/testbed/src/loopback/house.rs
@@ -2,10 +2,10 @@
 
 use crate::figures::{Collector, Figures};
 use crate::scenario::Scenario;
-use irisrouter_world::clients::Clients;
-use irisrouter_world::datagrams::Datagrams;
-use irisrouter_world::fleet::{Answer, Fleet, Note, Output};
-use irisrouter_world::{seconds, GatewayId, HostId, Ns, SECOND};
+use irisrouter_simulation::clients::Clients;
+use irisrouter_simulation::datagrams::Datagrams;
+use irisrouter_simulation::fleet::{Answer, Fleet, Note, Output};
+use irisrouter_simulation::{seconds, GatewayId, HostId, Ns, SECOND};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
--- a/crates/testbed/src/loopback/mod.rs
+++ b/crates/testbed/src/loopback/mod.rs
@@ -13,8 +13,8 @@
 use crate::settings;
 use front::Front;
 use house::House;
-use irisrouter_world::clients::Arrivals;
-use irisrouter_world::{seconds, GatewayId, Ns, SECOND};
+use irisrouter_simulation::clients::Arrivals;
+use irisrouter_simulation::{seconds, GatewayId, Ns, SECOND};
 use peers::Peers;
 use process::{Processes, Program};
 use serde_json::json;
@@ -54,7 +54,7 @@
             w.gateways, w.hosts.count
         ));
     }
-    let rate = irisrouter_world::spec::Day::draw(w, seed).rate;
+    let rate = irisrouter_simulation::spec::Day::draw(w, seed).rate;
     if rate > MOST_PER_S {
         return Err(format!(
             "{rate:.0} requests a second are too many for one machine, {MOST_PER_S:.0} at most"
@@ -91,7 +91,7 @@
                 here,
                 listener,
                 gateway,
-                irisrouter_world::HostId(h),
+                irisrouter_simulation::HostId(h),
             ));
         }
         let listener = house::listen().await?;
--- a/crates/testbed/src/loopback/peers.rs
+++ b/crates/testbed/src/loopback/peers.rs
@@ -3,7 +3,7 @@
 
 use super::beside;
 use super::house::House;
-use irisrouter_world::GatewayId;
+use irisrouter_simulation::GatewayId;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
--- a/crates/testbed/src/loopback/process.rs
+++ b/crates/testbed/src/loopback/process.rs
@@ -2,8 +2,8 @@
 
 use super::discovery;
 use super::house::House;
-use irisrouter_world::dice::{Dice, Stream};
-use irisrouter_world::GatewayId;
+use irisrouter_simulation::dice::{Dice, Stream};
+use irisrouter_simulation::GatewayId;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -62,7 +62,8 @@
         // Two runs of one process may be under way at once.
         static RUNS: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
         let run = RUNS.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        let dir = std::env::temp_dir().join(format!("irisrouter-lab-{}-{run}", std::process::id()));
+        let dir =
+            std::env::temp_dir().join(format!("irisrouter-testbed-{}-{run}", std::process::id()));
         std::fs::create_dir_all(&dir).map_err(|e| format!("{}: {e}", dir.display()))?;
         let process = |program| Process {
             program,
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -1,17 +1,17 @@
-//! `irisrouter-lab`: runs scenarios, compares choices, and writes reports.
+//! `irisrouter-testbed`: runs scenarios, compares choices, and writes reports.
 
 #![forbid(unsafe_code)]
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
 use irisrouter_config::Variables;
-use irisrouter_lab::cluster::{schedule, site_loss, Plan};
-use irisrouter_lab::compare;
-use irisrouter_lab::figures::Figures;
-use irisrouter_lab::loopback::house::House;
-use irisrouter_lab::loopback::{self, Options};
-use irisrouter_lab::scenario::Scenario;
-use irisrouter_lab::{report, virtual_run};
+use irisrouter_testbed::cluster::{schedule, site_loss, Plan};
+use irisrouter_testbed::compare;
+use irisrouter_testbed::figures::Figures;
+use irisrouter_testbed::loopback::house::House;
+use irisrouter_testbed::loopback::{self, Options};
+use irisrouter_testbed::scenario::Scenario;
+use irisrouter_testbed::{report, virtual_run};
 use std::io::{IsTerminal, Write};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -236,11 +236,11 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(Failed::Run(why)) => {
-            eprintln!("irisrouter-lab: {why}");
+            eprintln!("irisrouter-testbed: {why}");
             ExitCode::from(1)
         }
         Err(Failed::Input(why)) => {
-            eprintln!("irisrouter-lab: {why}");
+            eprintln!("irisrouter-testbed: {why}");
             ExitCode::from(2)
         }
     }
@@ -315,7 +315,7 @@
 
 fn demo(seed: u64, gateway: Option<PathBuf>) -> Result<(), Failed> {
     let gateway = program(gateway.as_ref())?;
-    let figures = irisrouter_lab::demo::run(gateway, seed, &say).map_err(Failed::Run)?;
+    let figures = irisrouter_testbed::demo::run(gateway, seed, &say).map_err(Failed::Run)?;
     say("\nIn all, with a client's retries counted as part of its first try:\n");
     say(&report::text(&figures));
     judged(true, &[figures])
@@ -448,14 +448,14 @@
 
 fn check(file: &Path, vars: &[String]) -> Result<(), Failed> {
     let scenario = load(file, &variables(vars)?)?;
-    irisrouter_lab::settings::load(&scenario, 1).map_err(Failed::Input)?;
+    irisrouter_testbed::settings::load(&scenario, 1).map_err(Failed::Input)?;
     print_json(&scenario)
 }
 
 /// A run with gateways that is told to end (SIGINT, SIGTERM) ends them first.
 fn ends_with_its_gateways() -> Result<(), Failed> {
     let end = || {
-        irisrouter_lab::cluster::process::end_all();
+        irisrouter_testbed::cluster::process::end_all();
         std::process::exit(1);
     };
     ctrlc::set_handler(end).map_err(|e| Failed::Run(format!("cannot catch signals: {e}")))
--- a/crates/testbed/src/scenario.rs
+++ b/crates/testbed/src/scenario.rs
@@ -2,7 +2,7 @@
 //! `irisrouter-config`; its function's parameters are what the command line may vary.
 
 use irisrouter_config::{Checked, Problem};
-use irisrouter_world::spec::Spec;
+use irisrouter_simulation::spec::Spec;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
--- a/crates/testbed/src/settings.rs
+++ b/crates/testbed/src/settings.rs
@@ -2,15 +2,15 @@
 //! the gateway's own code in both ways of running, so that neither way can tell it something else.
 
 use crate::scenario::Scenario;
-use irisrouter::settings::Loaded;
-use irisrouter_world::spec::{Checks, ClassSpec, Need};
+use irisrouter::platform_settings::PlatformSettings;
+use irisrouter_simulation::spec::{Checks, ClassSpec, Need};
 use serde_json::{json, Value};
 
 /// The zone in which all hosts of the laboratory stand.
 pub const ZONE: &str = "lab-1";
 
 fn ns(ms: f64) -> i64 {
-    irisrouter_world::ms(ms)
+    irisrouter_simulation::ms(ms)
 }
 
 fn class(c: &ClassSpec, window_s: f64) -> Value {
@@ -88,6 +88,6 @@
 ///
 /// # Errors
 /// Where the gateway would not take them: its reason.
-pub fn load(s: &Scenario, seed: u64) -> Result<Loaded, String> {
-    Loaded::parse(&object(s), seed)
+pub fn load(s: &Scenario, seed: u64) -> Result<PlatformSettings, String> {
+    PlatformSettings::parse(&object(s), seed)
 }
--- a/crates/testbed/src/virtual_run.rs
+++ b/crates/testbed/src/virtual_run.rs
@@ -6,14 +6,14 @@
 use crate::figures::{Collector, Figures};
 use crate::gateway::{self, Attempt, Gateway, Stage, Talk};
 use crate::scenario::Scenario;
-use irisrouter::api::{Action, Event as Heard, Outcome, RequestId, Settings};
-use irisrouter_world::clients::{Arrivals, Clients, Fate, Next, Try};
-use irisrouter_world::datagrams::Datagrams;
-use irisrouter_world::dice::{Dice, Stream};
-use irisrouter_world::fleet::{Answer, Fleet, Note, Output, Probe, Query, Taken};
-use irisrouter_world::queue::Queue;
-use irisrouter_world::spec::Day;
-use irisrouter_world::{ms, seconds, GatewayId, HostId, Ns, MS, SECOND};
+use irisrouter::routing::{Action, Event as RouterEvent, Outcome, RequestId, Settings};
+use irisrouter_simulation::clients::{Arrivals, Clients, Fate, Next, Try};
+use irisrouter_simulation::datagrams::Datagrams;
+use irisrouter_simulation::dice::{Dice, Stream};
+use irisrouter_simulation::fleet::{Answer, Fleet, Note, Output, Probe, Query, Taken};
+use irisrouter_simulation::queue::Queue;
+use irisrouter_simulation::spec::Day;
+use irisrouter_simulation::{ms, seconds, GatewayId, HostId, Ns, MS, SECOND};
 use rustc_hash::FxHashMap;
 
 /// Where virtual time begins. The module takes 0 for never, and hosts that were started long ago for warm.
@@ -478,7 +478,7 @@
                 };
                 if let Some(&id) = g.of_try.get(&(call, number)) {
                     g.over(id);
-                    g.post(Heard::Left { id });
+                    g.post(RouterEvent::ClientGone { id });
                     self.plan_batch(gateway);
                 }
             }
@@ -497,7 +497,7 @@
                 };
                 if g.wake.is_some_and(|w| w <= now) {
                     g.wake = None;
-                    g.post(Heard::Wake);
+                    g.post(RouterEvent::TimerFired);
                     self.plan_batch(gateway);
                 }
             }
@@ -506,7 +506,7 @@
                     return;
                 };
                 if let Some(of) = g.over(id) {
-                    g.post(Heard::Left { id });
+                    g.post(RouterEvent::ClientGone { id });
                     self.plan_batch(gateway);
                     self.clientward(of, Fate::Failed);
                 }
@@ -574,7 +574,7 @@
                     Some(Probe::Refused) => (Outcome::ConnectFailed, None),
                     Some(Probe::Silence) | None => (Outcome::ConnectFailed, None),
                 };
-                g.post(Heard::Probed {
+                g.post(RouterEvent::HealthChecked {
                     member: gateway::member(host),
                     outcome,
                     elapsed,
@@ -650,8 +650,12 @@
         let now = self.now;
         let life = self.gateways[gateway.0 as usize].life;
         match action {
-            Action::Send { id, member, limit } => self.begin(gateway, id, HostId(member.0), limit),
-            Action::Cancel { id, attempt } => {
+            Action::StartAttempt {
+                id,
+                member,
+                timeout: limit,
+            } => self.begin(gateway, id, HostId(member.0), limit),
+            Action::CancelAttempt { id, attempt } => {
                 if let Some(host) = self.gateways[gateway.0 as usize]
                     .open
                     .get(&id)
@@ -669,7 +673,10 @@
                     );
                 }
             }
-            Action::Refuse { id, pause } => {
+            Action::Reject {
+                id,
+                retry_after: pause,
+            } => {
                 if let Some(of) = self.gateways[gateway.0 as usize].over(id) {
                     let pause = (pause > 0).then_some(pause);
                     self.collector.refused(now, pause);
@@ -681,7 +688,7 @@
                     self.clientward(of, Fate::Failed);
                 }
             }
-            Action::Probe { member } => {
+            Action::HealthCheck { member } => {
                 let host = HostId(member.0);
                 self.collector.probe(now);
                 self.gateways[gateway.0 as usize]
@@ -706,7 +713,7 @@
                     },
                 );
             }
-            Action::Wake { after } => {
+            Action::SetTimer { after } => {
                 let at = now + after.max(0);
                 let g = &mut self.gateways[gateway.0 as usize];
                 // The earliest alone is kept, as on sockets.
@@ -715,7 +722,7 @@
                     self.push(at, Event::Wake { gateway, life });
                 }
             }
-            Action::Watch => {}
+            Action::WatchEndpoints => {}
         }
     }
 
@@ -727,14 +734,14 @@
         let Some(open) = g.open.get_mut(&id) else {
             // The request was over before: the module hears that this one never left.
             let attempt = 0;
-            g.post(Heard::Ended {
+            g.post(RouterEvent::AttemptEnded {
                 id,
                 attempt,
                 member: gateway::member(host),
-                outcome: Outcome::Moot,
+                outcome: Outcome::NotSent,
                 elapsed: 0,
                 finished: true,
-                note: None,
+                status: None,
                 report: None,
             });
             return self.plan_batch(gateway);
@@ -758,7 +765,7 @@
             host,
         };
         if over || !ready {
-            g.ended(now, id, attempt, Outcome::Moot, None);
+            g.ended(now, id, attempt, Outcome::NotSent, None);
             return self.plan_batch(gateway);
         }
         self.collector.attempt(now, copy);
@@ -826,7 +833,7 @@
                 now,
                 leg.id,
                 leg.attempt,
-                Outcome::Moot,
+                Outcome::NotSent,
                 None,
             );
             self.fleet.close(now, leg.host, epoch);
@@ -901,7 +908,12 @@
     }
 
     /// An attempt has ended with its connection whole or gone.
-    fn ended(&mut self, leg: Leg, outcome: Outcome, note: Option<irisrouter::api::Note>) {
+    fn ended(
+        &mut self,
+        leg: Leg,
+        outcome: Outcome,
+        note: Option<irisrouter::routing::ReplicationStatus>,
+    ) {
         let now = self.now;
         let Some(g) = self.living(leg.gateway, leg.life) else {
             return;
--- a/crates/testbed/tests/cluster.rs
+++ b/crates/testbed/tests/cluster.rs
@@ -5,8 +5,8 @@
 mod common;
 
 use common::{gateway, plan};
-use irisrouter_lab::cluster::schedule::{self, Fault, Pace};
-use irisrouter_lab::cluster::{Cluster, PATIENCE};
+use irisrouter_testbed::cluster::schedule::{self, Fault, Pace};
+use irisrouter_testbed::cluster::{Cluster, PATIENCE};
 use std::time::Duration;
 
 fn started(gateways: usize, seed: u64) -> Cluster {
@@ -152,7 +152,7 @@
 
 #[test]
 fn a_schedule_is_drawn_run_and_told_by_the_program() {
-    let dry = std::process::Command::new(env!("CARGO_BIN_EXE_irisrouter-lab"))
+    let dry = std::process::Command::new(env!("CARGO_BIN_EXE_irisrouter-testbed"))
         .args([
             "cluster",
             "--gateways",
@@ -168,7 +168,7 @@
     let drawn: serde_json::Value = serde_json::from_slice(&dry.stdout).expect("JSON");
     let expected = schedule::draw(3, 4, Pace::FAST, 9, false);
     assert_eq!(drawn[0][1], serde_json::to_value(expected).expect("JSON"));
-    let run = std::process::Command::new(env!("CARGO_BIN_EXE_irisrouter-lab"))
+    let run = std::process::Command::new(env!("CARGO_BIN_EXE_irisrouter-testbed"))
         .args([
             "cluster",
             "--gateways",
--- a/crates/testbed/tests/command_line.rs
+++ b/crates/testbed/tests/command_line.rs
@@ -8,7 +8,7 @@
 
 fn lab(args: &[&str]) -> Output {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
-    Command::new(env!("CARGO_BIN_EXE_irisrouter-lab"))
+    Command::new(env!("CARGO_BIN_EXE_irisrouter-testbed"))
         .args(args)
         .current_dir(root)
         .output()
@@ -189,7 +189,7 @@
 #[test]
 fn a_run_that_is_told_to_end_ends_its_gateways() {
     let gateway = common::gateway();
-    let mut run = Command::new(env!("CARGO_BIN_EXE_irisrouter-lab"))
+    let mut run = Command::new(env!("CARGO_BIN_EXE_irisrouter-testbed"))
         .args([
             "cluster",
             "--gateways",
--- a/crates/testbed/tests/common/mod.rs
+++ b/crates/testbed/tests/common/mod.rs
@@ -2,8 +2,8 @@
 
 #![allow(dead_code, reason = "not every test uses all of it")]
 
-use irisrouter_lab::cluster::schedule::Pace;
-use irisrouter_lab::cluster::{Cluster, Plan, PATIENCE};
+use irisrouter_testbed::cluster::schedule::Pace;
+use irisrouter_testbed::cluster::{Cluster, Plan, PATIENCE};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::{Duration, Instant};
@@ -16,7 +16,7 @@
 
 /// The gateway's program, which the whole workspace's tests have built; a test of this package alone builds it.
 pub fn gateway() -> PathBuf {
-    let path = Path::new(env!("CARGO_BIN_EXE_irisrouter-lab")).with_file_name("irisrouter");
+    let path = Path::new(env!("CARGO_BIN_EXE_irisrouter-testbed")).with_file_name("irisrouter");
     if !path.is_file() {
         let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".into());
         let built = Command::new(cargo)
--- a/crates/testbed/tests/drains.rs
+++ b/crates/testbed/tests/drains.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use common::{ask, started, wait};
-use irisrouter_lab::cluster::process::Line;
-use irisrouter_lab::cluster::Cluster;
+use irisrouter_testbed::cluster::process::Line;
+use irisrouter_testbed::cluster::Cluster;
 use std::time::Duration;
 
 /// A read that any host of set 1 may answer.
@@ -56,7 +56,7 @@
     std::thread::scope(|scope| {
         let held = scope.spawn(|| ask(&cluster, 3, &read("a1")));
         // Its gateway has it open there by now, or has had it there and gone on elsewhere: that a drain waits for it is
-        // proven in crates/drains/tests/fleet.rs.
+        // proven in crates/drain-coordination/tests/fleet.rs.
         std::thread::sleep(Duration::from_millis(150));
         let said = cluster.call(2, "drain h1-1");
         assert!(
@@ -102,8 +102,10 @@
     let mut cluster = started(5, 32);
     let first = {
         let host = irisrouter_gossip::message::number("h1-1");
-        irisrouter_duties::order::owners(irisrouter_drains::duty(host), &[0, 1, 2, 3, 4])[0]
-            as usize
+        irisrouter_leases::rendezvous::candidates(
+            irisrouter_drain_coordination::task_id(host),
+            &[0, 1, 2, 3, 4],
+        )[0] as usize
     };
     let (teller, quiet) = ((first + 1) % 5, (first + 2) % 5);
     // One is stopped: it can't say what it has open, and nobody may call the host drained without it.
--- a/crates/testbed/tests/listwatch.rs
+++ b/crates/testbed/tests/listwatch.rs
@@ -5,8 +5,8 @@
 mod common;
 
 use common::{ask, plan, started_with, wait, LEASE_MS};
-use irisrouter_lab::cluster::schedule::Pace;
-use irisrouter_lab::cluster::{Cluster, Plan};
+use irisrouter_testbed::cluster::schedule::Pace;
+use irisrouter_testbed::cluster::{Cluster, Plan};
 
 fn started(gateways: usize, seed: u64) -> (Cluster, usize) {
     let pace = Pace {
--- a/crates/testbed/tests/loopback.rs
+++ b/crates/testbed/tests/loopback.rs
@@ -4,12 +4,12 @@
 mod common;
 
 use common::{gateway, root};
-use irisrouter_lab::loopback::host::{comment, payload, serve};
-use irisrouter_lab::loopback::house::{listen, Asked, House};
-use irisrouter_lab::loopback::peers::Peers;
-use irisrouter_lab::scenario::Scenario;
-use irisrouter_world::spec::{Between, Fault, Pick, Silent, Spec, Strike};
-use irisrouter_world::{GatewayId, HostId, MS, SECOND};
+use irisrouter_simulation::spec::{Between, Fault, Pick, Silent, Spec, Strike};
+use irisrouter_simulation::{GatewayId, HostId, MS, SECOND};
+use irisrouter_testbed::loopback::host::{comment, payload, serve};
+use irisrouter_testbed::loopback::house::{listen, Asked, House};
+use irisrouter_testbed::loopback::peers::Peers;
+use irisrouter_testbed::scenario::Scenario;
 use std::os::unix::fs::PermissionsExt;
 use std::process::{Command, Output};
 use std::rc::Rc;
@@ -18,7 +18,7 @@
 use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
 
 fn lab(args: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_irisrouter-lab"))
+    Command::new(env!("CARGO_BIN_EXE_irisrouter-testbed"))
         .args(args)
         .current_dir(root())
         .output()
--- a/crates/testbed/tests/site_loss.rs
+++ b/crates/testbed/tests/site_loss.rs
@@ -4,9 +4,9 @@
 mod common;
 
 use common::{ask, plan, started_with, wait, LEASE_MS};
-use irisrouter_lab::cluster::load::{Got, Load, Shape, Stop};
-use irisrouter_lab::cluster::schedule::Pace;
-use irisrouter_lab::cluster::{Cluster, Plan};
+use irisrouter_testbed::cluster::load::{Got, Load, Shape, Stop};
+use irisrouter_testbed::cluster::schedule::Pace;
+use irisrouter_testbed::cluster::{Cluster, Plan};
 use std::time::Duration;
 
 /// A host bears 40 a second, and reports are refused first.
--- a/crates/testbed/tests/takeover.rs
+++ b/crates/testbed/tests/takeover.rs
@@ -4,14 +4,14 @@
 mod common;
 
 use common::{ask, started, wait, LEASE_MS};
-use irisrouter_lab::cluster::duties::{check, Bounds};
-use irisrouter_lab::cluster::{Cluster, PATIENCE};
+use irisrouter_testbed::cluster::duties::{check, Bounds};
+use irisrouter_testbed::cluster::{Cluster, PATIENCE};
 use std::time::Duration;
 
 /// The owner of a set, once that is the first in its order, where it stays.
 fn first(cluster: &Cluster, gateways: u32, set: u64) -> usize {
-    let first =
-        irisrouter_duties::order::owners(set, &(0..gateways).collect::<Vec<_>>())[0] as usize;
+    let first = irisrouter_leases::rendezvous::candidates(set, &(0..gateways).collect::<Vec<_>>())
+        [0] as usize;
     wait("the first in the order", || {
         cluster.prober(set, 300) == Some(first)
     });
@@ -40,7 +40,7 @@
     });
     // What the others say of it: one line, with the epoch and after whom.
     let after = format!("after gateway {owner}, generation ");
-    let said = |lines: &[irisrouter_lab::cluster::process::Line]| {
+    let said = |lines: &[irisrouter_testbed::cluster::process::Line]| {
         lines
             .iter()
             .any(|l| l.text.contains("duties: set 1 is this gateway's") && l.text.contains(&after))
@@ -223,11 +223,11 @@
     let unheard = |g: usize| {
         let before = cluster.clock.now();
         cluster.signal(g, "-USR1");
-        let counted = |lines: &[irisrouter_lab::cluster::process::Line]| {
+        let counted = |lines: &[irisrouter_testbed::cluster::process::Line]| {
             let mut of = lines.iter().filter(|l| l.gateway == g && l.at >= before);
             let line = of.find(|l| l.text.contains("irisrouter: counters "))?;
             line.text
-                .split(" unheard=")
+                .split(" datagrams_ignored=")
                 .nth(1)?
                 .split(' ')
                 .next()?
--- a/crates/testbed/tests/virtual_time.rs
+++ b/crates/testbed/tests/virtual_time.rs
@@ -1,15 +1,15 @@
 //! Runs in virtual time: one result for one seed, and the rules of the world seen from the outside.
 
 use irisrouter_config::Variables;
-use irisrouter_lab::compare;
-use irisrouter_lab::figures::Figures;
-use irisrouter_lab::gateway::Talk;
-use irisrouter_lab::scenario::Scenario;
-use irisrouter_lab::virtual_run::{run, run_with};
-use irisrouter_world::spec::{
+use irisrouter_simulation::spec::{
     Between, Checks, Fault, Lost, Need, Pick, Silent, Slow, Split, Waves, WriteRepeats,
 };
-use irisrouter_world::{GatewayId, Ns, MS};
+use irisrouter_simulation::{GatewayId, Ns, MS};
+use irisrouter_testbed::compare;
+use irisrouter_testbed::figures::Figures;
+use irisrouter_testbed::gateway::Talk;
+use irisrouter_testbed::scenario::Scenario;
+use irisrouter_testbed::virtual_run::{run, run_with};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
--- a/crates/write-intents/src/codec.rs
+++ b/crates/write-intents/src/codec.rs
@@ -11,12 +11,12 @@
 use bytes::BufMut;
 use irisrouter_datagram::Reader;
 
-pub use irisrouter_datagram::mark::INHAND as MAGIC;
-pub use irisrouter_datagram::{WireError, LONGEST as DATAGRAM};
+pub use irisrouter_datagram::magic::WRITE_INTENTS as MAGIC;
+pub use irisrouter_datagram::{WireError, MAX_DATAGRAM_BYTES};
 const HEADER: usize = 2;
 const ITEM: usize = 17;
 /// Items that fit one datagram.
-pub const ITEMS: usize = (DATAGRAM - HEADER) / ITEM;
+pub const ITEMS: usize = (MAX_DATAGRAM_BYTES - HEADER) / ITEM;
 
 /// What is said of a key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -92,6 +92,6 @@
 
 /// Whether a datagram is one of writes in hand, by its first byte.
 #[must_use]
-pub fn is_inhand(datagram: &[u8]) -> bool {
+pub fn recognizes(datagram: &[u8]) -> bool {
     irisrouter_datagram::is(datagram, MAGIC)
 }
--- a/crates/write-intents/src/lib.rs
+++ b/crates/write-intents/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub mod codec;
 
-pub use codec::is_inhand;
+pub use codec::recognizes;
 
 use codec::{Item, Kind, WireError};
 use std::collections::{BTreeMap, VecDeque};
@@ -131,7 +131,7 @@
 const WRITERS: usize = 8;
 
 /// One gateway's notes: those that it keeps for others, and its own under way.
-pub struct InHand {
+pub struct IntentStore {
     me: u32,
     started: Millis,
     kept: BTreeMap<u64, Kept>,
@@ -143,7 +143,7 @@
     actions: Vec<Action>,
 }
 
-impl InHand {
+impl IntentStore {
     /// Gateway number `me`, whose process starts, or begins to hear others, now.
     #[must_use]
     pub fn new(me: u32, now: Millis) -> Self {
--- a/crates/write-intents/tests/fleet.rs
+++ b/crates/write-intents/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! Writers, keepers and repeats on a simulated network: whatever one gateway's death and lost datagrams do, a repeat is
 //! never taken for a write that was not sent when it was.
 
-use irisrouter_inhand::{codec, Action, InHand, Millis, Outcome, KEPT};
+use irisrouter_write_intents::{codec, Action, IntentStore, Millis, Outcome, KEPT};
 use proptest::prelude::{any, prop_assert_eq, prop_assert_ne, prop_assume, proptest};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -9,7 +9,7 @@
 
 struct Fleet {
     now: Millis,
-    cores: Vec<Option<InHand>>,
+    cores: Vec<Option<IntentStore>>,
     flights: BTreeMap<(Millis, u64), (u32, u32, Vec<u8>)>,
     order: u64,
     loss_percent: u64,
@@ -19,7 +19,7 @@
 
 impl Fleet {
     fn new(size: u32, loss_percent: u64, seed: u64) -> Self {
-        let cores = (0..size).map(|n| Some(InHand::new(n, 0))).collect();
+        let cores = (0..size).map(|n| Some(IntentStore::new(n, 0))).collect();
         let (flights, ended) = (BTreeMap::new(), HashMap::new());
         Fleet {
             now: KEPT,
@@ -36,7 +36,7 @@
         self.rng.random_range(0..below)
     }
 
-    fn with<R>(&mut self, g: u32, act: impl FnOnce(&mut InHand, Millis) -> R) -> Option<R> {
+    fn with<R>(&mut self, g: u32, act: impl FnOnce(&mut IntentStore, Millis) -> R) -> Option<R> {
         let now = self.now;
         let core = self.cores[g as usize].as_mut()?;
         let result = act(core, now);
@@ -44,7 +44,7 @@
         for action in actions {
             match action {
                 Action::Send { to, bytes } => {
-                    assert!(bytes.len() <= codec::DATAGRAM);
+                    assert!(bytes.len() <= codec::MAX_DATAGRAM_BYTES);
                     if self.draw(100) >= self.loss_percent {
                         self.order += 1;
                         let at = self.now + 1 + self.draw(3);
@@ -78,7 +78,7 @@
                     .as_ref()
                     .is_some_and(|c| c.next_due() <= now)
                 {
-                    self.with(g, InHand::advance);
+                    self.with(g, IntentStore::advance);
                 }
             }
         }
@@ -157,7 +157,7 @@
     // The writer and every keeper go, and all but the writer come back: nobody knows, and nobody says that it was unsent.
     fleet.cores[0] = None;
     for g in 1..5 {
-        fleet.cores[g] = Some(InHand::new(g as u32, fleet.now));
+        fleet.cores[g] = Some(IntentStore::new(g as u32, fleet.now));
     }
     assert_eq!(fleet.ask(2, 9), Outcome::Unproven);
     // By then no client repeats it any more.
@@ -187,13 +187,13 @@
     fleet.with(1, |core, now| {
         core.receive(now, 0, &codec::encode(&items)).expect("reads")
     });
-    let kept = |f: &Fleet| f.cores[1].as_ref().map_or(0, InHand::kept);
+    let kept = |f: &Fleet| f.cores[1].as_ref().map_or(0, IntentStore::kept);
     assert_eq!(kept(&fleet), codec::ITEMS);
     fleet.now += KEPT;
     fleet.run(5);
     assert_eq!(kept(&fleet), 0);
-    let mut core = InHand::new(1, 0);
-    for part in 0..(irisrouter_inhand::MOST as u64 / 10 + 10) {
+    let mut core = IntentStore::new(1, 0);
+    for part in 0..(irisrouter_write_intents::MOST as u64 / 10 + 10) {
         let items: Vec<codec::Item> = (0..10)
             .map(|k| codec::Item {
                 kind: codec::Kind::Note,
@@ -204,7 +204,7 @@
         core.receive(0, 0, &codec::encode(&items)).expect("reads");
         core.drain().for_each(drop);
     }
-    assert_eq!(core.kept(), irisrouter_inhand::MOST);
+    assert_eq!(core.kept(), irisrouter_write_intents::MOST);
 }
 
 proptest! {
@@ -235,7 +235,7 @@
         if let (true, Some(first)) = (magic, bytes.first_mut()) {
             *first = codec::MAGIC;
         }
-        let mut core = InHand::new(0, 0);
+        let mut core = IntentStore::new(0, 0);
         if core.receive(10, 1, &bytes).is_err() {
             prop_assert_eq!((core.drain().count(), core.kept()), (0, 0));
         }
--- a/crates/write-intents/tests/golden.rs
+++ b/crates/write-intents/tests/golden.rs
@@ -8,9 +8,11 @@
 //!
 //! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
 
-use irisrouter_inhand::codec::{decode, encode, Item, Kind, WireError, DATAGRAM, ITEMS, MAGIC};
-use irisrouter_inhand::{
-    is_inhand, number, order, Action, InHand, ASK_AMONG, KEEPERS, NOTE_AMONG, SILENT,
+use irisrouter_write_intents::codec::{
+    decode, encode, Item, Kind, WireError, ITEMS, MAGIC, MAX_DATAGRAM_BYTES,
+};
+use irisrouter_write_intents::{
+    number, order, recognizes, Action, IntentStore, ASK_AMONG, KEEPERS, NOTE_AMONG, SILENT,
 };
 
 fn hex(bytes: &[u8]) -> String {
@@ -65,7 +67,7 @@
 }
 
 /// Gateway 2 in a fleet of nine, and what it sends by this time: to whom, and the bytes.
-fn sent(core: &mut InHand, now: u64) -> Vec<(u32, String)> {
+fn sent(core: &mut IntentStore, now: u64) -> Vec<(u32, String)> {
     core.advance(now);
     let datagram = |action| match action {
         Action::Send { to, bytes } => Some((to, hex(&bytes))),
@@ -74,8 +76,8 @@
     core.drain().filter_map(datagram).collect()
 }
 
-fn gateway() -> InHand {
-    InHand::new(2, 0)
+fn gateway() -> IntentStore {
+    IntentStore::new(2, 0)
 }
 
 const GATEWAYS: [u32; 9] = [0, 1, 2, 3, 4, 5, 6, 7, 8];
@@ -119,7 +121,7 @@
 
 #[test]
 fn bounds_and_first_byte_keep_their_values() {
-    assert_eq!((DATAGRAM, ITEMS, MAGIC), (256, 14, 0xc1));
+    assert_eq!((MAX_DATAGRAM_BYTES, ITEMS, MAGIC), (256, 14, 0xc1));
 }
 
 #[test]
@@ -306,9 +308,12 @@
 
 #[test]
 fn datagram_of_writes_in_hand_is_told_by_the_high_half_of_its_first_byte() {
-    assert!(is_inhand(&[0xc1]) && is_inhand(&[0xc0]) && is_inhand(&[0xcf, 0x00]));
+    assert!(recognizes(&[0xc1]) && recognizes(&[0xc0]) && recognizes(&[0xcf, 0x00]));
     assert!(
-        !is_inhand(&[]) && !is_inhand(&[0x01, 0xc1]) && !is_inhand(&[0xb1]) && !is_inhand(&[0xd1])
+        !recognizes(&[])
+            && !recognizes(&[0x01, 0xc1])
+            && !recognizes(&[0xb1])
+            && !recognizes(&[0xd1])
     );
 }
 
--- a/scenarios/lib/deployment.libsonnet
+++ b/scenarios/lib/deployment.libsonnet
@@ -1,5 +1,5 @@
 // The deployment of the brief, sized: what all scenarios start from. Figures that are not named here are the defaults
-// of the types (`irisrouter-lab check FILE` prints all of them), which are the brief's.
+// of the types (`irisrouter-testbed check FILE` prints all of them), which are the brief's.
 {
   // gateways, hosts: how many; load: part of what the sets can do; length: seconds of arrivals.
   sized(gateways, hosts, load, length):: {
--- a/src/bin/irisrouter-sim-adapter.rs
+++ b/src/bin/irisrouter-sim-adapter.rs
@@ -1,6 +1,6 @@
 //! Runs the decision module on the simulator's wire: one line in, one line out.
 
-use irisrouter::wire::Adapter;
+use irisrouter::simulator::Adapter;
 use std::io::{BufRead, Write};
 use std::process::ExitCode;
 
@@ -8,7 +8,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("irisrouter-simhost: {why}");
+            eprintln!("irisrouter-sim-adapter: {why}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,8 +2,6 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod api;
-pub mod decide;
-pub mod settings;
-pub mod state;
-pub mod wire;
+pub mod platform_settings;
+pub mod routing;
+pub mod simulator;
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,32 +4,32 @@
 
 mod net;
 
-use irisrouter::api::Event;
-use irisrouter::decide::Router;
-use irisrouter::settings::Loaded;
+use irisrouter::platform_settings::PlatformSettings;
+use irisrouter::routing::Event;
+use irisrouter::routing::Router;
 use listenfd::ListenFd;
-use net::backend::{Backend, SWEEP};
+use net::admin::console::{self, Console};
+use net::admin::serving_state::ServingState;
 use net::buffers::Pool;
-use net::classes::Classes;
+use net::cluster::drains::DrainService;
+use net::cluster::endpoint_watch::EndpointWatchService;
+use net::cluster::leases::LeaseService;
+use net::cluster::membership::MembershipService;
+use net::cluster::peer_socket::{ClusterServices, PeerSocket};
+use net::cluster::site_failover::{self, SiteFailoverService};
+use net::cluster::write_intents::WriteIntentService;
 use net::config::Config;
-use net::console::{self, Console};
-use net::counters::Counters;
-use net::discovery::{self, Seen};
-use net::drains::Drains;
-use net::duties::Owners;
-use net::ending::Ending;
-use net::frontend::Frontend;
-use net::inhand::Hand;
-use net::kin::Kin;
-use net::listwatch::ListWatch;
+use net::discovery::{self, ListPosition};
+use net::downstream::connection::Frontend;
+use net::downstream::connection_limit::{ConnectionLimit, TIDY};
+use net::hot_restart::HotRestart;
 use net::log::log;
-use net::membership::Members;
-use net::mode::Modes;
-use net::peers::{Fleet, Sharing};
-use net::places::{Places, TIDY};
+use net::metrics::Metrics;
+use net::request::classes::Classes;
 use net::request::Core;
-use net::router::{drive, Mailbox};
-use net::siteplan::{self, Sites};
+use net::router_task::{run_router, RouterHandle};
+use net::shutdown::ShutdownSchedule;
+use net::upstream::{Upstream, SWEEP};
 use net::Clock;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -105,56 +105,56 @@
     }
     let classes = Rc::new(Classes::new(&config.loaded));
     let settings = classes.settings().clone();
-    let counters = Rc::<Counters>::default();
+    let metrics = Rc::<Metrics>::default();
     let pool = Pool::new(config.memory / 4);
-    let mailbox = Rc::<Mailbox>::default();
-    let to_module = Rc::clone(&mailbox);
+    let router = Rc::<RouterHandle>::default();
+    let to_module = Rc::clone(&router);
     let on_list = Box::new(move |event| to_module.post(event));
-    let (shared, counted) = (Rc::clone(&pool), Rc::clone(&counters));
-    let backend = Backend::new(&config.loaded, for_hosts, shared, counted, clock, on_list);
-    let backend = Rc::new(backend);
+    let (shared, counted) = (Rc::clone(&pool), Rc::clone(&metrics));
+    let upstream = Upstream::new(&config.loaded, for_hosts, shared, counted, clock, on_list);
+    let upstream = Rc::new(upstream);
     let known = &config.file.known;
-    backend.apply(known);
-    let mut seen = Seen::at((!known.members.is_empty()).then_some(known.revision));
-    let members = members(&config, clock, &counters);
-    let hand = hand(&config, members.as_ref(), &counters);
-    let owners = owners(&config, members.as_ref(), &counters);
-    let sites = match (&members, &owners) {
-        (Some(members), Some(owners)) => {
-            let around = siteplan::Around {
-                members: Rc::clone(members),
-                owners: Rc::clone(owners),
-                backend: Rc::clone(&backend),
+    upstream.apply_endpoint_list(known);
+    let mut seen = ListPosition::at((!known.members.is_empty()).then_some(known.revision));
+    let membership = membership(&config, clock, &metrics);
+    let write_intents = write_intents(&config, membership.as_ref(), &metrics);
+    let leases = leases(&config, membership.as_ref(), &metrics);
+    let site_failover = match (&membership, &leases) {
+        (Some(membership), Some(leases)) => {
+            let around = site_failover::Around {
+                membership: Rc::clone(membership),
+                leases: Rc::clone(leases),
+                upstream: Rc::clone(&upstream),
                 classes: Rc::clone(&classes),
-                mailbox: Rc::clone(&mailbox),
-                counters: Rc::clone(&counters),
+                router: Rc::clone(&router),
+                metrics: Rc::clone(&metrics),
             };
-            sites(&config, around)?
+            site_failover(&config, around)?
         }
         _ => None,
     };
     let core = Core {
-        mailbox: Rc::clone(&mailbox),
-        backend: Rc::clone(&backend),
+        router: Rc::clone(&router),
+        upstream: Rc::clone(&upstream),
         clock,
-        counters: Rc::clone(&counters),
+        metrics: Rc::clone(&metrics),
         answer_by: Cell::new(None),
-        hand: hand.clone(),
-        sites: sites.clone(),
+        write_intents: write_intents.clone(),
+        site_failover: site_failover.clone(),
         ids: RefCell::default(),
     };
-    let modes = Rc::<Modes>::default();
+    let serving_state = Rc::<ServingState>::default();
     let drains = drains(
         &config,
-        members.as_ref(),
-        owners.as_ref(),
-        (&backend, &counters),
+        membership.as_ref(),
+        leases.as_ref(),
+        (&upstream, &metrics),
     );
     let list = list_watch(
         &config,
-        members.as_ref(),
-        owners.as_ref(),
-        (&backend, &counters),
+        membership.as_ref(),
+        leases.as_ref(),
+        (&upstream, &metrics),
     );
     if let Some(at) = config.console {
         let listener = listen(at).map_err(|e| format!("cannot listen on {at}: {e}"))?;
@@ -164,13 +164,14 @@
                 .local_addr()
                 .map_err(|e| format!("no address: {e}"))?
         );
-        let (owners, drains, sites) = (owners.clone(), drains.clone(), sites.clone());
+        let (leases, drains, site_failover) =
+            (leases.clone(), drains.clone(), site_failover.clone());
         let console = Console {
-            modes: Rc::clone(&modes),
-            members: members.clone(),
-            owners,
+            serving_state: Rc::clone(&serving_state),
+            membership: membership.clone(),
+            leases,
             drains,
-            sites,
+            site_failover,
         };
         spawn_local(console::serve(listener, Rc::new(console)));
     }
@@ -178,34 +179,34 @@
         core: Rc::new(core),
         pool,
         classes: Rc::clone(&classes),
-        places: Places::new(free - for_hosts, config.sockets / CROWD_PART),
-        modes: Rc::clone(&modes),
+        connection_limit: ConnectionLimit::new(free - for_hosts, config.sockets / CROWD_PART),
+        serving_state: Rc::clone(&serving_state),
         cancels: Rc::default(),
     });
     if let Some(path) = &config.meet {
-        let kin = Rc::new(Kin {
+        let hot_restart = Rc::new(HotRestart {
             path: path.clone(),
             reserved: RESERVED,
-            backend: Rc::clone(&backend),
-            places: Rc::clone(&front.places),
+            upstream: Rc::clone(&upstream),
+            connection_limit: Rc::clone(&front.connection_limit),
             pool: Rc::clone(&front.pool),
-            mailbox: Rc::clone(&mailbox),
+            router: Rc::clone(&router),
             classes: Rc::clone(&classes),
             others: Default::default(),
         });
-        seen.revision = seen.revision.max(kin.meet().await);
-        spawn_local(kin.wait());
+        seen.revision = seen.revision.max(hot_restart.take_over().await);
+        spawn_local(hot_restart.serve_successors());
     }
-    let driven = spawn_local(drive(
+    let driven = spawn_local(run_router(
         Router::new(settings),
-        Rc::clone(&mailbox),
-        Rc::clone(&backend),
+        Rc::clone(&router),
+        Rc::clone(&upstream),
         clock,
     ));
     let (discovery, addresses) = watch::channel(config.discovery);
     seen.whole |= passed;
     let (answered, mut told) = watch::channel(false);
-    let calls = (Rc::clone(&backend), Rc::clone(&classes));
+    let calls = (Rc::clone(&upstream), Rc::clone(&classes));
     spawn_local(discovery::watch(
         addresses,
         seen,
@@ -214,21 +215,21 @@
         answered,
         list.clone(),
     ));
-    let sharing = Rc::<RefCell<Option<Rc<Sharing>>>>::default();
+    let sharing = Rc::<RefCell<Option<Rc<PeerSocket>>>>::default();
     if let Some(peers) = config.peers.clone() {
         let shared = (
-            Rc::clone(&mailbox),
-            Rc::clone(&backend),
-            Rc::clone(&counters),
+            Rc::clone(&router),
+            Rc::clone(&upstream),
+            Rc::clone(&metrics),
         );
-        let share = config.loaded.share || owners.is_some();
-        let fleet = Fleet {
-            members: members.clone(),
-            owners,
-            hand,
+        let share = config.loaded.share || leases.is_some();
+        let fleet = ClusterServices {
+            membership: membership.clone(),
+            leases,
+            write_intents,
             drains,
-            list,
-            sites,
+            endpoint_watch: list,
+            site_failover,
         };
         spawn_local(share_when_free(
             Rc::clone(&sharing),
@@ -239,8 +240,8 @@
             fleet,
         ));
     }
-    spawn_local(sweep(Rc::clone(&backend)));
-    spawn_local(tidy(Rc::clone(&front.places)));
+    spawn_local(sweep(Rc::clone(&upstream)));
+    spawn_local(tidy(Rc::clone(&front.connection_limit)));
     let (welcoming, at) = (Rc::clone(&front), Rc::clone(&listener));
     let accepting = spawn_local(async move {
         // Clients wait in the queue, or are served by the process that is there already. Danger: what discovery has
@@ -255,14 +256,17 @@
         .map_err(|e| format!("no address: {e}"))?;
     log!("{} listens on {address}", config.name);
     // To the very end: SIGHUP may also come while the gateway stops.
-    let (swapped, posted) = (Rc::clone(&classes), Rc::clone(&mailbox));
-    let retune = move |mut loaded: Loaded| {
-        loaded.settings.zone = backend.retune(&loaded);
+    let (swapped, posted) = (Rc::clone(&classes), Rc::clone(&router));
+    let retune = move |mut loaded: PlatformSettings| {
+        loaded.settings.zone = upstream.update_settings(&loaded);
         let from = swapped.swap(&loaded);
         let settings = Box::new(swapped.settings().clone());
-        posted.post(Event::Retuned { settings, from });
+        posted.post(Event::SettingsChanged {
+            settings,
+            measurements_from: from,
+        });
     };
-    let told = (Rc::clone(&counters), members.clone());
+    let told = (Rc::clone(&metrics), membership.clone());
     spawn_local(heed(tell, reload, config, discovery, retune, told));
 
     tokio::select! {
@@ -271,7 +275,7 @@
         // It never ends by itself. Danger: a gateway without decisions would go on taking requests.
         _ = driven => return Err("the decision module has failed".to_string()),
     }
-    modes.stop();
+    serving_state.stop();
     log!("stopping");
     let open = sharing.borrow().clone();
     if let Some(open) = open {
@@ -280,12 +284,15 @@
     // Clients use the connections that they have for as long as these stay open, so they do until little time is
     // left. Danger: nobody takes over what a closed connection would have carried until the gateway is back.
     let stopped = Instant::now();
-    let ending = Ending::new(classes.longest_wait());
+    let ending = ShutdownSchedule::new(classes.longest_wait());
     front.core.answer_by.set(Some(stopped + ending.answer_by));
     if !passed {
         sleep(ending.coming).await;
     }
-    while !passed && front.places.open() > 0 && stopped.elapsed() < ending.taken_until {
+    while !passed
+        && front.connection_limit.open_connections() > 0
+        && stopped.elapsed() < ending.taken_until
+    {
         sleep(LOOK).await;
     }
     accepting.abort();
@@ -295,13 +302,15 @@
         front.accept_rest(&listener).await;
     }
     drop(listener);
-    modes.close();
+    serving_state.close();
     // Requests under way keep the classes that they came in, whatever the settings say now.
     let last = Instant::now() + classes.longest_wait_held().max(LAST_CLOSE);
-    while (front.places.open() > 0 || mailbox.open_requests() > 0) && Instant::now() < last {
+    while (front.connection_limit.open_connections() > 0 || router.open_requests() > 0)
+        && Instant::now() < last
+    {
         sleep(LOOK).await;
     }
-    tell_all(&counters, members.as_deref());
+    tell_all(&metrics, membership.as_deref());
     Ok(())
 }
 
@@ -311,12 +320,12 @@
     mut reload: Signal,
     mut config: Config,
     discovery: watch::Sender<SocketAddr>,
-    retune: impl Fn(Loaded),
-    (counters, members): (Rc<Counters>, Option<Rc<Members>>),
+    retune: impl Fn(PlatformSettings),
+    (metrics, membership): (Rc<Metrics>, Option<Rc<MembershipService>>),
 ) {
     loop {
         tokio::select! {
-            _ = tell.recv() => tell_all(&counters, members.as_deref()),
+            _ = tell.recv() => tell_all(&metrics, membership.as_deref()),
             _ = reload.recv() => match config.reload() {
                 Err(why) => log!("the old configuration holds: {why}"),
                 Ok(new) => {
@@ -338,16 +347,16 @@
 /// Shares with other gateways for ever, from when the peers' address is free: while one version follows another, that is
 /// when the older process has ended.
 async fn share_when_free(
-    sharing: Rc<RefCell<Option<Rc<Sharing>>>>,
+    sharing: Rc<RefCell<Option<Rc<PeerSocket>>>>,
     peers: net::config::Peers,
-    shared: (Rc<Mailbox>, Rc<Backend>, Rc<Counters>),
+    shared: (Rc<RouterHandle>, Rc<Upstream>, Rc<Metrics>),
     clock: Clock,
     share: bool,
-    fleet: Fleet,
+    fleet: ClusterServices,
 ) {
     let mut told = false;
     loop {
-        match Sharing::open(peers.clone(), shared.clone(), clock, share, fleet.clone()) {
+        match PeerSocket::open(peers.clone(), shared.clone(), clock, share, fleet.clone()) {
             Ok(open) => {
                 if told {
                     log!("shares with other gateways from now on");
@@ -365,19 +374,19 @@
     }
 }
 
-async fn tidy(places: Rc<Places>) {
+async fn tidy(connection_limit: Rc<ConnectionLimit>) {
     let mut turn = interval(TIDY);
     loop {
         turn.tick().await;
-        places.tidy();
+        connection_limit.close_longest_quiet();
     }
 }
 
-async fn sweep(backend: Rc<Backend>) {
+async fn sweep(upstream: Rc<Upstream>) {
     let mut turn = interval(SWEEP);
     loop {
         turn.tick().await;
-        backend.sweep();
+        upstream.close_idle();
     }
 }
 
@@ -407,7 +416,11 @@
 }
 
 /// Membership where the operators turned it on and the platform lets gateways send datagrams; else none, at no cost.
-fn members(config: &Config, clock: Clock, counters: &Rc<Counters>) -> Option<Rc<Members>> {
+fn membership(
+    config: &Config,
+    clock: Clock,
+    metrics: &Rc<Metrics>,
+) -> Option<Rc<MembershipService>> {
     let wanted = &config.operators.membership;
     let peers = config
         .peers
@@ -416,12 +429,12 @@
     let fleet = peers.each.len() as u32;
     let unix_s = u64::try_from(clock.now() / 1_000_000_000).unwrap_or(0);
     let seed = u64::from(peers.me).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ unix_s;
-    Members::new(
+    MembershipService::new(
         peers,
         wanted.for_fleet(fleet),
         unix_s,
         seed,
-        Rc::clone(counters),
+        Rc::clone(metrics),
     )
     .map_err(|why| log!("membership is off: {why}"))
     .ok()
@@ -429,43 +442,47 @@
 }
 
 /// Ownership of duties, where the operators turned it on, membership is on and the platform allows probes.
-fn owners(
+fn leases(
     config: &Config,
-    members: Option<&Rc<Members>>,
-    counters: &Rc<Counters>,
-) -> Option<Rc<Owners>> {
+    membership: Option<&Rc<MembershipService>>,
+    metrics: &Rc<Metrics>,
+) -> Option<Rc<LeaseService>> {
     let wanted = &config.operators.takeover;
     let peers = config
         .peers
         .as_ref()
         .filter(|_| wanted.enabled && config.loaded.probes_allowed)?;
-    let (members, each) = (Rc::clone(members?), peers.each.clone());
-    Owners::new(
-        members,
+    let (membership, each) = (Rc::clone(membership?), peers.each.clone());
+    LeaseService::new(
+        membership,
         each,
         wanted.lease_ms,
         wanted.fence,
-        Rc::clone(counters),
+        Rc::clone(metrics),
     )
     .map_err(|why| log!("takeover is off: {why}"))
     .ok()
     .map(Rc::new)
 }
 
-/// Drains of database hosts, where duties have owners.
+/// Drains of database hosts, where leases are on.
 fn drains(
     config: &Config,
-    members: Option<&Rc<Members>>,
-    owners: Option<&Rc<Owners>>,
-    (backend, counters): (&Rc<Backend>, &Rc<Counters>),
-) -> Option<Rc<Drains>> {
+    membership: Option<&Rc<MembershipService>>,
+    leases: Option<&Rc<LeaseService>>,
+    (upstream, metrics): (&Rc<Upstream>, &Rc<Metrics>),
+) -> Option<Rc<DrainService>> {
     let each = config.peers.as_ref()?.each.clone();
-    let around = (Rc::clone(members?), Rc::clone(owners?), Rc::clone(backend));
-    Some(Rc::new(Drains::new(
+    let around = (
+        Rc::clone(membership?),
+        Rc::clone(leases?),
+        Rc::clone(upstream),
+    );
+    Some(Rc::new(DrainService::new(
         around,
         each,
         config.operators.takeover.lease_ms,
-        Rc::clone(counters),
+        Rc::clone(metrics),
     )))
 }
 
@@ -473,72 +490,80 @@
 /// on each machine is watched by each: what it has counts as told, whoever else watches.
 fn list_watch(
     config: &Config,
-    members: Option<&Rc<Members>>,
-    owners: Option<&Rc<Owners>>,
-    (backend, counters): (&Rc<Backend>, &Rc<Counters>),
-) -> Option<Rc<ListWatch>> {
+    membership: Option<&Rc<MembershipService>>,
+    leases: Option<&Rc<LeaseService>>,
+    (upstream, metrics): (&Rc<Upstream>, &Rc<Metrics>),
+) -> Option<Rc<EndpointWatchService>> {
     let wanted = &config.operators.takeover;
     if !wanted.list_watch {
         return None;
     }
-    if !config.loaded.settings.list_on_request {
+    if !config.loaded.settings.endpoint_list_on_request {
         log!("list watch: off, as the list is pushed to each gateway");
         return None;
     }
-    let around = (Rc::clone(members?), Rc::clone(owners?), Rc::clone(backend));
-    Some(Rc::new(ListWatch::new(
+    let around = (
+        Rc::clone(membership?),
+        Rc::clone(leases?),
+        Rc::clone(upstream),
+    );
+    Some(Rc::new(EndpointWatchService::new(
         around,
         wanted.lease_ms,
-        Rc::clone(counters),
+        Rc::clone(metrics),
     )))
 }
 
 /// Plans for lost sites, where the operators turned them on and duties have owners.
-fn sites(config: &Config, around: siteplan::Around) -> Result<Option<Rc<Sites>>, String> {
+fn site_failover(
+    config: &Config,
+    around: site_failover::Around,
+) -> Result<Option<Rc<SiteFailoverService>>, String> {
     let wanted = &config.operators.sites;
     let Some(peers) = config.peers.as_ref().filter(|_| wanted.enabled) else {
         return Ok(None);
     };
-    let all =
-        |names: &irisrouter::settings::Names| names.iter().map(String::from).collect::<Vec<_>>();
+    let all = |names: &irisrouter::platform_settings::NameTable| {
+        names.iter().map(String::from).collect::<Vec<_>>()
+    };
     let (zones, classes) = (all(&config.loaded.zones), all(&config.loaded.classes));
     let settings = wanted.for_zones(&zones, &classes)?;
     // At most eight sites, by the check above.
-    let names = siteplan::Names {
+    let names = site_failover::Names {
         zones,
         classes,
         mine: config.loaded.settings.zone.0 as u8,
     };
     let ways = (peers.each.clone(), peers.all);
-    Sites::new(around, names, (settings, wanted.capacity_per_s), ways)
+    SiteFailoverService::new(around, names, (settings, wanted.capacity_per_s), ways)
         .map(Rc::new)
         .map(Some)
 }
 
 /// Writes in hand, where the operators turned them on and membership is on.
-fn hand(
+fn write_intents(
     config: &Config,
-    members: Option<&Rc<Members>>,
-    counters: &Rc<Counters>,
-) -> Option<Rc<Hand>> {
+    membership: Option<&Rc<MembershipService>>,
+    metrics: &Rc<Metrics>,
+) -> Option<Rc<WriteIntentService>> {
     let wanted = &config.operators.takeover;
     let peers = config
         .peers
         .as_ref()
         .filter(|_| wanted.enabled && wanted.writes)?;
-    let (members, each) = (Rc::clone(members?), peers.each.clone());
-    Some(Rc::new(Hand::new(
-        members,
+    let (membership, each) = (Rc::clone(membership?), peers.each.clone());
+    Some(Rc::new(WriteIntentService::new(
+        membership,
         each,
         config.marks_repeats(),
-        Rc::clone(counters),
+        Rc::clone(metrics),
     )))
 }
 
 /// The counters, and the view of the other gateways where membership is on.
-fn tell_all(counters: &Counters, members: Option<&Members>) {
-    eprintln!("irisrouter: {counters}");
-    if let Some(members) = members {
-        eprintln!("irisrouter: {}", members.line());
+fn tell_all(metrics: &Metrics, membership: Option<&MembershipService>) {
+    eprintln!("irisrouter: {metrics}");
+    if let Some(membership) = membership {
+        eprintln!("irisrouter: {}", membership.status_line());
     }
 }
--- a/src/net/admin/console.rs
+++ b/src/net/admin/console.rs
@@ -1,11 +1,11 @@
 //! The operators' console: a second address, where each connection carries one line and gets one line.
 
-use super::drains::Drains;
-use super::duties::Owners;
-use super::log::log;
-use super::membership::Members;
-use super::mode::{Mode, Modes};
-use super::siteplan::Sites;
+use crate::net::admin::serving_state::{ServingMode, ServingState};
+use crate::net::cluster::drains::DrainService;
+use crate::net::cluster::leases::LeaseService;
+use crate::net::cluster::membership::MembershipService;
+use crate::net::cluster::site_failover::SiteFailoverService;
+use crate::net::log::log;
 use std::collections::VecDeque;
 use std::io;
 use std::rc::Rc;
@@ -30,15 +30,15 @@
 /// What operators may ask about and change.
 pub struct Console {
     /// Whether clients are welcome.
-    pub modes: Rc<Modes>,
+    pub serving_state: Rc<ServingState>,
     /// Who of the gateways is there, where that is on.
-    pub members: Option<Rc<Members>>,
+    pub membership: Option<Rc<MembershipService>>,
     /// What this gateway owns, where that is on.
-    pub owners: Option<Rc<Owners>>,
-    /// Drains of hosts, likewise.
-    pub drains: Option<Rc<Drains>>,
+    pub leases: Option<Rc<LeaseService>>,
+    /// Drains of database hosts, where leases are on.
+    pub drains: Option<Rc<DrainService>>,
     /// Plans for lost sites, where that is on.
-    pub sites: Option<Rc<Sites>>,
+    pub site_failover: Option<Rc<SiteFailoverService>>,
 }
 
 /// Answers callers for ever.
@@ -88,39 +88,39 @@
 
 /// The answer to one line.
 async fn answer(line: &[u8], console: &Console) -> String {
-    let modes = &console.modes;
+    let serving_state = &console.serving_state;
     let line = line.strip_suffix(b"\r").unwrap_or(line);
     match line {
-        b"readyz" => match modes.get() {
-            Mode::Serving => "+OK ready".into(),
-            Mode::Starting => "-ERR starting".into(),
-            Mode::Drained => "-ERR drained".into(),
-            Mode::Stopping | Mode::Closing => "-ERR stopping".into(),
+        b"readyz" => match serving_state.get() {
+            ServingMode::Serving => "+OK ready".into(),
+            ServingMode::Starting => "-ERR starting".into(),
+            ServingMode::Drained => "-ERR drained".into(),
+            ServingMode::Stopping | ServingMode::Closing => "-ERR stopping".into(),
         },
         b"evacuate" => {
-            modes.evacuate();
+            serving_state.evacuate();
             log!("console: clients are sent away");
             "+OK clients are sent away".into()
         }
-        b"activate" if modes.activate() => {
+        b"activate" if serving_state.activate() => {
             log!("console: clients are welcome");
             "+OK clients are welcome".into()
         }
         b"activate" => "-ERR stopping".into(),
-        b"members" => match &console.members {
-            Some(members) => format!("+OK {}", members.line()),
+        b"members" => match &console.membership {
+            Some(membership) => format!("+OK {}", membership.status_line()),
             None => "-ERR membership is off".into(),
         },
-        b"duties" => match &console.owners {
-            Some(owners) => format!("+OK {}", owners.line()),
+        b"duties" => match &console.leases {
+            Some(leases) => format!("+OK {}", leases.status_line()),
             None => "-ERR takeover is off".into(),
         },
-        b"plan" => match &console.sites {
-            Some(sites) => format!("+OK {}", sites.line()),
+        b"plan" => match &console.site_failover {
+            Some(site_failover) => format!("+OK {}", site_failover.status_line()),
             None => "-ERR site plans are off".into(),
         },
         b"drains" => match &console.drains {
-            Some(drains) => format!("+OK {}", drains.line()),
+            Some(drains) => format!("+OK {}", drains.status_line()),
             None => "-ERR takeover is off".into(),
         },
         _ => match (host(line, "drain "), host(line, "undrain ")) {
@@ -141,7 +141,7 @@
 async fn say(console: &Console, host: &str, out: bool) -> String {
     match &console.drains {
         Some(drains) => drains
-            .say(host, out)
+            .command(host, out)
             .await
             .map_or_else(|e| format!("-ERR {e}"), |ok| format!("+OK {ok}")),
         None => "-ERR takeover is off".into(),
--- a/src/net/admin/operator_config.rs
+++ b/src/net/admin/operator_config.rs
@@ -56,7 +56,7 @@
 
 impl Default for SitesSettings {
     fn default() -> Self {
-        let core = irisrouter_siteplan::Settings::for_sites(1);
+        let core = irisrouter_site_failover::Settings::for_sites(1);
         Self {
             enabled: false,
             capacity_per_s: 0.0,
@@ -83,7 +83,7 @@
         &self,
         zones: &[String],
         classes: &[String],
-    ) -> Result<irisrouter_siteplan::Settings, String> {
+    ) -> Result<irisrouter_site_failover::Settings, String> {
         let number = |names: &[String], name: &String, path: &str| {
             let at = names.iter().position(|n| n == name);
             at.ok_or_else(|| {
@@ -93,7 +93,7 @@
                 )
             })
         };
-        let mut core = irisrouter_siteplan::Settings::for_sites(zones.len());
+        let mut core = irisrouter_site_failover::Settings::for_sites(zones.len());
         for (zone, others) in &self.prefer {
             let from = number(zones, zone, "prefer")?;
             let path = format!("prefer/{zone}");
@@ -192,7 +192,7 @@
                 "needs /membership/enabled",
             ));
         }
-        let duties = irisrouter_duties::Settings {
+        let duties = irisrouter_leases::Settings {
             fleet: 2,
             lease_ms: takeover.lease_ms,
         };
--- a/src/net/cluster/endpoint_watch.rs
+++ b/src/net/cluster/endpoint_watch.rs
@@ -1,13 +1,15 @@
-//! The shell of the fleet's watch: the core of `irisrouter_listwatch` fed with beats, the time and what this gateway owns
+//! The shell of the fleet's watch: the core of `irisrouter_endpoint_watch` fed with beats, the time and what this gateway owns
 //! and has, and asked by discovery what to do next.
 
-use super::backend::Backend;
-use super::counters::{count, Counters};
-use super::discovery::Seen;
-use super::duties::{Duty, Owners};
-use super::log::log;
-use super::membership::Members;
-use irisrouter_listwatch::{codec, ListWatch as Core, Own, Settings, Turn, MOST_OUT};
+use crate::net::cluster::leases::{LeaseService, LeasedTask};
+use crate::net::cluster::membership::MembershipService;
+use crate::net::discovery::ListPosition;
+use crate::net::log::log;
+use crate::net::metrics::{increment, Metrics};
+use crate::net::upstream::Upstream;
+use irisrouter_endpoint_watch::{
+    codec, EndpointWatcher as Core, Own, PollDecision, Settings, MOST_OUT,
+};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,12 +20,12 @@
 const LOOK: Duration = Duration::from_millis(200);
 
 /// The fleet's watch of the list, as one gateway sees it.
-pub struct ListWatch {
+pub struct EndpointWatchService {
     core: RefCell<Core>,
-    members: Rc<Members>,
-    owners: Rc<Owners>,
-    backend: Rc<Backend>,
-    counters: Rc<Counters>,
+    membership: Rc<MembershipService>,
+    leases: Rc<LeaseService>,
+    upstream: Rc<Upstream>,
+    metrics: Rc<Metrics>,
     start: Instant,
     /// A beat came, or the own list is another.
     changed: Notify,
@@ -33,20 +35,20 @@
     news: Notify,
 }
 
-impl ListWatch {
+impl EndpointWatchService {
     /// A gateway that has heard nobody.
     pub fn new(
-        (members, owners, backend): (Rc<Members>, Rc<Owners>, Rc<Backend>),
+        (membership, leases, upstream): (Rc<MembershipService>, Rc<LeaseService>, Rc<Upstream>),
         lease_ms: u64,
-        counters: Rc<Counters>,
+        metrics: Rc<Metrics>,
     ) -> Self {
         log!("list watch: on, one gateway watches the list for all");
         Self {
             core: RefCell::new(Core::new(Settings::paced(lease_ms))),
-            members,
-            owners,
-            backend,
-            counters,
+            membership,
+            leases,
+            upstream,
+            metrics,
             start: Instant::now(),
             changed: Notify::new(),
             rests: Cell::new(None),
@@ -59,10 +61,15 @@
     }
 
     fn own(&self, revision: Option<u64>, whole: bool) -> Own {
-        let me = self.members.me().number;
-        let place = self.members.not_down().iter().filter(|&&n| n < me).count() as u64;
+        let me = self.membership.local_node().number;
+        let place = self
+            .membership
+            .not_down()
+            .iter()
+            .filter(|&&n| n < me)
+            .count() as u64;
         Own {
-            token: self.owners.token(Duty::ListWatch),
+            token: self.leases.fencing_token(LeasedTask::EndpointWatch),
             revision,
             whole,
             place,
@@ -70,7 +77,7 @@
     }
 
     /// Takes a beat of gateway `from`.
-    pub fn hear(&self, datagram: &[u8], from: u32) {
+    pub fn receive(&self, datagram: &[u8], from: u32) {
         match codec::decode(datagram) {
             Ok(beat) => {
                 if self
@@ -78,30 +85,36 @@
                     .borrow_mut()
                     .heard(self.now(), beat.epoch, beat.revision)
                 {
-                    self.backend.news(beat.revision, &beat.out);
+                    self.upstream
+                        .apply_watch_heartbeat(beat.revision, &beat.out);
                     self.changed.notify_one();
                 }
             }
             Err(why) => {
-                count(&self.counters.unheard);
+                increment(&self.metrics.gossip.ignored);
                 log!("list watch: a datagram from gateway {from} is not used: {why}");
             }
         }
     }
 
     /// The datagram that all others are to hear now, where there is one.
-    pub fn tick(&self) -> Option<Vec<u8>> {
-        let own = self.own(Some(self.backend.revision()), false);
-        let out = || self.backend.out_of_service(MOST_OUT);
+    pub fn heartbeat(&self) -> Option<Vec<u8>> {
+        let own = self.own(Some(self.upstream.revision()), false);
+        let out = || self.upstream.out_of_service(MOST_OUT);
         self.core
             .borrow_mut()
             .beat(self.now(), own, out)
             .map(|beat| codec::encode(&beat))
     }
 
-    /// How long [`ListWatch::tick`] has none.
+    /// How long [`EndpointWatchService::heartbeat`] has none.
     pub fn due(&self) -> Duration {
-        let (now, owned) = (self.now(), self.owners.token(Duty::ListWatch).is_some());
+        let (now, owned) = (
+            self.now(),
+            self.leases
+                .fencing_token(LeasedTask::EndpointWatch)
+                .is_some(),
+        );
         Duration::from_millis(
             self.core
                 .borrow()
@@ -112,30 +125,30 @@
     }
 
     /// Waits until there is news to tell.
-    pub async fn woken(&self) {
+    pub async fn send_requested(&self) {
         self.news.notified().await;
     }
 
     /// The own call was answered, or failed.
-    pub fn well(&self, well: bool) {
+    pub fn call_ended(&self, well: bool) {
         self.core.borrow_mut().well(well);
         self.news.notify_one();
     }
 
     /// Waits until this gateway is to call, and says whether that is to watch.
-    pub async fn turn(&self, seen: &Seen) -> bool {
+    pub async fn wait_for_turn(&self, seen: &ListPosition) -> bool {
         loop {
             let turn = self
                 .core
                 .borrow_mut()
                 .turn(self.now(), self.own(seen.revision, seen.whole));
             let rest = match turn {
-                Turn::Watch => return self.does(false, true),
-                Turn::Fetch => {
-                    count(&self.counters.list_fetches);
+                PollDecision::Watch => return self.does(false, true),
+                PollDecision::Fetch => {
+                    increment(&self.metrics.endpoint_watch.fetches);
                     return false;
                 }
-                Turn::Rest(ms) => Duration::from_millis(ms).min(LOOK),
+                PollDecision::Rest(ms) => Duration::from_millis(ms).min(LOOK),
             };
             self.does(true, false);
             let _ = timeout(rest, self.changed.notified()).await;
@@ -143,7 +156,7 @@
     }
 
     /// Waits until another gateway is heard to watch, so that a watch of this one's own is of no use.
-    pub async fn relieved(&self, seen: &Seen) {
+    pub async fn superseded(&self, seen: &ListPosition) {
         loop {
             self.changed.notified().await;
             if self
@@ -157,25 +170,25 @@
     }
 
     /// Whether this gateway goes on calling now, and whether that is to watch; none where it is to rest first.
-    pub fn next(&self, seen: &Seen) -> Option<bool> {
+    pub fn next_turn(&self, seen: &ListPosition) -> Option<bool> {
         let turn = self
             .core
             .borrow_mut()
             .turn(self.now(), self.own(seen.revision, seen.whole));
         match turn {
-            Turn::Watch => Some(self.does(false, true)),
-            Turn::Fetch => {
-                count(&self.counters.list_fetches);
+            PollDecision::Watch => Some(self.does(false, true)),
+            PollDecision::Fetch => {
+                increment(&self.metrics.endpoint_watch.fetches);
                 Some(false)
             }
-            Turn::Rest(_) => None,
+            PollDecision::Rest(_) => None,
         }
     }
 
     /// One log line where a gateway begins to rest, or to watch.
     fn does(&self, rests: bool, watches: bool) -> bool {
         if self.rests.replace(Some(rests)) != Some(rests) {
-            match (rests, self.owners.token(Duty::ListWatch)) {
+            match (rests, self.leases.fencing_token(LeasedTask::EndpointWatch)) {
                 (true, _) => log!("list watch: another gateway watches the list for this one"),
                 (false, Some(epoch)) => {
                     log!("list watch: this gateway watches the list for all, epoch {epoch}")
--- a/src/net/cluster/leases.rs
+++ b/src/net/cluster/leases.rs
@@ -1,13 +1,13 @@
-//! The shell of duties: the core of `irisrouter_duties` fed with datagrams, the time and membership's view, and its
+//! The shell of duties: the core of `irisrouter_leases` fed with datagrams, the time and membership's view, and its
 //! actions carried out.
 //!
 //! Each change of owner is one log line and one count.
 
-use super::counters::{count, Counters};
-use super::log::log;
-use super::membership::Members;
-use super::peers::{Outbox, Sent};
-use irisrouter_duties::{Action, Duties, Holder, Settings, Why};
+use crate::net::cluster::membership::MembershipService;
+use crate::net::cluster::peer_socket::{Outbox, OutgoingDatagram};
+use crate::net::log::log;
+use crate::net::metrics::{increment, Metrics};
+use irisrouter_leases::{Action, Holder, LeaseChange, LeaseManager, Settings};
 use std::cell::RefCell;
 use std::fmt;
 use std::net::SocketAddr;
@@ -17,84 +17,84 @@
 
 /// What one gateway does for all.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Duty {
+pub enum LeasedTask {
     /// The probing of a set.
-    Probing(i64),
+    HealthChecks(i64),
     /// The drain of a host, by the number that gateways call it.
-    Drain(u32),
+    HostDrain(u32),
     /// The watch of the list of database hosts.
-    ListWatch,
+    EndpointWatch,
     /// The plans for lost sites.
-    SitePlan,
+    SiteFailover,
 }
 
-impl Duty {
+impl LeasedTask {
     /// The same everywhere. A set's number as it is: the order and the voters need no more.
     const fn number(self) -> u64 {
         match self {
-            Duty::Probing(set) => set as u64,
-            Duty::Drain(host) => irisrouter_drains::duty(host),
-            Duty::ListWatch => irisrouter_listwatch::DUTY,
-            Duty::SitePlan => irisrouter_siteplan::DUTY,
+            LeasedTask::HealthChecks(set) => set as u64,
+            LeasedTask::HostDrain(host) => irisrouter_drain_coordination::task_id(host),
+            LeasedTask::EndpointWatch => irisrouter_endpoint_watch::TASK_ID,
+            LeasedTask::SiteFailover => irisrouter_site_failover::TASK_ID,
         }
     }
 
     const fn of(number: u64) -> Self {
-        if number == irisrouter_listwatch::DUTY {
-            return Duty::ListWatch;
+        if number == irisrouter_endpoint_watch::TASK_ID {
+            return LeasedTask::EndpointWatch;
         }
-        if number == irisrouter_siteplan::DUTY {
-            return Duty::SitePlan;
+        if number == irisrouter_site_failover::TASK_ID {
+            return LeasedTask::SiteFailover;
         }
         let host = number as u32;
-        if irisrouter_drains::duty(host) == number {
-            return Duty::Drain(host);
+        if irisrouter_drain_coordination::task_id(host) == number {
+            return LeasedTask::HostDrain(host);
         }
-        Duty::Probing(number as i64)
+        LeasedTask::HealthChecks(number as i64)
     }
 }
 
-impl fmt::Display for Duty {
+impl fmt::Display for LeasedTask {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Duty::Probing(set) => write!(f, "set {set}"),
-            Duty::Drain(host) => write!(f, "the drain of host {host:06x}"),
-            Duty::ListWatch => write!(f, "the watch of the list"),
-            Duty::SitePlan => write!(f, "the planning for lost sites"),
+            LeasedTask::HealthChecks(set) => write!(f, "set {set}"),
+            LeasedTask::HostDrain(host) => write!(f, "the drain of host {host:06x}"),
+            LeasedTask::EndpointWatch => write!(f, "the watch of the list"),
+            LeasedTask::SiteFailover => write!(f, "the planning for lost sites"),
         }
     }
 }
 
 /// The duties of one gateway.
-pub struct Owners {
-    core: RefCell<Duties>,
-    members: Rc<Members>,
+pub struct LeaseService {
+    core: RefCell<LeaseManager>,
+    membership: Rc<MembershipService>,
     start: Instant,
     out: Outbox,
-    counters: Rc<Counters>,
+    metrics: Rc<Metrics>,
     /// Probes carry the token.
     fence: bool,
 }
 
-impl Owners {
+impl LeaseService {
     /// A gateway that owns nothing yet.
     ///
     /// # Errors
     ///
     /// The settings do not pass their checks.
     pub fn new(
-        members: Rc<Members>,
+        membership: Rc<MembershipService>,
         each: Vec<SocketAddr>,
         lease_ms: u64,
         fence: bool,
-        counters: Rc<Counters>,
+        metrics: Rc<Metrics>,
     ) -> Result<Self, String> {
-        let me = members.me();
+        let me = membership.local_node();
         let me = Holder {
             number: me.number,
             generation: me.generation,
         };
-        let core = Duties::new(
+        let core = LeaseManager::new(
             me,
             Settings {
                 fleet: each.len() as u32,
@@ -105,10 +105,10 @@
         log!("duties: on, with leases of {lease_ms} ms");
         Ok(Self {
             core: RefCell::new(core),
-            members,
+            membership,
             start: Instant::now(),
             out: Outbox::new(each),
-            counters,
+            metrics,
             fence,
         })
     }
@@ -118,18 +118,18 @@
     }
 
     /// This process hears others from now on.
-    pub fn opened(&self) {
+    pub fn on_socket_opened(&self) {
         self.core.borrow_mut().opened(self.now());
     }
 
     /// Takes a datagram of duties from gateway `from`; returns what is to be sent.
-    pub fn hear(&self, datagram: &[u8], from: u32) -> Vec<Sent> {
+    pub fn receive(&self, datagram: &[u8], from: u32) -> Vec<OutgoingDatagram> {
         let now = self.now();
         let mut core = self.core.borrow_mut();
         match core.receive(now, from, datagram) {
-            Ok(()) => count(&self.counters.duties_heard),
+            Ok(()) => increment(&self.metrics.leases.received),
             Err(why) => {
-                count(&self.counters.duties_refused);
+                increment(&self.metrics.leases.rejected);
                 log!("duties: a datagram from gateway {from} is not used: {why}");
             }
         }
@@ -137,12 +137,12 @@
     }
 
     /// Brings the view and the duties up to date and does what is due; returns what is to be sent.
-    pub fn tick(&self, duties: impl Iterator<Item = Duty>) -> Vec<Sent> {
+    pub fn advance(&self, duties: impl Iterator<Item = LeasedTask>) -> Vec<OutgoingDatagram> {
         let now = self.now();
-        let (alive, majority) = self.members.alive();
+        let (alive, majority) = self.membership.alive();
         let mut core = self.core.borrow_mut();
         core.view(now, &alive, majority);
-        let duties: Vec<u64> = duties.map(Duty::number).collect();
+        let duties: Vec<u64> = duties.map(LeasedTask::number).collect();
         core.duties(now, &duties);
         let unix = SystemTime::now()
             .duration_since(UNIX_EPOCH)
@@ -151,71 +151,72 @@
         self.carry_out(&mut core)
     }
 
-    /// When [`Owners::tick`] has work next.
+    /// When [`LeaseService::advance`] has work next.
     pub fn due(&self) -> Instant {
         let (due, now) = (self.core.borrow().next_due(), self.now());
         self.start + Duration::from_millis(due.max(now).min(now + 60_000))
     }
 
     /// This gateway is on the larger side of a cut, as of the last tick.
-    pub fn majority(&self) -> bool {
+    pub fn in_majority(&self) -> bool {
         self.core.borrow().majority()
     }
 
     /// The token under which this gateway may do a duty now; to be asked before each act.
-    pub fn token(&self, duty: Duty) -> Option<u64> {
+    pub fn fencing_token(&self, duty: LeasedTask) -> Option<u64> {
         self.core.borrow().token(self.now(), duty.number())
     }
 
     /// What a probe of a set carries, where hosts check it.
-    pub fn fence(&self, set: i64, token: u64) -> Option<(u64, u64)> {
-        self.fence.then_some((Duty::Probing(set).number(), token))
+    pub fn health_check_fence(&self, set: i64, token: u64) -> Option<(u64, u64)> {
+        self.fence
+            .then_some((LeasedTask::HealthChecks(set).number(), token))
     }
 
     /// A host refused the token of a set; returns what is to be sent.
-    pub fn fenced(&self, set: i64) -> Vec<Sent> {
-        count(&self.counters.duties_fenced);
+    pub fn token_rejected(&self, set: i64) -> Vec<OutgoingDatagram> {
+        increment(&self.metrics.leases.fenced);
         let mut core = self.core.borrow_mut();
-        core.fenced(self.now(), Duty::Probing(set).number());
+        core.fenced(self.now(), LeasedTask::HealthChecks(set).number());
         self.carry_out(&mut core)
     }
 
     /// Gives everything up, as the gateway stops; returns what is to be sent.
-    pub fn stop(&self) -> Vec<Sent> {
+    pub fn release_all(&self) -> Vec<OutgoingDatagram> {
         let mut core = self.core.borrow_mut();
         core.stop(self.now());
         self.carry_out(&mut core)
     }
 
     /// What is owned, as one line: `set:epoch` each, `drain-host:epoch`, `list:epoch`, `plan:epoch`.
-    pub fn line(&self) -> String {
+    pub fn status_line(&self) -> String {
         let owned = self.core.borrow().owned(self.now());
         let owned: Vec<String> = (owned.iter())
-            .map(|(duty, epoch)| match Duty::of(*duty) {
-                Duty::Probing(set) => format!("{set}:{epoch}"),
-                Duty::Drain(host) => format!("drain-{host:06x}:{epoch}"),
-                Duty::ListWatch => format!("list:{epoch}"),
-                Duty::SitePlan => format!("plan:{epoch}"),
+            .map(|(duty, epoch)| match LeasedTask::of(*duty) {
+                LeasedTask::HealthChecks(set) => format!("{set}:{epoch}"),
+                LeasedTask::HostDrain(host) => format!("drain-{host:06x}:{epoch}"),
+                LeasedTask::EndpointWatch => format!("list:{epoch}"),
+                LeasedTask::SiteFailover => format!("plan:{epoch}"),
             })
             .collect();
         format!("duties owned={} {}", owned.len(), owned.join(" "))
     }
 
-    fn carry_out(&self, core: &mut Duties) -> Vec<Sent> {
+    fn carry_out(&self, core: &mut LeaseManager) -> Vec<OutgoingDatagram> {
         for action in core.drain() {
             match action {
                 Action::Send { to, bytes } => self.out.push(to, bytes),
                 Action::Owned { duty, epoch, why } => {
-                    count(&self.counters.duties_taken);
-                    let duty = Duty::of(duty);
+                    increment(&self.metrics.leases.acquired);
+                    let duty = LeasedTask::of(duty);
                     log!(
                         "duties: {duty} is this gateway's under epoch {epoch} ({})",
                         words(why)
                     );
                 }
                 Action::Lost { duty, epoch, why } => {
-                    count(&self.counters.duties_lost);
-                    let duty = Duty::of(duty);
+                    increment(&self.metrics.leases.lost);
+                    let duty = LeasedTask::of(duty);
                     log!(
                         "duties: {duty} is no longer this gateway's under epoch {epoch} ({})",
                         words(why)
@@ -227,14 +228,16 @@
     }
 }
 
-fn words(why: Why) -> String {
+fn words(why: LeaseChange) -> String {
     match why {
-        Why::Free => "it was free".into(),
-        Why::TakenOver(h) => format!("after gateway {}, generation {}", h.number, h.generation),
-        Why::RanOut => "its lease ran out".into(),
-        Why::Outbid => "a later epoch was seen".into(),
-        Why::HandedOver(n) => format!("handed over to gateway {n}, first in its order"),
-        Why::Stopped => "this gateway stops, or is on the small side of a cut".into(),
-        Why::Gone => "there is no such duty any more".into(),
+        LeaseChange::Vacant => "it was free".into(),
+        LeaseChange::TakenOver(h) => {
+            format!("after gateway {}, generation {}", h.number, h.generation)
+        }
+        LeaseChange::Expired => "its lease ran out".into(),
+        LeaseChange::Superseded => "a later epoch was seen".into(),
+        LeaseChange::HandedOver(n) => format!("handed over to gateway {n}, first in its order"),
+        LeaseChange::Stopped => "this gateway stops, or is on the small side of a cut".into(),
+        LeaseChange::TaskRemoved => "there is no such duty any more".into(),
     }
 }
--- a/src/net/cluster/membership.rs
+++ b/src/net/cluster/membership.rs
@@ -5,10 +5,10 @@
 //! Each change of the view is one log line and one count; the console's `members` and SIGUSR1 tell the view itself. Findings from a gateway that the view holds to be down are
 //! not used.
 
-use super::config::Peers;
-use super::counters::{count, Counters};
-use super::log::log;
-use super::peers::{Outbox, Sent};
+use crate::net::cluster::peer_socket::{Outbox, OutgoingDatagram};
+use crate::net::config::Peers;
+use crate::net::log::log;
+use crate::net::metrics::{increment, Metrics};
 use irisrouter_membership::{Action, Liveness, Membership, Millis, Node, Settings};
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -18,14 +18,14 @@
 const FIRST: usize = 3;
 
 /// Membership of one gateway.
-pub struct Members {
+pub struct MembershipService {
     core: RefCell<Membership>,
     start: Instant,
     out: Outbox,
-    counters: Rc<Counters>,
+    metrics: Rc<Metrics>,
 }
 
-impl Members {
+impl MembershipService {
     /// A member joined to a few peers of the list. Its generation is the Unix time of its start in seconds, modulo
     /// 2^16: a process started later wins over the one before it for nine hours. Where that is not so (a clock set
     /// back, or a restart after longer), the others tell it the generation that they know, and it goes on as the next.
@@ -38,7 +38,7 @@
         settings: Settings,
         unix_s: u64,
         seed: u64,
-        counters: Rc<Counters>,
+        metrics: Rc<Metrics>,
     ) -> Result<Self, String> {
         let generation = (unix_s & 0xffff) as u16;
         let me = Node {
@@ -59,7 +59,7 @@
             core: RefCell::new(core),
             start: Instant::now(),
             out: Outbox::new(peers.each.clone()),
-            counters,
+            metrics,
         })
     }
 
@@ -68,13 +68,13 @@
     }
 
     /// Takes a membership datagram from gateway `from`; returns what is to be sent.
-    pub fn hear(&self, datagram: &[u8], from: u32) -> Vec<Sent> {
+    pub fn receive(&self, datagram: &[u8], from: u32) -> Vec<OutgoingDatagram> {
         let now = self.now();
         let mut core = self.core.borrow_mut();
         match core.receive(now, datagram) {
-            Ok(()) => count(&self.counters.members_heard),
+            Ok(()) => increment(&self.metrics.membership.received),
             Err(why) => {
-                count(&self.counters.members_refused);
+                increment(&self.metrics.membership.rejected);
                 log!("membership: a datagram from gateway {from} is not used: {why}");
             }
         }
@@ -82,14 +82,14 @@
     }
 
     /// Fires what is due; returns what is to be sent.
-    pub fn tick(&self) -> Vec<Sent> {
+    pub fn advance(&self) -> Vec<OutgoingDatagram> {
         let now = self.now();
         let mut core = self.core.borrow_mut();
         core.advance(now);
         self.carry_out(&mut core)
     }
 
-    /// When [`Members::tick`] has work next.
+    /// When [`MembershipService::advance`] has work next.
     pub fn due(&self) -> Instant {
         let due = self.core.borrow().next_due();
         let now = self.now();
@@ -97,12 +97,12 @@
     }
 
     /// Whether what gateway `number` tells is used: not once it is held to be down.
-    pub fn counts(&self, number: u32) -> bool {
+    pub fn accepts_from(&self, number: u32) -> bool {
         self.core.borrow().view().counts(number)
     }
 
     /// This process.
-    pub fn me(&self) -> Node {
+    pub fn local_node(&self) -> Node {
         self.core.borrow().me()
     }
 
@@ -124,11 +124,14 @@
 
     /// The gateways that are not held down, this one included.
     pub fn not_down(&self) -> Vec<u32> {
-        self.there().into_iter().map(|(number, _)| number).collect()
+        self.not_down_with_generations()
+            .into_iter()
+            .map(|(number, _)| number)
+            .collect()
     }
 
     /// Likewise, with the generations of their processes.
-    pub fn there(&self) -> Vec<(u32, u16)> {
+    pub fn not_down_with_generations(&self) -> Vec<(u32, u16)> {
         let core = self.core.borrow();
         let rows = core.view().rows();
         rows.filter(|(_, s)| !matches!(s.liveness, Liveness::Down | Liveness::Unknown))
@@ -137,12 +140,12 @@
     }
 
     /// Gateways in the fleet's list.
-    pub fn fleet(&self) -> u32 {
+    pub fn fleet_size(&self) -> u32 {
         self.core.borrow().settings().fleet
     }
 
     /// Says to a few others that this gateway stops; returns what is to be sent.
-    pub fn leave(&self) -> Vec<Sent> {
+    pub fn leave(&self) -> Vec<OutgoingDatagram> {
         let now = self.now();
         let mut core = self.core.borrow_mut();
         core.leave(now);
@@ -153,7 +156,7 @@
     /// The view as one line, for the console, SIGUSR1 and the end: how many are reachable, whether that is a majority,
     /// and of each gateway its state, generation, incarnation, the seconds for which it has been in that state, and
     /// the seconds since it was last heard itself (`-` where never).
-    pub fn line(&self) -> String {
+    pub fn status_line(&self) -> String {
         let (core, now) = (self.core.borrow(), self.now());
         let age = |at: Millis| now.saturating_sub(at) / 1000;
         let side = core.side();
@@ -184,12 +187,12 @@
         )
     }
 
-    fn carry_out(&self, core: &mut Membership) -> Vec<Sent> {
+    fn carry_out(&self, core: &mut Membership) -> Vec<OutgoingDatagram> {
         for action in core.drain() {
             match action {
                 Action::Send { to, bytes } => self.out.push(to, bytes),
                 Action::Changed(c) => {
-                    count(&self.counters.members_changed);
+                    increment(&self.metrics.membership.changed);
                     log!(
                         "membership: gateway {} {} -> {} (generation {}, incarnation {})",
                         c.number,
@@ -200,7 +203,7 @@
                     );
                 }
                 Action::Refuted(incarnation) => {
-                    count(&self.counters.members_refuted);
+                    increment(&self.metrics.membership.refuted);
                     log!("membership: this gateway was called down and goes on as incarnation {incarnation}");
                 }
                 Action::Renewed(node) => {
