--- a/src/net/cluster/peer_socket.rs
+++ b/src/net/cluster/peer_socket.rs
@@ -1,22 +1,22 @@
 //! What this gateway tells the others of database hosts, and what it hears from them.
 //!
-//! Who asks which set when is `irisrouter_gossip::duty`'s matter, the datagrams are `irisrouter_gossip::message`'s. What
+//! Who asks which set when is `irisrouter_gossip::health_check_schedule`'s matter, the datagrams are `irisrouter_gossip::message`'s. What
 //! is heard goes to the decision module as findings; a host that the own list has not named stays unknown.
 
-use super::backend::Backend;
-use super::config::Peers;
-use super::counters::{count, Counters};
-use super::drains::Drains;
-use super::duties::{Duty, Owners};
-use super::inhand::Hand;
-use super::listwatch::ListWatch;
-use super::log::log;
-use super::membership::Members;
-use super::router::Mailbox;
-use super::siteplan::Sites;
-use super::{duration, Clock};
-use irisrouter::api::{Event, Finding, GroupId, MemberId, Outcome, Report};
-use irisrouter_gossip::{duty::Duties, message};
+use crate::net::cluster::drains::DrainService;
+use crate::net::cluster::endpoint_watch::EndpointWatchService;
+use crate::net::cluster::leases::{LeaseService, LeasedTask};
+use crate::net::cluster::membership::MembershipService;
+use crate::net::cluster::site_failover::SiteFailoverService;
+use crate::net::cluster::write_intents::WriteIntentService;
+use crate::net::config::Peers;
+use crate::net::log::log;
+use crate::net::metrics::{increment, Metrics};
+use crate::net::router_task::RouterHandle;
+use crate::net::upstream::Upstream;
+use crate::net::{duration, Clock};
+use irisrouter::routing::{Event, GroupId, LoadReport, MemberId, Outcome, SharedHealthCheck};
+use irisrouter_gossip::{health_check_schedule::HealthCheckSchedule, message};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -37,11 +37,11 @@
 /// What a core asked to be sent, by the addresses of the gateways.
 pub struct Outbox {
     each: Vec<SocketAddr>,
-    out: RefCell<Vec<Sent>>,
+    out: RefCell<Vec<OutgoingDatagram>>,
 }
 
 /// A datagram, and where it goes.
-pub type Sent = (SocketAddr, Vec<u8>);
+pub type OutgoingDatagram = (SocketAddr, Vec<u8>);
 
 impl Outbox {
     /// For the gateways at these addresses, by their numbers.
@@ -60,7 +60,7 @@
     }
 
     /// What is to be sent now.
-    pub fn take(&self) -> Vec<Sent> {
+    pub fn take(&self) -> Vec<OutgoingDatagram> {
         self.out.take()
     }
 
@@ -72,38 +72,38 @@
 
 /// What the operators may have turned on.
 #[derive(Clone, Default)]
-pub struct Fleet {
+pub struct ClusterServices {
     /// Who of the gateways is there.
-    pub members: Option<Rc<Members>>,
+    pub membership: Option<Rc<MembershipService>>,
     /// Who owns what.
-    pub owners: Option<Rc<Owners>>,
+    pub leases: Option<Rc<LeaseService>>,
     /// Writes in hand.
-    pub hand: Option<Rc<Hand>>,
-    /// Drains of hosts, with ownership.
-    pub drains: Option<Rc<Drains>>,
+    pub write_intents: Option<Rc<WriteIntentService>>,
+    /// Drains of database hosts, with leases.
+    pub drains: Option<Rc<DrainService>>,
     /// One watch of the list for all, likewise.
-    pub list: Option<Rc<ListWatch>>,
+    pub endpoint_watch: Option<Rc<EndpointWatchService>>,
     /// Plans for lost sites, likewise.
-    pub sites: Option<Rc<Sites>>,
+    pub site_failover: Option<Rc<SiteFailoverService>>,
 }
 
 /// The part of this gateway.
-pub struct Sharing {
+pub struct PeerSocket {
     socket: UdpSocket,
     peers: Peers,
     /// The numbers of the gateways, by the address from which each sends.
     senders: HashMap<SocketAddr, u32>,
-    duties: RefCell<Duties>,
-    mailbox: Rc<Mailbox>,
-    backend: Rc<Backend>,
-    counters: Rc<Counters>,
+    duties: RefCell<HealthCheckSchedule>,
+    router: Rc<RouterHandle>,
+    upstream: Rc<Upstream>,
+    metrics: Rc<Metrics>,
     clock: Clock,
     /// Whether hosts are probed for all and findings told; without it the socket carries membership alone.
     share: bool,
-    fleet: Fleet,
+    fleet: ClusterServices,
 }
 
-impl Sharing {
+impl PeerSocket {
     /// Opens the socket.
     ///
     /// # Errors
@@ -111,10 +111,10 @@
     /// The address can't be bound.
     pub fn open(
         peers: Peers,
-        (mailbox, backend, counters): (Rc<Mailbox>, Rc<Backend>, Rc<Counters>),
+        (router, upstream, metrics): (Rc<RouterHandle>, Rc<Upstream>, Rc<Metrics>),
         clock: Clock,
         share: bool,
-        fleet: Fleet,
+        fleet: ClusterServices,
     ) -> Result<Rc<Self>, String> {
         let at = |e| format!("cannot listen on {}: {e}", peers.listen);
         let socket = std::net::UdpSocket::bind(peers.listen).map_err(at)?;
@@ -123,17 +123,20 @@
         let senders = peers.each.iter().zip(0..).map(|(&a, n)| (a, n)).collect();
         // Danger guarded against: what this gateway granted or kept for others with the process before this one, which had
         // the address until now, is not known here.
-        fleet.owners.iter().for_each(|o| o.opened());
-        fleet.hand.iter().for_each(|h| h.opened());
-        let duties = RefCell::new(Duties::new(peers.me, peers.each.len() as u32));
-        Ok(Rc::new(Sharing {
+        fleet.leases.iter().for_each(|o| o.on_socket_opened());
+        fleet
+            .write_intents
+            .iter()
+            .for_each(|h| h.on_socket_opened());
+        let duties = RefCell::new(HealthCheckSchedule::new(peers.me, peers.each.len() as u32));
+        Ok(Rc::new(PeerSocket {
             socket,
             peers,
             senders,
             duties,
-            mailbox,
-            backend,
-            counters,
+            router,
+            upstream,
+            metrics,
             clock,
             share,
             fleet,
@@ -146,49 +149,64 @@
         loop {
             let mut pause = IDLE;
             if self.share {
-                let sets = self.backend.serving_groups();
-                if let Some(owners) = &self.fleet.owners {
+                let sets = self.upstream.groups_in_service();
+                if let Some(leases) = &self.fleet.leases {
                     let drains = self
                         .fleet
                         .drains
                         .iter()
-                        .flat_map(|d| d.duties())
-                        .map(Duty::Drain);
-                    let list = self.fleet.list.iter().map(|_| Duty::ListWatch);
-                    let plan = self.fleet.sites.iter().map(|_| Duty::SitePlan);
-                    let sets = sets.iter().copied().map(Duty::Probing);
-                    let sends = owners.tick(sets.chain(drains).chain(list).chain(plan));
-                    self.send_all(sends, &self.counters.duties_sent).await;
-                    pause = pause.min(owners.due().saturating_duration_since(Instant::now()));
+                        .flat_map(|d| d.drains_to_coordinate())
+                        .map(LeasedTask::HostDrain);
+                    let list = self
+                        .fleet
+                        .endpoint_watch
+                        .iter()
+                        .map(|_| LeasedTask::EndpointWatch);
+                    let plan = self
+                        .fleet
+                        .site_failover
+                        .iter()
+                        .map(|_| LeasedTask::SiteFailover);
+                    let sets = sets.iter().copied().map(LeasedTask::HealthChecks);
+                    let sends = leases.advance(sets.chain(drains).chain(list).chain(plan));
+                    self.send_all(sends, &self.metrics.leases.sent).await;
+                    pause = pause.min(leases.due().saturating_duration_since(Instant::now()));
                 }
                 if let Some(drains) = &self.fleet.drains {
-                    let sends = drains.tick();
-                    self.send_all(sends, &self.counters.drains_sent).await;
+                    let sends = drains.advance();
+                    self.send_all(sends, &self.metrics.drains.sent).await;
                     pause = pause.min(drains.due());
                 }
-                if let Some(list) = &self.fleet.list {
-                    if let Some(beat) = list.tick() {
-                        self.send_all(vec![(self.peers.all, beat)], &self.counters.list_beats)
-                            .await;
+                if let Some(endpoint_watch) = &self.fleet.endpoint_watch {
+                    if let Some(beat) = endpoint_watch.heartbeat() {
+                        self.send_all(
+                            vec![(self.peers.all, beat)],
+                            &self.metrics.endpoint_watch.heartbeats,
+                        )
+                        .await;
                     }
-                    pause = pause.min(list.due());
+                    pause = pause.min(endpoint_watch.due());
                 }
-                if let Some(sites) = &self.fleet.sites {
-                    let sends = sites.tick();
-                    self.send_all(sends, &self.counters.plans_sent).await;
-                    pause = pause.min(sites.due());
+                if let Some(site_failover) = &self.fleet.site_failover {
+                    let sends = site_failover.advance();
+                    self.send_all(sends, &self.metrics.site_failover.sent).await;
+                    pause = pause.min(site_failover.due());
                 }
                 pause = pause.min(self.begin_rounds(&sets));
             }
-            if let Some(members) = &self.fleet.members {
-                let sends = members.tick();
-                self.send_all(sends, &self.counters.members_sent).await;
-                pause = pause.min(members.due().saturating_duration_since(Instant::now()));
+            if let Some(membership) = &self.fleet.membership {
+                let sends = membership.advance();
+                self.send_all(sends, &self.metrics.membership.sent).await;
+                pause = pause.min(membership.due().saturating_duration_since(Instant::now()));
             }
-            if let Some(hand) = &self.fleet.hand {
-                let sends = hand.tick();
-                self.send_all(sends, &self.counters.writes_sent).await;
-                pause = pause.min(hand.due().saturating_duration_since(Instant::now()));
+            if let Some(write_intents) = &self.fleet.write_intents {
+                let sends = write_intents.advance();
+                self.send_all(sends, &self.metrics.write_intents.sent).await;
+                pause = pause.min(
+                    write_intents
+                        .due()
+                        .saturating_duration_since(Instant::now()),
+                );
             }
             tokio::select! {
                 heard = self.socket.recv_from(&mut datagram) => match heard {
@@ -197,11 +215,11 @@
                         self.send_all(sends, sent).await;
                     }
                     // A datagram that could not be delivered is told so on the next call.
-                    Err(_) => count(&self.counters.unheard),
+                    Err(_) => increment(&self.metrics.gossip.ignored),
                 },
-                () = woken(self.fleet.hand.as_deref()) => {}
+                () = woken(self.fleet.write_intents.as_deref()) => {}
                 () = said(self.fleet.drains.as_deref()) => {}
-                () = listed(self.fleet.list.as_deref()) => {}
+                () = listed(self.fleet.endpoint_watch.as_deref()) => {}
                 () = sleep(pause) => {}
             }
         }
@@ -214,16 +232,20 @@
         let now = self.clock.now();
         let mut duties = self.duties.borrow_mut();
         duties.sets(now, sets);
-        let owners = self.fleet.owners.as_ref().filter(|o| o.majority());
-        let (due, next) = match owners {
-            Some(owners) => {
-                let owns = |set| owners.token(Duty::Probing(set)).is_some();
+        let leases = self.fleet.leases.as_ref().filter(|o| o.in_majority());
+        let (due, next) = match leases {
+            Some(leases) => {
+                let owns = |set| {
+                    leases
+                        .fencing_token(LeasedTask::HealthChecks(set))
+                        .is_some()
+                };
                 (duties.due_of(now, owns), duties.next_of(owns))
             }
             None => (duties.due(now), duties.next()),
         };
         for set in due {
-            let token = owners.and_then(|o| o.token(Duty::Probing(set)));
+            let token = leases.and_then(|o| o.fencing_token(LeasedTask::HealthChecks(set)));
             spawn_local(Rc::clone(self).ask(set, token));
         }
         next.map_or(IDLE, |at| duration(at - now))
@@ -231,89 +253,91 @@
 
     /// Gives up what is owned, and tells a few others that this gateway stops.
     pub async fn leave(&self) {
-        if let Some(owners) = &self.fleet.owners {
-            self.send_all(owners.stop(), &self.counters.duties_sent)
+        if let Some(leases) = &self.fleet.leases {
+            self.send_all(leases.release_all(), &self.metrics.leases.sent)
                 .await;
         }
-        if let Some(members) = &self.fleet.members {
-            self.send_all(members.leave(), &self.counters.members_sent)
+        if let Some(membership) = &self.fleet.membership {
+            self.send_all(membership.leave(), &self.metrics.membership.sent)
                 .await;
         }
     }
 
     /// Sends what a core asked for. Lost is lost: membership and leases count on it.
-    async fn send_all(&self, sends: Vec<Sent>, sent: &Cell<u64>) {
+    async fn send_all(&self, sends: Vec<OutgoingDatagram>, sent: &Cell<u64>) {
         for (at, bytes) in sends {
             if self.socket.send_to(&bytes, at).await.is_ok() {
-                count(sent);
+                increment(sent);
             }
         }
     }
 
     /// Another gateway's datagram; returns what is to be sent for it, and where that is counted.
-    fn hear(&self, datagram: &[u8], from: SocketAddr) -> (Vec<Sent>, &Cell<u64>) {
-        let c = &self.counters;
+    fn hear(&self, datagram: &[u8], from: SocketAddr) -> (Vec<OutgoingDatagram>, &Cell<u64>) {
+        let c = &self.metrics;
         let by = self.senders.get(&from).copied();
-        match (&self.fleet.members, &self.fleet.owners) {
+        match (&self.fleet.membership, &self.fleet.leases) {
             // What goes to all may come back.
-            _ if by == Some(self.peers.me) => (Vec::new(), &c.members_sent),
+            _ if by == Some(self.peers.me) => (Vec::new(), &c.membership.sent),
             // Danger guarded against: a datagram from an address outside the list would make a member of nobody.
             (Some(_), _) if by.is_none() => {
-                count(&c.unheard);
+                increment(&c.gossip.ignored);
                 log!("a datagram from {from} is not used: no gateway's address");
-                (Vec::new(), &c.members_sent)
+                (Vec::new(), &c.membership.sent)
             }
-            (Some(members), _) if irisrouter_membership::is_membership(datagram) => (
-                by.map_or_else(Vec::new, |by| members.hear(datagram, by)),
-                &c.members_sent,
+            (Some(membership), _) if irisrouter_membership::recognizes(datagram) => (
+                by.map_or_else(Vec::new, |by| membership.receive(datagram, by)),
+                &c.membership.sent,
             ),
-            (Some(_), _) if irisrouter_inhand::is_inhand(datagram) => {
+            (Some(_), _) if irisrouter_write_intents::recognizes(datagram) => {
                 let sends = self
                     .fleet
-                    .hand
+                    .write_intents
                     .as_ref()
                     .zip(by)
-                    .map_or_else(Vec::new, |(h, by)| h.hear(datagram, by));
-                (sends, &c.writes_sent)
+                    .map_or_else(Vec::new, |(h, by)| h.receive(datagram, by));
+                (sends, &c.write_intents.sent)
             }
-            (Some(_), _) if irisrouter_drains::is_drains(datagram) => {
+            (Some(_), _) if irisrouter_drain_coordination::recognizes(datagram) => {
                 let sends = self
                     .fleet
                     .drains
                     .as_ref()
                     .zip(by)
-                    .map_or_else(Vec::new, |(d, by)| d.hear(datagram, by));
-                (sends, &c.drains_sent)
+                    .map_or_else(Vec::new, |(d, by)| d.receive(datagram, by));
+                (sends, &c.drains.sent)
             }
-            (Some(members), _) if irisrouter_listwatch::is_listwatch(datagram) => {
-                let list = self
+            (Some(membership), _) if irisrouter_endpoint_watch::recognizes(datagram) => {
+                let watch = self
                     .fleet
-                    .list
+                    .endpoint_watch
                     .as_ref()
                     .zip(by)
-                    .filter(|(_, by)| members.counts(*by));
-                list.iter().for_each(|(list, by)| list.hear(datagram, *by));
-                (Vec::new(), &c.list_beats)
+                    .filter(|(_, by)| membership.accepts_from(*by));
+                watch
+                    .iter()
+                    .for_each(|(watch, by)| watch.receive(datagram, *by));
+                (Vec::new(), &c.endpoint_watch.heartbeats)
             }
-            (Some(members), _) if irisrouter_siteplan::is_siteplan(datagram) => {
-                let sites = self
+            (Some(membership), _) if irisrouter_site_failover::recognizes(datagram) => {
+                let site_failover = self
                     .fleet
-                    .sites
+                    .site_failover
                     .as_ref()
                     .zip(by)
-                    .filter(|(_, by)| members.counts(*by));
-                sites
+                    .filter(|(_, by)| membership.accepts_from(*by));
+                site_failover
                     .iter()
-                    .for_each(|(sites, by)| sites.hear(datagram, *by));
-                (Vec::new(), &c.plans_sent)
+                    .for_each(|(site_failover, by)| site_failover.receive(datagram, *by));
+                (Vec::new(), &c.site_failover.sent)
             }
-            (_, Some(owners)) if irisrouter_duties::is_duties(datagram) => (
-                by.map_or_else(Vec::new, |by| owners.hear(datagram, by)),
-                &c.duties_sent,
+            (_, Some(leases)) if irisrouter_leases::recognizes(datagram) => (
+                by.map_or_else(Vec::new, |by| leases.receive(datagram, by)),
+                &c.leases.sent,
             ),
             _ => {
                 self.find(datagram, from, by);
-                (Vec::new(), &c.told)
+                (Vec::new(), &c.gossip.sent)
             }
         }
     }
@@ -321,10 +345,10 @@
     /// Another gateway's findings.
     fn find(&self, datagram: &[u8], from: SocketAddr, by: Option<u32>) {
         let now = self.clock.now();
-        if let (Some(members), Some(by)) = (&self.fleet.members, by) {
-            if !members.counts(by) {
+        if let (Some(membership), Some(by)) = (&self.fleet.membership, by) {
+            if !membership.accepts_from(by) {
                 // Findings of a gateway held to be down stop counting at once.
-                count(&self.counters.unheard);
+                increment(&self.metrics.gossip.ignored);
                 return;
             }
         }
@@ -336,38 +360,38 @@
         let (by, told) = match read {
             Ok(read) => read,
             Err(why) => {
-                count(&self.counters.unheard);
+                increment(&self.metrics.gossip.ignored);
                 log!("a datagram from {from} is not used: {why}");
                 return;
             }
         };
-        count(&self.counters.heard);
+        increment(&self.metrics.gossip.received);
         // No word is of the future, whatever the clocks say.
         let at = told.at.min(now);
         let mut found = Vec::with_capacity(told.findings.len());
         for f in &told.findings {
-            let Some((member, set)) = self.backend.numbered(f.host) else {
+            let Some((member, set)) = self.upstream.member_by_fleet_id(f.host) else {
                 continue;
             };
             self.duties.borrow_mut().heard(set, by, at);
             let position = f.position.map(|p| p.min(at));
-            let report = Report {
+            let report = LoadReport {
                 position,
                 primary: Some(f.primary),
-                inflight: None,
-                in_use: f.in_use,
+                in_flight: None,
+                cores_in_use: f.in_use,
             };
-            found.push(Finding { member, at, report });
+            found.push(SharedHealthCheck { member, at, report });
         }
         if !found.is_empty() {
-            self.mailbox.post(Event::Found(found));
+            self.router.post(Event::SharedHealthChecks(found));
         }
     }
 
     /// Probes the hosts of a set, and tells what they say; under a token only as long as that holds.
     async fn ask(self: Rc<Self>, set: i64, token: Option<u64>) {
         let mut out = JoinSet::new();
-        for member in self.backend.serving(GroupId(set)) {
+        for member in self.upstream.members_in_service(GroupId(set)) {
             let of = Rc::clone(&self);
             out.spawn_local(async move { of.probe(member, set, token).await });
         }
@@ -381,49 +405,56 @@
             by = Instant::now() + ROUND;
             if !found.is_empty() {
                 self.tell(&found).await;
-                self.mailbox.post(Event::Found(found));
+                self.router.post(Event::SharedHealthChecks(found));
             }
         }
     }
 
-    async fn probe(&self, member: MemberId, set: i64, token: Option<u64>) -> Option<Finding> {
-        let owned = self.fleet.owners.as_ref().zip(token);
+    async fn probe(
+        &self,
+        member: MemberId,
+        set: i64,
+        token: Option<u64>,
+    ) -> Option<SharedHealthCheck> {
+        let owned = self.fleet.leases.as_ref().zip(token);
         // Danger guarded against: a process that was stopped in the middle of a round goes on with it when it is back.
-        if owned.is_some_and(|(owners, token)| owners.token(Duty::Probing(set)) != Some(token)) {
+        if owned.is_some_and(|(leases, token)| {
+            leases.fencing_token(LeasedTask::HealthChecks(set)) != Some(token)
+        }) {
             return None;
         }
-        let fence = owned.and_then(|(owners, token)| owners.fence(set, token));
-        let (event, fenced) = self.backend.probe_under(member, fence).await;
-        if let (true, Some((owners, _))) = (fenced, owned) {
-            self.send_all(owners.fenced(set), &self.counters.duties_sent)
+        let fence = owned.and_then(|(leases, token)| leases.health_check_fence(set, token));
+        let (event, fenced) = self.upstream.health_check_with_fence(member, fence).await;
+        if let (true, Some((leases, _))) = (fenced, owned) {
+            self.send_all(leases.token_rejected(set), &self.metrics.leases.sent)
                 .await;
         }
         let found = match &event {
-            Event::Probed {
+            Event::HealthChecked {
                 outcome: Outcome::Ok,
                 report: Some(report),
                 ..
-            } => Some(Finding {
+            } => Some(SharedHealthCheck {
                 member,
                 at: self.clock.now(),
                 report: *report,
             }),
             _ => None,
         };
-        self.mailbox.post(event);
+        self.router.post(event);
         found
     }
 
-    async fn tell(&self, found: &[Finding]) {
+    async fn tell(&self, found: &[SharedHealthCheck]) {
         let at = self.clock.now();
-        let finding = |f: &Finding| {
-            let (host, _) = self.backend.told_as(f.member)?;
-            let (position, in_use) = (f.report.position, f.report.in_use);
+        let finding = |f: &SharedHealthCheck| {
+            let (host, _) = self.upstream.fleet_host_id(f.member)?;
+            let (position, cores_in_use) = (f.report.position, f.report.cores_in_use);
             Some(message::Finding {
                 host,
                 position,
                 primary: f.report.primary?,
-                in_use,
+                in_use: cores_in_use,
             })
         };
         for part in found.chunks(message::MOST) {
@@ -432,7 +463,7 @@
                 let datagram = message::encode(&message::Message { at, findings });
                 // Lost is as late as the network makes it: others ask for themselves.
                 if self.socket.send_to(&datagram, self.peers.all).await.is_ok() {
-                    count(&self.counters.told);
+                    increment(&self.metrics.gossip.sent);
                 }
             }
         }
@@ -440,25 +471,25 @@
 }
 
 /// Until a word is said to the fleet; never, where that is off.
-async fn said(drains: Option<&Drains>) {
+async fn said(drains: Option<&DrainService>) {
     match drains {
-        Some(drains) => drains.woken().await,
+        Some(drains) => drains.send_requested().await,
         None => std::future::pending().await,
     }
 }
 
 /// Until the own list has news; never, where nobody is told of it.
-async fn listed(list: Option<&ListWatch>) {
-    match list {
-        Some(list) => list.woken().await,
+async fn listed(watch: Option<&EndpointWatchService>) {
+    match watch {
+        Some(watch) => watch.send_requested().await,
         None => std::future::pending().await,
     }
 }
 
 /// Until a write is to be noted or asked after; never, where that is off.
-async fn woken(hand: Option<&Hand>) {
-    match hand {
-        Some(hand) => hand.woken().await,
+async fn woken(write_intents: Option<&WriteIntentService>) {
+    match write_intents {
+        Some(write_intents) => write_intents.send_requested().await,
         None => std::future::pending().await,
     }
 }
--- a/src/net/cluster/site_failover.rs
+++ b/src/net/cluster/site_failover.rs
@@ -1,20 +1,20 @@
-//! The shell of plans for lost sites: the core of `irisrouter_siteplan` fed with what this gateway sees of sites and what
+//! The shell of plans for lost sites: the core of `irisrouter_site_failover` fed with what this gateway sees of sites and what
 //! others tell, and the plan in force handed to the decision module.
 //!
 //! Each gateway tallies; whoever owns the planning sums the tallies up and tells its plan to all; all follow the latest.
 
-use super::backend::Backend;
-use super::classes::Classes;
-use super::counters::{count, Counters};
-use super::duties::{Duty, Owners};
-use super::log::log;
-use super::membership::Members;
-use super::peers::{Outbox, Sent};
-use super::router::Mailbox;
-use irisrouter::api::{Event, Ns, Planned};
-use irisrouter_siteplan::codec::{self, Message};
-use irisrouter_siteplan::tally::{Tallies, Tally};
-use irisrouter_siteplan::{Follower, Plan, Planner, Settings, State, DUTY};
+use crate::net::cluster::leases::{LeaseService, LeasedTask};
+use crate::net::cluster::membership::MembershipService;
+use crate::net::cluster::peer_socket::{Outbox, OutgoingDatagram};
+use crate::net::log::log;
+use crate::net::metrics::{increment, Metrics};
+use crate::net::request::classes::Classes;
+use crate::net::router_task::RouterHandle;
+use crate::net::upstream::Upstream;
+use irisrouter::routing::{Event, FailoverDirectives, Nanos};
+use irisrouter_site_failover::codec::{self, Message};
+use irisrouter_site_failover::load_report::{SiteLoadReport, SiteLoadReports};
+use irisrouter_site_failover::{Follower, Plan, Planner, Settings, State, TASK_ID};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,7 +29,7 @@
 const TOLD: usize = 3;
 /// A plan that is over is told so often: a gateway that heard none of these goes on with the last one until it is stale.
 const OVER: u32 = 6;
-const NS_PER_MS: Ns = 1_000_000;
+const NS_PER_MS: Nanos = 1_000_000;
 
 /// What the operators' names stand for here.
 pub struct Names {
@@ -44,42 +44,42 @@
 /// The parts of the gateway that it works with.
 pub struct Around {
     /// Who is there.
-    pub members: Rc<Members>,
+    pub membership: Rc<MembershipService>,
     /// Who owns the planning.
-    pub owners: Rc<Owners>,
+    pub leases: Rc<LeaseService>,
     /// What is seen of hosts.
-    pub backend: Rc<Backend>,
+    pub upstream: Rc<Upstream>,
     /// The classes' slots.
     pub classes: Rc<Classes>,
     /// The way to the decision module.
-    pub mailbox: Rc<Mailbox>,
+    pub router: Rc<RouterHandle>,
     /// Counts.
-    pub counters: Rc<Counters>,
+    pub metrics: Rc<Metrics>,
 }
 
 /// Plans for lost sites, as one gateway makes and follows them.
-pub struct Sites {
+pub struct SiteFailoverService {
     around: Around,
     names: Names,
     /// Requests a second that a host of size one bears.
     capacity_per_s: f64,
     planner: RefCell<Planner>,
     follower: RefCell<Follower>,
-    tallies: RefCell<Tallies>,
+    tallies: RefCell<SiteLoadReports>,
     /// Requests by slot since the last tally, and when that was.
     arrived: RefCell<Vec<u16>>,
     tallied: Cell<u64>,
     /// The epoch under which the planner here last planned, and how often it still says that its plan is over.
     planning: Cell<(u64, u32)>,
     /// What the decision module was told last, and what of it the log.
-    posted: RefCell<Planned>,
+    posted: RefCell<FailoverDirectives>,
     logged: RefCell<String>,
     start: Instant,
     out: Outbox,
     all: SocketAddr,
 }
 
-impl Sites {
+impl SiteFailoverService {
     /// A gateway that knows of no plan yet.
     ///
     /// # Errors
@@ -93,7 +93,7 @@
     ) -> Result<Self, String> {
         let follower = RefCell::new(Follower::new(&settings));
         let planner = RefCell::new(Planner::new(settings)?);
-        around.backend.tally();
+        around.upstream.enable_reachability_reports();
         log!("site plan: on, for {}", names.zones.join(", "));
         Ok(Self {
             around,
@@ -118,7 +118,7 @@
     }
 
     /// A request of the class in this slot has come.
-    pub fn arrived(&self, slot: usize) {
+    pub fn request_arrived(&self, slot: usize) {
         let mut arrived = self.arrived.borrow_mut();
         if arrived.len() <= slot {
             arrived.resize(slot + 1, 0);
@@ -127,47 +127,51 @@
     }
 
     /// Takes a datagram of gateway `from`.
-    pub fn hear(&self, datagram: &[u8], from: u32) {
+    pub fn receive(&self, datagram: &[u8], from: u32) {
         match codec::decode(datagram) {
-            Ok(Message::Tally(tally)) => self.tallies.borrow_mut().heard(self.now(), from, tally),
+            Ok(Message::SiteLoadReport(load_report)) => {
+                self.tallies
+                    .borrow_mut()
+                    .heard(self.now(), from, load_report)
+            }
             Ok(Message::Plan(plan)) => {
-                count(&self.around.counters.plans_heard);
+                increment(&self.around.metrics.site_failover.received);
                 self.follow(plan);
             }
             Err(why) => {
-                count(&self.around.counters.unheard);
+                increment(&self.around.metrics.gossip.ignored);
                 log!("site plan: a datagram from gateway {from} is not used: {why}");
             }
         }
     }
 
     /// Does what is due; returns what is to be sent.
-    pub fn tick(&self) -> Vec<Sent> {
+    pub fn advance(&self) -> Vec<OutgoingDatagram> {
         let (now, last) = (self.now(), self.tallied.get());
         if now < last + PERIOD_MS {
             return Vec::new();
         }
         self.tallied.set(now);
-        let tally = self.tally(u16::try_from(now - last).unwrap_or(u16::MAX));
-        let bytes = codec::encode_tally(&tally);
-        let me = self.around.members.me().number;
-        let (alive, _) = self.around.members.alive();
-        let first = irisrouter_duties::order::owners(DUTY, &alive);
+        let load_report = self.load_report(u16::try_from(now - last).unwrap_or(u16::MAX));
+        let bytes = codec::encode_tally(&load_report);
+        let me = self.around.membership.local_node().number;
+        let (alive, _) = self.around.membership.alive();
+        let first = irisrouter_leases::rendezvous::candidates(TASK_ID, &alive);
         for to in first.into_iter().take(TOLD).filter(|&to| to != me) {
             self.out.push(to, bytes.clone());
         }
         let mut tallies = self.tallies.borrow_mut();
-        tallies.heard(now, me, tally);
+        tallies.heard(now, me, load_report);
         tallies.forget(now.saturating_sub(FORGET_MS));
         let planned = self
             .around
-            .owners
-            .token(Duty::SitePlan)
+            .leases
+            .fencing_token(LeasedTask::SiteFailover)
             .and_then(|e| self.plan(now, e, &tallies, alive.len()));
         drop(tallies);
         let mut sends = self.out.take();
         if let Some(plan) = planned {
-            count(&self.around.counters.plans_made);
+            increment(&self.around.metrics.site_failover.planned);
             sends.push((self.all, codec::encode(&plan)));
             self.follow(plan);
         }
@@ -176,13 +180,13 @@
         sends
     }
 
-    /// How long [`Sites::tick`] has no work.
+    /// How long [`SiteFailoverService::advance`] has no work.
     pub fn due(&self) -> Duration {
         Duration::from_millis((self.tallied.get() + PERIOD_MS).saturating_sub(self.now()))
     }
 
     /// What this gateway saw since the last tally.
-    fn tally(&self, period_ms: u16) -> Tally {
+    fn load_report(&self, period_ms: u16) -> SiteLoadReport {
         let by_slot = self.arrived.take();
         let slots = self.around.classes.names();
         let of = |name: &String| {
@@ -190,8 +194,8 @@
             slots.map(|(_, &count)| count).fold(0, u16::saturating_add)
         };
         let arrived = self.names.classes.iter().map(of).collect();
-        let sites = self.around.backend.reach(&self.names.zones);
-        Tally {
+        let sites = self.around.upstream.take_reachability(&self.names.zones);
+        SiteLoadReport {
             site: self.names.mine,
             period_ms,
             arrived,
@@ -200,7 +204,7 @@
     }
 
     /// The plan, where this gateway makes one: while some site is not as usual, and a few times after that.
-    fn plan(&self, now: u64, epoch: u64, tallies: &Tallies, alive: usize) -> Option<Plan> {
+    fn plan(&self, now: u64, epoch: u64, tallies: &SiteLoadReports, alive: usize) -> Option<Plan> {
         // Danger guarded against: one that has just come to plan would judge sites by its own view alone.
         if 2 * tallies.gateways() <= alive {
             return None;
@@ -212,7 +216,7 @@
                 planner.resume(plan);
             }
         }
-        let capacity = self.around.backend.sizes(&self.names.zones);
+        let capacity = self.around.upstream.capacity_by_zone(&self.names.zones);
         let capacity: Vec<f64> = capacity
             .into_iter()
             .map(|size| size * self.capacity_per_s)
@@ -249,9 +253,11 @@
     fn tell_module(&self) {
         let follower = self.follower.borrow();
         let plan = follower.plan(self.now());
-        let planned = plan.map_or_else(Planned::default, |p| self.planned(p));
+        let planned = plan.map_or_else(FailoverDirectives::default, |p| self.planned(p));
         if *self.posted.borrow() != planned {
-            self.around.mailbox.post(Event::Planned(planned.clone()));
+            self.around
+                .router
+                .post(Event::FailoverDirectivesChanged(planned.clone()));
             self.posted.replace(planned);
         }
         let words = plan.map_or_else(|| "none is in force".into(), |p| self.words(p));
@@ -261,7 +267,7 @@
         }
     }
 
-    fn planned(&self, plan: &Plan) -> Planned {
+    fn planned(&self, plan: &Plan) -> FailoverDirectives {
         let slots = self.around.classes.names();
         let part = |name: &String| {
             let class = self.names.classes.iter().position(|n| n == name);
@@ -276,12 +282,12 @@
             .iter()
             .zip(&plan.sites)
             .filter(|(_, s)| s.ramp < 1.0);
-        Planned {
-            admitted: slots.iter().map(part).collect(),
-            ramps: sites
-                .map(|(zone, s)| (self.around.backend.zone(zone), s.ramp))
+        FailoverDirectives {
+            admitted_share: slots.iter().map(part).collect(),
+            recovery_ramps: sites
+                .map(|(zone, s)| (self.around.upstream.zone_id(zone), s.ramp))
                 .collect(),
-            pause: Some(Ns::from(plan.pause_ms) * NS_PER_MS),
+            retry_after: Some(Nanos::from(plan.pause_ms) * NS_PER_MS),
         }
     }
 
@@ -315,13 +321,13 @@
 
     /// The plan in force as one line: of each site its state, budget and ramp and where its load goes, what is admitted of
     /// each class that is not admitted whole, and the pause.
-    pub fn line(&self) -> String {
+    pub fn status_line(&self) -> String {
         let follower = self.follower.borrow();
         let Some(plan) = follower.plan(self.now()) else {
             return "plan none in force".into();
         };
         let zones = &self.names.zones;
-        let site = |(zone, s): (&String, &irisrouter_siteplan::SitePlan)| {
+        let site = |(zone, s): (&String, &irisrouter_site_failover::SitePlan)| {
             let goes = zones.iter().zip(&s.goes).filter(|(_, &part)| part > 0.0);
             let goes: Vec<String> = goes.map(|(to, part)| format!("{to}:{part:.2}")).collect();
             format!(
--- a/src/net/cluster/write_intents.rs
+++ b/src/net/cluster/write_intents.rs
@@ -1,18 +1,18 @@
-//! The shell of writes in hand: the core of `irisrouter_inhand` fed with datagrams and the time, and asked by the tasks of
+//! The shell of writes in hand: the core of `irisrouter_write_intents` fed with datagrams and the time, and asked by the tasks of
 //! requests. What is to be sent leaves with the peer task, which is woken for it.
 
-use super::counters::{count, Counters};
-use super::duration;
-use super::log::log;
-use super::membership::Members;
-use super::peers::{Outbox, Sent};
-use irisrouter::api::{Class, Outcome as Attempt, Repeat};
-use irisrouter_inhand::{Action, InHand, Outcome};
+use crate::net::cluster::membership::MembershipService;
+use crate::net::cluster::peer_socket::{Outbox, OutgoingDatagram};
+use crate::net::log::log;
+use crate::net::metrics::{increment, Metrics};
+use crate::net::{duration, unix_milliseconds};
+use irisrouter::routing::{Idempotency, Outcome as Attempt, RequestClass};
+use irisrouter_write_intents::{Action, IntentStore, Outcome};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
 
@@ -21,9 +21,9 @@
 
 /// What is known of a repeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Before {
+pub enum EarlierAttempt {
     /// It was never sent.
-    Unsent,
+    NeverSent,
     /// It may have run from then on, in Unix milliseconds.
     MayHaveRun(u64),
     /// Too few of those that would know have answered.
@@ -31,11 +31,11 @@
 }
 
 /// The writes in hand of one gateway, and those that it keeps for others.
-pub struct Hand {
-    core: RefCell<InHand>,
-    members: Rc<Members>,
+pub struct WriteIntentService {
+    core: RefCell<IntentStore>,
+    membership: Rc<MembershipService>,
     start: Instant,
-    counters: Rc<Counters>,
+    metrics: Rc<Metrics>,
     waiting: RefCell<HashMap<u64, oneshot::Sender<Outcome>>>,
     out: Outbox,
     wake: Notify,
@@ -43,20 +43,20 @@
     marked: bool,
 }
 
-impl Hand {
+impl WriteIntentService {
     /// A gateway that keeps nothing yet.
     pub fn new(
-        members: Rc<Members>,
+        membership: Rc<MembershipService>,
         each: Vec<SocketAddr>,
         marked: bool,
-        counters: Rc<Counters>,
+        metrics: Rc<Metrics>,
     ) -> Self {
         log!("writes in hand: on, keyed writes are noted with other gateways before they leave");
         Self {
-            core: RefCell::new(InHand::new(members.me().number, 0)),
-            members,
+            core: RefCell::new(IntentStore::new(membership.local_node().number, 0)),
+            membership,
             start: Instant::now(),
-            counters,
+            metrics,
             waiting: RefCell::default(),
             out: Outbox::new(each),
             wake: Notify::new(),
@@ -69,65 +69,57 @@
     }
 
     /// This process hears others from now on.
-    pub fn opened(&self) {
+    pub fn on_socket_opened(&self) {
         self.core.borrow_mut().opened(self.now());
     }
 
-    /// Unix time in milliseconds: all machines of the platform read one clock.
-    pub fn unix_ms() -> u64 {
-        let unix = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        u64::try_from(unix.as_millis()).unwrap_or(u64::MAX)
-    }
-
     /// Whether a write may be one that another gateway has sent.
-    pub fn doubtful(&self, retry: bool) -> bool {
+    pub fn may_be_retry(&self, retry: bool) -> bool {
         retry || !self.marked
     }
 
     /// Notes a write with its keepers before it leaves; no where too few of them say that they have it.
-    pub async fn note(&self, key: u64, at: u64) -> bool {
-        let gateways = self.members.not_down();
+    pub async fn record(&self, key: u64, at: u64) -> bool {
+        let gateways = self.membership.not_down();
         let noted = self
             .ended(|core, now| core.note(now, key, at, &gateways))
             .await
             == Some(Outcome::Noted);
-        count(if noted {
-            &self.counters.writes_noted
+        increment(if noted {
+            &self.metrics.write_intents.recorded
         } else {
-            &self.counters.writes_not_noted
+            &self.metrics.write_intents.not_recorded
         });
         noted
     }
 
     /// Asks the keepers of a write whether it may have run.
-    pub async fn ask(&self, key: u64) -> Before {
-        let gateways = self.members.not_down();
+    pub async fn look_up(&self, key: u64) -> EarlierAttempt {
+        let gateways = self.membership.not_down();
         let found = match self.ended(|core, now| core.ask(now, key, &gateways)).await {
-            Some(Outcome::Known(at)) => Before::MayHaveRun(at),
-            Some(Outcome::Unknown) => Before::Unsent,
-            _ => Before::Unproven,
+            Some(Outcome::Known(at)) => EarlierAttempt::MayHaveRun(at),
+            Some(Outcome::Unknown) => EarlierAttempt::NeverSent,
+            _ => EarlierAttempt::Unproven,
         };
-        count(match found {
-            Before::MayHaveRun(_) => &self.counters.writes_known,
-            Before::Unsent => &self.counters.writes_unsent,
-            Before::Unproven => &self.counters.writes_unproven,
+        increment(match found {
+            EarlierAttempt::MayHaveRun(_) => &self.metrics.write_intents.found,
+            EarlierAttempt::NeverSent => &self.metrics.write_intents.never_sent,
+            EarlierAttempt::Unproven => &self.metrics.write_intents.unproven,
         });
         found
     }
 
     /// A write that was noted never ran.
-    pub fn forget(&self, key: u64) {
-        let gateways = self.members.not_down();
+    pub fn withdraw(&self, key: u64) {
+        let gateways = self.membership.not_down();
         self.with(|core, _| core.forget(key, &gateways));
     }
 
     /// Takes a datagram from gateway `from`; returns what is to be sent.
-    pub fn hear(&self, datagram: &[u8], from: u32) -> Vec<Sent> {
+    pub fn receive(&self, datagram: &[u8], from: u32) -> Vec<OutgoingDatagram> {
         self.with(|core, now| {
             if let Err(why) = core.receive(now, from, datagram) {
-                count(&self.counters.unheard);
+                increment(&self.metrics.gossip.ignored);
                 log!("writes in hand: a datagram from gateway {from} is not used: {why}");
             }
         });
@@ -135,24 +127,24 @@
     }
 
     /// Does what is due; returns what is to be sent.
-    pub fn tick(&self) -> Vec<Sent> {
+    pub fn advance(&self) -> Vec<OutgoingDatagram> {
         self.with(|core, now| core.advance(now));
         self.out.take()
     }
 
-    /// When [`Hand::tick`] has work next.
+    /// When [`WriteIntentService::advance`] has work next.
     pub fn due(&self) -> Instant {
         let (due, now) = (self.core.borrow().next_due(), self.now());
         self.start + Duration::from_millis(due.max(now).min(now + 60_000))
     }
 
     /// Waits until there is something to be sent.
-    pub async fn woken(&self) {
+    pub async fn send_requested(&self) {
         self.wake.notified().await;
     }
 
     /// Begins a note or a question, and waits for its outcome.
-    async fn ended(&self, begin: impl FnOnce(&mut InHand, u64) -> u64) -> Option<Outcome> {
+    async fn ended(&self, begin: impl FnOnce(&mut IntentStore, u64) -> u64) -> Option<Outcome> {
         let (tell, told) = oneshot::channel();
         {
             let (mut core, now) = (self.core.borrow_mut(), self.now());
@@ -163,13 +155,13 @@
         told.await.ok()
     }
 
-    fn with(&self, act: impl FnOnce(&mut InHand, u64)) {
+    fn with(&self, act: impl FnOnce(&mut IntentStore, u64)) {
         let (mut core, now) = (self.core.borrow_mut(), self.now());
         act(&mut core, now);
         self.carry_out(&mut core);
     }
 
-    fn carry_out(&self, core: &mut InHand) {
+    fn carry_out(&self, core: &mut IntentStore) {
         for action in core.drain() {
             match action {
                 Action::Send { to, bytes } => self.out.push(to, bytes),
@@ -191,8 +183,8 @@
 pub struct MayHaveRun;
 
 /// A keyed write that is noted with other gateways.
-pub struct Noted {
-    hand: Rc<Hand>,
+pub struct WriteIntent {
+    write_intents: Rc<WriteIntentService>,
     key: u64,
     /// From when on an earlier try of another gateway may have run, in Unix milliseconds.
     earlier: Option<u64>,
@@ -204,12 +196,12 @@
     may_have_run: Cell<bool>,
 }
 
-impl Noted {
+impl WriteIntent {
     /// Nothing has been noted yet.
-    pub fn new(hand: &Rc<Hand>, key: u64) -> Self {
+    pub fn new(write_intents: &Rc<WriteIntentService>, key: u64) -> Self {
         let no = || Cell::new(false);
-        Noted {
-            hand: Rc::clone(hand),
+        WriteIntent {
+            write_intents: Rc::clone(write_intents),
             key,
             earlier: None,
             tried: no(),
@@ -220,28 +212,33 @@
 
     /// Until when it may be sent again, after an earlier try; none where that time is over. The window counts from that
     /// try, and what leaves at its end still needs a connection.
-    pub fn until(&mut self, at: u64, class: &Class, connect: Duration) -> Option<Instant> {
+    pub fn resend_deadline(
+        &mut self,
+        at: u64,
+        class: &RequestClass,
+        connect: Duration,
+    ) -> Option<Instant> {
         self.earlier = Some(at);
-        let Repeat::Keyed { window, .. } = class.repeat else {
+        let Idempotency::Keyed { window, .. } = class.idempotency else {
             return None;
         };
-        let passed = Duration::from_millis(Hand::unix_ms().saturating_sub(at));
+        let passed = Duration::from_millis(unix_milliseconds().saturating_sub(at));
         let left = duration(window).checked_sub(passed)?.checked_sub(connect)?;
         (left > SOONEST).then(|| Instant::now() + left)
     }
 
     /// Another gateway may have sent it.
-    pub const fn sent_elsewhere(&self) -> bool {
+    pub const fn sent_by_another_gateway(&self) -> bool {
         self.earlier.is_some()
     }
 
     /// Notes it before an attempt leaves, once.
-    pub async fn note(&self) -> bool {
+    pub async fn record(&self) -> bool {
         if !self.done.get() {
             self.tried.set(true);
             let noted = self
-                .hand
-                .note(self.key, self.earlier.unwrap_or_else(Hand::unix_ms))
+                .write_intents
+                .record(self.key, self.earlier.unwrap_or_else(unix_milliseconds))
                 .await;
             self.done.set(self.done.get() || noted);
         }
@@ -249,18 +246,18 @@
     }
 
     /// An attempt ended.
-    pub fn ended(&self, outcome: Attempt) {
+    pub fn attempt_ended(&self, outcome: Attempt) {
         let never = matches!(
             outcome,
-            Attempt::Full | Attempt::ConnectFailed | Attempt::Moot | Attempt::Miss
+            Attempt::Full | Attempt::ConnectFailed | Attempt::NotSent | Attempt::Unsuitable
         );
         self.may_have_run.set(self.may_have_run.get() || !never);
     }
 
     /// All attempts have ended: what never ran need not be known to anybody.
-    pub fn over(&self) {
+    pub fn all_attempts_ended(&self) {
         if self.tried.get() && !self.may_have_run.get() {
-            self.hand.forget(self.key);
+            self.write_intents.withdraw(self.key);
         }
     }
 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,8 +1,8 @@
 //! What the platform tells a gateway at its start: the environment and the configuration file.
 
-use super::discovery::List;
-use super::log::log;
-use irisrouter::settings::{Loaded, OPTIONAL};
+use crate::net::discovery::EndpointList;
+use crate::net::log::log;
+use irisrouter::platform_settings::{PlatformSettings, OPTIONAL};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -39,13 +39,13 @@
     /// The other gateways, where they can be told anything.
     pub peers: Option<Peers>,
     /// The operators' file, or its defaults.
-    pub operators: super::operators::Operators,
+    pub operators: crate::net::admin::operator_config::Operators,
     /// Descriptors that the program may hold.
     pub sockets: usize,
     /// Memory that it may use, in bytes.
     pub memory: usize,
     /// The settings object.
-    pub loaded: Loaded,
+    pub loaded: PlatformSettings,
     /// The file as it was read, and where.
     pub file: File,
     path: String,
@@ -81,7 +81,7 @@
     limits: Limits,
     /// The list of database hosts as this gateway last had it.
     #[serde(default)]
-    pub known: List,
+    pub known: EndpointList,
     settings: Value,
 }
 
@@ -96,7 +96,7 @@
     /// Where discovery answers from now on, if the file says so.
     pub discovery: Option<SocketAddr>,
     /// The settings that hold from now on.
-    pub loaded: Loaded,
+    pub loaded: PlatformSettings,
     /// Parts of the file that differ and wait for the next start.
     pub waiting: Vec<&'static str>,
 }
@@ -118,7 +118,7 @@
         let at = |why| format!("{path}: {why}");
         let set = |name: &str| variable(name).filter(|v| !v.is_empty());
         let loaded = file.loaded().map_err(at)?;
-        let operators = super::operators::load(&variable)?;
+        let operators = crate::net::admin::operator_config::load(&variable)?;
         let members = operators.membership.enabled && loaded.peers_allowed;
         Ok(Config {
             name: variable("BALANCER_NAME").unwrap_or_else(|| file.name.clone()),
@@ -205,7 +205,7 @@
     }
 
     /// The other gateways. A file in which they can't be read starts a gateway that shares nothing, and says so.
-    fn peers(&self, loaded: &Loaded, members: bool) -> Option<Peers> {
+    fn peers(&self, loaded: &PlatformSettings, members: bool) -> Option<Peers> {
         let (true, Some(listen), Some(all)) =
             (loaded.share || members, &self.peer_listen, &self.peers_all)
         else {
@@ -215,11 +215,11 @@
             let each: Vec<SocketAddr> =
                 Vec::<SocketAddr>::deserialize(&self.peers).map_err(|e| format!("peers: {e}"))?;
             let me = loaded.me;
-            if me as usize >= each.len() || each.len() != loaded.settings.proxies as usize {
+            if me as usize >= each.len() || each.len() != loaded.settings.gateway_count as usize {
                 return Err(format!(
                     "peers: {} addresses for {} gateways, this one's number is {me}",
                     each.len(),
-                    loaded.settings.proxies
+                    loaded.settings.gateway_count
                 ));
             }
             let listen = address("peer_listen", Some(listen))?;
@@ -235,10 +235,10 @@
             .ok()
     }
 
-    fn loaded(&self) -> Result<Loaded, String> {
+    fn loaded(&self) -> Result<PlatformSettings, String> {
         let seed =
             u64::from_str_radix(&self.seed, 16).map_err(|e| format!("seed {}: {e}", self.seed))?;
-        Loaded::parse(&self.settings, seed).map_err(|e| format!("settings: {e}"))
+        PlatformSettings::parse(&self.settings, seed).map_err(|e| format!("settings: {e}"))
     }
 }
 
--- a/src/net/discovery/client.rs
+++ b/src/net/discovery/client.rs
@@ -1,12 +1,12 @@
 //! The list of database hosts: a long poll of discovery over one HTTP connection.
 //!
-//! Nothing else knows where the list comes from: it goes to the backend as a [`List`], whatever its source.
+//! Nothing else knows where the list comes from: it goes to the backend as a [`EndpointList`], whatever its source.
 
-use super::backend::Backend;
-use super::classes::Classes;
-use super::listwatch::ListWatch;
-use super::log::log;
-use super::pace::{Pace, PAUSE, SILENCE};
+use crate::net::cluster::endpoint_watch::EndpointWatchService;
+use crate::net::discovery::poll_interval::{Pace, PAUSE, SILENCE};
+use crate::net::log::log;
+use crate::net::request::classes::Classes;
+use crate::net::upstream::Upstream;
 use bytes::{Buf, BytesMut};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -25,7 +25,7 @@
 /// Whether a database host is in service.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
 #[serde(rename_all = "snake_case")]
-pub enum Phase {
+pub enum EndpointPhase {
     /// Takes requests.
     InService,
     /// Finishes what it has.
@@ -36,7 +36,7 @@
 
 /// One database host of the list.
 #[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
-pub struct Entry {
+pub struct EndpointEntry {
     /// The same at every gateway.
     pub id: String,
     /// Where it listens, as seen from here.
@@ -47,7 +47,7 @@
     /// Its group.
     pub cell: i64,
     /// Whether it is in service.
-    pub phase: Phase,
+    pub phase: EndpointPhase,
     /// Its relative size.
     #[serde(default = "one")]
     pub size: f64,
@@ -65,18 +65,18 @@
 
 /// A list of database hosts, or the changes to one.
 #[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq)]
-pub struct List {
+pub struct EndpointList {
     /// Its version.
     pub revision: u64,
     /// All hosts, or only what has changed.
     pub complete: bool,
     /// The entries.
-    pub members: Vec<Entry>,
+    pub members: Vec<EndpointEntry>,
 }
 
 /// What has been learnt so far, whichever address told it.
 #[derive(Debug, Default)]
-pub struct Seen {
+pub struct ListPosition {
     /// The newest version.
     pub revision: Option<u64>,
     /// The next call is for the whole list, which comes at once: changes are waited for.
@@ -85,10 +85,10 @@
     behind: Option<Instant>,
 }
 
-impl Seen {
+impl ListPosition {
     /// From the list of this version on.
     pub fn at(revision: Option<u64>) -> Self {
-        Seen {
+        ListPosition {
             revision,
             whole: revision.is_none(),
             behind: None,
@@ -97,7 +97,7 @@
 
     /// Whether a list is to be taken. Danger: an address that has
     /// not caught up yet would undo drains and drop hosts. One that stays behind numbers its lists anew.
-    fn takes(&mut self, list: &List) -> bool {
+    fn takes(&mut self, list: &EndpointList) -> bool {
         let older = self.revision.is_some_and(|r| list.revision < r);
         if !older {
             self.behind = None;
@@ -119,11 +119,11 @@
 /// answered.
 pub async fn watch(
     mut addresses: watch::Receiver<SocketAddr>,
-    mut seen: Seen,
-    backend: Rc<Backend>,
+    mut seen: ListPosition,
+    upstream: Rc<Upstream>,
     classes: Rc<Classes>,
     answered: watch::Sender<bool>,
-    fleet: Option<Rc<ListWatch>>,
+    fleet: Option<Rc<EndpointWatchService>>,
 ) {
     let mut pace = Pace::new(classes.settings().seed);
     sleep(pace.first(herd(&classes))).await;
@@ -139,10 +139,10 @@
             }
             () = async {
                 let fleet = fleet.as_deref();
-                let calls = follow(address, &mut seen, (&backend, fleet), &classes, &mut pace, &answered);
+                let calls = follow(address, &mut seen, (&upstream, fleet), &classes, &mut pace, &answered);
                 let Err(why) = calls.await else { return };
                 if let Some(fleet) = fleet {
-                    fleet.well(false);
+                    fleet.call_ended(false);
                 }
                 log!("discovery: {why}");
                 sleep(pace.failed(herd(&classes))).await;
@@ -154,20 +154,22 @@
 /// How many gateways ask one service, where they do.
 fn herd(classes: &Classes) -> Option<u32> {
     let settings = classes.settings();
-    settings.list_on_request.then_some(settings.proxies)
+    settings
+        .endpoint_list_on_request
+        .then_some(settings.gateway_count)
 }
 
 /// Calls until a call fails, or until another gateway is to watch for this one: that leaves no connection open.
 async fn follow(
     address: SocketAddr,
-    seen: &mut Seen,
-    (backend, fleet): (&Backend, Option<&ListWatch>),
+    seen: &mut ListPosition,
+    (upstream, fleet): (&Upstream, Option<&EndpointWatchService>),
     classes: &Classes,
     pace: &mut Pace,
     answered: &watch::Sender<bool>,
 ) -> Result<(), String> {
     let mut waits = match fleet {
-        Some(fleet) => fleet.turn(seen).await,
+        Some(fleet) => fleet.wait_for_turn(seen).await,
         None => true,
     };
     let mut connection = None;
@@ -207,17 +209,17 @@
             }
             () = relieved(fleet.filter(|_| waits), seen) => return Ok(()),
         };
-        let list: List =
+        let list: EndpointList =
             serde_json::from_slice(&body).map_err(|e| format!("malformed list: {e}"))?;
         let taken = seen.takes(&list);
         if taken {
-            backend.apply(&list);
+            upstream.apply_endpoint_list(&list);
         }
         answered.send_replace(true);
         pace.answered();
         if let Some(fleet) = fleet {
-            fleet.well(true);
-            let Some(next) = fleet.next(seen) else {
+            fleet.call_ended(true);
+            let Some(next) = fleet.next_turn(seen) else {
                 return Ok(());
             };
             waits = next;
@@ -230,9 +232,9 @@
 }
 
 /// Until another gateway watches for this one; never, where each watches for itself.
-async fn relieved(fleet: Option<&ListWatch>, seen: &Seen) {
+async fn relieved(fleet: Option<&EndpointWatchService>, seen: &ListPosition) {
     match fleet {
-        Some(fleet) => fleet.relieved(seen).await,
+        Some(fleet) => fleet.superseded(seen).await,
         None => std::future::pending().await,
     }
 }
@@ -336,5 +338,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../tests/unit/discovery.rs"]
+#[path = "../../../tests/unit/discovery.rs"]
 mod tests;
--- a/src/net/discovery/poll_interval.rs
+++ b/src/net/discovery/poll_interval.rs
@@ -99,5 +99,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../tests/unit/pace.rs"]
+#[path = "../../../tests/unit/poll_interval.rs"]
 mod tests;
--- a/src/net/downstream/cancel.rs
+++ b/src/net/downstream/cancel.rs
@@ -4,7 +4,7 @@
 //! A cancel request comes on a connection of its own and bears the key that another connection was told at its start. It
 //! holds for the query that this one waits for at that moment, and for no later one.
 
-use super::pg::CancelKey;
+use crate::net::pg::CancelKey;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -96,5 +96,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../tests/unit/cancel.rs"]
+#[path = "../../../tests/unit/cancel.rs"]
 mod tests;
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -1,18 +1,18 @@
 //! Client connections: PostgreSQL's protocol to typed requests, and answers in the order of the commands.
 
-use super::backend::{Piece, Statement, Streamed};
-use super::buffers::{Buffer, Pool};
-use super::cancel::{Cancellable, Cancels, Registered};
-use super::classes::Classes;
-use super::counters::count;
-use super::log::log;
-use super::mode::Modes;
-use super::pg::{self, code, Startup};
-use super::places::{Place, Places, Quiet, Resting};
-use super::request::{pause_ms, Answer, Call, Core};
-use super::{duration, read_now};
+use crate::net::admin::serving_state::ServingState;
+use crate::net::buffers::{Buffer, Pool};
+use crate::net::downstream::cancel::{Cancellable, Cancels, Registered};
+use crate::net::downstream::connection_limit::{ConnectionLimit, Place, Quiet, Resting};
+use crate::net::log::log;
+use crate::net::metrics::increment;
+use crate::net::pg::{self, code, Startup};
+use crate::net::request::classes::Classes;
+use crate::net::request::{pause_ms, Answer, Call, Core};
+use crate::net::upstream::{Piece, Statement, Streamed};
+use crate::net::{duration, read_now};
 use bytes::Buf;
-use irisrouter::api::*;
+use irisrouter::routing::*;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
@@ -37,9 +37,9 @@
 const LINGER_BYTES: usize = 1 << 20;
 /// And one that is turned away is to come again after so long. Danger: a crowd that comes again at once takes the
 /// time of those that are served.
-const COME_AGAIN: Ns = 250_000_000;
+const COME_AGAIN: Nanos = 250_000_000;
 /// What clients say of commits may be so far ahead of this clock.
-const AHEAD: Ns = 1_000_000_000;
+const AHEAD: Nanos = 1_000_000_000;
 /// Where clients are sent away, a connection that is quiet for so long ends. Those that are used end behind an answer
 /// before that, so that few requests cross their connection's end.
 const SEND_AWAY: Duration = Duration::from_millis(250);
@@ -62,9 +62,9 @@
     /// The classes, and what else the settings say.
     pub classes: Rc<Classes>,
     /// Places for connections.
-    pub places: Rc<Places>,
+    pub connection_limit: Rc<ConnectionLimit>,
     /// Whether clients are welcome.
-    pub modes: Rc<Modes>,
+    pub serving_state: Rc<ServingState>,
     /// Who may cancel what.
     pub cancels: Rc<Cancels>,
 }
@@ -124,13 +124,13 @@
 impl Frontend {
     /// Accepts clients for ever.
     pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
-        self.modes.ready();
+        self.serving_state.ready();
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
                     self.welcome(stream);
                     // Those that give their places up do so first. Danger: a burst would use up all descriptors.
-                    if self.places.full() {
+                    if self.connection_limit.is_full() {
                         yield_now().await;
                     }
                 }
@@ -152,8 +152,8 @@
     }
 
     fn welcome(self: &Rc<Self>, stream: TcpStream) {
-        count(&self.core.counters.accepted);
-        let Some(place) = self.places.take() else {
+        increment(&self.core.metrics.connections.downstream_accepted);
+        let Some(place) = self.connection_limit.acquire() else {
             return;
         };
         tokio::task::spawn_local(Rc::clone(self).attend(stream, place));
@@ -172,7 +172,7 @@
             registered: None,
         };
         if client.place.crowded {
-            count(&self.core.counters.turned_away);
+            increment(&self.core.metrics.connections.downstream_rejected);
         }
         let Err(mut end) = self.converse(&mut client).await;
         match end {
@@ -233,7 +233,7 @@
                 b'S' => pg::put_ready(&mut out),
                 b'P' | b'B' | b'D' | b'E' | b'C' | b'H' if client.skipping => {}
                 b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'F' => {
-                    count(&self.core.counters.malformed);
+                    increment(&self.core.metrics.requests.malformed);
                     let text = "only simple queries are spoken here";
                     pg::put_error(&mut out, "ERROR", code::FEATURE_NOT_SUPPORTED, text, None);
                     if tag == b'F' {
@@ -248,7 +248,7 @@
             write(client, &out).await?;
             // Right behind an answer the client knows at once, but for a request that is here already.
             let empty = client.input.as_ref().is_none_or(|b| b.is_empty());
-            if self.modes.get().sends_away() && empty && !self.read_last(client)? {
+            if self.serving_state.get().sends_away() && empty && !self.read_last(client)? {
                 return Err(End::Closed);
             }
         }
@@ -323,7 +323,7 @@
         let come = client.input.as_ref().map_or(0, |b| b.len());
         let whole_by = client.began + WHOLE_TIME + Duration::from_secs_f64(come as f64 / SLOWEST);
         let end = whole_by.min(client.heard + SAY_TIME);
-        let mut mode = self.modes.watch();
+        let mut mode = self.serving_state.watch();
         let quiet_until = client.began + SEND_AWAY;
         let away = async {
             loop {
@@ -364,7 +364,7 @@
             }
             Come::Closing => return Err(End::Closed),
             Come::Asked => {
-                count(&self.core.counters.made_room);
+                increment(&self.core.metrics.connections.downstream_evicted);
                 return Err(if idle {
                     End::Closed
                 } else {
@@ -423,7 +423,7 @@
             Err(why) => return Err(self.fatal(client, why.0).await),
         };
         if pg::is_empty(text) {
-            if self.modes.get().sends_away() {
+            if self.serving_state.get().sends_away() {
                 let text = "clients are sent away";
                 pg::put_error(out, "ERROR", code::CANNOT_CONNECT_NOW, text, None);
             } else {
@@ -434,7 +434,7 @@
         }
         match self.call(text) {
             Err(why) => {
-                count(&self.core.counters.malformed);
+                increment(&self.core.metrics.requests.malformed);
                 pg::put_error(out, "ERROR", code::SYNTAX_ERROR, why, None);
             }
             Ok(call) => match self.answer(client, call).await? {
@@ -477,11 +477,11 @@
         let s = pg::statement(text).map_err(|e| e.0)?;
         let class = self.classes.find(s.class).ok_or("an unknown class")?;
         let group = GroupId(s.group);
-        if !self.core.backend.may_know(group) {
+        if !self.core.upstream.may_have_group(group) {
             return Err("an unknown cluster");
         }
         let c = &class.class;
-        if matches!(c.repeat, Repeat::Keyed { .. }) && s.idempotency.is_none() {
+        if matches!(c.idempotency, Idempotency::Keyed { .. }) && s.idempotency.is_none() {
             return Err("no k in the comment of a keyed class");
         }
         let sessions = matches!(c.freshness, Freshness::Session | Freshness::Write);
@@ -489,7 +489,7 @@
         let after = s
             .after_ms
             .filter(|_| c.freshness == Freshness::Session)
-            .map(|ms| (ms * 1e6) as Ns);
+            .map(|ms| (ms * 1e6) as Nanos);
         // Danger: a position that is not there yet would be waited for, or overflow; a client that says that it
         // waits for ever would hold its request as long.
         if after.is_some_and(|p| p > self.core.clock.now().saturating_add(AHEAD)) {
@@ -504,11 +504,11 @@
             text: copy,
             wait_at: s.wait_at,
         };
-        let keyed = matches!(class.class.repeat, Repeat::Keyed { .. });
+        let keyed = matches!(class.class.idempotency, Idempotency::Keyed { .. });
         let key = s
             .idempotency
             .filter(|_| keyed)
-            .map(|k| irisrouter_inhand::number(group.0, k.as_bytes()));
+            .map(|k| irisrouter_write_intents::number(group.0, k.as_bytes()));
         let id = self
             .core
             .take_id(s.id)
@@ -595,7 +595,7 @@
 
     /// Tells of a breach of the protocol, and ends the connection.
     async fn fatal(&self, client: &mut Client, why: &str) -> End {
-        count(&self.core.counters.malformed);
+        increment(&self.core.metrics.requests.malformed);
         self.last_word(client, code::PROTOCOL_VIOLATION, why, None)
             .await
     }
@@ -604,8 +604,8 @@
     async fn crowded(&self, client: &mut Client) -> End {
         let pause = {
             let limits = &self.classes.settings().limits;
-            pause_ms(if limits.pauses {
-                COME_AGAIN.min(limits.max_pause)
+            pause_ms(if limits.retry_after {
+                COME_AGAIN.min(limits.max_retry_after)
             } else {
                 0
             })
--- a/src/net/downstream/connection_limit.rs
+++ b/src/net/downstream/connection_limit.rs
@@ -39,7 +39,7 @@
 }
 
 /// The places of all client connections.
-pub struct Places {
+pub struct ConnectionLimit {
     most: usize,
     /// More than so many are a crowd.
     usual: usize,
@@ -55,7 +55,7 @@
 
 /// A connection's place, given back when it is dropped.
 pub struct Place {
-    places: Rc<Places>,
+    connection_limit: Rc<ConnectionLimit>,
     /// It counts among those that are taken: not beyond the limit, and not given up yet.
     counted: Rc<Cell<bool>>,
     /// There was none left: its connection is to be turned away.
@@ -64,15 +64,15 @@
 
 /// A connection's time of quiet, which ends when this is dropped.
 pub struct Resting<'a> {
-    places: &'a Places,
+    connection_limit: &'a ConnectionLimit,
     key: (Quiet, u64),
     asked: oneshot::Receiver<()>,
 }
 
-impl Places {
+impl ConnectionLimit {
     /// So many places, of which so many are in use on usual days.
     pub fn new(most: usize, usual: usize) -> Rc<Self> {
-        Rc::new(Places {
+        Rc::new(ConnectionLimit {
             most,
             usual,
             elsewhere: Cell::new(0),
@@ -84,7 +84,7 @@
     }
 
     /// Connections now.
-    pub fn open(&self) -> usize {
+    pub fn open_connections(&self) -> usize {
         self.open.get()
     }
 
@@ -93,32 +93,32 @@
     }
 
     /// None is left without somebody's going.
-    pub fn full(&self) -> bool {
+    pub fn is_full(&self) -> bool {
         self.taken.get() >= self.most()
     }
 
     /// A place for a new connection, if need be that of the one that has been quiet longest. None where even
     /// the room for turning connections away is used up.
-    pub fn take(self: &Rc<Self>) -> Option<Place> {
+    pub fn acquire(self: &Rc<Self>) -> Option<Place> {
         if self.open.get() >= self.most() + BEYOND && !self.free(Quiet::Leaving, Duration::ZERO) {
             return None;
         }
         // One that was asked before and was served once more has no place to give.
-        while self.full() && (self.free(Quiet::Starting, STARTING) || self.free(Quiet::Idle, IDLE))
-        {
-        }
-        let crowded = self.full();
+        while self.is_full()
+            && (self.free(Quiet::Starting, STARTING) || self.free(Quiet::Idle, IDLE))
+        {}
+        let crowded = self.is_full();
         self.taken.set(self.taken.get() + usize::from(!crowded));
         self.open.set(self.open.get() + 1);
         Some(Place {
-            places: Rc::clone(self),
+            connection_limit: Rc::clone(self),
             counted: Rc::new(Cell::new(!crowded)),
             crowded,
         })
     }
 
     /// In a crowd, asks those to go that have been quiet longest between two requests.
-    pub fn tidy(&self) {
+    pub fn close_longest_quiet(&self) {
         while self.taken.get() > self.usual && self.free(Quiet::Idle, CROWDED) {}
     }
 
@@ -145,20 +145,24 @@
 impl Place {
     /// Nothing is owed on the connection from now on, until the result is dropped.
     pub fn rest(&self, kind: Quiet) -> Resting<'_> {
-        let places = &*self.places;
+        let connection_limit = &*self.connection_limit;
         if kind == Quiet::Leaving {
-            places.uncount(&self.counted);
+            connection_limit.uncount(&self.counted);
         }
-        let key = (kind, places.next.get());
-        places.next.set(key.1 + 1);
+        let key = (kind, connection_limit.next.get());
+        connection_limit.next.set(key.1 + 1);
         let (ask, asked) = oneshot::channel();
         let waiting = Waiting {
             since: Instant::now(),
             counted: Rc::clone(&self.counted),
             _ask: ask,
         };
-        places.quiet.borrow_mut().insert(key, waiting);
-        Resting { places, key, asked }
+        connection_limit.quiet.borrow_mut().insert(key, waiting);
+        Resting {
+            connection_limit,
+            key,
+            asked,
+        }
     }
 }
 
@@ -171,13 +175,15 @@
 
 impl Drop for Resting<'_> {
     fn drop(&mut self) {
-        self.places.quiet.borrow_mut().remove(&self.key);
+        self.connection_limit.quiet.borrow_mut().remove(&self.key);
     }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.places.uncount(&self.counted);
-        self.places.open.set(self.places.open.get() - 1);
+        self.connection_limit.uncount(&self.counted);
+        self.connection_limit
+            .open
+            .set(self.connection_limit.open.get() - 1);
     }
 }
--- a/src/net/hot_restart.rs
+++ b/src/net/hot_restart.rs
@@ -4,15 +4,15 @@
 //! They meet at a Unix socket in the folder that they share. Each line is an object in JSON. A process that finds nobody
 //! there, or somebody whose words it does not know, starts as if it were alone.
 
-use super::backend::Backend;
-use super::buffers::Pool;
-use super::classes::Classes;
-use super::discovery::List;
-use super::log::log;
-use super::places::Places;
-use super::router::Mailbox;
-use irisrouter::api::Event;
-use irisrouter::state::Lore;
+use crate::net::buffers::Pool;
+use crate::net::discovery::EndpointList;
+use crate::net::downstream::connection_limit::ConnectionLimit;
+use crate::net::log::log;
+use crate::net::request::classes::Classes;
+use crate::net::router_task::RouterHandle;
+use crate::net::upstream::Upstream;
+use irisrouter::routing::Event;
+use irisrouter::routing::RoutingSnapshot;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -49,28 +49,28 @@
 #[derive(Default, Deserialize, Serialize)]
 #[serde(default)]
 struct Handed {
-    list: List,
+    list: EndpointList,
     /// Names of the members and classes of the lore, in its order.
     members: Vec<String>,
     classes: Vec<String>,
-    lore: Lore,
+    lore: RoutingSnapshot,
     held: Held,
 }
 
 /// This process among those of its gateway.
-pub struct Kin {
+pub struct HotRestart {
     /// Where they meet.
     pub path: PathBuf,
     /// Descriptors that every process needs for itself.
     pub reserved: usize,
     /// What is shared.
-    pub backend: Rc<Backend>,
+    pub upstream: Rc<Upstream>,
     /// Likewise.
-    pub places: Rc<Places>,
+    pub connection_limit: Rc<ConnectionLimit>,
     /// Likewise.
     pub pool: Rc<Pool>,
     /// The way to the module.
-    pub mailbox: Rc<Mailbox>,
+    pub router: Rc<RouterHandle>,
     /// Names of the classes.
     pub classes: Rc<Classes>,
     /// What the older and the newer one hold.
@@ -80,9 +80,9 @@
 const OLDER: usize = 0;
 const NEWER: usize = 1;
 
-impl Kin {
+impl HotRestart {
     /// Takes what an older process hands over, if there is one: from then on they share.
-    pub async fn meet(self: &Rc<Self>) -> Option<u64> {
+    pub async fn take_over(self: &Rc<Self>) -> Option<u64> {
         let meeting = async {
             let mut stream = BufReader::new(UnixStream::connect(&self.path).await?);
             let handed: Handed = read(&mut stream).await?;
@@ -96,14 +96,14 @@
         self.hear(OLDER, handed.held);
         let revision = handed.list.revision;
         self.take(handed);
-        let kin = Rc::clone(self);
-        tokio::task::spawn_local(async move { kin.share(OLDER, stream).await });
+        let hot_restart = Rc::clone(self);
+        tokio::task::spawn_local(async move { hot_restart.share(OLDER, stream).await });
         Some(revision)
     }
 
     fn take(&self, handed: Handed) {
-        if handed.list.revision >= self.backend.revision() {
-            self.backend.apply(&handed.list);
+        if handed.list.revision >= self.upstream.revision() {
+            self.upstream.apply_endpoint_list(&handed.list);
         }
         let mut lore = handed.lore;
         let slots = handed
@@ -114,14 +114,14 @@
         let ids = handed
             .members
             .iter()
-            .map(|name| self.backend.member(name))
+            .map(|name| self.upstream.member_by_name(name))
             .collect();
         lore.renumber(ids, slots);
-        self.mailbox.post(Event::Learnt(Box::new(lore)));
+        self.router.post(Event::SnapshotReceived(Box::new(lore)));
     }
 
     /// Waits for newer processes for ever, and hands over to each.
-    pub async fn wait(self: Rc<Self>) {
+    pub async fn serve_successors(self: Rc<Self>) {
         loop {
             if let Err(e) = self.hand_over().await {
                 log!("cannot wait for a newer process: {e}");
@@ -138,13 +138,13 @@
             }
         }
         let (stream, _) = UnixListener::bind(&self.path)?.accept().await?;
-        let lore = self.mailbox.lore().await;
+        let lore = self.router.snapshot().await;
         let handed = Handed {
-            list: self.backend.list(),
+            list: self.upstream.endpoint_list(),
             members: lore
                 .members
                 .iter()
-                .map(|(id, _)| self.backend.name(*id))
+                .map(|(id, _)| self.upstream.member_name(*id))
                 .collect(),
             classes: self.classes.names(),
             lore,
@@ -186,8 +186,8 @@
     fn held(&self, side: usize) -> Held {
         let beyond = self.others[1 - side].get();
         Held {
-            clients: self.places.open() + self.reserved + beyond.clients,
-            hosts: self.backend.open() + beyond.hosts,
+            clients: self.connection_limit.open_connections() + self.reserved + beyond.clients,
+            hosts: self.upstream.open_connections() + beyond.hosts,
             memory: self.pool.grown() + beyond.memory,
         }
     }
@@ -195,8 +195,8 @@
     fn hear(&self, side: usize, held: Held) {
         self.others[side].set(held);
         let [a, b] = [OLDER, NEWER].map(|side| self.others[side].get());
-        self.places.elsewhere.set(a.clients + b.clients);
-        self.backend.elsewhere.set(a.hosts + b.hosts);
+        self.connection_limit.elsewhere.set(a.clients + b.clients);
+        self.upstream.elsewhere.set(a.hosts + b.hosts);
         self.pool.elsewhere.set(a.memory + b.memory);
     }
 }
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -1,104 +1,169 @@
-//! What the gateway takes in, sends and answers, printed on SIGUSR1 and at exit.
+//! Counters of what the gateway takes in, sends and answers, printed on SIGUSR1 and at exit.
+//!
+//! They are grouped by subsystem. The line of the cluster's counters appears only once one of them counts.
 
-use irisrouter::api::Outcome;
+use irisrouter::routing::Outcome;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt;
 
-/// Counts since the start.
+/// A count since the start of the process.
+pub type Counter = Cell<u64>;
+
+/// Adds one to a counter.
+pub fn increment(counter: &Counter) {
+    counter.set(counter.get() + 1);
+}
+
+/// Requests and their final answers.
 #[derive(Default)]
-pub struct Counters {
+pub struct RequestMetrics {
     /// Requests taken.
-    pub received: Cell<u64>,
+    pub received: Counter,
     /// Final answers: a row of a database host.
-    pub served: Cell<u64>,
-    /// Of those, the long ones that did not become whole.
-    pub cut_off: Cell<u64>,
-    /// Final answers: trying again is harmless.
-    pub refused: Cell<u64>,
-    /// Final answers: nothing is promised.
-    pub failed: Cell<u64>,
-    /// Clients that left, or cancelled, before their answer.
-    pub left: Cell<u64>,
+    pub served: Counter,
+    /// Of those, the streamed ones that did not become complete.
+    pub truncated: Counter,
+    /// Final answers: a retry is harmless.
+    pub rejected: Counter,
+    /// Final answers: whether it ran is unknown.
+    pub failed: Counter,
+    /// Clients that were gone, or cancelled, before their answer.
+    pub client_gone: Counter,
     /// Statements that were malformed, and breaches of the protocol.
-    pub malformed: Cell<u64>,
-    /// Probes sent.
-    pub probes: Cell<u64>,
-    /// Datagrams sent to all other gateways, those of theirs that were used, and those that were not.
-    pub told: Cell<u64>,
-    /// Likewise.
-    pub heard: Cell<u64>,
-    /// Likewise.
-    pub unheard: Cell<u64>,
-    /// Membership: datagrams sent and taken, those refused, changes of the view, and how often this gateway was called
-    /// down and refuted it.
-    pub members_sent: Cell<u64>,
-    /// Likewise.
-    pub members_heard: Cell<u64>,
-    /// Likewise.
-    pub members_refused: Cell<u64>,
-    /// Likewise.
-    pub members_changed: Cell<u64>,
-    /// Likewise.
-    pub members_refuted: Cell<u64>,
-    /// Duties: datagrams sent, taken and not taken, duties that became this gateway's and that it lost, tokens that a host
-    /// refused.
-    pub duties_sent: Cell<u64>,
-    /// Likewise.
-    pub duties_heard: Cell<u64>,
-    /// Likewise.
-    pub duties_refused: Cell<u64>,
-    /// Likewise.
-    pub duties_taken: Cell<u64>,
-    /// Likewise.
-    pub duties_lost: Cell<u64>,
-    /// Likewise.
-    pub duties_fenced: Cell<u64>,
-    /// Writes in hand: datagrams sent, writes noted before they left and those that could not be, repeats that may have
-    /// run, that were never sent, and of which nothing could be proven.
-    pub writes_sent: Cell<u64>,
-    /// Likewise.
-    pub writes_noted: Cell<u64>,
-    /// Likewise.
-    pub writes_not_noted: Cell<u64>,
-    /// Likewise.
-    pub writes_known: Cell<u64>,
-    /// Likewise.
-    pub writes_unsent: Cell<u64>,
-    /// Likewise.
-    pub writes_unproven: Cell<u64>,
-    /// Drains: datagrams sent, and drains that this gateway saw through.
-    pub drains_sent: Cell<u64>,
-    /// Likewise.
-    pub drains_done: Cell<u64>,
-    /// The fleet's watch of the list: beats sent, and calls made for news that a beat told of.
-    pub list_beats: Cell<u64>,
-    /// Likewise.
-    pub list_fetches: Cell<u64>,
-    /// Plans for lost sites: tallies and plans sent, plans made here, and heard.
-    pub plans_sent: Cell<u64>,
-    /// Likewise.
-    pub plans_made: Cell<u64>,
-    /// Likewise.
-    pub plans_heard: Cell<u64>,
+    pub malformed: Counter,
+}
+
+/// Connections to database hosts (upstream) and of clients (downstream).
+#[derive(Default)]
+pub struct ConnectionMetrics {
     /// Connections to database hosts that came up.
-    pub opened: Cell<u64>,
+    pub upstream_opened: Counter,
     /// Connections of clients.
-    pub accepted: Cell<u64>,
+    pub downstream_accepted: Counter,
     /// Of those, the ones that were told that there are too many.
-    pub turned_away: Cell<u64>,
-    /// And the quiet ones that were closed to make room.
-    pub made_room: Cell<u64>,
-    attempts: RefCell<BTreeMap<&'static str, u64>>,
+    pub downstream_rejected: Counter,
+    /// Of those, the quiet ones that were closed to make room for others.
+    pub downstream_evicted: Counter,
 }
 
-/// One more.
-pub fn count(counter: &Cell<u64>) {
-    counter.set(counter.get() + 1);
+/// Health check results that gateways share.
+#[derive(Default)]
+pub struct GossipMetrics {
+    /// Datagrams sent to all other gateways.
+    pub sent: Counter,
+    /// Datagrams of other gateways that were used.
+    pub received: Counter,
+    /// Datagrams of any kind that were not used.
+    pub ignored: Counter,
 }
 
-impl Counters {
-    /// An attempt ended.
+/// Membership of the gateways.
+#[derive(Default)]
+pub struct MembershipMetrics {
+    /// Datagrams sent.
+    pub sent: Counter,
+    /// Datagrams received.
+    pub received: Counter,
+    /// Datagrams that could not be read.
+    pub rejected: Counter,
+    /// Changes of the view.
+    pub changed: Counter,
+    /// How often this gateway refuted that it was down.
+    pub refuted: Counter,
+}
+
+/// Leases on tasks that one gateway does for all.
+#[derive(Default)]
+pub struct LeaseMetrics {
+    /// Datagrams sent.
+    pub sent: Counter,
+    /// Datagrams received.
+    pub received: Counter,
+    /// Datagrams that could not be read.
+    pub rejected: Counter,
+    /// Leases that became this gateway's.
+    pub acquired: Counter,
+    /// Leases that this gateway lost.
+    pub lost: Counter,
+    /// Fencing tokens that a database host refused.
+    pub fenced: Counter,
+}
+
+/// Write intents, replicated to other gateways before a keyed write is forwarded.
+#[derive(Default)]
+pub struct WriteIntentMetrics {
+    /// Datagrams sent.
+    pub sent: Counter,
+    /// Writes whose intent was acknowledged.
+    pub recorded: Counter,
+    /// Writes whose intent was not acknowledged in time.
+    pub not_recorded: Counter,
+    /// Retries whose earlier attempt may have run.
+    pub found: Counter,
+    /// Retries that had never been sent.
+    pub never_sent: Counter,
+    /// Retries of which nothing could be proven.
+    pub unproven: Counter,
+}
+
+/// Drains of database hosts.
+#[derive(Default)]
+pub struct DrainMetrics {
+    /// Datagrams sent.
+    pub sent: Counter,
+    /// Drains that this gateway completed as their coordinator.
+    pub completed: Counter,
+}
+
+/// The fleet's watch of the endpoint list.
+#[derive(Default)]
+pub struct EndpointWatchMetrics {
+    /// Heartbeats sent.
+    pub heartbeats: Counter,
+    /// Calls made because a heartbeat announced a newer list.
+    pub fetches: Counter,
+}
+
+/// Plans for lost sites.
+#[derive(Default)]
+pub struct SiteFailoverMetrics {
+    /// Load reports and plans sent.
+    pub sent: Counter,
+    /// Plans made here.
+    pub planned: Counter,
+    /// Plans received.
+    pub received: Counter,
+}
+
+/// All counters of the process.
+#[derive(Default)]
+pub struct Metrics {
+    /// Requests.
+    pub requests: RequestMetrics,
+    /// Connections.
+    pub connections: ConnectionMetrics,
+    /// Health checks sent to database hosts.
+    pub health_checks: Counter,
+    /// Shared health check results.
+    pub gossip: GossipMetrics,
+    /// Membership.
+    pub membership: MembershipMetrics,
+    /// Leases.
+    pub leases: LeaseMetrics,
+    /// Write intents.
+    pub write_intents: WriteIntentMetrics,
+    /// Drains.
+    pub drains: DrainMetrics,
+    /// The endpoint watch.
+    pub endpoint_watch: EndpointWatchMetrics,
+    /// Site failover.
+    pub site_failover: SiteFailoverMetrics,
+    attempts: RefCell<BTreeMap<&'static str, u64>>,
+}
+
+impl Metrics {
+    /// Counts an attempt that ended.
     pub fn attempt(&self, outcome: Outcome) {
         let name = match outcome {
             Outcome::Ok => "ok",
@@ -108,72 +173,83 @@
             Outcome::ConnectFailed => "connect_failed",
             Outcome::Reset => "reset",
             Outcome::Cancelled => "cancelled",
-            Outcome::Moot => "moot",
-            Outcome::Miss => "miss",
+            Outcome::NotSent => "not_sent",
+            Outcome::Unsuitable => "unsuitable",
         };
         *self.attempts.borrow_mut().entry(name).or_default() += 1;
     }
+
+    /// The counters of every gateway, in the order in which they are printed.
+    fn gateway_counters(&self) -> [(&'static str, &Counter); 15] {
+        [
+            ("received", &self.requests.received),
+            ("served", &self.requests.served),
+            ("truncated", &self.requests.truncated),
+            ("rejected", &self.requests.rejected),
+            ("failed", &self.requests.failed),
+            ("client_gone", &self.requests.client_gone),
+            ("malformed", &self.requests.malformed),
+            ("health_checks", &self.health_checks),
+            ("gossip_sent", &self.gossip.sent),
+            ("gossip_received", &self.gossip.received),
+            ("datagrams_ignored", &self.gossip.ignored),
+            ("upstream_opened", &self.connections.upstream_opened),
+            ("downstream_accepted", &self.connections.downstream_accepted),
+            ("downstream_rejected", &self.connections.downstream_rejected),
+            ("downstream_evicted", &self.connections.downstream_evicted),
+        ]
+    }
+
+    /// The counters of the cluster's subsystems, in the order in which they are printed.
+    fn cluster_counters(&self) -> [(&'static str, &Counter); 24] {
+        [
+            ("membership_sent", &self.membership.sent),
+            ("membership_received", &self.membership.received),
+            ("membership_rejected", &self.membership.rejected),
+            ("membership_changed", &self.membership.changed),
+            ("membership_refuted", &self.membership.refuted),
+            ("leases_sent", &self.leases.sent),
+            ("leases_received", &self.leases.received),
+            ("leases_rejected", &self.leases.rejected),
+            ("leases_acquired", &self.leases.acquired),
+            ("leases_lost", &self.leases.lost),
+            ("leases_fenced", &self.leases.fenced),
+            ("write_intents_sent", &self.write_intents.sent),
+            ("write_intents_recorded", &self.write_intents.recorded),
+            (
+                "write_intents_not_recorded",
+                &self.write_intents.not_recorded,
+            ),
+            ("write_intents_found", &self.write_intents.found),
+            ("write_intents_never_sent", &self.write_intents.never_sent),
+            ("write_intents_unproven", &self.write_intents.unproven),
+            ("drains_sent", &self.drains.sent),
+            ("drains_completed", &self.drains.completed),
+            ("endpoint_watch_heartbeats", &self.endpoint_watch.heartbeats),
+            ("endpoint_watch_fetches", &self.endpoint_watch.fetches),
+            ("site_failover_sent", &self.site_failover.sent),
+            ("site_failover_planned", &self.site_failover.planned),
+            ("site_failover_received", &self.site_failover.received),
+        ]
+    }
 }
 
-impl fmt::Display for Counters {
+impl fmt::Display for Metrics {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let named = [
-            ("received", &self.received),
-            ("served", &self.served),
-            ("cut_off", &self.cut_off),
-            ("refused", &self.refused),
-            ("failed", &self.failed),
-            ("left", &self.left),
-            ("malformed", &self.malformed),
-            ("probes", &self.probes),
-            ("told", &self.told),
-            ("heard", &self.heard),
-            ("unheard", &self.unheard),
-            ("opened", &self.opened),
-            ("accepted", &self.accepted),
-            ("turned_away", &self.turned_away),
-            ("made_room", &self.made_room),
-        ];
         write!(f, "counters")?;
-        named
-            .iter()
-            .try_for_each(|(name, value)| write!(f, " {name}={}", value.get()))?;
-        self.attempts
-            .borrow()
-            .iter()
-            .try_for_each(|(name, n)| write!(f, " attempt_{name}={n}"))?;
-        // Membership's counters appear where it is on, and the line stays as it was where it is off.
-        let members = [
-            ("members_sent", &self.members_sent),
-            ("members_heard", &self.members_heard),
-            ("members_refused", &self.members_refused),
-            ("members_changed", &self.members_changed),
-            ("members_refuted", &self.members_refuted),
-            ("duties_sent", &self.duties_sent),
-            ("duties_heard", &self.duties_heard),
-            ("duties_refused", &self.duties_refused),
-            ("duties_taken", &self.duties_taken),
-            ("duties_lost", &self.duties_lost),
-            ("duties_fenced", &self.duties_fenced),
-            ("writes_sent", &self.writes_sent),
-            ("writes_noted", &self.writes_noted),
-            ("writes_not_noted", &self.writes_not_noted),
-            ("writes_known", &self.writes_known),
-            ("writes_unsent", &self.writes_unsent),
-            ("writes_unproven", &self.writes_unproven),
-            ("drains_sent", &self.drains_sent),
-            ("drains_done", &self.drains_done),
-            ("list_beats", &self.list_beats),
-            ("list_fetches", &self.list_fetches),
-            ("plans_sent", &self.plans_sent),
-            ("plans_made", &self.plans_made),
-            ("plans_heard", &self.plans_heard),
-        ];
-        if members.iter().all(|(_, v)| v.get() == 0) {
+        for (name, counter) in self.gateway_counters() {
+            write!(f, " {name}={}", counter.get())?;
+        }
+        for (name, count) in self.attempts.borrow().iter() {
+            write!(f, " attempt_{name}={count}")?;
+        }
+        let cluster = self.cluster_counters();
+        if cluster.iter().all(|(_, counter)| counter.get() == 0) {
             return Ok(());
         }
-        members
-            .iter()
-            .try_for_each(|(name, value)| write!(f, " {name}={}", value.get()))
+        for (name, counter) in cluster {
+            write!(f, " {name}={}", counter.get())?;
+        }
+        Ok(())
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,34 +1,22 @@
-//! The real gateway: sockets round the decision module, each part owning one concern.
+//! The gateway process: sockets, tasks and timers round the routing decisions, each module owning one concern.
 
-pub mod backend;
+pub mod admin;
 pub mod buffers;
-pub mod cancel;
-pub mod classes;
+pub mod cluster;
 pub mod config;
-pub mod console;
-pub mod counters;
 pub mod discovery;
-pub mod drains;
-pub mod duties;
-pub mod ending;
-pub mod frontend;
-pub mod inhand;
-pub mod kin;
-pub mod listwatch;
+pub mod downstream;
+pub mod hot_restart;
 pub mod log;
-pub mod membership;
-pub mod mode;
-pub mod operators;
-pub mod pace;
-pub mod peers;
-pub mod places;
+pub mod metrics;
 pub mod request;
-pub mod router;
-pub mod siteplan;
+pub mod router_task;
+pub mod shutdown;
+pub mod upstream;
 
 pub use irisrouter_pg as pg;
 
-use irisrouter::api::Ns;
+use irisrouter::routing::Nanos;
 use std::io::{self, Read};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -39,7 +27,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     start: Instant,
-    unix: Ns,
+    unix: Nanos,
 }
 
 impl Clock {
@@ -50,13 +38,13 @@
             .unwrap_or_default();
         Clock {
             start: Instant::now(),
-            unix: since.as_nanos() as Ns,
+            unix: since.as_nanos() as Nanos,
         }
     }
 
     /// Nanoseconds of Unix time.
-    pub fn now(&self) -> Ns {
-        self.unix + self.start.elapsed().as_nanos() as Ns
+    pub fn now(&self) -> Nanos {
+        self.unix + self.start.elapsed().as_nanos() as Nanos
     }
 }
 
@@ -67,11 +55,19 @@
 }
 
 /// A length of time of the module's clock; nothing for what has passed.
-pub fn duration(ns: Ns) -> Duration {
+pub fn duration(ns: Nanos) -> Duration {
     Duration::from_nanos(ns.max(0) as u64)
 }
 
 /// The other way round.
-pub fn nanoseconds(d: Duration) -> Ns {
-    Ns::try_from(d.as_nanos()).unwrap_or(Ns::MAX)
+pub fn nanoseconds(d: Duration) -> Nanos {
+    Nanos::try_from(d.as_nanos()).unwrap_or(Nanos::MAX)
+}
+
+/// Unix time in milliseconds: all machines of the platform read one clock.
+pub fn unix_milliseconds() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/net/request/classes.rs
+++ b/src/net/request/classes.rs
@@ -3,9 +3,9 @@
 //! Each class has a slot, which is its number in the module's settings. New settings never move a class that some
 //! request is in: what they change takes a free slot, and a slot is free once no name finds it and no request holds it.
 
-use super::duration;
-use irisrouter::api::{Class, Settings};
-use irisrouter::settings::Loaded;
+use crate::net::duration;
+use irisrouter::platform_settings::PlatformSettings;
+use irisrouter::routing::{RequestClass, Settings};
 use std::cell::{Ref, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -16,7 +16,7 @@
     /// Its number in the module's settings.
     pub slot: usize,
     /// What it is.
-    pub class: Class,
+    pub class: RequestClass,
 }
 
 /// All classes, and the settings that the module has.
@@ -28,7 +28,7 @@
 
 impl Classes {
     /// The classes of these settings, each in the slot of its number.
-    pub fn new(loaded: &Loaded) -> Self {
+    pub fn new(loaded: &PlatformSettings) -> Self {
         let classes = Classes {
             slots: RefCell::default(),
             newest: RefCell::default(),
@@ -79,7 +79,7 @@
     }
 
     /// Takes new settings, and returns for each slot the one whose experience it goes on from, if there is one.
-    pub fn swap(&self, loaded: &Loaded) -> Vec<Option<usize>> {
+    pub fn swap(&self, loaded: &PlatformSettings) -> Vec<Option<usize>> {
         let (mut slots, mut newest) = (self.slots.borrow_mut(), self.newest.borrow_mut());
         let old = std::mem::take(&mut *newest);
         let mut from: Vec<Option<usize>> = (0..slots.len()).map(Some).collect();
@@ -119,5 +119,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../tests/unit/classes.rs"]
+#[path = "../../../tests/unit/classes.rs"]
 mod tests;
--- a/src/net/request/lifecycle.rs
+++ b/src/net/request/lifecycle.rs
@@ -1,15 +1,17 @@
 //! The life of one request: arrival, attempts, final answer. Any front that words its requests as a [`Call`]
 //! goes through the same decisions and rules.
 
-use super::backend::{Attempted, Backend, Statement, Streamed};
-use super::buffers::Buffer;
-use super::classes::Held;
-use super::counters::{count, Counters};
-use super::inhand::{Before, Hand, MayHaveRun, Noted};
-use super::router::{Mailbox, Order};
-use super::siteplan::Sites;
-use super::{duration, nanoseconds, Clock};
-use irisrouter::api::*;
+use crate::net::buffers::Buffer;
+use crate::net::cluster::site_failover::SiteFailoverService;
+use crate::net::cluster::write_intents::{
+    EarlierAttempt, MayHaveRun, WriteIntent, WriteIntentService,
+};
+use crate::net::metrics::{increment, Metrics};
+use crate::net::request::classes::Held;
+use crate::net::router_task::{RequestCommand, RouterHandle};
+use crate::net::upstream::{Attempted, Statement, Streamed, Upstream};
+use crate::net::{duration, nanoseconds, Clock};
+use irisrouter::routing::*;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -47,7 +49,7 @@
     /// How long its client waits from now on.
     pub wait: Duration,
     /// The position that it has to see.
-    pub after: Option<Ns>,
+    pub after: Option<Nanos>,
     /// The client says that it repeats.
     pub retry: bool,
     /// The number of its idempotency key and set, in a keyed class.
@@ -65,7 +67,7 @@
     /// Trying again is harmless, after this pause.
     Refused {
         /// 0 for no advice.
-        pause: Ns,
+        pause: Nanos,
     },
     /// Nothing is promised.
     Failed,
@@ -83,26 +85,26 @@
 fn never_ran(outcome: Outcome) -> bool {
     matches!(
         outcome,
-        Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss
+        Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent | Outcome::Unsuitable
     )
 }
 
 /// What the requests share.
 pub struct Core {
     /// The way to the module.
-    pub mailbox: Rc<Mailbox>,
+    pub router: Rc<RouterHandle>,
     /// The database hosts.
-    pub backend: Rc<Backend>,
+    pub upstream: Rc<Upstream>,
     /// The clock.
     pub clock: Clock,
     /// The counters.
-    pub counters: Rc<Counters>,
+    pub metrics: Rc<Metrics>,
     /// When the last answer has to be given, where the gateway is about to end.
     pub answer_by: Cell<Option<Instant>>,
     /// Writes in hand, where the operators turned that on.
-    pub hand: Option<Rc<Hand>>,
+    pub write_intents: Option<Rc<WriteIntentService>>,
     /// Plans for lost sites, likewise.
-    pub sites: Option<Rc<Sites>>,
+    pub site_failover: Option<Rc<SiteFailoverService>>,
     /// Ids of the requests that are not over.
     pub ids: RefCell<HashSet<Box<str>>>,
 }
@@ -117,9 +119,9 @@
 
     /// Takes a request and gives it exactly one answer. A client that leaves drops the receiver.
     pub async fn serve(self: Rc<Self>, call: Call, answer: oneshot::Sender<Answer>) {
-        count(&self.counters.received);
-        if let Some(sites) = &self.sites {
-            sites.arrived(call.class.slot);
+        increment(&self.metrics.requests.received);
+        if let Some(site_failover) = &self.site_failover {
+            site_failover.request_arrived(call.class.slot);
         }
         let ending = self
             .answer_by
@@ -133,8 +135,8 @@
         let (arrived, now) = (self.clock.now(), Instant::now());
         let wait = end.saturating_duration_since(now).saturating_sub(MARGIN);
         let last = (end - LAST_MARGIN).max(now);
-        let (id, mut orders) = self.mailbox.open();
-        self.mailbox.post(Event::Request {
+        let (id, mut orders) = self.router.register();
+        self.router.post(Event::Request {
             id,
             class: call.class.slot,
             tenant: None,
@@ -142,13 +144,13 @@
             deadline: arrived + nanoseconds(wait),
             work: None,
             group: call.group,
-            mark_age: call.after.map(|position| arrived - position),
+            last_write_age: call.after.map(|position| arrived - position),
             retry: call.retry,
         });
         let statement = Rc::new(call.statement);
-        let window = match call.class.class.repeat {
-            Repeat::Keyed { window, .. } => Some(duration(window)),
-            Repeat::Safe | Repeat::Unsafe => None,
+        let window = match call.class.class.idempotency {
+            Idempotency::Keyed { window, .. } => Some(duration(window)),
+            Idempotency::Idempotent | Idempotency::NotIdempotent => None,
         };
         // Until the last attempt has ended.
         let _taken = (call.id, call.class);
@@ -171,14 +173,14 @@
                     self.answer(answer, Answer::Streamed(streamed));
                     streaming = Some(number);
                     let started: &Started = &attempts[number];
-                    self.mailbox.post(Event::Ended {
+                    self.router.post(Event::AttemptEnded {
                         id,
                         attempt: number as u32,
                         member: started.member,
                         outcome: Outcome::Ok,
                         elapsed: nanoseconds(started.at.elapsed()),
                         finished: true,
-                        note: None,
+                        status: None,
                         report: None,
                     });
                 }
@@ -189,43 +191,43 @@
                     };
                     let Some(number) = attempts.iter().position(|a| a.handle.id() == task) else { continue };
                     if let Some(noted) = &noted {
-                        noted.ended(attempted.outcome);
+                        noted.attempt_ended(attempted.outcome);
                     }
                     if streaming == Some(number) {
                         if attempted.outcome != Outcome::Ok {
-                            count(&self.counters.cut_off);
+                            increment(&self.metrics.requests.truncated);
                         }
                         continue;
                     }
                     let started = &mut attempts[number];
                     started.never_ran = never_ran(attempted.outcome);
                     if attempted.outcome == Outcome::Cancelled {
-                        self.counters.attempt(Outcome::Cancelled);
+                        self.metrics.attempt(Outcome::Cancelled);
                     }
                     if let Some(row) = attempted.row {
                         if let Some(answer) = owed.take() {
                             self.answer(answer, Answer::Served(row));
                         }
                     }
-                    self.mailbox.post(Event::Ended {
+                    self.router.post(Event::AttemptEnded {
                         id,
                         attempt: number as u32,
                         member: started.member,
                         outcome: attempted.outcome,
                         elapsed: nanoseconds(started.at.elapsed()),
                         finished: owed.is_none(),
-                        note: attempted.note,
+                        status: attempted.note,
                         report: None,
                     });
                 }
                 // Before what is ordered: nothing new for a client that has gone.
                 () = left(&mut owed) => {
                     owed = None;
-                    count(&self.counters.left);
-                    self.mailbox.post(Event::Left { id });
+                    increment(&self.metrics.requests.client_gone);
+                    self.router.post(Event::ClientGone { id });
                 }
                 Some(order) = orders.recv() => match order {
-                    Order::Send { member, limit } => {
+                    RequestCommand::StartAttempt { member, timeout: limit } => {
                         let (core, statement) = (Rc::clone(&self), Rc::clone(&statement));
                         let (over, begin, number) = (Rc::clone(&over), begin.clone(), attempts.len());
                         let noted = noted.clone();
@@ -235,97 +237,105 @@
                         let handle = running.spawn_local(async move {
                             // The module hears of its attempt all the same.
                             if over.get() {
-                                return Outcome::Moot.into();
+                                return Outcome::NotSent.into();
                             }
                             let asked = Instant::now();
                             if let Some(noted) = noted {
                                 // Danger guarded against: a write that left unnoted would be sent again beyond its
                                 // window by a gateway that knows nothing of it.
-                                if !noted.note().await {
-                                    return Outcome::Moot.into();
+                                if !noted.record().await {
+                                    return Outcome::NotSent.into();
                                 }
                             }
                             let limit = limit - nanoseconds(asked.elapsed());
                             let begin = |streamed| drop(begin.send((number, streamed)));
                             let wanted = || !over.get() && repeat_by.is_none_or(|by| Instant::now() < by);
-                            core.backend.attempt(member, &statement, limit, wanted, begin).await
+                            core.upstream.attempt(member, &statement, limit, wanted, begin).await
                         });
                         attempts.push(Started { member, at: Instant::now(), never_ran: false, handle });
                     }
-                    Order::Cancel { attempt } => {
+                    RequestCommand::CancelAttempt { attempt } => {
                         attempts.iter().skip(attempt as usize).take(1).for_each(|a| a.handle.abort());
                     }
-                    Order::Refuse { pause } => {
+                    RequestCommand::Reject { retry_after: pause } => {
                         // What another gateway sent may have run, whatever became of it here.
-                        let earlier = noted.as_ref().is_some_and(|n| n.sent_elsewhere());
+                        let earlier = noted.as_ref().is_some_and(|n| n.sent_by_another_gateway());
                         let refused = if earlier { Answer::Failed } else { Answer::Refused { pause } };
                         if let Some(answer) = owed.take() {
                             self.answer(answer, refused);
                         }
                     }
-                    Order::Fail => owed.take().into_iter().for_each(|a| self.answer(a, Answer::Failed)),
+                    RequestCommand::Fail => owed.take().into_iter().for_each(|a| self.answer(a, Answer::Failed)),
                 },
                 // The module has not decided in time. Danger: a request without an answer is lost.
                 () = sleep_until(last), if owed.is_some() => {
                     owed.take().into_iter().for_each(|a| self.answer(a, Answer::Failed));
-                    self.mailbox.post(Event::Left { id });
+                    self.router.post(Event::ClientGone { id });
                 }
             }
         }
         if let Some(noted) = &noted {
-            noted.over();
+            noted.all_attempts_ended();
         }
         // Sends that were ordered before the module heard of the end: each attempt has its outcome.
         orders.close();
         while let Ok(order) = orders.try_recv() {
-            if let Order::Send { member, .. } = order {
+            if let RequestCommand::StartAttempt { member, .. } = order {
                 let attempt = attempts.len() as u32;
-                let (outcome, finished) = (Outcome::Moot, true);
-                self.mailbox.post(Event::Ended {
+                let (outcome, finished) = (Outcome::NotSent, true);
+                self.router.post(Event::AttemptEnded {
                     id,
                     attempt,
                     member,
                     outcome,
                     elapsed: 0,
                     finished,
-                    note: None,
+                    status: None,
                     report: None,
                 });
             }
         }
-        self.mailbox.close(id);
+        self.router.unregister(id);
     }
 
     /// What is noted of a keyed write, where writes in hand are on; its end comes earlier where another gateway may have
     /// sent it.
-    async fn noted(&self, call: &Call, end: &mut Instant) -> Result<Option<Noted>, MayHaveRun> {
-        let Some((hand, key)) = self.hand.as_ref().zip(call.key) else {
+    async fn noted(
+        &self,
+        call: &Call,
+        end: &mut Instant,
+    ) -> Result<Option<WriteIntent>, MayHaveRun> {
+        let Some((write_intents, key)) = self.write_intents.as_ref().zip(call.key) else {
             return Ok(None);
         };
-        let mut noted = Noted::new(hand, key);
-        if !hand.doubtful(call.retry) {
+        let mut noted = WriteIntent::new(write_intents, key);
+        if !write_intents.may_be_retry(call.retry) {
             return Ok(Some(noted));
         }
         // Never beyond the client's own time. What is not proven by then may have run.
-        let ask = timeout_at(*end - LAST_MARGIN.min(call.wait), hand.ask(key)).await;
-        let until = match ask.unwrap_or(Before::Unproven) {
-            Before::Unsent => Some(*end),
-            Before::MayHaveRun(at) => {
-                noted.until(at, &call.class.class, self.backend.connect_timeout())
+        let ask = timeout_at(
+            *end - LAST_MARGIN.min(call.wait),
+            write_intents.look_up(key),
+        )
+        .await;
+        let until = match ask.unwrap_or(EarlierAttempt::Unproven) {
+            EarlierAttempt::NeverSent => Some(*end),
+            EarlierAttempt::MayHaveRun(at) => {
+                noted.resend_deadline(at, &call.class.class, self.upstream.connect_timeout())
             }
             // Where clients mark nothing, a fleet that has just started would turn every write away.
-            Before::Unproven if !call.retry => Some(*end),
-            Before::Unproven => None,
+            EarlierAttempt::Unproven if !call.retry => Some(*end),
+            EarlierAttempt::Unproven => None,
         };
         *end = until.ok_or(MayHaveRun)?.min(*end);
         Ok(Some(noted))
     }
 
     fn answer(&self, to: oneshot::Sender<Answer>, answer: Answer) {
-        count(match answer {
-            Answer::Served(_) | Answer::Streamed(_) => &self.counters.served,
-            Answer::Refused { .. } => &self.counters.refused,
-            Answer::Failed => &self.counters.failed,
+        increment(match answer {
+            Answer::Served(_) | Answer::Streamed(_) => &self.metrics.requests.served,
+            Answer::Refused { .. } => &self.metrics.requests.rejected,
+            Answer::Failed => &self.metrics.requests.failed,
         });
         // A client that has just left needs none.
         let _ = to.send(answer);
@@ -341,6 +351,6 @@
 }
 
 /// The pause of a refusal in whole milliseconds, rounded up.
-pub fn pause_ms(pause: Ns) -> Option<u128> {
+pub fn pause_ms(pause: Nanos) -> Option<u128> {
     (pause > 0).then(|| duration(pause).as_nanos().div_ceil(1_000_000))
 }
--- a/src/net/router_task.rs
+++ b/src/net/router_task.rs
@@ -1,12 +1,10 @@
-//! The sole owner of the module's [`Router`]: feeds it events and hands on its actions.
+//! The task that owns the [`Router`]: it feeds the router with events and hands on its actions.
 //!
-//! Events are posted when they happen; those that are ready together enter in one batch.
+//! Events are posted when they happen; those that are ready together enter the router in one batch.
 
-use super::backend::Backend;
-use super::{duration, Clock};
-use irisrouter::api::*;
-use irisrouter::decide::Router;
-use irisrouter::state::Lore;
+use crate::net::upstream::Upstream;
+use crate::net::{duration, Clock};
+use irisrouter::routing::{Action, Event, MemberId, Nanos, RequestId, Router, RoutingSnapshot};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -14,123 +12,148 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::time::{sleep_until, Instant};
 
-/// What the module wants done for one request.
+/// What the router wants done for one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Order {
+pub enum RequestCommand {
     /// Start an attempt.
-    Send {
-        /// Where.
+    StartAttempt {
+        /// The member that it goes to.
         member: MemberId,
-        /// Its time-out.
-        limit: Ns,
+        /// Its timeout.
+        timeout: Nanos,
     },
     /// Stop waiting for an attempt.
-    Cancel {
-        /// Its number.
+    CancelAttempt {
+        /// Its number, from 0.
         attempt: u32,
     },
-    /// Final answer: trying again is harmless.
-    Refuse {
-        /// The pause that the client should keep.
-        pause: Ns,
+    /// Final answer: a retry is harmless.
+    Reject {
+        /// Time that the client should wait before it retries; 0 for no advice.
+        retry_after: Nanos,
     },
-    /// Final answer: nothing is promised.
+    /// Final answer: whether it ran is unknown.
     Fail,
 }
 
-/// The way to the router: events in, orders out.
+/// The way to the router: events in, commands out.
 #[derive(Default)]
-pub struct Mailbox {
+pub struct RouterHandle {
     events: RefCell<Vec<Event>>,
     ready: Notify,
-    requests: RefCell<HashMap<RequestId, UnboundedSender<Order>>>,
-    next: Cell<u64>,
-    asked: RefCell<Vec<oneshot::Sender<Lore>>>,
+    requests: RefCell<HashMap<RequestId, UnboundedSender<RequestCommand>>>,
+    next_request: Cell<u64>,
+    snapshot_requests: RefCell<Vec<oneshot::Sender<RoutingSnapshot>>>,
 }
 
-impl Mailbox {
-    /// Something happened.
+impl RouterHandle {
+    /// Posts an event; it enters the router with the next batch.
     pub fn post(&self, event: Event) {
         self.events.borrow_mut().push(event);
         self.ready.notify_one();
     }
 
-    /// What the module has learnt.
-    pub async fn lore(&self) -> Lore {
-        let (sender, lore) = oneshot::channel();
-        self.asked.borrow_mut().push(sender);
+    /// What the router has learnt; nothing, if its task has ended.
+    pub async fn snapshot(&self) -> RoutingSnapshot {
+        let (sender, snapshot) = oneshot::channel();
+        self.snapshot_requests.borrow_mut().push(sender);
         self.ready.notify_one();
-        lore.await.unwrap_or_default()
+        snapshot.await.unwrap_or_default()
     }
 
-    /// An id for a request that comes in, and the orders for it.
-    pub fn open(&self) -> (RequestId, UnboundedReceiver<Order>) {
-        let id = RequestId(self.next.get());
-        self.next.set(id.0 + 1);
-        let (orders, receiver) = unbounded_channel();
-        self.requests.borrow_mut().insert(id, orders);
+    /// An id for a request that comes in, and the commands for it.
+    pub fn register(&self) -> (RequestId, UnboundedReceiver<RequestCommand>) {
+        let id = RequestId(self.next_request.get());
+        self.next_request.set(id.0 + 1);
+        let (commands, receiver) = unbounded_channel();
+        self.requests.borrow_mut().insert(id, commands);
         (id, receiver)
     }
 
-    /// Nothing more is done for this request.
-    pub fn close(&self, id: RequestId) {
+    /// Ends the commands for a request that is over.
+    pub fn unregister(&self, id: RequestId) {
         self.requests.borrow_mut().remove(&id);
     }
 
-    /// Requests that are not over, attempts of answered ones included.
+    /// Requests that are not over, including answered ones with attempts in flight.
     pub fn open_requests(&self) -> usize {
         self.requests.borrow().len()
     }
 
-    fn order(&self, id: RequestId, order: Order) {
-        // A request that is over takes no orders: its task has told the module of each attempt.
-        if let Some(orders) = self.requests.borrow().get(&id) {
-            let _ = orders.send(order);
+    fn deliver(&self, id: RequestId, command: RequestCommand) {
+        // A request that is over takes no commands: its task has posted the end of each attempt.
+        if let Some(commands) = self.requests.borrow().get(&id) {
+            let _ = commands.send(command);
+        }
+    }
+
+    fn answer_snapshot_requests(&self, router: &Router) {
+        for requester in self.snapshot_requests.take() {
+            let _ = requester.send(router.snapshot());
         }
     }
 }
 
-/// Runs the module for ever.
-pub async fn drive(mut router: Router, mailbox: Rc<Mailbox>, backend: Rc<Backend>, clock: Clock) {
-    let mut wake: Option<Instant> = None;
+/// Runs the router; never returns.
+pub async fn run_router(
+    mut router: Router,
+    handle: Rc<RouterHandle>,
+    upstream: Rc<Upstream>,
+    clock: Clock,
+) {
+    let mut timer: Option<Instant> = None;
     loop {
-        let due = wake;
+        let due = timer;
         tokio::select! {
-            () = mailbox.ready.notified() => {}
+            () = handle.ready.notified() => {}
             () = async { sleep_until(due.unwrap_or_else(Instant::now)).await }, if due.is_some() => {
-                wake = None;
-                mailbox.events.borrow_mut().push(Event::Wake);
+                timer = None;
+                handle.events.borrow_mut().push(Event::TimerFired);
             }
         }
-        for asked in mailbox.asked.take() {
-            let _ = asked.send(router.lore());
-        }
-        let events = mailbox.events.take();
+        handle.answer_snapshot_requests(&router);
+        let events = handle.events.take();
         if events.is_empty() {
             continue;
         }
         for action in router.batch(clock.now(), &events) {
-            match action {
-                Action::Send { id, member, limit } => {
-                    mailbox.order(id, Order::Send { member, limit })
-                }
-                Action::Cancel { id, attempt } => mailbox.order(id, Order::Cancel { attempt }),
-                Action::Refuse { id, pause } => mailbox.order(id, Order::Refuse { pause }),
-                Action::Fail { id } => mailbox.order(id, Order::Fail),
-                Action::Probe { member } => {
-                    let (mailbox, backend) = (Rc::clone(&mailbox), Rc::clone(&backend));
-                    tokio::task::spawn_local(
-                        async move { mailbox.post(backend.probe(member).await) },
-                    );
-                }
-                // Only the earliest is kept: the module asks again at each wake-up while it needs one.
-                Action::Wake { after } => {
-                    let at = Instant::now() + duration(after);
-                    wake = Some(wake.map_or(at, |w| w.min(at)));
-                }
-                // The list is watched from the start.
-                Action::Watch => {}
+            if let Some(requested) = carry_out(action, &handle, &upstream) {
+                // Only the earliest timer is kept: the router asks again at each of them while it needs one.
+                timer = Some(timer.map_or(requested, |set| set.min(requested)));
             }
         }
     }
 }
+
+/// Carries out one action; returns the timer that it asks for.
+fn carry_out(
+    action: Action,
+    handle: &Rc<RouterHandle>,
+    upstream: &Rc<Upstream>,
+) -> Option<Instant> {
+    match action {
+        Action::StartAttempt {
+            id,
+            member,
+            timeout,
+        } => handle.deliver(id, RequestCommand::StartAttempt { member, timeout }),
+        Action::CancelAttempt { id, attempt } => {
+            handle.deliver(id, RequestCommand::CancelAttempt { attempt });
+        }
+        Action::Reject { id, retry_after } => {
+            handle.deliver(id, RequestCommand::Reject { retry_after });
+        }
+        Action::Fail { id } => handle.deliver(id, RequestCommand::Fail),
+        Action::HealthCheck { member } => {
+            let (handle, upstream) = (Rc::clone(handle), Rc::clone(upstream));
+            tokio::task::spawn_local(async move {
+                let result = upstream.health_check(member).await;
+                handle.post(result);
+            });
+        }
+        Action::SetTimer { after } => return Some(Instant::now() + duration(after)),
+        // The endpoint list is watched from the start.
+        Action::WatchEndpoints => {}
+    }
+    None
+}
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -16,7 +16,7 @@
 
 /// Times since the signal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Ending {
+pub struct ShutdownSchedule {
     /// All that comes is taken until then at least.
     pub coming: Duration,
     /// And on connections that are open, until then.
@@ -25,13 +25,13 @@
     pub answer_by: Duration,
 }
 
-impl Ending {
+impl ShutdownSchedule {
     /// Where this is the longest deadline of the classes that new requests find.
     pub fn new(longest: Duration) -> Self {
         let killed = longest.min(LONGEST_COUNTED) + TO_KILL;
         let taken_until = killed.saturating_sub(LAST_TAKEN).max(COMING);
         let left = LAST_ANSWER.min((killed - taken_until) / LAST_ANSWER_PART);
-        Ending {
+        ShutdownSchedule {
             coming: COMING,
             taken_until,
             answer_by: killed - left,
@@ -40,5 +40,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../tests/unit/ending.rs"]
+#[path = "../../tests/unit/shutdown.rs"]
 mod tests;
--- /dev/null
+++ b/src/net/upstream/mod.rs
@@ -0,0 +1,5 @@
+//! Database hosts: which there are, connections to them, attempts and health checks.
+
+mod registry;
+
+pub use registry::*;
--- a/src/net/upstream/registry.rs
+++ b/src/net/upstream/registry.rs
@@ -1,17 +1,17 @@
 //! Database hosts: who they are, a pool of connections to each, attempts and probes.
 
-use super::buffers::{Buffer, Pool};
-use super::counters::{count, Counters};
-use super::discovery::{Entry, List, Phase};
-use super::log::log;
-use super::pg::{self, code, Reply};
-use super::{duration, nanoseconds, read_now, Clock};
+use crate::net::buffers::{Buffer, Pool};
+use crate::net::discovery::{EndpointEntry, EndpointList, EndpointPhase};
+use crate::net::log::log;
+use crate::net::metrics::{increment, Metrics};
+use crate::net::pg::{self, code, Reply};
+use crate::net::{duration, nanoseconds, read_now, Clock};
 use bytes::{Buf, BufMut};
-use irisrouter::api::*;
-use irisrouter::settings::{Loaded, Names};
-use irisrouter_drains::Word;
+use irisrouter::platform_settings::{NameTable, PlatformSettings};
+use irisrouter::routing::*;
+use irisrouter_drain_coordination::DrainCommand;
 use irisrouter_gossip::message;
-use irisrouter_siteplan::tally::Reach;
+use irisrouter_site_failover::load_report::SiteReachability;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::Range;
@@ -25,7 +25,7 @@
 const USER: &str = "web";
 const DATABASE: &str = "orders";
 const PROBE: &[u8] = b"SHOW usage";
-const NS_PER_MS: Ns = 1_000_000;
+const NS_PER_MS: Nanos = 1_000_000;
 /// Idle connections are retired after this share of the time at which a host closes them. Danger: a request
 /// written to a connection that its host has just closed ends as a reset, which may have run.
 const IDLE_SHARE: f64 = 0.8;
@@ -34,7 +34,7 @@
 const REST: Duration = Duration::from_millis(10);
 /// A position may be so far ahead of this clock. Danger: one from the future would prove for ever that its host is
 /// recent enough.
-const AHEAD: Ns = 100 * NS_PER_MS;
+const AHEAD: Nanos = 100 * NS_PER_MS;
 /// A host that is gone is remembered for so long, as it may come back.
 const KEPT_GONE: Duration = Duration::from_secs(30);
 /// More requests than this are held nowhere.
@@ -66,7 +66,7 @@
     /// Its outcome.
     pub outcome: Outcome,
     /// What the answer tells of its host.
-    pub note: Option<Note>,
+    pub note: Option<ReplicationStatus>,
     /// The row's messages, as the host sent them; with [`Outcome::Ok`] only, and not where they were passed on.
     pub row: Option<Buffer>,
 }
@@ -125,7 +125,7 @@
     /// What gateways call it among one another.
     number: u32,
     /// As the list last named it.
-    entry: Entry,
+    entry: EndpointEntry,
     ready: bool,
     /// Changes when its process or its address does: older connections are of no more use.
     epoch: u64,
@@ -154,12 +154,12 @@
 impl Host {
     /// The list has it in service.
     fn in_service(&self) -> bool {
-        self.gone.is_none() && self.entry.phase == Phase::InService
+        self.gone.is_none() && self.entry.phase == EndpointPhase::InService
     }
 }
 
 /// All database hosts that the list has named, and the connections to them.
-pub struct Backend {
+pub struct Upstream {
     /// Those that the list holds or held lately. A number is never given out again: late orders for a host that has been
     /// forgotten must not reach another one.
     hosts: RefCell<BTreeMap<MemberId, Host>>,
@@ -167,21 +167,21 @@
     next: Cell<u32>,
     /// All groups that the list has ever named.
     groups: RefCell<BTreeSet<GroupId>>,
-    zones: RefCell<Names>,
+    zones: RefCell<NameTable>,
     pool: Rc<Pool>,
-    counters: Rc<Counters>,
+    metrics: Rc<Metrics>,
     clock: Clock,
     connect_timeout: Cell<Duration>,
     idle_for: Cell<Duration>,
     /// Where only a listed drain binds, one that is gone or missing may still be sent to.
-    drain_binds_alone: Cell<bool>,
+    only_listed_drains_bind: Cell<bool>,
     most: usize,
     open: Rc<Cell<usize>>,
     /// Connections of another process of this gateway.
     pub elsewhere: Cell<usize>,
     revision: Cell<u64>,
     /// Operators' words on hosts, by their numbers.
-    words: RefCell<BTreeMap<u32, Word>>,
+    words: RefCell<BTreeMap<u32, DrainCommand>>,
     /// Hosts that a later list than the own one has out of service, by its watcher's word, and its version.
     news: RefCell<Option<(u64, BTreeSet<u32>)>>,
     /// What is heard of hosts is tallied.
@@ -207,28 +207,28 @@
     Garbled(&'static str),
 }
 
-impl Backend {
+impl Upstream {
     /// No hosts yet. Each list goes to the module through `on_list`.
     pub fn new(
-        loaded: &Loaded,
+        loaded: &PlatformSettings,
         most: usize,
         pool: Rc<Pool>,
-        counters: Rc<Counters>,
+        metrics: Rc<Metrics>,
         clock: Clock,
         on_list: Box<dyn Fn(Event)>,
     ) -> Self {
-        let backend = Backend {
+        let upstream = Upstream {
             hosts: RefCell::default(),
             ids: RefCell::default(),
             next: Cell::new(0),
             groups: RefCell::default(),
             zones: RefCell::new(loaded.zones.clone()),
             pool,
-            counters,
+            metrics,
             clock,
             connect_timeout: Cell::default(),
             idle_for: Cell::default(),
-            drain_binds_alone: Cell::default(),
+            only_listed_drains_bind: Cell::default(),
             most,
             open: Rc::default(),
             elsewhere: Cell::new(0),
@@ -238,17 +238,18 @@
             tallied: Cell::new(false),
             on_list,
         };
-        backend.retune(loaded);
-        backend
+        upstream.update_settings(loaded);
+        upstream
     }
 
     /// What the settings say holds from now on. The zone gets the number that it has here.
-    pub fn retune(&self, loaded: &Loaded) -> ZoneId {
+    pub fn update_settings(&self, loaded: &PlatformSettings) -> ZoneId {
         let s = &loaded.settings;
         self.connect_timeout.set(duration(s.limits.connect_timeout));
         self.idle_for
             .set(duration(loaded.idle_close).mul_f64(IDLE_SHARE));
-        self.drain_binds_alone.set(s.rules.drain_binds_alone);
+        self.only_listed_drains_bind
+            .set(s.rules.only_listed_drains_bind);
         let own = loaded
             .zones
             .iter()
@@ -258,20 +259,20 @@
     }
 
     /// The list has named a host of this group, or there is no list yet.
-    pub fn may_know(&self, group: GroupId) -> bool {
+    pub fn may_have_group(&self, group: GroupId) -> bool {
         let groups = self.groups.borrow();
         groups.is_empty() || groups.contains(&group)
     }
 
     /// The list as it stands.
-    pub fn list(&self) -> List {
+    pub fn endpoint_list(&self) -> EndpointList {
         let hosts = self.hosts.borrow();
         let members = hosts
             .values()
             .filter(|h| h.gone.is_none())
             .map(|h| h.entry.clone())
             .collect();
-        List {
+        EndpointList {
             revision: self.revision.get(),
             complete: true,
             members,
@@ -284,17 +285,17 @@
     }
 
     /// Connections now.
-    pub fn open(&self) -> usize {
+    pub fn open_connections(&self) -> usize {
         self.open.get()
     }
 
     /// The number of a host that the list names.
-    pub fn member(&self, name: &str) -> Option<MemberId> {
+    pub fn member_by_name(&self, name: &str) -> Option<MemberId> {
         self.ids.borrow().get(name).copied()
     }
 
     /// The hosts in service of a group.
-    pub fn serving(&self, group: GroupId) -> Vec<MemberId> {
+    pub fn members_in_service(&self, group: GroupId) -> Vec<MemberId> {
         let hosts = self.hosts.borrow();
         let of = |h: &Host| h.ready && h.entry.cell == group.0;
         hosts
@@ -305,7 +306,7 @@
     }
 
     /// The groups that have any.
-    pub fn serving_groups(&self) -> Vec<i64> {
+    pub fn groups_in_service(&self) -> Vec<i64> {
         let hosts = self.hosts.borrow();
         let groups: BTreeSet<i64> = hosts
             .values()
@@ -316,7 +317,7 @@
     }
 
     /// What gateways call a host, and its group.
-    pub fn told_as(&self, member: MemberId) -> Option<(u32, i64)> {
+    pub fn fleet_host_id(&self, member: MemberId) -> Option<(u32, i64)> {
         self.hosts
             .borrow()
             .get(&member)
@@ -324,7 +325,7 @@
     }
 
     /// The host in service that gateways call so, and its group; none where two have that number.
-    pub fn numbered(&self, number: u32) -> Option<(MemberId, i64)> {
+    pub fn member_by_fleet_id(&self, number: u32) -> Option<(MemberId, i64)> {
         let hosts = self.hosts.borrow();
         let mut found = hosts.iter().filter(|(_, h)| h.number == number && h.ready);
         let first = found.next().map(|(&id, h)| (id, h.entry.cell));
@@ -332,7 +333,7 @@
     }
 
     /// And its name.
-    pub fn name(&self, member: MemberId) -> String {
+    pub fn member_name(&self, member: MemberId) -> String {
         self.hosts
             .borrow()
             .get(&member)
@@ -341,7 +342,7 @@
     }
 
     /// Requests that are open at the host that gateways call so.
-    pub fn busy(&self, number: u32) -> usize {
+    pub fn requests_in_flight(&self, number: u32) -> usize {
         self.hosts
             .borrow()
             .values()
@@ -351,14 +352,14 @@
     }
 
     /// The name of the host that gateways call so; where the list has none, that number.
-    pub fn name_of(&self, number: u32) -> String {
+    pub fn host_name(&self, number: u32) -> String {
         let hosts = self.hosts.borrow();
         let host = hosts.values().find(|h| h.number == number);
         host.map_or_else(|| format!("host {number:06x}"), |h| h.entry.id.clone())
     }
 
     /// Whether another host of the same set would stay in service without this one.
-    pub fn spares(&self, number: u32) -> bool {
+    pub fn can_spare(&self, number: u32) -> bool {
         let hosts = self.hosts.borrow();
         let set = hosts
             .values()
@@ -370,13 +371,13 @@
     }
 
     /// An operator's word holds from now on: nothing is sent that it rules out.
-    pub fn follow(&self, word: Word) {
+    pub fn apply_drain_command(&self, word: DrainCommand) {
         self.words.borrow_mut().insert(word.host, word);
         self.reconsider();
     }
 
     /// From now on what is heard of hosts is tallied.
-    pub fn tally(&self) {
+    pub fn enable_reachability_reports(&self) {
         self.tallied.set(true);
     }
 
@@ -390,11 +391,11 @@
             return;
         };
         let (spoke, served) = match outcome {
-            Outcome::Ok | Outcome::Miss => (true, true),
+            Outcome::Ok | Outcome::Unsuitable => (true, true),
             Outcome::Error | Outcome::Full => (true, false),
             Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => (false, false),
             // It says nothing of the host.
-            Outcome::Cancelled | Outcome::Moot => return,
+            Outcome::Cancelled | Outcome::NotSent => return,
         };
         heard.at = Some(Instant::now());
         heard.failures = if spoke {
@@ -409,8 +410,8 @@
     }
 
     /// What was heard of the hosts of each zone since this was last asked.
-    pub fn reach(&self, zones: &[String]) -> Vec<Reach> {
-        let mut all = vec![Reach::default(); zones.len()];
+    pub fn take_reachability(&self, zones: &[String]) -> Vec<SiteReachability> {
+        let mut all = vec![SiteReachability::default(); zones.len()];
         for host in self.hosts.borrow_mut().values_mut() {
             let zone = zones.iter().position(|z| *z == host.entry.locality);
             let Some(reach) = zone.and_then(|z| all.get_mut(z)) else {
@@ -433,7 +434,7 @@
     }
 
     /// The sizes of the hosts of each zone that the list has in service, silent ones included.
-    pub fn sizes(&self, zones: &[String]) -> Vec<f64> {
+    pub fn capacity_by_zone(&self, zones: &[String]) -> Vec<f64> {
         let hosts = self.hosts.borrow();
         let size = |zone: &String| {
             let of = hosts
@@ -445,13 +446,13 @@
     }
 
     /// The number of a zone in the decision module.
-    pub fn zone(&self, name: &str) -> ZoneId {
+    pub fn zone_id(&self, name: &str) -> ZoneId {
         ZoneId(self.zones.borrow_mut().number(name) as u32)
     }
 
     /// Whoever watches the list for all has this version, with these hosts out of service. Until the own list is as new they
     /// are left alone.
-    pub fn news(&self, revision: u64, out: &[u32]) {
+    pub fn apply_watch_heartbeat(&self, revision: u64, out: &[u32]) {
         if revision > self.revision.get() {
             self.news
                 .replace(Some((revision, out.iter().copied().collect())));
@@ -483,7 +484,9 @@
             sets.entry(host.entry.cell).or_default().push(host.number);
         }
         let out: BTreeSet<u32> = (sets.values())
-            .flat_map(|set| irisrouter_drains::taken_out(set, |h| words.get(&h).copied()))
+            .flat_map(|set| {
+                irisrouter_drain_coordination::taken_out(set, |h| words.get(&h).copied())
+            })
             .chain(news.iter().flat_map(|(_, out)| out.iter().copied()))
             .collect();
         self.news.replace(news);
@@ -496,7 +499,7 @@
             }
         }
         if !changed.is_empty() {
-            self.merge(&List {
+            self.merge(&EndpointList {
                 revision: self.revision.get(),
                 complete: false,
                 members: changed,
@@ -505,19 +508,19 @@
     }
 
     /// Takes a list: from now on nothing is sent that it rules out.
-    pub fn apply(&self, list: &List) {
+    pub fn apply_endpoint_list(&self, list: &EndpointList) {
         self.merge(list);
         self.reconsider();
     }
 
-    fn merge(&self, list: &List) {
+    fn merge(&self, list: &EndpointList) {
         let mut hosts = self.hosts.borrow_mut();
         let mut ids = self.ids.borrow_mut();
         let mut zones = self.zones.borrow_mut();
         self.revision.set(list.revision);
         let mut entries = Vec::with_capacity(list.members.len());
         for e in &list.members {
-            if e.phase == Phase::Terminated && !ids.contains_key(&e.id) {
+            if e.phase == EndpointPhase::Terminated && !ids.contains_key(&e.id) {
                 continue;
             }
             self.groups.borrow_mut().insert(GroupId(e.cell));
@@ -537,40 +540,41 @@
                 heard: Heard::default(),
             });
             host.ready = match e.phase {
-                Phase::InService => !host.out,
-                Phase::Terminating => false,
+                EndpointPhase::InService => !host.out,
+                EndpointPhase::Terminating => false,
                 // One that was draining before it went stays closed.
-                Phase::Terminated => host.ready && self.drain_binds_alone.get(),
+                EndpointPhase::Terminated => host.ready && self.only_listed_drains_bind.get(),
             };
             let last = &host.entry;
             let moved = last.host_port != e.host_port || last.up_since_ms != e.up_since_ms;
-            host.epoch += u64::from(moved || e.phase == Phase::Terminated);
+            host.epoch += u64::from(moved || e.phase == EndpointPhase::Terminated);
             host.entry = e.clone();
             if !host.ready || host.idle.first().is_some_and(|c| c.epoch != host.epoch) {
                 host.idle.clear();
             }
-            entries.push(ListEntry {
+            entries.push(Endpoint {
                 member,
                 group: GroupId(e.cell),
                 zone: ZoneId(zones.number(&e.locality) as u32),
-                listed: match e.phase {
-                    Phase::InService if host.out => Listed::Draining,
-                    Phase::InService => Listed::Ready,
-                    Phase::Terminating => Listed::Draining,
-                    Phase::Terminated => Listed::Gone,
+                state: match e.phase {
+                    EndpointPhase::InService if host.out => EndpointState::Draining,
+                    EndpointPhase::InService => EndpointState::Ready,
+                    EndpointPhase::Terminating => EndpointState::Draining,
+                    EndpointPhase::Terminated => EndpointState::Removed,
                 },
                 primary: e.access.as_deref() == Some("writer"),
                 size: e.size,
-                started: (e.up_since_ms > 0.0).then_some((e.up_since_ms * NS_PER_MS as f64) as Ns),
+                started: (e.up_since_ms > 0.0)
+                    .then_some((e.up_since_ms * NS_PER_MS as f64) as Nanos),
             });
         }
         for (member, host) in hosts.iter_mut() {
             let listed = entries
                 .iter()
                 .find(|e| e.member == *member)
-                .map(|e| e.listed);
-            if listed.map_or(list.complete, |l| l == Listed::Gone) {
-                host.ready &= self.drain_binds_alone.get();
+                .map(|e| e.state);
+            if listed.map_or(list.complete, |l| l == EndpointState::Removed) {
+                host.ready &= self.only_listed_drains_bind.get();
                 host.gone = host.gone.or_else(|| Some(Instant::now()));
                 host.idle.clear();
             } else if listed.is_some() {
@@ -578,9 +582,9 @@
             }
         }
         drop((hosts, ids, zones));
-        (self.on_list)(Event::List {
+        (self.on_list)(Event::EndpointList {
             complete: list.complete,
-            entries,
+            endpoints: entries,
         });
     }
 
@@ -590,13 +594,13 @@
         &self,
         member: MemberId,
         statement: &Statement,
-        limit: Ns,
+        limit: Nanos,
         wanted: impl Fn() -> bool,
         begin: impl FnOnce(Streamed),
     ) -> Attempted {
         let end = Instant::now() + duration(limit);
         let ended = self.try_once(member, statement, end, wanted, begin).await;
-        self.counters.attempt(ended.outcome);
+        self.metrics.attempt(ended.outcome);
         self.heard(member, ended.outcome, false);
         ended
     }
@@ -617,7 +621,7 @@
         // counts.
         let Some(_busy) = self.busy_at(member).filter(|_| wanted()) else {
             self.check_in(member, connection);
-            return Outcome::Moot.into();
+            return Outcome::NotSent.into();
         };
         let mut out = self.pool.take();
         let left = end
@@ -627,7 +631,7 @@
             .to_string();
         if !out.room(statement.text.len() + left.len() + 16) {
             self.check_in(member, connection);
-            return Outcome::Moot.into();
+            return Outcome::NotSent.into();
         }
         pg::put(&mut out, b'Q', |b| {
             b.extend_from_slice(&statement.text[..statement.wait_at.start]);
@@ -644,7 +648,7 @@
         };
         let outcome = match reply.error.as_deref() {
             None if reply.served() => Outcome::Ok,
-            Some(code::READ_ONLY | code::SNAPSHOT_TOO_OLD) => Outcome::Miss,
+            Some(code::READ_ONLY | code::SNAPSHOT_TOO_OLD) => Outcome::Unsuitable,
             Some(code::TOO_MANY_CONNECTIONS) => Outcome::Full,
             _ => Outcome::Error,
         };
@@ -774,25 +778,29 @@
     }
 
     /// Asks a host for its load report.
-    pub async fn probe(&self, member: MemberId) -> Event {
-        self.probe_under(member, None).await.0
+    pub async fn health_check(&self, member: MemberId) -> Event {
+        self.health_check_with_fence(member, None).await.0
     }
 
     /// Likewise, with the duty and the epoch under which this gateway asks; also whether the host has seen a later one.
-    pub async fn probe_under(&self, member: MemberId, fence: Option<(u64, u64)>) -> (Event, bool) {
-        count(&self.counters.probes);
+    pub async fn health_check_with_fence(
+        &self,
+        member: MemberId,
+        fence: Option<(u64, u64)>,
+    ) -> (Event, bool) {
+        increment(&self.metrics.health_checks);
         let start = Instant::now();
         let end = start + self.connect_timeout.get();
         let (outcome, report, fenced) = self.probe_once(member, fence, end).await;
         // A probe that waited its whole time for a connection has met silence; to the module that is no word of the host.
-        let silence = outcome == Outcome::Moot && start.elapsed() >= self.connect_timeout.get();
+        let silence = outcome == Outcome::NotSent && start.elapsed() >= self.connect_timeout.get();
         self.heard(
             member,
             if silence { Outcome::TimedOut } else { outcome },
             true,
         );
         (
-            Event::Probed {
+            Event::HealthChecked {
                 member,
                 outcome,
                 elapsed: nanoseconds(start.elapsed()),
@@ -807,12 +815,12 @@
         member: MemberId,
         fence: Option<(u64, u64)>,
         end: Instant,
-    ) -> (Outcome, Option<Report>, bool) {
+    ) -> (Outcome, Option<LoadReport>, bool) {
         let answer = async {
             let connection = self.connection(member, end).await?;
             let Some(_busy) = self.busy_at(member) else {
                 self.check_in(member, connection);
-                return Err(Outcome::Moot);
+                return Err(Outcome::NotSent);
             };
             let mut out = self.pool.take();
             match fence {
@@ -857,14 +865,14 @@
             }
         }
         let start = Instant::now();
-        let slot = self.slot().ok_or(Outcome::Moot)?;
+        let slot = self.slot().ok_or(Outcome::NotSent)?;
         let (address, epoch) = {
             let hosts = self.hosts.borrow();
             // What was decided on before a drain opens nothing behind it.
             let host = hosts
                 .get(&member)
                 .filter(|h| h.ready)
-                .ok_or(Outcome::Moot)?;
+                .ok_or(Outcome::NotSent)?;
             (host.entry.host_port, host.epoch)
         };
         let up_by = end.min(start + self.connect_timeout.get());
@@ -903,12 +911,12 @@
         };
         match timeout_at(up_by, coming_up).await {
             Ok(Ok(c)) => {
-                count(&self.counters.opened);
+                increment(&self.metrics.connections.upstream_opened);
                 Ok(c)
             }
             Ok(Err(outcome)) => Err(outcome),
             // The request's time was over first: that says nothing of the host.
-            Err(_) if end < start + self.connect_timeout.get() => Err(Outcome::Moot),
+            Err(_) if end < start + self.connect_timeout.get() => Err(Outcome::NotSent),
             Err(_) => Err(Outcome::ConnectFailed),
         }
     }
@@ -954,7 +962,7 @@
 
     /// Retires idle connections before their hosts do, and those that are closed already. Forgets hosts that have
     /// been gone for a while. Danger: where they are replaced all day, they would be kept for ever.
-    pub fn sweep(&self) {
+    pub fn close_idle(&self) {
         while self.open.get() + self.elsewhere.get() > self.most && self.retire() {}
         let (mut hosts, mut ids) = (self.hosts.borrow_mut(), self.ids.borrow_mut());
         let gone = |h: &Host| !h.ready && h.gone.is_some_and(|t| t.elapsed() >= KEPT_GONE);
@@ -1016,35 +1024,37 @@
     matches!(read_now(&c.stream, &mut [0]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
 }
 
-fn note(reply: &Reply, now: Ns) -> Option<Note> {
+fn note(reply: &Reply, now: Nanos) -> Option<ReplicationStatus> {
     let role = match reply.role? {
         pg::HostRole::Writer => Role::Primary,
         pg::HostRole::Reader => Role::Replica,
     };
-    Some(Note {
+    Some(ReplicationStatus {
         role,
         position: reply.position_ms.and_then(|ms| position(ms, now)),
     })
 }
 
 /// A position in Unix milliseconds, unless it can't be true.
-fn position(ms: i64, now: Ns) -> Option<Ns> {
+fn position(ms: i64, now: Nanos) -> Option<Nanos> {
     ms.checked_mul(NS_PER_MS)
         .filter(|&p| p > 0 && p <= now.saturating_add(AHEAD))
 }
 
 /// A load report, without what can't be true. Its position is in Unix seconds, with the milliseconds behind the
 /// point.
-fn report(text: &str, now: Ns) -> Report {
-    let mut r = Report::default();
+fn report(text: &str, now: Nanos) -> LoadReport {
+    let mut r = LoadReport::default();
     for (name, value) in pg::report(text) {
         match name {
             // Down to the millisecond: a position rounded up would claim commits that are not there yet.
             "x0" => r.position = position((value * 1_000.0 + 0.001).floor() as i64, now),
             "x1" if value == 0.0 || value == 1.0 => r.primary = Some(value == 1.0),
-            "util" | "load_share" if (0.0..=MOST_IN_USE).contains(&value) => r.in_use = Some(value),
+            "util" | "load_share" if (0.0..=MOST_IN_USE).contains(&value) => {
+                r.cores_in_use = Some(value)
+            }
             "inflight" | "queue" if (0.0..=MOST_HELD).contains(&value) => {
-                r.inflight = r.inflight.or(Some(value))
+                r.in_flight = r.in_flight.or(Some(value))
             }
             _ => {}
         }
@@ -1053,5 +1063,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../tests/unit/reports.rs"]
+#[path = "../../../tests/unit/reports.rs"]
 mod tests;
--- a/src/platform_settings.rs
+++ b/src/platform_settings.rs
@@ -3,7 +3,7 @@
 //! The simulator hands it over in its first message and a gateway finds it in its configuration, so both read
 //! it here.
 
-use crate::api::*;
+use crate::routing::*;
 use serde::Deserialize;
 
 #[derive(Deserialize)]
@@ -12,13 +12,16 @@
     name: String,
     aim_ns: i64,
     #[serde(default)]
-    aim_stretch: Option<f64>,
+    #[serde(rename = "AimStretch")]
+    objective_stretch: Option<f64>,
     deadline_ns: i64,
     effect: String,
     group: String,
-    late_worth: f64,
+    #[serde(rename = "LateWorth")]
+    late_weight: f64,
     window_ns: i64,
-    worth: f64,
+    #[serde(rename = "Worth")]
+    priority_weight: f64,
 }
 
 #[derive(Deserialize)]
@@ -39,7 +42,8 @@
     most_tries: u32,
     probes: bool,
     retry_after: bool,
-    second_copies: bool,
+    #[serde(rename = "SecondCopies")]
+    hedged_requests: bool,
 }
 
 #[derive(Deserialize)]
@@ -61,10 +65,12 @@
     cold_ns: i64,
     drain_grace_ns: i64,
     overload_factor: f64,
-    start_capacity: f64,
+    #[serde(rename = "StartCapacity")]
+    initial_capacity: f64,
     tip_after_ns: i64,
     #[serde(default)]
-    drain_binds_alone: Option<bool>,
+    #[serde(rename = "DrainBindsAlone")]
+    only_listed_drains_bind: Option<bool>,
 }
 
 #[derive(Deserialize)]
@@ -94,7 +100,8 @@
     load_info: WireLoadInfo,
     membership_mode: String,
     my_zone: String,
-    over_share_worth: f64,
+    #[serde(rename = "OverShareWorth")]
+    over_quota_weight: f64,
     penalties: WirePenalties,
     round_ns: i64,
     tenants: Vec<WireTenant>,
@@ -103,9 +110,9 @@
 
 /// Names given out as small numbers, in order of first mention.
 #[derive(Clone, Debug, Default)]
-pub struct Names(Vec<String>);
+pub struct NameTable(Vec<String>);
 
-impl Names {
+impl NameTable {
     /// The names, by their numbers.
     pub fn iter(&self) -> impl Iterator<Item = &str> {
         self.0.iter().map(String::as_str)
@@ -127,15 +134,15 @@
 
 /// What the settings object says, beyond what the module needs to know.
 #[derive(Clone, Debug)]
-pub struct Loaded {
+pub struct PlatformSettings {
     /// The module's part.
     pub settings: Settings,
     /// Names of the classes, by their index in the settings.
-    pub classes: Names,
+    pub classes: NameTable,
     /// Names of the tenants, by their index in the settings.
-    pub tenants: Names,
+    pub tenants: NameTable,
     /// Names of the zones.
-    pub zones: Names,
+    pub zones: NameTable,
     /// This gateway's number among those of its tier.
     pub me: u32,
     /// Gateways may send one another datagrams, and hosts may be probed, which is what they tell of.
@@ -147,9 +154,9 @@
     /// Gateways of this tier.
     pub balancers: u32,
     /// Clock time from which the simulator reckons positions.
-    pub position_zero: Ns,
+    pub position_zero: Nanos,
     /// A database host closes a connection that has stood idle for this long at the latest.
-    pub idle_close: Ns,
+    pub idle_close: Nanos,
 }
 
 /// The keys that may be absent: the platform's page names no others.
@@ -157,11 +164,11 @@
 /// From so many gateways on, one that probes for all is worth the datagrams. Fewer each see enough themselves.
 const MANY: u32 = 16;
 /// No time in the settings is longer. Danger: sums of two times would overflow.
-const LONGEST: Ns = 86_400_000_000_000;
+const LONGEST: Nanos = 86_400_000_000_000;
 /// And no tick is shorter. Danger: with none, a held request would be looked at without end.
-const SHORTEST_TICK: Ns = 1_000_000;
+const SHORTEST_TICK: Nanos = 1_000_000;
 
-impl Loaded {
+impl PlatformSettings {
     /// Reads the settings object.
     pub fn parse(json: &serde_json::Value, seed: u64) -> Result<Self, String> {
         let info = BootInfo::deserialize(json).map_err(|e| e.to_string())?;
@@ -169,11 +176,11 @@
     }
 
     pub(crate) fn new(seed: u64, info: &BootInfo) -> Result<Self, String> {
-        let mut zones = Names(info.zones.clone());
-        Ok(Loaded {
+        let mut zones = NameTable(info.zones.clone());
+        Ok(PlatformSettings {
             settings: settings(seed, info, &mut zones)?,
-            classes: Names(info.classes.iter().map(|c| c.name.clone()).collect()),
-            tenants: Names(info.tenants.iter().map(|t| t.name.clone()).collect()),
+            classes: NameTable(info.classes.iter().map(|c| c.name.clone()).collect()),
+            tenants: NameTable(info.tenants.iter().map(|t| t.name.clone()).collect()),
             zones,
             me: info.me,
             share: info.bounds.peers && info.bounds.probes && info.balancers >= MANY,
@@ -188,7 +195,7 @@
 
 /// Figures with which nothing could be answered, or not twice the same.
 fn check(b: &BootInfo) -> Result<(), String> {
-    let time = |what: &str, ns: Ns| match ns {
+    let time = |what: &str, ns: Nanos| match ns {
         1..=LONGEST => Ok(()),
         _ => Err(format!("{what} is {ns} ns")),
     };
@@ -208,11 +215,11 @@
 }
 
 /// A time that may be none, and is never so long that sums of it overflow: beyond a day it is a day.
-fn some_time(ns: Ns) -> Ns {
+fn some_time(ns: Nanos) -> Nanos {
     ns.clamp(0, LONGEST)
 }
 
-fn settings(seed: u64, b: &BootInfo, zones: &mut Names) -> Result<Settings, String> {
+fn settings(seed: u64, b: &BootInfo, zones: &mut NameTable) -> Result<Settings, String> {
     let d = &b.domain;
     check(b)?;
     let mut classes = Vec::new();
@@ -220,39 +227,39 @@
         let bound = d.class_bound_ns.get(i).copied().unwrap_or(0);
         let freshness = match d.freshness.get(i).map(String::as_str) {
             Some("mutate") => Freshness::Write,
-            Some("strong") => Freshness::Fresh,
+            Some("strong") => Freshness::Strong,
             Some("causal") => Freshness::Session,
-            Some("lag_bound") => Freshness::Bounded(some_time(bound)),
+            Some("lag_bound") => Freshness::BoundedStaleness(some_time(bound)),
             Some("eventual") => Freshness::Any,
             other => return Err(format!("unknown freshness {other:?} of class {}", c.name)),
         };
         let scope = match c.group.as_str() {
-            "zone" => RepeatScope::Zone,
-            "cell" => RepeatScope::Group,
-            _ => RepeatScope::All,
+            "zone" => DeduplicationScope::Zone,
+            "cell" => DeduplicationScope::Group,
+            _ => DeduplicationScope::All,
         };
-        let repeat = match c.effect.as_str() {
-            "retryable" => Repeat::Safe,
-            "dedup" => Repeat::Keyed {
+        let idempotency = match c.effect.as_str() {
+            "retryable" => Idempotency::Idempotent,
+            "dedup" => Idempotency::Keyed {
                 scope,
                 window: some_time(c.window_ns),
             },
-            "fragile" => Repeat::Unsafe,
+            "fragile" => Idempotency::NotIdempotent,
             other => return Err(format!("unknown effect {other} of class {}", c.name)),
         };
-        classes.push(Class {
-            aim: c.aim_ns,
-            aim_stretch: c.aim_stretch.unwrap_or(0.0),
+        classes.push(RequestClass {
+            latency_objective: c.aim_ns,
+            objective_stretch: c.objective_stretch.unwrap_or(0.0),
             deadline: c.deadline_ns,
-            worth: c.worth,
-            late_worth: c.late_worth,
-            repeat,
+            priority_weight: c.priority_weight,
+            late_weight: c.late_weight,
+            idempotency,
             freshness,
         });
     }
     Ok(Settings {
         seed,
-        proxies: b.balancers,
+        gateway_count: b.balancers,
         zone: ZoneId(zones.number(&b.my_zone) as u32),
         tick: b.round_ns.clamp(SHORTEST_TICK, LONGEST),
         classes,
@@ -263,48 +270,48 @@
                 quota_per_s: t.quota_per_s,
             })
             .collect(),
-        over_share_worth: b.over_share_worth,
-        probe_price: b.penalties.probe,
+        over_quota_weight: b.over_quota_weight,
+        health_check_price: b.penalties.probe,
         limits: Limits {
-            attempts: b.bounds.most_tries,
-            probes: b.bounds.probes,
-            cancel: b.bounds.cancel,
-            second_copies: b.bounds.second_copies,
-            pauses: b.bounds.retry_after,
-            max_pause: some_time(b.bounds.max_retry_after_ns),
+            max_attempts: b.bounds.most_tries,
+            health_checks: b.bounds.probes,
+            cancellation: b.bounds.cancel,
+            hedged_requests: b.bounds.hedged_requests,
+            retry_after: b.bounds.retry_after,
+            max_retry_after: some_time(b.bounds.max_retry_after_ns),
             connect_timeout: b.bounds.connect_timeout_ns,
         },
-        rules: Rules {
+        rules: SafetyRules {
             drain_grace: some_time(b.rules.drain_grace_ns),
-            drain_binds_alone: b.rules.drain_binds_alone.unwrap_or(false),
-            cold_for: some_time(b.rules.cold_ns),
-            start_capacity: b.rules.start_capacity.clamp(0.0, 1.0),
+            only_listed_drains_bind: b.rules.only_listed_drains_bind.unwrap_or(false),
+            warm_up_time: some_time(b.rules.cold_ns),
+            initial_capacity: b.rules.initial_capacity.clamp(0.0, 1.0),
             overload_multiple: b.rules.overload_factor.max(0.0),
             overload_window: some_time(b.rules.tip_after_ns),
         },
-        checks: match d.server_checks.as_str() {
-            "bounce" => ServerChecks::Refuse,
-            "await" => ServerChecks::Wait(d.catch_up_wait_ns),
-            "none" => ServerChecks::None,
+        staleness_check: match d.server_checks.as_str() {
+            "bounce" => StalenessCheck::Reject,
+            "await" => StalenessCheck::Wait(d.catch_up_wait_ns),
+            "none" => StalenessCheck::None,
             other => return Err(format!("unknown server checks {other}")),
         },
-        list_role: match d.role_in_list.as_str() {
-            "trailing" => ListRole::Late,
-            "static" => ListRole::Static,
-            _ => ListRole::None,
+        role_in_endpoint_list: match d.role_in_list.as_str() {
+            "trailing" => RoleInEndpointList::Late,
+            "static" => RoleInEndpointList::Static,
+            _ => RoleInEndpointList::None,
         },
         positions_in_answers: d.stamps,
-        marks_carried: d.session_marks == "brought",
-        reports: match b.load_info.how.as_str() {
-            "answers" => Reports::Answers,
-            "probe" => Reports::Probes,
-            _ => Reports::None,
+        last_write_age_carried: d.session_marks == "brought",
+        load_report_source: match b.load_info.how.as_str() {
+            "answers" => LoadReportSource::Answers,
+            "probe" => LoadReportSource::HealthChecks,
+            _ => LoadReportSource::None,
         },
-        load_told: b
+        in_flight_reported: b
             .load_info
             .fields
             .iter()
             .any(|f| f == "concurrent" || f == "depth"),
-        list_on_request: b.membership_mode == "ask",
+        endpoint_list_on_request: b.membership_mode == "ask",
     })
 }
--- /dev/null
+++ b/src/routing/action.rs
@@ -0,0 +1,48 @@
+//! Actions: what the router asks its caller to do.
+
+use super::identifiers::{MemberId, Nanos, RequestId};
+
+/// What the router wants done. Actions of one batch are carried out in their order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Start an attempt.
+    StartAttempt {
+        /// The request.
+        id: RequestId,
+        /// The member that it goes to.
+        member: MemberId,
+        /// Timeout of the attempt.
+        timeout: Nanos,
+    },
+    /// Stop waiting for an attempt.
+    CancelAttempt {
+        /// The request.
+        id: RequestId,
+        /// Number of the attempt, from 0.
+        attempt: u32,
+    },
+    /// Final answer: rejected; a retry is harmless.
+    Reject {
+        /// The request.
+        id: RequestId,
+        /// Time that the client should wait before it retries; 0 for no advice.
+        retry_after: Nanos,
+    },
+    /// Final answer: failed; whether it ran is unknown.
+    Fail {
+        /// The request.
+        id: RequestId,
+    },
+    /// Check a member's health.
+    HealthCheck {
+        /// The member.
+        member: MemberId,
+    },
+    /// Deliver [`Event::TimerFired`](super::Event::TimerFired) later. Only the earliest timer needs to be kept.
+    SetTimer {
+        /// After this time.
+        after: Nanos,
+    },
+    /// Subscribe to changes of the endpoint list.
+    WatchEndpoints,
+}
--- a/src/routing/member.rs
+++ b/src/routing/member.rs
@@ -1,6 +1,6 @@
 //! What a router remembers of members, requests and groups. Nothing here decides anything, and no value is tuned.
 
-use crate::api::*;
+use crate::routing::*;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -15,53 +15,54 @@
     pub(crate) gone: bool,
     pub(crate) drained: bool,
     /// Since when it has been gone; for ever in the future while it is not.
-    pub(crate) gone_at: Ns,
-    pub(crate) started: Option<Ns>,
+    pub(crate) gone_at: Nanos,
+    pub(crate) started: Option<Nanos>,
     /// It has applied all commits up to here; it never regresses.
-    pub(crate) position: Ns,
+    pub(crate) position: Nanos,
     /// How far the position was behind when last heard.
-    pub(crate) lag: Ns,
-    pub(crate) lag_at: Ns,
+    pub(crate) lag: Nanos,
+    pub(crate) lag_at: Nanos,
     /// Latest times at which it was known to be primary, and known to be none; 0 for never.
-    pub(crate) primary_at: Ns,
-    pub(crate) replica_at: Ns,
+    pub(crate) primary_at: Nanos,
+    pub(crate) replica_at: Nanos,
     /// Smoothed time of an answer, as a multiple of the usual time of its class.
     pub(crate) slowness: f64,
     /// Recent answers behind it.
     pub(crate) answers: f64,
-    pub(crate) heard: Ns,
+    pub(crate) heard: Nanos,
     pub(crate) outstanding: u32,
     /// Requests held there that are not ours, by its last report.
     pub(crate) others: f64,
     /// When that was told.
-    pub(crate) told_at: Ns,
+    pub(crate) told_at: Nanos,
     /// Share of its cores in use, by its last report.
-    pub(crate) in_use: f64,
+    #[serde(rename = "in_use")]
+    pub(crate) cores_in_use: f64,
     /// Share of the requests that it is spared, as it has been too busy.
     pub(crate) shed: f64,
     pub(crate) limit: f64,
-    pub(crate) cut_at: Ns,
+    pub(crate) cut_at: Nanos,
     /// While its limit is below one: the next send not before then.
-    pub(crate) free_at: Ns,
+    pub(crate) free_at: Nanos,
     /// Sent since then, with no word from it since; and how long that is still usual.
-    pub(crate) silent_since: Option<Ns>,
-    pub(crate) patience: Ns,
+    pub(crate) silent_since: Option<Nanos>,
+    pub(crate) patience: Nanos,
     pub(crate) fails: u32,
-    pub(crate) suspect_until: Ns,
+    pub(crate) suspect_until: Nanos,
     /// Smoothed share of errors among its answers, and what followed from it.
     pub(crate) errors: f64,
     pub(crate) shuns: u32,
-    pub(crate) shun_until: Ns,
-    pub(crate) probe_at: Ns,
+    pub(crate) shun_until: Nanos,
+    pub(crate) probe_at: Nanos,
     pub(crate) probe_out: bool,
     /// Since when it answers again after it had not.
-    pub(crate) well_since: Ns,
+    pub(crate) well_since: Nanos,
 }
 
 /// What a router has learnt, for another one of the same gateway.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
-pub struct Lore {
+pub struct RoutingSnapshot {
     /// The members, and what is known of them.
     pub members: Vec<(MemberId, Member)>,
     /// Usual time of an answer, by class, and the answers behind it.
@@ -69,10 +70,10 @@
     pub(crate) told: Vec<f64>,
 }
 
-impl Lore {
+impl RoutingSnapshot {
     pub(crate) fn new(members: &BTreeMap<MemberId, Member>, usual: &[f64], told: &[f64]) -> Self {
         let members = members.iter().map(|(&id, m)| (id, m.clone())).collect();
-        Lore {
+        RoutingSnapshot {
             members,
             usual: usual.to_vec(),
             told: told.to_vec(),
@@ -99,7 +100,7 @@
     /// Adds to what is known here: news of members, but not what this router has out there itself.
     pub(crate) fn teach(
         &self,
-        now: Ns,
+        now: Nanos,
         members: &mut BTreeMap<MemberId, Member>,
         usual: &mut [f64],
         told: &mut [f64],
@@ -149,7 +150,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Attempt {
     pub(crate) member: MemberId,
-    pub(crate) sent: Ns,
+    pub(crate) sent: Nanos,
     pub(crate) outcome: Option<Outcome>,
 }
 
@@ -158,17 +159,17 @@
     pub(crate) class: usize,
     pub(crate) group: GroupId,
     pub(crate) session: Option<SessionId>,
-    pub(crate) arrived: Ns,
-    pub(crate) deadline: Ns,
+    pub(crate) arrived: Nanos,
+    pub(crate) deadline: Nanos,
     /// Position that a member must have reached (session reads).
-    pub(crate) mark: Ns,
+    pub(crate) mark: Nanos,
     pub(crate) held: bool,
     /// Held with nothing sent, it is given up then.
-    pub(crate) hold_until: Ns,
+    pub(crate) hold_until: Nanos,
     pub(crate) ended: bool,
     pub(crate) attempts: Vec<Attempt>,
     /// A read may wait until then for proof of a replica's position.
-    pub(crate) proof_by: Ns,
+    pub(crate) proof_by: Nanos,
     /// Its own random number, which decides whether a cold member takes it.
     pub(crate) draw: f64,
 }
@@ -184,15 +185,15 @@
     /// Something changed: select again.
     pub(crate) dirty: bool,
     /// Age of data that some held read without a proven replica would take; 0 for none such.
-    pub(crate) wants_proof: Ns,
-    pub(crate) proof_at: Ns,
+    pub(crate) wants_proof: Nanos,
+    pub(crate) proof_at: Nanos,
     /// When gateways that share their findings were last heard on it.
-    pub(crate) found_at: Ns,
+    pub(crate) found_at: Nanos,
     pub(crate) wants_primary: bool,
     /// How long a held request has waited to hear whether the primary has room; 0 for none such.
-    pub(crate) wants_spare: Ns,
+    pub(crate) wants_spare: Nanos,
     /// Since when its primary has been sought.
-    pub(crate) seek_since: Option<Ns>,
+    pub(crate) seek_since: Option<Nanos>,
 }
 
 impl Group {
@@ -220,7 +221,7 @@
 impl Request {
     /// No member has been handed it.
     pub(crate) fn unsent(&self) -> bool {
-        let never_left = |o| matches!(o, Outcome::ConnectFailed | Outcome::Moot);
+        let never_left = |o| matches!(o, Outcome::ConnectFailed | Outcome::NotSent);
         self.attempts
             .iter()
             .all(|a| a.outcome.is_some_and(never_left))
@@ -238,34 +239,34 @@
 
 impl Member {
     /// What is left of old news, 1 for none too old, when it fades by this time.
-    pub(crate) fn fade(&self, now: Ns, memory: Ns) -> f64 {
+    pub(crate) fn fade(&self, now: Nanos, memory: Nanos) -> f64 {
         (-((now - self.heard) as f64) / memory as f64).exp()
     }
 
     /// It is gone, with nothing out there, after a drain or since so long ago.
-    pub(crate) fn over(&self, long_ago: Ns) -> bool {
+    pub(crate) fn over(&self, long_ago: Nanos) -> bool {
         let idle = self.outstanding == 0 && !self.probe_out;
         self.gone && idle && (self.drained || self.gone_at < long_ago)
     }
 
     /// One that the list has just named.
-    pub(crate) fn listed(e: &ListEntry, limit: f64) -> Self {
+    pub(crate) fn listed(e: &Endpoint, limit: f64) -> Self {
         let (group, zone) = (e.group, e.zone);
         Member {
             group,
             zone,
             limit,
             slowness: 1.0,
-            gone_at: Ns::MAX,
+            gone_at: Nanos::MAX,
             ..Member::default()
         }
     }
 
     /// Takes the list's word, and tells whether its process is a new one.
-    pub(crate) fn take_entry(&mut self, e: &ListEntry, now: Ns) -> bool {
-        self.gone = e.listed == Listed::Gone;
+    pub(crate) fn take_entry(&mut self, e: &Endpoint, now: Nanos) -> bool {
+        self.gone = e.state == EndpointState::Removed;
         self.size = e.size;
-        self.drained = e.listed == Listed::Draining || self.drained && self.gone;
+        self.drained = e.state == EndpointState::Draining || self.drained && self.gone;
         let anew = e.started > self.started;
         if anew {
             self.started = e.started;
@@ -282,7 +283,7 @@
     }
 
     /// Takes what an answer tells. A commit that the primary has answered is a position it has reached.
-    pub(crate) fn take_note(&mut self, n: Note, now: Ns) {
+    pub(crate) fn take_note(&mut self, n: ReplicationStatus, now: Nanos) {
         match n.role {
             Role::Primary => self.primary_at = self.primary_at.max(now),
             Role::Replica => self.replica_at = self.replica_at.max(now),
@@ -297,7 +298,7 @@
     ///
     /// A primary's position is the time of its report, and positions never regress: that orders reports among
     /// themselves and against answers, however late they come.
-    pub(crate) fn take_report(&mut self, r: Report, at: Ns) -> bool {
+    pub(crate) fn take_report(&mut self, r: LoadReport, at: Nanos) -> bool {
         let Some(p) = r.position else { return false };
         match r.primary {
             Some(true) => self.primary_at = self.primary_at.max(p),
@@ -313,7 +314,7 @@
     }
 
     /// It answers: nothing is held against it any more.
-    pub(crate) fn recover(&mut self, now: Ns) {
+    pub(crate) fn recover(&mut self, now: Nanos) {
         if self.fails > 0 || self.well_since == 0 {
             self.well_since = now;
         }
@@ -339,7 +340,7 @@
 pub(crate) fn never_ran(o: Outcome) -> bool {
     matches!(
         o,
-        Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss
+        Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent | Outcome::Unsuitable
     )
 }
 
