--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -4,8 +4,8 @@
 //! of the best round trip, pick one at random, hold when none is suitable. The rest are exceptions.
 //! Order: values, state, batch, selection, sending (the one chokepoint), requests, answers, news, probes.
 
-use crate::api::*;
-use crate::state::*;
+use super::member::*;
+use crate::routing::*;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// Share of a new sample in a smoothed round trip, as the design has it.
@@ -32,7 +32,7 @@
 /// A late answer takes this share of the limit away; one within this part of the aim (one in so many) adds
 /// LIMIT_RISE, for a limit of one, less by this power of the proxies. Sparse ones share a larger limit.
 const LIMIT_CUT: f64 = 0.15;
-const PROMPT: Ns = 2;
+const PROMPT: Nanos = 2;
 const LIMIT_RISE: f64 = 0.2;
 const SHARING: f64 = 1.25;
 const SHARED_RISE: f64 = 0.8;
@@ -55,7 +55,7 @@
 const SILENCE: f64 = 4.0;
 /// Long is this multiple of the shortest class; for this part of its aim it waits for the furthest behind.
 const LONG: f64 = 4.0;
-const LONG_WAIT: Ns = 4;
+const LONG_WAIT: Nanos = 4;
 /// A fair part of a member's first limit below which limits of one proxy say nothing (they round to none).
 const SPARSE: f64 = 0.2;
 /// Probes that each request pays for: as many as take this part of the worth, but two at most; in calm times.
@@ -65,10 +65,10 @@
 /// Probes that may be saved up.
 const PROBES_MOST: f64 = 12.0;
 /// Parts of a connect time-out (one in so many) between probes: for a primary, and for proof or room.
-const SEEK_GAP: Ns = 5;
-const PROOF_GAP: Ns = 4;
+const SEEK_GAP: Nanos = 5;
+const PROOF_GAP: Nanos = 4;
 /// That a member is full is news for so many connect time-outs.
-const FULL_NEWS: Ns = 4;
+const FULL_NEWS: Nanos = 4;
 /// News of a member's load is good for so many usual times of the shortest class.
 const NEWS: f64 = 2.0;
 /// That share of cores in use is good for so many, and means so many requests for each core.
@@ -81,7 +81,7 @@
 const BUSY: f64 = 0.8;
 const SHED_MOST: f64 = 0.9;
 /// Findings of gateways are news for so many connect time-outs.
-const FOUND_NEWS: Ns = 4;
+const FOUND_NEWS: Nanos = 4;
 /// News of a member counts for so many connect time-outs: as long as a failed connection takes several times.
 const MEMORY: f64 = 8.0;
 /// A member is shunned once errors are this smoothed share of its answers: three in a row.
@@ -97,12 +97,12 @@
 pub struct Router {
     s: Settings,
     rng: oorandom::Rand64,
-    now: Ns,
+    now: Nanos,
     members: BTreeMap<MemberId, Member>,
     groups: BTreeMap<GroupId, Group>,
     requests: HashMap<RequestId, Request>,
     /// When a request must be looked at again.
-    reviews: BTreeSet<(Ns, RequestId)>,
+    reviews: BTreeSet<(Nanos, RequestId)>,
     /// Usual time of an answer, by class, and the answers behind it.
     usual: Vec<f64>,
     told: Vec<f64>,
@@ -115,10 +115,10 @@
     need_probes: f64,
     calm_probes: f64,
     /// Last commit of each session, where the proxy must remember it.
-    commits: HashMap<SessionId, Ns>,
+    commits: HashMap<SessionId, Nanos>,
     extra: f64,
-    planned: Planned,
-    next_wake: Ns,
+    planned: FailoverDirectives,
+    next_wake: Nanos,
     out: Vec<Action>,
 }
 
@@ -128,11 +128,11 @@
         let usual: Vec<f64> = s
             .classes
             .iter()
-            .map(|c| c.aim as f64 * FIRST_GUESS)
+            .map(|c| c.latency_objective as f64 * FIRST_GUESS)
             .collect();
         let first = s
-            .list_on_request
-            .then_some(Action::Watch)
+            .endpoint_list_on_request
+            .then_some(Action::WatchEndpoints)
             .into_iter()
             .collect();
         Router {
@@ -152,14 +152,14 @@
             calm_probes: PROBES_MOST,
             commits: HashMap::new(),
             extra: EXTRA_MOST,
-            planned: Planned::default(),
+            planned: FailoverDirectives::default(),
             next_wake: 0,
             out: first,
         }
     }
 
     /// Takes what happened, all of it first, then decides.
-    pub fn batch(&mut self, now: Ns, events: &[Event]) -> Vec<Action> {
+    pub fn batch(&mut self, now: Nanos, events: &[Event]) -> Vec<Action> {
         self.now = now;
         events.iter().for_each(|e| self.observe(e));
         let groups: Vec<GroupId> = self
@@ -188,7 +188,7 @@
         };
         if self.next_wake <= self.now || self.next_wake > at {
             self.next_wake = at;
-            self.out.push(Action::Wake {
+            self.out.push(Action::SetTimer {
                 after: at - self.now,
             });
         }
@@ -196,53 +196,61 @@
 
     fn observe(&mut self, e: &Event) {
         match e {
-            Event::List { complete, entries } => self.on_list(*complete, entries),
-            Event::ListLost => self.out.push(Action::Watch),
+            Event::EndpointList {
+                complete,
+                endpoints: entries,
+            } => self.on_list(*complete, entries),
+            Event::EndpointListLost => self.out.push(Action::WatchEndpoints),
             Event::Request { .. } => self.on_request(e),
-            Event::Streaming { .. } | Event::Wake => {}
-            Event::Ended { .. } => self.on_ended(e),
-            Event::Left { id } => self.close(*id),
-            Event::Probed {
+            Event::Streaming { .. } | Event::TimerFired => {}
+            Event::AttemptEnded { .. } => self.on_ended(e),
+            Event::ClientGone { id } => self.close(*id),
+            Event::HealthChecked {
                 member,
                 outcome,
                 report,
                 ..
             } => self.on_probed(*member, *outcome, *report),
-            Event::Found(found) => found.iter().for_each(|f| self.on_found(f)),
-            Event::Planned(p) => self.planned = p.clone(),
-            Event::Learnt(l) => {
+            Event::SharedHealthChecks(found) => found.iter().for_each(|f| self.on_found(f)),
+            Event::FailoverDirectivesChanged(p) => self.planned = p.clone(),
+            Event::SnapshotReceived(l) => {
                 l.teach(self.now, &mut self.members, &mut self.usual, &mut self.told)
             }
-            Event::Retuned { settings, from } => self.retune(settings, from),
+            Event::SettingsChanged {
+                settings,
+                measurements_from: from,
+            } => self.retune(settings, from),
         }
     }
 
     /// New settings hold from the next decision on. A class that has changed goes on from what was learnt.
     fn retune(&mut self, s: &Settings, from: &[Option<usize>]) {
-        self.usual = carried(&self.usual, from, |i| s.classes[i].aim as f64 * FIRST_GUESS);
+        self.usual = carried(&self.usual, from, |i| {
+            s.classes[i].latency_objective as f64 * FIRST_GUESS
+        });
         self.told = carried(&self.told, from, |_| 0.0);
         self.s = s.clone();
     }
 
     /// What this router has learnt.
-    pub fn lore(&self) -> Lore {
-        Lore::new(&self.members, &self.usual, &self.told)
+    pub fn snapshot(&self) -> RoutingSnapshot {
+        RoutingSnapshot::new(&self.members, &self.usual, &self.told)
     }
 
     /// How long news of a member counts: longer with so many proxies that each hears of it more rarely.
-    fn memory(&self) -> Ns {
-        let few = (f64::from(self.s.proxies) * SPARSE / LIMIT_START).max(1.0);
-        (MEMORY * few * self.s.limits.connect_timeout as f64) as Ns
+    fn memory(&self) -> Nanos {
+        let few = (f64::from(self.s.gateway_count) * SPARSE / LIMIT_START).max(1.0);
+        (MEMORY * few * self.s.limits.connect_timeout as f64) as Nanos
     }
 
     /// Limits on what one proxy holds at a member mean nothing.
     fn sparse(&self) -> bool {
-        LIMIT_START < SPARSE * f64::from(self.s.proxies)
+        LIMIT_START < SPARSE * f64::from(self.s.gateway_count)
     }
 
     /// A sparse proxy asks for word of a member's load, where reports tell it.
     fn asks(&self) -> bool {
-        self.sparse() && self.s.load_told
+        self.sparse() && self.s.in_flight_reported
     }
 
     /// Gateways that share their findings have lately been heard on this group: no probes beside theirs.
@@ -264,7 +272,7 @@
         let mut order: Vec<usize> = (0..g.held.len())
             .filter(|&c| !g.held[c].is_empty())
             .collect();
-        let density = |c: usize| self.s.classes[c].worth / self.usual[c];
+        let density = |c: usize| self.s.classes[c].priority_weight / self.usual[c];
         order.sort_by(|&a, &b| density(b).total_cmp(&density(a)).then(a.cmp(&b)));
         for c in order {
             let queue = std::mem::take(&mut self.groups.get_mut(&gid).expect("group").held[c]);
@@ -329,7 +337,7 @@
             .collect();
         // Danger: the few that were asked last are proven, and all gateways would choose the same ones.
         let informed = self.informed(r.group);
-        if (suitable.is_empty() || informed) && self.s.checks != ServerChecks::None {
+        if (suitable.is_empty() || informed) && self.s.staleness_check != StalenessCheck::None {
             suitable = self.most_advanced(&replicas, r);
         }
         // Danger: one that answers with errors does so at once: it always has room, and draws all reads.
@@ -341,8 +349,9 @@
             // gather on the one furthest behind, and on one more with each such part of their aim.
             let mut behind = suitable;
             behind.sort_by_key(|m| std::cmp::Reverse((self.members[m].lag, *m)));
-            let more = (self.now - r.arrived) * LONG_WAIT / self.s.classes[r.class].aim.max(1);
-            let open = |&(i, _): &(usize, &MemberId)| i as Ns <= more;
+            let more = (self.now - r.arrived) * LONG_WAIT
+                / self.s.classes[r.class].latency_objective.max(1);
+            let open = |&(i, _): &(usize, &MemberId)| i as Nanos <= more;
             return behind
                 .iter()
                 .enumerate()
@@ -363,7 +372,7 @@
             if let Some(m) = self.pick(&admitted(&suitable)) {
                 return Some(m);
             }
-            if self.s.checks != ServerChecks::None {
+            if self.s.staleness_check != StalenessCheck::None {
                 let mut likely = self.most_advanced(&replicas, r);
                 likely.retain(|&m| !self.shunned(m));
                 if let Some(m) = self.pick(&admitted(&likely)) {
@@ -396,7 +405,7 @@
     fn to_primary(&self, class: usize) -> bool {
         matches!(
             self.s.classes[class].freshness,
-            Freshness::Write | Freshness::Fresh
+            Freshness::Write | Freshness::Strong
         )
     }
 
@@ -431,9 +440,9 @@
     }
 
     /// How far it was behind when last heard, where that is not long ago.
-    fn lag(&self, m: MemberId) -> Ns {
+    fn lag(&self, m: MemberId) -> Nanos {
         let m = &self.members[&m];
-        m.lag * Ns::from(self.now - m.lag_at < self.memory())
+        m.lag * Nanos::from(self.now - m.lag_at < self.memory())
     }
 
     /// Inside the window of the best, at random by size, leaning to those with room.
@@ -487,7 +496,11 @@
 
     /// Age of a member's report of load, against the time in which members answer.
     fn age(&self, m: MemberId) -> f64 {
-        let news = if self.s.load_told { NEWS } else { USE_NEWS };
+        let news = if self.s.in_flight_reported {
+            NEWS
+        } else {
+            USE_NEWS
+        };
         (self.now - self.members[&m].told_at) as f64 / (news * self.short() / LONG)
     }
 
@@ -515,7 +528,7 @@
 
     fn in_service(&self, m: MemberId) -> bool {
         let m = &self.members[&m];
-        !m.drained && (!m.gone || self.s.rules.drain_binds_alone)
+        !m.drained && (!m.gone || self.s.rules.only_listed_drains_bind)
     }
 
     /// It may be asked: in service, and not asked yet or just now.
@@ -526,12 +539,12 @@
     }
 
     /// Position that a member must have reached to answer a read sent now.
-    fn need(&self, r: &Request) -> Ns {
+    fn need(&self, r: &Request) -> Nanos {
         match self.s.classes[r.class].freshness {
-            Freshness::Any => Ns::MIN,
-            Freshness::Bounded(bound) => self.now - bound,
+            Freshness::Any => Nanos::MIN,
+            Freshness::BoundedStaleness(bound) => self.now - bound,
             Freshness::Session => r.mark,
-            Freshness::Fresh | Freshness::Write => r.arrived,
+            Freshness::Strong | Freshness::Write => r.arrived,
         }
     }
 
@@ -544,12 +557,12 @@
         let at = &self.members[&m];
         let out = f64::from(at.outstanding);
         if self.sparse() {
-            if !self.s.load_told {
+            if !self.s.in_flight_reported {
                 // Danger: a member that is sent more than it can do serves all too late. Writes come last.
                 let write = self.s.classes[r.class].freshness == Freshness::Write;
                 let shed = if write { 2.0 * at.shed - 1.0 } else { at.shed }
                     * f64::from(self.informed(r.group));
-                let room = part >= 1.0 || r.draw < (1.0 - at.in_use) / SPARE;
+                let room = part >= 1.0 || r.draw < (1.0 - at.cores_in_use) / SPARE;
                 return self.bears(m, r) && room && r.draw < 1.0 - shed;
             }
             // One that said lately that it is full stays so until it says otherwise.
@@ -574,12 +587,12 @@
         let usual = self.usual[class];
         let m = self.members.get_mut(&to).expect("member");
         m.outstanding += 1;
-        m.free_at = self.now + (usual / m.limit.min(1.0)) as Ns;
+        m.free_at = self.now + (usual / m.limit.min(1.0)) as Nanos;
         if m.silent_since.is_none() {
             m.silent_since = Some(self.now);
             m.patience = self.s.limits.connect_timeout;
         }
-        m.patience = m.patience.max((usual * SILENCE) as Ns);
+        m.patience = m.patience.max((usual * SILENCE) as Nanos);
         let r = self.requests.get_mut(&id).expect("request");
         r.held = false;
         r.attempts.push(Attempt {
@@ -587,19 +600,19 @@
             sent: self.now,
             outcome: None,
         });
-        let left = r.arrived + self.s.classes[class].aim - self.now;
-        let copy_at = self.now + (COPY_AFTER * left as f64) as Ns;
-        if self.s.classes[class].repeat == Repeat::Safe
-            && self.s.limits.second_copies
+        let left = r.arrived + self.s.classes[class].latency_objective - self.now;
+        let copy_at = self.now + (COPY_AFTER * left as f64) as Nanos;
+        if self.s.classes[class].idempotency == Idempotency::Idempotent
+            && self.s.limits.hedged_requests
             && copy_at > self.now
         {
             self.reviews.insert((copy_at, id));
         }
         self.rng.rand_u64();
-        self.out.push(Action::Send {
+        self.out.push(Action::StartAttempt {
             id,
             member: to,
-            limit,
+            timeout: limit,
         });
         true
     }
@@ -611,13 +624,14 @@
         // Rule 1: nothing after the final answer, nothing that cannot be answered in time.
         let open = !r.ended
             && self.now < self.end(r)
-            && (r.attempts.len() as u32) < self.s.limits.attempts;
+            && (r.attempts.len() as u32) < self.s.limits.max_attempts;
         // Rule 2: no effect twice.
-        let copies = self.s.limits.second_copies || r.attempts.iter().all(|a| a.outcome.is_some());
-        let repeat = match class.repeat {
-            Repeat::Safe => true,
-            Repeat::Unsafe => !may_have_run(r),
-            Repeat::Keyed { scope, window } => {
+        let copies =
+            self.s.limits.hedged_requests || r.attempts.iter().all(|a| a.outcome.is_some());
+        let idempotency = match class.idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::NotIdempotent => !may_have_run(r),
+            Idempotency::Keyed { scope, window } => {
                 let risky = || {
                     r.attempts
                         .iter()
@@ -625,7 +639,7 @@
                 };
                 // Danger: a connection may have to come up first, and what counts is when the repeat arrives.
                 risky().all(|a| self.now - a.sent + self.s.limits.connect_timeout < window)
-                    && (scope != RepeatScope::Zone
+                    && (scope != DeduplicationScope::Zone
                         || risky().all(|a| {
                             self.members
                                 .get(&a.member)
@@ -638,29 +652,33 @@
         // Rule 4: a cold member's budget.
         let cold = self.bears(to, r);
         // Rule 5: no stale read. Proof, or was primary and has not said otherwise, or it checks by itself.
-        let unchecked = self.s.checks == ServerChecks::None && class.freshness != Freshness::Write;
+        let unchecked =
+            self.s.staleness_check == StalenessCheck::None && class.freshness != Freshness::Write;
         let current = !unchecked || self.proven(to, r) || m.primary_at > m.replica_at;
-        open && copies && repeat && drain && cold && current
+        open && copies && idempotency && drain && cold && current
     }
 
     /// When an attempt stops being of use to its client.
-    fn end(&self, r: &Request) -> Ns {
+    fn end(&self, r: &Request) -> Nanos {
         let c = &self.s.classes[r.class];
         // A safe read with no worth left after its aim should hold no capacity.
-        if c.late_worth == 0.0 && c.repeat == Repeat::Safe && c.aim_stretch == 0.0 {
-            return r.deadline.min(r.arrived + c.aim);
+        if c.late_weight == 0.0
+            && c.idempotency == Idempotency::Idempotent
+            && c.objective_stretch == 0.0
+        {
+            return r.deadline.min(r.arrived + c.latency_objective);
         }
         r.deadline
     }
 
     /// A request still held then is given up: no member could answer it in time any more.
-    fn latest_send(&self, r: &Request) -> Ns {
-        (self.end(r) - (self.usual[r.class] * TIME_TO_ANSWER) as Ns)
+    fn latest_send(&self, r: &Request) -> Nanos {
+        (self.end(r) - (self.usual[r.class] * TIME_TO_ANSWER) as Nanos)
             .min(r.deadline - 2 * self.s.tick)
     }
 
     /// When a request that is held now is given up.
-    fn give_up_at(&self, r: &Request) -> Ns {
+    fn give_up_at(&self, r: &Request) -> Nanos {
         self.latest_send(r).min(r.hold_until)
     }
 
@@ -673,7 +691,7 @@
         let writes = self.to_primary(r.class);
         let led = self
             .planned
-            .ramps
+            .recovery_ramps
             .iter()
             .all(|z| z.0 != m.zone || r.draw < z.1 || writes);
         if self.warmth(to) >= 1.0 || !led {
@@ -693,7 +711,7 @@
             sum / g.most.max(1) as f64
         };
         let chance = self.s.rules.overload_multiple * COLD_SAFETY * part;
-        let turn = (r.draw / chance * self.s.rules.overload_window as f64) as Ns;
+        let turn = (r.draw / chance * self.s.rules.overload_window as f64) as Nanos;
         let piled_up = r.arrived < m.well_since && self.now - m.well_since < turn;
         // Each read is for some of the cold ones only, and least for a primary, lest one alone gets all.
         let alone = COLD_ALONE
@@ -712,9 +730,9 @@
         let rules = &self.s.rules;
         let age = self.members[&m]
             .started
-            .map_or(rules.cold_for, |t| (self.now - t).max(0));
-        let part = (age as f64 / rules.cold_for.max(1) as f64).min(1.0);
-        rules.start_capacity + (1.0 - rules.start_capacity) * part
+            .map_or(rules.warm_up_time, |t| (self.now - t).max(0));
+        let part = (age as f64 / rules.warm_up_time.max(1) as f64).min(1.0);
+        rules.initial_capacity + (1.0 - rules.initial_capacity) * part
     }
 
     // ---- Requests ----
@@ -726,25 +744,25 @@
             session,
             deadline,
             group,
-            mark_age,
+            last_write_age,
             ..
         } = e
         else {
             return;
         };
-        let mark = match (self.s.marks_carried, session) {
+        let mark = match (self.s.last_write_age_carried, session) {
             // Commits are rounded up and positions down: a millisecond on the safe side.
-            (true, _) => mark_age.map_or(Ns::MIN, |age| self.now - age + 1_000_000),
-            (false, Some(s)) => self.commits.get(s).copied().unwrap_or(Ns::MIN),
-            (false, None) => Ns::MIN,
+            (true, _) => last_write_age.map_or(Nanos::MIN, |age| self.now - age + 1_000_000),
+            (false, Some(s)) => self.commits.get(s).copied().unwrap_or(Nanos::MIN),
+            (false, None) => Nanos::MIN,
         };
         let c = &self.s.classes[*class];
         let ask = !self.s.positions_in_answers
-            && self.s.checks == ServerChecks::None
-            && self.s.limits.probes;
+            && self.s.staleness_check == StalenessCheck::None
+            && self.s.limits.health_checks;
         let ask = ask || self.asks();
         let wait = if ask {
-            (c.aim as f64 * PROOF_WAIT) as Ns
+            (c.latency_objective as f64 * PROOF_WAIT) as Nanos
         } else {
             0
         };
@@ -759,7 +777,7 @@
             draw: self.rng.rand_float(),
             ..Request::default()
         };
-        let share = (PROBE_SPEND / self.s.probe_price.max(f64::EPSILON)).min(NEED_MOST);
+        let share = (PROBE_SPEND / self.s.health_check_price.max(f64::EPSILON)).min(NEED_MOST);
         self.need_probes = (self.need_probes + share).min(PROBES_MOST);
         self.calm_probes = (self.calm_probes + CALM_SHARE).min(PROBES_MOST);
         self.calm_probes();
@@ -768,7 +786,7 @@
         // The plan for a lost site leaves a part of each class out: at once, and with a time to come again.
         if self
             .planned
-            .admitted
+            .admitted_share
             .get(*class)
             .is_some_and(|&p| p < 1.0 && self.rng.rand_float() >= p)
         {
@@ -787,11 +805,11 @@
         // little time left to come back. Once half of its patience is spent, that is so whenever it hears.
         // A write is held to its end: an election outlasts any shorter hold, and would fail them all.
         let read = self.s.classes[r.class].freshness != Freshness::Write;
-        let patient = r.arrived + ((r.deadline - r.arrived) as f64 * HOLD_SHARE) as Ns;
+        let patient = r.arrived + ((r.deadline - r.arrived) as f64 * HOLD_SHARE) as Nanos;
         r.hold_until = if read && r.unsent() && self.now < patient {
             patient
         } else {
-            Ns::MAX
+            Nanos::MAX
         };
         let g = self.groups.entry(r.group).or_default();
         g.held.resize(classes, VecDeque::new());
@@ -849,23 +867,25 @@
         };
         let c = &self.s.classes[r.class];
         let dropped = matches!(
-            c.repeat,
-            Repeat::Keyed {
-                scope: RepeatScope::All,
+            c.idempotency,
+            Idempotency::Keyed {
+                scope: DeduplicationScope::All,
                 ..
             }
         );
-        if c.repeat == Repeat::Safe || dropped || !may_have_run(r) {
-            let wish = self
-                .planned
-                .pause
-                .map_or(c.aim, |p| (p as f64 * (1.0 + r.draw)) as Ns);
-            let pause = if self.s.limits.pauses {
-                wish.min(self.s.limits.max_pause)
+        if c.idempotency == Idempotency::Idempotent || dropped || !may_have_run(r) {
+            let wish = self.planned.retry_after.map_or(c.latency_objective, |p| {
+                (p as f64 * (1.0 + r.draw)) as Nanos
+            });
+            let pause = if self.s.limits.retry_after {
+                wish.min(self.s.limits.max_retry_after)
             } else {
                 0
             };
-            self.out.push(Action::Refuse { id, pause });
+            self.out.push(Action::Reject {
+                id,
+                retry_after: pause,
+            });
         } else {
             self.out.push(Action::Fail { id });
         }
@@ -885,10 +905,10 @@
             .collect();
         if out.is_empty() {
             self.requests.remove(&id);
-        } else if first && self.s.limits.cancel {
+        } else if first && self.s.limits.cancellation {
             self.out.extend(
                 out.into_iter()
-                    .map(|attempt| Action::Cancel { id, attempt }),
+                    .map(|attempt| Action::CancelAttempt { id, attempt }),
             );
         }
     }
@@ -896,14 +916,14 @@
     // ---- Answers ----
 
     fn on_ended(&mut self, e: &Event) {
-        let Event::Ended {
+        let Event::AttemptEnded {
             id,
             attempt,
             member,
             outcome,
             elapsed,
             finished,
-            note,
+            status: note,
             report,
         } = e
         else {
@@ -924,8 +944,8 @@
         note.iter()
             .for_each(|&n| self.on_note(*member, n, write, session));
         report.iter().for_each(|&r| self.on_report(*member, r));
-        if *outcome == Outcome::Miss {
-            let need = self.requests.get(id).map_or(Ns::MIN, |r| self.need(r));
+        if *outcome == Outcome::Unsuitable {
+            let need = self.requests.get(id).map_or(Nanos::MIN, |r| self.need(r));
             let known = self.lag(*member);
             let m = self.members.get_mut(member).expect("member");
             if write {
@@ -951,14 +971,15 @@
     }
 
     /// An attempt failed: another is out, or one more is worth it, or the request is given up.
-    fn after_failure(&mut self, id: RequestId, outcome: Outcome, elapsed: Ns) {
+    fn after_failure(&mut self, id: RequestId, outcome: Outcome, elapsed: Nanos) {
         let r = &self.requests[&id];
         if r.ended || r.attempts.iter().any(|a| a.outcome.is_none()) {
             return;
         }
-        let again = self.s.classes[r.class].repeat != Repeat::Unsafe || !may_have_run(r);
-        let in_time =
-            self.now < self.latest_send(r) && (r.attempts.len() as u32) < self.s.limits.attempts;
+        let again =
+            self.s.classes[r.class].idempotency != Idempotency::NotIdempotent || !may_have_run(r);
+        let in_time = self.now < self.latest_send(r)
+            && (r.attempts.len() as u32) < self.s.limits.max_attempts;
         // Attempts that cost no work are free; the others draw on a budget, so that retries feed no storm.
         let free = never_ran(outcome) && outcome != Outcome::Full;
         let work = (elapsed as f64 / self.usual[r.class]).clamp(QUICK, 1.0);
@@ -975,16 +996,17 @@
     }
 
     /// What the end of an attempt says of the member's health and speed.
-    fn hear(&mut self, id: MemberId, class: usize, outcome: Outcome, elapsed: Ns) {
-        let (aim, usual) = (self.s.classes[class].aim, self.usual[class]);
-        let proxies = f64::from(self.s.proxies.max(1));
+    fn hear(&mut self, id: MemberId, class: usize, outcome: Outcome, elapsed: Nanos) {
+        let (latency_objective, usual) =
+            (self.s.classes[class].latency_objective, self.usual[class]);
+        let gateway_count = f64::from(self.s.gateway_count.max(1));
         let memory = self.memory();
         let m = self.members.get_mut(&id).expect("member");
         let fade = m.fade(self.now, memory);
         m.outstanding = m.outstanding.saturating_sub(1);
         let spoke = matches!(
             outcome,
-            Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::Miss
+            Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::Unsuitable
         );
         if spoke {
             m.heard = self.now;
@@ -1010,18 +1032,18 @@
                 self.told[class] += 1.0;
                 self.usual[class] +=
                     CLASS_SMOOTHING.max(1.0 / (1.0 + self.told[class])) * (elapsed as f64 - usual);
-                if elapsed > aim {
+                if elapsed > latency_objective {
                     self.cut(id, class);
-                } else if elapsed * PROMPT < aim {
+                } else if elapsed * PROMPT < latency_objective {
                     m.limit = (m.limit
-                        + (LIMIT_RISE / m.limit / proxies.powf(SHARING)).min(m.limit))
+                        + (LIMIT_RISE / m.limit / gateway_count.powf(SHARING)).min(m.limit))
                     .min(LIMIT_MOST);
                     self.limit = (self.limit + SHARED_RISE / self.limit).min(LIMIT_MOST);
                 }
             }
             Outcome::Full => self.cut(id, class),
             Outcome::TimedOut => {
-                if elapsed * PROMPT > aim {
+                if elapsed * PROMPT > latency_objective {
                     self.cut(id, class);
                 }
                 let m = &self.members[&id];
@@ -1030,7 +1052,7 @@
                 }
             }
             Outcome::ConnectFailed | Outcome::Reset => self.doubt(id),
-            Outcome::Error | Outcome::Cancelled | Outcome::Moot | Outcome::Miss => {}
+            Outcome::Error | Outcome::Cancelled | Outcome::NotSent | Outcome::Unsuitable => {}
         }
     }
 
@@ -1068,13 +1090,17 @@
 
     // ---- News of members ----
 
-    fn on_list(&mut self, complete: bool, entries: &[ListEntry]) {
+    fn on_list(&mut self, complete: bool, entries: &[Endpoint]) {
         self.members.values_mut().for_each(|m| m.gone |= complete);
         entries.iter().for_each(|e| self.on_entry(e));
         let now = self.now;
-        self.members
-            .values_mut()
-            .for_each(|m| m.gone_at = if m.gone { m.gone_at.min(now) } else { Ns::MAX });
+        self.members.values_mut().for_each(|m| {
+            m.gone_at = if m.gone {
+                m.gone_at.min(now)
+            } else {
+                Nanos::MAX
+            }
+        });
         self.forget();
         self.groups
             .values_mut()
@@ -1083,7 +1109,7 @@
 
     /// Members that are gone are forgotten; one that went without a drain once those that took over are warm.
     fn forget(&mut self) {
-        let long_ago = self.now - 2 * self.s.rules.cold_for;
+        let long_ago = self.now - 2 * self.s.rules.warm_up_time;
         let over = |id: MemberId, m: &Member| !self.in_service(id) && m.over(long_ago);
         let gone: BTreeSet<MemberId> = self
             .members
@@ -1097,7 +1123,7 @@
             .for_each(|g| g.members.retain(|id| !gone.contains(id)));
     }
 
-    fn on_entry(&mut self, e: &ListEntry) {
+    fn on_entry(&mut self, e: &Endpoint) {
         if !self.members.contains_key(&e.member) {
             self.groups
                 .entry(e.group)
@@ -1105,7 +1131,7 @@
                 .members
                 .push(e.member);
         }
-        let start = LIMIT_START / f64::from(self.s.proxies.max(1));
+        let start = LIMIT_START / f64::from(self.s.gateway_count.max(1));
         let m = self
             .members
             .entry(e.member)
@@ -1115,13 +1141,19 @@
         }
     }
 
-    fn on_note(&mut self, id: MemberId, n: Note, write: bool, session: Option<SessionId>) {
+    fn on_note(
+        &mut self,
+        id: MemberId,
+        n: ReplicationStatus,
+        write: bool,
+        session: Option<SessionId>,
+    ) {
         self.members
             .get_mut(&id)
             .expect("member")
             .take_note(n, self.now);
         let Some(p) = n.position else { return };
-        if let (true, Some(s), false) = (write, session, self.s.marks_carried) {
+        if let (true, Some(s), false) = (write, session, self.s.last_write_age_carried) {
             self.commits
                 .entry(s)
                 .and_modify(|c| *c = (*c).max(p))
@@ -1131,19 +1163,19 @@
 
     /// Word of gateways on a member. Danger: where members check nothing, a gateway that is wrong would have
     /// stale reads served.
-    fn on_found(&mut self, f: &Finding) {
+    fn on_found(&mut self, f: &SharedHealthCheck) {
         let member = self.members.get_mut(&f.member);
-        let Some(m) = member.filter(|_| self.s.checks != ServerChecks::None) else {
+        let Some(m) = member.filter(|_| self.s.staleness_check != StalenessCheck::None) else {
             return;
         };
         let g = self.groups.get_mut(&m.group).expect("group");
         (g.dirty, g.found_at) = (true, g.found_at.max(f.at));
         if let Some(u) = f
             .report
-            .in_use
-            .filter(|_| f.at >= m.told_at && !self.s.load_told)
+            .cores_in_use
+            .filter(|_| f.at >= m.told_at && !self.s.in_flight_reported)
         {
-            (m.in_use, m.told_at) = (u, f.at);
+            (m.cores_in_use, m.told_at) = (u, f.at);
             m.shed = (m.shed + SHED_GAIN * (u - BUSY)).clamp(0.0, SHED_MOST);
             m.others = m.size * u / (SATURATED - u).max(SATURATED - 1.0);
             self.held_usual += CLASS_SMOOTHING * (m.others / m.size.max(0.01) - self.held_usual);
@@ -1153,15 +1185,15 @@
             Some(p) if f.report.primary == Some(true) => {
                 self.report_age += SMOOTHING * ((f.at - p) as f64 - self.report_age);
             }
-            Some(_) => m.lag = (m.lag - self.report_age as Ns).max(0),
+            Some(_) => m.lag = (m.lag - self.report_age as Nanos).max(0),
             None => {}
         }
     }
 
-    fn on_report(&mut self, id: MemberId, r: Report) {
+    fn on_report(&mut self, id: MemberId, r: LoadReport) {
         let m = self.members.get_mut(&id).expect("member");
         m.take_report(r, self.now);
-        if let Some(n) = r.inflight {
+        if let Some(n) = r.in_flight {
             m.others = (n - f64::from(m.outstanding)).max(0.0);
             m.told_at = self.now;
             self.held_usual += CLASS_SMOOTHING * (m.others / m.size.max(0.01) - self.held_usual);
@@ -1170,7 +1202,7 @@
 
     // ---- Probes ----
 
-    fn on_probed(&mut self, id: MemberId, outcome: Outcome, report: Option<Report>) {
+    fn on_probed(&mut self, id: MemberId, outcome: Outcome, report: Option<LoadReport>) {
         let Some(m) = self.members.get_mut(&id) else {
             return;
         };
@@ -1195,7 +1227,7 @@
             return;
         };
         let mut due: Vec<MemberId> = Vec::new();
-        let rested = |m: &Member, every: Ns| !m.probe_out && self.now - m.probe_at >= every;
+        let rested = |m: &Member, every: Nanos| !m.probe_out && self.now - m.probe_at >= every;
         if g.wants_primary {
             let since = *g.seek_since.get_or_insert(self.now);
             let every = (timeout / SEEK_GAP).max((self.now - since) / 2);
@@ -1240,7 +1272,7 @@
             if self.suspect(id) {
                 timeout
             } else {
-                timeout * MEMORY as Ns
+                timeout * MEMORY as Nanos
             }
         };
         let due = |id: MemberId, m: &Member| {
@@ -1263,10 +1295,10 @@
     }
 
     fn probe(&mut self, id: MemberId) {
-        if self.s.limits.probes {
+        if self.s.limits.health_checks {
             let m = self.members.get_mut(&id).expect("member");
             (m.probe_at, m.probe_out) = (self.now, true);
-            self.out.push(Action::Probe { member: id });
+            self.out.push(Action::HealthCheck { member: id });
         }
     }
 }
--- a/src/simulator/mod.rs
+++ b/src/simulator/mod.rs
@@ -1,8 +1,7 @@
 //! The simulator's JSON wire to the module's interface and back. Nothing here decides anything.
 
-use crate::api::*;
-use crate::decide::Router;
-use crate::settings::{BootInfo, Loaded, Names};
+use crate::platform_settings::{BootInfo, NameTable, PlatformSettings};
+use crate::routing::*;
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 use std::collections::{BTreeMap, HashMap};
@@ -181,9 +180,9 @@
 struct Instance {
     router: Router,
     zero: i64,
-    classes: Names,
-    tenants: Names,
-    zones: Names,
+    classes: NameTable,
+    tenants: NameTable,
+    zones: NameTable,
     members: HashMap<String, MemberId>,
     member_names: Vec<String>,
     requests: HashMap<String, RequestId>,
@@ -202,22 +201,22 @@
         4 => Outcome::ConnectFailed,
         5 => Outcome::Reset,
         6 => Outcome::Cancelled,
-        7 => Outcome::Moot,
-        8 => Outcome::Miss,
+        7 => Outcome::NotSent,
+        8 => Outcome::Unsuitable,
         other => return Err(format!("unknown outcome {other}")),
     })
 }
 
 impl Instance {
     fn new(seed: u64, info: &BootInfo) -> Result<Self, String> {
-        let Loaded {
+        let PlatformSettings {
             settings,
             classes,
             tenants,
             zones,
             position_zero,
             ..
-        } = Loaded::new(seed, info)?;
+        } = PlatformSettings::new(seed, info)?;
         Ok(Instance {
             router: Router::new(settings),
             zero: position_zero,
@@ -244,14 +243,14 @@
         id
     }
 
-    fn report(&self, metrics: Option<Metrics>) -> Option<Report> {
+    fn report(&self, metrics: Option<Metrics>) -> Option<LoadReport> {
         let m = metrics?;
         let get = |k: &str| m.get(k).copied().flatten();
-        let r = Report {
+        let r = LoadReport {
             position: get("x0").map(|s| self.zero + (s * 1e9) as i64),
             primary: get("x1").map(|v| v > 0.5),
-            inflight: get("concurrent").or(get("depth")),
-            in_use: get("load_share").filter(|u| u.is_finite()),
+            in_flight: get("concurrent").or(get("depth")),
+            cores_in_use: get("load_share").filter(|u| u.is_finite()),
         };
         Some(r)
     }
@@ -260,22 +259,25 @@
         let mut entries = Vec::with_capacity(wire.len());
         for e in wire {
             let listed = match e.status.as_str() {
-                "Ready" => Listed::Ready,
-                "Terminating" => Listed::Draining,
-                "Gone" => Listed::Gone,
+                "Ready" => EndpointState::Ready,
+                "Terminating" => EndpointState::Draining,
+                "Gone" => EndpointState::Removed,
                 other => return Err(format!("unknown status {other} of a member")),
             };
-            entries.push(ListEntry {
+            entries.push(Endpoint {
                 member: self.member(&e.member),
                 group: GroupId(e.db),
                 zone: ZoneId(self.zones.number(&e.area) as u32),
-                listed,
+                state: listed,
                 primary: e.primary.unwrap_or(0.0) > 0.5,
                 size: e.nominal.unwrap_or(1.0),
                 started: e.since_ns.filter(|&t| t > 0),
             });
         }
-        self.events.push(Event::List { complete, entries });
+        self.events.push(Event::EndpointList {
+            complete,
+            endpoints: entries,
+        });
         Ok(())
     }
 
@@ -305,7 +307,11 @@
     fn action(&mut self, i: i64, a: Action) -> Option<WireAction> {
         let call = |s: &Self, id: RequestId| s.open.get(&id).map(|o| o.name.clone());
         Some(match a {
-            Action::Send { id, member, limit } => {
+            Action::StartAttempt {
+                id,
+                member,
+                timeout: limit,
+            } => {
                 let o = self.open.get_mut(&id)?;
                 o.attempts_out += 1;
                 WireAction::CallOut {
@@ -315,12 +321,15 @@
                     limit_ns: limit,
                 }
             }
-            Action::Cancel { id, attempt } => WireAction::Recall {
+            Action::CancelAttempt { id, attempt } => WireAction::Recall {
                 i,
                 call: call(self, id)?,
                 seq_no: attempt,
             },
-            Action::Refuse { id, pause } => {
+            Action::Reject {
+                id,
+                retry_after: pause,
+            } => {
                 self.ended(id);
                 WireAction::Bounce {
                     i,
@@ -335,16 +344,16 @@
                     call: call(self, id)?,
                 }
             }
-            Action::Probe { member } => WireAction::Touch {
+            Action::HealthCheck { member } => WireAction::Touch {
                 i,
                 member: self.member_names[member.0 as usize].clone(),
             },
-            Action::Wake { after } => WireAction::After {
+            Action::SetTimer { after } => WireAction::After {
                 i,
                 in_ns: after,
                 name: "wake",
             },
-            Action::Watch => WireAction::Tail { i, active: true },
+            Action::WatchEndpoints => WireAction::Tail { i, active: true },
         })
     }
 }
@@ -419,7 +428,7 @@
                     return Ok(None);
                 };
                 if form == "lost" {
-                    instance.events.push(Event::ListLost);
+                    instance.events.push(Event::EndpointListLost);
                 } else {
                     let entries = (set.and_then(|s| self.catalogs.get(&s)))
                         .ok_or("a view names a catalog that was never sent")?;
@@ -428,7 +437,7 @@
                 return Ok(Some(inst));
             }
             WireEvent::Datagram {} => return Ok(None),
-            WireEvent::Alarm { inst } => (inst, Some(Event::Wake)),
+            WireEvent::Alarm { inst } => (inst, Some(Event::TimerFired)),
             WireEvent::Req {
                 inst,
                 call,
@@ -464,7 +473,7 @@
                     deadline,
                     work,
                     group: GroupId(group),
-                    mark_age: mark_age_ms
+                    last_write_age: mark_age_ms
                         .filter(|&a| a > 0.0)
                         .map(|a| (a * NS_PER_MS as f64) as i64),
                     retry: retry.unwrap_or(false),
@@ -511,16 +520,16 @@
                     };
                     let ms = v >> 2;
                     let position = (ms > 0).then(|| zero + ms * NS_PER_MS);
-                    Some(Note { role, position })
+                    Some(ReplicationStatus { role, position })
                 });
-                let event = Event::Ended {
+                let event = Event::AttemptEnded {
                     id,
                     attempt,
                     member,
                     outcome: outcome(code)?,
                     elapsed: elapsed.unwrap_or(0),
                     finished,
-                    note,
+                    status: note,
                     report: s.report(metrics),
                 };
                 (inst, Some(event))
@@ -530,7 +539,7 @@
                 let event = s.and_then(|s| {
                     let id = s.requests.get(call.as_ref()).copied()?;
                     s.ended(id);
-                    Some(Event::Left { id })
+                    Some(Event::ClientGone { id })
                 });
                 (inst, event)
             }
@@ -547,7 +556,7 @@
                 let Some(&member) = s.members.get(member.as_ref()) else {
                     return Ok(Some(inst));
                 };
-                let event = Event::Probed {
+                let event = Event::HealthChecked {
                     member,
                     outcome: outcome(code)?,
                     elapsed: elapsed.unwrap_or(0),
--- a/tests/cold_fleet.rs
+++ b/tests/cold_fleet.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::*;
-use irisrouter::api::*;
+use irisrouter::routing::*;
 use std::collections::BTreeMap;
 
 const MEMBERS: u32 = 6;
@@ -31,11 +31,11 @@
 type Due = (usize, RequestId, u32, u32, Outcome);
 
 /// Requests beyond the budget and what chance adds to it, in the worst window of eight seconds of the worst cold member.
-fn worst_excess(proxies: u32, load: f64, day: Day, seed: u64) -> f64 {
-    let mut s = settings(ServerChecks::Refuse);
-    s.proxies = proxies;
+fn worst_excess(gateway_count: u32, load: f64, day: Day, seed: u64) -> f64 {
+    let mut s = settings(StalenessCheck::Reject);
+    s.gateway_count = gateway_count;
     (s.rules.overload_multiple, s.rules.overload_window) = (2.0, 3 * S);
-    s.load_told = false;
+    s.in_flight_reported = false;
     let rules = s.rules.clone();
     let mut rng = oorandom::Rand64::new(u128::from(seed));
     let (first_cold, primary) = if day == Day::Release {
@@ -43,7 +43,7 @@
     } else {
         (COLD, 0)
     };
-    let mut routers: Vec<World> = (0..proxies)
+    let mut routers: Vec<World> = (0..gateway_count)
         .map(|n| {
             let mut w = World::new(Settings {
                 seed: seed * 1_000 + u64::from(n),
@@ -51,22 +51,22 @@
             });
             let cold = |m| (m >= first_cold).then_some(w.now);
             let all = (0..MEMBERS)
-                .map(|m| ListEntry {
+                .map(|m| Endpoint {
                     started: cold(m),
-                    ..entry(m, Listed::Ready)
+                    ..entry(m, EndpointState::Ready)
                 })
                 .collect();
-            w.step(&[Event::List {
+            w.step(&[Event::EndpointList {
                 complete: true,
-                entries: all,
+                endpoints: all,
             }]);
             (0..MEMBERS).for_each(|m| drop(w.report(m, m == primary, w.now)));
-            for phase in [Listed::Draining, Listed::Gone] {
+            for phase in [EndpointState::Draining, EndpointState::Removed] {
                 if day == Day::Release {
                     let entries = (0..first_cold).map(|m| entry(m, phase)).collect();
-                    w.step(&[Event::List {
+                    w.step(&[Event::EndpointList {
                         complete: false,
-                        entries,
+                        endpoints: entries,
                     }]);
                 }
             }
@@ -74,23 +74,23 @@
         })
         .collect();
     let start = routers[0].now;
-    let warmth = |at: Ns| {
-        let age = ((at - start) as f64 / rules.cold_for as f64).min(1.0);
-        rules.start_capacity + (1.0 - rules.start_capacity) * age
+    let warmth = |at: Nanos| {
+        let age = ((at - start) as f64 / rules.warm_up_time as f64).min(1.0);
+        rules.initial_capacity + (1.0 - rules.initial_capacity) * age
     };
-    let mut inflight = [0.0f64; MEMBERS as usize];
-    let mut due: BTreeMap<(Ns, u64), Due> = BTreeMap::new();
+    let mut in_flight = [0.0f64; MEMBERS as usize];
+    let mut due: BTreeMap<(Nanos, u64), Due> = BTreeMap::new();
     let (mut number, mut now, mut next) = (0u64, start, start);
-    let mut sends: BTreeMap<u32, Vec<Ns>> = BTreeMap::new();
+    let mut sends: BTreeMap<u32, Vec<Nanos>> = BTreeMap::new();
     let again = if day == Day::Release { 2.6 } else { 1.0 };
     let every = S as f64 / (PER_S * f64::from(MEMBERS) * load * again);
     let mut tries: BTreeMap<(usize, RequestId), u32> = BTreeMap::new();
     while now < start + 8 * S {
-        let soonest = due.keys().next().map_or(Ns::MAX, |k| k.0);
+        let soonest = due.keys().next().map_or(Nanos::MAX, |k| k.0);
         now = soonest.min(next);
         let (router, out) = if now == next {
-            next += (every * 2.0 * rng.rand_float()) as Ns + 1;
-            let r = rng.rand_range(0..u64::from(proxies)) as usize;
+            next += (every * 2.0 * rng.rand_float()) as Nanos + 1;
+            let r = rng.rand_range(0..u64::from(gateway_count)) as usize;
             routers[r].now = now;
             // A tenth are writes.
             let class = if rng.rand_float() < 0.1 {
@@ -101,7 +101,7 @@
             (r, routers[r].ask(class, None).1)
         } else {
             let (_, (r, id, attempt, m, outcome)) = due.pop_first().unwrap();
-            inflight[m as usize] -= 1.0;
+            in_flight[m as usize] -= 1.0;
             routers[r].now = now;
             let role = if m == primary {
                 Role::Primary
@@ -111,7 +111,7 @@
             (r, routers[r].end(id, attempt, m, outcome, role))
         };
         for action in out {
-            let Action::Send {
+            let Action::StartAttempt {
                 id,
                 member: MemberId(m),
                 ..
@@ -124,27 +124,27 @@
             if cold {
                 sends.entry(m).or_default().push(now);
             }
-            inflight[m as usize] += 1.0;
+            in_flight[m as usize] += 1.0;
             let strength = if cold { warmth(now) } else { 1.0 };
             let took =
-                S as f64 / PER_S * PLACES * (inflight[m as usize] / PLACES).max(1.0) / strength;
+                S as f64 / PER_S * PLACES * (in_flight[m as usize] / PLACES).max(1.0) / strength;
             let behind = matches!(day, Day::Behind | Day::Release) && cold && m != primary;
             let (took, outcome) = match day == Day::OthersSilent && (1..=2).contains(&m) {
-                _ if behind => (MS, Outcome::Miss),
+                _ if behind => (MS, Outcome::Unsuitable),
                 true => (250 * MS, Outcome::ConnectFailed),
-                false => (took as Ns, Outcome::Ok),
+                false => (took as Nanos, Outcome::Ok),
             };
             due.insert((now + took, number), (router, id, *attempt, m, outcome));
             (number, *attempt) = (number + 1, *attempt + 1);
         }
     }
-    let budget = |at: Ns| {
+    let budget = |at: Nanos| {
         let n =
             rules.overload_multiple * warmth(at) * PER_S * rules.overload_window as f64 / S as f64;
         n + 2.0 * n.sqrt() + 2.0
     };
-    let excess = |sends: &Vec<Ns>| {
-        let within = |at: Ns| {
+    let excess = |sends: &Vec<Nanos>| {
+        let within = |at: Nanos| {
             sends
                 .iter()
                 .filter(|&&t| t <= at && t > at - rules.overload_window)
@@ -162,18 +162,18 @@
 /// however quickly it answers, and whatever the others can do.
 #[test]
 fn all_gateways_together_keep_a_cold_members_budget() {
-    for proxies in [3, 20, 31, 60] {
+    for gateway_count in [3, 20, 31, 60] {
         for day in [Day::Serves, Day::Behind, Day::OthersSilent, Day::Release] {
             for load in [0.5, 0.9, 1.2] {
-                let seeds = (1..=3).map(|seed| worst_excess(proxies, load, day, seed));
+                let seeds = (1..=3).map(|seed| worst_excess(gateway_count, load, day, seed));
                 let worst = seeds.fold(f64::NEG_INFINITY, f64::max);
                 if std::env::var("LOOK").is_ok() {
-                    eprintln!("{proxies} {day:?} {load}: {worst:.0}");
+                    eprintln!("{gateway_count} {day:?} {load}: {worst:.0}");
                     continue;
                 }
                 assert!(
                     worst <= 0.0,
-                    "{proxies} gateways, {day:?}, load {load}: {worst:.0} beyond chance"
+                    "{gateway_count} gateways, {day:?}, load {load}: {worst:.0} beyond chance"
                 );
             }
         }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,11 +1,10 @@
 //! A small world for module tests: settings, members and a router driven by hand.
 #![allow(dead_code)]
 
-use irisrouter::api::*;
-use irisrouter::decide::Router;
+use irisrouter::routing::*;
 
-pub const MS: Ns = 1_000_000;
-pub const S: Ns = 1_000 * MS;
+pub const MS: Nanos = 1_000_000;
+pub const S: Nanos = 1_000 * MS;
 pub const G: GroupId = GroupId(1);
 
 /// Indices of the classes in `settings`.
@@ -16,79 +15,83 @@
 pub const WRITE: usize = 4;
 pub const KEYED: usize = 5;
 
-fn class(freshness: Freshness, repeat: Repeat, late_worth: f64) -> Class {
-    Class {
-        aim: 500 * MS,
-        aim_stretch: 0.0,
+fn class(freshness: Freshness, idempotency: Idempotency, late_weight: f64) -> RequestClass {
+    RequestClass {
+        latency_objective: 500 * MS,
+        objective_stretch: 0.0,
         deadline: 2 * S,
-        worth: 1.0,
-        late_worth,
-        repeat,
+        priority_weight: 1.0,
+        late_weight,
+        idempotency,
         freshness,
     }
 }
 
-pub fn settings(checks: ServerChecks) -> Settings {
-    let keyed = Repeat::Keyed {
-        scope: RepeatScope::Group,
+pub fn settings(checks: StalenessCheck) -> Settings {
+    let keyed = Idempotency::Keyed {
+        scope: DeduplicationScope::Group,
         window: S,
     };
     Settings {
         seed: 7,
-        proxies: 3,
+        gateway_count: 3,
         zone: ZoneId(0),
         tick: 5 * MS,
         classes: vec![
-            class(Freshness::Bounded(300 * MS), Repeat::Safe, 0.0),
-            class(Freshness::Session, Repeat::Safe, 0.0),
-            class(Freshness::Fresh, Repeat::Safe, 0.0),
-            class(Freshness::Any, Repeat::Safe, 0.0),
-            class(Freshness::Write, Repeat::Unsafe, 0.5),
+            class(
+                Freshness::BoundedStaleness(300 * MS),
+                Idempotency::Idempotent,
+                0.0,
+            ),
+            class(Freshness::Session, Idempotency::Idempotent, 0.0),
+            class(Freshness::Strong, Idempotency::Idempotent, 0.0),
+            class(Freshness::Any, Idempotency::Idempotent, 0.0),
+            class(Freshness::Write, Idempotency::NotIdempotent, 0.5),
             class(Freshness::Write, keyed, 0.5),
         ],
         tenants: vec![],
-        over_share_worth: 0.1,
-        probe_price: 0.01,
+        over_quota_weight: 0.1,
+        health_check_price: 0.01,
         limits: Limits {
-            attempts: 6,
-            probes: true,
-            cancel: true,
-            second_copies: true,
-            pauses: true,
-            max_pause: 2 * S,
+            max_attempts: 6,
+            health_checks: true,
+            cancellation: true,
+            hedged_requests: true,
+            retry_after: true,
+            max_retry_after: 2 * S,
             connect_timeout: 250 * MS,
         },
-        rules: Rules {
+        rules: SafetyRules {
             drain_grace: S,
-            drain_binds_alone: false,
-            cold_for: 15 * S,
-            start_capacity: 0.2,
+            only_listed_drains_bind: false,
+            warm_up_time: 15 * S,
+            initial_capacity: 0.2,
             overload_multiple: 4.0,
             overload_window: S,
         },
-        checks,
-        list_role: ListRole::None,
-        positions_in_answers: checks != ServerChecks::None,
-        marks_carried: true,
-        reports: Reports::Probes,
-        load_told: true,
-        list_on_request: false,
+        staleness_check: checks,
+        role_in_endpoint_list: RoleInEndpointList::None,
+        positions_in_answers: checks != StalenessCheck::None,
+        last_write_age_carried: true,
+        load_report_source: LoadReportSource::HealthChecks,
+        in_flight_reported: true,
+        endpoint_list_on_request: false,
     }
 }
 
 /// A router at a clock, with the ids it will hand out next.
 pub struct World {
     pub router: Router,
-    pub now: Ns,
+    pub now: Nanos,
     pub next: u64,
 }
 
-pub fn entry(member: u32, listed: Listed) -> ListEntry {
-    ListEntry {
+pub fn entry(member: u32, listed: EndpointState) -> Endpoint {
+    Endpoint {
         member: MemberId(member),
         group: G,
         zone: ZoneId(member % 2),
-        listed,
+        state: listed,
         primary: false,
         size: 1.0,
         started: None,
@@ -103,10 +106,10 @@
             now: 1_000 * S,
             next: 0,
         };
-        let entries = (0..3).map(|m| entry(m, Listed::Ready)).collect();
-        w.step(&[Event::List {
+        let entries = (0..3).map(|m| entry(m, EndpointState::Ready)).collect();
+        w.step(&[Event::EndpointList {
             complete: true,
-            entries,
+            endpoints: entries,
         }]);
         w.report(0, true, w.now);
         w.report(1, false, w.now);
@@ -118,27 +121,27 @@
         self.router.batch(self.now, events)
     }
 
-    pub fn after(&mut self, time: Ns) -> Vec<Action> {
+    pub fn after(&mut self, time: Nanos) -> Vec<Action> {
         self.now += time;
-        self.step(&[Event::Wake])
+        self.step(&[Event::TimerFired])
     }
 
     /// Time passes in steps of 10 ms; all actions of it.
-    pub fn pass(&mut self, time: Ns) -> Vec<Action> {
+    pub fn pass(&mut self, time: Nanos) -> Vec<Action> {
         (0..time / (10 * MS))
             .flat_map(|_| self.after(10 * MS))
             .collect()
     }
 
-    pub fn report(&mut self, m: u32, primary: bool, position: Ns) -> Vec<Action> {
-        let report = Report {
+    pub fn report(&mut self, m: u32, primary: bool, position: Nanos) -> Vec<Action> {
+        let report = LoadReport {
             position: Some(position),
             primary: Some(primary),
-            inflight: Some(0.0),
-            in_use: None,
+            in_flight: Some(0.0),
+            cores_in_use: None,
         };
         let member = MemberId(m);
-        self.step(&[Event::Probed {
+        self.step(&[Event::HealthChecked {
             member,
             outcome: Outcome::Ok,
             elapsed: MS,
@@ -146,7 +149,7 @@
         }])
     }
 
-    pub fn request(&mut self, class: usize, mark_age: Option<Ns>) -> (RequestId, Event) {
+    pub fn request(&mut self, class: usize, last_write_age: Option<Nanos>) -> (RequestId, Event) {
         let id = RequestId(self.next);
         self.next += 1;
         let deadline = self.now + 2 * S;
@@ -159,15 +162,15 @@
             deadline,
             work: None,
             group: G,
-            mark_age,
+            last_write_age,
             retry: false,
         };
         (id, e)
     }
 
     /// Brings a request in and returns the actions on it.
-    pub fn ask(&mut self, class: usize, mark_age: Option<Ns>) -> (RequestId, Vec<Action>) {
-        let (id, e) = self.request(class, mark_age);
+    pub fn ask(&mut self, class: usize, last_write_age: Option<Nanos>) -> (RequestId, Vec<Action>) {
+        let (id, e) = self.request(class, last_write_age);
         let out = self.step(&[e]);
         (id, out)
     }
@@ -182,20 +185,20 @@
     ) -> Vec<Action> {
         let spoke = matches!(
             outcome,
-            Outcome::Ok | Outcome::Miss | Outcome::Full | Outcome::Error
+            Outcome::Ok | Outcome::Unsuitable | Outcome::Full | Outcome::Error
         );
-        let note = spoke.then_some(Note {
+        let note = spoke.then_some(ReplicationStatus {
             role,
             position: None,
         });
-        self.step(&[Event::Ended {
+        self.step(&[Event::AttemptEnded {
             id,
             attempt,
             member: MemberId(m),
             outcome,
             elapsed: 50 * MS,
             finished: outcome == Outcome::Ok,
-            note,
+            status: note,
             report: None,
         }])
     }
@@ -204,14 +207,14 @@
 /// The member that a request is sent to among these actions.
 pub fn sent(id: RequestId, out: &[Action]) -> Option<u32> {
     out.iter().find_map(|a| match a {
-        Action::Send { id: i, member, .. } if *i == id => Some(member.0),
+        Action::StartAttempt { id: i, member, .. } if *i == id => Some(member.0),
         _ => None,
     })
 }
 
 pub fn refused(id: RequestId, out: &[Action]) -> bool {
     out.iter()
-        .any(|a| matches!(a, Action::Refuse { id: i, .. } if *i == id))
+        .any(|a| matches!(a, Action::Reject { id: i, .. } if *i == id))
 }
 
 pub fn failed(id: RequestId, out: &[Action]) -> bool {
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -2,11 +2,11 @@
 
 mod common;
 use common::*;
-use irisrouter::api::*;
+use irisrouter::routing::*;
 
 #[test]
 fn writes_and_fresh_reads_go_to_the_primary() {
-    let mut w = World::new(settings(ServerChecks::None));
+    let mut w = World::new(settings(StalenessCheck::None));
     for class in [WRITE, FRESH] {
         let (id, out) = w.ask(class, None);
         assert_eq!(sent(id, &out), Some(0));
@@ -16,7 +16,7 @@
 
 #[test]
 fn other_reads_prefer_a_replica_that_is_recent_enough() {
-    let mut w = World::new(settings(ServerChecks::None));
+    let mut w = World::new(settings(StalenessCheck::None));
     w.report(1, false, w.now - 400 * MS);
     w.now += 100 * MS;
     let (id, out) = w.ask(BOUNDED, None);
@@ -26,7 +26,7 @@
 
 #[test]
 fn a_lagging_replica_gets_no_bounded_read_and_the_primary_takes_it() {
-    let mut w = World::new(settings(ServerChecks::None));
+    let mut w = World::new(settings(StalenessCheck::None));
     w.pass(S);
     w.report(0, true, w.now);
     w.report(1, false, w.now - 350 * MS);
@@ -43,7 +43,7 @@
 
 #[test]
 fn a_session_read_needs_the_position_of_its_write() {
-    let mut w = World::new(settings(ServerChecks::None));
+    let mut w = World::new(settings(StalenessCheck::None));
     let at = w.now;
     w.now += 100 * MS;
     let (id, out) = w.ask(SESSION, Some(150 * MS));
@@ -63,24 +63,24 @@
 
 #[test]
 fn remembered_marks_come_from_answered_writes() {
-    let mut s = settings(ServerChecks::None);
-    s.marks_carried = false;
+    let mut s = settings(StalenessCheck::None);
+    s.last_write_age_carried = false;
     let mut w = World::new(s);
     let (id, out) = w.ask(WRITE, None);
     assert_eq!(sent(id, &out), Some(0));
     w.now += 20 * MS;
-    let note = Some(Note {
+    let note = Some(ReplicationStatus {
         role: Role::Primary,
         position: Some(w.now),
     });
-    w.step(&[Event::Ended {
+    w.step(&[Event::AttemptEnded {
         id,
         attempt: 0,
         member: MemberId(0),
         outcome: Outcome::Ok,
         elapsed: 20 * MS,
         finished: true,
-        note,
+        status: note,
         report: None,
     }]);
     let (id, out) = w.ask(SESSION, None);
@@ -95,16 +95,16 @@
 
 #[test]
 fn a_write_is_held_without_a_primary_and_sent_when_one_claims_the_role() {
-    let mut w = World::new(settings(ServerChecks::Refuse));
+    let mut w = World::new(settings(StalenessCheck::Reject));
     let (id, out) = w.ask(WRITE, None);
     assert_eq!(sent(id, &out), Some(0));
     w.report(1, false, w.now);
     w.report(2, false, w.now);
-    let mut out = w.end(id, 0, 0, Outcome::Miss, Role::Replica);
+    let mut out = w.end(id, 0, 0, Outcome::Unsuitable, Role::Replica);
     assert_eq!(sent(id, &out), None, "held");
     out.extend(w.pass(200 * MS));
     assert!(
-        out.iter().any(|a| matches!(a, Action::Probe { .. })),
+        out.iter().any(|a| matches!(a, Action::HealthCheck { .. })),
         "and looked for"
     );
     assert!(!refused(id, &out) && !failed(id, &out));
@@ -114,7 +114,7 @@
 
 #[test]
 fn the_random_pick_uses_both_replicas() {
-    let mut s = settings(ServerChecks::None);
+    let mut s = settings(StalenessCheck::None);
     s.zone = ZoneId(9);
     let mut w = World::new(s);
     let mut seen = [0; 3];
@@ -131,12 +131,12 @@
 
 #[test]
 fn where_replicas_check_reads_the_most_advanced_goes_first() {
-    let mut w = World::new(settings(ServerChecks::Refuse));
+    let mut w = World::new(settings(StalenessCheck::Reject));
     w.pass(400 * MS);
     let (id, out) = w.ask(BOUNDED, None);
     let first = sent(id, &out).expect("sent to a replica on its likely position");
     assert!(first != 0);
-    let out = w.end(id, 0, first, Outcome::Miss, Role::Replica);
+    let out = w.end(id, 0, first, Outcome::Unsuitable, Role::Replica);
     let next = sent(id, &out).expect("and elsewhere after a miss");
     assert!(next != first);
 }
--- a/tests/findings.rs
+++ b/tests/findings.rs
@@ -2,11 +2,15 @@
 
 mod common;
 use common::*;
-use irisrouter::api::*;
+use irisrouter::routing::*;
 
-fn fleet(checks: ServerChecks) -> World {
+fn fleet(checks: StalenessCheck) -> World {
     let mut s = settings(checks);
-    (s.proxies, s.load_told, s.positions_in_answers) = (100, false, false);
+    (
+        s.gateway_count,
+        s.in_flight_reported,
+        s.positions_in_answers,
+    ) = (100, false, false);
     s.zone = ZoneId(9);
     let mut w = World::new(s);
     // What it was told at its start is long past.
@@ -14,31 +18,31 @@
     w
 }
 
-fn found(w: &World, m: u32, lag: Ns, in_use: f64) -> Finding {
+fn found(w: &World, m: u32, lag: Nanos, cores_in_use: f64) -> SharedHealthCheck {
     let (position, primary) = (Some(w.now - lag), Some(m == 0));
-    let report = Report {
+    let report = LoadReport {
         position,
         primary,
-        inflight: None,
-        in_use: Some(in_use),
+        in_flight: None,
+        cores_in_use: Some(cores_in_use),
     };
-    Finding {
+    SharedHealthCheck {
         member: MemberId(m),
         at: w.now,
         report,
     }
 }
 
-fn tell(w: &mut World, of: [(Ns, f64); 3]) -> Vec<Action> {
+fn tell(w: &mut World, of: [(Nanos, f64); 3]) -> Vec<Action> {
     let found = (0..3)
         .zip(of)
-        .map(|(m, (lag, in_use))| found(w, m, lag, in_use))
+        .map(|(m, (lag, cores_in_use))| found(w, m, lag, cores_in_use))
         .collect();
-    w.step(&[Event::Found(found)])
+    w.step(&[Event::SharedHealthChecks(found)])
 }
 
 /// Where each of so many bounded reads goes, told anew before each.
-fn reads(w: &mut World, n: usize, of: [(Ns, f64); 3]) -> [usize; 3] {
+fn reads(w: &mut World, n: usize, of: [(Nanos, f64); 3]) -> [usize; 3] {
     let mut to = [0; 3];
     for _ in 0..n {
         w.now += 20 * MS;
@@ -62,7 +66,7 @@
 #[test]
 fn what_others_find_is_not_probed_again() {
     let count = |told: bool| {
-        let mut w = fleet(ServerChecks::Wait(50 * MS));
+        let mut w = fleet(StalenessCheck::Wait(50 * MS));
         let mut probes = 0;
         for _ in 0..100 {
             w.now += 50 * MS;
@@ -78,7 +82,7 @@
             }
             probes += out
                 .iter()
-                .filter(|a| matches!(a, Action::Probe { .. }))
+                .filter(|a| matches!(a, Action::HealthCheck { .. }))
                 .count();
         }
         probes
@@ -91,13 +95,13 @@
 #[test]
 fn a_replica_that_was_found_too_far_behind_gets_no_read() {
     let to = reads(
-        &mut fleet(ServerChecks::Wait(50 * MS)),
+        &mut fleet(StalenessCheck::Wait(50 * MS)),
         200,
         [(0, 0.2), (30 * MS, 0.2), (900 * MS, 0.2)],
     );
     assert_eq!(to, [0, 200, 0]);
     let to = reads(
-        &mut fleet(ServerChecks::Wait(50 * MS)),
+        &mut fleet(StalenessCheck::Wait(50 * MS)),
         200,
         [(0, 0.2), (30 * MS, 0.2), (60 * MS, 0.2)],
     );
@@ -108,11 +112,11 @@
 #[test]
 fn reads_without_a_replica_go_to_the_primary_as_far_as_it_has_room() {
     let behind = (900 * MS, 0.2);
-    let at = |in_use| {
+    let at = |cores_in_use| {
         reads(
-            &mut fleet(ServerChecks::Wait(50 * MS)),
+            &mut fleet(StalenessCheck::Wait(50 * MS)),
             200,
-            [(0, in_use), behind, behind],
+            [(0, cores_in_use), behind, behind],
         )[0]
     };
     assert_eq!(at(0.4), 200);
@@ -124,7 +128,7 @@
 #[test]
 fn reads_lean_to_the_replica_with_cores_to_spare() {
     let to = reads(
-        &mut fleet(ServerChecks::Wait(50 * MS)),
+        &mut fleet(StalenessCheck::Wait(50 * MS)),
         300,
         [(0, 0.5), (30 * MS, 0.3), (30 * MS, 0.98)],
     );
@@ -134,7 +138,7 @@
 /// Guards against late word that displaces newer word, whatever the order, and however often it comes.
 #[test]
 fn older_findings_change_nothing() {
-    let mut w = fleet(ServerChecks::Wait(50 * MS));
+    let mut w = fleet(StalenessCheck::Wait(50 * MS));
     let old = [
         found(&w, 0, 0, 0.2),
         found(&w, 1, 800 * MS, 0.2),
@@ -144,7 +148,7 @@
     w.now += 100 * MS;
     tell(&mut w, [(0, 0.2), (800 * MS, 0.2), (10 * MS, 0.2)]);
     for _ in 0..3 {
-        w.step(&[Event::Found(old.clone())]);
+        w.step(&[Event::SharedHealthChecks(old.clone())]);
     }
     let (id, out) = w.ask(SESSION, Some(20 * MS));
     assert_eq!(sent(id, &out), Some(2), "{out:?}");
@@ -153,7 +157,7 @@
 /// Guards against stale reads on a gateway's word where hosts check nothing.
 #[test]
 fn where_hosts_check_nothing_findings_prove_nothing() {
-    let mut w = fleet(ServerChecks::None);
+    let mut w = fleet(StalenessCheck::None);
     w.now += 10 * S;
     tell(&mut w, [(0, 0.2), (0, 0.2), (0, 0.2)]);
     let (id, out) = w.ask(BOUNDED, None);
@@ -163,19 +167,26 @@
 /// Guards against a host that the own list has not named.
 #[test]
 fn findings_of_unknown_hosts_are_passed_over() {
-    let mut w = fleet(ServerChecks::Wait(50 * MS));
+    let mut w = fleet(StalenessCheck::Wait(50 * MS));
     let f = found(&w, 9, 0, 0.0);
-    assert_eq!(w.step(&[Event::Found(vec![f])]), vec![]);
+    assert_eq!(w.step(&[Event::SharedHealthChecks(vec![f])]), vec![]);
 }
 
 /// Guards against a fleet that sends a host more than it can do until it serves nothing in time.
 #[test]
 fn a_host_that_stays_too_busy_is_spared_a_share_of_its_requests_and_writes_last() {
-    let part = |class: usize, in_use: f64| {
-        let mut w = fleet(ServerChecks::Wait(50 * MS));
+    let part = |class: usize, cores_in_use: f64| {
+        let mut w = fleet(StalenessCheck::Wait(50 * MS));
         for _ in 0..40 {
             w.now += 200 * MS;
-            tell(&mut w, [(0, in_use), (20 * MS, in_use), (20 * MS, in_use)]);
+            tell(
+                &mut w,
+                [
+                    (0, cores_in_use),
+                    (20 * MS, cores_in_use),
+                    (20 * MS, cores_in_use),
+                ],
+            );
         }
         let sent_at_once = |w: &mut World| {
             let (id, out) = w.ask(class, None);
--- a/tests/gateway/endings.rs
+++ b/tests/gateway/endings.rs
@@ -1,6 +1,6 @@
 //! What is owed in the instant in which something ends, each crossing forced by a stand-in that holds bytes back.
 
-use super::house::*;
+use super::harness::*;
 use super::row;
 use serde_json::json;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -235,7 +235,7 @@
     let mut client = gateway.client();
     client.send(&query(&statement("order", 9_000)));
     let mut late = shy.next();
-    discovery.publish(List::Is(json!([shy.entry("terminating")])));
+    discovery.publish(EndpointList::Is(json!([shy.entry("terminating")])));
     welcome(&mut late);
     assert_eq!(
         query_of(&mut late),
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -252,7 +252,7 @@
 }
 
 /// What discovery answers next.
-pub enum List {
+pub enum EndpointList {
     Is(Value),
     Garbage,
 }
@@ -260,7 +260,7 @@
 /// Discovery: its list, and the calls that it has had.
 pub struct Discovery {
     pub address: SocketAddr,
-    pub list: Watched<(u64, List)>,
+    pub list: Watched<(u64, EndpointList)>,
     pub calls: Watched<Vec<String>>,
 }
 
@@ -268,7 +268,7 @@
     pub fn start(members: Vec<Value>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let list = Watched::new((1, List::Is(json!(members))));
+        let list = Watched::new((1, EndpointList::Is(json!(members))));
         let calls = Watched::new(Vec::new());
         let here = Discovery {
             address,
@@ -285,7 +285,7 @@
     }
 
     /// Publishes a list, and waits until the gateway has taken it and calls again.
-    pub fn publish(&self, list: List) {
+    pub fn publish(&self, list: EndpointList) {
         let version = self.list.change(|l| {
             *l = (l.0 + 1, list);
             l.0
@@ -299,7 +299,7 @@
 fn discover(
     stream: TcpStream,
     n: usize,
-    list: &Watched<(u64, List)>,
+    list: &Watched<(u64, EndpointList)>,
     calls: &Watched<Vec<String>>,
 ) -> Option<()> {
     let mut writer = stream.try_clone().ok()?;
@@ -315,10 +315,10 @@
         // A call waits for news; one that waits in vain is kept silent, for the gateway to get over.
         let body = list.wait("a newer list", |(version, l)| {
             (*version > from).then(|| match l {
-                List::Is(members) => {
+                EndpointList::Is(members) => {
                     json!({"revision": version, "complete": true, "members": members}).to_string()
                 }
-                List::Garbage => "{\"revision\":".to_string(),
+                EndpointList::Garbage => "{\"revision\":".to_string(),
             })
         });
         write!(
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,8 +1,8 @@
 //! The real program as a process: its conversations with clients, database hosts and discovery.
 
 mod endings;
-mod house;
-use house::*;
+mod harness;
+use harness::*;
 use insta::assert_snapshot;
 use serde_json::json;
 use std::io::Read;
@@ -255,7 +255,7 @@
         1
     );
     gateway.signal("-USR1");
-    gateway.wait_for_log(" served=4 cut_off=2 ");
+    gateway.wait_for_log(" served=4 truncated=2 ");
 }
 
 /// Guards against a client that bears another's open request's id: a host takes it for the same request.
@@ -390,7 +390,9 @@
     host.wait_for(&format!("{number}: closed"));
     gateway.signal("-USR1");
     gateway.log.wait("the counters", |l| {
-        l.iter().any(|l| l.contains(" left=1 ")).then_some(())
+        l.iter()
+            .any(|l| l.contains(" client_gone=1 "))
+            .then_some(())
     });
     assert!(gateway
         .client()
@@ -453,7 +455,7 @@
     let gateway = Gateway::start(&discovery, &[&one, &two]);
     let mut client = gateway.client();
     let both = |phase: &str| json!([one.entry("in_service", 0), two.entry(phase, 0)]);
-    discovery.publish(List::Is(both("terminating")));
+    discovery.publish(EndpointList::Is(both("terminating")));
     let before = two.statements().len();
     for _ in 0..10 {
         assert!(client.ask(&statement("read", 9_000)).contains("a1b2"));
@@ -470,7 +472,9 @@
         )
     });
     // A malformed list changes nothing, and the next call comes on a new connection.
-    discovery.list.change(|l| *l = (l.0 + 1, List::Garbage));
+    discovery
+        .list
+        .change(|l| *l = (l.0 + 1, EndpointList::Garbage));
     let first = discovery.calls.wait("a new connection", |c| {
         let again = c
             .iter()
@@ -482,7 +486,7 @@
     assert_eq!(two.statements().len(), before);
     // A new process at an address of its own: the old connections lead nowhere.
     let three = Host::start("s-1", true, |_, _| Say::Row("new"));
-    discovery.publish(List::Is(json!([
+    discovery.publish(EndpointList::Is(json!([
         three.entry("in_service", 1_700_000_000_000u64)
     ])));
     assert!(client.ask(&statement("once", 9_000)).contains("new"));
@@ -509,7 +513,7 @@
         Discovery::start(vec![one.entry("in_service", 0)]),
     );
     let mut gateway = Gateway::start(&old, &[&one, &two]);
-    old.publish(List::Is(both("terminating")));
+    old.publish(EndpointList::Is(both("terminating")));
     let (mut client, mut busy) = (gateway.client(), gateway.client());
     busy.send(&query(
         &statement("once", 4_000)
@@ -523,7 +527,8 @@
     config["discovery"] = json!(new.address.to_string());
     config["known"]["members"] = both("in_service");
     config["limits"]["sockets"] = json!(500);
-    new.list.change(|l| *l = (1, List::Is(both("in_service"))));
+    new.list
+        .change(|l| *l = (1, EndpointList::Is(both("in_service"))));
     gateway.reload(&config.to_string());
     new.calls.wait("the whole list", |c| {
         (c.first()? == "0: /discovery/hosts").then_some(())
@@ -543,13 +548,14 @@
     );
 
     // Neither an unusable file nor the old address changes anything any more.
-    old.list.change(|l| *l = (9, List::Is(json!([]))));
+    old.list.change(|l| *l = (9, EndpointList::Is(json!([]))));
     for unusable in ["{", "", "{}"] {
         gateway.reload(unusable);
     }
     gateway.wait_for_log("the old configuration holds");
-    new.list.change(|l| *l = (2, List::Is(both("in_service"))));
-    new.publish(List::Is(both("in_service")));
+    new.list
+        .change(|l| *l = (2, EndpointList::Is(both("in_service"))));
+    new.publish(EndpointList::Is(both("in_service")));
     while two.statements().len() == before {
         assert!(client.ask(&statement("read", 9_000)).contains("a1b2"));
     }
@@ -959,9 +965,9 @@
     });
     let counts: Vec<&str> = counters
         .split(' ')
-        .filter(|c| !c.starts_with("probes") && !c.starts_with("opened"))
+        .filter(|c| !c.starts_with("health_checks") && !c.starts_with("upstream_opened"))
         .collect();
-    assert_snapshot!(counts.join(" "), @"irisrouter: counters received=3 served=2 cut_off=0 refused=0 failed=1 left=0 malformed=0 told=0 heard=0 unheard=0 accepted=3 turned_away=0 made_room=0 attempt_ok=2 attempt_timed_out=1");
+    assert_snapshot!(counts.join(" "), @"irisrouter: counters received=3 served=2 truncated=0 rejected=0 failed=1 client_gone=0 malformed=0 gossip_sent=0 gossip_received=0 datagrams_ignored=0 downstream_accepted=3 downstream_rejected=0 downstream_evicted=0 attempt_ok=2 attempt_timed_out=1");
 }
 
 /// Guards against clients that are refused, reset or left unheard while one version follows another.
@@ -1035,7 +1041,7 @@
     let few = |c: &mut serde_json::Value| c["limits"]["sockets"] = json!(140);
     let passed = Passed::new();
     let mut old = Gateway::at(Some(&passed), &discovery, &[&one, &two], few);
-    discovery.publish(List::Is(json!([
+    discovery.publish(EndpointList::Is(json!([
         one.entry("in_service", 0),
         two.entry("terminating", 0)
     ])));
@@ -1103,7 +1109,7 @@
     let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
     let alone = |c: &mut serde_json::Value| c["settings"]["Rules"]["DrainBindsAlone"] = json!(true);
     let gateway = Gateway::with(&discovery, &[&host], alone);
-    discovery.publish(List::Is(json!([])));
+    discovery.publish(EndpointList::Is(json!([])));
     assert!(gateway
         .client()
         .ask(&statement("once", 9_000))
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -2,29 +2,29 @@
 
 mod common;
 use common::*;
-use irisrouter::api::*;
+use irisrouter::routing::*;
 
-fn many(checks: ServerChecks, proxies: u32, seed: u64) -> World {
+fn many(checks: StalenessCheck, gateway_count: u32, seed: u64) -> World {
     let mut s = settings(checks);
-    (s.proxies, s.seed) = (proxies, seed);
+    (s.gateway_count, s.seed) = (gateway_count, seed);
     World::new(s)
 }
 
 fn probes(out: &[Action]) -> usize {
     out.iter()
-        .filter(|a| matches!(a, Action::Probe { .. }))
+        .filter(|a| matches!(a, Action::HealthCheck { .. }))
         .count()
 }
 
-fn told(w: &mut World, m: u32, inflight: f64) -> Vec<Action> {
-    let report = Report {
+fn told(w: &mut World, m: u32, in_flight: f64) -> Vec<Action> {
+    let report = LoadReport {
         position: Some(w.now),
         primary: Some(m == 0),
-        inflight: Some(inflight),
-        in_use: None,
+        in_flight: Some(in_flight),
+        cores_in_use: None,
     };
     let member = MemberId(m);
-    w.step(&[Event::Probed {
+    w.step(&[Event::HealthChecked {
         member,
         outcome: Outcome::Ok,
         elapsed: MS,
@@ -34,18 +34,18 @@
 
 #[test]
 fn an_idle_proxy_does_nothing() {
-    let mut w = many(ServerChecks::None, 300, 1);
+    let mut w = many(StalenessCheck::None, 300, 1);
     let out = w.pass(10 * S);
     assert_eq!(out, vec![], "no timer, no probe without a request");
 }
 
 #[test]
 fn probes_follow_requests_whatever_the_number_of_proxies() {
-    for proxies in [1, 10, 300] {
+    for gateway_count in [1, 10, 300] {
         let mut sum = 0;
-        for seed in 0..proxies {
-            let mut w = many(ServerChecks::None, proxies, u64::from(seed));
-            for _ in 0..600 / proxies {
+        for seed in 0..gateway_count {
+            let mut w = many(StalenessCheck::None, gateway_count, u64::from(seed));
+            for _ in 0..600 / gateway_count {
                 let (id, out) = w.ask(BOUNDED, None);
                 sum += probes(&out);
                 let out = match sent(id, &out) {
@@ -57,7 +57,7 @@
         }
         assert!(
             sum <= 3 * 600,
-            "{proxies} proxies: {sum} probes for 600 requests"
+            "{gateway_count} gateways: {sum} probes for 600 requests"
         );
     }
 }
@@ -66,8 +66,8 @@
 #[test]
 fn dear_probes_are_fewer_than_the_requests_that_pay_for_them() {
     for (price, least, most) in [(0.04, 300, 2_000), (0.4, 30, 200)] {
-        let mut s = settings(ServerChecks::None);
-        (s.proxies, s.seed, s.probe_price) = (1, 4, price);
+        let mut s = settings(StalenessCheck::None);
+        (s.gateway_count, s.seed, s.health_check_price) = (1, 4, price);
         let mut w = World::new(s);
         let mut sum = 0;
         for _ in 0..600 {
@@ -76,7 +76,7 @@
             for _ in 0..8 {
                 sum += probes(&out);
                 let asked = out.iter().find_map(|a| match a {
-                    Action::Probe { member } => Some(*member),
+                    Action::HealthCheck { member } => Some(*member),
                     _ => None,
                 });
                 if let Some(m) = sent(id, &out) {
@@ -94,7 +94,7 @@
 
 #[test]
 fn a_sparse_proxy_holds_a_read_back_from_members_that_tell_they_are_full() {
-    let mut w = many(ServerChecks::Refuse, 300, 3);
+    let mut w = many(StalenessCheck::Reject, 300, 3);
     w.now += 5 * S;
     told(&mut w, 1, 500.0);
     told(&mut w, 2, 500.0);
@@ -106,7 +106,7 @@
 
 #[test]
 fn a_sparse_proxy_leaves_a_read_to_the_primary_only_when_that_has_told_of_room() {
-    let mut w = many(ServerChecks::None, 300, 4);
+    let mut w = many(StalenessCheck::None, 300, 4);
     w.now += 5 * S;
     let (id, mut out) = w.ask(BOUNDED, None);
     out.extend(w.pass(100 * MS));
@@ -115,7 +115,7 @@
         None,
         "no replica is proven, the primary's load unknown"
     );
-    assert!(out.contains(&Action::Probe {
+    assert!(out.contains(&Action::HealthCheck {
         member: MemberId(0)
     }));
     let out = told(&mut w, 0, 0.0);
@@ -126,8 +126,8 @@
 fn a_newcomer_is_not_sent_the_next_request_of_every_proxy() {
     let mut first = 0;
     for seed in 0..100 {
-        let mut s = settings(ServerChecks::Refuse);
-        (s.proxies, s.seed, s.zone) = (300, seed, ZoneId(9));
+        let mut s = settings(StalenessCheck::Reject);
+        (s.gateway_count, s.seed, s.zone) = (300, seed, ZoneId(9));
         let mut w = World::new(s);
         for _ in 0..5 {
             let (id, out) = w.ask(ANY, None);
@@ -140,9 +140,9 @@
                 w.end(id, 0, m, Outcome::Ok, Role::Replica);
             }
         }
-        w.step(&[Event::List {
+        w.step(&[Event::EndpointList {
             complete: false,
-            entries: vec![entry(3, Listed::Ready)],
+            endpoints: vec![entry(3, EndpointState::Ready)],
         }]);
         let (id, out) = w.ask(ANY, None);
         first += u32::from(sent(id, &out) == Some(3));
@@ -157,17 +157,17 @@
 fn a_cold_member_alone_in_its_zone_is_not_the_choice_of_the_whole_zone() {
     let mut to_cold = 0;
     for seed in 0..200 {
-        let mut s = settings(ServerChecks::Refuse);
-        (s.proxies, s.seed) = (200, seed);
+        let mut s = settings(StalenessCheck::Reject);
+        (s.gateway_count, s.seed) = (200, seed);
         let mut w = World::new(s);
         // Member 2 is the only replica of the proxy's zone, 0.
-        let cold = ListEntry {
+        let cold = Endpoint {
             started: Some(w.now),
-            ..entry(2, Listed::Ready)
+            ..entry(2, EndpointState::Ready)
         };
-        w.step(&[Event::List {
+        w.step(&[Event::EndpointList {
             complete: false,
-            entries: vec![cold],
+            endpoints: vec![cold],
         }]);
         told(&mut w, 1, 1.0);
         told(&mut w, 2, 1.0);
@@ -179,7 +179,7 @@
 
 #[test]
 fn a_sparse_proxy_holds_a_write_while_the_primary_tells_it_is_full() {
-    let mut w = many(ServerChecks::Refuse, 300, 5);
+    let mut w = many(StalenessCheck::Reject, 300, 5);
     w.now += 5 * S;
     let (id, out) = w.ask(WRITE, None);
     assert_eq!(sent(id, &out), None, "it asks first");
@@ -195,8 +195,8 @@
 fn a_report_of_nothing_held_does_not_draw_the_reads_of_sparse_proxies() {
     let mut idle = 0;
     for seed in 0..200 {
-        let mut s = settings(ServerChecks::Refuse);
-        (s.proxies, s.seed, s.zone) = (300, seed, ZoneId(9));
+        let mut s = settings(StalenessCheck::Reject);
+        (s.gateway_count, s.seed, s.zone) = (300, seed, ZoneId(9));
         let mut w = World::new(s);
         w.now += 5 * S;
         told(&mut w, 1, 0.0);
@@ -212,25 +212,25 @@
 /// Guards against requests that wait, and probes that are spent, for word that no report can bring.
 #[test]
 fn where_reports_do_not_tell_what_a_member_holds_nobody_waits_for_that() {
-    for load_told in [false, true] {
-        let mut s = settings(ServerChecks::Wait(50 * MS));
-        (s.proxies, s.seed, s.load_told) = (300, 3, load_told);
+    for in_flight_reported in [false, true] {
+        let mut s = settings(StalenessCheck::Wait(50 * MS));
+        (s.gateway_count, s.seed, s.in_flight_reported) = (300, 3, in_flight_reported);
         let mut w = World::new(s);
         w.now += 5 * S;
         let member = MemberId(1);
-        let report = Report {
+        let report = LoadReport {
             position: Some(w.now),
             primary: Some(false),
-            inflight: None,
-            in_use: None,
+            in_flight: None,
+            cores_in_use: None,
         };
-        w.step(&[Event::Probed {
+        w.step(&[Event::HealthChecked {
             member,
             outcome: Outcome::Ok,
             elapsed: MS,
             report: Some(report),
         }]);
         let (id, out) = w.ask(BOUNDED, None);
-        assert_eq!(sent(id, &out).is_none(), load_told);
+        assert_eq!(sent(id, &out).is_none(), in_flight_reported);
     }
 }
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -2,8 +2,7 @@
 
 mod common;
 use common::*;
-use irisrouter::api::*;
-use irisrouter::decide::Router;
+use irisrouter::routing::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeMap;
@@ -13,8 +12,8 @@
     Pass(i64),
     Ask(usize, i64),
     End(usize, Outcome),
-    Report(u32, bool, i64),
-    List(u32, Listed),
+    LoadReport(u32, bool, i64),
+    EndpointList(u32, EndpointState),
     Restart(u32),
 }
 
@@ -29,15 +28,19 @@
         TimedOut,
         ConnectFailed,
         Reset,
-        Miss,
+        Unsuitable,
+    ]);
+    let listed = prop::sample::select(vec![
+        EndpointState::Ready,
+        EndpointState::Draining,
+        EndpointState::Removed,
     ]);
-    let listed = prop::sample::select(vec![Listed::Ready, Listed::Draining, Listed::Gone]);
     prop_oneof![
         4 => (1i64..200).prop_map(Step::Pass),
         6 => (0usize..6, 0i64..600).prop_map(|(c, a)| Step::Ask(c, a)),
         6 => (0usize..64, outcome).prop_map(|(i, o)| Step::End(i, o)),
-        3 => (0u32..5, any::<bool>(), 0i64..800).prop_map(|(m, p, a)| Step::Report(m, p, a)),
-        1 => (0u32..5, listed).prop_map(|(m, l)| Step::List(m, l)),
+        3 => (0u32..5, any::<bool>(), 0i64..800).prop_map(|(m, p, a)| Step::LoadReport(m, p, a)),
+        1 => (0u32..5, listed).prop_map(|(m, l)| Step::EndpointList(m, l)),
         1 => (0u32..5).prop_map(Step::Restart),
     ]
 }
@@ -45,16 +48,16 @@
 #[derive(Clone, Debug)]
 struct Tried {
     member: u32,
-    sent: Ns,
+    sent: Nanos,
     outcome: Option<Outcome>,
 }
 
 #[derive(Debug)]
 struct Asked {
     class: usize,
-    arrived: Ns,
-    deadline: Ns,
-    mark: Ns,
+    arrived: Nanos,
+    deadline: Nanos,
+    mark: Nanos,
     tries: Vec<Tried>,
     answers: u32,
 }
@@ -64,38 +67,44 @@
 struct Watch {
     asked: BTreeMap<u64, Asked>,
     out: Vec<(u64, u32)>,
-    listed: BTreeMap<u32, Listed>,
-    position: BTreeMap<u32, Ns>,
+    listed: BTreeMap<u32, EndpointState>,
+    position: BTreeMap<u32, Nanos>,
     /// Has claimed to be primary, and has not said since in an answer that it is none.
     was_primary: BTreeMap<u32, bool>,
-    started: BTreeMap<u32, Ns>,
+    started: BTreeMap<u32, Nanos>,
 }
 
 fn maybe_ran(t: &Tried) -> bool {
     use Outcome::*;
     t.outcome
-        .is_none_or(|o| !matches!(o, Full | ConnectFailed | Moot | Miss))
+        .is_none_or(|o| !matches!(o, Full | ConnectFailed | NotSent | Unsuitable))
 }
 
 impl Watch {
-    fn see(&mut self, now: Ns, s: &Settings, actions: &[Action]) -> Result<(), TestCaseError> {
+    fn see(&mut self, now: Nanos, s: &Settings, actions: &[Action]) -> Result<(), TestCaseError> {
         for a in actions {
             match a {
-                Action::Send { id, member, limit } => {
+                Action::StartAttempt {
+                    id,
+                    member,
+                    timeout: limit,
+                } => {
                     let m = member.0;
                     let r = self.asked.get_mut(&id.0).expect("a known request");
                     prop_assert_eq!(r.answers, 0, "rule 1: sent after the final answer");
                     prop_assert!(*limit > 0 && now + limit <= r.deadline);
                     prop_assert!(
-                        self.listed[&m] == Listed::Ready,
+                        self.listed[&m] == EndpointState::Ready,
                         "rule 3: sent to {:?}",
                         self.listed[&m]
                     );
                     let ran = r.tries.iter().any(maybe_ran);
-                    match s.classes[r.class].repeat {
-                        Repeat::Safe => {}
-                        Repeat::Unsafe => prop_assert!(!ran, "rule 2: an unsafe request twice"),
-                        Repeat::Keyed { window, .. } => {
+                    match s.classes[r.class].idempotency {
+                        Idempotency::Idempotent => {}
+                        Idempotency::NotIdempotent => {
+                            prop_assert!(!ran, "rule 2: an unsafe request twice")
+                        }
+                        Idempotency::Keyed { window, .. } => {
                             let old = r
                                 .tries
                                 .iter()
@@ -104,10 +113,10 @@
                         }
                     }
                     let need = match s.classes[r.class].freshness {
-                        Freshness::Bounded(b) => now - b,
+                        Freshness::BoundedStaleness(b) => now - b,
                         Freshness::Session => r.mark,
-                        Freshness::Fresh => r.arrived,
-                        Freshness::Any | Freshness::Write => Ns::MIN,
+                        Freshness::Strong => r.arrived,
+                        Freshness::Any | Freshness::Write => Nanos::MIN,
                     };
                     let excused = self.was_primary.get(&m).copied().unwrap_or(false);
                     let known = self.position.get(&m).copied().unwrap_or(0) >= need;
@@ -119,13 +128,13 @@
                     });
                     self.out.push((id.0, r.tries.len() as u32 - 1));
                 }
-                Action::Refuse { id, .. } | Action::Fail { id } => {
+                Action::Reject { id, .. } | Action::Fail { id } => {
                     let r = self.asked.get_mut(&id.0).expect("a known request");
                     r.answers += 1;
                     prop_assert_eq!(r.answers, 1, "rule 1: one final answer");
                     prop_assert!(now <= r.deadline + 20 * MS);
-                    if matches!(a, Action::Refuse { .. })
-                        && s.classes[r.class].repeat != Repeat::Safe
+                    if matches!(a, Action::Reject { .. })
+                        && s.classes[r.class].idempotency != Idempotency::Idempotent
                     {
                         prop_assert!(
                             !r.tries.iter().any(maybe_ran),
@@ -133,10 +142,10 @@
                         );
                     }
                 }
-                Action::Cancel { id, attempt } => {
+                Action::CancelAttempt { id, attempt } => {
                     prop_assert!(self.asked[&id.0].tries.len() > *attempt as usize);
                 }
-                Action::Probe { .. } | Action::Wake { .. } | Action::Watch => {}
+                Action::HealthCheck { .. } | Action::SetTimer { .. } | Action::WatchEndpoints => {}
             }
         }
         Ok(())
@@ -144,16 +153,16 @@
 }
 
 fn play(steps: &[Step]) -> Result<Vec<Vec<Action>>, TestCaseError> {
-    let s = settings(ServerChecks::None);
+    let s = settings(StalenessCheck::None);
     let mut router = Router::new(s.clone());
     let mut w = Watch::default();
     let mut now = 1_000 * S;
     let mut all = Vec::new();
-    let entries: Vec<ListEntry> = (0..5).map(|m| entry(m, Listed::Ready)).collect();
+    let entries: Vec<Endpoint> = (0..5).map(|m| entry(m, EndpointState::Ready)).collect();
     for e in &entries {
-        w.listed.insert(e.member.0, Listed::Ready);
+        w.listed.insert(e.member.0, EndpointState::Ready);
     }
-    let mut run = |w: &mut Watch, now: Ns, e: Vec<Event>| -> Result<(), TestCaseError> {
+    let mut run = |w: &mut Watch, now: Nanos, e: Vec<Event>| -> Result<(), TestCaseError> {
         let out = router.batch(now, &e);
         w.see(now, &s, &out)?;
         all.push(out);
@@ -162,9 +171,9 @@
     run(
         &mut w,
         now,
-        vec![Event::List {
+        vec![Event::EndpointList {
             complete: true,
-            entries,
+            endpoints: entries,
         }],
     )?;
     let mut next = 0;
@@ -177,7 +186,7 @@
             Step::Pass(ms) => {
                 for _ in 0..(ms + 9) / 10 {
                     now += 10 * MS;
-                    let mut events = vec![Event::Wake];
+                    let mut events = vec![Event::TimerFired];
                     // An attempt that is out at the client's deadline times out there.
                     for (id, attempt) in std::mem::take(&mut w.out) {
                         let r = w.asked.get_mut(&id).expect("asked");
@@ -193,8 +202,8 @@
             Step::Ask(class, age) => {
                 let id = next;
                 next += 1;
-                let mark_age = (class == SESSION && age > 0).then_some(age * MS);
-                let mark = mark_age.map_or(Ns::MIN, |a| now - a);
+                let last_write_age = (class == SESSION && age > 0).then_some(age * MS);
+                let mark = last_write_age.map_or(Nanos::MIN, |a| now - a);
                 let deadline = now + 2 * S;
                 let asked = Asked {
                     class,
@@ -213,7 +222,7 @@
                     deadline,
                     work: None,
                     group: G,
-                    mark_age,
+                    last_write_age,
                     retry: false,
                 };
                 run(&mut w, now, vec![e])?;
@@ -226,9 +235,9 @@
                 let r = w.asked.get_mut(&id).expect("asked");
                 let e = ended(id, attempt, r, outcome);
                 let member = r.tries[attempt as usize].member;
-                if let Event::Ended {
-                    note:
-                        Some(Note {
+                if let Event::AttemptEnded {
+                    status:
+                        Some(ReplicationStatus {
                             role: Role::Replica,
                             ..
                         }),
@@ -236,12 +245,18 @@
                 } = e
                 {
                     w.was_primary.insert(member, false);
-                } else if matches!(e, Event::Ended { note: Some(_), .. }) {
+                } else if matches!(
+                    e,
+                    Event::AttemptEnded {
+                        status: Some(_),
+                        ..
+                    }
+                ) {
                     w.was_primary.insert(member, true);
                 }
                 run(&mut w, now, vec![e])?;
             }
-            Step::Report(m, primary, age) => {
+            Step::LoadReport(m, primary, age) => {
                 let at = now - age * MS;
                 let p = w.position.entry(m).or_insert(at);
                 *p = (*p).max(at);
@@ -249,18 +264,18 @@
                 if primary {
                     w.was_primary.insert(m, true);
                 }
-                let report = Report {
+                let report = LoadReport {
                     position: Some(position),
                     primary: Some(primary),
-                    inflight: Some(1.0),
-                    in_use: None,
+                    in_flight: Some(1.0),
+                    cores_in_use: None,
                 };
                 let member = MemberId(m);
                 let (outcome, elapsed) = (Outcome::Ok, MS);
                 run(
                     &mut w,
                     now,
-                    vec![Event::Probed {
+                    vec![Event::HealthChecked {
                         member,
                         outcome,
                         elapsed,
@@ -268,28 +283,28 @@
                     }],
                 )?;
             }
-            Step::List(m, listed) => {
+            Step::EndpointList(m, listed) => {
                 w.listed.insert(m, listed);
                 run(
                     &mut w,
                     now,
-                    vec![Event::List {
+                    vec![Event::EndpointList {
                         complete: false,
-                        entries: vec![entry(m, listed)],
+                        endpoints: vec![entry(m, listed)],
                     }],
                 )?;
             }
             Step::Restart(m) => {
-                w.listed.insert(m, Listed::Ready);
+                w.listed.insert(m, EndpointState::Ready);
                 w.started.insert(m, now);
-                let mut e = entry(m, Listed::Ready);
+                let mut e = entry(m, EndpointState::Ready);
                 e.started = Some(now);
                 run(
                     &mut w,
                     now,
-                    vec![Event::List {
+                    vec![Event::EndpointList {
                         complete: false,
-                        entries: vec![e],
+                        endpoints: vec![e],
                     }],
                 )?;
             }
@@ -310,18 +325,18 @@
     let t = &mut r.tries[attempt as usize];
     t.outcome = Some(outcome);
     let role = match outcome {
-        Outcome::Miss => Some(Role::Replica),
+        Outcome::Unsuitable => Some(Role::Replica),
         Outcome::Ok if class == WRITE || class == KEYED => Some(Role::Primary),
         _ => None,
     };
-    Event::Ended {
+    Event::AttemptEnded {
         id: RequestId(id),
         attempt,
         member: MemberId(t.member),
         outcome,
         elapsed: 50 * MS,
         finished: done,
-        note: role.map(|role| Note {
+        status: role.map(|role| ReplicationStatus {
             role,
             position: None,
         }),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,17 +2,17 @@
 
 mod common;
 use common::*;
-use irisrouter::api::*;
+use irisrouter::routing::*;
 
 #[test]
 fn a_held_request_gets_one_final_answer_in_time() {
-    let mut w = World::new(settings(ServerChecks::Refuse));
+    let mut w = World::new(settings(StalenessCheck::Reject));
     let (id, _) = w.ask(WRITE, None);
-    w.end(id, 0, 0, Outcome::Miss, Role::Replica);
+    w.end(id, 0, 0, Outcome::Unsuitable, Role::Replica);
     let out = w.pass(2 * S);
     assert_eq!(
         out.iter()
-            .filter(|a| matches!(a, Action::Refuse { id: i, .. } if *i == id))
+            .filter(|a| matches!(a, Action::Reject { id: i, .. } if *i == id))
             .count(),
         1
     );
@@ -23,22 +23,25 @@
 /// time to come again; other classes are not touched, and none once the plan is over.
 #[test]
 fn a_plan_for_a_lost_site_refuses_its_part_of_a_class_at_once() {
-    let mut s = settings(ServerChecks::Refuse);
-    (s.limits.pauses, s.limits.max_pause) = (true, 10 * S);
+    let mut s = settings(StalenessCheck::Reject);
+    (s.limits.retry_after, s.limits.max_retry_after) = (true, 10 * S);
     let mut w = World::new(s);
     let mut admitted = vec![1.0; 8];
     admitted[ANY] = 0.25;
-    let plan = Planned {
-        admitted,
-        pause: Some(3 * S),
-        ..Planned::default()
+    let plan = FailoverDirectives {
+        admitted_share: admitted,
+        retry_after: Some(3 * S),
+        ..FailoverDirectives::default()
     };
-    w.step(&[Event::Planned(plan)]);
+    w.step(&[Event::FailoverDirectivesChanged(plan)]);
     let mut pauses = Vec::new();
     for _ in 0..400 {
         let (id, out) = w.ask(ANY, None);
         pauses.extend(out.iter().find_map(|a| match a {
-            Action::Refuse { id: i, pause } if *i == id => Some(*pause),
+            Action::Reject {
+                id: i,
+                retry_after: pause,
+            } if *i == id => Some(*pause),
             _ => None,
         }));
         if let Some(m) = sent(id, &out) {
@@ -67,7 +70,9 @@
         pauses.iter().max() > pauses.iter().min().map(|p| p + S).as_ref(),
         "and spread"
     );
-    w.step(&[Event::Planned(Planned::default())]);
+    w.step(&[Event::FailoverDirectivesChanged(
+        FailoverDirectives::default(),
+    )]);
     assert!((0..50).all(|_| {
         let (id, out) = w.ask(ANY, None);
         !refused(id, &out)
@@ -77,7 +82,7 @@
 /// Guards against a site's hosts that are all sent their whole part in the moment in which they are back.
 #[test]
 fn members_of_a_zone_that_is_led_in_are_sent_their_part_only() {
-    let mut s = settings(ServerChecks::Refuse);
+    let mut s = settings(StalenessCheck::Reject);
     s.zone = ZoneId(1);
     let mut w = World::new(s);
     let reads_at_odd = |w: &mut World| {
@@ -101,9 +106,9 @@
     };
     // Member 1 is a replica of zone 1, member 2 one of zone 0.
     let whole = reads_at_odd(&mut w);
-    w.step(&[Event::Planned(Planned {
-        ramps: vec![(ZoneId(1), 0.15)],
-        ..Planned::default()
+    w.step(&[Event::FailoverDirectivesChanged(FailoverDirectives {
+        recovery_ramps: vec![(ZoneId(1), 0.15)],
+        ..FailoverDirectives::default()
     })]);
     let led = reads_at_odd(&mut w);
     assert!(
@@ -115,7 +120,7 @@
 #[test]
 fn an_unsafe_write_that_may_have_run_fails_at_once() {
     for outcome in [Outcome::TimedOut, Outcome::Reset, Outcome::Error] {
-        let mut w = World::new(settings(ServerChecks::Refuse));
+        let mut w = World::new(settings(StalenessCheck::Reject));
         let (id, _) = w.ask(WRITE, None);
         let out = w.end(id, 0, 0, outcome, Role::Primary);
         assert!(failed(id, &out), "{outcome:?}");
@@ -125,7 +130,7 @@
 
 #[test]
 fn an_unsafe_write_that_never_ran_is_tried_again() {
-    let mut w = World::new(settings(ServerChecks::Refuse));
+    let mut w = World::new(settings(StalenessCheck::Reject));
     let (id, _) = w.ask(WRITE, None);
     let out = w.end(id, 0, 0, Outcome::Full, Role::Primary);
     assert_eq!(
@@ -139,7 +144,7 @@
 
 #[test]
 fn a_keyed_request_is_repeated_only_within_its_window() {
-    let mut w = World::new(settings(ServerChecks::Refuse));
+    let mut w = World::new(settings(StalenessCheck::Reject));
     let (id, _) = w.ask(KEYED, None);
     w.now += 200 * MS;
     let out = w.end(id, 0, 0, Outcome::Error, Role::Primary);
@@ -160,7 +165,7 @@
 #[test]
 fn a_keyed_request_is_repeated_only_while_a_new_connection_would_be_in_time() {
     for (after, repeated) in [(740 * MS, true), (750 * MS, false)] {
-        let mut w = World::new(settings(ServerChecks::Refuse));
+        let mut w = World::new(settings(StalenessCheck::Reject));
         let (id, _) = w.ask(KEYED, None);
         w.now += after;
         let out = w.end(id, 0, 0, Outcome::Error, Role::Primary);
@@ -172,7 +177,7 @@
 /// of its group.
 #[test]
 fn a_member_that_answers_with_errors_is_shunned_and_asked_again_later() {
-    let mut w = World::new(settings(ServerChecks::Refuse));
+    let mut w = World::new(settings(StalenessCheck::Reject));
     let round = |w: &mut World, sick: bool| {
         let mut asked = 0;
         for _ in 0..50 {
@@ -212,7 +217,7 @@
 /// and reads are held; and against one that is asked again and again though it is too far behind.
 #[test]
 fn a_likely_replica_takes_what_the_proven_ones_have_no_room_for_until_it_turns_one_away() {
-    let mut w = World::new(settings(ServerChecks::Refuse));
+    let mut w = World::new(settings(StalenessCheck::Reject));
     w.now += 500 * MS;
     w.report(2, false, w.now);
     let mut to_likely = None;
@@ -221,7 +226,7 @@
         to_likely = to_likely.or((sent(id, &out) == Some(1)).then_some(id));
     }
     let id = to_likely.expect("one for the replica that was well half a second ago");
-    w.end(id, 0, 1, Outcome::Miss, Role::Replica);
+    w.end(id, 0, 1, Outcome::Unsuitable, Role::Replica);
     for _ in 0..8 {
         let (id, out) = w.ask(BOUNDED, None);
         assert_ne!(sent(id, &out), Some(1), "it has shown that it is behind");
@@ -232,29 +237,35 @@
 /// answer, and against keeping one from coming back.
 #[test]
 fn members_that_are_gone_are_forgotten_once_nothing_of_them_is_out() {
-    let mut w = World::new(settings(ServerChecks::Refuse));
-    let change = |m, listed| Event::List {
+    let mut w = World::new(settings(StalenessCheck::Reject));
+    let change = |m, listed| Event::EndpointList {
         complete: false,
-        entries: vec![entry(m, listed)],
+        endpoints: vec![entry(m, listed)],
     };
     let (id, _) = w.ask(KEYED, None);
     for m in 3..200 {
-        w.step(&[change(m, Listed::Ready), change(m, Listed::Draining)]);
-        w.step(&[change(m, Listed::Gone)]);
+        w.step(&[
+            change(m, EndpointState::Ready),
+            change(m, EndpointState::Draining),
+        ]);
+        w.step(&[change(m, EndpointState::Removed)]);
         w.now += S;
     }
-    assert_eq!(w.router.lore().members.len(), 3, "those in service");
-    w.step(&[change(0, Listed::Draining), change(0, Listed::Gone)]);
+    assert_eq!(w.router.snapshot().members.len(), 3, "those in service");
+    w.step(&[
+        change(0, EndpointState::Draining),
+        change(0, EndpointState::Removed),
+    ]);
     assert_eq!(
-        w.router.lore().members.len(),
+        w.router.snapshot().members.len(),
         3,
         "the primary still has a request"
     );
     w.end(id, 0, 0, Outcome::Ok, Role::Primary);
     w.report(0, true, w.now);
-    w.step(&[change(1, Listed::Ready)]);
-    assert_eq!(w.router.lore().members.len(), 2);
-    w.step(&[change(0, Listed::Ready)]);
+    w.step(&[change(1, EndpointState::Ready)]);
+    assert_eq!(w.router.snapshot().members.len(), 2);
+    w.step(&[change(0, EndpointState::Ready)]);
     w.report(0, true, w.now);
     let (id, out) = w.ask(WRITE, None);
     assert_eq!(sent(id, &out), Some(0), "back in service");
@@ -263,7 +274,7 @@
 /// Guards against a primary whose quick errors use the budget of further attempts up, as full attempts would.
 #[test]
 fn a_failed_attempt_costs_the_budget_as_much_as_it_took_time() {
-    let mut w = World::new(settings(ServerChecks::Refuse));
+    let mut w = World::new(settings(StalenessCheck::Reject));
     for n in 0..12 {
         let (id, _) = w.ask(KEYED, None);
         let out = w.end(id, 0, 0, Outcome::Error, Role::Primary);
@@ -278,11 +289,11 @@
 
 #[test]
 fn nothing_goes_to_a_draining_or_gone_member() {
-    for listed in [Listed::Draining, Listed::Gone] {
-        let mut w = World::new(settings(ServerChecks::None));
-        w.step(&[Event::List {
+    for listed in [EndpointState::Draining, EndpointState::Removed] {
+        let mut w = World::new(settings(StalenessCheck::None));
+        w.step(&[Event::EndpointList {
             complete: false,
-            entries: vec![entry(1, listed)],
+            endpoints: vec![entry(1, listed)],
         }]);
         for _ in 0..20 {
             let (id, out) = w.ask(ANY, None);
@@ -296,11 +307,14 @@
 
 #[test]
 fn a_member_missing_from_a_complete_list_is_gone() {
-    let mut w = World::new(settings(ServerChecks::None));
-    let entries = vec![entry(0, Listed::Ready), entry(2, Listed::Ready)];
-    w.step(&[Event::List {
+    let mut w = World::new(settings(StalenessCheck::None));
+    let entries = vec![
+        entry(0, EndpointState::Ready),
+        entry(2, EndpointState::Ready),
+    ];
+    w.step(&[Event::EndpointList {
         complete: true,
-        entries,
+        endpoints: entries,
     }]);
     for _ in 0..20 {
         let (id, out) = w.ask(ANY, None);
@@ -313,13 +327,16 @@
 
 #[test]
 fn where_only_drains_bind_a_gone_member_still_serves() {
-    let mut s = settings(ServerChecks::None);
-    s.rules.drain_binds_alone = true;
+    let mut s = settings(StalenessCheck::None);
+    s.rules.only_listed_drains_bind = true;
     let mut w = World::new(s);
-    let entries = vec![entry(1, Listed::Gone), entry(2, Listed::Draining)];
-    w.step(&[Event::List {
+    let entries = vec![
+        entry(1, EndpointState::Removed),
+        entry(2, EndpointState::Draining),
+    ];
+    w.step(&[Event::EndpointList {
         complete: false,
-        entries,
+        endpoints: entries,
     }]);
     let (id, out) = w.ask(ANY, None);
     assert_eq!(sent(id, &out), Some(1));
@@ -327,24 +344,24 @@
 
 /// Sends to cold members in the first second of a restart of a whole group, of 600 requests in all, spread
 /// over so many proxies.
-fn sent_to_cold(proxies: u32) -> usize {
+fn sent_to_cold(gateway_count: u32) -> usize {
     let mut total = 0;
-    for seed in 0..proxies {
-        let mut s = settings(ServerChecks::Refuse);
-        (s.proxies, s.seed) = (proxies, u64::from(seed));
+    for seed in 0..gateway_count {
+        let mut s = settings(StalenessCheck::Reject);
+        (s.gateway_count, s.seed) = (gateway_count, u64::from(seed));
         let mut w = World::new(s);
-        let restarted = |m| ListEntry {
+        let restarted = |m| Endpoint {
             started: Some(w.now),
-            ..entry(m, Listed::Ready)
+            ..entry(m, EndpointState::Ready)
         };
         let entries = (0..3).map(restarted).collect();
-        w.step(&[Event::List {
+        w.step(&[Event::EndpointList {
             complete: false,
-            entries,
+            endpoints: entries,
         }]);
         w.report(0, true, w.now + MS);
-        for _ in 0..600 / proxies {
-            w.now += S / i64::from(600 / proxies);
+        for _ in 0..600 / gateway_count {
+            w.now += S / i64::from(600 / gateway_count);
             (0..3).for_each(|m| drop(w.report(m, m == 0, w.now)));
             for (class, m) in [(SESSION, 1), (WRITE, 0)] {
                 let (id, out) = w.ask(class, None);
@@ -361,22 +378,22 @@
 
 #[test]
 fn a_cold_group_gets_its_part_of_the_requests_whatever_the_number_of_proxies() {
-    for proxies in [1, 40, 300] {
-        let sent = sent_to_cold(proxies);
+    for gateway_count in [1, 40, 300] {
+        let sent = sent_to_cold(gateway_count);
         // 1,200 requests; the members bear 0.2 of their capacity and the rule's multiple of that is 4.
         assert!(
             sent > 1_200 / 10 && sent < 1_200 / 2,
-            "{proxies} proxies: {sent}"
+            "{gateway_count} gateways: {sent}"
         );
     }
 }
 
 #[test]
 fn an_unchecked_read_needs_proof() {
-    let mut w = World::new(settings(ServerChecks::None));
+    let mut w = World::new(settings(StalenessCheck::None));
     // The primary loses its role, and no replica's position is recent.
     let (id, _) = w.ask(WRITE, None);
-    w.end(id, 0, 0, Outcome::Miss, Role::Replica);
+    w.end(id, 0, 0, Outcome::Unsuitable, Role::Replica);
     w.now += S;
     let (id, out) = w.ask(BOUNDED, None);
     assert_eq!(sent(id, &out), None);
@@ -387,7 +404,7 @@
 
 #[test]
 fn a_member_that_cannot_be_reached_is_left_alone_until_a_probe_succeeds() {
-    let mut w = World::new(settings(ServerChecks::None));
+    let mut w = World::new(settings(StalenessCheck::None));
     let (id, out) = w.ask(ANY, None);
     let dead = sent(id, &out).expect("sent");
     let out = w.end(id, 0, dead, Outcome::ConnectFailed, Role::Replica);
@@ -415,7 +432,7 @@
 
 #[test]
 fn a_silent_member_is_suspect_and_a_read_on_it_gets_one_copy_elsewhere() {
-    let mut w = World::new(settings(ServerChecks::None));
+    let mut w = World::new(settings(StalenessCheck::None));
     // Enough answers to know what is usual: far less than the aim.
     for _ in 0..80 {
         let (id, out) = w.ask(ANY, None);
@@ -429,14 +446,14 @@
     assert_ne!(copy, silent);
     let out = w.end(id, 1, copy, Outcome::Ok, Role::Replica);
     assert!(
-        out.contains(&Action::Cancel { id, attempt: 0 }),
+        out.contains(&Action::CancelAttempt { id, attempt: 0 }),
         "the loser is cancelled"
     );
 }
 
 #[test]
 fn a_silent_primary_gets_no_further_writes() {
-    let mut w = World::new(settings(ServerChecks::Refuse));
+    let mut w = World::new(settings(StalenessCheck::Reject));
     let (first, out) = w.ask(WRITE, None);
     assert_eq!(sent(first, &out), Some(0));
     w.pass(S);
@@ -448,7 +465,7 @@
 
 #[test]
 fn of_two_claims_to_be_primary_the_later_wins() {
-    let mut w = World::new(settings(ServerChecks::Refuse));
+    let mut w = World::new(settings(StalenessCheck::Reject));
     w.now += S;
     w.report(2, true, w.now);
     w.report(0, true, w.now - 900 * MS);
@@ -462,9 +479,9 @@
 
 #[test]
 fn a_backlog_does_not_flood_a_new_primary() {
-    let mut w = World::new(settings(ServerChecks::Refuse));
+    let mut w = World::new(settings(StalenessCheck::Reject));
     let (id, _) = w.ask(WRITE, None);
-    w.end(id, 0, 0, Outcome::Miss, Role::Replica);
+    w.end(id, 0, 0, Outcome::Unsuitable, Role::Replica);
     for _ in 0..50 {
         let (id, out) = w.ask(WRITE, None);
         assert_eq!(sent(id, &out), None);
@@ -473,16 +490,16 @@
     let out = w.report(1, true, w.now);
     let sends = out
         .iter()
-        .filter(|a| matches!(a, Action::Send { .. }))
+        .filter(|a| matches!(a, Action::StartAttempt { .. }))
         .count();
     assert!((1..=4).contains(&sends), "{sends} at once");
 }
 
 #[test]
 fn of_held_requests_the_newest_goes_first() {
-    let mut w = World::new(settings(ServerChecks::Refuse));
+    let mut w = World::new(settings(StalenessCheck::Reject));
     let (old, _) = w.ask(WRITE, None);
-    w.end(old, 0, 0, Outcome::Miss, Role::Replica);
+    w.end(old, 0, 0, Outcome::Unsuitable, Role::Replica);
     w.now += 100 * MS;
     let (new, _) = w.ask(WRITE, None);
     let (newest, _) = w.ask(WRITE, None);
@@ -490,7 +507,7 @@
     let order: Vec<RequestId> = out
         .iter()
         .filter_map(|a| {
-            if let Action::Send { id, .. } = a {
+            if let Action::StartAttempt { id, .. } = a {
                 Some(*id)
             } else {
                 None
@@ -502,20 +519,20 @@
 
 #[test]
 fn an_old_read_is_refused_with_a_pause_before_it_is_worthless_work() {
-    let mut w = World::new(settings(ServerChecks::None));
+    let mut w = World::new(settings(StalenessCheck::None));
     let (id, _) = w.ask(WRITE, None);
-    w.end(id, 0, 0, Outcome::Miss, Role::Replica);
+    w.end(id, 0, 0, Outcome::Unsuitable, Role::Replica);
     let (id, _) = w.ask(FRESH, None);
     let out = w.pass(450 * MS);
-    assert!(out
-        .iter()
-        .any(|a| matches!(a, Action::Refuse { id: i, pause } if *i == id && *pause > 0)));
+    assert!(out.iter().any(
+        |a| matches!(a, Action::Reject { id: i, retry_after: pause } if *i == id && *pause > 0)
+    ));
 }
 
 #[test]
 fn long_reads_gather_on_the_replica_furthest_behind() {
-    let mut s = settings(ServerChecks::None);
-    s.classes[ANY].aim = 8 * S;
+    let mut s = settings(StalenessCheck::None);
+    s.classes[ANY].latency_objective = 8 * S;
     s.classes[ANY].deadline = 8 * S;
     let mut w = World::new(s);
     w.now += 200 * MS;
@@ -535,7 +552,7 @@
 
 #[test]
 fn proof_probes_are_spent_on_one_replica_at_a_time() {
-    let mut w = World::new(settings(ServerChecks::None));
+    let mut w = World::new(settings(StalenessCheck::None));
     let (id, _) = w.ask(WRITE, None);
     w.end(id, 0, 0, Outcome::Ok, Role::Primary);
     w.pass(S);
@@ -546,24 +563,24 @@
     out.extend(w.pass(60 * MS));
     let probes = out
         .iter()
-        .filter(|a| matches!(a, Action::Probe { .. }))
+        .filter(|a| matches!(a, Action::HealthCheck { .. }))
         .count();
     assert_eq!(probes, 1);
 }
 
 #[test]
 fn a_long_request_is_not_the_free_one_of_a_cold_member() {
-    let mut s = settings(ServerChecks::None);
-    s.proxies = 11;
-    s.classes[ANY].aim = 8 * S;
+    let mut s = settings(StalenessCheck::None);
+    s.gateway_count = 11;
+    s.classes[ANY].latency_objective = 8 * S;
     s.classes[ANY].deadline = 8 * S;
     let mut w = World::new(s);
-    let mut cold = entry(1, Listed::Ready);
+    let mut cold = entry(1, EndpointState::Ready);
     cold.started = Some(w.now);
-    let only = vec![cold, entry(2, Listed::Gone)];
-    w.step(&[Event::List {
+    let only = vec![cold, entry(2, EndpointState::Removed)];
+    w.step(&[Event::EndpointList {
         complete: false,
-        entries: only,
+        endpoints: only,
     }]);
     let (long, out) = w.ask(ANY, None);
     assert_ne!(
@@ -580,28 +597,28 @@
 }
 
 /// Requests sent at once out of twenty, after so many single answers that each took this long.
-fn room_after(answers: &[Ns]) -> usize {
-    let mut s = settings(ServerChecks::None);
-    s.proxies = 1;
+fn room_after(answers: &[Nanos]) -> usize {
+    let mut s = settings(StalenessCheck::None);
+    s.gateway_count = 1;
     let mut w = World::new(s);
     for &elapsed in answers {
         let (id, out) = w.ask(FRESH, None);
         assert_eq!(sent(id, &out), Some(0));
         w.now += 300 * MS;
-        let note = Some(Note {
+        let note = Some(ReplicationStatus {
             role: Role::Primary,
             position: None,
         });
         let (member, outcome) = (MemberId(0), Outcome::Ok);
         let (attempt, finished, report) = (0, true, None);
-        w.step(&[Event::Ended {
+        w.step(&[Event::AttemptEnded {
             id,
             attempt,
             member,
             outcome,
             elapsed,
             finished,
-            note,
+            status: note,
             report,
         }]);
     }
@@ -623,11 +640,11 @@
 
 #[test]
 fn a_read_that_was_never_sent_is_given_up_before_half_of_its_time_and_a_write_is_held() {
-    let mut s = settings(ServerChecks::Refuse);
-    s.classes[FRESH].aim = 2 * S;
+    let mut s = settings(StalenessCheck::Reject);
+    s.classes[FRESH].latency_objective = 2 * S;
     let mut w = World::new(s);
     let (first, _) = w.ask(WRITE, None);
-    w.end(first, 0, 0, Outcome::Miss, Role::Replica);
+    w.end(first, 0, 0, Outcome::Unsuitable, Role::Replica);
     let (write, _) = w.ask(WRITE, None);
     let (read, out) = w.ask(FRESH, None);
     assert_eq!(sent(read, &out), None, "held: no primary is known");
@@ -648,9 +665,9 @@
 
 #[test]
 fn a_newer_long_read_does_not_bar_an_older_one_from_the_next_replica() {
-    let mut s = settings(ServerChecks::None);
-    s.proxies = 1;
-    s.classes[ANY].aim = 3 * S;
+    let mut s = settings(StalenessCheck::None);
+    s.gateway_count = 1;
+    s.classes[ANY].latency_objective = 3 * S;
     let mut w = World::new(s);
     w.now += 200 * MS;
     w.report(1, false, w.now - 100 * MS);
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,22 +1,21 @@
 //! Settings of another customer: what is zero, huge or below zero has a meaning, and no router spins or breaks off on it.
 
-use irisrouter::api::*;
-use irisrouter::decide::Router;
-use irisrouter::settings::Loaded;
+use irisrouter::platform_settings::PlatformSettings;
+use irisrouter::routing::*;
 use serde_json::{json, Value};
 
-const MS: Ns = 1_000_000;
+const MS: Nanos = 1_000_000;
 
 /// Requests of each class while members come, are cold, answer, drain and go; how soon the router wakes itself at least.
-fn play(settings: &Value) -> Result<Ns, String> {
-    let loaded = Loaded::parse(settings, 7)?;
+fn play(settings: &Value) -> Result<Nanos, String> {
+    let loaded = PlatformSettings::parse(settings, 7)?;
     let mut router = Router::new(loaded.settings.clone());
-    let (mut now, mut soonest, mut next) = (1_000_000 * MS, Ns::MAX, 0);
-    let entry = |m: u32, listed, started| ListEntry {
+    let (mut now, mut soonest, mut next) = (1_000_000 * MS, Nanos::MAX, 0);
+    let entry = |m: u32, listed, started| Endpoint {
         member: MemberId(m),
         group: GroupId(2),
         zone: ZoneId(0),
-        listed,
+        state: listed,
         primary: m == 0,
         size: 1.0,
         started,
@@ -24,17 +23,20 @@
     for round in 0..200u32 {
         now += 5 * MS;
         let listed = if round > 150 {
-            Listed::Draining
+            EndpointState::Draining
         } else {
-            Listed::Ready
+            EndpointState::Ready
         };
-        let entries = vec![entry(0, listed, Some(now)), entry(1, Listed::Ready, None)];
+        let entries = vec![
+            entry(0, listed, Some(now)),
+            entry(1, EndpointState::Ready, None),
+        ];
         let mut events = vec![
-            Event::List {
+            Event::EndpointList {
                 complete: round % 50 == 0,
-                entries,
+                endpoints: entries,
             },
-            Event::Wake,
+            Event::TimerFired,
         ];
         for class in 0..loaded.settings.classes.len() {
             next += 1;
@@ -48,7 +50,7 @@
                 deadline,
                 work: None,
                 group,
-                mark_age: Some(MS),
+                last_write_age: Some(MS),
                 retry: false,
             };
             events.push(request(Some(SessionId(1))));
@@ -56,8 +58,12 @@
         let mut attempts = std::collections::BTreeMap::new();
         for action in router.batch(now, &events) {
             match action {
-                Action::Wake { after } => soonest = soonest.min(after),
-                Action::Send { id, member, limit } => {
+                Action::SetTimer { after } => soonest = soonest.min(after),
+                Action::StartAttempt {
+                    id,
+                    member,
+                    timeout: limit,
+                } => {
                     assert!(limit > 0);
                     attempts.insert(id, member);
                 }
@@ -65,19 +71,21 @@
             }
         }
         let outcome = [Outcome::Ok, Outcome::ConnectFailed, Outcome::Full][round as usize % 3];
-        let ended = attempts.into_iter().map(|(id, member)| Event::Ended {
-            id,
-            attempt: 0,
-            member,
-            outcome,
-            elapsed: MS,
-            finished: outcome == Outcome::Ok,
-            note: Some(Note {
-                role: Role::Primary,
-                position: Some(now),
-            }),
-            report: None,
-        });
+        let ended = attempts
+            .into_iter()
+            .map(|(id, member)| Event::AttemptEnded {
+                id,
+                attempt: 0,
+                member,
+                outcome,
+                elapsed: MS,
+                finished: outcome == Outcome::Ok,
+                status: Some(ReplicationStatus {
+                    role: Role::Primary,
+                    position: Some(now),
+                }),
+                report: None,
+            });
         router.batch(now, &ended.collect::<Vec<_>>());
     }
     Ok(soonest)
--- a/tests/simulator_adapter.rs
+++ b/tests/simulator_adapter.rs
@@ -1,6 +1,6 @@
 //! A golden exchange on the wire, and what the adapter does with what is malformed.
 
-use irisrouter::wire::Adapter;
+use irisrouter::simulator::Adapter;
 use serde_json::{json, Value};
 
 fn boot() -> Value {
--- a/tests/unit/classes.rs
+++ b/tests/unit/classes.rs
@@ -1,14 +1,15 @@
 //! Classes while settings change.
 
 use super::*;
-use irisrouter::settings::Names;
+use irisrouter::platform_settings::NameTable;
 
 /// Guards against a request that changes its class under way, and against slots that pile up with each file.
 #[test]
 fn a_request_keeps_its_class_and_a_slot_is_used_again_once_no_request_holds_it() {
     let text = include_str!("../gateway/settings.json");
-    let first = Loaded::parse(&serde_json::from_str(text).expect("json"), 1).expect("settings");
-    let with = |change: &dyn Fn(&mut Loaded)| {
+    let first =
+        PlatformSettings::parse(&serde_json::from_str(text).expect("json"), 1).expect("settings");
+    let with = |change: &dyn Fn(&mut PlatformSettings)| {
         let mut loaded = first.clone();
         change(&mut loaded);
         loaded
@@ -31,7 +32,7 @@
     );
     // The request is over: its slot is free, and so is that of a class that is gone.
     drop(order);
-    let mut names = Names::default();
+    let mut names = NameTable::default();
     for name in ["read", "new", "own"] {
         names.number(name);
     }
@@ -59,7 +60,8 @@
 #[test]
 fn the_longest_wait_is_that_of_the_settings_now_and_that_of_requests_under_way_their_own() {
     let text = include_str!("../gateway/settings.json");
-    let first = Loaded::parse(&serde_json::from_str(text).expect("json"), 1).expect("settings");
+    let first =
+        PlatformSettings::parse(&serde_json::from_str(text).expect("json"), 1).expect("settings");
     let classes = Classes::new(&first);
     let under_way = classes.find("order").expect("a class");
     let long = duration(under_way.class.deadline);
--- a/tests/unit/reports.rs
+++ b/tests/unit/reports.rs
@@ -14,15 +14,15 @@
         let r = report(&text, ms * NS_PER_MS);
         assert_eq!(
             r,
-            Report {
+            LoadReport {
                 position: Some(ms * NS_PER_MS),
                 primary: Some(true),
-                in_use: Some(0.61),
-                ..Report::default()
+                cores_in_use: Some(0.61),
+                ..LoadReport::default()
             }
         );
     }
-    assert_eq!(report("nonsense,x0=,=1,inflight=7", 0).inflight, Some(7.0));
+    assert_eq!(report("nonsense,x0=,=1,inflight=7", 0).in_flight, Some(7.0));
 }
 
 /// Guards against numbers that overflow, and against a position that no later one can take back.
@@ -41,7 +41,7 @@
     ] {
         assert_eq!(
             report(&format!("x0={x0},x1=7,inflight=-3"), now),
-            Report::default(),
+            LoadReport::default(),
             "{x0}"
         );
     }
--- a/tests/unit/shutdown.rs
+++ b/tests/unit/shutdown.rs
@@ -10,11 +10,11 @@
     ] {
         let longest = Duration::from_millis(ms);
         let killed = longest.min(LONGEST_COUNTED) + TO_KILL;
-        let Ending {
+        let ShutdownSchedule {
             coming,
             taken_until,
             answer_by,
-        } = Ending::new(longest);
+        } = ShutdownSchedule::new(longest);
         assert!(
             coming >= Duration::from_millis(450) && taken_until >= coming,
             "{ms} ms"
