Move membership files to names that say what they hold

The modules keep their content; only their names and the paths to them change: outstanding_pings, dissemination and merge_rules in place of asks, rumors and rules.

--- a/crates/membership/src/codec.rs
+++ b/crates/membership/src/codec.rs
@@ -15,8 +15,8 @@
 //! The longest header is 26 bytes, so 25 words fit the platform's 256 bytes. Nothing decoded is trusted: every read is
 //! checked against what remains, an unknown kind, state or version is an error, and bytes left over are an error too.
 
+use crate::merge_rules::Word;
 use crate::node::Node;
-use crate::rules::Word;
 use bytes::BufMut;
 use irisrouter_datagram::Reader;
 
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -4,7 +4,7 @@
 //! to probe in its place, and a member that still does not answer is suspect: it is asked again each period, and is
 //! down after [`Settings::rounds`] more asks without an answer. That word rides on probes and on a small periodic gossip;
 //! whoever hears it asks the member once for itself before it believes it. A member that hears itself called down raises
-//! its incarnation, which outranks the word. The rules of rows are pure functions in [`rules`]; why they differ from
+//! its incarnation, which outranks the word. The rules of rows are pure functions in [`merge_rules`]; why they differ from
 //! SWIM as published stands there and in `docs/membership.md`.
 //!
 //! No I/O, no clock, no tasks: the shell hands in datagrams and the time, and carries out [`Action`]s. Randomness comes
@@ -12,27 +12,27 @@
 
 #![forbid(unsafe_code)]
 
-pub mod asks;
 pub mod codec;
+pub mod dissemination;
+pub mod merge_rules;
 pub mod node;
-pub mod rules;
-pub mod rumors;
+pub mod outstanding_pings;
 pub mod settings;
 pub mod sim;
 pub mod view;
 
 pub use codec::{recognizes, Datagram, Kind, WireError};
+pub use merge_rules::Word;
 pub use node::Node;
-pub use rules::Word;
 pub use settings::Settings;
 pub use view::{Change, Liveness, Millis, Seen, Side, View};
 
-use asks::{Asks, Due};
+use dissemination::Rumors;
+use merge_rules::{Heard, Met, Missed, OfMe};
+use outstanding_pings::{Asks, Due};
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
-use rules::{Heard, Met, Missed, OfMe};
-use rumors::Rumors;
 use std::collections::VecDeque;
 use std::fmt;
 
@@ -313,7 +313,7 @@
         let Some(&row) = self.view.get(src.number) else {
             return false;
         };
-        match rules::meet(&row, src, incarnation) {
+        match merge_rules::meet(&row, src, incarnation) {
             Met::Same => {}
             Met::Alive => {
                 self.asks.end(src.number);
@@ -349,7 +349,7 @@
         let Some(row) = self.view.get(number) else {
             return false;
         };
-        match rules::hear(row, word) {
+        match merge_rules::hear(row, word) {
             Heard::Old => {}
             Heard::Behind => return true,
             Heard::Take => {
@@ -371,7 +371,7 @@
     }
 
     fn hear_of_me(&mut self, word: &Word, teller: u32) {
-        match rules::of_me(self.me, self.incarnation, word) {
+        match merge_rules::of_me(self.me, self.incarnation, word) {
             OfMe::Nothing => return,
             OfMe::Refute(incarnation) => {
                 self.incarnation = incarnation;
@@ -498,7 +498,7 @@
         if missed == 1 && !told {
             self.remember(false);
         }
-        match rules::miss(missed, told, self.settings.rounds()) {
+        match merge_rules::miss(missed, told, self.settings.rounds()) {
             Missed::Again => {
                 self.set(node, row.incarnation, Liveness::Suspect);
                 self.asks.again(number, missed);
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -181,7 +181,7 @@
         }
     }
 
-    /// Sets the row of another member, as [`crate::rules`] decided, and says what changed.
+    /// Sets the row of another member, as [`crate::merge_rules`] decided, and says what changed.
     pub(crate) fn set(
         &mut self,
         node: Node,
--- a/crates/membership/tests/suspicion.rs
+++ b/crates/membership/tests/suspicion.rs
@@ -1,4 +1,4 @@
-//! The core's own rules of suspicion and refutation ([`irisrouter_membership::rules`]), checked exhaustively at small size
+//! The core's own rules of suspicion and refutation ([`irisrouter_membership::merge_rules`]), checked exhaustively at small size
 //! with stateright: one live member S, and three others that ask it and tell one another.
 //!
 //! In the model any message may be late behind any other and be taken in any order; a bounded number of asks is lost,
@@ -11,7 +11,7 @@
 //! - the same two fail when hearsay is a verdict (as in SWIM as published), or when a word of an older incarnation
 //!   outranks a later one.
 
-use irisrouter_membership::rules::{self, Heard, Missed, OfMe};
+use irisrouter_membership::merge_rules::{self, Heard, Missed, OfMe};
 use irisrouter_membership::{Liveness, Node, Seen, Word};
 use stateright::{Checker, Model, Property};
 
@@ -112,7 +112,7 @@
 
 impl Suspicion {
     fn hear(&self, h: &Holder, word: &Word) -> Heard {
-        let heard = rules::hear(&h.row(), word);
+        let heard = merge_rules::hear(&h.row(), word);
         match heard {
             Heard::Ask if self.hearsay => Heard::Take,
             Heard::Behind if self.unordered => Heard::Take,
@@ -182,7 +182,7 @@
                         incarnation: h.incarnation,
                         down: true,
                     };
-                    if let OfMe::Refute(to) = rules::of_me(S, s.incarnation, &word) {
+                    if let OfMe::Refute(to) = merge_rules::of_me(S, s.incarnation, &word) {
                         s.incarnation = to;
                     }
                 }
@@ -193,7 +193,7 @@
                 let h = &mut s.holders[n];
                 h.asks -= 1;
                 h.missed += 1;
-                match rules::miss(h.missed, h.told, ROUNDS) {
+                match merge_rules::miss(h.missed, h.told, ROUNDS) {
                     Missed::Again => h.liveness = Liveness::Suspect,
                     Missed::Down => {
                         h.liveness = Liveness::Down;
@@ -263,7 +263,7 @@
                         incarnation,
                         down: true,
                     };
-                    if let OfMe::Refute(to) = rules::of_me(S, s.incarnation, &word) {
+                    if let OfMe::Refute(to) = merge_rules::of_me(S, s.incarnation, &word) {
                         s.incarnation = to;
                     }
                     let incarnation = s.incarnation;
@@ -277,7 +277,7 @@
                 }
                 Message::Refuted { to, incarnation } => {
                     let h = &mut s.holders[to];
-                    if rules::meet(&h.row(), S, incarnation) == rules::Met::Alive {
+                    if merge_rules::meet(&h.row(), S, incarnation) == merge_rules::Met::Alive {
                         h.alive(to, incarnation);
                     }
                 }
