--- /dev/null
+++ b/crates/membership/simulated-network/src/decision_digest.rs
@@ -0,0 +1,111 @@
+//! A digest of everything that the members of a simulated fleet decide.
+//!
+//! It covers each datagram byte by byte, each change of a view, each refutation and renewal, and when each member has
+//! work next, in order. Two versions of the core that give the same digest for the same run have decided alike
+//! throughout it, with the same random numbers drawn in the same order.
+
+use irisrouter_membership::{Action, Membership, Millis};
+
+const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
+
+const TAG_SEND: u8 = 0;
+const TAG_CHANGED: u8 = 1;
+const TAG_REFUTED: u8 = 2;
+const TAG_RENEWED: u8 = 3;
+
+/// A 64-bit FNV-1a digest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DecisionDigest(u64);
+
+impl Default for DecisionDigest {
+    fn default() -> Self {
+        Self(FNV_OFFSET_BASIS)
+    }
+}
+
+impl DecisionDigest {
+    /// The value.
+    #[must_use]
+    pub const fn value(self) -> u64 {
+        self.0
+    }
+
+    fn add(&mut self, bytes: &[u8]) {
+        for &byte in bytes {
+            self.0 = (self.0 ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+        }
+    }
+
+    /// Adds what a member did in one call at time `now`.
+    pub(crate) fn add_call(
+        &mut self,
+        now: Millis,
+        member: u32,
+        next_due: Millis,
+        actions: &[Action],
+    ) {
+        let header = [now, u64::from(member), next_due, actions.len() as u64];
+        for value in header {
+            self.add(&value.to_be_bytes());
+        }
+        for action in actions {
+            self.add_action(action);
+        }
+    }
+
+    fn add_action(&mut self, action: &Action) {
+        match action {
+            Action::Send { to, bytes } => {
+                self.add(&[TAG_SEND]);
+                self.add(&to.to_be_bytes());
+                self.add(&[bytes.len() as u8]);
+                self.add(bytes);
+            }
+            Action::Changed(change) => {
+                self.add(&[TAG_CHANGED, change.from as u8, change.to as u8]);
+                self.add(&change.number.to_be_bytes());
+                self.add(&change.generation.to_be_bytes());
+                self.add(&change.incarnation.to_be_bytes());
+                self.add(&change.at.to_be_bytes());
+            }
+            Action::Refuted(incarnation) => {
+                self.add(&[TAG_REFUTED]);
+                self.add(&incarnation.to_be_bytes());
+            }
+            Action::Renewed(node) => {
+                self.add(&[TAG_RENEWED]);
+                self.add(&node.number.to_be_bytes());
+                self.add(&node.generation.to_be_bytes());
+            }
+        }
+    }
+
+    /// Adds the view of a member and the side of a partition that it takes itself to be on.
+    pub(crate) fn add_view(&mut self, member: u32, core: &Membership) {
+        let side = core.partition_side();
+        let counts = [
+            member,
+            side.reachable,
+            side.fleet_size,
+            side.answered_pings,
+            side.recent_pings,
+        ];
+        for count in counts {
+            self.add(&count.to_be_bytes());
+        }
+        self.add(&[u8::from(side.has_majority()), u8::from(side.is_alone())]);
+        for (_, row) in core.view().members() {
+            self.add(&[row.liveness as u8]);
+            self.add(&row.generation.to_be_bytes());
+            self.add(&row.incarnation.to_be_bytes());
+            self.add(&row.since.to_be_bytes());
+            self.add(&row.last_received.unwrap_or(Millis::MAX).to_be_bytes());
+        }
+    }
+
+    /// Adds a count.
+    pub(crate) fn add_count(&mut self, count: u64) {
+        self.add(&count.to_be_bytes());
+    }
+}
--- a/crates/membership/src/codec.rs
+++ b/crates/membership/src/codec.rs
@@ -1,200 +1,247 @@
-//! The membership datagram: a versioned, bounded codec of our own.
+//! The membership datagram: a versioned, bounded binary format.
 //!
 //! ```text
 //! 0        magic and version: 0xA2 (the findings of `irisrouter-gossip` begin with 0x01, so the two can share a socket)
 //! 1..7     source: number (u32) and generation (u16), big-endian
 //! 7..9     the source's incarnation (u16)
 //! 9..15    destination
-//! 15       kind: 0 ping, 1 ack, 2 ping-req, 3 indirect ack, 4 join, 5 feed, 6 gossip, 7 leave
+//! 15       kind: 0 ping, 1 ack, 2 ping-req, 3 indirect ack, 4 join, 5 member list, 6 gossip, 7 leave
 //! 16..18   sequence number (u16), for kinds 0 to 3
 //! 18..22   target (u32), for kinds 2 and 3; 22..26 its generation and incarnation (two u16), for kind 3
-//! 16..20   first number wanted (u32; 0xffff_ffff for none), for kind 4
-//! then     words: a count (u8) and nine bytes each: node (6), incarnation (2), state (1): 0 alive, 1 down
+//! 16..20   first member wanted (u32; 0xffff_ffff for none), for kind 4
+//! then     updates: a count (u8) and nine bytes each: node (6), incarnation (2), state (1): 0 alive, 1 down
 //! ```
 //!
-//! The longest header is 26 bytes, so 25 words fit the platform's 256 bytes. Nothing decoded is trusted: every read is
+//! The longest header is 26 bytes, so 25 updates fit the platform's 256 bytes. Nothing decoded is trusted: every read is
 //! checked against what remains, an unknown kind, state or version is an error, and bytes left over are an error too.
 
-use crate::merge_rules::Word;
+use crate::member_update::MemberUpdate;
 use crate::node::Node;
 use bytes::BufMut;
 use irisrouter_datagram::Reader;
 
 pub use irisrouter_datagram::magic::MEMBERSHIP as MAGIC;
 pub use irisrouter_datagram::{WireError, MAX_DATAGRAM_BYTES};
-/// Bytes of one word.
-pub const WORD: usize = 9;
-/// Bytes of the longest header, without the count of words.
-pub const LONGEST_HEADER: usize = 26;
-/// Words that fit any datagram.
-pub const WORDS: usize = (MAX_DATAGRAM_BYTES - LONGEST_HEADER - 1) / WORD;
-
-/// What a datagram asks or answers.
+
+/// Bytes of one update.
+pub const UPDATE_BYTES: usize = 9;
+/// Bytes of the longest header, without the count of updates.
+pub const MAX_HEADER_BYTES: usize = 26;
+/// How many updates fit any datagram.
+pub const MAX_UPDATES: usize = (MAX_DATAGRAM_BYTES - MAX_HEADER_BYTES - 1) / UPDATE_BYTES;
+
+/// The byte of the datagram that holds the kind of its message.
+pub const KIND_OFFSET: usize = 15;
+/// How many kinds of messages there are; the kinds are numbered from 0.
+pub const KINDS: usize = 8;
+
+const KIND_PING: u8 = 0;
+const KIND_ACK: u8 = 1;
+const KIND_PING_REQUEST: u8 = 2;
+const KIND_INDIRECT_ACK: u8 = 3;
+const KIND_JOIN: u8 = 4;
+const KIND_MEMBER_LIST: u8 = 5;
+const KIND_GOSSIP: u8 = 6;
+const KIND_LEAVE: u8 = 7;
+
+const STATE_ALIVE: u8 = 0;
+const STATE_DOWN: u8 = 1;
+
+/// Stands in a join for "no member list wanted".
+const NO_MEMBER_LIST_WANTED: u32 = u32::MAX;
+
+/// The message of a datagram.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Kind {
-    /// "Are you there?"
+pub enum Message {
+    /// A ping, which the destination answers with an ack.
     Ping {
-        /// Comes back in the answer.
-        seq: u16,
+        /// Returned in the ack.
+        sequence: u16,
     },
     /// The answer to a ping.
     Ack {
-        /// The ping's.
-        seq: u16,
+        /// The sequence number of the ping.
+        sequence: u16,
     },
-    /// "Ask this member for me."
-    PingReq {
-        /// Comes back in the answer.
-        seq: u16,
-        /// Whom.
+    /// SWIM's ping-req: asks the destination to ping the target for the source.
+    PingRequest {
+        /// Returned in the indirect ack.
+        sequence: u16,
+        /// The number of the member to ping.
         target: u32,
     },
-    /// "It answered me."
+    /// The answer to a ping request: the target has sent an ack.
     IndirectAck {
-        /// The ping-req's.
-        seq: u16,
-        /// Who answered, as which process.
+        /// The sequence number of the ping request.
+        sequence: u16,
+        /// The process that sent the ack.
         target: Node,
-        /// In which incarnation.
+        /// The incarnation of that process.
         incarnation: u16,
     },
-    /// A member that starts, or looks for one that it does not hold alive.
+    /// Announces a member that starts, or that looks for a member that it does not hold alive.
     Join {
-        /// It wants to be told of members from this number on.
-        from: Option<u32>,
+        /// The source wants a list of the members from this number on, if any.
+        list_from: Option<u32>,
     },
-    /// The answer to a join.
-    Feed,
-    /// Words only.
+    /// The answer to a join: its updates are a part of the source's view.
+    MemberList,
+    /// Carries only updates.
     Gossip,
-    /// The source stops.
+    /// Announces that the source stops.
     Leave,
 }
 
 /// A whole datagram.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Datagram {
-    /// Who sent it.
-    pub src: Node,
-    /// In which incarnation.
+    /// The process that sent it.
+    pub source: Node,
+    /// The incarnation of the source.
     pub incarnation: u16,
-    /// To whom; the generation is what the source knows of it.
-    pub dst: Node,
-    /// What for.
-    pub kind: Kind,
-    /// What it says of others; at most [`WORDS`].
-    pub words: Vec<Word>,
-}
-
-fn put_node(buf: &mut Vec<u8>, node: Node) {
-    buf.put_u32(node.number);
-    buf.put_u16(node.generation);
+    /// The recipient; the generation is the one that the source knows.
+    pub destination: Node,
+    /// The message.
+    pub message: Message,
+    /// Updates about other members; at most [`MAX_UPDATES`].
+    pub updates: Vec<MemberUpdate>,
 }
 
-/// The bytes of a datagram; words beyond [`WORDS`] are left out.
+/// Encodes a datagram; updates beyond [`MAX_UPDATES`] are left out.
 #[must_use]
 pub fn encode(datagram: &Datagram) -> Vec<u8> {
-    let words = &datagram.words[..datagram.words.len().min(WORDS)];
-    let mut buf = Vec::with_capacity(LONGEST_HEADER + 1 + words.len() * WORD);
-    buf.put_u8(MAGIC);
-    put_node(&mut buf, datagram.src);
-    buf.put_u16(datagram.incarnation);
-    put_node(&mut buf, datagram.dst);
-    let mut seq = |kind: u8, seq: u16| {
-        buf.put_u8(kind);
-        buf.put_u16(seq);
-    };
-    match datagram.kind {
-        Kind::Ping { seq: s } => seq(0, s),
-        Kind::Ack { seq: s } => seq(1, s),
-        Kind::PingReq { seq: s, target } => {
-            seq(2, s);
-            buf.put_u32(target);
+    let update_count = datagram.updates.len().min(MAX_UPDATES);
+    let capacity = MAX_HEADER_BYTES + 1 + update_count * UPDATE_BYTES;
+    let mut buffer = Vec::with_capacity(capacity);
+    buffer.put_u8(MAGIC);
+    put_node(&mut buffer, datagram.source);
+    buffer.put_u16(datagram.incarnation);
+    put_node(&mut buffer, datagram.destination);
+    put_message(&mut buffer, datagram.message);
+    // At most MAX_UPDATES, which is 25.
+    buffer.put_u8(update_count as u8);
+    for update in &datagram.updates[..update_count] {
+        put_update(&mut buffer, update);
+    }
+    buffer
+}
+
+fn put_node(buffer: &mut Vec<u8>, node: Node) {
+    buffer.put_u32(node.number);
+    buffer.put_u16(node.generation);
+}
+
+fn put_message(buffer: &mut Vec<u8>, message: Message) {
+    match message {
+        Message::Ping { sequence } => put_kind_and_sequence(buffer, KIND_PING, sequence),
+        Message::Ack { sequence } => put_kind_and_sequence(buffer, KIND_ACK, sequence),
+        Message::PingRequest { sequence, target } => {
+            put_kind_and_sequence(buffer, KIND_PING_REQUEST, sequence);
+            buffer.put_u32(target);
         }
-        Kind::IndirectAck {
-            seq: s,
+        Message::IndirectAck {
+            sequence,
             target,
             incarnation,
         } => {
-            seq(3, s);
-            put_node(&mut buf, target);
-            buf.put_u16(incarnation);
+            put_kind_and_sequence(buffer, KIND_INDIRECT_ACK, sequence);
+            put_node(buffer, target);
+            buffer.put_u16(incarnation);
         }
-        Kind::Join { from } => {
-            buf.put_u8(4);
-            buf.put_u32(from.unwrap_or(u32::MAX));
+        Message::Join { list_from } => {
+            buffer.put_u8(KIND_JOIN);
+            buffer.put_u32(list_from.unwrap_or(NO_MEMBER_LIST_WANTED));
         }
-        Kind::Feed => buf.put_u8(5),
-        Kind::Gossip => buf.put_u8(6),
-        Kind::Leave => buf.put_u8(7),
-    }
-    // At most WORDS, which is 25.
-    buf.put_u8(words.len() as u8);
-    for word in words {
-        put_node(&mut buf, word.node);
-        buf.put_u16(word.incarnation);
-        buf.put_u8(u8::from(word.down));
+        Message::MemberList => buffer.put_u8(KIND_MEMBER_LIST),
+        Message::Gossip => buffer.put_u8(KIND_GOSSIP),
+        Message::Leave => buffer.put_u8(KIND_LEAVE),
     }
-    buf
 }
 
-fn get_node(from: &mut Reader<'_>) -> Result<Node, WireError> {
-    Ok(Node {
-        number: from.u32()?,
-        generation: from.u16()?,
-    })
+fn put_kind_and_sequence(buffer: &mut Vec<u8>, kind: u8, sequence: u16) {
+    buffer.put_u8(kind);
+    buffer.put_u16(sequence);
 }
 
-/// Reads a datagram.
+fn put_update(buffer: &mut Vec<u8>, update: &MemberUpdate) {
+    put_node(buffer, update.node);
+    buffer.put_u16(update.incarnation);
+    buffer.put_u8(if update.down { STATE_DOWN } else { STATE_ALIVE });
+}
+
+/// Decodes a datagram.
 ///
 /// # Errors
 ///
-/// The bytes are none of this version, or are cut short or too long; the first reason found.
+/// The bytes are no membership datagram of this version, or are cut short or too long; the first reason found.
 pub fn decode(bytes: &[u8]) -> Result<Datagram, WireError> {
-    let mut from = Reader::new(bytes, MAGIC)?;
-    let (src, incarnation, dst) = (get_node(&mut from)?, from.u16()?, get_node(&mut from)?);
-    let kind = match from.u8()? {
-        0 => Kind::Ping { seq: from.u16()? },
-        1 => Kind::Ack { seq: from.u16()? },
-        2 => Kind::PingReq {
-            seq: from.u16()?,
-            target: from.u32()?,
-        },
-        3 => Kind::IndirectAck {
-            seq: from.u16()?,
-            target: get_node(&mut from)?,
-            incarnation: from.u16()?,
-        },
-        4 => Kind::Join {
-            from: Some(from.u32()?).filter(|&n| n != u32::MAX),
-        },
-        5 => Kind::Feed,
-        6 => Kind::Gossip,
-        7 => Kind::Leave,
-        k => return Err(WireError::Unknown("kind", k)),
-    };
-    let words = from.items(WORD, |from| {
-        let (node, incarnation) = (get_node(from)?, from.u16()?);
-        match from.u8()? {
-            state @ (0 | 1) => Ok(Word {
-                node,
-                incarnation,
-                down: state == 1,
-            }),
-            state => Err(WireError::Unknown("state", state)),
-        }
-    })?;
+    let mut reader = Reader::new(bytes, MAGIC)?;
+    let source = read_node(&mut reader)?;
+    let incarnation = reader.u16()?;
+    let destination = read_node(&mut reader)?;
+    let message = read_message(&mut reader)?;
+    let updates = reader.items(UPDATE_BYTES, read_update)?;
     Ok(Datagram {
-        src,
+        source,
+        incarnation,
+        destination,
+        message,
+        updates,
+    })
+}
+
+fn read_node(reader: &mut Reader<'_>) -> Result<Node, WireError> {
+    Ok(Node {
+        number: reader.u32()?,
+        generation: reader.u16()?,
+    })
+}
+
+fn read_message(reader: &mut Reader<'_>) -> Result<Message, WireError> {
+    match reader.u8()? {
+        KIND_PING => Ok(Message::Ping {
+            sequence: reader.u16()?,
+        }),
+        KIND_ACK => Ok(Message::Ack {
+            sequence: reader.u16()?,
+        }),
+        KIND_PING_REQUEST => Ok(Message::PingRequest {
+            sequence: reader.u16()?,
+            target: reader.u32()?,
+        }),
+        KIND_INDIRECT_ACK => Ok(Message::IndirectAck {
+            sequence: reader.u16()?,
+            target: read_node(reader)?,
+            incarnation: reader.u16()?,
+        }),
+        KIND_JOIN => {
+            let first = reader.u32()?;
+            let list_from = (first != NO_MEMBER_LIST_WANTED).then_some(first);
+            Ok(Message::Join { list_from })
+        }
+        KIND_MEMBER_LIST => Ok(Message::MemberList),
+        KIND_GOSSIP => Ok(Message::Gossip),
+        KIND_LEAVE => Ok(Message::Leave),
+        unknown => Err(WireError::Unknown("kind", unknown)),
+    }
+}
+
+fn read_update(reader: &mut Reader<'_>) -> Result<MemberUpdate, WireError> {
+    let node = read_node(reader)?;
+    let incarnation = reader.u16()?;
+    let down = match reader.u8()? {
+        STATE_ALIVE => false,
+        STATE_DOWN => true,
+        unknown => return Err(WireError::Unknown("state", unknown)),
+    };
+    Ok(MemberUpdate {
+        node,
         incarnation,
-        dst,
-        kind,
-        words,
+        down,
     })
 }
 
-/// Whether a datagram is one of membership's, by its first byte; the shell uses this to route datagrams that share
-/// the peer socket.
+/// Whether a datagram is one of membership's, by its first byte: the peer socket is shared with other protocols.
 #[must_use]
 pub fn recognizes(datagram: &[u8]) -> bool {
     irisrouter_datagram::is(datagram, MAGIC)
--- a/crates/membership/src/merge_rules.rs
+++ b/crates/membership/src/merge_rules.rs
@@ -1,136 +1,151 @@
 //! The rules by which a row of the view changes, as pure functions. The core applies them and the model checker checks
-//! them (`tests/suspicion.rs`), so what is proven is what runs.
+//! them (`tests/suspicion.rs`), so the rules that are verified are the rules that run.
 //!
-//! Three rules differ from SWIM as published, each for a failure that was seen (`docs/membership.md`):
+//! Three rules differ from SWIM as published, each because of a failure that was observed (`docs/membership.md`):
 //!
-//! 1. **Nobody is held down on hearsay.** Word of a death makes a member ask for itself ([`Heard::Ask`]); only its own
-//!    unanswered asks are a verdict.
-//! 2. **Only answers prove life.** A datagram that merely arrives clears no suspicion ([`Met`]): a gateway that sends and
-//!    can't hear would otherwise stay alive for ever, and its duties with it.
-//! 3. **A verdict holds for one incarnation.** The member itself, once told, raises its incarnation, and that word
-//!    outranks every older one, whoever says it. No verdict is final.
+//! 1. **No member is declared down on a report alone.** A report that a member is down makes the receiver ping that
+//!    member itself ([`UpdateOutcome::Verify`]); only its own unanswered pings lead to a verdict.
+//! 2. **Only answers prove that a member is alive.** A datagram that merely arrives does not end a suspicion
+//!    ([`ContactOutcome`]): otherwise a gateway that can send and not receive would stay alive for ever, and keep its
+//!    leases.
+//! 3. **A verdict holds for one incarnation.** The member itself, once notified, raises its incarnation, and that
+//!    update outranks every older one, whoever sends it. No verdict is final.
 
-use crate::node::{serial, Node};
-use crate::view::{Liveness, Seen};
+use crate::member_update::MemberUpdate;
+use crate::node::{compare_serial, Node};
+use crate::view::{Liveness, MemberState};
 use std::cmp::Ordering;
 
-/// What one member says of another.
+/// What to do with an update about a third member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct Word {
-    /// Of whom, and of which process.
-    pub node: Node,
-    /// In which of its incarnations.
-    pub incarnation: u16,
-    /// It is down; else alive.
-    pub down: bool,
+pub enum UpdateOutcome {
+    /// Ignore it: it is known, or older than what is known.
+    Stale,
+    /// Correct the sender: it reports a member down of which a later incarnation is known.
+    SenderOutdated,
+    /// Apply it: the row becomes what the update says.
+    Apply,
+    /// Suspect the member and ping it, to verify the report that it is down.
+    Verify,
 }
 
-/// What to do with a word heard from a third.
+/// What a datagram from a member means for the row of that member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Heard {
-    /// It is known, or older than what is known.
-    Old,
-    /// It says that a member is down of which something later is known: the teller is behind and is told.
-    Behind,
-    /// The row becomes what the word says.
-    Take,
-    /// The row is in doubt until the member itself has been asked.
-    Ask,
-}
-
-/// What a datagram of a member's own means for its row.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Met {
+pub enum ContactOutcome {
     /// Nothing new.
-    Same,
-    /// A member not known, a later process, or a later incarnation: it is alive.
+    Unchanged,
+    /// The member was not known, or is a later process or in a later incarnation: it is alive.
     Alive,
-    /// It is held down, or replaced by a later process, and does not know it: it is told, and what it says of others
-    /// is not used.
-    Tell,
+    /// The member is held down, or was replaced by a later process, and does not know it: it is notified, and its
+    /// updates about others are not used.
+    NotifySender,
 }
 
-/// What a member does on hearing of itself.
+/// What this member does on receiving an update about itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum OfMe {
+pub enum SelfUpdateOutcome {
     /// Nothing.
-    Nothing,
-    /// It goes on in this incarnation, and says so.
+    Ignore,
+    /// Refute it: continue in this incarnation, and spread that.
     Refute(u16),
-    /// A later process is taken for this one (a clock set back between two starts): it goes on as this generation.
+    /// A later generation of this gateway is known to the fleet (the clock was set back between two starts): continue
+    /// as this generation.
     Renew(u16),
 }
 
-/// What an ask without an answer means.
+/// What a round of pings without an answer means.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Missed {
-    /// The member is suspect (if it was not), and is asked again.
-    Again,
-    /// It is down.
+pub enum MissedRoundOutcome {
+    /// The member is suspect and is pinged for another round.
+    Suspect,
+    /// The member is down.
     Down,
 }
 
-fn later(node: Node, incarnation: u16, row: &Seen) -> Ordering {
-    serial(node.generation, row.generation).then(serial(incarnation, row.incarnation))
+/// Why a member is being pinged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum PingReason {
+    /// It was its turn in the protocol period.
+    Scheduled,
+    /// Another member reported it down, which is to be verified.
+    ReportedDown,
+}
+
+fn compare_with_row(node: Node, incarnation: u16, row: &MemberState) -> Ordering {
+    compare_serial(node.generation, row.generation)
+        .then(compare_serial(incarnation, row.incarnation))
 }
 
-/// A word about a member heard from a third, against what is known of that member.
+/// Decides on an update about a third member, against what is known of that member.
 #[must_use]
-pub fn hear(row: &Seen, word: &Word) -> Heard {
+pub fn merge_update(row: &MemberState, update: &MemberUpdate) -> UpdateOutcome {
     if row.liveness == Liveness::Unknown {
-        return if word.down { Heard::Ask } else { Heard::Take };
+        return if update.down {
+            UpdateOutcome::Verify
+        } else {
+            UpdateOutcome::Apply
+        };
     }
-    match (later(word.node, word.incarnation, row), word.down) {
-        (Ordering::Less, true) => Heard::Behind,
-        (Ordering::Less, false) | (Ordering::Equal, false) => Heard::Old,
-        (Ordering::Greater, false) => Heard::Take,
-        (Ordering::Equal, true) if row.liveness == Liveness::Down => Heard::Old,
-        (Ordering::Greater, true) if row.liveness == Liveness::Down => Heard::Take,
-        (_, true) => Heard::Ask,
+    let order = compare_with_row(update.node, update.incarnation, row);
+    match (order, update.down) {
+        (Ordering::Less, true) => UpdateOutcome::SenderOutdated,
+        (Ordering::Less, false) | (Ordering::Equal, false) => UpdateOutcome::Stale,
+        (Ordering::Greater, false) => UpdateOutcome::Apply,
+        (Ordering::Equal, true) if row.liveness == Liveness::Down => UpdateOutcome::Stale,
+        (Ordering::Greater, true) if row.liveness == Liveness::Down => UpdateOutcome::Apply,
+        (_, true) => UpdateOutcome::Verify,
     }
 }
 
-/// A datagram from member `src` itself in this incarnation, against what is known of it.
+/// Decides on a datagram that member `source` sent in this incarnation, against what is known of that member.
 #[must_use]
-pub fn meet(row: &Seen, src: Node, incarnation: u16) -> Met {
+pub fn merge_contact(row: &MemberState, source: Node, incarnation: u16) -> ContactOutcome {
     if row.liveness == Liveness::Unknown {
-        return Met::Alive;
+        return ContactOutcome::Alive;
     }
-    match (
-        serial(src.generation, row.generation),
-        serial(incarnation, row.incarnation),
-    ) {
-        (Ordering::Less, _) => Met::Tell,
-        (Ordering::Greater, _) | (_, Ordering::Greater) => Met::Alive,
-        _ if row.liveness == Liveness::Down => Met::Tell,
-        _ => Met::Same,
+    let generation_order = compare_serial(source.generation, row.generation);
+    let incarnation_order = compare_serial(incarnation, row.incarnation);
+    match (generation_order, incarnation_order) {
+        (Ordering::Less, _) => ContactOutcome::NotifySender,
+        (Ordering::Greater, _) | (_, Ordering::Greater) => ContactOutcome::Alive,
+        _ if row.liveness == Liveness::Down => ContactOutcome::NotifySender,
+        _ => ContactOutcome::Unchanged,
     }
 }
 
-/// A word about this member itself.
+/// Decides on an update about this member itself, which runs as `local` in this incarnation.
 #[must_use]
-pub fn of_me(me: Node, incarnation: u16, word: &Word) -> OfMe {
-    let (process, incarnations) = (
-        serial(word.node.generation, me.generation),
-        serial(word.incarnation, incarnation),
-    );
-    match (process, incarnations) {
-        (Ordering::Greater, _) => OfMe::Renew(word.node.generation.wrapping_add(1)),
-        (Ordering::Less, _) | (_, Ordering::Less) => OfMe::Nothing,
-        // An older process of the same second (the generation's unit) had come further.
-        (_, Ordering::Greater) => OfMe::Refute(word.incarnation.wrapping_add(1)),
-        _ if word.down => OfMe::Refute(word.incarnation.wrapping_add(1)),
-        _ => OfMe::Nothing,
+pub fn merge_update_about_self(
+    local: Node,
+    incarnation: u16,
+    update: &MemberUpdate,
+) -> SelfUpdateOutcome {
+    let generation_order = compare_serial(update.node.generation, local.generation);
+    let incarnation_order = compare_serial(update.incarnation, incarnation);
+    let next_incarnation = update.incarnation.wrapping_add(1);
+    match (generation_order, incarnation_order) {
+        (Ordering::Greater, _) => SelfUpdateOutcome::Renew(update.node.generation.wrapping_add(1)),
+        (Ordering::Less, _) | (_, Ordering::Less) => SelfUpdateOutcome::Ignore,
+        // An older process that started within the same second (the generation's unit) had raised it further.
+        (_, Ordering::Greater) => SelfUpdateOutcome::Refute(next_incarnation),
+        _ if update.down => SelfUpdateOutcome::Refute(next_incarnation),
+        _ => SelfUpdateOutcome::Ignore,
     }
 }
 
-/// The `missed`th ask in a row without an answer; `told` where others said that the member is down. The first one
-/// makes it suspect, and `rounds` more make a verdict; one is enough to confirm what others found.
+/// Decides on a round of pings without an answer, `missed_rounds` being the number of such rounds in a row.
+///
+/// The first one makes the member suspect, and `suspicion_rounds` more declare it down. One is enough where another
+/// member reported it down.
 #[must_use]
-pub const fn miss(missed: u32, told: bool, rounds: u32) -> Missed {
-    if told || missed > rounds {
-        Missed::Down
+pub const fn judge_missed_round(
+    missed_rounds: u32,
+    reason: PingReason,
+    suspicion_rounds: u32,
+) -> MissedRoundOutcome {
+    if matches!(reason, PingReason::ReportedDown) || missed_rounds > suspicion_rounds {
+        MissedRoundOutcome::Down
     } else {
-        Missed::Again
+        MissedRoundOutcome::Suspect
     }
 }
--- a/crates/membership/src/node.rs
+++ b/crates/membership/src/node.rs
@@ -1,17 +1,17 @@
-//! A gateway as a member: its number in the fleet's list of peers, and the generation of the process that runs it.
+//! The identity of a gateway process: its number in the fleet's list of peers and the generation of the process.
 //!
-//! Two processes of one gateway (a restart) share the number and differ in the generation; the later one wins.
-//! Generations and incarnations wrap at 2^16 and are compared in serial-number arithmetic (RFC 1982), so a gateway that
-//! restarted 65,535 times still wins against its own older self.
+//! Two processes of one gateway (before and after a restart) share the number and differ in the generation; the later
+//! one wins. Generations and incarnations wrap at 2^16 and are compared in serial-number arithmetic (RFC 1982), so a
+//! gateway that restarted 65,535 times still wins against its own older process.
 
 use std::cmp::Ordering;
 
-/// One gateway process, as the others know it. Six bytes on the wire: number then generation, both big-endian.
+/// One gateway process. Six bytes on the wire: number, then generation, both big-endian.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Node {
     /// Index into the fleet's list of peers (`peers` in the platform's configuration).
     pub number: u32,
-    /// Later for each new start of the process.
+    /// Grows with each start of the process, modulo 2^16.
     pub generation: u16,
 }
 
@@ -25,15 +25,15 @@
         }
     }
 
-    /// Whether `self` is a later generation than `other` (serial-number arithmetic on 16 bits).
+    /// Whether `self` is a later generation than `other`, in serial-number arithmetic.
     #[must_use]
-    pub fn newer_than(&self, other: &Self) -> bool {
-        serial(self.generation, other.generation) == Ordering::Greater
+    pub fn is_newer_than(&self, other: &Self) -> bool {
+        compare_serial(self.generation, other.generation) == Ordering::Greater
     }
 
-    /// The generation after this one.
+    /// The same gateway in the generation after this one.
     #[must_use]
-    pub const fn next(&self) -> Self {
+    pub const fn next_generation(&self) -> Self {
         Self {
             number: self.number,
             generation: self.generation.wrapping_add(1),
@@ -41,30 +41,13 @@
     }
 }
 
-/// Compares two 16-bit serial numbers (RFC 1982; the undefined distance of exactly 2^15 counts as less).
+/// Compares two 16-bit serial numbers (RFC 1982). At the distance of exactly 2^15, which the RFC leaves undefined, the
+/// result is `Less`.
 #[must_use]
-pub fn serial(a: u16, b: u16) -> Ordering {
-    match a.wrapping_sub(b) {
+pub fn compare_serial(left: u16, right: u16) -> Ordering {
+    match left.wrapping_sub(right) {
         0 => Ordering::Equal,
         1..=0x7fff => Ordering::Greater,
         _ => Ordering::Less,
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn later_generations_win_across_the_wrap() {
-        let old = Node {
-            number: 3,
-            generation: u16::MAX,
-        };
-        let new = old.next();
-        assert_eq!(new.generation, 0);
-        assert!(new.newer_than(&old));
-        assert!(!old.newer_than(&new));
-        assert!(!old.newer_than(&old));
-    }
-}
--- a/crates/membership/src/outstanding_pings.rs
+++ b/crates/membership/src/outstanding_pings.rs
@@ -1,172 +1,239 @@
-//! The asks under way: "are you there?", to one member, in rounds of one probe period each, until it answers or has
-//! been silent for too many of them.
+//! The pings under way: each is to one member and runs in rounds of one protocol period, until the member answers or has
+//! missed too many rounds.
 //!
-//! A round: a ping; where the round trip passes without an answer, a second one and the asking of others; after another
-//! round trip a third. Danger guarded against: at 30 % loss one ping and its answer fail every second time, and each
-//! failed probe costs a suspicion.
+//! A round starts with a ping. After a ping timeout without an answer a second ping is sent and other members are asked
+//! to ping indirectly; after another timeout a third ping is sent. The repetitions are there because at 30 % loss one
+//! ping and its answer fail every second time, and each missed round costs a suspicion.
 
+use crate::merge_rules::PingReason;
+use crate::settings::Settings;
 use crate::view::Millis;
-use crate::Settings;
 use std::collections::BTreeMap;
 
-/// Rounds under way at a time; further members in doubt wait. Danger guarded against: after a cut of a large fleet a
-/// member hears of hundreds of deaths within a second, and asking them all at once would crowd its socket.
-pub const AT_ONCE: usize = 16;
+/// How many rounds may be under way at a time; further members wait.
+///
+/// After a partition of a large fleet a member receives hundreds of reports of members that are down within a second,
+/// and pinging all of them at once would overflow its socket.
+pub(crate) const MAX_CONCURRENT_ROUNDS: usize = 16;
 
-/// What the owner of the asks is to do about one.
+/// What is to be done now for a member that is being pinged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Due {
+pub(crate) enum PingStep {
     /// Ping the member.
     Ping,
-    /// Ping it, and ask others to.
-    Indirect,
-    /// The round is over without an answer.
-    Missed,
+    /// Ping the member, and ask other members to ping it.
+    PingIndirectly,
+    /// The round ended without an answer.
+    RoundMissed,
 }
 
-/// One member that is being asked.
+/// A step that is due for one member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct DuePing {
+    /// The member's number.
+    pub number: u32,
+    /// What is to be done.
+    pub step: PingStep,
+}
+
+/// A round under way.
+#[derive(Debug, Clone, Copy)]
+struct Round {
+    started: Millis,
+    next_step: PingStep,
+}
+
+impl Round {
+    /// When the next step is due.
+    fn due(&self, settings: &Settings) -> Millis {
+        let second_timeout = 2 * settings.ping_timeout_ms;
+        let delay = match self.next_step {
+            PingStep::PingIndirectly => settings.ping_timeout_ms,
+            PingStep::Ping if second_timeout < settings.protocol_period_ms => second_timeout,
+            PingStep::Ping | PingStep::RoundMissed => settings.protocol_period_ms,
+        };
+        self.started + delay
+    }
+
+    /// Returns the step that is due now and moves on to the one after it.
+    fn take_step(&mut self) -> PingStep {
+        let step = self.next_step;
+        self.next_step = match step {
+            PingStep::PingIndirectly => PingStep::Ping,
+            PingStep::Ping | PingStep::RoundMissed => PingStep::RoundMissed,
+        };
+        step
+    }
+}
+
+/// One member that is being pinged.
 #[derive(Debug, Clone)]
-pub struct Ask {
-    /// Rounds without an answer so far.
-    pub missed: u32,
-    /// Others say that it is down.
-    pub told: bool,
-    /// The sequence numbers of the first round and of the one under way.
-    pub seqs: (u16, u16),
-    /// When the round began, and how far it is; `None` while it waits.
-    round: Option<(Millis, u8)>,
-    /// Its place among those that wait: who has waited longest begins first.
-    turn: u64,
+pub(crate) struct OutstandingPing {
+    /// Rounds in a row without an answer.
+    pub missed_rounds: u32,
+    /// Why the member is pinged.
+    pub reason: PingReason,
+    /// The sequence number of the first round.
+    first_sequence: u16,
+    /// The sequence number of the latest round.
+    pub sequence: u16,
+    /// The round under way; `None` while the member waits for one.
+    round: Option<Round>,
+    /// The place among the members that wait: the one that has waited longest has the lowest.
+    queue_position: u64,
 }
 
-impl Ask {
-    /// Whether an answer with this sequence number is one to this ask.
+impl OutstandingPing {
+    /// Whether an ack with this sequence number answers this ping, in any of its rounds.
     #[must_use]
-    pub const fn answered_by(&self, seq: u16) -> bool {
-        self.round.is_some()
-            && seq.wrapping_sub(self.seqs.0) <= self.seqs.1.wrapping_sub(self.seqs.0)
+    pub(crate) const fn is_answered_by(&self, sequence: u16) -> bool {
+        let rounds_since_first = sequence.wrapping_sub(self.first_sequence);
+        let last_round = self.sequence.wrapping_sub(self.first_sequence);
+        self.round.is_some() && rounds_since_first <= last_round
     }
 }
 
-/// All asks, by member.
+/// All pings under way, by the number of the member.
 #[derive(Debug, Clone, Default)]
-pub struct Asks {
-    all: BTreeMap<u32, Ask>,
-    seq: u16,
-    turns: u64,
+pub(crate) struct OutstandingPings {
+    pings: BTreeMap<u32, OutstandingPing>,
+    last_sequence: u16,
+    last_queue_position: u64,
 }
 
-impl Asks {
+impl OutstandingPings {
     /// A new sequence number.
-    pub fn seq(&mut self) -> u16 {
-        self.seq = self.seq.wrapping_add(1);
-        self.seq
+    pub(crate) fn next_sequence(&mut self) -> u16 {
+        self.last_sequence = self.last_sequence.wrapping_add(1);
+        self.last_sequence
+    }
+
+    fn next_queue_position(&mut self) -> u64 {
+        self.last_queue_position += 1;
+        self.last_queue_position
     }
 
-    /// The ask of a member.
+    /// The ping to member `number`.
     #[must_use]
-    pub fn get(&self, number: u32) -> Option<&Ask> {
-        self.all.get(&number)
+    pub(crate) fn get(&self, number: u32) -> Option<&OutstandingPing> {
+        self.pings.get(&number)
     }
 
-    /// Asks a member from the next [`Asks::due`] on; where it is being asked already, only `told` may change.
-    pub fn ask(&mut self, number: u32, told: bool) {
-        self.turns += 1;
-        let new = Ask {
-            missed: 0,
-            told,
-            seqs: (0, 0),
+    /// Starts to ping a member, from the next [`OutstandingPings::take_due`] on. If it is being pinged already, only the
+    /// reason may change, to [`PingReason::ReportedDown`].
+    pub(crate) fn start(&mut self, number: u32, reason: PingReason) {
+        let queue_position = self.next_queue_position();
+        let ping = self.pings.entry(number).or_insert(OutstandingPing {
+            missed_rounds: 0,
+            reason,
+            first_sequence: 0,
+            sequence: 0,
             round: None,
-            turn: self.turns,
-        };
-        let ask = self.all.entry(number).or_insert(new);
-        ask.told |= told;
+            queue_position,
+        });
+        if reason == PingReason::ReportedDown {
+            ping.reason = reason;
+        }
     }
 
-    /// Ends the ask of a member.
-    pub fn end(&mut self, number: u32) -> Option<Ask> {
-        self.all.remove(&number)
+    /// Ends the ping to a member.
+    pub(crate) fn end(&mut self, number: u32) -> Option<OutstandingPing> {
+        self.pings.remove(&number)
     }
 
-    /// The member's next round begins with the next [`Asks::due`].
-    pub fn again(&mut self, number: u32, missed: u32) {
-        if let Some(ask) = self.all.get_mut(&number) {
-            self.turns += 1;
-            ask.missed = missed;
-            ask.round = None;
-            ask.turn = self.turns;
+    /// Starts another round for a member that has missed so many, from the next [`OutstandingPings::take_due`] on.
+    pub(crate) fn start_next_round(&mut self, number: u32, missed_rounds: u32) {
+        if !self.pings.contains_key(&number) {
+            return;
+        }
+        let queue_position = self.next_queue_position();
+        if let Some(ping) = self.pings.get_mut(&number) {
+            ping.missed_rounds = missed_rounds;
+            ping.round = None;
+            ping.queue_position = queue_position;
         }
     }
 
-    /// When [`Asks::due`] has something next; at once (0) where a round may begin.
+    fn rounds_under_way(&self) -> usize {
+        let under_way = |ping: &&OutstandingPing| ping.round.is_some();
+        self.pings.values().filter(under_way).count()
+    }
+
+    /// When [`OutstandingPings::take_due`] has something next; 0 where a waiting round may start at once, and
+    /// [`Millis::MAX`] without any ping.
     #[must_use]
-    pub fn next(&self, settings: &Settings) -> Millis {
-        let under_way = self.all.values().filter(|a| a.round.is_some()).count();
-        // A round that is over is its owner's to end or to begin again, within the same call.
-        let waits = self.all.len() > under_way && under_way < AT_ONCE;
-        let step = |&(began, step): &(Millis, u8)| began + after(step, settings);
-        let next = self
-            .all
+    pub(crate) fn next_due(&self, settings: &Settings) -> Millis {
+        let under_way = self.rounds_under_way();
+        let some_wait = self.pings.len() > under_way;
+        // A round that is over is ended or started again by the owner within the same call, so it never stands here.
+        if some_wait && under_way < MAX_CONCURRENT_ROUNDS {
+            return 0;
+        }
+        self.pings
             .values()
-            .filter_map(|a| a.round.as_ref().map(step))
+            .filter_map(|ping| ping.round.map(|round| round.due(settings)))
             .min()
-            .unwrap_or(Millis::MAX);
-        if waits {
-            0
-        } else {
-            next
-        }
+            .unwrap_or(Millis::MAX)
     }
 
-    /// What is due by `now`, by member. Danger guarded against: a process that was paused finds rounds long over in
-    /// which it read no answers; a round that ends more than a period late is begun again, and counts for nothing.
-    pub fn due(&mut self, now: Millis, settings: &Settings) -> Vec<(u32, Due)> {
+    /// Takes the steps that are due by `now`: first those of rounds under way, by number, then the first pings of the
+    /// rounds that start now.
+    pub(crate) fn take_due(&mut self, now: Millis, settings: &Settings) -> Vec<DuePing> {
+        let mut due = self.take_due_steps(now, settings);
+        self.start_waiting_rounds(now, &mut due);
+        due
+    }
+
+    /// Takes the steps of rounds under way.
+    ///
+    /// A round that is over for more than a period is started again and counts for nothing: this process was paused
+    /// and has not read the answers.
+    fn take_due_steps(&mut self, now: Millis, settings: &Settings) -> Vec<DuePing> {
         let mut due = Vec::new();
-        for (&number, ask) in &mut self.all {
-            let Some((began, step)) = ask.round else {
+        for (&number, ping) in &mut self.pings {
+            let Some(round) = &mut ping.round else {
                 continue;
             };
-            if now < began + after(step, settings) {
+            if now < round.due(settings) {
                 continue;
             }
-            if now > began + 2 * settings.probe_period_ms {
-                ask.round = None;
+            if now > round.started + 2 * settings.protocol_period_ms {
+                ping.round = None;
                 continue;
             }
-            ask.round = Some((began, step + 1));
-            due.push(match step {
-                1 => (number, Due::Indirect),
-                2 => (number, Due::Ping),
-                _ => (number, Due::Missed),
-            });
+            let step = round.take_step();
+            due.push(DuePing { number, step });
         }
-        let under_way = self.all.values().filter(|a| a.round.is_some()).count();
+        due
+    }
+
+    /// Starts as many waiting rounds as may be under way at a time, in the order in which they have waited.
+    fn start_waiting_rounds(&mut self, now: Millis, due: &mut Vec<DuePing>) {
+        let free = MAX_CONCURRENT_ROUNDS.saturating_sub(self.rounds_under_way());
         let mut waiting: Vec<(u64, u32)> = self
-            .all
+            .pings
             .iter()
-            .filter(|(_, a)| a.round.is_none())
-            .map(|(&n, a)| (a.turn, n))
+            .filter(|(_, ping)| ping.round.is_none())
+            .map(|(&number, ping)| (ping.queue_position, number))
             .collect();
         waiting.sort_unstable();
-        for (_, number) in waiting.into_iter().take(AT_ONCE.saturating_sub(under_way)) {
-            let seq = self.seq();
-            let Some(ask) = self.all.get_mut(&number) else {
+        for (_, number) in waiting.into_iter().take(free) {
+            let sequence = self.next_sequence();
+            let Some(ping) = self.pings.get_mut(&number) else {
                 continue;
             };
-            ask.seqs = (if ask.missed == 0 { seq } else { ask.seqs.0 }, seq);
-            ask.round = Some((now, 1));
-            due.push((number, Due::Ping));
+            if ping.missed_rounds == 0 {
+                ping.first_sequence = sequence;
+            }
+            ping.sequence = sequence;
+            ping.round = Some(Round {
+                started: now,
+                next_step: PingStep::PingIndirectly,
+            });
+            due.push(DuePing {
+                number,
+                step: PingStep::Ping,
+            });
         }
-        due
-    }
-}
-
-/// When a round's step is due, from its beginning.
-const fn after(step: u8, settings: &Settings) -> Millis {
-    let second = 2 * settings.probe_rtt_ms;
-    match step {
-        1 => settings.probe_rtt_ms,
-        2 if second < settings.probe_period_ms => second,
-        _ => settings.probe_period_ms,
     }
 }
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -1,74 +1,109 @@
 //! The timings of membership, derived from the size of the fleet.
 //!
-//! Defaults follow SWIM as memberlist's LAN profile sets it, with a suspicion that has a floor of three probe periods
-//! beyond the longest stall that must not count as death (`stall_ms`), so a process paused for that long is suspected
-//! and answers, rather than being declared down. Suspicion is counted in asks without an answer, one a period, and not
-//! in time: a process that was paused itself has asked nobody meanwhile.
+//! Defaults follow SWIM as memberlist's LAN profile sets it. The suspicion time has a floor of three protocol periods
+//! beyond the longest stall that must not count as death (`max_stall_ms`), so a process that was paused for that long is
+//! suspected and answers, rather than being declared down. Suspicion is counted in rounds without an answer, one for
+//! each period, and not in time: a process that was paused itself has pinged nobody meanwhile.
 
-/// Settings of one member. All times in milliseconds.
+use thiserror::Error;
+
+/// Periods that the detection bound allows for the first round of pings to a crashed member: five until it starts, and
+/// one for the round.
+const DETECTION_PERIODS: u64 = 6;
+/// Periods in which the report of a crash spreads, for each digit of the fleet's size.
+const DISSEMINATION_PERIODS_PER_DIGIT: u64 = 3;
+
+/// Settings of one member. All times are in milliseconds.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
-    /// Gateways in the fleet's list, this one included; sets suspicion and dissemination.
-    pub fleet: u32,
-    /// One member is probed each period.
-    pub probe_period_ms: u64,
-    /// Wait for a direct ack before asking others to probe; as long again, and the member is pinged a third time.
-    pub probe_rtt_ms: u64,
-    /// How many peers are asked to probe indirectly.
-    pub indirect_probes: usize,
-    /// A pause of a process this long must end in suspicion and refutation, not death.
-    pub stall_ms: u64,
-    /// How long a suspect stays suspect before it is declared down: at least `4 * max(1, log10 fleet)` periods, and
-    /// at least `stall_ms` plus three periods.
+    /// The number of gateways in the fleet's list, this one included; determines suspicion and dissemination.
+    pub fleet_size: u32,
+    /// The protocol period: one member is pinged in each.
+    pub protocol_period_ms: u64,
+    /// How long to wait for an ack before other members are asked to ping; after as long again a third ping is sent.
+    pub ping_timeout_ms: u64,
+    /// How many members are asked to ping indirectly.
+    pub indirect_pings: usize,
+    /// A pause of a process this long must end in suspicion and refutation, not in a verdict.
+    pub max_stall_ms: u64,
+    /// How long a suspect member stays suspect before it is declared down: at least `4 * max(1, log10 fleet_size)`
+    /// periods, and at least `max_stall_ms` plus three periods.
     pub suspicion_ms: u64,
-    /// Every this often, one peer that is not alive in the view is announced to: heals partitions and rejoins
-    /// restarted peers.
-    pub rejoin_ms: u64,
-    /// Every this often, updates are gossiped to `gossip_fanout` members besides those carried on probes.
-    pub gossip_ms: u64,
-    /// Members a gossip round reaches.
+    /// The interval at which one member that is not alive in the view is sent a join: this heals partitions and finds
+    /// restarted members.
+    pub rejoin_interval_ms: u64,
+    /// The interval at which updates are sent to `gossip_fanout` members, besides those carried on pings.
+    pub gossip_interval_ms: u64,
+    /// How many members each gossip goes to.
     pub gossip_fanout: usize,
-    /// How often each member passes on a change it learnt, for each digit of the fleet's size.
-    pub transmissions: u8,
+    /// How often each member transmits a change, for each digit of the fleet's size.
+    pub transmissions_per_digit: u8,
+}
+
+/// Why settings do not pass [`Settings::check`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("{field}: {reason}")]
+pub struct SettingsError {
+    /// The setting, by the name that operators know.
+    pub field: &'static str,
+    /// What is wrong with its value.
+    pub reason: SettingsErrorReason,
+}
+
+/// What is wrong with the value of a setting.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum SettingsErrorReason {
+    /// The value is zero.
+    #[error("must be greater than zero")]
+    Zero,
+    /// The ping timeout is not shorter than the protocol period.
+    #[error("must be shorter than probe_period_ms, or probes overlap")]
+    TimeoutNotShorterThanPeriod,
+    /// The gossip interval is longer than the rejoin interval.
+    #[error("must not be longer than rejoin_ms, to which joins back off")]
+    GossipLongerThanRejoin,
+    /// The suspicion time does not outlast a stall.
+    #[error("must be longer than stall_ms, or a stall is taken for death")]
+    SuspicionNotLongerThanStall,
 }
 
 impl Settings {
-    /// Settings for a fleet of `fleet` gateways, with a probe each second and stalls up to 2 s survived.
+    /// Settings for a fleet of this many gateways, with a protocol period of one second that survive stalls up to 2 s.
     #[must_use]
-    pub fn for_fleet(fleet: u32) -> Self {
-        let probe_period_ms = 1_000;
-        let stall_ms = 2_000;
-        let log = f64::from(fleet.max(1)).log10().max(1.0);
+    pub fn for_fleet(fleet_size: u32) -> Self {
+        let protocol_period_ms = 1_000;
+        let max_stall_ms = 2_000;
+        let log = f64::from(fleet_size.max(1)).log10().max(1.0);
         // Rounded to whole milliseconds; log10 of a u32 is at most 9.7, so the product is small and finite.
-        let by_size = (4.0 * log * probe_period_ms as f64).round() as u64;
+        let suspicion_by_size_ms = (4.0 * log * protocol_period_ms as f64).round() as u64;
         Self {
-            fleet: fleet.max(1),
-            probe_period_ms,
-            probe_rtt_ms: 300,
-            indirect_probes: 3,
-            stall_ms,
-            suspicion_ms: by_size.max(stall_ms + 3 * probe_period_ms),
-            rejoin_ms: 2_000,
-            gossip_ms: 200,
+            fleet_size: fleet_size.max(1),
+            protocol_period_ms,
+            ping_timeout_ms: 300,
+            indirect_pings: 3,
+            max_stall_ms,
+            suspicion_ms: suspicion_by_size_ms.max(max_stall_ms + 3 * protocol_period_ms),
+            rejoin_interval_ms: 2_000,
+            gossip_interval_ms: 200,
             gossip_fanout: 3,
-            transmissions: 8,
+            transmissions_per_digit: 8,
         }
     }
 
-    /// Settings with a probe each so many milliseconds, every time scaled with it, and stalls up to `stall_ms` survived.
+    /// Settings with this protocol period, every other time scaled with it, that survive stalls up to `max_stall_ms`.
     #[must_use]
-    pub fn paced(fleet: u32, probe_period_ms: u64, stall_ms: u64) -> Self {
-        let s = Self::for_fleet(fleet);
-        let scale = |ms: u64| ms.saturating_mul(probe_period_ms) / s.probe_period_ms;
-        let outlasts = stall_ms.saturating_add(probe_period_ms.saturating_mul(3));
+    pub fn paced(fleet_size: u32, protocol_period_ms: u64, max_stall_ms: u64) -> Self {
+        let defaults = Self::for_fleet(fleet_size);
+        let scale = |ms: u64| ms.saturating_mul(protocol_period_ms) / defaults.protocol_period_ms;
+        let min_suspicion_ms = max_stall_ms.saturating_add(protocol_period_ms.saturating_mul(3));
         Self {
-            probe_rtt_ms: scale(s.probe_rtt_ms).max(1),
-            gossip_ms: scale(s.gossip_ms).max(1),
-            rejoin_ms: scale(s.rejoin_ms).max(1),
-            suspicion_ms: scale(s.suspicion_ms).max(outlasts),
-            probe_period_ms,
-            stall_ms,
-            ..s
+            ping_timeout_ms: scale(defaults.ping_timeout_ms).max(1),
+            gossip_interval_ms: scale(defaults.gossip_interval_ms).max(1),
+            rejoin_interval_ms: scale(defaults.rejoin_interval_ms).max(1),
+            suspicion_ms: scale(defaults.suspicion_ms).max(min_suspicion_ms),
+            protocol_period_ms,
+            max_stall_ms,
+            ..defaults
         }
     }
 
@@ -76,84 +111,93 @@
     ///
     /// # Errors
     ///
-    /// A field that is zero, or a round trip not shorter than the probe period, with the field's name and the reason.
-    pub fn check(&self) -> Result<(), String> {
-        let positive = [
-            ("fleet", u64::from(self.fleet)),
-            ("probe_period_ms", self.probe_period_ms),
-            ("probe_rtt_ms", self.probe_rtt_ms),
-            ("indirect_probes", self.indirect_probes as u64),
+    /// A setting is zero, or two times are not in the order that they must have: the first such setting found.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        self.check_positive()?;
+        self.check_order()
+    }
+
+    fn check_positive(&self) -> Result<(), SettingsError> {
+        let must_be_positive = [
+            ("fleet", u64::from(self.fleet_size)),
+            ("probe_period_ms", self.protocol_period_ms),
+            ("probe_rtt_ms", self.ping_timeout_ms),
+            ("indirect_probes", self.indirect_pings as u64),
             ("suspicion_ms", self.suspicion_ms),
-            ("rejoin_ms", self.rejoin_ms),
-            ("gossip_ms", self.gossip_ms),
+            ("rejoin_ms", self.rejoin_interval_ms),
+            ("gossip_ms", self.gossip_interval_ms),
             ("gossip_fanout", self.gossip_fanout as u64),
         ];
-        if let Some((name, _)) = positive.iter().find(|(_, v)| *v == 0) {
-            return Err(format!("{name}: must be greater than zero"));
+        match must_be_positive.iter().find(|(_, value)| *value == 0) {
+            Some((field, _)) => Err(SettingsError {
+                field,
+                reason: SettingsErrorReason::Zero,
+            }),
+            None => Ok(()),
         }
-        if self.probe_rtt_ms >= self.probe_period_ms {
-            return Err(
-                "probe_rtt_ms: must be shorter than probe_period_ms, or probes overlap".into(),
-            );
+    }
+
+    fn check_order(&self) -> Result<(), SettingsError> {
+        if self.ping_timeout_ms >= self.protocol_period_ms {
+            return Err(SettingsError {
+                field: "probe_rtt_ms",
+                reason: SettingsErrorReason::TimeoutNotShorterThanPeriod,
+            });
         }
-        if self.gossip_ms > self.rejoin_ms {
-            return Err(
-                "gossip_ms: must not be longer than rejoin_ms, to which joins back off".into(),
-            );
+        if self.gossip_interval_ms > self.rejoin_interval_ms {
+            return Err(SettingsError {
+                field: "gossip_ms",
+                reason: SettingsErrorReason::GossipLongerThanRejoin,
+            });
         }
-        if self.suspicion_ms <= self.stall_ms {
-            return Err(
-                "suspicion_ms: must be longer than stall_ms, or a stall is taken for death".into(),
-            );
+        if self.suspicion_ms <= self.max_stall_ms {
+            return Err(SettingsError {
+                field: "suspicion_ms",
+                reason: SettingsErrorReason::SuspicionNotLongerThanStall,
+            });
         }
         Ok(())
     }
 
-    /// The bound within which every running member has seen a crash: some member probes the crashed one within five
-    /// periods (each misses it with a chance of `1/e` a period, all together in one of 150 runs for longer), its first
-    /// ask takes one, then the suspicion runs out, and the word goes round in steps that grow with log10 of the fleet,
-    /// each with the period in which a member asks for itself:
-    /// `suspicion_ms + (6 + 3 * digits(fleet)) * probe_period_ms`. Tests and measurements hold the core to it.
+    /// The time in milliseconds within which every running member has seen a crash:
+    /// `suspicion_ms + (6 + 3 * digits(fleet_size)) * protocol_period_ms`.
+    ///
+    /// Some member pings the crashed one within five periods (each member misses it with a chance of `1/e` in a period,
+    /// all together for longer in one of 150 runs), and its first round takes one. Then the suspicion runs out, and the
+    /// report spreads in steps that grow with log10 of the fleet's size, each with the period in which a member pings
+    /// for itself. Tests and measurements hold the core to this bound.
     #[must_use]
     pub fn detection_bound_ms(&self) -> u64 {
-        let spread = 6 + 3 * u64::from(self.fleet.max(1).ilog10() + 1);
-        self.suspicion_ms + spread * self.probe_period_ms
+        let dissemination_periods = DISSEMINATION_PERIODS_PER_DIGIT * u64::from(self.digits());
+        let periods = DETECTION_PERIODS + dissemination_periods;
+        self.suspicion_ms + periods * self.protocol_period_ms
     }
 
-    /// The bound within which a healed partition comes to one view: a rejoin is tried every `rejoin_ms` towards a
-    /// member not alive, and the news then spreads as a crash's does.
+    /// The time in milliseconds within which the two sides of a healed partition come to one view: every
+    /// `rejoin_interval_ms` a join is sent to a member that is not alive, and its answer then spreads as the report of a
+    /// crash does.
     #[must_use]
     pub const fn heal_bound_ms(&self) -> u64 {
-        4 * self.rejoin_ms + 5 * self.probe_period_ms
+        4 * self.rejoin_interval_ms + 5 * self.protocol_period_ms
     }
 
-    /// Asks in a row without an answer, after the first, that make a suspect down: one a period.
+    /// How many rounds in a row without an answer, after the first, declare a suspect member down; one round takes a
+    /// period.
     #[must_use]
-    pub fn rounds(&self) -> u32 {
-        u32::try_from(self.suspicion_ms.div_ceil(self.probe_period_ms.max(1))).unwrap_or(u32::MAX)
+    pub fn suspicion_rounds(&self) -> u32 {
+        let rounds = self.suspicion_ms.div_ceil(self.protocol_period_ms.max(1));
+        u32::try_from(rounds).unwrap_or(u32::MAX)
     }
 
-    /// How often a member passes on what it learnt: `transmissions` for each digit of the fleet, so that the word of a
+    /// How often a member transmits a change: `transmissions_per_digit` for each digit of the fleet's size, so that a
     /// change reaches all members of a larger fleet as surely.
     #[must_use]
-    pub fn tellings(&self) -> u32 {
-        u32::from(self.transmissions.max(1)) * (self.fleet.max(1).ilog10() + 1)
+    pub fn max_transmissions(&self) -> u32 {
+        u32::from(self.transmissions_per_digit.max(1)) * self.digits()
     }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
 
-    #[test]
-    fn suspicion_grows_with_the_log_of_the_fleet_and_outlasts_a_stall() {
-        let small = Settings::for_fleet(5);
-        let large = Settings::for_fleet(300);
-        assert_eq!(small.suspicion_ms, 5_000);
-        assert_eq!(large.suspicion_ms, 9_908);
-        assert!(small.check().is_ok() && large.check().is_ok());
-        let mut bad = small.clone();
-        bad.suspicion_ms = bad.stall_ms;
-        assert!(bad.check().unwrap_err().starts_with("suspicion_ms"));
+    /// The number of decimal digits of the fleet's size.
+    fn digits(&self) -> u32 {
+        self.fleet_size.max(1).ilog10() + 1
     }
 }
--- /dev/null
+++ b/crates/membership/src/updates.rs
@@ -0,0 +1,160 @@
+//! Merging of what datagrams say about members into the view, by the rules of [`crate::merge_rules`].
+
+use crate::action::Action;
+use crate::codec::{Datagram, Message};
+use crate::member_update::MemberUpdate;
+use crate::membership::{Membership, SourceTrust};
+use crate::merge_rules::{self, ContactOutcome, PingReason, SelfUpdateOutcome, UpdateOutcome};
+use crate::node::Node;
+use crate::view::{Liveness, MemberState};
+
+/// Whether the sender of an update knows less than this member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SenderKnowledge {
+    UpToDate,
+    Outdated,
+}
+
+impl Membership {
+    /// Merges the source of a datagram into the view, and returns whether its updates are used.
+    pub(crate) fn process_source(&mut self, source: Node, incarnation: u16) -> SourceTrust {
+        let Some(&row) = self.view.member(source.number) else {
+            return SourceTrust::Untrusted;
+        };
+        match merge_rules::merge_contact(&row, source, incarnation) {
+            ContactOutcome::Unchanged => {}
+            ContactOutcome::Alive => {
+                self.detector.pings.end(source.number);
+                self.set_member(source, incarnation, Liveness::Alive);
+                self.dissemination.add(source.number);
+            }
+            ContactOutcome::NotifySender => {
+                self.notify_outranked(source.number, &row);
+                return SourceTrust::Untrusted;
+            }
+        }
+        self.view.record_received(source.number, self.now);
+        SourceTrust::Trusted
+    }
+
+    /// Sends a member its own row, which outranks the process or incarnation that it runs as.
+    fn notify_outranked(&mut self, number: u32, row: &MemberState) {
+        let update = MemberUpdate {
+            node: row.node(number),
+            incarnation: row.incarnation,
+            down: row.liveness == Liveness::Down,
+        };
+        self.send_with_updates(number, Message::Gossip, vec![update]);
+    }
+
+    /// Merges the updates of a datagram, and corrects its source where that knows less.
+    pub(crate) fn process_updates(&mut self, datagram: &Datagram, trust: SourceTrust) {
+        let source = datagram.source.number;
+        let mut corrections = Vec::new();
+        for update in &datagram.updates {
+            // Updates about this member itself are taken from anybody: whoever holds it down has to be corrected.
+            let is_about_self = update.node.number == self.local.node.number;
+            if !is_about_self && trust == SourceTrust::Untrusted {
+                continue;
+            }
+            if self.process_update(update, source) == SenderKnowledge::Outdated {
+                corrections.extend(self.update_about(update.node.number));
+            }
+        }
+        if !corrections.is_empty() {
+            self.send_with_updates(source, Message::Gossip, corrections);
+        }
+    }
+
+    fn process_update(&mut self, update: &MemberUpdate, sender: u32) -> SenderKnowledge {
+        let number = update.node.number;
+        if number == self.local.node.number {
+            self.process_update_about_self(update, sender);
+            return SenderKnowledge::UpToDate;
+        }
+        let Some(row) = self.view.member(number) else {
+            return SenderKnowledge::UpToDate;
+        };
+        match merge_rules::merge_update(row, update) {
+            UpdateOutcome::Stale => {}
+            UpdateOutcome::SenderOutdated => return SenderKnowledge::Outdated,
+            UpdateOutcome::Apply => self.apply_update(update),
+            UpdateOutcome::Verify => {
+                self.set_member(update.node, update.incarnation, Liveness::Suspect);
+                self.detector.pings.start(number, PingReason::ReportedDown);
+            }
+        }
+        SenderKnowledge::UpToDate
+    }
+
+    fn apply_update(&mut self, update: &MemberUpdate) {
+        let liveness = if update.down {
+            Liveness::Down
+        } else {
+            Liveness::Alive
+        };
+        self.detector.pings.end(update.node.number);
+        self.set_member(update.node, update.incarnation, liveness);
+        self.dissemination.add(update.node.number);
+    }
+
+    fn process_update_about_self(&mut self, update: &MemberUpdate, sender: u32) {
+        let local = &self.local;
+        match merge_rules::merge_update_about_self(local.node, local.incarnation, update) {
+            SelfUpdateOutcome::Ignore => return,
+            SelfUpdateOutcome::Refute(incarnation) => {
+                self.local.incarnation = incarnation;
+                self.actions.push(Action::Refuted(incarnation));
+            }
+            SelfUpdateOutcome::Renew(generation) => {
+                if self.renewed_recently() {
+                    return;
+                }
+                self.renew(generation);
+            }
+        }
+        self.dissemination.add(self.local.node.number);
+        // The sender gets the answer at once, from the member itself.
+        self.send(sender, Message::Gossip);
+    }
+
+    /// Whether this member has continued as a later generation within the last suspicion time. Without this pause two
+    /// processes with the same number would outrank each other without end.
+    fn renewed_recently(&self) -> bool {
+        let pause = self.settings.suspicion_ms;
+        let renewed_at = self.local.renewed_at;
+        renewed_at.is_some_and(|renewed_at| self.now < renewed_at + pause)
+    }
+
+    /// Continues as this generation.
+    fn renew(&mut self, generation: u16) {
+        self.local.renewed_at = Some(self.now);
+        self.local.node.generation = generation;
+        self.local.incarnation = 0;
+        self.view.set_local(self.local.node, self.now);
+        self.actions.push(Action::Renewed(self.local.node));
+    }
+
+    /// What this member reports about another, or about itself. A suspect member is reported as it was known before the
+    /// suspicion: that outranks nothing. `None` for one that is not known.
+    pub(crate) fn update_about(&self, number: u32) -> Option<MemberUpdate> {
+        if number == self.local.node.number {
+            return Some(MemberUpdate {
+                node: self.local.node,
+                incarnation: self.local.incarnation,
+                down: false,
+            });
+        }
+        let row = self.view.member(number)?;
+        let down = match row.liveness {
+            Liveness::Alive | Liveness::Suspect => false,
+            Liveness::Down => true,
+            Liveness::Unknown => return None,
+        };
+        Some(MemberUpdate {
+            node: row.node(number),
+            incarnation: row.incarnation,
+            down,
+        })
+    }
+}
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -1,27 +1,28 @@
-//! What one gateway believes of the others: a row per number of the fleet, with the time since it last changed.
+//! The view that one gateway has of the fleet: one row for each member, with the times of the last changes.
 
 use crate::node::Node;
 
 /// Milliseconds on the caller's monotonic clock; the core never reads a clock itself.
 pub type Millis = u64;
 
-/// How a member stands in this gateway's view.
+/// The state of a member in this gateway's view.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Liveness {
-    /// Nothing has been heard of it yet.
+    /// Nothing has been received from or about the member yet.
     Unknown,
-    /// Answered, or was vouched for by a member that did.
+    /// The member answered, or was reported alive by another member.
     Alive,
-    /// Missed a probe and its indirect probes; it has `suspicion_ms` to refute.
+    /// The member missed a ping and its indirect pings, or was reported down by another member. It is pinged again
+    /// until it answers or has missed enough rounds to be declared down.
     Suspect,
-    /// Declared down. Its findings no longer count.
+    /// The member was declared down. Its health-check findings are not used.
     Down,
 }
 
 impl Liveness {
-    /// The word used in logs and on the console.
+    /// The name used in logs and on the console.
     #[must_use]
-    pub const fn word(self) -> &'static str {
+    pub const fn as_str(self) -> &'static str {
         match self {
             Self::Unknown => "unknown",
             Self::Alive => "alive",
@@ -31,188 +32,166 @@
     }
 }
 
-/// One row of the view.
+/// One row of the view: what is known of one member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Seen {
-    /// How it stands.
+pub struct MemberState {
+    /// Its state.
     pub liveness: Liveness,
-    /// The generation of the process last heard of; 0 while unknown.
+    /// The latest known generation of its process; 0 while unknown.
     pub generation: u16,
-    /// Its incarnation, as SWIM counts refutations.
+    /// The latest known incarnation, which the member raises with each refutation.
     pub incarnation: u16,
-    /// When its liveness last changed.
+    /// When the liveness or the generation last changed.
     pub since: Millis,
-    /// When the member itself was last heard, by a datagram of its own; `None` where it was only heard of.
-    pub heard: Option<Millis>,
+    /// When a datagram sent by the member itself last arrived; `None` if none has.
+    pub last_received: Option<Millis>,
 }
 
-/// A change of one row, for the log and the counters: one per change of state, never one per message.
+impl MemberState {
+    const UNKNOWN: Self = Self {
+        liveness: Liveness::Unknown,
+        generation: 0,
+        incarnation: 0,
+        since: 0,
+        last_received: None,
+    };
+
+    /// The node that the row of member `number` stands for.
+    pub(crate) const fn node(&self, number: u32) -> Node {
+        Node {
+            number,
+            generation: self.generation,
+        }
+    }
+}
+
+/// A change of one member's liveness, for the log and the counters: one for each change of state, never one for each
+/// message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Change {
+pub struct LivenessChange {
     /// The member's number.
     pub number: u32,
-    /// How it stood before.
+    /// The state before.
     pub from: Liveness,
-    /// How it stands now.
+    /// The state after.
     pub to: Liveness,
     /// The generation now known.
     pub generation: u16,
     /// The incarnation now known.
     pub incarnation: u16,
-    /// When the change was seen.
+    /// When the change was made.
     pub at: Millis,
 }
 
-/// Which side of a cut this gateway is on, as far as it can tell.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Side {
-    /// Members alive in the view, this one included; suspects are not.
-    pub reachable: u32,
-    /// Gateways in the fleet's list.
-    pub fleet: u32,
-    /// Of the last [`RECENT`] members probed by this one at most, those that answered.
-    pub answered: u32,
-    /// And those that were asked.
-    pub asked: u32,
-}
-
-/// How many of its own last probes a gateway judges its side by.
-pub const RECENT: usize = 16;
-
-impl Side {
-    /// More than half of the fleet is reachable: only such a side may claim duties that need a majority. Danger
-    /// guarded against: in a large fleet the rows of those that a cut took away are known to be down only after many
-    /// periods, while half of the own probes fail from the start.
-    #[must_use]
-    pub const fn majority(&self) -> bool {
-        2 * self.reachable > self.fleet && 2 * self.answered >= self.asked
-    }
-
-    /// No other member is reachable: the gateway acts alone, as it does with sharing off.
-    #[must_use]
-    pub const fn alone(&self) -> bool {
-        self.reachable <= 1 || (self.answered == 0 && self.asked as usize == RECENT)
-    }
-}
-
 /// The whole view of one gateway.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct View {
-    me: Node,
-    rows: Vec<Seen>,
+    local: Node,
+    members: Vec<MemberState>,
 }
 
 impl View {
-    pub(crate) fn new(me: Node, fleet: u32) -> Self {
-        let unknown = Seen {
-            liveness: Liveness::Unknown,
-            generation: 0,
-            incarnation: 0,
-            since: 0,
-            heard: None,
-        };
-        let mut rows = vec![unknown; fleet as usize];
-        if let Some(row) = rows.get_mut(me.number as usize) {
-            row.liveness = Liveness::Alive;
-            row.generation = me.generation;
-        }
-        Self { me, rows }
+    pub(crate) fn new(local: Node, fleet_size: u32) -> Self {
+        let members = vec![MemberState::UNKNOWN; fleet_size as usize];
+        let mut view = Self { local, members };
+        view.set_local(local, 0);
+        view
     }
 
     /// This gateway.
     #[must_use]
-    pub const fn me(&self) -> Node {
-        self.me
+    pub const fn local_node(&self) -> Node {
+        self.local
     }
 
-    pub(crate) fn set_me(&mut self, me: Node, at: Millis) {
-        self.me = me;
-        if let Some(row) = self.rows.get_mut(me.number as usize) {
-            let generation = me.generation;
-            *row = Seen {
+    /// Restarts the row of this gateway as this node, at time `now`.
+    pub(crate) fn set_local(&mut self, local: Node, now: Millis) {
+        self.local = local;
+        if let Some(member) = self.members.get_mut(local.number as usize) {
+            *member = MemberState {
                 liveness: Liveness::Alive,
-                generation,
-                incarnation: 0,
-                since: at,
-                heard: None,
+                generation: local.generation,
+                since: now,
+                ..MemberState::UNKNOWN
             };
         }
     }
 
     /// The row of member `number`; `None` outside the fleet's list.
     #[must_use]
-    pub fn get(&self, number: u32) -> Option<&Seen> {
-        self.rows.get(number as usize)
+    pub fn member(&self, number: u32) -> Option<&MemberState> {
+        self.members.get(number as usize)
     }
 
-    /// All rows, by number.
-    pub fn rows(&self) -> impl Iterator<Item = (u32, &Seen)> {
-        (0u32..).zip(self.rows.iter())
+    /// Whether member `number` has this liveness.
+    pub(crate) fn is(&self, number: u32, liveness: Liveness) -> bool {
+        self.member(number)
+            .is_some_and(|member| member.liveness == liveness)
     }
 
-    /// Whether what member `number` tells still counts: not once it is declared down, nor from outside the list.
+    /// All rows, in order of the members' numbers.
+    pub fn members(&self) -> impl Iterator<Item = (u32, &MemberState)> {
+        (0u32..).zip(self.members.iter())
+    }
+
+    /// Whether reports from member `number` are used: not once it is declared down, nor from outside the list.
     #[must_use]
-    pub fn counts(&self, number: u32) -> bool {
-        self.get(number)
-            .is_some_and(|s| s.liveness != Liveness::Down)
+    pub fn accepts_from(&self, number: u32) -> bool {
+        self.member(number)
+            .is_some_and(|member| member.liveness != Liveness::Down)
     }
 
-    /// Members alive, this gateway included.
+    /// The number of members alive, this gateway included.
     #[must_use]
-    pub fn alive(&self) -> u32 {
+    pub fn alive_count(&self) -> u32 {
         let alive = self
-            .rows
+            .members
             .iter()
-            .filter(|s| s.liveness == Liveness::Alive)
+            .filter(|member| member.liveness == Liveness::Alive)
             .count();
         u32::try_from(alive).unwrap_or(u32::MAX)
     }
 
-    /// Members in the fleet's list.
+    /// The number of members in the fleet's list.
     #[must_use]
-    pub fn fleet(&self) -> u32 {
-        u32::try_from(self.rows.len()).unwrap_or(u32::MAX)
+    pub fn fleet_size(&self) -> u32 {
+        u32::try_from(self.members.len()).unwrap_or(u32::MAX)
     }
 
-    /// Notes that a member was heard itself.
-    pub(crate) fn heard(&mut self, number: u32, at: Millis) {
-        if let Some(row) = self.rows.get_mut(number as usize) {
-            row.heard = Some(at);
+    /// Records that a datagram sent by the member itself arrived.
+    pub(crate) fn record_received(&mut self, number: u32, now: Millis) {
+        if let Some(member) = self.members.get_mut(number as usize) {
+            member.last_received = Some(now);
         }
     }
 
-    /// Sets the row of another member, as [`crate::merge_rules`] decided, and says what changed.
+    /// Sets the row of another member, as [`crate::merge_rules`] decided, and returns the change of its liveness, if
+    /// there is one.
     pub(crate) fn set(
         &mut self,
         node: Node,
         incarnation: u16,
         to: Liveness,
-        at: Millis,
-    ) -> Option<Change> {
-        if node.number == self.me.number {
+        now: Millis,
+    ) -> Option<LivenessChange> {
+        if node.number == self.local.number {
             return None;
         }
-        let row = self.rows.get_mut(node.number as usize)?;
-        let from = row.liveness;
-        let replaced = row.generation != node.generation;
-        *row = Seen {
-            liveness: to,
-            generation: node.generation,
-            incarnation,
-            since: if from == to && !replaced {
-                row.since
-            } else {
-                at
-            },
-            heard: row.heard,
-        };
-        (from != to).then_some(Change {
+        let member = self.members.get_mut(node.number as usize)?;
+        let from = member.liveness;
+        if from != to || member.generation != node.generation {
+            member.since = now;
+        }
+        member.liveness = to;
+        member.generation = node.generation;
+        member.incarnation = incarnation;
+        (from != to).then_some(LivenessChange {
             number: node.number,
             from,
             to,
             generation: node.generation,
             incarnation,
-            at,
+            at: now,
         })
     }
 }
--- /dev/null
+++ b/crates/membership/tests/decision_log.rs
@@ -0,0 +1,152 @@
+//! Digests of whole simulated runs: every datagram byte by byte, every change of a view, every timer.
+//!
+//! A change that is to leave the decisions of the core as they are must leave every literal in this file as it is. A
+//! wanted change of the decisions replaces the literals, and its commit says which decision changed and why.
+
+use irisrouter_membership::{Node, Settings};
+use irisrouter_simulated_network::SimulatedNetwork;
+
+#[track_caller]
+fn assert_decisions(network: &SimulatedNetwork, expected: u64) {
+    let digest = network.decision_digest().value();
+    assert_eq!(digest, expected, "the digest is now {digest:#018x}");
+}
+
+/// A linear congruential generator (Knuth's MMIX): the schedules of faults depend on no library.
+struct FaultRng(u64);
+
+impl FaultRng {
+    fn below(&mut self, bound: u32) -> u32 {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) as u32 % bound
+    }
+}
+
+fn run_with_loss_and_a_crash(seed: u64) -> SimulatedNetwork {
+    let mut network = SimulatedNetwork::start(7, seed);
+    network.run_until(5_000);
+    network.faults.loss = 0.3;
+    network.run_until(65_000);
+    network.crash(3);
+    network.run_until(95_000);
+    network.restart(3, &[0]);
+    network.run_until(110_000);
+    network.faults.loss = 0.0;
+    network.run_until(130_000);
+    network
+}
+
+#[test]
+fn decisions_under_loss_and_a_crash_stay_the_same() {
+    assert_decisions(&run_with_loss_and_a_crash(1), 0x2551_7521_c73c_a4bb);
+    assert_decisions(&run_with_loss_and_a_crash(2), 0x8af7_f11c_9506_f006);
+}
+
+fn run_with_a_partition_and_a_stall(seed: u64) -> SimulatedNetwork {
+    let mut network = SimulatedNetwork::start(50, seed);
+    network.faults.delay_ms = 1..=400;
+    network.faults.loss = 0.1;
+    network.run_until(20_000);
+    let (left, right): (Vec<u32>, Vec<u32>) = (0..50).partition(|number| number % 2 == 0);
+    network.partition(&left, &right);
+    network.run_until(50_000);
+    network.heal();
+    network.stall(7);
+    network.run_until(60_000);
+    network.resume(7);
+    network.run_until(80_000);
+    network
+}
+
+#[test]
+fn decisions_under_a_partition_and_a_stall_stay_the_same() {
+    assert_decisions(&run_with_a_partition_and_a_stall(3), 0xafae_72d5_f2f8_f18b);
+    assert_decisions(&run_with_a_partition_and_a_stall(4), 0x5988_3c52_3b94_8ab4);
+}
+
+fn run_with_leaving_and_returning_members(seed: u64) -> SimulatedNetwork {
+    let mut network = SimulatedNetwork::start(5, seed);
+    network.run_until(10_000);
+    network.crash(3);
+    network.run_until(11_000);
+    let older_generation = Node {
+        number: 3,
+        generation: 65_000,
+    };
+    network.restart_as(older_generation, &[0]);
+    network.run_until(25_000);
+    network.leave(4);
+    network.run_until(40_000);
+    network.restart(4, &[1, 2]);
+    network.cut(0, 1);
+    network.run_until(60_000);
+    network.faults.loss = 0.4;
+    for other in 1..5 {
+        network.cut(other, 0);
+    }
+    network.run_until(90_000);
+    network.heal();
+    network.run_until(120_000);
+    network
+}
+
+#[test]
+fn decisions_on_leaving_and_returning_members_stay_the_same() {
+    assert_decisions(
+        &run_with_leaving_and_returning_members(5),
+        0x5972_2dbe_e884_2df8,
+    );
+    assert_decisions(
+        &run_with_leaving_and_returning_members(6),
+        0x77f8_3f41_dc7a_bf33,
+    );
+}
+
+fn run_with_random_faults(seed: u64) -> SimulatedNetwork {
+    let settings = Settings::paced(20, 200, 1_000);
+    let mut network = SimulatedNetwork::with_settings(settings, seed).expect("settings");
+    let mut rng = FaultRng(seed);
+    for _ in 0..120 {
+        let member = rng.below(20);
+        let other = rng.below(20);
+        match rng.below(8) {
+            0 => network.crash(member),
+            1 => network.restart(member, &[other]),
+            2 => network.stall(member),
+            3 => network.resume(member),
+            4 => network.cut(member, other),
+            5 => network.faults.loss = f64::from(rng.below(50)) / 100.0,
+            6 => network.heal(),
+            _ => network.leave(member),
+        }
+        let pause = u64::from(rng.below(2_000));
+        network.run_until(network.now() + pause);
+    }
+    network.heal();
+    network.faults.loss = 0.0;
+    for member in 0..20 {
+        network.resume(member);
+        network.restart(member, &[(member + 1) % 20]);
+    }
+    network.run_until(network.now() + 10_000);
+    network
+}
+
+#[test]
+fn decisions_under_random_faults_stay_the_same() {
+    assert_decisions(&run_with_random_faults(7), 0xfe2d_c921_32ae_04da);
+    assert_decisions(&run_with_random_faults(8), 0x2de9_2092_fc6a_c069);
+    assert_decisions(&run_with_random_faults(9), 0x902e_6a52_56f7_8209);
+}
+
+#[test]
+fn decisions_in_a_large_fleet_stay_the_same() {
+    let mut network = SimulatedNetwork::start(300, 10);
+    network.run_until(10_000);
+    network.crash(299);
+    network.run_until(30_000);
+    assert_decisions(&network, 0xbb59_a63a_6e79_cf37);
+}
--- a/crates/membership/tests/suspicion.rs
+++ b/crates/membership/tests/suspicion.rs
@@ -1,70 +1,75 @@
-//! The core's own rules of suspicion and refutation ([`irisrouter_membership::merge_rules`]), checked exhaustively at small size
-//! with stateright: one live member S, and three others that ask it and tell one another.
+//! The core's rules of suspicion and refutation ([`irisrouter_membership::merge_rules`]), checked exhaustively at small
+//! size with stateright: one live member, the subject, and three observers that ping it and pass on what they hold of it.
 //!
-//! In the model any message may be late behind any other and be taken in any order; a bounded number of asks is lost,
-//! with S's answer or before it. A holder asks S in rounds; a round ends with an answer or as missed. A verdict, like a
-//! refutation, may be told by its holder to any other once. What is checked:
+//! In the model any message may arrive after any other, in any order; a bounded number of rounds of pings is lost, the
+//! ping or its ack. An observer pings the subject in rounds; a round ends with an answer or is missed. A verdict, like a
+//! refutation, may be sent by the observer that holds it to each other observer once. What is checked:
 //!
-//! - with fewer losses than it takes one holder to come to a verdict, nobody ever holds S down;
-//! - with more, a false verdict is possible (the model can fail), but no holder takes it on from another as long as S
-//!   answers that other, and once S has been told and everything has arrived, nobody holds S down;
-//! - the same two fail when hearsay is a verdict (as in SWIM as published), or when a word of an older incarnation
+//! - with fewer losses than one observer needs for a verdict, no observer ever holds the subject down;
+//! - with more, a false verdict is possible (the model can fail), but no observer takes it on from another as long as
+//!   the subject answers that other, and once the subject has been notified and everything has arrived, no observer
+//!   holds it down;
+//! - the same two fail when a report is a verdict (as in SWIM as published), or when an update of an older incarnation
 //!   outranks a later one.
 
-use irisrouter_membership::merge_rules::{self, Heard, Missed, OfMe};
-use irisrouter_membership::{Liveness, Node, Seen, Word};
+use irisrouter_membership::merge_rules::{
+    self, ContactOutcome, MissedRoundOutcome, PingReason, SelfUpdateOutcome, UpdateOutcome,
+};
+use irisrouter_membership::{Liveness, MemberState, MemberUpdate, Node};
 use stateright::{Checker, Model, Property};
 
-const HOLDERS: usize = 3;
-/// The member that is asked.
-const S: Node = Node::first(9);
-/// Asks after the first that make a verdict.
-const ROUNDS: u32 = 1;
-/// More states are not looked at; then the check fails, as it must end and be whole.
-const MOST: usize = 8_000_000;
-/// Rounds a holder asks in all: the run ends.
-const ASKS: u8 = 3;
+const OBSERVERS: usize = 3;
+/// The member that is pinged.
+const SUBJECT: Node = Node::first(9);
+/// Missed rounds after the first that lead to a verdict.
+const SUSPICION_ROUNDS: u32 = 1;
+/// The bound on the states that are looked at. A check that reaches it fails, as it has to be exhaustive.
+const MAX_STATES: usize = 8_000_000;
+/// Rounds of pings that an observer starts in all, so that each run ends.
+const PING_ROUNDS: u8 = 3;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Holder {
+struct Observer {
     liveness: Liveness,
     incarnation: u16,
-    /// Asks missed in a row, and whether others say that S is down.
-    missed: u32,
-    told: bool,
-    /// Asks still to be made.
-    asks: u8,
-    /// What it holds is to be told once to each of the others.
-    tell: [bool; HOLDERS],
-    /// It came to hold S down with an own ask unanswered.
-    asked_itself: bool,
+    /// Rounds missed in a row.
+    missed_rounds: u32,
+    /// Whether another observer reported the subject down.
+    reason: PingReason,
+    /// Rounds of pings still to be started.
+    rounds_left: u8,
+    /// To which of the others it has still to send what it holds.
+    unsent: [bool; OBSERVERS],
+    /// Whether it came to hold the subject down by a missed round of its own.
+    missed_round_itself: bool,
 }
 
-impl Holder {
-    fn row(&self) -> Seen {
-        Seen {
+impl Observer {
+    fn row(&self) -> MemberState {
+        MemberState {
             liveness: self.liveness,
             generation: 0,
             incarnation: self.incarnation,
             since: 0,
-            heard: None,
+            last_received: None,
         }
     }
 
-    fn spread(&mut self, me: usize) {
-        self.tell = std::array::from_fn(|o| o != me);
+    /// Queues what this observer, which has this index, holds for all others.
+    fn disseminate(&mut self, own_index: usize) {
+        self.unsent = std::array::from_fn(|other| other != own_index);
     }
 
-    fn alive(&mut self, me: usize, incarnation: u16) {
+    fn hold_alive(&mut self, own_index: usize, incarnation: u16) {
         if self.incarnation != incarnation || self.liveness == Liveness::Down {
-            self.spread(me);
+            self.disseminate(own_index);
         }
-        *self = Holder {
+        *self = Observer {
             liveness: Liveness::Alive,
             incarnation,
-            missed: 0,
-            told: false,
-            asked_itself: false,
+            missed_rounds: 0,
+            reason: PingReason::Scheduled,
+            missed_round_itself: false,
             ..self.clone()
         };
     }
@@ -72,58 +77,199 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 enum Message {
-    /// What `from` holds of S, told to holder `to`.
-    Told {
+    /// What an observer holds of the subject, sent to another observer.
+    Update {
         to: usize,
         incarnation: u16,
         down: bool,
     },
-    /// What `from` holds of S, told to S itself: that it is down.
-    TellS { from: usize, incarnation: u16 },
-    /// S's own word to a holder that called it down.
-    Refuted { to: usize, incarnation: u16 },
+    /// Notifies the subject that an observer holds it down.
+    NotifySubject { from: usize, incarnation: u16 },
+    /// The subject's refutation, to an observer that held it down.
+    Refutation { to: usize, incarnation: u16 },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct State {
-    holders: Vec<Holder>,
+    observers: Vec<Observer>,
+    /// The incarnation of the subject.
     incarnation: u16,
-    losses: u8,
+    losses_left: u8,
     messages: Vec<Message>,
 }
 
+impl State {
+    fn send(&mut self, message: Message) {
+        self.messages.push(message);
+        self.messages.sort_unstable();
+    }
+
+    fn notify_subject(&mut self, from: usize) {
+        let incarnation = self.observers[from].incarnation;
+        self.send(Message::NotifySubject { from, incarnation });
+    }
+
+    /// The subject learns that it is held down in this incarnation.
+    fn process_down_at_subject(&mut self, incarnation: u16) {
+        let update = MemberUpdate {
+            node: SUBJECT,
+            incarnation,
+            down: true,
+        };
+        let outcome = merge_rules::merge_update_about_self(SUBJECT, self.incarnation, &update);
+        if let SelfUpdateOutcome::Refute(next_incarnation) = outcome {
+            self.incarnation = next_incarnation;
+        }
+    }
+
+    fn answer_ping(&mut self, index: usize) {
+        let observer = &mut self.observers[index];
+        observer.rounds_left = observer.rounds_left.saturating_sub(1);
+        // The ping of an observer that received a report says so: the subject refutes before it answers.
+        if observer.reason == PingReason::ReportedDown {
+            let incarnation = observer.incarnation;
+            self.process_down_at_subject(incarnation);
+        }
+        let incarnation = self.incarnation;
+        self.observers[index].hold_alive(index, incarnation);
+    }
+
+    fn lose_ping(&mut self, index: usize) {
+        self.losses_left -= 1;
+        let observer = &mut self.observers[index];
+        observer.rounds_left -= 1;
+        observer.missed_rounds += 1;
+        let outcome = merge_rules::judge_missed_round(
+            observer.missed_rounds,
+            observer.reason,
+            SUSPICION_ROUNDS,
+        );
+        match outcome {
+            MissedRoundOutcome::Suspect => observer.liveness = Liveness::Suspect,
+            MissedRoundOutcome::Down => {
+                observer.liveness = Liveness::Down;
+                observer.missed_round_itself = true;
+                observer.disseminate(index);
+                self.notify_subject(index);
+            }
+        }
+    }
+
+    fn send_update(&mut self, from: usize, to: usize) {
+        let observer = &mut self.observers[from];
+        observer.unsent[to] = false;
+        let update = Message::Update {
+            to,
+            incarnation: observer.incarnation,
+            down: observer.liveness == Liveness::Down,
+        };
+        self.send(update);
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Step {
-    /// A round of asks that S answers, or that is lost.
-    Asked(usize),
-    Lost(usize),
-    Tell(usize, usize),
-    Arrive(usize),
+    /// A round of pings that the subject answers.
+    AnswerPing {
+        observer: usize,
+    },
+    /// A round of pings that is lost.
+    LosePing {
+        observer: usize,
+    },
+    SendUpdate {
+        from: usize,
+        to: usize,
+    },
+    Deliver {
+        message: usize,
+    },
 }
 
 struct Suspicion {
-    /// Asks lost in all.
+    /// Rounds of pings lost in all.
     losses: u8,
-    /// Hearsay is a verdict, as in SWIM as published.
-    hearsay: bool,
-    /// Words of older incarnations are taken.
-    unordered: bool,
+    /// Whether a report is a verdict, as in SWIM as published.
+    reports_are_verdicts: bool,
+    /// Whether updates of older incarnations are applied.
+    outdated_updates_apply: bool,
 }
 
 impl Suspicion {
-    fn hear(&self, h: &Holder, word: &Word) -> Heard {
-        let heard = merge_rules::hear(&h.row(), word);
-        match heard {
-            Heard::Ask if self.hearsay => Heard::Take,
-            Heard::Behind if self.unordered => Heard::Take,
-            _ => heard,
+    fn merge_update(&self, observer: &Observer, update: &MemberUpdate) -> UpdateOutcome {
+        match merge_rules::merge_update(&observer.row(), update) {
+            UpdateOutcome::Verify if self.reports_are_verdicts => UpdateOutcome::Apply,
+            UpdateOutcome::SenderOutdated if self.outdated_updates_apply => UpdateOutcome::Apply,
+            outcome => outcome,
+        }
+    }
+
+    fn deliver(&self, state: &mut State, message: Message) {
+        match message {
+            Message::Update {
+                to,
+                incarnation,
+                down,
+            } => self.deliver_update(state, to, incarnation, down),
+            Message::NotifySubject { from, incarnation } => {
+                state.process_down_at_subject(incarnation);
+                let incarnation = state.incarnation;
+                state.send(Message::Refutation {
+                    to: from,
+                    incarnation,
+                });
+            }
+            Message::Refutation { to, incarnation } => {
+                let observer = &mut state.observers[to];
+                let outcome = merge_rules::merge_contact(&observer.row(), SUBJECT, incarnation);
+                if outcome == ContactOutcome::Alive {
+                    observer.hold_alive(to, incarnation);
+                }
+            }
+        }
+    }
+
+    fn deliver_update(&self, state: &mut State, to: usize, incarnation: u16, down: bool) {
+        let update = MemberUpdate {
+            node: SUBJECT,
+            incarnation,
+            down,
+        };
+        let observer = &mut state.observers[to];
+        match self.merge_update(observer, &update) {
+            UpdateOutcome::Stale | UpdateOutcome::SenderOutdated => {}
+            UpdateOutcome::Apply if down => {
+                observer.liveness = Liveness::Down;
+                observer.incarnation = incarnation;
+                observer.disseminate(to);
+                state.notify_subject(to);
+            }
+            UpdateOutcome::Apply => observer.hold_alive(to, incarnation),
+            UpdateOutcome::Verify => {
+                observer.liveness = Liveness::Suspect;
+                observer.incarnation = incarnation;
+                observer.reason = PingReason::ReportedDown;
+            }
         }
     }
 }
 
-fn post(s: &mut State, message: Message) {
-    s.messages.push(message);
-    s.messages.sort_unstable();
+/// The steps that one observer may take next.
+fn steps_of(index: usize, observer: &Observer, losses_left: u8, steps: &mut Vec<Step>) {
+    // A member that is held down is not pinged; the notification sent with the verdict looks for it.
+    if observer.liveness != Liveness::Down {
+        let must_be_answered =
+            observer.reason == PingReason::ReportedDown || observer.missed_rounds > 0;
+        if observer.rounds_left > 0 || must_be_answered {
+            steps.push(Step::AnswerPing { observer: index });
+        }
+        if losses_left > 0 && observer.rounds_left > 0 {
+            steps.push(Step::LosePing { observer: index });
+        }
+    }
+    // A suspicion is not passed on as a verdict.
+    let recipients = (0..OBSERVERS).filter(|&other| observer.unsent[other]);
+    steps.extend(recipients.map(|to| Step::SendUpdate { from: index, to }));
 }
 
 impl Model for Suspicion {
@@ -131,195 +277,96 @@
     type Action = Step;
 
     fn init_states(&self) -> Vec<State> {
-        let holder = Holder {
+        let observer = Observer {
             liveness: Liveness::Alive,
             incarnation: 0,
-            missed: 0,
-            told: false,
-            asks: ASKS,
-            tell: [false; HOLDERS],
-            asked_itself: false,
+            missed_rounds: 0,
+            reason: PingReason::Scheduled,
+            rounds_left: PING_ROUNDS,
+            unsent: [false; OBSERVERS],
+            missed_round_itself: false,
         };
         vec![State {
-            holders: vec![holder; HOLDERS],
+            observers: vec![observer; OBSERVERS],
             incarnation: 0,
-            losses: self.losses,
+            losses_left: self.losses,
             messages: Vec::new(),
         }]
     }
 
-    fn actions(&self, s: &State, steps: &mut Vec<Step>) {
-        for (n, h) in s.holders.iter().enumerate() {
-            // A member held down is not probed; it is looked for, which is the TellS sent with the verdict.
-            if h.liveness != Liveness::Down {
-                if h.asks > 0 || h.told || h.missed > 0 {
-                    steps.push(Step::Asked(n));
-                }
-                if s.losses > 0 && h.asks > 0 {
-                    steps.push(Step::Lost(n));
-                }
-            }
-            // What is held in doubt is not passed on as a verdict.
-            steps.extend(
-                (0..HOLDERS)
-                    .filter(|&o| h.tell[o])
-                    .map(|o| Step::Tell(n, o)),
-            );
+    fn actions(&self, state: &State, steps: &mut Vec<Step>) {
+        for (index, observer) in state.observers.iter().enumerate() {
+            steps_of(index, observer, state.losses_left, steps);
         }
-        steps.extend((0..s.messages.len()).map(Step::Arrive));
+        steps.extend((0..state.messages.len()).map(|message| Step::Deliver { message }));
     }
 
     fn next_state(&self, last: &State, step: Step) -> Option<State> {
-        let mut s = last.clone();
+        let mut state = last.clone();
         match step {
-            Step::Asked(n) => {
-                let h = &mut s.holders[n];
-                h.asks = h.asks.saturating_sub(1);
-                // The ping of one that was told says so: S refutes before it answers.
-                if h.told {
-                    let word = Word {
-                        node: S,
-                        incarnation: h.incarnation,
-                        down: true,
-                    };
-                    if let OfMe::Refute(to) = merge_rules::of_me(S, s.incarnation, &word) {
-                        s.incarnation = to;
-                    }
-                }
-                h.alive(n, s.incarnation);
-            }
-            Step::Lost(n) => {
-                s.losses -= 1;
-                let h = &mut s.holders[n];
-                h.asks -= 1;
-                h.missed += 1;
-                match merge_rules::miss(h.missed, h.told, ROUNDS) {
-                    Missed::Again => h.liveness = Liveness::Suspect,
-                    Missed::Down => {
-                        h.liveness = Liveness::Down;
-                        h.asked_itself = true;
-                        h.spread(n);
-                        let incarnation = h.incarnation;
-                        post(
-                            &mut s,
-                            Message::TellS {
-                                from: n,
-                                incarnation,
-                            },
-                        );
-                    }
-                }
+            Step::AnswerPing { observer } => state.answer_ping(observer),
+            Step::LosePing { observer } => state.lose_ping(observer),
+            Step::SendUpdate { from, to } => state.send_update(from, to),
+            Step::Deliver { message } => {
+                let message = state.messages.remove(message);
+                self.deliver(&mut state, message);
             }
-            Step::Tell(n, o) => {
-                let h = &mut s.holders[n];
-                h.tell[o] = false;
-                let (incarnation, down) = (h.incarnation, h.liveness == Liveness::Down);
-                post(
-                    &mut s,
-                    Message::Told {
-                        to: o,
-                        incarnation,
-                        down,
-                    },
-                );
-            }
-            Step::Arrive(i) => match s.messages.remove(i) {
-                Message::Told {
-                    to,
-                    incarnation,
-                    down,
-                } => {
-                    let word = Word {
-                        node: S,
-                        incarnation,
-                        down,
-                    };
-                    let h = &mut s.holders[to];
-                    match self.hear(h, &word) {
-                        Heard::Old | Heard::Behind => {}
-                        Heard::Take if down => {
-                            h.liveness = Liveness::Down;
-                            h.incarnation = incarnation;
-                            h.spread(to);
-                            post(
-                                &mut s,
-                                Message::TellS {
-                                    from: to,
-                                    incarnation,
-                                },
-                            );
-                        }
-                        Heard::Take => h.alive(to, incarnation),
-                        Heard::Ask => {
-                            h.liveness = Liveness::Suspect;
-                            h.incarnation = incarnation;
-                            h.told = true;
-                        }
-                    }
-                }
-                Message::TellS { from, incarnation } => {
-                    let word = Word {
-                        node: S,
-                        incarnation,
-                        down: true,
-                    };
-                    if let OfMe::Refute(to) = merge_rules::of_me(S, s.incarnation, &word) {
-                        s.incarnation = to;
-                    }
-                    let incarnation = s.incarnation;
-                    post(
-                        &mut s,
-                        Message::Refuted {
-                            to: from,
-                            incarnation,
-                        },
-                    );
-                }
-                Message::Refuted { to, incarnation } => {
-                    let h = &mut s.holders[to];
-                    if merge_rules::meet(&h.row(), S, incarnation) == merge_rules::Met::Alive {
-                        h.alive(to, incarnation);
-                    }
-                }
-            },
         }
-        Some(s)
+        Some(state)
     }
 
     fn properties(&self) -> Vec<Property<Self>> {
         vec![
-            Property::always("never down", |_, s: &State| {
-                s.holders.iter().all(|h| h.liveness != Liveness::Down)
+            Property::always(NEVER_DOWN, |_, state: &State| {
+                let mut observers = state.observers.iter();
+                observers.all(|observer| observer.liveness != Liveness::Down)
             }),
-            Property::always("down only after asking", |_, s: &State| {
-                s.holders
-                    .iter()
-                    .all(|h| h.liveness != Liveness::Down || h.asked_itself)
+            Property::always(DOWN_ONLY_AFTER_MISSED_ROUND, |_, state: &State| {
+                state.observers.iter().all(|observer| {
+                    observer.liveness != Liveness::Down || observer.missed_round_itself
+                })
             }),
-            // Nothing under way and nothing left to tell or to ask: the end of a run.
-            Property::always("refuted in the end", |_, s: &State| {
-                let still = s.messages.is_empty()
-                    && s.holders
-                        .iter()
-                        .all(|h| !h.tell.contains(&true) && !h.told && h.missed == 0);
-                !still || s.holders.iter().all(|h| h.liveness == Liveness::Alive)
+            Property::always(REFUTED_IN_THE_END, |_, state: &State| {
+                let mut observers = state.observers.iter();
+                !is_at_rest(state) || observers.all(|observer| observer.liveness == Liveness::Alive)
             }),
         ]
     }
 }
 
-/// Which of the wanted properties are broken. Where `whole`, all states have to have been seen.
-fn broken(model: Suspicion, wanted: &[&'static str], whole: bool) -> Vec<&'static str> {
-    let names = ["never down", "down only after asking", "refuted in the end"];
+/// Whether nothing is under way and nothing is left to send or to verify: the end of a run.
+fn is_at_rest(state: &State) -> bool {
+    state.messages.is_empty()
+        && state.observers.iter().all(|observer| {
+            !observer.unsent.contains(&true)
+                && observer.reason == PingReason::Scheduled
+                && observer.missed_rounds == 0
+        })
+}
+
+const NEVER_DOWN: &str = "never down";
+const DOWN_ONLY_AFTER_MISSED_ROUND: &str = "down only after a missed round";
+const REFUTED_IN_THE_END: &str = "refuted in the end";
+const ALL_PROPERTIES: [&str; 3] = [NEVER_DOWN, DOWN_ONLY_AFTER_MISSED_ROUND, REFUTED_IN_THE_END];
+
+/// Whether all states have to be seen for a check to count.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Search {
+    Exhaustive,
+    UntilFound,
+}
+
+/// The properties that are violated.
+fn violated_properties(model: Suspicion, search: Search) -> Vec<&'static str> {
     let checker = model
         .checker()
         .threads(2)
-        .target_state_count(MOST)
+        .target_state_count(MAX_STATES)
         .spawn_bfs()
         .join();
     let states = checker.state_count();
     assert!(
-        !whole || states < MOST,
+        search == Search::UntilFound || states < MAX_STATES,
         "{states} states: not all of them were seen"
     );
     assert!(
@@ -327,54 +374,55 @@
         "{states} states: the model explored too little to prove anything"
     );
     eprintln!(
-        "{} states, {states} with those met again",
+        "{} states, {states} with those seen again",
         checker.unique_state_count()
     );
-    let all: Vec<&'static str> = names
+    ALL_PROPERTIES
         .into_iter()
-        .filter(|n| checker.discovery(n).is_some())
-        .collect();
-    all.into_iter().filter(|n| wanted.contains(n)).collect()
+        .filter(|property| checker.discovery(property).is_some())
+        .collect()
 }
 
-const ALL: [&str; 3] = ["never down", "down only after asking", "refuted in the end"];
-
 #[test]
-fn with_fewer_losses_than_a_verdict_takes_a_live_member_is_never_down() {
+fn live_member_is_never_down_with_fewer_losses_than_a_verdict_takes() {
     let model = Suspicion {
-        losses: ROUNDS as u8,
-        hearsay: false,
-        unordered: false,
+        losses: SUSPICION_ROUNDS as u8,
+        reports_are_verdicts: false,
+        outdated_updates_apply: false,
     };
-    assert_eq!(broken(model, &ALL, true), [] as [&str; 0]);
+    let violated = violated_properties(model, Search::Exhaustive);
+    assert_eq!(violated, [] as [&str; 0]);
 }
 
 #[test]
-fn with_more_a_false_verdict_stays_with_those_that_asked_and_is_refuted_in_the_end() {
+fn false_verdict_stays_with_observers_that_missed_a_round_and_is_refuted_in_the_end() {
     let model = Suspicion {
-        losses: ROUNDS as u8 + 1,
-        hearsay: false,
-        unordered: false,
+        losses: SUSPICION_ROUNDS as u8 + 1,
+        reports_are_verdicts: false,
+        outdated_updates_apply: false,
     };
-    assert_eq!(broken(model, &ALL, true), ["never down"]);
+    let violated = violated_properties(model, Search::Exhaustive);
+    assert_eq!(violated, [NEVER_DOWN]);
 }
 
 #[test]
-fn were_hearsay_a_verdict_members_would_hold_it_down_without_asking() {
+fn observers_hold_a_member_down_without_a_missed_round_if_reports_are_verdicts() {
     let model = Suspicion {
-        losses: ROUNDS as u8 + 1,
-        hearsay: true,
-        unordered: false,
+        losses: SUSPICION_ROUNDS as u8 + 1,
+        reports_are_verdicts: true,
+        outdated_updates_apply: false,
     };
-    assert!(broken(model, &ALL, false).contains(&"down only after asking"));
+    let violated = violated_properties(model, Search::UntilFound);
+    assert!(violated.contains(&DOWN_ONLY_AFTER_MISSED_ROUND));
 }
 
 #[test]
-fn were_old_words_taken_a_refuted_death_would_come_back() {
+fn refuted_verdict_returns_if_outdated_updates_apply() {
     let model = Suspicion {
-        losses: ROUNDS as u8 + 1,
-        hearsay: false,
-        unordered: true,
+        losses: SUSPICION_ROUNDS as u8 + 1,
+        reports_are_verdicts: false,
+        outdated_updates_apply: true,
     };
-    assert!(broken(model, &ALL, false).contains(&"down only after asking"));
+    let violated = violated_properties(model, Search::UntilFound);
+    assert!(violated.contains(&DOWN_ONLY_AFTER_MISSED_ROUND));
 }
--- a/src/net/admin/operator_config.rs
+++ b/src/net/admin/operator_config.rs
@@ -210,7 +210,7 @@
             ));
         }
         if let Err(why) = m.for_fleet(2).check() {
-            problems.push(Problem::new("/membership", why));
+            problems.push(Problem::new("/membership", why.to_string()));
         }
         problems
     }
--- a/src/net/cluster/membership.rs
+++ b/src/net/cluster/membership.rs
@@ -1,21 +1,29 @@
-//! The shell of membership: the core of `irisrouter_membership` fed with the datagrams of the peer socket and the time,
-//! and its actions carried out. It owns the core; nothing is borrowed across an await.
+//! The shell of membership: passes the datagrams of the peer socket and the time to the core (`irisrouter_membership`) and
+//! carries out its actions. It owns the core; nothing is borrowed across an await.
 //!
-//! Datagrams whose first byte is membership's come here; the findings of hosts share the socket and go on as before.
-//! Each change of the view is one log line and one count; the console's `members` and SIGUSR1 tell the view itself. Findings from a gateway that the view holds to be down are
-//! not used.
+//! The peer socket is shared: only datagrams whose first byte is membership's come here. Each change of the view is one
+//! log line and one count; the console's `members` and SIGUSR1 give the view itself. Health-check findings from a gateway
+//! that the view holds down are not used.
 
 use crate::net::cluster::peer_socket::{Outbox, OutgoingDatagram};
 use crate::net::config::Peers;
 use crate::net::log::log;
 use crate::net::metrics::{increment, Metrics};
-use irisrouter_membership::{Action, Liveness, Membership, Millis, Node, Settings};
+use irisrouter_membership::{
+    Action, Liveness, LivenessChange, MemberState, Membership, MembershipError, Millis, Node,
+    Settings,
+};
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::Instant;
 
-/// Peers announced to at start. Danger guarded against: one silent peer must not keep a new gateway from joining.
-const FIRST: usize = 3;
+/// How many peers a gateway joins at start: more than one, so that a single peer that does not answer can't keep it from
+/// joining.
+const INITIAL_PEERS: u32 = 3;
+
+/// The longest sleep until the core is advanced again.
+const MAX_SLEEP_MS: Millis = 60_000;
 
 /// Membership of one gateway.
 pub struct MembershipService {
@@ -26,33 +34,32 @@
 }
 
 impl MembershipService {
-    /// A member joined to a few peers of the list. Its generation is the Unix time of its start in seconds, modulo
-    /// 2^16: a process started later wins over the one before it for nine hours. Where that is not so (a clock set
-    /// back, or a restart after longer), the others tell it the generation that they know, and it goes on as the next.
+    /// A member joined to a few peers of the list.
+    ///
+    /// Its generation is the Unix time of its start in seconds, modulo 2^16: a process started later wins over the one
+    /// before it for nine hours. Where that is not so (a clock set back, or a restart after longer), the others send it
+    /// the generation that they know, and it continues as the next.
     ///
     /// # Errors
     ///
-    /// The settings do not pass their checks.
+    /// The settings do not pass their check, or this gateway's number is not in the list.
     pub fn new(
         peers: &Peers,
         settings: Settings,
         unix_s: u64,
         seed: u64,
         metrics: Rc<Metrics>,
-    ) -> Result<Self, String> {
+    ) -> Result<Self, MembershipError> {
         let generation = (unix_s & 0xffff) as u16;
-        let me = Node {
+        let local = Node {
             number: peers.me,
             generation,
         };
-        let mut core = Membership::new(me, settings, seed, 0)?;
-        let fleet = peers.each.len() as u32;
-        let first: Vec<u32> = (1..=FIRST as u32)
-            .map(|i| (peers.me + i) % fleet.max(1))
-            .collect();
-        core.join(0, &first);
+        let mut core = Membership::new(local, settings, seed, 0)?;
+        let fleet_size = peers.each.len() as u32;
+        core.join(0, &initial_peers(peers.me, fleet_size));
         log!(
-            "membership: on, gateway {} of {fleet}, generation {generation}",
+            "membership: on, gateway {} of {fleet_size}, generation {generation}",
             peers.me
         );
         Ok(Self {
@@ -63,66 +70,68 @@
         })
     }
 
-    fn now(&self) -> u64 {
+    /// Milliseconds since the start, which is the core's clock.
+    fn now(&self) -> Millis {
         u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
-    /// Takes a membership datagram from gateway `from`; returns what is to be sent.
+    /// Processes a membership datagram from gateway `from`; returns what is to be sent.
     pub fn receive(&self, datagram: &[u8], from: u32) -> Vec<OutgoingDatagram> {
         let now = self.now();
         let mut core = self.core.borrow_mut();
         match core.receive(now, datagram) {
             Ok(()) => increment(&self.metrics.membership.received),
-            Err(why) => {
+            Err(error) => {
                 increment(&self.metrics.membership.rejected);
-                log!("membership: a datagram from gateway {from} is not used: {why}");
+                log!("membership: datagram from gateway {from} rejected: {error}");
             }
         }
-        self.carry_out(&mut core)
+        self.carry_out_actions(&mut core)
     }
 
-    /// Fires what is due; returns what is to be sent.
+    /// Does the work that is due; returns what is to be sent.
     pub fn advance(&self) -> Vec<OutgoingDatagram> {
         let now = self.now();
         let mut core = self.core.borrow_mut();
         core.advance(now);
-        self.carry_out(&mut core)
+        self.carry_out_actions(&mut core)
     }
 
-    /// When [`MembershipService::advance`] has work next.
+    /// When [`MembershipService::advance`] next has work; at most [`MAX_SLEEP_MS`] from now.
     pub fn due(&self) -> Instant {
         let due = self.core.borrow().next_due();
         let now = self.now();
-        self.start + std::time::Duration::from_millis(due.max(now).min(now + 60_000))
+        let due = due.max(now).min(now + MAX_SLEEP_MS);
+        self.start + Duration::from_millis(due)
     }
 
-    /// Whether what gateway `number` tells is used: not once it is held to be down.
+    /// Whether reports from gateway `number` are used: not once the view holds it down.
     pub fn accepts_from(&self, number: u32) -> bool {
-        self.core.borrow().view().counts(number)
+        self.core.borrow().view().accepts_from(number)
     }
 
     /// This process.
     pub fn local_node(&self) -> Node {
-        self.core.borrow().me()
+        self.core.borrow().local_node()
     }
 
     /// The gateways held alive, this one included, and whether that is the larger side of a cut; none and no once this
     /// gateway has said that it stops.
     pub fn alive(&self) -> (Vec<u32>, bool) {
         let core = self.core.borrow();
-        let me = core.me().number;
-        if core.left() {
-            return (vec![me], false);
+        let local = core.local_node().number;
+        if core.has_left() {
+            return (vec![local], false);
         }
-        let rows = core.view().rows();
-        let alive = rows
-            .filter(|(n, s)| *n == me || s.liveness == Liveness::Alive)
-            .map(|(n, _)| n)
+        let members = core.view().members();
+        let gateways = members
+            .filter(|(number, member)| *number == local || member.liveness == Liveness::Alive)
+            .map(|(number, _)| number)
             .collect();
-        (alive, core.side().majority())
+        (gateways, core.partition_side().has_majority())
     }
 
-    /// The gateways that are not held down, this one included.
+    /// The gateways that are alive or suspect, this one included.
     pub fn not_down(&self) -> Vec<u32> {
         self.not_down_with_generations()
             .into_iter()
@@ -130,90 +139,113 @@
             .collect()
     }
 
-    /// Likewise, with the generations of their processes.
+    /// The gateways that are alive or suspect, this one included, with the generations of their processes.
     pub fn not_down_with_generations(&self) -> Vec<(u32, u16)> {
         let core = self.core.borrow();
-        let rows = core.view().rows();
-        rows.filter(|(_, s)| !matches!(s.liveness, Liveness::Down | Liveness::Unknown))
-            .map(|(n, s)| (n, s.generation))
+        let members = core.view().members();
+        members
+            .filter(|(_, member)| !matches!(member.liveness, Liveness::Down | Liveness::Unknown))
+            .map(|(number, member)| (number, member.generation))
             .collect()
     }
 
-    /// Gateways in the fleet's list.
+    /// The number of gateways in the fleet's list.
     pub fn fleet_size(&self) -> u32 {
-        self.core.borrow().settings().fleet
+        self.core.borrow().settings().fleet_size
     }
 
-    /// Says to a few others that this gateway stops; returns what is to be sent.
+    /// Announces to a few other gateways that this one stops; returns what is to be sent.
     pub fn leave(&self) -> Vec<OutgoingDatagram> {
         let now = self.now();
         let mut core = self.core.borrow_mut();
         core.leave(now);
         log!("membership: this gateway leaves");
-        self.carry_out(&mut core)
+        self.carry_out_actions(&mut core)
     }
 
-    /// The view as one line, for the console, SIGUSR1 and the end: how many are reachable, whether that is a majority,
-    /// and of each gateway its state, generation, incarnation, the seconds for which it has been in that state, and
-    /// the seconds since it was last heard itself (`-` where never).
+    /// The view as one line, for the console, SIGUSR1 and the log at the end: how many gateways are reachable, whether
+    /// that is a majority, and of each gateway its state, generation, incarnation, the seconds for which it has been in
+    /// that state, and the seconds since a datagram of its own last arrived (`-` if none has).
     pub fn status_line(&self) -> String {
-        let (core, now) = (self.core.borrow(), self.now());
-        let age = |at: Millis| now.saturating_sub(at) / 1000;
-        let side = core.side();
-        let rows: Vec<String> = core
+        let core = self.core.borrow();
+        let now = self.now();
+        let side = core.partition_side();
+        let members: Vec<String> = core
             .view()
-            .rows()
-            .filter(|(_, s)| s.liveness != Liveness::Unknown)
-            .map(|(n, s)| {
-                let heard = s
-                    .heard
-                    .map_or("-".to_string(), |at| format!("{}s", age(at)));
-                let state = (s.liveness.word(), s.generation, s.incarnation, age(s.since));
-                format!(
-                    "{n}:{}/{}/{}/{}s/{heard}",
-                    state.0, state.1, state.2, state.3
-                )
-            })
+            .members()
+            .filter(|(_, member)| member.liveness != Liveness::Unknown)
+            .map(|(number, member)| member_status(number, member, now))
             .collect();
         format!(
             "membership reachable={} of {} majority={} alone={} answered={}/{} {}",
             side.reachable,
-            side.fleet,
-            side.majority(),
-            side.alone(),
-            side.answered,
-            side.asked,
-            rows.join(" ")
+            side.fleet_size,
+            side.has_majority(),
+            side.is_alone(),
+            side.answered_pings,
+            side.recent_pings,
+            members.join(" ")
         )
     }
 
-    fn carry_out(&self, core: &mut Membership) -> Vec<OutgoingDatagram> {
-        for action in core.drain() {
-            match action {
-                Action::Send { to, bytes } => self.out.push(to, bytes),
-                Action::Changed(c) => {
-                    increment(&self.metrics.membership.changed);
-                    log!(
-                        "membership: gateway {} {} -> {} (generation {}, incarnation {})",
-                        c.number,
-                        c.from.word(),
-                        c.to.word(),
-                        c.generation,
-                        c.incarnation
-                    );
-                }
-                Action::Refuted(incarnation) => {
-                    increment(&self.metrics.membership.refuted);
-                    log!("membership: this gateway was called down and goes on as incarnation {incarnation}");
-                }
-                Action::Renewed(node) => {
-                    log!(
-                        "membership: a later process was taken for this one; it goes on as generation {}",
-                        node.generation
-                    );
-                }
-            }
+    fn carry_out_actions(&self, core: &mut Membership) -> Vec<OutgoingDatagram> {
+        for action in core.drain_actions() {
+            self.carry_out(action);
         }
         self.out.take()
     }
+
+    fn carry_out(&self, action: Action) {
+        match action {
+            Action::Send { to, bytes } => self.out.push(to, bytes),
+            Action::Changed(change) => {
+                increment(&self.metrics.membership.changed);
+                log_change(&change);
+            }
+            Action::Refuted(incarnation) => {
+                increment(&self.metrics.membership.refuted);
+                log!("membership: refuted a report that this gateway is down, as incarnation {incarnation}");
+            }
+            Action::Renewed(node) => {
+                log!(
+                    "membership: the fleet knew a later generation of this gateway; it continues as generation {}",
+                    node.generation
+                );
+            }
+        }
+    }
+}
+
+/// The peers that a gateway joins at start: those that follow it in the list, continuing at 0 after the last.
+fn initial_peers(local: u32, fleet_size: u32) -> Vec<u32> {
+    (1..=INITIAL_PEERS)
+        .map(|offset| (local + offset) % fleet_size.max(1))
+        .collect()
+}
+
+/// One gateway in the status line.
+fn member_status(number: u32, member: &MemberState, now: Millis) -> String {
+    let seconds_since = |at: Millis| now.saturating_sub(at) / 1000;
+    let last_received = match member.last_received {
+        Some(at) => format!("{}s", seconds_since(at)),
+        None => "-".to_string(),
+    };
+    format!(
+        "{number}:{}/{}/{}/{}s/{last_received}",
+        member.liveness.as_str(),
+        member.generation,
+        member.incarnation,
+        seconds_since(member.since)
+    )
+}
+
+fn log_change(change: &LivenessChange) {
+    log!(
+        "membership: gateway {} {} -> {} (generation {}, incarnation {})",
+        change.number,
+        change.from.as_str(),
+        change.to.as_str(),
+        change.generation,
+        change.incarnation
+    );
 }
