--- a/crates/membership/src/merge_rules.rs
+++ b/crates/membership/src/merge_rules.rs
@@ -65,7 +65,7 @@
 /// Why a member is being pinged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum PingReason {
-    /// It was its turn in the protocol period.
+    /// It is the member that is pinged in this protocol period.
     Scheduled,
     /// Another member reported it down, which is to be verified.
     ReportedDown,
--- a/crates/membership/src/outstanding_pings.rs
+++ b/crates/membership/src/outstanding_pings.rs
@@ -141,7 +141,7 @@
         self.pings.remove(&number)
     }
 
-    /// Starts another round for a member that has missed so many, from the next [`OutstandingPings::take_due`] on.
+    /// Starts another round for a member that has missed this many in a row, from the next [`OutstandingPings::take_due`] on.
     pub(crate) fn start_next_round(&mut self, number: u32, missed_rounds: u32) {
         if !self.pings.contains_key(&number) {
             return;
--- a/crates/membership/src/updates.rs
+++ b/crates/membership/src/updates.rs
@@ -1,4 +1,4 @@
-//! Merging of what datagrams say about members into the view, by the rules of [`crate::merge_rules`].
+//! Merging of what datagrams report about members into the view, by the rules of [`crate::merge_rules`].
 
 use crate::action::Action;
 use crate::codec::{Datagram, Message};
