Name the answer of MembershipService::alive

Cause: it answered with a tuple of numbers and a flag, and its comment said "none" where the answer is this gateway alone.

Change: AliveGateways { gateways, majority }; its two users, leases and site failover, read the fields.

Measured: the eight tests of crates/testbed/tests/cluster.rs (real processes behind the fault proxy) pass.

--- a/src/net/cluster/leases.rs
+++ b/src/net/cluster/leases.rs
@@ -139,9 +139,9 @@
     /// Brings the view and the duties up to date and does what is due; returns what is to be sent.
     pub fn advance(&self, duties: impl Iterator<Item = LeasedTask>) -> Vec<OutgoingDatagram> {
         let now = self.now();
-        let (alive, majority) = self.membership.alive();
+        let alive = self.membership.alive();
         let mut core = self.core.borrow_mut();
-        core.view(now, &alive, majority);
+        core.view(now, &alive.gateways, alive.majority);
         let duties: Vec<u64> = duties.map(LeasedTask::number).collect();
         core.duties(now, &duties);
         let unix = SystemTime::now()
--- a/src/net/cluster/membership.rs
+++ b/src/net/cluster/membership.rs
@@ -25,6 +25,14 @@
 /// The longest sleep until the core is advanced again.
 const MAX_SLEEP_MS: Millis = 60_000;
 
+/// The gateways that are alive in the view of this one.
+pub struct AliveGateways {
+    /// Their numbers in ascending order, this gateway's included.
+    pub gateways: Vec<u32>,
+    /// Whether this gateway is on the side of a partition that has the majority of the fleet.
+    pub majority: bool,
+}
+
 /// Membership of one gateway.
 pub struct MembershipService {
     core: RefCell<Membership>,
@@ -115,20 +123,25 @@
         self.core.borrow().local_node()
     }
 
-    /// The gateways held alive, this one included, and whether that is the larger side of a cut; none and no once this
-    /// gateway has said that it stops.
-    pub fn alive(&self) -> (Vec<u32>, bool) {
+    /// The gateways that are alive in the view; only this one, without a majority, once it has announced that it stops.
+    pub fn alive(&self) -> AliveGateways {
         let core = self.core.borrow();
         let local = core.local_node().number;
         if core.has_left() {
-            return (vec![local], false);
+            return AliveGateways {
+                gateways: vec![local],
+                majority: false,
+            };
         }
         let members = core.view().members();
         let gateways = members
             .filter(|(number, member)| *number == local || member.liveness == Liveness::Alive)
             .map(|(number, _)| number)
             .collect();
-        (gateways, core.partition_side().has_majority())
+        AliveGateways {
+            gateways,
+            majority: core.partition_side().has_majority(),
+        }
     }
 
     /// The gateways that are alive or suspect, this one included.
--- a/src/net/cluster/site_failover.rs
+++ b/src/net/cluster/site_failover.rs
@@ -155,7 +155,7 @@
         let load_report = self.load_report(u16::try_from(now - last).unwrap_or(u16::MAX));
         let bytes = codec::encode_tally(&load_report);
         let me = self.around.membership.local_node().number;
-        let (alive, _) = self.around.membership.alive();
+        let alive = self.around.membership.alive().gateways;
         let first = irisrouter_leases::rendezvous::candidates(TASK_ID, &alive);
         for to in first.into_iter().take(TOLD).filter(|&to| to != me) {
             self.out.push(to, bytes.clone());
