Pin the bytes of the membership datagrams under their new names

Cause: the golden tests of the membership codec were written against the names before the split of the core.

Change: the same 26 tests with the names of today; every literal (bytes, numbers, error texts) is unchanged, which a comparison of all literals of both files shows.

--- a/crates/membership/tests/golden.rs
+++ b/crates/membership/tests/golden.rs
@@ -1,7 +1,7 @@
-//! Golden tests of the datagrams by which gateways know who of them is there.
+//! Golden tests of the datagrams of the membership protocol.
 //!
-//! Pinned are the exact bytes of every kind of datagram and of the words that it carries, what the decoder says of these
-//! bytes and of malformed ones, and how generations and incarnations are compared. A fleet is upgraded one gateway at a
+//! Pinned are the exact bytes of every kind of datagram and of the updates that it carries, the result of decoding these
+//! bytes and malformed ones, and how generations and incarnations are compared. A fleet is upgraded one gateway at a
 //! time, so gateways of the old and the new version exchange these datagrams with each other: a change of a single byte
 //! would make the two halves of the fleet hold each other down. A refactoring must leave every literal in this file as it
 //! is; a wanted change of the format needs a new first byte.
@@ -9,10 +9,10 @@
 //! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
 
 use irisrouter_membership::codec::{
-    decode, encode, LONGEST_HEADER, MAGIC, MAX_DATAGRAM_BYTES, WORD, WORDS,
+    decode, encode, MAGIC, MAX_DATAGRAM_BYTES, MAX_HEADER_BYTES, MAX_UPDATES, UPDATE_BYTES,
 };
-use irisrouter_membership::node::serial;
-use irisrouter_membership::{recognizes, Datagram, Kind, Node, WireError, Word};
+use irisrouter_membership::node::compare_serial;
+use irisrouter_membership::{recognizes, Datagram, MemberUpdate, Message, Node, WireError};
 use std::cmp::Ordering;
 
 fn hex(bytes: &[u8]) -> String {
@@ -21,24 +21,24 @@
 
 // Values: all datagrams that are pinned here are built in this part of the file.
 
-fn datagram(kind: Kind, words: Vec<Word>) -> Datagram {
+fn datagram(message: Message, updates: Vec<MemberUpdate>) -> Datagram {
     Datagram {
-        src: Node {
+        source: Node {
             number: 0x0102_0304,
             generation: 0x0506,
         },
         incarnation: 0x0708,
-        dst: Node {
+        destination: Node {
             number: 0x1112_1314,
             generation: 0x1516,
         },
-        kind,
-        words,
+        message,
+        updates,
     }
 }
 
-fn alive() -> Word {
-    Word {
+fn alive() -> MemberUpdate {
+    MemberUpdate {
         node: Node {
             number: 0x4142_4344,
             generation: 0x4546,
@@ -48,8 +48,8 @@
     }
 }
 
-fn down() -> Word {
-    Word {
+fn down() -> MemberUpdate {
+    MemberUpdate {
         node: Node {
             number: 0x5152_5354,
             generation: 0x5556,
@@ -59,43 +59,43 @@
     }
 }
 
-/// With one word of each state.
-fn of(kind: Kind) -> Datagram {
-    datagram(kind, vec![alive(), down()])
+/// With one update of each state.
+fn of(message: Message) -> Datagram {
+    datagram(message, vec![alive(), down()])
 }
 
-fn ping() -> Kind {
-    Kind::Ping { seq: 0x2122 }
+fn ping() -> Message {
+    Message::Ping { sequence: 0x2122 }
 }
 
-fn ack() -> Kind {
-    Kind::Ack { seq: 0x2122 }
+fn ack() -> Message {
+    Message::Ack { sequence: 0x2122 }
 }
 
-fn ping_req() -> Kind {
-    Kind::PingReq {
-        seq: 0x2122,
+fn ping_req() -> Message {
+    Message::PingRequest {
+        sequence: 0x2122,
         target: 0x3132_3334,
     }
 }
 
-fn indirect_ack() -> Kind {
+fn indirect_ack() -> Message {
     let target = Node {
         number: 0x3132_3334,
         generation: 0x3536,
     };
-    Kind::IndirectAck {
-        seq: 0x2122,
+    Message::IndirectAck {
+        sequence: 0x2122,
         target,
         incarnation: 0x3738,
     }
 }
 
-fn join(from: Option<u32>) -> Kind {
-    Kind::Join { from }
+fn join(list_from: Option<u32>) -> Message {
+    Message::Join { list_from }
 }
 
-fn all_kinds() -> [Kind; 9] {
+fn all_messages() -> [Message; 9] {
     [
         ping(),
         ack(),
@@ -103,9 +103,9 @@
         indirect_ack(),
         join(Some(0x3132_3334)),
         join(None),
-        Kind::Feed,
-        Kind::Gossip,
-        Kind::Leave,
+        Message::MemberList,
+        Message::Gossip,
+        Message::Leave,
     ]
 }
 
@@ -115,15 +115,15 @@
         generation: u16::MAX,
     };
     Datagram {
-        src: node,
+        source: node,
         incarnation: u16::MAX,
-        dst: node,
-        kind: Kind::IndirectAck {
-            seq: u16::MAX,
+        destination: node,
+        message: Message::IndirectAck {
+            sequence: u16::MAX,
             target: node,
             incarnation: u16::MAX,
         },
-        words: vec![Word {
+        updates: vec![MemberUpdate {
             node,
             incarnation: u16::MAX,
             down: true,
@@ -131,9 +131,9 @@
     }
 }
 
-/// Words that differ in every field.
-fn many(count: u32) -> Vec<Word> {
-    let one = |i: u32| Word {
+/// Updates that differ in every field.
+fn many(count: u32) -> Vec<MemberUpdate> {
+    let one = |i: u32| MemberUpdate {
         node: Node {
             number: 0x4100_0000 + i,
             generation: 0x5100 + i as u16,
@@ -146,16 +146,16 @@
 
 // Helpers.
 
-/// Where the count of words stands in a datagram without words.
-fn count_at(kind: Kind) -> usize {
-    encode(&datagram(kind, Vec::new())).len() - 1
+/// The offset of the count of updates in a datagram without updates.
+fn count_at(message: Message) -> usize {
+    encode(&datagram(message, Vec::new())).len() - 1
 }
 
 fn literal(expected: &str) -> String {
     expected.split_whitespace().collect()
 }
 
-/// A datagram has these bytes, and is `read` from them.
+/// A datagram has these bytes, and `read` is decoded from them.
 #[track_caller]
 fn pins_as(sent: &Datagram, expected: &str, read: &Datagram) {
     let bytes = encode(sent);
@@ -184,7 +184,13 @@
 #[test]
 fn bounds_and_first_byte_keep_their_values() {
     assert_eq!(
-        (MAX_DATAGRAM_BYTES, LONGEST_HEADER, WORD, WORDS, MAGIC),
+        (
+            MAX_DATAGRAM_BYTES,
+            MAX_HEADER_BYTES,
+            UPDATE_BYTES,
+            MAX_UPDATES,
+            MAGIC
+        ),
         (256, 26, 9, 25, 0xa2)
     );
 }
@@ -226,7 +232,7 @@
 }
 
 #[test]
-fn join_datagram_that_wants_to_be_told_of_members_keeps_its_bytes() {
+fn join_datagram_that_wants_a_member_list_keeps_its_bytes() {
     pins(
         &of(join(Some(0x3132_3334))),
         "a2 01020304 0506 0708 11121314 1516  04 31323334
@@ -257,9 +263,9 @@
 }
 
 #[test]
-fn feed_datagram_keeps_its_bytes() {
+fn member_list_datagram_keeps_its_bytes() {
     pins(
-        &of(Kind::Feed),
+        &of(Message::MemberList),
         "a2 01020304 0506 0708 11121314 1516  05
         02  41424344 4546 4748 00  51525354 5556 5758 01",
     );
@@ -268,7 +274,7 @@
 #[test]
 fn gossip_datagram_keeps_its_bytes() {
     pins(
-        &of(Kind::Gossip),
+        &of(Message::Gossip),
         "a2 01020304 0506 0708 11121314 1516  06
         02  41424344 4546 4748 00  51525354 5556 5758 01",
     );
@@ -277,20 +283,20 @@
 #[test]
 fn leave_datagram_keeps_its_bytes() {
     pins(
-        &of(Kind::Leave),
+        &of(Message::Leave),
         "a2 01020304 0506 0708 11121314 1516  07
         02  41424344 4546 4748 00  51525354 5556 5758 01",
     );
 }
 
 #[test]
-fn datagram_without_words_keeps_its_bytes() {
+fn datagram_without_updates_keeps_its_bytes() {
     pins(
         &datagram(ping(), Vec::new()),
         "a2 01020304 0506 0708 11121314 1516  00 2122  00",
     );
     pins(
-        &datagram(Kind::Leave, Vec::new()),
+        &datagram(Message::Leave, Vec::new()),
         "a2 01020304 0506 0708 11121314 1516  07  00",
     );
 }
@@ -304,7 +310,7 @@
 }
 
 #[test]
-fn longest_datagram_keeps_its_bytes_and_words_beyond_it_are_left_out() {
+fn longest_datagram_keeps_its_bytes_and_updates_beyond_it_are_left_out() {
     pins_as(
         &datagram(indirect_ack(), many(27)),
         "a2 01020304 0506 0708 11121314 1516  03 2122 31323334 3536 3738  19
@@ -320,20 +326,20 @@
 }
 
 #[test]
-fn words_beyond_the_bound_are_left_out_also_where_a_shorter_header_had_room_for_one_more() {
-    let bytes = encode(&datagram(Kind::Feed, many(26)));
+fn updates_beyond_the_bound_are_left_out_also_where_a_shorter_header_had_room_for_one_more() {
+    let bytes = encode(&datagram(Message::MemberList, many(26)));
     assert_eq!((bytes.len(), bytes[16]), (16 + 1 + 25 * 9, 25));
-    assert_eq!(decode(&bytes), Ok(datagram(Kind::Feed, many(25))));
+    assert_eq!(decode(&bytes), Ok(datagram(Message::MemberList, many(25))));
 }
 
 /// No gateway writes it, but it fits a datagram.
 #[test]
-fn datagram_with_one_word_more_than_is_written_is_read() {
-    let mut bytes = encode(&datagram(Kind::Feed, many(25)));
+fn datagram_with_one_update_more_than_is_written_is_read() {
+    let mut bytes = encode(&datagram(Message::MemberList, many(25)));
     bytes[16] = 26;
     bytes.extend([0x41, 0, 0, 0x19, 0x51, 0x19, 0x61, 0x19, 0x01]);
     assert_eq!(bytes.len(), 251);
-    assert_eq!(decode(&bytes), Ok(datagram(Kind::Feed, many(26))));
+    assert_eq!(decode(&bytes), Ok(datagram(Message::MemberList, many(26))));
 }
 
 // What is refused.
@@ -361,8 +367,8 @@
 
 #[test]
 fn datagram_of_any_kind_cut_anywhere_is_refused_as_short() {
-    for kind in all_kinds() {
-        let bytes = encode(&of(kind));
+    for message in all_messages() {
+        let bytes = encode(&of(message));
         for end in 0..bytes.len() {
             refuses(
                 &bytes[..end],
@@ -376,14 +382,14 @@
 #[test]
 fn trailing_bytes_are_refused_as_long() {
     let text = "the datagram is longer than what it says";
-    for kind in all_kinds() {
+    for message in all_messages() {
         refuses(
-            &[encode(&of(kind)), vec![0]].concat(),
+            &[encode(&of(message)), vec![0]].concat(),
             WireError::Long,
             text,
         );
         refuses(
-            &[encode(&of(kind)), vec![0; 9]].concat(),
+            &[encode(&of(message)), vec![0; 9]].concat(),
             WireError::Long,
             text,
         );
@@ -397,7 +403,7 @@
 
 #[test]
 fn unknown_kind_is_refused_with_its_number() {
-    let mut bytes = encode(&of(Kind::Gossip));
+    let mut bytes = encode(&of(Message::Gossip));
     for (kind, text) in [(8, "unknown kind 8"), (255, "unknown kind 255")] {
         bytes[15] = kind;
         refuses(&bytes, WireError::Unknown("kind", kind), text);
@@ -405,8 +411,8 @@
 }
 
 #[test]
-fn unknown_state_of_a_word_is_refused_with_its_number() {
-    let mut bytes = encode(&of(Kind::Gossip));
+fn unknown_state_of_an_update_is_refused_with_its_number() {
+    let mut bytes = encode(&of(Message::Gossip));
     for (state, text) in [(2, "unknown state 2"), (255, "unknown state 255")] {
         bytes[16 + 1 + 8] = state;
         refuses(&bytes, WireError::Unknown("state", state), text);
@@ -414,14 +420,14 @@
 }
 
 #[test]
-fn count_other_than_the_words_that_follow_is_refused() {
-    for kind in all_kinds() {
-        let mut bytes = encode(&of(kind));
+fn count_other_than_the_updates_that_follow_is_refused() {
+    for message in all_messages() {
+        let mut bytes = encode(&of(message));
         for count in [3, 26, 255] {
-            bytes[count_at(kind)] = count;
+            bytes[count_at(message)] = count;
             refuses(&bytes, WireError::Short, "the datagram ends inside a field");
         }
-        bytes[count_at(kind)] = 1;
+        bytes[count_at(message)] = 1;
         refuses(
             &bytes,
             WireError::Long,
@@ -431,7 +437,7 @@
 }
 
 #[test]
-fn more_words_than_fit_are_refused_as_long() {
+fn more_updates_than_fit_are_refused_as_long() {
     let mut bytes = [encode(&datagram(indirect_ack(), many(25))), vec![0; 9]].concat();
     bytes[26] = 26;
     assert_eq!(bytes.len(), 261);
@@ -443,7 +449,7 @@
 }
 
 #[test]
-fn datagram_of_membership_is_told_by_the_high_half_of_its_first_byte() {
+fn datagram_of_membership_is_recognized_by_the_high_half_of_its_first_byte() {
     assert!(recognizes(&[0xa2]) && recognizes(&[0xa0]) && recognizes(&[0xaf, 0x00]));
     assert!(!recognizes(&[]) && !recognizes(&[0x01, 0xa2]) && !recognizes(&[0xb2]));
 }
@@ -465,6 +471,6 @@
         (0x8001, 0, Ordering::Less),
     ];
     for (a, b, expected) in pairs {
-        assert_eq!(serial(a, b), expected, "{a:#x} and {b:#x}");
+        assert_eq!(compare_serial(a, b), expected, "{a:#x} and {b:#x}");
     }
 }
