Give the write intents package the terms of the field, and one job to each module

Notes become records at replicas, tickets operations; key, replica order, retention, operations, codec and store get modules of their own. Not built yet.

--- a/crates/write-intents/src/codec.rs
+++ b/crates/write-intents/src/codec.rs
@@ -1,97 +1,107 @@
-//! The datagram of writes in hand: notes, questions and their answers, several in one, bounded and versioned.
+//! The datagram of write intents: records, look-ups and their answers, several in one datagram, bounded and versioned.
 //!
 //! ```text
-//! 0      magic and version: 0xC1 (findings 0x01, membership 0xA2, duties 0xB1: all share the peer socket)
-//! 1      count of items, then 17 bytes each:
-//! 0      kind: 0 note, 1 noted, 2 ask, 3 known, 4 unknown, 5 forget
+//! 0      magic and version: 0xC1 (`irisrouter_datagram::magic` lists all protocols on the peer socket)
+//! 1      count of messages, then 17 bytes each:
+//! 0      kind: 0 record, 1 acknowledged, 2 look up, 3 found, 4 not found, 5 withdraw
 //! 1..9   key (u64, big-endian)
-//! 9..17  Unix milliseconds (u64): of the first sending that may have run; 0 where the kind has none
+//! 9..17  Unix milliseconds (u64): of the first attempt that may have run; 0 where the kind has none
 //! ```
 
 use bytes::BufMut;
-use irisrouter_datagram::Reader;
+use irisrouter_datagram::{decode_items, encode_items, has_magic, max_items, Reader, WireValue};
 
 pub use irisrouter_datagram::magic::WRITE_INTENTS as MAGIC;
 pub use irisrouter_datagram::{WireError, MAX_DATAGRAM_BYTES};
-const HEADER: usize = 2;
-const ITEM: usize = 17;
-/// Items that fit one datagram.
-pub const ITEMS: usize = (MAX_DATAGRAM_BYTES - HEADER) / ITEM;
 
-/// What is said of a key.
+/// How many messages fit one datagram.
+pub const MAX_MESSAGES: usize = max_items::<(), IntentMessage>();
+
+/// What a message says about a key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Kind {
-    /// "From then on a write of this key may have run: keep that for me."
-    Note,
-    /// "I keep it."
-    Noted,
-    /// "What do you know of it?"
-    Ask,
-    /// "From then on it may have run."
-    Known,
-    /// "Nothing."
-    Unknown,
-    /// "What I had noted never ran."
-    Forget,
+pub enum MessageKind {
+    /// A writer asks a replica to record that a write of this key may have run from the given time on.
+    Record,
+    /// A replica has the record with the given time.
+    Acknowledged,
+    /// A gateway asks what is recorded of the key.
+    LookUp,
+    /// A write of the key may have run from the given time on.
+    Found,
+    /// Nothing is recorded of the key.
+    NotFound,
+    /// The write that the sender had recorded never ran.
+    Withdraw,
 }
 
-const KINDS: [Kind; 6] = [
-    Kind::Note,
-    Kind::Noted,
-    Kind::Ask,
-    Kind::Known,
-    Kind::Unknown,
-    Kind::Forget,
+/// All kinds; the index of a kind is its number in the datagram.
+const KINDS: [MessageKind; 6] = [
+    MessageKind::Record,
+    MessageKind::Acknowledged,
+    MessageKind::LookUp,
+    MessageKind::Found,
+    MessageKind::NotFound,
+    MessageKind::Withdraw,
 ];
 
-/// One word about one key.
+/// One message about one key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Item {
-    /// What.
-    pub kind: Kind,
-    /// Of which key.
+pub struct IntentMessage {
+    /// What the message says.
+    pub kind: MessageKind,
+    /// The number of the key, from [`key_hash`](crate::key_hash).
     pub key: u64,
-    /// See the kinds.
-    pub at: u64,
+    /// The time of the first attempt that may have run, in Unix milliseconds; 0 where the kind has none.
+    pub first_sent_at: u64,
 }
 
-/// The bytes of up to [`ITEMS`] items; what is beyond is left out.
-#[must_use]
-pub fn encode(items: &[Item]) -> Vec<u8> {
-    let items = &items[..items.len().min(ITEMS)];
-    let mut buf = Vec::with_capacity(HEADER + items.len() * ITEM);
-    buf.put_u8(MAGIC);
-    // At most ITEMS, which is 14.
-    buf.put_u8(items.len() as u8);
-    for item in items {
-        // Its place in KINDS, which has six.
-        buf.put_u8(KINDS.iter().position(|k| *k == item.kind).unwrap_or(0) as u8);
-        buf.put_u64(item.key);
-        buf.put_u64(item.at);
+impl IntentMessage {
+    /// A message without a time.
+    #[must_use]
+    pub const fn new(kind: MessageKind, key: u64) -> Self {
+        Self {
+            kind,
+            key,
+            first_sent_at: 0,
+        }
     }
-    buf
 }
 
-/// Reads a datagram.
+impl WireValue for IntentMessage {
+    const ENCODED_BYTES: usize = 17;
+
+    fn encode(&self, buffer: &mut Vec<u8>) {
+        // A kind's number is its index in KINDS: both are in the same order.
+        buffer.put_u8(self.kind as u8);
+        buffer.put_u64(self.key);
+        buffer.put_u64(self.first_sent_at);
+    }
+
+    fn decode(reader: &mut Reader<'_>) -> Result<Self, WireError> {
+        Ok(Self {
+            kind: reader.one_of("kind", &KINDS)?,
+            key: reader.u64()?,
+            first_sent_at: reader.u64()?,
+        })
+    }
+}
+
+/// Encodes a datagram with up to [`MAX_MESSAGES`] messages; messages beyond that are left out.
+#[must_use]
+pub fn encode(messages: &[IntentMessage]) -> Vec<u8> {
+    encode_items(MAGIC, &(), messages)
+}
+
+/// Decodes a datagram.
 ///
 /// # Errors
-/// The bytes are none of this version, or not as long as they say.
-pub fn decode(bytes: &[u8]) -> Result<Vec<Item>, WireError> {
-    Reader::new(bytes, MAGIC)?.items(ITEM, |from| {
-        let kind = from.u8()?;
-        let kind = *KINDS
-            .get(usize::from(kind))
-            .ok_or(WireError::Unknown("kind", kind))?;
-        Ok(Item {
-            kind,
-            key: from.u64()?,
-            at: from.u64()?,
-        })
-    })
+/// The datagram is of another protocol or version, is not as long as its count announces, or has an unknown kind.
+pub fn decode(datagram: &[u8]) -> Result<Vec<IntentMessage>, WireError> {
+    decode_items::<(), IntentMessage>(MAGIC, datagram).map(|list| list.items)
 }
 
-/// Whether a datagram is one of writes in hand, by its first byte.
+/// Whether a datagram belongs to write intents, in whatever version, by its first byte.
 #[must_use]
 pub fn recognizes(datagram: &[u8]) -> bool {
-    irisrouter_datagram::is(datagram, MAGIC)
+    has_magic(datagram, MAGIC)
 }
--- /dev/null
+++ b/crates/write-intents/src/store.rs
@@ -0,0 +1,236 @@
+//! The write intents of one gateway: the records that it holds, and its own records and look-ups under way.
+
+use crate::codec::{self, IntentMessage, MessageKind, WireError};
+use crate::operation::{LocalMemory, Operation, Purpose};
+use crate::replicas::{first_replicas, RECORD_CANDIDATES};
+use crate::retention::{RetainedIntents, RETENTION};
+use crate::{Action, Millis, OperationId, Outcome};
+use std::collections::BTreeMap;
+
+/// How many records and look-ups of its own a gateway has under way at once.
+const MAX_OPERATIONS: usize = 8_192;
+
+/// The write intents of one gateway.
+pub struct IntentStore {
+    own_number: u32,
+    started: Millis,
+    retained: RetainedIntents,
+    operations: Vec<Operation>,
+    last_operation: u64,
+    outbox: BTreeMap<u32, Vec<IntentMessage>>,
+    actions: Vec<Action>,
+}
+
+impl IntentStore {
+    /// The gateway with this number, whose process starts at `now`.
+    #[must_use]
+    pub fn new(own_number: u32, now: Millis) -> Self {
+        Self {
+            own_number,
+            started: now,
+            retained: RetainedIntents::default(),
+            operations: Vec::new(),
+            last_operation: 0,
+            outbox: BTreeMap::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// This process receives datagrams from now on, and not since [`IntentStore::new`]: an older process of the same gateway
+    /// may have held records until now.
+    pub fn on_socket_opened(&mut self, now: Millis) {
+        self.started = now;
+    }
+
+    /// Records that a write of this key may have run from `first_sent_at` on (Unix milliseconds), with the replicas among
+    /// `gateways`, those that are not considered down. A gateway that is alone records with nobody, as nobody could take the
+    /// write over.
+    pub fn record(
+        &mut self,
+        now: Millis,
+        key: u64,
+        first_sent_at: u64,
+        gateways: &[u32],
+    ) -> OperationId {
+        // Recorded here too: the gateway's own client may send the write again to this very gateway.
+        self.retained
+            .record(now, self.own_number, key, first_sent_at);
+        self.start_operation(now, key, Purpose::Record { first_sent_at }, gateways)
+    }
+
+    /// Looks up whether a write of this key may have run.
+    pub fn look_up(&mut self, now: Millis, key: u64, gateways: &[u32]) -> OperationId {
+        let Some(first_sent_at) = self.retained.first_sent_at(now, key) else {
+            return self.start_operation(now, key, Purpose::LookUp, gateways);
+        };
+        let operation = self.next_operation();
+        let outcome = Outcome::MayHaveRunSince(first_sent_at);
+        self.actions.push(Action::Ended { operation, outcome });
+        operation
+    }
+
+    /// Withdraws what this gateway recorded of a key, as the write never ran.
+    pub fn withdraw(&mut self, key: u64, gateways: &[u32]) {
+        self.retained.withdraw(self.own_number, key);
+        let message = IntentMessage::new(MessageKind::Withdraw, key);
+        for to in first_replicas(key, gateways, self.own_number, RECORD_CANDIDATES) {
+            self.send(to, message);
+        }
+        self.pack_outbox();
+    }
+
+    /// Processes a datagram from the gateway with number `from`.
+    ///
+    /// # Errors
+    /// The datagram can't be decoded; then nothing is changed.
+    pub fn receive(&mut self, now: Millis, from: u32, datagram: &[u8]) -> Result<(), WireError> {
+        for message in codec::decode(datagram)? {
+            self.process_message(now, from, &message);
+        }
+        self.pack_outbox();
+        Ok(())
+    }
+
+    fn process_message(&mut self, now: Millis, from: u32, message: &IntentMessage) {
+        match message.kind {
+            MessageKind::Record => {
+                let recorded = self
+                    .retained
+                    .record(now, from, message.key, message.first_sent_at);
+                if recorded {
+                    let kind = MessageKind::Acknowledged;
+                    self.send(from, IntentMessage { kind, ..*message });
+                }
+            }
+            MessageKind::LookUp => {
+                if let Some(answer) = self.look_up_answer(now, message.key) {
+                    self.send(from, answer);
+                }
+            }
+            MessageKind::Withdraw => self.retained.withdraw(from, message.key),
+            MessageKind::Acknowledged | MessageKind::Found | MessageKind::NotFound => {
+                self.process_answer(from, message);
+            }
+        }
+    }
+
+    /// The answer to the look-up of another gateway; none where this one may have lost its records.
+    fn look_up_answer(&self, now: Millis, key: u64) -> Option<IntentMessage> {
+        if let Some(first_sent_at) = self.retained.first_sent_at(now, key) {
+            return Some(IntentMessage {
+                kind: MessageKind::Found,
+                key,
+                first_sent_at,
+            });
+        }
+        match self.local_memory(now) {
+            LocalMemory::Complete => Some(IntentMessage::new(MessageKind::NotFound, key)),
+            LocalMemory::MayBeLost => None,
+        }
+    }
+
+    /// Does what is due by `now`.
+    pub fn advance(&mut self, now: Millis) {
+        for operation in &mut self.operations {
+            let Some(due) = operation.due_message(now) else {
+                continue;
+            };
+            for to in due.to {
+                self.outbox.entry(to).or_default().push(due.message);
+            }
+        }
+        self.end_operations(|operation| operation.outcome(now));
+        self.retained.drop_expired(now);
+        self.pack_outbox();
+    }
+
+    /// When [`IntentStore::advance`] next has work; [`Millis::MAX`] for never.
+    #[must_use]
+    pub fn next_due(&self) -> Millis {
+        let sends = self.operations.iter().map(|operation| operation.next_send);
+        sends
+            .chain(self.retained.next_expiry())
+            .min()
+            .unwrap_or(Millis::MAX)
+    }
+
+    /// What the caller has to do, in order.
+    pub fn drain_actions(&mut self) -> std::vec::Drain<'_, Action> {
+        self.actions.drain(..)
+    }
+
+    /// How many keys are recorded here at present.
+    #[must_use]
+    pub fn retained_keys(&self) -> usize {
+        self.retained.len()
+    }
+
+    fn local_memory(&self, now: Millis) -> LocalMemory {
+        if now < self.started + RETENTION {
+            LocalMemory::MayBeLost
+        } else {
+            LocalMemory::Complete
+        }
+    }
+
+    fn next_operation(&mut self) -> OperationId {
+        self.last_operation += 1;
+        OperationId(self.last_operation)
+    }
+
+    fn start_operation(
+        &mut self,
+        now: Millis,
+        key: u64,
+        purpose: Purpose,
+        gateways: &[u32],
+    ) -> OperationId {
+        let id = self.next_operation();
+        if self.operations.len() >= MAX_OPERATIONS {
+            self.actions.push(Action::Ended {
+                operation: id,
+                outcome: purpose.failure(),
+            });
+            return id;
+        }
+        let candidates = first_replicas(key, gateways, self.own_number, purpose.candidates());
+        let local_memory = self.local_memory(now);
+        let operation = Operation::new(id, key, purpose, candidates, now, local_memory);
+        self.operations.push(operation);
+        self.advance(now);
+        id
+    }
+
+    fn process_answer(&mut self, from: u32, answer: &IntentMessage) {
+        self.end_operations(|operation| operation.process_answer(from, answer));
+    }
+
+    /// Ends the operations that have an outcome, in the order in which they were started.
+    fn end_operations(&mut self, mut outcome: impl FnMut(&mut Operation) -> Option<Outcome>) {
+        let actions = &mut self.actions;
+        self.operations.retain_mut(|operation| {
+            let Some(outcome) = outcome(operation) else {
+                return true;
+            };
+            actions.push(Action::Ended {
+                operation: operation.id,
+                outcome,
+            });
+            false
+        });
+    }
+
+    fn send(&mut self, to: u32, message: IntentMessage) {
+        self.outbox.entry(to).or_default().push(message);
+    }
+
+    /// Packs the waiting messages into datagrams.
+    fn pack_outbox(&mut self) {
+        for (to, messages) in std::mem::take(&mut self.outbox) {
+            for chunk in messages.chunks(codec::MAX_MESSAGES) {
+                let bytes = codec::encode(chunk);
+                self.actions.push(Action::Send { to, bytes });
+            }
+        }
+    }
+}
