--- a/crates/testbed/src/cluster/mod.rs
+++ b/crates/testbed/src/cluster/mod.rs
@@ -5,7 +5,7 @@
 //! [`Cluster`] is the tool that tests use by hand; [`schedule`] draws whole sequences of faults from a seed, runs them
 //! and checks what the gateways logged.
 
-pub mod duties;
+pub mod leases;
 pub mod load;
 pub mod process;
 pub mod relay;
--- a/crates/testbed/src/cluster/schedule.rs
+++ b/crates/testbed/src/cluster/schedule.rs
@@ -8,7 +8,7 @@
 //! - a crash is seen by all others, and the two sides of a cut see each other down, within the detection bound;
 //! - once a fault is over, all views are one within the bound for it.
 
-use super::{duties, Cluster, Plan};
+use super::{leases, Cluster, Plan};
 use irisrouter_membership::Settings;
 use irisrouter_simulation::dice::{Dice, Stream};
 use serde::Serialize;
@@ -256,16 +256,17 @@
     let rate = |sum: u64| sum as f64 / gateways as f64 / began.elapsed().as_secs_f64();
     (verdict.datagrams_s, verdict.bytes_s) = (rate(sent.0), rate(sent.1));
     if let Some(lease_ms) = pace.lease_ms {
-        let found = duties::check(
+        let findings = leases::check(
             &cluster,
-            duties::Bounds {
+            leases::Bounds {
                 lease_ms,
                 from,
                 until: cluster.clock.now(),
             },
         );
-        verdict.fenced = found.refused;
-        verdict.broken.extend(found.broken);
+        verdict.fenced = findings.refused_health_checks;
+        let violations = findings.violations.iter().map(ToString::to_string);
+        verdict.broken.extend(violations);
     }
     if cluster.relay.network().too_long > 0 {
         verdict
--- a/crates/testbed/tests/takeover.rs
+++ b/crates/testbed/tests/takeover.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::{ask, started, wait, LEASE_MS};
-use irisrouter_testbed::cluster::duties::{check, Bounds};
+use irisrouter_testbed::cluster::leases::{check, Bounds};
 use irisrouter_testbed::cluster::{Cluster, PATIENCE};
 use std::time::Duration;
 
@@ -25,8 +25,8 @@
         from,
         until: cluster.clock.now(),
     };
-    let found = check(cluster, bounds);
-    assert_eq!(found.broken, [] as [String; 0], "{found:#?}");
+    let findings = check(cluster, bounds);
+    assert_eq!(findings.violations, [], "{findings:#?}");
 }
 
 #[test]
@@ -39,11 +39,15 @@
         cluster.prober(1, 300).is_some_and(|now| now != owner)
     });
     // What the others say of it: one line, with the epoch and after whom.
-    let after = format!("after gateway {owner}, generation ");
+    let after = format!("(taken over from gateway {owner}, generation ");
     let said = |lines: &[irisrouter_testbed::cluster::process::Line]| {
         lines
             .iter()
-            .any(|l| l.text.contains("duties: set 1 is this gateway's") && l.text.contains(&after))
+            .any(|l| {
+                l.text
+                    .contains("leases: this gateway holds the lease on the health checks of set 1 ")
+                    && l.text.contains(&after)
+            })
             .then_some(())
     };
     cluster
@@ -108,14 +112,14 @@
     wait("a later token", || {
         token(&cluster).is_some_and(|(_, now)| now > old + 1)
     });
-    let gave_up = "duties: set 1 is no longer this gateway's";
+    let gave_up = "leases: this gateway no longer holds the lease on the health checks of set 1 ";
     cluster.history.look(|lines| {
         let line = lines
             .iter()
             .find(|l| l.gateway == owner && l.text.contains(gave_up))
             .expect("it says so");
         assert!(
-            line.text.contains("a later epoch was seen"),
+            line.text.contains("superseded by a later epoch"),
             "{}",
             line.text
         );
@@ -257,7 +261,7 @@
     });
     holds(&cluster, from);
     cluster.history.look(|lines| {
-        let gave = "duties: set 1 is no longer this gateway's";
+        let gave = "leases: this gateway no longer holds the lease on the health checks of set 1 ";
         let line = lines
             .iter()
             .find(|l| l.gateway == owner && l.text.contains(gave))
--- a/src/net/admin/operator_config.rs
+++ b/src/net/admin/operator_config.rs
@@ -197,7 +197,7 @@
             lease_ms: takeover.lease_ms,
         };
         if let Err(why) = duties.check() {
-            problems.push(Problem::new("/takeover", why));
+            problems.push(Problem::new("/takeover", why.to_string()));
         }
         let sites = &self.sites;
         if sites.enabled && !takeover.enabled {
--- a/src/net/cluster/leases.rs
+++ b/src/net/cluster/leases.rs
@@ -1,113 +1,120 @@
-//! The shell of duties: the core of `irisrouter_leases` fed with datagrams, the time and membership's view, and its
-//! actions carried out.
+//! The shell of leases: feeds the core of `irisrouter_leases` with datagrams, the time and the view of membership, and
+//! carries out its actions.
 //!
-//! Each change of owner is one log line and one count.
+//! Each change of holder is one log line and one count.
 
 use crate::net::cluster::membership::MembershipService;
 use crate::net::cluster::peer_socket::{Outbox, OutgoingDatagram};
 use crate::net::log::log;
 use crate::net::metrics::{increment, Metrics};
-use irisrouter_leases::{Action, Holder, LeaseChange, LeaseManager, Settings};
+use crate::net::unix_milliseconds;
+use irisrouter_leases::{
+    Action, HeldLease, Holder, LeaseChange, LeaseManager, PartitionSide, Settings, SettingsError,
+    TaskId,
+};
 use std::cell::RefCell;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::time::Instant;
 
-/// What one gateway does for all.
+/// The longest time between two calls of [`LeaseService::advance`], in milliseconds.
+const MAX_ADVANCE_INTERVAL_MS: u64 = 60_000;
+
+/// A task that one gateway does for the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeasedTask {
-    /// The probing of a set.
+    /// The health checks of the set with this number.
     HealthChecks(i64),
-    /// The drain of a host, by the number that gateways call it.
+    /// The drain of a host, by the number under which all gateways know it.
     HostDrain(u32),
     /// The watch of the list of database hosts.
     EndpointWatch,
-    /// The plans for lost sites.
+    /// The failover plans for lost sites.
     SiteFailover,
 }
 
 impl LeasedTask {
-    /// The same everywhere. A set's number as it is: the order and the voters need no more.
-    const fn number(self) -> u64 {
-        match self {
-            LeasedTask::HealthChecks(set) => set as u64,
-            LeasedTask::HostDrain(host) => irisrouter_drain_coordination::task_id(host),
-            LeasedTask::EndpointWatch => irisrouter_endpoint_watch::TASK_ID,
-            LeasedTask::SiteFailover => irisrouter_site_failover::TASK_ID,
-        }
+    /// The number of the task, the same at every gateway. That of a set's health checks is the set's number.
+    const fn id(self) -> TaskId {
+        TaskId(match self {
+            Self::HealthChecks(set) => set as u64,
+            Self::HostDrain(host) => irisrouter_drain_coordination::task_id(host),
+            Self::EndpointWatch => irisrouter_endpoint_watch::TASK_ID,
+            Self::SiteFailover => irisrouter_site_failover::TASK_ID,
+        })
     }
 
-    const fn of(number: u64) -> Self {
-        if number == irisrouter_endpoint_watch::TASK_ID {
-            return LeasedTask::EndpointWatch;
+    /// The task with this number.
+    const fn from_id(TaskId(id): TaskId) -> Self {
+        if id == irisrouter_endpoint_watch::TASK_ID {
+            return Self::EndpointWatch;
         }
-        if number == irisrouter_site_failover::TASK_ID {
-            return LeasedTask::SiteFailover;
+        if id == irisrouter_site_failover::TASK_ID {
+            return Self::SiteFailover;
         }
-        let host = number as u32;
-        if irisrouter_drain_coordination::task_id(host) == number {
-            return LeasedTask::HostDrain(host);
+        // The number of a drain has the host's number in its low half.
+        let host = id as u32;
+        if irisrouter_drain_coordination::task_id(host) == id {
+            return Self::HostDrain(host);
         }
-        LeasedTask::HealthChecks(number as i64)
+        Self::HealthChecks(id as i64)
     }
 }
 
 impl fmt::Display for LeasedTask {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            LeasedTask::HealthChecks(set) => write!(f, "set {set}"),
-            LeasedTask::HostDrain(host) => write!(f, "the drain of host {host:06x}"),
-            LeasedTask::EndpointWatch => write!(f, "the watch of the list"),
-            LeasedTask::SiteFailover => write!(f, "the planning for lost sites"),
+            Self::HealthChecks(set) => write!(f, "the health checks of set {set}"),
+            Self::HostDrain(host) => write!(f, "the drain of host {host:06x}"),
+            Self::EndpointWatch => write!(f, "the endpoint watch"),
+            Self::SiteFailover => write!(f, "the site failover plan"),
         }
     }
 }
 
-/// The duties of one gateway.
+/// The leases of one gateway.
 pub struct LeaseService {
-    core: RefCell<LeaseManager>,
+    manager: RefCell<LeaseManager>,
     membership: Rc<MembershipService>,
     start: Instant,
-    out: Outbox,
+    outbox: Outbox,
     metrics: Rc<Metrics>,
-    /// Probes carry the token.
+    /// Whether health checks carry the fencing token.
     fence: bool,
 }
 
 impl LeaseService {
-    /// A gateway that owns nothing yet.
+    /// A gateway that holds no lease. `gateways` are the addresses of the fleet by number, and `fence` says whether health
+    /// checks carry the fencing token.
     ///
     /// # Errors
     ///
-    /// The settings do not pass their checks.
+    /// The length of a lease is out of its range.
     pub fn new(
         membership: Rc<MembershipService>,
-        each: Vec<SocketAddr>,
+        gateways: Vec<SocketAddr>,
         lease_ms: u64,
         fence: bool,
         metrics: Rc<Metrics>,
-    ) -> Result<Self, String> {
-        let me = membership.local_node();
-        let me = Holder {
-            number: me.number,
-            generation: me.generation,
+    ) -> Result<Self, SettingsError> {
+        let node = membership.local_node();
+        let local = Holder {
+            number: node.number,
+            generation: node.generation,
+        };
+        let settings = Settings {
+            fleet: gateways.len() as u32,
+            lease_ms,
         };
-        let core = LeaseManager::new(
-            me,
-            Settings {
-                fleet: each.len() as u32,
-                lease_ms,
-            },
-            0,
-        )?;
-        log!("duties: on, with leases of {lease_ms} ms");
+        let manager = LeaseManager::new(local, settings, 0)?;
+        log!("leases: on, with leases of {lease_ms} ms");
         Ok(Self {
-            core: RefCell::new(core),
+            manager: RefCell::new(manager),
             membership,
             start: Instant::now(),
-            out: Outbox::new(each),
+            outbox: Outbox::new(gateways),
             metrics,
             fence,
         })
@@ -117,127 +124,141 @@
         u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
-    /// This process hears others from now on.
+    /// This process receives datagrams from now on.
     pub fn on_socket_opened(&self) {
-        self.core.borrow_mut().opened(self.now());
+        self.manager.borrow_mut().on_socket_opened(self.now());
     }
 
-    /// Takes a datagram of duties from gateway `from`; returns what is to be sent.
+    /// Processes a datagram of leases from the gateway with number `from`; returns the datagrams to send.
     pub fn receive(&self, datagram: &[u8], from: u32) -> Vec<OutgoingDatagram> {
         let now = self.now();
-        let mut core = self.core.borrow_mut();
-        match core.receive(now, from, datagram) {
+        let mut manager = self.manager.borrow_mut();
+        match manager.receive(now, from, datagram) {
             Ok(()) => increment(&self.metrics.leases.received),
-            Err(why) => {
+            Err(error) => {
                 increment(&self.metrics.leases.rejected);
-                log!("duties: a datagram from gateway {from} is not used: {why}");
+                log!("leases: a datagram from gateway {from} is ignored: {error}");
             }
         }
-        self.carry_out(&mut core)
+        self.carry_out_actions(&mut manager)
     }
 
-    /// Brings the view and the duties up to date and does what is due; returns what is to be sent.
-    pub fn advance(&self, duties: impl Iterator<Item = LeasedTask>) -> Vec<OutgoingDatagram> {
+    /// Updates the view of the fleet and the list of tasks, and does what is due; returns the datagrams to send.
+    pub fn advance(&self, tasks: impl Iterator<Item = LeasedTask>) -> Vec<OutgoingDatagram> {
         let now = self.now();
-        let (alive, majority) = self.membership.alive();
-        let mut core = self.core.borrow_mut();
-        core.view(now, &alive, majority);
-        let duties: Vec<u64> = duties.map(LeasedTask::number).collect();
-        core.duties(now, &duties);
-        let unix = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        core.advance(now, u64::try_from(unix.as_millis()).unwrap_or(0));
-        self.carry_out(&mut core)
+        let (alive, in_majority) = self.membership.alive();
+        let side = if in_majority {
+            PartitionSide::Majority
+        } else {
+            PartitionSide::Minority
+        };
+        let tasks: Vec<TaskId> = tasks.map(LeasedTask::id).collect();
+        let mut manager = self.manager.borrow_mut();
+        manager.update_view(now, &alive, side);
+        manager.set_tasks(now, &tasks);
+        manager.advance(now, unix_milliseconds());
+        self.carry_out_actions(&mut manager)
     }
 
     /// When [`LeaseService::advance`] has work next.
     pub fn due(&self) -> Instant {
-        let (due, now) = (self.core.borrow().next_due(), self.now());
-        self.start + Duration::from_millis(due.max(now).min(now + 60_000))
+        let now = self.now();
+        let due = self.manager.borrow().next_due();
+        self.start + Duration::from_millis(due.max(now).min(now + MAX_ADVANCE_INTERVAL_MS))
     }
 
-    /// This gateway is on the larger side of a cut, as of the last tick.
+    /// Whether this gateway is in the majority partition, as of the last [`LeaseService::advance`].
     pub fn in_majority(&self) -> bool {
-        self.core.borrow().majority()
+        self.manager.borrow().side() == PartitionSide::Majority
     }
 
-    /// The token under which this gateway may do a duty now; to be asked before each act.
-    pub fn fencing_token(&self, duty: LeasedTask) -> Option<u64> {
-        self.core.borrow().token(self.now(), duty.number())
+    /// The fencing token under which this gateway may do a task now; none where it does not hold the lease. Ask before
+    /// each act, and do not store the answer.
+    pub fn fencing_token(&self, task: LeasedTask) -> Option<u64> {
+        self.manager.borrow().fencing_token(self.now(), task.id())
     }
 
-    /// What a probe of a set carries, where hosts check it.
+    /// The task's number and the token that a health check of a set carries, where the operators turned fencing on.
     pub fn health_check_fence(&self, set: i64, token: u64) -> Option<(u64, u64)> {
-        self.fence
-            .then_some((LeasedTask::HealthChecks(set).number(), token))
+        let TaskId(task) = LeasedTask::HealthChecks(set).id();
+        self.fence.then_some((task, token))
     }
 
-    /// A host refused the token of a set; returns what is to be sent.
+    /// A database host refused the token of a set's health check; returns the datagrams to send.
     pub fn token_rejected(&self, set: i64) -> Vec<OutgoingDatagram> {
         increment(&self.metrics.leases.fenced);
-        let mut core = self.core.borrow_mut();
-        core.fenced(self.now(), LeasedTask::HealthChecks(set).number());
-        self.carry_out(&mut core)
+        let mut manager = self.manager.borrow_mut();
+        manager.token_rejected(self.now(), LeasedTask::HealthChecks(set).id());
+        self.carry_out_actions(&mut manager)
     }
 
-    /// Gives everything up, as the gateway stops; returns what is to be sent.
+    /// Releases all leases, as the gateway stops; returns the datagrams to send.
     pub fn release_all(&self) -> Vec<OutgoingDatagram> {
-        let mut core = self.core.borrow_mut();
-        core.stop(self.now());
-        self.carry_out(&mut core)
+        let mut manager = self.manager.borrow_mut();
+        manager.release_all(self.now());
+        self.carry_out_actions(&mut manager)
     }
 
-    /// What is owned, as one line: `set:epoch` each, `drain-host:epoch`, `list:epoch`, `plan:epoch`.
+    /// The leases held, as one line: `set:epoch`, `drain-host:epoch`, `list:epoch` or `plan:epoch` for each.
     pub fn status_line(&self) -> String {
-        let owned = self.core.borrow().owned(self.now());
-        let owned: Vec<String> = (owned.iter())
-            .map(|(duty, epoch)| match LeasedTask::of(*duty) {
-                LeasedTask::HealthChecks(set) => format!("{set}:{epoch}"),
-                LeasedTask::HostDrain(host) => format!("drain-{host:06x}:{epoch}"),
-                LeasedTask::EndpointWatch => format!("list:{epoch}"),
-                LeasedTask::SiteFailover => format!("plan:{epoch}"),
-            })
-            .collect();
-        format!("duties owned={} {}", owned.len(), owned.join(" "))
-    }
-
-    fn carry_out(&self, core: &mut LeaseManager) -> Vec<OutgoingDatagram> {
-        for action in core.drain() {
+        let held = self.manager.borrow().held_leases(self.now());
+        let tasks: Vec<String> = held.iter().map(status_word).collect();
+        format!("duties owned={} {}", tasks.len(), tasks.join(" "))
+    }
+
+    fn carry_out_actions(&self, manager: &mut LeaseManager) -> Vec<OutgoingDatagram> {
+        for action in manager.drain_actions() {
             match action {
-                Action::Send { to, bytes } => self.out.push(to, bytes),
-                Action::Owned { duty, epoch, why } => {
+                Action::Send { to, bytes } => self.outbox.push(to, bytes),
+                Action::Acquired {
+                    task,
+                    epoch,
+                    change,
+                } => {
                     increment(&self.metrics.leases.acquired);
-                    let duty = LeasedTask::of(duty);
-                    log!(
-                        "duties: {duty} is this gateway's under epoch {epoch} ({})",
-                        words(why)
-                    );
+                    let (task, reason) = (LeasedTask::from_id(task), reason(change));
+                    log!("leases: this gateway holds the lease on {task} under epoch {epoch} ({reason})");
                 }
-                Action::Lost { duty, epoch, why } => {
+                Action::Lost {
+                    task,
+                    epoch,
+                    change,
+                } => {
                     increment(&self.metrics.leases.lost);
-                    let duty = LeasedTask::of(duty);
-                    log!(
-                        "duties: {duty} is no longer this gateway's under epoch {epoch} ({})",
-                        words(why)
-                    );
+                    let (task, reason) = (LeasedTask::from_id(task), reason(change));
+                    log!("leases: this gateway no longer holds the lease on {task} under epoch {epoch} ({reason})");
                 }
             }
         }
-        self.out.take()
+        self.outbox.take()
+    }
+}
+
+/// A lease as the console shows it.
+fn status_word(held: &HeldLease) -> String {
+    let epoch = held.epoch;
+    match LeasedTask::from_id(held.task) {
+        LeasedTask::HealthChecks(set) => format!("{set}:{epoch}"),
+        LeasedTask::HostDrain(host) => format!("drain-{host:06x}:{epoch}"),
+        LeasedTask::EndpointWatch => format!("list:{epoch}"),
+        LeasedTask::SiteFailover => format!("plan:{epoch}"),
     }
 }
 
-fn words(why: LeaseChange) -> String {
-    match why {
-        LeaseChange::Vacant => "it was free".into(),
-        LeaseChange::TakenOver(h) => {
-            format!("after gateway {}, generation {}", h.number, h.generation)
+/// Why a lease was acquired or lost, as the log says it.
+fn reason(change: LeaseChange) -> String {
+    match change {
+        LeaseChange::Vacant => "it was vacant".into(),
+        LeaseChange::TakenOver(holder) => format!(
+            "taken over from gateway {}, generation {}",
+            holder.number, holder.generation
+        ),
+        LeaseChange::Expired => "it expired before it was renewed".into(),
+        LeaseChange::Superseded => "superseded by a later epoch".into(),
+        LeaseChange::HandedOver(gateway) => {
+            format!("handed over to gateway {gateway}, the first candidate")
         }
-        LeaseChange::Expired => "its lease ran out".into(),
-        LeaseChange::Superseded => "a later epoch was seen".into(),
-        LeaseChange::HandedOver(n) => format!("handed over to gateway {n}, first in its order"),
-        LeaseChange::Stopped => "this gateway stops, or is on the small side of a cut".into(),
-        LeaseChange::TaskRemoved => "there is no such duty any more".into(),
+        LeaseChange::Stopped => "this gateway stops, or is in a minority partition".into(),
+        LeaseChange::TaskRemoved => "the task no longer exists".into(),
     }
 }
--- a/src/net/cluster/write_intents.rs
+++ b/src/net/cluster/write_intents.rs
@@ -1,13 +1,13 @@
-//! The shell of writes in hand: the core of `irisrouter_write_intents` fed with datagrams and the time, and asked by the tasks of
-//! requests. What is to be sent leaves with the peer task, which is woken for it.
+//! The shell of write intents: feeds the core of `irisrouter_write_intents` with datagrams and the time. The tasks of
+//! requests record and look up keyed writes here. Datagrams leave with the peer task, which is woken for them.
 
 use crate::net::cluster::membership::MembershipService;
 use crate::net::cluster::peer_socket::{Outbox, OutgoingDatagram};
 use crate::net::log::log;
 use crate::net::metrics::{increment, Metrics};
 use crate::net::{duration, unix_milliseconds};
-use irisrouter::routing::{Idempotency, Outcome as Attempt, RequestClass};
-use irisrouter_write_intents::{Action, IntentStore, Outcome};
+use irisrouter::routing::{Idempotency, Outcome as AttemptOutcome, RequestClass};
+use irisrouter_write_intents::{Action, IntentStore, OperationId, Outcome};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -16,51 +16,56 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
 
-/// With less of its window left a write is not sent again: what decides on it needs a moment.
-const SOONEST: Duration = Duration::from_millis(5);
+/// With less than this left of its window a write is not sent again: deciding on it needs a moment.
+const MIN_TIME_TO_RESEND: Duration = Duration::from_millis(5);
+/// The longest time between two calls of [`WriteIntentService::advance`], in milliseconds.
+const MAX_ADVANCE_INTERVAL_MS: u64 = 60_000;
 
-/// What is known of a repeat.
+/// What is known of the earlier attempts of a write that may be a retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EarlierAttempt {
-    /// It was never sent.
+    /// The write was never sent.
     NeverSent,
-    /// It may have run from then on, in Unix milliseconds.
+    /// The write may have run from this time on, in Unix milliseconds.
     MayHaveRun(u64),
-    /// Too few of those that would know have answered.
+    /// Too few of the gateways that would know have answered.
     Unproven,
 }
 
-/// The writes in hand of one gateway, and those that it keeps for others.
+/// The write intents of one gateway, and those that it holds as a replica of others.
 pub struct WriteIntentService {
-    core: RefCell<IntentStore>,
+    store: RefCell<IntentStore>,
     membership: Rc<MembershipService>,
     start: Instant,
     metrics: Rc<Metrics>,
-    waiting: RefCell<HashMap<u64, oneshot::Sender<Outcome>>>,
-    out: Outbox,
-    wake: Notify,
-    /// Clients mark their repeats; where they do not, any write may be one.
-    marked: bool,
+    /// The tasks that wait for the outcomes of records and look-ups.
+    waiting: RefCell<HashMap<OperationId, oneshot::Sender<Outcome>>>,
+    outbox: Outbox,
+    datagrams_waiting: Notify,
+    /// Whether clients mark their retries. Where they do not, any write may be one.
+    clients_mark_retries: bool,
 }
 
 impl WriteIntentService {
-    /// A gateway that keeps nothing yet.
+    /// A gateway without any intents. `gateways` are the addresses of the fleet by number.
     pub fn new(
         membership: Rc<MembershipService>,
-        each: Vec<SocketAddr>,
-        marked: bool,
+        gateways: Vec<SocketAddr>,
+        clients_mark_retries: bool,
         metrics: Rc<Metrics>,
     ) -> Self {
-        log!("writes in hand: on, keyed writes are noted with other gateways before they leave");
+        log!(
+            "write intents: on, keyed writes are recorded with other gateways before they are sent"
+        );
         Self {
-            core: RefCell::new(IntentStore::new(membership.local_node().number, 0)),
+            store: RefCell::new(IntentStore::new(membership.local_node().number, 0)),
             membership,
             start: Instant::now(),
             metrics,
             waiting: RefCell::default(),
-            out: Outbox::new(each),
-            wake: Notify::new(),
-            marked,
+            outbox: Outbox::new(gateways),
+            datagrams_waiting: Notify::new(),
+            clients_mark_retries,
         }
     }
 
@@ -68,37 +73,43 @@
         u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
-    /// This process hears others from now on.
+    /// This process receives datagrams from now on.
     pub fn on_socket_opened(&self) {
-        self.core.borrow_mut().opened(self.now());
+        self.store.borrow_mut().on_socket_opened(self.now());
     }
 
-    /// Whether a write may be one that another gateway has sent.
-    pub fn may_be_retry(&self, retry: bool) -> bool {
-        retry || !self.marked
+    /// Whether a write may be one that another gateway has sent; `marked` where the client marked it as a retry.
+    pub fn may_be_retry(&self, marked: bool) -> bool {
+        marked || !self.clients_mark_retries
     }
 
-    /// Notes a write with its keepers before it leaves; no where too few of them say that they have it.
-    pub async fn record(&self, key: u64, at: u64) -> bool {
+    /// Records a write with its replicas before it is sent: it may run from `first_sent_at` on, in Unix milliseconds. Returns
+    /// whether enough replicas acknowledged it.
+    pub async fn record(&self, key: u64, first_sent_at: u64) -> bool {
         let gateways = self.membership.not_down();
-        let noted = self
-            .ended(|core, now| core.note(now, key, at, &gateways))
-            .await
-            == Some(Outcome::Noted);
-        increment(if noted {
+        let outcome = self
+            .run_operation(|store, now| store.record(now, key, first_sent_at, &gateways))
+            .await;
+        let recorded = outcome == Some(Outcome::Recorded);
+        increment(if recorded {
             &self.metrics.write_intents.recorded
         } else {
             &self.metrics.write_intents.not_recorded
         });
-        noted
+        recorded
     }
 
-    /// Asks the keepers of a write whether it may have run.
+    /// Looks up at the replicas of a write whether it may have run.
     pub async fn look_up(&self, key: u64) -> EarlierAttempt {
         let gateways = self.membership.not_down();
-        let found = match self.ended(|core, now| core.ask(now, key, &gateways)).await {
-            Some(Outcome::Known(at)) => EarlierAttempt::MayHaveRun(at),
-            Some(Outcome::Unknown) => EarlierAttempt::NeverSent,
+        let outcome = self
+            .run_operation(|store, now| store.look_up(now, key, &gateways))
+            .await;
+        let found = match outcome {
+            Some(Outcome::MayHaveRunSince(first_sent_at)) => {
+                EarlierAttempt::MayHaveRun(first_sent_at)
+            }
+            Some(Outcome::NeverSent) => EarlierAttempt::NeverSent,
             _ => EarlierAttempt::Unproven,
         };
         increment(match found {
@@ -109,154 +120,170 @@
         found
     }
 
-    /// A write that was noted never ran.
+    /// Withdraws the intent of a write that never ran.
     pub fn withdraw(&self, key: u64) {
         let gateways = self.membership.not_down();
-        self.with(|core, _| core.forget(key, &gateways));
+        self.call_store(|store, _| store.withdraw(key, &gateways));
     }
 
-    /// Takes a datagram from gateway `from`; returns what is to be sent.
+    /// Processes a datagram from the gateway with number `from`; returns the datagrams to send.
     pub fn receive(&self, datagram: &[u8], from: u32) -> Vec<OutgoingDatagram> {
-        self.with(|core, now| {
-            if let Err(why) = core.receive(now, from, datagram) {
+        self.call_store(|store, now| {
+            if let Err(error) = store.receive(now, from, datagram) {
                 increment(&self.metrics.gossip.ignored);
-                log!("writes in hand: a datagram from gateway {from} is not used: {why}");
+                log!("write intents: a datagram from gateway {from} is ignored: {error}");
             }
         });
-        self.out.take()
+        self.outbox.take()
     }
 
-    /// Does what is due; returns what is to be sent.
+    /// Does what is due; returns the datagrams to send.
     pub fn advance(&self) -> Vec<OutgoingDatagram> {
-        self.with(|core, now| core.advance(now));
-        self.out.take()
+        self.call_store(|store, now| store.advance(now));
+        self.outbox.take()
     }
 
     /// When [`WriteIntentService::advance`] has work next.
     pub fn due(&self) -> Instant {
-        let (due, now) = (self.core.borrow().next_due(), self.now());
-        self.start + Duration::from_millis(due.max(now).min(now + 60_000))
+        let now = self.now();
+        let due = self.store.borrow().next_due();
+        self.start + Duration::from_millis(due.max(now).min(now + MAX_ADVANCE_INTERVAL_MS))
     }
 
-    /// Waits until there is something to be sent.
+    /// Waits until there are datagrams to send.
     pub async fn send_requested(&self) {
-        self.wake.notified().await;
+        self.datagrams_waiting.notified().await;
     }
 
-    /// Begins a note or a question, and waits for its outcome.
-    async fn ended(&self, begin: impl FnOnce(&mut IntentStore, u64) -> u64) -> Option<Outcome> {
-        let (tell, told) = oneshot::channel();
-        {
-            let (mut core, now) = (self.core.borrow_mut(), self.now());
-            let ticket = begin(&mut core, now);
-            self.waiting.borrow_mut().insert(ticket, tell);
-            self.carry_out(&mut core);
-        }
-        told.await.ok()
+    /// Starts a record or a look-up, and waits for its outcome.
+    async fn run_operation(
+        &self,
+        start: impl FnOnce(&mut IntentStore, u64) -> OperationId,
+    ) -> Option<Outcome> {
+        let (sender, outcome) = oneshot::channel();
+        // The outcome may be there at once, so the sender is registered before the actions are carried out.
+        self.call_store(|store, now| {
+            let operation = start(store, now);
+            self.waiting.borrow_mut().insert(operation, sender);
+        });
+        outcome.await.ok()
     }
 
-    fn with(&self, act: impl FnOnce(&mut IntentStore, u64)) {
-        let (mut core, now) = (self.core.borrow_mut(), self.now());
-        act(&mut core, now);
-        self.carry_out(&mut core);
+    fn call_store(&self, call: impl FnOnce(&mut IntentStore, u64)) {
+        let mut store = self.store.borrow_mut();
+        call(&mut store, self.now());
+        self.carry_out_actions(&mut store);
     }
 
-    fn carry_out(&self, core: &mut IntentStore) {
-        for action in core.drain() {
+    fn carry_out_actions(&self, store: &mut IntentStore) {
+        for action in store.drain_actions() {
             match action {
-                Action::Send { to, bytes } => self.out.push(to, bytes),
-                Action::Ended { ticket, outcome } => {
-                    if let Some(tell) = self.waiting.borrow_mut().remove(&ticket) {
-                        // A request that is over needs no outcome.
-                        let _ = tell.send(outcome);
+                Action::Send { to, bytes } => self.outbox.push(to, bytes),
+                Action::Ended { operation, outcome } => {
+                    if let Some(waiting) = self.waiting.borrow_mut().remove(&operation) {
+                        // A request that has ended meanwhile no longer waits for the outcome.
+                        let _ = waiting.send(outcome);
                     }
                 }
             }
         }
-        if !self.out.is_empty() {
-            self.wake.notify_one();
+        if !self.outbox.is_empty() {
+            self.datagrams_waiting.notify_one();
         }
     }
 }
 
-/// A write that another gateway may have sent, and that can't be sent again.
+/// The write may have run at another gateway, and can't be sent again.
 pub struct MayHaveRun;
 
-/// A keyed write that is noted with other gateways.
+/// Whether a write has been recorded with its replicas.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum RecordState {
+    NotTried,
+    Tried,
+    Recorded,
+}
+
+/// A keyed write, and what is recorded of it with other gateways.
 pub struct WriteIntent {
     write_intents: Rc<WriteIntentService>,
     key: u64,
-    /// From when on an earlier try of another gateway may have run, in Unix milliseconds.
-    earlier: Option<u64>,
-    /// This gateway has tried to note it.
-    tried: Cell<bool>,
-    /// It has been noted.
-    done: Cell<bool>,
-    /// An attempt of this gateway's may have run.
+    /// From when on an earlier attempt of another gateway may have run, in Unix milliseconds.
+    earlier_attempt: Option<u64>,
+    record_state: Cell<RecordState>,
+    /// Whether an attempt of this gateway may have run.
     may_have_run: Cell<bool>,
 }
 
 impl WriteIntent {
-    /// Nothing has been noted yet.
+    /// A write that has not been recorded yet.
     pub fn new(write_intents: &Rc<WriteIntentService>, key: u64) -> Self {
-        let no = || Cell::new(false);
         WriteIntent {
             write_intents: Rc::clone(write_intents),
             key,
-            earlier: None,
-            tried: no(),
-            done: no(),
-            may_have_run: no(),
+            earlier_attempt: None,
+            record_state: Cell::new(RecordState::NotTried),
+            may_have_run: Cell::new(false),
         }
     }
 
-    /// Until when it may be sent again, after an earlier try; none where that time is over. The window counts from that
-    /// try, and what leaves at its end still needs a connection.
+    /// Until when the write may be sent again, after an attempt of another gateway that may have run from `first_sent_at`
+    /// on, in Unix milliseconds. None where that time is over. The window counts from that attempt, and what is sent at its
+    /// end still needs a connection.
     pub fn resend_deadline(
         &mut self,
-        at: u64,
+        first_sent_at: u64,
         class: &RequestClass,
-        connect: Duration,
+        connect_timeout: Duration,
     ) -> Option<Instant> {
-        self.earlier = Some(at);
+        self.earlier_attempt = Some(first_sent_at);
         let Idempotency::Keyed { window, .. } = class.idempotency else {
             return None;
         };
-        let passed = Duration::from_millis(unix_milliseconds().saturating_sub(at));
-        let left = duration(window).checked_sub(passed)?.checked_sub(connect)?;
-        (left > SOONEST).then(|| Instant::now() + left)
+        let elapsed = Duration::from_millis(unix_milliseconds().saturating_sub(first_sent_at));
+        let remaining = duration(window)
+            .checked_sub(elapsed)?
+            .checked_sub(connect_timeout)?;
+        (remaining > MIN_TIME_TO_RESEND).then(|| Instant::now() + remaining)
     }
 
-    /// Another gateway may have sent it.
+    /// Whether another gateway may have sent the write.
     pub const fn sent_by_another_gateway(&self) -> bool {
-        self.earlier.is_some()
+        self.earlier_attempt.is_some()
     }
 
-    /// Notes it before an attempt leaves, once.
+    /// Records the write before an attempt is sent, unless it is recorded already. Returns whether it is recorded.
     pub async fn record(&self) -> bool {
-        if !self.done.get() {
-            self.tried.set(true);
-            let noted = self
-                .write_intents
-                .record(self.key, self.earlier.unwrap_or_else(unix_milliseconds))
-                .await;
-            self.done.set(self.done.get() || noted);
+        if self.record_state.get() == RecordState::Recorded {
+            return true;
         }
-        self.done.get()
+        self.record_state.set(RecordState::Tried);
+        let first_sent_at = self.earlier_attempt.unwrap_or_else(unix_milliseconds);
+        if self.write_intents.record(self.key, first_sent_at).await {
+            self.record_state.set(RecordState::Recorded);
+        }
+        // Another attempt may have recorded it meanwhile.
+        self.record_state.get() == RecordState::Recorded
     }
 
-    /// An attempt ended.
-    pub fn attempt_ended(&self, outcome: Attempt) {
-        let never = matches!(
+    /// An attempt has ended.
+    pub fn attempt_ended(&self, outcome: AttemptOutcome) {
+        let never_ran = matches!(
             outcome,
-            Attempt::Full | Attempt::ConnectFailed | Attempt::NotSent | Attempt::Unsuitable
+            AttemptOutcome::Full
+                | AttemptOutcome::ConnectFailed
+                | AttemptOutcome::NotSent
+                | AttemptOutcome::Unsuitable
         );
-        self.may_have_run.set(self.may_have_run.get() || !never);
+        if !never_ran {
+            self.may_have_run.set(true);
+        }
     }
 
-    /// All attempts have ended: what never ran need not be known to anybody.
+    /// All attempts have ended. The intent of a write that never ran is withdrawn.
     pub fn all_attempts_ended(&self) {
-        if self.tried.get() && !self.may_have_run.get() {
+        let recorded_somewhere = self.record_state.get() != RecordState::NotTried;
+        if recorded_somewhere && !self.may_have_run.get() {
             self.write_intents.withdraw(self.key);
         }
     }
