--- /dev/null
+++ b/crates/leases/tests/settings.rs
@@ -0,0 +1,18 @@
+//! Tests of the settings' limits. Operators see the texts when their file is refused.
+
+use irisrouter_leases::Settings;
+
+fn refusal(lease_ms: u64) -> Option<String> {
+    let settings = Settings { fleet: 5, lease_ms };
+    settings.check().err().map(|error| error.to_string())
+}
+
+#[test]
+fn lease_outside_its_limits_is_refused_with_field_and_reason() {
+    let too_short = "lease_ms: at least 100, or renewals would crowd the socket";
+    let too_long = "lease_ms: at most 60000, as a duty without its owner waits that long";
+    assert_eq!(refusal(99).as_deref(), Some(too_short));
+    assert_eq!(refusal(100), None);
+    assert_eq!(refusal(60_000), None);
+    assert_eq!(refusal(60_001).as_deref(), Some(too_long));
+}
--- a/src/net/cluster/leases.rs
+++ b/src/net/cluster/leases.rs
@@ -202,7 +202,7 @@
     /// The leases held, as one line: `set:epoch`, `drain-host:epoch`, `list:epoch` or `plan:epoch` for each.
     pub fn status_line(&self) -> String {
         let held = self.manager.borrow().held_leases(self.now());
-        let tasks: Vec<String> = held.iter().map(status_word).collect();
+        let tasks: Vec<String> = held.iter().map(console_entry).collect();
         format!("duties owned={} {}", tasks.len(), tasks.join(" "))
     }
 
@@ -234,8 +234,8 @@
     }
 }
 
-/// A lease as the console shows it.
-fn status_word(held: &HeldLease) -> String {
+/// One lease in the answer of the console.
+fn console_entry(held: &HeldLease) -> String {
     let epoch = held.epoch;
     match LeasedTask::from_id(held.task) {
         LeasedTask::HealthChecks(set) => format!("{set}:{epoch}"),
