Pin the datagrams of leases, write intents and the datagram package with golden tests

Taken from the golden tests of the old names; only names and prose differ, every literal of bytes, numbers and error texts is the same.

--- a/crates/datagram/tests/golden.rs
+++ b/crates/datagram/tests/golden.rs
@@ -5,7 +5,7 @@
 //! old and the new version exchange datagrams with each other: a change of the bound or of a first byte would make them
 //! drop what the others send. A refactoring must leave every literal in this file as it is.
 
-use irisrouter_datagram::{is, magic, Reader, WireError, MAX_DATAGRAM_BYTES};
+use irisrouter_datagram::{has_magic, magic, Reader, WireError, MAX_DATAGRAM_BYTES};
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
@@ -13,17 +13,17 @@
 
 // Values: everything that is pinned here is built in this part of the file.
 
-const MARK: u8 = 0x71;
+const MAGIC: u8 = 0x71;
 
-/// The magic, and a field of each size.
+/// The first byte, and a field of each size.
 const FIELDS: [u8; 16] = [
     0x71, 0x01, 0x11, 0x12, 0x21, 0x22, 0x23, 0x24, 0x31, 0x32, 0x33, 0x34, 0x35, 0x36, 0x37, 0x38,
 ];
 
-/// The magic, a count of two, and two items of two bytes.
+/// The first byte, a count of two, and two items of two bytes.
 const TWO_ITEMS: [u8; 6] = [0x71, 0x02, 0x41, 0x42, 0x43, 0x44];
 
-fn marks() -> [u8; 6] {
+fn magic_bytes() -> [u8; 6] {
     [
         magic::MEMBERSHIP,
         magic::LEASES,
@@ -35,14 +35,14 @@
 }
 
 fn fields(datagram: &[u8]) -> Result<(u8, u16, u32, u64), WireError> {
-    let mut from = Reader::new(datagram, MARK)?;
+    let mut from = Reader::new(datagram, MAGIC)?;
     let fields = (from.u8()?, from.u16()?, from.u32()?, from.u64()?);
     from.end()?;
     Ok(fields)
 }
 
 fn items(datagram: &[u8]) -> Result<Vec<u16>, WireError> {
-    Reader::new(datagram, MARK)?.items(2, Reader::u16)
+    Reader::new(datagram, MAGIC)?.items(2, Reader::u16)
 }
 
 // Helpers.
@@ -54,7 +54,7 @@
     bytes
 }
 
-// Bounds and marks.
+// Bounds and first bytes.
 
 #[test]
 fn longest_datagram_keeps_its_length() {
@@ -69,21 +69,21 @@
     assert_eq!(magic::SITE_FAILOVER, 0xd2);
     assert_eq!(magic::DRAINS, 0xe1);
     assert_eq!(magic::ENDPOINT_WATCH, 0xf1);
-    assert_eq!(hex(&marks()), "a2b1c1d2e1f1");
+    assert_eq!(hex(&magic_bytes()), "a2b1c1d2e1f1");
 }
 
 #[test]
-fn datagram_is_told_by_the_high_half_of_its_first_byte_in_whatever_version() {
-    for mark in marks() {
-        let kind = mark & 0xf0;
+fn datagram_is_recognized_by_the_high_half_of_its_first_byte_in_whatever_version() {
+    for magic in magic_bytes() {
+        let protocol = magic & 0xf0;
         for first in 0..=u8::MAX {
             assert_eq!(
-                is(&[first, mark], mark),
-                first & 0xf0 == kind,
-                "{first:#04x} against {mark:#04x}"
+                has_magic(&[first, magic], magic),
+                first & 0xf0 == protocol,
+                "{first:#04x} against {magic:#04x}"
             );
         }
-        assert!(!is(&[], mark));
+        assert!(!has_magic(&[], magic));
     }
 }
 
@@ -169,7 +169,7 @@
 fn error_of_an_item_is_the_error_of_the_datagram() {
     let refuse =
         |from: &mut Reader<'_>| Err::<(), _>(WireError::Unknown("kind", from.u16()? as u8));
-    let read = Reader::new(&TWO_ITEMS, MARK).and_then(|from| from.items(2, refuse));
+    let read = Reader::new(&TWO_ITEMS, MAGIC).and_then(|from| from.items(2, refuse));
     assert_eq!(read, Err(WireError::Unknown("kind", 0x42)));
 }
 
--- a/crates/leases/tests/golden.rs
+++ b/crates/leases/tests/golden.rs
@@ -1,97 +1,98 @@
-//! Golden tests of the datagrams by which gateways claim, grant and give up duties.
+//! Golden tests of the datagrams by which gateways claim, grant and release leases.
 //!
-//! Pinned are the exact bytes of every kind of item, what the decoder says of these bytes and of malformed ones, and the
-//! orders by which a duty's owners and voters are found. A fleet is upgraded one gateway at a time, so gateways of the old
-//! and the new version exchange these datagrams with each other and have to come to the same owners and voters: a change of
-//! a single byte would leave duties without an owner, and other voters could grant one duty to two gateways at once. A
+//! Pinned are the exact bytes of every kind of message, what the decoder says of these bytes and of malformed ones, and the
+//! orders by which a task's candidates and voters are found. A fleet is upgraded one gateway at a time, so gateways of the old
+//! and the new version exchange these datagrams with each other and have to find the same candidates and voters: a change of
+//! a single byte would leave tasks without a lease holder, and other voters could grant one lease to two gateways at once. A
 //! refactoring must leave every literal in this file as it is; a wanted change of the format needs a new first byte.
 //!
 //! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
 
 use irisrouter_leases::codec::{
-    decode, encode, Item, Kind, WireError, ITEMS, MAGIC, MAX_DATAGRAM_BYTES,
+    decode, encode, LeaseDatagram, LeaseMessage, MessageKind, WireError, MAGIC, MAX_DATAGRAM_BYTES,
+    MAX_MESSAGES,
 };
 use irisrouter_leases::rendezvous::{candidates, voters, VOTERS};
-use irisrouter_leases::{recognizes, Holder};
+use irisrouter_leases::{recognizes, Holder, TaskId};
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-// Values: all items that are pinned here are built in this part of the file.
+// Values: all messages that are pinned here are built in this part of the file.
 
 /// The sender's generation.
 const GENERATION: u16 = 0x0a0b;
 
-fn item(kind: Kind) -> Item {
-    Item {
+fn message(kind: MessageKind) -> LeaseMessage {
+    LeaseMessage {
         kind,
-        duty: 0x0102_0304_0506_0708,
+        task: TaskId(0x0102_0304_0506_0708),
         epoch: 0x1112_1314_1516_1718,
         round: 0x2122,
         holder: Some(Holder {
             number: 0x3132_3334,
             generation: 0x3536,
         }),
-        left: 0x41_4243,
+        remaining_ms: 0x41_4243,
     }
 }
 
-/// Nobody, and nothing left.
-fn bare(kind: Kind) -> Item {
-    Item {
+/// No holder, and no time remaining.
+fn bare(kind: MessageKind) -> LeaseMessage {
+    LeaseMessage {
         holder: None,
-        left: 0,
-        ..item(kind)
+        remaining_ms: 0,
+        ..message(kind)
     }
 }
 
-fn with_most_left(left: u32) -> Item {
-    Item {
-        left,
-        ..item(Kind::Refused)
+fn with_remaining(remaining_ms: u32) -> LeaseMessage {
+    LeaseMessage {
+        remaining_ms,
+        ..message(MessageKind::Refused)
     }
 }
 
-fn with_largest_numbers() -> Item {
-    Item {
-        kind: Kind::Free,
-        duty: u64::MAX,
+fn with_largest_numbers() -> LeaseMessage {
+    LeaseMessage {
+        kind: MessageKind::Vacant,
+        task: TaskId(u64::MAX),
         epoch: u64::MAX,
         round: u16::MAX,
         holder: Some(Holder {
             number: u32::MAX - 1,
             generation: u16::MAX,
         }),
-        left: 0xff_ffff,
+        remaining_ms: 0xff_ffff,
     }
 }
 
 /// A holder whose number is the one that stands for none.
-fn with_holder_that_stands_for_none() -> Item {
-    Item {
+fn with_holder_that_stands_for_none() -> LeaseMessage {
+    LeaseMessage {
         holder: Some(Holder {
             number: u32::MAX,
             generation: 0x3536,
         }),
-        ..item(Kind::Granted)
+        ..message(MessageKind::Granted)
     }
 }
 
-/// Items that differ in every field; the ninth has no holder.
-fn many(count: u32) -> Vec<Item> {
+/// Messages that differ in every field; the ninth has no holder.
+fn many(count: u32) -> Vec<LeaseMessage> {
     let kinds = [
-        Kind::Ask,
-        Kind::Granted,
-        Kind::Refused,
-        Kind::Released,
-        Kind::Offered,
-        Kind::Look,
-        Kind::Free,
+        MessageKind::Request,
+        MessageKind::Granted,
+        MessageKind::Refused,
+        MessageKind::Released,
+        MessageKind::Offered,
+        MessageKind::PreVote,
+        MessageKind::Vacant,
     ];
-    let one = |i: u32| Item {
+    let one = |i: u32| LeaseMessage {
         kind: kinds[i as usize % kinds.len()],
-        duty: 0x0100_0000_0000_0000 + u64::from(i),
+        task: TaskId(0x0100_0000_0000_0000 + u64::from(i)),
         epoch: 0x1100_0000_0000_0000 + u64::from(i),
         round: 0x2100 + i as u16,
         holder: Some(Holder {
@@ -99,7 +100,7 @@
             generation: 0x4100 + i as u16,
         })
         .filter(|_| i != 8),
-        left: 0x51_0000 + i,
+        remaining_ms: 0x51_0000 + i,
     };
     (0..count).map(one).collect()
 }
@@ -110,17 +111,21 @@
     expected.split_whitespace().collect()
 }
 
-/// A datagram of these items has these bytes, and is `read` from them.
+/// A datagram of these messages has these bytes, and is `read` from them.
 #[track_caller]
-fn pins_as(items: &[Item], expected: &str, read: &[Item]) {
-    let bytes = encode(GENERATION, items);
+fn pins_as(messages: &[LeaseMessage], expected: &str, read: &[LeaseMessage]) {
+    let bytes = encode(GENERATION, messages);
     assert_eq!(hex(&bytes), literal(expected));
-    assert_eq!(decode(&bytes), Ok((GENERATION, read.to_vec())));
+    let expected = LeaseDatagram {
+        sender_generation: GENERATION,
+        messages: read.to_vec(),
+    };
+    assert_eq!(decode(&bytes), Ok(expected));
 }
 
 #[track_caller]
-fn pins(items: &[Item], expected: &str) {
-    pins_as(items, expected, items);
+fn pins(messages: &[LeaseMessage], expected: &str) {
+    pins_as(messages, expected, messages);
 }
 
 #[track_caller]
@@ -138,94 +143,94 @@
 
 #[test]
 fn bounds_and_first_byte_keep_their_values() {
-    assert_eq!((MAX_DATAGRAM_BYTES, ITEMS, MAGIC), (256, 9, 0xb1));
+    assert_eq!((MAX_DATAGRAM_BYTES, MAX_MESSAGES, MAGIC), (256, 9, 0xb1));
 }
 
 #[test]
-fn ask_item_keeps_its_bytes() {
+fn request_keeps_its_bytes() {
     pins(
-        &[item(Kind::Ask)],
+        &[message(MessageKind::Request)],
         "b1 0a0b 01  00 0102030405060708 1112131415161718 2122 31323334 3536 414243",
     );
 }
 
 #[test]
-fn granted_item_keeps_its_bytes() {
+fn granted_message_keeps_its_bytes() {
     pins(
-        &[item(Kind::Granted)],
+        &[message(MessageKind::Granted)],
         "b1 0a0b 01  01 0102030405060708 1112131415161718 2122 31323334 3536 414243",
     );
 }
 
 #[test]
-fn refused_item_keeps_its_bytes() {
+fn refused_message_keeps_its_bytes() {
     pins(
-        &[item(Kind::Refused)],
+        &[message(MessageKind::Refused)],
         "b1 0a0b 01  02 0102030405060708 1112131415161718 2122 31323334 3536 414243",
     );
 }
 
 #[test]
-fn released_item_keeps_its_bytes() {
+fn released_message_keeps_its_bytes() {
     pins(
-        &[item(Kind::Released)],
+        &[message(MessageKind::Released)],
         "b1 0a0b 01  03 0102030405060708 1112131415161718 2122 31323334 3536 414243",
     );
 }
 
 #[test]
-fn offered_item_keeps_its_bytes() {
+fn offered_message_keeps_its_bytes() {
     pins(
-        &[item(Kind::Offered)],
+        &[message(MessageKind::Offered)],
         "b1 0a0b 01  04 0102030405060708 1112131415161718 2122 31323334 3536 414243",
     );
 }
 
 #[test]
-fn look_item_keeps_its_bytes() {
+fn pre_vote_keeps_its_bytes() {
     pins(
-        &[item(Kind::Look)],
+        &[message(MessageKind::PreVote)],
         "b1 0a0b 01  05 0102030405060708 1112131415161718 2122 31323334 3536 414243",
     );
 }
 
 #[test]
-fn free_item_keeps_its_bytes() {
+fn vacant_message_keeps_its_bytes() {
     pins(
-        &[item(Kind::Free)],
+        &[message(MessageKind::Vacant)],
         "b1 0a0b 01  06 0102030405060708 1112131415161718 2122 31323334 3536 414243",
     );
 }
 
 #[test]
-fn item_without_holder_keeps_its_bytes() {
+fn message_without_holder_keeps_its_bytes() {
     pins(
-        &[bare(Kind::Ask)],
+        &[bare(MessageKind::Request)],
         "b1 0a0b 01  00 0102030405060708 1112131415161718 2122 ffffffff 0000 000000",
     );
 }
 
 #[test]
-fn item_with_the_largest_numbers_keeps_its_bytes() {
+fn message_with_the_largest_numbers_keeps_its_bytes() {
     let expected = "b1 0a0b 01  06 ffffffffffffffff ffffffffffffffff ffff fffffffe ffff ffffff";
     pins(&[with_largest_numbers()], expected);
 }
 
 #[test]
-fn time_left_beyond_24_bits_is_written_as_the_longest_one() {
+fn remaining_time_beyond_24_bits_is_written_as_the_longest_one() {
     let expected = "b1 0a0b 01  02 0102030405060708 1112131415161718 2122 31323334 3536 ffffff";
-    for left in [0x100_0000, u32::MAX] {
+    for remaining_ms in [0x100_0000, u32::MAX] {
         pins_as(
-            &[with_most_left(left)],
+            &[with_remaining(remaining_ms)],
             expected,
-            &[with_most_left(0xff_ffff)],
+            &[with_remaining(0xff_ffff)],
         );
     }
 }
 
 #[test]
 fn holder_with_the_number_that_stands_for_none_is_read_as_none() {
-    let read = Item {
+    let read = LeaseMessage {
         holder: None,
         ..with_holder_that_stands_for_none()
     };
@@ -234,12 +239,12 @@
 }
 
 #[test]
-fn datagram_without_items_keeps_its_bytes() {
+fn datagram_without_messages_keeps_its_bytes() {
     pins(&[], "b1 0a0b 00");
 }
 
 #[test]
-fn longest_datagram_keeps_its_bytes_and_items_beyond_it_are_left_out() {
+fn longest_datagram_keeps_its_bytes_and_messages_beyond_it_are_left_out() {
     pins_as(
         &many(11),
         "b1 0a0b 09
@@ -321,7 +326,7 @@
 }
 
 #[test]
-fn count_other_than_the_items_that_follow_is_refused() {
+fn count_other_than_the_messages_that_follow_is_refused() {
     let mut bytes = encode(GENERATION, &many(2));
     for count in [3, 10, 255] {
         bytes[3] = count;
@@ -336,7 +341,7 @@
 }
 
 #[test]
-fn one_item_more_than_fit_is_refused_as_long() {
+fn one_message_more_than_fits_is_refused_as_long() {
     let mut bytes = [encode(GENERATION, &many(9)), vec![0; 28]].concat();
     bytes[3] = 10;
     refuses(
@@ -347,7 +352,7 @@
 }
 
 #[test]
-fn datagram_of_duties_is_told_by_the_high_half_of_its_first_byte() {
+fn datagram_of_leases_is_recognized_by_the_high_half_of_its_first_byte() {
     assert!(recognizes(&[0xb1]) && recognizes(&[0xb0]) && recognizes(&[0xbf, 0x00]));
     assert!(
         !recognizes(&[])
@@ -360,7 +365,7 @@
 // Numbers on which all gateways agree.
 
 /// Sets 0, 1, 42 and -7, the drains of three hosts, the watch of the list, the plans of sites, and the largest number.
-const DUTIES: [u64; 10] = [
+const TASKS: [u64; 10] = [
     0,
     1,
     42,
@@ -374,7 +379,7 @@
 ];
 
 #[test]
-fn owners_of_a_duty_among_seven_gateways_keep_their_order() {
+fn candidates_of_a_task_among_seven_gateways_keep_their_order() {
     let expected = [
         [1, 0, 5, 3, 4, 2, 6],
         [6, 0, 1, 4, 5, 2, 3],
@@ -387,22 +392,22 @@
         [3, 0, 6, 2, 4, 1, 5],
         [3, 1, 5, 4, 2, 0, 6],
     ];
-    for (duty, expected) in DUTIES.into_iter().zip(expected) {
+    for (task, expected) in TASKS.into_iter().zip(expected) {
         assert_eq!(
-            candidates(duty, &[0, 1, 2, 3, 4, 5, 6]),
+            candidates(task, &[0, 1, 2, 3, 4, 5, 6]),
             expected,
-            "duty {duty:#x}"
+            "task {task:#x}"
         );
         assert_eq!(
-            candidates(duty, &[6, 2, 4, 0, 5, 3, 1]),
+            candidates(task, &[6, 2, 4, 0, 5, 3, 1]),
             expected,
-            "duty {duty:#x}, named in another order"
+            "task {task:#x}, named in another order"
         );
     }
 }
 
 #[test]
-fn owners_of_a_duty_among_gateways_with_gaps_and_large_numbers_keep_their_order() {
+fn candidates_of_a_task_among_gateways_with_gaps_and_large_numbers_keep_their_order() {
     let expected = [
         [250, 3, 65_536, 4_000_000_000, 17],
         [17, 4_000_000_000, 65_536, 3, 250],
@@ -415,18 +420,18 @@
         [3, 17, 4_000_000_000, 250, 65_536],
         [3, 4_000_000_000, 17, 65_536, 250],
     ];
-    for (duty, expected) in DUTIES.into_iter().zip(expected) {
+    for (task, expected) in TASKS.into_iter().zip(expected) {
         assert_eq!(
-            candidates(duty, &[4_000_000_000, 3, 250, 17, 65_536]),
+            candidates(task, &[4_000_000_000, 3, 250, 17, 65_536]),
             expected,
-            "duty {duty:#x}"
+            "task {task:#x}"
         );
     }
     assert_eq!(candidates(42, &[]), [0; 0]);
 }
 
 #[test]
-fn voters_of_a_duty_in_a_fleet_of_300_keep_their_order() {
+fn voters_of_a_task_in_a_fleet_of_300_keep_their_order() {
     let expected = [
         [279, 204, 138, 91, 97],
         [207, 291, 81, 285, 91],
@@ -439,13 +444,13 @@
         [82, 79, 232, 206, 251],
         [18, 170, 125, 191, 59],
     ];
-    for (duty, expected) in DUTIES.into_iter().zip(expected) {
-        assert_eq!(voters(duty, 300), expected, "duty {duty:#x}");
+    for (task, expected) in TASKS.into_iter().zip(expected) {
+        assert_eq!(voters(task, 300), expected, "task {task:#x}");
     }
 }
 
 #[test]
-fn voters_of_a_duty_in_small_fleets_keep_their_order() {
+fn voters_of_a_task_in_small_fleets_keep_their_order() {
     assert_eq!(VOTERS, 5);
     assert_eq!(voters(42, 0), [0; 0]);
     assert_eq!(voters(42, 1), [0]);
--- a/crates/write-intents/tests/golden.rs
+++ b/crates/write-intents/tests/golden.rs
@@ -1,79 +1,80 @@
-//! Golden tests of the datagrams by which gateways note writes in hand and ask for them.
+//! Golden tests of the datagrams of write intents: records, look-ups and their answers.
 //!
-//! Pinned are the exact bytes of every kind of item, what the decoder says of these bytes and of malformed ones, the
-//! numbers of keys, and the gateways that keep a key. A fleet is upgraded one gateway at a time, so gateways of the old and
-//! the new version exchange these datagrams with each other, and one that gets a repeat has to ask the gateways with which
-//! another has noted it: a change of a single byte or number would lose notes, and a write could run twice. A refactoring
+//! Pinned are the exact bytes of every kind of message, what the decoder says of these bytes and of malformed ones, the
+//! numbers of keys, and the replicas of a key. A fleet is upgraded one gateway at a time, so gateways of the old and
+//! the new version exchange these datagrams with each other, and one that receives a retry has to ask the gateways with which
+//! another recorded it: a change of a single byte or number would lose records, and a write could run twice. A refactoring
 //! must leave every literal in this file as it is; a wanted change of the format needs a new first byte.
 //!
 //! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
 
 use irisrouter_write_intents::codec::{
-    decode, encode, Item, Kind, WireError, ITEMS, MAGIC, MAX_DATAGRAM_BYTES,
+    decode, encode, IntentMessage, MessageKind, WireError, MAGIC, MAX_DATAGRAM_BYTES, MAX_MESSAGES,
 };
 use irisrouter_write_intents::{
-    number, order, recognizes, Action, IntentStore, ASK_AMONG, KEEPERS, NOTE_AMONG, SILENT,
+    key_hash, recognizes, replica_order, Action, IntentStore, LOOKUP_CANDIDATES, MAX_SILENT,
+    RECORD_CANDIDATES, REPLICAS,
 };
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-// Values: all items that are pinned here are built in this part of the file.
+// Values: all messages that are pinned here are built in this part of the file.
 
 const KEY: u64 = 0x0102_0304_0506_0708;
 const AT: u64 = 0x1112_1314_1516_1718;
 
-fn item(kind: Kind) -> Item {
-    Item {
+fn message(kind: MessageKind) -> IntentMessage {
+    IntentMessage {
         kind,
         key: KEY,
-        at: AT,
+        first_sent_at: AT,
     }
 }
 
 /// As it is sent where the kind has no time.
-fn without_time(kind: Kind) -> Item {
-    Item {
-        at: 0,
-        ..item(kind)
+fn without_time(kind: MessageKind) -> IntentMessage {
+    IntentMessage {
+        first_sent_at: 0,
+        ..message(kind)
     }
 }
 
-fn with_largest_numbers() -> Item {
-    Item {
-        kind: Kind::Known,
+fn with_largest_numbers() -> IntentMessage {
+    IntentMessage {
+        kind: MessageKind::Found,
         key: u64::MAX,
-        at: u64::MAX,
+        first_sent_at: u64::MAX,
     }
 }
 
-/// Items that differ in every field.
-fn many(count: u64) -> Vec<Item> {
+/// Messages that differ in every field.
+fn many(count: u64) -> Vec<IntentMessage> {
     let kinds = [
-        Kind::Note,
-        Kind::Noted,
-        Kind::Ask,
-        Kind::Known,
-        Kind::Unknown,
-        Kind::Forget,
+        MessageKind::Record,
+        MessageKind::Acknowledged,
+        MessageKind::LookUp,
+        MessageKind::Found,
+        MessageKind::NotFound,
+        MessageKind::Withdraw,
     ];
-    let one = |i: u64| Item {
+    let one = |i: u64| IntentMessage {
         kind: kinds[i as usize % kinds.len()],
         key: 0x0100_0000_0000_0000 + i,
-        at: 0x1100_0000_0000_0000 + i,
+        first_sent_at: 0x1100_0000_0000_0000 + i,
     };
     (0..count).map(one).collect()
 }
 
 /// Gateway 2 in a fleet of nine, and what it sends by this time: to whom, and the bytes.
-fn sent(core: &mut IntentStore, now: u64) -> Vec<(u32, String)> {
-    core.advance(now);
+fn sent(store: &mut IntentStore, now: u64) -> Vec<(u32, String)> {
+    store.advance(now);
     let datagram = |action| match action {
         Action::Send { to, bytes } => Some((to, hex(&bytes))),
         Action::Ended { .. } => None,
     };
-    core.drain().filter_map(datagram).collect()
+    store.drain_actions().filter_map(datagram).collect()
 }
 
 fn gateway() -> IntentStore {
@@ -88,17 +89,17 @@
     expected.split_whitespace().collect()
 }
 
-/// A datagram of these items has these bytes, and is `read` from them.
+/// A datagram of these messages has these bytes, and is `read` from them.
 #[track_caller]
-fn pins_as(items: &[Item], expected: &str, read: &[Item]) {
-    let bytes = encode(items);
+fn pins_as(messages: &[IntentMessage], expected: &str, read: &[IntentMessage]) {
+    let bytes = encode(messages);
     assert_eq!(hex(&bytes), literal(expected));
     assert_eq!(decode(&bytes).as_deref(), Ok(read));
 }
 
 #[track_caller]
-fn pins(items: &[Item], expected: &str) {
-    pins_as(items, expected, items);
+fn pins(messages: &[IntentMessage], expected: &str) {
+    pins_as(messages, expected, messages);
 }
 
 #[track_caller]
@@ -121,71 +122,71 @@
 
 #[test]
 fn bounds_and_first_byte_keep_their_values() {
-    assert_eq!((MAX_DATAGRAM_BYTES, ITEMS, MAGIC), (256, 14, 0xc1));
+    assert_eq!((MAX_DATAGRAM_BYTES, MAX_MESSAGES, MAGIC), (256, 14, 0xc1));
 }
 
 #[test]
-fn note_item_keeps_its_bytes() {
+fn record_keeps_its_bytes() {
     pins(
-        &[item(Kind::Note)],
+        &[message(MessageKind::Record)],
         "c1 01  00 0102030405060708 1112131415161718",
     );
 }
 
 #[test]
-fn noted_item_keeps_its_bytes() {
+fn acknowledgement_keeps_its_bytes() {
     pins(
-        &[item(Kind::Noted)],
+        &[message(MessageKind::Acknowledged)],
         "c1 01  01 0102030405060708 1112131415161718",
     );
 }
 
 #[test]
-fn ask_item_keeps_its_bytes() {
+fn look_up_keeps_its_bytes() {
     pins(
-        &[item(Kind::Ask)],
+        &[message(MessageKind::LookUp)],
         "c1 01  02 0102030405060708 1112131415161718",
     );
     pins(
-        &[without_time(Kind::Ask)],
+        &[without_time(MessageKind::LookUp)],
         "c1 01  02 0102030405060708 0000000000000000",
     );
 }
 
 #[test]
-fn known_item_keeps_its_bytes() {
+fn found_answer_keeps_its_bytes() {
     pins(
-        &[item(Kind::Known)],
+        &[message(MessageKind::Found)],
         "c1 01  03 0102030405060708 1112131415161718",
     );
 }
 
 #[test]
-fn unknown_item_keeps_its_bytes() {
+fn not_found_answer_keeps_its_bytes() {
     pins(
-        &[item(Kind::Unknown)],
+        &[message(MessageKind::NotFound)],
         "c1 01  04 0102030405060708 1112131415161718",
     );
     pins(
-        &[without_time(Kind::Unknown)],
+        &[without_time(MessageKind::NotFound)],
         "c1 01  04 0102030405060708 0000000000000000",
     );
 }
 
 #[test]
-fn forget_item_keeps_its_bytes() {
+fn withdrawal_keeps_its_bytes() {
     pins(
-        &[item(Kind::Forget)],
+        &[message(MessageKind::Withdraw)],
         "c1 01  05 0102030405060708 1112131415161718",
     );
     pins(
-        &[without_time(Kind::Forget)],
+        &[without_time(MessageKind::Withdraw)],
         "c1 01  05 0102030405060708 0000000000000000",
     );
 }
 
 #[test]
-fn item_with_the_largest_numbers_keeps_its_bytes() {
+fn message_with_the_largest_numbers_keeps_its_bytes() {
     pins(
         &[with_largest_numbers()],
         "c1 01  03 ffffffffffffffff ffffffffffffffff",
@@ -193,12 +194,12 @@
 }
 
 #[test]
-fn datagram_without_items_keeps_its_bytes() {
+fn datagram_without_messages_keeps_its_bytes() {
     pins(&[], "c1 00");
 }
 
 #[test]
-fn longest_datagram_keeps_its_bytes_and_items_beyond_it_are_left_out() {
+fn longest_datagram_keeps_its_bytes_and_messages_beyond_it_are_left_out() {
     pins_as(
         &many(16),
         "c1 0e
@@ -281,7 +282,7 @@
 }
 
 #[test]
-fn count_other_than_the_items_that_follow_is_refused() {
+fn count_other_than_the_messages_that_follow_is_refused() {
     let mut bytes = encode(&many(2));
     for count in [3, 15, 255] {
         bytes[1] = count;
@@ -296,7 +297,7 @@
 }
 
 #[test]
-fn one_item_more_than_fit_is_refused_as_long() {
+fn one_message_more_than_fits_is_refused_as_long() {
     let mut bytes = [encode(&many(14)), vec![0; 17]].concat();
     bytes[1] = 15;
     refuses(
@@ -307,7 +308,7 @@
 }
 
 #[test]
-fn datagram_of_writes_in_hand_is_told_by_the_high_half_of_its_first_byte() {
+fn datagram_of_write_intents_is_recognized_by_the_high_half_of_its_first_byte() {
     assert!(recognizes(&[0xc1]) && recognizes(&[0xc0]) && recognizes(&[0xcf, 0x00]));
     assert!(
         !recognizes(&[])
@@ -320,7 +321,7 @@
 // Numbers on which all gateways agree.
 
 #[test]
-fn numbers_of_keys_keep_their_values() {
+fn hashes_of_keys_keep_their_values() {
     let numbers: [(i64, &[u8], u64); 10] = [
         (0, b"", 0x2d06_8005_38d3_94c2),
         (0, b"a", 0xe6c6_32b6_1e96_4e1f),
@@ -338,12 +339,12 @@
         (i64::MAX, b"\x00\xff", 0xd4e2_355d_0c22_9f06),
     ];
     for (set, key, expected) in numbers {
-        assert_eq!(number(set, key), expected, "set {set}, key {key:?}");
+        assert_eq!(key_hash(set, key), expected, "set {set}, key {key:?}");
     }
 }
 
 #[test]
-fn order_of_gateways_for_a_key_keeps_its_members_places() {
+fn replica_order_of_a_key_keeps_its_members_places() {
     let orders: [(u64, [u32; 9], [u32; 5]); 5] = [
         (
             0,
@@ -372,50 +373,53 @@
         ),
     ];
     for (key, of_nine, with_gaps) in orders {
-        assert_eq!(order(key, &GATEWAYS), of_nine, "key {key:#x}");
+        assert_eq!(replica_order(key, &GATEWAYS), of_nine, "key {key:#x}");
         assert_eq!(
-            order(key, &[4, 8, 0, 7, 1, 6, 2, 5, 3]),
+            replica_order(key, &[4, 8, 0, 7, 1, 6, 2, 5, 3]),
             of_nine,
             "key {key:#x}, in another order"
         );
         assert_eq!(
-            order(key, &[4_000_000_000, 3, 250, 17, 65_536]),
+            replica_order(key, &[4_000_000_000, 3, 250, 17, 65_536]),
             with_gaps,
             "key {key:#x}"
         );
     }
-    assert_eq!(order(KEY, &[]), [0; 0]);
+    assert_eq!(replica_order(KEY, &[]), [0; 0]);
 }
 
 #[test]
-fn numbers_of_keepers_keep_their_values() {
-    assert_eq!((KEEPERS, NOTE_AMONG, ASK_AMONG, SILENT), (2, 4, 6, 1));
+fn numbers_of_replicas_keep_their_values() {
+    assert_eq!(
+        (REPLICAS, RECORD_CANDIDATES, LOOKUP_CANDIDATES, MAX_SILENT),
+        (2, 4, 6, 1)
+    );
 }
 
 /// The order of the nine is [1, 5, 6, 4, 8, 3, 0, 7, 2].
 #[test]
-fn note_goes_to_the_first_two_keepers_and_then_to_one_more_each_time_up_to_four() {
-    let note = "c1 01  00 0102030405060708 1112131415161718";
-    let mut core = gateway();
-    core.note(0, KEY, AT, &GATEWAYS);
-    assert_eq!(sent(&mut core, 0), to_each(&[1, 5], note));
-    assert_eq!(sent(&mut core, 10), to_each(&[1, 5, 6], note));
-    assert_eq!(sent(&mut core, 20), to_each(&[1, 4, 5, 6], note));
-    assert_eq!(sent(&mut core, 30), to_each(&[1, 4, 5, 6], note));
+fn record_goes_to_the_first_two_replicas_and_then_to_one_more_each_time_up_to_four() {
+    let record = "c1 01  00 0102030405060708 1112131415161718";
+    let mut store = gateway();
+    store.record(0, KEY, AT, &GATEWAYS);
+    assert_eq!(sent(&mut store, 0), to_each(&[1, 5], record));
+    assert_eq!(sent(&mut store, 10), to_each(&[1, 5, 6], record));
+    assert_eq!(sent(&mut store, 20), to_each(&[1, 4, 5, 6], record));
+    assert_eq!(sent(&mut store, 30), to_each(&[1, 4, 5, 6], record));
 }
 
 #[test]
-fn question_goes_to_the_first_six_keepers() {
-    let mut core = gateway();
-    core.ask(0, KEY, &GATEWAYS);
-    let ask = "c1 01  02 0102030405060708 0000000000000000";
-    assert_eq!(sent(&mut core, 0), to_each(&[1, 3, 4, 5, 6, 8], ask));
+fn look_up_goes_to_the_first_six_replicas() {
+    let mut store = gateway();
+    store.look_up(0, KEY, &GATEWAYS);
+    let look_up = "c1 01  02 0102030405060708 0000000000000000";
+    assert_eq!(sent(&mut store, 0), to_each(&[1, 3, 4, 5, 6, 8], look_up));
 }
 
 #[test]
-fn word_that_a_write_never_ran_goes_to_the_first_four_keepers() {
-    let mut core = gateway();
-    core.forget(KEY, &GATEWAYS);
-    let forget = "c1 01  05 0102030405060708 0000000000000000";
-    assert_eq!(sent(&mut core, 0), to_each(&[1, 4, 5, 6], forget));
+fn withdrawal_goes_to_the_first_four_replicas() {
+    let mut store = gateway();
+    store.withdraw(KEY, &GATEWAYS);
+    let withdrawal = "c1 01  05 0102030405060708 0000000000000000";
+    assert_eq!(sent(&mut store, 0), to_each(&[1, 4, 5, 6], withdrawal));
 }
