--- a/crates/drain-coordination/src/codec.rs
+++ b/crates/drain-coordination/src/codec.rs
@@ -1,98 +1,162 @@
-//! The datagram of drains: words and what gateways hold, several in one, bounded and versioned.
+//! The datagram of drain coordination: several messages in one, bounded and versioned. All numbers are big-endian.
 //!
 //! ```text
-//! 0        magic and version: 0xE1 (`irisrouter-datagram` has the list of those that share the peer socket)
-//! 1        count of items, then 30 bytes each:
-//! 0        kind: 0 tell, 1 holds, 2 done
+//! 0        magic and version: 0xE1 (`irisrouter-datagram` lists those that share the peer socket)
+//! 1        count of messages, then 30 bytes each:
+//! 0        kind: 0 announcement, 1 report, 2 completion
 //! 1        1 where the host is to be out of service, 0 where it is to be back
-//! 2..6     host     6..14 time of the word (Unix milliseconds)     14..18 by which gateway
-//! 18..26   epoch of the owner, 0 for a teller that owns nothing
-//! 26..30   tell: 0; holds: requests open at the host; done: gateways that were not heard
+//! 2..6     host     6..14 when the command was issued (Unix milliseconds)     14..18 by which gateway
+//! 18..26   epoch of the coordinator, 0 where the sender of an announcement is none
+//! 26..30   announcement: 0; report: requests in flight at the host; completion: gateways that did not report
 //! ```
 
-use crate::DrainCommand;
+use crate::command::{DesiredState, DrainCommand};
+use crate::progress::Completion;
 use bytes::BufMut;
 use irisrouter_datagram::Reader;
 
 pub use irisrouter_datagram::magic::DRAINS as MAGIC;
 pub use irisrouter_datagram::{WireError, MAX_DATAGRAM_BYTES};
-const HEADER: usize = 2;
-const ITEM: usize = 30;
-/// Items that fit one datagram.
-pub const ITEMS: usize = (MAX_DATAGRAM_BYTES - HEADER) / ITEM;
 
-/// What is said of a word.
+/// Bytes ahead of the messages: the first byte and the count.
+const HEADER_BYTES: usize = 2;
+/// Bytes of one message.
+const MESSAGE_BYTES: usize = 30;
+/// Messages that fit into one datagram.
+pub const MAX_MESSAGES: usize = (MAX_DATAGRAM_BYTES - HEADER_BYTES) / MESSAGE_BYTES;
+/// The epoch in an announcement whose sender does not coordinate the command.
+pub const NO_COORDINATOR: u64 = 0;
+
+/// What a message says of a command.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Kind {
-    /// "This holds; say what you have open there."
-    Tell,
-    /// "I follow it, and have so many requests open there."
-    Holds,
-    /// "Nobody has any open there; so many gateways were not heard."
-    Done,
+pub enum MessageKind {
+    /// The command holds: follow it, and report the requests in flight at its host.
+    Announcement,
+    /// The sender follows the command, and has this number of requests in flight at its host.
+    Report,
+    /// The coordinator found the command to be complete.
+    Completion,
 }
 
-const KINDS: [Kind; 3] = [Kind::Tell, Kind::Holds, Kind::Done];
+/// The kinds by their numbers in a datagram.
+const KINDS: [MessageKind; 3] = [
+    MessageKind::Announcement,
+    MessageKind::Report,
+    MessageKind::Completion,
+];
 
-/// One item.
+/// One message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Item {
-    /// What.
-    pub kind: Kind,
-    /// Of which word.
-    pub word: DrainCommand,
-    /// Under which epoch; 0 for none.
+pub struct Message {
+    /// What is said of the command.
+    pub kind: MessageKind,
+    /// The command.
+    pub command: DrainCommand,
+    /// The epoch of the coordinator; [`NO_COORDINATOR`] for none.
     pub epoch: u64,
-    /// See the kinds.
+    /// In a report the requests in flight, in a completion the gateways that did not report; else 0.
     pub count: u32,
 }
 
-/// The bytes of a datagram with these items, [`ITEMS`] at most.
+impl Message {
+    /// Announces a command under the epoch of its coordinator, or under [`NO_COORDINATOR`].
+    #[must_use]
+    pub const fn announcement(command: DrainCommand, epoch: u64) -> Self {
+        Self {
+            kind: MessageKind::Announcement,
+            command,
+            epoch,
+            count: 0,
+        }
+    }
+
+    /// Answers an announcement made under `epoch`.
+    #[must_use]
+    pub const fn report(command: DrainCommand, epoch: u64, requests_in_flight: u32) -> Self {
+        Self {
+            kind: MessageKind::Report,
+            command,
+            epoch,
+            count: requests_in_flight,
+        }
+    }
+
+    /// Says that a command is complete; `epoch` is that of the coordinator that says so.
+    #[must_use]
+    pub const fn completion(command: DrainCommand, epoch: u64, completion: Completion) -> Self {
+        Self {
+            kind: MessageKind::Completion,
+            command,
+            epoch,
+            count: completion.unacknowledged,
+        }
+    }
+
+    fn write(&self, buffer: &mut Vec<u8>) {
+        buffer.put_u8(self.kind as u8);
+        buffer.put_u8(u8::from(self.command.drains()));
+        buffer.put_u32(self.command.host);
+        buffer.put_u64(self.command.issued_at_ms);
+        buffer.put_u32(self.command.issued_by);
+        buffer.put_u64(self.epoch);
+        buffer.put_u32(self.count);
+    }
+
+    fn read(reader: &mut Reader<'_>) -> Result<Self, WireError> {
+        Ok(Self {
+            kind: read_kind(reader)?,
+            command: read_command(reader)?,
+            epoch: reader.u64()?,
+            count: reader.u32()?,
+        })
+    }
+}
+
+fn read_kind(reader: &mut Reader<'_>) -> Result<MessageKind, WireError> {
+    let number = reader.u8()?;
+    KINDS
+        .get(usize::from(number))
+        .copied()
+        .ok_or(WireError::Unknown("kind", number))
+}
+
+fn read_command(reader: &mut Reader<'_>) -> Result<DrainCommand, WireError> {
+    let desired_state = match reader.u8()? {
+        0 => DesiredState::InService,
+        1 => DesiredState::Drained,
+        other => return Err(WireError::Unknown("state", other)),
+    };
+    Ok(DrainCommand {
+        host: reader.u32()?,
+        desired_state,
+        issued_at_ms: reader.u64()?,
+        issued_by: reader.u32()?,
+    })
+}
+
+/// The bytes of a datagram with these messages; those beyond [`MAX_MESSAGES`] are left out.
 #[must_use]
-pub fn encode(items: &[Item]) -> Vec<u8> {
-    let items = &items[..items.len().min(ITEMS)];
-    let mut buf = Vec::with_capacity(HEADER + items.len() * ITEM);
-    buf.put_u8(MAGIC);
-    // At most eight.
-    buf.put_u8(items.len() as u8);
-    for item in items {
-        buf.put_u8(item.kind as u8);
-        buf.put_u8(u8::from(item.word.out));
-        buf.put_u32(item.word.host);
-        buf.put_u64(item.word.at);
-        buf.put_u32(item.word.by);
-        buf.put_u64(item.epoch);
-        buf.put_u32(item.count);
+pub fn encode(messages: &[Message]) -> Vec<u8> {
+    let messages = &messages[..messages.len().min(MAX_MESSAGES)];
+    let mut buffer = Vec::with_capacity(HEADER_BYTES + messages.len() * MESSAGE_BYTES);
+    buffer.put_u8(MAGIC);
+    // At most eight, so the count fits.
+    buffer.put_u8(messages.len() as u8);
+    for message in messages {
+        message.write(&mut buffer);
     }
-    buf
+    buffer
 }
 
 /// Reads a datagram.
 ///
 /// # Errors
-/// Why the bytes are none.
-pub fn decode(bytes: &[u8]) -> Result<Vec<Item>, WireError> {
-    Reader::new(bytes, MAGIC)?.items(ITEM, |from| {
-        let kind = from.u8()?;
-        let kind = *KINDS
-            .get(usize::from(kind))
-            .ok_or(WireError::Unknown("kind", kind))?;
-        let out = match from.u8()? {
-            0 => false,
-            1 => true,
-            other => return Err(WireError::Unknown("state", other)),
-        };
-        let (host, at, by) = (from.u32()?, from.u64()?, from.u32()?);
-        Ok(Item {
-            kind,
-            word: DrainCommand { host, out, at, by },
-            epoch: from.u64()?,
-            count: from.u32()?,
-        })
-    })
+/// The bytes are no datagram of this kind and version, or a field has an unknown value.
+pub fn decode(datagram: &[u8]) -> Result<Vec<Message>, WireError> {
+    Reader::new(datagram, MAGIC)?.items(MESSAGE_BYTES, Message::read)
 }
 
-/// Whether a datagram is of drains, in whatever version.
+/// Whether a datagram is one of drain coordination, in whatever version.
 #[must_use]
 pub fn recognizes(datagram: &[u8]) -> bool {
     irisrouter_datagram::is(datagram, MAGIC)
--- /dev/null
+++ b/crates/drain-coordination/src/coordinator/follower.rs
@@ -0,0 +1,92 @@
+//! The follower's part: a gateway follows every command that it knows, and reports its requests in flight.
+
+use super::{DrainCoordinator, LocalState};
+use crate::action::{Action, CompletionOrigin};
+use crate::codec::{Message, NO_COORDINATOR};
+use crate::command::DrainCommand;
+use crate::progress::Completion;
+use crate::Millis;
+use std::cmp::Ordering;
+
+impl DrainCoordinator {
+    /// From now on this command holds, in place of any earlier one for its host.
+    pub(super) fn follow(&mut self, now: Millis, command: DrainCommand) {
+        self.commands.insert(now, command);
+        self.actions.push(Action::Follow(command));
+    }
+
+    /// Another gateway announced a command: follows it if it is news, and reports the requests in flight at its host.
+    pub(super) fn receive_announcement(
+        &mut self,
+        now: Millis,
+        from: u32,
+        message: Message,
+        local: &impl LocalState,
+    ) {
+        let Message { command, epoch, .. } = message;
+        if !self.follow_latest(now, from, command) {
+            return;
+        }
+        let Some(state) = self.commands.state_mut(command.host) else {
+            return;
+        };
+        if epoch != NO_COORDINATOR {
+            if epoch < state.latest_epoch {
+                return;
+            }
+            state.record_coordinator(now, epoch);
+        }
+        let requests_in_flight = local.requests_in_flight(command.host);
+        let report = Message::report(command, epoch, requests_in_flight);
+        self.outgoing.push(from, report);
+    }
+
+    /// Follows an announced command unless a later one is known; returns whether it is the one that holds now.
+    fn follow_latest(&mut self, now: Millis, from: u32, command: DrainCommand) -> bool {
+        if let Some(known) = self.commands.command(command.host) {
+            match known.precedence().cmp(&command.precedence()) {
+                Ordering::Greater => {
+                    // The sender is behind: it gets the later command, as from a gateway that coordinates nothing.
+                    let later = Message::announcement(known, NO_COORDINATOR);
+                    self.outgoing.push(from, later);
+                    return false;
+                }
+                Ordering::Equal => return true,
+                Ordering::Less => {}
+            }
+        }
+        if self.commands.make_room(command.host).is_err() {
+            return false;
+        }
+        self.follow(now, command);
+        true
+    }
+
+    /// A coordinator found a command to be complete.
+    pub(super) fn receive_completion(&mut self, now: Millis, message: Message) {
+        let Message {
+            command,
+            epoch,
+            count: unacknowledged,
+            ..
+        } = message;
+        let Some(state) = self.commands.state_of(command) else {
+            return;
+        };
+        if epoch < state.latest_epoch || epoch == NO_COORDINATOR {
+            return;
+        }
+        state.record_coordinator(now, epoch);
+        let completion = Completion {
+            epoch,
+            unacknowledged,
+        };
+        if state.completion.replace(completion).is_none() {
+            self.actions.push(Action::Completed {
+                command,
+                completion,
+                origin: CompletionOrigin::OtherGateway,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/drain-coordination/src/outgoing.rs
@@ -0,0 +1,43 @@
+//! Messages on their way to other gateways, packed into as few datagrams as possible.
+
+use crate::action::Action;
+use crate::codec::{self, Message};
+use std::collections::BTreeMap;
+
+/// The messages that one step of the coordinator wants to send.
+pub(crate) struct OutgoingMessages {
+    local_gateway: u32,
+    by_recipient: BTreeMap<u32, Vec<Message>>,
+}
+
+impl OutgoingMessages {
+    /// No messages yet.
+    pub(crate) const fn new(local_gateway: u32) -> Self {
+        Self {
+            local_gateway,
+            by_recipient: BTreeMap::new(),
+        }
+    }
+
+    /// Adds a message for a gateway; nothing is sent to this gateway itself.
+    pub(crate) fn push(&mut self, recipient: u32, message: Message) {
+        if recipient != self.local_gateway {
+            self.by_recipient
+                .entry(recipient)
+                .or_default()
+                .push(message);
+        }
+    }
+
+    /// Removes all messages and returns the actions that send them.
+    pub(crate) fn take_datagrams(&mut self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for (to, messages) in std::mem::take(&mut self.by_recipient) {
+            for part in messages.chunks(codec::MAX_MESSAGES) {
+                let bytes = codec::encode(part);
+                actions.push(Action::Send { to, bytes });
+            }
+        }
+        actions
+    }
+}
--- /dev/null
+++ b/crates/drain-coordination/tests/codec.rs
@@ -0,0 +1,72 @@
+//! The codec on arbitrary messages and bytes.
+
+use irisrouter_drain_coordination::codec::{self, Message, MessageKind};
+use irisrouter_drain_coordination::{
+    DesiredState, DrainCommand, DrainCoordinator, LocalState, Settings,
+};
+use proptest::prelude::*;
+
+/// A gateway that holds no lease and has no requests in flight.
+struct IdleGateway;
+
+impl LocalState for IdleGateway {
+    fn fencing_token(&self, _: u32) -> Option<u64> {
+        None
+    }
+
+    fn requests_in_flight(&self, _: u32) -> u32 {
+        0
+    }
+}
+
+fn any_command() -> impl Strategy<Value = DrainCommand> {
+    let desired_state = prop_oneof![Just(DesiredState::Drained), Just(DesiredState::InService)];
+    (any::<u32>(), desired_state, any::<u64>(), any::<u32>()).prop_map(
+        |(host, desired_state, issued_at_ms, issued_by)| DrainCommand {
+            host,
+            desired_state,
+            issued_at_ms,
+            issued_by,
+        },
+    )
+}
+
+fn any_message() -> impl Strategy<Value = Message> {
+    let kind = prop_oneof![
+        Just(MessageKind::Announcement),
+        Just(MessageKind::Report),
+        Just(MessageKind::Completion)
+    ];
+    (kind, any_command(), any::<u64>(), any::<u32>()).prop_map(|(kind, command, epoch, count)| {
+        Message {
+            kind,
+            command,
+            epoch,
+            count,
+        }
+    })
+}
+
+proptest! {
+    #[test]
+    fn any_messages_are_decoded_as_they_were_encoded(
+        messages in prop::collection::vec(any_message(), 0..=codec::MAX_MESSAGES),
+    ) {
+        prop_assert_eq!(codec::decode(&codec::encode(&messages)), Ok(messages));
+    }
+
+    #[test]
+    fn arbitrary_bytes_are_decoded_or_rejected_within_bounds(
+        bytes in prop::collection::vec(any::<u8>(), 0..300),
+        now in any::<u64>(),
+    ) {
+        let mut coordinator = DrainCoordinator::new(0, Settings::for_lease(3, 1_000));
+        coordinator.update_fleet([(0, 0), (1, 0)]);
+        let mut with_magic = bytes.clone();
+        with_magic.insert(0, codec::MAGIC);
+        for datagram in [bytes, with_magic] {
+            let _ = coordinator.receive(now, 1, &datagram, &IdleGateway);
+        }
+        prop_assert!(coordinator.commands().count() <= 256);
+    }
+}
--- a/crates/drain-coordination/tests/fleet.rs
+++ b/crates/drain-coordination/tests/fleet.rs
@@ -1,10 +1,10 @@
-//! Whole fleets of [`Drains`] on a simulated network, in virtual time and seeded: who follows a word, who says that a
-//! drain is done, and what is left of it when gateways crash, start again, are cut off or lose datagrams.
+//! Whole fleets of [`DrainCoordinator`]s on a simulated network, in virtual time and seeded: which gateways follow a command,
+//! which one completes it, and what is left of it when gateways crash, start again, are cut off or lose datagrams.
 
-use irisrouter_drain_coordination::codec::{self, Item, Kind};
+use irisrouter_drain_coordination::codec::{self, Message, MessageKind};
 use irisrouter_drain_coordination::{
-    taken_out, task_id, Action, DrainCommand, DrainCoordinator, Millis, Progress, Settings,
-    Surroundings,
+    task_id, Action, Completion, CompletionOrigin, DesiredState, DrainCommand, DrainCoordinator,
+    LocalState, Millis, Progress, ReplicationProgress, Settings,
 };
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
@@ -12,401 +12,470 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 const HOST: u32 = 7;
+/// Virtual time between two steps of the simulation.
+const STEP_MS: Millis = 10;
 
-/// What a gateway owns and has open.
+/// The lease that a gateway holds, and its requests in flight at [`HOST`].
 #[derive(Clone, Default)]
-struct Around {
-    token: Option<u64>,
-    open: u32,
+struct SimulatedState {
+    fencing_token: Option<u64>,
+    requests_in_flight: u32,
 }
 
-impl Surroundings for Around {
-    fn token(&self, _: u32) -> Option<u64> {
-        self.token
+impl LocalState for SimulatedState {
+    fn fencing_token(&self, _: u32) -> Option<u64> {
+        self.fencing_token
     }
 
-    fn open(&self, _: u32) -> u32 {
-        self.open
+    fn requests_in_flight(&self, _: u32) -> u32 {
+        self.requests_in_flight
     }
 }
 
+struct Datagram {
+    from: usize,
+    to: usize,
+    bytes: Vec<u8>,
+}
+
+/// A completion that a gateway found as the coordinator.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct FoundCompletion {
+    gateway: usize,
+    epoch: u64,
+    unacknowledged: u32,
+}
+
+struct Gateway {
+    /// None while the gateway is down.
+    coordinator: Option<DrainCoordinator>,
+    local: SimulatedState,
+    generation: u16,
+}
+
 struct Fleet {
     now: Millis,
-    cores: Vec<Option<DrainCoordinator>>,
-    around: Vec<Around>,
-    generations: Vec<u16>,
-    cuts: BTreeSet<(u32, u32)>,
+    gateways: Vec<Gateway>,
+    /// Pairs (from, to) between which nothing is delivered.
+    cuts: BTreeSet<(usize, usize)>,
     loss_percent: u32,
-    flights: BTreeMap<(Millis, u64), (u32, u32, Vec<u8>)>,
-    order: u64,
+    /// Datagrams on their way, by the time of their arrival and the order in which they were sent.
+    in_transit: BTreeMap<(Millis, u64), Datagram>,
+    sent: u64,
     rng: SmallRng,
-    /// (gateway, action), in order, but for datagrams.
-    seen: Vec<(u32, Action)>,
-    sent: usize,
+    /// All actions but the sending of datagrams, in order, with the gateways that took them.
+    actions: Vec<(usize, Action)>,
+}
+
+fn settings(fleet_size: usize) -> Settings {
+    Settings::for_lease(fleet_size as u32, 1_000)
 }
 
-fn settings(size: usize) -> Settings {
-    Settings::paced(size as u32, 1_000)
+/// Both directions between a gateway and all others of a fleet of five.
+fn isolation_of(gateway: usize) -> BTreeSet<(usize, usize)> {
+    (0..5)
+        .filter(|&other| other != gateway)
+        .flat_map(|other| [(gateway, other), (other, gateway)])
+        .collect()
 }
 
 impl Fleet {
     fn new(size: usize, seed: u64) -> Self {
-        let core = |n: usize| Some(DrainCoordinator::new(n as u32, settings(size)));
+        let gateway = |number: usize| Gateway {
+            coordinator: Some(DrainCoordinator::new(number as u32, settings(size))),
+            local: SimulatedState::default(),
+            generation: 0,
+        };
         Fleet {
             now: 0,
-            cores: (0..size).map(core).collect(),
-            around: vec![Around::default(); size],
-            generations: vec![0; size],
+            gateways: (0..size).map(gateway).collect(),
             cuts: BTreeSet::new(),
             loss_percent: 0,
-            flights: BTreeMap::new(),
-            order: 0,
-            rng: SmallRng::seed_from_u64(seed),
-            seen: Vec::new(),
+            in_transit: BTreeMap::new(),
             sent: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            actions: Vec::new(),
         }
     }
 
-    fn restart(&mut self, n: usize) {
-        self.generations[n] += 1;
-        self.cores[n] = Some(DrainCoordinator::new(n as u32, settings(self.cores.len())));
-        self.around[n] = Around::default();
+    fn restart(&mut self, number: usize) {
+        let settings = settings(self.gateways.len());
+        let gateway = &mut self.gateways[number];
+        gateway.generation += 1;
+        gateway.coordinator = Some(DrainCoordinator::new(number as u32, settings));
+        gateway.local = SimulatedState::default();
     }
 
-    /// One owner, under this epoch.
-    fn own(&mut self, owner: usize, epoch: u64) {
-        self.around.iter_mut().for_each(|a| a.token = None);
-        self.around[owner].token = Some(epoch);
+    /// Gives the lease of the drain to one gateway, under this epoch.
+    fn grant_lease(&mut self, holder: usize, epoch: u64) {
+        for gateway in &mut self.gateways {
+            gateway.local.fencing_token = None;
+        }
+        self.gateways[holder].local.fencing_token = Some(epoch);
     }
 
-    fn say(&mut self, n: usize, out: bool) {
+    fn issue(&mut self, number: usize, desired_state: DesiredState) {
         let now = self.now;
-        self.cores[n]
-            .as_mut()
-            .expect("up")
-            .say(now, 1_000 + now, HOST, out)
-            .expect("room");
+        let coordinator = self.gateways[number].coordinator.as_mut();
+        coordinator
+            .expect("the gateway is up")
+            .issue(now, 1_000 + now, HOST, desired_state)
+            .expect("room for the command");
     }
 
-    fn there(&self, n: usize) -> Vec<(u32, u16)> {
-        let up = |&m: &usize| self.cores[m].is_some() && !self.cuts.contains(&(n as u32, m as u32));
-        (0..self.cores.len())
-            .filter(up)
-            .map(|m| (m as u32, self.generations[m]))
+    /// The gateways that one of them can reach, with their generations.
+    fn reachable_from(&self, number: usize) -> Vec<(u32, u16)> {
+        self.gateways
+            .iter()
+            .enumerate()
+            .filter(|(_, gateway)| gateway.coordinator.is_some())
+            .filter(|(other, _)| !self.cuts.contains(&(number, *other)))
+            .map(|(other, gateway)| (other as u32, gateway.generation))
             .collect()
     }
 
-    fn with(&mut self, n: usize, step: impl FnOnce(&mut DrainCoordinator, Millis, &Around)) {
-        let (there, now, around) = (self.there(n), self.now, self.around[n].clone());
-        let Some(core) = self.cores[n].as_mut() else {
+    /// One step of a gateway's coordinator, and its actions.
+    fn step(
+        &mut self,
+        number: usize,
+        operation: impl FnOnce(&mut DrainCoordinator, Millis, &SimulatedState),
+    ) {
+        let reachable = self.reachable_from(number);
+        let gateway = &mut self.gateways[number];
+        let Some(coordinator) = gateway.coordinator.as_mut() else {
             return;
         };
-        core.view(there);
-        step(core, now, &around);
-        let actions: Vec<Action> = core.drain().collect();
+        coordinator.update_fleet(reachable);
+        operation(coordinator, self.now, &gateway.local);
+        let actions: Vec<Action> = coordinator.take_actions().collect();
         for action in actions {
-            let Action::Send { to, bytes } = action else {
-                self.seen.push((n as u32, action));
-                continue;
-            };
-            assert!(bytes.len() <= codec::MAX_DATAGRAM_BYTES);
-            self.sent += 1;
-            if self.cuts.contains(&(n as u32, to))
-                || self.rng.random_range(0..100) < self.loss_percent
-            {
-                continue;
+            match action {
+                Action::Send { to, bytes } => self.send(number, to as usize, bytes),
+                other => self.actions.push((number, other)),
             }
-            self.order += 1;
-            let at = self.now + 1 + self.rng.random_range(0..5);
-            self.flights.insert((at, self.order), (n as u32, to, bytes));
         }
     }
 
-    fn run(&mut self, length: Millis) {
-        let end = self.now + length;
+    fn send(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
+        assert!(bytes.len() <= codec::MAX_DATAGRAM_BYTES);
+        if self.cuts.contains(&(from, to)) || self.rng.random_range(0..100) < self.loss_percent {
+            return;
+        }
+        self.sent += 1;
+        let arrives_at = self.now + 1 + self.rng.random_range(0..5);
+        let datagram = Datagram { from, to, bytes };
+        self.in_transit.insert((arrives_at, self.sent), datagram);
+    }
+
+    fn receive(&mut self, datagram: &Datagram) {
+        self.step(datagram.to, |coordinator, now, local| {
+            coordinator
+                .receive(now, datagram.from as u32, &datagram.bytes, local)
+                .expect("the datagram can be read");
+        });
+    }
+
+    fn run(&mut self, duration: Millis) {
+        let end = self.now + duration;
         while self.now < end {
-            self.now += 10;
-            while let Some(entry) = self.flights.first_entry().filter(|e| e.key().0 <= self.now) {
-                let (from, to, bytes) = entry.remove();
-                self.with(to as usize, |core, now, around| {
-                    core.receive(now, from, &bytes, around).expect("reads")
-                });
+            self.now += STEP_MS;
+            while let Some(entry) = self.in_transit.first_entry() {
+                if entry.key().0 > self.now {
+                    break;
+                }
+                let datagram = entry.remove();
+                self.receive(&datagram);
             }
-            for n in 0..self.cores.len() {
-                self.with(n, |core, now, around| core.advance(now, around));
+            for number in 0..self.gateways.len() {
+                self.step(number, |coordinator, now, local| {
+                    coordinator.advance(now, local);
+                });
             }
         }
     }
 
-    fn word(&self, n: usize) -> Option<DrainCommand> {
-        self.cores[n]
+    fn command_and_progress(&self, number: usize) -> Option<(DrainCommand, Progress)> {
+        self.gateways[number]
+            .coordinator
             .as_ref()?
-            .words()
-            .map(|(w, _)| w)
-            .find(|w| w.host == HOST)
+            .commands()
+            .find(|(command, _)| command.host == HOST)
     }
 
-    fn progress(&self, n: usize) -> Option<Progress> {
-        self.cores[n]
-            .as_ref()?
-            .words()
-            .find(|(w, _)| w.host == HOST)
-            .map(|(_, p)| p)
+    fn command(&self, number: usize) -> Option<DrainCommand> {
+        self.command_and_progress(number)
+            .map(|(command, _)| command)
     }
 
-    /// Who found drains done, under which epochs, and how many were not heard.
-    fn found(&self) -> Vec<(u32, u64, u32)> {
-        let own = |(n, a): &(u32, Action)| match a {
-            Action::Done {
-                epoch,
-                unheard,
-                own: true,
-                ..
-            } => Some((*n, *epoch, *unheard)),
-            _ => None,
-        };
-        self.seen.iter().filter_map(own).collect()
+    fn progress(&self, number: usize) -> Option<Progress> {
+        self.command_and_progress(number)
+            .map(|(_, progress)| progress)
     }
 
-    fn said(&self) -> Option<(usize, bool)> {
-        self.seen.iter().rev().find_map(|(_, a)| match a {
-            Action::Said { by, majority, .. } => Some((*by, *majority)),
-            _ => None,
-        })
+    fn drains(&self, number: usize) -> bool {
+        self.command(number).is_some_and(|command| command.drains())
+    }
+
+    fn all_drain(&self) -> bool {
+        (0..self.gateways.len()).all(|number| self.drains(number))
+    }
+
+    /// The completions that coordinators found, in order.
+    fn found_completions(&self) -> Vec<FoundCompletion> {
+        self.actions
+            .iter()
+            .filter_map(|(gateway, action)| match action {
+                Action::Completed {
+                    completion,
+                    origin: CompletionOrigin::ThisGateway,
+                    ..
+                } => Some(FoundCompletion {
+                    gateway: *gateway,
+                    epoch: completion.epoch,
+                    unacknowledged: completion.unacknowledged,
+                }),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// The latest answer to an operator.
+    fn latest_replication(&self) -> Option<ReplicationProgress> {
+        self.actions
+            .iter()
+            .rev()
+            .find_map(|(_, action)| match action {
+                Action::Replicated { progress, .. } => Some(*progress),
+                _ => None,
+            })
     }
 }
 
 #[test]
-fn a_word_is_followed_everywhere_and_done_only_once_nobody_has_anything_open() {
+fn drain_completes_only_after_every_gateway_has_no_requests_in_flight() {
     let mut fleet = Fleet::new(5, 1);
-    fleet.around[3].open = 2;
-    fleet.say(0, true);
+    fleet.gateways[3].local.requests_in_flight = 2;
+    fleet.issue(0, DesiredState::Drained);
     fleet.run(100);
-    assert_eq!(fleet.said(), Some((3, true)));
-    assert!((0..5).all(|n| fleet.word(n).is_some_and(|w| w.out && w.by == 0)));
-    fleet.own(1, 10);
+    assert_eq!(
+        fleet.latest_replication(),
+        Some(ReplicationProgress {
+            followers: 3,
+            majority: true
+        })
+    );
+    assert!((0..5).all(|number| {
+        let command = fleet.command(number);
+        command.is_some_and(|command| command.drains() && command.issued_by == 0)
+    }));
+    fleet.grant_lease(1, 10);
     fleet.run(2_000);
+    assert_eq!(fleet.found_completions(), []);
     assert_eq!(
-        (fleet.found(), fleet.progress(1)),
-        (
-            vec![],
-            Some(Progress::Draining {
-                open: 2,
-                unheard: 0
-            })
-        )
+        fleet.progress(1),
+        Some(Progress::Draining {
+            requests_in_flight: 2,
+            unacknowledged: 0
+        })
     );
-    fleet.around[3].open = 0;
+    fleet.gateways[3].local.requests_in_flight = 0;
     fleet.run(500);
-    assert_eq!(fleet.found(), [(1, 10, 0)]);
-    assert!((0..5).all(|n| fleet.progress(n) == Some(Progress::Done(0))));
+    let found = FoundCompletion {
+        gateway: 1,
+        epoch: 10,
+        unacknowledged: 0,
+    };
+    assert_eq!(fleet.found_completions(), [found]);
+    let completed = Progress::Completed(Completion {
+        epoch: 10,
+        unacknowledged: 0,
+    });
+    assert!((0..5).all(|number| fleet.progress(number) == Some(completed)));
 }
 
-/// Guards against a drain that ends with its owner, one that two call done, and a verdict by another owner's answers.
+/// Guards against a drain that ends with its coordinator, one that two gateways complete, and a completion by the reports
+/// that another coordinator received.
 #[test]
-fn the_next_owner_sees_it_through_and_an_older_one_is_not_heard() {
+fn drain_is_completed_by_next_coordinator_and_older_epoch_is_ignored() {
     let mut fleet = Fleet::new(5, 2);
-    fleet.around[4].open = 1;
-    fleet.say(0, true);
-    fleet.own(1, 10);
+    fleet.gateways[4].local.requests_in_flight = 1;
+    fleet.issue(0, DesiredState::Drained);
+    fleet.grant_lease(1, 10);
     fleet.run(1_000);
-    // The owner is cut off, and goes on under its old epoch as if nothing were; another owns it under a later one.
-    let cut = |n: u32| {
-        (0..5)
-            .filter(move |&m| m != n)
-            .flat_map(move |m| [(n, m), (m, n)])
-    };
-    fleet.cuts.extend(cut(1));
-    fleet.around[2].token = Some(11);
+    // The coordinator is cut off and goes on under its old epoch; another gateway holds the lease under a later one.
+    fleet.cuts = isolation_of(1);
+    fleet.gateways[2].local.fencing_token = Some(11);
     fleet.run(1_000);
-    assert_eq!(fleet.found(), []);
+    assert_eq!(fleet.found_completions(), []);
     fleet.cuts.clear();
-    fleet.around[4].open = 0;
-    let answered = Item {
-        kind: Kind::Done,
-        word: fleet.word(0).expect("known"),
+    fleet.gateways[4].local.requests_in_flight = 0;
+    let late_completion = Message {
+        kind: MessageKind::Completion,
+        command: fleet.command(0).expect("a command that is known"),
         epoch: 10,
         count: 0,
     };
-    let late = codec::encode(&[answered]);
-    fleet.with(3, |core, now, around| {
-        core.receive(now, 1, &late, around).expect("reads")
+    fleet.receive(&Datagram {
+        from: 1,
+        to: 3,
+        bytes: codec::encode(&[late_completion]),
     });
-    assert_ne!(
-        fleet.progress(3),
-        Some(Progress::Done(0)),
-        "an older owner's verdict is not taken"
+    assert!(
+        !matches!(fleet.progress(3), Some(Progress::Completed(_))),
+        "the completion of an older coordinator is ignored"
     );
     fleet.run(1_000);
-    assert_eq!(fleet.found(), [(2, 11, 0)]);
+    let found = FoundCompletion {
+        gateway: 2,
+        epoch: 11,
+        unacknowledged: 0,
+    };
+    assert_eq!(fleet.found_completions(), [found]);
 }
 
 #[test]
-fn one_that_starts_again_follows_within_a_slow_round_and_is_asked_anew() {
+fn restarted_gateway_follows_within_a_refresh_interval_and_is_asked_again() {
     let mut fleet = Fleet::new(4, 3);
-    fleet.around[3].open = 1;
-    fleet.say(0, true);
-    fleet.own(1, 10);
+    fleet.gateways[3].local.requests_in_flight = 1;
+    fleet.issue(0, DesiredState::Drained);
+    fleet.grant_lease(1, 10);
     fleet.run(1_000);
-    // The one that had something open dies: it has nothing any more, and its new process has to say so.
-    fleet.cores[3] = None;
+    // The gateway with a request in flight dies: its request is gone, and its new process has to report that.
+    fleet.gateways[3].coordinator = None;
     fleet.run(500);
-    assert_eq!(fleet.found(), [(1, 10, 1)], "what was not heard is said");
+    let found = FoundCompletion {
+        gateway: 1,
+        epoch: 10,
+        unacknowledged: 1,
+    };
+    assert_eq!(
+        fleet.found_completions(),
+        [found],
+        "the completion counts the gateway that is down"
+    );
     fleet.restart(3);
-    assert_eq!(fleet.word(3), None);
-    fleet.run(settings(4).slow_ms + 50);
-    assert!(fleet.word(3).is_some_and(|w| w.out));
-    // All that were to own it start again: whoever still knows tells those.
-    let there: Vec<u32> = (0..4).collect();
-    let first = irisrouter_leases::rendezvous::candidates(task_id(HOST), &there);
-    first[..3].iter().for_each(|&n| fleet.restart(n as usize));
-    fleet.run(5 * settings(4).slow_ms);
-    assert!((0..4).all(|n| fleet.word(n).is_some_and(|w| w.out)));
+    assert_eq!(fleet.command(3), None);
+    fleet.run(settings(4).refresh_interval_ms + 50);
+    assert!(fleet.drains(3));
+    // All candidates for the lease start again: a gateway that still knows the command announces it to them.
+    let gateways: Vec<u32> = (0..4).collect();
+    let candidates = irisrouter_leases::rendezvous::candidates(task_id(HOST), &gateways);
+    for &candidate in &candidates[..3] {
+        fleet.restart(candidate as usize);
+    }
+    fleet.run(5 * settings(4).refresh_interval_ms);
+    assert!(fleet.all_drain());
 }
 
 #[test]
-fn a_later_word_wins_whoever_was_cut_off() {
+fn later_command_wins_at_gateway_that_was_cut_off() {
     let mut fleet = Fleet::new(5, 4);
-    fleet.say(0, true);
-    fleet.own(1, 10);
+    fleet.issue(0, DesiredState::Drained);
+    fleet.grant_lease(1, 10);
     fleet.run(500);
-    let cut = (0..4u32).flat_map(|m| [(4, m), (m, 4)]);
-    fleet.cuts.extend(cut);
-    fleet.say(2, false);
+    fleet.cuts = isolation_of(4);
+    fleet.issue(2, DesiredState::InService);
     fleet.run(1_000);
-    assert!((0..4).all(|n| fleet.word(n).is_some_and(|w| !w.out && w.by == 2)));
+    assert!((0..4).all(|number| {
+        let command = fleet.command(number);
+        command.is_some_and(|command| !command.drains() && command.issued_by == 2)
+    }));
     assert!(
-        fleet.word(4).is_some_and(|w| w.out),
-        "it goes on with what it knows"
+        fleet.drains(4),
+        "the gateway that is cut off follows what it knows"
     );
-    // Its own word, of earlier, is told by whoever owns nothing, and answered with the later one.
+    // After the partition it announces its older command as any gateway without the lease does, and gets the later one.
     fleet.cuts.clear();
     fleet.run(10_000);
-    assert!((0..5).all(|n| fleet.word(n).is_some_and(|w| !w.out)));
+    assert!((0..5).all(|number| {
+        let command = fleet.command(number);
+        command.is_some_and(|command| !command.drains())
+    }));
 }
 
 #[test]
-fn without_a_majority_the_operator_is_told_so() {
+fn command_without_quorum_is_reported_to_operator_and_spreads_after_partition() {
     let mut fleet = Fleet::new(5, 5);
-    fleet.cuts.extend((1..5u32).flat_map(|m| [(0, m), (m, 0)]));
-    fleet.say(0, true);
-    fleet.run(settings(5).say_ms + 100);
-    assert_eq!(fleet.said(), Some((1, false)));
-    // It holds here all the same; after the cut those that are to own it hear of it, and one of them tells the others.
+    fleet.cuts = isolation_of(0);
+    fleet.issue(0, DesiredState::Drained);
+    fleet.run(settings(5).replication_timeout_ms + 100);
+    assert_eq!(
+        fleet.latest_replication(),
+        Some(ReplicationProgress {
+            followers: 1,
+            majority: false
+        })
+    );
+    // It holds at its gateway all the same. After the partition the lease candidates learn of it, and the one that gets
+    // the lease announces it to all others.
     fleet.cuts.clear();
-    fleet.run(5 * settings(5).slow_ms);
-    let first = irisrouter_leases::rendezvous::candidates(task_id(HOST), &[0, 1, 2, 3, 4])[0];
-    assert!(fleet.word(first as usize).is_some_and(|w| w.out));
-    fleet.own(first as usize, 1);
+    fleet.run(5 * settings(5).refresh_interval_ms);
+    let candidates = irisrouter_leases::rendezvous::candidates(task_id(HOST), &[0, 1, 2, 3, 4]);
+    let first = candidates[0] as usize;
+    assert!(fleet.drains(first));
+    fleet.grant_lease(first, 1);
     fleet.run(100);
-    assert!((0..5).all(|n| fleet.word(n).is_some_and(|w| w.out)));
-}
-
-#[test]
-fn words_are_bounded_and_only_those_that_are_over_make_way() {
-    let mut one = DrainCoordinator::new(0, settings(1));
-    for host in 0..256 {
-        one.say(0, 1, host, true).expect("room");
-    }
-    assert!(one.say(0, 2, 999, true).is_err());
-    let token = Around {
-        token: Some(1),
-        open: 0,
-    };
-    one.say(0, 3, 5, false).expect("known");
-    one.advance(10, &token);
-    assert!(one.say(20, 4, 999, true).is_ok());
-    assert!(!one.words().any(|(w, _)| w.host == 5));
+    assert!(fleet.all_drain());
 }
 
-/// Guards against two operators who take a set's last two hosts out at once.
-#[test]
-fn of_a_set_that_words_would_empty_the_last_one_named_stays() {
-    let word = |host, at| DrainCommand {
-        host,
-        out: true,
-        at,
-        by: 0,
-    };
-    let words = BTreeMap::from([
-        (1, word(1, 10)),
-        (2, word(2, 20)),
-        (
-            3,
-            DrainCommand {
-                out: false,
-                ..word(3, 30)
-            },
-        ),
-    ]);
-    let of = |h| words.get(&h).copied();
-    assert_eq!(taken_out(&[1, 2], of), BTreeSet::from([1]));
-    assert_eq!(taken_out(&[1, 2, 3], of), BTreeSet::from([1, 2]));
-    assert_eq!(taken_out(&[2], of), BTreeSet::new());
-    assert_eq!(taken_out(&[], of), BTreeSet::new());
+/// A step of a random sequence of faults at a fleet of five.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    Loss { percent: u32 },
+    Restart(usize),
+    Isolate(usize),
+    Heal,
+    MoveLease(usize),
+    Issue(usize, DesiredState),
 }
 
-fn item() -> impl Strategy<Value = Item> {
-    let kind = prop_oneof![Just(Kind::Tell), Just(Kind::Holds), Just(Kind::Done)];
-    let word = (any::<u32>(), any::<bool>(), any::<u64>(), any::<u32>());
-    (kind, word, any::<u64>(), any::<u32>()).prop_map(
-        |(kind, (host, out, at, by), epoch, count)| Item {
-            kind,
-            word: DrainCommand { host, out, at, by },
-            epoch,
-            count,
-        },
-    )
+fn any_fault() -> impl Strategy<Value = Fault> {
+    let desired_state = prop_oneof![Just(DesiredState::Drained), Just(DesiredState::InService)];
+    prop_oneof![
+        (0u32..40).prop_map(|percent| Fault::Loss { percent }),
+        (0usize..5).prop_map(Fault::Restart),
+        (0usize..5).prop_map(Fault::Isolate),
+        Just(Fault::Heal),
+        (0usize..5).prop_map(Fault::MoveLease),
+        (0usize..5, desired_state).prop_map(|(number, state)| Fault::Issue(number, state)),
+    ]
 }
 
 proptest! {
+    /// Whatever is lost, restarted and cut off meanwhile: once all gateways reach each other, all follow the last command,
+    /// and one coordinator completes it once, never while a gateway that reported has requests in flight.
     #[test]
-    fn the_codec_goes_both_ways(items in prop::collection::vec(item(), 0..=codec::ITEMS)) {
-        prop_assert_eq!(codec::decode(&codec::encode(&items)), Ok(items));
-    }
-
-    #[test]
-    fn arbitrary_bytes_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..300), seed in any::<u64>()) {
-        let mut core = DrainCoordinator::new(0, settings(3));
-        core.view([(0, 0), (1, 0)]);
-        let mut marked = bytes.clone();
-        marked.insert(0, codec::MAGIC);
-        for bytes in [bytes, marked] {
-            let _ = core.receive(seed, 1, &bytes, &Around::default());
-        }
-        prop_assert!(core.words().count() <= 256);
-    }
-
-    /// Whatever is lost, restarted and cut meanwhile: once all is well, all follow the last word, and it is found done by
-    /// one owner a word at most, never while somebody who was heard has something open.
-    #[test]
-    fn drawn_faults_leave_one_word_and_one_verdict(
+    fn random_faults_leave_one_command_and_one_completion(
         seed in any::<u64>(),
-        steps in prop::collection::vec((0usize..6, 0usize..5, 0u32..40), 1..12),
+        faults in prop::collection::vec(any_fault(), 1..12),
     ) {
         let mut fleet = Fleet::new(5, seed);
         let mut epoch = 1;
-        fleet.say(0, true);
-        for (what, n, much) in steps {
-            match what {
-                0 => fleet.loss_percent = much,
-                1 => fleet.restart(n),
-                2 => fleet.cuts = (0..5).filter(|&m| m != n as u32).flat_map(|m| [(n as u32, m), (m, n as u32)]).collect(),
-                3 => fleet.cuts.clear(),
-                4 => { epoch += 1; fleet.own(n, epoch) }
-                _ => fleet.say(n, much % 2 == 0),
+        fleet.issue(0, DesiredState::Drained);
+        for fault in faults {
+            match fault {
+                Fault::Loss { percent } => fleet.loss_percent = percent,
+                Fault::Restart(number) => fleet.restart(number),
+                Fault::Isolate(number) => fleet.cuts = isolation_of(number),
+                Fault::Heal => fleet.cuts.clear(),
+                Fault::MoveLease(number) => {
+                    epoch += 1;
+                    fleet.grant_lease(number, epoch);
+                }
+                Fault::Issue(number, desired_state) => fleet.issue(number, desired_state),
             }
             fleet.run(300);
         }
-        (fleet.loss_percent, epoch) = (0, epoch + 1);
+        epoch += 1;
+        fleet.loss_percent = 0;
         fleet.cuts.clear();
-        fleet.say(2, true);
-        let last = fleet.word(2);
-        fleet.own(1, epoch);
-        fleet.seen.clear();
+        fleet.issue(2, DesiredState::Drained);
+        let last_command = fleet.command(2);
+        fleet.grant_lease(1, epoch);
+        fleet.actions.clear();
         fleet.run(6_000);
-        prop_assert!((0..5).all(|n| fleet.word(n) == last));
-        let found = fleet.found();
-        prop_assert_eq!(found, vec![(1, epoch, 0)]);
+        prop_assert!((0..5).all(|number| fleet.command(number) == last_command));
+        let found = FoundCompletion { gateway: 1, epoch, unacknowledged: 0 };
+        prop_assert_eq!(fleet.found_completions(), vec![found]);
     }
 }
--- a/crates/testbed/tests/drains.rs
+++ b/crates/testbed/tests/drains.rs
@@ -67,8 +67,10 @@
         host.cut(3, false);
         assert!(held.join().expect("a client").is_ok());
     });
-    wait("drained", || drained(&cluster, "found here").len() == 1);
-    wait("told", || drained(&cluster, "(told").len() == 3);
+    wait("drained", || drained(&cluster, "completed here").len() == 1);
+    wait("told", || {
+        drained(&cluster, "(completion received").len() == 3
+    });
     // Nothing is sent there any more, by whichever gateway.
     let after = cluster.clock.now();
     for n in 0..24 {
@@ -123,8 +125,10 @@
     };
     wait("another owner", || next(&cluster).is_some());
     cluster.resume(quiet);
-    wait("told", || drained(&cluster, "(told").len() == 3);
-    let found = drained(&cluster, "found here");
+    wait("told", || {
+        drained(&cluster, "(completion received").len() == 3
+    });
+    let found = drained(&cluster, "completed here");
     assert_eq!(found.len(), 1, "one verdict: {found:?}");
     // Any but the dead one: the one that was stopped may come to own it when it is back.
     assert_ne!(found[0].0, first);
@@ -154,5 +158,5 @@
     wait("drained everywhere", || {
         drained(&cluster, "h1-1").len() == 5
     });
-    assert_eq!(drained(&cluster, "found here").len(), 1);
+    assert_eq!(drained(&cluster, "completed here").len(), 1);
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -473,13 +473,10 @@
     (upstream, metrics): (&Rc<Upstream>, &Rc<Metrics>),
 ) -> Option<Rc<DrainService>> {
     let each = config.peers.as_ref()?.each.clone();
-    let around = (
+    Some(Rc::new(DrainService::new(
         Rc::clone(membership?),
         Rc::clone(leases?),
         Rc::clone(upstream),
-    );
-    Some(Rc::new(DrainService::new(
-        around,
         each,
         config.operators.takeover.lease_ms,
         Rc::clone(metrics),
--- a/src/net/admin/console.rs
+++ b/src/net/admin/console.rs
@@ -6,6 +6,7 @@
 use crate::net::cluster::membership::MembershipService;
 use crate::net::cluster::site_failover::SiteFailoverService;
 use crate::net::log::log;
+use irisrouter_drain_coordination::DesiredState;
 use std::collections::VecDeque;
 use std::io;
 use std::rc::Rc;
@@ -124,8 +125,8 @@
             None => "-ERR takeover is off".into(),
         },
         _ => match (host(line, "drain "), host(line, "undrain ")) {
-            (Some(host), _) => say(console, host, true).await,
-            (None, Some(host)) => say(console, host, false).await,
+            (Some(host), _) => command(console, host, DesiredState::Drained).await,
+            (None, Some(host)) => command(console, host, DesiredState::InService).await,
             _ => "-ERR unknown call: readyz, evacuate, activate, members, duties, plan, drains, \
                   drain HOST or undrain HOST"
                 .into(),
@@ -138,10 +139,10 @@
     std::str::from_utf8(line.strip_prefix(call.as_bytes())?).ok()
 }
 
-async fn say(console: &Console, host: &str, out: bool) -> String {
+async fn command(console: &Console, host: &str, desired_state: DesiredState) -> String {
     match &console.drains {
         Some(drains) => drains
-            .command(host, out)
+            .command(host, desired_state)
             .await
             .map_or_else(|e| format!("-ERR {e}"), |ok| format!("+OK {ok}")),
         None => "-ERR takeover is off".into(),
--- a/src/net/cluster/drains.rs
+++ b/src/net/cluster/drains.rs
@@ -1,5 +1,7 @@
-//! The shell of drains: the core of `irisrouter_drain_coordination` fed with datagrams, the time, membership's view and what this
-//! gateway owns and has open, and its actions carried out.
+//! The drains of database hosts: `irisrouter_drain_coordination` connected to this gateway.
+//!
+//! The coordinator gets the datagrams, the time, the view of membership, this gateway's leases and its requests in flight.
+//! Its actions are carried out here: datagrams for the peer socket, log lines, and the hosts taken out of service.
 
 use crate::net::cluster::leases::{LeaseService, LeasedTask};
 use crate::net::cluster::membership::MembershipService;
@@ -9,212 +11,307 @@
 use crate::net::unix_milliseconds;
 use crate::net::upstream::Upstream;
 use irisrouter_drain_coordination::{
-    Action, DrainCommand, DrainCoordinator as Core, Progress, Settings, Surroundings,
+    Action, CommandLogError, Completion, CompletionOrigin, DesiredState, DrainCommand,
+    DrainCoordinator, LocalState, Progress, ReplicationProgress, Settings,
 };
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use thiserror::Error;
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
 
-/// What the core looks at while it works.
-struct Around {
+/// The longest time between two calls of [`DrainService::advance`].
+const MAX_PAUSE_MS: u64 = 60_000;
+
+/// What became of an operator's command; its text is the console's answer.
+#[derive(Debug)]
+pub struct CommandReplication {
+    host_name: String,
+    desired_state: DesiredState,
+    followers: usize,
+    fleet_size: u32,
+}
+
+impl fmt::Display for CommandReplication {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let state = match self.desired_state {
+            DesiredState::Drained => "out of",
+            DesiredState::InService => "back in",
+        };
+        write!(
+            formatter,
+            "{} is to be {state} service; {} of {} gateways follow",
+            self.host_name, self.followers, self.fleet_size
+        )
+    }
+}
+
+/// Why an operator's command does not hold, or not at a majority of the gateways; its text is the console's answer.
+#[derive(Debug, Error)]
+pub enum DrainCommandError {
+    /// The endpoint list has no host of this name.
+    #[error("the list names no host {host_name}")]
+    UnknownHost {
+        /// The name that the operator gave.
+        host_name: String,
+    },
+    /// Its set would have no host in service.
+    #[error("{host_name} is the last host of its set in service")]
+    LastHostOfSet {
+        /// The name that the operator gave.
+        host_name: String,
+    },
+    /// Commands for too many other hosts are not complete yet.
+    #[error(transparent)]
+    CommandLog(#[from] CommandLogError),
+    /// Another operator issued a command for the host before a quorum followed this one.
+    #[error("another word on that host came in between")]
+    Superseded,
+    /// In time no majority of the gateways followed; it holds at those that do, and goes on being announced.
+    #[error("{0}, which is no majority: it holds there, and goes on being told")]
+    NoMajority(CommandReplication),
+}
+
+/// What the coordinator asks about this gateway.
+struct LocalGateway {
     leases: Rc<LeaseService>,
     upstream: Rc<Upstream>,
 }
 
-impl Surroundings for Around {
-    fn token(&self, host: u32) -> Option<u64> {
+impl LocalState for LocalGateway {
+    fn fencing_token(&self, host: u32) -> Option<u64> {
         self.leases.fencing_token(LeasedTask::HostDrain(host))
     }
 
-    fn open(&self, host: u32) -> u32 {
+    fn requests_in_flight(&self, host: u32) -> u32 {
         u32::try_from(self.upstream.requests_in_flight(host)).unwrap_or(u32::MAX)
     }
 }
 
 /// The drains of database hosts, as one gateway knows them.
 pub struct DrainService {
-    core: RefCell<Core>,
+    coordinator: RefCell<DrainCoordinator>,
     membership: Rc<MembershipService>,
-    around: Around,
-    start: Instant,
-    out: Outbox,
+    local: LocalGateway,
+    started_at: Instant,
+    outbox: Outbox,
     metrics: Rc<Metrics>,
-    /// Operators who wait for word of a host.
-    waiting: RefCell<HashMap<u32, oneshot::Sender<(usize, bool)>>>,
-    wake: Notify,
+    /// Operators who wait until a quorum follows their commands, by host.
+    waiting_operators: RefCell<HashMap<u32, oneshot::Sender<ReplicationProgress>>>,
+    /// Wakes the peer socket once an operator has issued a command.
+    command_issued: Notify,
 }
 
 impl DrainService {
-    /// A gateway that knows of no drain yet.
+    /// A gateway that knows of no drain yet; `gateways` are the addresses of the fleet's list.
     pub fn new(
-        (membership, leases, upstream): (Rc<MembershipService>, Rc<LeaseService>, Rc<Upstream>),
-        each: Vec<SocketAddr>,
+        membership: Rc<MembershipService>,
+        leases: Rc<LeaseService>,
+        upstream: Rc<Upstream>,
+        gateways: Vec<SocketAddr>,
         lease_ms: u64,
         metrics: Rc<Metrics>,
     ) -> Self {
-        let core = Core::new(
-            membership.local_node().number,
-            Settings::paced(each.len() as u32, lease_ms),
-        );
+        let settings = Settings::for_lease(gateways.len() as u32, lease_ms);
+        let coordinator = DrainCoordinator::new(membership.local_node().number, settings);
         Self {
-            core: RefCell::new(core),
+            coordinator: RefCell::new(coordinator),
             membership,
-            around: Around { leases, upstream },
-            start: Instant::now(),
-            out: Outbox::new(each),
+            local: LocalGateway { leases, upstream },
+            started_at: Instant::now(),
+            outbox: Outbox::new(gateways),
             metrics,
-            waiting: RefCell::default(),
-            wake: Notify::new(),
+            waiting_operators: RefCell::default(),
+            command_issued: Notify::new(),
         }
     }
 
+    /// Milliseconds since the start of this service.
     fn now(&self) -> u64 {
-        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+        u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
-    /// The drains that have to have an owner.
+    /// The hosts whose drains need a coordinator.
     pub fn drains_to_coordinate(&self) -> Vec<u32> {
-        self.core.borrow().duties()
+        self.coordinator.borrow().drains_to_coordinate()
     }
 
     /// Takes a datagram from gateway `from`; returns what is to be sent.
     pub fn receive(&self, datagram: &[u8], from: u32) -> Vec<OutgoingDatagram> {
-        let mut core = self.core.borrow_mut();
-        core.view(self.membership.not_down_with_generations());
-        if let Err(why) = core.receive(self.now(), from, datagram, &self.around) {
+        let mut coordinator = self.coordinator.borrow_mut();
+        coordinator.update_fleet(self.membership.not_down_with_generations());
+        if let Err(error) = coordinator.receive(self.now(), from, datagram, &self.local) {
             increment(&self.metrics.gossip.ignored);
-            log!("drains: a datagram from gateway {from} is not used: {why}");
+            log!("drains: a datagram from gateway {from} is not used: {error}");
         }
-        self.carry_out(&mut core)
+        self.carry_out(&mut coordinator)
     }
 
     /// Does what is due; returns what is to be sent.
     pub fn advance(&self) -> Vec<OutgoingDatagram> {
-        let mut core = self.core.borrow_mut();
-        core.view(self.membership.not_down_with_generations());
-        core.advance(self.now(), &self.around);
-        self.carry_out(&mut core)
+        let mut coordinator = self.coordinator.borrow_mut();
+        coordinator.update_fleet(self.membership.not_down_with_generations());
+        coordinator.advance(self.now(), &self.local);
+        self.carry_out(&mut coordinator)
     }
 
-    /// How long [`DrainService::advance`] has no work.
+    /// The time until [`DrainService::advance`] has work.
     pub fn due(&self) -> Duration {
         let now = self.now();
-        Duration::from_millis(
-            self.core
-                .borrow()
-                .next_due(now)
-                .saturating_sub(now)
-                .min(60_000),
-        )
+        let next_due = self.coordinator.borrow().next_due(now);
+        Duration::from_millis(next_due.saturating_sub(now).min(MAX_PAUSE_MS))
     }
 
-    /// Waits until an operator has said something.
+    /// Waits until an operator has issued a command, so that [`DrainService::advance`] has work.
     pub async fn send_requested(&self) {
-        self.wake.notified().await;
+        self.command_issued.notified().await;
     }
 
-    /// An operator's word: a host is to be out of service, or back. What came of it, in words.
+    /// Carries out an operator's command, and waits until a majority of the gateways follows it.
     ///
     /// # Errors
     ///
-    /// Why it does not hold, or that too few gateways have heard of it so far.
-    pub async fn command(&self, name: &str, out: bool) -> Result<String, String> {
-        let upstream = &self.around.upstream;
-        let member = upstream
-            .member_by_name(name)
-            .ok_or_else(|| format!("the list names no host {name}"))?;
-        let (host, _) = upstream
-            .fleet_host_id(member)
-            .ok_or_else(|| format!("the list names no host {name}"))?;
-        if out && !upstream.can_spare(host) {
-            return Err(format!("{name} is the last host of its set in service"));
+    /// The command does not hold, or too few gateways follow it so far.
+    pub async fn command(
+        &self,
+        host_name: &str,
+        desired_state: DesiredState,
+    ) -> Result<CommandReplication, DrainCommandError> {
+        let host = self.host_to_command(host_name, desired_state)?;
+        self.coordinator.borrow_mut().issue(
+            self.now(),
+            unix_milliseconds(),
+            host,
+            desired_state,
+        )?;
+        let (sender, receiver) = oneshot::channel();
+        // A second operator with a command for the same host takes the first one's place, whose receiver then fails.
+        self.waiting_operators.borrow_mut().insert(host, sender);
+        self.command_issued.notify_one();
+        let progress = receiver.await.map_err(|_| DrainCommandError::Superseded)?;
+        let replication = CommandReplication {
+            host_name: host_name.to_string(),
+            desired_state,
+            followers: progress.followers,
+            fleet_size: self.membership.fleet_size(),
+        };
+        if progress.majority {
+            Ok(replication)
+        } else {
+            Err(DrainCommandError::NoMajority(replication))
         }
-        self.core
-            .borrow_mut()
-            .say(self.now(), unix_milliseconds(), host, out)?;
-        let (tell, told) = oneshot::channel();
-        // A second operator who speaks of the same host meanwhile takes the first one's place.
-        self.waiting.borrow_mut().insert(host, tell);
-        self.wake.notify_one();
-        let (by, majority) = told
-            .await
-            .map_err(|_| "another word on that host came in between".to_string())?;
-        let to_be = if out { "out of" } else { "back in" };
-        let heard = format!(
-            "{name} is to be {to_be} service; {by} of {} gateways follow",
-            self.membership.fleet_size()
-        );
-        if majority {
-            return Ok(heard);
+    }
+
+    /// The number of the host that an operator named, where the command may hold there.
+    fn host_to_command(
+        &self,
+        host_name: &str,
+        desired_state: DesiredState,
+    ) -> Result<u32, DrainCommandError> {
+        let upstream = &self.local.upstream;
+        let host = upstream
+            .member_by_name(host_name)
+            .and_then(|member| upstream.fleet_host_id(member))
+            .map(|(host, _)| host)
+            .ok_or_else(|| DrainCommandError::UnknownHost {
+                host_name: host_name.to_string(),
+            })?;
+        if desired_state == DesiredState::Drained && !upstream.can_spare(host) {
+            return Err(DrainCommandError::LastHostOfSet {
+                host_name: host_name.to_string(),
+            });
         }
-        Err(format!(
-            "{heard}, which is no majority: it holds there, and goes on being told"
-        ))
+        Ok(host)
     }
 
-    /// All drains as one line: `host:back`, `host:done` with the gateways that were not heard, `host:draining` with what is
-    /// still open and who has yet to answer, or `host:elsewhere` where another gateway sees it through.
+    /// All drains as one line: `host:back`, `host:done` with the gateways that did not report, `host:draining` with the
+    /// requests in flight and the gateways that have yet to report, or `host:elsewhere` where another gateway coordinates.
     pub fn status_line(&self) -> String {
-        let core = self.core.borrow();
-        let words = core.words().map(|(word, progress)| {
-            let name = self.around.upstream.host_name(word.host);
-            match progress {
-                Progress::Done(_) if !word.out => format!("{name}:back"),
-                Progress::Done(unheard) => format!("{name}:done,unheard={unheard}"),
-                Progress::Draining { open, unheard } => {
-                    format!("{name}:draining,open={open},unheard={unheard}")
-                }
-                Progress::Elsewhere => format!("{name}:elsewhere"),
+        let coordinator = self.coordinator.borrow();
+        let drains: Vec<String> = coordinator
+            .commands()
+            .map(|(command, progress)| self.drain_status(command, progress))
+            .collect();
+        format!("drains {}", drains.join(" "))
+            .trim_end()
+            .to_string()
+    }
+
+    fn drain_status(&self, command: DrainCommand, progress: Progress) -> String {
+        let name = self.local.upstream.host_name(command.host);
+        match progress {
+            Progress::Completed(_) if !command.drains() => format!("{name}:back"),
+            Progress::Completed(Completion { unacknowledged, .. }) => {
+                format!("{name}:done,unheard={unacknowledged}")
             }
-        });
-        let words: Vec<String> = words.collect();
-        format!("drains {}", words.join(" ")).trim_end().to_string()
+            Progress::Draining {
+                requests_in_flight,
+                unacknowledged,
+            } => format!("{name}:draining,open={requests_in_flight},unheard={unacknowledged}"),
+            Progress::Elsewhere => format!("{name}:elsewhere"),
+        }
     }
 
-    fn carry_out(&self, core: &mut Core) -> Vec<OutgoingDatagram> {
-        for action in core.drain() {
+    fn carry_out(&self, coordinator: &mut DrainCoordinator) -> Vec<OutgoingDatagram> {
+        for action in coordinator.take_actions() {
             match action {
-                Action::Send { to, bytes } => self.out.push(to, bytes),
-                Action::Follow(word) => {
-                    let (name, by) = (self.around.upstream.host_name(word.host), word.by);
-                    let how = if word.out {
-                        "taken out of"
-                    } else {
-                        "put back into"
-                    };
-                    log!("drains: {name} is {how} service on the word of gateway {by}");
-                    self.around.upstream.apply_drain_command(word);
-                }
-                Action::Said { host, by, majority } => {
-                    if let Some(operator) = self.waiting.borrow_mut().remove(&host) {
-                        let _ = operator.send((by, majority));
-                    }
-                }
-                Action::Done {
-                    word,
-                    epoch,
-                    unheard,
-                    own,
-                } => self.done(word, epoch, unheard, own),
+                Action::Send { to, bytes } => self.outbox.push(to, bytes),
+                Action::Follow(command) => self.follow(command),
+                Action::Replicated { host, progress } => self.answer_operator(host, progress),
+                Action::Completed {
+                    command,
+                    completion,
+                    origin,
+                } => self.report_completion(command, completion, origin),
             }
         }
-        self.out.take()
+        self.outbox.take()
     }
 
-    fn done(&self, word: DrainCommand, epoch: u64, unheard: u32, own: bool) {
-        let name = self.around.upstream.host_name(word.host);
-        let who = if own { "found here" } else { "told" };
-        if own {
-            increment(&self.metrics.drains.completed);
+    fn follow(&self, command: DrainCommand) {
+        let name = self.local.upstream.host_name(command.host);
+        let change = match command.desired_state {
+            DesiredState::Drained => "taken out of",
+            DesiredState::InService => "put back into",
+        };
+        let issuer = command.issued_by;
+        log!("drains: {name} is {change} service by the command of gateway {issuer}");
+        self.local.upstream.apply_drain_command(command);
+    }
+
+    fn answer_operator(&self, host: u32, progress: ReplicationProgress) {
+        if let Some(operator) = self.waiting_operators.borrow_mut().remove(&host) {
+            // An operator who has closed the connection needs no answer.
+            let _ = operator.send(progress);
         }
-        if word.out {
-            log!("drains: {name} is drained, nobody has anything open there ({who}, epoch {epoch}, {unheard} gateways not heard)");
-        } else {
-            log!("drains: {name} is back everywhere ({who}, epoch {epoch}, {unheard} gateways not heard)");
+    }
+
+    fn report_completion(
+        &self,
+        command: DrainCommand,
+        completion: Completion,
+        origin: CompletionOrigin,
+    ) {
+        let name = self.local.upstream.host_name(command.host);
+        let result = match command.desired_state {
+            DesiredState::Drained => "is drained, no gateway has requests in flight there",
+            DesiredState::InService => "is back in service at all gateways",
+        };
+        let source = match origin {
+            CompletionOrigin::ThisGateway => "completed here",
+            CompletionOrigin::OtherGateway => "completion received",
+        };
+        if origin == CompletionOrigin::ThisGateway {
+            increment(&self.metrics.drains.completed);
         }
+        let Completion {
+            epoch,
+            unacknowledged,
+        } = completion;
+        log!("drains: {name} {result} ({source}, epoch {epoch}, {unacknowledged} gateways unacknowledged)");
     }
 }
--- a/src/net/upstream/registry.rs
+++ b/src/net/upstream/registry.rs
@@ -485,7 +485,7 @@
         }
         let out: BTreeSet<u32> = (sets.values())
             .flat_map(|set| {
-                irisrouter_drain_coordination::taken_out(set, |h| words.get(&h).copied())
+                irisrouter_drain_coordination::hosts_to_drain(set, |h| words.get(&h).copied())
             })
             .chain(news.iter().flat_map(|(_, out)| out.iter().copied()))
             .collect();
