Name the endpoint watch in the field's terms, and give each of its parts a module

Change: modules for heartbeat, poll decision, settings, watcher and codec; heartbeats received and sent are structs, a gateway's own state is `LocalState`, discovery gets `Call::Watch` or `Call::Fetch`; log lines begin with `endpoint watch:`. Bytes, timers and decisions stay.

--- a/crates/endpoint-watch/src/codec.rs
+++ b/crates/endpoint-watch/src/codec.rs
@@ -1,53 +1,60 @@
-//! The beat of the fleet's watch, told to all gateways at once, bounded and versioned.
+//! The heartbeat's datagram, sent to all gateways at once, bounded and versioned. All numbers are big-endian.
 //!
 //! ```text
-//! 0        magic and version: 0xF1 (`irisrouter-datagram` has the list of those that share the peer socket)
+//! 0        magic and version: 0xF1 (`irisrouter-datagram` lists those that share the peer socket)
 //! 1..9     epoch of the watcher     9..17 revision of the list that it has
 //! 17       count, then 4 bytes each: the number of a host that this list has out of service
 //! ```
 
-use crate::{Heartbeat, MOST_OUT};
+use crate::heartbeat::{Heartbeat, MAX_HOSTS_OUT_OF_SERVICE};
 use bytes::BufMut;
 use irisrouter_datagram::Reader;
 
 pub use irisrouter_datagram::magic::ENDPOINT_WATCH as MAGIC;
 pub use irisrouter_datagram::{WireError, MAX_DATAGRAM_BYTES};
-const HEADER: usize = 18;
-const HOST: usize = 4;
-const _: () = assert!(HEADER + MOST_OUT * HOST <= MAX_DATAGRAM_BYTES);
 
-/// The bytes of a beat; hosts beyond [`MOST_OUT`] are left out.
+/// Bytes ahead of the hosts: the first byte, epoch, revision and the count.
+const HEADER_BYTES: usize = 18;
+/// Bytes of a host's number.
+const HOST_BYTES: usize = 4;
+const _: () = assert!(HEADER_BYTES + MAX_HOSTS_OUT_OF_SERVICE * HOST_BYTES <= MAX_DATAGRAM_BYTES);
+
+/// The bytes of a heartbeat; hosts beyond [`MAX_HOSTS_OUT_OF_SERVICE`] are left out.
 #[must_use]
-pub fn encode(beat: &Heartbeat) -> Vec<u8> {
-    let out = &beat.out[..beat.out.len().min(MOST_OUT)];
-    let mut buf = Vec::with_capacity(HEADER + out.len() * HOST);
-    buf.put_u8(MAGIC);
-    buf.put_u64(beat.epoch);
-    buf.put_u64(beat.revision);
-    // At most 59.
-    buf.put_u8(out.len() as u8);
-    out.iter().for_each(|&host| buf.put_u32(host));
-    buf
+pub fn encode(heartbeat: &Heartbeat) -> Vec<u8> {
+    let hosts = &heartbeat.hosts_out_of_service;
+    let hosts = &hosts[..hosts.len().min(MAX_HOSTS_OUT_OF_SERVICE)];
+    let mut buffer = Vec::with_capacity(HEADER_BYTES + hosts.len() * HOST_BYTES);
+    buffer.put_u8(MAGIC);
+    buffer.put_u64(heartbeat.epoch);
+    buffer.put_u64(heartbeat.revision);
+    // At most 59, so the count fits.
+    buffer.put_u8(hosts.len() as u8);
+    for &host in hosts {
+        buffer.put_u32(host);
+    }
+    buffer
 }
 
-/// Reads a beat.
+/// Reads a heartbeat.
 ///
 /// # Errors
-/// Why the bytes are none.
-pub fn decode(bytes: &[u8]) -> Result<Heartbeat, WireError> {
-    let mut from = Reader::new(bytes, MAGIC)?;
-    let (epoch, revision) = (from.u64()?, from.u64()?);
+/// The bytes are no heartbeat of this version, or its epoch is 0.
+pub fn decode(datagram: &[u8]) -> Result<Heartbeat, WireError> {
+    let mut reader = Reader::new(datagram, MAGIC)?;
+    let epoch = reader.u64()?;
+    let revision = reader.u64()?;
     if epoch == 0 {
         return Err(WireError::Value("an epoch of nobody"));
     }
     Ok(Heartbeat {
         epoch,
         revision,
-        out: from.items(HOST, Reader::u32)?,
+        hosts_out_of_service: reader.items(HOST_BYTES, Reader::u32)?,
     })
 }
 
-/// Whether a datagram is of the fleet's watch, in whatever version.
+/// Whether a datagram is a heartbeat of the watch, in whatever version.
 #[must_use]
 pub fn recognizes(datagram: &[u8]) -> bool {
     irisrouter_datagram::is(datagram, MAGIC)
--- a/crates/endpoint-watch/tests/watch.rs
+++ b/crates/endpoint-watch/tests/watch.rs
@@ -1,143 +1,176 @@
-//! Who watches, who calls and who rests, by what beats were heard.
+//! Which gateway watches, which one fetches and which one waits, by the heartbeats that they received.
 
-use irisrouter_endpoint_watch::{codec, EndpointWatcher, Heartbeat, Own, PollDecision, Settings};
+use irisrouter_endpoint_watch::{
+    codec, EndpointWatcher, Heartbeat, LocalState, PollDecision, Settings, MAX_HOSTS_OUT_OF_SERVICE,
+};
 use proptest::prelude::*;
 
-const S: Settings = Settings::paced(1_000);
+const SETTINGS: Settings = Settings::for_lease(1_000);
+const RANK: u64 = 3;
 
-fn own(revision: u64) -> Own {
-    Own {
-        token: None,
+/// A gateway without the lease of the watch, with a list of this revision.
+fn at_revision(revision: u64) -> LocalState {
+    LocalState {
+        fencing_token: None,
         revision: Some(revision),
-        whole: false,
-        place: 3,
+        needs_full_list: false,
+        rank: RANK,
+    }
+}
+
+/// The holder of the lease, under epoch 9.
+fn lease_holder_at(revision: u64) -> LocalState {
+    LocalState {
+        fencing_token: Some(9),
+        ..at_revision(revision)
     }
 }
 
 #[test]
-fn one_watches_and_the_others_rest_until_there_is_news_and_call_in_turn() {
-    let mut watch = EndpointWatcher::new(S);
+fn gateways_without_lease_wait_for_news_and_fetch_it_one_after_another() {
+    let mut watcher = EndpointWatcher::new(SETTINGS);
+    let without_list = LocalState {
+        revision: None,
+        ..at_revision(0)
+    };
+    assert_eq!(watcher.decide_poll(0, without_list), PollDecision::Fetch);
     assert_eq!(
-        watch.turn(
-            0,
-            Own {
-                revision: None,
-                ..own(0)
-            }
-        ),
+        watcher.decide_poll(0, at_revision(5)),
+        PollDecision::Watch,
+        "no heartbeat was received yet"
+    );
+    assert_eq!(
+        watcher.decide_poll(0, lease_holder_at(5)),
+        PollDecision::Watch
+    );
+    assert!(watcher.receive_heartbeat(100, 9, 5));
+    assert_eq!(
+        watcher.decide_poll(100, at_revision(5)),
+        PollDecision::Wait(SETTINGS.silence_timeout_ms)
+    );
+    assert!(watcher.receive_heartbeat(200, 9, 6));
+    let stagger_ms = RANK * SETTINGS.fetch_stagger_ms;
+    assert_eq!(
+        watcher.decide_poll(200, at_revision(5)),
+        PollDecision::Wait(stagger_ms)
+    );
+    assert_eq!(
+        watcher.decide_poll(200 + stagger_ms, at_revision(5)),
         PollDecision::Fetch
     );
+    // While the service does not have the revision yet, heartbeats that repeat it do not make a gateway fetch without end.
+    assert!(watcher.receive_heartbeat(270, 9, 6));
     assert_eq!(
-        watch.turn(0, own(5)),
-        PollDecision::Watch,
-        "nobody is heard yet"
+        watcher.decide_poll(280, at_revision(5)),
+        PollDecision::Wait(SETTINGS.refetch_interval_ms - 20)
     );
+    assert!(watcher.receive_heartbeat(1_200, 9, 6));
     assert_eq!(
-        watch.turn(
-            0,
-            Own {
-                token: Some(9),
-                ..own(5)
-            }
-        ),
-        PollDecision::Watch
+        watcher.decide_poll(260 + SETTINGS.refetch_interval_ms, at_revision(5)),
+        PollDecision::Fetch
     );
-    assert!(watch.heard(100, 9, 5));
-    assert_eq!(watch.turn(100, own(5)), PollDecision::Rest(S.silent_ms));
-    assert!(watch.heard(200, 9, 6));
-    assert_eq!(watch.turn(200, own(5)), PollDecision::Rest(3 * S.each_ms));
-    assert_eq!(watch.turn(200 + 3 * S.each_ms, own(5)), PollDecision::Fetch);
-    // Where the service does not have it yet, beats that repeat it make nobody call without end.
-    assert!(watch.heard(270, 9, 6));
-    assert_eq!(watch.turn(280, own(5)), PollDecision::Rest(S.again_ms - 20));
-    assert!(watch.heard(1_200, 9, 6));
-    assert_eq!(watch.turn(260 + S.again_ms, own(5)), PollDecision::Fetch);
-    assert!(
-        watch.heard(1_300, 9, 7),
-        "what is newer is called for in turn again"
+    assert!(watcher.receive_heartbeat(1_300, 9, 7));
+    assert_eq!(
+        watcher.decide_poll(1_300, at_revision(6)),
+        PollDecision::Wait(stagger_ms),
+        "a newer revision is fetched one gateway after another again"
     );
-    assert_eq!(watch.turn(1_300, own(6)), PollDecision::Rest(3 * S.each_ms));
+    let at_new_address = LocalState {
+        needs_full_list: true,
+        ..at_revision(6)
+    };
     assert_eq!(
-        watch.turn(
-            1_300,
-            Own {
-                whole: true,
-                ..own(6)
-            }
-        ),
+        watcher.decide_poll(1_300, at_new_address),
         PollDecision::Fetch,
         "at a new address, at once"
     );
 }
 
-/// Guards against gateways that wait for an owner that is gone, or that has an older list than they.
+/// Guards against gateways that wait for a watcher that is gone, or for one whose list is older than theirs.
 #[test]
-fn without_beats_or_with_those_of_an_older_list_each_watches_for_itself() {
-    let mut watch = EndpointWatcher::new(S);
-    assert!(watch.heard(0, 9, 5));
-    assert_eq!(watch.turn(S.silent_ms - 1, own(5)), PollDecision::Rest(1));
-    assert_eq!(watch.turn(S.silent_ms, own(5)), PollDecision::Watch);
-    assert!(watch.heard(10_000, 10, 4), "another owner may be behind");
-    assert_eq!(watch.turn(10_000, own(5)), PollDecision::Watch);
-    assert!(!watch.heard(10_001, 9, 7), "an older owner is not heard");
+fn gateway_watches_for_itself_without_heartbeats_or_with_those_of_an_older_list() {
+    let mut watcher = EndpointWatcher::new(SETTINGS);
+    let silence_ms = SETTINGS.silence_timeout_ms;
+    assert!(watcher.receive_heartbeat(0, 9, 5));
+    assert_eq!(
+        watcher.decide_poll(silence_ms - 1, at_revision(5)),
+        PollDecision::Wait(1)
+    );
+    assert_eq!(
+        watcher.decide_poll(silence_ms, at_revision(5)),
+        PollDecision::Watch
+    );
     assert!(
-        watch.heard(10_002, 10, 6) && !watch.heard(10_003, 10, 5),
-        "nor what came late"
+        watcher.receive_heartbeat(10_000, 10, 4),
+        "the next watcher may have an older list"
     );
     assert_eq!(
-        watch.turn(10_010, own(6)),
-        PollDecision::Rest(S.silent_ms - 8)
+        watcher.decide_poll(10_000, at_revision(5)),
+        PollDecision::Watch
+    );
+    assert!(
+        !watcher.receive_heartbeat(10_001, 9, 7),
+        "an older epoch does not count"
+    );
+    assert!(watcher.receive_heartbeat(10_002, 10, 6));
+    assert!(
+        !watcher.receive_heartbeat(10_003, 10, 5),
+        "an older revision under the same epoch does not count"
+    );
+    assert_eq!(
+        watcher.decide_poll(10_010, at_revision(6)),
+        PollDecision::Wait(silence_ms - 8)
     );
 }
 
-/// Guards against an owner that can't reach the service and keeps all others from it.
+/// Guards against a watcher that can't reach the service and keeps all others from watching.
 #[test]
-fn an_owner_beats_only_while_its_own_watch_is_well() {
-    let mut watch = EndpointWatcher::new(S);
-    let owner = Own {
-        token: Some(9),
-        ..own(5)
+fn lease_holder_sends_heartbeats_only_while_its_calls_are_answered() {
+    let mut watcher = EndpointWatcher::new(SETTINGS);
+    let interval_ms = SETTINGS.heartbeat_interval_ms;
+    let heartbeat =
+        |watcher: &mut EndpointWatcher, now, local| watcher.due_heartbeat(now, local, || vec![1]);
+    let expected = |revision| {
+        Some(Heartbeat {
+            epoch: 9,
+            revision,
+            hosts_out_of_service: vec![1],
+        })
     };
-    let beat = |w: &mut EndpointWatcher, now, own| {
-        w.beat(now, own, || vec![1]).map(|b| (b.epoch, b.revision))
-    };
-    assert_eq!(beat(&mut watch, 0, owner), None);
-    watch.well(true);
-    assert_eq!(beat(&mut watch, 0, owner), Some((9, 5)));
-    assert_eq!(beat(&mut watch, 1, owner), None);
+    assert_eq!(heartbeat(&mut watcher, 0, lease_holder_at(5)), None);
+    watcher.record_call(true);
+    assert_eq!(heartbeat(&mut watcher, 0, lease_holder_at(5)), expected(5));
+    assert_eq!(heartbeat(&mut watcher, 1, lease_holder_at(5)), None);
     assert_eq!(
-        beat(
-            &mut watch,
-            1,
-            Own {
-                revision: Some(6),
-                ..owner
-            }
-        ),
-        Some((9, 6)),
-        "news at once"
-    );
-    assert_eq!(watch.next_beat(2, true), 1 + S.beat_ms);
+        heartbeat(&mut watcher, 1, lease_holder_at(6)),
+        expected(6),
+        "a new revision is announced at once"
+    );
+    assert_eq!(watcher.next_heartbeat_at(2, true), 1 + interval_ms);
     assert_eq!(
-        beat(&mut watch, 1 + S.beat_ms, own(6)),
+        heartbeat(&mut watcher, 1 + interval_ms, at_revision(6)),
         None,
-        "not its duty any more"
+        "this gateway does not hold the lease any more"
     );
-    watch.well(false);
-    assert_eq!(beat(&mut watch, 5_000, owner), None);
+    watcher.record_call(false);
+    assert_eq!(heartbeat(&mut watcher, 5_000, lease_holder_at(5)), None);
 }
 
 proptest! {
     #[test]
-    fn the_codec_goes_both_ways(epoch in 1u64.., revision: u64, out in prop::collection::vec(any::<u32>(), 0..=59)) {
-        let beat = Heartbeat { epoch, revision, out };
-        let bytes = codec::encode(&beat);
+    fn any_heartbeat_is_decoded_as_it_was_encoded(
+        epoch in 1u64..,
+        revision: u64,
+        hosts_out_of_service in prop::collection::vec(any::<u32>(), 0..=MAX_HOSTS_OUT_OF_SERVICE),
+    ) {
+        let heartbeat = Heartbeat { epoch, revision, hosts_out_of_service };
+        let bytes = codec::encode(&heartbeat);
         prop_assert!(bytes.len() <= codec::MAX_DATAGRAM_BYTES);
-        prop_assert_eq!(codec::decode(&bytes), Ok(beat));
+        prop_assert_eq!(codec::decode(&bytes), Ok(heartbeat));
     }
 
     #[test]
-    fn arbitrary_bytes_are_read_or_refused(mut bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+    fn arbitrary_bytes_are_decoded_or_rejected(mut bytes in prop::collection::vec(any::<u8>(), 0..300)) {
         let _ = codec::decode(&bytes);
         bytes.insert(0, codec::MAGIC);
         let _ = codec::decode(&bytes);
--- a/src/main.rs
+++ b/src/main.rs
@@ -496,16 +496,13 @@
         return None;
     }
     if !config.loaded.settings.endpoint_list_on_request {
-        log!("list watch: off, as the list is pushed to each gateway");
+        log!("endpoint watch: off, as the endpoint list is pushed to each gateway");
         return None;
     }
-    let around = (
+    Some(Rc::new(EndpointWatchService::new(
         Rc::clone(membership?),
         Rc::clone(leases?),
         Rc::clone(upstream),
-    );
-    Some(Rc::new(EndpointWatchService::new(
-        around,
         wanted.lease_ms,
         Rc::clone(metrics),
     )))
--- a/src/net/cluster/endpoint_watch.rs
+++ b/src/net/cluster/endpoint_watch.rs
@@ -1,5 +1,7 @@
-//! The shell of the fleet's watch: the core of `irisrouter_endpoint_watch` fed with beats, the time and what this gateway owns
-//! and has, and asked by discovery what to do next.
+//! The fleet's watch of the endpoint list: `irisrouter_endpoint_watch` connected to this gateway.
+//!
+//! The watcher gets heartbeats, the time, this gateway's lease and the position of its list; discovery asks here what to
+//! do next, and the peer socket asks for the heartbeat to send.
 
 use crate::net::cluster::leases::{LeaseService, LeasedTask};
 use crate::net::cluster::membership::MembershipService;
@@ -8,7 +10,7 @@
 use crate::net::metrics::{increment, Metrics};
 use crate::net::upstream::Upstream;
 use irisrouter_endpoint_watch::{
-    codec, EndpointWatcher as Core, Own, PollDecision, Settings, MOST_OUT,
+    codec, EndpointWatcher, LocalState, PollDecision, Settings, MAX_HOSTS_OUT_OF_SERVICE,
 };
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -16,188 +18,213 @@
 use tokio::sync::Notify;
 use tokio::time::{timeout, Instant};
 
-/// A gateway that rests looks again after so long at most: it may have become the watcher meanwhile.
-const LOOK: Duration = Duration::from_millis(200);
+/// A gateway that waits decides anew after this time at most: it may have got the lease of the watch meanwhile.
+const DECISION_INTERVAL: Duration = Duration::from_millis(200);
+/// The longest time between two looks for a heartbeat to send.
+const MAX_PAUSE_MS: u64 = 60_000;
 
-/// The fleet's watch of the list, as one gateway sees it.
+/// How discovery is to call for the endpoint list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// The service holds the call until there is a change.
+    Watch,
+    /// The service answers at once.
+    Fetch,
+}
+
+/// Who watches for this gateway: for the log.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Role {
+    /// This gateway, for all or for itself.
+    Watching,
+    /// Another gateway.
+    Waiting,
+}
+
+/// The fleet's watch of the endpoint list, as one gateway takes part in it.
 pub struct EndpointWatchService {
-    core: RefCell<Core>,
+    watcher: RefCell<EndpointWatcher>,
     membership: Rc<MembershipService>,
     leases: Rc<LeaseService>,
     upstream: Rc<Upstream>,
     metrics: Rc<Metrics>,
-    start: Instant,
-    /// A beat came, or the own list is another.
-    changed: Notify,
-    /// What this gateway does: for the log.
-    rests: Cell<Option<bool>>,
-    /// The beat is to leave now.
-    news: Notify,
+    started_at: Instant,
+    /// The role that was logged last.
+    role: Cell<Option<Role>>,
+    /// A heartbeat that counts has arrived: discovery decides anew.
+    heartbeat_received: Notify,
+    /// This gateway's own call has ended: a heartbeat may be due.
+    call_ended: Notify,
 }
 
 impl EndpointWatchService {
-    /// A gateway that has heard nobody.
+    /// A gateway that has received no heartbeat.
     pub fn new(
-        (membership, leases, upstream): (Rc<MembershipService>, Rc<LeaseService>, Rc<Upstream>),
+        membership: Rc<MembershipService>,
+        leases: Rc<LeaseService>,
+        upstream: Rc<Upstream>,
         lease_ms: u64,
         metrics: Rc<Metrics>,
     ) -> Self {
-        log!("list watch: on, one gateway watches the list for all");
+        log!("endpoint watch: on, one gateway watches the endpoint list for all");
         Self {
-            core: RefCell::new(Core::new(Settings::paced(lease_ms))),
+            watcher: RefCell::new(EndpointWatcher::new(Settings::for_lease(lease_ms))),
             membership,
             leases,
             upstream,
             metrics,
-            start: Instant::now(),
-            changed: Notify::new(),
-            rests: Cell::new(None),
-            news: Notify::new(),
+            started_at: Instant::now(),
+            role: Cell::new(None),
+            heartbeat_received: Notify::new(),
+            call_ended: Notify::new(),
         }
     }
 
+    /// Milliseconds since the start of this service.
     fn now(&self) -> u64 {
-        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+        u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// The fencing token of the watch, where this gateway holds its lease.
+    fn fencing_token(&self) -> Option<u64> {
+        self.leases.fencing_token(LeasedTask::EndpointWatch)
     }
 
-    fn own(&self, revision: Option<u64>, whole: bool) -> Own {
-        let me = self.membership.local_node().number;
-        let place = self
+    /// What this gateway knows of itself, with a list of this revision.
+    fn local_state(&self, revision: Option<u64>, needs_full_list: bool) -> LocalState {
+        let local_gateway = self.membership.local_node().number;
+        let lower_numbers = self
             .membership
             .not_down()
-            .iter()
-            .filter(|&&n| n < me)
-            .count() as u64;
-        Own {
-            token: self.leases.fencing_token(LeasedTask::EndpointWatch),
+            .into_iter()
+            .filter(|&gateway| gateway < local_gateway);
+        LocalState {
+            fencing_token: self.fencing_token(),
             revision,
-            whole,
-            place,
+            needs_full_list,
+            rank: lower_numbers.count() as u64,
         }
     }
 
-    /// Takes a beat of gateway `from`.
+    /// Takes a heartbeat of gateway `from`.
     pub fn receive(&self, datagram: &[u8], from: u32) {
-        match codec::decode(datagram) {
-            Ok(beat) => {
-                if self
-                    .core
-                    .borrow_mut()
-                    .heard(self.now(), beat.epoch, beat.revision)
-                {
-                    self.upstream
-                        .apply_watch_heartbeat(beat.revision, &beat.out);
-                    self.changed.notify_one();
-                }
-            }
-            Err(why) => {
+        let heartbeat = match codec::decode(datagram) {
+            Ok(heartbeat) => heartbeat,
+            Err(error) => {
                 increment(&self.metrics.gossip.ignored);
-                log!("list watch: a datagram from gateway {from} is not used: {why}");
+                log!("endpoint watch: a datagram from gateway {from} is not used: {error}");
+                return;
             }
+        };
+        let counts = self.watcher.borrow_mut().receive_heartbeat(
+            self.now(),
+            heartbeat.epoch,
+            heartbeat.revision,
+        );
+        if counts {
+            self.upstream
+                .apply_watch_heartbeat(heartbeat.revision, &heartbeat.hosts_out_of_service);
+            self.heartbeat_received.notify_one();
         }
     }
 
-    /// The datagram that all others are to hear now, where there is one.
+    /// The heartbeat that all other gateways are to get now, where one is due.
     pub fn heartbeat(&self) -> Option<Vec<u8>> {
-        let own = self.own(Some(self.upstream.revision()), false);
-        let out = || self.upstream.out_of_service(MOST_OUT);
-        self.core
-            .borrow_mut()
-            .beat(self.now(), own, out)
-            .map(|beat| codec::encode(&beat))
+        let local = self.local_state(Some(self.upstream.revision()), false);
+        let hosts_out_of_service = || self.upstream.out_of_service(MAX_HOSTS_OUT_OF_SERVICE);
+        let heartbeat =
+            self.watcher
+                .borrow_mut()
+                .due_heartbeat(self.now(), local, hosts_out_of_service)?;
+        Some(codec::encode(&heartbeat))
     }
 
-    /// How long [`EndpointWatchService::heartbeat`] has none.
+    /// The time until [`EndpointWatchService::heartbeat`] may return one.
     pub fn due(&self) -> Duration {
-        let (now, owned) = (
-            self.now(),
-            self.leases
-                .fencing_token(LeasedTask::EndpointWatch)
-                .is_some(),
-        );
-        Duration::from_millis(
-            self.core
-                .borrow()
-                .next_beat(now, owned)
-                .saturating_sub(now)
-                .min(60_000),
-        )
+        let now = self.now();
+        let holds_lease = self.fencing_token().is_some();
+        let next = self.watcher.borrow().next_heartbeat_at(now, holds_lease);
+        Duration::from_millis(next.saturating_sub(now).min(MAX_PAUSE_MS))
     }
 
-    /// Waits until there is news to tell.
+    /// Waits until a call for the list has ended, so that a heartbeat may be due.
     pub async fn send_requested(&self) {
-        self.news.notified().await;
+        self.call_ended.notified().await;
     }
 
-    /// The own call was answered, or failed.
-    pub fn call_ended(&self, well: bool) {
-        self.core.borrow_mut().well(well);
-        self.news.notify_one();
+    /// This gateway's own call was answered, or failed.
+    pub fn call_ended(&self, answered: bool) {
+        self.watcher.borrow_mut().record_call(answered);
+        self.call_ended.notify_one();
     }
 
-    /// Waits until this gateway is to call, and says whether that is to watch.
-    pub async fn wait_for_turn(&self, seen: &ListPosition) -> bool {
+    /// Waits until this gateway is to call, and says how.
+    pub async fn wait_for_turn(&self, position: &ListPosition) -> Call {
         loop {
-            let turn = self
-                .core
-                .borrow_mut()
-                .turn(self.now(), self.own(seen.revision, seen.whole));
-            let rest = match turn {
-                PollDecision::Watch => return self.does(false, true),
-                PollDecision::Fetch => {
-                    increment(&self.metrics.endpoint_watch.fetches);
-                    return false;
-                }
-                PollDecision::Rest(ms) => Duration::from_millis(ms).min(LOOK),
+            let pause = match self.decide_poll(position) {
+                PollDecision::Watch => return self.start_watch(),
+                PollDecision::Fetch => return self.start_fetch(),
+                PollDecision::Wait(milliseconds) => Duration::from_millis(milliseconds),
             };
-            self.does(true, false);
-            let _ = timeout(rest, self.changed.notified()).await;
+            self.log_role(Role::Waiting);
+            let pause = pause.min(DECISION_INTERVAL);
+            // A heartbeat and the end of the pause are alike: the gateway decides anew.
+            let _ = timeout(pause, self.heartbeat_received.notified()).await;
         }
     }
 
-    /// Waits until another gateway is heard to watch, so that a watch of this one's own is of no use.
-    pub async fn superseded(&self, seen: &ListPosition) {
+    /// Waits until another gateway watches for this one, so that a watch of its own is of no use.
+    pub async fn superseded(&self, position: &ListPosition) {
         loop {
-            self.changed.notified().await;
-            if self
-                .core
-                .borrow()
-                .relieved(self.now(), self.own(seen.revision, seen.whole))
-            {
+            self.heartbeat_received.notified().await;
+            let local = self.local_state(position.revision, position.whole);
+            if self.watcher.borrow().is_superseded(self.now(), local) {
                 return;
             }
         }
     }
 
-    /// Whether this gateway goes on calling now, and whether that is to watch; none where it is to rest first.
-    pub fn next_turn(&self, seen: &ListPosition) -> Option<bool> {
-        let turn = self
-            .core
-            .borrow_mut()
-            .turn(self.now(), self.own(seen.revision, seen.whole));
-        match turn {
-            PollDecision::Watch => Some(self.does(false, true)),
-            PollDecision::Fetch => {
-                increment(&self.metrics.endpoint_watch.fetches);
-                Some(false)
-            }
-            PollDecision::Rest(_) => None,
+    /// How this gateway is to call now; none where it is to wait first.
+    pub fn next_turn(&self, position: &ListPosition) -> Option<Call> {
+        match self.decide_poll(position) {
+            PollDecision::Watch => Some(self.start_watch()),
+            PollDecision::Fetch => Some(self.start_fetch()),
+            PollDecision::Wait(_) => None,
         }
     }
 
-    /// One log line where a gateway begins to rest, or to watch.
-    fn does(&self, rests: bool, watches: bool) -> bool {
-        if self.rests.replace(Some(rests)) != Some(rests) {
-            match (rests, self.leases.fencing_token(LeasedTask::EndpointWatch)) {
-                (true, _) => log!("list watch: another gateway watches the list for this one"),
-                (false, Some(epoch)) => {
-                    log!("list watch: this gateway watches the list for all, epoch {epoch}")
-                }
-                (false, None) => {
-                    log!("list watch: nobody is heard to watch the list, this gateway watches for itself")
-                }
+    fn decide_poll(&self, position: &ListPosition) -> PollDecision {
+        let local = self.local_state(position.revision, position.whole);
+        self.watcher.borrow_mut().decide_poll(self.now(), local)
+    }
+
+    fn start_watch(&self) -> Call {
+        self.log_role(Role::Watching);
+        Call::Watch
+    }
+
+    fn start_fetch(&self) -> Call {
+        increment(&self.metrics.endpoint_watch.fetches);
+        Call::Fetch
+    }
+
+    /// Logs one line where this gateway begins to wait, or to watch.
+    fn log_role(&self, role: Role) {
+        if self.role.replace(Some(role)) == Some(role) {
+            return;
+        }
+        match (role, self.fencing_token()) {
+            (Role::Waiting, _) => {
+                log!("endpoint watch: another gateway watches the endpoint list for this one");
+            }
+            (Role::Watching, Some(epoch)) => {
+                log!(
+                    "endpoint watch: this gateway watches the endpoint list for all, epoch {epoch}"
+                );
+            }
+            (Role::Watching, None) => {
+                log!("endpoint watch: no heartbeat of a watcher, this gateway watches the endpoint list for itself");
             }
         }
-        watches
     }
 }
--- a/src/net/discovery/client.rs
+++ b/src/net/discovery/client.rs
@@ -2,7 +2,7 @@
 //!
 //! Nothing else knows where the list comes from: it goes to the backend as a [`EndpointList`], whatever its source.
 
-use crate::net::cluster::endpoint_watch::EndpointWatchService;
+use crate::net::cluster::endpoint_watch::{Call, EndpointWatchService};
 use crate::net::discovery::poll_interval::{Pace, PAUSE, SILENCE};
 use crate::net::log::log;
 use crate::net::request::classes::Classes;
@@ -168,9 +168,9 @@
     pace: &mut Pace,
     answered: &watch::Sender<bool>,
 ) -> Result<(), String> {
-    let mut waits = match fleet {
+    let mut next_call = match fleet {
         Some(fleet) => fleet.wait_for_turn(seen).await,
-        None => true,
+        None => Call::Watch,
     };
     let mut connection = None;
     loop {
@@ -182,7 +182,7 @@
         let mut allowed = pace.allowed(herd(classes));
         let path = match seen.revision.filter(|_| !seen.whole) {
             Some(r) => {
-                if !waits {
+                if next_call == Call::Fetch {
                     allowed.silence -= std::mem::take(&mut allowed.hold);
                 }
                 format!(
@@ -207,7 +207,7 @@
                 connection = (!ends).then_some((stream, buffer));
                 body
             }
-            () = relieved(fleet.filter(|_| waits), seen) => return Ok(()),
+            () = relieved(fleet.filter(|_| next_call == Call::Watch), seen) => return Ok(()),
         };
         let list: EndpointList =
             serde_json::from_slice(&body).map_err(|e| format!("malformed list: {e}"))?;
@@ -222,7 +222,7 @@
             let Some(next) = fleet.next_turn(seen) else {
                 return Ok(());
             };
-            waits = next;
+            next_call = next;
         }
         if !taken && called.elapsed() < PAUSE {
             // Danger: an agent that does not wait would be called without end.
