--- a/crates/drain-coordination/src/codec.rs
+++ b/crates/drain-coordination/src/codec.rs
@@ -27,7 +27,7 @@
 /// The epoch in an announcement whose sender does not coordinate the command.
 pub const NO_COORDINATOR: u64 = 0;
 
-/// What a message says of a command.
+/// The kinds of messages.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MessageKind {
     /// The command holds: follow it, and report the requests in flight at its host.
@@ -48,7 +48,7 @@
 /// One message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Message {
-    /// What is said of the command.
+    /// The kind.
     pub kind: MessageKind,
     /// The command.
     pub command: DrainCommand,
@@ -81,7 +81,7 @@
         }
     }
 
-    /// Says that a command is complete; `epoch` is that of the coordinator that says so.
+    /// Announces that a command is complete, under the epoch of the coordinator that sends this.
     #[must_use]
     pub const fn completion(command: DrainCommand, epoch: u64, completion: Completion) -> Self {
         Self {
--- a/crates/drain-coordination/src/coordinator/coordination.rs
+++ b/crates/drain-coordination/src/coordinator/coordination.rs
@@ -12,7 +12,7 @@
 
 /// Gateways that claim the lease of a drain, as `irisrouter-leases` has it: the others need not know of it.
 const LEASE_CANDIDATES: usize = 3;
-/// Refresh intervals without a message of a coordinator after which the candidates are told of a command.
+/// Refresh intervals without a message of a coordinator after which a command is announced to the candidates again.
 const REFRESHES_WITHOUT_COORDINATOR: u64 = 4;
 
 /// What one process of a gateway reported.
@@ -64,7 +64,7 @@
             .count()
     }
 
-    /// The report of this process of a gateway: what an earlier process of it reported says nothing of this one.
+    /// The report of this process of a gateway; a report of an earlier process does not count.
     fn report_of(&self, gateway: u32, generation: u16) -> Option<&Report> {
         self.reports
             .get(&gateway)
@@ -114,7 +114,7 @@
 }
 
 impl DrainCoordinator {
-    /// A gateway follows a command and says how many requests it has in flight.
+    /// A gateway follows a command and reports how many requests it has in flight.
     pub(super) fn receive_report(
         &mut self,
         now: Millis,
--- a/crates/drain-coordination/src/coordinator/replication.rs
+++ b/crates/drain-coordination/src/coordinator/replication.rs
@@ -9,7 +9,7 @@
 
 /// The state of a command's replication.
 pub(crate) struct Replication {
-    /// When the operator is told that no quorum follows.
+    /// When the operator gets the answer that no quorum follows.
     deadline: Millis,
     next_round_at: Millis,
     /// Gateways that follow the command, this one included.
--- a/crates/drain-coordination/src/settings.rs
+++ b/crates/drain-coordination/src/settings.rs
@@ -2,7 +2,7 @@
 
 use crate::Millis;
 
-/// How long a gateway announces a command before its operator is told that no quorum follows it.
+/// How long a gateway announces a command before its operator gets the answer that no quorum follows it.
 const REPLICATION_TIMEOUT_MS: Millis = 2_000;
 
 /// Settings of drain coordination; times in milliseconds.
@@ -15,7 +15,7 @@
     /// Time between two announcements to all gateways, idle ones included: a gateway that starts again learns of a drain
     /// within this time.
     pub refresh_interval_ms: Millis,
-    /// Time for which a new command is announced before its operator is told that no quorum follows it.
+    /// Time for which a new command is announced before its operator gets the answer that no quorum follows it.
     pub replication_timeout_ms: Millis,
 }
 
--- a/src/net/cluster/endpoint_watch.rs
+++ b/src/net/cluster/endpoint_watch.rs
@@ -158,7 +158,7 @@
         self.call_ended.notify_one();
     }
 
-    /// Waits until this gateway is to call, and says how.
+    /// Waits until this gateway is to call, and returns how.
     pub async fn wait_for_turn(&self, position: &ListPosition) -> Call {
         loop {
             let pause = match self.decide_poll(position) {
