--- a/crates/gossip/src/health_check_schedule.rs
+++ b/crates/gossip/src/health_check_schedule.rs
@@ -1,128 +1,165 @@
-//! Who asks which set when.
+//! Which gateway starts the next round of health checks of a group, and when.
 //!
-//! For each set, the gateways have an order of their own (rendezvous hashing). Whoever was heard last on a set is its
-//! asker and asks again after one period; the others stand by, each in turn a step later than the one before. So a set is
-//! asked once a period however many gateways there are, an asker that dies is replaced within a step for each dead gateway
-//! that stands before the next living one, and nobody has to know who lives. Where word does not get through, each side
-//! asks for itself: doubt costs a second probe, never none.
+//! For each group the gateways have a fixed order, by rendezvous hashing. The gateway that ran the
+//! last round runs the next one, a period later. The others stand by: each of them takes over at
+//! its own time, one `STANDBY_INTERVAL` after the gateway before it in the group's order. So
+//!
+//! - a group is checked once a period, however many gateways there are;
+//! - a gateway that dies is replaced after one interval for each dead gateway that stands before
+//!   the next living one;
+//! - no gateway has to know which others are alive.
+//!
+//! Where results do not get through, each side runs rounds of its own: loss of messages leads to
+//! more health checks, never to none.
 
+use crate::Nanos;
 use std::collections::BTreeMap;
 
-/// How often a set is asked: often enough that what is known is of use for the age that reads allow.
-const PERIOD: i64 = 200_000_000;
-/// Between two gateways that stand by: a probe with a new connection, and the way of a datagram.
-const STEP: i64 = 60_000_000;
+/// Time between two rounds of a group: short enough that results are younger than the age that
+/// reads allow.
+const ROUND_PERIOD: Nanos = 200_000_000;
+/// Time between two gateways that stand by: long enough for a health check on a new connection and
+/// the way of its result.
+const STANDBY_INTERVAL: Nanos = 60_000_000;
 
-/// Where one set stands.
+/// The latest round of health checks of one group.
 struct HealthCheckRound {
-    /// When it was last asked by anybody, or came up.
-    asked: i64,
-    /// By whom; none before anybody was heard.
-    asker: Option<u32>,
-    /// This gateway's place in the set's order.
-    place: i64,
+    /// When it started, or a period before the group was first seen.
+    started_at: Nanos,
+    /// The gateway that ran it; none before the first round.
+    gateway: Option<u32>,
+    /// How many gateways stand before this one in the group's order.
+    local_rank: i64,
 }
 
-/// The duties of one gateway. Times are nanoseconds.
-pub struct HealthCheckSchedule {
-    me: u32,
-    gateways: u32,
-    sets: BTreeMap<i64, HealthCheckRound>,
+impl HealthCheckRound {
+    /// When the next round is due, whoever runs it.
+    const fn next_due(&self) -> Nanos {
+        self.started_at + ROUND_PERIOD
+    }
+
+    /// When the next round is due at this gateway if no other gateway starts one before.
+    fn next_due_at(&self, local_gateway: u32) -> Nanos {
+        let standby_rank = match self.gateway {
+            Some(gateway) if gateway == local_gateway => 0,
+            Some(_) => 1 + self.local_rank,
+            None => self.local_rank,
+        };
+        self.next_due() + standby_rank * STANDBY_INTERVAL
+    }
 }
 
-/// The weight of a gateway for a set (splitmix64's mix): the same everywhere.
-fn weight(set: i64, gateway: u32) -> u64 {
-    let mut x =
-        (set as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (u64::from(gateway) + 1).rotate_left(32);
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
+/// The schedule of one gateway. Groups are given by their numbers.
+pub struct HealthCheckSchedule {
+    local_gateway: u32,
+    gateway_count: u32,
+    rounds: BTreeMap<i64, HealthCheckRound>,
 }
 
 impl HealthCheckSchedule {
-    /// Gateway `me` of so many.
-    pub fn new(me: u32, gateways: u32) -> Self {
+    /// The schedule of gateway `local_gateway` in a fleet of `gateway_count` gateways, without
+    /// groups.
+    pub fn new(local_gateway: u32, gateway_count: u32) -> Self {
         HealthCheckSchedule {
-            me,
-            gateways,
-            sets: BTreeMap::new(),
+            local_gateway,
+            gateway_count,
+            rounds: BTreeMap::new(),
         }
     }
 
-    /// The sets that there are now. A new one is due at once for the first in its order.
-    pub fn sets(&mut self, now: i64, sets: &[i64]) {
-        self.sets.retain(|set, _| sets.contains(set));
-        let (me, gateways) = (self.me, self.gateways);
-        for &set in sets {
-            // The order is worked out once a set: this is called at each datagram.
-            self.sets.entry(set).or_insert_with(|| {
-                let own = weight(set, me);
-                let before = |g: &u32| *g != me && weight(set, *g) > own;
-                let place = (0..gateways).filter(before).count() as i64;
-                HealthCheckRound {
-                    asked: now - PERIOD,
-                    asker: None,
-                    place,
-                }
-            });
+    /// Replaces the groups. A new group is due at once for the first gateway in its order.
+    pub fn update_groups(&mut self, now: Nanos, groups: &[i64]) {
+        self.rounds.retain(|group, _| groups.contains(group));
+        let (local_gateway, gateway_count) = (self.local_gateway, self.gateway_count);
+        for &group in groups {
+            // The rank is computed once for a group: this method is called for each datagram.
+            self.rounds
+                .entry(group)
+                .or_insert_with(|| HealthCheckRound {
+                    started_at: now - ROUND_PERIOD,
+                    gateway: None,
+                    local_rank: rank(group, local_gateway, gateway_count),
+                });
         }
     }
 
-    /// A gateway has asked a set.
-    pub fn heard(&mut self, set: i64, by: u32, at: i64) {
-        if let Some(round) = self.sets.get_mut(&set).filter(|r| r.asked < at) {
-            round.asked = at;
-            round.asker = Some(by);
+    /// Records that a gateway started a round. A round that is not later than the last one is
+    /// ignored.
+    pub fn record_round(&mut self, group: i64, gateway: u32, started_at: Nanos) {
+        let round = self.rounds.get_mut(&group);
+        if let Some(round) = round.filter(|round| round.started_at < started_at) {
+            round.started_at = started_at;
+            round.gateway = Some(gateway);
         }
     }
 
-    /// The sets to be asked now. They count as asked by this gateway.
-    pub fn due(&mut self, now: i64) -> Vec<i64> {
-        let me = self.me;
-        let due: Vec<i64> = self
-            .sets
-            .iter()
-            .filter(|(_, r)| at(r, me) <= now)
-            .map(|(&set, _)| set)
-            .collect();
-        due.iter().for_each(|&set| self.heard(set, me, now));
-        due
+    /// Starts the rounds that are due at this gateway, and returns their groups.
+    pub fn start_due_rounds(&mut self, now: Nanos) -> Vec<i64> {
+        let local_gateway = self.local_gateway;
+        self.start_rounds(now, |_, round| round.next_due_at(local_gateway) <= now)
+    }
+
+    /// Starts the rounds that are due of the groups whose lease this gateway holds, and returns
+    /// those groups. Under a lease a round is due each period, whichever gateway ran the last one.
+    pub fn start_due_leased_rounds(
+        &mut self,
+        now: Nanos,
+        holds_lease: impl Fn(i64) -> bool,
+    ) -> Vec<i64> {
+        self.start_rounds(now, |group, round| {
+            round.next_due() <= now && holds_lease(group)
+        })
     }
 
-    /// The sets to be asked now, of those that this gateway owns under a lease: one round each period, whoever else was
-    /// heard. They count as asked by this gateway.
-    pub fn due_of(&mut self, now: i64, owns: impl Fn(i64) -> bool) -> Vec<i64> {
-        let due = |r: &HealthCheckRound| r.asked + PERIOD <= now;
+    fn start_rounds(
+        &mut self,
+        now: Nanos,
+        is_due: impl Fn(i64, &HealthCheckRound) -> bool,
+    ) -> Vec<i64> {
         let due: Vec<i64> = self
-            .sets
+            .rounds
             .iter()
-            .filter(|(&set, r)| due(r) && owns(set))
-            .map(|(&set, _)| set)
+            .filter(|(&group, round)| is_due(group, round))
+            .map(|(&group, _)| group)
             .collect();
-        due.iter().for_each(|&set| self.heard(set, self.me, now));
+        for &group in &due {
+            self.record_round(group, self.local_gateway, now);
+        }
         due
     }
 
-    /// When the next of those is due.
-    pub fn next_of(&self, owns: impl Fn(i64) -> bool) -> Option<i64> {
-        self.sets
-            .iter()
-            .filter(|(&set, _)| owns(set))
-            .map(|(_, r)| r.asked + PERIOD)
+    /// When this gateway's next round is due, if no other gateway starts one before.
+    pub fn next_due(&self) -> Option<Nanos> {
+        self.rounds
+            .values()
+            .map(|round| round.next_due_at(self.local_gateway))
             .min()
     }
 
-    /// When the next one is due, if nobody else is heard before.
-    pub fn next(&self) -> Option<i64> {
-        self.sets.values().map(|r| at(r, self.me)).min()
+    /// When the next round is due of the groups whose lease this gateway holds.
+    pub fn next_leased_due(&self, holds_lease: impl Fn(i64) -> bool) -> Option<Nanos> {
+        self.rounds
+            .iter()
+            .filter(|(&group, _)| holds_lease(group))
+            .map(|(_, round)| round.next_due())
+            .min()
     }
 }
 
-fn at(round: &HealthCheckRound, me: u32) -> i64 {
-    let turn = match round.asker {
-        Some(asker) if asker == me => 0,
-        Some(_) => 1 + round.place,
-        None => round.place,
-    };
-    round.asked + PERIOD + turn * STEP
+/// How many gateways stand before this one in the order of a group: those of greater weight.
+fn rank(group: i64, local_gateway: u32, gateway_count: u32) -> i64 {
+    let local_weight = weight(group, local_gateway);
+    (0..gateway_count)
+        .filter(|&gateway| gateway != local_gateway && weight(group, gateway) > local_weight)
+        .count() as i64
+}
+
+/// The weight of a gateway for a group, by the mixing function of splitmix64. It is the same at
+/// every gateway.
+fn weight(group: i64, gateway: u32) -> u64 {
+    let mut hash = (group as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+        ^ (u64::from(gateway) + 1).rotate_left(32);
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
 }
--- a/crates/gossip/src/message.rs
+++ b/crates/gossip/src/message.rs
@@ -1,134 +1,171 @@
-//! The message: a version, the time at which its findings were made, and six bytes for each host.
+//! The message that carries the results of one round of health checks: a version, the time of the
+//! checks, and six bytes for each host.
 //!
 //! ```text
 //! 0      version (1)
-//! 1..5   time of the findings: Unix milliseconds, the lower 32 bits, big-endian
+//! 1..5   time of the checks: Unix milliseconds, the lower 32 bits, big-endian
 //! then for each host
-//! 0..3   the host's number, see [`number`]
-//! 3..5   how far its position lay behind that time, in milliseconds; 0xffff for not known
-//! 5      1 in the top bit from a primary; below it cores in use in hundredths, 127 for not known
+//! 0..3   the host's id, see [`host_id`]
+//! 3..5   how far its replication position was behind that time, in milliseconds; 0xffff if unknown
+//! 5      top bit: 1 for a primary; lower bits: cores in use in hundredths, 127 if unknown
 //! ```
 
-/// Nanoseconds in a millisecond.
-const MS: i64 = 1_000_000;
-/// The version that is written, and the only one that is read.
+use crate::Nanos;
+use thiserror::Error;
+
+const NANOS_PER_MS: Nanos = 1_000_000;
+/// The version that is encoded, and the only one that is decoded.
 const VERSION: u8 = 1;
-const HEAD: usize = 5;
-const EACH: usize = 6;
-/// The longest datagram that the platform carries.
-pub const LONGEST: usize = 256;
-/// Hosts in one message at most.
-pub const MOST: usize = (LONGEST - HEAD) / EACH;
-/// Findings of an older time are not used. Danger: a datagram that was held up would undo what was heard since.
-const OLDEST: i64 = 5_000 * MS;
-/// Clocks of gateways differ by less. Danger: word from the future would beat all that comes after it.
-const AHEAD: i64 = 20 * MS;
+const HEADER_BYTES: usize = 5;
+const RESULT_BYTES: usize = 6;
+/// The longest datagram that the platform delivers between gateways, in bytes.
+pub const MAX_DATAGRAM_BYTES: usize = 256;
+/// The most results that one message carries.
+pub const MAX_RESULTS: usize = (MAX_DATAGRAM_BYTES - HEADER_BYTES) / RESULT_BYTES;
+/// Results older than this are not used: a datagram that was delayed must not undo what arrived
+/// since.
+const MAX_AGE: Nanos = 5_000 * NANOS_PER_MS;
+/// Clocks of gateways differ by less than this. Results further in the future are not used: they
+/// would take precedence over all that arrives later.
+const MAX_CLOCK_SKEW: Nanos = 20 * NANOS_PER_MS;
 const UNKNOWN_LAG: u16 = u16::MAX;
-const UNKNOWN_USE: u8 = 0x7f;
-const PRIMARY: u8 = 0x80;
+const UNKNOWN_CORES_IN_USE: u8 = 0x7f;
+/// The greatest number of cores in use that can be encoded, in hundredths.
+const MAX_CORES_IN_USE: f64 = 126.0;
+const PRIMARY_BIT: u8 = 0x80;
 
-/// What a host has said of itself.
+/// What a host answered to a health check.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Finding {
-    /// Which host, see [`number`].
+pub struct HealthCheckResult {
+    /// The host, see [`host_id`].
     pub host: u32,
-    /// It has applied all commits up to here: Unix time in nanoseconds, in whole milliseconds.
+    /// The host has applied all commits up to this time: nanoseconds of Unix time, in whole
+    /// milliseconds.
     pub position: Option<i64>,
-    /// It takes writes.
+    /// Whether the host accepts writes.
     pub primary: bool,
-    /// Share of its cores in use, 0 to 1.26.
-    pub in_use: Option<f64>,
+    /// The share of its cores in use, 0 to 1.26.
+    pub cores_in_use: Option<f64>,
 }
 
-/// Findings that were made together.
+/// The results of checks that were made together.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Message {
-    /// When: Unix time in nanoseconds, in whole milliseconds.
-    pub at: i64,
-    /// Of which hosts.
-    pub findings: Vec<Finding>,
+    /// When the checks were made: nanoseconds of Unix time, in whole milliseconds.
+    pub checked_at: i64,
+    /// The result of each host.
+    pub results: Vec<HealthCheckResult>,
 }
 
-/// Why a datagram is not read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Malformed {
-    /// Empty, cut, or longer than any message.
+/// Why a datagram is not decoded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum DecodeError {
+    /// The datagram has no results, ends inside one, or is longer than any message.
+    #[error("its length is not that of a message of health-check results")]
     Length,
-    /// Another version.
+    /// The datagram is of another version.
+    #[error("it is of another version")]
     Version,
-    /// Made too long ago.
+    /// The checks were made too long ago.
+    #[error("its health checks are too old")]
     Old,
-    /// Not made yet.
+    /// The checks were made in the future, by this gateway's clock.
+    #[error("its health checks are in the future")]
     Future,
 }
 
-/// The number of a host's id, 24 bits (FNV-1a, folded): the same at every gateway.
-pub fn number(id: &str) -> u32 {
-    let hash = id.bytes().fold(0x811c_9dc5_u32, |h, b| {
-        (h ^ u32::from(b)).wrapping_mul(0x0100_0193)
+/// The id by which gateways refer to a host: a hash of its name (FNV-1a, folded to 24 bits), the
+/// same at every gateway.
+pub fn host_id(name: &str) -> u32 {
+    let hash = name.bytes().fold(0x811c_9dc5_u32, |hash, byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
     });
     (hash >> 24) ^ (hash & 0xff_ffff)
 }
 
-/// The datagram of a message; of findings beyond [`MOST`], the first ones.
+/// Encodes a message. Results beyond [`MAX_RESULTS`] are left out.
 pub fn encode(message: &Message) -> Vec<u8> {
-    let at_ms = message.at.div_euclid(MS);
-    let mut out = Vec::with_capacity(HEAD + EACH * message.findings.len().min(MOST));
-    out.push(VERSION);
-    out.extend_from_slice(&(at_ms as u32).to_be_bytes());
-    for f in message.findings.iter().take(MOST) {
-        out.extend_from_slice(&f.host.to_be_bytes()[1..]);
-        // A position is rounded down: one that is rounded up would claim commits that are not there.
-        let behind = f.position.map(|p| at_ms - p.div_euclid(MS));
-        let lag = behind.map_or(UNKNOWN_LAG, |ms| ms.clamp(0, i64::from(UNKNOWN_LAG)) as u16);
-        out.extend_from_slice(&lag.to_be_bytes());
-        let in_use = f.in_use.filter(|u| u.is_finite());
-        let hundredths =
-            in_use.map_or(UNKNOWN_USE, |u| (u * 100.0).round().clamp(0.0, 126.0) as u8);
-        out.push(hundredths | if f.primary { PRIMARY } else { 0 });
+    let checked_at_ms = message.checked_at.div_euclid(NANOS_PER_MS);
+    let results = &message.results[..message.results.len().min(MAX_RESULTS)];
+    let mut datagram = Vec::with_capacity(HEADER_BYTES + RESULT_BYTES * results.len());
+    datagram.push(VERSION);
+    datagram.extend_from_slice(&(checked_at_ms as u32).to_be_bytes());
+    for result in results {
+        let [_, host_bytes @ ..] = result.host.to_be_bytes();
+        datagram.extend_from_slice(&host_bytes);
+        datagram.extend_from_slice(&encode_lag(result.position, checked_at_ms).to_be_bytes());
+        let primary_bit = if result.primary { PRIMARY_BIT } else { 0 };
+        datagram.push(encode_cores_in_use(result.cores_in_use) | primary_bit);
     }
-    out
+    datagram
+}
+
+/// How far a position is behind the time of the checks, in milliseconds. The position is rounded
+/// down: rounded up, it would claim commits that the host has not applied.
+fn encode_lag(position: Option<Nanos>, checked_at_ms: i64) -> u16 {
+    position.map_or(UNKNOWN_LAG, |position| {
+        let lag_ms = checked_at_ms - position.div_euclid(NANOS_PER_MS);
+        lag_ms.clamp(0, i64::from(UNKNOWN_LAG)) as u16
+    })
+}
+
+/// The share of cores in use in hundredths. A value that is not finite is encoded as unknown.
+fn encode_cores_in_use(cores_in_use: Option<f64>) -> u8 {
+    cores_in_use
+        .filter(|share| share.is_finite())
+        .map_or(UNKNOWN_CORES_IN_USE, |share| {
+            (share * 100.0).round().clamp(0.0, MAX_CORES_IN_USE) as u8
+        })
 }
 
-/// Reads a datagram.
+/// Decodes a datagram. `now` is the time of the receiver, in nanoseconds of Unix time.
 ///
 /// # Errors
 ///
-/// Anything that [`encode`] does not write, and what is too old or lies ahead of the clock.
-pub fn decode(datagram: &[u8], now: i64) -> Result<Message, Malformed> {
-    let body = datagram
-        .len()
-        .checked_sub(HEAD)
-        .filter(|n| *n > 0 && n % EACH == 0);
-    if body.is_none() || datagram.len() > LONGEST {
-        return Err(Malformed::Length);
+/// [`encode`] does not produce such a datagram, or its checks are too old or in the future.
+pub fn decode(datagram: &[u8], now: i64) -> Result<Message, DecodeError> {
+    let results_bytes = datagram.len().saturating_sub(HEADER_BYTES);
+    if results_bytes == 0
+        || !results_bytes.is_multiple_of(RESULT_BYTES)
+        || datagram.len() > MAX_DATAGRAM_BYTES
+    {
+        return Err(DecodeError::Length);
     }
     if datagram[0] != VERSION {
-        return Err(Malformed::Version);
+        return Err(DecodeError::Version);
     }
-    let now_ms = now.div_euclid(MS);
-    let told = u32::from_be_bytes([datagram[1], datagram[2], datagram[3], datagram[4]]);
-    // The time nearest to now that has these lower bits.
-    let at_ms = now_ms - i64::from((now_ms as u32).wrapping_sub(told) as i32);
-    let at = at_ms * MS;
-    if at < now - OLDEST {
-        return Err(Malformed::Old);
+    let time_bits = u32::from_be_bytes([datagram[1], datagram[2], datagram[3], datagram[4]]);
+    let checked_at_ms = nearest_time_ms(now.div_euclid(NANOS_PER_MS), time_bits);
+    let checked_at = checked_at_ms * NANOS_PER_MS;
+    if checked_at < now - MAX_AGE {
+        return Err(DecodeError::Old);
     }
-    if at > now + AHEAD {
-        return Err(Malformed::Future);
+    if checked_at > now + MAX_CLOCK_SKEW {
+        return Err(DecodeError::Future);
     }
-    let finding = |b: &[u8]| {
-        let lag = u16::from_be_bytes([b[3], b[4]]);
-        let in_use = b[5] & !PRIMARY;
-        Finding {
-            host: u32::from_be_bytes([0, b[0], b[1], b[2]]),
-            position: (lag != UNKNOWN_LAG).then(|| (at_ms - i64::from(lag)) * MS),
-            primary: b[5] & PRIMARY != 0,
-            in_use: (in_use != UNKNOWN_USE).then(|| f64::from(in_use) / 100.0),
-        }
-    };
+    let results = datagram[HEADER_BYTES..]
+        .chunks_exact(RESULT_BYTES)
+        .map(|bytes| decode_result(bytes, checked_at_ms))
+        .collect();
     Ok(Message {
-        at,
-        findings: datagram[HEAD..].chunks_exact(EACH).map(finding).collect(),
+        checked_at,
+        results,
     })
 }
+
+/// The time nearest to `now_ms` that has these lower 32 bits.
+fn nearest_time_ms(now_ms: i64, time_bits: u32) -> i64 {
+    now_ms - i64::from((now_ms as u32).wrapping_sub(time_bits) as i32)
+}
+
+/// Decodes the six bytes of one result.
+fn decode_result(bytes: &[u8], checked_at_ms: i64) -> HealthCheckResult {
+    let lag = u16::from_be_bytes([bytes[3], bytes[4]]);
+    let hundredths = bytes[5] & !PRIMARY_BIT;
+    HealthCheckResult {
+        host: u32::from_be_bytes([0, bytes[0], bytes[1], bytes[2]]),
+        position: (lag != UNKNOWN_LAG).then(|| (checked_at_ms - i64::from(lag)) * NANOS_PER_MS),
+        primary: bytes[5] & PRIMARY_BIT != 0,
+        cores_in_use: (hundredths != UNKNOWN_CORES_IN_USE).then(|| f64::from(hundredths) / 100.0),
+    }
+}
--- a/crates/gossip/tests/health_check_schedule.rs
+++ b/crates/gossip/tests/health_check_schedule.rs
@@ -1,100 +1,126 @@
-//! Fleets that ask their sets, with deaths and losses, in a time of their own.
+//! Fleets of schedules in virtual time, with gateways that die and results that are lost.
 
 use irisrouter_gossip::health_check_schedule::HealthCheckSchedule;
 use std::collections::BTreeMap;
 
-const MS: i64 = 1_000_000;
-const SETS: [i64; 12] = [0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11];
+const NANOS_PER_MS: i64 = 1_000_000;
+const GROUPS: [i64; 12] = [0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11];
+/// How long a result takes to reach the other gateways.
+const DELAY_MS: i64 = 30;
 
-/// Steps a fleet in whole milliseconds; word takes 30 ms. Returns when each set was asked.
-fn run(
-    gateways: u32,
-    until: i64,
-    lives: impl Fn(u32, i64) -> bool,
-    hears: impl Fn(u32, u32) -> bool,
+/// The notice of a round, on its way to the other gateways.
+struct RoundNotice {
+    arrives_at: i64,
+    group: i64,
+    gateway: u32,
+    started_at: i64,
+}
+
+/// Runs a fleet in steps of a millisecond. Returns for each group when its rounds started, in
+/// milliseconds.
+fn run_fleet(
+    gateway_count: u32,
+    duration_ms: i64,
+    is_alive: impl Fn(u32, i64) -> bool,
+    reaches: impl Fn(u32, u32) -> bool,
 ) -> BTreeMap<i64, Vec<i64>> {
-    let mut fleet: Vec<HealthCheckSchedule> = (0..gateways)
-        .map(|g| HealthCheckSchedule::new(g, gateways))
+    let mut fleet: Vec<HealthCheckSchedule> = (0..gateway_count)
+        .map(|gateway| HealthCheckSchedule::new(gateway, gateway_count))
         .collect();
-    fleet.iter_mut().for_each(|d| d.sets(0, &SETS));
-    let mut asked: BTreeMap<i64, Vec<i64>> = BTreeMap::new();
-    let mut word: Vec<(i64, i64, u32, i64)> = Vec::new();
-    for ms in 0..until {
-        let now = ms * MS;
-        for &(_, set, by, at) in word.iter().filter(|w| w.0 == now) {
-            (0..gateways)
-                .filter(|&g| g != by && hears(by, g))
-                .for_each(|g| fleet[g as usize].heard(set, by, at));
+    for schedule in &mut fleet {
+        schedule.update_groups(0, &GROUPS);
+    }
+    let mut round_starts: BTreeMap<i64, Vec<i64>> = BTreeMap::new();
+    let mut notices: Vec<RoundNotice> = Vec::new();
+    for now_ms in 0..duration_ms {
+        let now = now_ms * NANOS_PER_MS;
+        for notice in notices.iter().filter(|notice| notice.arrives_at == now) {
+            let sender = notice.gateway;
+            for receiver in (0..gateway_count).filter(|&to| to != sender && reaches(sender, to)) {
+                fleet[receiver as usize].record_round(notice.group, sender, notice.started_at);
+            }
         }
-        word.retain(|w| w.0 > now);
-        for g in (0..gateways).filter(|&g| lives(g, ms)) {
-            for set in fleet[g as usize].due(now) {
-                asked.entry(set).or_default().push(ms);
-                word.push((now + 30 * MS, set, g, now));
+        notices.retain(|notice| notice.arrives_at > now);
+        for gateway in (0..gateway_count).filter(|&gateway| is_alive(gateway, now_ms)) {
+            for group in fleet[gateway as usize].start_due_rounds(now) {
+                round_starts.entry(group).or_default().push(now_ms);
+                notices.push(RoundNotice {
+                    arrives_at: now + DELAY_MS * NANOS_PER_MS,
+                    group,
+                    gateway,
+                    started_at: now,
+                });
             }
         }
     }
-    asked
+    round_starts
 }
 
-fn gap(times: &[i64], from: i64) -> i64 {
-    times
+/// The longest time between two rounds, from the first round at or after `from`.
+fn longest_gap(round_starts: &[i64], from: i64) -> i64 {
+    round_starts
         .windows(2)
-        .filter(|w| w[0] >= from)
-        .map(|w| w[1] - w[0])
+        .filter(|pair| pair[0] >= from)
+        .map(|pair| pair[1] - pair[0])
         .max()
         .unwrap_or(i64::MAX)
 }
 
-/// Guards against probes that grow with the gateways.
+/// The number of health checks must not grow with the number of gateways.
 #[test]
-fn a_set_is_asked_once_a_period_however_many_gateways_there_are() {
+fn group_is_checked_once_a_period_for_any_number_of_gateways() {
     for gateways in [1, 2, 10, 100] {
-        for (set, times) in run(gateways, 4_000, |_, _| true, |_, _| true) {
+        for (group, starts) in run_fleet(gateways, 4_000, |_, _| true, |_, _| true) {
             assert!(
-                (19..=22).contains(&times.len()),
-                "{gateways} gateways, set {set}: {times:?}"
+                (19..=22).contains(&starts.len()),
+                "{gateways} gateways, group {group}: {starts:?}"
             );
             assert!(
-                gap(&times, 0) <= 300,
-                "{gateways} gateways, set {set}: {times:?}"
+                longest_gap(&starts, 0) <= 300,
+                "{gateways} gateways, group {group}: {starts:?}"
             );
         }
     }
 }
 
-/// Guards against sets that nobody asks after most of the gateways were killed at once.
+/// No group may stay unchecked after most of the gateways were killed at once.
 #[test]
-fn sets_are_taken_over_when_nine_in_ten_gateways_die() {
-    let asked = run(100, 6_000, |g, ms| ms < 2_000 || g % 10 == 3, |_, _| true);
-    assert_eq!(asked.len(), SETS.len());
-    for (set, times) in asked {
-        assert!(gap(&times, 0) <= 200 + 60 * 60, "set {set}: {times:?}");
+fn groups_are_taken_over_when_nine_in_ten_gateways_die() {
+    let is_alive = |gateway, now_ms| now_ms < 2_000 || gateway % 10 == 3;
+    let round_starts = run_fleet(100, 6_000, is_alive, |_, _| true);
+    assert_eq!(round_starts.len(), GROUPS.len());
+    for (group, starts) in round_starts {
+        assert!(
+            longest_gap(&starts, 0) <= 200 + 60 * 60,
+            "group {group}: {starts:?}"
+        );
         assert!(
-            gap(&times, 5_000) <= 210,
-            "the next asker keeps it, set {set}: {times:?}"
+            longest_gap(&starts, 5_000) <= 210,
+            "the next gateway goes on with the rounds, group {group}: {starts:?}"
         );
     }
 }
 
-/// Guards against gateways that rely on others that they cannot hear.
+/// A gateway must not rely on others whose results do not reach it.
 #[test]
-fn a_gateway_that_hears_nobody_asks_for_itself() {
-    let asked = run(2, 4_000, |_, _| true, |_, _| false);
+fn gateways_run_their_own_rounds_when_no_results_arrive() {
+    let round_starts = run_fleet(2, 4_000, |_, _| true, |_, _| false);
     assert!(
-        asked.values().all(|times| (36..=44).contains(&times.len())),
-        "{asked:?}"
+        round_starts
+            .values()
+            .all(|starts| (36..=44).contains(&starts.len())),
+        "{round_starts:?}"
     );
 }
 
-/// Guards against late word that takes a duty back.
+/// A late datagram must not move the next round.
 #[test]
-fn older_word_changes_nothing() {
-    let mut d = HealthCheckSchedule::new(0, 2);
-    d.sets(0, &[5]);
-    d.heard(5, 1, 900 * MS);
-    let next = d.next();
-    d.heard(5, 0, 400 * MS);
-    d.heard(6, 1, 950 * MS);
-    assert_eq!(d.next(), next);
+fn schedule_ignores_a_round_that_started_before_the_latest() {
+    let mut schedule = HealthCheckSchedule::new(0, 2);
+    schedule.update_groups(0, &[5]);
+    schedule.record_round(5, 1, 900 * NANOS_PER_MS);
+    let next_due = schedule.next_due();
+    schedule.record_round(5, 0, 400 * NANOS_PER_MS);
+    schedule.record_round(6, 1, 950 * NANOS_PER_MS);
+    assert_eq!(schedule.next_due(), next_due);
 }
--- a/crates/gossip/tests/message.rs
+++ b/crates/gossip/tests/message.rs
@@ -1,87 +1,107 @@
-//! Messages both ways, and bytes that are none.
+//! Messages encoded and decoded again, and bytes that are no message.
 
-use irisrouter_gossip::message::*;
+use irisrouter_gossip::message::{
+    decode, encode, DecodeError, HealthCheckResult, Message, MAX_DATAGRAM_BYTES, MAX_RESULTS,
+};
 use proptest::prelude::*;
 
-const MS: i64 = 1_000_000;
-const NOW: i64 = 1_796_150_039_316 * MS;
+const NANOS_PER_MS: i64 = 1_000_000;
+const NOW: i64 = 1_796_150_039_316 * NANOS_PER_MS;
 
-fn finding() -> impl Strategy<Value = Finding> {
+fn result() -> impl Strategy<Value = HealthCheckResult> {
     (
         0u32..1 << 24,
         proptest::option::of(0i64..65_535),
         any::<bool>(),
         proptest::option::of(0u8..=126),
     )
-        .prop_map(|(host, lag, primary, in_use)| Finding {
+        .prop_map(|(host, lag_ms, primary, hundredths)| HealthCheckResult {
             host,
-            position: lag.map(|ms| NOW - ms * MS),
+            position: lag_ms.map(|lag_ms| NOW - lag_ms * NANOS_PER_MS),
             primary,
-            in_use: in_use.map(|u| f64::from(u) / 100.0),
+            cores_in_use: hundredths.map(|hundredths| f64::from(hundredths) / 100.0),
         })
 }
 
 proptest! {
     #[test]
-    fn a_message_comes_back_as_it_was(findings in proptest::collection::vec(finding(), 1..=MOST), later in 0i64..4_000) {
-        let message = Message { at: NOW, findings };
+    fn message_is_unchanged_when_encoded_and_decoded(
+        results in proptest::collection::vec(result(), 1..=MAX_RESULTS),
+        later_ms in 0i64..4_000,
+    ) {
+        let message = Message { checked_at: NOW, results };
         let datagram = encode(&message);
-        prop_assert!(datagram.len() <= LONGEST);
-        prop_assert_eq!(decode(&datagram, NOW + later * MS), Ok(message));
+        prop_assert!(datagram.len() <= MAX_DATAGRAM_BYTES);
+        prop_assert_eq!(decode(&datagram, NOW + later_ms * NANOS_PER_MS), Ok(message));
     }
 
     #[test]
-    fn any_bytes_are_read_or_turned_down_and_no_position_lies_ahead(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
-        if let Ok(m) = decode(&bytes, NOW) {
-            prop_assert!(m.findings.len() <= MOST && m.at <= NOW + 20 * MS && m.at >= NOW - 5_000 * MS);
-            prop_assert!(m.findings.iter().all(|f| f.position.is_none_or(|p| p <= m.at)));
+    fn decode_returns_no_position_in_the_future_for_any_bytes(
+        bytes in proptest::collection::vec(any::<u8>(), 0..300),
+    ) {
+        if let Ok(message) = decode(&bytes, NOW) {
+            prop_assert!(message.results.len() <= MAX_RESULTS);
+            prop_assert!(message.checked_at <= NOW + 20 * NANOS_PER_MS);
+            prop_assert!(message.checked_at >= NOW - 5_000 * NANOS_PER_MS);
+            for result in &message.results {
+                prop_assert!(result.position.is_none_or(|position| position <= message.checked_at));
+            }
         }
     }
 }
 
 #[test]
-fn what_is_cut_too_long_of_another_version_old_or_ahead_is_turned_down() {
-    let one = Finding {
+fn decode_rejects_datagrams_of_wrong_length_version_or_time() {
+    let result = HealthCheckResult {
         host: 7,
         position: Some(NOW),
         primary: true,
-        in_use: None,
+        cores_in_use: None,
     };
-    let good = encode(&Message {
-        at: NOW,
-        findings: vec![one],
+    let valid = encode(&Message {
+        checked_at: NOW,
+        results: vec![result],
     });
-    for cut in 0..good.len() {
+    for length in 0..valid.len() {
         assert_eq!(
-            decode(&good[..cut], NOW),
-            Err(Malformed::Length),
-            "{cut} bytes"
+            decode(&valid[..length], NOW),
+            Err(DecodeError::Length),
+            "{length} bytes"
         );
     }
-    assert_eq!(decode(&[1; 257], NOW), Err(Malformed::Length));
-    let mut other = good.clone();
-    other[0] = 2;
-    assert_eq!(decode(&other, NOW), Err(Malformed::Version));
-    assert_eq!(decode(&good, NOW + 6_000 * MS), Err(Malformed::Old));
-    assert_eq!(decode(&good, NOW - 60 * MS), Err(Malformed::Future));
+    assert_eq!(decode(&[1; 257], NOW), Err(DecodeError::Length));
+    let mut other_version = valid.clone();
+    other_version[0] = 2;
+    assert_eq!(decode(&other_version, NOW), Err(DecodeError::Version));
+    let much_later = NOW + 6_000 * NANOS_PER_MS;
+    assert_eq!(decode(&valid, much_later), Err(DecodeError::Old));
+    let earlier = NOW - 60 * NANOS_PER_MS;
+    assert_eq!(decode(&valid, earlier), Err(DecodeError::Future));
     assert!(
-        decode(&good, NOW - 10 * MS).is_ok(),
+        decode(&valid, NOW - 10 * NANOS_PER_MS).is_ok(),
         "clocks differ a little"
     );
 }
 
 #[test]
-fn figures_that_are_not_finite_and_positions_out_of_range_are_not_told() {
-    let odd = |position, in_use| Finding {
+fn encode_sends_unknown_when_values_are_not_finite_or_out_of_range() {
+    let result = |position, cores_in_use| HealthCheckResult {
         host: 1,
         position,
         primary: false,
-        in_use,
+        cores_in_use,
     };
-    let findings = vec![
-        odd(Some(NOW - 100_000 * MS), Some(f64::NAN)),
-        odd(Some(NOW + MS), Some(f64::INFINITY)),
+    let results = vec![
+        result(Some(NOW - 100_000 * NANOS_PER_MS), Some(f64::NAN)),
+        result(Some(NOW + NANOS_PER_MS), Some(f64::INFINITY)),
     ];
-    let back = decode(&encode(&Message { at: NOW, findings }), NOW).unwrap();
-    assert_eq!(back.findings, vec![odd(None, None), odd(Some(NOW), None)]);
+    let message = Message {
+        checked_at: NOW,
+        results,
+    };
+    let decoded = decode(&encode(&message), NOW).expect("an encoded message decodes");
+    assert_eq!(
+        decoded.results,
+        [result(None, None), result(Some(NOW), None)]
+    );
 }
--- a/crates/site-failover/src/codec.rs
+++ b/crates/site-failover/src/codec.rs
@@ -1,136 +1,179 @@
-//! The datagrams of plans and tallies: bounded and versioned. Parts go in 1/65535, rounded down, so that what is read never
-//! adds up to more than what was planned; budgets in thousandths of a request a second.
+//! The datagrams of plans and site load reports. They are bounded and versioned; numbers are
+//! big-endian.
 //!
 //! ```text
-//! 0      magic and version: 0xD2 (`irisrouter-datagram` has the list of those that share the peer socket)
-//! 1      kind: 0 a plan, 1 a tally
-//! a plan:
-//! 2..10  epoch   10..14 number   14..18 gateways   18..22 pause (ms)   22 sites (n)   23 classes (m)
-//! then   n times: state (0 up, 1 lost, 2 returning), budget (u32), ramp (u16), n parts (u16 each)
-//! then   m parts (u16 each)
-//! a tally:
-//! 2      site   3..5 period (ms)   5 sites (n)   6 classes (m)
-//! then   n times: hosts, silent, sent, answered (u16 each); m times: arrived (u16)
+//! 0       magic and version: 0xD2 (`irisrouter-datagram` lists all magic bytes on the peer socket)
+//! 1       kind: 0 plan, 1 load report
+//!
+//! plan:
+//! 2..10   epoch
+//! 10..14  sequence
+//! 14..18  number of gateways
+//! 18..22  retry delay in milliseconds
+//! 22      number of sites (n)
+//! 23      number of classes (m)
+//! then    n times: state (0 up, 1 lost, 2 recovering), budget (u32), recovery ramp (u16),
+//!         n shares of the load distribution (u16 each)
+//! then    m admitted shares (u16 each)
+//!
+//! load report:
+//! 2       site of the gateway
+//! 3..5    period in milliseconds
+//! 5       number of sites (n)
+//! 6       number of classes (m)
+//! then    n times: hosts, silent hosts, requests sent, requests answered (u16 each)
+//! then    m times: requests arrived (u16)
 //! ```
 //!
-//! Eight sites and sixteen classes make 24 + 8 * 23 + 32 = 240 bytes.
+//! Shares are sent in units of 1/65535 and budgets in thousandths of a request per second. Both are
+//! rounded down, so that a decoded plan never assigns more than the planner did. A plan of eight
+//! sites and sixteen classes has 24 + 8 * 23 + 32 = 240 bytes.
 
 use crate::load_report::{SiteLoadReport, SiteReachability};
-use crate::planner::State;
-use crate::{Plan, SitePlan, MOST_CLASSES, MOST_SITES};
+use crate::{Plan, PlanVersion, SitePlan, SiteState, MAX_CLASSES, MAX_SITES};
 use bytes::BufMut;
 use irisrouter_datagram::Reader;
 
 pub use irisrouter_datagram::magic::SITE_FAILOVER as MAGIC;
 pub use irisrouter_datagram::{WireError, MAX_DATAGRAM_BYTES};
-const WHOLE: f64 = 65_535.0;
-const THOUSAND: f64 = 1_000.0;
-const PLAN: u8 = 0;
-const TALLY: u8 = 1;
 
-/// What a datagram carries.
+const PLAN_KIND: u8 = 0;
+const LOAD_REPORT_KIND: u8 = 1;
+const STATE_UP: u8 = 0;
+const STATE_LOST: u8 = 1;
+const STATE_RECOVERING: u8 = 2;
+/// A share of 1 in the units in which shares are sent.
+const SHARE_UNITS: f64 = 65_535.0;
+/// One request per second in the units in which budgets are sent.
+const BUDGET_UNITS: f64 = 1_000.0;
+/// Tolerance for adding up shares, far below one unit. Each share was rounded down, so the shares
+/// of a valid plan add up to more than 1 by floating-point error only.
+const SHARE_SUM_TOLERANCE: f64 = 1e-9;
+
+/// A decoded datagram.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Message {
-    /// A plan, to be followed.
+    /// A plan, for all gateways.
     Plan(Plan),
-    /// A gateway's tally, for whoever plans.
+    /// A gateway's load report, for the planner.
     SiteLoadReport(SiteLoadReport),
 }
 
-/// Whether a datagram is of plans, in whatever version.
+/// Whether a datagram belongs to site failover, in whatever version.
 #[must_use]
 pub fn recognizes(datagram: &[u8]) -> bool {
     irisrouter_datagram::is(datagram, MAGIC)
 }
 
-fn part(value: f64) -> u16 {
-    // Within bounds, and rounded down, by the clamp.
-    (value.clamp(0.0, 1.0) * WHOLE) as u16
-}
-
-/// The bytes of a tally; what is beyond the bounds of sites and classes is left out.
+/// Encodes a load report. Sites beyond [`MAX_SITES`] and classes beyond [`MAX_CLASSES`] are left
+/// out.
 #[must_use]
-pub fn encode_tally(load_report: &SiteLoadReport) -> Vec<u8> {
-    let sites = &load_report.sites[..load_report.sites.len().min(MOST_SITES)];
-    let classes = &load_report.arrived[..load_report.arrived.len().min(MOST_CLASSES)];
-    let mut buf = vec![MAGIC, TALLY, load_report.site];
-    buf.put_u16(load_report.period_ms);
-    // At most 8 and 16.
-    buf.put_u8(sites.len() as u8);
-    buf.put_u8(classes.len() as u8);
-    let reach = |r: &SiteReachability| [r.hosts, r.silent, r.sent, r.answered];
-    sites.iter().flat_map(reach).for_each(|n| buf.put_u16(n));
-    classes.iter().for_each(|&n| buf.put_u16(n));
-    buf
+pub fn encode_load_report(report: &SiteLoadReport) -> Vec<u8> {
+    let sites = &report.sites[..report.sites.len().min(MAX_SITES)];
+    let arrived = &report.arrived[..report.arrived.len().min(MAX_CLASSES)];
+    let mut buffer = vec![MAGIC, LOAD_REPORT_KIND, report.site];
+    buffer.put_u16(report.period_ms);
+    put_counts(&mut buffer, sites.len(), arrived.len());
+    for site in sites {
+        buffer.put_u16(site.hosts);
+        buffer.put_u16(site.silent);
+        buffer.put_u16(site.sent);
+        buffer.put_u16(site.answered);
+    }
+    for &count in arrived {
+        buffer.put_u16(count);
+    }
+    buffer
 }
 
-/// The bytes of a plan; what is beyond the bounds of sites and classes is left out.
+/// Encodes a plan. Sites beyond [`MAX_SITES`] and classes beyond [`MAX_CLASSES`] are left out.
 #[must_use]
-pub fn encode(plan: &Plan) -> Vec<u8> {
-    let sites = &plan.sites[..plan.sites.len().min(MOST_SITES)];
-    let classes = &plan.admitted[..plan.admitted.len().min(MOST_CLASSES)];
-    let mut buf = Vec::with_capacity(MAX_DATAGRAM_BYTES);
-    buf.put_u8(MAGIC);
-    buf.put_u8(PLAN);
-    buf.put_u64(plan.epoch);
-    buf.put_u32(plan.number);
-    buf.put_u32(plan.gateways);
-    buf.put_u32(plan.pause_ms);
-    // At most 8 and 16.
-    buf.put_u8(sites.len() as u8);
-    buf.put_u8(classes.len() as u8);
+pub fn encode_plan(plan: &Plan) -> Vec<u8> {
+    let sites = &plan.sites[..plan.sites.len().min(MAX_SITES)];
+    let admitted = &plan.admitted_share[..plan.admitted_share.len().min(MAX_CLASSES)];
+    let mut buffer = Vec::with_capacity(MAX_DATAGRAM_BYTES);
+    buffer.put_u8(MAGIC);
+    buffer.put_u8(PLAN_KIND);
+    buffer.put_u64(plan.version.epoch);
+    buffer.put_u32(plan.version.sequence);
+    buffer.put_u32(plan.gateway_count);
+    buffer.put_u32(plan.retry_after_ms);
+    put_counts(&mut buffer, sites.len(), admitted.len());
     for site in sites {
-        buf.put_u8(match site.state {
-            State::Up => 0,
-            State::Lost => 1,
-            State::Returning => 2,
-        });
-        buf.put_u32((site.budget * THOUSAND).clamp(0.0, f64::from(u32::MAX)) as u32);
-        buf.put_u16(part(site.ramp));
-        for to in 0..sites.len() {
-            buf.put_u16(part(site.goes.get(to).copied().unwrap_or(0.0)));
-        }
+        put_site_plan(&mut buffer, site, sites.len());
+    }
+    for &share in admitted {
+        buffer.put_u16(share_units(share));
     }
-    classes.iter().for_each(|&a| buf.put_u16(part(a)));
-    buf
+    buffer
 }
 
-/// Reads a datagram.
+/// Decodes a datagram.
 ///
 /// # Errors
-/// Why the bytes are none.
-pub fn decode(bytes: &[u8]) -> Result<Message, WireError> {
-    let mut from = Reader::new(bytes, MAGIC)?;
-    match from.u8()? {
-        PLAN => plan(from).map(Message::Plan),
-        TALLY => load_report(from).map(Message::SiteLoadReport),
+/// The bytes are not a plan or a load report of this version.
+pub fn decode(datagram: &[u8]) -> Result<Message, WireError> {
+    let mut reader = Reader::new(datagram, MAGIC)?;
+    match reader.u8()? {
+        PLAN_KIND => decode_plan(reader).map(Message::Plan),
+        LOAD_REPORT_KIND => decode_load_report(reader).map(Message::SiteLoadReport),
         other => Err(WireError::Unknown("kind", other)),
     }
 }
 
-fn load_report(mut from: Reader<'_>) -> Result<SiteLoadReport, WireError> {
-    let (site, period_ms) = (from.u8()?, from.u16()?);
-    let (n, m) = (usize::from(from.u8()?), usize::from(from.u8()?));
-    if n > MOST_SITES || m > MOST_CLASSES || usize::from(site) >= MOST_SITES || period_ms == 0 {
+fn put_counts(buffer: &mut Vec<u8>, site_count: usize, class_count: usize) {
+    // At most 8 and 16.
+    buffer.put_u8(site_count as u8);
+    buffer.put_u8(class_count as u8);
+}
+
+fn put_site_plan(buffer: &mut Vec<u8>, site: &SitePlan, site_count: usize) {
+    buffer.put_u8(match site.state {
+        SiteState::Up => STATE_UP,
+        SiteState::Lost => STATE_LOST,
+        SiteState::Recovering => STATE_RECOVERING,
+    });
+    let budget_units = (site.budget_per_s * BUDGET_UNITS).clamp(0.0, f64::from(u32::MAX));
+    buffer.put_u32(budget_units as u32);
+    buffer.put_u16(share_units(site.recovery_ramp));
+    for target in 0..site_count {
+        let share = site.load_distribution.get(target).copied().unwrap_or(0.0);
+        buffer.put_u16(share_units(share));
+    }
+}
+
+/// Converts a share to the units in which it is sent, rounded down. The clamp keeps the result
+/// within 16 bits.
+fn share_units(share: f64) -> u16 {
+    (share.clamp(0.0, 1.0) * SHARE_UNITS) as u16
+}
+
+fn read_share(reader: &mut Reader<'_>) -> Result<f64, WireError> {
+    Ok(f64::from(reader.u16()?) / SHARE_UNITS)
+}
+
+fn read_shares(reader: &mut Reader<'_>, count: usize) -> Result<Vec<f64>, WireError> {
+    (0..count).map(|_| read_share(reader)).collect()
+}
+
+fn decode_load_report(mut reader: Reader<'_>) -> Result<SiteLoadReport, WireError> {
+    let site = reader.u8()?;
+    let period_ms = reader.u16()?;
+    let site_count = usize::from(reader.u8()?);
+    let class_count = usize::from(reader.u8()?);
+    let too_many = site_count > MAX_SITES || class_count > MAX_CLASSES;
+    if too_many || usize::from(site) >= MAX_SITES || period_ms == 0 {
         return Err(WireError::Value(
             "the number of sites or classes, the site or the period",
         ));
     }
-    let reach = |from: &mut Reader<'_>| {
-        Ok(SiteReachability {
-            hosts: from.u16()?,
-            silent: from.u16()?,
-            sent: from.u16()?,
-            answered: from.u16()?,
-        })
-    };
-    let sites = (0..n)
-        .map(|_| reach(&mut from))
+    let sites = (0..site_count)
+        .map(|_| read_reachability(&mut reader))
         .collect::<Result<Vec<_>, WireError>>()?;
-    let arrived = (0..m)
-        .map(|_| from.u16())
+    let arrived = (0..class_count)
+        .map(|_| reader.u16())
         .collect::<Result<Vec<_>, WireError>>()?;
-    from.end()?;
+    reader.end()?;
     Ok(SiteLoadReport {
         site,
         period_ms,
@@ -139,47 +182,58 @@
     })
 }
 
-fn plan(mut from: Reader<'_>) -> Result<Plan, WireError> {
-    let (epoch, number, gateways, pause_ms) = (from.u64()?, from.u32()?, from.u32()?, from.u32()?);
-    let (n, m) = (usize::from(from.u8()?), usize::from(from.u8()?));
-    if n > MOST_SITES || m > MOST_CLASSES || gateways == 0 {
+fn read_reachability(reader: &mut Reader<'_>) -> Result<SiteReachability, WireError> {
+    Ok(SiteReachability {
+        hosts: reader.u16()?,
+        silent: reader.u16()?,
+        sent: reader.u16()?,
+        answered: reader.u16()?,
+    })
+}
+
+fn decode_plan(mut reader: Reader<'_>) -> Result<Plan, WireError> {
+    let version = PlanVersion {
+        epoch: reader.u64()?,
+        sequence: reader.u32()?,
+    };
+    let gateway_count = reader.u32()?;
+    let retry_after_ms = reader.u32()?;
+    let site_count = usize::from(reader.u8()?);
+    let class_count = usize::from(reader.u8()?);
+    if site_count > MAX_SITES || class_count > MAX_CLASSES || gateway_count == 0 {
         return Err(WireError::Value("the number of sites, classes or gateways"));
     }
-    let part = |from: &mut Reader<'_>| Ok(f64::from(from.u16()?) / WHOLE);
-    let mut sites = Vec::with_capacity(n);
-    for _ in 0..n {
-        let state = match from.u8()? {
-            0 => State::Up,
-            1 => State::Lost,
-            2 => State::Returning,
-            other => return Err(WireError::Unknown("state", other)),
-        };
-        let budget = f64::from(from.u32()?) / THOUSAND;
-        let ramp = part(&mut from)?;
-        let goes = (0..n)
-            .map(|_| part(&mut from))
-            .collect::<Result<Vec<f64>, WireError>>()?;
-        // A little over one by rounding is none of ours: each part was rounded down.
-        if goes.iter().sum::<f64>() > 1.0 + 1e-9 {
-            return Err(WireError::Value("where a site's load goes"));
-        }
-        sites.push(SitePlan {
-            budget,
-            state,
-            ramp,
-            goes,
-        });
-    }
-    let admitted = (0..m)
-        .map(|_| part(&mut from))
-        .collect::<Result<Vec<f64>, WireError>>()?;
-    from.end()?;
+    let sites = (0..site_count)
+        .map(|_| read_site_plan(&mut reader, site_count))
+        .collect::<Result<Vec<_>, WireError>>()?;
+    let admitted_share = read_shares(&mut reader, class_count)?;
+    reader.end()?;
     Ok(Plan {
-        epoch,
-        number,
-        gateways,
+        version,
+        gateway_count,
         sites,
-        admitted,
-        pause_ms,
+        admitted_share,
+        retry_after_ms,
+    })
+}
+
+fn read_site_plan(reader: &mut Reader<'_>, site_count: usize) -> Result<SitePlan, WireError> {
+    let state = match reader.u8()? {
+        STATE_UP => SiteState::Up,
+        STATE_LOST => SiteState::Lost,
+        STATE_RECOVERING => SiteState::Recovering,
+        other => return Err(WireError::Unknown("state", other)),
+    };
+    let budget_per_s = f64::from(reader.u32()?) / BUDGET_UNITS;
+    let recovery_ramp = read_share(reader)?;
+    let load_distribution = read_shares(reader, site_count)?;
+    if load_distribution.iter().sum::<f64>() > 1.0 + SHARE_SUM_TOLERANCE {
+        return Err(WireError::Value("where a site's load goes"));
+    }
+    Ok(SitePlan {
+        budget_per_s,
+        state,
+        recovery_ramp,
+        load_distribution,
     })
 }
--- a/crates/site-failover/src/follower.rs
+++ b/crates/site-failover/src/follower.rs
@@ -1,69 +1,99 @@
-//! The following of plans, by every gateway.
+//! Follows plans, on every gateway.
 
 use crate::{Millis, Plan, Settings};
 
-/// The plan that a gateway follows.
+/// Whether a plan admits a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// The request is admitted.
+    Admitted,
+    /// The request is shed.
+    Rejected {
+        /// How long its client is to wait before it retries, in milliseconds.
+        retry_after_ms: u32,
+    },
+}
+
+/// A plan, and when it was received.
+#[derive(Debug, Clone)]
+struct ReceivedPlan {
+    received_at: Millis,
+    plan: Plan,
+}
+
+/// Holds the latest plan that a gateway received, and applies it until it expires.
 #[derive(Debug, Clone)]
 pub struct Follower {
-    plan: Option<(Millis, Plan)>,
-    stale_ms: u64,
+    latest: Option<ReceivedPlan>,
+    plan_expiry_ms: u64,
 }
 
 impl Follower {
-    /// None yet: all is as without plans.
+    /// A follower that has received no plan.
     #[must_use]
     pub const fn new(settings: &Settings) -> Self {
         Self {
-            plan: None,
-            stale_ms: settings.stale_ms,
+            latest: None,
+            plan_expiry_ms: settings.plan_expiry_ms,
         }
     }
 
-    /// A plan was made or heard. Returns whether it is followed from now on: an older one is not, whoever says it.
-    pub fn heard(&mut self, now: Millis, plan: Plan) -> bool {
-        let key = |p: &Plan| (p.epoch, p.number);
-        let later = self
-            .plan
+    /// Receives a plan, from this gateway's planner or from another gateway. Returns whether it is
+    /// followed from now on: a plan that is not later than the one followed is ignored, whoever
+    /// sent it.
+    pub fn receive(&mut self, now: Millis, plan: Plan) -> bool {
+        let is_later = self
+            .latest
             .as_ref()
-            .is_none_or(|(_, known)| key(&plan) > key(known));
-        if later {
-            self.plan = Some((now, plan));
+            .is_none_or(|latest| plan.version > latest.plan.version);
+        if is_later {
+            self.latest = Some(ReceivedPlan {
+                received_at: now,
+                plan,
+            });
         }
-        later
+        is_later
     }
 
-    /// The plan in force; none where nothing was heard, where all is as usual, or where it is too old. A gateway that is cut
-    /// off goes on with the last one until then.
+    /// The plan in force. There is none where no plan was received, where the latest one changes
+    /// nothing, or where it has expired. A gateway that is cut off follows the latest plan until
+    /// then.
     #[must_use]
-    pub fn plan(&self, now: Millis) -> Option<&Plan> {
-        let (at, plan) = self.plan.as_ref()?;
-        (now < at.saturating_add(self.stale_ms) && plan.in_force()).then_some(plan)
+    pub fn plan_in_force(&self, now: Millis) -> Option<&Plan> {
+        let latest = self.latest.as_ref()?;
+        let expires_at = latest.received_at.saturating_add(self.plan_expiry_ms);
+        (now < expires_at && latest.plan.in_force()).then_some(&latest.plan)
     }
 
-    /// Whether a request of a class is admitted; else the pause that its client is told, in milliseconds. `draw` is even in
-    /// [0, 1): all gateways admit the same part, each of its own requests, so that the sum is the plan's.
+    /// Whether a request of this class is admitted. `draw` is uniform in [0, 1): every gateway
+    /// admits the same share of its own requests, so that all gateways together admit the plan's
+    /// share.
     ///
-    /// # Errors
-    /// The pause: between one and two of the plan's, by the same draw, so that those refused together do not come again
-    /// together.
-    pub fn admit(&self, now: Millis, class: usize, draw: f64) -> Result<(), u32> {
-        let Some(plan) = self.plan(now) else {
-            return Ok(());
+    /// The retry delay is one to two times the plan's, by the same draw, so that clients rejected
+    /// together do not retry together.
+    #[must_use]
+    pub fn admit(&self, now: Millis, class: usize, draw: f64) -> Admission {
+        let Some(plan) = self.plan_in_force(now) else {
+            return Admission::Admitted;
         };
-        let part = plan.admitted.get(class).copied().unwrap_or(1.0);
-        if draw < part {
-            return Ok(());
+        let share = plan.admitted_share.get(class).copied().unwrap_or(1.0);
+        if draw < share {
+            return Admission::Admitted;
+        }
+        // A rejected request's draw is uniform in [share, 1): scaled to [0, 1] it serves as a
+        // second draw.
+        let spread = ((draw - share) / (1.0 - share).max(f64::EPSILON)).clamp(0.0, 1.0);
+        Admission::Rejected {
+            retry_after_ms: (f64::from(plan.retry_after_ms) * (1.0 + spread)) as u32,
         }
-        // What is left of the draw is even again.
-        let spread = ((draw - part) / (1.0 - part).max(f64::EPSILON)).clamp(0.0, 1.0);
-        Err((f64::from(plan.pause_ms) * (1.0 + spread)) as u32)
     }
 
-    /// This gateway's part of what may be sent to a site, a second; none where no plan binds it.
+    /// This gateway's part of the budget of a site, in requests per second; none where no plan
+    /// limits it.
     #[must_use]
-    pub fn share(&self, now: Millis, site: usize) -> Option<f64> {
-        let plan = self.plan(now)?;
-        let of = plan.sites.get(site)?;
-        Some(of.budget / f64::from(plan.gateways.max(1)))
+    pub fn gateway_budget_per_s(&self, now: Millis, site: usize) -> Option<f64> {
+        let plan = self.plan_in_force(now)?;
+        let site_plan = plan.sites.get(site)?;
+        Some(site_plan.budget_per_s / f64::from(plan.gateway_count.max(1)))
     }
 }
--- a/crates/site-failover/src/load_report.rs
+++ b/crates/site-failover/src/load_report.rs
@@ -1,103 +1,143 @@
-//! What each gateway tells the planner of sites, and the sum of it.
+//! Site load reports: what each gateway sends to the planner, and their sums over all gateways.
 //!
-//! A gateway tells what came to it by class, and of each site the hosts of which it has heard anything lately, how many of
-//! those are silent, and what it sent there and was answered. Hosts are counted, not named: sums over gateways are all
-//! that a plan needs, and one gateway with a bad link weighs as much as what it sees.
+//! A report carries the requests that arrived at its gateway by class, and for each site the hosts
+//! that the gateway observed lately, how many of those are silent, and how many requests it sent
+//! there and got answered. Hosts are counted and not named: a plan needs only sums over gateways,
+//! and a gateway with a bad link weighs no more than what it observes.
 
-use crate::{Millis, SiteSeen};
+use crate::{Millis, SiteObservation};
 use std::collections::BTreeMap;
 
-/// What a gateway saw of one site since its last tally.
+const MS_PER_S: f64 = 1_000.0;
+
+/// What a gateway observed of one site since its last report.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct SiteReachability {
-    /// Hosts of which it heard an answer or a failure lately.
+    /// Hosts that answered or failed lately.
     pub hosts: u16,
     /// Of those, the silent ones.
     pub silent: u16,
-    /// Requests sent there that ended.
+    /// Requests sent to the site that ended.
     pub sent: u16,
-    /// Of those, the ones that its hosts answered.
+    /// Of those, the ones that the site's hosts answered.
     pub answered: u16,
 }
 
-/// What a gateway tells.
+/// The load report of one gateway.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct SiteLoadReport {
-    /// The site where it stands.
+    /// The index of the gateway's own site.
     pub site: u8,
-    /// The time that it tells of.
+    /// The period that the report covers, in milliseconds.
     pub period_ms: u16,
-    /// Requests that came to it, by class.
+    /// Requests that arrived at the gateway during the period, by class.
     pub arrived: Vec<u16>,
-    /// By site.
+    /// What the gateway observed of each site, by the site's index.
     pub sites: Vec<SiteReachability>,
 }
 
-/// The last tally of each gateway.
+impl SiteLoadReport {
+    /// Converts a count of the report's period to requests per second.
+    fn rate_per_s(&self, count: u16) -> f64 {
+        f64::from(count) * MS_PER_S / f64::from(self.period_ms.max(1))
+    }
+
+    /// All requests that arrived at the gateway, per second.
+    fn load_per_s(&self) -> f64 {
+        self.arrived
+            .iter()
+            .map(|&count| self.rate_per_s(count))
+            .sum()
+    }
+}
+
+/// A load report, and when it was received.
+#[derive(Debug, Clone)]
+struct ReceivedReport {
+    received_at: Millis,
+    report: SiteLoadReport,
+}
+
+/// The latest load report of each gateway.
 #[derive(Debug, Clone, Default)]
 pub struct SiteLoadReports {
-    by: BTreeMap<u32, (Millis, SiteLoadReport)>,
+    by_gateway: BTreeMap<u32, ReceivedReport>,
 }
 
 impl SiteLoadReports {
-    /// A gateway tells; what it told before is over.
-    pub fn heard(&mut self, now: Millis, by: u32, load_report: SiteLoadReport) {
-        if load_report.period_ms > 0 {
-            self.by.insert(by, (now, load_report));
+    /// Records the report of a gateway, in place of its earlier one. A report that covers no time
+    /// is ignored.
+    pub fn record(&mut self, now: Millis, gateway: u32, report: SiteLoadReport) {
+        if report.period_ms > 0 {
+            let received = ReceivedReport {
+                received_at: now,
+                report,
+            };
+            self.by_gateway.insert(gateway, received);
         }
     }
 
-    /// Forgets gateways that have said nothing since then.
-    pub fn forget(&mut self, before: Millis) {
-        self.by.retain(|_, (at, _)| *at >= before);
+    /// Removes the reports received before this time.
+    pub fn remove_before(&mut self, time: Millis) {
+        self.by_gateway
+            .retain(|_, received| received.received_at >= time);
     }
 
-    /// Gateways that told anything.
+    /// The number of gateways that have a report.
     #[must_use]
-    pub fn gateways(&self) -> usize {
-        self.by.len()
+    pub fn gateway_count(&self) -> usize {
+        self.by_gateway.len()
     }
 
-    /// All sites, with what their hosts bear when warm.
+    /// What all gateways together observe of each site. `capacities_per_s` are the capacities of
+    /// the sites with warm hosts.
     #[must_use]
-    pub fn seen(&self, capacity: &[f64]) -> Vec<SiteSeen> {
-        let site = |(n, &capacity): (usize, &f64)| {
-            let reach = || self.by.values().filter_map(move |(_, t)| t.sites.get(n));
-            let sum =
-                |of: fn(&SiteReachability) -> u16| reach().map(|r| u32::from(of(r))).sum::<u32>();
-            let (sent, answered) = (sum(|r| r.sent), sum(|r| r.answered));
-            let own = self.by.values().filter(|(_, t)| usize::from(t.site) == n);
-            SiteSeen {
-                hosts: sum(|r| r.hosts),
-                silent: sum(|r| r.silent),
-                capacity,
-                load: own
-                    .map(|(_, t)| t.arrived.iter().map(|&a| rate(a, t)).sum::<f64>())
-                    .sum(),
-                answered: if sent == 0 {
-                    1.0
-                } else {
-                    f64::from(answered) / f64::from(sent)
-                },
-            }
-        };
-        capacity.iter().enumerate().map(site).collect()
+    pub fn observe_sites(&self, capacities_per_s: &[f64]) -> Vec<SiteObservation> {
+        let sites = capacities_per_s.iter().enumerate();
+        sites
+            .map(|(site, &capacity_per_s)| self.observe_site(site, capacity_per_s))
+            .collect()
     }
 
-    /// The rates of so many classes over all gateways, a second.
+    fn observe_site(&self, site: usize, capacity_per_s: f64) -> SiteObservation {
+        let sent = self.sum_over_gateways(site, |reachability| reachability.sent);
+        let answered = self.sum_over_gateways(site, |reachability| reachability.answered);
+        let own_reports = self
+            .reports()
+            .filter(|report| usize::from(report.site) == site);
+        SiteObservation {
+            hosts: self.sum_over_gateways(site, |reachability| reachability.hosts),
+            silent_hosts: self.sum_over_gateways(site, |reachability| reachability.silent),
+            capacity_per_s,
+            load_per_s: own_reports.map(SiteLoadReport::load_per_s).sum(),
+            answered_share: if sent == 0 {
+                1.0
+            } else {
+                f64::from(answered) / f64::from(sent)
+            },
+        }
+    }
+
+    /// The requests per second of each class over all gateways, for this many classes.
     #[must_use]
-    pub fn classes(&self, classes: usize) -> Vec<f64> {
-        let all = |class: usize| {
-            let each = self
-                .by
-                .values()
-                .filter_map(|(_, t)| Some(rate(*t.arrived.get(class)?, t)));
-            each.sum()
-        };
-        (0..classes).map(all).collect()
+    pub fn class_rates(&self, class_count: usize) -> Vec<f64> {
+        (0..class_count)
+            .map(|class| {
+                self.reports()
+                    .filter_map(|report| Some(report.rate_per_s(*report.arrived.get(class)?)))
+                    .sum()
+            })
+            .collect()
     }
-}
 
-fn rate(count: u16, of: &SiteLoadReport) -> f64 {
-    f64::from(count) * 1_000.0 / f64::from(of.period_ms.max(1))
+    fn reports(&self) -> impl Iterator<Item = &SiteLoadReport> {
+        self.by_gateway.values().map(|received| &received.report)
+    }
+
+    fn sum_over_gateways(&self, site: usize, count: fn(&SiteReachability) -> u16) -> u32 {
+        self.reports()
+            .filter_map(|report| report.sites.get(site))
+            .map(|reachability| u32::from(count(reachability)))
+            .sum()
+    }
 }
--- a/crates/site-failover/src/planner.rs
+++ b/crates/site-failover/src/planner.rs
@@ -1,251 +1,203 @@
-//! The making of plans, by the one gateway whose duty it is.
+//! Makes failover plans, on the one gateway that holds the lease for it.
 
-use crate::{Millis, Plan, Settings, SitePlan};
+use crate::site_tracker::SiteTracker;
+use crate::{Millis, Plan, PlanVersion, Settings, SettingsError};
+use crate::{SiteObservation, SitePlan, SiteState};
 
-/// How a site stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum State {
-    /// As usual.
-    Up,
-    /// Its hosts are silent.
-    Lost,
-    /// They are back, and led in along the ramp.
-    Returning,
+/// A site whose state changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SiteStateChange {
+    /// The site's index.
+    pub site: usize,
+    /// Its new state.
+    pub state: SiteState,
 }
 
-/// What the fleet's findings say of a site.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct SiteSeen {
-    /// Its hosts.
-    pub hosts: u32,
-    /// Of those, the silent ones.
-    pub silent: u32,
-    /// What its hosts bear when warm, a second.
-    pub capacity: f64,
-    /// What comes for it, a second: what its own gateways and clients send, wherever that goes now.
-    pub load: f64,
-    /// Part of what it was sent that it answered.
-    pub answered: f64,
-}
-
-#[derive(Debug, Clone)]
-struct Site {
-    state: State,
-    /// Since when what is seen speaks for another state.
-    doubt: Option<Millis>,
-    /// How far its return has come, in milliseconds in which it answered.
-    ramp: u64,
-    seen: SiteSeen,
-}
-
-/// Decides how each site stands, and makes plans.
+/// Decides which sites are lost or recovering, and makes plans.
 #[derive(Debug, Clone)]
 pub struct Planner {
     settings: Settings,
-    sites: Vec<Site>,
-    last: Option<Millis>,
-    number: u32,
+    sites: Vec<SiteTracker>,
+    last_observed: Option<Millis>,
+    /// The sequence number of the last plan.
+    sequence: u32,
 }
 
 impl Planner {
-    /// All sites up, and nothing seen.
+    /// A planner that has observed nothing and takes all sites to be up.
     ///
     /// # Errors
-    /// The settings do not pass their check.
-    pub fn new(settings: Settings) -> Result<Self, String> {
+    /// The settings do not pass [`Settings::check`].
+    pub fn new(settings: Settings) -> Result<Self, SettingsError> {
         settings.check()?;
-        let none = SiteSeen {
-            hosts: 0,
-            silent: 0,
-            capacity: 0.0,
-            load: 0.0,
-            answered: 1.0,
-        };
-        let site = Site {
-            state: State::Up,
-            doubt: None,
-            ramp: 0,
-            seen: none,
-        };
-        let sites = vec![site; settings.prefer.len()];
         Ok(Self {
+            sites: vec![SiteTracker::new(); settings.preferred_sites.len()],
             settings,
-            sites,
-            last: None,
-            number: 0,
+            last_observed: None,
+            sequence: 0,
         })
     }
 
-    /// Goes on from a plan that another gateway made: a duty that changes hands must not begin every ramp again, nor take a
-    /// returning site for a warm one.
+    /// Continues from a plan that another gateway made. When the lease changes hands, the states of
+    /// the sites are carried over: a recovering site must not be taken for one that is up and warm.
     pub fn resume(&mut self, plan: &Plan) {
-        for (site, told) in self.sites.iter_mut().zip(&plan.sites) {
-            site.state = told.state;
-            // What of the ramp is done is not told; from its beginning is the safe side.
-            site.ramp = 0;
+        for (tracker, site_plan) in self.sites.iter_mut().zip(&plan.sites) {
+            tracker.resume(site_plan.state);
         }
     }
 
-    /// How a site stands.
+    /// The state of a site; none where there is no such site.
     #[must_use]
-    pub fn state(&self, site: usize) -> Option<State> {
-        self.sites.get(site).map(|s| s.state)
+    pub fn state(&self, site: usize) -> Option<SiteState> {
+        self.sites.get(site).map(SiteTracker::state)
     }
 
-    /// What is seen of each site now. Returns the sites whose state changed.
-    pub fn observe(&mut self, now: Millis, seen: &[SiteSeen]) -> Vec<(usize, State)> {
-        let passed = self.last.map_or(0, |last| now.saturating_sub(last));
-        self.last = Some(now);
-        let s = &self.settings;
-        let mut changed = Vec::new();
-        for (n, (site, seen)) in self.sites.iter_mut().zip(seen).enumerate() {
-            site.seen = *seen;
-            let silent = if seen.hosts == 0 {
-                0.0
-            } else {
-                f64::from(seen.silent) / f64::from(seen.hosts)
-            };
-            let (wanted, after) = match site.state {
-                State::Up | State::Returning if silent >= s.lost_part => {
-                    (State::Lost, s.lost_after_ms)
-                }
-                State::Lost if silent < s.lost_part / 2.0 => (State::Returning, s.back_after_ms),
-                same => (same, 0),
-            };
-            if wanted == site.state {
-                site.doubt = None;
-            } else if now >= site.doubt.get_or_insert(now).saturating_add(after) {
-                (site.state, site.doubt, site.ramp) = (wanted, None, 0);
-                changed.push((n, wanted));
-                continue;
-            }
-            // The ramp goes on only while what is sent is answered, and not while the site may be lost again.
-            if site.state == State::Returning
-                && seen.answered >= s.ramp_answers
-                && site.doubt.is_none()
-            {
-                site.ramp = (site.ramp + passed).min(s.ramp_ms);
-                if site.ramp == s.ramp_ms {
-                    site.state = State::Up;
-                    changed.push((n, State::Up));
-                }
+    /// Records what is observed now of each site, by the site's index. Returns the sites whose
+    /// state changed.
+    pub fn observe(
+        &mut self,
+        now: Millis,
+        observations: &[SiteObservation],
+    ) -> Vec<SiteStateChange> {
+        let elapsed_ms = self
+            .last_observed
+            .map_or(0, |last| now.saturating_sub(last));
+        self.last_observed = Some(now);
+        let mut changes = Vec::new();
+        for (site, (tracker, &observation)) in self.sites.iter_mut().zip(observations).enumerate() {
+            if let Some(state) = tracker.observe(now, elapsed_ms, observation, &self.settings) {
+                changes.push(SiteStateChange { site, state });
             }
         }
-        changed
+        changes
     }
 
-    /// The part of its usual reads that a site gets.
-    fn ramp(&self, site: &Site) -> f64 {
-        let s = &self.settings;
-        match site.state {
-            State::Up => 1.0,
-            // Whoever comes back before that is seen is led in all the same.
-            State::Lost => s.ramp_from,
-            State::Returning => {
-                s.ramp_from + (1.0 - s.ramp_from) * site.ramp as f64 / s.ramp_ms as f64
-            }
+    /// Makes the plan for the latest observations.
+    ///
+    /// `epoch` is the fencing epoch of the lease under which this gateway plans. `class_rates` are
+    /// the requests per second of each class over all sites. `gateway_count` is the number of
+    /// gateways that share the budgets.
+    pub fn next_plan(&mut self, epoch: u64, class_rates: &[f64], gateway_count: u32) -> Plan {
+        self.sequence = self.sequence.wrapping_add(1);
+        let budgets: Vec<f64> = self
+            .sites
+            .iter()
+            .map(|site| site.budget_per_s(&self.settings))
+            .collect();
+        let distributions = self.distribute_load(&budgets);
+        let excess_per_s = self.excess_per_s(&distributions);
+        let sites = self.sites.iter().zip(budgets).zip(distributions);
+        Plan {
+            version: PlanVersion {
+                epoch,
+                sequence: self.sequence,
+            },
+            gateway_count: gateway_count.max(1),
+            sites: sites
+                .map(|((site, budget_per_s), load_distribution)| SitePlan {
+                    budget_per_s,
+                    state: site.state(),
+                    recovery_ramp: site.recovery_ramp(&self.settings),
+                    load_distribution,
+                })
+                .collect(),
+            admitted_share: self.shed_load(class_rates, excess_per_s),
+            retry_after_ms: self.retry_after_ms(),
         }
     }
 
-    /// What may be sent to a site by all gateways together.
-    fn budget(&self, site: &Site) -> f64 {
-        let s = &self.settings;
-        let part = if site.state == State::Lost {
-            0.0
-        } else {
-            self.ramp(site)
-        };
-        (site.seen.capacity * s.budget * part).max(0.0)
+    fn all_up(&self) -> bool {
+        self.sites.iter().all(SiteTracker::is_up)
     }
 
-    /// The plan for what was last seen: `classes` are the rates of all classes over all sites, `gateways` how many share
-    /// the budgets, `epoch` the token under which this gateway may plan.
-    pub fn plan(&mut self, epoch: u64, classes: &[f64], gateways: u32) -> Plan {
-        self.number = self.number.wrapping_add(1);
-        let budgets: Vec<f64> = self.sites.iter().map(|s| self.budget(s)).collect();
-        let usual = self.sites.iter().all(|s| s.state == State::Up);
-        let mut left = budgets.clone();
-        let mut goes = vec![vec![0.0; self.sites.len()]; self.sites.len()];
-        // Each site keeps what it bears of its own load first; only then is room given to others.
-        for (n, site) in self.sites.iter().enumerate() {
-            let load = site.seen.load;
-            if usual || load <= 0.0 {
-                // Nothing is lost: a plan takes no part in what a busy day is.
-                goes[n][n] = 1.0;
+    /// For each site, the shares of its load that go to each site.
+    fn distribute_load(&self, budgets: &[f64]) -> Vec<Vec<f64>> {
+        let mut distributions = vec![vec![0.0; self.sites.len()]; self.sites.len()];
+        let mut remaining = budgets.to_vec();
+        let all_up = self.all_up();
+        // Each site first serves what it can of its own load; only what is left of its budget goes
+        // to other sites.
+        for (site, tracker) in self.sites.iter().enumerate() {
+            let load = tracker.load_per_s();
+            // While all sites are up a plan changes nothing, however busy they are.
+            if all_up || load <= 0.0 {
+                distributions[site][site] = 1.0;
                 continue;
             }
-            let own = load.min(left[n]);
-            goes[n][n] = own / load;
-            left[n] -= own;
+            let served_locally = load.min(remaining[site]);
+            distributions[site][site] = served_locally / load;
+            remaining[site] -= served_locally;
         }
-        if !usual {
-            for (n, goes) in goes.iter_mut().enumerate() {
-                self.spread(n, goes, &mut left);
+        if !all_up {
+            for (site, distribution) in distributions.iter_mut().enumerate() {
+                self.distribute_overflow(site, distribution, &mut remaining);
             }
         }
-        let kept: f64 = self
-            .sites
-            .iter()
-            .zip(&goes)
-            .map(|(s, g)| s.seen.load * g.iter().sum::<f64>())
-            .sum();
-        let load: f64 = self.sites.iter().map(|s| s.seen.load).sum();
-        let admitted = self.admitted(classes, if usual { 0.0 } else { (load - kept).max(0.0) });
-        let sites = self.sites.iter().zip(budgets).zip(goes);
-        Plan {
-            epoch,
-            number: self.number,
-            gateways: gateways.max(1),
-            sites: sites
-                .map(|((s, budget), goes)| SitePlan {
-                    budget,
-                    state: s.state,
-                    ramp: self.ramp(s),
-                    goes,
-                })
-                .collect(),
-            admitted,
-            pause_ms: self.pause(),
-        }
+        distributions
     }
 
-    /// Sends what a site can't bear to the others, by preference, as far as they have room.
-    fn spread(&self, from: usize, goes: &mut [f64], left: &mut [f64]) {
-        let load = self.sites[from].seen.load;
-        let mut rest = load * (1.0 - goes.iter().sum::<f64>());
-        if load <= 0.0 || rest <= 0.0 {
+    /// Assigns the load that a site can't serve itself to the other sites, in order of preference,
+    /// as far as they have budget left.
+    fn distribute_overflow(&self, site: usize, distribution: &mut [f64], remaining: &mut [f64]) {
+        let load = self.sites[site].load_per_s();
+        let mut overflow = load * (1.0 - distribution.iter().sum::<f64>());
+        if load <= 0.0 || overflow <= 0.0 {
             return;
         }
-        let named = &self.settings.prefer[from];
-        let others = (0..left.len()).filter(|o| *o != from && !named.contains(o));
-        for to in named.iter().copied().chain(others) {
-            let part = rest.min(left[to]);
-            goes[to] += part / load;
-            left[to] -= part;
-            rest -= part;
+        let preferred = &self.settings.preferred_sites[site];
+        let others =
+            (0..remaining.len()).filter(|other| *other != site && !preferred.contains(other));
+        for target in preferred.iter().copied().chain(others) {
+            let moved = overflow.min(remaining[target]);
+            distribution[target] += moved / load;
+            remaining[target] -= moved;
+            overflow -= moved;
         }
     }
 
-    /// The part of each class that is admitted where so much has to be refused: all of the first class in the order before
-    /// any of the second.
-    fn admitted(&self, classes: &[f64], excess: f64) -> Vec<f64> {
-        let mut admitted = vec![1.0; classes.len()];
-        let mut rest = excess;
-        for &class in &self.settings.refuse {
-            let Some(&rate) = classes.get(class).filter(|&&r| r > 0.0) else {
+    /// The load that no site has budget for, in requests per second; none while all sites are up.
+    fn excess_per_s(&self, distributions: &[Vec<f64>]) -> f64 {
+        if self.all_up() {
+            return 0.0;
+        }
+        let placed: f64 = self
+            .sites
+            .iter()
+            .zip(distributions)
+            .map(|(site, distribution)| site.load_per_s() * distribution.iter().sum::<f64>())
+            .sum();
+        let load: f64 = self.sites.iter().map(SiteTracker::load_per_s).sum();
+        (load - placed).max(0.0)
+    }
+
+    /// The admitted share of each class where `excess_per_s` has to be shed: all of the first class
+    /// in the load-shedding order before any of the second.
+    fn shed_load(&self, class_rates: &[f64], excess_per_s: f64) -> Vec<f64> {
+        let mut admitted_share = vec![1.0; class_rates.len()];
+        let mut remaining = excess_per_s;
+        for &class in &self.settings.load_shedding_order {
+            let Some(&rate) = class_rates.get(class).filter(|&&rate| rate > 0.0) else {
                 continue;
             };
-            let cut = rest.min(rate);
-            admitted[class] = 1.0 - cut / rate;
-            rest -= cut;
+            let shed = remaining.min(rate);
+            admitted_share[class] = 1.0 - shed / rate;
+            remaining -= shed;
         }
-        admitted
+        admitted_share
     }
 
-    /// Those that are refused come again when more can be served: soon while a site is led in, later while one is lost.
-    fn pause(&self) -> u32 {
-        let longest = self.settings.lost_after_ms.max(self.settings.back_after_ms);
-        let lost = self.sites.iter().any(|s| s.state == State::Lost);
-        u32::try_from(if lost { 2 * longest } else { longest }).unwrap_or(u32::MAX)
+    /// Rejected clients are to retry when more can be served: soon while a site recovers, later
+    /// while one is lost.
+    fn retry_after_ms(&self) -> u32 {
+        let longest_ms = self
+            .settings
+            .lost_after_ms
+            .max(self.settings.recovering_after_ms);
+        let any_lost = self
+            .sites
+            .iter()
+            .any(|site| site.state() == SiteState::Lost);
+        let retry_after_ms = if any_lost { 2 * longest_ms } else { longest_ms };
+        u32::try_from(retry_after_ms).unwrap_or(u32::MAX)
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,7 +15,7 @@
 use net::cluster::endpoint_watch::EndpointWatchService;
 use net::cluster::leases::LeaseService;
 use net::cluster::membership::MembershipService;
-use net::cluster::peer_socket::{ClusterServices, PeerSocket};
+use net::cluster::peer_socket::{self, ClusterServices, PeerSocket};
 use net::cluster::site_failover::{self, SiteFailoverService};
 use net::cluster::write_intents::WriteIntentService;
 use net::config::Config;
@@ -121,7 +121,7 @@
     let leases = leases(&config, membership.as_ref(), &metrics);
     let site_failover = match (&membership, &leases) {
         (Some(membership), Some(leases)) => {
-            let around = site_failover::Around {
+            let dependencies = site_failover::Dependencies {
                 membership: Rc::clone(membership),
                 leases: Rc::clone(leases),
                 upstream: Rc::clone(&upstream),
@@ -129,7 +129,7 @@
                 router: Rc::clone(&router),
                 metrics: Rc::clone(&metrics),
             };
-            site_failover(&config, around)?
+            site_failover(&config, dependencies)?
         }
         _ => None,
     };
@@ -217,13 +217,8 @@
     ));
     let sharing = Rc::<RefCell<Option<Rc<PeerSocket>>>>::default();
     if let Some(peers) = config.peers.clone() {
-        let shared = (
-            Rc::clone(&router),
-            Rc::clone(&upstream),
-            Rc::clone(&metrics),
-        );
-        let share = config.loaded.share || leases.is_some();
-        let fleet = ClusterServices {
+        let share_health_checks = config.loaded.share || leases.is_some();
+        let services = ClusterServices {
             membership: membership.clone(),
             leases,
             write_intents,
@@ -231,14 +226,15 @@
             endpoint_watch: list,
             site_failover,
         };
-        spawn_local(share_when_free(
-            Rc::clone(&sharing),
-            peers,
-            shared,
+        let dependencies = peer_socket::Dependencies {
+            router: Rc::clone(&router),
+            upstream: Rc::clone(&upstream),
+            metrics: Rc::clone(&metrics),
             clock,
-            share,
-            fleet,
-        ));
+            services,
+            share_health_checks,
+        };
+        spawn_local(share_when_free(Rc::clone(&sharing), peers, dependencies));
     }
     spawn_local(sweep(Rc::clone(&upstream)));
     spawn_local(tidy(Rc::clone(&front.connection_limit)));
@@ -349,14 +345,11 @@
 async fn share_when_free(
     sharing: Rc<RefCell<Option<Rc<PeerSocket>>>>,
     peers: net::config::Peers,
-    shared: (Rc<RouterHandle>, Rc<Upstream>, Rc<Metrics>),
-    clock: Clock,
-    share: bool,
-    fleet: ClusterServices,
+    dependencies: peer_socket::Dependencies,
 ) {
     let mut told = false;
     loop {
-        match PeerSocket::open(peers.clone(), shared.clone(), clock, share, fleet.clone()) {
+        match PeerSocket::open(&peers, dependencies.clone()) {
             Ok(open) => {
                 if told {
                     log!("shares with other gateways from now on");
@@ -517,7 +510,7 @@
 /// Plans for lost sites, where the operators turned them on and duties have owners.
 fn site_failover(
     config: &Config,
-    around: site_failover::Around,
+    dependencies: site_failover::Dependencies,
 ) -> Result<Option<Rc<SiteFailoverService>>, String> {
     let wanted = &config.operators.sites;
     let Some(peers) = config.peers.as_ref().filter(|_| wanted.enabled) else {
@@ -527,17 +520,19 @@
         names.iter().map(String::from).collect::<Vec<_>>()
     };
     let (zones, classes) = (all(&config.loaded.zones), all(&config.loaded.classes));
-    let settings = wanted.for_zones(&zones, &classes)?;
+    let site_failover_config = site_failover::SiteFailoverConfig {
+        settings: wanted.for_zones(&zones, &classes)?,
+        capacity_per_s: wanted.capacity_per_s,
+    };
     // At most eight sites, by the check above.
-    let names = site_failover::Names {
+    let names = site_failover::SiteNames {
         zones,
         classes,
-        mine: config.loaded.settings.zone.0 as u8,
+        local_site: config.loaded.settings.zone.0 as u8,
     };
-    let ways = (peers.each.clone(), peers.all);
-    SiteFailoverService::new(around, names, (settings, wanted.capacity_per_s), ways)
-        .map(Rc::new)
-        .map(Some)
+    SiteFailoverService::new(dependencies, names, site_failover_config, peers)
+        .map(|service| Some(Rc::new(service)))
+        .map_err(|error| error.to_string())
 }
 
 /// Writes in hand, where the operators turned them on and membership is on.
--- a/src/net/admin/operator_config.rs
+++ b/src/net/admin/operator_config.rs
@@ -62,13 +62,13 @@
             capacity_per_s: 0.0,
             prefer: BTreeMap::new(),
             refuse: Vec::new(),
-            budget: core.budget,
-            lost_part: core.lost_part,
+            budget: core.capacity_share,
+            lost_part: core.lost_host_share,
             lost_after_ms: core.lost_after_ms,
-            back_after_ms: core.back_after_ms,
-            ramp_from: core.ramp_from,
-            ramp_ms: core.ramp_ms,
-            stale_ms: core.stale_ms,
+            back_after_ms: core.recovering_after_ms,
+            ramp_from: core.recovery_ramp_start,
+            ramp_ms: core.recovery_ramp_ms,
+            stale_ms: core.plan_expiry_ms,
         }
     }
 }
@@ -97,21 +97,24 @@
         for (zone, others) in &self.prefer {
             let from = number(zones, zone, "prefer")?;
             let path = format!("prefer/{zone}");
-            core.prefer[from] = others
+            core.preferred_sites[from] = others
                 .iter()
                 .map(|o| number(zones, o, &path))
                 .collect::<Result<_, _>>()?;
         }
-        core.refuse = self
+        core.load_shedding_order = self
             .refuse
             .iter()
             .map(|c| number(classes, c, "refuse"))
             .collect::<Result<_, _>>()?;
-        (core.budget, core.lost_part, core.ramp_from) =
-            (self.budget, self.lost_part, self.ramp_from);
-        (core.lost_after_ms, core.back_after_ms) = (self.lost_after_ms, self.back_after_ms);
-        (core.ramp_ms, core.stale_ms) = (self.ramp_ms, self.stale_ms);
-        core.check().map_err(|why| format!("/sites/{why}"))?;
+        core.capacity_share = self.budget;
+        core.lost_host_share = self.lost_part;
+        core.lost_after_ms = self.lost_after_ms;
+        core.recovering_after_ms = self.back_after_ms;
+        core.recovery_ramp_start = self.ramp_from;
+        core.recovery_ramp_ms = self.ramp_ms;
+        core.plan_expiry_ms = self.stale_ms;
+        core.check().map_err(|error| format!("/sites/{error}"))?;
         Ok(core)
     }
 }
@@ -292,7 +295,9 @@
         let names = |all: &[&str]| all.iter().map(ToString::to_string).collect::<Vec<_>>();
         let (zones, classes) = (names(&["a", "b"]), names(&["read", "report"]));
         assert_eq!(
-            sites.for_zones(&zones, &classes).map(|s| s.refuse),
+            sites
+                .for_zones(&zones, &classes)
+                .map(|s| s.load_shedding_order),
             Ok(vec![1])
         );
         let why = sites
--- a/src/net/cluster/site_failover.rs
+++ b/src/net/cluster/site_failover.rs
@@ -1,364 +1,368 @@
-//! The shell of plans for lost sites: the core of `irisrouter_site_failover` fed with what this gateway sees of sites and what
-//! others tell, and the plan in force handed to the decision module.
+//! The shell of site failover: reports what this gateway observes of sites, plans while it holds
+//! the lease for that, and follows the plan in force.
 //!
-//! Each gateway tallies; whoever owns the planning sums the tallies up and tells its plan to all; all follow the latest.
+//! Every gateway sends load reports to the gateways that may hold the planning lease. The one that
+//! holds it sums the reports up and sends its plan to all gateways. Every gateway follows the
+//! latest plan: it hands the plan to the router as [`FailoverDirectives`].
 
 use crate::net::cluster::leases::{LeaseService, LeasedTask};
 use crate::net::cluster::membership::MembershipService;
-use crate::net::cluster::peer_socket::{Outbox, OutgoingDatagram};
+use crate::net::cluster::outbox::{Outbox, OutgoingDatagram};
+use crate::net::cluster::site_failover_status::{console_line, log_line, state_label};
+use crate::net::config::Peers;
 use crate::net::log::log;
 use crate::net::metrics::{increment, Metrics};
 use crate::net::request::classes::Classes;
 use crate::net::router_task::RouterHandle;
 use crate::net::upstream::Upstream;
 use irisrouter::routing::{Event, FailoverDirectives, Nanos};
+use irisrouter_leases::rendezvous;
 use irisrouter_site_failover::codec::{self, Message};
 use irisrouter_site_failover::load_report::{SiteLoadReport, SiteLoadReports};
-use irisrouter_site_failover::{Follower, Plan, Planner, Settings, State, TASK_ID};
+use irisrouter_site_failover::{Follower, Plan, Planner, Settings, SettingsError, TASK_ID};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Between two tallies, and two plans.
+/// Time between two load reports, and between two plans.
 const PERIOD_MS: u64 = 500;
-/// A gateway that has said nothing for so long is not counted.
-const FORGET_MS: u64 = 3_000;
-/// Those that may come to own the planning are told: the first so many of its order.
-const TOLD: usize = 3;
-/// A plan that is over is told so often: a gateway that heard none of these goes on with the last one until it is stale.
-const OVER: u32 = 6;
-const NS_PER_MS: Nanos = 1_000_000;
+/// A gateway whose latest load report is older than this is not counted.
+const REPORT_EXPIRY_MS: u64 = 3_000;
+/// Load reports go to this many gateways: the first candidates for the planning lease, any of which
+/// may come to hold it.
+const REPORT_RECEIVERS: usize = 3;
+/// How often a plan that is over is still sent, as datagrams may be lost. A gateway that receives
+/// none of them follows the last plan until it expires.
+const CLOSING_PLANS: u32 = 6;
+const NANOS_PER_MS: Nanos = 1_000_000;
 
-/// What the operators' names stand for here.
-pub struct Names {
-    /// The zones, in the settings' order: a site each.
+/// The names behind the indexes of sites and classes.
+pub struct SiteNames {
+    /// The zones, in the order of the settings. Each is a site.
     pub zones: Vec<String>,
-    /// The classes, likewise.
+    /// The request classes, in the order of the settings.
     pub classes: Vec<String>,
-    /// This gateway's site.
-    pub mine: u8,
+    /// The index of this gateway's site.
+    pub local_site: u8,
 }
 
-/// The parts of the gateway that it works with.
-pub struct Around {
-    /// Who is there.
+/// What the operators set.
+pub struct SiteFailoverConfig {
+    /// The settings of plans.
+    pub settings: Settings,
+    /// What a warm host of size one bears, in requests per second.
+    pub capacity_per_s: f64,
+}
+
+/// The parts of the gateway that the service works with.
+pub struct Dependencies {
+    /// Which gateways are alive.
     pub membership: Rc<MembershipService>,
-    /// Who owns the planning.
+    /// Which gateway plans.
     pub leases: Rc<LeaseService>,
-    /// What is seen of hosts.
+    /// The database hosts, and what is observed of them.
     pub upstream: Rc<Upstream>,
-    /// The classes' slots.
+    /// The slots of the request classes.
     pub classes: Rc<Classes>,
-    /// The way to the decision module.
+    /// Receives the directives of the plan in force.
     pub router: Rc<RouterHandle>,
-    /// Counts.
+    /// Counters.
     pub metrics: Rc<Metrics>,
 }
 
-/// Plans for lost sites, as one gateway makes and follows them.
-pub struct SiteFailoverService {
-    around: Around,
-    names: Names,
-    /// Requests a second that a host of size one bears.
-    capacity_per_s: f64,
+/// Planning, on the gateway that holds the lease for it.
+struct Planning {
     planner: RefCell<Planner>,
+    reports: RefCell<SiteLoadReports>,
+    /// The epoch under which this gateway last planned.
+    epoch: Cell<u64>,
+    /// How often a plan that is over is still to be sent.
+    closing_plans: Cell<u32>,
+    /// What a warm host of size one bears, in requests per second.
+    capacity_per_s: f64,
+}
+
+/// What was last handed on of the plan in force, so that only changes are handed on.
+#[derive(Default)]
+struct Published {
+    directives: RefCell<FailoverDirectives>,
+    log_line: RefCell<String>,
+}
+
+/// Site failover on one gateway.
+pub struct SiteFailoverService {
+    dependencies: Dependencies,
+    names: SiteNames,
+    planning: Planning,
     follower: RefCell<Follower>,
-    tallies: RefCell<SiteLoadReports>,
-    /// Requests by slot since the last tally, and when that was.
-    arrived: RefCell<Vec<u16>>,
-    tallied: Cell<u64>,
-    /// The epoch under which the planner here last planned, and how often it still says that its plan is over.
-    planning: Cell<(u64, u32)>,
-    /// What the decision module was told last, and what of it the log.
-    posted: RefCell<FailoverDirectives>,
-    logged: RefCell<String>,
-    start: Instant,
-    out: Outbox,
-    all: SocketAddr,
+    published: Published,
+    /// Requests since the last load report, by the slots of their classes.
+    arrived_by_slot: RefCell<Vec<u16>>,
+    /// When the last load report was made, in milliseconds since the start.
+    last_report_at: Cell<u64>,
+    started_at: Instant,
+    outbox: Outbox,
+    /// The address that reaches all gateways.
+    broadcast_address: SocketAddr,
 }
 
 impl SiteFailoverService {
-    /// A gateway that knows of no plan yet.
+    /// A gateway that has received no plan.
     ///
     /// # Errors
     ///
-    /// The settings do not pass their check.
+    /// The settings do not pass their checks.
     pub fn new(
-        around: Around,
-        names: Names,
-        (settings, capacity_per_s): (Settings, f64),
-        (each, all): (Vec<SocketAddr>, SocketAddr),
-    ) -> Result<Self, String> {
-        let follower = RefCell::new(Follower::new(&settings));
-        let planner = RefCell::new(Planner::new(settings)?);
-        around.upstream.enable_reachability_reports();
-        log!("site plan: on, for {}", names.zones.join(", "));
+        dependencies: Dependencies,
+        names: SiteNames,
+        config: SiteFailoverConfig,
+        peers: &Peers,
+    ) -> Result<Self, SettingsError> {
+        let follower = Follower::new(&config.settings);
+        let planner = Planner::new(config.settings)?;
+        dependencies.upstream.enable_reachability_reports();
+        log!("site failover: on, for {}", names.zones.join(", "));
         Ok(Self {
-            around,
+            dependencies,
             names,
-            capacity_per_s,
-            planner,
-            follower,
-            tallies: RefCell::default(),
-            arrived: RefCell::default(),
-            tallied: Cell::new(0),
-            planning: Cell::new((0, 0)),
-            posted: RefCell::default(),
-            logged: RefCell::default(),
-            start: Instant::now(),
-            out: Outbox::new(each),
-            all,
+            planning: Planning {
+                planner: RefCell::new(planner),
+                reports: RefCell::default(),
+                epoch: Cell::new(0),
+                closing_plans: Cell::new(0),
+                capacity_per_s: config.capacity_per_s,
+            },
+            follower: RefCell::new(follower),
+            published: Published::default(),
+            arrived_by_slot: RefCell::default(),
+            last_report_at: Cell::new(0),
+            started_at: Instant::now(),
+            outbox: Outbox::new(peers.each.clone()),
+            broadcast_address: peers.all,
         })
     }
 
+    /// Milliseconds since the start.
     fn now(&self) -> u64 {
-        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+        u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
-    /// A request of the class in this slot has come.
+    /// Counts a request of the class in this slot.
     pub fn request_arrived(&self, slot: usize) {
-        let mut arrived = self.arrived.borrow_mut();
+        let mut arrived = self.arrived_by_slot.borrow_mut();
         if arrived.len() <= slot {
             arrived.resize(slot + 1, 0);
         }
         arrived[slot] = arrived[slot].saturating_add(1);
     }
 
-    /// Takes a datagram of gateway `from`.
+    /// Receives a datagram of gateway `from`.
     pub fn receive(&self, datagram: &[u8], from: u32) {
         match codec::decode(datagram) {
-            Ok(Message::SiteLoadReport(load_report)) => {
-                self.tallies
-                    .borrow_mut()
-                    .heard(self.now(), from, load_report)
+            Ok(Message::SiteLoadReport(report)) => {
+                let mut reports = self.planning.reports.borrow_mut();
+                reports.record(self.now(), from, report);
             }
             Ok(Message::Plan(plan)) => {
-                increment(&self.around.metrics.site_failover.received);
+                increment(&self.dependencies.metrics.site_failover.received);
                 self.follow(plan);
             }
-            Err(why) => {
-                increment(&self.around.metrics.gossip.ignored);
-                log!("site plan: a datagram from gateway {from} is not used: {why}");
+            Err(error) => {
+                increment(&self.dependencies.metrics.gossip.ignored);
+                log!("site failover: a datagram from gateway {from} is not used: {error}");
             }
         }
     }
 
-    /// Does what is due; returns what is to be sent.
+    /// Reports and plans once a period. Returns the datagrams to send.
     pub fn advance(&self) -> Vec<OutgoingDatagram> {
-        let (now, last) = (self.now(), self.tallied.get());
-        if now < last + PERIOD_MS {
+        let now = self.now();
+        let last_report_at = self.last_report_at.get();
+        if now < last_report_at + PERIOD_MS {
             return Vec::new();
         }
-        self.tallied.set(now);
-        let load_report = self.load_report(u16::try_from(now - last).unwrap_or(u16::MAX));
-        let bytes = codec::encode_tally(&load_report);
-        let me = self.around.membership.local_node().number;
-        let (alive, _) = self.around.membership.alive();
-        let first = irisrouter_leases::rendezvous::candidates(TASK_ID, &alive);
-        for to in first.into_iter().take(TOLD).filter(|&to| to != me) {
-            self.out.push(to, bytes.clone());
-        }
-        let mut tallies = self.tallies.borrow_mut();
-        tallies.heard(now, me, load_report);
-        tallies.forget(now.saturating_sub(FORGET_MS));
-        let planned = self
-            .around
-            .leases
-            .fencing_token(LeasedTask::SiteFailover)
-            .and_then(|e| self.plan(now, e, &tallies, alive.len()));
-        drop(tallies);
-        let mut sends = self.out.take();
-        if let Some(plan) = planned {
-            increment(&self.around.metrics.site_failover.planned);
-            sends.push((self.all, codec::encode(&plan)));
+        self.last_report_at.set(now);
+        let period_ms = u16::try_from(now - last_report_at).unwrap_or(u16::MAX);
+        let report = self.take_load_report(period_ms);
+        let (alive, _) = self.dependencies.membership.alive();
+        self.queue_load_report(&report, &alive);
+        self.record_own_report(now, report);
+        let mut datagrams = self.outbox.take();
+        if let Some(plan) = self.plan_if_leased(now, alive.len()) {
+            increment(&self.dependencies.metrics.site_failover.planned);
+            datagrams.push(OutgoingDatagram {
+                to: self.broadcast_address,
+                bytes: codec::encode_plan(&plan),
+            });
             self.follow(plan);
         }
-        // Also where nothing was heard: a plan may have become too old.
-        self.tell_module();
-        sends
+        // Also when no plan was received: the plan in force may have expired.
+        self.publish_plan_in_force();
+        datagrams
     }
 
-    /// How long [`SiteFailoverService::advance`] has no work.
+    /// The time until [`SiteFailoverService::advance`] has work.
     pub fn due(&self) -> Duration {
-        Duration::from_millis((self.tallied.get() + PERIOD_MS).saturating_sub(self.now()))
+        let due_at = self.last_report_at.get() + PERIOD_MS;
+        Duration::from_millis(due_at.saturating_sub(self.now()))
     }
 
-    /// What this gateway saw since the last tally.
-    fn load_report(&self, period_ms: u16) -> SiteLoadReport {
-        let by_slot = self.arrived.take();
-        let slots = self.around.classes.names();
-        let of = |name: &String| {
-            let slots = slots.iter().zip(&by_slot).filter(|(n, _)| *n == name);
-            slots.map(|(_, &count)| count).fold(0, u16::saturating_add)
+    /// What this gateway observed since the last load report. The counts start over.
+    fn take_load_report(&self, period_ms: u16) -> SiteLoadReport {
+        let counts = self.arrived_by_slot.take();
+        let slot_classes = self.dependencies.classes.names();
+        let arrived_of_class = |class: &String| {
+            slot_classes
+                .iter()
+                .zip(&counts)
+                .filter(|(slot_class, _)| *slot_class == class)
+                .map(|(_, &count)| count)
+                .fold(0, u16::saturating_add)
         };
-        let arrived = self.names.classes.iter().map(of).collect();
-        let sites = self.around.upstream.take_reachability(&self.names.zones);
+        let upstream = &self.dependencies.upstream;
         SiteLoadReport {
-            site: self.names.mine,
+            site: self.names.local_site,
             period_ms,
-            arrived,
-            sites,
+            arrived: self.names.classes.iter().map(arrived_of_class).collect(),
+            sites: upstream.take_reachability(&self.names.zones),
+        }
+    }
+
+    /// Queues the load report to the candidates for the planning lease.
+    fn queue_load_report(&self, report: &SiteLoadReport, alive: &[u32]) {
+        let datagram = codec::encode_load_report(report);
+        let local_gateway = self.local_gateway();
+        let receivers = rendezvous::candidates(TASK_ID, alive)
+            .into_iter()
+            .take(REPORT_RECEIVERS)
+            .filter(|&gateway| gateway != local_gateway);
+        for receiver in receivers {
+            self.outbox.push(receiver, datagram.clone());
         }
     }
 
-    /// The plan, where this gateway makes one: while some site is not as usual, and a few times after that.
-    fn plan(&self, now: u64, epoch: u64, tallies: &SiteLoadReports, alive: usize) -> Option<Plan> {
-        // Danger guarded against: one that has just come to plan would judge sites by its own view alone.
-        if 2 * tallies.gateways() <= alive {
+    fn record_own_report(&self, now: u64, report: SiteLoadReport) {
+        let mut reports = self.planning.reports.borrow_mut();
+        reports.record(now, self.local_gateway(), report);
+        reports.remove_before(now.saturating_sub(REPORT_EXPIRY_MS));
+    }
+
+    fn local_gateway(&self) -> u32 {
+        self.dependencies.membership.local_node().number
+    }
+
+    /// Plans if this gateway holds the lease for it.
+    fn plan_if_leased(&self, now: u64, alive_count: usize) -> Option<Plan> {
+        let leases = &self.dependencies.leases;
+        let epoch = leases.fencing_token(LeasedTask::SiteFailover)?;
+        self.make_plan(now, epoch, alive_count)
+    }
+
+    /// The plan to send: one while it changes anything, and a few times after that.
+    fn make_plan(&self, now: u64, epoch: u64, alive_count: usize) -> Option<Plan> {
+        let planning = &self.planning;
+        let reports = planning.reports.borrow();
+        // A gateway that has just acquired the lease would judge sites by its own observations
+        // alone.
+        if 2 * reports.gateway_count() <= alive_count {
             return None;
         }
-        let mut planner = self.planner.borrow_mut();
-        let (last, over) = self.planning.get();
-        if last != epoch {
-            if let Some(plan) = self.follower.borrow().plan(now) {
+        let mut planner = planning.planner.borrow_mut();
+        if planning.epoch.get() != epoch {
+            if let Some(plan) = self.follower.borrow().plan_in_force(now) {
                 planner.resume(plan);
             }
         }
-        let capacity = self.around.upstream.capacity_by_zone(&self.names.zones);
-        let capacity: Vec<f64> = capacity
+        self.observe_sites(now, &mut planner, &reports);
+        let class_rates = reports.class_rates(self.names.classes.len());
+        let plan = planner.next_plan(epoch, &class_rates, alive_count as u32);
+        let closing_plans = if plan.in_force() {
+            CLOSING_PLANS
+        } else {
+            planning.closing_plans.get().saturating_sub(1)
+        };
+        planning.epoch.set(epoch);
+        planning.closing_plans.set(closing_plans);
+        (closing_plans > 0).then_some(plan)
+    }
+
+    /// Feeds the planner with the sums of all reports, and logs changes of state.
+    fn observe_sites(&self, now: u64, planner: &mut Planner, reports: &SiteLoadReports) {
+        let zones = &self.names.zones;
+        let sizes = self.dependencies.upstream.capacity_by_zone(zones);
+        let capacities_per_s: Vec<f64> = sizes
             .into_iter()
-            .map(|size| size * self.capacity_per_s)
+            .map(|size| size * self.planning.capacity_per_s)
             .collect();
-        for (site, state) in planner.observe(now, &tallies.seen(&capacity)) {
+        for change in planner.observe(now, &reports.observe_sites(&capacities_per_s)) {
             log!(
-                "site plan: site {} is {} by what {} gateways tell",
-                self.names.zones[site],
-                word(state),
-                tallies.gateways()
+                "site failover: site {} is {}, by the load reports of {} gateways",
+                zones[change.site],
+                state_label(change.state),
+                reports.gateway_count()
             );
         }
-        let plan = planner.plan(
-            epoch,
-            &tallies.classes(self.names.classes.len()),
-            alive as u32,
-        );
-        let over = if plan.in_force() {
-            OVER
-        } else {
-            over.saturating_sub(1)
-        };
-        self.planning.set((epoch, over));
-        (over > 0).then_some(plan)
     }
 
+    /// Follows a plan if it is later than the one followed so far.
     fn follow(&self, plan: Plan) {
-        if self.follower.borrow_mut().heard(self.now(), plan) {
-            self.tell_module();
+        let is_followed = self.follower.borrow_mut().receive(self.now(), plan);
+        if is_followed {
+            self.publish_plan_in_force();
         }
     }
 
-    /// Hands the plan in force to the decision module, where it is another than the last.
-    fn tell_module(&self) {
+    /// Hands the plan in force to the router, and writes it to the log, where it differs from the
+    /// last one.
+    fn publish_plan_in_force(&self) {
         let follower = self.follower.borrow();
-        let plan = follower.plan(self.now());
-        let planned = plan.map_or_else(FailoverDirectives::default, |p| self.planned(p));
-        if *self.posted.borrow() != planned {
-            self.around
-                .router
-                .post(Event::FailoverDirectivesChanged(planned.clone()));
-            self.posted.replace(planned);
+        let plan = follower.plan_in_force(self.now());
+        let directives = plan.map_or_else(FailoverDirectives::default, |plan| {
+            self.failover_directives(plan)
+        });
+        if *self.published.directives.borrow() != directives {
+            let event = Event::FailoverDirectivesChanged(directives.clone());
+            self.dependencies.router.post(event);
+            self.published.directives.replace(directives);
         }
-        let words = plan.map_or_else(|| "none is in force".into(), |p| self.words(p));
-        if *self.logged.borrow() != words {
-            log!("site plan: {words}");
-            self.logged.replace(words);
+        let log_line = log_line(plan, &self.names);
+        if *self.published.log_line.borrow() != log_line {
+            log!("site failover: {log_line}");
+            self.published.log_line.replace(log_line);
         }
     }
 
-    fn planned(&self, plan: &Plan) -> FailoverDirectives {
-        let slots = self.around.classes.names();
-        let part = |name: &String| {
-            let class = self.names.classes.iter().position(|n| n == name);
+    /// The directives of a plan, by the slots of classes and the ids of zones.
+    fn failover_directives(&self, plan: &Plan) -> FailoverDirectives {
+        let slot_classes = self.dependencies.classes.names();
+        let admitted_share = |slot_class: &String| {
+            let class = self
+                .names
+                .classes
+                .iter()
+                .position(|name| name == slot_class);
             class
-                .and_then(|c| plan.admitted.get(c))
+                .and_then(|class| plan.admitted_share.get(class))
                 .copied()
                 .unwrap_or(1.0)
         };
-        let sites = self
-            .names
-            .zones
-            .iter()
-            .zip(&plan.sites)
-            .filter(|(_, s)| s.ramp < 1.0);
+        let upstream = &self.dependencies.upstream;
+        let sites = self.names.zones.iter().zip(&plan.sites);
         FailoverDirectives {
-            admitted_share: slots.iter().map(part).collect(),
+            admitted_share: slot_classes.iter().map(admitted_share).collect(),
             recovery_ramps: sites
-                .map(|(zone, s)| (self.around.upstream.zone_id(zone), s.ramp))
+                .filter(|(_, site)| site.recovery_ramp < 1.0)
+                .map(|(zone, site)| (upstream.zone_id(zone), site.recovery_ramp))
                 .collect(),
-            retry_after: Some(Nanos::from(plan.pause_ms) * NS_PER_MS),
+            retry_after: Some(Nanos::from(plan.retry_after_ms) * NANOS_PER_MS),
         }
     }
 
-    /// What of a plan is one event: the states of sites, and which classes are refused at all.
-    fn words(&self, plan: &Plan) -> String {
-        let sites = self
-            .names
-            .zones
-            .iter()
-            .zip(&plan.sites)
-            .map(|(zone, s)| format!("{zone} {}", word(s.state)));
-        let refused = self
-            .names
-            .classes
-            .iter()
-            .zip(&plan.admitted)
-            .filter(|(_, &a)| a < 1.0)
-            .map(|(n, _)| n.as_str());
-        let (sites, refused): (Vec<String>, Vec<&str>) = (sites.collect(), refused.collect());
-        let refused = if refused.is_empty() {
-            "nothing".into()
-        } else {
-            refused.join(", ")
-        };
-        format!(
-            "followed under epoch {}: {}; refuses of {refused}",
-            plan.epoch,
-            sites.join(", ")
-        )
-    }
-
-    /// The plan in force as one line: of each site its state, budget and ramp and where its load goes, what is admitted of
-    /// each class that is not admitted whole, and the pause.
+    /// The plan in force as one line, for the console.
     pub fn status_line(&self) -> String {
         let follower = self.follower.borrow();
-        let Some(plan) = follower.plan(self.now()) else {
-            return "plan none in force".into();
-        };
-        let zones = &self.names.zones;
-        let site = |(zone, s): (&String, &irisrouter_site_failover::SitePlan)| {
-            let goes = zones.iter().zip(&s.goes).filter(|(_, &part)| part > 0.0);
-            let goes: Vec<String> = goes.map(|(to, part)| format!("{to}:{part:.2}")).collect();
-            format!(
-                "{zone}={},budget={:.0},ramp={:.2},goes={}",
-                word(s.state),
-                s.budget,
-                s.ramp,
-                goes.join("+")
-            )
-        };
-        let sites: Vec<String> = zones.iter().zip(&plan.sites).map(site).collect();
-        let classes = self
-            .names
-            .classes
-            .iter()
-            .zip(&plan.admitted)
-            .filter(|(_, &a)| a < 1.0);
-        let classes: Vec<String> = classes.map(|(name, a)| format!("{name}:{a:.2}")).collect();
-        let (epoch, number, pause) = (plan.epoch, plan.number, plan.pause_ms);
-        format!(
-            "plan {epoch}.{number} {} admits={} pause={pause}ms",
-            sites.join(" "),
-            classes.join("+")
-        )
-    }
-}
-
-const fn word(state: State) -> &'static str {
-    match state {
-        State::Up => "up",
-        State::Lost => "lost",
-        State::Returning => "returning",
+        console_line(follower.plan_in_force(self.now()), &self.names)
     }
 }
--- a/src/net/upstream/registry.rs
+++ b/src/net/upstream/registry.rs
@@ -529,7 +529,7 @@
                 MemberId(self.next.get() - 1)
             });
             let host = hosts.entry(member).or_insert_with(|| Host {
-                number: message::number(&e.id),
+                number: message::host_id(&e.id),
                 entry: e.clone(),
                 ready: false,
                 epoch: 0,
