Split the routing core into modules with one job each

Cause: router.rs was one impl of 1,200 lines that decided, estimated and remembered, over structs of 19 and 33 flat fields.

Change: the decisions stay in four policy files: router.rs (the struct, batch, event dispatch), selection.rs (which member), admission.rs (capacity and the five rules for one send), retry.rs (queueing, retries, hedged requests, the final answer). What only estimates or remembers moved out of policy, since it picks no member, decides on no retry and rejects nothing:

- latency.rs: EWMA of classes and members
- concurrency_limit.rs: AIMD limits; whether a request fits is asked in admission
- outlier.rs: error rate, silence and failed connects; whether that bars a member is asked in selection
- load.rs: load reports, requests in flight, the share a member is to be spared
- slow_start.rs: share of its capacity that a new process has by now
- replication.rs: role, position and lag
- retry_budget.rs: tokens, and what an attempt cost; whether to retry is asked in retry
- health_check.rs, health_check_dispatch.rs: schedule, budget and sending of health checks, which carry no request; the pick of one replica to check is still selection's
- member.rs, group.rs, request.rs: what is kept of each; fleet.rs, fleet_updates.rs: all members, groups and classes, and how events change what is known of them
- timer.rs: when the caller is asked to wake the router up

--- /dev/null
+++ b/src/routing/admission.rs
@@ -0,0 +1,303 @@
+//! Admission: what may be sent to a member, by its capacity and by the five rules that bind every
+//! send.
+
+use super::action::Action;
+use super::identifiers::{MemberId, Nanos, RequestId};
+use super::member::Member;
+use super::request::{never_ran, Attempt, Request};
+use super::router::Router;
+use super::selection::PRIMARY_READ_SHARE;
+use super::settings::{DeduplicationScope, Freshness, Idempotency, StalenessCheck};
+
+/// A report that a member is full counts for this many connect timeouts.
+const FULL_REPORT_LIFETIME: Nanos = 4;
+/// Reads that no replica serves leave the primary this share of its cores.
+const PRIMARY_CORE_RESERVE: f64 = 0.3;
+/// Share of a cold member's budget that is used: what the other gateways send it is only guessed.
+const SLOW_START_SAFETY: f64 = 0.4;
+/// Most that one cold member gets of its part by warmth, as when the others are full or behind.
+const SLOW_START_MAX_CONCENTRATION: f64 = 2.0;
+/// A queued request needs this many usual latencies left to be worth sending.
+const LATENCIES_LEFT_TO_SEND: f64 = 1.5;
+/// Nothing is sent in this many ticks before the client's deadline.
+const TICKS_BEFORE_DEADLINE: Nanos = 2;
+
+impl Router {
+    /// Sends a request to a member if every rule allows it. All attempts are sent here. Returns
+    /// whether it was sent.
+    pub(super) fn send(&mut self, id: RequestId, member: MemberId) -> bool {
+        let request = self.requests.get(id);
+        if !self.rules_allow(request, member) {
+            return false;
+        }
+        let now = self.fleet.now;
+        let timeout = self.answer_needed_by(request) - now;
+        let hedge_at = self.hedge_at(request);
+        self.fleet.request_sent(member, request.class);
+        let request = self.requests.get_mut(id);
+        request.queued = false;
+        request.attempts.push(Attempt {
+            member,
+            sent_at: now,
+            outcome: None,
+        });
+        if let Some(hedge_at) = hedge_at {
+            self.requests.review_at(hedge_at, id);
+        }
+        // The next pick gets another random number.
+        self.rng.rand_u64();
+        self.actions.push(Action::StartAttempt {
+            id,
+            member,
+            timeout,
+        });
+        true
+    }
+
+    /// The five rules, for one send.
+    fn rules_allow(&self, request: &Request, id: MemberId) -> bool {
+        let member = self.fleet.member(id);
+        // Rule 3: draining members get nothing, at once rather than at the end of the grace period.
+        let in_service = self.fleet.in_service(id) && member.identity.group == request.group;
+        self.may_be_answered(request)
+            && self.has_no_effect_twice(request, member)
+            && in_service
+            // Rule 4: a cold member's budget is kept.
+            && self.slow_start_admits(id, request)
+            && self.is_fresh_enough(request, id)
+    }
+
+    /// Rule 1: nothing is sent after the final answer, and nothing that cannot be answered in time.
+    fn may_be_answered(&self, request: &Request) -> bool {
+        !request.answered
+            && self.fleet.now < self.answer_needed_by(request)
+            && self.has_attempts_left(request)
+    }
+
+    /// Rule 2: no request takes effect twice.
+    fn has_no_effect_twice(&self, request: &Request, member: &Member) -> bool {
+        let limits = &self.fleet.settings.limits;
+        if request.is_in_flight() && !limits.hedged_requests {
+            return false;
+        }
+        let mut may_have_run = request
+            .attempts
+            .iter()
+            .filter(|attempt| attempt.may_have_run());
+        match self.class(request).idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::NotIdempotent => !request.may_have_run(),
+            Idempotency::Keyed { scope, window } => may_have_run.all(|attempt| {
+                // The connection may have to come up first, and what counts is when the repeat
+                // arrives.
+                let arrives_after = self.fleet.now - attempt.sent_at + limits.connect_timeout;
+                let earlier = self.fleet.members.get(&attempt.member);
+                let same_zone = earlier.is_some_and(|m| m.identity.zone == member.identity.zone);
+                arrives_after < window && (scope != DeduplicationScope::Zone || same_zone)
+            }),
+        }
+    }
+
+    /// Rule 5: no stale read. Its position is proven, or it was primary and has not said otherwise,
+    /// or it checks by itself.
+    fn is_fresh_enough(&self, request: &Request, id: MemberId) -> bool {
+        let is_checked = self.fleet.settings.staleness_check != StalenessCheck::None
+            || self.class(request).freshness == Freshness::Write;
+        is_checked
+            || self.is_proven_recent(id, request)
+            || self.fleet.member(id).replication.is_primary()
+    }
+
+    /// Position that a member must have reached to answer a request sent now.
+    pub(super) fn required_position(&self, request: &Request) -> Nanos {
+        match self.class(request).freshness {
+            Freshness::Any => Nanos::MIN,
+            Freshness::BoundedStaleness(bound) => self.fleet.now - bound,
+            Freshness::Session => request.session_position,
+            Freshness::Strong | Freshness::Write => request.arrived_at,
+        }
+    }
+
+    /// The member is known to have reached the position that the request needs.
+    pub(super) fn is_proven_recent(&self, id: MemberId, request: &Request) -> bool {
+        self.fleet.member(id).replication.position >= self.required_position(request)
+    }
+
+    /// The member is in service, and the request has no attempt in flight there, nor one that was
+    /// sent there just now and never ran.
+    pub(super) fn is_open_to(&self, id: MemberId, request: &Request) -> bool {
+        let recently = self.fleet.settings.limits.connect_timeout;
+        let bars = |attempt: &Attempt| match attempt.outcome {
+            None => true,
+            Some(outcome) => never_ran(outcome) && self.fleet.now - attempt.sent_at < recently,
+        };
+        let mut attempts = request.attempts.iter();
+        self.fleet.in_service(id) && !attempts.any(|attempt| attempt.member == id && bars(attempt))
+    }
+
+    /// The request may have another attempt.
+    pub(super) fn has_attempts_left(&self, request: &Request) -> bool {
+        (request.attempts.len() as u32) < self.fleet.settings.limits.max_attempts
+    }
+
+    /// When an answer stops being of use to the client.
+    fn answer_needed_by(&self, request: &Request) -> Nanos {
+        let class = self.class(request);
+        // An idempotent read that is worth nothing after its latency objective should hold no
+        // capacity.
+        let worthless_when_late = class.late_weight == 0.0
+            && class.idempotency == Idempotency::Idempotent
+            && class.objective_stretch == 0.0;
+        if worthless_when_late {
+            return (request.deadline).min(request.arrived_at + class.latency_objective);
+        }
+        request.deadline
+    }
+
+    /// From then on no member could answer the request in time.
+    pub(super) fn latest_send(&self, request: &Request) -> Nanos {
+        let usual_latency = self.fleet.class_latency.usual(request.class);
+        let time_to_answer = (usual_latency * LATENCIES_LEFT_TO_SEND) as Nanos;
+        let margin = TICKS_BEFORE_DEADLINE * self.fleet.settings.tick;
+        (self.answer_needed_by(request) - time_to_answer).min(request.deadline - margin)
+    }
+
+    /// The failover plan for a lost site rejects a share of each class at once, with a time to come
+    /// again.
+    pub(super) fn failover_plan_admits(&mut self, class: usize) -> bool {
+        match self.failover.admitted_share.get(class) {
+            Some(&share) if share < 1.0 => self.rng.rand_float() < share,
+            _ => true,
+        }
+    }
+
+    /// The member has room for one more, within this share of its room.
+    pub(super) fn has_room(&self, id: MemberId, request: &Request, share: f64) -> bool {
+        let has_room = if !self.fleet.is_large() {
+            self.is_under_own_limit(self.fleet.member(id), share)
+        } else if self.fleet.settings.in_flight_reported {
+            self.is_under_shared_limit(id, share)
+        } else {
+            self.has_cores_to_spare(self.fleet.member(id), request, share)
+        };
+        has_room && self.slow_start_admits(id, request)
+    }
+
+    /// Room by this gateway's own limit.
+    fn is_under_own_limit(&self, member: &Member, share: f64) -> bool {
+        let limit = member.concurrency_limit.limit * share;
+        let in_flight = f64::from(member.load.in_flight);
+        // A limit of less than one at a time: after each request a pause in proportion to its work.
+        let pause_is_over = self.fleet.now >= member.concurrency_limit.next_send_at;
+        let next_is_due = limit < 1.0 && in_flight == 0.0 && pause_is_over;
+        next_is_due || in_flight + 1.0 <= limit
+    }
+
+    /// Room by the requests in flight that the member reports, in a large fleet.
+    fn is_under_shared_limit(&self, id: MemberId, share: f64) -> bool {
+        let member = self.fleet.member(id);
+        let lifetime = FULL_REPORT_LIFETIME * self.fleet.settings.limits.connect_timeout;
+        // A member that has lately said that it is full stays so until it says otherwise.
+        let last_reported = if self.fleet.now - member.load.reported_at < lifetime {
+            member.load.in_flight_of_others
+        } else {
+            0.0
+        };
+        let of_others = self.fleet.in_flight_of_others(id).max(last_reported);
+        let limit = self.fleet.shared_limit.limit * member.identity.size * share;
+        of_others + f64::from(member.load.in_flight) + 1.0 <= limit.max(1.0)
+    }
+
+    /// Room by the cores in use that the member reports, in a large fleet. A member that is sent
+    /// more than it can do serves everything too late, so it is spared a share of the requests;
+    /// writes are the last that are shed.
+    fn has_cores_to_spare(&self, member: &Member, request: &Request, share: f64) -> bool {
+        let load = &member.load;
+        let shed_of_class = if self.class(request).freshness == Freshness::Write {
+            2.0 * load.shed_share - 1.0
+        } else {
+            load.shed_share
+        };
+        let shared = self.fleet.has_shared_health_checks(request.group);
+        let shed_share = shed_of_class * f64::from(shared);
+        let idle_cores = (1.0 - load.cores_in_use) / PRIMARY_CORE_RESERVE;
+        (share >= 1.0 || request.sample < idle_cores) && request.sample < 1.0 - shed_share
+    }
+
+    /// A member that may be cold can take this request, and so can its zone while that is on a
+    /// recovery ramp.
+    ///
+    /// The budget of a cold member is the rule's multiple of its present capacity. Any number of
+    /// gateways keep it together when each lets through that share of the requests, by a random
+    /// number that is drawn once for each request.
+    fn slow_start_admits(&self, id: MemberId, request: &Request) -> bool {
+        let is_cold = self.fleet.warmth(id) < 1.0;
+        self.recovery_ramp_admits(id, request) && (!is_cold || self.cold_member_admits(id, request))
+    }
+
+    /// A zone on a recovery ramp gets its part of the reads. What only a primary takes is not
+    /// shared out.
+    fn recovery_ramp_admits(&self, id: MemberId, request: &Request) -> bool {
+        let zone = self.fleet.member(id).identity.zone;
+        let requires_primary = self.fleet.requires_primary(request.class);
+        let mut ramps = self.failover.recovery_ramps.iter();
+        ramps.all(|&(ramp, share)| ramp != zone || request.sample < share || requires_primary)
+    }
+
+    /// A cold member can take this request: the request belongs to the share that the member can
+    /// bear, has not piled up while the member was away, and is short, as a long one fills the
+    /// budget alone.
+    fn cold_member_admits(&self, id: MemberId, request: &Request) -> bool {
+        let rules = &self.fleet.settings.rules;
+        let warmth_of_group = self.warmth_of_open_members(id, request);
+        let requires_primary = self.fleet.requires_primary(request.class);
+        let group = &self.fleet.groups[&self.fleet.member(id).identity.group];
+        // Reads are shared with the other members by warmth; what only a primary takes is not.
+        let capacity = if requires_primary {
+            self.fleet.warmth(id)
+        } else {
+            warmth_of_group / group.full_size.max(1) as f64
+        };
+        let admitted_share = rules.overload_multiple * SLOW_START_SAFETY * capacity;
+        let place = request.sample / admitted_share;
+        if request.sample >= admitted_share || self.is_backlog(id, request, place) {
+            return false;
+        }
+        requires_primary
+            || self.is_own_part(id, place, warmth_of_group)
+                && self.fleet.is_short_when_cold(request.class)
+    }
+
+    /// Warmth of the members that can serve the request instead, and of this one. Those that have
+    /// died or were drained count as missing: their part of the requests comes to the others too.
+    fn warmth_of_open_members(&self, id: MemberId, request: &Request) -> f64 {
+        let group = &self.fleet.groups[&self.fleet.member(id).identity.group];
+        let is_open = |other: MemberId| {
+            other == id || !self.fleet.is_suspected(other) && self.is_open_to(other, request)
+        };
+        (group.members.iter().copied())
+            .filter(|&other| is_open(other))
+            .map(|other| self.fleet.warmth(other))
+            .sum::<f64>()
+    }
+
+    /// The request has piled up while the member was away. Such requests must not all come at once:
+    /// each is let through when its place in the overload window has come.
+    fn is_backlog(&self, id: MemberId, request: &Request, place: f64) -> bool {
+        let window = self.fleet.settings.rules.overload_window;
+        let recovered_at = self.fleet.member(id).reachability.recovered_at;
+        let turn = (place * window as f64) as Nanos;
+        request.arrived_at < recovered_at && self.fleet.now - recovered_at < turn
+    }
+
+    /// Each read is for some of the cold members only, lest one of them alone gets all, and least
+    /// of all a primary.
+    fn is_own_part(&self, id: MemberId, place: f64, warmth_of_group: f64) -> bool {
+        let group_id = self.fleet.member(id).identity.group;
+        let is_primary = self.fleet.primary(group_id) == Some(id);
+        let part = if is_primary { PRIMARY_READ_SHARE } else { 1.0 };
+        let concentration = SLOW_START_MAX_CONCENTRATION * part;
+        let distance = self.fleet.groups[&group_id].distance_from(id, place);
+        distance < concentration * self.fleet.warmth(id) / warmth_of_group
+    }
+}
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -2,8 +2,8 @@
 
 use super::endpoint::{Endpoint, LoadReport, ReplicationStatus, SharedHealthCheck};
 use super::identifiers::{GroupId, MemberId, Nanos, RequestId, SessionId, ZoneId};
-use super::member::RoutingSnapshot;
 use super::settings::Settings;
+use super::snapshot::RoutingSnapshot;
 
 /// What a site-failover plan asks of a router; nothing, by default.
 #[derive(Clone, Debug, Default, PartialEq)]
--- /dev/null
+++ b/src/routing/fleet_updates.rs
@@ -0,0 +1,301 @@
+//! How the knowledge of the fleet changes: with the endpoint list, with attempts that end, and with
+//! reports.
+
+use super::concurrency_limit::{ConcurrencyLimit, Promptness};
+use super::endpoint::{Endpoint, LoadReport, ReplicationStatus, SharedHealthCheck};
+use super::event::Outcome;
+use super::fleet::Fleet;
+use super::identifiers::{MemberId, Nanos, SessionId};
+use super::latency::SAMPLE_WEIGHT;
+use super::member::{Member, ProcessChange};
+use super::settings::{Settings, StalenessCheck};
+use std::collections::BTreeSet;
+
+/// How an attempt at a member ended.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AttemptResult {
+    /// The member.
+    pub(super) member: MemberId,
+    /// Class of the request.
+    pub(super) class: usize,
+    /// Session of the request.
+    pub(super) session: Option<SessionId>,
+    /// Position that the member should have reached to serve the request.
+    pub(super) required_position: Nanos,
+    /// How the attempt ended.
+    pub(super) outcome: Outcome,
+    /// Time since it was sent.
+    pub(super) elapsed: Nanos,
+    /// What the answer says of the member.
+    pub(super) status: Option<ReplicationStatus>,
+    /// A load report that came with the answer.
+    pub(super) report: Option<LoadReport>,
+}
+
+impl Fleet {
+    /// New settings hold from now on. A class that has changed goes on from the measurements that
+    /// it is given.
+    pub(super) fn change_settings(
+        &mut self,
+        settings: &Settings,
+        measurements_from: &[Option<usize>],
+    ) {
+        self.class_latency
+            .change_classes(&settings.classes, measurements_from);
+        self.settings = settings.clone();
+    }
+
+    /// Takes the endpoint list, or changes to it.
+    pub(super) fn apply_endpoint_list(&mut self, complete: bool, endpoints: &[Endpoint]) {
+        for member in self.members.values_mut() {
+            member.service.removed |= complete;
+        }
+        for endpoint in endpoints {
+            self.apply_endpoint(endpoint);
+        }
+        for member in self.members.values_mut() {
+            member.service.removed_at = if member.service.removed {
+                member.service.removed_at.min(self.now)
+            } else {
+                Nanos::MAX
+            };
+        }
+        self.forget_removed_members();
+        for group in self.groups.values_mut() {
+            group.endpoints_changed(&self.members);
+        }
+    }
+
+    fn apply_endpoint(&mut self, endpoint: &Endpoint) {
+        if !self.members.contains_key(&endpoint.member) {
+            let group = self.groups.entry(endpoint.group).or_default();
+            group.members.push(endpoint.member);
+        }
+        let limit = ConcurrencyLimit::initial(self.settings.gateway_count);
+        let member = self
+            .members
+            .entry(endpoint.member)
+            .or_insert_with(|| Member::new(endpoint, limit));
+        if member.apply_endpoint(endpoint, self.now) == ProcessChange::Restarted {
+            member.concurrency_limit.limit = member.concurrency_limit.limit.min(limit);
+        }
+    }
+
+    /// Forgets removed members that owe no answer; one that was removed without a drain, once those
+    /// that replace it are warm.
+    fn forget_removed_members(&mut self) {
+        let long_ago = self.now - 2 * self.settings.rules.warm_up_time;
+        let forgotten: BTreeSet<MemberId> = (self.members.iter())
+            .filter(|(_, member)| !self.accepts_requests(member) && member.is_forgettable(long_ago))
+            .map(|(&id, _)| id)
+            .collect();
+        self.members.retain(|id, _| !forgotten.contains(id));
+        for group in self.groups.values_mut() {
+            group.members.retain(|id| !forgotten.contains(id));
+        }
+    }
+
+    /// A request of this class is sent to a member.
+    pub(super) fn request_sent(&mut self, id: MemberId, class: usize) {
+        let now = self.now;
+        let usual_latency = self.class_latency.usual(class);
+        let connect_timeout = self.settings.limits.connect_timeout;
+        let member = self.member_mut(id);
+        member.load.in_flight += 1;
+        member.concurrency_limit.request_sent(now, usual_latency);
+        (member.reachability).request_sent(now, usual_latency, connect_timeout);
+    }
+
+    /// Takes what the end of an attempt says of its member.
+    pub(super) fn attempt_ended(&mut self, result: &AttemptResult) {
+        self.apply_outcome(result);
+        if let Some(status) = result.status {
+            self.apply_status(result, status);
+        }
+        if let Some(report) = result.report {
+            self.apply_report(result.member, report);
+        }
+        if result.outcome == Outcome::Unsuitable {
+            self.rejected_as_unsuitable(result);
+        }
+    }
+
+    /// Takes what an outcome says of the member's health and latency.
+    fn apply_outcome(&mut self, result: &AttemptResult) {
+        let id = result.member;
+        let class = result.class;
+        let outcome = result.outcome;
+        let elapsed = result.elapsed;
+        let objective = self.settings.classes[class].latency_objective;
+        let connect_timeout = self.settings.limits.connect_timeout;
+        let usual_latency = self.class_latency.usual(class);
+        let lifetime = self.observation_lifetime();
+        let now = self.now;
+        let member = self.member_mut(id);
+        let weight = member.reachability.observation_weight(now, lifetime);
+        member.load.in_flight = member.load.in_flight.saturating_sub(1);
+        let in_flight = member.load.in_flight;
+        (member.reachability).attempt_ended(outcome, in_flight, now);
+        (member.ejection).attempt_ended(outcome, now, connect_timeout);
+        match outcome {
+            Outcome::Ok => {
+                member.reachability.recovered(now);
+                member.latency.record(elapsed, usual_latency, weight);
+                self.class_latency.record(class, elapsed);
+                self.adjust_limits(id, class, Promptness::of(elapsed, objective));
+            }
+            Outcome::Full => self.decrease_limits(id, class),
+            Outcome::TimedOut => {
+                if Promptness::timeout_counts_as_late(elapsed, objective) {
+                    self.decrease_limits(id, class);
+                }
+                // A member that answers others is slow, but can be reached.
+                let last_heard_at = self.member(id).reachability.last_heard_at;
+                if last_heard_at + connect_timeout < now {
+                    self.failed_to_reach(id);
+                }
+            }
+            Outcome::ConnectFailed | Outcome::Reset => self.failed_to_reach(id),
+            Outcome::Error | Outcome::Cancelled | Outcome::NotSent | Outcome::Unsuitable => {}
+        }
+    }
+
+    /// Moves the concurrency limits by an answer.
+    fn adjust_limits(&mut self, id: MemberId, class: usize, promptness: Promptness) {
+        match promptness {
+            Promptness::Prompt => {
+                let gateway_count = self.settings.gateway_count;
+                self.member_mut(id)
+                    .concurrency_limit
+                    .increase(gateway_count);
+                self.shared_limit.increase();
+            }
+            Promptness::InTime => {}
+            Promptness::Late => self.decrease_limits(id, class),
+        }
+    }
+
+    /// An answer was late, or a request rejected: the member gets fewer at a time.
+    fn decrease_limits(&mut self, id: MemberId, class: usize) {
+        let now = self.now;
+        let usual_latency = self.class_latency.usual(class);
+        let member = self.member_mut(id);
+        if member.concurrency_limit.decrease(now, usual_latency) {
+            let in_flight_of_others = member.load.in_flight_of_others;
+            let size = member.identity.size;
+            self.shared_limit.decrease(in_flight_of_others, size);
+        }
+    }
+
+    /// A member could not be reached.
+    fn failed_to_reach(&mut self, id: MemberId) {
+        let now = self.now;
+        let connect_timeout = self.settings.limits.connect_timeout;
+        self.member_mut(id)
+            .reachability
+            .failed(now, connect_timeout);
+    }
+
+    /// Takes the status that came with an answer. A write's position is remembered for its session
+    /// where session reads do not carry it.
+    fn apply_status(&mut self, result: &AttemptResult, status: ReplicationStatus) {
+        let now = self.now;
+        let member = self.member_mut(result.member);
+        member.replication.apply_status(status, now);
+        let remembered = self.is_write(result.class) && !self.settings.last_write_age_carried;
+        if let (true, Some(session), Some(position)) = (remembered, result.session, status.position)
+        {
+            let commit = self.session_commits.entry(session).or_insert(position);
+            *commit = (*commit).max(position);
+        }
+    }
+
+    /// Takes a load report that came with an answer or a health check of this gateway.
+    fn apply_report(&mut self, id: MemberId, report: LoadReport) {
+        let now = self.now;
+        let member = (self.members.get_mut(&id)).expect("a member that answers is known");
+        member.replication.apply_report(report, now);
+        if let Some(in_flight) = report.in_flight {
+            member.load.in_flight_reported(in_flight, now);
+            (self.load).member_reported(&member.load, member.identity.size);
+        }
+    }
+
+    /// A member has rejected a request as unsuitable. After a write it is not primary, whatever was
+    /// believed; after a read it is further behind than the read allows.
+    fn rejected_as_unsuitable(&mut self, result: &AttemptResult) {
+        let now = self.now;
+        let known_lag = self.lag(result.member);
+        let is_write = self.is_write(result.class);
+        let replication = &mut self.member_mut(result.member).replication;
+        if is_write {
+            replication.last_replica_at = now;
+        } else if result.required_position > 0 {
+            let least_lag = now - result.required_position + 1;
+            replication.measure_lag(known_lag.max(least_lag), now);
+        }
+    }
+
+    /// Takes the result of a health check of this gateway.
+    pub(super) fn apply_health_check(
+        &mut self,
+        id: MemberId,
+        outcome: Outcome,
+        report: Option<LoadReport>,
+    ) {
+        let now = self.now;
+        let Some(member) = self.members.get_mut(&id) else {
+            return;
+        };
+        member.health_check.outstanding = false;
+        let group = member.identity.group;
+        match outcome {
+            Outcome::Ok => member.reachability.recovered(now),
+            Outcome::ConnectFailed | Outcome::Reset | Outcome::TimedOut => self.failed_to_reach(id),
+            _ => {}
+        }
+        self.group_mut(group).selection_due = true;
+        if let Some(report) = report {
+            self.apply_report(id, report);
+        }
+    }
+
+    /// Takes a health check result that gateways share. Where members do not check reads for
+    /// staleness it is passed over: a gateway that is wrong would have stale reads served.
+    pub(super) fn apply_shared_health_check(&mut self, result: &SharedHealthCheck) {
+        if self.settings.staleness_check == StalenessCheck::None {
+            return;
+        }
+        let Some(member) = self.members.get_mut(&result.member) else {
+            return;
+        };
+        let group = (self.groups.get_mut(&member.identity.group))
+            .expect("the group of a known member is known");
+        group.selection_due = true;
+        group.health_checks.shared_result(result.at);
+        let size = member.identity.size;
+        let is_newest = result.at >= member.load.reported_at;
+        if let Some(cores_in_use) = result.report.cores_in_use {
+            if is_newest && !self.settings.in_flight_reported {
+                (member.load).cores_in_use_reported(cores_in_use, size, result.at);
+                self.load.member_reported(&member.load, size);
+            }
+        }
+        if !member.replication.apply_report(result.report, result.at) {
+            return;
+        }
+        // A primary's position is the time of its report: that shows how old reports are when they
+        // arrive.
+        match result.report.position {
+            Some(position) if result.report.primary == Some(true) => {
+                let age = (result.at - position) as f64;
+                self.load.report_age += SAMPLE_WEIGHT * (age - self.load.report_age);
+            }
+            Some(_) => {
+                let lag = member.replication.lag - self.load.report_age as Nanos;
+                member.replication.lag = lag.max(0);
+            }
+            None => {}
+        }
+    }
+}
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,15 +1,38 @@
 //! Routing decisions: which member serves a request, whether it is retried, and what is rejected.
 //!
-//! [`Router`] is a state machine without I/O and without a clock: [`Event`]s and the time go in, [`Action`]s come out. The
-//! same router runs in the gateway, in the simulator's adapter and in the testbed.
+//! [`Router`] is a state machine without I/O and without a clock: [`Event`]s and the time go in,
+//! [`Action`]s come out. The same router runs in the gateway, in the simulator's adapter and in the
+//! testbed.
+//!
+//! The decisions are in `router`, `selection`, `admission` and `retry` (the `policy` files of
+//! `deploy/balancer.toml`). The other modules hold what decisions rest on: `fleet` with its
+//! estimates of members, groups and classes, and `request` with the requests that are not finished.
 
 mod action;
+mod admission;
+mod concurrency_limit;
 mod endpoint;
 mod event;
+mod fleet;
+mod fleet_updates;
+mod group;
+mod health_check;
+mod health_check_dispatch;
 mod identifiers;
+mod latency;
+mod load;
 mod member;
+mod outlier;
+mod replication;
+mod request;
+mod retry;
+mod retry_budget;
 mod router;
+mod selection;
 mod settings;
+mod slow_start;
+mod snapshot;
+mod timer;
 
 pub use action::Action;
 pub use endpoint::{
@@ -17,9 +40,10 @@
 };
 pub use event::{Event, FailoverDirectives, Outcome};
 pub use identifiers::{GroupId, MemberId, Nanos, RequestId, SessionId, ZoneId};
-pub use member::{Member, RoutingSnapshot};
+pub use member::Member;
 pub use router::Router;
 pub use settings::{
     DeduplicationScope, Freshness, Idempotency, Limits, LoadReportSource, RequestClass,
     RoleInEndpointList, SafetyRules, Settings, StalenessCheck, Tenant,
 };
+pub use snapshot::RoutingSnapshot;
--- /dev/null
+++ b/src/routing/retry.rs
@@ -0,0 +1,180 @@
+//! What follows when a request is not served at once: queueing, retries, hedged requests, and the
+//! final answer.
+
+use super::action::Action;
+use super::event::Outcome;
+use super::identifiers::{Nanos, RequestId};
+use super::request::Request;
+use super::retry_budget::RetryBudget;
+use super::router::Router;
+use super::settings::{DeduplicationScope, Freshness, Idempotency};
+use std::collections::VecDeque;
+
+/// What a hedged request costs the retry budget: a full attempt.
+const HEDGE_COST: f64 = 1.0;
+/// A request may be hedged once this share of the time to its latency objective has passed without
+/// an answer.
+const HEDGE_DELAY: f64 = 0.5;
+/// A read that no member has been sent is queued for this share of its client's patience at most.
+const UNSENT_READ_QUEUE_SHARE: f64 = 0.45;
+
+impl Router {
+    /// An attempt failed. Unless another one is in flight, the request is tried again, or given up.
+    pub(super) fn after_failure(&mut self, id: RequestId, outcome: Outcome, elapsed: Nanos) {
+        let request = self.requests.get(id);
+        if request.answered || request.is_in_flight() {
+            return;
+        }
+        let idempotency = self.class(request).idempotency;
+        let repeatable = idempotency != Idempotency::NotIdempotent || !request.may_have_run();
+        let in_time = self.fleet.now < self.latest_send(request);
+        let usual_latency = self.fleet.class_latency.usual(request.class);
+        let cost = RetryBudget::retry_cost(outcome, elapsed, usual_latency);
+        let allowed = repeatable && in_time && self.has_attempts_left(request);
+        if allowed && self.retry_budget.covers(cost) {
+            self.retry_budget.withdraw(cost);
+            self.enqueue(id);
+        } else {
+            self.give_up(id);
+        }
+    }
+
+    /// Queues a request until a member is found for it.
+    pub(super) fn enqueue(&mut self, id: RequestId) {
+        let classes = self.fleet.settings.classes.len();
+        let Some(request) = self.requests.by_id.get(&id) else {
+            return;
+        };
+        let queued_until = self.queued_until(request);
+        let request = self.requests.get_mut(id);
+        request.queued = true;
+        request.queued_until = queued_until;
+        let class = request.class;
+        let group = self.fleet.groups.entry(request.group).or_default();
+        group.queues.resize(classes, VecDeque::new());
+        group.queues[class].push_back(id);
+        group.selection_due = true;
+        self.review_before_giving_up(id);
+    }
+
+    /// Until when a request may be queued. A client that is rejected late without any attempt has
+    /// waited for nothing and has too little time left to come back; once half of its patience is
+    /// spent, that is so whenever it is told. A write is queued to its end: an election outlasts
+    /// any shorter time, and all writes would fail.
+    fn queued_until(&self, request: &Request) -> Nanos {
+        let is_read = self.class(request).freshness != Freshness::Write;
+        let patience = (request.deadline - request.arrived_at) as f64;
+        let limit = request.arrived_at + (patience * UNSENT_READ_QUEUE_SHARE) as Nanos;
+        if is_read && request.is_unsent() && self.fleet.now < limit {
+            limit
+        } else {
+            Nanos::MAX
+        }
+    }
+
+    /// When a request that is queued now is given up.
+    fn give_up_at(&self, request: &Request) -> Nanos {
+        self.latest_send(request).min(request.queued_until)
+    }
+
+    fn review_before_giving_up(&mut self, id: RequestId) {
+        let time = self.give_up_at(self.requests.get(id));
+        self.requests.review_at(time.max(self.fleet.now + 1), id);
+    }
+
+    /// Looks at the requests whose review is due: they are given up, or may be hedged.
+    pub(super) fn review_requests(&mut self) {
+        while let Some(id) = self.requests.take_due_review(self.fleet.now) {
+            let Some(request) = self.requests.unanswered(id) else {
+                continue;
+            };
+            if !request.queued {
+                self.hedge(id);
+            } else if self.fleet.now >= self.give_up_at(request) {
+                self.give_up(id);
+            } else {
+                self.review_before_giving_up(id);
+            }
+        }
+    }
+
+    /// When a request that is sent now may be hedged, if ever.
+    pub(super) fn hedge_at(&self, request: &Request) -> Option<Nanos> {
+        let class = self.class(request);
+        let now = self.fleet.now;
+        let time_left = request.arrived_at + class.latency_objective - now;
+        let hedge_at = now + (HEDGE_DELAY * time_left as f64) as Nanos;
+        let permitted = self.fleet.settings.limits.hedged_requests;
+        let may_be_hedged = permitted && class.idempotency == Idempotency::Idempotent;
+        (may_be_hedged && hedge_at > now).then_some(hedge_at)
+    }
+
+    /// Sends a second attempt elsewhere if the member of the only one has fallen silent. A member
+    /// that still answers other requests is only slow.
+    fn hedge(&mut self, id: RequestId) {
+        let request = self.requests.get(id);
+        let Some(member) = request.only_member_in_flight() else {
+            return;
+        };
+        let now = self.fleet.now;
+        if !self.retry_budget.covers(HEDGE_COST) || now >= self.latest_send(request) {
+            return;
+        }
+        if !self.fleet.is_suspected(member) {
+            let tolerance = self.fleet.member(member).reachability.silence_tolerance;
+            self.requests.review_at(now + tolerance / 2, id);
+            return;
+        }
+        let selected = self.select(request, Some(member));
+        if selected.is_some_and(|other| self.send(id, other)) {
+            self.retry_budget.withdraw(HEDGE_COST);
+        }
+    }
+
+    /// Gives a request its final answer, at once: rejected if a repeat is harmless, else failed.
+    pub(super) fn give_up(&mut self, id: RequestId) {
+        let Some(request) = self.requests.unanswered(id) else {
+            return;
+        };
+        let repeat_is_harmless = match self.class(request).idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::Keyed {
+                scope: DeduplicationScope::All,
+                ..
+            } => true,
+            Idempotency::Keyed { .. } | Idempotency::NotIdempotent => !request.may_have_run(),
+        };
+        let answer = if repeat_is_harmless {
+            let retry_after = self.retry_after(request);
+            Action::Reject { id, retry_after }
+        } else {
+            Action::Fail { id }
+        };
+        self.actions.push(answer);
+        self.close(id);
+    }
+
+    /// Time that a rejected client should wait before it retries. The failover plan's is spread, so
+    /// that not all clients come back at the same time.
+    fn retry_after(&self, request: &Request) -> Nanos {
+        let limits = &self.fleet.settings.limits;
+        if !limits.retry_after {
+            return 0;
+        }
+        let spread = |pause: Nanos| (pause as f64 * (1.0 + request.sample)) as Nanos;
+        let objective = self.class(request).latency_objective;
+        let retry_after = self.failover.retry_after.map_or(objective, spread);
+        retry_after.min(limits.max_retry_after)
+    }
+
+    /// Nothing more is done for this request. Attempts in flight are cancelled, so that they free
+    /// their places.
+    pub(super) fn close(&mut self, id: RequestId) {
+        let in_flight = self.requests.finish(id);
+        if self.fleet.settings.limits.cancellation {
+            for attempt in in_flight {
+                self.actions.push(Action::CancelAttempt { id, attempt });
+            }
+        }
+    }
+}
