--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -1,7 +1,7 @@
 //! Deployments of hundreds of proxies, in which one proxy sends a member a request in many seconds.
 
-mod common;
-use common::*;
+mod router_harness;
+use router_harness::*;
 use irisrouter::routing::*;
 
 fn many(checks: StalenessCheck, gateway_count: u32, seed: u64) -> World {
--- a/tests/rules_under_random_events.rs
+++ b/tests/rules_under_random_events.rs
@@ -1,7 +1,7 @@
 //! Random legal sequences of events: the rules hold, and equal events and seed give equal actions.
 
-mod common;
-use common::*;
+mod router_harness;
+use router_harness::*;
 use irisrouter::routing::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
--- a/tests/safety_rules.rs
+++ b/tests/safety_rules.rs
@@ -1,7 +1,7 @@
 //! The five rules and the defences, without the bench.
 
-mod common;
-use common::*;
+mod router_harness;
+use router_harness::*;
 use irisrouter::routing::*;
 
 #[test]
--- a/tests/shared_health_checks.rs
+++ b/tests/shared_health_checks.rs
@@ -1,7 +1,7 @@
 //! What a router makes of the findings of other gateways.
 
-mod common;
-use common::*;
+mod router_harness;
+use router_harness::*;
 use irisrouter::routing::*;
 
 fn fleet(checks: StalenessCheck) -> World {
--- a/tests/slow_start_across_gateways.rs
+++ b/tests/slow_start_across_gateways.rs
@@ -1,8 +1,8 @@
 //! What a fleet of gateways sends one cold member, added up over all of them, against the budget that the settings give it.
 //! Each router is a machine of its own: what the others send, none knows.
 
-mod common;
-use common::*;
+mod router_harness;
+use router_harness::*;
 use irisrouter::routing::*;
 use std::collections::BTreeMap;
 
