--- a/crates/drain-coordination/tests/golden.rs
+++ b/crates/drain-coordination/tests/golden.rs
@@ -1,86 +1,94 @@
-//! Golden tests of the datagrams by which gateways drain database hosts on an operator's word.
+//! Golden tests of the datagrams by which gateways coordinate the drains of database hosts.
 //!
-//! Pinned are the exact bytes of every kind of item, what the decoder says of these bytes and of malformed ones, the
-//! numbers of drains as duties, and the order of words. A fleet is upgraded one gateway at a time, so gateways of the old
-//! and the new version exchange these datagrams with each other, and have to agree on the owner of a drain and on the word
-//! that holds: a change of a single byte or number would leave a host in service at some gateways, or call a drain done
-//! that is not. A refactoring must leave every literal in this file as it is; a wanted change of the format needs a new
+//! Pinned are the exact bytes of every kind of message, what the decoder says of these bytes and of malformed ones, the
+//! numbers of drains as leased tasks, and the precedence of commands. A fleet is upgraded one gateway at a time, so gateways
+//! of the old and the new version exchange these datagrams with each other, and have to agree on the coordinator of a drain
+//! and on the command that holds: a change of a single byte or number would leave a host in service at some gateways, or
+//! complete a drain too early. A refactoring must leave every literal in this file as it is; a wanted change of the format needs a new
 //! first byte.
 //!
 //! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
 
 use irisrouter_drain_coordination::codec::{
-    decode, encode, Item, Kind, WireError, ITEMS, MAGIC, MAX_DATAGRAM_BYTES,
+    decode, encode, Message, MessageKind, WireError, MAGIC, MAX_DATAGRAM_BYTES, MAX_MESSAGES,
 };
-use irisrouter_drain_coordination::{recognizes, task_id, DrainCommand};
+use irisrouter_drain_coordination::{recognizes, task_id, DesiredState, DrainCommand, Precedence};
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-// Values: all items that are pinned here are built in this part of the file.
+// Values: all messages that are pinned here are built in this part of the file.
 
-fn word(out: bool) -> DrainCommand {
+fn command(desired_state: DesiredState) -> DrainCommand {
     DrainCommand {
         host: 0x0102_0304,
-        out,
-        at: 0x1112_1314_1516_1718,
-        by: 0x2122_2324,
+        desired_state,
+        issued_at_ms: 0x1112_1314_1516_1718,
+        issued_by: 0x2122_2324,
     }
 }
 
 /// Of a host that is to be out of service.
-fn item(kind: Kind) -> Item {
-    Item {
+fn message(kind: MessageKind) -> Message {
+    Message {
         kind,
-        word: word(true),
+        command: command(DesiredState::Drained),
         epoch: 0x3132_3334_3536_3738,
         count: 0x4142_4344,
     }
 }
 
 /// Of a host that is to be back.
-fn of_return(kind: Kind) -> Item {
-    Item {
-        word: word(false),
-        ..item(kind)
+fn of_return(kind: MessageKind) -> Message {
+    Message {
+        command: command(DesiredState::InService),
+        ..message(kind)
     }
 }
 
-/// As it is sent by a teller that owns nothing.
-fn without_epoch_and_count(kind: Kind) -> Item {
-    Item {
+/// As it is sent by a gateway that coordinates nothing.
+fn without_epoch_and_count(kind: MessageKind) -> Message {
+    Message {
         epoch: 0,
         count: 0,
-        ..item(kind)
+        ..message(kind)
     }
 }
 
-fn with_largest_numbers() -> Item {
-    let word = DrainCommand {
+fn with_largest_numbers() -> Message {
+    let command = DrainCommand {
         host: u32::MAX,
-        out: true,
-        at: u64::MAX,
-        by: u32::MAX,
+        desired_state: DesiredState::Drained,
+        issued_at_ms: u64::MAX,
+        issued_by: u32::MAX,
     };
-    Item {
-        kind: Kind::Done,
-        word,
+    Message {
+        kind: MessageKind::Completion,
+        command,
         epoch: u64::MAX,
         count: u32::MAX,
     }
 }
 
-/// Items that differ in every field.
-fn many(count: u32) -> Vec<Item> {
-    let kinds = [Kind::Tell, Kind::Holds, Kind::Done];
-    let one = |i: u32| Item {
+/// Messages that differ in every field.
+fn many(count: u32) -> Vec<Message> {
+    let kinds = [
+        MessageKind::Announcement,
+        MessageKind::Report,
+        MessageKind::Completion,
+    ];
+    let one = |i: u32| Message {
         kind: kinds[i as usize % kinds.len()],
-        word: DrainCommand {
+        command: DrainCommand {
             host: 0x0100_0000 + i,
-            out: i % 2 == 1,
-            at: 0x1100_0000_0000_0000 + u64::from(i),
-            by: 0x2100_0000 + i,
+            desired_state: if i % 2 == 1 {
+                DesiredState::Drained
+            } else {
+                DesiredState::InService
+            },
+            issued_at_ms: 0x1100_0000_0000_0000 + u64::from(i),
+            issued_by: 0x2100_0000 + i,
         },
         epoch: 0x3100_0000_0000_0000 + u64::from(i),
         count: 0x4100_0000 + i,
@@ -94,17 +102,17 @@
     expected.split_whitespace().collect()
 }
 
-/// A datagram of these items has these bytes, and is `read` from them.
+/// A datagram of these messages has these bytes, and is `read` from them.
 #[track_caller]
-fn pins_as(items: &[Item], expected: &str, read: &[Item]) {
-    let bytes = encode(items);
+fn pins_as(messages: &[Message], expected: &str, read: &[Message]) {
+    let bytes = encode(messages);
     assert_eq!(hex(&bytes), literal(expected));
     assert_eq!(decode(&bytes).as_deref(), Ok(read));
 }
 
 #[track_caller]
-fn pins(items: &[Item], expected: &str) {
-    pins_as(items, expected, items);
+fn pins(messages: &[Message], expected: &str) {
+    pins_as(messages, expected, messages);
 }
 
 #[track_caller]
@@ -122,34 +130,34 @@
 
 #[test]
 fn bounds_and_first_byte_keep_their_values() {
-    assert_eq!((MAX_DATAGRAM_BYTES, ITEMS, MAGIC), (256, 8, 0xe1));
+    assert_eq!((MAX_DATAGRAM_BYTES, MAX_MESSAGES, MAGIC), (256, 8, 0xe1));
 }
 
 #[test]
-fn tell_item_keeps_its_bytes() {
+fn announcement_keeps_its_bytes() {
     let expected = "e1 01  00 01 01020304 1112131415161718 21222324 3132333435363738 41424344";
-    pins(&[item(Kind::Tell)], expected);
+    pins(&[message(MessageKind::Announcement)], expected);
 }
 
 #[test]
-fn holds_item_keeps_its_bytes() {
+fn report_keeps_its_bytes() {
     let expected = "e1 01  01 01 01020304 1112131415161718 21222324 3132333435363738 41424344";
-    pins(&[item(Kind::Holds)], expected);
+    pins(&[message(MessageKind::Report)], expected);
 }
 
 #[test]
-fn done_item_keeps_its_bytes() {
+fn completion_keeps_its_bytes() {
     let expected = "e1 01  02 01 01020304 1112131415161718 21222324 3132333435363738 41424344";
-    pins(&[item(Kind::Done)], expected);
+    pins(&[message(MessageKind::Completion)], expected);
 }
 
 #[test]
-fn items_of_a_host_that_is_to_be_back_keep_their_bytes() {
+fn messages_of_a_host_that_is_to_be_back_keep_their_bytes() {
     pins(
         &[
-            of_return(Kind::Tell),
-            of_return(Kind::Holds),
-            of_return(Kind::Done),
+            of_return(MessageKind::Announcement),
+            of_return(MessageKind::Report),
+            of_return(MessageKind::Completion),
         ],
         "e1 03
         00 00 01020304 1112131415161718 21222324 3132333435363738 41424344
@@ -159,24 +167,27 @@
 }
 
 #[test]
-fn item_of_a_teller_that_owns_nothing_keeps_its_bytes() {
+fn announcement_without_coordinator_keeps_its_bytes() {
     let expected = "e1 01  00 01 01020304 1112131415161718 21222324 0000000000000000 00000000";
-    pins(&[without_epoch_and_count(Kind::Tell)], expected);
+    pins(
+        &[without_epoch_and_count(MessageKind::Announcement)],
+        expected,
+    );
 }
 
 #[test]
-fn item_with_the_largest_numbers_keeps_its_bytes() {
+fn message_with_the_largest_numbers_keeps_its_bytes() {
     let expected = "e1 01  02 01 ffffffff ffffffffffffffff ffffffff ffffffffffffffff ffffffff";
     pins(&[with_largest_numbers()], expected);
 }
 
 #[test]
-fn datagram_without_items_keeps_its_bytes() {
+fn datagram_without_messages_keeps_its_bytes() {
     pins(&[], "e1 00");
 }
 
 #[test]
-fn longest_datagram_keeps_its_bytes_and_items_beyond_it_are_left_out() {
+fn longest_datagram_keeps_its_bytes_and_messages_beyond_it_are_left_out() {
     pins_as(
         &many(10),
         "e1 08
@@ -258,7 +269,7 @@
 }
 
 #[test]
-fn count_other_than_the_items_that_follow_is_refused() {
+fn count_other_than_the_messages_that_follow_is_refused() {
     let mut bytes = encode(&many(2));
     for count in [3, 9, 255] {
         bytes[1] = count;
@@ -273,7 +284,7 @@
 }
 
 #[test]
-fn one_item_more_than_fit_is_refused_as_long() {
+fn one_message_more_than_fit_is_refused_as_long() {
     let mut bytes = [encode(&many(8)), vec![0; 30]].concat();
     bytes[1] = 9;
     refuses(
@@ -284,7 +295,7 @@
 }
 
 #[test]
-fn datagram_of_drains_is_told_by_the_high_half_of_its_first_byte() {
+fn datagram_of_drains_is_recognized_by_the_high_half_of_its_first_byte() {
     assert!(recognizes(&[0xe1]) && recognizes(&[0xe0]) && recognizes(&[0xef, 0x00]));
     assert!(
         !recognizes(&[])
@@ -297,7 +308,7 @@
 // Numbers on which all gateways agree.
 
 #[test]
-fn duty_of_a_host_s_drain_keeps_its_number() {
+fn task_number_of_a_host_s_drain_keeps_its_number() {
     assert_eq!(task_id(0), 0x4452_4149_0000_0000);
     assert_eq!(task_id(7), 0x4452_4149_0000_0007);
     assert_eq!(task_id(0x00ab_cdef), 0x4452_4149_00ab_cdef);
@@ -305,39 +316,41 @@
 }
 
 #[test]
-fn words_are_ordered_by_time_then_by_gateway_then_by_state() {
-    assert_eq!(
-        word(true).order(),
-        (0x1112_1314_1516_1718, 0x2122_2324, true)
-    );
+fn commands_are_ordered_by_time_then_by_gateway_then_by_state() {
+    let expected = Precedence {
+        issued_at_ms: 0x1112_1314_1516_1718,
+        issued_by: 0x2122_2324,
+        desired_state: DesiredState::Drained,
+    };
+    assert_eq!(command(DesiredState::Drained).precedence(), expected);
     let in_order = [
         DrainCommand {
-            at: 1,
-            by: 9,
-            ..word(true)
+            issued_at_ms: 1,
+            issued_by: 9,
+            ..command(DesiredState::Drained)
         },
         DrainCommand {
-            at: 2,
-            by: 3,
-            ..word(true)
+            issued_at_ms: 2,
+            issued_by: 3,
+            ..command(DesiredState::Drained)
         },
         DrainCommand {
-            at: 2,
-            by: 4,
-            ..word(false)
+            issued_at_ms: 2,
+            issued_by: 4,
+            ..command(DesiredState::InService)
         },
         DrainCommand {
-            at: 2,
-            by: 4,
-            ..word(true)
+            issued_at_ms: 2,
+            issued_by: 4,
+            ..command(DesiredState::Drained)
         },
         DrainCommand {
-            at: 3,
-            by: 0,
-            ..word(false)
+            issued_at_ms: 3,
+            issued_by: 0,
+            ..command(DesiredState::InService)
         },
     ];
     assert!(in_order
         .windows(2)
-        .all(|pair| pair[0].order() < pair[1].order()));
+        .all(|pair| pair[0].precedence() < pair[1].precedence()));
 }
--- a/crates/endpoint-watch/tests/golden.rs
+++ b/crates/endpoint-watch/tests/golden.rs
@@ -1,7 +1,7 @@
-//! Golden tests of the beat by which the fleet's watch of the list of database hosts is told.
+//! Golden tests of the heartbeat by which the watcher of the endpoint list is known to its fleet.
 //!
-//! Pinned are the exact bytes of a beat, what the decoder says of these bytes and of malformed ones, and the number of the
-//! watch as a duty. A fleet is upgraded one gateway at a time, so gateways of the old and the new version exchange these
+//! Pinned are the exact bytes of a heartbeat, what the decoder says of these bytes and of malformed ones, and the number of the
+//! watch as a leased task. A fleet is upgraded one gateway at a time, so gateways of the old and the new version exchange these
 //! datagrams with each other and have to agree on who watches: a change of a single byte or of the number would make half
 //! of the fleet watch for itself, or send requests to hosts that are out of service. A refactoring must leave every literal
 //! in this file as it is; a wanted change of the format needs a new first byte.
@@ -9,31 +9,31 @@
 //! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
 
 use irisrouter_endpoint_watch::codec::{decode, encode, WireError, MAGIC, MAX_DATAGRAM_BYTES};
-use irisrouter_endpoint_watch::{recognizes, Heartbeat, MOST_OUT, TASK_ID};
+use irisrouter_endpoint_watch::{recognizes, Heartbeat, MAX_HOSTS_OUT_OF_SERVICE, TASK_ID};
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-// Values: all beats that are pinned here are built in this part of the file.
+// Values: all heartbeats that are pinned here are built in this part of the file.
 
-fn beat(out: &[u32]) -> Heartbeat {
+fn heartbeat(hosts: &[u32]) -> Heartbeat {
     Heartbeat {
         epoch: 0x0102_0304_0506_0708,
         revision: 0x1112_1314_1516_1718,
-        out: out.to_vec(),
+        hosts_out_of_service: hosts.to_vec(),
     }
 }
 
 fn with_two_hosts() -> Heartbeat {
-    beat(&[0x2122_2324, 0x00fe_dcba])
+    heartbeat(&[0x2122_2324, 0x00fe_dcba])
 }
 
 fn with_largest_numbers() -> Heartbeat {
     Heartbeat {
         epoch: u64::MAX,
         revision: u64::MAX,
-        out: vec![u32::MAX],
+        hosts_out_of_service: vec![u32::MAX],
     }
 }
 
@@ -41,7 +41,7 @@
     Heartbeat {
         epoch: 1,
         revision: 0,
-        out: vec![0],
+        hosts_out_of_service: vec![0],
     }
 }
 
@@ -53,7 +53,7 @@
 }
 
 fn with_many_hosts(count: u32) -> Heartbeat {
-    beat(&(0..count).map(|i| 0x2100_0000 + i).collect::<Vec<_>>())
+    heartbeat(&(0..count).map(|i| 0x2100_0000 + i).collect::<Vec<_>>())
 }
 
 // Helpers.
@@ -62,17 +62,17 @@
     expected.split_whitespace().collect()
 }
 
-/// A beat has these bytes, and is `read` from them.
+/// A heartbeat has these bytes, and is `read` from them.
 #[track_caller]
-fn pins_as(beat: &Heartbeat, expected: &str, read: &Heartbeat) {
-    let bytes = encode(beat);
+fn pins_as(heartbeat: &Heartbeat, expected: &str, read: &Heartbeat) {
+    let bytes = encode(heartbeat);
     assert_eq!(hex(&bytes), literal(expected));
     assert_eq!(decode(&bytes).as_ref(), Ok(read));
 }
 
 #[track_caller]
-fn pins(beat: &Heartbeat, expected: &str) {
-    pins_as(beat, expected, beat);
+fn pins(heartbeat: &Heartbeat, expected: &str) {
+    pins_as(heartbeat, expected, heartbeat);
 }
 
 #[track_caller]
@@ -90,11 +90,14 @@
 
 #[test]
 fn bounds_and_first_byte_keep_their_values() {
-    assert_eq!((MAX_DATAGRAM_BYTES, MOST_OUT, MAGIC), (256, 59, 0xf1));
+    assert_eq!(
+        (MAX_DATAGRAM_BYTES, MAX_HOSTS_OUT_OF_SERVICE, MAGIC),
+        (256, 59, 0xf1)
+    );
 }
 
 #[test]
-fn beat_with_hosts_out_of_service_keeps_its_bytes() {
+fn heartbeat_with_hosts_out_of_service_keeps_its_bytes() {
     pins(
         &with_two_hosts(),
         "f1 0102030405060708 1112131415161718 02 21222324 00fedcba",
@@ -102,12 +105,12 @@
 }
 
 #[test]
-fn beat_without_hosts_out_of_service_keeps_its_bytes() {
-    pins(&beat(&[]), "f1 0102030405060708 1112131415161718 00");
+fn heartbeat_without_hosts_out_of_service_keeps_its_bytes() {
+    pins(&heartbeat(&[]), "f1 0102030405060708 1112131415161718 00");
 }
 
 #[test]
-fn beat_with_the_largest_and_the_least_numbers_keeps_its_bytes() {
+fn heartbeat_with_the_largest_and_the_least_numbers_keeps_its_bytes() {
     pins(
         &with_largest_numbers(),
         "f1 ffffffffffffffff ffffffffffffffff 01 ffffffff",
@@ -119,7 +122,7 @@
 }
 
 #[test]
-fn longest_beat_keeps_its_bytes_and_hosts_beyond_it_are_left_out() {
+fn longest_heartbeat_keeps_its_bytes_and_hosts_beyond_it_are_left_out() {
     pins_as(
         &with_many_hosts(61),
         "f1 0102030405060708 1112131415161718 3b
@@ -133,7 +136,7 @@
     );
 }
 
-// What is refused. A beat has no kinds, so there is no unknown one.
+// What is refused. A heartbeat has no kinds, so there is no unknown one.
 
 #[test]
 fn empty_datagram_is_refused_as_short() {
@@ -157,7 +160,7 @@
 }
 
 #[test]
-fn beat_under_epoch_0_is_written_and_refused_for_its_value() {
+fn heartbeat_under_epoch_0_is_written_and_refused_for_its_value() {
     let bytes = encode(&of_nobody());
     assert_eq!(
         hex(&bytes),
@@ -229,7 +232,7 @@
 }
 
 #[test]
-fn datagram_of_the_watch_is_told_by_the_high_half_of_its_first_byte() {
+fn datagram_of_the_watch_is_recognized_by_the_high_half_of_its_first_byte() {
     assert!(recognizes(&[0xf1]) && recognizes(&[0xf0]) && recognizes(&[0xff, 0x00]));
     assert!(!recognizes(&[]) && !recognizes(&[0x01, 0xf1]) && !recognizes(&[0xe1]));
 }
@@ -237,6 +240,6 @@
 // Numbers on which all gateways agree.
 
 #[test]
-fn duty_of_the_watch_keeps_its_number() {
+fn task_number_of_the_watch_keeps_its_number() {
     assert_eq!(TASK_ID, 0x5741_5443_4800_0000);
 }
--- a/crates/gossip/tests/golden.rs
+++ b/crates/gossip/tests/golden.rs
@@ -1,51 +1,58 @@
-//! Golden tests of what gateways tell one another of database hosts.
+//! Golden tests of the health-check results that gateways share.
 //!
-//! Pinned are the exact bytes of the message of findings, what the decoder says of these bytes and of malformed ones, the
-//! numbers of hosts, and the order of gateways for a set with the times at which they take their turns. A fleet is
-//! upgraded one gateway at a time, so gateways of the old and the new version exchange these datagrams with each other:
-//! a change of a single byte or number would make them misread each other or probe the same set twice. A refactoring must
-//! leave every literal in this file as it is; a wanted change of the format needs a new version byte.
+//! Pinned are the exact bytes of the message of results, what the decoder returns for these bytes
+//! and of malformed ones, the ids of hosts, and the order of gateways for a group with the times at
+//! which their rounds are due. A fleet is upgraded one gateway at a time, so gateways of the old
+//! and the new version exchange these datagrams with each other: a change of a single byte or
+//! number would make them misread each other or check the same group twice. A refactoring must
+//! leave every literal in this file as it is; an intended change of the format needs a new version
+//! byte.
 //!
-//! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
+//! Literals are groups of hex digits, one group for each field of the layout; white space between
+//! them is ignored.
 
 use irisrouter_gossip::health_check_schedule::HealthCheckSchedule;
 use irisrouter_gossip::message::{
-    decode, encode, number, Finding, Malformed, Message, LONGEST, MOST,
+    decode, encode, host_id, DecodeError, HealthCheckResult, Message, MAX_DATAGRAM_BYTES,
+    MAX_RESULTS,
 };
 
 const MS: i64 = 1_000_000;
 /// The lower 32 bits of these milliseconds are 0x32e2_9314.
 const NOW: i64 = 1_796_150_039_316 * MS;
-/// The lower 32 bits of these milliseconds are 0: the time on the wire has just begun anew.
+/// The lower 32 bits of these milliseconds are 0: the time on the wire has just wrapped around.
 const WRAP: i64 = (418 << 32) * MS;
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-// Values: all messages and findings that are pinned here are built in this part of the file.
+// Values: all messages and results that are pinned here are built in this part of the file.
 
-fn message(at: i64, findings: Vec<Finding>) -> Message {
-    Message { at, findings }
+fn message(checked_at: i64, results: Vec<HealthCheckResult>) -> Message {
+    Message {
+        checked_at,
+        results,
+    }
 }
 
 /// A primary that is 1,929 ms (0x0789) behind and uses 37 (0x25) hundredths of its cores.
-fn primary() -> Finding {
-    Finding {
+fn primary() -> HealthCheckResult {
+    HealthCheckResult {
         host: 0x12_3456,
         position: Some(NOW - 1_929 * MS),
         primary: true,
-        in_use: Some(0.37),
+        cores_in_use: Some(0.37),
     }
 }
 
 /// A replica that is 31 ms (0x1f) behind and uses 99 (0x63) hundredths.
-fn replica() -> Finding {
-    Finding {
+fn replica() -> HealthCheckResult {
+    HealthCheckResult {
         host: 0xfe_dcba,
         position: Some(NOW - 31 * MS),
         primary: false,
-        in_use: Some(0.99),
+        cores_in_use: Some(0.99),
     }
 }
 
@@ -53,67 +60,68 @@
     message(NOW, vec![primary(), replica()])
 }
 
-fn of_unknown_figures(primary: bool) -> Finding {
-    Finding {
+fn with_unknown_values(primary: bool) -> HealthCheckResult {
+    HealthCheckResult {
         host: 0x00_abcd,
         position: None,
         primary,
-        in_use: None,
+        cores_in_use: None,
     }
 }
 
 /// A replica with this position and this share of its cores in use.
-fn with(position: i64, in_use: f64) -> Finding {
-    Finding {
+fn with(position: i64, cores_in_use: f64) -> HealthCheckResult {
+    HealthCheckResult {
         host: 0x01_0203,
         position: Some(position),
         primary: false,
-        in_use: Some(in_use),
+        cores_in_use: Some(cores_in_use),
     }
 }
 
-/// The same with figures that were not told.
-fn without(position: Option<i64>, in_use: Option<f64>) -> Finding {
-    Finding {
+/// The same with values that may be unknown.
+fn without(position: Option<i64>, cores_in_use: Option<f64>) -> HealthCheckResult {
+    HealthCheckResult {
         host: 0x01_0203,
         position,
         primary: false,
-        in_use,
+        cores_in_use,
     }
 }
 
-/// Findings that differ in every field; every second one is of a primary.
-fn many(count: u32) -> Vec<Finding> {
-    let one = |i: u32| Finding {
+/// Results that differ in every field; every second one is a primary.
+fn many(count: u32) -> Vec<HealthCheckResult> {
+    let one = |i: u32| HealthCheckResult {
         host: 0x0a_00ff + i * 0xff,
         position: Some(NOW - i64::from(0x1000 + i) * MS),
         primary: i % 2 == 1,
-        in_use: Some(f64::from(i + 1) / 100.0),
+        cores_in_use: Some(f64::from(i + 1) / 100.0),
     };
     (0..count).map(one).collect()
 }
 
-/// The gateways of a fleet in the order in which they ask a set that nobody has asked yet.
-fn order(set: i64, gateways: u32) -> Vec<u32> {
-    let turn = |me: u32| first_turn(set, me, gateways);
+/// The gateways of a fleet in the order in which they check a group that has not been checked yet.
+fn order(group: i64, gateways: u32) -> Vec<u32> {
+    let due = |me: u32| first_round(group, me, gateways);
     let mut all: Vec<u32> = (0..gateways).collect();
-    all.sort_by_key(|&me| turn(me));
+    all.sort_by_key(|&me| due(me));
     all
 }
 
-/// When this gateway asks the set if it hears nobody, for a set that appears at time 0.
-fn first_turn(set: i64, me: u32, gateways: u32) -> Option<i64> {
-    let mut duties = HealthCheckSchedule::new(me, gateways);
-    duties.sets(0, &[set]);
-    duties.next()
+/// When this gateway checks the group if no other does, for a group that appears at time 0.
+fn first_round(group: i64, me: u32, gateways: u32) -> Option<i64> {
+    let mut schedule = HealthCheckSchedule::new(me, gateways);
+    schedule.update_groups(0, &[group]);
+    schedule.next_due()
 }
 
-/// When this gateway asks the set again, in a fleet of three, after another has asked it at time 0.
-fn next_turn(set: i64, me: u32, asker: u32) -> Option<i64> {
-    let mut duties = HealthCheckSchedule::new(me, 3);
-    duties.sets(-1_000 * MS, &[set]);
-    duties.heard(set, asker, 0);
-    duties.next()
+/// When this gateway checks the group next, in a fleet of three, after `last` has checked it at
+/// time 0.
+fn next_round(group: i64, me: u32, last: u32) -> Option<i64> {
+    let mut schedule = HealthCheckSchedule::new(me, 3);
+    schedule.update_groups(-1_000 * MS, &[group]);
+    schedule.record_round(group, last, 0);
+    schedule.next_due()
 }
 
 // Helpers.
@@ -122,19 +130,19 @@
     expected.split_whitespace().collect()
 }
 
-/// The message has these bytes, and is `read` from them at its own time.
+/// The message has these bytes, and is decoded as `read` at its own time.
 #[track_caller]
 fn pins(message: &Message, expected: &str, read: &Message) {
     let bytes = encode(message);
     assert_eq!(hex(&bytes), literal(expected));
-    assert_eq!(decode(&bytes, message.at).as_ref(), Ok(read));
+    assert_eq!(decode(&bytes, message.checked_at).as_ref(), Ok(read));
 }
 
 // The bytes.
 
 #[test]
 fn bounds_keep_their_values() {
-    assert_eq!((LONGEST, MOST), (256, 41));
+    assert_eq!((MAX_DATAGRAM_BYTES, MAX_RESULTS), (256, 41));
 }
 
 #[test]
@@ -147,16 +155,16 @@
 }
 
 #[test]
-fn finding_without_known_figures_keeps_its_bytes() {
+fn result_without_known_values_keeps_its_bytes() {
     let sent = message(
         NOW,
-        vec![of_unknown_figures(false), of_unknown_figures(true)],
+        vec![with_unknown_values(false), with_unknown_values(true)],
     );
     pins(&sent, "01 32e29314  00abcd ffff 7f  00abcd ffff ff", &sent);
 }
 
 #[test]
-fn finding_with_the_least_and_the_largest_figures_keeps_its_bytes() {
+fn result_with_the_least_and_the_largest_values_keeps_its_bytes() {
     let sent = message(NOW, vec![with(NOW, 0.0), with(NOW - 65_534 * MS, 1.26)]);
     pins(&sent, "01 32e29314  010203 0000 00  010203 fffe 7e", &sent);
 }
@@ -189,9 +197,9 @@
     let odd = [9.0, -0.5, 0.375, f64::NAN, f64::INFINITY, f64::NEG_INFINITY];
     let read = [Some(1.26), Some(0.0), Some(0.38), None, None, None];
     pins(
-        &message(NOW, odd.iter().map(|&in_use| with(NOW - 5 * MS, in_use)).collect()),
+        &message(NOW, odd.iter().map(|&cores_in_use| with(NOW - 5 * MS, cores_in_use)).collect()),
         "01 32e29314  010203 0005 7e  010203 0005 00  010203 0005 26  010203 0005 7f  010203 0005 7f  010203 0005 7f",
-        &message(NOW, read.iter().map(|&in_use| without(Some(NOW - 5 * MS), in_use)).collect()),
+        &message(NOW, read.iter().map(|&cores_in_use| without(Some(NOW - 5 * MS), cores_in_use)).collect()),
     );
 }
 
@@ -206,12 +214,12 @@
 }
 
 #[test]
-fn host_number_beyond_24_bits_is_written_by_its_lower_24_bits() {
-    let sent = Finding {
+fn host_id_beyond_24_bits_is_written_by_its_lower_24_bits() {
+    let sent = HealthCheckResult {
         host: 0x1234_5678,
         ..replica()
     };
-    let read = Finding {
+    let read = HealthCheckResult {
         host: 0x34_5678,
         ..replica()
     };
@@ -241,7 +249,7 @@
 }
 
 #[test]
-fn longest_message_keeps_its_bytes_and_findings_beyond_it_are_left_out() {
+fn longest_message_keeps_its_bytes_and_results_beyond_it_are_left_out() {
     pins(
         &message(NOW, many(43)),
         "01 32e29314
@@ -256,18 +264,18 @@
     );
 }
 
-// What is refused. The error has no text of its own.
+// What is refused. The text of the error is for the log only.
 
 #[test]
 fn empty_datagram_is_refused_for_its_length() {
-    assert_eq!(decode(&[], NOW), Err(Malformed::Length));
+    assert_eq!(decode(&[], NOW), Err(DecodeError::Length));
 }
 
 #[test]
-fn message_without_findings_is_written_and_refused_for_its_length() {
+fn message_without_results_is_written_and_refused_for_its_length() {
     let bytes = encode(&message(NOW, Vec::new()));
     assert_eq!(hex(&bytes), literal("01 32e29314"));
-    assert_eq!(decode(&bytes, NOW), Err(Malformed::Length));
+    assert_eq!(decode(&bytes, NOW), Err(DecodeError::Length));
 }
 
 #[test]
@@ -275,28 +283,32 @@
     for first in [0x00, 0x02, 0x11, 0xa2, 0xb1, 0xff] {
         let mut bytes = encode(&both());
         bytes[0] = first;
-        assert_eq!(decode(&bytes, NOW), Err(Malformed::Version), "{first:#04x}");
+        assert_eq!(
+            decode(&bytes, NOW),
+            Err(DecodeError::Version),
+            "{first:#04x}"
+        );
     }
     // The length is looked at first.
-    assert_eq!(decode(&[0x02], NOW), Err(Malformed::Length));
-    assert_eq!(decode(&[0x02; 257], NOW), Err(Malformed::Length));
+    assert_eq!(decode(&[0x02], NOW), Err(DecodeError::Length));
+    assert_eq!(decode(&[0x02; 257], NOW), Err(DecodeError::Length));
 }
 
 #[test]
-fn datagram_cut_inside_a_finding_is_refused_for_its_length() {
+fn datagram_cut_inside_a_result_is_refused_for_its_length() {
     let bytes = encode(&both());
     for end in (0..bytes.len()).filter(|&end| end != 11) {
         assert_eq!(
             decode(&bytes[..end], NOW),
-            Err(Malformed::Length),
+            Err(DecodeError::Length),
             "{end} bytes"
         );
     }
 }
 
-/// The format has no count of findings, so this can't be told from a shorter message.
+/// The format has no count of results, so this can't be distinguished from a shorter message.
 #[test]
-fn datagram_cut_between_two_findings_is_read_as_the_findings_before_the_cut() {
+fn datagram_cut_between_two_results_is_decoded_as_the_results_before_the_cut() {
     assert_eq!(
         decode(&encode(&both())[..11], NOW),
         Ok(message(NOW, vec![primary()]))
@@ -304,10 +316,10 @@
 }
 
 #[test]
-fn trailing_bytes_are_refused_for_their_length_unless_they_make_a_whole_finding() {
+fn trailing_bytes_are_refused_for_their_length_unless_they_make_a_whole_result() {
     for more in 1..6 {
         let bytes = [encode(&both()), vec![0; more]].concat();
-        assert_eq!(decode(&bytes, NOW), Err(Malformed::Length), "{more} more");
+        assert_eq!(decode(&bytes, NOW), Err(DecodeError::Length), "{more} more");
     }
     let bytes = [encode(&both()), vec![0x01, 0x02, 0x03, 0x00, 0x05, 0x40]].concat();
     let read = message(NOW, vec![primary(), replica(), with(NOW - 5 * MS, 0.64)]);
@@ -315,30 +327,30 @@
 }
 
 #[test]
-fn one_finding_more_than_fit_is_refused_for_its_length() {
+fn one_result_more_than_fit_is_refused_for_its_length() {
     let bytes = [
         encode(&message(NOW, many(41))),
         vec![0x01, 0x02, 0x03, 0x00, 0x05, 0x40],
     ]
     .concat();
     assert_eq!(bytes.len(), 257);
-    assert_eq!(decode(&bytes, NOW), Err(Malformed::Length));
+    assert_eq!(decode(&bytes, NOW), Err(DecodeError::Length));
 }
 
 #[test]
 fn message_is_refused_as_old_after_five_seconds_and_as_future_more_than_20_ms_ahead() {
     let bytes = encode(&both());
     assert_eq!(decode(&bytes, NOW + 5_000 * MS), Ok(both()));
-    assert_eq!(decode(&bytes, NOW + 5_000 * MS + 1), Err(Malformed::Old));
+    assert_eq!(decode(&bytes, NOW + 5_000 * MS + 1), Err(DecodeError::Old));
     assert_eq!(decode(&bytes, NOW - 20 * MS), Ok(both()));
-    assert_eq!(decode(&bytes, NOW - 20 * MS - 1), Err(Malformed::Future));
+    assert_eq!(decode(&bytes, NOW - 20 * MS - 1), Err(DecodeError::Future));
 }
 
-// Numbers on which all gateways agree.
+// Values on which all gateways agree.
 
 #[test]
-fn numbers_of_hosts_keep_their_values() {
-    let numbers = [
+fn ids_of_hosts_keep_their_values() {
+    let ids = [
         ("", 0x1c_9d44),
         ("a", 0x0c_29c8),
         ("db-0001", 0xb3_2533),
@@ -346,13 +358,13 @@
         ("replica-eu-west-17", 0xfe_3773),
         ("pg/σύνολο-3", 0xf8_2ea7),
     ];
-    for (id, expected) in numbers {
-        assert_eq!(number(id), expected, "{id:?}");
+    for (name, expected) in ids {
+        assert_eq!(host_id(name), expected, "{name:?}");
     }
 }
 
 #[test]
-fn order_of_gateways_for_a_set_keeps_its_members_places() {
+fn order_of_gateways_for_a_group_is_unchanged() {
     assert_eq!(order(0, 7), [3, 6, 0, 2, 1, 5, 4]);
     assert_eq!(order(1, 7), [1, 2, 6, 5, 3, 4, 0]);
     assert_eq!(order(42, 7), [1, 5, 3, 4, 0, 2, 6]);
@@ -362,23 +374,23 @@
 }
 
 #[test]
-fn turns_of_gateways_for_a_new_set_are_60_ms_apart() {
-    let turns: Vec<_> = order(42, 4)
+fn first_rounds_of_gateways_for_a_new_group_are_60_ms_apart() {
+    let due_times: Vec<_> = order(42, 4)
         .into_iter()
-        .map(|me| first_turn(42, me, 4))
+        .map(|me| first_round(42, me, 4))
         .collect();
     assert_eq!(
-        turns,
+        due_times,
         [Some(0), Some(60 * MS), Some(120 * MS), Some(180 * MS)]
     );
 }
 
 #[test]
-fn asker_of_a_set_asks_again_after_200_ms_and_the_others_each_a_step_later() {
+fn last_gateway_checks_a_group_again_after_200_ms_and_the_others_60_ms_after_one_another() {
     // In the order [1, 0, 2].
     assert_eq!(order(42, 3), [1, 0, 2]);
-    assert_eq!(next_turn(42, 2, 2), Some(200 * MS));
-    assert_eq!(next_turn(42, 1, 2), Some(260 * MS));
-    assert_eq!(next_turn(42, 0, 2), Some(320 * MS));
-    assert_eq!(next_turn(42, 2, 1), Some(380 * MS));
+    assert_eq!(next_round(42, 2, 2), Some(200 * MS));
+    assert_eq!(next_round(42, 1, 2), Some(260 * MS));
+    assert_eq!(next_round(42, 0, 2), Some(320 * MS));
+    assert_eq!(next_round(42, 2, 1), Some(380 * MS));
 }
--- a/crates/site-failover/tests/golden.rs
+++ b/crates/site-failover/tests/golden.rs
@@ -1,49 +1,60 @@
-//! Golden tests of the datagrams that carry the plan for lost sites, and the tallies of which it is made.
+//! Golden tests of the datagrams that carry failover plans, and the load reports of which they are
+//! made.
 //!
-//! Pinned are the exact bytes of plans and tallies, how figures are rounded and clamped, what the decoder says of these
-//! bytes and of malformed ones, and the number of the planning as a duty. A fleet is upgraded one gateway at a time, so
-//! gateways of the old and the new version exchange these datagrams with each other and have to agree on who plans: a
-//! change of a single byte or of the number would make them follow different plans and send a site more than it bears. A
-//! refactoring must leave every literal in this file as it is; a wanted change of the format needs a new first byte.
+//! Pinned are the exact bytes of plans and load reports, how numbers are rounded and clamped, what
+//! the decoder returns for these bytes and of malformed ones, and the task id of the planning. A
+//! fleet is upgraded one gateway at a time, so gateways of the old and the new version exchange
+//! these datagrams with each other and have to agree on who plans: a change of a single byte or of
+//! the task id would make them follow different plans and send a site more load than it bears. A
+//! refactoring must leave every literal in this file as it is; an intended change of the format
+//! needs a new first byte.
 //!
-//! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
+//! Literals are groups of hex digits, one group for each field of the layout; white space between
+//! them is ignored.
 
 use irisrouter_site_failover::codec::{
-    decode, encode, encode_tally, Message, WireError, MAGIC, MAX_DATAGRAM_BYTES,
+    decode, encode_load_report, encode_plan, Message, WireError, MAGIC, MAX_DATAGRAM_BYTES,
 };
 use irisrouter_site_failover::load_report::{SiteLoadReport, SiteReachability};
 use irisrouter_site_failover::{
-    recognizes, Plan, SitePlan, State, MOST_CLASSES, MOST_SITES, TASK_ID,
+    recognizes, Plan, PlanVersion, SitePlan, SiteState, MAX_CLASSES, MAX_SITES, TASK_ID,
 };
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-// Values: all plans and tallies that are pinned here are built in this part of the file.
+// Values: all plans and load reports that are pinned here are built in this part of the file.
 
-/// A part that is written as this number, and read from it again.
-fn part(number: u16) -> f64 {
-    f64::from(number) / 65_535.0
+/// The share that is encoded as this number, and decoded from it.
+fn share(units: u16) -> f64 {
+    f64::from(units) / 65_535.0
 }
 
-fn site(state: State, budget: f64, ramp: f64, goes: &[f64]) -> SitePlan {
+fn site(
+    state: SiteState,
+    budget_per_s: f64,
+    recovery_ramp: f64,
+    load_distribution: &[f64],
+) -> SitePlan {
     SitePlan {
-        budget,
+        budget_per_s,
         state,
-        ramp,
-        goes: goes.to_vec(),
+        recovery_ramp,
+        load_distribution: load_distribution.to_vec(),
     }
 }
 
-fn plan(sites: Vec<SitePlan>, admitted: &[f64]) -> Plan {
+fn plan(sites: Vec<SitePlan>, admitted_share: &[f64]) -> Plan {
     Plan {
-        epoch: 0x0102_0304_0506_0708,
-        number: 0x1112_1314,
-        gateways: 0x2122_2324,
+        version: PlanVersion {
+            epoch: 0x0102_0304_0506_0708,
+            sequence: 0x1112_1314,
+        },
+        gateway_count: 0x2122_2324,
         sites,
-        admitted: admitted.to_vec(),
-        pause_ms: 0x3132_3334,
+        admitted_share: admitted_share.to_vec(),
+        retry_after_ms: 0x3132_3334,
     }
 }
 
@@ -51,31 +62,31 @@
 fn plan_of_three_sites() -> Plan {
     let sites = vec![
         site(
-            State::Up,
+            SiteState::Up,
             1_500.25,
-            part(0x4142),
-            &[part(0x5152), part(0x5354), part(0x0556)],
+            share(0x4142),
+            &[share(0x5152), share(0x5354), share(0x0556)],
         ),
         site(
-            State::Lost,
+            SiteState::Lost,
             0.0,
-            part(0x4344),
-            &[part(0x6162), part(0x0364), part(0x6566)],
+            share(0x4344),
+            &[share(0x6162), share(0x0364), share(0x6566)],
         ),
         site(
-            State::Returning,
+            SiteState::Recovering,
             70_000.5,
-            part(0x4546),
-            &[part(0x0172), part(0x7374), part(0x7576)],
+            share(0x4546),
+            &[share(0x0172), share(0x7374), share(0x7576)],
         ),
     ];
-    plan(sites, &[part(0x8182), part(0x8384)])
+    plan(sites, &[share(0x8182), share(0x8384)])
 }
 
-/// One site with these figures and one class.
-fn plan_with(budget: f64, ramp: f64, goes: f64, admitted: f64) -> Plan {
+/// One site with these values, and one class.
+fn plan_with(budget: f64, ramp: f64, load_share: f64, admitted: f64) -> Plan {
     plan(
-        vec![site(State::Returning, budget, ramp, &[goes])],
+        vec![site(SiteState::Recovering, budget, ramp, &[load_share])],
         &[admitted],
     )
 }
@@ -86,24 +97,26 @@
 
 fn plan_with_largest_numbers() -> Plan {
     Plan {
-        epoch: u64::MAX,
-        number: u32::MAX,
-        gateways: u32::MAX,
-        pause_ms: u32::MAX,
+        version: PlanVersion {
+            epoch: u64::MAX,
+            sequence: u32::MAX,
+        },
+        gateway_count: u32::MAX,
+        retry_after_ms: u32::MAX,
         ..plan_with(4_294_967.295, 1.0, 1.0, 1.0)
     }
 }
 
-/// Sites and classes that differ in every figure; each site's load goes to so many.
-fn plan_of_many(sites: u16, classes: u16, goes: u16) -> Plan {
-    let states = [State::Up, State::Lost, State::Returning];
+/// Sites and classes that differ in every number; each site's load goes to `targets` sites.
+fn plan_of_many(sites: u16, classes: u16, targets: u16) -> Plan {
+    let states = [SiteState::Up, SiteState::Lost, SiteState::Recovering];
     let one = |n: u16| SitePlan {
-        budget: f64::from(1_000 + n),
+        budget_per_s: f64::from(1_000 + n),
         state: states[usize::from(n) % states.len()],
-        ramp: part(0x8000 + n),
-        goes: (0..goes).map(|to| part(0x0100 + 16 * n + to)).collect(),
+        recovery_ramp: share(0x8000 + n),
+        load_distribution: (0..targets).map(|to| share(0x0100 + 16 * n + to)).collect(),
     };
-    let admitted: Vec<f64> = (0..classes).map(|class| part(0xf000 + class)).collect();
+    let admitted: Vec<f64> = (0..classes).map(|class| share(0xf000 + class)).collect();
     plan((0..sites).map(one).collect(), &admitted)
 }
 
@@ -129,7 +142,7 @@
     }
 }
 
-fn tally_of_nothing() -> SiteLoadReport {
+fn load_report_of_nothing() -> SiteLoadReport {
     SiteLoadReport {
         site: 0,
         period_ms: 1,
@@ -138,7 +151,7 @@
     }
 }
 
-fn tally_with_largest_numbers() -> SiteLoadReport {
+fn load_report_with_largest_numbers() -> SiteLoadReport {
     let all = SiteReachability {
         hosts: u16::MAX,
         silent: u16::MAX,
@@ -153,8 +166,8 @@
     }
 }
 
-/// Sites and classes that differ in every figure.
-fn tally_of_many(sites: u16, classes: u16) -> SiteLoadReport {
+/// Sites and classes that differ in every number.
+fn load_report_of_many(sites: u16, classes: u16) -> SiteLoadReport {
     let reach = |n| SiteReachability {
         hosts: 0x1100 + n,
         silent: 0x1200 + n,
@@ -175,10 +188,10 @@
     expected.split_whitespace().collect()
 }
 
-/// A plan has these bytes, and is `read` from them.
+/// A plan has these bytes, and is decoded as `read`.
 #[track_caller]
 fn pins_plan_as(plan: &Plan, expected: &str, read: &Plan) {
-    let bytes = encode(plan);
+    let bytes = encode_plan(plan);
     assert_eq!(hex(&bytes), literal(expected));
     assert_eq!(decode(&bytes), Ok(Message::Plan(read.clone())));
 }
@@ -188,17 +201,17 @@
     pins_plan_as(plan, expected, plan);
 }
 
-/// A tally has these bytes, and is `read` from them.
+/// A load report has these bytes, and is decoded as `read`.
 #[track_caller]
-fn pins_tally_as(load_report: &SiteLoadReport, expected: &str, read: &SiteLoadReport) {
-    let bytes = encode_tally(load_report);
+fn pins_load_report_as(report: &SiteLoadReport, expected: &str, read: &SiteLoadReport) {
+    let bytes = encode_load_report(report);
     assert_eq!(hex(&bytes), literal(expected));
     assert_eq!(decode(&bytes), Ok(Message::SiteLoadReport(read.clone())));
 }
 
 #[track_caller]
-fn pins_tally(load_report: &SiteLoadReport, expected: &str) {
-    pins_tally_as(load_report, expected, load_report);
+fn pins_load_report(report: &SiteLoadReport, expected: &str) {
+    pins_load_report_as(report, expected, report);
 }
 
 #[track_caller]
@@ -219,7 +232,10 @@
 }
 
 fn both() -> [Vec<u8>; 2] {
-    [encode(&plan_of_three_sites()), encode_tally(&load_report())]
+    [
+        encode_plan(&plan_of_three_sites()),
+        encode_load_report(&load_report()),
+    ]
 }
 
 // The bytes of plans.
@@ -227,7 +243,7 @@
 #[test]
 fn bounds_and_first_byte_keep_their_values() {
     assert_eq!(
-        (MAX_DATAGRAM_BYTES, MOST_SITES, MOST_CLASSES, MAGIC),
+        (MAX_DATAGRAM_BYTES, MAX_SITES, MAX_CLASSES, MAGIC),
         (256, 8, 16, 0xd2)
     );
 }
@@ -261,22 +277,22 @@
 }
 
 #[test]
-fn parts_and_budgets_of_a_plan_are_rounded_down() {
+fn shares_and_budgets_of_a_plan_are_rounded_down() {
     pins_plan_as(
         &plan_with(1_234.567_89, 0.15, 1.0 / 3.0, 0.999_999),
         "d2 00 0102030405060708 11121314 21222324 31323334 01 01  02 0012d687 2666 5555  fffe",
-        &plan_with(1_234.567, part(0x2666), part(0x5555), part(0xfffe)),
+        &plan_with(1_234.567, share(0x2666), share(0x5555), share(0xfffe)),
     );
-    // In binary this budget is a little less than it reads.
+    // In binary floating point this budget is a little less than 1.001.
     pins_plan_as(
         &plan_with(1.001, 0.5, 0.5, 0.85),
         "d2 00 0102030405060708 11121314 21222324 31323334 01 01  02 000003e8 7fff 7fff  d998",
-        &plan_with(1.0, part(0x7fff), part(0x7fff), part(0xd998)),
+        &plan_with(1.0, share(0x7fff), share(0x7fff), share(0xd998)),
     );
 }
 
 #[test]
-fn parts_and_budgets_of_a_plan_beyond_their_range_are_clamped() {
+fn shares_and_budgets_of_a_plan_beyond_their_range_are_clamped() {
     pins_plan_as(
         &plan_with(5_000_000.0, 1.5, f64::INFINITY, 2.0),
         "d2 00 0102030405060708 11121314 21222324 31323334 01 01  02 ffffffff ffff ffff  ffff",
@@ -295,16 +311,20 @@
 }
 
 #[test]
-fn plan_with_parts_for_fewer_or_more_sites_than_it_has_is_written_with_one_for_each() {
-    let expected_of = |goes: &str| {
-        format!("d2 00 0102030405060708 11121314 21222324 31323334 02 00  00 000f4240 8000 {goes}")
+fn plan_is_encoded_with_one_share_for_each_site_when_it_has_fewer_or_more() {
+    let expected_of = |shares: &str| {
+        format!(
+            "d2 00 0102030405060708 11121314 21222324 31323334 02 00  00 000f4240 8000 {shares}"
+        )
     };
     pins_plan_as(
         &plan_of_many(2, 0, 1),
         &(expected_of("0100 0000") + "01 000f4628 8001 0110 0000"),
         &{
             let mut read = plan_of_many(2, 0, 1);
-            read.sites.iter_mut().for_each(|site| site.goes.push(0.0));
+            read.sites
+                .iter_mut()
+                .for_each(|site| site.load_distribution.push(0.0));
             read
         },
     );
@@ -333,11 +353,11 @@
     );
 }
 
-// The bytes of tallies.
+// The bytes of load reports.
 
 #[test]
-fn tally_keeps_its_bytes() {
-    pins_tally(
+fn load_report_keeps_its_bytes() {
+    pins_load_report(
         &load_report(),
         "d2 01 05 0102 02 03
         1112 1314 1516 1718
@@ -347,22 +367,22 @@
 }
 
 #[test]
-fn tally_without_sites_and_classes_keeps_its_bytes() {
-    pins_tally(&tally_of_nothing(), "d2 01 00 0001 00 00");
+fn load_report_without_sites_and_classes_keeps_its_bytes() {
+    pins_load_report(&load_report_of_nothing(), "d2 01 00 0001 00 00");
 }
 
 #[test]
-fn tally_with_the_largest_numbers_keeps_its_bytes() {
-    pins_tally(
-        &tally_with_largest_numbers(),
+fn load_report_with_the_largest_numbers_keeps_its_bytes() {
+    pins_load_report(
+        &load_report_with_largest_numbers(),
         "d2 01 07 ffff 01 01  ffff ffff ffff ffff  ffff",
     );
 }
 
 #[test]
-fn longest_tally_keeps_its_bytes_and_sites_and_classes_beyond_it_are_left_out() {
-    pins_tally_as(
-        &tally_of_many(9, 17),
+fn longest_load_report_keeps_its_bytes_and_sites_and_classes_beyond_it_are_left_out() {
+    pins_load_report_as(
+        &load_report_of_many(9, 17),
         "d2 01 07 0102 08 10
         1100 1200 1300 1400
         1101 1201 1301 1401
@@ -373,16 +393,17 @@
         1106 1206 1306 1406
         1107 1207 1307 1407
         2100 2101 2102 2103 2104 2105 2106 2107 2108 2109 210a 210b 210c 210d 210e 210f",
-        &tally_of_many(8, 16),
+        &load_report_of_many(8, 16),
     );
 }
 
 // What is refused.
 
 const OF_A_PLAN: &str = "the number of sites, classes or gateways";
-const OF_A_TALLY: &str = "the number of sites or classes, the site or the period";
+const OF_A_LOAD_REPORT: &str = "the number of sites or classes, the site or the period";
 const TEXT_OF_A_PLAN: &str = "the number of sites, classes or gateways can't be so";
-const TEXT_OF_A_TALLY: &str = "the number of sites or classes, the site or the period can't be so";
+const TEXT_OF_A_LOAD_REPORT: &str =
+    "the number of sites or classes, the site or the period can't be so";
 
 #[test]
 fn empty_datagram_is_refused_as_short() {
@@ -423,12 +444,12 @@
         refuses(&[&bytes[..], &[0; 200]].concat(), WireError::Long, text);
     }
     refuses(
-        &[encode(&plan_of_many(8, 16, 8)), vec![0]].concat(),
+        &[encode_plan(&plan_of_many(8, 16, 8)), vec![0]].concat(),
         WireError::Long,
         text,
     );
     refuses(
-        &[encode_tally(&tally_of_many(8, 16)), vec![0]].concat(),
+        &[encode_load_report(&load_report_of_many(8, 16)), vec![0]].concat(),
         WireError::Long,
         text,
     );
@@ -452,7 +473,7 @@
 
 #[test]
 fn unknown_state_of_a_site_is_refused_with_its_number() {
-    let bytes = encode(&plan_of_three_sites());
+    let bytes = encode_plan(&plan_of_three_sites());
     refuses(
         &changed(bytes.clone(), 24, 3),
         WireError::Unknown("state", 3),
@@ -467,7 +488,7 @@
 
 #[test]
 fn plan_with_too_large_counts_or_without_gateways_is_refused_for_its_value() {
-    let bytes = encode(&plan_of_three_sites());
+    let bytes = encode_plan(&plan_of_three_sites());
     for (at, value) in [(22, 9), (22, 255), (23, 17), (23, 255)] {
         refuses(
             &changed(bytes.clone(), at, value),
@@ -475,16 +496,20 @@
             TEXT_OF_A_PLAN,
         );
     }
-    let of_no_gateways = encode(&Plan {
-        gateways: 0,
+    let without_gateways = encode_plan(&Plan {
+        gateway_count: 0,
         ..plan_of_three_sites()
     });
-    refuses(&of_no_gateways, WireError::Value(OF_A_PLAN), TEXT_OF_A_PLAN);
+    refuses(
+        &without_gateways,
+        WireError::Value(OF_A_PLAN),
+        TEXT_OF_A_PLAN,
+    );
 }
 
 #[test]
 fn plan_with_allowed_counts_other_than_what_follows_is_refused() {
-    let bytes = encode(&plan_of_three_sites());
+    let bytes = encode_plan(&plan_of_three_sites());
     for (at, value) in [(23, 3), (23, 16)] {
         refuses(
             &changed(bytes.clone(), at, value),
@@ -497,20 +522,20 @@
 }
 
 #[test]
-fn plan_whose_parts_of_a_load_are_more_than_the_whole_is_refused_for_its_value() {
-    let of = |goes: &[u16]| {
-        let goes: Vec<f64> = goes.iter().map(|&number| part(number)).collect();
-        encode(&plan(
+fn plan_whose_shares_of_a_load_add_up_to_more_than_one_is_refused_for_its_value() {
+    let of = |units: &[u16]| {
+        let shares: Vec<f64> = units.iter().map(|&units| share(units)).collect();
+        encode_plan(&plan(
             vec![
-                site(State::Up, 1.0, 1.0, &goes),
-                site(State::Up, 1.0, 1.0, &goes),
+                site(SiteState::Up, 1.0, 1.0, &shares),
+                site(SiteState::Up, 1.0, 1.0, &shares),
             ],
             &[],
         ))
     };
     assert!(
         decode(&of(&[0x7fff, 0x8000])).is_ok(),
-        "65,535 of 65,535 parts"
+        "65,535 of 65,535 units"
     );
     let text = "where a site's load goes can't be so";
     refuses(
@@ -521,25 +546,29 @@
 }
 
 #[test]
-fn tally_with_too_large_counts_or_site_or_without_a_period_is_refused_for_its_value() {
-    let bytes = encode_tally(&load_report());
+fn load_report_with_too_large_counts_or_site_or_without_a_period_is_refused_for_its_value() {
+    let bytes = encode_load_report(&load_report());
     for (at, value) in [(2, 8), (2, 255), (5, 9), (5, 255), (6, 17), (6, 255)] {
         refuses(
             &changed(bytes.clone(), at, value),
-            WireError::Value(OF_A_TALLY),
-            TEXT_OF_A_TALLY,
+            WireError::Value(OF_A_LOAD_REPORT),
+            TEXT_OF_A_LOAD_REPORT,
         );
     }
-    let of_no_time = encode_tally(&SiteLoadReport {
+    let without_period = encode_load_report(&SiteLoadReport {
         period_ms: 0,
         ..load_report()
     });
-    refuses(&of_no_time, WireError::Value(OF_A_TALLY), TEXT_OF_A_TALLY);
+    refuses(
+        &without_period,
+        WireError::Value(OF_A_LOAD_REPORT),
+        TEXT_OF_A_LOAD_REPORT,
+    );
 }
 
 #[test]
-fn tally_with_allowed_counts_other_than_what_follows_is_refused() {
-    let bytes = encode_tally(&load_report());
+fn load_report_with_allowed_counts_other_than_what_follows_is_refused() {
+    let bytes = encode_load_report(&load_report());
     for (at, value) in [(5, 3), (5, 8), (6, 4), (6, 16)] {
         refuses(
             &changed(bytes.clone(), at, value),
@@ -554,14 +583,14 @@
 }
 
 #[test]
-fn datagram_of_plans_is_told_by_the_high_half_of_its_first_byte() {
+fn datagram_is_recognized_by_the_high_half_of_its_first_byte() {
     assert!(recognizes(&[0xd2]) && recognizes(&[0xd0]) && recognizes(&[0xdf, 0x00]));
     assert!(!recognizes(&[]) && !recognizes(&[0x01, 0xd2]) && !recognizes(&[0xc2]));
 }
 
-// Numbers on which all gateways agree.
+// Values on which all gateways agree.
 
 #[test]
-fn duty_of_the_planning_keeps_its_number() {
+fn task_id_of_the_planning_keeps_its_value() {
     assert_eq!(TASK_ID, 0x5349_5445_0000_0000);
 }
--- a/src/net/admin/operator_config.rs
+++ b/src/net/admin/operator_config.rs
@@ -323,7 +323,11 @@
         };
         let s = m.for_fleet(5);
         assert_eq!(
-            (s.probe_period_ms, s.probe_rtt_ms, s.gossip_ms),
+            (
+                s.protocol_period_ms,
+                s.ping_timeout_ms,
+                s.gossip_interval_ms
+            ),
             (200, 60, 40)
         );
         assert!(s.suspicion_ms >= 1_600 && s.check().is_ok());
