--- a/crates/testbed/src/settings.rs
+++ b/crates/testbed/src/settings.rs
@@ -89,5 +89,5 @@
 /// # Errors
 /// Where the gateway would not take them: its reason.
 pub fn load(s: &Scenario, seed: u64) -> Result<PlatformSettings, String> {
-    PlatformSettings::parse(&object(s), seed)
+    PlatformSettings::parse(&object(s), seed).map_err(|error| error.to_string())
 }
--- a/src/bin/irisrouter-sim-adapter.rs
+++ b/src/bin/irisrouter-sim-adapter.rs
@@ -1,36 +1,44 @@
-//! Runs the decision module on the simulator's wire: one line in, one line out.
+//! Runs the router on the simulator's wire: one line in, one line out.
 
-use irisrouter::simulator::Adapter;
-use std::io::{BufRead, Write};
+use irisrouter::simulator::{Adapter, AdapterError};
+use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
+use thiserror::Error;
+
+/// Why the program ends before its input does.
+#[derive(Debug, Error)]
+enum Failure {
+    #[error("cannot read: {0}")]
+    Read(#[source] io::Error),
+    #[error(transparent)]
+    Line(#[from] AdapterError),
+    #[error("cannot write: {0}")]
+    Write(#[source] io::Error),
+}
 
 fn main() -> ExitCode {
     match run() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(why) => {
-            eprintln!("irisrouter-sim-adapter: {why}");
+        Err(failure) => {
+            eprintln!("irisrouter-sim-adapter: {failure}");
             ExitCode::FAILURE
         }
     }
 }
 
-fn run() -> Result<(), String> {
-    let mut input = std::io::stdin().lock();
-    let mut output = std::io::stdout().lock();
+fn run() -> Result<(), Failure> {
+    let mut input = io::stdin().lock();
+    let mut output = io::stdout().lock();
     let mut adapter = Adapter::new();
     let mut line = String::new();
     loop {
         line.clear();
-        let n = input
-            .read_line(&mut line)
-            .map_err(|e| format!("cannot read: {e}"))?;
-        if n == 0 {
+        if input.read_line(&mut line).map_err(Failure::Read)? == 0 {
             return Ok(());
         }
         let mut reply = adapter.line(line.trim_end())?;
         reply.push('\n');
-        (output.write_all(reply.as_bytes()))
-            .and_then(|()| output.flush())
-            .map_err(|e| format!("cannot write: {e}"))?;
+        output.write_all(reply.as_bytes()).map_err(Failure::Write)?;
+        output.flush().map_err(Failure::Write)?;
     }
 }
--- /dev/null
+++ b/src/platform_settings/mod.rs
@@ -0,0 +1,260 @@
+//! The settings object of the platform, read once into the router's [`Settings`] and the names behind its numbers.
+//!
+//! The simulator hands it over in its first message and a gateway finds it in its configuration, so both read
+//! it here.
+
+mod error;
+mod name_table;
+mod object;
+
+pub use error::PlatformSettingsError;
+pub use name_table::NameTable;
+pub(crate) use object::BootInfo;
+
+use crate::routing::{
+    DeduplicationScope, Freshness, Idempotency, Limits, LoadReportSource, Nanos, RequestClass,
+    RoleInEndpointList, SafetyRules, Settings, StalenessCheck, Tenant, ZoneId,
+};
+use object::{ClassObject, DomainObject};
+use serde::Deserialize;
+
+/// The keys that may be absent: the platform's page names no others.
+pub const OPTIONAL: [&str; 2] = ["AimStretch", "DrainBindsAlone"];
+/// Gateways from which on one that checks hosts for all is worth the datagrams. Fewer gateways each see enough traffic
+/// of their own.
+const MIN_GATEWAYS_TO_SHARE: u32 = 16;
+/// Longest time in the settings, a day in nanoseconds, so that the sum of two times does not overflow.
+const MAX_TIME: Nanos = 86_400_000_000_000;
+/// Shortest tick, 1 ms in nanoseconds. With no tick a queued request would be reviewed without end.
+const MIN_TICK: Nanos = 1_000_000;
+
+/// What the settings object says: the router's settings, and what the gateway round the router needs.
+#[derive(Clone, Debug)]
+pub struct PlatformSettings {
+    /// The router's settings.
+    pub settings: Settings,
+    /// Names of the classes, by their index in the settings.
+    pub classes: NameTable,
+    /// Names of the tenants, by their index in the settings.
+    pub tenants: NameTable,
+    /// Names of the zones.
+    pub zones: NameTable,
+    /// This gateway's number among those of its tier.
+    pub me: u32,
+    /// Gateways may share health checks: they may send one another datagrams, hosts may be checked, and there are enough
+    /// gateways for it to be worth it.
+    pub share: bool,
+    /// Gateways may send one another datagrams at all (the platform's `Bounds.Peers`), however many they are.
+    pub peers_allowed: bool,
+    /// Hosts may be checked (`Bounds.Probes`).
+    pub probes_allowed: bool,
+    /// Gateways of this tier.
+    pub balancers: u32,
+    /// Clock time from which the simulator counts positions.
+    pub position_zero: Nanos,
+    /// A database host closes a connection that has been idle for this long at the latest.
+    pub idle_close: Nanos,
+}
+
+impl PlatformSettings {
+    /// Reads the settings object.
+    ///
+    /// # Errors
+    ///
+    /// The object is malformed, or a router with these settings could answer nothing.
+    pub fn parse(json: &serde_json::Value, seed: u64) -> Result<Self, PlatformSettingsError> {
+        let info = BootInfo::deserialize(json).map_err(PlatformSettingsError::Malformed)?;
+        Self::new(seed, &info)
+    }
+
+    pub(crate) fn new(seed: u64, info: &BootInfo) -> Result<Self, PlatformSettingsError> {
+        let mut zones = NameTable::from(info.zones.clone());
+        let class_names: Vec<String> = info.classes.iter().map(|c| c.name.clone()).collect();
+        let tenant_names: Vec<String> = info.tenants.iter().map(|t| t.name.clone()).collect();
+        let bounds = &info.bounds;
+        let enough_gateways = info.balancers >= MIN_GATEWAYS_TO_SHARE;
+        Ok(PlatformSettings {
+            settings: router_settings(seed, info, &mut zones)?,
+            classes: NameTable::from(class_names),
+            tenants: NameTable::from(tenant_names),
+            zones,
+            me: info.me,
+            share: bounds.peers && bounds.probes && enough_gateways,
+            peers_allowed: bounds.peers,
+            probes_allowed: bounds.probes,
+            balancers: info.balancers,
+            position_zero: info.domain.position_zero_ns,
+            idle_close: bounds.idle_close_ns,
+        })
+    }
+}
+
+/// Rejects figures with which nothing could be answered, or classes that cannot be told apart.
+fn check(info: &BootInfo) -> Result<(), PlatformSettingsError> {
+    for (index, class) in info.classes.iter().enumerate() {
+        let name = &class.name;
+        check_time(format!("the deadline of class {name}"), class.deadline_ns)?;
+        check_time(format!("the aim of class {name}"), class.aim_ns)?;
+        let duplicate = info.classes[..index].iter().any(|c| c.name == *name);
+        if name.is_empty() || duplicate {
+            return Err(PlatformSettingsError::ClassName { name: name.clone() });
+        }
+    }
+    let bounds = &info.bounds;
+    check_time("the time to connect".into(), bounds.connect_timeout_ns)?;
+    check_time(
+        "the time to close idle connections".into(),
+        bounds.idle_close_ns,
+    )?;
+    if bounds.most_tries == 0 || info.classes.is_empty() || info.balancers == 0 {
+        return Err(PlatformSettingsError::NothingToServe);
+    }
+    Ok(())
+}
+
+/// Rejects a time that is not positive or longer than [`MAX_TIME`].
+fn check_time(what: String, nanoseconds: Nanos) -> Result<(), PlatformSettingsError> {
+    if (1..=MAX_TIME).contains(&nanoseconds) {
+        Ok(())
+    } else {
+        Err(PlatformSettingsError::TimeOutOfRange { what, nanoseconds })
+    }
+}
+
+/// A time that may be zero: a negative one counts as zero, and one beyond a day as a day, so that sums do not overflow.
+fn clamp_time(nanoseconds: Nanos) -> Nanos {
+    nanoseconds.clamp(0, MAX_TIME)
+}
+
+fn router_settings(
+    seed: u64,
+    info: &BootInfo,
+    zones: &mut NameTable,
+) -> Result<Settings, PlatformSettingsError> {
+    check(info)?;
+    let classes = info.classes.iter().enumerate();
+    let classes = classes
+        .map(|(index, class)| request_class(class, index, &info.domain))
+        .collect::<Result<_, _>>()?;
+    let tenant = |quota_per_s| Tenant { quota_per_s };
+    let reported = &info.load_info.fields;
+    Ok(Settings {
+        seed,
+        gateway_count: info.balancers,
+        zone: ZoneId(zones.number(&info.my_zone) as u32),
+        tick: info.round_ns.clamp(MIN_TICK, MAX_TIME),
+        classes,
+        tenants: info.tenants.iter().map(|t| tenant(t.quota_per_s)).collect(),
+        over_quota_weight: info.over_quota_weight,
+        health_check_price: info.penalties.probe,
+        limits: limits(info),
+        rules: safety_rules(info),
+        staleness_check: staleness_check(&info.domain)?,
+        role_in_endpoint_list: match info.domain.role_in_list.as_str() {
+            "trailing" => RoleInEndpointList::Late,
+            "static" => RoleInEndpointList::Static,
+            _ => RoleInEndpointList::None,
+        },
+        positions_in_answers: info.domain.stamps,
+        last_write_age_carried: info.domain.session_marks == "brought",
+        load_report_source: match info.load_info.how.as_str() {
+            "answers" => LoadReportSource::Answers,
+            "probe" => LoadReportSource::HealthChecks,
+            _ => LoadReportSource::None,
+        },
+        in_flight_reported: reported.iter().any(|f| f == "concurrent" || f == "depth"),
+        endpoint_list_on_request: info.membership_mode == "ask",
+    })
+}
+
+fn request_class(
+    class: &ClassObject,
+    index: usize,
+    domain: &DomainObject,
+) -> Result<RequestClass, PlatformSettingsError> {
+    Ok(RequestClass {
+        latency_objective: class.aim_ns,
+        objective_stretch: class.objective_stretch.unwrap_or(0.0),
+        deadline: class.deadline_ns,
+        priority_weight: class.priority_weight,
+        late_weight: class.late_weight,
+        freshness: freshness(class, index, domain)?,
+        idempotency: idempotency(class)?,
+    })
+}
+
+fn freshness(
+    class: &ClassObject,
+    index: usize,
+    domain: &DomainObject,
+) -> Result<Freshness, PlatformSettingsError> {
+    let bound = domain.class_bound_ns.get(index).copied().unwrap_or(0);
+    let freshness = domain.freshness.get(index);
+    match freshness.map(String::as_str) {
+        Some("mutate") => Ok(Freshness::Write),
+        Some("strong") => Ok(Freshness::Strong),
+        Some("causal") => Ok(Freshness::Session),
+        Some("lag_bound") => Ok(Freshness::BoundedStaleness(clamp_time(bound))),
+        Some("eventual") => Ok(Freshness::Any),
+        _ => Err(PlatformSettingsError::UnknownFreshness {
+            freshness: freshness.cloned(),
+            class: class.name.clone(),
+        }),
+    }
+}
+
+fn idempotency(class: &ClassObject) -> Result<Idempotency, PlatformSettingsError> {
+    let scope = match class.group.as_str() {
+        "zone" => DeduplicationScope::Zone,
+        "cell" => DeduplicationScope::Group,
+        _ => DeduplicationScope::All,
+    };
+    match class.effect.as_str() {
+        "retryable" => Ok(Idempotency::Idempotent),
+        "dedup" => Ok(Idempotency::Keyed {
+            scope,
+            window: clamp_time(class.window_ns),
+        }),
+        "fragile" => Ok(Idempotency::NotIdempotent),
+        other => Err(PlatformSettingsError::UnknownEffect {
+            effect: other.to_string(),
+            class: class.name.clone(),
+        }),
+    }
+}
+
+fn limits(info: &BootInfo) -> Limits {
+    let bounds = &info.bounds;
+    Limits {
+        max_attempts: bounds.most_tries,
+        health_checks: bounds.probes,
+        cancellation: bounds.cancel,
+        hedged_requests: bounds.hedged_requests,
+        retry_after: bounds.retry_after,
+        max_retry_after: clamp_time(bounds.max_retry_after_ns),
+        connect_timeout: bounds.connect_timeout_ns,
+    }
+}
+
+fn safety_rules(info: &BootInfo) -> SafetyRules {
+    let rules = &info.rules;
+    SafetyRules {
+        drain_grace: clamp_time(rules.drain_grace_ns),
+        only_listed_drains_bind: rules.only_listed_drains_bind.unwrap_or(false),
+        warm_up_time: clamp_time(rules.cold_ns),
+        initial_capacity: rules.initial_capacity.clamp(0.0, 1.0),
+        overload_multiple: rules.overload_factor.max(0.0),
+        overload_window: clamp_time(rules.tip_after_ns),
+    }
+}
+
+fn staleness_check(domain: &DomainObject) -> Result<StalenessCheck, PlatformSettingsError> {
+    match domain.server_checks.as_str() {
+        "bounce" => Ok(StalenessCheck::Reject),
+        "await" => Ok(StalenessCheck::Wait(domain.catch_up_wait_ns)),
+        "none" => Ok(StalenessCheck::None),
+        other => Err(PlatformSettingsError::UnknownServerChecks(
+            other.to_string(),
+        )),
+    }
+}
--- /dev/null
+++ b/src/platform_settings/object.rs
@@ -0,0 +1,113 @@
+//! The settings object as the platform writes it: its JSON keys, and nothing that is derived from them.
+
+use serde::Deserialize;
+
+/// One request class.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct ClassObject {
+    pub(super) name: String,
+    pub(super) aim_ns: i64,
+    #[serde(default)]
+    #[serde(rename = "AimStretch")]
+    pub(super) objective_stretch: Option<f64>,
+    pub(super) deadline_ns: i64,
+    pub(super) effect: String,
+    pub(super) group: String,
+    #[serde(rename = "LateWorth")]
+    pub(super) late_weight: f64,
+    pub(super) window_ns: i64,
+    #[serde(rename = "Worth")]
+    pub(super) priority_weight: f64,
+}
+
+/// What costs weight.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct PenaltiesObject {
+    pub(super) probe: f64,
+}
+
+/// What the platform permits.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct BoundsObject {
+    pub(super) cancel: bool,
+    #[serde(default)]
+    pub(super) peers: bool,
+    pub(super) connect_timeout_ns: i64,
+    pub(super) max_retry_after_ns: i64,
+    pub(super) idle_close_ns: i64,
+    pub(super) most_tries: u32,
+    pub(super) probes: bool,
+    pub(super) retry_after: bool,
+    #[serde(rename = "SecondCopies")]
+    pub(super) hedged_requests: bool,
+}
+
+/// How members replicate and report.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct DomainObject {
+    pub(super) catch_up_wait_ns: i64,
+    pub(super) class_bound_ns: Vec<i64>,
+    pub(super) freshness: Vec<String>,
+    pub(super) position_zero_ns: i64,
+    pub(super) role_in_list: String,
+    pub(super) server_checks: String,
+    pub(super) session_marks: String,
+    pub(super) stamps: bool,
+}
+
+/// Figures of the rules that bind every gateway.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct RulesObject {
+    pub(super) cold_ns: i64,
+    pub(super) drain_grace_ns: i64,
+    pub(super) overload_factor: f64,
+    #[serde(rename = "StartCapacity")]
+    pub(super) initial_capacity: f64,
+    pub(super) tip_after_ns: i64,
+    #[serde(default)]
+    #[serde(rename = "DrainBindsAlone")]
+    pub(super) only_listed_drains_bind: Option<bool>,
+}
+
+/// Where load reports come from, and what they hold.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct LoadInfoObject {
+    pub(super) how: String,
+    pub(super) fields: Vec<String>,
+}
+
+/// One tenant.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct TenantObject {
+    pub(super) name: String,
+    pub(super) quota_per_s: f64,
+}
+
+/// The settings object.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(crate) struct BootInfo {
+    pub(super) balancers: u32,
+    #[serde(default)]
+    pub(super) me: u32,
+    pub(super) classes: Vec<ClassObject>,
+    pub(super) bounds: BoundsObject,
+    pub(super) domain: DomainObject,
+    pub(super) rules: RulesObject,
+    pub(super) load_info: LoadInfoObject,
+    pub(super) membership_mode: String,
+    pub(super) my_zone: String,
+    #[serde(rename = "OverShareWorth")]
+    pub(super) over_quota_weight: f64,
+    pub(super) penalties: PenaltiesObject,
+    pub(super) round_ns: i64,
+    pub(super) tenants: Vec<TenantObject>,
+    pub(super) zones: Vec<String>,
+}
--- /dev/null
+++ b/src/simulator/instance.rs
@@ -0,0 +1,389 @@
+//! One simulated gateway: its router, and the names behind the numbers that the router knows.
+
+use super::error::AdapterError;
+use super::wire::{Metrics, WireAction, WireEntry};
+use crate::platform_settings::{BootInfo, NameTable, PlatformSettings};
+use crate::routing::{
+    Action, Endpoint, EndpointState, Event, GroupId, LoadReport, MemberId, Nanos, Outcome,
+    ReplicationStatus, RequestId, Role, Router, SessionId, ZoneId,
+};
+use std::borrow::Cow;
+use std::collections::HashMap;
+
+/// Nanoseconds in a millisecond.
+const NS_PER_MS: i64 = 1_000_000;
+/// Nanoseconds in a second.
+const NS_PER_S: f64 = 1e9;
+/// The bits of a replication status that hold the role; the others hold the position in milliseconds.
+const ROLE_BITS: i64 = 0b11;
+/// How many bits that are.
+const ROLE_BIT_COUNT: u32 = 2;
+
+/// A request's name on the wire, kept until the request has ended and no attempt of it is in flight.
+struct OpenRequest {
+    name: String,
+    attempts_in_flight: u32,
+    ended: bool,
+}
+
+/// A request as the simulator announces it.
+pub(super) struct NewRequest<'a> {
+    pub(super) name: Cow<'a, str>,
+    pub(super) class: Cow<'a, str>,
+    pub(super) tenant: Option<serde_json::Value>,
+    pub(super) session: Option<Cow<'a, str>>,
+    pub(super) deadline: Nanos,
+    pub(super) work: Option<Nanos>,
+    pub(super) group: i64,
+    pub(super) last_write_age_ms: Option<f64>,
+    pub(super) retry: bool,
+}
+
+/// The end of an attempt as the simulator announces it.
+pub(super) struct EndedAttempt<'a> {
+    pub(super) request: Cow<'a, str>,
+    pub(super) attempt: u32,
+    pub(super) member: Cow<'a, str>,
+    pub(super) outcome: i64,
+    pub(super) elapsed: Option<Nanos>,
+    pub(super) finished: bool,
+    pub(super) status: Option<i64>,
+    pub(super) metrics: Option<Metrics<'a>>,
+}
+
+/// The end of a health check as the simulator announces it.
+pub(super) struct EndedHealthCheck<'a> {
+    pub(super) member: Cow<'a, str>,
+    pub(super) outcome: i64,
+    pub(super) elapsed: Option<Nanos>,
+    pub(super) metrics: Option<Metrics<'a>>,
+}
+
+/// One simulated gateway.
+pub(super) struct Instance {
+    router: Router,
+    /// Clock time from which positions are counted.
+    position_zero: Nanos,
+    classes: NameTable,
+    tenants: NameTable,
+    zones: NameTable,
+    members: HashMap<String, MemberId>,
+    member_names: Vec<String>,
+    requests: HashMap<String, RequestId>,
+    open: HashMap<RequestId, OpenRequest>,
+    next_request: u64,
+    /// Events of the batch that is being read.
+    events: Vec<Event>,
+    /// Requests that may be over once the batch has run.
+    closing: Vec<RequestId>,
+}
+
+impl Instance {
+    /// An instance that knows its settings and nothing else.
+    ///
+    /// # Errors
+    ///
+    /// The settings cannot be used.
+    pub(super) fn new(seed: u64, info: &BootInfo) -> Result<Self, AdapterError> {
+        let platform = PlatformSettings::new(seed, info)?;
+        Ok(Instance {
+            router: Router::new(platform.settings),
+            position_zero: platform.position_zero,
+            classes: platform.classes,
+            tenants: platform.tenants,
+            zones: platform.zones,
+            members: HashMap::new(),
+            member_names: Vec::new(),
+            requests: HashMap::new(),
+            open: HashMap::new(),
+            next_request: 0,
+            events: Vec::new(),
+            closing: Vec::new(),
+        })
+    }
+
+    /// Adds an event to the batch.
+    pub(super) fn post(&mut self, event: Event) {
+        self.events.push(event);
+    }
+
+    /// Adds an endpoint list, or changes to one, to the batch.
+    ///
+    /// # Errors
+    ///
+    /// A member has a status that is not known.
+    pub(super) fn post_endpoints(
+        &mut self,
+        complete: bool,
+        entries: &[WireEntry],
+    ) -> Result<(), AdapterError> {
+        let endpoints = (entries.iter())
+            .map(|entry| self.endpoint(entry))
+            .collect::<Result<_, _>>()?;
+        self.post(Event::EndpointList {
+            complete,
+            endpoints,
+        });
+        Ok(())
+    }
+
+    /// Adds a request to the batch.
+    ///
+    /// # Errors
+    ///
+    /// Its class is not known.
+    pub(super) fn post_request(&mut self, request: NewRequest) -> Result<(), AdapterError> {
+        let class = self.classes.find(&request.class);
+        let class = class.ok_or_else(|| AdapterError::UnknownClass(request.class.to_string()))?;
+        let id = RequestId(self.next_request);
+        self.next_request += 1;
+        self.requests.insert(request.name.to_string(), id);
+        let open = OpenRequest {
+            name: request.name.into_owned(),
+            attempts_in_flight: 0,
+            ended: false,
+        };
+        self.open.insert(id, open);
+        let tenant = request.tenant.as_ref().and_then(|tenant| tenant.as_str());
+        let last_write_age_ms = request.last_write_age_ms.filter(|&age| age > 0.0);
+        self.post(Event::Request {
+            id,
+            class,
+            tenant: tenant.and_then(|tenant| self.tenants.find(tenant)),
+            session: request.session.map(|name| SessionId::of(name.as_bytes())),
+            deadline: request.deadline,
+            work: request.work,
+            group: GroupId(request.group),
+            last_write_age: last_write_age_ms.map(|age| (age * NS_PER_MS as f64) as i64),
+            retry: request.retry,
+        });
+        Ok(())
+    }
+
+    /// Adds the start of a streamed answer to the batch.
+    pub(super) fn post_streaming(&mut self, request: &str) {
+        if let Some(&id) = self.requests.get(request) {
+            self.post(Event::Streaming { id });
+        }
+    }
+
+    /// Adds the end of an attempt to the batch; ignores that of a request or member that is not known.
+    ///
+    /// # Errors
+    ///
+    /// The outcome is not known.
+    pub(super) fn post_attempt_ended(&mut self, ended: EndedAttempt) -> Result<(), AdapterError> {
+        let id = self.requests.get(ended.request.as_ref()).copied();
+        let member = self.members.get(ended.member.as_ref()).copied();
+        let Some((id, member)) = id.zip(member) else {
+            return Ok(());
+        };
+        if let Some(open) = self.open.get_mut(&id) {
+            open.attempts_in_flight = open.attempts_in_flight.saturating_sub(1);
+            open.ended |= ended.finished;
+            self.closing.push(id);
+        }
+        let outcome = outcome(ended.outcome)?;
+        let status = ended.status.and_then(|bits| self.status(bits));
+        let report = self.load_report(ended.metrics);
+        self.post(Event::AttemptEnded {
+            id,
+            attempt: ended.attempt,
+            member,
+            outcome,
+            elapsed: ended.elapsed.unwrap_or(0),
+            finished: ended.finished,
+            status,
+            report,
+        });
+        Ok(())
+    }
+
+    /// Adds the leave of a client to the batch.
+    pub(super) fn post_client_gone(&mut self, request: &str) {
+        if let Some(id) = self.requests.get(request).copied() {
+            self.request_ended(id);
+            self.post(Event::ClientGone { id });
+        }
+    }
+
+    /// Adds the end of a health check to the batch; ignores that of a member that is not known.
+    ///
+    /// # Errors
+    ///
+    /// The outcome is not known.
+    pub(super) fn post_health_checked(
+        &mut self,
+        ended: EndedHealthCheck,
+    ) -> Result<(), AdapterError> {
+        let Some(&member) = self.members.get(ended.member.as_ref()) else {
+            return Ok(());
+        };
+        let outcome = outcome(ended.outcome)?;
+        let report = self.load_report(ended.metrics);
+        self.post(Event::HealthChecked {
+            member,
+            outcome,
+            elapsed: ended.elapsed.unwrap_or(0),
+            report,
+        });
+        Ok(())
+    }
+
+    /// Runs the batch, and appends what the router wants done.
+    pub(super) fn run_batch(&mut self, instance: i64, now: Nanos, output: &mut Vec<WireAction>) {
+        let events = std::mem::take(&mut self.events);
+        for action in self.router.batch(now, &events) {
+            output.extend(self.wire_action(instance, action));
+        }
+        for id in std::mem::take(&mut self.closing) {
+            self.forget_if_over(id);
+        }
+    }
+
+    fn forget_if_over(&mut self, id: RequestId) {
+        let is_over = |open: &OpenRequest| open.ended && open.attempts_in_flight == 0;
+        if self.open.get(&id).is_some_and(is_over) {
+            if let Some(open) = self.open.remove(&id) {
+                self.requests.remove(&open.name);
+            }
+        }
+    }
+
+    fn request_ended(&mut self, id: RequestId) {
+        if let Some(open) = self.open.get_mut(&id) {
+            open.ended = true;
+            self.closing.push(id);
+        }
+    }
+
+    /// The number of a member, a new one at its first mention.
+    fn member(&mut self, name: &str) -> MemberId {
+        if let Some(&member) = self.members.get(name) {
+            return member;
+        }
+        let id = MemberId(self.member_names.len() as u32);
+        self.member_names.push(name.to_string());
+        self.members.insert(name.to_string(), id);
+        id
+    }
+
+    fn member_name(&self, member: MemberId) -> String {
+        self.member_names[member.0 as usize].clone()
+    }
+
+    fn endpoint(&mut self, entry: &WireEntry) -> Result<Endpoint, AdapterError> {
+        let state = match entry.status.as_str() {
+            "Ready" => EndpointState::Ready,
+            "Terminating" => EndpointState::Draining,
+            "Gone" => EndpointState::Removed,
+            other => return Err(AdapterError::UnknownStatus(other.to_string())),
+        };
+        Ok(Endpoint {
+            member: self.member(&entry.member),
+            group: GroupId(entry.db),
+            zone: ZoneId(self.zones.number(&entry.area) as u32),
+            state,
+            primary: entry.primary.unwrap_or(0.0) > 0.5,
+            size: entry.nominal.unwrap_or(1.0),
+            started: entry.since_ns.filter(|&since| since > 0),
+        })
+    }
+
+    fn load_report(&self, metrics: Option<Metrics>) -> Option<LoadReport> {
+        let metrics = metrics?;
+        let figure = |name: &str| metrics.get(name).copied().flatten();
+        let seconds_to_position = |seconds: f64| self.position_zero + (seconds * NS_PER_S) as i64;
+        Some(LoadReport {
+            position: figure("x0").map(seconds_to_position),
+            primary: figure("x1").map(|flag| flag > 0.5),
+            in_flight: figure("concurrent").or(figure("depth")),
+            cores_in_use: figure("load_share").filter(|share| share.is_finite()),
+        })
+    }
+
+    /// What the number that comes with an answer says of its member; nothing, if it has no role.
+    fn status(&self, bits: i64) -> Option<ReplicationStatus> {
+        let role = match bits & ROLE_BITS {
+            1 => Role::Primary,
+            2 => Role::Replica,
+            _ => return None,
+        };
+        let milliseconds = bits >> ROLE_BIT_COUNT;
+        let position = self.position_zero + milliseconds * NS_PER_MS;
+        Some(ReplicationStatus {
+            role,
+            position: (milliseconds > 0).then_some(position),
+        })
+    }
+
+    fn request_name(&self, id: RequestId) -> Option<String> {
+        self.open.get(&id).map(|open| open.name.clone())
+    }
+
+    /// An action in the simulator's words; nothing for a request that is over.
+    fn wire_action(&mut self, instance: i64, action: Action) -> Option<WireAction> {
+        let i = instance;
+        Some(match action {
+            Action::StartAttempt {
+                id,
+                member,
+                timeout,
+            } => {
+                let open = self.open.get_mut(&id)?;
+                open.attempts_in_flight += 1;
+                WireAction::CallOut {
+                    i,
+                    call: open.name.clone(),
+                    member: self.member_name(member),
+                    limit_ns: timeout,
+                }
+            }
+            Action::CancelAttempt { id, attempt } => WireAction::Recall {
+                i,
+                call: self.request_name(id)?,
+                seq_no: attempt,
+            },
+            Action::Reject { id, retry_after } => {
+                self.request_ended(id);
+                WireAction::Bounce {
+                    i,
+                    call: self.request_name(id)?,
+                    pause_ns: retry_after,
+                }
+            }
+            Action::Fail { id } => {
+                self.request_ended(id);
+                WireAction::DropRequest {
+                    i,
+                    call: self.request_name(id)?,
+                }
+            }
+            Action::HealthCheck { member } => WireAction::Touch {
+                i,
+                member: self.member_name(member),
+            },
+            Action::SetTimer { after } => WireAction::After {
+                i,
+                in_ns: after,
+                name: "wake",
+            },
+            Action::WatchEndpoints => WireAction::Tail { i, active: true },
+        })
+    }
+}
+
+fn outcome(code: i64) -> Result<Outcome, AdapterError> {
+    match code {
+        0 => Ok(Outcome::Error),
+        1 => Ok(Outcome::Ok),
+        2 => Ok(Outcome::Full),
+        3 => Ok(Outcome::TimedOut),
+        4 => Ok(Outcome::ConnectFailed),
+        5 => Ok(Outcome::Reset),
+        6 => Ok(Outcome::Cancelled),
+        7 => Ok(Outcome::NotSent),
+        8 => Ok(Outcome::Unsuitable),
+        other => Err(AdapterError::UnknownOutcome(other)),
+    }
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,13 +1,16 @@
 //! Settings of another customer: what is zero, huge or below zero has a meaning, and no router spins or breaks off on it.
 
-use irisrouter::platform_settings::PlatformSettings;
-use irisrouter::routing::*;
+use irisrouter::platform_settings::{PlatformSettings, PlatformSettingsError};
+use irisrouter::routing::{
+    Action, Endpoint, EndpointState, Event, GroupId, MemberId, Nanos, Outcome, ReplicationStatus,
+    RequestId, Role, Router, SessionId, ZoneId,
+};
 use serde_json::{json, Value};
 
 const MS: Nanos = 1_000_000;
 
 /// Requests of each class while members come, are cold, answer, drain and go; how soon the router wakes itself at least.
-fn play(settings: &Value) -> Result<Nanos, String> {
+fn play(settings: &Value) -> Result<Nanos, PlatformSettingsError> {
     let loaded = PlatformSettings::parse(settings, 7)?;
     let mut router = Router::new(loaded.settings.clone());
     let (mut now, mut soonest, mut next) = (1_000_000 * MS, Nanos::MAX, 0);
@@ -123,9 +126,9 @@
                     "{path} = {value}: it wakes itself after {soonest} ns"
                 ),
                 // Or it is refused at the start, with the reason.
-                Err(why) => assert!(
-                    why.contains("ns") || why.contains("invalid"),
-                    "{path} = {value}: {why}"
+                Err(error) => assert!(
+                    error.to_string().contains("ns") || error.to_string().contains("invalid"),
+                    "{path} = {value}: {error}"
                 ),
             }
         }
--- a/tests/simulator_adapter.rs
+++ b/tests/simulator_adapter.rs
@@ -86,8 +86,8 @@
         "{\"TNs\":1}",
         "{\"TNs\":1,\"frame\":1,\"happened\":[{\"Nonsense\":{}}]}",
     ] {
-        let told = Adapter::new().line(line).expect_err("an error");
-        assert!(told.starts_with("malformed batch"), "{told}");
+        let error = Adapter::new().line(line).expect_err("an error").to_string();
+        assert!(error.starts_with("malformed batch"), "{error}");
     }
     let mut a = start();
     let line =
@@ -95,5 +95,6 @@
     assert!(a
         .line(&line.to_string())
         .expect_err("an error")
+        .to_string()
         .contains("unknown class"));
 }
