--- a/src/routing/admission.rs
+++ b/src/routing/admission.rs
@@ -9,8 +9,6 @@
 use super::selection::PRIMARY_READ_SHARE;
 use super::settings::{DeduplicationScope, Freshness, Idempotency, StalenessCheck};
 
-/// A report that a member is full counts for this many connect timeouts.
-const FULL_REPORT_LIFETIME: Nanos = 4;
 /// Reads that no replica serves leave the primary this share of its cores.
 const PRIMARY_CORE_RESERVE: f64 = 0.3;
 /// Share of a cold member's budget that is used: what the other gateways send it is only guessed.
@@ -92,7 +90,8 @@
                 // arrives.
                 let arrives_after = self.fleet.now - attempt.sent_at + limits.connect_timeout;
                 let earlier = self.fleet.members.get(&attempt.member);
-                let same_zone = earlier.is_some_and(|m| m.identity.zone == member.identity.zone);
+                let same_zone =
+                    earlier.is_some_and(|other| other.identity.zone == member.identity.zone);
                 arrives_after < window && (scope != DeduplicationScope::Zone || same_zone)
             }),
         }
@@ -149,7 +148,8 @@
             && class.idempotency == Idempotency::Idempotent
             && class.objective_stretch == 0.0;
         if worthless_when_late {
-            return (request.deadline).min(request.arrived_at + class.latency_objective);
+            let objective_ends_at = request.arrived_at + class.latency_objective;
+            return request.deadline.min(objective_ends_at);
         }
         request.deadline
     }
@@ -196,14 +196,7 @@
     /// Room by the requests in flight that the member reports, in a large fleet.
     fn is_under_shared_limit(&self, id: MemberId, share: f64) -> bool {
         let member = self.fleet.member(id);
-        let lifetime = FULL_REPORT_LIFETIME * self.fleet.settings.limits.connect_timeout;
-        // A member that has lately said that it is full stays so until it says otherwise.
-        let last_reported = if self.fleet.now - member.load.reported_at < lifetime {
-            member.load.in_flight_of_others
-        } else {
-            0.0
-        };
-        let of_others = self.fleet.in_flight_of_others(id).max(last_reported);
+        let of_others = self.fleet.cautious_in_flight_of_others(id);
         let limit = self.fleet.shared_limit.limit * member.identity.size * share;
         of_others + f64::from(member.load.in_flight) + 1.0 <= limit.max(1.0)
     }
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -28,6 +28,8 @@
 /// Commit times are rounded up and positions down to the millisecond: added to a session's position
 /// to be on the safe side.
 const COMMIT_ROUNDING: Nanos = 1_000_000;
+/// A report that a member is full counts for this many connect timeouts.
+const FULL_REPORT_LIFETIME: Nanos = 4;
 
 /// What this gateway knows of the fleet.
 pub(super) struct Fleet {
@@ -176,7 +178,7 @@
     pub(super) fn latency_ratio(&self, id: MemberId) -> f64 {
         let member = self.member(id);
         let lifetime = self.observation_lifetime();
-        let weight = (member.reachability).observation_weight(self.now, lifetime);
+        let weight = member.reachability.observation_weight(self.now, lifetime);
         member.latency.expected(weight)
     }
 
@@ -219,4 +221,17 @@
         let usual = self.load.usual_in_flight * member.identity.size;
         usual + (member.load.in_flight_of_others - usual) * (-self.load_report_age(id)).exp()
     }
+
+    /// The same, but not less than the last report unless that is long ago: a member that has
+    /// lately said that it is full stays so until it says otherwise.
+    pub(super) fn cautious_in_flight_of_others(&self, id: MemberId) -> f64 {
+        let load = &self.member(id).load;
+        let lifetime = FULL_REPORT_LIFETIME * self.settings.limits.connect_timeout;
+        let last_reported = if self.now - load.reported_at < lifetime {
+            load.in_flight_of_others
+        } else {
+            0.0
+        };
+        self.in_flight_of_others(id).max(last_reported)
+    }
 }
--- a/src/routing/fleet_updates.rs
+++ b/src/routing/fleet_updates.rs
@@ -103,7 +103,9 @@
         let member = self.member_mut(id);
         member.load.in_flight += 1;
         member.concurrency_limit.request_sent(now, usual_latency);
-        (member.reachability).request_sent(now, usual_latency, connect_timeout);
+        member
+            .reachability
+            .request_sent(now, usual_latency, connect_timeout);
     }
 
     /// Takes what the end of an attempt says of its member.
@@ -135,8 +137,8 @@
         let weight = member.reachability.observation_weight(now, lifetime);
         member.load.in_flight = member.load.in_flight.saturating_sub(1);
         let in_flight = member.load.in_flight;
-        (member.reachability).attempt_ended(outcome, in_flight, now);
-        (member.ejection).attempt_ended(outcome, now, connect_timeout);
+        member.reachability.attempt_ended(outcome, in_flight, now);
+        member.ejection.attempt_ended(outcome, now, connect_timeout);
         match outcome {
             Outcome::Ok => {
                 member.reachability.recovered(now);
@@ -217,7 +219,8 @@
         member.replication.apply_report(report, now);
         if let Some(in_flight) = report.in_flight {
             member.load.in_flight_reported(in_flight, now);
-            (self.load).member_reported(&member.load, member.identity.size);
+            self.load
+                .member_reported(&member.load, member.identity.size);
         }
     }
 
@@ -277,7 +280,9 @@
         let is_newest = result.at >= member.load.reported_at;
         if let Some(cores_in_use) = result.report.cores_in_use {
             if is_newest && !self.settings.in_flight_reported {
-                (member.load).cores_in_use_reported(cores_in_use, size, result.at);
+                member
+                    .load
+                    .cores_in_use_reported(cores_in_use, size, result.at);
                 self.load.member_reported(&member.load, size);
             }
         }
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -98,7 +98,7 @@
                 outcome,
                 report,
                 ..
-            } => (self.fleet).apply_health_check(*member, *outcome, *report),
+            } => self.fleet.apply_health_check(*member, *outcome, *report),
             Event::SharedHealthChecks(results) => {
                 for result in results {
                     self.fleet.apply_shared_health_check(result);
--- a/src/routing/snapshot.rs
+++ b/src/routing/snapshot.rs
@@ -79,7 +79,9 @@
                 own.merge(theirs);
             }
         }
-        (fleet.class_latency).merge(&self.class_latency, &self.class_answers);
+        fleet
+            .class_latency
+            .merge(&self.class_latency, &self.class_answers);
     }
 }
 
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -1,7 +1,10 @@
 //! Fixed event sequences lead to the same actions in every version, unless a change of decisions is intended.
 //!
-//! Estimates use `exp` and `powf`, whose last digit may differ between math libraries. The digests are those of glibc.
-#![allow(clippy::unwrap_used)]
+//! The recorded digests are in `fixtures/decision_log.txt`. A commit that means to change decisions
+//! replaces them by those of the failure message, and says which scenarios changed and why.
+//!
+//! Estimates use `exp` and `powf`, whose last digit may differ between math libraries. The digests
+//! are those of glibc.
 
 mod event_sequence;
 
