Use the datagram package's item codec for drain coordination

The codec had its own loop over a header and bounded items; it is now the one that leases and write intents share. Measured: the 30 tests of the package pass, 20 golden ones among them.

--- a/crates/drain-coordination/src/codec.rs
+++ b/crates/drain-coordination/src/codec.rs
@@ -13,17 +13,13 @@
 use crate::command::{DesiredState, DrainCommand};
 use crate::progress::Completion;
 use bytes::BufMut;
-use irisrouter_datagram::Reader;
+use irisrouter_datagram::{decode_items, encode_items, has_magic, max_items, Reader, WireValue};
 
 pub use irisrouter_datagram::magic::DRAINS as MAGIC;
 pub use irisrouter_datagram::{WireError, MAX_DATAGRAM_BYTES};
 
-/// Bytes ahead of the messages: the first byte and the count.
-const HEADER_BYTES: usize = 2;
-/// Bytes of one message.
-const MESSAGE_BYTES: usize = 30;
 /// Messages that fit into one datagram.
-pub const MAX_MESSAGES: usize = (MAX_DATAGRAM_BYTES - HEADER_BYTES) / MESSAGE_BYTES;
+pub const MAX_MESSAGES: usize = max_items::<(), Message>();
 /// The epoch in an announcement whose sender does not coordinate the command.
 pub const NO_COORDINATOR: u64 = 0;
 
@@ -91,8 +87,12 @@
             count: completion.unacknowledged,
         }
     }
+}
+
+impl WireValue for Message {
+    const ENCODED_BYTES: usize = 30;
 
-    fn write(&self, buffer: &mut Vec<u8>) {
+    fn encode(&self, buffer: &mut Vec<u8>) {
         buffer.put_u8(self.kind as u8);
         buffer.put_u8(u8::from(self.command.drains()));
         buffer.put_u32(self.command.host);
@@ -102,9 +102,9 @@
         buffer.put_u32(self.count);
     }
 
-    fn read(reader: &mut Reader<'_>) -> Result<Self, WireError> {
+    fn decode(reader: &mut Reader<'_>) -> Result<Self, WireError> {
         Ok(Self {
-            kind: read_kind(reader)?,
+            kind: reader.one_of("kind", &KINDS)?,
             command: read_command(reader)?,
             epoch: reader.u64()?,
             count: reader.u32()?,
@@ -112,14 +112,6 @@
     }
 }
 
-fn read_kind(reader: &mut Reader<'_>) -> Result<MessageKind, WireError> {
-    let number = reader.u8()?;
-    KINDS
-        .get(usize::from(number))
-        .copied()
-        .ok_or(WireError::Unknown("kind", number))
-}
-
 fn read_command(reader: &mut Reader<'_>) -> Result<DrainCommand, WireError> {
     let desired_state = match reader.u8()? {
         0 => DesiredState::InService,
@@ -137,15 +129,7 @@
 /// The bytes of a datagram with these messages; those beyond [`MAX_MESSAGES`] are left out.
 #[must_use]
 pub fn encode(messages: &[Message]) -> Vec<u8> {
-    let messages = &messages[..messages.len().min(MAX_MESSAGES)];
-    let mut buffer = Vec::with_capacity(HEADER_BYTES + messages.len() * MESSAGE_BYTES);
-    buffer.put_u8(MAGIC);
-    // At most eight, so the count fits.
-    buffer.put_u8(messages.len() as u8);
-    for message in messages {
-        message.write(&mut buffer);
-    }
-    buffer
+    encode_items(MAGIC, &(), messages)
 }
 
 /// Reads a datagram.
@@ -153,11 +137,11 @@
 /// # Errors
 /// The bytes are no datagram of this kind and version, or a field has an unknown value.
 pub fn decode(datagram: &[u8]) -> Result<Vec<Message>, WireError> {
-    Reader::new(datagram, MAGIC)?.items(MESSAGE_BYTES, Message::read)
+    decode_items::<(), Message>(MAGIC, datagram).map(|list| list.items)
 }
 
 /// Whether a datagram is one of drain coordination, in whatever version.
 #[must_use]
 pub fn recognizes(datagram: &[u8]) -> bool {
-    irisrouter_datagram::is(datagram, MAGIC)
+    has_magic(datagram, MAGIC)
 }
