--- /dev/null
+++ b/src/net/lifecycle/mod.rs
@@ -0,0 +1,3 @@
+//! The life of the gateway process.
+
+pub mod shutdown;
--- a/src/net/shutdown.rs
+++ b/src/net/lifecycle/shutdown.rs
@@ -40,5 +40,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../tests/unit/shutdown.rs"]
+#[path = "../../../tests/unit/shutdown.rs"]
 mod tests;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,11 +7,11 @@
 pub mod discovery;
 pub mod downstream;
 pub mod hot_restart;
+pub mod lifecycle;
 pub mod log;
 pub mod metrics;
 pub mod request;
 pub mod router_task;
-pub mod shutdown;
 pub mod upstream;
 
 pub use irisrouter_pg as pg;
