Give the console typed calls, answers and errors

The console compared byte strings and built each answer in place, so that a text stood in the middle of control flow and could only be tested through a process. Calls are parsed into ConsoleCall, answers are ConsoleAnswer or CallError (thiserror), and one function writes the line; connections stay in console.rs. Serving state and log get whole names, reasons in plain words, and their tests in test files. Answers and log lines are as they were, but for 'console: cannot accept'.

--- a/src/net/admin/console.rs
+++ b/src/net/admin/console.rs
@@ -1,6 +1,9 @@
 //! The operators' console: a second address, where each connection carries one line and gets one line.
+//!
+//! This module owns the connections; `console_call` has the calls and their answers.
 
-use crate::net::admin::serving_state::{ServingMode, ServingState};
+use crate::net::admin::console_call::{execute, format_answer, CallError, ConsoleCall};
+use crate::net::admin::serving_state::ServingState;
 use crate::net::cluster::drains::DrainService;
 use crate::net::cluster::leases::LeaseService;
 use crate::net::cluster::membership::MembershipService;
@@ -15,135 +18,113 @@
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{sleep, timeout};
 
-/// Callers at a time; the first to come makes room for the next. Danger: callers that say nothing would use up
-/// descriptors, or keep out those that do.
-pub const CALLERS: usize = 16;
-/// A caller has so long to say what it wants and to take the answer.
-const CALL_TIME: Duration = Duration::from_secs(3);
-/// And then so long to close.
-const LINGER: Duration = Duration::from_millis(500);
-/// Longest line that is read.
-const LONGEST: usize = 128;
-/// Pause when the system gives no descriptor.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Connections at a time; one more closes the oldest. Connections that send nothing must neither use up the descriptors
+/// nor keep out those that call.
+const MAX_CONNECTIONS: usize = 16;
+/// A connection has this long for its call, its answer and its end.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// A caller has this long to close its side after the answer.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest line that is read, in bytes: the longest call with the name of a host fits in.
+const MAX_LINE_LENGTH: usize = 128;
+/// Pause after a failed accept, as when the system has no descriptor left: without it the task would spin.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
-/// What operators may ask about and change.
+/// What operators may inspect and change.
 pub struct Console {
-    /// Whether clients are welcome.
+    /// Whether clients are served.
     pub serving_state: Rc<ServingState>,
-    /// Who of the gateways is there, where that is on.
+    /// Cluster membership, where it is on.
     pub membership: Option<Rc<MembershipService>>,
-    /// What this gateway owns, where that is on.
+    /// The leases of this gateway, where they are on.
     pub leases: Option<Rc<LeaseService>>,
     /// Drains of database hosts, where leases are on.
     pub drains: Option<Rc<DrainService>>,
-    /// Plans for lost sites, where that is on.
+    /// Site failover, where it is on.
     pub site_failover: Option<Rc<SiteFailoverService>>,
 }
 
-/// Answers callers for ever.
+/// Accepts and answers calls; never returns.
 pub async fn serve(listener: TcpListener, console: Rc<Console>) {
-    let mut callers: VecDeque<AbortHandle> = VecDeque::new();
+    let mut connections: VecDeque<AbortHandle> = VecDeque::new();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                callers.retain(|c| !c.is_finished());
-                while callers.len() >= CALLERS {
-                    callers.pop_front().iter().for_each(AbortHandle::abort);
-                }
-                let console = Rc::clone(&console);
-                let call = async move { drop(timeout(CALL_TIME, attend(stream, &console)).await) };
-                callers.push_back(spawn_local(call).abort_handle());
+                make_room(&mut connections);
+                let connection = spawn_local(serve_connection(stream, Rc::clone(&console)));
+                connections.push_back(connection.abort_handle());
             }
-            Err(e) => {
-                log!("the console cannot accept: {e}");
-                sleep(ACCEPT_PAUSE).await;
+            Err(error) => {
+                log!("console: cannot accept: {error}");
+                sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
 }
 
-async fn attend(mut stream: TcpStream, console: &Console) -> io::Result<()> {
-    let mut line = [0; LONGEST];
-    let mut read = 0;
-    let answer = loop {
-        if let Some(end) = line[..read].iter().position(|&b| b == b'\n') {
-            break answer(&line[..end], console).await;
-        }
-        if read == line.len() {
-            break "-ERR the line is too long".to_string();
-        }
-        match stream.read(&mut line[read..]).await? {
-            0 => return Ok(()),
-            n => read += n,
+/// Ends the oldest connections until there is room for one more.
+fn make_room(connections: &mut VecDeque<AbortHandle>) {
+    connections.retain(|connection| !connection.is_finished());
+    while connections.len() >= MAX_CONNECTIONS {
+        if let Some(oldest) = connections.pop_front() {
+            oldest.abort();
         }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, console: Rc<Console>) {
+    // A caller that is too slow or breaks off gets no answer; there is nobody to report that to.
+    let _ = timeout(CALL_TIMEOUT, answer_call(stream, &console)).await;
+}
+
+async fn answer_call(mut stream: TcpStream, console: &Console) -> io::Result<()> {
+    let answer = match read_line(&mut stream).await? {
+        Line::Complete(line) => match ConsoleCall::parse(&line) {
+            Ok(call) => execute(call, console).await,
+            Err(error) => Err(error),
+        },
+        Line::TooLong => Err(CallError::LineTooLong),
+        Line::Ended => return Ok(()),
     };
-    stream.write_all(format!("{answer}\n").as_bytes()).await?;
+    let line = format_answer(&answer);
+    stream.write_all(line.as_bytes()).await?;
     stream.shutdown().await?;
-    // Danger: closing with bytes unread resets the connection, and takes the answer along.
-    let rest = async { while matches!(stream.read(&mut line).await, Ok(n) if n > 0) {} };
-    drop(timeout(LINGER, rest).await);
+    discard_rest(&mut stream).await;
     Ok(())
 }
 
-/// The answer to one line.
-async fn answer(line: &[u8], console: &Console) -> String {
-    let serving_state = &console.serving_state;
-    let line = line.strip_suffix(b"\r").unwrap_or(line);
-    match line {
-        b"readyz" => match serving_state.get() {
-            ServingMode::Serving => "+OK ready".into(),
-            ServingMode::Starting => "-ERR starting".into(),
-            ServingMode::Drained => "-ERR drained".into(),
-            ServingMode::Stopping | ServingMode::Closing => "-ERR stopping".into(),
-        },
-        b"evacuate" => {
-            serving_state.evacuate();
-            log!("console: clients are sent away");
-            "+OK clients are sent away".into()
+/// What came of reading a line.
+enum Line {
+    /// The line without its newline.
+    Complete(Vec<u8>),
+    /// No newline within [`MAX_LINE_LENGTH`] bytes.
+    TooLong,
+    /// The caller closed its side before the newline.
+    Ended,
+}
+
+async fn read_line(stream: &mut TcpStream) -> io::Result<Line> {
+    let mut buffer = [0; MAX_LINE_LENGTH];
+    let mut length = 0;
+    loop {
+        if let Some(end) = buffer[..length].iter().position(|&byte| byte == b'\n') {
+            return Ok(Line::Complete(buffer[..end].to_vec()));
         }
-        b"activate" if serving_state.activate() => {
-            log!("console: clients are welcome");
-            "+OK clients are welcome".into()
+        if length == buffer.len() {
+            return Ok(Line::TooLong);
+        }
+        match stream.read(&mut buffer[length..]).await? {
+            0 => return Ok(Line::Ended),
+            read => length += read,
         }
-        b"activate" => "-ERR stopping".into(),
-        b"members" => match &console.membership {
-            Some(membership) => format!("+OK {}", membership.status_line()),
-            None => "-ERR membership is off".into(),
-        },
-        b"duties" => match &console.leases {
-            Some(leases) => format!("+OK {}", leases.status_line()),
-            None => "-ERR takeover is off".into(),
-        },
-        b"plan" => match &console.site_failover {
-            Some(site_failover) => format!("+OK {}", site_failover.status_line()),
-            None => "-ERR site plans are off".into(),
-        },
-        b"drains" => match &console.drains {
-            Some(drains) => format!("+OK {}", drains.status_line()),
-            None => "-ERR takeover is off".into(),
-        },
-        _ => match (host(line, "drain "), host(line, "undrain ")) {
-            (Some(host), _) => say(console, host, true).await,
-            (None, Some(host)) => say(console, host, false).await,
-            _ => "-ERR unknown call: readyz, evacuate, activate, members, duties, plan, drains, \
-                  drain HOST or undrain HOST"
-                .into(),
-        },
     }
 }
 
-/// The host that a call names.
-fn host<'a>(line: &'a [u8], call: &str) -> Option<&'a str> {
-    std::str::from_utf8(line.strip_prefix(call.as_bytes())?).ok()
-}
-
-async fn say(console: &Console, host: &str, out: bool) -> String {
-    match &console.drains {
-        Some(drains) => drains
-            .command(host, out)
-            .await
-            .map_or_else(|e| format!("-ERR {e}"), |ok| format!("+OK {ok}")),
-        None => "-ERR takeover is off".into(),
-    }
+/// Reads until the caller closes its side. Closing a connection with bytes unread resets it, and the caller would lose
+/// the answer.
+async fn discard_rest(stream: &mut TcpStream) {
+    let mut discarded = [0; MAX_LINE_LENGTH];
+    let rest = async { while matches!(stream.read(&mut discarded).await, Ok(read) if read > 0) {} };
+    // After the timeout the connection is closed all the same.
+    let _ = timeout(CLOSE_TIMEOUT, rest).await;
 }
--- /dev/null
+++ b/src/net/admin/console_call.rs
@@ -0,0 +1,204 @@
+//! The console's calls and their answers. All texts are an interface to operators' scripts.
+
+use crate::net::admin::console::Console;
+use crate::net::admin::serving_state::ServingMode;
+use crate::net::cluster::drains::DrainService;
+use crate::net::log::log;
+use std::fmt;
+use thiserror::Error;
+
+/// One call.
+#[derive(Debug, PartialEq, Eq)]
+pub enum ConsoleCall {
+    /// `readyz`: whether new clients are served.
+    Readiness,
+    /// `evacuate`: disconnects clients.
+    Evacuate,
+    /// `activate`: serves clients again.
+    Activate,
+    /// `members`: this gateway's view of the others.
+    Members,
+    /// `duties`: the leases that this gateway holds.
+    Leases,
+    /// `plan`: the site failover plan that is in force.
+    FailoverPlan,
+    /// `drains`: the database hosts that are drained by the console.
+    Drains,
+    /// `drain HOST`: takes a database host out of service at all gateways.
+    Drain {
+        /// The host's name in the endpoint list.
+        host: String,
+    },
+    /// `undrain HOST`: puts it back.
+    Undrain {
+        /// The host's name in the endpoint list.
+        host: String,
+    },
+}
+
+/// The answer to a call that succeeded.
+#[derive(Debug, PartialEq, Eq)]
+pub enum ConsoleAnswer {
+    /// New clients are served.
+    Ready,
+    /// Clients are being disconnected.
+    Evacuated,
+    /// Clients are served again.
+    Activated,
+    /// The state of a cluster service.
+    Status(String),
+    /// What a drain or its end has achieved.
+    DrainCommand(String),
+}
+
+/// Why a call has failed.
+#[derive(Debug, PartialEq, Eq, Error)]
+pub enum CallError {
+    /// The gateway is not ready yet.
+    #[error("starting")]
+    Starting,
+    /// Clients are disconnected until `activate`.
+    #[error("drained")]
+    Drained,
+    /// The process shuts down.
+    #[error("stopping")]
+    Stopping,
+    /// Membership is off.
+    #[error("membership is off")]
+    MembershipOff,
+    /// Leases are off.
+    #[error("takeover is off")]
+    LeasesOff,
+    /// Site failover is off.
+    #[error("site plans are off")]
+    SiteFailoverOff,
+    /// The drain command is refused or has not reached a majority.
+    #[error("{0}")]
+    DrainCommand(String),
+    /// The line is none of the calls.
+    #[error(
+        "unknown call: readyz, evacuate, activate, members, duties, plan, drains, \
+         drain HOST or undrain HOST"
+    )]
+    Unknown,
+    /// The line exceeds what is read.
+    #[error("the line is too long")]
+    LineTooLong,
+}
+
+impl ConsoleCall {
+    /// Parses a line without its newline; a carriage return at its end is ignored.
+    ///
+    /// # Errors
+    ///
+    /// The line is none of the calls.
+    pub fn parse(line: &[u8]) -> Result<Self, CallError> {
+        let line = std::str::from_utf8(line).map_err(|_| CallError::Unknown)?;
+        let line = line.strip_suffix('\r').unwrap_or(line);
+        let with_host = |name| line.strip_prefix(name).map(str::to_string);
+        match line {
+            "readyz" => Ok(Self::Readiness),
+            "evacuate" => Ok(Self::Evacuate),
+            "activate" => Ok(Self::Activate),
+            "members" => Ok(Self::Members),
+            "duties" => Ok(Self::Leases),
+            "plan" => Ok(Self::FailoverPlan),
+            "drains" => Ok(Self::Drains),
+            _ => with_host("drain ")
+                .map(|host| Self::Drain { host })
+                .or_else(|| with_host("undrain ").map(|host| Self::Undrain { host }))
+                .ok_or(CallError::Unknown),
+        }
+    }
+}
+
+impl fmt::Display for ConsoleAnswer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Ready => write!(f, "ready"),
+            Self::Evacuated => write!(f, "clients are sent away"),
+            Self::Activated => write!(f, "clients are welcome"),
+            Self::Status(line) | Self::DrainCommand(line) => write!(f, "{line}"),
+        }
+    }
+}
+
+/// The line that the caller gets, with its newline.
+pub fn format_answer(answer: &Result<ConsoleAnswer, CallError>) -> String {
+    match answer {
+        Ok(answer) => format!("+OK {answer}\n"),
+        Err(error) => format!("-ERR {error}\n"),
+    }
+}
+
+/// Carries out a call.
+///
+/// # Errors
+///
+/// The gateway is not in a state for the call, or the service that it is about is off.
+pub async fn execute(call: ConsoleCall, console: &Console) -> Result<ConsoleAnswer, CallError> {
+    match call {
+        ConsoleCall::Readiness => readiness(console),
+        ConsoleCall::Evacuate => Ok(evacuate(console)),
+        ConsoleCall::Activate => activate(console),
+        ConsoleCall::Members => {
+            let membership = console.membership.as_ref();
+            let membership = membership.ok_or(CallError::MembershipOff)?;
+            Ok(ConsoleAnswer::Status(membership.status_line()))
+        }
+        ConsoleCall::Leases => {
+            let leases = console.leases.as_ref().ok_or(CallError::LeasesOff)?;
+            Ok(ConsoleAnswer::Status(leases.status_line()))
+        }
+        ConsoleCall::FailoverPlan => {
+            let site_failover = console.site_failover.as_ref();
+            let site_failover = site_failover.ok_or(CallError::SiteFailoverOff)?;
+            Ok(ConsoleAnswer::Status(site_failover.status_line()))
+        }
+        ConsoleCall::Drains => Ok(ConsoleAnswer::Status(drains(console)?.status_line())),
+        ConsoleCall::Drain { host } => command_drain(console, &host, true).await,
+        ConsoleCall::Undrain { host } => command_drain(console, &host, false).await,
+    }
+}
+
+fn readiness(console: &Console) -> Result<ConsoleAnswer, CallError> {
+    match console.serving_state.get() {
+        ServingMode::Serving => Ok(ConsoleAnswer::Ready),
+        ServingMode::Starting => Err(CallError::Starting),
+        ServingMode::Drained => Err(CallError::Drained),
+        ServingMode::Stopping | ServingMode::Closing => Err(CallError::Stopping),
+    }
+}
+
+fn evacuate(console: &Console) -> ConsoleAnswer {
+    console.serving_state.evacuate();
+    log!("console: clients are sent away");
+    ConsoleAnswer::Evacuated
+}
+
+fn activate(console: &Console) -> Result<ConsoleAnswer, CallError> {
+    if !console.serving_state.activate() {
+        return Err(CallError::Stopping);
+    }
+    log!("console: clients are welcome");
+    Ok(ConsoleAnswer::Activated)
+}
+
+fn drains(console: &Console) -> Result<&DrainService, CallError> {
+    console.drains.as_deref().ok_or(CallError::LeasesOff)
+}
+
+async fn command_drain(
+    console: &Console,
+    host: &str,
+    out_of_service: bool,
+) -> Result<ConsoleAnswer, CallError> {
+    match drains(console)?.command(host, out_of_service).await {
+        Ok(result) => Ok(ConsoleAnswer::DrainCommand(result.to_string())),
+        Err(error) => Err(CallError::DrainCommand(error.to_string())),
+    }
+}
+
+#[cfg(test)]
+#[path = "../../../tests/unit/console_call.rs"]
+mod tests;
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -1,5 +1,6 @@
-//! Operators: their configuration file, their console, and whether the gateway serves clients.
+//! Operators: their configuration file, the console, the counters, and whether the gateway serves clients.
 
 pub mod console;
+mod console_call;
 pub mod operator_config;
 pub mod serving_state;
--- a/src/net/admin/serving_state.rs
+++ b/src/net/admin/serving_state.rs
@@ -1,31 +1,31 @@
-//! What this process is doing with clients: one value, set by the console and the signals and read by the front.
+//! Whether the process serves clients: one value, set by the console and the signals and read by the connections.
 
 use tokio::sync::watch;
 
-/// From serving on, in the order in which a process ends.
+/// What the process does with clients. After `Serving`, in the order in which a process ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServingMode {
-    /// Not yet ready for clients.
+    /// Not ready for clients yet.
     Starting,
-    /// Clients are welcome.
+    /// Clients are served.
     Serving,
-    /// Clients are sent away, until somebody calls them back.
+    /// Clients are disconnected between requests, until an operator activates the gateway again.
     Drained,
-    /// After SIGTERM, for as long as clients are served on the connections that they have.
+    /// After SIGTERM, while clients are still served on the connections that they have.
     Stopping,
-    /// After SIGTERM: clients are sent away, for good.
+    /// After SIGTERM: clients are disconnected for good.
     Closing,
 }
 
 impl ServingMode {
-    /// A connection ends between two requests.
+    /// Whether connections are ended between two requests.
     pub fn sends_away(self) -> bool {
         matches!(self, ServingMode::Drained | ServingMode::Closing)
     }
 }
 
-/// The mode of the process. Danger: with a flag each for the console, the front and the signals, two of them could
-/// say that clients are welcome and the third turn them away.
+/// The mode of the process. It is one value and not a flag each for the console, the connections and the signals:
+/// flags could disagree, and clients be invited by one and disconnected by another.
 pub struct ServingState(watch::Sender<ServingMode>);
 
 impl Default for ServingState {
@@ -40,75 +40,56 @@
         *self.0.borrow()
     }
 
-    /// Follows the mode.
+    /// Notifies of every change of the mode.
     pub fn watch(&self) -> watch::Receiver<ServingMode> {
         self.0.subscribe()
     }
 
-    /// Clients can be served from now on.
+    /// Clients can be served from now on. A drain by the console during the start stays in force.
     pub fn ready(&self) {
-        self.step(&[ServingMode::Starting], ServingMode::Serving);
+        self.transition(&[ServingMode::Starting], ServingMode::Serving);
     }
 
-    /// Sends clients away. It may be said again, and at any time: a process that stops does so anyway.
+    /// Disconnects clients. May be repeated, and may come at any time; a process that stops does so anyway.
     pub fn evacuate(&self) {
-        self.step(
+        self.transition(
             &[ServingMode::Starting, ServingMode::Serving],
             ServingMode::Drained,
         );
     }
 
-    /// Calls them back, unless the process has begun to stop.
+    /// Undoes a drain. Returns whether clients are or will be served, which they are not once the process stops.
     pub fn activate(&self) -> bool {
-        self.step(&[ServingMode::Drained], ServingMode::Serving);
+        self.transition(&[ServingMode::Drained], ServingMode::Serving);
         matches!(self.get(), ServingMode::Serving | ServingMode::Starting)
     }
 
-    /// The process stops. One that is drained does not call its clients back for that.
+    /// The process stops. A drained one does not serve its clients again because of that.
     pub fn stop(&self) {
-        self.step(
+        self.transition(
             &[ServingMode::Starting, ServingMode::Serving],
             ServingMode::Stopping,
         );
-        self.step(&[ServingMode::Drained], ServingMode::Closing);
+        self.transition(&[ServingMode::Drained], ServingMode::Closing);
     }
 
-    /// Nobody is served any more but those whose requests are under way.
+    /// From now on only requests that are in flight are served.
     pub fn close(&self) {
         self.0.send_replace(ServingMode::Closing);
     }
 
-    fn step(&self, from: &[ServingMode], to: ServingMode) {
+    /// Changes the mode to `to` if it is one of `from`; receivers are notified only of a change.
+    fn transition(&self, from: &[ServingMode], to: ServingMode) {
         self.0.send_if_modified(|mode| {
-            let steps = from.contains(mode);
-            if steps {
+            let changes = from.contains(mode);
+            if changes {
                 *mode = to;
             }
-            steps
+            changes
         });
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against a drain that is undone by the end of the process, and an end that is undone by the console.
-    #[test]
-    fn a_drain_ends_when_it_is_said_and_a_stop_never() {
-        let serving_state = ServingState::default();
-        serving_state.ready();
-        serving_state.evacuate();
-        serving_state.evacuate();
-        assert_eq!(serving_state.get(), ServingMode::Drained);
-        serving_state.ready();
-        assert_eq!(serving_state.get(), ServingMode::Drained);
-        assert!(serving_state.activate() && serving_state.activate());
-        assert_eq!(serving_state.get(), ServingMode::Serving);
-        serving_state.evacuate();
-        serving_state.stop();
-        assert!(!serving_state.activate());
-        serving_state.evacuate();
-        assert_eq!(serving_state.get(), ServingMode::Closing);
-    }
-}
+#[path = "../../../tests/unit/serving_state.rs"]
+mod tests;
--- a/src/net/log.rs
+++ b/src/net/log.rs
@@ -1,44 +1,47 @@
-//! Logging: eprintln behind one macro, so many lines a second at most.
+//! Logging: lines on standard error through one macro that limits their rate.
 
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
-/// Lines a second. Danger: a failing host brings a line for each request, and a full pipe blocks the thread.
-const LINES: u32 = 20;
+/// Log lines in a period. A failing host causes a line for each request, and a reader that is slow would then block
+/// the gateway's thread on the pipe.
+const MAX_LINES_PER_PERIOD: u32 = 20;
+/// The period over which lines are counted.
+const PERIOD: Duration = Duration::from_secs(1);
 
-struct Window {
-    since: Cell<Option<Instant>>,
+/// The lines of the present period.
+struct LineCount {
+    started: Cell<Option<Instant>>,
     lines: Cell<u32>,
 }
 
 thread_local! {
-    static WINDOW: Window = const { Window { since: Cell::new(None), lines: Cell::new(0) } };
+    static LINE_COUNT: LineCount = const { LineCount { started: Cell::new(None), lines: Cell::new(0) } };
 }
 
-/// Whether one more line may be written now, and how many were left out since the last one that could.
+/// Counts one more line. `None` if it may not be written; else the number of lines that the last period suppressed,
+/// which is not 0 at most once a period.
 pub fn admit() -> Option<u32> {
-    WINDOW.with(|w| {
+    LINE_COUNT.with(|count| {
         let now = Instant::now();
-        let mut left_out = 0;
-        if w.since
-            .get()
-            .is_none_or(|t| now - t >= Duration::from_secs(1))
-        {
-            left_out = w.lines.get().saturating_sub(LINES);
-            w.since.set(Some(now));
-            w.lines.set(0);
+        let mut suppressed = 0;
+        let is_over = |started| now - started >= PERIOD;
+        if count.started.get().is_none_or(is_over) {
+            suppressed = count.lines.get().saturating_sub(MAX_LINES_PER_PERIOD);
+            count.started.set(Some(now));
+            count.lines.set(0);
         }
-        w.lines.set(w.lines.get().saturating_add(1));
-        (w.lines.get() <= LINES).then_some(left_out)
+        count.lines.set(count.lines.get().saturating_add(1));
+        (count.lines.get() <= MAX_LINES_PER_PERIOD).then_some(suppressed)
     })
 }
 
-/// Writes a line to standard error, unless there have been too many this second.
+/// Writes a line to standard error, unless the period has had its lines.
 macro_rules! log {
     ($($arg:tt)*) => {
-        if let Some(left_out) = $crate::net::log::admit() {
-            if left_out > 0 {
-                eprintln!("irisrouter: {left_out} lines left out");
+        if let Some(suppressed) = $crate::net::log::admit() {
+            if suppressed > 0 {
+                eprintln!("irisrouter: {suppressed} lines left out");
             }
             eprintln!("irisrouter: {}", format_args!($($arg)*));
         }
@@ -47,13 +50,5 @@
 pub(crate) use log;
 
 #[cfg(test)]
-mod tests {
-    #[test]
-    fn a_burst_is_cut_and_counted() {
-        let admitted = (0..1_000).filter(|_| super::admit().is_some()).count();
-        assert!(
-            admitted >= super::LINES as usize && admitted < 1_000,
-            "{admitted}"
-        );
-    }
-}
+#[path = "../../tests/unit/log.rs"]
+mod tests;
--- /dev/null
+++ b/tests/unit/serving_state.rs
@@ -0,0 +1,22 @@
+//! The modes of the process and the order in which they follow one another.
+
+use super::*;
+
+/// Guards against a drain that is undone by the end of the process, and an end that is undone by the console.
+#[test]
+fn drain_is_undone_by_activate_and_a_stop_by_nothing() {
+    let serving_state = ServingState::default();
+    serving_state.ready();
+    serving_state.evacuate();
+    serving_state.evacuate();
+    assert_eq!(serving_state.get(), ServingMode::Drained);
+    serving_state.ready();
+    assert_eq!(serving_state.get(), ServingMode::Drained);
+    assert!(serving_state.activate() && serving_state.activate());
+    assert_eq!(serving_state.get(), ServingMode::Serving);
+    serving_state.evacuate();
+    serving_state.stop();
+    assert!(!serving_state.activate());
+    serving_state.evacuate();
+    assert_eq!(serving_state.get(), ServingMode::Closing);
+}
