--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod console;
 mod console_call;
+pub mod counter_report;
 pub mod operator_config;
 pub mod serving_state;
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -1,270 +1,224 @@
-//! What the platform tells a gateway at its start: the environment and the configuration file.
+//! What the platform tells a gateway: environment variables and the configuration file.
 
-use crate::net::discovery::EndpointList;
-use crate::net::log::log;
-use irisrouter::platform_settings::{PlatformSettings, OPTIONAL};
-use serde::Deserialize;
-use serde_json::Value;
+mod error;
+mod file;
+mod missing_key;
+
+pub use error::{ConfigError, ConfigFileError};
+pub use file::{File as ConfigFile, Peers};
+
+use crate::net::admin::operator_config::{self, OperatorConfig};
+use file::parse_address;
+use irisrouter::platform_settings::PlatformSettings;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-/// Descriptors that a gateway may hold where the configuration does not say.
-const SOCKETS: usize = 1024;
-/// Memory, likewise.
-const MEMORY_MB: usize = 192;
-/// The variable that a reread file overrides.
-const DISCOVERY: &str = "BALANCER_DISCOVERY";
-const CONSOLE: &str = "BALANCER_CONSOLE";
-/// Set where the platform holds the clients' listening socket, and each process inherits it.
-const PASSED: &str = "BALANCER_PASSED_SOCKET";
-
-/// The folder that they share, and the name of their meeting place in it.
-const FOLDER: &str = "TMPDIR";
-const MEET: &str = "irisrouter.sock";
+/// Names the configuration file.
+const CONFIG_FILE_VARIABLE: &str = "BALANCER_CONFIG";
+/// The gateway's name, for its log.
+const NAME_VARIABLE: &str = "BALANCER_NAME";
+/// Where clients connect.
+const LISTEN_VARIABLE: &str = "BALANCER_LISTEN";
+/// Where discovery answers. A reloaded file takes precedence over it.
+const DISCOVERY_VARIABLE: &str = "BALANCER_DISCOVERY";
+/// Where the console listens.
+const CONSOLE_VARIABLE: &str = "BALANCER_CONSOLE";
+/// Set where the platform holds the clients' listening socket and every process of the gateway inherits it.
+const INHERITED_SOCKET_VARIABLE: &str = "BALANCER_PASSED_SOCKET";
+/// The directory that all processes of the gateway share.
+const SHARED_DIRECTORY_VARIABLE: &str = "TMPDIR";
+/// The Unix socket in that directory at which an older process hands over to a newer one. All versions have to agree on
+/// this name.
+const HOT_RESTART_SOCKET: &str = "irisrouter.sock";
+
+/// Descriptors that the platform gives a gateway at most, and where the configuration names no limit.
+const DEFAULT_DESCRIPTOR_LIMIT: usize = 1024;
+/// Memory in mebibytes that the platform gives a gateway at most, and where the configuration names no limit.
+const DEFAULT_MEMORY_LIMIT_MB: usize = 192;
+/// Bytes in a mebibyte, as a shift.
+const MEBIBYTE_SHIFT: u32 = 20;
+
+/// Where the clients' listening socket comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListenerSource {
+    /// This process binds it and is the only one that holds it.
+    Bound,
+    /// The platform holds it, and passes it to each process of the gateway.
+    Inherited,
+}
 
-/// All that the program uses of its configuration.
+/// The configuration of the process.
 pub struct Config {
     /// The gateway's name, for its log.
     pub name: String,
     /// Where clients connect.
-    pub listen: SocketAddr,
-    /// Where discovery answers.
-    pub discovery: SocketAddr,
-    /// Where operators call, if anywhere.
-    pub console: Option<SocketAddr>,
-    /// The clients' listening socket is not bound here but inherited, as the first descriptor that can be.
-    pub passed: bool,
-    /// Then, where the processes of this gateway meet, if they share a folder.
-    pub meet: Option<PathBuf>,
-    /// The other gateways, where they can be told anything.
+    pub listen_address: SocketAddr,
+    /// Where discovery answers at the start.
+    pub discovery_address: SocketAddr,
+    /// Where the console listens, if anywhere.
+    pub console_address: Option<SocketAddr>,
+    /// Where the clients' listening socket comes from.
+    pub listener_source: ListenerSource,
+    /// The Unix socket of the hand-over between versions, where the listener is inherited and a directory is shared.
+    pub hot_restart_socket: Option<PathBuf>,
+    /// The gateways of the fleet, where they may exchange datagrams.
     pub peers: Option<Peers>,
     /// The operators' file, or its defaults.
-    pub operators: crate::net::admin::operator_config::Operators,
-    /// Descriptors that the program may hold.
-    pub sockets: usize,
-    /// Memory that it may use, in bytes.
-    pub memory: usize,
-    /// The settings object.
-    pub loaded: PlatformSettings,
-    /// The file as it was read, and where.
-    pub file: File,
+    pub operators: OperatorConfig,
+    /// Descriptors that the process may hold.
+    pub descriptor_limit: usize,
+    /// Memory that messages are budgeted from, in bytes.
+    pub memory_limit: usize,
+    /// The platform's settings.
+    pub platform: PlatformSettings,
+    /// The file as it was read.
+    pub file: ConfigFile,
     path: String,
 }
 
-/// Where gateways hear one another.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Peers {
-    /// Where this one listens.
-    pub listen: SocketAddr,
-    /// Where to send what all are to hear.
-    pub all: SocketAddr,
-    /// From where each one sends, by its number.
-    pub each: Vec<SocketAddr>,
-    /// This one's number.
-    pub me: u32,
-}
-
-/// The configuration file.
-#[derive(Deserialize)]
-pub struct File {
-    peer_listen: Option<String>,
-    #[serde(default)]
-    peers: Value,
-    peers_all: Option<String>,
-    #[serde(default)]
-    name: String,
-    listen: Option<String>,
-    discovery: Option<String>,
-    console: Option<String>,
-    seed: String,
-    #[serde(default)]
-    limits: Limits,
-    /// The list of database hosts as this gateway last had it.
-    #[serde(default)]
-    pub known: EndpointList,
-    settings: Value,
-}
-
-#[derive(Default, Deserialize, PartialEq)]
-struct Limits {
-    memory_mb: Option<usize>,
-    sockets: Option<usize>,
-}
-
-/// What a reread file changes in a running gateway, and what it does not.
-pub struct Reloaded {
+/// What a reloaded file changes in a running gateway, and what it does not.
+pub struct ReloadedConfig {
     /// Where discovery answers from now on, if the file says so.
-    pub discovery: Option<SocketAddr>,
-    /// The settings that hold from now on.
-    pub loaded: PlatformSettings,
-    /// Parts of the file that differ and wait for the next start.
-    pub waiting: Vec<&'static str>,
+    pub discovery_address: Option<SocketAddr>,
+    /// The platform's settings from now on.
+    pub platform: PlatformSettings,
+    /// Keys of the file whose values differ from those in force, and are used only by the next process.
+    pub requires_restart: Vec<&'static str>,
 }
 
 impl Config {
-    /// Clients mark their repeats, as the settings say; any may be one where they do not.
-    pub fn marks_repeats(&self) -> bool {
-        self.file
-            .settings
-            .pointer("/Clients/MarksRetry")
-            .and_then(Value::as_bool)
-            .unwrap_or(false)
-    }
-
-    /// Reads the environment and the file that it names.
-    pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
-        let path = variable("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
-        let file = File::read(&path)?;
-        let at = |why| format!("{path}: {why}");
-        let set = |name: &str| variable(name).filter(|v| !v.is_empty());
-        let loaded = file.loaded().map_err(at)?;
-        let operators = crate::net::admin::operator_config::load(&variable)?;
-        let members = operators.membership.enabled && loaded.peers_allowed;
+    /// Reads the environment through `variable`, and the files that it names.
+    ///
+    /// # Errors
+    ///
+    /// A variable or file is missing or cannot be used.
+    pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        let path = variable(CONFIG_FILE_VARIABLE).ok_or(ConfigError::FileNotNamed)?;
+        let file = ConfigFile::read(&path)?;
+        let invalid = |source| ConfigError::invalid(&path, source);
+        let environment = Environment::new(&variable);
+        let platform = file.platform_settings().map_err(invalid)?;
+        let operators = operator_config::load(&variable)?;
+        let addresses = Addresses::new(&environment, &file).map_err(invalid)?;
+        let membership = operators.membership.enabled && platform.peers_allowed;
         Ok(Config {
-            name: variable("BALANCER_NAME").unwrap_or_else(|| file.name.clone()),
-            listen: address(
-                "BALANCER_LISTEN",
-                set("BALANCER_LISTEN").as_ref().or(file.listen.as_ref()),
-            )
-            .map_err(at)?,
-            discovery: address(
-                DISCOVERY,
-                set(DISCOVERY).as_ref().or(file.discovery.as_ref()),
-            )
-            .map_err(at)?,
-            console: set(CONSOLE)
-                .as_ref()
-                .or(file.console.as_ref())
-                .map(|text| address(CONSOLE, Some(text)))
-                .transpose()
-                .map_err(at)?,
-            passed: set(PASSED).is_some(),
-            meet: set(FOLDER)
-                .filter(|_| set(PASSED).is_some())
-                .map(|folder| Path::new(&folder).join(MEET)),
-            peers: file.peers(&loaded, members),
+            name: environment.name.unwrap_or_else(|| file.name.clone()),
+            listen_address: addresses.listen,
+            discovery_address: addresses.discovery,
+            console_address: addresses.console,
+            listener_source: environment.listener_source,
+            hot_restart_socket: environment.hot_restart_socket,
+            peers: file.peers(&platform, membership),
             operators,
-            sockets: file.limits.sockets.unwrap_or(SOCKETS).min(SOCKETS),
-            memory: file.limits.memory_mb.unwrap_or(MEMORY_MB).min(MEMORY_MB) << 20,
-            loaded,
+            descriptor_limit: at_most(file.limits.sockets, DEFAULT_DESCRIPTOR_LIMIT),
+            memory_limit: at_most(file.limits.memory_mb, DEFAULT_MEMORY_LIMIT_MB) << MEBIBYTE_SHIFT,
+            platform,
             file,
             path,
         })
     }
 
-    /// Reads the same file again. Its word on discovery wins over the environment's, which is as old as the
-    /// process. All of it is checked first: a file that could start no gateway, or lacks what the last one had,
-    /// changes nothing.
-    pub fn reload(&mut self) -> Result<Reloaded, String> {
-        let (old, mut new) = (&self.file, File::read(&self.path)?);
-        let at = |why: String| format!("{}: {why}", self.path);
-        let named = [
-            ("name", old.name.is_empty() || !new.name.is_empty()),
-            ("listen", old.listen.is_none() || new.listen.is_some()),
-            (
-                "discovery",
-                old.discovery.is_none() || new.discovery.is_some(),
-            ),
-            (
-                "limits",
-                old.limits == Limits::default() || new.limits != Limits::default(),
-            ),
-        ];
-        let missing = named.iter().find(|n| !n.1).map(|n| n.0.to_string());
-        if let Some(key) = missing.or_else(|| lacks(&old.settings, &new.settings)) {
-            return Err(at(format!("{key} is missing")));
+    /// Whether clients mark their retries. Where they do not, any request may be one.
+    pub fn clients_mark_retries(&self) -> bool {
+        self.file.clients_mark_retries()
+    }
+
+    /// Reads the same file again. Its `discovery` takes precedence over the environment, which is as old as the
+    /// process. All of the file is checked first: one that could start no gateway, or lacks a key that the last one
+    /// had, changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be read or used; the old configuration stays in force.
+    pub fn reload(&mut self) -> Result<ReloadedConfig, ConfigError> {
+        let mut new = ConfigFile::read(&self.path)?;
+        let invalid = |source| ConfigError::invalid(&self.path, source);
+        if let Some(key) = self.file.first_key_missing_in(&new) {
+            return Err(invalid(ConfigFileError::KeyMissing(key)));
         }
-        let loaded = new.loaded().map_err(at)?;
-        let named = new
+        let platform = new.platform_settings().map_err(invalid)?;
+        let discovery_address = new
             .discovery
-            .as_ref()
-            .map(|text| address(DISCOVERY, Some(text)));
-        let discovery = named.transpose().map_err(at)?;
-        let parts = [
-            ("name", old.name != new.name),
-            ("listen", old.listen != new.listen),
-            ("console", old.console != new.console),
-            ("seed", old.seed != new.seed),
-            ("limits", old.limits != new.limits),
-            ("known", old.known != new.known),
-        ];
-        let waiting = parts.into_iter().filter(|p| p.1).map(|p| p.0).collect();
+            .as_deref()
+            .map(|text| parse_address(DISCOVERY_VARIABLE, text))
+            .transpose()
+            .map_err(invalid)?;
+        let requires_restart = self.file.keys_that_require_restart(&new);
         self.file.settings = std::mem::take(&mut new.settings);
-        Ok(Reloaded {
-            discovery,
-            loaded,
-            waiting,
+        Ok(ReloadedConfig {
+            discovery_address,
+            platform,
+            requires_restart,
         })
     }
 }
 
-impl File {
-    fn read(path: &str) -> Result<Self, String> {
-        let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {path}: {e}"))?;
-        serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))
-    }
+/// The limit of the file, where it has one that is lower than the platform's.
+fn at_most(limit: Option<usize>, platform_limit: usize) -> usize {
+    limit.unwrap_or(platform_limit).min(platform_limit)
+}
 
-    /// The other gateways. A file in which they can't be read starts a gateway that shares nothing, and says so.
-    fn peers(&self, loaded: &PlatformSettings, members: bool) -> Option<Peers> {
-        let (true, Some(listen), Some(all)) =
-            (loaded.share || members, &self.peer_listen, &self.peers_all)
-        else {
-            return None;
-        };
-        let read = || -> Result<Peers, String> {
-            let each: Vec<SocketAddr> =
-                Vec::<SocketAddr>::deserialize(&self.peers).map_err(|e| format!("peers: {e}"))?;
-            let me = loaded.me;
-            if me as usize >= each.len() || each.len() != loaded.settings.gateway_count as usize {
-                return Err(format!(
-                    "peers: {} addresses for {} gateways, this one's number is {me}",
-                    each.len(),
-                    loaded.settings.gateway_count
-                ));
-            }
-            let listen = address("peer_listen", Some(listen))?;
-            Ok(Peers {
-                listen,
-                all: address("peers_all", Some(all))?,
-                each,
-                me,
-            })
+/// The environment variables. Those that are empty count as not set, but for the name.
+struct Environment {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    console: Option<String>,
+    listener_source: ListenerSource,
+    hot_restart_socket: Option<PathBuf>,
+}
+
+impl Environment {
+    fn new(variable: &impl Fn(&str) -> Option<String>) -> Self {
+        let non_empty = |name: &str| variable(name).filter(|value| !value.is_empty());
+        let listener_source = match non_empty(INHERITED_SOCKET_VARIABLE) {
+            Some(_) => ListenerSource::Inherited,
+            None => ListenerSource::Bound,
         };
-        read()
-            .map_err(|why| log!("nothing is shared with other gateways: {why}"))
-            .ok()
+        let hot_restart_socket = non_empty(SHARED_DIRECTORY_VARIABLE)
+            .filter(|_| listener_source == ListenerSource::Inherited)
+            .map(|directory| Path::new(&directory).join(HOT_RESTART_SOCKET));
+        Self {
+            name: variable(NAME_VARIABLE),
+            listen: non_empty(LISTEN_VARIABLE),
+            discovery: non_empty(DISCOVERY_VARIABLE),
+            console: non_empty(CONSOLE_VARIABLE),
+            listener_source,
+            hot_restart_socket,
+        }
     }
+}
 
-    fn loaded(&self) -> Result<PlatformSettings, String> {
-        let seed =
-            u64::from_str_radix(&self.seed, 16).map_err(|e| format!("seed {}: {e}", self.seed))?;
-        PlatformSettings::parse(&self.settings, seed).map_err(|e| format!("settings: {e}"))
-    }
+/// Addresses that the environment and the file can both name; the environment takes precedence.
+struct Addresses {
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    console: Option<SocketAddr>,
 }
 
-/// A key that the old value has and the new one lacks, at any depth. Each entry of a list of objects has the keys of
-/// the first one. Danger: a file that was cut or edited wrongly may still be JSON, and have a default for what is gone.
-fn lacks(old: &Value, new: &Value) -> Option<String> {
-    match (old, new) {
-        (Value::Object(old), Value::Object(new)) => {
-            old.iter().find_map(|(key, was)| match new.get(key) {
-                None | Some(Value::Null) => {
-                    (!OPTIONAL.contains(&&**key) && !was.is_null()).then(|| key.clone())
-                }
-                Some(is) => lacks(was, is),
-            })
-        }
-        (Value::Array(old), Value::Array(new)) => {
-            let first = old.first().filter(|v| v.is_object())?;
-            new.iter().find_map(|is| lacks(first, is))
-        }
-        (Value::Object(_) | Value::Array(_), _) => Some("an object or a list".into()),
-        _ => None,
+impl Addresses {
+    fn new(environment: &Environment, file: &ConfigFile) -> Result<Self, ConfigFileError> {
+        let listen = environment.listen.as_ref().or(file.listen.as_ref());
+        let discovery = environment.discovery.as_ref().or(file.discovery.as_ref());
+        let console = environment.console.as_ref().or(file.console.as_ref());
+        Ok(Self {
+            listen: required_address(LISTEN_VARIABLE, listen)?,
+            discovery: required_address(DISCOVERY_VARIABLE, discovery)?,
+            console: console
+                .map(|text| parse_address(CONSOLE_VARIABLE, text))
+                .transpose()?,
+        })
     }
 }
 
-fn address(name: &str, text: Option<&String>) -> Result<SocketAddr, String> {
-    let text =
-        text.ok_or_else(|| format!("no address: neither {name} nor the configuration has one"))?;
-    text.parse().map_err(|e| format!("{name}: {text}: {e}"))
+fn required_address(
+    variable: &'static str,
+    text: Option<&String>,
+) -> Result<SocketAddr, ConfigFileError> {
+    let text = text.ok_or(ConfigFileError::AddressMissing { variable })?;
+    parse_address(variable, text)
 }
+
+#[cfg(test)]
+#[path = "../../../tests/unit/config.rs"]
+mod tests;
--- a/src/net/hot_restart.rs
+++ b/src/net/hot_restart.rs
@@ -1,217 +1,339 @@
-//! The processes of one gateway, while one version follows another: the older one hands over what it knows, and each
-//! tells the other what it holds, as the platform's limits are for both together.
+//! Hot restart: two processes of one gateway, while one version follows another.
 //!
-//! They meet at a Unix socket in the folder that they share. Each line is an object in JSON. A process that finds nobody
-//! there, or somebody whose words it does not know, starts as if it were alone.
+//! The older process hands over what it knows. After that each reports to the other what it uses of the platform's
+//! limits, which hold for both together. They connect over a Unix socket in the directory that they share; each line is
+//! a JSON object. A process that finds no other, or one whose document it cannot read, starts as if it were alone.
+//!
+//! The documents are read by other versions of this program: their keys and the socket's name must not change.
 
 use crate::net::buffers::Pool;
 use crate::net::discovery::EndpointList;
 use crate::net::downstream::connection_limit::ConnectionLimit;
+use crate::net::lifecycle::shared_parts::{SharedParts, RESERVED_DESCRIPTORS};
 use crate::net::log::log;
 use crate::net::request::classes::Classes;
 use crate::net::router_task::RouterHandle;
 use crate::net::upstream::Upstream;
-use irisrouter::routing::Event;
-use irisrouter::routing::RoutingSnapshot;
+use irisrouter::routing::{Event, RoutingSnapshot};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::fs;
 use std::io;
+use std::ops::Add;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{UnixListener, UnixStream};
+use tokio::task::spawn_local;
 use tokio::time::{interval, sleep, timeout, MissedTickBehavior};
 
-/// A process that is there answers at once. Danger: one that hangs would keep its successor from serving.
-const MEET: Duration = Duration::from_millis(500);
-/// How often the other is told what has changed here; more than is taken in that time is kept in reserve.
-const TELL: Duration = Duration::from_millis(20);
-/// Longest line that is read.
-const LONGEST: u64 = 4 << 20;
-/// Pause when the socket cannot be had.
-const PAUSE: Duration = Duration::from_secs(1);
+/// How long a starting process waits for the hand-over. A predecessor that works answers at once; one that hangs must
+/// not keep its successor from serving.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(500);
+/// How often a change of the usage is reported. What can be taken within this time is covered by the reserves that the
+/// limits leave.
+const USAGE_REPORT_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest line that is read, in bytes: the document with the largest endpoint list fits in.
+const MAX_LINE_LENGTH: u64 = 4 << 20;
+/// Pause after the socket could not be bound.
+const SOCKET_RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// What a process holds of what both may hold together.
+/// What a process uses of the limits that hold for all processes together.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, Serialize)]
 #[serde(default)]
-pub struct Held {
-    /// Places of clients, and the descriptors that every process needs for itself.
-    clients: usize,
+pub struct ResourceUsage {
+    /// Client connections, and the descriptors that every process needs for itself.
+    #[serde(rename = "clients")]
+    client_descriptors: usize,
     /// Connections to database hosts.
-    hosts: usize,
-    /// Memory of large messages.
-    memory: usize,
+    #[serde(rename = "hosts")]
+    upstream_connections: usize,
+    /// Memory of messages that exceed a buffer's size, in bytes.
+    #[serde(rename = "memory")]
+    message_memory: usize,
+}
+
+impl Add for ResourceUsage {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            client_descriptors: self.client_descriptors + other.client_descriptors,
+            upstream_connections: self.upstream_connections + other.upstream_connections,
+            message_memory: self.message_memory + other.message_memory,
+        }
+    }
 }
 
 /// What the older process hands over.
 #[derive(Default, Deserialize, Serialize)]
 #[serde(default)]
-struct Handed {
-    list: EndpointList,
-    /// Names of the members and classes of the lore, in its order.
-    members: Vec<String>,
-    classes: Vec<String>,
-    lore: RoutingSnapshot,
-    held: Held,
+struct HandOverDocument {
+    #[serde(rename = "list")]
+    endpoint_list: EndpointList,
+    /// Names of the members of the snapshot, in its order.
+    #[serde(rename = "members")]
+    member_names: Vec<String>,
+    /// Names of the classes of the snapshot, in its order.
+    #[serde(rename = "classes")]
+    class_names: Vec<String>,
+    #[serde(rename = "lore")]
+    snapshot: RoutingSnapshot,
+    #[serde(rename = "held")]
+    usage: ResourceUsage,
+}
+
+/// The processes next to this one in the sequence of versions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Side {
+    Predecessor,
+    Successor,
+}
+
+impl Side {
+    fn opposite(self) -> Self {
+        match self {
+            Side::Predecessor => Side::Successor,
+            Side::Successor => Side::Predecessor,
+        }
+    }
+}
+
+/// What the processes on both sides of this one use.
+#[derive(Default)]
+struct UsageBySide {
+    predecessor: Cell<ResourceUsage>,
+    successor: Cell<ResourceUsage>,
+}
+
+impl UsageBySide {
+    fn get(&self, side: Side) -> ResourceUsage {
+        self.cell(side).get()
+    }
+
+    fn set(&self, side: Side, usage: ResourceUsage) {
+        self.cell(side).set(usage);
+    }
+
+    fn total(&self) -> ResourceUsage {
+        self.predecessor.get() + self.successor.get()
+    }
+
+    fn cell(&self, side: Side) -> &Cell<ResourceUsage> {
+        match side {
+            Side::Predecessor => &self.predecessor,
+            Side::Successor => &self.successor,
+        }
+    }
 }
 
 /// This process among those of its gateway.
 pub struct HotRestart {
-    /// Where they meet.
-    pub path: PathBuf,
-    /// Descriptors that every process needs for itself.
-    pub reserved: usize,
-    /// What is shared.
-    pub upstream: Rc<Upstream>,
-    /// Likewise.
-    pub connection_limit: Rc<ConnectionLimit>,
-    /// Likewise.
-    pub pool: Rc<Pool>,
-    /// The way to the module.
-    pub router: Rc<RouterHandle>,
-    /// Names of the classes.
-    pub classes: Rc<Classes>,
-    /// What the older and the newer one hold.
-    pub others: [Cell<Held>; 2],
+    socket_path: PathBuf,
+    upstream: Rc<Upstream>,
+    connection_limit: Rc<ConnectionLimit>,
+    buffers: Rc<Pool>,
+    router: Rc<RouterHandle>,
+    classes: Rc<Classes>,
+    usage_of_others: UsageBySide,
 }
 
-const OLDER: usize = 0;
-const NEWER: usize = 1;
-
 impl HotRestart {
-    /// Takes what an older process hands over, if there is one: from then on they share.
+    /// Hands over and takes over at this Unix socket.
+    pub fn new(
+        socket_path: PathBuf,
+        parts: SharedParts,
+        connection_limit: Rc<ConnectionLimit>,
+    ) -> Self {
+        Self {
+            socket_path,
+            upstream: parts.upstream,
+            connection_limit,
+            buffers: parts.buffers,
+            router: parts.router,
+            classes: parts.classes,
+            usage_of_others: UsageBySide::default(),
+        }
+    }
+
+    /// Takes over from an older process, if there is one; from then on both share the limits. Returns the revision of
+    /// the endpoint list that the older process had.
     pub async fn take_over(self: &Rc<Self>) -> Option<u64> {
-        let meeting = async {
-            let mut stream = BufReader::new(UnixStream::connect(&self.path).await?);
-            let handed: Handed = read(&mut stream).await?;
-            Ok::<_, io::Error>((stream, handed))
-        };
-        let (stream, handed) = timeout(MEET, meeting).await.ok()?.ok()?;
+        let receiving = timeout(HAND_OVER_TIMEOUT, self.receive_document()).await;
+        // No predecessor, a slow one, or one of another format: this process starts as if it were alone.
+        let (stream, document) = receiving.ok()?.ok()?;
+        let revision = document.endpoint_list.revision;
         log!(
             "an older process hands over a list of {}",
-            handed.list.members.len()
+            document.endpoint_list.members.len()
         );
-        self.hear(OLDER, handed.held);
-        let revision = handed.list.revision;
-        self.take(handed);
+        self.set_usage(Side::Predecessor, document.usage);
+        self.apply(document);
         let hot_restart = Rc::clone(self);
-        tokio::task::spawn_local(async move { hot_restart.share(OLDER, stream).await });
+        spawn_local(async move { hot_restart.share_limits(Side::Predecessor, stream).await });
         Some(revision)
     }
 
-    fn take(&self, handed: Handed) {
-        if handed.list.revision >= self.upstream.revision() {
-            self.upstream.apply_endpoint_list(&handed.list);
+    async fn receive_document(&self) -> io::Result<(BufReader<UnixStream>, HandOverDocument)> {
+        let mut stream = BufReader::new(UnixStream::connect(&self.socket_path).await?);
+        let document = read_line(&mut stream).await?;
+        Ok((stream, document))
+    }
+
+    fn apply(&self, document: HandOverDocument) {
+        if document.endpoint_list.revision >= self.upstream.revision() {
+            self.upstream.apply_endpoint_list(&document.endpoint_list);
         }
-        let mut lore = handed.lore;
-        let slots = handed
-            .classes
+        // Numbers of members and classes are those of the older process: its names give them the numbers of this one.
+        let members = document
+            .member_names
             .iter()
-            .map(|name| self.classes.find(name).map(|held| held.slot))
+            .map(|name| self.upstream.member_by_name(name))
             .collect();
-        let ids = handed
-            .members
+        let class_slots = document
+            .class_names
             .iter()
-            .map(|name| self.upstream.member_by_name(name))
+            .map(|name| self.classes.find(name).map(|held| held.slot))
             .collect();
-        lore.renumber(ids, slots);
-        self.router.post(Event::SnapshotReceived(Box::new(lore)));
+        let mut snapshot = document.snapshot;
+        snapshot.renumber(members, class_slots);
+        self.router
+            .post(Event::SnapshotReceived(Box::new(snapshot)));
     }
 
-    /// Waits for newer processes for ever, and hands over to each.
+    /// Waits for newer processes, and hands over to each; never returns.
     pub async fn serve_successors(self: Rc<Self>) {
         loop {
-            if let Err(e) = self.hand_over().await {
-                log!("cannot wait for a newer process: {e}");
-                sleep(PAUSE).await;
+            if let Err(error) = self.serve_successor().await {
+                log!("hot restart: cannot wait for a newer process: {error}");
+                sleep(SOCKET_RETRY_DELAY).await;
             }
         }
     }
 
-    async fn hand_over(&self) -> io::Result<()> {
-        // The name may still be that of a process that is gone, or that has handed over.
-        if let Err(e) = std::fs::remove_file(&self.path) {
-            if e.kind() != io::ErrorKind::NotFound {
-                return Err(e);
-            }
-        }
-        let (stream, _) = UnixListener::bind(&self.path)?.accept().await?;
-        let lore = self.router.snapshot().await;
-        let handed = Handed {
-            list: self.upstream.endpoint_list(),
-            members: lore
-                .members
-                .iter()
-                .map(|(id, _)| self.upstream.member_name(*id))
-                .collect(),
-            classes: self.classes.names(),
-            lore,
-            held: self.held(NEWER),
-        };
+    async fn serve_successor(&self) -> io::Result<()> {
+        let stream = self.accept_successor().await?;
+        let document = self.document().await;
         let mut stream = BufReader::new(stream);
-        write(&mut stream, &handed).await?;
-        self.share(NEWER, stream).await;
+        write_line(&mut stream, &document).await?;
+        self.share_limits(Side::Successor, stream).await;
         Ok(())
     }
 
-    /// Tells the other process what is held here, and hears what it holds, until it ends.
-    async fn share(&self, side: usize, stream: BufReader<UnixStream>) {
-        let (reader, mut writer) = tokio::io::split(stream);
-        let mut reader = BufReader::new(reader);
-        let telling = async {
-            let mut told = None;
-            let mut turn = interval(TELL);
-            turn.set_missed_tick_behavior(MissedTickBehavior::Delay);
-            loop {
-                turn.tick().await;
-                let held = self.held(side);
-                if told != Some(held) {
-                    write(&mut writer, &held).await?;
-                    told = Some(held);
-                }
+    async fn accept_successor(&self) -> io::Result<UnixStream> {
+        // The name may be left of a process that is gone, or of one that has handed over to this one.
+        if let Err(error) = fs::remove_file(&self.socket_path) {
+            if error.kind() != io::ErrorKind::NotFound {
+                return Err(error);
             }
+        }
+        let listener = UnixListener::bind(&self.socket_path)?;
+        let (stream, _) = listener.accept().await?;
+        Ok(stream)
+    }
+
+    async fn document(&self) -> HandOverDocument {
+        let snapshot = self.router.snapshot().await;
+        let member_names = snapshot
+            .members
+            .iter()
+            .map(|(id, _)| self.upstream.member_name(*id))
+            .collect();
+        HandOverDocument {
+            endpoint_list: self.upstream.endpoint_list(),
+            member_names,
+            class_names: self.classes.names(),
+            snapshot,
+            usage: self.usage_for(Side::Successor),
+        }
+    }
+
+    /// Reports the usage to the process on one side and receives its reports, until that process ends.
+    async fn share_limits(&self, side: Side, stream: BufReader<UnixStream>) {
+        let (reader, writer) = tokio::io::split(stream);
+        let ended: io::Result<Infallible> = tokio::select! {
+            ended = self.send_usage(side, writer) => ended,
+            ended = self.receive_usage(side, BufReader::new(reader)) => ended,
         };
-        let hearing = async {
-            loop {
-                self.hear(side, read(&mut reader).await?);
+        // Whatever ended the connection, the process on that side uses nothing any more.
+        let _ = ended;
+        self.set_usage(side, ResourceUsage::default());
+    }
+
+    async fn send_usage(
+        &self,
+        side: Side,
+        mut writer: impl AsyncWriteExt + Unpin,
+    ) -> io::Result<Infallible> {
+        let mut reported = None;
+        let mut ticks = interval(USAGE_REPORT_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let usage = self.usage_for(side);
+            if reported != Some(usage) {
+                write_line(&mut writer, &usage).await?;
+                reported = Some(usage);
             }
-        };
-        let _: io::Result<Infallible> = tokio::select! { e = telling => e, e = hearing => e };
-        self.hear(side, Held::default());
+        }
     }
 
-    /// What the process on one side is to count: what is held here, and on the other side of here.
-    fn held(&self, side: usize) -> Held {
-        let beyond = self.others[1 - side].get();
-        Held {
-            clients: self.connection_limit.open_connections() + self.reserved + beyond.clients,
-            hosts: self.upstream.open_connections() + beyond.hosts,
-            memory: self.pool.grown() + beyond.memory,
+    async fn receive_usage(
+        &self,
+        side: Side,
+        mut reader: impl AsyncBufReadExt + Unpin,
+    ) -> io::Result<Infallible> {
+        loop {
+            let usage = read_line(&mut reader).await?;
+            self.set_usage(side, usage);
         }
     }
 
-    fn hear(&self, side: usize, held: Held) {
-        self.others[side].set(held);
-        let [a, b] = [OLDER, NEWER].map(|side| self.others[side].get());
-        self.connection_limit.elsewhere.set(a.clients + b.clients);
-        self.upstream.elsewhere.set(a.hosts + b.hosts);
-        self.pool.elsewhere.set(a.memory + b.memory);
+    /// What the process on one side has to count: what this process uses, and the process on its other side.
+    fn usage_for(&self, side: Side) -> ResourceUsage {
+        let own = ResourceUsage {
+            client_descriptors: self.connection_limit.open_connections() + RESERVED_DESCRIPTORS,
+            upstream_connections: self.upstream.open_connections(),
+            message_memory: self.buffers.grown(),
+        };
+        own + self.usage_of_others.get(side.opposite())
+    }
+
+    fn set_usage(&self, side: Side, usage: ResourceUsage) {
+        self.usage_of_others.set(side, usage);
+        let total = self.usage_of_others.total();
+        self.connection_limit
+            .elsewhere
+            .set(total.client_descriptors);
+        self.upstream.elsewhere.set(total.upstream_connections);
+        self.buffers.elsewhere.set(total.message_memory);
     }
 }
 
-async fn read<T: for<'a> Deserialize<'a>>(
-    from: &mut (impl AsyncBufReadExt + Unpin),
+async fn read_line<T: DeserializeOwned>(
+    reader: &mut (impl AsyncBufReadExt + Unpin),
 ) -> io::Result<T> {
     let mut line = Vec::new();
-    from.take(LONGEST).read_until(b'\n', &mut line).await?;
+    reader
+        .take(MAX_LINE_LENGTH)
+        .read_until(b'\n', &mut line)
+        .await?;
     Ok(serde_json::from_slice(&line)?)
 }
 
-async fn write(to: &mut (impl AsyncWriteExt + Unpin), what: &impl Serialize) -> io::Result<()> {
-    let mut line = serde_json::to_vec(what)?;
+async fn write_line(
+    writer: &mut (impl AsyncWriteExt + Unpin),
+    document: &impl Serialize,
+) -> io::Result<()> {
+    let mut line = serde_json::to_vec(document)?;
     line.push(b'\n');
-    to.write_all(&line).await?;
-    to.flush().await
+    writer.write_all(&line).await?;
+    writer.flush().await
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/hot_restart.rs"]
+mod tests;
--- /dev/null
+++ b/src/net/lifecycle/cluster_startup.rs
@@ -0,0 +1,200 @@
+//! Builds the services by which gateways cooperate, as far as the operators and the platform allow them. A service that
+//! is off costs nothing.
+
+use crate::net::cluster::drains::DrainService;
+use crate::net::cluster::endpoint_watch::EndpointWatchService;
+use crate::net::cluster::leases::LeaseService;
+use crate::net::cluster::membership::MembershipService;
+use crate::net::cluster::peer_socket::ClusterServices;
+use crate::net::cluster::site_failover::{self, SiteFailoverService};
+use crate::net::cluster::write_intents::WriteIntentService;
+use crate::net::config::Config;
+use crate::net::lifecycle::shared_parts::SharedParts;
+use crate::net::lifecycle::StartupError;
+use crate::net::log::log;
+use irisrouter::platform_settings::NameTable;
+use std::rc::Rc;
+
+/// Nanoseconds in a second.
+const NS_PER_S: i64 = 1_000_000_000;
+/// An odd constant with well mixed bits (2^64 divided by the golden ratio): gateways with neighbouring numbers that
+/// start in the same second get different random seeds.
+const SEED_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// Builds all services that are on.
+///
+/// # Errors
+///
+/// Site failover is on and cannot be started.
+pub fn build_cluster_services(
+    config: &Config,
+    parts: &SharedParts,
+) -> Result<ClusterServices, StartupError> {
+    let membership = membership(config, parts);
+    let write_intents = write_intents(config, parts, membership.as_ref());
+    let leases = leases(config, parts, membership.as_ref());
+    let site_failover = site_failover(config, parts, membership.as_ref(), leases.as_ref())?;
+    let drains = drains(config, parts, membership.as_ref(), leases.as_ref());
+    let endpoint_watch = endpoint_watch(config, parts, membership.as_ref(), leases.as_ref());
+    Ok(ClusterServices {
+        membership,
+        leases,
+        write_intents,
+        drains,
+        endpoint_watch,
+        site_failover,
+    })
+}
+
+/// Membership, where the operators turned it on and the platform lets gateways send datagrams.
+fn membership(config: &Config, parts: &SharedParts) -> Option<Rc<MembershipService>> {
+    let wanted = &config.operators.membership;
+    let allowed = wanted.enabled && config.platform.peers_allowed;
+    let peers = config.peers.as_ref().filter(|_| allowed)?;
+    let fleet_size = peers.each.len() as u32;
+    let unix_s = u64::try_from(parts.clock.now() / NS_PER_S).unwrap_or(0);
+    let seed = u64::from(peers.me).wrapping_mul(SEED_MULTIPLIER) ^ unix_s;
+    MembershipService::new(
+        peers,
+        wanted.for_fleet(fleet_size),
+        unix_s,
+        seed,
+        Rc::clone(&parts.metrics),
+    )
+    .map_err(|error| log!("membership is off: {error}"))
+    .ok()
+    .map(Rc::new)
+}
+
+/// Leases, where the operators turned them on, membership is on and the platform allows health checks.
+fn leases(
+    config: &Config,
+    parts: &SharedParts,
+    membership: Option<&Rc<MembershipService>>,
+) -> Option<Rc<LeaseService>> {
+    let wanted = &config.operators.leases;
+    let allowed = wanted.enabled && config.platform.probes_allowed;
+    let peers = config.peers.as_ref().filter(|_| allowed)?;
+    LeaseService::new(
+        Rc::clone(membership?),
+        peers.each.clone(),
+        wanted.lease_ms,
+        wanted.fence_health_checks,
+        Rc::clone(&parts.metrics),
+    )
+    .map_err(|error| log!("takeover is off: {error}"))
+    .ok()
+    .map(Rc::new)
+}
+
+/// Write intents, where the operators turned them on and membership is on.
+fn write_intents(
+    config: &Config,
+    parts: &SharedParts,
+    membership: Option<&Rc<MembershipService>>,
+) -> Option<Rc<WriteIntentService>> {
+    let wanted = &config.operators.leases;
+    let enabled = wanted.enabled && wanted.write_intents;
+    let peers = config.peers.as_ref().filter(|_| enabled)?;
+    Some(Rc::new(WriteIntentService::new(
+        Rc::clone(membership?),
+        peers.each.clone(),
+        config.clients_mark_retries(),
+        Rc::clone(&parts.metrics),
+    )))
+}
+
+/// Drains of database hosts by the console, where leases are on.
+fn drains(
+    config: &Config,
+    parts: &SharedParts,
+    membership: Option<&Rc<MembershipService>>,
+    leases: Option<&Rc<LeaseService>>,
+) -> Option<Rc<DrainService>> {
+    let peers = config.peers.as_ref()?;
+    let dependencies = (
+        Rc::clone(membership?),
+        Rc::clone(leases?),
+        Rc::clone(&parts.upstream),
+    );
+    Some(Rc::new(DrainService::new(
+        dependencies,
+        peers.each.clone(),
+        config.operators.leases.lease_ms,
+        Rc::clone(&parts.metrics),
+    )))
+}
+
+/// One watcher of the endpoint list for the fleet, where the operators turned it on, leases are on, and one discovery
+/// service answers all gateways. An agent on each machine is watched by each gateway: a change that the agent has
+/// counts as known to its gateway, whoever else watches.
+fn endpoint_watch(
+    config: &Config,
+    parts: &SharedParts,
+    membership: Option<&Rc<MembershipService>>,
+    leases: Option<&Rc<LeaseService>>,
+) -> Option<Rc<EndpointWatchService>> {
+    let wanted = &config.operators.leases;
+    if !wanted.shared_endpoint_watch {
+        return None;
+    }
+    if !config.platform.settings.endpoint_list_on_request {
+        log!("endpoint watch: off, as the endpoint list is pushed to each gateway");
+        return None;
+    }
+    let dependencies = (
+        Rc::clone(membership?),
+        Rc::clone(leases?),
+        Rc::clone(&parts.upstream),
+    );
+    Some(Rc::new(EndpointWatchService::new(
+        dependencies,
+        wanted.lease_ms,
+        Rc::clone(&parts.metrics),
+    )))
+}
+
+/// Failover of whole sites, where the operators turned it on and leases are on.
+fn site_failover(
+    config: &Config,
+    parts: &SharedParts,
+    membership: Option<&Rc<MembershipService>>,
+    leases: Option<&Rc<LeaseService>>,
+) -> Result<Option<Rc<SiteFailoverService>>, StartupError> {
+    let wanted = &config.operators.site_failover;
+    let (Some(membership), Some(leases)) = (membership, leases) else {
+        return Ok(None);
+    };
+    let Some(peers) = config.peers.as_ref().filter(|_| wanted.enabled) else {
+        return Ok(None);
+    };
+    let zones = names(&config.platform.zones);
+    let classes = names(&config.platform.classes);
+    let settings = wanted.for_zones(&zones, &classes)?;
+    let dependencies = site_failover::Around {
+        membership: Rc::clone(membership),
+        leases: Rc::clone(leases),
+        upstream: Rc::clone(&parts.upstream),
+        classes: Rc::clone(&parts.classes),
+        router: Rc::clone(&parts.router),
+        metrics: Rc::clone(&parts.metrics),
+    };
+    let names = site_failover::Names {
+        zones,
+        classes,
+        // `for_zones` has checked that there are at most eight zones.
+        mine: config.platform.settings.zone.0 as u8,
+    };
+    let service = SiteFailoverService::new(
+        dependencies,
+        names,
+        (settings, wanted.capacity_per_s),
+        (peers.each.clone(), peers.all),
+    )
+    .map_err(|error| StartupError::SiteFailover(error.into()))?;
+    Ok(Some(Rc::new(service)))
+}
+
+fn names(table: &NameTable) -> Vec<String> {
+    table.iter().map(String::from).collect()
+}
--- /dev/null
+++ b/src/net/lifecycle/peer_socket_task.rs
@@ -0,0 +1,99 @@
+//! The task that opens the peer socket, as soon as its address is free, and then runs it.
+
+use crate::net::cluster::peer_socket::{ClusterServices, PeerSocket};
+use crate::net::config::{Config, Peers};
+use crate::net::lifecycle::shared_parts::SharedParts;
+use crate::net::lifecycle::StartupError;
+use crate::net::log::log;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Pause before the peer socket's address is tried again. While one version follows another the older process has the
+/// address; the newer one is to cooperate soon after that process ends, and half a second costs next to nothing.
+const OPEN_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The peer socket of this process, from when it is open.
+#[derive(Default)]
+pub struct PeerSocketHandle(RefCell<Option<Rc<PeerSocket>>>);
+
+impl PeerSocketHandle {
+    /// Opens the peer socket in a task of its own, where the configuration has peers.
+    pub fn spawn(config: &Config, parts: &SharedParts, services: &ClusterServices) -> Rc<Self> {
+        let handle = Rc::<Self>::default();
+        if let Some(peers) = &config.peers {
+            let opener = PeerSocketOpener {
+                peers: peers.clone(),
+                parts: parts.clone(),
+                shares_health_checks: config.platform.share || services.leases.is_some(),
+                services: services.clone(),
+            };
+            spawn_local(Rc::clone(&handle).run(opener));
+        }
+        handle
+    }
+
+    /// Releases the leases of this gateway and announces that it leaves, if the socket is open.
+    pub async fn leave(&self) {
+        let socket = self.0.borrow().clone();
+        if let Some(socket) = socket {
+            socket.leave().await;
+        }
+    }
+
+    async fn run(self: Rc<Self>, opener: PeerSocketOpener) {
+        let socket = opener.open_when_free().await;
+        self.0.replace(Some(Rc::clone(&socket)));
+        socket.run().await;
+    }
+}
+
+/// What the peer socket is opened with.
+struct PeerSocketOpener {
+    peers: Peers,
+    parts: SharedParts,
+    /// Whether gateways share the results of health checks; without it the socket carries membership alone.
+    shares_health_checks: bool,
+    services: ClusterServices,
+}
+
+impl PeerSocketOpener {
+    /// Opens the socket as soon as no other process has its address. While one version follows another, that is when
+    /// the older process has ended.
+    async fn open_when_free(&self) -> Rc<PeerSocket> {
+        let mut waited = false;
+        loop {
+            match self.open() {
+                Ok(socket) => {
+                    if waited {
+                        log!("peer socket: open at {}", self.peers.listen);
+                    }
+                    return socket;
+                }
+                Err(error) if !waited => {
+                    waited = true;
+                    log!("peer socket: not open yet, will be tried again: {error}");
+                }
+                Err(_) => {}
+            }
+            sleep(OPEN_RETRY_INTERVAL).await;
+        }
+    }
+
+    fn open(&self) -> Result<Rc<PeerSocket>, StartupError> {
+        PeerSocket::open(
+            self.peers.clone(),
+            (
+                Rc::clone(&self.parts.router),
+                Rc::clone(&self.parts.upstream),
+                Rc::clone(&self.parts.metrics),
+            ),
+            self.parts.clock,
+            self.shares_health_checks,
+            self.services.clone(),
+        )
+        .map_err(|error| StartupError::PeerSocket(error.into()))
+    }
+}
--- a/src/net/lifecycle/shutdown.rs
+++ b/src/net/lifecycle/shutdown.rs
@@ -1,44 +1,147 @@
-//! The times of a process that has been told to end, from the settings as they are then. It owns the figures; who keeps them
-//! is `main.rs` (what is taken) and `request.rs` (when the last answer is given).
+//! A planned shutdown after SIGTERM or SIGINT: its schedule and its steps.
+//!
+//! Clients use the connections that they have for as long as these stay open, and nobody takes over what a closed
+//! connection would have carried until the gateway is back. So connections are served until little time is left.
 
+use crate::net::config::ListenerSource;
+use crate::net::downstream::connection::Frontend;
+use crate::net::lifecycle::listening_socket::ClientListener;
+use crate::net::lifecycle::peer_socket_task::PeerSocketHandle;
+use crate::net::lifecycle::shared_parts::SharedParts;
+use crate::net::log::log;
+use std::rc::Rc;
 use std::time::Duration;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, Instant};
 
-/// The process is killed no sooner than so long after the longest deadline, and a deadline counts so much at most.
-const TO_KILL: Duration = Duration::from_millis(700);
-const LONGEST_COUNTED: Duration = Duration::from_secs(3);
-/// New connections come for 0.4 s after the signal: so long, and a little more, all that comes is taken.
-const COMING: Duration = Duration::from_millis(500);
-/// Nothing is taken any more so long before the kill, as far as that leaves [`COMING`].
-const LAST_TAKEN: Duration = Duration::from_millis(800);
-/// And what was taken has its answer so long before it, or at a third of what is left by then.
-const LAST_ANSWER: Duration = Duration::from_millis(300);
-const LAST_ANSWER_PART: u32 = 3;
-
-/// Times since the signal.
+/// The platform kills the process no sooner than this after the longest deadline.
+const KILL_DELAY: Duration = Duration::from_millis(700);
+/// The platform counts no deadline as longer than this.
+const LONGEST_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
+/// New connections come for 0.4 s after the signal; a little longer than that, all of them are accepted.
+const NEW_CONNECTIONS_PERIOD: Duration = Duration::from_millis(500);
+/// New requests end this long before the kill, as far as that leaves [`NEW_CONNECTIONS_PERIOD`].
+const REQUESTS_END_BEFORE_KILL: Duration = Duration::from_millis(800);
+/// Every request has its answer this long before the kill, so that the answer still reaches the client.
+const ANSWERS_END_BEFORE_KILL: Duration = Duration::from_millis(300);
+/// Where less time is left between the last request and the kill, answers end when one part in three of it is left.
+const ANSWERS_END_DIVISOR: u32 = 3;
+/// Clients have at least this long to close their side of a connection that the gateway has ended.
+const LAST_CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// How often a shutdown checks whether a step is done; short against the 0.3 s that answers have.
+const CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
+/// When the steps of a shutdown are due, as times since the signal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ShutdownSchedule {
-    /// All that comes is taken until then at least.
-    pub coming: Duration,
-    /// And on connections that are open, until then.
-    pub taken_until: Duration,
-    /// What comes after the signal has its answer by then.
+    /// Until then all connections and requests are accepted.
+    pub accept_all_until: Duration,
+    /// Until then requests on open connections are accepted.
+    pub accept_requests_until: Duration,
+    /// By then every request that came after the signal has its answer.
     pub answer_by: Duration,
 }
 
 impl ShutdownSchedule {
-    /// Where this is the longest deadline of the classes that new requests find.
-    pub fn new(longest: Duration) -> Self {
-        let killed = longest.min(LONGEST_COUNTED) + TO_KILL;
-        let taken_until = killed.saturating_sub(LAST_TAKEN).max(COMING);
-        let left = LAST_ANSWER.min((killed - taken_until) / LAST_ANSWER_PART);
-        ShutdownSchedule {
-            coming: COMING,
-            taken_until,
-            answer_by: killed - left,
+    /// The schedule for this longest deadline among the classes that new requests can be in.
+    pub fn new(longest_deadline: Duration) -> Self {
+        let killed = longest_deadline.min(LONGEST_COUNTED_DEADLINE) + KILL_DELAY;
+        let accept_requests_until = killed
+            .saturating_sub(REQUESTS_END_BEFORE_KILL)
+            .max(NEW_CONNECTIONS_PERIOD);
+        let left = killed - accept_requests_until;
+        let answers_end_before_kill = ANSWERS_END_BEFORE_KILL.min(left / ANSWERS_END_DIVISOR);
+        Self {
+            accept_all_until: NEW_CONNECTIONS_PERIOD,
+            accept_requests_until,
+            answer_by: killed - answers_end_before_kill,
+        }
+    }
+}
+
+/// The parts of a gateway that shuts down.
+pub struct Shutdown {
+    /// Serving state, classes and router.
+    pub parts: SharedParts,
+    /// The clients' connections.
+    pub frontend: Rc<Frontend>,
+    /// The socket on which clients connect.
+    pub listener: ClientListener,
+    /// The task that accepts them.
+    pub accept_task: JoinHandle<()>,
+    /// The peer socket, if it is open.
+    pub peer_socket: Rc<PeerSocketHandle>,
+}
+
+impl Shutdown {
+    /// Runs all steps in order; the process can end when this returns.
+    pub async fn run(self) {
+        self.announce().await;
+        self.accept_last_requests().await;
+        let Self {
+            parts,
+            frontend,
+            listener,
+            accept_task,
+            ..
+        } = self;
+        stop_accepting(&frontend, listener, accept_task).await;
+        parts.serving_state.close();
+        finish_open_requests(&parts, &frontend).await;
+    }
+
+    /// Changes the serving state, and hands leases and membership over to the other gateways.
+    async fn announce(&self) {
+        self.parts.serving_state.stop();
+        log!("stopping");
+        self.peer_socket.leave().await;
+    }
+
+    /// Goes on serving while the schedule leaves time for it: at first all that comes, then the connections that are
+    /// open. Not where another process accepts clients on the same socket: that one serves them.
+    async fn accept_last_requests(&self) {
+        let stopped = Instant::now();
+        let schedule = ShutdownSchedule::new(self.parts.classes.longest_wait());
+        let answer_by = stopped + schedule.answer_by;
+        self.frontend.core.answer_by.set(Some(answer_by));
+        if self.listener.source == ListenerSource::Inherited {
+            return;
+        }
+        sleep(schedule.accept_all_until).await;
+        while self.frontend.connection_limit.open_connections() > 0
+            && stopped.elapsed() < schedule.accept_requests_until
+        {
+            sleep(CHECK_INTERVAL).await;
         }
     }
 }
 
+/// Closes the listener. Connections in its queue are still served, unless the socket is inherited: then they are the
+/// next process's, as are the clients that are disconnected now.
+async fn stop_accepting(
+    frontend: &Rc<Frontend>,
+    listener: ClientListener,
+    accept_task: JoinHandle<()>,
+) {
+    accept_task.abort();
+    let _ = accept_task.await;
+    if listener.source == ListenerSource::Bound {
+        frontend.accept_rest(&listener.socket).await;
+    }
+}
+
+/// Waits until all connections are closed and all requests are over, at most for the longest deadline. Requests keep
+/// the classes that they came in, whatever the settings say now.
+async fn finish_open_requests(parts: &SharedParts, frontend: &Frontend) {
+    let longest = parts.classes.longest_wait_held().max(LAST_CLOSE_TIMEOUT);
+    let end = Instant::now() + longest;
+    let has_work =
+        || frontend.connection_limit.open_connections() > 0 || parts.router.open_requests() > 0;
+    while has_work() && Instant::now() < end {
+        sleep(CHECK_INTERVAL).await;
+    }
+}
+
 #[cfg(test)]
 #[path = "../../../tests/unit/shutdown.rs"]
 mod tests;
--- /dev/null
+++ b/src/net/lifecycle/startup.rs
@@ -0,0 +1,185 @@
+//! The parts and tasks of a gateway that starts. Each is built or spawned by a function of its own; the order is that of
+//! [`Gateway::start`](super::gateway::Gateway::start).
+//!
+//! All tasks run on one thread.
+
+use crate::net::admin::console::{self, Console};
+use crate::net::cluster::peer_socket::ClusterServices;
+use crate::net::config::{Config, ListenerSource};
+use crate::net::discovery::{self, EndpointList, ListPosition};
+use crate::net::downstream::connection::Frontend;
+use crate::net::downstream::connection_limit::{ConnectionLimit, TIDY};
+use crate::net::hot_restart::HotRestart;
+use crate::net::lifecycle::listening_socket::{bind_console, ClientListener};
+use crate::net::lifecycle::shared_parts::{DescriptorBudget, SharedParts};
+use crate::net::lifecycle::StartupError;
+use crate::net::log::log;
+use crate::net::request::Core;
+use crate::net::router_task::run_router;
+use crate::net::upstream::{Upstream, SWEEP};
+use irisrouter::routing::Router;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::{spawn_local, JoinHandle};
+use tokio::time::{interval, timeout};
+
+/// How long a process that inherits its listener waits for the first answer of discovery before it accepts clients.
+/// A discovery service that is silent must not keep the gateway from serving the list that it knows.
+const FIRST_DISCOVERY_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Applies the endpoint list of the configuration file; discovery goes on from its revision, if it has members.
+pub fn apply_known_endpoints(upstream: &Upstream, known: &EndpointList) -> ListPosition {
+    upstream.apply_endpoint_list(known);
+    let revision = (!known.members.is_empty()).then_some(known.revision);
+    ListPosition::at(revision)
+}
+
+/// Binds the console's address and starts to answer calls.
+///
+/// # Errors
+///
+/// The address cannot be bound.
+pub fn spawn_console(
+    address: SocketAddr,
+    parts: &SharedParts,
+    services: &ClusterServices,
+) -> Result<(), StartupError> {
+    let listener = bind_console(address)?;
+    let bound = listener.local_addr().map_err(StartupError::LocalAddress)?;
+    log!("operators call {bound}");
+    let console = Console {
+        serving_state: Rc::clone(&parts.serving_state),
+        membership: services.membership.clone(),
+        leases: services.leases.clone(),
+        drains: services.drains.clone(),
+        site_failover: services.site_failover.clone(),
+    };
+    spawn_local(console::serve(listener, Rc::new(console)));
+    Ok(())
+}
+
+/// Builds the part that serves clients; it accepts nobody yet.
+pub fn build_frontend(
+    parts: &SharedParts,
+    services: &ClusterServices,
+    descriptors: &DescriptorBudget,
+) -> Rc<Frontend> {
+    let connection_limit = ConnectionLimit::new(
+        descriptors.client_connections,
+        descriptors.usual_client_connections,
+    );
+    Rc::new(Frontend {
+        core: Rc::new(build_request_core(parts, services)),
+        pool: Rc::clone(&parts.buffers),
+        classes: Rc::clone(&parts.classes),
+        connection_limit,
+        serving_state: Rc::clone(&parts.serving_state),
+        cancels: Rc::default(),
+    })
+}
+
+fn build_request_core(parts: &SharedParts, services: &ClusterServices) -> Core {
+    Core {
+        router: Rc::clone(&parts.router),
+        upstream: Rc::clone(&parts.upstream),
+        clock: parts.clock,
+        metrics: Rc::clone(&parts.metrics),
+        answer_by: Cell::new(None),
+        write_intents: services.write_intents.clone(),
+        site_failover: services.site_failover.clone(),
+        ids: RefCell::default(),
+    }
+}
+
+/// Takes over from an older process of this gateway, if there is one, and waits for newer ones. Returns the revision of
+/// the endpoint list that the older process has handed over.
+pub async fn start_hot_restart(
+    config: &Config,
+    parts: &SharedParts,
+    frontend: &Frontend,
+) -> Option<u64> {
+    let path = config.hot_restart_socket.clone()?;
+    let connection_limit = Rc::clone(&frontend.connection_limit);
+    let hot_restart = Rc::new(HotRestart::new(path, parts.clone(), connection_limit));
+    let revision = hot_restart.take_over().await;
+    spawn_local(hot_restart.serve_successors());
+    revision
+}
+
+/// Starts the routing decisions; the task never returns.
+pub fn spawn_router(parts: &SharedParts) -> JoinHandle<()> {
+    let settings = parts.classes.settings().clone();
+    spawn_local(run_router(
+        Router::new(settings),
+        Rc::clone(&parts.router),
+        Rc::clone(&parts.upstream),
+        parts.clock,
+    ))
+}
+
+/// The ways to and from the discovery task.
+pub struct DiscoveryHandle {
+    /// The address that the task calls.
+    pub address: watch::Sender<SocketAddr>,
+    /// Whether discovery has answered at least once.
+    pub answered: watch::Receiver<bool>,
+}
+
+/// Starts to watch the endpoint list from `position` on.
+pub fn spawn_discovery(
+    config: &Config,
+    parts: &SharedParts,
+    services: &ClusterServices,
+    position: ListPosition,
+) -> DiscoveryHandle {
+    let (address, address_changes) = watch::channel(config.discovery_address);
+    let (answered_sender, answered) = watch::channel(false);
+    spawn_local(discovery::watch(
+        address_changes,
+        position,
+        Rc::clone(&parts.upstream),
+        Rc::clone(&parts.classes),
+        answered_sender,
+        services.endpoint_watch.clone(),
+    ));
+    DiscoveryHandle { address, answered }
+}
+
+/// Closes idle connections to database hosts and, where clients are many, those that have been quiet longest.
+pub fn spawn_housekeeping(parts: &SharedParts, frontend: &Frontend) {
+    let upstream = Rc::clone(&parts.upstream);
+    spawn_local(repeat(SWEEP, move || upstream.close_idle()));
+    let connection_limit = Rc::clone(&frontend.connection_limit);
+    spawn_local(repeat(TIDY, move || connection_limit.close_longest_quiet()));
+}
+
+async fn repeat(period: Duration, action: impl Fn()) {
+    let mut ticks = interval(period);
+    loop {
+        ticks.tick().await;
+        action();
+    }
+}
+
+/// Starts to accept clients. With an inherited listener that is once discovery has answered, as another process of this
+/// gateway may know of drains that this one does not: until then clients wait in the listener's queue, or the other
+/// process serves them.
+pub fn spawn_accept(
+    frontend: &Rc<Frontend>,
+    listener: &ClientListener,
+    mut discovery_answered: watch::Receiver<bool>,
+) -> JoinHandle<()> {
+    let frontend = Rc::clone(frontend);
+    let listener = listener.clone();
+    spawn_local(async move {
+        if listener.source == ListenerSource::Inherited {
+            let first_answer = discovery_answered.wait_for(|&answered| answered);
+            // After the timeout the list that the process knows has to do.
+            let _ = timeout(FIRST_DISCOVERY_TIMEOUT, first_answer).await;
+        }
+        frontend.accept(listener.socket).await;
+    })
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,4 +1,4 @@
-//! The gateway process: sockets, tasks and timers round the routing decisions, each module owning one concern.
+//! The gateway process: the sockets, tasks and timers that carry out the routing decisions. Each module owns one concern.
 
 pub mod admin;
 pub mod buffers;
@@ -22,8 +22,8 @@
 
 /// The one clock of the program: monotonic, anchored once to Unix time, in nanoseconds.
 ///
-/// Positions and start times of database hosts are Unix times, so that the module can compare them with its
-/// own clock; a system clock that is set meanwhile must not turn time back.
+/// Positions and start times of database hosts are Unix times, so that the router can compare them with its own clock;
+/// a system clock that is set meanwhile must not turn time back.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     start: Instant,
@@ -48,18 +48,22 @@
     }
 }
 
-/// Reads what the system holds of a connection at this moment. Danger: the runtime knows only what it had been told when
-/// it last waited; what has come since, an end included, would be closed over, or taken for silence.
+/// Reads what the system has received on a connection by now. The runtime knows only what had arrived when it last
+/// polled the system: without this read, bytes or an end that came since would be lost, or taken for silence.
+///
+/// # Errors
+///
+/// The connection is reset, or nothing has arrived (`WouldBlock`).
 pub fn read_now(stream: &tokio::net::TcpStream, into: &mut [u8]) -> io::Result<usize> {
     (&*socket2::SockRef::from(stream)).read(into)
 }
 
-/// A length of time of the module's clock; nothing for what has passed.
+/// Converts a time of the router's clock; a negative one is zero.
 pub fn duration(ns: Nanos) -> Duration {
     Duration::from_nanos(ns.max(0) as u64)
 }
 
-/// The other way round.
+/// Converts a duration to the router's nanoseconds, with the largest value for one that is too long.
 pub fn nanoseconds(d: Duration) -> Nanos {
     Nanos::try_from(d.as_nanos()).unwrap_or(Nanos::MAX)
 }
