Name the peers' addresses and the serving state's calls in whole words

Peers had the fields listen, all, each and me, and ServingState the calls get, watch, ready and sends_away, which say nothing away from their definition. Only names change; the shells of the cluster and the clients' connections call them by the new ones.

--- a/src/net/admin/console_call.rs
+++ b/src/net/admin/console_call.rs
@@ -162,7 +162,7 @@
 }
 
 fn readiness(console: &Console) -> Result<ConsoleAnswer, CallError> {
-    match console.serving_state.get() {
+    match console.serving_state.mode() {
         ServingMode::Serving => Ok(ConsoleAnswer::Ready),
         ServingMode::Starting => Err(CallError::Starting),
         ServingMode::Drained => Err(CallError::Drained),
--- a/src/net/admin/serving_state.rs
+++ b/src/net/admin/serving_state.rs
@@ -19,7 +19,7 @@
 
 impl ServingMode {
     /// Whether connections are ended between two requests.
-    pub fn sends_away(self) -> bool {
+    pub fn disconnects_clients(self) -> bool {
         matches!(self, ServingMode::Drained | ServingMode::Closing)
     }
 }
@@ -36,17 +36,17 @@
 
 impl ServingState {
     /// The present mode.
-    pub fn get(&self) -> ServingMode {
+    pub fn mode(&self) -> ServingMode {
         *self.0.borrow()
     }
 
     /// Notifies of every change of the mode.
-    pub fn watch(&self) -> watch::Receiver<ServingMode> {
+    pub fn subscribe(&self) -> watch::Receiver<ServingMode> {
         self.0.subscribe()
     }
 
     /// Clients can be served from now on. A drain by the console during the start stays in force.
-    pub fn ready(&self) {
+    pub fn mark_ready(&self) {
         self.transition(&[ServingMode::Starting], ServingMode::Serving);
     }
 
@@ -61,7 +61,7 @@
     /// Undoes a drain. Returns whether clients are or will be served, which they are not once the process stops.
     pub fn activate(&self) -> bool {
         self.transition(&[ServingMode::Drained], ServingMode::Serving);
-        matches!(self.get(), ServingMode::Serving | ServingMode::Starting)
+        matches!(self.mode(), ServingMode::Serving | ServingMode::Starting)
     }
 
     /// The process stops. A drained one does not serve its clients again because of that.
--- a/src/net/cluster/membership.rs
+++ b/src/net/cluster/membership.rs
@@ -42,23 +42,23 @@
     ) -> Result<Self, String> {
         let generation = (unix_s & 0xffff) as u16;
         let me = Node {
-            number: peers.me,
+            number: peers.local_number,
             generation,
         };
         let mut core = Membership::new(me, settings, seed, 0)?;
-        let fleet = peers.each.len() as u32;
+        let fleet = peers.gateway_addresses.len() as u32;
         let first: Vec<u32> = (1..=FIRST as u32)
-            .map(|i| (peers.me + i) % fleet.max(1))
+            .map(|i| (peers.local_number + i) % fleet.max(1))
             .collect();
         core.join(0, &first);
         log!(
             "membership: on, gateway {} of {fleet}, generation {generation}",
-            peers.me
+            peers.local_number
         );
         Ok(Self {
             core: RefCell::new(core),
             start: Instant::now(),
-            out: Outbox::new(peers.each.clone()),
+            out: Outbox::new(peers.gateway_addresses.clone()),
             metrics,
         })
     }
--- a/src/net/cluster/peer_socket.rs
+++ b/src/net/cluster/peer_socket.rs
@@ -116,11 +116,16 @@
         share: bool,
         fleet: ClusterServices,
     ) -> Result<Rc<Self>, String> {
-        let at = |e| format!("cannot listen on {}: {e}", peers.listen);
-        let socket = std::net::UdpSocket::bind(peers.listen).map_err(at)?;
+        let at = |e| format!("cannot listen on {}: {e}", peers.listen_address);
+        let socket = std::net::UdpSocket::bind(peers.listen_address).map_err(at)?;
         socket.set_nonblocking(true).map_err(at)?;
         let socket = UdpSocket::from_std(socket).map_err(at)?;
-        let senders = peers.each.iter().zip(0..).map(|(&a, n)| (a, n)).collect();
+        let senders = peers
+            .gateway_addresses
+            .iter()
+            .zip(0..)
+            .map(|(&a, n)| (a, n))
+            .collect();
         // Danger guarded against: what this gateway granted or kept for others with the process before this one, which had
         // the address until now, is not known here.
         fleet.leases.iter().for_each(|o| o.on_socket_opened());
@@ -128,7 +133,10 @@
             .write_intents
             .iter()
             .for_each(|h| h.on_socket_opened());
-        let duties = RefCell::new(HealthCheckSchedule::new(peers.me, peers.each.len() as u32));
+        let duties = RefCell::new(HealthCheckSchedule::new(
+            peers.local_number,
+            peers.gateway_addresses.len() as u32,
+        ));
         Ok(Rc::new(PeerSocket {
             socket,
             peers,
@@ -180,7 +188,7 @@
                 if let Some(endpoint_watch) = &self.fleet.endpoint_watch {
                     if let Some(beat) = endpoint_watch.heartbeat() {
                         self.send_all(
-                            vec![(self.peers.all, beat)],
+                            vec![(self.peers.broadcast_address, beat)],
                             &self.metrics.endpoint_watch.heartbeats,
                         )
                         .await;
@@ -278,7 +286,7 @@
         let by = self.senders.get(&from).copied();
         match (&self.fleet.membership, &self.fleet.leases) {
             // What goes to all may come back.
-            _ if by == Some(self.peers.me) => (Vec::new(), &c.membership.sent),
+            _ if by == Some(self.peers.local_number) => (Vec::new(), &c.membership.sent),
             // Danger guarded against: a datagram from an address outside the list would make a member of nobody.
             (Some(_), _) if by.is_none() => {
                 increment(&c.gossip.ignored);
@@ -462,7 +470,12 @@
             if !findings.is_empty() {
                 let datagram = message::encode(&message::Message { at, findings });
                 // Lost is as late as the network makes it: others ask for themselves.
-                if self.socket.send_to(&datagram, self.peers.all).await.is_ok() {
+                if self
+                    .socket
+                    .send_to(&datagram, self.peers.broadcast_address)
+                    .await
+                    .is_ok()
+                {
                     increment(&self.metrics.gossip.sent);
                 }
             }
--- a/src/net/config/error.rs
+++ b/src/net/config/error.rs
@@ -90,7 +90,7 @@
     PeersMalformed(#[source] serde_json::Error),
     /// The list of gateways does not fit the platform's settings.
     #[error(
-        "peers: {addresses} addresses for {gateways} gateways, this one's number is {own_number}"
+        "peers: {addresses} addresses for {gateways} gateways, this one's number is {local_number}"
     )]
     PeersInconsistent {
         /// Addresses in the list.
@@ -98,6 +98,6 @@
         /// Gateways by the platform's settings.
         gateways: u32,
         /// The number of this gateway.
-        own_number: u32,
+        local_number: u32,
     },
 }
--- a/src/net/config/file.rs
+++ b/src/net/config/file.rs
@@ -16,13 +16,13 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Peers {
     /// Where this gateway listens.
-    pub listen: SocketAddr,
+    pub listen_address: SocketAddr,
     /// Where a datagram for all gateways is sent.
-    pub all: SocketAddr,
+    pub broadcast_address: SocketAddr,
     /// From where each gateway sends, by its number.
-    pub each: Vec<SocketAddr>,
+    pub gateway_addresses: Vec<SocketAddr>,
     /// The number of this gateway.
-    pub me: u32,
+    pub local_number: u32,
 }
 
 /// The configuration file.
@@ -111,20 +111,20 @@
     ) -> Result<Peers, ConfigFileError> {
         let addresses = Vec::<SocketAddr>::deserialize(&self.peer_addresses)
             .map_err(ConfigFileError::PeersMalformed)?;
-        let own_number = platform.me;
+        let local_number = platform.me;
         let gateways = platform.settings.gateway_count;
-        if own_number as usize >= addresses.len() || addresses.len() != gateways as usize {
+        if local_number as usize >= addresses.len() || addresses.len() != gateways as usize {
             return Err(ConfigFileError::PeersInconsistent {
                 addresses: addresses.len(),
                 gateways,
-                own_number,
+                local_number,
             });
         }
         Ok(Peers {
-            listen: parse_address("peer_listen", listen)?,
-            all: parse_address("peers_all", broadcast)?,
-            each: addresses,
-            me: own_number,
+            listen_address: parse_address("peer_listen", listen)?,
+            broadcast_address: parse_address("peers_all", broadcast)?,
+            gateway_addresses: addresses,
+            local_number,
         })
     }
 
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -124,7 +124,7 @@
 impl Frontend {
     /// Accepts clients for ever.
     pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
-        self.serving_state.ready();
+        self.serving_state.mark_ready();
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
@@ -248,7 +248,10 @@
             write(client, &out).await?;
             // Right behind an answer the client knows at once, but for a request that is here already.
             let empty = client.input.as_ref().is_none_or(|b| b.is_empty());
-            if self.serving_state.get().sends_away() && empty && !self.read_last(client)? {
+            if self.serving_state.mode().disconnects_clients()
+                && empty
+                && !self.read_last(client)?
+            {
                 return Err(End::Closed);
             }
         }
@@ -323,15 +326,15 @@
         let come = client.input.as_ref().map_or(0, |b| b.len());
         let whole_by = client.began + WHOLE_TIME + Duration::from_secs_f64(come as f64 / SLOWEST);
         let end = whole_by.min(client.heard + SAY_TIME);
-        let mut mode = self.serving_state.watch();
+        let mut mode = self.serving_state.subscribe();
         let quiet_until = client.began + SEND_AWAY;
         let away = async {
             loop {
-                if mode.wait_for(|m| m.sends_away()).await.is_err() {
+                if mode.wait_for(|m| m.disconnects_clients()).await.is_err() {
                     return;
                 }
                 tokio::select! {
-                    _ = mode.wait_for(|m| !m.sends_away()) => {}
+                    _ = mode.wait_for(|m| !m.disconnects_clients()) => {}
                     () = sleep_until(quiet_until) => return,
                 }
             }
@@ -423,7 +426,7 @@
             Err(why) => return Err(self.fatal(client, why.0).await),
         };
         if pg::is_empty(text) {
-            if self.serving_state.get().sends_away() {
+            if self.serving_state.mode().disconnects_clients() {
                 let text = "clients are sent away";
                 pg::put_error(out, "ERROR", code::CANNOT_CONNECT_NOW, text, None);
             } else {
--- a/src/net/lifecycle/cluster_startup.rs
+++ b/src/net/lifecycle/cluster_startup.rs
@@ -51,9 +51,9 @@
     let wanted = &config.operators.membership;
     let allowed = wanted.enabled && config.platform.peers_allowed;
     let peers = config.peers.as_ref().filter(|_| allowed)?;
-    let fleet_size = peers.each.len() as u32;
+    let fleet_size = peers.gateway_addresses.len() as u32;
     let unix_s = u64::try_from(parts.clock.now() / NS_PER_S).unwrap_or(0);
-    let seed = u64::from(peers.me).wrapping_mul(SEED_MULTIPLIER) ^ unix_s;
+    let seed = u64::from(peers.local_number).wrapping_mul(SEED_MULTIPLIER) ^ unix_s;
     MembershipService::new(
         peers,
         wanted.for_fleet(fleet_size),
@@ -77,7 +77,7 @@
     let peers = config.peers.as_ref().filter(|_| allowed)?;
     LeaseService::new(
         Rc::clone(membership?),
-        peers.each.clone(),
+        peers.gateway_addresses.clone(),
         wanted.lease_ms,
         wanted.fence_health_checks,
         Rc::clone(&parts.metrics),
@@ -98,7 +98,7 @@
     let peers = config.peers.as_ref().filter(|_| enabled)?;
     Some(Rc::new(WriteIntentService::new(
         Rc::clone(membership?),
-        peers.each.clone(),
+        peers.gateway_addresses.clone(),
         config.clients_mark_retries(),
         Rc::clone(&parts.metrics),
     )))
@@ -119,7 +119,7 @@
     );
     Some(Rc::new(DrainService::new(
         dependencies,
-        peers.each.clone(),
+        peers.gateway_addresses.clone(),
         config.operators.leases.lease_ms,
         Rc::clone(&parts.metrics),
     )))
@@ -189,7 +189,7 @@
         dependencies,
         names,
         (settings, wanted.capacity_per_s),
-        (peers.each.clone(), peers.all),
+        (peers.gateway_addresses.clone(), peers.broadcast_address),
     )
     .map_err(|error| StartupError::SiteFailover(error.into()))?;
     Ok(Some(Rc::new(service)))
--- a/src/net/lifecycle/peer_socket_task.rs
+++ b/src/net/lifecycle/peer_socket_task.rs
@@ -68,7 +68,7 @@
             match self.open() {
                 Ok(socket) => {
                     if waited {
-                        log!("peer socket: open at {}", self.peers.listen);
+                        log!("peer socket: open at {}", self.peers.listen_address);
                     }
                     return socket;
                 }
--- a/tests/unit/serving_state.rs
+++ b/tests/unit/serving_state.rs
@@ -6,17 +6,17 @@
 #[test]
 fn drain_is_undone_by_activate_and_a_stop_by_nothing() {
     let serving_state = ServingState::default();
-    serving_state.ready();
+    serving_state.mark_ready();
     serving_state.evacuate();
     serving_state.evacuate();
-    assert_eq!(serving_state.get(), ServingMode::Drained);
-    serving_state.ready();
-    assert_eq!(serving_state.get(), ServingMode::Drained);
+    assert_eq!(serving_state.mode(), ServingMode::Drained);
+    serving_state.mark_ready();
+    assert_eq!(serving_state.mode(), ServingMode::Drained);
     assert!(serving_state.activate() && serving_state.activate());
-    assert_eq!(serving_state.get(), ServingMode::Serving);
+    assert_eq!(serving_state.mode(), ServingMode::Serving);
     serving_state.evacuate();
     serving_state.stop();
     assert!(!serving_state.activate());
     serving_state.evacuate();
-    assert_eq!(serving_state.get(), ServingMode::Closing);
+    assert_eq!(serving_state.mode(), ServingMode::Closing);
 }
