--- a/src/net/cluster/membership.rs
+++ b/src/net/cluster/membership.rs
@@ -60,20 +60,20 @@
     ) -> Result<Self, MembershipError> {
         let generation = (unix_s & 0xffff) as u16;
         let local = Node {
-            number: peers.me,
+            number: peers.local_number,
             generation,
         };
         let mut core = Membership::new(local, settings, seed, 0)?;
-        let fleet_size = peers.each.len() as u32;
-        core.join(0, &initial_peers(peers.me, fleet_size));
+        let fleet_size = peers.gateway_addresses.len() as u32;
+        core.join(0, &initial_peers(peers.local_number, fleet_size));
         log!(
             "membership: on, gateway {} of {fleet_size}, generation {generation}",
-            peers.me
+            peers.local_number
         );
         Ok(Self {
             core: RefCell::new(core),
             start: Instant::now(),
-            out: Outbox::new(peers.each.clone()),
+            out: Outbox::new(peers.gateway_addresses.clone()),
             metrics,
         })
     }
--- a/src/net/cluster/peer_socket.rs
+++ b/src/net/cluster/peer_socket.rs
@@ -107,8 +107,8 @@
     /// The address can't be bound, for example while an older process of this gateway still uses
     /// it.
     pub fn open(peers: &Peers, dependencies: Dependencies) -> Result<Rc<Self>, PeerSocketError> {
-        let socket = bind(peers.listen).map_err(|source| PeerSocketError {
-            address: peers.listen,
+        let socket = bind(peers.listen_address).map_err(|source| PeerSocketError {
+            address: peers.listen_address,
             source,
         })?;
         let socket = Rc::new(socket);
@@ -121,13 +121,13 @@
         if let Some(write_intents) = &dependencies.services.write_intents {
             write_intents.on_socket_opened();
         }
-        let sender = PeerSender::new(Rc::clone(&socket), peers.all);
+        let sender = PeerSender::new(Rc::clone(&socket), peers.broadcast_address);
         let health_checks = SharedHealthChecks::new(peers, sender.clone(), &dependencies);
         Ok(Rc::new(PeerSocket {
             socket,
             sender,
-            local_gateway: peers.me,
-            gateways_by_address: peers.each.iter().copied().zip(0..).collect(),
+            local_gateway: peers.local_number,
+            gateways_by_address: peers.gateway_addresses.iter().copied().zip(0..).collect(),
             health_checks: Rc::new(health_checks),
             dependencies,
         }))
--- a/src/net/cluster/shared_health_checks.rs
+++ b/src/net/cluster/shared_health_checks.rs
@@ -76,9 +76,9 @@
 impl SharedHealthChecks {
     /// Health checks without groups, and without rounds so far.
     pub fn new(peers: &Peers, sender: PeerSender, dependencies: &Dependencies) -> Self {
-        let gateway_count = peers.each.len() as u32;
+        let gateway_count = peers.gateway_addresses.len() as u32;
         SharedHealthChecks {
-            schedule: RefCell::new(HealthCheckSchedule::new(peers.me, gateway_count)),
+            schedule: RefCell::new(HealthCheckSchedule::new(peers.local_number, gateway_count)),
             sender,
             membership: dependencies.services.membership.clone(),
             leases: dependencies.services.leases.clone(),
--- a/src/net/cluster/site_failover.rs
+++ b/src/net/cluster/site_failover.rs
@@ -139,8 +139,8 @@
             arrived_by_slot: RefCell::default(),
             last_report_at: Cell::new(0),
             started_at: Instant::now(),
-            outbox: Outbox::new(peers.each.clone()),
-            broadcast_address: peers.all,
+            outbox: Outbox::new(peers.gateway_addresses.clone()),
+            broadcast_address: peers.broadcast_address,
         })
     }
 
--- /dev/null
+++ b/src/net/config/mod.rs
@@ -0,0 +1,224 @@
+//! What the platform tells a gateway: environment variables and the configuration file.
+
+mod error;
+mod file;
+mod missing_key;
+
+pub use error::{ConfigError, ConfigFileError};
+pub use file::{File as ConfigFile, Peers};
+
+use crate::net::admin::operator_config::{self, OperatorConfig};
+use file::parse_address;
+use irisrouter::platform_settings::PlatformSettings;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// Names the configuration file.
+const CONFIG_FILE_VARIABLE: &str = "BALANCER_CONFIG";
+/// The gateway's name, for its log.
+const NAME_VARIABLE: &str = "BALANCER_NAME";
+/// Where clients connect.
+const LISTEN_VARIABLE: &str = "BALANCER_LISTEN";
+/// Where discovery answers. A reloaded file takes precedence over it.
+const DISCOVERY_VARIABLE: &str = "BALANCER_DISCOVERY";
+/// Where the console listens.
+const CONSOLE_VARIABLE: &str = "BALANCER_CONSOLE";
+/// Set where the platform holds the clients' listening socket and every process of the gateway inherits it.
+const INHERITED_SOCKET_VARIABLE: &str = "BALANCER_PASSED_SOCKET";
+/// The directory that all processes of the gateway share.
+const SHARED_DIRECTORY_VARIABLE: &str = "TMPDIR";
+/// The Unix socket in that directory at which an older process hands over to a newer one. All versions have to agree on
+/// this name.
+const HOT_RESTART_SOCKET: &str = "irisrouter.sock";
+
+/// Descriptors that the platform gives a gateway at most, and where the configuration names no limit.
+const DEFAULT_DESCRIPTOR_LIMIT: usize = 1024;
+/// Memory in mebibytes that the platform gives a gateway at most, and where the configuration names no limit.
+const DEFAULT_MEMORY_LIMIT_MB: usize = 192;
+/// Bytes in a mebibyte, as a shift.
+const MEBIBYTE_SHIFT: u32 = 20;
+
+/// Where the clients' listening socket comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListenerSource {
+    /// This process binds it and is the only one that holds it.
+    Bound,
+    /// The platform holds it, and passes it to each process of the gateway.
+    Inherited,
+}
+
+/// The configuration of the process.
+pub struct Config {
+    /// The gateway's name, for its log.
+    pub name: String,
+    /// Where clients connect.
+    pub listen_address: SocketAddr,
+    /// Where discovery answers at the start.
+    pub discovery_address: SocketAddr,
+    /// Where the console listens, if anywhere.
+    pub console_address: Option<SocketAddr>,
+    /// Where the clients' listening socket comes from.
+    pub listener_source: ListenerSource,
+    /// The Unix socket of the hand-over between versions, where the listener is inherited and a directory is shared.
+    pub hot_restart_socket: Option<PathBuf>,
+    /// The gateways of the fleet, where they may exchange datagrams.
+    pub peers: Option<Peers>,
+    /// The operators' file, or its defaults.
+    pub operators: OperatorConfig,
+    /// Descriptors that the process may hold.
+    pub descriptor_limit: usize,
+    /// Memory that messages are budgeted from, in bytes.
+    pub memory_limit: usize,
+    /// The platform's settings.
+    pub platform: PlatformSettings,
+    /// The file as it was read.
+    pub file: ConfigFile,
+    path: String,
+}
+
+/// What a reloaded file changes in a running gateway, and what it does not.
+pub struct ReloadedConfig {
+    /// Where discovery answers from now on, if the file says so.
+    pub discovery_address: Option<SocketAddr>,
+    /// The platform's settings from now on.
+    pub platform: PlatformSettings,
+    /// Keys of the file whose values differ from those in force, and are used only by the next process.
+    pub requires_restart: Vec<&'static str>,
+}
+
+impl Config {
+    /// Reads the environment through `variable`, and the files that it names.
+    ///
+    /// # Errors
+    ///
+    /// A variable or file is missing or cannot be used.
+    pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        let path = variable(CONFIG_FILE_VARIABLE).ok_or(ConfigError::FileNotNamed)?;
+        let file = ConfigFile::read(&path)?;
+        let invalid = |source| ConfigError::invalid(&path, source);
+        let environment = Environment::new(&variable);
+        let platform = file.platform_settings().map_err(invalid)?;
+        let operators = operator_config::load(&variable)?;
+        let addresses = Addresses::new(&environment, &file).map_err(invalid)?;
+        let membership = operators.membership.enabled && platform.peers_allowed;
+        Ok(Config {
+            name: environment.name.unwrap_or_else(|| file.name.clone()),
+            listen_address: addresses.listen,
+            discovery_address: addresses.discovery,
+            console_address: addresses.console,
+            listener_source: environment.listener_source,
+            hot_restart_socket: environment.hot_restart_socket,
+            peers: file.peers(&platform, membership),
+            operators,
+            descriptor_limit: at_most(file.limits.sockets, DEFAULT_DESCRIPTOR_LIMIT),
+            memory_limit: at_most(file.limits.memory_mb, DEFAULT_MEMORY_LIMIT_MB) << MEBIBYTE_SHIFT,
+            platform,
+            file,
+            path,
+        })
+    }
+
+    /// Whether clients mark their retries. Where they do not, any request may be one.
+    pub fn clients_mark_retries(&self) -> bool {
+        self.file.clients_mark_retries()
+    }
+
+    /// Reads the same file again. Its `discovery` takes precedence over the environment, which is as old as the
+    /// process. All of the file is checked first: one that could start no gateway, or lacks a key that the last one
+    /// had, changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be read or used; the old configuration stays in force.
+    pub fn reload(&mut self) -> Result<ReloadedConfig, ConfigError> {
+        let mut new = ConfigFile::read(&self.path)?;
+        let invalid = |source| ConfigError::invalid(&self.path, source);
+        if let Some(key) = self.file.first_key_missing_in(&new) {
+            return Err(invalid(ConfigFileError::KeyMissing(key)));
+        }
+        let platform = new.platform_settings().map_err(invalid)?;
+        let discovery_address = new
+            .discovery
+            .as_deref()
+            .map(|text| parse_address(DISCOVERY_VARIABLE, text))
+            .transpose()
+            .map_err(invalid)?;
+        let requires_restart = self.file.keys_that_require_restart(&new);
+        self.file.settings = std::mem::take(&mut new.settings);
+        Ok(ReloadedConfig {
+            discovery_address,
+            platform,
+            requires_restart,
+        })
+    }
+}
+
+/// The limit of the file, where it has one that is lower than the platform's.
+fn at_most(limit: Option<usize>, platform_limit: usize) -> usize {
+    limit.unwrap_or(platform_limit).min(platform_limit)
+}
+
+/// The environment variables. Those that are empty count as not set, but for the name.
+struct Environment {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    console: Option<String>,
+    listener_source: ListenerSource,
+    hot_restart_socket: Option<PathBuf>,
+}
+
+impl Environment {
+    fn new(variable: &impl Fn(&str) -> Option<String>) -> Self {
+        let non_empty = |name: &str| variable(name).filter(|value| !value.is_empty());
+        let listener_source = match non_empty(INHERITED_SOCKET_VARIABLE) {
+            Some(_) => ListenerSource::Inherited,
+            None => ListenerSource::Bound,
+        };
+        let hot_restart_socket = non_empty(SHARED_DIRECTORY_VARIABLE)
+            .filter(|_| listener_source == ListenerSource::Inherited)
+            .map(|directory| Path::new(&directory).join(HOT_RESTART_SOCKET));
+        Self {
+            name: variable(NAME_VARIABLE),
+            listen: non_empty(LISTEN_VARIABLE),
+            discovery: non_empty(DISCOVERY_VARIABLE),
+            console: non_empty(CONSOLE_VARIABLE),
+            listener_source,
+            hot_restart_socket,
+        }
+    }
+}
+
+/// Addresses that the environment and the file can both name; the environment takes precedence.
+struct Addresses {
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    console: Option<SocketAddr>,
+}
+
+impl Addresses {
+    fn new(environment: &Environment, file: &ConfigFile) -> Result<Self, ConfigFileError> {
+        let listen = environment.listen.as_ref().or(file.listen.as_ref());
+        let discovery = environment.discovery.as_ref().or(file.discovery.as_ref());
+        let console = environment.console.as_ref().or(file.console.as_ref());
+        Ok(Self {
+            listen: required_address(LISTEN_VARIABLE, listen)?,
+            discovery: required_address(DISCOVERY_VARIABLE, discovery)?,
+            console: console
+                .map(|text| parse_address(CONSOLE_VARIABLE, text))
+                .transpose()?,
+        })
+    }
+}
+
+fn required_address(
+    variable: &'static str,
+    text: Option<&String>,
+) -> Result<SocketAddr, ConfigFileError> {
+    let text = text.ok_or(ConfigFileError::AddressMissing { variable })?;
+    parse_address(variable, text)
+}
+
+#[cfg(test)]
+#[path = "../../../tests/unit/config.rs"]
+mod tests;
