--- a/benches/batch.rs
+++ b/benches/batch.rs
@@ -5,7 +5,10 @@
 
 use criterion::{criterion_group, criterion_main, BatchSize, BenchmarkId, Criterion};
 use irisrouter::platform_settings::PlatformSettings;
-use irisrouter::routing::*;
+use irisrouter::routing::{
+    Action, Endpoint, EndpointState, Event, GroupId, LoadReport, MemberId, Nanos, Outcome,
+    ReplicationStatus, RequestId, Role, Router, Settings, ZoneId,
+};
 use std::hint::black_box;
 
 const MS: Nanos = 1_000_000;
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -6,6 +6,7 @@
 //! but their numbers.
 
 #![forbid(unsafe_code)]
+#![allow(clippy::too_many_lines, clippy::wildcard_imports)]
 #![warn(missing_docs)]
 
 pub mod clients;
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -2,6 +2,7 @@
 //! figures, comparisons and reports. `docs/testbed.md` says why it is as it is.
 
 #![forbid(unsafe_code)]
+#![allow(clippy::too_many_lines, clippy::wildcard_imports)]
 #![warn(missing_docs)]
 
 pub mod cluster;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,13 +5,16 @@
 pub mod cluster;
 pub mod config;
 pub mod discovery;
+#[allow(clippy::too_many_lines, clippy::wildcard_imports)]
 pub mod downstream;
 pub mod hot_restart;
 pub mod lifecycle;
 pub mod log;
 pub mod metrics;
+#[allow(clippy::too_many_lines, clippy::wildcard_imports)]
 pub mod request;
 pub mod router_task;
+#[allow(clippy::too_many_lines, clippy::wildcard_imports)]
 pub mod upstream;
 
 pub use irisrouter_pg as pg;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,5 +1,7 @@
 //! The real program as a process: its conversations with clients, database hosts and discovery.
 
+#![allow(clippy::too_many_lines, clippy::unwrap_used)]
+
 mod endings;
 mod harness;
 use harness::*;
