--- a/src/net/cluster/drains.rs
+++ b/src/net/cluster/drains.rs
@@ -146,7 +146,7 @@
         coordinator.update_fleet(self.membership.not_down_with_generations());
         if let Err(error) = coordinator.receive(self.now(), from, datagram, &self.local) {
             increment(&self.metrics.gossip.ignored);
-            log!("drains: a datagram from gateway {from} is not used: {error}");
+            log!("drains: a datagram from gateway {from} is ignored: {error}");
         }
         self.carry_out(&mut coordinator)
     }
--- a/src/net/cluster/endpoint_watch.rs
+++ b/src/net/cluster/endpoint_watch.rs
@@ -112,7 +112,7 @@
             Ok(heartbeat) => heartbeat,
             Err(error) => {
                 increment(&self.metrics.gossip.ignored);
-                log!("endpoint watch: a datagram from gateway {from} is not used: {error}");
+                log!("endpoint watch: a datagram from gateway {from} is ignored: {error}");
                 return;
             }
         };
--- a/src/net/cluster/membership.rs
+++ b/src/net/cluster/membership.rs
@@ -91,7 +91,7 @@
             Ok(()) => increment(&self.metrics.membership.received),
             Err(error) => {
                 increment(&self.metrics.membership.rejected);
-                log!("membership: datagram from gateway {from} rejected: {error}");
+                log!("membership: a datagram from gateway {from} is ignored: {error}");
             }
         }
         self.carry_out_actions(&mut core)
--- a/src/net/cluster/peer_socket.rs
+++ b/src/net/cluster/peer_socket.rs
@@ -309,10 +309,10 @@
     }
 }
 
-/// Counts and logs a datagram that is not used.
+/// Counts and logs a datagram that is ignored.
 pub fn ignore_datagram(metrics: &Metrics, from: SocketAddr, reason: &dyn Display) {
     increment(&metrics.gossip.ignored);
-    log!("a datagram from {from} is not used: {reason}");
+    log!("a datagram from {from} is ignored: {reason}");
 }
 
 fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
--- a/src/net/cluster/site_failover.rs
+++ b/src/net/cluster/site_failover.rs
@@ -171,7 +171,7 @@
             }
             Err(error) => {
                 increment(&self.dependencies.metrics.gossip.ignored);
-                log!("site failover: a datagram from gateway {from} is not used: {error}");
+                log!("site failover: a datagram from gateway {from} is ignored: {error}");
             }
         }
     }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1160,7 +1160,7 @@
         peer.send_to(bad, from).unwrap();
         stranger.send_to(&datagram[..length], from).unwrap();
     }
-    gateway.wait_for_log("is not used");
+    gateway.wait_for_log("is ignored");
     assert!(gateway
         .client()
         .ask(&statement("read", 9_000))
