Split the life of a request into steps with names

Cause: one function of 170 lines held a request's arrival, its attempts, the router's commands and its answer.

Change: lifecycle.rs reads from top to bottom; attempts.rs, answer.rs, write_intent.rs and context.rs hold one job each. Core is now RequestContext, Call is ClientRequest, Answer::Refused is Answer::Rejected, Held is ClassHandle, pause_ms is retry_after_milliseconds, Streamed and Piece are StreamedAnswer and StreamChunk. The order of the select branches, of what is posted to the router and of what is dropped is the same.

--- a/src/main.rs
+++ b/src/main.rs
@@ -26,7 +26,7 @@
 use net::log::log;
 use net::metrics::Metrics;
 use net::request::classes::Classes;
-use net::request::Core;
+use net::request::RequestContext;
 use net::router_task::{run_router, RouterHandle};
 use net::shutdown::ShutdownSchedule;
 use net::upstream::{Upstream, SWEEP};
@@ -133,7 +133,7 @@
         }
         _ => None,
     };
-    let core = Core {
+    let core = RequestContext {
         router: Rc::clone(&router),
         upstream: Rc::clone(&upstream),
         clock,
@@ -141,7 +141,7 @@
         answer_by: Cell::new(None),
         write_intents: write_intents.clone(),
         site_failover: site_failover.clone(),
-        ids: RefCell::default(),
+        open_ids: RefCell::default(),
     };
     let serving_state = Rc::<ServingState>::default();
     let drains = drains(
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -8,8 +8,8 @@
 use crate::net::metrics::increment;
 use crate::net::pg::{self, code, Startup};
 use crate::net::request::classes::Classes;
-use crate::net::request::{pause_ms, Answer, Call, Core};
-use crate::net::upstream::{Piece, Statement, Streamed};
+use crate::net::request::{retry_after_milliseconds, Answer, ClientRequest, RequestContext};
+use crate::net::upstream::{Statement, StreamChunk, StreamedAnswer};
 use crate::net::{duration, read_now};
 use bytes::Buf;
 use irisrouter::routing::*;
@@ -56,7 +56,7 @@
 /// The front for PostgreSQL clients.
 pub struct Frontend {
     /// Where its requests go.
-    pub core: Rc<Core>,
+    pub core: Rc<RequestContext>,
     /// Buffers.
     pub pool: Rc<Pool>,
     /// The classes, and what else the settings say.
@@ -451,8 +451,8 @@
                 Waited::Come(Answer::Streamed(streamed)) => {
                     *out = self.pass_on(client, streamed).await?
                 }
-                Waited::Come(Answer::Refused { pause }) => {
-                    let detail = pause_ms(pause).map(|ms| ms.to_string());
+                Waited::Come(Answer::Rejected { retry_after }) => {
+                    let detail = retry_after_milliseconds(retry_after).map(|ms| ms.to_string());
                     let text = "turned away, trying again is harmless";
                     pg::put_error(
                         out,
@@ -473,7 +473,7 @@
     }
 
     /// A statement as a request.
-    fn call(&self, text: &[u8]) -> Result<Call, &'static str> {
+    fn call(&self, text: &[u8]) -> Result<ClientRequest, &'static str> {
         let s = pg::statement(text).map_err(|e| e.0)?;
         let class = self.classes.find(s.class).ok_or("an unknown class")?;
         let group = GroupId(s.group);
@@ -511,25 +511,25 @@
             .map(|k| irisrouter_write_intents::number(group.0, k.as_bytes()));
         let id = self
             .core
-            .take_id(s.id)
+            .reserve_id(s.id)
             .ok_or("the id of a request that is open")?;
-        Ok(Call {
+        Ok(ClientRequest {
             id,
             class,
             group,
             session,
-            wait,
-            after,
+            timeout: wait,
+            minimum_position: after,
             retry: s.retry,
-            key,
+            idempotency_key: key,
             statement,
         })
     }
 
     /// Passes a long answer on while it comes, and returns its end. One that breaks off ends the connection: the client
     /// has no other way to tell that it is not whole.
-    async fn pass_on(&self, client: &mut Client, streamed: Streamed) -> Result<Buffer, End> {
-        let Streamed { head, mut rest } = streamed;
+    async fn pass_on(&self, client: &mut Client, streamed: StreamedAnswer) -> Result<Buffer, End> {
+        let StreamedAnswer { head, mut rest } = streamed;
         write(client, &head).await?;
         drop(head);
         loop {
@@ -542,8 +542,10 @@
                     end
                 }
             })? {
-                Some(Piece::More(piece)) => write(client, &piece).await?,
-                Some(Piece::End(mut end)) => return end.room(16).then_some(end).ok_or(End::Gone),
+                Some(StreamChunk::Data(piece)) => write(client, &piece).await?,
+                Some(StreamChunk::Last(mut end)) => {
+                    return end.room(16).then_some(end).ok_or(End::Gone)
+                }
                 None => return Err(End::Gone),
             }
         }
@@ -551,7 +553,11 @@
 
     /// Waits for a request's answer. One that is cancelled is dropped, as is that of a client that leaves: no attempt of it
     /// begins any more.
-    async fn answer(&self, client: &mut Client, call: Call) -> Result<Waited<Answer>, End> {
+    async fn answer(
+        &self,
+        client: &mut Client,
+        call: ClientRequest,
+    ) -> Result<Waited<Answer>, End> {
         let (sender, answer) = oneshot::channel();
         tokio::task::spawn_local(Rc::clone(&self.core).serve(call, sender));
         let registered = client.registered.take();
@@ -604,7 +610,7 @@
     async fn crowded(&self, client: &mut Client) -> End {
         let pause = {
             let limits = &self.classes.settings().limits;
-            pause_ms(if limits.retry_after {
+            retry_after_milliseconds(if limits.retry_after {
                 COME_AGAIN.min(limits.max_retry_after)
             } else {
                 0
--- a/src/net/request/classes.rs
+++ b/src/net/request/classes.rs
@@ -1,6 +1,6 @@
-//! The request classes: as new requests find them by name, and as those under way still know them.
+//! The request classes: as new requests find them by name, and as the requests in flight still know them.
 //!
-//! Each class has a slot, which is its number in the module's settings. New settings never move a class that some
+//! Each class has a slot, which is its number in the router's settings. New settings never move a class that some
 //! request is in: what they change takes a free slot, and a slot is free once no name finds it and no request holds it.
 
 use crate::net::duration;
@@ -12,112 +12,130 @@
 use std::time::Duration;
 
 /// A class in its slot. A request holds its own until it is over.
-pub struct Held {
-    /// Its number in the module's settings.
+pub struct ClassHandle {
+    /// Its number in the router's settings.
     pub slot: usize,
-    /// What it is.
+    /// The class.
     pub class: RequestClass,
 }
 
-/// All classes, and the settings that the module has.
+/// All classes, and the settings that the router has.
 pub struct Classes {
-    slots: RefCell<Vec<Rc<Held>>>,
-    newest: RefCell<HashMap<String, Rc<Held>>>,
+    /// By slot. A slot that no name finds keeps its last class until it is used again.
+    slots: RefCell<Vec<Rc<ClassHandle>>>,
+    /// The classes of the newest settings.
+    by_name: RefCell<HashMap<String, Rc<ClassHandle>>>,
     settings: RefCell<Settings>,
 }
 
+/// A class of new settings that is not the same as before.
+struct ChangedClass<'a> {
+    name: &'a str,
+    class: &'a RequestClass,
+    /// The slot of the class that had this name before.
+    previous_slot: Option<usize>,
+}
+
 impl Classes {
     /// The classes of these settings, each in the slot of its number.
     pub fn new(loaded: &PlatformSettings) -> Self {
         let classes = Classes {
             slots: RefCell::default(),
-            newest: RefCell::default(),
+            by_name: RefCell::default(),
             settings: RefCell::new(loaded.settings.clone()),
         };
         classes.swap(loaded);
         classes
     }
 
-    /// The class that a new request of this name is in.
-    pub fn find(&self, name: &str) -> Option<Rc<Held>> {
-        self.newest.borrow().get(name).cloned()
+    /// The class of a new request with this class name.
+    pub fn find(&self, name: &str) -> Option<Rc<ClassHandle>> {
+        self.by_name.borrow().get(name).cloned()
     }
 
-    /// The newest name of each slot.
+    /// The name of the class in each slot; empty where the newest settings have none there.
     pub fn names(&self) -> Vec<String> {
         let mut names = vec![String::new(); self.slots.borrow().len()];
-        self.newest
-            .borrow()
-            .iter()
-            .for_each(|(name, held)| names[held.slot] = name.clone());
+        for (name, handle) in self.by_name.borrow().iter() {
+            names[handle.slot] = name.clone();
+        }
         names
     }
 
-    /// The settings as the module has them.
+    /// The settings as the router has them.
     pub fn settings(&self) -> Ref<'_, Settings> {
         self.settings.borrow()
     }
 
-    /// How long a new request may wait at most.
+    /// The longest deadline that a new request can have.
     pub fn longest_wait(&self) -> Duration {
-        self.newest
-            .borrow()
-            .values()
-            .map(|held| duration(held.class.deadline))
-            .max()
-            .unwrap_or_default()
+        longest_deadline(self.by_name.borrow().values())
     }
 
-    /// How long one may wait that is under way: it may be in a class that the settings no longer have.
+    /// The longest deadline of a request in flight, which may be in a class that the settings no longer have.
     pub fn longest_wait_held(&self) -> Duration {
-        self.slots
-            .borrow()
-            .iter()
-            .map(|held| duration(held.class.deadline))
-            .max()
-            .unwrap_or_default()
+        longest_deadline(self.slots.borrow().iter())
     }
 
-    /// Takes new settings, and returns for each slot the one whose experience it goes on from, if there is one.
+    /// Takes new settings. Returns for each slot the one whose estimates it goes on from, if there is one.
     pub fn swap(&self, loaded: &PlatformSettings) -> Vec<Option<usize>> {
-        let (mut slots, mut newest) = (self.slots.borrow_mut(), self.newest.borrow_mut());
-        let old = std::mem::take(&mut *newest);
-        let mut from: Vec<Option<usize>> = (0..slots.len()).map(Some).collect();
+        let mut slots = self.slots.borrow_mut();
+        let mut by_name = self.by_name.borrow_mut();
+        let old = std::mem::take(&mut *by_name);
+        let mut previous_slots: Vec<Option<usize>> = (0..slots.len()).map(Some).collect();
         let mut changed = Vec::new();
         for (name, class) in loaded.classes.iter().zip(&loaded.settings.classes) {
-            let before = old.get(name);
-            match before.filter(|held| held.class == *class) {
-                Some(held) => drop(newest.insert(name.to_string(), Rc::clone(held))),
-                None => changed.push((name, class, before.map(|held| held.slot))),
+            let previous = old.get(name);
+            match previous.filter(|handle| handle.class == *class) {
+                Some(handle) => drop(by_name.insert(name.to_string(), Rc::clone(handle))),
+                None => changed.push(ChangedClass {
+                    name,
+                    class,
+                    previous_slot: previous.map(|handle| handle.slot),
+                }),
             }
         }
+        // Before slots are looked for: what only the old names held is free.
         drop(old);
-        for (name, class, before) in changed {
-            let slot = slots
-                .iter()
-                .position(|held| Rc::strong_count(held) == 1)
-                .unwrap_or(slots.len());
-            let held = Rc::new(Held {
+        for changed in changed {
+            let slot = free_slot(&slots);
+            let handle = Rc::new(ClassHandle {
                 slot,
-                class: class.clone(),
+                class: changed.class.clone(),
             });
-            newest.insert(name.to_string(), Rc::clone(&held));
+            by_name.insert(changed.name.to_string(), Rc::clone(&handle));
             if slot == slots.len() {
-                slots.push(held);
-                from.push(before);
+                slots.push(handle);
+                previous_slots.push(changed.previous_slot);
             } else {
-                (slots[slot], from[slot]) = (held, before);
+                slots[slot] = handle;
+                previous_slots[slot] = changed.previous_slot;
             }
         }
-        let classes = slots.iter().map(|held| held.class.clone()).collect();
+        let classes = slots.iter().map(|handle| handle.class.clone()).collect();
         self.settings.replace(Settings {
             classes,
             ..loaded.settings.clone()
         });
-        from
+        previous_slots
     }
 }
 
+/// The first slot that no name finds and no request holds, or the one behind the last.
+fn free_slot(slots: &[Rc<ClassHandle>]) -> usize {
+    slots
+        .iter()
+        .position(|handle| Rc::strong_count(handle) == 1)
+        .unwrap_or(slots.len())
+}
+
+fn longest_deadline<'a>(handles: impl Iterator<Item = &'a Rc<ClassHandle>>) -> Duration {
+    handles
+        .map(|handle| duration(handle.class.deadline))
+        .max()
+        .unwrap_or_default()
+}
+
 #[cfg(test)]
 #[path = "../../../tests/unit/classes.rs"]
 mod tests;
--- a/src/net/request/lifecycle.rs
+++ b/src/net/request/lifecycle.rs
@@ -1,356 +1,301 @@
-//! The life of one request: arrival, attempts, final answer. Any front that words its requests as a [`Call`]
-//! goes through the same decisions and rules.
+//! The life of one request: arrival, attempts, final answer. Whatever protocol a downstream speaks, it words its requests
+//! as a [`ClientRequest`], and all go through the same decisions and rules.
 
-use crate::net::buffers::Buffer;
-use crate::net::cluster::site_failover::SiteFailoverService;
-use crate::net::cluster::write_intents::{
-    EarlierAttempt, MayHaveRun, WriteIntent, WriteIntentService,
+use crate::net::cluster::write_intents::{MayHaveRun, WriteIntent};
+use crate::net::metrics::increment;
+use crate::net::request::answer::{Answer, PendingAnswer};
+use crate::net::request::attempts::{Attempts, EndedAttempt, JoinedAttempt, StartedStream};
+use crate::net::request::classes::ClassHandle;
+use crate::net::request::context::{ClientRequest, OpenId, RequestContext};
+use crate::net::request::write_intent::CheckedRequest;
+use crate::net::router_task::RequestCommand;
+use crate::net::{duration, nanoseconds};
+use irisrouter::routing::{
+    Event, Idempotency, MemberId, Nanos, Outcome, ReplicationStatus, RequestClass, RequestId,
 };
-use crate::net::metrics::{increment, Metrics};
-use crate::net::request::classes::Held;
-use crate::net::router_task::{RequestCommand, RouterHandle};
-use crate::net::upstream::{Attempted, Statement, Streamed, Upstream};
-use crate::net::{duration, nanoseconds, Clock};
-use irisrouter::routing::*;
-use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::{AbortHandle, JoinSet};
-use tokio::time::{sleep_until, timeout_at, Instant};
+use tokio::time::{sleep_until, Instant};
 
-/// The module's deadline lies so much before the client's: timers are late by up to a millisecond, and its
-/// decision has to be made and written.
-const MARGIN: Duration = Duration::from_millis(5);
-/// And the guard against no decision so much. Danger: with both at one moment, the guard answers first, and
-/// fails what the module would have refused.
-const LAST_MARGIN: Duration = Duration::from_millis(1);
+/// The router's deadline is this much before the client's: timers are late by up to a millisecond, and the router's
+/// decision has to be made and the answer written.
+const DECISION_MARGIN: Duration = Duration::from_millis(5);
+/// A request that has no decision this long before its client's deadline fails. It is less than [`DECISION_MARGIN`]: were
+/// both times the same, requests would fail here that the router would have rejected as not run.
+pub(super) const ANSWER_MARGIN: Duration = Duration::from_millis(1);
 
-/// A request's id, which no other may bear until this is dropped.
-pub struct OpenId(Rc<Core>, Box<str>);
+impl RequestContext {
+    /// Takes a request and gives it exactly one answer. A client that leaves drops the receiver of the answer.
+    pub async fn serve(self: Rc<Self>, request: ClientRequest, answer: oneshot::Sender<Answer>) {
+        increment(&self.metrics.requests.received);
+        if let Some(site_failover) = &self.site_failover {
+            site_failover.request_arrived(request.class.slot);
+        }
+        let mut answer = PendingAnswer::new(answer, Rc::clone(&self.metrics));
+        let deadline = self.answer_deadline(request.timeout);
+        match self.check_earlier_attempts(&request, deadline).await {
+            Ok(checked) => Lifecycle::begin(self, request, checked, answer).run().await,
+            Err(MayHaveRun) => {
+                answer.send(Answer::Failed);
+            }
+        }
+    }
 
-impl Drop for OpenId {
-    fn drop(&mut self) {
-        self.0.ids.borrow_mut().remove(&self.1);
+    /// When a client with this timeout needs its answer: earlier where the gateway is shutting down.
+    fn answer_deadline(&self, timeout: Duration) -> Instant {
+        let until_shutdown = self
+            .answer_by
+            .get()
+            .map(|end| end.saturating_duration_since(Instant::now()));
+        Instant::now() + until_shutdown.map_or(timeout, |left| left.min(timeout))
     }
 }
 
-/// A request, as a front hands it over.
-pub struct Call {
-    /// Its id.
-    pub id: OpenId,
-    /// Its class, which is its own until it is over.
-    pub class: Rc<Held>,
-    /// Its group.
-    pub group: GroupId,
-    /// Its session.
-    pub session: Option<SessionId>,
-    /// How long its client waits from now on.
-    pub wait: Duration,
-    /// The position that it has to see.
-    pub after: Option<Nanos>,
-    /// The client says that it repeats.
-    pub retry: bool,
-    /// The number of its idempotency key and set, in a keyed class.
-    pub key: Option<u64>,
-    /// What is passed on.
-    pub statement: Statement,
+/// A request that the router has been asked about.
+struct Lifecycle {
+    context: Rc<RequestContext>,
+    /// Its id at the router.
+    id: RequestId,
+    /// What the router decides.
+    commands: mpsc::UnboundedReceiver<RequestCommand>,
+    answer: PendingAnswer,
+    attempts: Attempts,
+    /// The number of the attempt whose long answer is passed on.
+    streaming: Option<usize>,
+    write_intent: Option<Rc<WriteIntent>>,
+    /// The request fails if the router has not decided by then.
+    decision_deadline: Instant,
+    // Both are held until the last attempt has ended.
+    _open_id: OpenId,
+    _class: Rc<ClassHandle>,
 }
 
-/// The final answer.
-pub enum Answer {
-    /// A row, as a database host made it for this request.
-    Served(Buffer),
-    /// A row that is long, and comes while it is passed on.
-    Streamed(Streamed),
-    /// Trying again is harmless, after this pause.
-    Refused {
-        /// 0 for no advice.
-        pause: Nanos,
-    },
-    /// Nothing is promised.
-    Failed,
+/// What happens next in the life of a request.
+enum Step {
+    /// A long answer has begun to arrive.
+    StreamStarted(StartedStream),
+    /// An attempt has ended.
+    AttemptEnded(JoinedAttempt),
+    /// The client has left.
+    ClientGone,
+    /// The router has decided.
+    Command(RequestCommand),
+    /// The router has not decided in time.
+    DecisionTimedOut,
 }
 
-/// An attempt that was ordered: where, when, and how to stop waiting for it.
-struct Started {
+/// The end of an attempt, as the router is informed of it.
+struct AttemptEnd {
+    attempt: usize,
     member: MemberId,
-    at: Instant,
-    /// Its outcome proves that.
-    never_ran: bool,
-    handle: AbortHandle,
+    outcome: Outcome,
+    /// In nanoseconds.
+    elapsed: Nanos,
+    status: Option<ReplicationStatus>,
 }
 
-fn never_ran(outcome: Outcome) -> bool {
-    matches!(
-        outcome,
-        Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent | Outcome::Unsuitable
-    )
-}
-
-/// What the requests share.
-pub struct Core {
-    /// The way to the module.
-    pub router: Rc<RouterHandle>,
-    /// The database hosts.
-    pub upstream: Rc<Upstream>,
-    /// The clock.
-    pub clock: Clock,
-    /// The counters.
-    pub metrics: Rc<Metrics>,
-    /// When the last answer has to be given, where the gateway is about to end.
-    pub answer_by: Cell<Option<Instant>>,
-    /// Writes in hand, where the operators turned that on.
-    pub write_intents: Option<Rc<WriteIntentService>>,
-    /// Plans for lost sites, likewise.
-    pub site_failover: Option<Rc<SiteFailoverService>>,
-    /// Ids of the requests that are not over.
-    pub ids: RefCell<HashSet<Box<str>>>,
-}
-
-impl Core {
-    /// Takes an id, unless an open request bears it. Danger: to a database host a second one of that id is the
-    /// first, sent again, and its answer another client's.
-    pub fn take_id(self: &Rc<Self>, id: &str) -> Option<OpenId> {
-        let new = self.ids.borrow_mut().insert(id.into());
-        new.then(|| OpenId(Rc::clone(self), id.into()))
-    }
-
-    /// Takes a request and gives it exactly one answer. A client that leaves drops the receiver.
-    pub async fn serve(self: Rc<Self>, call: Call, answer: oneshot::Sender<Answer>) {
-        increment(&self.metrics.requests.received);
-        if let Some(site_failover) = &self.site_failover {
-            site_failover.request_arrived(call.class.slot);
-        }
-        let ending = self
-            .answer_by
-            .get()
-            .map(|end| end.saturating_duration_since(Instant::now()));
-        let mut end = Instant::now() + ending.map_or(call.wait, |left| left.min(call.wait));
-        let noted = match self.noted(&call, &mut end).await {
-            Ok(noted) => noted.map(Rc::new),
-            Err(MayHaveRun) => return self.answer(answer, Answer::Failed),
-        };
-        let (arrived, now) = (self.clock.now(), Instant::now());
-        let wait = end.saturating_duration_since(now).saturating_sub(MARGIN);
-        let last = (end - LAST_MARGIN).max(now);
-        let (id, mut orders) = self.router.register();
-        self.router.post(Event::Request {
+impl Lifecycle {
+    /// Hands the request to the router.
+    fn begin(
+        context: Rc<RequestContext>,
+        request: ClientRequest,
+        checked: CheckedRequest,
+        answer: PendingAnswer,
+    ) -> Self {
+        let arrived = context.clock.now();
+        let now = Instant::now();
+        let until_deadline = checked.deadline.saturating_duration_since(now);
+        let decision_time = until_deadline.saturating_sub(DECISION_MARGIN);
+        let (id, commands) = context.router.register();
+        context.router.post(Event::Request {
             id,
-            class: call.class.slot,
+            class: request.class.slot,
             tenant: None,
-            session: call.session,
-            deadline: arrived + nanoseconds(wait),
+            session: request.session,
+            deadline: arrived + nanoseconds(decision_time),
             work: None,
-            group: call.group,
-            last_write_age: call.after.map(|position| arrived - position),
-            retry: call.retry,
+            group: request.group,
+            last_write_age: request.minimum_position.map(|position| arrived - position),
+            retry: request.retry,
         });
-        let statement = Rc::new(call.statement);
-        let window = match call.class.class.idempotency {
-            Idempotency::Keyed { window, .. } => Some(duration(window)),
-            Idempotency::Idempotent | Idempotency::NotIdempotent => None,
-        };
-        // Until the last attempt has ended.
-        let _taken = (call.id, call.class);
-        let mut owed = Some(answer);
-        let mut running: JoinSet<Attempted> = JoinSet::new();
-        // By their number.
-        let mut attempts: Vec<Started> = Vec::new();
-        let (begin, mut begun) = mpsc::unbounded_channel();
-        let mut streaming = None;
-        // Whatever is ordered, and however late a connection comes up: nothing leaves any more for a request that is over.
-        let over = Rc::new(Cell::new(false));
-        while owed.is_some() || !running.is_empty() {
-            over.set(owed.is_none());
-            tokio::select! {
-                biased;
-                // The request is over but for its bytes: no further attempt, no second copy, no deadline. One that
-                // comes too late ends, as nobody takes it.
-                Some((number, streamed)) = begun.recv() => {
-                    let Some(answer) = owed.take() else { continue };
-                    self.answer(answer, Answer::Streamed(streamed));
-                    streaming = Some(number);
-                    let started: &Started = &attempts[number];
-                    self.router.post(Event::AttemptEnded {
-                        id,
-                        attempt: number as u32,
-                        member: started.member,
-                        outcome: Outcome::Ok,
-                        elapsed: nanoseconds(started.at.elapsed()),
-                        finished: true,
-                        status: None,
-                        report: None,
-                    });
-                }
-                Some(ended) = running.join_next_with_id() => {
-                    let (task, attempted) = match ended {
-                        Ok((task, attempted)) => (task, attempted),
-                        Err(e) => (e.id(), Outcome::Cancelled.into()),
-                    };
-                    let Some(number) = attempts.iter().position(|a| a.handle.id() == task) else { continue };
-                    if let Some(noted) = &noted {
-                        noted.attempt_ended(attempted.outcome);
-                    }
-                    if streaming == Some(number) {
-                        if attempted.outcome != Outcome::Ok {
-                            increment(&self.metrics.requests.truncated);
-                        }
-                        continue;
-                    }
-                    let started = &mut attempts[number];
-                    started.never_ran = never_ran(attempted.outcome);
-                    if attempted.outcome == Outcome::Cancelled {
-                        self.metrics.attempt(Outcome::Cancelled);
-                    }
-                    if let Some(row) = attempted.row {
-                        if let Some(answer) = owed.take() {
-                            self.answer(answer, Answer::Served(row));
-                        }
-                    }
-                    self.router.post(Event::AttemptEnded {
-                        id,
-                        attempt: number as u32,
-                        member: started.member,
-                        outcome: attempted.outcome,
-                        elapsed: nanoseconds(started.at.elapsed()),
-                        finished: owed.is_none(),
-                        status: attempted.note,
-                        report: None,
-                    });
-                }
-                // Before what is ordered: nothing new for a client that has gone.
-                () = left(&mut owed) => {
-                    owed = None;
-                    increment(&self.metrics.requests.client_gone);
-                    self.router.post(Event::ClientGone { id });
-                }
-                Some(order) = orders.recv() => match order {
-                    RequestCommand::StartAttempt { member, timeout: limit } => {
-                        let (core, statement) = (Rc::clone(&self), Rc::clone(&statement));
-                        let (over, begin, number) = (Rc::clone(&over), begin.clone(), attempts.len());
-                        let noted = noted.clone();
-                        let first = attempts.iter().filter(|a| !a.never_ran).map(|a| a.at).min();
-                        // Danger: what was decided within the window of repeats may find its connection beyond it.
-                        let repeat_by = window.zip(first).map(|(window, first)| first + window);
-                        let handle = running.spawn_local(async move {
-                            // The module hears of its attempt all the same.
-                            if over.get() {
-                                return Outcome::NotSent.into();
-                            }
-                            let asked = Instant::now();
-                            if let Some(noted) = noted {
-                                // Danger guarded against: a write that left unnoted would be sent again beyond its
-                                // window by a gateway that knows nothing of it.
-                                if !noted.record().await {
-                                    return Outcome::NotSent.into();
-                                }
-                            }
-                            let limit = limit - nanoseconds(asked.elapsed());
-                            let begin = |streamed| drop(begin.send((number, streamed)));
-                            let wanted = || !over.get() && repeat_by.is_none_or(|by| Instant::now() < by);
-                            core.upstream.attempt(member, &statement, limit, wanted, begin).await
-                        });
-                        attempts.push(Started { member, at: Instant::now(), never_ran: false, handle });
-                    }
-                    RequestCommand::CancelAttempt { attempt } => {
-                        attempts.iter().skip(attempt as usize).take(1).for_each(|a| a.handle.abort());
-                    }
-                    RequestCommand::Reject { retry_after: pause } => {
-                        // What another gateway sent may have run, whatever became of it here.
-                        let earlier = noted.as_ref().is_some_and(|n| n.sent_by_another_gateway());
-                        let refused = if earlier { Answer::Failed } else { Answer::Refused { pause } };
-                        if let Some(answer) = owed.take() {
-                            self.answer(answer, refused);
-                        }
+        let write_intent = checked.write_intent.map(Rc::new);
+        Lifecycle {
+            id,
+            commands,
+            answer,
+            attempts: Attempts::new(
+                Rc::clone(&context),
+                request.statement,
+                resend_window(&request.class.class),
+                write_intent.clone(),
+            ),
+            streaming: None,
+            write_intent,
+            decision_deadline: (checked.deadline - ANSWER_MARGIN).max(now),
+            context,
+            _open_id: request.id,
+            _class: request.class,
+        }
+    }
+
+    /// Runs until the request has its answer and its last attempt has ended.
+    async fn run(mut self) {
+        while self.answer.is_pending() || !self.attempts.running.is_empty() {
+            self.attempts.set_request_over(!self.answer.is_pending());
+            match self.next_step().await {
+                Step::StreamStarted(stream) => self.on_stream_started(stream),
+                Step::AttemptEnded(joined) => {
+                    if let Some(ended) = self.attempts.ended(joined) {
+                        self.on_attempt_ended(ended);
                     }
-                    RequestCommand::Fail => owed.take().into_iter().for_each(|a| self.answer(a, Answer::Failed)),
-                },
-                // The module has not decided in time. Danger: a request without an answer is lost.
-                () = sleep_until(last), if owed.is_some() => {
-                    owed.take().into_iter().for_each(|a| self.answer(a, Answer::Failed));
-                    self.router.post(Event::ClientGone { id });
                 }
+                Step::ClientGone => self.on_client_gone(),
+                Step::Command(command) => self.on_command(command),
+                Step::DecisionTimedOut => self.on_decision_timed_out(),
             }
         }
-        if let Some(noted) = &noted {
-            noted.all_attempts_ended();
+        if let Some(write_intent) = &self.write_intent {
+            write_intent.all_attempts_ended();
         }
-        // Sends that were ordered before the module heard of the end: each attempt has its outcome.
-        orders.close();
-        while let Ok(order) = orders.try_recv() {
-            if let RequestCommand::StartAttempt { member, .. } = order {
-                let attempt = attempts.len() as u32;
-                let (outcome, finished) = (Outcome::NotSent, true);
-                self.router.post(Event::AttemptEnded {
-                    id,
-                    attempt,
-                    member,
-                    outcome,
-                    elapsed: 0,
-                    finished,
-                    status: None,
-                    report: None,
-                });
-            }
+        self.end_undelivered_attempts();
+        self.context.router.unregister(self.id);
+    }
+
+    /// Waits for what happens next. What is ready at the same time is taken in this order.
+    async fn next_step(&mut self) -> Step {
+        let pending = self.answer.is_pending();
+        tokio::select! {
+            biased;
+            // From here on only the rest of the answer is outstanding: no further attempt and no deadline.
+            Some(stream) = self.attempts.streams.recv() => Step::StreamStarted(stream),
+            Some(joined) = self.attempts.running.join_next_with_id() => Step::AttemptEnded(joined),
+            // Before the router's commands: nothing is started for a client that has left.
+            () = self.answer.client_gone() => Step::ClientGone,
+            Some(command) = self.commands.recv() => Step::Command(command),
+            // A request must not stay without an answer if the router does not decide in time.
+            () = sleep_until(self.decision_deadline), if pending => Step::DecisionTimedOut,
         }
-        self.router.unregister(id);
     }
 
-    /// What is noted of a keyed write, where writes in hand are on; its end comes earlier where another gateway may have
-    /// sent it.
-    async fn noted(
-        &self,
-        call: &Call,
-        end: &mut Instant,
-    ) -> Result<Option<WriteIntent>, MayHaveRun> {
-        let Some((write_intents, key)) = self.write_intents.as_ref().zip(call.key) else {
-            return Ok(None);
-        };
-        let mut noted = WriteIntent::new(write_intents, key);
-        if !write_intents.may_be_retry(call.retry) {
-            return Ok(Some(noted));
+    /// The request is over but for the rest of its answer. A stream that begins after the answer is dropped, which ends it.
+    fn on_stream_started(&mut self, stream: StartedStream) {
+        let StartedStream { attempt, answer } = stream;
+        if !self.answer.send(Answer::Streamed(answer)) {
+            return;
         }
-        // Never beyond the client's own time. What is not proven by then may have run.
-        let ask = timeout_at(
-            *end - LAST_MARGIN.min(call.wait),
-            write_intents.look_up(key),
-        )
-        .await;
-        let until = match ask.unwrap_or(EarlierAttempt::Unproven) {
-            EarlierAttempt::NeverSent => Some(*end),
-            EarlierAttempt::MayHaveRun(at) => {
-                noted.resend_deadline(at, &call.class.class, self.upstream.connect_timeout())
+        self.streaming = Some(attempt);
+        let started = &self.attempts.started[attempt];
+        self.post_attempt_ended(AttemptEnd {
+            attempt,
+            member: started.member,
+            outcome: Outcome::Ok,
+            elapsed: started.elapsed(),
+            status: None,
+        });
+    }
+
+    fn on_attempt_ended(&mut self, ended: EndedAttempt) {
+        let EndedAttempt { attempt, result } = ended;
+        if let Some(write_intent) = &self.write_intent {
+            write_intent.attempt_ended(result.outcome);
+        }
+        if self.streaming == Some(attempt) {
+            // The router got the end of this attempt when its stream began.
+            if result.outcome != Outcome::Ok {
+                increment(&self.context.metrics.requests.truncated);
+            }
+            return;
+        }
+        self.attempts.started[attempt].record_outcome(result.outcome);
+        if result.outcome == Outcome::Cancelled {
+            // The upstream counts attempts that end by themselves; a cancelled one does not get there.
+            self.context.metrics.attempt(Outcome::Cancelled);
+        }
+        if let Some(row) = result.row {
+            self.answer.send(Answer::Served(row));
+        }
+        let started = &self.attempts.started[attempt];
+        self.post_attempt_ended(AttemptEnd {
+            attempt,
+            member: started.member,
+            outcome: result.outcome,
+            elapsed: started.elapsed(),
+            status: result.status,
+        });
+    }
+
+    fn on_client_gone(&mut self) {
+        self.answer.abandon();
+        increment(&self.context.metrics.requests.client_gone);
+        self.context.router.post(Event::ClientGone { id: self.id });
+    }
+
+    fn on_command(&mut self, command: RequestCommand) {
+        match command {
+            RequestCommand::StartAttempt { member, timeout } => {
+                self.attempts.start(member, timeout);
+            }
+            RequestCommand::CancelAttempt { attempt } => self.attempts.cancel(attempt),
+            RequestCommand::Reject { retry_after } => self.reject(retry_after),
+            RequestCommand::Fail => {
+                self.answer.send(Answer::Failed);
             }
-            // Where clients mark nothing, a fleet that has just started would turn every write away.
-            EarlierAttempt::Unproven if !call.retry => Some(*end),
-            EarlierAttempt::Unproven => None,
-        };
-        *end = until.ok_or(MayHaveRun)?.min(*end);
-        Ok(Some(noted))
+        }
     }
 
-    fn answer(&self, to: oneshot::Sender<Answer>, answer: Answer) {
-        increment(match answer {
-            Answer::Served(_) | Answer::Streamed(_) => &self.metrics.requests.served,
-            Answer::Refused { .. } => &self.metrics.requests.rejected,
-            Answer::Failed => &self.metrics.requests.failed,
+    /// Rejects the request as not run. What another gateway sent may have run, though, whatever this gateway did.
+    fn reject(&mut self, retry_after: Nanos) {
+        let write_intent = self.write_intent.as_ref();
+        let may_have_run = write_intent.is_some_and(|intent| intent.sent_by_another_gateway());
+        self.answer.send(if may_have_run {
+            Answer::Failed
+        } else {
+            Answer::Rejected { retry_after }
         });
-        // A client that has just left needs none.
-        let _ = to.send(answer);
     }
-}
 
-/// The client has left; never, once nothing is owed.
-async fn left(owed: &mut Option<oneshot::Sender<Answer>>) {
-    match owed {
-        Some(answer) => answer.closed().await,
-        None => std::future::pending().await,
+    fn on_decision_timed_out(&mut self) {
+        self.answer.send(Answer::Failed);
+        self.context.router.post(Event::ClientGone { id: self.id });
+    }
+
+    /// Ends the attempts that the router started before it was informed that the request is over: the router gets an end
+    /// for each attempt.
+    fn end_undelivered_attempts(&mut self) {
+        self.commands.close();
+        while let Ok(command) = self.commands.try_recv() {
+            if let RequestCommand::StartAttempt { member, .. } = command {
+                self.post_attempt_ended(AttemptEnd {
+                    attempt: self.attempts.started.len(),
+                    member,
+                    outcome: Outcome::NotSent,
+                    elapsed: 0,
+                    status: None,
+                });
+            }
+        }
+    }
+
+    /// Informs the router of the end of an attempt, and whether the request is over with it.
+    fn post_attempt_ended(&self, end: AttemptEnd) {
+        self.context.router.post(Event::AttemptEnded {
+            id: self.id,
+            attempt: end.attempt as u32,
+            member: end.member,
+            outcome: end.outcome,
+            elapsed: end.elapsed,
+            finished: !self.answer.is_pending(),
+            status: end.status,
+            report: None,
+        });
     }
 }
 
-/// The pause of a refusal in whole milliseconds, rounded up.
-pub fn pause_ms(pause: Nanos) -> Option<u128> {
-    (pause > 0).then(|| duration(pause).as_nanos().div_ceil(1_000_000))
+/// How long after an attempt that may have run another one may be sent; `None` for no limit.
+fn resend_window(class: &RequestClass) -> Option<Duration> {
+    match class.idempotency {
+        Idempotency::Keyed { window, .. } => Some(duration(window)),
+        Idempotency::Idempotent | Idempotency::NotIdempotent => None,
+    }
 }
--- a/src/net/request/mod.rs
+++ b/src/net/request/mod.rs
@@ -1,6 +1,11 @@
 //! One request from its arrival to its final answer, and the request classes that it may belong to.
 
+mod answer;
+mod attempts;
 pub mod classes;
+mod context;
 mod lifecycle;
+mod write_intent;
 
-pub use lifecycle::*;
+pub use answer::{retry_after_milliseconds, Answer};
+pub use context::{ClientRequest, RequestContext};
--- a/src/net/upstream/registry.rs
+++ b/src/net/upstream/registry.rs
@@ -62,36 +62,36 @@
 }
 
 /// How an attempt ended.
-pub struct Attempted {
+pub struct AttemptResult {
     /// Its outcome.
     pub outcome: Outcome,
     /// What the answer tells of its host.
-    pub note: Option<ReplicationStatus>,
+    pub status: Option<ReplicationStatus>,
     /// The row's messages, as the host sent them; with [`Outcome::Ok`] only, and not where they were passed on.
     pub row: Option<Buffer>,
 }
 
 /// An answer that is passed on while it comes: its messages up to the first bytes of the value, and what follows.
-pub struct Streamed {
+pub struct StreamedAnswer {
     /// What has come of it.
     pub head: Buffer,
-    /// The rest. Where it ends without [`Piece::End`], the value is not whole.
-    pub rest: mpsc::Receiver<Piece>,
+    /// The rest. Where it ends without [`StreamChunk::Last`], the value is not whole.
+    pub rest: mpsc::Receiver<StreamChunk>,
 }
 
 /// A piece of an answer that is passed on.
-pub enum Piece {
+pub enum StreamChunk {
     /// Bytes of the value.
-    More(Buffer),
+    Data(Buffer),
     /// The value is whole, and this follows it.
-    End(Buffer),
+    Last(Buffer),
 }
 
-impl From<Outcome> for Attempted {
+impl From<Outcome> for AttemptResult {
     fn from(outcome: Outcome) -> Self {
-        Attempted {
+        AttemptResult {
             outcome,
-            note: None,
+            status: None,
             row: None,
         }
     }
@@ -596,8 +596,8 @@
         statement: &Statement,
         limit: Nanos,
         wanted: impl Fn() -> bool,
-        begin: impl FnOnce(Streamed),
-    ) -> Attempted {
+        begin: impl FnOnce(StreamedAnswer),
+    ) -> AttemptResult {
         let end = Instant::now() + duration(limit);
         let ended = self.try_once(member, statement, end, wanted, begin).await;
         self.metrics.attempt(ended.outcome);
@@ -611,8 +611,8 @@
         statement: &Statement,
         end: Instant,
         wanted: impl Fn() -> bool,
-        begin: impl FnOnce(Streamed),
-    ) -> Attempted {
+        begin: impl FnOnce(StreamedAnswer),
+    ) -> AttemptResult {
         let connection = match self.connection(member, end).await {
             Ok(c) => c,
             Err(outcome) => return outcome.into(),
@@ -652,9 +652,9 @@
             Some(code::TOO_MANY_CONNECTIONS) => Outcome::Full,
             _ => Outcome::Error,
         };
-        Attempted {
+        AttemptResult {
             outcome,
-            note: note(&reply, self.clock.now()),
+            status: note(&reply, self.clock.now()),
             row: row.filter(|_| outcome == Outcome::Ok),
         }
     }
@@ -676,7 +676,7 @@
         mut connection: Connection,
         mut buffer: Buffer,
         end: Instant,
-        begin: Option<impl FnOnce(Streamed)>,
+        begin: Option<impl FnOnce(StreamedAnswer)>,
     ) -> Result<(Reply, Option<Buffer>), Outcome> {
         // Until its last byte is written, it can't have run.
         if !matches!(
@@ -736,7 +736,7 @@
         mut head: Buffer,
         mut read: Buffer,
         length: usize,
-        begin: impl FnOnce(Streamed),
+        begin: impl FnOnce(StreamedAnswer),
     ) -> Result<Reply, Broken> {
         reply.passed_row().map_err(|e| Broken::Garbled(e.0))?;
         let here = length.min(read.len());
@@ -745,7 +745,7 @@
         }
         read.advance(here);
         let (pieces, rest) = mpsc::channel(PIECES);
-        begin(Streamed { head, rest });
+        begin(StreamedAnswer { head, rest });
         let mut left = length - here;
         while left > 0 {
             let mut piece = self.pool.take();
@@ -755,7 +755,7 @@
                 _ => return Err(Broken::Lost),
             }
             pieces
-                .send(Piece::More(piece))
+                .send(StreamChunk::Data(piece))
                 .await
                 .map_err(|_| Broken::Left)?;
         }
@@ -763,7 +763,7 @@
         match timeout(SILENCE, tail).await.map_err(|_| Broken::Lost)?? {
             Come::Whole(reply, tail) if reply.served() => {
                 pieces
-                    .send(Piece::End(tail))
+                    .send(StreamChunk::Last(tail))
                     .await
                     .map_err(|_| Broken::Left)?;
                 Ok(reply)
@@ -830,7 +830,7 @@
                     pg::put_query(&mut out, &[PROBE, b" ", text.as_bytes()].concat());
                 }
             }
-            self.exchange(member, connection, out, end, None::<fn(Streamed)>)
+            self.exchange(member, connection, out, end, None::<fn(StreamedAnswer)>)
                 .await
         };
         let reply = match answer.await {
--- a/tests/unit/classes.rs
+++ b/tests/unit/classes.rs
@@ -1,11 +1,12 @@
-//! Classes while settings change.
+//! Request classes while settings change.
 
 use super::*;
 use irisrouter::platform_settings::NameTable;
 
-/// Guards against a request that changes its class under way, and against slots that pile up with each file.
+/// A request that changes its class while it is in flight would be accounted to the wrong one, and slots that are never
+/// reused would pile up with each reload.
 #[test]
-fn a_request_keeps_its_class_and_a_slot_is_used_again_once_no_request_holds_it() {
+fn class_slot_is_reused_once_no_request_holds_it() {
     let text = include_str!("../gateway/settings.json");
     let first =
         PlatformSettings::parse(&serde_json::from_str(text).expect("json"), 1).expect("settings");
@@ -15,10 +16,10 @@
         loaded
     };
     let classes = Classes::new(&first);
-    let slot = |name: &str| classes.find(name).map(|held| held.slot);
+    let slot = |name: &str| classes.find(name).map(|handle| handle.slot);
     let order = classes.find("order").expect("a class");
     assert_eq!((slot("read"), order.slot), (Some(0), 1));
-    // Changed while a request is in it: a slot of its own, which goes on from the experience of the old one.
+    // Changed while a request is in it: a slot of its own, which goes on from the estimates of the old one.
     let shorter = with(&|l| l.settings.classes[1].deadline = 7);
     assert_eq!(classes.swap(&shorter)[4], Some(1));
     assert_eq!(
@@ -28,7 +29,7 @@
     assert_eq!(
         classes.settings().classes[1].deadline,
         order.class.deadline,
-        "as the module has it"
+        "as the router has it"
     );
     // The request is over: its slot is free, and so is that of a class that is gone.
     drop(order);
@@ -55,16 +56,16 @@
     assert!(classes.settings().classes.len() < 8);
 }
 
-/// Guards against a planned stop whose times come from a deadline that new settings have shortened, and against one that
-/// leaves a request behind whose own deadline is longer.
+/// A shutdown must neither take its times from a deadline that new settings have removed, nor end before a request whose
+/// own deadline is longer.
 #[test]
-fn the_longest_wait_is_that_of_the_settings_now_and_that_of_requests_under_way_their_own() {
+fn longest_wait_after_a_reload_follows_new_settings_but_requests_in_flight_keep_theirs() {
     let text = include_str!("../gateway/settings.json");
     let first =
         PlatformSettings::parse(&serde_json::from_str(text).expect("json"), 1).expect("settings");
     let classes = Classes::new(&first);
-    let under_way = classes.find("order").expect("a class");
-    let long = duration(under_way.class.deadline);
+    let in_flight = classes.find("order").expect("a class");
+    let long = duration(in_flight.class.deadline);
     let mut short = first.clone();
     short
         .settings
