Split the upstream into modules with one job each

Cause: one file of 1,067 lines held the registry of hosts, the endpoint list, the connection pool, attempts, streaming, health checks, load reports and drains, and one struct had 19 fields.

Change: host, registry (list merge), host_lookup, drains, pool, connection, reply (reading it), exchange, response_stream, attempt, health_check, load_report and reachability. Upstream has nine fields, some of them structs; the hosts, names, groups, zones and the revision stand in one Registry. Why a reply was not received is an enum with thiserror. An attempt takes an OutgoingStatement. Logic was moved, not rewritten: the order of awaits, and when a connection is pooled or dropped, are the same; no borrow spans an await.

Log texts, behind the name of a host: "a former host: ..." -> "a removed host: ..." "a long value that nobody asked for" -> "an unexpected long value" "an error behind its row" -> "an error after its row"

Tests: those of classes and load reports are named by subject, condition and expectation; three new ones on the final answer.

--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -502,7 +502,7 @@
         }
         let statement = Statement {
             text: copy,
-            wait_at: s.wait_at,
+            timeout_range: s.wait_at,
         };
         let keyed = matches!(class.class.idempotency, Idempotency::Keyed { .. });
         let key = s
--- a/src/net/request/answer.rs
+++ b/src/net/request/answer.rs
@@ -80,3 +80,7 @@
     let nanoseconds = duration(retry_after).as_nanos();
     (retry_after > 0).then(|| nanoseconds.div_ceil(NANOSECONDS_PER_MILLISECOND))
 }
+
+#[cfg(test)]
+#[path = "../../../tests/unit/answer.rs"]
+mod tests;
--- a/src/net/request/attempts.rs
+++ b/src/net/request/attempts.rs
@@ -1,9 +1,9 @@
 //! The attempts of one request: each runs in a task of its own.
 
 use crate::net::cluster::write_intents::WriteIntent;
-use crate::net::nanoseconds;
 use crate::net::request::context::RequestContext;
-use crate::net::upstream::{AttemptResult, Statement, StreamedAnswer};
+use crate::net::upstream::{AttemptResult, OutgoingStatement, Statement, StreamedAnswer};
+use crate::net::{duration, nanoseconds};
 use irisrouter::routing::{MemberId, Nanos, Outcome};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -97,7 +97,7 @@
         }
     }
 
-    /// Says whether the request is over: nothing is sent for it from then on.
+    /// Sets whether the request is over: nothing is sent for it from then on.
     pub(super) fn set_request_over(&self, over: bool) {
         self.request_over.set(over);
     }
@@ -181,7 +181,13 @@
                 return Outcome::NotSent.into();
             }
         }
+        // The timeout includes the time that it took to record the write intent.
         let timeout = self.timeout - nanoseconds(asked_at.elapsed());
+        let outgoing = OutgoingStatement {
+            member: self.member,
+            statement: &self.statement,
+            deadline: Instant::now() + duration(timeout),
+        };
         let pass_on = |answer| {
             let stream = StartedStream {
                 attempt: self.number,
@@ -190,15 +196,9 @@
             // A request that is over takes no stream, which ends the stream.
             let _ = self.stream_sender.send(stream);
         };
-        self.context
-            .upstream
-            .attempt(
-                self.member,
-                &self.statement,
-                timeout,
-                || self.may_be_sent(),
-                pass_on,
-            )
+        let upstream = &self.context.upstream;
+        upstream
+            .attempt(outgoing, || self.may_be_sent(), pass_on)
             .await
     }
 
--- a/src/net/request/context.rs
+++ b/src/net/request/context.rs
@@ -1,4 +1,4 @@
-//! What all requests share, and the request as the downstream hands it over.
+//! What all requests share, and the request as the downstream creates it.
 
 use crate::net::cluster::site_failover::SiteFailoverService;
 use crate::net::cluster::write_intents::WriteIntentService;
@@ -60,7 +60,7 @@
     }
 }
 
-/// A request, as the downstream hands it over.
+/// A request, as the downstream creates it from what its client sent.
 pub struct ClientRequest {
     /// Its id.
     pub id: OpenId,
--- a/src/net/request/lifecycle.rs
+++ b/src/net/request/lifecycle.rs
@@ -1,5 +1,5 @@
-//! The life of one request: arrival, attempts, final answer. Whatever protocol a downstream speaks, it words its requests
-//! as a [`ClientRequest`], and all go through the same decisions and rules.
+//! The life of one request: arrival, attempts, final answer. Downstreams of any protocol describe their requests as a
+//! [`ClientRequest`], and all of them go through the same decisions and rules.
 
 use crate::net::cluster::write_intents::{MayHaveRun, WriteIntent};
 use crate::net::metrics::increment;
@@ -96,7 +96,7 @@
 }
 
 impl Lifecycle {
-    /// Hands the request to the router.
+    /// Asks the router about the request.
     fn begin(
         context: Rc<RequestContext>,
         request: ClientRequest,
@@ -209,7 +209,7 @@
         }
         self.attempts.started[attempt].record_outcome(result.outcome);
         if result.outcome == Outcome::Cancelled {
-            // The upstream counts attempts that end by themselves; a cancelled one does not get there.
+            // The upstream counts an attempt when it ends; an attempt that was aborted does not get that far.
             self.context.metrics.attempt(Outcome::Cancelled);
         }
         if let Some(row) = result.row {
--- a/src/net/router_task.rs
+++ b/src/net/router_task.rs
@@ -1,4 +1,4 @@
-//! The task that owns the [`Router`]: it feeds the router with events and hands on its actions.
+//! The task that owns the [`Router`]: it feeds the router with events and carries out its actions.
 //!
 //! Events are posted when they happen; those that are ready together enter the router in one batch.
 
@@ -61,7 +61,7 @@
         snapshot.await.unwrap_or_default()
     }
 
-    /// An id for a request that comes in, and the commands for it.
+    /// An id for a new request, and the commands for it.
     pub fn register(&self) -> (RequestId, UnboundedReceiver<RequestCommand>) {
         let id = RequestId(self.next_request.get());
         self.next_request.set(id.0 + 1);
--- /dev/null
+++ b/src/net/upstream/connection.rs
@@ -0,0 +1,115 @@
+//! One connection to a database host: an idle one, or a new one with its handshake.
+
+use crate::net::metrics::increment;
+use crate::net::pg::{self, code};
+use crate::net::read_now;
+use crate::net::upstream::host::CountGuard;
+use crate::net::upstream::registry::Upstream;
+use crate::net::upstream::reply::{LongRows, Received, ReplyReader};
+use irisrouter::routing::{MemberId, Outcome};
+use std::io;
+use std::net::SocketAddr;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{timeout_at, Instant};
+
+/// The user name that hosts expect in the startup message.
+const USER: &str = "web";
+/// The database that hosts expect in the startup message.
+const DATABASE: &str = "orders";
+
+/// A connection to a database host.
+pub(super) struct Connection {
+    pub(super) stream: TcpStream,
+    /// When it last became idle.
+    pub(super) idle_since: Instant,
+    /// The incarnation of the host that it leads to.
+    pub(super) incarnation: u64,
+    _slot: CountGuard,
+}
+
+impl Connection {
+    /// Whether nothing has arrived on it while it was idle, not even its end.
+    pub(super) fn is_usable(&self) -> bool {
+        let read = read_now(&self.stream, &mut [0]);
+        matches!(read, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+/// Where a new connection leads to.
+struct HostAddress {
+    address: SocketAddr,
+    incarnation: u64,
+}
+
+impl Upstream {
+    /// An idle connection if there is one, else a new one.
+    pub(super) async fn connection(
+        &self,
+        member: MemberId,
+        deadline: Instant,
+    ) -> Result<Connection, Outcome> {
+        while let Some(connection) = self.check_out(member) {
+            if connection.is_usable() {
+                return Ok(connection);
+            }
+        }
+        let start = Instant::now();
+        let slot = self.reserve_slot().ok_or(Outcome::NotSent)?;
+        let host = self.host_address(member).ok_or(Outcome::NotSent)?;
+        let connect_deadline = deadline.min(start + self.connect_timeout());
+        match timeout_at(connect_deadline, self.open(host, slot, start)).await {
+            Ok(Ok(connection)) => {
+                increment(&self.metrics.connections.upstream_opened);
+                Ok(connection)
+            }
+            Ok(Err(outcome)) => Err(outcome),
+            // The request's time was over first: that says nothing of the host.
+            Err(_) if deadline < start + self.connect_timeout() => Err(Outcome::NotSent),
+            Err(_) => Err(Outcome::ConnectFailed),
+        }
+    }
+
+    /// The address of a host, unless it has been drained since the attempt was decided on: then no connection is opened.
+    fn host_address(&self, member: MemberId) -> Option<HostAddress> {
+        let registry = self.registry.borrow();
+        let host = registry.hosts.get(&member);
+        let host = host.filter(|h| h.accepts_requests)?;
+        Some(HostAddress {
+            address: host.entry.host_port,
+            incarnation: host.incarnation,
+        })
+    }
+
+    /// Opens a connection, up to the host's first ReadyForQuery.
+    async fn open(
+        &self,
+        host: HostAddress,
+        slot: CountGuard,
+        start: Instant,
+    ) -> Result<Connection, Outcome> {
+        let failed = |_: io::Error| Outcome::ConnectFailed;
+        let mut stream = TcpStream::connect(host.address).await.map_err(failed)?;
+        stream.set_nodelay(true).map_err(failed)?;
+        let mut buffer = self.buffers.take();
+        pg::put_startup(&mut buffer, USER, DATABASE);
+        stream.write_all(&buffer).await.map_err(failed)?;
+        buffer.clear();
+        let mut connection = Connection {
+            stream,
+            idle_since: start,
+            incarnation: host.incarnation,
+            _slot: slot,
+        };
+        let reader = ReplyReader::new(buffer, self.buffers.take());
+        let received = reader.read(&mut connection, LongRows::AsMessages).await;
+        let Ok(Received::Complete(complete)) = received else {
+            return Err(Outcome::ConnectFailed);
+        };
+        match complete.reply.error.as_deref() {
+            None if complete.reply.ready => Ok(connection),
+            Some(code::TOO_MANY_CONNECTIONS) => Err(Outcome::Full),
+            _ => Err(Outcome::ConnectFailed),
+        }
+    }
+}
--- /dev/null
+++ b/src/net/upstream/host_lookup.rs
@@ -0,0 +1,134 @@
+//! Questions about the hosts: by name, by group, by the id that the fleet knows them by.
+
+use crate::net::discovery::EndpointList;
+use crate::net::upstream::registry::Upstream;
+use irisrouter::routing::{GroupId, MemberId};
+use std::collections::BTreeSet;
+
+impl Upstream {
+    /// Whether the list has named a host of this group, or there is no list yet.
+    pub fn may_have_group(&self, group: GroupId) -> bool {
+        let groups = &self.registry.borrow().groups;
+        groups.is_empty() || groups.contains(&group)
+    }
+
+    /// The list as it stands.
+    pub fn endpoint_list(&self) -> EndpointList {
+        let registry = self.registry.borrow();
+        let listed = registry.hosts.values().filter(|h| h.removed_at.is_none());
+        EndpointList {
+            revision: registry.revision,
+            complete: true,
+            members: listed.map(|h| h.entry.clone()).collect(),
+        }
+    }
+
+    /// The version of the list.
+    pub fn revision(&self) -> u64 {
+        self.registry.borrow().revision
+    }
+
+    /// The member id of a host that the list names.
+    pub fn member_by_name(&self, name: &str) -> Option<MemberId> {
+        self.registry.borrow().members_by_name.get(name).copied()
+    }
+
+    /// The hosts of a group that accept requests.
+    pub fn members_in_service(&self, group: GroupId) -> Vec<MemberId> {
+        let registry = self.registry.borrow();
+        let members = registry.hosts.iter();
+        members
+            .filter(|(_, h)| h.accepts_requests && h.entry.cell == group.0)
+            .map(|(&member, _)| member)
+            .collect()
+    }
+
+    /// The groups that have hosts which accept requests, in ascending order.
+    pub fn groups_in_service(&self) -> Vec<i64> {
+        let registry = self.registry.borrow();
+        let accepting = registry.hosts.values().filter(|h| h.accepts_requests);
+        let groups: BTreeSet<i64> = accepting.map(|h| h.entry.cell).collect();
+        groups.into_iter().collect()
+    }
+
+    /// The id by which the fleet knows a host, and its group.
+    pub fn fleet_host_id(&self, member: MemberId) -> Option<(u32, i64)> {
+        let registry = self.registry.borrow();
+        let host = registry.hosts.get(&member)?;
+        Some((host.fleet_id, host.entry.cell))
+    }
+
+    /// The host which accepts requests and which the fleet knows by this id, and its group; `None` where two have the id.
+    pub fn member_by_fleet_id(&self, fleet_id: u32) -> Option<(MemberId, i64)> {
+        let registry = self.registry.borrow();
+        let mut found = registry
+            .hosts
+            .iter()
+            .filter(|(_, h)| h.fleet_id == fleet_id && h.accepts_requests);
+        let first = found
+            .next()
+            .map(|(&member, host)| (member, host.entry.cell));
+        first.filter(|_| found.next().is_none())
+    }
+
+    /// The name of a host; empty where it has been forgotten.
+    pub fn member_name(&self, member: MemberId) -> String {
+        let registry = self.registry.borrow();
+        let host = registry.hosts.get(&member);
+        host.map(|h| h.entry.id.clone()).unwrap_or_default()
+    }
+
+    /// Requests in flight at the host that the fleet knows by this id.
+    pub fn requests_in_flight(&self, fleet_id: u32) -> usize {
+        let registry = self.registry.borrow();
+        let hosts = registry.hosts.values();
+        hosts
+            .filter(|h| h.fleet_id == fleet_id)
+            .map(|h| h.in_flight.get())
+            .sum()
+    }
+
+    /// The name of the host that the fleet knows by this id; where the list has none, the id.
+    pub fn host_name(&self, fleet_id: u32) -> String {
+        let registry = self.registry.borrow();
+        let host = registry.hosts.values().find(|h| h.fleet_id == fleet_id);
+        host.map_or_else(|| format!("host {fleet_id:06x}"), |h| h.entry.id.clone())
+    }
+
+    /// Whether another host of the same group would still accept requests without this one.
+    pub fn can_spare(&self, fleet_id: u32) -> bool {
+        let registry = self.registry.borrow();
+        let mut hosts = registry.hosts.values();
+        let host = hosts.find(|h| h.fleet_id == fleet_id);
+        let group = host.map(|h| h.entry.cell);
+        registry
+            .hosts
+            .values()
+            .any(|h| Some(h.entry.cell) == group && h.fleet_id != fleet_id && h.accepts_requests)
+    }
+
+    /// The sum of the sizes of the hosts in each zone that the list has in service, unreachable ones included.
+    pub fn capacity_by_zone(&self, zones: &[String]) -> Vec<f64> {
+        let registry = self.registry.borrow();
+        let capacity = |zone: &String| {
+            let hosts = registry.hosts.values();
+            hosts
+                .filter(|h| h.in_service() && h.entry.locality == *zone)
+                .map(|h| h.entry.size)
+                .sum()
+        };
+        zones.iter().map(capacity).collect()
+    }
+
+    /// The fleet ids of hosts that the list has out of service, `limit` of them at most: those that it still names, and
+    /// those that it removed lately.
+    pub fn out_of_service(&self, limit: usize) -> Vec<u32> {
+        let registry = self.registry.borrow();
+        let hosts = registry.hosts.values();
+        hosts
+            .filter(|h| !h.in_service())
+            .map(|h| h.fleet_id)
+            .take(limit)
+            .collect()
+    }
+}
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -1,5 +1,20 @@
-//! Database hosts: which there are, connections to them, attempts and health checks.
+//! Database hosts: which there are, the connections to them, attempts and health checks.
 
+mod attempt;
+mod connection;
+mod drains;
+mod exchange;
+mod health_check;
+mod host;
+mod host_lookup;
+mod load_report;
+mod pool;
+mod reachability;
 mod registry;
+mod reply;
+mod response_stream;
 
-pub use registry::*;
+pub use attempt::{AttemptResult, OutgoingStatement, Statement};
+pub use pool::IDLE_CLOSE_INTERVAL as SWEEP;
+pub use registry::Upstream;
+pub use response_stream::{StreamChunk, StreamedAnswer};
