--- a/src/net/lifecycle/startup.rs
+++ b/src/net/lifecycle/startup.rs
@@ -14,7 +14,7 @@
 use crate::net::lifecycle::shared_parts::{DescriptorBudget, SharedParts};
 use crate::net::lifecycle::StartupError;
 use crate::net::log::log;
-use crate::net::request::Core;
+use crate::net::request::RequestContext;
 use crate::net::router_task::run_router;
 use crate::net::upstream::{Upstream, SWEEP};
 use irisrouter::routing::Router;
@@ -72,7 +72,7 @@
         descriptors.usual_client_connections,
     );
     Rc::new(Frontend {
-        core: Rc::new(build_request_core(parts, services)),
+        core: Rc::new(build_request_context(parts, services)),
         pool: Rc::clone(&parts.buffers),
         classes: Rc::clone(&parts.classes),
         connection_limit,
@@ -81,8 +81,8 @@
     })
 }
 
-fn build_request_core(parts: &SharedParts, services: &ClusterServices) -> Core {
-    Core {
+fn build_request_context(parts: &SharedParts, services: &ClusterServices) -> RequestContext {
+    RequestContext {
         router: Rc::clone(&parts.router),
         upstream: Rc::clone(&parts.upstream),
         clock: parts.clock,
@@ -90,7 +90,7 @@
         answer_by: Cell::new(None),
         write_intents: services.write_intents.clone(),
         site_failover: services.site_failover.clone(),
-        ids: RefCell::default(),
+        open_ids: RefCell::default(),
     }
 }
 
