--- /dev/null
+++ b/src/net/downstream/answer_writer.rs
@@ -0,0 +1,110 @@
+//! Writes to a client: answers, answers that are forwarded while they arrive, and the error that ends a connection.
+
+use crate::net::buffers::Buffer;
+use crate::net::downstream::connection::{ClientConnection, ConnectionEnd};
+use crate::net::metrics::increment;
+use crate::net::pg::{self, code};
+use crate::net::request::pause_ms;
+use crate::net::upstream::{Piece, Streamed};
+use irisrouter::routing::Nanos;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::time::timeout;
+
+/// A client that takes longer than this to accept one write counts as disconnected.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(15);
+/// The retry advice, in nanoseconds, for a client that is rejected because there are too many connections. A crowd that
+/// reconnects at once would take processing time from the clients that are served.
+const RECONNECT_DELAY: Nanos = 250_000_000;
+/// Bytes to reserve behind a row for the ReadyForQuery that follows it, which takes 6.
+pub(super) const READY_FOR_QUERY_ROOM: usize = 16;
+
+impl ClientConnection {
+    /// Writes all of these bytes; nothing, where there are none.
+    pub(super) async fn write(&mut self, bytes: &Buffer) -> Result<(), ConnectionEnd> {
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        timeout(WRITE_TIMEOUT, self.stream.write_all(bytes))
+            .await
+            .map_err(|_| ConnectionEnd::Disconnected)??;
+        Ok(())
+    }
+
+    /// Forwards a long answer while it arrives, and returns its last part, which is not written yet. An answer that
+    /// breaks off ends the connection: a client has no other way to tell that it is incomplete.
+    pub(super) async fn forward_streamed(
+        &mut self,
+        streamed: Streamed,
+    ) -> Result<Buffer, ConnectionEnd> {
+        let Streamed { head, mut rest } = streamed;
+        self.write(&head).await?;
+        drop(head);
+        loop {
+            let received = self.wait_while_connected(rest.recv()).await;
+            match received.map_err(without_error_message)? {
+                Some(Piece::More(piece)) => self.write(&piece).await?,
+                Some(Piece::End(mut end)) => {
+                    return end
+                        .room(READY_FOR_QUERY_ROOM)
+                        .then_some(end)
+                        .ok_or(ConnectionEnd::Disconnected)
+                }
+                None => return Err(ConnectionEnd::Disconnected),
+            }
+        }
+    }
+
+    /// Reports a violation of the protocol and ends the connection.
+    pub(super) async fn end_with_violation(&mut self, message: &str) -> ConnectionEnd {
+        increment(&self.listener.core.metrics.requests.malformed);
+        self.end_with_error(code::PROTOCOL_VIOLATION, message, None)
+            .await
+    }
+
+    /// Reports that there are too many connections and ends this one. Nothing that its client asked for has been
+    /// started.
+    pub(super) async fn end_with_too_many_connections(&mut self) -> ConnectionEnd {
+        let detail = self
+            .reconnect_delay_ms()
+            .map(|milliseconds| milliseconds.to_string());
+        self.end_with_error(
+            code::TOO_MANY_CONNECTIONS,
+            "too many connections",
+            detail.as_deref(),
+        )
+        .await
+    }
+
+    fn reconnect_delay_ms(&self) -> Option<u128> {
+        let limits = &self.listener.classes.settings().limits;
+        pause_ms(if limits.retry_after {
+            RECONNECT_DELAY.min(limits.max_retry_after)
+        } else {
+            0
+        })
+    }
+
+    async fn end_with_error(
+        &mut self,
+        code: &str,
+        message: &str,
+        detail: Option<&str>,
+    ) -> ConnectionEnd {
+        let mut out = self.listener.pool.take();
+        pg::put_error(&mut out, "FATAL", code, message, detail);
+        match self.write(&out).await {
+            Ok(()) => ConnectionEnd::ErrorSent,
+            Err(end) => end,
+        }
+    }
+}
+
+/// In the middle of a row no error message can be sent: too much input then ends the connection without one.
+fn without_error_message(end: ConnectionEnd) -> ConnectionEnd {
+    if matches!(end, ConnectionEnd::TooMuchInput) {
+        ConnectionEnd::Disconnected
+    } else {
+        end
+    }
+}
--- a/src/net/downstream/cancel.rs
+++ b/src/net/downstream/cancel.rs
@@ -1,8 +1,8 @@
-//! Cancel requests: which client's query one means. It owns the keys and nothing else: what a cancelled query is answered is
-//! the front's matter, and what becomes of its attempts the module's.
+//! Cancel requests: the registry of cancel keys and of the queries that they cancel.
 //!
-//! A cancel request comes on a connection of its own and bears the key that another connection was told at its start. It
-//! holds for the query that this one waits for at that moment, and for no later one.
+//! A cancel request arrives on a connection of its own and carries the key that another connection was sent at its
+//! start. It applies to the query that this connection waits for at that moment, and to no later one. What a cancelled
+//! query is answered, and what becomes of its attempts, is not decided here.
 
 use crate::net::pg::CancelKey;
 use std::cell::RefCell;
@@ -10,88 +10,91 @@
 use std::rc::Rc;
 use tokio::sync::oneshot;
 
-/// The keys of all client connections.
+/// The cancel keys of all client connections.
 #[derive(Default)]
 pub struct Cancels {
-    /// By key: how to cancel what its connection waits for, while it waits.
-    open: RefCell<HashMap<CancelKey, Option<oneshot::Sender<()>>>>,
+    /// For each key the way to cancel its connection's query, while the connection waits for one.
+    by_key: RefCell<HashMap<CancelKey, Option<oneshot::Sender<()>>>>,
 }
 
-/// A connection's key, which is forgotten when this is dropped.
-pub struct Registered {
+/// The key of one connection, unregistered when it is dropped.
+pub struct CancelRegistration {
     cancels: Rc<Cancels>,
     key: CancelKey,
 }
 
-/// A query that can be cancelled, until this is dropped.
-pub struct Cancellable<'a> {
-    of: &'a Registered,
+/// A query that can be cancelled until this is dropped.
+pub struct CancellableQuery<'a> {
+    registration: &'a CancelRegistration,
     cancelled: oneshot::Receiver<()>,
 }
 
 impl Cancels {
-    /// A key for a connection. None where the system gives no random numbers: one that can be guessed is worse than none.
-    pub fn register(self: &Rc<Self>) -> Option<Registered> {
+    /// Registers a new key. None where the operating system gives no random numbers: a key that can be guessed is worse
+    /// than none.
+    pub fn register(self: &Rc<Self>) -> Option<CancelRegistration> {
         let mut key = CancelKey::default();
         loop {
             getrandom::fill(&mut key).ok()?;
             // Two connections with one key would cancel each other's queries.
-            if !self.open.borrow().contains_key(&key) {
+            if !self.by_key.borrow().contains_key(&key) {
                 break;
             }
         }
-        self.open.borrow_mut().insert(key, None);
-        Some(Registered {
+        self.by_key.borrow_mut().insert(key, None);
+        Some(CancelRegistration {
             cancels: Rc::clone(self),
             key,
         })
     }
 
-    /// Cancels what the connection of this key waits for, if there is one and it waits.
+    /// Cancels the query that the connection of this key waits for, if there is one.
     pub fn cancel(&self, key: &CancelKey) {
-        if let Some(waits) = self.open.borrow_mut().get_mut(key).and_then(Option::take) {
-            // Its query may have ended in this moment.
-            let _ = waits.send(());
+        if let Some(sender) = self.by_key.borrow_mut().get_mut(key).and_then(Option::take) {
+            // The query may have ended in this moment, and its receiver with it.
+            let _ = sender.send(());
         }
     }
 }
 
-impl Registered {
-    /// What the client is told.
+impl CancelRegistration {
+    /// The key, which the client is sent at its start.
     pub fn key(&self) -> &CancelKey {
         &self.key
     }
 
-    /// The connection waits for a query from now on.
-    pub fn query(&self) -> Cancellable<'_> {
+    /// Lets the connection's query be cancelled until the result is dropped.
+    pub fn query(&self) -> CancellableQuery<'_> {
         let (cancel, cancelled) = oneshot::channel();
         self.cancels
-            .open
+            .by_key
             .borrow_mut()
             .insert(self.key, Some(cancel));
-        Cancellable {
-            of: self,
+        CancellableQuery {
+            registration: self,
             cancelled,
         }
     }
 }
 
-impl Cancellable<'_> {
+impl CancellableQuery<'_> {
     /// Returns once the query is cancelled.
     pub async fn cancelled(&mut self) {
+        // An error would mean that the sender is gone, which stays registered for as long as this lives.
         let _ = (&mut self.cancelled).await;
     }
 }
 
-impl Drop for Cancellable<'_> {
+impl Drop for CancellableQuery<'_> {
     fn drop(&mut self) {
-        self.of.cancels.open.borrow_mut().insert(self.of.key, None);
+        let CancelRegistration { cancels, key } = self.registration;
+        cancels.by_key.borrow_mut().insert(*key, None);
     }
 }
 
-impl Drop for Registered {
+impl Drop for CancelRegistration {
     fn drop(&mut self) {
-        self.cancels.open.borrow_mut().remove(&self.key);
+        self.cancels.by_key.borrow_mut().remove(&self.key);
     }
 }
 
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -1,660 +1,333 @@
-//! Client connections: PostgreSQL's protocol to typed requests, and answers in the order of the commands.
+//! One client connection, from its start to its end: the messages in the order in which they arrive, each answered
+//! before the next is read.
 
-use crate::net::admin::serving_state::ServingState;
-use crate::net::buffers::{Buffer, Pool};
-use crate::net::downstream::cancel::{Cancellable, Cancels, Registered};
-use crate::net::downstream::connection_limit::{ConnectionLimit, Place, Quiet, Resting};
-use crate::net::log::log;
+use crate::net::buffers::Buffer;
+use crate::net::downstream::cancel::CancelRegistration;
+use crate::net::downstream::connection_limit::{ConnectionPermit, QuietKind};
+use crate::net::downstream::listener::ClientListener;
 use crate::net::metrics::increment;
 use crate::net::pg::{self, code, Startup};
-use crate::net::request::classes::Classes;
-use crate::net::request::{pause_ms, Answer, Call, Core};
-use crate::net::upstream::{Piece, Statement, Streamed};
-use crate::net::{duration, read_now};
 use bytes::Buf;
-use irisrouter::routing::*;
 use std::convert::Infallible;
-use std::future::Future;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::oneshot;
-use tokio::task::yield_now;
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::net::TcpStream;
+use tokio::time::{timeout, Instant};
 
-/// A client that takes its answer more slowly than this is gone.
-const WRITE_TIME: Duration = Duration::from_secs(15);
-/// A client that has been silent for so long before its first words, or in the middle of a command, is told so, and
-/// so is one whose command has taken this time and a second for each so many bytes. Danger: clients that say nothing, or
-/// half of something, would hold their places for ever.
-const SAY_TIME: Duration = Duration::from_millis(2_500);
-const WHOLE_TIME: Duration = Duration::from_secs(5);
-const SLOWEST: f64 = 16_384.0;
-/// So long, and so much, is still read from a client that has been told why its connection ends.
-const LINGER: Duration = Duration::from_secs(1);
+/// The name by which the process start-up still knows [`ClientListener`].
+pub use crate::net::downstream::listener::ClientListener as Frontend;
+
+/// How long the gateway still reads from a client after it has closed its own side.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// How many bytes it reads then at most.
 const LINGER_BYTES: usize = 1 << 20;
-/// And one that is turned away is to come again after so long. Danger: a crowd that comes again at once takes the
-/// time of those that are served.
-const COME_AGAIN: Nanos = 250_000_000;
-/// What clients say of commits may be so far ahead of this clock.
-const AHEAD: Nanos = 1_000_000_000;
-/// Where clients are sent away, a connection that is quiet for so long ends. Those that are used end behind an answer
-/// before that, so that few requests cross their connection's end.
-const SEND_AWAY: Duration = Duration::from_millis(250);
-/// More than the largest message is not taken ahead of an answer. Danger: what is left unread hides the client's end, and
-/// the request of one that sends much and goes would go on without it.
-const AHEAD_MOST: usize = pg::LARGEST + 1;
-/// So much is read at once of what comes in the moment in which a connection is to end.
-const LAST_BYTES: usize = 4096;
-/// So long a gateway that ends waits for one more connection in its queue.
-const LAST_ACCEPT: Duration = Duration::from_millis(2);
-/// Pause when the system gives no descriptor.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
-/// The front for PostgreSQL clients.
-pub struct Frontend {
-    /// Where its requests go.
-    pub core: Rc<Core>,
-    /// Buffers.
-    pub pool: Rc<Pool>,
-    /// The classes, and what else the settings say.
-    pub classes: Rc<Classes>,
-    /// Places for connections.
-    pub connection_limit: Rc<ConnectionLimit>,
-    /// Whether clients are welcome.
-    pub serving_state: Rc<ServingState>,
-    /// Who may cancel what.
-    pub cancels: Rc<Cancels>,
+/// The types of client messages, as the protocol codes them.
+mod message_type {
+    pub const BIND: u8 = b'B';
+    pub const CLOSE: u8 = b'C';
+    pub const DESCRIBE: u8 = b'D';
+    pub const EXECUTE: u8 = b'E';
+    pub const FLUSH: u8 = b'H';
+    pub const FUNCTION_CALL: u8 = b'F';
+    pub const PARSE: u8 = b'P';
+    pub const QUERY: u8 = b'Q';
+    pub const SYNC: u8 = b'S';
+    pub const TERMINATE: u8 = b'X';
 }
 
-/// Why a conversation ended.
-enum End {
-    /// The client, or the network.
-    Gone,
-    /// We close it, with nothing owed.
+/// Why a connection ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ConnectionEnd {
+    /// The client has disconnected, or the network has failed: nothing more can be sent.
+    Disconnected,
+    /// The gateway closes it while no answer is due.
     Closed,
-    /// We close it, and have said why.
-    Told,
-    /// What it sends does not fit into the memory that there is.
-    NoRoom,
-    /// It sends too much ahead of its answer.
-    Flood,
+    /// The gateway closes it and has sent an error that says why.
+    ErrorSent,
+    /// What the client sends does not fit into the memory for messages.
+    OutOfMemory,
+    /// The client sends too much ahead of its answer.
+    TooMuchInput,
 }
 
-impl From<io::Error> for End {
+impl From<io::Error> for ConnectionEnd {
     fn from(_: io::Error) -> Self {
-        End::Gone
+        ConnectionEnd::Disconnected
     }
 }
 
-/// What a wait for more ends with.
-enum Come {
-    More,
-    Closing,
-    /// Its place is needed.
-    Asked,
-    Late,
+/// A message of the client.
+struct Message {
+    message_type: u8,
+    body: Buffer,
 }
 
-/// A client's connection and what it has sent that is not dealt with yet.
-struct Client {
-    stream: TcpStream,
-    place: Place,
-    input: Option<Buffer>,
-    /// When it connected, or when the command began that is not whole yet.
-    began: Instant,
-    /// When it last said something of that.
-    heard: Instant,
-    /// After an error in the extended protocol, all is passed over up to the next Sync.
-    skipping: bool,
-    /// Its cancel key, from its start on.
-    registered: Option<Registered>,
+/// What follows an untyped message at the start of a connection.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum StartupProgress {
+    /// The client sends another one.
+    AwaitingNext,
+    /// The client may send queries.
+    Complete,
 }
 
-/// What a wait for an answer ends with, where the client is still there.
-enum Waited<T> {
-    /// What was waited for.
-    Come(T),
-    /// The client has cancelled it.
-    Cancelled,
+/// A client's connection and its unprocessed input. When it is dropped, the socket is closed before the permit is
+/// released: the fields are dropped in this order.
+pub(super) struct ClientConnection {
+    pub(super) stream: TcpStream,
+    pub(super) permit: ConnectionPermit,
+    /// What has been read and not been processed yet. None while there is nothing, so that an idle connection holds no
+    /// buffer.
+    pub(super) input: Option<Buffer>,
+    /// When the client connected, or when the message began that is incomplete.
+    pub(super) message_started: Instant,
+    /// When bytes of that message last arrived.
+    pub(super) last_input: Instant,
+    /// After an error in the extended query protocol all messages are ignored up to the next Sync.
+    skipping_until_sync: bool,
+    /// The client's cancel key, once its start is complete.
+    pub(super) cancel_registration: Option<CancelRegistration>,
+    pub(super) listener: Rc<ClientListener>,
 }
 
-impl Frontend {
-    /// Accepts clients for ever.
-    pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
-        self.serving_state.ready();
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    self.welcome(stream);
-                    // Those that give their places up do so first. Danger: a burst would use up all descriptors.
-                    if self.connection_limit.is_full() {
-                        yield_now().await;
-                    }
-                }
-                Err(e) => {
-                    log!("cannot accept: {e}");
-                    sleep(ACCEPT_PAUSE).await;
-                }
-            }
-        }
-    }
-
-    /// Takes what still waits to be accepted: a request may ride on it already.
-    pub async fn accept_rest(self: &Rc<Self>, listener: &TcpListener) {
-        // Danger: without a wait the runtime has not heard of those that came last, and they would be reset.
-        while let Ok(Ok((stream, _))) = timeout(LAST_ACCEPT, listener.accept()).await {
-            self.welcome(stream);
-            yield_now().await;
-        }
-    }
-
-    fn welcome(self: &Rc<Self>, stream: TcpStream) {
-        increment(&self.core.metrics.connections.downstream_accepted);
-        let Some(place) = self.connection_limit.acquire() else {
-            return;
-        };
-        tokio::task::spawn_local(Rc::clone(self).attend(stream, place));
-    }
-
-    /// A connection's life, in its place.
-    async fn attend(self: Rc<Self>, stream: TcpStream, place: Place) {
-        let now = Instant::now();
-        let mut client = Client {
-            stream,
-            place,
-            input: None,
-            began: now,
-            heard: now,
-            skipping: false,
-            registered: None,
-        };
-        if client.place.crowded {
-            increment(&self.core.metrics.connections.downstream_rejected);
-        }
-        let Err(mut end) = self.converse(&mut client).await;
-        match end {
-            End::NoRoom => {
-                end = self
-                    .fatal(&mut client, "no room for so large a message")
-                    .await
-            }
-            End::Flood => {
-                end = self
-                    .fatal(&mut client, "too much is sent ahead of an answer")
-                    .await
-            }
-            End::Gone | End::Closed | End::Told => {}
-        }
-        match end {
-            End::Gone | End::NoRoom | End::Flood => {}
-            End::Closed | End::Told => self.linger(&mut client).await,
-        }
-    }
-
-    /// Ends our side, and reads on for a while. Nothing of that is taken: whoever sent it hears that the connection ended
-    /// unread. Danger: closing a connection with bytes unread resets it, and takes the last answer along.
-    async fn linger(&self, client: &mut Client) {
-        let Client { stream, place, .. } = client;
-        let mut resting = place.rest(Quiet::Leaving);
-        let reading = async {
-            stream.shutdown().await?;
-            let mut buffer = self.pool.take();
-            let mut left = LINGER_BYTES;
-            loop {
-                buffer.clear();
-                match stream.read_buf(&mut *buffer).await? {
-                    0 => return Ok::<_, io::Error>(()),
-                    n => left = left.checked_sub(n).ok_or(io::ErrorKind::FileTooLarge)?,
-                }
-            }
-        };
-        tokio::select! {
-            _ = timeout(LINGER, reading) => {}
-            () = resting.asked() => {}
-        }
+/// Serves a client from its first byte to the end of its connection.
+pub(super) async fn serve_connection(
+    listener: Rc<ClientListener>,
+    stream: TcpStream,
+    permit: ConnectionPermit,
+) {
+    let now = Instant::now();
+    let mut connection = ClientConnection {
+        stream,
+        permit,
+        input: None,
+        message_started: now,
+        last_input: now,
+        skipping_until_sync: false,
+        cancel_registration: None,
+        listener,
+    };
+    if connection.permit.over_limit {
+        increment(
+            &connection
+                .listener
+                .core
+                .metrics
+                .connections
+                .downstream_rejected,
+        );
     }
+    let Err(end) = connection.serve_messages().await;
+    connection.close(end).await;
+}
 
-    async fn converse(&self, client: &mut Client) -> Result<Infallible, End> {
-        client.stream.set_nodelay(true)?;
-        self.start(client).await?;
+impl ClientConnection {
+    /// Serves the client until its connection is to end, and returns why.
+    async fn serve_messages(&mut self) -> Result<Infallible, ConnectionEnd> {
+        self.stream.set_nodelay(true)?;
+        self.start_up().await?;
         loop {
-            let (tag, body) = self.message(client).await?;
-            let mut out = self.pool.take();
-            match tag {
-                b'Q' => self.query(client, &body, &mut out).await?,
-                b'X' => return Err(End::Closed),
-                b'S' if client.skipping => {
-                    client.skipping = false;
-                    pg::put_ready(&mut out);
-                }
-                b'S' => pg::put_ready(&mut out),
-                b'P' | b'B' | b'D' | b'E' | b'C' | b'H' if client.skipping => {}
-                b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'F' => {
-                    increment(&self.core.metrics.requests.malformed);
-                    let text = "only simple queries are spoken here";
-                    pg::put_error(&mut out, "ERROR", code::FEATURE_NOT_SUPPORTED, text, None);
-                    if tag == b'F' {
-                        pg::put_ready(&mut out);
-                    } else {
-                        client.skipping = true;
-                    }
-                }
-                // No copy is ever begun here, so that its messages belong to nothing either.
-                _ => return Err(self.fatal(client, "an unknown message").await),
-            }
-            write(client, &out).await?;
-            // Right behind an answer the client knows at once, but for a request that is here already.
-            let empty = client.input.as_ref().is_none_or(|b| b.is_empty());
-            if self.serving_state.get().sends_away() && empty && !self.read_last(client)? {
-                return Err(End::Closed);
+            let message = self.next_message().await?;
+            let mut out = self.listener.pool.take();
+            self.handle_message(&message, &mut out).await?;
+            self.write(&out).await?;
+            if self.ends_behind_answer()? {
+                return Err(ConnectionEnd::Closed);
             }
         }
     }
 
-    /// The start of a connection, up to the first ReadyForQuery.
-    async fn start(&self, client: &mut Client) -> Result<(), End> {
-        loop {
-            let parsed = client.input.as_ref().map_or(Ok(None), |b| pg::startup(b));
-            match parsed {
-                Err(why) => return Err(self.fatal(client, why.0).await),
-                Ok(None) => self.read_on(client, Quiet::Starting).await?,
-                Ok(Some((kind, length))) => {
-                    client.input.iter_mut().for_each(|b| b.advance(length));
-                    let mut out = self.pool.take();
-                    match kind {
-                        Startup::Encryption => client.stream.write_all(b"N").await?,
-                        // Whether or not the key is anybody's, nothing is said.
-                        Startup::Cancel(key) => {
-                            self.cancels.cancel(&key);
-                            return Err(End::Closed);
-                        }
-                        Startup::Begin if client.place.crowded => {
-                            return Err(self.crowded(client).await)
-                        }
-                        Startup::Begin => {
-                            client.registered = self.cancels.register();
-                            pg::put_welcome(
-                                &mut out,
-                                client.registered.as_ref().map(Registered::key),
-                            );
-                            return write(client, &out).await;
-                        }
-                    }
-                }
-            }
-        }
+    /// Where clients are sent away, a connection ends right behind an answer, since the client learns of it with the
+    /// answer; but not if its next request has arrived already.
+    fn ends_behind_answer(&mut self) -> Result<bool, ConnectionEnd> {
+        let no_input = self.input.as_ref().is_none_or(|input| input.is_empty());
+        Ok(self.listener.serving_state.get().sends_away()
+            && no_input
+            && !self.read_before_close()?)
     }
 
-    /// The next whole message.
-    async fn message(&self, client: &mut Client) -> Result<(u8, Buffer), End> {
-        client.began = Instant::now();
+    /// Reads the client's startup messages and answers them, up to the first ReadyForQuery.
+    async fn start_up(&mut self) -> Result<(), ConnectionEnd> {
         loop {
-            let parsed = client.input.as_ref().map_or(Ok(None), |b| pg::frame(b));
+            let parsed = self
+                .input
+                .as_ref()
+                .map_or(Ok(None), |input| pg::startup(input));
             match parsed {
-                Err(why) => return Err(self.fatal(client, why.0).await),
-                Ok(Some(f)) => {
-                    let mut body = self.pool.take();
-                    let fits = client
-                        .input
-                        .as_ref()
-                        .is_some_and(|b| body.append(&b[f.body.clone()]));
-                    client.input.iter_mut().for_each(|b| b.advance(f.body.end));
-                    if !fits {
-                        return Err(End::NoRoom);
+                Err(malformed) => return Err(self.end_with_violation(malformed.0).await),
+                Ok(None) => self.read_more(QuietKind::Starting).await?,
+                Ok(Some((request, length))) => {
+                    self.consume_input(length);
+                    if self.handle_startup(request).await? == StartupProgress::Complete {
+                        return Ok(());
                     }
-                    return Ok((f.tag, body));
                 }
-                Ok(None) => self.read_on(client, Quiet::Idle).await?,
             }
         }
     }
 
-    /// Waits for more of the client's messages. Between two of them, the connection may end.
-    async fn read_on(&self, client: &mut Client, kind: Quiet) -> Result<(), End> {
-        let empty = client.input.as_ref().is_none_or(|b| b.is_empty());
-        if empty {
-            // Nothing is owed: the buffer goes back while the client is silent.
-            client.input = None;
-        }
-        let idle = empty && kind == Quiet::Idle;
-        let come = client.input.as_ref().map_or(0, |b| b.len());
-        let whole_by = client.began + WHOLE_TIME + Duration::from_secs_f64(come as f64 / SLOWEST);
-        let end = whole_by.min(client.heard + SAY_TIME);
-        let mut mode = self.serving_state.watch();
-        let quiet_until = client.began + SEND_AWAY;
-        let away = async {
-            loop {
-                if mode.wait_for(|m| m.sends_away()).await.is_err() {
-                    return;
-                }
-                tokio::select! {
-                    _ = mode.wait_for(|m| !m.sends_away()) => {}
-                    () = sleep_until(quiet_until) => return,
-                }
+    async fn handle_startup(&mut self, request: Startup) -> Result<StartupProgress, ConnectionEnd> {
+        let mut out = self.listener.pool.take();
+        match request {
+            // No encryption is offered.
+            Startup::Encryption => {
+                self.stream.write_all(b"N").await?;
+                Ok(StartupProgress::AwaitingNext)
             }
-        };
-        // Half a command holds its place as long as it may take; what has not begun does not.
-        let kind = if client.place.crowded {
-            Quiet::Leaving
-        } else {
-            kind
-        };
-        let mut resting = (empty || kind != Quiet::Idle).then(|| client.place.rest(kind));
-        let come = tokio::select! {
-            biased;
-            readable = client.stream.readable() => {
-                readable?;
-                Come::More
-            }
-            () = away, if empty => Come::Closing,
-            () = asked(&mut resting) => Come::Asked,
-            () = sleep_until(end), if !idle => Come::Late,
-        };
-        drop(resting);
-        match come {
-            Come::More => {}
-            // Danger: what has come in this very moment would be closed over.
-            Come::Closing | Come::Asked if idle && self.read_last(client)? => {
-                client.heard = Instant::now();
-                client.began = client.heard;
-                return Ok(());
+            // There is no answer, whether or not the key is that of a connection.
+            Startup::Cancel(key) => {
+                self.listener.cancels.cancel(&key);
+                Err(ConnectionEnd::Closed)
             }
-            Come::Closing => return Err(End::Closed),
-            Come::Asked => {
-                increment(&self.core.metrics.connections.downstream_evicted);
-                return Err(if idle {
-                    End::Closed
-                } else {
-                    self.crowded(client).await
-                });
+            Startup::Begin if self.permit.over_limit => {
+                Err(self.end_with_too_many_connections().await)
             }
-            Come::Late => {
-                return Err(self
-                    .fatal(client, "a message that does not become whole")
-                    .await)
+            Startup::Begin => {
+                self.cancel_registration = self.listener.cancels.register();
+                let key = self
+                    .cancel_registration
+                    .as_ref()
+                    .map(CancelRegistration::key);
+                pg::put_welcome(&mut out, key);
+                self.write(&out).await?;
+                Ok(StartupProgress::Complete)
             }
         }
-        client.heard = Instant::now();
-        if idle {
-            client.began = client.heard;
-        }
-        self.read(client)
     }
 
-    /// Reads what there is, if anything. Danger: readiness may be told in vain, and a read that waits then knows
-    /// no time limit.
-    fn read(&self, client: &mut Client) -> Result<(), End> {
-        let input = client.input.get_or_insert_with(|| self.pool.take());
-        if !input.room(input.len().clamp(1024, pg::LARGEST)) {
-            return Err(End::NoRoom);
+    /// Returns the next whole message.
+    async fn next_message(&mut self) -> Result<Message, ConnectionEnd> {
+        self.message_started = Instant::now();
+        loop {
+            let parsed = self
+                .input
+                .as_ref()
+                .map_or(Ok(None), |input| pg::frame(input));
+            match parsed {
+                Err(malformed) => return Err(self.end_with_violation(malformed.0).await),
+                Ok(Some(frame)) => return self.take_message(&frame),
+                Ok(None) => self.read_more(QuietKind::Idle).await?,
+            }
         }
-        match client.stream.try_read_buf(&mut **input) {
-            Ok(0) => Err(End::Gone),
-            Ok(_) => Ok(()),
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
-            Err(e) => Err(e.into()),
+    }
+
+    /// Moves a whole message from the input into a buffer of its own.
+    fn take_message(&mut self, frame: &pg::Frame) -> Result<Message, ConnectionEnd> {
+        let mut body = self.listener.pool.take();
+        let fits = self
+            .input
+            .as_ref()
+            .is_some_and(|input| body.append(&input[frame.body.clone()]));
+        self.consume_input(frame.body.end);
+        if !fits {
+            return Err(ConnectionEnd::OutOfMemory);
         }
+        Ok(Message {
+            message_type: frame.tag,
+            body,
+        })
     }
 
-    /// Reads what the system holds, of a client whose connection is about to end; whether there was anything.
-    fn read_last(&self, client: &mut Client) -> Result<bool, End> {
-        let mut bytes = [0; LAST_BYTES];
-        match read_now(&client.stream, &mut bytes) {
-            Ok(0) => Err(End::Gone),
-            Ok(n) => {
-                let input = client.input.get_or_insert_with(|| self.pool.take());
-                if !input.append(&bytes[..n]) {
-                    return Err(End::NoRoom);
-                }
-                Ok(true)
-            }
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(false),
-            Err(e) => Err(e.into()),
+    fn consume_input(&mut self, length: usize) {
+        if let Some(input) = &mut self.input {
+            input.advance(length);
         }
     }
 
-    /// Answers one query, in full and in one write with its ReadyForQuery.
-    async fn query(&self, client: &mut Client, body: &Buffer, out: &mut Buffer) -> Result<(), End> {
-        let text = match pg::query(body) {
-            Ok(text) => text,
-            Err(why) => return Err(self.fatal(client, why.0).await),
+    /// Handles one message and puts its answer into `out`. Only simple queries are supported: a message of the extended
+    /// query protocol is answered with an error.
+    async fn handle_message(
+        &mut self,
+        message: &Message,
+        out: &mut Buffer,
+    ) -> Result<(), ConnectionEnd> {
+        use message_type::{
+            BIND, CLOSE, DESCRIBE, EXECUTE, FLUSH, FUNCTION_CALL, PARSE, QUERY, SYNC, TERMINATE,
         };
-        if pg::is_empty(text) {
-            if self.serving_state.get().sends_away() {
-                let text = "clients are sent away";
-                pg::put_error(out, "ERROR", code::CANNOT_CONNECT_NOW, text, None);
-            } else {
-                pg::put(out, b'I', |_| {});
+        match message.message_type {
+            QUERY => self.execute_query(&message.body, out).await?,
+            TERMINATE => return Err(ConnectionEnd::Closed),
+            SYNC => {
+                self.skipping_until_sync = false;
+                pg::put_ready(out);
             }
-            pg::put_ready(out);
-            return Ok(());
-        }
-        match self.call(text) {
-            Err(why) => {
-                increment(&self.core.metrics.requests.malformed);
-                pg::put_error(out, "ERROR", code::SYNTAX_ERROR, why, None);
+            PARSE | BIND | DESCRIBE | EXECUTE | CLOSE | FLUSH if self.skipping_until_sync => {}
+            PARSE | BIND | DESCRIBE | EXECUTE | CLOSE | FLUSH => {
+                self.put_unsupported(out);
+                self.skipping_until_sync = true;
             }
-            Ok(call) => match self.answer(client, call).await? {
-                Waited::Cancelled => {
-                    let text = "canceling statement due to user request";
-                    pg::put_error(out, "ERROR", code::QUERY_CANCELED, text, None);
-                }
-                Waited::Come(Answer::Served(row)) => {
-                    *out = row;
-                    if !out.room(16) {
-                        return Err(End::Gone);
-                    }
-                }
-                Waited::Come(Answer::Streamed(streamed)) => {
-                    *out = self.pass_on(client, streamed).await?
-                }
-                Waited::Come(Answer::Refused { pause }) => {
-                    let detail = pause_ms(pause).map(|ms| ms.to_string());
-                    let text = "turned away, trying again is harmless";
-                    pg::put_error(
-                        out,
-                        "ERROR",
-                        code::TOO_MANY_CONNECTIONS,
-                        text,
-                        detail.as_deref(),
-                    );
-                }
-                Waited::Come(Answer::Failed) => {
-                    let text = "no answer could be had, and it may have run";
-                    pg::put_error(out, "ERROR", code::INTERNAL_ERROR, text, None);
-                }
-            },
+            FUNCTION_CALL => {
+                self.put_unsupported(out);
+                pg::put_ready(out);
+            }
+            // The gateway never starts a copy, so that the messages of one are unexpected too.
+            _ => return Err(self.end_with_violation("an unknown message").await),
         }
-        pg::put_ready(out);
         Ok(())
     }
 
-    /// A statement as a request.
-    fn call(&self, text: &[u8]) -> Result<Call, &'static str> {
-        let s = pg::statement(text).map_err(|e| e.0)?;
-        let class = self.classes.find(s.class).ok_or("an unknown class")?;
-        let group = GroupId(s.group);
-        if !self.core.upstream.may_have_group(group) {
-            return Err("an unknown cluster");
-        }
-        let c = &class.class;
-        if matches!(c.idempotency, Idempotency::Keyed { .. }) && s.idempotency.is_none() {
-            return Err("no k in the comment of a keyed class");
-        }
-        let sessions = matches!(c.freshness, Freshness::Session | Freshness::Write);
-        let session = s.key.filter(|_| sessions).map(SessionId::of);
-        let after = s
-            .after_ms
-            .filter(|_| c.freshness == Freshness::Session)
-            .map(|ms| (ms * 1e6) as Nanos);
-        // Danger: a position that is not there yet would be waited for, or overflow; a client that says that it
-        // waits for ever would hold its request as long.
-        if after.is_some_and(|p| p > self.core.clock.now().saturating_add(AHEAD)) {
-            return Err("after is a position that is not there yet");
-        }
-        let wait = Duration::from_secs_f64(s.wait_ms / 1e3).min(duration(c.deadline));
-        let mut copy = self.pool.take();
-        if !copy.append(text) {
-            return Err("no room for so large a statement");
-        }
-        let statement = Statement {
-            text: copy,
-            wait_at: s.wait_at,
-        };
-        let keyed = matches!(class.class.idempotency, Idempotency::Keyed { .. });
-        let key = s
-            .idempotency
-            .filter(|_| keyed)
-            .map(|k| irisrouter_write_intents::number(group.0, k.as_bytes()));
-        let id = self
-            .core
-            .take_id(s.id)
-            .ok_or("the id of a request that is open")?;
-        Ok(Call {
-            id,
-            class,
-            group,
-            session,
-            wait,
-            after,
-            retry: s.retry,
-            key,
-            statement,
-        })
+    fn put_unsupported(&self, out: &mut Buffer) {
+        increment(&self.listener.core.metrics.requests.malformed);
+        let message = "only simple queries are spoken here";
+        pg::put_error(out, "ERROR", code::FEATURE_NOT_SUPPORTED, message, None);
     }
 
-    /// Passes a long answer on while it comes, and returns its end. One that breaks off ends the connection: the client
-    /// has no other way to tell that it is not whole.
-    async fn pass_on(&self, client: &mut Client, streamed: Streamed) -> Result<Buffer, End> {
-        let Streamed { head, mut rest } = streamed;
-        write(client, &head).await?;
-        drop(head);
-        loop {
-            // In the middle of a row nothing else can be said.
-            let meanwhile = self.meanwhile(client, rest.recv()).await;
-            match meanwhile.map_err(|end| {
-                if matches!(end, End::Flood) {
-                    End::Gone
-                } else {
-                    end
-                }
-            })? {
-                Some(Piece::More(piece)) => write(client, &piece).await?,
-                Some(Piece::End(mut end)) => return end.room(16).then_some(end).ok_or(End::Gone),
-                None => return Err(End::Gone),
+    /// Sends the error that is due, if any, and ends the connection.
+    async fn close(&mut self, reason: ConnectionEnd) {
+        let end = match reason {
+            ConnectionEnd::OutOfMemory => {
+                self.end_with_violation("no room for so large a message")
+                    .await
             }
-        }
-    }
-
-    /// Waits for a request's answer. One that is cancelled is dropped, as is that of a client that leaves: no attempt of it
-    /// begins any more.
-    async fn answer(&self, client: &mut Client, call: Call) -> Result<Waited<Answer>, End> {
-        let (sender, answer) = oneshot::channel();
-        tokio::task::spawn_local(Rc::clone(&self.core).serve(call, sender));
-        let registered = client.registered.take();
-        let mut query = registered.as_ref().map(Registered::query);
-        let waiting = async {
-            tokio::select! {
-                biased;
-                // Without a word from its task the request still gets its answer.
-                answer = answer => Waited::Come(answer.unwrap_or(Answer::Failed)),
-                () = cancelled(&mut query) => Waited::Cancelled,
+            ConnectionEnd::TooMuchInput => {
+                self.end_with_violation("too much is sent ahead of an answer")
+                    .await
+            }
+            ConnectionEnd::Disconnected | ConnectionEnd::Closed | ConnectionEnd::ErrorSent => {
+                reason
             }
         };
-        let waited = self.meanwhile(client, waiting).await;
-        drop(query);
-        client.registered = registered;
-        waited
+        match end {
+            ConnectionEnd::Disconnected
+            | ConnectionEnd::OutOfMemory
+            | ConnectionEnd::TooMuchInput => {}
+            ConnectionEnd::Closed | ConnectionEnd::ErrorSent => self.linger().await,
+        }
     }
 
-    /// Waits for something, and meanwhile for the client to leave. What it sends ahead is kept, so
-    /// much at most.
-    async fn meanwhile<T>(
-        &self,
-        client: &mut Client,
-        wait: impl Future<Output = T>,
-    ) -> Result<T, End> {
-        let mut wait = std::pin::pin!(wait);
-        loop {
-            tokio::select! {
-                biased;
-                come = &mut wait => return Ok(come),
-                readable = client.stream.readable() => {
-                    readable?;
-                    self.read(client)?;
-                    if client.input.as_ref().is_some_and(|b| b.len() > AHEAD_MOST) {
-                        return Err(End::Flood);
+    /// Closes the gateway's side and reads on for a while, discarding what arrives: its sender learns that the
+    /// connection ended before the request was read. Closing a socket with unread bytes would reset the connection, and
+    /// the client could lose the last answer.
+    async fn linger(&mut self) {
+        let ClientConnection {
+            stream,
+            permit,
+            listener,
+            ..
+        } = self;
+        let mut wait = permit.wait_quietly(QuietKind::Leaving);
+        let discarding = async {
+            stream.shutdown().await?;
+            let mut buffer = listener.pool.take();
+            let mut remaining = LINGER_BYTES;
+            loop {
+                buffer.clear();
+                match stream.read_buf(&mut *buffer).await? {
+                    0 => return Ok::<_, io::Error>(()),
+                    n => {
+                        remaining = remaining
+                            .checked_sub(n)
+                            .ok_or(io::ErrorKind::FileTooLarge)?;
                     }
                 }
             }
-        }
-    }
-
-    /// Tells of a breach of the protocol, and ends the connection.
-    async fn fatal(&self, client: &mut Client, why: &str) -> End {
-        increment(&self.core.metrics.requests.malformed);
-        self.last_word(client, code::PROTOCOL_VIOLATION, why, None)
-            .await
-    }
-
-    /// Tells that there is no place: nothing that the client wanted has been begun.
-    async fn crowded(&self, client: &mut Client) -> End {
-        let pause = {
-            let limits = &self.classes.settings().limits;
-            pause_ms(if limits.retry_after {
-                COME_AGAIN.min(limits.max_retry_after)
-            } else {
-                0
-            })
         };
-        let detail = pause.map(|ms| ms.to_string());
-        self.last_word(
-            client,
-            code::TOO_MANY_CONNECTIONS,
-            "too many connections",
-            detail.as_deref(),
-        )
-        .await
-    }
-
-    async fn last_word(
-        &self,
-        client: &mut Client,
-        code: &str,
-        why: &str,
-        detail: Option<&str>,
-    ) -> End {
-        let mut out = self.pool.take();
-        pg::put_error(&mut out, "FATAL", code, why, detail);
-        write(client, &out).await.err().unwrap_or(End::Told)
-    }
-}
-
-/// The connection is to give its place up; never, while it does not rest.
-async fn asked(resting: &mut Option<Resting<'_>>) {
-    match resting {
-        Some(resting) => resting.asked().await,
-        None => std::future::pending().await,
-    }
-}
-
-/// The query is cancelled; never, where the client has no key.
-async fn cancelled(query: &mut Option<Cancellable<'_>>) {
-    match query {
-        Some(query) => query.cancelled().await,
-        None => std::future::pending().await,
-    }
-}
-
-async fn write(client: &mut Client, out: &Buffer) -> Result<(), End> {
-    if out.is_empty() {
-        return Ok(());
+        tokio::select! {
+            _ = timeout(LINGER_TIMEOUT, discarding) => {}
+            () = wait.evicted() => {}
+        }
     }
-    timeout(WRITE_TIME, client.stream.write_all(out))
-        .await
-        .map_err(|_| End::Gone)??;
-    Ok(())
 }
--- a/src/net/downstream/connection_limit.rs
+++ b/src/net/downstream/connection_limit.rs
@@ -1,4 +1,4 @@
-//! Places for client connections: how many there are, and which connection gives its place up when they run short.
+//! The limit on open client connections, and the choice of the quiet connections that are closed when it is reached.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -7,181 +7,212 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-/// Connections beyond the limit: those that are being turned away, and those that give their place up.
-const BEYOND: usize = 24;
-/// A connection that has said nothing yet may be quiet for so long before it has to give its place up.
-const STARTING: Duration = Duration::from_millis(500);
-/// And one between two requests so long: the platform's word.
-const IDLE: Duration = Duration::from_secs(2);
-
-/// And where there are more than a usual number of connections, so long. Danger: the platform lets clients hold a third
-/// of a gateway's descriptors; crowds that ask once and stay would leave those that ask again and again none.
-const CROWDED: Duration = Duration::from_millis(150);
-/// How often that is looked at.
-pub const TIDY: Duration = Duration::from_millis(50);
-
-/// Why a connection waits with nothing owed to its client.
+/// Connections allowed beyond the limit: those that are being rejected, and those that are evicted and still linger.
+const MAX_OVER_LIMIT: usize = 24;
+/// How long a connection may take to its first message before it may be evicted: clients that connect and send nothing
+/// would otherwise hold all connections for ever.
+const STARTING_GRACE: Duration = Duration::from_millis(500);
+/// How long a connection may be idle between two requests before it may be evicted, as the platform specifies.
+const IDLE_GRACE: Duration = Duration::from_secs(2);
+/// How long it may be idle while more connections are open than usual. The platform lets clients hold a third of a
+/// gateway's descriptors: a crowd that sends one request each and stays would leave none for clients that send request
+/// after request.
+const CROWDED_IDLE_GRACE: Duration = Duration::from_millis(150);
+/// How often [`ConnectionLimit::close_longest_quiet`] is called: short against [`CROWDED_IDLE_GRACE`].
+pub const QUIET_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// The name by which the process start-up still knows [`QUIET_CHECK_INTERVAL`].
+pub use self::QUIET_CHECK_INTERVAL as TIDY;
+
+/// Why a connection waits while its client waits for nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Quiet {
-    /// It has been told why it ends, and is read so that this arrives: it has given its place up.
+pub enum QuietKind {
+    /// Its client has been sent the reason why it ends, and the connection stays open only until that has arrived: it no
+    /// longer counts towards the limit.
     Leaving,
-    /// It has not said yet what it wants.
+    /// The client has not completed its startup yet.
     Starting,
-    /// It is between two requests.
+    /// The connection is between two requests.
     Idle,
 }
 
-/// A connection that is quiet: since when, its place, and how to ask it to go.
-struct Waiting {
+/// Orders the waits by kind, and within a kind by the time at which they began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct WaitKey {
+    kind: QuietKind,
+    sequence: u64,
+}
+
+/// A connection that may be evicted.
+struct WaitEntry {
     since: Instant,
     counted: Rc<Cell<bool>>,
-    _ask: oneshot::Sender<()>,
+    /// Dropped to evict the connection.
+    _evict: oneshot::Sender<()>,
 }
 
-/// The places of all client connections.
+/// The limit on all client connections of a gateway.
 pub struct ConnectionLimit {
-    most: usize,
-    /// More than so many are a crowd.
+    /// Connections that the gateway's processes may count together.
+    limit: usize,
+    /// Above this number of connections, idle ones are evicted sooner.
     usual: usize,
-    /// Taken by another process of this gateway.
+    /// Connections of another process of this gateway, during a hot restart.
     pub elsewhere: Cell<usize>,
-    /// Places that are taken, and connections.
-    taken: Cell<usize>,
+    /// Connections that count towards the limit.
+    counted: Cell<usize>,
+    /// All connections, with those that are being rejected or have been evicted.
     open: Cell<usize>,
-    /// By kind, and in the order in which they became quiet.
-    quiet: RefCell<BTreeMap<(Quiet, u64), Waiting>>,
-    next: Cell<u64>,
+    waits: RefCell<BTreeMap<WaitKey, WaitEntry>>,
+    next_sequence: Cell<u64>,
 }
 
-/// A connection's place, given back when it is dropped.
-pub struct Place {
+/// The permit of one connection, released when it is dropped.
+pub struct ConnectionPermit {
     connection_limit: Rc<ConnectionLimit>,
-    /// It counts among those that are taken: not beyond the limit, and not given up yet.
+    /// Whether the connection counts towards the limit: it was accepted within it, and has not been evicted since.
     counted: Rc<Cell<bool>>,
-    /// There was none left: its connection is to be turned away.
-    pub crowded: bool,
+    /// The limit was reached: the connection is to be rejected.
+    pub over_limit: bool,
 }
 
-/// A connection's time of quiet, which ends when this is dropped.
-pub struct Resting<'a> {
+/// The time in which a connection may be evicted, which ends when this is dropped.
+pub struct EvictableWait<'a> {
     connection_limit: &'a ConnectionLimit,
-    key: (Quiet, u64),
-    asked: oneshot::Receiver<()>,
+    key: WaitKey,
+    evicted: oneshot::Receiver<()>,
 }
 
 impl ConnectionLimit {
-    /// So many places, of which so many are in use on usual days.
-    pub fn new(most: usize, usual: usize) -> Rc<Self> {
+    /// A limit of `limit` connections, of which `usual` are open on usual days.
+    pub fn new(limit: usize, usual: usize) -> Rc<Self> {
         Rc::new(ConnectionLimit {
-            most,
+            limit,
             usual,
             elsewhere: Cell::new(0),
-            taken: Cell::new(0),
+            counted: Cell::new(0),
             open: Cell::new(0),
-            quiet: RefCell::default(),
-            next: Cell::new(0),
+            waits: RefCell::default(),
+            next_sequence: Cell::new(0),
         })
     }
 
-    /// Connections now.
+    /// The number of connections that are open now.
     pub fn open_connections(&self) -> usize {
         self.open.get()
     }
 
-    fn most(&self) -> usize {
-        self.most.saturating_sub(self.elsewhere.get())
+    /// What the other process leaves of the limit.
+    fn own_limit(&self) -> usize {
+        self.limit.saturating_sub(self.elsewhere.get())
     }
 
-    /// None is left without somebody's going.
+    /// Whether the limit is reached, so that a new connection is accepted only if another is evicted.
     pub fn is_full(&self) -> bool {
-        self.taken.get() >= self.most()
+        self.counted.get() >= self.own_limit()
     }
 
-    /// A place for a new connection, if need be that of the one that has been quiet longest. None where even
-    /// the room for turning connections away is used up.
-    pub fn acquire(self: &Rc<Self>) -> Option<Place> {
-        if self.open.get() >= self.most() + BEYOND && !self.free(Quiet::Leaving, Duration::ZERO) {
+    /// A permit for a new connection, if need be that of the connection that has been quiet longest. None where even
+    /// the number of connections beyond the limit is used up.
+    pub fn acquire(self: &Rc<Self>) -> Option<ConnectionPermit> {
+        if self.open.get() >= self.own_limit() + MAX_OVER_LIMIT
+            && !self.evict_first(QuietKind::Leaving, Duration::ZERO)
+        {
             return None;
         }
-        // One that was asked before and was served once more has no place to give.
+        // One eviction may not be enough: a connection that was evicted before, and was served once more since, no
+        // longer counts.
         while self.is_full()
-            && (self.free(Quiet::Starting, STARTING) || self.free(Quiet::Idle, IDLE))
+            && (self.evict_first(QuietKind::Starting, STARTING_GRACE)
+                || self.evict_first(QuietKind::Idle, IDLE_GRACE))
         {}
-        let crowded = self.is_full();
-        self.taken.set(self.taken.get() + usize::from(!crowded));
+        let over_limit = self.is_full();
+        self.counted
+            .set(self.counted.get() + usize::from(!over_limit));
         self.open.set(self.open.get() + 1);
-        Some(Place {
+        Some(ConnectionPermit {
             connection_limit: Rc::clone(self),
-            counted: Rc::new(Cell::new(!crowded)),
-            crowded,
+            counted: Rc::new(Cell::new(!over_limit)),
+            over_limit,
         })
     }
 
-    /// In a crowd, asks those to go that have been quiet longest between two requests.
+    /// While more connections are open than usual, evicts those that have been idle longest.
     pub fn close_longest_quiet(&self) {
-        while self.taken.get() > self.usual && self.free(Quiet::Idle, CROWDED) {}
+        while self.counted.get() > self.usual
+            && self.evict_first(QuietKind::Idle, CROWDED_IDLE_GRACE)
+        {}
     }
 
-    /// Asks the first connection of a kind to go, if it has been quiet so long. Danger: clients that ask once
-    /// and stay, or that connect and say nothing, would hold all places for ever.
-    fn free(&self, kind: Quiet, spared: Duration) -> bool {
-        let mut quiet = self.quiet.borrow_mut();
-        let first = quiet.range((kind, 0)..=(kind, u64::MAX)).next();
+    /// Evicts the connection of this kind that has been quiet longest, if that is at least `grace`, and says whether it
+    /// did.
+    fn evict_first(&self, kind: QuietKind, grace: Duration) -> bool {
+        let mut waits = self.waits.borrow_mut();
+        let all_of_kind = WaitKey { kind, sequence: 0 }..=WaitKey {
+            kind,
+            sequence: u64::MAX,
+        };
+        let first = waits.range(all_of_kind).next();
         let due = first
-            .filter(|(_, w)| w.since.elapsed() >= spared)
+            .filter(|(_, wait)| wait.since.elapsed() >= grace)
             .map(|(&key, _)| key);
-        // Without its sender the one that waits is asked. Its place is free from now on.
-        let freed = due.and_then(|key| quiet.remove(&key));
-        freed.iter().for_each(|w| self.uncount(&w.counted));
-        freed.is_some()
+        let Some(evicted) = due.and_then(|key| waits.remove(&key)) else {
+            return false;
+        };
+        // Its permit is free from now on; the connection itself learns of it when the sender is dropped.
+        self.release(&evicted.counted);
+        true
     }
 
-    fn uncount(&self, counted: &Cell<bool>) {
-        self.taken
-            .set(self.taken.get() - usize::from(counted.replace(false)));
+    /// Takes a connection off the count, unless that has been done before.
+    fn release(&self, counted: &Cell<bool>) {
+        let was_counted = counted.replace(false);
+        self.counted
+            .set(self.counted.get() - usize::from(was_counted));
     }
 }
 
-impl Place {
-    /// Nothing is owed on the connection from now on, until the result is dropped.
-    pub fn rest(&self, kind: Quiet) -> Resting<'_> {
+impl ConnectionPermit {
+    /// Lets the connection be evicted until the result is dropped: its client waits for nothing.
+    pub fn wait_quietly(&self, kind: QuietKind) -> EvictableWait<'_> {
         let connection_limit = &*self.connection_limit;
-        if kind == Quiet::Leaving {
-            connection_limit.uncount(&self.counted);
+        if kind == QuietKind::Leaving {
+            connection_limit.release(&self.counted);
         }
-        let key = (kind, connection_limit.next.get());
-        connection_limit.next.set(key.1 + 1);
-        let (ask, asked) = oneshot::channel();
-        let waiting = Waiting {
+        let sequence = connection_limit.next_sequence.get();
+        connection_limit.next_sequence.set(sequence + 1);
+        let key = WaitKey { kind, sequence };
+        let (evict, evicted) = oneshot::channel();
+        let entry = WaitEntry {
             since: Instant::now(),
             counted: Rc::clone(&self.counted),
-            _ask: ask,
+            _evict: evict,
         };
-        connection_limit.quiet.borrow_mut().insert(key, waiting);
-        Resting {
+        connection_limit.waits.borrow_mut().insert(key, entry);
+        EvictableWait {
             connection_limit,
             key,
-            asked,
+            evicted,
         }
     }
 }
 
-impl Resting<'_> {
-    /// Returns once the connection is to go.
-    pub async fn asked(&mut self) {
-        let _ = (&mut self.asked).await;
+impl EvictableWait<'_> {
+    /// Returns once the connection is evicted.
+    pub async fn evicted(&mut self) {
+        // The sender is dropped and never sends: an error is the signal.
+        let _ = (&mut self.evicted).await;
     }
 }
 
-impl Drop for Resting<'_> {
+impl Drop for EvictableWait<'_> {
     fn drop(&mut self) {
-        self.connection_limit.quiet.borrow_mut().remove(&self.key);
+        self.connection_limit.waits.borrow_mut().remove(&self.key);
     }
 }
 
-impl Drop for Place {
+impl Drop for ConnectionPermit {
     fn drop(&mut self) {
-        self.connection_limit.uncount(&self.counted);
+        self.connection_limit.release(&self.counted);
         self.connection_limit
             .open
             .set(self.connection_limit.open.get() - 1);
--- /dev/null
+++ b/src/net/downstream/listener.rs
@@ -0,0 +1,79 @@
+//! The accept loop: takes client connections from the listening socket and starts a task for each of them.
+
+use crate::net::admin::serving_state::ServingState;
+use crate::net::buffers::Pool;
+use crate::net::downstream::cancel::Cancels;
+use crate::net::downstream::connection::serve_connection;
+use crate::net::downstream::connection_limit::ConnectionLimit;
+use crate::net::log::log;
+use crate::net::metrics::increment;
+use crate::net::request::classes::Classes;
+use crate::net::request::Core;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::yield_now;
+use tokio::time::{sleep, timeout};
+
+/// How long a process that ends waits for one more connection in the accept queue. Without a wait the runtime would not
+/// yet know of the connections that arrived last, and they would be reset.
+const ACCEPT_QUEUE_TIMEOUT: Duration = Duration::from_millis(2);
+/// Pause after a failed accept, for instance because the process has no file descriptor left: the connection stays in
+/// the queue, so that a loop without a pause would spin.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+
+/// The listener for PostgreSQL clients, and what all client connections share.
+pub struct ClientListener {
+    /// Executes the clients' requests.
+    pub core: Rc<Core>,
+    /// The pool of message buffers.
+    pub pool: Rc<Pool>,
+    /// The request classes and the other settings.
+    pub classes: Rc<Classes>,
+    /// The limit on open client connections.
+    pub connection_limit: Rc<ConnectionLimit>,
+    /// Whether clients are served or sent away.
+    pub serving_state: Rc<ServingState>,
+    /// The cancel keys of all client connections.
+    pub cancels: Rc<Cancels>,
+}
+
+impl ClientListener {
+    /// Marks the process as serving and accepts clients for ever.
+    pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
+        self.serving_state.ready();
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    self.spawn_connection(stream);
+                    // Evicted connections run first and close their sockets: otherwise a burst of new clients would
+                    // use up all file descriptors.
+                    if self.connection_limit.is_full() {
+                        yield_now().await;
+                    }
+                }
+                Err(e) => {
+                    log!("cannot accept: {e}");
+                    sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
+    /// Accepts the connections that are still in the accept queue when the process ends: a request may already have
+    /// arrived on them.
+    pub async fn accept_rest(self: &Rc<Self>, listener: &TcpListener) {
+        while let Ok(Ok((stream, _))) = timeout(ACCEPT_QUEUE_TIMEOUT, listener.accept()).await {
+            self.spawn_connection(stream);
+            yield_now().await;
+        }
+    }
+
+    fn spawn_connection(self: &Rc<Self>, stream: TcpStream) {
+        increment(&self.core.metrics.connections.downstream_accepted);
+        let Some(permit) = self.connection_limit.acquire() else {
+            return;
+        };
+        tokio::task::spawn_local(serve_connection(Rc::clone(self), stream, permit));
+    }
+}
--- a/src/net/downstream/mod.rs
+++ b/src/net/downstream/mod.rs
@@ -1,5 +1,9 @@
-//! Clients: their connections, the limit on how many there are, and cancel requests.
+//! Downstream connections: the PostgreSQL clients of the gateway, the limit on their number, and cancel requests.
 
+mod answer_writer;
 pub mod cancel;
+mod client_input;
 pub mod connection;
 pub mod connection_limit;
+pub mod listener;
+mod query;
--- /dev/null
+++ b/src/net/downstream/query.rs
@@ -0,0 +1,248 @@
+//! One query: the statement becomes a typed request, and the request's outcome becomes the answer.
+
+use crate::net::buffers::Buffer;
+use crate::net::downstream::answer_writer::READY_FOR_QUERY_ROOM;
+use crate::net::downstream::cancel::{CancelRegistration, CancellableQuery};
+use crate::net::downstream::connection::{ClientConnection, ConnectionEnd};
+use crate::net::duration;
+use crate::net::metrics::increment;
+use crate::net::pg::{self, code};
+use crate::net::request::{pause_ms, Answer, Call};
+use crate::net::upstream::Statement;
+use irisrouter::routing::{Freshness, GroupId, Idempotency, Nanos, RequestClass, SessionId};
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::sync::oneshot;
+
+/// How far, in nanoseconds, a position that a client has seen may be ahead of this process's clock. A position that does
+/// not exist yet would be waited for, or overflow.
+const MAX_POSITION_LEAD: Nanos = 1_000_000_000;
+
+/// Why a statement does not become a request. The text is the message of the client's error response.
+#[derive(Debug, Error)]
+enum StatementError {
+    /// The statement or the comment at its end cannot be parsed.
+    #[error("{0}")]
+    Malformed(&'static str),
+    #[error("an unknown class")]
+    UnknownClass,
+    #[error("an unknown cluster")]
+    UnknownGroup,
+    #[error("no k in the comment of a keyed class")]
+    MissingIdempotencyKey,
+    #[error("after is a position that is not there yet")]
+    PositionInFuture,
+    #[error("no room for so large a statement")]
+    StatementTooLarge,
+    #[error("the id of a request that is open")]
+    DuplicateRequestId,
+}
+
+/// What the wait for an answer ends with, where the client is still connected.
+enum QueryOutcome {
+    /// The request's final answer.
+    Answered(Answer),
+    /// The client has cancelled the query.
+    Cancelled,
+}
+
+impl ClientConnection {
+    /// Executes one query and puts its whole answer, with the ReadyForQuery, into `out`. Of a long answer that was
+    /// forwarded while it arrived, `out` gets the end.
+    pub(super) async fn execute_query(
+        &mut self,
+        body: &Buffer,
+        out: &mut Buffer,
+    ) -> Result<(), ConnectionEnd> {
+        let text = match pg::query(body) {
+            Ok(text) => text,
+            Err(malformed) => return Err(self.end_with_violation(malformed.0).await),
+        };
+        if pg::is_empty(text) {
+            self.put_empty_query_response(out);
+            pg::put_ready(out);
+            return Ok(());
+        }
+        match self.parse_request(text) {
+            Err(error) => {
+                increment(&self.listener.core.metrics.requests.malformed);
+                let message = error.to_string();
+                pg::put_error(out, "ERROR", code::SYNTAX_ERROR, &message, None);
+            }
+            Ok(call) => {
+                let outcome = self.wait_for_answer(call).await?;
+                self.put_outcome(outcome, out).await?;
+            }
+        }
+        pg::put_ready(out);
+        Ok(())
+    }
+
+    /// Clients send an empty query to check a connection: the answer says whether they are served here.
+    fn put_empty_query_response(&self, out: &mut Buffer) {
+        if self.listener.serving_state.get().sends_away() {
+            let message = "clients are sent away";
+            pg::put_error(out, "ERROR", code::CANNOT_CONNECT_NOW, message, None);
+        } else {
+            pg::put(out, b'I', |_| {});
+        }
+    }
+
+    /// Puts the answer without its ReadyForQuery into `out`.
+    async fn put_outcome(
+        &mut self,
+        outcome: QueryOutcome,
+        out: &mut Buffer,
+    ) -> Result<(), ConnectionEnd> {
+        match outcome {
+            QueryOutcome::Cancelled => {
+                let message = "canceling statement due to user request";
+                pg::put_error(out, "ERROR", code::QUERY_CANCELED, message, None);
+            }
+            QueryOutcome::Answered(Answer::Served(row)) => {
+                *out = row;
+                if !out.room(READY_FOR_QUERY_ROOM) {
+                    return Err(ConnectionEnd::Disconnected);
+                }
+            }
+            QueryOutcome::Answered(Answer::Streamed(streamed)) => {
+                *out = self.forward_streamed(streamed).await?;
+            }
+            QueryOutcome::Answered(Answer::Refused { pause }) => put_rejection(pause, out),
+            QueryOutcome::Answered(Answer::Failed) => {
+                let message = "no answer could be had, and it may have run";
+                pg::put_error(out, "ERROR", code::INTERNAL_ERROR, message, None);
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts the request's task and waits for its answer. If the query is cancelled or the client disconnects, the
+    /// receiver of the answer is dropped, and no further attempt of the request begins.
+    async fn wait_for_answer(&mut self, call: Call) -> Result<QueryOutcome, ConnectionEnd> {
+        let (sender, answer) = oneshot::channel();
+        tokio::task::spawn_local(Rc::clone(&self.listener.core).serve(call, sender));
+        let registration = self.cancel_registration.take();
+        let mut query = registration.as_ref().map(CancelRegistration::query);
+        let outcome = async {
+            tokio::select! {
+                biased;
+                // A request whose task ends without an answer still gets one.
+                answer = answer => QueryOutcome::Answered(answer.unwrap_or(Answer::Failed)),
+                () = cancelled(&mut query) => QueryOutcome::Cancelled,
+            }
+        };
+        let result = self.wait_while_connected(outcome).await;
+        drop(query);
+        self.cancel_registration = registration;
+        result
+    }
+
+    /// Checks a statement and makes a request of it.
+    fn parse_request(&self, text: &[u8]) -> Result<Call, StatementError> {
+        let core = &self.listener.core;
+        let statement =
+            pg::statement(text).map_err(|malformed| StatementError::Malformed(malformed.0))?;
+        let held_class = self
+            .listener
+            .classes
+            .find(statement.class)
+            .ok_or(StatementError::UnknownClass)?;
+        let class = &held_class.class;
+        let group = GroupId(statement.group);
+        if !core.upstream.may_have_group(group) {
+            return Err(StatementError::UnknownGroup);
+        }
+        let key = idempotency_key(&statement, class)?;
+        let after = self.required_position(&statement, class)?;
+        // A client that says it waits for ever would otherwise hold its request as long.
+        let wait = Duration::from_secs_f64(statement.wait_ms / 1e3).min(duration(class.deadline));
+        let copy = self.copy_statement(text)?;
+        let id = core
+            .take_id(statement.id)
+            .ok_or(StatementError::DuplicateRequestId)?;
+        Ok(Call {
+            id,
+            session: session(&statement, class),
+            class: held_class,
+            group,
+            wait,
+            after,
+            retry: statement.retry,
+            key,
+            statement: Statement {
+                text: copy,
+                wait_at: statement.wait_at,
+            },
+        })
+    }
+
+    /// The position that the answer has to include, in nanoseconds of Unix time, for a class that promises clients to
+    /// read their own writes.
+    fn required_position(
+        &self,
+        statement: &pg::Statement<'_>,
+        class: &RequestClass,
+    ) -> Result<Option<Nanos>, StatementError> {
+        let position = statement
+            .after_ms
+            .filter(|_| class.freshness == Freshness::Session)
+            .map(|milliseconds| (milliseconds * 1e6) as Nanos);
+        let clock = &self.listener.core.clock;
+        if position.is_some_and(|p| p > clock.now().saturating_add(MAX_POSITION_LEAD)) {
+            return Err(StatementError::PositionInFuture);
+        }
+        Ok(position)
+    }
+
+    fn copy_statement(&self, text: &[u8]) -> Result<Buffer, StatementError> {
+        let mut copy = self.listener.pool.take();
+        if !copy.append(text) {
+            return Err(StatementError::StatementTooLarge);
+        }
+        Ok(copy)
+    }
+}
+
+/// The session of a statement: that of the key which it names, in classes whose requests belong to sessions.
+fn session(statement: &pg::Statement<'_>, class: &RequestClass) -> Option<SessionId> {
+    let has_sessions = matches!(class.freshness, Freshness::Session | Freshness::Write);
+    statement.key.filter(|_| has_sessions).map(SessionId::of)
+}
+
+/// The number of a statement's idempotency key within its group. Only keyed classes use the key, and they require it.
+fn idempotency_key(
+    statement: &pg::Statement<'_>,
+    class: &RequestClass,
+) -> Result<Option<u64>, StatementError> {
+    if !matches!(class.idempotency, Idempotency::Keyed { .. }) {
+        return Ok(None);
+    }
+    let key = statement
+        .idempotency
+        .ok_or(StatementError::MissingIdempotencyKey)?;
+    let number = irisrouter_write_intents::number(statement.group, key.as_bytes());
+    Ok(Some(number))
+}
+
+/// A rejected request has not been executed; `pause` is the retry advice, 0 for none.
+fn put_rejection(pause: Nanos, out: &mut Buffer) {
+    let detail = pause_ms(pause).map(|milliseconds| milliseconds.to_string());
+    let message = "turned away, trying again is harmless";
+    pg::put_error(
+        out,
+        "ERROR",
+        code::TOO_MANY_CONNECTIONS,
+        message,
+        detail.as_deref(),
+    );
+}
+
+/// Returns once the query is cancelled; never, where the client has no cancel key.
+async fn cancelled(query: &mut Option<CancellableQuery<'_>>) {
+    match query {
+        Some(query) => query.cancelled().await,
+        None => std::future::pending().await,
+    }
+}
--- a/tests/unit/cancel.rs
+++ b/tests/unit/cancel.rs
@@ -1,43 +1,49 @@
-//! Whose query a cancel request ends.
+//! Which connection's query a cancel request cancels.
 
-use super::*;
+use super::{CancellableQuery, Cancels};
+use std::rc::Rc;
 
-fn ended(query: &mut Cancellable) -> bool {
+fn is_cancelled(query: &mut CancellableQuery) -> bool {
     query.cancelled.try_recv().is_ok()
 }
 
-/// Guards against a cancel that ends another query than the one that was waited for when it came.
+/// Guards against a cancel request that cancels another query than the one waited for when it arrives.
 #[test]
-fn a_cancel_ends_the_query_of_its_key_that_is_waited_for_and_no_later_one() {
+fn cancel_request_with_a_registered_key_cancels_only_the_query_waited_for() {
     let cancels = Rc::<Cancels>::default();
-    let (one, two) = (
-        cancels.register().expect("a key"),
-        cancels.register().expect("a key"),
+    let first = cancels.register().expect("a key");
+    let second = cancels.register().expect("a key");
+    assert_ne!(first.key(), second.key());
+    cancels.cancel(first.key());
+    let mut query = first.query();
+    assert!(
+        !is_cancelled(&mut query),
+        "the request arrived between two queries"
     );
-    assert_ne!(one.key(), two.key());
-    cancels.cancel(one.key());
-    let mut query = one.query();
-    assert!(!ended(&mut query), "it came between two queries");
-    let mut other = two.query();
-    cancels.cancel(two.key());
+    let mut other = second.query();
+    cancels.cancel(second.key());
     assert!(
-        ended(&mut other) && !ended(&mut query),
-        "it bore the key of another"
+        is_cancelled(&mut other) && !is_cancelled(&mut query),
+        "the request had the key of another connection"
     );
     cancels.cancel(&[0; 8]);
-    assert!(!ended(&mut query), "it bore nobody's key");
-    cancels.cancel(one.key());
-    cancels.cancel(one.key());
-    assert!(ended(&mut query));
+    assert!(
+        !is_cancelled(&mut query),
+        "the request had a key of no connection"
+    );
+    cancels.cancel(first.key());
+    cancels.cancel(first.key());
+    assert!(is_cancelled(&mut query));
     drop(query);
     assert!(
-        !ended(&mut one.query()),
-        "the one before was cancelled twice"
+        !is_cancelled(&mut first.query()),
+        "the query before it was cancelled twice"
     );
     drop(other);
-    drop((one, two));
+    drop(first);
+    drop(second);
     assert!(
-        cancels.open.borrow().is_empty(),
-        "a connection that has ended leaves nothing behind"
+        cancels.by_key.borrow().is_empty(),
+        "a connection that has ended is unregistered"
     );
 }
