Split the discovery client into client, endpoint_list, http and poll_interval

Cause: discovery/client.rs held the types of the endpoint list, the decision which lists are applied, the long poll and an HTTP parser; its errors were strings and its results tuples.

Change: endpoint_list has the types and ListPosition, http the connection and the parser with HttpError and ResponseError, client the long poll with PollError, poll_interval the PollPacer (was Pace) and CallLimits (was Allowed). Log texts, JSON keys, requests, random draws and the order of steps are unchanged.

--- a/src/net/discovery/client.rs
+++ b/src/net/discovery/client.rs
@@ -1,132 +1,73 @@
-//! The list of database hosts: a long poll of discovery over one HTTP connection.
-//!
-//! Nothing else knows where the list comes from: it goes to the backend as a [`EndpointList`], whatever its source.
+//! The discovery client: keeps the endpoint list up to date by long poll, over one HTTP connection at a time.
 
 use crate::net::cluster::endpoint_watch::EndpointWatchService;
-use crate::net::discovery::poll_interval::{Pace, PAUSE, SILENCE};
+use crate::net::discovery::endpoint_list::{EndpointList, ListPosition};
+use crate::net::discovery::http::{HttpConnection, HttpError};
+use crate::net::discovery::poll_interval::{
+    CallLimits, PollPacer, FIRST_RETRY_DELAY, SILENCE_TIMEOUT,
+};
 use crate::net::log::log;
 use crate::net::request::classes::Classes;
 use crate::net::upstream::Upstream;
-use bytes::{Buf, BytesMut};
-use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use thiserror::Error;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
 
-/// An address that has shown older lists for so long is taken at its word.
-const RENUMBERED: Duration = Duration::from_secs(60);
-/// Largest answer that is read.
-const LARGEST: usize = 4 << 20;
-
-/// Whether a database host is in service.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
-#[serde(rename_all = "snake_case")]
-pub enum EndpointPhase {
-    /// Takes requests.
-    InService,
-    /// Finishes what it has.
-    Terminating,
-    /// Withdrawn.
-    Terminated,
-}
-
-/// One database host of the list.
-#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
-pub struct EndpointEntry {
-    /// The same at every gateway.
-    pub id: String,
-    /// Where it listens, as seen from here.
-    pub host_port: SocketAddr,
-    /// Its zone.
-    #[serde(default)]
-    pub locality: String,
-    /// Its group.
-    pub cell: i64,
-    /// Whether it is in service.
-    pub phase: EndpointPhase,
-    /// Its relative size.
-    #[serde(default = "one")]
-    pub size: f64,
-    /// Unix time in milliseconds of its last start; 0 for long ago.
-    #[serde(default)]
-    pub up_since_ms: f64,
-    /// Its role, where the list tells it.
-    #[serde(default)]
-    pub access: Option<String>,
-}
-
-fn one() -> f64 {
-    1.0
+/// Why a call to discovery failed. The text goes to the log.
+#[derive(Debug, Error)]
+enum PollError {
+    /// There was no answer within the call's time limit.
+    #[error("silent")]
+    Silent,
+    /// The connection failed, or the answer cannot be used.
+    #[error(transparent)]
+    Http(#[from] HttpError),
+    /// The body is not an endpoint list.
+    #[error("malformed list: {0}")]
+    MalformedList(#[source] serde_json::Error),
 }
 
-/// A list of database hosts, or the changes to one.
-#[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq)]
-pub struct EndpointList {
-    /// Its version.
-    pub revision: u64,
-    /// All hosts, or only what has changed.
-    pub complete: bool,
-    /// The entries.
-    pub members: Vec<EndpointEntry>,
+/// What the calls to discovery need and change.
+struct DiscoveryClient {
+    position: ListPosition,
+    upstream: Rc<Upstream>,
+    classes: Rc<Classes>,
+    /// Set once discovery has answered for the first time.
+    answered: watch::Sender<bool>,
+    /// Where one gateway watches the list for the whole fleet: decides which one.
+    fleet: Option<Rc<EndpointWatchService>>,
+    pacer: PollPacer,
 }
 
-/// What has been learnt so far, whichever address told it.
-#[derive(Debug, Default)]
-pub struct ListPosition {
-    /// The newest version.
-    pub revision: Option<u64>,
-    /// The next call is for the whole list, which comes at once: changes are waited for.
-    pub whole: bool,
-    /// Since when the address that is asked has had an older one.
-    behind: Option<Instant>,
+/// A request to discovery.
+struct Call {
+    request: String,
+    limits: CallLimits,
 }
 
-impl ListPosition {
-    /// From the list of this version on.
-    pub fn at(revision: Option<u64>) -> Self {
-        ListPosition {
-            revision,
-            whole: revision.is_none(),
-            behind: None,
-        }
-    }
-
-    /// Whether a list is to be taken. Danger: an address that has
-    /// not caught up yet would undo drains and drop hosts. One that stays behind numbers its lists anew.
-    fn takes(&mut self, list: &EndpointList) -> bool {
-        let older = self.revision.is_some_and(|r| list.revision < r);
-        if !older {
-            self.behind = None;
-        }
-        let since = older.then(|| *self.behind.get_or_insert_with(Instant::now));
-        let anew = since.is_some_and(|t| t.elapsed() >= RENUMBERED);
-        let news = self.revision.is_none_or(|r| list.revision > r);
-        let taken = if list.complete { !older || anew } else { news };
-        if taken {
-            (self.revision, self.behind) = (Some(list.revision), None);
-        }
-        self.whole = anew && !taken;
-        taken
-    }
-}
-
-/// Watches the list for ever at the address that holds, and hands on each change before the next call. A new
-/// address is called at once, for the whole list: a watch goes on at the address where it began. Tells once any has
-/// answered.
+/// Keeps the endpoint list up to date for ever, from the address that `addresses` holds, and applies each change before
+/// the next call. A new address is called at once, for the whole list. `answered` is set once any address has answered.
 pub async fn watch(
     mut addresses: watch::Receiver<SocketAddr>,
-    mut seen: ListPosition,
+    position: ListPosition,
     upstream: Rc<Upstream>,
     classes: Rc<Classes>,
     answered: watch::Sender<bool>,
     fleet: Option<Rc<EndpointWatchService>>,
 ) {
-    let mut pace = Pace::new(classes.settings().seed);
-    sleep(pace.first(herd(&classes))).await;
+    let pacer = PollPacer::new(classes.settings().seed);
+    let mut client = DiscoveryClient {
+        position,
+        upstream,
+        classes,
+        answered,
+        fleet,
+        pacer,
+    };
+    let shared_by = client.shared_by();
+    sleep(client.pacer.first_delay(shared_by)).await;
     loop {
         let address = *addresses.borrow_and_update();
         tokio::select! {
@@ -135,208 +76,112 @@
                 if changed.is_err() {
                     return;
                 }
-                (seen.whole, seen.behind) = (true, None);
+                client.position.restart_at_new_address();
             }
-            () = async {
-                let fleet = fleet.as_deref();
-                let calls = follow(address, &mut seen, (&upstream, fleet), &classes, &mut pace, &answered);
-                let Err(why) = calls.await else { return };
-                if let Some(fleet) = fleet {
-                    fleet.call_ended(false);
-                }
-                log!("discovery: {why}");
-                sleep(pace.failed(herd(&classes))).await;
-            } => {}
+            () = client.poll_and_pause(address) => {}
         }
     }
 }
 
-/// How many gateways ask one service, where they do.
-fn herd(classes: &Classes) -> Option<u32> {
-    let settings = classes.settings();
-    settings
-        .endpoint_list_on_request
-        .then_some(settings.gateway_count)
-}
+impl DiscoveryClient {
+    /// How many gateways call the same discovery service; None where each has an agent of its own.
+    fn shared_by(&self) -> Option<u32> {
+        let settings = self.classes.settings();
+        settings
+            .endpoint_list_on_request
+            .then_some(settings.gateway_count)
+    }
 
-/// Calls until a call fails, or until another gateway is to watch for this one: that leaves no connection open.
-async fn follow(
-    address: SocketAddr,
-    seen: &mut ListPosition,
-    (upstream, fleet): (&Upstream, Option<&EndpointWatchService>),
-    classes: &Classes,
-    pace: &mut Pace,
-    answered: &watch::Sender<bool>,
-) -> Result<(), String> {
-    let mut waits = match fleet {
-        Some(fleet) => fleet.wait_for_turn(seen).await,
-        None => true,
-    };
-    let mut connection = None;
-    loop {
-        let called = Instant::now();
-        let (mut stream, mut buffer) = match connection.take() {
-            Some(open) => open,
-            None => (connect(address).await?, BytesMut::new()),
+    /// Calls until a call fails, and pauses before the next attempt.
+    async fn poll_and_pause(&mut self, address: SocketAddr) {
+        let Err(error) = self.poll(address).await else {
+            return;
         };
-        let mut allowed = pace.allowed(herd(classes));
-        let path = match seen.revision.filter(|_| !seen.whole) {
-            Some(r) => {
-                if !waits {
-                    allowed.silence -= std::mem::take(&mut allowed.hold);
+        if let Some(fleet) = self.fleet.as_deref() {
+            fleet.call_ended(false);
+        }
+        log!("discovery: {error}");
+        let shared_by = self.shared_by();
+        sleep(self.pacer.retry_delay(shared_by)).await;
+    }
+
+    /// Calls until a call fails, or until another gateway watches the list for this one: the connection is closed then.
+    async fn poll(&mut self, address: SocketAddr) -> Result<(), PollError> {
+        let mut waits_for_changes = match self.fleet.as_deref() {
+            Some(fleet) => fleet.wait_for_turn(&self.position).await,
+            None => true,
+        };
+        let mut idle_connection = None;
+        loop {
+            let called_at = Instant::now();
+            let mut connection = match idle_connection.take() {
+                Some(connection) => connection,
+                None => HttpConnection::connect(address, SILENCE_TIMEOUT).await?,
+            };
+            let call = self.next_call(address, waits_for_changes);
+            let response = tokio::select! {
+                response = timeout(call.limits.silence, connection.exchange(&call.request)) => {
+                    response.map_err(|_| PollError::Silent)??
                 }
-                format!(
-                    "/discovery/hosts?from={r}&hold_ms={}",
-                    allowed.hold.as_millis()
-                )
+                () = self.superseded(waits_for_changes) => return Ok(()),
+            };
+            idle_connection = (!response.closes_connection).then_some(connection);
+            let accepted = self.handle_body(&response.body)?;
+            if let Some(fleet) = self.fleet.as_deref() {
+                fleet.call_ended(true);
+                let Some(next) = fleet.next_turn(&self.position) else {
+                    return Ok(());
+                };
+                waits_for_changes = next;
             }
-            None => "/discovery/hosts".to_string(),
-        };
-        let call =
-            format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
-        let answer = async {
-            stream
-                .write_all(call.as_bytes())
-                .await
-                .map_err(|e| format!("cannot write: {e}"))?;
-            read_answer(&mut stream, &mut buffer).await
-        };
-        let body = tokio::select! {
-            answer = timeout(allowed.silence, answer) => {
-                let Answer { body, ends } = answer.map_err(|_| "silent".to_string())??;
-                connection = (!ends).then_some((stream, buffer));
-                body
+            // An agent that answers at once instead of waiting for changes would be called without end.
+            if !accepted && called_at.elapsed() < FIRST_RETRY_DELAY {
+                sleep(FIRST_RETRY_DELAY).await;
             }
-            () = relieved(fleet.filter(|_| waits), seen) => return Ok(()),
-        };
-        let list: EndpointList =
-            serde_json::from_slice(&body).map_err(|e| format!("malformed list: {e}"))?;
-        let taken = seen.takes(&list);
-        if taken {
-            upstream.apply_endpoint_list(&list);
-        }
-        answered.send_replace(true);
-        pace.answered();
-        if let Some(fleet) = fleet {
-            fleet.call_ended(true);
-            let Some(next) = fleet.next_turn(seen) else {
-                return Ok(());
-            };
-            waits = next;
         }
-        if !taken && called.elapsed() < PAUSE {
-            // Danger: an agent that does not wait would be called without end.
-            sleep(PAUSE).await;
-        }
-    }
-}
-
-/// Until another gateway watches for this one; never, where each watches for itself.
-async fn relieved(fleet: Option<&EndpointWatchService>, seen: &ListPosition) {
-    match fleet {
-        Some(fleet) => fleet.superseded(seen).await,
-        None => std::future::pending().await,
     }
-}
-
-async fn connect(address: SocketAddr) -> Result<TcpStream, String> {
-    let connecting = timeout(SILENCE, TcpStream::connect(address)).await;
-    let stream = connecting
-        .map_err(|_| "no connection in time".to_string())?
-        .map_err(|e| format!("no connection: {e}"))?;
-    stream.set_nodelay(true).map_err(|e| e.to_string())?;
-    Ok(stream)
-}
-
-/// A whole answer.
-#[derive(Debug, PartialEq, Eq)]
-struct Answer {
-    body: Vec<u8>,
-    /// Its connection takes no further call.
-    ends: bool,
-}
 
-/// Reads one answer, and leaves in the buffer what came after it.
-async fn read_answer(stream: &mut TcpStream, buffer: &mut BytesMut) -> Result<Answer, String> {
-    loop {
-        if let Some((answer, used)) = parse_answer(buffer, false)? {
-            buffer.advance(used);
-            return Ok(answer);
-        }
-        if buffer.len() > LARGEST {
-            return Err("an answer is too large".into());
-        }
-        // A reset is an error, and no end of a body without a length.
-        let n = stream
-            .read_buf(buffer)
-            .await
-            .map_err(|e| format!("cannot read: {e}"))?;
-        if n == 0 {
-            let whole = parse_answer(buffer, true)?.ok_or("the connection was closed")?;
-            return Ok(whole.0);
+    /// The request for the changes since the revision that is held, or for the whole list.
+    fn next_call(&mut self, address: SocketAddr, waits_for_changes: bool) -> Call {
+        let shared_by = self.shared_by();
+        let mut limits = self.pacer.call_limits(shared_by);
+        let held_revision = self.position.revision.filter(|_| !self.position.whole);
+        let path = match held_revision {
+            Some(revision) => {
+                if !waits_for_changes {
+                    limits = limits.without_hold();
+                }
+                let hold_ms = limits.hold.as_millis();
+                format!("/discovery/hosts?from={revision}&hold_ms={hold_ms}")
+            }
+            None => "/discovery/hosts".to_string(),
+        };
+        Call {
+            request: format!(
+                "GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n"
+            ),
+            limits,
         }
     }
-}
 
-/// A whole answer and its length with the head, or nothing yet. One without a length is whole where its connection has
-/// ended.
-fn parse_answer(bytes: &[u8], ended: bool) -> Result<Option<(Answer, usize)>, String> {
-    let mut headers = [httparse::EMPTY_HEADER; 32];
-    let mut head = httparse::Response::new(&mut headers);
-    let parsed = head
-        .parse(bytes)
-        .map_err(|e| format!("malformed answer: {e}"))?;
-    let httparse::Status::Complete(start) = parsed else {
-        return Ok(None);
-    };
-    if head.code != Some(200) {
-        return Err(format!("answer {}", head.code.unwrap_or(0)));
-    }
-    let header = |name: &str| {
-        head.headers
-            .iter()
-            .find(|h| h.name.eq_ignore_ascii_case(name))
-            .map(|h| h.value)
-    };
-    let ends = ended || header("connection").is_some_and(|v| v.eq_ignore_ascii_case(b"close"));
-    let whole = |(body, used): (Vec<u8>, usize)| (Answer { body, ends }, used);
-    if header("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case(b"chunked")) {
-        return Ok(parse_chunks(bytes, start)?.map(whole));
+    /// Applies the list of an answer, if it is to be applied, and says whether it was.
+    fn handle_body(&mut self, body: &[u8]) -> Result<bool, PollError> {
+        let list: EndpointList = serde_json::from_slice(body).map_err(PollError::MalformedList)?;
+        let accepted = self.position.accept(&list);
+        if accepted {
+            self.upstream.apply_endpoint_list(&list);
+        }
+        self.answered.send_replace(true);
+        self.pacer.answered();
+        Ok(accepted)
     }
-    let Some(length) = header("content-length") else {
-        return Ok(ended.then(|| whole((bytes[start..].to_vec(), bytes.len()))));
-    };
-    let length: usize = (std::str::from_utf8(length).ok())
-        .and_then(|v| v.trim().parse().ok())
-        .filter(|&n| n <= LARGEST)
-        .ok_or("an answer with a malformed length")?;
-    Ok(bytes
-        .get(start..start + length)
-        .map(|body| whole((body.to_vec(), start + length))))
-}
 
-fn parse_chunks(bytes: &[u8], mut at: usize) -> Result<Option<(Vec<u8>, usize)>, String> {
-    let mut body = Vec::new();
-    loop {
-        let parsed = httparse::parse_chunk_size(&bytes[at..]).map_err(|_| "a malformed chunk")?;
-        let httparse::Status::Complete((line, size)) = parsed else {
-            return Ok(None);
-        };
-        let size = usize::try_from(size)
-            .ok()
-            .filter(|n| *n <= LARGEST)
-            .ok_or("a chunk is too large")?;
-        let Some(chunk) = bytes.get(at + line..at + line + size + 2) else {
-            return Ok(None);
-        };
-        at += line + size + 2;
-        if size == 0 {
-            return Ok(Some((body, at)));
+    /// Returns once another gateway watches the list for this one; never, where each gateway watches for itself, or
+    /// during a call that does not wait for changes.
+    async fn superseded(&self, waits_for_changes: bool) {
+        match self.fleet.as_deref().filter(|_| waits_for_changes) {
+            Some(fleet) => fleet.superseded(&self.position).await,
+            None => std::future::pending().await,
         }
-        body.extend_from_slice(&chunk[..size]);
     }
 }
-
-#[cfg(test)]
-#[path = "../../../tests/unit/discovery.rs"]
-mod tests;
--- a/src/net/discovery/poll_interval.rs
+++ b/src/net/discovery/poll_interval.rs
@@ -1,101 +1,129 @@
-//! How fast discovery is called. On one machine it is an agent that answers for nothing: a change counts as told 6 s after
-//! it had it and could be reached, so that a watch is held, found silent and opened anew in less than that. Where the list
-//! comes only when asked for, one service answers all gateways. To begin a watch there costs it much, to go on with one
-//! little, and what it turns away costs it as much as what it answers: once gateways begin faster than that, none is
-//! answered any more. So they begin rarely and apart, and go on at once: what changes within 0.2 s of an answer counts as
-//! told.
+//! When discovery is called: how long a call may wait for changes, when it counts as silent, and the pause before the
+//! next one.
+//!
+//! Usually discovery is an agent on the gateway's machine that serves this gateway alone. A change has to be known
+//! within 6 s of the agent's having it and being reachable, so that a watch is held, found silent and begun again in
+//! less than that.
+//!
+//! Where the list comes only on request, one service answers all gateways. Beginning a watch there is expensive for it,
+//! continuing one is cheap, and a rejected call costs as much as an answered one: if gateways begin watches faster than
+//! the service can take, none of them is answered any more. So they begin watches rarely and at different times, and
+//! continue at once after an answer: a change counts as known if it comes within 0.2 s of an answer.
 
 use oorandom::Rand32;
 use std::time::Duration;
 
-/// How long a call may wait for news. Silence is known only after it. Danger: with this, [`SILENCE`], a pause and a second
-/// call that fails, a change has to come before it counts as told.
-const HOLD: Duration = Duration::from_secs(2);
-/// How long an answer may take beyond what it may wait before discovery counts as silent; a connection likewise.
-pub const SILENCE: Duration = Duration::from_secs(1);
-/// And a call of a service for all. Open: a watch that falls silent there misses a change for longer than 6 s.
-const HOLD_SHARED: Duration = Duration::from_secs(20);
-/// One service for all gateways lets calls wait in turn. Danger: one that is given up before its turn has to wait again.
-const IN_TURN: Duration = Duration::from_secs(5);
-/// Pause after a first failure. Danger: a refusing address would be called without end.
-pub const PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause of an agent.
-const PAUSE_MOST: Duration = Duration::from_millis(500);
-/// For each gateway that asks the same service, so much is between two watches that one of them begins.
-const EACH: Duration = Duration::from_millis(100);
-/// Longest pause there.
-const SHARED_MOST: Duration = Duration::from_secs(20);
+/// How long a call to an agent may wait for changes. A silent call is noticed only after it: this time, [`SILENCE_TIMEOUT`],
+/// a pause and a second call that fails have to fit into the 6 s in which a change has to be known.
+const AGENT_HOLD: Duration = Duration::from_secs(2);
+/// How long an answer may take beyond its hold before discovery counts as silent, and how long connecting may take.
+pub const SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a call to a shared service may wait for changes. A watch that falls silent there misses changes for longer
+/// than 6 s, which is a known gap.
+const SHARED_HOLD: Duration = Duration::from_secs(20);
+/// How long an answer of a shared service may take beyond its hold: it queues calls, and one that is given up in the
+/// queue would have to queue again.
+const SHARED_SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause after a first failure of an agent, and behind an answer without news that came sooner than this: an address that
+/// refuses connections, or an agent that does not wait for changes, would be called without end.
+pub const FIRST_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Longest pause after failures of an agent, so that a change is known in time.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// The time between two watches that any gateways begin at a shared service, on average: what the service can take.
+const SHARED_START_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest pause after failures of a shared service.
+const MAX_SHARED_RETRY_DELAY: Duration = Duration::from_secs(20);
 
-/// The pace of one gateway.
-pub struct Pace {
-    pause: Duration,
-    /// The last call was answered.
-    well: bool,
+/// Decides on the times of one gateway's calls.
+pub struct PollPacer {
+    retry_delay: Duration,
+    last_call_answered: bool,
     rng: Rand32,
 }
 
-/// What one call may take.
+/// The time limits of one call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Allowed {
-    /// It may wait so long for news.
+pub struct CallLimits {
+    /// How long it may wait for changes.
     pub hold: Duration,
-    /// After so long in all it counts as silent.
+    /// The time after which it counts as silent, its hold included.
     pub silence: Duration,
 }
 
-impl Pace {
-    /// At the start.
+impl CallLimits {
+    /// The limits of the same call if it does not wait for changes.
+    pub fn without_hold(self) -> Self {
+        CallLimits {
+            hold: Duration::ZERO,
+            silence: self.silence - self.hold,
+        }
+    }
+}
+
+impl PollPacer {
+    /// The state before the first call.
     pub fn new(seed: u64) -> Self {
-        Pace {
-            pause: Duration::ZERO,
-            well: false,
+        PollPacer {
+            retry_delay: Duration::ZERO,
+            last_call_answered: false,
             rng: Rand32::new(seed),
         }
     }
 
-    /// What the next call may take; not the same at all gateways that ask one service. Behind a failure, and at the start,
-    /// a call of an agent waits for no news. Danger: what was missed would be known no sooner than the hold of a call that
-    /// fails, too.
-    pub fn allowed(&mut self, shared: Option<u32>) -> Allowed {
-        let hold = match (self.well, shared) {
-            (_, Some(_)) => self.part(HOLD_SHARED, 0.5),
+    /// The time limits of the next call. Gateways that share a service get different ones. After a failure, and at the
+    /// start, a call to an agent does not wait for changes: otherwise a change that was missed would become known only
+    /// after the hold of another call that fails.
+    pub fn call_limits(&mut self, shared_by: Option<u32>) -> CallLimits {
+        let hold = match (self.last_call_answered, shared_by) {
+            (_, Some(_)) => self.random_part(SHARED_HOLD, 0.5),
             (false, None) => Duration::ZERO,
-            (true, None) => HOLD,
+            (true, None) => AGENT_HOLD,
+        };
+        let silence_timeout = if shared_by.is_some() {
+            SHARED_SILENCE_TIMEOUT
+        } else {
+            SILENCE_TIMEOUT
         };
-        let beyond = if shared.is_some() { IN_TURN } else { SILENCE };
-        Allowed {
+        CallLimits {
             hold,
-            silence: hold + beyond,
+            silence: hold + silence_timeout,
         }
     }
 
     /// The pause before the first call.
-    pub fn first(&mut self, shared: Option<u32>) -> Duration {
-        shared.map_or(Duration::ZERO, |n| self.part(turn(n), 0.0))
+    pub fn first_delay(&mut self, shared_by: Option<u32>) -> Duration {
+        shared_by.map_or(Duration::ZERO, |gateways| {
+            self.random_part(start_period(gateways), 0.0)
+        })
     }
 
-    /// The pause after a failure: longer each time.
-    pub fn failed(&mut self, shared: Option<u32>) -> Duration {
-        self.well = false;
-        let (least, most) = shared.map_or((PAUSE, PAUSE_MOST), |n| (turn(n), SHARED_MOST));
-        self.pause = (self.pause * 2).clamp(least, most);
-        self.part(self.pause, 0.5)
+    /// The pause after a failure: longer each time, up to a limit.
+    pub fn retry_delay(&mut self, shared_by: Option<u32>) -> Duration {
+        self.last_call_answered = false;
+        let (shortest, longest) = match shared_by {
+            None => (FIRST_RETRY_DELAY, MAX_RETRY_DELAY),
+            Some(gateways) => (start_period(gateways), MAX_SHARED_RETRY_DELAY),
+        };
+        self.retry_delay = (self.retry_delay * 2).clamp(shortest, longest);
+        self.random_part(self.retry_delay, 0.5)
     }
 
-    /// The watch goes on at once.
+    /// Notes that a call was answered: the watch continues at once.
     pub fn answered(&mut self) {
-        (self.pause, self.well) = (Duration::ZERO, true);
+        self.retry_delay = Duration::ZERO;
+        self.last_call_answered = true;
     }
 
-    /// From this part of a time on up to all of it.
-    fn part(&mut self, of: Duration, from: f64) -> Duration {
-        of.mul_f64(from + (1.0 - from) * f64::from(self.rng.rand_float()))
+    /// A random time between `smallest_share` of `time` and all of it.
+    fn random_part(&mut self, time: Duration, smallest_share: f64) -> Duration {
+        let random = f64::from(self.rng.rand_float());
+        time.mul_f64(smallest_share + (1.0 - smallest_share) * random)
     }
 }
 
-/// The time in which each of so many gateways begins once.
-fn turn(gateways: u32) -> Duration {
-    (EACH * gateways).min(SHARED_MOST)
+/// The time in which each of the gateways that share a service begins one watch.
+fn start_period(gateways: u32) -> Duration {
+    (SHARED_START_INTERVAL * gateways).min(MAX_SHARED_RETRY_DELAY)
 }
 
 #[cfg(test)]
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -19,9 +19,10 @@
 /// The name by which the process start-up still knows [`ClientListener`].
 pub use crate::net::downstream::listener::ClientListener as Frontend;
 
-/// How long the gateway still reads from a client after it has closed its own side.
+/// How long the gateway still reads from a client after it has closed its own side: far longer than a round trip, so
+/// that the last answer has arrived.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
-/// How many bytes it reads then at most.
+/// How many bytes it reads then at most: several of the largest messages, but no endless stream.
 const LINGER_BYTES: usize = 1 << 20;
 
 /// The types of client messages, as the protocol codes them.
--- a/src/net/downstream/connection_limit.rs
+++ b/src/net/downstream/connection_limit.rs
@@ -8,11 +8,13 @@
 use tokio::time::Instant;
 
 /// Connections allowed beyond the limit: those that are being rejected, and those that are evicted and still linger.
+/// Their descriptors are a part of those that the process reserves beside the limit.
 const MAX_OVER_LIMIT: usize = 24;
 /// How long a connection may take to its first message before it may be evicted: clients that connect and send nothing
 /// would otherwise hold all connections for ever.
 const STARTING_GRACE: Duration = Duration::from_millis(500);
-/// How long a connection may be idle between two requests before it may be evicted, as the platform specifies.
+/// How long a connection may be idle between two requests before it may be evicted, as the platform specifies:
+/// clients that send one request and stay would otherwise hold all connections for ever.
 const IDLE_GRACE: Duration = Duration::from_secs(2);
 /// How long it may be idle while more connections are open than usual. The platform lets clients hold a third of a
 /// gateway's descriptors: a crowd that sends one request each and stays would leave none for clients that send request
@@ -52,7 +54,7 @@
 
 /// The limit on all client connections of a gateway.
 pub struct ConnectionLimit {
-    /// Connections that the gateway's processes may count together.
+    /// The greatest number of connections that count, over all processes of this gateway.
     limit: usize,
     /// Above this number of connections, idle ones are evicted sooner.
     usual: usize,
--- a/tests/unit/poll_interval.rs
+++ b/tests/unit/poll_interval.rs
@@ -1,49 +1,73 @@
-//! The pace at which discovery is called.
+//! The times of calls to discovery.
 
-use super::*;
+use super::{
+    PollPacer, MAX_RETRY_DELAY, MAX_SHARED_RETRY_DELAY, SHARED_HOLD, SHARED_START_INTERVAL,
+};
+use std::time::Duration;
 
-/// A change counts as told so long after discovery had it and could be reached.
-const TOLD: Duration = Duration::from_secs(6);
+/// A change has to be known this time after discovery has it and can be reached.
+const CHANGE_DEADLINE: Duration = Duration::from_secs(6);
 
-/// Guards against a herd that calls in step and without end, and against one gateway that is slow to hear.
+/// Guards against gateways that overload a shared service by calling at the same time and without end, and against a
+/// gateway that calls its own agent late.
 #[test]
-fn a_herd_calls_rarely_and_apart_and_an_agent_is_called_at_once() {
-    let herd = Some(48);
-    let mut paces: Vec<Pace> = (0..48).map(Pace::new).collect();
-    let mut firsts: Vec<Duration> = paces.iter_mut().map(|p| p.first(herd)).collect();
-    firsts.sort();
-    let crowd = |from: Duration| {
-        firsts
+fn polls_of_a_shared_service_are_rare_and_spread_and_those_of_an_agent_start_at_once() {
+    let shared_by = Some(48);
+    let mut pacers: Vec<PollPacer> = (0..48).map(PollPacer::new).collect();
+    let mut first_delays: Vec<Duration> = pacers
+        .iter_mut()
+        .map(|pacer| pacer.first_delay(shared_by))
+        .collect();
+    first_delays.sort();
+    let starts_soon_after = |from: Duration| {
+        first_delays
             .iter()
-            .filter(|&&f| f >= from && f < from + EACH * 8)
+            .filter(|&&delay| delay >= from && delay < from + SHARED_START_INTERVAL * 8)
             .count()
     };
-    assert!(firsts.iter().all(|&f| crowd(f) < 16), "{firsts:?}");
-    for p in &mut paces {
-        let pauses: Vec<Duration> = (0..12).map(|_| p.failed(herd)).collect();
+    assert!(
+        first_delays
+            .iter()
+            .all(|&delay| starts_soon_after(delay) < 16),
+        "{first_delays:?}"
+    );
+    for pacer in &mut pacers {
+        let pauses: Vec<Duration> = (0..12).map(|_| pacer.retry_delay(shared_by)).collect();
+        assert!(
+            pauses[0] >= SHARED_START_INTERVAL * 24
+                && pauses[11] >= MAX_SHARED_RETRY_DELAY / 2
+                && pauses[11] <= MAX_SHARED_RETRY_DELAY
+        );
+        pacer.answered();
         assert!(
-            pauses[0] >= EACH * 24 && pauses[11] >= SHARED_MOST / 2 && pauses[11] <= SHARED_MOST
+            pacer.retry_delay(shared_by) <= SHARED_START_INTERVAL * 48
+                && pacer.call_limits(shared_by).hold >= SHARED_HOLD / 2
         );
-        p.answered();
-        assert!(p.failed(herd) <= EACH * 48 && p.allowed(herd).hold >= HOLD_SHARED / 2);
     }
-    let mut one = Pace::new(1);
-    assert_eq!(one.first(None), Duration::ZERO);
-    assert!((0..20).all(|_| one.failed(None) <= PAUSE_MOST));
+    let mut of_agent = PollPacer::new(1);
+    assert_eq!(of_agent.first_delay(None), Duration::ZERO);
+    assert!((0..20).all(|_| of_agent.retry_delay(None) <= MAX_RETRY_DELAY));
 }
 
-/// Guards against holds and pauses that add up to more than the time after which a change counts as told: a watch that
+/// Guards against holds and pauses that add up to more than the time in which a change has to be known: a watch that
 /// breaks in the instant in which it begins, and then one more call that fails, is refused or is never answered.
 #[test]
-fn a_broken_watch_and_one_more_failed_call_take_less_than_the_time_until_a_change_counts_as_told() {
+fn broken_watch_and_another_failed_call_leave_a_change_known_within_its_deadline() {
     for seed in 0..200 {
-        let mut p = Pace::new(seed);
-        p.answered();
-        let watch = p.allowed(None).silence;
-        let pause = p.failed(None);
-        let again = p.allowed(None);
-        assert_eq!(again.hold, Duration::ZERO, "what was missed comes at once");
-        let two = watch + pause + again.silence + p.failed(None) + p.allowed(None).silence;
-        assert!(two <= TOLD, "a silent watch and a silent call: {two:?}");
+        let mut pacer = PollPacer::new(seed);
+        pacer.answered();
+        let watch = pacer.call_limits(None).silence;
+        let pause = pacer.retry_delay(None);
+        let again = pacer.call_limits(None);
+        assert_eq!(again.hold, Duration::ZERO, "missed changes arrive at once");
+        let two = watch
+            + pause
+            + again.silence
+            + pacer.retry_delay(None)
+            + pacer.call_limits(None).silence;
+        assert!(
+            two <= CHANGE_DEADLINE,
+            "a silent watch and a silent call: {two:?}"
+        );
     }
 }
