Name the protocol bytes that the client connection writes itself

Cause: the type of EmptyQueryResponse and the refusal of encryption stood as bare bytes in the code.

Change: constants with names; the bytes are the same.

--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -25,6 +25,9 @@
 /// How many bytes it reads then at most: several of the largest messages, but no endless stream.
 const LINGER_BYTES: usize = 1 << 20;
 
+/// The answer to a request for encryption: there is none, and the client goes on without.
+const ENCRYPTION_REFUSED: &[u8] = b"N";
+
 /// The types of client messages, as the protocol codes them.
 mod message_type {
     pub const BIND: u8 = b'B';
@@ -173,9 +176,8 @@
     async fn handle_startup(&mut self, request: Startup) -> Result<StartupProgress, ConnectionEnd> {
         let mut out = self.listener.pool.take();
         match request {
-            // No encryption is offered.
             Startup::Encryption => {
-                self.stream.write_all(b"N").await?;
+                self.stream.write_all(ENCRYPTION_REFUSED).await?;
                 Ok(StartupProgress::AwaitingNext)
             }
             // There is no answer, whether or not the key is that of a connection.
--- a/src/net/downstream/query.rs
+++ b/src/net/downstream/query.rs
@@ -19,6 +19,9 @@
 /// not exist yet would be waited for, or overflow.
 const MAX_POSITION_LEAD: Nanos = 1_000_000_000;
 
+/// The type of EmptyQueryResponse, which has no body.
+const EMPTY_QUERY_RESPONSE: u8 = b'I';
+
 /// Why a statement does not become a request. The text is the message of the client's error response.
 #[derive(Debug, Error)]
 enum StatementError {
@@ -85,7 +88,7 @@
             let message = "clients are sent away";
             pg::put_error(out, "ERROR", code::CANNOT_CONNECT_NOW, message, None);
         } else {
-            pg::put(out, b'I', |_| {});
+            pg::put(out, EMPTY_QUERY_RESPONSE, |_| {});
         }
     }
 
