--- a/src/net/lifecycle/gateway.rs
+++ b/src/net/lifecycle/gateway.rs
@@ -2,16 +2,16 @@
 
 use crate::net::admin::counter_report::CounterReport;
 use crate::net::config::{Config, ListenerSource};
-use crate::net::downstream::connection::Frontend;
+use crate::net::downstream::listener::ClientListener;
 use crate::net::lifecycle::cluster_startup::build_cluster_services;
-use crate::net::lifecycle::listening_socket::ClientListener;
+use crate::net::lifecycle::listening_socket::ListeningSocket;
 use crate::net::lifecycle::peer_socket_task::PeerSocketHandle;
 use crate::net::lifecycle::reload::ConfigReloader;
 use crate::net::lifecycle::shared_parts::{DescriptorBudget, SharedParts};
 use crate::net::lifecycle::shutdown::Shutdown;
 use crate::net::lifecycle::signals::{OperatorSignals, TerminationSignals};
 use crate::net::lifecycle::startup::{
-    apply_known_endpoints, build_frontend, spawn_accept, spawn_console, spawn_discovery,
+    apply_known_endpoints, build_client_listener, spawn_accept, spawn_console, spawn_discovery,
     spawn_housekeeping, spawn_router, start_hot_restart,
 };
 use crate::net::lifecycle::{GatewayError, StartupError};
@@ -22,8 +22,8 @@
 /// A gateway that serves clients.
 pub struct Gateway {
     parts: SharedParts,
-    frontend: Rc<Frontend>,
-    listener: ClientListener,
+    client_listener: Rc<ClientListener>,
+    listener: ListeningSocket,
     accept_task: JoinHandle<()>,
     router_task: JoinHandle<()>,
     peer_socket: Rc<PeerSocketHandle>,
@@ -41,7 +41,7 @@
         config: Config,
         operator_signals: OperatorSignals,
     ) -> Result<Self, StartupError> {
-        let listener = ClientListener::open(&config)?;
+        let listener = ListeningSocket::open(&config)?;
         let descriptors = DescriptorBudget::new(config.descriptor_limit)?;
         let parts = SharedParts::new(&config, &descriptors);
         let mut position = apply_known_endpoints(&parts.upstream, &config.file.known_endpoints);
@@ -49,8 +49,8 @@
         if let Some(address) = config.console_address {
             spawn_console(address, &parts, &services)?;
         }
-        let frontend = build_frontend(&parts, &services, &descriptors);
-        let revision = start_hot_restart(&config, &parts, &frontend).await;
+        let client_listener = build_client_listener(&parts, &services, &descriptors);
+        let revision = start_hot_restart(&config, &parts, &client_listener).await;
         position.revision = position.revision.max(revision);
         let router_task = spawn_router(&parts);
         // Another process of this gateway may already know of drains, and they bind this process too: the first call
@@ -58,8 +58,8 @@
         position.whole |= listener.source == ListenerSource::Inherited;
         let discovery = spawn_discovery(&config, &parts, &services, position);
         let peer_socket = PeerSocketHandle::spawn(&config, &parts, &services);
-        spawn_housekeeping(&parts, &frontend);
-        let accept_task = spawn_accept(&frontend, &listener, discovery.answered);
+        spawn_housekeeping(&parts, &client_listener);
+        let accept_task = spawn_accept(&client_listener, &listener, discovery.answered);
         log!("{} listens on {}", config.name, listener.local_address()?);
         let counters = CounterReport {
             metrics: Rc::clone(&parts.metrics),
@@ -73,7 +73,7 @@
         spawn_local(operator_signals.handle(counters.clone(), reloader));
         Ok(Self {
             parts,
-            frontend,
+            client_listener,
             listener,
             accept_task,
             router_task,
@@ -98,7 +98,7 @@
         }
         let shutdown = Shutdown {
             parts: self.parts,
-            frontend: self.frontend,
+            client_listener: self.client_listener,
             listener: self.listener,
             accept_task: self.accept_task,
             peer_socket: self.peer_socket,
--- a/src/net/lifecycle/listening_socket.rs
+++ b/src/net/lifecycle/listening_socket.rs
@@ -13,14 +13,14 @@
 
 /// The socket on which clients connect.
 #[derive(Clone)]
-pub struct ClientListener {
+pub struct ListeningSocket {
     /// The socket; it is closed when the last clone is dropped.
     pub socket: Rc<TcpListener>,
     /// Who else holds the socket. It decides who serves the connections that wait in its queue.
     pub source: ListenerSource,
 }
 
-impl ClientListener {
+impl ListeningSocket {
     /// Binds or inherits the socket, as the configuration says.
     ///
     /// # Errors
--- a/src/net/lifecycle/shutdown.rs
+++ b/src/net/lifecycle/shutdown.rs
@@ -4,8 +4,8 @@
 //! connection would have carried until the gateway is back. So connections are served until little time is left.
 
 use crate::net::config::ListenerSource;
-use crate::net::downstream::connection::Frontend;
-use crate::net::lifecycle::listening_socket::ClientListener;
+use crate::net::downstream::listener::ClientListener;
+use crate::net::lifecycle::listening_socket::ListeningSocket;
 use crate::net::lifecycle::peer_socket_task::PeerSocketHandle;
 use crate::net::lifecycle::shared_parts::SharedParts;
 use crate::net::log::log;
@@ -64,9 +64,9 @@
     /// Serving state, classes and router.
     pub parts: SharedParts,
     /// The clients' connections.
-    pub frontend: Rc<Frontend>,
+    pub client_listener: Rc<ClientListener>,
     /// The socket on which clients connect.
-    pub listener: ClientListener,
+    pub listener: ListeningSocket,
     /// The task that accepts them.
     pub accept_task: JoinHandle<()>,
     /// The peer socket, if it is open.
@@ -80,14 +80,14 @@
         self.accept_last_requests().await;
         let Self {
             parts,
-            frontend,
+            client_listener,
             listener,
             accept_task,
             ..
         } = self;
-        stop_accepting(&frontend, listener, accept_task).await;
+        stop_accepting(&client_listener, listener, accept_task).await;
         parts.serving_state.close();
-        finish_open_requests(&parts, &frontend).await;
+        finish_open_requests(&parts, &client_listener).await;
     }
 
     /// Changes the serving state, and hands leases and membership over to the other gateways.
@@ -103,12 +103,12 @@
         let stopped = Instant::now();
         let schedule = ShutdownSchedule::new(self.parts.classes.longest_wait());
         let answer_by = stopped + schedule.answer_by;
-        self.frontend.core.answer_by.set(Some(answer_by));
+        self.client_listener.core.answer_by.set(Some(answer_by));
         if self.listener.source == ListenerSource::Inherited {
             return;
         }
         sleep(schedule.accept_all_until).await;
-        while self.frontend.connection_limit.open_connections() > 0
+        while self.client_listener.connection_limit.open_connections() > 0
             && stopped.elapsed() < schedule.accept_requests_until
         {
             sleep(CHECK_INTERVAL).await;
@@ -119,24 +119,25 @@
 /// Closes the listener. Connections in its queue are still served, unless the socket is inherited: then they are the
 /// next process's, as are the clients that are disconnected now.
 async fn stop_accepting(
-    frontend: &Rc<Frontend>,
-    listener: ClientListener,
+    client_listener: &Rc<ClientListener>,
+    listener: ListeningSocket,
     accept_task: JoinHandle<()>,
 ) {
     accept_task.abort();
     let _ = accept_task.await;
     if listener.source == ListenerSource::Bound {
-        frontend.accept_rest(&listener.socket).await;
+        client_listener.accept_rest(&listener.socket).await;
     }
 }
 
 /// Waits until all connections are closed and all requests are over, at most for the longest deadline. Requests keep
 /// the classes that they came in, whatever the settings say now.
-async fn finish_open_requests(parts: &SharedParts, frontend: &Frontend) {
+async fn finish_open_requests(parts: &SharedParts, client_listener: &ClientListener) {
     let longest = parts.classes.longest_wait_held().max(LAST_CLOSE_TIMEOUT);
     let end = Instant::now() + longest;
-    let has_work =
-        || frontend.connection_limit.open_connections() > 0 || parts.router.open_requests() > 0;
+    let has_work = || {
+        client_listener.connection_limit.open_connections() > 0 || parts.router.open_requests() > 0
+    };
     while has_work() && Instant::now() < end {
         sleep(CHECK_INTERVAL).await;
     }
--- a/src/net/lifecycle/startup.rs
+++ b/src/net/lifecycle/startup.rs
@@ -7,16 +7,16 @@
 use crate::net::cluster::peer_socket::ClusterServices;
 use crate::net::config::{Config, ListenerSource};
 use crate::net::discovery::{self, EndpointList, ListPosition};
-use crate::net::downstream::connection::Frontend;
-use crate::net::downstream::connection_limit::{ConnectionLimit, TIDY};
+use crate::net::downstream::connection_limit::{ConnectionLimit, QUIET_CHECK_INTERVAL};
+use crate::net::downstream::listener::ClientListener;
 use crate::net::hot_restart::HotRestart;
-use crate::net::lifecycle::listening_socket::{bind_console, ClientListener};
+use crate::net::lifecycle::listening_socket::{bind_console, ListeningSocket};
 use crate::net::lifecycle::shared_parts::{DescriptorBudget, SharedParts};
 use crate::net::lifecycle::StartupError;
 use crate::net::log::log;
 use crate::net::request::RequestContext;
 use crate::net::router_task::run_router;
-use crate::net::upstream::{Upstream, SWEEP};
+use crate::net::upstream::{Upstream, IDLE_CLOSE_INTERVAL};
 use irisrouter::routing::Router;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -62,16 +62,16 @@
 }
 
 /// Builds the part that serves clients; it accepts nobody yet.
-pub fn build_frontend(
+pub fn build_client_listener(
     parts: &SharedParts,
     services: &ClusterServices,
     descriptors: &DescriptorBudget,
-) -> Rc<Frontend> {
+) -> Rc<ClientListener> {
     let connection_limit = ConnectionLimit::new(
         descriptors.client_connections,
         descriptors.usual_client_connections,
     );
-    Rc::new(Frontend {
+    Rc::new(ClientListener {
         core: Rc::new(build_request_context(parts, services)),
         pool: Rc::clone(&parts.buffers),
         classes: Rc::clone(&parts.classes),
@@ -99,10 +99,10 @@
 pub async fn start_hot_restart(
     config: &Config,
     parts: &SharedParts,
-    frontend: &Frontend,
+    client_listener: &ClientListener,
 ) -> Option<u64> {
     let path = config.hot_restart_socket.clone()?;
-    let connection_limit = Rc::clone(&frontend.connection_limit);
+    let connection_limit = Rc::clone(&client_listener.connection_limit);
     let hot_restart = Rc::new(HotRestart::new(path, parts.clone(), connection_limit));
     let revision = hot_restart.take_over().await;
     spawn_local(hot_restart.serve_successors());
@@ -149,11 +149,13 @@
 }
 
 /// Closes idle connections to database hosts and, where clients are many, those that have been quiet longest.
-pub fn spawn_housekeeping(parts: &SharedParts, frontend: &Frontend) {
+pub fn spawn_housekeeping(parts: &SharedParts, client_listener: &ClientListener) {
     let upstream = Rc::clone(&parts.upstream);
-    spawn_local(repeat(SWEEP, move || upstream.close_idle()));
-    let connection_limit = Rc::clone(&frontend.connection_limit);
-    spawn_local(repeat(TIDY, move || connection_limit.close_longest_quiet()));
+    spawn_local(repeat(IDLE_CLOSE_INTERVAL, move || upstream.close_idle()));
+    let connection_limit = Rc::clone(&client_listener.connection_limit);
+    spawn_local(repeat(QUIET_CHECK_INTERVAL, move || {
+        connection_limit.close_longest_quiet()
+    }));
 }
 
 async fn repeat(period: Duration, action: impl Fn()) {
@@ -168,11 +170,11 @@
 /// gateway may know of drains that this one does not: until then clients wait in the listener's queue, or the other
 /// process serves them.
 pub fn spawn_accept(
-    frontend: &Rc<Frontend>,
-    listener: &ClientListener,
+    client_listener: &Rc<ClientListener>,
+    listener: &ListeningSocket,
     mut discovery_answered: watch::Receiver<bool>,
 ) -> JoinHandle<()> {
-    let frontend = Rc::clone(frontend);
+    let client_listener = Rc::clone(client_listener);
     let listener = listener.clone();
     spawn_local(async move {
         if listener.source == ListenerSource::Inherited {
@@ -180,6 +182,6 @@
             // After the timeout the list that the process knows has to do.
             let _ = timeout(FIRST_DISCOVERY_TIMEOUT, first_answer).await;
         }
-        frontend.accept(listener.socket).await;
+        client_listener.accept(listener.socket).await;
     })
 }
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -15,6 +15,6 @@
 mod response_stream;
 
 pub use attempt::{AttemptResult, OutgoingStatement, Statement};
-pub use pool::IDLE_CLOSE_INTERVAL as SWEEP;
+pub use pool::IDLE_CLOSE_INTERVAL;
 pub use registry::Upstream;
 pub use response_stream::{StreamChunk, StreamedAnswer};
