Golden tests pin the operators' file, the configuration, the environment and the console

Pinned, of the real program as a process, to the letter (texts on standard error and exit code 1, folder normalised): operators' file: every key set, every key at its default, misspelt, of another type, out of bounds; features that need others; sites against the configuration; files unreadable, no Jsonnet, without end, empty.

The defaults of stall_ms, probe_period_ms, lost_part, back_after_ms, ramp_ms and stale_ms are told by no text and not pinned here, nor is the schema: no command prints it.

--- a/tests/compatibility/main.rs
+++ b/tests/compatibility/main.rs
@@ -1,9 +1,11 @@
 //! What must not change while the program's inside does: the words that it exchanges with other versions of itself, with
 //! operators and with its platform. The real program as a process; fixtures are what a program of today wrote or reads.
 
+mod configuration;
+mod console;
 mod handover;
 #[allow(dead_code)]
 #[path = "../gateway/house.rs"]
 mod harness;
-#[allow(dead_code)]
+mod operators;
 mod program;
--- /dev/null
+++ b/tests/compatibility/operators.rs
@@ -0,0 +1,432 @@
+//! The operators' file: what is taken, and what is said of one that is not.
+
+use crate::console::fleet;
+use crate::program::{configuration, outcome, refusal, Folder, Nowhere, Program};
+use insta::assert_snapshot;
+use serde_json::{json, Value};
+
+const ALL_KEYS: &str = include_str!("fixtures/operators-all-keys.jsonnet");
+/// Every key, with its default and a value of another type.
+const KEYS: [(&str, &str, &str, &str); 19] = [
+    ("membership", "enabled", "false", "'yes'"),
+    ("membership", "probe_period_ms", "1000", "'1s'"),
+    ("membership", "stall_ms", "2000", "2.5"),
+    ("takeover", "enabled", "false", "0"),
+    ("takeover", "lease_ms", "2000", "true"),
+    ("takeover", "fence", "false", "null"),
+    ("takeover", "writes", "false", "[]"),
+    ("takeover", "list_watch", "false", "{}"),
+    ("sites", "enabled", "false", "'on'"),
+    ("sites", "capacity_per_s", "0", "'100'"),
+    ("sites", "prefer", "{}", "['a']"),
+    ("sites", "refuse", "[]", "'read'"),
+    ("sites", "budget", "0.85", "'85%'"),
+    ("sites", "lost_part", "0.6", "true"),
+    ("sites", "lost_after_ms", "1000", "-1"),
+    ("sites", "back_after_ms", "1000", "1.5"),
+    ("sites", "ramp_from", "0.15", "null"),
+    ("sites", "ramp_ms", "14000", "'14s'"),
+    ("sites", "stale_ms", "60000", "[]"),
+];
+
+/// A folder with a configuration that starts a gateway.
+fn prepared() -> (Folder, Nowhere, String) {
+    let (folder, nowhere) = (Folder::new(), Nowhere::new());
+    let path = folder.file("config.json", &configuration(nowhere.address()).to_string());
+    (folder, nowhere, path)
+}
+
+/// What is said of a file of this text, without what is the same for all.
+fn said_of(text: &str) -> String {
+    let (folder, _nowhere, config) = prepared();
+    let path = folder.file("operators.jsonnet", text);
+    let said = refusal(&folder, &[("BALANCER_CONFIG", &config), ("IRISROUTER_OPERATORS", &path)]);
+    let rest = said.strip_prefix("irisrouter: FOLDER/operators.jsonnet: ").expect(&said);
+    assert!(said.ends_with('\n') && !said.ends_with("\n\n"), "{said:?}");
+    rest.trim_end().to_string()
+}
+
+#[test]
+fn a_file_that_sets_every_key_to_another_value_than_its_default_is_taken() {
+    for (section, key, _, _) in KEYS {
+        let (_, rest) = ALL_KEYS.split_once(&format!("  {section}: {{")).unwrap();
+        let (body, _) = rest.split_once("\n  },").unwrap();
+        assert!(body.contains(&format!("\n    {key}: ")), "{section}/{key}");
+    }
+    let (folder, nowhere) = (Folder::new(), Nowhere::new());
+    let (config, _all) = fleet(&nowhere, 1);
+    let config = folder.file("config.json", &config.to_string());
+    let path = folder.file("operators.jsonnet", ALL_KEYS);
+    let program = Program::start(&[("BALANCER_CONFIG", &config), ("IRISROUTER_OPERATORS", &path)], None);
+    let _ = program.address();
+    let started = program.said.change(|s| s.text.clone());
+    let usual = ["listens on", "operators call", "discovery: "];
+    let lines = started.lines().filter(|l| usual.iter().all(|u| !l.contains(u)));
+    let generation = program.rest_of_line("generation ");
+    let lines: Vec<&str> = lines.collect();
+    assert_snapshot!(lines.join("\n").replace(&generation, "GENERATION"), @r#"
+    irisrouter: membership: on, gateway 0 of 1, generation GENERATION
+    irisrouter: writes in hand: on, keyed writes are noted with other gateways before they leave
+    irisrouter: duties: on, with leases of 500 ms
+    irisrouter: site plan: on, for a, b
+    irisrouter: list watch: off, as the list is pushed to each gateway
+    "#);
+}
+
+#[test]
+fn a_file_with_every_key_at_its_default_a_file_without_keys_and_no_file_start_the_same_gateway() {
+    let sections = ["membership", "takeover", "sites"].map(|section| {
+        let keys =
+            KEYS.iter().filter(|k| k.0 == section).map(|(_, key, default, _)| format!("{key}: {default}"));
+        format!("{section}: {{ {} }}", keys.collect::<Vec<_>>().join(", "))
+    });
+    let texts = [
+        format!("{{ {} }}", sections.join(", ")),
+        "{}".to_string(),
+        "{ membership: {}, takeover: {}, sites: {} }".to_string(),
+        "local on = false; { membership: { enabled: on } }".to_string(),
+        "function(on=false) { membership: { enabled: on } }".to_string(),
+        include_str!("../../deploy/operators.jsonnet").to_string(),
+    ];
+    let (folder, nowhere) = (Folder::new(), Nowhere::new());
+    let (config, _all) = fleet(&nowhere, 1);
+    let config = folder.file("config.json", &config.to_string());
+    let files = texts.iter().enumerate();
+    let files: Vec<String> = files.map(|(n, text)| folder.file(&format!("{n}.jsonnet"), text)).collect();
+    // A variable that is empty names no file.
+    for path in files.iter().map(String::as_str).chain([""]) {
+        let program = Program::start(&[("BALANCER_CONFIG", &config), ("IRISROUTER_OPERATORS", path)], None);
+        let _ = program.address();
+        let said = program.said.change(|s| s.text.clone());
+        // It may have called discovery already, where nobody is.
+        let lines = said.lines().filter(|l| !l.contains("discovery: "));
+        let lines: Vec<&str> = lines.map(|l| l.rsplit_once(' ').unwrap().0).collect();
+        assert_eq!(lines, ["irisrouter: operators call", "irisrouter: n0 listens on"], "{path}");
+    }
+}
+
+/// Guards against a default that moves: what is said of a feature that lacks another one, or has one value of a pair, tells it.
+#[test]
+fn features_that_need_others_are_refused_with_all_that_is_missing() {
+    let texts = [
+        "{ takeover: { enabled: true } }",
+        "{ sites: { enabled: true } }",
+        "{ sites: { enabled: true }, membership: { enabled: true }, takeover: { enabled: true } }",
+        "{ sites: { enabled: true, capacity_per_s: 1 }, takeover: { enabled: true } }",
+    ];
+    assert_snapshot!(texts.map(said_of).join("\n"), @r#"
+    not taken:
+      /takeover/enabled: needs /membership/enabled
+    not taken:
+      /sites/enabled: needs /takeover/enabled
+      /sites/capacity_per_s: what a host of size one bears has to be given
+    not taken:
+      /sites/capacity_per_s: what a host of size one bears has to be given
+    not taken:
+      /takeover/enabled: needs /membership/enabled
+    "#);
+}
+
+#[test]
+fn a_misspelt_key_is_named_with_its_place() {
+    let mut said = Vec::new();
+    for section in ["membership", "takeover", "sites"] {
+        said.push(said_of(&format!("{{ {section}s: {{}} }}")));
+    }
+    for (section, key, default, _) in KEYS {
+        said.push(said_of(&format!("{{ {section}: {{ {key}_: {default} }} }}")));
+    }
+    said.push(said_of("{ membership: { colour: 1, enabeld: true }, size: 2 }"));
+    assert_snapshot!(said.join("\n"), @r#"
+    not taken:
+      (the whole): Additional properties are not allowed ('memberships' was unexpected)
+    not taken:
+      (the whole): Additional properties are not allowed ('takeovers' was unexpected)
+    not taken:
+      (the whole): Additional properties are not allowed ('sitess' was unexpected)
+    not taken:
+      /membership: Additional properties are not allowed ('enabled_' was unexpected)
+    not taken:
+      /membership: Additional properties are not allowed ('probe_period_ms_' was unexpected)
+    not taken:
+      /membership: Additional properties are not allowed ('stall_ms_' was unexpected)
+    not taken:
+      /takeover: Additional properties are not allowed ('enabled_' was unexpected)
+    not taken:
+      /takeover: Additional properties are not allowed ('lease_ms_' was unexpected)
+    not taken:
+      /takeover: Additional properties are not allowed ('fence_' was unexpected)
+    not taken:
+      /takeover: Additional properties are not allowed ('writes_' was unexpected)
+    not taken:
+      /takeover: Additional properties are not allowed ('list_watch_' was unexpected)
+    not taken:
+      /sites: Additional properties are not allowed ('enabled_' was unexpected)
+    not taken:
+      /sites: Additional properties are not allowed ('capacity_per_s_' was unexpected)
+    not taken:
+      /sites: Additional properties are not allowed ('prefer_' was unexpected)
+    not taken:
+      /sites: Additional properties are not allowed ('refuse_' was unexpected)
+    not taken:
+      /sites: Additional properties are not allowed ('budget_' was unexpected)
+    not taken:
+      /sites: Additional properties are not allowed ('lost_part_' was unexpected)
+    not taken:
+      /sites: Additional properties are not allowed ('lost_after_ms_' was unexpected)
+    not taken:
+      /sites: Additional properties are not allowed ('back_after_ms_' was unexpected)
+    not taken:
+      /sites: Additional properties are not allowed ('ramp_from_' was unexpected)
+    not taken:
+      /sites: Additional properties are not allowed ('ramp_ms_' was unexpected)
+    not taken:
+      /sites: Additional properties are not allowed ('stale_ms_' was unexpected)
+    not taken:
+      /membership: Additional properties are not allowed ('colour', 'enabeld' were unexpected)
+      (the whole): Additional properties are not allowed ('size' was unexpected)
+    "#);
+}
+
+#[test]
+fn a_value_of_another_type_is_named_with_its_place_and_the_type_that_is_wanted() {
+    let mut said: Vec<String> = KEYS
+        .iter()
+        .map(|(section, key, _, wrong)| said_of(&format!("{{ {section}: {{ {key}: {wrong} }} }}")))
+        .collect();
+    let whole = [
+        "[]",
+        "'operators'",
+        "null",
+        "{ membership: true }",
+        "{ takeover: [] }",
+        "{ sites: null }",
+        "{ sites: { prefer: { a: 'b' } } }",
+        "{ sites: { prefer: { a: [1] } } }",
+        "{ sites: { refuse: ['read', 2] } }",
+    ];
+    said.extend(whole.map(said_of));
+    assert_snapshot!(said.join("\n"), @r#"
+    not taken:
+      /membership/enabled: "yes" is not of type "boolean"
+    not taken:
+      /membership/probe_period_ms: "1s" is not of type "integer"
+    not taken:
+      /membership/stall_ms: 2.5 is not of type "integer"
+    not taken:
+      /takeover/enabled: 0 is not of type "boolean"
+    not taken:
+      /takeover/lease_ms: true is not of type "integer"
+    not taken:
+      /takeover/fence: null is not of type "boolean"
+    not taken:
+      /takeover/writes: [] is not of type "boolean"
+    not taken:
+      /takeover/list_watch: {} is not of type "boolean"
+    not taken:
+      /sites/enabled: "on" is not of type "boolean"
+    not taken:
+      /sites/capacity_per_s: "100" is not of type "number"
+    not taken:
+      /sites/prefer: ["a"] is not of type "object"
+    not taken:
+      /sites/refuse: "read" is not of type "array"
+    not taken:
+      /sites/budget: "85%" is not of type "number"
+    not taken:
+      /sites/lost_part: true is not of type "number"
+    not taken:
+      /sites/lost_after_ms: -1 is less than the minimum of 0
+    not taken:
+      /sites/back_after_ms: 1.5 is not of type "integer"
+    not taken:
+      /sites/ramp_from: null is not of type "number"
+    not taken:
+      /sites/ramp_ms: "14s" is not of type "integer"
+    not taken:
+      /sites/stale_ms: [] is not of type "integer"
+    not taken:
+      (the whole): [] is not of type "object"
+    not taken:
+      (the whole): "operators" is not of type "object"
+    not taken:
+      (the whole): null is not of type "object"
+    not taken:
+      /membership: true is not of type "object"
+    not taken:
+      /takeover: [] is not of type "object"
+    not taken:
+      /sites: null is not of type "object"
+    not taken:
+      /sites/prefer/a: "b" is not of type "array"
+    not taken:
+      /sites/prefer/a/0: 1 is not of type "string"
+    not taken:
+      /sites/refuse/1: 2 is not of type "string"
+    "#);
+}
+
+#[test]
+fn a_value_out_of_bounds_is_named_with_its_bound() {
+    let texts = [
+        "{ membership: { probe_period_ms: 9 } }",
+        "{ membership: { probe_period_ms: 0 } }",
+        "{ membership: { probe_period_ms: -10 } }",
+        "{ takeover: { lease_ms: 99 } }",
+        "{ takeover: { lease_ms: 60001 } }",
+        "{ takeover: { lease_ms: 1e30 } }",
+        "{ membership: { enabled: true }, takeover: { enabled: true }, sites: { enabled: true, capacity_per_s: -1 } }",
+    ];
+    assert_snapshot!(texts.map(said_of).join("\n"), @r#"
+    not taken:
+      /membership/probe_period_ms: at least 10 ms: probes would crowd the socket
+    not taken:
+      /membership/probe_period_ms: at least 10 ms: probes would crowd the socket
+      /membership: probe_period_ms: must be greater than zero
+    not taken:
+      /membership/probe_period_ms: -10 is less than the minimum of 0
+    not taken:
+      /takeover: lease_ms: at least 100, or renewals would crowd the socket
+    not taken:
+      /takeover: lease_ms: at most 60000, as a duty without its owner waits that long
+    not taken:
+      /takeover/lease_ms: invalid type: floating point `1e+30`, expected u64
+    not taken:
+      /sites/capacity_per_s: what a host of size one bears has to be given
+    "#);
+}
+
+/// What is checked only against the platform's configuration, or where plans for sites are on.
+#[test]
+fn sites_that_do_not_fit_the_configuration_stop_the_start_with_the_reason() {
+    let (folder, nowhere) = (Folder::new(), Nowhere::new());
+    let (config, _all) = fleet(&nowhere, 1);
+    let config = folder.file("config.json", &config.to_string());
+    let sites = [
+        json!({"prefer": {"c": ["a"]}}),
+        json!({"prefer": {"a": ["c"]}}),
+        json!({"prefer": {"a": ["a"]}}),
+        json!({"refuse": ["report"]}),
+        json!({"budget": 0}),
+        json!({"budget": 1.01}),
+        json!({"lost_part": 0}),
+        json!({"lost_part": 2}),
+        json!({"ramp_from": -0.1}),
+        json!({"ramp_from": 1.5}),
+        json!({"ramp_ms": 0}),
+    ];
+    let said = sites.map(|sites| {
+        let mut on = json!({"enabled": true, "capacity_per_s": 100});
+        on.as_object_mut().unwrap().extend(sites.as_object().unwrap().clone());
+        let all = json!({"membership": {"enabled": true}, "takeover": {"enabled": true}, "sites": on});
+        let path = folder.file("operators.jsonnet", &all.to_string());
+        let said = refusal(&folder, &[("BALANCER_CONFIG", &config), ("IRISROUTER_OPERATORS", &path)]);
+        said.lines().last().unwrap().to_string()
+    });
+    assert_snapshot!(said.join("\n"), @r#"
+    irisrouter: /sites/prefer: the configuration has no c, only a, b
+    irisrouter: /sites/prefer/a: the configuration has no c, only a, b
+    irisrouter: /sites/prefer: site 0 names itself, or one that is not there
+    irisrouter: /sites/refuse: the configuration has no report, only read, order, once, own
+    irisrouter: /sites/budget: over 0, at most 1
+    irisrouter: /sites/budget: over 0, at most 1
+    irisrouter: /sites/lost_part: over 0, at most 1
+    irisrouter: /sites/lost_part: over 0, at most 1
+    irisrouter: /sites/ramp_from: over 0, at most 1
+    irisrouter: /sites/ramp_from: over 0, at most 1
+    irisrouter: /sites/ramp_ms: must be greater than zero
+    "#);
+    // With plans off none of it is looked at.
+    let off: Value =
+        json!({"sites": {"prefer": {"c": ["a"]}, "refuse": ["report"], "budget": 7, "ramp_ms": 0}});
+    let path = folder.file("operators.jsonnet", &off.to_string());
+    assert_eq!(outcome(&folder, &[("BALANCER_CONFIG", &config), ("IRISROUTER_OPERATORS", &path)]), "starts");
+}
+
+#[test]
+fn a_file_that_cannot_be_read_is_told_with_its_path() {
+    let (folder, _nowhere, config) = prepared();
+    let large = folder.file("large.jsonnet", &format!("{{}}{}", " ".repeat(4 << 20)));
+    let text = folder.at("bytes.jsonnet");
+    std::fs::write(&text, b"{ membership: '\xff\xfe' }").unwrap();
+    let paths = [folder.at("missing.jsonnet"), folder.at(""), folder.at("config.json/below"), large, text];
+    let said =
+        paths.map(|path| refusal(&folder, &[("BALANCER_CONFIG", &config), ("IRISROUTER_OPERATORS", &path)]));
+    assert_snapshot!(said.join(""), @r#"
+    irisrouter: FOLDER/missing.jsonnet: No such file or directory (os error 2)
+    irisrouter: FOLDER/: no file of 4194304 bytes at most
+    irisrouter: FOLDER/config.json/below: Not a directory (os error 20)
+    irisrouter: FOLDER/large.jsonnet: no file of 4194304 bytes at most
+    irisrouter: FOLDER/bytes.jsonnet: imported file is not valid utf-8: "FOLDER/bytes.jsonnet"
+    "#);
+}
+
+/// The trace is set out in columns, whose width follows the path's.
+fn without_columns(text: &str) -> String {
+    let lines = text.lines().map(|l| l.split_whitespace().collect::<Vec<_>>().join(" "));
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+#[test]
+fn a_file_that_is_no_jsonnet_or_fails_is_told_with_its_place() {
+    let texts = [
+        "{ membership: ",
+        "membership:\n  enabled: true\n",
+        "{ membership: { enabled: on } }",
+        "{ membership: error 'not yet' }",
+        "import 'missing.libsonnet'",
+        "{ membership: { enabled: 1 / 0 } }",
+        "function(fleet) { membership: { enabled: fleet } }",
+    ];
+    let said = texts.map(|text| format!("---\n{}", without_columns(&said_of(text))));
+    assert_snapshot!(said.join("\n"), @r#"
+    ---
+    syntax error, expected one of one of "(", "[", "{", <identifier>, <number>, <string>, <unary op>, <whitespace>, got "EOF"
+    FOLDER/operators.jsonnet:1:15
+    ---
+    syntax error, expected one of one of "(", ".", "[", "{", <binary op>, <whitespace>, EOF, got ":"
+    FOLDER/operators.jsonnet:1:11
+    ---
+    variable is not defined: on
+    FOLDER/operators.jsonnet:1:26-29: variable <on>
+    : field <enabled> manifestification
+    : field <membership> manifestification
+    ---
+    runtime error: not yet
+    FOLDER/operators.jsonnet:1:15-31: error statement
+    : field <membership> manifestification
+    ---
+    can't resolve missing.libsonnet from FOLDER
+    FOLDER/operators.jsonnet:1:1-28: import "missing.libsonnet"
+    ---
+    attempted to divide by zero
+    : field <enabled> manifestification
+    : field <membership> manifestification
+    ---
+    founction argument is not passed: fleet
+    : during TLA call
+    "#);
+}
+
+#[test]
+fn a_file_that_calls_itself_without_end_is_refused_with_its_calls() {
+    let said = without_columns(&said_of("local f(x) = f(x + 1) + 1; { membership: { stall_ms: f(0) } }"));
+    let lines: Vec<&str> = said.lines().collect();
+    assert_eq!(lines[0], "stack overflow, try to reduce recursion, or set --max-stack to bigger value");
+    let calls = lines.iter().filter(|l| l.ends_with(": function <f> call")).count();
+    assert_eq!((calls, lines.len()), (179, 182), "{said}");
+    assert_eq!(
+        lines[180..],
+        [": field <stall_ms> manifestification", ": field <membership> manifestification"]
+    );
+}
+
+/// The evaluator breaks down on it, in a build with overflow checks as this one: what it says of that comes first.
+#[test]
+fn a_file_that_is_empty_is_refused() {
+    let (folder, _nowhere, config) = prepared();
+    let path = folder.file("operators.jsonnet", "");
+    let said = refusal(&folder, &[("BALANCER_CONFIG", &config), ("IRISROUTER_OPERATORS", &path)]);
+    let last = said.lines().last().unwrap();
+    assert_eq!(last, "irisrouter: FOLDER/operators.jsonnet: the evaluation broke down", "{said}");
+}
