Split the gateway tests by what they prove, with a harness in field terms

Change: twelve modules (protocol, streaming, retries, cancellation, discovery, configuration, limits, console, drains, shutdown, hot_restart, peers) and a harness with one module each for the gateway's process, clients, scripted and manual hosts, discovery, messages and the shared monitor. Test names give subject, condition and expectation.

--- /dev/null
+++ b/tests/gateway/drains.rs
@@ -0,0 +1,110 @@
+//! Drains of the gateway and of a database host.
+
+use crate::harness::discovery::{Discovery, EndpointList};
+use crate::harness::gateway::Gateway;
+use crate::harness::host::{reply_with_row, Host, HostReply};
+use crate::harness::manual_host::{read_query, send_authentication_ok, ManualHost};
+use crate::harness::messages::{
+    query_message, read_query_message, slow_query_message, startup_message, statement,
+};
+use insta::assert_snapshot;
+use serde_json::json;
+use std::io::Read;
+use std::time::Duration;
+
+/// Guards against clients that are kept or cut off while a gateway is drained, and against a gateway that stays drained.
+#[test]
+fn evacuated_gateway_closes_clients_after_their_answers_until_activated() {
+    let host = Host::start("s-1", true, |_, text| {
+        if text.contains("slow") {
+            std::thread::sleep(Duration::from_millis(600));
+        }
+        HostReply::Row("a1b2")
+    });
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let mut gateway = Gateway::start(&discovery, &[&host]);
+    let mut idle = gateway.client();
+    let mut busy = gateway.client();
+    let slow = slow_query_message(9_000);
+    busy.send(&[slow, query_message("")].concat());
+    host.wait_for_event("slow");
+    assert_snapshot!(gateway.call_console("readyz\n"), @"+OK ready");
+    assert_snapshot!(gateway.call_console("evacuate\r\n"), @"+OK clients are sent away");
+    assert_snapshot!(gateway.call_console("evacuate\n"), @"+OK clients are sent away");
+    assert_snapshot!(gateway.call_console("readyz\n"), @"-ERR drained");
+    let mut new = gateway.connect();
+    new.send(&[startup_message(), query_message(&statement("once", 9_000))].concat());
+    new.read_until_ready();
+    assert!(
+        new.read_until_ready().contains("a1b2"),
+        "what still comes is served"
+    );
+    assert_eq!(new.read_until_ready(), "closed");
+    assert_eq!(idle.read_until_ready(), "closed");
+    assert!(
+        busy.read_until_ready().contains("a1b2"),
+        "what is under way is finished"
+    );
+    assert_snapshot!(busy.read_until_ready(), @r"
+    ErrorResponse SERROR VERROR C57P03 Mclients are sent away
+    ReadyForQuery
+    ");
+    assert_eq!(busy.read_until_ready(), "closed");
+    assert_snapshot!(gateway.call_console("activate\n"), @"+OK clients are welcome");
+    let mut back = gateway.client();
+    assert!(back.query("").starts_with("Empty"));
+    assert!(back.query(&statement("once", 9_000)).contains("a1b2"));
+    gateway.signal("-TERM");
+    gateway.wait_for_log("stopping");
+    assert_snapshot!(gateway.call_console("readyz\n"), @"-ERR stopping");
+    assert_snapshot!(gateway.call_console("activate\n"), @"-ERR stopping");
+    assert_eq!(gateway.exit_code(), Some(0));
+}
+
+/// Guards against closing a connection with unread input: that resets it, and discards the last answer.
+#[test]
+fn connection_closed_by_the_gateway_reads_crossing_input_without_a_reset() {
+    let host = Host::start("s-1", true, reply_with_row);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let mut idle = gateway.client();
+    assert!(idle.query(&statement("once", 9_000)).contains("a1b2"));
+    gateway.call_console("evacuate\n");
+    assert_eq!(idle.read_until_ready(), "closed");
+    // The gateway has closed its side; meanwhile more than a buffer of input arrives.
+    let before = host.statements().len();
+    for _ in 0..20 {
+        idle.send(&read_query_message("1111").repeat(40));
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    assert_eq!(idle.stream.read(&mut [0]).expect("an end and no reset"), 0);
+    assert_eq!(
+        host.statements().len(),
+        before,
+        "what came behind the end is not sent on"
+    );
+}
+
+/// Guards against health checks that are decided on before a drain and get their connection after it.
+#[test]
+fn health_check_is_not_sent_when_its_host_drains_during_connect() {
+    let manual_host = ManualHost::start();
+    let discovery = Discovery::start(vec![manual_host.entry("in_service")]);
+    let gateway = Gateway::start_with_config(&discovery, &[], |config| {
+        config["known"]["members"] = json!([manual_host.entry("in_service")]);
+        config["settings"]["Bounds"]["ConnectTimeoutNs"] = json!(20_000_000_000u64);
+    });
+    // A write without a known primary: all hosts are checked.
+    let mut client = gateway.client();
+    client.send(&query_message(&statement("order", 9_000)));
+    let mut late = manual_host.accept();
+    discovery.publish(EndpointList::Members(json!([
+        manual_host.entry("terminating")
+    ])));
+    send_authentication_ok(&mut late);
+    assert_eq!(
+        read_query(&mut late),
+        None,
+        "something new to a host that drains"
+    );
+}
--- /dev/null
+++ b/tests/gateway/harness/manual_host.rs
@@ -0,0 +1,76 @@
+//! A database host whose every byte the test sends itself, to force the order of crossing events.
+
+use super::discovery::Discovery;
+use super::gateway::Gateway;
+use super::messages::{read_message, read_startup};
+use super::TEST_TIMEOUT;
+use serde_json::{json, Value};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver};
+use std::thread::spawn;
+
+/// A host that accepts connections and sends nothing by itself.
+pub struct ManualHost {
+    address: SocketAddr,
+    connections: Receiver<TcpStream>,
+}
+
+impl ManualHost {
+    /// Starts the host.
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (sender, connections) = channel();
+        spawn(move || {
+            listener
+                .incoming()
+                .all(|stream| sender.send(stream.unwrap()).is_ok())
+        });
+        ManualHost {
+            address,
+            connections,
+        }
+    }
+
+    /// The host's entry in an endpoint list.
+    pub fn entry(&self, phase: &str) -> Value {
+        json!({"id": "s-1", "host_port": self.address.to_string(), "locality": "a", "flavor": "m", "cell": 2,
+            "phase": phase, "size": 1.0, "up_since_ms": 0})
+    }
+
+    /// The next connection, with its startup message read.
+    pub fn accept(&self) -> TcpStream {
+        let mut stream = self
+            .connections
+            .recv_timeout(TEST_TIMEOUT)
+            .expect("a connection");
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+        read_startup(&mut stream).unwrap();
+        stream
+    }
+
+    /// Starts a gateway without health checks, so that all that this host receives is requests, and whose attempts
+    /// cannot be cancelled.
+    pub fn start_gateway_without_health_checks(&self, discovery: &Discovery) -> Gateway {
+        Gateway::start_with_config(discovery, &[], |config| {
+            config["known"]["members"] = json!([self.entry("in_service")]);
+            config["settings"]["Bounds"]["Probes"] = json!(false);
+            config["settings"]["Bounds"]["Cancel"] = json!(false);
+            config["settings"]["Bounds"]["ConnectTimeoutNs"] = json!(20_000_000_000u64);
+        })
+    }
+}
+
+/// Answers a startup message: AuthenticationOk and ReadyForQuery.
+pub fn send_authentication_ok(stream: &mut TcpStream) {
+    stream
+        .write_all(b"R\0\0\0\x08\0\0\0\0Z\0\0\0\x05I")
+        .unwrap();
+}
+
+/// The next query on a connection; `None` where the connection has ended.
+pub fn read_query(stream: &mut TcpStream) -> Option<String> {
+    let (_, body) = read_message(stream)?;
+    Some(String::from_utf8(body).unwrap())
+}
--- /dev/null
+++ b/tests/gateway/harness/scripted_discovery.rs
@@ -0,0 +1,71 @@
+//! A discovery server whose responses follow a script, to break them off at chosen points.
+
+use super::discovery::Discovery;
+use super::monitor::Monitor;
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader};
+use std::net::{TcpListener, TcpStream};
+use std::thread::spawn;
+
+/// A request to a scripted server.
+pub struct ScriptedRequest<'a> {
+    /// The number of its connection, from 1.
+    pub connection: usize,
+    pub path: &'a str,
+    pub stream: &'a mut TcpStream,
+    /// The list that the test holds now, as a response's body.
+    pub body: &'a str,
+}
+
+/// What a scripted server does with a request.
+pub type ResponseScript = fn(ScriptedRequest<'_>);
+
+/// Starts a discovery server that responds by a script with the list that the test holds.
+pub fn start_scripted_discovery(list: Monitor<String>, script: ResponseScript) -> Discovery {
+    let unused = Discovery::start(vec![]);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let requests = unused.requests.clone();
+    spawn(move || {
+        for (connection, stream) in (1..).zip(listener.incoming()) {
+            let stream = stream.unwrap();
+            let requests = requests.clone();
+            let list = list.clone();
+            spawn(move || serve(stream, connection, &requests, &list, script));
+        }
+    });
+    Discovery { address, ..unused }
+}
+
+fn serve(
+    mut stream: TcpStream,
+    connection: usize,
+    requests: &Monitor<Vec<String>>,
+    list: &Monitor<String>,
+    script: ResponseScript,
+) {
+    let mut lines = BufReader::new(stream.try_clone().unwrap()).lines();
+    while let Some(Ok(request_line)) = lines.next() {
+        while lines
+            .next()
+            .is_some_and(|line| line.is_ok_and(|line| !line.is_empty()))
+        {}
+        let path = request_line.split(' ').nth(1).unwrap().to_string();
+        requests.update(|requests| requests.push(format!("{connection}: {path}")));
+        let body = list.update(|list| list.clone());
+        script(ScriptedRequest {
+            connection,
+            path: &path,
+            stream: &mut stream,
+            body: &body,
+        });
+    }
+}
+
+/// An endpoint list as a response's body.
+pub fn endpoint_list_body(revision: u64, members: Value) -> String {
+    serde_json::to_string_pretty(
+        &json!({"revision": revision, "complete": true, "members": members}),
+    )
+    .unwrap()
+}
--- /dev/null
+++ b/tests/gateway/limits.rs
@@ -0,0 +1,136 @@
+//! Limits on connections: idle ones, those beyond the limit, and those that send nothing.
+
+use crate::harness::client::Client;
+use crate::harness::discovery::Discovery;
+use crate::harness::gateway::Gateway;
+use crate::harness::host::{reply_with_row, Host, HostReply};
+use crate::harness::messages::{query_message, startup_message, statement};
+use insta::assert_snapshot;
+use serde_json::{json, Value};
+use std::io::Read;
+
+#[test]
+fn idle_upstream_connection_is_closed_before_its_host_closes_it() {
+    let host = Host::start("s-1", true, reply_with_row);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let short_idle_time =
+        |config: &mut Value| config["settings"]["Bounds"]["IdleCloseNs"] = json!(1_000_000_000);
+    let gateway = Gateway::start_with_config(&discovery, &[&host], short_idle_time);
+    assert!(gateway
+        .client()
+        .query(&statement("read", 9_000))
+        .contains("a1b2"));
+    host.wait_for_event("closed");
+}
+
+#[test]
+fn client_beyond_the_connection_limit_is_rejected_until_another_leaves() {
+    let host = Host::start("s-1", true, |_, _| HostReply::NoReply);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let limit_descriptors = |config: &mut Value| config["limits"]["sockets"] = json!(70);
+    let gateway = Gateway::start_with_config(&discovery, &[&host], limit_descriptors);
+    let mut clients: Vec<Client> = (0..4).map(|_| gateway.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&query_message(
+            &statement("read", 19_000).replace("9b1f", &n.to_string()),
+        ));
+    }
+    let mut beyond = gateway.connect();
+    beyond.send(&[startup_message(), query_message(&statement("read", 9_000))].concat());
+    assert_snapshot!(beyond.read_until_ready(), @r"
+    ErrorResponse SFATAL VFATAL C53300 Mtoo many connections D250
+    closed
+    ");
+    // One client leaves: there is room again as soon as the gateway has noticed.
+    clients.pop();
+    let mut accepted = gateway.accepted_client();
+    assert!(accepted.query("").starts_with("Empty"));
+}
+
+/// Guards against clients that send one query and stay connected: they would hold all connections, and new clients would be
+/// rejected.
+#[test]
+fn longest_idle_client_is_evicted_at_the_connection_limit() {
+    let host = Host::start("s-1", true, reply_with_row);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let limit_descriptors = |config: &mut Value| config["limits"]["sockets"] = json!(70);
+    let gateway = Gateway::start_with_config(&discovery, &[&host], limit_descriptors);
+    let mut clients: Vec<Client> = (0..4).map(|_| gateway.client()).collect();
+    clients
+        .iter_mut()
+        .for_each(|c| assert!(c.query(&statement("read", 9_000)).contains("a1b2")));
+    assert!(
+        clients[0].query("").starts_with("Empty"),
+        "the first to come, but not the first to be quiet"
+    );
+    let mut accepted = gateway.accepted_client();
+    assert_eq!(
+        clients.remove(1).stream.read(&mut [0]).unwrap(),
+        0,
+        "closed between two requests"
+    );
+    clients.push(
+        accepted
+            .query("")
+            .starts_with("Empty")
+            .then_some(accepted)
+            .unwrap(),
+    );
+    clients
+        .iter_mut()
+        .for_each(|c| assert!(c.query(&statement("read", 9_000)).contains("a1b2")));
+}
+
+/// Guards against surges of clients that send one query and stay connected: they would use up the third of the descriptors
+/// that all clients share, while the connection limit is not reached.
+#[test]
+fn idle_clients_are_evicted_below_the_limit_when_connections_surge() {
+    let host = Host::start("s-1", true, reply_with_row);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    // 38 connections are allowed, of which 20 are in use on usual days.
+    let limit_descriptors = |config: &mut Value| config["limits"]["sockets"] = json!(120);
+    let gateway = Gateway::start_with_config(&discovery, &[&host], limit_descriptors);
+    let mut clients: Vec<Client> = (0..30).map(|_| gateway.client()).collect();
+    clients
+        .iter_mut()
+        .for_each(|c| assert!(c.query(&statement("read", 9_000)).contains("a1b2")));
+    let mut remaining = clients.split_off(10);
+    for c in &mut clients {
+        assert_eq!(
+            c.stream.read(&mut [0]).unwrap(),
+            0,
+            "those that have been quiet longest"
+        );
+    }
+    remaining
+        .iter_mut()
+        .for_each(|c| assert!(c.query(&statement("read", 9_000)).contains("a1b2")));
+}
+
+/// Guards against clients that send nothing, or part of a message, and hold their connections for ever.
+#[test]
+fn incomplete_client_message_times_out_with_an_error() {
+    let host = Host::start("s-1", true, reply_with_row);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let mut idle = gateway.client();
+    let mut partial_query = gateway.client();
+    let silent = gateway.connect();
+    let mut partial_startup = gateway.connect();
+    partial_query.send(&query_message(&statement("read", 9_000))[..20]);
+    partial_startup.send(&startup_message()[..6]);
+    let answers =
+        [silent, partial_query, partial_startup].map(|mut client| client.read_until_ready());
+    assert_snapshot!(answers.join("\n"), @r"
+    ErrorResponse SFATAL VFATAL C08P01 Ma message that does not become whole
+    closed
+    ErrorResponse SFATAL VFATAL C08P01 Ma message that does not become whole
+    closed
+    ErrorResponse SFATAL VFATAL C08P01 Ma message that does not become whole
+    closed
+    ");
+    assert!(
+        idle.query(&statement("read", 9_000)).contains("a1b2"),
+        "between two requests it may be quiet"
+    );
+}
--- /dev/null
+++ b/tests/gateway/streaming.rs
@@ -0,0 +1,84 @@
+//! Long values, which are forwarded while they arrive.
+
+use crate::harness::client::Client;
+use crate::harness::discovery::Discovery;
+use crate::harness::gateway::Gateway;
+use crate::harness::host::{Host, HostReply};
+use crate::harness::messages::{query_message, statement};
+use std::io::Read;
+
+/// Guards against long values that are delayed, buffered as a whole, or read from a host faster than their client reads
+/// them; and against a truncated value that looks whole, or whose request is retried after its first bytes.
+#[test]
+fn long_value_is_streamed_at_the_pace_of_its_client() {
+    const LENGTH: usize = 30 << 20;
+    // RowDescription, and the part of DataRow before the value.
+    const HEADER_LENGTH: usize = 33 + 11;
+    // What a client reads while the host is paused.
+    const FIRST_PART: usize = 100_000;
+    let host = Host::start("s-1", true, |_, text| match text {
+        _ if text.contains("half") => HostReply::TruncatedRow(LENGTH),
+        _ if text.contains("long") => HostReply::PausedRow(LENGTH),
+        _ => HostReply::Row("a1b2"),
+    });
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let long_value_query = |id: &str| {
+        query_message(
+            &statement("read", 9_000)
+                .replace("7f3a", "long")
+                .replace("9b1f", id),
+        )
+    };
+    let read_first_part = |client: &mut Client| {
+        let mut bytes = vec![0; FIRST_PART];
+        client.stream.read_exact(&mut bytes).unwrap();
+        assert!(
+            bytes.ends_with(b"vvv"),
+            "while its host waits to be told to go on"
+        );
+    };
+    let mut whole = gateway.client();
+    let mut leaving = gateway.client();
+    let mut truncated = gateway.client();
+    whole.send(&long_value_query("1"));
+    read_first_part(&mut whole);
+    // A client that stops reading and then leaves: its host has sent no more than the buffers between them hold.
+    leaving.send(&long_value_query("2"));
+    read_first_part(&mut leaving);
+    host.resume();
+    drop(leaving);
+    host.wait_for_event("closed");
+    host.events
+        .update(|s| assert!(!s.iter().any(|l| l.ends_with("sent")), "{s:?}"));
+    // The other value arrives whole, and both of its connections can be used again.
+    let mut rest = vec![0; LENGTH + HEADER_LENGTH - FIRST_PART];
+    whole.stream.read_exact(&mut rest).unwrap();
+    assert!(rest.iter().all(|&b| b == b'v'));
+    assert_eq!(
+        whole.read_until_ready(),
+        "CommandComplete SELECT 1\nReadyForQuery"
+    );
+    host.wait_for_event("sent");
+    assert!(whole.query(&statement("read", 9_000)).contains("a1b2"));
+
+    truncated.send(&query_message(
+        &statement("read", 9_000).replace("7f3a", "half"),
+    ));
+    let mut rest = Vec::new();
+    truncated.stream.read_to_end(&mut rest).unwrap();
+    assert!(
+        rest.len() > LENGTH / 4 && rest.len() < LENGTH,
+        "{}",
+        rest.len()
+    );
+    assert_eq!(
+        host.statements()
+            .iter()
+            .filter(|s| s.contains("half"))
+            .count(),
+        1
+    );
+    gateway.signal("-USR1");
+    gateway.wait_for_log(" served=4 truncated=2 ");
+}
