Split the settings loader by concern, with typed errors

Cause: templates, variables, validation and errors shared one file, variables reported their errors as strings, and tests stood in the file.

Change: modules error, problem, template, validation and variables. `Error` derives `thiserror::Error`; `Variables::add` returns a `VariableError`, which the testbed turns into text at its edge (one line there). The evaluation is a type whose steps are evaluate, set variables, apply. Texts are the same to the letter, and a new test states them. Tests moved to crates/config/tests.

--- /dev/null
+++ b/crates/config/src/template.rs
@@ -0,0 +1,153 @@
+//! Evaluation of Jsonnet templates, with bounds on file size, call depth and stack.
+
+use crate::{read, Checked, Error, Variables};
+use jrsonnet_evaluator::{EvaluationState, FileImportResolver, FuncVal, ManifestFormat, Val};
+use schemars::JsonSchema;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use std::path::Path;
+
+/// Largest template that is read, in bytes. Without a bound, a path that names a device or a memory dump would fill the
+/// memory.
+const MAX_FILE_SIZE: u64 = 4 << 20;
+/// Deepest nesting of calls in a template. Without a bound, a template that calls itself would overflow the stack and end
+/// the process instead of the evaluation.
+const MAX_CALL_DEPTH: usize = 180;
+/// Stack size of the thread that evaluates, in bytes: enough for [`MAX_CALL_DEPTH`], also in a build without
+/// optimisation.
+const STACK_SIZE: usize = 256 << 20;
+
+/// The names of a template's parameters; none if the template is a plain value.
+///
+/// # Errors
+///
+/// [`Error::Unreadable`] or [`Error::Template`].
+pub fn parameters(file: &Path) -> Result<Vec<String>, Error> {
+    on_evaluation_thread(file, |file| {
+        let template = Template::evaluate(file)?;
+        Ok(template.declared_parameters())
+    })
+}
+
+/// Evaluates a template and reads the result as settings.
+///
+/// # Errors
+///
+/// Any [`Error`]; none of the settings apply then.
+pub fn load<T: JsonSchema + DeserializeOwned + Checked>(
+    file: &Path,
+    variables: &Variables,
+) -> Result<T, Error> {
+    let variables = variables.clone();
+    let json = on_evaluation_thread(file, move |file| {
+        Template::evaluate(file)?.apply(&variables)
+    })?;
+    read(file, &json)
+}
+
+/// Checks the file's size, and runs an evaluation on a thread with a stack of [`STACK_SIZE`].
+fn on_evaluation_thread<T: Send + 'static>(
+    file: &Path,
+    evaluation: impl FnOnce(&Path) -> Result<T, Error> + Send + 'static,
+) -> Result<T, Error> {
+    let unreadable = |reason: String| Error::Unreadable {
+        file: file.to_path_buf(),
+        reason,
+    };
+    let metadata = std::fs::metadata(file).map_err(|error| unreadable(error.to_string()))?;
+    if !metadata.is_file() || metadata.len() > MAX_FILE_SIZE {
+        let reason = format!("no file of {MAX_FILE_SIZE} bytes at most");
+        return Err(unreadable(reason));
+    }
+    let owned_path = file.to_path_buf();
+    let thread = std::thread::Builder::new()
+        .stack_size(STACK_SIZE)
+        .spawn(move || evaluation(&owned_path))
+        .map_err(|error| unreadable(format!("no thread to evaluate it: {error}")))?;
+    thread.join().unwrap_or_else(|_| {
+        Err(Error::Template {
+            file: file.to_path_buf(),
+            reason: "the evaluation broke down".into(),
+        })
+    })
+}
+
+/// A template whose file has been evaluated: a value, or a function of the template's parameters.
+struct Template<'a> {
+    file: &'a Path,
+    state: EvaluationState,
+    value: Val,
+}
+
+impl<'a> Template<'a> {
+    fn evaluate(file: &'a Path) -> Result<Self, Error> {
+        let state = EvaluationState::default();
+        state.with_stdlib();
+        state.set_max_stack(MAX_CALL_DEPTH);
+        state.set_import_resolver(Box::new(FileImportResolver {
+            library_paths: Vec::new(),
+        }));
+        state.set_manifest_format(ManifestFormat::Json(0));
+        let value = state
+            .evaluate_file_raw(file)
+            .map_err(|error| template_error(file, state.stringify_err(&error)))?;
+        Ok(Template { file, state, value })
+    }
+
+    fn declared_parameters(&self) -> Vec<String> {
+        let Val::Func(function) = &self.value else {
+            return Vec::new();
+        };
+        let FuncVal::Normal(description) = &**function else {
+            return Vec::new();
+        };
+        let parameters = description.params.0.iter();
+        parameters
+            .map(|parameter| parameter.0.to_string())
+            .collect()
+    }
+
+    /// Applies the template to its variables and returns the result as JSON.
+    fn apply(self, variables: &Variables) -> Result<Value, Error> {
+        let file = self.file;
+        self.set_variables(variables)?;
+        let state = self.state;
+        let evaluation_error = |error| template_error(file, state.stringify_err(&error));
+        let value = state.with_tla(self.value).map_err(evaluation_error)?;
+        let text = state.manifest(value).map_err(evaluation_error)?;
+        serde_json::from_str(&text)
+            .map_err(|error| template_error(file, format!("it manifests as no JSON: {error}")))
+    }
+
+    /// Passes the variables to the template as arguments. A value that is JSON is passed as that, and any other as a
+    /// string.
+    fn set_variables(&self, variables: &Variables) -> Result<(), Error> {
+        let declared = self.declared_parameters();
+        for (name, text) in variables.iter() {
+            if !declared.iter().any(|parameter| parameter == name) {
+                return Err(Error::Variable {
+                    name: name.to_string(),
+                    declared,
+                });
+            }
+            match serde_json::from_str::<Value>(text) {
+                Ok(_) => {
+                    self.state
+                        .add_tla_code(name.into(), text.into())
+                        .map_err(|error| {
+                            template_error(self.file, self.state.stringify_err(&error))
+                        })?;
+                }
+                Err(_) => self.state.add_tla_str(name.into(), text.into()),
+            }
+        }
+        Ok(())
+    }
+}
+
+fn template_error(file: &Path, reason: String) -> Error {
+    Error::Template {
+        file: file.to_path_buf(),
+        reason,
+    }
+}
--- /dev/null
+++ b/crates/config/tests/templates.rs
@@ -0,0 +1,190 @@
+//! Templates as files: parameters, imports, checks, and evaluations that fail.
+
+use irisrouter_config::{load, parameters, Checked, Error, Problem, Variables};
+use schemars::JsonSchema;
+use serde::Deserialize;
+use std::path::Path;
+
+/// Settings with a schema bound, an optional list, and a check across both fields.
+#[derive(Debug, Deserialize, JsonSchema, PartialEq)]
+#[serde(deny_unknown_fields)]
+struct Pond {
+    #[schemars(range(min = 0.0))]
+    depth_m: f64,
+    #[serde(default)]
+    fish: Vec<String>,
+}
+
+impl Checked for Pond {
+    fn check(&self) -> Vec<Problem> {
+        let dry = self.depth_m == 0.0 && !self.fish.is_empty();
+        dry.then(|| Problem::new("/fish", "fish in a dry pond"))
+            .into_iter()
+            .collect()
+    }
+}
+
+/// A directory with a template `a.jsonnet`.
+struct TemplateDirectory(tempfile::TempDir);
+
+impl TemplateDirectory {
+    fn with(files: &[(&str, &str)]) -> Self {
+        let dir = TemplateDirectory(tempfile::tempdir().expect("a folder"));
+        files.iter().for_each(|(name, text)| {
+            std::fs::write(dir.0.path().join(name), text).expect("a file")
+        });
+        dir
+    }
+
+    fn load(&self, variables: &[&str]) -> Result<Pond, Error> {
+        let mut parsed = Variables::none();
+        variables
+            .iter()
+            .for_each(|p| parsed.add(p).expect("a variable"));
+        load(&self.0.path().join("a.jsonnet"), &parsed)
+    }
+}
+
+#[test]
+fn template_takes_parameters_and_imports() {
+    let dir = TemplateDirectory::with(&[
+        ("a.jsonnet", "local b = import 'b.libsonnet';\nfunction(depth=2, kind='carp') b + {depth_m: depth, fish: [kind]}"),
+        ("b.libsonnet", "{depth_m: 1}"),
+    ]);
+    assert_eq!(
+        dir.load(&[]),
+        Ok(Pond {
+            depth_m: 2.0,
+            fish: vec!["carp".into()]
+        })
+    );
+    assert_eq!(
+        dir.load(&["depth=3.5", "kind=a pike"]),
+        Ok(Pond {
+            depth_m: 3.5,
+            fish: vec!["a pike".into()]
+        })
+    );
+    assert_eq!(
+        parameters(&dir.0.path().join("a.jsonnet")),
+        Ok(vec!["depth".into(), "kind".into()])
+    );
+    let declared = vec!["depth".to_string(), "kind".to_string()];
+    assert_eq!(
+        dir.load(&["deep=3"]),
+        Err(Error::Variable {
+            name: "deep".into(),
+            declared
+        })
+    );
+}
+
+#[test]
+fn invalid_settings_are_reported_with_path_and_reason() {
+    let problems = |text: &str| match TemplateDirectory::with(&[("a.jsonnet", text)]).load(&[]) {
+        Err(Error::Invalid { problems, .. }) => problems,
+        other => panic!("{other:?}"),
+    };
+    let found = problems("{depth_m: -1}");
+    assert_eq!(found[0].path, "/depth_m");
+    assert!(found[0].reason.contains("-1"), "{found:?}");
+    assert!(problems("{depth_m: 1, frogs: 2}")[0]
+        .reason
+        .contains("frogs"));
+    assert_eq!(
+        problems("{depth_m: 1, fish: ['carp', 7]}")[0].path,
+        "/fish/1"
+    );
+    assert_eq!(
+        problems("{depth_m: 0, fish: ['carp']}"),
+        [Problem::new("/fish", "fish in a dry pond")]
+    );
+    assert!(problems("[]")[0].path.is_empty());
+}
+
+#[test]
+fn recursive_or_broken_template_is_an_error_and_does_not_end_the_process() {
+    let fails = |files: &[(&str, &str)]| match TemplateDirectory::with(files).load(&[]) {
+        Err(Error::Template { reason, .. }) => reason,
+        other => panic!("{other:?}"),
+    };
+    let looping = fails(&[
+        ("a.jsonnet", "import 'b.jsonnet'"),
+        ("b.jsonnet", "import 'a.jsonnet'"),
+    ]);
+    assert!(
+        looping.contains("recursion") || looping.contains("stack"),
+        "{looping}"
+    );
+    let deep = fails(&[("a.jsonnet", "local f(x) = 1 + f(x + 1); {depth_m: f(0)}")]);
+    assert!(deep.contains("stack"), "{deep}");
+    assert!(fails(&[("a.jsonnet", "{depth_m: }")]).contains("a.jsonnet"));
+    assert!(fails(&[("a.jsonnet", "import 'missing.jsonnet'")]).contains("missing"));
+    let missing = load::<Pond>(Path::new("no/such/file"), &Variables::none());
+    assert!(
+        matches!(missing, Err(Error::Unreadable { .. })),
+        "{missing:?}"
+    );
+    assert!(matches!(
+        load::<Pond>(Path::new("/dev/zero"), &Variables::none()),
+        Err(Error::Unreadable { .. })
+    ));
+}
+
+#[test]
+fn variable_that_is_no_pair_is_rejected() {
+    let mut parsed = Variables::none();
+    assert!(
+        parsed.add("gateways").is_err()
+            && parsed.add("a b=1").is_err()
+            && parsed.add("=1").is_err()
+    );
+    parsed.add("a=1").expect("a pair");
+    parsed.add("a=x=y").expect("a pair");
+    assert_eq!(parsed.to_string(), "a=x=y");
+}
+
+/// Operators and scripts see these texts.
+#[test]
+fn errors_have_stable_texts() {
+    let file = || "a.jsonnet".into();
+    let declared = |names: &[&str]| names.iter().map(|name| name.to_string()).collect();
+    let texts = [
+        Error::Unreadable {
+            file: file(),
+            reason: "gone".into(),
+        },
+        Error::Template {
+            file: file(),
+            reason: "at 1:2\n".into(),
+        },
+        Error::Variable {
+            name: "x".into(),
+            declared: declared(&[]),
+        },
+        Error::Variable {
+            name: "x".into(),
+            declared: declared(&["a", "b"]),
+        },
+        Error::Invalid {
+            file: file(),
+            problems: vec![Problem::new("", "one"), Problem::new("/a", "two")],
+        },
+    ]
+    .map(|error| error.to_string());
+    assert_eq!(
+        texts,
+        [
+            "a.jsonnet: gone",
+            "a.jsonnet: at 1:2",
+            "variable x: the file declares none",
+            "variable x: the file declares a, b",
+            "a.jsonnet: not taken:\n  (the whole): one\n  /a: two",
+        ]
+    );
+    let mut variables = Variables::none();
+    let errors =
+        ["gateways", "a b=1"].map(|pair| variables.add(pair).map_err(|error| error.to_string()));
+    assert_eq!(errors[0], Err("'gateways' is not name=value".to_string()));
+    assert_eq!(errors[1], Err("'a b' is no name of a variable".to_string()));
+}
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -251,7 +251,7 @@
     pairs
         .iter()
         .try_for_each(|p| v.add(p))
-        .map_err(Failed::Input)?;
+        .map_err(|error| Failed::Input(error.to_string()))?;
     Ok(v)
 }
 
