Split the wire protocol's package by concern, with typed errors and message tags

Cause: framing, messages of both directions, statement comments and codes shared one file with bare letters as message types; the parser of a statement kept its fields in an array by position.

Change: modules frame, row, frontend, backend, reply, statement, load_report, message, code, tag and error. The comment's fields are a struct, message types have names, bounds are named constants with their units. Public names stay, as the gateway uses them. The tests are split by the same concerns, without glob imports.

--- /dev/null
+++ b/crates/pg/src/frame.rs
@@ -0,0 +1,48 @@
+//! Framing: where a message begins and ends in the bytes read so far.
+
+use crate::error::{Malformed, TOO_LARGE};
+use std::ops::Range;
+
+/// Largest message that is accepted as a whole, in bytes: enough for a value of 64 KiB in hexadecimal with its statement.
+pub const LARGEST: usize = 256 * 1024;
+/// Size of a message's length field, which counts itself.
+const LENGTH_SIZE: usize = 4;
+/// Size of the type byte and the length field.
+pub(crate) const HEADER_SIZE: usize = 1 + LENGTH_SIZE;
+
+/// A message: its type, and the place of its body in the bytes read so far.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Frame {
+    /// The type byte; see [`tag`](crate::tag).
+    pub tag: u8,
+    /// The place of the body.
+    pub body: Range<usize>,
+}
+
+/// Returns the first message in these bytes, or `None` while it is incomplete.
+///
+/// # Errors
+///
+/// The message is shorter than its own length field, or longer than [`LARGEST`].
+pub fn frame(bytes: &[u8]) -> Result<Option<Frame>, Malformed> {
+    let (Some(&tag), Some(length)) = (bytes.first(), length_field(bytes)) else {
+        return Ok(None);
+    };
+    if length < LENGTH_SIZE {
+        return Err(Malformed("a message shorter than its own length"));
+    }
+    if length > LARGEST {
+        return Err(TOO_LARGE);
+    }
+    let is_complete = bytes.len() > length;
+    Ok(is_complete.then_some(Frame {
+        tag,
+        body: HEADER_SIZE..1 + length,
+    }))
+}
+
+/// The length field of the first message, or `None` while it is incomplete. It counts itself, but not the type byte.
+pub(crate) fn length_field(bytes: &[u8]) -> Option<usize> {
+    let length = bytes.get(1..)?.first_chunk()?;
+    Some(u32::from_be_bytes(*length) as usize)
+}
--- /dev/null
+++ b/crates/pg/src/reply.rs
@@ -0,0 +1,157 @@
+//! A database host's reply to one query, read message by message.
+
+use crate::error::Malformed;
+use crate::row::{check_one_column_description, one_column_value};
+use crate::tag;
+
+/// Longest value that may be a load report, in bytes.
+const MAX_REPORT_LENGTH: usize = 256;
+
+/// The role that a database host reports in `ParameterStatus`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HostRole {
+    /// The host accepts writes.
+    Writer,
+    /// The host is a replica.
+    Reader,
+}
+
+/// A database host's reply to one query, as far as it has arrived.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Reply {
+    /// The last message of the row that has arrived.
+    pub stage: Stage,
+    /// The SQLSTATE of `ErrorResponse`, if that has arrived.
+    pub error: Option<String>,
+    /// `ReadyForQuery` has arrived.
+    pub ready: bool,
+    /// The host's role, if it was reported.
+    pub role: Option<HostRole>,
+    /// The host's replication position in Unix milliseconds, if it was reported.
+    pub position_ms: Option<i64>,
+    /// The value of the row, where it is short enough to be a load report.
+    pub value: Option<String>,
+}
+
+/// The messages that make up a row: one of each, in this order.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Stage {
+    /// None of them has arrived.
+    #[default]
+    Begun,
+    /// `RowDescription`, of one column.
+    Described,
+    /// `DataRow`, of one value.
+    Row,
+    /// `CommandComplete`.
+    Complete,
+}
+
+impl Reply {
+    /// Reads the next message. Returns whether it is part of the row, which is forwarded to the client.
+    ///
+    /// # Errors
+    ///
+    /// The message is malformed or out of order. What is out of order may belong to another reply, and its row to another
+    /// request.
+    pub fn take(&mut self, tag: u8, body: &[u8]) -> Result<bool, Malformed> {
+        let next_stage = match (tag, self.stage, &self.error) {
+            (tag::ROW_DESCRIPTION, Stage::Begun, None) => {
+                check_one_column_description(body)?;
+                Stage::Described
+            }
+            (tag::DATA_ROW, Stage::Described, None) => {
+                self.read_value(body)?;
+                Stage::Row
+            }
+            (tag::COMMAND_COMPLETE, Stage::Row, None) if is_one_string(body) => Stage::Complete,
+            (tag::ERROR_RESPONSE, _, None) => {
+                self.error = Some(error_code(body)?);
+                return Ok(false);
+            }
+            (tag::PARAMETER_STATUS, ..) => {
+                self.read_parameter(body)?;
+                return Ok(false);
+            }
+            (tag::READY_FOR_QUERY, Stage::Begun | Stage::Complete, _)
+            | (tag::READY_FOR_QUERY, _, Some(_))
+                if is_transaction_status(body) =>
+            {
+                self.ready = true;
+                return Ok(false);
+            }
+            (tag::NOTICE_RESPONSE | tag::NOTIFICATION_RESPONSE, ..) => return Ok(false),
+            // These come when a session starts.
+            (tag::BACKEND_KEY_DATA | tag::AUTHENTICATION, Stage::Begun, None) => return Ok(false),
+            _ => return Err(Malformed("a message that does not belong in an answer")),
+        };
+        self.stage = next_stage;
+        Ok(true)
+    }
+
+    /// Records a row whose value was forwarded while it arrived, and so was not read here.
+    ///
+    /// # Errors
+    ///
+    /// No row is due.
+    pub fn passed_row(&mut self) -> Result<(), Malformed> {
+        if self.stage != Stage::Described || self.error.is_some() {
+            return Err(Malformed("a row that nothing describes"));
+        }
+        self.stage = Stage::Row;
+        Ok(())
+    }
+
+    /// Whether a whole row has arrived, and no error.
+    pub fn served(&self) -> bool {
+        self.stage == Stage::Complete && self.error.is_none()
+    }
+
+    fn read_value(&mut self, body: &[u8]) -> Result<(), Malformed> {
+        let value = one_column_value(body)?;
+        if value.len() <= MAX_REPORT_LENGTH {
+            self.value = std::str::from_utf8(value).ok().map(str::to_string);
+        }
+        Ok(())
+    }
+
+    fn read_parameter(&mut self, body: &[u8]) -> Result<(), Malformed> {
+        let mut strings = body
+            .split(|&byte| byte == 0)
+            .map(|string| std::str::from_utf8(string).unwrap_or_default());
+        let (Some(name), Some(value)) = (strings.next(), strings.next()) else {
+            return Err(Malformed("a status without a value"));
+        };
+        match (name, value) {
+            ("server_role", "writer") => self.role = Some(HostRole::Writer),
+            ("server_role", "reader") => self.role = Some(HostRole::Reader),
+            ("commit_clock", position) => {
+                self.position_ms = position.parse().ok().filter(|&position| position > 0);
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+}
+
+/// Whether a body is one string with the zero byte that ends it.
+fn is_one_string(body: &[u8]) -> bool {
+    body.split_last()
+        .is_some_and(|(end, text)| *end == 0 && !text.contains(&0))
+}
+
+/// Whether a body is one of the transaction states: idle, in a transaction, in a failed transaction.
+fn is_transaction_status(body: &[u8]) -> bool {
+    matches!(body, [b'I' | b'T' | b'E'])
+}
+
+/// The SQLSTATE in the body of an `ErrorResponse`.
+fn error_code(body: &[u8]) -> Result<String, Malformed> {
+    let code = body
+        .split(|&byte| byte == 0)
+        .find_map(|field| field.strip_prefix(b"C"));
+    let text = code
+        .and_then(|code| std::str::from_utf8(code).ok())
+        .ok_or(Malformed("an error without a code"))?;
+    Ok(text.to_string())
+}
--- /dev/null
+++ b/crates/pg/src/statement.rs
@@ -0,0 +1,155 @@
+//! Statements: the comment at their end, which tells the gateway how to route them.
+
+use crate::error::Malformed;
+use std::ops::Range;
+
+/// Longest time that a client may claim to wait, in milliseconds: a day.
+const MAX_WAIT_MS: f64 = 86_400_000.0;
+
+/// What a statement says about itself: the comment at its end, and the key that it quotes first.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Statement<'a> {
+    /// The request's id.
+    pub id: &'a str,
+    /// The name of its class.
+    pub class: &'a str,
+    /// The place in the statement of the number of milliseconds that the client waits.
+    pub wait_at: Range<usize>,
+    /// How long the client waits, in milliseconds.
+    pub wait_ms: f64,
+    /// The group of hosts.
+    pub group: i64,
+    /// The idempotency key.
+    pub idempotency: Option<&'a str>,
+    /// Whether the client marks the request as a retry.
+    pub retry: bool,
+    /// The replication position that a read has to see, in Unix milliseconds.
+    pub after_ms: Option<f64>,
+    /// The key that the statement quotes: the session, in classes that have sessions.
+    pub key: Option<&'a [u8]>,
+}
+
+/// The fields of a comment that the gateway knows, as text.
+#[derive(Default)]
+struct CommentFields<'a> {
+    id: Option<&'a str>,
+    class: Option<&'a str>,
+    wait: Option<&'a str>,
+    idempotency: Option<&'a str>,
+    group: Option<&'a str>,
+    after: Option<&'a str>,
+    retry: Option<&'a str>,
+}
+
+impl<'a> CommentFields<'a> {
+    fn parse(comment: &'a str) -> Result<Self, Malformed> {
+        let mut fields = CommentFields::default();
+        for pair in comment.split(',') {
+            let (name, value) = pair
+                .trim()
+                .split_once('=')
+                .ok_or(Malformed("a name without a value in the comment"))?;
+            let Some(field) = fields.field_mut(name.trim()) else {
+                continue;
+            };
+            if field.replace(value.trim()).is_some() {
+                return Err(Malformed("a name that stands twice in the comment"));
+            }
+        }
+        Ok(fields)
+    }
+
+    /// The field with this name; `None` for names that mean nothing to the gateway.
+    fn field_mut(&mut self, name: &str) -> Option<&mut Option<&'a str>> {
+        match name {
+            "id" => Some(&mut self.id),
+            "c" => Some(&mut self.class),
+            "d" => Some(&mut self.wait),
+            "k" => Some(&mut self.idempotency),
+            "cluster" => Some(&mut self.group),
+            "after" => Some(&mut self.after),
+            "r" => Some(&mut self.retry),
+            _ => None,
+        }
+    }
+}
+
+/// Reads a statement with the comment at its end.
+///
+/// # Errors
+///
+/// There is no comment, a field that is required is missing, or a field is repeated or invalid.
+pub fn statement(text: &[u8]) -> Result<Statement<'_>, Malformed> {
+    let (before_comment, comment) = split_comment(text)?;
+    let fields = CommentFields::parse(comment)?;
+    let id = fields
+        .id
+        .filter(|id| !id.is_empty())
+        .ok_or(Malformed("no id in the comment"))?;
+    let wait = fields.wait.ok_or(Malformed("no d in the comment"))?;
+    let wait_ms = finite_number(wait)
+        .filter(|wait_ms| (0.0..=MAX_WAIT_MS).contains(wait_ms))
+        .ok_or(Malformed("d is no time in milliseconds"))?;
+    let after_ms = fields
+        .after
+        .map(|after| finite_number(after).ok_or(Malformed("after is no position")))
+        .transpose()?;
+    let class = fields.class.ok_or(Malformed("no class in the comment"))?;
+    let group = fields
+        .group
+        .and_then(|group| group.parse().ok())
+        .ok_or(Malformed("no cluster in the comment"))?;
+    Ok(Statement {
+        id,
+        class,
+        wait_at: place_within(text, wait),
+        wait_ms,
+        group,
+        idempotency: fields.idempotency.filter(|key| !key.is_empty()),
+        retry: fields.retry == Some("1"),
+        after_ms: after_ms.filter(|&position| position > 0.0),
+        key: first_quoted(before_comment),
+    })
+}
+
+/// The text before the comment at the end of a statement, and the inside of the comment.
+fn split_comment(text: &[u8]) -> Result<(&[u8], &str), Malformed> {
+    let trimmed = text.trim_ascii_end();
+    let statement = trimmed
+        .strip_suffix(b";")
+        .unwrap_or(trimmed)
+        .trim_ascii_end();
+    let inner = statement
+        .strip_suffix(b"*/")
+        .ok_or(Malformed("a statement that does not end with its comment"))?;
+    let start = inner
+        .windows(2)
+        .rposition(|pair| pair == b"/*")
+        .ok_or(Malformed("a comment without its start"))?;
+    let comment = std::str::from_utf8(&inner[start + 2..])
+        .map_err(|_| Malformed("a comment that is no text"))?;
+    Ok((&inner[..start], comment))
+}
+
+fn finite_number(text: &str) -> Option<f64> {
+    text.parse().ok().filter(|number: &f64| number.is_finite())
+}
+
+/// The place of a part within the whole that it was sliced from.
+fn place_within(whole: &[u8], part: &str) -> Range<usize> {
+    let start = part.as_ptr() as usize - whole.as_ptr() as usize;
+    start..start + part.len()
+}
+
+/// The first quoted text of a statement. A doubled quote within it is kept as it is.
+fn first_quoted(text: &[u8]) -> Option<&[u8]> {
+    let start = text.iter().position(|&byte| byte == b'\'')? + 1;
+    let mut end = start;
+    loop {
+        end += text[end..].iter().position(|&byte| byte == b'\'')?;
+        if text.get(end + 1) != Some(&b'\'') {
+            return Some(&text[start..end]);
+        }
+        end += 2;
+    }
+}
--- /dev/null
+++ b/crates/pg/tests/framing.rs
@@ -0,0 +1,53 @@
+//! Framing: whole and incomplete messages, and their bounds.
+
+use bytes::BytesMut;
+use irisrouter_pg::{frame, long_row, put_query, query, startup, unclear, Reply, LONG};
+
+const READ_STATEMENT: &str = "SELECT payload FROM entries WHERE ref = 'k''1' \
+    /* id=9b1f,c=basket,d=480,cluster=2,after=1767225600123 */";
+
+#[test]
+fn frame_is_returned_only_when_whole_and_within_its_bound() {
+    let mut bytes = BytesMut::new();
+    put_query(&mut bytes, READ_STATEMENT.as_bytes());
+    for cut in 0..bytes.len() {
+        assert_eq!(frame(&bytes[..cut]), Ok(None));
+    }
+    let whole = frame(&bytes).expect("well-formed").expect("whole");
+    assert_eq!(
+        (whole.tag, query(&bytes[whole.body])),
+        (b'Q', Ok(READ_STATEMENT.as_bytes()))
+    );
+    assert!(frame(b"Q\0\0\0\x03").is_err());
+    assert!(
+        frame(&[b'Q', 0, 4, 0, 1]).is_err(),
+        "one byte over 256 KiB, told from its head alone"
+    );
+    assert!(startup(&[0, 0, 0x27, 0x11]).is_err());
+}
+
+/// Guards against a corrupt length: bytes that have been forwarded cannot be taken back.
+#[test]
+fn row_is_long_only_when_both_of_its_lengths_agree() {
+    let row = |length: usize, columns: u16, value: usize| {
+        let head = [
+            &b"D"[..],
+            &(length as u32).to_be_bytes(),
+            &columns.to_be_bytes(),
+        ]
+        .concat();
+        [head, (value as u32).to_be_bytes().to_vec()].concat()
+    };
+    assert_eq!(long_row(&row(LONG + 11, 1, LONG + 1)), Ok(Some(LONG + 12)));
+    assert_eq!(long_row(&row(LONG + 10, 1, LONG)), Ok(None));
+    assert_eq!(long_row(&row(LONG + 11, 1, LONG + 1)[..10]), Ok(None));
+    for bad in [
+        row(LONG + 11, 1, LONG),
+        row(LONG + 11, 2, LONG + 1),
+        row(1 << 30, 1, (1 << 30) - 10),
+    ] {
+        assert!(long_row(&bad).is_err());
+    }
+    assert!(unclear(&row(LONG + 11, 1, LONG + 1)[..6]) && !unclear(b"D\0\0\0\x06\0\x01"));
+    assert!(Reply::default().passed_row().is_err());
+}
