Move the retry storm modules to their field terms

Cause: lend, calendar and detect are names of our own.

Change: budget_lease, recovery_schedule, detector and retry_budget, and the paths that name them; nothing else.

--- a/crates/retry-storm/src/lib.rs
+++ b/crates/retry-storm/src/lib.rs
@@ -7,10 +7,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod budget;
-pub mod calendar;
-pub mod detect;
-pub mod lend;
+pub mod budget_lease;
+pub mod detector;
+pub mod recovery_schedule;
+pub mod retry_budget;
 
 /// A point in time on the caller's clock, or a length of time, in nanoseconds.
 pub type Ns = i64;
--- a/crates/retry-storm/tests/lending.rs
+++ b/crates/retry-storm/tests/budget_lease_model.rs
@@ -1,7 +1,7 @@
 //! The lending of a cold host's budget, checked exhaustively at small sizes: every order of ticks, loans, arrivals, losses,
 //! repetitions, deaths and restarts. What all gateways together may send never exceeds the budget.
 
-use irisrouter_retry_storm::lend::{Loan, Part, LONGEST, MARGIN};
+use irisrouter_retry_storm::budget_lease::{Loan, Part, LONGEST, MARGIN};
 use irisrouter_retry_storm::{Ns, MS};
 use stateright::{Checker, Model, Property};
 
