Say plainly what the buffer pool's budget bounds, and move its test to a file

Cause: a label in place of the reason, a constant named KEPT, and an in-file test.

Change: documentation with units, MAX_FREE_BUFFERS, the test in tests/unit/buffers.rs. The log's limit is documented as such. No behaviour.

--- a/src/net/buffers.rs
+++ b/src/net/buffers.rs
@@ -1,33 +1,36 @@
-//! Buffers of one size, used again from a pool.
+//! A pool of buffers of one size, with a budget for messages that need more.
 
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
 use std::ops::{Deref, DerefMut};
 use std::rc::Rc;
 
-/// Size of a buffer: most statements and rows fit in one.
+/// Size of a buffer in bytes: most statements and rows fit.
 pub const SIZE: usize = 8 * 1024;
-/// Free buffers that are kept.
-const KEPT: usize = 64;
+/// Largest number of free buffers that are kept for reuse.
+const MAX_FREE_BUFFERS: usize = 64;
 
-/// The pool. What single messages need beyond a buffer's size comes from a budget that they share.
+/// A pool of buffers. What single messages need beyond a buffer's size comes from a budget that they share.
 pub struct Pool {
     free: RefCell<Vec<BytesMut>>,
+    /// Bytes beyond the size of a buffer that are in use.
     grown: Cell<usize>,
+    /// Most bytes beyond the size of a buffer, here and in other processes of this gateway together.
     budget: usize,
-    /// Grown in another process of this gateway.
+    /// Bytes beyond the size of a buffer that another process of this gateway uses.
     pub elsewhere: Cell<usize>,
 }
 
-/// A buffer that goes back to its pool when it is dropped.
+/// A buffer that returns to its pool when it is dropped.
 pub struct Buffer {
     bytes: BytesMut,
+    /// Bytes beyond [`SIZE`] that this buffer has taken from the budget.
     extra: usize,
     pool: Rc<Pool>,
 }
 
 impl Pool {
-    /// A pool whose buffers may hold so many bytes beyond their size, all together.
+    /// A pool whose buffers together may hold `budget` bytes beyond their size.
     pub fn new(budget: usize) -> Rc<Self> {
         Rc::new(Pool {
             free: RefCell::default(),
@@ -37,12 +40,12 @@
         })
     }
 
-    /// What messages need now beyond a buffer's size.
+    /// Bytes beyond the size of a buffer that are in use in this process.
     pub fn grown(&self) -> usize {
         self.grown.get()
     }
 
-    /// An empty buffer.
+    /// Returns an empty buffer.
     pub fn take(self: &Rc<Self>) -> Buffer {
         let bytes = self
             .free
@@ -58,9 +61,8 @@
 }
 
 impl Buffer {
-    /// Makes room for so many bytes more, or says that the budget for large messages is used up.
-    ///
-    /// Danger: a thousand connections with large messages would go over the limit on memory.
+    /// Makes room for `more` bytes, and returns whether the budget for large messages allows it. Without a budget, a
+    /// thousand connections with large messages would exceed the limit on memory.
     pub fn room(&mut self, more: usize) -> bool {
         let needed = (self.bytes.len() + more).saturating_sub(SIZE);
         if needed > self.extra {
@@ -75,7 +77,7 @@
         true
     }
 
-    /// Appends bytes, if there is room.
+    /// Appends bytes if there is room for them, and returns whether there was.
     #[must_use]
     pub fn append(&mut self, bytes: &[u8]) -> bool {
         let fits = self.room(bytes.len());
@@ -103,8 +105,8 @@
     fn drop(&mut self) {
         self.pool.grown.set(self.pool.grown.get() - self.extra);
         let mut free = self.pool.free.borrow_mut();
-        // One that has grown is given back to the system: all free ones have the same size.
-        if self.extra == 0 && free.len() < KEPT {
+        // The memory of a buffer that has grown is freed, so that all free buffers have the same size.
+        if self.extra == 0 && free.len() < MAX_FREE_BUFFERS {
             let mut bytes = std::mem::take(&mut self.bytes);
             bytes.clear();
             bytes.reserve(SIZE);
@@ -114,21 +116,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn buffers_are_used_again_and_large_ones_share_a_budget() {
-        let pool = Pool::new(SIZE);
-        let mut a = pool.take();
-        assert!(a.append(&[1; 2 * SIZE]), "within the budget");
-        let mut b = pool.take();
-        assert!(!b.append(&[2; SIZE + 1]), "the budget is used up");
-        assert!(b.append(&[2; SIZE]), "the usual size needs none of it");
-        drop(a);
-        assert!(b.append(&[2; 1]), "and what is given back can be had again");
-        drop(b);
-        let c = pool.take();
-        assert!(c.is_empty() && c.capacity() >= SIZE);
-    }
-}
+#[path = "../../tests/unit/buffers.rs"]
+mod tests;
--- a/src/net/log.rs
+++ b/src/net/log.rs
@@ -3,13 +3,13 @@
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
-/// Log lines in a period. A failing host causes a line for each request, and a reader that is slow would then block
+/// Largest number of log lines in a period. A failing host causes a line for each request, and a reader that is slow would then block
 /// the gateway's thread on the pipe.
 const MAX_LINES_PER_PERIOD: u32 = 20;
 /// The period over which lines are counted.
 const PERIOD: Duration = Duration::from_secs(1);
 
-/// The lines of the present period.
+/// The lines of the current period.
 struct LineCount {
     started: Cell<Option<Instant>>,
     lines: Cell<u32>,
@@ -36,7 +36,8 @@
     })
 }
 
-/// Writes a line to standard error, unless the period has had its lines.
+/// Writes a line to standard error, unless the period has reached its limit. The first line of the next period is preceded
+/// by the number of lines that were left out.
 macro_rules! log {
     ($($arg:tt)*) => {
         if let Some(suppressed) = $crate::net::log::admit() {
