--- a/crates/pg/tests/random_bytes.rs
+++ b/crates/pg/tests/random_bytes.rs
@@ -8,7 +8,10 @@
 
 proptest! {
     #[test]
-    fn no_bytes_make_a_parser_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200), offset in 0..READ_STATEMENT.len()) {
+    fn no_bytes_make_a_parser_panic(
+        bytes in proptest::collection::vec(any::<u8>(), 0..200),
+        offset in 0..READ_STATEMENT.len(),
+    ) {
         let _ = (long_row(&bytes), frame(&bytes), startup(&bytes), query(&bytes), statement(&bytes));
         for tag in [b'T', b'D', b'C', b'E', b'S', b'Z'] {
             let _ = Reply::default().take(tag, &bytes);
@@ -16,7 +19,8 @@
         let mut almost_valid = READ_STATEMENT.as_bytes().to_vec();
         almost_valid.splice(offset..(offset + bytes.len() % 5).min(READ_STATEMENT.len()), bytes);
         if let Ok(parsed) = statement(&almost_valid) {
-            prop_assert!(std::str::from_utf8(&almost_valid[parsed.wait_at]).is_ok_and(|wait| wait.parse::<f64>().is_ok()));
+            let wait = std::str::from_utf8(&almost_valid[parsed.wait_at]);
+            prop_assert!(wait.is_ok_and(|wait| wait.parse::<f64>().is_ok()));
         }
     }
 }
--- a/crates/retry-storm/tests/unit/recovery_schedule.rs
+++ b/crates/retry-storm/tests/unit/recovery_schedule.rs
@@ -120,8 +120,8 @@
 }
 
 proptest! {
-    /// Whatever requests come, and however the capacity changes: no slot is reserved beyond its capacity at that time, retries
-    /// are ahead and within the horizon, and memory is bounded.
+    /// Whatever requests come, and however the capacity changes: no slot is reserved beyond its capacity at that time,
+    /// retries are ahead and within the horizon, and memory is bounded.
     #[test]
     fn reservations_never_exceed_capacity(steps in proptest::collection::vec(
         (0..30i64, 0..400u64, 1..200i64, 0..1500i64, 0.0..1.0f64, proptest::option::of(0.0..3.0f64)), 1..300))
@@ -136,14 +136,19 @@
             }
             schedule.advance(now);
             let before: Vec<f64> = schedule.slots.iter().map(|slot| slot.reserved).collect();
-            let reservation = schedule.reserve(now, rejection(origin, work * MILLISECOND, now + not_before * MILLISECOND, draw));
+            let work = work * MILLISECOND;
+            let not_before = now + not_before * MILLISECOND;
+            let reservation = schedule.reserve(now, rejection(origin, work, not_before, draw));
             for (&reserved_before, slot) in before.iter().zip(&schedule.slots) {
                 prop_assert!(slot.reserved == reserved_before || slot.reserved <= slot.capacity + 1e-3);
             }
             prop_assert!(reservation.retry_at > now && reservation.retry_at <= now + SECOND + SLOT_LENGTH);
-            prop_assert!(schedule.slots.len() == 50 && schedule.retry_times.len() <= MAX_RESERVATIONS && schedule.expiry_queue.len() <= 400);
+            prop_assert!(schedule.slots.len() == 50);
+            prop_assert!(schedule.retry_times.len() <= MAX_RESERVATIONS);
+            prop_assert!(schedule.expiry_queue.len() <= 400);
             if reservation.kind == ReservationKind::New {
-                prop_assert!((schedule.reserved_work() - before.iter().sum::<f64>() - (work * MILLISECOND) as f64).abs() < 10.0);
+                let added = schedule.reserved_work() - before.iter().sum::<f64>();
+                prop_assert!((added - work as f64).abs() < 10.0);
             }
         }
     }
