--- a/src/net/discovery/endpoint_list.rs
+++ b/src/net/discovery/endpoint_list.rs
@@ -55,9 +55,12 @@
     DEFAULT_SIZE
 }
 
-/// A list of database hosts, or the changes to one.
+pub use self::List as EndpointList;
+
+/// A list of database hosts, or the changes to one. The rest of the program calls it [`EndpointList`]; its own name is part
+/// of the error text that operators see for a malformed list, and stays for that.
 #[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq)]
-pub struct EndpointList {
+pub struct List {
     /// Its version, which grows with each change.
     pub revision: u64,
     /// Whether it has all hosts, or only those that have changed.
--- a/src/platform_settings/mod.rs
+++ b/src/platform_settings/mod.rs
@@ -15,7 +15,7 @@
     DeduplicationScope, Freshness, Idempotency, Limits, LoadReportSource, Nanos, RequestClass,
     RoleInEndpointList, SafetyRules, Settings, StalenessCheck, Tenant, ZoneId,
 };
-use object::{ClassObject, DomainObject};
+use object::{WireClass, WireDomain};
 use serde::Deserialize;
 
 /// The keys that may be absent: the platform's page names no others.
@@ -168,9 +168,9 @@
 }
 
 fn request_class(
-    class: &ClassObject,
+    class: &WireClass,
     index: usize,
-    domain: &DomainObject,
+    domain: &WireDomain,
 ) -> Result<RequestClass, PlatformSettingsError> {
     Ok(RequestClass {
         latency_objective: class.aim_ns,
@@ -184,9 +184,9 @@
 }
 
 fn freshness(
-    class: &ClassObject,
+    class: &WireClass,
     index: usize,
-    domain: &DomainObject,
+    domain: &WireDomain,
 ) -> Result<Freshness, PlatformSettingsError> {
     let bound = domain.class_bound_ns.get(index).copied().unwrap_or(0);
     let freshness = domain.freshness.get(index);
@@ -203,7 +203,7 @@
     }
 }
 
-fn idempotency(class: &ClassObject) -> Result<Idempotency, PlatformSettingsError> {
+fn idempotency(class: &WireClass) -> Result<Idempotency, PlatformSettingsError> {
     let scope = match class.group.as_str() {
         "zone" => DeduplicationScope::Zone,
         "cell" => DeduplicationScope::Group,
@@ -248,7 +248,7 @@
     }
 }
 
-fn staleness_check(domain: &DomainObject) -> Result<StalenessCheck, PlatformSettingsError> {
+fn staleness_check(domain: &WireDomain) -> Result<StalenessCheck, PlatformSettingsError> {
     match domain.server_checks.as_str() {
         "bounce" => Ok(StalenessCheck::Reject),
         "await" => Ok(StalenessCheck::Wait(domain.catch_up_wait_ns)),
--- a/src/platform_settings/object.rs
+++ b/src/platform_settings/object.rs
@@ -1,11 +1,13 @@
 //! The settings object as the platform writes it: its JSON keys, and nothing that is derived from them.
+//!
+//! The names of the structs are part of the error texts that operators see for a malformed object.
 
 use serde::Deserialize;
 
 /// One request class.
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
-pub(super) struct ClassObject {
+pub(super) struct WireClass {
     pub(super) name: String,
     pub(super) aim_ns: i64,
     #[serde(default)]
@@ -24,14 +26,14 @@
 /// What costs weight.
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
-pub(super) struct PenaltiesObject {
+pub(super) struct WirePenalties {
     pub(super) probe: f64,
 }
 
 /// What the platform permits.
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
-pub(super) struct BoundsObject {
+pub(super) struct WireBounds {
     pub(super) cancel: bool,
     #[serde(default)]
     pub(super) peers: bool,
@@ -48,7 +50,7 @@
 /// How members replicate and report.
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
-pub(super) struct DomainObject {
+pub(super) struct WireDomain {
     pub(super) catch_up_wait_ns: i64,
     pub(super) class_bound_ns: Vec<i64>,
     pub(super) freshness: Vec<String>,
@@ -62,7 +64,7 @@
 /// Figures of the rules that bind every gateway.
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
-pub(super) struct RulesObject {
+pub(super) struct WireRules {
     pub(super) cold_ns: i64,
     pub(super) drain_grace_ns: i64,
     pub(super) overload_factor: f64,
@@ -77,7 +79,7 @@
 /// Where load reports come from, and what they hold.
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
-pub(super) struct LoadInfoObject {
+pub(super) struct WireLoadInfo {
     pub(super) how: String,
     pub(super) fields: Vec<String>,
 }
@@ -85,7 +87,7 @@
 /// One tenant.
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
-pub(super) struct TenantObject {
+pub(super) struct WireTenant {
     pub(super) name: String,
     pub(super) quota_per_s: f64,
 }
@@ -97,17 +99,17 @@
     pub(super) balancers: u32,
     #[serde(default)]
     pub(super) me: u32,
-    pub(super) classes: Vec<ClassObject>,
-    pub(super) bounds: BoundsObject,
-    pub(super) domain: DomainObject,
-    pub(super) rules: RulesObject,
-    pub(super) load_info: LoadInfoObject,
+    pub(super) classes: Vec<WireClass>,
+    pub(super) bounds: WireBounds,
+    pub(super) domain: WireDomain,
+    pub(super) rules: WireRules,
+    pub(super) load_info: WireLoadInfo,
     pub(super) membership_mode: String,
     pub(super) my_zone: String,
     #[serde(rename = "OverShareWorth")]
     pub(super) over_quota_weight: f64,
-    pub(super) penalties: PenaltiesObject,
+    pub(super) penalties: WirePenalties,
     pub(super) round_ns: i64,
-    pub(super) tenants: Vec<TenantObject>,
+    pub(super) tenants: Vec<WireTenant>,
     pub(super) zones: Vec<String>,
 }
