Say once which outcomes prove that a request never ran, and drop names kept as aliases

The list stood in routing, in the attempts of a request and in write intents. datagram::is and write_intents::number go, their users use has_magic and key_hash. No behaviour changes.

--- a/crates/datagram/src/lib.rs
+++ b/crates/datagram/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use error::WireError;
 pub use items::{decode_items, encode_items, max_items, ItemList, WireValue};
-pub use magic::{has_magic, has_magic as is};
+pub use magic::has_magic;
 pub use reader::Reader;
 
 /// The longest datagram that the platform delivers between gateways, in bytes.
--- a/crates/endpoint-watch/src/codec.rs
+++ b/crates/endpoint-watch/src/codec.rs
@@ -57,5 +57,5 @@
 /// Whether a datagram is a heartbeat of the watch, in whatever version.
 #[must_use]
 pub fn recognizes(datagram: &[u8]) -> bool {
-    irisrouter_datagram::is(datagram, MAGIC)
+    irisrouter_datagram::has_magic(datagram, MAGIC)
 }
--- a/crates/membership/src/codec.rs
+++ b/crates/membership/src/codec.rs
@@ -244,5 +244,5 @@
 /// Whether a datagram is one of membership's, by its first byte: the peer socket is shared with other protocols.
 #[must_use]
 pub fn recognizes(datagram: &[u8]) -> bool {
-    irisrouter_datagram::is(datagram, MAGIC)
+    irisrouter_datagram::has_magic(datagram, MAGIC)
 }
--- a/crates/site-failover/src/codec.rs
+++ b/crates/site-failover/src/codec.rs
@@ -62,7 +62,7 @@
 /// Whether a datagram belongs to site failover, in whatever version.
 #[must_use]
 pub fn recognizes(datagram: &[u8]) -> bool {
-    irisrouter_datagram::is(datagram, MAGIC)
+    irisrouter_datagram::has_magic(datagram, MAGIC)
 }
 
 /// Encodes a load report. Sites beyond [`MAX_SITES`] and classes beyond [`MAX_CLASSES`] are left
--- a/crates/write-intents/src/lib.rs
+++ b/crates/write-intents/src/lib.rs
@@ -29,7 +29,7 @@
 
 pub use action::{Action, OperationId, Outcome};
 pub use codec::recognizes;
-pub use key::{key_hash, key_hash as number};
+pub use key::key_hash;
 pub use operation::MAX_SILENT;
 pub use replicas::{replica_order, LOOKUP_CANDIDATES, RECORD_CANDIDATES, REPLICAS};
 pub use retention::{MAX_RETAINED_KEYS, RETENTION};
--- a/src/net/cluster/write_intents.rs
+++ b/src/net/cluster/write_intents.rs
@@ -268,14 +268,7 @@
 
     /// An attempt has ended.
     pub fn attempt_ended(&self, outcome: AttemptOutcome) {
-        let never_ran = matches!(
-            outcome,
-            AttemptOutcome::Full
-                | AttemptOutcome::ConnectFailed
-                | AttemptOutcome::NotSent
-                | AttemptOutcome::Unsuitable
-        );
-        if !never_ran {
+        if !outcome.never_ran() {
             self.may_have_run.set(true);
         }
     }
--- a/src/net/downstream/query.rs
+++ b/src/net/downstream/query.rs
@@ -231,7 +231,7 @@
     let key = statement
         .idempotency
         .ok_or(StatementError::MissingIdempotencyKey)?;
-    let number = irisrouter_write_intents::number(statement.group, key.as_bytes());
+    let number = irisrouter_write_intents::key_hash(statement.group, key.as_bytes());
     Ok(Some(number))
 }
 
--- a/src/net/request/attempts.rs
+++ b/src/net/request/attempts.rs
@@ -30,10 +30,7 @@
 
     /// Keeps whether its outcome proves that it never ran.
     pub(super) fn record_outcome(&mut self, outcome: Outcome) {
-        self.never_ran = matches!(
-            outcome,
-            Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent | Outcome::Unsuitable
-        );
+        self.never_ran = outcome.never_ran();
     }
 }
 
--- a/src/routing/admission.rs
+++ b/src/routing/admission.rs
@@ -4,7 +4,7 @@
 use super::action::Action;
 use super::identifiers::{MemberId, Nanos, RequestId};
 use super::member::Member;
-use super::request::{never_ran, Attempt, Request};
+use super::request::{Attempt, Request};
 use super::router::Router;
 use super::selection::PRIMARY_READ_SHARE;
 use super::settings::{DeduplicationScope, Freshness, Idempotency, StalenessCheck};
@@ -128,7 +128,7 @@
         let recently = self.fleet.settings.limits.connect_timeout;
         let bars = |attempt: &Attempt| match attempt.outcome {
             None => true,
-            Some(outcome) => never_ran(outcome) && self.fleet.now - attempt.sent_at < recently,
+            Some(outcome) => outcome.never_ran() && self.fleet.now - attempt.sent_at < recently,
         };
         let mut attempts = request.attempts.iter();
         self.fleet.in_service(id) && !attempts.any(|attempt| attempt.member == id && bars(attempt))
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -39,6 +39,16 @@
     Unsuitable,
 }
 
+impl Outcome {
+    /// Whether the outcome proves that the request did not run at the member.
+    pub fn never_ran(self) -> bool {
+        matches!(
+            self,
+            Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent | Outcome::Unsuitable
+        )
+    }
+}
+
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/src/routing/request.rs
+++ b/src/routing/request.rs
@@ -23,7 +23,7 @@
 
     /// It is in flight, or has ended without proof that it never ran.
     pub(super) fn may_have_run(&self) -> bool {
-        self.outcome.is_none_or(|outcome| !never_ran(outcome))
+        self.outcome.is_none_or(|outcome| !outcome.never_ran())
     }
 }
 
@@ -96,15 +96,6 @@
         self.attempts.iter().any(Attempt::may_have_run)
     }
 }
-
-/// An outcome that proves that nothing ran.
-pub(super) fn never_ran(outcome: Outcome) -> bool {
-    matches!(
-        outcome,
-        Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent | Outcome::Unsuitable
-    )
-}
-
 /// The requests that are not finished.
 #[derive(Debug, Default)]
 pub(super) struct RequestTable {
--- a/src/routing/retry_budget.rs
+++ b/src/routing/retry_budget.rs
@@ -3,7 +3,6 @@
 
 use super::event::Outcome;
 use super::identifiers::Nanos;
-use super::request::never_ran;
 
 /// Retries and hedged requests that each first attempt pays for.
 const SHARE_OF_REQUESTS: f64 = 0.1;
@@ -36,7 +35,7 @@
         if outcome == Outcome::Full {
             return 1.0;
         }
-        if never_ran(outcome) {
+        if outcome.never_ran() {
             return 0.0;
         }
         (elapsed as f64 / usual_latency).clamp(MIN_RETRY_COST, 1.0)
