--- a/crates/simulation/src/clients.rs
+++ b/crates/simulation/src/clients.rs
@@ -1,8 +1,8 @@
 //! Clients: which requests come and when, whatever becomes of those before them (an open loop), and what a client does
 //! with the answer to a try. The front that spreads them over the gateways is here too.
 
-use crate::dice::{Dice, Stream};
-use crate::faults::{self, Planned};
+use crate::faults::{self, PlannedFault};
+use crate::rng::{Rng, Stream};
 use crate::spec::{ClientSpec, Day, Need, Spec, WriteRepeats};
 use crate::{ms, seconds, GatewayId, Ns, SetId};
 use std::cmp::Reverse;
@@ -36,7 +36,7 @@
     day: Day,
     needs: Vec<Need>,
     variations: Vec<f64>,
-    floods: Vec<Planned>,
+    floods: Vec<PlannedFault>,
     swing: (f64, f64, f64),
     sessions: u64,
     end: Ns,
@@ -49,7 +49,7 @@
     behind: f64,
     at: f64,
     next: u64,
-    dice: Dice,
+    rng: Rng,
     followers: BinaryHeap<Reverse<Arrival>>,
     coming: Option<Arrival>,
 }
@@ -77,12 +77,12 @@
                 *share *= 1.0 - follow / reads;
             }
         }
-        let floods: Vec<Planned> = faults::plan(spec, seed)
+        let floods: Vec<PlannedFault> = faults::plan(spec, seed)
             .into_iter()
             .filter(|p| p.fault.flood.is_some())
             .collect();
-        let mut dice = Dice::new(seed, Stream::Arrivals);
-        let phase = dice.between(0.0, std::f64::consts::TAU);
+        let mut rng = Rng::new(seed, Stream::Arrivals);
+        let phase = rng.between(0.0, std::f64::consts::TAU);
         let base = day.rate * (1.0 - follow);
         let most: f64 = floods.iter().map(|f| f.part).sum();
         let mut arrivals = Arrivals {
@@ -99,7 +99,7 @@
             floods,
             at: 0.0,
             next: 0,
-            dice,
+            rng,
             followers: BinaryHeap::new(),
             coming: None,
         };
@@ -111,7 +111,7 @@
     fn draw(&mut self) -> Option<Arrival> {
         loop {
             // Drawn at the highest rate, and kept with the part that the rate of the moment is of it.
-            let step = self.dice.exponential((1e9 / self.bound) as Ns).max(1);
+            let step = self.rng.exponential((1e9 / self.bound) as Ns).max(1);
             self.at += step as f64;
             if self.at >= self.end as f64 {
                 return None;
@@ -119,9 +119,9 @@
             let (part, period, phase) = self.swing;
             let calm = 1.0 + part * (std::f64::consts::TAU * self.at / period + phase).sin();
             let now = self.at as Ns;
-            let on = |f: &&Planned| f.from <= now && now < f.until;
+            let on = |f: &&PlannedFault| f.from <= now && now < f.until;
             let flood: f64 = self.floods.iter().filter(on).map(|f| f.part).sum();
-            let kept = self.dice.unit() * self.bound;
+            let kept = self.rng.unit() * self.bound;
             if kept >= self.base * (calm + flood) {
                 continue;
             }
@@ -130,19 +130,19 @@
             } else {
                 self.flooded_set(now)
             };
-            let class = weighted(&self.shares, self.dice.unit());
+            let class = weighted(&self.shares, self.rng.unit());
             let session =
-                set.0 as u64 * self.sessions + self.dice.index(self.sessions as usize) as u64;
+                set.0 as u64 * self.sessions + self.rng.index(self.sessions as usize) as u64;
             return Some(self.arrival(now, set, class, session));
         }
     }
 
     fn any_set(&mut self) -> SetId {
-        SetId(weighted(&self.day.set_shares, self.dice.unit()) as u32)
+        SetId(weighted(&self.day.set_shares, self.rng.unit()) as u32)
     }
 
     fn flooded_set(&mut self, now: Ns) -> SetId {
-        let on: Vec<&Planned> = self
+        let on: Vec<&PlannedFault> = self
             .floods
             .iter()
             .filter(|f| f.from <= now && now < f.until)
@@ -150,18 +150,18 @@
         let parts: Vec<f64> = on.iter().map(|f| f.part).collect();
         let sum: f64 = parts.iter().sum();
         let shares: Vec<f64> = parts.iter().map(|p| p / sum.max(1e-12)).collect();
-        let sets = on[weighted(&shares, self.dice.unit())].sets.clone();
-        sets[self.dice.index(sets.len())]
+        let sets = on[weighted(&shares, self.rng.unit())].sets.clone();
+        sets[self.rng.index(sets.len())]
     }
 
     fn arrival(&mut self, at: Ns, set: SetId, class: usize, session: u64) -> Arrival {
         self.next += 1;
         let work = self
-            .dice
+            .rng
             .log_normal(self.day.work[class], self.variations[class]);
         let need = self.needs[class];
         let has_session = matches!(need, Need::Session | Need::Write);
-        let (pick, roams) = (self.dice.number(), self.dice.chance(self.day.roams));
+        let (pick, roams) = (self.rng.number(), self.rng.chance(self.day.roams));
         Arrival {
             at,
             call: self.next,
@@ -207,9 +207,9 @@
             let reads: Vec<f64> = (self.needs.iter().zip(&self.day.class_shares))
                 .map(|(n, share)| if *n == Need::Session { *share } else { 0.0 })
                 .collect();
-            for _ in 0..self.dice.poisson(self.behind) {
-                let at = arrival.at + self.dice.exponential(self.day.gap).max(1);
-                let class = weighted(&reads, self.dice.unit());
+            for _ in 0..self.rng.poisson(self.behind) {
+                let at = arrival.at + self.rng.exponential(self.day.gap).max(1);
+                let class = weighted(&reads, self.rng.unit());
                 let session = arrival.session.unwrap_or(0);
                 let follower = self.arrival(at, arrival.set, class, session);
                 if at < self.end {
@@ -247,7 +247,7 @@
 
 /// How a try ended, as its client sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fate {
+pub enum TryOutcome {
     /// A row; of a write, its commit.
     Served {
         /// The commit, in the clock of the run.
@@ -280,12 +280,12 @@
     /// Tries that it took.
     pub tries: u32,
     /// How the last one ended.
-    pub last: Fate,
+    pub last: TryOutcome,
 }
 
 /// What a client does next.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Next {
+pub enum NextStep {
     /// It tries again at this time.
     Again(Ns),
     /// It is done.
@@ -320,7 +320,7 @@
     open: HashMap<u64, Call>,
     /// The last commit that each session knows of.
     marks: HashMap<u64, Ns>,
-    dice: Dice,
+    rng: Rng,
 }
 
 impl Clients {
@@ -341,7 +341,7 @@
             dead: BTreeMap::new(),
             open: HashMap::new(),
             marks: HashMap::new(),
-            dice: Dice::new(seed, Stream::Clients),
+            rng: Rng::new(seed, Stream::Clients),
         }
     }
 
@@ -442,68 +442,75 @@
     }
 
     /// A try has ended: what its client does next. A try that is over already ends once only.
-    pub fn ended(&mut self, now: Ns, id: u64, number: u32, sent: Ns, fate: Fate) -> Next {
+    pub fn ended(
+        &mut self,
+        now: Ns,
+        id: u64,
+        number: u32,
+        sent: Ns,
+        outcome: TryOutcome,
+    ) -> NextStep {
         let Some(call) = self
             .open
             .get_mut(&id)
             .filter(|c| c.out && c.number == number)
         else {
-            return Next::Nothing;
+            return NextStep::Nothing;
         };
         call.out = false;
         let write = self.needs[call.arrival.class] == Need::Write;
         if matches!(
-            fate,
-            Fate::Failed | Fate::Broken | Fate::TimedOut | Fate::Left
+            outcome,
+            TryOutcome::Failed | TryOutcome::Broken | TryOutcome::TimedOut | TryOutcome::Left
         ) {
             call.may_have_run.get_or_insert(sent);
         }
-        if let Fate::Served { commit } = fate {
+        if let TryOutcome::Served { commit } = outcome {
             if let (Some(session), Some(commit)) = (call.arrival.session, commit) {
                 let mark = self.marks.entry(session).or_insert(commit);
                 *mark = (*mark).max(commit);
             }
-            return self.done(id, Some(now), fate);
+            return self.done(id, Some(now), outcome);
         }
         let (number, backoff, may_have_run) = (call.number, call.backoff, call.may_have_run);
-        let at = now + self.wait(backoff, fate);
+        let at = now + self.wait(backoff, outcome);
         let may = match (write, self.spec.writes, may_have_run) {
             (false, ..) | (_, WriteRepeats::Always, _) | (_, _, None) => true,
             (_, WriteRepeats::Refused, Some(_)) => false,
             // Its set drops a repeat that comes within the window; a third of it is for the way and the queue.
             (_, WriteRepeats::Window, Some(first)) => at < first + self.window * 2 / 3,
         };
-        if number >= self.spec.retries || fate == Fate::Left || !may {
-            return self.done(id, None, fate);
+        if number >= self.spec.retries || outcome == TryOutcome::Left || !may {
+            return self.done(id, None, outcome);
         }
         if let Some(call) = self.open.get_mut(&id) {
             call.number += 1;
             call.backoff *= 2;
         }
-        Next::Again(at)
+        NextStep::Again(at)
     }
 
-    fn wait(&mut self, backoff: Ns, fate: Fate) -> Ns {
-        let chance = self.dice.between(0.5, 1.5);
+    fn wait(&mut self, backoff: Ns, outcome: TryOutcome) -> Ns {
+        let chance = self.rng.between(0.5, 1.5);
         let own = (backoff as f64 * chance) as Ns;
-        let honours = self.dice.chance(self.honour);
-        match fate {
-            Fate::Refused { pause: Some(pause) } if honours => {
+        let honours = self.rng.chance(self.honour);
+        match outcome {
+            TryOutcome::Refused { pause: Some(pause) } if honours => {
                 own.max(pause.min(ms(self.spec.longest_wait_ms)))
             }
             _ => own,
         }
     }
 
-    fn done(&mut self, id: u64, served: Option<Ns>, last: Fate) -> Next {
+    fn done(&mut self, id: u64, served: Option<Ns>, last: TryOutcome) -> NextStep {
         match self.open.remove(&id) {
-            Some(call) => Next::Done(Finished {
+            Some(call) => NextStep::Done(Finished {
                 arrival: call.arrival,
                 served,
                 tries: call.number + 1,
                 last,
             }),
-            None => Next::Nothing,
+            None => NextStep::Nothing,
         }
     }
 
@@ -524,7 +531,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::spec::{Between, Fault, Flood};
+    use crate::spec::{Fault, TrafficSurge, ValueOrRange};
     use crate::{MS, SECOND};
 
     fn spec() -> Spec {
@@ -562,9 +569,9 @@
     fn a_flood_strikes_its_sets_alone_and_leaves_the_rest_as_it_was() {
         let mut flooded = spec();
         flooded.faults = vec![Fault {
-            flood: Some(Flood {
+            flood: Some(TrafficSurge {
                 sets: 1,
-                part: Between::Value(0.5),
+                part: ValueOrRange::Value(0.5),
             }),
             ..serde_fault(50.0, 100.0)
         }];
@@ -583,8 +590,8 @@
 
     fn serde_fault(at: f64, long: f64) -> Fault {
         Fault {
-            at_s: Between::Value(at),
-            for_s: Between::Value(long),
+            at_s: ValueOrRange::Value(at),
+            for_s: ValueOrRange::Value(long),
             ..Fault::default()
         }
     }
@@ -600,7 +607,8 @@
     fn a_write_that_may_have_run_comes_again_only_within_the_window() {
         let mut c = Clients::new(&spec(), 5, 0);
         let t = write(&mut c, 1);
-        let Next::Again(at) = c.ended(SECOND + 100 * MS, 1, 0, SECOND, Fate::Failed) else {
+        let NextStep::Again(at) = c.ended(SECOND + 100 * MS, 1, 0, SECOND, TryOutcome::Failed)
+        else {
             panic!("no retry")
         };
         assert!(at < SECOND + 300 * MS);
@@ -610,8 +618,8 @@
             (1, true, t.arrival.key)
         );
         assert_eq!(
-            c.ended(at, 1, 0, SECOND, Fate::Failed),
-            Next::Nothing,
+            c.ended(at, 1, 0, SECOND, TryOutcome::Failed),
+            NextStep::Nothing,
             "the first try is over"
         );
         let late = c.ended(
@@ -619,14 +627,14 @@
             1,
             1,
             at,
-            Fate::Refused {
+            TryOutcome::Refused {
                 pause: Some(500 * MS),
             },
         );
         assert!(
             matches!(
                 late,
-                Next::Done(Finished {
+                NextStep::Done(Finished {
                     served: None,
                     tries: 2,
                     ..
@@ -637,13 +645,19 @@
         // Refused each time, it has never run: it comes again as often as clients do.
         write(&mut c, 2);
         for number in 0..2 {
-            let next = c.ended(9 * SECOND, 2, number, SECOND, Fate::Refused { pause: None });
-            assert!(matches!(next, Next::Again(_)), "{next:?}");
+            let next = c.ended(
+                9 * SECOND,
+                2,
+                number,
+                SECOND,
+                TryOutcome::Refused { pause: None },
+            );
+            assert!(matches!(next, NextStep::Again(_)), "{next:?}");
             c.again(9 * SECOND, 2).expect("a try");
         }
         assert!(matches!(
-            c.ended(9 * SECOND, 2, 2, SECOND, Fate::Failed),
-            Next::Done(_)
+            c.ended(9 * SECOND, 2, 2, SECOND, TryOutcome::Failed),
+            NextStep::Done(_)
         ));
         assert_eq!(c.open(), 0);
     }
@@ -688,7 +702,7 @@
             1,
             0,
             SECOND,
-            Fate::Served {
+            TryOutcome::Served {
                 commit: Some(SECOND + MS),
             },
         );
@@ -729,7 +743,7 @@
             1,
             0,
             SECOND,
-            Fate::Served {
+            TryOutcome::Served {
                 commit: Some(2 * SECOND - MS),
             },
         );
--- a/crates/simulation/src/cpu.rs
+++ b/crates/simulation/src/cpu.rs
@@ -263,7 +263,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::dice::{Dice, Stream};
+    use crate::rng::{Rng, Stream};
     use crate::{MS, SECOND};
 
     fn run(cpu: &mut Cpu) -> Vec<(Ns, u64)> {
@@ -346,7 +346,7 @@
     fn a_queue_has_the_time_that_theory_gives() {
         let (cores, mean, load) = (3.0, 40.0 * MS as f64, 0.8);
         let rate = load * cores / mean;
-        let mut dice = Dice::new(3, Stream::Arrivals);
+        let mut rng = Rng::new(3, Stream::Arrivals);
         let mut cpu = Cpu::new(cores, 0);
         let (mut now, mut came, mut total, mut area, mut n) =
             (0, std::collections::HashMap::new(), 0.0, 0.0, 0u64);
@@ -363,8 +363,8 @@
             }
             if now == next {
                 came.insert(now as u64, now);
-                cpu.add(now, dice.exponential(mean as Ns), now as u64);
-                next = now + dice.exponential((1.0 / rate) as Ns).max(1);
+                cpu.add(now, rng.exponential(mean as Ns), now as u64);
+                next = now + rng.exponential((1.0 / rate) as Ns).max(1);
             }
         }
         let a: f64 = load * cores;
--- a/crates/simulation/src/datagrams.rs
+++ b/crates/simulation/src/datagrams.rs
@@ -1,7 +1,7 @@
 //! Datagrams between gateways: late, lost, bounded in size, and paid for by each that is sent to a receiver.
 
-use crate::dice::{Dice, Stream};
 use crate::fleet::Fleet;
+use crate::rng::{Rng, Stream};
 use crate::{GatewayId, Ns};
 
 /// Longest datagram, in bytes; a longer one breaks the platform's rule.
@@ -10,7 +10,7 @@
 /// The network between gateways, and what has gone over it.
 #[derive(Clone, Debug)]
 pub struct Datagrams {
-    dice: Dice,
+    rng: Rng,
     /// Datagrams that were sent, one for each receiver.
     pub sent: u64,
     /// Their bytes.
@@ -25,7 +25,7 @@
     /// Nothing has been sent.
     pub fn new(seed: u64) -> Self {
         Datagrams {
-            dice: Dice::new(seed, Stream::Network),
+            rng: Rng::new(seed, Stream::Network),
             sent: 0,
             bytes: 0,
             lost: 0,
@@ -47,7 +47,7 @@
         self.too_long += u64::from(length > LONGEST);
         let day = fleet.day();
         // Both are drawn each time, so that a lost one does not shift the times of those behind it.
-        let (chance, longer) = (self.dice.unit(), self.dice.unit());
+        let (chance, longer) = (self.rng.unit(), self.rng.unit());
         if length > LONGEST || chance < fleet.datagram_loss() || !fleet.hears(from, to) {
             self.lost += 1;
             return None;
@@ -59,27 +59,27 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::spec::{Between, Fault, Lost, Spec, Split};
+    use crate::spec::{DatagramLoss, Fault, NetworkPartition, Spec, ValueOrRange};
     use crate::SECOND;
 
     #[test]
     fn some_are_lost_and_a_split_keeps_its_sides_apart() {
         let fault = |at: f64, f: Fault| Fault {
-            at_s: Between::Value(at),
-            for_s: Between::Value(10.0),
+            at_s: ValueOrRange::Value(at),
+            for_s: ValueOrRange::Value(10.0),
             ..f
         };
         let lost = fault(
             1.0,
             Fault {
-                datagrams_lost: Some(Lost { part: 0.5 }),
+                datagrams_lost: Some(DatagramLoss { part: 0.5 }),
                 ..Fault::default()
             },
         );
         let split = fault(
             20.0,
             Fault {
-                split: Some(Split { part: 0.5 }),
+                split: Some(NetworkPartition { part: 0.5 }),
                 ..Fault::default()
             },
         );
--- a/crates/simulation/src/list.rs
+++ b/crates/simulation/src/endpoint_list.rs
@@ -1,14 +1,14 @@
 //! The list of hosts as each gateway is told it: seconds late, each gateway a little after the other, and not at all
 //! while discovery is silent. It knows whether a process runs, and nothing of roles or health.
 
-use crate::dice::{Dice, Stream};
+use crate::rng::{Rng, Stream};
 use crate::spec::ListSpec;
 use crate::{ms, seconds, GatewayId, HostId, Ns, SetId};
 use std::collections::BTreeMap;
 
 /// What the list says of a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Listed {
+pub enum ListedState {
     /// In service.
     Ready,
     /// Finishes its work, wants nothing new.
@@ -19,13 +19,13 @@
 
 /// One line of the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Entry {
+pub struct ListEntry {
     /// The host.
     pub host: HostId,
     /// Its set.
     pub set: SetId,
     /// What is said of it.
-    pub listed: Listed,
+    pub listed: ListedState,
     /// When its process started; 0 for long ago.
     pub since: Ns,
     /// Orders what is said of one host.
@@ -34,47 +34,47 @@
 
 /// One gateway's list.
 #[derive(Clone, Debug, Default)]
-pub struct View {
+pub struct EndpointView {
     /// Grows with each change.
     pub version: u64,
-    entries: BTreeMap<HostId, Entry>,
+    entries: BTreeMap<HostId, ListEntry>,
     /// Since when it has been told not to send to a host.
     told: BTreeMap<HostId, Ns>,
 }
 
-impl View {
+impl EndpointView {
     /// Its lines, by host.
-    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+    pub fn entries(&self) -> impl Iterator<Item = &ListEntry> {
         self.entries.values()
     }
 }
 
 /// A change on its way to a gateway.
 #[derive(Clone, Copy, Debug)]
-pub struct Telling {
+pub struct Notification {
     /// When it arrives, unless discovery is silent then.
     pub at: Ns,
     /// Where.
     pub gateway: GatewayId,
     /// What.
-    pub entry: Entry,
+    pub entry: ListEntry,
 }
 
 /// The list and every gateway's view of it.
 #[derive(Clone, Debug)]
-pub struct List {
+pub struct EndpointList {
     notice: (f64, f64),
     silent_notice: (f64, f64),
     spread: Ns,
-    dice: Dice,
-    views: Vec<View>,
+    rng: Rng,
+    views: Vec<EndpointView>,
     order: u64,
     muted: bool,
     /// What would have been told while discovery was silent.
-    kept: Vec<(GatewayId, Entry)>,
+    kept: Vec<(GatewayId, ListEntry)>,
 }
 
-impl List {
+impl EndpointList {
     /// All hosts are known to all gateways, ready and started long ago.
     pub fn new(
         spec: &ListSpec,
@@ -82,30 +82,30 @@
         gateways: u32,
         hosts: impl Iterator<Item = (HostId, SetId)>,
     ) -> Self {
-        let mut dice = Dice::new(seed, Stream::List);
+        let mut rng = Rng::new(seed, Stream::EndpointList);
         let line = |(host, set)| {
             (
                 host,
-                Entry {
+                ListEntry {
                     host,
                     set,
-                    listed: Listed::Ready,
+                    listed: ListedState::Ready,
                     since: 0,
                     order: 0,
                 },
             )
         };
-        let view = View {
+        let view = EndpointView {
             version: 1,
             entries: hosts.map(line).collect(),
             told: BTreeMap::new(),
         };
-        let ends = |b: crate::spec::Between| (b.ends()[0], b.ends()[1]);
-        List {
+        let ends = |b: crate::spec::ValueOrRange| (b.ends()[0], b.ends()[1]);
+        EndpointList {
             notice: ends(spec.notice_s),
             silent_notice: ends(spec.silent_notice_s),
-            spread: ms(spec.spread_ms.draw(&mut dice)),
-            dice,
+            spread: ms(spec.spread_ms.draw(&mut rng)),
+            rng,
             views: vec![view; gateways as usize],
             order: 0,
             muted: false,
@@ -114,7 +114,7 @@
     }
 
     /// One gateway's list, as it has been told it.
-    pub fn view(&self, gateway: GatewayId) -> &View {
+    pub fn view(&self, gateway: GatewayId) -> &EndpointView {
         &self.views[gateway.0 as usize]
     }
 
@@ -124,36 +124,36 @@
         now: Ns,
         host: HostId,
         set: SetId,
-        listed: Listed,
+        listed: ListedState,
         since: Ns,
         silent: bool,
-    ) -> Vec<Telling> {
+    ) -> Vec<Notification> {
         self.order += 1;
         let (low, high) = if silent {
             self.silent_notice
         } else {
             self.notice
         };
-        let noticed = now + seconds(self.dice.between(low, high));
-        let entry = Entry {
+        let noticed = now + seconds(self.rng.between(low, high));
+        let entry = ListEntry {
             host,
             set,
             listed,
             since,
             order: self.order,
         };
-        let told = |g: usize, dice: &mut Dice| Telling {
-            at: noticed + (dice.unit() * self.spread as f64) as Ns,
+        let told = |g: usize, rng: &mut Rng| Notification {
+            at: noticed + (rng.unit() * self.spread as f64) as Ns,
             gateway: GatewayId(g as u32),
             entry,
         };
         let count = self.views.len();
-        let dice = &mut self.dice;
-        (0..count).map(|g| told(g, dice)).collect()
+        let rng = &mut self.rng;
+        (0..count).map(|g| told(g, rng)).collect()
     }
 
     /// A change arrives. True where the gateway is told it now.
-    pub fn tell(&mut self, now: Ns, gateway: GatewayId, entry: Entry) -> bool {
+    pub fn tell(&mut self, now: Ns, gateway: GatewayId, entry: ListEntry) -> bool {
         if self.muted {
             self.kept.push((gateway, entry));
             return false;
@@ -169,7 +169,7 @@
         }
         view.version += 1;
         view.entries.insert(entry.host, entry);
-        if entry.listed == Listed::Ready {
+        if entry.listed == ListedState::Ready {
             view.told.remove(&entry.host);
         } else {
             view.told.entry(entry.host).or_insert(now);
@@ -178,7 +178,7 @@
     }
 
     /// Discovery falls silent, or speaks again: then what it has kept comes back, to be told now.
-    pub fn mute(&mut self, muted: bool) -> Vec<(GatewayId, Entry)> {
+    pub fn mute(&mut self, muted: bool) -> Vec<(GatewayId, ListEntry)> {
         self.muted = muted;
         if muted {
             Vec::new()
@@ -206,9 +206,16 @@
     #[test]
     fn an_older_notice_never_beats_a_newer_and_silence_keeps_all() {
         let spec = ListSpec::default();
-        let mut l = List::new(&spec, 1, 2, [(HostId(0), SetId(0))].into_iter());
-        let first = l.change(0, HostId(0), SetId(0), Listed::Draining, 0, false);
-        let second = l.change(SECOND, HostId(0), SetId(0), Listed::Ready, SECOND, false);
+        let mut l = EndpointList::new(&spec, 1, 2, [(HostId(0), SetId(0))].into_iter());
+        let first = l.change(0, HostId(0), SetId(0), ListedState::Draining, 0, false);
+        let second = l.change(
+            SECOND,
+            HostId(0),
+            SetId(0),
+            ListedState::Ready,
+            SECOND,
+            false,
+        );
         assert_eq!((first.len(), second.len()), (2, 2));
         assert!(first
             .iter()
@@ -218,7 +225,14 @@
         assert!(!l.tell(6 * SECOND, g, first[0].entry), "it is older");
         assert_eq!(l.told(g, HostId(0)), None);
         l.mute(true);
-        let gone = l.change(7 * SECOND, HostId(0), SetId(0), Listed::Gone, SECOND, false);
+        let gone = l.change(
+            7 * SECOND,
+            HostId(0),
+            SetId(0),
+            ListedState::Gone,
+            SECOND,
+            false,
+        );
         assert!(!l.tell(9 * SECOND, g, gone[0].entry));
         assert_eq!((l.told(g, HostId(0)), l.view(g).version), (None, 2));
         let kept = l.mute(false);
--- a/crates/simulation/src/queue.rs
+++ b/crates/simulation/src/event_queue.rs
@@ -8,16 +8,16 @@
 
 /// Events that are due some time.
 #[derive(Clone, Debug)]
-pub struct Queue<E> {
+pub struct EventQueue<E> {
     keys: BinaryHeap<Reverse<(Ns, u64, u32)>>,
     events: Vec<Option<E>>,
     free: Vec<u32>,
     order: u64,
 }
 
-impl<E> Default for Queue<E> {
+impl<E> Default for EventQueue<E> {
     fn default() -> Self {
-        Queue {
+        EventQueue {
             keys: BinaryHeap::new(),
             events: Vec::new(),
             free: Vec::new(),
@@ -26,7 +26,7 @@
     }
 }
 
-impl<E> Queue<E> {
+impl<E> EventQueue<E> {
     /// Plans an event.
     pub fn push(&mut self, at: Ns, event: E) {
         let slot = match self.free.pop() {
@@ -75,7 +75,7 @@
     proptest! {
         #[test]
         fn events_come_in_order_of_time_and_then_of_planning(times in proptest::collection::vec(0..20i64, 0..200), cut in 0..20i64) {
-            let mut q = Queue::default();
+            let mut q = EventQueue::default();
             times.iter().enumerate().for_each(|(i, &t)| q.push(t, i));
             let mut came = Vec::new();
             while let Some(e) = q.pop(cut) {
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -1,13 +1,13 @@
 //! The faults of a day: when each begins and ends and what it strikes, drawn ahead, so that nothing that a gateway does
 //! shifts them. Which hosts are primaries is known only when a fault strikes; those are picked then, by the fleet.
 
-use crate::dice::{Dice, Stream};
-use crate::spec::{Between, Fault, Pick, Spec};
+use crate::rng::{Rng, Stream};
+use crate::spec::{Fault, HostSelection, Spec, ValueOrRange};
 use crate::{seconds, GatewayId, HostId, Ns, SetId};
 
 /// A fault of a day.
 #[derive(Clone, Debug)]
-pub struct Planned {
+pub struct PlannedFault {
     /// What it is, as the settings name it.
     pub name: &'static str,
     /// The settings.
@@ -29,7 +29,7 @@
 }
 
 /// The faults of a day.
-pub fn plan(spec: &Spec, seed: u64) -> Vec<Planned> {
+pub fn plan(spec: &Spec, seed: u64) -> Vec<PlannedFault> {
     spec.faults
         .iter()
         .enumerate()
@@ -37,20 +37,20 @@
         .collect()
 }
 
-fn planned(spec: &Spec, fault: &Fault, seed: u64, index: u64) -> Planned {
+fn planned(spec: &Spec, fault: &Fault, seed: u64, index: u64) -> PlannedFault {
     // Each has its own numbers, so that one more fault leaves the others as they were.
-    let mut dice = Dice::new(
+    let mut rng = Rng::new(
         seed ^ index.wrapping_mul(0x5851_f42d_4c95_7f2d),
         Stream::Faults,
     );
-    let from = seconds(fault.at_s.draw(&mut dice));
-    let until = from + seconds(fault.for_s.draw(&mut dice));
+    let from = seconds(fault.at_s.draw(&mut rng));
+    let until = from + seconds(fault.for_s.draw(&mut rng));
     let slow = fault.slow_apply.as_ref().or(fault.slowdown.as_ref());
-    let times = slow.map_or(1.0, |s| s.times.draw(&mut dice));
+    let times = slow.map_or(1.0, |s| s.times.draw(&mut rng));
     let flood = fault.flood.as_ref();
-    let part = flood.map_or(0.0, |f| f.part.draw(&mut dice));
+    let part = flood.map_or(0.0, |f| f.part.draw(&mut rng));
     let sets = flood.map_or(Vec::new(), |f| {
-        dice.choose(f.sets as usize, spec.set_count() as usize)
+        rng.choose(f.sets as usize, spec.set_count() as usize)
     });
     let waves = fault.gateways_killed.as_ref().map_or(Vec::new(), |w| {
         waves(
@@ -60,7 +60,7 @@
             w.down_s,
             from,
             until,
-            &mut dice,
+            &mut rng,
         )
     });
     let side = fault
@@ -69,9 +69,9 @@
         .map(|c| c.gateways)
         .or(fault.split.as_ref().map(|s| s.part));
     let cut = side.map_or(Vec::new(), |part| {
-        dice.choose(part_of(part, spec.gateways), spec.gateways as usize)
+        rng.choose(part_of(part, spec.gateways), spec.gateways as usize)
     });
-    Planned {
+    PlannedFault {
         name: fault.kinds().first().copied().unwrap_or("nothing"),
         fault: fault.clone(),
         from,
@@ -96,15 +96,15 @@
     gateways: u32,
     share: f64,
     at_a_time: f64,
-    down: Between,
+    down: ValueOrRange,
     from: Ns,
     until: Ns,
-    dice: &mut Dice,
+    rng: &mut Rng,
 ) -> Vec<(GatewayId, Ns, Ns)> {
-    let mut struck = dice.choose(part_of(share, gateways), gateways as usize);
+    let mut struck = rng.choose(part_of(share, gateways), gateways as usize);
     // In any order, not by their numbers.
     for i in (1..struck.len()).rev() {
-        let j = dice.index(i + 1);
+        let j = rng.index(i + 1);
         struck.swap(i, j);
     }
     let batch = part_of(at_a_time, gateways).max(1);
@@ -113,7 +113,7 @@
     for (wave, gateways) in struck.chunks(batch).enumerate() {
         let at = from + (until - from) * wave as Ns / count;
         for &g in gateways {
-            all.push((GatewayId(g as u32), at, at + seconds(down.draw(dice))));
+            all.push((GatewayId(g as u32), at, at + seconds(down.draw(rng))));
         }
     }
     all
@@ -121,10 +121,10 @@
 
 /// Picks hosts: so many of those that are there, a primary with the chance that the settings give.
 pub fn pick(
-    pick: &Pick,
+    pick: &HostSelection,
     hosts: &[HostId],
     is_primary: impl Fn(HostId) -> bool,
-    dice: &mut Dice,
+    rng: &mut Rng,
 ) -> Vec<HostId> {
     if let Some(these) = &pick.these {
         return these
@@ -140,14 +140,14 @@
     let mut left: Vec<HostId> = hosts.to_vec();
     let mut picked = Vec::new();
     while picked.len() < count && !left.is_empty() {
-        let wanted = pick.primaries.is_some_and(|p| dice.chance(p));
+        let wanted = pick.primaries.is_some_and(|p| rng.chance(p));
         let pool: Vec<usize> = (0..left.len())
             .filter(|&i| !wanted || is_primary(left[i]))
             .collect();
         let at = if pool.is_empty() {
-            dice.index(left.len())
+            rng.index(left.len())
         } else {
-            pool[dice.index(pool.len())]
+            pool[rng.index(pool.len())]
         };
         picked.push(left.swap_remove(at));
         left.sort_unstable();
@@ -159,23 +159,23 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::spec::Waves;
+    use crate::spec::GatewayRestarts;
     use crate::SECOND;
 
     fn empty() -> Fault {
         Fault {
-            at_s: Between::Value(5.0),
-            for_s: Between::Value(20.0),
+            at_s: ValueOrRange::Value(5.0),
+            for_s: ValueOrRange::Value(20.0),
             ..Fault::default()
         }
     }
 
     #[test]
     fn waves_take_each_gateway_once_and_so_many_at_a_time() {
-        let killed = Waves {
+        let killed = GatewayRestarts {
             share: 0.9,
             at_a_time: 0.3,
-            down_s: Between::Range([0.2, 1.5]),
+            down_s: ValueOrRange::Range([0.2, 1.5]),
         };
         let fault = Fault {
             gateways_killed: Some(killed),
@@ -202,10 +202,10 @@
     #[test]
     fn one_more_fault_leaves_the_others_as_they_were() {
         let flood = Fault {
-            at_s: Between::Range([1.0, 30.0]),
-            flood: Some(crate::spec::Flood {
+            at_s: ValueOrRange::Range([1.0, 30.0]),
+            flood: Some(crate::spec::TrafficSurge {
                 sets: 1,
-                part: Between::Range([0.1, 0.9]),
+                part: ValueOrRange::Range([0.1, 0.9]),
             }),
             ..empty()
         };
@@ -223,27 +223,27 @@
     #[test]
     fn a_pick_takes_primaries_where_it_is_to() {
         let hosts: Vec<HostId> = (0..12).map(HostId).collect();
-        let want = Pick {
+        let want = HostSelection {
             count: Some(2),
             primaries: Some(1.0),
-            ..Pick::default()
+            ..HostSelection::default()
         };
-        let mut dice = Dice::new(1, Stream::Faults);
+        let mut rng = Rng::new(1, Stream::Faults);
         let primary = |h: HostId| h.0.is_multiple_of(6);
         assert_eq!(
-            pick(&want, &hosts, primary, &mut dice),
+            pick(&want, &hosts, primary, &mut rng),
             [HostId(0), HostId(6)]
         );
-        let all = Pick {
+        let all = HostSelection {
             count: Some(20),
             primaries: Some(1.0),
-            ..Pick::default()
+            ..HostSelection::default()
         };
-        assert_eq!(pick(&all, &hosts, primary, &mut dice), hosts);
-        let part = Pick {
+        assert_eq!(pick(&all, &hosts, primary, &mut rng), hosts);
+        let part = HostSelection {
             share: Some(0.18),
-            ..Pick::default()
+            ..HostSelection::default()
         };
-        assert_eq!(pick(&part, &hosts, primary, &mut dice).len(), 2);
+        assert_eq!(pick(&part, &hosts, primary, &mut rng).len(), 2);
     }
 }
--- a/crates/simulation/src/fleet.rs
+++ b/crates/simulation/src/fleet.rs
@@ -3,14 +3,14 @@
 //! Its owner hands in what gateways do and the time, asks when something happens next, and takes what comes out, in
 //! order. Events of one moment happen in the order in which they were planned: the same inputs give the same outputs.
 
-use crate::dice::{Dice, Stream};
-use crate::faults::{self, Planned};
+use crate::endpoint_list::{EndpointList, ListEntry, ListedState, Notification};
+use crate::event_queue::EventQueue;
+use crate::faults::{self, PlannedFault};
 use crate::host::{Host, Report, State};
-use crate::ledger::Ledger;
-use crate::list::{Entry, List, Listed, Telling};
-use crate::log::{Applier, Heard, Log, Source};
-use crate::queue::Queue;
-use crate::spec::{Between, Checks, Day, Need, Spec};
+use crate::invariants::InvariantAudit;
+use crate::replication_log::{LogApplier, PrimarySignal, ReplicationLog, Source};
+use crate::rng::{Rng, Stream};
+use crate::spec::{Checks, Day, Need, Spec, ValueOrRange};
 use crate::{ms, seconds, GatewayId, HostId, Ns, SetId, MS};
 use rustc_hash::FxHashMap;
 use std::collections::{HashMap, VecDeque};
@@ -60,7 +60,7 @@
 
 /// What an answer tells of its host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Note {
+pub struct ReplicaStatus {
     /// It is the primary.
     pub primary: bool,
     /// Up to when it has applied all commits; of a write that went through, its commit.
@@ -69,24 +69,24 @@
 
 /// What became of something handed to a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Taken {
+pub enum Delivery {
     /// The host has it.
-    Yes,
+    Accepted,
     /// The connection is reset, or refused.
     Reset,
-    /// Nothing is heard of it, ever.
-    Silence,
+    /// The host does not answer, neither now nor later.
+    NoResponse,
 }
 
 /// What a probe finds.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Probe {
+pub enum ProbeResult {
     /// A report.
     Report(Report),
     /// No connection.
     Refused,
-    /// Nothing, ever.
-    Silence,
+    /// The host does not answer, neither now nor later.
+    NoResponse,
 }
 
 /// What comes out of a fleet.
@@ -103,7 +103,7 @@
         /// How.
         answer: Answer,
         /// What it tells of itself.
-        note: Note,
+        note: ReplicaStatus,
         /// Work that it did for it.
         work: Ns,
     },
@@ -115,16 +115,16 @@
         host: HostId,
     },
     /// All connections to a host are reset.
-    Broken {
+    ConnectionsReset {
         /// Which.
         host: HostId,
     },
-    /// A gateway is told a line of the list.
-    Told {
+    /// A gateway receives a changed entry of the host list.
+    ListUpdated {
         /// Who.
         gateway: GatewayId,
         /// What.
-        entry: Entry,
+        entry: ListEntry,
     },
     /// A gateway is killed, or starts again.
     Gateway {
@@ -151,8 +151,8 @@
         /// Its primary.
         host: Option<HostId>,
     },
-    /// A cold host was sent too much.
-    Fallen {
+    /// A cold host was sent too much work and its process died.
+    HostOverloaded {
         /// Which.
         host: HostId,
     },
@@ -167,7 +167,7 @@
     Elect { set: SetId, term: u32 },
     Begin(usize),
     End(usize),
-    Tell(Telling),
+    Tell(Notification),
     Restart { host: HostId, epoch: u32 },
     Gateway { gateway: GatewayId, up: bool },
 }
@@ -179,7 +179,7 @@
     commit: Option<Ns>,
 }
 
-struct Set {
+struct ReplicaSet {
     members: Vec<HostId>,
     primary: Option<HostId>,
     /// Since when there is a primary that speaks; where there is none, positions stand still where they stood.
@@ -189,21 +189,21 @@
     term: u32,
     /// Times that were drawn for it.
     draws: u32,
-    log: Log,
+    log: ReplicationLog,
     keys: FxHashMap<u64, Vec<Remembered>>,
     key_order: VecDeque<(Ns, u64)>,
 }
 
-impl Set {
+impl ReplicaSet {
     fn source<'a>(&'a self, day: &Day) -> Source<'a> {
-        let heard = Heard {
+        let primary_signal = PrimarySignal {
             since: self.since,
             stood: self.stood,
             ship: day.ship,
         };
         Source {
             log: &self.log,
-            heard,
+            primary_signal,
             cost: day.apply,
         }
     }
@@ -234,19 +234,19 @@
 pub struct Fleet {
     spec: Spec,
     day: Day,
-    plan: Vec<Planned>,
+    plan: Vec<PlannedFault>,
     start: Ns,
     hosts: Vec<Host>,
-    sets: Vec<Set>,
+    sets: Vec<ReplicaSet>,
     jobs: FxHashMap<u64, Job>,
     next_job: u64,
     stamps: Vec<u64>,
     /// What has come to a host that hangs.
     stalled: HashMap<HostId, Vec<Query>>,
-    queue: Queue<Event>,
-    list: List,
-    ledger: Ledger,
-    dice: Dice,
+    queue: EventQueue<Event>,
+    list: EndpointList,
+    invariants: InvariantAudit,
+    rng: Rng,
     seed: u64,
     struck: HashMap<usize, Vec<HostId>>,
     loss: f64,
@@ -259,16 +259,16 @@
         let day = Day::draw(spec, seed);
         let plan = faults::plan(spec, seed);
         let count = spec.set_count();
-        let mut sets: Vec<Set> = Vec::new();
+        let mut sets: Vec<ReplicaSet> = Vec::new();
         for _ in 0..count {
-            sets.push(Set {
+            sets.push(ReplicaSet {
                 members: Vec::new(),
                 primary: None,
                 since: Some(start),
                 stood: start,
                 term: 0,
                 draws: 0,
-                log: Log::default(),
+                log: ReplicationLog::default(),
                 keys: FxHashMap::default(),
                 key_order: VecDeque::new(),
             });
@@ -280,13 +280,13 @@
             let members = &mut sets[set.0 as usize];
             members.members.push(id);
             members.primary.get_or_insert(id);
-            let applier = Applier::new(start, members.source(&day));
+            let applier = LogApplier::new(start, members.source(&day));
             let mut host = Host::new(id, set, &spec.hosts, start, applier, tip);
             host.retune(&spec.hosts, start);
             hosts.push(host);
         }
         let known = hosts.iter().map(|h| (h.id, h.set));
-        let list = List::new(&spec.list, seed, spec.gateways, known);
+        let list = EndpointList::new(&spec.list, seed, spec.gateways, known);
         let mut fleet = Fleet {
             stamps: vec![0; hosts.len()],
             day,
@@ -296,10 +296,10 @@
             jobs: FxHashMap::default(),
             next_job: 0,
             stalled: HashMap::new(),
-            queue: Queue::default(),
+            queue: EventQueue::default(),
             list,
-            ledger: Ledger::default(),
-            dice: Dice::new(seed, Stream::Fleet),
+            invariants: InvariantAudit::default(),
+            rng: Rng::new(seed, Stream::Fleet),
             seed,
             struck: HashMap::new(),
             loss: spec.net.datagram_loss,
@@ -309,7 +309,7 @@
         };
         for i in 0..fleet.hosts.len() {
             // Hosts make their reports each at its own time.
-            let first = start + (fleet.dice.unit() * fleet.day.report_every as f64) as Ns;
+            let first = start + (fleet.rng.unit() * fleet.day.report_every as f64) as Ns;
             fleet.refresh(start, HostId(i as u32));
             fleet.push(
                 first,
@@ -337,17 +337,17 @@
     }
 
     /// The faults of the day.
-    pub fn plan(&self) -> &[Planned] {
+    pub fn plan(&self) -> &[PlannedFault] {
         &self.plan
     }
 
     /// The audit.
-    pub fn ledger(&self) -> &Ledger {
-        &self.ledger
+    pub fn invariants(&self) -> &InvariantAudit {
+        &self.invariants
     }
 
     /// The list.
-    pub fn list(&self) -> &List {
+    pub fn list(&self) -> &EndpointList {
         &self.list
     }
 
@@ -406,25 +406,25 @@
     // ---- What gateways do ----
 
     /// A connection is asked for. When it is up, [`Output::Connected`] tells.
-    pub fn connect(&mut self, now: Ns, gateway: GatewayId, host: HostId, ticket: u64) -> Taken {
+    pub fn connect(&mut self, now: Ns, gateway: GatewayId, host: HostId, ticket: u64) -> Delivery {
         if !self.reaches(gateway, host) {
-            return Taken::Silence;
+            return Delivery::NoResponse;
         }
         let h = &mut self.hosts[host.0 as usize];
         match h.state {
-            State::Vanished | State::Hung => return Taken::Silence,
-            State::Down => return Taken::Reset,
-            State::Up if h.connections >= self.spec.hosts.connections => return Taken::Reset,
+            State::Vanished | State::Hung => return Delivery::NoResponse,
+            State::Down => return Delivery::Reset,
+            State::Up if h.connections >= self.spec.hosts.connections => return Delivery::Reset,
             State::Up => {}
         }
         h.connections += 1;
         let work = self.day.connect_work;
         self.offer(now, host, work);
         if self.hosts[host.0 as usize].state != State::Up {
-            return Taken::Reset;
+            return Delivery::Reset;
         }
         self.work(now, host, work, JobKind::Connect { ticket });
-        Taken::Yes
+        Delivery::Accepted
     }
 
     /// A connection of a host's earlier or present process is closed.
@@ -438,63 +438,63 @@
     }
 
     /// A probe: its report, at once. It costs the host work.
-    pub fn probe(&mut self, now: Ns, gateway: GatewayId, host: HostId) -> Probe {
+    pub fn probe(&mut self, now: Ns, gateway: GatewayId, host: HostId) -> ProbeResult {
         if !self.reaches(gateway, host) {
-            return Probe::Silence;
+            return ProbeResult::NoResponse;
         }
         match self.hosts[host.0 as usize].state {
-            State::Vanished | State::Hung => return Probe::Silence,
-            State::Down => return Probe::Refused,
+            State::Vanished | State::Hung => return ProbeResult::NoResponse,
+            State::Down => return ProbeResult::Refused,
             State::Up => {}
         }
         let work = self.day.probe_work;
         self.offer(now, host, work);
         if self.hosts[host.0 as usize].state != State::Up {
-            return Probe::Refused;
+            return ProbeResult::Refused;
         }
         self.work(now, host, work, JobKind::Probe);
-        Probe::Report(self.hosts[host.0 as usize].report)
+        ProbeResult::Report(self.hosts[host.0 as usize].report)
     }
 
     /// A statement comes, on a connection of this epoch.
-    pub fn query(&mut self, now: Ns, host: HostId, epoch: u32, query: Query) -> Taken {
+    pub fn query(&mut self, now: Ns, host: HostId, epoch: u32, query: Query) -> Delivery {
         if let Some(told) = self.list.told(query.gateway, host) {
             let grace = ms(self.spec.rules.drain_grace_ms);
-            self.ledger
+            self.invariants
                 .sent(query.sent, query.gateway, host, told, grace);
         }
         if !self.reaches(query.gateway, host) {
-            return Taken::Silence;
+            return Delivery::NoResponse;
         }
         let h = &self.hosts[host.0 as usize];
         match h.state {
-            State::Vanished => Taken::Silence,
-            State::Down => Taken::Reset,
-            _ if h.epoch != epoch => Taken::Reset,
+            State::Vanished => Delivery::NoResponse,
+            State::Down => Delivery::Reset,
+            _ if h.epoch != epoch => Delivery::Reset,
             State::Hung => {
                 self.stalled.entry(host).or_default().push(query);
-                Taken::Silence
+                Delivery::NoResponse
             }
             State::Up => self.take(now, host, query),
         }
     }
 
-    fn take(&mut self, now: Ns, host: HostId, query: Query) -> Taken {
+    fn take(&mut self, now: Ns, host: HostId, query: Query) -> Delivery {
         self.offer(now, host, query.work);
         let h = &self.hosts[host.0 as usize];
         if h.state != State::Up {
-            return Taken::Reset;
+            return Delivery::Reset;
         }
         if h.draining || h.refusing {
             self.answer(now, host, &query, Answer::Full, 0);
-            return Taken::Yes;
+            return Delivery::Accepted;
         }
         let set = &mut self.sets[h.set.0 as usize];
         let primary = set.primary == Some(host) && set.since.is_some();
         let write = self.spec.classes[query.class].need == Need::Write;
         if write && !primary {
             self.answer(now, host, &query, Answer::Miss, 0);
-            return Taken::Yes;
+            return Delivery::Accepted;
         }
         let mut key_at = 0;
         if let Some(key) = query.key.filter(|_| write) {
@@ -536,7 +536,7 @@
             Checks::Refuse | Checks::None => 0,
         };
         self.admit(now, self.next_job, now + wait, true);
-        Taken::Yes
+        Delivery::Accepted
     }
 
     /// A read whose data are recent enough gets a slot or waits for one; another one waits to be, or is turned away.
@@ -648,17 +648,17 @@
         let load = h.offered(&self.spec.hosts, now, work);
         if h.cold(now) && load > self.spec.rules.tip_multiple {
             h.fallen = true;
-            self.ledger.knocked_over(now, host, load);
-            self.out.push(Output::Fallen { host });
+            self.invariants.knocked_over(now, host, load);
+            self.out.push(Output::HostOverloaded { host });
             self.stop(now, host, State::Down);
-            self.list_change(now, host, Listed::Gone, false);
+            self.list_change(now, host, ListedState::Gone, false);
         }
     }
 
     fn answer(&mut self, now: Ns, host: HostId, query: &Query, answer: Answer, work: Ns) {
         let position = self.position(now, host);
         let set = &self.sets[self.hosts[host.0 as usize].set.0 as usize];
-        let note = Note {
+        let note = ReplicaStatus {
             primary: set.primary == Some(host) && set.since.is_some(),
             position,
         };
@@ -795,12 +795,12 @@
     fn end_query(&mut self, now: Ns, host: HostId, query: &Query, key_at: usize, data: (u64, u64)) {
         let h = &self.hosts[host.0 as usize];
         let set = &mut self.sets[h.set.0 as usize];
-        let spoilt = h.errors > 0.0 && self.dice.chance(h.errors);
+        let spoilt = h.errors > 0.0 && self.rng.chance(h.errors);
         if self.spec.classes[query.class].need != Need::Write {
             if spoilt {
                 return self.answer(now, host, query, Answer::Error, query.work);
             }
-            self.ledger.read(now, host, data.0, data.1);
+            self.invariants.read(now, host, data.0, data.1);
             return self.answer(now, host, query, Answer::Row, query.work);
         }
         // A write that is still held when the role is lost ends in an error, and has had no effect.
@@ -822,7 +822,7 @@
                     k.commit = Some(now);
                 }
                 if let Some(key) = query.key {
-                    self.ledger.applied(now, key);
+                    self.invariants.applied(now, key);
                 }
                 now
             }
@@ -830,7 +830,7 @@
         if spoilt {
             return self.answer(now, host, query, Answer::Error, query.work);
         }
-        let note = Note {
+        let note = ReplicaStatus {
             primary: true,
             position: commit,
         };
@@ -849,11 +849,11 @@
 
     /// A time of a set's roles: drawn by its own numbers, whatever else has been drawn, so that the elections of two
     /// paired runs take as long.
-    fn drawn(&mut self, set: SetId, range: Between) -> Ns {
+    fn drawn(&mut self, set: SetId, range: ValueOrRange) -> Ns {
         let s = &mut self.sets[set.0 as usize];
         s.draws += 1;
         let own = u64::from(set.0).rotate_left(32) ^ u64::from(s.draws);
-        seconds(range.draw(&mut Dice::new(self.seed ^ own, Stream::Fleet)))
+        seconds(range.draw(&mut Rng::new(self.seed ^ own, Stream::Fleet)))
     }
 
     /// The primary is heard no more: positions stand still, and after a while it is given up.
@@ -939,7 +939,7 @@
             self.jobs.retain(|_, j| j.host != host);
         }
         if how == State::Down {
-            self.out.push(Output::Broken { host });
+            self.out.push(Output::ConnectionsReset { host });
         }
         self.plan_finish(now, host);
     }
@@ -989,14 +989,14 @@
         let from = self.sets[set.0 as usize].source(&self.day);
         self.hosts[i].applier.stop(now, from, false);
         if vanished {
-            self.out.push(Output::Broken { host });
+            self.out.push(Output::ConnectionsReset { host });
         }
-        self.list_change(now, host, Listed::Ready, false);
+        self.list_change(now, host, ListedState::Ready, false);
         self.refresh(now, host);
         self.plan_finish(now, host);
     }
 
-    fn list_change(&mut self, now: Ns, host: HostId, listed: Listed, silent: bool) {
+    fn list_change(&mut self, now: Ns, host: HostId, listed: ListedState, silent: bool) {
         let (set, since) = (
             self.hosts[host.0 as usize].set,
             self.hosts[host.0 as usize].started,
@@ -1006,9 +1006,9 @@
         }
     }
 
-    fn tell(&mut self, now: Ns, gateway: GatewayId, entry: Entry) {
+    fn tell(&mut self, now: Ns, gateway: GatewayId, entry: ListEntry) {
         if self.list.tell(now, gateway, entry) {
-            self.out.push(Output::Told { gateway, entry });
+            self.out.push(Output::ListUpdated { gateway, entry });
         }
     }
 
@@ -1034,7 +1034,7 @@
             f.slowdown.as_ref().and_then(|s| s.hosts.as_ref()),
         ];
         let everywhere = f.slow_apply.is_some() || f.slowdown.is_some();
-        let mut dice = Dice::new(
+        let mut rng = Rng::new(
             self.seed ^ (index as u64 + 1).rotate_left(40),
             Stream::Faults,
         );
@@ -1042,7 +1042,7 @@
             Some(pick) => {
                 let (sets, own) = (&self.sets, &self.hosts);
                 let primary = |h: HostId| sets[own[h.0 as usize].set.0 as usize].primary == Some(h);
-                faults::pick(pick, &all, primary, &mut dice)
+                faults::pick(pick, &all, primary, &mut rng)
             }
             None if everywhere => all,
             None => Vec::new(),
@@ -1065,7 +1065,7 @@
         });
     }
 
-    fn strike(&mut self, now: Ns, p: &Planned, host: HostId) {
+    fn strike(&mut self, now: Ns, p: &PlannedFault, host: HostId) {
         let i = host.0 as usize;
         let f = &p.fault;
         let from = self.sets[self.hosts[i].set.0 as usize].source(&self.day);
@@ -1075,10 +1075,10 @@
                 host,
                 if s.hang { State::Hung } else { State::Vanished },
             );
-            self.list_change(now, host, Listed::Gone, true);
+            self.list_change(now, host, ListedState::Gone, true);
         } else if f.reset.is_some() {
             self.stop(now, host, State::Down);
-            self.list_change(now, host, Listed::Gone, false);
+            self.list_change(now, host, ListedState::Gone, false);
         } else if f.refusing.is_some() {
             self.hosts[i].refusing = true;
         } else if let Some(s) = &f.spoilt {
@@ -1090,7 +1090,7 @@
             self.plan_finish(now, host);
         } else if f.drain.is_some() {
             self.hosts[i].draining = true;
-            self.list_change(now, host, Listed::Draining, false);
+            self.list_change(now, host, ListedState::Draining, false);
             let set = self.hosts[i].set;
             let switch = self.drawn(set, self.spec.sets.switch_s);
             let s = &mut self.sets[set.0 as usize];
@@ -1114,7 +1114,7 @@
             if f.silent.as_ref().is_some_and(|s| s.hang) {
                 if self.hosts[i].state == State::Hung {
                     self.resume(now, host);
-                    self.list_change(now, host, Listed::Ready, false);
+                    self.list_change(now, host, ListedState::Ready, false);
                 }
             } else if f.silent.is_some() || f.reset.is_some() {
                 self.restart(now, host);
@@ -1130,7 +1130,7 @@
                 self.plan_finish(now, host);
             } else if f.drain.is_some() && self.hosts[i].state == State::Up {
                 self.stop(now, host, State::Down);
-                self.list_change(now, host, Listed::Gone, false);
+                self.list_change(now, host, ListedState::Gone, false);
                 let epoch = self.hosts[i].epoch;
                 self.push(now + REPLACED_IN, Event::Restart { host, epoch });
             }
--- a/crates/simulation/src/host.rs
+++ b/crates/simulation/src/host.rs
@@ -1,7 +1,7 @@
 //! One database host: its cores, slots and waiting room, its connections, its start from cold, and what pushes it over.
 
 use crate::cpu::{Cpu, Ramp};
-use crate::log::Applier;
+use crate::replication_log::LogApplier;
 use crate::spec::HostSpec;
 use crate::{seconds, HostId, Ns, SetId};
 use std::collections::VecDeque;
@@ -92,7 +92,7 @@
     /// Its cores.
     pub cpu: Cpu,
     /// Its copy of the log.
-    pub applier: Applier,
+    pub applier: LogApplier,
     /// Connections open to it.
     pub connections: u32,
     /// It finishes its work and takes nothing new.
@@ -127,7 +127,7 @@
         set: SetId,
         spec: &HostSpec,
         now: Ns,
-        applier: Applier,
+        applier: LogApplier,
         tip: Ns,
     ) -> Self {
         Host {
@@ -252,7 +252,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::log::{Heard, Log, Source};
+    use crate::replication_log::{PrimarySignal, ReplicationLog, Source};
     use crate::SECOND;
 
     #[test]
@@ -276,10 +276,10 @@
     #[test]
     fn a_crowd_and_a_slowdown_take_their_part() {
         let spec = HostSpec::default();
-        let log = Log::default();
+        let log = ReplicationLog::default();
         let from = Source {
             log: &log,
-            heard: Heard {
+            primary_signal: PrimarySignal {
                 since: Some(0),
                 stood: 0,
                 ship: 1,
@@ -291,7 +291,7 @@
             SetId(0),
             &spec,
             0,
-            Applier::new(0, from),
+            LogApplier::new(0, from),
             3 * SECOND,
         );
         h.retune(&spec, 0);
--- a/crates/simulation/src/ledger.rs
+++ b/crates/simulation/src/invariants.rs
@@ -5,18 +5,18 @@
 
 /// Something that must never happen, and when it did.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Breach {
+pub struct Violation {
     /// When.
     pub at: Ns,
     /// What.
-    pub kind: BreachKind,
+    pub kind: ViolationKind,
     /// In words: which host, which gateway, which key.
     pub what: String,
 }
 
-/// Kinds of breaches.
+/// Kinds of violations.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum BreachKind {
+pub enum ViolationKind {
     /// A keyed write was applied more than once.
     AppliedTwice,
     /// A read was answered from data older than its class allows.
@@ -27,19 +27,19 @@
     KnockedOver,
 }
 
-/// Most breaches that are kept in words; all are counted.
-const KEPT: usize = 100;
+/// Most violations that are kept in words; all are counted.
+const MAX_DESCRIBED_VIOLATIONS: usize = 100;
 
 /// The audit of one run.
 #[derive(Clone, Debug, Default)]
-pub struct Ledger {
+pub struct InvariantAudit {
     applied: HashMap<u64, u32>,
     commits: HashMap<u64, Ns>,
-    counts: HashMap<BreachKind, u64>,
-    breaches: Vec<Breach>,
+    counts: HashMap<ViolationKind, u64>,
+    violations: Vec<Violation>,
 }
 
-impl Ledger {
+impl InvariantAudit {
     /// A keyed write is applied.
     pub fn applied(&mut self, at: Ns, key: u64) {
         let times = self.applied.entry(key).or_insert(0);
@@ -47,7 +47,7 @@
         let times = *times;
         self.commits.entry(key).or_insert(at);
         if times == 2 {
-            self.breach(at, BreachKind::AppliedTwice, || {
+            self.record(at, ViolationKind::AppliedTwice, || {
                 format!("the write of key {key:x}")
             });
         }
@@ -66,7 +66,7 @@
     /// A read was answered by a host that had applied so many commits of those that it needed.
     pub fn read(&mut self, at: Ns, host: HostId, had: u64, needed: u64) {
         if had < needed {
-            self.breach(at, BreachKind::StaleRead, || {
+            self.record(at, ViolationKind::StaleRead, || {
                 format!("host {} had applied {had} of {needed} commits", host.0)
             });
         }
@@ -75,7 +75,7 @@
     /// A gateway sent something to a host so long after it was told of its drain or end.
     pub fn sent(&mut self, at: Ns, gateway: GatewayId, host: HostId, told: Ns, grace: Ns) {
         if at > told + grace {
-            self.breach(at, BreachKind::SentToDrained, || {
+            self.record(at, ViolationKind::SentToDrained, || {
                 let late = (at - told) as f64 / 1e6;
                 format!(
                     "gateway {} sent to host {} {late:.1} ms after word of its drain",
@@ -87,15 +87,15 @@
 
     /// A cold host fell over.
     pub fn knocked_over(&mut self, at: Ns, host: HostId, load: f64) {
-        self.breach(at, BreachKind::KnockedOver, || {
+        self.record(at, ViolationKind::KnockedOver, || {
             format!("host {} at {load:.2} of what it can do", host.0)
         });
     }
 
-    fn breach(&mut self, at: Ns, kind: BreachKind, what: impl FnOnce() -> String) {
+    fn record(&mut self, at: Ns, kind: ViolationKind, what: impl FnOnce() -> String) {
         *self.counts.entry(kind).or_insert(0) += 1;
-        if self.breaches.len() < KEPT {
-            self.breaches.push(Breach {
+        if self.violations.len() < MAX_DESCRIBED_VIOLATIONS {
+            self.violations.push(Violation {
                 at,
                 kind,
                 what: what(),
@@ -104,12 +104,12 @@
     }
 
     /// How many of a kind there were.
-    pub fn count(&self, kind: BreachKind) -> u64 {
+    pub fn count(&self, kind: ViolationKind) -> u64 {
         self.counts.get(&kind).copied().unwrap_or(0)
     }
 
     /// The first hundred, in order.
-    pub fn breaches(&self) -> &[Breach] {
-        &self.breaches
+    pub fn violations(&self) -> &[Violation] {
+        &self.violations
     }
 }
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -11,14 +11,14 @@
 pub mod clients;
 pub mod cpu;
 pub mod datagrams;
-pub mod dice;
+pub mod endpoint_list;
+pub mod event_queue;
 pub mod faults;
 pub mod fleet;
 pub mod host;
-pub mod ledger;
-pub mod list;
-pub mod log;
-pub mod queue;
+pub mod invariants;
+pub mod replication_log;
+pub mod rng;
 pub mod spec;
 
 /// A point in time on the runner's clock, or a length of time, in nanoseconds.
--- a/crates/simulation/src/log.rs
+++ b/crates/simulation/src/replication_log.rs
@@ -8,12 +8,12 @@
 
 /// The commits of one set, in order, by the number that each has for ever.
 #[derive(Clone, Debug, Default)]
-pub struct Log {
+pub struct ReplicationLog {
     base: u64,
     commits: VecDeque<Ns>,
 }
 
-impl Log {
+impl ReplicationLog {
     /// The number of the next commit.
     pub fn end(&self) -> u64 {
         self.base + self.commits.len() as u64
@@ -50,7 +50,7 @@
 
 /// What the primary of a set is heard to do: until when, and since when.
 #[derive(Clone, Copy, Debug)]
-pub struct Heard {
+pub struct PrimarySignal {
     /// There is one since then; nothing where there is none.
     pub since: Option<Ns>,
     /// Where positions stood when the last one was lost.
@@ -59,7 +59,7 @@
     pub ship: Ns,
 }
 
-impl Heard {
+impl PrimarySignal {
     /// How far a replica that has applied all knows the log to reach.
     fn at(&self, now: Ns) -> Ns {
         match self.since {
@@ -73,16 +73,16 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Source<'a> {
     /// The set's commits.
-    pub log: &'a Log,
+    pub log: &'a ReplicationLog,
     /// The primary.
-    pub heard: Heard,
+    pub primary_signal: PrimarySignal,
     /// Time to apply one commit.
     pub cost: Ns,
 }
 
 /// A replica's one applying thread.
 #[derive(Clone, Debug)]
-pub struct Applier {
+pub struct LogApplier {
     at: Ns,
     /// The commit that it applies or waits for.
     next: u64,
@@ -98,11 +98,11 @@
     busy: f64,
 }
 
-impl Applier {
+impl LogApplier {
     /// One that has applied all.
     pub fn new(now: Ns, from: Source<'_>) -> Self {
         let (next, left) = (from.log.end(), from.cost as f64);
-        Applier {
+        LogApplier {
             at: now,
             next,
             left,
@@ -151,7 +151,7 @@
                 self.at = now;
                 return;
             };
-            let came = commit + from.heard.ship;
+            let came = commit + from.primary_signal.ship;
             if came > self.at {
                 self.at = came.min(now);
                 continue;
@@ -174,7 +174,7 @@
     pub fn position(&mut self, now: Ns, from: Source<'_>) -> Ns {
         self.advance(now, from);
         if self.stops == 0 {
-            let known = from.heard.at(now);
+            let known = from.primary_signal.at(now);
             // What it has not applied it has not reached; also where another commit of that moment is applied.
             let reached = from
                 .log
@@ -191,10 +191,10 @@
     use super::*;
     use crate::{MS, SECOND};
 
-    fn from(log: &Log, since: Option<Ns>, stood: Ns) -> Source<'_> {
+    fn from(log: &ReplicationLog, since: Option<Ns>, stood: Ns) -> Source<'_> {
         Source {
             log,
-            heard: Heard {
+            primary_signal: PrimarySignal {
                 since,
                 stood,
                 ship: 5 * MS,
@@ -205,13 +205,13 @@
 
     #[test]
     fn a_replica_applies_one_after_the_other() {
-        let mut log = Log::default();
-        let mut a = Applier::new(0, from(&log, Some(0), 0));
+        let mut log = ReplicationLog::default();
+        let mut a = LogApplier::new(0, from(&log, Some(0), 0));
         assert_eq!(a.position(SECOND, from(&log, Some(0), 0)), SECOND - 5 * MS);
         (0..3).for_each(|_| {
             log.push(SECOND);
         });
-        let at = |a: &mut Applier, ms: Ns| a.position(SECOND + ms * MS, from(&log, Some(0), 0));
+        let at = |a: &mut LogApplier, ms: Ns| a.position(SECOND + ms * MS, from(&log, Some(0), 0));
         assert_eq!(at(&mut a, 4), SECOND - MS, "nothing of it has come");
         assert_eq!(at(&mut a, 34), SECOND - 1, "the third is not applied");
         assert_eq!(a.applied(), 2);
@@ -225,8 +225,8 @@
 
     #[test]
     fn it_stands_still_while_stopped_and_goes_on_where_it_was() {
-        let mut log = Log::default();
-        let mut a = Applier::new(0, from(&log, Some(0), 0));
+        let mut log = ReplicationLog::default();
+        let mut a = LogApplier::new(0, from(&log, Some(0), 0));
         log.push(SECOND);
         a.stop(SECOND + 9 * MS, from(&log, Some(0), 0), true);
         let stood = a.position(SECOND + 500 * MS, from(&log, Some(0), 0));
@@ -240,8 +240,8 @@
 
     #[test]
     fn without_a_primary_positions_stand_still_and_never_go_back() {
-        let log = Log::default();
-        let mut a = Applier::new(0, from(&log, Some(0), 0));
+        let log = ReplicationLog::default();
+        let mut a = LogApplier::new(0, from(&log, Some(0), 0));
         assert_eq!(a.position(SECOND, from(&log, Some(0), 0)), SECOND - 5 * MS);
         assert_eq!(a.position(2 * SECOND, from(&log, None, SECOND)), SECOND);
         let again = from(&log, Some(3 * SECOND), SECOND);
@@ -251,8 +251,8 @@
 
     #[test]
     fn slower_by_a_factor_mid_way() {
-        let mut log = Log::default();
-        let mut a = Applier::new(0, from(&log, Some(0), 0));
+        let mut log = ReplicationLog::default();
+        let mut a = LogApplier::new(0, from(&log, Some(0), 0));
         (0..2).for_each(|_| {
             log.push(0);
         });
--- a/crates/simulation/src/dice.rs
+++ b/crates/simulation/src/rng.rs
@@ -22,23 +22,23 @@
     /// Times on the network, lost datagrams.
     Network = 6,
     /// When the list is told.
-    List = 7,
+    EndpointList = 7,
     /// Seeds of the gateways.
     Gateways = 8,
 }
 
 /// A seeded source of random numbers.
 #[derive(Clone, Debug)]
-pub struct Dice(Pcg64Mcg);
+pub struct Rng(Pcg64Mcg);
 
-impl Dice {
+impl Rng {
     /// The stream of a seed for one concern.
     pub fn new(seed: u64, stream: Stream) -> Self {
         // Neighbouring seeds must not give neighbouring streams (the finaliser of SplitMix64).
         let mut z = seed.wrapping_add((stream as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15));
         z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
         z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        Dice(Pcg64Mcg::seed_from_u64(z ^ (z >> 31)))
+        Rng(Pcg64Mcg::seed_from_u64(z ^ (z >> 31)))
     }
 
     /// Evenly from 0 to 1, 1 left out.
@@ -111,12 +111,12 @@
 
     #[test]
     fn distributions_have_their_means() {
-        let mut d = Dice::new(7, Stream::Arrivals);
+        let mut d = Rng::new(7, Stream::Arrivals);
         let n = 100_000;
         let mean = |f: &mut dyn FnMut() -> f64| (0..n).map(|_| f()).sum::<f64>() / f64::from(n);
         let e = mean(&mut || d.exponential(1000) as f64);
         assert!((e - 1000.0).abs() < 15.0, "{e}");
-        let mut d = Dice::new(7, Stream::Day);
+        let mut d = Rng::new(7, Stream::Day);
         let l = mean(&mut || d.log_normal(40.0, 0.5));
         assert!((l - 40.0).abs() < 0.5, "{l}");
         let p = mean(&mut || f64::from(d.poisson(2.5)));
@@ -125,7 +125,7 @@
 
     #[test]
     fn a_choice_has_no_place_twice() {
-        let mut d = Dice::new(1, Stream::Faults);
+        let mut d = Rng::new(1, Stream::Faults);
         for _ in 0..100 {
             let c = d.choose(5, 9);
             assert!(
--- a/crates/simulation/src/spec.rs
+++ b/crates/simulation/src/spec.rs
@@ -2,7 +2,7 @@
 //!
 //! Times carry their unit in their names. Where a figure may be a range, a day draws one value from it evenly.
 
-use crate::dice::{Dice, Stream};
+use crate::rng::{Rng, Stream};
 use crate::{ms, seconds, Ns};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -10,33 +10,34 @@
 /// A value, or a range from which each day draws one.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize, JsonSchema, PartialEq)]
 #[serde(untagged)]
-pub enum Between {
+#[schemars(rename = "Between")]
+pub enum ValueOrRange {
     /// This value.
     Value(f64),
     /// Evenly from the first to the second.
     Range([f64; 2]),
 }
 
-impl Default for Between {
+impl Default for ValueOrRange {
     fn default() -> Self {
-        Between::Value(0.0)
+        ValueOrRange::Value(0.0)
     }
 }
 
-impl Between {
+impl ValueOrRange {
     /// One value.
-    pub fn draw(self, dice: &mut Dice) -> f64 {
+    pub fn draw(self, rng: &mut Rng) -> f64 {
         match self {
-            Between::Value(v) => v,
-            Between::Range([low, high]) => dice.between(low, high),
+            ValueOrRange::Value(v) => v,
+            ValueOrRange::Range([low, high]) => rng.between(low, high),
         }
     }
 
     /// Its ends.
     pub fn ends(self) -> [f64; 2] {
         match self {
-            Between::Value(v) => [v, v],
-            Between::Range(ends) => ends,
+            ValueOrRange::Value(v) => [v, v],
+            ValueOrRange::Range(ends) => ends,
         }
     }
 }
@@ -70,15 +71,15 @@
     #[schemars(range(min = 0, max = 0.9))]
     pub table_loss: f64,
     /// Work of a new connection.
-    pub connect_work_ms: Between,
+    pub connect_work_ms: ValueOrRange,
     /// Work of a probe.
-    pub probe_work_ms: Between,
+    pub probe_work_ms: ValueOrRange,
     /// Part of its capacity with which one that has started begins.
-    pub cold_start: Between,
+    pub cold_start: ValueOrRange,
     /// Time until one that has started is warm; its capacity rises evenly until then.
-    pub cold_s: Between,
+    pub cold_s: ValueOrRange,
     /// Its load reports are made anew each so often.
-    pub report_ms: Between,
+    pub report_ms: ValueOrRange,
     /// It closes a connection that has been idle for this long.
     #[schemars(range(min = 0.1))]
     pub idle_close_s: f64,
@@ -115,11 +116,11 @@
             crowded_loss: 0.03,
             connections: 400,
             table_loss: 0.05,
-            connect_work_ms: Between::Range([0.8, 2.0]),
-            probe_work_ms: Between::Range([0.17, 0.46]),
-            cold_start: Between::Range([0.15, 0.3]),
-            cold_s: Between::Range([8.0, 14.0]),
-            report_ms: Between::Range([44.0, 230.0]),
+            connect_work_ms: ValueOrRange::Range([0.8, 2.0]),
+            probe_work_ms: ValueOrRange::Range([0.17, 0.46]),
+            cold_start: ValueOrRange::Range([0.15, 0.3]),
+            cold_s: ValueOrRange::Range([8.0, 14.0]),
+            report_ms: ValueOrRange::Range([44.0, 230.0]),
             idle_close_s: 20.0,
             errors: 0.0005,
             checks: Checks::Wait,
@@ -139,15 +140,15 @@
     #[schemars(range(min = 0, max = 3))]
     pub skew: f64,
     /// A replica gets the log after this time.
-    pub ship_ms: Between,
+    pub ship_ms: ValueOrRange,
     /// Part of the time that a replica's one applying thread is busy at full load.
-    pub apply_use: Between,
+    pub apply_use: ValueOrRange,
     /// A primary that dies or hangs is given up after this time.
-    pub detect_s: Between,
+    pub detect_s: ValueOrRange,
     /// A replica takes over so much later.
-    pub elect_s: Between,
+    pub elect_s: ValueOrRange,
     /// A primary that drains hands over within this time.
-    pub switch_s: Between,
+    pub switch_s: ValueOrRange,
     /// A set drops the repeat of a keyed write for this long from the first one's arrival.
     #[schemars(range(min = 0))]
     pub window_s: f64,
@@ -158,11 +159,11 @@
         SetSpec {
             members: 6,
             skew: 0.2,
-            ship_ms: Between::Range([2.7, 14.0]),
-            apply_use: Between::Range([0.41, 0.56]),
-            detect_s: Between::Range([1.3, 2.8]),
-            elect_s: Between::Range([1.6, 3.9]),
-            switch_s: Between::Range([0.46, 0.93]),
+            ship_ms: ValueOrRange::Range([2.7, 14.0]),
+            apply_use: ValueOrRange::Range([0.41, 0.56]),
+            detect_s: ValueOrRange::Range([1.3, 2.8]),
+            elect_s: ValueOrRange::Range([1.6, 3.9]),
+            switch_s: ValueOrRange::Range([0.46, 0.93]),
             window_s: 1.2,
         }
     }
@@ -195,7 +196,7 @@
     #[schemars(range(min = 0))]
     pub share: f64,
     /// Mean work of one on a core.
-    pub work_ms: Between,
+    pub work_ms: ValueOrRange,
     /// Coefficient of variation of the work.
     #[serde(default = "half")]
     #[schemars(range(min = 0, max = 5))]
@@ -233,7 +234,7 @@
     let class = |name: &str, share, work: [f64; 2], need, aim_ms, deadline_ms, worth| ClassSpec {
         name: name.to_string(),
         share,
-        work_ms: Between::Range(work),
+        work_ms: ValueOrRange::Range(work),
         work_variation: 0.5,
         need,
         bound_ms: 0.0,
@@ -306,7 +307,7 @@
 #[serde(default, deny_unknown_fields)]
 pub struct TrafficSpec {
     /// Part of what the sets, or their primaries, can do; used where no rate is given.
-    pub load: Between,
+    pub load: ValueOrRange,
     /// First tries a second over all sets.
     #[schemars(range(min = 0.01, max = 10_000_000))]
     pub requests_per_s: Option<f64>,
@@ -317,11 +318,11 @@
     #[schemars(range(min = 0.1))]
     pub swing_s: f64,
     /// Part of the session reads that follow a write of their session.
-    pub follows: Between,
+    pub follows: ValueOrRange,
     /// Mean time from the write to such a read.
-    pub gap_ms: Between,
+    pub gap_ms: ValueOrRange,
     /// Part of a session's requests that come to any gateway.
-    pub roams: Between,
+    pub roams: ValueOrRange,
     /// Sessions of each set that write.
     #[schemars(range(min = 1, max = 10_000_000))]
     pub sessions: u32,
@@ -330,13 +331,13 @@
 impl Default for TrafficSpec {
     fn default() -> Self {
         TrafficSpec {
-            load: Between::Range([0.45, 0.6]),
+            load: ValueOrRange::Range([0.45, 0.6]),
             requests_per_s: None,
             swing: 0.15,
             swing_s: 20.0,
-            follows: Between::Range([0.56, 0.81]),
-            gap_ms: Between::Range([130.0, 720.0]),
-            roams: Between::Range([0.1, 0.87]),
+            follows: ValueOrRange::Range([0.56, 0.81]),
+            gap_ms: ValueOrRange::Range([130.0, 720.0]),
+            roams: ValueOrRange::Range([0.1, 0.87]),
             sessions: 200,
         }
     }
@@ -362,11 +363,11 @@
     #[schemars(range(max = 20))]
     pub retries: u32,
     /// A try is given up after this part of the class's time.
-    pub patience: Between,
+    pub patience: ValueOrRange,
     /// The wait before a retry; it doubles with each, with as much chance in it.
-    pub backoff_ms: Between,
+    pub backoff_ms: ValueOrRange,
     /// Part of the clients that wait as long as a refusal says.
-    pub honour: Between,
+    pub honour: ValueOrRange,
     /// The longest wait that they take from a refusal.
     #[schemars(range(min = 0))]
     pub longest_wait_ms: f64,
@@ -378,21 +379,21 @@
     #[schemars(range(min = 0, max = 1))]
     pub impatient: f64,
     /// The front layer goes on sending to a dead gateway for this long.
-    pub notice_s: Between,
+    pub notice_s: ValueOrRange,
 }
 
 impl Default for ClientSpec {
     fn default() -> Self {
         ClientSpec {
             retries: 2,
-            patience: Between::Range([0.42, 1.0]),
-            backoff_ms: Between::Range([10.0, 80.0]),
-            honour: Between::Range([0.46, 0.99]),
+            patience: ValueOrRange::Range([0.42, 1.0]),
+            backoff_ms: ValueOrRange::Range([10.0, 80.0]),
+            honour: ValueOrRange::Range([0.46, 0.99]),
             longest_wait_ms: 1000.0,
             marked: true,
             writes: WriteRepeats::Window,
             impatient: 0.005,
-            notice_s: Between::Range([1.0, 3.6]),
+            notice_s: ValueOrRange::Range([1.0, 3.6]),
         }
     }
 }
@@ -402,19 +403,19 @@
 #[serde(default, deny_unknown_fields)]
 pub struct ListSpec {
     /// A start, a stop or a drain is told after this time.
-    pub notice_s: Between,
+    pub notice_s: ValueOrRange,
     /// A host that has gone silent is told as gone after this time.
-    pub silent_notice_s: Between,
+    pub silent_notice_s: ValueOrRange,
     /// One gateway is told so much later than another, at most.
-    pub spread_ms: Between,
+    pub spread_ms: ValueOrRange,
 }
 
 impl Default for ListSpec {
     fn default() -> Self {
         ListSpec {
-            notice_s: Between::Range([1.1, 4.7]),
-            silent_notice_s: Between::Range([4.4, 14.0]),
-            spread_ms: Between::Range([76.0, 380.0]),
+            notice_s: ValueOrRange::Range([1.1, 4.7]),
+            silent_notice_s: ValueOrRange::Range([4.4, 14.0]),
+            spread_ms: ValueOrRange::Range([76.0, 380.0]),
         }
     }
 }
@@ -424,26 +425,26 @@
 #[serde(default, deny_unknown_fields)]
 pub struct NetSpec {
     /// Between gateway and host.
-    pub host_ms: Between,
+    pub host_ms: ValueOrRange,
     /// Between client and gateway.
-    pub client_ms: Between,
+    pub client_ms: ValueOrRange,
     /// Between gateways.
-    pub datagram_ms: Between,
+    pub datagram_ms: ValueOrRange,
     /// Part of the datagrams that are lost.
     #[schemars(range(min = 0, max = 1))]
     pub datagram_loss: f64,
     /// Each time is longer by up to this part.
-    pub jitter: Between,
+    pub jitter: ValueOrRange,
 }
 
 impl Default for NetSpec {
     fn default() -> Self {
         NetSpec {
-            host_ms: Between::Range([0.14, 0.34]),
-            client_ms: Between::Range([0.2, 1.2]),
-            datagram_ms: Between::Range([2.6, 30.0]),
+            host_ms: ValueOrRange::Range([0.14, 0.34]),
+            client_ms: ValueOrRange::Range([0.2, 1.2]),
+            datagram_ms: ValueOrRange::Range([2.6, 30.0]),
             datagram_loss: 0.0,
-            jitter: Between::Range([0.058, 0.35]),
+            jitter: ValueOrRange::Range([0.058, 0.35]),
         }
     }
 }
@@ -484,7 +485,8 @@
 /// Which hosts or gateways a fault strikes.
 #[derive(Clone, Debug, Default, Deserialize, Serialize, JsonSchema, PartialEq)]
 #[serde(default, deny_unknown_fields)]
-pub struct Pick {
+#[schemars(rename = "Pick")]
+pub struct HostSelection {
     /// This part of them, one at least.
     #[schemars(range(min = 0, max = 1))]
     pub share: Option<f64>,
@@ -500,9 +502,10 @@
 /// Hosts that fall silent: no reset, no answer.
 #[derive(Clone, Debug, Default, Deserialize, Serialize, JsonSchema, PartialEq)]
 #[serde(default, deny_unknown_fields)]
-pub struct Silent {
+#[schemars(rename = "Silent")]
+pub struct SilentHosts {
     /// Which.
-    pub hosts: Pick,
+    pub hosts: HostSelection,
     /// They hang and come back with what they held, warm; else they start again, cold, with nothing but their data.
     pub hang: bool,
 }
@@ -510,18 +513,20 @@
 /// Hosts whose process dies and is started again.
 #[derive(Clone, Debug, Default, Deserialize, Serialize, JsonSchema, PartialEq)]
 #[serde(default, deny_unknown_fields)]
-pub struct Strike {
+#[schemars(rename = "Strike")]
+pub struct HostFault {
     /// Which.
-    pub hosts: Pick,
+    pub hosts: HostSelection,
 }
 
 /// Hosts whose answers are errors.
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema, PartialEq)]
 #[serde(deny_unknown_fields)]
-pub struct Spoilt {
+#[schemars(rename = "Spoilt")]
+pub struct FailingHosts {
     /// Which.
     #[serde(default)]
-    pub hosts: Pick,
+    pub hosts: HostSelection,
     /// The part of their answers.
     #[schemars(range(min = 0, max = 1))]
     pub part: f64,
@@ -530,29 +535,32 @@
 /// Hosts that are slower, in one way or another.
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema, PartialEq)]
 #[serde(deny_unknown_fields)]
-pub struct Slow {
+#[schemars(rename = "Slow")]
+pub struct Slowdown {
     /// Which; all of them where nothing is said.
     #[serde(default)]
-    pub hosts: Option<Pick>,
+    pub hosts: Option<HostSelection>,
     /// So many times slower.
-    pub times: Between,
+    pub times: ValueOrRange,
 }
 
 /// Sets that draw more traffic.
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema, PartialEq)]
 #[serde(deny_unknown_fields)]
-pub struct Flood {
+#[schemars(rename = "Flood")]
+pub struct TrafficSurge {
     /// How many sets.
     #[schemars(range(min = 1))]
     pub sets: u32,
     /// What they draw more, together, as a part of all traffic.
-    pub part: Between,
+    pub part: ValueOrRange,
 }
 
 /// Gateways that are killed in waves and start again with nothing but their last list.
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema, PartialEq)]
 #[serde(deny_unknown_fields)]
-pub struct Waves {
+#[schemars(rename = "Waves")]
+pub struct GatewayRestarts {
     /// Part of all gateways that is killed at some time.
     #[schemars(range(min = 0, max = 1))]
     pub share: f64,
@@ -560,16 +568,17 @@
     #[schemars(range(min = 0, max = 1))]
     pub at_a_time: f64,
     /// How long each is away.
-    pub down_s: Between,
+    pub down_s: ValueOrRange,
 }
 
 /// Hosts that some gateways do not reach.
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema, PartialEq)]
 #[serde(deny_unknown_fields)]
-pub struct CutOff {
+#[schemars(rename = "CutOff")]
+pub struct UnreachableHosts {
     /// Which hosts.
     #[serde(default)]
-    pub hosts: Pick,
+    pub hosts: HostSelection,
     /// The part of the gateways, one at least.
     #[schemars(range(min = 0, max = 1))]
     pub gateways: f64,
@@ -578,7 +587,8 @@
 /// Datagrams that are lost.
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema, PartialEq)]
 #[serde(deny_unknown_fields)]
-pub struct Lost {
+#[schemars(rename = "Lost")]
+pub struct DatagramLoss {
     /// The part of them.
     #[schemars(range(min = 0, max = 1))]
     pub part: f64,
@@ -587,7 +597,8 @@
 /// Gateways in two parts that do not hear each other.
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema, PartialEq)]
 #[serde(deny_unknown_fields)]
-pub struct Split {
+#[schemars(rename = "Split")]
+pub struct NetworkPartition {
     /// The part of them on one side, one at least.
     #[schemars(range(min = 0, max = 1))]
     pub part: f64,
@@ -596,55 +607,56 @@
 /// Discovery that says nothing.
 #[derive(Clone, Debug, Default, Deserialize, Serialize, JsonSchema, PartialEq)]
 #[serde(default, deny_unknown_fields)]
-pub struct Mute {}
+#[schemars(rename = "Mute")]
+pub struct DiscoverySilence {}
 
 /// A trouble: when, how long, and exactly one kind.
 #[derive(Clone, Debug, Default, Deserialize, Serialize, JsonSchema, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Fault {
     /// When it begins, from the start of the run.
-    pub at_s: Between,
+    pub at_s: ValueOrRange,
     /// How long it lasts.
-    pub for_s: Between,
+    pub for_s: ValueOrRange,
     /// Hosts fall silent.
     #[serde(default)]
-    pub silent: Option<Silent>,
+    pub silent: Option<SilentHosts>,
     /// Hosts die: their connections are reset and new ones refused.
     #[serde(default)]
-    pub reset: Option<Strike>,
+    pub reset: Option<HostFault>,
     /// Hosts turn everything away.
     #[serde(default)]
-    pub refusing: Option<Strike>,
+    pub refusing: Option<HostFault>,
     /// Hosts answer with errors.
     #[serde(default)]
-    pub spoilt: Option<Spoilt>,
+    pub spoilt: Option<FailingHosts>,
     /// Replicas apply the log more slowly.
     #[serde(default)]
-    pub slow_apply: Option<Slow>,
+    pub slow_apply: Option<Slowdown>,
     /// Hosts are slower.
     #[serde(default)]
-    pub slowdown: Option<Slow>,
+    pub slowdown: Option<Slowdown>,
     /// Sets draw more traffic.
     #[serde(default)]
-    pub flood: Option<Flood>,
+    pub flood: Option<TrafficSurge>,
     /// Gateways are killed.
     #[serde(default)]
-    pub gateways_killed: Option<Waves>,
+    pub gateways_killed: Option<GatewayRestarts>,
     /// Hosts drain, and are gone when it ends.
     #[serde(default)]
-    pub drain: Option<Strike>,
+    pub drain: Option<HostFault>,
     /// Hosts are cut off from some gateways.
     #[serde(default)]
-    pub cut_off: Option<CutOff>,
+    pub cut_off: Option<UnreachableHosts>,
     /// Datagrams are lost.
     #[serde(default)]
-    pub datagrams_lost: Option<Lost>,
+    pub datagrams_lost: Option<DatagramLoss>,
     /// Some gateways do not hear the others.
     #[serde(default)]
-    pub split: Option<Split>,
+    pub split: Option<NetworkPartition>,
     /// Discovery is silent.
     #[serde(default)]
-    pub discovery_silent: Option<Mute>,
+    pub discovery_silent: Option<DiscoverySilence>,
 }
 
 impl Fault {
@@ -734,7 +746,7 @@
     /// What no schema can say is wrong: a path within this object, and the reason.
     pub fn problems(&self) -> Vec<(String, String)> {
         let mut found = Vec::new();
-        let mut range = |path: &str, b: Between, least: f64, most: f64| {
+        let mut range = |path: &str, b: ValueOrRange, least: f64, most: f64| {
             let [low, high] = b.ends();
             if !(low.is_finite() && high.is_finite()) || low < least || high > most {
                 found.push((
@@ -901,7 +913,7 @@
     }
 }
 
-fn picks(f: &Fault) -> Vec<(&'static str, &Pick)> {
+fn picks(f: &Fault) -> Vec<(&'static str, &HostSelection)> {
     let mut all = Vec::new();
     all.extend(f.silent.as_ref().map(|s| ("silent/hosts", &s.hosts)));
     all.extend(f.reset.as_ref().map(|s| ("reset/hosts", &s.hosts)));
@@ -976,7 +988,7 @@
 impl Day {
     /// Draws a day.
     pub fn draw(spec: &Spec, seed: u64) -> Day {
-        let mut d = Dice::new(seed, Stream::Day);
+        let mut d = Rng::new(seed, Stream::Day);
         let total: f64 = spec.classes.iter().map(|c| c.share).sum();
         let class_shares: Vec<f64> = spec.classes.iter().map(|c| c.share / total).collect();
         let work: Vec<f64> = spec
@@ -1008,7 +1020,7 @@
             .map(|_| d.log_normal(1.0, spec.sets.skew))
             .collect();
         let sum: f64 = sizes.iter().sum();
-        let mut time = |b: Between| ms(b.draw(&mut d));
+        let mut time = |b: ValueOrRange| ms(b.draw(&mut d));
         Day {
             rate,
             set_shares: sizes.iter().map(|s| s / sum).collect(),
@@ -1063,12 +1075,12 @@
         let mut s = Spec::default();
         s.classes[0].aim_ms = 5000.0;
         s.classes[1].name = "page-read".into();
-        s.hosts.cold_start = Between::Range([0.5, 0.2]);
+        s.hosts.cold_start = ValueOrRange::Range([0.5, 0.2]);
         let both = Fault {
-            at_s: Between::Value(-1.0),
-            for_s: Between::Value(1.0),
-            silent: Some(Silent::default()),
-            reset: Some(Strike::default()),
+            at_s: ValueOrRange::Value(-1.0),
+            for_s: ValueOrRange::Value(1.0),
+            silent: Some(SilentHosts::default()),
+            reset: Some(HostFault::default()),
             ..Fault::default()
         };
         s.faults.push(both);
--- a/crates/simulation/tests/fleet.rs
+++ b/crates/simulation/tests/fleet.rs
@@ -1,9 +1,11 @@
 //! The fleet under what goes wrong: each hard case on its own, in a few lines of a script.
 
-use irisrouter_simulation::fleet::{Answer, Fleet, Output, Probe, Query, Taken};
+use irisrouter_simulation::fleet::{Answer, Delivery, Fleet, Output, ProbeResult, Query};
 use irisrouter_simulation::host::State;
-use irisrouter_simulation::ledger::BreachKind;
-use irisrouter_simulation::spec::{Between, Checks, Fault, Mute, Pick, Silent, Spec, Strike};
+use irisrouter_simulation::invariants::ViolationKind;
+use irisrouter_simulation::spec::{
+    Checks, DiscoverySilence, Fault, HostFault, HostSelection, SilentHosts, Spec, ValueOrRange,
+};
 use irisrouter_simulation::{GatewayId, HostId, Ns, SetId, MS, SECOND};
 
 const PAGE: usize = 0;
@@ -21,21 +23,21 @@
     s.hosts.count = 6;
     s.hosts.errors = 0.0;
     s.hosts.table_loss = 0.0;
-    s.sets.ship_ms = Between::Value(5.0);
-    s.sets.detect_s = Between::Value(2.0);
-    s.sets.elect_s = Between::Value(3.0);
+    s.sets.ship_ms = ValueOrRange::Value(5.0);
+    s.sets.detect_s = ValueOrRange::Value(2.0);
+    s.sets.elect_s = ValueOrRange::Value(3.0);
     s
 }
 
 fn silent(host: u32, at: f64, long: f64, hang: bool) -> Fault {
-    let hosts = Pick {
+    let hosts = HostSelection {
         these: Some(vec![host]),
-        ..Pick::default()
+        ..HostSelection::default()
     };
-    let silent = Some(Silent { hosts, hang });
+    let silent = Some(SilentHosts { hosts, hang });
     Fault {
-        at_s: Between::Value(at),
-        for_s: Between::Value(long),
+        at_s: ValueOrRange::Value(at),
+        for_s: ValueOrRange::Value(long),
         silent,
         ..Fault::default()
     }
@@ -81,8 +83,8 @@
                     self.answers
                         .push((at, ticket, answer, note.primary, note.position));
                 }
-                Output::Told { gateway, entry } => self.told.push((at, gateway, entry.host)),
-                Output::Broken { host } => self.broken.push((at, host)),
+                Output::ListUpdated { gateway, entry } => self.told.push((at, gateway, entry.host)),
+                Output::ConnectionsReset { host } => self.broken.push((at, host)),
                 _ => {}
             }
         }
@@ -94,7 +96,7 @@
         host: u32,
         class: usize,
         with: impl FnOnce(&mut Query),
-    ) -> (u64, Taken) {
+    ) -> (u64, Delivery) {
         self.until(now);
         self.ticket += 1;
         let mut query = Query {
@@ -125,8 +127,8 @@
             .map(|a| (a.0, a.2))
     }
 
-    fn count(&self, kind: BreachKind) -> u64 {
-        self.fleet.ledger().count(kind)
+    fn count(&self, kind: ViolationKind) -> u64 {
+        self.fleet.invariants().count(kind)
     }
 }
 
@@ -145,15 +147,21 @@
         "the repeat is told of the first one's commit"
     );
     assert_eq!(
-        (r.fleet.ledger().writes(), r.count(BreachKind::AppliedTwice)),
+        (
+            r.fleet.invariants().writes(),
+            r.count(ViolationKind::AppliedTwice)
+        ),
         (1, 0)
     );
-    // Planted: a repeat a moment later is a write like any other, and the ledger finds it.
+    // Planted: a repeat a moment later is a write like any other, and the invariants finds it.
     r.write(3 * SECOND, 0, 8);
     r.write(4 * SECOND + 200 * MS + 1, 0, 8);
     r.until(5 * SECOND);
     assert_eq!(
-        (r.fleet.ledger().writes(), r.count(BreachKind::AppliedTwice)),
+        (
+            r.fleet.invariants().writes(),
+            r.count(ViolationKind::AppliedTwice)
+        ),
         (2, 1)
     );
 }
@@ -168,7 +176,10 @@
     });
     r.until(2 * SECOND);
     assert_eq!(
-        (r.fleet.ledger().writes(), r.count(BreachKind::AppliedTwice)),
+        (
+            r.fleet.invariants().writes(),
+            r.count(ViolationKind::AppliedTwice)
+        ),
         (1, 0)
     );
     assert!(
@@ -187,7 +198,7 @@
     // A gateway that gives up closes its connection: that stops nothing.
     r.fleet.close(SECOND + MS, HostId(0), 0);
     r.until(2 * SECOND);
-    assert_eq!(r.fleet.ledger().commit(7), Some(SECOND + 40 * MS));
+    assert_eq!(r.fleet.invariants().commit(7), Some(SECOND + 40 * MS));
 }
 
 #[test]
@@ -196,10 +207,10 @@
     let before = r.write(SECOND, 0, 1);
     let (lost, _) = r.ask(2 * SECOND - MS, 0, WRITE, |q| q.key = Some(2));
     let (_, taken) = r.ask(2 * SECOND + MS, 0, WRITE, |q| q.key = Some(3));
-    assert_eq!(taken, Taken::Silence);
+    assert_eq!(taken, Delivery::NoResponse);
     assert_eq!(
         r.fleet.probe(2 * SECOND + MS, GatewayId(0), HostId(0)),
-        Probe::Silence
+        ProbeResult::NoResponse
     );
     assert_eq!(r.fleet.primary(SetId(0)), None);
     r.until(7 * SECOND - MS);
@@ -253,7 +264,7 @@
     let mut r = Rig::new(&spec(vec![silent(0, 2.0, 8.0, true)]));
     let held = r.write(2 * SECOND - 10 * MS, 0, 1);
     let (stalled, taken) = r.ask(3 * SECOND, 0, WRITE, |q| q.key = Some(2));
-    assert_eq!(taken, Taken::Silence);
+    assert_eq!(taken, Delivery::NoResponse);
     r.until(8 * SECOND);
     let new = r.fleet.primary(SetId(0)).expect("a new primary");
     let elsewhere = r.write(8 * SECOND, new.0, 1);
@@ -266,7 +277,10 @@
     assert_eq!(r.answer(stalled).map(|a| a.1), Some(Answer::Miss));
     assert_eq!(r.answer(elsewhere).map(|a| a.1), Some(Answer::Row));
     assert_eq!(
-        (r.fleet.ledger().writes(), r.count(BreachKind::AppliedTwice)),
+        (
+            r.fleet.invariants().writes(),
+            r.count(ViolationKind::AppliedTwice)
+        ),
         (1, 0)
     );
     assert!(r.broken.is_empty(), "its connections were never reset");
@@ -298,14 +312,14 @@
 
 #[test]
 fn a_drain_hands_over_and_the_audit_finds_what_is_sent_after_its_grace() {
-    let hosts = Pick {
+    let hosts = HostSelection {
         these: Some(vec![0]),
-        ..Pick::default()
+        ..HostSelection::default()
     };
-    let drain = Some(Strike { hosts });
+    let drain = Some(HostFault { hosts });
     let fault = Fault {
-        at_s: Between::Value(2.0),
-        for_s: Between::Value(9.0),
+        at_s: ValueOrRange::Value(2.0),
+        for_s: ValueOrRange::Value(9.0),
         drain,
         ..Fault::default()
     };
@@ -332,13 +346,13 @@
     assert_eq!(
         (
             r.answer(full).map(|a| a.1),
-            r.count(BreachKind::SentToDrained)
+            r.count(ViolationKind::SentToDrained)
         ),
         (Some(Answer::Full), 0)
     );
     r.ask(told + 501 * MS, 0, PAGE, |_| ());
     assert_eq!(
-        r.count(BreachKind::SentToDrained),
+        r.count(ViolationKind::SentToDrained),
         1,
         "planted: a millisecond beyond the grace"
     );
@@ -353,8 +367,8 @@
 #[test]
 fn a_cold_host_falls_over_when_it_is_sent_too_much_and_only_then() {
     let mut spec = spec(vec![silent(1, 1.0, 1.0, false)]);
-    spec.hosts.cold_start = Between::Value(0.2);
-    spec.hosts.cold_s = Between::Value(10.0);
+    spec.hosts.cold_start = ValueOrRange::Value(0.2);
+    spec.hosts.cold_s = ValueOrRange::Value(10.0);
     // At its start it can do one core's work: twice that in 3 s is 6 s of work.
     for (count, falls) in [(150, false), (151, true)] {
         let mut r = Rig::new(&spec);
@@ -364,7 +378,7 @@
         }
         let fell = r.fleet.host(HostId(1)).state == State::Down;
         assert_eq!(
-            (fell, r.count(BreachKind::KnockedOver)),
+            (fell, r.count(ViolationKind::KnockedOver)),
             (falls, u64::from(falls)),
             "{count}"
         );
@@ -381,8 +395,8 @@
 #[test]
 fn a_host_tips_over_exactly_within_a_window() {
     let mut spec = spec(vec![silent(1, 1.0, 1.0, false)]);
-    spec.hosts.cold_start = Between::Value(0.2);
-    spec.hosts.cold_s = Between::Value(1_000.0);
+    spec.hosts.cold_start = ValueOrRange::Value(0.2);
+    spec.hosts.cold_s = ValueOrRange::Value(1_000.0);
     for (second, falls) in [(5 * SECOND - 60 * MS, true), (5 * SECOND, false)] {
         let mut r = Rig::new(&spec);
         r.until(2 * SECOND);
@@ -401,13 +415,13 @@
 
 #[test]
 fn without_checks_a_lagging_replica_answers_and_the_ledger_finds_it() {
-    let slow = irisrouter_simulation::spec::Slow {
+    let slow = irisrouter_simulation::spec::Slowdown {
         hosts: None,
-        times: Between::Value(1000.0),
+        times: ValueOrRange::Value(1000.0),
     };
     let fault = Fault {
-        at_s: Between::Value(0.0),
-        for_s: Between::Value(60.0),
+        at_s: ValueOrRange::Value(0.0),
+        for_s: ValueOrRange::Value(60.0),
         slow_apply: Some(slow),
         ..Fault::default()
     };
@@ -426,13 +440,16 @@
             Answer::Row
         };
         assert_eq!(
-            (r.answer(read).map(|a| a.1), r.count(BreachKind::StaleRead)),
+            (
+                r.answer(read).map(|a| a.1),
+                r.count(ViolationKind::StaleRead)
+            ),
             (Some(expected), stale)
         );
         // The primary has it all.
         r.ask(3 * SECOND, 0, OWN, |q| q.mark = commit);
         r.until(4 * SECOND);
-        assert_eq!(r.count(BreachKind::StaleRead), stale);
+        assert_eq!(r.count(ViolationKind::StaleRead), stale);
     }
 }
 
@@ -451,9 +468,9 @@
 #[test]
 fn what_discovery_would_have_said_in_its_silence_comes_after_it() {
     let mute = Fault {
-        at_s: Between::Value(0.0),
-        for_s: Between::Value(20.0),
-        discovery_silent: Some(Mute {}),
+        at_s: ValueOrRange::Value(0.0),
+        for_s: ValueOrRange::Value(20.0),
+        discovery_silent: Some(DiscoverySilence {}),
         ..Fault::default()
     };
     let mut r = Rig::new(&spec(vec![mute, silent(1, 1.0, 4.0, false)]));
@@ -479,16 +496,22 @@
     assert!(tickets[..5]
         .iter()
         .all(|&t| r.answer(t).is_some_and(|a| a.1 == Answer::Row)));
-    let taken: Vec<Taken> = (0..5)
+    let taken: Vec<Delivery> = (0..5)
         .map(|t| r.fleet.connect(2 * SECOND, GatewayId(0), HostId(1), t))
         .collect();
     assert_eq!(
         taken,
-        [Taken::Yes, Taken::Yes, Taken::Yes, Taken::Yes, Taken::Reset]
+        [
+            Delivery::Accepted,
+            Delivery::Accepted,
+            Delivery::Accepted,
+            Delivery::Accepted,
+            Delivery::Reset
+        ]
     );
     r.fleet.close(2 * SECOND, HostId(1), 0);
     assert_eq!(
         r.fleet.connect(2 * SECOND, GatewayId(0), HostId(1), 9),
-        Taken::Yes
+        Delivery::Accepted
     );
 }
--- a/crates/testbed/src/cluster/relay.rs
+++ b/crates/testbed/src/cluster/relay.rs
@@ -2,7 +2,7 @@
 //! socket of the relay, and what it hears comes from that address, as on the platform. Between the two, datagrams are
 //! dropped by a seeded draw, held for a time, and cut one way or both.
 
-use irisrouter_simulation::dice::{Dice, Stream};
+use irisrouter_simulation::rng::{Rng, Stream};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -25,7 +25,7 @@
     pub sent: Vec<(u64, u64)>,
     /// Datagrams longer than the platform carries.
     pub too_long: u64,
-    dice: Dice,
+    rng: Rng,
 }
 
 /// The relay; its tasks end with the runtime that carries them.
@@ -64,7 +64,7 @@
             delay: Duration::ZERO,
             sent: vec![(0, 0); gateways],
             too_long: 0,
-            dice: Dice::new(seed, Stream::Network),
+            rng: Rng::new(seed, Stream::Network),
         }));
         let (mut listen, mut ways, mut all) = (Vec::new(), Vec::new(), Vec::new());
         for _ in 0..gateways {
@@ -149,7 +149,7 @@
                 n.too_long += u64::from(length > LONGEST);
                 let loss = n.loss;
                 (
-                    n.dice.chance(loss) || n.cuts.contains(&(from, *to)) || length > LONGEST,
+                    n.rng.chance(loss) || n.cuts.contains(&(from, *to)) || length > LONGEST,
                     n.delay,
                 )
             };
--- a/crates/testbed/src/cluster/schedule.rs
+++ b/crates/testbed/src/cluster/schedule.rs
@@ -10,7 +10,7 @@
 
 use super::{leases, Cluster, Plan};
 use irisrouter_membership::Settings;
-use irisrouter_simulation::dice::{Dice, Stream};
+use irisrouter_simulation::rng::{Rng, Stream};
 use serde::Serialize;
 use std::time::{Duration, Instant};
 
@@ -137,25 +137,25 @@
     seed: u64,
     crashes_only: bool,
 ) -> Vec<Fault> {
-    let mut dice = Dice::new(seed, Stream::Faults);
+    let mut rng = Rng::new(seed, Stream::Faults);
     let long = pace.settings(gateways).detection_bound_ms();
-    let one = |dice: &mut Dice| dice.index(gateways);
+    let one = |rng: &mut Rng| rng.index(gateways);
     (0..faults)
-        .map(|_| match if crashes_only { 0 } else { dice.index(6) } {
+        .map(|_| match if crashes_only { 0 } else { rng.index(6) } {
             0 => Fault::Crash {
-                gateway: one(&mut dice),
+                gateway: one(&mut rng),
                 ms: long,
             },
             1 => {
-                let ms = dice.between(0.3, 0.8) * pace.stall_ms as f64;
+                let ms = rng.between(0.3, 0.8) * pace.stall_ms as f64;
                 Fault::Stall {
-                    gateway: one(&mut dice),
+                    gateway: one(&mut rng),
                     ms: ms as u64,
                 }
             }
             2 => {
-                let pair = dice.choose(2, gateways);
-                let (from, to) = if dice.chance(0.5) {
+                let pair = rng.choose(2, gateways);
+                let (from, to) = if rng.chance(0.5) {
                     (pair[0], pair[1])
                 } else {
                     (pair[1], pair[0])
@@ -163,18 +163,18 @@
                 Fault::OneWay { from, to, ms: long }
             }
             3 => {
-                let count = 1 + dice.index(gateways - 1);
+                let count = 1 + rng.index(gateways - 1);
                 Fault::Partition {
-                    left: dice.choose(count, gateways),
+                    left: rng.choose(count, gateways),
                     ms: long,
                 }
             }
             4 => Fault::Loss {
-                percent: 10 + dice.index(21) as u32,
+                percent: 10 + rng.index(21) as u32,
                 ms: 8_000,
             },
             _ => Fault::Delay {
-                by_ms: 1 + dice.index(20) as u64,
+                by_ms: 1 + rng.index(20) as u64,
                 ms: 4_000,
             },
         })
--- a/crates/testbed/src/compare.rs
+++ b/crates/testbed/src/compare.rs
@@ -4,7 +4,7 @@
 use crate::figures::{Figures, VERSION};
 use crate::scenario::Scenario;
 use crate::virtual_run;
-use irisrouter_simulation::dice::{Dice, Stream};
+use irisrouter_simulation::rng::{Rng, Stream};
 use rayon::prelude::*;
 use serde::Serialize;
 
@@ -38,9 +38,9 @@
                 high: middle,
             };
         }
-        let mut dice = Dice::new(seed, Stream::Day);
+        let mut rng = Rng::new(seed, Stream::Day);
         let mut means: Vec<f64> = (0..RESAMPLES)
-            .map(|_| mean(&mut (0..n).map(|_| values[dice.index(n)])))
+            .map(|_| mean(&mut (0..n).map(|_| values[rng.index(n)])))
             .collect();
         means.sort_by(f64::total_cmp);
         let at = |part: f64| means[((part * RESAMPLES as f64) as usize).min(RESAMPLES - 1)];
@@ -220,9 +220,9 @@
 
     #[test]
     fn an_interval_is_as_wide_as_theory_says() {
-        let mut dice = Dice::new(4, Stream::Arrivals);
+        let mut rng = Rng::new(4, Stream::Arrivals);
         // The mean of 400 draws of an even distribution: 1.96 standard errors to each side.
-        let values: Vec<f64> = (0..400).map(|_| dice.unit()).collect();
+        let values: Vec<f64> = (0..400).map(|_| rng.unit()).collect();
         let i = Interval::of(&values, 1);
         let error = (1.0 / 12.0_f64).sqrt() / 20.0;
         assert!((i.mean - 0.5).abs() < 3.0 * error);
@@ -244,9 +244,9 @@
     /// difference.
     #[test]
     fn like_and_like_mostly_show_no_difference() {
-        let mut dice = Dice::new(8, Stream::Arrivals);
+        let mut rng = Rng::new(8, Stream::Arrivals);
         let shown = (0..300).filter(|&seed| {
-            let differences: Vec<f64> = (0..30).map(|_| dice.unit() - dice.unit()).collect();
+            let differences: Vec<f64> = (0..30).map(|_| rng.unit() - rng.unit()).collect();
             !Interval::of(&differences, seed).holds_zero()
         });
         let shown = shown.count();
--- a/crates/testbed/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -5,7 +5,7 @@
 use crate::loopback::{self, Options};
 use crate::scenario::{GatewaySpec, Scenario};
 use irisrouter_simulation::spec::{
-    Between, Fault, HostSpec, Pick, SetSpec, Silent, Spec, TrafficSpec,
+    Fault, HostSelection, HostSpec, SetSpec, SilentHosts, Spec, TrafficSpec, ValueOrRange,
 };
 use std::path::PathBuf;
 
@@ -14,10 +14,10 @@
 
 /// The scenario.
 pub fn scenario() -> Scenario {
-    let silent = Silent {
-        hosts: Pick {
+    let silent = SilentHosts {
+        hosts: HostSelection {
             these: Some(vec![0]),
-            ..Pick::default()
+            ..HostSelection::default()
         },
         hang: false,
     };
@@ -30,13 +30,13 @@
             warm_up_s: 0.0,
             hosts: HostSpec {
                 count: 4,
-                cold_s: Between::Value(4.0),
+                cold_s: ValueOrRange::Value(4.0),
                 ..HostSpec::default()
             },
             sets: SetSpec {
                 members: 4,
-                detect_s: Between::Value(1.0),
-                elect_s: Between::Value(1.0),
+                detect_s: ValueOrRange::Value(1.0),
+                elect_s: ValueOrRange::Value(1.0),
                 ..SetSpec::default()
             },
             traffic: TrafficSpec {
@@ -44,8 +44,8 @@
                 ..TrafficSpec::default()
             },
             faults: vec![Fault {
-                at_s: Between::Value(SILENT.0),
-                for_s: Between::Value(SILENT.1),
+                at_s: ValueOrRange::Value(SILENT.0),
+                for_s: ValueOrRange::Value(SILENT.1),
                 silent: Some(silent),
                 ..Fault::default()
             }],
--- a/crates/testbed/src/figures.rs
+++ b/crates/testbed/src/figures.rs
@@ -3,10 +3,10 @@
 
 use crate::scenario::Scenario;
 use hdrhistogram::Histogram;
-use irisrouter_simulation::clients::{Fate, Finished};
-use irisrouter_simulation::faults::Planned;
+use irisrouter_simulation::clients::{Finished, TryOutcome};
+use irisrouter_simulation::faults::PlannedFault;
 use irisrouter_simulation::fleet::{Fleet, Output};
-use irisrouter_simulation::ledger::BreachKind;
+use irisrouter_simulation::invariants::ViolationKind;
 use irisrouter_simulation::spec::ClassSpec;
 use irisrouter_simulation::{ms, seconds, HostId, Ns, SECOND};
 use serde::Serialize;
@@ -448,9 +448,9 @@
                 *(if in_time { &mut t.in_time } else { &mut t.late }) += 1;
                 t.latency.saturating_record((took / 1000).max(1) as u64);
             }
-            (None, Fate::Refused { .. }) => t.refused += 1,
-            (None, Fate::TimedOut | Fate::Left) => t.timed_out += 1,
-            (None, Fate::Unreachable) => t.unreachable += 1,
+            (None, TryOutcome::Refused { .. }) => t.refused += 1,
+            (None, TryOutcome::TimedOut | TryOutcome::Left) => t.timed_out += 1,
+            (None, TryOutcome::Unreachable) => t.unreachable += 1,
             (None, _) => t.failed += 1,
         }
     }
@@ -477,7 +477,7 @@
     }
 
     /// Notes what happens in the world, for the line of time.
-    pub fn world(&mut self, now: Ns, output: &Output, plan: &[Planned]) {
+    pub fn world(&mut self, now: Ns, output: &Output, plan: &[PlannedFault]) {
         match output {
             Output::Fault {
                 index,
@@ -517,7 +517,7 @@
                     self.mark(now, what, true);
                 }
             }
-            Output::Fallen { host } => {
+            Output::HostOverloaded { host } => {
                 self.mark(now, format!("host {} knocked over", host.0), false)
             }
             _ => {}
@@ -646,7 +646,7 @@
                 max_ms: t.latency.max() as f64 / 1000.0,
             })
             .collect();
-        let ledger = fleet.ledger();
+        let invariants = fleet.invariants();
         let hosts: Vec<HostFigures> = (fleet.hosts().iter().zip(&self.hosts))
             .map(|(h, samples)| HostFigures {
                 host: h.id.0,
@@ -678,19 +678,19 @@
             wasted_work: wasted,
             peak_load: most(&|h| h.peak_load),
             peak_cold_load: most(&|h| h.peak_cold_load),
-            knocked_over: ledger.count(BreachKind::KnockedOver),
-            applied_twice: ledger.count(BreachKind::AppliedTwice),
-            stale_reads: ledger.count(BreachKind::StaleRead),
-            sent_to_drained: ledger.count(BreachKind::SentToDrained),
+            knocked_over: invariants.count(ViolationKind::KnockedOver),
+            applied_twice: invariants.count(ViolationKind::AppliedTwice),
+            stale_reads: invariants.count(ViolationKind::StaleRead),
+            sent_to_drained: invariants.count(ViolationKind::SentToDrained),
             lost_requests: self.lost,
             unanswered: self.unanswered,
             wrong_rows: self.wrong_rows,
             malformed: self.malformed,
             too_long_datagrams: self.too_long,
-            writes_applied: ledger.writes(),
+            writes_applied: invariants.writes(),
             recovery_s: self.recovery(),
             classes,
-            breaches: (ledger.breaches().iter())
+            breaches: (invariants.violations().iter())
                 .map(|b| format!("{:.3} s: {:?}: {}", self.at(b.at), b.kind, b.what))
                 .collect(),
             seconds: self.seconds,
--- a/crates/testbed/src/gateway.rs
+++ b/crates/testbed/src/gateway.rs
@@ -4,8 +4,8 @@
 use crate::settings;
 use irisrouter::routing::*;
 use irisrouter_simulation::clients::Try;
+use irisrouter_simulation::endpoint_list::{EndpointView, ListEntry};
 use irisrouter_simulation::fleet;
-use irisrouter_simulation::list::{Entry, View};
 use irisrouter_simulation::{GatewayId, HostId, MS};
 use rustc_hash::FxHashMap as HashMap;
 use std::collections::{BTreeSet, VecDeque};
@@ -110,8 +110,8 @@
     MemberId(host.0)
 }
 
-fn list_entry(e: &Entry) -> Endpoint {
-    use irisrouter_simulation::list::Listed as Said;
+fn list_entry(e: &ListEntry) -> Endpoint {
+    use irisrouter_simulation::endpoint_list::ListedState as Said;
     Endpoint {
         member: member(e.host),
         group: GroupId(i64::from(e.set.0)),
@@ -129,7 +129,7 @@
 
 impl Gateway {
     /// A process that starts with its last list and nothing else.
-    pub fn start(settings: &Settings, life: u32, view: &View) -> Self {
+    pub fn start(settings: &Settings, life: u32, view: &EndpointView) -> Self {
         let mut g = Gateway {
             alive: true,
             life,
@@ -163,7 +163,7 @@
     }
 
     /// A line of the list.
-    pub fn told(&mut self, entry: &Entry) {
+    pub fn told(&mut self, entry: &ListEntry) {
         let entry = list_entry(entry);
         self.ready
             .insert(HostId(entry.member.0), entry.state == EndpointState::Ready);
@@ -311,7 +311,7 @@
 }
 
 /// What an answer tells, as the platform words it: whole milliseconds, and a position only with a write's commit.
-pub fn note(n: &fleet::Note, committed: bool) -> ReplicationStatus {
+pub fn note(n: &fleet::ReplicaStatus, committed: bool) -> ReplicationStatus {
     ReplicationStatus {
         role: if n.primary {
             Role::Primary
--- a/crates/testbed/src/loopback/discovery.rs
+++ b/crates/testbed/src/loopback/discovery.rs
@@ -8,7 +8,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use irisrouter_simulation::list::Listed;
+use irisrouter_simulation::endpoint_list::ListedState;
 use irisrouter_simulation::GatewayId;
 use serde_json::{json, Value};
 use std::collections::HashMap;
@@ -52,7 +52,7 @@
     let fleet = house.fleet.borrow();
     let view = fleet.list().view(gateway);
     let members: Vec<Value> = (view.entries())
-        .filter(|e| e.listed != Listed::Gone)
+        .filter(|e| e.listed != ListedState::Gone)
         .map(|e| {
             json!({
                 "id": format!("h{}", e.host.0),
@@ -60,7 +60,7 @@
                 "locality": ZONE,
                 "flavor": "lab",
                 "cell": e.set.0,
-                "phase": if e.listed == Listed::Draining { "terminating" } else { "in_service" },
+                "phase": if e.listed == ListedState::Draining { "terminating" } else { "in_service" },
                 "size": 1.0,
                 "up_since_ms": (e.since / irisrouter_simulation::MS) as f64,
             })
--- a/crates/testbed/src/loopback/front.rs
+++ b/crates/testbed/src/loopback/front.rs
@@ -4,7 +4,7 @@
 use super::host::payload;
 use super::house::{Asked, House};
 use super::process::Processes;
-use irisrouter_simulation::clients::{Arrival, Fate, Next, Try};
+use irisrouter_simulation::clients::{Arrival, NextStep, Try, TryOutcome};
 use irisrouter_simulation::spec::Need;
 use irisrouter_simulation::{GatewayId, Ns, MS};
 use std::cell::RefCell;
@@ -30,7 +30,7 @@
 /// How one exchange with a gateway ended.
 enum Exchange {
     /// As its client sees it.
-    Fate(Fate),
+    Finished(TryOutcome),
     /// The connection had been closed before the gateway read anything: once more on a new one.
     Stale,
 }
@@ -53,15 +53,15 @@
             .borrow_mut()
             .begin(self.house.now(), arrival);
         loop {
-            let fate = self.attempt(&of).await;
+            let outcome = self.attempt(&of).await;
             let now = self.house.now();
             let next = self
                 .house
                 .clients
                 .borrow_mut()
-                .ended(now, of.call, of.number, of.sent, fate);
+                .ended(now, of.call, of.number, of.sent, outcome);
             match next {
-                Next::Again(at) => {
+                NextStep::Again(at) => {
                     self.house.until(at).await;
                     let again = self
                         .house
@@ -73,16 +73,16 @@
                         None => return,
                     }
                 }
-                Next::Done(finished) => {
+                NextStep::Done(finished) => {
                     return self.house.collector.borrow_mut().finished(&finished)
                 }
-                Next::Nothing => return,
+                NextStep::Nothing => return,
             }
         }
     }
 
     /// One try.
-    async fn attempt(&self, of: &Try) -> Fate {
+    async fn attempt(&self, of: &Try) -> TryOutcome {
         let id = format!("{:08x}{:08x}", of.call, of.number);
         let a = &of.arrival;
         let asked = Asked {
@@ -105,18 +105,18 @@
                 .await;
         self.house.answered(&id);
         match answered {
-            Ok(fate) => fate,
-            Err(_) if of.leaves.is_some() => Fate::Left,
+            Ok(outcome) => outcome,
+            Err(_) if of.leaves.is_some() => TryOutcome::Left,
             Err(_) => {
                 if self.processes.alive(of.gateway) {
                     self.house.collector.borrow_mut().unanswered += 1;
                 }
-                Fate::TimedOut
+                TryOutcome::TimedOut
             }
         }
     }
 
-    async fn exchanges(&self, of: &Try, id: &str, statement: &str) -> Fate {
+    async fn exchanges(&self, of: &Try, id: &str, statement: &str) -> TryOutcome {
         let idle = self
             .idle
             .borrow_mut()
@@ -124,16 +124,18 @@
             .and_then(Vec::pop)
             .filter(|c| !c.is_closed());
         if let Some(client) = idle {
-            if let Exchange::Fate(fate) = self.exchange(of, id, statement, client, false).await {
-                return fate;
+            if let Exchange::Finished(outcome) =
+                self.exchange(of, id, statement, client, false).await
+            {
+                return outcome;
             }
         }
         let Some(client) = self.connect(of.gateway).await else {
-            return Fate::Unreachable;
+            return TryOutcome::Unreachable;
         };
         match self.exchange(of, id, statement, client, true).await {
-            Exchange::Fate(fate) => fate,
-            Exchange::Stale => Fate::Broken,
+            Exchange::Finished(outcome) => outcome,
+            Exchange::Stale => TryOutcome::Broken,
         }
     }
 
@@ -164,7 +166,7 @@
     ) -> Exchange {
         let result = client.simple_query(statement).await;
         let gateway_lives = self.processes.alive(of.gateway);
-        let fate = match result {
+        let outcome = match result {
             Ok(messages) => {
                 let value = messages.iter().find_map(|m| match m {
                     SimpleQueryMessage::Row(row) => {
@@ -179,8 +181,8 @@
                 let commit = of
                     .arrival
                     .key
-                    .and_then(|k| self.house.fleet.borrow().ledger().commit(k));
-                Fate::Served { commit }
+                    .and_then(|k| self.house.fleet.borrow().invariants().commit(k));
+                TryOutcome::Served { commit }
             }
             Err(e) => match e.as_db_error() {
                 Some(db) if matches!(db.code().code(), "53300" | "57P03") => {
@@ -192,15 +194,15 @@
                         .collector
                         .borrow_mut()
                         .refused(self.house.now(), pause);
-                    Fate::Refused { pause }
+                    TryOutcome::Refused { pause }
                 }
-                Some(_) => Fate::Failed,
+                Some(_) => TryOutcome::Failed,
                 None if !fresh && gateway_lives => return Exchange::Stale,
                 None => {
                     if gateway_lives {
                         self.house.collector.borrow_mut().lost += 1;
                     }
-                    Fate::Broken
+                    TryOutcome::Broken
                 }
             },
         };
@@ -209,7 +211,7 @@
         if !client.is_closed() && kept.len() < KEPT {
             kept.push(client);
         }
-        Exchange::Fate(fate)
+        Exchange::Finished(outcome)
     }
 
     /// The statement, as the platform's clients word it.
--- a/crates/testbed/src/loopback/host.rs
+++ b/crates/testbed/src/loopback/host.rs
@@ -6,7 +6,7 @@
 use super::beside;
 use super::house::{House, Word};
 use bytes::{BufMut, BytesMut};
-use irisrouter_simulation::fleet::{Answer, Note, Probe, Query, Taken};
+use irisrouter_simulation::fleet::{Answer, Delivery, ProbeResult, Query, ReplicaStatus};
 use irisrouter_simulation::host::State;
 use irisrouter_simulation::{seconds, GatewayId, HostId, Ns, MS, SECOND};
 use pgwire::messages::data::{DataRow, FieldDescription, RowDescription};
@@ -198,9 +198,9 @@
             .house
             .with(|fleet, now| fleet.connect(now, gateway, host, ticket))
         {
-            Taken::Yes => *counted = true,
-            Taken::Silence => return Some(self.silence().await),
-            Taken::Reset => {
+            Delivery::Accepted => *counted = true,
+            Delivery::NoResponse => return Some(self.silence().await),
+            Delivery::Reset => {
                 let messages = error("53300", "too many connections");
                 self.write(&messages).await;
                 return Some(End::Closed);
@@ -243,10 +243,10 @@
             .with(|fleet, now| fleet.probe(now, gateway, host));
         self.house.collector.borrow_mut().probe(self.house.now());
         let messages = match found {
-            Probe::Silence => return Some(self.silence().await),
-            Probe::Refused => return Some(End::Reset),
-            Probe::Report(_) if what == "SELECT 1" => row("1"),
-            Probe::Report(r) => {
+            ProbeResult::NoResponse => return Some(self.silence().await),
+            ProbeResult::Refused => return Some(End::Reset),
+            ProbeResult::Report(_) if what == "SELECT 1" => row("1"),
+            ProbeResult::Report(r) => {
                 let ms = r.position / MS;
                 let primary = u8::from(r.primary);
                 row(&format!(
@@ -295,9 +295,9 @@
             fleet.query(now, host, epoch, query)
         });
         let end = match taken {
-            Taken::Reset => Some(End::Reset),
-            Taken::Silence => Some(self.silence().await),
-            Taken::Yes => {
+            Delivery::Reset => Some(End::Reset),
+            Delivery::NoResponse => Some(self.silence().await),
+            Delivery::Accepted => {
                 let mut rest = [0; 1];
                 tokio::select! {
                     word = comes => match word {
@@ -318,7 +318,7 @@
         id: &str,
         key: Option<u64>,
         answer: Answer,
-        note: Note,
+        note: ReplicaStatus,
         work: Ns,
     ) -> Option<End> {
         let reaches = self.house.fleet.borrow().reaches(self.gateway, self.host);
--- a/crates/testbed/src/loopback/house.rs
+++ b/crates/testbed/src/loopback/house.rs
@@ -4,7 +4,7 @@
 use crate::scenario::Scenario;
 use irisrouter_simulation::clients::Clients;
 use irisrouter_simulation::datagrams::Datagrams;
-use irisrouter_simulation::fleet::{Answer, Fleet, Note, Output};
+use irisrouter_simulation::fleet::{Answer, Fleet, Output, ReplicaStatus};
 use irisrouter_simulation::{seconds, GatewayId, HostId, Ns, SECOND};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -57,7 +57,7 @@
     /// The connection is up.
     Connected,
     /// An answer, and the work that it took.
-    Answer(Answer, Note, Ns),
+    Answer(Answer, ReplicaStatus, Ns),
 }
 
 /// A statement that a client has sent, by its id: what a host cannot read from it.
@@ -238,8 +238,10 @@
                     self.word(ticket, Word::Answer(answer, note, work));
                 }
                 Output::Connected { ticket, .. } => self.word(ticket, Word::Connected),
-                Output::Broken { host } => self.broken[host.0 as usize].send_modify(|n| *n += 1),
-                Output::Told { gateway, .. } => {
+                Output::ConnectionsReset { host } => {
+                    self.broken[host.0 as usize].send_modify(|n| *n += 1)
+                }
+                Output::ListUpdated { gateway, .. } => {
                     let version = self.fleet.borrow().list().view(gateway).version;
                     self.told[gateway.0 as usize].send_replace(version);
                 }
--- a/crates/testbed/src/loopback/process.rs
+++ b/crates/testbed/src/loopback/process.rs
@@ -2,7 +2,7 @@
 
 use super::discovery;
 use super::house::House;
-use irisrouter_simulation::dice::{Dice, Stream};
+use irisrouter_simulation::rng::{Rng, Stream};
 use irisrouter_simulation::GatewayId;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
@@ -48,7 +48,7 @@
     house: Rc<House>,
     all: Vec<Process>,
     dir: PathBuf,
-    seeds: RefCell<Dice>,
+    seeds: RefCell<Rng>,
     failure: RefCell<Option<String>>,
     failed: Notify,
 }
@@ -75,7 +75,7 @@
             house,
             all: programs.into_iter().map(process).collect(),
             dir,
-            seeds: RefCell::new(Dice::new(seed, Stream::Gateways)),
+            seeds: RefCell::new(Rng::new(seed, Stream::Gateways)),
             failure: RefCell::default(),
             failed: Notify::new(),
         }))
--- a/crates/testbed/src/virtual_run.rs
+++ b/crates/testbed/src/virtual_run.rs
@@ -7,11 +7,13 @@
 use crate::gateway::{self, Attempt, Gateway, Stage, Talk};
 use crate::scenario::Scenario;
 use irisrouter::routing::{Action, Event as RouterEvent, Outcome, RequestId, Settings};
-use irisrouter_simulation::clients::{Arrivals, Clients, Fate, Next, Try};
+use irisrouter_simulation::clients::{Arrivals, Clients, NextStep, Try, TryOutcome};
 use irisrouter_simulation::datagrams::Datagrams;
-use irisrouter_simulation::dice::{Dice, Stream};
-use irisrouter_simulation::fleet::{Answer, Fleet, Note, Output, Probe, Query, Taken};
-use irisrouter_simulation::queue::Queue;
+use irisrouter_simulation::event_queue::EventQueue;
+use irisrouter_simulation::fleet::{
+    Answer, Delivery, Fleet, Output, ProbeResult, Query, ReplicaStatus,
+};
+use irisrouter_simulation::rng::{Rng, Stream};
 use irisrouter_simulation::spec::Day;
 use irisrouter_simulation::{ms, seconds, GatewayId, HostId, Ns, MS, SECOND};
 use rustc_hash::FxHashMap;
@@ -34,7 +36,7 @@
     /// A try reaches its gateway.
     Reaches(Try),
     /// A client hears of its try.
-    ClientHears { of: Try, fate: Fate },
+    ClientHears { of: Try, outcome: TryOutcome },
     /// A client's time is over; it has left if there was no answer.
     ClientTime(Try),
     /// A client leaves early.
@@ -63,7 +65,7 @@
     /// A statement reaches its host.
     QueryReaches(Leg, u32, Query),
     /// An answer reaches the gateway.
-    AnswerReaches(Leg, Answer, Note, Ns),
+    AnswerReaches(Leg, Answer, ReplicaStatus, Ns),
     /// A connection is reset or refused, at the gateway.
     ResetReaches(Leg),
     /// A gateway stops waiting.
@@ -83,7 +85,7 @@
         life: u32,
         host: HostId,
         sent: Ns,
-        found: Option<Probe>,
+        found: Option<ProbeResult>,
     },
     /// A datagram reaches a gateway, whatever process of it runs then.
     Datagram {
@@ -126,13 +128,13 @@
     clients: Clients,
     arrivals: std::iter::Peekable<Arrivals>,
     gateways: Vec<Gateway>,
-    queue: Queue<Event>,
+    queue: EventQueue<Event>,
     tickets: FxHashMap<u64, Ticket>,
     next_ticket: u64,
-    network: Dice,
+    network: Rng,
     datagrams: Datagrams,
     talks: Talks<'a>,
-    seeds: Dice,
+    seeds: Rng,
     collector: Collector,
     batch: Ns,
     idle_close: Ns,
@@ -160,7 +162,7 @@
     let settings = gateway::settings_of(scenario, seed)?;
     let world = &scenario.world;
     let fleet = Fleet::new(world, seed, START);
-    let mut seeds = Dice::new(seed, Stream::Gateways);
+    let mut seeds = Rng::new(seed, Stream::Gateways);
     let gateways = (0..world.gateways)
         .map(|g| {
             let own = Settings {
@@ -177,10 +179,10 @@
         arrivals: Arrivals::new(world, seed).peekable(),
         fleet,
         gateways,
-        queue: Queue::default(),
+        queue: EventQueue::default(),
         tickets: FxHashMap::default(),
         next_ticket: 0,
-        network: Dice::new(seed, Stream::Network),
+        network: Rng::new(seed, Stream::Network),
         datagrams: Datagrams::new(seed),
         talks,
         seeds,
@@ -259,9 +261,9 @@
         self.push(at, event);
     }
 
-    fn clientward(&mut self, of: Try, fate: Fate) {
+    fn clientward(&mut self, of: Try, outcome: TryOutcome) {
         let at = self.now + self.way(self.day.client_way);
-        self.push(at, Event::ClientHears { of, fate });
+        self.push(at, Event::ClientHears { of, outcome });
     }
 
     /// What has come of the world by now.
@@ -295,8 +297,8 @@
                     self.hostward(Event::ConnectedReaches(leg, epoch));
                 }
             }
-            Output::Broken { host } => self.broken(host),
-            Output::Told { gateway, entry } if self.gateways[gateway.0 as usize].alive => {
+            Output::ConnectionsReset { host } => self.broken(host),
+            Output::ListUpdated { gateway, entry } if self.gateways[gateway.0 as usize].alive => {
                 self.gateways[gateway.0 as usize].told(&entry);
                 self.plan_batch(gateway);
             }
@@ -361,7 +363,7 @@
         let mut closed = idle;
         for (_, o) in open {
             if !o.over {
-                self.clientward(o.of, Fate::Broken);
+                self.clientward(o.of, TryOutcome::Broken);
             }
             let busy = o.attempts.iter().filter(|a| a.stage == Stage::Sent);
             closed.extend(busy.map(|a| (a.host, a.epoch)));
@@ -443,14 +445,14 @@
                 }
             }
             Event::Reaches(of) => self.reaches(of),
-            Event::ClientHears { of, fate } => self.client_ends(of, fate),
+            Event::ClientHears { of, outcome } => self.client_ends(of, outcome),
             Event::ClientTime(of) => {
                 let (call, number) = (of.call, of.number);
                 let g = &self.gateways[of.gateway.0 as usize];
                 if g.alive && g.of_try.contains_key(&(call, number)) {
                     self.collector.unanswered += 1;
                 }
-                self.client_ends(of, Fate::TimedOut);
+                self.client_ends(of, TryOutcome::TimedOut);
             }
             Event::ClientLeaves(of) => {
                 let life = self.gateways[of.gateway.0 as usize].life;
@@ -465,7 +467,7 @@
                         number,
                     },
                 );
-                self.client_ends(of, Fate::Left);
+                self.client_ends(of, TryOutcome::Left);
             }
             Event::Left {
                 gateway,
@@ -508,7 +510,7 @@
                 if let Some(of) = g.over(id) {
                     g.post(RouterEvent::ClientGone { id });
                     self.plan_batch(gateway);
-                    self.clientward(of, Fate::Failed);
+                    self.clientward(of, TryOutcome::Failed);
                 }
             }
             Event::ConnectReaches(leg) => self.connect_reaches(leg),
@@ -545,7 +547,7 @@
                 sent,
             } => {
                 let found = self.fleet.probe(self.now, gateway, host);
-                if found != Probe::Silence {
+                if found != ProbeResult::NoResponse {
                     self.hostward(Event::ProbeAnswers {
                         gateway,
                         life,
@@ -570,9 +572,9 @@
                     return;
                 }
                 let (outcome, report) = match found {
-                    Some(Probe::Report(r)) => (Outcome::Ok, Some(gateway::report(&r))),
-                    Some(Probe::Refused) => (Outcome::ConnectFailed, None),
-                    Some(Probe::Silence) | None => (Outcome::ConnectFailed, None),
+                    Some(ProbeResult::Report(r)) => (Outcome::Ok, Some(gateway::report(&r))),
+                    Some(ProbeResult::Refused) => (Outcome::ConnectFailed, None),
+                    Some(ProbeResult::NoResponse) | None => (Outcome::ConnectFailed, None),
                 };
                 g.post(RouterEvent::HealthChecked {
                     member: gateway::member(host),
@@ -615,19 +617,19 @@
         }
     }
 
-    fn client_ends(&mut self, of: Try, fate: Fate) {
+    fn client_ends(&mut self, of: Try, outcome: TryOutcome) {
         // An answer that comes when its client's time is over is none.
-        let fate = match fate {
-            Fate::Served { .. } if self.now > of.deadline + SLACK => Fate::TimedOut,
-            fate => fate,
+        let outcome = match outcome {
+            TryOutcome::Served { .. } if self.now > of.deadline + SLACK => TryOutcome::TimedOut,
+            outcome => outcome,
         };
         match self
             .clients
-            .ended(self.now, of.call, of.number, of.sent, fate)
+            .ended(self.now, of.call, of.number, of.sent, outcome)
         {
-            Next::Again(at) => self.push(at, Event::Retry(of.call)),
-            Next::Done(finished) => self.collector.finished(&finished),
-            Next::Nothing => {}
+            NextStep::Again(at) => self.push(at, Event::Retry(of.call)),
+            NextStep::Done(finished) => self.collector.finished(&finished),
+            NextStep::Nothing => {}
         }
     }
 
@@ -636,7 +638,7 @@
         let gateway = of.gateway;
         let g = &mut self.gateways[gateway.0 as usize];
         if !g.alive {
-            return self.clientward(of, Fate::Unreachable);
+            return self.clientward(of, TryOutcome::Unreachable);
         }
         let life = g.life;
         let (id, last) = g.take(now, of);
@@ -680,12 +682,12 @@
                 if let Some(of) = self.gateways[gateway.0 as usize].over(id) {
                     let pause = (pause > 0).then_some(pause);
                     self.collector.refused(now, pause);
-                    self.clientward(of, Fate::Refused { pause });
+                    self.clientward(of, TryOutcome::Refused { pause });
                 }
             }
             Action::Fail { id } => {
                 if let Some(of) = self.gateways[gateway.0 as usize].over(id) {
-                    self.clientward(of, Fate::Failed);
+                    self.clientward(of, TryOutcome::Failed);
                 }
             }
             Action::HealthCheck { member } => {
@@ -813,8 +815,8 @@
         }
         let ticket = self.ticket(Ticket::Connect(leg));
         match self.fleet.connect(self.now, leg.gateway, leg.host, ticket) {
-            Taken::Yes | Taken::Silence => {}
-            Taken::Reset => self.hostward(Event::ResetReaches(leg)),
+            Delivery::Accepted | Delivery::NoResponse => {}
+            Delivery::Reset => self.hostward(Event::ResetReaches(leg)),
         }
     }
 
@@ -867,12 +869,12 @@
 
     /// What was written arrives, also where its gateway has given it up or died since.
     fn query_reaches(&mut self, leg: Leg, epoch: u32, query: Query) {
-        if self.fleet.query(self.now, leg.host, epoch, query) == Taken::Reset {
+        if self.fleet.query(self.now, leg.host, epoch, query) == Delivery::Reset {
             self.hostward(Event::ResetReaches(leg));
         }
     }
 
-    fn answered(&mut self, leg: Leg, answer: Answer, note: Note, work: Ns) {
+    fn answered(&mut self, leg: Leg, answer: Answer, note: ReplicaStatus, work: Ns) {
         let now = self.now;
         let live = self.attempt(leg).is_some_and(|a| a.stage == Stage::Sent);
         let Some(g) = self.living(leg.gateway, leg.life).filter(|_| live) else {
@@ -895,7 +897,7 @@
         if let Some(of) = served {
             self.clientward(
                 of,
-                Fate::Served {
+                TryOutcome::Served {
                     commit: committed.then_some(note.position),
                 },
             );
--- a/crates/testbed/tests/loopback.rs
+++ b/crates/testbed/tests/loopback.rs
@@ -4,7 +4,9 @@
 mod common;
 
 use common::{gateway, root};
-use irisrouter_simulation::spec::{Between, Fault, Pick, Silent, Spec, Strike};
+use irisrouter_simulation::spec::{
+    Fault, HostFault, HostSelection, SilentHosts, Spec, ValueOrRange,
+};
 use irisrouter_simulation::{GatewayId, HostId, MS, SECOND};
 use irisrouter_testbed::loopback::host::{comment, payload, serve};
 use irisrouter_testbed::loopback::house::{listen, Asked, House};
@@ -36,7 +38,7 @@
     };
     world.hosts.count = 6;
     world.hosts.errors = 0.0;
-    world.sets.ship_ms = Between::Value(5.0);
+    world.sets.ship_ms = ValueOrRange::Value(5.0);
     Scenario {
         title: "t".into(),
         about: String::new(),
@@ -127,7 +129,7 @@
         asked(&house, "a1", 4, Some(0x2a));
         let row = primary.simple_query(statement).await.expect("a row");
         assert_eq!(value(&row), Some(payload("a1")));
-        assert!(house.fleet.borrow().ledger().commit(0x2a).is_some());
+        assert!(house.fleet.borrow().invariants().commit(0x2a).is_some());
         // The same statement at a replica, and one that was changed on its way.
         let replica = visit(&house, 1).await.expect("a connection");
         let miss = replica
@@ -157,7 +159,7 @@
                 .is_err()
         );
         drop(client);
-        while house.fleet.borrow().ledger().commit(7).is_none() {
+        while house.fleet.borrow().invariants().commit(7).is_none() {
             house.until(house.now() + 5 * MS).await;
         }
     });
@@ -166,22 +168,22 @@
 #[test]
 fn a_dead_host_resets_and_a_silent_one_says_nothing() {
     let fault = |silent: bool, host: u32| {
-        let hosts = Pick {
+        let hosts = HostSelection {
             these: Some(vec![host]),
-            ..Pick::default()
+            ..HostSelection::default()
         };
-        let (at_s, for_s) = (Between::Value(0.3), Between::Value(600.0));
+        let (at_s, for_s) = (ValueOrRange::Value(0.3), ValueOrRange::Value(600.0));
         match silent {
             true => Fault {
                 at_s,
                 for_s,
-                silent: Some(Silent { hosts, hang: false }),
+                silent: Some(SilentHosts { hosts, hang: false }),
                 ..Fault::default()
             },
             false => Fault {
                 at_s,
                 for_s,
-                reset: Some(Strike { hosts }),
+                reset: Some(HostFault { hosts }),
                 ..Fault::default()
             },
         }
--- a/crates/testbed/tests/virtual_time.rs
+++ b/crates/testbed/tests/virtual_time.rs
@@ -2,7 +2,8 @@
 
 use irisrouter_config::Variables;
 use irisrouter_simulation::spec::{
-    Between, Checks, Fault, Lost, Need, Pick, Silent, Slow, Split, Waves, WriteRepeats,
+    Checks, DatagramLoss, Fault, GatewayRestarts, HostSelection, Need, NetworkPartition,
+    SilentHosts, Slowdown, ValueOrRange, WriteRepeats,
 };
 use irisrouter_simulation::{GatewayId, Ns, MS};
 use irisrouter_testbed::compare;
@@ -96,12 +97,12 @@
 fn an_outage_is_not_omitted() {
     let mut s = scenario("calm", &["length=20"]);
     s.world.faults = vec![Fault {
-        at_s: Between::Value(10.0),
-        for_s: Between::Value(60.0),
-        silent: Some(Silent {
-            hosts: Pick {
+        at_s: ValueOrRange::Value(10.0),
+        for_s: ValueOrRange::Value(60.0),
+        silent: Some(SilentHosts {
+            hosts: HostSelection {
                 share: Some(1.0),
-                ..Pick::default()
+                ..HostSelection::default()
             },
             hang: false,
         }),
@@ -191,8 +192,8 @@
         (f, heard)
     };
     let fault = |f: Fault| Fault {
-        at_s: Between::Value(0.0),
-        for_s: Between::Value(100.0),
+        at_s: ValueOrRange::Value(0.0),
+        for_s: ValueOrRange::Value(100.0),
         ..f
     };
     let (calm, heard) = chat(Vec::new());
@@ -211,12 +212,12 @@
         "each receiver is paid for: {bytes}"
     );
     let (_, lossy) = chat(vec![fault(Fault {
-        datagrams_lost: Some(Lost { part: 0.5 }),
+        datagrams_lost: Some(DatagramLoss { part: 0.5 }),
         ..Fault::default()
     })]);
     assert!(lossy.values().all(|&n| (60..140).contains(&n)), "{lossy:?}");
     let (_, split) = chat(vec![fault(Fault {
-        split: Some(Split { part: 0.5 }),
+        split: Some(NetworkPartition { part: 0.5 }),
         ..Fault::default()
     })]);
     // The first word of all goes out before the split begins.
@@ -225,14 +226,14 @@
         4,
         "two pairs: {split:?}"
     );
-    let killed = Waves {
+    let killed = GatewayRestarts {
         share: 1.0,
         at_a_time: 1.0,
-        down_s: Between::Value(10.0),
+        down_s: ValueOrRange::Value(10.0),
     };
     let half = Fault {
-        at_s: Between::Value(5.0),
-        for_s: Between::Value(1.0),
+        at_s: ValueOrRange::Value(5.0),
+        for_s: ValueOrRange::Value(1.0),
         ..Fault::default()
     };
     let (_, waves) = chat(vec![Fault {
@@ -251,9 +252,9 @@
     // Clients that send their writes again without end, to a primary that comes back after the window.
     let mut s = scenario("hang", &["length=30", "hangs=0.9"]);
     s.world.clients.writes = WriteRepeats::Always;
-    s.world.clients.backoff_ms = Between::Value(1500.0);
+    s.world.clients.backoff_ms = ValueOrRange::Value(1500.0);
     s.world.sets.window_s = 0.2;
-    s.world.clients.patience = Between::Value(0.42);
+    s.world.clients.patience = ValueOrRange::Value(0.42);
     let twice: u64 = (1..=6)
         .map(|seed| run(&s, seed).expect("a run").applied_twice)
         .sum();
@@ -262,9 +263,9 @@
     // the class has in the world.
     let mut s = scenario("slow-apply", &["length=30"]);
     s.world.hosts.checks = Checks::None;
-    s.world.faults[0].slow_apply = Some(Slow {
+    s.world.faults[0].slow_apply = Some(Slowdown {
         hosts: None,
-        times: Between::Value(40.0),
+        times: ValueOrRange::Value(40.0),
     });
     for c in &mut s.world.classes {
         if c.need == Need::Any {
@@ -281,8 +282,8 @@
         "storm",
         &["length=60", "silent=10", "share=0.5", "load=0.7"],
     );
-    s.world.hosts.cold_start = Between::Value(0.01);
-    s.world.hosts.cold_s = Between::Value(600.0);
+    s.world.hosts.cold_start = ValueOrRange::Value(0.01);
+    s.world.hosts.cold_s = ValueOrRange::Value(600.0);
     let knocked: u64 = (1..=3)
         .map(|seed| run(&s, seed).expect("a run").knocked_over)
         .sum();
