Split the simulation's fleet and settings by concern, with tests in files of their own

Cause: fleet.rs (1,158 lines) and spec.rs (1,087 lines) held many jobs, and ten modules held their tests.

--- /dev/null
+++ b/crates/simulation/src/fleet/elections.rs
@@ -0,0 +1,84 @@
+//! Roles in a replica set: the loss of a primary, its detection, and the election of another.
+
+use super::messages::Output;
+use super::{Event, Fleet};
+use crate::host::State;
+use crate::rng::{Rng, Stream};
+use crate::spec::ValueOrRange;
+use crate::{seconds, HostId, Ns, SetId, MS};
+
+/// No member can take over: looked for again after this time.
+const ELECTION_RETRY_DELAY: Ns = 500 * MS;
+
+impl Fleet {
+    /// A time of a set's roles: drawn by its own numbers, whatever else has been drawn, so that the elections of two
+    /// paired runs take as long.
+    pub(super) fn draw_role_delay(&mut self, set: SetId, range: ValueOrRange) -> Ns {
+        let replica_set = &mut self.sets[set.0 as usize];
+        replica_set.role_delays_drawn += 1;
+        let own = u64::from(set.0).rotate_left(32) ^ u64::from(replica_set.role_delays_drawn);
+        seconds(range.draw(&mut Rng::new(self.seed ^ own, Stream::Fleet)))
+    }
+
+    /// The primary is heard no more: positions stand still, and after a while it is given up.
+    pub(super) fn lose_primary(&mut self, now: Ns, set: SetId) {
+        let detect = self.draw_role_delay(set, self.spec.sets.detect_s);
+        let replica_set = &mut self.sets[set.0 as usize];
+        if replica_set.primary_since.take().is_some() {
+            replica_set.last_position = now;
+        }
+        replica_set.term += 1;
+        let term = replica_set.term;
+        if let Some(old) = replica_set.primary {
+            self.hosts[old.0 as usize]
+                .applier
+                .catch_up(now, replica_set.source(&self.day));
+        }
+        self.outputs.push(Output::Primary { set, host: None });
+        self.schedule(now + detect, Event::PrimaryTimeout { set, term });
+    }
+
+    /// The primary has not come back within the detection time: the set has none, and elects one.
+    pub(super) fn declare_primary_lost(&mut self, now: Ns, set: SetId, term: u32) {
+        let wait = self.draw_role_delay(set, self.spec.sets.elect_s);
+        let replica_set = &mut self.sets[set.0 as usize];
+        if replica_set.term == term && replica_set.primary_since.is_none() {
+            replica_set.primary = None;
+            self.schedule(now + wait, Event::Elect { set, term });
+        }
+    }
+
+    /// The member that has most of the log takes over; of equal ones the first.
+    pub(super) fn elect_primary(&mut self, now: Ns, set: SetId, term: u32) {
+        let replica_set = &self.sets[set.0 as usize];
+        if replica_set.term != term || replica_set.primary_since.is_some() {
+            return;
+        }
+        let from = replica_set.source(&self.day);
+        let mut best: Option<(u64, HostId)> = None;
+        for &id in &replica_set.members {
+            let member = &mut self.hosts[id.0 as usize];
+            if member.state != State::Up || member.draining {
+                continue;
+            }
+            member.applier.advance(now, from);
+            if best.is_none_or(|(most, _)| member.applier.applied() > most) {
+                best = Some((member.applier.applied(), id));
+            }
+        }
+        let Some((_, new_primary)) = best else {
+            return self.schedule(now + ELECTION_RETRY_DELAY, Event::Elect { set, term });
+        };
+        self.hosts[new_primary.0 as usize]
+            .applier
+            .catch_up(now, from);
+        let replica_set = &mut self.sets[set.0 as usize];
+        replica_set.primary = Some(new_primary);
+        replica_set.primary_since = Some(now);
+        replica_set.term += 1;
+        self.outputs.push(Output::Primary {
+            set,
+            host: Some(new_primary),
+        });
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/fleet/fault_effects.rs
@@ -0,0 +1,165 @@
+//! What the planned faults do to the fleet when they begin and when they end.
+
+use super::messages::Output;
+use super::{Event, Fleet};
+use crate::endpoint_list::ListedState;
+use crate::faults::{self, PlannedFault};
+use crate::host::State;
+use crate::rng::{Rng, Stream};
+use crate::spec::Fault;
+use crate::{HostId, Ns, MS};
+
+/// A host that has drained is started anew after this time.
+const REPLACEMENT_DELAY: Ns = 1000 * MS;
+
+impl Fleet {
+    /// A planned fault begins: its hosts are picked now, because roles are known only at this moment.
+    pub(super) fn begin_fault(&mut self, now: Ns, index: usize) {
+        let planned = self.plan[index].clone();
+        let hosts = self.pick_hosts(&planned.fault, index);
+        for &host in &hosts {
+            self.apply_fault(now, &planned, host);
+        }
+        if let Some(lost) = &planned.fault.datagrams_lost {
+            self.datagram_loss = lost.part;
+            self.outputs.push(Output::DatagramsLost(lost.part));
+        }
+        if planned.fault.discovery_silent.is_some() {
+            self.list.mute(true);
+        }
+        self.hosts_by_fault.insert(index, hosts.clone());
+        self.outputs.push(Output::Fault {
+            index,
+            begins: true,
+            hosts,
+        });
+    }
+
+    /// The running hosts that a fault strikes. Each fault draws from a stream of its own.
+    fn pick_hosts(&self, fault: &Fault, index: usize) -> Vec<HostId> {
+        let running: Vec<HostId> = self
+            .hosts
+            .iter()
+            .filter(|host| host.state == State::Up)
+            .map(|host| host.id)
+            .collect();
+        let everywhere = fault.slow_apply.is_some() || fault.slowdown.is_some();
+        let selections = fault.host_selections();
+        match selections.first() {
+            Some((_, selection)) => {
+                let seed = self.seed ^ (index as u64 + 1).rotate_left(40);
+                let mut rng = Rng::new(seed, Stream::Faults);
+                let is_primary = |id: HostId| {
+                    let set = self.hosts[id.0 as usize].set;
+                    self.sets[set.0 as usize].primary == Some(id)
+                };
+                faults::pick(selection, &running, is_primary, &mut rng)
+            }
+            None if everywhere => running,
+            None => Vec::new(),
+        }
+    }
+
+    fn apply_fault(&mut self, now: Ns, planned: &PlannedFault, host: HostId) {
+        let host_index = host.0 as usize;
+        let fault = &planned.fault;
+        let source = self.sets[self.hosts[host_index].set.0 as usize].source(&self.day);
+        if let Some(silent) = &fault.silent {
+            let state = if silent.hang {
+                State::Hung
+            } else {
+                State::Vanished
+            };
+            self.stop_host(now, host, state);
+            self.announce(now, host, ListedState::Gone, true);
+        } else if fault.reset.is_some() {
+            self.stop_host(now, host, State::Down);
+            self.announce(now, host, ListedState::Gone, false);
+        } else if fault.refusing.is_some() {
+            self.hosts[host_index].refusing = true;
+        } else if let Some(failing) = &fault.spoilt {
+            self.hosts[host_index].errors = failing.part;
+        } else if fault.slow_apply.is_some() {
+            let applier = &mut self.hosts[host_index].applier;
+            applier.slow(now, source, planned.times);
+        } else if fault.slowdown.is_some() {
+            self.hosts[host_index].slow_by(&self.spec.hosts, now, planned.times);
+            self.schedule_finish(now, host);
+        } else if fault.drain.is_some() {
+            self.start_drain(now, host);
+        }
+    }
+
+    /// A host starts to drain. A primary gives up its role at once; its successor is elected after the hand-over time.
+    fn start_drain(&mut self, now: Ns, host: HostId) {
+        self.hosts[host.0 as usize].draining = true;
+        self.announce(now, host, ListedState::Draining, false);
+        let set = self.hosts[host.0 as usize].set;
+        // Drawn also for a replica, so that the draws of the set do not depend on roles.
+        let hand_over = self.draw_role_delay(set, self.spec.sets.switch_s);
+        let replica_set = &mut self.sets[set.0 as usize];
+        if replica_set.primary != Some(host) {
+            return;
+        }
+        let applier = &mut self.hosts[host.0 as usize].applier;
+        applier.catch_up(now, replica_set.source(&self.day));
+        replica_set.primary = None;
+        replica_set.primary_since = None;
+        replica_set.last_position = now;
+        replica_set.term += 1;
+        let term = replica_set.term;
+        self.outputs.push(Output::Primary { set, host: None });
+        self.schedule(now + hand_over, Event::Elect { set, term });
+    }
+
+    /// A planned fault ends: what it changed is undone, or its hosts start again.
+    pub(super) fn end_fault(&mut self, now: Ns, index: usize) {
+        let planned = self.plan[index].clone();
+        let hosts = self.hosts_by_fault.remove(&index).unwrap_or_default();
+        for &host in &hosts {
+            self.undo_fault(now, &planned, host);
+        }
+        if planned.fault.datagrams_lost.is_some() {
+            self.datagram_loss = self.spec.net.datagram_loss;
+            self.outputs.push(Output::DatagramsLost(self.datagram_loss));
+        }
+        if planned.fault.discovery_silent.is_some() {
+            for (gateway, entry) in self.list.mute(false) {
+                self.deliver_notification(now, gateway, entry);
+            }
+        }
+        self.outputs.push(Output::Fault {
+            index,
+            begins: false,
+            hosts,
+        });
+    }
+
+    fn undo_fault(&mut self, now: Ns, planned: &PlannedFault, host: HostId) {
+        let host_index = host.0 as usize;
+        let fault = &planned.fault;
+        if fault.silent.as_ref().is_some_and(|silent| silent.hang) {
+            if self.hosts[host_index].state == State::Hung {
+                self.resume_host(now, host);
+                self.announce(now, host, ListedState::Ready, false);
+            }
+        } else if fault.silent.is_some() || fault.reset.is_some() {
+            self.restart_host(now, host);
+        } else if fault.refusing.is_some() {
+            self.hosts[host_index].refusing = false;
+        } else if fault.spoilt.is_some() {
+            self.hosts[host_index].errors = self.spec.hosts.errors;
+        } else if fault.slow_apply.is_some() {
+            let source = self.sets[self.hosts[host_index].set.0 as usize].source(&self.day);
+            self.hosts[host_index].applier.slow(now, source, 1.0);
+        } else if fault.slowdown.is_some() {
+            self.hosts[host_index].slow_by(&self.spec.hosts, now, 1.0 / planned.times);
+            self.schedule_finish(now, host);
+        } else if fault.drain.is_some() && self.hosts[host_index].state == State::Up {
+            self.stop_host(now, host, State::Down);
+            self.announce(now, host, ListedState::Gone, false);
+            let epoch = self.hosts[host_index].epoch;
+            self.schedule(now + REPLACEMENT_DELAY, Event::Restart { host, epoch });
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/fleet/lifecycle.rs
@@ -0,0 +1,131 @@
+//! Starts and stops of hosts, and how gateways learn of them through the host list.
+
+use super::messages::Output;
+use super::{Event, Fleet};
+use crate::endpoint_list::{ListEntry, ListedState};
+use crate::host::State;
+use crate::{GatewayId, HostId, Ns};
+
+/// Commits that a set keeps after every member has applied them, so that reads in work still find theirs.
+const KEPT_COMMITS: u64 = 10_000;
+
+impl Fleet {
+    /// A host stops, in one way or another.
+    pub(super) fn stop_host(&mut self, now: Ns, host: HostId, how: State) {
+        let index = host.0 as usize;
+        if self.hosts[index].state != State::Up {
+            return;
+        }
+        let set = self.hosts[index].set;
+        if self.sets[set.0 as usize].primary == Some(host) {
+            self.lose_primary(now, set);
+        }
+        let from = self.sets[set.0 as usize].source(&self.day);
+        self.hosts[index].applier.stop(now, from, true);
+        self.hosts[index].state = how;
+        if how == State::Hung {
+            self.hosts[index].cpu.freeze(now, true);
+        } else {
+            while self.hosts[index].blocking > 0 {
+                self.resume_applying(now, host);
+            }
+            self.hosts[index].lose_all(now);
+            self.jobs.retain(|_, j| j.host != host);
+        }
+        if how == State::Down {
+            self.outputs.push(Output::ConnectionsReset { host });
+        }
+        self.schedule_finish(now, host);
+    }
+
+    /// A host that hung goes on with what it holds, in whatever role it has now.
+    pub(super) fn resume_host(&mut self, now: Ns, host: HostId) {
+        let index = host.0 as usize;
+        self.hosts[index].state = State::Up;
+        self.hosts[index].cpu.freeze(now, false);
+        let set = self.hosts[index].set;
+        let replica_set = &mut self.sets[set.0 as usize];
+        if replica_set.primary == Some(host) {
+            // Nobody has given it up yet.
+            replica_set.primary_since = Some(now);
+            replica_set.term += 1;
+            self.outputs.push(Output::Primary {
+                set,
+                host: Some(host),
+            });
+        }
+        let from = self.sets[set.0 as usize].source(&self.day);
+        self.hosts[index].applier.stop(now, from, false);
+        for query in self.queries_at_hung_hosts.remove(&host).unwrap_or_default() {
+            self.handle_query(now, host, query);
+        }
+        self.schedule_finish(now, host);
+    }
+
+    /// A host's process starts, cold, as a replica, from the data that it had.
+    pub(super) fn restart_host(&mut self, now: Ns, host: HostId) {
+        let index = host.0 as usize;
+        if self.hosts[index].fallen || self.hosts[index].state == State::Up {
+            return;
+        }
+        let vanished = self.hosts[index].state == State::Vanished;
+        self.hosts[index].start(
+            &self.spec.hosts,
+            now,
+            self.day.cold_start,
+            self.day.cold_for,
+        );
+        let set = self.hosts[index].set;
+        let replica_set = &mut self.sets[set.0 as usize];
+        if replica_set.primary == Some(host) {
+            replica_set.primary = None;
+        }
+        let from = self.sets[set.0 as usize].source(&self.day);
+        self.hosts[index].applier.stop(now, from, false);
+        if vanished {
+            self.outputs.push(Output::ConnectionsReset { host });
+        }
+        self.announce(now, host, ListedState::Ready, false);
+        self.refresh_report(now, host);
+        self.schedule_finish(now, host);
+    }
+
+    /// The list learns of a change of a host; the notices to the gateways are scheduled.
+    pub(super) fn announce(&mut self, now: Ns, host: HostId, listed: ListedState, silent: bool) {
+        let (set, since) = (
+            self.hosts[host.0 as usize].set,
+            self.hosts[host.0 as usize].started,
+        );
+        for telling in self.list.change(now, host, set, listed, since, silent) {
+            self.schedule(telling.at, Event::Notify(telling));
+        }
+    }
+
+    /// A gateway receives a changed entry of the list, unless discovery is silent.
+    pub(super) fn deliver_notification(&mut self, now: Ns, gateway: GatewayId, entry: ListEntry) {
+        if self.list.tell(now, gateway, entry) {
+            self.outputs.push(Output::ListUpdated { gateway, entry });
+        }
+    }
+
+    /// A host makes its load report anew, and its set forgets commits that every member has long applied.
+    pub(super) fn refresh_report(&mut self, now: Ns, host: HostId) {
+        let position = self.position(now, host);
+        let set = self.hosts[host.0 as usize].set;
+        let primary = self.primary(set) == Some(host);
+        let member = &mut self.hosts[host.0 as usize];
+        if member.state == State::Up {
+            member.refresh(&self.spec.hosts, now, position, primary);
+        }
+        // Commits that every member has applied are forgotten.
+        let replica_set = &mut self.sets[set.0 as usize];
+        let least = replica_set
+            .members
+            .iter()
+            .map(|m| self.hosts[m.0 as usize].applier.applied())
+            .min();
+        if let Some(least) = least.filter(|_| replica_set.members.first() == Some(&host)) {
+            replica_set.log.forget(least.saturating_sub(KEPT_COMMITS));
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/fleet/mod.rs
@@ -0,0 +1,281 @@
+//! The hosts and replica sets of a fleet, with the faults that strike them, as one machine of events.
+//!
+//! Its owner hands in what gateways do and the time, asks when something happens next, and takes what comes out, in
+//! order. Events of one moment happen in the order in which they were planned: the same inputs give the same outputs.
+
+mod elections;
+mod fault_effects;
+mod lifecycle;
+mod messages;
+mod queries;
+mod replica_set;
+
+pub use messages::{Answer, Delivery, Output, ProbeResult, Query, ReplicaStatus};
+
+use crate::endpoint_list::{EndpointList, Notification};
+use crate::event_queue::EventQueue;
+use crate::faults::{self, PlannedFault};
+use crate::host::Host;
+use crate::invariants::InvariantAudit;
+use crate::replication_log::{LogApplier, ReplicationLog};
+use crate::rng::{Rng, Stream};
+use crate::spec::{Day, Spec};
+use crate::{GatewayId, HostId, Ns, SetId};
+use queries::Job;
+use replica_set::ReplicaSet;
+use rustc_hash::FxHashMap;
+use std::collections::{HashMap, VecDeque};
+
+#[derive(Clone, Debug)]
+enum Event {
+    Finish { host: HostId, stamp: u64 },
+    RefreshReport { host: HostId },
+    RecheckLag { job: u64, until: Ns },
+    PrimaryTimeout { set: SetId, term: u32 },
+    Elect { set: SetId, term: u32 },
+    FaultBegins(usize),
+    FaultEnds(usize),
+    Notify(Notification),
+    Restart { host: HostId, epoch: u32 },
+    Gateway { gateway: GatewayId, up: bool },
+}
+
+/// The fleet.
+pub struct Fleet {
+    spec: Spec,
+    day: Day,
+    plan: Vec<PlannedFault>,
+    start: Ns,
+    hosts: Vec<Host>,
+    sets: Vec<ReplicaSet>,
+    jobs: FxHashMap<u64, Job>,
+    next_job: u64,
+    finish_stamps: Vec<u64>,
+    /// What has come to a host that hangs.
+    queries_at_hung_hosts: HashMap<HostId, Vec<Query>>,
+    queue: EventQueue<Event>,
+    list: EndpointList,
+    invariants: InvariantAudit,
+    rng: Rng,
+    seed: u64,
+    hosts_by_fault: HashMap<usize, Vec<HostId>>,
+    datagram_loss: f64,
+    outputs: Vec<Output>,
+}
+
+impl Fleet {
+    /// A fleet at the start of its day: all hosts warm, each set's first member its primary.
+    pub fn new(spec: &Spec, seed: u64, start: Ns) -> Self {
+        let day = Day::draw(spec, seed);
+        let plan = faults::plan(spec, seed);
+        let count = spec.set_count();
+        let mut sets: Vec<ReplicaSet> = Vec::new();
+        for _ in 0..count {
+            sets.push(ReplicaSet {
+                members: Vec::new(),
+                primary: None,
+                primary_since: Some(start),
+                last_position: start,
+                term: 0,
+                role_delays_drawn: 0,
+                log: ReplicationLog::default(),
+                keys: FxHashMap::default(),
+                key_order: VecDeque::new(),
+            });
+        }
+        let tip = crate::host::tip(spec.rules.tip_s);
+        let mut hosts = Vec::new();
+        for i in 0..spec.hosts.count {
+            let (id, set) = (HostId(i), SetId(i / spec.sets.members % count));
+            let members = &mut sets[set.0 as usize];
+            members.members.push(id);
+            members.primary.get_or_insert(id);
+            let applier = LogApplier::new(start, members.source(&day));
+            let mut host = Host::new(id, set, &spec.hosts, start, applier, tip);
+            host.retune(&spec.hosts, start);
+            hosts.push(host);
+        }
+        let known = hosts.iter().map(|member| (member.id, member.set));
+        let list = EndpointList::new(&spec.list, seed, spec.gateways, known);
+        let mut fleet = Fleet {
+            finish_stamps: vec![0; hosts.len()],
+            day,
+            start,
+            hosts,
+            sets,
+            jobs: FxHashMap::default(),
+            next_job: 0,
+            queries_at_hung_hosts: HashMap::new(),
+            queue: EventQueue::default(),
+            list,
+            invariants: InvariantAudit::default(),
+            rng: Rng::new(seed, Stream::Fleet),
+            seed,
+            hosts_by_fault: HashMap::new(),
+            datagram_loss: spec.net.datagram_loss,
+            outputs: Vec::new(),
+            plan,
+            spec: spec.clone(),
+        };
+        for i in 0..fleet.hosts.len() {
+            // Hosts make their reports each at its own time.
+            let first = start + (fleet.rng.unit() * fleet.day.report_every as f64) as Ns;
+            fleet.refresh_report(start, HostId(i as u32));
+            fleet.schedule(
+                first,
+                Event::RefreshReport {
+                    host: HostId(i as u32),
+                },
+            );
+        }
+        for (i, planned) in fleet.plan.clone().into_iter().enumerate() {
+            fleet.schedule(start + planned.from, Event::FaultBegins(i));
+            fleet.schedule(start + planned.until, Event::FaultEnds(i));
+            for (gateway, down, up) in planned.waves {
+                fleet.schedule(start + down, Event::Gateway { gateway, up: false });
+                fleet.schedule(start + up, Event::Gateway { gateway, up: true });
+            }
+        }
+        fleet
+    }
+
+    /// The day that was drawn.
+    pub fn day(&self) -> &Day {
+        &self.day
+    }
+
+    /// The faults of the day.
+    pub fn plan(&self) -> &[PlannedFault] {
+        &self.plan
+    }
+
+    /// The audit.
+    pub fn invariants(&self) -> &InvariantAudit {
+        &self.invariants
+    }
+
+    /// The list.
+    pub fn list(&self) -> &EndpointList {
+        &self.list
+    }
+
+    /// The hosts.
+    pub fn hosts(&self) -> &[Host] {
+        &self.hosts
+    }
+
+    /// A host.
+    pub fn host(&self, host: HostId) -> &Host {
+        &self.hosts[host.0 as usize]
+    }
+
+    /// The members of a set.
+    pub fn members(&self, set: SetId) -> &[HostId] {
+        &self.sets[set.0 as usize].members
+    }
+
+    /// A set's primary, while it has one that speaks.
+    pub fn primary(&self, set: SetId) -> Option<HostId> {
+        let set = &self.sets[set.0 as usize];
+        set.primary.filter(|_| set.primary_since.is_some())
+    }
+
+    /// The part of the datagrams that is lost now.
+    pub fn datagram_loss(&self) -> f64 {
+        self.datagram_loss
+    }
+
+    /// Whether a gateway reaches a host at all.
+    pub fn reaches(&self, gateway: GatewayId, host: HostId) -> bool {
+        !self.hosts_by_fault.iter().any(|(&i, hosts)| {
+            let planned = &self.plan[i];
+            planned.fault.cut_off.is_some()
+                && planned.cut.contains(&gateway)
+                && hosts.contains(&host)
+        })
+    }
+
+    /// Whether datagrams of one gateway may reach another at all.
+    pub fn hears(&self, from: GatewayId, to: GatewayId) -> bool {
+        !self.hosts_by_fault.keys().any(|&i| {
+            let planned = &self.plan[i];
+            planned.fault.split.is_some()
+                && planned.cut.contains(&from) != planned.cut.contains(&to)
+        })
+    }
+
+    /// How far a host has applied its set's log, in truth.
+    pub fn position(&mut self, now: Ns, host: HostId) -> Ns {
+        let member = &mut self.hosts[host.0 as usize];
+        let set = &self.sets[member.set.0 as usize];
+        if set.primary == Some(host) && set.primary_since.is_some() {
+            return now;
+        }
+        member.applier.position(now, set.source(&self.day))
+    }
+
+    /// When something happens next.
+    pub fn next(&self) -> Option<Ns> {
+        self.queue.next()
+    }
+
+    /// Lets happen what is due by now, in order, and hands out all that has come of it and of what was handed in.
+    pub fn advance(&mut self, now: Ns) -> Vec<Output> {
+        while let Some((at, event)) = self.queue.pop(now) {
+            self.handle_event(at, event);
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn schedule(&mut self, at: Ns, event: Event) {
+        self.queue.push(at, event);
+    }
+
+    fn schedule_finish(&mut self, now: Ns, host: HostId) {
+        let i = host.0 as usize;
+        self.finish_stamps[i] += 1;
+        if let Some(at) = self.hosts[i].cpu.next() {
+            self.schedule(
+                at.max(now),
+                Event::Finish {
+                    host,
+                    stamp: self.finish_stamps[i],
+                },
+            );
+        }
+    }
+
+    fn handle_event(&mut self, now: Ns, event: Event) {
+        match event {
+            Event::Finish { host, stamp } if self.finish_stamps[host.0 as usize] == stamp => {
+                while let Some(job) = self.hosts[host.0 as usize].cpu.ended(now) {
+                    self.finish_job(now, job);
+                }
+                self.schedule_finish(now, host);
+            }
+            Event::Finish { .. } => {}
+            Event::RefreshReport { host } => {
+                self.refresh_report(now, host);
+                self.schedule_finish(now, host);
+                self.schedule(now + self.day.report_every, Event::RefreshReport { host });
+            }
+            Event::RecheckLag { job, until } => self.admit_query(now, job, until, false),
+            Event::PrimaryTimeout { set, term } => self.declare_primary_lost(now, set, term),
+            Event::Elect { set, term } => self.elect_primary(now, set, term),
+            Event::FaultBegins(i) => self.begin_fault(now, i),
+            Event::FaultEnds(i) => self.end_fault(now, i),
+            Event::Notify(t) => self.deliver_notification(now, t.gateway, t.entry),
+            Event::Restart { host, epoch } => {
+                if self.hosts[host.0 as usize].epoch == epoch {
+                    self.restart_host(now, host);
+                }
+            }
+            Event::Gateway { gateway, up } => self.outputs.push(Output::Gateway { gateway, up }),
+        }
+    }
+
+    /// Time since the start of the run.
+    pub fn since_start(&self, now: Ns) -> Ns {
+        now - self.start
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/fleet/queries.rs
@@ -0,0 +1,389 @@
+//! Connections, probes and statements at a host: from their arrival to their answer.
+
+use super::messages::{Answer, Delivery, Output, ProbeResult, Query, ReplicaStatus};
+use super::replica_set::Remembered;
+use super::{Event, Fleet};
+use crate::endpoint_list::ListedState;
+use crate::host::State;
+use crate::spec::{Checks, Need};
+use crate::{ms, seconds, GatewayId, HostId, Ns, MS};
+
+/// A read that waits for its copy to catch up looks again this often.
+const LAG_RECHECK_INTERVAL: Ns = 2 * MS;
+
+pub(super) enum JobKind {
+    Query {
+        query: Query,
+        /// The place of its key among those remembered.
+        key_at: usize,
+        /// Commits that its data held when it began, and those that it needed.
+        data: (u64, u64),
+        /// It stops its host from applying the log.
+        blocks: bool,
+    },
+    Connect {
+        ticket: u64,
+    },
+    Probe,
+}
+
+pub(super) struct Job {
+    pub(super) host: HostId,
+    pub(super) kind: JobKind,
+}
+
+impl Fleet {
+    /// A connection is asked for. When it is up, [`Output::Connected`] tells.
+    pub fn connect(&mut self, now: Ns, gateway: GatewayId, host: HostId, ticket: u64) -> Delivery {
+        if !self.reaches(gateway, host) {
+            return Delivery::NoResponse;
+        }
+        let member = &mut self.hosts[host.0 as usize];
+        match member.state {
+            State::Vanished | State::Hung => return Delivery::NoResponse,
+            State::Down => return Delivery::Reset,
+            State::Up if member.connections >= self.spec.hosts.connections => {
+                return Delivery::Reset
+            }
+            State::Up => {}
+        }
+        member.connections += 1;
+        let work = self.day.connect_work;
+        self.record_offered_work(now, host, work);
+        if self.hosts[host.0 as usize].state != State::Up {
+            return Delivery::Reset;
+        }
+        self.start_side_job(now, host, work, JobKind::Connect { ticket });
+        Delivery::Accepted
+    }
+
+    /// A connection of a host's earlier or present process is closed.
+    pub fn close(&mut self, now: Ns, host: HostId, epoch: u32) {
+        let member = &mut self.hosts[host.0 as usize];
+        if member.epoch == epoch && member.connections > 0 {
+            member.connections -= 1;
+            member.retune(&self.spec.hosts, now);
+            self.schedule_finish(now, host);
+        }
+    }
+
+    /// A probe: its report, at once. It costs the host work.
+    pub fn probe(&mut self, now: Ns, gateway: GatewayId, host: HostId) -> ProbeResult {
+        if !self.reaches(gateway, host) {
+            return ProbeResult::NoResponse;
+        }
+        match self.hosts[host.0 as usize].state {
+            State::Vanished | State::Hung => return ProbeResult::NoResponse,
+            State::Down => return ProbeResult::Refused,
+            State::Up => {}
+        }
+        let work = self.day.probe_work;
+        self.record_offered_work(now, host, work);
+        if self.hosts[host.0 as usize].state != State::Up {
+            return ProbeResult::Refused;
+        }
+        self.start_side_job(now, host, work, JobKind::Probe);
+        ProbeResult::Report(self.hosts[host.0 as usize].report)
+    }
+
+    /// A statement comes, on a connection of this epoch.
+    pub fn query(&mut self, now: Ns, host: HostId, epoch: u32, query: Query) -> Delivery {
+        if let Some(told) = self.list.told(query.gateway, host) {
+            let grace = ms(self.spec.rules.drain_grace_ms);
+            self.invariants
+                .sent(query.sent, query.gateway, host, told, grace);
+        }
+        if !self.reaches(query.gateway, host) {
+            return Delivery::NoResponse;
+        }
+        let member = &self.hosts[host.0 as usize];
+        match member.state {
+            State::Vanished => Delivery::NoResponse,
+            State::Down => Delivery::Reset,
+            _ if member.epoch != epoch => Delivery::Reset,
+            State::Hung => {
+                self.queries_at_hung_hosts
+                    .entry(host)
+                    .or_default()
+                    .push(query);
+                Delivery::NoResponse
+            }
+            State::Up => self.handle_query(now, host, query),
+        }
+    }
+
+    pub(super) fn handle_query(&mut self, now: Ns, host: HostId, query: Query) -> Delivery {
+        self.record_offered_work(now, host, query.work);
+        let member = &self.hosts[host.0 as usize];
+        if member.state != State::Up {
+            return Delivery::Reset;
+        }
+        if member.draining || member.refusing {
+            self.send_answer(now, host, &query, Answer::Full, 0);
+            return Delivery::Accepted;
+        }
+        let set = &mut self.sets[member.set.0 as usize];
+        let primary = set.primary == Some(host) && set.primary_since.is_some();
+        let write = self.spec.classes[query.class].need == Need::Write;
+        if write && !primary {
+            self.send_answer(now, host, &query, Answer::Miss, 0);
+            return Delivery::Accepted;
+        }
+        let mut key_at = 0;
+        if let Some(key) = query.key.filter(|_| write) {
+            key_at = set.remember_key(now, key, seconds(self.spec.sets.window_s));
+        }
+        let kind = JobKind::Query {
+            query,
+            key_at,
+            data: (0, 0),
+            blocks: false,
+        };
+        self.next_job += 1;
+        self.jobs.insert(self.next_job, Job { host, kind });
+        let wait = match self.spec.hosts.checks {
+            Checks::Wait => ms(self.spec.hosts.wait_ms),
+            Checks::Refuse | Checks::None => 0,
+        };
+        self.admit_query(now, self.next_job, now + wait, true);
+        Delivery::Accepted
+    }
+
+    /// A read whose data are recent enough gets a slot or waits for one; another one waits to be, or is turned away.
+    pub(super) fn admit_query(&mut self, now: Ns, job: u64, until: Ns, first: bool) {
+        let Some(Job {
+            host,
+            kind: JobKind::Query { query, .. },
+        }) = self.jobs.get(&job)
+        else {
+            return;
+        };
+        let (host, query) = (*host, query.clone());
+        if !first {
+            self.hosts[host.0 as usize].lagging -= 1;
+        }
+        let (_, needed) = self.applied_and_needed(now, host, &query);
+        if self.spec.hosts.checks != Checks::None && self.position(now, host) < needed {
+            if now >= until {
+                self.jobs.remove(&job);
+                self.send_answer(now, host, &query, Answer::Miss, 0);
+            } else {
+                self.hosts[host.0 as usize].lagging += 1;
+                self.schedule(
+                    (now + LAG_RECHECK_INTERVAL).min(until),
+                    Event::RecheckLag { job, until },
+                );
+            }
+            return;
+        }
+        let member = &mut self.hosts[host.0 as usize];
+        if member.running < self.spec.hosts.slots {
+            self.start_query(now, job);
+        } else if member.waiting.len() < self.spec.hosts.room as usize {
+            member.waiting.push_back(job);
+            member.retune(&self.spec.hosts, now);
+            self.schedule_finish(now, host);
+        } else {
+            self.jobs.remove(&job);
+            self.send_answer(now, host, &query, Answer::Full, 0);
+        }
+    }
+
+    /// The commits that a host has applied, and the position that a read needs.
+    pub(super) fn applied_and_needed(&mut self, now: Ns, host: HostId, query: &Query) -> (u64, Ns) {
+        let class = &self.spec.classes[query.class];
+        let needed = match class.need {
+            Need::Any | Need::Write => 0,
+            Need::Bounded => query.sent - ms(class.bound_ms),
+            Need::Session => query.mark,
+            Need::Fresh => query.arrived,
+        };
+        let member = &mut self.hosts[host.0 as usize];
+        let set = &self.sets[member.set.0 as usize];
+        if set.primary == Some(host) && set.primary_since.is_some() {
+            return (set.log.end(), needed);
+        }
+        member.applier.advance(now, set.source(&self.day));
+        (member.applier.applied(), needed)
+    }
+
+    /// A statement gets its slot.
+    pub(super) fn start_query(&mut self, now: Ns, job: u64) {
+        let Some(Job {
+            host,
+            kind: JobKind::Query { query, .. },
+        }) = self.jobs.get(&job)
+        else {
+            return;
+        };
+        let (host, query) = (*host, query.clone());
+        let (had, needed) = self.applied_and_needed(now, host, &query);
+        let set = &self.sets[self.hosts[host.0 as usize].set.0 as usize];
+        let needed = set.log.until(needed);
+        let primary = set.primary == Some(host);
+        let stops = self.spec.classes[query.class].blocks && !primary;
+        if stops {
+            self.hosts[host.0 as usize]
+                .applier
+                .stop(now, set.source(&self.day), true);
+            self.hosts[host.0 as usize].blocking += 1;
+        }
+        if let Some(Job {
+            kind: JobKind::Query { data, blocks, .. },
+            ..
+        }) = self.jobs.get_mut(&job)
+        {
+            (*data, *blocks) = ((had, needed), stops);
+        }
+        let member = &mut self.hosts[host.0 as usize];
+        member.running += 1;
+        member.retune(&self.spec.hosts, now);
+        member.cpu.add(now, query.work, job);
+        self.schedule_finish(now, host);
+    }
+
+    /// Work beside the slots.
+    pub(super) fn start_side_job(&mut self, now: Ns, host: HostId, work: Ns, kind: JobKind) {
+        self.next_job += 1;
+        self.jobs.insert(self.next_job, Job { host, kind });
+        let member = &mut self.hosts[host.0 as usize];
+        member.retune(&self.spec.hosts, now);
+        member.cpu.add(now, work, self.next_job);
+        self.schedule_finish(now, host);
+    }
+
+    /// Work arrives at a host, taken or not: a cold one may fall over.
+    pub(super) fn record_offered_work(&mut self, now: Ns, host: HostId, work: Ns) {
+        let member = &mut self.hosts[host.0 as usize];
+        let load = member.offered(&self.spec.hosts, now, work);
+        if member.cold(now) && load > self.spec.rules.tip_multiple {
+            member.fallen = true;
+            self.invariants.knocked_over(now, host, load);
+            self.outputs.push(Output::HostOverloaded { host });
+            self.stop_host(now, host, State::Down);
+            self.announce(now, host, ListedState::Gone, false);
+        }
+    }
+
+    pub(super) fn send_answer(
+        &mut self,
+        now: Ns,
+        host: HostId,
+        query: &Query,
+        answer: Answer,
+        work: Ns,
+    ) {
+        let position = self.position(now, host);
+        let set = &self.sets[self.hosts[host.0 as usize].set.0 as usize];
+        let note = ReplicaStatus {
+            primary: set.primary == Some(host) && set.primary_since.is_some(),
+            position,
+        };
+        let (ticket, gateway) = (query.ticket, query.gateway);
+        self.outputs.push(Output::Answered {
+            ticket,
+            gateway,
+            host,
+            answer,
+            note,
+            work,
+        });
+    }
+
+    pub(super) fn finish_job(&mut self, now: Ns, job: u64) {
+        let Some(Job { host, kind }) = self.jobs.remove(&job) else {
+            return;
+        };
+        let index = host.0 as usize;
+        match kind {
+            JobKind::Probe => self.hosts[index].retune(&self.spec.hosts, now),
+            JobKind::Connect { ticket } => {
+                self.hosts[index].retune(&self.spec.hosts, now);
+                self.outputs.push(Output::Connected { ticket, host });
+            }
+            JobKind::Query {
+                query,
+                key_at,
+                data,
+                blocks,
+            } => {
+                if blocks {
+                    self.resume_applying(now, host);
+                }
+                self.hosts[index].running -= 1;
+                self.complete_query(now, host, &query, key_at, data);
+                if let Some(next) = self.hosts[index].waiting.pop_front() {
+                    self.start_query(now, next);
+                }
+                self.hosts[index].retune(&self.spec.hosts, now);
+            }
+        }
+    }
+
+    pub(super) fn resume_applying(&mut self, now: Ns, host: HostId) {
+        let member = &mut self.hosts[host.0 as usize];
+        let from = self.sets[member.set.0 as usize].source(&self.day);
+        member.blocking -= 1;
+        member.applier.stop(now, from, false);
+    }
+
+    pub(super) fn complete_query(
+        &mut self,
+        now: Ns,
+        host: HostId,
+        query: &Query,
+        key_at: usize,
+        data: (u64, u64),
+    ) {
+        let member = &self.hosts[host.0 as usize];
+        let set = &mut self.sets[member.set.0 as usize];
+        let spoilt = member.errors > 0.0 && self.rng.chance(member.errors);
+        if self.spec.classes[query.class].need != Need::Write {
+            if spoilt {
+                return self.send_answer(now, host, query, Answer::Error, query.work);
+            }
+            self.invariants.read(now, host, data.0, data.1);
+            return self.send_answer(now, host, query, Answer::Row, query.work);
+        }
+        // A write that is still held when the role is lost ends in an error, and has had no effect.
+        if set.primary != Some(host) || set.primary_since.is_none() {
+            return self.send_answer(now, host, query, Answer::Error, query.work);
+        }
+        let known = query
+            .key
+            .and_then(|k| set.keys.get_mut(&k))
+            .and_then(|k| k.get_mut(key_at));
+        let commit = match known {
+            Some(Remembered {
+                commit: Some(commit),
+                ..
+            }) => *commit,
+            known => {
+                set.log.push(now);
+                if let Some(k) = known {
+                    k.commit = Some(now);
+                }
+                if let Some(key) = query.key {
+                    self.invariants.applied(now, key);
+                }
+                now
+            }
+        };
+        if spoilt {
+            return self.send_answer(now, host, query, Answer::Error, query.work);
+        }
+        let note = ReplicaStatus {
+            primary: true,
+            position: commit,
+        };
+        let (ticket, gateway, work) = (query.ticket, query.gateway, query.work);
+        self.outputs.push(Output::Answered {
+            ticket,
+            gateway,
+            host,
+            answer: Answer::Row,
+            note,
+            work,
+        });
+    }
+}
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -2,11 +2,8 @@
 //! and what goes wrong with them. No I/O, no clock, and a seeded generator: whoever runs it hands in the time. The
 //! laboratory runs it in virtual time round the decision module, and in real time behind sockets.
 //!
-//! It owns what is true of the world, and the audit of what a gateway may not do to it. It knows nothing of gateways
-//! but their numbers.
-
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
+//! It owns the true state of hosts and data, and the audit of the invariants that a gateway must keep. Of gateways it
+//! knows only their numbers.
 
 pub mod clients;
 pub mod cpu;
@@ -17,6 +14,7 @@
 pub mod fleet;
 pub mod host;
 pub mod invariants;
+pub mod load_window;
 pub mod replication_log;
 pub mod rng;
 pub mod spec;
--- /dev/null
+++ b/crates/simulation/tests/clients.rs
@@ -0,0 +1,229 @@
+//! Arrivals, retries of clients, the front, and what a session knows of its writes.
+
+use irisrouter_simulation::clients::{
+    Arrival, Arrivals, Clients, Finished, NextStep, Try, TryOutcome,
+};
+use irisrouter_simulation::faults;
+use irisrouter_simulation::spec::{Day, Fault, Spec, TrafficSurge, ValueOrRange};
+use irisrouter_simulation::{SetId, MS, SECOND};
+
+fn spec() -> Spec {
+    let mut s = Spec {
+        length_s: 200.0,
+        ..Spec::default()
+    };
+    s.traffic.requests_per_s = Some(400.0);
+    s
+}
+
+#[test]
+fn arrivals_of_a_day_are_ordered_and_have_their_rate_and_shares() {
+    let spec = spec();
+    let all: Vec<Arrival> = Arrivals::new(&spec, 5).collect();
+    assert!(all.windows(2).all(|w| w[0].at <= w[1].at));
+    let rate = all.len() as f64 / 200.0;
+    assert!((rate / 400.0 - 1.0).abs() < 0.03, "{rate}");
+    for (i, c) in spec.classes.iter().enumerate() {
+        let of = all.iter().filter(|a| a.class == i).count() as f64 / all.len() as f64;
+        assert!(
+            (of / (c.share / 0.993) - 1.0).abs() < 0.12,
+            "{}: {of}",
+            c.name
+        );
+    }
+    assert_eq!(
+        all,
+        Arrivals::new(&spec, 5).collect::<Vec<_>>(),
+        "one seed, one day"
+    );
+}
+
+#[test]
+fn traffic_surge_raises_its_sets_and_leaves_the_others() {
+    let mut flooded = spec();
+    flooded.faults = vec![Fault {
+        flood: Some(TrafficSurge {
+            sets: 1,
+            part: ValueOrRange::Value(0.5),
+        }),
+        ..fault_between(50.0, 100.0)
+    }];
+    let set = faults::plan(&flooded, 5)[0].sets[0];
+    let count = |s: &Spec, set: SetId, within: bool| {
+        let inside = |a: &Arrival| (50 * SECOND..150 * SECOND).contains(&a.at) == within;
+        Arrivals::new(s, 5)
+            .filter(|a| a.set == set && inside(a))
+            .count() as f64
+    };
+    let calm = spec();
+    assert!((count(&flooded, set, true) / count(&calm, set, true) - 2.0).abs() < 0.25);
+    let other = SetId(1 - set.0);
+    assert!((count(&flooded, other, true) / count(&calm, other, true) - 1.0).abs() < 0.1);
+}
+
+fn fault_between(at: f64, long: f64) -> Fault {
+    Fault {
+        at_s: ValueOrRange::Value(at),
+        for_s: ValueOrRange::Value(long),
+        ..Fault::default()
+    }
+}
+
+fn write(clients: &mut Clients, call: u64) -> Try {
+    let arrival = Arrivals::new(&spec(), 5)
+        .find(|a| a.key.is_some())
+        .expect("a write");
+    clients.begin(SECOND, Arrival { call, ..arrival })
+}
+
+#[test]
+fn write_that_may_have_run_is_retried_only_within_the_window() {
+    let mut c = Clients::new(&spec(), 5, 0);
+    let t = write(&mut c, 1);
+    let NextStep::Again(at) = c.ended(SECOND + 100 * MS, 1, 0, SECOND, TryOutcome::Failed) else {
+        panic!("no retry")
+    };
+    assert!(at < SECOND + 300 * MS);
+    let again = c.again(at, 1).expect("a try");
+    assert_eq!(
+        (again.number, again.marked, again.arrival.key),
+        (1, true, t.arrival.key)
+    );
+    assert_eq!(
+        c.ended(at, 1, 0, SECOND, TryOutcome::Failed),
+        NextStep::Nothing,
+        "the first try is over"
+    );
+    let late = c.ended(
+        SECOND + 900 * MS,
+        1,
+        1,
+        at,
+        TryOutcome::Refused {
+            pause: Some(500 * MS),
+        },
+    );
+    assert!(
+        matches!(
+            late,
+            NextStep::Done(Finished {
+                served: None,
+                tries: 2,
+                ..
+            })
+        ),
+        "{late:?}"
+    );
+    // Refused each time, it has never run: it comes again as often as clients do.
+    write(&mut c, 2);
+    for number in 0..2 {
+        let next = c.ended(
+            9 * SECOND,
+            2,
+            number,
+            SECOND,
+            TryOutcome::Refused { pause: None },
+        );
+        assert!(matches!(next, NextStep::Again(_)), "{next:?}");
+        c.again(9 * SECOND, 2).expect("a try");
+    }
+    assert!(matches!(
+        c.ended(9 * SECOND, 2, 2, SECOND, TryOutcome::Failed),
+        NextStep::Done(_)
+    ));
+    assert_eq!(c.open(), 0);
+}
+
+#[test]
+fn front_avoids_a_dead_gateway_once_it_has_noticed() {
+    let mut c = Clients::new(&spec(), 5, 0);
+    let t = write(&mut c, 1);
+    c.gateway(SECOND, t.gateway, false);
+    assert_eq!(write(&mut c, 2).gateway, t.gateway, "it has not noticed");
+    c.gateway(
+        SECOND - Day::draw(&spec(), 5).front_notice,
+        t.gateway,
+        false,
+    );
+    assert_ne!(write(&mut c, 3).gateway, t.gateway);
+    c.gateway(SECOND, t.gateway, true);
+    assert_eq!(write(&mut c, 4).gateway, t.gateway);
+}
+
+/// A roaming session's read may come to another gateway before its write has been answered: then it carries nothing,
+/// and afterwards the commit goes with it wherever it comes.
+#[test]
+fn roaming_read_at_any_gateway_carries_what_its_session_knows() {
+    let mut c = Clients::new(
+        &Spec {
+            gateways: 8,
+            ..spec()
+        },
+        5,
+        0,
+    );
+    let t = write(&mut c, 1);
+    let read = |call| Arrival {
+        class: 1,
+        key: None,
+        roams: true,
+        pick: call,
+        call,
+        ..t.arrival
+    };
+    let early: Vec<Try> = (2..40).map(|call| c.begin(SECOND, read(call))).collect();
+    assert!(early.iter().any(|r| r.gateway != t.gateway) && early.iter().all(|r| r.mark == 0));
+    c.ended(
+        2 * SECOND,
+        1,
+        0,
+        SECOND,
+        TryOutcome::Served {
+            commit: Some(SECOND + MS),
+        },
+    );
+    let later: Vec<Try> = (40..80)
+        .map(|call| c.begin(2 * SECOND, read(call)))
+        .collect();
+    assert!(
+        later.iter().any(|r| r.gateway != t.gateway) && later.iter().all(|r| r.mark == SECOND + MS)
+    );
+    let stays = c.begin(
+        2 * SECOND,
+        Arrival {
+            roams: false,
+            ..read(80)
+        },
+    );
+    assert_ne!(stays.mark, 0);
+}
+
+#[test]
+fn session_read_after_an_answered_write_requires_its_commit() {
+    let mut c = Clients::new(&spec(), 5, 0);
+    let t = write(&mut c, 1);
+    let read = Arrival {
+        class: 1,
+        key: None,
+        call: 2,
+        ..t.arrival
+    };
+    assert_eq!(
+        c.begin(SECOND, read).mark,
+        0,
+        "its write has not been answered"
+    );
+    c.ended(
+        2 * SECOND,
+        1,
+        0,
+        SECOND,
+        TryOutcome::Served {
+            commit: Some(2 * SECOND - MS),
+        },
+    );
+    assert_eq!(
+        c.begin(2 * SECOND, Arrival { call: 3, ..read }).mark,
+        2 * SECOND - MS
+    );
+}
--- /dev/null
+++ b/crates/simulation/tests/endpoint_list.rs
@@ -0,0 +1,43 @@
+//! The host list: the order of notices, and the silence of discovery.
+
+use irisrouter_simulation::endpoint_list::{EndpointList, ListedState};
+use irisrouter_simulation::spec::ListSpec;
+use irisrouter_simulation::{seconds, GatewayId, HostId, SetId, SECOND};
+
+#[test]
+fn notice_that_is_older_or_comes_in_silence_does_not_change_the_view() {
+    let spec = ListSpec::default();
+    let mut l = EndpointList::new(&spec, 1, 2, [(HostId(0), SetId(0))].into_iter());
+    let first = l.change(0, HostId(0), SetId(0), ListedState::Draining, 0, false);
+    let second = l.change(
+        SECOND,
+        HostId(0),
+        SetId(0),
+        ListedState::Ready,
+        SECOND,
+        false,
+    );
+    assert_eq!((first.len(), second.len()), (2, 2));
+    assert!(first
+        .iter()
+        .all(|t| t.at >= seconds(1.1) && t.at <= seconds(4.7 + 0.38)));
+    let g = GatewayId(0);
+    assert!(l.tell(5 * SECOND, g, second[0].entry));
+    assert!(!l.tell(6 * SECOND, g, first[0].entry), "it is older");
+    assert_eq!(l.told(g, HostId(0)), None);
+    l.mute(true);
+    let gone = l.change(
+        7 * SECOND,
+        HostId(0),
+        SetId(0),
+        ListedState::Gone,
+        SECOND,
+        false,
+    );
+    assert!(!l.tell(9 * SECOND, g, gone[0].entry));
+    assert_eq!((l.told(g, HostId(0)), l.view(g).version), (None, 2));
+    let kept = l.mute(false);
+    assert_eq!(kept.len(), 1);
+    assert!(l.tell(20 * SECOND, kept[0].0, kept[0].1));
+    assert_eq!(l.told(g, HostId(0)), Some(20 * SECOND));
+}
--- /dev/null
+++ b/crates/simulation/tests/host.rs
@@ -0,0 +1,61 @@
+//! A host: the window of its load, and what crowds, slowdowns and a cold start take from its capacity.
+
+use irisrouter_simulation::host::Host;
+use irisrouter_simulation::load_window::LoadWindow;
+use irisrouter_simulation::replication_log::{LogApplier, PrimarySignal, ReplicationLog, Source};
+use irisrouter_simulation::spec::HostSpec;
+use irisrouter_simulation::{HostId, SetId, SECOND};
+
+#[test]
+fn load_window_counts_work_within_its_length_and_no_more() {
+    let mut w = LoadWindow::new(3 * SECOND);
+    // What a host of one core can do in 3 s: 3 s of work; half of it at the start, as much at the very end.
+    assert_eq!(w.add(SECOND, 1.5e9, 1.0, true), 0.5);
+    assert_eq!(
+        w.add(4 * SECOND - 1, 1.5e9, 1.0, true),
+        1.0,
+        "the last moment of the window"
+    );
+    assert_eq!(
+        w.add(4 * SECOND, 1.5e9, 1.0, false),
+        1.0,
+        "the first half has left"
+    );
+    assert_eq!((w.peak, w.cold_peak), (1.0, 1.0));
+}
+
+#[test]
+fn host_capacity_falls_when_crowded_slowed_or_cold() {
+    let spec = HostSpec::default();
+    let log = ReplicationLog::default();
+    let from = Source {
+        log: &log,
+        primary_signal: PrimarySignal {
+            since: Some(0),
+            stood: 0,
+            ship: 1,
+        },
+        cost: 1,
+    };
+    let mut h = Host::new(
+        HostId(0),
+        SetId(0),
+        &spec,
+        0,
+        LogApplier::new(0, from),
+        3 * SECOND,
+    );
+    h.retune(&spec, 0);
+    assert_eq!(h.cpu.capacity(0), 5.0);
+    h.running = 30;
+    h.retune(&spec, 0);
+    assert!((h.cpu.capacity(0) - 5.0 * (1.0 - 0.03 * 2.0)).abs() < 1e-9);
+    h.running = 0;
+    h.slow_by(&spec, 0, 2.0);
+    assert_eq!((h.cpu.capacity(0), h.can_do(&spec, 0)), (2.5, 2.5));
+    h.slow_by(&spec, 0, 0.5);
+    h.start(&spec, SECOND, 0.2, 10 * SECOND);
+    assert!(
+        (h.can_do(&spec, SECOND) - 1.0).abs() < 1e-9 && h.cold(10 * SECOND) && !h.cold(11 * SECOND)
+    );
+}
--- /dev/null
+++ b/crates/simulation/tests/replication_log.rs
@@ -0,0 +1,87 @@
+//! A replica applies its log commit by commit, stands still when stopped, and its position never goes back.
+
+use irisrouter_simulation::replication_log::{LogApplier, PrimarySignal, ReplicationLog, Source};
+use irisrouter_simulation::{Ns, MS, SECOND};
+
+fn from(log: &ReplicationLog, since: Option<Ns>, stood: Ns) -> Source<'_> {
+    Source {
+        log,
+        primary_signal: PrimarySignal {
+            since,
+            stood,
+            ship: 5 * MS,
+        },
+        cost: 10 * MS,
+    }
+}
+
+#[test]
+fn replica_with_several_commits_applies_them_one_by_one() {
+    let mut log = ReplicationLog::default();
+    let mut a = LogApplier::new(0, from(&log, Some(0), 0));
+    assert_eq!(a.position(SECOND, from(&log, Some(0), 0)), SECOND - 5 * MS);
+    (0..3).for_each(|_| {
+        log.push(SECOND);
+    });
+    let at = |a: &mut LogApplier, ms: Ns| a.position(SECOND + ms * MS, from(&log, Some(0), 0));
+    assert_eq!(at(&mut a, 4), SECOND - MS, "nothing of it has come");
+    assert_eq!(at(&mut a, 34), SECOND - 1, "the third is not applied");
+    assert_eq!(a.applied(), 2);
+    assert_eq!(
+        at(&mut a, 35),
+        SECOND + 30 * MS,
+        "all three, 15 ms and 30 ms after they came"
+    );
+    assert_eq!(a.applied(), 3);
+}
+
+#[test]
+fn applier_stopped_midway_resumes_where_it_was() {
+    let mut log = ReplicationLog::default();
+    let mut a = LogApplier::new(0, from(&log, Some(0), 0));
+    log.push(SECOND);
+    a.stop(SECOND + 9 * MS, from(&log, Some(0), 0), true);
+    let stood = a.position(SECOND + 500 * MS, from(&log, Some(0), 0));
+    assert_eq!(stood, SECOND - 1);
+    a.stop(SECOND + 500 * MS, from(&log, Some(0), 0), false);
+    a.advance(SECOND + 506 * MS - 1, from(&log, Some(0), 0));
+    assert_eq!(a.applied(), 0);
+    a.advance(SECOND + 506 * MS, from(&log, Some(0), 0));
+    assert_eq!(a.applied(), 1);
+}
+
+#[test]
+fn position_without_primary_stands_still_and_never_goes_back() {
+    let log = ReplicationLog::default();
+    let mut a = LogApplier::new(0, from(&log, Some(0), 0));
+    assert_eq!(a.position(SECOND, from(&log, Some(0), 0)), SECOND - 5 * MS);
+    assert_eq!(a.position(2 * SECOND, from(&log, None, SECOND)), SECOND);
+    let again = from(&log, Some(3 * SECOND), SECOND);
+    assert_eq!(a.position(3 * SECOND + MS, again), SECOND);
+    assert_eq!(a.position(3 * SECOND + 6 * MS, again), 3 * SECOND + MS);
+}
+
+#[test]
+fn applier_slowed_midway_takes_longer_for_what_is_left() {
+    let mut log = ReplicationLog::default();
+    let mut a = LogApplier::new(0, from(&log, Some(0), 0));
+    (0..2).for_each(|_| {
+        log.push(0);
+    });
+    a.slow(10 * MS, from(&log, Some(0), 0), 4.0);
+    a.advance(30 * MS, from(&log, Some(0), 0));
+    assert_eq!(
+        a.applied(),
+        1,
+        "the half that was left took four times as long"
+    );
+    a.advance(70 * MS - 1, from(&log, Some(0), 0));
+    assert_eq!(a.applied(), 1);
+    a.advance(70 * MS, from(&log, Some(0), 0));
+    assert_eq!(a.applied(), 2);
+    log.forget(1);
+    assert_eq!(
+        (log.end(), log.time(0), log.time(1), log.until(0)),
+        (2, None, Some(0), 2)
+    );
+}
--- a/crates/testbed/src/scenario.rs
+++ b/crates/testbed/src/scenario.rs
@@ -85,7 +85,7 @@
     fn check(&self) -> Vec<Problem> {
         let world = self.world.problems().into_iter();
         world
-            .map(|(path, reason)| Problem::new(format!("/world{path}"), reason))
+            .map(|problem| Problem::new(format!("/world{}", problem.path), problem.reason))
             .collect()
     }
 }
