--- a/crates/simulation/src/clients.rs
+++ b/crates/simulation/src/clients.rs
@@ -31,22 +31,38 @@
     pub roams: bool,
 }
 
+/// The rates of the arrivals that follow no other, a second.
+struct ArrivalRates {
+    /// The mean without surges.
+    base: f64,
+    /// No moment's rate is higher.
+    bound: f64,
+    /// The share of each class among them.
+    shares: Vec<f64>,
+    /// Session reads behind each write, in the mean.
+    followers_per_write: f64,
+    swing: Swing,
+}
+
+/// A rate that rises and falls with time, as a sine.
+struct Swing {
+    /// The part of the rate by which it rises and falls.
+    amplitude: f64,
+    /// In nanoseconds.
+    period: f64,
+    /// In radians.
+    phase: f64,
+}
+
 /// All arrivals of a day, in order.
 pub struct Arrivals {
     day: Day,
     needs: Vec<Need>,
     variations: Vec<f64>,
     floods: Vec<PlannedFault>,
-    swing: (f64, f64, f64),
     sessions: u64,
     end: Ns,
-    /// Rate of those that follow no other, and its bound.
-    base: f64,
-    bound: f64,
-    /// The share of each class among them.
-    shares: Vec<f64>,
-    /// Session reads behind each write, in the mean.
-    behind: f64,
+    rates: ArrivalRates,
     at: f64,
     next: u64,
     rng: Rng,
@@ -60,18 +76,18 @@
         let day = Day::draw(spec, seed);
         let needs: Vec<Need> = spec.classes.iter().map(|c| c.need).collect();
         let sum = |need: Need| -> f64 {
-            let of = needs.iter().zip(&day.class_shares);
+            let of = needs.iter().zip(&day.demand.class_shares);
             of.filter(|(n, _)| **n == need)
                 .map(|(_, share)| share)
                 .sum()
         };
         let (reads, writes) = (sum(Need::Session), sum(Need::Write));
         let follow = if writes > 0.0 {
-            reads * day.follows
+            reads * day.demand.follows
         } else {
             0.0
         };
-        let mut shares = day.class_shares.clone();
+        let mut shares = day.demand.class_shares.clone();
         for (share, need) in shares.iter_mut().zip(&needs) {
             if *need == Need::Session && reads > 0.0 {
                 *share *= 1.0 - follow / reads;
@@ -83,18 +99,24 @@
             .collect();
         let mut rng = Rng::new(seed, Stream::Arrivals);
         let phase = rng.between(0.0, std::f64::consts::TAU);
-        let base = day.rate * (1.0 - follow);
+        let base = day.demand.rate * (1.0 - follow);
         let most: f64 = floods.iter().map(|f| f.part).sum();
         let mut arrivals = Arrivals {
             needs,
             variations: spec.classes.iter().map(|c| c.work_variation).collect(),
-            swing: (spec.traffic.swing, spec.traffic.swing_s * 1e9, phase),
             sessions: u64::from(spec.traffic.sessions),
             end: seconds(spec.length_s),
-            bound: base * (1.0 + spec.traffic.swing + most),
-            base,
-            shares,
-            behind: if writes > 0.0 { follow / writes } else { 0.0 },
+            rates: ArrivalRates {
+                bound: base * (1.0 + spec.traffic.swing + most),
+                base,
+                shares,
+                followers_per_write: if writes > 0.0 { follow / writes } else { 0.0 },
+                swing: Swing {
+                    amplitude: spec.traffic.swing,
+                    period: spec.traffic.swing_s * 1e9,
+                    phase,
+                },
+            },
             day,
             floods,
             at: 0.0,
@@ -111,26 +133,27 @@
     fn draw(&mut self) -> Option<Arrival> {
         loop {
             // Drawn at the highest rate, and kept with the part that the rate of the moment is of it.
-            let step = self.rng.exponential((1e9 / self.bound) as Ns).max(1);
+            let step = self.rng.exponential((1e9 / self.rates.bound) as Ns).max(1);
             self.at += step as f64;
             if self.at >= self.end as f64 {
                 return None;
             }
-            let (part, period, phase) = self.swing;
-            let calm = 1.0 + part * (std::f64::consts::TAU * self.at / period + phase).sin();
+            let swing = &self.rates.swing;
+            let angle = std::f64::consts::TAU * self.at / swing.period + swing.phase;
+            let calm = 1.0 + swing.amplitude * angle.sin();
             let now = self.at as Ns;
             let on = |f: &&PlannedFault| f.from <= now && now < f.until;
             let flood: f64 = self.floods.iter().filter(on).map(|f| f.part).sum();
-            let kept = self.rng.unit() * self.bound;
-            if kept >= self.base * (calm + flood) {
+            let kept = self.rng.unit() * self.rates.bound;
+            if kept >= self.rates.base * (calm + flood) {
                 continue;
             }
-            let set = if kept < self.base * calm {
+            let set = if kept < self.rates.base * calm {
                 self.any_set()
             } else {
                 self.flooded_set(now)
             };
-            let class = weighted(&self.shares, self.rng.unit());
+            let class = weighted(&self.rates.shares, self.rng.unit());
             let session =
                 set.0 as u64 * self.sessions + self.rng.index(self.sessions as usize) as u64;
             return Some(self.arrival(now, set, class, session));
@@ -138,7 +161,7 @@
     }
 
     fn any_set(&mut self) -> SetId {
-        SetId(weighted(&self.day.set_shares, self.rng.unit()) as u32)
+        SetId(weighted(&self.day.demand.set_shares, self.rng.unit()) as u32)
     }
 
     fn flooded_set(&mut self, now: Ns) -> SetId {
@@ -158,10 +181,10 @@
         self.next += 1;
         let work = self
             .rng
-            .log_normal(self.day.work[class], self.variations[class]);
+            .log_normal(self.day.demand.work[class], self.variations[class]);
         let need = self.needs[class];
         let has_session = matches!(need, Need::Session | Need::Write);
-        let (pick, roams) = (self.rng.number(), self.rng.chance(self.day.roams));
+        let (pick, roams) = (self.rng.number(), self.rng.chance(self.day.demand.roams));
         Arrival {
             at,
             call: self.next,
@@ -204,11 +227,11 @@
         }
         let arrival = self.coming.take()?;
         if self.needs[arrival.class] == Need::Write {
-            let reads: Vec<f64> = (self.needs.iter().zip(&self.day.class_shares))
+            let reads: Vec<f64> = (self.needs.iter().zip(&self.day.demand.class_shares))
                 .map(|(n, share)| if *n == Need::Session { *share } else { 0.0 })
                 .collect();
-            for _ in 0..self.rng.poisson(self.behind) {
-                let at = arrival.at + self.rng.exponential(self.day.gap).max(1);
+            for _ in 0..self.rng.poisson(self.rates.followers_per_write) {
+                let at = arrival.at + self.rng.exponential(self.day.demand.gap).max(1);
                 let class = weighted(&reads, self.rng.unit());
                 let session = arrival.session.unwrap_or(0);
                 let follower = self.arrival(at, arrival.set, class, session);
@@ -303,20 +326,32 @@
     backoff: Ns,
 }
 
-/// The clients and their front.
-pub struct Clients {
+/// When clients give up and try again.
+struct RetryPolicy {
     spec: ClientSpec,
-    start: Ns,
-    deadlines: Vec<Ns>,
-    needs: Vec<Need>,
+    /// A set drops the repeat of a keyed write for this long.
     window: Ns,
     patience: f64,
     backoff: Ns,
     honour: f64,
-    notice: Ns,
+}
+
+/// The front layer that spreads requests over the gateways.
+struct Front {
     gateways: u32,
     /// Gateways that are dead, and since when.
     dead: BTreeMap<GatewayId, Ns>,
+    /// A dead gateway is noticed after this time.
+    notice: Ns,
+}
+
+/// The clients and their front.
+pub struct Clients {
+    start: Ns,
+    deadlines: Vec<Ns>,
+    needs: Vec<Need>,
+    retry: RetryPolicy,
+    front: Front,
     open: HashMap<u64, Call>,
     /// The last commit that each session knows of.
     marks: HashMap<u64, Ns>,
@@ -328,17 +363,21 @@
     pub fn new(spec: &Spec, seed: u64, start: Ns) -> Self {
         let day = Day::draw(spec, seed);
         Clients {
-            spec: spec.clients.clone(),
             start,
             deadlines: spec.classes.iter().map(|c| ms(c.deadline_ms)).collect(),
             needs: spec.classes.iter().map(|c| c.need).collect(),
-            window: seconds(spec.sets.window_s),
-            patience: day.patience,
-            backoff: day.backoff,
-            honour: day.honour,
-            notice: day.front_notice,
-            gateways: spec.gateways,
-            dead: BTreeMap::new(),
+            retry: RetryPolicy {
+                spec: spec.clients.clone(),
+                window: seconds(spec.sets.window_s),
+                patience: day.clients.patience,
+                backoff: day.clients.backoff,
+                honour: day.clients.honour,
+            },
+            front: Front {
+                gateways: spec.gateways,
+                dead: BTreeMap::new(),
+                notice: day.clients.front_notice,
+            },
             open: HashMap::new(),
             marks: HashMap::new(),
             rng: Rng::new(seed, Stream::Clients),
@@ -353,31 +392,32 @@
     /// A gateway dies, or starts again.
     pub fn gateway(&mut self, now: Ns, gateway: GatewayId, up: bool) {
         if up {
-            self.dead.remove(&gateway);
+            self.front.dead.remove(&gateway);
         } else {
-            self.dead.insert(gateway, now);
+            self.front.dead.insert(gateway, now);
         }
     }
 
     /// Where the front sends a request: to its session's gateway or to any. It goes on sending to a dead one until it
     /// has noticed.
-    fn front(&self, now: Ns, arrival: &Arrival, number: u32) -> GatewayId {
-        let count = u64::from(self.gateways.max(1));
+    fn choose_gateway(&self, now: Ns, arrival: &Arrival, number: u32) -> GatewayId {
+        let count = u64::from(self.front.gateways.max(1));
         let sticky = arrival.session.filter(|_| !arrival.roams);
         let pick = match sticky {
             Some(session) => mix(session),
             None => mix(arrival.pick ^ u64::from(number)),
         };
         let known_dead = |g: GatewayId| {
-            self.dead
+            self.front
+                .dead
                 .get(&g)
-                .is_some_and(|&since| now >= since + self.notice)
+                .is_some_and(|&since| now >= since + self.front.notice)
         };
         let first = GatewayId((pick % count) as u32);
         if !known_dead(first) {
             return first;
         }
-        let alive: Vec<GatewayId> = (0..self.gateways)
+        let alive: Vec<GatewayId> = (0..self.front.gateways)
             .map(GatewayId)
             .filter(|&g| !known_dead(g))
             .collect();
@@ -395,7 +435,7 @@
             number: 0,
             out: false,
             may_have_run: None,
-            backoff: self.backoff,
+            backoff: self.retry.backoff,
         };
         self.open.insert(arrival.call, call);
         self.attempt(now, arrival.call)
@@ -412,8 +452,8 @@
         let call = &self.open[&id];
         let arrival = call.arrival;
         let number = call.number;
-        let patience = (self.deadlines[arrival.class] as f64 * self.patience) as Ns;
-        let gateway = self.front(now, &arrival, number);
+        let patience = (self.deadlines[arrival.class] as f64 * self.retry.patience) as Ns;
+        let gateway = self.choose_gateway(now, &arrival, number);
         let session_read = self.needs[arrival.class] == Need::Session;
         let mark = arrival
             .session
@@ -422,11 +462,11 @@
             .copied();
         // Whether this one leaves early is its own matter: the draws of others do not shift it.
         let draw = mix(arrival.pick ^ 0x1eaf ^ u64::from(number)) as f64 / u64::MAX as f64;
-        let leaves = (draw < self.spec.impatient).then_some(now + patience / 2);
+        let leaves = (draw < self.retry.spec.impatient).then_some(now + patience / 2);
         if let Some(call) = self.open.get_mut(&id) {
             call.out = true;
         }
-        let marked = self.spec.marked && number > 0;
+        let marked = self.retry.spec.marked && number > 0;
         let mark = mark.unwrap_or(0);
         Try {
             call: id,
@@ -474,13 +514,13 @@
         }
         let (number, backoff, may_have_run) = (call.number, call.backoff, call.may_have_run);
         let at = now + self.wait(backoff, outcome);
-        let may = match (write, self.spec.writes, may_have_run) {
+        let may = match (write, self.retry.spec.writes, may_have_run) {
             (false, ..) | (_, WriteRepeats::Always, _) | (_, _, None) => true,
             (_, WriteRepeats::Refused, Some(_)) => false,
             // Its set drops a repeat that comes within the window; a third of it is for the way and the queue.
-            (_, WriteRepeats::Window, Some(first)) => at < first + self.window * 2 / 3,
+            (_, WriteRepeats::Window, Some(first)) => at < first + self.retry.window * 2 / 3,
         };
-        if number >= self.spec.retries || outcome == TryOutcome::Left || !may {
+        if number >= self.retry.spec.retries || outcome == TryOutcome::Left || !may {
             return self.done(id, None, outcome);
         }
         if let Some(call) = self.open.get_mut(&id) {
@@ -493,10 +533,10 @@
     fn wait(&mut self, backoff: Ns, outcome: TryOutcome) -> Ns {
         let chance = self.rng.between(0.5, 1.5);
         let own = (backoff as f64 * chance) as Ns;
-        let honours = self.rng.chance(self.honour);
+        let honours = self.rng.chance(self.retry.honour);
         match outcome {
             TryOutcome::Refused { pause: Some(pause) } if honours => {
-                own.max(pause.min(ms(self.spec.longest_wait_ms)))
+                own.max(pause.min(ms(self.retry.spec.longest_wait_ms)))
             }
             _ => own,
         }
--- a/crates/simulation/src/datagrams.rs
+++ b/crates/simulation/src/datagrams.rs
@@ -52,6 +52,6 @@
             self.lost += 1;
             return None;
         }
-        Some(now + (day.datagram_way as f64 * (1.0 + day.jitter * longer)) as Ns)
+        Some(now + (day.network.datagram_way as f64 * (1.0 + day.network.jitter * longer)) as Ns)
     }
 }
--- a/crates/simulation/src/fleet/elections.rs
+++ b/crates/simulation/src/fleet/elections.rs
@@ -17,7 +17,7 @@
         let replica_set = &mut self.sets[set.0 as usize];
         replica_set.role_delays_drawn += 1;
         let own = u64::from(set.0).rotate_left(32) ^ u64::from(replica_set.role_delays_drawn);
-        seconds(range.draw(&mut Rng::new(self.seed ^ own, Stream::Fleet)))
+        seconds(range.draw(&mut Rng::new(self.random.seed ^ own, Stream::Fleet)))
     }
 
     /// The primary is heard no more: positions stand still, and after a while it is given up.
@@ -58,7 +58,7 @@
         let mut best: Option<(u64, HostId)> = None;
         for &id in &replica_set.members {
             let member = &mut self.hosts[id.0 as usize];
-            if member.state != State::Up || member.draining {
+            if member.state != State::Up || member.condition.draining {
                 continue;
             }
             member.applier.advance(now, from);
--- a/crates/simulation/src/fleet/fault_effects.rs
+++ b/crates/simulation/src/fleet/fault_effects.rs
@@ -15,19 +15,19 @@
 impl Fleet {
     /// A planned fault begins: its hosts are picked now, because roles are known only at this moment.
     pub(super) fn begin_fault(&mut self, now: Ns, index: usize) {
-        let planned = self.plan[index].clone();
+        let planned = self.faults.plan[index].clone();
         let hosts = self.pick_hosts(&planned.fault, index);
         for &host in &hosts {
             self.apply_fault(now, &planned, host);
         }
         if let Some(lost) = &planned.fault.datagrams_lost {
-            self.datagram_loss = lost.part;
+            self.faults.datagram_loss = lost.part;
             self.outputs.push(Output::DatagramsLost(lost.part));
         }
         if planned.fault.discovery_silent.is_some() {
             self.list.mute(true);
         }
-        self.hosts_by_fault.insert(index, hosts.clone());
+        self.faults.struck_hosts.insert(index, hosts.clone());
         self.outputs.push(Output::Fault {
             index,
             begins: true,
@@ -47,7 +47,7 @@
         let selections = fault.host_selections();
         match selections.first() {
             Some((_, selection)) => {
-                let seed = self.seed ^ (index as u64 + 1).rotate_left(40);
+                let seed = self.random.seed ^ (index as u64 + 1).rotate_left(40);
                 let mut rng = Rng::new(seed, Stream::Faults);
                 let is_primary = |id: HostId| {
                     let set = self.hosts[id.0 as usize].set;
@@ -76,9 +76,9 @@
             self.stop_host(now, host, State::Down);
             self.announce(now, host, ListedState::Gone, false);
         } else if fault.refusing.is_some() {
-            self.hosts[host_index].refusing = true;
+            self.hosts[host_index].condition.refusing = true;
         } else if let Some(failing) = &fault.spoilt {
-            self.hosts[host_index].errors = failing.part;
+            self.hosts[host_index].condition.errors = failing.part;
         } else if fault.slow_apply.is_some() {
             let applier = &mut self.hosts[host_index].applier;
             applier.slow(now, source, planned.times);
@@ -92,7 +92,7 @@
 
     /// A host starts to drain. A primary gives up its role at once; its successor is elected after the hand-over time.
     fn start_drain(&mut self, now: Ns, host: HostId) {
-        self.hosts[host.0 as usize].draining = true;
+        self.hosts[host.0 as usize].condition.draining = true;
         self.announce(now, host, ListedState::Draining, false);
         let set = self.hosts[host.0 as usize].set;
         // Drawn also for a replica, so that the draws of the set do not depend on roles.
@@ -114,14 +114,15 @@
 
     /// A planned fault ends: what it changed is undone, or its hosts start again.
     pub(super) fn end_fault(&mut self, now: Ns, index: usize) {
-        let planned = self.plan[index].clone();
-        let hosts = self.hosts_by_fault.remove(&index).unwrap_or_default();
+        let planned = self.faults.plan[index].clone();
+        let hosts = self.faults.struck_hosts.remove(&index).unwrap_or_default();
         for &host in &hosts {
             self.undo_fault(now, &planned, host);
         }
         if planned.fault.datagrams_lost.is_some() {
-            self.datagram_loss = self.spec.net.datagram_loss;
-            self.outputs.push(Output::DatagramsLost(self.datagram_loss));
+            self.faults.datagram_loss = self.spec.net.datagram_loss;
+            self.outputs
+                .push(Output::DatagramsLost(self.faults.datagram_loss));
         }
         if planned.fault.discovery_silent.is_some() {
             for (gateway, entry) in self.list.mute(false) {
@@ -146,9 +147,9 @@
         } else if fault.silent.is_some() || fault.reset.is_some() {
             self.restart_host(now, host);
         } else if fault.refusing.is_some() {
-            self.hosts[host_index].refusing = false;
+            self.hosts[host_index].condition.refusing = false;
         } else if fault.spoilt.is_some() {
-            self.hosts[host_index].errors = self.spec.hosts.errors;
+            self.hosts[host_index].condition.errors = self.spec.hosts.errors;
         } else if fault.slow_apply.is_some() {
             let source = self.sets[self.hosts[host_index].set.0 as usize].source(&self.day);
             self.hosts[host_index].applier.slow(now, source, 1.0);
--- a/crates/simulation/src/fleet/lifecycle.rs
+++ b/crates/simulation/src/fleet/lifecycle.rs
@@ -26,11 +26,11 @@
         if how == State::Hung {
             self.hosts[index].cpu.freeze(now, true);
         } else {
-            while self.hosts[index].blocking > 0 {
+            while self.hosts[index].held.blocking > 0 {
                 self.resume_applying(now, host);
             }
             self.hosts[index].lose_all(now);
-            self.jobs.retain(|_, j| j.host != host);
+            self.jobs.active.retain(|_, j| j.host != host);
         }
         if how == State::Down {
             self.outputs.push(Output::ConnectionsReset { host });
@@ -56,7 +56,7 @@
         }
         let from = self.sets[set.0 as usize].source(&self.day);
         self.hosts[index].applier.stop(now, from, false);
-        for query in self.queries_at_hung_hosts.remove(&host).unwrap_or_default() {
+        for query in self.jobs.at_hung_hosts.remove(&host).unwrap_or_default() {
             self.handle_query(now, host, query);
         }
         self.schedule_finish(now, host);
@@ -65,15 +65,15 @@
     /// A host's process starts, cold, as a replica, from the data that it had.
     pub(super) fn restart_host(&mut self, now: Ns, host: HostId) {
         let index = host.0 as usize;
-        if self.hosts[index].fallen || self.hosts[index].state == State::Up {
+        if self.hosts[index].condition.fallen || self.hosts[index].state == State::Up {
             return;
         }
         let vanished = self.hosts[index].state == State::Vanished;
         self.hosts[index].start(
             &self.spec.hosts,
             now,
-            self.day.cold_start,
-            self.day.cold_for,
+            self.day.hosts.cold_start,
+            self.day.hosts.cold_for,
         );
         let set = self.hosts[index].set;
         let replica_set = &mut self.sets[set.0 as usize];
--- a/crates/simulation/src/fleet/mod.rs
+++ b/crates/simulation/src/fleet/mod.rs
@@ -21,7 +21,7 @@
 use crate::rng::{Rng, Stream};
 use crate::spec::{Day, Spec};
 use crate::{GatewayId, HostId, Ns, SetId};
-use queries::Job;
+use queries::{Admission, Job};
 use replica_set::ReplicaSet;
 use rustc_hash::FxHashMap;
 use std::collections::{HashMap, VecDeque};
@@ -40,27 +40,44 @@
     Gateway { gateway: GatewayId, up: bool },
 }
 
-/// The fleet.
+/// The hosts and replica sets of a simulation, and what happens to them.
 pub struct Fleet {
     spec: Spec,
     day: Day,
-    plan: Vec<PlannedFault>,
     start: Ns,
     hosts: Vec<Host>,
     sets: Vec<ReplicaSet>,
-    jobs: FxHashMap<u64, Job>,
-    next_job: u64,
-    finish_stamps: Vec<u64>,
-    /// What has come to a host that hangs.
-    queries_at_hung_hosts: HashMap<HostId, Vec<Query>>,
+    jobs: JobTable,
+    faults: FaultState,
     queue: EventQueue<Event>,
+    outputs: Vec<Output>,
     list: EndpointList,
     invariants: InvariantAudit,
-    rng: Rng,
-    seed: u64,
-    hosts_by_fault: HashMap<usize, Vec<HostId>>,
+    random: RandomSource,
+}
+
+/// The jobs at hosts, by number.
+struct JobTable {
+    active: FxHashMap<u64, Job>,
+    last_number: u64,
+    /// For each host the number of its last planned finish; an event with an older one is void.
+    finish_stamps: Vec<u64>,
+    /// What has come to a host that hangs.
+    at_hung_hosts: HashMap<HostId, Vec<Query>>,
+}
+
+/// The faults of the day, and which of them last.
+struct FaultState {
+    plan: Vec<PlannedFault>,
+    /// The hosts that each fault strikes, by the fault's place in the plan, while it lasts.
+    struck_hosts: HashMap<usize, Vec<HostId>>,
     datagram_loss: f64,
-    outputs: Vec<Output>,
+}
+
+/// The stream of the fleet, and the seed for streams of its parts.
+struct RandomSource {
+    seed: u64,
+    rng: Rng,
 }
 
 impl Fleet {
@@ -98,28 +115,35 @@
         let known = hosts.iter().map(|member| (member.id, member.set));
         let list = EndpointList::new(&spec.list, seed, spec.gateways, known);
         let mut fleet = Fleet {
-            finish_stamps: vec![0; hosts.len()],
+            jobs: JobTable {
+                active: FxHashMap::default(),
+                last_number: 0,
+                finish_stamps: vec![0; hosts.len()],
+                at_hung_hosts: HashMap::new(),
+            },
             day,
             start,
             hosts,
             sets,
-            jobs: FxHashMap::default(),
-            next_job: 0,
-            queries_at_hung_hosts: HashMap::new(),
             queue: EventQueue::default(),
             list,
             invariants: InvariantAudit::default(),
-            rng: Rng::new(seed, Stream::Fleet),
-            seed,
-            hosts_by_fault: HashMap::new(),
-            datagram_loss: spec.net.datagram_loss,
+            random: RandomSource {
+                seed,
+                rng: Rng::new(seed, Stream::Fleet),
+            },
             outputs: Vec::new(),
-            plan,
+            faults: FaultState {
+                plan,
+                struck_hosts: HashMap::new(),
+                datagram_loss: spec.net.datagram_loss,
+            },
             spec: spec.clone(),
         };
         for i in 0..fleet.hosts.len() {
             // Hosts make their reports each at its own time.
-            let first = start + (fleet.rng.unit() * fleet.day.report_every as f64) as Ns;
+            let first =
+                start + (fleet.random.rng.unit() * fleet.day.hosts.report_every as f64) as Ns;
             fleet.refresh_report(start, HostId(i as u32));
             fleet.schedule(
                 first,
@@ -128,7 +152,7 @@
                 },
             );
         }
-        for (i, planned) in fleet.plan.clone().into_iter().enumerate() {
+        for (i, planned) in fleet.faults.plan.clone().into_iter().enumerate() {
             fleet.schedule(start + planned.from, Event::FaultBegins(i));
             fleet.schedule(start + planned.until, Event::FaultEnds(i));
             for (gateway, down, up) in planned.waves {
@@ -146,7 +170,7 @@
 
     /// The faults of the day.
     pub fn plan(&self) -> &[PlannedFault] {
-        &self.plan
+        &self.faults.plan
     }
 
     /// The audit.
@@ -182,13 +206,13 @@
 
     /// The part of the datagrams that is lost now.
     pub fn datagram_loss(&self) -> f64 {
-        self.datagram_loss
+        self.faults.datagram_loss
     }
 
     /// Whether a gateway reaches a host at all.
     pub fn reaches(&self, gateway: GatewayId, host: HostId) -> bool {
-        !self.hosts_by_fault.iter().any(|(&i, hosts)| {
-            let planned = &self.plan[i];
+        !self.faults.struck_hosts.iter().any(|(&i, hosts)| {
+            let planned = &self.faults.plan[i];
             planned.fault.cut_off.is_some()
                 && planned.cut.contains(&gateway)
                 && hosts.contains(&host)
@@ -197,8 +221,8 @@
 
     /// Whether datagrams of one gateway may reach another at all.
     pub fn hears(&self, from: GatewayId, to: GatewayId) -> bool {
-        !self.hosts_by_fault.keys().any(|&i| {
-            let planned = &self.plan[i];
+        !self.faults.struck_hosts.keys().any(|&i| {
+            let planned = &self.faults.plan[i];
             planned.fault.split.is_some()
                 && planned.cut.contains(&from) != planned.cut.contains(&to)
         })
@@ -233,13 +257,13 @@
 
     fn schedule_finish(&mut self, now: Ns, host: HostId) {
         let i = host.0 as usize;
-        self.finish_stamps[i] += 1;
+        self.jobs.finish_stamps[i] += 1;
         if let Some(at) = self.hosts[i].cpu.next() {
             self.schedule(
                 at.max(now),
                 Event::Finish {
                     host,
-                    stamp: self.finish_stamps[i],
+                    stamp: self.jobs.finish_stamps[i],
                 },
             );
         }
@@ -247,7 +271,7 @@
 
     fn handle_event(&mut self, now: Ns, event: Event) {
         match event {
-            Event::Finish { host, stamp } if self.finish_stamps[host.0 as usize] == stamp => {
+            Event::Finish { host, stamp } if self.jobs.finish_stamps[host.0 as usize] == stamp => {
                 while let Some(job) = self.hosts[host.0 as usize].cpu.ended(now) {
                     self.finish_job(now, job);
                 }
@@ -257,9 +281,14 @@
             Event::RefreshReport { host } => {
                 self.refresh_report(now, host);
                 self.schedule_finish(now, host);
-                self.schedule(now + self.day.report_every, Event::RefreshReport { host });
+                self.schedule(
+                    now + self.day.hosts.report_every,
+                    Event::RefreshReport { host },
+                );
+            }
+            Event::RecheckLag { job, until } => {
+                self.admit_query(now, job, until, Admission::Recheck)
             }
-            Event::RecheckLag { job, until } => self.admit_query(now, job, until, false),
             Event::PrimaryTimeout { set, term } => self.declare_primary_lost(now, set, term),
             Event::Elect { set, term } => self.elect_primary(now, set, term),
             Event::FaultBegins(i) => self.begin_fault(now, i),
--- a/crates/simulation/src/fleet/queries.rs
+++ b/crates/simulation/src/fleet/queries.rs
@@ -11,13 +11,28 @@
 /// A read that waits for its copy to catch up looks again this often.
 const LAG_RECHECK_INTERVAL: Ns = 2 * MS;
 
+/// The commits that a read found applied when it began, and those that it needed.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct DataVersion {
+    applied: u64,
+    needed: u64,
+}
+
+/// Whether a read comes to its host now, or has waited there for the data to catch up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Admission {
+    Arrival,
+    Recheck,
+}
+
+/// What a host works on.
 pub(super) enum JobKind {
     Query {
         query: Query,
         /// The place of its key among those remembered.
         key_at: usize,
         /// Commits that its data held when it began, and those that it needed.
-        data: (u64, u64),
+        data: DataVersion,
         /// It stops its host from applying the log.
         blocks: bool,
     },
@@ -42,13 +57,13 @@
         match member.state {
             State::Vanished | State::Hung => return Delivery::NoResponse,
             State::Down => return Delivery::Reset,
-            State::Up if member.connections >= self.spec.hosts.connections => {
+            State::Up if member.held.connections >= self.spec.hosts.connections => {
                 return Delivery::Reset
             }
             State::Up => {}
         }
-        member.connections += 1;
-        let work = self.day.connect_work;
+        member.held.connections += 1;
+        let work = self.day.hosts.connect_work;
         self.record_offered_work(now, host, work);
         if self.hosts[host.0 as usize].state != State::Up {
             return Delivery::Reset;
@@ -60,8 +75,8 @@
     /// A connection of a host's earlier or present process is closed.
     pub fn close(&mut self, now: Ns, host: HostId, epoch: u32) {
         let member = &mut self.hosts[host.0 as usize];
-        if member.epoch == epoch && member.connections > 0 {
-            member.connections -= 1;
+        if member.epoch == epoch && member.held.connections > 0 {
+            member.held.connections -= 1;
             member.retune(&self.spec.hosts, now);
             self.schedule_finish(now, host);
         }
@@ -77,7 +92,7 @@
             State::Down => return ProbeResult::Refused,
             State::Up => {}
         }
-        let work = self.day.probe_work;
+        let work = self.day.hosts.probe_work;
         self.record_offered_work(now, host, work);
         if self.hosts[host.0 as usize].state != State::Up {
             return ProbeResult::Refused;
@@ -102,10 +117,7 @@
             State::Down => Delivery::Reset,
             _ if member.epoch != epoch => Delivery::Reset,
             State::Hung => {
-                self.queries_at_hung_hosts
-                    .entry(host)
-                    .or_default()
-                    .push(query);
+                self.jobs.at_hung_hosts.entry(host).or_default().push(query);
                 Delivery::NoResponse
             }
             State::Up => self.handle_query(now, host, query),
@@ -118,7 +130,7 @@
         if member.state != State::Up {
             return Delivery::Reset;
         }
-        if member.draining || member.refusing {
+        if member.condition.draining || member.condition.refusing {
             self.send_answer(now, host, &query, Answer::Full, 0);
             return Delivery::Accepted;
         }
@@ -136,39 +148,41 @@
         let kind = JobKind::Query {
             query,
             key_at,
-            data: (0, 0),
+            data: DataVersion::default(),
             blocks: false,
         };
-        self.next_job += 1;
-        self.jobs.insert(self.next_job, Job { host, kind });
+        self.jobs.last_number += 1;
+        self.jobs
+            .active
+            .insert(self.jobs.last_number, Job { host, kind });
         let wait = match self.spec.hosts.checks {
             Checks::Wait => ms(self.spec.hosts.wait_ms),
             Checks::Refuse | Checks::None => 0,
         };
-        self.admit_query(now, self.next_job, now + wait, true);
+        self.admit_query(now, self.jobs.last_number, now + wait, Admission::Arrival);
         Delivery::Accepted
     }
 
     /// A read whose data are recent enough gets a slot or waits for one; another one waits to be, or is turned away.
-    pub(super) fn admit_query(&mut self, now: Ns, job: u64, until: Ns, first: bool) {
+    pub(super) fn admit_query(&mut self, now: Ns, job: u64, until: Ns, admission: Admission) {
         let Some(Job {
             host,
             kind: JobKind::Query { query, .. },
-        }) = self.jobs.get(&job)
+        }) = self.jobs.active.get(&job)
         else {
             return;
         };
         let (host, query) = (*host, query.clone());
-        if !first {
-            self.hosts[host.0 as usize].lagging -= 1;
+        if admission == Admission::Recheck {
+            self.hosts[host.0 as usize].held.lagging -= 1;
         }
         let (_, needed) = self.applied_and_needed(now, host, &query);
         if self.spec.hosts.checks != Checks::None && self.position(now, host) < needed {
             if now >= until {
-                self.jobs.remove(&job);
+                self.jobs.active.remove(&job);
                 self.send_answer(now, host, &query, Answer::Miss, 0);
             } else {
-                self.hosts[host.0 as usize].lagging += 1;
+                self.hosts[host.0 as usize].held.lagging += 1;
                 self.schedule(
                     (now + LAG_RECHECK_INTERVAL).min(until),
                     Event::RecheckLag { job, until },
@@ -177,14 +191,14 @@
             return;
         }
         let member = &mut self.hosts[host.0 as usize];
-        if member.running < self.spec.hosts.slots {
+        if member.held.running < self.spec.hosts.slots {
             self.start_query(now, job);
-        } else if member.waiting.len() < self.spec.hosts.room as usize {
-            member.waiting.push_back(job);
+        } else if member.held.waiting.len() < self.spec.hosts.room as usize {
+            member.held.waiting.push_back(job);
             member.retune(&self.spec.hosts, now);
             self.schedule_finish(now, host);
         } else {
-            self.jobs.remove(&job);
+            self.jobs.active.remove(&job);
             self.send_answer(now, host, &query, Answer::Full, 0);
         }
     }
@@ -212,7 +226,7 @@
         let Some(Job {
             host,
             kind: JobKind::Query { query, .. },
-        }) = self.jobs.get(&job)
+        }) = self.jobs.active.get(&job)
         else {
             return;
         };
@@ -226,17 +240,21 @@
             self.hosts[host.0 as usize]
                 .applier
                 .stop(now, set.source(&self.day), true);
-            self.hosts[host.0 as usize].blocking += 1;
+            self.hosts[host.0 as usize].held.blocking += 1;
         }
         if let Some(Job {
             kind: JobKind::Query { data, blocks, .. },
             ..
-        }) = self.jobs.get_mut(&job)
+        }) = self.jobs.active.get_mut(&job)
         {
-            (*data, *blocks) = ((had, needed), stops);
+            *data = DataVersion {
+                applied: had,
+                needed,
+            };
+            *blocks = stops;
         }
         let member = &mut self.hosts[host.0 as usize];
-        member.running += 1;
+        member.held.running += 1;
         member.retune(&self.spec.hosts, now);
         member.cpu.add(now, query.work, job);
         self.schedule_finish(now, host);
@@ -244,11 +262,13 @@
 
     /// Work beside the slots.
     pub(super) fn start_side_job(&mut self, now: Ns, host: HostId, work: Ns, kind: JobKind) {
-        self.next_job += 1;
-        self.jobs.insert(self.next_job, Job { host, kind });
+        self.jobs.last_number += 1;
+        self.jobs
+            .active
+            .insert(self.jobs.last_number, Job { host, kind });
         let member = &mut self.hosts[host.0 as usize];
         member.retune(&self.spec.hosts, now);
-        member.cpu.add(now, work, self.next_job);
+        member.cpu.add(now, work, self.jobs.last_number);
         self.schedule_finish(now, host);
     }
 
@@ -257,7 +277,7 @@
         let member = &mut self.hosts[host.0 as usize];
         let load = member.offered(&self.spec.hosts, now, work);
         if member.cold(now) && load > self.spec.rules.tip_multiple {
-            member.fallen = true;
+            member.condition.fallen = true;
             self.invariants.knocked_over(now, host, load);
             self.outputs.push(Output::HostOverloaded { host });
             self.stop_host(now, host, State::Down);
@@ -291,7 +311,7 @@
     }
 
     pub(super) fn finish_job(&mut self, now: Ns, job: u64) {
-        let Some(Job { host, kind }) = self.jobs.remove(&job) else {
+        let Some(Job { host, kind }) = self.jobs.active.remove(&job) else {
             return;
         };
         let index = host.0 as usize;
@@ -310,9 +330,9 @@
                 if blocks {
                     self.resume_applying(now, host);
                 }
-                self.hosts[index].running -= 1;
+                self.hosts[index].held.running -= 1;
                 self.complete_query(now, host, &query, key_at, data);
-                if let Some(next) = self.hosts[index].waiting.pop_front() {
+                if let Some(next) = self.hosts[index].held.waiting.pop_front() {
                     self.start_query(now, next);
                 }
                 self.hosts[index].retune(&self.spec.hosts, now);
@@ -323,7 +343,7 @@
     pub(super) fn resume_applying(&mut self, now: Ns, host: HostId) {
         let member = &mut self.hosts[host.0 as usize];
         let from = self.sets[member.set.0 as usize].source(&self.day);
-        member.blocking -= 1;
+        member.held.blocking -= 1;
         member.applier.stop(now, from, false);
     }
 
@@ -333,16 +353,17 @@
         host: HostId,
         query: &Query,
         key_at: usize,
-        data: (u64, u64),
+        data: DataVersion,
     ) {
         let member = &self.hosts[host.0 as usize];
         let set = &mut self.sets[member.set.0 as usize];
-        let spoilt = member.errors > 0.0 && self.rng.chance(member.errors);
+        let spoilt =
+            member.condition.errors > 0.0 && self.random.rng.chance(member.condition.errors);
         if self.spec.classes[query.class].need != Need::Write {
             if spoilt {
                 return self.send_answer(now, host, query, Answer::Error, query.work);
             }
-            self.invariants.read(now, host, data.0, data.1);
+            self.invariants.read(now, host, data.applied, data.needed);
             return self.send_answer(now, host, query, Answer::Row, query.work);
         }
         // A write that is still held when the role is lost ends in an error, and has had no effect.
--- a/crates/simulation/src/fleet/replica_set.rs
+++ b/crates/simulation/src/fleet/replica_set.rs
@@ -36,12 +36,12 @@
         let primary_signal = PrimarySignal {
             since: self.primary_since,
             stood: self.last_position,
-            ship: day.ship,
+            ship: day.replication.ship,
         };
         Source {
             log: &self.log,
             primary_signal,
-            cost: day.apply,
+            cost: day.replication.apply,
         }
     }
 
--- a/crates/simulation/src/host.rs
+++ b/crates/simulation/src/host.rs
@@ -48,30 +48,55 @@
     pub cpu: Cpu,
     /// Its copy of the log.
     pub applier: LogApplier,
-    /// Connections open to it.
-    pub connections: u32,
-    /// It finishes its work and takes nothing new.
-    pub draining: bool,
-    /// It turns everything away.
-    pub refusing: bool,
-    /// Part of its answers that are errors.
-    pub errors: f64,
+    /// What it holds.
+    pub held: HeldWork,
+    /// What is wrong with it.
+    pub condition: Condition,
     /// What it says when probed.
     pub report: Report,
-    /// Requests in work, and those that wait for a slot.
+    window: LoadWindow,
+    usage: Usage,
+}
+
+/// What a host holds: connections and requests.
+#[derive(Clone, Debug, Default)]
+pub struct HeldWork {
+    /// Connections open to it.
+    pub connections: u32,
+    /// Requests in work.
     pub running: u32,
-    /// Their jobs, oldest first.
+    /// Jobs of the requests that wait for a slot, oldest first.
     pub waiting: VecDeque<u64>,
     /// Reads that wait for its copy to catch up.
     pub lagging: u32,
     /// Long reads in work that stop its copy.
     pub blocking: u32,
+}
+
+/// What is wrong with a host.
+#[derive(Clone, Debug)]
+pub struct Condition {
+    /// It finishes its work and takes nothing new.
+    pub draining: bool,
+    /// It turns everything away.
+    pub refusing: bool,
+    /// Part of its answers that are errors.
+    pub errors: f64,
     /// Its process fell over, and stays down.
     pub fallen: bool,
     /// So many times slower, for each reason that lasts.
     slow: f64,
-    window: LoadWindow,
-    reported: (Ns, f64, f64),
+}
+
+/// What its cores and its applying thread had done at the last report.
+#[derive(Clone, Copy, Debug)]
+struct Usage {
+    reported_at: Ns,
+    /// Core time used, in nanoseconds of work.
+    cpu_used: f64,
+    /// Time that the applying thread was busy, in nanoseconds.
+    applier_busy: f64,
+    /// Cores that the applying thread has taken since the report before.
     applying: f64,
 }
 
@@ -93,26 +118,28 @@
             started: 0,
             cpu: Cpu::new(spec.cores, now),
             applier,
-            connections: 0,
-            draining: false,
-            refusing: false,
-            errors: spec.errors,
+            held: HeldWork::default(),
+            condition: Condition {
+                draining: false,
+                refusing: false,
+                errors: spec.errors,
+                fallen: false,
+                slow: 1.0,
+            },
             report: Report::default(),
-            running: 0,
-            waiting: VecDeque::new(),
-            lagging: 0,
-            blocking: 0,
-            fallen: false,
-            slow: 1.0,
             window: LoadWindow::new(tip),
-            reported: (now, 0.0, 0.0),
-            applying: 0.0,
+            usage: Usage {
+                reported_at: now,
+                cpu_used: 0.0,
+                applier_busy: 0.0,
+                applying: 0.0,
+            },
         }
     }
 
     /// Requests that it holds.
-    pub fn held(&self) -> u32 {
-        self.running + self.waiting.len() as u32 + self.lagging
+    pub fn held_requests(&self) -> u32 {
+        self.held.running + self.held.waiting.len() as u32 + self.held.lagging
     }
 
     /// It has not warmed up since its start.
@@ -122,7 +149,7 @@
 
     /// What it can do now, in cores, whatever it holds.
     pub fn can_do(&self, spec: &HostSpec, now: Ns) -> f64 {
-        spec.cores * self.cpu.ramp().at(now) / self.slow
+        spec.cores * self.cpu.ramp().at(now) / self.condition.slow
     }
 
     /// The highest load of any window as a multiple of what it could do then: in all, and while it was cold.
@@ -138,34 +165,39 @@
 
     /// Slower by this factor, or by its inverse once that is over.
     pub fn slow_by(&mut self, spec: &HostSpec, now: Ns, times: f64) {
-        self.slow = (self.slow * times).max(0.01);
+        self.condition.slow = (self.condition.slow * times).max(0.01);
         self.retune(spec, now);
     }
 
     /// What it holds has changed, and with it how efficient it is.
     pub fn retune(&mut self, spec: &HostSpec, now: Ns) {
-        let crowd = (f64::from(self.held()) / spec.cores - spec.crowded_from).max(0.0);
+        let crowd = (f64::from(self.held_requests()) / spec.cores - spec.crowded_from).max(0.0);
         let crowded = (1.0 - spec.crowded_loss * crowd).max(0.25);
         let table = 1.0
             - spec.table_loss
-                * (f64::from(self.connections) / f64::from(spec.connections)).min(1.0);
-        self.cpu
-            .set(now, spec.cores - self.applying, crowded * table / self.slow);
+                * (f64::from(self.held.connections) / f64::from(spec.connections)).min(1.0);
+        self.cpu.set(
+            now,
+            spec.cores - self.usage.applying,
+            crowded * table / self.condition.slow,
+        );
     }
 
     /// Makes its report anew.
     pub fn refresh(&mut self, spec: &HostSpec, now: Ns, position: Ns, primary: bool) {
-        let (at, used, applied) = self.reported;
-        let time = (now - at).max(1) as f64;
-        let util = ((self.cpu.used() - used) / time / spec.cores).clamp(0.0, 1.0);
-        self.applying = ((self.applier.busy() - applied) / time)
+        let last = self.usage;
+        let time = (now - last.reported_at).max(1) as f64;
+        let util = ((self.cpu.used() - last.cpu_used) / time / spec.cores).clamp(0.0, 1.0);
+        self.usage.applying = ((self.applier.busy() - last.applier_busy) / time)
             .clamp(0.0, 1.0)
             .min(spec.cores * 0.9);
-        self.reported = (now, self.cpu.used(), self.applier.busy());
+        self.usage.reported_at = now;
+        self.usage.cpu_used = self.cpu.used();
+        self.usage.applier_busy = self.applier.busy();
         self.report = Report {
             position,
             primary,
-            util: (util + self.applying / spec.cores).min(1.0),
+            util: (util + self.usage.applying / spec.cores).min(1.0),
         };
         self.retune(spec, now);
     }
@@ -173,10 +205,10 @@
     /// All that it held is lost.
     pub fn lose_all(&mut self, now: Ns) {
         self.cpu.clear(now);
-        self.waiting.clear();
-        self.running = 0;
-        self.lagging = 0;
-        self.connections = 0;
+        self.held.waiting.clear();
+        self.held.running = 0;
+        self.held.lagging = 0;
+        self.held.connections = 0;
     }
 
     /// Its process starts, cold.
@@ -185,8 +217,8 @@
         self.state = State::Up;
         self.epoch += 1;
         self.started = now;
-        self.draining = false;
-        self.refusing = false;
+        self.condition.draining = false;
+        self.condition.refusing = false;
         self.cpu.freeze(now, false);
         self.cpu.start(
             now,
--- a/crates/simulation/src/spec/mod.rs
+++ b/crates/simulation/src/spec/mod.rs
@@ -11,7 +11,7 @@
 mod validation;
 mod value;
 
-pub use day::Day;
+pub use day::{ClientBehaviour, Day, Demand, HostTimes, NetworkTimes, ReplicationTimes};
 pub use faults::{
     DatagramLoss, DiscoverySilence, FailingHosts, Fault, GatewayRestarts, HostFault, HostSelection,
     NetworkPartition, SilentHosts, Slowdown, TrafficSurge, UnreachableHosts,
--- a/crates/simulation/tests/clients.rs
+++ b/crates/simulation/tests/clients.rs
@@ -141,7 +141,7 @@
     c.gateway(SECOND, t.gateway, false);
     assert_eq!(write(&mut c, 2).gateway, t.gateway, "it has not noticed");
     c.gateway(
-        SECOND - Day::draw(&spec(), 5).front_notice,
+        SECOND - Day::draw(&spec(), 5).clients.front_notice,
         t.gateway,
         false,
     );
--- a/crates/simulation/tests/host.rs
+++ b/crates/simulation/tests/host.rs
@@ -47,10 +47,10 @@
     );
     h.retune(&spec, 0);
     assert_eq!(h.cpu.capacity(0), 5.0);
-    h.running = 30;
+    h.held.running = 30;
     h.retune(&spec, 0);
     assert!((h.cpu.capacity(0) - 5.0 * (1.0 - 0.03 * 2.0)).abs() < 1e-9);
-    h.running = 0;
+    h.held.running = 0;
     h.slow_by(&spec, 0, 2.0);
     assert_eq!((h.cpu.capacity(0), h.can_do(&spec, 0)), (2.5, 2.5));
     h.slow_by(&spec, 0, 0.5);
--- a/crates/simulation/tests/spec.rs
+++ b/crates/simulation/tests/spec.rs
@@ -11,9 +11,17 @@
     assert!(spec.problems().is_empty(), "{:?}", spec.problems());
     for seed in 0..50 {
         let day = Day::draw(&spec, seed);
-        assert!((200.0..600.0).contains(&day.rate), "{}", day.rate);
-        assert!((day.set_shares.iter().sum::<f64>() - 1.0).abs() < 1e-9);
-        assert!((ms(5.0)..ms(20.0)).contains(&day.apply), "{}", day.apply);
+        assert!(
+            (200.0..600.0).contains(&day.demand.rate),
+            "{}",
+            day.demand.rate
+        );
+        assert!((day.demand.set_shares.iter().sum::<f64>() - 1.0).abs() < 1e-9);
+        assert!(
+            (ms(5.0)..ms(20.0)).contains(&day.replication.apply),
+            "{}",
+            day.replication.apply
+        );
     }
 }
 
--- a/crates/testbed/src/cluster/site_loss.rs
+++ b/crates/testbed/src/cluster/site_loss.rs
@@ -26,7 +26,7 @@
 
 /// What one run came to.
 #[derive(Debug, Clone, Copy, Serialize)]
-pub struct Figures {
+pub struct RunResults {
     /// Requests a second that were served before the loss.
     pub before_per_s: f64,
     /// Those served from 2 s after the loss until the return, against what the hosts that are left bear.
@@ -59,7 +59,7 @@
 ///
 /// # Errors
 /// It can't be started, or the gateways don't come to own their duties.
-pub fn run(seed: u64, program: PathBuf, plan: bool) -> Result<Figures, String> {
+pub fn run(seed: u64, program: PathBuf, plan: bool) -> Result<RunResults, String> {
     let zones = ["a", "b", "c"].map(String::from).to_vec();
     let plan = Plan {
         gateways: 3,
@@ -128,7 +128,7 @@
         .find(|at| share(back_at + at, back_at + at + WINDOW) >= FULL * before)
         .unwrap_or(AFTER);
     let peak = lost.iter().map(|h| peak(h, back_at)).fold(0.0, f64::max);
-    Ok(Figures {
+    Ok(RunResults {
         before_per_s,
         of_capacity_left: served(cut_at + 2_000, back_at)
             / ((back_at - cut_at - 2_000) as f64 / 1e3)
@@ -165,9 +165,9 @@
 
 /// Means with their 95 % intervals, for off and on.
 #[must_use]
-pub fn text(off: &[Figures], on: &[Figures]) -> String {
-    let line = |name: &str, of: fn(&Figures) -> f64| {
-        let say = |all: &[Figures]| {
+pub fn text(off: &[RunResults], on: &[RunResults]) -> String {
+    let line = |name: &str, of: fn(&RunResults) -> f64| {
+        let say = |all: &[RunResults]| {
             let i = Interval::of(&all.iter().map(of).collect::<Vec<_>>(), 1);
             format!("{:.3} [{:.3}, {:.3}]", i.mean, i.low, i.high)
         };
--- a/crates/testbed/src/cluster/stand_ins.rs
+++ b/crates/testbed/src/cluster/stand_ins.rs
@@ -115,7 +115,7 @@
         });
         let mut at = Vec::new();
         for gateway in 0..gateways {
-            let listener = crate::loopback::house::listen().await?;
+            let listener = crate::loopback::environment::listen().await?;
             at.push(listener.local_addr().map_err(|e| e.to_string())?);
             tokio::spawn(accept(Arc::clone(&shared), listener, gateway));
         }
@@ -183,7 +183,11 @@
 async fn accept(shared: Arc<Shared>, listener: TcpListener, gateway: usize) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => drop(tokio::spawn(talk(Arc::clone(&shared), stream, gateway))),
+            Ok((stream, _)) => drop(tokio::spawn(serve_connection(
+                Arc::clone(&shared),
+                stream,
+                gateway,
+            ))),
             Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
         }
     }
@@ -240,7 +244,11 @@
     Some((tag, body))
 }
 
-async fn talk(shared: Arc<Shared>, mut stream: TcpStream, gateway: usize) -> Option<()> {
+async fn serve_connection(
+    shared: Arc<Shared>,
+    mut stream: TcpStream,
+    gateway: usize,
+) -> Option<()> {
     stream.set_nodelay(true).ok()?;
     open(&shared, gateway).await;
     read(&mut stream, false).await?;
@@ -372,7 +380,7 @@
         });
         let mut at = Vec::new();
         for gateway in 0..gateways {
-            let listener = crate::loopback::house::listen().await?;
+            let listener = crate::loopback::environment::listen().await?;
             at.push(listener.local_addr().map_err(|e| e.to_string())?);
             let shared = Arc::clone(&shared);
             tokio::spawn(async move {
--- a/crates/testbed/src/compare.rs
+++ b/crates/testbed/src/compare.rs
@@ -1,7 +1,7 @@
 //! Two choices of one scenario, paired by seed: each seed draws one day, and both live through it. What differs between
 //! them is the choice, so that the mean of the differences needs far fewer days than the difference of the means.
 
-use crate::figures::{Figures, VERSION};
+use crate::results::{RunResults, VERSION};
 use crate::scenario::Scenario;
 use crate::virtual_run;
 use irisrouter_simulation::rng::{Rng, Stream};
@@ -88,22 +88,26 @@
     /// The figures.
     pub figures: Vec<Compared>,
     /// All runs of A, by seed, without what is kept by second and host.
-    pub runs_a: Vec<Figures>,
+    pub runs_a: Vec<RunResults>,
     /// All runs of B.
-    pub runs_b: Vec<Figures>,
+    pub runs_b: Vec<RunResults>,
     /// The first run of A, whole, for the report.
     #[serde(skip)]
-    pub first_a: Option<Figures>,
+    pub first_a: Option<RunResults>,
     /// The first run of B.
     #[serde(skip)]
-    pub first_b: Option<Figures>,
+    pub first_b: Option<RunResults>,
 }
 
 /// Runs a scenario for several seeds, on all cores, in order of the seeds.
 ///
 /// # Errors
 /// Where the settings are not taken.
-pub fn runs(s: &Scenario, seeds: &[u64], done: &(dyn Fn() + Sync)) -> Result<Vec<Figures>, String> {
+pub fn runs(
+    s: &Scenario,
+    seeds: &[u64],
+    done: &(dyn Fn() + Sync),
+) -> Result<Vec<RunResults>, String> {
     seeds
         .par_iter()
         .map(|&seed| {
@@ -129,7 +133,7 @@
         .iter()
         .flat_map(|&s| [(false, s), (true, s)])
         .collect();
-    let all: Vec<Figures> = jobs
+    let all: Vec<RunResults> = jobs
         .par_iter()
         .map(|&(of_b, seed)| {
             let figures = virtual_run::run(if of_b { b } else { a }, seed);
@@ -159,15 +163,15 @@
 }
 
 /// What is kept by second and host is too much for many runs.
-pub fn shorten(f: &mut Figures) {
+pub fn shorten(f: &mut RunResults) {
     f.seconds.clear();
     f.hosts.clear();
     f.marks.clear();
 }
 
 /// All figures of some runs, each with its interval.
-pub fn summary(runs: &[Figures]) -> Vec<(&'static str, Interval)> {
-    let rows: Vec<_> = runs.iter().map(Figures::compared).collect();
+pub fn summary(runs: &[RunResults]) -> Vec<(&'static str, Interval)> {
+    let rows: Vec<_> = runs.iter().map(RunResults::compared).collect();
     let Some(first) = rows.first() else {
         return Vec::new();
     };
@@ -179,10 +183,10 @@
         .collect()
 }
 
-fn table(a: &[Figures], b: &[Figures]) -> Vec<Compared> {
+fn table(a: &[RunResults], b: &[RunResults]) -> Vec<Compared> {
     let (rows_a, rows_b): (Vec<_>, Vec<_>) = (
-        a.iter().map(Figures::compared).collect(),
-        b.iter().map(Figures::compared).collect(),
+        a.iter().map(RunResults::compared).collect(),
+        b.iter().map(RunResults::compared).collect(),
     );
     let Some(first) = rows_a.first() else {
         return Vec::new();
--- a/crates/testbed/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -1,8 +1,8 @@
 //! The demonstration: one gateway, one set, its clients, and a primary that dies; on loopback, in under half a minute.
 
-use crate::figures::Figures;
-use crate::loopback::house::House;
+use crate::loopback::environment::Environment;
 use crate::loopback::{self, Options};
+use crate::results::RunResults;
 use crate::scenario::{GatewaySpec, Scenario};
 use irisrouter_simulation::spec::{
     Fault, HostSelection, HostSpec, SetSpec, SilentHosts, Spec, TrafficSpec, ValueOrRange,
@@ -59,7 +59,7 @@
 ///
 /// # Errors
 /// Where the gateway does not start or ends by itself.
-pub fn run(gateway: PathBuf, seed: u64, say: &dyn Fn(&str)) -> Result<Figures, String> {
+pub fn run(gateway: PathBuf, seed: u64, say: &dyn Fn(&str)) -> Result<RunResults, String> {
     let scenario = scenario();
     let w = &scenario.world;
     say(&format!(
@@ -77,9 +77,9 @@
         .map(|c| format!("{:>13}", c.name))
         .collect();
     say(&format!("{:>6}{names}  primary\n", ""));
-    let each_second = |house: &House| {
-        let recent = house.collector.borrow_mut().take_recent();
-        let second = house.elapsed().round();
+    let each_second = |environment: &Environment| {
+        let recent = environment.collector.borrow_mut().take_recent();
+        let second = environment.elapsed().round();
         if second < 1.0 {
             return;
         }
@@ -89,7 +89,7 @@
                 _ => format!("{:>11.0} %", 100.0 * served as f64 / asked as f64),
             })
             .collect();
-        let primary = house
+        let primary = environment
             .fleet
             .borrow()
             .primary(irisrouter_simulation::SetId(0));
--- a/crates/testbed/src/gateway.rs
+++ b/crates/testbed/src/gateway.rs
@@ -17,7 +17,7 @@
 
 /// What a gateway says to the others, and hears: a subsystem that shares with its peers plugs in here. A gateway that is
 /// killed loses it with all else, and starts with a new one.
-pub trait Talk {
+pub trait PeerExchange {
     /// A datagram has come from another gateway, as its address tells.
     fn heard(&mut self, now: Nanos, from: GatewayId, body: &[u8]);
 
@@ -98,7 +98,7 @@
     /// Connections that nothing is on, by host, the one used last at the back.
     pub idle: HashMap<HostId, VecDeque<Idle>>,
     /// Its part in what gateways tell one another.
-    pub talk: Option<Box<dyn Talk>>,
+    pub exchange: Option<Box<dyn PeerExchange>>,
     /// Probes that are out, by host and when they were sent.
     pub probing: BTreeSet<(HostId, Nanos)>,
     /// Hosts that it may send to.
@@ -141,7 +141,7 @@
             of_try: HashMap::default(),
             next_request: 0,
             idle: HashMap::default(),
-            talk: None,
+            exchange: None,
             probing: BTreeSet::new(),
             ready: HashMap::default(),
         };
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -7,10 +7,10 @@
 pub mod cluster;
 pub mod compare;
 pub mod demo;
-pub mod figures;
 pub mod gateway;
 pub mod loopback;
 pub mod report;
+pub mod results;
 pub mod scenario;
 pub mod settings;
 pub mod virtual_run;
--- a/crates/testbed/src/loopback/discovery.rs
+++ b/crates/testbed/src/loopback/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery, as one gateway reaches it: the whole list, and a watch that waits for the next change.
 
 use super::beside;
-use super::house::House;
+use super::environment::Environment;
 use crate::settings::ZONE;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
@@ -23,7 +23,7 @@
 
 /// Takes connections for ever.
 pub async fn serve(
-    house: Rc<House>,
+    environment: Rc<Environment>,
     listener: TcpListener,
     gateway: GatewayId,
     addresses: Rc<Vec<String>>,
@@ -33,11 +33,11 @@
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
-        let (house, addresses) = (Rc::clone(&house), Rc::clone(&addresses));
+        let (environment, addresses) = (Rc::clone(&environment), Rc::clone(&addresses));
         beside(async move {
             let answer = service_fn(move |request| {
-                let (house, addresses) = (Rc::clone(&house), Rc::clone(&addresses));
-                async move { answer(&house, gateway, &addresses, request).await }
+                let (environment, addresses) = (Rc::clone(&environment), Rc::clone(&addresses));
+                async move { answer(&environment, gateway, &addresses, request).await }
             });
             // A gateway that leaves in the middle is no failure of discovery's.
             let _ = hyper::server::conn::http1::Builder::new()
@@ -48,8 +48,8 @@
 }
 
 /// The list as this gateway has been told it, in discovery's form.
-pub fn list(house: &House, gateway: GatewayId, addresses: &[String]) -> Value {
-    let fleet = house.fleet.borrow();
+pub fn list(environment: &Environment, gateway: GatewayId, addresses: &[String]) -> Value {
+    let fleet = environment.fleet.borrow();
     let view = fleet.list().view(gateway);
     let members: Vec<Value> = (view.entries())
         .filter(|e| e.listed != ListedState::Gone)
@@ -70,7 +70,7 @@
 }
 
 async fn answer(
-    house: &House,
+    environment: &Environment,
     gateway: GatewayId,
     addresses: &[String],
     request: Request<Incoming>,
@@ -84,8 +84,8 @@
         .filter_map(|pair| pair.split_once('='))
         .filter_map(|(name, value)| Some((name, value.parse().ok()?)))
         .collect();
-    let mut versions = house.versions(gateway);
-    while house.fleet.borrow().list().muted() {
+    let mut versions = environment.versions(gateway);
+    while environment.fleet.borrow().list().muted() {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     if let Some(&from) = query.get("from") {
@@ -93,7 +93,7 @@
             Duration::from_millis(query.get("hold_ms").copied().unwrap_or(0).min(LONGEST_HOLD));
         let _ = timeout(hold, versions.wait_for(|&v| v > from)).await;
     }
-    let body = list(house, gateway, addresses).to_string();
+    let body = list(environment, gateway, addresses).to_string();
     let mut response = Response::new(Full::new(Bytes::from(body)));
     let json = hyper::header::HeaderValue::from_static("application/json");
     response
--- a/crates/testbed/src/loopback/house.rs
+++ b/crates/testbed/src/loopback/environment.rs
@@ -1,6 +1,6 @@
 //! What the stand-ins of one run share: the world, the clock, the count, and who waits for what.
 
-use crate::figures::{Collector, Figures};
+use crate::results::{Collector, RunResults};
 use crate::scenario::Scenario;
 use irisrouter_simulation::clients::Clients;
 use irisrouter_simulation::datagrams::Datagrams;
@@ -81,7 +81,7 @@
 const REMEMBERED: Ns = 30 * SECOND;
 
 /// What the stand-ins of one run share.
-pub struct House {
+pub struct Environment {
     scenario: Scenario,
     seed: u64,
     clock: Clock,
@@ -111,7 +111,7 @@
     changed: Notify,
 }
 
-impl House {
+impl Environment {
     /// The world as it is before the run begins.
     pub fn new(scenario: &Scenario, seed: u64) -> Rc<Self> {
         let clock = Clock::new();
@@ -119,7 +119,7 @@
         let start = clock.now() + 3600 * SECOND;
         let w = &scenario.world;
         let (commands, obeyed) = mpsc::unbounded_channel();
-        Rc::new(House {
+        Rc::new(Environment {
             fleet: RefCell::new(Fleet::new(w, seed, start)),
             clients: RefCell::new(Clients::new(w, seed, start)),
             datagrams: RefCell::new(Datagrams::new(seed)),
@@ -303,13 +303,13 @@
     }
 
     /// The figures, at the end.
-    pub fn figures(&self, scenario: &Scenario, seed: u64) -> Figures {
+    pub fn results(&self, scenario: &Scenario, seed: u64) -> RunResults {
         let mut collector = self
             .collector
             .replace(Collector::new(scenario, self.start()));
         collector.datagram_bytes = self.datagrams.borrow().bytes;
         collector.too_long = self.datagrams.borrow().too_long;
-        collector.figures(scenario, "loopback", seed, &self.fleet.borrow())
+        collector.results(scenario, "loopback", seed, &self.fleet.borrow())
     }
 
     /// Seconds since the run's first moment.
--- a/crates/testbed/src/loopback/front.rs
+++ b/crates/testbed/src/loopback/front.rs
@@ -1,8 +1,8 @@
 //! Clients, as gateways meet them: real PostgreSQL connections by `tokio-postgres`, dealt out by a front layer, and the
 //! life of each request with its retries.
 
+use super::environment::{Asked, Environment};
 use super::host::payload;
-use super::house::{Asked, House};
 use super::process::Processes;
 use irisrouter_simulation::clients::{Arrival, NextStep, Try, TryOutcome};
 use irisrouter_simulation::spec::Need;
@@ -22,7 +22,7 @@
 
 /// The clients and the front between them and the gateways.
 pub struct Front {
-    house: Rc<House>,
+    environment: Rc<Environment>,
     processes: Rc<Processes>,
     idle: RefCell<HashMap<GatewayId, Vec<Client>>>,
 }
@@ -37,9 +37,9 @@
 
 impl Front {
     /// No connection is open yet.
-    pub fn new(house: Rc<House>, processes: Rc<Processes>) -> Rc<Self> {
+    pub fn new(environment: Rc<Environment>, processes: Rc<Processes>) -> Rc<Self> {
         Rc::new(Front {
-            house,
+            environment,
             processes,
             idle: RefCell::default(),
         })
@@ -48,33 +48,33 @@
     /// The life of one request, from its first try to its end.
     pub async fn call(self: Rc<Self>, arrival: Arrival) {
         let mut of = self
-            .house
+            .environment
             .clients
             .borrow_mut()
-            .begin(self.house.now(), arrival);
+            .begin(self.environment.now(), arrival);
         loop {
             let outcome = self.attempt(&of).await;
-            let now = self.house.now();
+            let now = self.environment.now();
             let next = self
-                .house
+                .environment
                 .clients
                 .borrow_mut()
                 .ended(now, of.call, of.number, of.sent, outcome);
             match next {
                 NextStep::Again(at) => {
-                    self.house.until(at).await;
+                    self.environment.until(at).await;
                     let again = self
-                        .house
+                        .environment
                         .clients
                         .borrow_mut()
-                        .again(self.house.now(), of.call);
+                        .again(self.environment.now(), of.call);
                     match again {
                         Some(again) => of = again,
                         None => return,
                     }
                 }
                 NextStep::Done(finished) => {
-                    return self.house.collector.borrow_mut().finished(&finished)
+                    return self.environment.collector.borrow_mut().finished(&finished)
                 }
                 NextStep::Nothing => return,
             }
@@ -93,23 +93,25 @@
             sent: of.sent,
             open: true,
         };
-        self.house
+        self.environment
             .collector
             .borrow_mut()
             .tried(of.sent, of.number == 0);
-        self.house.asks(&id, asked);
+        self.environment.asks(&id, asked);
         let end = of.leaves.unwrap_or(of.deadline + SLACK);
         let statement = self.statement(of, &id);
-        let answered =
-            tokio::time::timeout_at(self.house.instant(end), self.exchanges(of, &id, &statement))
-                .await;
-        self.house.answered(&id);
+        let answered = tokio::time::timeout_at(
+            self.environment.instant(end),
+            self.exchanges(of, &id, &statement),
+        )
+        .await;
+        self.environment.answered(&id);
         match answered {
             Ok(outcome) => outcome,
             Err(_) if of.leaves.is_some() => TryOutcome::Left,
             Err(_) => {
                 if self.processes.alive(of.gateway) {
-                    self.house.collector.borrow_mut().unanswered += 1;
+                    self.environment.collector.borrow_mut().unanswered += 1;
                 }
                 TryOutcome::TimedOut
             }
@@ -176,12 +178,12 @@
                 });
                 if value.as_deref() != Some(payload(id).as_str()) {
                     // Not what a host made for this request.
-                    self.house.collector.borrow_mut().wrong_rows += 1;
+                    self.environment.collector.borrow_mut().wrong_rows += 1;
                 }
                 let commit = of
                     .arrival
                     .key
-                    .and_then(|k| self.house.fleet.borrow().invariants().commit(k));
+                    .and_then(|k| self.environment.fleet.borrow().invariants().commit(k));
                 TryOutcome::Served { commit }
             }
             Err(e) => match e.as_db_error() {
@@ -190,17 +192,17 @@
                         .detail()
                         .and_then(|d| d.trim().parse::<Ns>().ok())
                         .map(|ms| ms * MS);
-                    self.house
+                    self.environment
                         .collector
                         .borrow_mut()
-                        .refused(self.house.now(), pause);
+                        .refused(self.environment.now(), pause);
                     TryOutcome::Refused { pause }
                 }
                 Some(_) => TryOutcome::Failed,
                 None if !fresh && gateway_lives => return Exchange::Stale,
                 None => {
                     if gateway_lives {
-                        self.house.collector.borrow_mut().lost += 1;
+                        self.environment.collector.borrow_mut().lost += 1;
                     }
                     TryOutcome::Broken
                 }
@@ -217,7 +219,7 @@
     /// The statement, as the platform's clients word it.
     fn statement(&self, of: &Try, id: &str) -> String {
         let a = &of.arrival;
-        let class = &self.house.scenario().world.classes[a.class];
+        let class = &self.environment.scenario().world.classes[a.class];
         let wait = (of.deadline - of.sent) / MS;
         let reference = match a.session {
             Some(session) => format!("s{session:x}"),
--- a/crates/testbed/src/loopback/host.rs
+++ b/crates/testbed/src/loopback/host.rs
@@ -4,7 +4,7 @@
 //! that is shared with the gateway would hide.
 
 use super::beside;
-use super::house::{House, Word};
+use super::environment::{Environment, Word};
 use bytes::{BufMut, BytesMut};
 use irisrouter_simulation::fleet::{Answer, Delivery, ProbeResult, Query, ReplicaStatus};
 use irisrouter_simulation::host::State;
@@ -52,12 +52,17 @@
 }
 
 /// Takes connections for ever.
-pub async fn serve(house: Rc<House>, listener: TcpListener, gateway: GatewayId, host: HostId) {
+pub async fn serve(
+    environment: Rc<Environment>,
+    listener: TcpListener,
+    gateway: GatewayId,
+    host: HostId,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let connection = Connection {
-                    house: Rc::clone(&house),
+                    environment: Rc::clone(&environment),
                     gateway,
                     host,
                     stream,
@@ -71,7 +76,7 @@
 }
 
 struct Connection {
-    house: Rc<House>,
+    environment: Rc<Environment>,
     gateway: GatewayId,
     host: HostId,
     stream: TcpStream,
@@ -89,23 +94,23 @@
 impl Connection {
     async fn live(mut self) {
         let _ = self.stream.set_nodelay(true);
-        let mut resets = self.house.resets(self.host);
+        let mut resets = self.environment.resets(self.host);
         let (state, epoch) = {
-            let fleet = self.house.fleet.borrow();
+            let fleet = self.environment.fleet.borrow();
             (fleet.host(self.host).state, fleet.host(self.host).epoch)
         };
         let end = match state {
             State::Down => End::Reset,
             _ => {
-                let house = Rc::clone(&self.house);
+                let environment = Rc::clone(&self.environment);
                 let host = self.host;
                 let mut counted = false;
                 let end = tokio::select! {
-                    end = self.talk(epoch, &mut counted) => end,
+                    end = self.serve_session(epoch, &mut counted) => end,
                     _ = resets.changed() => End::Reset,
                 };
                 if counted {
-                    house.with(|fleet, now| fleet.close(now, host, epoch));
+                    environment.with(|fleet, now| fleet.close(now, host, epoch));
                 }
                 end
             }
@@ -116,7 +121,7 @@
         }
     }
 
-    async fn talk(&mut self, epoch: u32, counted: &mut bool) -> End {
+    async fn serve_session(&mut self, epoch: u32, counted: &mut bool) -> End {
         let mut context = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
         loop {
             let message = match self.read(&mut context).await {
@@ -157,7 +162,7 @@
 
     /// The next message. What has stood idle for too long is closed.
     async fn read(&mut self, context: &mut DecodeContext) -> Option<PgWireFrontendMessage> {
-        let idle = Duration::from_secs_f64(self.house.scenario().world.hosts.idle_close_s);
+        let idle = Duration::from_secs_f64(self.environment.scenario().world.hosts.idle_close_s);
         loop {
             match PgWireFrontendMessage::decode(&mut self.input, context) {
                 Ok(Some(m)) => return Some(m),
@@ -188,14 +193,14 @@
     }
 
     async fn welcome(&mut self, counted: &mut bool) -> Option<End> {
-        let (ticket, up) = self.house.ticket();
-        self.house
+        let (ticket, up) = self.environment.ticket();
+        self.environment
             .collector
             .borrow_mut()
-            .connection(self.house.now());
+            .connection(self.environment.now());
         let (gateway, host) = (self.gateway, self.host);
         match self
-            .house
+            .environment
             .with(|fleet, now| fleet.connect(now, gateway, host, ticket))
         {
             Delivery::Accepted => *counted = true,
@@ -239,9 +244,12 @@
     async fn probe(&mut self, what: &str) -> Option<End> {
         let (gateway, host) = (self.gateway, self.host);
         let found = self
-            .house
+            .environment
             .with(|fleet, now| fleet.probe(now, gateway, host));
-        self.house.collector.borrow_mut().probe(self.house.now());
+        self.environment
+            .collector
+            .borrow_mut()
+            .probe(self.environment.now());
         let messages = match found {
             ProbeResult::NoResponse => return Some(self.silence().await),
             ProbeResult::Refused => return Some(End::Reset),
@@ -265,23 +273,23 @@
         let names = comment(text);
         let id = names.get("id").copied().unwrap_or_default().to_string();
         let Some(asked) = self
-            .house
+            .environment
             .asked
             .borrow()
             .get(&id)
             .copied()
-            .filter(|a| fits(&names, a, &self.house))
+            .filter(|a| fits(&names, a, &self.environment))
         else {
             // Nobody has asked for this, or not in these words: the gateway made it up or spoilt it.
-            self.house.collector.borrow_mut().malformed += 1;
+            self.environment.collector.borrow_mut().malformed += 1;
             let messages = error("08P01", "no client sent a statement in this form");
             return (!self.write(&messages).await).then_some(End::Closed);
         };
-        let copy = !self.house.out.borrow_mut().insert(id.clone());
-        let (ticket, comes) = self.house.ticket();
+        let copy = !self.environment.out.borrow_mut().insert(id.clone());
+        let (ticket, comes) = self.environment.ticket();
         let (gateway, host) = (self.gateway, self.host);
-        let taken = self.house.with(|fleet, now| {
-            self.house.collector.borrow_mut().attempt(now, copy);
+        let taken = self.environment.with(|fleet, now| {
+            self.environment.collector.borrow_mut().attempt(now, copy);
             let query = Query {
                 ticket,
                 gateway,
@@ -309,7 +317,7 @@
                 }
             }
         };
-        self.house.out.borrow_mut().remove(&id);
+        self.environment.out.borrow_mut().remove(&id);
         end
     }
 
@@ -321,10 +329,22 @@
         note: ReplicaStatus,
         work: Ns,
     ) -> Option<End> {
-        let reaches = self.house.fleet.borrow().reaches(self.gateway, self.host);
-        let waits = self.house.asked.borrow().get(id).is_some_and(|a| a.open);
+        let reaches = self
+            .environment
+            .fleet
+            .borrow()
+            .reaches(self.gateway, self.host);
+        let waits = self
+            .environment
+            .asked
+            .borrow()
+            .get(id)
+            .is_some_and(|a| a.open);
         let row_of_use = answer == Answer::Row && reaches && waits;
-        self.house.collector.borrow_mut().worked(work, row_of_use);
+        self.environment
+            .collector
+            .borrow_mut()
+            .worked(work, row_of_use);
         if !reaches {
             return Some(self.silence().await);
         }
@@ -351,15 +371,19 @@
 }
 
 /// The statement says of itself what its client said.
-fn fits(names: &HashMap<&str, &str>, asked: &super::house::Asked, house: &House) -> bool {
-    let class = &house.scenario().world.classes[asked.class];
+fn fits(
+    names: &HashMap<&str, &str>,
+    asked: &super::environment::Asked,
+    environment: &Environment,
+) -> bool {
+    let class = &environment.scenario().world.classes[asked.class];
     let key = names.get("k").and_then(|k| u64::from_str_radix(k, 16).ok());
     let wait = names.get("d").and_then(|d| d.parse::<f64>().ok());
     let longest = class.deadline_ms + 1.0;
     names.get("c") == Some(&class.name.as_str())
         && key == asked.key
         && wait.is_some_and(|d| d >= 0.0 && d <= longest)
-        && house.now() - asked.sent < seconds(longest / 1e3) * 2 + SECOND
+        && environment.now() - asked.sent < seconds(longest / 1e3) * 2 + SECOND
 }
 
 fn status(name: &str, value: &str) -> PgWireBackendMessage {
--- a/crates/testbed/src/loopback/mod.rs
+++ b/crates/testbed/src/loopback/mod.rs
@@ -2,17 +2,17 @@
 //! real time. Every address is 127.0.0.1 with a port that the system gives; the load is bounded and stops by itself.
 
 pub mod discovery;
+pub mod environment;
 pub mod front;
 pub mod host;
-pub mod house;
 pub mod peers;
 pub mod process;
 
-use crate::figures::Figures;
+use crate::results::RunResults;
 use crate::scenario::Scenario;
 use crate::settings;
+use environment::Environment;
 use front::Front;
-use house::House;
 use irisrouter_simulation::clients::Arrivals;
 use irisrouter_simulation::{seconds, GatewayId, Ns, SECOND};
 use peers::Peers;
@@ -37,7 +37,7 @@
     /// The gateway's program.
     pub gateway: PathBuf,
     /// Called each second with the run so far.
-    pub each_second: &'a dyn Fn(&House),
+    pub each_second: &'a dyn Fn(&Environment),
 }
 
 /// Runs a scenario on loopback.
@@ -45,7 +45,7 @@
 /// # Errors
 /// Where the settings are not taken, the scenario is too large for one machine, a gateway does not start or ends by
 /// itself, with its last log lines.
-pub fn run(scenario: &Scenario, seed: u64, options: &Options<'_>) -> Result<Figures, String> {
+pub fn run(scenario: &Scenario, seed: u64, options: &Options<'_>) -> Result<RunResults, String> {
     settings::load(scenario, seed)?;
     let w = &scenario.world;
     if w.gateways * w.hosts.count > MOST_SOCKETS {
@@ -54,7 +54,7 @@
             w.gateways, w.hosts.count
         ));
     }
-    let rate = irisrouter_simulation::spec::Day::draw(w, seed).rate;
+    let rate = irisrouter_simulation::spec::Day::draw(w, seed).demand.rate;
     if rate > MOST_PER_S {
         return Err(format!(
             "{rate:.0} requests a second are too many for one machine, {MOST_PER_S:.0} at most"
@@ -67,26 +67,30 @@
     LocalSet::new().block_on(&runtime, drive(scenario, seed, options))
 }
 
-async fn drive(scenario: &Scenario, seed: u64, options: &Options<'_>) -> Result<Figures, String> {
+async fn drive(
+    scenario: &Scenario,
+    seed: u64,
+    options: &Options<'_>,
+) -> Result<RunResults, String> {
     let w = &scenario.world;
-    let house = House::new(scenario, seed);
+    let environment = Environment::new(scenario, seed);
     // Whatever ends this run ends all that it has started.
     let mut tasks = JoinSet::new();
-    tasks.spawn_local(Rc::clone(&house).drive());
-    let peers = Peers::new(Rc::clone(&house), w.gateways).await?;
+    tasks.spawn_local(Rc::clone(&environment).drive());
+    let peers = Peers::new(Rc::clone(&environment), w.gateways).await?;
     let mut programs = Vec::new();
     for g in 0..w.gateways {
         let gateway = GatewayId(g);
         let mut addresses = Vec::new();
         for h in 0..w.hosts.count {
-            let listener = house::listen().await?;
+            let listener = environment::listen().await?;
             addresses.push(
                 listener
                     .local_addr()
                     .map_err(|e| e.to_string())?
                     .to_string(),
             );
-            let here = Rc::clone(&house);
+            let here = Rc::clone(&environment);
             tasks.spawn_local(host::serve(
                 here,
                 listener,
@@ -94,13 +98,13 @@
                 irisrouter_simulation::HostId(h),
             ));
         }
-        let listener = house::listen().await?;
+        let listener = environment::listen().await?;
         let discovery = listener.local_addr().map_err(|e| e.to_string())?;
         let (known, all) = peers.addresses(gateway)?;
         let known: Vec<String> = known.iter().map(ToString::to_string).collect();
         let addresses = Rc::new(addresses);
         tasks.spawn_local(discovery::serve(
-            Rc::clone(&house),
+            Rc::clone(&environment),
             listener,
             gateway,
             Rc::clone(&addresses),
@@ -123,18 +127,18 @@
         });
     }
     tasks.spawn_local(peers.relay());
-    let processes = Processes::new(Rc::clone(&house), programs, seed)?;
+    let processes = Processes::new(Rc::clone(&environment), programs, seed)?;
     for g in 0..w.gateways {
         processes.start(GatewayId(g)).await?;
     }
-    house.begin(BREATH);
-    let front = Front::new(Rc::clone(&house), Rc::clone(&processes));
+    environment.begin(BREATH);
+    let front = Front::new(Rc::clone(&environment), Rc::clone(&processes));
     let commands = Rc::clone(&processes);
     tasks.spawn_local(async move { commands.obey().await });
     let run = async {
         let mut calls = JoinSet::new();
         for arrival in Arrivals::new(w, seed) {
-            house.until(house.start() + arrival.at).await;
+            environment.until(environment.start() + arrival.at).await;
             calls.spawn_local(Rc::clone(&front).call(arrival));
             while calls.try_join_next().is_some() {}
         }
@@ -148,9 +152,11 @@
     };
     let sampling = async {
         for second in 0..w.length_s.ceil() as Ns {
-            house.until(house.start() + second * SECOND).await;
-            house.sample();
-            (options.each_second)(&house);
+            environment
+                .until(environment.start() + second * SECOND)
+                .await;
+            environment.sample();
+            (options.each_second)(&environment);
         }
         std::future::pending::<()>().await
     };
@@ -162,7 +168,7 @@
     processes.stop().await;
     tasks.shutdown().await;
     result?;
-    Ok(house.figures(scenario, seed))
+    Ok(environment.results(scenario, seed))
 }
 
 /// How long a run lasts at least.
--- a/crates/testbed/src/loopback/peers.rs
+++ b/crates/testbed/src/loopback/peers.rs
@@ -2,7 +2,7 @@
 //! address of its own, as on the platform, and what it hears comes from that address.
 
 use super::beside;
-use super::house::House;
+use super::environment::Environment;
 use irisrouter_simulation::GatewayId;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,7 +13,7 @@
 
 /// The relay of one run.
 pub struct Peers {
-    house: Rc<House>,
+    environment: Rc<Environment>,
     /// Where each gateway listens.
     listen: Vec<SocketAddr>,
     /// By gateway: the others as it knows them, its own place included.
@@ -48,7 +48,7 @@
     ///
     /// # Errors
     /// Where there are no sockets.
-    pub async fn new(house: Rc<House>, gateways: u32) -> Result<Rc<Self>, String> {
+    pub async fn new(environment: Rc<Environment>, gateways: u32) -> Result<Rc<Self>, String> {
         let (mut listen, mut known, mut all) = (Vec::new(), Vec::new(), Vec::new());
         for _ in 0..gateways {
             // The port is free again once this is dropped. Danger: any other socket of the machine that asks for some
@@ -62,7 +62,7 @@
             all.push(socket().await?);
         }
         Ok(Rc::new(Peers {
-            house,
+            environment,
             listen,
             known,
             all,
@@ -112,11 +112,11 @@
             }
             for &b in &to {
                 let body = buffer[..length].to_vec();
-                let now = self.house.now();
+                let now = self.environment.now();
                 let (from, to) = (GatewayId(from as u32), GatewayId(b as u32));
                 let arrives = {
-                    let fleet = self.house.fleet.borrow();
-                    self.house
+                    let fleet = self.environment.fleet.borrow();
+                    self.environment
                         .datagrams
                         .borrow_mut()
                         .send(now, &fleet, from, to, length)
@@ -124,7 +124,7 @@
                 if let Some(at) = arrives {
                     let here = Rc::clone(&self);
                     beside(async move {
-                        here.house.until(at).await;
+                        here.environment.until(at).await;
                         let back = &here.known[to.0 as usize][from.0 as usize];
                         let _ = back.send_to(&body, here.listen[to.0 as usize]).await;
                     });
--- a/crates/testbed/src/loopback/process.rs
+++ b/crates/testbed/src/loopback/process.rs
@@ -1,7 +1,7 @@
 //! Gateways as processes: started with a configuration of their own, killed and started again, and never left behind.
 
 use super::discovery;
-use super::house::House;
+use super::environment::Environment;
 use irisrouter_simulation::rng::{Rng, Stream};
 use irisrouter_simulation::GatewayId;
 use serde_json::Value;
@@ -45,7 +45,7 @@
 
 /// All gateways of a run.
 pub struct Processes {
-    house: Rc<House>,
+    environment: Rc<Environment>,
     all: Vec<Process>,
     dir: PathBuf,
     seeds: RefCell<Rng>,
@@ -58,7 +58,11 @@
     ///
     /// # Errors
     /// Where no folder can be made for their configurations.
-    pub fn new(house: Rc<House>, programs: Vec<Program>, seed: u64) -> Result<Rc<Self>, String> {
+    pub fn new(
+        environment: Rc<Environment>,
+        programs: Vec<Program>,
+        seed: u64,
+    ) -> Result<Rc<Self>, String> {
         // Two runs of one process may be under way at once.
         static RUNS: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
         let run = RUNS.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
@@ -72,7 +76,7 @@
             address: Cell::default(),
         };
         Ok(Rc::new(Processes {
-            house,
+            environment,
             all: programs.into_iter().map(process).collect(),
             dir,
             seeds: RefCell::new(Rng::new(seed, Stream::Gateways)),
@@ -100,7 +104,7 @@
         let mut config = p.program.config.clone();
         let seed = self.seeds.borrow_mut().number();
         config["seed"] = format!("{seed:016x}").into();
-        config["known"] = discovery::list(&self.house, gateway, &p.program.addresses);
+        config["known"] = discovery::list(&self.environment, gateway, &p.program.addresses);
         if let Some(address) = p.address.get() {
             config["listen"] = address.to_string().into();
         }
@@ -213,7 +217,7 @@
 
     /// Kills and starts gateways as the world's faults have it, for ever.
     pub async fn obey(self: Rc<Self>) {
-        let Some(mut commands) = self.house.commands() else {
+        let Some(mut commands) = self.environment.commands() else {
             return;
         };
         while let Some((gateway, up)) = commands.recv().await {
@@ -225,10 +229,10 @@
             } else {
                 self.kill(gateway).await;
             }
-            self.house
+            self.environment
                 .clients
                 .borrow_mut()
-                .gateway(self.house.now(), gateway, up);
+                .gateway(self.environment.now(), gateway, up);
         }
     }
 
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -7,9 +7,9 @@
 use irisrouter_config::Variables;
 use irisrouter_testbed::cluster::{schedule, site_loss, Plan};
 use irisrouter_testbed::compare;
-use irisrouter_testbed::figures::Figures;
-use irisrouter_testbed::loopback::house::House;
+use irisrouter_testbed::loopback::environment::Environment;
 use irisrouter_testbed::loopback::{self, Options};
+use irisrouter_testbed::results::RunResults;
 use irisrouter_testbed::scenario::Scenario;
 use irisrouter_testbed::{report, virtual_run};
 use std::io::{IsTerminal, Write};
@@ -342,7 +342,9 @@
         )
         .map_err(Failed::Run),
         Mode::Loopback => {
-            let each_second = |house: &House| progress.set_position(house.elapsed().round() as u64);
+            let each_second = |environment: &Environment| {
+                progress.set_position(environment.elapsed().round() as u64)
+            };
             let options = Options {
                 gateway: program(args.gateway.as_ref())?,
                 each_second: &each_second,
@@ -383,7 +385,7 @@
     judged(args.strict, &runs)
 }
 
-fn judged(strict: bool, runs: &[Figures]) -> Result<(), Failed> {
+fn judged(strict: bool, runs: &[RunResults]) -> Result<(), Failed> {
     let mut broken: Vec<String> = Vec::new();
     for f in runs {
         for what in f.broken() {
@@ -476,7 +478,7 @@
         schedule::side_by_side(&runs, args.at_once as usize, one).map_err(Failed::Run)?;
     done.sort_by_key(|(run, _)| *run);
     progress.finish_and_clear();
-    let of = |on: bool| -> Vec<site_loss::Figures> {
+    let of = |on: bool| -> Vec<site_loss::RunResults> {
         done.iter()
             .filter(|(run, _)| (run % 2 == 1) == on)
             .map(|(_, f)| *f)
--- a/crates/testbed/src/report.rs
+++ b/crates/testbed/src/report.rs
@@ -4,7 +4,7 @@
 //! right on light and on dark.
 
 use crate::compare::{Comparison, Interval};
-use crate::figures::{Figures, HostFigures, Mark, Second};
+use crate::results::{HostResults, Mark, RunResults, Second};
 use crate::scenario::Scenario;
 use minijinja::value::Serde;
 use minijinja::{context, Environment, Value};
@@ -55,7 +55,7 @@
 }
 
 /// The summary of one run.
-pub fn text(f: &Figures) -> String {
+pub fn text(f: &RunResults) -> String {
     let mut out = String::new();
     let [gateways, hosts, sets] = f.size;
     let _ = writeln!(
@@ -186,7 +186,7 @@
 ///
 /// # Errors
 /// Where a plot or the template fails.
-pub fn page(f: &Figures) -> Result<String, String> {
+pub fn page(f: &RunResults) -> Result<String, String> {
     render(f, None)
 }
 
@@ -199,14 +199,14 @@
     render(first, Some(c))
 }
 
-fn render(f: &Figures, c: Option<&Comparison>) -> Result<String, String> {
+fn render(f: &RunResults, c: Option<&Comparison>) -> Result<String, String> {
     let mut env = Environment::new();
     env.add_filter("number", number);
     env.add_filter("percent", |v: f64| format!("{:.2} %", v * 100.0));
     env.add_template("report.html", PAGE)
         .map_err(|e| e.to_string())?;
     let template = env.get_template("report.html").map_err(|e| e.to_string())?;
-    let runs: Vec<(&str, &Figures)> = match c {
+    let runs: Vec<(&str, &RunResults)> = match c {
         Some(c) => {
             let b = c.first_b.as_ref().ok_or("no run to show")?;
             vec![("A", f), ("B", b)]
@@ -255,7 +255,7 @@
     (s.asked > 0.0).then(|| s.earned / s.asked)
 }
 
-fn service_plot(runs: &[(&str, &Figures)]) -> Result<String, String> {
+fn service_plot(runs: &[(&str, &RunResults)]) -> Result<String, String> {
     let colours = [LINE_A, LINE_B];
     let lines: Vec<Line> = (runs.iter().zip(colours))
         .map(|((name, f), colour)| Line {
@@ -270,7 +270,7 @@
     lines_plot(length as f64, 1.0, &lines, &runs[0].1.marks)
 }
 
-fn totals_plot(f: &Figures) -> Result<String, String> {
+fn totals_plot(f: &RunResults) -> Result<String, String> {
     let line = |name, colour, of: fn(&Second) -> u64| Line {
         name,
         colour,
@@ -356,11 +356,11 @@
 
 /// A row for each host, a column for each second: the darker, the more.
 fn heat_plot(
-    f: &Figures,
+    f: &RunResults,
     what: &str,
-    of: impl Fn(&HostFigures, usize) -> Option<f64>,
+    of: impl Fn(&HostResults, usize) -> Option<f64>,
 ) -> Result<String, String> {
-    let mut hosts: Vec<&HostFigures> = f.hosts.iter().collect();
+    let mut hosts: Vec<&HostResults> = f.hosts.iter().collect();
     hosts.sort_by(|a, b| {
         b.peak_load
             .total_cmp(&a.peak_load)
--- a/crates/testbed/src/figures.rs
+++ b/crates/testbed/src/results.rs
@@ -80,7 +80,7 @@
 
 /// A host's figures, sampled once a second.
 #[derive(Clone, Debug, Serialize, PartialEq)]
-pub struct HostFigures {
+pub struct HostResults {
     /// Its number.
     pub host: u32,
     /// Its set.
@@ -108,7 +108,7 @@
 
 /// The figures of one run.
 #[derive(Clone, Debug, Serialize, PartialEq)]
-pub struct Figures {
+pub struct RunResults {
     /// The version of this form.
     pub version: u32,
     /// The scenario's title.
@@ -175,7 +175,7 @@
     /// By second.
     pub seconds: Vec<Second>,
     /// By host.
-    pub hosts: Vec<HostFigures>,
+    pub hosts: Vec<HostResults>,
     /// What happened.
     pub marks: Vec<Mark>,
     /// The first breaches, in words.
@@ -184,7 +184,7 @@
     pub refusals_by_pause: BTreeMap<String, u64>,
 }
 
-impl Figures {
+impl RunResults {
     /// The figures that a comparison shows, by name: the larger the better where it is true.
     pub fn compared(&self) -> Vec<(&'static str, f64, bool)> {
         vec![
@@ -537,7 +537,7 @@
             let position = fleet.position(now, id);
             let host = fleet.host(id);
             let up = host.state == irisrouter_simulation::host::State::Up;
-            self.hosts[i].held.push(host.held());
+            self.hosts[i].held.push(host.held_requests());
             self.hosts[i]
                 .lag_ms
                 .push(up.then(|| ((now - position) as f64 / 1e4).round() / 100.0));
@@ -595,7 +595,7 @@
     }
 
     /// The figures.
-    pub fn figures(self, s: &Scenario, mode: &str, seed: u64, fleet: &Fleet) -> Figures {
+    pub fn results(self, s: &Scenario, mode: &str, seed: u64, fleet: &Fleet) -> RunResults {
         let sum = |f: &dyn Fn(&ClassTally) -> f64| self.tallies.iter().map(f).sum::<f64>();
         let ratio = |a: f64, b: f64| if b > 0.0 { a / b } else { 0.0 };
         let requests = sum(&|t| t.asked as f64);
@@ -647,8 +647,8 @@
             })
             .collect();
         let invariants = fleet.invariants();
-        let hosts: Vec<HostFigures> = (fleet.hosts().iter().zip(&self.hosts))
-            .map(|(h, samples)| HostFigures {
+        let hosts: Vec<HostResults> = (fleet.hosts().iter().zip(&self.hosts))
+            .map(|(h, samples)| HostResults {
                 host: h.id.0,
                 set: h.set.0,
                 peak_load: h.peaks().0,
@@ -657,8 +657,8 @@
                 lag_ms: samples.lag_ms.clone(),
             })
             .collect();
-        let most = |f: &dyn Fn(&HostFigures) -> f64| hosts.iter().map(f).fold(0.0, f64::max);
-        Figures {
+        let most = |f: &dyn Fn(&HostResults) -> f64| hosts.iter().map(f).fold(0.0, f64::max);
+        RunResults {
             version: VERSION,
             scenario: s.title.clone(),
             mode: mode.to_string(),
--- a/crates/testbed/src/virtual_run.rs
+++ b/crates/testbed/src/virtual_run.rs
@@ -3,8 +3,8 @@
 //! Deterministic: one scenario and seed, one result, byte for byte. Events of one moment happen in the order in which they
 //! were planned, and everything random comes from a stream of its own.
 
-use crate::figures::{Collector, Figures};
-use crate::gateway::{self, Attempt, Gateway, Stage, Talk};
+use crate::gateway::{self, Attempt, Gateway, PeerExchange, Stage};
+use crate::results::{Collector, RunResults};
 use crate::scenario::Scenario;
 use irisrouter::routing::{Action, Event as RouterEvent, Outcome, RequestId, Settings};
 use irisrouter_simulation::clients::{Arrivals, Clients, NextStep, Try, TryOutcome};
@@ -93,8 +93,8 @@
         from: GatewayId,
         body: Vec<u8>,
     },
-    /// A gateway's talk is due.
-    Talk { gateway: GatewayId, life: u32 },
+    /// A gateway's exchange with its peers is due.
+    PeerTimer { gateway: GatewayId, life: u32 },
     /// A look at all hosts.
     Sample,
 }
@@ -117,7 +117,7 @@
 }
 
 /// Makes each process of a gateway its part in what gateways tell one another, or none.
-pub type Talks<'a> = &'a dyn Fn(GatewayId, Ns) -> Option<Box<dyn Talk>>;
+pub type Talks<'a> = &'a dyn Fn(GatewayId, Ns) -> Option<Box<dyn PeerExchange>>;
 
 /// A run.
 pub struct Run<'a> {
@@ -145,7 +145,7 @@
 ///
 /// # Errors
 /// Where the gateway's own code does not take the scenario's settings.
-pub fn run(scenario: &Scenario, seed: u64) -> Result<Figures, String> {
+pub fn run(scenario: &Scenario, seed: u64) -> Result<RunResults, String> {
     run_with(scenario, seed, &mut |_| (), &|_, _| None)
 }
 
@@ -158,7 +158,7 @@
     seed: u64,
     progress: &mut dyn FnMut(f64),
     talks: Talks<'_>,
-) -> Result<Figures, String> {
+) -> Result<RunResults, String> {
     let settings = gateway::settings_of(scenario, seed)?;
     let world = &scenario.world;
     let fleet = Fleet::new(world, seed, START);
@@ -195,7 +195,7 @@
     run.go(progress);
     run.collector.datagram_bytes = run.datagrams.bytes;
     run.collector.too_long = run.datagrams.too_long;
-    Ok(run.collector.figures(scenario, "virtual", seed, &run.fleet))
+    Ok(run.collector.results(scenario, "virtual", seed, &run.fleet))
 }
 
 impl Run<'_> {
@@ -242,7 +242,7 @@
                 self.settle();
             }
             while let Some((_, event)) = self.queue.pop(at) {
-                self.happen(event);
+                self.handle_event(event);
             }
             self.settle();
         }
@@ -253,16 +253,16 @@
     }
 
     fn way(&mut self, usual: Ns) -> Ns {
-        (usual as f64 * (1.0 + self.day.jitter * self.network.unit())) as Ns
+        (usual as f64 * (1.0 + self.day.network.jitter * self.network.unit())) as Ns
     }
 
     fn hostward(&mut self, event: Event) {
-        let at = self.now + self.way(self.day.host_way);
+        let at = self.now + self.way(self.day.network.host_way);
         self.push(at, event);
     }
 
     fn clientward(&mut self, of: Try, outcome: TryOutcome) {
-        let at = self.now + self.way(self.day.client_way);
+        let at = self.now + self.way(self.day.network.client_way);
         self.push(at, Event::ClientHears { of, outcome });
     }
 
@@ -349,7 +349,7 @@
         }
         let old = &mut self.gateways[g];
         old.alive = false;
-        old.talk = None;
+        old.exchange = None;
         old.life += 1;
         let idle: Vec<(HostId, u32)> = {
             let all = std::mem::take(&mut old.idle);
@@ -375,20 +375,20 @@
     }
 
     fn start_talk(&mut self, gateway: GatewayId) {
-        self.gateways[gateway.0 as usize].talk = (self.talks)(gateway, self.now);
-        self.talk(gateway);
+        self.gateways[gateway.0 as usize].exchange = (self.talks)(gateway, self.now);
+        self.run_peer_exchange(gateway);
     }
 
     /// What a gateway has to say goes out, late or lost; to all others in the order of their numbers.
-    fn talk(&mut self, gateway: GatewayId) {
+    fn run_peer_exchange(&mut self, gateway: GatewayId) {
         let now = self.now;
         let count = self.gateways.len() as u32;
         let g = &mut self.gateways[gateway.0 as usize];
-        let (life, Some(talk)) = (g.life, g.talk.as_mut()) else {
+        let (life, Some(exchange)) = (g.life, g.exchange.as_mut()) else {
             return;
         };
-        let said = talk.says(now);
-        let due = talk.due();
+        let said = exchange.says(now);
+        let due = exchange.due();
         for (to, body) in said {
             let all = (0..count).map(GatewayId).filter(|&g| g != gateway);
             let to: Vec<GatewayId> = to.map_or_else(|| all.collect(), |to| vec![to]);
@@ -409,7 +409,7 @@
             }
         }
         if let Some(due) = due {
-            self.push(due.max(now + 1), Event::Talk { gateway, life });
+            self.push(due.max(now + 1), Event::PeerTimer { gateway, life });
         }
     }
 
@@ -428,17 +428,9 @@
         (g.alive && g.life == life).then_some(g)
     }
 
-    fn happen(&mut self, event: Event) {
+    fn handle_event(&mut self, event: Event) {
         match event {
-            Event::Arrival => {
-                if let Some(arrival) = self.arrivals.next() {
-                    let of = self.clients.begin(self.now, arrival);
-                    self.send(of);
-                }
-                if let Some(next) = self.arrivals.peek().map(|a| START + a.at) {
-                    self.push(next, Event::Arrival);
-                }
-            }
+            Event::Arrival => self.handle_arrival(),
             Event::Retry(call) => {
                 if let Some(of) = self.clients.again(self.now, call) {
                     self.send(of);
@@ -446,97 +438,31 @@
             }
             Event::Reaches(of) => self.reaches(of),
             Event::ClientHears { of, outcome } => self.client_ends(of, outcome),
-            Event::ClientTime(of) => {
-                let (call, number) = (of.call, of.number);
-                let g = &self.gateways[of.gateway.0 as usize];
-                if g.alive && g.of_try.contains_key(&(call, number)) {
-                    self.collector.unanswered += 1;
-                }
-                self.client_ends(of, TryOutcome::TimedOut);
-            }
-            Event::ClientLeaves(of) => {
-                let life = self.gateways[of.gateway.0 as usize].life;
-                let at = self.now + self.way(self.day.client_way);
-                let (gateway, call, number) = (of.gateway, of.call, of.number);
-                self.push(
-                    at,
-                    Event::Left {
-                        gateway,
-                        life,
-                        call,
-                        number,
-                    },
-                );
-                self.client_ends(of, TryOutcome::Left);
-            }
+            Event::ClientTime(of) => self.handle_client_timeout(of),
+            Event::ClientLeaves(of) => self.handle_client_leaving(of),
             Event::Left {
                 gateway,
                 life,
                 call,
                 number,
-            } => {
-                let Some(g) = self.living(gateway, life) else {
-                    return;
-                };
-                if let Some(&id) = g.of_try.get(&(call, number)) {
-                    g.over(id);
-                    g.post(RouterEvent::ClientGone { id });
-                    self.plan_batch(gateway);
-                }
-            }
-            Event::Batch { gateway, life } => {
-                let now = self.now;
-                let Some(g) = self.living(gateway, life) else {
-                    return;
-                };
-                let actions = g.batch(now);
-                actions.into_iter().for_each(|a| self.act(gateway, a));
-            }
-            Event::Wake { gateway, life } => {
-                let now = self.now;
-                let Some(g) = self.living(gateway, life) else {
-                    return;
-                };
-                if g.wake.is_some_and(|w| w <= now) {
-                    g.wake = None;
-                    g.post(RouterEvent::TimerFired);
-                    self.plan_batch(gateway);
-                }
-            }
-            Event::Guard { gateway, life, id } => {
-                let Some(g) = self.living(gateway, life) else {
-                    return;
-                };
-                if let Some(of) = g.over(id) {
-                    g.post(RouterEvent::ClientGone { id });
-                    self.plan_batch(gateway);
-                    self.clientward(of, TryOutcome::Failed);
-                }
-            }
+            } => self.handle_client_gone(gateway, life, call, number),
+            Event::Batch { gateway, life } => self.run_batch(gateway, life),
+            Event::Wake { gateway, life } => self.wake_router(gateway, life),
+            Event::Guard { gateway, life, id } => self.abandon_undecided(gateway, life, id),
             Event::ConnectReaches(leg) => self.connect_reaches(leg),
             Event::ConnectedReaches(leg, epoch) => self.connected(leg, epoch),
             Event::QueryReaches(leg, epoch, query) => self.query_reaches(leg, epoch, query),
             Event::AnswerReaches(leg, answer, note, work) => self.answered(leg, answer, note, work),
             Event::ResetReaches(leg) => {
-                let stage = self.attempt(leg).map(|a| a.stage);
-                let outcome = match stage {
-                    Some(Stage::Connecting) => Outcome::ConnectFailed,
-                    _ => Outcome::Reset,
-                };
+                let outcome = self.failure_outcome(leg, Outcome::Reset);
                 self.ended(leg, outcome, None);
             }
             Event::Timeout(leg) => {
-                let outcome = match self.attempt(leg).map(|a| a.stage) {
-                    Some(Stage::Connecting) => Outcome::ConnectFailed,
-                    _ => Outcome::TimedOut,
-                };
+                let outcome = self.failure_outcome(leg, Outcome::TimedOut);
                 self.give_up(leg, outcome);
             }
             Event::ConnectTimeout(leg) => {
-                if self
-                    .attempt(leg)
-                    .is_some_and(|a| a.stage == Stage::Connecting)
-                {
+                if self.is_connecting(leg) {
                     self.give_up(leg, Outcome::ConnectFailed);
                 }
             }
@@ -545,71 +471,185 @@
                 life,
                 host,
                 sent,
-            } => {
-                let found = self.fleet.probe(self.now, gateway, host);
-                if found != ProbeResult::NoResponse {
-                    self.hostward(Event::ProbeAnswers {
-                        gateway,
-                        life,
-                        host,
-                        sent,
-                        found: Some(found),
-                    });
-                }
-            }
+            } => self.probe_host(gateway, life, host, sent),
             Event::ProbeAnswers {
                 gateway,
                 life,
                 host,
                 sent,
                 found,
-            } => {
-                let elapsed = self.now - sent;
-                let Some(g) = self.living(gateway, life) else {
-                    return;
-                };
-                if !g.probing.remove(&(host, sent)) {
-                    return;
-                }
-                let (outcome, report) = match found {
-                    Some(ProbeResult::Report(r)) => (Outcome::Ok, Some(gateway::report(&r))),
-                    Some(ProbeResult::Refused) => (Outcome::ConnectFailed, None),
-                    Some(ProbeResult::NoResponse) | None => (Outcome::ConnectFailed, None),
-                };
-                g.post(RouterEvent::HealthChecked {
-                    member: gateway::member(host),
-                    outcome,
-                    elapsed,
-                    report,
-                });
-                self.plan_batch(gateway);
-            }
-            Event::Datagram { to, from, body } => {
-                let now = self.now;
-                if let Some(talk) = self.gateways[to.0 as usize].talk.as_mut() {
-                    talk.heard(now, from, &body);
-                    self.talk(to);
-                }
-            }
-            Event::Talk { gateway, life } => {
+            } => self.handle_probe_answer(gateway, life, host, sent, found),
+            Event::Datagram { to, from, body } => self.handle_datagram(to, from, &body),
+            Event::PeerTimer { gateway, life } => {
                 if self.living(gateway, life).is_some() {
-                    self.talk(gateway);
-                }
-            }
-            Event::Sample => {
-                self.collector.sample(self.now, &mut self.fleet);
-                if self.now + SECOND < START + seconds(self.scenario.world.length_s) {
-                    self.push(self.now + SECOND, Event::Sample);
+                    self.run_peer_exchange(gateway);
                 }
             }
+            Event::Sample => self.sample(),
+        }
+    }
+
+    // ---- Events of clients ----
+
+    fn handle_arrival(&mut self) {
+        if let Some(arrival) = self.arrivals.next() {
+            let of = self.clients.begin(self.now, arrival);
+            self.send(of);
+        }
+        if let Some(next) = self.arrivals.peek().map(|a| START + a.at) {
+            self.push(next, Event::Arrival);
         }
     }
 
+    fn handle_client_timeout(&mut self, of: Try) {
+        let gateway = &self.gateways[of.gateway.0 as usize];
+        if gateway.alive && gateway.of_try.contains_key(&(of.call, of.number)) {
+            self.collector.unanswered += 1;
+        }
+        self.client_ends(of, TryOutcome::TimedOut);
+    }
+
+    fn handle_client_leaving(&mut self, of: Try) {
+        let life = self.gateways[of.gateway.0 as usize].life;
+        let at = self.now + self.way(self.day.network.client_way);
+        self.push(
+            at,
+            Event::Left {
+                gateway: of.gateway,
+                life,
+                call: of.call,
+                number: of.number,
+            },
+        );
+        self.client_ends(of, TryOutcome::Left);
+    }
+
+    fn handle_client_gone(&mut self, gateway: GatewayId, life: u32, call: u64, number: u32) {
+        let Some(process) = self.living(gateway, life) else {
+            return;
+        };
+        if let Some(&id) = process.of_try.get(&(call, number)) {
+            process.over(id);
+            process.post(RouterEvent::ClientGone { id });
+            self.plan_batch(gateway);
+        }
+    }
+
+    // ---- Events of gateways ----
+
+    fn run_batch(&mut self, gateway: GatewayId, life: u32) {
+        let now = self.now;
+        let Some(process) = self.living(gateway, life) else {
+            return;
+        };
+        let actions = process.batch(now);
+        actions.into_iter().for_each(|a| self.act(gateway, a));
+    }
+
+    fn wake_router(&mut self, gateway: GatewayId, life: u32) {
+        let now = self.now;
+        let Some(process) = self.living(gateway, life) else {
+            return;
+        };
+        if process.wake.is_some_and(|wake| wake <= now) {
+            process.wake = None;
+            process.post(RouterEvent::TimerFired);
+            self.plan_batch(gateway);
+        }
+    }
+
+    /// A request on which the router has not decided in time ends with an error.
+    fn abandon_undecided(&mut self, gateway: GatewayId, life: u32, id: RequestId) {
+        let Some(process) = self.living(gateway, life) else {
+            return;
+        };
+        if let Some(of) = process.over(id) {
+            process.post(RouterEvent::ClientGone { id });
+            self.plan_batch(gateway);
+            self.clientward(of, TryOutcome::Failed);
+        }
+    }
+
+    fn is_connecting(&mut self, leg: Leg) -> bool {
+        self.attempt(leg)
+            .is_some_and(|attempt| attempt.stage == Stage::Connecting)
+    }
+
+    /// How an attempt that broke off ended: before its connection was up, or later with `otherwise`.
+    fn failure_outcome(&mut self, leg: Leg, otherwise: Outcome) -> Outcome {
+        if self.is_connecting(leg) {
+            Outcome::ConnectFailed
+        } else {
+            otherwise
+        }
+    }
+
+    fn handle_datagram(&mut self, to: GatewayId, from: GatewayId, body: &[u8]) {
+        let now = self.now;
+        if let Some(exchange) = self.gateways[to.0 as usize].exchange.as_mut() {
+            exchange.heard(now, from, body);
+            self.run_peer_exchange(to);
+        }
+    }
+
+    fn sample(&mut self) {
+        self.collector.sample(self.now, &mut self.fleet);
+        if self.now + SECOND < START + seconds(self.scenario.world.length_s) {
+            self.push(self.now + SECOND, Event::Sample);
+        }
+    }
+
+    // ---- Events of probes ----
+
+    fn probe_host(&mut self, gateway: GatewayId, life: u32, host: HostId, sent: Ns) {
+        let found = self.fleet.probe(self.now, gateway, host);
+        if found != ProbeResult::NoResponse {
+            self.hostward(Event::ProbeAnswers {
+                gateway,
+                life,
+                host,
+                sent,
+                found: Some(found),
+            });
+        }
+    }
+
+    /// The result of a probe, or `None` once its time is over, reaches the gateway that sent it.
+    fn handle_probe_answer(
+        &mut self,
+        gateway: GatewayId,
+        life: u32,
+        host: HostId,
+        sent: Ns,
+        found: Option<ProbeResult>,
+    ) {
+        let elapsed = self.now - sent;
+        let Some(process) = self.living(gateway, life) else {
+            return;
+        };
+        if !process.probing.remove(&(host, sent)) {
+            return;
+        }
+        let (outcome, report) = match found {
+            Some(ProbeResult::Report(report)) => (Outcome::Ok, Some(gateway::report(&report))),
+            Some(ProbeResult::Refused | ProbeResult::NoResponse) | None => {
+                (Outcome::ConnectFailed, None)
+            }
+        };
+        process.post(RouterEvent::HealthChecked {
+            member: gateway::member(host),
+            outcome,
+            elapsed,
+            report,
+        });
+        self.plan_batch(gateway);
+    }
+
     // ---- Clients ----
 
     fn send(&mut self, of: Try) {
         self.collector.tried(self.now, of.number == 0);
-        let at = self.now + self.way(self.day.client_way);
+        let at = self.now + self.way(self.day.network.client_way);
         self.push(at, Event::Reaches(of));
         self.push(of.deadline + SLACK, Event::ClientTime(of));
         if let Some(leaves) = of.leaves {
@@ -786,7 +826,7 @@
                     Event::ConnectTimeout(leg),
                 );
                 // The way there and back again to shake hands, and once more to begin.
-                let at = now + 3 * self.way(self.day.host_way);
+                let at = now + 3 * self.way(self.day.network.host_way);
                 self.push(at, Event::ConnectReaches(leg));
             }
         }
--- a/crates/testbed/tests/loopback.rs
+++ b/crates/testbed/tests/loopback.rs
@@ -8,8 +8,8 @@
     Fault, HostFault, HostSelection, SilentHosts, Spec, ValueOrRange,
 };
 use irisrouter_simulation::{GatewayId, HostId, MS, SECOND};
+use irisrouter_testbed::loopback::environment::{listen, Asked, Environment};
 use irisrouter_testbed::loopback::host::{comment, payload, serve};
-use irisrouter_testbed::loopback::house::{listen, Asked, House};
 use irisrouter_testbed::loopback::peers::Peers;
 use irisrouter_testbed::scenario::Scenario;
 use std::os::unix::fs::PermissionsExt;
@@ -47,24 +47,24 @@
     }
 }
 
-fn asked(house: &House, id: &str, class: usize, key: Option<u64>) {
+fn asked(environment: &Environment, id: &str, class: usize, key: Option<u64>) {
     let of = Asked {
         class,
         work: 5 * MS,
         key,
         mark: 0,
-        sent: house.now(),
+        sent: environment.now(),
         open: true,
     };
-    house.asks(id, of);
+    environment.asks(id, of);
 }
 
 /// A house with a client at one of its hosts.
-async fn visit(house: &Rc<House>, host: u32) -> Result<Client, tokio_postgres::Error> {
+async fn visit(environment: &Rc<Environment>, host: u32) -> Result<Client, tokio_postgres::Error> {
     let listener = listen().await.expect("a port");
     let at = listener.local_addr().expect("an address");
     spawn_local(serve(
-        Rc::clone(house),
+        Rc::clone(environment),
         listener,
         GatewayId(0),
         HostId(host),
@@ -88,23 +88,23 @@
     })
 }
 
-fn in_a_house(scenario: Scenario, test: impl AsyncFnOnce(Rc<House>)) {
+fn in_a_house(scenario: Scenario, test: impl AsyncFnOnce(Rc<Environment>)) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .expect("a runtime");
     LocalSet::new().block_on(&runtime, async move {
-        let house = House::new(&scenario, 1);
-        spawn_local(Rc::clone(&house).drive());
-        house.begin(0);
-        test(house).await;
+        let environment = Environment::new(&scenario, 1);
+        spawn_local(Rc::clone(&environment).drive());
+        environment.begin(0);
+        test(environment).await;
     });
 }
 
 #[test]
 fn a_stand_in_speaks_to_a_client_that_is_not_ours() {
-    in_a_house(spec(Vec::new()), async |house| {
-        let primary = visit(&house, 0).await.expect("a connection");
+    in_a_house(spec(Vec::new()), async |environment| {
+        let primary = visit(&environment, 0).await.expect("a connection");
         let usage =
             value(&primary.simple_query("SHOW usage").await.expect("a report")).expect("a value");
         assert!(
@@ -126,12 +126,17 @@
             .await
             .expect_err("nobody asked");
         assert_eq!(unknown.code().map(|c| c.code()), Some("08P01"));
-        asked(&house, "a1", 4, Some(0x2a));
+        asked(&environment, "a1", 4, Some(0x2a));
         let row = primary.simple_query(statement).await.expect("a row");
         assert_eq!(value(&row), Some(payload("a1")));
-        assert!(house.fleet.borrow().invariants().commit(0x2a).is_some());
+        assert!(environment
+            .fleet
+            .borrow()
+            .invariants()
+            .commit(0x2a)
+            .is_some());
         // The same statement at a replica, and one that was changed on its way.
-        let replica = visit(&house, 1).await.expect("a connection");
+        let replica = visit(&environment, 1).await.expect("a connection");
         let miss = replica
             .simple_query(statement)
             .await
@@ -142,16 +147,16 @@
             .await
             .expect_err("another key");
         assert_eq!(spoilt.code().map(|c| c.code()), Some("08P01"));
-        assert_eq!(house.collector.borrow().malformed, 2);
-        assert_eq!(house.collector.borrow().attempts, 2);
+        assert_eq!(environment.collector.borrow().malformed, 2);
+        assert_eq!(environment.collector.borrow().attempts, 2);
     });
 }
 
 #[test]
 fn a_connection_that_is_given_up_stops_nothing() {
-    in_a_house(spec(Vec::new()), async |house| {
-        let client = visit(&house, 0).await.expect("a connection");
-        asked(&house, "a1", 4, Some(7));
+    in_a_house(spec(Vec::new()), async |environment| {
+        let client = visit(&environment, 0).await.expect("a connection");
+        asked(&environment, "a1", 4, Some(7));
         let gone = client.simple_query("INSERT /* id=a1,c=count-write,d=900,cluster=0,k=7 */");
         assert!(
             tokio::time::timeout(std::time::Duration::from_millis(1), gone)
@@ -159,8 +164,8 @@
                 .is_err()
         );
         drop(client);
-        while house.fleet.borrow().invariants().commit(7).is_none() {
-            house.until(house.now() + 5 * MS).await;
+        while environment.fleet.borrow().invariants().commit(7).is_none() {
+            environment.until(environment.now() + 5 * MS).await;
         }
     });
 }
@@ -188,29 +193,34 @@
             },
         }
     };
-    in_a_house(spec(vec![fault(true, 1), fault(false, 2)]), async |house| {
-        let (silent, dead) = (
-            visit(&house, 1).await.expect("up"),
-            visit(&house, 2).await.expect("up"),
-        );
-        house.until(house.start() + SECOND / 2).await;
-        let broken = dead.simple_query("SELECT 1").await.expect_err("it is dead");
-        assert!(broken.as_db_error().is_none());
-        let nothing = silent.simple_query("SHOW usage");
-        assert!(
-            tokio::time::timeout(std::time::Duration::from_millis(300), nothing)
-                .await
-                .is_err()
-        );
-        assert!(visit(&house, 2).await.is_err(), "refused");
-    });
+    in_a_house(
+        spec(vec![fault(true, 1), fault(false, 2)]),
+        async |environment| {
+            let (silent, dead) = (
+                visit(&environment, 1).await.expect("up"),
+                visit(&environment, 2).await.expect("up"),
+            );
+            environment.until(environment.start() + SECOND / 2).await;
+            let broken = dead.simple_query("SELECT 1").await.expect_err("it is dead");
+            assert!(broken.as_db_error().is_none());
+            let nothing = silent.simple_query("SHOW usage");
+            assert!(
+                tokio::time::timeout(std::time::Duration::from_millis(300), nothing)
+                    .await
+                    .is_err()
+            );
+            assert!(visit(&environment, 2).await.is_err(), "refused");
+        },
+    );
 }
 
 /// Each gateway knows the others by addresses of its own, and hears them from these; nobody speaks for another.
 #[test]
 fn datagrams_come_from_the_address_that_their_receiver_knows() {
-    in_a_house(spec(Vec::new()), async |house| {
-        let peers = Peers::new(Rc::clone(&house), 3).await.expect("a relay");
+    in_a_house(spec(Vec::new()), async |environment| {
+        let peers = Peers::new(Rc::clone(&environment), 3)
+            .await
+            .expect("a relay");
         spawn_local(Rc::clone(&peers).relay());
         let mut gateways = Vec::new();
         for g in 0..3 {
@@ -257,10 +267,10 @@
                 (2, "to one".into())
             ]
         );
-        while house.datagrams.borrow().sent < 4 {
-            house.until(house.now() + MS).await;
+        while environment.datagrams.borrow().sent < 4 {
+            environment.until(environment.now() + MS).await;
         }
-        let d = house.datagrams.borrow().clone();
+        let d = environment.datagrams.borrow().clone();
         assert_eq!((d.sent, d.too_long, d.bytes), (4, 1, 18 + 257));
     });
 }
--- a/crates/testbed/tests/virtual_time.rs
+++ b/crates/testbed/tests/virtual_time.rs
@@ -7,8 +7,8 @@
 };
 use irisrouter_simulation::{GatewayId, Ns, MS};
 use irisrouter_testbed::compare;
-use irisrouter_testbed::figures::Figures;
-use irisrouter_testbed::gateway::Talk;
+use irisrouter_testbed::gateway::PeerExchange;
+use irisrouter_testbed::results::RunResults;
 use irisrouter_testbed::scenario::Scenario;
 use irisrouter_testbed::virtual_run::{run, run_with};
 use std::cell::RefCell;
@@ -27,7 +27,7 @@
         .unwrap_or_else(|e| panic!("{e}"))
 }
 
-fn json(f: &Figures) -> String {
+fn json(f: &RunResults) -> String {
     serde_json::to_string(f).expect("figures as JSON")
 }
 
@@ -81,8 +81,8 @@
         5,
     )
     .expect("a run");
-    let asked = |f: &Figures| f.seconds.iter().map(|s| s.first_tries).collect::<Vec<_>>();
-    let silent = |f: &Figures| {
+    let asked = |f: &RunResults| f.seconds.iter().map(|s| s.first_tries).collect::<Vec<_>>();
+    let silent = |f: &RunResults| {
         f.marks
             .iter()
             .find(|m| m.what.starts_with("silent"))
@@ -110,7 +110,7 @@
     }];
     let f = run(&s, 3).expect("a run");
     let calm = run(&scenario("calm", &["length=20"]), 3).expect("a run");
-    let after = |f: &Figures| f.seconds[11..].iter().map(|s| s.first_tries).sum::<u64>();
+    let after = |f: &RunResults| f.seconds[11..].iter().map(|s| s.first_tries).sum::<u64>();
     assert_eq!(after(&f), after(&calm));
     assert!(
         f.seconds[11..].iter().all(|s| s.earned == 0.0),
@@ -150,7 +150,7 @@
     heard: Rc<RefCell<BTreeMap<(u32, u32), u64>>>,
 }
 
-impl Talk for Chatter {
+impl PeerExchange for Chatter {
     fn heard(&mut self, _: Ns, from: GatewayId, body: &[u8]) {
         assert_eq!(body, [from.0 as u8; 100]);
         *self
@@ -180,7 +180,7 @@
         let mut s = scenario("calm", &["gateways=4", "length=20", "load=0.2"]);
         s.world.faults = faults;
         let heard = Rc::new(RefCell::new(BTreeMap::new()));
-        let talks = |me: GatewayId, now: Ns| -> Option<Box<dyn Talk>> {
+        let talks = |me: GatewayId, now: Ns| -> Option<Box<dyn PeerExchange>> {
             Some(Box::new(Chatter {
                 me,
                 next: now,
