--- a/crates/testbed/src/cluster/schedule.rs
+++ b/crates/testbed/src/cluster/schedule.rs
@@ -230,7 +230,7 @@
     let (began, from) = (Instant::now(), cluster.clock.now());
     cluster.relay.network().sent.fill((0, 0));
     for (n, fault) in verdict.faults.clone().into_iter().enumerate() {
-        if let Err(why) = strike(&mut cluster, &fault, detect, &mut verdict) {
+        if let Err(why) = inject_and_check(&mut cluster, &fault, detect, &mut verdict) {
             verdict.broken.push(format!("fault {n}, {fault:?}: {why}"));
         }
         let over = Instant::now();
@@ -254,7 +254,8 @@
         .iter()
         .fold((0, 0), |a, s| (a.0 + s.0, a.1 + s.1));
     let rate = |sum: u64| sum as f64 / gateways as f64 / began.elapsed().as_secs_f64();
-    (verdict.datagrams_s, verdict.bytes_s) = (rate(sent.0), rate(sent.1));
+    verdict.datagrams_s = rate(sent.0);
+    verdict.bytes_s = rate(sent.1);
     if let Some(lease_ms) = pace.lease_ms {
         let findings = leases::check(
             &cluster,
@@ -276,28 +277,79 @@
     Ok(verdict)
 }
 
-/// Brings a fault about and waits for what it has to do; lifts it again.
-fn strike(
+/// An observer that declares a gateway down, both by their numbers.
+type Observation = (usize, usize);
+
+/// A fault that has been injected, and what has to follow from it.
+struct Injected {
+    /// Who has to declare whom down.
+    expected: Vec<Observation>,
+    /// Sets whose health checks a crashed gateway held.
+    owned: Vec<u64>,
+    /// How long the fault lasts from now on.
+    lasts: Duration,
+}
+
+/// Injects a fault, waits until it is detected, checks who was declared down, and lifts it again.
+fn inject_and_check(
     cluster: &mut Cluster,
     fault: &Fault,
     detect: Duration,
     verdict: &mut Verdict,
 ) -> Result<(), String> {
-    let began = (Instant::now(), cluster.clock.now());
+    let started = Instant::now();
+    let from = cluster.clock.now();
     let all: Vec<usize> = cluster.running();
-    let (mut expected, mut owned) = (Vec::new(), Vec::new());
-    let mut lasts = ms(0);
+    let injected = inject(cluster, fault, &all);
+    std::thread::sleep(injected.lasts);
+    let expected = &injected.expected;
+    while !undetected(cluster, expected, from).is_empty() && started.elapsed() < detect {
+        std::thread::sleep(ms(20));
+    }
+    let unseen = undetected(cluster, expected, from);
+    if !expected.is_empty() && unseen.is_empty() {
+        let elapsed = started.elapsed().as_millis() as u64;
+        verdict.seen_ms.push(elapsed);
+    }
+    if let Fault::Crash { gateway, .. } = fault {
+        let takeovers = takeover_times(cluster, &injected.owned, *gateway, from);
+        verdict.takeover_ms.extend(takeovers);
+    }
+    let wrong: Vec<Observation> = (all.iter())
+        .flat_map(|&observer| all.iter().map(move |&member| (observer, member)))
+        .filter(|pair| !expected.contains(pair))
+        .filter(|&pair| declared_down(cluster, pair, from))
+        .collect();
+    cluster.heal();
+    if let Fault::Crash { gateway, .. } = fault {
+        cluster.launch(*gateway)?;
+    }
+    match (unseen.is_empty(), wrong.is_empty()) {
+        (true, true) => Ok(()),
+        (false, _) => Err(format!(
+            "not seen down in {detect:?}, as (observer, gateway): {unseen:?}"
+        )),
+        (_, false) => Err(format!(
+            "declared down though alive and heard, as (observer, gateway): {wrong:?}"
+        )),
+    }
+}
+
+/// Brings a fault about; `all` are the gateways that run.
+fn inject(cluster: &mut Cluster, fault: &Fault, all: &[usize]) -> Injected {
+    let mut injected = Injected {
+        expected: Vec::new(),
+        owned: Vec::new(),
+        lasts: ms(0),
+    };
     match fault {
         Fault::Crash { gateway, .. } => {
-            owned = (0..cluster.plan.sets)
+            injected.owned = (0..cluster.plan.sets)
                 .filter(|&set| cluster.prober(set, 1_000) == Some(*gateway))
                 .collect();
             cluster.crash(*gateway);
-            expected = all
-                .iter()
-                .filter(|g| *g != gateway)
-                .map(|&o| (o, *gateway))
-                .collect();
+            let others = all.iter().filter(|other| *other != gateway);
+            injected.expected = others.map(|&other| (other, *gateway)).collect();
         }
         Fault::Partition { left, .. } => {
             let right: Vec<usize> = all.iter().copied().filter(|g| !left.contains(g)).collect();
@@ -305,75 +357,54 @@
             let across = left
                 .iter()
                 .flat_map(|&l| right.iter().flat_map(move |&r| [(l, r), (r, l)]));
-            expected = across.collect();
+            injected.expected = across.collect();
         }
         Fault::Stall { gateway, ms: long } => {
             cluster.stall(*gateway);
             std::thread::sleep(ms(*long));
             cluster.resume(*gateway);
-            lasts = ms(500);
+            injected.lasts = ms(500);
         }
         Fault::OneWay { from, to, ms: long } => {
             cluster.relay.network().cuts.insert((*from, *to));
-            lasts = ms(*long);
+            injected.lasts = ms(*long);
         }
         Fault::Loss { percent, ms: long } => {
             cluster.relay.network().loss = f64::from(*percent) / 100.0;
-            lasts = ms(*long);
+            injected.lasts = ms(*long);
         }
         Fault::Delay { by_ms, ms: long } => {
             cluster.relay.network().delay = ms(*by_ms);
-            lasts = ms(*long);
-        }
-    }
-    std::thread::sleep(lasts);
-    // Seen down by those that have to, and by nobody else.
-    let unseen = |c: &Cluster| {
-        let mut left = expected.clone();
-        left.retain(|&(o, m)| !c.changes(o, m, "down").iter().any(|&at| at >= began.1));
-        left
-    };
-    while !unseen(cluster).is_empty() && began.0.elapsed() < detect {
-        std::thread::sleep(ms(20));
-    }
-    let unseen = unseen(cluster);
-    if !expected.is_empty() && unseen.is_empty() {
-        verdict.seen_ms.push(began.0.elapsed().as_millis() as u64);
-    }
-    if let Fault::Crash { gateway, .. } = fault {
-        for set in owned {
-            let probes = cluster.probes(set);
-            let by_another = |p: &&super::stand_ins::Probe| {
-                p.at >= began.1 && p.gateway != *gateway && p.token.is_some() && !p.refused
-            };
-            verdict
-                .takeover_ms
-                .extend(probes.iter().find(by_another).map(|p| p.at - began.1));
+            injected.lasts = ms(*long);
         }
     }
-    let wrong: Vec<(usize, usize)> = (all.iter())
-        .flat_map(|&o| all.iter().map(move |&m| (o, m)))
-        .filter(|pair| !expected.contains(pair))
-        .filter(|&(o, m)| {
-            cluster
-                .changes(o, m, "down")
-                .iter()
-                .any(|&at| at >= began.1)
-        })
-        .collect();
-    cluster.heal();
-    if let Fault::Crash { gateway, .. } = fault {
-        cluster.launch(*gateway)?;
-    }
-    match (unseen.is_empty(), wrong.is_empty()) {
-        (true, true) => Ok(()),
-        (false, _) => Err(format!(
-            "not seen down in {detect:?}, as (observer, gateway): {unseen:?}"
-        )),
-        (_, false) => Err(format!(
-            "declared down though alive and heard, as (observer, gateway): {wrong:?}"
-        )),
+    injected
+}
+
+/// Whether an observer has declared a gateway down since `from`, in milliseconds of the cluster's clock.
+fn declared_down(cluster: &Cluster, (observer, member): Observation, from: u64) -> bool {
+    let changes = cluster.changes(observer, member, "down");
+    changes.iter().any(|&at| at >= from)
+}
+
+/// Those of the expected observations that have not been made since `from`.
+fn undetected(cluster: &Cluster, expected: &[Observation], from: u64) -> Vec<Observation> {
+    let mut left = expected.to_vec();
+    left.retain(|&pair| !declared_down(cluster, pair, from));
+    left
+}
+
+/// For each set whose checks the crashed gateway held: milliseconds until another one's check was accepted.
+fn takeover_times(cluster: &Cluster, owned: &[u64], crashed: usize, from: u64) -> Vec<u64> {
+    let mut times = Vec::new();
+    for &set in owned {
+        let probes = cluster.probes(set);
+        let by_another = probes.iter().find(|probe| {
+            probe.at >= from && probe.gateway != crashed && probe.token.is_some() && !probe.refused
+        });
+        times.extend(by_another.map(|probe| probe.at - from));
     }
+    times
 }
 
 /// Runs one after the other for each seed, so many side by side; what they came to, as they ended.
@@ -451,24 +482,3 @@
     }
     text
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_seed_gives_one_sequence_and_another_seed_another() {
-        let draw = |seed| draw(5, 8, Pace::FAST, seed, false);
-        assert_eq!(draw(7), draw(7));
-        assert_ne!(draw(7), draw(8));
-    }
-
-    #[test]
-    fn a_line_of_a_change_is_read_and_others_are_not() {
-        let line =
-            "2026-12-02 irisrouter: membership: gateway 3 suspect -> down (generation 9, incarnation 0)";
-        assert_eq!(change(line), Some((3, "suspect", "down")));
-        assert_eq!(change("membership: on, gateway 3 of 5, generation 9"), None);
-        assert_eq!(change("membership: gateway x suspect -> down"), None);
-    }
-}
--- a/crates/testbed/src/gateway.rs
+++ b/crates/testbed/src/gateway.rs
@@ -2,7 +2,10 @@
 //! margins, limits and order of things. It says what it wants done; the run does it.
 
 use crate::settings;
-use irisrouter::routing::*;
+use irisrouter::routing::{
+    Action, Endpoint, EndpointState, Event, GroupId, LoadReport, MemberId, Nanos, Outcome,
+    ReplicationStatus, RequestId, Role, Router, SessionId, Settings, ZoneId,
+};
 use irisrouter_simulation::clients::Try;
 use irisrouter_simulation::endpoint_list::{EndpointView, ListEntry};
 use irisrouter_simulation::fleet;
@@ -15,17 +18,17 @@
 /// And the guard against no decision so much.
 const LAST_MARGIN: Nanos = MS;
 
-/// What a gateway says to the others, and hears: a subsystem that shares with its peers plugs in here. A gateway that is
-/// killed loses it with all else, and starts with a new one.
+/// The exchange of a gateway with its peers: a subsystem that sends datagrams to other gateways plugs in here. A gateway
+/// that is killed loses its state with all else, and starts with a new one.
 pub trait PeerExchange {
     /// A datagram has come from another gateway, as its address tells.
-    fn heard(&mut self, now: Nanos, from: GatewayId, body: &[u8]);
+    fn receive(&mut self, now: Nanos, from: GatewayId, body: &[u8]);
 
-    /// What it says now: to one gateway, or to all others.
-    fn says(&mut self, now: Nanos) -> Vec<(Option<GatewayId>, Vec<u8>)>;
+    /// The datagrams that it sends now, each to one gateway or, with `None`, to all others.
+    fn outgoing(&mut self, now: Nanos) -> Vec<(Option<GatewayId>, Vec<u8>)>;
 
     /// When it wants to be asked again, if nothing comes before.
-    fn due(&self) -> Option<Nanos>;
+    fn next_due(&self) -> Option<Nanos>;
 }
 
 /// A connection to a host that nothing is on.
--- a/crates/testbed/src/loopback/mod.rs
+++ b/crates/testbed/src/loopback/mod.rs
@@ -14,7 +14,7 @@
 use environment::Environment;
 use front::Front;
 use irisrouter_simulation::clients::Arrivals;
-use irisrouter_simulation::{seconds, GatewayId, Ns, SECOND};
+use irisrouter_simulation::{seconds, GatewayId, HostId, Ns, SECOND};
 use peers::Peers;
 use process::{Processes, Program};
 use serde_json::json;
@@ -79,52 +79,9 @@
     tasks.spawn_local(Rc::clone(&environment).drive());
     let peers = Peers::new(Rc::clone(&environment), w.gateways).await?;
     let mut programs = Vec::new();
-    for g in 0..w.gateways {
-        let gateway = GatewayId(g);
-        let mut addresses = Vec::new();
-        for h in 0..w.hosts.count {
-            let listener = environment::listen().await?;
-            addresses.push(
-                listener
-                    .local_addr()
-                    .map_err(|e| e.to_string())?
-                    .to_string(),
-            );
-            let here = Rc::clone(&environment);
-            tasks.spawn_local(host::serve(
-                here,
-                listener,
-                gateway,
-                irisrouter_simulation::HostId(h),
-            ));
-        }
-        let listener = environment::listen().await?;
-        let discovery = listener.local_addr().map_err(|e| e.to_string())?;
-        let (known, all) = peers.addresses(gateway)?;
-        let known: Vec<String> = known.iter().map(ToString::to_string).collect();
-        let addresses = Rc::new(addresses);
-        tasks.spawn_local(discovery::serve(
-            Rc::clone(&environment),
-            listener,
-            gateway,
-            Rc::clone(&addresses),
-        ));
-        programs.push(Program {
-            name: format!("g{g}"),
-            file: options.gateway.clone(),
-            config: json!({
-                "name": format!("g{g}"),
-                "listen": "127.0.0.1:0",
-                "discovery": discovery.to_string(),
-                "seed": "0",
-                "peer_listen": peers.listen(gateway).to_string(),
-                "peers": known,
-                "peers_all": all.to_string(),
-                "limits": { "cores": 1.0, "memory_mb": scenario.gateway.memory_mb, "sockets": scenario.gateway.sockets },
-                "settings": settings::object(scenario),
-            }),
-            addresses,
-        });
+    for gateway in (0..w.gateways).map(GatewayId) {
+        let started = prepare_gateway(scenario, &environment, &peers, &mut tasks, gateway, options);
+        programs.push(started.await?);
     }
     tasks.spawn_local(peers.relay());
     let processes = Processes::new(Rc::clone(&environment), programs, seed)?;
@@ -135,21 +92,7 @@
     let front = Front::new(Rc::clone(&environment), Rc::clone(&processes));
     let commands = Rc::clone(&processes);
     tasks.spawn_local(async move { commands.obey().await });
-    let run = async {
-        let mut calls = JoinSet::new();
-        for arrival in Arrivals::new(w, seed) {
-            environment.until(environment.start() + arrival.at).await;
-            calls.spawn_local(Rc::clone(&front).call(arrival));
-            while calls.try_join_next().is_some() {}
-        }
-        let longest = w.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
-        let patience =
-            Duration::from_secs_f64(longest / 1e3 * f64::from(w.clients.retries + 1)) + AFTER;
-        let _ = tokio::time::timeout(patience, async {
-            while calls.join_next().await.is_some() {}
-        })
-        .await;
-    };
+    let run = send_load(scenario, seed, &environment, &front);
     let sampling = async {
         for second in 0..w.length_s.ceil() as Ns {
             environment
@@ -171,6 +114,72 @@
     Ok(environment.results(scenario, seed))
 }
 
+/// Starts the stand-ins that one gateway talks to, and puts together how its program is started.
+async fn prepare_gateway(
+    scenario: &Scenario,
+    environment: &Rc<Environment>,
+    peers: &Rc<Peers>,
+    tasks: &mut JoinSet<()>,
+    gateway: GatewayId,
+    options: &Options<'_>,
+) -> Result<Program, String> {
+    let mut addresses = Vec::new();
+    for host in (0..scenario.world.hosts.count).map(HostId) {
+        let listener = environment::listen().await?;
+        let address = listener.local_addr().map_err(|e| e.to_string())?;
+        addresses.push(address.to_string());
+        let environment = Rc::clone(environment);
+        tasks.spawn_local(host::serve(environment, listener, gateway, host));
+    }
+    let listener = environment::listen().await?;
+    let discovery = listener.local_addr().map_err(|e| e.to_string())?;
+    let (known, all) = peers.addresses(gateway)?;
+    let known: Vec<String> = known.iter().map(ToString::to_string).collect();
+    let addresses = Rc::new(addresses);
+    tasks.spawn_local(discovery::serve(
+        Rc::clone(environment),
+        listener,
+        gateway,
+        Rc::clone(&addresses),
+    ));
+    let name = format!("g{}", gateway.0);
+    Ok(Program {
+        name: name.clone(),
+        file: options.gateway.clone(),
+        config: json!({
+            "name": name,
+            "listen": "127.0.0.1:0",
+            "discovery": discovery.to_string(),
+            "seed": "0",
+            "peer_listen": peers.listen(gateway).to_string(),
+            "peers": known,
+            "peers_all": all.to_string(),
+            "limits": { "cores": 1.0, "memory_mb": scenario.gateway.memory_mb, "sockets": scenario.gateway.sockets },
+            "settings": settings::object(scenario),
+        }),
+        addresses,
+    })
+}
+
+/// Sends the day's requests at their times and waits for the answers, no longer than clients would.
+async fn send_load(scenario: &Scenario, seed: u64, environment: &Environment, front: &Rc<Front>) {
+    let world = &scenario.world;
+    let mut calls = JoinSet::new();
+    for arrival in Arrivals::new(world, seed) {
+        environment.until(environment.start() + arrival.at).await;
+        calls.spawn_local(Rc::clone(front).call(arrival));
+        while calls.try_join_next().is_some() {}
+    }
+    let deadlines = world.classes.iter().map(|class| class.deadline_ms);
+    let longest = deadlines.fold(0.0, f64::max);
+    let tries = f64::from(world.clients.retries + 1);
+    let patience = Duration::from_secs_f64(longest / 1e3 * tries) + AFTER;
+    let _ = tokio::time::timeout(patience, async {
+        while calls.join_next().await.is_some() {}
+    })
+    .await;
+}
+
 /// How long a run lasts at least.
 pub fn length(scenario: &Scenario) -> Duration {
     Duration::from_nanos(seconds(scenario.world.length_s).max(0) as u64)
--- a/crates/testbed/src/results.rs
+++ b/crates/testbed/src/results.rs
@@ -26,7 +26,7 @@
 
 /// A class's figures.
 #[derive(Clone, Debug, Serialize, PartialEq)]
-pub struct ClassFigures {
+pub struct ClassResults {
     /// Its name.
     pub name: String,
     /// First tries.
@@ -171,7 +171,7 @@
     /// Nothing where no host returned, or it did not come back.
     pub recovery_s: Option<f64>,
     /// By class.
-    pub classes: Vec<ClassFigures>,
+    pub classes: Vec<ClassResults>,
     /// By second.
     pub seconds: Vec<Second>,
     /// By host.
@@ -597,23 +597,15 @@
     /// The figures.
     pub fn results(self, s: &Scenario, mode: &str, seed: u64, fleet: &Fleet) -> RunResults {
         let sum = |f: &dyn Fn(&ClassTally) -> f64| self.tallies.iter().map(f).sum::<f64>();
-        let ratio = |a: f64, b: f64| if b > 0.0 { a / b } else { 0.0 };
         let requests = sum(&|t| t.asked as f64);
         // Counted over the whole run, these belong to all of its first tries.
         let all: f64 = self.seconds.iter().map(|s| s.first_tries as f64).sum();
-        let part = |t: &ClassTally| {
-            if t.worth > 0.0 {
-                t.earned / t.worth
-            } else {
-                1.0
-            }
-        };
         let service = ratio(sum(&|t| t.earned), sum(&|t| t.worth));
         let worst_class = self
             .tallies
             .iter()
             .filter(|t| t.asked > 0 && t.worth > 0.0)
-            .map(part)
+            .map(earned_part)
             .fold(1.0, f64::min);
         let worst_10s = self.worst_stretch();
         let per = |n: u64| ratio(n as f64, all);
@@ -627,36 +619,9 @@
         let prices = s.gateway.probe_price * probes
             + MESSAGE_PRICE * datagrams / 256.0
             + WASTE_PRICE * wasted;
-        let quantile = |t: &ClassTally, q: f64| t.latency.value_at_quantile(q) as f64 / 1000.0;
-        let classes = (self.classes.iter().zip(&self.tallies))
-            .map(|(c, t)| ClassFigures {
-                name: c.name.clone(),
-                asked: t.asked,
-                in_time: t.in_time,
-                late: t.late,
-                refused: t.refused,
-                failed: t.failed,
-                timed_out: t.timed_out,
-                unreachable: t.unreachable,
-                tries_per_call: ratio(t.tries as f64, t.asked as f64),
-                service: part(t),
-                p50_ms: quantile(t, 0.5),
-                p90_ms: quantile(t, 0.9),
-                p99_ms: quantile(t, 0.99),
-                max_ms: t.latency.max() as f64 / 1000.0,
-            })
-            .collect();
         let invariants = fleet.invariants();
-        let hosts: Vec<HostResults> = (fleet.hosts().iter().zip(&self.hosts))
-            .map(|(h, samples)| HostResults {
-                host: h.id.0,
-                set: h.set.0,
-                peak_load: h.peaks().0,
-                peak_cold_load: h.peaks().1,
-                held: samples.held.clone(),
-                lag_ms: samples.lag_ms.clone(),
-            })
-            .collect();
+        let classes = self.class_results();
+        let hosts = self.host_results(fleet);
         let most = |f: &dyn Fn(&HostResults) -> f64| hosts.iter().map(f).fold(0.0, f64::max);
         RunResults {
             version: VERSION,
@@ -699,4 +664,57 @@
             refusals_by_pause: self.pauses,
         }
     }
+
+    fn class_results(&self) -> Vec<ClassResults> {
+        let quantile = |t: &ClassTally, q: f64| t.latency.value_at_quantile(q) as f64 / 1000.0;
+        (self.classes.iter().zip(&self.tallies))
+            .map(|(class, tally)| ClassResults {
+                name: class.name.clone(),
+                asked: tally.asked,
+                in_time: tally.in_time,
+                late: tally.late,
+                refused: tally.refused,
+                failed: tally.failed,
+                timed_out: tally.timed_out,
+                unreachable: tally.unreachable,
+                tries_per_call: ratio(tally.tries as f64, tally.asked as f64),
+                service: earned_part(tally),
+                p50_ms: quantile(tally, 0.5),
+                p90_ms: quantile(tally, 0.9),
+                p99_ms: quantile(tally, 0.99),
+                max_ms: tally.latency.max() as f64 / 1000.0,
+            })
+            .collect()
+    }
+
+    fn host_results(&self, fleet: &Fleet) -> Vec<HostResults> {
+        (fleet.hosts().iter().zip(&self.hosts))
+            .map(|(host, samples)| HostResults {
+                host: host.id.0,
+                set: host.set.0,
+                peak_load: host.peaks().0,
+                peak_cold_load: host.peaks().1,
+                held: samples.held.clone(),
+                lag_ms: samples.lag_ms.clone(),
+            })
+            .collect()
+    }
+}
+
+/// `a` over `b`; 0 where `b` is not over 0.
+fn ratio(a: f64, b: f64) -> f64 {
+    if b > 0.0 {
+        a / b
+    } else {
+        0.0
+    }
+}
+
+/// The part of the worth asked for that was earned; all of it where none was asked for.
+fn earned_part(tally: &ClassTally) -> f64 {
+    if tally.worth > 0.0 {
+        tally.earned / tally.worth
+    } else {
+        1.0
+    }
 }
--- a/crates/testbed/src/virtual_run.rs
+++ b/crates/testbed/src/virtual_run.rs
@@ -387,8 +387,8 @@
         let (life, Some(exchange)) = (g.life, g.exchange.as_mut()) else {
             return;
         };
-        let said = exchange.says(now);
-        let due = exchange.due();
+        let said = exchange.outgoing(now);
+        let due = exchange.next_due();
         for (to, body) in said {
             let all = (0..count).map(GatewayId).filter(|&g| g != gateway);
             let to: Vec<GatewayId> = to.map_or_else(|| all.collect(), |to| vec![to]);
@@ -587,7 +587,7 @@
     fn handle_datagram(&mut self, to: GatewayId, from: GatewayId, body: &[u8]) {
         let now = self.now;
         if let Some(exchange) = self.gateways[to.0 as usize].exchange.as_mut() {
-            exchange.heard(now, from, body);
+            exchange.receive(now, from, body);
             self.run_peer_exchange(to);
         }
     }
--- a/crates/testbed/tests/virtual_time.rs
+++ b/crates/testbed/tests/virtual_time.rs
@@ -151,7 +151,7 @@
 }
 
 impl PeerExchange for Chatter {
-    fn heard(&mut self, _: Ns, from: GatewayId, body: &[u8]) {
+    fn receive(&mut self, _: Ns, from: GatewayId, body: &[u8]) {
         assert_eq!(body, [from.0 as u8; 100]);
         *self
             .heard
@@ -160,7 +160,7 @@
             .or_insert(0) += 1;
     }
 
-    fn says(&mut self, now: Ns) -> Vec<(Option<GatewayId>, Vec<u8>)> {
+    fn outgoing(&mut self, now: Ns) -> Vec<(Option<GatewayId>, Vec<u8>)> {
         if now < self.next {
             return Vec::new();
         }
@@ -168,7 +168,7 @@
         vec![(None, vec![self.me.0 as u8; 100])]
     }
 
-    fn due(&self) -> Option<Ns> {
+    fn next_due(&self) -> Option<Ns> {
         Some(self.next)
     }
 }
