Name the simulation's calls by what they do; replace comments that only point back

Cause: told, tell, mute, begin, again, ended and tuples of wave times needed explaining; results had comments that only said 'Likewise'. Change: drain_notice_time, deliver, set_silent, first_try, next_try, finish_try, pop_finished, GatewayRestart, KeyedWrite; the fleet's tests are named by subject, condition and expectation; results say what each field is.

--- a/crates/simulation/src/clients.rs
+++ b/crates/simulation/src/clients.rs
@@ -390,7 +390,7 @@
     }
 
     /// A gateway dies, or starts again.
-    pub fn gateway(&mut self, now: Ns, gateway: GatewayId, up: bool) {
+    pub fn set_gateway_state(&mut self, now: Ns, gateway: GatewayId, up: bool) {
         if up {
             self.front.dead.remove(&gateway);
         } else {
@@ -429,7 +429,7 @@
     }
 
     /// A request comes: its first try.
-    pub fn begin(&mut self, now: Ns, arrival: Arrival) -> Try {
+    pub fn first_try(&mut self, now: Ns, arrival: Arrival) -> Try {
         let call = Call {
             arrival,
             number: 0,
@@ -442,7 +442,7 @@
     }
 
     /// A client tries again, at the time that it was told to.
-    pub fn again(&mut self, now: Ns, call: u64) -> Option<Try> {
+    pub fn next_try(&mut self, now: Ns, call: u64) -> Option<Try> {
         self.open
             .contains_key(&call)
             .then(|| self.attempt(now, call))
@@ -482,7 +482,7 @@
     }
 
     /// A try has ended: what its client does next. A try that is over already ends once only.
-    pub fn ended(
+    pub fn finish_try(
         &mut self,
         now: Ns,
         id: u64,
@@ -510,10 +510,10 @@
                 let mark = self.marks.entry(session).or_insert(commit);
                 *mark = (*mark).max(commit);
             }
-            return self.done(id, Some(now), outcome);
+            return self.finish_request(id, Some(now), outcome);
         }
         let (number, backoff, may_have_run) = (call.number, call.backoff, call.may_have_run);
-        let at = now + self.wait(backoff, outcome);
+        let at = now + self.retry_delay(backoff, outcome);
         let may = match (write, self.retry.spec.writes, may_have_run) {
             (false, ..) | (_, WriteRepeats::Always, _) | (_, _, None) => true,
             (_, WriteRepeats::Refused, Some(_)) => false,
@@ -521,7 +521,7 @@
             (_, WriteRepeats::Window, Some(first)) => at < first + self.retry.window * 2 / 3,
         };
         if number >= self.retry.spec.retries || outcome == TryOutcome::Left || !may {
-            return self.done(id, None, outcome);
+            return self.finish_request(id, None, outcome);
         }
         if let Some(call) = self.open.get_mut(&id) {
             call.number += 1;
@@ -530,7 +530,7 @@
         NextStep::Again(at)
     }
 
-    fn wait(&mut self, backoff: Ns, outcome: TryOutcome) -> Ns {
+    fn retry_delay(&mut self, backoff: Ns, outcome: TryOutcome) -> Ns {
         let chance = self.rng.between(0.5, 1.5);
         let own = (backoff as f64 * chance) as Ns;
         let honours = self.rng.chance(self.retry.honour);
@@ -542,7 +542,7 @@
         }
     }
 
-    fn done(&mut self, id: u64, served: Option<Ns>, last: TryOutcome) -> NextStep {
+    fn finish_request(&mut self, id: u64, served: Option<Ns>, last: TryOutcome) -> NextStep {
         match self.open.remove(&id) {
             Some(call) => NextStep::Done(Finished {
                 arrival: call.arrival,
--- a/crates/simulation/src/cpu.rs
+++ b/crates/simulation/src/cpu.rs
@@ -9,7 +9,7 @@
 use std::collections::BinaryHeap;
 
 /// Jobs whose end is this close, in nanoseconds of work, have ended: times are whole nanoseconds, service is not.
-const CLOSE: f64 = 0.75;
+const FINISH_TOLERANCE: f64 = 0.75;
 
 /// A capacity that rises evenly from a part of the whole to the whole.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -133,14 +133,14 @@
     }
 
     /// Changes what it can do, from now on.
-    pub fn set(&mut self, now: Ns, cores: f64, pace: f64) {
+    pub fn set_capacity(&mut self, now: Ns, cores: f64, pace: f64) {
         self.advance(now);
         self.cores = cores.max(0.01);
         self.pace = pace.max(0.001);
     }
 
     /// Begins a ramp.
-    pub fn start(&mut self, now: Ns, ramp: Ramp) {
+    pub fn start_ramp(&mut self, now: Ns, ramp: Ramp) {
         self.advance(now);
         self.ramp = ramp;
     }
@@ -170,7 +170,7 @@
     }
 
     /// When the next job ends if none comes, goes or changes before.
-    pub fn next(&self) -> Option<Ns> {
+    pub fn next_finish(&self) -> Option<Ns> {
         let Reverse(first) = self.jobs.peek()?;
         if self.frozen {
             return None;
@@ -180,10 +180,10 @@
     }
 
     /// The next job that has ended by now.
-    pub fn ended(&mut self, now: Ns) -> Option<u64> {
+    pub fn pop_finished(&mut self, now: Ns) -> Option<u64> {
         self.advance(now);
         let Reverse(first) = self.jobs.peek()?;
-        if first.service > self.service + CLOSE {
+        if first.service > self.service + FINISH_TOLERANCE {
             return None;
         }
         self.jobs.pop().map(|Reverse(f)| f.job)
@@ -208,14 +208,14 @@
 
     /// A job runs at the pace of a core, or of its part of all of them where they are fewer than the jobs: this many
     /// cores for each job, once warm.
-    fn part(&self) -> f64 {
+    fn cores_per_job(&self) -> f64 {
         self.cores / self.jobs.len().max(1) as f64
     }
 
     /// Until when, from the time reached, a job's part still grows: to the end of the ramp, or to a whole core.
-    fn growing(&self) -> f64 {
+    fn growth_time(&self) -> f64 {
         let at = self.at as f64;
-        let part = self.part();
+        let part = self.cores_per_job();
         if self.at >= self.ramp.end() || part * self.ramp.at(self.at) >= 1.0 {
             return 0.0;
         }
@@ -228,40 +228,40 @@
     }
 
     fn gain(&self, time: f64) -> f64 {
-        let grows = self.growing().min(time);
-        let rate = self.part() * self.ramp.at(self.at);
-        let rise = self.part() * self.ramp.slope();
+        let grows = self.growth_time().min(time);
+        let rate = self.cores_per_job() * self.ramp.at(self.at);
+        let rise = self.cores_per_job() * self.ramp.slope();
         let first = if grows > 0.0 {
             rate * grows + rise * grows * grows / 2.0
         } else {
             0.0
         };
-        let then = self.settled();
+        let then = self.settled_rate();
         (first + then * (time - grows).max(0.0)) * self.pace
     }
 
     /// The rate once it no longer grows.
-    fn settled(&self) -> f64 {
-        let grew = self.growing();
+    fn settled_rate(&self) -> f64 {
+        let grew = self.growth_time();
         let end = self.at as f64 + grew;
         let part = if end >= self.ramp.end() as f64 {
             1.0
         } else {
             self.ramp.at(end as Ns)
         };
-        (self.part() * part).min(1.0)
+        (self.cores_per_job() * part).min(1.0)
     }
 
     fn time_for(&self, service: f64) -> f64 {
         let need = service / self.pace;
-        let grows = self.growing();
-        let rate = self.part() * self.ramp.at(self.at);
-        let rise = self.part() * self.ramp.slope();
+        let grows = self.growth_time();
+        let rate = self.cores_per_job() * self.ramp.at(self.at);
+        let rise = self.cores_per_job() * self.ramp.slope();
         let first = rate * grows + rise * grows * grows / 2.0;
         if grows > 0.0 && need <= first {
             // rise/2 x^2 + rate x = need, in the form that stays exact where the rise is next to nothing.
             return 2.0 * need / (rate + (rate * rate + 2.0 * rise * need).sqrt());
         }
-        grows + (need - first) / self.settled().max(1e-12)
+        grows + (need - first) / self.settled_rate().max(1e-12)
     }
 }
--- a/crates/simulation/src/endpoint_list.rs
+++ b/crates/simulation/src/endpoint_list.rs
@@ -39,7 +39,7 @@
     pub version: u64,
     entries: BTreeMap<HostId, ListEntry>,
     /// Since when it has been told not to send to a host.
-    told: BTreeMap<HostId, Ns>,
+    drain_notices: BTreeMap<HostId, Ns>,
 }
 
 impl EndpointView {
@@ -69,9 +69,9 @@
     rng: Rng,
     views: Vec<EndpointView>,
     order: u64,
-    muted: bool,
+    silent: bool,
     /// What would have been told while discovery was silent.
-    kept: Vec<(GatewayId, ListEntry)>,
+    withheld: Vec<(GatewayId, ListEntry)>,
 }
 
 impl EndpointList {
@@ -98,7 +98,7 @@
         let view = EndpointView {
             version: 1,
             entries: hosts.map(line).collect(),
-            told: BTreeMap::new(),
+            drain_notices: BTreeMap::new(),
         };
         let ends = |b: crate::spec::ValueOrRange| (b.ends()[0], b.ends()[1]);
         EndpointList {
@@ -108,8 +108,8 @@
             rng,
             views: vec![view; gateways as usize],
             order: 0,
-            muted: false,
-            kept: Vec::new(),
+            silent: false,
+            withheld: Vec::new(),
         }
     }
 
@@ -119,7 +119,7 @@
     }
 
     /// Something has happened to a host: who is told when. What makes no sound is noticed later.
-    pub fn change(
+    pub fn announce(
         &mut self,
         now: Ns,
         host: HostId,
@@ -142,20 +142,20 @@
             since,
             order: self.order,
         };
-        let told = |g: usize, rng: &mut Rng| Notification {
+        let notification = |g: usize, rng: &mut Rng| Notification {
             at: noticed + (rng.unit() * self.spread as f64) as Ns,
             gateway: GatewayId(g as u32),
             entry,
         };
         let count = self.views.len();
         let rng = &mut self.rng;
-        (0..count).map(|g| told(g, rng)).collect()
+        (0..count).map(|g| notification(g, rng)).collect()
     }
 
     /// A change arrives. True where the gateway is told it now.
-    pub fn tell(&mut self, now: Ns, gateway: GatewayId, entry: ListEntry) -> bool {
-        if self.muted {
-            self.kept.push((gateway, entry));
+    pub fn deliver(&mut self, now: Ns, gateway: GatewayId, entry: ListEntry) -> bool {
+        if self.silent {
+            self.withheld.push((gateway, entry));
             return false;
         }
         let view = &mut self.views[gateway.0 as usize];
@@ -170,30 +170,33 @@
         view.version += 1;
         view.entries.insert(entry.host, entry);
         if entry.listed == ListedState::Ready {
-            view.told.remove(&entry.host);
+            view.drain_notices.remove(&entry.host);
         } else {
-            view.told.entry(entry.host).or_insert(now);
+            view.drain_notices.entry(entry.host).or_insert(now);
         }
         true
     }
 
     /// Discovery falls silent, or speaks again: then what it has kept comes back, to be told now.
-    pub fn mute(&mut self, muted: bool) -> Vec<(GatewayId, ListEntry)> {
-        self.muted = muted;
-        if muted {
+    pub fn set_silent(&mut self, silent: bool) -> Vec<(GatewayId, ListEntry)> {
+        self.silent = silent;
+        if silent {
             Vec::new()
         } else {
-            std::mem::take(&mut self.kept)
+            std::mem::take(&mut self.withheld)
         }
     }
 
     /// Discovery is silent.
-    pub fn muted(&self) -> bool {
-        self.muted
+    pub fn is_silent(&self) -> bool {
+        self.silent
     }
 
     /// Since when a gateway has known that a host drains or is gone.
-    pub fn told(&self, gateway: GatewayId, host: HostId) -> Option<Ns> {
-        self.views[gateway.0 as usize].told.get(&host).copied()
+    pub fn drain_notice_time(&self, gateway: GatewayId, host: HostId) -> Option<Ns> {
+        self.views[gateway.0 as usize]
+            .drain_notices
+            .get(&host)
+            .copied()
     }
 }
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -5,6 +5,17 @@
 use crate::spec::{Fault, HostSelection, Spec, ValueOrRange};
 use crate::{seconds, GatewayId, HostId, Ns, SetId};
 
+/// A gateway that is killed and starts again; times since the start of the run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GatewayRestart {
+    /// The gateway.
+    pub gateway: GatewayId,
+    /// When it is killed.
+    pub down_at: Ns,
+    /// When it starts again.
+    pub up_at: Ns,
+}
+
 /// A fault of a day.
 #[derive(Clone, Debug)]
 pub struct PlannedFault {
@@ -22,8 +33,8 @@
     pub part: f64,
     /// The flooded sets.
     pub sets: Vec<SetId>,
-    /// Gateways that are killed, with the times of their end and of their return.
-    pub waves: Vec<(GatewayId, Ns, Ns)>,
+    /// Gateways that are killed.
+    pub restarts: Vec<GatewayRestart>,
     /// Gateways that do not reach the hosts that are cut off, or that are on one side of a split.
     pub cut: Vec<GatewayId>,
 }
@@ -33,11 +44,11 @@
     spec.faults
         .iter()
         .enumerate()
-        .map(|(i, f)| planned(spec, f, seed, i as u64))
+        .map(|(i, f)| draw_fault(spec, f, seed, i as u64))
         .collect()
 }
 
-fn planned(spec: &Spec, fault: &Fault, seed: u64, index: u64) -> PlannedFault {
+fn draw_fault(spec: &Spec, fault: &Fault, seed: u64, index: u64) -> PlannedFault {
     // Each has its own numbers, so that one more fault leaves the others as they were.
     let mut rng = Rng::new(
         seed ^ index.wrapping_mul(0x5851_f42d_4c95_7f2d),
@@ -52,8 +63,8 @@
     let sets = flood.map_or(Vec::new(), |f| {
         rng.choose(f.sets as usize, spec.set_count() as usize)
     });
-    let waves = fault.gateways_killed.as_ref().map_or(Vec::new(), |w| {
-        waves(
+    let restarts = fault.gateways_killed.as_ref().map_or(Vec::new(), |w| {
+        draw_restarts(
             spec.gateways,
             w.share,
             w.at_a_time,
@@ -79,7 +90,7 @@
         times,
         part,
         sets: sets.into_iter().map(|s| SetId(s as u32)).collect(),
-        waves,
+        restarts,
         cut: cut.into_iter().map(|g| GatewayId(g as u32)).collect(),
     }
 }
@@ -92,7 +103,7 @@
     ((share * f64::from(of)).round() as usize).clamp(1, of as usize)
 }
 
-fn waves(
+fn draw_restarts(
     gateways: u32,
     share: f64,
     at_a_time: f64,
@@ -100,7 +111,7 @@
     from: Ns,
     until: Ns,
     rng: &mut Rng,
-) -> Vec<(GatewayId, Ns, Ns)> {
+) -> Vec<GatewayRestart> {
     let mut struck = rng.choose(part_of(share, gateways), gateways as usize);
     // In any order, not by their numbers.
     for i in (1..struck.len()).rev() {
@@ -113,7 +124,11 @@
     for (wave, gateways) in struck.chunks(batch).enumerate() {
         let at = from + (until - from) * wave as Ns / count;
         for &g in gateways {
-            all.push((GatewayId(g as u32), at, at + seconds(down.draw(rng))));
+            all.push(GatewayRestart {
+                gateway: GatewayId(g as u32),
+                down_at: at,
+                up_at: at + seconds(down.draw(rng)),
+            });
         }
     }
     all
--- a/crates/simulation/src/fleet/fault_effects.rs
+++ b/crates/simulation/src/fleet/fault_effects.rs
@@ -25,7 +25,7 @@
             self.outputs.push(Output::DatagramsLost(lost.part));
         }
         if planned.fault.discovery_silent.is_some() {
-            self.list.mute(true);
+            self.list.set_silent(true);
         }
         self.faults.struck_hosts.insert(index, hosts.clone());
         self.outputs.push(Output::Fault {
@@ -125,7 +125,7 @@
                 .push(Output::DatagramsLost(self.faults.datagram_loss));
         }
         if planned.fault.discovery_silent.is_some() {
-            for (gateway, entry) in self.list.mute(false) {
+            for (gateway, entry) in self.list.set_silent(false) {
                 self.deliver_notification(now, gateway, entry);
             }
         }
--- a/crates/simulation/src/fleet/lifecycle.rs
+++ b/crates/simulation/src/fleet/lifecycle.rs
@@ -96,14 +96,14 @@
             self.hosts[host.0 as usize].set,
             self.hosts[host.0 as usize].started,
         );
-        for telling in self.list.change(now, host, set, listed, since, silent) {
+        for telling in self.list.announce(now, host, set, listed, since, silent) {
             self.schedule(telling.at, Event::Notify(telling));
         }
     }
 
     /// A gateway receives a changed entry of the list, unless discovery is silent.
     pub(super) fn deliver_notification(&mut self, now: Ns, gateway: GatewayId, entry: ListEntry) {
-        if self.list.tell(now, gateway, entry) {
+        if self.list.deliver(now, gateway, entry) {
             self.outputs.push(Output::ListUpdated { gateway, entry });
         }
     }
--- a/crates/simulation/src/fleet/mod.rs
+++ b/crates/simulation/src/fleet/mod.rs
@@ -17,14 +17,14 @@
 use crate::faults::{self, PlannedFault};
 use crate::host::Host;
 use crate::invariants::InvariantAudit;
-use crate::replication_log::{LogApplier, ReplicationLog};
+use crate::replication_log::LogApplier;
 use crate::rng::{Rng, Stream};
 use crate::spec::{Day, Spec};
 use crate::{GatewayId, HostId, Ns, SetId};
 use queries::{Admission, Job};
 use replica_set::ReplicaSet;
 use rustc_hash::FxHashMap;
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 
 #[derive(Clone, Debug)]
 enum Event {
@@ -86,20 +86,7 @@
         let day = Day::draw(spec, seed);
         let plan = faults::plan(spec, seed);
         let count = spec.set_count();
-        let mut sets: Vec<ReplicaSet> = Vec::new();
-        for _ in 0..count {
-            sets.push(ReplicaSet {
-                members: Vec::new(),
-                primary: None,
-                primary_since: Some(start),
-                last_position: start,
-                term: 0,
-                role_delays_drawn: 0,
-                log: ReplicationLog::default(),
-                keys: FxHashMap::default(),
-                key_order: VecDeque::new(),
-            });
-        }
+        let mut sets: Vec<ReplicaSet> = (0..count).map(|_| ReplicaSet::new(start)).collect();
         let tip = crate::host::tip(spec.rules.tip_s);
         let mut hosts = Vec::new();
         for i in 0..spec.hosts.count {
@@ -140,27 +127,34 @@
             },
             spec: spec.clone(),
         };
-        for i in 0..fleet.hosts.len() {
-            // Hosts make their reports each at its own time.
-            let first =
-                start + (fleet.random.rng.unit() * fleet.day.hosts.report_every as f64) as Ns;
-            fleet.refresh_report(start, HostId(i as u32));
-            fleet.schedule(
-                first,
-                Event::RefreshReport {
-                    host: HostId(i as u32),
-                },
-            );
+        fleet.schedule_reports(start);
+        fleet.schedule_faults(start);
+        fleet
+    }
+
+    /// Hosts make their reports each at its own time.
+    fn schedule_reports(&mut self, start: Ns) {
+        for index in 0..self.hosts.len() {
+            let host = HostId(index as u32);
+            let delay = self.random.rng.unit() * self.day.hosts.report_every as f64;
+            self.refresh_report(start, host);
+            self.schedule(start + delay as Ns, Event::RefreshReport { host });
         }
-        for (i, planned) in fleet.faults.plan.clone().into_iter().enumerate() {
-            fleet.schedule(start + planned.from, Event::FaultBegins(i));
-            fleet.schedule(start + planned.until, Event::FaultEnds(i));
-            for (gateway, down, up) in planned.waves {
-                fleet.schedule(start + down, Event::Gateway { gateway, up: false });
-                fleet.schedule(start + up, Event::Gateway { gateway, up: true });
+    }
+
+    /// Schedules the begin and the end of each fault, and of each gateway's restart.
+    fn schedule_faults(&mut self, start: Ns) {
+        for (index, planned) in self.faults.plan.clone().into_iter().enumerate() {
+            self.schedule(start + planned.from, Event::FaultBegins(index));
+            self.schedule(start + planned.until, Event::FaultEnds(index));
+            for restart in planned.restarts {
+                let gateway = restart.gateway;
+                let down = Event::Gateway { gateway, up: false };
+                self.schedule(start + restart.down_at, down);
+                let up = Event::Gateway { gateway, up: true };
+                self.schedule(start + restart.up_at, up);
             }
         }
-        fleet
     }
 
     /// The day that was drawn.
@@ -258,7 +252,7 @@
     fn schedule_finish(&mut self, now: Ns, host: HostId) {
         let i = host.0 as usize;
         self.jobs.finish_stamps[i] += 1;
-        if let Some(at) = self.hosts[i].cpu.next() {
+        if let Some(at) = self.hosts[i].cpu.next_finish() {
             self.schedule(
                 at.max(now),
                 Event::Finish {
@@ -272,7 +266,7 @@
     fn handle_event(&mut self, now: Ns, event: Event) {
         match event {
             Event::Finish { host, stamp } if self.jobs.finish_stamps[host.0 as usize] == stamp => {
-                while let Some(job) = self.hosts[host.0 as usize].cpu.ended(now) {
+                while let Some(job) = self.hosts[host.0 as usize].cpu.pop_finished(now) {
                     self.finish_job(now, job);
                 }
                 self.schedule_finish(now, host);
--- a/crates/simulation/src/fleet/queries.rs
+++ b/crates/simulation/src/fleet/queries.rs
@@ -1,7 +1,7 @@
 //! Connections, probes and statements at a host: from their arrival to their answer.
 
 use super::messages::{Answer, Delivery, Output, ProbeResult, Query, ReplicaStatus};
-use super::replica_set::Remembered;
+use super::replica_set::KeyedWrite;
 use super::{Event, Fleet};
 use crate::endpoint_list::ListedState;
 use crate::host::State;
@@ -103,7 +103,7 @@
 
     /// A statement comes, on a connection of this epoch.
     pub fn query(&mut self, now: Ns, host: HostId, epoch: u32, query: Query) -> Delivery {
-        if let Some(told) = self.list.told(query.gateway, host) {
+        if let Some(told) = self.list.drain_notice_time(query.gateway, host) {
             let grace = ms(self.spec.rules.drain_grace_ms);
             self.invariants
                 .sent(query.sent, query.gateway, host, told, grace);
@@ -375,7 +375,7 @@
             .and_then(|k| set.keys.get_mut(&k))
             .and_then(|k| k.get_mut(key_at));
         let commit = match known {
-            Some(Remembered {
+            Some(KeyedWrite {
                 commit: Some(commit),
                 ..
             }) => *commit,
--- a/crates/simulation/src/fleet/replica_set.rs
+++ b/crates/simulation/src/fleet/replica_set.rs
@@ -11,7 +11,7 @@
 
 /// A keyed write that a set remembers: when it first came, and its commit once it is applied.
 #[derive(Clone, Debug)]
-pub(super) struct Remembered {
+pub(super) struct KeyedWrite {
     pub(super) first_arrival: Ns,
     pub(super) commit: Option<Ns>,
 }
@@ -27,11 +27,26 @@
     /// Times that were drawn for it.
     pub(super) role_delays_drawn: u32,
     pub(super) log: ReplicationLog,
-    pub(super) keys: FxHashMap<u64, Vec<Remembered>>,
+    pub(super) keys: FxHashMap<u64, Vec<KeyedWrite>>,
     pub(super) key_order: VecDeque<(Ns, u64)>,
 }
 
 impl ReplicaSet {
+    /// A set without members or commits.
+    pub(super) fn new(start: Ns) -> Self {
+        ReplicaSet {
+            members: Vec::new(),
+            primary: None,
+            primary_since: Some(start),
+            last_position: start,
+            term: 0,
+            role_delays_drawn: 0,
+            log: ReplicationLog::default(),
+            keys: FxHashMap::default(),
+            key_order: VecDeque::new(),
+        }
+    }
+
     pub(super) fn source<'a>(&'a self, day: &Day) -> Source<'a> {
         let primary_signal = PrimarySignal {
             since: self.primary_since,
@@ -55,7 +70,7 @@
             .last()
             .is_none_or(|last| now > last.first_arrival + window)
         {
-            entries.push(Remembered {
+            entries.push(KeyedWrite {
                 first_arrival: now,
                 commit: None,
             });
--- a/crates/simulation/src/host.rs
+++ b/crates/simulation/src/host.rs
@@ -176,7 +176,7 @@
         let table = 1.0
             - spec.table_loss
                 * (f64::from(self.held.connections) / f64::from(spec.connections)).min(1.0);
-        self.cpu.set(
+        self.cpu.set_capacity(
             now,
             spec.cores - self.usage.applying,
             crowded * table / self.condition.slow,
@@ -220,7 +220,7 @@
         self.condition.draining = false;
         self.condition.refusing = false;
         self.cpu.freeze(now, false);
-        self.cpu.start(
+        self.cpu.start_ramp(
             now,
             Ramp {
                 start: now,
--- a/crates/simulation/tests/clients.rs
+++ b/crates/simulation/tests/clients.rs
@@ -73,28 +73,29 @@
     let arrival = Arrivals::new(&spec(), 5)
         .find(|a| a.key.is_some())
         .expect("a write");
-    clients.begin(SECOND, Arrival { call, ..arrival })
+    clients.first_try(SECOND, Arrival { call, ..arrival })
 }
 
 #[test]
 fn write_that_may_have_run_is_retried_only_within_the_window() {
     let mut c = Clients::new(&spec(), 5, 0);
     let t = write(&mut c, 1);
-    let NextStep::Again(at) = c.ended(SECOND + 100 * MS, 1, 0, SECOND, TryOutcome::Failed) else {
+    let NextStep::Again(at) = c.finish_try(SECOND + 100 * MS, 1, 0, SECOND, TryOutcome::Failed)
+    else {
         panic!("no retry")
     };
     assert!(at < SECOND + 300 * MS);
-    let again = c.again(at, 1).expect("a try");
+    let again = c.next_try(at, 1).expect("a try");
     assert_eq!(
         (again.number, again.marked, again.arrival.key),
         (1, true, t.arrival.key)
     );
     assert_eq!(
-        c.ended(at, 1, 0, SECOND, TryOutcome::Failed),
+        c.finish_try(at, 1, 0, SECOND, TryOutcome::Failed),
         NextStep::Nothing,
         "the first try is over"
     );
-    let late = c.ended(
+    let late = c.finish_try(
         SECOND + 900 * MS,
         1,
         1,
@@ -117,7 +118,7 @@
     // Refused each time, it has never run: it comes again as often as clients do.
     write(&mut c, 2);
     for number in 0..2 {
-        let next = c.ended(
+        let next = c.finish_try(
             9 * SECOND,
             2,
             number,
@@ -125,10 +126,10 @@
             TryOutcome::Refused { pause: None },
         );
         assert!(matches!(next, NextStep::Again(_)), "{next:?}");
-        c.again(9 * SECOND, 2).expect("a try");
+        c.next_try(9 * SECOND, 2).expect("a try");
     }
     assert!(matches!(
-        c.ended(9 * SECOND, 2, 2, SECOND, TryOutcome::Failed),
+        c.finish_try(9 * SECOND, 2, 2, SECOND, TryOutcome::Failed),
         NextStep::Done(_)
     ));
     assert_eq!(c.open(), 0);
@@ -138,15 +139,15 @@
 fn front_avoids_a_dead_gateway_once_it_has_noticed() {
     let mut c = Clients::new(&spec(), 5, 0);
     let t = write(&mut c, 1);
-    c.gateway(SECOND, t.gateway, false);
+    c.set_gateway_state(SECOND, t.gateway, false);
     assert_eq!(write(&mut c, 2).gateway, t.gateway, "it has not noticed");
-    c.gateway(
+    c.set_gateway_state(
         SECOND - Day::draw(&spec(), 5).clients.front_notice,
         t.gateway,
         false,
     );
     assert_ne!(write(&mut c, 3).gateway, t.gateway);
-    c.gateway(SECOND, t.gateway, true);
+    c.set_gateway_state(SECOND, t.gateway, true);
     assert_eq!(write(&mut c, 4).gateway, t.gateway);
 }
 
@@ -171,9 +172,11 @@
         call,
         ..t.arrival
     };
-    let early: Vec<Try> = (2..40).map(|call| c.begin(SECOND, read(call))).collect();
+    let early: Vec<Try> = (2..40)
+        .map(|call| c.first_try(SECOND, read(call)))
+        .collect();
     assert!(early.iter().any(|r| r.gateway != t.gateway) && early.iter().all(|r| r.mark == 0));
-    c.ended(
+    c.finish_try(
         2 * SECOND,
         1,
         0,
@@ -183,12 +186,12 @@
         },
     );
     let later: Vec<Try> = (40..80)
-        .map(|call| c.begin(2 * SECOND, read(call)))
+        .map(|call| c.first_try(2 * SECOND, read(call)))
         .collect();
     assert!(
         later.iter().any(|r| r.gateway != t.gateway) && later.iter().all(|r| r.mark == SECOND + MS)
     );
-    let stays = c.begin(
+    let stays = c.first_try(
         2 * SECOND,
         Arrival {
             roams: false,
@@ -209,11 +212,11 @@
         ..t.arrival
     };
     assert_eq!(
-        c.begin(SECOND, read).mark,
+        c.first_try(SECOND, read).mark,
         0,
         "its write has not been answered"
     );
-    c.ended(
+    c.finish_try(
         2 * SECOND,
         1,
         0,
@@ -223,7 +226,7 @@
         },
     );
     assert_eq!(
-        c.begin(2 * SECOND, Arrival { call: 3, ..read }).mark,
+        c.first_try(2 * SECOND, Arrival { call: 3, ..read }).mark,
         2 * SECOND - MS
     );
 }
--- a/crates/simulation/tests/cpu.rs
+++ b/crates/simulation/tests/cpu.rs
@@ -6,8 +6,8 @@
 
 fn run(cpu: &mut Cpu) -> Vec<(Ns, u64)> {
     let mut ends = Vec::new();
-    while let Some(t) = cpu.next() {
-        while let Some(job) = cpu.ended(t) {
+    while let Some(t) = cpu.next_finish() {
+        while let Some(job) = cpu.pop_finished(t) {
             ends.push((t, job));
         }
     }
@@ -43,14 +43,14 @@
     };
     for (work, ends) in [(2.5, 4.0), (3.5, 5.0), (0.25 + 0.75 / 8.0, 1.0)] {
         let mut cpu = Cpu::new(1.0, SECOND);
-        cpu.start(SECOND, ramp);
+        cpu.start_ramp(SECOND, ramp);
         cpu.add(SECOND, (work * 1e9) as Ns, 1);
         let (t, _) = run(&mut cpu)[0];
         assert!((t - SECOND - (ends * 1e9) as Ns).abs() <= 2, "{work}: {t}");
     }
     // Two cores, one job: it has a whole core once half of the capacity is there, after 4/3 s.
     let mut cpu = Cpu::new(2.0, SECOND);
-    cpu.start(SECOND, ramp);
+    cpu.start_ramp(SECOND, ramp);
     cpu.add(SECOND, 3 * SECOND, 1);
     let (t, _) = run(&mut cpu)[0];
     assert!((t - SECOND - (10 * SECOND / 3)).abs() <= 2, "{t}");
@@ -65,7 +65,7 @@
     };
     let (mut whole, mut steps) = (Cpu::new(5.0, 0), Cpu::new(5.0, 0));
     for cpu in [&mut whole, &mut steps] {
-        cpu.start(0, ramp);
+        cpu.start_ramp(0, ramp);
         (0..7).for_each(|j| cpu.add(0, SECOND * (1 + j), j as u64));
     }
     (0..3000).for_each(|i| steps.advance(i * 10_000_000));
@@ -91,11 +91,11 @@
     let count = 200_000;
     let mut next = 0;
     while n < count {
-        let end = cpu.next().unwrap_or(Ns::MAX);
+        let end = cpu.next_finish().unwrap_or(Ns::MAX);
         let t = next.min(end);
         area += cpu.busy() as f64 * (t - now) as f64;
         now = t;
-        while let Some(job) = cpu.ended(now) {
+        while let Some(job) = cpu.pop_finished(now) {
             total += (now - came.remove(&job).unwrap_or(now)) as f64;
             n += 1;
         }
--- a/crates/simulation/tests/endpoint_list.rs
+++ b/crates/simulation/tests/endpoint_list.rs
@@ -8,8 +8,8 @@
 fn notice_that_is_older_or_comes_in_silence_does_not_change_the_view() {
     let spec = ListSpec::default();
     let mut l = EndpointList::new(&spec, 1, 2, [(HostId(0), SetId(0))].into_iter());
-    let first = l.change(0, HostId(0), SetId(0), ListedState::Draining, 0, false);
-    let second = l.change(
+    let first = l.announce(0, HostId(0), SetId(0), ListedState::Draining, 0, false);
+    let second = l.announce(
         SECOND,
         HostId(0),
         SetId(0),
@@ -22,11 +22,11 @@
         .iter()
         .all(|t| t.at >= seconds(1.1) && t.at <= seconds(4.7 + 0.38)));
     let g = GatewayId(0);
-    assert!(l.tell(5 * SECOND, g, second[0].entry));
-    assert!(!l.tell(6 * SECOND, g, first[0].entry), "it is older");
-    assert_eq!(l.told(g, HostId(0)), None);
-    l.mute(true);
-    let gone = l.change(
+    assert!(l.deliver(5 * SECOND, g, second[0].entry));
+    assert!(!l.deliver(6 * SECOND, g, first[0].entry), "it is older");
+    assert_eq!(l.drain_notice_time(g, HostId(0)), None);
+    l.set_silent(true);
+    let gone = l.announce(
         7 * SECOND,
         HostId(0),
         SetId(0),
@@ -34,10 +34,13 @@
         SECOND,
         false,
     );
-    assert!(!l.tell(9 * SECOND, g, gone[0].entry));
-    assert_eq!((l.told(g, HostId(0)), l.view(g).version), (None, 2));
-    let kept = l.mute(false);
+    assert!(!l.deliver(9 * SECOND, g, gone[0].entry));
+    assert_eq!(
+        (l.drain_notice_time(g, HostId(0)), l.view(g).version),
+        (None, 2)
+    );
+    let kept = l.set_silent(false);
     assert_eq!(kept.len(), 1);
-    assert!(l.tell(20 * SECOND, kept[0].0, kept[0].1));
-    assert_eq!(l.told(g, HostId(0)), Some(20 * SECOND));
+    assert!(l.deliver(20 * SECOND, kept[0].0, kept[0].1));
+    assert_eq!(l.drain_notice_time(g, HostId(0)), Some(20 * SECOND));
 }
--- a/crates/simulation/tests/faults.rs
+++ b/crates/simulation/tests/faults.rs
@@ -32,13 +32,13 @@
         ..Spec::default()
     };
     let p = &plan(&spec, 3)[0];
-    let mut gateways: Vec<u32> = p.waves.iter().map(|w| w.0 .0).collect();
+    let mut gateways: Vec<u32> = p.restarts.iter().map(|w| w.gateway.0).collect();
     gateways.sort_unstable();
     gateways.dedup();
-    assert_eq!((p.waves.len(), gateways.len()), (9, 9));
-    for at in p.waves.iter().map(|w| w.1) {
+    assert_eq!((p.restarts.len(), gateways.len()), (9, 9));
+    for at in p.restarts.iter().map(|w| w.down_at) {
         assert!(
-            p.waves.iter().filter(|w| w.1 == at).count() == 3
+            p.restarts.iter().filter(|w| w.down_at == at).count() == 3
                 && (5 * SECOND..25 * SECOND).contains(&at)
         );
     }
--- a/crates/simulation/tests/fleet.rs
+++ b/crates/simulation/tests/fleet.rs
@@ -133,7 +133,7 @@
 }
 
 #[test]
-fn a_repeat_is_dropped_within_the_window_and_applied_beyond_it() {
+fn repeated_write_within_the_window_is_dropped_and_beyond_it_applied() {
     let mut r = Rig::new(&spec(Vec::new()));
     let first = r.write(SECOND, 0, 7);
     // The last moment of the window, counted from when the first one came.
@@ -168,7 +168,7 @@
 
 /// Two copies in work at once: whichever ends first is applied, and the other is not.
 #[test]
-fn copies_in_work_at_once_are_applied_once() {
+fn concurrent_copies_of_a_write_are_applied_once() {
     let mut r = Rig::new(&spec(Vec::new()));
     r.ask(SECOND, 0, WRITE, |q| (q.key, q.work) = (Some(7), 90 * MS));
     r.ask(SECOND + MS, 0, WRITE, |q| {
@@ -192,7 +192,7 @@
 }
 
 #[test]
-fn a_write_is_applied_though_its_gateway_no_longer_waits() {
+fn write_abandoned_by_its_gateway_is_still_applied() {
     let mut r = Rig::new(&spec(Vec::new()));
     r.write(SECOND, 0, 7);
     // A gateway that gives up closes its connection: that stops nothing.
@@ -202,7 +202,7 @@
 }
 
 #[test]
-fn a_set_without_its_primary_takes_no_writes_until_another_has_taken_over() {
+fn replica_set_without_primary_takes_no_writes_until_the_election() {
     let mut r = Rig::new(&spec(vec![silent(0, 2.0, 15.0, false)]));
     let before = r.write(SECOND, 0, 1);
     let (lost, _) = r.ask(2 * SECOND - MS, 0, WRITE, |q| q.key = Some(2));
@@ -242,7 +242,7 @@
 }
 
 #[test]
-fn positions_stand_still_while_a_set_has_no_primary() {
+fn positions_without_a_primary_stand_still() {
     let mut r = Rig::new(&spec(vec![silent(0, 2.0, 15.0, false)]));
     r.until(4 * SECOND);
     assert_eq!(r.fleet.position(4 * SECOND, HostId(1)), 2 * SECOND);
@@ -260,7 +260,7 @@
 
 /// A primary hangs with a write in its hands, is replaced, comes back as a replica, and the write ends in an error.
 #[test]
-fn a_hung_primary_comes_back_as_a_replica_and_its_write_has_no_effect() {
+fn hung_primary_returns_as_replica_and_its_write_has_no_effect() {
     let mut r = Rig::new(&spec(vec![silent(0, 2.0, 8.0, true)]));
     let held = r.write(2 * SECOND - 10 * MS, 0, 1);
     let (stalled, taken) = r.ask(3 * SECOND, 0, WRITE, |q| q.key = Some(2));
@@ -287,7 +287,7 @@
 }
 
 #[test]
-fn a_primary_that_hangs_for_a_moment_keeps_its_role() {
+fn primary_that_hangs_briefly_keeps_its_role() {
     let mut r = Rig::new(&spec(vec![silent(0, 2.0, 1.0, true)]));
     let held = r.write(2 * SECOND - 10 * MS, 0, 1);
     r.until(9 * SECOND);
@@ -297,7 +297,7 @@
 
 /// The primary comes back as a replica while its successor is being elected.
 #[test]
-fn a_primary_back_before_the_election_is_a_candidate_like_others() {
+fn primary_back_before_the_election_is_a_candidate() {
     let mut r = Rig::new(&spec(vec![silent(0, 2.0, 3.0, false)]));
     r.until(6 * SECOND);
     assert_eq!(
@@ -311,7 +311,7 @@
 }
 
 #[test]
-fn a_drain_hands_over_and_the_audit_finds_what_is_sent_after_its_grace() {
+fn draining_primary_hands_over_and_late_sends_are_audited() {
     let hosts = HostSelection {
         these: Some(vec![0]),
         ..HostSelection::default()
@@ -365,7 +365,7 @@
 }
 
 #[test]
-fn a_cold_host_falls_over_when_it_is_sent_too_much_and_only_then() {
+fn cold_host_fails_only_when_it_is_sent_too_much() {
     let mut spec = spec(vec![silent(1, 1.0, 1.0, false)]);
     spec.hosts.cold_start = ValueOrRange::Value(0.2);
     spec.hosts.cold_s = ValueOrRange::Value(10.0);
@@ -393,7 +393,7 @@
 
 /// The window is three seconds long: what came before it no longer counts, what came at its very end does.
 #[test]
-fn a_host_tips_over_exactly_within_a_window() {
+fn cold_host_fails_exactly_within_the_load_window() {
     let mut spec = spec(vec![silent(1, 1.0, 1.0, false)]);
     spec.hosts.cold_start = ValueOrRange::Value(0.2);
     spec.hosts.cold_s = ValueOrRange::Value(1_000.0);
@@ -414,7 +414,7 @@
 }
 
 #[test]
-fn without_checks_a_lagging_replica_answers_and_the_ledger_finds_it() {
+fn lagging_replica_without_checks_answers_and_the_audit_finds_it() {
     let slow = irisrouter_simulation::spec::Slowdown {
         hosts: None,
         times: ValueOrRange::Value(1000.0),
@@ -454,7 +454,7 @@
 }
 
 #[test]
-fn a_long_read_stops_its_replica_from_applying() {
+fn long_read_stops_its_replica_from_applying() {
     let mut r = Rig::new(&spec(Vec::new()));
     r.ask(SECOND, 1, REPORT, |q| q.work = SECOND);
     r.write(SECOND + 100 * MS, 0, 1);
@@ -466,7 +466,7 @@
 }
 
 #[test]
-fn what_discovery_would_have_said_in_its_silence_comes_after_it() {
+fn list_changes_during_discovery_silence_arrive_after_it() {
     let mute = Fault {
         at_s: ValueOrRange::Value(0.0),
         for_s: ValueOrRange::Value(20.0),
@@ -485,7 +485,7 @@
 }
 
 #[test]
-fn slots_and_the_waiting_room_are_bounded_and_connections_too() {
+fn host_slots_waiting_room_and_connections_are_bounded() {
     let mut s = spec(Vec::new());
     (s.hosts.slots, s.hosts.room, s.hosts.connections) = (3, 2, 4);
     let mut r = Rig::new(&s);
--- a/crates/testbed/src/cluster/process.rs
+++ b/crates/testbed/src/cluster/process.rs
@@ -74,7 +74,7 @@
 }
 
 /// Ends every gateway that was started here, for a program that is told to end: their owners' threads don't run on.
-/// Danger guarded against: gateways that outlive a run, and load the machine for ever.
+/// Without it gateways would outlive the run and load the machine for ever.
 pub fn end_all() {
     for id in started().iter() {
         let _ = Command::new("kill")
--- a/crates/testbed/src/cluster/relay.rs
+++ b/crates/testbed/src/cluster/relay.rs
@@ -68,8 +68,8 @@
         }));
         let (mut listen, mut ways, mut all) = (Vec::new(), Vec::new(), Vec::new());
         for _ in 0..gateways {
-            // The gateway's own port, free again once this is dropped. Danger: any other socket of the machine that
-            // asks for some port may be given it; nothing else asks for one at this address.
+            // The gateway's own port, free again once this is dropped. Another socket of the machine that asks for
+            // any port could be given it, so an address is used at which nothing else asks for one.
             listen.push(address(&*bind("127.0.0.2:0").await?)?);
             let mut row = Vec::new();
             for _ in 0..gateways {
--- a/crates/testbed/src/cluster/schedule.rs
+++ b/crates/testbed/src/cluster/schedule.rs
@@ -81,9 +81,9 @@
     pub takeover_ms: Vec<u64>,
     /// Probes that hosts refused for an older token.
     pub fenced: usize,
-    /// Datagrams and bytes a gateway a second over the run.
+    /// Datagrams a gateway a second over the run.
     pub datagrams_s: f64,
-    /// Likewise.
+    /// Bytes of datagrams a gateway a second over the run.
     pub bytes_s: f64,
 }
 
--- a/crates/testbed/src/cluster/site_loss.rs
+++ b/crates/testbed/src/cluster/site_loss.rs
@@ -31,9 +31,9 @@
     pub before_per_s: f64,
     /// Those served from 2 s after the loss until the return, against what the hosts that are left bear.
     pub of_capacity_left: f64,
-    /// The part of what was asked then that was served: reports, which are worth more, and pages.
+    /// The part of the reports asked for then that was served; reports are worth more than pages.
     pub reports_served: f64,
-    /// Likewise.
+    /// The part of the pages asked for then that was served.
     pub pages_served: f64,
     /// From the return until as large a share of what is asked is served as before, in seconds; the whole stretch where it never was.
     pub full_after_s: f64,
--- a/crates/testbed/src/loopback/discovery.rs
+++ b/crates/testbed/src/loopback/discovery.rs
@@ -85,7 +85,7 @@
         .filter_map(|(name, value)| Some((name, value.parse().ok()?)))
         .collect();
     let mut versions = environment.versions(gateway);
-    while environment.fleet.borrow().list().muted() {
+    while environment.fleet.borrow().list().is_silent() {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     if let Some(&from) = query.get("from") {
--- a/crates/testbed/src/loopback/front.rs
+++ b/crates/testbed/src/loopback/front.rs
@@ -51,7 +51,7 @@
             .environment
             .clients
             .borrow_mut()
-            .begin(self.environment.now(), arrival);
+            .first_try(self.environment.now(), arrival);
         loop {
             let outcome = self.attempt(&of).await;
             let now = self.environment.now();
@@ -59,7 +59,7 @@
                 .environment
                 .clients
                 .borrow_mut()
-                .ended(now, of.call, of.number, of.sent, outcome);
+                .finish_try(now, of.call, of.number, of.sent, outcome);
             match next {
                 NextStep::Again(at) => {
                     self.environment.until(at).await;
@@ -67,7 +67,7 @@
                         .environment
                         .clients
                         .borrow_mut()
-                        .again(self.environment.now(), of.call);
+                        .next_try(self.environment.now(), of.call);
                     match again {
                         Some(again) => of = again,
                         None => return,
--- a/crates/testbed/src/loopback/peers.rs
+++ b/crates/testbed/src/loopback/peers.rs
@@ -51,8 +51,8 @@
     pub async fn new(environment: Rc<Environment>, gateways: u32) -> Result<Rc<Self>, String> {
         let (mut listen, mut known, mut all) = (Vec::new(), Vec::new(), Vec::new());
         for _ in 0..gateways {
-            // The port is free again once this is dropped. Danger: any other socket of the machine that asks for some
-            // port may be given it before the gateway starts; nothing else asks for one at this address.
+            // The port is free again once this is dropped. Another socket of the machine that asks for any port could
+            // be given it before the gateway starts, so an address is used at which nothing else asks for one.
             listen.push(address(&*socket_at(GATEWAYS).await?)?);
             let mut others = Vec::new();
             for _ in 0..gateways {
--- a/crates/testbed/src/loopback/process.rs
+++ b/crates/testbed/src/loopback/process.rs
@@ -229,10 +229,11 @@
             } else {
                 self.kill(gateway).await;
             }
-            self.environment
-                .clients
-                .borrow_mut()
-                .gateway(self.environment.now(), gateway, up);
+            self.environment.clients.borrow_mut().set_gateway_state(
+                self.environment.now(),
+                gateway,
+                up,
+            );
         }
     }
 
--- a/crates/testbed/src/results.rs
+++ b/crates/testbed/src/results.rs
@@ -35,25 +35,25 @@
     pub in_time: u64,
     /// Answered later.
     pub late: u64,
-    /// Ended without an answer: refused at last, failed at last, timed out or left, never reached a gateway.
+    /// Ended without an answer: the last try was refused.
     pub refused: u64,
-    /// Likewise.
+    /// Ended without an answer: the last try failed.
     pub failed: u64,
-    /// Likewise.
+    /// Ended without an answer: the last try timed out, or its client left.
     pub timed_out: u64,
-    /// Likewise.
+    /// Ended without an answer: the last try reached no gateway.
     pub unreachable: u64,
     /// Tries for each first try.
     pub tries_per_call: f64,
     /// Worth answered over worth asked for.
     pub service: f64,
-    /// Time from the first try to the answer, of those answered, in milliseconds.
+    /// Time from the first try to the answer, of those answered, in milliseconds: the median.
     pub p50_ms: f64,
-    /// Likewise.
+    /// The 90th percentile of the same time, in milliseconds.
     pub p90_ms: f64,
-    /// Likewise.
+    /// The 99th percentile of the same time, in milliseconds.
     pub p99_ms: f64,
-    /// Likewise, the longest.
+    /// The longest of these times, in milliseconds.
     pub max_ms: f64,
 }
 
@@ -87,7 +87,7 @@
     pub set: u32,
     /// The highest load over any 3 s, as a multiple of what it could do then.
     pub peak_load: f64,
-    /// Likewise while it was cold; 0 where it never was.
+    /// The highest such load while it was cold; 0 where it never was.
     pub peak_cold_load: f64,
     /// Each second: requests that it holds.
     pub held: Vec<u32>,
@@ -145,7 +145,7 @@
     pub wasted_work: f64,
     /// The highest load of any host over any 3 s, as a multiple of what it could do then.
     pub peak_load: f64,
-    /// Likewise of hosts while they were cold.
+    /// The highest such load of any host while it was cold.
     pub peak_cold_load: f64,
     /// Cold hosts that fell over.
     pub knocked_over: u64,
@@ -274,19 +274,19 @@
     asked_work: f64,
     done_work: f64,
     useful_work: f64,
-    /// Counted as they happen, by whoever runs the gateways.
+    /// Attempts at hosts. This and the counts below are made as things happen, by the code that runs the gateways.
     pub attempts: u64,
-    /// Likewise.
+    /// Second copies of requests.
     pub copies: u64,
-    /// Likewise.
+    /// Health checks of hosts.
     pub probes: u64,
-    /// Likewise.
+    /// Connections opened to hosts.
     pub connections: u64,
-    /// Likewise.
+    /// Bytes of datagrams between gateways.
     pub datagram_bytes: u64,
-    /// Likewise.
+    /// Requests that were taken and ended without an answer.
     pub lost: u64,
-    /// Likewise.
+    /// Requests without an answer 50 ms after their client's time.
     pub unanswered: u64,
     /// Rows that no host made for their request; on loopback.
     pub wrong_rows: u64,
--- a/crates/testbed/src/virtual_run.rs
+++ b/crates/testbed/src/virtual_run.rs
@@ -336,7 +336,7 @@
 
     fn gateway(&mut self, gateway: GatewayId, up: bool) {
         let g = gateway.0 as usize;
-        self.clients.gateway(self.now, gateway, up);
+        self.clients.set_gateway_state(self.now, gateway, up);
         if up {
             let settings = Settings {
                 seed: self.seeds.number(),
@@ -432,7 +432,7 @@
         match event {
             Event::Arrival => self.handle_arrival(),
             Event::Retry(call) => {
-                if let Some(of) = self.clients.again(self.now, call) {
+                if let Some(of) = self.clients.next_try(self.now, call) {
                     self.send(of);
                 }
             }
@@ -493,7 +493,7 @@
 
     fn handle_arrival(&mut self) {
         if let Some(arrival) = self.arrivals.next() {
-            let of = self.clients.begin(self.now, arrival);
+            let of = self.clients.first_try(self.now, arrival);
             self.send(of);
         }
         if let Some(next) = self.arrivals.peek().map(|a| START + a.at) {
@@ -665,7 +665,7 @@
         };
         match self
             .clients
-            .ended(self.now, of.call, of.number, of.sent, outcome)
+            .finish_try(self.now, of.call, of.number, of.sent, outcome)
         {
             NextStep::Again(at) => self.push(at, Event::Retry(of.call)),
             NextStep::Done(finished) => self.collector.finished(&finished),
