--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -1,25 +1,22 @@
 //! A model of what the gateway serves: database hosts, sets of a primary and its replicas, clients, the list of hosts,
 //! and what goes wrong with them. No I/O, no clock, and a seeded generator: whoever runs it hands in the time. The
-//! laboratory runs it in virtual time round the decision module, and in real time behind sockets.
+//! testbed runs it in virtual time round the decision module, and in real time behind sockets.
 //!
-//! It owns what is true of the world, and the audit of what a gateway may not do to it. It knows nothing of gateways
-//! but their numbers.
-
-#![forbid(unsafe_code)]
-#![allow(clippy::too_many_lines, clippy::wildcard_imports)]
-#![warn(missing_docs)]
+//! It owns the true state of hosts and data, and the audit of the invariants that a gateway must keep. Of gateways it
+//! knows only their numbers.
 
 pub mod clients;
 pub mod cpu;
 pub mod datagrams;
-pub mod dice;
+pub mod endpoint_list;
+pub mod event_queue;
 pub mod faults;
 pub mod fleet;
 pub mod host;
-pub mod ledger;
-pub mod list;
-pub mod log;
-pub mod queue;
+pub mod invariants;
+pub mod load_window;
+pub mod replication_log;
+pub mod rng;
 pub mod spec;
 
 /// A point in time on the runner's clock, or a length of time, in nanoseconds.
--- a/crates/testbed/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -1,11 +1,11 @@
 //! The demonstration: one gateway, one set, its clients, and a primary that dies; on loopback, in under half a minute.
 
-use crate::figures::Figures;
-use crate::loopback::house::House;
+use crate::loopback::environment::Environment;
 use crate::loopback::{self, Options};
+use crate::results::RunResults;
 use crate::scenario::{GatewaySpec, Scenario};
 use irisrouter_simulation::spec::{
-    Between, Fault, HostSpec, Pick, SetSpec, Silent, Spec, TrafficSpec,
+    Fault, HostSelection, HostSpec, SetSpec, SilentHosts, Spec, TrafficSpec, ValueOrRange,
 };
 use std::path::PathBuf;
 
@@ -14,10 +14,10 @@
 
 /// The scenario.
 pub fn scenario() -> Scenario {
-    let silent = Silent {
-        hosts: Pick {
+    let silent = SilentHosts {
+        hosts: HostSelection {
             these: Some(vec![0]),
-            ..Pick::default()
+            ..HostSelection::default()
         },
         hang: false,
     };
@@ -30,13 +30,13 @@
             warm_up_s: 0.0,
             hosts: HostSpec {
                 count: 4,
-                cold_s: Between::Value(4.0),
+                cold_s: ValueOrRange::Value(4.0),
                 ..HostSpec::default()
             },
             sets: SetSpec {
                 members: 4,
-                detect_s: Between::Value(1.0),
-                elect_s: Between::Value(1.0),
+                detect_s: ValueOrRange::Value(1.0),
+                elect_s: ValueOrRange::Value(1.0),
                 ..SetSpec::default()
             },
             traffic: TrafficSpec {
@@ -44,8 +44,8 @@
                 ..TrafficSpec::default()
             },
             faults: vec![Fault {
-                at_s: Between::Value(SILENT.0),
-                for_s: Between::Value(SILENT.1),
+                at_s: ValueOrRange::Value(SILENT.0),
+                for_s: ValueOrRange::Value(SILENT.1),
                 silent: Some(silent),
                 ..Fault::default()
             }],
@@ -59,7 +59,7 @@
 ///
 /// # Errors
 /// Where the gateway does not start or ends by itself.
-pub fn run(gateway: PathBuf, seed: u64, say: &dyn Fn(&str)) -> Result<Figures, String> {
+pub fn run(gateway: PathBuf, seed: u64, say: &dyn Fn(&str)) -> Result<RunResults, String> {
     let scenario = scenario();
     let w = &scenario.world;
     say(&format!(
@@ -77,9 +77,9 @@
         .map(|c| format!("{:>13}", c.name))
         .collect();
     say(&format!("{:>6}{names}  primary\n", ""));
-    let each_second = |house: &House| {
-        let recent = house.collector.borrow_mut().take_recent();
-        let second = house.elapsed().round();
+    let each_second = |environment: &Environment| {
+        let recent = environment.collector.borrow_mut().take_recent();
+        let second = environment.elapsed().round();
         if second < 1.0 {
             return;
         }
@@ -89,7 +89,7 @@
                 _ => format!("{:>11.0} %", 100.0 * served as f64 / asked as f64),
             })
             .collect();
-        let primary = house
+        let primary = environment
             .fleet
             .borrow()
             .primary(irisrouter_simulation::SetId(0));
--- a/crates/testbed/src/gateway.rs
+++ b/crates/testbed/src/gateway.rs
@@ -2,10 +2,13 @@
 //! margins, limits and order of things. It says what it wants done; the run does it.
 
 use crate::settings;
-use irisrouter::routing::*;
+use irisrouter::routing::{
+    Action, Endpoint, EndpointState, Event, GroupId, LoadReport, MemberId, Nanos, Outcome,
+    ReplicationStatus, RequestId, Role, Router, SessionId, Settings, ZoneId,
+};
 use irisrouter_simulation::clients::Try;
+use irisrouter_simulation::endpoint_list::{EndpointView, ListEntry};
 use irisrouter_simulation::fleet;
-use irisrouter_simulation::list::{Entry, View};
 use irisrouter_simulation::{GatewayId, HostId, MS};
 use rustc_hash::FxHashMap as HashMap;
 use std::collections::{BTreeSet, VecDeque};
@@ -15,17 +18,17 @@
 /// And the guard against no decision so much.
 const LAST_MARGIN: Nanos = MS;
 
-/// What a gateway says to the others, and hears: a subsystem that shares with its peers plugs in here. A gateway that is
-/// killed loses it with all else, and starts with a new one.
-pub trait Talk {
+/// The exchange of a gateway with its peers: a subsystem that sends datagrams to other gateways plugs in here. A gateway
+/// that is killed loses its state with all else, and starts with a new one.
+pub trait PeerExchange {
     /// A datagram has come from another gateway, as its address tells.
-    fn heard(&mut self, now: Nanos, from: GatewayId, body: &[u8]);
+    fn receive(&mut self, now: Nanos, from: GatewayId, body: &[u8]);
 
-    /// What it says now: to one gateway, or to all others.
-    fn says(&mut self, now: Nanos) -> Vec<(Option<GatewayId>, Vec<u8>)>;
+    /// The datagrams that it sends now, each to one gateway or, with `None`, to all others.
+    fn outgoing(&mut self, now: Nanos) -> Vec<(Option<GatewayId>, Vec<u8>)>;
 
     /// When it wants to be asked again, if nothing comes before.
-    fn due(&self) -> Option<Nanos>;
+    fn next_due(&self) -> Option<Nanos>;
 }
 
 /// A connection to a host that nothing is on.
@@ -98,7 +101,7 @@
     /// Connections that nothing is on, by host, the one used last at the back.
     pub idle: HashMap<HostId, VecDeque<Idle>>,
     /// Its part in what gateways tell one another.
-    pub talk: Option<Box<dyn Talk>>,
+    pub exchange: Option<Box<dyn PeerExchange>>,
     /// Probes that are out, by host and when they were sent.
     pub probing: BTreeSet<(HostId, Nanos)>,
     /// Hosts that it may send to.
@@ -110,8 +113,8 @@
     MemberId(host.0)
 }
 
-fn list_entry(e: &Entry) -> Endpoint {
-    use irisrouter_simulation::list::Listed as Said;
+fn list_entry(e: &ListEntry) -> Endpoint {
+    use irisrouter_simulation::endpoint_list::ListedState as Said;
     Endpoint {
         member: member(e.host),
         group: GroupId(i64::from(e.set.0)),
@@ -129,7 +132,7 @@
 
 impl Gateway {
     /// A process that starts with its last list and nothing else.
-    pub fn start(settings: &Settings, life: u32, view: &View) -> Self {
+    pub fn start(settings: &Settings, life: u32, view: &EndpointView) -> Self {
         let mut g = Gateway {
             alive: true,
             life,
@@ -141,7 +144,7 @@
             of_try: HashMap::default(),
             next_request: 0,
             idle: HashMap::default(),
-            talk: None,
+            exchange: None,
             probing: BTreeSet::new(),
             ready: HashMap::default(),
         };
@@ -163,7 +166,7 @@
     }
 
     /// A line of the list.
-    pub fn told(&mut self, entry: &Entry) {
+    pub fn told(&mut self, entry: &ListEntry) {
         let entry = list_entry(entry);
         self.ready
             .insert(HostId(entry.member.0), entry.state == EndpointState::Ready);
@@ -311,7 +314,7 @@
 }
 
 /// What an answer tells, as the platform words it: whole milliseconds, and a position only with a write's commit.
-pub fn note(n: &fleet::Note, committed: bool) -> ReplicationStatus {
+pub fn note(n: &fleet::ReplicaStatus, committed: bool) -> ReplicationStatus {
     ReplicationStatus {
         role: if n.primary {
             Role::Primary
--- a/crates/testbed/src/loopback/house.rs
+++ b/crates/testbed/src/loopback/environment.rs
@@ -1,10 +1,10 @@
 //! What the stand-ins of one run share: the world, the clock, the count, and who waits for what.
 
-use crate::figures::{Collector, Figures};
+use crate::results::{Collector, RunResults};
 use crate::scenario::Scenario;
 use irisrouter_simulation::clients::Clients;
 use irisrouter_simulation::datagrams::Datagrams;
-use irisrouter_simulation::fleet::{Answer, Fleet, Note, Output};
+use irisrouter_simulation::fleet::{Answer, Fleet, Output, ReplicaStatus};
 use irisrouter_simulation::{seconds, GatewayId, HostId, Ns, SECOND};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -57,7 +57,7 @@
     /// The connection is up.
     Connected,
     /// An answer, and the work that it took.
-    Answer(Answer, Note, Ns),
+    Answer(Answer, ReplicaStatus, Ns),
 }
 
 /// A statement that a client has sent, by its id: what a host cannot read from it.
@@ -81,7 +81,7 @@
 const REMEMBERED: Ns = 30 * SECOND;
 
 /// What the stand-ins of one run share.
-pub struct House {
+pub struct Environment {
     scenario: Scenario,
     seed: u64,
     clock: Clock,
@@ -111,7 +111,7 @@
     changed: Notify,
 }
 
-impl House {
+impl Environment {
     /// The world as it is before the run begins.
     pub fn new(scenario: &Scenario, seed: u64) -> Rc<Self> {
         let clock = Clock::new();
@@ -119,7 +119,7 @@
         let start = clock.now() + 3600 * SECOND;
         let w = &scenario.world;
         let (commands, obeyed) = mpsc::unbounded_channel();
-        Rc::new(House {
+        Rc::new(Environment {
             fleet: RefCell::new(Fleet::new(w, seed, start)),
             clients: RefCell::new(Clients::new(w, seed, start)),
             datagrams: RefCell::new(Datagrams::new(seed)),
@@ -238,8 +238,10 @@
                     self.word(ticket, Word::Answer(answer, note, work));
                 }
                 Output::Connected { ticket, .. } => self.word(ticket, Word::Connected),
-                Output::Broken { host } => self.broken[host.0 as usize].send_modify(|n| *n += 1),
-                Output::Told { gateway, .. } => {
+                Output::ConnectionsReset { host } => {
+                    self.broken[host.0 as usize].send_modify(|n| *n += 1)
+                }
+                Output::ListUpdated { gateway, .. } => {
                     let version = self.fleet.borrow().list().view(gateway).version;
                     self.told[gateway.0 as usize].send_replace(version);
                 }
@@ -301,13 +303,13 @@
     }
 
     /// The figures, at the end.
-    pub fn figures(&self, scenario: &Scenario, seed: u64) -> Figures {
+    pub fn results(&self, scenario: &Scenario, seed: u64) -> RunResults {
         let mut collector = self
             .collector
             .replace(Collector::new(scenario, self.start()));
         collector.datagram_bytes = self.datagrams.borrow().bytes;
         collector.too_long = self.datagrams.borrow().too_long;
-        collector.figures(scenario, "loopback", seed, &self.fleet.borrow())
+        collector.results(scenario, "loopback", seed, &self.fleet.borrow())
     }
 
     /// Seconds since the run's first moment.
--- a/crates/testbed/src/loopback/front.rs
+++ b/crates/testbed/src/loopback/front.rs
@@ -1,10 +1,10 @@
 //! Clients, as gateways meet them: real PostgreSQL connections by `tokio-postgres`, dealt out by a front layer, and the
 //! life of each request with its retries.
 
+use super::environment::{Asked, Environment};
 use super::host::payload;
-use super::house::{Asked, House};
 use super::process::Processes;
-use irisrouter_simulation::clients::{Arrival, Fate, Next, Try};
+use irisrouter_simulation::clients::{Arrival, NextStep, Try, TryOutcome};
 use irisrouter_simulation::spec::Need;
 use irisrouter_simulation::{GatewayId, Ns, MS};
 use std::cell::RefCell;
@@ -22,7 +22,7 @@
 
 /// The clients and the front between them and the gateways.
 pub struct Front {
-    house: Rc<House>,
+    environment: Rc<Environment>,
     processes: Rc<Processes>,
     idle: RefCell<HashMap<GatewayId, Vec<Client>>>,
 }
@@ -30,16 +30,16 @@
 /// How one exchange with a gateway ended.
 enum Exchange {
     /// As its client sees it.
-    Fate(Fate),
+    Finished(TryOutcome),
     /// The connection had been closed before the gateway read anything: once more on a new one.
     Stale,
 }
 
 impl Front {
     /// No connection is open yet.
-    pub fn new(house: Rc<House>, processes: Rc<Processes>) -> Rc<Self> {
+    pub fn new(environment: Rc<Environment>, processes: Rc<Processes>) -> Rc<Self> {
         Rc::new(Front {
-            house,
+            environment,
             processes,
             idle: RefCell::default(),
         })
@@ -48,41 +48,41 @@
     /// The life of one request, from its first try to its end.
     pub async fn call(self: Rc<Self>, arrival: Arrival) {
         let mut of = self
-            .house
+            .environment
             .clients
             .borrow_mut()
-            .begin(self.house.now(), arrival);
+            .first_try(self.environment.now(), arrival);
         loop {
-            let fate = self.attempt(&of).await;
-            let now = self.house.now();
+            let outcome = self.attempt(&of).await;
+            let now = self.environment.now();
             let next = self
-                .house
+                .environment
                 .clients
                 .borrow_mut()
-                .ended(now, of.call, of.number, of.sent, fate);
+                .finish_try(now, of.call, of.number, of.sent, outcome);
             match next {
-                Next::Again(at) => {
-                    self.house.until(at).await;
+                NextStep::Again(at) => {
+                    self.environment.until(at).await;
                     let again = self
-                        .house
+                        .environment
                         .clients
                         .borrow_mut()
-                        .again(self.house.now(), of.call);
+                        .next_try(self.environment.now(), of.call);
                     match again {
                         Some(again) => of = again,
                         None => return,
                     }
                 }
-                Next::Done(finished) => {
-                    return self.house.collector.borrow_mut().finished(&finished)
+                NextStep::Done(finished) => {
+                    return self.environment.collector.borrow_mut().finished(&finished)
                 }
-                Next::Nothing => return,
+                NextStep::Nothing => return,
             }
         }
     }
 
     /// One try.
-    async fn attempt(&self, of: &Try) -> Fate {
+    async fn attempt(&self, of: &Try) -> TryOutcome {
         let id = format!("{:08x}{:08x}", of.call, of.number);
         let a = &of.arrival;
         let asked = Asked {
@@ -93,30 +93,32 @@
             sent: of.sent,
             open: true,
         };
-        self.house
+        self.environment
             .collector
             .borrow_mut()
             .tried(of.sent, of.number == 0);
-        self.house.asks(&id, asked);
+        self.environment.asks(&id, asked);
         let end = of.leaves.unwrap_or(of.deadline + SLACK);
         let statement = self.statement(of, &id);
-        let answered =
-            tokio::time::timeout_at(self.house.instant(end), self.exchanges(of, &id, &statement))
-                .await;
-        self.house.answered(&id);
+        let answered = tokio::time::timeout_at(
+            self.environment.instant(end),
+            self.exchanges(of, &id, &statement),
+        )
+        .await;
+        self.environment.answered(&id);
         match answered {
-            Ok(fate) => fate,
-            Err(_) if of.leaves.is_some() => Fate::Left,
+            Ok(outcome) => outcome,
+            Err(_) if of.leaves.is_some() => TryOutcome::Left,
             Err(_) => {
                 if self.processes.alive(of.gateway) {
-                    self.house.collector.borrow_mut().unanswered += 1;
+                    self.environment.collector.borrow_mut().unanswered += 1;
                 }
-                Fate::TimedOut
+                TryOutcome::TimedOut
             }
         }
     }
 
-    async fn exchanges(&self, of: &Try, id: &str, statement: &str) -> Fate {
+    async fn exchanges(&self, of: &Try, id: &str, statement: &str) -> TryOutcome {
         let idle = self
             .idle
             .borrow_mut()
@@ -124,16 +126,18 @@
             .and_then(Vec::pop)
             .filter(|c| !c.is_closed());
         if let Some(client) = idle {
-            if let Exchange::Fate(fate) = self.exchange(of, id, statement, client, false).await {
-                return fate;
+            if let Exchange::Finished(outcome) =
+                self.exchange(of, id, statement, client, false).await
+            {
+                return outcome;
             }
         }
         let Some(client) = self.connect(of.gateway).await else {
-            return Fate::Unreachable;
+            return TryOutcome::Unreachable;
         };
         match self.exchange(of, id, statement, client, true).await {
-            Exchange::Fate(fate) => fate,
-            Exchange::Stale => Fate::Broken,
+            Exchange::Finished(outcome) => outcome,
+            Exchange::Stale => TryOutcome::Broken,
         }
     }
 
@@ -164,7 +168,7 @@
     ) -> Exchange {
         let result = client.simple_query(statement).await;
         let gateway_lives = self.processes.alive(of.gateway);
-        let fate = match result {
+        let outcome = match result {
             Ok(messages) => {
                 let value = messages.iter().find_map(|m| match m {
                     SimpleQueryMessage::Row(row) => {
@@ -174,13 +178,13 @@
                 });
                 if value.as_deref() != Some(payload(id).as_str()) {
                     // Not what a host made for this request.
-                    self.house.collector.borrow_mut().wrong_rows += 1;
+                    self.environment.collector.borrow_mut().wrong_rows += 1;
                 }
                 let commit = of
                     .arrival
                     .key
-                    .and_then(|k| self.house.fleet.borrow().ledger().commit(k));
-                Fate::Served { commit }
+                    .and_then(|k| self.environment.fleet.borrow().invariants().commit(k));
+                TryOutcome::Served { commit }
             }
             Err(e) => match e.as_db_error() {
                 Some(db) if matches!(db.code().code(), "53300" | "57P03") => {
@@ -188,19 +192,19 @@
                         .detail()
                         .and_then(|d| d.trim().parse::<Ns>().ok())
                         .map(|ms| ms * MS);
-                    self.house
+                    self.environment
                         .collector
                         .borrow_mut()
-                        .refused(self.house.now(), pause);
-                    Fate::Refused { pause }
+                        .refused(self.environment.now(), pause);
+                    TryOutcome::Refused { pause }
                 }
-                Some(_) => Fate::Failed,
+                Some(_) => TryOutcome::Failed,
                 None if !fresh && gateway_lives => return Exchange::Stale,
                 None => {
                     if gateway_lives {
-                        self.house.collector.borrow_mut().lost += 1;
+                        self.environment.collector.borrow_mut().lost += 1;
                     }
-                    Fate::Broken
+                    TryOutcome::Broken
                 }
             },
         };
@@ -209,13 +213,13 @@
         if !client.is_closed() && kept.len() < KEPT {
             kept.push(client);
         }
-        Exchange::Fate(fate)
+        Exchange::Finished(outcome)
     }
 
     /// The statement, as the platform's clients word it.
     fn statement(&self, of: &Try, id: &str) -> String {
         let a = &of.arrival;
-        let class = &self.house.scenario().world.classes[a.class];
+        let class = &self.environment.scenario().world.classes[a.class];
         let wait = (of.deadline - of.sent) / MS;
         let reference = match a.session {
             Some(session) => format!("s{session:x}"),
--- a/crates/testbed/src/loopback/mod.rs
+++ b/crates/testbed/src/loopback/mod.rs
@@ -2,19 +2,19 @@
 //! real time. Every address is 127.0.0.1 with a port that the system gives; the load is bounded and stops by itself.
 
 pub mod discovery;
+pub mod environment;
 pub mod front;
 pub mod host;
-pub mod house;
 pub mod peers;
 pub mod process;
 
-use crate::figures::Figures;
+use crate::results::RunResults;
 use crate::scenario::Scenario;
 use crate::settings;
+use environment::Environment;
 use front::Front;
-use house::House;
 use irisrouter_simulation::clients::Arrivals;
-use irisrouter_simulation::{seconds, GatewayId, Ns, SECOND};
+use irisrouter_simulation::{seconds, GatewayId, HostId, Ns, SECOND};
 use peers::Peers;
 use process::{Processes, Program};
 use serde_json::json;
@@ -37,7 +37,7 @@
     /// The gateway's program.
     pub gateway: PathBuf,
     /// Called each second with the run so far.
-    pub each_second: &'a dyn Fn(&House),
+    pub each_second: &'a dyn Fn(&Environment),
 }
 
 /// Runs a scenario on loopback.
@@ -45,7 +45,7 @@
 /// # Errors
 /// Where the settings are not taken, the scenario is too large for one machine, a gateway does not start or ends by
 /// itself, with its last log lines.
-pub fn run(scenario: &Scenario, seed: u64, options: &Options<'_>) -> Result<Figures, String> {
+pub fn run(scenario: &Scenario, seed: u64, options: &Options<'_>) -> Result<RunResults, String> {
     settings::load(scenario, seed)?;
     let w = &scenario.world;
     if w.gateways * w.hosts.count > MOST_SOCKETS {
@@ -54,7 +54,7 @@
             w.gateways, w.hosts.count
         ));
     }
-    let rate = irisrouter_simulation::spec::Day::draw(w, seed).rate;
+    let rate = irisrouter_simulation::spec::Day::draw(w, seed).demand.rate;
     if rate > MOST_PER_S {
         return Err(format!(
             "{rate:.0} requests a second are too many for one machine, {MOST_PER_S:.0} at most"
@@ -67,90 +67,39 @@
     LocalSet::new().block_on(&runtime, drive(scenario, seed, options))
 }
 
-async fn drive(scenario: &Scenario, seed: u64, options: &Options<'_>) -> Result<Figures, String> {
+async fn drive(
+    scenario: &Scenario,
+    seed: u64,
+    options: &Options<'_>,
+) -> Result<RunResults, String> {
     let w = &scenario.world;
-    let house = House::new(scenario, seed);
+    let environment = Environment::new(scenario, seed);
     // Whatever ends this run ends all that it has started.
     let mut tasks = JoinSet::new();
-    tasks.spawn_local(Rc::clone(&house).drive());
-    let peers = Peers::new(Rc::clone(&house), w.gateways).await?;
+    tasks.spawn_local(Rc::clone(&environment).drive());
+    let peers = Peers::new(Rc::clone(&environment), w.gateways).await?;
     let mut programs = Vec::new();
-    for g in 0..w.gateways {
-        let gateway = GatewayId(g);
-        let mut addresses = Vec::new();
-        for h in 0..w.hosts.count {
-            let listener = house::listen().await?;
-            addresses.push(
-                listener
-                    .local_addr()
-                    .map_err(|e| e.to_string())?
-                    .to_string(),
-            );
-            let here = Rc::clone(&house);
-            tasks.spawn_local(host::serve(
-                here,
-                listener,
-                gateway,
-                irisrouter_simulation::HostId(h),
-            ));
-        }
-        let listener = house::listen().await?;
-        let discovery = listener.local_addr().map_err(|e| e.to_string())?;
-        let (known, all) = peers.addresses(gateway)?;
-        let known: Vec<String> = known.iter().map(ToString::to_string).collect();
-        let addresses = Rc::new(addresses);
-        tasks.spawn_local(discovery::serve(
-            Rc::clone(&house),
-            listener,
-            gateway,
-            Rc::clone(&addresses),
-        ));
-        programs.push(Program {
-            name: format!("g{g}"),
-            file: options.gateway.clone(),
-            config: json!({
-                "name": format!("g{g}"),
-                "listen": "127.0.0.1:0",
-                "discovery": discovery.to_string(),
-                "seed": "0",
-                "peer_listen": peers.listen(gateway).to_string(),
-                "peers": known,
-                "peers_all": all.to_string(),
-                "limits": { "cores": 1.0, "memory_mb": scenario.gateway.memory_mb, "sockets": scenario.gateway.sockets },
-                "settings": settings::object(scenario),
-            }),
-            addresses,
-        });
+    for gateway in (0..w.gateways).map(GatewayId) {
+        let started = prepare_gateway(scenario, &environment, &peers, &mut tasks, gateway, options);
+        programs.push(started.await?);
     }
     tasks.spawn_local(peers.relay());
-    let processes = Processes::new(Rc::clone(&house), programs, seed)?;
+    let processes = Processes::new(Rc::clone(&environment), programs, seed)?;
     for g in 0..w.gateways {
         processes.start(GatewayId(g)).await?;
     }
-    house.begin(BREATH);
-    let front = Front::new(Rc::clone(&house), Rc::clone(&processes));
+    environment.begin(BREATH);
+    let front = Front::new(Rc::clone(&environment), Rc::clone(&processes));
     let commands = Rc::clone(&processes);
     tasks.spawn_local(async move { commands.obey().await });
-    let run = async {
-        let mut calls = JoinSet::new();
-        for arrival in Arrivals::new(w, seed) {
-            house.until(house.start() + arrival.at).await;
-            calls.spawn_local(Rc::clone(&front).call(arrival));
-            while calls.try_join_next().is_some() {}
-        }
-        let longest = w.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
-        let patience =
-            Duration::from_secs_f64(longest / 1e3 * f64::from(w.clients.retries + 1)) + AFTER;
-        let _ = tokio::time::timeout(patience, async {
-            while calls.join_next().await.is_some() {}
-        })
-        .await;
-    };
+    let run = send_load(scenario, seed, &environment, &front);
     let sampling = async {
         for second in 0..w.length_s.ceil() as Ns {
-            house.until(house.start() + second * SECOND).await;
-            house.sample();
-            (options.each_second)(&house);
+            environment
+                .until(environment.start() + second * SECOND)
+                .await;
+            environment.sample();
+            (options.each_second)(&environment);
         }
         std::future::pending::<()>().await
     };
@@ -162,7 +111,73 @@
     processes.stop().await;
     tasks.shutdown().await;
     result?;
-    Ok(house.figures(scenario, seed))
+    Ok(environment.results(scenario, seed))
+}
+
+/// Starts the stand-ins that one gateway talks to, and puts together how its program is started.
+async fn prepare_gateway(
+    scenario: &Scenario,
+    environment: &Rc<Environment>,
+    peers: &Rc<Peers>,
+    tasks: &mut JoinSet<()>,
+    gateway: GatewayId,
+    options: &Options<'_>,
+) -> Result<Program, String> {
+    let mut addresses = Vec::new();
+    for host in (0..scenario.world.hosts.count).map(HostId) {
+        let listener = environment::listen().await?;
+        let address = listener.local_addr().map_err(|e| e.to_string())?;
+        addresses.push(address.to_string());
+        let environment = Rc::clone(environment);
+        tasks.spawn_local(host::serve(environment, listener, gateway, host));
+    }
+    let listener = environment::listen().await?;
+    let discovery = listener.local_addr().map_err(|e| e.to_string())?;
+    let (known, all) = peers.addresses(gateway)?;
+    let known: Vec<String> = known.iter().map(ToString::to_string).collect();
+    let addresses = Rc::new(addresses);
+    tasks.spawn_local(discovery::serve(
+        Rc::clone(environment),
+        listener,
+        gateway,
+        Rc::clone(&addresses),
+    ));
+    let name = format!("g{}", gateway.0);
+    Ok(Program {
+        name: name.clone(),
+        file: options.gateway.clone(),
+        config: json!({
+            "name": name,
+            "listen": "127.0.0.1:0",
+            "discovery": discovery.to_string(),
+            "seed": "0",
+            "peer_listen": peers.listen(gateway).to_string(),
+            "peers": known,
+            "peers_all": all.to_string(),
+            "limits": { "cores": 1.0, "memory_mb": scenario.gateway.memory_mb, "sockets": scenario.gateway.sockets },
+            "settings": settings::object(scenario),
+        }),
+        addresses,
+    })
+}
+
+/// Sends the day's requests at their times and waits for the answers, no longer than clients would.
+async fn send_load(scenario: &Scenario, seed: u64, environment: &Environment, front: &Rc<Front>) {
+    let world = &scenario.world;
+    let mut calls = JoinSet::new();
+    for arrival in Arrivals::new(world, seed) {
+        environment.until(environment.start() + arrival.at).await;
+        calls.spawn_local(Rc::clone(front).call(arrival));
+        while calls.try_join_next().is_some() {}
+    }
+    let deadlines = world.classes.iter().map(|class| class.deadline_ms);
+    let longest = deadlines.fold(0.0, f64::max);
+    let tries = f64::from(world.clients.retries + 1);
+    let patience = Duration::from_secs_f64(longest / 1e3 * tries) + AFTER;
+    let _ = tokio::time::timeout(patience, async {
+        while calls.join_next().await.is_some() {}
+    })
+    .await;
 }
 
 /// How long a run lasts at least.
--- a/crates/testbed/src/figures.rs
+++ b/crates/testbed/src/results.rs
@@ -3,10 +3,10 @@
 
 use crate::scenario::Scenario;
 use hdrhistogram::Histogram;
-use irisrouter_simulation::clients::{Fate, Finished};
-use irisrouter_simulation::faults::Planned;
+use irisrouter_simulation::clients::{Finished, TryOutcome};
+use irisrouter_simulation::faults::PlannedFault;
 use irisrouter_simulation::fleet::{Fleet, Output};
-use irisrouter_simulation::ledger::BreachKind;
+use irisrouter_simulation::invariants::ViolationKind;
 use irisrouter_simulation::spec::ClassSpec;
 use irisrouter_simulation::{ms, seconds, HostId, Ns, SECOND};
 use serde::Serialize;
@@ -26,7 +26,7 @@
 
 /// A class's figures.
 #[derive(Clone, Debug, Serialize, PartialEq)]
-pub struct ClassFigures {
+pub struct ClassResults {
     /// Its name.
     pub name: String,
     /// First tries.
@@ -35,25 +35,25 @@
     pub in_time: u64,
     /// Answered later.
     pub late: u64,
-    /// Ended without an answer: refused at last, failed at last, timed out or left, never reached a gateway.
+    /// Ended without an answer: the last try was refused.
     pub refused: u64,
-    /// Likewise.
+    /// Ended without an answer: the last try failed.
     pub failed: u64,
-    /// Likewise.
+    /// Ended without an answer: the last try timed out, or its client left.
     pub timed_out: u64,
-    /// Likewise.
+    /// Ended without an answer: the last try reached no gateway.
     pub unreachable: u64,
     /// Tries for each first try.
     pub tries_per_call: f64,
     /// Worth answered over worth asked for.
     pub service: f64,
-    /// Time from the first try to the answer, of those answered, in milliseconds.
+    /// Time from the first try to the answer, of those answered, in milliseconds: the median.
     pub p50_ms: f64,
-    /// Likewise.
+    /// The 90th percentile of the same time, in milliseconds.
     pub p90_ms: f64,
-    /// Likewise.
+    /// The 99th percentile of the same time, in milliseconds.
     pub p99_ms: f64,
-    /// Likewise, the longest.
+    /// The longest of these times, in milliseconds.
     pub max_ms: f64,
 }
 
@@ -80,14 +80,14 @@
 
 /// A host's figures, sampled once a second.
 #[derive(Clone, Debug, Serialize, PartialEq)]
-pub struct HostFigures {
+pub struct HostResults {
     /// Its number.
     pub host: u32,
     /// Its set.
     pub set: u32,
     /// The highest load over any 3 s, as a multiple of what it could do then.
     pub peak_load: f64,
-    /// Likewise while it was cold; 0 where it never was.
+    /// The highest such load while it was cold; 0 where it never was.
     pub peak_cold_load: f64,
     /// Each second: requests that it holds.
     pub held: Vec<u32>,
@@ -108,7 +108,7 @@
 
 /// The figures of one run.
 #[derive(Clone, Debug, Serialize, PartialEq)]
-pub struct Figures {
+pub struct RunResults {
     /// The version of this form.
     pub version: u32,
     /// The scenario's title.
@@ -145,7 +145,7 @@
     pub wasted_work: f64,
     /// The highest load of any host over any 3 s, as a multiple of what it could do then.
     pub peak_load: f64,
-    /// Likewise of hosts while they were cold.
+    /// The highest such load of any host while it was cold.
     pub peak_cold_load: f64,
     /// Cold hosts that fell over.
     pub knocked_over: u64,
@@ -171,11 +171,11 @@
     /// Nothing where no host returned, or it did not come back.
     pub recovery_s: Option<f64>,
     /// By class.
-    pub classes: Vec<ClassFigures>,
+    pub classes: Vec<ClassResults>,
     /// By second.
     pub seconds: Vec<Second>,
     /// By host.
-    pub hosts: Vec<HostFigures>,
+    pub hosts: Vec<HostResults>,
     /// What happened.
     pub marks: Vec<Mark>,
     /// The first breaches, in words.
@@ -184,7 +184,7 @@
     pub refusals_by_pause: BTreeMap<String, u64>,
 }
 
-impl Figures {
+impl RunResults {
     /// The figures that a comparison shows, by name: the larger the better where it is true.
     pub fn compared(&self) -> Vec<(&'static str, f64, bool)> {
         vec![
@@ -274,19 +274,19 @@
     asked_work: f64,
     done_work: f64,
     useful_work: f64,
-    /// Counted as they happen, by whoever runs the gateways.
+    /// Attempts at hosts. This and the counts below are made as things happen, by the code that runs the gateways.
     pub attempts: u64,
-    /// Likewise.
+    /// Second copies of requests.
     pub copies: u64,
-    /// Likewise.
+    /// Health checks of hosts.
     pub probes: u64,
-    /// Likewise.
+    /// Connections opened to hosts.
     pub connections: u64,
-    /// Likewise.
+    /// Bytes of datagrams between gateways.
     pub datagram_bytes: u64,
-    /// Likewise.
+    /// Requests that were taken and ended without an answer.
     pub lost: u64,
-    /// Likewise.
+    /// Requests without an answer 50 ms after their client's time.
     pub unanswered: u64,
     /// Rows that no host made for their request; on loopback.
     pub wrong_rows: u64,
@@ -448,9 +448,9 @@
                 *(if in_time { &mut t.in_time } else { &mut t.late }) += 1;
                 t.latency.saturating_record((took / 1000).max(1) as u64);
             }
-            (None, Fate::Refused { .. }) => t.refused += 1,
-            (None, Fate::TimedOut | Fate::Left) => t.timed_out += 1,
-            (None, Fate::Unreachable) => t.unreachable += 1,
+            (None, TryOutcome::Refused { .. }) => t.refused += 1,
+            (None, TryOutcome::TimedOut | TryOutcome::Left) => t.timed_out += 1,
+            (None, TryOutcome::Unreachable) => t.unreachable += 1,
             (None, _) => t.failed += 1,
         }
     }
@@ -477,7 +477,7 @@
     }
 
     /// Notes what happens in the world, for the line of time.
-    pub fn world(&mut self, now: Ns, output: &Output, plan: &[Planned]) {
+    pub fn world(&mut self, now: Ns, output: &Output, plan: &[PlannedFault]) {
         match output {
             Output::Fault {
                 index,
@@ -517,7 +517,7 @@
                     self.mark(now, what, true);
                 }
             }
-            Output::Fallen { host } => {
+            Output::HostOverloaded { host } => {
                 self.mark(now, format!("host {} knocked over", host.0), false)
             }
             _ => {}
@@ -537,7 +537,7 @@
             let position = fleet.position(now, id);
             let host = fleet.host(id);
             let up = host.state == irisrouter_simulation::host::State::Up;
-            self.hosts[i].held.push(host.held());
+            self.hosts[i].held.push(host.held_requests());
             self.hosts[i]
                 .lag_ms
                 .push(up.then(|| ((now - position) as f64 / 1e4).round() / 100.0));
@@ -595,25 +595,17 @@
     }
 
     /// The figures.
-    pub fn figures(self, s: &Scenario, mode: &str, seed: u64, fleet: &Fleet) -> Figures {
+    pub fn results(self, s: &Scenario, mode: &str, seed: u64, fleet: &Fleet) -> RunResults {
         let sum = |f: &dyn Fn(&ClassTally) -> f64| self.tallies.iter().map(f).sum::<f64>();
-        let ratio = |a: f64, b: f64| if b > 0.0 { a / b } else { 0.0 };
         let requests = sum(&|t| t.asked as f64);
         // Counted over the whole run, these belong to all of its first tries.
         let all: f64 = self.seconds.iter().map(|s| s.first_tries as f64).sum();
-        let part = |t: &ClassTally| {
-            if t.worth > 0.0 {
-                t.earned / t.worth
-            } else {
-                1.0
-            }
-        };
         let service = ratio(sum(&|t| t.earned), sum(&|t| t.worth));
         let worst_class = self
             .tallies
             .iter()
             .filter(|t| t.asked > 0 && t.worth > 0.0)
-            .map(part)
+            .map(earned_part)
             .fold(1.0, f64::min);
         let worst_10s = self.worst_stretch();
         let per = |n: u64| ratio(n as f64, all);
@@ -627,38 +619,11 @@
         let prices = s.gateway.probe_price * probes
             + MESSAGE_PRICE * datagrams / 256.0
             + WASTE_PRICE * wasted;
-        let quantile = |t: &ClassTally, q: f64| t.latency.value_at_quantile(q) as f64 / 1000.0;
-        let classes = (self.classes.iter().zip(&self.tallies))
-            .map(|(c, t)| ClassFigures {
-                name: c.name.clone(),
-                asked: t.asked,
-                in_time: t.in_time,
-                late: t.late,
-                refused: t.refused,
-                failed: t.failed,
-                timed_out: t.timed_out,
-                unreachable: t.unreachable,
-                tries_per_call: ratio(t.tries as f64, t.asked as f64),
-                service: part(t),
-                p50_ms: quantile(t, 0.5),
-                p90_ms: quantile(t, 0.9),
-                p99_ms: quantile(t, 0.99),
-                max_ms: t.latency.max() as f64 / 1000.0,
-            })
-            .collect();
-        let ledger = fleet.ledger();
-        let hosts: Vec<HostFigures> = (fleet.hosts().iter().zip(&self.hosts))
-            .map(|(h, samples)| HostFigures {
-                host: h.id.0,
-                set: h.set.0,
-                peak_load: h.peaks().0,
-                peak_cold_load: h.peaks().1,
-                held: samples.held.clone(),
-                lag_ms: samples.lag_ms.clone(),
-            })
-            .collect();
-        let most = |f: &dyn Fn(&HostFigures) -> f64| hosts.iter().map(f).fold(0.0, f64::max);
-        Figures {
+        let invariants = fleet.invariants();
+        let classes = self.class_results();
+        let hosts = self.host_results(fleet);
+        let most = |f: &dyn Fn(&HostResults) -> f64| hosts.iter().map(f).fold(0.0, f64::max);
+        RunResults {
             version: VERSION,
             scenario: s.title.clone(),
             mode: mode.to_string(),
@@ -678,19 +643,19 @@
             wasted_work: wasted,
             peak_load: most(&|h| h.peak_load),
             peak_cold_load: most(&|h| h.peak_cold_load),
-            knocked_over: ledger.count(BreachKind::KnockedOver),
-            applied_twice: ledger.count(BreachKind::AppliedTwice),
-            stale_reads: ledger.count(BreachKind::StaleRead),
-            sent_to_drained: ledger.count(BreachKind::SentToDrained),
+            knocked_over: invariants.count(ViolationKind::KnockedOver),
+            applied_twice: invariants.count(ViolationKind::AppliedTwice),
+            stale_reads: invariants.count(ViolationKind::StaleRead),
+            sent_to_drained: invariants.count(ViolationKind::SentToDrained),
             lost_requests: self.lost,
             unanswered: self.unanswered,
             wrong_rows: self.wrong_rows,
             malformed: self.malformed,
             too_long_datagrams: self.too_long,
-            writes_applied: ledger.writes(),
+            writes_applied: invariants.writes(),
             recovery_s: self.recovery(),
             classes,
-            breaches: (ledger.breaches().iter())
+            breaches: (invariants.violations().iter())
                 .map(|b| format!("{:.3} s: {:?}: {}", self.at(b.at), b.kind, b.what))
                 .collect(),
             seconds: self.seconds,
@@ -699,4 +664,57 @@
             refusals_by_pause: self.pauses,
         }
     }
+
+    fn class_results(&self) -> Vec<ClassResults> {
+        let quantile = |t: &ClassTally, q: f64| t.latency.value_at_quantile(q) as f64 / 1000.0;
+        (self.classes.iter().zip(&self.tallies))
+            .map(|(class, tally)| ClassResults {
+                name: class.name.clone(),
+                asked: tally.asked,
+                in_time: tally.in_time,
+                late: tally.late,
+                refused: tally.refused,
+                failed: tally.failed,
+                timed_out: tally.timed_out,
+                unreachable: tally.unreachable,
+                tries_per_call: ratio(tally.tries as f64, tally.asked as f64),
+                service: earned_part(tally),
+                p50_ms: quantile(tally, 0.5),
+                p90_ms: quantile(tally, 0.9),
+                p99_ms: quantile(tally, 0.99),
+                max_ms: tally.latency.max() as f64 / 1000.0,
+            })
+            .collect()
+    }
+
+    fn host_results(&self, fleet: &Fleet) -> Vec<HostResults> {
+        (fleet.hosts().iter().zip(&self.hosts))
+            .map(|(host, samples)| HostResults {
+                host: host.id.0,
+                set: host.set.0,
+                peak_load: host.peaks().0,
+                peak_cold_load: host.peaks().1,
+                held: samples.held.clone(),
+                lag_ms: samples.lag_ms.clone(),
+            })
+            .collect()
+    }
+}
+
+/// `a` over `b`; 0 where `b` is not over 0.
+fn ratio(a: f64, b: f64) -> f64 {
+    if b > 0.0 {
+        a / b
+    } else {
+        0.0
+    }
+}
+
+/// The part of the worth asked for that was earned; all of it where none was asked for.
+fn earned_part(tally: &ClassTally) -> f64 {
+    if tally.worth > 0.0 {
+        tally.earned / tally.worth
+    } else {
+        1.0
+    }
 }
