Add a package for the identifiers and units of time that the cluster's packages share

Cause: gateways, hosts, epochs, tasks, instants and durations are bare u32, u64 and one alias in six packages and their shells, so that one can be passed for another.

--- /dev/null
+++ b/crates/cluster-types/tests/identifiers.rs
@@ -0,0 +1,11 @@
+//! How identifiers are shown to people.
+
+use irisrouter_cluster_types::{Epoch, GatewayId, Generation, HostId};
+
+#[test]
+fn numbers_are_shown_plainly_and_hosts_in_six_hexadecimal_digits() {
+    assert_eq!(GatewayId(17).to_string(), "17");
+    assert_eq!(Generation(65_535).to_string(), "65535");
+    assert_eq!(Epoch(1_700_000_000_000).to_string(), "1700000000000");
+    assert_eq!(HostId(0x00_1f).to_string(), "00001f");
+}
