Pass gateways, hosts, epochs and groups between the cluster's shells as types of their own

Cause: the shells and the upstream passed bare u32, u64, i64 and tuples: fleet_host_id, member_by_fleet_id, health_check_fence, not_down_with_generations. Change: GatewayId, HostId, Epoch, GroupId, GatewayProcess, GroupMember, Fence and HealthCheck; peer_socket no longer re-exports outbox and services. The packages still take numbers.

--- a/src/net/cluster/drains.rs
+++ b/src/net/cluster/drains.rs
@@ -5,11 +5,12 @@
 
 use crate::net::cluster::leases::{LeaseService, LeasedTask};
 use crate::net::cluster::membership::MembershipService;
-use crate::net::cluster::peer_socket::{Outbox, OutgoingDatagram};
+use crate::net::cluster::outbox::{Outbox, OutgoingDatagram};
 use crate::net::log::log;
 use crate::net::metrics::{increment, Metrics};
 use crate::net::unix_milliseconds;
 use crate::net::upstream::Upstream;
+use irisrouter_cluster_types::{Epoch, GatewayId, HostId};
 use irisrouter_drain_coordination::{
     Action, CommandLogError, Completion, CompletionOrigin, DesiredState, DrainCommand,
     DrainCoordinator, LocalState, Progress, ReplicationProgress, Settings,
@@ -84,11 +85,13 @@
 
 impl LocalState for LocalGateway {
     fn fencing_token(&self, host: u32) -> Option<u64> {
-        self.leases.fencing_token(LeasedTask::HostDrain(host))
+        let task = LeasedTask::HostDrain(HostId(host));
+        let token = self.leases.fencing_token(task);
+        token.map(|Epoch(epoch)| epoch)
     }
 
     fn requests_in_flight(&self, host: u32) -> u32 {
-        u32::try_from(self.upstream.requests_in_flight(host)).unwrap_or(u32::MAX)
+        u32::try_from(self.upstream.requests_in_flight(HostId(host))).unwrap_or(u32::MAX)
     }
 }
 
@@ -101,7 +104,7 @@
     outbox: Outbox,
     metrics: Rc<Metrics>,
     /// Operators who wait until a quorum follows their commands, by host.
-    waiting_operators: RefCell<HashMap<u32, oneshot::Sender<ReplicationProgress>>>,
+    waiting_operators: RefCell<HashMap<HostId, oneshot::Sender<ReplicationProgress>>>,
     /// Wakes the peer socket once an operator has issued a command.
     command_issued: Notify,
 }
@@ -117,7 +120,7 @@
         metrics: Rc<Metrics>,
     ) -> Self {
         let settings = Settings::for_lease(gateways.len() as u32, lease_ms);
-        let coordinator = DrainCoordinator::new(membership.local_node().number, settings);
+        let coordinator = DrainCoordinator::new(membership.local_gateway().0, settings);
         Self {
             coordinator: RefCell::new(coordinator),
             membership,
@@ -136,15 +139,22 @@
     }
 
     /// The hosts whose drains need a coordinator.
-    pub fn drains_to_coordinate(&self) -> Vec<u32> {
-        self.coordinator.borrow().drains_to_coordinate()
+    pub fn drains_to_coordinate(&self) -> Vec<HostId> {
+        let hosts = self.coordinator.borrow().drains_to_coordinate();
+        hosts.into_iter().map(HostId).collect()
+    }
+
+    /// The gateways that are alive or suspect, with the generations of their processes.
+    fn processes_up(&self) -> impl Iterator<Item = (u32, u16)> {
+        let processes = self.membership.not_down_processes().into_iter();
+        processes.map(|process| (process.gateway.0, process.generation.0))
     }
 
     /// Takes a datagram from gateway `from`; returns what is to be sent.
-    pub fn receive(&self, datagram: &[u8], from: u32) -> Vec<OutgoingDatagram> {
+    pub fn receive(&self, datagram: &[u8], from: GatewayId) -> Vec<OutgoingDatagram> {
         let mut coordinator = self.coordinator.borrow_mut();
-        coordinator.update_fleet(self.membership.not_down_with_generations());
-        if let Err(error) = coordinator.receive(self.now(), from, datagram, &self.local) {
+        coordinator.update_fleet(self.processes_up());
+        if let Err(error) = coordinator.receive(self.now(), from.0, datagram, &self.local) {
             increment(&self.metrics.gossip.ignored);
             log!("drains: a datagram from gateway {from} is ignored: {error}");
         }
@@ -154,7 +164,7 @@
     /// Does what is due; returns what is to be sent.
     pub fn advance(&self) -> Vec<OutgoingDatagram> {
         let mut coordinator = self.coordinator.borrow_mut();
-        coordinator.update_fleet(self.membership.not_down_with_generations());
+        coordinator.update_fleet(self.processes_up());
         coordinator.advance(self.now(), &self.local);
         self.carry_out(&mut coordinator)
     }
@@ -185,7 +195,7 @@
         self.coordinator.borrow_mut().issue(
             self.now(),
             unix_milliseconds(),
-            host,
+            host.0,
             desired_state,
         )?;
         let (sender, receiver) = oneshot::channel();
@@ -211,12 +221,11 @@
         &self,
         host_name: &str,
         desired_state: DesiredState,
-    ) -> Result<u32, DrainCommandError> {
+    ) -> Result<HostId, DrainCommandError> {
         let upstream = &self.local.upstream;
         let host = upstream
             .member_by_name(host_name)
             .and_then(|member| upstream.fleet_host_id(member))
-            .map(|(host, _)| host)
             .ok_or_else(|| DrainCommandError::UnknownHost {
                 host_name: host_name.to_string(),
             })?;
@@ -242,7 +251,7 @@
     }
 
     fn drain_status(&self, command: DrainCommand, progress: Progress) -> String {
-        let name = self.local.upstream.host_name(command.host);
+        let name = self.local.upstream.host_name(HostId(command.host));
         match progress {
             Progress::Completed(_) if !command.drains() => format!("{name}:back"),
             Progress::Completed(Completion { unacknowledged, .. }) => {
@@ -259,9 +268,11 @@
     fn carry_out(&self, coordinator: &mut DrainCoordinator) -> Vec<OutgoingDatagram> {
         for action in coordinator.take_actions() {
             match action {
-                Action::Send { to, bytes } => self.outbox.push(to, bytes),
+                Action::Send { to, bytes } => self.outbox.push(GatewayId(to), bytes),
                 Action::Follow(command) => self.follow(command),
-                Action::Replicated { host, progress } => self.answer_operator(host, progress),
+                Action::Replicated { host, progress } => {
+                    self.answer_operator(HostId(host), progress)
+                }
                 Action::Completed {
                     command,
                     completion,
@@ -273,7 +284,7 @@
     }
 
     fn follow(&self, command: DrainCommand) {
-        let name = self.local.upstream.host_name(command.host);
+        let name = self.local.upstream.host_name(HostId(command.host));
         let change = match command.desired_state {
             DesiredState::Drained => "taken out of",
             DesiredState::InService => "put back into",
@@ -283,7 +294,7 @@
         self.local.upstream.apply_drain_command(command);
     }
 
-    fn answer_operator(&self, host: u32, progress: ReplicationProgress) {
+    fn answer_operator(&self, host: HostId, progress: ReplicationProgress) {
         if let Some(operator) = self.waiting_operators.borrow_mut().remove(&host) {
             // An operator who has closed the connection needs no answer.
             let _ = operator.send(progress);
@@ -296,7 +307,7 @@
         completion: Completion,
         origin: CompletionOrigin,
     ) {
-        let name = self.local.upstream.host_name(command.host);
+        let name = self.local.upstream.host_name(HostId(command.host));
         let result = match command.desired_state {
             DesiredState::Drained => "is drained, no gateway has requests in flight there",
             DesiredState::InService => "is back in service at all gateways",
--- a/src/net/cluster/endpoint_watch.rs
+++ b/src/net/cluster/endpoint_watch.rs
@@ -9,6 +9,7 @@
 use crate::net::log::log;
 use crate::net::metrics::{increment, Metrics};
 use crate::net::upstream::Upstream;
+use irisrouter_cluster_types::{Epoch, GatewayId, HostId};
 use irisrouter_endpoint_watch::{
     codec, EndpointWatcher, LocalState, PollDecision, Settings, MAX_HOSTS_OUT_OF_SERVICE,
 };
@@ -86,20 +87,20 @@
     }
 
     /// The fencing token of the watch, where this gateway holds its lease.
-    fn fencing_token(&self) -> Option<u64> {
+    fn fencing_token(&self) -> Option<Epoch> {
         self.leases.fencing_token(LeasedTask::EndpointWatch)
     }
 
     /// What this gateway knows of itself, with a list of this revision.
     fn local_state(&self, revision: Option<u64>, needs_full_list: bool) -> LocalState {
-        let local_gateway = self.membership.local_node().number;
+        let local_gateway = self.membership.local_gateway();
         let lower_numbers = self
             .membership
             .not_down()
             .into_iter()
             .filter(|&gateway| gateway < local_gateway);
         LocalState {
-            fencing_token: self.fencing_token(),
+            fencing_token: self.fencing_token().map(|Epoch(epoch)| epoch),
             revision,
             needs_full_list,
             rank: lower_numbers.count() as u64,
@@ -107,7 +108,7 @@
     }
 
     /// Takes a heartbeat of gateway `from`.
-    pub fn receive(&self, datagram: &[u8], from: u32) {
+    pub fn receive(&self, datagram: &[u8], from: GatewayId) {
         let heartbeat = match codec::decode(datagram) {
             Ok(heartbeat) => heartbeat,
             Err(error) => {
@@ -122,8 +123,9 @@
             heartbeat.revision,
         );
         if counts {
+            let out_of_service = heartbeat.hosts_out_of_service.into_iter().map(HostId);
             self.upstream
-                .apply_watch_heartbeat(heartbeat.revision, &heartbeat.hosts_out_of_service);
+                .apply_watch_heartbeat(heartbeat.revision, out_of_service.collect());
             self.heartbeat_received.notify_one();
         }
     }
@@ -131,7 +133,10 @@
     /// The heartbeat that all other gateways are to get now, where one is due.
     pub fn heartbeat(&self) -> Option<Vec<u8>> {
         let local = self.local_state(Some(self.upstream.revision()), false);
-        let hosts_out_of_service = || self.upstream.out_of_service(MAX_HOSTS_OUT_OF_SERVICE);
+        let hosts_out_of_service = || {
+            let hosts = self.upstream.out_of_service(MAX_HOSTS_OUT_OF_SERVICE);
+            hosts.into_iter().map(|HostId(host)| host).collect()
+        };
         let heartbeat =
             self.watcher
                 .borrow_mut()
--- a/src/net/cluster/leases.rs
+++ b/src/net/cluster/leases.rs
@@ -4,10 +4,13 @@
 //! Each change of holder is one log line and one count.
 
 use crate::net::cluster::membership::MembershipService;
-use crate::net::cluster::peer_socket::{Outbox, OutgoingDatagram};
+use crate::net::cluster::outbox::{Outbox, OutgoingDatagram};
 use crate::net::log::log;
 use crate::net::metrics::{increment, Metrics};
 use crate::net::unix_milliseconds;
+use crate::net::upstream::Fence;
+use irisrouter::routing::GroupId;
+use irisrouter_cluster_types::{Epoch, GatewayId, HostId};
 use irisrouter_leases::{
     Action, HeldLease, Holder, LeaseChange, LeaseManager, PartitionSide, Settings, SettingsError,
     TaskId,
@@ -26,9 +29,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeasedTask {
     /// The health checks of the set with this number.
-    HealthChecks(i64),
+    HealthChecks(GroupId),
     /// The drain of a host, by the number under which all gateways know it.
-    HostDrain(u32),
+    HostDrain(HostId),
     /// The watch of the list of database hosts.
     EndpointWatch,
     /// The failover plans for lost sites.
@@ -39,8 +42,8 @@
     /// The number of the task, the same at every gateway. That of a set's health checks is the set's number.
     const fn id(self) -> TaskId {
         TaskId(match self {
-            Self::HealthChecks(set) => set as u64,
-            Self::HostDrain(host) => irisrouter_drain_coordination::task_id(host),
+            Self::HealthChecks(GroupId(set)) => set as u64,
+            Self::HostDrain(HostId(host)) => irisrouter_drain_coordination::task_id(host),
             Self::EndpointWatch => irisrouter_endpoint_watch::TASK_ID,
             Self::SiteFailover => irisrouter_site_failover::TASK_ID,
         })
@@ -57,17 +60,17 @@
         // The number of a drain has the host's number in its low half.
         let host = id as u32;
         if irisrouter_drain_coordination::task_id(host) == id {
-            return Self::HostDrain(host);
+            return Self::HostDrain(HostId(host));
         }
-        Self::HealthChecks(id as i64)
+        Self::HealthChecks(GroupId(id as i64))
     }
 }
 
 impl fmt::Display for LeasedTask {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::HealthChecks(set) => write!(f, "the health checks of set {set}"),
-            Self::HostDrain(host) => write!(f, "the drain of host {host:06x}"),
+            Self::HealthChecks(GroupId(set)) => write!(f, "the health checks of set {set}"),
+            Self::HostDrain(host) => write!(f, "the drain of host {host}"),
             Self::EndpointWatch => write!(f, "the endpoint watch"),
             Self::SiteFailover => write!(f, "the site failover plan"),
         }
@@ -99,10 +102,10 @@
         fence: bool,
         metrics: Rc<Metrics>,
     ) -> Result<Self, SettingsError> {
-        let node = membership.local_node();
+        let process = membership.local_process();
         let local = Holder {
-            number: node.number,
-            generation: node.generation,
+            number: process.gateway.0,
+            generation: process.generation.0,
         };
         let settings = Settings {
             fleet: gateways.len() as u32,
@@ -129,11 +132,11 @@
         self.manager.borrow_mut().on_socket_opened(self.now());
     }
 
-    /// Processes a datagram of leases from the gateway with number `from`; returns the datagrams to send.
-    pub fn receive(&self, datagram: &[u8], from: u32) -> Vec<OutgoingDatagram> {
+    /// Processes a datagram of leases from gateway `from`; returns the datagrams to send.
+    pub fn receive(&self, datagram: &[u8], from: GatewayId) -> Vec<OutgoingDatagram> {
         let now = self.now();
         let mut manager = self.manager.borrow_mut();
-        match manager.receive(now, from, datagram) {
+        match manager.receive(now, from.0, datagram) {
             Ok(()) => increment(&self.metrics.leases.received),
             Err(error) => {
                 increment(&self.metrics.leases.rejected);
@@ -154,7 +157,8 @@
         };
         let tasks: Vec<TaskId> = tasks.map(LeasedTask::id).collect();
         let mut manager = self.manager.borrow_mut();
-        manager.update_view(now, &alive.gateways, side);
+        let gateways: Vec<u32> = alive.gateways.iter().map(|gateway| gateway.0).collect();
+        manager.update_view(now, &gateways, side);
         manager.set_tasks(now, &tasks);
         manager.advance(now, unix_milliseconds());
         self.carry_out_actions(&mut manager)
@@ -174,21 +178,22 @@
 
     /// The fencing token under which this gateway may do a task now; none where it does not hold the lease. Ask before
     /// each act, and do not store the answer.
-    pub fn fencing_token(&self, task: LeasedTask) -> Option<u64> {
-        self.manager.borrow().fencing_token(self.now(), task.id())
+    pub fn fencing_token(&self, task: LeasedTask) -> Option<Epoch> {
+        let token = self.manager.borrow().fencing_token(self.now(), task.id());
+        token.map(Epoch)
     }
 
-    /// The task's number and the token that a health check of a set carries, where the operators turned fencing on.
-    pub fn health_check_fence(&self, set: i64, token: u64) -> Option<(u64, u64)> {
-        let TaskId(task) = LeasedTask::HealthChecks(set).id();
-        self.fence.then_some((task, token))
+    /// The fence that a health check of a group carries, where the operators turned fencing on.
+    pub fn health_check_fence(&self, group: GroupId, epoch: Epoch) -> Option<Fence> {
+        let task = irisrouter_cluster_types::TaskId(LeasedTask::HealthChecks(group).id().0);
+        self.fence.then_some(Fence { task, epoch })
     }
 
     /// A database host refused the token of a set's health check; returns the datagrams to send.
-    pub fn token_rejected(&self, set: i64) -> Vec<OutgoingDatagram> {
+    pub fn token_rejected(&self, group: GroupId) -> Vec<OutgoingDatagram> {
         increment(&self.metrics.leases.fenced);
         let mut manager = self.manager.borrow_mut();
-        manager.token_rejected(self.now(), LeasedTask::HealthChecks(set).id());
+        manager.token_rejected(self.now(), LeasedTask::HealthChecks(group).id());
         self.carry_out_actions(&mut manager)
     }
 
@@ -209,7 +214,7 @@
     fn carry_out_actions(&self, manager: &mut LeaseManager) -> Vec<OutgoingDatagram> {
         for action in manager.drain_actions() {
             match action {
-                Action::Send { to, bytes } => self.outbox.push(to, bytes),
+                Action::Send { to, bytes } => self.outbox.push(GatewayId(to), bytes),
                 Action::Acquired {
                     task,
                     epoch,
@@ -238,8 +243,8 @@
 fn console_entry(held: &HeldLease) -> String {
     let epoch = held.epoch;
     match LeasedTask::from_id(held.task) {
-        LeasedTask::HealthChecks(set) => format!("{set}:{epoch}"),
-        LeasedTask::HostDrain(host) => format!("drain-{host:06x}:{epoch}"),
+        LeasedTask::HealthChecks(GroupId(set)) => format!("{set}:{epoch}"),
+        LeasedTask::HostDrain(host) => format!("drain-{host}:{epoch}"),
         LeasedTask::EndpointWatch => format!("list:{epoch}"),
         LeasedTask::SiteFailover => format!("plan:{epoch}"),
     }
--- a/src/net/cluster/membership.rs
+++ b/src/net/cluster/membership.rs
@@ -5,10 +5,11 @@
 //! log line and one count; the console's `members` and SIGUSR1 give the view itself. Health-check findings from a gateway
 //! that the view holds down are not used.
 
-use crate::net::cluster::peer_socket::{Outbox, OutgoingDatagram};
+use crate::net::cluster::outbox::{Outbox, OutgoingDatagram};
 use crate::net::config::Peers;
 use crate::net::log::log;
 use crate::net::metrics::{increment, Metrics};
+use irisrouter_cluster_types::{GatewayId, GatewayProcess, Generation};
 use irisrouter_membership::{
     Action, Liveness, LivenessChange, MemberState, Membership, MembershipError, Millis, Node,
     Settings,
@@ -27,8 +28,8 @@
 
 /// The gateways that are alive in the view of this one.
 pub struct AliveGateways {
-    /// Their numbers in ascending order, this gateway's included.
-    pub gateways: Vec<u32>,
+    /// In ascending order, this gateway included.
+    pub gateways: Vec<GatewayId>,
     /// Whether this gateway is on the side of a partition that has the majority of the fleet.
     pub majority: bool,
 }
@@ -37,7 +38,7 @@
 pub struct MembershipService {
     core: RefCell<Membership>,
     start: Instant,
-    out: Outbox,
+    outbox: Outbox,
     metrics: Rc<Metrics>,
 }
 
@@ -60,20 +61,20 @@
     ) -> Result<Self, MembershipError> {
         let generation = (unix_s & 0xffff) as u16;
         let local = Node {
-            number: peers.local_number,
+            number: peers.local_gateway.0,
             generation,
         };
         let mut core = Membership::new(local, settings, seed, 0)?;
         let fleet_size = peers.gateway_addresses.len() as u32;
-        core.join(0, &initial_peers(peers.local_number, fleet_size));
+        core.join(0, &initial_peers(peers.local_gateway.0, fleet_size));
         log!(
             "membership: on, gateway {} of {fleet_size}, generation {generation}",
-            peers.local_number
+            peers.local_gateway
         );
         Ok(Self {
             core: RefCell::new(core),
             start: Instant::now(),
-            out: Outbox::new(peers.gateway_addresses.clone()),
+            outbox: Outbox::new(peers.gateway_addresses.clone()),
             metrics,
         })
     }
@@ -84,7 +85,7 @@
     }
 
     /// Processes a membership datagram from gateway `from`; returns what is to be sent.
-    pub fn receive(&self, datagram: &[u8], from: u32) -> Vec<OutgoingDatagram> {
+    pub fn receive(&self, datagram: &[u8], from: GatewayId) -> Vec<OutgoingDatagram> {
         let now = self.now();
         let mut core = self.core.borrow_mut();
         match core.receive(now, datagram) {
@@ -113,14 +114,23 @@
         self.start + Duration::from_millis(due)
     }
 
-    /// Whether reports from gateway `number` are used: not once the view holds it down.
-    pub fn accepts_from(&self, number: u32) -> bool {
-        self.core.borrow().view().accepts_from(number)
+    /// Whether reports from a gateway are used: not once the view holds it down.
+    pub fn accepts_from(&self, gateway: GatewayId) -> bool {
+        self.core.borrow().view().accepts_from(gateway.0)
     }
 
     /// This process.
-    pub fn local_node(&self) -> Node {
-        self.core.borrow().local_node()
+    pub fn local_process(&self) -> GatewayProcess {
+        let node = self.core.borrow().local_node();
+        GatewayProcess {
+            gateway: GatewayId(node.number),
+            generation: Generation(node.generation),
+        }
+    }
+
+    /// This gateway.
+    pub fn local_gateway(&self) -> GatewayId {
+        self.local_process().gateway
     }
 
     /// The gateways that are alive in the view; only this one, without a majority, once it has announced that it stops.
@@ -129,14 +139,14 @@
         let local = core.local_node().number;
         if core.has_left() {
             return AliveGateways {
-                gateways: vec![local],
+                gateways: vec![GatewayId(local)],
                 majority: false,
             };
         }
         let members = core.view().members();
         let gateways = members
             .filter(|(number, member)| *number == local || member.liveness == Liveness::Alive)
-            .map(|(number, _)| number)
+            .map(|(number, _)| GatewayId(number))
             .collect();
         AliveGateways {
             gateways,
@@ -145,20 +155,21 @@
     }
 
     /// The gateways that are alive or suspect, this one included.
-    pub fn not_down(&self) -> Vec<u32> {
-        self.not_down_with_generations()
-            .into_iter()
-            .map(|(number, _)| number)
-            .collect()
+    pub fn not_down(&self) -> Vec<GatewayId> {
+        let processes = self.not_down_processes().into_iter();
+        processes.map(|process| process.gateway).collect()
     }
 
-    /// The gateways that are alive or suspect, this one included, with the generations of their processes.
-    pub fn not_down_with_generations(&self) -> Vec<(u32, u16)> {
+    /// The processes of the gateways that are alive or suspect, this one included.
+    pub fn not_down_processes(&self) -> Vec<GatewayProcess> {
         let core = self.core.borrow();
         let members = core.view().members();
         members
             .filter(|(_, member)| !matches!(member.liveness, Liveness::Down | Liveness::Unknown))
-            .map(|(number, member)| (number, member.generation))
+            .map(|(number, member)| GatewayProcess {
+                gateway: GatewayId(number),
+                generation: Generation(member.generation),
+            })
             .collect()
     }
 
@@ -205,12 +216,12 @@
         for action in core.drain_actions() {
             self.carry_out(action);
         }
-        self.out.take()
+        self.outbox.take()
     }
 
     fn carry_out(&self, action: Action) {
         match action {
-            Action::Send { to, bytes } => self.out.push(to, bytes),
+            Action::Send { to, bytes } => self.outbox.push(GatewayId(to), bytes),
             Action::Changed(change) => {
                 increment(&self.metrics.membership.changed);
                 log_change(&change);
--- a/src/net/cluster/outbox.rs
+++ b/src/net/cluster/outbox.rs
@@ -1,5 +1,6 @@
 //! Datagrams that a service has produced and that wait to be sent.
 
+use irisrouter_cluster_types::GatewayId;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 
@@ -28,10 +29,10 @@
         }
     }
 
-    /// Queues a datagram to the gateway with this number. Nothing is queued where the fleet has no
+    /// Queues a datagram to this gateway. Nothing is queued where the fleet has no
     /// such gateway.
-    pub fn push(&self, gateway: u32, bytes: Vec<u8>) {
-        if let Some(&to) = self.addresses.get(gateway as usize) {
+    pub fn push(&self, gateway: GatewayId, bytes: Vec<u8>) {
+        if let Some(&to) = self.addresses.get(gateway.0 as usize) {
             self.queued
                 .borrow_mut()
                 .push(OutgoingDatagram { to, bytes });
--- a/src/net/cluster/peer_socket.rs
+++ b/src/net/cluster/peer_socket.rs
@@ -2,6 +2,7 @@
 //! theirs.
 
 use crate::net::cluster::peer_sender::PeerSender;
+use crate::net::cluster::services::ClusterServices;
 use crate::net::cluster::shared_health_checks::SharedHealthChecks;
 use crate::net::config::Peers;
 use crate::net::log::log;
@@ -9,6 +10,8 @@
 use crate::net::router_task::RouterHandle;
 use crate::net::upstream::Upstream;
 use crate::net::Clock;
+use irisrouter::routing::GroupId;
+use irisrouter_cluster_types::GatewayId;
 use irisrouter_gossip::message;
 use std::collections::HashMap;
 use std::fmt::Display;
@@ -20,9 +23,6 @@
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, Instant};
 
-pub use crate::net::cluster::outbox::{Outbox, OutgoingDatagram};
-pub use crate::net::cluster::services::ClusterServices;
-
 /// The longest time without a look at the services, where none of them has work earlier.
 const IDLE_WAIT: Duration = Duration::from_millis(500);
 /// One byte more than the longest datagram, so that longer ones are recognized as too long.
@@ -91,10 +91,9 @@
 pub struct PeerSocket {
     socket: Rc<UdpSocket>,
     sender: PeerSender,
-    /// This gateway's number.
-    local_gateway: u32,
-    /// The number of each gateway, by the address from which it sends.
-    gateways_by_address: HashMap<SocketAddr, u32>,
+    local_gateway: GatewayId,
+    /// Each gateway, by the address from which it sends.
+    gateways_by_address: HashMap<SocketAddr, GatewayId>,
     health_checks: Rc<SharedHealthChecks>,
     dependencies: Dependencies,
 }
@@ -126,8 +125,8 @@
         Ok(Rc::new(PeerSocket {
             socket,
             sender,
-            local_gateway: peers.local_number,
-            gateways_by_address: peers.gateway_addresses.iter().copied().zip(0..).collect(),
+            local_gateway: peers.local_gateway,
+            gateways_by_address: gateways_by_address(&peers.gateway_addresses),
             health_checks: Rc::new(health_checks),
             dependencies,
         }))
@@ -169,7 +168,7 @@
         wait.min(self.advance_write_intents().await)
     }
 
-    async fn advance_leases(&self, groups: &[i64]) -> Duration {
+    async fn advance_leases(&self, groups: &[GroupId]) -> Duration {
         let services = &self.dependencies.services;
         let Some(leases) = &services.leases else {
             return IDLE_WAIT;
@@ -315,6 +314,12 @@
     log!("a datagram from {from} is ignored: {reason}");
 }
 
+/// The gateways of the fleet's list, by their addresses.
+fn gateways_by_address(addresses: &[SocketAddr]) -> HashMap<SocketAddr, GatewayId> {
+    let gateways = (0..).map(GatewayId);
+    addresses.iter().copied().zip(gateways).collect()
+}
+
 fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
     let socket = std::net::UdpSocket::bind(address)?;
     socket.set_nonblocking(true)?;
--- a/src/net/cluster/services.rs
+++ b/src/net/cluster/services.rs
@@ -6,6 +6,7 @@
 use crate::net::cluster::membership::MembershipService;
 use crate::net::cluster::site_failover::SiteFailoverService;
 use crate::net::cluster::write_intents::WriteIntentService;
+use irisrouter::routing::GroupId;
 use std::future::pending;
 use std::rc::Rc;
 
@@ -30,7 +31,7 @@
 impl ClusterServices {
     /// The tasks that have to have a lease holder: the health checks of these groups, the drains,
     /// the endpoint watch and the planning of site failover.
-    pub fn leased_tasks(&self, groups: &[i64]) -> Vec<LeasedTask> {
+    pub fn leased_tasks(&self, groups: &[GroupId]) -> Vec<LeasedTask> {
         let mut tasks: Vec<LeasedTask> = groups
             .iter()
             .copied()
--- a/src/net/cluster/shared_health_checks.rs
+++ b/src/net/cluster/shared_health_checks.rs
@@ -14,11 +14,12 @@
 use crate::net::duration;
 use crate::net::metrics::{increment, Metrics};
 use crate::net::router_task::RouterHandle;
-use crate::net::upstream::Upstream;
+use crate::net::upstream::{GroupMember, HealthCheck, Upstream};
 use crate::net::Clock;
 use irisrouter::routing::{
     Event, GroupId, LoadReport, MemberId, Nanos, Outcome, SharedHealthCheck,
 };
+use irisrouter_cluster_types::{Epoch, GatewayId, HostId};
 use irisrouter_gossip::health_check_schedule::HealthCheckSchedule;
 use irisrouter_gossip::message::{self, HealthCheckResult, Message};
 use std::cell::RefCell;
@@ -50,14 +51,14 @@
 #[derive(Clone)]
 struct RoundLease {
     leases: Rc<LeaseService>,
-    group: i64,
+    group: GroupId,
     /// The fencing token that the lease had when the round started.
-    token: u64,
+    token: Epoch,
 }
 
 impl RoundLease {
     /// The lease of a group's health checks; none where this gateway does not hold it.
-    fn acquire(leases: &Rc<LeaseService>, group: i64) -> Option<Self> {
+    fn acquire(leases: &Rc<LeaseService>, group: GroupId) -> Option<Self> {
         let token = leases.fencing_token(LeasedTask::HealthChecks(group))?;
         Some(RoundLease {
             leases: Rc::clone(leases),
@@ -78,7 +79,10 @@
     pub fn new(peers: &Peers, sender: PeerSender, dependencies: &Dependencies) -> Self {
         let gateway_count = peers.gateway_addresses.len() as u32;
         SharedHealthChecks {
-            schedule: RefCell::new(HealthCheckSchedule::new(peers.local_number, gateway_count)),
+            schedule: RefCell::new(HealthCheckSchedule::new(
+                peers.local_gateway.0,
+                gateway_count,
+            )),
             sender,
             membership: dependencies.services.membership.clone(),
             leases: dependencies.services.leases.clone(),
@@ -95,15 +99,16 @@
     /// holds. In a minority, and where leases are off, they are the rounds that the schedule
     /// assigns by the results that arrived: when in doubt a group is checked by two gateways, never
     /// by none.
-    pub fn start_due_rounds(self: &Rc<Self>, groups: &[i64]) -> Duration {
+    pub fn start_due_rounds(self: &Rc<Self>, groups: &[GroupId]) -> Duration {
         let now = self.clock.now();
         let mut schedule = self.schedule.borrow_mut();
-        schedule.update_groups(now, groups);
+        let group_numbers: Vec<i64> = groups.iter().map(|group| group.0).collect();
+        schedule.update_groups(now, &group_numbers);
         let leases = self.leases.as_ref().filter(|leases| leases.in_majority());
         let (due_groups, next_due) = match leases {
             Some(leases) => {
                 let holds_lease = |group| {
-                    let task = LeasedTask::HealthChecks(group);
+                    let task = LeasedTask::HealthChecks(GroupId(group));
                     leases.fencing_token(task).is_some()
                 };
                 (
@@ -113,7 +118,7 @@
             }
             None => (schedule.start_due_rounds(now), schedule.next_due()),
         };
-        for group in due_groups {
+        for group in due_groups.into_iter().map(GroupId) {
             let lease = leases.and_then(|leases| RoundLease::acquire(leases, group));
             spawn_local(Rc::clone(self).run_round(group, lease));
         }
@@ -122,9 +127,9 @@
 
     /// Checks the hosts of a group, and shares the results. Under a lease it stops once the lease
     /// is lost.
-    async fn run_round(self: Rc<Self>, group: i64, lease: Option<RoundLease>) {
+    async fn run_round(self: Rc<Self>, group: GroupId, lease: Option<RoundLease>) {
         let mut checks = JoinSet::new();
-        for member in self.upstream.members_in_service(GroupId(group)) {
+        for member in self.upstream.members_in_service(group) {
             let health_checks = Rc::clone(&self);
             let lease = lease.clone();
             checks.spawn_local(async move { health_checks.check(member, lease).await });
@@ -158,8 +163,9 @@
         let fence = lease
             .as_ref()
             .and_then(|lease| lease.leases.health_check_fence(lease.group, lease.token));
-        let (event, rejected) = self.upstream.health_check_with_fence(member, fence).await;
-        if let Some(lease) = lease.filter(|_| rejected) {
+        let HealthCheck { event, fenced } =
+            self.upstream.health_check_with_fence(member, fence).await;
+        if let Some(lease) = lease.filter(|_| fenced) {
             let datagrams = lease.leases.token_rejected(lease.group);
             self.sender
                 .send_all(datagrams, &self.metrics.leases.sent)
@@ -205,7 +211,7 @@
     /// The result as it is sent; none for a host that has been removed, or that did not report its
     /// role.
     fn to_message_result(&self, result: &SharedHealthCheck) -> Option<HealthCheckResult> {
-        let (host, _) = self.upstream.fleet_host_id(result.member)?;
+        let HostId(host) = self.upstream.fleet_host_id(result.member)?;
         Some(HealthCheckResult {
             host,
             position: result.report.position,
@@ -215,7 +221,7 @@
     }
 
     /// Receives the results of gateway `gateway`, which sent them from address `from`.
-    pub fn receive(&self, datagram: &[u8], gateway: u32, from: SocketAddr) {
+    pub fn receive(&self, datagram: &[u8], gateway: GatewayId, from: SocketAddr) {
         let now = self.clock.now();
         if let Some(membership) = &self.membership {
             if !membership.accepts_from(gateway) {
@@ -231,18 +237,20 @@
     }
 
     /// Hands results to the router, and records the rounds that they come from.
-    fn apply(&self, message: &Message, gateway: u32, now: Nanos) {
+    fn apply(&self, message: &Message, gateway: GatewayId, now: Nanos) {
         increment(&self.metrics.gossip.received);
         // Clocks differ a little: no result counts as made in the future.
         let checked_at = message.checked_at.min(now);
         let mut results = Vec::with_capacity(message.results.len());
         for result in &message.results {
-            let Some((member, group)) = self.upstream.member_by_fleet_id(result.host) else {
+            let Some(GroupMember { member, group }) =
+                self.upstream.member_by_fleet_id(HostId(result.host))
+            else {
                 continue;
             };
             self.schedule
                 .borrow_mut()
-                .record_round(group, gateway, checked_at);
+                .record_round(group.0, gateway.0, checked_at);
             results.push(SharedHealthCheck {
                 member,
                 at: checked_at,
--- a/src/net/cluster/site_failover.rs
+++ b/src/net/cluster/site_failover.rs
@@ -16,6 +16,7 @@
 use crate::net::router_task::RouterHandle;
 use crate::net::upstream::Upstream;
 use irisrouter::routing::{Event, FailoverDirectives, Nanos};
+use irisrouter_cluster_types::{Epoch, GatewayId};
 use irisrouter_leases::rendezvous;
 use irisrouter_site_failover::codec::{self, Message};
 use irisrouter_site_failover::load_report::{SiteLoadReport, SiteLoadReports};
@@ -159,11 +160,11 @@
     }
 
     /// Receives a datagram of gateway `from`.
-    pub fn receive(&self, datagram: &[u8], from: u32) {
+    pub fn receive(&self, datagram: &[u8], from: GatewayId) {
         match codec::decode(datagram) {
             Ok(Message::SiteLoadReport(report)) => {
                 let mut reports = self.planning.reports.borrow_mut();
-                reports.record(self.now(), from, report);
+                reports.record(self.now(), from.0, report);
             }
             Ok(Message::Plan(plan)) => {
                 increment(&self.dependencies.metrics.site_failover.received);
@@ -231,11 +232,13 @@
     }
 
     /// Queues the load report to the candidates for the planning lease.
-    fn queue_load_report(&self, report: &SiteLoadReport, alive: &[u32]) {
+    fn queue_load_report(&self, report: &SiteLoadReport, alive: &[GatewayId]) {
         let datagram = codec::encode_load_report(report);
         let local_gateway = self.local_gateway();
-        let receivers = rendezvous::candidates(TASK_ID, alive)
+        let alive: Vec<u32> = alive.iter().map(|gateway| gateway.0).collect();
+        let receivers = rendezvous::candidates(TASK_ID, &alive)
             .into_iter()
+            .map(GatewayId)
             .take(REPORT_RECEIVERS)
             .filter(|&gateway| gateway != local_gateway);
         for receiver in receivers {
@@ -245,18 +248,18 @@
 
     fn record_own_report(&self, now: u64, report: SiteLoadReport) {
         let mut reports = self.planning.reports.borrow_mut();
-        reports.record(now, self.local_gateway(), report);
+        reports.record(now, self.local_gateway().0, report);
         reports.remove_before(now.saturating_sub(REPORT_EXPIRY_MS));
     }
 
-    fn local_gateway(&self) -> u32 {
-        self.dependencies.membership.local_node().number
+    fn local_gateway(&self) -> GatewayId {
+        self.dependencies.membership.local_gateway()
     }
 
     /// Plans if this gateway holds the lease for it.
     fn plan_if_leased(&self, now: u64, alive_count: usize) -> Option<Plan> {
         let leases = &self.dependencies.leases;
-        let epoch = leases.fencing_token(LeasedTask::SiteFailover)?;
+        let Epoch(epoch) = leases.fencing_token(LeasedTask::SiteFailover)?;
         self.make_plan(now, epoch, alive_count)
     }
 
--- a/src/net/cluster/write_intents.rs
+++ b/src/net/cluster/write_intents.rs
@@ -2,11 +2,12 @@
 //! requests record and look up keyed writes here. Datagrams leave with the peer task, which is woken for them.
 
 use crate::net::cluster::membership::MembershipService;
-use crate::net::cluster::peer_socket::{Outbox, OutgoingDatagram};
+use crate::net::cluster::outbox::{Outbox, OutgoingDatagram};
 use crate::net::log::log;
 use crate::net::metrics::{increment, Metrics};
 use crate::net::{duration, unix_milliseconds};
 use irisrouter::routing::{Idempotency, Outcome as AttemptOutcome, RequestClass};
+use irisrouter_cluster_types::GatewayId;
 use irisrouter_write_intents::{Action, IntentStore, OperationId, Outcome};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -58,7 +59,7 @@
             "write intents: on, keyed writes are recorded with other gateways before they are sent"
         );
         Self {
-            store: RefCell::new(IntentStore::new(membership.local_node().number, 0)),
+            store: RefCell::new(IntentStore::new(membership.local_gateway().0, 0)),
             membership,
             start: Instant::now(),
             metrics,
@@ -86,7 +87,7 @@
     /// Records a write with its replicas before it is sent: it may run from `first_sent_at` on, in Unix milliseconds. Returns
     /// whether enough replicas acknowledged it.
     pub async fn record(&self, key: u64, first_sent_at: u64) -> bool {
-        let gateways = self.membership.not_down();
+        let gateways = self.gateways_up();
         let outcome = self
             .run_operation(|store, now| store.record(now, key, first_sent_at, &gateways))
             .await;
@@ -101,7 +102,7 @@
 
     /// Looks up at the replicas of a write whether it may have run.
     pub async fn look_up(&self, key: u64) -> EarlierAttempt {
-        let gateways = self.membership.not_down();
+        let gateways = self.gateways_up();
         let outcome = self
             .run_operation(|store, now| store.look_up(now, key, &gateways))
             .await;
@@ -122,14 +123,14 @@
 
     /// Withdraws the intent of a write that never ran.
     pub fn withdraw(&self, key: u64) {
-        let gateways = self.membership.not_down();
+        let gateways = self.gateways_up();
         self.call_store(|store, _| store.withdraw(key, &gateways));
     }
 
-    /// Processes a datagram from the gateway with number `from`; returns the datagrams to send.
-    pub fn receive(&self, datagram: &[u8], from: u32) -> Vec<OutgoingDatagram> {
+    /// Processes a datagram from gateway `from`; returns the datagrams to send.
+    pub fn receive(&self, datagram: &[u8], from: GatewayId) -> Vec<OutgoingDatagram> {
         self.call_store(|store, now| {
-            if let Err(error) = store.receive(now, from, datagram) {
+            if let Err(error) = store.receive(now, from.0, datagram) {
                 increment(&self.metrics.gossip.ignored);
                 log!("write intents: a datagram from gateway {from} is ignored: {error}");
             }
@@ -155,6 +156,12 @@
         self.datagrams_waiting.notified().await;
     }
 
+    /// The gateways that are alive or suspect.
+    fn gateways_up(&self) -> Vec<u32> {
+        let gateways = self.membership.not_down().into_iter();
+        gateways.map(|gateway| gateway.0).collect()
+    }
+
     /// Starts a record or a look-up, and waits for its outcome.
     async fn run_operation(
         &self,
@@ -178,7 +185,7 @@
     fn carry_out_actions(&self, store: &mut IntentStore) {
         for action in store.drain_actions() {
             match action {
-                Action::Send { to, bytes } => self.outbox.push(to, bytes),
+                Action::Send { to, bytes } => self.outbox.push(GatewayId(to), bytes),
                 Action::Ended { operation, outcome } => {
                     if let Some(waiting) = self.waiting.borrow_mut().remove(&operation) {
                         // A request that has ended meanwhile no longer waits for the outcome.
--- a/src/net/config/file.rs
+++ b/src/net/config/file.rs
@@ -5,6 +5,7 @@
 use crate::net::discovery::EndpointList;
 use crate::net::log::log;
 use irisrouter::platform_settings::PlatformSettings;
+use irisrouter_cluster_types::GatewayId;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -22,7 +23,7 @@
     /// From where each gateway sends, by its number.
     pub gateway_addresses: Vec<SocketAddr>,
     /// The number of this gateway.
-    pub local_number: u32,
+    pub local_gateway: GatewayId,
 }
 
 /// The configuration file.
@@ -124,7 +125,7 @@
             listen_address: parse_address("peer_listen", listen)?,
             broadcast_address: parse_address("peers_all", broadcast)?,
             gateway_addresses: addresses,
-            local_number,
+            local_gateway: GatewayId(local_number),
         })
     }
 
--- a/src/net/lifecycle/cluster_startup.rs
+++ b/src/net/lifecycle/cluster_startup.rs
@@ -5,7 +5,7 @@
 use crate::net::cluster::endpoint_watch::EndpointWatchService;
 use crate::net::cluster::leases::LeaseService;
 use crate::net::cluster::membership::MembershipService;
-use crate::net::cluster::peer_socket::ClusterServices;
+use crate::net::cluster::services::ClusterServices;
 use crate::net::cluster::site_failover::{self, SiteFailoverService};
 use crate::net::cluster::write_intents::WriteIntentService;
 use crate::net::config::Config;
@@ -53,7 +53,7 @@
     let peers = config.peers.as_ref().filter(|_| allowed)?;
     let fleet_size = peers.gateway_addresses.len() as u32;
     let unix_s = u64::try_from(parts.clock.now() / NS_PER_S).unwrap_or(0);
-    let seed = u64::from(peers.local_number).wrapping_mul(SEED_MULTIPLIER) ^ unix_s;
+    let seed = u64::from(peers.local_gateway.0).wrapping_mul(SEED_MULTIPLIER) ^ unix_s;
     MembershipService::new(
         peers,
         wanted.for_fleet(fleet_size),
--- a/src/net/lifecycle/peer_socket_task.rs
+++ b/src/net/lifecycle/peer_socket_task.rs
@@ -1,6 +1,7 @@
 //! The task that opens the peer socket, as soon as its address is free, and then runs it.
 
-use crate::net::cluster::peer_socket::{self, ClusterServices, PeerSocket};
+use crate::net::cluster::peer_socket::{self, PeerSocket};
+use crate::net::cluster::services::ClusterServices;
 use crate::net::config::{Config, Peers};
 use crate::net::lifecycle::shared_parts::SharedParts;
 use crate::net::lifecycle::StartupError;
--- a/src/net/lifecycle/startup.rs
+++ b/src/net/lifecycle/startup.rs
@@ -4,7 +4,7 @@
 //! All tasks run on one thread.
 
 use crate::net::admin::console::{self, Console};
-use crate::net::cluster::peer_socket::ClusterServices;
+use crate::net::cluster::services::ClusterServices;
 use crate::net::config::{Config, ListenerSource};
 use crate::net::discovery::{self, EndpointList, ListPosition};
 use crate::net::downstream::connection_limit::{ConnectionLimit, QUIET_CHECK_INTERVAL};
--- a/src/net/upstream/drains.rs
+++ b/src/net/upstream/drains.rs
@@ -3,6 +3,8 @@
 
 use crate::net::discovery::EndpointList;
 use crate::net::upstream::registry::{Registry, Upstream};
+use irisrouter::routing::GroupId;
+use irisrouter_cluster_types::HostId;
 use irisrouter_drain_coordination::{hosts_to_drain, DrainCommand};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,7 +13,7 @@
 #[derive(Default)]
 pub(super) struct DrainState {
     /// The newest drain command for each host, by its fleet id.
-    commands: RefCell<BTreeMap<u32, DrainCommand>>,
+    commands: RefCell<BTreeMap<HostId, DrainCommand>>,
     /// A list that is newer than this gateway's, as the fleet's watcher announced it.
     announced: RefCell<Option<AnnouncedList>>,
     /// Where only drains in the list bind, a host that was removed or is missing there may still be sent to.
@@ -23,24 +25,24 @@
     /// Its version.
     revision: u64,
     /// The hosts that it has out of service, by their fleet ids.
-    out_of_service: BTreeSet<u32>,
+    out_of_service: BTreeSet<HostId>,
 }
 
 impl Upstream {
     /// Takes a drain command: from now on nothing is sent to a host that is drained.
     pub fn apply_drain_command(&self, command: DrainCommand) {
         let commands = &self.drains.commands;
-        commands.borrow_mut().insert(command.host, command);
+        commands.borrow_mut().insert(HostId(command.host), command);
         self.apply_drains();
     }
 
     /// Takes a heartbeat of the gateway that watches the list for the fleet: its list has this version, and these hosts
     /// out of service. Nothing is sent to them until this gateway's own list is as new.
-    pub fn apply_watch_heartbeat(&self, revision: u64, out_of_service: &[u32]) {
+    pub fn apply_watch_heartbeat(&self, revision: u64, out_of_service: Vec<HostId>) {
         if revision > self.revision() {
             let announced = AnnouncedList {
                 revision,
-                out_of_service: out_of_service.iter().copied().collect(),
+                out_of_service: out_of_service.into_iter().collect(),
             };
             self.drains.announced.replace(Some(announced));
             self.apply_drains();
@@ -69,22 +71,23 @@
 
 impl Registry {
     /// The hosts that commands drain, by their fleet ids: never all that a group has in service.
-    fn drained_hosts(&self, commands: &BTreeMap<u32, DrainCommand>) -> BTreeSet<u32> {
-        let mut groups: BTreeMap<i64, Vec<u32>> = BTreeMap::new();
+    fn drained_hosts(&self, commands: &BTreeMap<HostId, DrainCommand>) -> BTreeSet<HostId> {
+        let mut groups: BTreeMap<GroupId, Vec<u32>> = BTreeMap::new();
         for host in self.hosts.values().filter(|h| h.in_service()) {
-            let group = groups.entry(host.entry.cell).or_default();
-            group.push(host.fleet_id);
+            let group = groups.entry(GroupId(host.entry.cell)).or_default();
+            group.push(host.fleet_id.0);
         }
-        let command = |fleet_id| commands.get(&fleet_id).copied();
+        let command = |host| commands.get(&HostId(host)).copied();
         groups
             .values()
             .flat_map(|group| hosts_to_drain(group, command))
+            .map(HostId)
             .collect()
     }
 
     /// Marks exactly these hosts as drained. Returns the entries of those in service that changed, if there are any, as
     /// changes to the list.
-    fn set_drained_hosts(&mut self, drained: &BTreeSet<u32>) -> Option<EndpointList> {
+    fn set_drained_hosts(&mut self, drained: &BTreeSet<HostId>) -> Option<EndpointList> {
         let mut changed = Vec::new();
         for host in self.hosts.values_mut() {
             let is_drained = drained.contains(&host.fleet_id);
--- a/src/net/upstream/health_check.rs
+++ b/src/net/upstream/health_check.rs
@@ -9,13 +9,28 @@
 use crate::net::upstream::registry::Upstream;
 use crate::net::upstream::response_stream::StreamedAnswer;
 use irisrouter::routing::{Event, LoadReport, MemberId, Outcome};
+use irisrouter_cluster_types::{Epoch, TaskId};
 use tokio::time::Instant;
 
 /// The query that a host answers with its load report.
 const HEALTH_CHECK_QUERY: &str = "SHOW usage";
 
-/// The lease under which a gateway asks a host: its number, and its epoch.
-type Fence = (u64, u64);
+/// The lease under which a gateway checks a host. A host refuses an epoch that is older than the latest one it saw.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fence {
+    /// The leased task.
+    pub task: TaskId,
+    /// The epoch of the lease.
+    pub epoch: Epoch,
+}
+
+/// A finished health check.
+pub struct HealthCheck {
+    /// What it says, for the router.
+    pub event: Event,
+    /// The host has seen a later epoch of the lease.
+    pub fenced: bool,
+}
 
 /// What a host's reply to a health check says.
 struct HealthCheckReply {
@@ -38,16 +53,15 @@
 impl Upstream {
     /// Asks a host for its load report.
     pub async fn health_check(&self, member: MemberId) -> Event {
-        self.health_check_with_fence(member, None).await.0
+        self.health_check_with_fence(member, None).await.event
     }
 
-    /// Asks a host for its load report, as the holder of the lease with this number and epoch. Also returns whether the
-    /// host has seen a later epoch of it.
+    /// Asks a host for its load report, as the holder of a lease.
     pub async fn health_check_with_fence(
         &self,
         member: MemberId,
         fence: Option<Fence>,
-    ) -> (Event, bool) {
+    ) -> HealthCheck {
         increment(&self.metrics.health_checks);
         let start = Instant::now();
         let deadline = start + self.connect_timeout();
@@ -71,7 +85,10 @@
             elapsed: nanoseconds(start.elapsed()),
             report: reply.report,
         };
-        (event, reply.fenced)
+        HealthCheck {
+            event,
+            fenced: reply.fenced,
+        }
     }
 
     async fn send_health_check(
@@ -122,8 +139,11 @@
 fn health_check_text(fence: Option<Fence>) -> String {
     match fence {
         None => HEALTH_CHECK_QUERY.to_string(),
-        Some((lease, epoch)) => {
-            format!("{HEALTH_CHECK_QUERY} /* duty={lease},epoch={epoch} */")
+        Some(Fence {
+            task: TaskId(task),
+            epoch,
+        }) => {
+            format!("{HEALTH_CHECK_QUERY} /* duty={task},epoch={epoch} */")
         }
     }
 }
--- a/src/net/upstream/host.rs
+++ b/src/net/upstream/host.rs
@@ -5,6 +5,7 @@
 use crate::net::upstream::load_report::NANOSECONDS_PER_MILLISECOND;
 use crate::net::upstream::reachability::HostReachability;
 use irisrouter::routing::{Endpoint, EndpointState, GroupId, MemberId, Nanos, ZoneId};
+use irisrouter_cluster_types::HostId;
 use irisrouter_gossip::message;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -29,7 +30,7 @@
 /// A database host.
 pub(super) struct Host {
     /// The id by which all gateways of the fleet know it.
-    pub(super) fleet_id: u32,
+    pub(super) fleet_id: HostId,
     /// Its newest entry in the endpoint list.
     pub(super) entry: EndpointEntry,
     /// Whether new requests and health checks may be sent to it.
@@ -52,7 +53,7 @@
     /// A host that the list has just named; [`Host::apply_entry`] decides whether it accepts requests.
     pub(super) fn new(entry: &EndpointEntry) -> Self {
         Host {
-            fleet_id: message::host_id(&entry.id),
+            fleet_id: HostId(message::host_id(&entry.id)),
             entry: entry.clone(),
             accepts_requests: false,
             incarnation: 0,
--- a/src/net/upstream/host_lookup.rs
+++ b/src/net/upstream/host_lookup.rs
@@ -3,8 +3,18 @@
 use crate::net::discovery::EndpointList;
 use crate::net::upstream::registry::Upstream;
 use irisrouter::routing::{GroupId, MemberId};
+use irisrouter_cluster_types::HostId;
 use std::collections::BTreeSet;
 
+/// A member and its group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GroupMember {
+    /// The member.
+    pub member: MemberId,
+    /// Its group.
+    pub group: GroupId,
+}
+
 impl Upstream {
     /// Whether the list has named a host of this group, or there is no list yet.
     pub fn may_have_group(&self, group: GroupId) -> bool {
@@ -44,30 +54,31 @@
     }
 
     /// The groups that have hosts which accept requests, in ascending order.
-    pub fn groups_in_service(&self) -> Vec<i64> {
+    pub fn groups_in_service(&self) -> Vec<GroupId> {
         let registry = self.registry.borrow();
         let accepting = registry.hosts.values().filter(|h| h.accepts_requests);
-        let groups: BTreeSet<i64> = accepting.map(|h| h.entry.cell).collect();
+        let groups: BTreeSet<GroupId> = accepting.map(|h| GroupId(h.entry.cell)).collect();
         groups.into_iter().collect()
     }
 
-    /// The id by which the fleet knows a host, and its group.
-    pub fn fleet_host_id(&self, member: MemberId) -> Option<(u32, i64)> {
+    /// The id by which the fleet knows a host.
+    pub fn fleet_host_id(&self, member: MemberId) -> Option<HostId> {
         let registry = self.registry.borrow();
         let host = registry.hosts.get(&member)?;
-        Some((host.fleet_id, host.entry.cell))
+        Some(host.fleet_id)
     }
 
-    /// The host which accepts requests and which the fleet knows by this id, and its group; `None` where two have the id.
-    pub fn member_by_fleet_id(&self, fleet_id: u32) -> Option<(MemberId, i64)> {
+    /// The host which accepts requests and which the fleet knows by this id; `None` where two have the id.
+    pub fn member_by_fleet_id(&self, fleet_id: HostId) -> Option<GroupMember> {
         let registry = self.registry.borrow();
         let mut found = registry
             .hosts
             .iter()
             .filter(|(_, h)| h.fleet_id == fleet_id && h.accepts_requests);
-        let first = found
-            .next()
-            .map(|(&member, host)| (member, host.entry.cell));
+        let first = found.next().map(|(&member, host)| GroupMember {
+            member,
+            group: GroupId(host.entry.cell),
+        });
         first.filter(|_| found.next().is_none())
     }
 
@@ -79,7 +90,7 @@
     }
 
     /// Requests in flight at the host that the fleet knows by this id.
-    pub fn requests_in_flight(&self, fleet_id: u32) -> usize {
+    pub fn requests_in_flight(&self, fleet_id: HostId) -> usize {
         let registry = self.registry.borrow();
         let hosts = registry.hosts.values();
         hosts
@@ -89,14 +100,14 @@
     }
 
     /// The name of the host that the fleet knows by this id; where the list has none, the id.
-    pub fn host_name(&self, fleet_id: u32) -> String {
+    pub fn host_name(&self, fleet_id: HostId) -> String {
         let registry = self.registry.borrow();
         let host = registry.hosts.values().find(|h| h.fleet_id == fleet_id);
-        host.map_or_else(|| format!("host {fleet_id:06x}"), |h| h.entry.id.clone())
+        host.map_or_else(|| format!("host {fleet_id}"), |h| h.entry.id.clone())
     }
 
     /// Whether another host of the same group would still accept requests without this one.
-    pub fn can_spare(&self, fleet_id: u32) -> bool {
+    pub fn can_spare(&self, fleet_id: HostId) -> bool {
         let registry = self.registry.borrow();
         let mut hosts = registry.hosts.values();
         let host = hosts.find(|h| h.fleet_id == fleet_id);
@@ -122,7 +133,7 @@
 
     /// The fleet ids of hosts that the list has out of service, `limit` of them at most: those that it still names, and
     /// those that it removed lately.
-    pub fn out_of_service(&self, limit: usize) -> Vec<u32> {
+    pub fn out_of_service(&self, limit: usize) -> Vec<HostId> {
         let registry = self.registry.borrow();
         let hosts = registry.hosts.values();
         hosts
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -15,6 +15,8 @@
 mod response_stream;
 
 pub use attempt::{AttemptResult, OutgoingStatement, Statement};
+pub use health_check::{Fence, HealthCheck};
+pub use host_lookup::GroupMember;
 pub use pool::IDLE_CLOSE_INTERVAL;
 pub use registry::Upstream;
 pub use response_stream::{StreamChunk, StreamedAnswer};
