Give the cluster's shells one clock, and use it in membership

Cause: five shells hold the same start instant, the same now() and the same bound on the sleep until their package has work.

--- a/src/net/cluster/membership.rs
+++ b/src/net/cluster/membership.rs
@@ -6,26 +6,23 @@
 //! that the view holds down are not used.
 
 use crate::net::cluster::outbox::{Outbox, OutgoingDatagram};
+use crate::net::cluster::service_clock::ServiceClock;
 use crate::net::config::Peers;
 use crate::net::log::log;
 use crate::net::metrics::{increment, Metrics};
-use irisrouter_cluster_types::{GatewayId, GatewayProcess, Generation};
+use irisrouter_cluster_types::{GatewayId, GatewayProcess, Generation, Timestamp};
 use irisrouter_membership::{
     Action, Liveness, LivenessChange, MemberState, Membership, MembershipError, Millis, Node,
     Settings,
 };
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::time::Instant;
 
 /// How many peers a gateway joins at start: more than one, so that a single peer that does not answer can't keep it from
 /// joining.
 const INITIAL_PEERS: u32 = 3;
 
-/// The longest sleep until the core is advanced again.
-const MAX_SLEEP_MS: Millis = 60_000;
-
 /// The gateways that are alive in the view of this one.
 pub struct AliveGateways {
     /// In ascending order, this gateway included.
@@ -37,7 +34,7 @@
 /// Membership of one gateway.
 pub struct MembershipService {
     core: RefCell<Membership>,
-    start: Instant,
+    clock: ServiceClock,
     outbox: Outbox,
     metrics: Rc<Metrics>,
 }
@@ -73,7 +70,7 @@
         );
         Ok(Self {
             core: RefCell::new(core),
-            start: Instant::now(),
+            clock: ServiceClock::start(),
             outbox: Outbox::new(peers.gateway_addresses.clone()),
             metrics,
         })
@@ -81,7 +78,7 @@
 
     /// Milliseconds since the start, which is the core's clock.
     fn now(&self) -> Millis {
-        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+        self.clock.now().as_millis()
     }
 
     /// Processes a membership datagram from gateway `from`; returns what is to be sent.
@@ -106,12 +103,10 @@
         self.carry_out_actions(&mut core)
     }
 
-    /// When [`MembershipService::advance`] next has work; at most [`MAX_SLEEP_MS`] from now.
+    /// When [`MembershipService::advance`] is to be called next, within the bound of [`ServiceClock::instant_of`].
     pub fn due(&self) -> Instant {
         let due = self.core.borrow().next_due();
-        let now = self.now();
-        let due = due.max(now).min(now + MAX_SLEEP_MS);
-        self.start + Duration::from_millis(due)
+        self.clock.instant_of(Timestamp::from_millis(due))
     }
 
     /// Whether reports from a gateway are used: not once the view holds it down.
--- a/src/net/cluster/mod.rs
+++ b/src/net/cluster/mod.rs
@@ -13,6 +13,7 @@
 pub mod outbox;
 pub mod peer_sender;
 pub mod peer_socket;
+pub mod service_clock;
 pub mod services;
 pub mod shared_health_checks;
 pub mod site_failover;
