--- a/crates/cluster-types/src/identifiers.rs
+++ b/crates/cluster-types/src/identifiers.rs
@@ -19,6 +19,17 @@
     pub generation: Generation,
 }
 
+impl GatewayProcess {
+    /// The process of this gateway in generation 0.
+    #[must_use]
+    pub const fn first(gateway: GatewayId) -> Self {
+        Self {
+            gateway,
+            generation: Generation(0),
+        }
+    }
+}
+
 /// A database host, by the number under which all gateways know it: a hash of its name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct HostId(pub u32);
--- a/crates/cluster-types/src/time.rs
+++ b/crates/cluster-types/src/time.rs
@@ -26,6 +26,18 @@
     pub const fn saturating_sub(self, other: Self) -> Self {
         Self(self.0.saturating_sub(other.0))
     }
+
+    /// This length and another one; the longest length where the sum does not fit.
+    #[must_use]
+    pub const fn saturating_add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+
+    /// This length, this many times; the longest length where the product does not fit.
+    #[must_use]
+    pub const fn saturating_mul(self, factor: u64) -> Self {
+        Self(self.0.saturating_mul(factor))
+    }
 }
 
 impl Timestamp {
--- a/crates/cluster-types/tests/time.rs
+++ b/crates/cluster-types/tests/time.rs
@@ -28,3 +28,15 @@
     assert_eq!(Milliseconds(20) * 6, Milliseconds(120));
     assert_eq!(Duration::from(Milliseconds(20)), Duration::from_millis(20));
 }
+
+#[test]
+fn durations_saturate_at_the_longest() {
+    let longest = Milliseconds(u64::MAX);
+    assert_eq!(Milliseconds(7).saturating_mul(3), Milliseconds(21));
+    assert_eq!(longest.saturating_mul(2), longest);
+    assert_eq!(
+        Milliseconds(7).saturating_add(Milliseconds(3)),
+        Milliseconds(10)
+    );
+    assert_eq!(longest.saturating_add(Milliseconds(1)), longest);
+}
--- a/crates/membership/examples/measure.rs
+++ b/crates/membership/examples/measure.rs
@@ -2,18 +2,21 @@
 //! bytes of a gateway in a second by the size of the fleet. It does not run in CI:
 //! `cargo run --release -p irisrouter-membership --example measure`; the results are in `docs/membership.md`.
 
+use irisrouter_cluster_types::{GatewayId, Milliseconds, Timestamp};
 use irisrouter_membership::codec::KINDS;
-use irisrouter_membership::{Liveness, LivenessChange, Millis, Settings};
-use irisrouter_simulated_network::{SentTraffic, SimulatedNetwork};
+use irisrouter_membership::{Liveness, Settings};
+use irisrouter_simulated_network::{ObservedChange, SentTraffic, SimulatedNetwork};
 
 /// How long a fleet may take to settle.
-const SETTLE_LIMIT_MS: Millis = 120_000;
+const SETTLE_LIMIT: Milliseconds = Milliseconds(120_000);
 /// After this time the updates of the start have been disseminated.
-const WARM_UP_MS: Millis = 15_000;
+const WARM_UP: Milliseconds = Milliseconds(15_000);
 /// For how long the traffic of a settled fleet is counted.
-const TRAFFIC_MS: Millis = 30_000;
+const TRAFFIC: Milliseconds = Milliseconds(30_000);
+/// Stands for a fleet that did not settle and for a crash that was not seen.
+const NEVER: Milliseconds = Milliseconds(u64::MAX);
 /// For how long a fleet runs under loss.
-const LOSS_MS: Millis = 60_000;
+const LOSS: Milliseconds = Milliseconds(60_000);
 
 fn main() {
     print_sizes();
@@ -43,36 +46,41 @@
 }
 
 /// Crashes the last member, and returns how long it took until all others saw it down, within `limit`.
-fn measure_detection(network: &mut SimulatedNetwork, fleet_size: u32, limit: Millis) -> Millis {
-    let crashed = fleet_size - 1;
+fn measure_detection(
+    network: &mut SimulatedNetwork,
+    fleet_size: u32,
+    limit: Milliseconds,
+) -> Milliseconds {
+    let crashed = GatewayId(fleet_size - 1);
     let crashed_at = network.now();
     network.crash(crashed);
     network.run_until(crashed_at + limit);
-    (0..crashed)
-        .map(|observer| time_to_down(network, observer, crashed, crashed_at))
+    (0..crashed.0)
+        .map(|observer| time_to_down(network, GatewayId(observer), crashed, crashed_at))
         .max()
-        .unwrap_or(0)
+        .unwrap_or(Milliseconds::ZERO)
 }
 
-fn time_to_down(network: &SimulatedNetwork, observer: u32, member: u32, since: Millis) -> Millis {
+fn time_to_down(
+    network: &SimulatedNetwork,
+    observer: GatewayId,
+    member: GatewayId,
+    since: Timestamp,
+) -> Milliseconds {
     changes_since(network, since)
-        .filter(|&(change_observer, _)| change_observer == observer)
-        .map(|(_, change)| change)
-        .find(|change| change.number == member && change.to == Liveness::Down)
-        .map_or(Millis::MAX, |change| change.at - since)
+        .filter(|observed| observed.observer == observer)
+        .map(|observed| observed.change)
+        .find(|change| change.process.gateway == member && change.to == Liveness::Down)
+        .map_or(NEVER, |change| change.at.saturating_duration_since(since))
 }
 
-/// The changes of all views since a time, each with the number of the observer.
+/// The changes of all views since a time.
 fn changes_since(
     network: &SimulatedNetwork,
-    since: Millis,
-) -> impl Iterator<Item = (u32, LivenessChange)> + '_ {
-    network
-        .record
-        .changes
-        .iter()
-        .map(|observed| (observed.observer, observed.change))
-        .filter(move |(_, change)| change.at >= since)
+    since: Timestamp,
+) -> impl Iterator<Item = &ObservedChange> {
+    let changes = network.record.changes.iter();
+    changes.filter(move |observed| observed.change.at >= since)
 }
 
 fn total_traffic(network: &SimulatedNetwork) -> SentTraffic {
@@ -86,21 +94,21 @@
 
 /// The measurements of one run without loss.
 struct SizeRun {
-    settled_at: Millis,
+    settled_at: Timestamp,
     datagrams: u64,
     bytes: u64,
-    detection: Millis,
-    healing: Millis,
+    detection: Milliseconds,
+    healing: Milliseconds,
 }
 
 fn run_size(fleet_size: u32, seed: u64) -> SizeRun {
     let mut network = SimulatedNetwork::start(fleet_size, seed);
-    let settled_at = network.settle(SETTLE_LIMIT_MS).unwrap_or(Millis::MAX);
-    network.run_until(network.now() + WARM_UP_MS);
+    let settled_at = network.settle(SETTLE_LIMIT).unwrap_or(Timestamp::MAX);
+    network.run_until(network.now() + WARM_UP);
     let before = total_traffic(&network);
-    network.run_until(network.now() + TRAFFIC_MS);
+    network.run_until(network.now() + TRAFFIC);
     let after = total_traffic(&network);
-    let detection = measure_detection(&mut network, fleet_size, 40_000);
+    let detection = measure_detection(&mut network, fleet_size, Milliseconds(40_000));
     let healing = measure_healing(&mut network, fleet_size - 1);
     SizeRun {
         settled_at,
@@ -112,14 +120,18 @@
 }
 
 /// Cuts the fleet in halves for a minute, and returns how long it took until it came to one view again.
-fn measure_healing(network: &mut SimulatedNetwork, members: u32) -> Millis {
-    let (left, right): (Vec<u32>, Vec<u32>) = (0..members).partition(|number| number % 2 == 0);
+fn measure_healing(network: &mut SimulatedNetwork, members: u32) -> Milliseconds {
+    let (left, right): (Vec<GatewayId>, Vec<GatewayId>) = (0..members)
+        .map(GatewayId)
+        .partition(|gateway| gateway.0 % 2 == 0);
     network.partition(&left, &right);
-    network.run_until(network.now() + 60_000);
+    network.run_until(network.now() + Milliseconds(60_000));
     network.heal();
     let healed_at = network.now();
-    let settled_at = network.settle(SETTLE_LIMIT_MS);
-    settled_at.map_or(Millis::MAX, |settled_at| settled_at - healed_at)
+    let settled_at = network.settle(SETTLE_LIMIT);
+    settled_at.map_or(NEVER, |settled_at| {
+        settled_at.saturating_duration_since(healed_at)
+    })
 }
 
 fn print_sizes() {
@@ -127,12 +139,15 @@
     println!("| --- | --- | --- | --- | --- | --- | --- |");
     for (fleet_size, seeds) in [(5u32, 300u64), (7, 300), (50, 60), (300, 12)] {
         let runs = run_seeds(seeds, |seed| run_size(fleet_size, seed));
-        let seconds_counted = seconds(TRAFFIC_MS);
+        let seconds_counted = seconds(TRAFFIC);
         let rate =
             |total: u64| total as f64 / f64::from(fleet_size) / seconds_counted / seeds as f64;
         let detection = Sorted::new(runs.iter().map(|run| run.detection));
         let healing = Sorted::new(runs.iter().map(|run| run.healing));
-        let settled = Sorted::new(runs.iter().map(|run| run.settled_at));
+        let settled = Sorted::new(
+            runs.iter()
+                .map(|run| run.settled_at.saturating_duration_since(Timestamp::ZERO)),
+        );
         let settings = Settings::for_fleet(fleet_size);
         println!(
             "| {fleet_size}, {seeds} | {:.1} s | {:.1}, {:.0} | {:.1}, {:.1}, {:.1} s | {:.1} s | {:.1}, {:.1} s | {:.1} s |",
@@ -142,10 +157,10 @@
             seconds(detection.quantile(0.5)),
             seconds(detection.quantile(0.99)),
             seconds(detection.max()),
-            seconds(settings.detection_bound_ms()),
+            seconds(settings.detection_bound()),
             seconds(healing.quantile(0.5)),
             seconds(healing.max()),
-            seconds(settings.heal_bound_ms()),
+            seconds(settings.heal_bound()),
         );
     }
 }
@@ -156,19 +171,20 @@
     had_false_verdict: bool,
     suspicions: usize,
     refutations: usize,
-    detection: Millis,
+    detection: Milliseconds,
 }
 
 fn run_loss(fleet_size: u32, loss: f64, seed: u64) -> LossRun {
     let mut network = SimulatedNetwork::start(fleet_size, seed);
-    network.settle(SETTLE_LIMIT_MS);
-    network.run_until(network.now() + WARM_UP_MS);
+    network.settle(SETTLE_LIMIT);
+    network.run_until(network.now() + WARM_UP);
     network.faults.loss = loss;
     let start = network.now();
     let before = network.record.sent_by_kind;
-    network.run_until(start + LOSS_MS);
+    network.run_until(start + LOSS);
     let after = network.record.sent_by_kind;
-    let count = |to| changes_since(&network, start).filter(move |(_, change)| change.to == to);
+    let count =
+        |to| changes_since(&network, start).filter(move |observed| observed.change.to == to);
     let had_false_verdict = count(Liveness::Down).next().is_some();
     let suspicions = count(Liveness::Suspect).count();
     let refutations = network.record.refutations.iter();
@@ -180,7 +196,7 @@
         had_false_verdict,
         suspicions,
         refutations,
-        detection: measure_detection(&mut network, fleet_size, LOSS_MS),
+        detection: measure_detection(&mut network, fleet_size, LOSS),
     }
 }
 
@@ -197,7 +213,7 @@
 fn print_loss(fleet_size: u32, seeds: u64, loss: f64) {
     let runs = run_seeds(seeds, |seed| run_loss(fleet_size, loss, seed));
     let per_gateway = |total: f64| total / f64::from(fleet_size) / seeds as f64;
-    let rate = |total: u64| per_gateway(total as f64) / seconds(LOSS_MS);
+    let rate = |total: u64| per_gateway(total as f64) / seconds(LOSS);
     let kind_total = |kind: usize| runs.iter().map(|run| run.sent_by_kind[kind]).sum::<u64>();
     // Without the last kind: no member leaves in these runs.
     let rate_by_kind: Vec<String> = (0..KINDS - 1)
@@ -218,29 +234,29 @@
     );
 }
 
-fn seconds(ms: Millis) -> f64 {
-    ms as f64 / 1000.0
+fn seconds(length: Milliseconds) -> f64 {
+    length.0 as f64 / 1000.0
 }
 
 /// Times in ascending order.
-struct Sorted(Vec<Millis>);
+struct Sorted(Vec<Milliseconds>);
 
 impl Sorted {
-    fn new(times: impl Iterator<Item = Millis>) -> Self {
-        let mut sorted: Vec<Millis> = times.collect();
+    fn new(times: impl Iterator<Item = Milliseconds>) -> Self {
+        let mut sorted: Vec<Milliseconds> = times.collect();
         sorted.sort_unstable();
         Self(sorted)
     }
 
     /// The quantile (0 to 1); 0 without any time.
-    fn quantile(&self, quantile: f64) -> Millis {
+    fn quantile(&self, quantile: f64) -> Milliseconds {
         let Some(last) = self.0.len().checked_sub(1) else {
-            return 0;
+            return Milliseconds::ZERO;
         };
         self.0[(last as f64 * quantile).round() as usize]
     }
 
-    fn max(&self) -> Millis {
-        self.0.last().copied().unwrap_or(0)
+    fn max(&self) -> Milliseconds {
+        self.0.last().copied().unwrap_or(Milliseconds::ZERO)
     }
 }
--- a/crates/membership/simulated-network/src/decision_digest.rs
+++ b/crates/membership/simulated-network/src/decision_digest.rs
@@ -4,7 +4,8 @@
 //! work next, in order. Two versions of the core that give the same digest for the same run have decided alike
 //! throughout it, with the same random numbers drawn in the same order.
 
-use irisrouter_membership::{Action, Membership, Millis};
+use irisrouter_cluster_types::{GatewayId, GatewayProcess, Timestamp};
+use irisrouter_membership::{Action, LivenessChange, MemberState, Membership};
 
 const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
 const FNV_PRIME: u64 = 0x0100_0000_01b3;
@@ -40,12 +41,17 @@
     /// Adds what a member did in one call at time `now`.
     pub(crate) fn add_call(
         &mut self,
-        now: Millis,
-        member: u32,
-        next_due: Millis,
+        now: Timestamp,
+        member: GatewayId,
+        next_due: Timestamp,
         actions: &[Action],
     ) {
-        let header = [now, u64::from(member), next_due, actions.len() as u64];
+        let header = [
+            now.as_millis(),
+            u64::from(member.0),
+            next_due.as_millis(),
+            actions.len() as u64,
+        ];
         for value in header {
             self.add(&value.to_be_bytes());
         }
@@ -58,34 +64,39 @@
         match action {
             Action::Send { to, bytes } => {
                 self.add(&[TAG_SEND]);
-                self.add(&to.to_be_bytes());
+                self.add(&to.0.to_be_bytes());
                 self.add(&[bytes.len() as u8]);
                 self.add(bytes);
             }
-            Action::Changed(change) => {
-                self.add(&[TAG_CHANGED, change.from as u8, change.to as u8]);
-                self.add(&change.number.to_be_bytes());
-                self.add(&change.generation.to_be_bytes());
-                self.add(&change.incarnation.to_be_bytes());
-                self.add(&change.at.to_be_bytes());
-            }
+            Action::Changed(change) => self.add_change(change),
             Action::Refuted(incarnation) => {
                 self.add(&[TAG_REFUTED]);
-                self.add(&incarnation.to_be_bytes());
+                self.add(&incarnation.0.to_be_bytes());
             }
-            Action::Renewed(node) => {
+            Action::Renewed(process) => {
                 self.add(&[TAG_RENEWED]);
-                self.add(&node.number.to_be_bytes());
-                self.add(&node.generation.to_be_bytes());
+                self.add_process(*process);
             }
         }
     }
 
+    fn add_change(&mut self, change: &LivenessChange) {
+        self.add(&[TAG_CHANGED, change.from as u8, change.to as u8]);
+        self.add_process(change.process);
+        self.add(&change.incarnation.0.to_be_bytes());
+        self.add(&change.at.as_millis().to_be_bytes());
+    }
+
+    fn add_process(&mut self, process: GatewayProcess) {
+        self.add(&process.gateway.0.to_be_bytes());
+        self.add(&process.generation.0.to_be_bytes());
+    }
+
     /// Adds the view of a member and the side of a partition that it takes itself to be on.
-    pub(crate) fn add_view(&mut self, member: u32, core: &Membership) {
+    pub(crate) fn add_view(&mut self, member: GatewayId, core: &Membership) {
         let side = core.partition_side();
         let counts = [
-            member,
+            member.0,
             side.reachable,
             side.fleet_size,
             side.answered_pings,
@@ -95,15 +106,20 @@
             self.add(&count.to_be_bytes());
         }
         self.add(&[u8::from(side.has_majority()), u8::from(side.is_alone())]);
-        for (_, row) in core.view().members() {
-            self.add(&[row.liveness as u8]);
-            self.add(&row.generation.to_be_bytes());
-            self.add(&row.incarnation.to_be_bytes());
-            self.add(&row.since.to_be_bytes());
-            self.add(&row.last_received.unwrap_or(Millis::MAX).to_be_bytes());
+        for row in core.view().members() {
+            self.add_row(row);
         }
     }
 
+    fn add_row(&mut self, row: &MemberState) {
+        let last_received = row.last_received.unwrap_or(Timestamp::MAX);
+        self.add(&[row.liveness as u8]);
+        self.add(&row.process.generation.0.to_be_bytes());
+        self.add(&row.incarnation.0.to_be_bytes());
+        self.add(&row.since.as_millis().to_be_bytes());
+        self.add(&last_received.as_millis().to_be_bytes());
+    }
+
     /// Adds a count.
     pub(crate) fn add_count(&mut self, count: u64) {
         self.add(&count.to_be_bytes());
--- a/crates/membership/simulated-network/src/member_process.rs
+++ b/crates/membership/simulated-network/src/member_process.rs
@@ -1,6 +1,7 @@
 //! The process that runs one member: running, stalled or crashed.
 
-use irisrouter_membership::{Membership, Node};
+use irisrouter_cluster_types::GatewayProcess;
+use irisrouter_membership::Membership;
 
 /// How many datagrams the socket of a stalled process holds; more are lost.
 pub const SOCKET_CAPACITY: usize = 256;
@@ -10,7 +11,7 @@
     Running(Box<Membership>),
     /// Stopped without having ended, as by SIGSTOP.
     Stalled(StalledMember),
-    Crashed(Node),
+    Crashed(GatewayProcess),
 }
 
 /// A stalled process and the datagrams that wait in its socket, in order of arrival.
@@ -45,17 +46,17 @@
         }
     }
 
-    /// The node that the process runs as, or ran as when it crashed.
-    pub(crate) fn node(&self) -> Node {
+    /// Which process it is, or was when it crashed.
+    pub(crate) fn identity(&self) -> GatewayProcess {
         match self {
-            Self::Running(core) => core.local_node(),
-            Self::Stalled(stalled) => stalled.core.local_node(),
-            Self::Crashed(node) => *node,
+            Self::Running(core) => core.local_process(),
+            Self::Stalled(stalled) => stalled.core.local_process(),
+            Self::Crashed(process) => *process,
         }
     }
 
     fn take(&mut self) -> Self {
-        let crashed = Self::Crashed(self.node());
+        let crashed = Self::Crashed(self.identity());
         std::mem::replace(self, crashed)
     }
 
@@ -86,6 +87,6 @@
 
     /// Ends the process at once.
     pub(crate) fn crash(&mut self) {
-        *self = Self::Crashed(self.node());
+        *self = Self::Crashed(self.identity());
     }
 }
--- a/crates/membership/simulated-network/src/record.rs
+++ b/crates/membership/simulated-network/src/record.rs
@@ -1,8 +1,9 @@
 //! What happened in a simulated run, for the checks of tests and for measurements.
 
 use crate::decision_digest::DecisionDigest;
+use irisrouter_cluster_types::{GatewayId, GatewayProcess, Timestamp};
 use irisrouter_membership::codec::{KINDS, KIND_OFFSET};
-use irisrouter_membership::{Action, LivenessChange, Millis, Node, ReceiveError};
+use irisrouter_membership::{Action, Incarnation, LivenessChange, ReceiveError};
 
 /// What one member sent.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -17,7 +18,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ObservedChange {
     /// The member whose view changed.
-    pub observer: u32,
+    pub observer: GatewayId,
     /// The change.
     pub change: LivenessChange,
 }
@@ -26,29 +27,29 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Refutation {
     /// When.
-    pub at: Millis,
+    pub at: Timestamp,
     /// The member.
-    pub member: u32,
+    pub member: GatewayId,
     /// Its new incarnation.
-    pub incarnation: u16,
+    pub incarnation: Incarnation,
 }
 
 /// A member learnt that the fleet knew a later generation of it, and continued as the next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Renewal {
     /// When.
-    pub at: Millis,
-    /// The node that it continues as.
-    pub node: Node,
+    pub at: Timestamp,
+    /// The process that it continues as.
+    pub process: GatewayProcess,
 }
 
 /// A datagram that a member rejected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RejectedDatagram {
     /// When.
-    pub at: Millis,
+    pub at: Timestamp,
     /// The member that rejected it.
-    pub member: u32,
+    pub member: GatewayId,
     /// Why.
     pub error: ReceiveError,
 }
@@ -56,7 +57,7 @@
 /// Everything that is recorded of a run.
 #[derive(Debug, Clone)]
 pub struct NetworkRecord {
-    /// What each member sent, by its number.
+    /// What each member sent, by the number of its gateway.
     pub sent: Vec<SentTraffic>,
     /// Datagrams sent by all members, by the kind of their message (ping 0 to leave 7).
     pub sent_by_kind: [u64; KINDS],
@@ -86,7 +87,7 @@
     }
 
     /// Records an action of a member.
-    pub(crate) fn record_action(&mut self, at: Millis, member: u32, action: &Action) {
+    pub(crate) fn record_action(&mut self, at: Timestamp, member: GatewayId, action: &Action) {
         match action {
             Action::Send { bytes, .. } => self.record_sent(member, bytes),
             Action::Changed(change) => self.changes.push(ObservedChange {
@@ -98,12 +99,15 @@
                 member,
                 incarnation: *incarnation,
             }),
-            Action::Renewed(node) => self.renewals.push(Renewal { at, node: *node }),
+            Action::Renewed(process) => self.renewals.push(Renewal {
+                at,
+                process: *process,
+            }),
         }
     }
 
-    fn record_sent(&mut self, member: u32, bytes: &[u8]) {
-        if let Some(sent) = self.sent.get_mut(member as usize) {
+    fn record_sent(&mut self, member: GatewayId, bytes: &[u8]) {
+        if let Some(sent) = self.sent.get_mut(member.0 as usize) {
             sent.datagrams += 1;
             sent.bytes += bytes.len() as u64;
         }
--- a/crates/membership/src/codec.rs
+++ b/crates/membership/src/codec.rs
@@ -9,15 +9,16 @@
 //! 16..18   sequence number (u16), for kinds 0 to 3
 //! 18..22   target (u32), for kinds 2 and 3; 22..26 its generation and incarnation (two u16), for kind 3
 //! 16..20   first member wanted (u32; 0xffff_ffff for none), for kind 4
-//! then     updates: a count (u8) and nine bytes each: node (6), incarnation (2), state (1): 0 alive, 1 down
+//! then     updates: a count (u8) and nine bytes each: process (6), incarnation (2), state (1): 0 alive, 1 down
 //! ```
 //!
 //! The longest header is 26 bytes, so 25 updates fit the platform's 256 bytes. Nothing decoded is trusted: every read is
 //! checked against what remains, an unknown kind, state or version is an error, and bytes left over are an error too.
 
 use crate::member_update::MemberUpdate;
-use crate::node::Node;
+use crate::serial_number::{Incarnation, SequenceNumber};
 use bytes::BufMut;
+use irisrouter_cluster_types::{GatewayId, GatewayProcess, Generation};
 use irisrouter_datagram::Reader;
 
 pub use irisrouter_datagram::magic::MEMBERSHIP as MAGIC;
@@ -56,33 +57,33 @@
     /// A ping, which the destination answers with an ack.
     Ping {
         /// Returned in the ack.
-        sequence: u16,
+        sequence: SequenceNumber,
     },
     /// The answer to a ping.
     Ack {
         /// The sequence number of the ping.
-        sequence: u16,
+        sequence: SequenceNumber,
     },
     /// SWIM's ping-req: asks the destination to ping the target for the source.
     PingRequest {
         /// Returned in the indirect ack.
-        sequence: u16,
-        /// The number of the member to ping.
-        target: u32,
+        sequence: SequenceNumber,
+        /// The member to ping.
+        target: GatewayId,
     },
     /// The answer to a ping request: the target has sent an ack.
     IndirectAck {
         /// The sequence number of the ping request.
-        sequence: u16,
+        sequence: SequenceNumber,
         /// The process that sent the ack.
-        target: Node,
+        target: GatewayProcess,
         /// The incarnation of that process.
-        incarnation: u16,
+        incarnation: Incarnation,
     },
     /// Announces a member that starts, or that looks for a member that it does not hold alive.
     Join {
-        /// The source wants a list of the members from this number on, if any.
-        list_from: Option<u32>,
+        /// The source wants a list of the members from this one on, if any.
+        list_from: Option<GatewayId>,
     },
     /// The answer to a join: its updates are a part of the source's view.
     MemberList,
@@ -96,11 +97,11 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Datagram {
     /// The process that sent it.
-    pub source: Node,
+    pub source: GatewayProcess,
     /// The incarnation of the source.
-    pub incarnation: u16,
+    pub incarnation: Incarnation,
     /// The recipient; the generation is the one that the source knows.
-    pub destination: Node,
+    pub destination: GatewayProcess,
     /// The message.
     pub message: Message,
     /// Updates about other members; at most [`MAX_UPDATES`].
@@ -114,9 +115,9 @@
     let capacity = MAX_HEADER_BYTES + 1 + update_count * UPDATE_BYTES;
     let mut buffer = Vec::with_capacity(capacity);
     buffer.put_u8(MAGIC);
-    put_node(&mut buffer, datagram.source);
-    buffer.put_u16(datagram.incarnation);
-    put_node(&mut buffer, datagram.destination);
+    put_process(&mut buffer, datagram.source);
+    buffer.put_u16(datagram.incarnation.0);
+    put_process(&mut buffer, datagram.destination);
     put_message(&mut buffer, datagram.message);
     // At most MAX_UPDATES, which is 25.
     buffer.put_u8(update_count as u8);
@@ -126,9 +127,9 @@
     buffer
 }
 
-fn put_node(buffer: &mut Vec<u8>, node: Node) {
-    buffer.put_u32(node.number);
-    buffer.put_u16(node.generation);
+fn put_process(buffer: &mut Vec<u8>, process: GatewayProcess) {
+    buffer.put_u32(process.gateway.0);
+    buffer.put_u16(process.generation.0);
 }
 
 fn put_message(buffer: &mut Vec<u8>, message: Message) {
@@ -137,7 +138,7 @@
         Message::Ack { sequence } => put_kind_and_sequence(buffer, KIND_ACK, sequence),
         Message::PingRequest { sequence, target } => {
             put_kind_and_sequence(buffer, KIND_PING_REQUEST, sequence);
-            buffer.put_u32(target);
+            buffer.put_u32(target.0);
         }
         Message::IndirectAck {
             sequence,
@@ -145,12 +146,12 @@
             incarnation,
         } => {
             put_kind_and_sequence(buffer, KIND_INDIRECT_ACK, sequence);
-            put_node(buffer, target);
-            buffer.put_u16(incarnation);
+            put_process(buffer, target);
+            buffer.put_u16(incarnation.0);
         }
         Message::Join { list_from } => {
             buffer.put_u8(KIND_JOIN);
-            buffer.put_u32(list_from.unwrap_or(NO_MEMBER_LIST_WANTED));
+            buffer.put_u32(list_from.map_or(NO_MEMBER_LIST_WANTED, |gateway| gateway.0));
         }
         Message::MemberList => buffer.put_u8(KIND_MEMBER_LIST),
         Message::Gossip => buffer.put_u8(KIND_GOSSIP),
@@ -158,14 +159,14 @@
     }
 }
 
-fn put_kind_and_sequence(buffer: &mut Vec<u8>, kind: u8, sequence: u16) {
+fn put_kind_and_sequence(buffer: &mut Vec<u8>, kind: u8, sequence: SequenceNumber) {
     buffer.put_u8(kind);
-    buffer.put_u16(sequence);
+    buffer.put_u16(sequence.0);
 }
 
 fn put_update(buffer: &mut Vec<u8>, update: &MemberUpdate) {
-    put_node(buffer, update.node);
-    buffer.put_u16(update.incarnation);
+    put_process(buffer, update.process);
+    buffer.put_u16(update.incarnation.0);
     buffer.put_u8(if update.down { STATE_DOWN } else { STATE_ALIVE });
 }
 
@@ -176,9 +177,9 @@
 /// The bytes are no membership datagram of this version, or are cut short or too long; the first reason found.
 pub fn decode(bytes: &[u8]) -> Result<Datagram, WireError> {
     let mut reader = Reader::new(bytes, MAGIC)?;
-    let source = read_node(&mut reader)?;
-    let incarnation = reader.u16()?;
-    let destination = read_node(&mut reader)?;
+    let source = read_process(&mut reader)?;
+    let incarnation = Incarnation(reader.u16()?);
+    let destination = read_process(&mut reader)?;
     let message = read_message(&mut reader)?;
     let updates = reader.items(UPDATE_BYTES, read_update)?;
     Ok(Datagram {
@@ -190,33 +191,33 @@
     })
 }
 
-fn read_node(reader: &mut Reader<'_>) -> Result<Node, WireError> {
-    Ok(Node {
-        number: reader.u32()?,
-        generation: reader.u16()?,
+fn read_process(reader: &mut Reader<'_>) -> Result<GatewayProcess, WireError> {
+    Ok(GatewayProcess {
+        gateway: GatewayId(reader.u32()?),
+        generation: Generation(reader.u16()?),
     })
 }
 
 fn read_message(reader: &mut Reader<'_>) -> Result<Message, WireError> {
     match reader.u8()? {
         KIND_PING => Ok(Message::Ping {
-            sequence: reader.u16()?,
+            sequence: SequenceNumber(reader.u16()?),
         }),
         KIND_ACK => Ok(Message::Ack {
-            sequence: reader.u16()?,
+            sequence: SequenceNumber(reader.u16()?),
         }),
         KIND_PING_REQUEST => Ok(Message::PingRequest {
-            sequence: reader.u16()?,
-            target: reader.u32()?,
+            sequence: SequenceNumber(reader.u16()?),
+            target: GatewayId(reader.u32()?),
         }),
         KIND_INDIRECT_ACK => Ok(Message::IndirectAck {
-            sequence: reader.u16()?,
-            target: read_node(reader)?,
-            incarnation: reader.u16()?,
+            sequence: SequenceNumber(reader.u16()?),
+            target: read_process(reader)?,
+            incarnation: Incarnation(reader.u16()?),
         }),
         KIND_JOIN => {
             let first = reader.u32()?;
-            let list_from = (first != NO_MEMBER_LIST_WANTED).then_some(first);
+            let list_from = (first != NO_MEMBER_LIST_WANTED).then_some(GatewayId(first));
             Ok(Message::Join { list_from })
         }
         KIND_MEMBER_LIST => Ok(Message::MemberList),
@@ -227,15 +228,15 @@
 }
 
 fn read_update(reader: &mut Reader<'_>) -> Result<MemberUpdate, WireError> {
-    let node = read_node(reader)?;
-    let incarnation = reader.u16()?;
+    let process = read_process(reader)?;
+    let incarnation = Incarnation(reader.u16()?);
     let down = match reader.u8()? {
         STATE_ALIVE => false,
         STATE_DOWN => true,
         unknown => return Err(WireError::Unknown("state", unknown)),
     };
     Ok(MemberUpdate {
-        node,
+        process,
         incarnation,
         down,
     })
--- a/crates/membership/src/error.rs
+++ b/crates/membership/src/error.rs
@@ -2,6 +2,7 @@
 
 use crate::codec::WireError;
 use crate::settings::SettingsError;
+use irisrouter_cluster_types::GatewayId;
 use thiserror::Error;
 
 /// Why a [`crate::Membership`] can't be created.
@@ -10,11 +11,11 @@
     /// The settings do not pass their check.
     #[error(transparent)]
     Settings(#[from] SettingsError),
-    /// The number of this gateway is not in the fleet's list.
-    #[error("number {number} lies outside a fleet of {fleet_size}")]
+    /// This gateway is not in the fleet's list.
+    #[error("number {gateway} lies outside a fleet of {fleet_size}")]
     OutsideFleet {
-        /// The number of this gateway.
-        number: u32,
+        /// This gateway.
+        gateway: GatewayId,
         /// The number of gateways in the list.
         fleet_size: u32,
     },
@@ -26,10 +27,10 @@
     /// It can't be decoded.
     #[error("undecodable membership datagram: {0}")]
     Undecodable(#[from] WireError),
-    /// Its source is not in the fleet's list, or has the number of this member.
+    /// Its source is not in the fleet's list, or is this gateway itself.
     #[error("source {0} is not another gateway of the fleet")]
-    UnknownSource(u32),
-    /// It is addressed to the member with this number.
+    UnknownSource(GatewayId),
+    /// It is addressed to this other gateway.
     #[error("addressed to gateway {0}")]
-    WrongDestination(u32),
+    WrongDestination(GatewayId),
 }
--- a/crates/membership/src/failure_detector.rs
+++ b/crates/membership/src/failure_detector.rs
@@ -4,11 +4,12 @@
 use crate::member_update::MemberUpdate;
 use crate::membership::Membership;
 use crate::merge_rules::{self, MissedRoundOutcome, PingReason};
-use crate::node::Node;
 use crate::outstanding_pings::{DuePing, OutstandingPings, PingStep};
 use crate::partition_side::{PingHistory, PingOutcome};
 use crate::relayed_pings::{RelayedPing, RelayedPings};
+use crate::serial_number::{Incarnation, SequenceNumber};
 use crate::view::Liveness;
+use irisrouter_cluster_types::{GatewayId, GatewayProcess};
 use rand::seq::SliceRandom;
 
 /// The state of the failure detector.
@@ -19,7 +20,7 @@
     /// The pings that it sent at the request of others.
     pub relayed: RelayedPings,
     /// The members that are still to be pinged in this pass through the fleet; the last one is next.
-    pub ping_order: Vec<u32>,
+    pub ping_order: Vec<GatewayId>,
     /// Whether the members pinged last answered in their first round.
     pub history: PingHistory,
 }
@@ -27,26 +28,26 @@
 impl Membership {
     /// Starts the ping of this protocol period.
     pub(crate) fn start_scheduled_ping(&mut self) {
-        if let Some(number) = self.next_ping_target() {
-            self.detector.pings.start(number, PingReason::Scheduled);
+        if let Some(gateway) = self.next_ping_target() {
+            self.detector.pings.start(gateway, PingReason::Scheduled);
         }
     }
 
     /// The next member to ping: each pass through the fleet pings all members that are alive, in a new random order.
-    fn next_ping_target(&mut self) -> Option<u32> {
+    fn next_ping_target(&mut self) -> Option<GatewayId> {
         self.next_in_ping_order().or_else(|| {
-            self.detector.ping_order = self.alive_except(self.local.node.number);
+            self.detector.ping_order = self.alive_except(self.local.process.gateway);
             self.detector.ping_order.shuffle(&mut self.rng);
             self.next_in_ping_order()
         })
     }
 
     /// The next member of this pass that is still alive and is not being pinged already.
-    fn next_in_ping_order(&mut self) -> Option<u32> {
-        while let Some(number) = self.detector.ping_order.pop() {
-            let alive = self.view.is(number, Liveness::Alive);
-            if alive && self.detector.pings.get(number).is_none() {
-                return Some(number);
+    fn next_in_ping_order(&mut self) -> Option<GatewayId> {
+        while let Some(gateway) = self.detector.ping_order.pop() {
+            let alive = self.view.is(gateway, Liveness::Alive);
+            if alive && self.detector.pings.get(gateway).is_none() {
+                return Some(gateway);
             }
         }
         None
@@ -55,27 +56,27 @@
     /// Takes the steps of the outstanding pings that are due now.
     pub(crate) fn run_due_ping_steps(&mut self) {
         let due = self.detector.pings.take_due(self.now, &self.settings);
-        for DuePing { number, step } in due {
+        for DuePing { gateway, step } in due {
             match step {
-                PingStep::Ping => self.send_ping(number),
+                PingStep::Ping => self.send_ping(gateway),
                 PingStep::PingIndirectly => {
-                    self.send_ping(number);
-                    self.request_indirect_pings(number);
+                    self.send_ping(gateway);
+                    self.request_indirect_pings(gateway);
                 }
-                PingStep::RoundMissed => self.process_missed_round(number),
+                PingStep::RoundMissed => self.process_missed_round(gateway),
             }
         }
     }
 
-    fn send_ping(&mut self, number: u32) {
-        let Some(ping) = self.detector.pings.get(number) else {
+    fn send_ping(&mut self, gateway: GatewayId) {
+        let Some(ping) = self.detector.pings.get(gateway) else {
             return;
         };
-        let Some(row) = self.view.member(number) else {
+        let Some(row) = self.view.member(gateway) else {
             return;
         };
         let reported_down = MemberUpdate {
-            node: row.node(number),
+            process: row.process,
             incarnation: row.incarnation,
             down: true,
         };
@@ -85,26 +86,31 @@
             PingReason::ReportedDown => vec![reported_down],
         };
         let sequence = ping.sequence;
-        self.send_with_updates(number, Message::Ping { sequence }, updates);
+        self.send_with_updates(gateway, Message::Ping { sequence }, updates);
     }
 
     /// Asks a few members that are alive, at random, to ping the target.
-    fn request_indirect_pings(&mut self, target: u32) {
+    fn request_indirect_pings(&mut self, target: GatewayId) {
         let Some(sequence) = self.detector.pings.get(target).map(|ping| ping.sequence) else {
             return;
         };
-        for number in self.random_alive_except(self.settings.indirect_pings, target) {
-            self.send(number, Message::PingRequest { sequence, target });
+        for gateway in self.random_alive_except(self.settings.indirect_pings, target) {
+            self.send(gateway, Message::PingRequest { sequence, target });
         }
     }
 
     /// Pings the target of a ping request.
-    pub(crate) fn relay_ping(&mut self, requester: u32, requester_sequence: u16, target: u32) {
-        if target == self.local.node.number {
+    pub(crate) fn relay_ping(
+        &mut self,
+        requester: GatewayId,
+        requester_sequence: SequenceNumber,
+        target: GatewayId,
+    ) {
+        if target == self.local.process.gateway {
             return;
         }
         let sequence = self.detector.pings.next_sequence();
-        if target >= self.settings.fleet_size {
+        if target.0 >= self.settings.fleet_size {
             return;
         }
         self.detector.relayed.add(RelayedPing {
@@ -117,8 +123,17 @@
     }
 
     /// Forwards an ack to the member that requested the ping, if it was relayed, and takes it as an answer otherwise.
-    pub(crate) fn process_ack(&mut self, source: Node, incarnation: u16, sequence: u16) {
-        if let Some(ping) = self.detector.relayed.take_answered(source.number, sequence) {
+    pub(crate) fn process_ack(
+        &mut self,
+        source: GatewayProcess,
+        incarnation: Incarnation,
+        sequence: SequenceNumber,
+    ) {
+        if let Some(ping) = self
+            .detector
+            .relayed
+            .take_answered(source.gateway, sequence)
+        {
             let ack = Message::IndirectAck {
                 sequence: ping.requester_sequence,
                 target: source,
@@ -131,52 +146,56 @@
 
     /// Processes the answer of a member, which it sent itself or through another member: it ends the ping to the member
     /// and a suspicion.
-    pub(crate) fn process_answer(&mut self, node: Node, incarnation: u16, sequence: u16) {
-        let Some(&row) = self.view.member(node.number) else {
+    pub(crate) fn process_answer(
+        &mut self,
+        process: GatewayProcess,
+        incarnation: Incarnation,
+        sequence: SequenceNumber,
+    ) {
+        let Some(&row) = self.view.member(process.gateway) else {
             return;
         };
-        let ping = self.detector.pings.get(node.number);
+        let ping = self.detector.pings.get(process.gateway);
         let is_answer = ping.is_some_and(|ping| ping.is_answered_by(sequence));
-        if !is_answer || row.generation != node.generation {
+        if !is_answer || row.process != process {
             return;
         }
-        if let Some(ping) = self.detector.pings.end(node.number) {
+        if let Some(ping) = self.detector.pings.end(process.gateway) {
             if ping.missed_rounds == 0 && ping.reason == PingReason::Scheduled {
                 self.detector.history.record(PingOutcome::Answered);
             }
         }
         if row.liveness == Liveness::Suspect {
-            self.set_member(node, incarnation, Liveness::Alive);
+            self.set_member(process, incarnation, Liveness::Alive);
             if incarnation != row.incarnation {
-                self.dissemination.add(node.number);
+                self.dissemination.add(process.gateway);
             }
         }
     }
 
     /// Processes a round of pings that ended without an answer.
-    fn process_missed_round(&mut self, number: u32) {
-        let Some(ping) = self.detector.pings.get(number) else {
+    fn process_missed_round(&mut self, gateway: GatewayId) {
+        let Some(ping) = self.detector.pings.get(gateway) else {
             return;
         };
         let missed_rounds = ping.missed_rounds + 1;
         let reason = ping.reason;
-        let Some(&row) = self.view.member(number) else {
+        let Some(&row) = self.view.member(gateway) else {
             return;
         };
-        let node = row.node(number);
         if missed_rounds == 1 && reason == PingReason::Scheduled {
             self.detector.history.record(PingOutcome::Missed);
         }
         let suspicion_rounds = self.settings.suspicion_rounds();
         match merge_rules::judge_missed_round(missed_rounds, reason, suspicion_rounds) {
             MissedRoundOutcome::Suspect => {
-                self.set_member(node, row.incarnation, Liveness::Suspect);
-                self.detector.pings.start_next_round(number, missed_rounds);
+                self.set_member(row.process, row.incarnation, Liveness::Suspect);
+                self.detector.pings.start_next_round(gateway, missed_rounds);
             }
             MissedRoundOutcome::Down => {
-                self.detector.pings.end(number);
-                self.set_member(node, row.incarnation, Liveness::Down);
-                self.dissemination.add(number);
+                self.detector.pings.end(gateway);
+                self.set_member(row.process, row.incarnation, Liveness::Down);
+                self.dissemination.add(gateway);
             }
         }
     }
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -5,50 +5,56 @@
 use crate::codec::{self, Datagram, Message, MAX_UPDATES};
 use crate::member_update::MemberUpdate;
 use crate::membership::Membership;
-use crate::node::Node;
+use irisrouter_cluster_types::{GatewayId, GatewayProcess};
 
 impl Membership {
     /// Sends updates to a few members, at random.
     pub(crate) fn send_gossip(&mut self) {
         let fanout = self.settings.gossip_fanout;
-        for number in self.random_alive_except(fanout, self.local.node.number) {
+        for gateway in self.random_alive_except(fanout, self.local.process.gateway) {
             // The datagrams before this one may have taken the last updates.
             if !self.dissemination.is_empty() {
-                self.send(number, Message::Gossip);
+                self.send(gateway, Message::Gossip);
             }
         }
     }
 
     /// Sends a message, with as many queued updates as fit.
-    pub(crate) fn send(&mut self, to: u32, message: Message) {
+    pub(crate) fn send(&mut self, to: GatewayId, message: Message) {
         self.send_with_updates(to, message, Vec::new());
     }
 
     /// Sends a message with these updates first, and then as many queued ones as fit.
     pub(crate) fn send_with_updates(
         &mut self,
-        to: u32,
+        to: GatewayId,
         message: Message,
         mut updates: Vec<MemberUpdate>,
     ) {
         let room = MAX_UPDATES - updates.len().min(MAX_UPDATES);
         let max_transmissions = self.settings.max_transmissions();
-        for number in self.dissemination.take(room, to, max_transmissions) {
-            updates.extend(self.update_about(number));
+        for gateway in self.dissemination.take(room, to, max_transmissions) {
+            updates.extend(self.update_about(gateway));
         }
         self.send_exactly(to, message, updates);
     }
 
     /// Sends a message with these updates only.
-    pub(crate) fn send_exactly(&mut self, to: u32, message: Message, updates: Vec<MemberUpdate>) {
-        let generation = self.view.member(to).map_or(0, |member| member.generation);
+    pub(crate) fn send_exactly(
+        &mut self,
+        to: GatewayId,
+        message: Message,
+        updates: Vec<MemberUpdate>,
+    ) {
+        let outside_list = GatewayProcess::first(to);
+        let destination = self
+            .view
+            .member(to)
+            .map_or(outside_list, |member| member.process);
         let bytes = codec::encode(&Datagram {
-            source: self.local.node,
+            source: self.local.process,
             incarnation: self.local.incarnation,
-            destination: Node {
-                number: to,
-                generation,
-            },
+            destination,
             message,
             updates,
         });
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -20,7 +20,7 @@
 pub mod codec;
 pub mod dissemination;
 pub mod merge_rules;
-pub mod node;
+pub mod serial_number;
 
 mod action;
 mod error;
@@ -42,7 +42,7 @@
 pub use error::{MembershipError, ReceiveError};
 pub use member_update::MemberUpdate;
 pub use membership::Membership;
-pub use node::Node;
 pub use partition_side::{PartitionSide, RECENT_PINGS};
+pub use serial_number::{Incarnation, SequenceNumber};
 pub use settings::{Settings, SettingsError, SettingsErrorReason};
-pub use view::{Liveness, LivenessChange, MemberState, Millis, View};
+pub use view::{Liveness, LivenessChange, MemberState, View};
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -5,11 +5,12 @@
 use crate::dissemination::DisseminationQueue;
 use crate::error::{MembershipError, ReceiveError};
 use crate::failure_detector::FailureDetector;
-use crate::node::Node;
 use crate::partition_side::PartitionSide;
+use crate::serial_number::Incarnation;
 use crate::settings::Settings;
 use crate::timers::Timers;
-use crate::view::{Liveness, Millis, View};
+use crate::view::{Liveness, View};
+use irisrouter_cluster_types::{GatewayId, GatewayProcess, Milliseconds, Timestamp};
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
@@ -17,10 +18,10 @@
 /// This gateway as a member.
 #[derive(Debug, Clone)]
 pub(crate) struct LocalMember {
-    pub node: Node,
-    pub incarnation: u16,
+    pub process: GatewayProcess,
+    pub incarnation: Incarnation,
     /// When it last continued as a later generation, if it did.
-    pub renewed_at: Option<Millis>,
+    pub renewed_at: Option<Timestamp>,
     /// Whether it has announced that it stops.
     pub has_left: bool,
 }
@@ -35,7 +36,7 @@
     pub(crate) dissemination: DisseminationQueue,
     pub(crate) timers: Timers,
     /// The latest time that the owner passed in.
-    pub(crate) now: Millis,
+    pub(crate) now: Timestamp,
     pub(crate) actions: Vec<Action>,
 }
 
@@ -46,25 +47,26 @@
     ///
     /// The settings do not pass [`Settings::check`], or `local` lies outside the fleet's list.
     pub fn new(
-        local: Node,
+        local: GatewayProcess,
         settings: Settings,
         seed: u64,
-        now: Millis,
+        now: Timestamp,
     ) -> Result<Self, MembershipError> {
         settings.check()?;
-        if local.number >= settings.fleet_size {
+        if local.gateway.0 >= settings.fleet_size {
             return Err(MembershipError::OutsideFleet {
-                number: local.number,
+                gateway: local.gateway,
                 fleet_size: settings.fleet_size,
             });
         }
         let mut rng = SmallRng::seed_from_u64(seed);
         // Random, as gateways that are started at the same time would otherwise ping and gossip in step.
-        let first_ping = now + rng.random_range(0..settings.protocol_period_ms);
+        let first_ping_delay_ms = rng.random_range(0..settings.protocol_period.0);
+        let first_ping = now + Milliseconds(first_ping_delay_ms);
         Ok(Self {
             local: LocalMember {
-                node: local,
-                incarnation: 0,
+                process: local,
+                incarnation: Incarnation::FIRST,
                 renewed_at: None,
                 has_left: false,
             },
@@ -93,8 +95,8 @@
 
     /// This process, with its current generation.
     #[must_use]
-    pub const fn local_node(&self) -> Node {
-        self.local.node
+    pub const fn local_process(&self) -> GatewayProcess {
+        self.local.process
     }
 
     /// Whether this member has announced that it stops.
@@ -123,7 +125,7 @@
     ///
     /// The datagram can't be decoded, comes from outside the list, or is addressed to another member; the view is
     /// unchanged then.
-    pub fn receive(&mut self, now: Millis, bytes: &[u8]) -> Result<(), ReceiveError> {
+    pub fn receive(&mut self, now: Timestamp, bytes: &[u8]) -> Result<(), ReceiveError> {
         self.advance_clock(now);
         let datagram = codec::decode(bytes)?;
         self.check_addresses(&datagram)?;
@@ -137,12 +139,12 @@
     }
 
     fn check_addresses(&self, datagram: &Datagram) -> Result<(), ReceiveError> {
-        let source = datagram.source.number;
-        if source == self.local.node.number || source >= self.settings.fleet_size {
+        let source = datagram.source.gateway;
+        if source == self.local.process.gateway || source.0 >= self.settings.fleet_size {
             return Err(ReceiveError::UnknownSource(source));
         }
-        let destination = datagram.destination.number;
-        if destination != self.local.node.number {
+        let destination = datagram.destination.gateway;
+        if destination != self.local.process.gateway {
             return Err(ReceiveError::WrongDestination(destination));
         }
         Ok(())
@@ -152,15 +154,15 @@
     fn process_message(&mut self, datagram: &Datagram, trust: SourceTrust) {
         let source = datagram.source;
         let trusted = trust == SourceTrust::Trusted;
-        let for_this_process = datagram.destination == self.local.node;
+        let for_this_process = datagram.destination == self.local.process;
         match datagram.message {
             // A member that is held down is answered too: its own answers are what proves it alive.
-            Message::Ping { sequence } => self.send(source.number, Message::Ack { sequence }),
+            Message::Ping { sequence } => self.send(source.gateway, Message::Ack { sequence }),
             Message::Ack { sequence } if for_this_process => {
                 self.process_ack(source, datagram.incarnation, sequence);
             }
             Message::PingRequest { sequence, target } if trusted => {
-                self.relay_ping(source.number, sequence, target);
+                self.relay_ping(source.gateway, sequence, target);
             }
             Message::IndirectAck {
                 sequence,
@@ -169,9 +171,9 @@
             } if trusted && for_this_process => {
                 self.process_answer(target, incarnation, sequence);
             }
-            Message::Join { list_from } => self.send_member_list(source.number, list_from),
+            Message::Join { list_from } => self.send_member_list(source.gateway, list_from),
             Message::MemberList if trusted => {
-                self.continue_join(source.number, &datagram.updates);
+                self.continue_join(source.gateway, &datagram.updates);
             }
             Message::Leave if trusted => self.process_leave(source, datagram.incarnation),
             Message::Ack { .. }
@@ -184,7 +186,7 @@
     }
 
     /// Does the periodic work that is due by `now`.
-    pub fn advance(&mut self, now: Millis) {
+    pub fn advance(&mut self, now: Timestamp) {
         self.advance_clock(now);
         if self.local.has_left {
             return;
@@ -205,14 +207,14 @@
     }
 
     /// When [`Membership::advance`] next has work: the owner sleeps until then or until a datagram arrives.
-    /// [`Millis::MAX`] once this member has left.
+    /// [`Timestamp::MAX`] once this member has left.
     #[must_use]
-    pub fn next_due(&self) -> Millis {
+    pub fn next_due(&self) -> Timestamp {
         if self.local.has_left {
-            return Millis::MAX;
+            return Timestamp::MAX;
         }
         let gossip = if self.dissemination.is_empty() {
-            Millis::MAX
+            Timestamp::MAX
         } else {
             self.timers.gossip
         };
@@ -230,33 +232,39 @@
     }
 
     /// Moves the clock on; it never goes back.
-    pub(crate) fn advance_clock(&mut self, now: Millis) {
+    pub(crate) fn advance_clock(&mut self, now: Timestamp) {
         self.now = self.now.max(now);
     }
 
-    /// The members alive but this one and `excluded`, in order of their numbers.
-    pub(crate) fn alive_except(&self, excluded: u32) -> Vec<u32> {
+    /// The members alive but this one and `excluded`, in ascending order.
+    pub(crate) fn alive_except(&self, excluded: GatewayId) -> Vec<GatewayId> {
         self.view
             .members()
-            .filter(|(number, member)| {
-                *number != self.local.node.number
-                    && *number != excluded
-                    && member.liveness == Liveness::Alive
-            })
-            .map(|(number, _)| number)
+            .filter(|member| member.liveness == Liveness::Alive)
+            .map(|member| member.process.gateway)
+            .filter(|&gateway| gateway != self.local.process.gateway && gateway != excluded)
             .collect()
     }
 
     /// Up to `count` members alive but this one and `excluded`, chosen at random.
-    pub(crate) fn random_alive_except(&mut self, count: usize, excluded: u32) -> Vec<u32> {
+    pub(crate) fn random_alive_except(
+        &mut self,
+        count: usize,
+        excluded: GatewayId,
+    ) -> Vec<GatewayId> {
         let mut candidates = self.alive_except(excluded);
         let (chosen, _) = candidates.partial_shuffle(&mut self.rng, count);
         chosen.to_vec()
     }
 
     /// Sets the row of another member and reports the change of its liveness, if there is one.
-    pub(crate) fn set_member(&mut self, node: Node, incarnation: u16, to: Liveness) {
-        if let Some(change) = self.view.set(node, incarnation, to, self.now) {
+    pub(crate) fn set_member(
+        &mut self,
+        process: GatewayProcess,
+        incarnation: Incarnation,
+        to: Liveness,
+    ) {
+        if let Some(change) = self.view.set(process, incarnation, to, self.now) {
             self.actions.push(Action::Changed(change));
         }
     }
--- a/crates/membership/src/merge_rules.rs
+++ b/crates/membership/src/merge_rules.rs
@@ -12,8 +12,9 @@
 //!    update outranks every older one, whoever sends it. No verdict is final.
 
 use crate::member_update::MemberUpdate;
-use crate::node::{compare_serial, Node};
+use crate::serial_number::{Incarnation, SerialNumber};
 use crate::view::{Liveness, MemberState};
+use irisrouter_cluster_types::{GatewayProcess, Generation};
 use std::cmp::Ordering;
 
 /// What to do with an update about a third member.
@@ -47,10 +48,10 @@
     /// Nothing.
     Ignore,
     /// Refute it: continue in this incarnation, and spread that.
-    Refute(u16),
+    Refute(Incarnation),
     /// A later generation of this gateway is known to the fleet (the clock was set back between two starts): continue
     /// as this generation.
-    Renew(u16),
+    Renew(Generation),
 }
 
 /// What a round of pings without an answer means.
@@ -71,9 +72,12 @@
     ReportedDown,
 }
 
-fn compare_with_row(node: Node, incarnation: u16, row: &MemberState) -> Ordering {
-    compare_serial(node.generation, row.generation)
-        .then(compare_serial(incarnation, row.incarnation))
+/// Compares the process and incarnation of an update with those of a row: the generation decides, then the incarnation.
+fn compare_with_row(update: &MemberUpdate, row: &MemberState) -> Ordering {
+    let generation = update.process.generation;
+    let generation_order = generation.compare_serial(row.process.generation);
+    let incarnation_order = update.incarnation.compare_serial(row.incarnation);
+    generation_order.then(incarnation_order)
 }
 
 /// Decides on an update about a third member, against what is known of that member.
@@ -86,7 +90,7 @@
             UpdateOutcome::Apply
         };
     }
-    let order = compare_with_row(update.node, update.incarnation, row);
+    let order = compare_with_row(update, row);
     match (order, update.down) {
         (Ordering::Less, true) => UpdateOutcome::SenderOutdated,
         (Ordering::Less, false) | (Ordering::Equal, false) => UpdateOutcome::Stale,
@@ -99,12 +103,16 @@
 
 /// Decides on a datagram that member `source` sent in this incarnation, against what is known of that member.
 #[must_use]
-pub fn merge_contact(row: &MemberState, source: Node, incarnation: u16) -> ContactOutcome {
+pub fn merge_contact(
+    row: &MemberState,
+    source: GatewayProcess,
+    incarnation: Incarnation,
+) -> ContactOutcome {
     if row.liveness == Liveness::Unknown {
         return ContactOutcome::Alive;
     }
-    let generation_order = compare_serial(source.generation, row.generation);
-    let incarnation_order = compare_serial(incarnation, row.incarnation);
+    let generation_order = source.generation.compare_serial(row.process.generation);
+    let incarnation_order = incarnation.compare_serial(row.incarnation);
     match (generation_order, incarnation_order) {
         (Ordering::Less, _) => ContactOutcome::NotifySender,
         (Ordering::Greater, _) | (_, Ordering::Greater) => ContactOutcome::Alive,
@@ -116,15 +124,15 @@
 /// Decides on an update about this member itself, which runs as `local` in this incarnation.
 #[must_use]
 pub fn merge_update_about_self(
-    local: Node,
-    incarnation: u16,
+    local: GatewayProcess,
+    incarnation: Incarnation,
     update: &MemberUpdate,
 ) -> SelfUpdateOutcome {
-    let generation_order = compare_serial(update.node.generation, local.generation);
-    let incarnation_order = compare_serial(update.incarnation, incarnation);
-    let next_incarnation = update.incarnation.wrapping_add(1);
+    let generation_order = update.process.generation.compare_serial(local.generation);
+    let incarnation_order = update.incarnation.compare_serial(incarnation);
+    let next_incarnation = update.incarnation.next();
     match (generation_order, incarnation_order) {
-        (Ordering::Greater, _) => SelfUpdateOutcome::Renew(update.node.generation.wrapping_add(1)),
+        (Ordering::Greater, _) => SelfUpdateOutcome::Renew(update.process.generation.next()),
         (Ordering::Less, _) | (_, Ordering::Less) => SelfUpdateOutcome::Ignore,
         // An older process that started within the same second (the generation's unit) had raised it further.
         (_, Ordering::Greater) => SelfUpdateOutcome::Refute(next_incarnation),
--- a/crates/membership/src/outstanding_pings.rs
+++ b/crates/membership/src/outstanding_pings.rs
@@ -6,8 +6,9 @@
 //! ping and its answer fail every second time, and each missed round costs a suspicion.
 
 use crate::merge_rules::PingReason;
+use crate::serial_number::{SequenceNumber, SerialNumber};
 use crate::settings::Settings;
-use crate::view::Millis;
+use irisrouter_cluster_types::{GatewayId, Timestamp};
 use std::collections::BTreeMap;
 
 /// How many rounds may be under way at a time; further members wait.
@@ -30,8 +31,8 @@
 /// A step that is due for one member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct DuePing {
-    /// The member's number.
-    pub number: u32,
+    /// The member.
+    pub gateway: GatewayId,
     /// What is to be done.
     pub step: PingStep,
 }
@@ -39,18 +40,18 @@
 /// A round under way.
 #[derive(Debug, Clone, Copy)]
 struct Round {
-    started: Millis,
+    started: Timestamp,
     next_step: PingStep,
 }
 
 impl Round {
     /// When the next step is due.
-    fn due(&self, settings: &Settings) -> Millis {
-        let second_timeout = 2 * settings.ping_timeout_ms;
+    fn due(&self, settings: &Settings) -> Timestamp {
+        let second_timeout = settings.ping_timeout * 2;
         let delay = match self.next_step {
-            PingStep::PingIndirectly => settings.ping_timeout_ms,
-            PingStep::Ping if second_timeout < settings.protocol_period_ms => second_timeout,
-            PingStep::Ping | PingStep::RoundMissed => settings.protocol_period_ms,
+            PingStep::PingIndirectly => settings.ping_timeout,
+            PingStep::Ping if second_timeout < settings.protocol_period => second_timeout,
+            PingStep::Ping | PingStep::RoundMissed => settings.protocol_period,
         };
         self.started + delay
     }
@@ -74,9 +75,9 @@
     /// Why the member is pinged.
     pub reason: PingReason,
     /// The sequence number of the first round.
-    first_sequence: u16,
+    first_sequence: SequenceNumber,
     /// The sequence number of the latest round.
-    pub sequence: u16,
+    pub sequence: SequenceNumber,
     /// The round under way; `None` while the member waits for one.
     round: Option<Round>,
     /// The place among the members that wait: the one that has waited longest has the lowest.
@@ -86,25 +87,25 @@
 impl OutstandingPing {
     /// Whether an ack with this sequence number answers this ping, in any of its rounds.
     #[must_use]
-    pub(crate) const fn is_answered_by(&self, sequence: u16) -> bool {
-        let rounds_since_first = sequence.wrapping_sub(self.first_sequence);
-        let last_round = self.sequence.wrapping_sub(self.first_sequence);
-        self.round.is_some() && rounds_since_first <= last_round
+    pub(crate) fn is_answered_by(&self, sequence: SequenceNumber) -> bool {
+        let since_first = sequence.distance_from(self.first_sequence);
+        let latest_since_first = self.sequence.distance_from(self.first_sequence);
+        self.round.is_some() && since_first <= latest_since_first
     }
 }
 
-/// All pings under way, by the number of the member.
+/// All pings under way, by member.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct OutstandingPings {
-    pings: BTreeMap<u32, OutstandingPing>,
-    last_sequence: u16,
+    pings: BTreeMap<GatewayId, OutstandingPing>,
+    last_sequence: SequenceNumber,
     last_queue_position: u64,
 }
 
 impl OutstandingPings {
     /// A new sequence number.
-    pub(crate) fn next_sequence(&mut self) -> u16 {
-        self.last_sequence = self.last_sequence.wrapping_add(1);
+    pub(crate) fn next_sequence(&mut self) -> SequenceNumber {
+        self.last_sequence = self.last_sequence.next();
         self.last_sequence
     }
 
@@ -113,21 +114,21 @@
         self.last_queue_position
     }
 
-    /// The ping to member `number`.
+    /// The ping to a member.
     #[must_use]
-    pub(crate) fn get(&self, number: u32) -> Option<&OutstandingPing> {
-        self.pings.get(&number)
+    pub(crate) fn get(&self, gateway: GatewayId) -> Option<&OutstandingPing> {
+        self.pings.get(&gateway)
     }
 
     /// Starts to ping a member, from the next [`OutstandingPings::take_due`] on. If it is being pinged already, only the
     /// reason may change, to [`PingReason::ReportedDown`].
-    pub(crate) fn start(&mut self, number: u32, reason: PingReason) {
+    pub(crate) fn start(&mut self, gateway: GatewayId, reason: PingReason) {
         let queue_position = self.next_queue_position();
-        let ping = self.pings.entry(number).or_insert(OutstandingPing {
+        let ping = self.pings.entry(gateway).or_insert(OutstandingPing {
             missed_rounds: 0,
             reason,
-            first_sequence: 0,
-            sequence: 0,
+            first_sequence: SequenceNumber::default(),
+            sequence: SequenceNumber::default(),
             round: None,
             queue_position,
         });
@@ -137,17 +138,17 @@
     }
 
     /// Ends the ping to a member.
-    pub(crate) fn end(&mut self, number: u32) -> Option<OutstandingPing> {
-        self.pings.remove(&number)
+    pub(crate) fn end(&mut self, gateway: GatewayId) -> Option<OutstandingPing> {
+        self.pings.remove(&gateway)
     }
 
     /// Starts another round for a member that has missed this many in a row, from the next [`OutstandingPings::take_due`] on.
-    pub(crate) fn start_next_round(&mut self, number: u32, missed_rounds: u32) {
-        if !self.pings.contains_key(&number) {
+    pub(crate) fn start_next_round(&mut self, gateway: GatewayId, missed_rounds: u32) {
+        if !self.pings.contains_key(&gateway) {
             return;
         }
         let queue_position = self.next_queue_position();
-        if let Some(ping) = self.pings.get_mut(&number) {
+        if let Some(ping) = self.pings.get_mut(&gateway) {
             ping.missed_rounds = missed_rounds;
             ping.round = None;
             ping.queue_position = queue_position;
@@ -159,26 +160,26 @@
         self.pings.values().filter(under_way).count()
     }
 
-    /// When [`OutstandingPings::take_due`] has something next; 0 where a waiting round may start at once, and
-    /// [`Millis::MAX`] without any ping.
+    /// When [`OutstandingPings::take_due`] has something next; [`Timestamp::ZERO`] where a waiting round may start at
+    /// once, and [`Timestamp::MAX`] without any ping.
     #[must_use]
-    pub(crate) fn next_due(&self, settings: &Settings) -> Millis {
+    pub(crate) fn next_due(&self, settings: &Settings) -> Timestamp {
         let under_way = self.rounds_under_way();
         let some_wait = self.pings.len() > under_way;
         // A round that is over is ended or started again by the owner within the same call, so it never stands here.
         if some_wait && under_way < MAX_CONCURRENT_ROUNDS {
-            return 0;
+            return Timestamp::ZERO;
         }
         self.pings
             .values()
             .filter_map(|ping| ping.round.map(|round| round.due(settings)))
             .min()
-            .unwrap_or(Millis::MAX)
+            .unwrap_or(Timestamp::MAX)
     }
 
-    /// Takes the steps that are due by `now`: first those of rounds under way, by number, then the first pings of the
+    /// Takes the steps that are due by `now`: first those of rounds under way, by gateway, then the first pings of the
     /// rounds that start now.
-    pub(crate) fn take_due(&mut self, now: Millis, settings: &Settings) -> Vec<DuePing> {
+    pub(crate) fn take_due(&mut self, now: Timestamp, settings: &Settings) -> Vec<DuePing> {
         let mut due = self.take_due_steps(now, settings);
         self.start_waiting_rounds(now, &mut due);
         due
@@ -188,38 +189,31 @@
     ///
     /// A round that is over for more than a period is started again and counts for nothing: this process was paused
     /// and has not read the answers.
-    fn take_due_steps(&mut self, now: Millis, settings: &Settings) -> Vec<DuePing> {
+    fn take_due_steps(&mut self, now: Timestamp, settings: &Settings) -> Vec<DuePing> {
         let mut due = Vec::new();
-        for (&number, ping) in &mut self.pings {
+        for (&gateway, ping) in &mut self.pings {
             let Some(round) = &mut ping.round else {
                 continue;
             };
             if now < round.due(settings) {
                 continue;
             }
-            if now > round.started + 2 * settings.protocol_period_ms {
+            if now > round.started + settings.protocol_period * 2 {
                 ping.round = None;
                 continue;
             }
             let step = round.take_step();
-            due.push(DuePing { number, step });
+            due.push(DuePing { gateway, step });
         }
         due
     }
 
     /// Starts as many waiting rounds as may be under way at a time, in the order in which they have waited.
-    fn start_waiting_rounds(&mut self, now: Millis, due: &mut Vec<DuePing>) {
+    fn start_waiting_rounds(&mut self, now: Timestamp, due: &mut Vec<DuePing>) {
         let free = MAX_CONCURRENT_ROUNDS.saturating_sub(self.rounds_under_way());
-        let mut waiting: Vec<(u64, u32)> = self
-            .pings
-            .iter()
-            .filter(|(_, ping)| ping.round.is_none())
-            .map(|(&number, ping)| (ping.queue_position, number))
-            .collect();
-        waiting.sort_unstable();
-        for (_, number) in waiting.into_iter().take(free) {
+        for gateway in self.waiting_members().into_iter().take(free) {
             let sequence = self.next_sequence();
-            let Some(ping) = self.pings.get_mut(&number) else {
+            let Some(ping) = self.pings.get_mut(&gateway) else {
                 continue;
             };
             if ping.missed_rounds == 0 {
@@ -231,9 +225,20 @@
                 next_step: PingStep::PingIndirectly,
             });
             due.push(DuePing {
-                number,
+                gateway,
                 step: PingStep::Ping,
             });
         }
     }
+
+    /// The members that wait for a round, the one that has waited longest first. No two have the same queue position.
+    fn waiting_members(&self) -> Vec<GatewayId> {
+        let mut waiting: Vec<(&GatewayId, &OutstandingPing)> = self
+            .pings
+            .iter()
+            .filter(|(_, ping)| ping.round.is_none())
+            .collect();
+        waiting.sort_unstable_by_key(|(_, ping)| ping.queue_position);
+        waiting.into_iter().map(|(&gateway, _)| gateway).collect()
+    }
 }
--- a/crates/membership/src/relayed_pings.rs
+++ b/crates/membership/src/relayed_pings.rs
@@ -1,5 +1,7 @@
 //! Pings that this member sent at the request of others, so that their acks can be forwarded.
 
+use crate::serial_number::SequenceNumber;
+use irisrouter_cluster_types::GatewayId;
 use std::collections::VecDeque;
 
 /// How many relayed pings without an ack are remembered, at most: the oldest is dropped for a new one.
@@ -9,13 +11,13 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RelayedPing {
     /// The sequence number of the ping to the target.
-    pub sequence: u16,
+    pub sequence: SequenceNumber,
     /// The member that was pinged.
-    pub target: u32,
+    pub target: GatewayId,
     /// The member that requested it.
-    pub requester: u32,
+    pub requester: GatewayId,
     /// The sequence number of the request.
-    pub requester_sequence: u16,
+    pub requester_sequence: SequenceNumber,
 }
 
 /// The relayed pings that wait for an ack, oldest first.
@@ -30,8 +32,12 @@
         self.0.push_back(ping);
     }
 
-    /// Removes and returns the relayed ping that this ack from member `target` answers.
-    pub(crate) fn take_answered(&mut self, target: u32, sequence: u16) -> Option<RelayedPing> {
+    /// Removes and returns the relayed ping that this ack of `target` answers.
+    pub(crate) fn take_answered(
+        &mut self,
+        target: GatewayId,
+        sequence: SequenceNumber,
+    ) -> Option<RelayedPing> {
         let answered = |ping: &RelayedPing| ping.sequence == sequence && ping.target == target;
         let index = self.0.iter().position(answered)?;
         self.0.remove(index)
--- a/crates/membership/src/timers.rs
+++ b/crates/membership/src/timers.rs
@@ -1,47 +1,47 @@
 //! The times at which the periodic work of a member is due.
 
 use crate::settings::Settings;
-use crate::view::Millis;
+use irisrouter_cluster_types::{Milliseconds, Timestamp};
 
 /// When each kind of periodic work is due next.
 #[derive(Debug, Clone)]
 pub(crate) struct Timers {
-    pub ping: Millis,
-    pub gossip: Millis,
-    pub rejoin: Millis,
-    /// The pause after the next rejoin; it doubles up to `rejoin_interval_ms`.
-    rejoin_pause: Millis,
+    pub ping: Timestamp,
+    pub gossip: Timestamp,
+    pub rejoin: Timestamp,
+    /// The pause after the next rejoin; it doubles up to `rejoin_interval`.
+    rejoin_pause: Milliseconds,
 }
 
 impl Timers {
     /// The timers of a member that starts at `now` and pings for the first time at `first_ping`.
-    pub(crate) const fn new(now: Millis, first_ping: Millis, settings: &Settings) -> Self {
+    pub(crate) fn new(now: Timestamp, first_ping: Timestamp, settings: &Settings) -> Self {
         Self {
             ping: first_ping,
             gossip: now,
-            rejoin: now + settings.gossip_interval_ms,
-            rejoin_pause: settings.gossip_interval_ms,
+            rejoin: now + settings.gossip_interval,
+            rejoin_pause: settings.gossip_interval,
         }
     }
 
     /// Schedules the ping after the one that is due at `now`.
-    pub(crate) fn schedule_next_ping(&mut self, now: Millis, settings: &Settings) {
-        self.ping = now + settings.protocol_period_ms;
+    pub(crate) fn schedule_next_ping(&mut self, now: Timestamp, settings: &Settings) {
+        self.ping = now + settings.protocol_period;
     }
 
     /// Schedules the gossip after the one that is due at `now`.
-    pub(crate) fn schedule_next_gossip(&mut self, now: Millis, settings: &Settings) {
-        self.gossip = now + settings.gossip_interval_ms;
+    pub(crate) fn schedule_next_gossip(&mut self, now: Timestamp, settings: &Settings) {
+        self.gossip = now + settings.gossip_interval;
     }
 
     /// Schedules the rejoin after the one that is due at `now`, with exponential backoff.
-    pub(crate) fn schedule_next_rejoin(&mut self, now: Millis, settings: &Settings) {
+    pub(crate) fn schedule_next_rejoin(&mut self, now: Timestamp, settings: &Settings) {
         self.rejoin = now + self.rejoin_pause;
-        self.rejoin_pause = (2 * self.rejoin_pause).min(settings.rejoin_interval_ms);
+        self.rejoin_pause = (self.rejoin_pause * 2).min(settings.rejoin_interval);
     }
 
     /// Ends the backoff: further rejoins follow at the full interval.
     pub(crate) fn end_rejoin_backoff(&mut self, settings: &Settings) {
-        self.rejoin_pause = settings.rejoin_interval_ms;
+        self.rejoin_pause = settings.rejoin_interval;
     }
 }
--- a/crates/membership/src/updates.rs
+++ b/crates/membership/src/updates.rs
@@ -5,8 +5,9 @@
 use crate::member_update::MemberUpdate;
 use crate::membership::{Membership, SourceTrust};
 use crate::merge_rules::{self, ContactOutcome, PingReason, SelfUpdateOutcome, UpdateOutcome};
-use crate::node::Node;
+use crate::serial_number::Incarnation;
 use crate::view::{Liveness, MemberState};
+use irisrouter_cluster_types::{GatewayId, GatewayProcess, Generation};
 
 /// Whether the sender of an update knows less than this member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -17,48 +18,52 @@
 
 impl Membership {
     /// Merges the source of a datagram into the view, and returns whether its updates are used.
-    pub(crate) fn process_source(&mut self, source: Node, incarnation: u16) -> SourceTrust {
-        let Some(&row) = self.view.member(source.number) else {
+    pub(crate) fn process_source(
+        &mut self,
+        source: GatewayProcess,
+        incarnation: Incarnation,
+    ) -> SourceTrust {
+        let Some(&row) = self.view.member(source.gateway) else {
             return SourceTrust::Untrusted;
         };
         match merge_rules::merge_contact(&row, source, incarnation) {
             ContactOutcome::Unchanged => {}
             ContactOutcome::Alive => {
-                self.detector.pings.end(source.number);
+                self.detector.pings.end(source.gateway);
                 self.set_member(source, incarnation, Liveness::Alive);
-                self.dissemination.add(source.number);
+                self.dissemination.add(source.gateway);
             }
             ContactOutcome::NotifySender => {
-                self.notify_outranked(source.number, &row);
+                self.notify_outranked(&row);
                 return SourceTrust::Untrusted;
             }
         }
-        self.view.record_received(source.number, self.now);
+        self.view.record_received(source.gateway, self.now);
         SourceTrust::Trusted
     }
 
     /// Sends a member its own row, which outranks the process or incarnation that it runs as.
-    fn notify_outranked(&mut self, number: u32, row: &MemberState) {
+    fn notify_outranked(&mut self, row: &MemberState) {
         let update = MemberUpdate {
-            node: row.node(number),
+            process: row.process,
             incarnation: row.incarnation,
             down: row.liveness == Liveness::Down,
         };
-        self.send_with_updates(number, Message::Gossip, vec![update]);
+        self.send_with_updates(row.process.gateway, Message::Gossip, vec![update]);
     }
 
     /// Merges the updates of a datagram, and corrects its source where that knows less.
     pub(crate) fn process_updates(&mut self, datagram: &Datagram, trust: SourceTrust) {
-        let source = datagram.source.number;
+        let source = datagram.source.gateway;
         let mut corrections = Vec::new();
         for update in &datagram.updates {
             // Updates about this member itself are taken from anybody: whoever holds it down has to be corrected.
-            let is_about_self = update.node.number == self.local.node.number;
+            let is_about_self = update.process.gateway == self.local.process.gateway;
             if !is_about_self && trust == SourceTrust::Untrusted {
                 continue;
             }
             if self.process_update(update, source) == SenderKnowledge::Outdated {
-                corrections.extend(self.update_about(update.node.number));
+                corrections.extend(self.update_about(update.process.gateway));
             }
         }
         if !corrections.is_empty() {
@@ -66,13 +71,13 @@
         }
     }
 
-    fn process_update(&mut self, update: &MemberUpdate, sender: u32) -> SenderKnowledge {
-        let number = update.node.number;
-        if number == self.local.node.number {
+    fn process_update(&mut self, update: &MemberUpdate, sender: GatewayId) -> SenderKnowledge {
+        let gateway = update.process.gateway;
+        if gateway == self.local.process.gateway {
             self.process_update_about_self(update, sender);
             return SenderKnowledge::UpToDate;
         }
-        let Some(row) = self.view.member(number) else {
+        let Some(row) = self.view.member(gateway) else {
             return SenderKnowledge::UpToDate;
         };
         match merge_rules::merge_update(row, update) {
@@ -80,8 +85,8 @@
             UpdateOutcome::SenderOutdated => return SenderKnowledge::Outdated,
             UpdateOutcome::Apply => self.apply_update(update),
             UpdateOutcome::Verify => {
-                self.set_member(update.node, update.incarnation, Liveness::Suspect);
-                self.detector.pings.start(number, PingReason::ReportedDown);
+                self.set_member(update.process, update.incarnation, Liveness::Suspect);
+                self.detector.pings.start(gateway, PingReason::ReportedDown);
             }
         }
         SenderKnowledge::UpToDate
@@ -93,14 +98,14 @@
         } else {
             Liveness::Alive
         };
-        self.detector.pings.end(update.node.number);
-        self.set_member(update.node, update.incarnation, liveness);
-        self.dissemination.add(update.node.number);
+        self.detector.pings.end(update.process.gateway);
+        self.set_member(update.process, update.incarnation, liveness);
+        self.dissemination.add(update.process.gateway);
     }
 
-    fn process_update_about_self(&mut self, update: &MemberUpdate, sender: u32) {
+    fn process_update_about_self(&mut self, update: &MemberUpdate, sender: GatewayId) {
         let local = &self.local;
-        match merge_rules::merge_update_about_self(local.node, local.incarnation, update) {
+        match merge_rules::merge_update_about_self(local.process, local.incarnation, update) {
             SelfUpdateOutcome::Ignore => return,
             SelfUpdateOutcome::Refute(incarnation) => {
                 self.local.incarnation = incarnation;
@@ -113,7 +118,7 @@
                 self.renew(generation);
             }
         }
-        self.dissemination.add(self.local.node.number);
+        self.dissemination.add(self.local.process.gateway);
         // The sender gets the answer at once, from the member itself.
         self.send(sender, Message::Gossip);
     }
@@ -121,38 +126,38 @@
     /// Whether this member has continued as a later generation within the last suspicion time. Without this pause two
     /// processes with the same number would outrank each other without end.
     fn renewed_recently(&self) -> bool {
-        let pause = self.settings.suspicion_ms;
+        let pause = self.settings.suspicion;
         let renewed_at = self.local.renewed_at;
         renewed_at.is_some_and(|renewed_at| self.now < renewed_at + pause)
     }
 
     /// Continues as this generation.
-    fn renew(&mut self, generation: u16) {
+    fn renew(&mut self, generation: Generation) {
         self.local.renewed_at = Some(self.now);
-        self.local.node.generation = generation;
-        self.local.incarnation = 0;
-        self.view.set_local(self.local.node, self.now);
-        self.actions.push(Action::Renewed(self.local.node));
+        self.local.process.generation = generation;
+        self.local.incarnation = Incarnation::FIRST;
+        self.view.set_local(self.local.process, self.now);
+        self.actions.push(Action::Renewed(self.local.process));
     }
 
     /// What this member reports about another, or about itself. A suspect member is reported as it was known before the
     /// suspicion: that outranks nothing. `None` for one that is not known.
-    pub(crate) fn update_about(&self, number: u32) -> Option<MemberUpdate> {
-        if number == self.local.node.number {
+    pub(crate) fn update_about(&self, gateway: GatewayId) -> Option<MemberUpdate> {
+        if gateway == self.local.process.gateway {
             return Some(MemberUpdate {
-                node: self.local.node,
+                process: self.local.process,
                 incarnation: self.local.incarnation,
                 down: false,
             });
         }
-        let row = self.view.member(number)?;
+        let row = self.view.member(gateway)?;
         let down = match row.liveness {
             Liveness::Alive | Liveness::Suspect => false,
             Liveness::Down => true,
             Liveness::Unknown => return None,
         };
         Some(MemberUpdate {
-            node: row.node(number),
+            process: row.process,
             incarnation: row.incarnation,
             down,
         })
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -1,9 +1,7 @@
 //! The view that one gateway has of the fleet: one row for each member, with the times of the last changes.
 
-use crate::node::Node;
-
-/// Milliseconds on the caller's monotonic clock; the core never reads a clock itself.
-pub type Millis = u64;
+use crate::serial_number::Incarnation;
+use irisrouter_cluster_types::{GatewayId, GatewayProcess, Timestamp};
 
 /// The state of a member in this gateway's view.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -35,32 +33,27 @@
 /// One row of the view: what is known of one member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MemberState {
+    /// The member and the latest known generation of its process; generation 0 while unknown.
+    pub process: GatewayProcess,
     /// Its state.
     pub liveness: Liveness,
-    /// The latest known generation of its process; 0 while unknown.
-    pub generation: u16,
     /// The latest known incarnation, which the member raises with each refutation.
-    pub incarnation: u16,
+    pub incarnation: Incarnation,
     /// When the liveness or the generation last changed.
-    pub since: Millis,
+    pub since: Timestamp,
     /// When a datagram sent by the member itself last arrived; `None` if none has.
-    pub last_received: Option<Millis>,
+    pub last_received: Option<Timestamp>,
 }
 
 impl MemberState {
-    const UNKNOWN: Self = Self {
-        liveness: Liveness::Unknown,
-        generation: 0,
-        incarnation: 0,
-        since: 0,
-        last_received: None,
-    };
-
-    /// The node that the row of member `number` stands for.
-    pub(crate) const fn node(&self, number: u32) -> Node {
-        Node {
-            number,
-            generation: self.generation,
+    /// The row of a member of which nothing is known.
+    const fn unknown(gateway: GatewayId) -> Self {
+        Self {
+            process: GatewayProcess::first(gateway),
+            liveness: Liveness::Unknown,
+            incarnation: Incarnation::FIRST,
+            since: Timestamp::ZERO,
+            last_received: None,
         }
     }
 }
@@ -69,75 +62,79 @@
 /// message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LivenessChange {
-    /// The member's number.
-    pub number: u32,
+    /// The member, with the generation now known.
+    pub process: GatewayProcess,
     /// The state before.
     pub from: Liveness,
     /// The state after.
     pub to: Liveness,
-    /// The generation now known.
-    pub generation: u16,
     /// The incarnation now known.
-    pub incarnation: u16,
+    pub incarnation: Incarnation,
     /// When the change was made.
-    pub at: Millis,
+    pub at: Timestamp,
 }
 
 /// The whole view of one gateway.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct View {
-    local: Node,
+    local: GatewayProcess,
+    /// By the numbers of the members.
     members: Vec<MemberState>,
 }
 
 impl View {
-    pub(crate) fn new(local: Node, fleet_size: u32) -> Self {
-        let members = vec![MemberState::UNKNOWN; fleet_size as usize];
+    pub(crate) fn new(local: GatewayProcess, fleet_size: u32) -> Self {
+        let gateways = (0..fleet_size).map(GatewayId);
+        let members = gateways.map(MemberState::unknown).collect();
         let mut view = Self { local, members };
-        view.set_local(local, 0);
+        view.set_local(local, Timestamp::ZERO);
         view
     }
 
-    /// This gateway.
+    /// This process.
     #[must_use]
-    pub const fn local_node(&self) -> Node {
+    pub const fn local_process(&self) -> GatewayProcess {
         self.local
     }
 
-    /// Restarts the row of this gateway as this node, at time `now`.
-    pub(crate) fn set_local(&mut self, local: Node, now: Millis) {
+    /// Restarts the row of this gateway as this process, at time `now`.
+    pub(crate) fn set_local(&mut self, local: GatewayProcess, now: Timestamp) {
         self.local = local;
-        if let Some(member) = self.members.get_mut(local.number as usize) {
+        if let Some(member) = self.member_mut(local.gateway) {
             *member = MemberState {
+                process: local,
                 liveness: Liveness::Alive,
-                generation: local.generation,
                 since: now,
-                ..MemberState::UNKNOWN
+                ..MemberState::unknown(local.gateway)
             };
         }
     }
 
-    /// The row of member `number`; `None` outside the fleet's list.
+    /// The row of a member; `None` outside the fleet's list.
     #[must_use]
-    pub fn member(&self, number: u32) -> Option<&MemberState> {
-        self.members.get(number as usize)
+    pub fn member(&self, gateway: GatewayId) -> Option<&MemberState> {
+        self.members.get(gateway.0 as usize)
+    }
+
+    fn member_mut(&mut self, gateway: GatewayId) -> Option<&mut MemberState> {
+        self.members.get_mut(gateway.0 as usize)
     }
 
-    /// Whether member `number` has this liveness.
-    pub(crate) fn is(&self, number: u32, liveness: Liveness) -> bool {
-        self.member(number)
+    /// Whether a member has this liveness.
+    pub(crate) fn is(&self, gateway: GatewayId, liveness: Liveness) -> bool {
+        self.member(gateway)
             .is_some_and(|member| member.liveness == liveness)
     }
 
     /// All rows, in order of the members' numbers.
-    pub fn members(&self) -> impl Iterator<Item = (u32, &MemberState)> {
-        (0u32..).zip(self.members.iter())
+    pub fn members(&self) -> impl Iterator<Item = &MemberState> {
+        self.members.iter()
     }
 
-    /// Whether reports from member `number` are used: not once it is declared down, nor from outside the list.
+    /// Whether reports from a member are used: not once it is declared down, nor from outside the list.
     #[must_use]
-    pub fn accepts_from(&self, number: u32) -> bool {
-        self.member(number)
+    pub fn accepts_from(&self, gateway: GatewayId) -> bool {
+        self.member(gateway)
             .is_some_and(|member| member.liveness != Liveness::Down)
     }
 
@@ -159,8 +156,8 @@
     }
 
     /// Records that a datagram sent by the member itself arrived.
-    pub(crate) fn record_received(&mut self, number: u32, now: Millis) {
-        if let Some(member) = self.members.get_mut(number as usize) {
+    pub(crate) fn record_received(&mut self, gateway: GatewayId, now: Timestamp) {
+        if let Some(member) = self.member_mut(gateway) {
             member.last_received = Some(now);
         }
     }
@@ -169,27 +166,26 @@
     /// there is one.
     pub(crate) fn set(
         &mut self,
-        node: Node,
-        incarnation: u16,
+        process: GatewayProcess,
+        incarnation: Incarnation,
         to: Liveness,
-        now: Millis,
+        now: Timestamp,
     ) -> Option<LivenessChange> {
-        if node.number == self.local.number {
+        if process.gateway == self.local.gateway {
             return None;
         }
-        let member = self.members.get_mut(node.number as usize)?;
+        let member = self.member_mut(process.gateway)?;
         let from = member.liveness;
-        if from != to || member.generation != node.generation {
+        if from != to || member.process != process {
             member.since = now;
         }
         member.liveness = to;
-        member.generation = node.generation;
+        member.process = process;
         member.incarnation = incarnation;
         (from != to).then_some(LivenessChange {
-            number: node.number,
+            process,
             from,
             to,
-            generation: node.generation,
             incarnation,
             at: now,
         })
--- a/crates/membership/tests/codec.rs
+++ b/crates/membership/tests/codec.rs
@@ -1,30 +1,52 @@
 //! The membership datagram encoded and decoded, and arbitrary bytes: never a panic, never a change of the view.
 
+use irisrouter_cluster_types::{GatewayId, GatewayProcess, Generation, Timestamp};
 use irisrouter_membership::codec::{self, decode, encode};
 use irisrouter_membership::{
-    Datagram, Liveness, MemberUpdate, Membership, Message, Node, Settings, WireError,
+    Datagram, Incarnation, Liveness, MemberUpdate, Membership, Message, SequenceNumber, Settings,
+    WireError,
 };
 use proptest::prelude::*;
 
-fn node() -> impl Strategy<Value = Node> {
-    (any::<u32>(), any::<u16>()).prop_map(|(number, generation)| Node { number, generation })
+/// Member 0 of five, at time 0.
+fn new_member() -> Membership {
+    let process = GatewayProcess::first(GatewayId(0));
+    Membership::new(process, Settings::for_fleet(5), 1, Timestamp::ZERO).expect("settings")
+}
+
+fn process() -> impl Strategy<Value = GatewayProcess> {
+    (any::<u32>(), any::<u16>()).prop_map(|(gateway, generation)| GatewayProcess {
+        gateway: GatewayId(gateway),
+        generation: Generation(generation),
+    })
+}
+
+fn incarnation() -> impl Strategy<Value = Incarnation> {
+    any::<u16>().prop_map(Incarnation)
+}
+
+fn sequence() -> impl Strategy<Value = SequenceNumber> {
+    any::<u16>().prop_map(SequenceNumber)
 }
 
 fn message() -> impl Strategy<Value = Message> {
     prop_oneof![
-        any::<u16>().prop_map(|sequence| Message::Ping { sequence }),
-        any::<u16>().prop_map(|sequence| Message::Ack { sequence }),
-        (any::<u16>(), any::<u32>())
+        sequence().prop_map(|sequence| Message::Ping { sequence }),
+        sequence().prop_map(|sequence| Message::Ack { sequence }),
+        (sequence(), any::<u32>().prop_map(GatewayId))
             .prop_map(|(sequence, target)| Message::PingRequest { sequence, target }),
-        (any::<u16>(), node(), any::<u16>()).prop_map(|(sequence, target, incarnation)| {
+        (sequence(), process(), incarnation()).prop_map(|(sequence, target, incarnation)| {
             Message::IndirectAck {
                 sequence,
                 target,
                 incarnation,
             }
         }),
-        prop_oneof![Just(None), (0..u32::MAX).prop_map(Some)]
-            .prop_map(|list_from| Message::Join { list_from }),
+        prop_oneof![
+            Just(None),
+            (0..u32::MAX).prop_map(|gateway| Some(GatewayId(gateway)))
+        ]
+        .prop_map(|list_from| Message::Join { list_from }),
         Just(Message::MemberList),
         Just(Message::Gossip),
         Just(Message::Leave),
@@ -32,18 +54,20 @@
 }
 
 fn update() -> impl Strategy<Value = MemberUpdate> {
-    (node(), any::<u16>(), any::<bool>()).prop_map(|(node, incarnation, down)| MemberUpdate {
-        node,
-        incarnation,
-        down,
+    (process(), incarnation(), any::<bool>()).prop_map(|(process, incarnation, down)| {
+        MemberUpdate {
+            process,
+            incarnation,
+            down,
+        }
     })
 }
 
 fn datagram() -> impl Strategy<Value = Datagram> {
     (
-        node(),
-        any::<u16>(),
-        node(),
+        process(),
+        incarnation(),
+        process(),
         message(),
         proptest::collection::vec(update(), 0..=codec::MAX_UPDATES),
     )
@@ -77,9 +101,9 @@
 
     #[test]
     fn arbitrary_bytes_are_decoded_or_rejected_without_a_panic(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
-        let mut membership = Membership::new(Node::first(0), Settings::for_fleet(5), 1, 0).expect("settings");
+        let mut membership = new_member();
         let before = membership.view().clone();
-        if membership.receive(10, &bytes).is_err() {
+        if membership.receive(Timestamp::from_millis(10), &bytes).is_err() {
             prop_assert_eq!(membership.view(), &before);
         }
     }
@@ -90,9 +114,9 @@
     ) {
         let mut bytes = vec![codec::MAGIC];
         bytes.extend(tail);
-        let mut membership = Membership::new(Node::first(0), Settings::for_fleet(5), 1, 0).expect("settings");
-        let _ = membership.receive(10, &bytes);
-        for (_, member) in membership.view().members() {
+        let mut membership = new_member();
+        let _ = membership.receive(Timestamp::from_millis(10), &bytes);
+        for member in membership.view().members() {
             // Nothing from outside the list can enter it; what is inside stays in the four states.
             prop_assert!(matches!(member.liveness, Liveness::Unknown | Liveness::Alive | Liveness::Suspect | Liveness::Down));
         }
@@ -106,16 +130,16 @@
     bytes.extend([0u8; 14]);
     bytes.push(42);
     assert_eq!(decode(&bytes), Err(WireError::Unknown("kind", 42)));
-    let source = Node::first(1);
-    let destination = Node::first(2);
+    let source = GatewayProcess::first(GatewayId(1));
+    let destination = GatewayProcess::first(GatewayId(2));
     let updates = vec![MemberUpdate {
-        node: destination,
-        incarnation: 0,
+        process: destination,
+        incarnation: Incarnation::FIRST,
         down: true,
     }];
     let mut bytes = encode(&Datagram {
         source,
-        incarnation: 0,
+        incarnation: Incarnation::FIRST,
         destination,
         message: Message::Gossip,
         updates,
@@ -129,7 +153,8 @@
 
 #[test]
 fn datagram_over_the_platform_limit_is_rejected() {
-    let mut membership =
-        Membership::new(Node::first(0), Settings::for_fleet(5), 1, 0).expect("settings");
-    assert!(membership.receive(0, &[codec::MAGIC; 257]).is_err());
+    let mut membership = new_member();
+    assert!(membership
+        .receive(Timestamp::ZERO, &[codec::MAGIC; 257])
+        .is_err());
 }
--- a/crates/membership/tests/decision_log.rs
+++ b/crates/membership/tests/decision_log.rs
@@ -3,7 +3,8 @@
 //! A change that is to leave the decisions of the core as they are must leave every literal in this file as it is. A
 //! wanted change of the decisions replaces the literals, and its commit says which decision changed and why.
 
-use irisrouter_membership::{Node, Settings};
+use irisrouter_cluster_types::{GatewayId, GatewayProcess, Generation, Milliseconds, Timestamp};
+use irisrouter_membership::Settings;
 use irisrouter_simulated_network::SimulatedNetwork;
 
 #[track_caller]
@@ -27,15 +28,15 @@
 
 fn run_with_loss_and_a_crash(seed: u64) -> SimulatedNetwork {
     let mut network = SimulatedNetwork::start(7, seed);
-    network.run_until(5_000);
+    network.run_until(Timestamp::from_millis(5_000));
     network.faults.loss = 0.3;
-    network.run_until(65_000);
-    network.crash(3);
-    network.run_until(95_000);
-    network.restart(3, &[0]);
-    network.run_until(110_000);
+    network.run_until(Timestamp::from_millis(65_000));
+    network.crash(GatewayId(3));
+    network.run_until(Timestamp::from_millis(95_000));
+    network.restart(GatewayId(3), &[GatewayId(0)]);
+    network.run_until(Timestamp::from_millis(110_000));
     network.faults.loss = 0.0;
-    network.run_until(130_000);
+    network.run_until(Timestamp::from_millis(130_000));
     network
 }
 
@@ -49,15 +50,17 @@
     let mut network = SimulatedNetwork::start(50, seed);
     network.faults.delay_ms = 1..=400;
     network.faults.loss = 0.1;
-    network.run_until(20_000);
-    let (left, right): (Vec<u32>, Vec<u32>) = (0..50).partition(|number| number % 2 == 0);
+    network.run_until(Timestamp::from_millis(20_000));
+    let (left, right): (Vec<GatewayId>, Vec<GatewayId>) = (0..50)
+        .map(GatewayId)
+        .partition(|gateway| gateway.0 % 2 == 0);
     network.partition(&left, &right);
-    network.run_until(50_000);
+    network.run_until(Timestamp::from_millis(50_000));
     network.heal();
-    network.stall(7);
-    network.run_until(60_000);
-    network.resume(7);
-    network.run_until(80_000);
+    network.stall(GatewayId(7));
+    network.run_until(Timestamp::from_millis(60_000));
+    network.resume(GatewayId(7));
+    network.run_until(Timestamp::from_millis(80_000));
     network
 }
 
@@ -69,27 +72,27 @@
 
 fn run_with_leaving_and_returning_members(seed: u64) -> SimulatedNetwork {
     let mut network = SimulatedNetwork::start(5, seed);
-    network.run_until(10_000);
-    network.crash(3);
-    network.run_until(11_000);
-    let older_generation = Node {
-        number: 3,
-        generation: 65_000,
+    network.run_until(Timestamp::from_millis(10_000));
+    network.crash(GatewayId(3));
+    network.run_until(Timestamp::from_millis(11_000));
+    let older_generation = GatewayProcess {
+        gateway: GatewayId(3),
+        generation: Generation(65_000),
     };
-    network.restart_as(older_generation, &[0]);
-    network.run_until(25_000);
-    network.leave(4);
-    network.run_until(40_000);
-    network.restart(4, &[1, 2]);
-    network.cut(0, 1);
-    network.run_until(60_000);
+    network.restart_as(older_generation, &[GatewayId(0)]);
+    network.run_until(Timestamp::from_millis(25_000));
+    network.leave(GatewayId(4));
+    network.run_until(Timestamp::from_millis(40_000));
+    network.restart(GatewayId(4), &[GatewayId(1), GatewayId(2)]);
+    network.cut(GatewayId(0), GatewayId(1));
+    network.run_until(Timestamp::from_millis(60_000));
     network.faults.loss = 0.4;
-    for other in 1..5 {
-        network.cut(other, 0);
+    for other in (1..5).map(GatewayId) {
+        network.cut(other, GatewayId(0));
     }
-    network.run_until(90_000);
+    network.run_until(Timestamp::from_millis(90_000));
     network.heal();
-    network.run_until(120_000);
+    network.run_until(Timestamp::from_millis(120_000));
     network
 }
 
@@ -106,12 +109,12 @@
 }
 
 fn run_with_random_faults(seed: u64) -> SimulatedNetwork {
-    let settings = Settings::paced(20, 200, 1_000);
+    let settings = Settings::paced(20, Milliseconds(200), Milliseconds(1_000));
     let mut network = SimulatedNetwork::with_settings(settings, seed).expect("settings");
     let mut rng = FaultRng(seed);
     for _ in 0..120 {
-        let member = rng.below(20);
-        let other = rng.below(20);
+        let member = GatewayId(rng.below(20));
+        let other = GatewayId(rng.below(20));
         match rng.below(8) {
             0 => network.crash(member),
             1 => network.restart(member, &[other]),
@@ -122,16 +125,17 @@
             6 => network.heal(),
             _ => network.leave(member),
         }
-        let pause = u64::from(rng.below(2_000));
+        let pause = Milliseconds(u64::from(rng.below(2_000)));
         network.run_until(network.now() + pause);
     }
     network.heal();
     network.faults.loss = 0.0;
-    for member in 0..20 {
+    for number in 0..20 {
+        let member = GatewayId(number);
         network.resume(member);
-        network.restart(member, &[(member + 1) % 20]);
+        network.restart(member, &[GatewayId((number + 1) % 20)]);
     }
-    network.run_until(network.now() + 10_000);
+    network.run_until(network.now() + Milliseconds(10_000));
     network
 }
 
@@ -145,8 +149,8 @@
 #[test]
 fn decisions_in_a_large_fleet_stay_the_same() {
     let mut network = SimulatedNetwork::start(300, 10);
-    network.run_until(10_000);
-    network.crash(299);
-    network.run_until(30_000);
+    network.run_until(Timestamp::from_millis(10_000));
+    network.crash(GatewayId(299));
+    network.run_until(Timestamp::from_millis(30_000));
     assert_decisions(&network, 0xbb59_a63a_6e79_cf37);
 }
--- a/crates/membership/tests/golden.rs
+++ b/crates/membership/tests/golden.rs
@@ -8,11 +8,14 @@
 //!
 //! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
 
+use irisrouter_cluster_types::{GatewayId, GatewayProcess, Generation};
 use irisrouter_membership::codec::{
     decode, encode, MAGIC, MAX_DATAGRAM_BYTES, MAX_HEADER_BYTES, MAX_UPDATES, UPDATE_BYTES,
 };
-use irisrouter_membership::node::compare_serial;
-use irisrouter_membership::{recognizes, Datagram, MemberUpdate, Message, Node, WireError};
+use irisrouter_membership::serial_number::compare_serial;
+use irisrouter_membership::{
+    recognizes, Datagram, Incarnation, MemberUpdate, Message, SequenceNumber, WireError,
+};
 use std::cmp::Ordering;
 
 fn hex(bytes: &[u8]) -> String {
@@ -23,14 +26,14 @@
 
 fn datagram(message: Message, updates: Vec<MemberUpdate>) -> Datagram {
     Datagram {
-        source: Node {
-            number: 0x0102_0304,
-            generation: 0x0506,
+        source: GatewayProcess {
+            gateway: GatewayId(0x0102_0304),
+            generation: Generation(0x0506),
         },
-        incarnation: 0x0708,
-        destination: Node {
-            number: 0x1112_1314,
-            generation: 0x1516,
+        incarnation: Incarnation(0x0708),
+        destination: GatewayProcess {
+            gateway: GatewayId(0x1112_1314),
+            generation: Generation(0x1516),
         },
         message,
         updates,
@@ -39,22 +42,22 @@
 
 fn alive() -> MemberUpdate {
     MemberUpdate {
-        node: Node {
-            number: 0x4142_4344,
-            generation: 0x4546,
+        process: GatewayProcess {
+            gateway: GatewayId(0x4142_4344),
+            generation: Generation(0x4546),
         },
-        incarnation: 0x4748,
+        incarnation: Incarnation(0x4748),
         down: false,
     }
 }
 
 fn down() -> MemberUpdate {
     MemberUpdate {
-        node: Node {
-            number: 0x5152_5354,
-            generation: 0x5556,
+        process: GatewayProcess {
+            gateway: GatewayId(0x5152_5354),
+            generation: Generation(0x5556),
         },
-        incarnation: 0x5758,
+        incarnation: Incarnation(0x5758),
         down: true,
     }
 }
@@ -65,33 +68,38 @@
 }
 
 fn ping() -> Message {
-    Message::Ping { sequence: 0x2122 }
+    Message::Ping {
+        sequence: SequenceNumber(0x2122),
+    }
 }
 
 fn ack() -> Message {
-    Message::Ack { sequence: 0x2122 }
+    Message::Ack {
+        sequence: SequenceNumber(0x2122),
+    }
 }
 
 fn ping_req() -> Message {
     Message::PingRequest {
-        sequence: 0x2122,
-        target: 0x3132_3334,
+        sequence: SequenceNumber(0x2122),
+        target: GatewayId(0x3132_3334),
     }
 }
 
 fn indirect_ack() -> Message {
-    let target = Node {
-        number: 0x3132_3334,
-        generation: 0x3536,
+    let target = GatewayProcess {
+        gateway: GatewayId(0x3132_3334),
+        generation: Generation(0x3536),
     };
     Message::IndirectAck {
-        sequence: 0x2122,
+        sequence: SequenceNumber(0x2122),
         target,
-        incarnation: 0x3738,
+        incarnation: Incarnation(0x3738),
     }
 }
 
 fn join(list_from: Option<u32>) -> Message {
+    let list_from = list_from.map(GatewayId);
     Message::Join { list_from }
 }
 
@@ -110,22 +118,22 @@
 }
 
 fn with_largest_numbers() -> Datagram {
-    let node = Node {
-        number: u32::MAX,
-        generation: u16::MAX,
+    let process = GatewayProcess {
+        gateway: GatewayId(u32::MAX),
+        generation: Generation(u16::MAX),
     };
     Datagram {
-        source: node,
-        incarnation: u16::MAX,
-        destination: node,
+        source: process,
+        incarnation: Incarnation(u16::MAX),
+        destination: process,
         message: Message::IndirectAck {
-            sequence: u16::MAX,
-            target: node,
-            incarnation: u16::MAX,
+            sequence: SequenceNumber(u16::MAX),
+            target: process,
+            incarnation: Incarnation(u16::MAX),
         },
         updates: vec![MemberUpdate {
-            node,
-            incarnation: u16::MAX,
+            process,
+            incarnation: Incarnation(u16::MAX),
             down: true,
         }],
     }
@@ -134,11 +142,11 @@
 /// Updates that differ in every field.
 fn many(count: u32) -> Vec<MemberUpdate> {
     let one = |i: u32| MemberUpdate {
-        node: Node {
-            number: 0x4100_0000 + i,
-            generation: 0x5100 + i as u16,
+        process: GatewayProcess {
+            gateway: GatewayId(0x4100_0000 + i),
+            generation: Generation(0x5100 + i as u16),
         },
-        incarnation: 0x6100 + i as u16,
+        incarnation: Incarnation(0x6100 + i as u16),
         down: i % 2 == 1,
     };
     (0..count).map(one).collect()
--- a/crates/membership/tests/settings.rs
+++ b/crates/membership/tests/settings.rs
@@ -1,16 +1,17 @@
 //! The settings and their check.
 
-use irisrouter_membership::{Membership, Node, Settings};
+use irisrouter_cluster_types::{GatewayId, GatewayProcess, Milliseconds, Timestamp};
+use irisrouter_membership::{Membership, Settings};
 
 #[test]
 fn suspicion_grows_with_the_logarithm_of_the_fleet_and_outlasts_a_stall() {
     let small = Settings::for_fleet(5);
     let large = Settings::for_fleet(300);
-    assert_eq!(small.suspicion_ms, 5_000);
-    assert_eq!(large.suspicion_ms, 9_908);
+    assert_eq!(small.suspicion, Milliseconds(5_000));
+    assert_eq!(large.suspicion, Milliseconds(9_908));
     assert!(small.check().is_ok() && large.check().is_ok());
     let mut bad = small.clone();
-    bad.suspicion_ms = bad.max_stall_ms;
+    bad.suspicion = bad.max_stall;
     let error = bad.check().expect_err("the suspicion is too short");
     assert!(error.to_string().starts_with("suspicion_ms"));
 }
@@ -27,11 +28,11 @@
     let zero = "must be greater than zero";
     assert_eq!(rejected(|s| s.fleet_size = 0), format!("fleet: {zero}"));
     assert_eq!(
-        rejected(|s| s.protocol_period_ms = 0),
+        rejected(|s| s.protocol_period = Milliseconds::ZERO),
         format!("probe_period_ms: {zero}")
     );
     assert_eq!(
-        rejected(|s| s.ping_timeout_ms = 0),
+        rejected(|s| s.ping_timeout = Milliseconds::ZERO),
         format!("probe_rtt_ms: {zero}")
     );
     assert_eq!(
@@ -39,15 +40,15 @@
         format!("indirect_probes: {zero}")
     );
     assert_eq!(
-        rejected(|s| s.suspicion_ms = 0),
+        rejected(|s| s.suspicion = Milliseconds::ZERO),
         format!("suspicion_ms: {zero}")
     );
     assert_eq!(
-        rejected(|s| s.rejoin_interval_ms = 0),
+        rejected(|s| s.rejoin_interval = Milliseconds::ZERO),
         format!("rejoin_ms: {zero}")
     );
     assert_eq!(
-        rejected(|s| s.gossip_interval_ms = 0),
+        rejected(|s| s.gossip_interval = Milliseconds::ZERO),
         format!("gossip_ms: {zero}")
     );
     assert_eq!(
@@ -55,22 +56,23 @@
         format!("gossip_fanout: {zero}")
     );
     assert_eq!(
-        rejected(|s| s.ping_timeout_ms = s.protocol_period_ms),
+        rejected(|s| s.ping_timeout = s.protocol_period),
         "probe_rtt_ms: must be shorter than probe_period_ms, or probes overlap"
     );
     assert_eq!(
-        rejected(|s| s.gossip_interval_ms = s.rejoin_interval_ms + 1),
+        rejected(|s| s.gossip_interval = s.rejoin_interval + Milliseconds(1)),
         "gossip_ms: must not be longer than rejoin_ms, to which joins back off"
     );
     assert_eq!(
-        rejected(|s| s.suspicion_ms = s.max_stall_ms),
+        rejected(|s| s.suspicion = s.max_stall),
         "suspicion_ms: must be longer than stall_ms, or a stall is taken for death"
     );
 }
 
 #[test]
 fn number_outside_the_fleet_is_rejected_with_its_text() {
-    let created = Membership::new(Node::first(5), Settings::for_fleet(5), 1, 0);
+    let outside = GatewayProcess::first(GatewayId(5));
+    let created = Membership::new(outside, Settings::for_fleet(5), 1, Timestamp::ZERO);
     let error = created.err().map(|error| error.to_string());
     assert_eq!(error.as_deref(), Some("number 5 lies outside a fleet of 5"));
 }
--- a/crates/membership/tests/suspicion.rs
+++ b/crates/membership/tests/suspicion.rs
@@ -12,15 +12,16 @@
 //! - the same two fail when a report is a verdict (as in SWIM as published), or when an update of an older incarnation
 //!   outranks a later one.
 
+use irisrouter_cluster_types::{GatewayId, GatewayProcess, Timestamp};
 use irisrouter_membership::merge_rules::{
     self, ContactOutcome, MissedRoundOutcome, PingReason, SelfUpdateOutcome, UpdateOutcome,
 };
-use irisrouter_membership::{Liveness, MemberState, MemberUpdate, Node};
+use irisrouter_membership::{Incarnation, Liveness, MemberState, MemberUpdate};
 use stateright::{Checker, Model, Property};
 
 const OBSERVERS: usize = 3;
 /// The member that is pinged.
-const SUBJECT: Node = Node::first(9);
+const SUBJECT: GatewayProcess = GatewayProcess::first(GatewayId(9));
 /// Missed rounds after the first that lead to a verdict.
 const SUSPICION_ROUNDS: u32 = 1;
 /// The bound on the states that are looked at. A check that reaches it fails, as it has to be exhaustive.
@@ -31,7 +32,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Observer {
     liveness: Liveness,
-    incarnation: u16,
+    incarnation: Incarnation,
     /// Rounds missed in a row.
     missed_rounds: u32,
     /// Whether another observer reported the subject down.
@@ -47,10 +48,10 @@
 impl Observer {
     fn row(&self) -> MemberState {
         MemberState {
+            process: SUBJECT,
             liveness: self.liveness,
-            generation: 0,
             incarnation: self.incarnation,
-            since: 0,
+            since: Timestamp::ZERO,
             last_received: None,
         }
     }
@@ -60,7 +61,7 @@
         self.unsent = std::array::from_fn(|other| other != own_index);
     }
 
-    fn hold_alive(&mut self, own_index: usize, incarnation: u16) {
+    fn hold_alive(&mut self, own_index: usize, incarnation: Incarnation) {
         if self.incarnation != incarnation || self.liveness == Liveness::Down {
             self.disseminate(own_index);
         }
@@ -75,25 +76,43 @@
     }
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Message {
     /// What an observer holds of the subject, sent to another observer.
     Update {
         to: usize,
-        incarnation: u16,
+        incarnation: Incarnation,
         down: bool,
     },
     /// Notifies the subject that an observer holds it down.
-    NotifySubject { from: usize, incarnation: u16 },
+    NotifySubject {
+        from: usize,
+        incarnation: Incarnation,
+    },
     /// The subject's refutation, to an observer that held it down.
-    Refutation { to: usize, incarnation: u16 },
+    Refutation { to: usize, incarnation: Incarnation },
+}
+
+impl Message {
+    /// Kind, observer, incarnation and verdict: a total order, so that equal sets of messages make equal states.
+    fn sort_key(&self) -> (u8, usize, u16, bool) {
+        match *self {
+            Self::Update {
+                to,
+                incarnation,
+                down,
+            } => (0, to, incarnation.0, down),
+            Self::NotifySubject { from, incarnation } => (1, from, incarnation.0, false),
+            Self::Refutation { to, incarnation } => (2, to, incarnation.0, false),
+        }
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct State {
     observers: Vec<Observer>,
     /// The incarnation of the subject.
-    incarnation: u16,
+    incarnation: Incarnation,
     losses_left: u8,
     messages: Vec<Message>,
 }
@@ -101,7 +120,7 @@
 impl State {
     fn send(&mut self, message: Message) {
         self.messages.push(message);
-        self.messages.sort_unstable();
+        self.messages.sort_unstable_by_key(Message::sort_key);
     }
 
     fn notify_subject(&mut self, from: usize) {
@@ -110,9 +129,9 @@
     }
 
     /// The subject learns that it is held down in this incarnation.
-    fn process_down_at_subject(&mut self, incarnation: u16) {
+    fn process_down_at_subject(&mut self, incarnation: Incarnation) {
         let update = MemberUpdate {
-            node: SUBJECT,
+            process: SUBJECT,
             incarnation,
             down: true,
         };
@@ -229,9 +248,9 @@
         }
     }
 
-    fn deliver_update(&self, state: &mut State, to: usize, incarnation: u16, down: bool) {
+    fn deliver_update(&self, state: &mut State, to: usize, incarnation: Incarnation, down: bool) {
         let update = MemberUpdate {
-            node: SUBJECT,
+            process: SUBJECT,
             incarnation,
             down,
         };
@@ -279,7 +298,7 @@
     fn init_states(&self) -> Vec<State> {
         let observer = Observer {
             liveness: Liveness::Alive,
-            incarnation: 0,
+            incarnation: Incarnation::FIRST,
             missed_rounds: 0,
             reason: PingReason::Scheduled,
             rounds_left: PING_ROUNDS,
@@ -288,7 +307,7 @@
         };
         vec![State {
             observers: vec![observer; OBSERVERS],
-            incarnation: 0,
+            incarnation: Incarnation::FIRST,
             losses_left: self.losses,
             messages: Vec::new(),
         }]
--- a/crates/testbed/src/cluster/schedule.rs
+++ b/crates/testbed/src/cluster/schedule.rs
@@ -9,6 +9,7 @@
 //! - once a fault is over, all views are one within the bound for it.
 
 use super::{leases, Cluster, Plan};
+use irisrouter_cluster_types::Milliseconds;
 use irisrouter_membership::Settings;
 use irisrouter_simulation::rng::{Rng, Stream};
 use serde::Serialize;
@@ -124,7 +125,11 @@
     /// The core's settings for it.
     #[must_use]
     pub fn settings(&self, gateways: usize) -> Settings {
-        Settings::paced(gateways as u32, self.probe_period_ms, self.stall_ms)
+        Settings::paced(
+            gateways as u32,
+            Milliseconds(self.probe_period_ms),
+            Milliseconds(self.stall_ms),
+        )
     }
 }
 
@@ -138,7 +143,7 @@
     crashes_only: bool,
 ) -> Vec<Fault> {
     let mut rng = Rng::new(seed, Stream::Faults);
-    let long = pace.settings(gateways).detection_bound_ms();
+    let long = pace.settings(gateways).detection_bound().0;
     let one = |rng: &mut Rng| rng.index(gateways);
     (0..faults)
         .map(|_| match if crashes_only { 0 } else { rng.index(6) } {
@@ -205,8 +210,8 @@
     let settings = pace.settings(gateways);
     // Processes share a machine: what is bounded for members by themselves gets a second for it.
     let (detect, heal) = (
-        ms(settings.detection_bound_ms() + 1_000),
-        ms(settings.heal_bound_ms() + 1_000),
+        ms(settings.detection_bound().0 + 1_000),
+        ms(settings.heal_bound().0 + 1_000),
     );
     let mut cluster = Cluster::start(plan)?;
     let mut verdict = Verdict {
--- a/src/net/admin/operator_config.rs
+++ b/src/net/admin/operator_config.rs
@@ -7,6 +7,7 @@
 //!
 //! The keys of the file are an interface to operators. Where a field here has another name, serde keeps the key.
 
+use irisrouter_cluster_types::Milliseconds;
 use irisrouter_config::{Checked, Problem, Variables};
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -205,8 +206,8 @@
     pub fn for_fleet(&self, fleet_size: u32) -> irisrouter_membership::Settings {
         irisrouter_membership::Settings::paced(
             fleet_size,
-            self.ping_period_ms,
-            self.tolerated_pause_ms,
+            Milliseconds(self.ping_period_ms),
+            Milliseconds(self.tolerated_pause_ms),
         )
     }
 }
--- a/src/net/cluster/membership.rs
+++ b/src/net/cluster/membership.rs
@@ -12,8 +12,7 @@
 use crate::net::metrics::{increment, Metrics};
 use irisrouter_cluster_types::{GatewayId, GatewayProcess, Generation, Timestamp};
 use irisrouter_membership::{
-    Action, Liveness, LivenessChange, MemberState, Membership, MembershipError, Millis, Node,
-    Settings,
+    Action, Liveness, LivenessChange, MemberState, Membership, MembershipError, Settings,
 };
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -56,17 +55,17 @@
         seed: u64,
         metrics: Rc<Metrics>,
     ) -> Result<Self, MembershipError> {
-        let generation = (unix_s & 0xffff) as u16;
-        let local = Node {
-            number: peers.local_gateway.0,
-            generation,
+        let local = GatewayProcess {
+            gateway: peers.local_gateway,
+            generation: Generation((unix_s & 0xffff) as u16),
         };
-        let mut core = Membership::new(local, settings, seed, 0)?;
+        let mut core = Membership::new(local, settings, seed, Timestamp::ZERO)?;
         let fleet_size = peers.gateway_addresses.len() as u32;
-        core.join(0, &initial_peers(peers.local_gateway.0, fleet_size));
+        core.join(Timestamp::ZERO, &initial_peers(local.gateway, fleet_size));
         log!(
-            "membership: on, gateway {} of {fleet_size}, generation {generation}",
-            peers.local_gateway
+            "membership: on, gateway {} of {fleet_size}, generation {}",
+            local.gateway,
+            local.generation
         );
         Ok(Self {
             core: RefCell::new(core),
@@ -76,14 +75,9 @@
         })
     }
 
-    /// Milliseconds since the start, which is the core's clock.
-    fn now(&self) -> Millis {
-        self.clock.now().as_millis()
-    }
-
     /// Processes a membership datagram from gateway `from`; returns what is to be sent.
     pub fn receive(&self, datagram: &[u8], from: GatewayId) -> Vec<OutgoingDatagram> {
-        let now = self.now();
+        let now = self.clock.now();
         let mut core = self.core.borrow_mut();
         match core.receive(now, datagram) {
             Ok(()) => increment(&self.metrics.membership.received),
@@ -97,7 +91,7 @@
 
     /// Does the work that is due; returns what is to be sent.
     pub fn advance(&self) -> Vec<OutgoingDatagram> {
-        let now = self.now();
+        let now = self.clock.now();
         let mut core = self.core.borrow_mut();
         core.advance(now);
         self.carry_out_actions(&mut core)
@@ -105,22 +99,17 @@
 
     /// When [`MembershipService::advance`] is to be called next, within the bound of [`ServiceClock::instant_of`].
     pub fn due(&self) -> Instant {
-        let due = self.core.borrow().next_due();
-        self.clock.instant_of(Timestamp::from_millis(due))
+        self.clock.instant_of(self.core.borrow().next_due())
     }
 
     /// Whether reports from a gateway are used: not once the view holds it down.
     pub fn accepts_from(&self, gateway: GatewayId) -> bool {
-        self.core.borrow().view().accepts_from(gateway.0)
+        self.core.borrow().view().accepts_from(gateway)
     }
 
     /// This process.
     pub fn local_process(&self) -> GatewayProcess {
-        let node = self.core.borrow().local_node();
-        GatewayProcess {
-            gateway: GatewayId(node.number),
-            generation: Generation(node.generation),
-        }
+        self.core.borrow().local_process()
     }
 
     /// This gateway.
@@ -131,17 +120,17 @@
     /// The gateways that are alive in the view; only this one, without a majority, once it has announced that it stops.
     pub fn alive(&self) -> AliveGateways {
         let core = self.core.borrow();
-        let local = core.local_node().number;
+        let local = core.local_process().gateway;
         if core.has_left() {
             return AliveGateways {
-                gateways: vec![GatewayId(local)],
+                gateways: vec![local],
                 majority: false,
             };
         }
         let members = core.view().members();
         let gateways = members
-            .filter(|(number, member)| *number == local || member.liveness == Liveness::Alive)
-            .map(|(number, _)| GatewayId(number))
+            .filter(|member| member.process.gateway == local || member.liveness == Liveness::Alive)
+            .map(|member| member.process.gateway)
             .collect();
         AliveGateways {
             gateways,
@@ -160,11 +149,8 @@
         let core = self.core.borrow();
         let members = core.view().members();
         members
-            .filter(|(_, member)| !matches!(member.liveness, Liveness::Down | Liveness::Unknown))
-            .map(|(number, member)| GatewayProcess {
-                gateway: GatewayId(number),
-                generation: Generation(member.generation),
-            })
+            .filter(|member| !matches!(member.liveness, Liveness::Down | Liveness::Unknown))
+            .map(|member| member.process)
             .collect()
     }
 
@@ -175,7 +161,7 @@
 
     /// Announces to a few other gateways that this one stops; returns what is to be sent.
     pub fn leave(&self) -> Vec<OutgoingDatagram> {
-        let now = self.now();
+        let now = self.clock.now();
         let mut core = self.core.borrow_mut();
         core.leave(now);
         log!("membership: this gateway leaves");
@@ -187,13 +173,13 @@
     /// that state, and the seconds since a datagram of its own last arrived (`-` if none has).
     pub fn status_line(&self) -> String {
         let core = self.core.borrow();
-        let now = self.now();
+        let now = self.clock.now();
         let side = core.partition_side();
         let members: Vec<String> = core
             .view()
             .members()
-            .filter(|(_, member)| member.liveness != Liveness::Unknown)
-            .map(|(number, member)| member_status(number, member, now))
+            .filter(|member| member.liveness != Liveness::Unknown)
+            .map(|member| member_status(member, now))
             .collect();
         format!(
             "membership reachable={} of {} majority={} alone={} answered={}/{} {}",
@@ -216,7 +202,7 @@
 
     fn carry_out(&self, action: Action) {
         match action {
-            Action::Send { to, bytes } => self.outbox.push(GatewayId(to), bytes),
+            Action::Send { to, bytes } => self.outbox.push(to, bytes),
             Action::Changed(change) => {
                 increment(&self.metrics.membership.changed);
                 log_change(&change);
@@ -225,10 +211,10 @@
                 increment(&self.metrics.membership.refuted);
                 log!("membership: refuted a report that this gateway is down, as incarnation {incarnation}");
             }
-            Action::Renewed(node) => {
+            Action::Renewed(process) => {
                 log!(
                     "membership: the fleet knew a later generation of this gateway; it continues as generation {}",
-                    node.generation
+                    process.generation
                 );
             }
         }
@@ -236,23 +222,24 @@
 }
 
 /// The peers that a gateway joins at start: those that follow it in the list, continuing at 0 after the last.
-fn initial_peers(local: u32, fleet_size: u32) -> Vec<u32> {
+fn initial_peers(local: GatewayId, fleet_size: u32) -> Vec<GatewayId> {
     (1..=INITIAL_PEERS)
-        .map(|offset| (local + offset) % fleet_size.max(1))
+        .map(|offset| GatewayId((local.0 + offset) % fleet_size.max(1)))
         .collect()
 }
 
 /// One gateway in the status line.
-fn member_status(number: u32, member: &MemberState, now: Millis) -> String {
-    let seconds_since = |at: Millis| now.saturating_sub(at) / 1000;
+fn member_status(member: &MemberState, now: Timestamp) -> String {
+    let seconds_since = |at| now.saturating_duration_since(at).0 / 1000;
     let last_received = match member.last_received {
         Some(at) => format!("{}s", seconds_since(at)),
         None => "-".to_string(),
     };
     format!(
-        "{number}:{}/{}/{}/{}s/{last_received}",
+        "{}:{}/{}/{}/{}s/{last_received}",
+        member.process.gateway,
         member.liveness.as_str(),
-        member.generation,
+        member.process.generation,
         member.incarnation,
         seconds_since(member.since)
     )
@@ -261,10 +248,10 @@
 fn log_change(change: &LivenessChange) {
     log!(
         "membership: gateway {} {} -> {} (generation {}, incarnation {})",
-        change.number,
+        change.process.gateway,
         change.from.as_str(),
         change.to.as_str(),
-        change.generation,
+        change.process.generation,
         change.incarnation
     );
 }
--- a/tests/unit/operator_config.rs
+++ b/tests/unit/operator_config.rs
@@ -144,13 +144,13 @@
     let settings = membership.for_fleet(5);
     assert_eq!(
         (
-            settings.protocol_period_ms,
-            settings.ping_timeout_ms,
-            settings.gossip_interval_ms
+            settings.protocol_period,
+            settings.ping_timeout,
+            settings.gossip_interval
         ),
-        (200, 60, 40)
+        (Milliseconds(200), Milliseconds(60), Milliseconds(40))
     );
-    assert!(settings.suspicion_ms >= 1_600 && settings.check().is_ok());
+    assert!(settings.suspicion >= Milliseconds(1_600) && settings.check().is_ok());
     let config = OperatorConfig {
         membership: MembershipConfig {
             ping_period_ms: 5,
