Continue a join after a member list that ends with the largest number without an overflow

Cause: continue_join added 1 to the last number of a received list, which is not checked against the fleet's list; at u32::MAX a build with overflow checks panics (a release build wraps to 0 and goes on).

--- a/crates/membership/src/join_leave.rs
+++ b/crates/membership/src/join_leave.rs
@@ -111,9 +111,10 @@
         if !contained_news {
             return;
         }
-        let next = GatewayId((last.process.gateway.0 + 1) % self.settings.fleet_size);
-        if let Some(unknown) = self.first_unknown_from(next) {
-            let list_from = Some(unknown);
+        // The last number was received and may lie outside the list, up to the largest of its type.
+        let next = GatewayId(last.process.gateway.0.wrapping_add(1));
+        let list_from = self.first_unknown_from(next);
+        if list_from.is_some() {
             self.send(from, Message::Join { list_from });
         }
     }
