--- a/crates/cluster-types/src/time.rs
+++ b/crates/cluster-types/src/time.rs
@@ -87,6 +87,14 @@
     }
 }
 
+impl Add<Milliseconds> for UnixMilliseconds {
+    type Output = Self;
+
+    fn add(self, length: Milliseconds) -> Self {
+        Self(self.0 + length.0)
+    }
+}
+
 impl Add for Milliseconds {
     type Output = Self;
 
--- a/crates/drain-coordination/src/action.rs
+++ b/crates/drain-coordination/src/action.rs
@@ -2,14 +2,15 @@
 
 use crate::command::DrainCommand;
 use crate::progress::{Completion, ReplicationProgress};
+use irisrouter_cluster_types::{GatewayId, HostId};
 
 /// What the caller is to do, in the order in which it gets them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
     /// Send this datagram to a gateway.
     Send {
-        /// The number of the gateway.
-        to: u32,
+        /// The gateway.
+        to: GatewayId,
         /// The datagram, of at most 256 bytes.
         bytes: Vec<u8>,
     },
@@ -18,7 +19,7 @@
     /// Answer the operator who issued a command at this gateway.
     Replicated {
         /// The host of the command.
-        host: u32,
+        host: HostId,
         /// How many gateways follow the command.
         progress: ReplicationProgress,
     },
--- a/crates/drain-coordination/src/codec.rs
+++ b/crates/drain-coordination/src/codec.rs
@@ -13,6 +13,7 @@
 use crate::command::{DesiredState, DrainCommand};
 use crate::progress::Completion;
 use bytes::BufMut;
+use irisrouter_cluster_types::{Epoch, GatewayId, HostId, UnixMilliseconds};
 use irisrouter_datagram::{decode_items, encode_items, has_magic, max_items, Reader, WireValue};
 
 pub use irisrouter_datagram::magic::DRAINS as MAGIC;
@@ -21,7 +22,7 @@
 /// Messages that fit into one datagram.
 pub const MAX_MESSAGES: usize = max_items::<(), Message>();
 /// The epoch in an announcement whose sender does not coordinate the command.
-pub const NO_COORDINATOR: u64 = 0;
+pub const NO_COORDINATOR: Epoch = Epoch(0);
 
 /// The kinds of messages.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,7 +50,7 @@
     /// The command.
     pub command: DrainCommand,
     /// The epoch of the coordinator; [`NO_COORDINATOR`] for none.
-    pub epoch: u64,
+    pub epoch: Epoch,
     /// In a report the requests in flight, in a completion the gateways that did not report; else 0.
     pub count: u32,
 }
@@ -57,7 +58,7 @@
 impl Message {
     /// Announces a command under the epoch of its coordinator, or under [`NO_COORDINATOR`].
     #[must_use]
-    pub const fn announcement(command: DrainCommand, epoch: u64) -> Self {
+    pub const fn announcement(command: DrainCommand, epoch: Epoch) -> Self {
         Self {
             kind: MessageKind::Announcement,
             command,
@@ -68,7 +69,7 @@
 
     /// Answers an announcement made under `epoch`.
     #[must_use]
-    pub const fn report(command: DrainCommand, epoch: u64, requests_in_flight: u32) -> Self {
+    pub const fn report(command: DrainCommand, epoch: Epoch, requests_in_flight: u32) -> Self {
         Self {
             kind: MessageKind::Report,
             command,
@@ -79,7 +80,7 @@
 
     /// Announces that a command is complete, under the epoch of the coordinator that sends this.
     #[must_use]
-    pub const fn completion(command: DrainCommand, epoch: u64, completion: Completion) -> Self {
+    pub const fn completion(command: DrainCommand, epoch: Epoch, completion: Completion) -> Self {
         Self {
             kind: MessageKind::Completion,
             command,
@@ -95,10 +96,10 @@
     fn encode(&self, buffer: &mut Vec<u8>) {
         buffer.put_u8(self.kind as u8);
         buffer.put_u8(u8::from(self.command.drains()));
-        buffer.put_u32(self.command.host);
-        buffer.put_u64(self.command.issued_at_ms);
-        buffer.put_u32(self.command.issued_by);
-        buffer.put_u64(self.epoch);
+        buffer.put_u32(self.command.host.0);
+        buffer.put_u64(self.command.issued_at.0);
+        buffer.put_u32(self.command.issued_by.0);
+        buffer.put_u64(self.epoch.0);
         buffer.put_u32(self.count);
     }
 
@@ -106,7 +107,7 @@
         Ok(Self {
             kind: reader.one_of("kind", &KINDS)?,
             command: read_command(reader)?,
-            epoch: reader.u64()?,
+            epoch: Epoch(reader.u64()?),
             count: reader.u32()?,
         })
     }
@@ -119,10 +120,10 @@
         other => return Err(WireError::Unknown("state", other)),
     };
     Ok(DrainCommand {
-        host: reader.u32()?,
+        host: HostId(reader.u32()?),
         desired_state,
-        issued_at_ms: reader.u64()?,
-        issued_by: reader.u32()?,
+        issued_at: UnixMilliseconds(reader.u64()?),
+        issued_by: GatewayId(reader.u32()?),
     })
 }
 
--- a/crates/drain-coordination/src/command.rs
+++ b/crates/drain-coordination/src/command.rs
@@ -1,5 +1,6 @@
 //! Drain commands, the order among those for one host, and their effect on a set of hosts.
 
+use irisrouter_cluster_types::{GatewayId, HostId, UnixMilliseconds};
 use std::collections::BTreeSet;
 
 /// Whether a host is to serve requests.
@@ -16,14 +17,14 @@
 /// An operator's command for one host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DrainCommand {
-    /// The number by which all gateways call the host.
-    pub host: u32,
+    /// The host.
+    pub host: HostId,
     /// Whether the host is to serve requests.
     pub desired_state: DesiredState,
-    /// When the command was issued, in Unix milliseconds: later than every command for this host that its gateway knew.
-    pub issued_at_ms: u64,
-    /// The number of the gateway at which it was issued.
-    pub issued_by: u32,
+    /// When the command was issued: later than every command for this host that its gateway knew.
+    pub issued_at: UnixMilliseconds,
+    /// The gateway at which it was issued.
+    pub issued_by: GatewayId,
 }
 
 /// What orders the commands for one host: the greater one wins.
@@ -31,10 +32,10 @@
 /// The later command wins; of two commands of the same millisecond, the one of the gateway with the higher number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Precedence {
-    /// See [`DrainCommand::issued_at_ms`].
-    pub issued_at_ms: u64,
+    /// See [`DrainCommand::issued_at`].
+    pub issued_at: UnixMilliseconds,
     /// See [`DrainCommand::issued_by`].
-    pub issued_by: u32,
+    pub issued_by: GatewayId,
     /// See [`DrainCommand::desired_state`].
     pub desired_state: DesiredState,
 }
@@ -44,7 +45,7 @@
     #[must_use]
     pub const fn precedence(&self) -> Precedence {
         Precedence {
-            issued_at_ms: self.issued_at_ms,
+            issued_at: self.issued_at,
             issued_by: self.issued_by,
             desired_state: self.desired_state,
         }
@@ -64,15 +65,15 @@
 /// moment, and then the host of the latest command stays in service, at every gateway the same one.
 #[must_use]
 pub fn hosts_to_drain(
-    hosts_in_service: &[u32],
-    command_for: impl Fn(u32) -> Option<DrainCommand>,
-) -> BTreeSet<u32> {
+    hosts_in_service: &[HostId],
+    command_for: impl Fn(HostId) -> Option<DrainCommand>,
+) -> BTreeSet<HostId> {
     let commands: Vec<DrainCommand> = hosts_in_service
         .iter()
         .filter_map(|&host| command_for(host))
         .filter(DrainCommand::drains)
         .collect();
-    let mut drained: BTreeSet<u32> = commands.iter().map(|command| command.host).collect();
+    let mut drained: BTreeSet<HostId> = commands.iter().map(|command| command.host).collect();
     if drained.len() == hosts_in_service.len() {
         let latest = commands
             .iter()
--- a/crates/drain-coordination/src/command_log.rs
+++ b/crates/drain-coordination/src/command_log.rs
@@ -1,10 +1,11 @@
 //! The commands that a gateway knows, one for each host, with how far each is.
 
+use crate::codec::NO_COORDINATOR;
 use crate::command::DrainCommand;
 use crate::coordinator::{Coordination, Replication};
 use crate::fleet::Fleet;
 use crate::progress::{Completion, Progress};
-use crate::Millis;
+use irisrouter_cluster_types::{Epoch, HostId, Timestamp};
 use std::collections::BTreeMap;
 use thiserror::Error;
 
@@ -26,9 +27,9 @@
 pub(crate) struct CommandState {
     pub(crate) command: DrainCommand,
     /// The latest epoch of a coordinator that this gateway saw, or under which it coordinates itself.
-    pub(crate) latest_epoch: u64,
+    pub(crate) latest_epoch: Epoch,
     /// When a coordinator last sent a message or this gateway was it; before that, when the command became known.
-    pub(crate) coordinator_seen_at: Millis,
+    pub(crate) coordinator_seen_at: Timestamp,
     pub(crate) completion: Option<Completion>,
     /// Present while the operator who issued the command here waits for an answer.
     pub(crate) replication: Option<Replication>,
@@ -44,7 +45,7 @@
     }
 
     /// Remembers the epoch of a coordinator from which a message came, or under which this gateway coordinates.
-    pub(crate) fn record_coordinator(&mut self, now: Millis, epoch: u64) {
+    pub(crate) fn record_coordinator(&mut self, now: Timestamp, epoch: Epoch) {
         self.latest_epoch = epoch;
         self.coordinator_seen_at = now;
     }
@@ -65,7 +66,7 @@
 /// The commands that hold, by host.
 #[derive(Default)]
 pub(crate) struct CommandLog {
-    by_host: BTreeMap<u32, CommandState>,
+    by_host: BTreeMap<HostId, CommandState>,
 }
 
 impl CommandLog {
@@ -75,7 +76,7 @@
     }
 
     /// The hosts in ascending order.
-    pub(crate) fn hosts(&self) -> impl Iterator<Item = u32> + '_ {
+    pub(crate) fn hosts(&self) -> impl Iterator<Item = HostId> + '_ {
         self.by_host.keys().copied()
     }
 
@@ -85,17 +86,17 @@
     }
 
     /// The command that holds for a host.
-    pub(crate) fn command(&self, host: u32) -> Option<DrainCommand> {
+    pub(crate) fn command(&self, host: HostId) -> Option<DrainCommand> {
         self.by_host.get(&host).map(|state| state.command)
     }
 
     /// The command that holds for a host and how far it is.
-    pub(crate) fn state(&self, host: u32) -> Option<&CommandState> {
+    pub(crate) fn state(&self, host: HostId) -> Option<&CommandState> {
         self.by_host.get(&host)
     }
 
     /// The same, to be changed.
-    pub(crate) fn state_mut(&mut self, host: u32) -> Option<&mut CommandState> {
+    pub(crate) fn state_mut(&mut self, host: HostId) -> Option<&mut CommandState> {
         self.by_host.get_mut(&host)
     }
 
@@ -107,12 +108,12 @@
     }
 
     /// Makes this command the one that holds for its host.
-    pub(crate) fn insert(&mut self, now: Millis, command: DrainCommand) {
+    pub(crate) fn insert(&mut self, now: Timestamp, command: DrainCommand) {
         // The leases of a host's drain, and so their epochs, go on from one command to the next.
         let latest_epoch = self
             .by_host
             .get(&command.host)
-            .map_or(0, |state| state.latest_epoch);
+            .map_or(NO_COORDINATOR, |state| state.latest_epoch);
         let state = CommandState {
             command,
             latest_epoch,
@@ -128,7 +129,7 @@
     ///
     /// # Errors
     /// No command may be forgotten.
-    pub(crate) fn make_room(&mut self, host: u32) -> Result<(), CommandLogError> {
+    pub(crate) fn make_room(&mut self, host: HostId) -> Result<(), CommandLogError> {
         if self.by_host.contains_key(&host) || self.by_host.len() < MAX_COMMANDS {
             return Ok(());
         }
@@ -136,7 +137,7 @@
             .by_host
             .values()
             .filter(|state| !state.needs_coordinator())
-            .min_by_key(|state| state.command.issued_at_ms)
+            .min_by_key(|state| state.command.issued_at)
             .map(|state| state.command.host)
             .ok_or(CommandLogError::Full {
                 limit: MAX_COMMANDS,
--- a/crates/drain-coordination/src/coordinator.rs
+++ b/crates/drain-coordination/src/coordinator.rs
@@ -16,16 +16,18 @@
 use crate::command_log::{CommandLog, CommandLogError};
 use crate::fleet::Fleet;
 use crate::outgoing::OutgoingMessages;
-use crate::progress::Progress;
+use crate::progress::CommandStatus;
 use crate::settings::Settings;
-use crate::Millis;
+use irisrouter_cluster_types::{
+    Epoch, GatewayId, GatewayProcess, HostId, Milliseconds, Timestamp, UnixMilliseconds,
+};
 
 /// What the coordinator asks its caller about this gateway, in each step anew.
 pub trait LocalState {
     /// The fencing token under which this gateway may coordinate a host's drain now; none without the lease.
-    fn fencing_token(&self, host: u32) -> Option<u64>;
+    fn fencing_token(&self, host: HostId) -> Option<Epoch>;
     /// Requests that this gateway has in flight at a host.
-    fn requests_in_flight(&self, host: u32) -> u32;
+    fn requests_in_flight(&self, host: HostId) -> u32;
 }
 
 /// All drain commands, as one gateway knows them.
@@ -38,9 +40,9 @@
 }
 
 impl DrainCoordinator {
-    /// A gateway with this number that knows of no command yet.
+    /// A gateway that knows of no command yet.
     #[must_use]
-    pub fn new(local_gateway: u32, settings: Settings) -> Self {
+    pub fn new(local_gateway: GatewayId, settings: Settings) -> Self {
         Self {
             settings,
             fleet: Fleet::new(local_gateway),
@@ -50,32 +52,33 @@
         }
     }
 
-    /// Takes the view of membership: the gateways that are not held to be down, with the generations of their processes.
-    pub fn update_fleet(&mut self, generations: impl IntoIterator<Item = (u32, u16)>) {
-        self.fleet.replace(generations);
+    /// Takes the view of membership: the processes of the gateways that are not held to be down.
+    pub fn update_fleet(&mut self, processes: impl IntoIterator<Item = GatewayProcess>) {
+        self.fleet.replace(processes);
     }
 
     /// An operator issues a command at this gateway. It holds here at once; [`Action::Replicated`] follows once a quorum
-    /// follows it, or after [`Settings::replication_timeout_ms`].
+    /// follows it, or after [`Settings::replication_timeout`].
     ///
     /// # Errors
     /// Commands for too many other hosts are not complete yet.
     pub fn issue(
         &mut self,
-        now: Millis,
-        unix_ms: u64,
-        host: u32,
+        now: Timestamp,
+        wall_clock: UnixMilliseconds,
+        host: HostId,
         desired_state: DesiredState,
     ) -> Result<(), CommandLogError> {
         self.commands.make_room(host)?;
-        let issued_at_ms = match self.commands.command(host) {
-            Some(earlier) => unix_ms.max(earlier.issued_at_ms + 1),
-            None => unix_ms,
+        // The clocks of gateways differ: this command is to win over the one that this gateway knows in any case.
+        let issued_at = match self.commands.command(host) {
+            Some(earlier) => wall_clock.max(earlier.issued_at + Milliseconds(1)),
+            None => wall_clock,
         };
         let command = DrainCommand {
             host,
             desired_state,
-            issued_at_ms,
+            issued_at,
             issued_by: self.fleet.local_gateway(),
         };
         self.follow(now, command);
@@ -86,7 +89,7 @@
     /// The hosts whose drains need a coordinator: those that are to be out of service, and those whose return has not
     /// reached all gateways.
     #[must_use]
-    pub fn drains_to_coordinate(&self) -> Vec<u32> {
+    pub fn drains_to_coordinate(&self) -> Vec<HostId> {
         self.commands
             .states()
             .filter(|state| state.needs_coordinator())
@@ -95,10 +98,11 @@
     }
 
     /// All commands that hold, in ascending order of their hosts, with how far each is.
-    pub fn commands(&self) -> impl Iterator<Item = (DrainCommand, Progress)> + '_ {
-        self.commands
-            .states()
-            .map(|state| (state.command, state.progress(&self.fleet)))
+    pub fn commands(&self) -> impl Iterator<Item = CommandStatus> + '_ {
+        self.commands.states().map(|state| CommandStatus {
+            command: state.command,
+            progress: state.progress(&self.fleet),
+        })
     }
 
     /// Takes a datagram from gateway `from`.
@@ -107,8 +111,8 @@
     /// The datagram can't be read; nothing is changed then.
     pub fn receive(
         &mut self,
-        now: Millis,
-        from: u32,
+        now: Timestamp,
+        from: GatewayId,
         datagram: &[u8],
         local: &impl LocalState,
     ) -> Result<(), WireError> {
@@ -124,8 +128,8 @@
     }
 
     /// Does what is due by `now`.
-    pub fn advance(&mut self, now: Millis, local: &impl LocalState) {
-        let hosts: Vec<u32> = self.commands.hosts().collect();
+    pub fn advance(&mut self, now: Timestamp, local: &impl LocalState) {
+        let hosts: Vec<HostId> = self.commands.hosts().collect();
         for host in hosts {
             self.replicate(now, host);
             self.coordinate(now, host, local);
@@ -136,11 +140,11 @@
 
     /// When [`DrainCoordinator::advance`] next has work; it may be called earlier.
     #[must_use]
-    pub fn next_due(&self, now: Millis) -> Millis {
+    pub fn next_due(&self, now: Timestamp) -> Timestamp {
         if self.commands.is_empty() {
-            return Millis::MAX;
+            return Timestamp::MAX;
         }
-        now + self.settings.round_interval_ms / 2
+        now + self.settings.round_interval / 2
     }
 
     /// Removes and returns what the caller is to do, in order.
--- a/crates/drain-coordination/src/coordinator/coordination.rs
+++ b/crates/drain-coordination/src/coordinator/coordination.rs
@@ -7,17 +7,21 @@
 use crate::fleet::Fleet;
 use crate::progress::Completion;
 use crate::settings::Settings;
-use crate::{task_id, Millis};
+use crate::task_id;
+use irisrouter_cluster_types::{
+    Epoch, GatewayId, GatewayProcess, Generation, HostId, TaskId, Timestamp,
+};
+use irisrouter_leases::rendezvous;
 use std::collections::BTreeMap;
 
-/// Gateways that claim the lease of a drain, as `irisrouter-leases` has it: the others need not know of it.
+/// Gateways that claim the lease of a drain, as in `irisrouter-leases`: the others need not know of it.
 const LEASE_CANDIDATES: usize = 3;
 /// Refresh intervals without a message of a coordinator after which a command is announced to the candidates again.
 const REFRESHES_WITHOUT_COORDINATOR: u64 = 4;
 
 /// What one process of a gateway reported.
 struct Report {
-    generation: u16,
+    generation: Generation,
     requests_in_flight: u32,
 }
 
@@ -32,15 +36,15 @@
 
 /// What the coordinator of a command knows under its epoch.
 pub(crate) struct Coordination {
-    epoch: u64,
-    next_round_at: Millis,
-    next_refresh_at: Millis,
+    epoch: Epoch,
+    next_round_at: Timestamp,
+    next_refresh_at: Timestamp,
     /// The latest report of each gateway.
-    reports: BTreeMap<u32, Report>,
+    reports: BTreeMap<GatewayId, Report>,
 }
 
 impl Coordination {
-    const fn new(epoch: u64, now: Millis) -> Self {
+    const fn new(epoch: Epoch, now: Timestamp) -> Self {
         Self {
             epoch,
             next_round_at: now,
@@ -60,15 +64,21 @@
     pub(crate) fn unacknowledged(&self, fleet: &Fleet) -> usize {
         fleet
             .processes()
-            .filter(|&(gateway, generation)| self.report_of(gateway, generation).is_none())
+            .filter(|&process| self.report_of(process).is_none())
             .count()
     }
 
     /// The report of this process of a gateway; a report of an earlier process does not count.
-    fn report_of(&self, gateway: u32, generation: u16) -> Option<&Report> {
+    fn report_of(&self, process: GatewayProcess) -> Option<&Report> {
         self.reports
-            .get(&gateway)
-            .filter(|report| report.generation == generation)
+            .get(&process.gateway)
+            .filter(|report| report.generation == process.generation)
+    }
+
+    /// Whether this process reported that it has no requests in flight.
+    fn is_idle(&self, process: GatewayProcess) -> bool {
+        self.report_of(process)
+            .is_some_and(|report| report.requests_in_flight == 0)
     }
 
     /// Forgets the reports of gateways that are held to be down by now.
@@ -77,15 +87,11 @@
     }
 
     /// Gateways that have not reported "no requests in flight", in ascending order.
-    fn pending_gateways(&self, fleet: &Fleet) -> Vec<u32> {
-        let idle = |gateway, generation| {
-            self.report_of(gateway, generation)
-                .is_some_and(|report| report.requests_in_flight == 0)
-        };
+    fn pending_gateways(&self, fleet: &Fleet) -> Vec<GatewayId> {
         fleet
             .processes()
-            .filter(|&(gateway, generation)| !idle(gateway, generation))
-            .map(|(gateway, _)| gateway)
+            .filter(|&process| !self.is_idle(process))
+            .map(|process| process.gateway)
             .collect()
     }
 
@@ -96,14 +102,14 @@
     }
 
     /// Which gateways are to get an announcement now; sets the times of the next round and the next refresh.
-    fn next_recipients(&mut self, now: Millis, settings: &Settings) -> Recipients {
+    fn next_recipients(&mut self, now: Timestamp, settings: &Settings) -> Recipients {
         let refresh = now >= self.next_refresh_at;
         let round = now >= self.next_round_at;
         if refresh {
-            self.next_refresh_at = now + settings.refresh_interval_ms;
+            self.next_refresh_at = now + settings.refresh_interval;
         }
         if round {
-            self.next_round_at = now + settings.round_interval_ms;
+            self.next_round_at = now + settings.round_interval;
         }
         match (refresh, round) {
             (true, _) => Recipients::All,
@@ -117,8 +123,8 @@
     /// A gateway follows a command and reports how many requests it has in flight.
     pub(super) fn receive_report(
         &mut self,
-        now: Millis,
-        from: u32,
+        now: Timestamp,
+        from: GatewayId,
         message: Message,
         local: &impl LocalState,
     ) {
@@ -147,7 +153,7 @@
     }
 
     /// Coordinates a host's command, where this gateway holds the lease.
-    pub(super) fn coordinate(&mut self, now: Millis, host: u32, local: &impl LocalState) {
+    pub(super) fn coordinate(&mut self, now: Timestamp, host: HostId, local: &impl LocalState) {
         let Some(state) = self.commands.state_mut(host) else {
             return;
         };
@@ -164,13 +170,7 @@
             .take()
             .filter(|coordination| coordination.epoch == epoch)
             .unwrap_or(Coordination::new(epoch, now));
-        let report = Report {
-            generation: self.fleet.local_generation(),
-            requests_in_flight: local.requests_in_flight(host),
-        };
-        coordination
-            .reports
-            .insert(self.fleet.local_gateway(), report);
+        self.report_locally(&mut coordination, local.requests_in_flight(host));
         coordination.forget_down_gateways(&self.fleet);
         self.complete(now, host, &mut coordination);
         self.announce(now, host, &mut coordination);
@@ -179,8 +179,19 @@
         }
     }
 
+    /// Records the coordinator's own requests in flight, as other gateways report theirs.
+    fn report_locally(&self, coordination: &mut Coordination, requests_in_flight: u32) {
+        let report = Report {
+            generation: self.fleet.local_generation(),
+            requests_in_flight,
+        };
+        coordination
+            .reports
+            .insert(self.fleet.local_gateway(), report);
+    }
+
     /// Completes a host's command, where no gateway has requests in flight and that has not been found under this epoch.
-    fn complete(&mut self, now: Millis, host: u32, coordination: &mut Coordination) {
+    fn complete(&mut self, now: Timestamp, host: HostId, coordination: &mut Coordination) {
         let Some(state) = self.commands.state_mut(host) else {
             return;
         };
@@ -209,7 +220,7 @@
     }
 
     /// Sends the announcements that are due for a host's command, and its completion where it is complete.
-    fn announce(&mut self, now: Millis, host: u32, coordination: &mut Coordination) {
+    fn announce(&mut self, now: Timestamp, host: HostId, coordination: &mut Coordination) {
         let Some(state) = self.commands.state(host) else {
             return;
         };
@@ -222,7 +233,7 @@
                 self.announce_to(&pending, command, coordination.epoch, None);
             }
             Recipients::All => {
-                let all: Vec<u32> = self.fleet.gateways().collect();
+                let all: Vec<GatewayId> = self.fleet.gateways().collect();
                 self.announce_to(&all, command, coordination.epoch, completion);
             }
         }
@@ -230,9 +241,9 @@
 
     fn announce_to(
         &mut self,
-        gateways: &[u32],
+        gateways: &[GatewayId],
         command: DrainCommand,
-        epoch: u64,
+        epoch: Epoch,
         completion: Option<Completion>,
     ) {
         for &gateway in gateways {
@@ -247,20 +258,27 @@
 
     /// Announces a command to the gateways that are to claim its lease, where no coordinator has sent a message for long.
     /// If all of them have started again since the command was issued, none of them knows that there is a lease to claim.
-    pub(super) fn announce_to_candidates(&mut self, now: Millis, host: u32) {
-        let silence_ms = REFRESHES_WITHOUT_COORDINATOR * self.settings.refresh_interval_ms;
+    pub(super) fn announce_to_candidates(&mut self, now: Timestamp, host: HostId) {
+        let longest_silence = self.settings.refresh_interval * REFRESHES_WITHOUT_COORDINATOR;
         let Some(state) = self.commands.state_mut(host) else {
             return;
         };
-        if now < state.coordinator_seen_at + silence_ms || !state.needs_coordinator() {
+        if now < state.coordinator_seen_at + longest_silence || !state.needs_coordinator() {
             return;
         }
         state.coordinator_seen_at = now;
         let announcement = Message::announcement(state.command, NO_COORDINATOR);
-        let gateways: Vec<u32> = self.fleet.gateways().collect();
-        let candidates = irisrouter_leases::rendezvous::candidates(task_id(host), &gateways);
-        for candidate in candidates.into_iter().take(LEASE_CANDIDATES) {
+        for candidate in lease_candidates(task_id(host), &self.fleet) {
             self.outgoing.push(candidate, announcement);
         }
     }
 }
+
+/// The gateways that are to claim the lease on a task, the first one first.
+fn lease_candidates(TaskId(task): TaskId, fleet: &Fleet) -> impl Iterator<Item = GatewayId> {
+    let gateways: Vec<u32> = fleet.gateways().map(|gateway| gateway.0).collect();
+    rendezvous::candidates(task, &gateways)
+        .into_iter()
+        .take(LEASE_CANDIDATES)
+        .map(GatewayId)
+}
--- a/crates/drain-coordination/src/coordinator/follower.rs
+++ b/crates/drain-coordination/src/coordinator/follower.rs
@@ -5,12 +5,12 @@
 use crate::codec::{Message, NO_COORDINATOR};
 use crate::command::DrainCommand;
 use crate::progress::Completion;
-use crate::Millis;
+use irisrouter_cluster_types::{GatewayId, Timestamp};
 use std::cmp::Ordering;
 
 impl DrainCoordinator {
     /// From now on this command holds, in place of any earlier one for its host.
-    pub(super) fn follow(&mut self, now: Millis, command: DrainCommand) {
+    pub(super) fn follow(&mut self, now: Timestamp, command: DrainCommand) {
         self.commands.insert(now, command);
         self.actions.push(Action::Follow(command));
     }
@@ -18,8 +18,8 @@
     /// Another gateway announced a command: follows it if it is news, and reports the requests in flight at its host.
     pub(super) fn receive_announcement(
         &mut self,
-        now: Millis,
-        from: u32,
+        now: Timestamp,
+        from: GatewayId,
         message: Message,
         local: &impl LocalState,
     ) {
@@ -42,7 +42,7 @@
     }
 
     /// Follows an announced command unless a later one is known; returns whether it is the one that holds now.
-    fn follow_latest(&mut self, now: Millis, from: u32, command: DrainCommand) -> bool {
+    fn follow_latest(&mut self, now: Timestamp, from: GatewayId, command: DrainCommand) -> bool {
         if let Some(known) = self.commands.command(command.host) {
             match known.precedence().cmp(&command.precedence()) {
                 Ordering::Greater => {
@@ -63,7 +63,7 @@
     }
 
     /// A coordinator found a command to be complete.
-    pub(super) fn receive_completion(&mut self, now: Millis, message: Message) {
+    pub(super) fn receive_completion(&mut self, now: Timestamp, message: Message) {
         let Message {
             command,
             epoch,
--- a/crates/drain-coordination/src/coordinator/replication.rs
+++ b/crates/drain-coordination/src/coordinator/replication.rs
@@ -4,32 +4,32 @@
 use crate::action::Action;
 use crate::codec::{Message, NO_COORDINATOR};
 use crate::progress::ReplicationProgress;
-use crate::Millis;
+use irisrouter_cluster_types::{GatewayId, HostId, Timestamp};
 use std::collections::BTreeSet;
 
 /// The state of a command's replication.
 pub(crate) struct Replication {
     /// When the operator gets the answer that no quorum follows.
-    deadline: Millis,
-    next_round_at: Millis,
+    deadline: Timestamp,
+    next_round_at: Timestamp,
     /// Gateways that follow the command, this one included.
-    followers: BTreeSet<u32>,
+    followers: BTreeSet<GatewayId>,
 }
 
 impl Replication {
     /// Remembers that a gateway follows the command.
-    pub(super) fn record_follower(&mut self, gateway: u32) {
+    pub(super) fn record_follower(&mut self, gateway: GatewayId) {
         self.followers.insert(gateway);
     }
 }
 
 impl DrainCoordinator {
     /// Announces the command that holds for this host to the fleet from now on.
-    pub(super) fn start_replication(&mut self, now: Millis, host: u32) {
+    pub(super) fn start_replication(&mut self, now: Timestamp, host: HostId) {
         let followers = BTreeSet::from([self.fleet.local_gateway()]);
         if let Some(state) = self.commands.state_mut(host) {
             state.replication = Some(Replication {
-                deadline: now + self.settings.replication_timeout_ms,
+                deadline: now + self.settings.replication_timeout,
                 next_round_at: now,
                 followers,
             });
@@ -38,7 +38,7 @@
 
     /// Ends the replication of a host's command where a quorum follows it or its time is over; else announces it to the
     /// gateways that do not follow it yet, once a round.
-    pub(super) fn replicate(&mut self, now: Millis, host: u32) {
+    pub(super) fn replicate(&mut self, now: Timestamp, host: HostId) {
         let quorum = self.settings.quorum();
         let Some(state) = self.commands.state_mut(host) else {
             return;
@@ -62,7 +62,7 @@
         if now < replication.next_round_at {
             return;
         }
-        replication.next_round_at = now + self.settings.round_interval_ms;
+        replication.next_round_at = now + self.settings.round_interval;
         let announcement = Message::announcement(state.command, NO_COORDINATOR);
         for gateway in self.fleet.gateways() {
             if !replication.followers.contains(&gateway) {
--- a/crates/drain-coordination/src/lib.rs
+++ b/crates/drain-coordination/src/lib.rs
@@ -32,17 +32,17 @@
 pub use command::{hosts_to_drain, DesiredState, DrainCommand, Precedence};
 pub use command_log::CommandLogError;
 pub use coordinator::{DrainCoordinator, LocalState};
-pub use progress::{Completion, Progress, ReplicationProgress};
+pub use progress::{CommandStatus, Completion, Progress, ReplicationProgress};
 pub use settings::Settings;
 
-/// Milliseconds on the caller's monotonic clock.
-pub type Millis = u64;
+use irisrouter_cluster_types::{HostId, TaskId};
 
-/// The high half of every drain's task number ("DRAI" in ASCII); it lies beyond any number that a platform gives a set.
-const TASK_NUMBER_BASE: u64 = 0x4452_4149_0000_0000;
+/// The high half of the task id of every drain ("DRAI" in ASCII). It is above the number of any database set that a platform
+/// assigns.
+const TASK_ID_BASE: u64 = 0x4452_4149_0000_0000;
 
-/// The number under which a host's drain is leased to its coordinator.
+/// The task under which a host's drain is leased to its coordinator.
 #[must_use]
-pub const fn task_id(host: u32) -> u64 {
-    TASK_NUMBER_BASE | host as u64
+pub const fn task_id(host: HostId) -> TaskId {
+    TaskId(TASK_ID_BASE | host.0 as u64)
 }
--- a/crates/drain-coordination/src/outgoing.rs
+++ b/crates/drain-coordination/src/outgoing.rs
@@ -2,17 +2,18 @@
 
 use crate::action::Action;
 use crate::codec::{self, Message};
+use irisrouter_cluster_types::GatewayId;
 use std::collections::BTreeMap;
 
 /// The messages that one step of the coordinator wants to send.
 pub(crate) struct OutgoingMessages {
-    local_gateway: u32,
-    by_recipient: BTreeMap<u32, Vec<Message>>,
+    local_gateway: GatewayId,
+    by_recipient: BTreeMap<GatewayId, Vec<Message>>,
 }
 
 impl OutgoingMessages {
     /// No messages yet.
-    pub(crate) const fn new(local_gateway: u32) -> Self {
+    pub(crate) const fn new(local_gateway: GatewayId) -> Self {
         Self {
             local_gateway,
             by_recipient: BTreeMap::new(),
@@ -20,7 +21,7 @@
     }
 
     /// Adds a message for a gateway; nothing is sent to this gateway itself.
-    pub(crate) fn push(&mut self, recipient: u32, message: Message) {
+    pub(crate) fn push(&mut self, recipient: GatewayId, message: Message) {
         if recipient != self.local_gateway {
             self.by_recipient
                 .entry(recipient)
--- a/crates/drain-coordination/src/progress.rs
+++ b/crates/drain-coordination/src/progress.rs
@@ -1,5 +1,8 @@
 //! How far commands are: their replication to the fleet, and their completion.
 
+use crate::command::DrainCommand;
+use irisrouter_cluster_types::Epoch;
+
 /// How far a new command has been replicated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReplicationProgress {
@@ -13,7 +16,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Completion {
     /// The epoch of the coordinator's lease.
-    pub epoch: u64,
+    pub epoch: Epoch,
     /// Gateways that membership held to be down, and that therefore did not report: they may still send to the host.
     pub unacknowledged: u32,
 }
@@ -33,3 +36,12 @@
     /// No gateway had requests in flight.
     Completed(Completion),
 }
+
+/// A command that holds, and how far it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CommandStatus {
+    /// The command.
+    pub command: DrainCommand,
+    /// How far it is, as this gateway knows.
+    pub progress: Progress,
+}
--- a/crates/drain-coordination/tests/codec.rs
+++ b/crates/drain-coordination/tests/codec.rs
@@ -1,5 +1,8 @@
 //! The codec on arbitrary messages and bytes.
 
+use irisrouter_cluster_types::{
+    Epoch, GatewayId, GatewayProcess, Generation, HostId, Milliseconds, Timestamp, UnixMilliseconds,
+};
 use irisrouter_drain_coordination::codec::{self, Message, MessageKind};
 use irisrouter_drain_coordination::{
     DesiredState, DrainCommand, DrainCoordinator, LocalState, Settings,
@@ -10,11 +13,11 @@
 struct IdleGateway;
 
 impl LocalState for IdleGateway {
-    fn fencing_token(&self, _: u32) -> Option<u64> {
+    fn fencing_token(&self, _: HostId) -> Option<Epoch> {
         None
     }
 
-    fn requests_in_flight(&self, _: u32) -> u32 {
+    fn requests_in_flight(&self, _: HostId) -> u32 {
         0
     }
 }
@@ -22,11 +25,11 @@
 fn any_command() -> impl Strategy<Value = DrainCommand> {
     let desired_state = prop_oneof![Just(DesiredState::Drained), Just(DesiredState::InService)];
     (any::<u32>(), desired_state, any::<u64>(), any::<u32>()).prop_map(
-        |(host, desired_state, issued_at_ms, issued_by)| DrainCommand {
-            host,
+        |(host, desired_state, issued_at, issued_by)| DrainCommand {
+            host: HostId(host),
             desired_state,
-            issued_at_ms,
-            issued_by,
+            issued_at: UnixMilliseconds(issued_at),
+            issued_by: GatewayId(issued_by),
         },
     )
 }
@@ -41,7 +44,7 @@
         Message {
             kind,
             command,
-            epoch,
+            epoch: Epoch(epoch),
             count,
         }
     })
@@ -49,23 +52,26 @@
 
 proptest! {
     #[test]
-    fn any_messages_are_decoded_as_they_were_encoded(
+    fn messages_are_unchanged_when_encoded_and_decoded(
         messages in prop::collection::vec(any_message(), 0..=codec::MAX_MESSAGES),
     ) {
         prop_assert_eq!(codec::decode(&codec::encode(&messages)), Ok(messages));
     }
 
     #[test]
-    fn arbitrary_bytes_are_decoded_or_rejected_within_bounds(
+    fn command_log_stays_bounded_when_arbitrary_bytes_are_received(
         bytes in prop::collection::vec(any::<u8>(), 0..300),
         now in any::<u64>(),
     ) {
-        let mut coordinator = DrainCoordinator::new(0, Settings::for_lease(3, 1_000));
-        coordinator.update_fleet([(0, 0), (1, 0)]);
+        let mut coordinator = DrainCoordinator::new(GatewayId(0), Settings::for_lease(3, Milliseconds(1_000)));
+        coordinator.update_fleet([0, 1].map(|gateway| GatewayProcess {
+            gateway: GatewayId(gateway),
+            generation: Generation(0),
+        }));
         let mut with_magic = bytes.clone();
         with_magic.insert(0, codec::MAGIC);
         for datagram in [bytes, with_magic] {
-            let _ = coordinator.receive(now, 1, &datagram, &IdleGateway);
+            let _ = coordinator.receive(Timestamp::from_millis(now), GatewayId(1), &datagram, &IdleGateway);
         }
         prop_assert!(coordinator.commands().count() <= 256);
     }
--- a/crates/drain-coordination/tests/commands.rs
+++ b/crates/drain-coordination/tests/commands.rs
@@ -1,5 +1,8 @@
 //! Commands without a fleet: how many are remembered, and what they do to a set of hosts.
 
+use irisrouter_cluster_types::{
+    Epoch, GatewayId, HostId, Milliseconds, Timestamp, UnixMilliseconds,
+};
 use irisrouter_drain_coordination::{
     hosts_to_drain, DesiredState, DrainCommand, DrainCoordinator, LocalState, Settings,
 };
@@ -9,55 +12,90 @@
 struct LeaseHolder;
 
 impl LocalState for LeaseHolder {
-    fn fencing_token(&self, _: u32) -> Option<u64> {
-        Some(1)
+    fn fencing_token(&self, _: HostId) -> Option<Epoch> {
+        Some(Epoch(1))
     }
 
-    fn requests_in_flight(&self, _: u32) -> u32 {
+    fn requests_in_flight(&self, _: HostId) -> u32 {
         0
     }
 }
 
 #[test]
 fn command_log_is_bounded_and_forgets_only_completed_returns() {
-    let mut coordinator = DrainCoordinator::new(0, Settings::for_lease(1, 1_000));
+    let settings = Settings::for_lease(1, Milliseconds(1_000));
+    let mut coordinator = DrainCoordinator::new(GatewayId(0), settings);
+    let [start, advanced, later] = [0, 10, 20].map(Timestamp::from_millis);
     for host in 0..256 {
         coordinator
-            .issue(0, 1, host, DesiredState::Drained)
-            .expect("room");
+            .issue(
+                start,
+                UnixMilliseconds(1),
+                HostId(host),
+                DesiredState::Drained,
+            )
+            .expect("there is room for the command");
     }
+    let [returned_host, another_host] = [HostId(5), HostId(999)];
     let error = coordinator
-        .issue(0, 2, 999, DesiredState::Drained)
-        .expect_err("no room");
+        .issue(
+            start,
+            UnixMilliseconds(2),
+            another_host,
+            DesiredState::Drained,
+        )
+        .expect_err("there is no room for the command");
     assert_eq!(error.to_string(), "256 hosts are spoken of already");
     coordinator
-        .issue(0, 3, 5, DesiredState::InService)
-        .expect("known");
-    coordinator.advance(10, &LeaseHolder);
-    assert!(coordinator.issue(20, 4, 999, DesiredState::Drained).is_ok());
-    assert!(!coordinator.commands().any(|(command, _)| command.host == 5));
+        .issue(
+            start,
+            UnixMilliseconds(3),
+            returned_host,
+            DesiredState::InService,
+        )
+        .expect("the log has a command for the host already");
+    coordinator.advance(advanced, &LeaseHolder);
+    assert!(coordinator
+        .issue(
+            later,
+            UnixMilliseconds(4),
+            another_host,
+            DesiredState::Drained
+        )
+        .is_ok());
+    assert!(!coordinator
+        .commands()
+        .any(|status| status.command.host == returned_host));
 }
 
 /// Guards against two operators who drain a set's last two hosts at the same moment.
 #[test]
 fn host_of_latest_command_stays_in_service_when_commands_would_empty_its_set() {
-    let drain = |host, issued_at_ms| DrainCommand {
-        host,
+    let drain = |host, issued_at| DrainCommand {
+        host: HostId(host),
         desired_state: DesiredState::Drained,
-        issued_at_ms,
-        issued_by: 0,
+        issued_at: UnixMilliseconds(issued_at),
+        issued_by: GatewayId(0),
     };
     let back_in_service = DrainCommand {
         desired_state: DesiredState::InService,
         ..drain(3, 30)
     };
-    let commands = BTreeMap::from([(1, drain(1, 10)), (2, drain(2, 20)), (3, back_in_service)]);
+    let [first, second, third] = [1, 2, 3].map(HostId);
+    let commands = BTreeMap::from([
+        (first, drain(1, 10)),
+        (second, drain(2, 20)),
+        (third, back_in_service),
+    ]);
     let command_for = |host| commands.get(&host).copied();
-    assert_eq!(hosts_to_drain(&[1, 2], command_for), BTreeSet::from([1]));
     assert_eq!(
-        hosts_to_drain(&[1, 2, 3], command_for),
-        BTreeSet::from([1, 2])
+        hosts_to_drain(&[first, second], command_for),
+        BTreeSet::from([first])
+    );
+    assert_eq!(
+        hosts_to_drain(&[first, second, third], command_for),
+        BTreeSet::from([first, second])
     );
-    assert_eq!(hosts_to_drain(&[2], command_for), BTreeSet::new());
+    assert_eq!(hosts_to_drain(&[second], command_for), BTreeSet::new());
     assert_eq!(hosts_to_drain(&[], command_for), BTreeSet::new());
 }
--- a/crates/drain-coordination/tests/fleet.rs
+++ b/crates/drain-coordination/tests/fleet.rs
@@ -1,33 +1,36 @@
 //! Whole fleets of [`DrainCoordinator`]s on a simulated network, in virtual time and seeded: which gateways follow a command,
 //! which one completes it, and what is left of it when gateways crash, start again, are cut off or lose datagrams.
 
+use irisrouter_cluster_types::{
+    Epoch, GatewayId, GatewayProcess, Generation, HostId, Milliseconds, Timestamp, UnixMilliseconds,
+};
 use irisrouter_drain_coordination::codec::{self, Message, MessageKind};
 use irisrouter_drain_coordination::{
-    task_id, Action, Completion, CompletionOrigin, DesiredState, DrainCommand, DrainCoordinator,
-    LocalState, Millis, Progress, ReplicationProgress, Settings,
+    task_id, Action, CommandStatus, Completion, CompletionOrigin, DesiredState, DrainCommand,
+    DrainCoordinator, LocalState, Progress, ReplicationProgress, Settings,
 };
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
 
-const HOST: u32 = 7;
+const HOST: HostId = HostId(7);
 /// Virtual time between two steps of the simulation.
-const STEP_MS: Millis = 10;
+const STEP: Milliseconds = Milliseconds(10);
 
 /// The lease that a gateway holds, and its requests in flight at [`HOST`].
 #[derive(Clone, Default)]
 struct SimulatedState {
-    fencing_token: Option<u64>,
+    fencing_token: Option<Epoch>,
     requests_in_flight: u32,
 }
 
 impl LocalState for SimulatedState {
-    fn fencing_token(&self, _: u32) -> Option<u64> {
+    fn fencing_token(&self, _: HostId) -> Option<Epoch> {
         self.fencing_token
     }
 
-    fn requests_in_flight(&self, _: u32) -> u32 {
+    fn requests_in_flight(&self, _: HostId) -> u32 {
         self.requests_in_flight
     }
 }
@@ -42,7 +45,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct FoundCompletion {
     gateway: usize,
-    epoch: u64,
+    epoch: Epoch,
     unacknowledged: u32,
 }
 
@@ -50,17 +53,17 @@
     /// None while the gateway is down.
     coordinator: Option<DrainCoordinator>,
     local: SimulatedState,
-    generation: u16,
+    generation: Generation,
 }
 
 struct Fleet {
-    now: Millis,
+    now: Timestamp,
     gateways: Vec<Gateway>,
     /// Pairs (from, to) between which nothing is delivered.
     cuts: BTreeSet<(usize, usize)>,
     loss_percent: u32,
     /// Datagrams on their way, by the time of their arrival and the order in which they were sent.
-    in_transit: BTreeMap<(Millis, u64), Datagram>,
+    in_transit: BTreeMap<(Timestamp, u64), Datagram>,
     sent: u64,
     rng: SmallRng,
     /// All actions but the sending of datagrams, in order, with the gateways that took them.
@@ -68,7 +71,12 @@
 }
 
 fn settings(fleet_size: usize) -> Settings {
-    Settings::for_lease(fleet_size as u32, 1_000)
+    Settings::for_lease(fleet_size as u32, Milliseconds(1_000))
+}
+
+/// The id of the gateway with this index in [`Fleet::gateways`].
+fn id(number: usize) -> GatewayId {
+    GatewayId(number as u32)
 }
 
 /// Both directions between a gateway and all others of a fleet of five.
@@ -82,12 +90,12 @@
 impl Fleet {
     fn new(size: usize, seed: u64) -> Self {
         let gateway = |number: usize| Gateway {
-            coordinator: Some(DrainCoordinator::new(number as u32, settings(size))),
+            coordinator: Some(DrainCoordinator::new(id(number), settings(size))),
             local: SimulatedState::default(),
-            generation: 0,
+            generation: Generation(0),
         };
         Fleet {
-            now: 0,
+            now: Timestamp::ZERO,
             gateways: (0..size).map(gateway).collect(),
             cuts: BTreeSet::new(),
             loss_percent: 0,
@@ -101,13 +109,13 @@
     fn restart(&mut self, number: usize) {
         let settings = settings(self.gateways.len());
         let gateway = &mut self.gateways[number];
-        gateway.generation += 1;
-        gateway.coordinator = Some(DrainCoordinator::new(number as u32, settings));
+        gateway.generation.0 += 1;
+        gateway.coordinator = Some(DrainCoordinator::new(id(number), settings));
         gateway.local = SimulatedState::default();
     }
 
     /// Gives the lease of the drain to one gateway, under this epoch.
-    fn grant_lease(&mut self, holder: usize, epoch: u64) {
+    fn grant_lease(&mut self, holder: usize, epoch: Epoch) {
         for gateway in &mut self.gateways {
             gateway.local.fencing_token = None;
         }
@@ -116,21 +124,25 @@
 
     fn issue(&mut self, number: usize, desired_state: DesiredState) {
         let now = self.now;
+        let wall_clock = UnixMilliseconds(1_000 + now.as_millis());
         let coordinator = self.gateways[number].coordinator.as_mut();
         coordinator
             .expect("the gateway is up")
-            .issue(now, 1_000 + now, HOST, desired_state)
+            .issue(now, wall_clock, HOST, desired_state)
             .expect("room for the command");
     }
 
-    /// The gateways that one of them can reach, with their generations.
-    fn reachable_from(&self, number: usize) -> Vec<(u32, u16)> {
+    /// The processes of the gateways that one of them can reach.
+    fn reachable_from(&self, number: usize) -> Vec<GatewayProcess> {
         self.gateways
             .iter()
             .enumerate()
             .filter(|(_, gateway)| gateway.coordinator.is_some())
             .filter(|(other, _)| !self.cuts.contains(&(number, *other)))
-            .map(|(other, gateway)| (other as u32, gateway.generation))
+            .map(|(other, gateway)| GatewayProcess {
+                gateway: id(other),
+                generation: gateway.generation,
+            })
             .collect()
     }
 
@@ -138,7 +150,7 @@
     fn step(
         &mut self,
         number: usize,
-        operation: impl FnOnce(&mut DrainCoordinator, Millis, &SimulatedState),
+        operation: impl FnOnce(&mut DrainCoordinator, Timestamp, &SimulatedState),
     ) {
         let reachable = self.reachable_from(number);
         let gateway = &mut self.gateways[number];
@@ -150,7 +162,7 @@
         let actions: Vec<Action> = coordinator.take_actions().collect();
         for action in actions {
             match action {
-                Action::Send { to, bytes } => self.send(number, to as usize, bytes),
+                Action::Send { to, bytes } => self.send(number, to.0 as usize, bytes),
                 other => self.actions.push((number, other)),
             }
         }
@@ -162,7 +174,7 @@
             return;
         }
         self.sent += 1;
-        let arrives_at = self.now + 1 + self.rng.random_range(0..5);
+        let arrives_at = self.now + Milliseconds(1 + self.rng.random_range(0..5));
         let datagram = Datagram { from, to, bytes };
         self.in_transit.insert((arrives_at, self.sent), datagram);
     }
@@ -170,15 +182,15 @@
     fn receive(&mut self, datagram: &Datagram) {
         self.step(datagram.to, |coordinator, now, local| {
             coordinator
-                .receive(now, datagram.from as u32, &datagram.bytes, local)
+                .receive(now, id(datagram.from), &datagram.bytes, local)
                 .expect("the datagram can be read");
         });
     }
 
-    fn run(&mut self, duration: Millis) {
+    fn run(&mut self, duration: Milliseconds) {
         let end = self.now + duration;
         while self.now < end {
-            self.now += STEP_MS;
+            self.now += STEP;
             while let Some(entry) = self.in_transit.first_entry() {
                 if entry.key().0 > self.now {
                     break;
@@ -194,22 +206,20 @@
         }
     }
 
-    fn command_and_progress(&self, number: usize) -> Option<(DrainCommand, Progress)> {
+    fn status(&self, number: usize) -> Option<CommandStatus> {
         self.gateways[number]
             .coordinator
             .as_ref()?
             .commands()
-            .find(|(command, _)| command.host == HOST)
+            .find(|status| status.command.host == HOST)
     }
 
     fn command(&self, number: usize) -> Option<DrainCommand> {
-        self.command_and_progress(number)
-            .map(|(command, _)| command)
+        self.status(number).map(|status| status.command)
     }
 
     fn progress(&self, number: usize) -> Option<Progress> {
-        self.command_and_progress(number)
-            .map(|(_, progress)| progress)
+        self.status(number).map(|status| status.progress)
     }
 
     fn drains(&self, number: usize) -> bool {
@@ -256,7 +266,7 @@
     let mut fleet = Fleet::new(5, 1);
     fleet.gateways[3].local.requests_in_flight = 2;
     fleet.issue(0, DesiredState::Drained);
-    fleet.run(100);
+    fleet.run(Milliseconds(100));
     assert_eq!(
         fleet.latest_replication(),
         Some(ReplicationProgress {
@@ -266,10 +276,10 @@
     );
     assert!((0..5).all(|number| {
         let command = fleet.command(number);
-        command.is_some_and(|command| command.drains() && command.issued_by == 0)
+        command.is_some_and(|command| command.drains() && command.issued_by == GatewayId(0))
     }));
-    fleet.grant_lease(1, 10);
-    fleet.run(2_000);
+    fleet.grant_lease(1, Epoch(10));
+    fleet.run(Milliseconds(2_000));
     assert_eq!(fleet.found_completions(), []);
     assert_eq!(
         fleet.progress(1),
@@ -279,15 +289,15 @@
         })
     );
     fleet.gateways[3].local.requests_in_flight = 0;
-    fleet.run(500);
+    fleet.run(Milliseconds(500));
     let found = FoundCompletion {
         gateway: 1,
-        epoch: 10,
+        epoch: Epoch(10),
         unacknowledged: 0,
     };
     assert_eq!(fleet.found_completions(), [found]);
     let completed = Progress::Completed(Completion {
-        epoch: 10,
+        epoch: Epoch(10),
         unacknowledged: 0,
     });
     assert!((0..5).all(|number| fleet.progress(number) == Some(completed)));
@@ -300,19 +310,19 @@
     let mut fleet = Fleet::new(5, 2);
     fleet.gateways[4].local.requests_in_flight = 1;
     fleet.issue(0, DesiredState::Drained);
-    fleet.grant_lease(1, 10);
-    fleet.run(1_000);
+    fleet.grant_lease(1, Epoch(10));
+    fleet.run(Milliseconds(1_000));
     // The coordinator is cut off and goes on under its old epoch; another gateway holds the lease under a later one.
     fleet.cuts = isolation_of(1);
-    fleet.gateways[2].local.fencing_token = Some(11);
-    fleet.run(1_000);
+    fleet.gateways[2].local.fencing_token = Some(Epoch(11));
+    fleet.run(Milliseconds(1_000));
     assert_eq!(fleet.found_completions(), []);
     fleet.cuts.clear();
     fleet.gateways[4].local.requests_in_flight = 0;
     let late_completion = Message {
         kind: MessageKind::Completion,
         command: fleet.command(0).expect("a command that is known"),
-        epoch: 10,
+        epoch: Epoch(10),
         count: 0,
     };
     fleet.receive(&Datagram {
@@ -324,10 +334,10 @@
         !matches!(fleet.progress(3), Some(Progress::Completed(_))),
         "the completion of an older coordinator is ignored"
     );
-    fleet.run(1_000);
+    fleet.run(Milliseconds(1_000));
     let found = FoundCompletion {
         gateway: 2,
-        epoch: 11,
+        epoch: Epoch(11),
         unacknowledged: 0,
     };
     assert_eq!(fleet.found_completions(), [found]);
@@ -338,14 +348,14 @@
     let mut fleet = Fleet::new(4, 3);
     fleet.gateways[3].local.requests_in_flight = 1;
     fleet.issue(0, DesiredState::Drained);
-    fleet.grant_lease(1, 10);
-    fleet.run(1_000);
+    fleet.grant_lease(1, Epoch(10));
+    fleet.run(Milliseconds(1_000));
     // The gateway with a request in flight dies: its request is gone, and its new process has to report that.
     fleet.gateways[3].coordinator = None;
-    fleet.run(500);
+    fleet.run(Milliseconds(500));
     let found = FoundCompletion {
         gateway: 1,
-        epoch: 10,
+        epoch: Epoch(10),
         unacknowledged: 1,
     };
     assert_eq!(
@@ -355,15 +365,15 @@
     );
     fleet.restart(3);
     assert_eq!(fleet.command(3), None);
-    fleet.run(settings(4).refresh_interval_ms + 50);
+    fleet.run(settings(4).refresh_interval + Milliseconds(50));
     assert!(fleet.drains(3));
     // All candidates for the lease start again: a gateway that still knows the command announces it to them.
     let gateways: Vec<u32> = (0..4).collect();
-    let candidates = irisrouter_leases::rendezvous::candidates(task_id(HOST), &gateways);
+    let candidates = irisrouter_leases::rendezvous::candidates(task_id(HOST).0, &gateways);
     for &candidate in &candidates[..3] {
         fleet.restart(candidate as usize);
     }
-    fleet.run(5 * settings(4).refresh_interval_ms);
+    fleet.run(settings(4).refresh_interval * 5);
     assert!(fleet.all_drain());
 }
 
@@ -371,14 +381,14 @@
 fn later_command_wins_at_gateway_that_was_cut_off() {
     let mut fleet = Fleet::new(5, 4);
     fleet.issue(0, DesiredState::Drained);
-    fleet.grant_lease(1, 10);
-    fleet.run(500);
+    fleet.grant_lease(1, Epoch(10));
+    fleet.run(Milliseconds(500));
     fleet.cuts = isolation_of(4);
     fleet.issue(2, DesiredState::InService);
-    fleet.run(1_000);
+    fleet.run(Milliseconds(1_000));
     assert!((0..4).all(|number| {
         let command = fleet.command(number);
-        command.is_some_and(|command| !command.drains() && command.issued_by == 2)
+        command.is_some_and(|command| !command.drains() && command.issued_by == GatewayId(2))
     }));
     assert!(
         fleet.drains(4),
@@ -386,7 +396,7 @@
     );
     // After the partition it announces its older command as any gateway without the lease does, and gets the later one.
     fleet.cuts.clear();
-    fleet.run(10_000);
+    fleet.run(Milliseconds(10_000));
     assert!((0..5).all(|number| {
         let command = fleet.command(number);
         command.is_some_and(|command| !command.drains())
@@ -398,7 +408,7 @@
     let mut fleet = Fleet::new(5, 5);
     fleet.cuts = isolation_of(0);
     fleet.issue(0, DesiredState::Drained);
-    fleet.run(settings(5).replication_timeout_ms + 100);
+    fleet.run(settings(5).replication_timeout + Milliseconds(100));
     assert_eq!(
         fleet.latest_replication(),
         Some(ReplicationProgress {
@@ -409,12 +419,12 @@
     // It holds at its gateway all the same. After the partition the lease candidates learn of it, and the one that gets
     // the lease announces it to all others.
     fleet.cuts.clear();
-    fleet.run(5 * settings(5).refresh_interval_ms);
-    let candidates = irisrouter_leases::rendezvous::candidates(task_id(HOST), &[0, 1, 2, 3, 4]);
+    fleet.run(settings(5).refresh_interval * 5);
+    let candidates = irisrouter_leases::rendezvous::candidates(task_id(HOST).0, &[0, 1, 2, 3, 4]);
     let first = candidates[0] as usize;
     assert!(fleet.drains(first));
-    fleet.grant_lease(first, 1);
-    fleet.run(100);
+    fleet.grant_lease(first, Epoch(1));
+    fleet.run(Milliseconds(100));
     assert!(fleet.all_drain());
 }
 
@@ -460,22 +470,22 @@
                 Fault::Heal => fleet.cuts.clear(),
                 Fault::MoveLease(number) => {
                     epoch += 1;
-                    fleet.grant_lease(number, epoch);
+                    fleet.grant_lease(number, Epoch(epoch));
                 }
                 Fault::Issue(number, desired_state) => fleet.issue(number, desired_state),
             }
-            fleet.run(300);
+            fleet.run(Milliseconds(300));
         }
         epoch += 1;
         fleet.loss_percent = 0;
         fleet.cuts.clear();
         fleet.issue(2, DesiredState::Drained);
         let last_command = fleet.command(2);
-        fleet.grant_lease(1, epoch);
+        fleet.grant_lease(1, Epoch(epoch));
         fleet.actions.clear();
-        fleet.run(6_000);
+        fleet.run(Milliseconds(6_000));
         prop_assert!((0..5).all(|number| fleet.command(number) == last_command));
-        let found = FoundCompletion { gateway: 1, epoch, unacknowledged: 0 };
+        let found = FoundCompletion { gateway: 1, epoch: Epoch(epoch), unacknowledged: 0 };
         prop_assert_eq!(fleet.found_completions(), vec![found]);
     }
 }
--- a/crates/drain-coordination/tests/golden.rs
+++ b/crates/drain-coordination/tests/golden.rs
@@ -9,6 +9,7 @@
 //!
 //! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
 
+use irisrouter_cluster_types::{Epoch, GatewayId, HostId, TaskId, UnixMilliseconds};
 use irisrouter_drain_coordination::codec::{
     decode, encode, Message, MessageKind, WireError, MAGIC, MAX_DATAGRAM_BYTES, MAX_MESSAGES,
 };
@@ -22,10 +23,10 @@
 
 fn command(desired_state: DesiredState) -> DrainCommand {
     DrainCommand {
-        host: 0x0102_0304,
+        host: HostId(0x0102_0304),
         desired_state,
-        issued_at_ms: 0x1112_1314_1516_1718,
-        issued_by: 0x2122_2324,
+        issued_at: UnixMilliseconds(0x1112_1314_1516_1718),
+        issued_by: GatewayId(0x2122_2324),
     }
 }
 
@@ -34,7 +35,7 @@
     Message {
         kind,
         command: command(DesiredState::Drained),
-        epoch: 0x3132_3334_3536_3738,
+        epoch: Epoch(0x3132_3334_3536_3738),
         count: 0x4142_4344,
     }
 }
@@ -50,7 +51,7 @@
 /// As it is sent by a gateway that coordinates nothing.
 fn without_epoch_and_count(kind: MessageKind) -> Message {
     Message {
-        epoch: 0,
+        epoch: Epoch(0),
         count: 0,
         ..message(kind)
     }
@@ -58,15 +59,15 @@
 
 fn with_largest_numbers() -> Message {
     let command = DrainCommand {
-        host: u32::MAX,
+        host: HostId(u32::MAX),
         desired_state: DesiredState::Drained,
-        issued_at_ms: u64::MAX,
-        issued_by: u32::MAX,
+        issued_at: UnixMilliseconds(u64::MAX),
+        issued_by: GatewayId(u32::MAX),
     };
     Message {
         kind: MessageKind::Completion,
         command,
-        epoch: u64::MAX,
+        epoch: Epoch(u64::MAX),
         count: u32::MAX,
     }
 }
@@ -81,16 +82,16 @@
     let one = |i: u32| Message {
         kind: kinds[i as usize % kinds.len()],
         command: DrainCommand {
-            host: 0x0100_0000 + i,
+            host: HostId(0x0100_0000 + i),
             desired_state: if i % 2 == 1 {
                 DesiredState::Drained
             } else {
                 DesiredState::InService
             },
-            issued_at_ms: 0x1100_0000_0000_0000 + u64::from(i),
-            issued_by: 0x2100_0000 + i,
+            issued_at: UnixMilliseconds(0x1100_0000_0000_0000 + u64::from(i)),
+            issued_by: GatewayId(0x2100_0000 + i),
         },
-        epoch: 0x3100_0000_0000_0000 + u64::from(i),
+        epoch: Epoch(0x3100_0000_0000_0000 + u64::from(i)),
         count: 0x4100_0000 + i,
     };
     (0..count).map(one).collect()
@@ -309,44 +310,44 @@
 
 #[test]
 fn task_number_of_a_host_s_drain_keeps_its_number() {
-    assert_eq!(task_id(0), 0x4452_4149_0000_0000);
-    assert_eq!(task_id(7), 0x4452_4149_0000_0007);
-    assert_eq!(task_id(0x00ab_cdef), 0x4452_4149_00ab_cdef);
-    assert_eq!(task_id(u32::MAX), 0x4452_4149_ffff_ffff);
+    assert_eq!(task_id(HostId(0)), TaskId(0x4452_4149_0000_0000));
+    assert_eq!(task_id(HostId(7)), TaskId(0x4452_4149_0000_0007));
+    assert_eq!(task_id(HostId(0x00ab_cdef)), TaskId(0x4452_4149_00ab_cdef));
+    assert_eq!(task_id(HostId(u32::MAX)), TaskId(0x4452_4149_ffff_ffff));
 }
 
 #[test]
 fn commands_are_ordered_by_time_then_by_gateway_then_by_state() {
     let expected = Precedence {
-        issued_at_ms: 0x1112_1314_1516_1718,
-        issued_by: 0x2122_2324,
+        issued_at: UnixMilliseconds(0x1112_1314_1516_1718),
+        issued_by: GatewayId(0x2122_2324),
         desired_state: DesiredState::Drained,
     };
     assert_eq!(command(DesiredState::Drained).precedence(), expected);
     let in_order = [
         DrainCommand {
-            issued_at_ms: 1,
-            issued_by: 9,
+            issued_at: UnixMilliseconds(1),
+            issued_by: GatewayId(9),
             ..command(DesiredState::Drained)
         },
         DrainCommand {
-            issued_at_ms: 2,
-            issued_by: 3,
+            issued_at: UnixMilliseconds(2),
+            issued_by: GatewayId(3),
             ..command(DesiredState::Drained)
         },
         DrainCommand {
-            issued_at_ms: 2,
-            issued_by: 4,
+            issued_at: UnixMilliseconds(2),
+            issued_by: GatewayId(4),
             ..command(DesiredState::InService)
         },
         DrainCommand {
-            issued_at_ms: 2,
-            issued_by: 4,
+            issued_at: UnixMilliseconds(2),
+            issued_by: GatewayId(4),
             ..command(DesiredState::Drained)
         },
         DrainCommand {
-            issued_at_ms: 3,
-            issued_by: 0,
+            issued_at: UnixMilliseconds(3),
+            issued_by: GatewayId(0),
             ..command(DesiredState::InService)
         },
     ];
--- a/crates/testbed/tests/drains.rs
+++ b/crates/testbed/tests/drains.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use common::{ask, started, wait};
+use irisrouter_cluster_types::HostId;
 use irisrouter_testbed::cluster::process::Line;
 use irisrouter_testbed::cluster::Cluster;
 use std::time::Duration;
@@ -103,9 +104,9 @@
 fn a_drain_whose_owner_is_killed_is_seen_through_once_by_another() {
     let mut cluster = started(5, 32);
     let first = {
-        let host = irisrouter_gossip::message::host_id("h1-1");
+        let host = HostId(irisrouter_gossip::message::host_id("h1-1"));
         irisrouter_leases::rendezvous::candidates(
-            irisrouter_drain_coordination::task_id(host),
+            irisrouter_drain_coordination::task_id(host).0,
             &[0, 1, 2, 3, 4],
         )[0] as usize
     };
--- a/src/net/cluster/drains.rs
+++ b/src/net/cluster/drains.rs
@@ -10,10 +10,12 @@
 use crate::net::metrics::{increment, Metrics};
 use crate::net::unix_milliseconds;
 use crate::net::upstream::Upstream;
-use irisrouter_cluster_types::{Epoch, GatewayId, HostId};
+use irisrouter_cluster_types::{
+    Epoch, GatewayId, HostId, Milliseconds, Timestamp, UnixMilliseconds,
+};
 use irisrouter_drain_coordination::{
-    Action, CommandLogError, Completion, CompletionOrigin, DesiredState, DrainCommand,
-    DrainCoordinator, LocalState, Progress, ReplicationProgress, Settings,
+    Action, CommandLogError, CommandStatus, Completion, CompletionOrigin, DesiredState,
+    DrainCommand, DrainCoordinator, LocalState, Progress, ReplicationProgress, Settings,
 };
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -26,7 +28,7 @@
 use tokio::time::Instant;
 
 /// The longest time between two calls of [`DrainService::advance`].
-const MAX_PAUSE_MS: u64 = 60_000;
+const MAX_PAUSE: Milliseconds = Milliseconds(60_000);
 
 /// What became of an operator's command; its text is the console's answer.
 #[derive(Debug)]
@@ -84,14 +86,12 @@
 }
 
 impl LocalState for LocalGateway {
-    fn fencing_token(&self, host: u32) -> Option<u64> {
-        let task = LeasedTask::HostDrain(HostId(host));
-        let token = self.leases.fencing_token(task);
-        token.map(|Epoch(epoch)| epoch)
+    fn fencing_token(&self, host: HostId) -> Option<Epoch> {
+        self.leases.fencing_token(LeasedTask::HostDrain(host))
     }
 
-    fn requests_in_flight(&self, host: u32) -> u32 {
-        u32::try_from(self.upstream.requests_in_flight(HostId(host))).unwrap_or(u32::MAX)
+    fn requests_in_flight(&self, host: HostId) -> u32 {
+        u32::try_from(self.upstream.requests_in_flight(host)).unwrap_or(u32::MAX)
     }
 }
 
@@ -116,11 +116,11 @@
         leases: Rc<LeaseService>,
         upstream: Rc<Upstream>,
         gateways: Vec<SocketAddr>,
-        lease_ms: u64,
+        lease_duration: Milliseconds,
         metrics: Rc<Metrics>,
     ) -> Self {
-        let settings = Settings::for_lease(gateways.len() as u32, lease_ms);
-        let coordinator = DrainCoordinator::new(membership.local_gateway().0, settings);
+        let settings = Settings::for_lease(gateways.len() as u32, lease_duration);
+        let coordinator = DrainCoordinator::new(membership.local_gateway(), settings);
         Self {
             coordinator: RefCell::new(coordinator),
             membership,
@@ -133,28 +133,22 @@
         }
     }
 
-    /// Milliseconds since the start of this service.
-    fn now(&self) -> u64 {
-        u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
+    /// The time since the start of this service, as the coordinator's clock.
+    fn now(&self) -> Timestamp {
+        let elapsed_ms = self.started_at.elapsed().as_millis();
+        Timestamp::from_millis(u64::try_from(elapsed_ms).unwrap_or(u64::MAX))
     }
 
     /// The hosts whose drains need a coordinator.
     pub fn drains_to_coordinate(&self) -> Vec<HostId> {
-        let hosts = self.coordinator.borrow().drains_to_coordinate();
-        hosts.into_iter().map(HostId).collect()
-    }
-
-    /// The gateways that are alive or suspect, with the generations of their processes.
-    fn processes_up(&self) -> impl Iterator<Item = (u32, u16)> {
-        let processes = self.membership.not_down_processes().into_iter();
-        processes.map(|process| (process.gateway.0, process.generation.0))
+        self.coordinator.borrow().drains_to_coordinate()
     }
 
     /// Takes a datagram from gateway `from`; returns what is to be sent.
     pub fn receive(&self, datagram: &[u8], from: GatewayId) -> Vec<OutgoingDatagram> {
         let mut coordinator = self.coordinator.borrow_mut();
-        coordinator.update_fleet(self.processes_up());
-        if let Err(error) = coordinator.receive(self.now(), from.0, datagram, &self.local) {
+        coordinator.update_fleet(self.membership.not_down_processes());
+        if let Err(error) = coordinator.receive(self.now(), from, datagram, &self.local) {
             increment(&self.metrics.gossip.ignored);
             log!("drains: a datagram from gateway {from} is ignored: {error}");
         }
@@ -164,7 +158,7 @@
     /// Does what is due; returns what is to be sent.
     pub fn advance(&self) -> Vec<OutgoingDatagram> {
         let mut coordinator = self.coordinator.borrow_mut();
-        coordinator.update_fleet(self.processes_up());
+        coordinator.update_fleet(self.membership.not_down_processes());
         coordinator.advance(self.now(), &self.local);
         self.carry_out(&mut coordinator)
     }
@@ -173,7 +167,8 @@
     pub fn due(&self) -> Duration {
         let now = self.now();
         let next_due = self.coordinator.borrow().next_due(now);
-        Duration::from_millis(next_due.saturating_sub(now).min(MAX_PAUSE_MS))
+        let pause = next_due.saturating_duration_since(now);
+        Duration::from(pause.min(MAX_PAUSE))
     }
 
     /// Waits until an operator has issued a command, so that [`DrainService::advance`] has work.
@@ -194,8 +189,8 @@
         let host = self.host_to_command(host_name, desired_state)?;
         self.coordinator.borrow_mut().issue(
             self.now(),
-            unix_milliseconds(),
-            host.0,
+            UnixMilliseconds(unix_milliseconds()),
+            host,
             desired_state,
         )?;
         let (sender, receiver) = oneshot::channel();
@@ -216,7 +211,7 @@
         }
     }
 
-    /// The number of the host that an operator named, where the command may hold there.
+    /// The host that an operator named, where the command may hold there.
     fn host_to_command(
         &self,
         host_name: &str,
@@ -243,15 +238,16 @@
         let coordinator = self.coordinator.borrow();
         let drains: Vec<String> = coordinator
             .commands()
-            .map(|(command, progress)| self.drain_status(command, progress))
+            .map(|status| self.drain_status(status))
             .collect();
         format!("drains {}", drains.join(" "))
             .trim_end()
             .to_string()
     }
 
-    fn drain_status(&self, command: DrainCommand, progress: Progress) -> String {
-        let name = self.local.upstream.host_name(HostId(command.host));
+    fn drain_status(&self, status: CommandStatus) -> String {
+        let CommandStatus { command, progress } = status;
+        let name = self.local.upstream.host_name(command.host);
         match progress {
             Progress::Completed(_) if !command.drains() => format!("{name}:back"),
             Progress::Completed(Completion { unacknowledged, .. }) => {
@@ -268,11 +264,9 @@
     fn carry_out(&self, coordinator: &mut DrainCoordinator) -> Vec<OutgoingDatagram> {
         for action in coordinator.take_actions() {
             match action {
-                Action::Send { to, bytes } => self.outbox.push(GatewayId(to), bytes),
+                Action::Send { to, bytes } => self.outbox.push(to, bytes),
                 Action::Follow(command) => self.follow(command),
-                Action::Replicated { host, progress } => {
-                    self.answer_operator(HostId(host), progress)
-                }
+                Action::Replicated { host, progress } => self.answer_operator(host, progress),
                 Action::Completed {
                     command,
                     completion,
@@ -284,7 +278,7 @@
     }
 
     fn follow(&self, command: DrainCommand) {
-        let name = self.local.upstream.host_name(HostId(command.host));
+        let name = self.local.upstream.host_name(command.host);
         let change = match command.desired_state {
             DesiredState::Drained => "taken out of",
             DesiredState::InService => "put back into",
@@ -307,7 +301,7 @@
         completion: Completion,
         origin: CompletionOrigin,
     ) {
-        let name = self.local.upstream.host_name(HostId(command.host));
+        let name = self.local.upstream.host_name(command.host);
         let result = match command.desired_state {
             DesiredState::Drained => "is drained, no gateway has requests in flight there",
             DesiredState::InService => "is back in service at all gateways",
--- a/src/net/cluster/leases.rs
+++ b/src/net/cluster/leases.rs
@@ -43,7 +43,7 @@
     const fn id(self) -> TaskId {
         TaskId(match self {
             Self::HealthChecks(GroupId(set)) => set as u64,
-            Self::HostDrain(HostId(host)) => irisrouter_drain_coordination::task_id(host),
+            Self::HostDrain(host) => irisrouter_drain_coordination::task_id(host).0,
             Self::EndpointWatch => irisrouter_endpoint_watch::TASK_ID,
             Self::SiteFailover => irisrouter_site_failover::TASK_ID,
         })
@@ -58,9 +58,9 @@
             return Self::SiteFailover;
         }
         // The number of a drain has the host's number in its low half.
-        let host = id as u32;
-        if irisrouter_drain_coordination::task_id(host) == id {
-            return Self::HostDrain(HostId(host));
+        let host = HostId(id as u32);
+        if irisrouter_drain_coordination::task_id(host).0 == id {
+            return Self::HostDrain(host);
         }
         Self::HealthChecks(GroupId(id as i64))
     }
--- a/src/net/lifecycle/cluster_startup.rs
+++ b/src/net/lifecycle/cluster_startup.rs
@@ -13,6 +13,7 @@
 use crate::net::lifecycle::StartupError;
 use crate::net::log::log;
 use irisrouter::platform_settings::NameTable;
+use irisrouter_cluster_types::Milliseconds;
 use std::rc::Rc;
 
 /// Nanoseconds in a second.
@@ -117,7 +118,7 @@
         Rc::clone(leases?),
         Rc::clone(&parts.upstream),
         peers.gateway_addresses.clone(),
-        config.operators.leases.lease_ms,
+        Milliseconds(config.operators.leases.lease_ms),
         Rc::clone(&parts.metrics),
     )))
 }
--- a/src/net/upstream/drains.rs
+++ b/src/net/upstream/drains.rs
@@ -32,7 +32,7 @@
     /// Takes a drain command: from now on nothing is sent to a host that is drained.
     pub fn apply_drain_command(&self, command: DrainCommand) {
         let commands = &self.drains.commands;
-        commands.borrow_mut().insert(HostId(command.host), command);
+        commands.borrow_mut().insert(command.host, command);
         self.apply_drains();
     }
 
@@ -72,16 +72,15 @@
 impl Registry {
     /// The hosts that commands drain, by their fleet ids: never all that a group has in service.
     fn drained_hosts(&self, commands: &BTreeMap<HostId, DrainCommand>) -> BTreeSet<HostId> {
-        let mut groups: BTreeMap<GroupId, Vec<u32>> = BTreeMap::new();
+        let mut groups: BTreeMap<GroupId, Vec<HostId>> = BTreeMap::new();
         for host in self.hosts.values().filter(|h| h.in_service()) {
             let group = groups.entry(GroupId(host.entry.cell)).or_default();
-            group.push(host.fleet_id.0);
+            group.push(host.fleet_id);
         }
-        let command = |host| commands.get(&HostId(host)).copied();
+        let command_for = |host| commands.get(&host).copied();
         groups
             .values()
-            .flat_map(|group| hosts_to_drain(group, command))
-            .map(HostId)
+            .flat_map(|group| hosts_to_drain(group, command_for))
             .collect()
     }
 
