--- a/crates/site-failover/src/codec.rs
+++ b/crates/site-failover/src/codec.rs
@@ -30,8 +30,9 @@
 //! sites and sixteen classes has 24 + 8 * 23 + 32 = 240 bytes.
 
 use crate::load_report::{SiteLoadReport, SiteReachability};
-use crate::{Plan, PlanVersion, SitePlan, SiteState, MAX_CLASSES, MAX_SITES};
+use crate::{Plan, PlanVersion, SiteIndex, SitePlan, SiteState, MAX_CLASSES, MAX_SITES};
 use bytes::BufMut;
+use irisrouter_cluster_types::{Epoch, Milliseconds};
 use irisrouter_datagram::Reader;
 
 pub use irisrouter_datagram::magic::SITE_FAILOVER as MAGIC;
@@ -66,13 +67,14 @@
 }
 
 /// Encodes a load report. Sites beyond [`MAX_SITES`] and classes beyond [`MAX_CLASSES`] are left
-/// out.
+/// out, and a longer period is sent as
+/// [`MAX_PERIOD`](crate::load_report::SiteLoadReport::MAX_PERIOD).
 #[must_use]
 pub fn encode_load_report(report: &SiteLoadReport) -> Vec<u8> {
     let sites = &report.sites[..report.sites.len().min(MAX_SITES)];
     let arrived = &report.arrived[..report.arrived.len().min(MAX_CLASSES)];
-    let mut buffer = vec![MAGIC, LOAD_REPORT_KIND, report.site];
-    buffer.put_u16(report.period_ms);
+    let mut buffer = vec![MAGIC, LOAD_REPORT_KIND, site_byte(report.site)];
+    buffer.put_u16(u16::try_from(report.period.0).unwrap_or(u16::MAX));
     put_counts(&mut buffer, sites.len(), arrived.len());
     for site in sites {
         buffer.put_u16(site.hosts);
@@ -94,10 +96,10 @@
     let mut buffer = Vec::with_capacity(MAX_DATAGRAM_BYTES);
     buffer.put_u8(MAGIC);
     buffer.put_u8(PLAN_KIND);
-    buffer.put_u64(plan.version.epoch);
+    buffer.put_u64(plan.version.epoch.0);
     buffer.put_u32(plan.version.sequence);
     buffer.put_u32(plan.gateway_count);
-    buffer.put_u32(plan.retry_after_ms);
+    buffer.put_u32(u32::try_from(plan.retry_after.0).unwrap_or(u32::MAX));
     put_counts(&mut buffer, sites.len(), admitted.len());
     for site in sites {
         put_site_plan(&mut buffer, site, sites.len());
@@ -121,6 +123,12 @@
     }
 }
 
+/// The index of a gateway's own site. Receivers reject every index from [`MAX_SITES`] on, and so
+/// one that does not fit into the byte.
+fn site_byte(site: SiteIndex) -> u8 {
+    u8::try_from(site.0).unwrap_or(u8::MAX)
+}
+
 fn put_counts(buffer: &mut Vec<u8>, site_count: usize, class_count: usize) {
     // At most 8 and 16.
     buffer.put_u8(site_count as u8);
@@ -157,12 +165,12 @@
 }
 
 fn decode_load_report(mut reader: Reader<'_>) -> Result<SiteLoadReport, WireError> {
-    let site = reader.u8()?;
-    let period_ms = reader.u16()?;
+    let site = SiteIndex(usize::from(reader.u8()?));
+    let period = Milliseconds(u64::from(reader.u16()?));
     let site_count = usize::from(reader.u8()?);
     let class_count = usize::from(reader.u8()?);
     let too_many = site_count > MAX_SITES || class_count > MAX_CLASSES;
-    if too_many || usize::from(site) >= MAX_SITES || period_ms == 0 {
+    if too_many || site.0 >= MAX_SITES || period == Milliseconds::ZERO {
         return Err(WireError::Value(
             "the number of sites or classes, the site or the period",
         ));
@@ -176,7 +184,7 @@
     reader.end()?;
     Ok(SiteLoadReport {
         site,
-        period_ms,
+        period,
         arrived,
         sites,
     })
@@ -193,11 +201,11 @@
 
 fn decode_plan(mut reader: Reader<'_>) -> Result<Plan, WireError> {
     let version = PlanVersion {
-        epoch: reader.u64()?,
+        epoch: Epoch(reader.u64()?),
         sequence: reader.u32()?,
     };
     let gateway_count = reader.u32()?;
-    let retry_after_ms = reader.u32()?;
+    let retry_after = Milliseconds(u64::from(reader.u32()?));
     let site_count = usize::from(reader.u8()?);
     let class_count = usize::from(reader.u8()?);
     if site_count > MAX_SITES || class_count > MAX_CLASSES || gateway_count == 0 {
@@ -213,7 +221,7 @@
         gateway_count,
         sites,
         admitted_share,
-        retry_after_ms,
+        retry_after,
     })
 }
 
--- a/crates/site-failover/src/follower.rs
+++ b/crates/site-failover/src/follower.rs
@@ -1,6 +1,7 @@
 //! Follows plans, on every gateway.
 
-use crate::{Millis, Plan, Settings};
+use crate::{ClassIndex, Plan, Settings, SiteIndex};
+use irisrouter_cluster_types::{Milliseconds, Timestamp};
 
 /// Whether a plan admits a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -9,15 +10,15 @@
     Admitted,
     /// The request is shed.
     Rejected {
-        /// How long its client is to wait before it retries, in milliseconds.
-        retry_after_ms: u32,
+        /// How long its client is to wait before it retries.
+        retry_after: Milliseconds,
     },
 }
 
 /// A plan, and when it was received.
 #[derive(Debug, Clone)]
 struct ReceivedPlan {
-    received_at: Millis,
+    received_at: Timestamp,
     plan: Plan,
 }
 
@@ -25,7 +26,7 @@
 #[derive(Debug, Clone)]
 pub struct Follower {
     latest: Option<ReceivedPlan>,
-    plan_expiry_ms: u64,
+    plan_expiry: Milliseconds,
 }
 
 impl Follower {
@@ -34,14 +35,14 @@
     pub const fn new(settings: &Settings) -> Self {
         Self {
             latest: None,
-            plan_expiry_ms: settings.plan_expiry_ms,
+            plan_expiry: settings.plan_expiry,
         }
     }
 
     /// Receives a plan, from this gateway's planner or from another gateway. Returns whether it is
     /// followed from now on: a plan that is not later than the one followed is ignored, whoever
     /// sent it.
-    pub fn receive(&mut self, now: Millis, plan: Plan) -> bool {
+    pub fn receive(&mut self, now: Timestamp, plan: Plan) -> bool {
         let is_later = self
             .latest
             .as_ref()
@@ -59,9 +60,9 @@
     /// nothing, or where it has expired. A gateway that is cut off follows the latest plan until
     /// then.
     #[must_use]
-    pub fn plan_in_force(&self, now: Millis) -> Option<&Plan> {
+    pub fn plan_in_force(&self, now: Timestamp) -> Option<&Plan> {
         let latest = self.latest.as_ref()?;
-        let expires_at = latest.received_at.saturating_add(self.plan_expiry_ms);
+        let expires_at = latest.received_at.saturating_add(self.plan_expiry);
         (now < expires_at && latest.plan.in_force()).then_some(&latest.plan)
     }
 
@@ -72,28 +73,29 @@
     /// The retry delay is one to two times the plan's, by the same draw, so that clients rejected
     /// together do not retry together.
     #[must_use]
-    pub fn admit(&self, now: Millis, class: usize, draw: f64) -> Admission {
+    pub fn admit(&self, now: Timestamp, class: ClassIndex, draw: f64) -> Admission {
         let Some(plan) = self.plan_in_force(now) else {
             return Admission::Admitted;
         };
-        let share = plan.admitted_share.get(class).copied().unwrap_or(1.0);
+        let share = plan.admitted_share_of(class);
         if draw < share {
             return Admission::Admitted;
         }
         // A rejected request's draw is uniform in [share, 1): scaled to [0, 1] it serves as a
         // second draw.
         let spread = ((draw - share) / (1.0 - share).max(f64::EPSILON)).clamp(0.0, 1.0);
+        let retry_after_ms = (plan.retry_after.0 as f64 * (1.0 + spread)) as u32;
         Admission::Rejected {
-            retry_after_ms: (f64::from(plan.retry_after_ms) * (1.0 + spread)) as u32,
+            retry_after: Milliseconds(u64::from(retry_after_ms)),
         }
     }
 
     /// This gateway's part of the budget of a site, in requests per second; none where no plan
     /// limits it.
     #[must_use]
-    pub fn gateway_budget_per_s(&self, now: Millis, site: usize) -> Option<f64> {
+    pub fn gateway_budget_per_s(&self, now: Timestamp, site: SiteIndex) -> Option<f64> {
         let plan = self.plan_in_force(now)?;
-        let site_plan = plan.sites.get(site)?;
+        let site_plan = plan.site(site)?;
         Some(site_plan.budget_per_s / f64::from(plan.gateway_count.max(1)))
     }
 }
--- a/crates/site-failover/src/lib.rs
+++ b/crates/site-failover/src/lib.rs
@@ -20,6 +20,7 @@
 
 pub mod codec;
 mod follower;
+mod indexes;
 pub mod load_report;
 mod plan;
 mod planner;
@@ -28,17 +29,17 @@
 
 pub use codec::recognizes;
 pub use follower::{Admission, Follower};
+pub use indexes::{ClassIndex, SiteIndex};
 pub use plan::{Plan, PlanVersion, SitePlan, SiteState};
 pub use planner::{Planner, SiteStateChange};
 pub use settings::{InvalidSetting, Settings, SettingsError};
 pub use site_tracker::SiteObservation;
 
-/// Milliseconds on the caller's monotonic clock.
-pub type Millis = u64;
+use irisrouter_cluster_types::TaskId;
 
-/// The task id under which planning is leased. It is above the number of any database set that a
-/// platform assigns.
-pub const TASK_ID: u64 = 0x5349_5445_0000_0000;
+/// The task under which planning is leased ("SITE" in ASCII). Its id is above the number of any
+/// database set that a platform assigns.
+pub const TASK_ID: TaskId = TaskId(0x5349_5445_0000_0000);
 
 /// The most sites that a plan covers, so that a plan fits one datagram.
 pub const MAX_SITES: usize = 8;
--- a/crates/site-failover/src/load_report.rs
+++ b/crates/site-failover/src/load_report.rs
@@ -5,7 +5,8 @@
 //! there and got answered. Hosts are counted and not named: a plan needs only sums over gateways,
 //! and a gateway with a bad link weighs no more than what it observes.
 
-use crate::{Millis, SiteObservation};
+use crate::{SiteIndex, SiteObservation};
+use irisrouter_cluster_types::{GatewayId, Milliseconds, Timestamp};
 use std::collections::BTreeMap;
 
 const MS_PER_S: f64 = 1_000.0;
@@ -26,10 +27,10 @@
 /// The load report of one gateway.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct SiteLoadReport {
-    /// The index of the gateway's own site.
-    pub site: u8,
-    /// The period that the report covers, in milliseconds.
-    pub period_ms: u16,
+    /// The gateway's own site.
+    pub site: SiteIndex,
+    /// The period that the report covers, at most [`SiteLoadReport::MAX_PERIOD`].
+    pub period: Milliseconds,
     /// Requests that arrived at the gateway during the period, by class.
     pub arrived: Vec<u16>,
     /// What the gateway observed of each site, by the site's index.
@@ -37,9 +38,12 @@
 }
 
 impl SiteLoadReport {
+    /// The longest period that a report can state.
+    pub const MAX_PERIOD: Milliseconds = Milliseconds(u16::MAX as u64);
+
     /// Converts a count of the report's period to requests per second.
     fn rate_per_s(&self, count: u16) -> f64 {
-        f64::from(count) * MS_PER_S / f64::from(self.period_ms.max(1))
+        f64::from(count) * MS_PER_S / self.period.0.max(1) as f64
     }
 
     /// All requests that arrived at the gateway, per second.
@@ -54,21 +58,21 @@
 /// A load report, and when it was received.
 #[derive(Debug, Clone)]
 struct ReceivedReport {
-    received_at: Millis,
+    received_at: Timestamp,
     report: SiteLoadReport,
 }
 
 /// The latest load report of each gateway.
 #[derive(Debug, Clone, Default)]
 pub struct SiteLoadReports {
-    by_gateway: BTreeMap<u32, ReceivedReport>,
+    by_gateway: BTreeMap<GatewayId, ReceivedReport>,
 }
 
 impl SiteLoadReports {
     /// Records the report of a gateway, in place of its earlier one. A report that covers no time
     /// is ignored.
-    pub fn record(&mut self, now: Millis, gateway: u32, report: SiteLoadReport) {
-        if report.period_ms > 0 {
+    pub fn record(&mut self, now: Timestamp, gateway: GatewayId, report: SiteLoadReport) {
+        if report.period > Milliseconds::ZERO {
             let received = ReceivedReport {
                 received_at: now,
                 report,
@@ -78,7 +82,7 @@
     }
 
     /// Removes the reports received before this time.
-    pub fn remove_before(&mut self, time: Millis) {
+    pub fn remove_before(&mut self, time: Timestamp) {
         self.by_gateway
             .retain(|_, received| received.received_at >= time);
     }
@@ -95,26 +99,25 @@
     pub fn observe_sites(&self, capacities_per_s: &[f64]) -> Vec<SiteObservation> {
         let sites = capacities_per_s.iter().enumerate();
         sites
-            .map(|(site, &capacity_per_s)| self.observe_site(site, capacity_per_s))
+            .map(|(site, &capacity_per_s)| self.observe_site(SiteIndex(site), capacity_per_s))
             .collect()
     }
 
-    fn observe_site(&self, site: usize, capacity_per_s: f64) -> SiteObservation {
+    fn observe_site(&self, site: SiteIndex, capacity_per_s: f64) -> SiteObservation {
         let sent = self.sum_over_gateways(site, |reachability| reachability.sent);
         let answered = self.sum_over_gateways(site, |reachability| reachability.answered);
-        let own_reports = self
-            .reports()
-            .filter(|report| usize::from(report.site) == site);
+        let own_reports = self.reports().filter(|report| report.site == site);
+        let answered_share = if sent == 0 {
+            1.0
+        } else {
+            f64::from(answered) / f64::from(sent)
+        };
         SiteObservation {
             hosts: self.sum_over_gateways(site, |reachability| reachability.hosts),
             silent_hosts: self.sum_over_gateways(site, |reachability| reachability.silent),
             capacity_per_s,
             load_per_s: own_reports.map(SiteLoadReport::load_per_s).sum(),
-            answered_share: if sent == 0 {
-                1.0
-            } else {
-                f64::from(answered) / f64::from(sent)
-            },
+            answered_share,
         }
     }
 
@@ -134,9 +137,9 @@
         self.by_gateway.values().map(|received| &received.report)
     }
 
-    fn sum_over_gateways(&self, site: usize, count: fn(&SiteReachability) -> u16) -> u32 {
+    fn sum_over_gateways(&self, site: SiteIndex, count: fn(&SiteReachability) -> u16) -> u32 {
         self.reports()
-            .filter_map(|report| report.sites.get(site))
+            .filter_map(|report| report.sites.get(site.0))
             .map(|reachability| u32::from(count(reachability)))
             .sum()
     }
--- a/crates/site-failover/src/plan.rs
+++ b/crates/site-failover/src/plan.rs
@@ -1,5 +1,8 @@
 //! The failover plan: what the planner sends to all gateways.
 
+use crate::{ClassIndex, SiteIndex};
+use irisrouter_cluster_types::{Epoch, Milliseconds};
+
 /// The state of a site.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum SiteState {
@@ -15,7 +18,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PlanVersion {
     /// The fencing epoch of the lease under which the plan was made.
-    pub epoch: u64,
+    pub epoch: Epoch,
     /// The plan's sequence number under that epoch.
     pub sequence: u32,
 }
@@ -46,12 +49,16 @@
     pub sites: Vec<SitePlan>,
     /// The share of each class that is admitted, 0 to 1, by the class's index.
     pub admitted_share: Vec<f64>,
-    /// Rejected clients are told to retry after this time and up to twice as long, in milliseconds.
-    /// The delay is random, so that clients rejected together do not retry together.
-    pub retry_after_ms: u32,
+    /// Rejected clients are told to retry after this time and up to twice as long, at most
+    /// [`Plan::MAX_RETRY_AFTER`]. The delay is random, so that clients rejected together do not
+    /// retry together.
+    pub retry_after: Milliseconds,
 }
 
 impl Plan {
+    /// The longest retry delay that a plan can carry.
+    pub const MAX_RETRY_AFTER: Milliseconds = Milliseconds(u32::MAX as u64);
+
     /// Whether the plan changes anything: some site is not up, or some class is shed.
     #[must_use]
     pub fn in_force(&self) -> bool {
@@ -59,4 +66,16 @@
         let sheds_load = self.admitted_share.iter().any(|&share| share < 1.0);
         !all_up || sheds_load
     }
+
+    /// What the plan says about a site; none where it does not cover the site.
+    #[must_use]
+    pub fn site(&self, site: SiteIndex) -> Option<&SitePlan> {
+        self.sites.get(site.0)
+    }
+
+    /// The share of a class that is admitted: all of it where the plan does not cover the class.
+    #[must_use]
+    pub fn admitted_share_of(&self, class: ClassIndex) -> f64 {
+        self.admitted_share.get(class.0).copied().unwrap_or(1.0)
+    }
 }
--- a/crates/site-failover/src/planner.rs
+++ b/crates/site-failover/src/planner.rs
@@ -1,14 +1,15 @@
 //! Makes failover plans, on the one gateway that holds the lease for it.
 
 use crate::site_tracker::SiteTracker;
-use crate::{Millis, Plan, PlanVersion, Settings, SettingsError};
-use crate::{SiteObservation, SitePlan, SiteState};
+use crate::{ClassIndex, Plan, PlanVersion, Settings, SettingsError};
+use crate::{SiteIndex, SiteObservation, SitePlan, SiteState};
+use irisrouter_cluster_types::{Epoch, Milliseconds, Timestamp};
 
 /// A site whose state changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SiteStateChange {
-    /// The site's index.
-    pub site: usize,
+    /// The site.
+    pub site: SiteIndex,
     /// Its new state.
     pub state: SiteState,
 }
@@ -18,7 +19,7 @@
 pub struct Planner {
     settings: Settings,
     sites: Vec<SiteTracker>,
-    last_observed: Option<Millis>,
+    last_observed_at: Option<Timestamp>,
     /// The sequence number of the last plan.
     sequence: u32,
 }
@@ -33,7 +34,7 @@
         Ok(Self {
             sites: vec![SiteTracker::new(); settings.preferred_sites.len()],
             settings,
-            last_observed: None,
+            last_observed_at: None,
             sequence: 0,
         })
     }
@@ -48,24 +49,26 @@
 
     /// The state of a site; none where there is no such site.
     #[must_use]
-    pub fn state(&self, site: usize) -> Option<SiteState> {
-        self.sites.get(site).map(SiteTracker::state)
+    pub fn state(&self, site: SiteIndex) -> Option<SiteState> {
+        self.sites.get(site.0).map(SiteTracker::state)
     }
 
     /// Records what is observed now of each site, by the site's index. Returns the sites whose
     /// state changed.
     pub fn observe(
         &mut self,
-        now: Millis,
+        now: Timestamp,
         observations: &[SiteObservation],
     ) -> Vec<SiteStateChange> {
-        let elapsed_ms = self
-            .last_observed
-            .map_or(0, |last| now.saturating_sub(last));
-        self.last_observed = Some(now);
+        let elapsed = self.last_observed_at.map_or(Milliseconds::ZERO, |last| {
+            now.saturating_duration_since(last)
+        });
+        self.last_observed_at = Some(now);
         let mut changes = Vec::new();
-        for (site, (tracker, &observation)) in self.sites.iter_mut().zip(observations).enumerate() {
-            if let Some(state) = tracker.observe(now, elapsed_ms, observation, &self.settings) {
+        for (index, (tracker, &observation)) in self.sites.iter_mut().zip(observations).enumerate()
+        {
+            if let Some(state) = tracker.observe(now, elapsed, observation, &self.settings) {
+                let site = SiteIndex(index);
                 changes.push(SiteStateChange { site, state });
             }
         }
@@ -77,7 +80,7 @@
     /// `epoch` is the fencing epoch of the lease under which this gateway plans. `class_rates` are
     /// the requests per second of each class over all sites. `gateway_count` is the number of
     /// gateways that share the budgets.
-    pub fn next_plan(&mut self, epoch: u64, class_rates: &[f64], gateway_count: u32) -> Plan {
+    pub fn next_plan(&mut self, epoch: Epoch, class_rates: &[f64], gateway_count: u32) -> Plan {
         self.sequence = self.sequence.wrapping_add(1);
         let budgets: Vec<f64> = self
             .sites
@@ -86,26 +89,31 @@
             .collect();
         let distributions = self.distribute_load(&budgets);
         let excess_per_s = self.excess_per_s(&distributions);
-        let sites = self.sites.iter().zip(budgets).zip(distributions);
         Plan {
             version: PlanVersion {
                 epoch,
                 sequence: self.sequence,
             },
             gateway_count: gateway_count.max(1),
-            sites: sites
-                .map(|((site, budget_per_s), load_distribution)| SitePlan {
-                    budget_per_s,
-                    state: site.state(),
-                    recovery_ramp: site.recovery_ramp(&self.settings),
-                    load_distribution,
-                })
-                .collect(),
+            sites: self.site_plans(budgets, distributions),
             admitted_share: self.shed_load(class_rates, excess_per_s),
-            retry_after_ms: self.retry_after_ms(),
+            retry_after: self.retry_after(),
         }
     }
 
+    /// The plan of each site, from its budget and the shares of its load that go to each site.
+    fn site_plans(&self, budgets: Vec<f64>, distributions: Vec<Vec<f64>>) -> Vec<SitePlan> {
+        let sites = self.sites.iter().zip(budgets).zip(distributions);
+        sites
+            .map(|((site, budget_per_s), load_distribution)| SitePlan {
+                budget_per_s,
+                state: site.state(),
+                recovery_ramp: site.recovery_ramp(&self.settings),
+                load_distribution,
+            })
+            .collect()
+    }
+
     fn all_up(&self) -> bool {
         self.sites.iter().all(SiteTracker::is_up)
     }
@@ -130,7 +138,7 @@
         }
         if !all_up {
             for (site, distribution) in distributions.iter_mut().enumerate() {
-                self.distribute_overflow(site, distribution, &mut remaining);
+                self.distribute_overflow(SiteIndex(site), distribution, &mut remaining);
             }
         }
         distributions
@@ -138,16 +146,22 @@
 
     /// Assigns the load that a site can't serve itself to the other sites, in order of preference,
     /// as far as they have budget left.
-    fn distribute_overflow(&self, site: usize, distribution: &mut [f64], remaining: &mut [f64]) {
-        let load = self.sites[site].load_per_s();
+    fn distribute_overflow(
+        &self,
+        site: SiteIndex,
+        distribution: &mut [f64],
+        remaining: &mut [f64],
+    ) {
+        let load = self.sites[site.0].load_per_s();
         let mut overflow = load * (1.0 - distribution.iter().sum::<f64>());
         if load <= 0.0 || overflow <= 0.0 {
             return;
         }
-        let preferred = &self.settings.preferred_sites[site];
-        let others =
-            (0..remaining.len()).filter(|other| *other != site && !preferred.contains(other));
-        for target in preferred.iter().copied().chain(others) {
+        let preferred = &self.settings.preferred_sites[site.0];
+        let others = (0..remaining.len())
+            .map(SiteIndex)
+            .filter(|other| *other != site && !preferred.contains(other));
+        for SiteIndex(target) in preferred.iter().copied().chain(others) {
             let moved = overflow.min(remaining[target]);
             distribution[target] += moved / load;
             remaining[target] -= moved;
@@ -175,7 +189,7 @@
     fn shed_load(&self, class_rates: &[f64], excess_per_s: f64) -> Vec<f64> {
         let mut admitted_share = vec![1.0; class_rates.len()];
         let mut remaining = excess_per_s;
-        for &class in &self.settings.load_shedding_order {
+        for &ClassIndex(class) in &self.settings.load_shedding_order {
             let Some(&rate) = class_rates.get(class).filter(|&&rate| rate > 0.0) else {
                 continue;
             };
@@ -188,16 +202,13 @@
 
     /// Rejected clients are to retry when more can be served: soon while a site recovers, later
     /// while one is lost.
-    fn retry_after_ms(&self) -> u32 {
-        let longest_ms = self
-            .settings
-            .lost_after_ms
-            .max(self.settings.recovering_after_ms);
+    fn retry_after(&self) -> Milliseconds {
+        let longest = self.settings.lost_after.max(self.settings.recovering_after);
         let any_lost = self
             .sites
             .iter()
             .any(|site| site.state() == SiteState::Lost);
-        let retry_after_ms = if any_lost { 2 * longest_ms } else { longest_ms };
-        u32::try_from(retry_after_ms).unwrap_or(u32::MAX)
+        let retry_after = if any_lost { longest * 2 } else { longest };
+        retry_after.min(Plan::MAX_RETRY_AFTER)
     }
 }
--- a/crates/site-failover/src/settings.rs
+++ b/crates/site-failover/src/settings.rs
@@ -1,37 +1,36 @@
 //! The operators' settings of site failover, and their checks.
 
-use crate::{MAX_CLASSES, MAX_SITES};
+use crate::{ClassIndex, SiteIndex, MAX_CLASSES, MAX_SITES};
+use irisrouter_cluster_types::Milliseconds;
 use thiserror::Error;
 
-/// The operators' settings. Sites and classes are given by their index.
+/// The operators' settings.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
-    /// For each site, the sites that take its load, in order of preference. Sites that are not
-    /// named come last, by index.
-    pub preferred_sites: Vec<Vec<usize>>,
+    /// For each site, by its index, the sites that take its load, in order of preference. Sites
+    /// that are not named come last, by index.
+    pub preferred_sites: Vec<Vec<SiteIndex>>,
     /// Classes in the order in which they are shed. A plan never sheds a class that is not named.
-    pub load_shedding_order: Vec<usize>,
+    pub load_shedding_order: Vec<ClassIndex>,
     /// Share of a site's capacity that a plan assigns, 0 to 1. The rest is a reserve for load that
     /// the plan does not foresee.
     pub capacity_share: f64,
     /// A site is lost once at least this share of its hosts, 0 to 1, has been silent for
-    /// `lost_after_ms`.
+    /// `lost_after`.
     pub lost_host_share: f64,
-    /// How long that share of its hosts has to be silent, in milliseconds.
-    pub lost_after_ms: u64,
+    /// How long that share of its hosts has to be silent.
+    pub lost_after: Milliseconds,
     /// A lost site is recovering once less than half of `lost_host_share` has been silent for this
-    /// time, in milliseconds. The two thresholds differ so that a site does not flap between the
-    /// states.
-    pub recovering_after_ms: u64,
+    /// time. The two thresholds differ so that a site does not flap between the states.
+    pub recovering_after: Milliseconds,
     /// A recovering site begins with this share of its capacity, 0 to 1.
     pub recovery_ramp_start: f64,
-    /// The length of the recovery ramp, in milliseconds during which the site's hosts answer.
-    pub recovery_ramp_ms: u64,
+    /// The length of the recovery ramp. Only the time during which the site's hosts answer counts.
+    pub recovery_ramp_duration: Milliseconds,
     /// Share of its requests, 0 to 1, that a recovering site has to answer for its ramp to advance.
     pub recovery_min_answered_share: f64,
-    /// A plan expires this long after it was received, in milliseconds; routing then continues as
-    /// without a plan.
-    pub plan_expiry_ms: u64,
+    /// A plan expires this long after it was received; routing then continues as without a plan.
+    pub plan_expiry: Milliseconds,
 }
 
 impl Settings {
@@ -44,12 +43,12 @@
             load_shedding_order: Vec::new(),
             capacity_share: 0.85,
             lost_host_share: 0.6,
-            lost_after_ms: 1_000,
-            recovering_after_ms: 1_000,
+            lost_after: Milliseconds(1_000),
+            recovering_after: Milliseconds(1_000),
             recovery_ramp_start: 0.15,
-            recovery_ramp_ms: 14_000,
+            recovery_ramp_duration: Milliseconds(14_000),
             recovery_min_answered_share: 0.9,
-            plan_expiry_ms: 60_000,
+            plan_expiry: Milliseconds(60_000),
         }
     }
 
@@ -64,7 +63,7 @@
         check_share("lost_part", self.lost_host_share)?;
         check_share("ramp_from", self.recovery_ramp_start)?;
         check_share("ramp_answers", self.recovery_min_answered_share)?;
-        if self.recovery_ramp_ms == 0 {
+        if self.recovery_ramp_duration == Milliseconds::ZERO {
             return Err(SettingsError::new("ramp_ms", InvalidSetting::Zero));
         }
         Ok(())
@@ -76,11 +75,10 @@
             let reason = InvalidSetting::SiteCount(site_count);
             return Err(SettingsError::new("prefer", reason));
         }
-        for (site, preferred) in self.preferred_sites.iter().enumerate() {
-            if preferred
-                .iter()
-                .any(|&other| other >= site_count || other == site)
-            {
+        for (index, preferred) in self.preferred_sites.iter().enumerate() {
+            let site = SiteIndex(index);
+            let is_invalid = |&other: &SiteIndex| other.0 >= site_count || other == site;
+            if preferred.iter().any(is_invalid) {
                 let reason = InvalidSetting::PreferredSite(site);
                 return Err(SettingsError::new("prefer", reason));
             }
@@ -90,7 +88,7 @@
 
     fn check_load_shedding_order(&self) -> Result<(), SettingsError> {
         let mut classes = self.load_shedding_order.iter();
-        match classes.find(|&&class| class >= MAX_CLASSES) {
+        match classes.find(|class| class.0 >= MAX_CLASSES) {
             Some(&class) => {
                 let reason = InvalidSetting::UnknownClass(class);
                 Err(SettingsError::new("refuse", reason))
@@ -133,10 +131,10 @@
     SiteCount(usize),
     /// This site prefers itself, or a site that does not exist.
     #[error("site {0} names itself, or one that is not there")]
-    PreferredSite(usize),
+    PreferredSite(SiteIndex),
     /// This class is not below [`MAX_CLASSES`].
     #[error("class {0} is beyond {max}", max = MAX_CLASSES)]
-    UnknownClass(usize),
+    UnknownClass(ClassIndex),
     /// The value is not a share over 0 and at most 1.
     #[error("over 0, at most 1")]
     NotAShare,
--- a/crates/site-failover/src/site_tracker.rs
+++ b/crates/site-failover/src/site_tracker.rs
@@ -1,7 +1,8 @@
 //! The state of one site as the planner judges it: up, lost or recovering, and how far its recovery
 //! ramp has advanced.
 
-use crate::{Millis, Settings, SiteState};
+use crate::{Settings, SiteState};
+use irisrouter_cluster_types::{Milliseconds, Timestamp};
 
 /// What the load reports of all gateways say about a site.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -44,7 +45,7 @@
 struct Transition {
     to: SiteState,
     /// How long the observations have to call for it.
-    after_ms: u64,
+    after: Milliseconds,
 }
 
 /// Tracks the state of one site.
@@ -52,9 +53,9 @@
 pub struct SiteTracker {
     state: SiteState,
     /// Since when the observations have called for another state.
-    transition_pending_since: Option<Millis>,
-    /// How far the recovery ramp has advanced, in milliseconds.
-    ramp_progress_ms: u64,
+    transition_pending_since: Option<Timestamp>,
+    /// How far the recovery ramp has advanced.
+    ramp_progress: Milliseconds,
     observation: SiteObservation,
 }
 
@@ -64,7 +65,7 @@
         Self {
             state: SiteState::Up,
             transition_pending_since: None,
-            ramp_progress_ms: 0,
+            ramp_progress: Milliseconds::ZERO,
             observation: SiteObservation::NONE,
         }
     }
@@ -89,36 +90,36 @@
     /// side.
     pub fn resume(&mut self, state: SiteState) {
         self.state = state;
-        self.ramp_progress_ms = 0;
+        self.ramp_progress = Milliseconds::ZERO;
     }
 
-    /// Records an observation made `elapsed_ms` after the one before. Returns the new state if the
+    /// Records an observation made `elapsed` after the one before. Returns the new state if the
     /// state changed.
     pub fn observe(
         &mut self,
-        now: Millis,
-        elapsed_ms: u64,
+        now: Timestamp,
+        elapsed: Milliseconds,
         observation: SiteObservation,
         settings: &Settings,
     ) -> Option<SiteState> {
         self.observation = observation;
         self.confirm_transition(now, settings)
-            .or_else(|| self.advance_ramp(elapsed_ms, settings))
+            .or_else(|| self.advance_ramp(elapsed, settings))
     }
 
     /// Changes the state once the observations have called for another one long enough.
-    fn confirm_transition(&mut self, now: Millis, settings: &Settings) -> Option<SiteState> {
+    fn confirm_transition(&mut self, now: Timestamp, settings: &Settings) -> Option<SiteState> {
         let Some(transition) = self.indicated_transition(settings) else {
             self.transition_pending_since = None;
             return None;
         };
         let pending_since = *self.transition_pending_since.get_or_insert(now);
-        if now < pending_since.saturating_add(transition.after_ms) {
+        if now < pending_since.saturating_add(transition.after) {
             return None;
         }
         self.state = transition.to;
         self.transition_pending_since = None;
-        self.ramp_progress_ms = 0;
+        self.ramp_progress = Milliseconds::ZERO;
         Some(transition.to)
     }
 
@@ -129,12 +130,12 @@
             SiteState::Up | SiteState::Recovering if silent_share >= settings.lost_host_share => {
                 Some(Transition {
                     to: SiteState::Lost,
-                    after_ms: settings.lost_after_ms,
+                    after: settings.lost_after,
                 })
             }
             SiteState::Lost if silent_share < settings.lost_host_share / 2.0 => Some(Transition {
                 to: SiteState::Recovering,
-                after_ms: settings.recovering_after_ms,
+                after: settings.recovering_after,
             }),
             SiteState::Up | SiteState::Recovering | SiteState::Lost => None,
         }
@@ -142,14 +143,15 @@
 
     /// Advances the recovery ramp; at its end the site is up. The ramp advances only while the site
     /// answers what it is sent, and not while the observations call for it to be lost again.
-    fn advance_ramp(&mut self, elapsed_ms: u64, settings: &Settings) -> Option<SiteState> {
+    fn advance_ramp(&mut self, elapsed: Milliseconds, settings: &Settings) -> Option<SiteState> {
         let recovering = self.state == SiteState::Recovering;
         let answers = self.observation.answered_share >= settings.recovery_min_answered_share;
         if !recovering || !answers || self.transition_pending_since.is_some() {
             return None;
         }
-        self.ramp_progress_ms = (self.ramp_progress_ms + elapsed_ms).min(settings.recovery_ramp_ms);
-        if self.ramp_progress_ms < settings.recovery_ramp_ms {
+        let progress = self.ramp_progress + elapsed;
+        self.ramp_progress = progress.min(settings.recovery_ramp_duration);
+        if self.ramp_progress < settings.recovery_ramp_duration {
             return None;
         }
         self.state = SiteState::Up;
@@ -165,8 +167,9 @@
             // too.
             SiteState::Lost => start,
             SiteState::Recovering => {
-                let progress_ms = self.ramp_progress_ms as f64;
-                start + (1.0 - start) * progress_ms / settings.recovery_ramp_ms as f64
+                let progress_ms = self.ramp_progress.0 as f64;
+                let duration_ms = settings.recovery_ramp_duration.0 as f64;
+                start + (1.0 - start) * progress_ms / duration_ms
             }
         }
     }
--- a/crates/site-failover/tests/codec.rs
+++ b/crates/site-failover/tests/codec.rs
@@ -1,7 +1,9 @@
 //! The codec for arbitrary values and arbitrary bytes.
 
+use irisrouter_cluster_types::Milliseconds;
 use irisrouter_site_failover::codec::{self, Message};
 use irisrouter_site_failover::load_report::{SiteLoadReport, SiteReachability};
+use irisrouter_site_failover::SiteIndex;
 use proptest::prelude::*;
 
 proptest! {
@@ -36,7 +38,12 @@
             answered,
         };
         let sites = sites.into_iter().map(reachability).collect();
-        let report = SiteLoadReport { site, period_ms, arrived, sites };
+        let report = SiteLoadReport {
+            site: SiteIndex(usize::from(site)),
+            period: Milliseconds(u64::from(period_ms)),
+            arrived,
+            sites,
+        };
         let datagram = codec::encode_load_report(&report);
         prop_assert!(datagram.len() <= codec::MAX_DATAGRAM_BYTES);
         prop_assert_eq!(codec::decode(&datagram), Ok(Message::SiteLoadReport(report)));
--- a/crates/site-failover/tests/common/mod.rs
+++ b/crates/site-failover/tests/common/mod.rs
@@ -1,6 +1,9 @@
 //! Observations and settings that the tests share.
 
-use irisrouter_site_failover::{Planner, Settings, SiteObservation, SiteStateChange};
+use irisrouter_cluster_types::{Milliseconds, Timestamp};
+use irisrouter_site_failover::{
+    ClassIndex, Planner, Settings, SiteIndex, SiteObservation, SiteStateChange,
+};
 
 /// Ten hosts that all answer.
 pub fn up(capacity_per_s: f64, load_per_s: f64) -> SiteObservation {
@@ -25,21 +28,27 @@
 /// shed.
 pub fn settings() -> Settings {
     Settings {
-        preferred_sites: vec![vec![2], vec![], vec![]],
-        load_shedding_order: vec![0, 1],
+        preferred_sites: vec![vec![SiteIndex(2)], vec![], vec![]],
+        load_shedding_order: vec![ClassIndex(0), ClassIndex(1)],
         capacity_share: 0.8,
         ..Settings::for_sites(3)
     }
 }
 
-/// Observes the same every 100 ms, at `from` and for `length` milliseconds after it.
+/// The time between two observations, in milliseconds.
+const OBSERVATION_INTERVAL_MS: u64 = 100;
+
+/// Observes the same every 100 ms, at `from` and for `length` after it.
 pub fn observe_for(
     planner: &mut Planner,
-    from: u64,
-    length: u64,
+    from: Timestamp,
+    length: Milliseconds,
     observations: &[SiteObservation],
 ) -> Vec<SiteStateChange> {
-    (0..=length / 100)
-        .flat_map(|step| planner.observe(from + step * 100, observations))
+    (0..=length.0 / OBSERVATION_INTERVAL_MS)
+        .flat_map(|step| {
+            let elapsed = Milliseconds(step * OBSERVATION_INTERVAL_MS);
+            planner.observe(from + elapsed, observations)
+        })
         .collect()
 }
--- a/crates/site-failover/tests/follower.rs
+++ b/crates/site-failover/tests/follower.rs
@@ -3,50 +3,75 @@
 mod common;
 
 use common::{observe_for, settings, silent, up};
-use irisrouter_site_failover::{Admission, Follower, Plan, PlanVersion, Planner};
+use irisrouter_cluster_types::{Epoch, Milliseconds, Timestamp};
+use irisrouter_site_failover::{
+    Admission, ClassIndex, Follower, Plan, PlanVersion, Planner, SiteIndex,
+};
+
+/// The class that the settings shed first.
+const REPORTS: ClassIndex = ClassIndex(0);
 
 #[test]
 fn follower_follows_the_latest_plan_until_it_expires_when_cut_off() {
     let settings = settings();
     let mut planner = Planner::new(settings.clone()).expect("settings");
     let observations = [silent(up(100.0, 60.0)), up(100.0, 60.0), up(100.0, 60.0)];
-    observe_for(&mut planner, 0, 1_500, &observations);
+    observe_for(
+        &mut planner,
+        Timestamp::from_millis(0),
+        Milliseconds(1_500),
+        &observations,
+    );
     let plans: Vec<Plan> = (0..3)
-        .map(|_| planner.next_plan(7, &[20.0, 160.0], 5))
+        .map(|_| planner.next_plan(Epoch(7), &[20.0, 160.0], 5))
         .collect();
     let mut follower = Follower::new(&settings);
+    let [start, later] = [0, 1].map(Timestamp::from_millis);
     assert_eq!(
-        follower.admit(0, 0, 0.999),
+        follower.admit(start, REPORTS, 0.999),
         Admission::Admitted,
-        "nothing is shed without a plan"
+        "a follower without a plan admits every request"
+    );
+    assert!(follower.receive(start, plans[1].clone()));
+    assert!(
+        !follower.receive(later, plans[0].clone()),
+        "an earlier plan of the same epoch is ignored"
+    );
+    assert!(
+        !follower.receive(later, plans[1].clone()),
+        "a plan that is followed already is ignored"
     );
-    assert!(follower.receive(0, plans[1].clone()));
-    assert!(!follower.receive(1, plans[0].clone()), "an earlier plan");
-    assert!(!follower.receive(1, plans[1].clone()), "the same plan");
     let earlier_epoch = Plan {
         version: PlanVersion {
-            epoch: 6,
+            epoch: Epoch(6),
             sequence: 99,
         },
         ..plans[2].clone()
     };
     assert!(
-        !follower.receive(1, earlier_epoch),
-        "a plan of an earlier epoch"
+        !follower.receive(later, earlier_epoch),
+        "a plan of an earlier epoch is ignored, whatever its sequence number"
+    );
+    assert_eq!(
+        follower.gateway_budget_per_s(later, SiteIndex(0)),
+        Some(0.0)
     );
-    assert_eq!(follower.gateway_budget_per_s(1, 0), Some(0.0));
-    let Admission::Rejected { retry_after_ms } = follower.admit(1, 0, 0.5) else {
-        panic!("all reports are shed")
+    let Admission::Rejected { retry_after } = follower.admit(later, REPORTS, 0.5) else {
+        panic!("the plan sheds all reports")
     };
     assert!(
-        (2_000..=4_000).contains(&retry_after_ms),
-        "{retry_after_ms}"
+        (Milliseconds(2_000)..=Milliseconds(4_000)).contains(&retry_after),
+        "{retry_after} ms"
     );
     // No further plan arrives: the latest one applies until it expires.
-    let expiry = settings.plan_expiry_ms;
+    let expires_at = start + settings.plan_expiry;
+    let before_expiry = expires_at.saturating_sub(Milliseconds(1));
     assert!(matches!(
-        follower.admit(expiry - 1, 0, 0.5),
+        follower.admit(before_expiry, REPORTS, 0.5),
         Admission::Rejected { .. }
     ));
-    assert_eq!(follower.admit(expiry, 0, 0.5), Admission::Admitted);
+    assert_eq!(
+        follower.admit(expires_at, REPORTS, 0.5),
+        Admission::Admitted
+    );
 }
--- a/crates/site-failover/tests/golden.rs
+++ b/crates/site-failover/tests/golden.rs
@@ -12,12 +12,13 @@
 //! Literals are groups of hex digits, one group for each field of the layout; white space between
 //! them is ignored.
 
+use irisrouter_cluster_types::{Epoch, Milliseconds, TaskId};
 use irisrouter_site_failover::codec::{
     decode, encode_load_report, encode_plan, Message, WireError, MAGIC, MAX_DATAGRAM_BYTES,
 };
 use irisrouter_site_failover::load_report::{SiteLoadReport, SiteReachability};
 use irisrouter_site_failover::{
-    recognizes, Plan, PlanVersion, SitePlan, SiteState, MAX_CLASSES, MAX_SITES, TASK_ID,
+    recognizes, Plan, PlanVersion, SiteIndex, SitePlan, SiteState, MAX_CLASSES, MAX_SITES, TASK_ID,
 };
 
 fn hex(bytes: &[u8]) -> String {
@@ -48,13 +49,13 @@
 fn plan(sites: Vec<SitePlan>, admitted_share: &[f64]) -> Plan {
     Plan {
         version: PlanVersion {
-            epoch: 0x0102_0304_0506_0708,
+            epoch: Epoch(0x0102_0304_0506_0708),
             sequence: 0x1112_1314,
         },
         gateway_count: 0x2122_2324,
         sites,
         admitted_share: admitted_share.to_vec(),
-        retry_after_ms: 0x3132_3334,
+        retry_after: Milliseconds(0x3132_3334),
     }
 }
 
@@ -98,11 +99,11 @@
 fn plan_with_largest_numbers() -> Plan {
     Plan {
         version: PlanVersion {
-            epoch: u64::MAX,
+            epoch: Epoch(u64::MAX),
             sequence: u32::MAX,
         },
         gateway_count: u32::MAX,
-        retry_after_ms: u32::MAX,
+        retry_after: Milliseconds(u64::from(u32::MAX)),
         ..plan_with(4_294_967.295, 1.0, 1.0, 1.0)
     }
 }
@@ -122,8 +123,8 @@
 
 fn load_report() -> SiteLoadReport {
     SiteLoadReport {
-        site: 5,
-        period_ms: 0x0102,
+        site: SiteIndex(5),
+        period: Milliseconds(0x0102),
         arrived: vec![0x3132, 0x3334, 0x3536],
         sites: vec![
             SiteReachability {
@@ -144,8 +145,8 @@
 
 fn load_report_of_nothing() -> SiteLoadReport {
     SiteLoadReport {
-        site: 0,
-        period_ms: 1,
+        site: SiteIndex(0),
+        period: Milliseconds(1),
         arrived: Vec::new(),
         sites: Vec::new(),
     }
@@ -159,8 +160,8 @@
         answered: u16::MAX,
     };
     SiteLoadReport {
-        site: 7,
-        period_ms: u16::MAX,
+        site: SiteIndex(7),
+        period: Milliseconds(u64::from(u16::MAX)),
         arrived: vec![u16::MAX],
         sites: vec![all],
     }
@@ -175,8 +176,8 @@
         answered: 0x1400 + n,
     };
     SiteLoadReport {
-        site: 7,
-        period_ms: 0x0102,
+        site: SiteIndex(7),
+        period: Milliseconds(0x0102),
         arrived: (0..classes).map(|class| 0x2100 + class).collect(),
         sites: (0..sites).map(reach).collect(),
     }
@@ -556,7 +557,7 @@
         );
     }
     let without_period = encode_load_report(&SiteLoadReport {
-        period_ms: 0,
+        period: Milliseconds(0),
         ..load_report()
     });
     refuses(
@@ -592,5 +593,5 @@
 
 #[test]
 fn task_id_of_the_planning_keeps_its_value() {
-    assert_eq!(TASK_ID, 0x5349_5445_0000_0000);
+    assert_eq!(TASK_ID, TaskId(0x5349_5445_0000_0000));
 }
--- a/crates/site-failover/tests/load_report.rs
+++ b/crates/site-failover/tests/load_report.rs
@@ -1,6 +1,8 @@
 //! The sums of load reports over all gateways.
 
+use irisrouter_cluster_types::{GatewayId, Milliseconds, Timestamp};
 use irisrouter_site_failover::load_report::{SiteLoadReport, SiteLoadReports, SiteReachability};
+use irisrouter_site_failover::SiteIndex;
 
 const fn reachability(hosts: u16, silent: u16, sent: u16, answered: u16) -> SiteReachability {
     SiteReachability {
@@ -11,10 +13,10 @@
     }
 }
 
-fn report(site: u8, arrived: &[u16], sites: &[SiteReachability]) -> SiteLoadReport {
+fn report(site: usize, arrived: &[u16], sites: &[SiteReachability]) -> SiteLoadReport {
     SiteLoadReport {
-        site,
-        period_ms: 500,
+        site: SiteIndex(site),
+        period: Milliseconds(500),
         arrived: arrived.to_vec(),
         sites: sites.to_vec(),
     }
@@ -25,17 +27,33 @@
 #[test]
 fn load_reports_add_up_over_gateways_and_only_the_latest_of_each_counts() {
     let mut reports = SiteLoadReports::default();
-    reports.record(0, 1, report(0, &[900, 900], &[]));
+    reports.record(
+        Timestamp::from_millis(0),
+        GatewayId(1),
+        report(0, &[900, 900], &[]),
+    );
     let first = [reachability(2, 2, 4, 0), reachability(1, 0, 6, 6)];
-    reports.record(10, 1, report(0, &[10, 0], &first));
+    reports.record(
+        Timestamp::from_millis(10),
+        GatewayId(1),
+        report(0, &[10, 0], &first),
+    );
     let second = [reachability(1, 0, 4, 4), reachability(3, 0, 0, 0)];
-    reports.record(10, 2, report(0, &[0, 5], &second));
-    reports.record(20, 3, report(1, &[0, 20], &[]));
+    reports.record(
+        Timestamp::from_millis(10),
+        GatewayId(2),
+        report(0, &[0, 5], &second),
+    );
+    reports.record(
+        Timestamp::from_millis(20),
+        GatewayId(3),
+        report(1, &[0, 20], &[]),
+    );
     let without_period = SiteLoadReport {
-        period_ms: 0,
+        period: Milliseconds::ZERO,
         ..report(1, &[9], &[])
     };
-    reports.record(20, 4, without_period);
+    reports.record(Timestamp::from_millis(20), GatewayId(4), without_period);
     assert_eq!(reports.gateway_count(), 3);
     assert_eq!(reports.class_rates(2), [20.0, 50.0]);
     let observations = reports.observe_sites(&[100.0, 50.0]);
@@ -55,7 +73,7 @@
         (observations[1].load_per_s, observations[1].answered_share),
         (40.0, 1.0)
     );
-    reports.remove_before(15);
+    reports.remove_before(Timestamp::from_millis(15));
     assert_eq!(reports.gateway_count(), 1);
     assert_eq!(reports.class_rates(2), [0.0, 40.0]);
 }
--- a/crates/site-failover/tests/planner.rs
+++ b/crates/site-failover/tests/planner.rs
@@ -3,12 +3,15 @@
 mod common;
 
 use common::{observe_for, settings, silent, up};
+use irisrouter_cluster_types::{Epoch, Milliseconds, Timestamp};
 use irisrouter_site_failover::codec::{self, Message};
-use irisrouter_site_failover::{Follower, Planner, SiteObservation, SiteState, SiteStateChange};
+use irisrouter_site_failover::{
+    Follower, Planner, SiteIndex, SiteObservation, SiteState, SiteStateChange,
+};
 use proptest::prelude::*;
 
 const LOST_SITE_0: SiteStateChange = SiteStateChange {
-    site: 0,
+    site: SiteIndex(0),
     state: SiteState::Lost,
 };
 
@@ -16,20 +19,35 @@
 fn planner_moves_load_by_preference_and_sheds_classes_in_order_when_a_site_is_lost() {
     let mut planner = Planner::new(settings()).expect("settings");
     let healthy = [up(100.0, 60.0), up(100.0, 60.0), up(100.0, 60.0)];
-    observe_for(&mut planner, 0, 2_000, &healthy);
-    let plan = planner.next_plan(1, &[30.0, 90.0, 60.0], 10);
+    observe_for(
+        &mut planner,
+        Timestamp::from_millis(0),
+        Milliseconds(2_000),
+        &healthy,
+    );
+    let plan = planner.next_plan(Epoch(1), &[30.0, 90.0, 60.0], 10);
     assert!(!plan.in_force(), "{plan:?}");
     let one_lost = [silent(healthy[0]), healthy[1], healthy[2]];
     assert_eq!(
-        observe_for(&mut planner, 2_100, 900, &one_lost),
+        observe_for(
+            &mut planner,
+            Timestamp::from_millis(2_100),
+            Milliseconds(900),
+            &one_lost
+        ),
         [],
-        "the site is not lost before lost_after_ms"
+        "the site is not lost before lost_after has passed"
     );
     assert_eq!(
-        observe_for(&mut planner, 3_100, 0, &one_lost),
+        observe_for(
+            &mut planner,
+            Timestamp::from_millis(3_100),
+            Milliseconds(0),
+            &one_lost
+        ),
         [LOST_SITE_0]
     );
-    let plan = planner.next_plan(1, &[30.0, 90.0, 60.0], 10);
+    let plan = planner.next_plan(Epoch(1), &[30.0, 90.0, 60.0], 10);
     // The other two sites have 20 of 80 left each: 40 of 60 find room, at the preferred site 2
     // first.
     assert_eq!(plan.sites[0].budget_per_s, 0.0);
@@ -43,11 +61,11 @@
     );
     assert_eq!(plan.admitted_share[1..], [1.0, 1.0]);
     // With fewer reports, all of those and then page reads; never a write.
-    let plan = planner.next_plan(1, &[5.0, 30.0, 145.0], 10);
+    let plan = planner.next_plan(Epoch(1), &[5.0, 30.0, 145.0], 10);
     assert!(plan.admitted_share[0].abs() < 1e-9);
     assert!((plan.admitted_share[1] - 0.5).abs() < 1e-9);
     assert!(plan.admitted_share[2] == 1.0);
-    let plan = planner.next_plan(1, &[5.0, 5.0, 170.0], 10);
+    let plan = planner.next_plan(Epoch(1), &[5.0, 5.0, 170.0], 10);
     assert_eq!(plan.admitted_share, [0.0, 0.0, 1.0]);
 }
 
@@ -56,13 +74,29 @@
     let mut planner = Planner::new(settings()).expect("settings");
     let healthy = [up(100.0, 60.0), up(100.0, 60.0), up(100.0, 60.0)];
     let one_lost = [silent(healthy[0]), healthy[1], healthy[2]];
-    observe_for(&mut planner, 0, 1_500, &one_lost);
-    assert_eq!(planner.state(0), Some(SiteState::Lost));
-    observe_for(&mut planner, 1_600, 1_000, &healthy);
-    assert_eq!(planner.state(0), Some(SiteState::Recovering));
-    let budget = |planner: &mut Planner| planner.next_plan(1, &[180.0], 4).sites[0].budget_per_s;
+    observe_for(
+        &mut planner,
+        Timestamp::from_millis(0),
+        Milliseconds(1_500),
+        &one_lost,
+    );
+    assert_eq!(planner.state(SiteIndex(0)), Some(SiteState::Lost));
+    observe_for(
+        &mut planner,
+        Timestamp::from_millis(1_600),
+        Milliseconds(1_000),
+        &healthy,
+    );
+    assert_eq!(planner.state(SiteIndex(0)), Some(SiteState::Recovering));
+    let budget =
+        |planner: &mut Planner| planner.next_plan(Epoch(1), &[180.0], 4).sites[0].budget_per_s;
     assert!((budget(&mut planner) - 80.0 * 0.15).abs() < 0.5);
-    observe_for(&mut planner, 2_600, 7_000, &healthy);
+    observe_for(
+        &mut planner,
+        Timestamp::from_millis(2_600),
+        Milliseconds(7_000),
+        &healthy,
+    );
     let halfway = budget(&mut planner);
     assert!(
         (halfway - 80.0 * (0.15 + 0.85 * 0.5)).abs() < 1.0,
@@ -75,8 +109,8 @@
     };
     observe_for(
         &mut planner,
-        9_700,
-        5_000,
+        Timestamp::from_millis(9_700),
+        Milliseconds(5_000),
         &[failing, healthy[1], healthy[2]],
     );
     assert!((budget(&mut planner) - halfway).abs() < 1.0);
@@ -87,20 +121,35 @@
     };
     observe_for(
         &mut planner,
-        14_800,
-        3_000,
+        Timestamp::from_millis(14_800),
+        Milliseconds(3_000),
         &[half_silent, healthy[1], healthy[2]],
     );
-    assert_eq!(planner.state(0), Some(SiteState::Recovering));
-    observe_for(&mut planner, 17_900, 1_100, &one_lost);
-    observe_for(&mut planner, 19_100, 1_100, &healthy);
+    assert_eq!(planner.state(SiteIndex(0)), Some(SiteState::Recovering));
+    observe_for(
+        &mut planner,
+        Timestamp::from_millis(17_900),
+        Milliseconds(1_100),
+        &one_lost,
+    );
+    observe_for(
+        &mut planner,
+        Timestamp::from_millis(19_100),
+        Milliseconds(1_100),
+        &healthy,
+    );
     assert!(
         (budget(&mut planner) - 80.0 * 0.15).abs() < 2.0,
-        "the ramp restarts"
+        "the recovery ramp of a site that was lost again starts over"
+    );
+    observe_for(
+        &mut planner,
+        Timestamp::from_millis(20_300),
+        Milliseconds(14_500),
+        &healthy,
     );
-    observe_for(&mut planner, 20_300, 14_500, &healthy);
-    assert_eq!(planner.state(0), Some(SiteState::Up));
-    assert!(!planner.next_plan(1, &[180.0], 4).in_force());
+    assert_eq!(planner.state(SiteIndex(0)), Some(SiteState::Up));
+    assert!(!planner.next_plan(Epoch(1), &[180.0], 4).in_force());
 }
 
 #[test]
@@ -108,14 +157,29 @@
     let mut first = Planner::new(settings()).expect("settings");
     let healthy = [up(100.0, 60.0), up(100.0, 60.0), up(100.0, 60.0)];
     let one_lost = [silent(healthy[0]), healthy[1], healthy[2]];
-    observe_for(&mut first, 0, 1_500, &one_lost);
-    observe_for(&mut first, 1_600, 1_000, &healthy);
-    let plan = first.next_plan(5, &[180.0], 4);
+    observe_for(
+        &mut first,
+        Timestamp::from_millis(0),
+        Milliseconds(1_500),
+        &one_lost,
+    );
+    observe_for(
+        &mut first,
+        Timestamp::from_millis(1_600),
+        Milliseconds(1_000),
+        &healthy,
+    );
+    let plan = first.next_plan(Epoch(5), &[180.0], 4);
     let mut second = Planner::new(settings()).expect("settings");
     second.resume(&plan);
-    observe_for(&mut second, 0, 1_000, &healthy);
-    assert_eq!(second.state(0), Some(SiteState::Recovering));
-    let budget = second.next_plan(6, &[180.0], 4).sites[0].budget_per_s;
+    observe_for(
+        &mut second,
+        Timestamp::from_millis(0),
+        Milliseconds(1_000),
+        &healthy,
+    );
+    assert_eq!(second.state(SiteIndex(0)), Some(SiteState::Recovering));
+    let budget = second.next_plan(Epoch(6), &[180.0], 4).sites[0].budget_per_s;
     assert!(budget < 80.0 * 0.25);
 }
 
@@ -151,10 +215,10 @@
         let mut planner = Planner::new(settings()).expect("settings");
         let mut follower = Follower::new(&settings());
         for (step, observations) in steps.iter().enumerate() {
-            let now = step as u64 * 700;
+            let now = Timestamp::from_millis(step as u64 * 700);
             planner.observe(now, observations);
-            let plan = planner.next_plan(1, &class_rates, gateway_count);
-            let all_up = (0..3).all(|site| planner.state(site) == Some(SiteState::Up));
+            let plan = planner.next_plan(Epoch(1), &class_rates, gateway_count);
+            let all_up = (0..3).all(|site| planner.state(SiteIndex(site)) == Some(SiteState::Up));
             for site in 0..3 {
                 let sent: f64 = (0..3)
                     .map(|from| {
@@ -171,7 +235,7 @@
             prop_assert!(admitted[1] == 1.0 || admitted[0] < 1e-9 || class_rates[0] == 0.0);
             prop_assert_eq!(admitted[2], 1.0);
             let Ok(Message::Plan(decoded)) = codec::decode(&codec::encode_plan(&plan)) else {
-                panic!("an encoded plan decodes")
+                panic!("an encoded plan is decoded as a plan")
             };
             for (decoded, planned) in decoded.sites.iter().zip(&plan.sites) {
                 prop_assert_eq!(decoded.state, planned.state);
@@ -183,7 +247,7 @@
                 }
             }
             follower.receive(now, decoded);
-            if let Some(own_budget) = follower.gateway_budget_per_s(now, 0) {
+            if let Some(own_budget) = follower.gateway_budget_per_s(now, SiteIndex(0)) {
                 let budget = plan.sites[0].budget_per_s;
                 prop_assert!(own_budget * f64::from(gateway_count) <= budget + 1e-6);
             }
--- a/crates/site-failover/tests/settings.rs
+++ b/crates/site-failover/tests/settings.rs
@@ -1,12 +1,13 @@
 //! The checks of the settings.
 
-use irisrouter_site_failover::{Settings, SettingsError};
+use irisrouter_cluster_types::Milliseconds;
+use irisrouter_site_failover::{ClassIndex, Settings, SettingsError, SiteIndex};
 
 /// Checks the settings after a change that makes them invalid.
 fn rejection(change: impl FnOnce(&mut Settings)) -> SettingsError {
     let mut settings = Settings {
-        preferred_sites: vec![vec![2], vec![], vec![]],
-        load_shedding_order: vec![0, 1],
+        preferred_sites: vec![vec![SiteIndex(2)], vec![], vec![]],
+        load_shedding_order: vec![ClassIndex(0), ClassIndex(1)],
         capacity_share: 0.8,
         ..Settings::for_sites(3)
     };
@@ -27,8 +28,16 @@
 #[test]
 fn settings_check_names_the_field_when_sites_or_classes_are_invalid() {
     let unknown_site = "prefer: site 1 names itself, or one that is not there";
-    assert_rejected(|s| s.preferred_sites[1] = vec![1], "prefer", unknown_site);
-    assert_rejected(|s| s.preferred_sites[1] = vec![3], "prefer", unknown_site);
+    assert_rejected(
+        |s| s.preferred_sites[1] = vec![SiteIndex(1)],
+        "prefer",
+        unknown_site,
+    );
+    assert_rejected(
+        |s| s.preferred_sites[1] = vec![SiteIndex(3)],
+        "prefer",
+        unknown_site,
+    );
     assert_rejected(
         |s| s.preferred_sites.clear(),
         "prefer",
@@ -40,12 +49,12 @@
         "prefer: 1 to 8 sites, not 9",
     );
     assert_rejected(
-        |s| s.load_shedding_order = vec![99],
+        |s| s.load_shedding_order = vec![ClassIndex(99)],
         "refuse",
         "refuse: class 99 is beyond 16",
     );
     assert_rejected(
-        |s| s.load_shedding_order = vec![0, 16],
+        |s| s.load_shedding_order = vec![ClassIndex(0), ClassIndex(16)],
         "refuse",
         "refuse: class 16 is beyond 16",
     );
@@ -79,7 +88,7 @@
         "ramp_answers: over 0, at most 1",
     );
     assert_rejected(
-        |s| s.recovery_ramp_ms = 0,
+        |s| s.recovery_ramp_duration = Milliseconds::ZERO,
         "ramp_ms",
         "ramp_ms: must be greater than zero",
     );
--- a/src/net/admin/operator_config.rs
+++ b/src/net/admin/operator_config.rs
@@ -7,7 +7,9 @@
 //!
 //! The keys of the file are an interface to operators. Where a field here has another name, serde keeps the key.
 
+use irisrouter_cluster_types::Milliseconds;
 use irisrouter_config::{Checked, Problem, Variables};
+use irisrouter_site_failover::{ClassIndex, SiteIndex};
 use schemars::JsonSchema;
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -83,11 +85,11 @@
             load_shedding_order: Vec::new(),
             capacity_share: core.capacity_share,
             lost_host_share: core.lost_host_share,
-            lost_after_ms: core.lost_after_ms,
-            recovering_after_ms: core.recovering_after_ms,
+            lost_after_ms: core.lost_after.0,
+            recovering_after_ms: core.recovering_after.0,
             recovery_ramp_start: core.recovery_ramp_start,
-            recovery_ramp_ms: core.recovery_ramp_ms,
-            plan_expiry_ms: core.plan_expiry_ms,
+            recovery_ramp_ms: core.recovery_ramp_duration.0,
+            plan_expiry_ms: core.plan_expiry.0,
         }
     }
 }
@@ -107,16 +109,18 @@
         for (zone, preferred) in &self.preferred_zones {
             let zone_index = index_of(zones, zone, "prefer")?;
             let path = format!("prefer/{zone}");
-            core.preferred_sites[zone_index] = indices_of(zones, preferred, &path)?;
+            let preferred_sites = indices_of(zones, preferred, &path)?;
+            core.preferred_sites[zone_index] = preferred_sites.into_iter().map(SiteIndex).collect();
         }
-        core.load_shedding_order = indices_of(classes, &self.load_shedding_order, "refuse")?;
+        let shed_classes = indices_of(classes, &self.load_shedding_order, "refuse")?;
+        core.load_shedding_order = shed_classes.into_iter().map(ClassIndex).collect();
         core.capacity_share = self.capacity_share;
         core.lost_host_share = self.lost_host_share;
-        core.lost_after_ms = self.lost_after_ms;
-        core.recovering_after_ms = self.recovering_after_ms;
+        core.lost_after = Milliseconds(self.lost_after_ms);
+        core.recovering_after = Milliseconds(self.recovering_after_ms);
         core.recovery_ramp_start = self.recovery_ramp_start;
-        core.recovery_ramp_ms = self.recovery_ramp_ms;
-        core.plan_expiry_ms = self.plan_expiry_ms;
+        core.recovery_ramp_duration = Milliseconds(self.recovery_ramp_ms);
+        core.plan_expiry = Milliseconds(self.plan_expiry_ms);
         core.check()
             .map_err(|error| OperatorConfigError::SiteFailover(error.into()))?;
         Ok(core)
--- a/src/net/cluster/leases.rs
+++ b/src/net/cluster/leases.rs
@@ -45,7 +45,7 @@
             Self::HealthChecks(GroupId(set)) => set as u64,
             Self::HostDrain(host) => irisrouter_drain_coordination::task_id(host).0,
             Self::EndpointWatch => irisrouter_endpoint_watch::TASK_ID,
-            Self::SiteFailover => irisrouter_site_failover::TASK_ID,
+            Self::SiteFailover => irisrouter_site_failover::TASK_ID.0,
         })
     }
 
@@ -54,7 +54,7 @@
         if id == irisrouter_endpoint_watch::TASK_ID {
             return Self::EndpointWatch;
         }
-        if id == irisrouter_site_failover::TASK_ID {
+        if id == irisrouter_site_failover::TASK_ID.0 {
             return Self::SiteFailover;
         }
         // The number of a drain has the host's number in its low half.
--- a/src/net/cluster/mod.rs
+++ b/src/net/cluster/mod.rs
@@ -16,5 +16,6 @@
 pub mod services;
 pub mod shared_health_checks;
 pub mod site_failover;
+pub mod site_failover_planning;
 pub mod site_failover_status;
 pub mod write_intents;
--- a/src/net/cluster/site_failover.rs
+++ b/src/net/cluster/site_failover.rs
@@ -8,19 +8,21 @@
 use crate::net::cluster::leases::{LeaseService, LeasedTask};
 use crate::net::cluster::membership::MembershipService;
 use crate::net::cluster::outbox::{Outbox, OutgoingDatagram};
-use crate::net::cluster::site_failover_status::{console_line, log_line, state_label};
+use crate::net::cluster::site_failover_planning::{Planning, PlanningInput};
+use crate::net::cluster::site_failover_status::{console_line, log_line};
 use crate::net::config::Peers;
 use crate::net::log::log;
 use crate::net::metrics::{increment, Metrics};
-use crate::net::request::classes::Classes;
 use crate::net::router_task::RouterHandle;
 use crate::net::upstream::Upstream;
 use irisrouter::routing::{Event, FailoverDirectives, Nanos};
-use irisrouter_cluster_types::{Epoch, GatewayId};
+use irisrouter_cluster_types::{GatewayId, Milliseconds, Timestamp};
 use irisrouter_leases::rendezvous;
 use irisrouter_site_failover::codec::{self, Message};
-use irisrouter_site_failover::load_report::{SiteLoadReport, SiteLoadReports};
-use irisrouter_site_failover::{Follower, Plan, Planner, Settings, SettingsError, TASK_ID};
+use irisrouter_site_failover::load_report::SiteLoadReport;
+use irisrouter_site_failover::{
+    ClassIndex, Follower, Plan, Settings, SettingsError, SiteIndex, TASK_ID,
+};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -28,15 +30,10 @@
 use tokio::time::Instant;
 
 /// Time between two load reports, and between two plans.
-const PERIOD_MS: u64 = 500;
-/// A gateway whose latest load report is older than this is not counted.
-const REPORT_EXPIRY_MS: u64 = 3_000;
+const PERIOD: Milliseconds = Milliseconds(500);
 /// Load reports go to this many gateways: the first candidates for the planning lease, any of which
 /// may come to hold it.
 const REPORT_RECEIVERS: usize = 3;
-/// How often a plan that is over is still sent, as datagrams may be lost. A gateway that receives
-/// none of them follows the last plan until it expires.
-const CLOSING_PLANS: u32 = 6;
 const NANOS_PER_MS: Nanos = 1_000_000;
 
 /// The names behind the indexes of sites and classes.
@@ -45,8 +42,8 @@
     pub zones: Vec<String>,
     /// The request classes, in the order of the settings.
     pub classes: Vec<String>,
-    /// The index of this gateway's site.
-    pub local_site: u8,
+    /// This gateway's site.
+    pub local_site: SiteIndex,
 }
 
 /// What the operators set.
@@ -57,6 +54,15 @@
     pub capacity_per_s: f64,
 }
 
+/// The slots in which the router has the request classes.
+///
+/// A slot's class changes with the platform's settings, and so differs from the class's index, by
+/// which plans and load reports know it.
+pub trait ClassSlots {
+    /// The name of the class in each slot; empty where the newest settings have none there.
+    fn class_names_by_slot(&self) -> Vec<String>;
+}
+
 /// The parts of the gateway that the service works with.
 pub struct Dependencies {
     /// Which gateways are alive.
@@ -66,23 +72,20 @@
     /// The database hosts, and what is observed of them.
     pub upstream: Rc<Upstream>,
     /// The slots of the request classes.
-    pub classes: Rc<Classes>,
+    pub class_slots: Rc<dyn ClassSlots>,
     /// Receives the directives of the plan in force.
     pub router: Rc<RouterHandle>,
     /// Counters.
     pub metrics: Rc<Metrics>,
 }
 
-/// Planning, on the gateway that holds the lease for it.
-struct Planning {
-    planner: RefCell<Planner>,
-    reports: RefCell<SiteLoadReports>,
-    /// The epoch under which this gateway last planned.
-    epoch: Cell<u64>,
-    /// How often a plan that is over is still to be sent.
-    closing_plans: Cell<u32>,
-    /// What a warm host of size one bears, in requests per second.
-    capacity_per_s: f64,
+/// What this gateway has observed since its last load report.
+#[derive(Default)]
+struct LocalLoad {
+    /// Requests that arrived, by the slots of their classes.
+    arrived_by_slot: RefCell<Vec<u16>>,
+    /// When the last load report was made.
+    last_report_at: Cell<Timestamp>,
 }
 
 /// What was last handed on of the plan in force, so that only changes are handed on.
@@ -99,10 +102,7 @@
     planning: Planning,
     follower: RefCell<Follower>,
     published: Published,
-    /// Requests since the last load report, by the slots of their classes.
-    arrived_by_slot: RefCell<Vec<u16>>,
-    /// When the last load report was made, in milliseconds since the start.
-    last_report_at: Cell<u64>,
+    local_load: LocalLoad,
     started_at: Instant,
     outbox: Outbox,
     /// The address that reaches all gateways.
@@ -122,37 +122,31 @@
         peers: &Peers,
     ) -> Result<Self, SettingsError> {
         let follower = Follower::new(&config.settings);
-        let planner = Planner::new(config.settings)?;
+        let planning = Planning::new(config.settings, config.capacity_per_s)?;
         dependencies.upstream.enable_reachability_reports();
         log!("site failover: on, for {}", names.zones.join(", "));
         Ok(Self {
             dependencies,
             names,
-            planning: Planning {
-                planner: RefCell::new(planner),
-                reports: RefCell::default(),
-                epoch: Cell::new(0),
-                closing_plans: Cell::new(0),
-                capacity_per_s: config.capacity_per_s,
-            },
+            planning,
             follower: RefCell::new(follower),
             published: Published::default(),
-            arrived_by_slot: RefCell::default(),
-            last_report_at: Cell::new(0),
+            local_load: LocalLoad::default(),
             started_at: Instant::now(),
             outbox: Outbox::new(peers.gateway_addresses.clone()),
             broadcast_address: peers.broadcast_address,
         })
     }
 
-    /// Milliseconds since the start.
-    fn now(&self) -> u64 {
-        u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
+    /// The time since the start of this service, as the clock of plans and load reports.
+    fn now(&self) -> Timestamp {
+        let elapsed_ms = self.started_at.elapsed().as_millis();
+        Timestamp::from_millis(u64::try_from(elapsed_ms).unwrap_or(u64::MAX))
     }
 
     /// Counts a request of the class in this slot.
     pub fn request_arrived(&self, slot: usize) {
-        let mut arrived = self.arrived_by_slot.borrow_mut();
+        let mut arrived = self.local_load.arrived_by_slot.borrow_mut();
         if arrived.len() <= slot {
             arrived.resize(slot + 1, 0);
         }
@@ -163,8 +157,7 @@
     pub fn receive(&self, datagram: &[u8], from: GatewayId) {
         match codec::decode(datagram) {
             Ok(Message::SiteLoadReport(report)) => {
-                let mut reports = self.planning.reports.borrow_mut();
-                reports.record(self.now(), from.0, report);
+                self.planning.record_report(self.now(), from, report);
             }
             Ok(Message::Plan(plan)) => {
                 increment(&self.dependencies.metrics.site_failover.received);
@@ -180,16 +173,18 @@
     /// Reports and plans once a period. Returns the datagrams to send.
     pub fn advance(&self) -> Vec<OutgoingDatagram> {
         let now = self.now();
-        let last_report_at = self.last_report_at.get();
-        if now < last_report_at + PERIOD_MS {
+        let last_report_at = self.local_load.last_report_at.get();
+        if now < last_report_at + PERIOD {
             return Vec::new();
         }
-        self.last_report_at.set(now);
-        let period_ms = u16::try_from(now - last_report_at).unwrap_or(u16::MAX);
-        let report = self.take_load_report(period_ms);
+        self.local_load.last_report_at.set(now);
+        let period = now.saturating_duration_since(last_report_at);
+        let report = self.take_load_report(period.min(SiteLoadReport::MAX_PERIOD));
         let alive = self.dependencies.membership.alive().gateways;
         self.queue_load_report(&report, &alive);
-        self.record_own_report(now, report);
+        self.planning
+            .record_report(now, self.local_gateway(), report);
+        self.planning.remove_expired_reports(now);
         let mut datagrams = self.outbox.take();
         if let Some(plan) = self.plan_if_leased(now, alive.len()) {
             increment(&self.dependencies.metrics.site_failover.planned);
@@ -206,14 +201,14 @@
 
     /// The time until [`SiteFailoverService::advance`] has work.
     pub fn due(&self) -> Duration {
-        let due_at = self.last_report_at.get() + PERIOD_MS;
-        Duration::from_millis(due_at.saturating_sub(self.now()))
+        let due_at = self.local_load.last_report_at.get() + PERIOD;
+        Duration::from(due_at.saturating_duration_since(self.now()))
     }
 
     /// What this gateway observed since the last load report. The counts start over.
-    fn take_load_report(&self, period_ms: u16) -> SiteLoadReport {
-        let counts = self.arrived_by_slot.take();
-        let slot_classes = self.dependencies.classes.names();
+    fn take_load_report(&self, period: Milliseconds) -> SiteLoadReport {
+        let counts = self.local_load.arrived_by_slot.take();
+        let slot_classes = self.dependencies.class_slots.class_names_by_slot();
         let arrived_of_class = |class: &String| {
             slot_classes
                 .iter()
@@ -225,7 +220,7 @@
         let upstream = &self.dependencies.upstream;
         SiteLoadReport {
             site: self.names.local_site,
-            period_ms,
+            period,
             arrived: self.names.classes.iter().map(arrived_of_class).collect(),
             sites: upstream.take_reachability(&self.names.zones),
         }
@@ -236,7 +231,7 @@
         let datagram = codec::encode_load_report(report);
         let local_gateway = self.local_gateway();
         let alive: Vec<u32> = alive.iter().map(|gateway| gateway.0).collect();
-        let receivers = rendezvous::candidates(TASK_ID, &alive)
+        let receivers = rendezvous::candidates(TASK_ID.0, &alive)
             .into_iter()
             .map(GatewayId)
             .take(REPORT_RECEIVERS)
@@ -246,67 +241,23 @@
         }
     }
 
-    fn record_own_report(&self, now: u64, report: SiteLoadReport) {
-        let mut reports = self.planning.reports.borrow_mut();
-        reports.record(now, self.local_gateway().0, report);
-        reports.remove_before(now.saturating_sub(REPORT_EXPIRY_MS));
-    }
-
     fn local_gateway(&self) -> GatewayId {
         self.dependencies.membership.local_gateway()
     }
 
-    /// Plans if this gateway holds the lease for it.
-    fn plan_if_leased(&self, now: u64, alive_count: usize) -> Option<Plan> {
+    /// Plans if this gateway holds the lease for it. Returns the plan to send.
+    fn plan_if_leased(&self, now: Timestamp, alive_count: usize) -> Option<Plan> {
         let leases = &self.dependencies.leases;
-        let Epoch(epoch) = leases.fencing_token(LeasedTask::SiteFailover)?;
-        self.make_plan(now, epoch, alive_count)
-    }
-
-    /// The plan to send: one while it changes anything, and a few times after that.
-    fn make_plan(&self, now: u64, epoch: u64, alive_count: usize) -> Option<Plan> {
-        let planning = &self.planning;
-        let reports = planning.reports.borrow();
-        // A gateway that has just acquired the lease would judge sites by its own observations
-        // alone.
-        if 2 * reports.gateway_count() <= alive_count {
-            return None;
-        }
-        let mut planner = planning.planner.borrow_mut();
-        if planning.epoch.get() != epoch {
-            if let Some(plan) = self.follower.borrow().plan_in_force(now) {
-                planner.resume(plan);
-            }
-        }
-        self.observe_sites(now, &mut planner, &reports);
-        let class_rates = reports.class_rates(self.names.classes.len());
-        let plan = planner.next_plan(epoch, &class_rates, alive_count as u32);
-        let closing_plans = if plan.in_force() {
-            CLOSING_PLANS
-        } else {
-            planning.closing_plans.get().saturating_sub(1)
-        };
-        planning.epoch.set(epoch);
-        planning.closing_plans.set(closing_plans);
-        (closing_plans > 0).then_some(plan)
-    }
-
-    /// Feeds the planner with the sums of all reports, and logs changes of state.
-    fn observe_sites(&self, now: u64, planner: &mut Planner, reports: &SiteLoadReports) {
-        let zones = &self.names.zones;
-        let sizes = self.dependencies.upstream.capacity_by_zone(zones);
-        let capacities_per_s: Vec<f64> = sizes
-            .into_iter()
-            .map(|size| size * self.planning.capacity_per_s)
-            .collect();
-        for change in planner.observe(now, &reports.observe_sites(&capacities_per_s)) {
-            log!(
-                "site failover: site {} is {}, by the load reports of {} gateways",
-                zones[change.site],
-                state_label(change.state),
-                reports.gateway_count()
-            );
-        }
+        let epoch = leases.fencing_token(LeasedTask::SiteFailover)?;
+        let upstream = &self.dependencies.upstream;
+        self.planning.next_plan(&PlanningInput {
+            now,
+            epoch,
+            alive_count,
+            plan_in_force: self.follower.borrow().plan_in_force(now),
+            zone_sizes: &upstream.capacity_by_zone(&self.names.zones),
+            names: &self.names,
+        })
     }
 
     /// Follows a plan if it is later than the one followed so far.
@@ -330,26 +281,23 @@
             self.dependencies.router.post(event);
             self.published.directives.replace(directives);
         }
-        let log_line = log_line(plan, &self.names);
-        if *self.published.log_line.borrow() != log_line {
-            log!("site failover: {log_line}");
-            self.published.log_line.replace(log_line);
+        let line = log_line(plan, &self.names);
+        if *self.published.log_line.borrow() != line {
+            log!("site failover: {line}");
+            self.published.log_line.replace(line);
         }
     }
 
     /// The directives of a plan, by the slots of classes and the ids of zones.
     fn failover_directives(&self, plan: &Plan) -> FailoverDirectives {
-        let slot_classes = self.dependencies.classes.names();
+        let slot_classes = self.dependencies.class_slots.class_names_by_slot();
         let admitted_share = |slot_class: &String| {
             let class = self
                 .names
                 .classes
                 .iter()
                 .position(|name| name == slot_class);
-            class
-                .and_then(|class| plan.admitted_share.get(class))
-                .copied()
-                .unwrap_or(1.0)
+            class.map_or(1.0, |class| plan.admitted_share_of(ClassIndex(class)))
         };
         let upstream = &self.dependencies.upstream;
         let sites = self.names.zones.iter().zip(&plan.sites);
@@ -359,7 +307,7 @@
                 .filter(|(_, site)| site.recovery_ramp < 1.0)
                 .map(|(zone, site)| (upstream.zone_id(zone), site.recovery_ramp))
                 .collect(),
-            retry_after: Some(Nanos::from(plan.retry_after_ms) * NANOS_PER_MS),
+            retry_after: Some(plan.retry_after.0 as Nanos * NANOS_PER_MS),
         }
     }
 
--- a/src/net/cluster/site_failover_status.rs
+++ b/src/net/cluster/site_failover_status.rs
@@ -37,7 +37,7 @@
         plan.version.sequence,
         sites.join(" "),
         classes.join("+"),
-        plan.retry_after_ms
+        plan.retry_after
     )
 }
 
--- a/src/net/lifecycle/cluster_startup.rs
+++ b/src/net/lifecycle/cluster_startup.rs
@@ -6,14 +6,16 @@
 use crate::net::cluster::leases::LeaseService;
 use crate::net::cluster::membership::MembershipService;
 use crate::net::cluster::services::ClusterServices;
-use crate::net::cluster::site_failover::{self, SiteFailoverService};
+use crate::net::cluster::site_failover::{self, ClassSlots, SiteFailoverService};
 use crate::net::cluster::write_intents::WriteIntentService;
 use crate::net::config::Config;
 use crate::net::lifecycle::shared_parts::SharedParts;
 use crate::net::lifecycle::StartupError;
 use crate::net::log::log;
+use crate::net::request::classes::Classes;
 use irisrouter::platform_settings::NameTable;
 use irisrouter_cluster_types::Milliseconds;
+use irisrouter_site_failover::SiteIndex;
 use std::rc::Rc;
 
 /// Nanoseconds in a second.
@@ -170,15 +172,14 @@
         membership: Rc::clone(membership),
         leases: Rc::clone(leases),
         upstream: Rc::clone(&parts.upstream),
-        classes: Rc::clone(&parts.classes),
+        class_slots: Rc::<Classes>::clone(&parts.classes),
         router: Rc::clone(&parts.router),
         metrics: Rc::clone(&parts.metrics),
     };
     let names = site_failover::SiteNames {
         zones,
         classes,
-        // `for_zones` has checked that there are at most eight zones.
-        local_site: config.platform.settings.zone.0 as u8,
+        local_site: SiteIndex(config.platform.settings.zone.0 as usize),
     };
     let site_failover_config = site_failover::SiteFailoverConfig {
         settings,
@@ -189,6 +190,12 @@
     Ok(Some(Rc::new(service)))
 }
 
+impl ClassSlots for Classes {
+    fn class_names_by_slot(&self) -> Vec<String> {
+        self.names()
+    }
+}
+
 fn names(table: &NameTable) -> Vec<String> {
     table.iter().map(String::from).collect()
 }
--- a/tests/unit/operator_config.rs
+++ b/tests/unit/operator_config.rs
@@ -112,7 +112,7 @@
     let zones = names(&["a", "b"]);
     let classes = names(&["read", "report"]);
     let settings = site_failover.for_zones(&zones, &classes).expect("known");
-    assert_eq!(settings.load_shedding_order, [1]);
+    assert_eq!(settings.load_shedding_order, [ClassIndex(1)]);
     let error = site_failover
         .for_zones(&zones, &names(&["read"]))
         .expect_err("no such class");
