--- a/crates/drain-coordination/src/command_log.rs
+++ b/crates/drain-coordination/src/command_log.rs
@@ -95,7 +95,7 @@
         self.by_host.get(&host)
     }
 
-    /// The same, to be changed.
+    /// The command that holds for a host and how far it is, to be changed.
     pub(crate) fn state_mut(&mut self, host: HostId) -> Option<&mut CommandState> {
         self.by_host.get_mut(&host)
     }
--- a/crates/drain-coordination/tests/golden.rs
+++ b/crates/drain-coordination/tests/golden.rs
@@ -1,13 +1,13 @@
 //! Golden tests of the datagrams by which gateways coordinate the drains of database hosts.
 //!
-//! Pinned are the exact bytes of every kind of message, what the decoder says of these bytes and of malformed ones, the
-//! numbers of drains as leased tasks, and the precedence of commands. A fleet is upgraded one gateway at a time, so gateways
-//! of the old and the new version exchange these datagrams with each other, and have to agree on the coordinator of a drain
-//! and on the command that holds: a change of a single byte or number would leave a host in service at some gateways, or
-//! complete a drain too early. A refactoring must leave every literal in this file as it is; a wanted change of the format needs a new
-//! first byte.
+//! Pinned are the exact bytes of every kind of message, what the decoder returns for these bytes and for malformed ones, the
+//! task ids of drains, and the precedence of commands. A fleet is upgraded one gateway at a time, so gateways of the old and
+//! the new version exchange these datagrams with each other, and have to agree on the coordinator of a drain and on the
+//! command that holds: a change of a single byte or number would leave a host in service at some gateways, or complete a
+//! drain too early. A refactoring must leave every literal in this file as it is; an intended change of the format needs a
+//! new first byte.
 //!
-//! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
+//! Literals are groups of hex digits, one group for each field of the layout; white space between them is ignored.
 
 use irisrouter_cluster_types::{Epoch, GatewayId, HostId, TaskId, UnixMilliseconds};
 use irisrouter_drain_coordination::codec::{
@@ -30,7 +30,7 @@
     }
 }
 
-/// Of a host that is to be out of service.
+/// A message about a host that is to be out of service.
 fn message(kind: MessageKind) -> Message {
     Message {
         kind,
@@ -40,15 +40,15 @@
     }
 }
 
-/// Of a host that is to be back.
-fn of_return(kind: MessageKind) -> Message {
+/// A message about a host that is to be back in service.
+fn return_message(kind: MessageKind) -> Message {
     Message {
         command: command(DesiredState::InService),
         ..message(kind)
     }
 }
 
-/// As it is sent by a gateway that coordinates nothing.
+/// A message as sent by a gateway that coordinates nothing.
 fn without_epoch_and_count(kind: MessageKind) -> Message {
     Message {
         epoch: Epoch(0),
@@ -105,22 +105,22 @@
 
 /// A datagram of these messages has these bytes, and is `read` from them.
 #[track_caller]
-fn pins_as(messages: &[Message], expected: &str, read: &[Message]) {
+fn assert_bytes_and_decoded(messages: &[Message], expected: &str, read: &[Message]) {
     let bytes = encode(messages);
     assert_eq!(hex(&bytes), literal(expected));
     assert_eq!(decode(&bytes).as_deref(), Ok(read));
 }
 
 #[track_caller]
-fn pins(messages: &[Message], expected: &str) {
-    pins_as(messages, expected, messages);
+fn assert_bytes(messages: &[Message], expected: &str) {
+    assert_bytes_and_decoded(messages, expected, messages);
 }
 
 #[track_caller]
-fn refuses(bytes: &[u8], expected: WireError, text: &str) {
-    let why = decode(bytes).expect_err("it is refused");
+fn assert_rejected(bytes: &[u8], expected: WireError, text: &str) {
+    let error = decode(bytes).expect_err("the datagram is rejected");
     assert_eq!(
-        (why, why.to_string().as_str()),
+        (error, error.to_string().as_str()),
         (expected, text),
         "{}",
         hex(bytes)
@@ -137,28 +137,28 @@
 #[test]
 fn announcement_keeps_its_bytes() {
     let expected = "e1 01  00 01 01020304 1112131415161718 21222324 3132333435363738 41424344";
-    pins(&[message(MessageKind::Announcement)], expected);
+    assert_bytes(&[message(MessageKind::Announcement)], expected);
 }
 
 #[test]
 fn report_keeps_its_bytes() {
     let expected = "e1 01  01 01 01020304 1112131415161718 21222324 3132333435363738 41424344";
-    pins(&[message(MessageKind::Report)], expected);
+    assert_bytes(&[message(MessageKind::Report)], expected);
 }
 
 #[test]
 fn completion_keeps_its_bytes() {
     let expected = "e1 01  02 01 01020304 1112131415161718 21222324 3132333435363738 41424344";
-    pins(&[message(MessageKind::Completion)], expected);
+    assert_bytes(&[message(MessageKind::Completion)], expected);
 }
 
 #[test]
-fn messages_of_a_host_that_is_to_be_back_keep_their_bytes() {
-    pins(
+fn messages_of_a_host_that_returns_to_service_keep_their_bytes() {
+    assert_bytes(
         &[
-            of_return(MessageKind::Announcement),
-            of_return(MessageKind::Report),
-            of_return(MessageKind::Completion),
+            return_message(MessageKind::Announcement),
+            return_message(MessageKind::Report),
+            return_message(MessageKind::Completion),
         ],
         "e1 03
         00 00 01020304 1112131415161718 21222324 3132333435363738 41424344
@@ -170,7 +170,7 @@
 #[test]
 fn announcement_without_coordinator_keeps_its_bytes() {
     let expected = "e1 01  00 01 01020304 1112131415161718 21222324 0000000000000000 00000000";
-    pins(
+    assert_bytes(
         &[without_epoch_and_count(MessageKind::Announcement)],
         expected,
     );
@@ -179,17 +179,17 @@
 #[test]
 fn message_with_the_largest_numbers_keeps_its_bytes() {
     let expected = "e1 01  02 01 ffffffff ffffffffffffffff ffffffff ffffffffffffffff ffffffff";
-    pins(&[with_largest_numbers()], expected);
+    assert_bytes(&[with_largest_numbers()], expected);
 }
 
 #[test]
 fn datagram_without_messages_keeps_its_bytes() {
-    pins(&[], "e1 00");
+    assert_bytes(&[], "e1 00");
 }
 
 #[test]
 fn longest_datagram_keeps_its_bytes_and_messages_beyond_it_are_left_out() {
-    pins_as(
+    assert_bytes_and_decoded(
         &many(10),
         "e1 08
         00 00 01000000 1100000000000000 21000000 3100000000000000 41000000
@@ -204,23 +204,23 @@
     );
 }
 
-// What is refused.
+// What is rejected.
 
 #[test]
-fn empty_datagram_is_refused_as_short() {
-    refuses(&[], WireError::Short, "the datagram ends inside a field");
+fn empty_datagram_is_rejected_as_short() {
+    assert_rejected(&[], WireError::Short, "the datagram ends inside a field");
 }
 
 #[test]
-fn other_first_byte_is_refused_as_another_kind_or_version() {
-    refuses(
+fn other_first_byte_is_rejected_as_another_kind_or_version() {
+    assert_rejected(
         &[0xe2],
         WireError::Version(0xe2),
         "first byte 0xe2 is of another kind or version",
     );
     let mut bytes = encode(&many(2));
     bytes[0] = 0xf1;
-    refuses(
+    assert_rejected(
         &bytes,
         WireError::Version(0xf1),
         "first byte 0xf1 is of another kind or version",
@@ -228,10 +228,10 @@
 }
 
 #[test]
-fn datagram_cut_anywhere_is_refused_as_short() {
+fn datagram_cut_anywhere_is_rejected_as_short() {
     let bytes = encode(&many(2));
     for end in 0..bytes.len() {
-        refuses(
+        assert_rejected(
             &bytes[..end],
             WireError::Short,
             "the datagram ends inside a field",
@@ -240,44 +240,44 @@
 }
 
 #[test]
-fn trailing_bytes_are_refused_as_long() {
+fn trailing_bytes_are_rejected_as_long() {
     let text = "the datagram is longer than what it says";
-    refuses(&[encode(&many(2)), vec![0]].concat(), WireError::Long, text);
-    refuses(
+    assert_rejected(&[encode(&many(2)), vec![0]].concat(), WireError::Long, text);
+    assert_rejected(
         &[encode(&many(2)), vec![0; 30]].concat(),
         WireError::Long,
         text,
     );
-    refuses(&[encode(&many(8)), vec![0]].concat(), WireError::Long, text);
+    assert_rejected(&[encode(&many(8)), vec![0]].concat(), WireError::Long, text);
 }
 
 #[test]
-fn unknown_kind_is_refused_with_its_number() {
+fn unknown_kind_is_rejected_with_its_number() {
     let mut bytes = encode(&many(2));
     for (kind, text) in [(3, "unknown kind 3"), (255, "unknown kind 255")] {
         bytes[2 + 30] = kind;
-        refuses(&bytes, WireError::Unknown("kind", kind), text);
+        assert_rejected(&bytes, WireError::Unknown("kind", kind), text);
     }
 }
 
 #[test]
-fn unknown_state_is_refused_with_its_number() {
+fn unknown_state_is_rejected_with_its_number() {
     let mut bytes = encode(&many(2));
     for (state, text) in [(2, "unknown state 2"), (255, "unknown state 255")] {
         bytes[2 + 30 + 1] = state;
-        refuses(&bytes, WireError::Unknown("state", state), text);
+        assert_rejected(&bytes, WireError::Unknown("state", state), text);
     }
 }
 
 #[test]
-fn count_other_than_the_messages_that_follow_is_refused() {
+fn count_other_than_the_messages_that_follow_is_rejected() {
     let mut bytes = encode(&many(2));
     for count in [3, 9, 255] {
         bytes[1] = count;
-        refuses(&bytes, WireError::Short, "the datagram ends inside a field");
+        assert_rejected(&bytes, WireError::Short, "the datagram ends inside a field");
     }
     bytes[1] = 1;
-    refuses(
+    assert_rejected(
         &bytes,
         WireError::Long,
         "the datagram is longer than what it says",
@@ -285,10 +285,10 @@
 }
 
 #[test]
-fn one_message_more_than_fit_is_refused_as_long() {
+fn one_message_more_than_fit_is_rejected_as_long() {
     let mut bytes = [encode(&many(8)), vec![0; 30]].concat();
     bytes[1] = 9;
-    refuses(
+    assert_rejected(
         &bytes,
         WireError::Long,
         "the datagram is longer than what it says",
@@ -306,10 +306,10 @@
     );
 }
 
-// Numbers on which all gateways agree.
+// Values on which all gateways agree.
 
 #[test]
-fn task_number_of_a_host_s_drain_keeps_its_number() {
+fn task_id_of_a_host_s_drain_keeps_its_value() {
     assert_eq!(task_id(HostId(0)), TaskId(0x4452_4149_0000_0000));
     assert_eq!(task_id(HostId(7)), TaskId(0x4452_4149_0000_0007));
     assert_eq!(task_id(HostId(0x00ab_cdef)), TaskId(0x4452_4149_00ab_cdef));
--- a/crates/site-failover/tests/golden.rs
+++ b/crates/site-failover/tests/golden.rs
@@ -2,7 +2,7 @@
 //! made.
 //!
 //! Pinned are the exact bytes of plans and load reports, how numbers are rounded and clamped, what
-//! the decoder returns for these bytes and of malformed ones, and the task id of the planning. A
+//! the decoder returns for these bytes and for malformed ones, and the task id of the planning. A
 //! fleet is upgraded one gateway at a time, so gateways of the old and the new version exchange
 //! these datagrams with each other and have to agree on who plans: a change of a single byte or of
 //! the task id would make them follow different plans and send a site more load than it bears. A
@@ -191,35 +191,39 @@
 
 /// A plan has these bytes, and is decoded as `read`.
 #[track_caller]
-fn pins_plan_as(plan: &Plan, expected: &str, read: &Plan) {
+fn assert_plan_bytes_and_decoded(plan: &Plan, expected: &str, read: &Plan) {
     let bytes = encode_plan(plan);
     assert_eq!(hex(&bytes), literal(expected));
     assert_eq!(decode(&bytes), Ok(Message::Plan(read.clone())));
 }
 
 #[track_caller]
-fn pins_plan(plan: &Plan, expected: &str) {
-    pins_plan_as(plan, expected, plan);
+fn assert_plan_bytes(plan: &Plan, expected: &str) {
+    assert_plan_bytes_and_decoded(plan, expected, plan);
 }
 
 /// A load report has these bytes, and is decoded as `read`.
 #[track_caller]
-fn pins_load_report_as(report: &SiteLoadReport, expected: &str, read: &SiteLoadReport) {
+fn assert_load_report_bytes_and_decoded(
+    report: &SiteLoadReport,
+    expected: &str,
+    read: &SiteLoadReport,
+) {
     let bytes = encode_load_report(report);
     assert_eq!(hex(&bytes), literal(expected));
     assert_eq!(decode(&bytes), Ok(Message::SiteLoadReport(read.clone())));
 }
 
 #[track_caller]
-fn pins_load_report(report: &SiteLoadReport, expected: &str) {
-    pins_load_report_as(report, expected, report);
+fn assert_load_report_bytes(report: &SiteLoadReport, expected: &str) {
+    assert_load_report_bytes_and_decoded(report, expected, report);
 }
 
 #[track_caller]
-fn refuses(bytes: &[u8], expected: WireError, text: &str) {
-    let why = decode(bytes).expect_err("it is refused");
+fn assert_rejected(bytes: &[u8], expected: WireError, text: &str) {
+    let error = decode(bytes).expect_err("the datagram is rejected");
     assert_eq!(
-        (why, why.to_string().as_str()),
+        (error, error.to_string().as_str()),
         (expected, text),
         "{}",
         hex(bytes)
@@ -251,7 +255,7 @@
 
 #[test]
 fn plan_with_a_site_of_each_state_keeps_its_bytes() {
-    pins_plan(
+    assert_plan_bytes(
         &plan_of_three_sites(),
         "d2 00 0102030405060708 11121314 21222324 31323334 03 02
         00 0016e45a 4142 5152 5354 0556
@@ -263,7 +267,7 @@
 
 #[test]
 fn plan_without_sites_and_classes_keeps_its_bytes() {
-    pins_plan(
+    assert_plan_bytes(
         &plan_of_nothing(),
         "d2 00 0102030405060708 11121314 21222324 31323334 00 00",
     );
@@ -271,7 +275,7 @@
 
 #[test]
 fn plan_with_the_largest_numbers_keeps_its_bytes() {
-    pins_plan(
+    assert_plan_bytes(
         &plan_with_largest_numbers(),
         "d2 00 ffffffffffffffff ffffffff ffffffff ffffffff 01 01  02 ffffffff ffff ffff  ffff",
     );
@@ -279,13 +283,13 @@
 
 #[test]
 fn shares_and_budgets_of_a_plan_are_rounded_down() {
-    pins_plan_as(
+    assert_plan_bytes_and_decoded(
         &plan_with(1_234.567_89, 0.15, 1.0 / 3.0, 0.999_999),
         "d2 00 0102030405060708 11121314 21222324 31323334 01 01  02 0012d687 2666 5555  fffe",
         &plan_with(1_234.567, share(0x2666), share(0x5555), share(0xfffe)),
     );
     // In binary floating point this budget is a little less than 1.001.
-    pins_plan_as(
+    assert_plan_bytes_and_decoded(
         &plan_with(1.001, 0.5, 0.5, 0.85),
         "d2 00 0102030405060708 11121314 21222324 31323334 01 01  02 000003e8 7fff 7fff  d998",
         &plan_with(1.0, share(0x7fff), share(0x7fff), share(0xd998)),
@@ -294,17 +298,17 @@
 
 #[test]
 fn shares_and_budgets_of_a_plan_beyond_their_range_are_clamped() {
-    pins_plan_as(
+    assert_plan_bytes_and_decoded(
         &plan_with(5_000_000.0, 1.5, f64::INFINITY, 2.0),
         "d2 00 0102030405060708 11121314 21222324 31323334 01 01  02 ffffffff ffff ffff  ffff",
         &plan_with(4_294_967.295, 1.0, 1.0, 1.0),
     );
-    pins_plan_as(
+    assert_plan_bytes_and_decoded(
         &plan_with(-1.0, -0.5, f64::NEG_INFINITY, -2.0),
         "d2 00 0102030405060708 11121314 21222324 31323334 01 01  02 00000000 0000 0000  0000",
         &plan_with(0.0, 0.0, 0.0, 0.0),
     );
-    pins_plan_as(
+    assert_plan_bytes_and_decoded(
         &plan_with(f64::NAN, f64::NAN, f64::NAN, f64::NAN),
         "d2 00 0102030405060708 11121314 21222324 31323334 01 01  02 00000000 0000 0000  0000",
         &plan_with(0.0, 0.0, 0.0, 0.0),
@@ -318,7 +322,7 @@
             "d2 00 0102030405060708 11121314 21222324 31323334 02 00  00 000f4240 8000 {shares}"
         )
     };
-    pins_plan_as(
+    assert_plan_bytes_and_decoded(
         &plan_of_many(2, 0, 1),
         &(expected_of("0100 0000") + "01 000f4628 8001 0110 0000"),
         &{
@@ -329,7 +333,7 @@
             read
         },
     );
-    pins_plan_as(
+    assert_plan_bytes_and_decoded(
         &plan_of_many(2, 0, 3),
         &(expected_of("0100 0101") + "01 000f4628 8001 0110 0111"),
         &plan_of_many(2, 0, 2),
@@ -338,7 +342,7 @@
 
 #[test]
 fn longest_plan_keeps_its_bytes_and_sites_and_classes_beyond_it_are_left_out() {
-    pins_plan_as(
+    assert_plan_bytes_and_decoded(
         &plan_of_many(9, 17, 9),
         "d2 00 0102030405060708 11121314 21222324 31323334 08 10
         00 000f4240 8000 0100 0101 0102 0103 0104 0105 0106 0107
@@ -358,7 +362,7 @@
 
 #[test]
 fn load_report_keeps_its_bytes() {
-    pins_load_report(
+    assert_load_report_bytes(
         &load_report(),
         "d2 01 05 0102 02 03
         1112 1314 1516 1718
@@ -369,12 +373,12 @@
 
 #[test]
 fn load_report_without_sites_and_classes_keeps_its_bytes() {
-    pins_load_report(&load_report_of_nothing(), "d2 01 00 0001 00 00");
+    assert_load_report_bytes(&load_report_of_nothing(), "d2 01 00 0001 00 00");
 }
 
 #[test]
 fn load_report_with_the_largest_numbers_keeps_its_bytes() {
-    pins_load_report(
+    assert_load_report_bytes(
         &load_report_with_largest_numbers(),
         "d2 01 07 ffff 01 01  ffff ffff ffff ffff  ffff",
     );
@@ -382,7 +386,7 @@
 
 #[test]
 fn longest_load_report_keeps_its_bytes_and_sites_and_classes_beyond_it_are_left_out() {
-    pins_load_report_as(
+    assert_load_report_bytes_and_decoded(
         &load_report_of_many(9, 17),
         "d2 01 07 0102 08 10
         1100 1200 1300 1400
@@ -398,7 +402,7 @@
     );
 }
 
-// What is refused.
+// What is rejected.
 
 const OF_A_PLAN: &str = "the number of sites, classes or gateways";
 const OF_A_LOAD_REPORT: &str = "the number of sites or classes, the site or the period";
@@ -407,28 +411,28 @@
     "the number of sites or classes, the site or the period can't be so";
 
 #[test]
-fn empty_datagram_is_refused_as_short() {
-    refuses(&[], WireError::Short, "the datagram ends inside a field");
+fn empty_datagram_is_rejected_as_short() {
+    assert_rejected(&[], WireError::Short, "the datagram ends inside a field");
 }
 
 #[test]
-fn other_first_byte_is_refused_as_another_kind_or_version() {
-    refuses(
+fn other_first_byte_is_rejected_as_another_kind_or_version() {
+    assert_rejected(
         &[0xd1],
         WireError::Version(0xd1),
         "first byte 0xd1 is of another kind or version",
     );
     for bytes in both() {
         let text = "first byte 0xc1 is of another kind or version";
-        refuses(&changed(bytes, 0, 0xc1), WireError::Version(0xc1), text);
+        assert_rejected(&changed(bytes, 0, 0xc1), WireError::Version(0xc1), text);
     }
 }
 
 #[test]
-fn datagram_of_either_kind_cut_anywhere_is_refused_as_short() {
+fn datagram_of_either_kind_cut_anywhere_is_rejected_as_short() {
     for bytes in both() {
         for end in 0..bytes.len() {
-            refuses(
+            assert_rejected(
                 &bytes[..end],
                 WireError::Short,
                 "the datagram ends inside a field",
@@ -438,18 +442,18 @@
 }
 
 #[test]
-fn trailing_bytes_are_refused_as_long() {
+fn trailing_bytes_are_rejected_as_long() {
     let text = "the datagram is longer than what it says";
     for bytes in both() {
-        refuses(&[&bytes[..], &[0]].concat(), WireError::Long, text);
-        refuses(&[&bytes[..], &[0; 200]].concat(), WireError::Long, text);
+        assert_rejected(&[&bytes[..], &[0]].concat(), WireError::Long, text);
+        assert_rejected(&[&bytes[..], &[0; 200]].concat(), WireError::Long, text);
     }
-    refuses(
+    assert_rejected(
         &[encode_plan(&plan_of_many(8, 16, 8)), vec![0]].concat(),
         WireError::Long,
         text,
     );
-    refuses(
+    assert_rejected(
         &[encode_load_report(&load_report_of_many(8, 16)), vec![0]].concat(),
         WireError::Long,
         text,
@@ -457,14 +461,14 @@
 }
 
 #[test]
-fn unknown_kind_is_refused_with_its_number() {
+fn unknown_kind_is_rejected_with_its_number() {
     for bytes in both() {
-        refuses(
+        assert_rejected(
             &changed(bytes.clone(), 1, 2),
             WireError::Unknown("kind", 2),
             "unknown kind 2",
         );
-        refuses(
+        assert_rejected(
             &changed(bytes, 1, 255),
             WireError::Unknown("kind", 255),
             "unknown kind 255",
@@ -473,14 +477,14 @@
 }
 
 #[test]
-fn unknown_state_of_a_site_is_refused_with_its_number() {
+fn unknown_state_of_a_site_is_rejected_with_its_number() {
     let bytes = encode_plan(&plan_of_three_sites());
-    refuses(
+    assert_rejected(
         &changed(bytes.clone(), 24, 3),
         WireError::Unknown("state", 3),
         "unknown state 3",
     );
-    refuses(
+    assert_rejected(
         &changed(bytes, 24, 255),
         WireError::Unknown("state", 255),
         "unknown state 255",
@@ -488,10 +492,10 @@
 }
 
 #[test]
-fn plan_with_too_large_counts_or_without_gateways_is_refused_for_its_value() {
+fn plan_with_too_large_counts_or_without_gateways_is_rejected_for_its_value() {
     let bytes = encode_plan(&plan_of_three_sites());
     for (at, value) in [(22, 9), (22, 255), (23, 17), (23, 255)] {
-        refuses(
+        assert_rejected(
             &changed(bytes.clone(), at, value),
             WireError::Value(OF_A_PLAN),
             TEXT_OF_A_PLAN,
@@ -501,7 +505,7 @@
         gateway_count: 0,
         ..plan_of_three_sites()
     });
-    refuses(
+    assert_rejected(
         &without_gateways,
         WireError::Value(OF_A_PLAN),
         TEXT_OF_A_PLAN,
@@ -509,21 +513,21 @@
 }
 
 #[test]
-fn plan_with_allowed_counts_other_than_what_follows_is_refused() {
+fn plan_with_allowed_counts_other_than_what_follows_is_rejected() {
     let bytes = encode_plan(&plan_of_three_sites());
     for (at, value) in [(23, 3), (23, 16)] {
-        refuses(
+        assert_rejected(
             &changed(bytes.clone(), at, value),
             WireError::Short,
             "the datagram ends inside a field",
         );
     }
     let text = "the datagram is longer than what it says";
-    refuses(&changed(bytes, 23, 1), WireError::Long, text);
+    assert_rejected(&changed(bytes, 23, 1), WireError::Long, text);
 }
 
 #[test]
-fn plan_whose_shares_of_a_load_add_up_to_more_than_one_is_refused_for_its_value() {
+fn plan_whose_shares_of_a_load_add_up_to_more_than_one_is_rejected_for_its_value() {
     let of = |units: &[u16]| {
         let shares: Vec<f64> = units.iter().map(|&units| share(units)).collect();
         encode_plan(&plan(
@@ -539,7 +543,7 @@
         "65,535 of 65,535 units"
     );
     let text = "where a site's load goes can't be so";
-    refuses(
+    assert_rejected(
         &of(&[0x8000, 0x8000]),
         WireError::Value("where a site's load goes"),
         text,
@@ -547,10 +551,10 @@
 }
 
 #[test]
-fn load_report_with_too_large_counts_or_site_or_without_a_period_is_refused_for_its_value() {
+fn load_report_with_too_large_counts_or_site_or_without_a_period_is_rejected_for_its_value() {
     let bytes = encode_load_report(&load_report());
     for (at, value) in [(2, 8), (2, 255), (5, 9), (5, 255), (6, 17), (6, 255)] {
-        refuses(
+        assert_rejected(
             &changed(bytes.clone(), at, value),
             WireError::Value(OF_A_LOAD_REPORT),
             TEXT_OF_A_LOAD_REPORT,
@@ -560,7 +564,7 @@
         period: Milliseconds(0),
         ..load_report()
     });
-    refuses(
+    assert_rejected(
         &without_period,
         WireError::Value(OF_A_LOAD_REPORT),
         TEXT_OF_A_LOAD_REPORT,
@@ -568,10 +572,10 @@
 }
 
 #[test]
-fn load_report_with_allowed_counts_other_than_what_follows_is_refused() {
+fn load_report_with_allowed_counts_other_than_what_follows_is_rejected() {
     let bytes = encode_load_report(&load_report());
     for (at, value) in [(5, 3), (5, 8), (6, 4), (6, 16)] {
-        refuses(
+        assert_rejected(
             &changed(bytes.clone(), at, value),
             WireError::Short,
             "the datagram ends inside a field",
@@ -579,7 +583,7 @@
     }
     for (at, value) in [(5, 1), (6, 2)] {
         let text = "the datagram is longer than what it says";
-        refuses(&changed(bytes.clone(), at, value), WireError::Long, text);
+        assert_rejected(&changed(bytes.clone(), at, value), WireError::Long, text);
     }
 }
 
--- a/src/net/cluster/drains.rs
+++ b/src/net/cluster/drains.rs
@@ -187,17 +187,10 @@
         desired_state: DesiredState,
     ) -> Result<CommandReplication, DrainCommandError> {
         let host = self.host_to_command(host_name, desired_state)?;
-        self.coordinator.borrow_mut().issue(
-            self.now(),
-            UnixMilliseconds(unix_milliseconds()),
-            host,
-            desired_state,
-        )?;
-        let (sender, receiver) = oneshot::channel();
-        // A second operator with a command for the same host takes the first one's place, whose receiver then fails.
-        self.waiting_operators.borrow_mut().insert(host, sender);
-        self.command_issued.notify_one();
-        let progress = receiver.await.map_err(|_| DrainCommandError::Superseded)?;
+        let replicated = self.issue(host, desired_state)?;
+        let progress = replicated
+            .await
+            .map_err(|_| DrainCommandError::Superseded)?;
         let replication = CommandReplication {
             host_name: host_name.to_string(),
             desired_state,
@@ -211,6 +204,23 @@
         }
     }
 
+    /// Issues a command at this gateway; returns the receiver of the answer to its operator.
+    fn issue(
+        &self,
+        host: HostId,
+        desired_state: DesiredState,
+    ) -> Result<oneshot::Receiver<ReplicationProgress>, CommandLogError> {
+        let wall_clock = UnixMilliseconds(unix_milliseconds());
+        self.coordinator
+            .borrow_mut()
+            .issue(self.now(), wall_clock, host, desired_state)?;
+        let (sender, receiver) = oneshot::channel();
+        // A second operator with a command for the same host takes the first one's place, whose receiver then fails.
+        self.waiting_operators.borrow_mut().insert(host, sender);
+        self.command_issued.notify_one();
+        Ok(receiver)
+    }
+
     /// The host that an operator named, where the command may hold there.
     fn host_to_command(
         &self,
--- a/src/net/upstream/drains.rs
+++ b/src/net/upstream/drains.rs
@@ -73,7 +73,7 @@
     /// The hosts that commands drain, by their fleet ids: never all that a group has in service.
     fn drained_hosts(&self, commands: &BTreeMap<HostId, DrainCommand>) -> BTreeSet<HostId> {
         let mut groups: BTreeMap<GroupId, Vec<HostId>> = BTreeMap::new();
-        for host in self.hosts.values().filter(|h| h.in_service()) {
+        for host in self.hosts.values().filter(|host| host.in_service()) {
             let group = groups.entry(GroupId(host.entry.cell)).or_default();
             group.push(host.fleet_id);
         }
