--- a/crates/endpoint-watch/src/lib.rs
+++ b/crates/endpoint-watch/src/lib.rs
@@ -17,18 +17,19 @@
 pub mod codec;
 mod heartbeat;
 mod poll_decision;
+mod revision;
 mod settings;
 mod watcher;
 
 pub use codec::{recognizes, WireError};
 pub use heartbeat::{Heartbeat, MAX_HOSTS_OUT_OF_SERVICE};
 pub use poll_decision::{LocalState, PollDecision};
+pub use revision::Revision;
 pub use settings::Settings;
 pub use watcher::EndpointWatcher;
 
-/// Milliseconds on the caller's monotonic clock.
-pub type Millis = u64;
+use irisrouter_cluster_types::TaskId;
 
-/// The number under which the watch is leased ("WATCH" in ASCII): it lies beyond any number that a platform gives a set,
+/// The task as which the watch is leased ("WATCH" in ASCII): it lies beyond any number that a platform gives a set,
 /// and beyond the number of any drain.
-pub const TASK_ID: u64 = 0x5741_5443_4800_0000;
+pub const TASK_ID: TaskId = TaskId(0x5741_5443_4800_0000);
--- a/crates/endpoint-watch/src/poll_decision.rs
+++ b/crates/endpoint-watch/src/poll_decision.rs
@@ -1,6 +1,7 @@
 //! What a gateway does next about its own endpoint list, and what that depends on.
 
-use crate::Millis;
+use crate::Revision;
+use irisrouter_cluster_types::{Epoch, Milliseconds};
 
 /// What a gateway does next about its own endpoint list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -10,17 +11,17 @@
     Watch,
     /// Call once for the list that the service has now.
     Fetch,
-    /// Do not call for this time in milliseconds, unless a heartbeat arrives.
-    Wait(Millis),
+    /// Do not call for this time, unless a heartbeat arrives.
+    Wait(Milliseconds),
 }
 
 /// What a gateway knows of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LocalState {
     /// The fencing token of the watch, where this gateway holds its lease.
-    pub fencing_token: Option<u64>,
+    pub fencing_token: Option<Epoch>,
     /// The revision of its list; none before the first.
-    pub revision: Option<u64>,
+    pub revision: Option<Revision>,
     /// It needs the whole list at once, as after a change of the service's address.
     pub needs_full_list: bool,
     /// The number of gateways alive that fetch before this one.
--- a/crates/endpoint-watch/src/settings.rs
+++ b/crates/endpoint-watch/src/settings.rs
@@ -1,37 +1,37 @@
 //! Timers of the watch.
 
-use crate::Millis;
+use irisrouter_cluster_types::Milliseconds;
 
 /// Time between the fetches of two gateways for one change of the list: the service does not answer all of them at once.
-const FETCH_STAGGER_MS: Millis = 20;
+const FETCH_STAGGER: Milliseconds = Milliseconds(20);
 /// Time between two fetches of one gateway while the service does not have the announced revision yet.
-const REFETCH_INTERVAL_MS: Millis = 1_000;
+const REFETCH_INTERVAL: Milliseconds = Milliseconds(1_000);
 
-/// Settings of the watch; times in milliseconds.
+/// Settings of the watch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Settings {
     /// Time between two heartbeats.
-    pub heartbeat_interval_ms: Millis,
+    pub heartbeat_interval: Milliseconds,
     /// Time without a heartbeat after which a gateway watches for itself.
-    pub silence_timeout_ms: Millis,
+    pub silence_timeout: Milliseconds,
     /// Time between the fetches of two gateways for one change.
-    pub fetch_stagger_ms: Millis,
+    pub fetch_stagger: Milliseconds,
     /// Time between two fetches of one gateway, where the service does not have the announced revision yet.
-    pub refetch_interval_ms: Millis,
+    pub refetch_interval: Milliseconds,
 }
 
 impl Settings {
-    /// The settings of a fleet whose leases run for `lease_ms` milliseconds.
+    /// The settings of a fleet whose leases run for `lease`.
     ///
     /// The silence timeout is longer than the bound of a lease's takeover, so that the death of a watcher does not make the
     /// whole fleet watch.
     #[must_use]
-    pub const fn for_lease(lease_ms: Millis) -> Self {
+    pub const fn for_lease(lease: Milliseconds) -> Self {
         Self {
-            heartbeat_interval_ms: lease_ms / 5,
-            silence_timeout_ms: 4 * lease_ms,
-            fetch_stagger_ms: FETCH_STAGGER_MS,
-            refetch_interval_ms: REFETCH_INTERVAL_MS,
+            heartbeat_interval: Milliseconds(lease.0 / 5),
+            silence_timeout: Milliseconds(4 * lease.0),
+            fetch_stagger: FETCH_STAGGER,
+            refetch_interval: REFETCH_INTERVAL,
         }
     }
 }
--- a/crates/endpoint-watch/src/watcher.rs
+++ b/crates/endpoint-watch/src/watcher.rs
@@ -3,24 +3,31 @@
 use crate::heartbeat::Heartbeat;
 use crate::poll_decision::{LocalState, PollDecision};
 use crate::settings::Settings;
-use crate::Millis;
+use crate::Revision;
+use irisrouter_cluster_types::{Epoch, HostId, Timestamp};
+
+/// Which list a heartbeat announces. Ordered by epoch first: the list of a later watcher counts, even if it is older.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct AnnouncedList {
+    epoch: Epoch,
+    revision: Revision,
+}
 
 /// The heartbeat that counts, with what was done about it.
 struct ReceivedHeartbeat {
-    epoch: u64,
-    revision: u64,
+    list: AnnouncedList,
     /// When the last heartbeat of this revision arrived.
-    last_received_at: Millis,
+    last_received_at: Timestamp,
     /// When the first heartbeat of this revision arrived.
-    first_received_at: Millis,
+    first_received_at: Timestamp,
     /// When this gateway last fetched the list because of this revision.
-    fetched_at: Option<Millis>,
+    fetched_at: Option<Timestamp>,
 }
 
 /// The heartbeat that this gateway sent last.
 struct SentHeartbeat {
-    revision: u64,
-    sent_at: Millis,
+    revision: Revision,
+    sent_at: Timestamp,
 }
 
 /// The fleet's watch, as one gateway sees it.
@@ -47,19 +54,19 @@
     /// Takes a heartbeat of another gateway, and returns whether it counts. It does not where its epoch is older than the
     /// latest one received, nor where its revision is older under the same epoch: a datagram that was delayed would bring
     /// an older list back.
-    pub fn receive_heartbeat(&mut self, now: Millis, epoch: u64, revision: u64) -> bool {
+    pub fn receive_heartbeat(&mut self, now: Timestamp, epoch: Epoch, revision: Revision) -> bool {
+        let list = AnnouncedList { epoch, revision };
         if let Some(latest) = &mut self.received {
-            if (epoch, revision) < (latest.epoch, latest.revision) {
+            if list < latest.list {
                 return false;
             }
-            if (epoch, revision) == (latest.epoch, latest.revision) {
+            if list == latest.list {
                 latest.last_received_at = now;
                 return true;
             }
         }
         self.received = Some(ReceivedHeartbeat {
-            epoch,
-            revision,
+            list,
             last_received_at: now,
             first_received_at: now,
             fetched_at: None,
@@ -77,20 +84,20 @@
     /// holds the lease of the watch and its calls are answered.
     pub fn due_heartbeat(
         &mut self,
-        now: Millis,
+        now: Timestamp,
         local: LocalState,
-        hosts_out_of_service: impl FnOnce() -> Vec<u32>,
+        hosts_out_of_service: impl FnOnce() -> Vec<HostId>,
     ) -> Option<Heartbeat> {
         if !self.healthy {
             return None;
         }
         let epoch = local.fencing_token?;
         let revision = local.revision?;
-        let interval_ms = self.settings.heartbeat_interval_ms;
+        let interval = self.settings.heartbeat_interval;
         let announced = self
             .sent
             .as_ref()
-            .is_some_and(|sent| sent.revision == revision && now < sent.sent_at + interval_ms);
+            .is_some_and(|sent| sent.revision == revision && now < sent.sent_at + interval);
         if announced {
             return None;
         }
@@ -108,33 +115,33 @@
     /// When [`EndpointWatcher::due_heartbeat`] may return one next; `holds_lease` says whether this gateway holds the lease
     /// of the watch.
     #[must_use]
-    pub fn next_heartbeat_at(&self, now: Millis, holds_lease: bool) -> Millis {
+    pub fn next_heartbeat_at(&self, now: Timestamp, holds_lease: bool) -> Timestamp {
         if !holds_lease {
-            return Millis::MAX;
+            return Timestamp::MAX;
         }
-        let interval_ms = self.settings.heartbeat_interval_ms;
+        let interval = self.settings.heartbeat_interval;
         match &self.sent {
-            Some(sent) if self.healthy => sent.sent_at + interval_ms,
-            _ => now + interval_ms,
+            Some(sent) if self.healthy => sent.sent_at + interval,
+            _ => now + interval,
         }
     }
 
     /// Whether another gateway watches a list that is not older than this gateway's, so that this one need not watch.
     #[must_use]
-    pub fn is_superseded(&self, now: Millis, local: LocalState) -> bool {
+    pub fn is_superseded(&self, now: Timestamp, local: LocalState) -> bool {
         if local.fencing_token.is_some() || local.needs_full_list {
             return false;
         }
         let (Some(latest), Some(revision)) = (&self.received, local.revision) else {
             return false;
         };
-        now < latest.last_received_at + self.settings.silence_timeout_ms
-            && latest.revision >= revision
+        now < latest.last_received_at + self.settings.silence_timeout
+            && latest.list.revision >= revision
     }
 
     /// What this gateway is to do next about its own list. After [`PollDecision::Fetch`] the caller is taken to have
     /// fetched.
-    pub fn decide_poll(&mut self, now: Millis, local: LocalState) -> PollDecision {
+    pub fn decide_poll(&mut self, now: Timestamp, local: LocalState) -> PollDecision {
         let Some(revision) = local.revision.filter(|_| !local.needs_full_list) else {
             return PollDecision::Fetch;
         };
@@ -143,17 +150,17 @@
             return PollDecision::Watch;
         };
         let settings = self.settings;
-        if latest.revision == revision {
-            let silent_at = latest.last_received_at + settings.silence_timeout_ms;
-            return PollDecision::Wait(silent_at - now);
+        if latest.list.revision == revision {
+            let silent_at = latest.last_received_at + settings.silence_timeout;
+            return PollDecision::Wait(silent_at.saturating_duration_since(now));
         }
         // A service that does not have the announced revision yet must not be called without end.
         let fetch_at = match latest.fetched_at {
-            Some(fetched_at) => fetched_at + settings.refetch_interval_ms,
-            None => latest.first_received_at + local.rank * settings.fetch_stagger_ms,
+            Some(fetched_at) => fetched_at + settings.refetch_interval,
+            None => latest.first_received_at + settings.fetch_stagger * local.rank,
         };
         if now < fetch_at {
-            return PollDecision::Wait(fetch_at - now);
+            return PollDecision::Wait(fetch_at.saturating_duration_since(now));
         }
         latest.fetched_at = Some(now);
         PollDecision::Fetch
--- a/crates/endpoint-watch/tests/golden.rs
+++ b/crates/endpoint-watch/tests/golden.rs
@@ -8,8 +8,11 @@
 //!
 //! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
 
+use irisrouter_cluster_types::{Epoch, HostId, TaskId};
 use irisrouter_endpoint_watch::codec::{decode, encode, WireError, MAGIC, MAX_DATAGRAM_BYTES};
-use irisrouter_endpoint_watch::{recognizes, Heartbeat, MAX_HOSTS_OUT_OF_SERVICE, TASK_ID};
+use irisrouter_endpoint_watch::{
+    recognizes, Heartbeat, Revision, MAX_HOSTS_OUT_OF_SERVICE, TASK_ID,
+};
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
@@ -19,9 +22,9 @@
 
 fn heartbeat(hosts: &[u32]) -> Heartbeat {
     Heartbeat {
-        epoch: 0x0102_0304_0506_0708,
-        revision: 0x1112_1314_1516_1718,
-        hosts_out_of_service: hosts.to_vec(),
+        epoch: Epoch(0x0102_0304_0506_0708),
+        revision: Revision(0x1112_1314_1516_1718),
+        hosts_out_of_service: hosts.iter().copied().map(HostId).collect(),
     }
 }
 
@@ -31,23 +34,23 @@
 
 fn with_largest_numbers() -> Heartbeat {
     Heartbeat {
-        epoch: u64::MAX,
-        revision: u64::MAX,
-        hosts_out_of_service: vec![u32::MAX],
+        epoch: Epoch(u64::MAX),
+        revision: Revision(u64::MAX),
+        hosts_out_of_service: vec![HostId(u32::MAX)],
     }
 }
 
 fn with_least_numbers() -> Heartbeat {
     Heartbeat {
-        epoch: 1,
-        revision: 0,
-        hosts_out_of_service: vec![0],
+        epoch: Epoch(1),
+        revision: Revision(0),
+        hosts_out_of_service: vec![HostId(0)],
     }
 }
 
 fn of_nobody() -> Heartbeat {
     Heartbeat {
-        epoch: 0,
+        epoch: Epoch(0),
         ..with_two_hosts()
     }
 }
@@ -241,5 +244,5 @@
 
 #[test]
 fn task_number_of_the_watch_keeps_its_number() {
-    assert_eq!(TASK_ID, 0x5741_5443_4800_0000);
+    assert_eq!(TASK_ID, TaskId(0x5741_5443_4800_0000));
 }
--- a/crates/endpoint-watch/tests/watch.rs
+++ b/crates/endpoint-watch/tests/watch.rs
@@ -1,18 +1,25 @@
 //! Which gateway watches, which one fetches and which one waits, by the heartbeats that they received.
 
+use irisrouter_cluster_types::{Epoch, HostId, Milliseconds, Timestamp};
 use irisrouter_endpoint_watch::{
-    codec, EndpointWatcher, Heartbeat, LocalState, PollDecision, Settings, MAX_HOSTS_OUT_OF_SERVICE,
+    codec, EndpointWatcher, Heartbeat, LocalState, PollDecision, Revision, Settings,
+    MAX_HOSTS_OUT_OF_SERVICE,
 };
 use proptest::prelude::*;
 
-const SETTINGS: Settings = Settings::for_lease(1_000);
+const SETTINGS: Settings = Settings::for_lease(Milliseconds(1_000));
 const RANK: u64 = 3;
 
+/// The instant at which the test's clock shows this many milliseconds.
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_millis(milliseconds)
+}
+
 /// A gateway without the lease of the watch, with a list of this revision.
 fn at_revision(revision: u64) -> LocalState {
     LocalState {
         fencing_token: None,
-        revision: Some(revision),
+        revision: Some(Revision(revision)),
         needs_full_list: false,
         rank: RANK,
     }
@@ -21,7 +28,7 @@
 /// The holder of the lease, under epoch 9.
 fn lease_holder_at(revision: u64) -> LocalState {
     LocalState {
-        fencing_token: Some(9),
+        fencing_token: Some(Epoch(9)),
         ..at_revision(revision)
     }
 }
@@ -33,46 +40,49 @@
         revision: None,
         ..at_revision(0)
     };
-    assert_eq!(watcher.decide_poll(0, without_list), PollDecision::Fetch);
     assert_eq!(
-        watcher.decide_poll(0, at_revision(5)),
+        watcher.decide_poll(at(0), without_list),
+        PollDecision::Fetch
+    );
+    assert_eq!(
+        watcher.decide_poll(at(0), at_revision(5)),
         PollDecision::Watch,
         "no heartbeat was received yet"
     );
     assert_eq!(
-        watcher.decide_poll(0, lease_holder_at(5)),
+        watcher.decide_poll(at(0), lease_holder_at(5)),
         PollDecision::Watch
     );
-    assert!(watcher.receive_heartbeat(100, 9, 5));
+    assert!(watcher.receive_heartbeat(at(100), Epoch(9), Revision(5)));
     assert_eq!(
-        watcher.decide_poll(100, at_revision(5)),
-        PollDecision::Wait(SETTINGS.silence_timeout_ms)
+        watcher.decide_poll(at(100), at_revision(5)),
+        PollDecision::Wait(SETTINGS.silence_timeout)
     );
-    assert!(watcher.receive_heartbeat(200, 9, 6));
-    let stagger_ms = RANK * SETTINGS.fetch_stagger_ms;
+    assert!(watcher.receive_heartbeat(at(200), Epoch(9), Revision(6)));
+    let stagger = SETTINGS.fetch_stagger * RANK;
     assert_eq!(
-        watcher.decide_poll(200, at_revision(5)),
-        PollDecision::Wait(stagger_ms)
+        watcher.decide_poll(at(200), at_revision(5)),
+        PollDecision::Wait(stagger)
     );
     assert_eq!(
-        watcher.decide_poll(200 + stagger_ms, at_revision(5)),
+        watcher.decide_poll(at(200) + stagger, at_revision(5)),
         PollDecision::Fetch
     );
     // While the service does not have the revision yet, heartbeats that repeat it do not make a gateway fetch without end.
-    assert!(watcher.receive_heartbeat(270, 9, 6));
+    assert!(watcher.receive_heartbeat(at(270), Epoch(9), Revision(6)));
     assert_eq!(
-        watcher.decide_poll(280, at_revision(5)),
-        PollDecision::Wait(SETTINGS.refetch_interval_ms - 20)
+        watcher.decide_poll(at(280), at_revision(5)),
+        PollDecision::Wait(SETTINGS.refetch_interval - Milliseconds(20))
     );
-    assert!(watcher.receive_heartbeat(1_200, 9, 6));
+    assert!(watcher.receive_heartbeat(at(1_200), Epoch(9), Revision(6)));
     assert_eq!(
-        watcher.decide_poll(260 + SETTINGS.refetch_interval_ms, at_revision(5)),
+        watcher.decide_poll(at(260) + SETTINGS.refetch_interval, at_revision(5)),
         PollDecision::Fetch
     );
-    assert!(watcher.receive_heartbeat(1_300, 9, 7));
+    assert!(watcher.receive_heartbeat(at(1_300), Epoch(9), Revision(7)));
     assert_eq!(
-        watcher.decide_poll(1_300, at_revision(6)),
-        PollDecision::Wait(stagger_ms),
+        watcher.decide_poll(at(1_300), at_revision(6)),
+        PollDecision::Wait(stagger),
         "a newer revision is fetched one gateway after another again"
     );
     let at_new_address = LocalState {
@@ -80,7 +90,7 @@
         ..at_revision(6)
     };
     assert_eq!(
-        watcher.decide_poll(1_300, at_new_address),
+        watcher.decide_poll(at(1_300), at_new_address),
         PollDecision::Fetch,
         "at a new address, at once"
     );
@@ -90,36 +100,39 @@
 #[test]
 fn gateway_watches_for_itself_without_heartbeats_or_with_those_of_an_older_list() {
     let mut watcher = EndpointWatcher::new(SETTINGS);
-    let silence_ms = SETTINGS.silence_timeout_ms;
-    assert!(watcher.receive_heartbeat(0, 9, 5));
+    let silence = SETTINGS.silence_timeout;
+    assert!(watcher.receive_heartbeat(at(0), Epoch(9), Revision(5)));
     assert_eq!(
-        watcher.decide_poll(silence_ms - 1, at_revision(5)),
-        PollDecision::Wait(1)
+        watcher.decide_poll(
+            Timestamp::ZERO + (silence - Milliseconds(1)),
+            at_revision(5)
+        ),
+        PollDecision::Wait(Milliseconds(1))
     );
     assert_eq!(
-        watcher.decide_poll(silence_ms, at_revision(5)),
+        watcher.decide_poll(Timestamp::ZERO + silence, at_revision(5)),
         PollDecision::Watch
     );
     assert!(
-        watcher.receive_heartbeat(10_000, 10, 4),
+        watcher.receive_heartbeat(at(10_000), Epoch(10), Revision(4)),
         "the next watcher may have an older list"
     );
     assert_eq!(
-        watcher.decide_poll(10_000, at_revision(5)),
+        watcher.decide_poll(at(10_000), at_revision(5)),
         PollDecision::Watch
     );
     assert!(
-        !watcher.receive_heartbeat(10_001, 9, 7),
+        !watcher.receive_heartbeat(at(10_001), Epoch(9), Revision(7)),
         "an older epoch does not count"
     );
-    assert!(watcher.receive_heartbeat(10_002, 10, 6));
+    assert!(watcher.receive_heartbeat(at(10_002), Epoch(10), Revision(6)));
     assert!(
-        !watcher.receive_heartbeat(10_003, 10, 5),
+        !watcher.receive_heartbeat(at(10_003), Epoch(10), Revision(5)),
         "an older revision under the same epoch does not count"
     );
     assert_eq!(
-        watcher.decide_poll(10_010, at_revision(6)),
-        PollDecision::Wait(silence_ms - 8)
+        watcher.decide_poll(at(10_010), at_revision(6)),
+        PollDecision::Wait(silence - Milliseconds(8))
     );
 }
 
@@ -127,33 +140,37 @@
 #[test]
 fn lease_holder_sends_heartbeats_only_while_its_calls_are_answered() {
     let mut watcher = EndpointWatcher::new(SETTINGS);
-    let interval_ms = SETTINGS.heartbeat_interval_ms;
-    let heartbeat =
-        |watcher: &mut EndpointWatcher, now, local| watcher.due_heartbeat(now, local, || vec![1]);
+    let interval = SETTINGS.heartbeat_interval;
+    let heartbeat = |watcher: &mut EndpointWatcher, now, local| {
+        watcher.due_heartbeat(now, local, || vec![HostId(1)])
+    };
     let expected = |revision| {
         Some(Heartbeat {
-            epoch: 9,
-            revision,
-            hosts_out_of_service: vec![1],
+            epoch: Epoch(9),
+            revision: Revision(revision),
+            hosts_out_of_service: vec![HostId(1)],
         })
     };
-    assert_eq!(heartbeat(&mut watcher, 0, lease_holder_at(5)), None);
+    assert_eq!(heartbeat(&mut watcher, at(0), lease_holder_at(5)), None);
     watcher.record_call(true);
-    assert_eq!(heartbeat(&mut watcher, 0, lease_holder_at(5)), expected(5));
-    assert_eq!(heartbeat(&mut watcher, 1, lease_holder_at(5)), None);
     assert_eq!(
-        heartbeat(&mut watcher, 1, lease_holder_at(6)),
+        heartbeat(&mut watcher, at(0), lease_holder_at(5)),
+        expected(5)
+    );
+    assert_eq!(heartbeat(&mut watcher, at(1), lease_holder_at(5)), None);
+    assert_eq!(
+        heartbeat(&mut watcher, at(1), lease_holder_at(6)),
         expected(6),
         "a new revision is announced at once"
     );
-    assert_eq!(watcher.next_heartbeat_at(2, true), 1 + interval_ms);
+    assert_eq!(watcher.next_heartbeat_at(at(2), true), at(1) + interval);
     assert_eq!(
-        heartbeat(&mut watcher, 1 + interval_ms, at_revision(6)),
+        heartbeat(&mut watcher, at(1) + interval, at_revision(6)),
         None,
         "this gateway does not hold the lease any more"
     );
     watcher.record_call(false);
-    assert_eq!(heartbeat(&mut watcher, 5_000, lease_holder_at(5)), None);
+    assert_eq!(heartbeat(&mut watcher, at(5_000), lease_holder_at(5)), None);
 }
 
 proptest! {
@@ -163,7 +180,11 @@
         revision: u64,
         hosts_out_of_service in prop::collection::vec(any::<u32>(), 0..=MAX_HOSTS_OUT_OF_SERVICE),
     ) {
-        let heartbeat = Heartbeat { epoch, revision, hosts_out_of_service };
+        let heartbeat = Heartbeat {
+            epoch: Epoch(epoch),
+            revision: Revision(revision),
+            hosts_out_of_service: hosts_out_of_service.into_iter().map(HostId).collect(),
+        };
         let bytes = codec::encode(&heartbeat);
         prop_assert!(bytes.len() <= codec::MAX_DATAGRAM_BYTES);
         prop_assert_eq!(codec::decode(&bytes), Ok(heartbeat));
--- a/crates/write-intents/src/action.rs
+++ b/crates/write-intents/src/action.rs
@@ -1,5 +1,7 @@
 //! What the caller of [`IntentStore`](crate::IntentStore) has to do.
 
+use irisrouter_cluster_types::{GatewayId, UnixMilliseconds};
+
 /// The number of a record or look-up that this gateway has started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct OperationId(pub u64);
@@ -11,8 +13,8 @@
     Recorded,
     /// Record: too few replicas answered, and the write may not be sent.
     NotRecorded,
-    /// Look-up: the write may have run from this time on, in Unix milliseconds.
-    MayHaveRunSince(u64),
+    /// Look-up: the write may have run from this time on.
+    MayHaveRunSince(UnixMilliseconds),
     /// Look-up: the write was never sent.
     NeverSent,
     /// Look-up: too few gateways answered.
@@ -24,8 +26,8 @@
 pub enum Action {
     /// Send a datagram to a gateway.
     Send {
-        /// The gateway's number.
-        to: u32,
+        /// The gateway.
+        to: GatewayId,
         /// The datagram, at most 256 bytes long.
         bytes: Vec<u8>,
     },
--- a/crates/write-intents/src/codec.rs
+++ b/crates/write-intents/src/codec.rs
@@ -8,12 +8,17 @@
 //! 9..17  Unix milliseconds (u64): of the first attempt that may have run; 0 where the kind has none
 //! ```
 
+use crate::KeyHash;
 use bytes::BufMut;
+use irisrouter_cluster_types::UnixMilliseconds;
 use irisrouter_datagram::{decode_items, encode_items, has_magic, max_items, Reader, WireValue};
 
 pub use irisrouter_datagram::magic::WRITE_INTENTS as MAGIC;
 pub use irisrouter_datagram::{WireError, MAX_DATAGRAM_BYTES};
 
+/// The time of a message whose kind has none.
+const NO_TIME: UnixMilliseconds = UnixMilliseconds(0);
+
 /// How many messages fit one datagram.
 pub const MAX_MESSAGES: usize = max_items::<(), IntentMessage>();
 
@@ -49,20 +54,20 @@
 pub struct IntentMessage {
     /// What the message says.
     pub kind: MessageKind,
-    /// The number of the key, from [`key_hash`](crate::key_hash).
-    pub key: u64,
-    /// The time of the first attempt that may have run, in Unix milliseconds; 0 where the kind has none.
-    pub first_sent_at: u64,
+    /// The key that the message is about.
+    pub key: KeyHash,
+    /// The time of the first attempt that may have run; 0 where the kind has none.
+    pub first_sent_at: UnixMilliseconds,
 }
 
 impl IntentMessage {
     /// A message without a time.
     #[must_use]
-    pub const fn new(kind: MessageKind, key: u64) -> Self {
+    pub const fn new(kind: MessageKind, key: KeyHash) -> Self {
         Self {
             kind,
             key,
-            first_sent_at: 0,
+            first_sent_at: NO_TIME,
         }
     }
 }
@@ -73,15 +78,15 @@
     fn encode(&self, buffer: &mut Vec<u8>) {
         // A kind's number is its index in KINDS: both are in the same order.
         buffer.put_u8(self.kind as u8);
-        buffer.put_u64(self.key);
-        buffer.put_u64(self.first_sent_at);
+        buffer.put_u64(self.key.0);
+        buffer.put_u64(self.first_sent_at.0);
     }
 
     fn decode(reader: &mut Reader<'_>) -> Result<Self, WireError> {
         Ok(Self {
             kind: reader.one_of("kind", &KINDS)?,
-            key: reader.u64()?,
-            first_sent_at: reader.u64()?,
+            key: KeyHash(reader.u64()?),
+            first_sent_at: UnixMilliseconds(reader.u64()?),
         })
     }
 }
--- a/crates/write-intents/src/lib.rs
+++ b/crates/write-intents/src/lib.rs
@@ -29,11 +29,8 @@
 
 pub use action::{Action, OperationId, Outcome};
 pub use codec::recognizes;
-pub use key::key_hash;
+pub use key::{key_hash, KeyHash};
 pub use operation::MAX_SILENT;
 pub use replicas::{replica_order, LOOKUP_CANDIDATES, RECORD_CANDIDATES, REPLICAS};
 pub use retention::{MAX_RETAINED_KEYS, RETENTION};
 pub use store::IntentStore;
-
-/// Milliseconds on the caller's monotonic clock.
-pub type Millis = u64;
--- a/crates/write-intents/src/operation.rs
+++ b/crates/write-intents/src/operation.rs
@@ -2,22 +2,23 @@
 
 use crate::codec::{IntentMessage, MessageKind};
 use crate::replicas::{LOOKUP_CANDIDATES, RECORD_CANDIDATES, REPLICAS};
-use crate::{Millis, OperationId, Outcome};
+use crate::{KeyHash, OperationId, Outcome};
+use irisrouter_cluster_types::{GatewayId, Milliseconds, Timestamp, UnixMilliseconds};
 
 /// In a look-up this many of the gateways asked may be silent: the gateway that died.
 pub const MAX_SILENT: usize = 1;
 /// A record or look-up is sent again after this time without an answer.
-const RESEND_INTERVAL: Millis = 10;
+const RESEND_INTERVAL: Milliseconds = Milliseconds(10);
 /// After this time, a gateway that has not answered a look-up counts as silent.
-const SILENCE_TIMEOUT: Millis = 40;
+const SILENCE_TIMEOUT: Milliseconds = Milliseconds(40);
 /// After this time a record has failed, and a look-up is unproven.
-const OPERATION_TIMEOUT: Millis = 120;
+const OPERATION_TIMEOUT: Milliseconds = Milliseconds(120);
 
 /// What an operation is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Purpose {
-    /// Record that a write may have run from this time on, in Unix milliseconds.
-    Record { first_sent_at: u64 },
+    /// Record that a write may have run from this time on.
+    Record { first_sent_at: UnixMilliseconds },
     /// Find out whether a write may have run.
     LookUp,
 }
@@ -52,15 +53,15 @@
 /// A record or a look-up under way.
 pub(crate) struct Operation {
     pub(crate) id: OperationId,
-    pub(crate) key: u64,
+    pub(crate) key: KeyHash,
     pub(crate) purpose: Purpose,
-    pub(crate) next_send: Millis,
+    pub(crate) next_send: Timestamp,
     /// The gateways to ask, the first replica first.
-    candidates: Vec<u32>,
+    candidates: Vec<GatewayId>,
     /// How many of `candidates` have been asked.
     asked: usize,
-    answered: Vec<u32>,
-    started: Millis,
+    answered: Vec<GatewayId>,
+    started: Timestamp,
     local_memory: LocalMemory,
 }
 
@@ -68,10 +69,10 @@
     /// An operation that starts at `now`, among these gateways.
     pub(crate) const fn new(
         id: OperationId,
-        key: u64,
+        key: KeyHash,
         purpose: Purpose,
-        candidates: Vec<u32>,
-        now: Millis,
+        candidates: Vec<GatewayId>,
+        now: Timestamp,
         local_memory: LocalMemory,
     ) -> Self {
         Self {
@@ -89,7 +90,7 @@
 
     /// The message to send now, and to whom; nobody where none is due. A record is sent to two gateways first, and to one
     /// more each time, as one of them may be dead. A look-up is sent to all candidates.
-    pub(crate) fn due_message(&mut self, now: Millis) -> Option<OutgoingMessage> {
+    pub(crate) fn due_message(&mut self, now: Timestamp) -> Option<OutgoingMessage> {
         if self.next_send > now {
             return None;
         }
@@ -103,7 +104,7 @@
         let asked = self.candidates[..self.asked].iter().copied();
         Some(OutgoingMessage {
             to: asked
-                .filter(|number| !self.answered.contains(number))
+                .filter(|gateway| !self.answered.contains(gateway))
                 .collect(),
             message: self.message(),
         })
@@ -122,7 +123,11 @@
 
     /// Processes the answer of a gateway, and returns the outcome if it is decided by that. Answers to other operations, and
     /// from gateways that are no candidates, are ignored.
-    pub(crate) fn process_answer(&mut self, from: u32, answer: &IntentMessage) -> Option<Outcome> {
+    pub(crate) fn process_answer(
+        &mut self,
+        from: GatewayId,
+        answer: &IntentMessage,
+    ) -> Option<Outcome> {
         if self.key != answer.key || !self.candidates.contains(&from) {
             return None;
         }
@@ -146,8 +151,8 @@
     }
 
     /// The outcome, if there is one by `now`.
-    pub(crate) fn outcome(&self, now: Millis) -> Option<Outcome> {
-        let waited = now.saturating_sub(self.started);
+    pub(crate) fn outcome(&self, now: Timestamp) -> Option<Outcome> {
+        let waited = now.saturating_duration_since(self.started);
         let decided = match self.purpose {
             Purpose::Record { .. } => self.record_outcome(),
             Purpose::LookUp => self.look_up_outcome(waited),
@@ -162,7 +167,7 @@
         (self.answered.len() >= needed).then_some(Outcome::Recorded)
     }
 
-    fn look_up_outcome(&self, waited: Millis) -> Option<Outcome> {
+    fn look_up_outcome(&self, waited: Milliseconds) -> Option<Outcome> {
         // A gateway that may have lost records itself counts as one more that is silent.
         let locally_silent = usize::from(self.local_memory == LocalMemory::MayBeLost);
         let silent = self.candidates.len() - self.answered.len() + locally_silent;
@@ -174,6 +179,6 @@
 
 /// A message, and the gateways to which it goes.
 pub(crate) struct OutgoingMessage {
-    pub(crate) to: Vec<u32>,
+    pub(crate) to: Vec<GatewayId>,
     pub(crate) message: IntentMessage,
 }
--- a/crates/write-intents/src/replicas.rs
+++ b/crates/write-intents/src/replicas.rs
@@ -1,5 +1,7 @@
 //! Which gateways hold the record of a key.
 
+use crate::KeyHash;
+use irisrouter_cluster_types::GatewayId;
 use std::cmp::Reverse;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -13,22 +15,22 @@
 
 /// Gateways in the order in which they are replicas of a key: rendezvous hashing. Equal weights are ordered by number.
 #[must_use]
-pub fn replica_order(key: u64, gateways: &[u32]) -> Vec<u32> {
-    let weight = |number: u32| xxh3_64_with_seed(&number.to_be_bytes(), key);
+pub fn replica_order(key: KeyHash, gateways: &[GatewayId]) -> Vec<GatewayId> {
+    let weight = |gateway: GatewayId| xxh3_64_with_seed(&gateway.0.to_be_bytes(), key.0);
     let mut ordered = gateways.to_vec();
-    ordered.sort_by_key(|&number| (Reverse(weight(number)), number));
+    ordered.sort_by_key(|&gateway| (Reverse(weight(gateway)), gateway));
     ordered
 }
 
-/// The first `count` gateways in the order of a key, without `own_number`.
+/// The first `count` gateways in the order of a key, without `local_gateway`.
 pub(crate) fn first_replicas(
-    key: u64,
-    gateways: &[u32],
-    own_number: u32,
+    key: KeyHash,
+    gateways: &[GatewayId],
+    local_gateway: GatewayId,
     count: usize,
-) -> Vec<u32> {
+) -> Vec<GatewayId> {
     let others = gateways.iter().copied();
-    let others: Vec<u32> = others.filter(|&number| number != own_number).collect();
+    let others: Vec<GatewayId> = others.filter(|&gateway| gateway != local_gateway).collect();
     let mut ordered = replica_order(key, &others);
     ordered.truncate(count);
     ordered
--- a/crates/write-intents/src/store.rs
+++ b/crates/write-intents/src/store.rs
@@ -4,7 +4,8 @@
 use crate::operation::{LocalMemory, Operation, Purpose};
 use crate::replicas::{first_replicas, RECORD_CANDIDATES};
 use crate::retention::{RetainedIntents, RETENTION};
-use crate::{Action, Millis, OperationId, Outcome};
+use crate::{Action, KeyHash, OperationId, Outcome};
+use irisrouter_cluster_types::{GatewayId, Timestamp, UnixMilliseconds};
 use std::collections::BTreeMap;
 
 /// How many records and look-ups of its own a gateway has under way at once.
@@ -12,21 +13,23 @@
 
 /// The write intents of one gateway.
 pub struct IntentStore {
-    own_number: u32,
-    started: Millis,
+    local_gateway: GatewayId,
+    /// Since when this process has received datagrams.
+    started: Timestamp,
     retained: RetainedIntents,
     operations: Vec<Operation>,
     last_operation: u64,
-    outbox: BTreeMap<u32, Vec<IntentMessage>>,
+    /// The messages that wait to be packed into datagrams, by the gateway to which they go.
+    outbox: BTreeMap<GatewayId, Vec<IntentMessage>>,
     actions: Vec<Action>,
 }
 
 impl IntentStore {
-    /// The gateway with this number, whose process starts at `now`.
+    /// The store of this gateway, whose process starts at `now`.
     #[must_use]
-    pub fn new(own_number: u32, now: Millis) -> Self {
+    pub fn new(local_gateway: GatewayId, now: Timestamp) -> Self {
         Self {
-            own_number,
+            local_gateway,
             started: now,
             retained: RetainedIntents::default(),
             operations: Vec::new(),
@@ -38,28 +41,28 @@
 
     /// This process receives datagrams from now on, and not since [`IntentStore::new`]: an older process of the same gateway
     /// may have held records until now.
-    pub fn on_socket_opened(&mut self, now: Millis) {
+    pub fn on_socket_opened(&mut self, now: Timestamp) {
         self.started = now;
     }
 
-    /// Records that a write of this key may have run from `first_sent_at` on (Unix milliseconds), with the replicas among
+    /// Records that a write of this key may have run from `first_sent_at` on, with the replicas among
     /// `gateways`, those that are not considered down. A gateway that is alone records with nobody, as nobody could take the
     /// write over.
     pub fn record(
         &mut self,
-        now: Millis,
-        key: u64,
-        first_sent_at: u64,
-        gateways: &[u32],
+        now: Timestamp,
+        key: KeyHash,
+        first_sent_at: UnixMilliseconds,
+        gateways: &[GatewayId],
     ) -> OperationId {
         // Recorded here too: the gateway's own client may send the write again to this very gateway.
         self.retained
-            .record(now, self.own_number, key, first_sent_at);
+            .record(now, self.local_gateway, key, first_sent_at);
         self.start_operation(now, key, Purpose::Record { first_sent_at }, gateways)
     }
 
     /// Looks up whether a write of this key may have run.
-    pub fn look_up(&mut self, now: Millis, key: u64, gateways: &[u32]) -> OperationId {
+    pub fn look_up(&mut self, now: Timestamp, key: KeyHash, gateways: &[GatewayId]) -> OperationId {
         let Some(first_sent_at) = self.retained.first_sent_at(now, key) else {
             return self.start_operation(now, key, Purpose::LookUp, gateways);
         };
@@ -70,20 +73,25 @@
     }
 
     /// Withdraws what this gateway recorded of a key, as the write never ran.
-    pub fn withdraw(&mut self, key: u64, gateways: &[u32]) {
-        self.retained.withdraw(self.own_number, key);
+    pub fn withdraw(&mut self, key: KeyHash, gateways: &[GatewayId]) {
+        self.retained.withdraw(self.local_gateway, key);
         let message = IntentMessage::new(MessageKind::Withdraw, key);
-        for to in first_replicas(key, gateways, self.own_number, RECORD_CANDIDATES) {
+        for to in first_replicas(key, gateways, self.local_gateway, RECORD_CANDIDATES) {
             self.send(to, message);
         }
         self.pack_outbox();
     }
 
-    /// Processes a datagram from the gateway with number `from`.
+    /// Processes a datagram from gateway `from`.
     ///
     /// # Errors
     /// The datagram can't be decoded; then nothing is changed.
-    pub fn receive(&mut self, now: Millis, from: u32, datagram: &[u8]) -> Result<(), WireError> {
+    pub fn receive(
+        &mut self,
+        now: Timestamp,
+        from: GatewayId,
+        datagram: &[u8],
+    ) -> Result<(), WireError> {
         for message in codec::decode(datagram)? {
             self.process_message(now, from, &message);
         }
@@ -91,7 +99,7 @@
         Ok(())
     }
 
-    fn process_message(&mut self, now: Millis, from: u32, message: &IntentMessage) {
+    fn process_message(&mut self, now: Timestamp, from: GatewayId, message: &IntentMessage) {
         match message.kind {
             MessageKind::Record => {
                 let recorded = self
@@ -115,7 +123,7 @@
     }
 
     /// The answer to the look-up of another gateway; none where this one may have lost its records.
-    fn look_up_answer(&self, now: Millis, key: u64) -> Option<IntentMessage> {
+    fn look_up_answer(&self, now: Timestamp, key: KeyHash) -> Option<IntentMessage> {
         if let Some(first_sent_at) = self.retained.first_sent_at(now, key) {
             return Some(IntentMessage {
                 kind: MessageKind::Found,
@@ -130,7 +138,7 @@
     }
 
     /// Does what is due by `now`.
-    pub fn advance(&mut self, now: Millis) {
+    pub fn advance(&mut self, now: Timestamp) {
         for operation in &mut self.operations {
             let Some(due) = operation.due_message(now) else {
                 continue;
@@ -144,14 +152,14 @@
         self.pack_outbox();
     }
 
-    /// When [`IntentStore::advance`] next has work; [`Millis::MAX`] for never.
+    /// When [`IntentStore::advance`] next has work; [`Timestamp::MAX`] for never.
     #[must_use]
-    pub fn next_due(&self) -> Millis {
+    pub fn next_due(&self) -> Timestamp {
         let sends = self.operations.iter().map(|operation| operation.next_send);
         sends
             .chain(self.retained.next_expiry())
             .min()
-            .unwrap_or(Millis::MAX)
+            .unwrap_or(Timestamp::MAX)
     }
 
     /// What the caller has to do, in order.
@@ -165,7 +173,7 @@
         self.retained.len()
     }
 
-    fn local_memory(&self, now: Millis) -> LocalMemory {
+    fn local_memory(&self, now: Timestamp) -> LocalMemory {
         if now < self.started + RETENTION {
             LocalMemory::MayBeLost
         } else {
@@ -180,10 +188,10 @@
 
     fn start_operation(
         &mut self,
-        now: Millis,
-        key: u64,
+        now: Timestamp,
+        key: KeyHash,
         purpose: Purpose,
-        gateways: &[u32],
+        gateways: &[GatewayId],
     ) -> OperationId {
         let id = self.next_operation();
         if self.operations.len() >= MAX_OPERATIONS {
@@ -193,7 +201,7 @@
             });
             return id;
         }
-        let candidates = first_replicas(key, gateways, self.own_number, purpose.candidates());
+        let candidates = first_replicas(key, gateways, self.local_gateway, purpose.candidates());
         let local_memory = self.local_memory(now);
         let operation = Operation::new(id, key, purpose, candidates, now, local_memory);
         self.operations.push(operation);
@@ -201,7 +209,7 @@
         id
     }
 
-    fn process_answer(&mut self, from: u32, answer: &IntentMessage) {
+    fn process_answer(&mut self, from: GatewayId, answer: &IntentMessage) {
         self.end_operations(|operation| operation.process_answer(from, answer));
     }
 
@@ -220,7 +228,7 @@
         });
     }
 
-    fn send(&mut self, to: u32, message: IntentMessage) {
+    fn send(&mut self, to: GatewayId, message: IntentMessage) {
         self.outbox.entry(to).or_default().push(message);
     }
 
--- a/crates/write-intents/tests/codec.rs
+++ b/crates/write-intents/tests/codec.rs
@@ -1,7 +1,8 @@
 //! Tests of the datagram of write intents.
 
+use irisrouter_cluster_types::{GatewayId, Timestamp, UnixMilliseconds};
 use irisrouter_write_intents::codec::{self, IntentMessage, MessageKind};
-use irisrouter_write_intents::IntentStore;
+use irisrouter_write_intents::{IntentStore, KeyHash};
 use proptest::prelude::{any, prop_assert_eq, proptest};
 
 const KINDS: [MessageKind; 6] = [
@@ -22,8 +23,8 @@
         if let (true, Some(first)) = (with_magic, bytes.first_mut()) {
             *first = codec::MAGIC;
         }
-        let mut store = IntentStore::new(0, 0);
-        if store.receive(10, 1, &bytes).is_err() {
+        let mut store = IntentStore::new(GatewayId(0), Timestamp::ZERO);
+        if store.receive(Timestamp::from_millis(10), GatewayId(1), &bytes).is_err() {
             prop_assert_eq!((store.drain_actions().count(), store.retained_keys()), (0, 0));
         }
     }
@@ -36,7 +37,11 @@
     ) {
         let messages: Vec<IntentMessage> = fields
             .into_iter()
-            .map(|(kind, key, first_sent_at)| IntentMessage { kind: KINDS[kind], key, first_sent_at })
+            .map(|(kind, key, first_sent_at)| IntentMessage {
+                kind: KINDS[kind],
+                key: KeyHash(key),
+                first_sent_at: UnixMilliseconds(first_sent_at),
+            })
             .collect();
         prop_assert_eq!(codec::decode(&codec::encode(&messages)), Ok(messages));
     }
--- a/crates/write-intents/tests/fleet.rs
+++ b/crates/write-intents/tests/fleet.rs
@@ -3,7 +3,8 @@
 
 mod simulation;
 
-use irisrouter_write_intents::{IntentStore, Outcome, RETENTION};
+use irisrouter_cluster_types::{GatewayId, Milliseconds, UnixMilliseconds};
+use irisrouter_write_intents::{IntentStore, KeyHash, Outcome, RETENTION};
 use proptest::prelude::{prop_assert_eq, prop_assert_ne, prop_assume, proptest};
 use simulation::Fleet;
 
@@ -12,12 +13,15 @@
     for size in 2..9 {
         for writer in 0..size {
             let mut fleet = Fleet::new(size, 0, 1);
-            assert_eq!(fleet.record(writer, 77, 1_000), Outcome::Recorded);
+            assert_eq!(
+                fleet.record(GatewayId(writer), KeyHash(77), UnixMilliseconds(1_000)),
+                Outcome::Recorded
+            );
             fleet.stores[writer as usize] = None;
             for other in (0..size).filter(|&other| other != writer) {
                 assert_eq!(
-                    fleet.look_up(other, 77),
-                    Outcome::MayHaveRunSince(1_000),
+                    fleet.look_up(GatewayId(other), KeyHash(77)),
+                    Outcome::MayHaveRunSince(UnixMilliseconds(1_000)),
                     "{size} gateways, {writer}, {other}"
                 );
             }
@@ -28,42 +32,63 @@
 #[test]
 fn withdrawn_write_is_not_found_and_the_intent_of_an_earlier_writer_stays() {
     let mut fleet = Fleet::new(5, 0, 1);
-    assert_eq!(fleet.record(0, 7, 1_000), Outcome::Recorded);
-    assert_eq!(fleet.record(1, 7, 1_400), Outcome::Recorded);
+    assert_eq!(
+        fleet.record(GatewayId(0), KeyHash(7), UnixMilliseconds(1_000)),
+        Outcome::Recorded
+    );
+    assert_eq!(
+        fleet.record(GatewayId(1), KeyHash(7), UnixMilliseconds(1_400)),
+        Outcome::Recorded
+    );
     let all = fleet.all();
-    fleet.call(1, |store, _| store.withdraw(7, &all));
-    fleet.run(50);
-    assert_eq!(fleet.look_up(3, 7), Outcome::MayHaveRunSince(1_000));
-    fleet.call(0, |store, _| store.withdraw(7, &all));
-    fleet.run(50);
-    assert_eq!(fleet.look_up(3, 7), Outcome::NeverSent);
+    fleet.call(GatewayId(1), |store, _| store.withdraw(KeyHash(7), &all));
+    fleet.run(Milliseconds(50));
+    assert_eq!(
+        fleet.look_up(GatewayId(3), KeyHash(7)),
+        Outcome::MayHaveRunSince(UnixMilliseconds(1_000))
+    );
+    fleet.call(GatewayId(0), |store, _| store.withdraw(KeyHash(7), &all));
+    fleet.run(Milliseconds(50));
+    assert_eq!(fleet.look_up(GatewayId(3), KeyHash(7)), Outcome::NeverSent);
 }
 
 #[test]
 fn nothing_is_recorded_or_proven_without_two_answers() {
     let mut fleet = Fleet::new(4, 100, 1);
-    assert_eq!(fleet.record(0, 7, 1_000), Outcome::NotRecorded);
-    assert_eq!(fleet.look_up(1, 7), Outcome::Unproven);
+    assert_eq!(
+        fleet.record(GatewayId(0), KeyHash(7), UnixMilliseconds(1_000)),
+        Outcome::NotRecorded
+    );
+    assert_eq!(fleet.look_up(GatewayId(1), KeyHash(7)), Outcome::Unproven);
     // A gateway that is alone has no replica to record with, and nobody could take its writes over.
     let mut alone = Fleet::new(1, 100, 1);
-    assert_eq!(alone.record(0, 7, 1_000), Outcome::Recorded);
-    assert_eq!(alone.look_up(0, 7), Outcome::MayHaveRunSince(1_000));
+    assert_eq!(
+        alone.record(GatewayId(0), KeyHash(7), UnixMilliseconds(1_000)),
+        Outcome::Recorded
+    );
+    assert_eq!(
+        alone.look_up(GatewayId(0), KeyHash(7)),
+        Outcome::MayHaveRunSince(UnixMilliseconds(1_000))
+    );
 }
 
 #[test]
 fn restarted_replicas_prove_nothing_until_the_retention_has_passed() {
     let mut fleet = Fleet::new(5, 0, 1);
-    assert_eq!(fleet.record(0, 9, 1_000), Outcome::Recorded);
+    assert_eq!(
+        fleet.record(GatewayId(0), KeyHash(9), UnixMilliseconds(1_000)),
+        Outcome::Recorded
+    );
     // The writer and every replica die, and all but the writer are started again: no gateway knows the write, and none says
     // that it was never sent.
     fleet.stores[0] = None;
     for number in 1..5 {
-        fleet.stores[number] = Some(IntentStore::new(number as u32, fleet.now));
+        fleet.stores[number] = Some(IntentStore::new(GatewayId(number as u32), fleet.now));
     }
-    assert_eq!(fleet.look_up(2, 9), Outcome::Unproven);
+    assert_eq!(fleet.look_up(GatewayId(2), KeyHash(9)), Outcome::Unproven);
     // By then no client repeats it any more.
     fleet.now += RETENTION;
-    assert_eq!(fleet.look_up(2, 9), Outcome::NeverSent);
+    assert_eq!(fleet.look_up(GatewayId(2), KeyHash(9)), Outcome::NeverSent);
 }
 
 #[test]
@@ -71,7 +96,11 @@
     for dead in 1..6 {
         let mut fleet = Fleet::new(6, 0, 1);
         fleet.stores[dead] = None;
-        assert_eq!(fleet.record(0, 5, 900), Outcome::Recorded, "{dead}");
+        assert_eq!(
+            fleet.record(GatewayId(0), KeyHash(5), UnixMilliseconds(900)),
+            Outcome::Recorded,
+            "{dead}"
+        );
     }
 }
 
@@ -86,14 +115,14 @@
         let (writer, dead, asker) = (writer % size, dead % size, asker % size);
         prop_assume!(asker != dead);
         let mut fleet = Fleet::new(size, loss_percent, seed);
-        let recorded = fleet.record(writer, key, 1_000);
+        let recorded = fleet.record(GatewayId(writer), KeyHash(key), UnixMilliseconds(1_000));
         fleet.stores[dead as usize] = None;
-        let found = fleet.look_up(asker, key);
+        let found = fleet.look_up(GatewayId(asker), KeyHash(key));
         if recorded == Outcome::Recorded {
             prop_assert_ne!(found, Outcome::NeverSent);
         }
         if recorded == Outcome::Recorded && loss_percent == 0 {
-            prop_assert_eq!(found, Outcome::MayHaveRunSince(1_000));
+            prop_assert_eq!(found, Outcome::MayHaveRunSince(UnixMilliseconds(1_000)));
         }
     }
 }
--- a/crates/write-intents/tests/golden.rs
+++ b/crates/write-intents/tests/golden.rs
@@ -8,12 +8,13 @@
 //!
 //! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
 
+use irisrouter_cluster_types::{GatewayId, Timestamp, UnixMilliseconds};
 use irisrouter_write_intents::codec::{
     decode, encode, IntentMessage, MessageKind, WireError, MAGIC, MAX_DATAGRAM_BYTES, MAX_MESSAGES,
 };
 use irisrouter_write_intents::{
-    key_hash, recognizes, replica_order, Action, IntentStore, LOOKUP_CANDIDATES, MAX_SILENT,
-    RECORD_CANDIDATES, REPLICAS,
+    key_hash, recognizes, replica_order, Action, IntentStore, KeyHash, LOOKUP_CANDIDATES,
+    MAX_SILENT, RECORD_CANDIDATES, REPLICAS,
 };
 
 fn hex(bytes: &[u8]) -> String {
@@ -22,8 +23,8 @@
 
 // Values: all messages that are pinned here are built in this part of the file.
 
-const KEY: u64 = 0x0102_0304_0506_0708;
-const AT: u64 = 0x1112_1314_1516_1718;
+const KEY: KeyHash = KeyHash(0x0102_0304_0506_0708);
+const AT: UnixMilliseconds = UnixMilliseconds(0x1112_1314_1516_1718);
 
 fn message(kind: MessageKind) -> IntentMessage {
     IntentMessage {
@@ -36,7 +37,7 @@
 /// As it is sent where the kind has no time.
 fn without_time(kind: MessageKind) -> IntentMessage {
     IntentMessage {
-        first_sent_at: 0,
+        first_sent_at: UnixMilliseconds(0),
         ..message(kind)
     }
 }
@@ -44,8 +45,8 @@
 fn with_largest_numbers() -> IntentMessage {
     IntentMessage {
         kind: MessageKind::Found,
-        key: u64::MAX,
-        first_sent_at: u64::MAX,
+        key: KeyHash(u64::MAX),
+        first_sent_at: UnixMilliseconds(u64::MAX),
     }
 }
 
@@ -61,28 +62,32 @@
     ];
     let one = |i: u64| IntentMessage {
         kind: kinds[i as usize % kinds.len()],
-        key: 0x0100_0000_0000_0000 + i,
-        first_sent_at: 0x1100_0000_0000_0000 + i,
+        key: KeyHash(0x0100_0000_0000_0000 + i),
+        first_sent_at: UnixMilliseconds(0x1100_0000_0000_0000 + i),
     };
     (0..count).map(one).collect()
 }
 
 /// Gateway 2 in a fleet of nine, and what it sends by this time: to whom, and the bytes.
 fn sent(store: &mut IntentStore, now: u64) -> Vec<(u32, String)> {
-    store.advance(now);
+    store.advance(Timestamp::from_millis(now));
     let datagram = |action| match action {
-        Action::Send { to, bytes } => Some((to, hex(&bytes))),
+        Action::Send { to, bytes } => Some((to.0, hex(&bytes))),
         Action::Ended { .. } => None,
     };
     store.drain_actions().filter_map(datagram).collect()
 }
 
 fn gateway() -> IntentStore {
-    IntentStore::new(2, 0)
+    IntentStore::new(GatewayId(2), Timestamp::ZERO)
 }
 
 const GATEWAYS: [u32; 9] = [0, 1, 2, 3, 4, 5, 6, 7, 8];
 
+fn gateways(numbers: &[u32]) -> Vec<GatewayId> {
+    numbers.iter().copied().map(GatewayId).collect()
+}
+
 // Helpers.
 
 fn literal(expected: &str) -> String {
@@ -339,20 +344,24 @@
         (i64::MAX, b"\x00\xff", 0xd4e2_355d_0c22_9f06),
     ];
     for (set, key, expected) in numbers {
-        assert_eq!(key_hash(set, key), expected, "set {set}, key {key:?}");
+        assert_eq!(
+            key_hash(set, key),
+            KeyHash(expected),
+            "set {set}, key {key:?}"
+        );
     }
 }
 
 #[test]
 fn replica_order_of_a_key_keeps_its_members_places() {
-    let orders: [(u64, [u32; 9], [u32; 5]); 5] = [
+    let orders: [(KeyHash, [u32; 9], [u32; 5]); 5] = [
         (
-            0,
+            KeyHash(0),
             [8, 3, 7, 2, 0, 4, 6, 5, 1],
             [17, 3, 65_536, 250, 4_000_000_000],
         ),
         (
-            1,
+            KeyHash(1),
             [4, 7, 2, 3, 8, 6, 5, 0, 1],
             [250, 17, 3, 4_000_000_000, 65_536],
         ),
@@ -362,30 +371,37 @@
             [65_536, 17, 3, 4_000_000_000, 250],
         ),
         (
-            0x9dd2_eacf_3b3b_1c55,
+            KeyHash(0x9dd2_eacf_3b3b_1c55),
             [0, 2, 8, 3, 6, 4, 1, 7, 5],
             [250, 3, 4_000_000_000, 17, 65_536],
         ),
         (
-            u64::MAX,
+            KeyHash(u64::MAX),
             [5, 3, 8, 0, 1, 4, 2, 6, 7],
             [3, 4_000_000_000, 17, 250, 65_536],
         ),
     ];
     for (key, of_nine, with_gaps) in orders {
-        assert_eq!(replica_order(key, &GATEWAYS), of_nine, "key {key:#x}");
         assert_eq!(
-            replica_order(key, &[4, 8, 0, 7, 1, 6, 2, 5, 3]),
-            of_nine,
-            "key {key:#x}, in another order"
+            replica_order(key, &gateways(&GATEWAYS)),
+            gateways(&of_nine),
+            "key {:#x}",
+            key.0
+        );
+        assert_eq!(
+            replica_order(key, &gateways(&[4, 8, 0, 7, 1, 6, 2, 5, 3])),
+            gateways(&of_nine),
+            "key {:#x}, in another order",
+            key.0
         );
         assert_eq!(
-            replica_order(key, &[4_000_000_000, 3, 250, 17, 65_536]),
-            with_gaps,
-            "key {key:#x}"
+            replica_order(key, &gateways(&[4_000_000_000, 3, 250, 17, 65_536])),
+            gateways(&with_gaps),
+            "key {:#x}",
+            key.0
         );
     }
-    assert_eq!(replica_order(KEY, &[]), [0; 0]);
+    assert_eq!(replica_order(KEY, &[]), []);
 }
 
 #[test]
@@ -401,7 +417,7 @@
 fn record_goes_to_the_first_two_replicas_and_then_to_one_more_each_time_up_to_four() {
     let record = "c1 01  00 0102030405060708 1112131415161718";
     let mut store = gateway();
-    store.record(0, KEY, AT, &GATEWAYS);
+    store.record(Timestamp::ZERO, KEY, AT, &gateways(&GATEWAYS));
     assert_eq!(sent(&mut store, 0), to_each(&[1, 5], record));
     assert_eq!(sent(&mut store, 10), to_each(&[1, 5, 6], record));
     assert_eq!(sent(&mut store, 20), to_each(&[1, 4, 5, 6], record));
@@ -411,7 +427,7 @@
 #[test]
 fn look_up_goes_to_the_first_six_replicas() {
     let mut store = gateway();
-    store.look_up(0, KEY, &GATEWAYS);
+    store.look_up(Timestamp::ZERO, KEY, &gateways(&GATEWAYS));
     let look_up = "c1 01  02 0102030405060708 0000000000000000";
     assert_eq!(sent(&mut store, 0), to_each(&[1, 3, 4, 5, 6, 8], look_up));
 }
@@ -419,7 +435,7 @@
 #[test]
 fn withdrawal_goes_to_the_first_four_replicas() {
     let mut store = gateway();
-    store.withdraw(KEY, &GATEWAYS);
+    store.withdraw(KEY, &gateways(&GATEWAYS));
     let withdrawal = "c1 01  05 0102030405060708 0000000000000000";
     assert_eq!(sent(&mut store, 0), to_each(&[1, 4, 5, 6], withdrawal));
 }
--- a/crates/write-intents/tests/simulation/mod.rs
+++ b/crates/write-intents/tests/simulation/mod.rs
@@ -1,39 +1,52 @@
 //! A fleet of [`IntentStore`]s on a simulated network, in virtual time and seeded.
 
+use irisrouter_cluster_types::{GatewayId, Milliseconds, Timestamp, UnixMilliseconds};
 use irisrouter_write_intents::{
-    codec, Action, IntentStore, Millis, OperationId, Outcome, RETENTION,
+    codec, Action, IntentStore, KeyHash, OperationId, Outcome, RETENTION,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, HashMap};
 
-/// When a datagram arrives, and its number among all that were sent.
-type Arrival = (Millis, u64);
+/// When a datagram arrives. Those that arrive together do so in the order in which they were sent.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Arrival {
+    at: Timestamp,
+    /// The datagram's number among all that were sent.
+    number: u64,
+}
+
+/// An operation of one gateway of the fleet.
+#[derive(PartialEq, Eq, Hash)]
+struct FleetOperation {
+    gateway: GatewayId,
+    operation: OperationId,
+}
 
 struct Flight {
-    from: u32,
-    to: u32,
+    from: GatewayId,
+    to: GatewayId,
     bytes: Vec<u8>,
 }
 
 pub struct Fleet {
-    pub now: Millis,
+    pub now: Timestamp,
     /// The gateways by their numbers; none for a dead one.
     pub stores: Vec<Option<IntentStore>>,
     flights: BTreeMap<Arrival, Flight>,
     sent_in_order: u64,
     loss_percent: u64,
     rng: SmallRng,
-    ended: HashMap<(u32, OperationId), Outcome>,
+    ended: HashMap<FleetOperation, Outcome>,
 }
 
 impl Fleet {
     /// Gateways that were started long enough ago to have lost no records.
     pub fn new(size: u32, loss_percent: u64, seed: u64) -> Self {
-        let stores = (0..size).map(|number| Some(IntentStore::new(number, 0)));
+        let store = |number| IntentStore::new(GatewayId(number), Timestamp::ZERO);
         Fleet {
-            now: RETENTION,
-            stores: stores.collect(),
+            now: Timestamp::ZERO + RETENTION,
+            stores: (0..size).map(|number| Some(store(number))).collect(),
             flights: BTreeMap::new(),
             sent_in_order: 0,
             loss_percent,
@@ -42,25 +55,26 @@
         }
     }
 
-    pub fn all(&self) -> Vec<u32> {
-        (0..self.stores.len() as u32).collect()
+    pub fn all(&self) -> Vec<GatewayId> {
+        (0..self.stores.len() as u32).map(GatewayId).collect()
     }
 
     /// Calls the store of a gateway and carries out its actions; none where the gateway is dead.
     pub fn call<R>(
         &mut self,
-        number: u32,
-        call: impl FnOnce(&mut IntentStore, Millis) -> R,
+        gateway: GatewayId,
+        call: impl FnOnce(&mut IntentStore, Timestamp) -> R,
     ) -> Option<R> {
         let now = self.now;
-        let store = self.stores[number as usize].as_mut()?;
+        let store = self.stores[gateway.0 as usize].as_mut()?;
         let result = call(store, now);
         let actions: Vec<Action> = store.drain_actions().collect();
         for action in actions {
             match action {
-                Action::Send { to, bytes } => self.send(number, to, bytes),
+                Action::Send { to, bytes } => self.send(gateway, to, bytes),
                 Action::Ended { operation, outcome } => {
-                    let earlier = self.ended.insert((number, operation), outcome);
+                    let operation = FleetOperation { gateway, operation };
+                    let earlier = self.ended.insert(operation, outcome);
                     assert!(earlier.is_none(), "two outcomes");
                 }
             }
@@ -68,26 +82,28 @@
         Some(result)
     }
 
-    fn send(&mut self, from: u32, to: u32, bytes: Vec<u8>) {
+    fn send(&mut self, from: GatewayId, to: GatewayId, bytes: Vec<u8>) {
         assert!(bytes.len() <= codec::MAX_DATAGRAM_BYTES);
         if self.random_below(100) < self.loss_percent {
             return;
         }
         self.sent_in_order += 1;
-        let arrives_at = self.now + 1 + self.random_below(3);
-        let flight = Flight { from, to, bytes };
-        self.flights
-            .insert((arrives_at, self.sent_in_order), flight);
+        let delay = Milliseconds(1 + self.random_below(3));
+        let arrival = Arrival {
+            at: self.now + delay,
+            number: self.sent_in_order,
+        };
+        self.flights.insert(arrival, Flight { from, to, bytes });
     }
 
     fn random_below(&mut self, bound: u64) -> u64 {
         self.rng.random_range(0..bound)
     }
 
-    pub fn run(&mut self, length: Millis) {
+    pub fn run(&mut self, length: Milliseconds) {
         let end = self.now + length;
         while self.now < end {
-            self.now += 1;
+            self.now += Milliseconds(1);
             self.deliver_datagrams();
             self.advance_stores();
         }
@@ -95,7 +111,10 @@
 
     fn deliver_datagrams(&mut self) {
         let now = self.now;
-        while let Some(entry) = self.flights.first_entry().filter(|e| e.key().0 <= now) {
+        while let Some(entry) = self.flights.first_entry() {
+            if entry.key().at > now {
+                break;
+            }
             let flight = entry.remove();
             self.call(flight.to, |store, now| {
                 let received = store.receive(now, flight.from, &flight.bytes);
@@ -105,32 +124,38 @@
     }
 
     fn advance_stores(&mut self) {
-        for number in self.all() {
-            let store = self.stores[number as usize].as_ref();
+        for gateway in self.all() {
+            let store = self.stores[gateway.0 as usize].as_ref();
             if store.is_some_and(|store| store.next_due() <= self.now) {
-                self.call(number, IntentStore::advance);
+                self.call(gateway, IntentStore::advance);
             }
         }
     }
 
     /// Records a write at a gateway, and waits for the outcome.
-    pub fn record(&mut self, number: u32, key: u64, first_sent_at: u64) -> Outcome {
+    pub fn record(
+        &mut self,
+        gateway: GatewayId,
+        key: KeyHash,
+        first_sent_at: UnixMilliseconds,
+    ) -> Outcome {
         let all = self.all();
-        let operation = self.call(number, |store, now| {
+        let operation = self.call(gateway, |store, now| {
             store.record(now, key, first_sent_at, &all)
         });
-        self.outcome(number, operation)
+        self.outcome(gateway, operation)
     }
 
     /// Looks a key up at a gateway, and waits for the outcome.
-    pub fn look_up(&mut self, number: u32, key: u64) -> Outcome {
+    pub fn look_up(&mut self, gateway: GatewayId, key: KeyHash) -> Outcome {
         let all = self.all();
-        let operation = self.call(number, |store, now| store.look_up(now, key, &all));
-        self.outcome(number, operation)
+        let operation = self.call(gateway, |store, now| store.look_up(now, key, &all));
+        self.outcome(gateway, operation)
     }
 
-    fn outcome(&mut self, number: u32, operation: Option<OperationId>) -> Outcome {
-        self.run(200);
-        self.ended[&(number, operation.expect("the gateway runs"))]
+    fn outcome(&mut self, gateway: GatewayId, operation: Option<OperationId>) -> Outcome {
+        self.run(Milliseconds(200));
+        let operation = operation.expect("the gateway runs");
+        self.ended[&FleetOperation { gateway, operation }]
     }
 }
--- a/src/net/cluster/endpoint_watch.rs
+++ b/src/net/cluster/endpoint_watch.rs
@@ -9,9 +9,9 @@
 use crate::net::log::log;
 use crate::net::metrics::{increment, Metrics};
 use crate::net::upstream::Upstream;
-use irisrouter_cluster_types::{Epoch, GatewayId, HostId};
+use irisrouter_cluster_types::{Epoch, GatewayId, Milliseconds, Timestamp};
 use irisrouter_endpoint_watch::{
-    codec, EndpointWatcher, LocalState, PollDecision, Settings, MAX_HOSTS_OUT_OF_SERVICE,
+    codec, EndpointWatcher, LocalState, PollDecision, Revision, Settings, MAX_HOSTS_OUT_OF_SERVICE,
 };
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -22,7 +22,7 @@
 /// A gateway that waits decides anew after this time at most: it may have got the lease of the watch meanwhile.
 const DECISION_INTERVAL: Duration = Duration::from_millis(200);
 /// The longest time between two looks for a heartbeat to send.
-const MAX_PAUSE_MS: u64 = 60_000;
+const MAX_PAUSE: Milliseconds = Milliseconds(60_000);
 
 /// How discovery is to call for the endpoint list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,9 +67,10 @@
         lease_ms: u64,
         metrics: Rc<Metrics>,
     ) -> Self {
+        let settings = Settings::for_lease(Milliseconds(lease_ms));
         log!("endpoint watch: on, one gateway watches the endpoint list for all");
         Self {
-            watcher: RefCell::new(EndpointWatcher::new(Settings::for_lease(lease_ms))),
+            watcher: RefCell::new(EndpointWatcher::new(settings)),
             membership,
             leases,
             upstream,
@@ -81,9 +82,10 @@
         }
     }
 
-    /// Milliseconds since the start of this service.
-    fn now(&self) -> u64 {
-        u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
+    /// The time since the start of this service.
+    fn now(&self) -> Timestamp {
+        let elapsed = self.started_at.elapsed().as_millis();
+        Timestamp::from_millis(u64::try_from(elapsed).unwrap_or(u64::MAX))
     }
 
     /// The fencing token of the watch, where this gateway holds its lease.
@@ -92,7 +94,7 @@
     }
 
     /// What this gateway knows of itself, with a list of this revision.
-    fn local_state(&self, revision: Option<u64>, needs_full_list: bool) -> LocalState {
+    fn local_state(&self, revision: Option<Revision>, needs_full_list: bool) -> LocalState {
         let local_gateway = self.membership.local_gateway();
         let lower_numbers = self
             .membership
@@ -100,7 +102,7 @@
             .into_iter()
             .filter(|&gateway| gateway < local_gateway);
         LocalState {
-            fencing_token: self.fencing_token().map(|Epoch(epoch)| epoch),
+            fencing_token: self.fencing_token(),
             revision,
             needs_full_list,
             rank: lower_numbers.count() as u64,
@@ -123,9 +125,8 @@
             heartbeat.revision,
         );
         if counts {
-            let out_of_service = heartbeat.hosts_out_of_service.into_iter().map(HostId);
             self.upstream
-                .apply_watch_heartbeat(heartbeat.revision, out_of_service.collect());
+                .apply_watch_heartbeat(heartbeat.revision, heartbeat.hosts_out_of_service);
             self.heartbeat_received.notify_one();
         }
     }
@@ -133,10 +134,7 @@
     /// The heartbeat that all other gateways are to get now, where one is due.
     pub fn heartbeat(&self) -> Option<Vec<u8>> {
         let local = self.local_state(Some(self.upstream.revision()), false);
-        let hosts_out_of_service = || {
-            let hosts = self.upstream.out_of_service(MAX_HOSTS_OUT_OF_SERVICE);
-            hosts.into_iter().map(|HostId(host)| host).collect()
-        };
+        let hosts_out_of_service = || self.upstream.out_of_service(MAX_HOSTS_OUT_OF_SERVICE);
         let heartbeat =
             self.watcher
                 .borrow_mut()
@@ -149,7 +147,8 @@
         let now = self.now();
         let holds_lease = self.fencing_token().is_some();
         let next = self.watcher.borrow().next_heartbeat_at(now, holds_lease);
-        Duration::from_millis(next.saturating_sub(now).min(MAX_PAUSE_MS))
+        let pause = next.saturating_duration_since(now);
+        Duration::from(pause.min(MAX_PAUSE))
     }
 
     /// Waits until a call for the list has ended, so that a heartbeat may be due.
@@ -169,7 +168,7 @@
             let pause = match self.decide_poll(position) {
                 PollDecision::Watch => return self.start_watch(),
                 PollDecision::Fetch => return self.start_fetch(),
-                PollDecision::Wait(milliseconds) => Duration::from_millis(milliseconds),
+                PollDecision::Wait(pause) => Duration::from(pause),
             };
             self.log_role(Role::Waiting);
             let pause = pause.min(DECISION_INTERVAL);
--- a/src/net/cluster/leases.rs
+++ b/src/net/cluster/leases.rs
@@ -44,14 +44,14 @@
         TaskId(match self {
             Self::HealthChecks(GroupId(set)) => set as u64,
             Self::HostDrain(HostId(host)) => irisrouter_drain_coordination::task_id(host),
-            Self::EndpointWatch => irisrouter_endpoint_watch::TASK_ID,
+            Self::EndpointWatch => irisrouter_endpoint_watch::TASK_ID.0,
             Self::SiteFailover => irisrouter_site_failover::TASK_ID,
         })
     }
 
     /// The task with this number.
     const fn from_id(TaskId(id): TaskId) -> Self {
-        if id == irisrouter_endpoint_watch::TASK_ID {
+        if id == irisrouter_endpoint_watch::TASK_ID.0 {
             return Self::EndpointWatch;
         }
         if id == irisrouter_site_failover::TASK_ID {
--- a/src/net/cluster/write_intents.rs
+++ b/src/net/cluster/write_intents.rs
@@ -7,8 +7,8 @@
 use crate::net::metrics::{increment, Metrics};
 use crate::net::{duration, unix_milliseconds};
 use irisrouter::routing::{Idempotency, Outcome as AttemptOutcome, RequestClass};
-use irisrouter_cluster_types::GatewayId;
-use irisrouter_write_intents::{Action, IntentStore, OperationId, Outcome};
+use irisrouter_cluster_types::{GatewayId, Milliseconds, Timestamp, UnixMilliseconds};
+use irisrouter_write_intents::{Action, IntentStore, KeyHash, OperationId, Outcome};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -19,16 +19,16 @@
 
 /// With less than this left of its window a write is not sent again: deciding on it needs a moment.
 const MIN_TIME_TO_RESEND: Duration = Duration::from_millis(5);
-/// The longest time between two calls of [`WriteIntentService::advance`], in milliseconds.
-const MAX_ADVANCE_INTERVAL_MS: u64 = 60_000;
+/// The longest time between two calls of [`WriteIntentService::advance`].
+const MAX_ADVANCE_INTERVAL: Milliseconds = Milliseconds(60_000);
 
 /// What is known of the earlier attempts of a write that may be a retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EarlierAttempt {
     /// The write was never sent.
     NeverSent,
-    /// The write may have run from this time on, in Unix milliseconds.
-    MayHaveRun(u64),
+    /// The write may have run from this time on.
+    MayHaveRun(UnixMilliseconds),
     /// Too few of the gateways that would know have answered.
     Unproven,
 }
@@ -59,7 +59,10 @@
             "write intents: on, keyed writes are recorded with other gateways before they are sent"
         );
         Self {
-            store: RefCell::new(IntentStore::new(membership.local_gateway().0, 0)),
+            store: RefCell::new(IntentStore::new(
+                membership.local_gateway(),
+                Timestamp::ZERO,
+            )),
             membership,
             start: Instant::now(),
             metrics,
@@ -70,8 +73,10 @@
         }
     }
 
-    fn now(&self) -> u64 {
-        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+    /// The time since the start of this service.
+    fn now(&self) -> Timestamp {
+        let elapsed = self.start.elapsed().as_millis();
+        Timestamp::from_millis(u64::try_from(elapsed).unwrap_or(u64::MAX))
     }
 
     /// This process receives datagrams from now on.
@@ -84,9 +89,9 @@
         marked || !self.clients_mark_retries
     }
 
-    /// Records a write with its replicas before it is sent: it may run from `first_sent_at` on, in Unix milliseconds. Returns
-    /// whether enough replicas acknowledged it.
-    pub async fn record(&self, key: u64, first_sent_at: u64) -> bool {
+    /// Records a write with its replicas before it is sent: it may run from `first_sent_at` on. Returns whether
+    /// enough replicas acknowledged it.
+    pub async fn record(&self, key: KeyHash, first_sent_at: UnixMilliseconds) -> bool {
         let gateways = self.gateways_up();
         let outcome = self
             .run_operation(|store, now| store.record(now, key, first_sent_at, &gateways))
@@ -101,7 +106,7 @@
     }
 
     /// Looks up at the replicas of a write whether it may have run.
-    pub async fn look_up(&self, key: u64) -> EarlierAttempt {
+    pub async fn look_up(&self, key: KeyHash) -> EarlierAttempt {
         let gateways = self.gateways_up();
         let outcome = self
             .run_operation(|store, now| store.look_up(now, key, &gateways))
@@ -122,7 +127,7 @@
     }
 
     /// Withdraws the intent of a write that never ran.
-    pub fn withdraw(&self, key: u64) {
+    pub fn withdraw(&self, key: KeyHash) {
         let gateways = self.gateways_up();
         self.call_store(|store, _| store.withdraw(key, &gateways));
     }
@@ -130,7 +135,7 @@
     /// Processes a datagram from gateway `from`; returns the datagrams to send.
     pub fn receive(&self, datagram: &[u8], from: GatewayId) -> Vec<OutgoingDatagram> {
         self.call_store(|store, now| {
-            if let Err(error) = store.receive(now, from.0, datagram) {
+            if let Err(error) = store.receive(now, from, datagram) {
                 increment(&self.metrics.gossip.ignored);
                 log!("write intents: a datagram from gateway {from} is ignored: {error}");
             }
@@ -148,7 +153,8 @@
     pub fn due(&self) -> Instant {
         let now = self.now();
         let due = self.store.borrow().next_due();
-        self.start + Duration::from_millis(due.max(now).min(now + MAX_ADVANCE_INTERVAL_MS))
+        let due = due.max(now).min(now + MAX_ADVANCE_INTERVAL);
+        self.start + Duration::from_millis(due.as_millis())
     }
 
     /// Waits until there are datagrams to send.
@@ -157,15 +163,14 @@
     }
 
     /// The gateways that are alive or suspect.
-    fn gateways_up(&self) -> Vec<u32> {
-        let gateways = self.membership.not_down().into_iter();
-        gateways.map(|gateway| gateway.0).collect()
+    fn gateways_up(&self) -> Vec<GatewayId> {
+        self.membership.not_down()
     }
 
     /// Starts a record or a look-up, and waits for its outcome.
     async fn run_operation(
         &self,
-        start: impl FnOnce(&mut IntentStore, u64) -> OperationId,
+        start: impl FnOnce(&mut IntentStore, Timestamp) -> OperationId,
     ) -> Option<Outcome> {
         let (sender, outcome) = oneshot::channel();
         // The outcome may be there at once, so the sender is registered before the actions are carried out.
@@ -176,7 +181,7 @@
         outcome.await.ok()
     }
 
-    fn call_store(&self, call: impl FnOnce(&mut IntentStore, u64)) {
+    fn call_store(&self, call: impl FnOnce(&mut IntentStore, Timestamp)) {
         let mut store = self.store.borrow_mut();
         call(&mut store, self.now());
         self.carry_out_actions(&mut store);
@@ -185,7 +190,7 @@
     fn carry_out_actions(&self, store: &mut IntentStore) {
         for action in store.drain_actions() {
             match action {
-                Action::Send { to, bytes } => self.outbox.push(GatewayId(to), bytes),
+                Action::Send { to, bytes } => self.outbox.push(to, bytes),
                 Action::Ended { operation, outcome } => {
                     if let Some(waiting) = self.waiting.borrow_mut().remove(&operation) {
                         // A request that has ended meanwhile no longer waits for the outcome.
@@ -214,9 +219,9 @@
 /// A keyed write, and what is recorded of it with other gateways.
 pub struct WriteIntent {
     write_intents: Rc<WriteIntentService>,
-    key: u64,
-    /// From when on an earlier attempt of another gateway may have run, in Unix milliseconds.
-    earlier_attempt: Option<u64>,
+    key: KeyHash,
+    /// From when on an earlier attempt of another gateway may have run.
+    earlier_attempt: Option<UnixMilliseconds>,
     record_state: Cell<RecordState>,
     /// Whether an attempt of this gateway may have run.
     may_have_run: Cell<bool>,
@@ -224,7 +229,7 @@
 
 impl WriteIntent {
     /// A write that has not been recorded yet.
-    pub fn new(write_intents: &Rc<WriteIntentService>, key: u64) -> Self {
+    pub fn new(write_intents: &Rc<WriteIntentService>, key: KeyHash) -> Self {
         WriteIntent {
             write_intents: Rc::clone(write_intents),
             key,
@@ -235,11 +240,11 @@
     }
 
     /// Until when the write may be sent again, after an attempt of another gateway that may have run from `first_sent_at`
-    /// on, in Unix milliseconds. None where that time is over. The window counts from that attempt, and what is sent at its
-    /// end still needs a connection.
+    /// on. None where that time is over. The window counts from that attempt, and what is sent at its end still needs a
+    /// connection.
     pub fn resend_deadline(
         &mut self,
-        first_sent_at: u64,
+        first_sent_at: UnixMilliseconds,
         class: &RequestClass,
         connect_timeout: Duration,
     ) -> Option<Instant> {
@@ -247,7 +252,8 @@
         let Idempotency::Keyed { window, .. } = class.idempotency else {
             return None;
         };
-        let elapsed = Duration::from_millis(unix_milliseconds().saturating_sub(first_sent_at));
+        let now = UnixMilliseconds(unix_milliseconds());
+        let elapsed = Duration::from(now.saturating_duration_since(first_sent_at));
         let remaining = duration(window)
             .checked_sub(elapsed)?
             .checked_sub(connect_timeout)?;
@@ -265,7 +271,9 @@
             return true;
         }
         self.record_state.set(RecordState::Tried);
-        let first_sent_at = self.earlier_attempt.unwrap_or_else(unix_milliseconds);
+        let first_sent_at = self
+            .earlier_attempt
+            .unwrap_or_else(|| UnixMilliseconds(unix_milliseconds()));
         if self.write_intents.record(self.key, first_sent_at).await {
             self.record_state.set(RecordState::Recorded);
         }
--- a/src/net/discovery/endpoint_list.rs
+++ b/src/net/discovery/endpoint_list.rs
@@ -3,6 +3,7 @@
 //! The types say nothing of where a list comes from: discovery, the operators' configuration and a process that hands
 //! over to its successor all use them.
 
+use irisrouter_endpoint_watch::Revision;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -62,7 +63,7 @@
 #[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq)]
 pub struct List {
     /// Its version, which grows with each change.
-    pub revision: u64,
+    pub revision: Revision,
     /// Whether it has all hosts, or only those that have changed.
     pub complete: bool,
     /// The entries.
@@ -73,7 +74,7 @@
 #[derive(Debug, Default)]
 pub struct ListPosition {
     /// The newest revision.
-    pub revision: Option<u64>,
+    pub revision: Option<Revision>,
     /// The next call requests the whole list, which is answered at once, and not the changes, which are waited for.
     pub whole: bool,
     /// Since when the present address has had an older revision.
@@ -82,7 +83,7 @@
 
 impl ListPosition {
     /// The position of a gateway that has the list of this revision, or none.
-    pub fn at(revision: Option<u64>) -> Self {
+    pub fn at(revision: Option<Revision>) -> Self {
         ListPosition {
             revision,
             whole: revision.is_none(),
--- a/src/net/downstream/query.rs
+++ b/src/net/downstream/query.rs
@@ -10,6 +10,7 @@
 use crate::net::request::{retry_after_milliseconds, Answer, ClientRequest};
 use crate::net::upstream::Statement;
 use irisrouter::routing::{Freshness, GroupId, Idempotency, Nanos, RequestClass, SessionId};
+use irisrouter_write_intents::{key_hash, KeyHash};
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
@@ -220,19 +221,18 @@
     statement.key.filter(|_| has_sessions).map(SessionId::of)
 }
 
-/// The number of a statement's idempotency key within its group. Only keyed classes use the key, and they require it.
+/// A statement's idempotency key, by its hash within its group. Only keyed classes use the key, and they require it.
 fn idempotency_key(
     statement: &pg::Statement<'_>,
     class: &RequestClass,
-) -> Result<Option<u64>, StatementError> {
+) -> Result<Option<KeyHash>, StatementError> {
     if !matches!(class.idempotency, Idempotency::Keyed { .. }) {
         return Ok(None);
     }
     let key = statement
         .idempotency
         .ok_or(StatementError::MissingIdempotencyKey)?;
-    let number = irisrouter_write_intents::key_hash(statement.group, key.as_bytes());
-    Ok(Some(number))
+    Ok(Some(key_hash(statement.group, key.as_bytes())))
 }
 
 /// A rejected request has not been executed; `retry_after` is the retry advice, 0 for none.
--- a/src/net/hot_restart.rs
+++ b/src/net/hot_restart.rs
@@ -15,6 +15,7 @@
 use crate::net::router_task::RouterHandle;
 use crate::net::upstream::Upstream;
 use irisrouter::routing::{Event, RoutingSnapshot};
+use irisrouter_endpoint_watch::Revision;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
@@ -161,7 +162,7 @@
 
     /// Takes over from an older process, if there is one; from then on both share the limits. Returns the revision of
     /// the endpoint list that the older process had.
-    pub async fn take_over(self: &Rc<Self>) -> Option<u64> {
+    pub async fn take_over(self: &Rc<Self>) -> Option<Revision> {
         let receiving = timeout(HAND_OVER_TIMEOUT, self.receive_document()).await;
         // No predecessor, a slow one, or one of another format: this process starts as if it were alone.
         let (stream, document) = receiving.ok()?.ok()?;
--- a/src/net/lifecycle/startup.rs
+++ b/src/net/lifecycle/startup.rs
@@ -18,6 +18,7 @@
 use crate::net::router_task::run_router;
 use crate::net::upstream::{Upstream, IDLE_CLOSE_INTERVAL};
 use irisrouter::routing::Router;
+use irisrouter_endpoint_watch::Revision;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -100,7 +101,7 @@
     config: &Config,
     parts: &SharedParts,
     client_listener: &ClientListener,
-) -> Option<u64> {
+) -> Option<Revision> {
     let path = config.hot_restart_socket.clone()?;
     let connection_limit = Rc::clone(&client_listener.connection_limit);
     let hot_restart = Rc::new(HotRestart::new(path, parts.clone(), connection_limit));
--- a/src/net/request/context.rs
+++ b/src/net/request/context.rs
@@ -8,6 +8,7 @@
 use crate::net::upstream::{Statement, Upstream};
 use crate::net::Clock;
 use irisrouter::routing::{GroupId, Nanos, SessionId};
+use irisrouter_write_intents::KeyHash;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -76,8 +77,8 @@
     pub minimum_position: Option<Nanos>,
     /// The client marked it as a retry.
     pub retry: bool,
-    /// The number of its idempotency key and group, in a keyed class.
-    pub idempotency_key: Option<u64>,
+    /// Its idempotency key, in a keyed class.
+    pub idempotency_key: Option<KeyHash>,
     /// The statement that is sent to a database host.
     pub statement: Statement,
 }
--- a/src/net/upstream/drains.rs
+++ b/src/net/upstream/drains.rs
@@ -6,6 +6,7 @@
 use irisrouter::routing::GroupId;
 use irisrouter_cluster_types::HostId;
 use irisrouter_drain_coordination::{hosts_to_drain, DrainCommand};
+use irisrouter_endpoint_watch::Revision;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -23,7 +24,7 @@
 /// What a heartbeat of the fleet's watcher says of its endpoint list.
 struct AnnouncedList {
     /// Its version.
-    revision: u64,
+    revision: Revision,
     /// The hosts that it has out of service, by their fleet ids.
     out_of_service: BTreeSet<HostId>,
 }
@@ -38,7 +39,7 @@
 
     /// Takes a heartbeat of the gateway that watches the list for the fleet: its list has this version, and these hosts
     /// out of service. Nothing is sent to them until this gateway's own list is as new.
-    pub fn apply_watch_heartbeat(&self, revision: u64, out_of_service: Vec<HostId>) {
+    pub fn apply_watch_heartbeat(&self, revision: Revision, out_of_service: Vec<HostId>) {
         if revision > self.revision() {
             let announced = AnnouncedList {
                 revision,
--- a/src/net/upstream/host_lookup.rs
+++ b/src/net/upstream/host_lookup.rs
@@ -4,6 +4,7 @@
 use crate::net::upstream::registry::Upstream;
 use irisrouter::routing::{GroupId, MemberId};
 use irisrouter_cluster_types::HostId;
+use irisrouter_endpoint_watch::Revision;
 use std::collections::BTreeSet;
 
 /// A member and its group.
@@ -34,7 +35,7 @@
     }
 
     /// The version of the list.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.registry.borrow().revision
     }
 
--- a/src/net/upstream/registry.rs
+++ b/src/net/upstream/registry.rs
@@ -9,6 +9,7 @@
 use crate::net::{duration, Clock};
 use irisrouter::platform_settings::{NameTable, PlatformSettings};
 use irisrouter::routing::{Endpoint, EndpointState, Event, GroupId, MemberId, ZoneId};
+use irisrouter_endpoint_watch::Revision;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
@@ -44,7 +45,7 @@
     pub(super) groups: BTreeSet<GroupId>,
     zones: NameTable,
     /// The version of the list.
-    pub(super) revision: u64,
+    pub(super) revision: Revision,
 }
 
 impl Upstream {
