Rename request/write_intent.rs to earlier_attempts.rs, after the check that it holds

Cause: the file checks the earlier attempts of a write; the write's own record is to get the name write_intent.

--- a/src/net/request/lifecycle.rs
+++ b/src/net/request/lifecycle.rs
@@ -7,7 +7,7 @@
 use crate::net::request::attempts::{Attempts, EndedAttempt, JoinedAttempt, StartedStream};
 use crate::net::request::classes::ClassHandle;
 use crate::net::request::context::{ClientRequest, OpenId, RequestContext};
-use crate::net::request::write_intent::CheckedRequest;
+use crate::net::request::earlier_attempts::CheckedRequest;
 use crate::net::router_task::RequestCommand;
 use crate::net::{duration, nanoseconds};
 use irisrouter::routing::{
