Move a request's write intent from the cluster's service to the request, and type its error

Cause: cluster/write_intents.rs held two things, the service and WriteIntent, which is a request's own record and needs the request's classes; MayHaveRun was a unit struct that served as an error and hid its two causes. Change: WriteIntent lives in request/write_intent.rs, so that request uses cluster and not the other way; ResendError (WindowOver, Unproven) takes the place of MayHaveRun, and both of its variants give the client the same answer as before; the look-up and the rest of the window are functions of their own.

--- a/src/net/cluster/write_intents.rs
+++ b/src/net/cluster/write_intents.rs
@@ -1,15 +1,15 @@
-//! The shell of write intents: feeds the core of `irisrouter_write_intents` with datagrams and the time. The tasks of
-//! requests record and look up keyed writes here. Datagrams leave with the peer task, which is woken for them.
+//! Write intents: `irisrouter_write_intents` connected to this gateway.
+//!
+//! The store gets datagrams and the time. The tasks of requests record and look up keyed writes here, and wait for the
+//! outcomes. The peer socket sends the resulting datagrams, and is woken for them.
 
 use crate::net::cluster::membership::MembershipService;
 use crate::net::cluster::outbox::{Outbox, OutgoingDatagram};
 use crate::net::log::log;
 use crate::net::metrics::{increment, Metrics};
-use crate::net::{duration, unix_milliseconds};
-use irisrouter::routing::{Idempotency, Outcome as AttemptOutcome, RequestClass};
 use irisrouter_cluster_types::{GatewayId, Milliseconds, Timestamp, UnixMilliseconds};
 use irisrouter_write_intents::{Action, IntentStore, KeyHash, OperationId, Outcome};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,8 +17,6 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
 
-/// With less than this left of its window a write is not sent again: deciding on it needs a moment.
-const MIN_TIME_TO_RESEND: Duration = Duration::from_millis(5);
 /// The longest time between two calls of [`WriteIntentService::advance`].
 const MAX_ADVANCE_INTERVAL: Milliseconds = Milliseconds(60_000);
 
@@ -204,95 +202,3 @@
         }
     }
 }
-
-/// The write may have run at another gateway, and can't be sent again.
-pub struct MayHaveRun;
-
-/// Whether a write has been recorded with its replicas.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum RecordState {
-    NotTried,
-    Tried,
-    Recorded,
-}
-
-/// A keyed write, and what is recorded of it with other gateways.
-pub struct WriteIntent {
-    write_intents: Rc<WriteIntentService>,
-    key: KeyHash,
-    /// From when on an earlier attempt of another gateway may have run.
-    earlier_attempt: Option<UnixMilliseconds>,
-    record_state: Cell<RecordState>,
-    /// Whether an attempt of this gateway may have run.
-    may_have_run: Cell<bool>,
-}
-
-impl WriteIntent {
-    /// A write that has not been recorded yet.
-    pub fn new(write_intents: &Rc<WriteIntentService>, key: KeyHash) -> Self {
-        WriteIntent {
-            write_intents: Rc::clone(write_intents),
-            key,
-            earlier_attempt: None,
-            record_state: Cell::new(RecordState::NotTried),
-            may_have_run: Cell::new(false),
-        }
-    }
-
-    /// Until when the write may be sent again, after an attempt of another gateway that may have run from `first_sent_at`
-    /// on. None where that time is over. The window counts from that attempt, and what is sent at its end still needs a
-    /// connection.
-    pub fn resend_deadline(
-        &mut self,
-        first_sent_at: UnixMilliseconds,
-        class: &RequestClass,
-        connect_timeout: Duration,
-    ) -> Option<Instant> {
-        self.earlier_attempt = Some(first_sent_at);
-        let Idempotency::Keyed { window, .. } = class.idempotency else {
-            return None;
-        };
-        let now = UnixMilliseconds(unix_milliseconds());
-        let elapsed = Duration::from(now.saturating_duration_since(first_sent_at));
-        let remaining = duration(window)
-            .checked_sub(elapsed)?
-            .checked_sub(connect_timeout)?;
-        (remaining > MIN_TIME_TO_RESEND).then(|| Instant::now() + remaining)
-    }
-
-    /// Whether another gateway may have sent the write.
-    pub const fn sent_by_another_gateway(&self) -> bool {
-        self.earlier_attempt.is_some()
-    }
-
-    /// Records the write before an attempt is sent, unless it is recorded already. Returns whether it is recorded.
-    pub async fn record(&self) -> bool {
-        if self.record_state.get() == RecordState::Recorded {
-            return true;
-        }
-        self.record_state.set(RecordState::Tried);
-        let first_sent_at = self
-            .earlier_attempt
-            .unwrap_or_else(|| UnixMilliseconds(unix_milliseconds()));
-        if self.write_intents.record(self.key, first_sent_at).await {
-            self.record_state.set(RecordState::Recorded);
-        }
-        // Another attempt may have recorded it meanwhile.
-        self.record_state.get() == RecordState::Recorded
-    }
-
-    /// An attempt has ended.
-    pub fn attempt_ended(&self, outcome: AttemptOutcome) {
-        if !outcome.never_ran() {
-            self.may_have_run.set(true);
-        }
-    }
-
-    /// All attempts have ended. The intent of a write that never ran is withdrawn.
-    pub fn all_attempts_ended(&self) {
-        let recorded_somewhere = self.record_state.get() != RecordState::NotTried;
-        if recorded_somewhere && !self.may_have_run.get() {
-            self.write_intents.withdraw(self.key);
-        }
-    }
-}
--- a/src/net/request/attempts.rs
+++ b/src/net/request/attempts.rs
@@ -1,7 +1,7 @@
 //! The attempts of one request: each runs in a task of its own.
 
-use crate::net::cluster::write_intents::WriteIntent;
 use crate::net::request::context::RequestContext;
+use crate::net::request::write_intent::WriteIntent;
 use crate::net::upstream::{AttemptResult, OutgoingStatement, Statement, StreamedAnswer};
 use crate::net::{duration, nanoseconds};
 use irisrouter::routing::{MemberId, Nanos, Outcome};
--- a/src/net/request/earlier_attempts.rs
+++ b/src/net/request/earlier_attempts.rs
@@ -1,8 +1,10 @@
 //! Before a keyed write is routed: whether another gateway may have sent it already, and until when it may be sent again.
 
-use crate::net::cluster::write_intents::{EarlierAttempt, MayHaveRun, WriteIntent};
+use crate::net::cluster::write_intents::{EarlierAttempt, WriteIntentService};
 use crate::net::request::context::{ClientRequest, RequestContext};
 use crate::net::request::lifecycle::ANSWER_MARGIN;
+use crate::net::request::write_intent::{ResendError, WriteIntent};
+use irisrouter_write_intents::KeyHash;
 use tokio::time::{timeout_at, Instant};
 
 /// A request that may be routed.
@@ -20,12 +22,12 @@
     ///
     /// # Errors
     ///
-    /// [`MayHaveRun`]: another gateway may have sent it, and it can't be sent again.
+    /// Another gateway may have sent it, and it can't be sent again.
     pub(super) async fn check_earlier_attempts(
         &self,
         request: &ClientRequest,
         deadline: Instant,
-    ) -> Result<CheckedRequest, MayHaveRun> {
+    ) -> Result<CheckedRequest, ResendError> {
         let enabled = self.write_intents.as_ref().zip(request.idempotency_key);
         let Some((write_intents, key)) = enabled else {
             return Ok(CheckedRequest {
@@ -40,24 +42,35 @@
                 deadline,
             });
         }
-        // The lookup ends before the client's own deadline. What is not proven by then may have run.
-        let lookup_deadline = deadline - ANSWER_MARGIN.min(request.timeout);
-        let lookup = timeout_at(lookup_deadline, write_intents.look_up(key)).await;
-        let resend_deadline = match lookup.unwrap_or(EarlierAttempt::Unproven) {
-            EarlierAttempt::NeverSent => Some(deadline),
-            EarlierAttempt::MayHaveRun(sent_at) => write_intent.resend_deadline(
-                sent_at,
+        let resend_deadline = match look_up(write_intents, key, request, deadline).await {
+            EarlierAttempt::NeverSent => deadline,
+            EarlierAttempt::MayHaveRun(first_sent_at) => write_intent.resend_deadline(
+                first_sent_at,
                 &request.class.class,
                 self.upstream.connect_timeout(),
-            ),
+            )?,
             // Where clients do not mark their retries, any write may be one, and a fleet that has just started could
             // prove nothing: it would reject every write.
-            EarlierAttempt::Unproven if !request.retry => Some(deadline),
-            EarlierAttempt::Unproven => None,
+            EarlierAttempt::Unproven if !request.retry => deadline,
+            EarlierAttempt::Unproven => return Err(ResendError::Unproven),
         };
         Ok(CheckedRequest {
             write_intent: Some(write_intent),
-            deadline: resend_deadline.ok_or(MayHaveRun)?.min(deadline),
+            deadline: resend_deadline.min(deadline),
         })
     }
 }
+
+/// What other gateways know of earlier attempts of a write. The look-up ends before the client's own deadline; what is not
+/// proven by then may have run.
+async fn look_up(
+    write_intents: &WriteIntentService,
+    key: KeyHash,
+    request: &ClientRequest,
+    deadline: Instant,
+) -> EarlierAttempt {
+    let look_up_deadline = deadline - ANSWER_MARGIN.min(request.timeout);
+    timeout_at(look_up_deadline, write_intents.look_up(key))
+        .await
+        .unwrap_or(EarlierAttempt::Unproven)
+}
--- a/src/net/request/lifecycle.rs
+++ b/src/net/request/lifecycle.rs
@@ -1,13 +1,13 @@
 //! The life of one request: arrival, attempts, final answer. Downstreams of any protocol describe their requests as a
 //! [`ClientRequest`], and all of them go through the same decisions and rules.
 
-use crate::net::cluster::write_intents::{MayHaveRun, WriteIntent};
 use crate::net::metrics::increment;
 use crate::net::request::answer::{Answer, PendingAnswer};
 use crate::net::request::attempts::{Attempts, EndedAttempt, JoinedAttempt, StartedStream};
 use crate::net::request::classes::ClassHandle;
 use crate::net::request::context::{ClientRequest, OpenId, RequestContext};
 use crate::net::request::earlier_attempts::CheckedRequest;
+use crate::net::request::write_intent::{ResendError, WriteIntent};
 use crate::net::router_task::RequestCommand;
 use crate::net::{duration, nanoseconds};
 use irisrouter::routing::{
@@ -36,7 +36,7 @@
         let deadline = self.answer_deadline(request.timeout);
         match self.check_earlier_attempts(&request, deadline).await {
             Ok(checked) => Lifecycle::begin(self, request, checked, answer).run().await,
-            Err(MayHaveRun) => {
+            Err(ResendError::WindowOver | ResendError::Unproven) => {
                 answer.send(Answer::Failed);
             }
         }
--- a/src/net/request/mod.rs
+++ b/src/net/request/mod.rs
@@ -6,6 +6,7 @@
 mod context;
 mod earlier_attempts;
 mod lifecycle;
+mod write_intent;
 
 pub use answer::{retry_after_milliseconds, Answer};
 pub use context::{ClientRequest, RequestContext};
