Read src/net/discovery as a newcomer: names, one step a line, short functions

Cause: ListPosition.whole did not say what is whole; the list's type was called List with an alias behind it; Call, wait_for_turn and next_turn spoke of turns; poll, poll_request, parse_response and parse_chunks did several things. Change: needs_full_list, changes_from, EndpointList as the type's own name, PollKind, wait_for_poll, next_poll; PollRequest sends itself; body and chunk have functions of their own; CallLimits::new.

--- a/src/net/cluster/endpoint_watch.rs
+++ b/src/net/cluster/endpoint_watch.rs
@@ -26,7 +26,7 @@
 
 /// How discovery is to call for the endpoint list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Call {
+pub enum PollKind {
     /// The service holds the call until there is a change.
     Watch,
     /// The service answers at once.
@@ -163,7 +163,7 @@
     }
 
     /// Waits until this gateway is to call, and returns how.
-    pub async fn wait_for_turn(&self, position: &ListPosition) -> Call {
+    pub async fn wait_for_poll(&self, position: &ListPosition) -> PollKind {
         loop {
             let pause = match self.decide_poll(position) {
                 PollDecision::Watch => return self.start_watch(),
@@ -181,7 +181,7 @@
     pub async fn superseded(&self, position: &ListPosition) {
         loop {
             self.heartbeat_received.notified().await;
-            let local = self.local_state(position.revision, position.whole);
+            let local = self.local_state(position.revision, position.needs_full_list);
             if self.watcher.borrow().is_superseded(self.now(), local) {
                 return;
             }
@@ -189,7 +189,7 @@
     }
 
     /// How this gateway is to call now; none where it is to wait first.
-    pub fn next_turn(&self, position: &ListPosition) -> Option<Call> {
+    pub fn next_poll(&self, position: &ListPosition) -> Option<PollKind> {
         match self.decide_poll(position) {
             PollDecision::Watch => Some(self.start_watch()),
             PollDecision::Fetch => Some(self.start_fetch()),
@@ -198,18 +198,18 @@
     }
 
     fn decide_poll(&self, position: &ListPosition) -> PollDecision {
-        let local = self.local_state(position.revision, position.whole);
+        let local = self.local_state(position.revision, position.needs_full_list);
         self.watcher.borrow_mut().decide_poll(self.now(), local)
     }
 
-    fn start_watch(&self) -> Call {
+    fn start_watch(&self) -> PollKind {
         self.log_role(Role::Watching);
-        Call::Watch
+        PollKind::Watch
     }
 
-    fn start_fetch(&self) -> Call {
+    fn start_fetch(&self) -> PollKind {
         increment(&self.metrics.endpoint_watch.fetches);
-        Call::Fetch
+        PollKind::Fetch
     }
 
     /// Logs one line where this gateway begins to wait, or to watch.
--- a/src/net/discovery/client.rs
+++ b/src/net/discovery/client.rs
@@ -1,8 +1,8 @@
 //! The discovery client: keeps the endpoint list up to date by long poll, over one HTTP connection at a time.
 
-use crate::net::cluster::endpoint_watch::{Call, EndpointWatchService};
+use crate::net::cluster::endpoint_watch::{EndpointWatchService, PollKind};
 use crate::net::discovery::endpoint_list::{EndpointList, ListPosition};
-use crate::net::discovery::http::{HttpConnection, HttpError};
+use crate::net::discovery::http::{HttpConnection, HttpError, Response};
 use crate::net::discovery::poll_interval::{
     CallLimits, PollPacer, FIRST_RETRY_DELAY, SILENCE_TIMEOUT,
 };
@@ -15,6 +15,9 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
 
+/// Where discovery serves the whole list and, with a query, the changes to it.
+const ENDPOINT_LIST_PATH: &str = "/discovery/hosts";
+
 /// Why a call to discovery failed. The text goes to the log.
 #[derive(Debug, Error)]
 enum PollError {
@@ -43,10 +46,25 @@
 
 /// A request to discovery.
 struct PollRequest {
-    request: String,
+    /// The HTTP request, without a body.
+    head: String,
     limits: CallLimits,
 }
 
+impl PollRequest {
+    fn new(address: SocketAddr, path: &str, limits: CallLimits) -> Self {
+        let head =
+            format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
+        PollRequest { head, limits }
+    }
+
+    /// Sends the request, and reads the answer within the time limit.
+    async fn send(&self, connection: &mut HttpConnection) -> Result<Response, PollError> {
+        let response = timeout(self.limits.silence, connection.exchange(&self.head)).await;
+        Ok(response.map_err(|_| PollError::Silent)??)
+    }
+}
+
 /// Keeps the endpoint list up to date for ever, from the address that `addresses` holds, and applies each change before
 /// the next call. A new address is called at once, for the whole list. `answered` is set once any address has answered.
 pub async fn watch(
@@ -107,10 +125,7 @@
 
     /// Calls until a call fails, or until another gateway watches the list for this one: the connection is closed then.
     async fn poll(&mut self, address: SocketAddr) -> Result<(), PollError> {
-        let mut next_call = match self.fleet.as_deref() {
-            Some(fleet) => fleet.wait_for_turn(&self.position).await,
-            None => Call::Watch,
-        };
+        let mut kind = self.wait_for_first_poll().await;
         let mut idle_connection = None;
         loop {
             let called_at = Instant::now();
@@ -118,22 +133,17 @@
                 Some(connection) => connection,
                 None => HttpConnection::connect(address, SILENCE_TIMEOUT).await?,
             };
-            let call = self.poll_request(address, next_call);
+            let request = self.poll_request(address, kind);
             let response = tokio::select! {
-                response = timeout(call.limits.silence, connection.exchange(&call.request)) => {
-                    response.map_err(|_| PollError::Silent)??
-                }
-                () = self.superseded(next_call) => return Ok(()),
+                response = request.send(&mut connection) => response?,
+                () = self.superseded(kind) => return Ok(()),
             };
             idle_connection = (!response.closes_connection).then_some(connection);
-            let accepted = self.handle_body(&response.body)?;
-            if let Some(fleet) = self.fleet.as_deref() {
-                fleet.call_ended(true);
-                let Some(next) = fleet.next_turn(&self.position) else {
-                    return Ok(());
-                };
-                next_call = next;
-            }
+            let accepted = self.apply_response(&response.body)?;
+            let Some(next_kind) = self.next_poll() else {
+                return Ok(());
+            };
+            kind = next_kind;
             // An agent that answers at once instead of waiting for changes would be called without end.
             if !accepted && called_at.elapsed() < FIRST_RETRY_DELAY {
                 sleep(FIRST_RETRY_DELAY).await;
@@ -141,31 +151,41 @@
         }
     }
 
+    /// Waits until this gateway is to call, and returns how.
+    async fn wait_for_first_poll(&self) -> PollKind {
+        match self.fleet.as_deref() {
+            Some(fleet) => fleet.wait_for_poll(&self.position).await,
+            None => PollKind::Watch,
+        }
+    }
+
+    /// How to call again after a call that was answered; None where this gateway is to wait first.
+    fn next_poll(&self) -> Option<PollKind> {
+        let Some(fleet) = self.fleet.as_deref() else {
+            return Some(PollKind::Watch);
+        };
+        fleet.call_ended(true);
+        fleet.next_poll(&self.position)
+    }
+
     /// The request for the changes since the revision that is held, or for the whole list.
-    fn poll_request(&mut self, address: SocketAddr, call: Call) -> PollRequest {
+    fn poll_request(&mut self, address: SocketAddr, kind: PollKind) -> PollRequest {
         let shared_by = self.shared_by();
-        let mut limits = self.pacer.call_limits(shared_by);
-        let held_revision = self.position.revision.filter(|_| !self.position.whole);
-        let path = match held_revision {
-            Some(revision) => {
-                if call == Call::Fetch {
-                    limits = limits.without_hold();
-                }
-                let hold_ms = limits.hold.as_millis();
-                format!("/discovery/hosts?from={revision}&hold_ms={hold_ms}")
-            }
-            None => "/discovery/hosts".to_string(),
+        let limits = self.pacer.call_limits(shared_by);
+        let Some(revision) = self.position.changes_from() else {
+            return PollRequest::new(address, ENDPOINT_LIST_PATH, limits);
         };
-        PollRequest {
-            request: format!(
-                "GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n"
-            ),
-            limits,
-        }
+        let limits = match kind {
+            PollKind::Watch => limits,
+            PollKind::Fetch => limits.without_hold(),
+        };
+        let hold_ms = limits.hold.as_millis();
+        let path = format!("{ENDPOINT_LIST_PATH}?from={revision}&hold_ms={hold_ms}");
+        PollRequest::new(address, &path, limits)
     }
 
-    /// Applies the list of an answer, if it is to be applied, and says whether it was.
-    fn handle_body(&mut self, body: &[u8]) -> Result<bool, PollError> {
+    /// Applies the list in the body of an answer, if it is to be applied, and returns whether it was.
+    fn apply_response(&mut self, body: &[u8]) -> Result<bool, PollError> {
         let list: EndpointList = serde_json::from_slice(body).map_err(PollError::MalformedList)?;
         let accepted = self.position.accept(&list);
         if accepted {
@@ -178,8 +198,8 @@
 
     /// Returns once another gateway watches the list for this one; never, where each gateway watches for itself, or
     /// during a call that does not wait for changes.
-    async fn superseded(&self, call: Call) {
-        match self.fleet.as_deref().filter(|_| call == Call::Watch) {
+    async fn superseded(&self, kind: PollKind) {
+        match self.fleet.as_deref().filter(|_| kind == PollKind::Watch) {
             Some(fleet) => fleet.superseded(&self.position).await,
             None => std::future::pending().await,
         }
--- a/src/net/discovery/endpoint_list.rs
+++ b/src/net/discovery/endpoint_list.rs
@@ -56,13 +56,11 @@
     DEFAULT_SIZE
 }
 
-pub use self::List as EndpointList;
-
-/// A list of database hosts, or the changes to one. The rest of the program calls it [`EndpointList`]; its own name is part
-/// of the error text that operators see for a malformed list, and stays for that.
+/// A list of database hosts, or the changes to one.
 #[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq)]
-pub struct List {
-    /// Its version, which grows with each change.
+#[serde(from = "List")]
+pub struct EndpointList {
+    /// Its version.
     pub revision: Revision,
     /// Whether it has all hosts, or only those that have changed.
     pub complete: bool,
@@ -70,14 +68,33 @@
     pub members: Vec<EndpointEntry>,
 }
 
+/// An [`EndpointList`] while it is read. The name of this type is part of the error text that operators see for a
+/// malformed list ("expected struct List"), and so can't change.
+#[derive(Deserialize)]
+struct List {
+    revision: Revision,
+    complete: bool,
+    members: Vec<EndpointEntry>,
+}
+
+impl From<List> for EndpointList {
+    fn from(list: List) -> Self {
+        EndpointList {
+            revision: list.revision,
+            complete: list.complete,
+            members: list.members,
+        }
+    }
+}
+
 /// What is known of the list so far, from whichever address it came, and what to request next.
 #[derive(Debug, Default)]
 pub struct ListPosition {
     /// The newest revision.
     pub revision: Option<Revision>,
     /// The next call requests the whole list, which is answered at once, and not the changes, which are waited for.
-    pub whole: bool,
-    /// Since when the present address has had an older revision.
+    pub needs_full_list: bool,
+    /// Since when the present address has had an older revision than the newest; none while it has not.
     behind_since: Option<Instant>,
 }
 
@@ -86,26 +103,27 @@
     pub fn at(revision: Option<Revision>) -> Self {
         ListPosition {
             revision,
-            whole: revision.is_none(),
+            needs_full_list: revision.is_none(),
             behind_since: None,
         }
     }
 
     /// Requests the whole list next, from a new address: a watch can only go on at the address where it began.
     pub(super) fn restart_at_new_address(&mut self) {
-        self.whole = true;
+        self.needs_full_list = true;
         self.behind_since = None;
     }
 
+    /// The revision from which on changes are requested next; none where the whole list is.
+    pub(super) fn changes_from(&self) -> Option<Revision> {
+        self.revision.filter(|_| !self.needs_full_list)
+    }
+
     /// Decides whether a list is to be applied, and if so advances to it.
     pub(super) fn accept(&mut self, list: &EndpointList) -> bool {
         let is_older = self.revision.is_some_and(|held| list.revision < held);
-        if !is_older {
-            self.behind_since = None;
-        }
-        let revisions_reset = is_older
-            && self.behind_since.get_or_insert_with(Instant::now).elapsed() >= REVISION_RESET_DELAY;
         let is_newer = self.revision.is_none_or(|held| list.revision > held);
+        let revisions_reset = self.revisions_reset(is_older);
         let accepted = if list.complete {
             !is_older || revisions_reset
         } else {
@@ -115,8 +133,19 @@
             self.revision = Some(list.revision);
             self.behind_since = None;
         }
-        // Changes to a list that is not held are of no use.
-        self.whole = revisions_reset && !accepted;
+        // Changes to a list that is not held are of no use: after a reset the whole list is needed first.
+        self.needs_full_list = revisions_reset && !accepted;
         accepted
     }
+
+    /// Whether the address has had older lists for so long that it must have restarted its revisions. `is_older` says
+    /// whether the list that it has just sent is older than the one that is held.
+    fn revisions_reset(&mut self, is_older: bool) -> bool {
+        if !is_older {
+            self.behind_since = None;
+            return false;
+        }
+        let behind_since = self.behind_since.get_or_insert_with(Instant::now);
+        behind_since.elapsed() >= REVISION_RESET_DELAY
+    }
 }
--- a/src/net/discovery/http.rs
+++ b/src/net/discovery/http.rs
@@ -89,6 +89,13 @@
     end: usize,
 }
 
+/// One chunk of a body, and where it ends in the bytes received so far.
+struct ParsedChunk<'a> {
+    /// Empty in the last chunk.
+    data: &'a [u8],
+    end: usize,
+}
+
 /// A connection that takes one request at a time.
 pub struct HttpConnection {
     stream: TcpStream,
@@ -138,12 +145,12 @@
                 return Err(HttpError::ResponseTooLarge);
             }
             // A reset is an error, and not the end of a body without a length.
-            let n = self
+            let bytes_read = self
                 .stream
                 .read_buf(&mut self.received)
                 .await
                 .map_err(HttpError::Read)?;
-            if n == 0 {
+            if bytes_read == 0 {
                 return parse_response(&self.received, true)?
                     .map(|parsed| parsed.response)
                     .ok_or(HttpError::ConnectionClosed);
@@ -167,20 +174,7 @@
         return Err(ResponseError::Status(head.code.unwrap_or(0)));
     }
     let closes_connection = connection_ended || has_value(&head, "connection", b"close");
-    let body = if has_value(&head, "transfer-encoding", b"chunked") {
-        parse_chunks(bytes, body_start)?
-    } else if let Some(length) = header(&head, "content-length") {
-        let end = body_start + parse_length(length)?;
-        bytes.get(body_start..end).map(|body| ParsedBody {
-            body: body.to_vec(),
-            end,
-        })
-    } else {
-        connection_ended.then(|| ParsedBody {
-            body: bytes[body_start..].to_vec(),
-            end: bytes.len(),
-        })
-    };
+    let body = parse_body(&head, bytes, body_start, connection_ended)?;
     Ok(body.map(|ParsedBody { body, end }| ParsedResponse {
         response: Response {
             body,
@@ -190,6 +184,33 @@
     }))
 }
 
+/// Parses the body of an answer, which begins at this position; None while it is incomplete.
+fn parse_body(
+    head: &httparse::Response<'_, '_>,
+    bytes: &[u8],
+    start: usize,
+    connection_ended: bool,
+) -> Result<Option<ParsedBody>, ResponseError> {
+    if has_value(head, "transfer-encoding", b"chunked") {
+        return parse_chunks(bytes, start);
+    }
+    if let Some(length) = header(head, "content-length") {
+        let end = start + parse_length(length)?;
+        return Ok(body_between(bytes, start, end));
+    }
+    if connection_ended {
+        return Ok(body_between(bytes, start, bytes.len()));
+    }
+    Ok(None)
+}
+
+/// The body between these positions; None where not all of it has been received.
+fn body_between(bytes: &[u8], start: usize, end: usize) -> Option<ParsedBody> {
+    let body = bytes.get(start..end)?.to_vec();
+    Some(ParsedBody { body, end })
+}
+
+/// The value of the first header of this name.
 fn header<'a>(head: &'a httparse::Response<'_, '_>, name: &str) -> Option<&'a [u8]> {
     head.headers
         .iter()
@@ -197,10 +218,12 @@
         .map(|header| header.value)
 }
 
+/// Whether the first header of this name has this value; upper and lower case are alike.
 fn has_value(head: &httparse::Response<'_, '_>, name: &str, expected: &[u8]) -> bool {
     header(head, name).is_some_and(|value| value.eq_ignore_ascii_case(expected))
 }
 
+/// Parses the length of a body.
 fn parse_length(value: &[u8]) -> Result<usize, ResponseError> {
     std::str::from_utf8(value)
         .ok()
@@ -214,29 +237,41 @@
     let mut body = Vec::new();
     let mut position = start;
     loop {
-        let parsed = httparse::parse_chunk_size(&bytes[position..])
-            .map_err(|_| ResponseError::MalformedChunk)?;
-        let httparse::Status::Complete((line_length, size)) = parsed else {
-            return Ok(None);
-        };
-        let size = usize::try_from(size)
-            .ok()
-            .filter(|&size| size <= MAX_RESPONSE_BYTES)
-            .ok_or(ResponseError::ChunkTooLarge)?;
-        let chunk_start = position + line_length;
-        let end = chunk_start + size + CHUNK_END.len();
-        let Some(chunk) = bytes.get(chunk_start..end) else {
+        let Some(chunk) = parse_chunk(bytes, position)? else {
             return Ok(None);
         };
-        position = end;
-        if size == 0 {
+        position = chunk.end;
+        if chunk.data.is_empty() {
             return Ok(Some(ParsedBody {
                 body,
                 end: position,
             }));
         }
-        body.extend_from_slice(&chunk[..size]);
+        body.extend_from_slice(chunk.data);
+    }
+}
+
+/// Parses the chunk that begins at this position; None while it is incomplete.
+fn parse_chunk(bytes: &[u8], start: usize) -> Result<Option<ParsedChunk<'_>>, ResponseError> {
+    let parsed =
+        httparse::parse_chunk_size(&bytes[start..]).map_err(|_| ResponseError::MalformedChunk)?;
+    let httparse::Status::Complete((line_length, size)) = parsed else {
+        return Ok(None);
+    };
+    let size = usize::try_from(size)
+        .ok()
+        .filter(|&size| size <= MAX_RESPONSE_BYTES)
+        .ok_or(ResponseError::ChunkTooLarge)?;
+    let data_start = start + line_length;
+    let data_end = data_start + size;
+    let end = data_end + CHUNK_END.len();
+    if bytes.len() < end {
+        return Ok(None);
     }
+    Ok(Some(ParsedChunk {
+        data: &bytes[data_start..data_end],
+        end,
+    }))
 }
 
 #[cfg(test)]
--- a/src/net/discovery/poll_interval.rs
+++ b/src/net/discovery/poll_interval.rs
@@ -34,8 +34,10 @@
 /// Longest pause after failures of a shared service.
 const MAX_SHARED_RETRY_DELAY: Duration = Duration::from_secs(20);
 
-/// Decides on the times of one gateway's calls.
+/// Decides on the times of one gateway's calls. `shared_by` is how many gateways call the same service, everywhere here;
+/// None for an agent that serves this gateway alone.
 pub struct PollPacer {
+    /// The longest pause after the last failure; zero after an answer.
     retry_delay: Duration,
     last_call_answered: bool,
     rng: Rand32,
@@ -51,6 +53,14 @@
 }
 
 impl CallLimits {
+    /// The limits of a call that may wait for `hold`, and whose answer may take `silence_timeout` beyond that.
+    fn new(hold: Duration, silence_timeout: Duration) -> Self {
+        CallLimits {
+            hold,
+            silence: hold + silence_timeout,
+        }
+    }
+
     /// The limits of the same call if it does not wait for changes.
     pub fn without_hold(self) -> Self {
         CallLimits {
@@ -74,27 +84,24 @@
     /// start, a call to an agent does not wait for changes: otherwise a change that was missed would become known only
     /// after the hold of another call that fails.
     pub fn call_limits(&mut self, shared_by: Option<u32>) -> CallLimits {
-        let hold = match (self.last_call_answered, shared_by) {
-            (_, Some(_)) => self.random_part(SHARED_HOLD, 0.5),
-            (false, None) => Duration::ZERO,
-            (true, None) => AGENT_HOLD,
-        };
-        let silence_timeout = if shared_by.is_some() {
-            SHARED_SILENCE_TIMEOUT
+        if shared_by.is_some() {
+            let hold = self.random_part(SHARED_HOLD, 0.5);
+            return CallLimits::new(hold, SHARED_SILENCE_TIMEOUT);
+        }
+        let hold = if self.last_call_answered {
+            AGENT_HOLD
         } else {
-            SILENCE_TIMEOUT
+            Duration::ZERO
         };
-        CallLimits {
-            hold,
-            silence: hold + silence_timeout,
-        }
+        CallLimits::new(hold, SILENCE_TIMEOUT)
     }
 
     /// The pause before the first call.
     pub fn first_delay(&mut self, shared_by: Option<u32>) -> Duration {
-        shared_by.map_or(Duration::ZERO, |gateways| {
-            self.random_part(start_period(gateways), 0.0)
-        })
+        match shared_by {
+            Some(gateways) => self.random_part(start_period(gateways), 0.0),
+            None => Duration::ZERO,
+        }
     }
 
     /// The pause after a failure: longer each time, up to a limit.
--- a/src/net/lifecycle/gateway.rs
+++ b/src/net/lifecycle/gateway.rs
@@ -55,7 +55,7 @@
         let router_task = spawn_router(&parts);
         // Another process of this gateway may already know of drains, and they bind this process too: the first call
         // is for the whole list, which discovery answers at once.
-        position.whole |= listener.source == ListenerSource::Inherited;
+        position.needs_full_list |= listener.source == ListenerSource::Inherited;
         let discovery = spawn_discovery(&config, &parts, &services, position);
         let peer_socket = PeerSocketHandle::spawn(&config, &parts, &services);
         spawn_housekeeping(&parts, &client_listener);
