--- a/src/net/cluster/write_intents.rs
+++ b/src/net/cluster/write_intents.rs
@@ -1,15 +1,15 @@
-//! The shell of write intents: feeds the core of `irisrouter_write_intents` with datagrams and the time. The tasks of
-//! requests record and look up keyed writes here. Datagrams leave with the peer task, which is woken for them.
+//! Write intents: `irisrouter_write_intents` connected to this gateway.
+//!
+//! The store gets datagrams and the time. The tasks of requests record and look up keyed writes here, and wait for the
+//! outcomes. The peer socket sends the resulting datagrams, and is woken for them.
 
 use crate::net::cluster::membership::MembershipService;
 use crate::net::cluster::outbox::{Outbox, OutgoingDatagram};
 use crate::net::log::log;
 use crate::net::metrics::{increment, Metrics};
-use crate::net::{duration, unix_milliseconds};
-use irisrouter::routing::{Idempotency, Outcome as AttemptOutcome, RequestClass};
-use irisrouter_cluster_types::GatewayId;
-use irisrouter_write_intents::{Action, IntentStore, OperationId, Outcome};
-use std::cell::{Cell, RefCell};
+use irisrouter_cluster_types::{GatewayId, Milliseconds, Timestamp, UnixMilliseconds};
+use irisrouter_write_intents::{Action, IntentStore, KeyHash, OperationId, Outcome};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,18 +17,16 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
 
-/// With less than this left of its window a write is not sent again: deciding on it needs a moment.
-const MIN_TIME_TO_RESEND: Duration = Duration::from_millis(5);
-/// The longest time between two calls of [`WriteIntentService::advance`], in milliseconds.
-const MAX_ADVANCE_INTERVAL_MS: u64 = 60_000;
+/// The longest time between two calls of [`WriteIntentService::advance`].
+const MAX_ADVANCE_INTERVAL: Milliseconds = Milliseconds(60_000);
 
 /// What is known of the earlier attempts of a write that may be a retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EarlierAttempt {
     /// The write was never sent.
     NeverSent,
-    /// The write may have run from this time on, in Unix milliseconds.
-    MayHaveRun(u64),
+    /// The write may have run from this time on.
+    MayHaveRun(UnixMilliseconds),
     /// Too few of the gateways that would know have answered.
     Unproven,
 }
@@ -59,7 +57,10 @@
             "write intents: on, keyed writes are recorded with other gateways before they are sent"
         );
         Self {
-            store: RefCell::new(IntentStore::new(membership.local_gateway().0, 0)),
+            store: RefCell::new(IntentStore::new(
+                membership.local_gateway(),
+                Timestamp::ZERO,
+            )),
             membership,
             start: Instant::now(),
             metrics,
@@ -70,8 +71,10 @@
         }
     }
 
-    fn now(&self) -> u64 {
-        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+    /// The time since the start of this service.
+    fn now(&self) -> Timestamp {
+        let elapsed = self.start.elapsed().as_millis();
+        Timestamp::from_millis(u64::try_from(elapsed).unwrap_or(u64::MAX))
     }
 
     /// This process receives datagrams from now on.
@@ -84,9 +87,9 @@
         marked || !self.clients_mark_retries
     }
 
-    /// Records a write with its replicas before it is sent: it may run from `first_sent_at` on, in Unix milliseconds. Returns
-    /// whether enough replicas acknowledged it.
-    pub async fn record(&self, key: u64, first_sent_at: u64) -> bool {
+    /// Records a write with its replicas before it is sent: it may run from `first_sent_at` on. Returns whether
+    /// enough replicas acknowledged it.
+    pub async fn record(&self, key: KeyHash, first_sent_at: UnixMilliseconds) -> bool {
         let gateways = self.gateways_up();
         let outcome = self
             .run_operation(|store, now| store.record(now, key, first_sent_at, &gateways))
@@ -101,7 +104,7 @@
     }
 
     /// Looks up at the replicas of a write whether it may have run.
-    pub async fn look_up(&self, key: u64) -> EarlierAttempt {
+    pub async fn look_up(&self, key: KeyHash) -> EarlierAttempt {
         let gateways = self.gateways_up();
         let outcome = self
             .run_operation(|store, now| store.look_up(now, key, &gateways))
@@ -122,7 +125,7 @@
     }
 
     /// Withdraws the intent of a write that never ran.
-    pub fn withdraw(&self, key: u64) {
+    pub fn withdraw(&self, key: KeyHash) {
         let gateways = self.gateways_up();
         self.call_store(|store, _| store.withdraw(key, &gateways));
     }
@@ -130,7 +133,7 @@
     /// Processes a datagram from gateway `from`; returns the datagrams to send.
     pub fn receive(&self, datagram: &[u8], from: GatewayId) -> Vec<OutgoingDatagram> {
         self.call_store(|store, now| {
-            if let Err(error) = store.receive(now, from.0, datagram) {
+            if let Err(error) = store.receive(now, from, datagram) {
                 increment(&self.metrics.gossip.ignored);
                 log!("write intents: a datagram from gateway {from} is ignored: {error}");
             }
@@ -148,7 +151,8 @@
     pub fn due(&self) -> Instant {
         let now = self.now();
         let due = self.store.borrow().next_due();
-        self.start + Duration::from_millis(due.max(now).min(now + MAX_ADVANCE_INTERVAL_MS))
+        let due = due.max(now).min(now + MAX_ADVANCE_INTERVAL);
+        self.start + Duration::from_millis(due.as_millis())
     }
 
     /// Waits until there are datagrams to send.
@@ -157,15 +161,14 @@
     }
 
     /// The gateways that are alive or suspect.
-    fn gateways_up(&self) -> Vec<u32> {
-        let gateways = self.membership.not_down().into_iter();
-        gateways.map(|gateway| gateway.0).collect()
+    fn gateways_up(&self) -> Vec<GatewayId> {
+        self.membership.not_down()
     }
 
     /// Starts a record or a look-up, and waits for its outcome.
     async fn run_operation(
         &self,
-        start: impl FnOnce(&mut IntentStore, u64) -> OperationId,
+        start: impl FnOnce(&mut IntentStore, Timestamp) -> OperationId,
     ) -> Option<Outcome> {
         let (sender, outcome) = oneshot::channel();
         // The outcome may be there at once, so the sender is registered before the actions are carried out.
@@ -176,7 +179,7 @@
         outcome.await.ok()
     }
 
-    fn call_store(&self, call: impl FnOnce(&mut IntentStore, u64)) {
+    fn call_store(&self, call: impl FnOnce(&mut IntentStore, Timestamp)) {
         let mut store = self.store.borrow_mut();
         call(&mut store, self.now());
         self.carry_out_actions(&mut store);
@@ -185,7 +188,7 @@
     fn carry_out_actions(&self, store: &mut IntentStore) {
         for action in store.drain_actions() {
             match action {
-                Action::Send { to, bytes } => self.outbox.push(GatewayId(to), bytes),
+                Action::Send { to, bytes } => self.outbox.push(to, bytes),
                 Action::Ended { operation, outcome } => {
                     if let Some(waiting) = self.waiting.borrow_mut().remove(&operation) {
                         // A request that has ended meanwhile no longer waits for the outcome.
@@ -199,92 +202,3 @@
         }
     }
 }
-
-/// The write may have run at another gateway, and can't be sent again.
-pub struct MayHaveRun;
-
-/// Whether a write has been recorded with its replicas.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum RecordState {
-    NotTried,
-    Tried,
-    Recorded,
-}
-
-/// A keyed write, and what is recorded of it with other gateways.
-pub struct WriteIntent {
-    write_intents: Rc<WriteIntentService>,
-    key: u64,
-    /// From when on an earlier attempt of another gateway may have run, in Unix milliseconds.
-    earlier_attempt: Option<u64>,
-    record_state: Cell<RecordState>,
-    /// Whether an attempt of this gateway may have run.
-    may_have_run: Cell<bool>,
-}
-
-impl WriteIntent {
-    /// A write that has not been recorded yet.
-    pub fn new(write_intents: &Rc<WriteIntentService>, key: u64) -> Self {
-        WriteIntent {
-            write_intents: Rc::clone(write_intents),
-            key,
-            earlier_attempt: None,
-            record_state: Cell::new(RecordState::NotTried),
-            may_have_run: Cell::new(false),
-        }
-    }
-
-    /// Until when the write may be sent again, after an attempt of another gateway that may have run from `first_sent_at`
-    /// on, in Unix milliseconds. None where that time is over. The window counts from that attempt, and what is sent at its
-    /// end still needs a connection.
-    pub fn resend_deadline(
-        &mut self,
-        first_sent_at: u64,
-        class: &RequestClass,
-        connect_timeout: Duration,
-    ) -> Option<Instant> {
-        self.earlier_attempt = Some(first_sent_at);
-        let Idempotency::Keyed { window, .. } = class.idempotency else {
-            return None;
-        };
-        let elapsed = Duration::from_millis(unix_milliseconds().saturating_sub(first_sent_at));
-        let remaining = duration(window)
-            .checked_sub(elapsed)?
-            .checked_sub(connect_timeout)?;
-        (remaining > MIN_TIME_TO_RESEND).then(|| Instant::now() + remaining)
-    }
-
-    /// Whether another gateway may have sent the write.
-    pub const fn sent_by_another_gateway(&self) -> bool {
-        self.earlier_attempt.is_some()
-    }
-
-    /// Records the write before an attempt is sent, unless it is recorded already. Returns whether it is recorded.
-    pub async fn record(&self) -> bool {
-        if self.record_state.get() == RecordState::Recorded {
-            return true;
-        }
-        self.record_state.set(RecordState::Tried);
-        let first_sent_at = self.earlier_attempt.unwrap_or_else(unix_milliseconds);
-        if self.write_intents.record(self.key, first_sent_at).await {
-            self.record_state.set(RecordState::Recorded);
-        }
-        // Another attempt may have recorded it meanwhile.
-        self.record_state.get() == RecordState::Recorded
-    }
-
-    /// An attempt has ended.
-    pub fn attempt_ended(&self, outcome: AttemptOutcome) {
-        if !outcome.never_ran() {
-            self.may_have_run.set(true);
-        }
-    }
-
-    /// All attempts have ended. The intent of a write that never ran is withdrawn.
-    pub fn all_attempts_ended(&self) {
-        let recorded_somewhere = self.record_state.get() != RecordState::NotTried;
-        if recorded_somewhere && !self.may_have_run.get() {
-            self.write_intents.withdraw(self.key);
-        }
-    }
-}
--- a/src/net/request/mod.rs
+++ b/src/net/request/mod.rs
@@ -4,6 +4,7 @@
 mod attempts;
 pub mod classes;
 mod context;
+mod earlier_attempts;
 mod lifecycle;
 mod write_intent;
 
