Write down the layers of src/net, and check them by a test

Modules of the gateway used one another in circles: config and the console, downstream and the console, the host registry and discovery, hot restart and the start of the process.

src/net/mod.rs now lists the modules, lowest first. tests/layers reads that list and every path of every source (imports, grouped ones, super:: and paths in code), and fails where a module uses one above it. What cannot be removed yet is a named exception with its reason; one that is no longer needed fails, too. There is one: cluster/site_failover.rs uses request.

Removed by moving types to the layer that owns them: - ServingState from admin to src/net/serving_state.rs, for downstream; - the operators' file from admin to config, which reads it; - the types of the endpoint list from discovery to src/net/endpoint_list.rs, for config, upstream and cluster; - DescriptorBudget and RESERVED_DESCRIPTORS from lifecycle to src/net/descriptor_budget.rs, with an error of its own whose text is the old one; hot restart takes its parts as named dependencies instead of lifecycle's SharedParts.

Discovery stands above upstream and cluster: it applies lists to the one and asks the other whose turn it is.

--- a/src/net/admin/console.rs
+++ b/src/net/admin/console.rs
@@ -3,12 +3,12 @@
 //! This module owns the connections; `console_call` has the calls and their answers.
 
 use crate::net::admin::console_call::{execute, format_answer, CallError, ConsoleCall};
-use crate::net::admin::serving_state::ServingState;
 use crate::net::cluster::drains::DrainService;
 use crate::net::cluster::leases::LeaseService;
 use crate::net::cluster::membership::MembershipService;
 use crate::net::cluster::site_failover::SiteFailoverService;
 use crate::net::log::log;
+use crate::net::serving_state::ServingState;
 use std::collections::VecDeque;
 use std::io;
 use std::rc::Rc;
--- a/src/net/admin/console_call.rs
+++ b/src/net/admin/console_call.rs
@@ -1,9 +1,9 @@
 //! The console's calls and their answers. All texts are an interface to operators' scripts.
 
 use crate::net::admin::console::Console;
-use crate::net::admin::serving_state::ServingMode;
 use crate::net::cluster::drains::DrainService;
 use crate::net::log::log;
+use crate::net::serving_state::ServingMode;
 use irisrouter_drain_coordination::DesiredState;
 use std::fmt;
 use thiserror::Error;
--- a/src/net/cluster/endpoint_watch.rs
+++ b/src/net/cluster/endpoint_watch.rs
@@ -5,7 +5,7 @@
 
 use crate::net::cluster::leases::{LeaseService, LeasedTask};
 use crate::net::cluster::membership::MembershipService;
-use crate::net::discovery::ListPosition;
+use crate::net::endpoint_list::ListPosition;
 use crate::net::log::log;
 use crate::net::metrics::{increment, Metrics};
 use crate::net::upstream::Upstream;
--- a/src/net/config/error.rs
+++ b/src/net/config/error.rs
@@ -1,6 +1,6 @@
 //! Errors of the environment and the configuration file.
 
-use crate::net::admin::operator_config::OperatorConfigError;
+use crate::net::config::operator_config::OperatorConfigError;
 use std::error::Error as StdError;
 use std::io;
 use std::net::AddrParseError;
--- a/src/net/config/file.rs
+++ b/src/net/config/file.rs
@@ -2,7 +2,7 @@
 
 use crate::net::config::missing_key::find_missing_key;
 use crate::net::config::{ConfigError, ConfigFileError};
-use crate::net::discovery::EndpointList;
+use crate::net::endpoint_list::EndpointList;
 use crate::net::log::log;
 use irisrouter::platform_settings::PlatformSettings;
 use irisrouter_cluster_types::GatewayId;
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -3,13 +3,14 @@
 mod error;
 mod file;
 mod missing_key;
+pub mod operator_config;
 
 pub use error::{ConfigError, ConfigFileError};
 pub use file::{File as ConfigFile, Peers};
 
-use crate::net::admin::operator_config::{self, OperatorConfig};
 use file::parse_address;
 use irisrouter::platform_settings::PlatformSettings;
+use operator_config::OperatorConfig;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
--- a/src/net/discovery/client.rs
+++ b/src/net/discovery/client.rs
@@ -1,11 +1,11 @@
 //! The discovery client: keeps the endpoint list up to date by long poll, over one HTTP connection at a time.
 
 use crate::net::cluster::endpoint_watch::{Call, EndpointWatchService};
-use crate::net::discovery::endpoint_list::{EndpointList, ListPosition};
 use crate::net::discovery::http::{HttpConnection, HttpError};
 use crate::net::discovery::poll_interval::{
     CallLimits, PollPacer, FIRST_RETRY_DELAY, SILENCE_TIMEOUT,
 };
+use crate::net::endpoint_list::{EndpointList, ListPosition};
 use crate::net::log::log;
 use crate::net::request::classes::Classes;
 use crate::net::upstream::Upstream;
--- a/src/net/downstream/client_input.rs
+++ b/src/net/downstream/client_input.rs
@@ -1,10 +1,10 @@
 //! Reading from a client: the wait for its next bytes, which several events may end, and the wait for something else
 //! during which the client may disconnect.
 
-use crate::net::admin::serving_state::ServingMode;
 use crate::net::downstream::connection::{ClientConnection, ConnectionEnd};
 use crate::net::downstream::connection_limit::{EvictableWait, QuietKind};
 use crate::net::metrics::increment;
+use crate::net::serving_state::ServingMode;
 use crate::net::{pg, read_now};
 use std::future::Future;
 use std::io;
--- a/src/net/downstream/listener.rs
+++ b/src/net/downstream/listener.rs
@@ -1,6 +1,5 @@
 //! The accept loop: takes client connections from the listening socket and starts a task for each of them.
 
-use crate::net::admin::serving_state::ServingState;
 use crate::net::buffers::Pool;
 use crate::net::downstream::cancel::Cancels;
 use crate::net::downstream::connection::serve_connection;
@@ -9,6 +8,7 @@
 use crate::net::metrics::increment;
 use crate::net::request::classes::Classes;
 use crate::net::request::RequestContext;
+use crate::net::serving_state::ServingState;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
--- a/src/net/discovery/endpoint_list.rs
+++ b/src/net/endpoint_list.rs
@@ -91,13 +91,13 @@
     }
 
     /// Requests the whole list next, from a new address: a watch can only go on at the address where it began.
-    pub(super) fn restart_at_new_address(&mut self) {
+    pub fn restart_at_new_address(&mut self) {
         self.whole = true;
         self.behind_since = None;
     }
 
     /// Decides whether a list is to be applied, and if so advances to it.
-    pub(super) fn accept(&mut self, list: &EndpointList) -> bool {
+    pub fn accept(&mut self, list: &EndpointList) -> bool {
         let is_older = self.revision.is_some_and(|held| list.revision < held);
         if !is_older {
             self.behind_since = None;
--- a/src/net/hot_restart.rs
+++ b/src/net/hot_restart.rs
@@ -7,9 +7,9 @@
 //! The documents are read by other versions of this program: their keys and the socket's name must not change.
 
 use crate::net::buffers::Pool;
-use crate::net::discovery::EndpointList;
+use crate::net::descriptor_budget::RESERVED_DESCRIPTORS;
 use crate::net::downstream::connection_limit::ConnectionLimit;
-use crate::net::lifecycle::shared_parts::{SharedParts, RESERVED_DESCRIPTORS};
+use crate::net::endpoint_list::EndpointList;
 use crate::net::log::log;
 use crate::net::request::classes::Classes;
 use crate::net::router_task::RouterHandle;
@@ -130,31 +130,33 @@
     }
 }
 
+/// The parts of this process whose knowledge is handed over, and whose usage counts towards the shared limits.
+pub struct Dependencies {
+    /// The endpoint list, and the connections to database hosts.
+    pub upstream: Rc<Upstream>,
+    /// The connections of clients.
+    pub connection_limit: Rc<ConnectionLimit>,
+    /// The memory of messages that exceed a buffer's size.
+    pub buffers: Rc<Pool>,
+    /// What the router has learnt.
+    pub router: Rc<RouterHandle>,
+    /// The names of the request classes.
+    pub classes: Rc<Classes>,
+}
+
 /// This process among those of its gateway.
 pub struct HotRestart {
     socket_path: PathBuf,
-    upstream: Rc<Upstream>,
-    connection_limit: Rc<ConnectionLimit>,
-    buffers: Rc<Pool>,
-    router: Rc<RouterHandle>,
-    classes: Rc<Classes>,
+    dependencies: Dependencies,
     usage_of_others: UsageBySide,
 }
 
 impl HotRestart {
     /// Hands over and takes over at this Unix socket.
-    pub fn new(
-        socket_path: PathBuf,
-        parts: SharedParts,
-        connection_limit: Rc<ConnectionLimit>,
-    ) -> Self {
+    pub fn new(socket_path: PathBuf, dependencies: Dependencies) -> Self {
         Self {
             socket_path,
-            upstream: parts.upstream,
-            connection_limit,
-            buffers: parts.buffers,
-            router: parts.router,
-            classes: parts.classes,
+            dependencies,
             usage_of_others: UsageBySide::default(),
         }
     }
@@ -184,23 +186,26 @@
     }
 
     fn apply(&self, document: HandOverDocument) {
-        if document.endpoint_list.revision >= self.upstream.revision() {
-            self.upstream.apply_endpoint_list(&document.endpoint_list);
+        if document.endpoint_list.revision >= self.dependencies.upstream.revision() {
+            self.dependencies
+                .upstream
+                .apply_endpoint_list(&document.endpoint_list);
         }
         // Numbers of members and classes are those of the older process: its names give them the numbers of this one.
         let members = document
             .member_names
             .iter()
-            .map(|name| self.upstream.member_by_name(name))
+            .map(|name| self.dependencies.upstream.member_by_name(name))
             .collect();
         let class_slots = document
             .class_names
             .iter()
-            .map(|name| self.classes.find(name).map(|held| held.slot))
+            .map(|name| self.dependencies.classes.find(name).map(|held| held.slot))
             .collect();
         let mut snapshot = document.snapshot;
         snapshot.renumber(members, class_slots);
-        self.router
+        self.dependencies
+            .router
             .post(Event::SnapshotReceived(Box::new(snapshot)));
     }
 
@@ -236,16 +241,16 @@
     }
 
     async fn document(&self) -> HandOverDocument {
-        let snapshot = self.router.snapshot().await;
+        let snapshot = self.dependencies.router.snapshot().await;
         let member_names = snapshot
             .members
             .iter()
-            .map(|(id, _)| self.upstream.member_name(*id))
+            .map(|(id, _)| self.dependencies.upstream.member_name(*id))
             .collect();
         HandOverDocument {
-            endpoint_list: self.upstream.endpoint_list(),
+            endpoint_list: self.dependencies.upstream.endpoint_list(),
             member_names,
-            class_names: self.classes.names(),
+            class_names: self.dependencies.classes.names(),
             snapshot,
             usage: self.usage_for(Side::Successor),
         }
@@ -295,9 +300,10 @@
     /// What the process on one side has to count: what this process uses, and the process on its other side.
     fn usage_for(&self, side: Side) -> ResourceUsage {
         let own = ResourceUsage {
-            client_descriptors: self.connection_limit.open_connections() + RESERVED_DESCRIPTORS,
-            upstream_connections: self.upstream.open_connections(),
-            message_memory: self.buffers.grown(),
+            client_descriptors: self.dependencies.connection_limit.open_connections()
+                + RESERVED_DESCRIPTORS,
+            upstream_connections: self.dependencies.upstream.open_connections(),
+            message_memory: self.dependencies.buffers.grown(),
         };
         own + self.usage_of_others.get(side.opposite())
     }
@@ -305,11 +311,18 @@
     fn set_usage(&self, side: Side, usage: ResourceUsage) {
         self.usage_of_others.set(side, usage);
         let total = self.usage_of_others.total();
-        self.connection_limit
+        self.dependencies
+            .connection_limit
             .elsewhere
             .set(total.client_descriptors);
-        self.upstream.elsewhere.set(total.upstream_connections);
-        self.buffers.elsewhere.set(total.message_memory);
+        self.dependencies
+            .upstream
+            .elsewhere
+            .set(total.upstream_connections);
+        self.dependencies
+            .buffers
+            .elsewhere
+            .set(total.message_memory);
     }
 }
 
--- a/src/net/lifecycle/error.rs
+++ b/src/net/lifecycle/error.rs
@@ -1,7 +1,8 @@
 //! Errors that end the process with exit code 1. Their texts are what `main` prints on standard error.
 
-use crate::net::admin::operator_config::OperatorConfigError;
+use crate::net::config::operator_config::OperatorConfigError;
 use crate::net::config::ConfigError;
+use crate::net::descriptor_budget::TooFewDescriptors;
 use std::error::Error as StdError;
 use std::io;
 use std::net::SocketAddr;
@@ -42,11 +43,8 @@
     #[error("no address: {0}")]
     LocalAddress(#[source] io::Error),
     /// The limit leaves no descriptor for database hosts.
-    #[error("{limit} descriptors are too few")]
-    TooFewDescriptors {
-        /// Descriptors that the process may hold.
-        limit: usize,
-    },
+    #[error(transparent)]
+    TooFewDescriptors(#[from] TooFewDescriptors),
     /// The operators' file does not fit the platform's settings.
     #[error(transparent)]
     OperatorConfig(#[from] OperatorConfigError),
--- a/src/net/lifecycle/gateway.rs
+++ b/src/net/lifecycle/gateway.rs
@@ -2,12 +2,13 @@
 
 use crate::net::admin::counter_report::CounterReport;
 use crate::net::config::{Config, ListenerSource};
+use crate::net::descriptor_budget::DescriptorBudget;
 use crate::net::downstream::listener::ClientListener;
 use crate::net::lifecycle::cluster_startup::build_cluster_services;
 use crate::net::lifecycle::listening_socket::ListeningSocket;
 use crate::net::lifecycle::peer_socket_task::PeerSocketHandle;
 use crate::net::lifecycle::reload::ConfigReloader;
-use crate::net::lifecycle::shared_parts::{DescriptorBudget, SharedParts};
+use crate::net::lifecycle::shared_parts::SharedParts;
 use crate::net::lifecycle::shutdown::Shutdown;
 use crate::net::lifecycle::signals::{OperatorSignals, TerminationSignals};
 use crate::net::lifecycle::startup::{
--- a/src/net/lifecycle/startup.rs
+++ b/src/net/lifecycle/startup.rs
@@ -6,12 +6,14 @@
 use crate::net::admin::console::{self, Console};
 use crate::net::cluster::services::ClusterServices;
 use crate::net::config::{Config, ListenerSource};
-use crate::net::discovery::{self, EndpointList, ListPosition};
+use crate::net::descriptor_budget::DescriptorBudget;
+use crate::net::discovery;
 use crate::net::downstream::connection_limit::{ConnectionLimit, QUIET_CHECK_INTERVAL};
 use crate::net::downstream::listener::ClientListener;
-use crate::net::hot_restart::HotRestart;
+use crate::net::endpoint_list::{EndpointList, ListPosition};
+use crate::net::hot_restart::{self, HotRestart};
 use crate::net::lifecycle::listening_socket::{bind_console, ListeningSocket};
-use crate::net::lifecycle::shared_parts::{DescriptorBudget, SharedParts};
+use crate::net::lifecycle::shared_parts::SharedParts;
 use crate::net::lifecycle::StartupError;
 use crate::net::log::log;
 use crate::net::request::RequestContext;
@@ -102,8 +104,14 @@
     client_listener: &ClientListener,
 ) -> Option<u64> {
     let path = config.hot_restart_socket.clone()?;
-    let connection_limit = Rc::clone(&client_listener.connection_limit);
-    let hot_restart = Rc::new(HotRestart::new(path, parts.clone(), connection_limit));
+    let dependencies = hot_restart::Dependencies {
+        upstream: Rc::clone(&parts.upstream),
+        connection_limit: Rc::clone(&client_listener.connection_limit),
+        buffers: Rc::clone(&parts.buffers),
+        router: Rc::clone(&parts.router),
+        classes: Rc::clone(&parts.classes),
+    };
+    let hot_restart = Rc::new(HotRestart::new(path, dependencies));
     let revision = hot_restart.take_over().await;
     spawn_local(hot_restart.serve_successors());
     revision
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,17 +1,43 @@
 //! The gateway process: the sockets, tasks and timers that carry out the routing decisions. Each module owns one concern.
+//!
+//! The modules are layers. A module uses those above it in this list and never one below it, so that each can be
+//! understood, and tested, without what is built on it. `tests/layers.rs` reads the list and checks it:
+//!
+//! 1. `log`: log lines, limited in rate
+//! 2. `metrics`: counters
+//! 3. `buffers`: pooled memory for messages
+//! 4. `pg`: the framing of the PostgreSQL protocol
+//! 5. `descriptor_budget`: how the descriptors of the process are divided
+//! 6. `serving_state`: whether the process serves clients
+//! 7. `endpoint_list`: the list of database hosts, wherever it comes from
+//! 8. `config`: the environment, the configuration file and the operators' file
+//! 9. `upstream`: database hosts and the connections to them
+//! 10. `router_task`: the task that owns the router
+//! 11. `cluster`: what gateways agree on with one another
+//! 12. `request`: one request from its arrival to its final answer
+//! 13. `discovery`: keeps the endpoint list up to date
+//! 14. `downstream`: the connections of clients
+//! 15. `admin`: the console and the printed counters
+//! 16. `hot_restart`: the hand-over between two versions of one gateway
+//! 17. `lifecycle`: start, signals, reload and shutdown; connects all others
+//!
+//! The clock and the conversions of time in this file are used by all of them.
 
 pub mod admin;
 pub mod buffers;
 pub mod cluster;
 pub mod config;
+pub mod descriptor_budget;
 pub mod discovery;
 pub mod downstream;
+pub mod endpoint_list;
 pub mod hot_restart;
 pub mod lifecycle;
 pub mod log;
 pub mod metrics;
 pub mod request;
 pub mod router_task;
+pub mod serving_state;
 pub mod upstream;
 
 pub use irisrouter_pg as pg;
--- a/src/net/admin/serving_state.rs
+++ b/src/net/serving_state.rs
@@ -91,5 +91,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../../tests/unit/serving_state.rs"]
+#[path = "../../tests/unit/serving_state.rs"]
 mod tests;
--- a/src/net/upstream/drains.rs
+++ b/src/net/upstream/drains.rs
@@ -1,7 +1,7 @@
 //! Hosts that are out of service although this gateway's endpoint list has them in service: drain commands of operators,
 //! and lists that are newer than this gateway's.
 
-use crate::net::discovery::EndpointList;
+use crate::net::endpoint_list::EndpointList;
 use crate::net::upstream::registry::{Registry, Upstream};
 use irisrouter::routing::GroupId;
 use irisrouter_cluster_types::HostId;
--- a/src/net/upstream/host.rs
+++ b/src/net/upstream/host.rs
@@ -1,6 +1,6 @@
 //! One database host: its entry in the endpoint list, and what this gateway keeps about it.
 
-use crate::net::discovery::{EndpointEntry, EndpointPhase};
+use crate::net::endpoint_list::{EndpointEntry, EndpointPhase};
 use crate::net::upstream::connection::Connection;
 use crate::net::upstream::load_report::NANOSECONDS_PER_MILLISECOND;
 use crate::net::upstream::reachability::HostReachability;
--- a/src/net/upstream/host_lookup.rs
+++ b/src/net/upstream/host_lookup.rs
@@ -1,6 +1,6 @@
 //! Questions about the hosts: by name, by group, by the id that the fleet knows them by.
 
-use crate::net::discovery::EndpointList;
+use crate::net::endpoint_list::EndpointList;
 use crate::net::upstream::registry::Upstream;
 use irisrouter::routing::{GroupId, MemberId};
 use irisrouter_cluster_types::HostId;
--- a/src/net/upstream/registry.rs
+++ b/src/net/upstream/registry.rs
@@ -1,7 +1,7 @@
 //! Which database hosts there are: the endpoint list, merged with what this gateway knows already.
 
 use crate::net::buffers::Pool;
-use crate::net::discovery::{EndpointEntry, EndpointList, EndpointPhase};
+use crate::net::endpoint_list::{EndpointEntry, EndpointList, EndpointPhase};
 use crate::net::metrics::Metrics;
 use crate::net::upstream::drains::DrainState;
 use crate::net::upstream::host::Host;
