Carry the cause of an unreadable file or template as a type in crates/config

Error::Unreadable and Error::Template held the cause as text, so a caller could not tell a missing file from a device, or a broken template from an evaluator that panicked. They now hold a ReadError and a TemplateError. The evaluator's own error cannot leave the thread of the evaluation, so TemplateError::Evaluation carries its trace as text. All texts stay.

Error is no longer Clone or Eq, as io::Error is not. The tests compare the settings and the fields of the error instead; three of them now name the kind of the cause, and the test of stable texts has the four texts that it lacked.

--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -1,27 +1,29 @@
 //! Why settings could not be loaded.
 
+use crate::template::MAX_FILE_SIZE;
 use crate::Problem;
+use std::io;
 use std::path::PathBuf;
 use thiserror::Error;
 
 /// Why settings could not be loaded. None of them apply then.
-#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[derive(Debug, Error)]
 pub enum Error {
     /// The file cannot be read.
-    #[error("{}: {reason}", .file.display())]
+    #[error("{}: {source}", .file.display())]
     Unreadable {
         /// The settings file.
         file: PathBuf,
         /// Why it cannot be read.
-        reason: String,
+        source: ReadError,
     },
     /// The file is not valid Jsonnet, or its evaluation fails.
-    #[error("{}: {}", .file.display(), .reason.trim_end())]
+    #[error("{}: {source}", .file.display())]
     Template {
         /// The settings file.
         file: PathBuf,
-        /// Why, with line, column and stack trace.
-        reason: String,
+        /// What is wrong with it.
+        source: TemplateError,
     },
     /// A variable was given that the template does not declare.
     #[error("variable {name}: the file declares {}", list_or_none(.declared))]
@@ -41,6 +43,37 @@
     },
 }
 
+/// Why a settings file cannot be read.
+#[derive(Debug, Error)]
+pub enum ReadError {
+    /// The system does not find it, or does not let it be read.
+    #[error(transparent)]
+    System(#[from] io::Error),
+    /// It is a directory or a device, or larger than what is read.
+    #[error("no file of {MAX_FILE_SIZE} bytes at most")]
+    NoFileOfAllowedSize,
+    /// The thread that would evaluate it cannot be started.
+    #[error("no thread to evaluate it: {0}")]
+    Thread(#[source] io::Error),
+}
+
+/// Why a template yields no settings.
+#[derive(Debug, Error)]
+pub enum TemplateError {
+    /// The evaluator refuses it. Its own error stays on the evaluation's thread, so this carries the text.
+    #[error("{}", .trace.trim_end())]
+    Evaluation {
+        /// What the evaluator says, with line, column and stack trace.
+        trace: String,
+    },
+    /// The evaluator's result is not JSON.
+    #[error("it manifests as no JSON: {0}")]
+    NoJson(#[source] serde_json::Error),
+    /// The evaluator panicked.
+    #[error("the evaluation broke down")]
+    Panicked,
+}
+
 /// The names separated by commas, or the word "none".
 fn list_or_none(names: &[String]) -> String {
     if names.is_empty() {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -13,7 +13,7 @@
 mod validation;
 mod variables;
 
-pub use error::Error;
+pub use error::{Error, ReadError, TemplateError};
 pub use problem::{Checked, Problem};
 pub use template::{load, parameters};
 pub use validation::{read, schema};
--- a/crates/config/src/template.rs
+++ b/crates/config/src/template.rs
@@ -1,6 +1,7 @@
 //! Evaluation of Jsonnet templates, with bounds on file size, call depth and stack.
 
-use crate::{read, Checked, Error, Variables};
+use crate::{read, Checked, Error, ReadError, TemplateError, Variables};
+use jrsonnet_evaluator::error::LocError;
 use jrsonnet_evaluator::{EvaluationState, FileImportResolver, FuncVal, ManifestFormat, Val};
 use schemars::JsonSchema;
 use serde::de::DeserializeOwned;
@@ -9,7 +10,7 @@
 
 /// Largest template that is read, in bytes. Without a bound, a path that names a device or a memory dump would fill the
 /// memory.
-const MAX_FILE_SIZE: u64 = 4 << 20;
+pub(crate) const MAX_FILE_SIZE: u64 = 4 << 20;
 /// Deepest nesting of calls in a template. Without a bound, a template that calls itself would overflow the stack and end
 /// the process instead of the evaluation.
 const MAX_CALL_DEPTH: usize = 180;
@@ -50,26 +51,22 @@
     file: &Path,
     evaluation: impl FnOnce(&Path) -> Result<T, Error> + Send + 'static,
 ) -> Result<T, Error> {
-    let unreadable = |reason: String| Error::Unreadable {
+    let unreadable = |source| Error::Unreadable {
         file: file.to_path_buf(),
-        reason,
+        source,
     };
-    let metadata = std::fs::metadata(file).map_err(|error| unreadable(error.to_string()))?;
+    let metadata = std::fs::metadata(file).map_err(|error| unreadable(error.into()))?;
     if !metadata.is_file() || metadata.len() > MAX_FILE_SIZE {
-        let reason = format!("no file of {MAX_FILE_SIZE} bytes at most");
-        return Err(unreadable(reason));
+        return Err(unreadable(ReadError::NoFileOfAllowedSize));
     }
     let owned_path = file.to_path_buf();
     let thread = std::thread::Builder::new()
         .stack_size(STACK_SIZE)
         .spawn(move || evaluation(&owned_path))
-        .map_err(|error| unreadable(format!("no thread to evaluate it: {error}")))?;
-    thread.join().unwrap_or_else(|_| {
-        Err(Error::Template {
-            file: file.to_path_buf(),
-            reason: "the evaluation broke down".into(),
-        })
-    })
+        .map_err(|error| unreadable(ReadError::Thread(error)))?;
+    thread
+        .join()
+        .unwrap_or_else(|_| Err(template_error(file, TemplateError::Panicked)))
 }
 
 /// A template whose file has been evaluated: a value, or a function of the template's parameters.
@@ -90,7 +87,7 @@
         state.set_manifest_format(ManifestFormat::Json(0));
         let value = state
             .evaluate_file_raw(file)
-            .map_err(|error| template_error(file, state.stringify_err(&error)))?;
+            .map_err(|error| evaluation_error(file, &state, &error))?;
         Ok(Template { file, state, value })
     }
 
@@ -112,11 +109,11 @@
         let file = self.file;
         self.set_variables(variables)?;
         let state = self.state;
-        let evaluation_error = |error| template_error(file, state.stringify_err(&error));
-        let value = state.with_tla(self.value).map_err(evaluation_error)?;
-        let text = state.manifest(value).map_err(evaluation_error)?;
+        let failed = |error| evaluation_error(file, &state, &error);
+        let value = state.with_tla(self.value).map_err(failed)?;
+        let text = state.manifest(value).map_err(failed)?;
         serde_json::from_str(&text)
-            .map_err(|error| template_error(file, format!("it manifests as no JSON: {error}")))
+            .map_err(|error| template_error(file, TemplateError::NoJson(error)))
     }
 
     /// Passes the variables to the template as arguments. A value that is JSON is passed as that, and any other as a
@@ -134,9 +131,7 @@
                 Ok(_) => {
                     self.state
                         .add_tla_code(name.into(), text.into())
-                        .map_err(|error| {
-                            template_error(self.file, self.state.stringify_err(&error))
-                        })?;
+                        .map_err(|error| evaluation_error(self.file, &self.state, &error))?;
                 }
                 Err(_) => self.state.add_tla_str(name.into(), text.into()),
             }
@@ -145,9 +140,15 @@
     }
 }
 
-fn template_error(file: &Path, reason: String) -> Error {
+/// The error of the evaluator as text: its own type holds references that cannot leave the evaluation's thread.
+fn evaluation_error(file: &Path, state: &EvaluationState, error: &LocError) -> Error {
+    let trace = state.stringify_err(error);
+    template_error(file, TemplateError::Evaluation { trace })
+}
+
+fn template_error(file: &Path, source: TemplateError) -> Error {
     Error::Template {
         file: file.to_path_buf(),
-        reason,
+        source,
     }
 }
--- a/crates/config/tests/templates.rs
+++ b/crates/config/tests/templates.rs
@@ -1,8 +1,11 @@
 //! Templates as files: parameters, imports, checks, and evaluations that fail.
 
-use irisrouter_config::{load, parameters, Checked, Error, Problem, Variables};
+use irisrouter_config::{
+    load, parameters, Checked, Error, Problem, ReadError, TemplateError, Variables,
+};
 use schemars::JsonSchema;
 use serde::Deserialize;
+use std::io;
 use std::path::Path;
 
 /// Settings with a schema bound, an optional list, and a check across both fields.
@@ -52,31 +55,28 @@
         ("b.libsonnet", "{depth_m: 1}"),
     ]);
     assert_eq!(
-        dir.load(&[]),
-        Ok(Pond {
+        dir.load(&[]).expect("settings"),
+        Pond {
             depth_m: 2.0,
             fish: vec!["carp".into()]
-        })
+        }
     );
     assert_eq!(
-        dir.load(&["depth=3.5", "kind=a pike"]),
-        Ok(Pond {
+        dir.load(&["depth=3.5", "kind=a pike"]).expect("settings"),
+        Pond {
             depth_m: 3.5,
             fish: vec!["a pike".into()]
-        })
-    );
-    assert_eq!(
-        parameters(&dir.0.path().join("a.jsonnet")),
-        Ok(vec!["depth".into(), "kind".into()])
-    );
-    let declared = vec!["depth".to_string(), "kind".to_string()];
-    assert_eq!(
-        dir.load(&["deep=3"]),
-        Err(Error::Variable {
-            name: "deep".into(),
-            declared
-        })
+        }
     );
+    let parameters = parameters(&dir.0.path().join("a.jsonnet"));
+    assert_eq!(parameters.expect("parameters"), ["depth", "kind"]);
+    match dir.load(&["deep=3"]) {
+        Err(Error::Variable { name, declared }) => {
+            assert_eq!(name, "deep");
+            assert_eq!(declared, ["depth", "kind"]);
+        }
+        other => panic!("{other:?}"),
+    }
 }
 
 #[test]
@@ -105,7 +105,10 @@
 #[test]
 fn recursive_or_broken_template_is_an_error_and_does_not_end_the_process() {
     let fails = |files: &[(&str, &str)]| match TemplateDirectory::with(files).load(&[]) {
-        Err(Error::Template { reason, .. }) => reason,
+        Err(Error::Template {
+            source: TemplateError::Evaluation { trace },
+            ..
+        }) => trace,
         other => panic!("{other:?}"),
     };
     let looping = fails(&[
@@ -122,12 +125,21 @@
     assert!(fails(&[("a.jsonnet", "import 'missing.jsonnet'")]).contains("missing"));
     let missing = load::<Pond>(Path::new("no/such/file"), &Variables::none());
     assert!(
-        matches!(missing, Err(Error::Unreadable { .. })),
+        matches!(
+            missing,
+            Err(Error::Unreadable {
+                source: ReadError::System(_),
+                ..
+            })
+        ),
         "{missing:?}"
     );
     assert!(matches!(
         load::<Pond>(Path::new("/dev/zero"), &Variables::none()),
-        Err(Error::Unreadable { .. })
+        Err(Error::Unreadable {
+            source: ReadError::NoFileOfAllowedSize,
+            ..
+        })
     ));
 }
 
@@ -148,16 +160,25 @@
 #[test]
 fn errors_have_stable_texts() {
     let file = || "a.jsonnet".into();
+    let unreadable = |source| Error::Unreadable {
+        file: file(),
+        source,
+    };
+    let of_template = |source| Error::Template {
+        file: file(),
+        source,
+    };
+    let no_json = serde_json::from_str::<serde_json::Value>("x").expect_err("no JSON");
     let declared = |names: &[&str]| names.iter().map(|name| name.to_string()).collect();
     let texts = [
-        Error::Unreadable {
-            file: file(),
-            reason: "gone".into(),
-        },
-        Error::Template {
-            file: file(),
-            reason: "at 1:2\n".into(),
-        },
+        unreadable(ReadError::System(io::Error::other("gone"))),
+        unreadable(ReadError::NoFileOfAllowedSize),
+        unreadable(ReadError::Thread(io::Error::other("none left"))),
+        of_template(TemplateError::Evaluation {
+            trace: "at 1:2\n".into(),
+        }),
+        of_template(TemplateError::NoJson(no_json)),
+        of_template(TemplateError::Panicked),
         Error::Variable {
             name: "x".into(),
             declared: declared(&[]),
@@ -176,7 +197,11 @@
         texts,
         [
             "a.jsonnet: gone",
+            "a.jsonnet: no file of 4194304 bytes at most",
+            "a.jsonnet: no thread to evaluate it: none left",
             "a.jsonnet: at 1:2",
+            "a.jsonnet: it manifests as no JSON: expected value at line 1 column 1",
+            "a.jsonnet: the evaluation broke down",
             "variable x: the file declares none",
             "variable x: the file declares a, b",
             "a.jsonnet: not taken:\n  (the whole): one\n  /a: two",
