Give the buffer pool, the usage of the other process and the pg package standard names

buffers: SIZE, take, room, grown are BUFFER_SIZE, acquire, try_reserve (must_use), extra_bytes. The public cells `elsewhere` of the pool, of Upstream and of ConnectionLimit, which hot restart set from outside, are private and have a setter that says what is counted: set_other_process_extra_bytes, _connections, _descriptors.

pg: LARGEST, LONG, unclear, put_welcome, Reply::take, Reply::passed_row, Statement::{wait_at, wait_ms, key} are MAX_MESSAGE_SIZE, MAX_BUFFERED_VALUE_SIZE, may_begin_long_row, put_startup_response, read_message, record_forwarded_row, timeout_range, timeout_ms, session_key. startup returns a StartupMessage instead of a tuple. Error texts and bytes stay.

Tests follow the names; none of their literals changed.

--- a/crates/pg/src/backend.rs
+++ b/crates/pg/src/backend.rs
@@ -15,8 +15,8 @@
     ("standard_conforming_strings", "on"),
 ];
 
-/// Appends the answer to a client's startup message, up to `ReadyForQuery`.
-pub fn put_welcome(out: &mut BytesMut, key: Option<&CancelKey>) {
+/// Appends the answer to a client's startup message, from `AuthenticationOk` to `ReadyForQuery`.
+pub fn put_startup_response(out: &mut BytesMut, key: Option<&CancelKey>) {
     put(out, tag::AUTHENTICATION, |body| body.put_u32(0));
     for (name, value) in SESSION_PARAMETERS {
         put(out, tag::PARAMETER_STATUS, |body| {
--- a/crates/pg/src/frame.rs
+++ b/crates/pg/src/frame.rs
@@ -4,7 +4,7 @@
 use std::ops::Range;
 
 /// Largest message that is accepted as a whole, in bytes: enough for a value of 64 KiB in hexadecimal with its statement.
-pub const LARGEST: usize = 256 * 1024;
+pub const MAX_MESSAGE_SIZE: usize = 256 * 1024;
 /// Size of a message's length field, which counts itself.
 const LENGTH_SIZE: usize = 4;
 /// Size of the type byte and the length field.
@@ -23,7 +23,7 @@
 ///
 /// # Errors
 ///
-/// The message is shorter than its own length field, or longer than [`LARGEST`].
+/// The message is shorter than its own length field, or longer than [`MAX_MESSAGE_SIZE`].
 pub fn frame(bytes: &[u8]) -> Result<Option<Frame>, Malformed> {
     let (Some(&tag), Some(length)) = (bytes.first(), length_field(bytes)) else {
         return Ok(None);
@@ -31,7 +31,7 @@
     if length < LENGTH_SIZE {
         return Err(Malformed("a message shorter than its own length"));
     }
-    if length > LARGEST {
+    if length > MAX_MESSAGE_SIZE {
         return Err(TOO_LARGE);
     }
     let is_complete = bytes.len() > length;
--- a/crates/pg/src/frontend.rs
+++ b/crates/pg/src/frontend.rs
@@ -33,13 +33,21 @@
 /// numbers of `BackendKeyData`, neither of which is a process id here.
 pub type CancelKey = [u8; 8];
 
-/// Reads the first message of a client, which has no type byte. Returns its purpose and its length in bytes, or `None`
-/// while it is incomplete.
+/// The first message of a client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartupMessage {
+    /// What the client asks for.
+    pub purpose: Startup,
+    /// The length of the message in bytes.
+    pub length: usize,
+}
+
+/// Reads the first message of a client, which has no type byte, or `None` while it is incomplete.
 ///
 /// # Errors
 ///
 /// The length is out of bounds, a cancel request has no key, or the version of the protocol is unknown.
-pub fn startup(bytes: &[u8]) -> Result<Option<(Startup, usize)>, Malformed> {
+pub fn startup(bytes: &[u8]) -> Result<Option<StartupMessage>, Malformed> {
     let Some(length) = bytes.first_chunk() else {
         return Ok(None);
     };
@@ -61,7 +69,7 @@
         version if version >> 16 == VERSION_3 => Startup::Begin,
         _ => return Err(Malformed("an unknown version of the protocol")),
     };
-    Ok(Some((purpose, length)))
+    Ok(Some(StartupMessage { purpose, length }))
 }
 
 /// Appends a startup message.
--- a/crates/pg/src/lib.rs
+++ b/crates/pg/src/lib.rs
@@ -15,12 +15,14 @@
 mod statement;
 pub mod tag;
 
-pub use backend::{put_error, put_ready, put_welcome};
+pub use backend::{put_error, put_ready, put_startup_response};
 pub use error::Malformed;
-pub use frame::{frame, Frame, LARGEST};
-pub use frontend::{is_empty, put_query, put_startup, query, startup, CancelKey, Startup};
+pub use frame::{frame, Frame, MAX_MESSAGE_SIZE};
+pub use frontend::{
+    is_empty, put_query, put_startup, query, startup, CancelKey, Startup, StartupMessage,
+};
 pub use load_report::report;
 pub use message::put;
 pub use reply::{HostRole, Reply, Stage};
-pub use row::{long_row, unclear, LONG};
+pub use row::{long_row, may_begin_long_row, MAX_BUFFERED_VALUE_SIZE};
 pub use statement::{statement, Statement};
--- a/crates/pg/src/reply.rs
+++ b/crates/pg/src/reply.rs
@@ -54,7 +54,7 @@
     ///
     /// The message is malformed or out of order. What is out of order may belong to another reply, and its row to another
     /// request.
-    pub fn take(&mut self, tag: u8, body: &[u8]) -> Result<bool, Malformed> {
+    pub fn read_message(&mut self, tag: u8, body: &[u8]) -> Result<bool, Malformed> {
         let next_stage = match (tag, self.stage, &self.error) {
             (tag::ROW_DESCRIPTION, Stage::Begun, None) => {
                 check_one_column_description(body)?;
@@ -94,7 +94,7 @@
     /// # Errors
     ///
     /// No row is due.
-    pub fn passed_row(&mut self) -> Result<(), Malformed> {
+    pub fn record_forwarded_row(&mut self) -> Result<(), Malformed> {
         if self.stage != Stage::Described || self.error.is_some() {
             return Err(Malformed("a row that nothing describes"));
         }
--- a/crates/pg/src/row.rs
+++ b/crates/pg/src/row.rs
@@ -5,7 +5,7 @@
 use crate::tag;
 
 /// Largest value that is buffered as a whole, in bytes. Longer values are forwarded while they arrive.
-pub const LONG: usize = 64 * 1024;
+pub const MAX_BUFFERED_VALUE_SIZE: usize = 64 * 1024;
 /// Largest message that is forwarded while it arrives, in bytes.
 const MAX_FORWARDED_LENGTH: usize = 64 << 20;
 /// Size of what precedes the value in a row of one column: type, length, number of columns, length of the value.
@@ -15,8 +15,8 @@
 /// The number of columns of each row.
 const ONE_COLUMN: [u8; 2] = 1u16.to_be_bytes();
 
-/// If these bytes begin with a row whose value is longer than [`LONG`], returns the size of the whole message in bytes.
-/// Returns `None` for anything else, and while too few bytes have arrived to know; see [`unclear`].
+/// If these bytes begin with a row whose value is longer than [`MAX_BUFFERED_VALUE_SIZE`], returns the size of the whole message in bytes.
+/// Returns `None` for anything else, and while too few bytes have arrived to know; see [`may_begin_long_row`].
 ///
 /// # Errors
 ///
@@ -26,7 +26,7 @@
     let (Some(&tag::DATA_ROW), Some(length)) = (bytes.first(), length_field(bytes)) else {
         return Ok(None);
     };
-    if length <= ROW_HEADER_SIZE - 1 + LONG {
+    if length <= ROW_HEADER_SIZE - 1 + MAX_BUFFERED_VALUE_SIZE {
         return Ok(None);
     }
     if length > MAX_FORWARDED_LENGTH {
@@ -44,8 +44,8 @@
 }
 
 /// Whether these bytes begin with a row that may be long, and more of it has to arrive to know.
-pub fn unclear(bytes: &[u8]) -> bool {
-    let may_be_long = length_field(bytes).is_some_and(|length| length > LONG);
+pub fn may_begin_long_row(bytes: &[u8]) -> bool {
+    let may_be_long = length_field(bytes).is_some_and(|length| length > MAX_BUFFERED_VALUE_SIZE);
     bytes.first() == Some(&tag::DATA_ROW) && bytes.len() < ROW_HEADER_SIZE && may_be_long
 }
 
--- a/crates/pg/src/statement.rs
+++ b/crates/pg/src/statement.rs
@@ -14,9 +14,9 @@
     /// The name of its class.
     pub class: &'a str,
     /// The place in the statement of the number of milliseconds that the client waits.
-    pub wait_at: Range<usize>,
+    pub timeout_range: Range<usize>,
     /// How long the client waits, in milliseconds.
-    pub wait_ms: f64,
+    pub timeout_ms: f64,
     /// The group of hosts.
     pub group: i64,
     /// The idempotency key.
@@ -25,8 +25,8 @@
     pub retry: bool,
     /// The replication position that a read has to see, in Unix milliseconds.
     pub after_ms: Option<f64>,
-    /// The key that the statement quotes: the session, in classes that have sessions.
-    pub key: Option<&'a [u8]>,
+    /// The key that the statement quotes first: it names the session, in classes that have sessions.
+    pub session_key: Option<&'a [u8]>,
 }
 
 /// The fields of a comment that the gateway knows, as text.
@@ -87,8 +87,8 @@
         .filter(|id| !id.is_empty())
         .ok_or(Malformed("no id in the comment"))?;
     let wait = fields.wait.ok_or(Malformed("no d in the comment"))?;
-    let wait_ms = finite_number(wait)
-        .filter(|wait_ms| (0.0..=MAX_WAIT_MS).contains(wait_ms))
+    let timeout_ms = finite_number(wait)
+        .filter(|timeout_ms| (0.0..=MAX_WAIT_MS).contains(timeout_ms))
         .ok_or(Malformed("d is no time in milliseconds"))?;
     let after_ms = fields
         .after
@@ -102,13 +102,13 @@
     Ok(Statement {
         id,
         class,
-        wait_at: place_within(text, wait),
-        wait_ms,
+        timeout_range: place_within(text, wait),
+        timeout_ms,
         group,
         idempotency: fields.idempotency.filter(|key| !key.is_empty()),
         retry: fields.retry == Some("1"),
         after_ms: after_ms.filter(|&position| position > 0.0),
-        key: first_quoted(before_comment),
+        session_key: first_quoted(before_comment),
     })
 }
 
--- a/crates/pg/tests/framing.rs
+++ b/crates/pg/tests/framing.rs
@@ -1,7 +1,9 @@
 //! Framing: whole and incomplete messages, and their bounds.
 
 use bytes::BytesMut;
-use irisrouter_pg::{frame, long_row, put_query, query, startup, unclear, Reply, LONG};
+use irisrouter_pg::{
+    frame, long_row, may_begin_long_row, put_query, query, startup, Reply, MAX_BUFFERED_VALUE_SIZE,
+};
 
 const READ_STATEMENT: &str = "SELECT payload FROM entries WHERE ref = 'k''1' \
     /* id=9b1f,c=basket,d=480,cluster=2,after=1767225600123 */";
@@ -38,16 +40,36 @@
         .concat();
         [head, (value as u32).to_be_bytes().to_vec()].concat()
     };
-    assert_eq!(long_row(&row(LONG + 11, 1, LONG + 1)), Ok(Some(LONG + 12)));
-    assert_eq!(long_row(&row(LONG + 10, 1, LONG)), Ok(None));
-    assert_eq!(long_row(&row(LONG + 11, 1, LONG + 1)[..10]), Ok(None));
+    assert_eq!(
+        long_row(&row(
+            MAX_BUFFERED_VALUE_SIZE + 11,
+            1,
+            MAX_BUFFERED_VALUE_SIZE + 1
+        )),
+        Ok(Some(MAX_BUFFERED_VALUE_SIZE + 12))
+    );
+    assert_eq!(
+        long_row(&row(
+            MAX_BUFFERED_VALUE_SIZE + 10,
+            1,
+            MAX_BUFFERED_VALUE_SIZE
+        )),
+        Ok(None)
+    );
+    assert_eq!(
+        long_row(&row(MAX_BUFFERED_VALUE_SIZE + 11, 1, MAX_BUFFERED_VALUE_SIZE + 1)[..10]),
+        Ok(None)
+    );
     for bad in [
-        row(LONG + 11, 1, LONG),
-        row(LONG + 11, 2, LONG + 1),
+        row(MAX_BUFFERED_VALUE_SIZE + 11, 1, MAX_BUFFERED_VALUE_SIZE),
+        row(MAX_BUFFERED_VALUE_SIZE + 11, 2, MAX_BUFFERED_VALUE_SIZE + 1),
         row(1 << 30, 1, (1 << 30) - 10),
     ] {
         assert!(long_row(&bad).is_err());
     }
-    assert!(unclear(&row(LONG + 11, 1, LONG + 1)[..6]) && !unclear(b"D\0\0\0\x06\0\x01"));
-    assert!(Reply::default().passed_row().is_err());
+    assert!(
+        may_begin_long_row(&row(MAX_BUFFERED_VALUE_SIZE + 11, 1, MAX_BUFFERED_VALUE_SIZE + 1)[..6])
+            && !may_begin_long_row(b"D\0\0\0\x06\0\x01")
+    );
+    assert!(Reply::default().record_forwarded_row().is_err());
 }
--- a/crates/pg/tests/random_bytes.rs
+++ b/crates/pg/tests/random_bytes.rs
@@ -14,12 +14,12 @@
     ) {
         let _ = (long_row(&bytes), frame(&bytes), startup(&bytes), query(&bytes), statement(&bytes));
         for tag in [b'T', b'D', b'C', b'E', b'S', b'Z'] {
-            let _ = Reply::default().take(tag, &bytes);
+            let _ = Reply::default().read_message(tag, &bytes);
         }
         let mut almost_valid = READ_STATEMENT.as_bytes().to_vec();
         almost_valid.splice(offset..(offset + bytes.len() % 5).min(READ_STATEMENT.len()), bytes);
         if let Ok(parsed) = statement(&almost_valid) {
-            let wait = std::str::from_utf8(&almost_valid[parsed.wait_at]);
+            let wait = std::str::from_utf8(&almost_valid[parsed.timeout_range]);
             prop_assert!(wait.is_ok_and(|wait| wait.parse::<f64>().is_ok()));
         }
     }
--- a/crates/pg/tests/reply.rs
+++ b/crates/pg/tests/reply.rs
@@ -7,42 +7,45 @@
     let row = [0, 1, 0, 0, 0, 1, b'x'];
     let column = [&[0, 1][..], b"payload\0", &[0; 18]].concat();
     assert!(
-        Reply::default().take(b'D', &row).is_err(),
+        Reply::default().read_message(b'D', &row).is_err(),
         "a row that nothing describes"
     );
     assert!(Reply::default()
-        .take(b'T', &[&[0, 2][..], b"payload\0", &[0; 18]].concat())
+        .read_message(b'T', &[&[0, 2][..], b"payload\0", &[0; 18]].concat())
         .is_err());
     let mut reply = Reply::default();
-    assert_eq!(reply.take(b'T', &column), Ok(true));
+    assert_eq!(reply.read_message(b'T', &column), Ok(true));
     assert!(
-        reply.clone().take(b'T', &column).is_err(),
+        reply.clone().read_message(b'T', &column).is_err(),
         "described twice"
     );
     assert!(
-        reply.clone().take(b'Z', b"I").is_err(),
+        reply.clone().read_message(b'Z', b"I").is_err(),
         "an end without a row"
     );
-    assert_eq!(reply.take(b'D', &row), Ok(true));
+    assert_eq!(reply.read_message(b'D', &row), Ok(true));
     assert!(
         !reply.served(),
         "without CommandComplete it may not be whole"
     );
-    assert!(reply.clone().take(b'D', &row).is_err(), "a second row");
-    assert_eq!(reply.take(b'C', b"SELECT 1\0"), Ok(true));
+    assert!(
+        reply.clone().read_message(b'D', &row).is_err(),
+        "a second row"
+    );
+    assert_eq!(reply.read_message(b'C', b"SELECT 1\0"), Ok(true));
     assert!(reply.served());
     reply
-        .take(b'S', b"server_role\0writer\0")
+        .read_message(b'S', b"server_role\0writer\0")
         .expect("a status");
     reply
-        .take(b'S', b"commit_clock\x001767225600123\0")
+        .read_message(b'S', b"commit_clock\x001767225600123\0")
         .expect("a status");
     assert_eq!(
         (reply.role, reply.position_ms),
         (Some(HostRole::Writer), Some(1_767_225_600_123))
     );
     reply
-        .take(b'E', b"SERROR\0CXX000\0Mno\0\0")
+        .read_message(b'E', b"SERROR\0CXX000\0Mno\0\0")
         .expect("an error");
     assert!(!reply.served());
     // A null value, a wrong length, two columns.
@@ -52,7 +55,7 @@
         &[0, 2, 0, 0, 0, 1, 1],
     ] {
         let mut reply = Reply::default();
-        reply.take(b'T', &column).expect("a description");
-        assert!(reply.take(b'D', body).is_err());
+        reply.read_message(b'T', &column).expect("a description");
+        assert!(reply.read_message(b'D', body).is_err());
     }
 }
--- a/crates/pg/tests/statement.rs
+++ b/crates/pg/tests/statement.rs
@@ -8,13 +8,13 @@
 #[test]
 fn statement_has_the_fields_of_its_comment() {
     let parsed = statement(READ_STATEMENT.as_bytes()).expect("a statement");
-    assert_eq!(&READ_STATEMENT[parsed.wait_at.clone()], "480");
+    assert_eq!(&READ_STATEMENT[parsed.timeout_range.clone()], "480");
     assert_eq!(
         (parsed.class, parsed.group, parsed.after_ms),
         ("basket", 2, Some(1_767_225_600_123.0))
     );
     assert_eq!(
-        (parsed.key, parsed.idempotency, parsed.retry),
+        (parsed.session_key, parsed.idempotency, parsed.retry),
         (Some(b"k''1" as &[u8]), None, false)
     );
     let repeated = READ_STATEMENT
--- a/src/net/buffers.rs
+++ b/src/net/buffers.rs
@@ -6,26 +6,26 @@
 use std::rc::Rc;
 
 /// Size of a buffer in bytes: most statements and rows fit.
-pub const SIZE: usize = 8 * 1024;
+pub const BUFFER_SIZE: usize = 8 * 1024;
 /// Largest number of free buffers that are kept for reuse.
 const MAX_FREE_BUFFERS: usize = 64;
 
 /// A pool of buffers. What single messages need beyond a buffer's size comes from a budget that they share.
 pub struct Pool {
     free: RefCell<Vec<BytesMut>>,
-    /// Bytes beyond the size of a buffer that are in use.
-    grown: Cell<usize>,
+    /// Bytes beyond the size of a buffer that are in use in this process.
+    extra_bytes: Cell<usize>,
     /// Most bytes beyond the size of a buffer, here and in other processes of this gateway together.
     budget: usize,
     /// Bytes beyond the size of a buffer that another process of this gateway uses.
-    pub elsewhere: Cell<usize>,
+    other_process_extra_bytes: Cell<usize>,
 }
 
 /// A buffer that returns to its pool when it is dropped.
 pub struct Buffer {
     bytes: BytesMut,
-    /// Bytes beyond [`SIZE`] that this buffer has taken from the budget.
-    extra: usize,
+    /// Bytes beyond [`BUFFER_SIZE`] that this buffer has taken from the budget.
+    extra_bytes: usize,
     pool: Rc<Pool>,
 }
 
@@ -34,53 +34,60 @@
     pub fn new(budget: usize) -> Rc<Self> {
         Rc::new(Pool {
             free: RefCell::default(),
-            grown: Cell::new(0),
+            extra_bytes: Cell::new(0),
             budget,
-            elsewhere: Cell::new(0),
+            other_process_extra_bytes: Cell::new(0),
         })
     }
 
     /// Bytes beyond the size of a buffer that are in use in this process.
-    pub fn grown(&self) -> usize {
-        self.grown.get()
+    pub fn extra_bytes(&self) -> usize {
+        self.extra_bytes.get()
+    }
+
+    /// Sets the bytes beyond the size of a buffer that another process of this gateway uses: they count towards the
+    /// budget of this one.
+    pub fn set_other_process_extra_bytes(&self, bytes: usize) {
+        self.other_process_extra_bytes.set(bytes);
     }
 
     /// Returns an empty buffer.
-    pub fn take(self: &Rc<Self>) -> Buffer {
+    pub fn acquire(self: &Rc<Self>) -> Buffer {
         let bytes = self
             .free
             .borrow_mut()
             .pop()
-            .unwrap_or_else(|| BytesMut::with_capacity(SIZE));
+            .unwrap_or_else(|| BytesMut::with_capacity(BUFFER_SIZE));
         Buffer {
             bytes,
-            extra: 0,
+            extra_bytes: 0,
             pool: Rc::clone(self),
         }
     }
 }
 
 impl Buffer {
-    /// Makes room for `more` bytes, and returns whether the budget for large messages allows it. Without a budget, a
+    /// Makes room for `additional` bytes, and returns whether the budget for large messages allows it. Without a budget, a
     /// thousand connections with large messages would exceed the limit on memory.
-    pub fn room(&mut self, more: usize) -> bool {
-        let needed = (self.bytes.len() + more).saturating_sub(SIZE);
-        if needed > self.extra {
-            let grown = self.pool.grown.get() + needed - self.extra;
-            if grown + self.pool.elsewhere.get() > self.pool.budget {
+    #[must_use]
+    pub fn try_reserve(&mut self, additional: usize) -> bool {
+        let needed = (self.bytes.len() + additional).saturating_sub(BUFFER_SIZE);
+        if needed > self.extra_bytes {
+            let extra_bytes = self.pool.extra_bytes.get() + needed - self.extra_bytes;
+            if extra_bytes + self.pool.other_process_extra_bytes.get() > self.pool.budget {
                 return false;
             }
-            self.pool.grown.set(grown);
-            self.extra = needed;
+            self.pool.extra_bytes.set(extra_bytes);
+            self.extra_bytes = needed;
         }
-        self.bytes.reserve(more);
+        self.bytes.reserve(additional);
         true
     }
 
     /// Appends bytes if there is room for them, and returns whether there was.
     #[must_use]
     pub fn append(&mut self, bytes: &[u8]) -> bool {
-        let fits = self.room(bytes.len());
+        let fits = self.try_reserve(bytes.len());
         if fits {
             self.bytes.extend_from_slice(bytes);
         }
@@ -103,13 +110,14 @@
 
 impl Drop for Buffer {
     fn drop(&mut self) {
-        self.pool.grown.set(self.pool.grown.get() - self.extra);
+        let extra_bytes = self.pool.extra_bytes.get() - self.extra_bytes;
+        self.pool.extra_bytes.set(extra_bytes);
         let mut free = self.pool.free.borrow_mut();
         // The memory of a buffer that has grown is freed, so that all free buffers have the same size.
-        if self.extra == 0 && free.len() < MAX_FREE_BUFFERS {
+        if self.extra_bytes == 0 && free.len() < MAX_FREE_BUFFERS {
             let mut bytes = std::mem::take(&mut self.bytes);
             bytes.clear();
-            bytes.reserve(SIZE);
+            bytes.reserve(BUFFER_SIZE);
             free.push(bytes);
         }
     }
--- a/src/net/downstream/answer_writer.rs
+++ b/src/net/downstream/answer_writer.rs
@@ -46,7 +46,7 @@
                 Some(StreamChunk::Data(piece)) => self.write(&piece).await?,
                 Some(StreamChunk::Last(mut end)) => {
                     return end
-                        .room(READY_FOR_QUERY_ROOM)
+                        .try_reserve(READY_FOR_QUERY_ROOM)
                         .then_some(end)
                         .ok_or(ConnectionEnd::Disconnected)
                 }
@@ -91,7 +91,7 @@
         message: &str,
         detail: Option<&str>,
     ) -> ConnectionEnd {
-        let mut out = self.listener.pool.take();
+        let mut out = self.listener.pool.acquire();
         pg::put_error(&mut out, "FATAL", code, message, detail);
         match self.write(&out).await {
             Ok(()) => ConnectionEnd::ErrorSent,
--- a/src/net/downstream/client_input.rs
+++ b/src/net/downstream/client_input.rs
@@ -24,7 +24,7 @@
 const DRAIN_IDLE_TIMEOUT: Duration = Duration::from_millis(250);
 /// How much a client may send ahead of its answer, in bytes: more than the largest message. What is left unread in the
 /// socket hides the client's disconnection, and the request of one that sends much and disconnects would go on.
-const MAX_INPUT_AHEAD: usize = pg::LARGEST + 1;
+const MAX_INPUT_AHEAD: usize = pg::MAX_MESSAGE_SIZE + 1;
 /// Smallest space, in bytes, that is made for one read.
 const MIN_READ_SPACE: usize = 1024;
 /// How many bytes are read in the moment in which a connection is to end: enough to see that something has arrived.
@@ -148,8 +148,8 @@
     /// a read that waits then has no time limit.
     fn read_available(&mut self) -> Result<(), ConnectionEnd> {
         let pool = &self.listener.pool;
-        let input = self.input.get_or_insert_with(|| pool.take());
-        if !input.room(input.len().clamp(MIN_READ_SPACE, pg::LARGEST)) {
+        let input = self.input.get_or_insert_with(|| pool.acquire());
+        if !input.try_reserve(input.len().clamp(MIN_READ_SPACE, pg::MAX_MESSAGE_SIZE)) {
             return Err(ConnectionEnd::OutOfMemory);
         }
         match self.stream.try_read_buf(&mut **input) {
@@ -168,7 +168,7 @@
             Ok(0) => Err(ConnectionEnd::Disconnected),
             Ok(n) => {
                 let pool = &self.listener.pool;
-                let input = self.input.get_or_insert_with(|| pool.take());
+                let input = self.input.get_or_insert_with(|| pool.acquire());
                 if !input.append(&bytes[..n]) {
                     return Err(ConnectionEnd::OutOfMemory);
                 }
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -132,7 +132,7 @@
         self.start_up().await?;
         loop {
             let message = self.next_message().await?;
-            let mut out = self.listener.pool.take();
+            let mut out = self.listener.pool.acquire();
             self.handle_message(&message, &mut out).await?;
             self.write(&out).await?;
             if self.ends_behind_answer()? {
@@ -160,9 +160,9 @@
             match parsed {
                 Err(malformed) => return Err(self.end_with_violation(malformed.0).await),
                 Ok(None) => self.read_more(QuietKind::Starting).await?,
-                Ok(Some((request, length))) => {
-                    self.consume_input(length);
-                    if self.handle_startup(request).await? == StartupProgress::Complete {
+                Ok(Some(message)) => {
+                    self.consume_input(message.length);
+                    if self.handle_startup(message.purpose).await? == StartupProgress::Complete {
                         return Ok(());
                     }
                 }
@@ -170,9 +170,9 @@
         }
     }
 
-    async fn handle_startup(&mut self, request: Startup) -> Result<StartupProgress, ConnectionEnd> {
-        let mut out = self.listener.pool.take();
-        match request {
+    async fn handle_startup(&mut self, purpose: Startup) -> Result<StartupProgress, ConnectionEnd> {
+        let mut out = self.listener.pool.acquire();
+        match purpose {
             Startup::Encryption => {
                 self.stream.write_all(ENCRYPTION_REFUSED).await?;
                 Ok(StartupProgress::AwaitingNext)
@@ -191,7 +191,7 @@
                     .cancel_registration
                     .as_ref()
                     .map(CancelRegistration::key);
-                pg::put_welcome(&mut out, key);
+                pg::put_startup_response(&mut out, key);
                 self.write(&out).await?;
                 Ok(StartupProgress::Complete)
             }
@@ -216,7 +216,7 @@
 
     /// Moves a whole message from the input into a buffer of its own.
     fn take_message(&mut self, frame: &pg::Frame) -> Result<Message, ConnectionEnd> {
-        let mut body = self.listener.pool.take();
+        let mut body = self.listener.pool.acquire();
         let fits = self
             .input
             .as_ref()
@@ -311,7 +311,7 @@
         let mut wait = permit.wait_quietly(QuietKind::Leaving);
         let discarding = async {
             stream.shutdown().await?;
-            let mut buffer = listener.pool.take();
+            let mut buffer = listener.pool.acquire();
             let mut remaining = LINGER_BYTES;
             loop {
                 buffer.clear();
--- a/src/net/downstream/connection_limit.rs
+++ b/src/net/downstream/connection_limit.rs
@@ -56,8 +56,8 @@
     limit: usize,
     /// Above this number of connections, idle ones are evicted sooner.
     usual: usize,
-    /// Connections of another process of this gateway, during a hot restart.
-    pub elsewhere: Cell<usize>,
+    /// Descriptors that another process of this gateway needs for its clients and itself, during a hot restart.
+    other_process_descriptors: Cell<usize>,
     /// Connections that count towards the limit.
     counted: Cell<usize>,
     /// All connections, with those that are being rejected or have been evicted.
@@ -88,7 +88,7 @@
         Rc::new(ConnectionLimit {
             limit,
             usual,
-            elsewhere: Cell::new(0),
+            other_process_descriptors: Cell::new(0),
             counted: Cell::new(0),
             open: Cell::new(0),
             waits: RefCell::default(),
@@ -101,9 +101,16 @@
         self.open.get()
     }
 
+    /// Sets the descriptors that another process of this gateway needs for its clients and itself: they count towards
+    /// the limit of this one.
+    pub fn set_other_process_descriptors(&self, descriptors: usize) {
+        self.other_process_descriptors.set(descriptors);
+    }
+
     /// What the other process leaves of the limit.
     fn own_limit(&self) -> usize {
-        self.limit.saturating_sub(self.elsewhere.get())
+        self.limit
+            .saturating_sub(self.other_process_descriptors.get())
     }
 
     /// Whether the limit is reached, so that a new connection is accepted only if another is evicted.
--- a/src/net/downstream/query.rs
+++ b/src/net/downstream/query.rs
@@ -105,7 +105,7 @@
             }
             QueryOutcome::Answered(Answer::Served(row)) => {
                 *out = row;
-                if !out.room(READY_FOR_QUERY_ROOM) {
+                if !out.try_reserve(READY_FOR_QUERY_ROOM) {
                     return Err(ConnectionEnd::Disconnected);
                 }
             }
@@ -166,7 +166,7 @@
         let minimum_position = self.required_position(&statement, class)?;
         // A client that says it waits for ever would otherwise hold its request as long.
         let timeout =
-            Duration::from_secs_f64(statement.wait_ms / 1e3).min(duration(class.deadline));
+            Duration::from_secs_f64(statement.timeout_ms / 1e3).min(duration(class.deadline));
         let copy = self.copy_statement(text)?;
         let id = core
             .reserve_id(statement.id)
@@ -182,7 +182,7 @@
             idempotency_key,
             statement: Statement {
                 text: copy,
-                timeout_range: statement.wait_at,
+                timeout_range: statement.timeout_range,
             },
         })
     }
@@ -206,7 +206,7 @@
     }
 
     fn copy_statement(&self, text: &[u8]) -> Result<Buffer, StatementError> {
-        let mut copy = self.listener.pool.take();
+        let mut copy = self.listener.pool.acquire();
         if !copy.append(text) {
             return Err(StatementError::StatementTooLarge);
         }
@@ -217,7 +217,10 @@
 /// The session of a statement: that of the key which it names, in classes whose requests belong to sessions.
 fn session(statement: &pg::Statement<'_>, class: &RequestClass) -> Option<SessionId> {
     let has_sessions = matches!(class.freshness, Freshness::Session | Freshness::Write);
-    statement.key.filter(|_| has_sessions).map(SessionId::of)
+    statement
+        .session_key
+        .filter(|_| has_sessions)
+        .map(SessionId::of)
 }
 
 /// The number of a statement's idempotency key within its group. Only keyed classes use the key, and they require it.
--- a/src/net/hot_restart.rs
+++ b/src/net/hot_restart.rs
@@ -303,7 +303,7 @@
             client_descriptors: self.dependencies.connection_limit.open_connections()
                 + RESERVED_DESCRIPTORS,
             upstream_connections: self.dependencies.upstream.open_connections(),
-            message_memory: self.dependencies.buffers.grown(),
+            message_memory: self.dependencies.buffers.extra_bytes(),
         };
         own + self.usage_of_others.get(side.opposite())
     }
@@ -311,18 +311,16 @@
     fn set_usage(&self, side: Side, usage: ResourceUsage) {
         self.usage_of_others.set(side, usage);
         let total = self.usage_of_others.total();
-        self.dependencies
+        let parts = &self.dependencies;
+        parts
             .connection_limit
-            .elsewhere
-            .set(total.client_descriptors);
-        self.dependencies
+            .set_other_process_descriptors(total.client_descriptors);
+        parts
             .upstream
-            .elsewhere
-            .set(total.upstream_connections);
-        self.dependencies
+            .set_other_process_connections(total.upstream_connections);
+        parts
             .buffers
-            .elsewhere
-            .set(total.message_memory);
+            .set_other_process_extra_bytes(total.message_memory);
     }
 }
 
--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -114,10 +114,10 @@
 
     /// The query message of a statement, with the milliseconds that are left for it; `None` where there is no room for it.
     fn query_message(&self, statement: &Statement, deadline: Instant) -> Option<Buffer> {
-        let mut message = self.buffers.take();
+        let mut message = self.buffers.acquire();
         let left = deadline.saturating_duration_since(Instant::now());
         let milliseconds = left.as_millis().max(1).to_string();
-        if !message.room(statement.text.len() + milliseconds.len() + QUERY_OVERHEAD) {
+        if !message.try_reserve(statement.text.len() + milliseconds.len() + QUERY_OVERHEAD) {
             return None;
         }
         let timeout_range = &statement.timeout_range;
--- a/src/net/upstream/connection.rs
+++ b/src/net/upstream/connection.rs
@@ -91,7 +91,7 @@
         let failed = |_: io::Error| Outcome::ConnectFailed;
         let mut stream = TcpStream::connect(host.address).await.map_err(failed)?;
         stream.set_nodelay(true).map_err(failed)?;
-        let mut buffer = self.buffers.take();
+        let mut buffer = self.buffers.acquire();
         pg::put_startup(&mut buffer, USER, DATABASE);
         stream.write_all(&buffer).await.map_err(failed)?;
         buffer.clear();
@@ -101,7 +101,7 @@
             incarnation: host.incarnation,
             _slot: slot,
         };
-        let reader = ReplyReader::new(buffer, self.buffers.take());
+        let reader = ReplyReader::new(buffer, self.buffers.acquire());
         let received = reader.read(&mut connection, LongRows::AsMessages).await;
         let Ok(Received::Complete(complete)) = received else {
             return Err(Outcome::ConnectFailed);
--- a/src/net/upstream/exchange.rs
+++ b/src/net/upstream/exchange.rs
@@ -58,7 +58,7 @@
             Some(_) => LongRows::PassOn,
             None => LongRows::AsMessages,
         };
-        let reader = ReplyReader::new(buffer, self.buffers.take());
+        let reader = ReplyReader::new(buffer, self.buffers.acquire());
         let reading = reader.read(&mut connection, long_rows);
         let received = timeout_at(deadline, reading)
             .await
--- a/src/net/upstream/health_check.rs
+++ b/src/net/upstream/health_check.rs
@@ -103,7 +103,7 @@
             return Err(Outcome::NotSent);
         };
         let text = health_check_text(fence);
-        let mut message = self.buffers.take();
+        let mut message = self.buffers.acquire();
         pg::put_query(&mut message, text.as_bytes());
         let query = Query {
             member,
--- a/src/net/upstream/pool.rs
+++ b/src/net/upstream/pool.rs
@@ -49,9 +49,14 @@
         self.limits.open.get()
     }
 
+    /// Sets the connections of another process of this gateway: they count towards the limit of this one.
+    pub fn set_other_process_connections(&self, connections: usize) {
+        self.other_process_connections.set(connections);
+    }
+
     /// Connections of all processes of this gateway.
     fn total_connections(&self) -> usize {
-        self.open_connections() + self.elsewhere.get()
+        self.open_connections() + self.other_process_connections.get()
     }
 
     /// A slot for one more connection; at the limit, that of the one that has been idle longest. `None` where all are in
--- a/src/net/upstream/registry.rs
+++ b/src/net/upstream/registry.rs
@@ -24,7 +24,7 @@
     pub(super) drains: DrainState,
     pub(super) limits: ConnectionLimits,
     /// Connections of another process of this gateway, during a hot restart.
-    pub elsewhere: Cell<usize>,
+    pub(super) other_process_connections: Cell<usize>,
     pub(super) reachability_enabled: Cell<bool>,
     pub(super) buffers: Rc<Pool>,
     pub(super) metrics: Rc<Metrics>,
@@ -65,7 +65,7 @@
             registry: RefCell::new(registry),
             drains: DrainState::default(),
             limits: ConnectionLimits::new(max_connections),
-            elsewhere: Cell::new(0),
+            other_process_connections: Cell::new(0),
             reachability_enabled: Cell::new(false),
             buffers,
             metrics,
--- a/src/net/upstream/reply.rs
+++ b/src/net/upstream/reply.rs
@@ -118,8 +118,8 @@
                 Progress::Complete => return Ok(self.complete()),
                 Progress::LongRow(length) => return Ok(self.long_row(length)),
             }
-            let more = self.unread.len().clamp(MIN_READ, pg::LARGEST);
-            if !self.unread.room(more) {
+            let more = self.unread.len().clamp(MIN_READ, pg::MAX_MESSAGE_SIZE);
+            if !self.unread.try_reserve(more) {
                 return Err(ReplyError::NoRoom);
             }
             match connection.stream.read_buf(&mut *self.unread).await {
@@ -136,7 +136,7 @@
     /// Takes the whole messages that have been read.
     fn take_messages(&mut self, long_rows: LongRows) -> Result<Progress, ReplyError> {
         let pass_on = long_rows == LongRows::PassOn;
-        while !(pass_on && pg::unclear(&self.unread)) {
+        while !(pass_on && pg::may_begin_long_row(&self.unread)) {
             if let Some(length) = pg::long_row(&self.unread)?.filter(|_| pass_on) {
                 return Ok(Progress::LongRow(length));
             }
@@ -144,7 +144,9 @@
                 break;
             };
             let end = frame.body.end;
-            let in_row = self.reply.take(frame.tag, &self.unread[frame.body])?;
+            let in_row = self
+                .reply
+                .read_message(frame.tag, &self.unread[frame.body])?;
             if in_row && !self.row.append(&self.unread[..end]) {
                 return Err(ReplyError::NoRoom);
             }
--- a/src/net/upstream/response_stream.rs
+++ b/src/net/upstream/response_stream.rs
@@ -49,7 +49,7 @@
             mut unread,
             length,
         } = row;
-        reply.passed_row()?;
+        reply.record_forwarded_row()?;
         let available = length.min(unread.len());
         if !head.append(&unread[..available]) {
             return Err(ReplyError::NoRoom);
@@ -59,7 +59,7 @@
         begin(StreamedAnswer { head, rest });
         let missing = length - available;
         self.pass_value_on(connection, missing, &chunks).await?;
-        let reader = ReplyReader::resume(reply, unread, self.buffers.take());
+        let reader = ReplyReader::resume(reply, unread, self.buffers.acquire());
         let reading = reader.read(connection, LongRows::AsMessages);
         let received = timeout(HOST_SILENCE_TIMEOUT, reading)
             .await
@@ -81,7 +81,7 @@
         chunks: &mpsc::Sender<StreamChunk>,
     ) -> Result<(), ReplyError> {
         while missing > 0 {
-            let mut chunk = self.buffers.take();
+            let mut chunk = self.buffers.acquire();
             let mut limited = (&mut *chunk).limit(missing);
             let reading = connection.stream.read_buf(&mut limited);
             match timeout(HOST_SILENCE_TIMEOUT, reading).await {
