Name what the platform's settings allow, and what the router registers, in src/net

PlatformSettings: me, share, probes_allowed are gateway_number, shares_health_checks, health_checks_allowed; balancers, which nothing read (settings.gateway_count has the same number), is gone. The keys of the file stay.

RouterHandle::register returns a RegisteredRequest instead of a tuple. ClientListener::core is request_context: a core is a package without I/O here. Metrics::attempt is record_attempt. Closures over hosts and connections name their argument. src/net/mod.rs, RouterHandle, Upstream, Pool and Counter say why they are shared as they are.

The structs File and List keep their names: they stand in error texts. On trial serde's `expecting` changed the text for a list in place of an object ("with 11 elements" was lost; two compatibility tests failed), and `rename` does not reach it.

--- a/src/net/buffers.rs
+++ b/src/net/buffers.rs
@@ -10,7 +10,7 @@
 /// Largest number of free buffers that are kept for reuse.
 const MAX_FREE_BUFFERS: usize = 64;
 
-/// A pool of buffers. What single messages need beyond a buffer's size comes from a budget that they share.
+/// A pool of buffers, shared by all connections; each buffer holds a reference to it, to return on drop. What single messages need beyond a buffer's size comes from a budget that they share.
 pub struct Pool {
     free: RefCell<Vec<BytesMut>>,
     /// Bytes beyond the size of a buffer that are in use in this process.
--- a/src/net/config/file.rs
+++ b/src/net/config/file.rs
@@ -29,7 +29,8 @@
 /// The configuration file.
 ///
 /// The texts of its errors contain this name and depend on the order of the fields. Operators know these texts, so
-/// neither changes; other modules call it `ConfigFile`.
+/// neither changes; other modules call it `ConfigFile`. Serde's `rename` does not reach these texts, and `expecting`
+/// changes the one for a list in place of an object.
 #[derive(Deserialize)]
 pub struct File {
     #[serde(rename = "peer_listen")]
@@ -94,7 +95,7 @@
     /// The addresses of the gateways, where the platform lets them share health checks or membership is on. A file in
     /// which they cannot be read starts a gateway that works alone, and logs it.
     pub(super) fn peers(&self, platform: &PlatformSettings, membership: bool) -> Option<Peers> {
-        if !platform.share && !membership {
+        if !platform.shares_health_checks && !membership {
             return None;
         }
         let listen = self.peer_listen_address.as_deref()?;
@@ -112,7 +113,7 @@
     ) -> Result<Peers, ConfigFileError> {
         let addresses = Vec::<SocketAddr>::deserialize(&self.peer_addresses)
             .map_err(ConfigFileError::PeersMalformed)?;
-        let local_number = platform.me;
+        let local_number = platform.gateway_number;
         let gateways = platform.settings.gateway_count;
         if local_number as usize >= addresses.len() || addresses.len() != gateways as usize {
             return Err(ConfigFileError::PeersInconsistent {
--- a/src/net/downstream/answer_writer.rs
+++ b/src/net/downstream/answer_writer.rs
@@ -57,7 +57,7 @@
 
     /// Reports a violation of the protocol and ends the connection.
     pub(super) async fn end_with_violation(&mut self, message: &str) -> ConnectionEnd {
-        increment(&self.listener.core.metrics.requests.malformed);
+        increment(&self.listener.request_context.metrics.requests.malformed);
         self.end_with_error(code::PROTOCOL_VIOLATION, message, None)
             .await
     }
--- a/src/net/downstream/client_input.rs
+++ b/src/net/downstream/client_input.rs
@@ -87,7 +87,14 @@
             }
             InputEvent::Draining => Err(ConnectionEnd::Closed),
             InputEvent::Evicted => {
-                increment(&self.listener.core.metrics.connections.downstream_evicted);
+                increment(
+                    &self
+                        .listener
+                        .request_context
+                        .metrics
+                        .connections
+                        .downstream_evicted,
+                );
                 if idle {
                     return Err(ConnectionEnd::Closed);
                 }
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -115,7 +115,7 @@
         increment(
             &connection
                 .listener
-                .core
+                .request_context
                 .metrics
                 .connections
                 .downstream_rejected,
@@ -270,7 +270,7 @@
     }
 
     fn put_unsupported(&self, out: &mut Buffer) {
-        increment(&self.listener.core.metrics.requests.malformed);
+        increment(&self.listener.request_context.metrics.requests.malformed);
         let message = "only simple queries are spoken here";
         pg::put_error(out, "ERROR", code::FEATURE_NOT_SUPPORTED, message, None);
     }
--- a/src/net/downstream/listener.rs
+++ b/src/net/downstream/listener.rs
@@ -25,7 +25,7 @@
 /// The listener for PostgreSQL clients, and what all client connections share.
 pub struct ClientListener {
     /// Executes the clients' requests.
-    pub core: Rc<RequestContext>,
+    pub request_context: Rc<RequestContext>,
     /// The pool of message buffers.
     pub pool: Rc<Pool>,
     /// The request classes and the other settings.
@@ -52,8 +52,8 @@
                         yield_now().await;
                     }
                 }
-                Err(e) => {
-                    log!("cannot accept: {e}");
+                Err(error) => {
+                    log!("cannot accept: {error}");
                     sleep(ACCEPT_RETRY_DELAY).await;
                 }
             }
@@ -70,7 +70,7 @@
     }
 
     fn spawn_connection(self: &Rc<Self>, stream: TcpStream) {
-        increment(&self.core.metrics.connections.downstream_accepted);
+        increment(&self.request_context.metrics.connections.downstream_accepted);
         let Some(permit) = self.connection_limit.acquire() else {
             return;
         };
--- a/src/net/downstream/query.rs
+++ b/src/net/downstream/query.rs
@@ -69,7 +69,7 @@
         }
         match self.parse_request(text) {
             Err(error) => {
-                increment(&self.listener.core.metrics.requests.malformed);
+                increment(&self.listener.request_context.metrics.requests.malformed);
                 let message = error.to_string();
                 pg::put_error(out, "ERROR", code::SYNTAX_ERROR, &message, None);
             }
@@ -130,7 +130,7 @@
         call: ClientRequest,
     ) -> Result<QueryOutcome, ConnectionEnd> {
         let (sender, answer) = oneshot::channel();
-        tokio::task::spawn_local(Rc::clone(&self.listener.core).serve(call, sender));
+        tokio::task::spawn_local(Rc::clone(&self.listener.request_context).serve(call, sender));
         let registration = self.cancel_registration.take();
         let mut query = registration.as_ref().map(CancelRegistration::query);
         let outcome = async {
@@ -149,7 +149,7 @@
 
     /// Checks a statement and makes a request of it.
     fn parse_request(&self, text: &[u8]) -> Result<ClientRequest, StatementError> {
-        let core = &self.listener.core;
+        let context = &self.listener.request_context;
         let statement =
             pg::statement(text).map_err(|malformed| StatementError::Malformed(malformed.0))?;
         let held_class = self
@@ -159,7 +159,7 @@
             .ok_or(StatementError::UnknownClass)?;
         let class = &held_class.class;
         let group = GroupId(statement.group);
-        if !core.upstream.may_have_group(group) {
+        if !context.upstream.may_have_group(group) {
             return Err(StatementError::UnknownGroup);
         }
         let idempotency_key = idempotency_key(&statement, class)?;
@@ -168,7 +168,7 @@
         let timeout =
             Duration::from_secs_f64(statement.timeout_ms / 1e3).min(duration(class.deadline));
         let copy = self.copy_statement(text)?;
-        let id = core
+        let id = context
             .reserve_id(statement.id)
             .ok_or(StatementError::DuplicateRequestId)?;
         Ok(ClientRequest {
@@ -198,7 +198,7 @@
             .after_ms
             .filter(|_| class.freshness == Freshness::Session)
             .map(|milliseconds| (milliseconds * 1e6) as Nanos);
-        let clock = &self.listener.core.clock;
+        let clock = &self.listener.request_context.clock;
         if position.is_some_and(|p| p > clock.now().saturating_add(MAX_POSITION_LEAD)) {
             return Err(StatementError::PositionInFuture);
         }
--- a/src/net/endpoint_list.rs
+++ b/src/net/endpoint_list.rs
@@ -58,7 +58,8 @@
 pub use self::List as EndpointList;
 
 /// A list of database hosts, or the changes to one. The rest of the program calls it [`EndpointList`]; its own name is part
-/// of the error text that operators see for a malformed list, and stays for that.
+/// of the error text that operators see for a malformed list, and stays for that. Serde's `rename` does not reach that
+/// text, and `expecting` changes the one for a list in place of an object.
 #[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq)]
 pub struct List {
     /// Its version, which grows with each change.
--- a/src/net/lifecycle/cluster_startup.rs
+++ b/src/net/lifecycle/cluster_startup.rs
@@ -73,7 +73,7 @@
     membership: Option<&Rc<MembershipService>>,
 ) -> Option<Rc<LeaseService>> {
     let wanted = &config.operators.leases;
-    let allowed = wanted.enabled && config.platform.probes_allowed;
+    let allowed = wanted.enabled && config.platform.health_checks_allowed;
     let peers = config.peers.as_ref().filter(|_| allowed)?;
     LeaseService::new(
         Rc::clone(membership?),
--- a/src/net/lifecycle/peer_socket_task.rs
+++ b/src/net/lifecycle/peer_socket_task.rs
@@ -28,7 +28,8 @@
             let opener = PeerSocketOpener {
                 peers: peers.clone(),
                 parts: parts.clone(),
-                shares_health_checks: config.platform.share || services.leases.is_some(),
+                shares_health_checks: config.platform.shares_health_checks
+                    || services.leases.is_some(),
                 services: services.clone(),
             };
             spawn_local(Rc::clone(&handle).run(opener));
--- a/src/net/lifecycle/shutdown.rs
+++ b/src/net/lifecycle/shutdown.rs
@@ -103,7 +103,10 @@
         let stopped = Instant::now();
         let schedule = ShutdownSchedule::new(self.parts.classes.longest_wait());
         let answer_by = stopped + schedule.answer_by;
-        self.client_listener.core.answer_by.set(Some(answer_by));
+        self.client_listener
+            .request_context
+            .answer_by
+            .set(Some(answer_by));
         if self.listener.source == ListenerSource::Inherited {
             return;
         }
--- a/src/net/lifecycle/startup.rs
+++ b/src/net/lifecycle/startup.rs
@@ -74,7 +74,7 @@
         descriptors.usual_client_connections,
     );
     Rc::new(ClientListener {
-        core: Rc::new(build_request_context(parts, services)),
+        request_context: Rc::new(build_request_context(parts, services)),
         pool: Rc::clone(&parts.buffers),
         classes: Rc::clone(&parts.classes),
         connection_limit,
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-/// A count since the start of the process.
+/// A count since the start of the process. A cell, as all tasks count on one thread and share the counters.
 pub type Counter = Cell<u64>;
 
 /// Adds one to a counter.
@@ -159,12 +159,13 @@
     pub endpoint_watch: EndpointWatchMetrics,
     /// Site failover.
     pub site_failover: SiteFailoverMetrics,
+    /// Attempts that ended, by the name of their outcome: printed in the order of the names, and only those that occurred.
     attempts: RefCell<BTreeMap<&'static str, u64>>,
 }
 
 impl Metrics {
     /// Counts an attempt that ended.
-    pub fn attempt(&self, outcome: Outcome) {
+    pub fn record_attempt(&self, outcome: Outcome) {
         let name = match outcome {
             Outcome::Ok => "ok",
             Outcome::Error => "error",
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -22,6 +22,9 @@
 //! 17. `lifecycle`: start, signals, reload and shutdown; connects all others
 //!
 //! The clock and the conversions of time in this file are used by all of them.
+//!
+//! All tasks run on one thread. What several of them use is shared as an `Rc`, and what changes in it is a `Cell` or a
+//! `RefCell`; a `RefCell` is borrowed for a few statements only, and never across an await, so no borrow meets another.
 
 pub mod admin;
 pub mod buffers;
--- a/src/net/request/attempts.rs
+++ b/src/net/request/attempts.rs
@@ -141,9 +141,12 @@
     pub(super) fn ended(&self, joined: JoinedAttempt) -> Option<EndedAttempt> {
         let (task, result) = match joined {
             Ok((task, result)) => (task, result),
-            Err(e) => (e.id(), Outcome::Cancelled.into()),
+            Err(error) => (error.id(), Outcome::Cancelled.into()),
         };
-        let attempt = self.started.iter().position(|a| a.task.id() == task)?;
+        let attempt = self
+            .started
+            .iter()
+            .position(|started| started.task.id() == task)?;
         Some(EndedAttempt { attempt, result })
     }
 }
--- a/src/net/request/lifecycle.rs
+++ b/src/net/request/lifecycle.rs
@@ -8,7 +8,7 @@
 use crate::net::request::classes::ClassHandle;
 use crate::net::request::context::{ClientRequest, OpenId, RequestContext};
 use crate::net::request::write_intent::CheckedRequest;
-use crate::net::router_task::RequestCommand;
+use crate::net::router_task::{RegisteredRequest, RequestCommand};
 use crate::net::{duration, nanoseconds};
 use irisrouter::routing::{
     Event, Idempotency, MemberId, Nanos, Outcome, ReplicationStatus, RequestClass, RequestId,
@@ -107,7 +107,7 @@
         let now = Instant::now();
         let until_deadline = checked.deadline.saturating_duration_since(now);
         let decision_time = until_deadline.saturating_sub(DECISION_MARGIN);
-        let (id, commands) = context.router.register();
+        let RegisteredRequest { id, commands } = context.router.register();
         context.router.post(Event::Request {
             id,
             class: request.class.slot,
@@ -210,7 +210,7 @@
         self.attempts.started[attempt].record_outcome(result.outcome);
         if result.outcome == Outcome::Cancelled {
             // The upstream counts an attempt when it ends; an attempt that was aborted does not get that far.
-            self.context.metrics.attempt(Outcome::Cancelled);
+            self.context.metrics.record_attempt(Outcome::Cancelled);
         }
         if let Some(row) = result.row {
             self.answer.send(Answer::Served(row));
--- a/src/net/router_task.rs
+++ b/src/net/router_task.rs
@@ -36,11 +36,25 @@
     Fail,
 }
 
+/// A request that the router may send commands for.
+pub struct RegisteredRequest {
+    /// Its id in events and actions.
+    pub id: RequestId,
+    /// What the router wants done for it, in order.
+    pub commands: UnboundedReceiver<RequestCommand>,
+}
+
 /// The way to the router: events in, commands out.
+///
+/// It is shared by the router task and by all tasks that post events. All of them run on one thread and no borrow lasts
+/// across an await, so cells are enough.
 #[derive(Default)]
 pub struct RouterHandle {
+    /// Posted and not yet taken by the router task, in order.
     events: RefCell<Vec<Event>>,
+    /// Wakes the router task.
     ready: Notify,
+    /// The commands of each request that is not over.
     requests: RefCell<HashMap<RequestId, UnboundedSender<RequestCommand>>>,
     next_request: Cell<u64>,
     snapshot_requests: RefCell<Vec<oneshot::Sender<RoutingSnapshot>>>,
@@ -61,13 +75,13 @@
         snapshot.await.unwrap_or_default()
     }
 
-    /// An id for a new request, and the commands for it.
-    pub fn register(&self) -> (RequestId, UnboundedReceiver<RequestCommand>) {
+    /// Gives a new request its id, and a queue for the commands for it.
+    pub fn register(&self) -> RegisteredRequest {
         let id = RequestId(self.next_request.get());
         self.next_request.set(id.0 + 1);
-        let (commands, receiver) = unbounded_channel();
-        self.requests.borrow_mut().insert(id, commands);
-        (id, receiver)
+        let (sender, commands) = unbounded_channel();
+        self.requests.borrow_mut().insert(id, sender);
+        RegisteredRequest { id, commands }
     }
 
     /// Ends the commands for a request that is over.
--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -64,7 +64,7 @@
     ) -> AttemptResult {
         let member = outgoing.member;
         let result = self.send_statement(outgoing, may_be_sent, pass_on).await;
-        self.metrics.attempt(result.outcome);
+        self.metrics.record_attempt(result.outcome);
         self.record_result(member, result.outcome, SentKind::Request);
         result
     }
@@ -121,7 +121,7 @@
             return None;
         }
         let timeout_range = &statement.timeout_range;
-        pg::put(&mut message, b'Q', |body| {
+        pg::put(&mut message, pg::tag::QUERY, |body| {
             body.extend_from_slice(&statement.text[..timeout_range.start]);
             body.extend_from_slice(milliseconds.as_bytes());
             body.extend_from_slice(&statement.text[timeout_range.end..]);
--- a/src/net/upstream/connection.rs
+++ b/src/net/upstream/connection.rs
@@ -74,7 +74,7 @@
     fn host_address(&self, member: MemberId) -> Option<HostAddress> {
         let registry = self.registry.borrow();
         let host = registry.hosts.get(&member);
-        let host = host.filter(|h| h.accepts_requests)?;
+        let host = host.filter(|host| host.accepts_requests)?;
         Some(HostAddress {
             address: host.entry.host_port,
             incarnation: host.incarnation,
--- a/src/net/upstream/exchange.rs
+++ b/src/net/upstream/exchange.rs
@@ -102,7 +102,7 @@
             | ReplyError::Malformed(_) => {
                 let registry = self.registry.borrow();
                 let host = registry.hosts.get(&member);
-                let name = host.map_or("a removed host", |h| &h.entry.id);
+                let name = host.map_or("a removed host", |host| &host.entry.id);
                 log!("{name}: {error}");
                 Outcome::Error
             }
--- a/src/net/upstream/host.rs
+++ b/src/net/upstream/host.rs
@@ -84,7 +84,9 @@
         self.incarnation += u64::from(restarted);
         self.entry = entry.clone();
         let first_idle = self.idle.first();
-        if !self.accepts_requests || first_idle.is_some_and(|c| c.incarnation != self.incarnation) {
+        let leads_elsewhere =
+            first_idle.is_some_and(|connection| connection.incarnation != self.incarnation);
+        if !self.accepts_requests || leads_elsewhere {
             self.idle.clear();
         }
     }
--- a/src/net/upstream/host_lookup.rs
+++ b/src/net/upstream/host_lookup.rs
@@ -25,11 +25,14 @@
     /// The list as it stands.
     pub fn endpoint_list(&self) -> EndpointList {
         let registry = self.registry.borrow();
-        let listed = registry.hosts.values().filter(|h| h.removed_at.is_none());
+        let listed = registry
+            .hosts
+            .values()
+            .filter(|host| host.removed_at.is_none());
         EndpointList {
             revision: registry.revision,
             complete: true,
-            members: listed.map(|h| h.entry.clone()).collect(),
+            members: listed.map(|host| host.entry.clone()).collect(),
         }
     }
 
@@ -48,7 +51,7 @@
         let registry = self.registry.borrow();
         let members = registry.hosts.iter();
         members
-            .filter(|(_, h)| h.accepts_requests && h.entry.cell == group.0)
+            .filter(|(_, host)| host.accepts_requests && host.entry.cell == group.0)
             .map(|(&member, _)| member)
             .collect()
     }
@@ -56,8 +59,8 @@
     /// The groups that have hosts which accept requests, in ascending order.
     pub fn groups_in_service(&self) -> Vec<GroupId> {
         let registry = self.registry.borrow();
-        let accepting = registry.hosts.values().filter(|h| h.accepts_requests);
-        let groups: BTreeSet<GroupId> = accepting.map(|h| GroupId(h.entry.cell)).collect();
+        let accepting = registry.hosts.values().filter(|host| host.accepts_requests);
+        let groups: BTreeSet<GroupId> = accepting.map(|host| GroupId(host.entry.cell)).collect();
         groups.into_iter().collect()
     }
 
@@ -74,7 +77,7 @@
         let mut found = registry
             .hosts
             .iter()
-            .filter(|(_, h)| h.fleet_id == fleet_id && h.accepts_requests);
+            .filter(|(_, host)| host.fleet_id == fleet_id && host.accepts_requests);
         let first = found.next().map(|(&member, host)| GroupMember {
             member,
             group: GroupId(host.entry.cell),
@@ -86,7 +89,7 @@
     pub fn member_name(&self, member: MemberId) -> String {
         let registry = self.registry.borrow();
         let host = registry.hosts.get(&member);
-        host.map(|h| h.entry.id.clone()).unwrap_or_default()
+        host.map(|host| host.entry.id.clone()).unwrap_or_default()
     }
 
     /// Requests in flight at the host that the fleet knows by this id.
@@ -94,28 +97,30 @@
         let registry = self.registry.borrow();
         let hosts = registry.hosts.values();
         hosts
-            .filter(|h| h.fleet_id == fleet_id)
-            .map(|h| h.in_flight.get())
+            .filter(|host| host.fleet_id == fleet_id)
+            .map(|host| host.in_flight.get())
             .sum()
     }
 
     /// The name of the host that the fleet knows by this id; where the list has none, the id.
     pub fn host_name(&self, fleet_id: HostId) -> String {
         let registry = self.registry.borrow();
-        let host = registry.hosts.values().find(|h| h.fleet_id == fleet_id);
-        host.map_or_else(|| format!("host {fleet_id}"), |h| h.entry.id.clone())
+        let host = registry
+            .hosts
+            .values()
+            .find(|host| host.fleet_id == fleet_id);
+        host.map_or_else(|| format!("host {fleet_id}"), |host| host.entry.id.clone())
     }
 
     /// Whether another host of the same group would still accept requests without this one.
     pub fn can_spare(&self, fleet_id: HostId) -> bool {
         let registry = self.registry.borrow();
         let mut hosts = registry.hosts.values();
-        let host = hosts.find(|h| h.fleet_id == fleet_id);
-        let group = host.map(|h| h.entry.cell);
-        registry
-            .hosts
-            .values()
-            .any(|h| Some(h.entry.cell) == group && h.fleet_id != fleet_id && h.accepts_requests)
+        let host = hosts.find(|host| host.fleet_id == fleet_id);
+        let group = host.map(|host| host.entry.cell);
+        registry.hosts.values().any(|host| {
+            Some(host.entry.cell) == group && host.fleet_id != fleet_id && host.accepts_requests
+        })
     }
 
     /// The sum of the sizes of the hosts in each zone that the list has in service, unreachable ones included.
@@ -124,8 +129,8 @@
         let capacity = |zone: &String| {
             let hosts = registry.hosts.values();
             hosts
-                .filter(|h| h.in_service() && h.entry.locality == *zone)
-                .map(|h| h.entry.size)
+                .filter(|host| host.in_service() && host.entry.locality == *zone)
+                .map(|host| host.entry.size)
                 .sum()
         };
         zones.iter().map(capacity).collect()
@@ -137,8 +142,8 @@
         let registry = self.registry.borrow();
         let hosts = registry.hosts.values();
         hosts
-            .filter(|h| !h.in_service())
-            .map(|h| h.fleet_id)
+            .filter(|host| !host.in_service())
+            .map(|host| host.fleet_id)
             .take(limit)
             .collect()
     }
--- a/src/net/upstream/pool.rs
+++ b/src/net/upstream/pool.rs
@@ -74,8 +74,8 @@
     fn close_longest_idle(&self) -> bool {
         let mut registry = self.registry.borrow_mut();
         let hosts = registry.hosts.values_mut();
-        let with_idle = hosts.filter(|h| !h.idle.is_empty());
-        let oldest = with_idle.min_by_key(|h| h.idle[0].idle_since);
+        let with_idle = hosts.filter(|host| !host.idle.is_empty());
+        let oldest = with_idle.min_by_key(|host| host.idle[0].idle_since);
         oldest.map(|host| host.idle.remove(0)).is_some()
     }
 
@@ -87,7 +87,7 @@
         let idle_timeout = self.limits.idle_timeout.get();
         let now = Instant::now();
         // They are in the order in which they became idle.
-        let may_be_used = |c: &Connection| now - c.idle_since >= MIN_IDLE_TIME;
+        let may_be_used = |connection: &Connection| now - connection.idle_since >= MIN_IDLE_TIME;
         let position = host.idle.iter().rposition(may_be_used)?;
         let connection = host.idle.remove(position);
         (now - connection.idle_since < idle_timeout).then_some(connection)
@@ -109,7 +109,7 @@
     pub(super) fn begin_request(&self, member: MemberId) -> Option<CountGuard> {
         let registry = self.registry.borrow();
         let host = registry.hosts.get(&member);
-        let host = host.filter(|h| h.accepts_requests)?;
+        let host = host.filter(|host| host.accepts_requests)?;
         Some(CountGuard::new(&host.in_flight))
     }
 
@@ -121,8 +121,9 @@
         registry.forget_removed_hosts();
         let idle_timeout = self.limits.idle_timeout.get();
         for host in registry.hosts.values_mut() {
-            host.idle
-                .retain(|c| c.idle_since.elapsed() < idle_timeout && c.is_usable());
+            host.idle.retain(|connection| {
+                connection.idle_since.elapsed() < idle_timeout && connection.is_usable()
+            });
         }
     }
 }
@@ -130,7 +131,7 @@
 impl Registry {
     fn forget_removed_hosts(&mut self) {
         let is_old = |removed_at: Instant| removed_at.elapsed() >= REMOVED_HOST_RETENTION;
-        let kept = |h: &Host| h.accepts_requests || !h.removed_at.is_some_and(is_old);
+        let kept = |host: &Host| host.accepts_requests || !host.removed_at.is_some_and(is_old);
         let hosts = &mut self.hosts;
         self.members_by_name
             .retain(|_, member| hosts.get(member).is_some_and(kept));
--- a/src/net/upstream/registry.rs
+++ b/src/net/upstream/registry.rs
@@ -19,6 +19,9 @@
 const IDLE_TIMEOUT_SHARE: f64 = 0.8;
 
 /// All database hosts that the list has named, and the connections to them.
+///
+/// Shared by the router task, the requests, discovery and the cluster's services, which all run on one thread. Attempts
+/// await in the middle of their work, so the registry is borrowed anew for each look and may have changed in between.
 pub struct Upstream {
     pub(super) registry: RefCell<Registry>,
     pub(super) drains: DrainState,
@@ -154,8 +157,10 @@
         only_listed_drains_bind: bool,
     ) {
         for (member, host) in &mut self.hosts {
-            let endpoint = endpoints.iter().find(|e| e.member == *member);
-            let removed = endpoint.map_or(complete, |e| e.state == EndpointState::Removed);
+            let endpoint = endpoints.iter().find(|endpoint| endpoint.member == *member);
+            let removed = endpoint.map_or(complete, |endpoint| {
+                endpoint.state == EndpointState::Removed
+            });
             if removed {
                 host.mark_removed(only_listed_drains_bind);
             } else if endpoint.is_some() {
--- a/src/platform_settings/mod.rs
+++ b/src/platform_settings/mod.rs
@@ -40,16 +40,14 @@
     /// Names of the zones.
     pub zones: NameTable,
     /// This gateway's number among those of its tier.
-    pub me: u32,
+    pub gateway_number: u32,
     /// Gateways may share health checks: they may send one another datagrams, hosts may be checked, and there are enough
     /// gateways for it to be worth it.
-    pub share: bool,
+    pub shares_health_checks: bool,
     /// Gateways may send one another datagrams at all (the platform's `Bounds.Peers`), however many they are.
     pub peers_allowed: bool,
     /// Hosts may be checked (`Bounds.Probes`).
-    pub probes_allowed: bool,
-    /// Gateways of this tier.
-    pub balancers: u32,
+    pub health_checks_allowed: bool,
     /// Clock time from which the simulator counts positions.
     pub position_zero: Nanos,
     /// A database host closes a connection that has been idle for this long at the latest.
@@ -78,11 +76,10 @@
             classes: NameTable::from(class_names),
             tenants: NameTable::from(tenant_names),
             zones,
-            me: info.me,
-            share: bounds.peers && bounds.probes && enough_gateways,
+            gateway_number: info.me,
+            shares_health_checks: bounds.peers && bounds.probes && enough_gateways,
             peers_allowed: bounds.peers,
-            probes_allowed: bounds.probes,
-            balancers: info.balancers,
+            health_checks_allowed: bounds.probes,
             position_zero: info.domain.position_zero_ns,
             idle_close: bounds.idle_close_ns,
         })
