Keep the message types of the protocol in one place, and split the peer socket's receive

crates/pg's tag has the types of all client messages and EmptyQueryResponse, which downstream had for itself. Cancels is CancelRegistry, Upstream's on_list is on_endpoint_list. PeerSocket::receive finds out who sent a datagram; dispatch hands it to the service of its protocol.

--- a/src/net/cluster/peer_socket.rs
+++ b/src/net/cluster/peer_socket.rs
@@ -1,6 +1,7 @@
 //! The UDP socket between gateways: it receives datagrams for the cluster services, and sends
 //! theirs.
 
+use crate::net::cluster::membership::MembershipService;
 use crate::net::cluster::peer_sender::PeerSender;
 use crate::net::cluster::services::ClusterServices;
 use crate::net::cluster::shared_health_checks::SharedHealthChecks;
@@ -241,25 +242,36 @@
         }
     }
 
-    /// Receives a datagram: hands it to its service, and sends what the service answers.
+    /// Receives a datagram of another gateway.
     async fn receive(&self, datagram: &[u8], from: SocketAddr) {
-        let metrics = &self.dependencies.metrics;
         let Some(&gateway) = self.gateways_by_address.get(&from) else {
             // A datagram from an address outside the list must not make a member of an unknown
             // process.
-            ignore_datagram(metrics, from, &UNKNOWN_SENDER);
+            ignore_datagram(&self.dependencies.metrics, from, &UNKNOWN_SENDER);
             return;
         };
         // A datagram to all gateways may also reach its sender.
         if gateway == self.local_gateway {
             return;
         }
-        let services = &self.dependencies.services;
-        let Some(membership) = &services.membership else {
+        match &self.dependencies.services.membership {
+            Some(membership) => self.dispatch(datagram, gateway, from, membership).await,
             // All other services need membership.
-            self.health_checks.receive(datagram, gateway, from);
-            return;
-        };
+            None => self.health_checks.receive(datagram, gateway, from),
+        }
+    }
+
+    /// Hands a datagram to the service of its protocol, and sends what the service answers. A
+    /// datagram for a service that is off is ignored.
+    async fn dispatch(
+        &self,
+        datagram: &[u8],
+        gateway: GatewayId,
+        from: SocketAddr,
+        membership: &MembershipService,
+    ) {
+        let metrics = &self.dependencies.metrics;
+        let services = &self.dependencies.services;
         match Protocol::of(datagram) {
             Protocol::Membership => {
                 let answers = membership.receive(datagram, gateway);
--- a/src/net/downstream/cancel.rs
+++ b/src/net/downstream/cancel.rs
@@ -12,14 +12,14 @@
 
 /// The cancel keys of all client connections.
 #[derive(Default)]
-pub struct Cancels {
+pub struct CancelRegistry {
     /// For each key the way to cancel its connection's query, while the connection waits for one.
     by_key: RefCell<HashMap<CancelKey, Option<oneshot::Sender<()>>>>,
 }
 
 /// The key of one connection, unregistered when it is dropped.
 pub struct CancelRegistration {
-    cancels: Rc<Cancels>,
+    cancels: Rc<CancelRegistry>,
     key: CancelKey,
 }
 
@@ -29,7 +29,7 @@
     cancelled: oneshot::Receiver<()>,
 }
 
-impl Cancels {
+impl CancelRegistry {
     /// Registers a new key. None where the operating system gives no random numbers: a key that can be guessed is worse
     /// than none.
     pub fn register(self: &Rc<Self>) -> Option<CancelRegistration> {
@@ -48,7 +48,7 @@
         })
     }
 
-    /// Cancels the query that the connection of this key waits for, if there is one.
+    /// CancelRegistry the query that the connection of this key waits for, if there is one.
     pub fn cancel(&self, key: &CancelKey) {
         if let Some(sender) = self.by_key.borrow_mut().get_mut(key).and_then(Option::take) {
             // The query may have ended in this moment, and its receiver with it.
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -25,20 +25,6 @@
 /// The answer to a request for encryption: there is none, and the client goes on without.
 const ENCRYPTION_REFUSED: &[u8] = b"N";
 
-/// The types of client messages, as the protocol codes them.
-mod message_type {
-    pub const BIND: u8 = b'B';
-    pub const CLOSE: u8 = b'C';
-    pub const DESCRIBE: u8 = b'D';
-    pub const EXECUTE: u8 = b'E';
-    pub const FLUSH: u8 = b'H';
-    pub const FUNCTION_CALL: u8 = b'F';
-    pub const PARSE: u8 = b'P';
-    pub const QUERY: u8 = b'Q';
-    pub const SYNC: u8 = b'S';
-    pub const TERMINATE: u8 = b'X';
-}
-
 /// Why a connection ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionEnd {
@@ -62,7 +48,8 @@
 
 /// A message of the client.
 struct Message {
-    message_type: u8,
+    /// Its type; see [`pg::tag`].
+    tag: u8,
     body: Buffer,
 }
 
@@ -226,7 +213,7 @@
             return Err(ConnectionEnd::OutOfMemory);
         }
         Ok(Message {
-            message_type: frame.tag,
+            tag: frame.tag,
             body,
         })
     }
@@ -244,10 +231,10 @@
         message: &Message,
         out: &mut Buffer,
     ) -> Result<(), ConnectionEnd> {
-        use message_type::{
+        use pg::tag::{
             BIND, CLOSE, DESCRIBE, EXECUTE, FLUSH, FUNCTION_CALL, PARSE, QUERY, SYNC, TERMINATE,
         };
-        match message.message_type {
+        match message.tag {
             QUERY => self.execute_query(&message.body, out).await?,
             TERMINATE => return Err(ConnectionEnd::Closed),
             SYNC => {
--- a/src/net/downstream/listener.rs
+++ b/src/net/downstream/listener.rs
@@ -1,7 +1,7 @@
 //! The accept loop: takes client connections from the listening socket and starts a task for each of them.
 
 use crate::net::buffers::Pool;
-use crate::net::downstream::cancel::Cancels;
+use crate::net::downstream::cancel::CancelRegistry;
 use crate::net::downstream::connection::serve_connection;
 use crate::net::downstream::connection_limit::ConnectionLimit;
 use crate::net::log::log;
@@ -35,7 +35,7 @@
     /// Whether clients are served or sent away.
     pub serving_state: Rc<ServingState>,
     /// The cancel keys of all client connections.
-    pub cancels: Rc<Cancels>,
+    pub cancels: Rc<CancelRegistry>,
 }
 
 impl ClientListener {
--- a/src/net/downstream/query.rs
+++ b/src/net/downstream/query.rs
@@ -19,9 +19,6 @@
 /// not exist yet would be waited for, or overflow.
 const MAX_POSITION_LEAD: Nanos = 1_000_000_000;
 
-/// The type of EmptyQueryResponse, which has no body.
-const EMPTY_QUERY_RESPONSE: u8 = b'I';
-
 /// Why a statement does not become a request. The text is the message of the client's error response.
 #[derive(Debug, Error)]
 enum StatementError {
@@ -88,7 +85,8 @@
             let message = "clients are sent away";
             pg::put_error(out, "ERROR", code::CANNOT_CONNECT_NOW, message, None);
         } else {
-            pg::put(out, EMPTY_QUERY_RESPONSE, |_| {});
+            // The message has no body.
+            pg::put(out, pg::tag::EMPTY_QUERY_RESPONSE, |_| {});
         }
     }
 
--- a/src/net/upstream/registry.rs
+++ b/src/net/upstream/registry.rs
@@ -32,7 +32,7 @@
     pub(super) buffers: Rc<Pool>,
     pub(super) metrics: Rc<Metrics>,
     pub(super) clock: Clock,
-    on_list: Box<dyn Fn(Event)>,
+    on_endpoint_list: Box<dyn Fn(Event)>,
 }
 
 /// The hosts, and the names and numbers by which they are found.
@@ -51,14 +51,14 @@
 }
 
 impl Upstream {
-    /// No hosts yet, and `max_connections` to them at most. Each endpoint list goes to the router through `on_list`.
+    /// No hosts yet, and `max_connections` to them at most. Each endpoint list goes to the router through `on_endpoint_list`.
     pub fn new(
         loaded: &PlatformSettings,
         max_connections: usize,
         buffers: Rc<Pool>,
         metrics: Rc<Metrics>,
         clock: Clock,
-        on_list: Box<dyn Fn(Event)>,
+        on_endpoint_list: Box<dyn Fn(Event)>,
     ) -> Self {
         let registry = Registry {
             zones: loaded.zones.clone(),
@@ -73,7 +73,7 @@
             buffers,
             metrics,
             clock,
-            on_list,
+            on_endpoint_list,
         };
         upstream.update_settings(loaded);
         upstream
@@ -117,7 +117,7 @@
             .registry
             .borrow_mut()
             .merge(list, only_listed_drains_bind);
-        (self.on_list)(Event::EndpointList {
+        (self.on_endpoint_list)(Event::EndpointList {
             complete: list.complete,
             endpoints,
         });
--- a/tests/unit/cancel.rs
+++ b/tests/unit/cancel.rs
@@ -1,6 +1,6 @@
 //! Which connection's query a cancel request cancels.
 
-use super::{CancellableQuery, Cancels};
+use super::{CancelRegistry, CancellableQuery};
 use std::rc::Rc;
 
 fn is_cancelled(query: &mut CancellableQuery) -> bool {
@@ -10,7 +10,7 @@
 /// Guards against a cancel request that cancels another query than the one waited for when it arrives.
 #[test]
 fn cancel_request_with_a_registered_key_cancels_only_the_query_waited_for() {
-    let cancels = Rc::<Cancels>::default();
+    let cancels = Rc::<CancelRegistry>::default();
     let first = cancels.register().expect("a key");
     let second = cancels.register().expect("a key");
     assert_ne!(first.key(), second.key());
