--- a/src/net/downstream/answer_writer.rs
+++ b/src/net/downstream/answer_writer.rs
@@ -46,7 +46,7 @@
                 Some(StreamChunk::Data(piece)) => self.write(&piece).await?,
                 Some(StreamChunk::Last(mut end)) => {
                     return end
-                        .room(READY_FOR_QUERY_ROOM)
+                        .try_reserve(READY_FOR_QUERY_ROOM)
                         .then_some(end)
                         .ok_or(ConnectionEnd::Disconnected)
                 }
@@ -57,7 +57,7 @@
 
     /// Reports a violation of the protocol and ends the connection.
     pub(super) async fn end_with_violation(&mut self, message: &str) -> ConnectionEnd {
-        increment(&self.listener.core.metrics.requests.malformed);
+        increment(&self.listener.request_context.metrics.requests.malformed);
         self.end_with_error(code::PROTOCOL_VIOLATION, message, None)
             .await
     }
@@ -91,7 +91,7 @@
         message: &str,
         detail: Option<&str>,
     ) -> ConnectionEnd {
-        let mut out = self.listener.pool.take();
+        let mut out = self.listener.pool.acquire();
         pg::put_error(&mut out, "FATAL", code, message, detail);
         match self.write(&out).await {
             Ok(()) => ConnectionEnd::ErrorSent,
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -25,20 +25,6 @@
 /// The answer to a request for encryption: there is none, and the client goes on without.
 const ENCRYPTION_REFUSED: &[u8] = b"N";
 
-/// The types of client messages, as the protocol codes them.
-mod message_type {
-    pub const BIND: u8 = b'B';
-    pub const CLOSE: u8 = b'C';
-    pub const DESCRIBE: u8 = b'D';
-    pub const EXECUTE: u8 = b'E';
-    pub const FLUSH: u8 = b'H';
-    pub const FUNCTION_CALL: u8 = b'F';
-    pub const PARSE: u8 = b'P';
-    pub const QUERY: u8 = b'Q';
-    pub const SYNC: u8 = b'S';
-    pub const TERMINATE: u8 = b'X';
-}
-
 /// Why a connection ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionEnd {
@@ -62,7 +48,8 @@
 
 /// A message of the client.
 struct Message {
-    message_type: u8,
+    /// Its type; see [`pg::tag`].
+    tag: u8,
     body: Buffer,
 }
 
@@ -115,7 +102,7 @@
         increment(
             &connection
                 .listener
-                .core
+                .request_context
                 .metrics
                 .connections
                 .downstream_rejected,
@@ -132,7 +119,7 @@
         self.start_up().await?;
         loop {
             let message = self.next_message().await?;
-            let mut out = self.listener.pool.take();
+            let mut out = self.listener.pool.acquire();
             self.handle_message(&message, &mut out).await?;
             self.write(&out).await?;
             if self.ends_behind_answer()? {
@@ -160,9 +147,9 @@
             match parsed {
                 Err(malformed) => return Err(self.end_with_violation(malformed.0).await),
                 Ok(None) => self.read_more(QuietKind::Starting).await?,
-                Ok(Some((request, length))) => {
-                    self.consume_input(length);
-                    if self.handle_startup(request).await? == StartupProgress::Complete {
+                Ok(Some(message)) => {
+                    self.consume_input(message.length);
+                    if self.handle_startup(message.purpose).await? == StartupProgress::Complete {
                         return Ok(());
                     }
                 }
@@ -170,9 +157,9 @@
         }
     }
 
-    async fn handle_startup(&mut self, request: Startup) -> Result<StartupProgress, ConnectionEnd> {
-        let mut out = self.listener.pool.take();
-        match request {
+    async fn handle_startup(&mut self, purpose: Startup) -> Result<StartupProgress, ConnectionEnd> {
+        let mut out = self.listener.pool.acquire();
+        match purpose {
             Startup::Encryption => {
                 self.stream.write_all(ENCRYPTION_REFUSED).await?;
                 Ok(StartupProgress::AwaitingNext)
@@ -191,7 +178,7 @@
                     .cancel_registration
                     .as_ref()
                     .map(CancelRegistration::key);
-                pg::put_welcome(&mut out, key);
+                pg::put_startup_response(&mut out, key);
                 self.write(&out).await?;
                 Ok(StartupProgress::Complete)
             }
@@ -216,7 +203,7 @@
 
     /// Moves a whole message from the input into a buffer of its own.
     fn take_message(&mut self, frame: &pg::Frame) -> Result<Message, ConnectionEnd> {
-        let mut body = self.listener.pool.take();
+        let mut body = self.listener.pool.acquire();
         let fits = self
             .input
             .as_ref()
@@ -226,7 +213,7 @@
             return Err(ConnectionEnd::OutOfMemory);
         }
         Ok(Message {
-            message_type: frame.tag,
+            tag: frame.tag,
             body,
         })
     }
@@ -244,10 +231,10 @@
         message: &Message,
         out: &mut Buffer,
     ) -> Result<(), ConnectionEnd> {
-        use message_type::{
+        use pg::tag::{
             BIND, CLOSE, DESCRIBE, EXECUTE, FLUSH, FUNCTION_CALL, PARSE, QUERY, SYNC, TERMINATE,
         };
-        match message.message_type {
+        match message.tag {
             QUERY => self.execute_query(&message.body, out).await?,
             TERMINATE => return Err(ConnectionEnd::Closed),
             SYNC => {
@@ -270,7 +257,7 @@
     }
 
     fn put_unsupported(&self, out: &mut Buffer) {
-        increment(&self.listener.core.metrics.requests.malformed);
+        increment(&self.listener.request_context.metrics.requests.malformed);
         let message = "only simple queries are spoken here";
         pg::put_error(out, "ERROR", code::FEATURE_NOT_SUPPORTED, message, None);
     }
@@ -311,7 +298,7 @@
         let mut wait = permit.wait_quietly(QuietKind::Leaving);
         let discarding = async {
             stream.shutdown().await?;
-            let mut buffer = listener.pool.take();
+            let mut buffer = listener.pool.acquire();
             let mut remaining = LINGER_BYTES;
             loop {
                 buffer.clear();
--- a/src/net/downstream/listener.rs
+++ b/src/net/downstream/listener.rs
@@ -1,14 +1,14 @@
 //! The accept loop: takes client connections from the listening socket and starts a task for each of them.
 
-use crate::net::admin::serving_state::ServingState;
 use crate::net::buffers::Pool;
-use crate::net::downstream::cancel::Cancels;
+use crate::net::downstream::cancel::CancelRegistry;
 use crate::net::downstream::connection::serve_connection;
 use crate::net::downstream::connection_limit::ConnectionLimit;
 use crate::net::log::log;
 use crate::net::metrics::increment;
 use crate::net::request::classes::Classes;
 use crate::net::request::RequestContext;
+use crate::net::serving_state::ServingState;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -25,7 +25,7 @@
 /// The listener for PostgreSQL clients, and what all client connections share.
 pub struct ClientListener {
     /// Executes the clients' requests.
-    pub core: Rc<RequestContext>,
+    pub request_context: Rc<RequestContext>,
     /// The pool of message buffers.
     pub pool: Rc<Pool>,
     /// The request classes and the other settings.
@@ -35,7 +35,7 @@
     /// Whether clients are served or sent away.
     pub serving_state: Rc<ServingState>,
     /// The cancel keys of all client connections.
-    pub cancels: Rc<Cancels>,
+    pub cancels: Rc<CancelRegistry>,
 }
 
 impl ClientListener {
@@ -52,8 +52,8 @@
                         yield_now().await;
                     }
                 }
-                Err(e) => {
-                    log!("cannot accept: {e}");
+                Err(error) => {
+                    log!("cannot accept: {error}");
                     sleep(ACCEPT_RETRY_DELAY).await;
                 }
             }
@@ -70,7 +70,7 @@
     }
 
     fn spawn_connection(self: &Rc<Self>, stream: TcpStream) {
-        increment(&self.core.metrics.connections.downstream_accepted);
+        increment(&self.request_context.metrics.connections.downstream_accepted);
         let Some(permit) = self.connection_limit.acquire() else {
             return;
         };
--- a/src/net/downstream/query.rs
+++ b/src/net/downstream/query.rs
@@ -20,9 +20,6 @@
 /// not exist yet would be waited for, or overflow.
 const MAX_POSITION_LEAD: Nanos = 1_000_000_000;
 
-/// The type of EmptyQueryResponse, which has no body.
-const EMPTY_QUERY_RESPONSE: u8 = b'I';
-
 /// Why a statement does not become a request. The text is the message of the client's error response.
 #[derive(Debug, Error)]
 enum StatementError {
@@ -70,7 +67,7 @@
         }
         match self.parse_request(text) {
             Err(error) => {
-                increment(&self.listener.core.metrics.requests.malformed);
+                increment(&self.listener.request_context.metrics.requests.malformed);
                 let message = error.to_string();
                 pg::put_error(out, "ERROR", code::SYNTAX_ERROR, &message, None);
             }
@@ -89,7 +86,8 @@
             let message = "clients are sent away";
             pg::put_error(out, "ERROR", code::CANNOT_CONNECT_NOW, message, None);
         } else {
-            pg::put(out, EMPTY_QUERY_RESPONSE, |_| {});
+            // The message has no body.
+            pg::put(out, pg::tag::EMPTY_QUERY_RESPONSE, |_| {});
         }
     }
 
@@ -106,7 +104,7 @@
             }
             QueryOutcome::Answered(Answer::Served(row)) => {
                 *out = row;
-                if !out.room(READY_FOR_QUERY_ROOM) {
+                if !out.try_reserve(READY_FOR_QUERY_ROOM) {
                     return Err(ConnectionEnd::Disconnected);
                 }
             }
@@ -131,7 +129,7 @@
         call: ClientRequest,
     ) -> Result<QueryOutcome, ConnectionEnd> {
         let (sender, answer) = oneshot::channel();
-        tokio::task::spawn_local(Rc::clone(&self.listener.core).serve(call, sender));
+        tokio::task::spawn_local(Rc::clone(&self.listener.request_context).serve(call, sender));
         let registration = self.cancel_registration.take();
         let mut query = registration.as_ref().map(CancelRegistration::query);
         let outcome = async {
@@ -150,7 +148,7 @@
 
     /// Checks a statement and makes a request of it.
     fn parse_request(&self, text: &[u8]) -> Result<ClientRequest, StatementError> {
-        let core = &self.listener.core;
+        let context = &self.listener.request_context;
         let statement =
             pg::statement(text).map_err(|malformed| StatementError::Malformed(malformed.0))?;
         let held_class = self
@@ -160,16 +158,16 @@
             .ok_or(StatementError::UnknownClass)?;
         let class = &held_class.class;
         let group = GroupId(statement.group);
-        if !core.upstream.may_have_group(group) {
+        if !context.upstream.may_have_group(group) {
             return Err(StatementError::UnknownGroup);
         }
         let idempotency_key = idempotency_key(&statement, class)?;
         let minimum_position = self.required_position(&statement, class)?;
         // A client that says it waits for ever would otherwise hold its request as long.
         let timeout =
-            Duration::from_secs_f64(statement.wait_ms / 1e3).min(duration(class.deadline));
+            Duration::from_secs_f64(statement.timeout_ms / 1e3).min(duration(class.deadline));
         let copy = self.copy_statement(text)?;
-        let id = core
+        let id = context
             .reserve_id(statement.id)
             .ok_or(StatementError::DuplicateRequestId)?;
         Ok(ClientRequest {
@@ -183,7 +181,7 @@
             idempotency_key,
             statement: Statement {
                 text: copy,
-                timeout_range: statement.wait_at,
+                timeout_range: statement.timeout_range,
             },
         })
     }
@@ -199,7 +197,7 @@
             .after_ms
             .filter(|_| class.freshness == Freshness::Session)
             .map(|milliseconds| (milliseconds * 1e6) as Nanos);
-        let clock = &self.listener.core.clock;
+        let clock = &self.listener.request_context.clock;
         if position.is_some_and(|p| p > clock.now().saturating_add(MAX_POSITION_LEAD)) {
             return Err(StatementError::PositionInFuture);
         }
@@ -207,7 +205,7 @@
     }
 
     fn copy_statement(&self, text: &[u8]) -> Result<Buffer, StatementError> {
-        let mut copy = self.listener.pool.take();
+        let mut copy = self.listener.pool.acquire();
         if !copy.append(text) {
             return Err(StatementError::StatementTooLarge);
         }
@@ -218,7 +216,10 @@
 /// The session of a statement: that of the key which it names, in classes whose requests belong to sessions.
 fn session(statement: &pg::Statement<'_>, class: &RequestClass) -> Option<SessionId> {
     let has_sessions = matches!(class.freshness, Freshness::Session | Freshness::Write);
-    statement.key.filter(|_| has_sessions).map(SessionId::of)
+    statement
+        .session_key
+        .filter(|_| has_sessions)
+        .map(SessionId::of)
 }
 
 /// A statement's idempotency key, by its hash within its group. Only keyed classes use the key, and they require it.
--- a/src/net/discovery/endpoint_list.rs
+++ b/src/net/endpoint_list.rs
@@ -109,7 +109,7 @@
     }
 
     /// Requests the whole list next, from a new address: a watch can only go on at the address where it began.
-    pub(super) fn restart_at_new_address(&mut self) {
+    pub fn restart_at_new_address(&mut self) {
         self.needs_full_list = true;
         self.behind_since = None;
     }
@@ -120,7 +120,7 @@
     }
 
     /// Decides whether a list is to be applied, and if so advances to it.
-    pub(super) fn accept(&mut self, list: &EndpointList) -> bool {
+    pub fn accept(&mut self, list: &EndpointList) -> bool {
         let is_older = self.revision.is_some_and(|held| list.revision < held);
         let is_newer = self.revision.is_none_or(|held| list.revision > held);
         let revisions_reset = self.revisions_reset(is_older);
--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -64,7 +64,7 @@
     ) -> AttemptResult {
         let member = outgoing.member;
         let result = self.send_statement(outgoing, may_be_sent, pass_on).await;
-        self.metrics.attempt(result.outcome);
+        self.metrics.record_attempt(result.outcome);
         self.record_result(member, result.outcome, SentKind::Request);
         result
     }
@@ -114,14 +114,14 @@
 
     /// The query message of a statement, with the milliseconds that are left for it; `None` where there is no room for it.
     fn query_message(&self, statement: &Statement, deadline: Instant) -> Option<Buffer> {
-        let mut message = self.buffers.take();
+        let mut message = self.buffers.acquire();
         let left = deadline.saturating_duration_since(Instant::now());
         let milliseconds = left.as_millis().max(1).to_string();
-        if !message.room(statement.text.len() + milliseconds.len() + QUERY_OVERHEAD) {
+        if !message.try_reserve(statement.text.len() + milliseconds.len() + QUERY_OVERHEAD) {
             return None;
         }
         let timeout_range = &statement.timeout_range;
-        pg::put(&mut message, b'Q', |body| {
+        pg::put(&mut message, pg::tag::QUERY, |body| {
             body.extend_from_slice(&statement.text[..timeout_range.start]);
             body.extend_from_slice(milliseconds.as_bytes());
             body.extend_from_slice(&statement.text[timeout_range.end..]);
--- a/src/net/upstream/exchange.rs
+++ b/src/net/upstream/exchange.rs
@@ -58,7 +58,7 @@
             Some(_) => LongRows::PassOn,
             None => LongRows::AsMessages,
         };
-        let reader = ReplyReader::new(buffer, self.buffers.take());
+        let reader = ReplyReader::new(buffer, self.buffers.acquire());
         let reading = reader.read(&mut connection, long_rows);
         let received = timeout_at(deadline, reading)
             .await
@@ -102,7 +102,7 @@
             | ReplyError::Malformed(_) => {
                 let registry = self.registry.borrow();
                 let host = registry.hosts.get(&member);
-                let name = host.map_or("a removed host", |h| &h.entry.id);
+                let name = host.map_or("a removed host", |host| &host.entry.id);
                 log!("{name}: {error}");
                 Outcome::Error
             }
--- a/src/net/upstream/host.rs
+++ b/src/net/upstream/host.rs
@@ -1,6 +1,6 @@
 //! One database host: its entry in the endpoint list, and what this gateway keeps about it.
 
-use crate::net::discovery::{EndpointEntry, EndpointPhase};
+use crate::net::endpoint_list::{EndpointEntry, EndpointPhase};
 use crate::net::upstream::connection::Connection;
 use crate::net::upstream::load_report::NANOSECONDS_PER_MILLISECOND;
 use crate::net::upstream::reachability::HostReachability;
@@ -84,7 +84,9 @@
         self.incarnation += u64::from(restarted);
         self.entry = entry.clone();
         let first_idle = self.idle.first();
-        if !self.accepts_requests || first_idle.is_some_and(|c| c.incarnation != self.incarnation) {
+        let leads_elsewhere =
+            first_idle.is_some_and(|connection| connection.incarnation != self.incarnation);
+        if !self.accepts_requests || leads_elsewhere {
             self.idle.clear();
         }
     }
--- a/src/net/upstream/registry.rs
+++ b/src/net/upstream/registry.rs
@@ -1,7 +1,7 @@
 //! Which database hosts there are: the endpoint list, merged with what this gateway knows already.
 
 use crate::net::buffers::Pool;
-use crate::net::discovery::{EndpointEntry, EndpointList, EndpointPhase};
+use crate::net::endpoint_list::{EndpointEntry, EndpointList, EndpointPhase};
 use crate::net::metrics::Metrics;
 use crate::net::upstream::drains::DrainState;
 use crate::net::upstream::host::Host;
@@ -20,17 +20,20 @@
 const IDLE_TIMEOUT_SHARE: f64 = 0.8;
 
 /// All database hosts that the list has named, and the connections to them.
+///
+/// Shared by the router task, the requests, discovery and the cluster's services, which all run on one thread. Attempts
+/// await in the middle of their work, so the registry is borrowed anew for each look and may have changed in between.
 pub struct Upstream {
     pub(super) registry: RefCell<Registry>,
     pub(super) drains: DrainState,
     pub(super) limits: ConnectionLimits,
     /// Connections of another process of this gateway, during a hot restart.
-    pub elsewhere: Cell<usize>,
+    pub(super) other_process_connections: Cell<usize>,
     pub(super) reachability_enabled: Cell<bool>,
     pub(super) buffers: Rc<Pool>,
     pub(super) metrics: Rc<Metrics>,
     pub(super) clock: Clock,
-    on_list: Box<dyn Fn(Event)>,
+    on_endpoint_list: Box<dyn Fn(Event)>,
 }
 
 /// The hosts, and the names and numbers by which they are found.
@@ -49,14 +52,14 @@
 }
 
 impl Upstream {
-    /// No hosts yet, and `max_connections` to them at most. Each endpoint list goes to the router through `on_list`.
+    /// No hosts yet, and `max_connections` to them at most. Each endpoint list goes to the router through `on_endpoint_list`.
     pub fn new(
         loaded: &PlatformSettings,
         max_connections: usize,
         buffers: Rc<Pool>,
         metrics: Rc<Metrics>,
         clock: Clock,
-        on_list: Box<dyn Fn(Event)>,
+        on_endpoint_list: Box<dyn Fn(Event)>,
     ) -> Self {
         let registry = Registry {
             zones: loaded.zones.clone(),
@@ -66,12 +69,12 @@
             registry: RefCell::new(registry),
             drains: DrainState::default(),
             limits: ConnectionLimits::new(max_connections),
-            elsewhere: Cell::new(0),
+            other_process_connections: Cell::new(0),
             reachability_enabled: Cell::new(false),
             buffers,
             metrics,
             clock,
-            on_list,
+            on_endpoint_list,
         };
         upstream.update_settings(loaded);
         upstream
@@ -115,7 +118,7 @@
             .registry
             .borrow_mut()
             .merge(list, only_listed_drains_bind);
-        (self.on_list)(Event::EndpointList {
+        (self.on_endpoint_list)(Event::EndpointList {
             complete: list.complete,
             endpoints,
         });
@@ -155,8 +158,10 @@
         only_listed_drains_bind: bool,
     ) {
         for (member, host) in &mut self.hosts {
-            let endpoint = endpoints.iter().find(|e| e.member == *member);
-            let removed = endpoint.map_or(complete, |e| e.state == EndpointState::Removed);
+            let endpoint = endpoints.iter().find(|endpoint| endpoint.member == *member);
+            let removed = endpoint.map_or(complete, |endpoint| {
+                endpoint.state == EndpointState::Removed
+            });
             if removed {
                 host.mark_removed(only_listed_drains_bind);
             } else if endpoint.is_some() {
