--- a/crates/testbed/tests/drains.rs
+++ b/crates/testbed/tests/drains.rs
@@ -1,11 +1,12 @@
-//! Drains of database hosts with real gateways: an operator's word at one of them holds at all, and another gateway sees
-//! the drain through when the one that does dies. What is checked is what the host was sent and what the gateways logged.
+//! Drains of database hosts with real gateways: an operator's command at one of them holds at all, and the next coordinator
+//! completes the drain when its coordinator dies. Checked is what the host was sent and what the gateways logged.
 
 mod common;
 
 use common::{ask, started, wait};
 use irisrouter_cluster_types::HostId;
 use irisrouter_testbed::cluster::process::Line;
+use irisrouter_testbed::cluster::stand_ins::Host;
 use irisrouter_testbed::cluster::Cluster;
 use std::time::Duration;
 
@@ -16,70 +17,108 @@
     )
 }
 
-/// The gateway whose console says that it sees a drain through.
-fn owner(cluster: &Cluster) -> Option<usize> {
-    cluster
-        .running()
-        .into_iter()
-        .find(|&g| cluster.call(g, "duties").contains("drain-"))
+/// What the log of the coordinator that found the completion says of its source.
+const FOUND: &str = "completed here";
+/// What the logs of the other gateways say of its source.
+const RECEIVED: &str = "(completion received";
+
+/// Whether a gateway's console lists the lease on a drain among those that it holds.
+fn coordinates_drain(cluster: &Cluster, gateway: usize) -> bool {
+    cluster.call(gateway, "duties").contains("drain-")
+}
+
+/// The gateway that coordinates a drain.
+fn coordinator(cluster: &Cluster) -> Option<usize> {
+    let mut gateways = cluster.running().into_iter();
+    gateways.find(|&gateway| coordinates_drain(cluster, gateway))
 }
 
-/// When gateways logged that the host is drained: of those that found it, or of those that were told.
-fn drained(cluster: &Cluster, how: &str) -> Vec<(usize, u64)> {
-    let of = |l: &&Line| l.text.contains("drains: h1-1 is drained") && l.text.contains(how);
+/// A gateway's log line that says that h1-1 is drained.
+#[derive(Debug, PartialEq, Eq)]
+struct LoggedCompletion {
+    gateway: usize,
+    /// When it was logged, in milliseconds of the run.
+    at_ms: u64,
+}
+
+/// The log lines of all gateways that say that h1-1 is drained and contain this text.
+fn logged_completions(cluster: &Cluster, text: &str) -> Vec<LoggedCompletion> {
+    let is_completion =
+        |line: &&Line| line.text.contains("drains: h1-1 is drained") && line.text.contains(text);
+    let completion = |line: &Line| LoggedCompletion {
+        gateway: line.gateway,
+        at_ms: line.at,
+    };
     cluster
         .history
-        .look(|lines| lines.iter().filter(of).map(|l| (l.gateway, l.at)).collect())
+        .look(|lines| lines.iter().filter(is_completion).map(completion).collect())
 }
 
-/// Statements that a host was sent, as (when, by which gateway).
-fn sent(cluster: &Cluster, id: &str, from: u64) -> Vec<(u64, usize)> {
-    let host = cluster.hosts.iter().find(|h| h.id == id).expect("a host");
+/// A statement that a host was sent.
+#[derive(Debug, PartialEq, Eq)]
+struct SentStatement {
+    /// When it arrived, in milliseconds of the run.
+    at_ms: u64,
+    /// The gateway that sent it.
+    gateway: usize,
+}
+
+/// The statements that a host was sent from this time on, in milliseconds of the run.
+fn sent_statements(cluster: &Cluster, host_id: &str, from_ms: u64) -> Vec<SentStatement> {
+    let host = find_host(cluster, host_id);
     let seen = host.seen();
     seen.statements
         .iter()
-        .filter(|s| s.0 >= from)
-        .map(|s| (s.0, s.1))
+        .map(|&(at_ms, gateway, _)| SentStatement { at_ms, gateway })
+        .filter(|statement| statement.at_ms >= from_ms)
         .collect()
 }
 
+fn find_host<'a>(cluster: &'a Cluster, host_id: &str) -> &'a Host {
+    let mut hosts = cluster.hosts.iter();
+    hosts
+        .find(|host| host.id == host_id)
+        .expect("the cluster has the host")
+}
+
 #[test]
-fn a_drain_holds_everywhere_and_is_taken_back() {
+fn drain_holds_at_every_gateway_until_the_host_is_put_back_in_service() {
     let cluster = started(4, 31);
-    let host = cluster
-        .hosts
-        .iter()
-        .find(|h| h.id == "h1-1")
-        .expect("a host");
-    // A read stands at the host: the way between the two is cut, once a connection is up.
+    let host = find_host(&cluster, "h1-1");
+    // A read is in flight at the host: the connection between the two is cut once it is up.
     assert!(ask(&cluster, 3, &read("a0")).is_ok());
     host.cut(3, true);
     std::thread::scope(|scope| {
-        let held = scope.spawn(|| ask(&cluster, 3, &read("a1")));
-        // Its gateway has it open there by now, or has had it there and gone on elsewhere: that a drain waits for it is
-        // proven in crates/drain-coordination/tests/fleet.rs.
+        let pending_read = scope.spawn(|| ask(&cluster, 3, &read("a1")));
+        // Its gateway has it in flight there by now, or has had it there and retried elsewhere: that a drain waits for it
+        // is checked in crates/drain-coordination/tests/fleet.rs.
         std::thread::sleep(Duration::from_millis(150));
-        let said = cluster.call(2, "drain h1-1");
+        let answer = cluster.call(2, "drain h1-1");
         assert!(
-            said.starts_with("+OK h1-1 is to be out of service"),
-            "{said}"
+            answer.starts_with("+OK h1-1 is to be out of service"),
+            "{answer}"
         );
-        wait("an owner", || owner(&cluster).is_some());
+        wait("a gateway coordinates the drain", || {
+            coordinator(&cluster).is_some()
+        });
         host.cut(3, false);
-        assert!(held.join().expect("a client").is_ok());
+        let answer = pending_read.join().expect("the client does not panic");
+        assert!(answer.is_ok());
+    });
+    wait("the coordinator completes the drain", || {
+        logged_completions(&cluster, FOUND).len() == 1
     });
-    wait("drained", || drained(&cluster, "completed here").len() == 1);
-    wait("told", || {
-        drained(&cluster, "(completion received").len() == 3
+    wait("the other gateways receive the completion", || {
+        logged_completions(&cluster, RECEIVED).len() == 3
     });
-    // Nothing is sent there any more, by whichever gateway.
-    let after = cluster.clock.now();
+    // No gateway sends anything there any more.
+    let drained_at = cluster.clock.now();
     for n in 0..24 {
         assert!(ask(&cluster, n % 4, &read(&format!("b{n}"))).is_ok());
     }
-    assert_eq!(sent(&cluster, "h1-1", after), []);
-    assert!(sent(&cluster, "h1-0", after).len() >= 24);
-    // The last host of a set stays in service, whatever is said.
+    assert_eq!(sent_statements(&cluster, "h1-1", drained_at), []);
+    assert!(sent_statements(&cluster, "h1-0", drained_at).len() >= 24);
+    // The last host of a set stays in service, whatever an operator commands.
     assert_eq!(
         cluster.call(0, "drain h1-0"),
         "-ERR h1-0 is the last host of its set in service"
@@ -88,20 +127,21 @@
         cluster.call(0, "drain h9-9"),
         "-ERR the list names no host h9-9"
     );
-    let said = cluster.call(1, "undrain h1-1");
+    let answer = cluster.call(1, "undrain h1-1");
     assert!(
-        said.starts_with("+OK h1-1 is to be back in service"),
-        "{said}"
+        answer.starts_with("+OK h1-1 is to be back in service"),
+        "{answer}"
     );
-    wait("served again", || {
+    wait("gateway 0 sends requests to the host again", || {
         let n = cluster.clock.now();
         assert!(ask(&cluster, 0, &read(&format!("c{n}"))).is_ok());
-        sent(&cluster, "h1-1", after).iter().any(|s| s.1 == 0)
+        let sent = sent_statements(&cluster, "h1-1", drained_at);
+        sent.iter().any(|statement| statement.gateway == 0)
     });
 }
 
 #[test]
-fn a_drain_whose_owner_is_killed_is_seen_through_once_by_another() {
+fn drain_is_completed_once_by_the_next_coordinator_when_its_coordinator_is_killed() {
     let mut cluster = started(5, 32);
     let first = {
         let host = HostId(irisrouter_gossip::message::host_id("h1-1"));
@@ -110,54 +150,57 @@
             &[0, 1, 2, 3, 4],
         )[0] as usize
     };
-    let (teller, quiet) = ((first + 1) % 5, (first + 2) % 5);
-    // One is stopped: it can't say what it has open, and nobody may call the host drained without it.
-    cluster.stall(quiet);
-    let said = cluster.call(teller, "drain h1-1");
-    assert!(said.starts_with("+OK"), "{said}");
-    wait("its owner", || {
-        cluster.call(first, "duties").contains("drain-")
+    let issuer = (first + 1) % 5;
+    let stalled = (first + 2) % 5;
+    // The stalled gateway can't report its requests in flight, and no coordinator may complete the drain without it.
+    cluster.stall(stalled);
+    let answer = cluster.call(issuer, "drain h1-1");
+    assert!(answer.starts_with("+OK"), "{answer}");
+    wait("the first candidate coordinates the drain", || {
+        coordinates_drain(&cluster, first)
     });
-    assert_eq!(drained(&cluster, "drained"), []);
+    assert_eq!(logged_completions(&cluster, "drained"), []);
     cluster.crash(first);
-    let next = |c: &Cluster| {
-        let mut others = c.running().into_iter().filter(|&g| g != quiet);
-        others.find(|&g| c.call(g, "duties").contains("drain-"))
+    let next_coordinator = || {
+        let mut others = cluster.running().into_iter().filter(|&g| g != stalled);
+        others.find(|&gateway| coordinates_drain(&cluster, gateway))
     };
-    wait("another owner", || next(&cluster).is_some());
-    cluster.resume(quiet);
-    wait("told", || {
-        drained(&cluster, "(completion received").len() == 3
+    wait("another gateway coordinates the drain", || {
+        next_coordinator().is_some()
     });
-    let found = drained(&cluster, "completed here");
-    assert_eq!(found.len(), 1, "one verdict: {found:?}");
-    // Any but the dead one: the one that was stopped may come to own it when it is back.
-    assert_ne!(found[0].0, first);
-    // The one that starts again knows nothing, and is told.
-    cluster.launch(first).expect("starts again");
-    wait("told anew", || {
-        cluster.call(first, "drains").contains("h1-1:done")
+    cluster.resume(stalled);
+    wait("the other gateways receive the completion", || {
+        logged_completions(&cluster, RECEIVED).len() == 3
     });
-    let after = cluster.clock.now();
+    let found = logged_completions(&cluster, FOUND);
+    assert_eq!(found.len(), 1, "one gateway completes it: {found:?}");
+    // Any gateway but the dead one: the stalled one may acquire the lease after it has resumed.
+    assert_ne!(found[0].gateway, first);
+    // The gateway that starts again knows no command, and receives this one.
+    cluster.launch(first).expect("the gateway starts again");
+    wait(
+        "the gateway that started again receives the completion",
+        || cluster.call(first, "drains").contains("h1-1:done"),
+    );
+    let drained_at = cluster.clock.now();
     for n in 0..20 {
         assert!(ask(&cluster, n % 5, &read(&format!("d{n}"))).is_ok());
     }
-    assert_eq!(sent(&cluster, "h1-1", after), []);
+    assert_eq!(sent_statements(&cluster, "h1-1", drained_at), []);
 }
 
-/// The side that a cut leaves small hears a drain's word only after the cut, and an operator there is told so.
 #[test]
-fn a_drain_said_on_the_small_side_of_a_cut_goes_round_after_it() {
+fn drain_issued_at_a_minority_has_no_majority_and_reaches_every_gateway_after_the_partition() {
     let cluster = started(5, 33);
     cluster.partition(&[0], &[1, 2, 3, 4]);
-    let said = cluster.call(0, "drain h1-1");
+    let answer = cluster.call(0, "drain h1-1");
     assert!(
-        said.starts_with("-ERR h1-1 is to be out of service; 1 of 5 gateways follow"),
-        "{said}"
+        answer.starts_with("-ERR h1-1 is to be out of service; 1 of 5 gateways follow"),
+        "{answer}"
     );
     cluster.heal();
-    wait("drained everywhere", || {
-        drained(&cluster, "h1-1").len() == 5
+    wait("every gateway logs that the host is drained", || {
+        logged_completions(&cluster, "h1-1").len() == 5
     });
-    assert_eq!(drained(&cluster, "completed here").len(), 1);
+    assert_eq!(logged_completions(&cluster, FOUND).len(), 1);
 }
