Use one clock in all shells of the cluster

Cause: five shells had the same now() and due(). Change: ServiceClock in drains, endpoint watch, site failover and write intents as in membership; site failover's sleep gets the bound of 60 s, which its period of 0.5 s never reaches. No timing changes.

--- a/src/net/cluster/drains.rs
+++ b/src/net/cluster/drains.rs
@@ -6,13 +6,12 @@
 use crate::net::cluster::leases::{LeaseService, LeasedTask};
 use crate::net::cluster::membership::MembershipService;
 use crate::net::cluster::outbox::{Outbox, OutgoingDatagram};
+use crate::net::cluster::service_clock::ServiceClock;
 use crate::net::log::log;
 use crate::net::metrics::{increment, Metrics};
 use crate::net::unix_milliseconds;
 use crate::net::upstream::Upstream;
-use irisrouter_cluster_types::{
-    Epoch, GatewayId, HostId, Milliseconds, Timestamp, UnixMilliseconds,
-};
+use irisrouter_cluster_types::{Epoch, GatewayId, HostId, Milliseconds, UnixMilliseconds};
 use irisrouter_drain_coordination::{
     Action, CommandLogError, CommandStatus, Completion, CompletionOrigin, DesiredState,
     DrainCommand, DrainCoordinator, LocalState, Progress, ReplicationProgress, Settings,
@@ -25,10 +24,6 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::{oneshot, Notify};
-use tokio::time::Instant;
-
-/// The longest time between two calls of [`DrainService::advance`].
-const MAX_PAUSE: Milliseconds = Milliseconds(60_000);
 
 /// What became of an operator's command; its text is the console's answer.
 #[derive(Debug)]
@@ -100,7 +95,7 @@
     coordinator: RefCell<DrainCoordinator>,
     membership: Rc<MembershipService>,
     local: LocalGateway,
-    started_at: Instant,
+    clock: ServiceClock,
     outbox: Outbox,
     metrics: Rc<Metrics>,
     /// Operators who wait until a quorum follows their commands, by host.
@@ -125,7 +120,7 @@
             coordinator: RefCell::new(coordinator),
             membership,
             local: LocalGateway { leases, upstream },
-            started_at: Instant::now(),
+            clock: ServiceClock::start(),
             outbox: Outbox::new(gateways),
             metrics,
             waiting_operators: RefCell::default(),
@@ -133,12 +128,6 @@
         }
     }
 
-    /// The time since the start of this service, as the coordinator's clock.
-    fn now(&self) -> Timestamp {
-        let elapsed_ms = self.started_at.elapsed().as_millis();
-        Timestamp::from_millis(u64::try_from(elapsed_ms).unwrap_or(u64::MAX))
-    }
-
     /// The hosts whose drains need a coordinator.
     pub fn drains_to_coordinate(&self) -> Vec<HostId> {
         self.coordinator.borrow().drains_to_coordinate()
@@ -148,7 +137,7 @@
     pub fn receive(&self, datagram: &[u8], from: GatewayId) -> Vec<OutgoingDatagram> {
         let mut coordinator = self.coordinator.borrow_mut();
         coordinator.update_fleet(self.membership.not_down_processes());
-        if let Err(error) = coordinator.receive(self.now(), from, datagram, &self.local) {
+        if let Err(error) = coordinator.receive(self.clock.now(), from, datagram, &self.local) {
             increment(&self.metrics.gossip.ignored);
             log!("drains: a datagram from gateway {from} is ignored: {error}");
         }
@@ -159,16 +148,15 @@
     pub fn advance(&self) -> Vec<OutgoingDatagram> {
         let mut coordinator = self.coordinator.borrow_mut();
         coordinator.update_fleet(self.membership.not_down_processes());
-        coordinator.advance(self.now(), &self.local);
+        coordinator.advance(self.clock.now(), &self.local);
         self.carry_out(&mut coordinator)
     }
 
     /// The time until [`DrainService::advance`] has work.
     pub fn due(&self) -> Duration {
-        let now = self.now();
+        let now = self.clock.now();
         let next_due = self.coordinator.borrow().next_due(now);
-        let pause = next_due.saturating_duration_since(now);
-        Duration::from(pause.min(MAX_PAUSE))
+        ServiceClock::time_until(now, next_due)
     }
 
     /// Waits until an operator has issued a command, so that [`DrainService::advance`] has work.
@@ -213,7 +201,7 @@
         let wall_clock = UnixMilliseconds(unix_milliseconds());
         self.coordinator
             .borrow_mut()
-            .issue(self.now(), wall_clock, host, desired_state)?;
+            .issue(self.clock.now(), wall_clock, host, desired_state)?;
         let (sender, receiver) = oneshot::channel();
         // A second operator with a command for the same host takes the first one's place, whose receiver then fails.
         self.waiting_operators.borrow_mut().insert(host, sender);
--- a/src/net/cluster/endpoint_watch.rs
+++ b/src/net/cluster/endpoint_watch.rs
@@ -5,11 +5,12 @@
 
 use crate::net::cluster::leases::{LeaseService, LeasedTask};
 use crate::net::cluster::membership::MembershipService;
+use crate::net::cluster::service_clock::ServiceClock;
 use crate::net::endpoint_list::ListPosition;
 use crate::net::log::log;
 use crate::net::metrics::{increment, Metrics};
 use crate::net::upstream::Upstream;
-use irisrouter_cluster_types::{Epoch, GatewayId, Milliseconds, Timestamp};
+use irisrouter_cluster_types::{Epoch, GatewayId, Milliseconds};
 use irisrouter_endpoint_watch::{
     codec, EndpointWatcher, LocalState, PollDecision, Revision, Settings, MAX_HOSTS_OUT_OF_SERVICE,
 };
@@ -17,13 +18,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{timeout, Instant};
+use tokio::time::timeout;
 
 /// A gateway that waits decides anew after this time at most: it may have got the lease of the watch meanwhile.
 const DECISION_INTERVAL: Duration = Duration::from_millis(200);
-/// The longest time between two looks for a heartbeat to send.
-const MAX_PAUSE: Milliseconds = Milliseconds(60_000);
-
 /// How discovery is to call for the endpoint list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PollKind {
@@ -49,7 +47,7 @@
     leases: Rc<LeaseService>,
     upstream: Rc<Upstream>,
     metrics: Rc<Metrics>,
-    started_at: Instant,
+    clock: ServiceClock,
     /// The role that was logged last.
     role: Cell<Option<Role>>,
     /// A heartbeat that counts has arrived: discovery decides anew.
@@ -75,19 +73,13 @@
             leases,
             upstream,
             metrics,
-            started_at: Instant::now(),
+            clock: ServiceClock::start(),
             role: Cell::new(None),
             heartbeat_received: Notify::new(),
             call_ended: Notify::new(),
         }
     }
 
-    /// The time since the start of this service.
-    fn now(&self) -> Timestamp {
-        let elapsed = self.started_at.elapsed().as_millis();
-        Timestamp::from_millis(u64::try_from(elapsed).unwrap_or(u64::MAX))
-    }
-
     /// The fencing token of the watch, where this gateway holds its lease.
     fn fencing_token(&self) -> Option<Epoch> {
         self.leases.fencing_token(LeasedTask::EndpointWatch)
@@ -120,7 +112,7 @@
             }
         };
         let counts = self.watcher.borrow_mut().receive_heartbeat(
-            self.now(),
+            self.clock.now(),
             heartbeat.epoch,
             heartbeat.revision,
         );
@@ -135,20 +127,20 @@
     pub fn heartbeat(&self) -> Option<Vec<u8>> {
         let local = self.local_state(Some(self.upstream.revision()), false);
         let hosts_out_of_service = || self.upstream.out_of_service(MAX_HOSTS_OUT_OF_SERVICE);
-        let heartbeat =
-            self.watcher
-                .borrow_mut()
-                .due_heartbeat(self.now(), local, hosts_out_of_service)?;
+        let heartbeat = self.watcher.borrow_mut().due_heartbeat(
+            self.clock.now(),
+            local,
+            hosts_out_of_service,
+        )?;
         Some(codec::encode(&heartbeat))
     }
 
     /// The time until [`EndpointWatchService::heartbeat`] may return one.
     pub fn due(&self) -> Duration {
-        let now = self.now();
+        let now = self.clock.now();
         let holds_lease = self.fencing_token().is_some();
         let next = self.watcher.borrow().next_heartbeat_at(now, holds_lease);
-        let pause = next.saturating_duration_since(now);
-        Duration::from(pause.min(MAX_PAUSE))
+        ServiceClock::time_until(now, next)
     }
 
     /// Waits until a call for the list has ended, so that a heartbeat may be due.
@@ -182,7 +174,7 @@
         loop {
             self.heartbeat_received.notified().await;
             let local = self.local_state(position.revision, position.needs_full_list);
-            if self.watcher.borrow().is_superseded(self.now(), local) {
+            if self.watcher.borrow().is_superseded(self.clock.now(), local) {
                 return;
             }
         }
@@ -199,7 +191,9 @@
 
     fn decide_poll(&self, position: &ListPosition) -> PollDecision {
         let local = self.local_state(position.revision, position.needs_full_list);
-        self.watcher.borrow_mut().decide_poll(self.now(), local)
+        self.watcher
+            .borrow_mut()
+            .decide_poll(self.clock.now(), local)
     }
 
     fn start_watch(&self) -> PollKind {
--- a/src/net/cluster/site_failover.rs
+++ b/src/net/cluster/site_failover.rs
@@ -8,6 +8,7 @@
 use crate::net::cluster::leases::{LeaseService, LeasedTask};
 use crate::net::cluster::membership::MembershipService;
 use crate::net::cluster::outbox::{Outbox, OutgoingDatagram};
+use crate::net::cluster::service_clock::ServiceClock;
 use crate::net::cluster::site_failover_planning::{Planning, PlanningInput};
 use crate::net::cluster::site_failover_status::{console_line, log_line};
 use crate::net::config::Peers;
@@ -27,7 +28,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Time between two load reports, and between two plans.
 const PERIOD: Milliseconds = Milliseconds(500);
@@ -103,7 +103,7 @@
     follower: RefCell<Follower>,
     published: Published,
     local_load: LocalLoad,
-    started_at: Instant,
+    clock: ServiceClock,
     outbox: Outbox,
     /// The address that reaches all gateways.
     broadcast_address: SocketAddr,
@@ -132,18 +132,12 @@
             follower: RefCell::new(follower),
             published: Published::default(),
             local_load: LocalLoad::default(),
-            started_at: Instant::now(),
+            clock: ServiceClock::start(),
             outbox: Outbox::new(peers.gateway_addresses.clone()),
             broadcast_address: peers.broadcast_address,
         })
     }
 
-    /// The time since the start of this service, as the clock of plans and load reports.
-    fn now(&self) -> Timestamp {
-        let elapsed_ms = self.started_at.elapsed().as_millis();
-        Timestamp::from_millis(u64::try_from(elapsed_ms).unwrap_or(u64::MAX))
-    }
-
     /// Counts a request of the class in this slot.
     pub fn request_arrived(&self, slot: usize) {
         let mut arrived = self.local_load.arrived_by_slot.borrow_mut();
@@ -157,7 +151,7 @@
     pub fn receive(&self, datagram: &[u8], from: GatewayId) {
         match codec::decode(datagram) {
             Ok(Message::SiteLoadReport(report)) => {
-                self.planning.record_report(self.now(), from, report);
+                self.planning.record_report(self.clock.now(), from, report);
             }
             Ok(Message::Plan(plan)) => {
                 increment(&self.dependencies.metrics.site_failover.received);
@@ -172,7 +166,7 @@
 
     /// Reports and plans once a period. Returns the datagrams to send.
     pub fn advance(&self) -> Vec<OutgoingDatagram> {
-        let now = self.now();
+        let now = self.clock.now();
         let last_report_at = self.local_load.last_report_at.get();
         if now < last_report_at + PERIOD {
             return Vec::new();
@@ -202,7 +196,7 @@
     /// The time until [`SiteFailoverService::advance`] has work.
     pub fn due(&self) -> Duration {
         let due_at = self.local_load.last_report_at.get() + PERIOD;
-        Duration::from(due_at.saturating_duration_since(self.now()))
+        ServiceClock::time_until(self.clock.now(), due_at)
     }
 
     /// What this gateway observed since the last load report. The counts start over.
@@ -262,7 +256,7 @@
 
     /// Follows a plan if it is later than the one followed so far.
     fn follow(&self, plan: Plan) {
-        let is_followed = self.follower.borrow_mut().receive(self.now(), plan);
+        let is_followed = self.follower.borrow_mut().receive(self.clock.now(), plan);
         if is_followed {
             self.publish_plan_in_force();
         }
@@ -272,7 +266,7 @@
     /// last one.
     fn publish_plan_in_force(&self) {
         let follower = self.follower.borrow();
-        let plan = follower.plan_in_force(self.now());
+        let plan = follower.plan_in_force(self.clock.now());
         let directives = plan.map_or_else(FailoverDirectives::default, |plan| {
             self.failover_directives(plan)
         });
@@ -314,6 +308,6 @@
     /// The plan in force as one line, for the console.
     pub fn status_line(&self) -> String {
         let follower = self.follower.borrow();
-        console_line(follower.plan_in_force(self.now()), &self.names)
+        console_line(follower.plan_in_force(self.clock.now()), &self.names)
     }
 }
--- a/src/net/cluster/write_intents.rs
+++ b/src/net/cluster/write_intents.rs
@@ -5,21 +5,18 @@
 
 use crate::net::cluster::membership::MembershipService;
 use crate::net::cluster::outbox::{Outbox, OutgoingDatagram};
+use crate::net::cluster::service_clock::ServiceClock;
 use crate::net::log::log;
 use crate::net::metrics::{increment, Metrics};
-use irisrouter_cluster_types::{GatewayId, Milliseconds, Timestamp, UnixMilliseconds};
+use irisrouter_cluster_types::{GatewayId, Timestamp, UnixMilliseconds};
 use irisrouter_write_intents::{Action, IntentStore, KeyHash, OperationId, Outcome};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
 
-/// The longest time between two calls of [`WriteIntentService::advance`].
-const MAX_ADVANCE_INTERVAL: Milliseconds = Milliseconds(60_000);
-
 /// What is known of the earlier attempts of a write that may be a retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EarlierAttempt {
@@ -35,7 +32,7 @@
 pub struct WriteIntentService {
     store: RefCell<IntentStore>,
     membership: Rc<MembershipService>,
-    start: Instant,
+    clock: ServiceClock,
     metrics: Rc<Metrics>,
     /// The tasks that wait for the outcomes of records and look-ups.
     waiting: RefCell<HashMap<OperationId, oneshot::Sender<Outcome>>>,
@@ -62,7 +59,7 @@
                 Timestamp::ZERO,
             )),
             membership,
-            start: Instant::now(),
+            clock: ServiceClock::start(),
             metrics,
             waiting: RefCell::default(),
             outbox: Outbox::new(gateways),
@@ -71,15 +68,9 @@
         }
     }
 
-    /// The time since the start of this service.
-    fn now(&self) -> Timestamp {
-        let elapsed = self.start.elapsed().as_millis();
-        Timestamp::from_millis(u64::try_from(elapsed).unwrap_or(u64::MAX))
-    }
-
     /// This process receives datagrams from now on.
     pub fn on_socket_opened(&self) {
-        self.store.borrow_mut().on_socket_opened(self.now());
+        self.store.borrow_mut().on_socket_opened(self.clock.now());
     }
 
     /// Whether a write may be one that another gateway has sent; `marked` where the client marked it as a retry.
@@ -149,10 +140,7 @@
 
     /// When [`WriteIntentService::advance`] has work next.
     pub fn due(&self) -> Instant {
-        let now = self.now();
-        let due = self.store.borrow().next_due();
-        let due = due.max(now).min(now + MAX_ADVANCE_INTERVAL);
-        self.start + Duration::from_millis(due.as_millis())
+        self.clock.instant_of(self.store.borrow().next_due())
     }
 
     /// Waits until there are datagrams to send.
@@ -181,7 +169,7 @@
 
     fn call_store(&self, call: impl FnOnce(&mut IntentStore, Timestamp)) {
         let mut store = self.store.borrow_mut();
-        call(&mut store, self.now());
+        call(&mut store, self.clock.now());
         self.carry_out_actions(&mut store);
     }
 
