--- a/crates/testbed/tests/endpoint_watch.rs
+++ b/crates/testbed/tests/endpoint_watch.rs
@@ -1,6 +1,6 @@
-//! One watch of the list for a fleet of real gateways: it goes on with another gateway when its owner is killed, and each
-//! watches for itself when the owner can't reach discovery. What is checked is what discovery was called for and what
-//! the hosts were sent.
+//! One watch of the endpoint list for a fleet of real gateways: another gateway goes on with it when the watcher is killed,
+//! and each watches for itself when the watcher can't reach discovery. What is checked is what discovery was called for
+//! and what the hosts were sent.
 
 mod common;
 
@@ -8,6 +8,7 @@
 use irisrouter_testbed::cluster::schedule::Pace;
 use irisrouter_testbed::cluster::{Cluster, Plan};
 
+/// A fleet with the endpoint watch on, and the gateway that watches for all.
 fn started(gateways: usize, seed: u64) -> (Cluster, usize) {
     let pace = Pace {
         lease_ms: Some(LEASE_MS),
@@ -22,50 +23,50 @@
         ..plan(gateways, seed, operators)
     });
     wait("one watcher", || {
-        cluster.discovery.watching().len() == 1 && owner(&cluster).is_some()
+        cluster.discovery.watching().len() == 1 && lease_holder(&cluster).is_some()
     });
-    let owner = owner(&cluster).expect("an owner");
-    wait("the owner watches", || {
-        cluster.discovery.watching() == [owner]
+    let watcher = lease_holder(&cluster).expect("a lease holder");
+    wait("the lease holder watches", || {
+        cluster.discovery.watching() == [watcher]
     });
-    (cluster, owner)
+    (cluster, watcher)
 }
 
-/// The gateway whose duty the watch is, by its console.
-fn owner(cluster: &Cluster) -> Option<usize> {
+/// The gateway that holds the lease of the watch, by its console.
+fn lease_holder(cluster: &Cluster) -> Option<usize> {
     cluster
         .running()
         .into_iter()
-        .find(|&g| cluster.call(g, "duties").contains("list:"))
+        .find(|&gateway| cluster.call(gateway, "duties").contains("list:"))
 }
 
-/// Whether reads through a gateway reach the replica of set 1, out of twelve.
-fn reach(cluster: &Cluster, gateway: usize) -> bool {
-    let from = cluster.clock.now();
-    for n in 0..12 {
+/// Whether any of twelve reads through a gateway reaches the replica of set 1.
+fn reaches_replica(cluster: &Cluster, gateway: usize) -> bool {
+    let sent_from = cluster.clock.now();
+    for read in 0..12 {
         let text = "SELECT payload FROM entries WHERE ref = '7f3a'";
-        let said = ask(
+        let answer = ask(
             cluster,
             gateway,
-            &format!("{text} /* id={from:x}{n:x}{gateway},c=report,d=6000,cluster=1 */"),
+            &format!("{text} /* id={sent_from:x}{read:x}{gateway},c=report,d=6000,cluster=1 */"),
         );
-        assert!(said.is_ok(), "{said:?}");
+        assert!(answer.is_ok(), "{answer:?}");
     }
     let host = cluster
         .hosts
         .iter()
-        .find(|h| h.id == "h1-1")
+        .find(|host| host.id == "h1-1")
         .expect("a host");
     let seen = host.seen();
     seen.statements
         .iter()
-        .any(|s| s.0 >= from && s.1 == gateway)
+        .any(|statement| statement.0 >= sent_from && statement.1 == gateway)
 }
 
 #[test]
 fn one_gateway_watches_for_all_and_another_once_it_is_killed() {
     let (mut cluster, first) = started(5, 41);
-    assert!(reach(&cluster, (first + 1) % 5));
+    assert!(reaches_replica(&cluster, (first + 1) % 5));
     let before = cluster.clock.now();
     cluster.discovery.phase("h1-1", "terminating");
     wait("all have the list", || {
@@ -77,7 +78,9 @@
                 .any(|c| c.gateway == g && c.at >= before)
         })
     });
-    wait("nobody sends there", || !(0..5).any(|g| reach(&cluster, g)));
+    wait("nobody sends there", || {
+        !(0..5).any(|g| reaches_replica(&cluster, g))
+    });
     let calls = cluster.discovery.calls();
     let watched = calls
         .iter()
@@ -89,16 +92,19 @@
     );
     cluster.crash(first);
     wait("another watcher", || {
-        cluster.discovery.watching().len() == 1 && owner(&cluster).is_some()
+        cluster.discovery.watching().len() == 1 && lease_holder(&cluster).is_some()
     });
-    let next = owner(&cluster).expect("an owner");
+    let next = lease_holder(&cluster).expect("a lease holder");
     assert_ne!(next, first);
     wait("it watches", || cluster.discovery.watching() == [next]);
     cluster.discovery.phase("h1-1", "in_service");
     wait("served again by all", || {
-        cluster.running().into_iter().all(|g| reach(&cluster, g))
+        cluster
+            .running()
+            .into_iter()
+            .all(|g| reaches_replica(&cluster, g))
     });
-    // Back, and first in the order: it watches again, and the other one rests.
+    // Back, and the first candidate: it gets the lease back, and the other gateway stops watching.
     cluster.launch(first).expect("starts again");
     wait("the first one again", || {
         cluster.discovery.watching() == [first]
@@ -106,25 +112,29 @@
 }
 
 #[test]
-fn hosts_that_leave_are_left_alone_on_the_watcher_s_word() {
+fn heartbeat_takes_a_host_out_of_service_at_gateways_that_cannot_fetch() {
     let (cluster, first) = started(4, 42);
     let others: Vec<usize> = (0..4).filter(|&g| g != first).collect();
-    assert!(others.iter().all(|&g| reach(&cluster, g)));
-    // The others can't have the list themselves.
+    assert!(others.iter().all(|&g| reaches_replica(&cluster, g)));
+    // The others can't fetch the list.
     others
         .iter()
         .for_each(|&g| cluster.discovery.refuse(g, true));
     cluster.discovery.phase("h1-1", "terminating");
-    wait("left alone", || !(0..4).any(|g| reach(&cluster, g)));
+    wait("nobody sends there", || {
+        !(0..4).any(|g| reaches_replica(&cluster, g))
+    });
     others
         .iter()
         .for_each(|&g| cluster.discovery.refuse(g, false));
     cluster.discovery.phase("h1-1", "in_service");
-    wait("served again", || (0..4).all(|g| reach(&cluster, g)));
+    wait("served again", || {
+        (0..4).all(|g| reaches_replica(&cluster, g))
+    });
 }
 
 #[test]
-fn all_watch_for_themselves_while_the_watcher_can_t() {
+fn all_watch_for_themselves_while_the_watcher_cannot_reach_discovery() {
     let (cluster, first) = started(4, 43);
     cluster.discovery.refuse(first, true);
     // Its open watch is answered, and its next call refused.
@@ -136,16 +146,18 @@
             .all(|g| cluster.discovery.watching().contains(g))
     });
     cluster.discovery.phase("h1-1", "terminating");
-    wait("left alone", || !others.iter().any(|&g| reach(&cluster, g)));
+    wait("nobody sends there", || {
+        !others.iter().any(|&g| reaches_replica(&cluster, g))
+    });
     cluster.discovery.refuse(first, false);
     wait("one watcher again", || {
         cluster.discovery.watching() == [first]
     });
 }
 
-/// Where each gateway has an agent of its own, what that one has counts as told: each watches it, whatever is set.
+/// Where each gateway has an agent of its own, it has to know what its agent has: each watches, whatever is set.
 #[test]
-fn where_the_list_is_pushed_each_gateway_watches() {
+fn each_gateway_watches_where_the_list_is_pushed() {
     let pace = Pace {
         lease_ms: Some(LEASE_MS),
         ..Pace::FAST
