--- a/benches/batch.rs
+++ b/benches/batch.rs
@@ -6,12 +6,12 @@
 use criterion::{criterion_group, criterion_main, BatchSize, BenchmarkId, Criterion};
 use irisrouter::platform_settings::PlatformSettings;
 use irisrouter::routing::{
-    Action, Endpoint, EndpointState, Event, GroupId, LoadReport, MemberId, Nanos, Outcome,
-    ReplicationStatus, RequestId, Role, Router, Settings, ZoneId,
+    Action, Endpoint, EndpointState, Event, GroupId, LoadReport, MemberId, Outcome,
+    ReplicationStatus, RequestId, Role, Router, Settings, TimeDelta, Timestamp, ZoneId,
 };
 use std::hint::black_box;
 
-const MS: Nanos = 1_000_000;
+const MS: TimeDelta = TimeDelta::from_millis(1);
 const MEMBERS_OF_A_SET: u32 = 5;
 
 fn settings(gateways: u32) -> Settings {
@@ -37,7 +37,7 @@
 /// A router that has served for a while, and how many requests it has had.
 struct Served {
     router: Router,
-    now: Nanos,
+    now: Timestamp,
     next: u64,
     sets: u32,
 }
@@ -54,7 +54,7 @@
             started: None,
         };
         let mut router = Router::new(settings(gateways));
-        let now = 1_000_000_000_000;
+        let now = Timestamp::ZERO + TimeDelta::from_secs(1_000);
         let entries = (0..members).map(entry).collect();
         router.batch(
             now,
--- a/crates/testbed/src/gateway.rs
+++ b/crates/testbed/src/gateway.rs
@@ -3,32 +3,32 @@
 
 use crate::settings;
 use irisrouter::routing::{
-    Action, Endpoint, EndpointState, Event, GroupId, LoadReport, MemberId, Nanos, Outcome,
-    ReplicationStatus, RequestId, Role, Router, SessionId, Settings, ZoneId,
+    Action, Endpoint, EndpointState, Event, GroupId, LoadReport, MemberId, Outcome,
+    ReplicationStatus, RequestId, Role, Router, SessionId, Settings, TimeDelta, Timestamp, ZoneId,
 };
 use irisrouter_simulation::clients::Try;
 use irisrouter_simulation::endpoint_list::{EndpointView, ListEntry};
 use irisrouter_simulation::fleet;
-use irisrouter_simulation::{GatewayId, HostId, MS};
+use irisrouter_simulation::{GatewayId, HostId, Ns, MS};
 use rustc_hash::FxHashMap as HashMap;
 use std::collections::{BTreeSet, VecDeque};
 
 /// The module's deadline lies so much before the client's, as in `net/request.rs`.
-const MARGIN: Nanos = 5 * MS;
+const MARGIN: Ns = 5 * MS;
 /// And the guard against no decision so much.
-const LAST_MARGIN: Nanos = MS;
+const LAST_MARGIN: Ns = MS;
 
 /// The exchange of a gateway with its peers: a subsystem that sends datagrams to other gateways plugs in here. A gateway
 /// that is killed loses its state with all else, and starts with a new one.
 pub trait PeerExchange {
     /// A datagram has come from another gateway, as its address tells.
-    fn receive(&mut self, now: Nanos, from: GatewayId, body: &[u8]);
+    fn receive(&mut self, now: Ns, from: GatewayId, body: &[u8]);
 
     /// The datagrams that it sends now, each to one gateway or, with `None`, to all others.
-    fn outgoing(&mut self, now: Nanos) -> Vec<(Option<GatewayId>, Vec<u8>)>;
+    fn outgoing(&mut self, now: Ns) -> Vec<(Option<GatewayId>, Vec<u8>)>;
 
     /// When it wants to be asked again, if nothing comes before.
-    fn next_due(&self) -> Option<Nanos>;
+    fn next_due(&self) -> Option<Ns>;
 }
 
 /// A connection to a host that nothing is on.
@@ -37,7 +37,7 @@
     /// The host's process that it was made to.
     pub epoch: u32,
     /// Since when.
-    pub since: Nanos,
+    pub since: Ns,
 }
 
 /// How far an attempt has come.
@@ -59,9 +59,9 @@
     /// How far.
     pub stage: Stage,
     /// When it was ordered.
-    pub began: Nanos,
+    pub began: Ns,
     /// When the gateway stops waiting.
-    pub end: Nanos,
+    pub end: Ns,
     /// The process of the host that its connection was made to.
     pub epoch: u32,
 }
@@ -72,9 +72,9 @@
     /// As its client sent it.
     pub of: Try,
     /// When it came.
-    pub came: Nanos,
+    pub came: Ns,
     /// When the guard answers.
-    pub last: Nanos,
+    pub last: Ns,
     /// Its final answer has been given, or its client has left.
     pub over: bool,
     /// Its attempts, by number.
@@ -92,7 +92,7 @@
     /// A batch is planned.
     pub batch_planned: bool,
     /// The earliest wake-up asked for.
-    pub wake: Option<Nanos>,
+    pub wake: Option<Ns>,
     /// Requests, until their last attempt has ended.
     pub open: HashMap<RequestId, Open>,
     /// The request of each try, while it is open.
@@ -103,7 +103,7 @@
     /// Its part in what gateways tell one another.
     pub exchange: Option<Box<dyn PeerExchange>>,
     /// Probes that are out, by host and when they were sent.
-    pub probing: BTreeSet<(HostId, Nanos)>,
+    pub probing: BTreeSet<(HostId, Ns)>,
     /// Hosts that it may send to.
     ready: HashMap<HostId, bool>,
 }
@@ -126,7 +126,7 @@
         },
         primary: false,
         size: 1.0,
-        started: (e.since > 0).then_some(e.since),
+        started: (e.since > 0).then(|| Timestamp::from_nanos(e.since)),
     }
 }
 
@@ -185,7 +185,7 @@
     }
 
     /// Takes a request.
-    pub fn take(&mut self, now: Nanos, of: Try) -> (RequestId, Nanos) {
+    pub fn take(&mut self, now: Ns, of: Try) -> (RequestId, Ns) {
         let id = RequestId(self.next_request);
         self.next_request += 1;
         // What the client says it will wait counts from when its request has come.
@@ -197,10 +197,10 @@
             class: a.class,
             tenant: None,
             session: a.session.map(SessionId),
-            deadline: now + (wait - MARGIN).max(0),
+            deadline: Timestamp::from_nanos(now + (wait - MARGIN).max(0)),
             work: None,
             group: GroupId(i64::from(a.set.0)),
-            last_write_age: (of.mark > 0).then(|| now - of.mark),
+            last_write_age: (of.mark > 0).then(|| TimeDelta::from_nanos(now - of.mark)),
             retry: of.marked,
         });
         self.of_try.insert((of.call, of.number), id);
@@ -218,22 +218,22 @@
     }
 
     /// All that has come since the last batch goes to the module.
-    pub fn batch(&mut self, now: Nanos) -> Vec<Action> {
+    pub fn batch(&mut self, now: Ns) -> Vec<Action> {
         self.batch_planned = false;
         let events = std::mem::take(&mut self.events);
         if events.is_empty() {
             return Vec::new();
         }
-        self.router.batch(now, &events)
+        self.router.batch(Timestamp::from_nanos(now), &events)
     }
 
     /// A connection that can be used, and those that have been idle for too long, which are closed.
     pub fn check_out(
         &mut self,
-        now: Nanos,
+        now: Ns,
         host: HostId,
         epoch: u32,
-        idle_close: Nanos,
+        idle_close: Ns,
     ) -> (Option<Idle>, u32) {
         let Some(idle) = self.idle.get_mut(&host) else {
             return (None, 0);
@@ -245,7 +245,7 @@
     }
 
     /// A connection is free again.
-    pub fn check_in(&mut self, now: Nanos, host: HostId, epoch: u32) {
+    pub fn check_in(&mut self, now: Ns, host: HostId, epoch: u32) {
         self.idle
             .entry(host)
             .or_default()
@@ -274,7 +274,7 @@
     /// An attempt ends: the module hears of it, once.
     pub fn ended(
         &mut self,
-        now: Nanos,
+        now: Ns,
         id: RequestId,
         attempt: u32,
         outcome: Outcome,
@@ -293,7 +293,7 @@
             attempt,
             member: member(was.host),
             outcome,
-            elapsed: now - was.began,
+            elapsed: TimeDelta::from_nanos(now - was.began),
             finished,
             status: note,
             report: None,
@@ -321,14 +321,14 @@
         } else {
             Role::Replica
         },
-        position: committed.then(|| (n.position + MS - 1) / MS * MS),
+        position: committed.then(|| Timestamp::from_nanos((n.position + MS - 1) / MS * MS)),
     }
 }
 
 /// A report, in whole milliseconds, rounded down.
 pub fn report(r: &irisrouter_simulation::host::Report) -> LoadReport {
     LoadReport {
-        position: Some(r.position / MS * MS),
+        position: Some(Timestamp::from_nanos(r.position / MS * MS)),
         primary: Some(r.primary),
         in_flight: None,
         cores_in_use: Some(r.util),
--- a/crates/testbed/src/virtual_run.rs
+++ b/crates/testbed/src/virtual_run.rs
@@ -6,7 +6,7 @@
 use crate::gateway::{self, Attempt, Gateway, PeerExchange, Stage};
 use crate::results::{Collector, RunResults};
 use crate::scenario::Scenario;
-use irisrouter::routing::{Action, Event as RouterEvent, Outcome, RequestId, Settings};
+use irisrouter::routing::{Action, Event as RouterEvent, Outcome, RequestId, Settings, TimeDelta};
 use irisrouter_simulation::clients::{Arrivals, Clients, NextStep, Try, TryOutcome};
 use irisrouter_simulation::datagrams::Datagrams;
 use irisrouter_simulation::event_queue::EventQueue;
@@ -639,7 +639,7 @@
         process.post(RouterEvent::HealthChecked {
             member: gateway::member(host),
             outcome,
-            elapsed,
+            elapsed: TimeDelta::from_nanos(elapsed),
             report,
         });
         self.plan_batch(gateway);
@@ -696,7 +696,7 @@
                 id,
                 member,
                 timeout: limit,
-            } => self.begin(gateway, id, HostId(member.0), limit),
+            } => self.begin(gateway, id, HostId(member.0), limit.as_nanos()),
             Action::CancelAttempt { id, attempt } => {
                 if let Some(host) = self.gateways[gateway.0 as usize]
                     .open
@@ -720,7 +720,7 @@
                 retry_after: pause,
             } => {
                 if let Some(of) = self.gateways[gateway.0 as usize].over(id) {
-                    let pause = (pause > 0).then_some(pause);
+                    let pause = Some(pause.as_nanos()).filter(|&pause| pause > 0);
                     self.collector.refused(now, pause);
                     self.clientward(of, TryOutcome::Refused { pause });
                 }
@@ -743,7 +743,7 @@
                     sent: now,
                 });
                 let found = None;
-                let late = now + self.settings.limits.connect_timeout;
+                let late = now + self.settings.limits.connect_timeout.as_nanos();
                 self.push(
                     late,
                     Event::ProbeAnswers {
@@ -756,7 +756,7 @@
                 );
             }
             Action::SetTimer { after } => {
-                let at = now + after.max(0);
+                let at = now + after.as_nanos().max(0);
                 let g = &mut self.gateways[gateway.0 as usize];
                 // The earliest alone is kept, as on sockets.
                 if g.wake.is_none_or(|w| at < w) {
@@ -781,7 +781,7 @@
                 attempt,
                 member: gateway::member(host),
                 outcome: Outcome::NotSent,
-                elapsed: 0,
+                elapsed: TimeDelta::ZERO,
                 finished: true,
                 status: None,
                 report: None,
@@ -822,7 +822,7 @@
             None => {
                 self.collector.connection(now);
                 self.push(
-                    now + self.settings.limits.connect_timeout,
+                    now + self.settings.limits.connect_timeout.as_nanos(),
                     Event::ConnectTimeout(leg),
                 );
                 // The way there and back again to shake hands, and once more to begin.
--- a/src/net/cluster/shared_health_checks.rs
+++ b/src/net/cluster/shared_health_checks.rs
@@ -17,7 +17,7 @@
 use crate::net::upstream::Upstream;
 use crate::net::Clock;
 use irisrouter::routing::{
-    Event, GroupId, LoadReport, MemberId, Nanos, Outcome, SharedHealthCheck,
+    Event, GroupId, LoadReport, MemberId, Outcome, SharedHealthCheck, TimeDelta, Timestamp,
 };
 use irisrouter_gossip::health_check_schedule::HealthCheckSchedule;
 use irisrouter_gossip::message::{self, HealthCheckResult, Message};
@@ -98,7 +98,7 @@
     pub fn start_due_rounds(self: &Rc<Self>, groups: &[i64]) -> Duration {
         let now = self.clock.now();
         let mut schedule = self.schedule.borrow_mut();
-        schedule.update_groups(now, groups);
+        schedule.update_groups(now.as_nanos(), groups);
         let leases = self.leases.as_ref().filter(|leases| leases.in_majority());
         let (due_groups, next_due) = match leases {
             Some(leases) => {
@@ -107,17 +107,22 @@
                     leases.fencing_token(task).is_some()
                 };
                 (
-                    schedule.start_due_leased_rounds(now, holds_lease),
+                    schedule.start_due_leased_rounds(now.as_nanos(), holds_lease),
                     schedule.next_leased_due(holds_lease),
                 )
             }
-            None => (schedule.start_due_rounds(now), schedule.next_due()),
+            None => (
+                schedule.start_due_rounds(now.as_nanos()),
+                schedule.next_due(),
+            ),
         };
         for group in due_groups {
             let lease = leases.and_then(|leases| RoundLease::acquire(leases, group));
             spawn_local(Rc::clone(self).run_round(group, lease));
         }
-        next_due.map_or(IDLE_WAIT, |next_due| duration(next_due - now))
+        next_due.map_or(IDLE_WAIT, |next_due| {
+            duration(TimeDelta::from_nanos(next_due - now.as_nanos()))
+        })
     }
 
     /// Checks the hosts of a group, and shares the results. Under a lease it stops once the lease
@@ -184,7 +189,7 @@
     /// Sends results to all gateways. A result that is lost only delays what the others know: they
     /// run rounds of their own when none arrive.
     async fn share(&self, results: &[SharedHealthCheck]) {
-        let checked_at = self.clock.now();
+        let checked_at = self.clock.now().as_nanos();
         for chunk in results.chunks(message::MAX_RESULTS) {
             let results: Vec<HealthCheckResult> = chunk
                 .iter()
@@ -208,7 +213,7 @@
         let (host, _) = self.upstream.fleet_host_id(result.member)?;
         Some(HealthCheckResult {
             host,
-            position: result.report.position,
+            position: result.report.position.map(Timestamp::as_nanos),
             primary: result.report.primary?,
             cores_in_use: result.report.cores_in_use,
         })
@@ -224,17 +229,17 @@
                 return;
             }
         }
-        match message::decode(datagram, now) {
+        match message::decode(datagram, now.as_nanos()) {
             Ok(message) => self.apply(&message, gateway, now),
             Err(error) => ignore_datagram(&self.metrics, from, &error),
         }
     }
 
     /// Hands results to the router, and records the rounds that they come from.
-    fn apply(&self, message: &Message, gateway: u32, now: Nanos) {
+    fn apply(&self, message: &Message, gateway: u32, now: Timestamp) {
         increment(&self.metrics.gossip.received);
         // Clocks differ a little: no result counts as made in the future.
-        let checked_at = message.checked_at.min(now);
+        let checked_at = Timestamp::from_nanos(message.checked_at).min(now);
         let mut results = Vec::with_capacity(message.results.len());
         for result in &message.results {
             let Some((member, group)) = self.upstream.member_by_fleet_id(result.host) else {
@@ -242,12 +247,13 @@
             };
             self.schedule
                 .borrow_mut()
-                .record_round(group, gateway, checked_at);
+                .record_round(group, gateway, checked_at.as_nanos());
             results.push(SharedHealthCheck {
                 member,
                 at: checked_at,
                 report: LoadReport {
-                    position: result.position.map(|position| position.min(checked_at)),
+                    position: (result.position)
+                        .map(|position| Timestamp::from_nanos(position).min(checked_at)),
                     primary: Some(result.primary),
                     in_flight: None,
                     cores_in_use: result.cores_in_use,
--- a/src/net/cluster/site_failover.rs
+++ b/src/net/cluster/site_failover.rs
@@ -15,7 +15,7 @@
 use crate::net::request::classes::Classes;
 use crate::net::router_task::RouterHandle;
 use crate::net::upstream::Upstream;
-use irisrouter::routing::{Event, FailoverDirectives, Nanos};
+use irisrouter::routing::{Event, FailoverDirectives, TimeDelta};
 use irisrouter_leases::rendezvous;
 use irisrouter_site_failover::codec::{self, Message};
 use irisrouter_site_failover::load_report::{SiteLoadReport, SiteLoadReports};
@@ -36,7 +36,6 @@
 /// How often a plan that is over is still sent, as datagrams may be lost. A gateway that receives
 /// none of them follows the last plan until it expires.
 const CLOSING_PLANS: u32 = 6;
-const NANOS_PER_MS: Nanos = 1_000_000;
 
 /// The names behind the indexes of sites and classes.
 pub struct SiteNames {
@@ -356,7 +355,7 @@
                 .filter(|(_, site)| site.recovery_ramp < 1.0)
                 .map(|(zone, site)| (upstream.zone_id(zone), site.recovery_ramp))
                 .collect(),
-            retry_after: Some(Nanos::from(plan.retry_after_ms) * NANOS_PER_MS),
+            retry_after: Some(TimeDelta::from_millis(i64::from(plan.retry_after_ms))),
         }
     }
 
--- a/src/net/downstream/answer_writer.rs
+++ b/src/net/downstream/answer_writer.rs
@@ -6,16 +6,16 @@
 use crate::net::pg::{self, code};
 use crate::net::request::retry_after_milliseconds;
 use crate::net::upstream::{StreamChunk, StreamedAnswer};
-use irisrouter::routing::Nanos;
+use irisrouter::routing::TimeDelta;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::time::timeout;
 
 /// A client that takes longer than this to accept one write counts as disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(15);
-/// The retry advice, in nanoseconds, for a client that is rejected because there are too many connections. A crowd that
+/// The retry advice for a client that is rejected because there are too many connections. A crowd that
 /// reconnects at once would take processing time from the clients that are served.
-const RECONNECT_DELAY: Nanos = 250_000_000;
+const RECONNECT_DELAY: TimeDelta = TimeDelta::from_millis(250);
 /// Bytes to reserve behind a row for the ReadyForQuery that follows it, which takes 6.
 pub(super) const READY_FOR_QUERY_ROOM: usize = 16;
 
@@ -81,7 +81,7 @@
         retry_after_milliseconds(if limits.retry_after {
             RECONNECT_DELAY.min(limits.max_retry_after)
         } else {
-            0
+            TimeDelta::ZERO
         })
     }
 
--- a/src/net/downstream/query.rs
+++ b/src/net/downstream/query.rs
@@ -9,15 +9,17 @@
 use crate::net::pg::{self, code};
 use crate::net::request::{retry_after_milliseconds, Answer, ClientRequest};
 use crate::net::upstream::Statement;
-use irisrouter::routing::{Freshness, GroupId, Idempotency, Nanos, RequestClass, SessionId};
+use irisrouter::routing::{
+    Freshness, GroupId, Idempotency, RequestClass, SessionId, TimeDelta, Timestamp,
+};
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::oneshot;
 
-/// How far, in nanoseconds, a position that a client has seen may be ahead of this process's clock. A position that does
+/// How far a position that a client has seen may be ahead of this process's clock. A position that does
 /// not exist yet would be waited for, or overflow.
-const MAX_POSITION_LEAD: Nanos = 1_000_000_000;
+const MAX_POSITION_LEAD: TimeDelta = TimeDelta::from_secs(1);
 
 /// The type of EmptyQueryResponse, which has no body.
 const EMPTY_QUERY_RESPONSE: u8 = b'I';
@@ -193,11 +195,11 @@
         &self,
         statement: &pg::Statement<'_>,
         class: &RequestClass,
-    ) -> Result<Option<Nanos>, StatementError> {
+    ) -> Result<Option<Timestamp>, StatementError> {
         let position = statement
             .after_ms
             .filter(|_| class.freshness == Freshness::Session)
-            .map(|milliseconds| (milliseconds * 1e6) as Nanos);
+            .map(|milliseconds| Timestamp::from_nanos((milliseconds * 1e6) as i64));
         let clock = &self.listener.core.clock;
         if position.is_some_and(|p| p > clock.now().saturating_add(MAX_POSITION_LEAD)) {
             return Err(StatementError::PositionInFuture);
@@ -236,7 +238,7 @@
 }
 
 /// A rejected request has not been executed; `retry_after` is the retry advice, 0 for none.
-fn put_rejection(retry_after: Nanos, out: &mut Buffer) {
+fn put_rejection(retry_after: TimeDelta, out: &mut Buffer) {
     let detail = retry_after_milliseconds(retry_after).map(|milliseconds| milliseconds.to_string());
     let message = "turned away, trying again is harmless";
     pg::put_error(
--- a/src/net/lifecycle/cluster_startup.rs
+++ b/src/net/lifecycle/cluster_startup.rs
@@ -52,7 +52,7 @@
     let allowed = wanted.enabled && config.platform.peers_allowed;
     let peers = config.peers.as_ref().filter(|_| allowed)?;
     let fleet_size = peers.gateway_addresses.len() as u32;
-    let unix_s = u64::try_from(parts.clock.now() / NS_PER_S).unwrap_or(0);
+    let unix_s = u64::try_from(parts.clock.now().as_nanos() / NS_PER_S).unwrap_or(0);
     let seed = u64::from(peers.local_number).wrapping_mul(SEED_MULTIPLIER) ^ unix_s;
     MembershipService::new(
         peers,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -16,7 +16,7 @@
 
 pub use irisrouter_pg as pg;
 
-use irisrouter::routing::Nanos;
+use irisrouter::routing::{TimeDelta, Timestamp};
 use std::io::{self, Read};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -27,7 +27,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     start: Instant,
-    unix: Nanos,
+    unix: Timestamp,
 }
 
 impl Clock {
@@ -38,13 +38,13 @@
             .unwrap_or_default();
         Clock {
             start: Instant::now(),
-            unix: since.as_nanos() as Nanos,
+            unix: Timestamp::from_nanos(since.as_nanos() as i64),
         }
     }
 
-    /// Nanoseconds of Unix time.
-    pub fn now(&self) -> Nanos {
-        self.unix + self.start.elapsed().as_nanos() as Nanos
+    /// The present, as Unix time.
+    pub fn now(&self) -> Timestamp {
+        self.unix + TimeDelta::from_nanos(self.start.elapsed().as_nanos() as i64)
     }
 }
 
@@ -58,14 +58,14 @@
     (&*socket2::SockRef::from(stream)).read(into)
 }
 
-/// Converts a time of the router's clock; a negative one is zero.
-pub fn duration(ns: Nanos) -> Duration {
-    Duration::from_nanos(ns.max(0) as u64)
+/// Converts a length of time of the router; a negative one is zero.
+pub fn duration(length: TimeDelta) -> Duration {
+    Duration::from_nanos(length.max(TimeDelta::ZERO).as_nanos() as u64)
 }
 
-/// Converts a duration to the router's nanoseconds, with the largest value for one that is too long.
-pub fn nanoseconds(d: Duration) -> Nanos {
-    Nanos::try_from(d.as_nanos()).unwrap_or(Nanos::MAX)
+/// Converts a duration to the router's unit; one that is too long becomes the longest time.
+pub fn time_delta(duration: Duration) -> TimeDelta {
+    i64::try_from(duration.as_nanos()).map_or(TimeDelta::MAX, TimeDelta::from_nanos)
 }
 
 /// Unix time in milliseconds: all machines of the platform read one clock.
--- a/src/net/request/answer.rs
+++ b/src/net/request/answer.rs
@@ -4,7 +4,7 @@
 use crate::net::duration;
 use crate::net::metrics::{increment, Metrics};
 use crate::net::upstream::StreamedAnswer;
-use irisrouter::routing::Nanos;
+use irisrouter::routing::TimeDelta;
 use std::rc::Rc;
 use tokio::sync::oneshot;
 
@@ -18,8 +18,8 @@
     Streamed(StreamedAnswer),
     /// Not run: a retry is harmless.
     Rejected {
-        /// How long the client should wait before it retries, in nanoseconds; 0 for no advice.
-        retry_after: Nanos,
+        /// How long the client should wait before it retries; zero for no advice.
+        retry_after: TimeDelta,
     },
     /// It may have run or not.
     Failed,
@@ -76,9 +76,9 @@
 }
 
 /// The advice of a rejection in whole milliseconds, rounded up; `None` where there is no advice.
-pub fn retry_after_milliseconds(retry_after: Nanos) -> Option<u128> {
+pub fn retry_after_milliseconds(retry_after: TimeDelta) -> Option<u128> {
     let nanoseconds = duration(retry_after).as_nanos();
-    (retry_after > 0).then(|| nanoseconds.div_ceil(NANOSECONDS_PER_MILLISECOND))
+    (retry_after > TimeDelta::ZERO).then(|| nanoseconds.div_ceil(NANOSECONDS_PER_MILLISECOND))
 }
 
 #[cfg(test)]
--- a/src/net/request/attempts.rs
+++ b/src/net/request/attempts.rs
@@ -3,8 +3,8 @@
 use crate::net::cluster::write_intents::WriteIntent;
 use crate::net::request::context::RequestContext;
 use crate::net::upstream::{AttemptResult, OutgoingStatement, Statement, StreamedAnswer};
-use crate::net::{duration, nanoseconds};
-use irisrouter::routing::{MemberId, Nanos, Outcome};
+use crate::net::{duration, time_delta};
+use irisrouter::routing::{MemberId, Outcome, TimeDelta};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,9 +23,9 @@
 }
 
 impl StartedAttempt {
-    /// Time since it was started, in nanoseconds.
-    pub(super) fn elapsed(&self) -> Nanos {
-        nanoseconds(self.started_at.elapsed())
+    /// Time since it was started.
+    pub(super) fn elapsed(&self) -> TimeDelta {
+        time_delta(self.started_at.elapsed())
     }
 
     /// Keeps whether its outcome proves that it never ran.
@@ -99,8 +99,8 @@
         self.request_over.set(over);
     }
 
-    /// Starts an attempt, which ends after `timeout` nanoseconds at the latest.
-    pub(super) fn start(&mut self, member: MemberId, timeout: Nanos) {
+    /// Starts an attempt, which ends after `timeout` at the latest.
+    pub(super) fn start(&mut self, member: MemberId, timeout: TimeDelta) {
         let attempt = AttemptTask {
             context: Rc::clone(&self.context),
             statement: Rc::clone(&self.statement),
@@ -157,8 +157,8 @@
     write_intent: Option<Rc<WriteIntent>>,
     number: usize,
     member: MemberId,
-    /// In nanoseconds.
-    timeout: Nanos,
+    /// The attempt ends after this time at the latest.
+    timeout: TimeDelta,
     /// It is not sent after this time.
     send_by: Option<Instant>,
 }
@@ -179,7 +179,7 @@
             }
         }
         // The timeout includes the time that it took to record the write intent.
-        let timeout = self.timeout - nanoseconds(asked_at.elapsed());
+        let timeout = self.timeout - time_delta(asked_at.elapsed());
         let outgoing = OutgoingStatement {
             member: self.member,
             statement: &self.statement,
--- a/src/net/request/context.rs
+++ b/src/net/request/context.rs
@@ -7,7 +7,7 @@
 use crate::net::router_task::RouterHandle;
 use crate::net::upstream::{Statement, Upstream};
 use crate::net::Clock;
-use irisrouter::routing::{GroupId, Nanos, SessionId};
+use irisrouter::routing::{GroupId, SessionId, Timestamp};
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -72,8 +72,8 @@
     pub session: Option<SessionId>,
     /// How long its client waits for the answer, from now on.
     pub timeout: Duration,
-    /// The commit position that its answer must include, in nanoseconds of Unix time.
-    pub minimum_position: Option<Nanos>,
+    /// The commit position that its answer must include, as Unix time.
+    pub minimum_position: Option<Timestamp>,
     /// The client marked it as a retry.
     pub retry: bool,
     /// The number of its idempotency key and group, in a keyed class.
--- a/src/net/request/lifecycle.rs
+++ b/src/net/request/lifecycle.rs
@@ -9,9 +9,9 @@
 use crate::net::request::context::{ClientRequest, OpenId, RequestContext};
 use crate::net::request::write_intent::CheckedRequest;
 use crate::net::router_task::RequestCommand;
-use crate::net::{duration, nanoseconds};
+use crate::net::{duration, time_delta};
 use irisrouter::routing::{
-    Event, Idempotency, MemberId, Nanos, Outcome, ReplicationStatus, RequestClass, RequestId,
+    Event, Idempotency, MemberId, Outcome, ReplicationStatus, RequestClass, RequestId, TimeDelta,
 };
 use std::rc::Rc;
 use std::time::Duration;
@@ -90,8 +90,8 @@
     attempt: usize,
     member: MemberId,
     outcome: Outcome,
-    /// In nanoseconds.
-    elapsed: Nanos,
+    /// Time since it was started.
+    elapsed: TimeDelta,
     status: Option<ReplicationStatus>,
 }
 
@@ -113,7 +113,7 @@
             class: request.class.slot,
             tenant: None,
             session: request.session,
-            deadline: arrived + nanoseconds(decision_time),
+            deadline: arrived + time_delta(decision_time),
             work: None,
             group: request.group,
             last_write_age: request.minimum_position.map(|position| arrived - position),
@@ -245,7 +245,7 @@
     }
 
     /// Rejects the request as not run. What another gateway sent may have run, though, whatever this gateway did.
-    fn reject(&mut self, retry_after: Nanos) {
+    fn reject(&mut self, retry_after: TimeDelta) {
         let write_intent = self.write_intent.as_ref();
         let may_have_run = write_intent.is_some_and(|intent| intent.sent_by_another_gateway());
         self.answer.send(if may_have_run {
@@ -270,7 +270,7 @@
                     attempt: self.attempts.started.len(),
                     member,
                     outcome: Outcome::NotSent,
-                    elapsed: 0,
+                    elapsed: TimeDelta::ZERO,
                     status: None,
                 });
             }
--- a/src/net/router_task.rs
+++ b/src/net/router_task.rs
@@ -4,7 +4,7 @@
 
 use crate::net::upstream::Upstream;
 use crate::net::{duration, Clock};
-use irisrouter::routing::{Action, Event, MemberId, Nanos, RequestId, Router, RoutingSnapshot};
+use irisrouter::routing::{Action, Event, MemberId, RequestId, Router, RoutingSnapshot, TimeDelta};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -20,7 +20,7 @@
         /// The member that it goes to.
         member: MemberId,
         /// Its timeout.
-        timeout: Nanos,
+        timeout: TimeDelta,
     },
     /// Stop waiting for an attempt.
     CancelAttempt {
@@ -29,8 +29,8 @@
     },
     /// Final answer: a retry is harmless.
     Reject {
-        /// Time that the client should wait before it retries; 0 for no advice.
-        retry_after: Nanos,
+        /// Time that the client should wait before it retries; zero for no advice.
+        retry_after: TimeDelta,
     },
     /// Final answer: whether it ran is unknown.
     Fail,
--- a/src/net/upstream/health_check.rs
+++ b/src/net/upstream/health_check.rs
@@ -1,8 +1,8 @@
 //! Health checks: a host is asked for its load report.
 
 use crate::net::metrics::increment;
-use crate::net::nanoseconds;
 use crate::net::pg::{self, code, Reply};
+use crate::net::time_delta;
 use crate::net::upstream::exchange::{Query, QueryReply};
 use crate::net::upstream::load_report::parse_load_report;
 use crate::net::upstream::reachability::SentKind;
@@ -68,7 +68,7 @@
         let event = Event::HealthChecked {
             member,
             outcome: reply.outcome,
-            elapsed: nanoseconds(start.elapsed()),
+            elapsed: time_delta(start.elapsed()),
             report: reply.report,
         };
         (event, reply.fenced)
--- a/src/net/upstream/host.rs
+++ b/src/net/upstream/host.rs
@@ -4,7 +4,7 @@
 use crate::net::upstream::connection::Connection;
 use crate::net::upstream::load_report::NANOSECONDS_PER_MILLISECOND;
 use crate::net::upstream::reachability::HostReachability;
-use irisrouter::routing::{Endpoint, EndpointState, GroupId, MemberId, Nanos, ZoneId};
+use irisrouter::routing::{Endpoint, EndpointState, GroupId, MemberId, Timestamp, ZoneId};
 use irisrouter_gossip::message;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -98,7 +98,8 @@
     /// Its entry as the router takes it.
     pub(super) fn endpoint(&self, member: MemberId, zone: ZoneId) -> Endpoint {
         let entry = &self.entry;
-        let started = (entry.up_since_ms * NANOSECONDS_PER_MILLISECOND as f64) as Nanos;
+        let started = (entry.up_since_ms * NANOSECONDS_PER_MILLISECOND as f64) as i64;
+        let started = Timestamp::from_nanos(started);
         Endpoint {
             member,
             group: GroupId(entry.cell),
--- a/src/net/upstream/load_report.rs
+++ b/src/net/upstream/load_report.rs
@@ -2,13 +2,13 @@
 //! out.
 
 use crate::net::pg::{self, HostRole, Reply};
-use irisrouter::routing::{LoadReport, Nanos, ReplicationStatus, Role};
+use irisrouter::routing::{LoadReport, ReplicationStatus, Role, TimeDelta, Timestamp};
 
-pub(super) const NANOSECONDS_PER_MILLISECOND: Nanos = 1_000_000;
+pub(super) const NANOSECONDS_PER_MILLISECOND: i64 = 1_000_000;
 const MILLISECONDS_PER_SECOND: f64 = 1_000.0;
-/// How far a position may be ahead of this gateway's clock, in nanoseconds: clocks differ by less. A position from the
+/// How far a position may be ahead of this gateway's clock: clocks differ by less. A position from the
 /// future would prove for ever that its host is recent enough.
-const MAX_POSITION_AHEAD: Nanos = 100 * NANOSECONDS_PER_MILLISECOND;
+const MAX_POSITION_AHEAD: TimeDelta = TimeDelta::from_millis(100);
 /// The most requests in flight that a report may claim: no host holds more.
 const MAX_IN_FLIGHT: f64 = 1e6;
 /// The largest share of cores in use that a report may claim: reports are noisy, but not by more.
@@ -18,7 +18,7 @@
 const ROUNDING_TOLERANCE_MS: f64 = 0.001;
 
 /// The role and position of a host, where its reply says them.
-pub(super) fn replication_status(reply: &Reply, now: Nanos) -> Option<ReplicationStatus> {
+pub(super) fn replication_status(reply: &Reply, now: Timestamp) -> Option<ReplicationStatus> {
     let role = match reply.role? {
         HostRole::Writer => Role::Primary,
         HostRole::Reader => Role::Replica,
@@ -29,16 +29,17 @@
     })
 }
 
-/// A position in Unix milliseconds as one in nanoseconds, unless it can't be true.
-fn position(milliseconds: i64, now: Nanos) -> Option<Nanos> {
+/// The position of a host from its Unix milliseconds, unless it can't be true.
+fn position(milliseconds: i64, now: Timestamp) -> Option<Timestamp> {
     let latest = now.saturating_add(MAX_POSITION_AHEAD);
     milliseconds
         .checked_mul(NANOSECONDS_PER_MILLISECOND)
-        .filter(|position| (1..=latest).contains(position))
+        .map(Timestamp::from_nanos)
+        .filter(|&position| position > Timestamp::ZERO && position <= latest)
 }
 
 /// Parses a load report. Its position is in Unix seconds, with the milliseconds behind the decimal point.
-pub(super) fn parse_load_report(text: &str, now: Nanos) -> LoadReport {
+pub(super) fn parse_load_report(text: &str, now: Timestamp) -> LoadReport {
     let mut report = LoadReport::default();
     for (name, value) in pg::report(text) {
         match name {
--- a/src/platform_settings/error.rs
+++ b/src/platform_settings/error.rs
@@ -1,6 +1,5 @@
 //! Why a settings object cannot be used.
 
-use crate::routing::Nanos;
 use thiserror::Error;
 
 /// Why a settings object cannot be used. Its text is shown to operators.
@@ -15,7 +14,7 @@
         /// Which time.
         what: String,
         /// Its value.
-        nanoseconds: Nanos,
+        nanoseconds: i64,
     },
     /// A class has no name, or that of another class.
     #[error("two classes or none of the name {name}")]
--- a/src/platform_settings/mod.rs
+++ b/src/platform_settings/mod.rs
@@ -12,8 +12,9 @@
 pub(crate) use object::BootInfo;
 
 use crate::routing::{
-    DeduplicationScope, Freshness, Idempotency, Limits, LoadReportSource, Nanos, RequestClass,
-    RoleInEndpointList, SafetyRules, Settings, StalenessCheck, Tenant, ZoneId,
+    DeduplicationScope, Freshness, Idempotency, Limits, LoadReportSource, RequestClass,
+    RoleInEndpointList, SafetyRules, Settings, StalenessCheck, Tenant, TimeDelta, Timestamp,
+    ZoneId,
 };
 use object::{WireClass, WireDomain};
 use serde::Deserialize;
@@ -23,10 +24,10 @@
 /// Gateways from which on one that checks hosts for all is worth the datagrams. Fewer gateways each see enough traffic
 /// of their own.
 const MIN_GATEWAYS_TO_SHARE: u32 = 16;
-/// Longest time in the settings, a day in nanoseconds, so that the sum of two times does not overflow.
-const MAX_TIME: Nanos = 86_400_000_000_000;
-/// Shortest tick, 1 ms in nanoseconds. With no tick a queued request would be reviewed without end.
-const MIN_TICK: Nanos = 1_000_000;
+/// Longest time in the settings, a day, so that the sum of two times does not overflow.
+const MAX_TIME: TimeDelta = TimeDelta::from_secs(24 * 60 * 60);
+/// Shortest tick. With no tick a queued request would be reviewed without end.
+const MIN_TICK: TimeDelta = TimeDelta::from_millis(1);
 
 /// What the settings object says: the router's settings, and what the gateway round the router needs.
 #[derive(Clone, Debug)]
@@ -51,9 +52,9 @@
     /// Gateways of this tier.
     pub balancers: u32,
     /// Clock time from which the simulator counts positions.
-    pub position_zero: Nanos,
+    pub position_zero: Timestamp,
     /// A database host closes a connection that has been idle for this long at the latest.
-    pub idle_close: Nanos,
+    pub idle_close: TimeDelta,
 }
 
 impl PlatformSettings {
@@ -113,17 +114,18 @@
 }
 
 /// Rejects a time that is not positive or longer than [`MAX_TIME`].
-fn check_time(what: String, nanoseconds: Nanos) -> Result<(), PlatformSettingsError> {
-    if (1..=MAX_TIME).contains(&nanoseconds) {
+fn check_time(what: String, time: TimeDelta) -> Result<(), PlatformSettingsError> {
+    if (TimeDelta::NANOSECOND..=MAX_TIME).contains(&time) {
         Ok(())
     } else {
+        let nanoseconds = time.as_nanos();
         Err(PlatformSettingsError::TimeOutOfRange { what, nanoseconds })
     }
 }
 
 /// A time that may be zero: a negative one counts as zero, and one beyond a day as a day, so that sums do not overflow.
-fn clamp_time(nanoseconds: Nanos) -> Nanos {
-    nanoseconds.clamp(0, MAX_TIME)
+fn clamp_time(time: TimeDelta) -> TimeDelta {
+    time.clamp(TimeDelta::ZERO, MAX_TIME)
 }
 
 fn router_settings(
@@ -188,7 +190,8 @@
     index: usize,
     domain: &WireDomain,
 ) -> Result<Freshness, PlatformSettingsError> {
-    let bound = domain.class_bound_ns.get(index).copied().unwrap_or(0);
+    let bound = domain.class_bound_ns.get(index).copied();
+    let bound = bound.unwrap_or(TimeDelta::ZERO);
     let freshness = domain.freshness.get(index);
     match freshness.map(String::as_str) {
         Some("mutate") => Ok(Freshness::Write),
--- a/src/platform_settings/object.rs
+++ b/src/platform_settings/object.rs
@@ -2,6 +2,7 @@
 //!
 //! The names of the structs are part of the error texts that operators see for a malformed object.
 
+use crate::routing::{TimeDelta, Timestamp};
 use serde::Deserialize;
 
 /// One request class.
@@ -9,16 +10,16 @@
 #[serde(rename_all = "PascalCase")]
 pub(super) struct WireClass {
     pub(super) name: String,
-    pub(super) aim_ns: i64,
+    pub(super) aim_ns: TimeDelta,
     #[serde(default)]
     #[serde(rename = "AimStretch")]
     pub(super) objective_stretch: Option<f64>,
-    pub(super) deadline_ns: i64,
+    pub(super) deadline_ns: TimeDelta,
     pub(super) effect: String,
     pub(super) group: String,
     #[serde(rename = "LateWorth")]
     pub(super) late_weight: f64,
-    pub(super) window_ns: i64,
+    pub(super) window_ns: TimeDelta,
     #[serde(rename = "Worth")]
     pub(super) priority_weight: f64,
 }
@@ -37,9 +38,9 @@
     pub(super) cancel: bool,
     #[serde(default)]
     pub(super) peers: bool,
-    pub(super) connect_timeout_ns: i64,
-    pub(super) max_retry_after_ns: i64,
-    pub(super) idle_close_ns: i64,
+    pub(super) connect_timeout_ns: TimeDelta,
+    pub(super) max_retry_after_ns: TimeDelta,
+    pub(super) idle_close_ns: TimeDelta,
     pub(super) most_tries: u32,
     pub(super) probes: bool,
     pub(super) retry_after: bool,
@@ -51,10 +52,10 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub(super) struct WireDomain {
-    pub(super) catch_up_wait_ns: i64,
-    pub(super) class_bound_ns: Vec<i64>,
+    pub(super) catch_up_wait_ns: TimeDelta,
+    pub(super) class_bound_ns: Vec<TimeDelta>,
     pub(super) freshness: Vec<String>,
-    pub(super) position_zero_ns: i64,
+    pub(super) position_zero_ns: Timestamp,
     pub(super) role_in_list: String,
     pub(super) server_checks: String,
     pub(super) session_marks: String,
@@ -65,12 +66,12 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub(super) struct WireRules {
-    pub(super) cold_ns: i64,
-    pub(super) drain_grace_ns: i64,
+    pub(super) cold_ns: TimeDelta,
+    pub(super) drain_grace_ns: TimeDelta,
     pub(super) overload_factor: f64,
     #[serde(rename = "StartCapacity")]
     pub(super) initial_capacity: f64,
-    pub(super) tip_after_ns: i64,
+    pub(super) tip_after_ns: TimeDelta,
     #[serde(default)]
     #[serde(rename = "DrainBindsAlone")]
     pub(super) only_listed_drains_bind: Option<bool>,
@@ -109,7 +110,7 @@
     #[serde(rename = "OverShareWorth")]
     pub(super) over_quota_weight: f64,
     pub(super) penalties: WirePenalties,
-    pub(super) round_ns: i64,
+    pub(super) round_ns: TimeDelta,
     pub(super) tenants: Vec<WireTenant>,
     pub(super) zones: Vec<String>,
 }
--- a/src/routing/action.rs
+++ b/src/routing/action.rs
@@ -1,6 +1,7 @@
 //! Actions: what the router asks its caller to do.
 
-use super::identifiers::{MemberId, Nanos, RequestId};
+use super::identifiers::{MemberId, RequestId};
+use super::time::TimeDelta;
 
 /// What the router wants done. Actions of one batch are carried out in their order.
 #[derive(Clone, Debug, PartialEq)]
@@ -12,7 +13,7 @@
         /// The member that it goes to.
         member: MemberId,
         /// Timeout of the attempt.
-        timeout: Nanos,
+        timeout: TimeDelta,
     },
     /// Stop waiting for an attempt.
     CancelAttempt {
@@ -26,7 +27,7 @@
         /// The request.
         id: RequestId,
         /// Time that the client should wait before it retries; 0 for no advice.
-        retry_after: Nanos,
+        retry_after: TimeDelta,
     },
     /// Final answer: failed; whether it ran is unknown.
     Fail {
@@ -41,7 +42,7 @@
     /// Deliver [`Event::TimerFired`](super::Event::TimerFired) later. Only the earliest timer needs to be kept.
     SetTimer {
         /// After this time.
-        after: Nanos,
+        after: TimeDelta,
     },
     /// Subscribe to changes of the endpoint list.
     WatchEndpoints,
--- a/src/routing/admission.rs
+++ b/src/routing/admission.rs
@@ -2,12 +2,13 @@
 //! send.
 
 use super::action::Action;
-use super::identifiers::{MemberId, Nanos, RequestId};
+use super::identifiers::{MemberId, RequestId};
 use super::member::Member;
 use super::request::{Attempt, Request};
 use super::router::Router;
 use super::selection::PRIMARY_READ_SHARE;
 use super::settings::{DeduplicationScope, Freshness, Idempotency, StalenessCheck};
+use super::time::{TimeDelta, Timestamp};
 
 /// Reads that no replica serves leave the primary this share of its cores.
 const PRIMARY_CORE_RESERVE: f64 = 0.3;
@@ -18,7 +19,7 @@
 /// A queued request needs this many usual latencies left to be worth sending.
 const LATENCIES_LEFT_TO_SEND: f64 = 1.5;
 /// Nothing is sent in this many ticks before the client's deadline.
-const TICKS_BEFORE_DEADLINE: Nanos = 2;
+const TICKS_BEFORE_DEADLINE: i64 = 2;
 
 impl Router {
     /// Sends a request to a member if every rule allows it. All attempts are sent here. Returns
@@ -108,9 +109,9 @@
     }
 
     /// Position that a member must have reached to answer a request sent now.
-    pub(super) fn required_position(&self, request: &Request) -> Nanos {
+    pub(super) fn required_position(&self, request: &Request) -> Timestamp {
         match self.class(request).freshness {
-            Freshness::Any => Nanos::MIN,
+            Freshness::Any => Timestamp::MIN,
             Freshness::BoundedStaleness(bound) => self.fleet.now - bound,
             Freshness::Session => request.session_position,
             Freshness::Strong | Freshness::Write => request.arrived_at,
@@ -140,7 +141,7 @@
     }
 
     /// When an answer stops being of use to the client.
-    fn answer_needed_by(&self, request: &Request) -> Nanos {
+    fn answer_needed_by(&self, request: &Request) -> Timestamp {
         let class = self.class(request);
         // An idempotent read that is worth nothing after its latency objective should hold no
         // capacity.
@@ -155,9 +156,9 @@
     }
 
     /// From then on no member could answer the request in time.
-    pub(super) fn latest_send(&self, request: &Request) -> Nanos {
+    pub(super) fn latest_send(&self, request: &Request) -> Timestamp {
         let usual_latency = self.fleet.class_latency.usual(request.class);
-        let time_to_answer = (usual_latency * LATENCIES_LEFT_TO_SEND) as Nanos;
+        let time_to_answer = TimeDelta::from_nanos_f64(usual_latency * LATENCIES_LEFT_TO_SEND);
         let margin = TICKS_BEFORE_DEADLINE * self.fleet.settings.tick;
         (self.answer_needed_by(request) - time_to_answer).min(request.deadline - margin)
     }
@@ -279,7 +280,7 @@
     fn is_backlog(&self, id: MemberId, request: &Request, place: f64) -> bool {
         let window = self.fleet.settings.rules.overload_window;
         let recovered_at = self.fleet.member(id).reachability.recovered_at;
-        let turn = (place * window as f64) as Nanos;
+        let turn = TimeDelta::from_nanos_f64(place * window.as_nanos_f64());
         request.arrived_at < recovered_at && self.fleet.now - recovered_at < turn
     }
 
--- a/src/routing/concurrency_limit.rs
+++ b/src/routing/concurrency_limit.rs
@@ -3,14 +3,14 @@
 //! Prompt answers raise a limit, late ones and rejections lower it. Whether a request fits under a
 //! limit is decided by admission.
 
-use super::identifiers::Nanos;
+use super::time::{TimeDelta, Timestamp};
 
 /// Requests that a member may have in flight from all gateways together before answers say more.
 pub(super) const INITIAL_LIMIT: f64 = 6.0;
 /// Share of a limit that a late answer takes away.
 const DECREASE: f64 = 0.15;
 /// An answer within the latency objective divided by this is prompt, and raises the limit.
-const PROMPT_DIVISOR: Nanos = 2;
+const PROMPT_DIVISOR: i64 = 2;
 /// What a prompt answer adds to a limit of one, for a single gateway; larger limits get less.
 const INCREASE: f64 = 0.2;
 /// Gateways share the increase: each adds less by this power of their number.
@@ -37,7 +37,7 @@
 
 impl Promptness {
     /// Of an answer after this time.
-    pub(super) fn of(elapsed: Nanos, latency_objective: Nanos) -> Self {
+    pub(super) fn of(elapsed: TimeDelta, latency_objective: TimeDelta) -> Self {
         if elapsed > latency_objective {
             Promptness::Late
         } else if elapsed * PROMPT_DIVISOR < latency_objective {
@@ -49,7 +49,7 @@
 
     /// An attempt that timed out after this time says that the member is slow, and not only that
     /// little time was left.
-    pub(super) fn timeout_counts_as_late(elapsed: Nanos, latency_objective: Nanos) -> bool {
+    pub(super) fn timeout_counts_as_late(elapsed: TimeDelta, latency_objective: TimeDelta) -> bool {
         elapsed * PROMPT_DIVISOR > latency_objective
     }
 }
@@ -60,9 +60,9 @@
     /// The limit; below one, requests are spaced out.
     pub(super) limit: f64,
     /// When the limit was last lowered.
-    pub(super) decreased_at: Nanos,
+    pub(super) decreased_at: Timestamp,
     /// While the limit is below one: no request before then.
-    pub(super) next_send_at: Nanos,
+    pub(super) next_send_at: Timestamp,
 }
 
 impl ConcurrencyLimit {
@@ -72,8 +72,8 @@
     }
 
     /// A request that usually takes this long is sent: after it, a pause in proportion to its work.
-    pub(super) fn request_sent(&mut self, now: Nanos, usual_latency: f64) {
-        self.next_send_at = now + (usual_latency / self.limit.min(1.0)) as Nanos;
+    pub(super) fn request_sent(&mut self, now: Timestamp, usual_latency: f64) {
+        self.next_send_at = now + TimeDelta::from_nanos_f64(usual_latency / self.limit.min(1.0));
     }
 
     /// A prompt answer.
@@ -85,8 +85,8 @@
 
     /// A late answer or a rejection. The limit is lowered once in a usual latency. Returns whether
     /// it was.
-    pub(super) fn decrease(&mut self, now: Nanos, usual_latency: f64) -> bool {
-        if (now - self.decreased_at) as f64 <= usual_latency {
+    pub(super) fn decrease(&mut self, now: Timestamp, usual_latency: f64) -> bool {
+        if (now - self.decreased_at).as_nanos_f64() <= usual_latency {
             return false;
         }
         self.decreased_at = now;
--- a/src/routing/endpoint.rs
+++ b/src/routing/endpoint.rs
@@ -1,6 +1,7 @@
 //! What is known of database hosts from outside: the endpoint list, and the role, position and load that hosts report.
 
-use super::identifiers::{GroupId, MemberId, Nanos, ZoneId};
+use super::identifiers::{GroupId, MemberId, ZoneId};
+use super::time::Timestamp;
 
 /// The state that the endpoint list gives for a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,7 +30,7 @@
     /// Capacity in relation to that of other members.
     pub size: f64,
     /// When its process started, if that is not long ago.
-    pub started: Option<Nanos>,
+    pub started: Option<Timestamp>,
 }
 
 /// The role of a member in its group.
@@ -47,14 +48,14 @@
     /// Its role.
     pub role: Role,
     /// The time up to which it has applied all commits; for a write, the time of the commit.
-    pub position: Option<Nanos>,
+    pub position: Option<Timestamp>,
 }
 
 /// A member's load report. It does not say how old it is.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LoadReport {
     /// Position when the report was made.
-    pub position: Option<Nanos>,
+    pub position: Option<Timestamp>,
     /// Whether it was primary then.
     pub primary: Option<bool>,
     /// Requests in flight there (queued ones included if the report counts them).
@@ -69,7 +70,7 @@
     /// The member.
     pub member: MemberId,
     /// When the result was obtained.
-    pub at: Nanos,
+    pub at: Timestamp,
     /// What the member reported then.
     pub report: LoadReport,
 }
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -1,9 +1,10 @@
 //! Events: what the router learns from its caller.
 
 use super::endpoint::{Endpoint, LoadReport, ReplicationStatus, SharedHealthCheck};
-use super::identifiers::{GroupId, MemberId, Nanos, RequestId, SessionId, ZoneId};
+use super::identifiers::{GroupId, MemberId, RequestId, SessionId, ZoneId};
 use super::settings::Settings;
 use super::snapshot::RoutingSnapshot;
+use super::time::{TimeDelta, Timestamp};
 
 /// What a site-failover plan asks of a router; nothing, by default.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -13,7 +14,7 @@
     /// Zones on a recovery ramp, and the share of their capacity that they bear now, 0 to 1.
     pub recovery_ramps: Vec<(ZoneId, f64)>,
     /// Rejected clients are to retry after this, and up to twice as long.
-    pub retry_after: Option<Nanos>,
+    pub retry_after: Option<TimeDelta>,
 }
 
 /// How an attempt or a health check ended.
@@ -72,13 +73,13 @@
         /// Its session.
         session: Option<SessionId>,
         /// When the client stops waiting for this try.
-        deadline: Nanos,
+        deadline: Timestamp,
         /// Announced work on a standard core.
-        work: Option<Nanos>,
+        work: Option<TimeDelta>,
         /// Its group.
         group: GroupId,
         /// Age of the session's last write; `None` when there was none or it is not carried.
-        last_write_age: Option<Nanos>,
+        last_write_age: Option<TimeDelta>,
         /// The client says that this is a retry.
         retry: bool,
     },
@@ -98,7 +99,7 @@
         /// How it ended.
         outcome: Outcome,
         /// Time since it was started.
-        elapsed: Nanos,
+        elapsed: TimeDelta,
         /// The request is finished.
         finished: bool,
         /// What the answer says of its member.
@@ -118,7 +119,7 @@
         /// How it ended.
         outcome: Outcome,
         /// Time since it was sent.
-        elapsed: Nanos,
+        elapsed: TimeDelta,
         /// The load report.
         report: Option<LoadReport>,
     },
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -7,12 +7,13 @@
 use super::concurrency_limit::{SharedConcurrencyLimit, INITIAL_LIMIT};
 use super::group::Group;
 use super::health_check::OBSERVATION_LIFETIME;
-use super::identifiers::{GroupId, MemberId, Nanos, SessionId};
+use super::identifiers::{GroupId, MemberId, SessionId};
 use super::latency::ClassLatency;
 use super::load::FleetLoad;
 use super::member::Member;
 use super::settings::{Freshness, Settings};
 use super::slow_start::warmth;
+use super::time::{TimeDelta, Timestamp};
 use std::collections::{BTreeMap, HashMap};
 
 /// A gateway's part of a member's initial limit below which that gateway's own limits say nothing:
@@ -27,16 +28,16 @@
 const SLOW_START_LONG_DIVISOR: f64 = 2.0;
 /// Commit times are rounded up and positions down to the millisecond: added to a session's position
 /// to be on the safe side.
-const COMMIT_ROUNDING: Nanos = 1_000_000;
+const COMMIT_ROUNDING: TimeDelta = TimeDelta::from_millis(1);
 /// A report that a member is full counts for this many connect timeouts.
-const FULL_REPORT_LIFETIME: Nanos = 4;
+const FULL_REPORT_LIFETIME: i64 = 4;
 
 /// What this gateway knows of the fleet.
 pub(super) struct Fleet {
     /// The settings.
     pub(super) settings: Settings,
     /// Time of the present batch.
-    pub(super) now: Nanos,
+    pub(super) now: Timestamp,
     /// The members of all groups.
     pub(super) members: BTreeMap<MemberId, Member>,
     /// The groups.
@@ -48,7 +49,7 @@
     /// Limit on the requests of all gateways at a member, for large fleets.
     pub(super) shared_limit: SharedConcurrencyLimit,
     /// Last commit of each session, where session reads do not carry it.
-    pub(super) session_commits: HashMap<SessionId, Nanos>,
+    pub(super) session_commits: HashMap<SessionId, Timestamp>,
 }
 
 impl Fleet {
@@ -57,7 +58,7 @@
         Fleet {
             class_latency: ClassLatency::new(&settings.classes),
             settings,
-            now: 0,
+            now: Timestamp::ZERO,
             members: BTreeMap::new(),
             groups: BTreeMap::new(),
             load: FleetLoad::new(),
@@ -94,10 +95,11 @@
 
     /// How long observations of a member count: longer in a large fleet, where each gateway makes
     /// them more rarely.
-    pub(super) fn observation_lifetime(&self) -> Nanos {
+    pub(super) fn observation_lifetime(&self) -> TimeDelta {
         let gateways = f64::from(self.settings.gateway_count);
         let stretch = (gateways * MIN_LIMIT_OF_ONE_GATEWAY / INITIAL_LIMIT).max(1.0);
-        (OBSERVATION_LIFETIME * stretch * self.settings.limits.connect_timeout as f64) as Nanos
+        let connect_timeout = self.settings.limits.connect_timeout.as_nanos_f64();
+        TimeDelta::from_nanos_f64(OBSERVATION_LIFETIME * stretch * connect_timeout)
     }
 
     /// Requests of this class are writes.
@@ -127,14 +129,14 @@
     pub(super) fn session_position(
         &self,
         session: Option<SessionId>,
-        last_write_age: Option<Nanos>,
-    ) -> Nanos {
+        last_write_age: Option<TimeDelta>,
+    ) -> Timestamp {
         if self.settings.last_write_age_carried {
             let position = |age| self.now - age + COMMIT_ROUNDING;
-            return last_write_age.map_or(Nanos::MIN, position);
+            return last_write_age.map_or(Timestamp::MIN, position);
         }
         let commit = session.and_then(|session| self.session_commits.get(&session).copied());
-        commit.unwrap_or(Nanos::MIN)
+        commit.unwrap_or(Timestamp::MIN)
     }
 
     /// The member last seen to be primary, unless it is out of service or has said since that it is
@@ -169,7 +171,7 @@
     }
 
     /// Last measured lag of the member, unless that is too long ago.
-    pub(super) fn lag(&self, id: MemberId) -> Nanos {
+    pub(super) fn lag(&self, id: MemberId) -> TimeDelta {
         let replication = &self.member(id).replication;
         replication.recent_lag(self.now, self.observation_lifetime())
     }
@@ -197,7 +199,8 @@
             CORES_REPORT_LIFETIME
         };
         let lifetime = self.class_latency.multiple_of_shortest(multiple);
-        (self.now - self.member(id).load.reported_at) as f64 / lifetime
+        let age = self.now - self.member(id).load.reported_at;
+        age.as_nanos_f64() / lifetime
     }
 
     /// The member has reported its load lately.
--- a/src/routing/fleet_updates.rs
+++ b/src/routing/fleet_updates.rs
@@ -5,10 +5,11 @@
 use super::endpoint::{Endpoint, LoadReport, ReplicationStatus, SharedHealthCheck};
 use super::event::Outcome;
 use super::fleet::Fleet;
-use super::identifiers::{MemberId, Nanos, SessionId};
+use super::identifiers::{MemberId, SessionId};
 use super::latency::SAMPLE_WEIGHT;
 use super::member::{Member, ProcessChange};
 use super::settings::{Settings, StalenessCheck};
+use super::time::{TimeDelta, Timestamp};
 use std::collections::BTreeSet;
 
 /// How an attempt at a member ended.
@@ -21,11 +22,11 @@
     /// Session of the request.
     pub(super) session: Option<SessionId>,
     /// Position that the member should have reached to serve the request.
-    pub(super) required_position: Nanos,
+    pub(super) required_position: Timestamp,
     /// How the attempt ended.
     pub(super) outcome: Outcome,
     /// Time since it was sent.
-    pub(super) elapsed: Nanos,
+    pub(super) elapsed: TimeDelta,
     /// What the answer says of the member.
     pub(super) status: Option<ReplicationStatus>,
     /// A load report that came with the answer.
@@ -57,7 +58,7 @@
             member.service.removed_at = if member.service.removed {
                 member.service.removed_at.min(self.now)
             } else {
-                Nanos::MAX
+                Timestamp::MAX
             };
         }
         self.forget_removed_members();
@@ -233,8 +234,8 @@
         let replication = &mut self.member_mut(result.member).replication;
         if is_write {
             replication.last_replica_at = now;
-        } else if result.required_position > 0 {
-            let least_lag = now - result.required_position + 1;
+        } else if result.required_position > Timestamp::ZERO {
+            let least_lag = now - result.required_position + TimeDelta::NANOSECOND;
             replication.measure_lag(known_lag.max(least_lag), now);
         }
     }
@@ -293,12 +294,12 @@
         // arrive.
         match result.report.position {
             Some(position) if result.report.primary == Some(true) => {
-                let age = (result.at - position) as f64;
+                let age = (result.at - position).as_nanos_f64();
                 self.load.report_age += SAMPLE_WEIGHT * (age - self.load.report_age);
             }
             Some(_) => {
-                let lag = member.replication.lag - self.load.report_age as Nanos;
-                member.replication.lag = lag.max(0);
+                let lag = member.replication.lag - TimeDelta::from_nanos_f64(self.load.report_age);
+                member.replication.lag = lag.max(TimeDelta::ZERO);
             }
             None => {}
         }
--- a/src/routing/health_check.rs
+++ b/src/routing/health_check.rs
@@ -4,8 +4,9 @@
 //! bring load reports.
 
 use super::fleet::Fleet;
-use super::identifiers::{GroupId, MemberId, Nanos};
+use super::identifiers::{GroupId, MemberId};
 use super::outlier::Reachability;
+use super::time::{TimeDelta, Timestamp};
 
 /// Health checks on demand that each request pays for: as many as cost this share of the priority
 /// weight ...
@@ -17,11 +18,11 @@
 /// Health checks that may be saved up, of each kind.
 const BUDGET_CAPACITY: f64 = 12.0;
 /// A member that may be the new primary is checked this many times in a connect timeout.
-const PRIMARY_SEARCHES_PER_TIMEOUT: Nanos = 5;
+const PRIMARY_SEARCHES_PER_TIMEOUT: i64 = 5;
 /// A member is checked for its position or its load this many times in a connect timeout.
-const POSITION_CHECKS_PER_TIMEOUT: Nanos = 4;
+const POSITION_CHECKS_PER_TIMEOUT: i64 = 4;
 /// Shared health checks are recent for this many connect timeouts.
-const SHARED_CHECK_LIFETIME: Nanos = 4;
+const SHARED_CHECK_LIFETIME: i64 = 4;
 /// Members that are not suspected are checked once in this many connect timeouts, which is also how
 /// long observations of a member count: several failed connections fit into that time.
 pub(super) const OBSERVATION_LIFETIME: f64 = 8.0;
@@ -30,19 +31,19 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct MemberHealthCheck {
     /// When the last one was sent.
-    pub(super) sent_at: Nanos,
+    pub(super) sent_at: Timestamp,
     /// It has not been answered.
     pub(super) outstanding: bool,
 }
 
 impl MemberHealthCheck {
     /// The last one was sent this interval ago, and is over.
-    fn is_due(&self, now: Nanos, interval: Nanos) -> bool {
+    fn is_due(&self, now: Timestamp, interval: TimeDelta) -> bool {
         !self.outstanding && now - self.sent_at >= interval
     }
 
     /// One is sent now.
-    pub(super) fn sent(&mut self, now: Nanos) {
+    pub(super) fn sent(&mut self, now: Timestamp) {
         self.sent_at = now;
         self.outstanding = true;
     }
@@ -53,17 +54,17 @@
 pub(super) struct UnmetNeeds {
     /// A primary that answers.
     pub(super) primary: bool,
-    /// Proof that a replica's data are no older than this; 0 for none such.
-    pub(super) replica_position_age: Nanos,
+    /// Proof that a replica's data are no older than this; zero for none such.
+    pub(super) replica_position_age: TimeDelta,
     /// How long a request has waited for a report that the primary has room; 0 for none such.
-    pub(super) primary_load_wait: Nanos,
+    pub(super) primary_load_wait: TimeDelta,
 }
 
 impl UnmetNeeds {
     /// A request has waited this long for a report of the primary's load. The youngest request
     /// counts, as the interval of these health checks grows with the time that it has waited.
-    pub(super) fn add_primary_load_wait(&mut self, waited: Nanos) {
-        if self.primary_load_wait == 0 || waited < self.primary_load_wait {
+    pub(super) fn add_primary_load_wait(&mut self, waited: TimeDelta) {
+        if self.primary_load_wait == TimeDelta::ZERO || waited < self.primary_load_wait {
             self.primary_load_wait = waited;
         }
     }
@@ -75,11 +76,11 @@
     /// What they are needed for.
     pub(super) needs: UnmetNeeds,
     /// Since when a primary has been sought.
-    primary_sought_since: Option<Nanos>,
+    primary_sought_since: Option<Timestamp>,
     /// When a replica's position was last checked.
-    position_checked_at: Nanos,
+    position_checked_at: Timestamp,
     /// When a result was last obtained by a gateway that shares its results.
-    shared_result_at: Nanos,
+    shared_result_at: Timestamp,
 }
 
 impl GroupHealthChecks {
@@ -92,24 +93,25 @@
     }
 
     /// A result was obtained then by a gateway that shares its results.
-    pub(super) fn shared_result(&mut self, obtained_at: Nanos) {
+    pub(super) fn shared_result(&mut self, obtained_at: Timestamp) {
         self.shared_result_at = self.shared_result_at.max(obtained_at);
     }
 
     /// A position is needed, and the last check for one is long enough ago.
-    pub(super) fn position_check_due(&self, now: Nanos, connect_timeout: Nanos) -> bool {
+    pub(super) fn position_check_due(&self, now: Timestamp, connect_timeout: TimeDelta) -> bool {
         let interval = connect_timeout / POSITION_CHECKS_PER_TIMEOUT;
-        self.needs.replica_position_age > 0 && now - self.position_checked_at >= interval
+        self.needs.replica_position_age > TimeDelta::ZERO
+            && now - self.position_checked_at >= interval
     }
 
     /// A position is checked now.
-    pub(super) fn position_checked(&mut self, now: Nanos) {
+    pub(super) fn position_checked(&mut self, now: Timestamp) {
         self.position_checked_at = now;
     }
 
     /// A search for the primary starts now unless it is under way. The interval between checks of a
     /// member grows with it.
-    fn primary_search_interval(&mut self, now: Nanos, connect_timeout: Nanos) -> Nanos {
+    fn primary_search_interval(&mut self, now: Timestamp, connect_timeout: TimeDelta) -> TimeDelta {
         let since = *self.primary_sought_since.get_or_insert(now);
         (connect_timeout / PRIMARY_SEARCHES_PER_TIMEOUT).max((now - since) / 2)
     }
@@ -170,7 +172,7 @@
     /// others are needed.
     pub(super) fn has_shared_health_checks(&self, group: GroupId) -> bool {
         let lifetime = SHARED_CHECK_LIFETIME * self.settings.limits.connect_timeout;
-        let recent = |at: Nanos| self.now - at < lifetime;
+        let recent = |at: Timestamp| self.now - at < lifetime;
         self.groups
             .get(&group)
             .is_some_and(|group| recent(group.health_checks.shared_result_at))
@@ -184,7 +186,7 @@
             if reachability.is_suspected(self.now) {
                 timeout
             } else {
-                timeout * OBSERVATION_LIFETIME as Nanos
+                timeout * OBSERVATION_LIFETIME as i64
             }
         };
         let mut due: Vec<MemberId> = (self.members.iter())
@@ -239,7 +241,8 @@
         let waited = self.groups[&group_id].health_checks.needs.primary_load_wait;
         let timeout = self.settings.limits.connect_timeout;
         let interval = (timeout / POSITION_CHECKS_PER_TIMEOUT).max(waited / 2);
-        self.primary(group_id)
-            .filter(|&id| waited > 0 && self.member(id).health_check.is_due(self.now, interval))
+        self.primary(group_id).filter(|&id| {
+            waited > TimeDelta::ZERO && self.member(id).health_check.is_due(self.now, interval)
+        })
     }
 }
--- a/src/routing/health_check_dispatch.rs
+++ b/src/routing/health_check_dispatch.rs
@@ -7,6 +7,7 @@
 use super::action::Action;
 use super::identifiers::{GroupId, MemberId, RequestId};
 use super::router::Router;
+use super::time::TimeDelta;
 
 impl Router {
     /// A request has come in: it pays for health checks, and those that are due periodically are
@@ -25,9 +26,10 @@
         let primary = self.fleet.primary(request.group);
         let no_primary = primary.is_none_or(|primary| self.fleet.is_suspected(primary));
         let position_age = if requires_primary {
-            0
+            TimeDelta::ZERO
         } else {
-            now.saturating_sub(self.required_position(request)).max(0)
+            let required = self.required_position(request);
+            now.saturating_since(required).max(TimeDelta::ZERO)
         };
         let awaits_load_report = self.fleet.relies_on_load_reports()
             && (requires_primary || now >= request.health_check_awaited_until);
@@ -35,7 +37,7 @@
         needs.replica_position_age = needs.replica_position_age.max(position_age);
         needs.primary |= no_primary;
         if awaits_load_report {
-            needs.add_primary_load_wait(now - request.arrived_at + 1);
+            needs.add_primary_load_wait(now - request.arrived_at + TimeDelta::NANOSECOND);
         }
     }
 
--- a/src/routing/identifiers.rs
+++ b/src/routing/identifiers.rs
@@ -1,10 +1,7 @@
-//! Identifiers and the time unit that all routing messages share.
+//! Identifiers that all routing messages share.
 
 use serde::{Deserialize, Serialize};
 
-/// A point on the batch clock, or a length of time, in nanoseconds.
-pub type Nanos = i64;
-
 /// A request that a client has handed to this gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestId(pub u64);
--- a/src/routing/latency.rs
+++ b/src/routing/latency.rs
@@ -1,8 +1,8 @@
 //! Smoothed latencies (EWMA): of each class of requests, and of each member in relation to its
 //! classes.
 
-use super::identifiers::Nanos;
 use super::settings::RequestClass;
+use super::time::TimeDelta;
 
 /// Weight of a new sample in a member's EWMA, as the design has it.
 pub(super) const SAMPLE_WEIGHT: f64 = 0.2;
@@ -46,10 +46,10 @@
     }
 
     /// Takes the latency of an answer.
-    pub(super) fn record(&mut self, class: usize, elapsed: Nanos) {
+    pub(super) fn record(&mut self, class: usize, elapsed: TimeDelta) {
         self.answers[class] += 1.0;
         let weight = FLEET_SAMPLE_WEIGHT.max(1.0 / (1.0 + self.answers[class]));
-        self.usual[class] += weight * (elapsed as f64 - self.usual[class]);
+        self.usual[class] += weight * (elapsed.as_nanos_f64() - self.usual[class]);
     }
 
     /// The usual latency up to which a class counts as short.
@@ -89,7 +89,7 @@
 
 /// The usual latency that is assumed for a class without answers.
 fn initial_latency(class: &RequestClass) -> f64 {
-    class.latency_objective as f64 * INITIAL_SHARE_OF_OBJECTIVE
+    class.latency_objective.as_nanos_f64() * INITIAL_SHARE_OF_OBJECTIVE
 }
 
 /// Values by class, each from the class that it goes on from, or else an initial one.
@@ -121,8 +121,8 @@
 
     /// Takes an answer of a class with this usual latency. `weight` is what earlier observations
     /// still count.
-    pub(super) fn record(&mut self, elapsed: Nanos, usual_latency: f64, weight: f64) {
-        let sample = elapsed as f64 / usual_latency.max(1.0);
+    pub(super) fn record(&mut self, elapsed: TimeDelta, usual_latency: f64, weight: f64) {
+        let sample = elapsed.as_nanos_f64() / usual_latency.max(1.0);
         let earlier = 1.0 + (self.ratio - 1.0) * weight.sqrt();
         self.ratio = SAMPLE_WEIGHT * sample + (1.0 - SAMPLE_WEIGHT) * earlier;
         self.answers = self.answers * weight + 1.0;
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -1,8 +1,8 @@
 //! Load of members: requests in flight there, by this gateway's own count and by the members'
 //! reports.
 
-use super::identifiers::Nanos;
 use super::latency::FLEET_SAMPLE_WEIGHT;
+use super::time::Timestamp;
 
 /// A member sheds load beyond this share of its cores in use.
 const BUSY_CORES: f64 = 0.8;
@@ -25,7 +25,7 @@
     /// Requests in flight there that are not this gateway's, by the last report.
     pub(super) in_flight_of_others: f64,
     /// When that was reported.
-    pub(super) reported_at: Nanos,
+    pub(super) reported_at: Timestamp,
     /// Share of its cores in use by the last report, 0 to 1.
     pub(super) cores_in_use: f64,
     /// Share of its requests that the member is spared, as it has been too busy, 0 to 1.
@@ -34,13 +34,13 @@
 
 impl MemberLoad {
     /// Takes a report of the requests in flight at the member, this gateway's included.
-    pub(super) fn in_flight_reported(&mut self, in_flight: f64, now: Nanos) {
+    pub(super) fn in_flight_reported(&mut self, in_flight: f64, now: Timestamp) {
         self.in_flight_of_others = (in_flight - f64::from(self.in_flight)).max(0.0);
         self.reported_at = now;
     }
 
     /// Takes a report of the share of cores in use at a member of this size, obtained at this time.
-    pub(super) fn cores_in_use_reported(&mut self, cores_in_use: f64, size: f64, at: Nanos) {
+    pub(super) fn cores_in_use_reported(&mut self, cores_in_use: f64, size: f64, at: Timestamp) {
         self.cores_in_use = cores_in_use;
         self.reported_at = at;
         let shed_share = self.shed_share + SHED_GAIN * (cores_in_use - BUSY_CORES);
--- a/src/routing/member.rs
+++ b/src/routing/member.rs
@@ -3,12 +3,13 @@
 use super::concurrency_limit::ConcurrencyLimit;
 use super::endpoint::{Endpoint, EndpointState};
 use super::health_check::MemberHealthCheck;
-use super::identifiers::{GroupId, Nanos, ZoneId};
+use super::identifiers::{GroupId, ZoneId};
 use super::latency::MemberLatency;
 use super::load::MemberLoad;
 use super::outlier::{ErrorEjection, Reachability};
 use super::replication::Replication;
 use super::snapshot::MemberRecord;
+use super::time::Timestamp;
 use serde::{Deserialize, Serialize};
 
 /// What is known of a member. It is serialized as one flat object, see the snapshot module.
@@ -36,7 +37,7 @@
     /// Its capacity in relation to that of other members.
     pub(super) size: f64,
     /// When its process started, if that is known.
-    pub(super) started: Option<Nanos>,
+    pub(super) started: Option<Timestamp>,
 }
 
 /// Whether a member is in service, by the endpoint list.
@@ -48,7 +49,7 @@
     /// ready again.
     pub(super) draining: bool,
     /// Since when it has been removed; the far future while it is not.
-    pub(super) removed_at: Nanos,
+    pub(super) removed_at: Timestamp,
 }
 
 /// Whether an endpoint list has shown a new process of a member.
@@ -70,7 +71,7 @@
                 ..Identity::default()
             },
             service: Service {
-                removed_at: Nanos::MAX,
+                removed_at: Timestamp::MAX,
                 ..Service::default()
             },
             latency: MemberLatency::usual(),
@@ -83,7 +84,7 @@
     }
 
     /// Takes its entry of the endpoint list.
-    pub(super) fn apply_endpoint(&mut self, endpoint: &Endpoint, now: Nanos) -> ProcessChange {
+    pub(super) fn apply_endpoint(&mut self, endpoint: &Endpoint, now: Timestamp) -> ProcessChange {
         let drained_before = self.service.draining;
         self.service.removed = endpoint.state == EndpointState::Removed;
         self.service.draining =
@@ -110,7 +111,7 @@
 
     /// The member may be forgotten: it is removed, owes no answer, and was drained or removed
     /// before `long_ago`.
-    pub(super) fn is_forgettable(&self, long_ago: Nanos) -> bool {
+    pub(super) fn is_forgettable(&self, long_ago: Timestamp) -> bool {
         let idle = self.load.in_flight == 0 && !self.health_check.outstanding;
         let settled = self.service.draining || self.service.removed_at < long_ago;
         self.service.removed && idle && settled
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -32,6 +32,7 @@
 mod settings;
 mod slow_start;
 mod snapshot;
+mod time;
 mod timer;
 
 pub use action::Action;
@@ -39,7 +40,7 @@
     Endpoint, EndpointState, LoadReport, ReplicationStatus, Role, SharedHealthCheck,
 };
 pub use event::{Event, FailoverDirectives, Outcome};
-pub use identifiers::{GroupId, MemberId, Nanos, RequestId, SessionId, ZoneId};
+pub use identifiers::{GroupId, MemberId, RequestId, SessionId, ZoneId};
 pub use member::Member;
 pub use router::Router;
 pub use settings::{
@@ -47,3 +48,4 @@
     RoleInEndpointList, SafetyRules, Settings, StalenessCheck, Tenant,
 };
 pub use snapshot::RoutingSnapshot;
+pub use time::{TimeDelta, Timestamp};
--- a/src/routing/outlier.rs
+++ b/src/routing/outlier.rs
@@ -5,8 +5,8 @@
 //! ejected.
 
 use super::event::Outcome;
-use super::identifiers::Nanos;
 use super::latency::SAMPLE_WEIGHT;
+use super::time::{TimeDelta, Timestamp};
 
 /// Silence of this many usual latencies makes a member suspected.
 const SILENCE_TOLERANCE: f64 = 4.0;
@@ -21,32 +21,37 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Reachability {
     /// When it last answered a request, with success or not.
-    pub(super) last_heard_at: Nanos,
+    pub(super) last_heard_at: Timestamp,
     /// A request has been in flight since then without any answer from the member.
-    pub(super) silent_since: Option<Nanos>,
+    pub(super) silent_since: Option<Timestamp>,
     /// How long such silence is usual.
-    pub(super) silence_tolerance: Nanos,
+    pub(super) silence_tolerance: TimeDelta,
     /// Failures to reach it since it last answered.
     pub(super) consecutive_failures: u32,
     /// It is suspected until then.
-    pub(super) suspected_until: Nanos,
+    pub(super) suspected_until: Timestamp,
     /// Since when it has answered again after it had failed to.
-    pub(super) recovered_at: Nanos,
+    pub(super) recovered_at: Timestamp,
 }
 
 impl Reachability {
     /// A request is sent to the member: from now on an answer is expected.
-    pub(super) fn request_sent(&mut self, now: Nanos, usual_latency: f64, connect_timeout: Nanos) {
+    pub(super) fn request_sent(
+        &mut self,
+        now: Timestamp,
+        usual_latency: f64,
+        connect_timeout: TimeDelta,
+    ) {
         if self.silent_since.is_none() {
             self.silent_since = Some(now);
             self.silence_tolerance = connect_timeout;
         }
-        let tolerance = (usual_latency * SILENCE_TOLERANCE) as Nanos;
+        let tolerance = TimeDelta::from_nanos_f64(usual_latency * SILENCE_TOLERANCE);
         self.silence_tolerance = self.silence_tolerance.max(tolerance);
     }
 
     /// An attempt has ended, and this many requests are still in flight.
-    pub(super) fn attempt_ended(&mut self, outcome: Outcome, in_flight: u32, now: Nanos) {
+    pub(super) fn attempt_ended(&mut self, outcome: Outcome, in_flight: u32, now: Timestamp) {
         let answered = matches!(
             outcome,
             Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::Unsuitable
@@ -61,31 +66,32 @@
 
     /// The member could not be reached: it is suspected for a time that doubles with each further
     /// failure.
-    pub(super) fn failed(&mut self, now: Nanos, connect_timeout: Nanos) {
+    pub(super) fn failed(&mut self, now: Timestamp, connect_timeout: TimeDelta) {
         self.consecutive_failures += 1;
         let doublings = self.consecutive_failures.min(MAX_SUSPICION_DOUBLINGS);
         self.suspected_until = now + connect_timeout * (1 << doublings);
     }
 
     /// The member has answered: its earlier failures count no more.
-    pub(super) fn recovered(&mut self, now: Nanos) {
-        if self.consecutive_failures > 0 || self.recovered_at == 0 {
+    pub(super) fn recovered(&mut self, now: Timestamp) {
+        if self.consecutive_failures > 0 || self.recovered_at == Timestamp::ZERO {
             self.recovered_at = now;
         }
         self.consecutive_failures = 0;
-        self.suspected_until = 0;
+        self.suspected_until = Timestamp::ZERO;
     }
 
     /// Connections to the member fail, or it has been silent for longer than is usual.
-    pub(super) fn is_suspected(&self, now: Nanos) -> bool {
-        let silent = |since: Nanos| now - since > self.silence_tolerance;
+    pub(super) fn is_suspected(&self, now: Timestamp) -> bool {
+        let silent = |since: Timestamp| now - since > self.silence_tolerance;
         self.suspected_until > now || self.silent_since.is_some_and(silent)
     }
 
     /// What earlier observations still count, from 1 down to 0, when they fade within about
     /// `lifetime`.
-    pub(super) fn observation_weight(&self, now: Nanos, lifetime: Nanos) -> f64 {
-        (-((now - self.last_heard_at) as f64) / lifetime as f64).exp()
+    pub(super) fn observation_weight(&self, now: Timestamp, lifetime: TimeDelta) -> f64 {
+        let age = (now - self.last_heard_at).as_nanos_f64();
+        (-age / lifetime.as_nanos_f64()).exp()
     }
 }
 
@@ -97,12 +103,17 @@
     /// Ejections lately; the ejection time doubles with each.
     pub(super) ejections: u32,
     /// It is ejected until then.
-    pub(super) ejected_until: Nanos,
+    pub(super) ejected_until: Timestamp,
 }
 
 impl ErrorEjection {
     /// An attempt has ended. Outcomes other than success and error say nothing here.
-    pub(super) fn attempt_ended(&mut self, outcome: Outcome, now: Nanos, connect_timeout: Nanos) {
+    pub(super) fn attempt_ended(
+        &mut self,
+        outcome: Outcome,
+        now: Timestamp,
+        connect_timeout: TimeDelta,
+    ) {
         if !matches!(outcome, Outcome::Ok | Outcome::Error) {
             return;
         }
@@ -118,7 +129,7 @@
     }
 
     /// The member is left alone for now.
-    pub(super) fn is_ejected(&self, now: Nanos) -> bool {
+    pub(super) fn is_ejected(&self, now: Timestamp) -> bool {
         self.ejected_until > now
     }
 }
--- a/src/routing/replication.rs
+++ b/src/routing/replication.rs
@@ -1,25 +1,25 @@
 //! What is known of a member's role and of how far it has applied the primary's log.
 
 use super::endpoint::{LoadReport, ReplicationStatus, Role};
-use super::identifiers::Nanos;
+use super::time::{TimeDelta, Timestamp};
 
 /// The primary role as the endpoint list gives it, in place of a time: that list is late, so any
 /// observation outweighs it.
-const PRIMARY_BY_ENDPOINT_LIST: Nanos = 1;
+const PRIMARY_BY_ENDPOINT_LIST: Timestamp = Timestamp::from_nanos(1);
 
 /// Role and replication position of a member.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Replication {
     /// The member has applied all commits up to this time. It never regresses.
-    pub(super) position: Nanos,
+    pub(super) position: Timestamp,
     /// How far the position was behind when last measured.
-    pub(super) lag: Nanos,
+    pub(super) lag: TimeDelta,
     /// When the lag was measured.
-    pub(super) lag_measured_at: Nanos,
-    /// Latest time at which the member was known to be primary; 0 for never.
-    pub(super) last_primary_at: Nanos,
-    /// Latest time at which the member was known not to be primary; 0 for never.
-    pub(super) last_replica_at: Nanos,
+    pub(super) lag_measured_at: Timestamp,
+    /// Latest time at which the member was known to be primary, or zero for never.
+    pub(super) last_primary_at: Timestamp,
+    /// Latest time at which the member was known not to be primary, or zero for never.
+    pub(super) last_replica_at: Timestamp,
 }
 
 impl Replication {
@@ -29,36 +29,36 @@
     }
 
     /// The last measured lag, or none if that measurement is older than `lifetime`.
-    pub(super) fn recent_lag(&self, now: Nanos, lifetime: Nanos) -> Nanos {
+    pub(super) fn recent_lag(&self, now: Timestamp, lifetime: TimeDelta) -> TimeDelta {
         if now - self.lag_measured_at < lifetime {
             self.lag
         } else {
-            0
+            TimeDelta::ZERO
         }
     }
 
     /// Sets the lag as measured now.
-    pub(super) fn measure_lag(&mut self, lag: Nanos, now: Nanos) {
+    pub(super) fn measure_lag(&mut self, lag: TimeDelta, now: Timestamp) {
         self.lag = lag;
         self.lag_measured_at = now;
     }
 
     /// A new process has started: it is a replica, whatever the last one was.
-    pub(super) fn process_started(&mut self, started: Option<Nanos>) {
-        self.last_replica_at = self.last_replica_at.max(started.unwrap_or(0));
+    pub(super) fn process_started(&mut self, started: Option<Timestamp>) {
+        self.last_replica_at = self.last_replica_at.max(started.unwrap_or(Timestamp::ZERO));
     }
 
     /// The endpoint list takes the member for the primary. The list is late on roles, so this is
     /// only a hint, and only for a member that has shown no role itself.
     pub(super) fn listed_as_primary(&mut self) {
-        if self.last_primary_at == 0 && self.last_replica_at == 0 {
+        if self.last_primary_at == Timestamp::ZERO && self.last_replica_at == Timestamp::ZERO {
             self.last_primary_at = PRIMARY_BY_ENDPOINT_LIST;
         }
     }
 
     /// Takes the status that came with an answer. A commit that the primary has answered is a
     /// position it has reached.
-    pub(super) fn apply_status(&mut self, status: ReplicationStatus, now: Nanos) {
+    pub(super) fn apply_status(&mut self, status: ReplicationStatus, now: Timestamp) {
         match status.role {
             Role::Primary => self.last_primary_at = self.last_primary_at.max(now),
             Role::Replica => self.last_replica_at = self.last_replica_at.max(now),
@@ -74,14 +74,14 @@
     ///
     /// A primary's position is the time of its report, and positions never regress: that orders
     /// reports among themselves and against answers, however late they arrive.
-    pub(super) fn apply_report(&mut self, report: LoadReport, obtained_at: Nanos) -> bool {
+    pub(super) fn apply_report(&mut self, report: LoadReport, obtained_at: Timestamp) -> bool {
         let Some(position) = report.position else {
             return false;
         };
         match report.primary {
             Some(true) => self.last_primary_at = self.last_primary_at.max(position),
             Some(false) if position >= self.last_primary_at => {
-                self.last_replica_at = self.last_replica_at.max(position + 1);
+                self.last_replica_at = self.last_replica_at.max(position + TimeDelta::NANOSECOND);
             }
             _ => {}
         }
--- a/src/routing/request.rs
+++ b/src/routing/request.rs
@@ -1,7 +1,8 @@
 //! Requests that are not finished, and their attempts.
 
 use super::event::Outcome;
-use super::identifiers::{GroupId, MemberId, Nanos, RequestId, SessionId};
+use super::identifiers::{GroupId, MemberId, RequestId, SessionId};
+use super::time::Timestamp;
 use std::collections::{BTreeSet, HashMap};
 
 /// An attempt to have a member serve a request.
@@ -10,7 +11,7 @@
     /// The member.
     pub(super) member: MemberId,
     /// When it was sent.
-    pub(super) sent_at: Nanos,
+    pub(super) sent_at: Timestamp,
     /// How it ended; nothing while it is in flight.
     pub(super) outcome: Option<Outcome>,
 }
@@ -37,21 +38,21 @@
     /// Its session.
     pub(super) session: Option<SessionId>,
     /// When it came in.
-    pub(super) arrived_at: Nanos,
+    pub(super) arrived_at: Timestamp,
     /// When its client stops waiting.
-    pub(super) deadline: Nanos,
+    pub(super) deadline: Timestamp,
     /// Position that a member must have reached to see the session's last write (session reads).
-    pub(super) session_position: Nanos,
+    pub(super) session_position: Timestamp,
     /// It waits in the router for a member.
     pub(super) queued: bool,
     /// If it is still queued then, it is given up.
-    pub(super) queued_until: Nanos,
+    pub(super) queued_until: Timestamp,
     /// It has its final answer.
     pub(super) answered: bool,
     /// Its attempts, in the order in which they were sent.
     pub(super) attempts: Vec<Attempt>,
     /// Until then it waits for a health check's result rather than go where nothing is known.
-    pub(super) health_check_awaited_until: Nanos,
+    pub(super) health_check_awaited_until: Timestamp,
     /// Its own random number, 0 to 1. It decides whether a member that takes only a share of the
     /// requests takes this one, and stays the same however often that is asked.
     pub(super) sample: f64,
@@ -102,7 +103,7 @@
     /// The requests.
     pub(super) by_id: HashMap<RequestId, Request>,
     /// When a request must be looked at again, soonest first.
-    reviews: BTreeSet<(Nanos, RequestId)>,
+    reviews: BTreeSet<(Timestamp, RequestId)>,
 }
 
 impl RequestTable {
@@ -122,17 +123,17 @@
     }
 
     /// Looks at a request again then.
-    pub(super) fn review_at(&mut self, time: Nanos, id: RequestId) {
+    pub(super) fn review_at(&mut self, time: Timestamp, id: RequestId) {
         self.reviews.insert((time, id));
     }
 
     /// Time of the next review.
-    pub(super) fn next_review_at(&self) -> Option<Nanos> {
+    pub(super) fn next_review_at(&self) -> Option<Timestamp> {
         self.reviews.first().map(|&(time, _)| time)
     }
 
     /// Takes the next request whose review is due.
-    pub(super) fn take_due_review(&mut self, now: Nanos) -> Option<RequestId> {
+    pub(super) fn take_due_review(&mut self, now: Timestamp) -> Option<RequestId> {
         self.reviews.first().filter(|&&(time, _)| time <= now)?;
         self.reviews.pop_first().map(|(_, id)| id)
     }
--- a/src/routing/retry.rs
+++ b/src/routing/retry.rs
@@ -3,11 +3,12 @@
 
 use super::action::Action;
 use super::event::Outcome;
-use super::identifiers::{Nanos, RequestId};
+use super::identifiers::RequestId;
 use super::request::Request;
 use super::retry_budget::RetryBudget;
 use super::router::Router;
 use super::settings::{DeduplicationScope, Freshness, Idempotency};
+use super::time::{TimeDelta, Timestamp};
 use std::collections::VecDeque;
 
 /// What a hedged request costs the retry budget: a full attempt.
@@ -20,7 +21,7 @@
 
 impl Router {
     /// An attempt failed. Unless another one is in flight, the request is tried again, or given up.
-    pub(super) fn after_failure(&mut self, id: RequestId, outcome: Outcome, elapsed: Nanos) {
+    pub(super) fn after_failure(&mut self, id: RequestId, outcome: Outcome, elapsed: TimeDelta) {
         let request = self.requests.get(id);
         if request.answered || request.is_in_flight() {
             return;
@@ -61,25 +62,27 @@
     /// waited for nothing and has too little time left to come back; once half of its patience is
     /// spent, that is so whenever it is told. A write is queued to its end: an election outlasts
     /// any shorter time, and all writes would fail.
-    fn queued_until(&self, request: &Request) -> Nanos {
+    fn queued_until(&self, request: &Request) -> Timestamp {
         let is_read = self.class(request).freshness != Freshness::Write;
-        let patience = (request.deadline - request.arrived_at) as f64;
-        let limit = request.arrived_at + (patience * UNSENT_READ_QUEUE_SHARE) as Nanos;
+        let patience = (request.deadline - request.arrived_at).as_nanos_f64();
+        let limit =
+            request.arrived_at + TimeDelta::from_nanos_f64(patience * UNSENT_READ_QUEUE_SHARE);
         if is_read && request.is_unsent() && self.fleet.now < limit {
             limit
         } else {
-            Nanos::MAX
+            Timestamp::MAX
         }
     }
 
     /// When a request that is queued now is given up.
-    fn give_up_at(&self, request: &Request) -> Nanos {
+    fn give_up_at(&self, request: &Request) -> Timestamp {
         self.latest_send(request).min(request.queued_until)
     }
 
     fn review_before_giving_up(&mut self, id: RequestId) {
         let time = self.give_up_at(self.requests.get(id));
-        self.requests.review_at(time.max(self.fleet.now + 1), id);
+        self.requests
+            .review_at(time.max(self.fleet.now + TimeDelta::NANOSECOND), id);
     }
 
     /// Looks at the requests whose review is due: they are given up, or may be hedged.
@@ -99,11 +102,11 @@
     }
 
     /// When a request that is sent now may be hedged, if ever.
-    pub(super) fn hedge_at(&self, request: &Request) -> Option<Nanos> {
+    pub(super) fn hedge_at(&self, request: &Request) -> Option<Timestamp> {
         let class = self.class(request);
         let now = self.fleet.now;
         let time_left = request.arrived_at + class.latency_objective - now;
-        let hedge_at = now + (HEDGE_DELAY * time_left as f64) as Nanos;
+        let hedge_at = now + TimeDelta::from_nanos_f64(HEDGE_DELAY * time_left.as_nanos_f64());
         let permitted = self.fleet.settings.limits.hedged_requests;
         let may_be_hedged = permitted && class.idempotency == Idempotency::Idempotent;
         (may_be_hedged && hedge_at > now).then_some(hedge_at)
@@ -156,12 +159,14 @@
 
     /// Time that a rejected client should wait before it retries. The failover plan's is spread, so
     /// that not all clients come back at the same time.
-    fn retry_after(&self, request: &Request) -> Nanos {
+    fn retry_after(&self, request: &Request) -> TimeDelta {
         let limits = &self.fleet.settings.limits;
         if !limits.retry_after {
-            return 0;
+            return TimeDelta::ZERO;
         }
-        let spread = |pause: Nanos| (pause as f64 * (1.0 + request.sample)) as Nanos;
+        let spread = |pause: TimeDelta| {
+            TimeDelta::from_nanos_f64(pause.as_nanos_f64() * (1.0 + request.sample))
+        };
         let objective = self.class(request).latency_objective;
         let retry_after = self.failover.retry_after.map_or(objective, spread);
         retry_after.min(limits.max_retry_after)
--- a/src/routing/retry_budget.rs
+++ b/src/routing/retry_budget.rs
@@ -2,7 +2,7 @@
 //! overload.
 
 use super::event::Outcome;
-use super::identifiers::Nanos;
+use super::time::TimeDelta;
 
 /// Retries and hedged requests that each first attempt pays for.
 const SHARE_OF_REQUESTS: f64 = 0.1;
@@ -31,14 +31,14 @@
     /// What a retry costs after an attempt that ended so: nothing if that caused no work, a full
     /// attempt after a rejection by a full member, else the part of a usual latency that the
     /// attempt took.
-    pub(super) fn retry_cost(outcome: Outcome, elapsed: Nanos, usual_latency: f64) -> f64 {
+    pub(super) fn retry_cost(outcome: Outcome, elapsed: TimeDelta, usual_latency: f64) -> f64 {
         if outcome == Outcome::Full {
             return 1.0;
         }
         if outcome.never_ran() {
             return 0.0;
         }
-        (elapsed as f64 / usual_latency).clamp(MIN_RETRY_COST, 1.0)
+        (elapsed.as_nanos_f64() / usual_latency).clamp(MIN_RETRY_COST, 1.0)
     }
 
     /// Whether there is enough for something of this cost.
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -10,11 +10,12 @@
 use super::fleet::Fleet;
 use super::fleet_updates::AttemptResult;
 use super::health_check::HealthCheckBudget;
-use super::identifiers::{GroupId, Nanos};
+use super::identifiers::GroupId;
 use super::request::{Request, RequestTable};
 use super::retry_budget::RetryBudget;
 use super::settings::{RequestClass, Settings, StalenessCheck};
 use super::snapshot::RoutingSnapshot;
+use super::time::{TimeDelta, Timestamp};
 use super::timer::TimerSchedule;
 
 /// Share of the latency objective that a read waits for a health check to prove a replica recent,
@@ -54,7 +55,7 @@
     }
 
     /// Takes all events first, then decides.
-    pub fn batch(&mut self, now: Nanos, events: &[Event]) -> Vec<Action> {
+    pub fn batch(&mut self, now: Timestamp, events: &[Event]) -> Vec<Action> {
         self.fleet.now = now;
         for event in events {
             self.observe(event);
@@ -150,15 +151,16 @@
 
     /// How long a request of this class waits for a health check rather than take the second
     /// choice.
-    fn health_check_wait(&self, class: usize) -> Nanos {
+    fn health_check_wait(&self, class: usize) -> TimeDelta {
         let settings = &self.fleet.settings;
         let proof_needed = !settings.positions_in_answers
             && settings.staleness_check == StalenessCheck::None
             && settings.limits.health_checks;
         if proof_needed || self.fleet.relies_on_load_reports() {
-            (settings.classes[class].latency_objective as f64 * HEALTH_CHECK_WAIT) as Nanos
+            let objective = settings.classes[class].latency_objective.as_nanos_f64();
+            TimeDelta::from_nanos_f64(objective * HEALTH_CHECK_WAIT)
         } else {
-            0
+            TimeDelta::ZERO
         }
     }
 
--- a/src/routing/selection.rs
+++ b/src/routing/selection.rs
@@ -5,10 +5,11 @@
 //! stays queued.
 
 use super::fleet::Fleet;
-use super::identifiers::{GroupId, MemberId, Nanos, RequestId};
+use super::identifiers::{GroupId, MemberId, RequestId};
 use super::request::Request;
 use super::router::Router;
 use super::settings::{Freshness, StalenessCheck};
+use super::time::TimeDelta;
 use std::cmp::Reverse;
 use std::collections::VecDeque;
 
@@ -27,7 +28,7 @@
 pub(super) const PRIMARY_READ_SHARE: f64 = 0.5;
 /// Long reads spread to one more replica with each such part (1 / this) of their latency objective
 /// that they have waited.
-const LONG_READ_SPREAD_DIVISOR: Nanos = 4;
+const LONG_READ_SPREAD_DIVISOR: i64 = 4;
 
 /// The members among which a read is decided.
 struct Candidates<'a> {
@@ -191,7 +192,10 @@
         let request = candidates.request;
         let mut by_lag = candidates.suitable;
         by_lag.sort_by_key(|&id| Reverse((self.fleet.member(id).replication.lag, id)));
-        let objective = self.class(request).latency_objective.max(1);
+        let objective = self
+            .class(request)
+            .latency_objective
+            .max(TimeDelta::NANOSECOND);
         let waited = self.fleet.now - request.arrived_at;
         let further_replicas = waited * LONG_READ_SPREAD_DIVISOR / objective;
         (0..=further_replicas)
--- a/src/routing/settings.rs
+++ b/src/routing/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a router: request classes, limits and rules of the deployment.
 
-use super::identifiers::{Nanos, ZoneId};
+use super::identifiers::ZoneId;
+use super::time::TimeDelta;
 
 /// How recent the data behind an answer must be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -8,7 +9,7 @@
     /// Any member will do.
     Any,
     /// Data no older than this when the request is sent.
-    BoundedStaleness(Nanos),
+    BoundedStaleness(TimeDelta),
     /// All that the session has written.
     Session,
     /// All that was written before the request came in: the primary.
@@ -38,7 +39,7 @@
         /// Where repeats are dropped.
         scope: DeduplicationScope,
         /// For how long after the first attempt that may have run.
-        window: Nanos,
+        window: TimeDelta,
     },
     /// Must never run twice.
     NotIdempotent,
@@ -48,11 +49,11 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct RequestClass {
     /// Time within which an answer earns the full priority weight.
-    pub latency_objective: Nanos,
+    pub latency_objective: TimeDelta,
     /// The objective grows by this multiple of the request's own work, where that is announced.
     pub objective_stretch: f64,
     /// Time that a client waits in all.
-    pub deadline: Nanos,
+    pub deadline: TimeDelta,
     /// Value of an answer within the latency objective.
     pub priority_weight: f64,
     /// Share of the weight that an answer after the objective still earns, 0 to 1.
@@ -71,7 +72,7 @@
     /// They reject it at once.
     Reject,
     /// They wait up to this long, then reject it.
-    Wait(Nanos),
+    Wait(TimeDelta),
 }
 
 /// Whether the endpoint list gives roles.
@@ -110,26 +111,26 @@
     /// Rejected clients are told when to retry.
     pub retry_after: bool,
     /// Longest `retry_after` that clients honour.
-    pub max_retry_after: Nanos,
+    pub max_retry_after: TimeDelta,
     /// A connection that is not established in this time has failed.
-    pub connect_timeout: Nanos,
+    pub connect_timeout: TimeDelta,
 }
 
 /// Figures of the rules that bind every gateway.
 #[derive(Clone, Debug)]
 pub struct SafetyRules {
     /// Sends to a draining or removed member must stop within this time.
-    pub drain_grace: Nanos,
+    pub drain_grace: TimeDelta,
     /// Only a listed drain binds; a member that is removed or missing may still be sent to.
     pub only_listed_drains_bind: bool,
     /// A member has warmed up after this time at the latest.
-    pub warm_up_time: Nanos,
+    pub warm_up_time: TimeDelta,
     /// Share of its capacity with which a cold member starts at least, 0 to 1.
     pub initial_capacity: f64,
     /// A cold member that is sent more than this multiple of its present capacity ...
     pub overload_multiple: f64,
     /// ... for this long falls over.
-    pub overload_window: Nanos,
+    pub overload_window: TimeDelta,
 }
 
 /// A tenant.
@@ -149,7 +150,7 @@
     /// Zone of this gateway.
     pub zone: ZoneId,
     /// Least time between two batches.
-    pub tick: Nanos,
+    pub tick: TimeDelta,
     /// Classes of requests; a request names its class by index.
     pub classes: Vec<RequestClass>,
     /// Tenants; a request names its tenant by index.
--- a/src/routing/snapshot.rs
+++ b/src/routing/snapshot.rs
@@ -8,12 +8,13 @@
 use super::concurrency_limit::ConcurrencyLimit;
 use super::fleet::Fleet;
 use super::health_check::MemberHealthCheck;
-use super::identifiers::{GroupId, MemberId, Nanos, ZoneId};
+use super::identifiers::{GroupId, MemberId, ZoneId};
 use super::latency::MemberLatency;
 use super::load::MemberLoad;
 use super::member::{Identity, Member, Service};
 use super::outlier::{ErrorEjection, Reachability};
 use super::replication::Replication;
+use super::time::{TimeDelta, Timestamp};
 use serde::{Deserialize, Serialize};
 
 /// What a router has learnt, for another router of the same gateway.
@@ -87,7 +88,7 @@
 
 impl Member {
     /// Something was observed of it after `now`.
-    fn is_from_the_future(&self, now: Nanos) -> bool {
+    fn is_from_the_future(&self, now: Timestamp) -> bool {
         let observed_at = [
             self.replication.position,
             self.replication.lag_measured_at,
@@ -111,56 +112,56 @@
     #[serde(rename = "drained")]
     draining: bool,
     #[serde(rename = "gone_at")]
-    removed_at: Nanos,
-    started: Option<Nanos>,
-    position: Nanos,
-    lag: Nanos,
+    removed_at: Timestamp,
+    started: Option<Timestamp>,
+    position: Timestamp,
+    lag: TimeDelta,
     #[serde(rename = "lag_at")]
-    lag_measured_at: Nanos,
+    lag_measured_at: Timestamp,
     #[serde(rename = "primary_at")]
-    last_primary_at: Nanos,
+    last_primary_at: Timestamp,
     #[serde(rename = "replica_at")]
-    last_replica_at: Nanos,
+    last_replica_at: Timestamp,
     #[serde(rename = "slowness")]
     latency_ratio: f64,
     #[serde(rename = "answers")]
     latency_answers: f64,
     #[serde(rename = "heard")]
-    last_heard_at: Nanos,
+    last_heard_at: Timestamp,
     #[serde(rename = "outstanding")]
     in_flight: u32,
     #[serde(rename = "others")]
     in_flight_of_others: f64,
     #[serde(rename = "told_at")]
-    load_reported_at: Nanos,
+    load_reported_at: Timestamp,
     #[serde(rename = "in_use")]
     cores_in_use: f64,
     #[serde(rename = "shed")]
     shed_share: f64,
     limit: f64,
     #[serde(rename = "cut_at")]
-    limit_decreased_at: Nanos,
+    limit_decreased_at: Timestamp,
     #[serde(rename = "free_at")]
-    next_send_at: Nanos,
-    silent_since: Option<Nanos>,
+    next_send_at: Timestamp,
+    silent_since: Option<Timestamp>,
     #[serde(rename = "patience")]
-    silence_tolerance: Nanos,
+    silence_tolerance: TimeDelta,
     #[serde(rename = "fails")]
     consecutive_failures: u32,
     #[serde(rename = "suspect_until")]
-    suspected_until: Nanos,
+    suspected_until: Timestamp,
     #[serde(rename = "errors")]
     error_rate: f64,
     #[serde(rename = "shuns")]
     ejections: u32,
     #[serde(rename = "shun_until")]
-    ejected_until: Nanos,
+    ejected_until: Timestamp,
     #[serde(rename = "probe_at")]
-    health_check_sent_at: Nanos,
+    health_check_sent_at: Timestamp,
     #[serde(rename = "probe_out")]
     health_check_outstanding: bool,
     #[serde(rename = "well_since")]
-    recovered_at: Nanos,
+    recovered_at: Timestamp,
 }
 
 impl From<Member> for MemberRecord {
--- a/src/routing/timer.rs
+++ b/src/routing/timer.rs
@@ -1,21 +1,21 @@
 //! The router's timer: when its caller is asked to wake it up.
 
 use super::action::Action;
-use super::identifiers::Nanos;
 use super::router::Router;
+use super::time::{TimeDelta, Timestamp};
 
 /// While requests are queued, the timer is set this many ticks ahead.
-const TICKS_WHILE_QUEUED: Nanos = 2;
+const TICKS_WHILE_QUEUED: i64 = 2;
 
 /// The one timer that is set at a time.
 #[derive(Debug, Default)]
 pub(super) struct TimerSchedule {
-    fires_at: Nanos,
+    fires_at: Timestamp,
 }
 
 impl TimerSchedule {
     /// Time after which a timer must be set, if one is wanted and none is set that fires by then.
-    fn arm(&mut self, now: Nanos, wanted_at: Option<Nanos>) -> Option<Nanos> {
+    fn arm(&mut self, now: Timestamp, wanted_at: Option<Timestamp>) -> Option<TimeDelta> {
         let wanted_at = wanted_at?;
         if self.fires_at > now && self.fires_at <= wanted_at {
             return None;
--- a/src/simulator/instance.rs
+++ b/src/simulator/instance.rs
@@ -4,14 +4,14 @@
 use super::wire::{Metrics, WireAction, WireEntry};
 use crate::platform_settings::{BootInfo, NameTable, PlatformSettings};
 use crate::routing::{
-    Action, Endpoint, EndpointState, Event, GroupId, LoadReport, MemberId, Nanos, Outcome,
-    ReplicationStatus, RequestId, Role, Router, SessionId, ZoneId,
+    Action, Endpoint, EndpointState, Event, GroupId, LoadReport, MemberId, Outcome,
+    ReplicationStatus, RequestId, Role, Router, SessionId, TimeDelta, Timestamp, ZoneId,
 };
 use std::borrow::Cow;
 use std::collections::HashMap;
 
 /// Nanoseconds in a millisecond.
-const NS_PER_MS: i64 = 1_000_000;
+const NS_PER_MS: f64 = 1e6;
 /// Nanoseconds in a second.
 const NS_PER_S: f64 = 1e9;
 /// The bits of a replication status that hold the role; the others hold the position in milliseconds.
@@ -32,8 +32,8 @@
     pub(super) class: Cow<'a, str>,
     pub(super) tenant: Option<serde_json::Value>,
     pub(super) session: Option<Cow<'a, str>>,
-    pub(super) deadline: Nanos,
-    pub(super) work: Option<Nanos>,
+    pub(super) deadline: Timestamp,
+    pub(super) work: Option<TimeDelta>,
     pub(super) group: i64,
     pub(super) last_write_age_ms: Option<f64>,
     pub(super) retry: bool,
@@ -45,7 +45,7 @@
     pub(super) attempt: u32,
     pub(super) member: Cow<'a, str>,
     pub(super) outcome: i64,
-    pub(super) elapsed: Option<Nanos>,
+    pub(super) elapsed: Option<TimeDelta>,
     pub(super) finished: bool,
     pub(super) status: Option<i64>,
     pub(super) metrics: Option<Metrics<'a>>,
@@ -55,7 +55,7 @@
 pub(super) struct EndedHealthCheck<'a> {
     pub(super) member: Cow<'a, str>,
     pub(super) outcome: i64,
-    pub(super) elapsed: Option<Nanos>,
+    pub(super) elapsed: Option<TimeDelta>,
     pub(super) metrics: Option<Metrics<'a>>,
 }
 
@@ -63,7 +63,7 @@
 pub(super) struct Instance {
     router: Router,
     /// Clock time from which positions are counted.
-    position_zero: Nanos,
+    position_zero: Timestamp,
     classes: NameTable,
     tenants: NameTable,
     zones: NameTable,
@@ -146,6 +146,8 @@
         self.open.insert(id, open);
         let tenant = request.tenant.as_ref().and_then(|tenant| tenant.as_str());
         let last_write_age_ms = request.last_write_age_ms.filter(|&age| age > 0.0);
+        let last_write_age =
+            last_write_age_ms.map(|age| TimeDelta::from_nanos_f64(age * NS_PER_MS));
         self.post(Event::Request {
             id,
             class,
@@ -154,7 +156,7 @@
             deadline: request.deadline,
             work: request.work,
             group: GroupId(request.group),
-            last_write_age: last_write_age_ms.map(|age| (age * NS_PER_MS as f64) as i64),
+            last_write_age,
             retry: request.retry,
         });
         Ok(())
@@ -191,7 +193,7 @@
             attempt: ended.attempt,
             member,
             outcome,
-            elapsed: ended.elapsed.unwrap_or(0),
+            elapsed: ended.elapsed.unwrap_or(TimeDelta::ZERO),
             finished: ended.finished,
             status,
             report,
@@ -224,14 +226,19 @@
         self.post(Event::HealthChecked {
             member,
             outcome,
-            elapsed: ended.elapsed.unwrap_or(0),
+            elapsed: ended.elapsed.unwrap_or(TimeDelta::ZERO),
             report,
         });
         Ok(())
     }
 
     /// Runs the batch, and appends what the router wants done.
-    pub(super) fn run_batch(&mut self, instance: i64, now: Nanos, output: &mut Vec<WireAction>) {
+    pub(super) fn run_batch(
+        &mut self,
+        instance: i64,
+        now: Timestamp,
+        output: &mut Vec<WireAction>,
+    ) {
         let events = std::mem::take(&mut self.events);
         for action in self.router.batch(now, &events) {
             output.extend(self.wire_action(instance, action));
@@ -286,14 +293,15 @@
             state,
             primary: entry.primary.unwrap_or(0.0) > 0.5,
             size: entry.nominal.unwrap_or(1.0),
-            started: entry.since_ns.filter(|&since| since > 0),
+            started: entry.since_ns.filter(|&since| since > Timestamp::ZERO),
         })
     }
 
     fn load_report(&self, metrics: Option<Metrics>) -> Option<LoadReport> {
         let metrics = metrics?;
         let figure = |name: &str| metrics.get(name).copied().flatten();
-        let seconds_to_position = |seconds: f64| self.position_zero + (seconds * NS_PER_S) as i64;
+        let seconds_to_position =
+            |seconds: f64| self.position_zero + TimeDelta::from_nanos_f64(seconds * NS_PER_S);
         Some(LoadReport {
             position: figure("x0").map(seconds_to_position),
             primary: figure("x1").map(|flag| flag > 0.5),
@@ -310,7 +318,7 @@
             _ => return None,
         };
         let milliseconds = bits >> ROLE_BIT_COUNT;
-        let position = self.position_zero + milliseconds * NS_PER_MS;
+        let position = self.position_zero + TimeDelta::from_millis(milliseconds);
         Some(ReplicationStatus {
             role,
             position: (milliseconds > 0).then_some(position),
--- a/src/simulator/wire.rs
+++ b/src/simulator/wire.rs
@@ -1,6 +1,7 @@
 //! The simulator's messages as JSON: their keys, and nothing that is derived from them.
 
 use crate::platform_settings::BootInfo;
+use crate::routing::{TimeDelta, Timestamp};
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 use std::collections::HashMap;
@@ -15,7 +16,7 @@
     pub(super) status: String,
     pub(super) primary: Option<f64>,
     pub(super) nominal: Option<f64>,
-    pub(super) since_ns: Option<i64>,
+    pub(super) since_ns: Option<Timestamp>,
 }
 
 /// Load figures by name; a figure may be absent.
@@ -62,9 +63,9 @@
         #[serde(rename = "Sess", default, borrow)]
         session: Option<Cow<'a, str>>,
         #[serde(rename = "ClientDeadlineNs")]
-        deadline: i64,
+        deadline: Timestamp,
         #[serde(rename = "WorkNs", default)]
-        work: Option<i64>,
+        work: Option<TimeDelta>,
         #[serde(rename = "Shard")]
         group: i64,
         #[serde(rename = "TokenAgeMs", default)]
@@ -90,7 +91,7 @@
         #[serde(rename = "Disposition")]
         outcome: i64,
         #[serde(rename = "LagNs", default)]
-        elapsed: Option<i64>,
+        elapsed: Option<TimeDelta>,
         #[serde(rename = "DoneFlag", default)]
         finished: Option<bool>,
         #[serde(rename = "Stand", default)]
@@ -114,7 +115,7 @@
         #[serde(rename = "Member", borrow)]
         member: Cow<'a, str>,
         #[serde(rename = "LagNs", default)]
-        elapsed: Option<i64>,
+        elapsed: Option<TimeDelta>,
         #[serde(rename = "Disposition")]
         outcome: i64,
         #[serde(rename = "Metrics", default, borrow)]
@@ -145,7 +146,7 @@
 #[derive(Deserialize)]
 pub(super) struct Batch<'a> {
     #[serde(rename = "TNs")]
-    pub(super) now: i64,
+    pub(super) now: Timestamp,
     pub(super) frame: serde_json::Value,
     #[serde(borrow)]
     pub(super) happened: Vec<WireEvent<'a>>,
@@ -167,12 +168,16 @@
         i: i64,
         call: String,
         member: String,
-        limit_ns: i64,
+        limit_ns: TimeDelta,
     },
     #[serde(rename_all = "PascalCase")]
     Recall { i: i64, call: String, seq_no: u32 },
     #[serde(rename_all = "PascalCase")]
-    Bounce { i: i64, call: String, pause_ns: i64 },
+    Bounce {
+        i: i64,
+        call: String,
+        pause_ns: TimeDelta,
+    },
     #[serde(rename_all = "PascalCase")]
     DropRequest { i: i64, call: String },
     #[serde(rename_all = "PascalCase")]
@@ -180,7 +185,7 @@
     #[serde(rename_all = "PascalCase")]
     After {
         i: i64,
-        in_ns: i64,
+        in_ns: TimeDelta,
         name: &'static str,
     },
     #[serde(rename_all = "PascalCase")]
--- a/tests/decision_log.rs
+++ b/tests/decision_log.rs
@@ -9,7 +9,7 @@
 mod event_sequence;
 
 use event_sequence::{scenarios, EventSequence, Scenario};
-use irisrouter::routing::{Action, Nanos, Router};
+use irisrouter::routing::{Action, Router, TimeDelta, Timestamp};
 
 const BATCHES: usize = 3_000;
 const SEED: u64 = 1;
@@ -28,20 +28,20 @@
         }
     }
 
-    fn add_actions(&mut self, now: Nanos, actions: &[Action]) {
+    fn add_actions(&mut self, now: Timestamp, actions: &[Action]) {
         for action in actions {
-            self.add(now as u64);
+            self.add(now.as_nanos() as u64);
             let numbers = match *action {
                 Action::StartAttempt {
                     id,
                     member,
                     timeout,
-                } => [1, id.0, u64::from(member.0), timeout as u64],
+                } => [1, id.0, u64::from(member.0), bits(timeout)],
                 Action::CancelAttempt { id, attempt } => [2, id.0, u64::from(attempt), 0],
-                Action::Reject { id, retry_after } => [3, id.0, retry_after as u64, 0],
+                Action::Reject { id, retry_after } => [3, id.0, bits(retry_after), 0],
                 Action::Fail { id } => [4, id.0, 0, 0],
                 Action::HealthCheck { member } => [5, u64::from(member.0), 0, 0],
-                Action::SetTimer { after } => [6, after as u64, 0, 0],
+                Action::SetTimer { after } => [6, bits(after), 0, 0],
                 Action::WatchEndpoints => [7, 0, 0, 0],
             };
             for number in numbers {
@@ -51,6 +51,11 @@
     }
 }
 
+/// The bits of a length of time in nanoseconds.
+fn bits(time: TimeDelta) -> u64 {
+    time.as_nanos() as u64
+}
+
 fn digest(scenario: &Scenario) -> String {
     let mut router = Router::new(scenario.settings.clone());
     let mut sequence = EventSequence::new(scenario, SEED);
--- a/tests/event_sequence/mod.rs
+++ b/tests/event_sequence/mod.rs
@@ -4,14 +4,14 @@
 
 use irisrouter::routing::{
     Action, DeduplicationScope, Endpoint, EndpointState, Event, FailoverDirectives, Freshness,
-    GroupId, Idempotency, Limits, LoadReport, LoadReportSource, MemberId, Nanos, Outcome,
+    GroupId, Idempotency, Limits, LoadReport, LoadReportSource, MemberId, Outcome,
     ReplicationStatus, RequestClass, RequestId, Role, RoleInEndpointList, SafetyRules, SessionId,
-    Settings, SharedHealthCheck, StalenessCheck, ZoneId,
+    Settings, SharedHealthCheck, StalenessCheck, TimeDelta, Timestamp, ZoneId,
 };
 use serde_json::json;
 
-const MILLISECOND: Nanos = 1_000_000;
-const SECOND: Nanos = 1_000 * MILLISECOND;
+const MILLISECOND: TimeDelta = TimeDelta::from_millis(1);
+const SECOND: TimeDelta = TimeDelta::from_secs(1);
 const GROUPS: u32 = 2;
 const MEMBERS_PER_GROUP: u32 = 4;
 const ZONES: u32 = 3;
@@ -171,14 +171,14 @@
     id: RequestId,
     attempt: u32,
     member: MemberId,
-    sent_at: Nanos,
+    sent_at: Timestamp,
 }
 
 /// A random sequence of events.
 pub struct EventSequence {
     scenario: Scenario,
     rng: oorandom::Rand64,
-    now: Nanos,
+    now: Timestamp,
     requests: u64,
     /// Attempts sent for each request, by number.
     attempts: Vec<u32>,
@@ -186,7 +186,7 @@
     health_checks: Vec<MemberId>,
     /// The primary of each group.
     primaries: Vec<u32>,
-    started: Vec<Option<Nanos>>,
+    started: Vec<Option<Timestamp>>,
     listed: bool,
 }
 
@@ -196,7 +196,7 @@
         EventSequence {
             scenario: scenario.clone(),
             rng: oorandom::Rand64::new(u128::from(seed)),
-            now: 1_000 * SECOND,
+            now: Timestamp::ZERO + 1_000 * SECOND,
             requests: 0,
             attempts: Vec::new(),
             in_flight: Vec::new(),
@@ -208,12 +208,13 @@
     }
 
     /// Time and events of the next batch.
-    pub fn next_batch(&mut self) -> (Nanos, Vec<Event>) {
-        self.now += match self.below(100) {
+    pub fn next_batch(&mut self) -> (Timestamp, Vec<Event>) {
+        let time_passed = match self.below(100) {
             0 => self.time_up_to(2 * SECOND),
-            1..=20 => 0,
+            1..=20 => TimeDelta::ZERO,
             _ => self.time_up_to(15 * MILLISECOND),
         };
+        self.now += time_passed;
         let mut events = vec![Event::TimerFired];
         if !self.listed {
             self.listed = true;
@@ -264,8 +265,8 @@
         self.rng.rand_float() < share
     }
 
-    fn time_up_to(&mut self, most: Nanos) -> Nanos {
-        (self.rng.rand_float() * most as f64) as Nanos
+    fn time_up_to(&mut self, most: TimeDelta) -> TimeDelta {
+        TimeDelta::from_nanos_f64(self.rng.rand_float() * most.as_nanos_f64())
     }
 
     fn any_member(&mut self) -> u32 {
@@ -544,8 +545,8 @@
             "position": self.now - lag,
             "lag": lag,
             "lag_at": self.now,
-            "primary_at": if self.is_primary(member) { self.now - lag } else { 0 },
-            "replica_at": if self.is_primary(member) { 0 } else { self.now - lag },
+            "primary_at": if self.is_primary(member) { self.now - lag } else { Timestamp::ZERO },
+            "replica_at": if self.is_primary(member) { Timestamp::ZERO } else { self.now - lag },
             "slowness": self.rng.rand_float() * 3.0,
             "answers": self.rng.rand_float() * 20.0,
             "heard": heard,
--- a/tests/router_harness/mod.rs
+++ b/tests/router_harness/mod.rs
@@ -4,13 +4,13 @@
 
 use irisrouter::routing::{
     Action, DeduplicationScope, Endpoint, EndpointState, Event, Freshness, GroupId, Idempotency,
-    Limits, LoadReport, LoadReportSource, MemberId, Nanos, Outcome, ReplicationStatus,
-    RequestClass, RequestId, Role, RoleInEndpointList, Router, SafetyRules, SessionId, Settings,
-    StalenessCheck, ZoneId,
+    Limits, LoadReport, LoadReportSource, MemberId, Outcome, ReplicationStatus, RequestClass,
+    RequestId, Role, RoleInEndpointList, Router, SafetyRules, SessionId, Settings, StalenessCheck,
+    TimeDelta, Timestamp, ZoneId,
 };
 
-pub const MILLISECOND: Nanos = 1_000_000;
-pub const SECOND: Nanos = 1_000 * MILLISECOND;
+pub const MILLISECOND: TimeDelta = TimeDelta::from_millis(1);
+pub const SECOND: TimeDelta = TimeDelta::from_secs(1);
 /// The group of all members.
 pub const GROUP: GroupId = GroupId(1);
 
@@ -87,7 +87,7 @@
 /// A router at a clock, and the number of its next request.
 pub struct RouterHarness {
     pub router: Router,
-    pub now: Nanos,
+    pub now: Timestamp,
     next_request: u64,
 }
 
@@ -109,7 +109,7 @@
     pub fn new(settings: Settings) -> Self {
         let mut harness = RouterHarness {
             router: Router::new(settings),
-            now: 1_000 * SECOND,
+            now: Timestamp::ZERO + 1_000 * SECOND,
             next_request: 0,
         };
         let endpoints = (0..3)
@@ -144,20 +144,20 @@
     }
 
     /// Time passes, and the timer fires.
-    fn advance(&mut self, time: Nanos) -> Vec<Action> {
+    fn advance(&mut self, time: TimeDelta) -> Vec<Action> {
         self.now += time;
         self.deliver(&[Event::TimerFired])
     }
 
     /// Time passes in steps of 10 ms. Returns the actions of all steps.
-    pub fn run_for(&mut self, time: Nanos) -> Vec<Action> {
+    pub fn run_for(&mut self, time: TimeDelta) -> Vec<Action> {
         (0..time / (10 * MILLISECOND))
             .flat_map(|_| self.advance(10 * MILLISECOND))
             .collect()
     }
 
     /// A health check succeeds: an idle member reports its role and its position.
-    pub fn report(&mut self, member: u32, primary: bool, position: Nanos) -> Vec<Action> {
+    pub fn report(&mut self, member: u32, primary: bool, position: Timestamp) -> Vec<Action> {
         self.report_load(
             member,
             LoadReport {
@@ -183,7 +183,7 @@
     pub fn submit(
         &mut self,
         class: usize,
-        last_write_age: Option<Nanos>,
+        last_write_age: Option<TimeDelta>,
     ) -> (RequestId, Vec<Action>) {
         let id = RequestId(self.next_request);
         self.next_request += 1;
--- a/tests/rules_under_random_events.rs
+++ b/tests/rules_under_random_events.rs
@@ -3,8 +3,8 @@
 mod router_harness;
 
 use irisrouter::routing::{
-    Action, Endpoint, EndpointState, Event, Freshness, Idempotency, LoadReport, MemberId, Nanos,
-    Outcome, ReplicationStatus, RequestId, Role, Router, Settings, StalenessCheck,
+    Action, Endpoint, EndpointState, Event, Freshness, Idempotency, LoadReport, MemberId, Outcome,
+    ReplicationStatus, RequestId, Role, Router, Settings, StalenessCheck, TimeDelta, Timestamp,
 };
 use proptest::prelude::{any, prop, prop_assert, prop_assert_eq, prop_oneof, Strategy};
 use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
@@ -15,7 +15,7 @@
 
 const MEMBERS: u32 = 5;
 /// Time between two batches.
-const STEP_TIME: Nanos = 10 * MILLISECOND;
+const STEP_TIME: TimeDelta = TimeDelta::from_millis(10);
 /// Time at the end in which every request must get its answer.
 const STEPS_AT_END: usize = 300;
 
@@ -78,7 +78,7 @@
 #[derive(Clone, Debug)]
 struct Attempt {
     member: u32,
-    sent_at: Nanos,
+    sent_at: Timestamp,
     outcome: Option<Outcome>,
 }
 
@@ -97,10 +97,10 @@
 #[derive(Debug)]
 struct Request {
     class: usize,
-    arrived_at: Nanos,
-    deadline: Nanos,
+    arrived_at: Timestamp,
+    deadline: Timestamp,
     /// Position of the session's last write.
-    session_position: Nanos,
+    session_position: Timestamp,
     attempts: Vec<Attempt>,
     final_answers: u32,
 }
@@ -118,7 +118,7 @@
     requests: BTreeMap<u64, Request>,
     in_flight: Vec<AttemptId>,
     states: BTreeMap<u32, EndpointState>,
-    positions: BTreeMap<u32, Nanos>,
+    positions: BTreeMap<u32, Timestamp>,
     /// Members that have claimed to be primary, and have not said since in an answer that they are
     /// not.
     was_primary: BTreeMap<u32, bool>,
@@ -141,7 +141,7 @@
     }
 
     /// Checks that the rules permit these actions.
-    fn observe(&mut self, now: Nanos, actions: &[Action]) -> Result<(), TestCaseError> {
+    fn observe(&mut self, now: Timestamp, actions: &[Action]) -> Result<(), TestCaseError> {
         for action in actions {
             match *action {
                 Action::StartAttempt {
@@ -165,10 +165,10 @@
 
     fn attempt_started(
         &mut self,
-        now: Nanos,
+        now: Timestamp,
         id: u64,
         member: u32,
-        timeout: Nanos,
+        timeout: TimeDelta,
     ) -> Result<(), TestCaseError> {
         let request = &self.requests[&id];
         prop_assert_eq!(
@@ -176,7 +176,7 @@
             0,
             "rule 1: sent after the final answer"
         );
-        prop_assert!(timeout > 0 && now + timeout <= request.deadline);
+        prop_assert!(timeout > TimeDelta::ZERO && now + timeout <= request.deadline);
         let state = self.states[&member];
         prop_assert!(state == EndpointState::Ready, "rule 3: sent to {state:?}");
         self.check_repeat(now, request)?;
@@ -196,7 +196,7 @@
     }
 
     /// Rule 2 for an attempt that is sent now.
-    fn check_repeat(&self, now: Nanos, request: &Request) -> Result<(), TestCaseError> {
+    fn check_repeat(&self, now: Timestamp, request: &Request) -> Result<(), TestCaseError> {
         match self.settings.classes[request.class].idempotency {
             Idempotency::Idempotent => {}
             Idempotency::NotIdempotent => {
@@ -216,7 +216,7 @@
     /// Rule 5 for an attempt that is sent now.
     fn check_freshness(
         &self,
-        now: Nanos,
+        now: Timestamp,
         request: &Request,
         member: u32,
     ) -> Result<(), TestCaseError> {
@@ -224,10 +224,14 @@
             Freshness::BoundedStaleness(bound) => now - bound,
             Freshness::Session => request.session_position,
             Freshness::Strong => request.arrived_at,
-            Freshness::Any | Freshness::Write => Nanos::MIN,
+            Freshness::Any | Freshness::Write => Timestamp::MIN,
         };
         let was_primary = self.was_primary.get(&member).copied().unwrap_or(false);
-        let position = self.positions.get(&member).copied().unwrap_or(0);
+        let position = self
+            .positions
+            .get(&member)
+            .copied()
+            .unwrap_or(Timestamp::ZERO);
         prop_assert!(
             was_primary || position >= required,
             "rule 5: no proof for member {member}"
@@ -235,7 +239,7 @@
         Ok(())
     }
 
-    fn answered(&mut self, now: Nanos, id: u64) -> Result<(), TestCaseError> {
+    fn answered(&mut self, now: Timestamp, id: u64) -> Result<(), TestCaseError> {
         let request = self.request(id);
         request.final_answers += 1;
         prop_assert_eq!(request.final_answers, 1, "rule 1: one final answer");
@@ -290,7 +294,7 @@
 struct Run {
     router: Router,
     observer: Observer,
-    now: Nanos,
+    now: Timestamp,
     /// The actions of each batch.
     actions: Vec<Vec<Action>>,
 }
@@ -301,7 +305,7 @@
         Run {
             router: Router::new(settings.clone()),
             observer: Observer::new(settings),
-            now: 1_000 * SECOND,
+            now: Timestamp::ZERO + 1_000 * SECOND,
             actions: Vec::new(),
         }
     }
@@ -357,7 +361,7 @@
             class,
             arrived_at: self.now,
             deadline,
-            session_position: last_write_age.map_or(Nanos::MIN, |age| self.now - age),
+            session_position: last_write_age.map_or(Timestamp::MIN, |age| self.now - age),
             attempts: vec![],
             final_answers: 0,
         };
--- a/tests/safety_rules.rs
+++ b/tests/safety_rules.rs
@@ -3,8 +3,8 @@
 mod router_harness;
 
 use irisrouter::routing::{
-    Action, Endpoint, EndpointState, Event, FailoverDirectives, MemberId, Nanos, Outcome,
-    ReplicationStatus, RequestId, Role, StalenessCheck, ZoneId,
+    Action, Endpoint, EndpointState, Event, FailoverDirectives, MemberId, Outcome,
+    ReplicationStatus, RequestId, Role, StalenessCheck, TimeDelta, ZoneId,
 };
 use router_harness::{
     endpoint, health_checks, is_failed, is_rejected, rejections, sent_to, settings, RouterHarness,
@@ -74,9 +74,9 @@
     let rejected = pauses.len();
     assert!((260..340).contains(&rejected), "{rejected} of 400");
     let planned = 3 * SECOND..=6 * SECOND;
-    let is_planned = |pause: &Nanos| planned.contains(pause);
+    let is_planned = |pause: &TimeDelta| planned.contains(pause);
     assert!(pauses.iter().all(is_planned), "one to two pauses");
-    let shortest = pauses.iter().min().map(|pause| pause + SECOND);
+    let shortest = pauses.iter().min().map(|&pause| pause + SECOND);
     assert!(pauses.iter().max() > shortest.as_ref(), "and spread");
     harness.deliver(&[Event::FailoverDirectivesChanged(
         FailoverDirectives::default(),
@@ -88,7 +88,7 @@
 }
 
 /// The time after which a request's client is told to retry.
-fn retry_after(id: RequestId, actions: &[Action]) -> Option<Nanos> {
+fn retry_after(id: RequestId, actions: &[Action]) -> Option<TimeDelta> {
     actions.iter().find_map(|action| match action {
         Action::Reject {
             id: rejected,
@@ -186,7 +186,7 @@
         let (id, _) = harness.submit(KEYED_WRITE, None);
         harness.now += after;
         let actions = harness.end_attempt(id, 0, 0, Outcome::Error, Role::Primary);
-        assert_eq!(sent_to(id, &actions).is_some(), retried, "{after}");
+        assert_eq!(sent_to(id, &actions).is_some(), retried, "{after:?}");
     }
 }
 
@@ -506,7 +506,7 @@
     lose_primary(&mut harness);
     let (id, _) = harness.submit(STRONG_READ, None);
     let actions = harness.run_for(450 * MILLISECOND);
-    assert!(retry_after(id, &actions).is_some_and(|pause| pause > 0));
+    assert!(retry_after(id, &actions).is_some_and(|pause| pause > TimeDelta::ZERO));
 }
 
 #[test]
@@ -569,7 +569,7 @@
 }
 
 /// Of twenty requests, those sent at once after single answers that took these times.
-fn sent_at_once_after(answers: &[Nanos]) -> usize {
+fn sent_at_once_after(answers: &[TimeDelta]) -> usize {
     let mut settings = settings(StalenessCheck::None);
     settings.gateway_count = 1;
     let mut harness = RouterHarness::new(settings);
--- a/tests/server_selection.rs
+++ b/tests/server_selection.rs
@@ -59,7 +59,7 @@
     let (id, actions) = harness.submit(SESSION_READ, Some(150 * MILLISECOND));
     assert!(
         matches!(sent_to(id, &actions), Some(1 | 2)),
-        "written before the positions at {reported_at}"
+        "written before the positions at {reported_at:?}"
     );
     let (id, actions) = harness.submit(SESSION_READ, Some(50 * MILLISECOND));
     assert_eq!(sent_to(id, &actions), None);
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -4,15 +4,15 @@
 
 use irisrouter::platform_settings::{PlatformSettings, PlatformSettingsError};
 use irisrouter::routing::{
-    Action, Endpoint, EndpointState, Event, GroupId, MemberId, Nanos, Outcome, ReplicationStatus,
-    RequestId, Role, Router, SessionId, ZoneId,
+    Action, Endpoint, EndpointState, Event, GroupId, MemberId, Outcome, ReplicationStatus,
+    RequestId, Role, Router, SessionId, TimeDelta, Timestamp, ZoneId,
 };
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 
-const MS: Nanos = 1_000_000;
+const MS: TimeDelta = TimeDelta::from_millis(1);
 
-fn endpoint(member: u32, state: EndpointState, started: Option<Nanos>) -> Endpoint {
+fn endpoint(member: u32, state: EndpointState, started: Option<Timestamp>) -> Endpoint {
     Endpoint {
         member: MemberId(member),
         group: GroupId(2),
@@ -24,7 +24,7 @@
     }
 }
 
-fn request(id: RequestId, class: usize, deadline: Nanos) -> Event {
+fn request(id: RequestId, class: usize, deadline: Timestamp) -> Event {
     Event::Request {
         id,
         class,
@@ -38,7 +38,7 @@
     }
 }
 
-fn attempt_ended(id: RequestId, member: MemberId, outcome: Outcome, now: Nanos) -> Event {
+fn attempt_ended(id: RequestId, member: MemberId, outcome: Outcome, now: Timestamp) -> Event {
     Event::AttemptEnded {
         id,
         attempt: 0,
@@ -55,11 +55,11 @@
 }
 
 /// Requests of each class while members join, are cold, answer, drain and leave; the shortest timer that the router asks for.
-fn play(settings: &Value) -> Result<Nanos, PlatformSettingsError> {
+fn play(settings: &Value) -> Result<TimeDelta, PlatformSettingsError> {
     let platform = PlatformSettings::parse(settings, 7)?;
     let mut router = Router::new(platform.settings.clone());
-    let mut now = 1_000_000 * MS;
-    let mut shortest_timer = Nanos::MAX;
+    let mut now = Timestamp::ZERO + 1_000_000 * MS;
+    let mut shortest_timer = TimeDelta::MAX;
     let mut next_request = 0;
     for round in 0..200u32 {
         now += 5 * MS;
@@ -90,7 +90,7 @@
                     member,
                     timeout,
                 } => {
-                    assert!(timeout > 0);
+                    assert!(timeout > TimeDelta::ZERO);
                     attempts.insert(id, member);
                 }
                 _ => {}
@@ -134,7 +134,8 @@
             match play(&changed) {
                 Ok(soonest) => assert!(
                     soonest >= MS,
-                    "{path} = {value}: it wakes itself after {soonest} ns"
+                    "{path} = {value}: it wakes itself after {} ns",
+                    soonest.as_nanos()
                 ),
                 // Or it is refused at the start, with the reason.
                 Err(error) => assert!(
--- a/tests/shared_health_checks.rs
+++ b/tests/shared_health_checks.rs
@@ -3,23 +3,24 @@
 mod router_harness;
 
 use irisrouter::routing::{
-    Action, Event, LoadReport, MemberId, Nanos, SharedHealthCheck, StalenessCheck, ZoneId,
+    Action, Event, LoadReport, MemberId, SharedHealthCheck, StalenessCheck, TimeDelta, Timestamp,
+    ZoneId,
 };
 use router_harness::{
     health_checks, sent_to, settings, RouterHarness, BOUNDED_READ, KEYED_WRITE, MILLISECOND,
     SECOND, SESSION_READ, STRONG_READ,
 };
 
-const WAIT: StalenessCheck = StalenessCheck::Wait(50 * MILLISECOND);
+const WAIT: StalenessCheck = StalenessCheck::Wait(TimeDelta::from_millis(50));
 
 /// What a member reports.
 #[derive(Clone, Copy)]
 struct Reported {
-    lag: Nanos,
+    lag: TimeDelta,
     cores_in_use: f64,
 }
 
-fn reported(lag: Nanos, cores_in_use: f64) -> Reported {
+fn reported(lag: TimeDelta, cores_in_use: f64) -> Reported {
     Reported { lag, cores_in_use }
 }
 
@@ -35,7 +36,7 @@
     harness
 }
 
-fn shared_health_check(now: Nanos, member: u32, reported: Reported) -> SharedHealthCheck {
+fn shared_health_check(now: Timestamp, member: u32, reported: Reported) -> SharedHealthCheck {
     SharedHealthCheck {
         member: MemberId(member),
         at: now,
@@ -84,7 +85,10 @@
             harness.now += 50 * MILLISECOND;
             if shared {
                 let replica = reported(20 * MILLISECOND, 0.2);
-                let actions = share(&mut harness, [reported(0, 0.2), replica, replica]);
+                let actions = share(
+                    &mut harness,
+                    [reported(TimeDelta::ZERO, 0.2), replica, replica],
+                );
                 sum += health_checks(&actions);
             }
             let (id, actions) = harness.submit(BOUNDED_READ, None);
@@ -105,7 +109,7 @@
 /// Guards against reads that go where they are rejected, as what is known is seconds old.
 #[test]
 fn replica_found_too_far_behind_gets_no_read() {
-    let primary = reported(0, 0.2);
+    let primary = reported(TimeDelta::ZERO, 0.2);
     let recent = reported(30 * MILLISECOND, 0.2);
     let reads = reads_by_member(200, [primary, recent, reported(900 * MILLISECOND, 0.2)]);
     assert_eq!(reads, [0, 200, 0]);
@@ -117,8 +121,12 @@
 #[test]
 fn reads_without_a_recent_replica_go_to_the_primary_as_far_as_it_has_room() {
     let behind = reported(900 * MILLISECOND, 0.2);
-    let reads_of_primary =
-        |cores_in_use| reads_by_member(200, [reported(0, cores_in_use), behind, behind])[0];
+    let reads_of_primary = |cores_in_use| {
+        reads_by_member(
+            200,
+            [reported(TimeDelta::ZERO, cores_in_use), behind, behind],
+        )[0]
+    };
     assert_eq!(reads_of_primary(0.4), 200);
     let reads_of_busy = reads_of_primary(0.85);
     assert!((40..160).contains(&reads_of_busy), "{reads_of_busy}");
@@ -131,7 +139,7 @@
     let reads = reads_by_member(
         300,
         [
-            reported(0, 0.5),
+            reported(TimeDelta::ZERO, 0.5),
             reported(30 * MILLISECOND, 0.3),
             reported(30 * MILLISECOND, 0.98),
         ],
@@ -145,7 +153,7 @@
 fn older_results_change_nothing() {
     let mut harness = harness(WAIT);
     let older = vec![
-        shared_health_check(harness.now, 0, reported(0, 0.2)),
+        shared_health_check(harness.now, 0, reported(TimeDelta::ZERO, 0.2)),
         shared_health_check(harness.now, 1, reported(800 * MILLISECOND, 0.2)),
         shared_health_check(harness.now, 2, reported(900 * MILLISECOND, 1.0)),
     ];
@@ -153,7 +161,7 @@
     share(
         &mut harness,
         [
-            reported(0, 0.2),
+            reported(TimeDelta::ZERO, 0.2),
             reported(800 * MILLISECOND, 0.2),
             reported(10 * MILLISECOND, 0.2),
         ],
@@ -170,7 +178,7 @@
 fn results_prove_nothing_where_members_do_not_check_reads() {
     let mut harness = harness(StalenessCheck::None);
     harness.now += 10 * SECOND;
-    share(&mut harness, [reported(0, 0.2); 3]);
+    share(&mut harness, [reported(TimeDelta::ZERO, 0.2); 3]);
     let (id, actions) = harness.submit(BOUNDED_READ, None);
     assert!(
         sent_to(id, &actions).is_none_or(|member| member == 0),
@@ -182,7 +190,7 @@
 #[test]
 fn results_of_unknown_members_are_ignored() {
     let mut harness = harness(WAIT);
-    let result = shared_health_check(harness.now, 9, reported(0, 0.0));
+    let result = shared_health_check(harness.now, 9, reported(TimeDelta::ZERO, 0.0));
     let actions = harness.deliver(&[Event::SharedHealthChecks(vec![result])]);
     assert_eq!(actions, vec![]);
 }
@@ -195,7 +203,10 @@
         for _ in 0..40 {
             harness.now += 200 * MILLISECOND;
             let replica = reported(20 * MILLISECOND, cores_in_use);
-            share(&mut harness, [reported(0, cores_in_use), replica, replica]);
+            share(
+                &mut harness,
+                [reported(TimeDelta::ZERO, cores_in_use), replica, replica],
+            );
         }
         let mut sent = 0;
         for _ in 0..100 {
--- a/tests/slow_start_across_gateways.rs
+++ b/tests/slow_start_across_gateways.rs
@@ -4,8 +4,8 @@
 mod router_harness;
 
 use irisrouter::routing::{
-    Action, Endpoint, EndpointState, MemberId, Nanos, Outcome, RequestId, Role, SafetyRules,
-    Settings, StalenessCheck,
+    Action, Endpoint, EndpointState, MemberId, Outcome, RequestId, Role, SafetyRules, Settings,
+    StalenessCheck, TimeDelta, Timestamp,
 };
 use router_harness::{
     endpoint, settings, RouterHarness, BOUNDED_READ, KEYED_WRITE, MILLISECOND, SECOND,
@@ -24,7 +24,7 @@
 /// How often clients come on average in a release, as they retry.
 const TRIES_IN_A_RELEASE: f64 = 2.6;
 /// Time that is simulated.
-const DURATION: Nanos = 8 * SECOND;
+const DURATION: TimeDelta = TimeDelta::from_secs(8);
 
 /// What else happens.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -59,7 +59,7 @@
     }
 
     /// How a request at a member ends: after this time if it is served.
-    fn outcome(self, member: u32, service_time: Nanos) -> (Nanos, Outcome) {
+    fn outcome(self, member: u32, service_time: TimeDelta) -> (TimeDelta, Outcome) {
         let is_cold_replica = member >= self.first_cold() && member != self.primary();
         match self {
             Situation::Behind | Situation::Release if is_cold_replica => {
@@ -87,17 +87,17 @@
     situation: Situation,
     rules: SafetyRules,
     gateways: Vec<RouterHarness>,
-    started_at: Nanos,
-    now: Nanos,
+    started_at: Timestamp,
+    now: Timestamp,
     rng: oorandom::Rand64,
     /// Requests in flight by member, of all gateways.
     member_load: [f64; MEMBERS as usize],
     /// By the time at which they end, and their number.
-    in_flight: BTreeMap<(Nanos, u64), InFlight>,
+    in_flight: BTreeMap<(Timestamp, u64), InFlight>,
     sent: u64,
     attempts: BTreeMap<(usize, RequestId), u32>,
     /// When cold members were sent a request.
-    cold_sends: BTreeMap<u32, Vec<Nanos>>,
+    cold_sends: BTreeMap<u32, Vec<Timestamp>>,
 }
 
 impl Fleet {
@@ -139,13 +139,19 @@
             1.0
         };
         let per_second = CAPACITY_PER_SECOND * f64::from(MEMBERS) * load * tries;
-        let interval = SECOND as f64 / per_second;
+        let interval = SECOND.as_nanos_f64() / per_second;
         let mut next_request_at = self.now;
         while self.now < self.started_at + DURATION {
-            let next_end_at = self.in_flight.keys().next().map_or(Nanos::MAX, |key| key.0);
+            let next_end_at = self
+                .in_flight
+                .keys()
+                .next()
+                .map_or(Timestamp::MAX, |key| key.0);
             self.now = next_end_at.min(next_request_at);
             let (gateway, actions) = if self.now == next_request_at {
-                next_request_at += (interval * 2.0 * self.rng.rand_float()) as Nanos + 1;
+                next_request_at +=
+                    TimeDelta::from_nanos_f64(interval * 2.0 * self.rng.rand_float())
+                        + TimeDelta::NANOSECOND;
                 self.submit_request()
             } else {
                 self.end_attempt()
@@ -210,8 +216,11 @@
         self.member_load[member as usize] += 1.0;
         let warmth = if is_cold { self.warmth(self.now) } else { 1.0 };
         let queueing = (self.member_load[member as usize] / CONCURRENCY).max(1.0);
-        let service_time = SECOND as f64 / CAPACITY_PER_SECOND * CONCURRENCY * queueing / warmth;
-        let (duration, outcome) = self.situation.outcome(member, service_time as Nanos);
+        let service_time =
+            SECOND.as_nanos_f64() / CAPACITY_PER_SECOND * CONCURRENCY * queueing / warmth;
+        let (duration, outcome) = self
+            .situation
+            .outcome(member, TimeDelta::from_nanos_f64(service_time));
         let attempts = self.attempts.entry((gateway, id)).or_default();
         let attempt = InFlight {
             gateway,
@@ -227,24 +236,24 @@
     }
 
     /// Share of its capacity that a cold member has.
-    fn warmth(&self, at: Nanos) -> f64 {
-        let age = (at - self.started_at) as f64 / self.rules.warm_up_time as f64;
+    fn warmth(&self, at: Timestamp) -> f64 {
+        let age = (at - self.started_at).as_nanos_f64() / self.rules.warm_up_time.as_nanos_f64();
         self.rules.initial_capacity + (1.0 - self.rules.initial_capacity) * age.min(1.0)
     }
 
     /// Requests that a cold member may get in an overload window, and what chance adds to them.
-    fn budget(&self, at: Nanos) -> f64 {
-        let window = self.rules.overload_window as f64 / SECOND as f64;
+    fn budget(&self, at: Timestamp) -> f64 {
+        let window = self.rules.overload_window.as_nanos_f64() / SECOND.as_nanos_f64();
         let capacity = self.warmth(at) * CAPACITY_PER_SECOND;
         let budget = self.rules.overload_multiple * capacity * window;
         budget + 2.0 * budget.sqrt() + 2.0
     }
 
     /// Most that the sends to one cold member exceed its budget in any window.
-    fn excess(&self, sends: &[Nanos]) -> f64 {
+    fn excess(&self, sends: &[Timestamp]) -> f64 {
         let window = self.rules.overload_window;
-        let in_window_before = |end: Nanos| {
-            let is_inside = |&&at: &&Nanos| at <= end && at > end - window;
+        let in_window_before = |end: Timestamp| {
+            let is_inside = |&&at: &&Timestamp| at <= end && at > end - window;
             sends.iter().filter(is_inside).count()
         };
         (sends.iter())
--- a/tests/unit/answer.rs
+++ b/tests/unit/answer.rs
@@ -2,13 +2,21 @@
 
 use super::*;
 
+const SEVEN_NANOSECONDS: TimeDelta = TimeDelta::from_nanos(7);
+
 #[test]
 fn retry_after_is_rounded_up_to_whole_milliseconds_and_zero_is_no_advice() {
-    assert_eq!(retry_after_milliseconds(0), None);
-    assert_eq!(retry_after_milliseconds(-1), None);
-    assert_eq!(retry_after_milliseconds(1), Some(1));
-    assert_eq!(retry_after_milliseconds(1_000_000), Some(1));
-    assert_eq!(retry_after_milliseconds(1_000_001), Some(2));
+    assert_eq!(retry_after_milliseconds(TimeDelta::from_nanos(0)), None);
+    assert_eq!(retry_after_milliseconds(TimeDelta::from_nanos(-1)), None);
+    assert_eq!(retry_after_milliseconds(TimeDelta::from_nanos(1)), Some(1));
+    assert_eq!(
+        retry_after_milliseconds(TimeDelta::from_nanos(1_000_000)),
+        Some(1)
+    );
+    assert_eq!(
+        retry_after_milliseconds(TimeDelta::from_nanos(1_000_001)),
+        Some(2)
+    );
 }
 
 #[test]
@@ -16,12 +24,16 @@
     let metrics = Rc::<Metrics>::default();
     let (client, mut answer) = oneshot::channel();
     let mut pending = PendingAnswer::new(client, Rc::clone(&metrics));
-    assert!(pending.send(Answer::Rejected { retry_after: 7 }));
+    assert!(pending.send(Answer::Rejected {
+        retry_after: SEVEN_NANOSECONDS
+    }));
     assert!(!pending.is_pending());
     assert!(!pending.send(Answer::Failed));
     assert!(matches!(
         answer.try_recv(),
-        Ok(Answer::Rejected { retry_after: 7 })
+        Ok(Answer::Rejected {
+            retry_after: SEVEN_NANOSECONDS
+        })
     ));
     assert_eq!(metrics.requests.rejected.get(), 1);
     assert_eq!(metrics.requests.failed.get(), 0);
--- a/tests/unit/classes.rs
+++ b/tests/unit/classes.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use irisrouter::platform_settings::NameTable;
+use irisrouter::routing::TimeDelta;
 
 /// A request that changes its class while it is in flight would be accounted to the wrong one, and slots that are never
 /// reused would pile up with each reload.
@@ -20,7 +21,7 @@
     let order = classes.find("order").expect("a class");
     assert_eq!((slot("read"), order.slot), (Some(0), 1));
     // Changed while a request is in it: a slot of its own, which goes on from the estimates of the old one.
-    let shorter = with(&|l| l.settings.classes[1].deadline = 7);
+    let shorter = with(&|l| l.settings.classes[1].deadline = TimeDelta::from_nanos(7));
     assert_eq!(classes.swap(&shorter)[4], Some(1));
     assert_eq!(
         (slot("order"), order.class.deadline),
@@ -51,7 +52,9 @@
         (Some(1), None, None)
     );
     for deadline in 1..50 {
-        classes.swap(&with(&|l| l.settings.classes[0].deadline = deadline));
+        classes.swap(&with(&|l| {
+            l.settings.classes[0].deadline = TimeDelta::from_nanos(deadline)
+        }));
     }
     assert!(classes.settings().classes.len() < 8);
 }
@@ -71,7 +74,7 @@
         .settings
         .classes
         .iter_mut()
-        .for_each(|c| c.deadline = 150_000_000);
+        .for_each(|c| c.deadline = TimeDelta::from_millis(150));
     classes.swap(&short);
     assert_eq!(classes.longest_wait(), Duration::from_millis(150));
     assert_eq!(classes.longest_wait_held(), long);
--- a/tests/unit/load_report.rs
+++ b/tests/unit/load_report.rs
@@ -2,6 +2,10 @@
 
 use super::*;
 
+fn unix_milliseconds(milliseconds: i64) -> Timestamp {
+    Timestamp::from_nanos(milliseconds * NANOSECONDS_PER_MILLISECOND)
+}
+
 #[test]
 fn load_report_position_in_seconds_keeps_its_milliseconds() {
     for ms in [
@@ -11,11 +15,11 @@
         1_900_000_000_007,
     ] {
         let text = format!("x0={}.{:03},x1=1,load_share=0.61", ms / 1_000, ms % 1_000);
-        let report = parse_load_report(&text, ms * NANOSECONDS_PER_MILLISECOND);
+        let report = parse_load_report(&text, unix_milliseconds(ms));
         assert_eq!(
             report,
             LoadReport {
-                position: Some(ms * NANOSECONDS_PER_MILLISECOND),
+                position: Some(unix_milliseconds(ms)),
                 primary: Some(true),
                 cores_in_use: Some(0.61),
                 ..LoadReport::default()
@@ -23,7 +27,7 @@
         );
     }
     assert_eq!(
-        parse_load_report("nonsense,x0=,=1,inflight=7", 0).in_flight,
+        parse_load_report("nonsense,x0=,=1,inflight=7", Timestamp::ZERO).in_flight,
         Some(7.0)
     );
 }
@@ -31,7 +35,7 @@
 /// Numbers must not overflow, and a position from the future could not be taken back by any later one.
 #[test]
 fn load_report_values_that_cannot_be_true_are_left_out() {
-    let now = 1_767_225_600_000 * NANOSECONDS_PER_MILLISECOND;
+    let now = unix_milliseconds(1_767_225_600_000);
     for x0 in [
         "1767225601",
         "1e300",
