--- a/tests/snapshot.rs
+++ b/tests/snapshot.rs
@@ -81,3 +81,32 @@
     assert_eq!(document["usual"], json!([30.0, 0.0, 0.0, 10.0]));
     assert_eq!(document["told"], json!([3.0, 0.0, 0.0, 1.0]));
 }
+
+fn is_accepted(document: &str) -> bool {
+    serde_json::from_str::<RoutingSnapshot>(document).is_ok()
+}
+
+/// What is rejected makes a new version start without what the old one knew, so this must not change unnoticed.
+#[test]
+fn keys_twice_and_values_of_other_types_are_rejected_and_values_by_position_accepted() {
+    let member = |record: &str| format!(r#"{{"members": [[7, {record}]]}}"#);
+    assert!(is_accepted(&member(
+        r#"{"lag": 1, "later": 1, "later": 2}"#
+    )));
+    assert!(!is_accepted(&member(r#"{"lag": 1, "lag": 1}"#)));
+    for value in [r#""1""#, "1.5", "null", "[1]", "9223372036854775808"] {
+        assert!(!is_accepted(&member(&format!(r#"{{"lag": {value}}}"#))));
+        assert!(!is_accepted(&member(&format!(r#"{{"lag_at": {value}}}"#))));
+    }
+    assert!(!is_accepted(&member(r#"{"outstanding": -1}"#)));
+    assert!(!is_accepted(&member(r#"{"gone": 1}"#)));
+    assert!(!is_accepted(r#"{"members": [[7]]}"#));
+    assert!(!is_accepted(r#"{"members": [[7, {}, {}]]}"#));
+    assert!(!is_accepted(r#"{"members": [{"id": 7, "member": {}}]}"#));
+    let by_position = read(&json!({ "members": [[7, [3, 2, 1.5, true, false, 9]]] }));
+    let record = &written(&by_position)["members"][0][1];
+    assert_eq!(record["group"], 3);
+    assert_eq!(record["gone"], true);
+    assert_eq!(record["gone_at"], 9);
+    assert_eq!(record["position"], 0);
+}
