--- a/src/net/cluster/site_failover.rs
+++ b/src/net/cluster/site_failover.rs
@@ -15,7 +15,7 @@
 use crate::net::request::classes::Classes;
 use crate::net::router_task::RouterHandle;
 use crate::net::upstream::Upstream;
-use irisrouter::routing::{Event, FailoverDirectives, TimeDelta};
+use irisrouter::routing::{Event, FailoverDirectives, RecoveryRamp, TimeDelta};
 use irisrouter_leases::rendezvous;
 use irisrouter_site_failover::codec::{self, Message};
 use irisrouter_site_failover::load_report::{SiteLoadReport, SiteLoadReports};
@@ -353,7 +353,10 @@
             admitted_share: slot_classes.iter().map(admitted_share).collect(),
             recovery_ramps: sites
                 .filter(|(_, site)| site.recovery_ramp < 1.0)
-                .map(|(zone, site)| (upstream.zone_id(zone), site.recovery_ramp))
+                .map(|(zone, site)| RecoveryRamp {
+                    zone: upstream.zone_id(zone),
+                    share: site.recovery_ramp,
+                })
                 .collect(),
             retry_after: Some(TimeDelta::from_millis(i64::from(plan.retry_after_ms))),
         }
--- a/src/net/hot_restart.rs
+++ b/src/net/hot_restart.rs
@@ -240,7 +240,7 @@
         let member_names = snapshot
             .members
             .iter()
-            .map(|(id, _)| self.upstream.member_name(*id))
+            .map(|entry| self.upstream.member_name(entry.id))
             .collect();
         HandOverDocument {
             endpoint_list: self.upstream.endpoint_list(),
--- a/src/routing/admission.rs
+++ b/src/routing/admission.rs
@@ -235,7 +235,7 @@
         let zone = self.fleet.member(id).identity.zone;
         let requires_primary = self.fleet.requires_primary(request.class);
         let mut ramps = self.failover.recovery_ramps.iter();
-        ramps.all(|&(ramp, share)| ramp != zone || request.sample < share || requires_primary)
+        ramps.all(|ramp| ramp.zone != zone || request.sample < ramp.share || requires_primary)
     }
 
     /// A cold member can take this request: the request belongs to the share that the member can
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -11,12 +11,21 @@
 pub struct FailoverDirectives {
     /// By class: the share of its requests that is admitted, 0 to 1. Classes beyond the end are admitted in full.
     pub admitted_share: Vec<f64>,
-    /// Zones on a recovery ramp, and the share of their capacity that they bear now, 0 to 1.
-    pub recovery_ramps: Vec<(ZoneId, f64)>,
+    /// The zones on a recovery ramp.
+    pub recovery_ramps: Vec<RecoveryRamp>,
     /// Rejected clients are to retry after this, and up to twice as long.
     pub retry_after: Option<TimeDelta>,
 }
 
+/// The recovery ramp of a zone that is back after its loss.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RecoveryRamp {
+    /// The zone.
+    pub zone: ZoneId,
+    /// Share of its capacity that it bears now, 0 to 1.
+    pub share: f64,
+}
+
 /// How an attempt or a health check ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/src/routing/latency.rs
+++ b/src/routing/latency.rs
@@ -16,6 +16,15 @@
 /// A class is long from this multiple of the shortest class's usual latency on.
 const LONG_CLASS_MULTIPLE: f64 = 4.0;
 
+/// What is measured of the classes of requests. Both slices are by class.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ClassMeasurements<'a> {
+    /// Usual latency in nanoseconds.
+    pub(super) usual: &'a [f64],
+    /// Answers behind it.
+    pub(super) answers: &'a [f64],
+}
+
 /// Usual latency of each class of requests, over all members.
 #[derive(Clone, Debug)]
 pub(super) struct ClassLatency {
@@ -40,9 +49,12 @@
         self.usual[class]
     }
 
-    /// Usual latencies of all classes, and the answers behind them.
-    pub(super) fn measurements(&self) -> (&[f64], &[f64]) {
-        (&self.usual, &self.answers)
+    /// What is measured of all classes.
+    pub(super) fn measurements(&self) -> ClassMeasurements<'_> {
+        ClassMeasurements {
+            usual: &self.usual,
+            answers: &self.answers,
+        }
     }
 
     /// Takes the latency of an answer.
@@ -76,8 +88,9 @@
     }
 
     /// Takes another router's measurements of those classes for which more answers are behind them.
-    pub(super) fn merge(&mut self, usual: &[f64], answers: &[f64]) {
-        for (class, (&usual, &answers)) in usual.iter().zip(answers).enumerate() {
+    pub(super) fn merge(&mut self, theirs: ClassMeasurements) {
+        let measurements = theirs.usual.iter().zip(theirs.answers);
+        for (class, (&usual, &answers)) in measurements.enumerate() {
             let known = class < self.usual.len();
             if known && answers > self.answers[class] && usual.is_finite() && usual > 0.0 {
                 self.usual[class] = usual;
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -39,7 +39,7 @@
 pub use endpoint::{
     Endpoint, EndpointState, LoadReport, ReplicationStatus, Role, SharedHealthCheck,
 };
-pub use event::{Event, FailoverDirectives, Outcome};
+pub use event::{Event, FailoverDirectives, Outcome, RecoveryRamp};
 pub use identifiers::{GroupId, MemberId, RequestId, SessionId, ZoneId};
 pub use member::Member;
 pub use router::Router;
@@ -47,5 +47,5 @@
     DeduplicationScope, Freshness, Idempotency, Limits, LoadReportSource, RequestClass,
     RoleInEndpointList, SafetyRules, Settings, StalenessCheck, Tenant,
 };
-pub use snapshot::RoutingSnapshot;
+pub use snapshot::{RoutingSnapshot, SnapshotMember};
 pub use time::{TimeDelta, Timestamp};
--- a/src/routing/request.rs
+++ b/src/routing/request.rs
@@ -97,13 +97,20 @@
         self.attempts.iter().any(Attempt::may_have_run)
     }
 }
+/// When a request must be looked at again. Reviews are ordered by time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Review {
+    time: Timestamp,
+    id: RequestId,
+}
+
 /// The requests that are not finished.
 #[derive(Debug, Default)]
 pub(super) struct RequestTable {
     /// The requests.
     pub(super) by_id: HashMap<RequestId, Request>,
-    /// When a request must be looked at again, soonest first.
-    reviews: BTreeSet<(Timestamp, RequestId)>,
+    /// The reviews to come, soonest first.
+    reviews: BTreeSet<Review>,
 }
 
 impl RequestTable {
@@ -124,18 +131,18 @@
 
     /// Looks at a request again then.
     pub(super) fn review_at(&mut self, time: Timestamp, id: RequestId) {
-        self.reviews.insert((time, id));
+        self.reviews.insert(Review { time, id });
     }
 
     /// Time of the next review.
     pub(super) fn next_review_at(&self) -> Option<Timestamp> {
-        self.reviews.first().map(|&(time, _)| time)
+        self.reviews.first().map(|review| review.time)
     }
 
     /// Takes the next request whose review is due.
     pub(super) fn take_due_review(&mut self, now: Timestamp) -> Option<RequestId> {
-        self.reviews.first().filter(|&&(time, _)| time <= now)?;
-        self.reviews.pop_first().map(|(_, id)| id)
+        self.reviews.first().filter(|review| review.time <= now)?;
+        self.reviews.pop_first().map(|review| review.id)
     }
 
     /// Nothing more is done for a request, which is removed unless attempts are in flight. Returns
--- a/tests/event_sequence/mod.rs
+++ b/tests/event_sequence/mod.rs
@@ -4,7 +4,7 @@
 
 use irisrouter::routing::{
     Action, DeduplicationScope, Endpoint, EndpointState, Event, FailoverDirectives, Freshness,
-    GroupId, Idempotency, Limits, LoadReport, LoadReportSource, MemberId, Outcome,
+    GroupId, Idempotency, Limits, LoadReport, LoadReportSource, MemberId, Outcome, RecoveryRamp,
     ReplicationStatus, RequestClass, RequestId, Role, RoleInEndpointList, SafetyRules, SessionId,
     Settings, SharedHealthCheck, StalenessCheck, TimeDelta, Timestamp, ZoneId,
 };
@@ -491,7 +491,10 @@
         let classes = self.below(6) as usize;
         FailoverDirectives {
             admitted_share: (0..classes).map(|_| 0.5 + self.rng.rand_float()).collect(),
-            recovery_ramps: vec![(ZoneId(self.below(3) as u32), self.rng.rand_float())],
+            recovery_ramps: vec![RecoveryRamp {
+                zone: ZoneId(self.below(3) as u32),
+                share: self.rng.rand_float(),
+            }],
             retry_after: self.chance(0.5).then_some(SECOND),
         }
     }
--- a/tests/safety_rules.rs
+++ b/tests/safety_rules.rs
@@ -3,7 +3,7 @@
 mod router_harness;
 
 use irisrouter::routing::{
-    Action, Endpoint, EndpointState, Event, FailoverDirectives, MemberId, Outcome,
+    Action, Endpoint, EndpointState, Event, FailoverDirectives, MemberId, Outcome, RecoveryRamp,
     ReplicationStatus, RequestId, Role, StalenessCheck, TimeDelta, ZoneId,
 };
 use router_harness::{
@@ -121,7 +121,10 @@
     };
     let full = reads_of_zone_one(&mut harness);
     harness.deliver(&[Event::FailoverDirectivesChanged(FailoverDirectives {
-        recovery_ramps: vec![(ZoneId(1), 0.15)],
+        recovery_ramps: vec![RecoveryRamp {
+            zone: ZoneId(1),
+            share: 0.15,
+        }],
         ..FailoverDirectives::default()
     })]);
     let ramped = reads_of_zone_one(&mut harness);
