--- a/src/net/cluster/site_failover.rs
+++ b/src/net/cluster/site_failover.rs
@@ -16,7 +16,7 @@
 use crate::net::metrics::{increment, Metrics};
 use crate::net::router_task::RouterHandle;
 use crate::net::upstream::Upstream;
-use irisrouter::routing::{Event, FailoverDirectives, Nanos};
+use irisrouter::routing::{Event, FailoverDirectives, RecoveryRamp, TimeDelta};
 use irisrouter_cluster_types::{GatewayId, Milliseconds, Timestamp};
 use irisrouter_leases::rendezvous;
 use irisrouter_site_failover::codec::{self, Message};
@@ -34,7 +34,6 @@
 /// Load reports go to this many gateways: the first candidates for the planning lease, any of which
 /// may come to hold it.
 const REPORT_RECEIVERS: usize = 3;
-const NANOS_PER_MS: Nanos = 1_000_000;
 
 /// The names behind the indexes of sites and classes.
 pub struct SiteNames {
@@ -299,9 +298,12 @@
             admitted_share: slot_classes.iter().map(admitted_share).collect(),
             recovery_ramps: sites
                 .filter(|(_, site)| site.recovery_ramp < 1.0)
-                .map(|(zone, site)| (upstream.zone_id(zone), site.recovery_ramp))
+                .map(|(zone, site)| RecoveryRamp {
+                    zone: upstream.zone_id(zone),
+                    share: site.recovery_ramp,
+                })
                 .collect(),
-            retry_after: Some(plan.retry_after.0 as Nanos * NANOS_PER_MS),
+            retry_after: Some(TimeDelta::from_millis(plan.retry_after.0 as i64)),
         }
     }
 
--- a/src/net/hot_restart.rs
+++ b/src/net/hot_restart.rs
@@ -246,7 +246,7 @@
         let member_names = snapshot
             .members
             .iter()
-            .map(|(id, _)| self.dependencies.upstream.member_name(*id))
+            .map(|entry| self.dependencies.upstream.member_name(entry.id))
             .collect();
         HandOverDocument {
             endpoint_list: self.dependencies.upstream.endpoint_list(),
--- a/src/net/request/context.rs
+++ b/src/net/request/context.rs
@@ -7,7 +7,7 @@
 use crate::net::router_task::RouterHandle;
 use crate::net::upstream::{Statement, Upstream};
 use crate::net::Clock;
-use irisrouter::routing::{GroupId, Nanos, SessionId};
+use irisrouter::routing::{GroupId, SessionId, Timestamp};
 use irisrouter_write_intents::KeyHash;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
@@ -73,8 +73,8 @@
     pub session: Option<SessionId>,
     /// How long its client waits for the answer, from now on.
     pub timeout: Duration,
-    /// The commit position that its answer must include, in nanoseconds of Unix time.
-    pub minimum_position: Option<Nanos>,
+    /// The commit position that its answer must include, as Unix time.
+    pub minimum_position: Option<Timestamp>,
     /// The client marked it as a retry.
     pub retry: bool,
     /// Its idempotency key, in a keyed class.
--- a/src/routing/latency.rs
+++ b/src/routing/latency.rs
@@ -1,8 +1,8 @@
 //! Smoothed latencies (EWMA): of each class of requests, and of each member in relation to its
 //! classes.
 
-use super::identifiers::Nanos;
 use super::settings::RequestClass;
+use super::time::TimeDelta;
 
 /// Weight of a new sample in a member's EWMA, as the design has it.
 pub(super) const SAMPLE_WEIGHT: f64 = 0.2;
@@ -16,6 +16,15 @@
 /// A class is long from this multiple of the shortest class's usual latency on.
 const LONG_CLASS_MULTIPLE: f64 = 4.0;
 
+/// What is measured of the classes of requests. Both slices are by class.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ClassMeasurements<'a> {
+    /// Usual latency in nanoseconds.
+    pub(super) usual: &'a [f64],
+    /// Answers behind it.
+    pub(super) answers: &'a [f64],
+}
+
 /// Usual latency of each class of requests, over all members.
 #[derive(Clone, Debug)]
 pub(super) struct ClassLatency {
@@ -40,16 +49,19 @@
         self.usual[class]
     }
 
-    /// Usual latencies of all classes, and the answers behind them.
-    pub(super) fn measurements(&self) -> (&[f64], &[f64]) {
-        (&self.usual, &self.answers)
+    /// What is measured of all classes.
+    pub(super) fn measurements(&self) -> ClassMeasurements<'_> {
+        ClassMeasurements {
+            usual: &self.usual,
+            answers: &self.answers,
+        }
     }
 
     /// Takes the latency of an answer.
-    pub(super) fn record(&mut self, class: usize, elapsed: Nanos) {
+    pub(super) fn record(&mut self, class: usize, elapsed: TimeDelta) {
         self.answers[class] += 1.0;
         let weight = FLEET_SAMPLE_WEIGHT.max(1.0 / (1.0 + self.answers[class]));
-        self.usual[class] += weight * (elapsed as f64 - self.usual[class]);
+        self.usual[class] += weight * (elapsed.as_nanos_f64() - self.usual[class]);
     }
 
     /// The usual latency up to which a class counts as short.
@@ -76,8 +88,9 @@
     }
 
     /// Takes another router's measurements of those classes for which more answers are behind them.
-    pub(super) fn merge(&mut self, usual: &[f64], answers: &[f64]) {
-        for (class, (&usual, &answers)) in usual.iter().zip(answers).enumerate() {
+    pub(super) fn merge(&mut self, theirs: ClassMeasurements) {
+        let measurements = theirs.usual.iter().zip(theirs.answers);
+        for (class, (&usual, &answers)) in measurements.enumerate() {
             let known = class < self.usual.len();
             if known && answers > self.answers[class] && usual.is_finite() && usual > 0.0 {
                 self.usual[class] = usual;
@@ -89,7 +102,7 @@
 
 /// The usual latency that is assumed for a class without answers.
 fn initial_latency(class: &RequestClass) -> f64 {
-    class.latency_objective as f64 * INITIAL_SHARE_OF_OBJECTIVE
+    class.latency_objective.as_nanos_f64() * INITIAL_SHARE_OF_OBJECTIVE
 }
 
 /// Values by class, each from the class that it goes on from, or else an initial one.
@@ -121,8 +134,8 @@
 
     /// Takes an answer of a class with this usual latency. `weight` is what earlier observations
     /// still count.
-    pub(super) fn record(&mut self, elapsed: Nanos, usual_latency: f64, weight: f64) {
-        let sample = elapsed as f64 / usual_latency.max(1.0);
+    pub(super) fn record(&mut self, elapsed: TimeDelta, usual_latency: f64, weight: f64) {
+        let sample = elapsed.as_nanos_f64() / usual_latency.max(1.0);
         let earlier = 1.0 + (self.ratio - 1.0) * weight.sqrt();
         self.ratio = SAMPLE_WEIGHT * sample + (1.0 - SAMPLE_WEIGHT) * earlier;
         self.answers = self.answers * weight + 1.0;
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -32,18 +32,20 @@
 mod settings;
 mod slow_start;
 mod snapshot;
+mod time;
 mod timer;
 
 pub use action::Action;
 pub use endpoint::{
     Endpoint, EndpointState, LoadReport, ReplicationStatus, Role, SharedHealthCheck,
 };
-pub use event::{Event, FailoverDirectives, Outcome};
-pub use identifiers::{GroupId, MemberId, Nanos, RequestId, SessionId, ZoneId};
+pub use event::{Event, FailoverDirectives, Outcome, RecoveryRamp};
+pub use identifiers::{GroupId, MemberId, RequestId, SessionId, ZoneId};
 pub use member::Member;
 pub use router::Router;
 pub use settings::{
     DeduplicationScope, Freshness, Idempotency, Limits, LoadReportSource, RequestClass,
     RoleInEndpointList, SafetyRules, Settings, StalenessCheck, Tenant,
 };
-pub use snapshot::RoutingSnapshot;
+pub use snapshot::{RoutingSnapshot, SnapshotMember};
+pub use time::{TimeDelta, Timestamp};
