--- a/crates/membership/simulated-network/src/network.rs
+++ b/crates/membership/simulated-network/src/network.rs
@@ -27,7 +27,7 @@
     bytes: Vec<u8>,
 }
 
-/// The way of datagrams from one member to another.
+/// One direction between two members.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Link {
     from: GatewayId,
--- a/crates/membership/src/failure_detector.rs
+++ b/crates/membership/src/failure_detector.rs
@@ -68,6 +68,7 @@
         }
     }
 
+    /// Sends the ping of the round under way.
     fn send_ping(&mut self, gateway: GatewayId) {
         let Some(ping) = self.detector.pings.get(gateway) else {
             return;
@@ -75,17 +76,16 @@
         let Some(row) = self.view.member(gateway) else {
             return;
         };
-        let reported_down = MemberUpdate {
-            process: row.process,
-            incarnation: row.incarnation,
-            down: true,
-        };
-        // A member that others reported down has to know it, so that its answer outranks the report everywhere.
+        let sequence = ping.sequence;
         let updates = match ping.reason {
             PingReason::Scheduled => Vec::new(),
-            PingReason::ReportedDown => vec![reported_down],
+            // A member that others reported down has to know it, so that its answer outranks the report everywhere.
+            PingReason::ReportedDown => vec![MemberUpdate {
+                process: row.process,
+                incarnation: row.incarnation,
+                down: true,
+            }],
         };
-        let sequence = ping.sequence;
         self.send_with_updates(gateway, Message::Ping { sequence }, updates);
     }
 
@@ -99,7 +99,7 @@
         }
     }
 
-    /// Pings the target of a ping request.
+    /// Pings the target of a ping request. A target outside the fleet's list takes a sequence number, too, but no ping.
     pub(crate) fn relay_ping(
         &mut self,
         requester: GatewayId,
@@ -129,11 +129,8 @@
         incarnation: Incarnation,
         sequence: SequenceNumber,
     ) {
-        if let Some(ping) = self
-            .detector
-            .relayed
-            .take_answered(source.gateway, sequence)
-        {
+        let relayed = &mut self.detector.relayed;
+        if let Some(ping) = relayed.take_answered(source.gateway, sequence) {
             let ack = Message::IndirectAck {
                 sequence: ping.requester_sequence,
                 target: source,
@@ -160,11 +157,7 @@
         if !is_answer || row.process != process {
             return;
         }
-        if let Some(ping) = self.detector.pings.end(process.gateway) {
-            if ping.missed_rounds == 0 && ping.reason == PingReason::Scheduled {
-                self.detector.history.record(PingOutcome::Answered);
-            }
-        }
+        self.end_answered_ping(process.gateway);
         if row.liveness == Liveness::Suspect {
             self.set_member(process, incarnation, Liveness::Alive);
             if incarnation != row.incarnation {
@@ -173,6 +166,16 @@
         }
     }
 
+    /// Ends the ping to a member that answered, and records the outcome if it was a scheduled ping in its first round.
+    fn end_answered_ping(&mut self, gateway: GatewayId) {
+        let Some(ping) = self.detector.pings.end(gateway) else {
+            return;
+        };
+        if ping.missed_rounds == 0 && ping.reason == PingReason::Scheduled {
+            self.detector.history.record(PingOutcome::Answered);
+        }
+    }
+
     /// Processes a round of pings that ended without an answer.
     fn process_missed_round(&mut self, gateway: GatewayId) {
         let Some(ping) = self.detector.pings.get(gateway) else {
--- a/crates/membership/src/join_leave.rs
+++ b/crates/membership/src/join_leave.rs
@@ -91,6 +91,7 @@
         self.send_exactly(to, Message::MemberList, updates);
     }
 
+    /// The updates of a member list, without those about the recipient and about this member.
     fn member_list(&self, recipient: GatewayId, start: GatewayId) -> Vec<MemberUpdate> {
         self.gateways_from(start)
             .filter(|&gateway| gateway != recipient && gateway != self.local.process.gateway)
@@ -119,6 +120,7 @@
         }
     }
 
+    /// Whether the row of a member changed at the current time.
     fn changed_just_now(&self, gateway: GatewayId) -> bool {
         let member = self.view.member(gateway);
         member.is_some_and(|member| member.since == self.now)
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -18,7 +18,9 @@
 /// This gateway as a member.
 #[derive(Debug, Clone)]
 pub(crate) struct LocalMember {
+    /// The gateway and the generation as which it runs.
     pub process: GatewayProcess,
+    /// Raised with each refutation.
     pub incarnation: Incarnation,
     /// When it last continued as a later generation, if it did.
     pub renewed_at: Option<Timestamp>,
--- a/crates/membership/src/outstanding_pings.rs
+++ b/crates/membership/src/outstanding_pings.rs
@@ -37,7 +37,7 @@
     pub step: PingStep,
 }
 
-/// A round under way.
+/// A round under way: when it started, and what is to be done next in it.
 #[derive(Debug, Clone, Copy)]
 struct Round {
     started: Timestamp,
@@ -74,9 +74,9 @@
     pub missed_rounds: u32,
     /// Why the member is pinged.
     pub reason: PingReason,
-    /// The sequence number of the first round.
+    /// The sequence number of the first round, once that has started.
     first_sequence: SequenceNumber,
-    /// The sequence number of the latest round.
+    /// The sequence number of the latest round, once one has started.
     pub sequence: SequenceNumber,
     /// The round under way; `None` while the member waits for one.
     round: Option<Round>,
@@ -109,6 +109,7 @@
         self.last_sequence
     }
 
+    /// The place behind all members that wait.
     fn next_queue_position(&mut self) -> u64 {
         self.last_queue_position += 1;
         self.last_queue_position
@@ -155,6 +156,7 @@
         }
     }
 
+    /// How many rounds are under way; at most [`MAX_CONCURRENT_ROUNDS`].
     fn rounds_under_way(&self) -> usize {
         let under_way = |ping: &&OutstandingPing| ping.round.is_some();
         self.pings.values().filter(under_way).count()
--- a/crates/membership/src/timers.rs
+++ b/crates/membership/src/timers.rs
@@ -6,8 +6,11 @@
 /// When each kind of periodic work is due next.
 #[derive(Debug, Clone)]
 pub(crate) struct Timers {
+    /// The ping of the next protocol period.
     pub ping: Timestamp,
+    /// The next gossip, if there is something to pass on.
     pub gossip: Timestamp,
+    /// The next join to a member that is unknown or down.
     pub rejoin: Timestamp,
     /// The pause after the next rejoin; it doubles up to `rejoin_interval`.
     rejoin_pause: Milliseconds,
--- a/crates/membership/src/updates.rs
+++ b/crates/membership/src/updates.rs
@@ -71,6 +71,7 @@
         }
     }
 
+    /// Merges an update about any member.
     fn process_update(&mut self, update: &MemberUpdate, sender: GatewayId) -> SenderKnowledge {
         let gateway = update.process.gateway;
         if gateway == self.local.process.gateway {
@@ -92,6 +93,7 @@
         SenderKnowledge::UpToDate
     }
 
+    /// Makes the row of a third member what the update says.
     fn apply_update(&mut self, update: &MemberUpdate) {
         let liveness = if update.down {
             Liveness::Down
@@ -103,6 +105,7 @@
         self.dissemination.add(update.process.gateway);
     }
 
+    /// Refutes an update about this member, or continues as a later generation, where the rules ask for it.
     fn process_update_about_self(&mut self, update: &MemberUpdate, sender: GatewayId) {
         let local = &self.local;
         match merge_rules::merge_update_about_self(local.process, local.incarnation, update) {
--- a/src/net/cluster/membership.rs
+++ b/src/net/cluster/membership.rs
@@ -193,6 +193,7 @@
         )
     }
 
+    /// Carries out the core's actions; returns what is to be sent.
     fn carry_out_actions(&self, core: &mut Membership) -> Vec<OutgoingDatagram> {
         for action in core.drain_actions() {
             self.carry_out(action);
@@ -245,6 +246,7 @@
     )
 }
 
+/// One log line for a change of the view.
 fn log_change(change: &LivenessChange) {
     log!(
         "membership: gateway {} {} -> {} (generation {}, incarnation {})",
