--- a/crates/cluster-types/src/identifiers.rs
+++ b/crates/cluster-types/src/identifiers.rs
@@ -42,6 +42,14 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct Epoch(pub u64);
 
+impl Epoch {
+    /// The epoch right after this one.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
 /// The plain number, as log lines and the console show it.
 macro_rules! display_as_number {
     ($($identifier:ty),+) => {
--- a/crates/cluster-types/src/time.rs
+++ b/crates/cluster-types/src/time.rs
@@ -58,6 +58,12 @@
         self.0
     }
 
+    /// The time since the origin.
+    #[must_use]
+    pub const fn since_origin(self) -> Milliseconds {
+        Milliseconds(self.0)
+    }
+
     /// The time since an earlier instant; zero where that one is later.
     #[must_use]
     pub const fn saturating_duration_since(self, earlier: Self) -> Milliseconds {
@@ -83,6 +89,12 @@
     pub const fn saturating_duration_since(self, earlier: Self) -> Milliseconds {
         Milliseconds(self.0.saturating_sub(earlier.0))
     }
+
+    /// This length of time before the instant; the Unix epoch where it was later than that.
+    #[must_use]
+    pub const fn saturating_sub(self, length: Milliseconds) -> Self {
+        Self(self.0.saturating_sub(length.0))
+    }
 }
 
 impl Add<Milliseconds> for Timestamp {
--- a/crates/cluster-types/tests/time.rs
+++ b/crates/cluster-types/tests/time.rs
@@ -40,3 +40,15 @@
     );
     assert_eq!(longest.saturating_add(Milliseconds(1)), longest);
 }
+
+#[test]
+fn wall_clock_at_the_origin_is_the_wall_clock_less_the_time_since_the_origin() {
+    let now = Timestamp::from_millis(300);
+    assert_eq!(now.since_origin(), Milliseconds(300));
+    let unix_now = UnixMilliseconds(1_000);
+    let origin = unix_now.saturating_sub(now.since_origin());
+    assert_eq!(origin, UnixMilliseconds(700));
+    assert_eq!(origin + now.since_origin(), unix_now);
+    let before_unix_epoch = UnixMilliseconds(200).saturating_sub(now.since_origin());
+    assert_eq!(before_unix_epoch, UnixMilliseconds(0));
+}
--- a/crates/drain-coordination/src/coordinator/coordination.rs
+++ b/crates/drain-coordination/src/coordinator/coordination.rs
@@ -275,10 +275,9 @@
 }
 
 /// The gateways that are to claim the lease on a task, the first one first.
-fn lease_candidates(TaskId(task): TaskId, fleet: &Fleet) -> impl Iterator<Item = GatewayId> {
-    let gateways: Vec<u32> = fleet.gateways().map(|gateway| gateway.0).collect();
+fn lease_candidates(task: TaskId, fleet: &Fleet) -> impl Iterator<Item = GatewayId> {
+    let gateways: Vec<GatewayId> = fleet.gateways().collect();
     rendezvous::candidates(task, &gateways)
         .into_iter()
         .take(LEASE_CANDIDATES)
-        .map(GatewayId)
 }
--- a/crates/drain-coordination/tests/fleet.rs
+++ b/crates/drain-coordination/tests/fleet.rs
@@ -368,10 +368,10 @@
     fleet.run(settings(4).refresh_interval + Milliseconds(50));
     assert!(fleet.drains(3));
     // All candidates for the lease start again: a gateway that still knows the command announces it to them.
-    let gateways: Vec<u32> = (0..4).collect();
-    let candidates = irisrouter_leases::rendezvous::candidates(task_id(HOST).0, &gateways);
+    let gateways: Vec<GatewayId> = (0..4).map(GatewayId).collect();
+    let candidates = irisrouter_leases::rendezvous::candidates(task_id(HOST), &gateways);
     for &candidate in &candidates[..3] {
-        fleet.restart(candidate as usize);
+        fleet.restart(candidate.0 as usize);
     }
     fleet.run(settings(4).refresh_interval * 5);
     assert!(fleet.all_drain());
@@ -420,8 +420,9 @@
     // the lease announces it to all others.
     fleet.cuts.clear();
     fleet.run(settings(5).refresh_interval * 5);
-    let candidates = irisrouter_leases::rendezvous::candidates(task_id(HOST).0, &[0, 1, 2, 3, 4]);
-    let first = candidates[0] as usize;
+    let gateways: Vec<GatewayId> = (0..5).map(GatewayId).collect();
+    let candidates = irisrouter_leases::rendezvous::candidates(task_id(HOST), &gateways);
+    let first = candidates[0].0 as usize;
     assert!(fleet.drains(first));
     fleet.grant_lease(first, Epoch(1));
     fleet.run(Milliseconds(100));
--- a/crates/leases/src/action.rs
+++ b/crates/leases/src/action.rs
@@ -1,20 +1,22 @@
 //! What the caller of [`LeaseManager`](crate::LeaseManager) has to do.
 
-use crate::{Holder, TaskId};
+use irisrouter_cluster_types::{Epoch, GatewayId, GatewayProcess, TaskId};
 
 /// Why a lease was acquired or lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LeaseChange {
     /// Acquired: nobody held it.
     Vacant,
-    /// Acquired: the lease of this holder had expired or was given up.
-    TakenOver(Holder),
+    /// Acquired: a voter had granted the lease to this process before, and that grant had expired or was given up. It may
+    /// never have held the lease: a voter does not know whether a majority granted it too, and where two candidates claim at
+    /// once, each may be the one that a voter granted last.
+    TakenOver(GatewayProcess),
     /// Lost: it expired before it was renewed.
     Expired,
     /// Lost: another gateway holds it under a later epoch.
     Superseded,
-    /// Lost: it was handed over to the first candidate, the gateway with this number.
-    HandedOver(u32),
+    /// Lost: it was handed over to the first candidate, this gateway.
+    HandedOver(GatewayId),
     /// Lost: this gateway is in a minority partition, or stops.
     Stopped,
     /// Lost: the task no longer exists.
@@ -26,8 +28,8 @@
 pub enum Action {
     /// Send a datagram to a gateway.
     Send {
-        /// The gateway's number.
-        to: u32,
+        /// The gateway.
+        to: GatewayId,
         /// The datagram, at most 256 bytes long.
         bytes: Vec<u8>,
     },
@@ -36,8 +38,8 @@
         /// The task.
         task: TaskId,
         /// The fencing token.
-        epoch: u64,
-        /// Who held it before.
+        epoch: Epoch,
+        /// Why: nobody held it, or it was taken over.
         change: LeaseChange,
     },
     /// This gateway no longer holds a lease: log and count it.
@@ -45,8 +47,8 @@
         /// The task.
         task: TaskId,
         /// The fencing token that is over.
-        epoch: u64,
-        /// Why.
+        epoch: Epoch,
+        /// Why it is over.
         change: LeaseChange,
     },
 }
--- a/crates/leases/src/codec.rs
+++ b/crates/leases/src/codec.rs
@@ -2,16 +2,18 @@
 //!
 //! ```text
 //! 0        magic and version: 0xB1 (`irisrouter_datagram::magic` lists all protocols on the peer socket)
-//! 1..3     the sender's generation (u16, big-endian); its number follows from its address
+//! 1..3     the sender's generation (u16, big-endian); which gateway it is follows from its address
 //! 3        count of messages, then 28 bytes each:
 //! 0        kind: 0 request, 1 granted, 2 refused, 3 released, 4 offered, 5 pre-vote, 6 vacant
 //! 1..9     task    9..17 epoch    17..19 round
-//! 19..23   holder's number (0xffff_ffff for none)   23..25 its generation
+//! 19..23   holder's gateway (0xffff_ffff for none)   23..25 its generation
 //! 25..28   milliseconds remaining (u24; a longer time is sent as the largest value)
 //! ```
 
-use crate::{Holder, TaskId};
 use bytes::BufMut;
+use irisrouter_cluster_types::{
+    Epoch, GatewayId, GatewayProcess, Generation, Milliseconds, TaskId,
+};
 use irisrouter_datagram::{decode_items, encode_items, has_magic, max_items, Reader, WireValue};
 
 pub use irisrouter_datagram::magic::LEASES as MAGIC;
@@ -20,17 +22,20 @@
 /// How many messages fit one datagram.
 pub const MAX_MESSAGES: usize = max_items::<u16, LeaseMessage>();
 
-/// The holder's number where a message names no holder.
-const NO_HOLDER: u32 = u32::MAX;
-/// The longest remaining time that can be encoded, in milliseconds.
-const MAX_REMAINING_MS: u32 = 0xff_ffff;
+/// The holder's gateway where a message names no holder.
+const NO_HOLDER: GatewayId = GatewayId(u32::MAX);
+/// The longest remaining time that can be encoded.
+const MAX_REMAINING: Milliseconds = Milliseconds(0xff_ffff);
+/// Size of the encoded remaining time.
+const REMAINING_BYTES: usize = 3;
 
 /// What a message says about a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MessageKind {
     /// A claimant requests the epoch.
     Request,
-    /// A voter grants the epoch for the length of a lease. The holder is the one to whom it was granted before.
+    /// A voter grants the epoch for the length of a lease. The holder is the other process to which
+    /// this voter granted an epoch before, whether or not a majority did so too.
     Granted,
     /// A voter refuses. The epoch is the latest that it granted; the holder has it for the remaining time.
     Refused,
@@ -63,26 +68,26 @@
     /// The task.
     pub task: TaskId,
     /// The epoch; see the kinds.
-    pub epoch: u64,
+    pub epoch: Epoch,
     /// The round of requests, which the answer repeats.
     pub round: u16,
     /// A holder; see the kinds.
-    pub holder: Option<Holder>,
-    /// How long a voter's promise still runs, in milliseconds, at most 2^24 - 1; see the kinds.
-    pub remaining_ms: u32,
+    pub holder: Option<GatewayProcess>,
+    /// How long a voter's promise still runs; see the kinds. Encoded as at most 2^24 - 1 milliseconds.
+    pub remaining: Milliseconds,
 }
 
 impl LeaseMessage {
     /// A message that names no round, no holder and no time.
     #[must_use]
-    pub const fn new(kind: MessageKind, task: TaskId, epoch: u64) -> Self {
+    pub const fn new(kind: MessageKind, task: TaskId, epoch: Epoch) -> Self {
         Self {
             kind,
             task,
             epoch,
             round: 0,
             holder: None,
-            remaining_ms: 0,
+            remaining: Milliseconds::ZERO,
         }
     }
 }
@@ -91,59 +96,60 @@
     const ENCODED_BYTES: usize = 28;
 
     fn encode(&self, buffer: &mut Vec<u8>) {
-        let holder = self.holder.unwrap_or(Holder {
-            number: NO_HOLDER,
-            generation: 0,
+        let holder = self.holder.unwrap_or(GatewayProcess {
+            gateway: NO_HOLDER,
+            generation: Generation(0),
         });
+        let remaining = self.remaining.min(MAX_REMAINING);
         // A kind's number is its index in KINDS: both are in the same order.
         buffer.put_u8(self.kind as u8);
         buffer.put_u64(self.task.0);
-        buffer.put_u64(self.epoch);
+        buffer.put_u64(self.epoch.0);
         buffer.put_u16(self.round);
-        buffer.put_u32(holder.number);
-        buffer.put_u16(holder.generation);
-        buffer.put_uint(u64::from(self.remaining_ms.min(MAX_REMAINING_MS)), 3);
+        buffer.put_u32(holder.gateway.0);
+        buffer.put_u16(holder.generation.0);
+        buffer.put_uint(remaining.0, REMAINING_BYTES);
     }
 
     fn decode(reader: &mut Reader<'_>) -> Result<Self, WireError> {
         Ok(Self {
             kind: reader.one_of("kind", &KINDS)?,
             task: TaskId(reader.u64()?),
-            epoch: reader.u64()?,
+            epoch: Epoch(reader.u64()?),
             round: reader.u16()?,
             holder: decode_holder(reader)?,
-            remaining_ms: decode_remaining_ms(reader)?,
+            remaining: decode_remaining(reader)?,
         })
     }
 }
 
-fn decode_holder(reader: &mut Reader<'_>) -> Result<Option<Holder>, WireError> {
-    let holder = Holder {
-        number: reader.u32()?,
-        generation: reader.u16()?,
+fn decode_holder(reader: &mut Reader<'_>) -> Result<Option<GatewayProcess>, WireError> {
+    let holder = GatewayProcess {
+        gateway: GatewayId(reader.u32()?),
+        generation: Generation(reader.u16()?),
     };
-    Ok(Some(holder).filter(|holder| holder.number != NO_HOLDER))
+    Ok(Some(holder).filter(|holder| holder.gateway != NO_HOLDER))
 }
 
-fn decode_remaining_ms(reader: &mut Reader<'_>) -> Result<u32, WireError> {
-    let high = u32::from(reader.u8()?);
-    let low = u32::from(reader.u16()?);
-    Ok(high << 16 | low)
+fn decode_remaining(reader: &mut Reader<'_>) -> Result<Milliseconds, WireError> {
+    let high = u64::from(reader.u8()?);
+    let low = u64::from(reader.u16()?);
+    Ok(Milliseconds(high << 16 | low))
 }
 
 /// A decoded datagram.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LeaseDatagram {
     /// The generation of the sender's process.
-    pub sender_generation: u16,
+    pub sender_generation: Generation,
     /// The messages, in the order of the datagram.
     pub messages: Vec<LeaseMessage>,
 }
 
 /// Encodes a datagram with up to [`MAX_MESSAGES`] messages; messages beyond that are left out.
 #[must_use]
-pub fn encode(sender_generation: u16, messages: &[LeaseMessage]) -> Vec<u8> {
-    encode_items(MAGIC, &sender_generation, messages)
+pub fn encode(sender_generation: Generation, messages: &[LeaseMessage]) -> Vec<u8> {
+    encode_items(MAGIC, &sender_generation.0, messages)
 }
 
 /// Decodes a datagram.
@@ -153,7 +159,7 @@
 pub fn decode(datagram: &[u8]) -> Result<LeaseDatagram, WireError> {
     let list = decode_items::<u16, LeaseMessage>(MAGIC, datagram)?;
     Ok(LeaseDatagram {
-        sender_generation: list.header,
+        sender_generation: Generation(list.header),
         messages: list.items,
     })
 }
--- a/crates/leases/src/lib.rs
+++ b/crates/leases/src/lib.rs
@@ -1,7 +1,7 @@
 //! Leases: which gateway of the fleet does which task. One gateway at a time holds the lease on a task, under a fencing
 //! token, the epoch, that grows with every change of holder.
 //!
-//! A task is a number ([`TaskId`]), for example that of the health checks of a set of database hosts. The gateways alive
+//! A task is a number (`TaskId` of `irisrouter-cluster-types`), for example that of the health checks of a set of database hosts. The gateways alive
 //! are its candidates, in the order of [`rendezvous::candidates`]. The first candidate claims the lease. The next two stand
 //! by: they ask the voters now and then (a pre-vote, as in Raft), and claim the lease once it has expired. Whether a
 //! claim succeeds is decided by a majority of the task's voters, which are at most five gateways of the fleet's list
@@ -18,7 +18,6 @@
 mod action;
 mod claim;
 pub mod codec;
-mod identity;
 mod manager;
 mod outbox;
 pub mod rendezvous;
@@ -30,10 +29,6 @@
 pub use action::{Action, LeaseChange};
 pub use claim::Claim;
 pub use codec::recognizes;
-pub use identity::{HeldLease, Holder, TaskId};
-pub use manager::{LeaseManager, PartitionSide};
+pub use manager::{HeldLease, LeaseManager, PartitionSide};
 pub use settings::{LeaseTerms, Settings, SettingsError};
 pub use voter::{Vote, Voter};
-
-/// Milliseconds on the caller's monotonic clock.
-pub type Millis = u64;
--- a/crates/leases/src/manager/answers.rs
+++ b/crates/leases/src/manager/answers.rs
@@ -2,11 +2,12 @@
 
 use super::LeaseManager;
 use crate::codec::{LeaseMessage, MessageKind};
-use crate::{Action, LeaseChange, Millis};
+use crate::{Action, LeaseChange};
+use irisrouter_cluster_types::{GatewayId, Milliseconds, Timestamp};
 
 impl LeaseManager {
     /// A former holder offers its lease to this gateway, the first candidate: it is claimed at once.
-    pub(super) fn process_offer(&mut self, now: Millis, message: &LeaseMessage) {
+    pub(super) fn process_offer(&mut self, now: Timestamp, message: &LeaseMessage) {
         let state = self.tasks.get_mut(&message.task);
         if let Some(state) = state.filter(|state| state.held_epoch.is_none()) {
             state.claim.observe_epoch(message.epoch);
@@ -15,11 +16,16 @@
     }
 
     /// Processes the answer of gateway `from` to a request or a pre-vote. Ignored where that gateway is no voter of the task.
-    pub(super) fn process_answer(&mut self, now: Millis, from: u32, message: &LeaseMessage) {
+    pub(super) fn process_answer(
+        &mut self,
+        now: Timestamp,
+        from: GatewayId,
+        message: &LeaseMessage,
+    ) {
         let Some(state) = self.tasks.get(&message.task) else {
             return;
         };
-        let Some(voter) = state.voters.iter().position(|&number| number == from) else {
+        let Some(voter) = state.voters.iter().position(|&voter| voter == from) else {
             return;
         };
         match message.kind {
@@ -30,7 +36,7 @@
     }
 
     /// A voter would grant a request: once a majority would, the claim starts.
-    fn process_vacant(&mut self, now: Millis, voter: usize, message: &LeaseMessage) {
+    fn process_vacant(&mut self, now: Timestamp, voter: usize, message: &LeaseMessage) {
         let Some(state) = self.tasks.get_mut(&message.task) else {
             return;
         };
@@ -40,7 +46,7 @@
     }
 
     /// A voter granted a request: once a majority has, the lease is held.
-    fn process_grant(&mut self, now: Millis, voter: usize, message: &LeaseMessage) {
+    fn process_grant(&mut self, now: Timestamp, voter: usize, message: &LeaseMessage) {
         let settings = self.settings;
         let Some(state) = self.tasks.get_mut(&message.task) else {
             return;
@@ -57,7 +63,7 @@
         };
         state.held_epoch = Some(epoch);
         state.other_first_since = None;
-        state.next_due = state.next_due.min(now + settings.request_interval_ms());
+        state.next_due = state.next_due.min(now + settings.request_interval());
         let change = match state.previous_holder {
             Some(holder) => LeaseChange::TakenOver(holder),
             None => LeaseChange::Vacant,
@@ -70,7 +76,7 @@
     }
 
     /// A voter refused: either the lease held here is superseded, or the claim waits.
-    fn process_refusal(&mut self, now: Millis, message: &LeaseMessage) {
+    fn process_refusal(&mut self, now: Timestamp, message: &LeaseMessage) {
         let settings = self.settings;
         let local = self.local;
         let Some(state) = self.tasks.get_mut(&message.task) else {
@@ -80,7 +86,7 @@
         if let Some(epoch) = state.held_epoch {
             if superseded {
                 state.held_epoch = None;
-                state.next_due = now + settings.lease_ms;
+                state.next_due = now + settings.lease_length;
                 self.actions.push(Action::Lost {
                     task: message.task,
                     epoch,
@@ -90,16 +96,17 @@
             return;
         }
         let held_by_other = message.holder.is_some_and(|holder| holder != local);
-        if superseded || held_by_other || message.remaining_ms > 0 {
+        let promise_runs = message.remaining > Milliseconds::ZERO;
+        if superseded || held_by_other || promise_runs {
             // Another gateway holds the lease, or the voter has just been started. The next try is due when that is over,
             // candidate by candidate.
-            let remaining = u64::from(message.remaining_ms).min(settings.lease_ms);
-            let delay = settings.candidate_delay_ms() * state.candidacy.rank as u64;
+            let remaining = message.remaining.min(settings.lease_length);
+            let delay = settings.candidate_delay() * state.candidacy.rank as u64;
             let retry_at = now + remaining + delay;
             state.next_due = match state.claim.epoch() {
                 None => retry_at,
                 Some(_) => {
-                    let claim_ends = state.claim_started + settings.lease_ms;
+                    let claim_ends = state.claim_started + settings.lease_length;
                     state.next_due.max(retry_at.min(claim_ends))
                 }
             };
--- a/crates/leases/src/manager/claims.rs
+++ b/crates/leases/src/manager/claims.rs
@@ -3,11 +3,12 @@
 use super::{LeaseManager, PartitionSide};
 use crate::codec::{LeaseMessage, MessageKind};
 use crate::task_state::PreVote;
-use crate::{Action, LeaseChange, Millis, TaskId};
+use crate::{Action, LeaseChange};
+use irisrouter_cluster_types::{Epoch, TaskId, Timestamp};
 
 impl LeaseManager {
     /// Renews or claims the lease on a task, or finds that it has expired.
-    pub(super) fn process_due_task(&mut self, now: Millis, task: TaskId) {
+    pub(super) fn process_due_task(&mut self, now: Timestamp, task: TaskId) {
         let Some(state) = self.tasks.get(&task) else {
             return;
         };
@@ -18,7 +19,7 @@
     }
 
     /// The holder's work: notice that the lease has expired, hand it over to the first candidate, or renew it.
-    fn maintain_lease(&mut self, now: Millis, task: TaskId, epoch: u64) {
+    fn maintain_lease(&mut self, now: Timestamp, task: TaskId, epoch: Epoch) {
         let settings = self.settings;
         let Some(state) = self.tasks.get_mut(&task) else {
             return;
@@ -40,14 +41,14 @@
         };
         let handover_due = state
             .other_first_since
-            .is_some_and(|since| now >= since + settings.handover_delay_ms());
+            .is_some_and(|since| now >= since + settings.handover_delay());
         if handover_due {
             let first = state.candidacy.first;
             self.give_up(now, task, LeaseChange::HandedOver(first));
             return;
         }
         let valid_until = state.claim.valid_until(settings.terms());
-        let renewal_due = valid_until.saturating_sub(settings.renewal_lead_ms());
+        let renewal_due = valid_until.saturating_sub(settings.renewal_lead());
         if now < renewal_due {
             state.next_due = renewal_due;
             return;
@@ -56,7 +57,7 @@
     }
 
     /// The work of a gateway that does not hold the lease: hold a pre-vote, request the grants again, or end the claim.
-    fn pursue_lease(&mut self, now: Millis, task: TaskId) {
+    fn pursue_lease(&mut self, now: Timestamp, task: TaskId) {
         let settings = self.settings;
         let may_claim = self.side == PartitionSide::Majority;
         let Some(state) = self.tasks.get_mut(&task) else {
@@ -64,10 +65,10 @@
         };
         if !may_claim || !state.candidacy.is_candidate() {
             state.claim.end();
-            state.next_due = now + settings.lease_ms;
+            state.next_due = now + settings.lease_length;
         } else if state.claim.epoch().is_none() {
             self.start_pre_vote(now, task);
-        } else if now >= state.claim_started + settings.lease_ms {
+        } else if now >= state.claim_started + settings.lease_length {
             self.abandon_claim(now, task);
         } else {
             self.request_grants(now, task);
@@ -76,7 +77,7 @@
 
     /// Ends a claim that no majority granted for the length of a lease. What was granted is released, so that another
     /// candidate may have it.
-    fn abandon_claim(&mut self, now: Millis, task: TaskId) {
+    fn abandon_claim(&mut self, now: Timestamp, task: TaskId) {
         let settings = self.settings;
         self.release_epoch(now, task);
         if let Some(state) = self.tasks.get_mut(&task) {
@@ -89,7 +90,7 @@
     /// A claim that can't succeed takes the grants of single voters away from others, and its later epoch ends the lease of a
     /// holder that is well. Without the pre-vote, two candidates that stood by could so keep a task from having any holder,
     /// for as long as they tried.
-    fn start_pre_vote(&mut self, now: Millis, task: TaskId) {
+    fn start_pre_vote(&mut self, now: Timestamp, task: TaskId) {
         self.last_pre_vote_round = self.last_pre_vote_round.wrapping_add(1);
         let round = self.last_pre_vote_round;
         let Some(state) = self.tasks.get_mut(&task) else {
@@ -99,29 +100,29 @@
             round,
             vacant_at: Vec::new(),
         });
-        state.next_due = now + self.settings.request_interval_ms();
+        state.next_due = now + self.settings.request_interval();
         let message = LeaseMessage {
             round,
-            ..LeaseMessage::new(MessageKind::PreVote, task, 0)
+            ..LeaseMessage::new(MessageKind::PreVote, task, Epoch::default())
         };
         self.ask_voters(now, &message);
     }
 
     /// Starts a claim, after a pre-vote in which a majority of the voters would have granted it.
-    pub(super) fn start_claim(&mut self, now: Millis, task: TaskId) {
-        let unix_ms = self.unix_offset + now;
+    pub(super) fn start_claim(&mut self, now: Timestamp, task: TaskId) {
+        let unix_now = self.clock_origin + now.since_origin();
         let Some(state) = self.tasks.get_mut(&task) else {
             return;
         };
         state.pre_vote = None;
-        state.claim.start(unix_ms);
+        state.claim.start(Epoch(unix_now.0));
         state.claim_started = now;
         state.previous_holder = None;
         self.request_grants(now, task);
     }
 
     /// Requests the epoch claimed or held from all voters.
-    fn request_grants(&mut self, now: Millis, task: TaskId) {
+    fn request_grants(&mut self, now: Timestamp, task: TaskId) {
         let Some(state) = self.tasks.get_mut(&task) else {
             return;
         };
@@ -129,7 +130,7 @@
             return;
         };
         let round = state.claim.start_round(now);
-        state.next_due = now + self.settings.request_interval_ms();
+        state.next_due = now + self.settings.request_interval();
         let message = LeaseMessage {
             round,
             ..LeaseMessage::new(MessageKind::Request, task, epoch)
@@ -138,31 +139,31 @@
     }
 
     /// Sends a question to all voters. Where this gateway is one of them, its own answer is processed at once.
-    fn ask_voters(&mut self, now: Millis, question: &LeaseMessage) {
+    fn ask_voters(&mut self, now: Timestamp, question: &LeaseMessage) {
         let Some(state) = self.tasks.get(&question.task) else {
             return;
         };
         let local = self.local;
-        for &voter in state.voters.iter().filter(|&&voter| voter != local.number) {
+        for &voter in state.voters.iter().filter(|&&voter| voter != local.gateway) {
             self.outbox.push(voter, *question);
         }
-        if !state.voters.contains(&local.number) {
+        if !state.voters.contains(&local.gateway) {
             return;
         }
         if let Some(vote) = self.voter_role.vote(now, local, question) {
-            self.process_answer(now, local.number, &vote);
+            self.process_answer(now, local.gateway, &vote);
         }
     }
 
     /// Ends what is held or claimed, releases it at the voters, and offers it to the first candidate.
-    pub(super) fn give_up(&mut self, now: Millis, task: TaskId, change: LeaseChange) {
+    pub(super) fn give_up(&mut self, now: Timestamp, task: TaskId, change: LeaseChange) {
         let released = self.release_epoch(now, task);
         let Some(state) = self.tasks.get_mut(&task) else {
             return;
         };
         state.claim.end();
         state.other_first_since = None;
-        state.next_due = now + self.settings.lease_ms;
+        state.next_due = now + self.settings.lease_length;
         let first = state.candidacy.first;
         let Some(epoch) = state.held_epoch.take() else {
             return;
@@ -172,19 +173,19 @@
             epoch,
             change,
         });
-        if let Some(epoch) = released.filter(|_| first != self.local.number) {
+        if let Some(epoch) = released.filter(|_| first != self.local.gateway) {
             let offer = LeaseMessage::new(MessageKind::Offered, task, epoch);
             self.outbox.push(first, offer);
         }
     }
 
     /// Releases the epoch claimed or held at all voters, and returns it.
-    fn release_epoch(&mut self, now: Millis, task: TaskId) -> Option<u64> {
+    fn release_epoch(&mut self, now: Timestamp, task: TaskId) -> Option<Epoch> {
         let state = self.tasks.get(&task)?;
         let epoch = state.claim.epoch()?;
         let message = LeaseMessage::new(MessageKind::Released, task, epoch);
         let local = self.local;
-        for &voter in state.voters.iter().filter(|&&voter| voter != local.number) {
+        for &voter in state.voters.iter().filter(|&&voter| voter != local.gateway) {
             self.outbox.push(voter, message);
         }
         self.voter_role.release(now, local, task, epoch);
--- a/crates/leases/src/outbox.rs
+++ b/crates/leases/src/outbox.rs
@@ -2,22 +2,23 @@
 
 use crate::codec::{self, LeaseMessage};
 use crate::Action;
+use irisrouter_cluster_types::{GatewayId, Generation};
 use std::collections::BTreeMap;
 
 /// Messages that wait to be packed into datagrams.
 #[derive(Default)]
 pub(crate) struct Outbox {
-    messages: BTreeMap<u32, Vec<LeaseMessage>>,
+    messages: BTreeMap<GatewayId, Vec<LeaseMessage>>,
 }
 
 impl Outbox {
-    /// Adds a message to the gateway with this number.
-    pub(crate) fn push(&mut self, to: u32, message: LeaseMessage) {
+    /// Adds a message to a gateway.
+    pub(crate) fn push(&mut self, to: GatewayId, message: LeaseMessage) {
         self.messages.entry(to).or_default().push(message);
     }
 
     /// Packs all messages into datagrams, in the order of the gateways' numbers, and empties the outbox.
-    pub(crate) fn pack(&mut self, sender_generation: u16, actions: &mut Vec<Action>) {
+    pub(crate) fn pack(&mut self, sender_generation: Generation, actions: &mut Vec<Action>) {
         for (to, messages) in std::mem::take(&mut self.messages) {
             for chunk in messages.chunks(codec::MAX_MESSAGES) {
                 let bytes = codec::encode(sender_generation, chunk);
--- a/crates/leases/src/task_state.rs
+++ b/crates/leases/src/task_state.rs
@@ -1,6 +1,7 @@
 //! What this gateway knows of one task for which it may hold the lease.
 
-use crate::{rendezvous, Claim, Holder, LeaseTerms, Millis, Settings, TaskId};
+use crate::{rendezvous, Claim, LeaseTerms, Settings};
+use irisrouter_cluster_types::{Epoch, GatewayId, GatewayProcess, TaskId, Timestamp};
 
 /// How many gateways claim the lease on a task, the first candidate included. The others need not know of the task.
 pub(crate) const CANDIDATES: usize = 3;
@@ -10,18 +11,18 @@
 pub(crate) struct Candidacy {
     /// This gateway's rank: 0 for the first candidate.
     pub(crate) rank: usize,
-    /// The number of the first candidate.
-    pub(crate) first: u32,
+    /// The first candidate.
+    pub(crate) first: GatewayId,
 }
 
 impl Candidacy {
-    /// The place of gateway `own_number` among those alive.
-    pub(crate) fn new(task: TaskId, alive: &[u32], own_number: u32) -> Self {
-        let order = rendezvous::candidates(task.0, alive);
-        let own_rank = order.iter().position(|&number| number == own_number);
+    /// The place of gateway `local` among those alive.
+    pub(crate) fn new(task: TaskId, alive: &[GatewayId], local: GatewayId) -> Self {
+        let order = rendezvous::candidates(task, alive);
+        let local_rank = order.iter().position(|&gateway| gateway == local);
         Self {
-            rank: own_rank.unwrap_or(CANDIDATES),
-            first: order.first().copied().unwrap_or(own_number),
+            rank: local_rank.unwrap_or(CANDIDATES),
+            first: order.first().copied().unwrap_or(local),
         }
     }
 
@@ -40,31 +41,37 @@
 
 /// What this gateway knows of one task.
 pub(crate) struct TaskState {
-    pub(crate) voters: Vec<u32>,
+    pub(crate) voters: Vec<GatewayId>,
     pub(crate) claim: Claim,
     pub(crate) candidacy: Candidacy,
     /// When the next round of requests, or the next claim, is due.
-    pub(crate) next_due: Millis,
+    pub(crate) next_due: Timestamp,
     /// When the claim under way was started.
-    pub(crate) claim_started: Millis,
+    pub(crate) claim_started: Timestamp,
     pub(crate) pre_vote: Option<PreVote>,
     /// The fencing token that was announced by `Action::Acquired`, until `Action::Lost`.
-    pub(crate) held_epoch: Option<u64>,
-    /// The holder before this gateway, as named by the voters' grants.
-    pub(crate) previous_holder: Option<Holder>,
+    pub(crate) held_epoch: Option<Epoch>,
+    /// The process to which a voter had granted the lease before, as the first grant that names one has it. For the log
+    /// only; see [`LeaseChange::TakenOver`](crate::LeaseChange::TakenOver).
+    pub(crate) previous_holder: Option<GatewayProcess>,
     /// Since when another gateway is the first candidate, while this one holds the lease.
-    pub(crate) other_first_since: Option<Millis>,
+    pub(crate) other_first_since: Option<Timestamp>,
 }
 
 impl TaskState {
     /// A task that is new at `now`. Candidates begin one after the other, in the order of their ranks.
-    pub(crate) fn new(task: TaskId, now: Millis, settings: Settings, candidacy: Candidacy) -> Self {
-        let voters = rendezvous::voters(task.0, settings.fleet);
+    pub(crate) fn new(
+        task: TaskId,
+        now: Timestamp,
+        settings: Settings,
+        candidacy: Candidacy,
+    ) -> Self {
+        let voters = rendezvous::voters(task, settings.fleet);
         Self {
             claim: Claim::new(voters.len()),
             voters,
             candidacy,
-            next_due: now + candidacy.rank as u64 * settings.candidate_delay_ms(),
+            next_due: now + settings.candidate_delay() * candidacy.rank as u64,
             claim_started: now,
             pre_vote: None,
             held_epoch: None,
@@ -74,20 +81,20 @@
     }
 
     /// The fencing token, while the lease is held and its acquisition has been announced.
-    pub(crate) fn announced_token(&self, now: Millis, terms: LeaseTerms) -> Option<u64> {
+    pub(crate) fn announced_token(&self, now: Timestamp, terms: LeaseTerms) -> Option<Epoch> {
         let token = self.claim.token(now, terms)?;
         (self.held_epoch == Some(token)).then_some(token)
     }
 
     /// Ends the claim. The next one is due when the delay of this gateway's rank has passed once more.
-    pub(crate) fn end_claim_and_back_off(&mut self, now: Millis, settings: Settings) {
+    pub(crate) fn end_claim_and_back_off(&mut self, now: Timestamp, settings: Settings) {
         self.claim.end();
-        self.next_due = now + settings.candidate_delay_ms() * (1 + self.candidacy.rank as u64);
+        self.next_due = now + settings.candidate_delay() * (1 + self.candidacy.rank as u64);
     }
 
     /// Records that a voter would grant a request, by its answer to a pre-vote. Returns whether a claim may start: a majority
     /// of the voters would grant one, and none is under way.
-    pub(crate) fn record_vacant(&mut self, voter: usize, round: u16, latest_epoch: u64) -> bool {
+    pub(crate) fn record_vacant(&mut self, voter: usize, round: u16, latest_epoch: Epoch) -> bool {
         let Some(pre_vote) = &mut self.pre_vote else {
             return false;
         };
--- a/crates/leases/src/voter.rs
+++ b/crates/leases/src/voter.rs
@@ -1,4 +1,4 @@
-//! A voter's side of one lease: what it has promised. The model checker checks this very struct (`tests/leases.rs`).
+//! A voter's side of one lease: what it has promised. The model checker checks this very struct (`tests/model.rs`).
 //!
 //! A claimant requests that the voters of a task grant it an epoch for the length of a lease. A voter grants an epoch that is
 //! later than all that it granted before. While its promise to one holder runs, it grants nothing to any other; the same
@@ -7,54 +7,60 @@
 //! A voter's promises are in memory only. A voter that has just been started knows none of the earlier ones, so it grants
 //! nothing for the length of a lease ([`Voter::new`]): by then every earlier promise has expired.
 
-use crate::{Holder, Millis};
+use irisrouter_cluster_types::{Epoch, GatewayProcess, Milliseconds, Timestamp};
 
 /// A voter's answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Vote {
     /// The epoch is granted for the length of a lease from now on.
     Granted {
-        /// The other holder to whom this voter had granted the lease before; none where there was none, or where it was the
-        /// claimant itself.
-        previous: Option<Holder>,
+        /// The other process to which this voter had granted the lease before; none where there was none, or where it was the
+        /// claimant itself. It held the lease only if a majority of the voters granted it too, which a voter does not know.
+        previous: Option<GatewayProcess>,
     },
     /// Answer to a pre-vote: the lease is vacant, and a later epoch would be granted.
     Vacant {
         /// The latest epoch that this voter granted.
-        latest_epoch: u64,
+        latest_epoch: Epoch,
     },
     /// Not granted.
     Refused {
         /// The latest epoch that this voter granted.
-        latest_epoch: u64,
+        latest_epoch: Epoch,
         /// To whom, while that promise runs.
-        holder: Option<Holder>,
+        holder: Option<GatewayProcess>,
         /// How long the promise still runs.
-        remaining: Millis,
+        remaining: Milliseconds,
     },
 }
 
 /// What one voter has promised about one task.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Voter {
-    epoch: u64,
-    holder: Option<Holder>,
-    promised_until: Millis,
+    epoch: Epoch,
+    holder: Option<GatewayProcess>,
+    promised_until: Timestamp,
 }
 
 impl Voter {
     /// A voter whose process started at `started`. It grants nothing before the length of a lease has passed since then.
     #[must_use]
-    pub const fn new(started: Millis, lease: Millis) -> Self {
+    pub fn new(started: Timestamp, lease: Milliseconds) -> Self {
         Self {
-            epoch: 0,
+            epoch: Epoch::default(),
             holder: None,
             promised_until: started + lease,
         }
     }
 
     /// A claimant requests an epoch: a new one, or its own again.
-    pub fn request(&mut self, now: Millis, lease: Millis, claimant: Holder, epoch: u64) -> Vote {
+    pub fn request(
+        &mut self,
+        now: Timestamp,
+        lease: Milliseconds,
+        claimant: GatewayProcess,
+        epoch: Epoch,
+    ) -> Vote {
         let is_holder = self.holder == Some(claimant);
         let renews = is_holder && epoch == self.epoch;
         let vacant = now >= self.promised_until || is_holder;
@@ -72,7 +78,7 @@
 
     /// A claimant asks whether a later epoch would be granted. The answer promises nothing.
     #[must_use]
-    pub fn pre_vote(&self, now: Millis, claimant: Holder) -> Vote {
+    pub fn pre_vote(&self, now: Timestamp, claimant: GatewayProcess) -> Vote {
         if now >= self.promised_until || self.holder == Some(claimant) {
             Vote::Vacant {
                 latest_epoch: self.epoch,
@@ -82,17 +88,17 @@
         }
     }
 
-    fn refusal(&self, now: Millis) -> Vote {
-        let remaining = self.promised_until.saturating_sub(now);
+    fn refusal(&self, now: Timestamp) -> Vote {
+        let remaining = self.promised_until.saturating_duration_since(now);
         Vote::Refused {
             latest_epoch: self.epoch,
-            holder: self.holder.filter(|_| remaining > 0),
+            holder: self.holder.filter(|_| remaining > Milliseconds::ZERO),
             remaining,
         }
     }
 
     /// A holder gives its epoch up. Has no effect where another holder or epoch was granted.
-    pub fn release(&mut self, now: Millis, holder: Holder, epoch: u64) {
+    pub fn release(&mut self, now: Timestamp, holder: GatewayProcess, epoch: Epoch) {
         if self.holder == Some(holder) && self.epoch == epoch {
             self.promised_until = self.promised_until.min(now);
         }
@@ -100,7 +106,7 @@
 
     /// Whether no promise runs at `now`.
     #[must_use]
-    pub const fn is_idle(&self, now: Millis) -> bool {
+    pub fn is_idle(&self, now: Timestamp) -> bool {
         now >= self.promised_until
     }
 }
--- a/crates/leases/src/voter_role.rs
+++ b/crates/leases/src/voter_role.rs
@@ -2,7 +2,8 @@
 
 use crate::codec::{LeaseMessage, MessageKind};
 use crate::manager::MAX_TASKS;
-use crate::{rendezvous, Holder, Millis, Settings, TaskId, Vote, Voter};
+use crate::{rendezvous, Settings, Vote, Voter};
+use irisrouter_cluster_types::{Epoch, GatewayId, GatewayProcess, Milliseconds, TaskId, Timestamp};
 use std::collections::BTreeMap;
 
 /// After this number of leases without a promise a voter's memory of a task may be dropped to make room.
@@ -10,17 +11,17 @@
 
 /// This gateway as a voter.
 pub(crate) struct VoterRole {
-    own_number: u32,
+    local: GatewayId,
     settings: Settings,
-    started: Millis,
+    started: Timestamp,
     voters: BTreeMap<TaskId, Voter>,
 }
 
 impl VoterRole {
     /// A voter whose process started at `started`.
-    pub(crate) const fn new(own_number: u32, settings: Settings, started: Millis) -> Self {
+    pub(crate) const fn new(local: GatewayId, settings: Settings, started: Timestamp) -> Self {
         Self {
-            own_number,
+            local,
             settings,
             started,
             voters: BTreeMap::new(),
@@ -28,7 +29,7 @@
     }
 
     /// The process receives requests only from `now` on: the time without grants starts again.
-    pub(crate) fn restart(&mut self, now: Millis) {
+    pub(crate) fn restart(&mut self, now: Timestamp) {
         self.started = now;
         self.voters.clear();
     }
@@ -36,11 +37,11 @@
     /// This gateway's vote on a request or a pre-vote. None where it is no voter of the task, or remembers too many tasks.
     pub(crate) fn vote(
         &mut self,
-        now: Millis,
-        claimant: Holder,
+        now: Timestamp,
+        claimant: GatewayProcess,
         message: &LeaseMessage,
     ) -> Option<LeaseMessage> {
-        let lease = self.settings.lease_ms;
+        let lease = self.settings.lease_length;
         let voter = self.voter(now, message.task)?;
         let vote = match message.kind {
             MessageKind::PreVote => voter.pre_vote(now, claimant),
@@ -50,29 +51,35 @@
     }
 
     /// A holder gives its epoch up.
-    pub(crate) fn release(&mut self, now: Millis, holder: Holder, task: TaskId, epoch: u64) {
+    pub(crate) fn release(
+        &mut self,
+        now: Timestamp,
+        holder: GatewayProcess,
+        task: TaskId,
+        epoch: Epoch,
+    ) {
         if let Some(voter) = self.voters.get_mut(&task) {
             voter.release(now, holder, epoch);
         }
     }
 
-    fn voter(&mut self, now: Millis, task: TaskId) -> Option<&mut Voter> {
-        if !rendezvous::voters(task.0, self.settings.fleet).contains(&self.own_number) {
+    fn voter(&mut self, now: Timestamp, task: TaskId) -> Option<&mut Voter> {
+        if !rendezvous::voters(task, self.settings.fleet).contains(&self.local) {
             return None;
         }
         if !self.voters.contains_key(&task) && !self.make_room(now) {
             return None;
         }
-        let new = Voter::new(self.started, self.settings.lease_ms);
+        let new = Voter::new(self.started, self.settings.lease_length);
         Some(self.voters.entry(task).or_insert(new))
     }
 
     /// Whether there is room for one more task, if necessary after dropping those that have long been idle.
-    fn make_room(&mut self, now: Millis) -> bool {
+    fn make_room(&mut self, now: Timestamp) -> bool {
         if self.voters.len() < MAX_TASKS {
             return true;
         }
-        let idle_since = now.saturating_sub(IDLE_LEASES * self.settings.lease_ms);
+        let idle_since = now.saturating_sub(self.settings.lease_length * IDLE_LEASES);
         self.voters.retain(|_, voter| !voter.is_idle(idle_since));
         self.voters.len() < MAX_TASKS
     }
@@ -89,7 +96,7 @@
         Vote::Granted { previous } => LeaseMessage {
             kind: MessageKind::Granted,
             holder: previous,
-            remaining_ms: 0,
+            remaining: Milliseconds::ZERO,
             ..*question
         },
         Vote::Refused {
@@ -100,7 +107,7 @@
             kind: MessageKind::Refused,
             epoch: latest_epoch,
             holder,
-            remaining_ms: u32::try_from(remaining).unwrap_or(u32::MAX),
+            remaining,
             ..*question
         },
     }
--- a/crates/leases/tests/codec.rs
+++ b/crates/leases/tests/codec.rs
@@ -1,7 +1,10 @@
 //! Tests of the datagram of leases.
 
+use irisrouter_cluster_types::{
+    Epoch, GatewayId, GatewayProcess, Generation, Milliseconds, TaskId, Timestamp,
+};
 use irisrouter_leases::codec::{self, LeaseDatagram, LeaseMessage, MessageKind};
-use irisrouter_leases::{Holder, LeaseManager, Settings, TaskId};
+use irisrouter_leases::{LeaseManager, Settings};
 use proptest::prelude::*;
 
 const KINDS: [MessageKind; 7] = [
@@ -14,9 +17,13 @@
     MessageKind::Vacant,
 ];
 
-fn holder() -> impl Strategy<Value = Option<Holder>> {
-    let some = (0..u32::MAX, any::<u16>())
-        .prop_map(|(number, generation)| Some(Holder { number, generation }));
+fn holder() -> impl Strategy<Value = Option<GatewayProcess>> {
+    let some = (0..u32::MAX, any::<u16>()).prop_map(|(gateway, generation)| {
+        Some(GatewayProcess {
+            gateway: GatewayId(gateway),
+            generation: Generation(generation),
+        })
+    });
     prop_oneof![Just(None), some]
 }
 
@@ -27,9 +34,16 @@
         epoch in any::<u64>(),
         round in any::<u16>(),
         holder in holder(),
-        remaining_ms in 0u32..0x100_0000,
+        remaining_ms in 0u64..0x100_0000,
     ) -> LeaseMessage {
-        LeaseMessage { kind: KINDS[kind], task: TaskId(task), epoch, round, holder, remaining_ms }
+        LeaseMessage {
+            kind: KINDS[kind],
+            task: TaskId(task),
+            epoch: Epoch(epoch),
+            round,
+            holder,
+            remaining: Milliseconds(remaining_ms),
+        }
     }
 }
 
@@ -44,10 +58,10 @@
         if let (true, Some(first)) = (with_magic, bytes.first_mut()) {
             *first = codec::MAGIC;
         }
-        let local = Holder { number: 0, generation: 0 };
-        let settings = Settings { fleet: 5, lease_ms: 1_000 };
-        let mut manager = LeaseManager::new(local, settings, 0).expect("settings");
-        if manager.receive(10, 1, &bytes).is_err() {
+        let local = GatewayProcess::first(GatewayId(0));
+        let settings = Settings { fleet: 5, lease_length: Milliseconds(1_000) };
+        let mut manager = LeaseManager::new(local, settings, Timestamp::ZERO).expect("settings");
+        if manager.receive(Timestamp::from_millis(10), GatewayId(1), &bytes).is_err() {
             prop_assert_eq!(manager.drain_actions().count(), 0);
         }
     }
@@ -57,6 +71,7 @@
         sender_generation in any::<u16>(),
         messages in proptest::collection::vec(message(), 0..=codec::MAX_MESSAGES),
     ) {
+        let sender_generation = Generation(sender_generation);
         let bytes = codec::encode(sender_generation, &messages);
         prop_assert!(bytes.len() <= codec::MAX_DATAGRAM_BYTES);
         prop_assert_eq!(codec::decode(&bytes), Ok(LeaseDatagram { sender_generation, messages }));
--- a/crates/leases/tests/fleet.rs
+++ b/crates/leases/tests/fleet.rs
@@ -3,20 +3,22 @@
 
 mod simulation;
 
-use irisrouter_leases::{rendezvous, TaskId};
+use irisrouter_cluster_types::{GatewayId, Milliseconds, TaskId};
+use irisrouter_leases::rendezvous;
 use proptest::prelude::*;
 use simulation::{settings, Fleet, LEASE};
 
 #[test]
 fn every_task_is_held_by_its_first_candidate_in_the_end() {
     let mut fleet = Fleet::new(7, 40, 1);
-    fleet.run(20_000);
-    for task in 0..40 {
-        let first = rendezvous::candidates(task, &(0..7).collect::<Vec<_>>())[0];
-        assert!(fleet.token(first, task).is_some(), "task {task}");
+    fleet.run(Milliseconds(20_000));
+    let gateways: Vec<GatewayId> = fleet.gateway_ids().collect();
+    for task in (0..40).map(TaskId) {
+        let first = rendezvous::candidates(task, &gateways)[0];
+        assert!(fleet.token(first, task).is_some(), "{task:?}");
     }
     assert!(
-        fleet.longest_gap <= 3 * LEASE,
+        fleet.longest_gap <= LEASE * 3,
         "{} ms without a holder at the start",
         fleet.longest_gap
     );
@@ -26,11 +28,11 @@
 fn lease_is_taken_over_within_the_bound_when_its_holder_dies_unnoticed() {
     for seed in 1..=20 {
         let mut fleet = Fleet::new(5, 10, seed);
-        fleet.run(15_000);
-        fleet.longest_gap = 0;
-        fleet.crash((seed % 5) as u32);
-        fleet.run(10_000);
-        let bound = settings(5).takeover_bound_ms();
+        fleet.run(Milliseconds(15_000));
+        fleet.longest_gap = Milliseconds::ZERO;
+        fleet.crash(GatewayId((seed % 5) as u32));
+        fleet.run(Milliseconds(10_000));
+        let bound = settings(5).takeover_bound();
         assert!(
             fleet.longest_gap <= bound,
             "seed {seed}: {} ms without a holder, bound {bound}",
@@ -42,36 +44,40 @@
 #[test]
 fn stalled_holder_has_no_token_when_it_resumes() {
     let mut fleet = Fleet::new(5, 1, 3);
-    fleet.run(15_000);
-    let holder = |fleet: &Fleet| fleet.latest[&TaskId(0)].holder.number;
+    fleet.run(Milliseconds(15_000));
+    let task = TaskId(0);
+    let holder = |fleet: &Fleet| fleet.latest[&task].holder.gateway;
     let stalled = holder(&fleet);
-    fleet.gateways[stalled as usize].stalled = true;
-    fleet.run(5_000);
+    fleet.stall(stalled);
+    fleet.run(Milliseconds(5_000));
     assert_ne!(holder(&fleet), stalled, "no other gateway took it over");
-    fleet.gateways[stalled as usize].stalled = false;
+    fleet.resume(stalled);
     // Before it has received or done anything.
-    assert_eq!(fleet.token(stalled, 0), None);
-    fleet.run(2_000);
+    assert_eq!(fleet.token(stalled, task), None);
+    fleet.run(Milliseconds(2_000));
 }
 
 #[test]
 fn minority_partition_releases_its_leases_and_the_majority_takes_them_over() {
     let mut fleet = Fleet::new(5, 12, 4);
-    fleet.run(15_000);
+    fleet.run(Milliseconds(15_000));
     for (one, other) in [(0, 3), (0, 4), (1, 3), (1, 4), (2, 3), (2, 4)] {
+        let one = GatewayId(one);
+        let other = GatewayId(other);
         fleet.cuts.extend([(one, other), (other, one)]);
     }
     // For a while nobody has noticed.
-    fleet.run(2_000);
+    fleet.run(Milliseconds(2_000));
     fleet.update_views();
-    fleet.run(8_000);
-    for task in 0..12 {
-        let holds = |number: u32| fleet.token(number, task).is_some();
-        assert!((0..3).any(holds) && !(3..5).any(holds), "task {task}");
+    fleet.run(Milliseconds(8_000));
+    for task in (0..12).map(TaskId) {
+        let holds = |number: u32| fleet.token(GatewayId(number), task).is_some();
+        assert!((0..3).any(holds), "{task:?} has no holder in the majority");
+        assert!(!(3..5).any(holds), "{task:?} has a holder in the minority");
     }
     fleet.cuts.clear();
     fleet.update_views();
-    fleet.run(10_000);
+    fleet.run(Milliseconds(10_000));
 }
 
 #[test]
@@ -79,9 +85,9 @@
     let mut datagrams_per_task_and_second = Vec::new();
     for size in [60, 300] {
         let mut fleet = Fleet::new(size, 20, 5);
-        fleet.run(15_000);
+        fleet.run(Milliseconds(15_000));
         let before = fleet.sent;
-        fleet.run(10_000);
+        fleet.run(Milliseconds(10_000));
         datagrams_per_task_and_second.push((fleet.sent - before) as f64 / 20.0 / 10.0);
     }
     eprintln!(
@@ -95,11 +101,12 @@
 
 #[derive(Clone, Debug)]
 enum Fault {
-    Crash(u32),
-    Restart(u32),
-    Stall(u32),
-    Resume(u32),
-    Cut(u32, u32),
+    Crash(GatewayId),
+    Restart(GatewayId),
+    Stall(GatewayId),
+    Resume(GatewayId),
+    /// Datagrams from the first gateway to the second are lost.
+    Cut(GatewayId, GatewayId),
     Heal,
     Loss(u64),
     UpdateViews,
@@ -108,11 +115,11 @@
 impl Fault {
     fn inject(self, fleet: &mut Fleet) {
         match self {
-            Fault::Crash(number) => fleet.crash(number),
+            Fault::Crash(gateway) => fleet.crash(gateway),
             // The older process is gone, or was killed for the restart.
-            Fault::Restart(number) => fleet.restart(number),
-            Fault::Stall(number) => fleet.gateways[number as usize].stalled = true,
-            Fault::Resume(number) => fleet.gateways[number as usize].stalled = false,
+            Fault::Restart(gateway) => fleet.restart(gateway),
+            Fault::Stall(gateway) => fleet.stall(gateway),
+            Fault::Resume(gateway) => fleet.resume(gateway),
             Fault::Cut(from, to) => fleet.cuts.extend([(from, to)]),
             Fault::Heal => fleet.cuts.clear(),
             Fault::Loss(percent) => fleet.loss_percent = percent,
@@ -122,7 +129,7 @@
 }
 
 fn fault() -> impl Strategy<Value = Fault> {
-    let gateway = 0u32..5;
+    let gateway = (0u32..5).prop_map(GatewayId);
     prop_oneof![
         gateway.clone().prop_map(Fault::Crash),
         gateway.clone().prop_map(Fault::Restart),
@@ -139,10 +146,10 @@
 fn heal(fleet: &mut Fleet) {
     fleet.cuts.clear();
     fleet.loss_percent = 0;
-    for number in 0..5 {
-        fleet.gateways[number as usize].stalled = false;
-        if !fleet.gateways[number as usize].up {
-            fleet.restart(number);
+    for gateway in fleet.gateway_ids() {
+        fleet.resume(gateway);
+        if !fleet.gateway(gateway).up {
+            fleet.restart(gateway);
         }
     }
     fleet.update_views();
@@ -161,19 +168,19 @@
         let mut fleet = Fleet::new(5, 4, seed);
         for (fault, lasts_ms) in faults {
             fault.inject(&mut fleet);
-            fleet.run(lasts_ms);
+            fleet.run(Milliseconds(lasts_ms));
         }
         heal(&mut fleet);
-        fleet.run(6 * LEASE);
-        fleet.longest_gap = 0;
-        fleet.run(4 * LEASE);
+        fleet.run(LEASE * 6);
+        fleet.longest_gap = Milliseconds::ZERO;
+        fleet.run(LEASE * 4);
         prop_assert!(
-            fleet.longest_gap <= 2 * LEASE,
+            fleet.longest_gap <= LEASE * 2,
             "{} ms without a holder, without any fault", fleet.longest_gap
         );
-        for task in 0..4 {
-            let held = (0..5).any(|number| fleet.token(number, task).is_some());
-            prop_assert!(held, "task {task}");
+        for task in (0..4).map(TaskId) {
+            let held = fleet.gateway_ids().any(|gateway| fleet.token(gateway, task).is_some());
+            prop_assert!(held, "{task:?} has no holder");
         }
     }
 }
--- a/crates/leases/tests/golden.rs
+++ b/crates/leases/tests/golden.rs
@@ -8,12 +8,15 @@
 //!
 //! Literals are groups of hex digits, one group for each field of the layout; the white space between them means nothing.
 
+use irisrouter_cluster_types::{
+    Epoch, GatewayId, GatewayProcess, Generation, Milliseconds, TaskId,
+};
 use irisrouter_leases::codec::{
     decode, encode, LeaseDatagram, LeaseMessage, MessageKind, WireError, MAGIC, MAX_DATAGRAM_BYTES,
     MAX_MESSAGES,
 };
+use irisrouter_leases::recognizes;
 use irisrouter_leases::rendezvous::{candidates, voters, VOTERS};
-use irisrouter_leases::{recognizes, Holder, TaskId};
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
@@ -22,19 +25,19 @@
 // Values: all messages that are pinned here are built in this part of the file.
 
 /// The sender's generation.
-const GENERATION: u16 = 0x0a0b;
+const GENERATION: Generation = Generation(0x0a0b);
 
 fn message(kind: MessageKind) -> LeaseMessage {
     LeaseMessage {
         kind,
         task: TaskId(0x0102_0304_0506_0708),
-        epoch: 0x1112_1314_1516_1718,
+        epoch: Epoch(0x1112_1314_1516_1718),
         round: 0x2122,
-        holder: Some(Holder {
-            number: 0x3132_3334,
-            generation: 0x3536,
+        holder: Some(GatewayProcess {
+            gateway: GatewayId(0x3132_3334),
+            generation: Generation(0x3536),
         }),
-        remaining_ms: 0x41_4243,
+        remaining: Milliseconds(0x41_4243),
     }
 }
 
@@ -42,14 +45,14 @@
 fn bare(kind: MessageKind) -> LeaseMessage {
     LeaseMessage {
         holder: None,
-        remaining_ms: 0,
+        remaining: Milliseconds::ZERO,
         ..message(kind)
     }
 }
 
-fn with_remaining(remaining_ms: u32) -> LeaseMessage {
+fn with_remaining(remaining_ms: u64) -> LeaseMessage {
     LeaseMessage {
-        remaining_ms,
+        remaining: Milliseconds(remaining_ms),
         ..message(MessageKind::Refused)
     }
 }
@@ -58,22 +61,22 @@
     LeaseMessage {
         kind: MessageKind::Vacant,
         task: TaskId(u64::MAX),
-        epoch: u64::MAX,
+        epoch: Epoch(u64::MAX),
         round: u16::MAX,
-        holder: Some(Holder {
-            number: u32::MAX - 1,
-            generation: u16::MAX,
+        holder: Some(GatewayProcess {
+            gateway: GatewayId(u32::MAX - 1),
+            generation: Generation(u16::MAX),
         }),
-        remaining_ms: 0xff_ffff,
+        remaining: Milliseconds(0xff_ffff),
     }
 }
 
 /// A holder whose number is the one that stands for none.
 fn with_holder_that_stands_for_none() -> LeaseMessage {
     LeaseMessage {
-        holder: Some(Holder {
-            number: u32::MAX,
-            generation: 0x3536,
+        holder: Some(GatewayProcess {
+            gateway: GatewayId(u32::MAX),
+            generation: Generation(0x3536),
         }),
         ..message(MessageKind::Granted)
     }
@@ -93,14 +96,14 @@
     let one = |i: u32| LeaseMessage {
         kind: kinds[i as usize % kinds.len()],
         task: TaskId(0x0100_0000_0000_0000 + u64::from(i)),
-        epoch: 0x1100_0000_0000_0000 + u64::from(i),
+        epoch: Epoch(0x1100_0000_0000_0000 + u64::from(i)),
         round: 0x2100 + i as u16,
-        holder: Some(Holder {
-            number: 0x3100_0000 + i,
-            generation: 0x4100 + i as u16,
+        holder: Some(GatewayProcess {
+            gateway: GatewayId(0x3100_0000 + i),
+            generation: Generation(0x4100 + i as u16),
         })
         .filter(|_| i != 8),
-        remaining_ms: 0x51_0000 + i,
+        remaining: Milliseconds(u64::from(0x51_0000 + i)),
     };
     (0..count).map(one).collect()
 }
@@ -219,7 +222,7 @@
 #[test]
 fn remaining_time_beyond_24_bits_is_written_as_the_longest_one() {
     let expected = "b1 0a0b 01  02 0102030405060708 1112131415161718 2122 31323334 3536 ffffff";
-    for remaining_ms in [0x100_0000, u32::MAX] {
+    for remaining_ms in [0x100_0000, u64::from(u32::MAX), u64::MAX] {
         pins_as(
             &[with_remaining(remaining_ms)],
             expected,
@@ -364,6 +367,19 @@
 
 // Numbers on which all gateways agree.
 
+/// The numbers of the candidates of a task among these gateways, in their order.
+fn candidate_numbers(task: u64, alive: &[u32]) -> Vec<u32> {
+    let alive: Vec<GatewayId> = alive.iter().copied().map(GatewayId).collect();
+    let order = candidates(TaskId(task), &alive);
+    order.into_iter().map(|gateway| gateway.0).collect()
+}
+
+/// The numbers of the voters of a task in a fleet of this size, in their order.
+fn voter_numbers(task: u64, fleet: u32) -> Vec<u32> {
+    let order = voters(TaskId(task), fleet);
+    order.into_iter().map(|gateway| gateway.0).collect()
+}
+
 /// Sets 0, 1, 42 and -7, the drains of three hosts, the watch of the list, the plans of sites, and the largest number.
 const TASKS: [u64; 10] = [
     0,
@@ -394,12 +410,12 @@
     ];
     for (task, expected) in TASKS.into_iter().zip(expected) {
         assert_eq!(
-            candidates(task, &[0, 1, 2, 3, 4, 5, 6]),
+            candidate_numbers(task, &[0, 1, 2, 3, 4, 5, 6]),
             expected,
             "task {task:#x}"
         );
         assert_eq!(
-            candidates(task, &[6, 2, 4, 0, 5, 3, 1]),
+            candidate_numbers(task, &[6, 2, 4, 0, 5, 3, 1]),
             expected,
             "task {task:#x}, named in another order"
         );
@@ -422,12 +438,12 @@
     ];
     for (task, expected) in TASKS.into_iter().zip(expected) {
         assert_eq!(
-            candidates(task, &[4_000_000_000, 3, 250, 17, 65_536]),
+            candidate_numbers(task, &[4_000_000_000, 3, 250, 17, 65_536]),
             expected,
             "task {task:#x}"
         );
     }
-    assert_eq!(candidates(42, &[]), [0; 0]);
+    assert_eq!(candidate_numbers(42, &[]), [0; 0]);
 }
 
 #[test]
@@ -445,19 +461,19 @@
         [18, 170, 125, 191, 59],
     ];
     for (task, expected) in TASKS.into_iter().zip(expected) {
-        assert_eq!(voters(task, 300), expected, "task {task:#x}");
+        assert_eq!(voter_numbers(task, 300), expected, "task {task:#x}");
     }
 }
 
 #[test]
 fn voters_of_a_task_in_small_fleets_keep_their_order() {
     assert_eq!(VOTERS, 5);
-    assert_eq!(voters(42, 0), [0; 0]);
-    assert_eq!(voters(42, 1), [0]);
-    assert_eq!(voters(42, 3), [1, 2, 0]);
-    assert_eq!(voters(42, 5), [4, 1, 2, 3, 0]);
-    assert_eq!(voters(42, 7), [4, 5, 1, 2, 3]);
-    assert_eq!(voters(0x4452_4149_00ab_cdef, 7), [3, 1, 6, 0, 4]);
-    assert_eq!(voters(0x5741_5443_4800_0000, 7), [5, 2, 6, 0, 3]);
-    assert_eq!(voters(0x5349_5445_0000_0000, 7), [2, 0, 3, 6, 1]);
+    assert_eq!(voter_numbers(42, 0), [0; 0]);
+    assert_eq!(voter_numbers(42, 1), [0]);
+    assert_eq!(voter_numbers(42, 3), [1, 2, 0]);
+    assert_eq!(voter_numbers(42, 5), [4, 1, 2, 3, 0]);
+    assert_eq!(voter_numbers(42, 7), [4, 5, 1, 2, 3]);
+    assert_eq!(voter_numbers(0x4452_4149_00ab_cdef, 7), [3, 1, 6, 0, 4]);
+    assert_eq!(voter_numbers(0x5741_5443_4800_0000, 7), [5, 2, 6, 0, 3]);
+    assert_eq!(voter_numbers(0x5349_5445_0000_0000, 7), [2, 0, 3, 6, 1]);
 }
--- a/crates/leases/tests/model.rs
+++ b/crates/leases/tests/model.rs
@@ -7,18 +7,21 @@
 //! - without that check at the host, a stalled holder's act is accepted after its successor's: the model finds it;
 //! - if a voter that is started again granted at once, two claimants would hold the lease: the model finds it.
 
-use irisrouter_leases::{Claim, Holder, LeaseTerms, Millis, Vote, Voter};
+use irisrouter_cluster_types::{Epoch, GatewayId, GatewayProcess, Milliseconds, Timestamp};
+use irisrouter_leases::{Claim, LeaseTerms, Vote, Voter};
 use stateright::{Checker, Model, Property};
 
-const LEASE: Millis = 2;
+const LEASE: Milliseconds = Milliseconds(2);
 const TERMS: LeaseTerms = LeaseTerms {
     length: LEASE,
-    margin: 0,
+    margin: Milliseconds::ZERO,
 };
 const VOTERS: usize = 3;
 const CLAIMANTS: usize = 2;
 /// The run ends at this time.
-const END: Millis = 4;
+const END: Timestamp = Timestamp::from_millis(4);
+/// Time passes in steps of this length.
+const TICK: Milliseconds = Milliseconds(1);
 /// The check fails where there are more states, as it has to end and to be complete.
 const MAX_STATES: usize = 16_000_000;
 
@@ -31,36 +34,36 @@
     Request {
         claimant: usize,
         voter: usize,
-        epoch: u64,
+        epoch: Epoch,
         round: u16,
     },
     Granted {
         claimant: usize,
         voter: usize,
-        epoch: u64,
+        epoch: Epoch,
         round: u16,
     },
     Refused {
         claimant: usize,
-        epoch: u64,
+        epoch: Epoch,
     },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct State {
-    now: Millis,
+    now: Timestamp,
     voters: Vec<Voter>,
     claims: Vec<Claim>,
     /// How many rounds of requests each claimant may still start.
     rounds_left: Vec<u8>,
     /// When each claimant last requested.
-    last_request: Vec<Millis>,
+    last_request: Vec<Timestamp>,
     restarts_left: u8,
     messages: Vec<Message>,
     /// The token that each claimant has read and not acted on yet.
-    token_read: Vec<Option<u64>>,
+    token_read: Vec<Option<Epoch>>,
     /// The latest token that the host saw.
-    latest_token: u64,
+    latest_token: Epoch,
     /// Whether the host accepted an older token after it.
     older_act_accepted: bool,
 }
@@ -88,15 +91,12 @@
     rounds: [u8; CLAIMANTS],
 }
 
-fn holder(claimant: usize) -> Holder {
-    Holder {
-        number: claimant as u32,
-        generation: 0,
-    }
+fn process(claimant: usize) -> GatewayProcess {
+    GatewayProcess::first(GatewayId(claimant as u32))
 }
 
 impl State {
-    fn token(&self, claimant: usize) -> Option<u64> {
+    fn token(&self, claimant: usize) -> Option<Epoch> {
         self.claims[claimant].token(self.now, TERMS)
     }
 
@@ -128,7 +128,7 @@
                 epoch,
                 round,
             } => {
-                let vote = self.voters[voter].request(self.now, LEASE, holder(claimant), epoch);
+                let vote = self.voters[voter].request(self.now, LEASE, process(claimant), epoch);
                 self.post(match vote {
                     Vote::Granted { .. } => Message::Granted {
                         claimant,
@@ -178,15 +178,15 @@
 
     fn init_states(&self) -> Vec<State> {
         vec![State {
-            now: LEASE,
-            voters: vec![Voter::new(0, LEASE); VOTERS],
+            now: Timestamp::ZERO + LEASE,
+            voters: vec![Voter::new(Timestamp::ZERO, LEASE); VOTERS],
             claims: vec![Claim::new(VOTERS); CLAIMANTS],
             rounds_left: self.rounds.to_vec(),
-            last_request: vec![0; CLAIMANTS],
+            last_request: vec![Timestamp::ZERO; CLAIMANTS],
             restarts_left: self.restarts,
             messages: Vec::new(),
             token_read: vec![None; CLAIMANTS],
-            latest_token: 0,
+            latest_token: Epoch::default(),
             older_act_accepted: false,
         }]
     }
@@ -227,9 +227,9 @@
     fn next_state(&self, last: &State, step: Step) -> Option<State> {
         let mut state = last.clone();
         match step {
-            Step::Tick => state.now += 1,
+            Step::Tick => state.now += TICK,
             Step::StartClaim(claimant) => {
-                state.claims[claimant].start(state.now);
+                state.claims[claimant].start(Epoch(state.now.as_millis()));
                 state.request_grants(claimant);
             }
             Step::Renew(claimant) => state.request_grants(claimant),
@@ -238,7 +238,7 @@
                 let waits_from = if self.voter_waits {
                     state.now
                 } else {
-                    state.now - LEASE
+                    state.now.saturating_sub(LEASE)
                 };
                 state.voters[voter] = Voter::new(waits_from, LEASE);
             }
--- a/crates/leases/tests/previous_holder.rs
+++ b/crates/leases/tests/previous_holder.rs
@@ -5,7 +5,10 @@
 
 mod simulation;
 
-use irisrouter_leases::{rendezvous, Holder, LeaseChange, TaskId, Vote, Voter};
+use irisrouter_cluster_types::{
+    Epoch, GatewayId, GatewayProcess, Generation, Milliseconds, TaskId, Timestamp,
+};
+use irisrouter_leases::{rendezvous, LeaseChange, Vote, Voter};
 use simulation::{Acquisition, Fleet, LEASE};
 
 const TASK: TaskId = TaskId(0);
@@ -13,28 +16,28 @@
 
 /// The candidates of the task by rank; the first holds the lease, and has been started again once before.
 struct Candidates {
-    first: Holder,
-    second: u32,
-    third: u32,
-    fourth: u32,
+    first: GatewayProcess,
+    second: GatewayId,
+    third: GatewayId,
+    fourth: GatewayId,
 }
 
 /// A fleet in which the first candidate holds the lease.
 fn settled_fleet(seed: u64) -> (Fleet, Candidates) {
-    let gateways: Vec<u32> = (0..FLEET).collect();
-    let order = rendezvous::candidates(TASK.0, &gateways);
     let mut fleet = Fleet::new(FLEET, 1, seed);
+    let gateways: Vec<GatewayId> = fleet.gateway_ids().collect();
+    let order = rendezvous::candidates(TASK, &gateways);
     fleet.crash(order[0]);
     fleet.restart(order[0]);
     fleet.update_views();
-    fleet.run(15 * LEASE);
-    let first = Holder {
-        number: order[0],
-        generation: 1,
+    fleet.run(LEASE * 15);
+    let first = GatewayProcess {
+        gateway: order[0],
+        generation: Generation(1),
     };
     assert_eq!(fleet.latest[&TASK].holder, first, "seed {seed}");
     assert!(
-        fleet.token(order[0], TASK.0).is_some(),
+        fleet.token(order[0], TASK).is_some(),
         "seed {seed}: the first candidate does not hold the lease"
     );
     let candidates = Candidates {
@@ -46,14 +49,8 @@
     (fleet, candidates)
 }
 
-fn stall(fleet: &mut Fleet, gateways: [u32; 2], stalled: bool) {
-    for number in gateways {
-        fleet.gateways[number as usize].stalled = stalled;
-    }
-}
-
 /// The first acquisition after the holder's death, which must be by another gateway.
-fn takeover(fleet: &Fleet, before: usize, dead: Holder) -> Acquisition {
+fn takeover(fleet: &Fleet, before: usize, dead: GatewayProcess) -> Acquisition {
     let takeover = fleet.acquisitions[before];
     assert_ne!(takeover.holder, dead);
     takeover
@@ -65,14 +62,14 @@
         let (mut fleet, candidates) = settled_fleet(seed);
         for bystander in [candidates.third, candidates.fourth] {
             let now = fleet.now;
-            let manager = &mut fleet.gateways[bystander as usize].manager;
+            let manager = &mut fleet.gateway_mut(bystander).manager;
             manager.set_tasks(now, &[]);
         }
         let before = fleet.acquisitions.len();
-        fleet.crash(candidates.first.number);
-        fleet.run(3 * LEASE);
+        fleet.crash(candidates.first.gateway);
+        fleet.run(LEASE * 3);
         let takeover = takeover(&fleet, before, candidates.first);
-        assert_eq!(takeover.holder.number, candidates.second, "seed {seed}");
+        assert_eq!(takeover.holder.gateway, candidates.second, "seed {seed}");
         assert_eq!(
             takeover.change,
             LeaseChange::TakenOver(candidates.first),
@@ -88,21 +85,22 @@
         let (mut fleet, candidates) = settled_fleet(seed);
         let claimants = [candidates.second, candidates.third];
         let before = fleet.acquisitions.len();
-        fleet.crash(candidates.first.number);
+        fleet.crash(candidates.first.gateway);
         // Both find the lease vacant when they resume, and claim it in the same moment.
-        stall(&mut fleet, claimants, true);
-        fleet.run(2 * LEASE);
-        stall(&mut fleet, claimants, false);
-        fleet.run(4 * LEASE);
+        for claimant in claimants {
+            fleet.stall(claimant);
+        }
+        fleet.run(LEASE * 2);
+        for claimant in claimants {
+            fleet.resume(claimant);
+        }
+        fleet.run(LEASE * 4);
         let takeover = takeover(&fleet, before, candidates.first);
         let position = claimants
             .iter()
-            .position(|&number| number == takeover.holder.number);
+            .position(|&claimant| claimant == takeover.holder.gateway);
         let winner = position.expect("one of the two that claimed");
-        let other = Holder {
-            number: claimants[1 - winner],
-            generation: 0,
-        };
+        let other = GatewayProcess::first(claimants[1 - winner]);
         match takeover.change {
             LeaseChange::TakenOver(previous) if previous == candidates.first => {}
             LeaseChange::TakenOver(previous) if previous == other => {
@@ -123,20 +121,22 @@
 
 #[test]
 fn voter_names_the_claimant_it_granted_last_even_when_that_one_never_had_a_majority() {
-    let process = |number| Holder {
-        number,
-        generation: 7,
+    let process = |number| GatewayProcess {
+        gateway: GatewayId(number),
+        generation: Generation(7),
     };
+    let at = |since_start| Timestamp::ZERO + since_start;
     let (holder, loser, winner) = (process(0), process(1), process(2));
-    let mut voter = Voter::new(0, LEASE);
-    let first = voter.request(LEASE, LEASE, holder, 10);
+    let mut voter = Voter::new(Timestamp::ZERO, LEASE);
+    let first = voter.request(at(LEASE), LEASE, holder, Epoch(10));
     assert_eq!(first, Vote::Granted { previous: None });
     // The holder dies, and its promise expires. One claimant gets this vote and too few others, and releases it.
-    let split = voter.request(2 * LEASE, LEASE, loser, 20);
+    let split = voter.request(at(LEASE * 2), LEASE, loser, Epoch(20));
     let previous = Some(holder);
     assert_eq!(split, Vote::Granted { previous });
-    voter.release(2 * LEASE + 500, loser, 20);
-    let last = voter.request(2 * LEASE + 501, LEASE, winner, 21);
+    let released = at(LEASE * 2 + LEASE / 2);
+    voter.release(released, loser, Epoch(20));
+    let last = voter.request(released + Milliseconds(1), LEASE, winner, Epoch(21));
     let previous = Some(loser);
     assert_eq!(last, Vote::Granted { previous });
 }
--- a/crates/leases/tests/rendezvous.rs
+++ b/crates/leases/tests/rendezvous.rs
@@ -1,17 +1,23 @@
 //! Tests of the order of gateways for a task.
 
+use irisrouter_cluster_types::{GatewayId, TaskId};
 use irisrouter_leases::rendezvous::{candidates, voters, VOTERS};
 
 #[test]
 fn candidates_move_only_the_tasks_of_a_gateway_that_leaves_and_tasks_spread() {
-    let all: Vec<u32> = (0..7).collect();
-    let rest: Vec<u32> = (0..7).filter(|&number| number != 3).collect();
+    let leaver = GatewayId(3);
+    let all: Vec<GatewayId> = (0..7).map(GatewayId).collect();
+    let mut rest = all.clone();
+    rest.retain(|&gateway| gateway != leaver);
     let mut tasks_of_gateway = [0; 7];
-    for task in 0..700 {
+    for task in (0..700).map(TaskId) {
         let before = candidates(task, &all)[0];
-        tasks_of_gateway[before as usize] += 1;
+        tasks_of_gateway[before.0 as usize] += 1;
         let after = candidates(task, &rest)[0];
-        assert!(before == after || before == 3);
+        assert!(
+            before == after || before == leaver,
+            "{task:?} moved from {before} to {after}"
+        );
     }
     assert!(
         tasks_of_gateway.iter().all(|n| (60..140).contains(n)),
@@ -21,11 +27,11 @@
 
 #[test]
 fn voters_are_five_distinct_gateways_and_the_whole_of_a_smaller_fleet() {
-    let of_large_fleet = voters(9, 300);
+    let of_large_fleet = voters(TaskId(9), 300);
     assert_eq!(of_large_fleet.len(), VOTERS);
     let mut distinct = of_large_fleet.clone();
     distinct.sort_unstable();
     distinct.dedup();
     assert_eq!(distinct.len(), VOTERS);
-    assert_eq!(voters(9, 3).len(), 3);
+    assert_eq!(voters(TaskId(9), 3).len(), 3);
 }
--- a/crates/leases/tests/settings.rs
+++ b/crates/leases/tests/settings.rs
@@ -1,9 +1,13 @@
 //! Tests of the settings' limits. Operators see the texts when their file is refused.
 
+use irisrouter_cluster_types::Milliseconds;
 use irisrouter_leases::Settings;
 
 fn refusal(lease_ms: u64) -> Option<String> {
-    let settings = Settings { fleet: 5, lease_ms };
+    let settings = Settings {
+        fleet: 5,
+        lease_length: Milliseconds(lease_ms),
+    };
     settings.check().err().map(|error| error.to_string())
 }
 
--- a/crates/leases/tests/simulation/mod.rs
+++ b/crates/leases/tests/simulation/mod.rs
@@ -1,28 +1,35 @@
 //! A whole fleet of [`LeaseManager`]s on a simulated network, in virtual time and seeded: crashes, restarts, stalls, network
 //! partitions and loss, with views that lag behind. At every step no task may have two holders, and epochs may only grow.
 
-use irisrouter_leases::{
-    codec, Action, Holder, LeaseChange, LeaseManager, Millis, PartitionSide, Settings, TaskId,
+use irisrouter_cluster_types::{
+    Epoch, GatewayId, GatewayProcess, Generation, Milliseconds, TaskId, Timestamp, UnixMilliseconds,
 };
+use irisrouter_leases::{codec, Action, LeaseChange, LeaseManager, PartitionSide, Settings};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
 
-pub const LEASE: Millis = 1_000;
+pub const LEASE: Milliseconds = Milliseconds(1_000);
+
+/// The time between two steps of the simulation.
+const STEP: Milliseconds = Milliseconds(5);
+/// The wall clock at the start of the simulation.
+const UNIX_START: UnixMilliseconds = UnixMilliseconds(1_000_000);
+/// Each datagram is under way for at least this time.
+const SHORTEST_LATENCY: Milliseconds = Milliseconds(1);
 
 pub struct Gateway {
     pub manager: LeaseManager,
-    generation: u16,
+    process: GatewayProcess,
     pub up: bool,
     pub stalled: bool,
 }
 
 impl Gateway {
-    fn new(number: u32, generation: u16, fleet: u32, now: Millis) -> Self {
-        let local = Holder { number, generation };
+    fn new(process: GatewayProcess, fleet: u32, now: Timestamp) -> Self {
         Self {
-            manager: LeaseManager::new(local, settings(fleet), now).expect("settings"),
-            generation,
+            manager: LeaseManager::new(process, settings(fleet), now).expect("settings"),
+            process,
             up: true,
             stalled: false,
         }
@@ -33,12 +40,16 @@
     }
 }
 
-/// When a datagram arrives, and its number among all that were sent.
-type Arrival = (Millis, u64);
+/// When a datagram arrives, and its number among all that were sent: datagrams arrive in this order.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Arrival {
+    at: Timestamp,
+    sent_in_order: u64,
+}
 
 struct Flight {
-    from: u32,
-    to: u32,
+    from: GatewayId,
+    to: GatewayId,
     bytes: Vec<u8>,
 }
 
@@ -46,20 +57,20 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Acquisition {
     pub task: TaskId,
-    pub epoch: u64,
-    pub holder: Holder,
+    pub epoch: Epoch,
+    pub holder: GatewayProcess,
     pub change: LeaseChange,
 }
 
 /// The latest epoch under which anybody held a lease, and who.
 #[derive(Debug, Clone, Copy)]
 pub struct LatestHolder {
-    pub epoch: u64,
-    pub holder: Holder,
+    pub epoch: Epoch,
+    pub holder: GatewayProcess,
 }
 
 pub struct Fleet {
-    pub now: Millis,
+    pub now: Timestamp,
     pub gateways: Vec<Gateway>,
     tasks: Vec<TaskId>,
     flights: BTreeMap<Arrival, Flight>,
@@ -67,14 +78,14 @@
     rng: SmallRng,
     pub loss_percent: u64,
     /// Pairs of gateways whose datagrams in this direction are lost.
-    pub cuts: BTreeSet<(u32, u32)>,
+    pub cuts: BTreeSet<(GatewayId, GatewayId)>,
     pub latest: BTreeMap<TaskId, LatestHolder>,
     /// All leases that were acquired, in order.
     pub acquisitions: Vec<Acquisition>,
     /// When each task last had a holder that runs.
-    last_held: BTreeMap<TaskId, Millis>,
+    last_held: BTreeMap<TaskId, Timestamp>,
     /// The longest time for which a task had no holder that runs.
-    pub longest_gap: Millis,
+    pub longest_gap: Milliseconds,
     /// How many datagrams were sent.
     pub sent: u64,
 }
@@ -82,15 +93,16 @@
 pub fn settings(fleet: u32) -> Settings {
     Settings {
         fleet,
-        lease_ms: LEASE,
+        lease_length: LEASE,
     }
 }
 
 impl Fleet {
     pub fn new(size: u32, tasks: u64, seed: u64) -> Self {
-        let gateways = (0..size).map(|number| Gateway::new(number, 0, size, 0));
+        let processes = (0..size).map(|number| GatewayProcess::first(GatewayId(number)));
+        let gateways = processes.map(|process| Gateway::new(process, size, Timestamp::ZERO));
         let mut fleet = Fleet {
-            now: 0,
+            now: Timestamp::ZERO,
             gateways: gateways.collect(),
             tasks: (0..tasks).map(TaskId).collect(),
             flights: BTreeMap::new(),
@@ -101,62 +113,82 @@
             latest: BTreeMap::new(),
             acquisitions: Vec::new(),
             last_held: BTreeMap::new(),
-            longest_gap: 0,
+            longest_gap: Milliseconds::ZERO,
             sent: 0,
         };
         fleet.update_views();
         for gateway in &mut fleet.gateways {
-            gateway.manager.set_tasks(0, &fleet.tasks);
+            gateway.manager.set_tasks(Timestamp::ZERO, &fleet.tasks);
         }
         fleet
     }
 
     /// Every gateway learns which gateways are up and on its side of a network partition.
     pub fn update_views(&mut self) {
-        let up: Vec<u32> = (0..self.gateways.len() as u32)
-            .filter(|&number| self.gateways[number as usize].up)
+        let up: Vec<GatewayId> = self
+            .gateway_ids()
+            .filter(|&id| self.gateway(id).up)
             .collect();
-        for &number in &up {
-            let reached = |other: &u32| *other == number || !self.cuts.contains(&(number, *other));
-            let alive: Vec<u32> = up.iter().copied().filter(reached).collect();
+        for &id in &up {
+            let reached = |other: &GatewayId| *other == id || !self.cuts.contains(&(id, *other));
+            let alive: Vec<GatewayId> = up.iter().copied().filter(reached).collect();
             let side = if 2 * alive.len() > self.gateways.len() {
                 PartitionSide::Majority
             } else {
                 PartitionSide::Minority
             };
             let now = self.now;
-            let manager = &mut self.gateways[number as usize].manager;
-            manager.update_view(now, &alive, side);
+            self.gateway_mut(id).manager.update_view(now, &alive, side);
         }
     }
 
-    pub fn crash(&mut self, number: u32) {
-        self.gateways[number as usize].up = false;
+    pub fn crash(&mut self, id: GatewayId) {
+        self.gateway_mut(id).up = false;
     }
 
-    pub fn restart(&mut self, number: u32) {
+    pub fn restart(&mut self, id: GatewayId) {
         let size = self.gateways.len() as u32;
-        let generation = self.gateways[number as usize].generation + 1;
-        let mut gateway = Gateway::new(number, generation, size, self.now);
+        let Generation(generation) = self.gateway(id).process.generation;
+        let process = GatewayProcess {
+            gateway: id,
+            generation: Generation(generation + 1),
+        };
+        let mut gateway = Gateway::new(process, size, self.now);
         gateway.manager.set_tasks(self.now, &self.tasks);
-        self.gateways[number as usize] = gateway;
+        *self.gateway_mut(id) = gateway;
     }
 
-    pub fn token(&self, number: u32, task: u64) -> Option<u64> {
-        let manager = &self.gateways[number as usize].manager;
-        manager.fencing_token(self.now, TaskId(task))
+    pub fn stall(&mut self, id: GatewayId) {
+        self.gateway_mut(id).stalled = true;
     }
 
-    fn carry_out_actions(&mut self, number: u32) {
-        let gateway = &mut self.gateways[number as usize];
-        let holder = Holder {
-            number,
-            generation: gateway.generation,
-        };
+    pub fn resume(&mut self, id: GatewayId) {
+        self.gateway_mut(id).stalled = false;
+    }
+
+    pub fn token(&self, id: GatewayId, task: TaskId) -> Option<Epoch> {
+        self.gateway(id).manager.fencing_token(self.now, task)
+    }
+
+    pub fn gateway(&self, GatewayId(index): GatewayId) -> &Gateway {
+        &self.gateways[index as usize]
+    }
+
+    pub fn gateway_mut(&mut self, GatewayId(index): GatewayId) -> &mut Gateway {
+        &mut self.gateways[index as usize]
+    }
+
+    pub fn gateway_ids(&self) -> impl Iterator<Item = GatewayId> + use<> {
+        (0..self.gateways.len() as u32).map(GatewayId)
+    }
+
+    fn carry_out_actions(&mut self, id: GatewayId) {
+        let gateway = self.gateway_mut(id);
+        let holder = gateway.process;
         let actions: Vec<Action> = gateway.manager.drain_actions().collect();
         for action in actions {
             match action {
-                Action::Send { to, bytes } => self.send(number, to, bytes),
+                Action::Send { to, bytes } => self.send(id, to, bytes),
                 Action::Acquired {
                     task,
                     epoch,
@@ -171,7 +203,7 @@
                     let last = self.latest.insert(task, LatestHolder { epoch, holder });
                     assert!(
                         last.is_none_or(|last| last.epoch < epoch),
-                        "{task:?}: {epoch} after {last:?}"
+                        "{task:?}: epoch {epoch} after {last:?}"
                     );
                 }
                 Action::Lost { .. } => {}
@@ -179,7 +211,7 @@
         }
     }
 
-    fn send(&mut self, from: u32, to: u32, bytes: Vec<u8>) {
+    fn send(&mut self, from: GatewayId, to: GatewayId, bytes: Vec<u8>) {
         assert!(bytes.len() <= codec::MAX_DATAGRAM_BYTES);
         self.sent += 1;
         let cut = self.cuts.contains(&(from, to));
@@ -187,16 +219,19 @@
             return;
         }
         self.sent_in_order += 1;
-        let arrives_at = self.now + 1 + self.rng.random_range(0..5);
+        let jitter = Milliseconds(self.rng.random_range(0..5));
+        let arrival = Arrival {
+            at: self.now + SHORTEST_LATENCY + jitter,
+            sent_in_order: self.sent_in_order,
+        };
         let flight = Flight { from, to, bytes };
-        self.flights
-            .insert((arrives_at, self.sent_in_order), flight);
+        self.flights.insert(arrival, flight);
     }
 
-    pub fn run(&mut self, length: Millis) {
+    pub fn run(&mut self, length: Milliseconds) {
         let end = self.now + length;
         while self.now < end {
-            self.now += 5;
+            self.now += STEP;
             self.deliver_datagrams();
             self.advance_gateways();
             self.check_holders();
@@ -205,9 +240,13 @@
 
     fn deliver_datagrams(&mut self) {
         let now = self.now;
-        while let Some(entry) = self.flights.first_entry().filter(|e| e.key().0 <= now) {
+        while let Some(entry) = self
+            .flights
+            .first_entry()
+            .filter(|entry| entry.key().at <= now)
+        {
             let flight = entry.remove();
-            let gateway = &mut self.gateways[flight.to as usize];
+            let gateway = self.gateway_mut(flight.to);
             if gateway.runs() {
                 let received = gateway.manager.receive(now, flight.from, &flight.bytes);
                 received.expect("decodes");
@@ -218,11 +257,12 @@
 
     fn advance_gateways(&mut self) {
         let now = self.now;
-        for number in 0..self.gateways.len() as u32 {
-            let gateway = &mut self.gateways[number as usize];
+        for id in self.gateway_ids() {
+            let gateway = self.gateway_mut(id);
             if gateway.runs() && gateway.manager.next_due() <= now {
-                gateway.manager.advance(now, 1_000_000 + now);
-                self.carry_out_actions(number);
+                let unix_now = UNIX_START + now.since_origin();
+                gateway.manager.advance(now, unix_now);
+                self.carry_out_actions(id);
             }
         }
     }
@@ -236,7 +276,7 @@
             assert!(
                 holders.len() <= 1,
                 "at {} ms {task:?} has {} holders",
-                self.now,
+                self.now.as_millis(),
                 holders.len()
             );
             // A gateway that is stalled holds the lease and does nothing.
@@ -245,7 +285,8 @@
             if acts {
                 *last_held = self.now;
             }
-            self.longest_gap = self.longest_gap.max(self.now - *last_held);
+            let gap = self.now.saturating_duration_since(*last_held);
+            self.longest_gap = self.longest_gap.max(gap);
         }
     }
 }
--- a/crates/testbed/src/cluster/leases.rs
+++ b/crates/testbed/src/cluster/leases.rs
@@ -9,6 +9,7 @@
 
 use super::stand_ins::Probe;
 use super::Cluster;
+use irisrouter_cluster_types::Milliseconds;
 use irisrouter_leases::Settings;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -198,9 +199,9 @@
 fn check_gaps(cluster: &Cluster, set: u64, bounds: Bounds, findings: &mut LeaseFindings) {
     let settings = Settings {
         fleet: cluster.plan.gateways as u32,
-        lease_ms: bounds.lease_ms,
+        lease_length: Milliseconds(bounds.lease_ms),
     };
-    let bound = settings.takeover_bound_ms() + SLACK_MS;
+    let bound = settings.takeover_bound().0 + SLACK_MS;
     let mut last_at = bounds.from;
     let mut last_holder = None;
     for probe in cluster.probes(set).iter().filter(|p| is_accepted(p)) {
--- a/crates/testbed/tests/drains.rs
+++ b/crates/testbed/tests/drains.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::{ask, started, wait};
-use irisrouter_cluster_types::HostId;
+use irisrouter_cluster_types::{GatewayId, HostId};
 use irisrouter_testbed::cluster::process::Line;
 use irisrouter_testbed::cluster::Cluster;
 use std::time::Duration;
@@ -106,9 +106,10 @@
     let first = {
         let host = HostId(irisrouter_gossip::message::host_id("h1-1"));
         irisrouter_leases::rendezvous::candidates(
-            irisrouter_drain_coordination::task_id(host).0,
-            &[0, 1, 2, 3, 4],
-        )[0] as usize
+            irisrouter_drain_coordination::task_id(host),
+            &(0..5).map(GatewayId).collect::<Vec<_>>(),
+        )[0]
+        .0 as usize
     };
     let (teller, quiet) = ((first + 1) % 5, (first + 2) % 5);
     // One is stopped: it can't say what it has open, and nobody may call the host drained without it.
--- a/crates/testbed/tests/takeover.rs
+++ b/crates/testbed/tests/takeover.rs
@@ -4,6 +4,8 @@
 mod common;
 
 use common::{ask, started, wait, LEASE_MS};
+use irisrouter_cluster_types::{GatewayId, TaskId};
+use irisrouter_leases::rendezvous;
 use irisrouter_testbed::cluster::leases::{check, Bounds};
 use irisrouter_testbed::cluster::process::Line;
 use irisrouter_testbed::cluster::{Cluster, PATIENCE};
@@ -11,8 +13,8 @@
 
 /// The owner of a set, once that is the first in its order, where it stays.
 fn first(cluster: &Cluster, gateways: u32, set: u64) -> usize {
-    let first = irisrouter_leases::rendezvous::candidates(set, &(0..gateways).collect::<Vec<_>>())
-        [0] as usize;
+    let gateways: Vec<GatewayId> = (0..gateways).map(GatewayId).collect();
+    let first = rendezvous::candidates(TaskId(set), &gateways)[0].0 as usize;
     wait("the first in the order", || {
         cluster.prober(set, 300) == Some(first)
     });
--- a/src/net/cluster/leases.rs
+++ b/src/net/cluster/leases.rs
@@ -10,10 +10,11 @@
 use crate::net::unix_milliseconds;
 use crate::net::upstream::Fence;
 use irisrouter::routing::GroupId;
-use irisrouter_cluster_types::{Epoch, GatewayId, HostId};
+use irisrouter_cluster_types::{
+    Epoch, GatewayId, HostId, Milliseconds, TaskId, Timestamp, UnixMilliseconds,
+};
 use irisrouter_leases::{
-    Action, HeldLease, Holder, LeaseChange, LeaseManager, PartitionSide, Settings, SettingsError,
-    TaskId,
+    Action, HeldLease, LeaseChange, LeaseManager, PartitionSide, Settings, SettingsError,
 };
 use std::cell::RefCell;
 use std::fmt;
@@ -22,8 +23,8 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// The longest time between two calls of [`LeaseService::advance`], in milliseconds.
-const MAX_ADVANCE_INTERVAL_MS: u64 = 60_000;
+/// The longest time between two calls of [`LeaseService::advance`].
+const MAX_ADVANCE_INTERVAL: Milliseconds = Milliseconds(60_000);
 
 /// A task that one gateway does for the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,28 +42,28 @@
 impl LeasedTask {
     /// The number of the task, the same at every gateway. That of a set's health checks is the set's number.
     const fn id(self) -> TaskId {
-        TaskId(match self {
-            Self::HealthChecks(GroupId(set)) => set as u64,
-            Self::HostDrain(host) => irisrouter_drain_coordination::task_id(host).0,
-            Self::EndpointWatch => irisrouter_endpoint_watch::TASK_ID.0,
-            Self::SiteFailover => irisrouter_site_failover::TASK_ID.0,
-        })
+        match self {
+            Self::HealthChecks(GroupId(set)) => TaskId(set as u64),
+            Self::HostDrain(host) => irisrouter_drain_coordination::task_id(host),
+            Self::EndpointWatch => irisrouter_endpoint_watch::TASK_ID,
+            Self::SiteFailover => irisrouter_site_failover::TASK_ID,
+        }
     }
 
     /// The task with this number.
-    const fn from_id(TaskId(id): TaskId) -> Self {
-        if id == irisrouter_endpoint_watch::TASK_ID.0 {
+    fn from_id(id: TaskId) -> Self {
+        if id == irisrouter_endpoint_watch::TASK_ID {
             return Self::EndpointWatch;
         }
-        if id == irisrouter_site_failover::TASK_ID.0 {
+        if id == irisrouter_site_failover::TASK_ID {
             return Self::SiteFailover;
         }
         // The number of a drain has the host's number in its low half.
-        let host = HostId(id as u32);
-        if irisrouter_drain_coordination::task_id(host).0 == id {
+        let host = HostId(id.0 as u32);
+        if irisrouter_drain_coordination::task_id(host) == id {
             return Self::HostDrain(host);
         }
-        Self::HealthChecks(GroupId(id as i64))
+        Self::HealthChecks(GroupId(id.0 as i64))
     }
 }
 
@@ -102,16 +103,11 @@
         fence: bool,
         metrics: Rc<Metrics>,
     ) -> Result<Self, SettingsError> {
-        let process = membership.local_process();
-        let local = Holder {
-            number: process.gateway.0,
-            generation: process.generation.0,
-        };
         let settings = Settings {
             fleet: gateways.len() as u32,
-            lease_ms,
+            lease_length: Milliseconds(lease_ms),
         };
-        let manager = LeaseManager::new(local, settings, 0)?;
+        let manager = LeaseManager::new(membership.local_process(), settings, Timestamp::ZERO)?;
         log!("leases: on, with leases of {lease_ms} ms");
         Ok(Self {
             manager: RefCell::new(manager),
@@ -123,8 +119,9 @@
         })
     }
 
-    fn now(&self) -> u64 {
-        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+    fn now(&self) -> Timestamp {
+        let elapsed = self.start.elapsed().as_millis();
+        Timestamp::from_millis(u64::try_from(elapsed).unwrap_or(u64::MAX))
     }
 
     /// This process receives datagrams from now on.
@@ -136,7 +133,7 @@
     pub fn receive(&self, datagram: &[u8], from: GatewayId) -> Vec<OutgoingDatagram> {
         let now = self.now();
         let mut manager = self.manager.borrow_mut();
-        match manager.receive(now, from.0, datagram) {
+        match manager.receive(now, from, datagram) {
             Ok(()) => increment(&self.metrics.leases.received),
             Err(error) => {
                 increment(&self.metrics.leases.rejected);
@@ -157,10 +154,9 @@
         };
         let tasks: Vec<TaskId> = tasks.map(LeasedTask::id).collect();
         let mut manager = self.manager.borrow_mut();
-        let gateways: Vec<u32> = alive.gateways.iter().map(|gateway| gateway.0).collect();
-        manager.update_view(now, &gateways, side);
+        manager.update_view(now, &alive.gateways, side);
         manager.set_tasks(now, &tasks);
-        manager.advance(now, unix_milliseconds());
+        manager.advance(now, UnixMilliseconds(unix_milliseconds()));
         self.carry_out_actions(&mut manager)
     }
 
@@ -168,7 +164,8 @@
     pub fn due(&self) -> Instant {
         let now = self.now();
         let due = self.manager.borrow().next_due();
-        self.start + Duration::from_millis(due.max(now).min(now + MAX_ADVANCE_INTERVAL_MS))
+        let latest = now + MAX_ADVANCE_INTERVAL;
+        self.start + Duration::from(due.max(now).min(latest).since_origin())
     }
 
     /// Whether this gateway is in the majority partition, as of the last [`LeaseService::advance`].
@@ -179,13 +176,12 @@
     /// The fencing token under which this gateway may do a task now; none where it does not hold the lease. Ask before
     /// each act, and do not store the answer.
     pub fn fencing_token(&self, task: LeasedTask) -> Option<Epoch> {
-        let token = self.manager.borrow().fencing_token(self.now(), task.id());
-        token.map(Epoch)
+        self.manager.borrow().fencing_token(self.now(), task.id())
     }
 
     /// The fence that a health check of a group carries, where the operators turned fencing on.
     pub fn health_check_fence(&self, group: GroupId, epoch: Epoch) -> Option<Fence> {
-        let task = irisrouter_cluster_types::TaskId(LeasedTask::HealthChecks(group).id().0);
+        let task = LeasedTask::HealthChecks(group).id();
         self.fence.then_some(Fence { task, epoch })
     }
 
@@ -214,7 +210,7 @@
     fn carry_out_actions(&self, manager: &mut LeaseManager) -> Vec<OutgoingDatagram> {
         for action in manager.drain_actions() {
             match action {
-                Action::Send { to, bytes } => self.outbox.push(GatewayId(to), bytes),
+                Action::Send { to, bytes } => self.outbox.push(to, bytes),
                 Action::Acquired {
                     task,
                     epoch,
@@ -254,9 +250,9 @@
 fn reason(change: LeaseChange) -> String {
     match change {
         LeaseChange::Vacant => "it was vacant".into(),
-        LeaseChange::TakenOver(holder) => format!(
+        LeaseChange::TakenOver(previous) => format!(
             "taken over from gateway {}, generation {}",
-            holder.number, holder.generation
+            previous.gateway, previous.generation
         ),
         LeaseChange::Expired => "it expired before it was renewed".into(),
         LeaseChange::Superseded => "superseded by a later epoch".into(),
--- a/src/net/cluster/site_failover.rs
+++ b/src/net/cluster/site_failover.rs
@@ -230,10 +230,8 @@
     fn queue_load_report(&self, report: &SiteLoadReport, alive: &[GatewayId]) {
         let datagram = codec::encode_load_report(report);
         let local_gateway = self.local_gateway();
-        let alive: Vec<u32> = alive.iter().map(|gateway| gateway.0).collect();
-        let receivers = rendezvous::candidates(TASK_ID.0, &alive)
+        let receivers = rendezvous::candidates(TASK_ID, alive)
             .into_iter()
-            .map(GatewayId)
             .take(REPORT_RECEIVERS)
             .filter(|&gateway| gateway != local_gateway);
         for receiver in receivers {
