--- a/crates/testbed/tests/drains.rs
+++ b/crates/testbed/tests/drains.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::{ask, started, wait};
-use irisrouter_cluster_types::HostId;
+use irisrouter_cluster_types::{GatewayId, HostId};
 use irisrouter_testbed::cluster::process::Line;
 use irisrouter_testbed::cluster::stand_ins::Host;
 use irisrouter_testbed::cluster::Cluster;
@@ -146,9 +146,10 @@
     let first = {
         let host = HostId(irisrouter_gossip::message::host_id("h1-1"));
         irisrouter_leases::rendezvous::candidates(
-            irisrouter_drain_coordination::task_id(host).0,
-            &[0, 1, 2, 3, 4],
-        )[0] as usize
+            irisrouter_drain_coordination::task_id(host),
+            &(0..5).map(GatewayId).collect::<Vec<_>>(),
+        )[0]
+        .0 as usize
     };
     let issuer = (first + 1) % 5;
     let stalled = (first + 2) % 5;
