Give gossip's gateways, hosts, instants and lengths of time types of their own

Cause: its alias `Nanos` was both an instant and a length of time, and gateways and hosts were bare u32. Change: `GatewayId` and `HostId` of irisrouter-cluster-types, `UnixNanoseconds` and `Nanoseconds` in crates/gossip/src/time.rs. The bytes of the datagram stay. Outside: the shell converts at its border, and one line each of src/net/upstream/host.rs and of crates/testbed/tests/drains.rs follows. Tests write arguments in the new types; what golden.rs pins stays: its two results that were instants counted from 0 are now times since the epoch, of the same numbers.

--- a/crates/gossip/src/health_check_schedule.rs
+++ b/crates/gossip/src/health_check_schedule.rs
@@ -12,34 +12,35 @@
 //! Where results do not get through, each side runs rounds of its own: loss of messages leads to
 //! more health checks, never to none.
 
-use crate::Nanos;
+use crate::{Nanoseconds, UnixNanoseconds};
+use irisrouter_cluster_types::GatewayId;
 use std::collections::BTreeMap;
 
 /// Time between two rounds of a group: short enough that results are younger than the age that
 /// reads allow.
-const ROUND_PERIOD: Nanos = 200_000_000;
+const ROUND_PERIOD: Nanoseconds = Nanoseconds::from_millis(200);
 /// Time between two gateways that stand by: long enough for a health check on a new connection and
 /// the way of its result.
-const STANDBY_INTERVAL: Nanos = 60_000_000;
+const STANDBY_INTERVAL: Nanoseconds = Nanoseconds::from_millis(60);
 
 /// The latest round of health checks of one group.
 struct HealthCheckRound {
     /// When it started, or a period before the group was first seen.
-    started_at: Nanos,
+    started_at: UnixNanoseconds,
     /// The gateway that ran it; none before the first round.
-    gateway: Option<u32>,
+    gateway: Option<GatewayId>,
     /// How many gateways stand before this one in the group's order.
     local_rank: i64,
 }
 
 impl HealthCheckRound {
     /// When the next round is due, whoever runs it.
-    const fn next_due(&self) -> Nanos {
+    fn next_due(&self) -> UnixNanoseconds {
         self.started_at + ROUND_PERIOD
     }
 
     /// When the next round is due at this gateway if no other gateway starts one before.
-    fn next_due_at(&self, local_gateway: u32) -> Nanos {
+    fn next_due_at(&self, local_gateway: GatewayId) -> UnixNanoseconds {
         let standby_rank = match self.gateway {
             Some(gateway) if gateway == local_gateway => 0,
             Some(_) => 1 + self.local_rank,
@@ -51,7 +52,7 @@
 
 /// The schedule of one gateway. Groups are given by their numbers.
 pub struct HealthCheckSchedule {
-    local_gateway: u32,
+    local_gateway: GatewayId,
     gateway_count: u32,
     rounds: BTreeMap<i64, HealthCheckRound>,
 }
@@ -59,7 +60,7 @@
 impl HealthCheckSchedule {
     /// The schedule of gateway `local_gateway` in a fleet of `gateway_count` gateways, without
     /// groups.
-    pub fn new(local_gateway: u32, gateway_count: u32) -> Self {
+    pub fn new(local_gateway: GatewayId, gateway_count: u32) -> Self {
         HealthCheckSchedule {
             local_gateway,
             gateway_count,
@@ -68,7 +69,7 @@
     }
 
     /// Replaces the groups. A new group is due at once for the first gateway in its order.
-    pub fn update_groups(&mut self, now: Nanos, groups: &[i64]) {
+    pub fn update_groups(&mut self, now: UnixNanoseconds, groups: &[i64]) {
         self.rounds.retain(|group, _| groups.contains(group));
         let (local_gateway, gateway_count) = (self.local_gateway, self.gateway_count);
         for &group in groups {
@@ -85,7 +86,7 @@
 
     /// Records that a gateway started a round. A round that is not later than the last one is
     /// ignored.
-    pub fn record_round(&mut self, group: i64, gateway: u32, started_at: Nanos) {
+    pub fn record_round(&mut self, group: i64, gateway: GatewayId, started_at: UnixNanoseconds) {
         let round = self.rounds.get_mut(&group);
         if let Some(round) = round.filter(|round| round.started_at < started_at) {
             round.started_at = started_at;
@@ -94,7 +95,7 @@
     }
 
     /// Starts the rounds that are due at this gateway, and returns their groups.
-    pub fn start_due_rounds(&mut self, now: Nanos) -> Vec<i64> {
+    pub fn start_due_rounds(&mut self, now: UnixNanoseconds) -> Vec<i64> {
         let local_gateway = self.local_gateway;
         self.start_rounds(now, |_, round| round.next_due_at(local_gateway) <= now)
     }
@@ -103,7 +104,7 @@
     /// those groups. Under a lease a round is due each period, whichever gateway ran the last one.
     pub fn start_due_leased_rounds(
         &mut self,
-        now: Nanos,
+        now: UnixNanoseconds,
         holds_lease: impl Fn(i64) -> bool,
     ) -> Vec<i64> {
         self.start_rounds(now, |group, round| {
@@ -113,7 +114,7 @@
 
     fn start_rounds(
         &mut self,
-        now: Nanos,
+        now: UnixNanoseconds,
         is_due: impl Fn(i64, &HealthCheckRound) -> bool,
     ) -> Vec<i64> {
         let due: Vec<i64> = self
@@ -129,7 +130,7 @@
     }
 
     /// When this gateway's next round is due, if no other gateway starts one before.
-    pub fn next_due(&self) -> Option<Nanos> {
+    pub fn next_due(&self) -> Option<UnixNanoseconds> {
         self.rounds
             .values()
             .map(|round| round.next_due_at(self.local_gateway))
@@ -137,7 +138,7 @@
     }
 
     /// When the next round is due of the groups whose lease this gateway holds.
-    pub fn next_leased_due(&self, holds_lease: impl Fn(i64) -> bool) -> Option<Nanos> {
+    pub fn next_leased_due(&self, holds_lease: impl Fn(i64) -> bool) -> Option<UnixNanoseconds> {
         self.rounds
             .iter()
             .filter(|(&group, _)| holds_lease(group))
@@ -147,18 +148,19 @@
 }
 
 /// How many gateways stand before this one in the order of a group: those of greater weight.
-fn rank(group: i64, local_gateway: u32, gateway_count: u32) -> i64 {
+fn rank(group: i64, local_gateway: GatewayId, gateway_count: u32) -> i64 {
     let local_weight = weight(group, local_gateway);
     (0..gateway_count)
+        .map(GatewayId)
         .filter(|&gateway| gateway != local_gateway && weight(group, gateway) > local_weight)
         .count() as i64
 }
 
 /// The weight of a gateway for a group, by the mixing function of splitmix64. It is the same at
 /// every gateway.
-fn weight(group: i64, gateway: u32) -> u64 {
+fn weight(group: i64, gateway: GatewayId) -> u64 {
     let mut hash = (group as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15)
-        ^ (u64::from(gateway) + 1).rotate_left(32);
+        ^ (u64::from(gateway.0) + 1).rotate_left(32);
     hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     hash ^ (hash >> 31)
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -14,6 +14,6 @@
 
 pub mod health_check_schedule;
 pub mod message;
+mod time;
 
-/// Nanoseconds of Unix time.
-pub type Nanos = i64;
+pub use time::{Nanoseconds, UnixNanoseconds};
--- a/crates/gossip/src/message.rs
+++ b/crates/gossip/src/message.rs
@@ -10,10 +10,10 @@
 //! 5      top bit: 1 for a primary; lower bits: cores in use in hundredths, 127 if unknown
 //! ```
 
-use crate::Nanos;
+use crate::{Nanoseconds, UnixNanoseconds};
+use irisrouter_cluster_types::HostId;
 use thiserror::Error;
 
-const NANOS_PER_MS: Nanos = 1_000_000;
 /// The version that is encoded, and the only one that is decoded.
 const VERSION: u8 = 1;
 const HEADER_BYTES: usize = 5;
@@ -24,10 +24,10 @@
 pub const MAX_RESULTS: usize = (MAX_DATAGRAM_BYTES - HEADER_BYTES) / RESULT_BYTES;
 /// Results older than this are not used: a datagram that was delayed must not undo what arrived
 /// since.
-const MAX_AGE: Nanos = 5_000 * NANOS_PER_MS;
+const MAX_AGE: Nanoseconds = Nanoseconds::from_millis(5_000);
 /// Clocks of gateways differ by less than this. Results further in the future are not used: they
 /// would take precedence over all that arrives later.
-const MAX_CLOCK_SKEW: Nanos = 20 * NANOS_PER_MS;
+const MAX_CLOCK_SKEW: Nanoseconds = Nanoseconds::from_millis(20);
 const UNKNOWN_LAG: u16 = u16::MAX;
 const UNKNOWN_CORES_IN_USE: u8 = 0x7f;
 /// The greatest number of cores in use that can be encoded, in hundredths.
@@ -38,10 +38,9 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HealthCheckResult {
     /// The host, see [`host_id`].
-    pub host: u32,
-    /// The host has applied all commits up to this time: nanoseconds of Unix time, in whole
-    /// milliseconds.
-    pub position: Option<i64>,
+    pub host: HostId,
+    /// The host has applied all commits up to this time, in whole milliseconds.
+    pub position: Option<UnixNanoseconds>,
     /// Whether the host accepts writes.
     pub primary: bool,
     /// The share of its cores in use, 0 to 1.26.
@@ -51,8 +50,8 @@
 /// The results of checks that were made together.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Message {
-    /// When the checks were made: nanoseconds of Unix time, in whole milliseconds.
-    pub checked_at: i64,
+    /// When the checks were made, in whole milliseconds.
+    pub checked_at: UnixNanoseconds,
     /// The result of each host.
     pub results: Vec<HealthCheckResult>,
 }
@@ -76,22 +75,22 @@
 
 /// The id by which gateways refer to a host: a hash of its name (FNV-1a, folded to 24 bits), the
 /// same at every gateway.
-pub fn host_id(name: &str) -> u32 {
+pub fn host_id(name: &str) -> HostId {
     let hash = name.bytes().fold(0x811c_9dc5_u32, |hash, byte| {
         (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
     });
-    (hash >> 24) ^ (hash & 0xff_ffff)
+    HostId((hash >> 24) ^ (hash & 0xff_ffff))
 }
 
 /// Encodes a message. Results beyond [`MAX_RESULTS`] are left out.
 pub fn encode(message: &Message) -> Vec<u8> {
-    let checked_at_ms = message.checked_at.div_euclid(NANOS_PER_MS);
+    let checked_at_ms = message.checked_at.as_millis();
     let results = &message.results[..message.results.len().min(MAX_RESULTS)];
     let mut datagram = Vec::with_capacity(HEADER_BYTES + RESULT_BYTES * results.len());
     datagram.push(VERSION);
     datagram.extend_from_slice(&(checked_at_ms as u32).to_be_bytes());
     for result in results {
-        let [_, host_bytes @ ..] = result.host.to_be_bytes();
+        let [_, host_bytes @ ..] = result.host.0.to_be_bytes();
         datagram.extend_from_slice(&host_bytes);
         datagram.extend_from_slice(&encode_lag(result.position, checked_at_ms).to_be_bytes());
         let primary_bit = if result.primary { PRIMARY_BIT } else { 0 };
@@ -102,9 +101,9 @@
 
 /// How far a position is behind the time of the checks, in milliseconds. The position is rounded
 /// down: rounded up, it would claim commits that the host has not applied.
-fn encode_lag(position: Option<Nanos>, checked_at_ms: i64) -> u16 {
+fn encode_lag(position: Option<UnixNanoseconds>, checked_at_ms: i64) -> u16 {
     position.map_or(UNKNOWN_LAG, |position| {
-        let lag_ms = checked_at_ms - position.div_euclid(NANOS_PER_MS);
+        let lag_ms = checked_at_ms - position.as_millis();
         lag_ms.clamp(0, i64::from(UNKNOWN_LAG)) as u16
     })
 }
@@ -118,12 +117,12 @@
         })
 }
 
-/// Decodes a datagram. `now` is the time of the receiver, in nanoseconds of Unix time.
+/// Decodes a datagram. `now` is the time of the receiver.
 ///
 /// # Errors
 ///
 /// [`encode`] does not produce such a datagram, or its checks are too old or in the future.
-pub fn decode(datagram: &[u8], now: i64) -> Result<Message, DecodeError> {
+pub fn decode(datagram: &[u8], now: UnixNanoseconds) -> Result<Message, DecodeError> {
     let results_bytes = datagram.len().saturating_sub(HEADER_BYTES);
     if results_bytes == 0
         || !results_bytes.is_multiple_of(RESULT_BYTES)
@@ -135,8 +134,8 @@
         return Err(DecodeError::Version);
     }
     let time_bits = u32::from_be_bytes([datagram[1], datagram[2], datagram[3], datagram[4]]);
-    let checked_at_ms = nearest_time_ms(now.div_euclid(NANOS_PER_MS), time_bits);
-    let checked_at = checked_at_ms * NANOS_PER_MS;
+    let checked_at_ms = nearest_time_ms(now.as_millis(), time_bits);
+    let checked_at = UnixNanoseconds::from_millis(checked_at_ms);
     if checked_at < now - MAX_AGE {
         return Err(DecodeError::Old);
     }
@@ -163,8 +162,9 @@
     let lag = u16::from_be_bytes([bytes[3], bytes[4]]);
     let hundredths = bytes[5] & !PRIMARY_BIT;
     HealthCheckResult {
-        host: u32::from_be_bytes([0, bytes[0], bytes[1], bytes[2]]),
-        position: (lag != UNKNOWN_LAG).then(|| (checked_at_ms - i64::from(lag)) * NANOS_PER_MS),
+        host: HostId(u32::from_be_bytes([0, bytes[0], bytes[1], bytes[2]])),
+        position: (lag != UNKNOWN_LAG)
+            .then(|| UnixNanoseconds::from_millis(checked_at_ms - i64::from(lag))),
         primary: bytes[5] & PRIMARY_BIT != 0,
         cores_in_use: (hundredths != UNKNOWN_CORES_IN_USE).then(|| f64::from(hundredths) / 100.0),
     }
--- a/crates/gossip/tests/golden.rs
+++ b/crates/gossip/tests/golden.rs
@@ -11,17 +11,21 @@
 //! Literals are groups of hex digits, one group for each field of the layout; white space between
 //! them is ignored.
 
+use irisrouter_cluster_types::{GatewayId, HostId};
 use irisrouter_gossip::health_check_schedule::HealthCheckSchedule;
 use irisrouter_gossip::message::{
     decode, encode, host_id, DecodeError, HealthCheckResult, Message, MAX_DATAGRAM_BYTES,
     MAX_RESULTS,
 };
+use irisrouter_gossip::{Nanoseconds, UnixNanoseconds};
 
-const MS: i64 = 1_000_000;
+const MS: Nanoseconds = Nanoseconds(1_000_000);
+const NANOSECOND: Nanoseconds = Nanoseconds(1);
+const EPOCH: UnixNanoseconds = UnixNanoseconds(0);
 /// The lower 32 bits of these milliseconds are 0x32e2_9314.
-const NOW: i64 = 1_796_150_039_316 * MS;
+const NOW: UnixNanoseconds = UnixNanoseconds(1_796_150_039_316 * 1_000_000);
 /// The lower 32 bits of these milliseconds are 0: the time on the wire has just wrapped around.
-const WRAP: i64 = (418 << 32) * MS;
+const WRAP: UnixNanoseconds = UnixNanoseconds((418 << 32) * 1_000_000);
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
@@ -29,7 +33,7 @@
 
 // Values: all messages and results that are pinned here are built in this part of the file.
 
-fn message(checked_at: i64, results: Vec<HealthCheckResult>) -> Message {
+fn message(checked_at: UnixNanoseconds, results: Vec<HealthCheckResult>) -> Message {
     Message {
         checked_at,
         results,
@@ -39,7 +43,7 @@
 /// A primary that is 1,929 ms (0x0789) behind and uses 37 (0x25) hundredths of its cores.
 fn primary() -> HealthCheckResult {
     HealthCheckResult {
-        host: 0x12_3456,
+        host: HostId(0x12_3456),
         position: Some(NOW - 1_929 * MS),
         primary: true,
         cores_in_use: Some(0.37),
@@ -49,7 +53,7 @@
 /// A replica that is 31 ms (0x1f) behind and uses 99 (0x63) hundredths.
 fn replica() -> HealthCheckResult {
     HealthCheckResult {
-        host: 0xfe_dcba,
+        host: HostId(0xfe_dcba),
         position: Some(NOW - 31 * MS),
         primary: false,
         cores_in_use: Some(0.99),
@@ -62,7 +66,7 @@
 
 fn with_unknown_values(primary: bool) -> HealthCheckResult {
     HealthCheckResult {
-        host: 0x00_abcd,
+        host: HostId(0x00_abcd),
         position: None,
         primary,
         cores_in_use: None,
@@ -70,9 +74,9 @@
 }
 
 /// A replica with this position and this share of its cores in use.
-fn with(position: i64, cores_in_use: f64) -> HealthCheckResult {
+fn with(position: UnixNanoseconds, cores_in_use: f64) -> HealthCheckResult {
     HealthCheckResult {
-        host: 0x01_0203,
+        host: HostId(0x01_0203),
         position: Some(position),
         primary: false,
         cores_in_use: Some(cores_in_use),
@@ -80,9 +84,9 @@
 }
 
 /// The same with values that may be unknown.
-fn without(position: Option<i64>, cores_in_use: Option<f64>) -> HealthCheckResult {
+fn without(position: Option<UnixNanoseconds>, cores_in_use: Option<f64>) -> HealthCheckResult {
     HealthCheckResult {
-        host: 0x01_0203,
+        host: HostId(0x01_0203),
         position,
         primary: false,
         cores_in_use,
@@ -92,7 +96,7 @@
 /// Results that differ in every field; every second one is a primary.
 fn many(count: u32) -> Vec<HealthCheckResult> {
     let one = |i: u32| HealthCheckResult {
-        host: 0x0a_00ff + i * 0xff,
+        host: HostId(0x0a_00ff + i * 0xff),
         position: Some(NOW - i64::from(0x1000 + i) * MS),
         primary: i % 2 == 1,
         cores_in_use: Some(f64::from(i + 1) / 100.0),
@@ -109,19 +113,19 @@
 }
 
 /// When this gateway checks the group if no other does, for a group that appears at time 0.
-fn first_round(group: i64, me: u32, gateways: u32) -> Option<i64> {
-    let mut schedule = HealthCheckSchedule::new(me, gateways);
-    schedule.update_groups(0, &[group]);
-    schedule.next_due()
+fn first_round(group: i64, me: u32, gateways: u32) -> Option<Nanoseconds> {
+    let mut schedule = HealthCheckSchedule::new(GatewayId(me), gateways);
+    schedule.update_groups(EPOCH, &[group]);
+    schedule.next_due().map(|due| due - EPOCH)
 }
 
 /// When this gateway checks the group next, in a fleet of three, after `last` has checked it at
 /// time 0.
-fn next_round(group: i64, me: u32, last: u32) -> Option<i64> {
-    let mut schedule = HealthCheckSchedule::new(me, 3);
-    schedule.update_groups(-1_000 * MS, &[group]);
-    schedule.record_round(group, last, 0);
-    schedule.next_due()
+fn next_round(group: i64, me: u32, last: u32) -> Option<Nanoseconds> {
+    let mut schedule = HealthCheckSchedule::new(GatewayId(me), 3);
+    schedule.update_groups(EPOCH - 1_000 * MS, &[group]);
+    schedule.record_round(group, GatewayId(last), EPOCH);
+    schedule.next_due().map(|due| due - EPOCH)
 }
 
 // Helpers.
@@ -175,7 +179,7 @@
         NOW,
         vec![
             with(NOW - 65_535 * MS, 0.01),
-            with(0, 0.02),
+            with(EPOCH, 0.02),
             with(NOW + 7 * MS, 0.03),
         ],
     );
@@ -206,8 +210,11 @@
 #[test]
 fn times_are_written_in_whole_milliseconds_rounded_down() {
     let sent = message(
-        NOW + 999_999,
-        vec![with(NOW + 999_999, 0.5), with(NOW - 1, 0.5)],
+        NOW + 999_999 * NANOSECOND,
+        vec![
+            with(NOW + 999_999 * NANOSECOND, 0.5),
+            with(NOW - NANOSECOND, 0.5),
+        ],
     );
     let read = message(NOW, vec![with(NOW, 0.5), with(NOW - MS, 0.5)]);
     pins(&sent, "01 32e29314  010203 0000 32  010203 0001 32", &read);
@@ -216,11 +223,11 @@
 #[test]
 fn host_id_beyond_24_bits_is_written_by_its_lower_24_bits() {
     let sent = HealthCheckResult {
-        host: 0x1234_5678,
+        host: HostId(0x1234_5678),
         ..replica()
     };
     let read = HealthCheckResult {
-        host: 0x34_5678,
+        host: HostId(0x34_5678),
         ..replica()
     };
     pins(
@@ -341,9 +348,15 @@
 fn message_is_refused_as_old_after_five_seconds_and_as_future_more_than_20_ms_ahead() {
     let bytes = encode(&both());
     assert_eq!(decode(&bytes, NOW + 5_000 * MS), Ok(both()));
-    assert_eq!(decode(&bytes, NOW + 5_000 * MS + 1), Err(DecodeError::Old));
+    assert_eq!(
+        decode(&bytes, NOW + 5_000 * MS + NANOSECOND),
+        Err(DecodeError::Old)
+    );
     assert_eq!(decode(&bytes, NOW - 20 * MS), Ok(both()));
-    assert_eq!(decode(&bytes, NOW - 20 * MS - 1), Err(DecodeError::Future));
+    assert_eq!(
+        decode(&bytes, NOW - 20 * MS - NANOSECOND),
+        Err(DecodeError::Future)
+    );
 }
 
 // Values on which all gateways agree.
@@ -359,7 +372,7 @@
         ("pg/σύνολο-3", 0xf8_2ea7),
     ];
     for (name, expected) in ids {
-        assert_eq!(host_id(name), expected, "{name:?}");
+        assert_eq!(host_id(name), HostId(expected), "{name:?}");
     }
 }
 
@@ -381,7 +394,12 @@
         .collect();
     assert_eq!(
         due_times,
-        [Some(0), Some(60 * MS), Some(120 * MS), Some(180 * MS)]
+        [
+            Some(Nanoseconds(0)),
+            Some(60 * MS),
+            Some(120 * MS),
+            Some(180 * MS)
+        ]
     );
 }
 
--- a/crates/gossip/tests/health_check_schedule.rs
+++ b/crates/gossip/tests/health_check_schedule.rs
@@ -1,19 +1,22 @@
 //! Fleets of schedules in virtual time, with gateways that die and results that are lost.
 
+use irisrouter_cluster_types::GatewayId;
 use irisrouter_gossip::health_check_schedule::HealthCheckSchedule;
+use irisrouter_gossip::{Nanoseconds, UnixNanoseconds};
 use std::collections::BTreeMap;
 
-const NANOS_PER_MS: i64 = 1_000_000;
+const MS: Nanoseconds = Nanoseconds(1_000_000);
+const EPOCH: UnixNanoseconds = UnixNanoseconds(0);
 const GROUPS: [i64; 12] = [0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11];
 /// How long a result takes to reach the other gateways.
 const DELAY_MS: i64 = 30;
 
 /// The notice of a round, on its way to the other gateways.
 struct RoundNotice {
-    arrives_at: i64,
+    arrives_at: UnixNanoseconds,
     group: i64,
-    gateway: u32,
-    started_at: i64,
+    gateway: GatewayId,
+    started_at: UnixNanoseconds,
 }
 
 /// Runs a fleet in steps of a millisecond. Returns for each group when its rounds started, in
@@ -25,18 +28,19 @@
     reaches: impl Fn(u32, u32) -> bool,
 ) -> BTreeMap<i64, Vec<i64>> {
     let mut fleet: Vec<HealthCheckSchedule> = (0..gateway_count)
-        .map(|gateway| HealthCheckSchedule::new(gateway, gateway_count))
+        .map(|gateway| HealthCheckSchedule::new(GatewayId(gateway), gateway_count))
         .collect();
     for schedule in &mut fleet {
-        schedule.update_groups(0, &GROUPS);
+        schedule.update_groups(EPOCH, &GROUPS);
     }
     let mut round_starts: BTreeMap<i64, Vec<i64>> = BTreeMap::new();
     let mut notices: Vec<RoundNotice> = Vec::new();
     for now_ms in 0..duration_ms {
-        let now = now_ms * NANOS_PER_MS;
+        let now = EPOCH + now_ms * MS;
         for notice in notices.iter().filter(|notice| notice.arrives_at == now) {
             let sender = notice.gateway;
-            for receiver in (0..gateway_count).filter(|&to| to != sender && reaches(sender, to)) {
+            for receiver in (0..gateway_count).filter(|&to| to != sender.0 && reaches(sender.0, to))
+            {
                 fleet[receiver as usize].record_round(notice.group, sender, notice.started_at);
             }
         }
@@ -45,9 +49,9 @@
             for group in fleet[gateway as usize].start_due_rounds(now) {
                 round_starts.entry(group).or_default().push(now_ms);
                 notices.push(RoundNotice {
-                    arrives_at: now + DELAY_MS * NANOS_PER_MS,
+                    arrives_at: now + DELAY_MS * MS,
                     group,
-                    gateway,
+                    gateway: GatewayId(gateway),
                     started_at: now,
                 });
             }
@@ -116,11 +120,11 @@
 /// A late datagram must not move the next round.
 #[test]
 fn schedule_ignores_a_round_that_started_before_the_latest() {
-    let mut schedule = HealthCheckSchedule::new(0, 2);
-    schedule.update_groups(0, &[5]);
-    schedule.record_round(5, 1, 900 * NANOS_PER_MS);
+    let mut schedule = HealthCheckSchedule::new(GatewayId(0), 2);
+    schedule.update_groups(EPOCH, &[5]);
+    schedule.record_round(5, GatewayId(1), EPOCH + 900 * MS);
     let next_due = schedule.next_due();
-    schedule.record_round(5, 0, 400 * NANOS_PER_MS);
-    schedule.record_round(6, 1, 950 * NANOS_PER_MS);
+    schedule.record_round(5, GatewayId(0), EPOCH + 400 * MS);
+    schedule.record_round(6, GatewayId(1), EPOCH + 950 * MS);
     assert_eq!(schedule.next_due(), next_due);
 }
--- a/crates/gossip/tests/message.rs
+++ b/crates/gossip/tests/message.rs
@@ -1,12 +1,14 @@
 //! Messages encoded and decoded again, and bytes that are no message.
 
+use irisrouter_cluster_types::HostId;
 use irisrouter_gossip::message::{
     decode, encode, DecodeError, HealthCheckResult, Message, MAX_DATAGRAM_BYTES, MAX_RESULTS,
 };
+use irisrouter_gossip::{Nanoseconds, UnixNanoseconds};
 use proptest::prelude::*;
 
-const NANOS_PER_MS: i64 = 1_000_000;
-const NOW: i64 = 1_796_150_039_316 * NANOS_PER_MS;
+const MS: Nanoseconds = Nanoseconds(1_000_000);
+const NOW: UnixNanoseconds = UnixNanoseconds(1_796_150_039_316 * 1_000_000);
 
 fn result() -> impl Strategy<Value = HealthCheckResult> {
     (
@@ -16,8 +18,8 @@
         proptest::option::of(0u8..=126),
     )
         .prop_map(|(host, lag_ms, primary, hundredths)| HealthCheckResult {
-            host,
-            position: lag_ms.map(|lag_ms| NOW - lag_ms * NANOS_PER_MS),
+            host: HostId(host),
+            position: lag_ms.map(|lag_ms| NOW - lag_ms * MS),
             primary,
             cores_in_use: hundredths.map(|hundredths| f64::from(hundredths) / 100.0),
         })
@@ -32,7 +34,7 @@
         let message = Message { checked_at: NOW, results };
         let datagram = encode(&message);
         prop_assert!(datagram.len() <= MAX_DATAGRAM_BYTES);
-        prop_assert_eq!(decode(&datagram, NOW + later_ms * NANOS_PER_MS), Ok(message));
+        prop_assert_eq!(decode(&datagram, NOW + later_ms * MS), Ok(message));
     }
 
     #[test]
@@ -41,8 +43,8 @@
     ) {
         if let Ok(message) = decode(&bytes, NOW) {
             prop_assert!(message.results.len() <= MAX_RESULTS);
-            prop_assert!(message.checked_at <= NOW + 20 * NANOS_PER_MS);
-            prop_assert!(message.checked_at >= NOW - 5_000 * NANOS_PER_MS);
+            prop_assert!(message.checked_at <= NOW + 20 * MS);
+            prop_assert!(message.checked_at >= NOW - 5_000 * MS);
             for result in &message.results {
                 prop_assert!(result.position.is_none_or(|position| position <= message.checked_at));
             }
@@ -53,7 +55,7 @@
 #[test]
 fn decode_rejects_datagrams_of_wrong_length_version_or_time() {
     let result = HealthCheckResult {
-        host: 7,
+        host: HostId(7),
         position: Some(NOW),
         primary: true,
         cores_in_use: None,
@@ -73,12 +75,12 @@
     let mut other_version = valid.clone();
     other_version[0] = 2;
     assert_eq!(decode(&other_version, NOW), Err(DecodeError::Version));
-    let much_later = NOW + 6_000 * NANOS_PER_MS;
+    let much_later = NOW + 6_000 * MS;
     assert_eq!(decode(&valid, much_later), Err(DecodeError::Old));
-    let earlier = NOW - 60 * NANOS_PER_MS;
+    let earlier = NOW - 60 * MS;
     assert_eq!(decode(&valid, earlier), Err(DecodeError::Future));
     assert!(
-        decode(&valid, NOW - 10 * NANOS_PER_MS).is_ok(),
+        decode(&valid, NOW - 10 * MS).is_ok(),
         "clocks differ a little"
     );
 }
@@ -86,14 +88,14 @@
 #[test]
 fn encode_sends_unknown_when_values_are_not_finite_or_out_of_range() {
     let result = |position, cores_in_use| HealthCheckResult {
-        host: 1,
+        host: HostId(1),
         position,
         primary: false,
         cores_in_use,
     };
     let results = vec![
-        result(Some(NOW - 100_000 * NANOS_PER_MS), Some(f64::NAN)),
-        result(Some(NOW + NANOS_PER_MS), Some(f64::INFINITY)),
+        result(Some(NOW - 100_000 * MS), Some(f64::NAN)),
+        result(Some(NOW + MS), Some(f64::INFINITY)),
     ];
     let message = Message {
         checked_at: NOW,
--- a/crates/testbed/tests/drains.rs
+++ b/crates/testbed/tests/drains.rs
@@ -103,7 +103,7 @@
 fn a_drain_whose_owner_is_killed_is_seen_through_once_by_another() {
     let mut cluster = started(5, 32);
     let first = {
-        let host = irisrouter_gossip::message::host_id("h1-1");
+        let host = irisrouter_gossip::message::host_id("h1-1").0;
         irisrouter_leases::rendezvous::candidates(
             irisrouter_drain_coordination::task_id(host),
             &[0, 1, 2, 3, 4],
--- a/src/net/cluster/shared_health_checks.rs
+++ b/src/net/cluster/shared_health_checks.rs
@@ -19,8 +19,10 @@
 use irisrouter::routing::{
     Event, GroupId, LoadReport, MemberId, Outcome, SharedHealthCheck, TimeDelta, Timestamp,
 };
+use irisrouter_cluster_types::{GatewayId, HostId};
 use irisrouter_gossip::health_check_schedule::HealthCheckSchedule;
 use irisrouter_gossip::message::{self, HealthCheckResult, Message};
+use irisrouter_gossip::UnixNanoseconds;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -78,7 +80,10 @@
     pub fn new(peers: &Peers, sender: PeerSender, dependencies: &Dependencies) -> Self {
         let gateway_count = peers.gateway_addresses.len() as u32;
         SharedHealthChecks {
-            schedule: RefCell::new(HealthCheckSchedule::new(peers.local_number, gateway_count)),
+            schedule: RefCell::new(HealthCheckSchedule::new(
+                GatewayId(peers.local_number),
+                gateway_count,
+            )),
             sender,
             membership: dependencies.services.membership.clone(),
             leases: dependencies.services.leases.clone(),
@@ -96,9 +101,9 @@
     /// assigns by the results that arrived: when in doubt a group is checked by two gateways, never
     /// by none.
     pub fn start_due_rounds(self: &Rc<Self>, groups: &[i64]) -> Duration {
-        let now = self.clock.now();
+        let now = unix_nanoseconds(self.clock.now());
         let mut schedule = self.schedule.borrow_mut();
-        schedule.update_groups(now.as_nanos(), groups);
+        schedule.update_groups(now, groups);
         let leases = self.leases.as_ref().filter(|leases| leases.in_majority());
         let (due_groups, next_due) = match leases {
             Some(leases) => {
@@ -107,21 +112,18 @@
                     leases.fencing_token(task).is_some()
                 };
                 (
-                    schedule.start_due_leased_rounds(now.as_nanos(), holds_lease),
+                    schedule.start_due_leased_rounds(now, holds_lease),
                     schedule.next_leased_due(holds_lease),
                 )
             }
-            None => (
-                schedule.start_due_rounds(now.as_nanos()),
-                schedule.next_due(),
-            ),
+            None => (schedule.start_due_rounds(now), schedule.next_due()),
         };
         for group in due_groups {
             let lease = leases.and_then(|leases| RoundLease::acquire(leases, group));
             spawn_local(Rc::clone(self).run_round(group, lease));
         }
         next_due.map_or(IDLE_WAIT, |next_due| {
-            duration(TimeDelta::from_nanos(next_due - now.as_nanos()))
+            duration(TimeDelta::from_nanos((next_due - now).0))
         })
     }
 
@@ -189,7 +191,7 @@
     /// Sends results to all gateways. A result that is lost only delays what the others know: they
     /// run rounds of their own when none arrive.
     async fn share(&self, results: &[SharedHealthCheck]) {
-        let checked_at = self.clock.now().as_nanos();
+        let checked_at = unix_nanoseconds(self.clock.now());
         for chunk in results.chunks(message::MAX_RESULTS) {
             let results: Vec<HealthCheckResult> = chunk
                 .iter()
@@ -212,8 +214,8 @@
     fn to_message_result(&self, result: &SharedHealthCheck) -> Option<HealthCheckResult> {
         let (host, _) = self.upstream.fleet_host_id(result.member)?;
         Some(HealthCheckResult {
-            host,
-            position: result.report.position.map(Timestamp::as_nanos),
+            host: HostId(host),
+            position: result.report.position.map(unix_nanoseconds),
             primary: result.report.primary?,
             cores_in_use: result.report.cores_in_use,
         })
@@ -229,7 +231,7 @@
                 return;
             }
         }
-        match message::decode(datagram, now.as_nanos()) {
+        match message::decode(datagram, unix_nanoseconds(now)) {
             Ok(message) => self.apply(&message, gateway, now),
             Err(error) => ignore_datagram(&self.metrics, from, &error),
         }
@@ -239,21 +241,22 @@
     fn apply(&self, message: &Message, gateway: u32, now: Timestamp) {
         increment(&self.metrics.gossip.received);
         // Clocks differ a little: no result counts as made in the future.
-        let checked_at = Timestamp::from_nanos(message.checked_at).min(now);
+        let checked_at = timestamp(message.checked_at).min(now);
         let mut results = Vec::with_capacity(message.results.len());
         for result in &message.results {
-            let Some((member, group)) = self.upstream.member_by_fleet_id(result.host) else {
+            let Some((member, group)) = self.upstream.member_by_fleet_id(result.host.0) else {
                 continue;
             };
-            self.schedule
-                .borrow_mut()
-                .record_round(group, gateway, checked_at.as_nanos());
+            self.schedule.borrow_mut().record_round(
+                group,
+                GatewayId(gateway),
+                unix_nanoseconds(checked_at),
+            );
             results.push(SharedHealthCheck {
                 member,
                 at: checked_at,
                 report: LoadReport {
-                    position: (result.position)
-                        .map(|position| Timestamp::from_nanos(position).min(checked_at)),
+                    position: (result.position).map(|position| timestamp(position).min(checked_at)),
                     primary: Some(result.primary),
                     in_flight: None,
                     cores_in_use: result.cores_in_use,
@@ -265,3 +268,13 @@
         }
     }
 }
+
+/// An instant of the router's clock as the shared results carry it.
+fn unix_nanoseconds(instant: Timestamp) -> UnixNanoseconds {
+    UnixNanoseconds(instant.as_nanos())
+}
+
+/// An instant of a shared result on the router's clock: both count Unix time.
+fn timestamp(instant: UnixNanoseconds) -> Timestamp {
+    Timestamp::from_nanos(instant.0)
+}
--- a/src/net/upstream/host.rs
+++ b/src/net/upstream/host.rs
@@ -52,7 +52,7 @@
     /// A host that the list has just named; [`Host::apply_entry`] decides whether it accepts requests.
     pub(super) fn new(entry: &EndpointEntry) -> Self {
         Host {
-            fleet_id: message::host_id(&entry.id),
+            fleet_id: message::host_id(&entry.id).0,
             entry: entry.clone(),
             accepts_requests: false,
             incarnation: 0,
--- a/src/routing/request.rs
+++ b/src/routing/request.rs
@@ -97,6 +97,7 @@
         self.attempts.iter().any(Attempt::may_have_run)
     }
 }
+
 /// When a request must be looked at again. Reviews are ordered by time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Review {
