--- a/crates/testbed/tests/drains.rs
+++ b/crates/testbed/tests/drains.rs
@@ -144,7 +144,7 @@
 fn drain_is_completed_once_by_the_next_coordinator_when_its_coordinator_is_killed() {
     let mut cluster = started(5, 32);
     let first = {
-        let host = HostId(irisrouter_gossip::message::host_id("h1-1"));
+        let host = irisrouter_gossip::message::host_id("h1-1");
         irisrouter_leases::rendezvous::candidates(
             irisrouter_drain_coordination::task_id(host),
             &(0..5).map(GatewayId).collect::<Vec<_>>(),
--- a/src/net/cluster/shared_health_checks.rs
+++ b/src/net/cluster/shared_health_checks.rs
@@ -19,9 +19,10 @@
 use irisrouter::routing::{
     Event, GroupId, LoadReport, MemberId, Outcome, SharedHealthCheck, TimeDelta, Timestamp,
 };
-use irisrouter_cluster_types::{Epoch, GatewayId, HostId};
+use irisrouter_cluster_types::{Epoch, GatewayId};
 use irisrouter_gossip::health_check_schedule::HealthCheckSchedule;
 use irisrouter_gossip::message::{self, HealthCheckResult, Message};
+use irisrouter_gossip::UnixNanoseconds;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -80,7 +81,7 @@
         let gateway_count = peers.gateway_addresses.len() as u32;
         SharedHealthChecks {
             schedule: RefCell::new(HealthCheckSchedule::new(
-                peers.local_gateway.0,
+                peers.local_gateway,
                 gateway_count,
             )),
             sender,
@@ -100,10 +101,10 @@
     /// assigns by the results that arrived: when in doubt a group is checked by two gateways, never
     /// by none.
     pub fn start_due_rounds(self: &Rc<Self>, groups: &[GroupId]) -> Duration {
-        let now = self.clock.now();
+        let now = unix_nanoseconds(self.clock.now());
         let mut schedule = self.schedule.borrow_mut();
         let group_numbers: Vec<i64> = groups.iter().map(|group| group.0).collect();
-        schedule.update_groups(now.as_nanos(), &group_numbers);
+        schedule.update_groups(now, &group_numbers);
         let leases = self.leases.as_ref().filter(|leases| leases.in_majority());
         let (due_groups, next_due) = match leases {
             Some(leases) => {
@@ -112,21 +113,18 @@
                     leases.fencing_token(task).is_some()
                 };
                 (
-                    schedule.start_due_leased_rounds(now.as_nanos(), holds_lease),
+                    schedule.start_due_leased_rounds(now, holds_lease),
                     schedule.next_leased_due(holds_lease),
                 )
             }
-            None => (
-                schedule.start_due_rounds(now.as_nanos()),
-                schedule.next_due(),
-            ),
+            None => (schedule.start_due_rounds(now), schedule.next_due()),
         };
         for group in due_groups.into_iter().map(GroupId) {
             let lease = leases.and_then(|leases| RoundLease::acquire(leases, group));
             spawn_local(Rc::clone(self).run_round(group, lease));
         }
         next_due.map_or(IDLE_WAIT, |next_due| {
-            duration(TimeDelta::from_nanos(next_due - now.as_nanos()))
+            duration(TimeDelta::from_nanos((next_due - now).0))
         })
     }
 
@@ -195,7 +193,7 @@
     /// Sends results to all gateways. A result that is lost only delays what the others know: they
     /// run rounds of their own when none arrive.
     async fn share(&self, results: &[SharedHealthCheck]) {
-        let checked_at = self.clock.now().as_nanos();
+        let checked_at = unix_nanoseconds(self.clock.now());
         for chunk in results.chunks(message::MAX_RESULTS) {
             let results: Vec<HealthCheckResult> = chunk
                 .iter()
@@ -216,10 +214,9 @@
     /// The result as it is sent; none for a host that has been removed, or that did not report its
     /// role.
     fn to_message_result(&self, result: &SharedHealthCheck) -> Option<HealthCheckResult> {
-        let HostId(host) = self.upstream.fleet_host_id(result.member)?;
         Some(HealthCheckResult {
-            host,
-            position: result.report.position.map(Timestamp::as_nanos),
+            host: self.upstream.fleet_host_id(result.member)?,
+            position: result.report.position.map(unix_nanoseconds),
             primary: result.report.primary?,
             cores_in_use: result.report.cores_in_use,
         })
@@ -235,7 +232,7 @@
                 return;
             }
         }
-        match message::decode(datagram, now.as_nanos()) {
+        match message::decode(datagram, unix_nanoseconds(now)) {
             Ok(message) => self.apply(&message, gateway, now),
             Err(error) => ignore_datagram(&self.metrics, from, &error),
         }
@@ -245,23 +242,23 @@
     fn apply(&self, message: &Message, gateway: GatewayId, now: Timestamp) {
         increment(&self.metrics.gossip.received);
         // Clocks differ a little: no result counts as made in the future.
-        let checked_at = Timestamp::from_nanos(message.checked_at).min(now);
+        let checked_at = timestamp(message.checked_at).min(now);
         let mut results = Vec::with_capacity(message.results.len());
         for result in &message.results {
-            let Some(GroupMember { member, group }) =
-                self.upstream.member_by_fleet_id(HostId(result.host))
+            let Some(GroupMember { member, group }) = self.upstream.member_by_fleet_id(result.host)
             else {
                 continue;
             };
-            self.schedule
-                .borrow_mut()
-                .record_round(group.0, gateway.0, checked_at.as_nanos());
+            self.schedule.borrow_mut().record_round(
+                group.0,
+                gateway,
+                unix_nanoseconds(checked_at),
+            );
             results.push(SharedHealthCheck {
                 member,
                 at: checked_at,
                 report: LoadReport {
-                    position: (result.position)
-                        .map(|position| Timestamp::from_nanos(position).min(checked_at)),
+                    position: (result.position).map(|position| timestamp(position).min(checked_at)),
                     primary: Some(result.primary),
                     in_flight: None,
                     cores_in_use: result.cores_in_use,
@@ -273,3 +270,13 @@
         }
     }
 }
+
+/// An instant of the router's clock as the shared results carry it.
+fn unix_nanoseconds(instant: Timestamp) -> UnixNanoseconds {
+    UnixNanoseconds(instant.as_nanos())
+}
+
+/// An instant of a shared result on the router's clock: both count Unix time.
+fn timestamp(instant: UnixNanoseconds) -> Timestamp {
+    Timestamp::from_nanos(instant.0)
+}
