--- a/crates/testbed/src/cli/output.rs
+++ b/crates/testbed/src/cli/output.rs
@@ -13,22 +13,24 @@
 
 /// Prints a value as indented JSON.
 pub fn print_json<T: serde::Serialize>(value: &T) -> Result<(), CommandError> {
-    let text = serde_json::to_string_pretty(value).map_err(|e| CommandError::Run(e.to_string()))?;
+    let text = serde_json::to_string_pretty(value)?;
     print_text(&format!("{text}\n"));
     Ok(())
 }
 
 /// Writes a file.
 pub fn write_file(path: &Path, text: &str) -> Result<(), CommandError> {
-    std::fs::write(path, text)
-        .map_err(|e| CommandError::Run(format!("{}: {e}", path.display())))?;
+    std::fs::write(path, text).map_err(|source| CommandError::WriteFile {
+        path: path.to_path_buf(),
+        source,
+    })?;
     info!(file = %path.display(), "written");
     Ok(())
 }
 
 /// Writes a value to a file as JSON on one line.
 pub fn write_json<T: serde::Serialize>(path: &Path, value: &T) -> Result<(), CommandError> {
-    let text = serde_json::to_string(value).map_err(|e| CommandError::Run(e.to_string()))?;
+    let text = serde_json::to_string(value)?;
     write_file(path, &text)
 }
 
--- a/crates/testbed/src/cli/scenario_commands.rs
+++ b/crates/testbed/src/cli/scenario_commands.rs
@@ -3,24 +3,22 @@
 use super::arguments::{CompareArgs, Mode, RunArgs};
 use super::output::{print_json, print_text, progress_bar, write_file, write_json};
 use super::{gateway_program, CommandError};
+use indicatif::ProgressBar;
 use irisrouter_config::Variables;
-use irisrouter_testbed::compare;
+use irisrouter_testbed::compare::{self, Choice};
 use irisrouter_testbed::loopback::environment::Environment;
 use irisrouter_testbed::loopback::{self, Options};
 use irisrouter_testbed::results::RunResults;
 use irisrouter_testbed::scenario::Scenario;
-use irisrouter_testbed::{report, virtual_run};
+use irisrouter_testbed::{report, settings, virtual_run};
 use std::path::{Path, PathBuf};
 use tracing::{info, warn};
 
 /// The variables that `NAME=VALUE` pairs set.
 fn variables(pairs: &[String]) -> Result<Variables, CommandError> {
-    let mut v = Variables::none();
-    pairs
-        .iter()
-        .try_for_each(|p| v.add(p))
-        .map_err(|error| CommandError::Input(error.to_string()))?;
-    Ok(v)
+    let mut variables = Variables::none();
+    pairs.iter().try_for_each(|pair| variables.add(pair))?;
+    Ok(variables)
 }
 
 /// Reads a scenario file.
@@ -31,8 +29,7 @@
 /// Shows one gateway at work in front of a set whose primary vanishes.
 pub fn demo(seed: u64, gateway: Option<PathBuf>) -> Result<(), CommandError> {
     let gateway = gateway_program(gateway.as_ref())?;
-    let results =
-        irisrouter_testbed::demo::run(gateway, seed, &print_text).map_err(CommandError::Run)?;
+    let results = irisrouter_testbed::demo::run(gateway, seed, &print_text)?;
     print_text("\nIn all, with a client's retries counted as part of its first try:\n");
     print_text(&report::text(&results));
     check_rules(true, &[results])
@@ -42,34 +39,14 @@
 pub fn run(args: &RunArgs) -> Result<(), CommandError> {
     let scenario = load(&args.scenario, &variables(&args.common.vars)?)?;
     if args.seeds > 1 && args.mode == Mode::Loopback {
-        return Err(CommandError::Input(
-            "several seeds run in virtual time only".into(),
-        ));
+        return Err(CommandError::SeedsOnLoopback);
     }
     if args.seeds > 1 {
         return run_many(args, &scenario);
     }
     info!(scenario = %scenario.title, seed = args.seed, mode = ?args.mode, "runs");
     let progress = progress_bar(scenario.world.length_s as u64);
-    let results = match args.mode {
-        Mode::Virtual => virtual_run::run_with(
-            &scenario,
-            args.seed,
-            &mut |s| progress.set_position(s as u64),
-            &|_, _| None,
-        )
-        .map_err(CommandError::Run),
-        Mode::Loopback => {
-            let each_second = |environment: &Environment| {
-                progress.set_position(environment.elapsed().round() as u64)
-            };
-            let options = Options {
-                gateway: gateway_program(args.gateway.as_ref())?,
-                each_second: &each_second,
-            };
-            loopback::run(&scenario, args.seed, &options).map_err(CommandError::Run)
-        }
-    };
+    let results = run_once(args, &scenario, &progress);
     progress.finish_and_clear();
     let results = results?;
     print_text(&report::text(&results));
@@ -77,17 +54,40 @@
         write_json(path, &results)?;
     }
     if let Some(path) = &args.common.html {
-        let page = report::page(&results).map_err(CommandError::Run)?;
-        write_file(path, &page)?;
+        write_file(path, &report::page(&results)?)?;
     }
     check_rules(args.strict, &[results])
 }
 
+fn run_once(
+    args: &RunArgs,
+    scenario: &Scenario,
+    progress: &ProgressBar,
+) -> Result<RunResults, CommandError> {
+    match args.mode {
+        Mode::Virtual => {
+            let mut on_second = |second: f64| progress.set_position(second as u64);
+            let results = virtual_run::run_with(scenario, args.seed, &mut on_second, &|_, _| None)?;
+            Ok(results)
+        }
+        Mode::Loopback => {
+            let each_second = |environment: &Environment| {
+                progress.set_position(environment.elapsed().round() as u64);
+            };
+            let options = Options {
+                gateway: gateway_program(args.gateway.as_ref())?,
+                each_second: &each_second,
+            };
+            Ok(loopback::run(scenario, args.seed, &options)?)
+        }
+    }
+}
+
 /// Runs a scenario for several seeds in virtual time and prints means and intervals.
 fn run_many(args: &RunArgs, scenario: &Scenario) -> Result<(), CommandError> {
     let seeds: Vec<u64> = (args.seed..args.seed.saturating_add(args.seeds)).collect();
     let progress = progress_bar(args.seeds);
-    let runs = compare::runs(scenario, &seeds, &|| progress.inc(1)).map_err(CommandError::Run)?;
+    let runs = compare::runs(scenario, &seeds, &|| progress.inc(1))?;
     progress.finish_and_clear();
     print_text(&report::summary_text(
         scenario,
@@ -98,26 +98,23 @@
         write_json(path, &runs)?;
     }
     if let Some(path) = &args.common.html {
-        let page = report::page(&runs[0]).map_err(CommandError::Run)?;
-        write_file(path, &page)?;
+        write_file(path, &report::page(&runs[0])?)?;
     }
     check_rules(args.strict, &runs)
 }
 
 /// Logs the rules that gateways broke in these runs; with `strict` a broken rule is an error.
 fn check_rules(strict: bool, runs: &[RunResults]) -> Result<(), CommandError> {
-    let mut broken: Vec<String> = Vec::new();
-    for f in runs {
-        for what in f.broken() {
-            warn!(seed = f.seed, %what, "rule broken");
-            broken.push(format!("seed {}: {what}", f.seed));
+    let mut violations: Vec<String> = Vec::new();
+    for results in runs {
+        let seed = results.seed;
+        for what in results.violations() {
+            warn!(seed, %what, "rule broken");
+            violations.push(format!("seed {seed}: {what}"));
         }
     }
-    if strict && !broken.is_empty() {
-        return Err(CommandError::Run(format!(
-            "rules broken: {}",
-            broken.join("; ")
-        )));
+    if strict && !violations.is_empty() {
+        return Err(CommandError::RulesBroken { violations });
     }
     Ok(())
 }
@@ -130,35 +127,40 @@
     let scenario_a = load(&args.scenario, &a)?;
     let scenario_b = load(&args.scenario, &b)?;
     if scenario_a == scenario_b {
-        return Err(CommandError::Input("A and B are the same".into()));
+        return Err(CommandError::EqualChoices);
     }
     let seeds: Vec<u64> = (args.seed..args.seed.saturating_add(args.seeds)).collect();
     let progress = progress_bar(args.seeds * 2);
-    let comparison = compare::compare(
-        (&scenario_a, a.to_string()),
-        (&scenario_b, b.to_string()),
-        &seeds,
-        &|| progress.inc(1),
-    )
-    .map_err(CommandError::Run)?;
+    let choice_a = Choice {
+        scenario: &scenario_a,
+        settings: a.to_string(),
+    };
+    let choice_b = Choice {
+        scenario: &scenario_b,
+        settings: b.to_string(),
+    };
+    let comparison = compare::compare(choice_a, choice_b, &seeds, &|| progress.inc(1))?;
     progress.finish_and_clear();
     print_text(&report::comparison_text(&comparison));
     if let Some(path) = &args.common.json {
         write_json(path, &comparison)?;
     }
     if let Some(path) = &args.common.html {
-        let page = report::comparison_page(&comparison).map_err(CommandError::Run)?;
-        write_file(path, &page)?;
+        write_file(path, &report::comparison_page(&comparison)?)?;
     }
     Ok(())
 }
 
 /// Lists the scenarios of a directory and what can be varied in each.
 pub fn scenarios(dir: &Path) -> Result<(), CommandError> {
-    let entries = std::fs::read_dir(dir)
-        .map_err(|e| CommandError::Input(format!("{}: {e}", dir.display())))?;
-    let mut files: Vec<PathBuf> = entries.filter_map(|e| e.ok().map(|e| e.path())).collect();
-    files.retain(|f| f.extension().is_some_and(|x| x == "jsonnet"));
+    let entries = std::fs::read_dir(dir).map_err(|source| CommandError::ReadDirectory {
+        path: dir.to_path_buf(),
+        source,
+    })?;
+    let paths = entries.filter_map(|entry| entry.ok().map(|entry| entry.path()));
+    let mut files: Vec<PathBuf> = paths
+        .filter(|path| path.extension().is_some_and(|e| e == "jsonnet"))
+        .collect();
     files.sort();
     for file in files {
         let scenario = load(&file, &Variables::none())?;
@@ -174,6 +176,6 @@
 /// Checks a scenario and prints it with all its settings.
 pub fn check(file: &Path, vars: &[String]) -> Result<(), CommandError> {
     let scenario = load(file, &variables(vars)?)?;
-    irisrouter_testbed::settings::load(&scenario, 1).map_err(CommandError::Input)?;
+    settings::load(&scenario, 1).map_err(CommandError::CheckedSettings)?;
     print_json(&scenario)
 }
--- a/crates/testbed/src/cluster/stand_ins/host_connection.rs
+++ b/crates/testbed/src/cluster/stand_ins/host_connection.rs
@@ -2,7 +2,7 @@
 
 use super::host::{Probe, SharedHost};
 use super::{lock, protocol};
-use crate::loopback::host::comment as comment_fields;
+use crate::loopback::host::comment_fields;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- a/crates/testbed/src/compare.rs
+++ b/crates/testbed/src/compare.rs
@@ -1,17 +1,18 @@
 //! Two choices of one scenario, paired by seed: each seed draws one day, and both live through it. What differs between
 //! them is the choice, so that the mean of the differences needs far fewer days than the difference of the means.
 
-use crate::results::{RunResults, VERSION};
+use crate::results::{Measure, RunResults, VERSION};
 use crate::scenario::Scenario;
 use crate::virtual_run;
+use irisrouter::platform_settings::PlatformSettingsError;
 use irisrouter_simulation::rng::{Rng, Stream};
 use rayon::prelude::*;
 use serde::Serialize;
 
 /// Samples of the bootstrap.
 const RESAMPLES: usize = 10_000;
-/// The interval's ends: 95 % lies between them.
-const ENDS: [f64; 2] = [0.025, 0.975];
+/// The quantiles at the interval's ends: 95 % lies between them.
+const INTERVAL_QUANTILES: [f64; 2] = [0.025, 0.975];
 
 /// A mean with its 95 % interval.
 #[derive(Clone, Copy, Debug, Serialize, PartialEq)]
@@ -27,39 +28,41 @@
 impl Interval {
     /// The mean of some values, with the interval that the percentile bootstrap gives (Efron 1979). Of fewer than two
     /// values nothing is known: the interval is that value alone.
+    #[must_use]
     pub fn of(values: &[f64], seed: u64) -> Interval {
         let n = values.len();
-        let mean = |v: &mut dyn Iterator<Item = f64>| v.sum::<f64>() / n.max(1) as f64;
-        let middle = mean(&mut values.iter().copied());
+        let mean_of = |v: &mut dyn Iterator<Item = f64>| v.sum::<f64>() / n.max(1) as f64;
+        let mean = mean_of(&mut values.iter().copied());
         if n < 2 {
             return Interval {
-                mean: middle,
-                low: middle,
-                high: middle,
+                mean,
+                low: mean,
+                high: mean,
             };
         }
         let mut rng = Rng::new(seed, Stream::Day);
         let mut means: Vec<f64> = (0..RESAMPLES)
-            .map(|_| mean(&mut (0..n).map(|_| values[rng.index(n)])))
+            .map(|_| mean_of(&mut (0..n).map(|_| values[rng.index(n)])))
             .collect();
         means.sort_by(f64::total_cmp);
-        let at = |part: f64| means[((part * RESAMPLES as f64) as usize).min(RESAMPLES - 1)];
+        let quantile = |q: f64| means[((q * RESAMPLES as f64) as usize).min(RESAMPLES - 1)];
         Interval {
-            mean: middle,
-            low: at(ENDS[0]),
-            high: at(ENDS[1]),
+            mean,
+            low: quantile(INTERVAL_QUANTILES[0]),
+            high: quantile(INTERVAL_QUANTILES[1]),
         }
     }
 
-    /// It holds 0: no difference is shown.
+    /// Whether it holds 0, so that no difference is shown.
+    #[must_use]
     pub fn holds_zero(&self) -> bool {
         self.low <= 0.0 && self.high >= 0.0
     }
 }
 
-/// One figure of both choices.
+/// One measure of both choices.
 #[derive(Clone, Debug, Serialize, PartialEq)]
-pub struct Compared {
+pub struct ComparedMeasure {
     /// Its name.
     pub name: String,
     /// Of A.
@@ -85,16 +88,17 @@
     pub b: String,
     /// The seeds.
     pub seeds: Vec<u64>,
-    /// The figures.
-    pub figures: Vec<Compared>,
+    /// The measures.
+    #[serde(rename = "figures")]
+    pub measures: Vec<ComparedMeasure>,
     /// All runs of A, by seed, without what is kept by second and host.
     pub runs_a: Vec<RunResults>,
-    /// All runs of B.
+    /// All runs of B, by seed, without what is kept by second and host.
     pub runs_b: Vec<RunResults>,
     /// The first run of A, whole, for the report.
     #[serde(skip)]
     pub first_a: Option<RunResults>,
-    /// The first run of B.
+    /// The first run of B, whole, for the report.
     #[serde(skip)]
     pub first_b: Option<RunResults>,
 }
@@ -102,118 +106,137 @@
 /// Runs a scenario for several seeds, on all cores, in order of the seeds.
 ///
 /// # Errors
-/// Where the settings are not taken.
+/// The gateway refuses the settings.
 pub fn runs(
-    s: &Scenario,
+    scenario: &Scenario,
     seeds: &[u64],
-    done: &(dyn Fn() + Sync),
-) -> Result<Vec<RunResults>, String> {
+    on_run_done: &(dyn Fn() + Sync),
+) -> Result<Vec<RunResults>, PlatformSettingsError> {
     seeds
         .par_iter()
         .map(|&seed| {
-            let figures = virtual_run::run(s, seed);
-            done();
-            figures
+            let results = virtual_run::run(scenario, seed);
+            on_run_done();
+            results
         })
         .collect()
 }
 
+/// One of the two choices of a comparison.
+#[derive(Clone, Debug)]
+pub struct Choice<'a> {
+    /// The scenario as it sets it.
+    pub scenario: &'a Scenario,
+    /// What it sets, for people.
+    pub settings: String,
+}
+
 /// Compares two choices over these seeds.
 ///
 /// # Errors
-/// Where the settings of one are not taken.
+/// The gateway refuses the settings of one of them.
 pub fn compare(
-    (a, a_name): (&Scenario, String),
-    (b, b_name): (&Scenario, String),
+    a: Choice<'_>,
+    b: Choice<'_>,
     seeds: &[u64],
-    done: &(dyn Fn() + Sync),
-) -> Result<Comparison, String> {
+    on_run_done: &(dyn Fn() + Sync),
+) -> Result<Comparison, PlatformSettingsError> {
     // Both choices of all seeds at once: the longest run does not leave the other cores idle halfway.
-    let jobs: Vec<(bool, u64)> = seeds
-        .iter()
-        .flat_map(|&s| [(false, s), (true, s)])
-        .collect();
-    let all: Vec<RunResults> = jobs
+    let pairs = seeds
         .par_iter()
-        .map(|&(of_b, seed)| {
-            let figures = virtual_run::run(if of_b { b } else { a }, seed);
-            done();
-            figures
+        .map(|&seed| {
+            let run = |choice: &Choice<'_>| {
+                let results = virtual_run::run(choice.scenario, seed);
+                on_run_done();
+                results
+            };
+            let (of_a, of_b) = rayon::join(|| run(&a), || run(&b));
+            Ok((of_a?, of_b?))
         })
-        .collect::<Result<_, _>>()?;
-    let (mut of_a, mut of_b) = (Vec::new(), Vec::new());
-    for ((is_b, _), figures) in jobs.into_iter().zip(all) {
-        (if is_b { &mut of_b } else { &mut of_a }).push(figures);
-    }
-    let figures = table(&of_a, &of_b);
-    let (first_a, first_b) = (of_a.first().cloned(), of_b.first().cloned());
-    of_a.iter_mut().chain(&mut of_b).for_each(shorten);
+        .collect::<Result<Vec<_>, PlatformSettingsError>>()?;
+    let (mut runs_a, mut runs_b): (Vec<_>, Vec<_>) = pairs.into_iter().unzip();
+    let measures = compare_measures(&runs_a, &runs_b);
+    let (first_a, first_b) = (runs_a.first().cloned(), runs_b.first().cloned());
+    runs_a.iter_mut().chain(&mut runs_b).for_each(shorten);
     Ok(Comparison {
         version: VERSION,
-        scenario: a.title.clone(),
-        a: a_name,
-        b: b_name,
+        scenario: a.scenario.title.clone(),
+        a: a.settings,
+        b: b.settings,
         seeds: seeds.to_vec(),
-        figures,
-        runs_a: of_a,
-        runs_b: of_b,
+        measures,
+        runs_a,
+        runs_b,
         first_a,
         first_b,
     })
 }
 
-/// What is kept by second and host is too much for many runs.
-pub fn shorten(f: &mut RunResults) {
-    f.seconds.clear();
-    f.hosts.clear();
-    f.marks.clear();
+/// Drops what is kept by second and host, which is too much for many runs.
+pub fn shorten(results: &mut RunResults) {
+    results.seconds.clear();
+    results.hosts.clear();
+    results.marks.clear();
+}
+
+/// A measure over several runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct MeasureSummary {
+    /// Its name.
+    pub name: &'static str,
+    /// Its mean with the interval.
+    pub interval: Interval,
 }
 
-/// All figures of some runs, each with its interval.
-pub fn summary(runs: &[RunResults]) -> Vec<(&'static str, Interval)> {
-    let rows: Vec<_> = runs.iter().map(RunResults::compared).collect();
-    let Some(first) = rows.first() else {
+/// All measures of some runs, each with its interval.
+#[must_use]
+pub fn summary(runs: &[RunResults]) -> Vec<MeasureSummary> {
+    let measures: Vec<_> = runs.iter().map(RunResults::measures).collect();
+    let Some(first) = measures.first() else {
         return Vec::new();
     };
-    (0..first.len())
-        .map(|i| {
-            let values: Vec<f64> = rows.iter().map(|r| r[i].1).collect();
-            (first[i].0, Interval::of(&values, i as u64))
+    (first.iter().enumerate())
+        .map(|(index, measure)| MeasureSummary {
+            name: measure.name,
+            interval: Interval::of(&values_of(&measures, index), index as u64),
         })
         .collect()
 }
 
-fn table(a: &[RunResults], b: &[RunResults]) -> Vec<Compared> {
-    let (rows_a, rows_b): (Vec<_>, Vec<_>) = (
-        a.iter().map(RunResults::compared).collect(),
-        b.iter().map(RunResults::compared).collect(),
-    );
-    let Some(first) = rows_a.first() else {
+/// The values of one measure, by run.
+fn values_of(measures: &[Vec<Measure>], index: usize) -> Vec<f64> {
+    measures.iter().map(|run| run[index].value).collect()
+}
+
+fn compare_measures(runs_a: &[RunResults], runs_b: &[RunResults]) -> Vec<ComparedMeasure> {
+    let measures_a: Vec<_> = runs_a.iter().map(RunResults::measures).collect();
+    let measures_b: Vec<_> = runs_b.iter().map(RunResults::measures).collect();
+    let Some(first) = measures_a.first() else {
         return Vec::new();
     };
-    (0..first.len())
-        .map(|i| {
-            let (name, _, more_is_better) = first[i];
-            let values =
-                |rows: &[Vec<(&str, f64, bool)>]| rows.iter().map(|r| r[i].1).collect::<Vec<f64>>();
-            let (of_a, of_b) = (values(&rows_a), values(&rows_b));
-            let differences: Vec<f64> = of_a.iter().zip(&of_b).map(|(a, b)| b - a).collect();
-            let difference = Interval::of(&differences, i as u64);
-            let verdict = match (
-                difference.holds_zero(),
-                (difference.mean > 0.0) == more_is_better,
-            ) {
-                (true, _) => "no difference shown",
-                (false, true) => "better",
-                (false, false) => "worse",
-            };
-            Compared {
-                name: name.to_string(),
-                a: Interval::of(&of_a, i as u64),
-                b: Interval::of(&of_b, i as u64),
-                difference,
-                verdict: verdict.to_string(),
-            }
+    (first.iter().enumerate())
+        .map(|(index, measure)| {
+            let a = values_of(&measures_a, index);
+            let b = values_of(&measures_b, index);
+            compare_measure(measure, index as u64, &a, &b)
         })
         .collect()
 }
+
+fn compare_measure(measure: &Measure, seed: u64, a: &[f64], b: &[f64]) -> ComparedMeasure {
+    let differences: Vec<f64> = a.iter().zip(b).map(|(a, b)| b - a).collect();
+    let difference = Interval::of(&differences, seed);
+    let improves = (difference.mean > 0.0) == measure.larger_is_better;
+    let verdict = match (difference.holds_zero(), improves) {
+        (true, _) => "no difference shown",
+        (false, true) => "better",
+        (false, false) => "worse",
+    };
+    ComparedMeasure {
+        name: measure.name.to_string(),
+        a: Interval::of(a, seed),
+        b: Interval::of(b, seed),
+        difference,
+        verdict: verdict.to_string(),
+    }
+}
--- a/crates/testbed/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -1,18 +1,23 @@
 //! The demonstration: one gateway, one set, its clients, and a primary that dies; on loopback, in under half a minute.
 
 use crate::loopback::environment::Environment;
-use crate::loopback::{self, Options};
-use crate::results::RunResults;
+use crate::loopback::{self, LoopbackError, Options};
+use crate::results::{RecentRequests, RunResults};
 use crate::scenario::{GatewaySpec, Scenario};
 use irisrouter_simulation::spec::{
     Fault, HostSelection, HostSpec, SetSpec, SilentHosts, Spec, TrafficSpec, ValueOrRange,
 };
+use irisrouter_simulation::SetId;
 use std::path::PathBuf;
 
-/// When the primary vanishes, and for how long, in seconds.
-const SILENT: (f64, f64) = (5.0, 5.0);
+/// When the primary falls silent, in seconds from the start.
+const SILENT_AT_S: f64 = 5.0;
+/// For how long it is silent, in seconds.
+const SILENT_FOR_S: f64 = 5.0;
+/// Load, in requests a second.
+const REQUESTS_PER_S: f64 = 100.0;
 
-/// The scenario.
+/// The scenario of the demonstration.
 pub fn scenario() -> Scenario {
     let silent = SilentHosts {
         hosts: HostSelection {
@@ -40,12 +45,12 @@
                 ..SetSpec::default()
             },
             traffic: TrafficSpec {
-                requests_per_s: Some(100.0),
+                requests_per_s: Some(REQUESTS_PER_S),
                 ..TrafficSpec::default()
             },
             faults: vec![Fault {
-                at_s: ValueOrRange::Value(SILENT.0),
-                for_s: ValueOrRange::Value(SILENT.1),
+                at_s: ValueOrRange::Value(SILENT_AT_S),
+                for_s: ValueOrRange::Value(SILENT_FOR_S),
                 silent: Some(silent),
                 ..Fault::default()
             }],
@@ -55,46 +60,19 @@
     }
 }
 
-/// Runs it, and says each second what happens.
+/// Runs the demonstration, and writes each second what happens.
 ///
 /// # Errors
-/// Where the gateway does not start or ends by itself.
-pub fn run(gateway: PathBuf, seed: u64, say: &dyn Fn(&str)) -> Result<RunResults, String> {
+/// The gateway does not start or ends by itself.
+pub fn run(gateway: PathBuf, seed: u64, write: &dyn Fn(&str)) -> Result<RunResults, LoopbackError> {
     let scenario = scenario();
-    let w = &scenario.world;
-    say(&format!(
-        "One gateway in front of one set of {} hosts, 100 requests a second, for {} s. All on 127.0.0.1.\n\
-         At {} s the primary falls silent: no reset, no answer. The set elects another one, and at {} s the old one is\n\
-         back, cold and behind. What follows is the share of requests answered in time, of those that ended.\n",
-        w.hosts.count,
-        w.length_s,
-        SILENT.0,
-        SILENT.0 + SILENT.1
-    ));
-    let names: String = w
-        .classes
-        .iter()
-        .map(|c| format!("{:>13}", c.name))
-        .collect();
-    say(&format!("{:>6}{names}  primary\n", ""));
+    write(&introduction(&scenario));
     let each_second = |environment: &Environment| {
         let recent = environment.collector.borrow_mut().take_recent();
         let second = environment.elapsed().round();
-        if second < 1.0 {
-            return;
+        if second >= 1.0 {
+            write(&line_of_second(environment, second, &recent));
         }
-        let shares: String = (recent.iter())
-            .map(|&(asked, served)| match asked {
-                0 => format!("{:>13}", "-"),
-                _ => format!("{:>11.0} %", 100.0 * served as f64 / asked as f64),
-            })
-            .collect();
-        let primary = environment
-            .fleet
-            .borrow()
-            .primary(irisrouter_simulation::SetId(0));
-        let primary = primary.map_or("none".to_string(), |h| format!("host {}", h.0));
-        say(&format!("{second:>4.0} s{shares}  {primary}\n"));
     };
     let options = Options {
         gateway,
@@ -102,3 +80,39 @@
     };
     loopback::run(&scenario, seed, &options)
 }
+
+/// What is shown, and the heads of the columns.
+fn introduction(scenario: &Scenario) -> String {
+    let world = &scenario.world;
+    let (hosts, length_s) = (world.hosts.count, world.length_s);
+    let back_at_s = SILENT_AT_S + SILENT_FOR_S;
+    let classes: String = world
+        .classes
+        .iter()
+        .map(|class| format!("{:>13}", class.name))
+        .collect();
+    format!(
+        "One gateway in front of one set of {hosts} hosts, {REQUESTS_PER_S} requests a second, for {length_s} s. All on 127.0.0.1.\n\
+         At {SILENT_AT_S} s the primary falls silent: no reset, no answer. The set elects another one, and at {back_at_s} s the old one is\n\
+         back, cold and behind. What follows is the share of requests answered in time, of those that ended.\n\
+         {:>6}{classes}  primary\n",
+        ""
+    )
+}
+
+/// The share of requests answered in time by class, and the set's primary.
+fn line_of_second(environment: &Environment, second: f64, recent: &[RecentRequests]) -> String {
+    let shares: String = recent
+        .iter()
+        .map(|class| match class.ended {
+            0 => format!("{:>13}", "-"),
+            ended => {
+                let percent = 100.0 * class.in_time as f64 / ended as f64;
+                format!("{percent:>11.0} %")
+            }
+        })
+        .collect();
+    let primary = environment.fleet.borrow().primary(SetId(0));
+    let primary = primary.map_or("none".to_string(), |host| format!("host {}", host.0));
+    format!("{second:>4.0} s{shares}  {primary}\n")
+}
--- a/crates/testbed/src/gateway.rs
+++ b/crates/testbed/src/gateway.rs
@@ -1,51 +1,81 @@
-//! One gateway in virtual time: the decision module as it is, and round it what `src/net` is on sockets, with the same
-//! margins, limits and order of things. It says what it wants done; the run does it.
+//! One gateway in virtual time: the router as it is, and round it what `src/net` is on sockets, with the same margins,
+//! limits and order of events. It says what it wants done; the run does it.
 
+use crate::scenario::Scenario;
 use crate::settings;
+use irisrouter::platform_settings::PlatformSettingsError;
 use irisrouter::routing::{
     Action, Endpoint, EndpointState, Event, GroupId, LoadReport, MemberId, Nanos, Outcome,
     ReplicationStatus, RequestId, Role, Router, SessionId, Settings, ZoneId,
 };
 use irisrouter_simulation::clients::Try;
-use irisrouter_simulation::endpoint_list::{EndpointView, ListEntry};
+use irisrouter_simulation::endpoint_list::{EndpointView, ListEntry, ListedState};
 use irisrouter_simulation::fleet;
+use irisrouter_simulation::host::Report;
 use irisrouter_simulation::{GatewayId, HostId, MS};
 use rustc_hash::FxHashMap as HashMap;
 use std::collections::{BTreeSet, VecDeque};
 
-/// The module's deadline lies so much before the client's, as in `net/request.rs`.
-const MARGIN: Nanos = 5 * MS;
-/// And the guard against no decision so much.
-const LAST_MARGIN: Nanos = MS;
+/// The router's deadline for a request lies this long before the client's, as in `src/net/request`.
+const DEADLINE_MARGIN: Nanos = 5 * MS;
+/// A request on which the router has not decided is ended this long before the client's deadline.
+const GUARD_MARGIN: Nanos = MS;
 
 /// The exchange of a gateway with its peers: a subsystem that sends datagrams to other gateways plugs in here. A gateway
 /// that is killed loses its state with all else, and starts with a new one.
 pub trait PeerExchange {
-    /// A datagram has come from another gateway, as its address tells.
+    /// Receives a datagram from another gateway, by its address.
     fn receive(&mut self, now: Nanos, from: GatewayId, body: &[u8]);
 
-    /// The datagrams that it sends now, each to one gateway or, with `None`, to all others.
-    fn outgoing(&mut self, now: Nanos) -> Vec<(Option<GatewayId>, Vec<u8>)>;
+    /// The datagrams that it sends now.
+    fn outgoing(&mut self, now: Nanos) -> Vec<OutgoingDatagram>;
 
-    /// When it wants to be asked again, if nothing comes before.
+    /// When it wants to send again, if nothing is received before.
     fn next_due(&self) -> Option<Nanos>;
 }
 
-/// A connection to a host that nothing is on.
+/// A datagram that a gateway sends to its peers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OutgoingDatagram {
+    /// Who receives it.
+    pub to: Recipients,
+    /// What it carries.
+    pub body: Vec<u8>,
+}
+
+/// Who receives a datagram.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Recipients {
+    /// One gateway.
+    One(GatewayId),
+    /// All gateways but the sender.
+    AllOthers,
+}
+
+/// A connection to a host that carries no request.
 #[derive(Clone, Copy, Debug)]
-pub struct Idle {
+pub struct IdleConnection {
     /// The host's process that it was made to.
     pub epoch: u32,
-    /// Since when.
+    /// Since when it has been idle.
     pub since: Nanos,
 }
 
+/// What the pool of idle connections to a host gives.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CheckedOut {
+    /// A connection that can be used, if there is one.
+    pub connection: Option<IdleConnection>,
+    /// Number of connections that had been idle for too long and are closed.
+    pub closed: u32,
+}
+
 /// How far an attempt has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
     /// It waits for its connection.
     Connecting,
-    /// It is on its way or at the host.
+    /// It is on its way to the host, or there.
     Sent,
     /// It has ended.
     Over,
@@ -54,172 +84,181 @@
 /// An attempt.
 #[derive(Clone, Debug)]
 pub struct Attempt {
-    /// Where.
+    /// The host that it is for.
     pub host: HostId,
-    /// How far.
+    /// How far it has come.
     pub stage: Stage,
     /// When it was ordered.
-    pub began: Nanos,
-    /// When the gateway stops waiting.
-    pub end: Nanos,
+    pub started: Nanos,
     /// The process of the host that its connection was made to.
     pub epoch: u32,
 }
 
-/// A request that the gateway has taken.
+/// A request that the gateway has accepted.
 #[derive(Clone, Debug)]
-pub struct Open {
-    /// As its client sent it.
-    pub of: Try,
-    /// When it came.
-    pub came: Nanos,
-    /// When the guard answers.
-    pub last: Nanos,
-    /// Its final answer has been given, or its client has left.
+pub struct OpenRequest {
+    /// The try, as its client sent it.
+    pub client_try: Try,
+    /// When the gateway accepted it.
+    pub accepted_at: Nanos,
+    /// Whether its final answer has been given, or its client has left.
     pub over: bool,
     /// Its attempts, by number.
     pub attempts: Vec<Attempt>,
 }
 
+/// A request that has just been accepted.
+#[derive(Clone, Copy, Debug)]
+pub struct AcceptedRequest {
+    /// Its number at the gateway.
+    pub id: RequestId,
+    /// When it is ended if the router has not decided.
+    pub guard_at: Nanos,
+}
+
+/// A try of a client's call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct TryId {
+    /// The call.
+    pub call: u64,
+    /// The try's number.
+    pub number: u32,
+}
+
+impl TryId {
+    /// The id of a try.
+    pub fn of(client_try: &Try) -> Self {
+        TryId {
+            call: client_try.call,
+            number: client_try.number,
+        }
+    }
+}
+
+/// A health check that a gateway has sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct HealthCheckId {
+    /// The host that it is for.
+    pub host: HostId,
+    /// When it was sent.
+    pub sent: Nanos,
+}
+
 /// One gateway's process.
 pub struct Gateway {
-    /// It runs.
+    /// Whether it runs.
     pub alive: bool,
-    /// Grows with each start: what belongs to an earlier process is void.
-    pub life: u32,
+    /// Grows with each start and end: what belongs to an earlier process is void.
+    pub incarnation: u32,
     router: Router,
+    /// Events for the router's next batch.
     events: Vec<Event>,
-    /// A batch is planned.
-    pub batch_planned: bool,
-    /// The earliest wake-up asked for.
-    pub wake: Option<Nanos>,
+    /// Whether a batch is scheduled.
+    pub batch_scheduled: bool,
+    /// The earliest timer that the router has set.
+    pub timer_at: Option<Nanos>,
     /// Requests, until their last attempt has ended.
-    pub open: HashMap<RequestId, Open>,
-    /// The request of each try, while it is open.
-    pub of_try: HashMap<(u64, u32), RequestId>,
+    pub open: HashMap<RequestId, OpenRequest>,
+    /// The request of each try, until it is over.
+    pub requests_by_try: HashMap<TryId, RequestId>,
     next_request: u64,
-    /// Connections that nothing is on, by host, the one used last at the back.
-    pub idle: HashMap<HostId, VecDeque<Idle>>,
-    /// Its part in what gateways tell one another.
+    /// By host: idle connections, the one used last at the back.
+    pub idle: HashMap<HostId, VecDeque<IdleConnection>>,
+    /// Its exchange with its peers.
     pub exchange: Option<Box<dyn PeerExchange>>,
-    /// Probes that are out, by host and when they were sent.
-    pub probing: BTreeSet<(HostId, Nanos)>,
-    /// Hosts that it may send to.
+    /// Health checks that are not answered yet.
+    pub health_checks: BTreeSet<HealthCheckId>,
+    /// Whether the list lets it send to a host.
     ready: HashMap<HostId, bool>,
 }
 
-/// The member of a host. Its number is the host's.
-pub fn member(host: HostId) -> MemberId {
-    MemberId(host.0)
-}
-
-fn list_entry(e: &ListEntry) -> Endpoint {
-    use irisrouter_simulation::endpoint_list::ListedState as Said;
-    Endpoint {
-        member: member(e.host),
-        group: GroupId(i64::from(e.set.0)),
-        zone: ZoneId(0),
-        state: match e.listed {
-            Said::Ready => EndpointState::Ready,
-            Said::Draining => EndpointState::Draining,
-            Said::Gone => EndpointState::Removed,
-        },
-        primary: false,
-        size: 1.0,
-        started: (e.since > 0).then_some(e.since),
-    }
-}
-
 impl Gateway {
     /// A process that starts with its last list and nothing else.
-    pub fn start(settings: &Settings, life: u32, view: &EndpointView) -> Self {
-        let mut g = Gateway {
+    pub fn start(settings: &Settings, incarnation: u32, view: &EndpointView) -> Self {
+        let endpoints: Vec<Endpoint> = view.entries().map(endpoint).collect();
+        let mut gateway = Gateway {
             alive: true,
-            life,
+            incarnation,
             router: Router::new(settings.clone()),
             events: Vec::new(),
-            batch_planned: false,
-            wake: None,
+            batch_scheduled: false,
+            timer_at: None,
             open: HashMap::default(),
-            of_try: HashMap::default(),
+            requests_by_try: HashMap::default(),
             next_request: 0,
             idle: HashMap::default(),
             exchange: None,
-            probing: BTreeSet::new(),
-            ready: HashMap::default(),
+            health_checks: BTreeSet::new(),
+            ready: endpoints
+                .iter()
+                .map(|e| (HostId(e.member.0), e.state == EndpointState::Ready))
+                .collect(),
         };
-        let entries: Vec<Endpoint> = view.entries().map(list_entry).collect();
-        g.ready = entries
-            .iter()
-            .map(|e| (HostId(e.member.0), e.state == EndpointState::Ready))
-            .collect();
-        g.post(Event::EndpointList {
+        gateway.post(Event::EndpointList {
             complete: true,
-            endpoints: entries,
+            endpoints,
         });
-        g
+        gateway
     }
 
-    /// Something that its module is to hear.
+    /// Adds an event to the router's next batch.
     pub fn post(&mut self, event: Event) {
         self.events.push(event);
     }
 
-    /// A line of the list.
-    pub fn told(&mut self, entry: &ListEntry) {
-        let entry = list_entry(entry);
-        self.ready
-            .insert(HostId(entry.member.0), entry.state == EndpointState::Ready);
-        if entry.state != EndpointState::Ready {
-            self.idle.remove(&HostId(entry.member.0));
+    /// Applies a changed entry of the list.
+    pub fn update_endpoint(&mut self, entry: &ListEntry) {
+        let endpoint = endpoint(entry);
+        let host = HostId(endpoint.member.0);
+        let ready = endpoint.state == EndpointState::Ready;
+        self.ready.insert(host, ready);
+        if !ready {
+            self.idle.remove(&host);
         }
         self.post(Event::EndpointList {
             complete: false,
-            endpoints: vec![entry],
+            endpoints: vec![endpoint],
         });
     }
 
     /// Whether the list lets it send to a host.
-    pub fn ready(&self, host: HostId) -> bool {
+    pub fn is_ready(&self, host: HostId) -> bool {
         self.ready.get(&host).copied().unwrap_or(false)
     }
 
-    /// Takes a request.
-    pub fn take(&mut self, now: Nanos, of: Try) -> (RequestId, Nanos) {
+    /// Accepts a request.
+    pub fn accept(&mut self, now: Nanos, client_try: Try) -> AcceptedRequest {
         let id = RequestId(self.next_request);
         self.next_request += 1;
-        // What the client says it will wait counts from when its request has come.
-        let wait = (of.deadline - of.sent).max(0);
-        let last = now + (wait - LAST_MARGIN).max(0);
-        let a = &of.arrival;
+        // The time that the client says it will wait counts from the arrival of its request.
+        let wait = (client_try.deadline - client_try.sent).max(0);
+        let guard_at = now + (wait - GUARD_MARGIN).max(0);
+        let arrival = &client_try.arrival;
         self.post(Event::Request {
             id,
-            class: a.class,
+            class: arrival.class,
             tenant: None,
-            session: a.session.map(SessionId),
-            deadline: now + (wait - MARGIN).max(0),
+            session: arrival.session.map(SessionId),
+            deadline: now + (wait - DEADLINE_MARGIN).max(0),
             work: None,
-            group: GroupId(i64::from(a.set.0)),
-            last_write_age: (of.mark > 0).then(|| now - of.mark),
-            retry: of.marked,
+            group: GroupId(i64::from(arrival.set.0)),
+            last_write_age: (client_try.mark > 0).then(|| now - client_try.mark),
+            retry: client_try.marked,
         });
-        self.of_try.insert((of.call, of.number), id);
-        self.open.insert(
-            id,
-            Open {
-                of,
-                came: now,
-                last,
-                over: false,
-                attempts: Vec::new(),
-            },
-        );
-        (id, last)
+        self.requests_by_try.insert(TryId::of(&client_try), id);
+        let request = OpenRequest {
+            client_try,
+            accepted_at: now,
+            over: false,
+            attempts: Vec::new(),
+        };
+        self.open.insert(id, request);
+        AcceptedRequest { id, guard_at }
     }
 
-    /// All that has come since the last batch goes to the module.
-    pub fn batch(&mut self, now: Nanos) -> Vec<Action> {
-        self.batch_planned = false;
+    /// Hands all events since the last batch to the router: what it wants done.
+    pub fn run_batch(&mut self, now: Nanos) -> Vec<Action> {
+        self.batch_scheduled = false;
         let events = std::mem::take(&mut self.events);
         if events.is_empty() {
             return Vec::new();
@@ -227,111 +266,134 @@
         self.router.batch(now, &events)
     }
 
-    /// A connection that can be used, and those that have been idle for too long, which are closed.
+    /// Takes an idle connection to a host, and closes those that have been idle for too long.
     pub fn check_out(
         &mut self,
         now: Nanos,
         host: HostId,
         epoch: u32,
-        idle_close: Nanos,
-    ) -> (Option<Idle>, u32) {
+        idle_timeout: Nanos,
+    ) -> CheckedOut {
         let Some(idle) = self.idle.get_mut(&host) else {
-            return (None, 0);
+            return CheckedOut::default();
         };
         let before = idle.len() as u32;
-        idle.retain(|c| c.epoch == epoch && c.since + idle_close > now);
+        idle.retain(|connection| {
+            connection.epoch == epoch && connection.since + idle_timeout > now
+        });
         let closed = before - idle.len() as u32;
-        (idle.pop_back(), closed)
+        CheckedOut {
+            connection: idle.pop_back(),
+            closed,
+        }
     }
 
-    /// A connection is free again.
+    /// Returns a connection that carries no request any more.
     pub fn check_in(&mut self, now: Nanos, host: HostId, epoch: u32) {
         self.idle
             .entry(host)
             .or_default()
-            .push_back(Idle { epoch, since: now });
+            .push_back(IdleConnection { epoch, since: now });
     }
 
-    /// A request is answered or left: what was open for its try.
-    pub fn over(&mut self, id: RequestId) -> Option<Try> {
-        let open = self.open.get_mut(&id).filter(|o| !o.over)?;
-        open.over = true;
-        let of = open.of;
-        self.of_try.remove(&(of.call, of.number));
-        self.tidy(id);
-        Some(of)
+    /// Ends a request that is answered or left: its try, if it was not over before.
+    pub fn finish_request(&mut self, id: RequestId) -> Option<Try> {
+        let client_try = self.mark_over(id)?;
+        self.remove_if_done(id);
+        Some(client_try)
     }
 
-    /// A row has come: the request is over if it was not, but its attempt has still to end.
-    pub fn over_but_open(&mut self, id: RequestId) -> Option<Try> {
-        let open = self.open.get_mut(&id).filter(|o| !o.over)?;
-        open.over = true;
-        let of = open.of;
-        self.of_try.remove(&(of.call, of.number));
-        Some(of)
+    /// Marks a request as over whose attempt has still to end: its try, if it was not over before.
+    pub fn mark_over(&mut self, id: RequestId) -> Option<Try> {
+        let request = self.open.get_mut(&id).filter(|request| !request.over)?;
+        request.over = true;
+        let client_try = request.client_try;
+        self.requests_by_try.remove(&TryId::of(&client_try));
+        Some(client_try)
     }
 
-    /// An attempt ends: the module hears of it, once.
-    pub fn ended(
+    /// Ends an attempt, and tells the router so: the attempt as it was, if it had not ended before.
+    pub fn end_attempt(
         &mut self,
         now: Nanos,
         id: RequestId,
         attempt: u32,
         outcome: Outcome,
-        note: Option<ReplicationStatus>,
+        status: Option<ReplicationStatus>,
     ) -> Option<Attempt> {
-        let open = self.open.get_mut(&id)?;
-        let a = open
+        let request = self.open.get_mut(&id)?;
+        let open = request
             .attempts
             .get_mut(attempt as usize)
-            .filter(|a| a.stage != Stage::Over)?;
-        let was = a.clone();
-        a.stage = Stage::Over;
-        let finished = open.over;
+            .filter(|attempt| attempt.stage != Stage::Over)?;
+        let ended = open.clone();
+        open.stage = Stage::Over;
+        let finished = request.over;
         self.events.push(Event::AttemptEnded {
             id,
             attempt,
-            member: member(was.host),
+            member: member(ended.host),
             outcome,
-            elapsed: now - was.began,
+            elapsed: now - ended.started,
             finished,
-            status: note,
+            status,
             report: None,
         });
-        self.tidy(id);
-        Some(was)
+        self.remove_if_done(id);
+        Some(ended)
     }
 
-    fn tidy(&mut self, id: RequestId) {
-        if self
-            .open
-            .get(&id)
-            .is_some_and(|o| o.over && o.attempts.iter().all(|a| a.stage == Stage::Over))
-        {
+    /// Forgets a request that is over and has no attempt open.
+    fn remove_if_done(&mut self, id: RequestId) {
+        let is_done = |request: &OpenRequest| {
+            request.over && request.attempts.iter().all(|a| a.stage == Stage::Over)
+        };
+        if self.open.get(&id).is_some_and(is_done) {
             self.open.remove(&id);
         }
     }
 }
 
-/// What an answer tells, as the platform words it: whole milliseconds, and a position only with a write's commit.
-pub fn note(n: &fleet::ReplicaStatus, committed: bool) -> ReplicationStatus {
+/// The member of a host. Its number is the host's.
+pub fn member(host: HostId) -> MemberId {
+    MemberId(host.0)
+}
+
+fn endpoint(entry: &ListEntry) -> Endpoint {
+    Endpoint {
+        member: member(entry.host),
+        group: GroupId(i64::from(entry.set.0)),
+        zone: ZoneId(0),
+        state: match entry.listed {
+            ListedState::Ready => EndpointState::Ready,
+            ListedState::Draining => EndpointState::Draining,
+            ListedState::Gone => EndpointState::Removed,
+        },
+        primary: false,
+        size: 1.0,
+        started: (entry.since > 0).then_some(entry.since),
+    }
+}
+
+/// The status that an answer carries, as on the platform: whole milliseconds, and a position only with a write's commit.
+pub fn replication_status(status: &fleet::ReplicaStatus, committed: bool) -> ReplicationStatus {
     ReplicationStatus {
-        role: if n.primary {
+        role: if status.primary {
             Role::Primary
         } else {
             Role::Replica
         },
-        position: committed.then(|| (n.position + MS - 1) / MS * MS),
+        position: committed.then(|| (status.position + MS - 1) / MS * MS),
     }
 }
 
-/// A report, in whole milliseconds, rounded down.
-pub fn report(r: &irisrouter_simulation::host::Report) -> LoadReport {
+/// A host's report, with its position in whole milliseconds, rounded down.
+pub fn load_report(report: &Report) -> LoadReport {
     LoadReport {
-        position: Some(r.position / MS * MS),
-        primary: Some(r.primary),
+        position: Some(report.position / MS * MS),
+        primary: Some(report.primary),
         in_flight: None,
-        cores_in_use: Some(r.util),
+        cores_in_use: Some(report.util),
     }
 }
 
@@ -348,7 +410,7 @@
 /// The settings of each gateway of a scenario: the same but for the seed.
 ///
 /// # Errors
-/// Where the gateway's own code does not take them.
-pub fn settings_of(s: &crate::scenario::Scenario, seed: u64) -> Result<Settings, String> {
-    Ok(settings::load(s, seed)?.settings)
+/// The gateway's own code refuses them.
+pub fn settings_of(scenario: &Scenario, seed: u64) -> Result<Settings, PlatformSettingsError> {
+    Ok(settings::load(scenario, seed)?.settings)
 }
--- a/crates/testbed/src/loopback/discovery.rs
+++ b/crates/testbed/src/loopback/discovery.rs
@@ -1,7 +1,7 @@
-//! Discovery, as one gateway reaches it: the whole list, and a watch that waits for the next change.
+//! The discovery service, as one gateway reaches it: the whole list, and a long poll that waits for the next change.
 
-use super::beside;
 use super::environment::Environment;
+use super::spawn;
 use crate::settings::ZONE;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
@@ -9,7 +9,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use irisrouter_simulation::endpoint_list::ListedState;
-use irisrouter_simulation::GatewayId;
+use irisrouter_simulation::{GatewayId, MS};
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::convert::Infallible;
@@ -18,10 +18,14 @@
 use tokio::net::TcpListener;
 use tokio::time::timeout;
 
-/// A watch waits so long at most.
-const LONGEST_HOLD: u64 = 60_000;
+/// A long poll waits for this time at most, in milliseconds.
+const MAX_HOLD_MS: u64 = 60_000;
+/// Between two attempts to accept a connection, where one has failed.
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
+/// Between two looks at whether discovery answers again.
+const SILENCE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Takes connections for ever.
+/// Serves connections, for ever.
 pub async fn serve(
     environment: Rc<Environment>,
     listener: TcpListener,
@@ -30,16 +34,16 @@
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(10)).await;
+            tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
             continue;
         };
         let (environment, addresses) = (Rc::clone(&environment), Rc::clone(&addresses));
-        beside(async move {
+        spawn(async move {
             let answer = service_fn(move |request| {
                 let (environment, addresses) = (Rc::clone(&environment), Rc::clone(&addresses));
                 async move { answer(&environment, gateway, &addresses, request).await }
             });
-            // A gateway that leaves in the middle is no failure of discovery's.
+            // A gateway that closes the connection in the middle is no failure of discovery.
             let _ = hyper::server::conn::http1::Builder::new()
                 .serve_connection(TokioIo::new(stream), answer)
                 .await;
@@ -47,22 +51,23 @@
     }
 }
 
-/// The list as this gateway has been told it, in discovery's form.
+/// The list as this gateway has been given it, in discovery's form.
 pub fn list(environment: &Environment, gateway: GatewayId, addresses: &[String]) -> Value {
     let fleet = environment.fleet.borrow();
     let view = fleet.list().view(gateway);
     let members: Vec<Value> = (view.entries())
-        .filter(|e| e.listed != ListedState::Gone)
-        .map(|e| {
+        .filter(|entry| entry.listed != ListedState::Gone)
+        .map(|entry| {
+            let draining = entry.listed == ListedState::Draining;
             json!({
-                "id": format!("h{}", e.host.0),
-                "host_port": addresses[e.host.0 as usize],
+                "id": format!("h{}", entry.host.0),
+                "host_port": addresses[entry.host.0 as usize],
                 "locality": ZONE,
                 "flavor": "lab",
-                "cell": e.set.0,
-                "phase": if e.listed == ListedState::Draining { "terminating" } else { "in_service" },
+                "cell": entry.set.0,
+                "phase": if draining { "terminating" } else { "in_service" },
                 "size": 1.0,
-                "up_since_ms": (e.since / irisrouter_simulation::MS) as f64,
+                "up_since_ms": (entry.since / MS) as f64,
             })
         })
         .collect();
@@ -76,9 +81,9 @@
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     if request.uri().path() != "/discovery/hosts" {
-        let mut nothing = Response::new(Full::new(Bytes::new()));
-        *nothing.status_mut() = StatusCode::NOT_FOUND;
-        return Ok(nothing);
+        let mut not_found = Response::new(Full::new(Bytes::new()));
+        *not_found.status_mut() = StatusCode::NOT_FOUND;
+        return Ok(not_found);
     }
     let query: HashMap<&str, u64> = (request.uri().query().unwrap_or_default().split('&'))
         .filter_map(|pair| pair.split_once('='))
@@ -86,12 +91,12 @@
         .collect();
     let mut versions = environment.versions(gateway);
     while environment.fleet.borrow().list().is_silent() {
-        tokio::time::sleep(Duration::from_millis(20)).await;
+        tokio::time::sleep(SILENCE_POLL_INTERVAL).await;
     }
     if let Some(&from) = query.get("from") {
-        let hold =
-            Duration::from_millis(query.get("hold_ms").copied().unwrap_or(0).min(LONGEST_HOLD));
-        let _ = timeout(hold, versions.wait_for(|&v| v > from)).await;
+        let hold_ms = query.get("hold_ms").copied().unwrap_or(0);
+        let hold = Duration::from_millis(hold_ms.min(MAX_HOLD_MS));
+        let _ = timeout(hold, versions.wait_for(|&version| version > from)).await;
     }
     let body = list(environment, gateway, addresses).to_string();
     let mut response = Response::new(Full::new(Bytes::from(body)));
--- a/crates/testbed/src/loopback/environment.rs
+++ b/crates/testbed/src/loopback/environment.rs
@@ -1,4 +1,4 @@
-//! What the stand-ins of one run share: the world, the clock, the count, and who waits for what.
+//! What the stand-ins of one run share: the world, the clock, the collector of results, and who waits for which reply.
 
 use crate::results::{Collector, RunResults};
 use crate::scenario::Scenario;
@@ -10,20 +10,9 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tokio::time::{sleep_until, Instant};
 
-/// A listener on a port that the system gives.
-///
-/// # Errors
-/// Where there is none.
-pub async fn listen() -> Result<TcpListener, String> {
-    TcpListener::bind("127.0.0.1:0")
-        .await
-        .map_err(|e| format!("cannot listen on loopback: {e}"))
-}
-
 /// The system's clock, which never goes back.
 #[derive(Clone, Copy, Debug)]
 struct Clock {
@@ -51,18 +40,38 @@
     }
 }
 
-/// What comes of something handed to a host.
+/// A host's answer to a statement.
+#[derive(Clone, Copy, Debug)]
+pub struct HostAnswer {
+    /// How the statement ended.
+    pub answer: Answer,
+    /// The host's role and position when it answered.
+    pub status: ReplicaStatus,
+    /// The work that it took.
+    pub work: Ns,
+}
+
+/// A host's reply to a connection or a statement.
 #[derive(Clone, Copy, Debug)]
-pub enum Word {
+pub enum HostReply {
     /// The connection is up.
     Connected,
-    /// An answer, and the work that it took.
-    Answer(Answer, ReplicaStatus, Ns),
+    /// The statement is answered.
+    Answer(HostAnswer),
 }
 
-/// A statement that a client has sent, by its id: what a host cannot read from it.
+/// A gateway that is to be started or killed.
 #[derive(Clone, Copy, Debug)]
-pub struct Asked {
+pub struct GatewayCommand {
+    /// The gateway.
+    pub gateway: GatewayId,
+    /// Whether it is started; else it is killed.
+    pub up: bool,
+}
+
+/// A statement that a client has sent: what a host cannot read from it.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientStatement {
     /// Its class.
     pub class: usize,
     /// Its work.
@@ -73,12 +82,22 @@
     pub mark: Ns,
     /// When its client sent it.
     pub sent: Ns,
-    /// Its client waits for the answer.
+    /// Whether its client waits for the answer.
     pub open: bool,
 }
 
-/// A statement may come from its gateway for so long after its client has ended; then it is forgotten.
-const REMEMBERED: Ns = 30 * SECOND;
+/// A statement may come from its gateway for this time after its client has ended; then it is forgotten.
+const STATEMENT_RETENTION: Ns = 30 * SECOND;
+/// Between the making of the world and its start, until the run begins: nothing happens in the world before.
+const BEFORE_RUN: Ns = 3600 * SECOND;
+/// How long the world is left alone where nothing is due.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// A statement whose client has ended.
+struct EndedStatement {
+    forget_at: Ns,
+    id: String,
+}
 
 /// What the stand-ins of one run share.
 pub struct Environment {
@@ -92,67 +111,68 @@
     pub clients: RefCell<Clients>,
     /// What gateways send one another.
     pub datagrams: RefCell<Datagrams>,
-    /// The count.
+    /// The collector of the run's results.
     pub collector: RefCell<Collector>,
-    /// Statements under way, by id.
-    pub asked: RefCell<HashMap<String, Asked>>,
-    forgotten: RefCell<VecDeque<(Ns, String)>>,
+    /// Statements that clients have sent, by id.
+    pub statements: RefCell<HashMap<String, ClientStatement>>,
+    /// Statements whose clients have ended, in the order in which they are forgotten.
+    ended_statements: RefCell<VecDeque<EndedStatement>>,
     /// Ids of which a statement is at a host: another one is a second copy.
-    pub out: RefCell<HashSet<String>>,
-    waiting: RefCell<HashMap<u64, oneshot::Sender<Word>>>,
-    next_ticket: Cell<u64>,
-    /// Grows when all connections to a host are reset.
-    broken: Vec<watch::Sender<u64>>,
-    /// The version of each gateway's list.
-    told: Vec<watch::Sender<u64>>,
-    /// Gateways that are to be killed or started.
-    commands: mpsc::UnboundedSender<(GatewayId, bool)>,
-    obeyed: RefCell<Option<mpsc::UnboundedReceiver<(GatewayId, bool)>>>,
-    changed: Notify,
+    pub in_flight: RefCell<HashSet<String>>,
+    /// By ticket: who waits for a host's reply.
+    waiting: RefCell<HashMap<u64, oneshot::Sender<HostReply>>>,
+    last_ticket: Cell<u64>,
+    /// By host: grows when all connections to it are reset.
+    reset_counts: Vec<watch::Sender<u64>>,
+    /// By gateway: the version of its list.
+    list_versions: Vec<watch::Sender<u64>>,
+    command_sender: mpsc::UnboundedSender<GatewayCommand>,
+    /// Until it is taken.
+    command_receiver: RefCell<Option<mpsc::UnboundedReceiver<GatewayCommand>>>,
+    world_changed: Notify,
 }
 
 impl Environment {
     /// The world as it is before the run begins.
     pub fn new(scenario: &Scenario, seed: u64) -> Rc<Self> {
         let clock = Clock::new();
-        // Far enough ahead: nothing happens in the world before the run begins, and then it is made anew.
-        let start = clock.now() + 3600 * SECOND;
-        let w = &scenario.world;
-        let (commands, obeyed) = mpsc::unbounded_channel();
+        let start = clock.now() + BEFORE_RUN;
+        let world = &scenario.world;
+        let (command_sender, command_receiver) = mpsc::unbounded_channel();
         Rc::new(Environment {
-            fleet: RefCell::new(Fleet::new(w, seed, start)),
-            clients: RefCell::new(Clients::new(w, seed, start)),
+            fleet: RefCell::new(Fleet::new(world, seed, start)),
+            clients: RefCell::new(Clients::new(world, seed, start)),
             datagrams: RefCell::new(Datagrams::new(seed)),
             collector: RefCell::new(Collector::new(scenario, start)),
             scenario: scenario.clone(),
             seed,
             clock,
             start: Cell::new(start),
-            asked: RefCell::default(),
-            forgotten: RefCell::default(),
-            out: RefCell::default(),
+            statements: RefCell::default(),
+            ended_statements: RefCell::default(),
+            in_flight: RefCell::default(),
             waiting: RefCell::default(),
-            next_ticket: Cell::new(0),
-            broken: (0..w.hosts.count).map(|_| watch::Sender::new(0)).collect(),
-            told: (0..w.gateways).map(|_| watch::Sender::new(1)).collect(),
-            commands,
-            obeyed: RefCell::new(Some(obeyed)),
-            changed: Notify::new(),
+            last_ticket: Cell::new(0),
+            reset_counts: watch_senders(world.hosts.count, 0),
+            list_versions: watch_senders(world.gateways, 1),
+            command_sender,
+            command_receiver: RefCell::new(Some(command_receiver)),
+            world_changed: Notify::new(),
         })
     }
 
-    /// The run begins after a breath: the world is made anew, and its first moment is then.
-    pub fn begin(&self, breath: Ns) {
-        let start = self.clock.now() + breath;
-        let w = &self.scenario.world;
+    /// Begins the run after a delay: the world is made anew, and its first moment is then.
+    pub fn begin(&self, delay: Ns) {
+        let start = self.clock.now() + delay;
+        let world = &self.scenario.world;
         self.start.set(start);
-        self.fleet.replace(Fleet::new(w, self.seed, start));
-        self.clients.replace(Clients::new(w, self.seed, start));
+        self.fleet.replace(Fleet::new(world, self.seed, start));
+        self.clients.replace(Clients::new(world, self.seed, start));
         self.collector
             .replace(Collector::new(&self.scenario, start));
         self.datagrams.replace(Datagrams::new(self.seed));
         self.waiting.borrow_mut().clear();
-        self.changed.notify_one();
+        self.world_changed.notify_one();
     }
 
     /// The run's first moment.
@@ -165,12 +185,12 @@
         self.clock.now()
     }
 
-    /// Waits until then.
+    /// Waits until a moment, in Unix nanoseconds.
     pub async fn until(&self, at: Ns) {
         sleep_until(self.clock.instant(at)).await;
     }
 
-    /// The moment on the runtime's clock.
+    /// A moment, in Unix nanoseconds, on the runtime's clock.
     pub fn instant(&self, at: Ns) -> Instant {
         self.clock.instant(at)
     }
@@ -180,88 +200,100 @@
         &self.scenario
     }
 
-    /// A ticket, and where its word comes.
-    pub fn ticket(&self) -> (u64, oneshot::Receiver<Word>) {
-        let ticket = self.next_ticket.get() + 1;
-        self.next_ticket.set(ticket);
-        let (word, comes) = oneshot::channel();
-        self.waiting.borrow_mut().insert(ticket, word);
-        (ticket, comes)
+    /// A new ticket for a host, and where the reply to it comes.
+    pub fn ticket(&self) -> (u64, oneshot::Receiver<HostReply>) {
+        let ticket = self.last_ticket.get() + 1;
+        self.last_ticket.set(ticket);
+        let (sender, reply) = oneshot::channel();
+        self.waiting.borrow_mut().insert(ticket, sender);
+        (ticket, reply)
     }
 
-    /// A client has sent a statement of this id.
-    pub fn asks(&self, id: &str, asked: Asked) {
-        self.asked.borrow_mut().insert(id.to_string(), asked);
+    /// Adds a statement that a client sends.
+    pub fn add_statement(&self, id: &str, statement: ClientStatement) {
+        let mut statements = self.statements.borrow_mut();
+        statements.insert(id.to_string(), statement);
     }
 
-    /// A client waits no longer. What its gateway still sends is known for a while: it is late, not made up.
-    pub fn answered(&self, id: &str) {
-        if let Some(asked) = self.asked.borrow_mut().get_mut(id) {
-            asked.open = false;
+    /// Ends a client's wait for a statement. The statement is kept for a while: what its gateway still sends is late, not
+    /// made up.
+    pub fn end_statement(&self, id: &str) {
+        let mut statements = self.statements.borrow_mut();
+        if let Some(statement) = statements.get_mut(id) {
+            statement.open = false;
         }
         let now = self.now();
-        let mut forgotten = self.forgotten.borrow_mut();
-        forgotten.push_back((now + REMEMBERED, id.to_string()));
-        while forgotten.front().is_some_and(|f| f.0 <= now) {
-            if let Some((_, old)) = forgotten.pop_front() {
-                self.asked.borrow_mut().remove(&old);
+        let mut ended = self.ended_statements.borrow_mut();
+        ended.push_back(EndedStatement {
+            forget_at: now + STATEMENT_RETENTION,
+            id: id.to_string(),
+        });
+        while ended.front().is_some_and(|first| first.forget_at <= now) {
+            if let Some(forgotten) = ended.pop_front() {
+                statements.remove(&forgotten.id);
             }
         }
     }
 
-    /// Does something to the world, and passes on what comes of it at once.
+    /// Applies a function to the world as it is now, and passes on at once what comes of it.
     pub fn with<R>(&self, act: impl FnOnce(&mut Fleet, Ns) -> R) -> R {
-        self.pump();
+        self.advance();
         let now = self.now();
         let result = act(&mut self.fleet.borrow_mut(), now);
-        self.pump();
-        self.changed.notify_one();
+        self.advance();
+        self.world_changed.notify_one();
         result
     }
 
-    /// Lets the world come up to now.
-    fn pump(&self) {
+    /// Lets the world come up to now, and passes on what comes of it.
+    fn advance(&self) {
         let now = self.now();
         let outputs = self.fleet.borrow_mut().advance(now);
         for output in outputs {
             self.collector
                 .borrow_mut()
                 .world(now, &output, self.fleet.borrow().plan());
-            match output {
-                Output::Answered {
-                    ticket,
+            self.pass_on(output);
+        }
+    }
+
+    fn pass_on(&self, output: Output) {
+        match output {
+            Output::Answered {
+                ticket,
+                answer,
+                note: status,
+                work,
+                ..
+            } => {
+                let answer = HostAnswer {
                     answer,
-                    note,
+                    status,
                     work,
-                    ..
-                } => {
-                    self.word(ticket, Word::Answer(answer, note, work));
-                }
-                Output::Connected { ticket, .. } => self.word(ticket, Word::Connected),
-                Output::ConnectionsReset { host } => {
-                    self.broken[host.0 as usize].send_modify(|n| *n += 1)
-                }
-                Output::ListUpdated { gateway, .. } => {
-                    let version = self.fleet.borrow().list().view(gateway).version;
-                    self.told[gateway.0 as usize].send_replace(version);
-                }
-                Output::Gateway { gateway, up } => {
-                    let _ = self.commands.send((gateway, up));
-                }
-                _ => {}
+                };
+                self.reply(ticket, HostReply::Answer(answer));
+            }
+            Output::Connected { ticket, .. } => self.reply(ticket, HostReply::Connected),
+            Output::ConnectionsReset { host } => {
+                self.reset_counts[host.0 as usize].send_modify(|count| *count += 1);
             }
+            Output::ListUpdated { gateway, .. } => {
+                let version = self.fleet.borrow().list().view(gateway).version;
+                self.list_versions[gateway.0 as usize].send_replace(version);
+            }
+            Output::Gateway { gateway, up } => {
+                let _ = self.command_sender.send(GatewayCommand { gateway, up });
+            }
+            _ => {}
         }
     }
 
-    fn word(&self, ticket: u64, word: Word) {
-        let heard = self
-            .waiting
-            .borrow_mut()
-            .remove(&ticket)
-            .is_some_and(|w| w.send(word).is_ok());
-        if let (false, Word::Answer(_, _, work)) = (heard, word) {
-            // The work was done, and nobody waits for it.
-            self.collector.borrow_mut().worked(work, false);
+    /// Hands a host's reply to whoever waits for it. Work whose answer nobody waits for was done for nothing.
+    fn reply(&self, ticket: u64, reply: HostReply) {
+        let waiting = self.waiting.borrow_mut().remove(&ticket);
+        let received = waiting.is_some_and(|sender| sender.send(reply).is_ok());
+        if let (false, HostReply::Answer(answer)) = (received, reply) {
+            self.collector.borrow_mut().worked(answer.work, false);
         }
     }
 
@@ -270,39 +302,39 @@
         loop {
             let next = self.fleet.borrow().next();
             let due = next.map_or_else(
-                || Instant::now() + Duration::from_secs(1),
+                || Instant::now() + IDLE_INTERVAL,
                 |at| self.clock.instant(at),
             );
             tokio::select! {
-                () = sleep_until(due) => self.pump(),
-                () = self.changed.notified() => {}
+                () = sleep_until(due) => self.advance(),
+                () = self.world_changed.notified() => {}
             }
         }
     }
 
-    /// Told when all connections to a host are reset.
+    /// Changes when all connections to a host are reset.
     pub fn resets(&self, host: HostId) -> watch::Receiver<u64> {
-        let mut resets = self.broken[host.0 as usize].subscribe();
+        let mut resets = self.reset_counts[host.0 as usize].subscribe();
         resets.mark_unchanged();
         resets
     }
 
     /// The version of a gateway's list, as it grows.
     pub fn versions(&self, gateway: GatewayId) -> watch::Receiver<u64> {
-        self.told[gateway.0 as usize].subscribe()
+        self.list_versions[gateway.0 as usize].subscribe()
     }
 
-    /// Gateways to be killed and started, once.
-    pub fn commands(&self) -> Option<mpsc::UnboundedReceiver<(GatewayId, bool)>> {
-        self.obeyed.borrow_mut().take()
+    /// The gateways that are to be killed and started; none once they are taken.
+    pub fn take_gateway_commands(&self) -> Option<mpsc::UnboundedReceiver<GatewayCommand>> {
+        self.command_receiver.borrow_mut().take()
     }
 
-    /// Looks at all hosts.
+    /// Samples all hosts.
     pub fn sample(&self) {
         self.with(|fleet, now| self.collector.borrow_mut().sample(now, fleet));
     }
 
-    /// The figures, at the end.
+    /// The results, at the end.
     pub fn results(&self, scenario: &Scenario, seed: u64) -> RunResults {
         let mut collector = self
             .collector
@@ -317,3 +349,7 @@
         (self.now() - self.start()) as f64 / seconds(1.0) as f64
     }
 }
+
+fn watch_senders(count: u32, value: u64) -> Vec<watch::Sender<u64>> {
+    (0..count).map(|_| watch::Sender::new(value)).collect()
+}
--- a/crates/testbed/src/loopback/front.rs
+++ b/crates/testbed/src/loopback/front.rs
@@ -1,7 +1,7 @@
-//! Clients, as gateways meet them: real PostgreSQL connections by `tokio-postgres`, dealt out by a front layer, and the
-//! life of each request with its retries.
+//! Clients, as gateways meet them: real PostgreSQL connections by `tokio-postgres`, pooled by a front layer, and each
+//! request with its retries, from its first try to its end.
 
-use super::environment::{Asked, Environment};
+use super::environment::{ClientStatement, Environment};
 use super::host::payload;
 use super::process::Processes;
 use irisrouter_simulation::clients::{Arrival, NextStep, Try, TryOutcome};
@@ -13,12 +13,15 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
+use tokio_postgres::error::DbError;
 use tokio_postgres::{Client, Config, NoTls, SimpleQueryMessage};
 
-/// A request that is not answered so long after its client's time is unanswered.
-const SLACK: Ns = 50 * MS;
-/// Idle connections to a gateway that are kept.
-const KEPT: usize = 64;
+/// A request that is not answered this long after its client's deadline counts as unanswered.
+const ANSWER_SLACK: Ns = 50 * MS;
+/// Most idle connections to a gateway that are kept.
+const MAX_IDLE_CONNECTIONS: usize = 64;
+/// How long a connection to a gateway may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The clients and the front between them and the gateways.
 pub struct Front {
@@ -47,19 +50,21 @@
 
     /// The life of one request, from its first try to its end.
     pub async fn call(self: Rc<Self>, arrival: Arrival) {
-        let mut of = self
+        let mut client_try = self
             .environment
             .clients
             .borrow_mut()
             .first_try(self.environment.now(), arrival);
         loop {
-            let outcome = self.attempt(&of).await;
+            let outcome = self.attempt(&client_try).await;
             let now = self.environment.now();
-            let next = self
-                .environment
-                .clients
-                .borrow_mut()
-                .finish_try(now, of.call, of.number, of.sent, outcome);
+            let next = self.environment.clients.borrow_mut().finish_try(
+                now,
+                client_try.call,
+                client_try.number,
+                client_try.sent,
+                outcome,
+            );
             match next {
                 NextStep::Again(at) => {
                     self.environment.until(at).await;
@@ -67,9 +72,9 @@
                         .environment
                         .clients
                         .borrow_mut()
-                        .next_try(self.environment.now(), of.call);
+                        .next_try(self.environment.now(), client_try.call);
                     match again {
-                        Some(again) => of = again,
+                        Some(again) => client_try = again,
                         None => return,
                     }
                 }
@@ -82,35 +87,37 @@
     }
 
     /// One try.
-    async fn attempt(&self, of: &Try) -> TryOutcome {
-        let id = format!("{:08x}{:08x}", of.call, of.number);
-        let a = &of.arrival;
-        let asked = Asked {
-            class: a.class,
-            work: a.work,
-            key: a.key,
-            mark: of.mark,
-            sent: of.sent,
+    async fn attempt(&self, client_try: &Try) -> TryOutcome {
+        let id = format!("{:08x}{:08x}", client_try.call, client_try.number);
+        let arrival = &client_try.arrival;
+        let client_statement = ClientStatement {
+            class: arrival.class,
+            work: arrival.work,
+            key: arrival.key,
+            mark: client_try.mark,
+            sent: client_try.sent,
             open: true,
         };
         self.environment
             .collector
             .borrow_mut()
-            .tried(of.sent, of.number == 0);
-        self.environment.asks(&id, asked);
-        let end = of.leaves.unwrap_or(of.deadline + SLACK);
-        let statement = self.statement(of, &id);
+            .tried(client_try.sent, client_try.number == 0);
+        self.environment.add_statement(&id, client_statement);
+        let end = client_try
+            .leaves
+            .unwrap_or(client_try.deadline + ANSWER_SLACK);
+        let statement = self.statement(client_try, &id);
         let answered = tokio::time::timeout_at(
             self.environment.instant(end),
-            self.exchanges(of, &id, &statement),
+            self.exchanges(client_try, &id, &statement),
         )
         .await;
-        self.environment.answered(&id);
+        self.environment.end_statement(&id);
         match answered {
             Ok(outcome) => outcome,
-            Err(_) if of.leaves.is_some() => TryOutcome::Left,
+            Err(_) if client_try.leaves.is_some() => TryOutcome::Left,
             Err(_) => {
-                if self.processes.alive(of.gateway) {
+                if self.processes.is_running(client_try.gateway) {
                     self.environment.collector.borrow_mut().unanswered += 1;
                 }
                 TryOutcome::TimedOut
@@ -118,24 +125,25 @@
         }
     }
 
-    async fn exchanges(&self, of: &Try, id: &str, statement: &str) -> TryOutcome {
+    async fn exchanges(&self, client_try: &Try, id: &str, statement: &str) -> TryOutcome {
         let idle = self
             .idle
             .borrow_mut()
-            .get_mut(&of.gateway)
+            .get_mut(&client_try.gateway)
             .and_then(Vec::pop)
             .filter(|c| !c.is_closed());
         if let Some(client) = idle {
-            if let Exchange::Finished(outcome) =
-                self.exchange(of, id, statement, client, false).await
+            if let Exchange::Finished(outcome) = self
+                .exchange(client_try, id, statement, client, false)
+                .await
             {
                 return outcome;
             }
         }
-        let Some(client) = self.connect(of.gateway).await else {
+        let Some(client) = self.connect(client_try.gateway).await else {
             return TryOutcome::Unreachable;
         };
-        match self.exchange(of, id, statement, client, true).await {
+        match self.exchange(client_try, id, statement, client, true).await {
             Exchange::Finished(outcome) => outcome,
             Exchange::Stale => TryOutcome::Broken,
         }
@@ -143,7 +151,7 @@
 
     async fn connect(&self, gateway: GatewayId) -> Option<Client> {
         let address = self.processes.address(gateway)?;
-        let stream = timeout(Duration::from_secs(1), TcpStream::connect(address))
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .ok()?
             .ok()?;
@@ -151,88 +159,99 @@
         let mut config = Config::new();
         config.user("web").dbname("orders");
         let (client, connection) = config.connect_raw(stream, NoTls).await.ok()?;
-        super::beside(async move {
+        super::spawn(async move {
             // It ends when the client is dropped, or with an error that the client is told.
             let _ = connection.await;
         });
         Some(client)
     }
 
+    /// Sends a statement on a connection, which was opened for it where `is_new`.
     async fn exchange(
         &self,
-        of: &Try,
+        client_try: &Try,
         id: &str,
         statement: &str,
         client: Client,
-        fresh: bool,
+        is_new: bool,
     ) -> Exchange {
         let result = client.simple_query(statement).await;
-        let gateway_lives = self.processes.alive(of.gateway);
+        let gateway_runs = self.processes.is_running(client_try.gateway);
         let outcome = match result {
-            Ok(messages) => {
-                let value = messages.iter().find_map(|m| match m {
-                    SimpleQueryMessage::Row(row) => {
-                        row.try_get(0).ok().flatten().map(str::to_string)
-                    }
-                    _ => None,
-                });
-                if value.as_deref() != Some(payload(id).as_str()) {
-                    // Not what a host made for this request.
-                    self.environment.collector.borrow_mut().wrong_rows += 1;
-                }
-                let commit = of
-                    .arrival
-                    .key
-                    .and_then(|k| self.environment.fleet.borrow().invariants().commit(k));
-                TryOutcome::Served { commit }
-            }
-            Err(e) => match e.as_db_error() {
-                Some(db) if matches!(db.code().code(), "53300" | "57P03") => {
-                    let pause = db
-                        .detail()
-                        .and_then(|d| d.trim().parse::<Ns>().ok())
-                        .map(|ms| ms * MS);
-                    self.environment
-                        .collector
-                        .borrow_mut()
-                        .refused(self.environment.now(), pause);
-                    TryOutcome::Refused { pause }
-                }
-                Some(_) => TryOutcome::Failed,
-                None if !fresh && gateway_lives => return Exchange::Stale,
+            Ok(messages) => self.served(client_try, id, &messages),
+            Err(error) => match error.as_db_error() {
+                Some(error) => self.rejected(error),
+                None if !is_new && gateway_runs => return Exchange::Stale,
                 None => {
-                    if gateway_lives {
+                    if gateway_runs {
                         self.environment.collector.borrow_mut().lost += 1;
                     }
                     TryOutcome::Broken
                 }
             },
         };
+        self.keep_idle(client_try.gateway, client);
+        Exchange::Finished(outcome)
+    }
+
+    fn served(&self, client_try: &Try, id: &str, messages: &[SimpleQueryMessage]) -> TryOutcome {
+        let value = messages.iter().find_map(|message| match message {
+            SimpleQueryMessage::Row(row) => row.try_get(0).ok().flatten(),
+            _ => None,
+        });
+        if value != Some(payload(id).as_str()) {
+            // Not what a host made for this request.
+            self.environment.collector.borrow_mut().wrong_rows += 1;
+        }
+        let key = client_try.arrival.key;
+        let commit = key.and_then(|key| self.environment.fleet.borrow().invariants().commit(key));
+        TryOutcome::Served { commit }
+    }
+
+    fn rejected(&self, error: &DbError) -> TryOutcome {
+        if !matches!(error.code().code(), "53300" | "57P03") {
+            return TryOutcome::Failed;
+        }
+        let pause = error
+            .detail()
+            .and_then(|detail| detail.trim().parse::<Ns>().ok())
+            .map(|pause_ms| pause_ms * MS);
+        self.environment
+            .collector
+            .borrow_mut()
+            .refused(self.environment.now(), pause);
+        TryOutcome::Refused { pause }
+    }
+
+    /// Keeps a connection for a later request, where it is open and there is room.
+    fn keep_idle(&self, gateway: GatewayId, client: Client) {
         let mut idle = self.idle.borrow_mut();
-        let kept = idle.entry(of.gateway).or_default();
-        if !client.is_closed() && kept.len() < KEPT {
+        let kept = idle.entry(gateway).or_default();
+        if !client.is_closed() && kept.len() < MAX_IDLE_CONNECTIONS {
             kept.push(client);
         }
-        Exchange::Finished(outcome)
     }
 
     /// The statement, as the platform's clients word it.
-    fn statement(&self, of: &Try, id: &str) -> String {
-        let a = &of.arrival;
-        let class = &self.environment.scenario().world.classes[a.class];
-        let wait = (of.deadline - of.sent) / MS;
-        let reference = match a.session {
+    fn statement(&self, client_try: &Try, id: &str) -> String {
+        let arrival = &client_try.arrival;
+        let class = &self.environment.scenario().world.classes[arrival.class];
+        let wait = (client_try.deadline - client_try.sent) / MS;
+        let reference = match arrival.session {
             Some(session) => format!("s{session:x}"),
-            None => format!("{:x}", a.call),
+            None => format!("{:x}", arrival.call),
         };
-        let mut comment = format!("id={id},c={},d={wait},cluster={}", class.name, a.set.0);
-        if of.mark > 0 {
-            comment.push_str(&format!(",after={}", (of.mark + MS - 1) / MS));
+        let mut comment = format!(
+            "id={id},c={},d={wait},cluster={}",
+            class.name, arrival.set.0
+        );
+        if client_try.mark > 0 {
+            comment.push_str(&format!(",after={}", (client_try.mark + MS - 1) / MS));
         }
-        if let Some(key) = a.key {
+        if let Some(key) = arrival.key {
             comment.push_str(&format!(",k={key:x}"));
         }
-        if of.marked {
+        if client_try.marked {
             comment.push_str(",r=1");
         }
         match class.need {
--- a/crates/testbed/src/loopback/mod.rs
+++ b/crates/testbed/src/loopback/mod.rs
@@ -3,18 +3,23 @@
 
 pub mod discovery;
 pub mod environment;
+mod error;
 pub mod front;
 pub mod host;
 pub mod peers;
 pub mod process;
 
+pub use error::{GatewayFailure, LoopbackError, ProcessEnd};
+
 use crate::results::RunResults;
 use crate::scenario::Scenario;
 use crate::settings;
+use crate::sockets;
 use environment::Environment;
 use front::Front;
 use irisrouter_simulation::clients::Arrivals;
-use irisrouter_simulation::{seconds, GatewayId, HostId, Ns, SECOND};
+use irisrouter_simulation::spec::Day;
+use irisrouter_simulation::{GatewayId, HostId, Ns, SECOND};
 use peers::Peers;
 use process::{Processes, Program};
 use serde_json::json;
@@ -23,14 +28,14 @@
 use std::time::Duration;
 use tokio::task::{spawn_local, JoinSet, LocalSet};
 
-/// What comes is bounded: a machine's loopback is not a fleet's network.
-const MOST_PER_S: f64 = 5_000.0;
-/// Gateways and hosts that one machine carries.
-const MOST_SOCKETS: u32 = 2_000;
+/// Highest load, in requests a second, as the loopback of one machine is not a fleet's network.
+const MAX_REQUESTS_PER_S: f64 = 5_000.0;
+/// Most pairs of a gateway and a host that one machine carries.
+const MAX_CONNECTIONS: u32 = 2_000;
 /// Between the last gateway's readiness and the first arrival.
-const BREATH: Ns = SECOND / 5;
-/// What is still open so long after the last arrival's deadline is given up.
-const AFTER: Duration = Duration::from_secs(3);
+const START_DELAY: Ns = SECOND / 5;
+/// Requests that are still open so long after the last arrival's deadline are given up.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// How to run.
 pub struct Options<'a> {
@@ -43,70 +48,63 @@
 /// Runs a scenario on loopback.
 ///
 /// # Errors
-/// Where the settings are not taken, the scenario is too large for one machine, a gateway does not start or ends by
-/// itself, with its last log lines.
-pub fn run(scenario: &Scenario, seed: u64, options: &Options<'_>) -> Result<RunResults, String> {
+/// The settings are not taken, the scenario is too large for one machine, or a gateway does not start or ends by itself.
+pub fn run(
+    scenario: &Scenario,
+    seed: u64,
+    options: &Options<'_>,
+) -> Result<RunResults, LoopbackError> {
     settings::load(scenario, seed)?;
-    let w = &scenario.world;
-    if w.gateways * w.hosts.count > MOST_SOCKETS {
-        return Err(format!(
-            "{} gateways times {} hosts are too many for one machine",
-            w.gateways, w.hosts.count
-        ));
-    }
-    let rate = irisrouter_simulation::spec::Day::draw(w, seed).demand.rate;
-    if rate > MOST_PER_S {
-        return Err(format!(
-            "{rate:.0} requests a second are too many for one machine, {MOST_PER_S:.0} at most"
-        ));
-    }
+    check_size(scenario, seed)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
-        .build();
-    let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
+        .build()
+        .map_err(LoopbackError::Runtime)?;
     LocalSet::new().block_on(&runtime, drive(scenario, seed, options))
 }
 
+/// Refuses a scenario that is too large for one machine.
+fn check_size(scenario: &Scenario, seed: u64) -> Result<(), LoopbackError> {
+    let world = &scenario.world;
+    let (gateways, hosts) = (world.gateways, world.hosts.count);
+    if gateways * hosts > MAX_CONNECTIONS {
+        return Err(LoopbackError::TooManyConnections { gateways, hosts });
+    }
+    let per_s = Day::draw(world, seed).demand.rate;
+    if per_s > MAX_REQUESTS_PER_S {
+        return Err(LoopbackError::TooManyRequests { per_s });
+    }
+    Ok(())
+}
+
 async fn drive(
     scenario: &Scenario,
     seed: u64,
     options: &Options<'_>,
-) -> Result<RunResults, String> {
-    let w = &scenario.world;
+) -> Result<RunResults, LoopbackError> {
+    let world = &scenario.world;
     let environment = Environment::new(scenario, seed);
     // Whatever ends this run ends all that it has started.
     let mut tasks = JoinSet::new();
     tasks.spawn_local(Rc::clone(&environment).drive());
-    let peers = Peers::new(Rc::clone(&environment), w.gateways).await?;
+    let peers = Peers::new(Rc::clone(&environment), world.gateways).await?;
     let mut programs = Vec::new();
-    for gateway in (0..w.gateways).map(GatewayId) {
+    for gateway in (0..world.gateways).map(GatewayId) {
         let started = prepare_gateway(scenario, &environment, &peers, &mut tasks, gateway, options);
         programs.push(started.await?);
     }
     tasks.spawn_local(peers.relay());
     let processes = Processes::new(Rc::clone(&environment), programs, seed)?;
-    for g in 0..w.gateways {
-        processes.start(GatewayId(g)).await?;
+    for gateway in (0..world.gateways).map(GatewayId) {
+        processes.start(gateway).await?;
     }
-    environment.begin(BREATH);
+    environment.begin(START_DELAY);
     let front = Front::new(Rc::clone(&environment), Rc::clone(&processes));
-    let commands = Rc::clone(&processes);
-    tasks.spawn_local(async move { commands.obey().await });
-    let run = send_load(scenario, seed, &environment, &front);
-    let sampling = async {
-        for second in 0..w.length_s.ceil() as Ns {
-            environment
-                .until(environment.start() + second * SECOND)
-                .await;
-            environment.sample();
-            (options.each_second)(&environment);
-        }
-        std::future::pending::<()>().await
-    };
+    tasks.spawn_local(Rc::clone(&processes).apply_faults());
     let result = tokio::select! {
-        () = run => Ok(()),
-        () = sampling => Ok(()),
-        why = processes.failed() => Err(why),
+        () = send_load(scenario, seed, &environment, &front) => Ok(()),
+        () = sample_each_second(scenario, &environment, options) => Ok(()),
+        error = processes.failed() => Err(error),
     };
     processes.stop().await;
     tasks.shutdown().await;
@@ -114,6 +112,18 @@
     Ok(environment.results(scenario, seed))
 }
 
+/// Samples the hosts each second of the run, and never ends.
+async fn sample_each_second(scenario: &Scenario, environment: &Environment, options: &Options<'_>) {
+    for second in 0..scenario.world.length_s.ceil() as Ns {
+        environment
+            .until(environment.start() + second * SECOND)
+            .await;
+        environment.sample();
+        (options.each_second)(environment);
+    }
+    std::future::pending::<()>().await;
+}
+
 /// Starts the stand-ins that one gateway talks to, and puts together how its program is started.
 async fn prepare_gateway(
     scenario: &Scenario,
@@ -122,19 +132,21 @@
     tasks: &mut JoinSet<()>,
     gateway: GatewayId,
     options: &Options<'_>,
-) -> Result<Program, String> {
+) -> Result<Program, LoopbackError> {
     let mut addresses = Vec::new();
     for host in (0..scenario.world.hosts.count).map(HostId) {
-        let listener = environment::listen().await?;
-        let address = listener.local_addr().map_err(|e| e.to_string())?;
+        let listener = sockets::listen().await?;
+        let address = sockets::listener_address(&listener)?;
         addresses.push(address.to_string());
         let environment = Rc::clone(environment);
         tasks.spawn_local(host::serve(environment, listener, gateway, host));
     }
-    let listener = environment::listen().await?;
-    let discovery = listener.local_addr().map_err(|e| e.to_string())?;
-    let (known, all) = peers.addresses(gateway)?;
-    let known: Vec<String> = known.iter().map(ToString::to_string).collect();
+    let listener = sockets::listen().await?;
+    let discovery = sockets::listener_address(&listener)?;
+    let peer_addresses = peers.addresses(gateway)?;
+    let known: Vec<String> = (peer_addresses.known.iter())
+        .map(ToString::to_string)
+        .collect();
     let addresses = Rc::new(addresses);
     tasks.spawn_local(discovery::serve(
         Rc::clone(environment),
@@ -153,7 +165,7 @@
             "seed": "0",
             "peer_listen": peers.listen(gateway).to_string(),
             "peers": known,
-            "peers_all": all.to_string(),
+            "peers_all": peer_addresses.broadcast.to_string(),
             "limits": { "cores": 1.0, "memory_mb": scenario.gateway.memory_mb, "sockets": scenario.gateway.sockets },
             "settings": settings::object(scenario),
         }),
@@ -173,19 +185,14 @@
     let deadlines = world.classes.iter().map(|class| class.deadline_ms);
     let longest = deadlines.fold(0.0, f64::max);
     let tries = f64::from(world.clients.retries + 1);
-    let patience = Duration::from_secs_f64(longest / 1e3 * tries) + AFTER;
+    let patience = Duration::from_secs_f64(longest / 1e3 * tries) + DRAIN_TIMEOUT;
     let _ = tokio::time::timeout(patience, async {
         while calls.join_next().await.is_some() {}
     })
     .await;
 }
 
-/// How long a run lasts at least.
-pub fn length(scenario: &Scenario) -> Duration {
-    Duration::from_nanos(seconds(scenario.world.length_s).max(0) as u64)
-}
-
-/// Runs a task beside the others.
-fn beside(task: impl std::future::Future<Output = ()> + 'static) {
+/// Runs a task beside the others, until the run's thread ends.
+fn spawn(task: impl std::future::Future<Output = ()> + 'static) {
     spawn_local(task);
 }
--- a/crates/testbed/src/settings.rs
+++ b/crates/testbed/src/settings.rs
@@ -2,7 +2,7 @@
 //! the gateway's own code in both ways of running, so that neither way can tell it something else.
 
 use crate::scenario::Scenario;
-use irisrouter::platform_settings::PlatformSettings;
+use irisrouter::platform_settings::{PlatformSettings, PlatformSettingsError};
 use irisrouter_simulation::spec::{Checks, ClassSpec, Need};
 use serde_json::{json, Value};
 
@@ -87,7 +87,7 @@
 /// The settings of a scenario as a gateway reads them.
 ///
 /// # Errors
-/// Where the gateway would not take them: its reason.
-pub fn load(s: &Scenario, seed: u64) -> Result<PlatformSettings, String> {
-    PlatformSettings::parse(&object(s), seed).map_err(|error| error.to_string())
+/// The gateway would refuse them.
+pub fn load(scenario: &Scenario, seed: u64) -> Result<PlatformSettings, PlatformSettingsError> {
+    PlatformSettings::parse(&object(scenario), seed)
 }
--- a/crates/testbed/tests/command_line.rs
+++ b/crates/testbed/tests/command_line.rs
@@ -6,7 +6,7 @@
 use std::process::{Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
-fn lab(args: &[&str]) -> Output {
+fn testbed(args: &[&str]) -> Output {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
     Command::new(env!("CARGO_BIN_EXE_irisrouter-testbed"))
         .args(args)
@@ -27,14 +27,14 @@
 }
 
 #[test]
-fn a_run_writes_its_figures_and_its_page() {
+fn run_writes_its_results_as_json_and_as_a_page() {
     let dir = tempfile::tempdir().expect("a folder");
     let (json, html) = (dir.path().join("f.json"), dir.path().join("f.html"));
     let (j, h) = (
         json.to_str().expect("a path"),
         html.to_str().expect("a path"),
     );
-    let out = lab(&[
+    let out = testbed(&[
         "run",
         "scenarios/storm.jsonnet",
         "-V",
@@ -76,7 +76,7 @@
 }
 
 #[test]
-fn a_comparison_says_what_differs() {
+fn comparison_prints_the_measures_that_differ() {
     let args = [
         "compare",
         "scenarios/storm.jsonnet",
@@ -87,7 +87,7 @@
         "--seeds",
         "4",
     ];
-    let out = lab(&[&args[..], &["--a", "retries=2", "--b", "retries=0"]].concat());
+    let out = testbed(&[&args[..], &["--a", "retries=2", "--b", "retries=0"]].concat());
     assert!(out.status.success(), "{}", text(&out.stderr));
     let said = text(&out.stdout);
     assert!(
@@ -95,15 +95,15 @@
         "{said}"
     );
     assert!(said.contains("no difference shown"), "{said}");
-    let same = lab(&[&args[..], &["--a", "retries=2", "--b", "retries=2"]].concat());
+    let same = testbed(&[&args[..], &["--a", "retries=2", "--b", "retries=2"]].concat());
     assert_eq!(same.status.code(), Some(2));
 }
 
 #[test]
-fn wrong_input_ends_with_2_path_and_reason_and_nothing_started() {
+fn wrong_input_ends_with_2_and_names_path_and_reason() {
     let run = |body: &str, more: &[&str]| {
         let (_dir, path) = file("s.jsonnet", body);
-        let out = lab(&[&["run", path.to_str().expect("a path")], more].concat());
+        let out = testbed(&[&["run", path.to_str().expect("a path")], more].concat());
         assert_eq!(out.status.code(), Some(2), "{}", text(&out.stdout));
         assert!(out.stdout.is_empty());
         text(&out.stderr)
@@ -132,20 +132,20 @@
     assert!(host.contains("there is no host 77"), "{host}");
     assert!(run("local a = import 's.jsonnet'; a + {title: 't'}", &[]).contains("s.jsonnet"));
     assert!(run("{title: 't'}", &["-V", "gateways=3"]).contains("declares none"));
-    let missing = lab(&["run", "scenarios/no-such.jsonnet"]);
+    let missing = testbed(&["run", "scenarios/no-such.jsonnet"]);
     assert_eq!(missing.status.code(), Some(2));
-    assert_eq!(lab(&["run"]).status.code(), Some(2));
+    assert_eq!(testbed(&["run"]).status.code(), Some(2));
 }
 
 #[test]
-fn a_broken_rule_ends_a_strict_run_with_1() {
+fn broken_rule_ends_a_strict_run_with_1() {
     let body = "{title: 'knocked over', world: {length_s: 40, traffic: {load: 0.8}, \
         hosts: {cold_start: 0.01, cold_s: 600}, \
         faults: [{at_s: 5, for_s: 4, reset: {hosts: {share: 0.5}}}]}}";
     let (_dir, path) = file("s.jsonnet", body);
     let path = path.to_str().expect("a path");
-    assert_eq!(lab(&["run", path]).status.code(), Some(0));
-    let strict = lab(&["--log-format", "json", "run", path, "--strict"]);
+    assert_eq!(testbed(&["run", path]).status.code(), Some(0));
+    let strict = testbed(&["--log-format", "json", "run", path, "--strict"]);
     assert_eq!(strict.status.code(), Some(1), "{}", text(&strict.stdout));
     assert!(text(&strict.stderr)
         .lines()
@@ -153,17 +153,17 @@
 }
 
 #[test]
-fn scenarios_are_listed_with_what_can_be_varied() {
-    let out = lab(&["scenarios"]);
+fn scenarios_are_listed_with_their_variables() {
+    let out = testbed(&["scenarios"]);
     let said = text(&out.stdout);
     assert!(
         out.status.success() && said.contains("A retry storm") && said.contains("retries"),
         "{said}"
     );
-    let checked = lab(&["check", "scenarios/storm.jsonnet", "-V", "gateways=8"]);
+    let checked = testbed(&["check", "scenarios/storm.jsonnet", "-V", "gateways=8"]);
     let world: serde_json::Value = serde_json::from_slice(&checked.stdout).expect("JSON");
     assert_eq!(world["world"]["gateways"].as_u64(), Some(8));
-    assert!(lab(&["schema"]).status.success() && lab(&["--help"]).status.success());
+    assert!(testbed(&["schema"]).status.success() && testbed(&["--help"]).status.success());
 }
 
 /// The processes that another one has started, as the system tells.
@@ -187,7 +187,7 @@
 
 /// Guards against gateways that outlive the run that started them.
 #[test]
-fn a_run_that_is_told_to_end_ends_its_gateways() {
+fn run_that_is_terminated_ends_its_gateways() {
     let gateway = common::gateway();
     let mut run = Command::new(env!("CARGO_BIN_EXE_irisrouter-testbed"))
         .args([
--- a/crates/testbed/tests/loopback.rs
+++ b/crates/testbed/tests/loopback.rs
@@ -8,10 +8,11 @@
     Fault, HostFault, HostSelection, SilentHosts, Spec, ValueOrRange,
 };
 use irisrouter_simulation::{GatewayId, HostId, MS, SECOND};
-use irisrouter_testbed::loopback::environment::{listen, Asked, Environment};
-use irisrouter_testbed::loopback::host::{comment, payload, serve};
+use irisrouter_testbed::loopback::environment::{ClientStatement, Environment};
+use irisrouter_testbed::loopback::host::{comment_fields, payload, serve};
 use irisrouter_testbed::loopback::peers::Peers;
 use irisrouter_testbed::scenario::Scenario;
+use irisrouter_testbed::sockets::listen;
 use std::os::unix::fs::PermissionsExt;
 use std::process::{Command, Output};
 use std::rc::Rc;
@@ -19,7 +20,7 @@
 use tokio::task::{spawn_local, LocalSet};
 use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
 
-fn lab(args: &[&str]) -> Output {
+fn testbed(args: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_irisrouter-testbed"))
         .args(args)
         .current_dir(root())
@@ -47,8 +48,9 @@
     }
 }
 
-fn asked(environment: &Environment, id: &str, class: usize, key: Option<u64>) {
-    let of = Asked {
+/// Adds a statement that a client has sent.
+fn add_statement(environment: &Environment, id: &str, class: usize, key: Option<u64>) {
+    let statement = ClientStatement {
         class,
         work: 5 * MS,
         key,
@@ -56,11 +58,14 @@
         sent: environment.now(),
         open: true,
     };
-    environment.asks(id, of);
+    environment.add_statement(id, statement);
 }
 
-/// A house with a client at one of its hosts.
-async fn visit(environment: &Rc<Environment>, host: u32) -> Result<Client, tokio_postgres::Error> {
+/// A client's connection to a host of the environment.
+async fn connect(
+    environment: &Rc<Environment>,
+    host: u32,
+) -> Result<Client, tokio_postgres::Error> {
     let listener = listen().await.expect("a port");
     let at = listener.local_addr().expect("an address");
     spawn_local(serve(
@@ -88,7 +93,7 @@
     })
 }
 
-fn in_a_house(scenario: Scenario, test: impl AsyncFnOnce(Rc<Environment>)) {
+fn in_environment(scenario: Scenario, test: impl AsyncFnOnce(Rc<Environment>)) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -102,9 +107,9 @@
 }
 
 #[test]
-fn a_stand_in_speaks_to_a_client_that_is_not_ours() {
-    in_a_house(spec(Vec::new()), async |environment| {
-        let primary = visit(&environment, 0).await.expect("a connection");
+fn stand_in_host_serves_a_client_of_another_implementation() {
+    in_environment(spec(Vec::new()), async |environment| {
+        let primary = connect(&environment, 0).await.expect("a connection");
         let usage =
             value(&primary.simple_query("SHOW usage").await.expect("a report")).expect("a value");
         assert!(
@@ -126,7 +131,7 @@
             .await
             .expect_err("nobody asked");
         assert_eq!(unknown.code().map(|c| c.code()), Some("08P01"));
-        asked(&environment, "a1", 4, Some(0x2a));
+        add_statement(&environment, "a1", 4, Some(0x2a));
         let row = primary.simple_query(statement).await.expect("a row");
         assert_eq!(value(&row), Some(payload("a1")));
         assert!(environment
@@ -136,7 +141,7 @@
             .commit(0x2a)
             .is_some());
         // The same statement at a replica, and one that was changed on its way.
-        let replica = visit(&environment, 1).await.expect("a connection");
+        let replica = connect(&environment, 1).await.expect("a connection");
         let miss = replica
             .simple_query(statement)
             .await
@@ -153,10 +158,10 @@
 }
 
 #[test]
-fn a_connection_that_is_given_up_stops_nothing() {
-    in_a_house(spec(Vec::new()), async |environment| {
-        let client = visit(&environment, 0).await.expect("a connection");
-        asked(&environment, "a1", 4, Some(7));
+fn write_is_applied_after_its_client_has_given_up() {
+    in_environment(spec(Vec::new()), async |environment| {
+        let client = connect(&environment, 0).await.expect("a connection");
+        add_statement(&environment, "a1", 4, Some(7));
         let gone = client.simple_query("INSERT /* id=a1,c=count-write,d=900,cluster=0,k=7 */");
         assert!(
             tokio::time::timeout(std::time::Duration::from_millis(1), gone)
@@ -171,7 +176,7 @@
 }
 
 #[test]
-fn a_dead_host_resets_and_a_silent_one_says_nothing() {
+fn dead_host_resets_its_connections_and_silent_host_sends_nothing() {
     let fault = |silent: bool, host: u32| {
         let hosts = HostSelection {
             these: Some(vec![host]),
@@ -193,12 +198,12 @@
             },
         }
     };
-    in_a_house(
+    in_environment(
         spec(vec![fault(true, 1), fault(false, 2)]),
         async |environment| {
             let (silent, dead) = (
-                visit(&environment, 1).await.expect("up"),
-                visit(&environment, 2).await.expect("up"),
+                connect(&environment, 1).await.expect("up"),
+                connect(&environment, 2).await.expect("up"),
             );
             environment.until(environment.start() + SECOND / 2).await;
             let broken = dead.simple_query("SELECT 1").await.expect_err("it is dead");
@@ -209,15 +214,15 @@
                     .await
                     .is_err()
             );
-            assert!(visit(&environment, 2).await.is_err(), "refused");
+            assert!(connect(&environment, 2).await.is_err(), "refused");
         },
     );
 }
 
 /// Each gateway knows the others by addresses of its own, and hears them from these; nobody speaks for another.
 #[test]
-fn datagrams_come_from_the_address_that_their_receiver_knows() {
-    in_a_house(spec(Vec::new()), async |environment| {
+fn relayed_datagrams_come_from_the_address_that_their_receiver_knows() {
+    in_environment(spec(Vec::new()), async |environment| {
         let peers = Peers::new(Rc::clone(&environment), 3)
             .await
             .expect("a relay");
@@ -230,7 +235,8 @@
                     .expect("its port"),
             );
         }
-        let (known, all) = peers.addresses(GatewayId(0)).expect("addresses");
+        let addresses = peers.addresses(GatewayId(0)).expect("addresses");
+        let (known, all) = (addresses.known, addresses.broadcast);
         gateways[0]
             .send_to(b"to one", known[2])
             .await
@@ -247,7 +253,7 @@
             .expect("sent");
         let mut heard = Vec::new();
         for (g, count) in [(1, 1), (2, 2)] {
-            let (from_0, _) = peers.addresses(GatewayId(g)).expect("addresses");
+            let from_0 = peers.addresses(GatewayId(g)).expect("addresses").known;
             for _ in 0..count {
                 let mut buffer = [0; 512];
                 let (n, source) = gateways[g as usize]
@@ -276,20 +282,20 @@
 }
 
 #[test]
-fn a_comment_is_read_whatever_stands_before_it() {
-    let names = comment("SELECT '/* id=no */' /* id=9b1f,c=page-read, d=480 */ ;");
+fn last_comment_of_a_statement_is_read_whatever_precedes_it() {
+    let names = comment_fields("SELECT '/* id=no */' /* id=9b1f,c=page-read, d=480 */ ;");
     assert_eq!(
         (names.get("id"), names.get("d")),
         (Some(&"9b1f"), Some(&"480"))
     );
-    assert!(comment("SELECT 1").is_empty());
+    assert!(comment_fields("SELECT 1").is_empty());
     assert_ne!(payload("a"), payload("b"));
 }
 
 #[test]
-fn the_demonstration_runs_and_ends_with_0() {
+fn demonstration_runs_and_ends_with_0() {
     gateway();
-    let out = lab(&["demo"]);
+    let out = testbed(&["demo"]);
     let said = text(&out.stdout);
     assert!(out.status.success(), "{said}\n{}", text(&out.stderr));
     assert!(
@@ -299,7 +305,7 @@
 }
 
 #[test]
-fn gateways_that_are_killed_in_waves_start_again_and_serve() {
+fn gateways_killed_in_waves_start_again_and_serve() {
     let gateway = gateway();
     let dir = tempfile::tempdir().expect("a folder");
     let json = dir.path().join("f.json");
@@ -325,12 +331,14 @@
         "-V",
         "span=6",
     ];
-    let out = lab(&[
-        &args[..],
-        &vary,
-        &["--json", json.to_str().expect("a path")],
-    ]
-    .concat());
+    let out = testbed(
+        &[
+            &args[..],
+            &vary,
+            &["--json", json.to_str().expect("a path")],
+        ]
+        .concat(),
+    );
     assert!(out.status.success(), "{}", text(&out.stderr));
     let f: serde_json::Value =
         serde_json::from_slice(&std::fs::read(&json).expect("figures")).expect("JSON");
@@ -360,8 +368,8 @@
 }
 
 #[test]
-fn a_gateway_that_is_missing_or_dies_ends_the_run_with_1_and_its_last_words() {
-    let missing = lab(&[
+fn missing_or_dying_gateway_ends_the_run_with_1_and_its_last_log_lines() {
+    let missing = testbed(&[
         "run",
         "scenarios/calm.jsonnet",
         "--mode",
@@ -383,7 +391,7 @@
     )
     .expect("a script");
     std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o755)).expect("a program");
-    let dies = lab(&[
+    let dies = testbed(&[
         "run",
         "scenarios/calm.jsonnet",
         "--mode",
--- a/crates/testbed/tests/virtual_time.rs
+++ b/crates/testbed/tests/virtual_time.rs
@@ -6,8 +6,8 @@
     SilentHosts, Slowdown, ValueOrRange, WriteRepeats,
 };
 use irisrouter_simulation::{GatewayId, Ns, MS};
-use irisrouter_testbed::compare;
-use irisrouter_testbed::gateway::PeerExchange;
+use irisrouter_testbed::compare::{self, Choice};
+use irisrouter_testbed::gateway::{OutgoingDatagram, PeerExchange, Recipients};
 use irisrouter_testbed::results::RunResults;
 use irisrouter_testbed::scenario::Scenario;
 use irisrouter_testbed::virtual_run::{run, run_with};
@@ -160,12 +160,15 @@
             .or_insert(0) += 1;
     }
 
-    fn outgoing(&mut self, now: Ns) -> Vec<(Option<GatewayId>, Vec<u8>)> {
+    fn outgoing(&mut self, now: Ns) -> Vec<OutgoingDatagram> {
         if now < self.next {
             return Vec::new();
         }
         self.next = now + 100 * MS;
-        vec![(None, vec![self.me.0 as u8; 100])]
+        vec![OutgoingDatagram {
+            to: Recipients::AllOthers,
+            body: vec![self.me.0 as u8; 100],
+        }]
     }
 
     fn next_due(&self) -> Option<Ns> {
@@ -295,10 +298,14 @@
     let a = scenario("storm", &["length=25", "silent=10"]);
     let b = scenario("storm", &["length=25", "silent=10", "retries=0"]);
     let seeds: Vec<u64> = (1..=8).collect();
+    let choice = |scenario, name: &str| Choice {
+        scenario,
+        settings: name.into(),
+    };
     let c =
-        compare::compare((&a, "a".into()), (&b, "b".into()), &seeds, &|| ()).expect("a comparison");
+        compare::compare(choice(&a, "a"), choice(&b, "b"), &seeds, &|| ()).expect("a comparison");
     let of = |name: &str| {
-        c.figures
+        c.measures
             .iter()
             .find(|f| f.name == name)
             .expect("the figure")
@@ -307,9 +314,9 @@
     assert_eq!(of("tries_per_request").verdict, "better");
     assert!(of("tries_per_request").difference.high < 0.0);
     let same =
-        compare::compare((&a, "a".into()), (&a, "a".into()), &seeds, &|| ()).expect("a comparison");
+        compare::compare(choice(&a, "a"), choice(&a, "a"), &seeds, &|| ()).expect("a comparison");
     assert!(same
-        .figures
+        .measures
         .iter()
         .all(|f| f.verdict == "no difference shown" && f.difference.mean == 0.0));
 }
