--- a/crates/testbed/src/cli/cluster_commands.rs
+++ b/crates/testbed/src/cli/cluster_commands.rs
@@ -8,7 +8,7 @@
 use irisrouter_testbed::cluster::{run_in_parallel, EndpointListMode, Plan};
 use std::path::Path;
 
-/// Ends the gateways of a run first when the run is told to end (SIGINT, SIGTERM).
+/// Ends the gateways of a run before the run itself on SIGINT and SIGTERM.
 fn end_gateways_on_signal() -> Result<(), CommandError> {
     let end = || {
         irisrouter_testbed::cluster::process::end_all();
--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -30,7 +30,7 @@
     }
 }
 
-/// The gateway's program: where it is said to be, or beside this one.
+/// The gateway's program: the given one, or the one beside this program.
 fn gateway_program(given: Option<&PathBuf>) -> Result<PathBuf, CommandError> {
     let path = match given {
         Some(path) => path.clone(),
--- a/crates/testbed/src/cluster/gateway_config.rs
+++ b/crates/testbed/src/cluster/gateway_config.rs
@@ -6,7 +6,7 @@
 use irisrouter_simulation::spec::Spec;
 use serde_json::{json, Value};
 
-/// Longest pause that clients are told to keep, in nanoseconds.
+/// Longest pause that a refusal asks clients to keep, in nanoseconds.
 const MAX_RETRY_AFTER_NS: u64 = 5_000_000_000;
 
 impl Cluster {
--- a/crates/testbed/src/cluster/mod.rs
+++ b/crates/testbed/src/cluster/mod.rs
@@ -72,7 +72,7 @@
     starts: u32,
 }
 
-/// Gateways, the relay of the datagrams between them, and the stand-ins for what they talk to.
+/// Gateways, the relay of the datagrams between them, and the stand-ins for what they connect to.
 pub struct Cluster {
     plan: Plan,
     /// The run's clock.
@@ -171,7 +171,7 @@
         }
     }
 
-    /// Tells a gateway to stop, and waits for its end: its exit code.
+    /// Sends a gateway SIGTERM, and waits for its end: its exit code.
     pub fn terminate(&mut self, gateway: usize) -> Option<i32> {
         let process = self.slots[gateway].process.take()?;
         process.signal("-TERM");
--- a/crates/testbed/src/cluster/process.rs
+++ b/crates/testbed/src/cluster/process.rs
@@ -92,7 +92,8 @@
     STARTED.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Ends every gateway that was started here, for a program that is told to end: their owners' threads don't run on.
+/// Ends every gateway that was started here, for a program that receives a signal to end: the threads that own them don't
+/// run on.
 /// Without it gateways would outlive the run and load the machine for ever.
 pub fn end_all() {
     for process_id in started().iter() {
--- a/crates/testbed/src/cluster/schedule/injection.rs
+++ b/crates/testbed/src/cluster/schedule/injection.rs
@@ -6,7 +6,7 @@
 use crate::cluster::Cluster;
 use std::time::{Duration, Instant};
 
-/// Between two looks at whether a fault is detected.
+/// Between two checks whether a fault is detected.
 const DETECTION_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// How long a stalled gateway may go on before it is checked that nobody declared it down.
 const AFTER_STALL: Duration = Duration::from_millis(500);
--- a/crates/testbed/src/cluster/schedule/mod.rs
+++ b/crates/testbed/src/cluster/schedule/mod.rs
@@ -28,7 +28,7 @@
 const SLACK_MS: u64 = 1_000;
 /// A set has a holder while its last health check is not older than this, in milliseconds.
 const HOLDER_SEEN_WITHIN_MS: u64 = 500;
-/// Between two looks at whether every set has a holder.
+/// Between two checks whether every set has a holder.
 const HOLDER_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// What a run of one schedule came to.
@@ -154,7 +154,7 @@
     Ok(verdict)
 }
 
-/// Waits until every set has a holder of its lease; the leases' check says so where one never has.
+/// Waits until every set has a holder of its lease; where one never has, the check of the leases reports it.
 fn wait_for_lease_holders(cluster: &Cluster) {
     while !cluster.every_set_has_holder(HOLDER_SEEN_WITHIN_MS)
         && cluster.clock.now() < as_ms(PATIENCE)
--- a/crates/testbed/src/cluster/site_loss.rs
+++ b/crates/testbed/src/cluster/site_loss.rs
@@ -43,7 +43,7 @@
 
 /// A set has a holder while its last health check is not older than this, in milliseconds.
 const HOLDER_SEEN_WITHIN_MS: u64 = 300;
-/// Between two looks at whether every set has a holder.
+/// Between two checks whether every set has a holder.
 const HOLDER_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Whether gateways follow failover plans.
--- a/crates/testbed/src/cluster/stand_ins/host_connection.rs
+++ b/crates/testbed/src/cluster/stand_ins/host_connection.rs
@@ -9,7 +9,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-/// Between two looks at whether a link is cut.
+/// Between two checks whether a link is cut.
 const LINK_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// The SQLSTATE of a health check whose fencing token is outdated.
--- a/crates/testbed/src/cluster/stand_ins/mod.rs
+++ b/crates/testbed/src/cluster/stand_ins/mod.rs
@@ -1,4 +1,4 @@
-//! Stand-ins for what the gateways of a cluster talk to, as small as its tests need them: database hosts, the discovery
+//! Stand-ins for what the gateways of a cluster connect to, as small as its tests need them: database hosts, the discovery
 //! service, and the relay between gateways. They run on one thread, which ends with the cluster.
 
 pub mod discovery;
--- a/crates/testbed/src/cluster/views.rs
+++ b/crates/testbed/src/cluster/views.rs
@@ -8,7 +8,7 @@
 
 /// How long a console's answer is waited for.
 const CONSOLE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Between two looks at all views.
+/// Between two reads of all views.
 const VIEW_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A change of a gateway's view that it has logged.
@@ -23,7 +23,7 @@
 }
 
 impl<'a> ViewChange<'a> {
-    /// Reads a log line; none where it says nothing of a change.
+    /// Reads a log line; none where it reports no change of a view.
     #[must_use]
     pub fn parse(line: &'a str) -> Option<Self> {
         let (_, change) = line.split_once("membership: gateway ")?;
--- a/crates/testbed/src/gateway.rs
+++ b/crates/testbed/src/gateway/mod.rs
@@ -1,18 +1,20 @@
 //! One gateway in virtual time: the router as it is, and round it what `src/net` is on sockets, with the same margins,
-//! limits and order of events. It says what it wants done; the run does it.
+//! limits and order of events. It returns the actions that it wants; the run performs them.
 
-use crate::scenario::Scenario;
-use crate::settings;
-use irisrouter::platform_settings::PlatformSettingsError;
+mod conversion;
+mod peer_exchange;
+
+pub use conversion::{load_report, member, outcome, replication_status, settings_of};
+pub use peer_exchange::{OutgoingDatagram, PeerExchange, Recipients};
+
+use conversion::endpoint;
 use irisrouter::routing::{
-    Action, Endpoint, EndpointState, Event, GroupId, LoadReport, MemberId, Nanos, Outcome,
-    ReplicationStatus, RequestId, Role, Router, SessionId, Settings, ZoneId,
+    Action, Endpoint, EndpointState, Event, GroupId, Nanos, Outcome, ReplicationStatus, RequestId,
+    Router, SessionId, Settings,
 };
 use irisrouter_simulation::clients::Try;
-use irisrouter_simulation::endpoint_list::{EndpointView, ListEntry, ListedState};
-use irisrouter_simulation::fleet;
-use irisrouter_simulation::host::Report;
-use irisrouter_simulation::{GatewayId, HostId, MS};
+use irisrouter_simulation::endpoint_list::{EndpointView, ListEntry};
+use irisrouter_simulation::{HostId, MS};
 use rustc_hash::FxHashMap as HashMap;
 use std::collections::{BTreeSet, VecDeque};
 
@@ -21,37 +23,6 @@
 /// A request on which the router has not decided is ended this long before the client's deadline.
 const GUARD_MARGIN: Nanos = MS;
 
-/// The exchange of a gateway with its peers: a subsystem that sends datagrams to other gateways plugs in here. A gateway
-/// that is killed loses its state with all else, and starts with a new one.
-pub trait PeerExchange {
-    /// Receives a datagram from another gateway, by its address.
-    fn receive(&mut self, now: Nanos, from: GatewayId, body: &[u8]);
-
-    /// The datagrams that it sends now.
-    fn outgoing(&mut self, now: Nanos) -> Vec<OutgoingDatagram>;
-
-    /// When it wants to send again, if nothing is received before.
-    fn next_due(&self) -> Option<Nanos>;
-}
-
-/// A datagram that a gateway sends to its peers.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct OutgoingDatagram {
-    /// Who receives it.
-    pub to: Recipients,
-    /// What it carries.
-    pub body: Vec<u8>,
-}
-
-/// Who receives a datagram.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Recipients {
-    /// One gateway.
-    One(GatewayId),
-    /// All gateways but the sender.
-    AllOthers,
-}
-
 /// A connection to a host that carries no request.
 #[derive(Clone, Copy, Debug)]
 pub struct IdleConnection {
@@ -230,7 +201,7 @@
     pub fn accept(&mut self, now: Nanos, client_try: Try) -> AcceptedRequest {
         let id = RequestId(self.next_request);
         self.next_request += 1;
-        // The time that the client says it will wait counts from the arrival of its request.
+        // The time that the client waits counts from the arrival of its request.
         let wait = (client_try.deadline - client_try.sent).max(0);
         let guard_at = now + (wait - GUARD_MARGIN).max(0);
         let arrival = &client_try.arrival;
@@ -312,7 +283,7 @@
         Some(client_try)
     }
 
-    /// Ends an attempt, and tells the router so: the attempt as it was, if it had not ended before.
+    /// Ends an attempt, and posts that to the router: the attempt as it was, if it had not ended before.
     pub fn end_attempt(
         &mut self,
         now: Nanos,
@@ -353,64 +324,3 @@
         }
     }
 }
-
-/// The member of a host. Its number is the host's.
-pub fn member(host: HostId) -> MemberId {
-    MemberId(host.0)
-}
-
-fn endpoint(entry: &ListEntry) -> Endpoint {
-    Endpoint {
-        member: member(entry.host),
-        group: GroupId(i64::from(entry.set.0)),
-        zone: ZoneId(0),
-        state: match entry.listed {
-            ListedState::Ready => EndpointState::Ready,
-            ListedState::Draining => EndpointState::Draining,
-            ListedState::Gone => EndpointState::Removed,
-        },
-        primary: false,
-        size: 1.0,
-        started: (entry.since > 0).then_some(entry.since),
-    }
-}
-
-/// The status that an answer carries, as on the platform: whole milliseconds, and a position only with a write's commit.
-pub fn replication_status(status: &fleet::ReplicaStatus, committed: bool) -> ReplicationStatus {
-    ReplicationStatus {
-        role: if status.primary {
-            Role::Primary
-        } else {
-            Role::Replica
-        },
-        position: committed.then(|| (status.position + MS - 1) / MS * MS),
-    }
-}
-
-/// A host's report, with its position in whole milliseconds, rounded down.
-pub fn load_report(report: &Report) -> LoadReport {
-    LoadReport {
-        position: Some(report.position / MS * MS),
-        primary: Some(report.primary),
-        in_flight: None,
-        cores_in_use: Some(report.util),
-    }
-}
-
-/// The outcome of an answer.
-pub fn outcome(answer: fleet::Answer) -> Outcome {
-    match answer {
-        fleet::Answer::Row => Outcome::Ok,
-        fleet::Answer::Error => Outcome::Error,
-        fleet::Answer::Full => Outcome::Full,
-        fleet::Answer::Miss => Outcome::Unsuitable,
-    }
-}
-
-/// The settings of each gateway of a scenario: the same but for the seed.
-///
-/// # Errors
-/// The gateway's own code refuses them.
-pub fn settings_of(scenario: &Scenario, seed: u64) -> Result<Settings, PlatformSettingsError> {
-    Ok(settings::load(scenario, seed)?.settings)
-}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,5 +1,5 @@
 //! The testbed: fleets of gateways in front of a model of the world, in virtual time and on loopback, with faults,
-//! figures, comparisons and reports. `docs/testbed.md` says why it is as it is.
+//! results, comparisons and reports. `docs/testbed.md` gives the reasons for its design.
 
 pub mod cluster;
 pub mod compare;
--- a/crates/testbed/src/loopback/discovery.rs
+++ b/crates/testbed/src/loopback/discovery.rs
@@ -22,7 +22,7 @@
 const MAX_HOLD_MS: u64 = 60_000;
 /// Between two attempts to accept a connection, where one has failed.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
-/// Between two looks at whether discovery answers again.
+/// Between two checks whether discovery answers again.
 const SILENCE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Serves connections, for ever.
--- a/crates/testbed/src/loopback/front.rs
+++ b/crates/testbed/src/loopback/front.rs
@@ -160,7 +160,7 @@
         config.user("web").dbname("orders");
         let (client, connection) = config.connect_raw(stream, NoTls).await.ok()?;
         super::spawn(async move {
-            // It ends when the client is dropped, or with an error that the client is told.
+            // It ends when the client is dropped, or with an error that its requests return.
             let _ = connection.await;
         });
         Some(client)
--- a/crates/testbed/src/loopback/host/statement.rs
+++ b/crates/testbed/src/loopback/host/statement.rs
@@ -1,4 +1,4 @@
-//! What a statement says of itself, and the row that answers it.
+//! The comment of a statement, and the row that answers it.
 
 use crate::loopback::environment::{ClientStatement, Environment};
 use irisrouter_simulation::{seconds, SECOND};
@@ -28,7 +28,7 @@
         .collect()
 }
 
-/// Whether a statement's comment says what its client said: the class, the key, and a time to wait that fits the class.
+/// Whether a statement's comment is what its client sent: the class, the key, and a time to wait that fits the class.
 pub(super) fn matches_client(
     fields: &HashMap<&str, &str>,
     client: &ClientStatement,
--- a/crates/testbed/src/results/collector.rs
+++ b/crates/testbed/src/results/collector.rs
@@ -12,7 +12,7 @@
 use irisrouter_simulation::{ms, seconds, HostId, Ns, SECOND};
 use std::collections::BTreeMap;
 
-/// Longest latency that is told apart, in microseconds.
+/// Longest latency that the histogram resolves, in microseconds.
 const MAX_LATENCY_US: u64 = 3_600_000_000;
 
 /// The counts of a class.
@@ -110,7 +110,7 @@
     pub(super) timeline: Timeline,
     /// By class.
     recent: Vec<RecentRequests>,
-    /// Refusals by the pause that they tell.
+    /// Refusals, by the pause that they carry.
     pub(super) refusals_by_pause: BTreeMap<String, u64>,
     pub(super) work: WorkTally,
     /// Attempts at hosts. This and the counts below are made as things happen, by the code that runs the gateways.
--- a/crates/testbed/src/results/evaluation.rs
+++ b/crates/testbed/src/results/evaluation.rs
@@ -39,8 +39,6 @@
         let probes = per_first_try(self.health_checks);
         let datagram_bytes = per_first_try(self.datagram_bytes);
         let wasted_work = self.wasted_work();
-        let blend =
-            GOAL_WEIGHTS[0] * service + GOAL_WEIGHTS[1] * worst_10s + GOAL_WEIGHTS[2] * worst_class;
         let prices = scenario.gateway.probe_price * probes
             + MESSAGE_PRICE * datagram_bytes / FULL_MESSAGE_BYTES
             + WASTE_PRICE * wasted_work;
@@ -59,7 +57,7 @@
             service,
             worst_10s,
             worst_class,
-            goal: blend - prices,
+            goal: weighted(service, worst_10s, worst_class) - prices,
             tries_per_request: ratio(self.sum(|tally| tally.tries as f64), requests),
             attempts_per_request: per_first_try(self.attempts),
             copies_per_request: per_first_try(self.copies),
@@ -210,6 +208,11 @@
     }
 }
 
+/// The goal before its prices.
+fn weighted(service: f64, worst_10s: f64, worst_class: f64) -> f64 {
+    GOAL_WEIGHTS[0] * service + GOAL_WEIGHTS[1] * worst_10s + GOAL_WEIGHTS[2] * worst_class
+}
+
 /// The service of some seconds.
 fn service_of(seconds: &[&Second]) -> f64 {
     let earned: f64 = seconds.iter().map(|second| second.earned).sum();
--- a/crates/testbed/src/results/mod.rs
+++ b/crates/testbed/src/results/mod.rs
@@ -169,7 +169,7 @@
     pub marks: Vec<Mark>,
     /// The first breaches, in words.
     pub breaches: Vec<String>,
-    /// Refusals by reason, as far as the gateway tells one: how many by their pause.
+    /// Number of refusals, by the pause that they carry.
     pub refusals_by_pause: BTreeMap<String, u64>,
 }
 
--- a/crates/testbed/src/settings.rs
+++ b/crates/testbed/src/settings.rs
@@ -1,5 +1,5 @@
 //! The platform's settings object and list, as a gateway in the laboratory finds them: made from a scenario, and read by
-//! the gateway's own code in both ways of running, so that neither way can tell it something else.
+//! the gateway's own code in both ways of running, so that both ways give it the same.
 
 use crate::scenario::Scenario;
 use irisrouter::platform_settings::{PlatformSettings, PlatformSettingsError};
--- a/crates/testbed/tests/virtual_time.rs
+++ b/crates/testbed/tests/virtual_time.rs
@@ -32,7 +32,7 @@
 }
 
 #[test]
-fn every_scenario_is_taken_by_the_gateway_and_runs() {
+fn every_scenario_is_accepted_by_the_gateway_and_keeps_its_rules() {
     let mut seen = 0;
     for entry in std::fs::read_dir(scenarios()).expect("scenarios") {
         let path = entry.expect("an entry").path();
@@ -62,7 +62,7 @@
 
 /// The same bytes from one thread and from many, in whatever order they run.
 #[test]
-fn one_seed_is_one_result_whatever_the_threads() {
+fn results_of_a_seed_are_equal_on_one_thread_and_on_many() {
     let s = scenario("night", &["length=40", "gateways=4"]);
     let alone: Vec<String> = (1..=4)
         .map(|seed| json(&run(&s, seed).expect("a run")))
@@ -74,7 +74,7 @@
 
 /// Two choices live through the same day: what comes does not depend on what becomes of it.
 #[test]
-fn arrivals_and_faults_do_not_depend_on_the_choice() {
+fn arrivals_and_faults_of_a_seed_do_not_depend_on_the_choice() {
     let a = run(&scenario("storm", &["length=30", "silent=10"]), 5).expect("a run");
     let b = run(
         &scenario("storm", &["length=30", "silent=10", "retries=0"]),
@@ -94,7 +94,7 @@
 
 /// Arrivals go on while nothing answers, and what was never answered is counted against service.
 #[test]
-fn an_outage_is_not_omitted() {
+fn requests_during_an_outage_count_against_service() {
     let mut s = scenario("calm", &["length=20"]);
     s.world.faults = vec![Fault {
         at_s: ValueOrRange::Value(10.0),
@@ -119,12 +119,12 @@
     let share = f.seconds[3..10].iter().map(|s| s.asked).sum::<f64>()
         / f.seconds[3..].iter().map(|s| s.asked).sum::<f64>();
     assert!((f.service - share).abs() < 0.03, "{} {share}", f.service);
-    assert_eq!(f.unanswered, 0, "each has its final answer all the same");
+    assert_eq!(f.unanswered, 0, "each request has its final answer");
 }
 
 /// Clients that leave while their requests wait: nothing more is owed, and nothing is left behind.
 #[test]
-fn clients_that_leave_early_are_owed_nothing() {
+fn requests_of_clients_that_leave_early_are_neither_unanswered_nor_lost() {
     let mut s = scenario("calm", &["length=15"]);
     s.world.clients.impatient = 1.0;
     // Half of a try's time is over before any answer can come.
@@ -143,18 +143,18 @@
     assert!(f.writes_applied > 100, "what was sent runs all the same");
 }
 
-/// Says its number to all each 100 ms, and counts what it hears.
-struct Chatter {
+/// Sends its number to all each 100 ms, and counts what it receives.
+struct NumberSender {
     me: GatewayId,
     next: Ns,
-    heard: Rc<RefCell<BTreeMap<(u32, u32), u64>>>,
+    received: Rc<RefCell<BTreeMap<(u32, u32), u64>>>,
 }
 
-impl PeerExchange for Chatter {
+impl PeerExchange for NumberSender {
     fn receive(&mut self, _: Ns, from: GatewayId, body: &[u8]) {
         assert_eq!(body, [from.0 as u8; 100]);
         *self
-            .heard
+            .received
             .borrow_mut()
             .entry((from.0, self.me.0))
             .or_insert(0) += 1;
@@ -176,33 +176,33 @@
     }
 }
 
-/// Datagrams are late, lost and paid for; a split keeps its sides apart; who is dead neither speaks nor hears.
+/// Datagrams are late, lost and paid for; a split keeps its sides apart; a gateway that is down neither sends nor receives.
 #[test]
-fn gateways_talk_over_a_network_that_loses() {
+fn datagrams_between_gateways_are_lost_cut_and_counted_as_faults_say() {
     let chat = |faults: Vec<Fault>| {
         let mut s = scenario("calm", &["gateways=4", "length=20", "load=0.2"]);
         s.world.faults = faults;
-        let heard = Rc::new(RefCell::new(BTreeMap::new()));
-        let talks = |me: GatewayId, now: Ns| -> Option<Box<dyn PeerExchange>> {
-            Some(Box::new(Chatter {
+        let received = Rc::new(RefCell::new(BTreeMap::new()));
+        let exchanges = |me: GatewayId, now: Ns| -> Option<Box<dyn PeerExchange>> {
+            Some(Box::new(NumberSender {
                 me,
                 next: now,
-                heard: Rc::clone(&heard),
+                received: Rc::clone(&received),
             }))
         };
-        let f = run_with(&s, 1, &mut |_| (), &talks).expect("a run");
-        let heard = heard.borrow().clone();
-        (f, heard)
+        let f = run_with(&s, 1, &mut |_| (), &exchanges).expect("a run");
+        let received = received.borrow().clone();
+        (f, received)
     };
     let fault = |f: Fault| Fault {
         at_s: ValueOrRange::Value(0.0),
         for_s: ValueOrRange::Value(100.0),
         ..f
     };
-    let (calm, heard) = chat(Vec::new());
+    let (calm, received) = chat(Vec::new());
     assert!(
-        heard.len() == 12 && heard.values().all(|&n| n >= 199),
-        "{heard:?}"
+        received.len() == 12 && received.values().all(|&n| n >= 199),
+        "{received:?}"
     );
     let bytes = calm.datagram_bytes_per_request
         * calm
@@ -223,7 +223,7 @@
         split: Some(NetworkPartition { part: 0.5 }),
         ..Fault::default()
     })]);
-    // The first word of all goes out before the split begins.
+    // The first datagram of each gateway is sent before the split begins.
     assert_eq!(
         split.values().filter(|&&n| n > 1).count(),
         4,
@@ -249,9 +249,9 @@
     );
 }
 
-/// A lab that cannot fail is no lab: faults that are planted in the world show in its figures.
+/// A testbed that can't fail proves nothing: faults that are planted in the world show in its results.
 #[test]
-fn planted_faults_are_found() {
+fn faults_planted_in_the_world_show_in_the_results() {
     // Clients that send their writes again without end, to a primary that comes back after the window.
     let mut s = scenario("hang", &["length=30", "hangs=0.9"]);
     s.world.clients.writes = WriteRepeats::Always;
@@ -294,7 +294,7 @@
 }
 
 #[test]
-fn like_is_like_and_a_real_difference_is_shown() {
+fn comparison_shows_a_real_difference_and_none_between_equal_choices() {
     let a = scenario("storm", &["length=25", "silent=10"]);
     let b = scenario("storm", &["length=25", "silent=10", "retries=0"]);
     let seeds: Vec<u64> = (1..=8).collect();
