--- a/crates/testbed/tests/drains.rs
+++ b/crates/testbed/tests/drains.rs
@@ -4,9 +4,9 @@
 mod common;
 
 use common::{ask, started, wait};
-use irisrouter_cluster_types::{GatewayId, HostId};
+use irisrouter_cluster_types::GatewayId;
 use irisrouter_testbed::cluster::process::Line;
-use irisrouter_testbed::cluster::stand_ins::Host;
+use irisrouter_testbed::cluster::stand_ins::host::Host;
 use irisrouter_testbed::cluster::Cluster;
 use std::time::Duration;
 
--- a/crates/testbed/tests/endpoint_watch.rs
+++ b/crates/testbed/tests/endpoint_watch.rs
@@ -1,14 +1,13 @@
-//! One watch of the endpoint list for a fleet of real gateways: another gateway goes on with it when the watcher is killed,
-//! and each watches for itself when the watcher can't reach discovery. What is checked is what discovery was called for
-//! and what the hosts were sent.
+//! One gateway of a fleet watches the list for all, by long polls: another one takes over when it is killed, and each
+//! gateway watches for itself when the holder of that lease can't reach discovery. What is checked is the calls that
+//! discovery received and the statements that the hosts were sent.
 
 mod common;
 
 use common::{ask, plan, started_with, wait, LEASE_MS};
 use irisrouter_testbed::cluster::schedule::Pace;
-use irisrouter_testbed::cluster::{Cluster, Plan};
+use irisrouter_testbed::cluster::{Cluster, EndpointListMode, Plan};
 
-/// A fleet with the endpoint watch on, and the gateway that watches for all.
 fn started(gateways: usize, seed: u64) -> (Cluster, usize) {
     let pace = Pace {
         lease_ms: Some(LEASE_MS),
@@ -19,145 +18,138 @@
         .replace("takeover: { ", "takeover: { list_watch: true, ");
     let cluster = started_with(Plan {
         sets: 3,
-        ask: true,
+        endpoint_list: EndpointListMode::Polled,
         ..plan(gateways, seed, operators)
     });
     wait("one watcher", || {
-        cluster.discovery.watching().len() == 1 && lease_holder(&cluster).is_some()
+        cluster.discovery.long_polling().len() == 1 && watcher(&cluster).is_some()
     });
-    let watcher = lease_holder(&cluster).expect("a lease holder");
-    wait("the lease holder watches", || {
-        cluster.discovery.watching() == [watcher]
+    let watcher = watcher(&cluster).expect("a holder of the lease");
+    wait("the holder of the lease has a long poll open", || {
+        cluster.discovery.long_polling() == [watcher]
     });
     (cluster, watcher)
 }
 
-/// The gateway that holds the lease of the watch, by its console.
-fn lease_holder(cluster: &Cluster) -> Option<usize> {
+/// The gateway that reports on its console that it holds the lease on the watch.
+fn watcher(cluster: &Cluster) -> Option<usize> {
     cluster
         .running()
         .into_iter()
-        .find(|&gateway| cluster.call(gateway, "duties").contains("list:"))
+        .find(|&g| cluster.call(g, "duties").contains("list:"))
 }
 
-/// Whether any of twelve reads through a gateway reaches the replica of set 1.
-fn reaches_replica(cluster: &Cluster, gateway: usize) -> bool {
-    let sent_from = cluster.clock.now();
-    for read in 0..12 {
+/// Whether reads through a gateway reach the replica of set 1, out of twelve.
+fn reach(cluster: &Cluster, gateway: usize) -> bool {
+    let from = cluster.clock.now();
+    for n in 0..12 {
         let text = "SELECT payload FROM entries WHERE ref = '7f3a'";
-        let answer = ask(
+        let said = ask(
             cluster,
             gateway,
-            &format!("{text} /* id={sent_from:x}{read:x}{gateway},c=report,d=6000,cluster=1 */"),
+            &format!("{text} /* id={from:x}{n:x}{gateway},c=report,d=6000,cluster=1 */"),
         );
-        assert!(answer.is_ok(), "{answer:?}");
+        assert!(said.is_ok(), "{said:?}");
     }
     let host = cluster
         .hosts
         .iter()
-        .find(|host| host.id == "h1-1")
+        .find(|h| h.id == "h1-1")
         .expect("a host");
     let seen = host.seen();
     seen.statements
         .iter()
-        .any(|statement| statement.0 >= sent_from && statement.1 == gateway)
+        .any(|s| s.0 >= from && s.1 == gateway)
 }
 
 #[test]
-fn one_gateway_watches_for_all_and_another_once_it_is_killed() {
+fn one_gateway_watches_for_all_and_another_takes_over_when_it_is_killed() {
     let (mut cluster, first) = started(5, 41);
-    assert!(reaches_replica(&cluster, (first + 1) % 5));
+    assert!(reach(&cluster, (first + 1) % 5));
     let before = cluster.clock.now();
-    cluster.discovery.phase("h1-1", "terminating");
+    cluster.discovery.set_phase("h1-1", "terminating");
     wait("all have the list", || {
         (0..5).all(|g| {
             cluster
                 .discovery
                 .calls()
                 .iter()
-                .any(|c| c.gateway == g && c.at >= before)
+                .any(|c| c.gateway == g && c.at_ms >= before)
         })
     });
-    wait("nobody sends there", || {
-        !(0..5).any(|g| reaches_replica(&cluster, g))
+    wait("no gateway sends there", || {
+        !(0..5).any(|g| reach(&cluster, g))
     });
     let calls = cluster.discovery.calls();
     let watched = calls
         .iter()
-        .filter(|c| c.at >= before && c.watch && c.gateway != first);
+        .filter(|c| c.at_ms >= before && c.long_poll && c.gateway != first);
     assert_eq!(
         watched.count(),
         0,
-        "the others called without watching: {calls:?}"
+        "only the holder of the lease sends long polls: {calls:?}"
     );
     cluster.crash(first);
     wait("another watcher", || {
-        cluster.discovery.watching().len() == 1 && lease_holder(&cluster).is_some()
+        cluster.discovery.long_polling().len() == 1 && watcher(&cluster).is_some()
     });
-    let next = lease_holder(&cluster).expect("a lease holder");
+    let next = watcher(&cluster).expect("a holder of the lease");
     assert_ne!(next, first);
-    wait("it watches", || cluster.discovery.watching() == [next]);
-    cluster.discovery.phase("h1-1", "in_service");
+    wait("it watches", || cluster.discovery.long_polling() == [next]);
+    cluster.discovery.set_phase("h1-1", "in_service");
     wait("served again by all", || {
-        cluster
-            .running()
-            .into_iter()
-            .all(|g| reaches_replica(&cluster, g))
+        cluster.running().into_iter().all(|g| reach(&cluster, g))
     });
-    // Back, and the first candidate: it gets the lease back, and the other gateway stops watching.
+    // Back, and first in the order: it watches again, and the other one rests.
     cluster.launch(first).expect("starts again");
     wait("the first one again", || {
-        cluster.discovery.watching() == [first]
+        cluster.discovery.long_polling() == [first]
     });
 }
 
 #[test]
-fn heartbeat_takes_a_host_out_of_service_at_gateways_that_cannot_fetch() {
+fn gateways_refused_by_discovery_get_list_changes_from_the_watcher() {
     let (cluster, first) = started(4, 42);
     let others: Vec<usize> = (0..4).filter(|&g| g != first).collect();
-    assert!(others.iter().all(|&g| reaches_replica(&cluster, g)));
-    // The others can't fetch the list.
-    others
-        .iter()
-        .for_each(|&g| cluster.discovery.refuse(g, true));
-    cluster.discovery.phase("h1-1", "terminating");
-    wait("nobody sends there", || {
-        !(0..4).any(|g| reaches_replica(&cluster, g))
+    assert!(others.iter().all(|&g| reach(&cluster, g)));
+    // The others can't have the list themselves.
+    others.iter().for_each(|&g| cluster.discovery.refuse(g));
+    cluster.discovery.set_phase("h1-1", "terminating");
+    wait("no gateway sends there", || {
+        !(0..4).any(|g| reach(&cluster, g))
     });
     others
         .iter()
-        .for_each(|&g| cluster.discovery.refuse(g, false));
-    cluster.discovery.phase("h1-1", "in_service");
-    wait("served again", || {
-        (0..4).all(|g| reaches_replica(&cluster, g))
-    });
+        .for_each(|&g| cluster.discovery.stop_refusing(g));
+    cluster.discovery.set_phase("h1-1", "in_service");
+    wait("served again", || (0..4).all(|g| reach(&cluster, g)));
 }
 
 #[test]
-fn all_watch_for_themselves_while_the_watcher_cannot_reach_discovery() {
+fn all_gateways_watch_for_themselves_while_discovery_refuses_the_watcher() {
     let (cluster, first) = started(4, 43);
-    cluster.discovery.refuse(first, true);
+    cluster.discovery.refuse(first);
     // Its open watch is answered, and its next call refused.
-    cluster.discovery.phase("h2-1", "terminating");
+    cluster.discovery.set_phase("h2-1", "terminating");
     let others: Vec<usize> = (0..4).filter(|&g| g != first).collect();
     wait("the others watch", || {
         others
             .iter()
-            .all(|g| cluster.discovery.watching().contains(g))
+            .all(|g| cluster.discovery.long_polling().contains(g))
     });
-    cluster.discovery.phase("h1-1", "terminating");
-    wait("nobody sends there", || {
-        !others.iter().any(|&g| reaches_replica(&cluster, g))
+    cluster.discovery.set_phase("h1-1", "terminating");
+    wait("no gateway sends there", || {
+        !others.iter().any(|&g| reach(&cluster, g))
     });
-    cluster.discovery.refuse(first, false);
+    cluster.discovery.stop_refusing(first);
     wait("one watcher again", || {
-        cluster.discovery.watching() == [first]
+        cluster.discovery.long_polling() == [first]
     });
 }
 
-/// Where each gateway has an agent of its own, it has to know what its agent has: each watches, whatever is set.
+/// Where the list is pushed, each gateway has an agent of its own and watches it, whatever the operators' file says.
 #[test]
-fn each_gateway_watches_where_the_list_is_pushed() {
+fn each_gateway_watches_for_itself_where_the_list_is_pushed() {
     let pace = Pace {
         lease_ms: Some(LEASE_MS),
         ..Pace::FAST
@@ -169,6 +161,6 @@
         sets: 3,
         ..plan(3, 44, operators)
     });
-    wait("all watch", || cluster.discovery.watching().len() == 3);
+    wait("all watch", || cluster.discovery.long_polling().len() == 3);
     assert!((0..3).all(|g| !cluster.call(g, "duties").contains("list:")));
 }
--- a/src/net/cluster/shared_health_checks.rs
+++ b/src/net/cluster/shared_health_checks.rs
@@ -80,10 +80,7 @@
     pub fn new(peers: &Peers, sender: PeerSender, dependencies: &Dependencies) -> Self {
         let gateway_count = peers.gateway_addresses.len() as u32;
         SharedHealthChecks {
-            schedule: RefCell::new(HealthCheckSchedule::new(
-                peers.local_gateway,
-                gateway_count,
-            )),
+            schedule: RefCell::new(HealthCheckSchedule::new(peers.local_gateway, gateway_count)),
             sender,
             membership: dependencies.services.membership.clone(),
             leases: dependencies.services.leases.clone(),
@@ -249,11 +246,9 @@
             else {
                 continue;
             };
-            self.schedule.borrow_mut().record_round(
-                group.0,
-                gateway,
-                unix_nanoseconds(checked_at),
-            );
+            self.schedule
+                .borrow_mut()
+                .record_round(group.0, gateway, unix_nanoseconds(checked_at));
             results.push(SharedHealthCheck {
                 member,
                 at: checked_at,
