--- a/crates/testbed/src/results/evaluation.rs
+++ b/crates/testbed/src/results/evaluation.rs
@@ -27,9 +27,7 @@
     pub fn results(self, scenario: &Scenario, mode: &str, seed: u64, fleet: &Fleet) -> RunResults {
         let requests = self.sum(|tally| tally.asked as f64);
         // Counted over the whole run, these belong to all of its first tries.
-        let first_tries: f64 = (self.seconds.iter())
-            .map(|second| second.first_tries as f64)
-            .sum();
+        let first_tries = self.first_tries();
         let per_first_try = |count: u64| ratio(count as f64, first_tries);
         let service = ratio(
             self.sum(|tally| tally.earned),
@@ -87,6 +85,12 @@
         }
     }
 
+    /// Number of first tries over the whole run.
+    fn first_tries(&self) -> f64 {
+        let seconds = self.seconds.iter();
+        seconds.map(|second| second.first_tries as f64).sum()
+    }
+
     /// The sum of a value over all classes.
     fn sum(&self, value: fn(&ClassTally) -> f64) -> f64 {
         self.tallies.iter().map(value).sum()
