Name things in the takeover tests as the field does: lease holder, majority, health checks

Owner, duty, small side and probe were words of our own. Test names say subject, condition and expectation; texts of waits and assertions name the lease holder, the partition's majority and minority, and health checks. No check changed, and the texts that are compared with logs and console answers are the same.

--- a/crates/testbed/tests/takeover.rs
+++ b/crates/testbed/tests/takeover.rs
@@ -1,5 +1,5 @@
-//! Duties that survive their owner, with real gateways: the owner of a set's probes is killed, stalled or cut off, and one
-//! other takes them over. What is checked is what the hosts were sent, as they recorded it.
+//! Takeover of leases, with real gateways: the holder of the lease on a set's health checks is killed, stalled or cut off,
+//! and one other gateway takes the lease over. What is checked is what the hosts received, as they recorded it.
 
 mod common;
 
@@ -11,18 +11,19 @@
 use irisrouter_testbed::cluster::{Cluster, PATIENCE};
 use std::time::Duration;
 
-/// The owner of a set, once that is the first in its order, where it stays.
-fn first(cluster: &Cluster, gateways: u32, set: u64) -> usize {
+/// Waits until the first candidate runs the health checks of a set, and returns it. It stays the holder of the lease.
+fn wait_for_first_candidate(cluster: &Cluster, gateways: u32, set: u64) -> usize {
     let gateways: Vec<GatewayId> = (0..gateways).map(GatewayId).collect();
-    let first = rendezvous::candidates(TaskId(set), &gateways)[0].0 as usize;
-    wait("the first in the order", || {
-        cluster.prober(set, 300) == Some(first)
+    let first_candidate = rendezvous::candidates(TaskId(set), &gateways)[0].0 as usize;
+    wait("health checks by the first candidate", || {
+        cluster.prober(set, 300) == Some(first_candidate)
     });
-    first
+    first_candidate
 }
 
-/// One owner at a time by what the hosts saw, and no set without one for longer than the bound.
-fn holds(cluster: &Cluster, from: u64) {
+/// Checks by what the hosts saw that every set had one lease holder at a time, and none for no longer than the bound.
+#[track_caller]
+fn assert_leases_hold(cluster: &Cluster, from: u64) {
     let bounds = Bounds {
         lease_ms: LEASE_MS,
         from,
@@ -94,24 +95,26 @@
 /// Whom the log line names as the holder before is not checked here: where two candidates claim at once, the one that
 /// succeeds may name the other, as its voters granted that one last. `crates/leases/tests/previous_holder.rs` has both cases.
 #[test]
-fn the_owner_of_a_duty_is_killed_and_one_other_takes_it() {
+fn lease_of_a_killed_holder_is_taken_over_by_one_other_gateway() {
     let mut cluster = started(4, 21);
-    let owner = first(&cluster, 4, 1);
+    let holder = wait_for_first_candidate(&cluster, 4, 1);
     let from = cluster.clock.now();
-    cluster.crash(owner);
+    cluster.crash(holder);
     let checks = accepted_health_checks(&cluster);
-    let old = checks.iter().rfind(|check| check.gateway == owner);
-    let old_epoch = old.expect("a health check by the owner").epoch;
-    wait("another owner", || {
-        cluster.prober(1, 300).is_some_and(|now| now != owner)
+    let old = checks.iter().rfind(|check| check.gateway == holder);
+    let old_epoch = old.expect("a health check by the holder").epoch;
+    wait("health checks by another gateway", || {
+        cluster
+            .prober(1, 300)
+            .is_some_and(|gateway| gateway != holder)
     });
     let checks = accepted_health_checks(&cluster);
     let successor = *checks
         .iter()
         .find(|check| check.epoch > old_epoch)
         .expect("a health check under a later epoch");
-    assert_ne!(successor.gateway, owner, "{successor:?}");
-    // What the others say of it: one line by this gateway, under the epoch that its health check carried. Up to that epoch
+    assert_ne!(successor.gateway, holder, "{successor:?}");
+    // The log says so in one line, by this gateway, under the epoch that its health check carried. Up to that epoch
     // no other gateway took the lease.
     let acquisitions = |lines: &[Line]| -> Option<Vec<AcquisitionLine>> {
         let all = lines.iter().filter_map(AcquisitionLine::parse);
@@ -124,41 +127,43 @@
     let acquisitions = cluster
         .history
         .wait(PATIENCE, acquisitions)
-        .expect("a line that says so");
+        .expect("a log line of the acquisition");
     assert_eq!(acquisitions.len(), 1, "{acquisitions:?}");
     let acquisition = &acquisitions[0];
     assert_eq!(acquisition.gateway, successor.gateway, "{acquisition:?}");
     assert!(acquisition.has_possible_reason(4), "{acquisition:?}");
-    cluster.launch(owner).expect("starts again");
-    // It is first in the order again, and gets it back.
-    wait("the first in the order", || {
-        cluster.prober(1, 300) == Some(owner)
+    cluster.launch(holder).expect("starts again");
+    // It is the first candidate again, and gets the lease back.
+    wait("health checks by the first candidate", || {
+        cluster.prober(1, 300) == Some(holder)
     });
-    holds(&cluster, from);
+    assert_leases_hold(&cluster, from);
 }
 
 #[test]
-fn a_stalled_owner_that_comes_back_does_nothing_under_its_old_epoch() {
+fn stalled_lease_holder_that_resumes_does_nothing_under_its_old_epoch() {
     let cluster = started(4, 22);
-    let owner = first(&cluster, 4, 0);
+    let holder = wait_for_first_candidate(&cluster, 4, 0);
     let from = cluster.clock.now();
-    cluster.stall(owner);
-    wait("another owner", || {
-        cluster.prober(0, 300).is_some_and(|now| now != owner)
+    cluster.stall(holder);
+    wait("health checks by another gateway", || {
+        cluster
+            .prober(0, 300)
+            .is_some_and(|gateway| gateway != holder)
     });
-    cluster.resume(owner);
+    cluster.resume(holder);
     let back = cluster.clock.now();
     std::thread::sleep(Duration::from_secs(2));
-    holds(&cluster, from);
+    assert_leases_hold(&cluster, from);
     // Not one probe of its old epoch was taken by a host once it was back.
     let taken = cluster
         .probes(0)
         .into_iter()
-        .filter(|p| p.at >= back && p.gateway == owner && !p.refused);
+        .filter(|p| p.at >= back && p.gateway == holder && !p.refused);
     let old = cluster
         .probes(0)
         .iter()
-        .filter(|p| p.at < back && p.gateway == owner)
+        .filter(|p| p.at < back && p.gateway == holder)
         .filter_map(|p| p.token)
         .max();
     for probe in taken {
@@ -167,9 +172,9 @@
 }
 
 #[test]
-fn an_owner_whose_token_a_host_refuses_gives_the_duty_up_and_claims_it_anew() {
+fn lease_holder_whose_token_a_host_refuses_gives_the_lease_up_and_claims_it_again() {
     let cluster = started(4, 27);
-    let owner = first(&cluster, 4, 1);
+    let holder = wait_for_first_candidate(&cluster, 4, 1);
     let token = |c: &Cluster| {
         c.probes(1)
             .iter()
@@ -181,18 +186,19 @@
     for host in cluster.hosts.iter().filter(|h| h.set == 1) {
         host.saw(1, old + 1);
     }
-    wait("a refused probe", || {
+    wait("a refused health check", || {
         cluster.probes(1).iter().any(|p| p.refused)
     });
-    wait("a later token", || {
+    wait("a later fencing token", || {
         token(&cluster).is_some_and(|(_, now)| now > old + 1)
     });
-    let gave_up = "leases: this gateway no longer holds the lease on the health checks of set 1 ";
+    let lost_lease =
+        "leases: this gateway no longer holds the lease on the health checks of set 1 ";
     cluster.history.look(|lines| {
         let line = lines
             .iter()
-            .find(|l| l.gateway == owner && l.text.contains(gave_up))
-            .expect("it says so");
+            .find(|l| l.gateway == holder && l.text.contains(lost_lease))
+            .expect("a log line of the loss");
         assert!(
             line.text.contains("superseded by a later epoch"),
             "{}",
@@ -212,94 +218,102 @@
 }
 
 #[test]
-fn a_partition_leaves_each_duty_with_the_larger_side_alone() {
+fn every_lease_is_held_by_the_majority_alone_in_a_partition() {
     let cluster = started(5, 23);
-    let owner = first(&cluster, 5, 2);
+    let holder = wait_for_first_candidate(&cluster, 5, 2);
     let from = cluster.clock.now();
-    // The owner and one other on the small side; both sides reach the hosts.
-    let other = (owner + 1) % 5;
-    let small = [owner, other];
-    let large: Vec<usize> = (0..5).filter(|g| !small.contains(g)).collect();
-    cluster.partition(&small, &large);
-    wait("the larger side", || {
-        (0..3).all(|set| cluster.owner(set).is_some_and(|now| large.contains(&now)))
+    // The holder and one other gateway are the minority; both sides reach the hosts.
+    let other = (holder + 1) % 5;
+    let minority = [holder, other];
+    let majority: Vec<usize> = (0..5).filter(|g| !minority.contains(g)).collect();
+    cluster.partition(&minority, &majority);
+    wait("a lease holder in the majority for every set", || {
+        (0..3).all(|set| {
+            cluster
+                .owner(set)
+                .is_some_and(|gateway| majority.contains(&gateway))
+        })
     });
     cluster.heal();
     cluster.settle(PATIENCE).expect("one view");
-    holds(&cluster, from);
+    assert_leases_hold(&cluster, from);
 }
 
-/// In a partition the old owner's last probe is still on its way to the host when the other side has taken over.
+/// The former holder's last health check is still on its way to the host when the majority has taken the lease over.
 #[test]
-fn in_a_partition_the_old_owner_s_probe_that_arrives_late_is_refused_for_its_token() {
+fn late_health_check_of_the_former_holder_is_refused_for_its_token_in_a_partition() {
     let cluster = started(4, 28);
-    let owner = first(&cluster, 4, 0);
+    let holder = wait_for_first_candidate(&cluster, 4, 0);
     let from = cluster.clock.now();
     let hosts: Vec<_> = cluster.hosts.iter().filter(|h| h.set == 0).collect();
-    hosts.iter().for_each(|h| h.cut(owner, true));
+    hosts.iter().for_each(|h| h.cut(holder, true));
     // What it sends now stands in the network.
     std::thread::sleep(Duration::from_millis(400));
-    let others: Vec<usize> = (0..4).filter(|&g| g != owner).collect();
-    cluster.partition(&[owner], &others);
-    wait("the other side", || {
-        cluster.prober(0, 300).is_some_and(|now| now != owner)
+    let others: Vec<usize> = (0..4).filter(|&g| g != holder).collect();
+    cluster.partition(&[holder], &others);
+    wait("health checks by the majority", || {
+        cluster
+            .prober(0, 300)
+            .is_some_and(|gateway| gateway != holder)
     });
-    hosts.iter().for_each(|h| h.cut(owner, false));
-    wait("the late probe", || {
+    hosts.iter().for_each(|h| h.cut(holder, false));
+    wait("the late health check", || {
         cluster
             .probes(0)
             .iter()
-            .any(|p| p.refused && p.gateway == owner)
+            .any(|p| p.refused && p.gateway == holder)
     });
     cluster.heal();
     cluster.settle(PATIENCE).expect("one view");
-    holds(&cluster, from);
+    assert_leases_hold(&cluster, from);
 }
 
-/// On the small side of a cut a gateway serves and asks hosts for itself, as without the others.
+/// In a minority partition a gateway serves clients and checks hosts by itself, as it would without the others.
 #[test]
-fn the_small_side_of_a_partition_goes_on_alone() {
+fn minority_partition_serves_clients_and_checks_hosts_by_itself() {
     let cluster = started(5, 29);
-    let owner = first(&cluster, 5, 2);
-    let other = (owner + 1) % 5;
-    let large: Vec<usize> = (0..5).filter(|g| ![owner, other].contains(g)).collect();
-    let small = [owner, other];
-    cluster.partition(&small, &large);
-    let unowned = |g: usize, since: u64| {
+    let holder = wait_for_first_candidate(&cluster, 5, 2);
+    let other = (holder + 1) % 5;
+    let majority: Vec<usize> = (0..5).filter(|g| ![holder, other].contains(g)).collect();
+    let minority = [holder, other];
+    cluster.partition(&minority, &majority);
+    let checks_without_token = |g: usize, since: u64| {
         cluster
             .probes(2)
             .iter()
             .any(|p| p.at > since && p.gateway == g && p.token.is_none())
     };
-    // The other one notices first, and asks for both; the owner hears that when it is back, and stands by.
-    cluster.stall(owner);
-    wait("no majority at the other", || {
+    // The other gateway notices first, and checks hosts for both. The holder learns that when it resumes, and stands by.
+    cluster.stall(holder);
+    wait("no majority at the other gateway", || {
         cluster.call(other, "members").contains("majority=false")
     });
-    wait("probes without a token by the other", || unowned(other, 0));
-    cluster.resume(owner);
-    wait("no majority", || {
-        cluster.call(owner, "members").contains("majority=false")
+    wait("health checks without a token by the other gateway", || {
+        checks_without_token(other, 0)
     });
-    wait("nothing owned", || {
+    cluster.resume(holder);
+    wait("no majority at the former holder", || {
+        cluster.call(holder, "members").contains("majority=false")
+    });
+    wait("no lease held", || {
         cluster
-            .call(owner, "duties")
+            .call(holder, "duties")
             .starts_with("+OK duties owned=0")
     });
     let alone = cluster.clock.now();
-    wait("probes without a token", || {
-        small.iter().any(|&g| unowned(g, alone))
+    wait("health checks without a token", || {
+        minority.iter().any(|&g| checks_without_token(g, alone))
     });
     let read =
         "SELECT payload FROM entries WHERE ref = '7f3a' /* id=e1,c=report,d=5000,cluster=2 */";
-    for gateway in [owner, large[0]] {
+    for gateway in [holder, majority[0]] {
         assert_eq!(
             ask(&cluster, gateway, read).map(|row| row.contains("cluster=2")),
             Ok(true)
         );
     }
-    // What those tell that are held down is not used: each datagram of findings counts as unheard.
-    let unheard = |g: usize| {
+    // The results of gateways that are believed down are ignored, and each such datagram is counted.
+    let ignored_datagrams = |g: usize| {
         let before = cluster.clock.now();
         cluster.signal(g, "-USR1");
         let counted = |lines: &[irisrouter_testbed::cluster::process::Line]| {
@@ -315,32 +329,37 @@
         };
         cluster.history.wait(PATIENCE, counted).expect("counters")
     };
-    let observer = large[0];
-    assert_eq!(unheard(observer), 0);
-    // One way only: the small side is heard again and hears nothing, so it stays held down.
+    let observer = majority[0];
+    assert_eq!(ignored_datagrams(observer), 0);
+    // One direction only: the minority is heard again and hears nothing, so it is still believed down.
     {
         let mut network = cluster.relay.network();
-        network.cuts.retain(|&(from, _)| large.contains(&from));
+        network.cuts.retain(|&(from, _)| majority.contains(&from));
     }
-    wait("findings that are not used", || unheard(observer) > 0);
+    wait("health-check results that are ignored", || {
+        ignored_datagrams(observer) > 0
+    });
 }
 
 #[test]
-fn a_gateway_that_is_told_to_stop_hands_its_duties_over_before_its_lease_is_out() {
+fn gateway_that_is_told_to_stop_hands_its_leases_over_before_they_expire() {
     let mut cluster = started(4, 24);
-    let owner = first(&cluster, 4, 1);
+    let holder = wait_for_first_candidate(&cluster, 4, 1);
     let from = cluster.clock.now();
-    assert_eq!(cluster.terminate(owner), Some(0));
-    wait("another owner", || {
-        cluster.prober(1, 300).is_some_and(|now| now != owner)
+    assert_eq!(cluster.terminate(holder), Some(0));
+    wait("health checks by another gateway", || {
+        cluster
+            .prober(1, 300)
+            .is_some_and(|gateway| gateway != holder)
     });
-    holds(&cluster, from);
+    assert_leases_hold(&cluster, from);
     cluster.history.look(|lines| {
-        let gave = "leases: this gateway no longer holds the lease on the health checks of set 1 ";
+        let lost_lease =
+            "leases: this gateway no longer holds the lease on the health checks of set 1 ";
         let line = lines
             .iter()
-            .find(|l| l.gateway == owner && l.text.contains(gave))
-            .expect("it says so");
+            .find(|l| l.gateway == holder && l.text.contains(lost_lease))
+            .expect("a log line of the loss");
         assert!(line.text.contains("this gateway stops"), "{}", line.text);
     });
 }
@@ -400,18 +419,18 @@
 }
 
 #[test]
-fn a_write_whose_gateway_died_is_applied_once_when_its_client_sends_it_to_another() {
+fn write_whose_gateway_died_is_applied_once_when_its_client_sends_it_to_another() {
     let mut cluster = started(4, 25);
     in_flight(&mut cluster, 2, "aa01");
     // Within the window: sent again, discarded by the host, and answered.
-    let said = ask(&cluster, 0, &write("a2", "aa01", true));
-    assert_eq!(said, Ok("aa01".to_string()));
+    let answer = ask(&cluster, 0, &write("a2", "aa01", true));
+    assert_eq!(answer, Ok("aa01".to_string()));
     assert_eq!(applied(&cluster, "aa01"), 1);
     // Beyond the window nobody sends it any more, whichever gateway is asked, and the answer says so.
     std::thread::sleep(Duration::from_millis(1_500));
     for (n, gateway) in [0, 1, 3].into_iter().enumerate() {
-        let said = ask(&cluster, gateway, &write(&format!("b{n}"), "aa01", true));
-        assert_eq!(said, Err("XX000".to_string()), "gateway {gateway}");
+        let answer = ask(&cluster, gateway, &write(&format!("b{n}"), "aa01", true));
+        assert_eq!(answer, Err("XX000".to_string()), "gateway {gateway}");
     }
     assert_eq!(applied(&cluster, "aa01"), 1);
     // One that was never sent is a write like any other, marked or not, once those asked have run long enough to know.
@@ -431,7 +450,7 @@
 }
 
 #[test]
-fn a_repeat_of_which_nothing_can_be_proven_is_not_sent() {
+fn repeated_write_of_which_nothing_can_be_proven_is_not_forwarded() {
     let mut cluster = started(4, 26);
     in_flight(&mut cluster, 1, "bb01");
     std::thread::sleep(Duration::from_millis(1_500));
