--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod hot_restart;
 mod limits;
 mod peers;
+mod pipelining;
 mod protocol;
 mod retries;
 mod shutdown;
