--- a/crates/pg/src/frame.rs
+++ b/crates/pg/src/frame.rs
@@ -1,6 +1,7 @@
 //! Framing: where a message begins and ends in the bytes read so far.
 
 use crate::error::{Malformed, TOO_LARGE};
+use crate::tag;
 use std::ops::Range;
 
 /// Largest message that is accepted as a whole, in bytes: enough for a value of 64 KiB in hexadecimal with its statement.
@@ -41,8 +42,25 @@
     }))
 }
 
+/// Returns the size of the first message in bytes, its type byte included, or `None` while its length is incomplete. The
+/// length is taken as it stands: [`frame`] checks it.
+pub fn message_size(bytes: &[u8]) -> Option<usize> {
+    length_field(bytes).map(|length| 1 + length)
+}
+
 /// The length field of the first message, or `None` while it is incomplete. It counts itself, but not the type byte.
 pub(crate) fn length_field(bytes: &[u8]) -> Option<usize> {
     let length = bytes.get(1..)?.first_chunk()?;
     Some(u32::from_be_bytes(*length) as usize)
 }
+
+/// The number of whole queries at the beginning of these bytes, up to the first message that is malformed or incomplete.
+pub fn whole_queries(bytes: &[u8]) -> usize {
+    let mut queries = 0;
+    let mut rest = bytes;
+    while let Ok(Some(frame)) = frame(rest) {
+        queries += usize::from(frame.tag == tag::QUERY);
+        rest = &rest[frame.body.end..];
+    }
+    queries
+}
--- a/src/net/buffers.rs
+++ b/src/net/buffers.rs
@@ -10,7 +10,12 @@
 /// Largest number of free buffers that are kept for reuse.
 const MAX_FREE_BUFFERS: usize = 64;
 
-/// A pool of buffers, shared by all connections; each buffer holds a reference to it, to return on drop. What single messages need beyond a buffer's size comes from a budget that they share.
+/// Input that clients send ahead of their answers may use one part in so many of the budget for large messages. The rest
+/// is for the messages that are being processed: without it no request would end, and nothing would be freed.
+const READ_AHEAD_DIVISOR: usize = 2;
+
+/// A pool of buffers, shared by all connections; each buffer holds a reference to it, to return on drop. What single
+/// messages need beyond a buffer's size comes from a budget that they share.
 pub struct Pool {
     free: RefCell<Vec<BytesMut>>,
     /// Bytes beyond the size of a buffer that are in use in this process.
@@ -71,10 +76,22 @@
     /// thousand connections with large messages would exceed the limit on memory.
     #[must_use]
     pub fn try_reserve(&mut self, additional: usize) -> bool {
+        self.try_reserve_within(additional, self.pool.budget)
+    }
+
+    /// Makes room for `additional` bytes of input that is not processed yet, and returns whether the part of the budget
+    /// that is for such input allows it.
+    #[must_use]
+    pub fn try_reserve_ahead(&mut self, additional: usize) -> bool {
+        self.try_reserve_within(additional, self.pool.budget / READ_AHEAD_DIVISOR)
+    }
+
+    /// Makes room for `additional` bytes, if all large messages together stay within `budget`.
+    fn try_reserve_within(&mut self, additional: usize, budget: usize) -> bool {
         let needed = (self.bytes.len() + additional).saturating_sub(BUFFER_SIZE);
         if needed > self.extra_bytes {
             let extra_bytes = self.pool.extra_bytes.get() + needed - self.extra_bytes;
-            if extra_bytes + self.pool.other_process_extra_bytes.get() > self.pool.budget {
+            if extra_bytes + self.pool.other_process_extra_bytes.get() > budget {
                 return false;
             }
             self.pool.extra_bytes.set(extra_bytes);
--- a/src/net/downstream/answer_writer.rs
+++ b/src/net/downstream/answer_writer.rs
@@ -6,31 +6,52 @@
 use crate::net::pg::{self, code};
 use crate::net::request::retry_after_milliseconds;
 use crate::net::upstream::{StreamChunk, StreamedAnswer};
+use crate::net::write_all;
 use irisrouter::routing::TimeDelta;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// A client that takes longer than this to accept one write counts as disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(15);
 /// The retry advice for a client that is rejected because there are too many connections. A crowd that
 /// reconnects at once would take processing time from the clients that are served.
 const RECONNECT_DELAY: TimeDelta = TimeDelta::from_millis(250);
+/// A write that takes longer than this counts as a pause in reading. Most take microseconds.
+const LONG_WRITE: Duration = Duration::from_millis(20);
 /// Bytes to reserve behind a row for the ReadyForQuery that follows it, which takes 6.
-pub(super) const READY_FOR_QUERY_ROOM: usize = 16;
+const READY_FOR_QUERY_ROOM: usize = 16;
 
 impl ClientConnection {
-    /// Writes all of these bytes; nothing, where there are none.
+    /// Writes all of these bytes; nothing, where there are none. What the client sends during a long write is read behind
+    /// it.
     pub(super) async fn write(&mut self, bytes: &Buffer) -> Result<(), ConnectionEnd> {
         if bytes.is_empty() {
             return Ok(());
         }
-        timeout(WRITE_TIMEOUT, self.stream.write_all(bytes))
+        let started = Instant::now();
+        timeout(WRITE_TIMEOUT, write_all(&mut self.stream, bytes))
             .await
             .map_err(|_| ConnectionEnd::Disconnected)??;
+        if started.elapsed() > LONG_WRITE {
+            self.pause_reading(started);
+            self.resume_reading()?;
+        }
         Ok(())
     }
 
+    /// Adds the ReadyForQuery's room to the last part of an answer. Where there is no memory for that, the part is written
+    /// at once, and the result is an empty buffer.
+    pub(super) async fn with_room_for_ready(
+        &mut self,
+        mut answer: Buffer,
+    ) -> Result<Buffer, ConnectionEnd> {
+        if answer.try_reserve(READY_FOR_QUERY_ROOM) {
+            return Ok(answer);
+        }
+        self.write(&answer).await?;
+        Ok(self.listener.pool.acquire())
+    }
+
     /// Forwards a long answer while it arrives, and returns its last part, which is not written yet. An answer that
     /// breaks off ends the connection: a client has no other way to tell that it is incomplete.
     pub(super) async fn forward_streamed(
@@ -42,14 +63,9 @@
         drop(head);
         loop {
             let received = self.wait_while_connected(rest.recv()).await;
-            match received.map_err(without_error_message)? {
+            match received? {
                 Some(StreamChunk::Data(piece)) => self.write(&piece).await?,
-                Some(StreamChunk::Last(mut end)) => {
-                    return end
-                        .try_reserve(READY_FOR_QUERY_ROOM)
-                        .then_some(end)
-                        .ok_or(ConnectionEnd::Disconnected)
-                }
+                Some(StreamChunk::Last(end)) => return self.with_room_for_ready(end).await,
                 None => return Err(ConnectionEnd::Disconnected),
             }
         }
@@ -76,7 +92,8 @@
         .await
     }
 
-    fn reconnect_delay_ms(&self) -> Option<u128> {
+    /// The advice for a client that is rejected for want of memory or connections.
+    pub(super) fn reconnect_delay_ms(&self) -> Option<u128> {
         let limits = &self.listener.classes.settings().limits;
         retry_after_milliseconds(if limits.retry_after {
             RECONNECT_DELAY.min(limits.max_retry_after)
@@ -99,12 +116,3 @@
         }
     }
 }
-
-/// In the middle of a row no error message can be sent: too much input then ends the connection without one.
-fn without_error_message(end: ConnectionEnd) -> ConnectionEnd {
-    if matches!(end, ConnectionEnd::TooMuchInput) {
-        ConnectionEnd::Disconnected
-    } else {
-        end
-    }
-}
--- a/src/net/downstream/client_input.rs
+++ b/src/net/downstream/client_input.rs
@@ -1,16 +1,23 @@
 //! Reading from a client: the wait for its next bytes, which several events may end, and the wait for something else
 //! during which the client may disconnect.
+//!
+//! While a request waits for its answer, what comes behind it is read ahead as far as memory allows, and is then left in
+//! the socket. The connection goes on: answers are due on it.
 
 use crate::net::downstream::connection::{ClientConnection, ConnectionEnd};
 use crate::net::downstream::connection_limit::{EvictableWait, QuietKind};
+use crate::net::downstream::input_buffer::ReadPurpose;
 use crate::net::metrics::increment;
+use crate::net::read_now;
 use crate::net::serving_state::ServingMode;
-use crate::net::{pg, read_now};
+use bytes::BufMut;
 use std::future::Future;
 use std::io;
 use std::time::Duration;
+use tokio::io::Interest;
+use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 /// How long a client may be silent before its first message is complete, or in the middle of a message. Clients that send
 /// nothing, or half of something, would otherwise hold their connections for ever.
@@ -22,11 +29,9 @@
 /// Where clients are sent away, a connection that has been idle for so long ends. Connections in use end behind an answer
 /// before that, so that few requests arrive just when their connection ends.
 const DRAIN_IDLE_TIMEOUT: Duration = Duration::from_millis(250);
-/// How much a client may send ahead of its answer, in bytes: more than the largest message. What is left unread in the
-/// socket hides the client's disconnection, and the request of one that sends much and disconnects would go on.
-const MAX_INPUT_AHEAD: usize = pg::MAX_MESSAGE_SIZE + 1;
-/// Smallest space, in bytes, that is made for one read.
-const MIN_READ_SPACE: usize = 1024;
+/// How often it is looked whether memory is free again, so that more of a client's input can be read ahead: short against
+/// the deadlines of requests.
+const READ_AHEAD_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// How many bytes are read in the moment in which a connection is to end: enough to see that something has arrived.
 const LAST_READ_BYTES: usize = 4096;
 
@@ -42,6 +47,17 @@
     TimedOut,
 }
 
+/// What a read without a wait has come to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ReadProgress {
+    /// Bytes were read.
+    Read,
+    /// Nothing has arrived.
+    Nothing,
+    /// The limits on memory leave no room to read.
+    NoRoom,
+}
+
 /// How much of the next message has arrived when a wait begins.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Received {
@@ -65,25 +81,41 @@
 
 impl ClientConnection {
     /// Waits for more of the client's messages and reads it. Between two messages the connection may end.
-    pub(super) async fn read_more(&mut self, kind: QuietKind) -> Result<(), ConnectionEnd> {
-        let received = if self.input.as_ref().is_none_or(|input| input.is_empty()) {
-            // The buffer goes back to its pool while the client is silent.
-            self.input = None;
+    pub(super) async fn read_more(
+        &mut self,
+        kind: QuietKind,
+    ) -> Result<ReadProgress, ConnectionEnd> {
+        // The buffer goes back to its pool while the client is silent.
+        self.input.release_if_empty();
+        let received = if self.input.is_empty() {
             Received::Nothing
         } else {
             Received::PartOfMessage
         };
         let wait = InputWait { kind, received };
-        let idle = wait.is_idle();
+        if !self.wait_for_input(wait).await? {
+            // What came in the moment of the connection's end has been read already.
+            return Ok(ReadProgress::Read);
+        }
+        let was_idle = wait.is_idle();
+        let progress = self.read_available(ReadPurpose::NextMessage)?;
+        if was_idle && progress == ReadProgress::Read {
+            self.message_started = self.last_input;
+        }
+        Ok(progress)
+    }
+
+    /// Waits until the socket is readable, and returns true; false, where input was read in the moment in which the
+    /// connection was to end.
+    async fn wait_for_input(&mut self, wait: InputWait) -> Result<bool, ConnectionEnd> {
         match self.next_input_event(wait).await? {
-            InputEvent::Readable => {
-                self.record_input(idle);
-                self.read_available()
-            }
+            InputEvent::Readable => Ok(true),
             // Closing now would lose bytes that have arrived in this very moment.
-            InputEvent::Draining | InputEvent::Evicted if idle && self.read_before_close()? => {
-                self.record_input(idle);
-                Ok(())
+            InputEvent::Draining | InputEvent::Evicted
+                if wait.is_idle() && self.read_before_close()? =>
+            {
+                self.message_started = self.last_input;
+                Ok(false)
             }
             InputEvent::Draining => Err(ConnectionEnd::Closed),
             InputEvent::Evicted => {
@@ -95,7 +127,7 @@
                         .connections
                         .downstream_evicted,
                 );
-                if idle {
+                if wait.is_idle() {
                     return Err(ConnectionEnd::Closed);
                 }
                 Err(self.end_with_too_many_connections().await)
@@ -106,6 +138,33 @@
         }
     }
 
+    /// Reads the rest of a message that memory has no room for, and drops it, so that it can be rejected and the messages
+    /// behind it be read. `size` is that of the whole message in bytes.
+    pub(super) async fn discard_message(&mut self, size: usize) -> Result<(), ConnectionEnd> {
+        let mut remaining = size - self.input.len();
+        self.input.consume(self.input.len());
+        let mut scratch = self.listener.pool.acquire();
+        let wait = InputWait {
+            kind: QuietKind::Idle,
+            received: Received::PartOfMessage,
+        };
+        while remaining > 0 {
+            self.wait_for_input(wait).await?;
+            scratch.clear();
+            let mut limited = (&mut *scratch).limit(remaining);
+            match self.stream.try_read_buf(&mut limited) {
+                Ok(0) => return Err(ConnectionEnd::Disconnected),
+                Ok(length) => {
+                    remaining -= length;
+                    self.last_input = Instant::now();
+                }
+                Err(error) if is_nothing_to_read(&error) => {}
+                Err(error) => return Err(error.into()),
+            }
+        }
+        Ok(())
+    }
+
     /// Waits until there is something to read, or until the connection is to end.
     async fn next_input_event(&self, wait: InputWait) -> Result<InputEvent, ConnectionEnd> {
         let idle = wait.is_idle();
@@ -137,71 +196,101 @@
 
     /// When an incomplete message times out, if nothing more of it arrives.
     fn input_deadline(&self) -> Instant {
-        let received = self.input.as_ref().map_or(0, |input| input.len());
-        let time_for_size = Duration::from_secs_f64(received as f64 / MIN_INPUT_RATE);
+        let time_for_size = Duration::from_secs_f64(self.input.len() as f64 / MIN_INPUT_RATE);
         let whole_by = self.message_started + MESSAGE_TIMEOUT + time_for_size;
         whole_by.min(self.last_input + SILENCE_TIMEOUT)
     }
 
-    /// Notes that bytes have arrived; of a connection that was idle they are the first of a message.
-    fn record_input(&mut self, was_idle: bool) {
-        self.last_input = Instant::now();
-        if was_idle {
-            self.message_started = self.last_input;
-        }
-    }
-
     /// Reads what there is, if anything, without a wait: the runtime may report a socket as readable when it is not, and
     /// a read that waits then has no time limit.
-    fn read_available(&mut self) -> Result<(), ConnectionEnd> {
-        let pool = &self.listener.pool;
-        let input = self.input.get_or_insert_with(|| pool.acquire());
-        if !input.try_reserve(input.len().clamp(MIN_READ_SPACE, pg::MAX_MESSAGE_SIZE)) {
-            return Err(ConnectionEnd::OutOfMemory);
-        }
-        match self.stream.try_read_buf(&mut **input) {
+    fn read_available(&mut self, purpose: ReadPurpose) -> Result<ReadProgress, ConnectionEnd> {
+        let Some(space) = self.input.space_for(purpose) else {
+            return Ok(ReadProgress::NoRoom);
+        };
+        match self.stream.try_read_buf(space) {
             Ok(0) => Err(ConnectionEnd::Disconnected),
-            Ok(_) => Ok(()),
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
-            Err(e) => Err(e.into()),
+            Ok(length) => {
+                let now = Instant::now();
+                // What is found at the end of a pause may have come at its beginning.
+                let arrived_at = self.reading_paused_since.unwrap_or(now);
+                self.input.record_read(length, arrived_at);
+                self.last_input = now;
+                Ok(ReadProgress::Read)
+            }
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => Ok(ReadProgress::Nothing),
+            Err(error) if is_nothing_to_read(&error) => {
+                self.reading_paused_since = None;
+                Ok(ReadProgress::Nothing)
+            }
+            Err(error) => Err(error.into()),
         }
     }
 
     /// Reads what the operating system holds at this moment of a connection that is about to end, and says whether there
-    /// was anything.
+    /// was anything. Only for a connection without input, which always has room for so little.
     pub(super) fn read_before_close(&mut self) -> Result<bool, ConnectionEnd> {
         let mut bytes = [0; LAST_READ_BYTES];
         match read_now(&self.stream, &mut bytes) {
             Ok(0) => Err(ConnectionEnd::Disconnected),
-            Ok(n) => {
-                let pool = &self.listener.pool;
-                let input = self.input.get_or_insert_with(|| pool.acquire());
-                if !input.append(&bytes[..n]) {
-                    return Err(ConnectionEnd::OutOfMemory);
-                }
+            Ok(length) => {
+                let space = self.input.space_for(ReadPurpose::NextMessage);
+                let space = space.ok_or(ConnectionEnd::Disconnected)?;
+                space.extend_from_slice(&bytes[..length]);
+                self.last_input = Instant::now();
+                self.input.record_read(length, self.last_input);
                 Ok(true)
             }
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(false),
-            Err(e) => Err(e.into()),
+            Err(error) if is_nothing_to_read(&error) => Ok(false),
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    /// Records that the client's input is not read, or was not from `since` on.
+    pub(super) fn pause_reading(&mut self, since: Instant) {
+        if self.reading_paused_since.is_none() {
+            increment(
+                &self
+                    .listener
+                    .request_context
+                    .metrics
+                    .connections
+                    .input_paused,
+            );
+            self.reading_paused_since = Some(since);
+        }
+    }
+
+    /// Reads what has come in during a pause, as far as there is room for it. The pause is over once nothing is left.
+    pub(super) fn resume_reading(&mut self) -> Result<(), ConnectionEnd> {
+        while self.reading_paused_since.is_some() {
+            if self.read_available(ReadPurpose::ReadAhead)? == ReadProgress::NoRoom {
+                break;
+            }
         }
+        Ok(())
     }
 
-    /// Waits for something else, and meanwhile for the client to disconnect. What the client sends ahead is kept, up to a
-    /// limit.
+    /// Waits for something else, and meanwhile for the client to disconnect. What the client sends ahead is kept as far as
+    /// there is room for it; the rest stays unread until there is.
     pub(super) async fn wait_while_connected<T>(
         &mut self,
         wait: impl Future<Output = T>,
     ) -> Result<T, ConnectionEnd> {
         let mut wait = std::pin::pin!(wait);
         loop {
+            let paused = self.reading_paused_since.is_some();
             tokio::select! {
                 biased;
                 value = &mut wait => return Ok(value),
-                readable = self.stream.readable() => {
+                closed = client_closed(&self.stream), if paused => {
+                    closed?;
+                    return Err(ConnectionEnd::Disconnected);
+                }
+                () = sleep(READ_AHEAD_RETRY_INTERVAL), if paused => self.resume_reading()?,
+                readable = self.stream.readable(), if !paused => {
                     readable?;
-                    self.read_available()?;
-                    if self.input.as_ref().is_some_and(|input| input.len() > MAX_INPUT_AHEAD) {
-                        return Err(ConnectionEnd::TooMuchInput);
+                    if self.read_available(ReadPurpose::ReadAhead)? == ReadProgress::NoRoom {
+                        self.pause_reading(Instant::now());
                     }
                 }
             }
@@ -209,6 +298,25 @@
     }
 }
 
+/// Whether a read failed only because nothing has arrived.
+fn is_nothing_to_read(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted
+    )
+}
+
+/// Returns once the client has closed its side of the connection, or has reset it, also behind bytes that are not read.
+async fn client_closed(stream: &TcpStream) -> io::Result<()> {
+    loop {
+        // Readiness for priority data, of which there is none, also reports that the peer has closed its side.
+        if stream.ready(Interest::PRIORITY).await?.is_read_closed() {
+            return Ok(());
+        }
+        sleep(READ_AHEAD_RETRY_INTERVAL).await;
+    }
+}
+
 /// Returns once clients are sent away and this one has been idle until `idle_until`.
 async fn drained(mut mode: watch::Receiver<ServingMode>, idle_until: Instant) {
     loop {
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -3,13 +3,17 @@
 
 use crate::net::buffers::Buffer;
 use crate::net::downstream::cancel::CancelRegistration;
+use crate::net::downstream::client_input::ReadProgress;
 use crate::net::downstream::connection_limit::{ConnectionPermit, QuietKind};
+use crate::net::downstream::input_buffer::InputBuffer;
 use crate::net::downstream::listener::ClientListener;
+use crate::net::downstream::query::Query;
+use crate::net::log::log;
 use crate::net::metrics::increment;
 use crate::net::pg::{self, code, Startup};
-use bytes::Buf;
 use std::convert::Infallible;
 use std::io;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -34,10 +38,6 @@
     Closed,
     /// The gateway closes it and has sent an error that says why.
     ErrorSent,
-    /// What the client sends does not fit into the memory for messages.
-    OutOfMemory,
-    /// The client sends too much ahead of its answer.
-    TooMuchInput,
 }
 
 impl From<io::Error> for ConnectionEnd {
@@ -50,7 +50,15 @@
 struct Message {
     /// Its type; see [`pg::tag`].
     tag: u8,
-    body: Buffer,
+    body: MessageBody,
+}
+
+/// Where the body of a message is.
+pub(super) enum MessageBody {
+    /// At this place of the input, which begins with the message.
+    InInput(Range<usize>),
+    /// Nowhere: there was no memory for it.
+    Discarded,
 }
 
 /// What follows an untyped message at the start of a connection.
@@ -67,9 +75,10 @@
 pub(super) struct ClientConnection {
     pub(super) stream: TcpStream,
     pub(super) permit: ConnectionPermit,
-    /// What has been read and not been processed yet. None while there is nothing, so that an idle connection holds no
-    /// buffer.
-    pub(super) input: Option<Buffer>,
+    /// What has been read and not been processed yet.
+    pub(super) input: InputBuffer,
+    /// Since when input that may have arrived is not read; `None` while all is read.
+    pub(super) reading_paused_since: Option<Instant>,
     /// When the client connected, or when the message began that is incomplete.
     pub(super) message_started: Instant,
     /// When bytes of that message last arrived.
@@ -91,7 +100,8 @@
     let mut connection = ClientConnection {
         stream,
         permit,
-        input: None,
+        input: InputBuffer::new(Rc::clone(&listener.pool)),
+        reading_paused_since: None,
         message_started: now,
         last_input: now,
         skipping_until_sync: false,
@@ -119,8 +129,10 @@
         self.start_up().await?;
         loop {
             let message = self.next_message().await?;
+            let query = self.parse_if_query(&message);
+            self.consume_message(&message);
             let mut out = self.listener.pool.acquire();
-            self.handle_message(&message, &mut out).await?;
+            self.handle_message(message.tag, query, &mut out).await?;
             self.write(&out).await?;
             if self.ends_behind_answer()? {
                 return Err(ConnectionEnd::Closed);
@@ -131,24 +143,27 @@
     /// Where clients are sent away, a connection ends right behind an answer, since the client learns of it with the
     /// answer; but not if its next request has arrived already.
     fn ends_behind_answer(&mut self) -> Result<bool, ConnectionEnd> {
-        let no_input = self.input.as_ref().is_none_or(|input| input.is_empty());
-        Ok(self.listener.serving_state.mode().disconnects_clients()
-            && no_input
-            && !self.read_before_close()?)
+        if !self.listener.serving_state.mode().disconnects_clients() || !self.input.is_empty() {
+            return Ok(false);
+        }
+        // Once no request can be served any more, a client that sends one after the other must not keep the connection
+        // open until the process is killed, between a request and its answer.
+        let too_late = self.listener.request_context.answers_are_overdue();
+        Ok(too_late || !self.read_before_close()?)
     }
 
     /// Reads the client's startup messages and answers them, up to the first ReadyForQuery.
     async fn start_up(&mut self) -> Result<(), ConnectionEnd> {
         loop {
-            let parsed = self
-                .input
-                .as_ref()
-                .map_or(Ok(None), |input| pg::startup(input));
-            match parsed {
+            match pg::startup(self.input.unread()) {
                 Err(malformed) => return Err(self.end_with_violation(malformed.0).await),
-                Ok(None) => self.read_more(QuietKind::Starting).await?,
+                Ok(None) => {
+                    if self.read_more(QuietKind::Starting).await? == ReadProgress::NoRoom {
+                        return Err(self.end_with_too_many_connections().await);
+                    }
+                }
                 Ok(Some(message)) => {
-                    self.consume_input(message.length);
+                    self.input.consume(message.length);
                     if self.handle_startup(message.purpose).await? == StartupProgress::Complete {
                         return Ok(());
                     }
@@ -185,42 +200,43 @@
         }
     }
 
-    /// Returns the next whole message.
+    /// Returns the next message once it is whole, or once it has been read and dropped for want of memory.
     async fn next_message(&mut self) -> Result<Message, ConnectionEnd> {
         self.message_started = Instant::now();
         loop {
-            let parsed = self
-                .input
-                .as_ref()
-                .map_or(Ok(None), |input| pg::frame(input));
-            match parsed {
+            self.resume_reading()?;
+            let input = self.input.unread();
+            match pg::frame(input) {
                 Err(malformed) => return Err(self.end_with_violation(malformed.0).await),
-                Ok(Some(frame)) => return self.take_message(&frame),
-                Ok(None) => self.read_more(QuietKind::Idle).await?,
+                Ok(Some(frame)) => {
+                    return Ok(Message {
+                        tag: frame.tag,
+                        body: MessageBody::InInput(frame.body),
+                    })
+                }
+                Ok(None) => {}
+            }
+            let beginning = input.first().copied().zip(pg::message_size(input));
+            if self.read_more(QuietKind::Idle).await? == ReadProgress::NoRoom {
+                // Without room the input has long exceeded a message's header.
+                let (tag, size) = beginning.ok_or(ConnectionEnd::Disconnected)?;
+                self.discard_message(size).await?;
+                return Ok(Message {
+                    tag,
+                    body: MessageBody::Discarded,
+                });
             }
         }
     }
 
-    /// Moves a whole message from the input into a buffer of its own.
-    fn take_message(&mut self, frame: &pg::Frame) -> Result<Message, ConnectionEnd> {
-        let mut body = self.listener.pool.acquire();
-        let fits = self
-            .input
-            .as_ref()
-            .is_some_and(|input| body.append(&input[frame.body.clone()]));
-        self.consume_input(frame.body.end);
-        if !fits {
-            return Err(ConnectionEnd::OutOfMemory);
-        }
-        Ok(Message {
-            tag: frame.tag,
-            body,
-        })
+    /// A query that is made of a message while that is still in the input; `None` for messages of other types.
+    fn parse_if_query(&self, message: &Message) -> Option<Query> {
+        (message.tag == pg::tag::QUERY).then(|| self.parse_query(&message.body))
     }
 
-    fn consume_input(&mut self, length: usize) {
-        if let Some(input) = &mut self.input {
-            input.advance(length);
+    fn consume_message(&mut self, message: &Message) {
+        if let MessageBody::InInput(body) = &message.body {
+            self.input.consume(body.end);
         }
     }
 
@@ -228,14 +244,17 @@
     /// query protocol is answered with an error.
     async fn handle_message(
         &mut self,
-        message: &Message,
+        tag: u8,
+        query: Option<Query>,
         out: &mut Buffer,
     ) -> Result<(), ConnectionEnd> {
         use pg::tag::{
-            BIND, CLOSE, DESCRIBE, EXECUTE, FLUSH, FUNCTION_CALL, PARSE, QUERY, SYNC, TERMINATE,
+            BIND, CLOSE, DESCRIBE, EXECUTE, FLUSH, FUNCTION_CALL, PARSE, SYNC, TERMINATE,
         };
-        match message.tag {
-            QUERY => self.execute_query(&message.body, out).await?,
+        if let Some(query) = query {
+            return self.execute_query(query, out).await;
+        }
+        match tag {
             TERMINATE => return Err(ConnectionEnd::Closed),
             SYNC => {
                 self.skipping_until_sync = false;
@@ -262,29 +281,33 @@
         pg::put_error(out, "ERROR", code::FEATURE_NOT_SUPPORTED, message, None);
     }
 
-    /// Sends the error that is due, if any, and ends the connection.
+    /// Ends the connection, so that what was sent last arrives.
     async fn close(&mut self, reason: ConnectionEnd) {
-        let end = match reason {
-            ConnectionEnd::OutOfMemory => {
-                self.end_with_violation("no room for so large a message")
-                    .await
-            }
-            ConnectionEnd::TooMuchInput => {
-                self.end_with_violation("too much is sent ahead of an answer")
-                    .await
+        match reason {
+            ConnectionEnd::Disconnected => {}
+            ConnectionEnd::Closed | ConnectionEnd::ErrorSent => {
+                self.report_unanswered(reason);
+                self.linger().await;
             }
-            ConnectionEnd::Disconnected | ConnectionEnd::Closed | ConnectionEnd::ErrorSent => {
-                reason
-            }
-        };
-        match end {
-            ConnectionEnd::Disconnected
-            | ConnectionEnd::OutOfMemory
-            | ConnectionEnd::TooMuchInput => {}
-            ConnectionEnd::Closed | ConnectionEnd::ErrorSent => self.linger().await,
         }
     }
 
+    /// Counts and logs the whole queries that have been read and get no answer, as the gateway ends the connection before
+    /// their turn. That is so behind a breach of the protocol and behind a Terminate; it is a fault anywhere else.
+    fn report_unanswered(&self, reason: ConnectionEnd) {
+        let unanswered = pg::whole_queries(self.input.unread());
+        if unanswered == 0 {
+            return;
+        }
+        let requests = &self.listener.request_context.metrics.requests;
+        requests
+            .unanswered
+            .set(requests.unanswered.get() + unanswered as u64);
+        let client = self.stream.peer_addr();
+        let client = client.map_or_else(|error| error.to_string(), |address| address.to_string());
+        log!("client {client}: the gateway ends the connection ({reason:?}), {unanswered} queries unanswered");
+    }
+
     /// Closes the gateway's side and reads on for a while, discarding what arrives: its sender learns that the
     /// connection ended before the request was read. Closing a socket with unread bytes would reset the connection, and
     /// the client could lose the last answer.
--- /dev/null
+++ b/src/net/downstream/input_buffer.rs
@@ -0,0 +1,99 @@
+//! What a client has sent and the gateway has not processed yet. Its size is limited by leaving the rest unread, and never
+//! by ending the connection: every request that has been taken gets an answer.
+
+use crate::net::buffers::{Buffer, Pool};
+use crate::net::downstream::read_times::ReadTimes;
+use crate::net::pg;
+use bytes::{Buf, BytesMut};
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// How much a client may send ahead of its answer before it is not read on, in bytes: several of the largest messages.
+/// What is left unread in the socket may hide the client's disconnection, so that this is as much as memory allows.
+const MAX_INPUT_AHEAD: usize = 4 * pg::MAX_MESSAGE_SIZE;
+/// Smallest space, in bytes, that is made for one read.
+const MIN_READ_SPACE: usize = 1024;
+
+/// What a read is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ReadPurpose {
+    /// The message that is processed next.
+    NextMessage,
+    /// What comes behind a request that has no answer yet: it must leave memory for the answers.
+    ReadAhead,
+}
+
+/// A client's unprocessed input.
+pub(super) struct InputBuffer {
+    pool: Rc<Pool>,
+    /// None while there is nothing, so that an idle connection holds no buffer.
+    buffer: Option<Buffer>,
+    read_times: ReadTimes,
+}
+
+impl InputBuffer {
+    /// No input.
+    pub(super) fn new(pool: Rc<Pool>) -> Self {
+        InputBuffer {
+            pool,
+            buffer: None,
+            read_times: ReadTimes::default(),
+        }
+    }
+
+    /// The unprocessed bytes.
+    pub(super) fn unread(&self) -> &[u8] {
+        self.buffer.as_deref().map_or(&[], |buffer| buffer)
+    }
+
+    /// The number of unprocessed bytes.
+    pub(super) fn len(&self) -> usize {
+        self.unread().len()
+    }
+
+    /// Whether all input has been processed.
+    pub(super) fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// The buffer, with room for a read; `None` where the limits on memory leave none.
+    pub(super) fn space_for(&mut self, purpose: ReadPurpose) -> Option<&mut BytesMut> {
+        if purpose == ReadPurpose::ReadAhead && self.len() >= MAX_INPUT_AHEAD {
+            return None;
+        }
+        let additional = self.len().clamp(MIN_READ_SPACE, pg::MAX_MESSAGE_SIZE);
+        let pool = &self.pool;
+        let buffer = self.buffer.get_or_insert_with(|| pool.acquire());
+        let has_room = match purpose {
+            ReadPurpose::NextMessage => buffer.try_reserve(additional),
+            ReadPurpose::ReadAhead => buffer.try_reserve_ahead(additional),
+        };
+        has_room.then_some(&mut **buffer)
+    }
+
+    /// Records that a read has put `length` bytes into the buffer.
+    pub(super) fn record_read(&mut self, length: usize, arrived_at: Instant) {
+        self.read_times.record(length, arrived_at);
+    }
+
+    /// Drops bytes that have been processed.
+    pub(super) fn consume(&mut self, length: usize) {
+        if let Some(buffer) = &mut self.buffer {
+            buffer.advance(length);
+        }
+        self.read_times.consume(length);
+        self.release_if_empty();
+    }
+
+    /// Returns the buffer to its pool where there is nothing in it.
+    pub(super) fn release_if_empty(&mut self) {
+        if self.is_empty() {
+            self.buffer = None;
+        }
+    }
+
+    /// When the last of the next `length` bytes arrived; `None` where they have not.
+    pub(super) fn arrival_of(&self, length: usize) -> Option<Instant> {
+        self.read_times.arrival_of(length)
+    }
+}
--- a/src/net/downstream/mod.rs
+++ b/src/net/downstream/mod.rs
@@ -5,5 +5,7 @@
 mod client_input;
 pub mod connection;
 pub mod connection_limit;
+mod input_buffer;
 pub mod listener;
 mod query;
+mod read_times;
--- a/src/net/downstream/query.rs
+++ b/src/net/downstream/query.rs
@@ -1,9 +1,8 @@
 //! One query: the statement becomes a typed request, and the request's outcome becomes the answer.
 
 use crate::net::buffers::Buffer;
-use crate::net::downstream::answer_writer::READY_FOR_QUERY_ROOM;
 use crate::net::downstream::cancel::{CancelRegistration, CancellableQuery};
-use crate::net::downstream::connection::{ClientConnection, ConnectionEnd};
+use crate::net::downstream::connection::{ClientConnection, ConnectionEnd, MessageBody};
 use crate::net::duration;
 use crate::net::metrics::increment;
 use crate::net::pg::{self, code};
@@ -24,7 +23,7 @@
 
 /// Why a statement does not become a request. The text is the message of the client's error response.
 #[derive(Debug, Error)]
-enum StatementError {
+pub(super) enum StatementError {
     /// The statement or the comment at its end cannot be parsed.
     #[error("{0}")]
     Malformed(&'static str),
@@ -36,12 +35,39 @@
     MissingIdempotencyKey,
     #[error("after is a position that is not there yet")]
     PositionInFuture,
-    #[error("no room for so large a statement")]
-    StatementTooLarge,
     #[error("the id of a request that is open")]
     DuplicateRequestId,
 }
 
+/// A query, as it follows from its message.
+pub(super) enum Query {
+    /// It has no statement.
+    Empty,
+    /// A request, and how long it has waited for its turn.
+    Request {
+        call: Box<ClientRequest>,
+        waited: Duration,
+    },
+    /// Its statement is none that becomes a request.
+    Invalid(StatementError),
+    /// There is no memory for it at this moment.
+    NoMemory,
+    /// Its message breaks the protocol.
+    Violation(&'static str),
+}
+
+/// Why a query does not become a request.
+enum QueryError {
+    Statement(StatementError),
+    NoMemory,
+}
+
+impl From<StatementError> for QueryError {
+    fn from(error: StatementError) -> Self {
+        QueryError::Statement(error)
+    }
+}
+
 /// What the wait for an answer ends with, where the client is still connected.
 enum QueryOutcome {
     /// The request's final answer.
@@ -51,30 +77,56 @@
 }
 
 impl ClientConnection {
+    /// Makes a query of the message at the beginning of the input. Its time has been running since its last byte arrived,
+    /// whatever the requests before it took.
+    pub(super) fn parse_query(&self, body: &MessageBody) -> Query {
+        let MessageBody::InInput(range) = body else {
+            return Query::NoMemory;
+        };
+        let text = match pg::query(&self.input.unread()[range.clone()]) {
+            Ok(text) => text,
+            Err(malformed) => return Query::Violation(malformed.0),
+        };
+        if pg::is_empty(text) {
+            return Query::Empty;
+        }
+        let arrived_at = self.input.arrival_of(range.end);
+        let waited = arrived_at.map_or(Duration::ZERO, |arrived_at| arrived_at.elapsed());
+        match self.parse_request(text, waited) {
+            Ok(call) => Query::Request {
+                call: Box::new(call),
+                waited,
+            },
+            Err(QueryError::Statement(error)) => Query::Invalid(error),
+            Err(QueryError::NoMemory) => Query::NoMemory,
+        }
+    }
+
     /// Executes one query and puts its whole answer, with the ReadyForQuery, into `out`. Of a long answer that was
     /// forwarded while it arrived, `out` gets the end.
     pub(super) async fn execute_query(
         &mut self,
-        body: &Buffer,
+        query: Query,
         out: &mut Buffer,
     ) -> Result<(), ConnectionEnd> {
-        let text = match pg::query(body) {
-            Ok(text) => text,
-            Err(malformed) => return Err(self.end_with_violation(malformed.0).await),
-        };
-        if pg::is_empty(text) {
-            self.put_empty_query_response(out);
-            pg::put_ready(out);
-            return Ok(());
-        }
-        match self.parse_request(text) {
-            Err(error) => {
-                increment(&self.listener.request_context.metrics.requests.malformed);
-                let message = error.to_string();
-                pg::put_error(out, "ERROR", code::SYNTAX_ERROR, &message, None);
+        let requests = &self.listener.request_context.metrics.requests;
+        match query {
+            Query::Violation(message) => return Err(self.end_with_violation(message).await),
+            Query::Empty => self.put_empty_query_response(out),
+            Query::Invalid(error) => {
+                increment(&requests.malformed);
+                pg::put_error(out, "ERROR", code::SYNTAX_ERROR, &error.to_string(), None);
+            }
+            Query::NoMemory => {
+                increment(&requests.no_memory);
+                put_rejection(self.reconnect_delay_ms(), out);
             }
-            Ok(call) => {
-                let outcome = self.wait_for_answer(call).await?;
+            Query::Request { call, waited } => {
+                // The router rejects it: no time is left for an attempt.
+                if call.timeout.is_zero() && !waited.is_zero() {
+                    increment(&requests.expired);
+                }
+                let outcome = self.wait_for_answer(*call).await?;
                 self.put_outcome(outcome, out).await?;
             }
         }
@@ -105,16 +157,13 @@
                 pg::put_error(out, "ERROR", code::QUERY_CANCELED, message, None);
             }
             QueryOutcome::Answered(Answer::Served(row)) => {
-                *out = row;
-                if !out.try_reserve(READY_FOR_QUERY_ROOM) {
-                    return Err(ConnectionEnd::Disconnected);
-                }
+                *out = self.with_room_for_ready(row).await?;
             }
             QueryOutcome::Answered(Answer::Streamed(streamed)) => {
                 *out = self.forward_streamed(streamed).await?;
             }
             QueryOutcome::Answered(Answer::Rejected { retry_after }) => {
-                put_rejection(retry_after, out)
+                put_rejection(retry_after_milliseconds(retry_after), out);
             }
             QueryOutcome::Answered(Answer::Failed) => {
                 let message = "no answer could be had, and it may have run";
@@ -148,8 +197,8 @@
         result
     }
 
-    /// Checks a statement and makes a request of it.
-    fn parse_request(&self, text: &[u8]) -> Result<ClientRequest, StatementError> {
+    /// Checks a statement and makes a request of it, which has waited for its turn.
+    fn parse_request(&self, text: &[u8], waited: Duration) -> Result<ClientRequest, QueryError> {
         let context = &self.listener.request_context;
         let statement =
             pg::statement(text).map_err(|malformed| StatementError::Malformed(malformed.0))?;
@@ -161,14 +210,14 @@
         let class = &held_class.class;
         let group = GroupId(statement.group);
         if !context.upstream.may_have_group(group) {
-            return Err(StatementError::UnknownGroup);
+            return Err(StatementError::UnknownGroup.into());
         }
         let idempotency_key = idempotency_key(&statement, class)?;
         let minimum_position = self.required_position(&statement, class)?;
         // A client that says it waits for ever would otherwise hold its request as long.
         let timeout =
             Duration::from_secs_f64(statement.timeout_ms / 1e3).min(duration(class.deadline));
-        let copy = self.copy_statement(text)?;
+        let copy = self.copy_statement(text).ok_or(QueryError::NoMemory)?;
         let id = context
             .reserve_id(statement.id)
             .ok_or(StatementError::DuplicateRequestId)?;
@@ -177,7 +226,7 @@
             session: session(&statement, class),
             class: held_class,
             group,
-            timeout,
+            timeout: timeout.saturating_sub(waited),
             minimum_position,
             retry: statement.retry,
             idempotency_key,
@@ -206,12 +255,10 @@
         Ok(position)
     }
 
-    fn copy_statement(&self, text: &[u8]) -> Result<Buffer, StatementError> {
+    /// A copy of a statement; `None` where there is no memory for it.
+    fn copy_statement(&self, text: &[u8]) -> Option<Buffer> {
         let mut copy = self.listener.pool.acquire();
-        if !copy.append(text) {
-            return Err(StatementError::StatementTooLarge);
-        }
-        Ok(copy)
+        copy.append(text).then_some(copy)
     }
 }
 
@@ -238,9 +285,9 @@
     Ok(Some(key_hash(statement.group, key.as_bytes())))
 }
 
-/// A rejected request has not been executed; `retry_after` is the retry advice, 0 for none.
-fn put_rejection(retry_after: TimeDelta, out: &mut Buffer) {
-    let detail = retry_after_milliseconds(retry_after).map(|milliseconds| milliseconds.to_string());
+/// A rejected request has not been executed; `retry_after_ms` is the retry advice.
+fn put_rejection(retry_after_ms: Option<u128>, out: &mut Buffer) {
+    let detail = retry_after_ms.map(|milliseconds| milliseconds.to_string());
     let message = "turned away, trying again is harmless";
     pg::put_error(
         out,
--- a/src/net/lifecycle/shutdown.rs
+++ b/src/net/lifecycle/shutdown.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// The platform kills the process no sooner than this after the longest deadline.
 const KILL_DELAY: Duration = Duration::from_millis(700);
@@ -76,8 +76,11 @@
 impl Shutdown {
     /// Runs all steps in order; the process can end when this returns.
     pub async fn run(self) {
-        self.announce().await;
-        self.accept_last_requests().await;
+        let started = Instant::now();
+        let schedule = self.announce(started);
+        // The other gateways are informed meanwhile: a socket that takes no datagram must not delay the schedule.
+        let leave = timeout(schedule.accept_all_until, self.peer_socket.leave());
+        let (_, ()) = tokio::join!(leave, self.accept_last_requests(started, schedule));
         let Self {
             parts,
             client_listener,
@@ -90,29 +93,34 @@
         finish_open_requests(&parts, &client_listener).await;
     }
 
-    /// Changes the serving state, and hands leases and membership over to the other gateways.
-    async fn announce(&self) {
+    /// Changes the serving state, and gives all requests the time by which they need their answers.
+    fn announce(&self, started: Instant) -> ShutdownSchedule {
+        let schedule = ShutdownSchedule::new(self.parts.classes.longest_wait());
+        let context = &self.client_listener.request_context;
+        context
+            .answer_by
+            .send_replace(Some(started + schedule.answer_by));
         self.parts.serving_state.stop();
         log!("stopping");
-        self.peer_socket.leave().await;
+        log!(
+            "{} requests are open on {} connections; requests are taken for {:?}, answers are due within {:?}",
+            self.parts.router.open_requests(),
+            self.client_listener.connection_limit.open_connections(),
+            schedule.accept_requests_until,
+            schedule.answer_by
+        );
+        schedule
     }
 
     /// Goes on serving while the schedule leaves time for it: at first all that comes, then the connections that are
     /// open. Not where another process accepts clients on the same socket: that one serves them.
-    async fn accept_last_requests(&self) {
-        let stopped = Instant::now();
-        let schedule = ShutdownSchedule::new(self.parts.classes.longest_wait());
-        let answer_by = stopped + schedule.answer_by;
-        self.client_listener
-            .request_context
-            .answer_by
-            .set(Some(answer_by));
+    async fn accept_last_requests(&self, started: Instant, schedule: ShutdownSchedule) {
         if self.listener.source == ListenerSource::Inherited {
             return;
         }
-        sleep(schedule.accept_all_until).await;
+        sleep_until(started + schedule.accept_all_until).await;
         while self.client_listener.connection_limit.open_connections() > 0
-            && stopped.elapsed() < schedule.accept_requests_until
+            && started.elapsed() < schedule.accept_requests_until
         {
             sleep(CHECK_INTERVAL).await;
         }
@@ -144,6 +152,10 @@
     while has_work() && Instant::now() < end {
         sleep(CHECK_INTERVAL).await;
     }
+    let unfinished = parts.router.open_requests();
+    if unfinished > 0 {
+        log!("{unfinished} requests are not finished at the end");
+    }
 }
 
 #[cfg(test)]
--- a/src/net/lifecycle/startup.rs
+++ b/src/net/lifecycle/startup.rs
@@ -21,7 +21,7 @@
 use crate::net::upstream::{Upstream, IDLE_CLOSE_INTERVAL};
 use irisrouter::routing::Router;
 use irisrouter_endpoint_watch::Revision;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -90,7 +90,7 @@
         upstream: Rc::clone(&parts.upstream),
         clock: parts.clock,
         metrics: Rc::clone(&parts.metrics),
-        answer_by: Cell::new(None),
+        answer_by: watch::Sender::new(None),
         write_intents: services.write_intents.clone(),
         site_failover: services.site_failover.clone(),
         open_ids: RefCell::default(),
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -32,6 +32,12 @@
     pub client_gone: Counter,
     /// Statements that were malformed, and breaches of the protocol.
     pub malformed: Counter,
+    /// Of the rejected ones, those whose time was over when the requests before them on their connection had been answered.
+    pub expired: Counter,
+    /// Queries that were rejected before they were requests, as there was no memory for them.
+    pub no_memory: Counter,
+    /// Queries that were read whole and not answered, as the gateway ended their connection.
+    pub unanswered: Counter,
 }
 
 /// Connections to database hosts (upstream) and of clients (downstream).
@@ -45,6 +51,8 @@
     pub downstream_rejected: Counter,
     /// Of those, the quiet ones that were closed to make room for others.
     pub downstream_evicted: Counter,
+    /// How often the gateway stopped reading a client that sent more ahead than memory allows.
+    pub input_paused: Counter,
 }
 
 /// Health check results that gateways share.
@@ -201,6 +209,16 @@
         ]
     }
 
+    /// Counters that are printed only where they are not 0, in the order in which they are printed.
+    fn rare_counters(&self) -> [(&'static str, &Counter); 4] {
+        [
+            ("expired", &self.requests.expired),
+            ("no_memory", &self.requests.no_memory),
+            ("unanswered", &self.requests.unanswered),
+            ("input_paused", &self.connections.input_paused),
+        ]
+    }
+
     /// The counters of the cluster's subsystems, in the order in which they are printed.
     fn cluster_counters(&self) -> [(&'static str, &Counter); 24] {
         [
@@ -241,6 +259,11 @@
         for (name, counter) in self.gateway_counters() {
             write!(f, " {name}={}", counter.get())?;
         }
+        for (name, counter) in self.rare_counters() {
+            if counter.get() > 0 {
+                write!(f, " {name}={}", counter.get())?;
+            }
+        }
         for (name, count) in self.attempts.borrow().iter() {
             write!(f, " attempt_{name}={count}")?;
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -48,6 +48,11 @@
 use irisrouter::routing::{TimeDelta, Timestamp};
 use std::io::{self, Read};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::io::AsyncWriteExt;
+use tokio::time::sleep;
+
+/// Pause before a write is repeated that failed for want of the system's memory.
+const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(1);
 
 /// The one clock of the program: monotonic, anchored once to Unix time, in nanoseconds.
 ///
@@ -87,6 +92,33 @@
     (&*socket2::SockRef::from(stream)).read(into)
 }
 
+/// Writes all of these bytes, as often as the system interrupts the write or is short of memory for it: neither says
+/// anything of the peer, which waits for the bytes.
+///
+/// # Errors
+///
+/// The connection has ended.
+pub async fn write_all(stream: &mut tokio::net::TcpStream, bytes: &[u8]) -> io::Result<()> {
+    let mut rest = bytes;
+    while !rest.is_empty() {
+        match stream.write(rest).await {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(length) => rest = &rest[length..],
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) if is_short_of_memory(&error) => sleep(MEMORY_RETRY_DELAY).await,
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
+}
+
+/// Whether a system call failed because the system has no memory for it at this moment.
+fn is_short_of_memory(error: &io::Error) -> bool {
+    const ENOMEM: i32 = 12;
+    const ENOBUFS: i32 = 105;
+    matches!(error.raw_os_error(), Some(ENOMEM | ENOBUFS))
+}
+
 /// Converts a length of time of the router; a negative one is zero.
 pub fn duration(length: TimeDelta) -> Duration {
     Duration::from_nanos(length.max(TimeDelta::ZERO).as_nanos() as u64)
--- a/src/net/request/context.rs
+++ b/src/net/request/context.rs
@@ -9,10 +9,11 @@
 use crate::net::Clock;
 use irisrouter::routing::{GroupId, SessionId, Timestamp};
 use irisrouter_write_intents::KeyHash;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// What the requests share.
@@ -26,7 +27,7 @@
     /// The counters.
     pub metrics: Rc<Metrics>,
     /// The time by which every request has its answer, once the gateway is shutting down.
-    pub answer_by: Cell<Option<Instant>>,
+    pub answer_by: watch::Sender<Option<Instant>>,
     /// Write intents, where the operators have enabled them.
     pub write_intents: Option<Rc<WriteIntentService>>,
     /// Site failover, where the operators have enabled it.
@@ -36,6 +37,13 @@
 }
 
 impl RequestContext {
+    /// Whether the gateway is shutting down and the time for answers is over.
+    pub fn answers_are_overdue(&self) -> bool {
+        self.answer_by
+            .borrow()
+            .is_some_and(|by| by <= Instant::now())
+    }
+
     /// Reserves an id; `None` while another open request has it.
     ///
     /// A database host takes a second request of the same id for a retry of the first, and would answer it with the
--- a/src/net/request/lifecycle.rs
+++ b/src/net/request/lifecycle.rs
@@ -15,7 +15,7 @@
 };
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep_until, Instant};
 
 /// The router's deadline is this much before the client's: timers are late by up to a millisecond, and the router's
@@ -24,6 +24,9 @@
 /// A request that has no decision this long before its client's deadline fails. It is less than [`DECISION_MARGIN`]: were
 /// both times the same, requests would fail here that the router would have rejected as not run.
 pub(super) const ANSWER_MARGIN: Duration = Duration::from_millis(1);
+/// The router has at least this long for its decision, also on a request that has no time left: it rejects that as not
+/// run.
+const MIN_DECISION_TIME: Duration = Duration::from_millis(20);
 
 impl RequestContext {
     /// Takes a request and gives it exactly one answer. A client that leaves drops the receiver of the answer.
@@ -46,7 +49,7 @@
     fn answer_deadline(&self, timeout: Duration) -> Instant {
         let until_shutdown = self
             .answer_by
-            .get()
+            .borrow()
             .map(|end| end.saturating_duration_since(Instant::now()));
         Instant::now() + until_shutdown.map_or(timeout, |left| left.min(timeout))
     }
@@ -66,6 +69,9 @@
     write_intent: Option<Rc<WriteIntent>>,
     /// The request fails if the router has not decided by then.
     decision_deadline: Instant,
+    /// Tells when answers are due earlier, as the gateway is shutting down; `None` for a request that came after that was
+    /// known, and whose deadline takes it into account.
+    shutdown: Option<watch::Receiver<Option<Instant>>>,
     // Both are held until the last attempt has ended.
     _open_id: OpenId,
     _class: Rc<ClassHandle>,
@@ -132,7 +138,8 @@
             ),
             streaming: None,
             write_intent,
-            decision_deadline: (checked.deadline - ANSWER_MARGIN).max(now),
+            decision_deadline: (checked.deadline - ANSWER_MARGIN).max(now + MIN_DECISION_TIME),
+            shutdown: shutdown_notice(&context),
             context,
             _open_id: request.id,
             _class: request.class,
@@ -174,7 +181,9 @@
             () = self.answer.client_gone() => Step::ClientGone,
             Some(command) = self.commands.recv() => Step::Command(command),
             // A request must not stay without an answer if the router does not decide in time.
-            () = sleep_until(self.decision_deadline), if pending => Step::DecisionTimedOut,
+            () = decision_timeout(&mut self.shutdown, self.decision_deadline), if pending => {
+                Step::DecisionTimedOut
+            }
         }
     }
 
@@ -292,6 +301,36 @@
     }
 }
 
+/// The notice of a shutdown that has not begun; `None` where it has.
+fn shutdown_notice(context: &RequestContext) -> Option<watch::Receiver<Option<Instant>>> {
+    let notice = context.answer_by.subscribe();
+    let is_known = notice.borrow().is_some();
+    (!is_known).then_some(notice)
+}
+
+/// Returns at the deadline of a decision, or earlier where a shutdown begins that needs the answer earlier: else it would
+/// come after the process is killed, and those to the requests behind it likewise.
+async fn decision_timeout(
+    shutdown: &mut Option<watch::Receiver<Option<Instant>>>,
+    deadline: Instant,
+) {
+    let Some(notice) = shutdown else {
+        return sleep_until(deadline).await;
+    };
+    let answer_by = async {
+        let announced = notice.wait_for(Option::is_some).await;
+        announced.ok().and_then(|answer_by| *answer_by)
+    };
+    tokio::select! {
+        biased;
+        answer_by = answer_by => {
+            let due = answer_by.map_or(deadline, |by| deadline.min(by - ANSWER_MARGIN));
+            sleep_until(due).await;
+        }
+        () = sleep_until(deadline) => {}
+    }
+}
+
 /// How long after an attempt that may have run another one may be sent; `None` for no limit.
 fn resend_window(class: &RequestClass) -> Option<Duration> {
     match class.idempotency {
--- a/src/net/upstream/connection.rs
+++ b/src/net/upstream/connection.rs
@@ -2,14 +2,13 @@
 
 use crate::net::metrics::increment;
 use crate::net::pg::{self, code};
-use crate::net::read_now;
 use crate::net::upstream::host::CountGuard;
 use crate::net::upstream::registry::Upstream;
 use crate::net::upstream::reply::{LongRows, Received, ReplyReader};
+use crate::net::{read_now, write_all};
 use irisrouter::routing::{MemberId, Outcome};
 use std::io;
 use std::net::SocketAddr;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
 
@@ -93,7 +92,7 @@
         stream.set_nodelay(true).map_err(failed)?;
         let mut buffer = self.buffers.acquire();
         pg::put_startup(&mut buffer, USER, DATABASE);
-        stream.write_all(&buffer).await.map_err(failed)?;
+        write_all(&mut stream, &buffer).await.map_err(failed)?;
         buffer.clear();
         let mut connection = Connection {
             stream,
--- a/src/net/upstream/exchange.rs
+++ b/src/net/upstream/exchange.rs
@@ -7,8 +7,8 @@
 use crate::net::upstream::registry::Upstream;
 use crate::net::upstream::reply::{LongRows, Received, ReplyError, ReplyReader};
 use crate::net::upstream::response_stream::StreamedAnswer;
+use crate::net::write_all;
 use irisrouter::routing::{MemberId, Outcome};
-use tokio::io::AsyncWriteExt;
 use tokio::time::{timeout_at, Instant};
 
 /// A query that is ready to be written.
@@ -49,7 +49,7 @@
             message: mut buffer,
             deadline,
         } = query;
-        let writing = connection.stream.write_all(&buffer);
+        let writing = write_all(&mut connection.stream, &buffer);
         if !matches!(timeout_at(deadline, writing).await, Ok(Ok(()))) {
             return Err(Outcome::ConnectFailed);
         }
--- a/src/net/upstream/reply.rs
+++ b/src/net/upstream/reply.rs
@@ -4,6 +4,7 @@
 use crate::net::pg::{self, Reply};
 use crate::net::upstream::connection::Connection;
 use bytes::Buf;
+use std::io::ErrorKind;
 use tokio::io::AsyncReadExt;
 
 /// The least that a buffer has room for before more is read, in bytes: enough for a typical reply without a row.
@@ -124,6 +125,8 @@
             }
             match connection.stream.read_buf(&mut *self.unread).await {
                 Ok(n) if n > 0 => {}
+                // A read that was interrupted says nothing of the host.
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 // After an error or a whole row nothing else is needed.
                 _ if self.reply.error.is_some() || self.reply.served() => {
                     return Ok(self.complete())
--- /dev/null
+++ b/tests/unit/read_times.rs
@@ -0,0 +1,60 @@
+//! Arrival times of a client's bytes.
+
+use super::*;
+use proptest::prelude::*;
+use std::time::Duration;
+
+proptest! {
+    /// Guards against a request whose time counts from another byte than its last: a burst of messages is split into reads
+    /// at any place, and its messages are taken one by one.
+    #[test]
+    fn message_arrives_with_the_read_that_holds_its_last_byte(
+        messages in prop::collection::vec(1_usize..60, 1..40),
+        cuts in prop::collection::vec(1_usize..80, 1..80),
+    ) {
+        let start = Instant::now();
+        let at = |read: usize| start + Duration::from_millis(read as u64);
+        let total: usize = messages.iter().sum();
+        let mut times = ReadTimes::default();
+        let mut ends = Vec::new();
+        let mut received = 0;
+        for read in 0.. {
+            let length = cuts[read % cuts.len()].min(total - received);
+            received += length;
+            times.record(length, at(read));
+            ends.push(received);
+            if received == total {
+                break;
+            }
+        }
+        let mut end = 0;
+        for length in messages {
+            end += length;
+            let read = ends.iter().position(|&read_end| read_end >= end).unwrap();
+            let arrived = times.arrival_of(length).unwrap();
+            if ends.len() <= MAX_READS {
+                prop_assert_eq!(arrived, at(read));
+            } else {
+                prop_assert!(arrived <= at(read));
+            }
+            times.consume(length);
+        }
+        prop_assert_eq!(times.arrival_of(1), None);
+    }
+}
+
+#[test]
+fn reads_are_bounded_and_never_later_than_they_were() {
+    let start = Instant::now();
+    let mut times = ReadTimes::default();
+    for read in 0..10 * MAX_READS {
+        times.record(1, start + Duration::from_millis(read as u64));
+    }
+    assert!(times.reads.len() <= MAX_READS);
+    for read in 0..10 * MAX_READS {
+        let arrived = times.arrival_of(1).unwrap();
+        assert!(arrived <= start + Duration::from_millis(read as u64));
+        times.consume(1);
+    }
+    assert_eq!(times.arrival_of(1), None);
+}
