--- a/tests/gateway/pipelining.rs
+++ b/tests/gateway/pipelining.rs
@@ -3,9 +3,11 @@
 use crate::harness::client::Client;
 use crate::harness::discovery::Discovery;
 use crate::harness::gateway::Gateway;
-use crate::harness::host::{no_reply_to_slow, Host};
-use crate::harness::messages::{query_message, statement};
+use crate::harness::host::{no_reply_to_slow, Host, HostReply};
+use crate::harness::manual_host::{read_query, send_authentication_ok, ManualHost};
+use crate::harness::messages::{query_message, read_query_message, statement};
 use serde_json::json;
+use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 
 /// The platform kills a gateway no sooner than this after SIGTERM, with deadlines of 3 s and more.
@@ -108,3 +110,209 @@
     }
     assert!(elapsed < EARLIEST_KILL, "{elapsed:?}: {answers:?}");
 }
+
+/// A read with this id, whose client waits for this many milliseconds.
+fn read_message(id: &str, wait_ms: u64) -> Vec<u8> {
+    query_message(&statement("read", wait_ms).replace("9b1f", id))
+}
+
+/// Guards against a request whose time counts from its turn: it would be answered after its client has stopped waiting, and
+/// its host be told more time than the client has.
+#[test]
+fn time_of_a_request_counts_from_its_last_byte_and_not_from_its_turn() {
+    let manual_host = ManualHost::start();
+    let discovery = Discovery::start(vec![manual_host.entry("in_service")]);
+    let gateway = manual_host.start_gateway_without_health_checks(&discovery);
+    let mut client = gateway.client();
+    let sent = Instant::now();
+    // The first hangs, the second's time is over before its turn, of the third's a part is.
+    client.send(
+        &[
+            read_message("01", 600),
+            read_message("02", 300),
+            read_message("03", 9_000),
+        ]
+        .concat(),
+    );
+    let mut first = manual_host.accept();
+    send_authentication_ok(&mut first);
+    read_query(&mut first).expect("the one that hangs");
+    assert!(client
+        .read_until_ready()
+        .starts_with("ErrorResponse SERROR"));
+    let second = client.read_until_ready();
+    assert!(second.contains("C53300"), "{second}");
+    let waited = sent.elapsed();
+    let mut third = manual_host.accept();
+    send_authentication_ok(&mut third);
+    let seen = read_query(&mut third).expect("the third");
+    assert!(seen.contains("id=03"), "the second is not sent: {seen}");
+    let left = seen.split_once("d=").unwrap().1.split(',').next().unwrap();
+    let told = Duration::from_millis(left.parse().unwrap());
+    assert!(
+        told + waited <= Duration::from_millis(9_150),
+        "{told:?} left after {waited:?}"
+    );
+    gateway.wait_for_counter(" expired=1 ");
+}
+
+/// Guards against a request in two pieces whose time counts from the first.
+#[test]
+fn time_of_a_request_in_pieces_counts_from_the_last_piece() {
+    let host = Host::start("s-1", true, no_reply_to_slow);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let mut client = gateway.client();
+    let message = read_message("02", 300);
+    client.send(&[&write_message("slow", 10, 600)[..], &message[..20]].concat());
+    assert!(client.read_until_ready().contains("CXX000"));
+    client.send(&message[20..]);
+    let answer = client.read_until_ready();
+    assert!(answer.contains("DataRow a1b2"), "{answer}");
+}
+
+/// Guards against a connection that ends, or an answer that is dropped, where memory for large messages runs out in the
+/// middle of a message: it is rejected, and the next one served.
+#[test]
+fn message_without_room_is_rejected_and_its_connection_goes_on() {
+    let host = Host::start("s-1", true, no_reply_to_slow);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    // A quarter of it is for messages, 256 KiB: less than the statement needs with its copies.
+    let limit_memory = |config: &mut serde_json::Value| config["limits"]["memory_mb"] = json!(1);
+    let gateway = Gateway::start_with_config(&discovery, &[&host], limit_memory);
+    let mut client = gateway.client();
+    for round in 0..3 {
+        let large = client_answer(
+            &mut client,
+            &write_message(&format!("{round}"), 200_000, 9_000),
+        );
+        assert!(
+            large.contains("C53300") && large.ends_with("ReadyForQuery"),
+            "{large}"
+        );
+        let small = client_answer(&mut client, &read_message(&format!("a{round}"), 9_000));
+        assert!(small.contains("DataRow a1b2"), "{small}");
+    }
+    gateway.wait_for_counter(" no_memory=3 ");
+}
+
+fn client_answer(client: &mut Client, message: &[u8]) -> String {
+    client.send(message);
+    client.read_until_ready()
+}
+
+/// Guards against a client's end that is not seen, as it stands behind more than is read ahead.
+#[test]
+fn client_that_leaves_behind_more_than_is_read_ahead_has_gone() {
+    let manual_host = ManualHost::start();
+    let discovery = Discovery::start(vec![manual_host.entry("in_service")]);
+    let gateway = manual_host.start_gateway_without_health_checks(&discovery);
+    let mut leaving = gateway.client();
+    leaving.send(&read_query_message("1111"));
+    let late = manual_host.accept();
+    let message = write_message("2222", LARGEST_VALUE, 9_000);
+    // A little more than the gateway reads ahead: the rest fits into the buffer of its socket.
+    for _ in 0..17 {
+        leaving.send(&message);
+    }
+    drop(leaving);
+    gateway.wait_for_counter(" client_gone=1 ");
+    gateway.wait_for_counter(" input_paused=1 ");
+    drop(late);
+}
+
+/// Guards against the messages behind a breach of the protocol that vanish without a trace, and against an answer before it
+/// that does.
+#[test]
+fn queries_behind_a_breach_of_the_protocol_are_counted_and_those_before_it_answered() {
+    let host = Host::start("s-1", true, no_reply_to_slow);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let mut client = gateway.client();
+    client.send(
+        &[
+            write_message("slow", 10, 300),
+            read_message("02", 9_000),
+            b"?\0\0\0\x04".to_vec(),
+            read_message("03", 9_000),
+        ]
+        .concat(),
+    );
+    assert!(client.read_until_ready().contains("CXX000"));
+    assert!(client.read_until_ready().contains("DataRow a1b2"));
+    let last = client.read_until_ready();
+    assert!(last.starts_with("ErrorResponse SFATAL VFATAL C08P01") && last.ends_with("closed"));
+    gateway.wait_for_log("ends the connection (ErrorSent), 1 queries unanswered");
+    gateway.wait_for_counter(" unanswered=1");
+}
+
+/// Guards against a long answer during which nothing is read: a request that came behind it is answered as well.
+#[test]
+fn requests_behind_a_long_answer_to_a_slow_client_are_answered() {
+    let host = Host::start("s-1", true, |_, text| match text {
+        text if text.contains("long") => HostReply::PausedRow(8 << 20),
+        _ => HostReply::Row("a1b2"),
+    });
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let mut client = gateway.client();
+    client.send(&query_message(
+        &statement("read", 9_000).replace("7f3a", "long"),
+    ));
+    for number in 0..6 {
+        client.send(&write_message(
+            &format!("{number:04x}"),
+            LARGEST_VALUE,
+            9_000,
+        ));
+    }
+    host.resume();
+    let answers = read_answers(&mut client, 7);
+    assert!(answers[0].contains("DataRow vvvv"));
+    for answer in &answers[1..] {
+        assert!(answer.ends_with("ReadyForQuery"), "{answer}");
+    }
+}
+
+/// Guards against a connection that a client keeps open behind SIGTERM by sending one request after the other, up to the
+/// kill: each that was taken has its answer, and the end comes between two requests.
+#[test]
+fn client_that_never_stops_sending_gets_all_its_answers_before_the_kill() {
+    let host = Host::start("s-1", true, no_reply_to_slow);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let mut client = gateway.client();
+    let terminated = Instant::now();
+    gateway.signal("-TERM");
+    let mut sent = 0;
+    let mut answered = 0;
+    // Two requests at a time, the next two with their answers: at each end of the connection some are on their way.
+    'connection: while terminated.elapsed() < EARLIEST_KILL {
+        for _ in 0..2 {
+            sent += 1;
+            if client
+                .stream
+                .write_all(&read_message(&format!("{sent:x}"), 9_000))
+                .is_err()
+            {
+                break 'connection;
+            }
+        }
+        for _ in 0..2 {
+            let answer = client.read_until_ready();
+            if answer == "closed" {
+                break 'connection;
+            }
+            assert!(answer.ends_with("ReadyForQuery"), "{answer}");
+            answered += 1;
+        }
+    }
+    assert!(
+        terminated.elapsed() < EARLIEST_KILL,
+        "{answered} of {sent} answered, and the connection is open"
+    );
+    assert!(
+        matches!(client.stream.read(&mut [0]), Ok(0)),
+        "an end and no reset"
+    );
+}
