Soak real gateways in random clients and faults, and end their connections before the kill

Behind the last answers each request was rejected through the router, a few milliseconds each. Now they are rejected at once, and half of the last time is for ending connections, without reading on. Also: several queries right behind the startup of a connection too many each get their rejection.

--- a/crates/pg/src/frame.rs
+++ b/crates/pg/src/frame.rs
@@ -9,7 +9,7 @@
 /// Size of a message's length field, which counts itself.
 const LENGTH_SIZE: usize = 4;
 /// Size of the type byte and the length field.
-pub(crate) const HEADER_SIZE: usize = 1 + LENGTH_SIZE;
+pub const HEADER_SIZE: usize = 1 + LENGTH_SIZE;
 
 /// A message: its type, and the place of its body in the bytes read so far.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/testbed/src/cli/arguments.rs
+++ b/crates/testbed/src/cli/arguments.rs
@@ -67,6 +67,8 @@
     Cluster(ClusterArgs),
     /// Measure the loss and the return of a site with real gateways, without and with plans for it.
     SiteLoss(SiteLossArgs),
+    /// Soak real gateways in random clients and faults up to their end, and check every answer; ten seconds a seed.
+    Soak(SoakArgs),
     /// Print the JSON Schema that scenarios are checked against.
     Schema,
 }
@@ -183,3 +185,25 @@
     #[arg(long, value_name = "FILE")]
     pub json: Option<PathBuf>,
 }
+
+#[derive(Args)]
+pub struct SoakArgs {
+    /// The first run's seed: the same one draws the same clients and faults.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// So many runs, from this seed on.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=10_000))]
+    pub seeds: u64,
+    /// So many of them side by side.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=16))]
+    pub at_once: u64,
+    /// Only print the plans.
+    #[arg(long)]
+    pub dry: bool,
+    /// The gateway's program; the one beside this program where nothing is said.
+    #[arg(long, value_name = "FILE")]
+    pub gateway: Option<PathBuf>,
+    /// Write what each run came to to a file, as JSON.
+    #[arg(long, value_name = "FILE")]
+    pub json: Option<PathBuf>,
+}
--- a/crates/testbed/src/cli/cluster_commands.rs
+++ b/crates/testbed/src/cli/cluster_commands.rs
@@ -1,11 +1,13 @@
-//! Commands that start several real gateways: schedules of faults, and the loss of a site.
+//! Commands that start several real gateways: schedules of faults, soaks, and the loss of a site.
 
-use super::arguments::{ClusterArgs, SiteLossArgs};
+use super::arguments::{ClusterArgs, SiteLossArgs, SoakArgs};
 use super::output::{print_json, print_text, progress_bar, write_json};
 use super::{gateway_program, CommandError};
 use irisrouter_testbed::cluster::schedule::{self, Fault, FaultKinds, Pace, Verdict};
 use irisrouter_testbed::cluster::site_loss::{self, FailoverPlans, SiteLossResults};
 use irisrouter_testbed::cluster::{run_in_parallel, EndpointListMode, Plan};
+use irisrouter_testbed::soak::plan::SoakPlan;
+use irisrouter_testbed::soak::{run as soak_run, summary as soak_summary};
 use std::path::Path;
 
 /// Ends the gateways of a run before the run itself on SIGINT and SIGTERM.
@@ -78,6 +80,40 @@
     check_verdicts(&verdicts)
 }
 
+/// Soaks real gateways in random clients and faults, and checks every answer.
+pub fn soak(args: &SoakArgs) -> Result<(), CommandError> {
+    let seeds: Vec<u64> = (args.seed..args.seed.saturating_add(args.seeds)).collect();
+    if args.dry {
+        let plans: Vec<_> = seeds.iter().map(|&seed| SoakPlan::draw(seed)).collect();
+        return print_json(&plans);
+    }
+    end_gateways_on_signal()?;
+    let program = gateway_program(args.gateway.as_ref())?;
+    let progress = progress_bar(args.seeds);
+    let run_one = |seed: u64| {
+        let verdict = soak_run::run(SoakPlan::draw(seed), program.clone());
+        progress.inc(1);
+        verdict
+    };
+    let mut verdicts = run_in_parallel(&seeds, args.at_once as usize, run_one)?;
+    verdicts.sort_by_key(|verdict| verdict.plan.seed);
+    progress.finish_and_clear();
+    print_text(&soak_summary::text(&verdicts));
+    if let Some(path) = &args.json {
+        write_json(path, &verdicts)?;
+    }
+    let broken = verdicts
+        .iter()
+        .filter(|verdict| !verdict.violations.is_empty());
+    match broken.count() {
+        0 => Ok(()),
+        failed => Err(CommandError::SchedulesFailed {
+            failed,
+            schedules: verdicts.len(),
+        }),
+    }
+}
+
 fn pace(args: &ClusterArgs) -> Pace {
     Pace {
         lease_ms: args.lease_ms,
@@ -104,6 +140,7 @@
         program: program.to_path_buf(),
         operators: pace(args).operators(),
         endpoint_list: EndpointListMode::Pushed,
+        deadline_percent: 100,
     }
 }
 
--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -26,6 +26,7 @@
         Command::Check { scenario, vars } => scenario_commands::check(&scenario, &vars),
         Command::Cluster(args) => cluster_commands::cluster(&args),
         Command::SiteLoss(args) => cluster_commands::site_loss(&args),
+        Command::Soak(args) => cluster_commands::soak(&args),
         Command::Schema => output::print_json(&irisrouter_config::schema::<Scenario>()),
     }
 }
--- a/crates/testbed/src/cluster/gateway_config.rs
+++ b/crates/testbed/src/cluster/gateway_config.rs
@@ -10,8 +10,8 @@
 const MAX_RETRY_AFTER_NS: u64 = 5_000_000_000;
 
 impl Cluster {
-    /// The configuration for the next start of a gateway.
-    pub(super) fn gateway_config(&self, gateway: usize) -> Value {
+    /// The configuration for the next start of a gateway, with these deadlines in percent of the default ones.
+    pub(super) fn gateway_config(&self, gateway: usize, deadline_percent: u64) -> Value {
         let members: Vec<Value> = self.hosts.iter().map(|h| h.entry(gateway)).collect();
         let peers: Vec<String> = self.relay.known[gateway]
             .iter()
@@ -30,12 +30,12 @@
             "peers_all": self.relay.broadcast[gateway].to_string(),
             "limits": { "cores": 1.0, "memory_mb": 64, "sockets": 512 },
             "known": { "revision": 1, "complete": true, "members": members },
-            "settings": self.platform_settings(gateway),
+            "settings": self.platform_settings(gateway, deadline_percent),
         })
     }
 
     /// The platform's settings object as a gateway gets it.
-    fn platform_settings(&self, gateway: usize) -> Value {
+    fn platform_settings(&self, gateway: usize, deadline_percent: u64) -> Value {
         let mut scenario = Scenario {
             title: "cluster".into(),
             about: String::new(),
@@ -43,6 +43,10 @@
             gateway: Default::default(),
         };
         scenario.world.gateways = self.plan.gateways as u32;
+        for class in &mut scenario.world.classes {
+            class.deadline_ms *= deadline_percent as f64 / 100.0;
+            class.aim_ms = class.aim_ms.min(class.deadline_ms);
+        }
         let mut settings = settings::object(&scenario);
         settings["Me"] = json!(gateway);
         settings["Bounds"]["Peers"] = json!(true);
--- a/crates/testbed/src/cluster/mod.rs
+++ b/crates/testbed/src/cluster/mod.rs
@@ -28,6 +28,7 @@
 use stand_ins::host::Host;
 use stand_ins::StandIns;
 use std::path::{Path, PathBuf};
+use std::process::ExitStatus;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -63,6 +64,8 @@
     pub operators: String,
     /// How gateways learn the list of database hosts.
     pub endpoint_list: EndpointListMode,
+    /// The deadlines of all classes, in percent of what they are by default.
+    pub deadline_percent: u64,
 }
 
 /// The slot of a gateway: its process while it runs, and how often it was started.
@@ -149,7 +152,8 @@
     pub fn launch(&mut self, gateway: usize) -> Result<(), ClusterError> {
         let process = Process::start(&Launch {
             program: &self.plan.program,
-            config: &self.gateway_config(gateway),
+            config: &self.gateway_config(gateway, self.plan.deadline_percent),
+            directory: &self.directory,
             operators: self.operators_file().as_deref(),
             id: ProcessId {
                 gateway,
@@ -201,6 +205,23 @@
         self.slots[gateway].process.as_ref()
     }
 
+    /// Gives a gateway new deadlines, in percent of the default ones, and lets it read its configuration again.
+    ///
+    /// # Errors
+    /// The configuration cannot be written.
+    pub fn reload(&self, gateway: usize, deadline_percent: u64) -> Result<(), ClusterError> {
+        if let Some(process) = self.process(gateway) {
+            process.replace_config(&self.gateway_config(gateway, deadline_percent))?;
+            process.signal("-HUP");
+        }
+        Ok(())
+    }
+
+    /// How a gateway's process has ended by itself; `None` while it runs.
+    pub fn exit_status(&mut self, gateway: usize) -> Option<ExitStatus> {
+        self.slots[gateway].process.as_mut()?.exit_status()
+    }
+
     /// Gateways whose processes run, or are stalled.
     #[must_use]
     pub fn running(&self) -> Vec<usize> {
--- a/crates/testbed/src/cluster/process.rs
+++ b/crates/testbed/src/cluster/process.rs
@@ -6,7 +6,7 @@
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, ChildStderr, Command, Stdio};
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -109,6 +109,8 @@
     pub program: &'a Path,
     /// Its configuration.
     pub config: &'a Value,
+    /// The folder of its run, for the configuration file: several clusters may run in one process.
+    pub directory: &'a Path,
     /// The operators' file, where there is one.
     pub operators: Option<&'a Path>,
     /// Which run of which gateway it is.
@@ -185,6 +187,19 @@
             .status();
     }
 
+    /// Replaces its configuration, which it reads again on SIGHUP.
+    ///
+    /// # Errors
+    /// The file cannot be written.
+    pub fn replace_config(&self, config: &Value) -> Result<(), ClusterError> {
+        super::write_file(&self.config, &config.to_string())
+    }
+
+    /// How it has ended by itself; `None` while it runs.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
     /// Ends it at once, as a crash does.
     pub fn crash(mut self) {
         self.end();
@@ -219,17 +234,10 @@
 }
 
 impl Launch<'_> {
-    /// The file for the configuration: beside the operators' file, where there is one.
+    /// The file for the configuration.
     fn config_file(&self) -> PathBuf {
-        let directory = self
-            .operators
-            .and_then(Path::parent)
-            .map_or_else(std::env::temp_dir, Path::to_path_buf);
         let ProcessId { gateway, run } = self.id;
-        directory.join(format!(
-            "gateway-{}-{gateway}-{run}.json",
-            std::process::id()
-        ))
+        self.directory.join(format!("gateway-{gateway}-{run}.json"))
     }
 
     fn command(&self, config: &Path) -> Command {
--- a/crates/testbed/src/cluster/site_loss.rs
+++ b/crates/testbed/src/cluster/site_loss.rs
@@ -121,6 +121,7 @@
         program,
         operators: operators_file(plans),
         endpoint_list: EndpointListMode::Pushed,
+        deadline_percent: 100,
     })?;
     cluster.settle(PATIENCE).ok_or(ClusterError::ViewsDiffer)?;
     let settled_at = cluster.clock.now();
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod results;
 pub mod scenario;
 pub mod settings;
+pub mod soak;
 pub mod sockets;
 pub mod virtual_run;
--- a/crates/testbed/tests/common/mod.rs
+++ b/crates/testbed/tests/common/mod.rs
@@ -41,6 +41,7 @@
         program: gateway(),
         operators,
         endpoint_list: EndpointListMode::Pushed,
+        deadline_percent: 100,
     }
 }
 
--- a/crates/testbed/tests/endpoint_watch.rs
+++ b/crates/testbed/tests/endpoint_watch.rs
@@ -19,6 +19,7 @@
     let cluster = started_with(Plan {
         sets: 3,
         endpoint_list: EndpointListMode::Polled,
+        deadline_percent: 100,
         ..plan(gateways, seed, operators)
     });
     wait("one watcher", || {
--- a/src/net/downstream/answer_writer.rs
+++ b/src/net/downstream/answer_writer.rs
@@ -92,7 +92,7 @@
         .await
     }
 
-    /// The advice for a client that is rejected for want of memory or connections.
+    /// The retry advice for a client that is rejected for want of memory, connections or time.
     pub(super) fn reconnect_delay_ms(&self) -> Option<u128> {
         let limits = &self.listener.classes.settings().limits;
         retry_after_milliseconds(if limits.retry_after {
--- a/src/net/downstream/client_input.rs
+++ b/src/net/downstream/client_input.rs
@@ -204,10 +204,17 @@
     /// Reads what there is, if anything, without a wait: the runtime may report a socket as readable when it is not, and
     /// a read that waits then has no time limit.
     fn read_available(&mut self, purpose: ReadPurpose) -> Result<ReadProgress, ConnectionEnd> {
+        // A client that never stops sending must not keep its connection open until the process is killed: at last only
+        // the rest of a message that has begun is read.
+        let most = if self.listener.request_context.reading_is_over() {
+            self.input.missing_bytes()
+        } else {
+            usize::MAX
+        };
         let Some(space) = self.input.space_for(purpose) else {
             return Ok(ReadProgress::NoRoom);
         };
-        match self.stream.try_read_buf(space) {
+        match self.stream.try_read_buf(&mut space.limit(most)) {
             Ok(0) => Err(ConnectionEnd::Disconnected),
             Ok(length) => {
                 let now = Instant::now();
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -146,10 +146,8 @@
         if !self.listener.serving_state.mode().disconnects_clients() || !self.input.is_empty() {
             return Ok(false);
         }
-        // Once no request can be served any more, a client that sends one after the other must not keep the connection
-        // open until the process is killed, between a request and its answer.
-        let too_late = self.listener.request_context.answers_are_overdue();
-        Ok(too_late || !self.read_before_close()?)
+        let reading_is_over = self.listener.request_context.reading_is_over();
+        Ok(reading_is_over || !self.read_before_close()?)
     }
 
     /// Reads the client's startup messages and answers them, up to the first ReadyForQuery.
@@ -185,6 +183,7 @@
                 Err(ConnectionEnd::Closed)
             }
             Startup::Begin if self.permit.over_limit => {
+                self.reject_first_queries().await?;
                 Err(self.end_with_too_many_connections().await)
             }
             Startup::Begin => {
@@ -200,6 +199,23 @@
         }
     }
 
+    /// Rejects the queries that a client has sent right behind its startup on a connection that is one too many. A single
+    /// one needs no answer of its own: the error that ends the connection is its answer.
+    async fn reject_first_queries(&mut self) -> Result<(), ConnectionEnd> {
+        let queries = pg::whole_queries(self.input.unread());
+        if queries < 2 {
+            return Ok(());
+        }
+        let mut out = self.listener.pool.acquire();
+        pg::put_startup_response(&mut out, None);
+        for _ in 0..queries {
+            self.put_capacity_rejection(&mut out);
+            pg::put_ready(&mut out);
+        }
+        self.input.consume(self.input.len());
+        self.write(&out).await
+    }
+
     /// Returns the next message once it is whole, or once it has been read and dropped for want of memory.
     async fn next_message(&mut self) -> Result<Message, ConnectionEnd> {
         self.message_started = Instant::now();
--- a/src/net/downstream/input_buffer.rs
+++ b/src/net/downstream/input_buffer.rs
@@ -56,6 +56,12 @@
         self.len() == 0
     }
 
+    /// How many bytes are missing to the first message, or to its header while that is incomplete.
+    pub(super) fn missing_bytes(&self) -> usize {
+        let size = pg::message_size(self.unread()).unwrap_or(pg::HEADER_SIZE);
+        size.saturating_sub(self.len()).max(1)
+    }
+
     /// The buffer, with room for a read; `None` where the limits on memory leave none.
     pub(super) fn space_for(&mut self, purpose: ReadPurpose) -> Option<&mut BytesMut> {
         if purpose == ReadPurpose::ReadAhead && self.len() >= MAX_INPUT_AHEAD {
--- a/src/net/downstream/query.rs
+++ b/src/net/downstream/query.rs
@@ -52,6 +52,8 @@
     Invalid(StatementError),
     /// There is no memory for it at this moment.
     NoMemory,
+    /// The gateway is shutting down, and the time for answers is over.
+    ShuttingDown,
     /// Its message breaks the protocol.
     Violation(&'static str),
 }
@@ -90,6 +92,10 @@
         if pg::is_empty(text) {
             return Query::Empty;
         }
+        // One by one the router could not reject many of them before the process is killed.
+        if self.listener.request_context.answers_are_overdue() {
+            return Query::ShuttingDown;
+        }
         let arrived_at = self.input.arrival_of(range.end);
         let waited = arrived_at.map_or(Duration::ZERO, |arrived_at| arrived_at.elapsed());
         match self.parse_request(text, waited) {
@@ -119,7 +125,11 @@
             }
             Query::NoMemory => {
                 increment(&requests.no_memory);
-                put_rejection(self.reconnect_delay_ms(), out);
+                self.put_capacity_rejection(out);
+            }
+            Query::ShuttingDown => {
+                increment(&requests.expired);
+                self.put_capacity_rejection(out);
             }
             Query::Request { call, waited } => {
                 // The router rejects it: no time is left for an attempt.
@@ -134,6 +144,11 @@
         Ok(())
     }
 
+    /// Rejects a query for want of memory, connections or time, which other clients or a shutdown have taken.
+    pub(super) fn put_capacity_rejection(&self, out: &mut Buffer) {
+        put_rejection(self.reconnect_delay_ms(), out);
+    }
+
     /// Clients send an empty query to check a connection: the answer says whether they are served here.
     fn put_empty_query_response(&self, out: &mut Buffer) {
         if self.listener.serving_state.mode().disconnects_clients() {
--- a/src/net/lifecycle/shutdown.rs
+++ b/src/net/lifecycle/shutdown.rs
@@ -9,6 +9,7 @@
 use crate::net::lifecycle::peer_socket_task::PeerSocketHandle;
 use crate::net::lifecycle::shared_parts::SharedParts;
 use crate::net::log::log;
+use crate::net::request::ShutdownDeadlines;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
@@ -38,8 +39,11 @@
     pub accept_all_until: Duration,
     /// Until then requests on open connections are accepted.
     pub accept_requests_until: Duration,
-    /// By then every request that came after the signal has its answer.
+    /// By then every request has its answer, and those that come later are rejected at once.
     pub answer_by: Duration,
+    /// From then on clients are not read any more: half of the time between the last answers and the kill is left to end
+    /// their connections.
+    pub read_until: Duration,
 }
 
 impl ShutdownSchedule {
@@ -55,6 +59,7 @@
             accept_all_until: NEW_CONNECTIONS_PERIOD,
             accept_requests_until,
             answer_by: killed - answers_end_before_kill,
+            read_until: killed - answers_end_before_kill / 2,
         }
     }
 }
@@ -97,9 +102,10 @@
     fn announce(&self, started: Instant) -> ShutdownSchedule {
         let schedule = ShutdownSchedule::new(self.parts.classes.longest_wait());
         let context = &self.client_listener.request_context;
-        context
-            .answer_by
-            .send_replace(Some(started + schedule.answer_by));
+        context.shutdown.send_replace(Some(ShutdownDeadlines {
+            answer_by: started + schedule.answer_by,
+            read_until: started + schedule.read_until,
+        }));
         self.parts.serving_state.stop();
         log!("stopping");
         log!(
--- a/src/net/lifecycle/startup.rs
+++ b/src/net/lifecycle/startup.rs
@@ -90,7 +90,7 @@
         upstream: Rc::clone(&parts.upstream),
         clock: parts.clock,
         metrics: Rc::clone(&parts.metrics),
-        answer_by: watch::Sender::new(None),
+        shutdown: watch::Sender::new(None),
         write_intents: services.write_intents.clone(),
         site_failover: services.site_failover.clone(),
         open_ids: RefCell::default(),
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -32,7 +32,8 @@
     pub client_gone: Counter,
     /// Statements that were malformed, and breaches of the protocol.
     pub malformed: Counter,
-    /// Of the rejected ones, those whose time was over when the requests before them on their connection had been answered.
+    /// Queries whose time was over when the ones before them on their connection had been answered, be it their client's or
+    /// that of a shutdown.
     pub expired: Counter,
     /// Queries that were rejected before they were requests, as there was no memory for them.
     pub no_memory: Counter,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -89,7 +89,12 @@
 ///
 /// The connection is reset, or nothing has arrived (`WouldBlock`).
 pub fn read_now(stream: &tokio::net::TcpStream, into: &mut [u8]) -> io::Result<usize> {
-    (&*socket2::SockRef::from(stream)).read(into)
+    loop {
+        match (&*socket2::SockRef::from(stream)).read(into) {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            result => return result,
+        }
+    }
 }
 
 /// Writes all of these bytes, as often as the system interrupts the write or is short of memory for it: neither says
--- a/src/net/request/context.rs
+++ b/src/net/request/context.rs
@@ -16,6 +16,15 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+/// The last times of a gateway that is shutting down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ShutdownDeadlines {
+    /// Every request has its answer by then. Those that come later are rejected at once.
+    pub answer_by: Instant,
+    /// From then on clients are not read any more, so that their connections end before the process is killed.
+    pub read_until: Instant,
+}
+
 /// What the requests share.
 pub struct RequestContext {
     /// The way to the router.
@@ -26,8 +35,8 @@
     pub clock: Clock,
     /// The counters.
     pub metrics: Rc<Metrics>,
-    /// The time by which every request has its answer, once the gateway is shutting down.
-    pub answer_by: watch::Sender<Option<Instant>>,
+    /// The last times of a shutdown, once the gateway is shutting down.
+    pub shutdown: watch::Sender<Option<ShutdownDeadlines>>,
     /// Write intents, where the operators have enabled them.
     pub write_intents: Option<Rc<WriteIntentService>>,
     /// Site failover, where the operators have enabled it.
@@ -39,9 +48,16 @@
 impl RequestContext {
     /// Whether the gateway is shutting down and the time for answers is over.
     pub fn answers_are_overdue(&self) -> bool {
-        self.answer_by
-            .borrow()
-            .is_some_and(|by| by <= Instant::now())
+        let now = Instant::now();
+        let deadlines = *self.shutdown.borrow();
+        deadlines.is_some_and(|deadlines| deadlines.answer_by <= now)
+    }
+
+    /// Whether the gateway is shutting down and reads no more requests.
+    pub fn reading_is_over(&self) -> bool {
+        let now = Instant::now();
+        let deadlines = *self.shutdown.borrow();
+        deadlines.is_some_and(|deadlines| deadlines.read_until <= now)
     }
 
     /// Reserves an id; `None` while another open request has it.
--- a/src/net/request/lifecycle.rs
+++ b/src/net/request/lifecycle.rs
@@ -5,7 +5,7 @@
 use crate::net::request::answer::{Answer, PendingAnswer};
 use crate::net::request::attempts::{Attempts, EndedAttempt, JoinedAttempt, StartedStream};
 use crate::net::request::classes::ClassHandle;
-use crate::net::request::context::{ClientRequest, OpenId, RequestContext};
+use crate::net::request::context::{ClientRequest, OpenId, RequestContext, ShutdownDeadlines};
 use crate::net::request::earlier_attempts::CheckedRequest;
 use crate::net::request::write_intent::{ResendError, WriteIntent};
 use crate::net::router_task::{RegisteredRequest, RequestCommand};
@@ -47,10 +47,11 @@
 
     /// When a client with this timeout needs its answer: earlier where the gateway is shutting down.
     fn answer_deadline(&self, timeout: Duration) -> Instant {
-        let until_shutdown = self
-            .answer_by
-            .borrow()
-            .map(|end| end.saturating_duration_since(Instant::now()));
+        let until_shutdown = self.shutdown.borrow().map(|deadlines| {
+            deadlines
+                .answer_by
+                .saturating_duration_since(Instant::now())
+        });
         Instant::now() + until_shutdown.map_or(timeout, |left| left.min(timeout))
     }
 }
@@ -71,7 +72,7 @@
     decision_deadline: Instant,
     /// Tells when answers are due earlier, as the gateway is shutting down; `None` for a request that came after that was
     /// known, and whose deadline takes it into account.
-    shutdown: Option<watch::Receiver<Option<Instant>>>,
+    shutdown: Option<watch::Receiver<Option<ShutdownDeadlines>>>,
     // Both are held until the last attempt has ended.
     _open_id: OpenId,
     _class: Rc<ClassHandle>,
@@ -302,8 +303,8 @@
 }
 
 /// The notice of a shutdown that has not begun; `None` where it has.
-fn shutdown_notice(context: &RequestContext) -> Option<watch::Receiver<Option<Instant>>> {
-    let notice = context.answer_by.subscribe();
+fn shutdown_notice(context: &RequestContext) -> Option<watch::Receiver<Option<ShutdownDeadlines>>> {
+    let notice = context.shutdown.subscribe();
     let is_known = notice.borrow().is_some();
     (!is_known).then_some(notice)
 }
@@ -311,7 +312,7 @@
 /// Returns at the deadline of a decision, or earlier where a shutdown begins that needs the answer earlier: else it would
 /// come after the process is killed, and those to the requests behind it likewise.
 async fn decision_timeout(
-    shutdown: &mut Option<watch::Receiver<Option<Instant>>>,
+    shutdown: &mut Option<watch::Receiver<Option<ShutdownDeadlines>>>,
     deadline: Instant,
 ) {
     let Some(notice) = shutdown else {
@@ -319,7 +320,8 @@
     };
     let answer_by = async {
         let announced = notice.wait_for(Option::is_some).await;
-        announced.ok().and_then(|answer_by| *answer_by)
+        let deadlines = announced.ok().and_then(|deadlines| *deadlines);
+        deadlines.map(|deadlines| deadlines.answer_by)
     };
     tokio::select! {
         biased;
--- a/tests/unit/shutdown.rs
+++ b/tests/unit/shutdown.rs
@@ -15,6 +15,7 @@
             accept_all_until,
             accept_requests_until,
             answer_by,
+            read_until,
         } = ShutdownSchedule::new(longest);
         assert!(
             accept_all_until >= Duration::from_millis(450)
@@ -26,6 +27,10 @@
             left >= longest.min(Duration::from_millis(400)),
             "{ms} ms: {left:?} for the last"
         );
+        assert!(
+            answer_by < read_until && killed - read_until >= Duration::from_millis(30),
+            "{ms} ms: read until {read_until:?} of {killed:?}"
+        );
         assert!(
             killed - answer_by >= Duration::from_millis(60),
             "{ms} ms: {answer_by:?} of {killed:?}"
