--- a/crates/testbed/src/cluster/stand_ins/host.rs
+++ b/crates/testbed/src/cluster/stand_ins/host.rs
@@ -13,6 +13,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 
 /// Between two attempts to accept a connection, where one has failed.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
@@ -94,6 +95,8 @@
     /// How much it can do, where that is limited.
     pub(super) capacity: Mutex<Option<Capacity>>,
     pub(super) write_delays: Mutex<WriteDelays>,
+    /// Notified to reset the connections that are open.
+    pub(super) resets: Notify,
 }
 
 /// How long writes take.
@@ -155,6 +158,7 @@
             cut_off: Mutex::default(),
             capacity: Mutex::default(),
             write_delays: Mutex::default(),
+            resets: Notify::new(),
         });
         let mut addresses = Vec::new();
         for gateway in 0..gateways {
@@ -218,6 +222,11 @@
         }
     }
 
+    /// Resets every connection that is open, idle ones and those with a statement under way.
+    pub fn reset_connections(&self) {
+        self.shared.resets.notify_waiters();
+    }
+
     /// Shows it a fencing token of a task that no gateway has sent.
     pub fn saw(&self, task: u64, epoch: u64) {
         self.seen().is_outdated(task, epoch);
--- a/crates/testbed/src/cluster/stand_ins/host_connection.rs
+++ b/crates/testbed/src/cluster/stand_ins/host_connection.rs
@@ -19,19 +19,30 @@
 /// The SQLSTATE of a write that a replica was sent.
 const READ_ONLY: &str = "25006";
 
-/// Serves a connection of a gateway until it ends.
-pub(super) async fn serve(
-    host: Arc<SharedHost>,
-    mut stream: TcpStream,
+/// Serves a connection of a gateway until it ends, or until the host's connections are reset.
+pub(super) async fn serve(host: Arc<SharedHost>, mut stream: TcpStream, gateway: usize) {
+    let is_reset = tokio::select! {
+        () = host.resets.notified() => true,
+        _ = answer_statements(&host, &mut stream, gateway) => false,
+    };
+    if is_reset {
+        // Closing it then resets it.
+        let _ = stream.set_zero_linger();
+    }
+}
+
+async fn answer_statements(
+    host: &SharedHost,
+    stream: &mut TcpStream,
     gateway: usize,
 ) -> Option<()> {
     stream.set_nodelay(true).ok()?;
     host.wait_for_link(gateway).await;
-    protocol::read_startup(&mut stream).await?;
+    protocol::read_startup(stream).await?;
     let welcome = [protocol::authentication_ok(), protocol::ready_for_query()];
     stream.write_all(&welcome.concat()).await.ok()?;
     loop {
-        let message = protocol::read_message(&mut stream).await?;
+        let message = protocol::read_message(stream).await?;
         // What a link that is cut holds back has left the gateway all the same.
         let arrived_at = host.clock.now();
         host.wait_for_link(gateway).await;
--- a/crates/testbed/src/soak/client.rs
+++ b/crates/testbed/src/soak/client.rs
@@ -19,8 +19,12 @@
 const RECONNECT_INTERVAL: Duration = Duration::from_millis(20);
 /// Most time between two requests of a client, in milliseconds.
 const MAX_PAUSE_MS: f64 = 40.0;
-/// One request in this many is a write, for clients without large values.
+/// Most time that a client rests, in milliseconds.
+const MAX_REST_MS: f64 = 1_500.0;
+/// The share of writes among the requests of clients without large values.
 const WRITE_SHARE: f64 = 0.3;
+/// The share of writes among those of clients with values of their own size.
+const LARGE_WRITE_SHARE: f64 = 0.7;
 /// The classes that reads are of.
 const READ_CLASSES: [&str; 2] = ["page-read", "report"];
 /// The class that writes are of.
@@ -200,19 +204,18 @@
         };
         let entry = (unfinished, Rc::clone(&state));
         self.shared.unfinished.borrow_mut().push(entry);
-        while !state.is_over() {
-            state.changed.notified().await;
-        }
+        state.over().await;
     }
 
     async fn rest(&mut self, mut connection: ClientConnection) {
         let state = Rc::clone(&connection.state);
-        let outgoing = self.next_request(None);
-        connection
-            .send(outgoing.record, &outgoing.message, Pieces::WHOLE)
-            .await;
         while !state.is_over() {
-            state.changed.notified().await;
+            let outgoing = self.next_request(None);
+            connection
+                .send(outgoing.record, &outgoing.message, Pieces::WHOLE)
+                .await;
+            let rest = Duration::from_millis(self.rng.between(0.0, MAX_REST_MS) as u64);
+            let _ = tokio::time::timeout(rest, state.over()).await;
         }
     }
 
@@ -221,7 +224,7 @@
         self.sequence += 1;
         let id = format!("{}{:x}", self.name, self.sequence);
         let group = self.rng.index(self.shared.groups);
-        let write_share = value_bytes.map_or(WRITE_SHARE, |_| 0.7);
+        let write_share = value_bytes.map_or(WRITE_SHARE, |_| LARGE_WRITE_SHARE);
         let write = self.rng.chance(write_share);
         let class = if write {
             WRITE_CLASS
--- a/crates/testbed/src/soak/connection.rs
+++ b/crates/testbed/src/soak/connection.rs
@@ -157,6 +157,13 @@
         self.ended_at.get().is_some()
     }
 
+    /// Returns once the connection has ended.
+    pub(super) async fn over(&self) {
+        while !self.is_over() {
+            self.changed.notified().await;
+        }
+    }
+
     fn mark_sent(&self, id: &str) {
         let now = self.clock.now();
         let mut pending = self.pending.borrow_mut();
--- a/crates/testbed/src/soak/plan.rs
+++ b/crates/testbed/src/soak/plan.rs
@@ -43,7 +43,7 @@
     },
     /// A request and a part of another one; then it stays.
     HalfMessage,
-    /// One request; then it rests until the gateway ends the connection.
+    /// Requests with long rests between them, until the gateway ends the connection.
     Resting,
 }
 
@@ -65,6 +65,15 @@
         /// In milliseconds.
         ms: u64,
     },
+    /// A host resets all its connections, several times.
+    HostResets {
+        /// Its index.
+        host: usize,
+        /// How often.
+        count: usize,
+        /// The time between two of them, in milliseconds.
+        interval_ms: u64,
+    },
     /// A replica is taken out of service by the list.
     Drain {
         /// Its index.
@@ -214,7 +223,7 @@
     let at_ms = rng.between(FAULTS_FROM_MS as f64, TERMINATION_FROM_MS as f64 + 500.0) as u64;
     let gateway = rng.index(gateways);
     let host = rng.index(2 * groups);
-    let fault = match rng.index(10) {
+    let fault = match rng.index(12) {
         // Hosts that hang are drawn most: it is then that much is owed.
         0..=2 => SoakFault::HostHangs {
             host,
@@ -242,6 +251,11 @@
             gateway,
             ms: rng.between(500.0, 4_000.0) as u64,
         },
+        9 | 10 => SoakFault::HostResets {
+            host,
+            count: 1 + rng.index(6),
+            interval_ms: rng.between(20.0, 300.0) as u64,
+        },
         _ => SoakFault::Crowd {
             gateway,
             connections: 20 + rng.index(180),
--- a/crates/testbed/src/soak/run.rs
+++ b/crates/testbed/src/soak/run.rs
@@ -24,12 +24,16 @@
 const KILL_DELAY_MS: u64 = 700;
 /// The platform counts no deadline as longer than this, in milliseconds.
 const LONGEST_COUNTED_DEADLINE_MS: u64 = 3_000;
+/// A gateway is asked for its counters this long before it is killed, in milliseconds.
+const COUNTERS_BEFORE_KILL_MS: u64 = 30;
 /// Between the first SIGTERM and those that repeat it, in milliseconds.
 const REPEATED_SIGNAL_MS: u64 = 60;
 /// Between two looks at how late the machine wakes a task.
 const LAG_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// The clients end this long after the last kill at the latest.
 const CLIENTS_END: Duration = Duration::from_secs(3);
+/// What the line of a gateway's counters contains.
+const COUNTERS_LINE: &str = ": counters ";
 /// Log lines that must not occur.
 const FORBIDDEN_LOG: [&str; 2] = ["panicked", "router task has failed"];
 
@@ -44,6 +48,8 @@
     pub counts: EndCounts,
     /// The most by which the machine woke the clients too late, in milliseconds.
     pub lag_ms: u64,
+    /// The last counters of each gateway, as it printed them: whether what is played has had an effect.
+    pub counters: Vec<String>,
 }
 
 /// How many requests ended in which way.
@@ -102,6 +108,7 @@
         violations: check(&records),
         counts: count_ends(&records),
         lag_ms: records.lag_ms,
+        counters: last_counters(&cluster, plan.gateways),
         plan,
     })
 }
@@ -114,6 +121,17 @@
     })
 }
 
+fn last_counters(cluster: &Cluster, gateways: usize) -> Vec<String> {
+    cluster.history.look(|lines| {
+        let of_gateway = |gateway| {
+            let mut own = lines.iter().rev().filter(|line| line.gateway == gateway);
+            own.find(|line| line.text.contains(COUNTERS_LINE))
+        };
+        let last = (0..gateways).filter_map(of_gateway);
+        last.map(|line| line.text.clone()).collect()
+    })
+}
+
 fn collect_attempts(host: &Host, records: &mut Records) {
     let seen = host.seen();
     for (at, _, text) in &seen.statements {
@@ -261,6 +279,9 @@
         host: usize,
         ms: u64,
     },
+    ResetHost {
+        host: usize,
+    },
     Drain {
         host: usize,
     },
@@ -358,6 +379,7 @@
                 let delay = Duration::from_millis(ms);
                 self.cluster.hosts[host].pace(delay / 2, delay / 2);
             }
+            Step::ResetHost { host } => self.cluster.hosts[host].reset_connections(),
             Step::Drain { host } => self.drain(host),
             Step::Reload {
                 gateway,
@@ -450,6 +472,13 @@
             .collect();
         due.sort_by_key(|&gateway| self.ends[gateway].killed_at);
         for gateway in due {
+            // A gateway that runs up to the kill prints no counters by itself.
+            self.sleep_until(
+                self.ends[gateway]
+                    .killed_at
+                    .saturating_sub(COUNTERS_BEFORE_KILL_MS),
+            );
+            self.cluster.signal(gateway, "-USR1");
             self.sleep_until(self.ends[gateway].killed_at);
             if let Some(status) = self.cluster.exit_status(gateway) {
                 if !status.success() {
@@ -481,6 +510,14 @@
                 steps.push((at + ms, Step::CutHost { host, cut: false }));
             }
             SoakFault::SlowWrites { host, ms } => steps.push((at, Step::SlowWrites { host, ms })),
+            SoakFault::HostResets {
+                host,
+                count,
+                interval_ms,
+            } => {
+                let times = (0..count as u64).map(|number| at + number * interval_ms);
+                steps.extend(times.map(|at| (at, Step::ResetHost { host })));
+            }
             SoakFault::Drain { host } => steps.push((at, Step::Drain { host })),
             SoakFault::Reload {
                 gateway,
--- a/src/net/lifecycle/shutdown.rs
+++ b/src/net/lifecycle/shutdown.rs
@@ -27,6 +27,9 @@
 const ANSWERS_END_BEFORE_KILL: Duration = Duration::from_millis(300);
 /// Where less time is left between the last request and the kill, answers end when one part in three of it is left.
 const ANSWERS_END_DIVISOR: u32 = 3;
+/// Of the time between the last answers and the kill, clients are read for one part in so many. The rest is for the end of
+/// their connections: more than the 0.15 s for which a machine may stand still.
+const READ_DIVISOR: u32 = 3;
 /// Clients have at least this long to close their side of a connection that the gateway has ended.
 const LAST_CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// How often a shutdown checks whether a step is done; short against the 0.3 s that answers have.
@@ -41,8 +44,7 @@
     pub accept_requests_until: Duration,
     /// By then every request has its answer, and those that come later are rejected at once.
     pub answer_by: Duration,
-    /// From then on clients are not read any more: half of the time between the last answers and the kill is left to end
-    /// their connections.
+    /// From then on clients are not read any more: what is left is for the end of their connections.
     pub read_until: Duration,
 }
 
@@ -59,7 +61,7 @@
             accept_all_until: NEW_CONNECTIONS_PERIOD,
             accept_requests_until,
             answer_by: killed - answers_end_before_kill,
-            read_until: killed - answers_end_before_kill / 2,
+            read_until: killed - (answers_end_before_kill - answers_end_before_kill / READ_DIVISOR),
         }
     }
 }
--- a/tests/gateway/pipelining.rs
+++ b/tests/gateway/pipelining.rs
@@ -156,6 +156,30 @@
     gateway.wait_for_counter(" expired=1 ");
 }
 
+/// Guards against times that are none, or nothing, which come behind another request: they get the answers that they get on
+/// their own, and no attempt.
+#[test]
+fn requests_without_time_are_answered_behind_another_one_as_on_their_own() {
+    let host = Host::start("s-1", true, no_reply_to_slow);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let messages: Vec<Vec<u8>> = ["0", "-1", "NaN", "1e300"]
+        .iter()
+        .map(|wait| statement("read", 7).replace("d=7", &format!("d={wait}")))
+        .map(|text| query_message(&text))
+        .collect();
+    let mut alone = gateway.client();
+    let expected: Vec<String> = messages
+        .iter()
+        .map(|message| client_answer(&mut alone, message))
+        .collect();
+    let mut client = gateway.client();
+    client.send(&[write_message("slow", 10, 300), messages.concat()].concat());
+    assert!(client.read_until_ready().contains("CXX000"));
+    assert_eq!(read_answers(&mut client, messages.len()), expected);
+    assert!(host.statements().is_empty(), "{:?}", host.statements());
+}
+
 /// Guards against a request in two pieces whose time counts from the first.
 #[test]
 fn time_of_a_request_in_pieces_counts_from_the_last_piece() {
--- a/tests/unit/shutdown.rs
+++ b/tests/unit/shutdown.rs
@@ -28,9 +28,14 @@
             "{ms} ms: {left:?} for the last"
         );
         assert!(
-            answer_by < read_until && killed - read_until >= Duration::from_millis(30),
+            answer_by < read_until && killed - read_until >= Duration::from_millis(40),
             "{ms} ms: read until {read_until:?} of {killed:?}"
         );
+        let may_stall = Duration::from_millis(150);
+        assert!(
+            ms < 500 || killed - read_until > may_stall,
+            "{ms} ms: {read_until:?}"
+        );
         assert!(
             killed - answer_by >= Duration::from_millis(60),
             "{ms} ms: {answer_by:?} of {killed:?}"
