--- a/crates/testbed/src/cli/cluster_commands.rs
+++ b/crates/testbed/src/cli/cluster_commands.rs
@@ -5,7 +5,7 @@
 use super::{gateway_program, CommandError};
 use irisrouter_testbed::cluster::schedule::{self, Fault, FaultKinds, Pace, Verdict};
 use irisrouter_testbed::cluster::site_loss::{self, FailoverPlans, SiteLossResults};
-use irisrouter_testbed::cluster::{run_in_parallel, EndpointListMode, Plan};
+use irisrouter_testbed::cluster::{run_in_parallel, EndpointListMode, GatewayLimits, Plan};
 use irisrouter_testbed::soak::plan::SoakPlan;
 use irisrouter_testbed::soak::{run as soak_run, summary as soak_summary};
 use std::path::Path;
@@ -141,6 +141,7 @@
         operators: pace(args).operators(),
         endpoint_list: EndpointListMode::Pushed,
         deadline_percent: 100,
+        limits: GatewayLimits::default(),
     }
 }
 
--- a/crates/testbed/src/cluster/gateway_config.rs
+++ b/crates/testbed/src/cluster/gateway_config.rs
@@ -18,6 +18,7 @@
             .map(ToString::to_string)
             .collect();
         let starts = u64::from(self.slots[gateway].starts);
+        let limits = self.plan.limits;
         let seed = self.plan.seed ^ (gateway as u64) << 8 ^ starts;
         json!({
             "name": format!("g{gateway}"),
@@ -28,7 +29,7 @@
             "peer_listen": self.relay.listen[gateway].to_string(),
             "peers": peers,
             "peers_all": self.relay.broadcast[gateway].to_string(),
-            "limits": { "cores": 1.0, "memory_mb": 64, "sockets": 512 },
+            "limits": { "cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.sockets },
             "known": { "revision": 1, "complete": true, "members": members },
             "settings": self.platform_settings(gateway, deadline_percent),
         })
--- a/crates/testbed/src/cluster/mod.rs
+++ b/crates/testbed/src/cluster/mod.rs
@@ -24,6 +24,7 @@
 
 use process::{History, Launch, Process, ProcessId};
 use relay::Relay;
+use serde::Serialize;
 use stand_ins::discovery::Discovery;
 use stand_ins::host::Host;
 use stand_ins::StandIns;
@@ -66,6 +67,26 @@
     pub endpoint_list: EndpointListMode,
     /// The deadlines of all classes, in percent of what they are by default.
     pub deadline_percent: u64,
+    /// The limits of each gateway.
+    pub limits: GatewayLimits,
+}
+
+/// The limits of a gateway's process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct GatewayLimits {
+    /// Its memory.
+    pub memory_mb: u64,
+    /// Its descriptors.
+    pub sockets: u64,
+}
+
+impl Default for GatewayLimits {
+    fn default() -> Self {
+        GatewayLimits {
+            memory_mb: 64,
+            sockets: 512,
+        }
+    }
 }
 
 /// The slot of a gateway: its process while it runs, and how often it was started.
--- a/crates/testbed/src/cluster/site_loss.rs
+++ b/crates/testbed/src/cluster/site_loss.rs
@@ -8,7 +8,7 @@
 use super::load::{Load, LoadProfile, StopOnDrop, PAGE_READ, REPORT};
 use super::schedule::Pace;
 use super::stand_ins::host::Host;
-use super::{Cluster, ClusterError, EndpointListMode, Plan, PATIENCE};
+use super::{Cluster, ClusterError, EndpointListMode, GatewayLimits, Plan, PATIENCE};
 use crate::compare::Interval;
 use serde::Serialize;
 use std::path::PathBuf;
@@ -122,6 +122,7 @@
         operators: operators_file(plans),
         endpoint_list: EndpointListMode::Pushed,
         deadline_percent: 100,
+        limits: GatewayLimits::default(),
     })?;
     cluster.settle(PATIENCE).ok_or(ClusterError::ViewsDiffer)?;
     let settled_at = cluster.clock.now();
--- a/crates/testbed/src/soak/plan.rs
+++ b/crates/testbed/src/soak/plan.rs
@@ -1,5 +1,6 @@
 //! What a soak plays, drawn from a seed: the same seed gives the same plan.
 
+use crate::cluster::GatewayLimits;
 use irisrouter_simulation::rng::{Rng, Stream};
 use serde::Serialize;
 
@@ -14,6 +15,11 @@
 /// Largest value of a write, in bytes.
 const MAX_VALUE_BYTES: f64 = 65_536.0;
 
+/// Limits on memory, from one that a few large values use up to one that no clients of a run do.
+const MEMORY_MB: [u64; 4] = [2, 4, 16, 64];
+/// Limits on descriptors; the least allows some forty clients.
+const SOCKETS: [u64; 3] = [120, 200, 512];
+
 /// What a client does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case", tag = "client")]
@@ -148,6 +154,8 @@
     pub groups: usize,
     /// The deadlines of all classes at the start, in percent of what they are by default.
     pub deadline_percent: u64,
+    /// The limits of each gateway.
+    pub limits: GatewayLimits,
     /// The clients of each gateway.
     pub clients: Vec<Vec<ClientBehavior>>,
     /// The faults, in the order of their times.
@@ -164,6 +172,10 @@
         let gateways = 1 + rng.index(MAX_GATEWAYS);
         let groups = 1 + rng.index(MAX_GROUPS);
         let deadline_percent = [10, 40, 100, 300][rng.index(4)];
+        let limits = GatewayLimits {
+            memory_mb: MEMORY_MB[rng.index(MEMORY_MB.len())],
+            sockets: SOCKETS[rng.index(SOCKETS.len())],
+        };
         let clients = (0..gateways).map(|_| draw_clients(&mut rng)).collect();
         let mut faults: Vec<TimedFault> = (0..3 + rng.index(5))
             .map(|_| draw_fault(&mut rng, gateways, groups))
@@ -183,6 +195,7 @@
             gateways,
             groups,
             deadline_percent,
+            limits,
             clients,
             faults,
             terminations: terminations.collect(),
--- a/crates/testbed/src/soak/run.rs
+++ b/crates/testbed/src/soak/run.rs
@@ -81,6 +81,7 @@
         operators: String::new(),
         endpoint_list: EndpointListMode::Pushed,
         deadline_percent: plan.deadline_percent,
+        limits: plan.limits,
     })?;
     let fates: Vec<Arc<GatewayFate>> = (0..plan.gateways).map(|_| Arc::default()).collect();
     let clients = ClientThread::new(&cluster, &plan, &fates);
--- a/crates/testbed/tests/common/mod.rs
+++ b/crates/testbed/tests/common/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "not every test uses all of it")]
 
 use irisrouter_testbed::cluster::schedule::Pace;
-use irisrouter_testbed::cluster::{Cluster, EndpointListMode, Plan, PATIENCE};
+use irisrouter_testbed::cluster::{Cluster, EndpointListMode, GatewayLimits, Plan, PATIENCE};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::{Duration, Instant};
@@ -42,6 +42,7 @@
         operators,
         endpoint_list: EndpointListMode::Pushed,
         deadline_percent: 100,
+        limits: GatewayLimits::default(),
     }
 }
 
--- a/crates/testbed/tests/endpoint_watch.rs
+++ b/crates/testbed/tests/endpoint_watch.rs
@@ -6,7 +6,7 @@
 
 use common::{ask, plan, started_with, wait, LEASE_MS};
 use irisrouter_testbed::cluster::schedule::Pace;
-use irisrouter_testbed::cluster::{Cluster, EndpointListMode, Plan};
+use irisrouter_testbed::cluster::{Cluster, EndpointListMode, GatewayLimits, Plan};
 
 fn started(gateways: usize, seed: u64) -> (Cluster, usize) {
     let pace = Pace {
@@ -20,6 +20,7 @@
         sets: 3,
         endpoint_list: EndpointListMode::Polled,
         deadline_percent: 100,
+        limits: GatewayLimits::default(),
         ..plan(gateways, seed, operators)
     });
     wait("one watcher", || {
