Drop and reject what a client sends beyond the limits, so that its end is seen

Its end stood behind bytes that were left in the socket once the memory for input read ahead was used up; read-closed readiness reports it only once it has arrived. Ruled out: the check before the first byte of an attempt (the request was not yet known to be without a client). Now messages beyond 1 MiB or half of the memory are read through and counted (dropped_input.rs), and each query among them is rejected in its turn; 4 MiB further on the client is not read. What is left open: a longer flood.

--- a/crates/pg/src/frame.rs
+++ b/crates/pg/src/frame.rs
@@ -54,13 +54,23 @@
     Some(u32::from_be_bytes(*length) as usize)
 }
 
-/// The number of whole queries at the beginning of these bytes, up to the first message that is malformed or incomplete.
-pub fn whole_queries(bytes: &[u8]) -> usize {
-    let mut queries = 0;
+/// The whole messages at the beginning of these bytes, up to the first one that is malformed or incomplete.
+fn whole_messages(bytes: &[u8]) -> impl Iterator<Item = Frame> + '_ {
     let mut rest = bytes;
-    while let Ok(Some(frame)) = frame(rest) {
-        queries += usize::from(frame.tag == tag::QUERY);
+    std::iter::from_fn(move || {
+        let frame = frame(rest).ok().flatten()?;
         rest = &rest[frame.body.end..];
-    }
-    queries
+        Some(frame)
+    })
+}
+
+/// The number of queries among the whole messages at the beginning of these bytes.
+pub fn whole_queries(bytes: &[u8]) -> usize {
+    let queries = whole_messages(bytes).filter(|frame| frame.tag == tag::QUERY);
+    queries.count()
+}
+
+/// The size of the whole messages at the beginning of these bytes, all together.
+pub fn whole_messages_size(bytes: &[u8]) -> usize {
+    whole_messages(bytes).map(|frame| frame.body.end).sum()
 }
--- a/src/net/downstream/client_input.rs
+++ b/src/net/downstream/client_input.rs
@@ -1,9 +1,11 @@
 //! Reading from a client: the wait for its next bytes, which several events may end, and the wait for something else
 //! during which the client may disconnect.
 //!
-//! While a request waits for its answer, what comes behind it is read ahead as far as memory allows, and is then left in
-//! the socket. The connection goes on: answers are due on it.
+//! While a request waits for its answer, what comes behind it is read ahead as far as memory allows. Beyond that messages
+//! are dropped and rejected in their turn, so that the client's end is seen behind them, and at last left in the socket.
+//! The connection goes on: answers are due on it.
 
+use crate::net::buffers::BUFFER_SIZE;
 use crate::net::downstream::connection::{ClientConnection, ConnectionEnd};
 use crate::net::downstream::connection_limit::{EvictableWait, QuietKind};
 use crate::net::downstream::input_buffer::ReadPurpose;
@@ -138,33 +140,45 @@
         }
     }
 
-    /// Reads the rest of a message that memory has no room for, and drops it, so that it can be rejected and the messages
-    /// behind it be read. `size` is that of the whole message in bytes.
-    pub(super) async fn discard_message(&mut self, size: usize) -> Result<(), ConnectionEnd> {
-        let mut remaining = size - self.input.len();
-        self.input.consume(self.input.len());
-        let mut scratch = self.listener.pool.acquire();
+    /// Waits for more of a message that is dropped, of which so many bytes are missing.
+    pub(super) async fn read_to_drop(&mut self, missing: usize) -> Result<(), ConnectionEnd> {
         let wait = InputWait {
             kind: QuietKind::Idle,
             received: Received::PartOfMessage,
         };
-        while remaining > 0 {
-            self.wait_for_input(wait).await?;
-            scratch.clear();
-            let mut limited = (&mut *scratch).limit(remaining);
-            match self.stream.try_read_buf(&mut limited) {
-                Ok(0) => return Err(ConnectionEnd::Disconnected),
-                Ok(length) => {
-                    remaining -= length;
-                    self.last_input = Instant::now();
-                }
-                Err(error) if is_nothing_to_read(&error) => {}
-                Err(error) => return Err(error.into()),
-            }
+        if self.wait_for_input(wait).await? {
+            self.read_and_drop(missing)?;
         }
         Ok(())
     }
 
+    /// Reads what there is, `most` bytes at most, and drops it.
+    fn read_and_drop(&mut self, most: usize) -> Result<ReadProgress, ConnectionEnd> {
+        let mut scratch = self.listener.pool.acquire();
+        let mut limited = (&mut *scratch).limit(most.min(BUFFER_SIZE));
+        let result = self.stream.try_read_buf(&mut limited);
+        if self.read_length(result)?.is_none() {
+            return Ok(ReadProgress::Nothing);
+        }
+        self.input.drop_bytes(&scratch);
+        self.last_input = Instant::now();
+        Ok(ReadProgress::Read)
+    }
+
+    /// The number of bytes that a read has brought; `None` where nothing has arrived.
+    fn read_length(&mut self, result: io::Result<usize>) -> Result<Option<usize>, ConnectionEnd> {
+        match result {
+            Ok(0) => Err(ConnectionEnd::Disconnected),
+            Ok(length) => Ok(Some(length)),
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => Ok(None),
+            Err(error) if is_nothing_to_read(&error) => {
+                self.reading_paused_since = None;
+                Ok(None)
+            }
+            Err(error) => Err(error.into()),
+        }
+    }
+
     /// Waits until there is something to read, or until the connection is to end.
     async fn next_input_event(&self, wait: InputWait) -> Result<InputEvent, ConnectionEnd> {
         let idle = wait.is_idle();
@@ -211,26 +225,36 @@
         } else {
             usize::MAX
         };
+        if self.input.is_dropping() {
+            return self.read_ahead_and_drop(most);
+        }
         let Some(space) = self.input.space_for(purpose) else {
-            return Ok(ReadProgress::NoRoom);
+            return match purpose {
+                ReadPurpose::NextMessage => Ok(ReadProgress::NoRoom),
+                ReadPurpose::ReadAhead => {
+                    self.input.start_dropping();
+                    self.read_ahead_and_drop(most)
+                }
+            };
         };
-        match self.stream.try_read_buf(&mut space.limit(most)) {
-            Ok(0) => Err(ConnectionEnd::Disconnected),
-            Ok(length) => {
-                let now = Instant::now();
-                // What is found at the end of a pause may have come at its beginning.
-                let arrived_at = self.reading_paused_since.unwrap_or(now);
-                self.input.record_read(length, arrived_at);
-                self.last_input = now;
-                Ok(ReadProgress::Read)
-            }
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => Ok(ReadProgress::Nothing),
-            Err(error) if is_nothing_to_read(&error) => {
-                self.reading_paused_since = None;
-                Ok(ReadProgress::Nothing)
-            }
-            Err(error) => Err(error.into()),
+        let result = self.stream.try_read_buf(&mut space.limit(most));
+        let Some(length) = self.read_length(result)? else {
+            return Ok(ReadProgress::Nothing);
+        };
+        let now = Instant::now();
+        // What is found at the end of a pause may have come at its beginning.
+        let arrived_at = self.reading_paused_since.unwrap_or(now);
+        self.input.record_read(length, arrived_at);
+        self.last_input = now;
+        Ok(ReadProgress::Read)
+    }
+
+    /// Reads and drops messages, unless that has been done with too many of them.
+    fn read_ahead_and_drop(&mut self, most: usize) -> Result<ReadProgress, ConnectionEnd> {
+        if self.input.is_full() {
+            return Ok(ReadProgress::NoRoom);
         }
+        self.read_and_drop(most)
     }
 
     /// Reads what the operating system holds at this moment of a connection that is about to end, and says whether there
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -5,6 +5,7 @@
 use crate::net::downstream::cancel::CancelRegistration;
 use crate::net::downstream::client_input::ReadProgress;
 use crate::net::downstream::connection_limit::{ConnectionPermit, QuietKind};
+use crate::net::downstream::dropped_input::DroppedMessage;
 use crate::net::downstream::input_buffer::InputBuffer;
 use crate::net::downstream::listener::ClientListener;
 use crate::net::downstream::query::Query;
@@ -221,8 +222,7 @@
         self.message_started = Instant::now();
         loop {
             self.resume_reading()?;
-            let input = self.input.unread();
-            match pg::frame(input) {
+            match pg::frame(self.input.unread()) {
                 Err(malformed) => return Err(self.end_with_violation(malformed.0).await),
                 Ok(Some(frame)) => {
                     return Ok(Message {
@@ -232,15 +232,34 @@
                 }
                 Ok(None) => {}
             }
-            let beginning = input.first().copied().zip(pg::message_size(input));
-            if self.read_more(QuietKind::Idle).await? == ReadProgress::NoRoom {
-                // Without room the input has long exceeded a message's header.
-                let (tag, size) = beginning.ok_or(ConnectionEnd::Disconnected)?;
-                self.discard_message(size).await?;
-                return Ok(Message {
-                    tag,
-                    body: MessageBody::Discarded,
-                });
+            if let Some(dropped) = self.input.next_dropped() {
+                if let Some(message) = self.take_dropped(dropped).await? {
+                    return Ok(message);
+                }
+            } else if self.read_more(QuietKind::Idle).await? == ReadProgress::NoRoom {
+                self.input.start_dropping();
+            }
+        }
+    }
+
+    /// Takes a message that was dropped; `None` where it has not arrived whole, but more of it has.
+    async fn take_dropped(
+        &mut self,
+        dropped: DroppedMessage,
+    ) -> Result<Option<Message>, ConnectionEnd> {
+        match dropped {
+            DroppedMessage::Query => Ok(Some(Message {
+                tag: pg::tag::QUERY,
+                body: MessageBody::Discarded,
+            })),
+            DroppedMessage::Incomplete { missing } => {
+                self.read_to_drop(missing).await?;
+                Ok(None)
+            }
+            DroppedMessage::Terminate => Err(ConnectionEnd::Closed),
+            DroppedMessage::Violation => {
+                let message = "a message that is not supported is sent ahead of an answer";
+                Err(self.end_with_violation(message).await)
             }
         }
     }
@@ -311,7 +330,7 @@
     /// Counts and logs the whole queries that have been read and get no answer, as the gateway ends the connection before
     /// their turn. That is so behind a breach of the protocol and behind a Terminate; it is a fault anywhere else.
     fn report_unanswered(&self, reason: ConnectionEnd) {
-        let unanswered = pg::whole_queries(self.input.unread());
+        let unanswered = self.input.whole_queries();
         if unanswered == 0 {
             return;
         }
--- a/src/net/downstream/input_buffer.rs
+++ b/src/net/downstream/input_buffer.rs
@@ -1,15 +1,15 @@
-//! What a client has sent and the gateway has not processed yet. Its size is limited by leaving the rest unread, and never
-//! by ending the connection: every request that has been taken gets an answer.
+//! What a client has sent and the gateway has not processed yet. Its size is limited by dropping messages, each of which is
+//! rejected in its turn, and never by ending the connection: every request that has been taken gets an answer.
 
 use crate::net::buffers::{Buffer, Pool};
+use crate::net::downstream::dropped_input::{DroppedInput, DroppedMessage};
 use crate::net::downstream::read_times::ReadTimes;
 use crate::net::pg;
 use bytes::{Buf, BytesMut};
 use std::rc::Rc;
 use tokio::time::Instant;
 
-/// How much a client may send ahead of its answer before it is not read on, in bytes: several of the largest messages.
-/// What is left unread in the socket may hide the client's disconnection, so that this is as much as memory allows.
+/// How much a client may send ahead of its answer before its messages are dropped, in bytes: several of the largest ones.
 const MAX_INPUT_AHEAD: usize = 4 * pg::MAX_MESSAGE_SIZE;
 /// Smallest space, in bytes, that is made for one read.
 const MIN_READ_SPACE: usize = 1024;
@@ -29,6 +29,8 @@
     /// None while there is nothing, so that an idle connection holds no buffer.
     buffer: Option<Buffer>,
     read_times: ReadTimes,
+    /// Messages behind those in the buffer. While there are some, the buffer takes no more.
+    dropped: DroppedInput,
 }
 
 impl InputBuffer {
@@ -38,6 +40,7 @@
             pool,
             buffer: None,
             read_times: ReadTimes::default(),
+            dropped: DroppedInput::default(),
         }
     }
 
@@ -53,7 +56,44 @@
 
     /// Whether all input has been processed.
     pub(super) fn is_empty(&self) -> bool {
-        self.len() == 0
+        self.unread().is_empty() && !self.dropped.is_active()
+    }
+
+    /// Whether messages are dropped, as there is no room for them.
+    pub(super) fn is_dropping(&self) -> bool {
+        self.dropped.is_active()
+    }
+
+    /// Whether so much has been dropped that no more is to be read.
+    pub(super) fn is_full(&self) -> bool {
+        self.dropped.is_full()
+    }
+
+    /// Whole queries that have had no answer.
+    pub(super) fn whole_queries(&self) -> usize {
+        pg::whole_queries(self.unread()) + self.dropped.queries()
+    }
+
+    /// Drops the message that has not arrived whole, and with it all that comes until what was dropped has been taken.
+    pub(super) fn start_dropping(&mut self) {
+        let Some(buffer) = &mut self.buffer else {
+            return;
+        };
+        let whole = pg::whole_messages_size(buffer);
+        self.dropped.drop_bytes(&buffer[whole..]);
+        self.read_times.forget_last(buffer.len() - whole);
+        buffer.truncate(whole);
+        self.release_if_empty();
+    }
+
+    /// Drops bytes that have been read.
+    pub(super) fn drop_bytes(&mut self, bytes: &[u8]) {
+        self.dropped.drop_bytes(bytes);
+    }
+
+    /// What follows among the dropped messages, once the buffer is empty.
+    pub(super) fn next_dropped(&mut self) -> Option<DroppedMessage> {
+        self.dropped.next()
     }
 
     /// How many bytes are missing to the first message, or to its header while that is incomplete.
@@ -93,7 +133,7 @@
 
     /// Returns the buffer to its pool where there is nothing in it.
     pub(super) fn release_if_empty(&mut self) {
-        if self.is_empty() {
+        if self.unread().is_empty() {
             self.buffer = None;
         }
     }
--- a/src/net/downstream/mod.rs
+++ b/src/net/downstream/mod.rs
@@ -5,6 +5,7 @@
 mod client_input;
 pub mod connection;
 pub mod connection_limit;
+mod dropped_input;
 mod input_buffer;
 pub mod listener;
 mod query;
--- a/src/net/downstream/read_times.rs
+++ b/src/net/downstream/read_times.rs
@@ -56,6 +56,19 @@
         }
     }
 
+    /// The last `length` bytes count as not received.
+    pub(super) fn forget_last(&mut self, length: usize) {
+        self.received -= length as u64;
+        while let Some(read) = self.reads.pop_back() {
+            let begin = self.reads.back().map_or(self.consumed, |before| before.end);
+            if begin < self.received {
+                let end = read.end.min(self.received);
+                self.reads.push_back(Read { end, ..read });
+                return;
+            }
+        }
+    }
+
     /// When the last of the next `length` bytes arrived; `None` where so many have not been received.
     pub(super) fn arrival_of(&self, length: usize) -> Option<Instant> {
         let end = self.consumed + length as u64;
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -35,7 +35,7 @@
     /// Queries whose time was over when the ones before them on their connection had been answered, be it their client's or
     /// that of a shutdown.
     pub expired: Counter,
-    /// Queries that were rejected before they were requests, as there was no memory for them.
+    /// Queries that were rejected before they were requests, as there was no room for them.
     pub no_memory: Counter,
     /// Queries that were read whole and not answered, as the gateway ended their connection.
     pub unanswered: Counter,
@@ -52,7 +52,7 @@
     pub downstream_rejected: Counter,
     /// Of those, the quiet ones that were closed to make room for others.
     pub downstream_evicted: Counter,
-    /// How often the gateway stopped reading a client that sent more ahead than memory allows.
+    /// How often the gateway did not read a client for a while: during a long write to it, or behind a flood.
     pub input_paused: Counter,
 }
 
--- a/tests/gateway/pipelining.rs
+++ b/tests/gateway/pipelining.rs
@@ -225,7 +225,8 @@
     client.read_until_ready()
 }
 
-/// Guards against a client's end that is not seen, as it stands behind more than is read ahead.
+/// Guards against a client's end that is not seen, as it stands behind more than is read ahead: an attempt for it would
+/// begin after it has gone.
 #[test]
 fn client_that_leaves_behind_more_than_is_read_ahead_has_gone() {
     let manual_host = ManualHost::start();
@@ -233,16 +234,53 @@
     let gateway = manual_host.start_gateway_without_health_checks(&discovery);
     let mut leaving = gateway.client();
     leaving.send(&read_query_message("1111"));
-    let late = manual_host.accept();
+    let mut late = manual_host.accept();
     let message = write_message("2222", LARGEST_VALUE, 9_000);
-    // A little more than the gateway reads ahead: the rest fits into the buffer of its socket.
-    for _ in 0..17 {
+    // Three times of what the gateway reads ahead.
+    for _ in 0..50 {
         leaving.send(&message);
     }
     drop(leaving);
     gateway.wait_for_counter(" client_gone=1 ");
-    gateway.wait_for_counter(" input_paused=1 ");
-    drop(late);
+    send_authentication_ok(&mut late);
+    let mut other = gateway.client();
+    // The connection has to be idle in the pool before it can serve the next request.
+    std::thread::sleep(Duration::from_millis(50));
+    other.send(&read_query_message("3333"));
+    let seen = read_query(&mut late).expect("the connection is used again");
+    assert!(
+        seen.contains("id=3333"),
+        "sent for a client that had gone: {seen}"
+    );
+}
+
+/// Guards against queries beyond the limit on what is read ahead that get no answer, or one out of order.
+#[test]
+fn queries_beyond_what_is_read_ahead_are_rejected_in_their_turn() {
+    let host = Host::start("s-1", true, no_reply_to_slow);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let mut client = gateway.client();
+    client.send(&write_message("slow", 10, 1_500));
+    host.wait_for_event("slow");
+    for number in 0..30 {
+        client.send(&write_message(
+            &format!("{number:04x}"),
+            LARGEST_VALUE,
+            9_000,
+        ));
+    }
+    let answers = read_answers(&mut client, 31);
+    let is_row = |answer: &&String| answer.contains("DataRow a1b2");
+    let rows = answers[1..].iter().take_while(is_row).count();
+    assert!(rows >= 15, "a mebibyte is read ahead: {answers:?}");
+    for answer in &answers[1 + rows..] {
+        assert!(
+            answer.contains("C53300") && answer.ends_with("ReadyForQuery"),
+            "{answers:?}"
+        );
+    }
+    assert!(client_answer(&mut client, &read_message("ffff", 9_000)).contains("DataRow a1b2"));
 }
 
 /// Guards against the messages behind a breach of the protocol that vanish without a trace, and against an answer before it
--- a/tests/unit/read_times.rs
+++ b/tests/unit/read_times.rs
@@ -58,3 +58,22 @@
     }
     assert_eq!(times.arrival_of(1), None);
 }
+
+#[test]
+fn forgotten_bytes_leave_the_times_of_those_before_them() {
+    let start = Instant::now();
+    let at = |read: u64| start + Duration::from_millis(read);
+    let mut times = ReadTimes::default();
+    for read in 0..4 {
+        times.record(10, at(read));
+    }
+    times.forget_last(15);
+    assert_eq!(times.arrival_of(25), Some(at(2)));
+    assert_eq!(times.arrival_of(26), None);
+    times.consume(20);
+    times.record(10, at(9));
+    assert_eq!(times.arrival_of(5), Some(at(2)));
+    assert_eq!(times.arrival_of(6), Some(at(9)));
+    times.forget_last(15);
+    assert_eq!(times.arrival_of(1), None);
+}
