--- a/crates/pg/src/frame.rs
+++ b/crates/pg/src/frame.rs
@@ -64,10 +64,14 @@
     })
 }
 
-/// The number of queries among the whole messages at the beginning of these bytes.
-pub fn whole_queries(bytes: &[u8]) -> usize {
-    let queries = whole_messages(bytes).filter(|frame| frame.tag == tag::QUERY);
-    queries.count()
+/// The bodies of the queries among the whole messages at the beginning of these bytes.
+pub fn whole_queries(bytes: &[u8]) -> impl Iterator<Item = &[u8]> + '_ {
+    let mut begin = 0;
+    whole_messages(bytes).filter_map(move |frame| {
+        let message = &bytes[begin..];
+        begin += frame.body.end;
+        (frame.tag == tag::QUERY).then(|| &message[frame.body])
+    })
 }
 
 /// The size of the whole messages at the beginning of these bytes, all together.
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -27,6 +27,8 @@
 /// How many bytes it reads then at most: several of the largest messages, but no endless stream.
 const LINGER_BYTES: usize = 1 << 20;
 
+/// Most request ids in a log line.
+const MAX_LOGGED_IDS: usize = 5;
 /// The answer to a request for encryption: there is none, and the client goes on without.
 const ENCRYPTION_REFUSED: &[u8] = b"N";
 
@@ -203,7 +205,7 @@
     /// Rejects the queries that a client has sent right behind its startup on a connection that is one too many. A single
     /// one needs no answer of its own: the error that ends the connection is its answer.
     async fn reject_first_queries(&mut self) -> Result<(), ConnectionEnd> {
-        let queries = pg::whole_queries(self.input.unread());
+        let queries = self.input.unanswered_queries();
         if queries < 2 {
             return Ok(());
         }
@@ -329,7 +331,7 @@
     /// Counts and logs the whole queries that have been read and get no answer, as the gateway ends the connection before
     /// their turn. That is so behind a breach of the protocol and behind a Terminate; it is a fault anywhere else.
     fn report_unanswered(&self, reason: ConnectionEnd) {
-        let unanswered = self.input.whole_queries();
+        let unanswered = self.input.unanswered_queries();
         if unanswered == 0 {
             return;
         }
@@ -339,7 +341,8 @@
             .set(requests.unanswered.get() + unanswered as u64);
         let client = self.stream.peer_addr();
         let client = client.map_or_else(|error| error.to_string(), |address| address.to_string());
-        log!("client {client}: the gateway ends the connection ({reason:?}), {unanswered} queries unanswered");
+        let ids = self.input.first_request_ids(MAX_LOGGED_IDS).join(" ");
+        log!("client {client}: the gateway ends the connection ({reason:?}), {unanswered} queries unanswered: {ids}");
     }
 
     /// Closes the gateway's side and reads on for a while, discarding what arrives: its sender learns that the
--- a/src/net/downstream/input_buffer.rs
+++ b/src/net/downstream/input_buffer.rs
@@ -69,9 +69,18 @@
         self.dropped.is_flood()
     }
 
-    /// Whole queries that have had no answer.
-    pub(super) fn whole_queries(&self) -> usize {
-        pg::whole_queries(self.unread()) + self.dropped.queries()
+    /// The number of whole queries that have had no answer.
+    pub(super) fn unanswered_queries(&self) -> usize {
+        pg::whole_queries(self.unread()).count() + self.dropped.queries()
+    }
+
+    /// The ids of the first requests among them, `most` at most.
+    pub(super) fn first_request_ids(&self, most: usize) -> Vec<&str> {
+        pg::whole_queries(self.unread())
+            .filter_map(|body| pg::statement(pg::query(body).ok()?).ok())
+            .map(|statement| statement.id)
+            .take(most)
+            .collect()
     }
 
     /// Drops the message that has not arrived whole, and with it all that comes until what was dropped has been taken.
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -37,6 +37,8 @@
     pub expired: Counter,
     /// Queries that were rejected before they were requests, as there was no room for them.
     pub no_memory: Counter,
+    /// Of the failed ones, those that the router had not decided on in time: also those that a shutdown leaves no more time.
+    pub undecided: Counter,
     /// Queries that were read whole and not answered, as the gateway ended their connection.
     pub unanswered: Counter,
 }
@@ -211,10 +213,11 @@
     }
 
     /// Counters that are printed only where they are not 0, in the order in which they are printed.
-    fn rare_counters(&self) -> [(&'static str, &Counter); 4] {
+    fn rare_counters(&self) -> [(&'static str, &Counter); 5] {
         [
             ("expired", &self.requests.expired),
             ("no_memory", &self.requests.no_memory),
+            ("undecided", &self.requests.undecided),
             ("unanswered", &self.requests.unanswered),
             ("input_paused", &self.connections.input_paused),
         ]
--- a/src/net/request/lifecycle.rs
+++ b/src/net/request/lifecycle.rs
@@ -266,6 +266,7 @@
     }
 
     fn on_decision_timed_out(&mut self) {
+        increment(&self.context.metrics.requests.undecided);
         self.answer.send(Answer::Failed);
         self.context.router.post(Event::ClientGone { id: self.id });
     }
--- a/tests/gateway/pipelining.rs
+++ b/tests/gateway/pipelining.rs
@@ -304,7 +304,7 @@
     assert!(client.read_until_ready().contains("DataRow a1b2"));
     let last = client.read_until_ready();
     assert!(last.starts_with("ErrorResponse SFATAL VFATAL C08P01") && last.ends_with("closed"));
-    gateway.wait_for_log("ends the connection (ErrorSent), 1 queries unanswered");
+    gateway.wait_for_log("ends the connection (ErrorSent), 1 queries unanswered: 03");
     gateway.wait_for_counter(" unanswered=1");
 }
 
