--- a/src/net/downstream/answer_writer.rs
+++ b/src/net/downstream/answer_writer.rs
@@ -72,7 +72,7 @@
 
     /// Reports a violation of the protocol and ends the connection.
     pub(super) async fn end_with_violation(&mut self, message: &str) -> ConnectionEnd {
-        increment(&self.listener.request_context.metrics.requests.malformed);
+        increment(&self.metrics().requests.malformed);
         self.end_with_error(code::PROTOCOL_VIOLATION, message, None)
             .await
     }
--- a/src/net/downstream/client_input.rs
+++ b/src/net/downstream/client_input.rs
@@ -123,14 +123,7 @@
             }
             InputEvent::Draining => Err(ConnectionEnd::Closed),
             InputEvent::Evicted => {
-                increment(
-                    &self
-                        .listener
-                        .request_context
-                        .metrics
-                        .connections
-                        .downstream_evicted,
-                );
+                increment(&self.metrics().connections.downstream_evicted);
                 if wait.is_idle() {
                     return Err(ConnectionEnd::Closed);
                 }
@@ -281,14 +274,7 @@
     /// Reads what has come since `since`, when a long write began, as if it had come then: a request among it may be given
     /// less time than it has, and never more.
     pub(super) fn read_behind_long_write(&mut self, since: Instant) -> Result<(), ConnectionEnd> {
-        increment(
-            &self
-                .listener
-                .request_context
-                .metrics
-                .connections
-                .input_paused,
-        );
+        increment(&self.metrics().connections.input_paused);
         self.reading_paused_since = Some(since);
         let mut reads = 0;
         while self.reading_paused_since.is_some() && reads < MAX_RESUMING_READS {
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -10,7 +10,7 @@
 use crate::net::downstream::listener::ClientListener;
 use crate::net::downstream::query::Query;
 use crate::net::log::log;
-use crate::net::metrics::increment;
+use crate::net::metrics::{increment, Metrics};
 use crate::net::pg::{self, code, Startup};
 use std::convert::Infallible;
 use std::io;
@@ -112,20 +112,18 @@
         listener,
     };
     if connection.permit.over_limit {
-        increment(
-            &connection
-                .listener
-                .request_context
-                .metrics
-                .connections
-                .downstream_rejected,
-        );
+        increment(&connection.metrics().connections.downstream_rejected);
     }
     let Err(end) = connection.serve_messages().await;
     connection.close(end).await;
 }
 
 impl ClientConnection {
+    /// The counters of the process.
+    pub(super) fn metrics(&self) -> &Metrics {
+        &self.listener.request_context.metrics
+    }
+
     /// Serves the client until its connection is to end, and returns why.
     async fn serve_messages(&mut self) -> Result<Infallible, ConnectionEnd> {
         self.stream.set_nodelay(true)?;
@@ -312,7 +310,7 @@
     }
 
     fn put_unsupported(&self, out: &mut Buffer) {
-        increment(&self.listener.request_context.metrics.requests.malformed);
+        increment(&self.metrics().requests.malformed);
         let message = "only simple queries are spoken here";
         pg::put_error(out, "ERROR", code::FEATURE_NOT_SUPPORTED, message, None);
     }
@@ -335,7 +333,7 @@
         if unanswered == 0 {
             return;
         }
-        let requests = &self.listener.request_context.metrics.requests;
+        let requests = &self.metrics().requests;
         requests
             .unanswered
             .set(requests.unanswered.get() + unanswered as u64);
--- a/src/net/downstream/query.rs
+++ b/src/net/downstream/query.rs
@@ -115,7 +115,7 @@
         query: Query,
         out: &mut Buffer,
     ) -> Result<(), ConnectionEnd> {
-        let requests = &self.listener.request_context.metrics.requests;
+        let requests = &self.metrics().requests;
         match query {
             Query::Violation(message) => return Err(self.end_with_violation(message).await),
             Query::Empty => self.put_empty_query_response(out),
