--- a/src/net/downstream/answer_writer.rs
+++ b/src/net/downstream/answer_writer.rs
@@ -65,7 +65,7 @@
             match received? {
                 Some(StreamChunk::Data(piece)) => self.write(&piece).await?,
                 Some(StreamChunk::Last(end)) => return self.with_room_for_ready(end).await,
-                None => return Err(ConnectionEnd::Disconnected),
+                None => return Err(ConnectionEnd::Truncated),
             }
         }
     }
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -37,6 +37,8 @@
 pub(super) enum ConnectionEnd {
     /// The client has disconnected, or the network has failed: nothing more can be sent.
     Disconnected,
+    /// A value breaks off that is passed on while it arrives: only the connection's end tells the client so.
+    Truncated,
     /// The gateway closes it while no answer is due.
     Closed,
     /// The gateway closes it and has sent an error that says why.
@@ -319,6 +321,7 @@
     async fn close(&mut self, reason: ConnectionEnd) {
         match reason {
             ConnectionEnd::Disconnected => {}
+            ConnectionEnd::Truncated => self.report_unanswered(reason),
             ConnectionEnd::Closed | ConnectionEnd::ErrorSent => {
                 self.report_unanswered(reason);
                 self.linger().await;
@@ -327,7 +330,8 @@
     }
 
     /// Counts and logs the whole queries that have been read and get no answer, as the gateway ends the connection before
-    /// their turn. That is so behind a breach of the protocol and behind a Terminate; it is a fault anywhere else.
+    /// their turn. That is so behind a breach of the protocol, a Terminate or a value that breaks off; it is a fault anywhere
+    /// else.
     fn report_unanswered(&self, reason: ConnectionEnd) {
         let unanswered = self.input.unanswered_queries();
         if unanswered == 0 {
--- a/tests/gateway/pipelining.rs
+++ b/tests/gateway/pipelining.rs
@@ -408,3 +408,16 @@
     }
     assert!(rejected.read_until_ready().contains("SFATAL VFATAL C53300"));
 }
+
+/// Guards against requests behind a value that breaks off which vanish without a trace: the connection's end is the only way
+/// to say that the value is not whole.
+#[test]
+fn queries_behind_a_value_that_breaks_off_are_logged() {
+    let host = Host::start("s-1", true, |_, _| HostReply::TruncatedRow(1 << 20));
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let mut client = gateway.client();
+    client.send(&[read_message("01", 9_000), read_message("02", 9_000)].concat());
+    assert!(client.read_until_ready().ends_with("closed"));
+    gateway.wait_for_log("ends the connection (Truncated), 1 queries unanswered: 02");
+}
