Find a host by its fleet id and its group without a walk over all hosts

Cause: each of the 12 results of a datagram called Upstream::member_by_fleet_id, which walked all hosts, and each datagram walked all of them once more for the groups in service and compared each group with all others (HealthCheckSchedule::update_groups). At 3,200 hosts 1,335 datagrams a second take more processor than a part of a core has, and answers wait behind them. A list was merged in the time of its entries by all hosts.

Change: HostTable keeps the hosts with indexes by fleet id, by group and by removal; the peer socket tells the schedule of the groups only when they change.

A property test holds the indexes to a walk over all hosts.

--- a/src/net/cluster/peer_socket.rs
+++ b/src/net/cluster/peer_socket.rs
@@ -14,6 +14,7 @@
 use irisrouter::routing::GroupId;
 use irisrouter_cluster_types::GatewayId;
 use irisrouter_gossip::message;
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt::Display;
 use std::io;
@@ -88,6 +89,14 @@
     }
 }
 
+/// The groups with hosts in service, as of the last look.
+#[derive(Default)]
+struct KnownGroups {
+    /// [`Upstream::groups_version`] at that look; none before the first one.
+    version: Option<u64>,
+    groups: Rc<[GroupId]>,
+}
+
 /// The socket between this gateway and the others.
 pub struct PeerSocket {
     socket: Rc<UdpSocket>,
@@ -96,6 +105,7 @@
     /// Each gateway, by the address from which it sends.
     gateways_by_address: HashMap<SocketAddr, GatewayId>,
     health_checks: Rc<SharedHealthChecks>,
+    known_groups: RefCell<KnownGroups>,
     dependencies: Dependencies,
 }
 
@@ -129,6 +139,7 @@
             local_gateway: peers.local_gateway,
             gateways_by_address: gateways_by_address(&peers.gateway_addresses),
             health_checks: Rc::new(health_checks),
+            known_groups: RefCell::default(),
             dependencies,
         }))
     }
@@ -158,17 +169,31 @@
     async fn advance_services(&self) -> Duration {
         let mut wait = IDLE_WAIT;
         if self.dependencies.share_health_checks {
-            let groups = self.dependencies.upstream.groups_in_service();
+            let groups = self.groups_in_service();
             wait = wait.min(self.advance_leases(&groups).await);
             wait = wait.min(self.advance_drains().await);
             wait = wait.min(self.advance_endpoint_watch().await);
             wait = wait.min(self.advance_site_failover().await);
-            wait = wait.min(self.health_checks.start_due_rounds(&groups));
+            wait = wait.min(self.health_checks.start_due_rounds());
         }
         wait = wait.min(self.advance_membership().await);
         wait.min(self.advance_write_intents().await)
     }
 
+    /// The groups with hosts in service. The schedule of health checks learns of them when they
+    /// change.
+    fn groups_in_service(&self) -> Rc<[GroupId]> {
+        let upstream = &self.dependencies.upstream;
+        let version = Some(upstream.groups_version());
+        let mut known = self.known_groups.borrow_mut();
+        if known.version != version {
+            known.version = version;
+            known.groups = upstream.groups_in_service().into();
+            self.health_checks.update_groups(&known.groups);
+        }
+        Rc::clone(&known.groups)
+    }
+
     async fn advance_leases(&self, groups: &[GroupId]) -> Duration {
         let services = &self.dependencies.services;
         let Some(leases) = &services.leases else {
--- a/src/net/cluster/shared_health_checks.rs
+++ b/src/net/cluster/shared_health_checks.rs
@@ -91,17 +91,23 @@
         }
     }
 
+    /// Replaces the groups whose hosts are checked.
+    pub fn update_groups(&self, groups: &[GroupId]) {
+        let now = unix_nanoseconds(self.clock.now());
+        let group_numbers: Vec<i64> = groups.iter().map(|group| group.0).collect();
+        let mut schedule = self.schedule.borrow_mut();
+        schedule.update_groups(now, &group_numbers);
+    }
+
     /// Starts the rounds that are due, and returns the time until the next one is.
     ///
     /// While this gateway is in the majority, those are the rounds of the groups whose lease it
     /// holds. In a minority, and where leases are off, they are the rounds that the schedule
     /// assigns by the results that arrived: when in doubt a group is checked by two gateways, never
     /// by none.
-    pub fn start_due_rounds(self: &Rc<Self>, groups: &[GroupId]) -> Duration {
+    pub fn start_due_rounds(self: &Rc<Self>) -> Duration {
         let now = unix_nanoseconds(self.clock.now());
         let mut schedule = self.schedule.borrow_mut();
-        let group_numbers: Vec<i64> = groups.iter().map(|group| group.0).collect();
-        schedule.update_groups(now, &group_numbers);
         let leases = self.leases.as_ref().filter(|leases| leases.in_majority());
         let (due_groups, next_due) = match leases {
             Some(leases) => {
--- a/src/net/upstream/connection.rs
+++ b/src/net/upstream/connection.rs
@@ -72,7 +72,7 @@
     /// The address of a host, unless it has been drained since the attempt was decided on: then no connection is opened.
     fn host_address(&self, member: MemberId) -> Option<HostAddress> {
         let registry = self.registry.borrow();
-        let host = registry.hosts.get(&member);
+        let host = registry.hosts.get(member);
         let host = host.filter(|host| host.accepts_requests)?;
         Some(HostAddress {
             address: host.entry.host_port,
--- a/src/net/upstream/exchange.rs
+++ b/src/net/upstream/exchange.rs
@@ -101,7 +101,7 @@
             | ReplyError::ErrorAfterRow
             | ReplyError::Malformed(_) => {
                 let registry = self.registry.borrow();
-                let host = registry.hosts.get(&member);
+                let host = registry.hosts.get(member);
                 let name = host.map_or("a removed host", |host| &host.entry.id);
                 log!("{name}: {error}");
                 Outcome::Error
--- a/src/net/upstream/host.rs
+++ b/src/net/upstream/host.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Its group.
+    pub(super) fn group(&self) -> GroupId {
+        GroupId(self.entry.cell)
+    }
+
     /// Whether the list has it in service.
     pub(super) fn in_service(&self) -> bool {
         self.removed_at.is_none() && self.entry.phase == EndpointPhase::InService
@@ -105,7 +110,7 @@
         let started = Timestamp::from_nanos(started);
         Endpoint {
             member,
-            group: GroupId(entry.cell),
+            group: self.group(),
             zone,
             state: match entry.phase {
                 EndpointPhase::InService if self.drained => EndpointState::Draining,
--- a/src/net/upstream/host_lookup.rs
+++ b/src/net/upstream/host_lookup.rs
@@ -5,7 +5,6 @@
 use irisrouter::routing::{GroupId, MemberId};
 use irisrouter_cluster_types::HostId;
 use irisrouter_endpoint_watch::Revision;
-use std::collections::BTreeSet;
 
 /// A member and its group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,26 +48,23 @@
 
     /// The hosts of a group that accept requests.
     pub fn members_in_service(&self, group: GroupId) -> Vec<MemberId> {
-        let registry = self.registry.borrow();
-        let members = registry.hosts.iter();
-        members
-            .filter(|(_, host)| host.accepts_requests && host.entry.cell == group.0)
-            .map(|(&member, _)| member)
-            .collect()
+        self.registry.borrow().hosts.accepting(group).collect()
     }
 
     /// The groups that have hosts which accept requests, in ascending order.
     pub fn groups_in_service(&self) -> Vec<GroupId> {
-        let registry = self.registry.borrow();
-        let accepting = registry.hosts.values().filter(|host| host.accepts_requests);
-        let groups: BTreeSet<GroupId> = accepting.map(|host| GroupId(host.entry.cell)).collect();
-        groups.into_iter().collect()
+        self.registry.borrow().hosts.groups_in_service().collect()
+    }
+
+    /// A number that changes whenever [`Upstream::groups_in_service`] does.
+    pub fn groups_version(&self) -> u64 {
+        self.registry.borrow().hosts.groups_version()
     }
 
     /// The id by which the fleet knows a host.
     pub fn fleet_host_id(&self, member: MemberId) -> Option<HostId> {
         let registry = self.registry.borrow();
-        let host = registry.hosts.get(&member)?;
+        let host = registry.hosts.get(member)?;
         Some(host.fleet_id)
     }
 
@@ -77,11 +73,11 @@
         let registry = self.registry.borrow();
         let mut found = registry
             .hosts
-            .iter()
-            .filter(|(_, host)| host.fleet_id == fleet_id && host.accepts_requests);
-        let first = found.next().map(|(&member, host)| GroupMember {
+            .with_fleet_id(fleet_id)
+            .filter(|(_, host)| host.accepts_requests);
+        let first = found.next().map(|(member, host)| GroupMember {
             member,
-            group: GroupId(host.entry.cell),
+            group: host.group(),
         });
         first.filter(|_| found.next().is_none())
     }
@@ -89,39 +85,38 @@
     /// The name of a host; empty where it has been forgotten.
     pub fn member_name(&self, member: MemberId) -> String {
         let registry = self.registry.borrow();
-        let host = registry.hosts.get(&member);
+        let host = registry.hosts.get(member);
         host.map(|host| host.entry.id.clone()).unwrap_or_default()
     }
 
     /// Requests in flight at the host that the fleet knows by this id.
     pub fn requests_in_flight(&self, fleet_id: HostId) -> usize {
         let registry = self.registry.borrow();
-        let hosts = registry.hosts.values();
-        hosts
-            .filter(|host| host.fleet_id == fleet_id)
-            .map(|host| host.in_flight.get())
-            .sum()
+        let hosts = registry.hosts.with_fleet_id(fleet_id);
+        hosts.map(|(_, host)| host.in_flight.get()).sum()
     }
 
     /// The name of the host that the fleet knows by this id; where the list has none, the id.
     pub fn host_name(&self, fleet_id: HostId) -> String {
         let registry = self.registry.borrow();
-        let host = registry
-            .hosts
-            .values()
-            .find(|host| host.fleet_id == fleet_id);
-        host.map_or_else(|| format!("host {fleet_id}"), |host| host.entry.id.clone())
+        let host = registry.hosts.with_fleet_id(fleet_id).next();
+        host.map_or_else(
+            || format!("host {fleet_id}"),
+            |(_, host)| host.entry.id.clone(),
+        )
     }
 
     /// Whether another host of the same group would still accept requests without this one.
     pub fn can_spare(&self, fleet_id: HostId) -> bool {
         let registry = self.registry.borrow();
-        let mut hosts = registry.hosts.values();
-        let host = hosts.find(|host| host.fleet_id == fleet_id);
-        let group = host.map(|host| host.entry.cell);
-        registry.hosts.values().any(|host| {
-            Some(host.entry.cell) == group && host.fleet_id != fleet_id && host.accepts_requests
-        })
+        let hosts = &registry.hosts;
+        let Some((_, host)) = hosts.with_fleet_id(fleet_id).next() else {
+            return false;
+        };
+        let mut accepting = hosts
+            .accepting(host.group())
+            .filter_map(|member| hosts.get(member));
+        accepting.any(|other| other.fleet_id != fleet_id)
     }
 
     /// The sum of the sizes of the hosts in each zone that the list has in service, unreachable ones included.
--- /dev/null
+++ b/src/net/upstream/host_table.rs
@@ -0,0 +1,149 @@
+//! The hosts by member id, with indexes by fleet id and by group: what concerns one host, or one group, takes no walk over
+//! all of them.
+
+use crate::net::upstream::host::Host;
+use irisrouter::routing::{GroupId, MemberId};
+use irisrouter_cluster_types::HostId;
+use std::collections::{btree_map, BTreeMap, BTreeSet, HashMap};
+
+/// All hosts, and the indexes to them.
+#[derive(Default)]
+pub(super) struct HostTable {
+    hosts: BTreeMap<MemberId, Host>,
+    /// The hosts of each fleet id, in ascending order: two names may share an id.
+    by_fleet_id: HashMap<HostId, BTreeSet<MemberId>>,
+    /// The hosts of each group that accept requests; no entry for a group without any.
+    accepting: BTreeMap<GroupId, BTreeSet<MemberId>>,
+    /// The hosts that the list does not contain any more.
+    removed: BTreeSet<MemberId>,
+    groups_version: u64,
+}
+
+impl HostTable {
+    /// A host.
+    pub(super) fn get(&self, member: MemberId) -> Option<&Host> {
+        self.hosts.get(&member)
+    }
+
+    /// A host, to change what no index depends on; see [`HostTable::update`].
+    pub(super) fn get_mut(&mut self, member: MemberId) -> Option<&mut Host> {
+        self.hosts.get_mut(&member)
+    }
+
+    /// All hosts, in the order of their member ids.
+    pub(super) fn iter(&self) -> btree_map::Iter<'_, MemberId, Host> {
+        self.hosts.iter()
+    }
+
+    /// All hosts, in the order of their member ids.
+    pub(super) fn values(&self) -> btree_map::Values<'_, MemberId, Host> {
+        self.hosts.values()
+    }
+
+    /// All hosts, to change what no index depends on.
+    pub(super) fn values_mut(&mut self) -> btree_map::ValuesMut<'_, MemberId, Host> {
+        self.hosts.values_mut()
+    }
+
+    /// Adds a host, unless the member id has one.
+    pub(super) fn insert_if_absent(&mut self, member: MemberId, host: impl FnOnce() -> Host) {
+        if !self.hosts.contains_key(&member) {
+            let host = host();
+            let same_id = self.by_fleet_id.entry(host.fleet_id).or_default();
+            same_id.insert(member);
+            self.index(member, &host);
+            self.hosts.insert(member, host);
+        }
+    }
+
+    /// Changes a host, and the indexes with it. `None` where there is no such host.
+    pub(super) fn update<R>(
+        &mut self,
+        member: MemberId,
+        change: impl FnOnce(&mut Host) -> R,
+    ) -> Option<R> {
+        let mut host = self.hosts.remove(&member)?;
+        let group_before = host.group();
+        let result = change(&mut host);
+        if host.group() != group_before {
+            self.remove_accepting(group_before, member);
+        }
+        self.index(member, &host);
+        self.hosts.insert(member, host);
+        Some(result)
+    }
+
+    /// Removes a host, and returns it.
+    pub(super) fn remove(&mut self, member: MemberId) -> Option<Host> {
+        let host = self.hosts.remove(&member)?;
+        self.remove_accepting(host.group(), member);
+        self.removed.remove(&member);
+        if let Some(same_id) = self.by_fleet_id.get_mut(&host.fleet_id) {
+            same_id.remove(&member);
+            if same_id.is_empty() {
+                self.by_fleet_id.remove(&host.fleet_id);
+            }
+        }
+        Some(host)
+    }
+
+    /// The hosts which the fleet knows by this id, with their member ids.
+    pub(super) fn with_fleet_id(
+        &self,
+        fleet_id: HostId,
+    ) -> impl Iterator<Item = (MemberId, &Host)> {
+        let members = self.by_fleet_id.get(&fleet_id).into_iter().flatten();
+        members.filter_map(|&member| Some((member, self.get(member)?)))
+    }
+
+    /// The hosts of a group that accept requests.
+    pub(super) fn accepting(&self, group: GroupId) -> impl Iterator<Item = MemberId> + '_ {
+        self.accepting.get(&group).into_iter().flatten().copied()
+    }
+
+    /// The groups with hosts that accept requests, in ascending order.
+    pub(super) fn groups_in_service(&self) -> impl Iterator<Item = GroupId> + '_ {
+        self.accepting.keys().copied()
+    }
+
+    /// A number that changes whenever [`HostTable::groups_in_service`] does.
+    pub(super) fn groups_version(&self) -> u64 {
+        self.groups_version
+    }
+
+    /// The hosts that the list does not contain any more.
+    pub(super) fn removed(&self) -> impl Iterator<Item = MemberId> + '_ {
+        self.removed.iter().copied()
+    }
+
+    /// Enters a host, as it is now, into the indexes that depend on its state.
+    fn index(&mut self, member: MemberId, host: &Host) {
+        if host.accepts_requests {
+            let accepting = self.accepting.entry(host.group()).or_default();
+            self.groups_version += u64::from(accepting.is_empty());
+            accepting.insert(member);
+        } else {
+            self.remove_accepting(host.group(), member);
+        }
+        if host.removed_at.is_some() {
+            self.removed.insert(member);
+        } else {
+            self.removed.remove(&member);
+        }
+    }
+
+    fn remove_accepting(&mut self, group: GroupId, member: MemberId) {
+        let Some(accepting) = self.accepting.get_mut(&group) else {
+            return;
+        };
+        accepting.remove(&member);
+        if accepting.is_empty() {
+            self.accepting.remove(&group);
+            self.groups_version += 1;
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "../../../tests/unit/host_table.rs"]
+mod tests;
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -7,6 +7,7 @@
 mod health_check;
 mod host;
 mod host_lookup;
+mod host_table;
 mod load_report;
 mod pool;
 mod reachability;
--- a/src/net/upstream/pool.rs
+++ b/src/net/upstream/pool.rs
@@ -83,7 +83,7 @@
     /// reach their idle timeout.
     pub(super) fn check_out(&self, member: MemberId) -> Option<Connection> {
         let mut registry = self.registry.borrow_mut();
-        let host = registry.hosts.get_mut(&member)?;
+        let host = registry.hosts.get_mut(member)?;
         let idle_timeout = self.limits.idle_timeout.get();
         let now = Instant::now();
         // They are in the order in which they became idle.
@@ -96,7 +96,7 @@
     /// Makes a connection idle, or closes it where its host takes no requests or has changed since it came up.
     pub(super) fn check_in(&self, member: MemberId, mut connection: Connection) {
         let mut registry = self.registry.borrow_mut();
-        let Some(host) = registry.hosts.get_mut(&member) else {
+        let Some(host) = registry.hosts.get_mut(member) else {
             return;
         };
         if host.accepts_requests && host.incarnation == connection.incarnation {
@@ -108,7 +108,7 @@
     /// Counts one more request in flight at a host, if new ones may be sent to it at this moment.
     pub(super) fn begin_request(&self, member: MemberId) -> Option<CountGuard> {
         let registry = self.registry.borrow();
-        let host = registry.hosts.get(&member);
+        let host = registry.hosts.get(member);
         let host = host.filter(|host| host.accepts_requests)?;
         Some(CountGuard::new(&host.in_flight))
     }
@@ -131,10 +131,15 @@
 impl Registry {
     fn forget_removed_hosts(&mut self) {
         let is_old = |removed_at: Instant| removed_at.elapsed() >= REMOVED_HOST_RETENTION;
-        let kept = |host: &Host| host.accepts_requests || !host.removed_at.is_some_and(is_old);
-        let hosts = &mut self.hosts;
-        self.members_by_name
-            .retain(|_, member| hosts.get(member).is_some_and(kept));
-        hosts.retain(|_, host| kept(host));
+        let forgotten = |host: &Host| !host.accepts_requests && host.removed_at.is_some_and(is_old);
+        let removed = self.hosts.removed();
+        let forgotten: Vec<MemberId> = removed
+            .filter(|&member| self.hosts.get(member).is_some_and(forgotten))
+            .collect();
+        for member in forgotten {
+            if let Some(host) = self.hosts.remove(member) {
+                self.members_by_name.remove(&host.entry.id);
+            }
+        }
     }
 }
--- a/src/net/upstream/reachability.rs
+++ b/src/net/upstream/reachability.rs
@@ -101,7 +101,7 @@
             return;
         }
         let mut registry = self.registry.borrow_mut();
-        let host = registry.hosts.get_mut(&member);
+        let host = registry.hosts.get_mut(member);
         if let Some((host, evidence)) = host.zip(Evidence::of(outcome)) {
             host.reachability.record(evidence, sent);
         }
--- a/src/net/upstream/registry.rs
+++ b/src/net/upstream/registry.rs
@@ -5,13 +5,14 @@
 use crate::net::metrics::Metrics;
 use crate::net::upstream::drains::DrainState;
 use crate::net::upstream::host::Host;
+use crate::net::upstream::host_table::HostTable;
 use crate::net::upstream::pool::ConnectionLimits;
 use crate::net::{duration, Clock};
 use irisrouter::platform_settings::{NameTable, PlatformSettings};
 use irisrouter::routing::{Endpoint, EndpointState, Event, GroupId, MemberId, ZoneId};
 use irisrouter_endpoint_watch::Revision;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -41,7 +42,7 @@
 pub(super) struct Registry {
     /// The hosts that the list contains or contained lately. A member id is never used again: late attempts at a host that
     /// has been forgotten must not reach another one.
-    pub(super) hosts: BTreeMap<MemberId, Host>,
+    pub(super) hosts: HostTable,
     pub(super) members_by_name: HashMap<String, MemberId>,
     next_member: u32,
     /// All groups that the list has ever named.
@@ -145,9 +146,12 @@
         self.groups.insert(GroupId(entry.cell));
         let member = self.member_for_name(&entry.id);
         let zone = self.zone_id(&entry.locality);
-        let host = self.hosts.entry(member).or_insert_with(|| Host::new(entry));
-        host.apply_entry(entry, only_listed_drains_bind);
-        host.endpoint(member, zone)
+        self.hosts.insert_if_absent(member, || Host::new(entry));
+        let endpoint = self.hosts.update(member, |host| {
+            host.apply_entry(entry, only_listed_drains_bind);
+            host.endpoint(member, zone)
+        });
+        endpoint.expect("the host is in the table")
     }
 
     /// Marks the hosts that the list says were removed, and those that a complete list does not contain.
@@ -157,17 +161,31 @@
         complete: bool,
         only_listed_drains_bind: bool,
     ) {
-        for (member, host) in &mut self.hosts {
-            let endpoint = endpoints.iter().find(|endpoint| endpoint.member == *member);
-            let removed = endpoint.map_or(complete, |endpoint| {
-                endpoint.state == EndpointState::Removed
-            });
+        let mut listed = HashSet::with_capacity(endpoints.len());
+        for endpoint in endpoints {
+            // Where a list has two entries of a host, the first says whether it was removed.
+            if listed.insert(endpoint.member) {
+                let removed = endpoint.state == EndpointState::Removed;
+                self.mark_removed(endpoint.member, removed, only_listed_drains_bind);
+            }
+        }
+        if complete {
+            let members = self.hosts.iter().map(|(&member, _)| member);
+            let missing: Vec<MemberId> = members.filter(|id| !listed.contains(id)).collect();
+            for member in missing {
+                self.mark_removed(member, true, only_listed_drains_bind);
+            }
+        }
+    }
+
+    fn mark_removed(&mut self, member: MemberId, removed: bool, only_listed_drains_bind: bool) {
+        self.hosts.update(member, |host| {
             if removed {
                 host.mark_removed(only_listed_drains_bind);
-            } else if endpoint.is_some() {
+            } else {
                 host.removed_at = None;
             }
-        }
+        });
     }
 
     /// The member id of this name, a new one where it has none.
