Keep the rounds of health checks in the order in which they are due

Cause: after each datagram HealthCheckSchedule looked at every group twice, for the rounds that are due and for the time of the next one.

Change: two ordered sets, by when a round is due at this gateway and by when it is due anywhere; a result moves one group in them.

--- a/crates/gossip/src/health_check_schedule.rs
+++ b/crates/gossip/src/health_check_schedule.rs
@@ -14,7 +14,7 @@
 
 use crate::{Nanoseconds, UnixNanoseconds};
 use irisrouter_cluster_types::GatewayId;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 /// Time between two rounds of a group: short enough that results are younger than the age that
 /// reads allow.
@@ -50,11 +50,25 @@
     }
 }
 
+/// When the next round of a group is due. Rounds are ordered by time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct DueRound {
+    due: UnixNanoseconds,
+    group: i64,
+}
+
 /// The schedule of one gateway. Groups are given by their numbers.
+///
+/// The rounds are kept in the order in which they are due: a result of one group takes no walk over
+/// all groups.
 pub struct HealthCheckSchedule {
     local_gateway: GatewayId,
     gateway_count: u32,
     rounds: BTreeMap<i64, HealthCheckRound>,
+    /// When each group is due, whoever runs its round.
+    due: BTreeSet<DueRound>,
+    /// When each group is due at this gateway if no other gateway starts a round before.
+    due_here: BTreeSet<DueRound>,
 }
 
 impl HealthCheckSchedule {
@@ -65,39 +79,75 @@
             local_gateway,
             gateway_count,
             rounds: BTreeMap::new(),
+            due: BTreeSet::new(),
+            due_here: BTreeSet::new(),
         }
     }
 
     /// Replaces the groups. A new group is due at once for the first gateway in its order.
     pub fn update_groups(&mut self, now: UnixNanoseconds, groups: &[i64]) {
-        self.rounds.retain(|group, _| groups.contains(group));
-        let (local_gateway, gateway_count) = (self.local_gateway, self.gateway_count);
-        for &group in groups {
-            // The rank is computed once for a group: this method is called for each datagram.
-            self.rounds
-                .entry(group)
-                .or_insert_with(|| HealthCheckRound {
+        let wanted: HashSet<i64> = groups.iter().copied().collect();
+        let known = self.rounds.keys().copied();
+        let removed: Vec<i64> = known.filter(|group| !wanted.contains(group)).collect();
+        for group in removed {
+            self.remove(group);
+        }
+        for group in wanted {
+            if !self.rounds.contains_key(&group) {
+                let round = HealthCheckRound {
                     started_at: now - ROUND_PERIOD,
                     gateway: None,
-                    local_rank: rank(group, local_gateway, gateway_count),
-                });
+                    local_rank: rank(group, self.local_gateway, self.gateway_count),
+                };
+                self.insert(group, round);
+            }
         }
     }
 
+    fn insert(&mut self, group: i64, round: HealthCheckRound) {
+        let due = round.next_due();
+        let due_here = round.next_due_at(self.local_gateway);
+        self.due.insert(DueRound { due, group });
+        self.due_here.insert(DueRound {
+            due: due_here,
+            group,
+        });
+        self.rounds.insert(group, round);
+    }
+
+    fn remove(&mut self, group: i64) -> Option<HealthCheckRound> {
+        let round = self.rounds.remove(&group)?;
+        let due = round.next_due();
+        let due_here = round.next_due_at(self.local_gateway);
+        self.due.remove(&DueRound { due, group });
+        self.due_here.remove(&DueRound {
+            due: due_here,
+            group,
+        });
+        Some(round)
+    }
+
     /// Records that a gateway started a round. A round that is not later than the last one is
     /// ignored.
     pub fn record_round(&mut self, group: i64, gateway: GatewayId, started_at: UnixNanoseconds) {
-        let round = self.rounds.get_mut(&group);
-        if let Some(round) = round.filter(|round| round.started_at < started_at) {
-            round.started_at = started_at;
-            round.gateway = Some(gateway);
+        let round = self.rounds.get(&group);
+        if round.is_none_or(|round| round.started_at >= started_at) {
+            return;
+        }
+        if let Some(round) = self.remove(group) {
+            let round = HealthCheckRound {
+                started_at,
+                gateway: Some(gateway),
+                ..round
+            };
+            self.insert(group, round);
         }
     }
 
     /// Starts the rounds that are due at this gateway, and returns their groups.
     pub fn start_due_rounds(&mut self, now: UnixNanoseconds) -> Vec<i64> {
-        let local_gateway = self.local_gateway;
-        self.start_rounds(now, |_, round| round.next_due_at(local_gateway) <= now)
+        let due = due_by(&self.due_here, now).collect();
+        self.start_rounds(now, due)
     }
 
     /// Starts the rounds that are due of the groups whose lease this gateway holds, and returns
@@ -107,46 +157,39 @@
         now: UnixNanoseconds,
         holds_lease: impl Fn(i64) -> bool,
     ) -> Vec<i64> {
-        self.start_rounds(now, |group, round| {
-            round.next_due() <= now && holds_lease(group)
-        })
+        let due = due_by(&self.due, now);
+        let held = due.filter(|&group| holds_lease(group)).collect();
+        self.start_rounds(now, held)
     }
 
-    fn start_rounds(
-        &mut self,
-        now: UnixNanoseconds,
-        is_due: impl Fn(i64, &HealthCheckRound) -> bool,
-    ) -> Vec<i64> {
-        let due: Vec<i64> = self
-            .rounds
-            .iter()
-            .filter(|(&group, round)| is_due(group, round))
-            .map(|(&group, _)| group)
-            .collect();
-        for &group in &due {
+    /// Starts the rounds of these groups, and returns the groups in ascending order.
+    fn start_rounds(&mut self, now: UnixNanoseconds, mut groups: Vec<i64>) -> Vec<i64> {
+        groups.sort_unstable();
+        for &group in &groups {
             self.record_round(group, self.local_gateway, now);
         }
-        due
+        groups
     }
 
     /// When this gateway's next round is due, if no other gateway starts one before.
     pub fn next_due(&self) -> Option<UnixNanoseconds> {
-        self.rounds
-            .values()
-            .map(|round| round.next_due_at(self.local_gateway))
-            .min()
+        self.due_here.first().map(|round| round.due)
     }
 
     /// When the next round is due of the groups whose lease this gateway holds.
     pub fn next_leased_due(&self, holds_lease: impl Fn(i64) -> bool) -> Option<UnixNanoseconds> {
-        self.rounds
-            .iter()
-            .filter(|(&group, _)| holds_lease(group))
-            .map(|(_, round)| round.next_due())
-            .min()
+        let mut rounds = self.due.iter();
+        let next = rounds.find(|round| holds_lease(round.group));
+        next.map(|round| round.due)
     }
 }
 
+/// The groups of the rounds that are due by `now`.
+fn due_by(rounds: &BTreeSet<DueRound>, now: UnixNanoseconds) -> impl Iterator<Item = i64> + '_ {
+    let due = rounds.iter().take_while(move |round| round.due <= now);
+    due.map(|round| round.group)
+}
+
 /// How many gateways stand before this one in the order of a group: those of greater weight.
 fn rank(group: i64, local_gateway: GatewayId, gateway_count: u32) -> i64 {
     let local_weight = weight(group, local_gateway);
--- a/crates/gossip/tests/health_check_schedule.rs
+++ b/crates/gossip/tests/health_check_schedule.rs
@@ -128,3 +128,34 @@
     schedule.record_round(6, GatewayId(1), EPOCH + 950 * MS);
     assert_eq!(schedule.next_due(), next_due);
 }
+
+/// Guards the order in which rounds are kept: it has to say what a look at every group says.
+#[test]
+fn next_round_is_that_of_the_group_which_is_due_first() {
+    let mut schedule = HealthCheckSchedule::new(GatewayId(0), 3);
+    schedule.update_groups(EPOCH, &GROUPS);
+    let alone = |group: i64, rounds: &[(i64, u32, i64)]| {
+        let mut schedule = HealthCheckSchedule::new(GatewayId(0), 3);
+        schedule.update_groups(EPOCH, &[group]);
+        for &(_, gateway, at_ms) in rounds.iter().filter(|round| round.0 == group) {
+            schedule.record_round(group, GatewayId(gateway), EPOCH + at_ms * MS);
+        }
+        (schedule.next_due(), schedule.next_leased_due(|_| true))
+    };
+    let mut rounds = Vec::new();
+    for step in 0..200 {
+        let round = (step * 7 % 12, (step % 3) as u32, step * 37 % 900);
+        rounds.push(round);
+        schedule.record_round(round.0, GatewayId(round.1), EPOCH + round.2 * MS);
+        let due = GROUPS.map(|group| alone(group, &rounds));
+        assert_eq!(
+            schedule.next_due(),
+            due.map(|due| due.0).into_iter().min().unwrap()
+        );
+        let leased = due.map(|due| due.1).into_iter().min().unwrap();
+        assert_eq!(schedule.next_leased_due(|_| true), leased);
+    }
+    schedule.update_groups(EPOCH, &[3]);
+    assert_eq!(schedule.next_due(), alone(3, &rounds).0);
+    assert_eq!(schedule.next_leased_due(|group| group != 3), None);
+}
