Visit only the groups with queued requests or changes in a router's batch

Cause: each batch, so each event, walked all groups and the queues of all their classes, once to find what to select for and once more for the timer.

Change: the fleet keeps the set of groups that are to be looked at. An event of a group enters it, and it leaves when nothing is queued any more.

--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -14,7 +14,7 @@
 use super::settings::{Freshness, Settings};
 use super::slow_start::warmth;
 use super::time::{TimeDelta, Timestamp};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// A gateway's part of a member's initial limit below which that gateway's own limits say nothing:
 /// they round to none.
@@ -42,6 +42,9 @@
     pub(super) members: BTreeMap<MemberId, Member>,
     /// The groups.
     pub(super) groups: BTreeMap<GroupId, Group>,
+    /// The groups with queued requests, and those in which something has changed: queued requests
+    /// are to be selected for again.
+    pub(super) pending_groups: BTreeSet<GroupId>,
     /// Usual latency of each class.
     pub(super) class_latency: ClassLatency,
     /// Load over all members.
@@ -61,6 +64,7 @@
             now: Timestamp::ZERO,
             members: BTreeMap::new(),
             groups: BTreeMap::new(),
+            pending_groups: BTreeSet::new(),
             load: FleetLoad::new(),
             shared_limit: SharedConcurrencyLimit::new(),
             session_commits: HashMap::new(),
--- a/src/routing/fleet_updates.rs
+++ b/src/routing/fleet_updates.rs
@@ -62,8 +62,9 @@
             };
         }
         self.forget_removed_members();
-        for group in self.groups.values_mut() {
+        for (&id, group) in &mut self.groups {
             group.endpoints_changed(&self.members);
+            self.pending_groups.insert(id);
         }
     }
 
@@ -258,7 +259,7 @@
             Outcome::ConnectFailed | Outcome::Reset | Outcome::TimedOut => self.failed_to_reach(id),
             _ => {}
         }
-        self.group_mut(group).selection_due = true;
+        self.pending_groups.insert(group);
         if let Some(report) = report {
             self.apply_report(id, report);
         }
@@ -275,7 +276,7 @@
         };
         let group = (self.groups.get_mut(&member.identity.group))
             .expect("the group of a known member is known");
-        group.selection_due = true;
+        self.pending_groups.insert(member.identity.group);
         group.health_checks.shared_result(result.at);
         let size = member.identity.size;
         let is_newest = result.at >= member.load.reported_at;
--- a/src/routing/group.rs
+++ b/src/routing/group.rs
@@ -17,8 +17,6 @@
     /// members only a few are left, and each member's part of the requests must still be that of
     /// the full group.
     pub(super) full_size: usize,
-    /// Something has changed: queued requests are to be selected for again.
-    pub(super) selection_due: bool,
     /// Health checks that its queued requests need.
     pub(super) health_checks: GroupHealthChecks,
 }
@@ -33,7 +31,6 @@
         };
         let size = self.members.iter().filter(in_service).count();
         self.full_size = self.full_size.max(size);
-        self.selection_due = true;
     }
 
     /// Distance from a member's own point on the unit circle to this number, 0 to 1. The points of
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -60,10 +60,7 @@
         for event in events {
             self.observe(event);
         }
-        let groups: Vec<GroupId> = (self.fleet.groups.iter())
-            .filter(|(_, group)| group.selection_due || group.has_queued_requests())
-            .map(|(&id, _)| id)
-            .collect();
+        let groups: Vec<GroupId> = self.fleet.pending_groups.iter().copied().collect();
         for group in groups {
             self.dispatch_queued(group);
             self.send_health_checks_on_demand(group);
@@ -197,7 +194,7 @@
             status: *status,
             report: *report,
         };
-        self.fleet.group_mut(request.group).selection_due = true;
+        self.fleet.pending_groups.insert(request.group);
         self.fleet.attempt_ended(&result);
         if *finished {
             self.close(*id);
--- a/src/routing/selection.rs
+++ b/src/routing/selection.rs
@@ -47,13 +47,15 @@
     /// first.
     pub(super) fn dispatch_queued(&mut self, group_id: GroupId) {
         let group = self.fleet.group_mut(group_id);
-        group.selection_due = false;
         group.health_checks.reset_needs();
         for class in self.queued_classes(group_id) {
             let queue = std::mem::take(&mut self.fleet.group_mut(group_id).queues[class]);
             let still_queued = self.dispatch_class(class, queue);
             self.fleet.group_mut(group_id).queues[class] = still_queued;
         }
+        if !self.fleet.groups[&group_id].has_queued_requests() {
+            self.fleet.pending_groups.remove(&group_id);
+        }
     }
 
     /// Classes with queued requests, the highest priority weight for the usual latency first.
