Find the next periodic health checks without a walk over all members

Cause: with each request, while the budget covered a check, the router walked all members and sorted those that were due, though it sends a few. Where gateways share their results nothing is due and the budget stays full, so every request paid for the walk.

Change: HealthCheckQueue keeps the members by their last check, leaves out those of groups with recent shared results, and notes the members that may be suspected.

--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -7,6 +7,7 @@
 use super::concurrency_limit::{SharedConcurrencyLimit, INITIAL_LIMIT};
 use super::group::Group;
 use super::health_check::OBSERVATION_LIFETIME;
+use super::health_check_queue::HealthCheckQueue;
 use super::identifiers::{GroupId, MemberId, SessionId};
 use super::latency::ClassLatency;
 use super::load::FleetLoad;
@@ -45,6 +46,8 @@
     /// The groups with queued requests, and those in which something has changed: queued requests
     /// are to be selected for again.
     pub(super) pending_groups: BTreeSet<GroupId>,
+    /// The members in the order of their periodic health checks.
+    pub(super) health_check_queue: HealthCheckQueue,
     /// Usual latency of each class.
     pub(super) class_latency: ClassLatency,
     /// Load over all members.
@@ -65,6 +68,7 @@
             members: BTreeMap::new(),
             groups: BTreeMap::new(),
             pending_groups: BTreeSet::new(),
+            health_check_queue: HealthCheckQueue::default(),
             load: FleetLoad::new(),
             shared_limit: SharedConcurrencyLimit::new(),
             session_commits: HashMap::new(),
@@ -81,6 +85,11 @@
         (self.members.get_mut(&id)).expect("members stay known while something is in flight there")
     }
 
+    /// The group of a member, if it is known.
+    pub(super) fn group_of(&self, id: MemberId) -> Option<GroupId> {
+        self.members.get(&id).map(|member| member.identity.group)
+    }
+
     /// A group that is known to be there, to be changed.
     pub(super) fn group_mut(&mut self, id: GroupId) -> &mut Group {
         (self.groups.get_mut(&id)).expect("groups of members and of queued requests stay known")
--- a/src/routing/fleet_updates.rs
+++ b/src/routing/fleet_updates.rs
@@ -72,6 +72,11 @@
         if !self.members.contains_key(&endpoint.member) {
             let group = self.groups.entry(endpoint.group).or_default();
             group.members.push(endpoint.member);
+            let shared_at = group.health_checks.shared_result_at();
+            let queue = &mut self.health_check_queue;
+            if !queue.is_shared(endpoint.group, shared_at) {
+                queue.insert(endpoint.member, Timestamp::ZERO);
+            }
         }
         let limit = ConcurrencyLimit::initial(self.settings.gateway_count);
         let member = self
@@ -91,7 +96,12 @@
             .filter(|(_, member)| !self.accepts_requests(member) && member.is_forgettable(long_ago))
             .map(|(&id, _)| id)
             .collect();
-        self.members.retain(|id, _| !forgotten.contains(id));
+        for id in &forgotten {
+            if let Some(member) = self.members.remove(id) {
+                let sent_at = member.health_check.sent_at;
+                self.health_check_queue.forget(*id, sent_at);
+            }
+        }
         for group in self.groups.values_mut() {
             group.members.retain(|id| !forgotten.contains(id));
         }
@@ -108,6 +118,7 @@
         member
             .reachability
             .request_sent(now, usual_latency, connect_timeout);
+        self.reachability_changed(id);
     }
 
     /// Takes what the end of an attempt says of its member.
@@ -162,6 +173,7 @@
             Outcome::ConnectFailed | Outcome::Reset => self.failed_to_reach(id),
             Outcome::Error | Outcome::Cancelled | Outcome::NotSent | Outcome::Unsuitable => {}
         }
+        self.reachability_changed(id);
     }
 
     /// Moves the concurrency limits by an answer.
@@ -198,6 +210,7 @@
         self.member_mut(id)
             .reachability
             .failed(now, connect_timeout);
+        self.reachability_changed(id);
     }
 
     /// Takes the status that came with an answer. A write's position is remembered for its session
@@ -271,13 +284,14 @@
         if self.settings.staleness_check == StalenessCheck::None {
             return;
         }
+        let Some(group) = self.group_of(result.member) else {
+            return;
+        };
+        self.pending_groups.insert(group);
+        self.shared_result(group, result.at);
         let Some(member) = self.members.get_mut(&result.member) else {
             return;
         };
-        let group = (self.groups.get_mut(&member.identity.group))
-            .expect("the group of a known member is known");
-        self.pending_groups.insert(member.identity.group);
-        group.health_checks.shared_result(result.at);
         let size = member.identity.size;
         let is_newest = result.at >= member.load.reported_at;
         if let Some(cores_in_use) = result.report.cores_in_use {
--- a/src/routing/health_check.rs
+++ b/src/routing/health_check.rs
@@ -5,7 +5,6 @@
 
 use super::fleet::Fleet;
 use super::identifiers::{GroupId, MemberId};
-use super::outlier::Reachability;
 use super::time::{TimeDelta, Timestamp};
 
 /// Health checks on demand that each request pays for: as many as cost this share of the priority
@@ -92,6 +91,11 @@
         self.needs = UnmetNeeds::default();
     }
 
+    /// When a result was last obtained by a gateway that shares its results.
+    pub(super) fn shared_result_at(&self) -> Timestamp {
+        self.shared_result_at
+    }
+
     /// A result was obtained then by a gateway that shares its results.
     pub(super) fn shared_result(&mut self, obtained_at: Timestamp) {
         self.shared_result_at = self.shared_result_at.max(obtained_at);
@@ -153,9 +157,9 @@
         withdraw_one(&mut self.periodic)
     }
 
-    /// It can pay for a periodic health check.
-    pub(super) fn covers_periodic(&self) -> bool {
-        self.periodic >= 1.0
+    /// The periodic health checks that it can pay for.
+    pub(super) fn affordable_periodic(&self) -> usize {
+        self.periodic as usize
     }
 }
 
@@ -171,41 +175,88 @@
     /// Gateways that share their health checks have lately obtained results for this group: no
     /// others are needed.
     pub(super) fn has_shared_health_checks(&self, group: GroupId) -> bool {
-        let lifetime = SHARED_CHECK_LIFETIME * self.settings.limits.connect_timeout;
+        let lifetime = self.shared_check_lifetime();
         let recent = |at: Timestamp| self.now - at < lifetime;
         self.groups
             .get(&group)
             .is_some_and(|group| recent(group.health_checks.shared_result_at))
     }
 
-    /// Members that are due for a periodic health check, suspected ones first, then those checked
-    /// longest ago. Suspected members are due after each connect timeout, the others more rarely.
-    pub(super) fn periodic_health_checks_due(&self) -> Vec<MemberId> {
+    /// How long a shared result is recent.
+    fn shared_check_lifetime(&self) -> TimeDelta {
+        SHARED_CHECK_LIFETIME * self.settings.limits.connect_timeout
+    }
+
+    /// The members that are due next for a periodic health check, `limit` of them at most:
+    /// suspected ones first, then those checked longest ago. Suspected members are due after each
+    /// connect timeout, the others more rarely.
+    pub(super) fn periodic_health_checks_due(&mut self, limit: usize) -> Vec<MemberId> {
+        self.requeue_groups_without_shared_checks();
         let timeout = self.settings.limits.connect_timeout;
-        let interval = |reachability: &Reachability| {
-            if reachability.is_suspected(self.now) {
-                timeout
-            } else {
-                timeout * OBSERVATION_LIFETIME as i64
-            }
-        };
-        let mut due: Vec<MemberId> = (self.members.iter())
-            .filter(|(_, member)| {
-                let interval = interval(&member.reachability);
-                member.health_check.is_due(self.now, interval)
-                    && self.accepts_requests(member)
-                    && !self.has_shared_health_checks(member.identity.group)
-            })
-            .map(|(&id, _)| id)
+        let interval = timeout * OBSERVATION_LIFETIME as i64;
+        let queue = &self.health_check_queue;
+        let mut due: Vec<MemberId> = (queue.doubtful())
+            .filter(|&id| self.is_suspected(id) && self.periodic_check_is_due(id, timeout))
             .collect();
-        due.sort_by_key(|&id| {
-            let member = self.member(id);
-            let suspected = member.reachability.is_suspected(self.now);
-            (!suspected, member.health_check.sent_at)
-        });
+        due.sort_by_key(|&id| self.member(id).health_check.sent_at);
+        let others = (queue.checked_before(self.now, interval))
+            .filter(|&id| !self.is_suspected(id) && self.periodic_check_is_due(id, interval))
+            .take(limit.saturating_sub(due.len()));
+        due.extend(others);
+        due.truncate(limit);
         due
     }
 
+    fn periodic_check_is_due(&self, id: MemberId, interval: TimeDelta) -> bool {
+        let member = self.member(id);
+        member.health_check.is_due(self.now, interval)
+            && self.accepts_requests(member)
+            && !self.has_shared_health_checks(member.identity.group)
+    }
+
+    /// Puts the members of groups whose shared results are not recent any more back into the queue.
+    fn requeue_groups_without_shared_checks(&mut self) {
+        let recent = self.now - self.shared_check_lifetime();
+        while let Some(group) = self.health_check_queue.take_outdated_group(recent) {
+            for &id in &self.groups[&group].members {
+                let sent_at = self.members[&id].health_check.sent_at;
+                self.health_check_queue.insert(id, sent_at);
+            }
+        }
+    }
+
+    /// A result of the group was obtained then by a gateway that shares its results.
+    pub(super) fn shared_result(&mut self, group_id: GroupId, obtained_at: Timestamp) {
+        let group = (self.groups.get_mut(&group_id)).expect("the group of a known member is known");
+        let earlier = group.health_checks.shared_result_at();
+        if obtained_at <= earlier && self.health_check_queue.is_shared(group_id, earlier) {
+            return;
+        }
+        group.health_checks.shared_result(obtained_at);
+        let latest = group.health_checks.shared_result_at();
+        let queue = &mut self.health_check_queue;
+        if queue.shared_result(group_id, earlier, latest) {
+            for &id in &group.members {
+                queue.remove(id, self.members[&id].health_check.sent_at);
+            }
+        }
+    }
+
+    /// A health check of the member is sent now.
+    pub(super) fn health_check_sent(&mut self, id: MemberId) {
+        let now = self.now;
+        let health_check = &mut self.member_mut(id).health_check;
+        let earlier = health_check.sent_at;
+        health_check.sent(now);
+        self.health_check_queue.check_sent(id, earlier, now);
+    }
+
+    /// What was learnt of the member's reachability has changed.
+    pub(super) fn reachability_changed(&mut self, id: MemberId) {
+        let doubtful = self.member(id).reachability.may_be_suspected(self.now);
+        self.health_check_queue.set_doubtful(id, doubtful);
+    }
+
     /// Members of a group that are due for a check whether they are the new primary.
     pub(super) fn primary_search_due(&mut self, group: GroupId) -> Vec<MemberId> {
         let now = self.now;
@@ -246,3 +297,7 @@
         })
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/health_check.rs"]
+mod tests;
--- a/src/routing/health_check_dispatch.rs
+++ b/src/routing/health_check_dispatch.rs
@@ -71,10 +71,11 @@
     /// Sends the health checks that are due without any request that needs them, as far as the
     /// budget goes.
     fn send_periodic_health_checks(&mut self) {
-        if !self.health_checks.covers_periodic() {
+        let limit = self.health_checks.affordable_periodic();
+        if limit == 0 {
             return;
         }
-        for member in self.fleet.periodic_health_checks_due() {
+        for member in self.fleet.periodic_health_checks_due(limit) {
             if self.health_checks.withdraw_periodic() {
                 self.send_health_check(member);
             }
@@ -83,8 +84,7 @@
 
     fn send_health_check(&mut self, member: MemberId) {
         if self.fleet.settings.limits.health_checks {
-            let now = self.fleet.now;
-            self.fleet.member_mut(member).health_check.sent(now);
+            self.fleet.health_check_sent(member);
             self.actions.push(Action::HealthCheck { member });
         }
     }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -18,6 +18,7 @@
 mod group;
 mod health_check;
 mod health_check_dispatch;
+mod health_check_queue;
 mod identifiers;
 mod latency;
 mod load;
--- a/src/routing/outlier.rs
+++ b/src/routing/outlier.rs
@@ -81,6 +81,11 @@
         self.suspected_until = Timestamp::ZERO;
     }
 
+    /// The member is suspected, or may be later without anything more being learnt of it.
+    pub(super) fn may_be_suspected(&self, now: Timestamp) -> bool {
+        self.suspected_until > now || self.silent_since.is_some()
+    }
+
     /// Connections to the member fail, or it has been silent for longer than is usual.
     pub(super) fn is_suspected(&self, now: Timestamp) -> bool {
         let silent = |since: Timestamp| now - since > self.silence_tolerance;
--- a/src/routing/snapshot.rs
+++ b/src/routing/snapshot.rs
@@ -100,6 +100,7 @@
             // ever.
             if same_process && !theirs.is_from_the_future(now) {
                 own.merge(theirs);
+                fleet.reachability_changed(*id);
             }
         }
         fleet.class_latency.merge(ClassMeasurements {
