Receive the datagrams of other gateways in turns of 64 at most, 5 ms apart

Cause: each datagram woke the peer socket's task, the services, and the router's task for a batch of its own. Datagrams that were waiting were taken one after another, up to the runtime's 128 in a row, before any client's request went on: a burst held answers back for as long as 128 of them cost.

Change: the datagrams that have come are taken together, 5 ms after the last turn, 64 of them at most; the router gets them as one batch, and requests go on between two turns.

--- a/src/net/cluster/peer_socket.rs
+++ b/src/net/cluster/peer_socket.rs
@@ -23,10 +23,15 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::UdpSocket;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 /// The longest time without a look at the services, where none of them has work earlier.
 const IDLE_WAIT: Duration = Duration::from_millis(500);
+/// How long datagrams wait for one another, so that a burst of them is taken in one turn: short
+/// against the age at which results of health checks are of no more use.
+const RECEIVE_INTERVAL: Duration = Duration::from_millis(5);
+/// The most datagrams that are received in one turn. Requests go on before the next turn.
+const MAX_DATAGRAMS_PER_TURN: usize = 64;
 /// One byte more than the longest datagram, so that longer ones are recognized as too long.
 const RECEIVE_BUFFER_BYTES: usize = message::MAX_DATAGRAM_BYTES + 1;
 const UNKNOWN_SENDER: &str = "no gateway's address";
@@ -147,15 +152,14 @@
     /// Receives datagrams and does the services' work, for ever.
     pub async fn run(self: Rc<Self>) {
         let services = &self.dependencies.services;
-        let mut buffer = [0; RECEIVE_BUFFER_BYTES];
+        let mut receive_at = Instant::now();
         loop {
             let wait = self.advance_services().await;
             tokio::select! {
-                received = self.socket.recv_from(&mut buffer) => match received {
-                    Ok((length, from)) => self.receive(&buffer[..length], from).await,
-                    // The system reports on this call that an earlier datagram was not delivered.
-                    Err(_) => increment(&self.dependencies.metrics.gossip.ignored),
-                },
+                () = self.datagrams_ready(receive_at) => {
+                    self.receive_waiting().await;
+                    receive_at = Instant::now() + RECEIVE_INTERVAL;
+                }
                 () = services.write_intent_send_requested() => {}
                 () = services.drain_send_requested() => {}
                 () = services.endpoint_watch_send_requested() => {}
@@ -164,6 +168,26 @@
         }
     }
 
+    /// Returns once datagrams may be waiting, but not before this time.
+    async fn datagrams_ready(&self, not_before: Instant) {
+        sleep_until(not_before).await;
+        // An error is reported by the call that receives.
+        let _ = self.socket.readable().await;
+    }
+
+    /// Receives the datagrams that are waiting, as many as one turn takes.
+    async fn receive_waiting(&self) {
+        let mut buffer = [0; RECEIVE_BUFFER_BYTES];
+        for _ in 0..MAX_DATAGRAMS_PER_TURN {
+            match self.socket.try_recv_from(&mut buffer) {
+                Ok((length, from)) => self.receive(&buffer[..length], from).await,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                // The system reports on this call that an earlier datagram was not delivered.
+                Err(_) => increment(&self.dependencies.metrics.gossip.ignored),
+            }
+        }
+    }
+
     /// Does the work of all services that is due, and returns the time until some service has work
     /// again.
     async fn advance_services(&self) -> Duration {
