Look up the group of a round of health checks once, and a host in one step

Cause: each of the 12 results of a datagram was looked up by fleet id, member and group, its group was entered as changed, and its round was recorded, though all are of one group. In a fleet whose hosts are not in the processor's cache the look-ups are most of a datagram's cost.

Change: the index by fleet id holds the member and group of the hosts that accept requests; the schedule and the router note a group once for a run of its results; a group without queued requests is not entered for selection.

Decisions are the same by tests/decision_log.rs.

--- a/src/net/cluster/shared_health_checks.rs
+++ b/src/net/cluster/shared_health_checks.rs
@@ -247,14 +247,17 @@
         // Clocks differ a little: no result counts as made in the future.
         let checked_at = timestamp(message.checked_at).min(now);
         let mut results = Vec::with_capacity(message.results.len());
+        let mut last_group = None;
         for result in &message.results {
             let Some(GroupMember { member, group }) = self.upstream.member_by_fleet_id(result.host)
             else {
                 continue;
             };
-            self.schedule
-                .borrow_mut()
-                .record_round(group.0, gateway, unix_nanoseconds(checked_at));
+            // The results of a round are of one group.
+            if last_group.replace(group) != Some(group) {
+                let mut schedule = self.schedule.borrow_mut();
+                schedule.record_round(group.0, gateway, unix_nanoseconds(checked_at));
+            }
             results.push(SharedHealthCheck {
                 member,
                 at: checked_at,
--- a/src/net/upstream/host_lookup.rs
+++ b/src/net/upstream/host_lookup.rs
@@ -1,20 +1,12 @@
 //! Questions about the hosts: by name, by group, by the id that the fleet knows them by.
 
 use crate::net::endpoint_list::EndpointList;
+use crate::net::upstream::host_table::GroupMember;
 use crate::net::upstream::registry::Upstream;
 use irisrouter::routing::{GroupId, MemberId};
 use irisrouter_cluster_types::HostId;
 use irisrouter_endpoint_watch::Revision;
 
-/// A member and its group.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct GroupMember {
-    /// The member.
-    pub member: MemberId,
-    /// Its group.
-    pub group: GroupId,
-}
-
 impl Upstream {
     /// Whether the list has named a host of this group, or there is no list yet.
     pub fn may_have_group(&self, group: GroupId) -> bool {
@@ -71,15 +63,10 @@
     /// The host which accepts requests and which the fleet knows by this id; `None` where two have the id.
     pub fn member_by_fleet_id(&self, fleet_id: HostId) -> Option<GroupMember> {
         let registry = self.registry.borrow();
-        let mut found = registry
-            .hosts
-            .with_fleet_id(fleet_id)
-            .filter(|(_, host)| host.accepts_requests);
-        let first = found.next().map(|(member, host)| GroupMember {
-            member,
-            group: host.group(),
-        });
-        first.filter(|_| found.next().is_none())
+        match registry.hosts.accepting_with_fleet_id(fleet_id) {
+            [only] => Some(*only),
+            _ => None,
+        }
     }
 
     /// The name of a host; empty where it has been forgotten.
--- a/src/net/upstream/host_table.rs
+++ b/src/net/upstream/host_table.rs
@@ -6,12 +6,24 @@
 use irisrouter_cluster_types::HostId;
 use std::collections::{btree_map, BTreeMap, BTreeSet, HashMap};
 
+/// A member and its group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GroupMember {
+    /// The member.
+    pub member: MemberId,
+    /// Its group.
+    pub group: GroupId,
+}
+
 /// All hosts, and the indexes to them.
 #[derive(Default)]
 pub(super) struct HostTable {
     hosts: BTreeMap<MemberId, Host>,
     /// The hosts of each fleet id, in ascending order: two names may share an id.
     by_fleet_id: HashMap<HostId, BTreeSet<MemberId>>,
+    /// The same for the hosts that accept requests, with their groups. Each result that another gateway sends is looked up
+    /// here, and what it needs stands in one place.
+    accepting_by_fleet_id: HashMap<HostId, Vec<GroupMember>>,
     /// The hosts of each group that accept requests; no entry for a group without any.
     accepting: BTreeMap<GroupId, BTreeSet<MemberId>>,
     /// The hosts that the list does not contain any more.
@@ -66,7 +78,7 @@
         let group_before = host.group();
         let result = change(&mut host);
         if host.group() != group_before {
-            self.remove_accepting(group_before, member);
+            self.remove_accepting(&host, group_before, member);
         }
         self.index(member, &host);
         self.hosts.insert(member, host);
@@ -76,7 +88,7 @@
     /// Removes a host, and returns it.
     pub(super) fn remove(&mut self, member: MemberId) -> Option<Host> {
         let host = self.hosts.remove(&member)?;
-        self.remove_accepting(host.group(), member);
+        self.remove_accepting(&host, host.group(), member);
         self.removed.remove(&member);
         if let Some(same_id) = self.by_fleet_id.get_mut(&host.fleet_id) {
             same_id.remove(&member);
@@ -96,6 +108,12 @@
         members.filter_map(|&member| Some((member, self.get(member)?)))
     }
 
+    /// The hosts that accept requests and that the fleet knows by this id.
+    pub(super) fn accepting_with_fleet_id(&self, fleet_id: HostId) -> &[GroupMember] {
+        let members = self.accepting_by_fleet_id.get(&fleet_id);
+        members.map_or(&[], Vec::as_slice)
+    }
+
     /// The hosts of a group that accept requests.
     pub(super) fn accepting(&self, group: GroupId) -> impl Iterator<Item = MemberId> + '_ {
         self.accepting.get(&group).into_iter().flatten().copied()
@@ -121,9 +139,13 @@
         if host.accepts_requests {
             let accepting = self.accepting.entry(host.group()).or_default();
             self.groups_version += u64::from(accepting.is_empty());
-            accepting.insert(member);
+            if accepting.insert(member) {
+                let group = host.group();
+                let same_id = self.accepting_by_fleet_id.entry(host.fleet_id).or_default();
+                same_id.push(GroupMember { member, group });
+            }
         } else {
-            self.remove_accepting(host.group(), member);
+            self.remove_accepting(host, host.group(), member);
         }
         if host.removed_at.is_some() {
             self.removed.insert(member);
@@ -132,11 +154,20 @@
         }
     }
 
-    fn remove_accepting(&mut self, group: GroupId, member: MemberId) {
+    /// Takes a host out of the indexes of those that accept requests, as a member of this group.
+    fn remove_accepting(&mut self, host: &Host, group: GroupId, member: MemberId) {
         let Some(accepting) = self.accepting.get_mut(&group) else {
             return;
         };
-        accepting.remove(&member);
+        if !accepting.remove(&member) {
+            return;
+        }
+        if let Some(same_id) = self.accepting_by_fleet_id.get_mut(&host.fleet_id) {
+            same_id.retain(|other| other.member != member);
+            if same_id.is_empty() {
+                self.accepting_by_fleet_id.remove(&host.fleet_id);
+            }
+        }
         if accepting.is_empty() {
             self.accepting.remove(&group);
             self.groups_version += 1;
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -17,7 +17,7 @@
 
 pub use attempt::{AttemptResult, OutgoingStatement, Statement};
 pub use health_check::{Fence, HealthCheck};
-pub use host_lookup::GroupMember;
+pub use host_table::GroupMember;
 pub use pool::IDLE_CLOSE_INTERVAL;
 pub use registry::Upstream;
 pub use response_stream::{StreamChunk, StreamedAnswer};
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -85,11 +85,6 @@
         (self.members.get_mut(&id)).expect("members stay known while something is in flight there")
     }
 
-    /// The group of a member, if it is known.
-    pub(super) fn group_of(&self, id: MemberId) -> Option<GroupId> {
-        self.members.get(&id).map(|member| member.identity.group)
-    }
-
     /// A group that is known to be there, to be changed.
     pub(super) fn group_mut(&mut self, id: GroupId) -> &mut Group {
         (self.groups.get_mut(&id)).expect("groups of members and of queued requests stay known")
--- a/src/routing/fleet_updates.rs
+++ b/src/routing/fleet_updates.rs
@@ -5,7 +5,7 @@
 use super::endpoint::{Endpoint, LoadReport, ReplicationStatus, SharedHealthCheck};
 use super::event::Outcome;
 use super::fleet::Fleet;
-use super::identifiers::{MemberId, SessionId};
+use super::identifiers::{GroupId, MemberId, SessionId};
 use super::latency::SAMPLE_WEIGHT;
 use super::member::{Member, ProcessChange};
 use super::settings::{Settings, StalenessCheck};
@@ -278,20 +278,39 @@
         }
     }
 
-    /// Takes a health check result that gateways share. Where members do not check reads for
-    /// staleness it is passed over: a gateway that is wrong would have stale reads served.
-    pub(super) fn apply_shared_health_check(&mut self, result: &SharedHealthCheck) {
+    /// Takes health check results that gateways share. Where members do not check reads for
+    /// staleness they are passed over: a gateway that is wrong would have stale reads served.
+    pub(super) fn apply_shared_health_checks(&mut self, results: &[SharedHealthCheck]) {
         if self.settings.staleness_check == StalenessCheck::None {
             return;
         }
-        let Some(group) = self.group_of(result.member) else {
-            return;
-        };
-        self.pending_groups.insert(group);
-        self.shared_result(group, result.at);
-        let Some(member) = self.members.get_mut(&result.member) else {
-            return;
-        };
+        // The results of a round are of one group, which is looked up once.
+        let mut last = None;
+        for result in results {
+            let group = self.apply_shared_health_check(result);
+            let round = group.map(|group| (group, result.at));
+            if let Some((group, obtained_at)) = round.filter(|_| round != last) {
+                last = round;
+                self.shared_result(group, obtained_at);
+                self.select_again(group);
+            }
+        }
+    }
+
+    /// Something has changed in a group: its queued requests, if any, are to be selected for again.
+    fn select_again(&mut self, id: GroupId) {
+        let group = self.group_mut(id);
+        if group.has_queued_requests() {
+            self.pending_groups.insert(id);
+        } else {
+            group.health_checks.reset_needs();
+        }
+    }
+
+    /// Takes the result of one member, and returns its group; none where the member is not known.
+    fn apply_shared_health_check(&mut self, result: &SharedHealthCheck) -> Option<GroupId> {
+        let member = self.members.get_mut(&result.member)?;
+        let group = member.identity.group;
         let size = member.identity.size;
         let is_newest = result.at >= member.load.reported_at;
         if let Some(cores_in_use) = result.report.cores_in_use {
@@ -303,7 +322,7 @@
             }
         }
         if !member.replication.apply_report(result.report, result.at) {
-            return;
+            return Some(group);
         }
         // A primary's position is the time of its report: that shows how old reports are when they
         // arrive.
@@ -318,5 +337,6 @@
             }
             None => {}
         }
+        Some(group)
     }
 }
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -97,11 +97,7 @@
                 report,
                 ..
             } => self.fleet.apply_health_check(*member, *outcome, *report),
-            Event::SharedHealthChecks(results) => {
-                for result in results {
-                    self.fleet.apply_shared_health_check(result);
-                }
-            }
+            Event::SharedHealthChecks(results) => self.fleet.apply_shared_health_checks(results),
             Event::FailoverDirectivesChanged(directives) => self.failover = directives.clone(),
             Event::SnapshotReceived(snapshot) => snapshot.merge_into(&mut self.fleet),
             Event::SettingsChanged {
--- a/tests/unit/host_table.rs
+++ b/tests/unit/host_table.rs
@@ -100,6 +100,17 @@
         let indexed = table.with_fleet_id(fleet_id).map(|(member, _)| member);
         let expected = found(&|host| host.fleet_id == fleet_id);
         assert_eq!(indexed.collect::<Vec<_>>(), expected);
+        let mut accepting = table.accepting_with_fleet_id(fleet_id).to_vec();
+        accepting.sort_by_key(|found| found.member);
+        let hosts = table.iter().filter(|(_, host)| host.accepts_requests);
+        let with_id = hosts.filter(|(_, host)| host.fleet_id == fleet_id);
+        let expected: Vec<GroupMember> = with_id
+            .map(|(&member, host)| GroupMember {
+                member,
+                group: host.group(),
+            })
+            .collect();
+        assert_eq!(accepting, expected);
     }
     let removed = found(&|host| host.removed_at.is_some());
     assert_eq!(table.removed().collect::<Vec<_>>(), removed);
