Keep idle connections apart from the hosts, in the order in which they became idle

Cause: at the limit on connections, each new one walked all hosts for the connection that has been idle longest, and every 0.5 s all hosts were walked for idle ones and for hosts to forget. In a large fleet a gateway is at its limit more often, as more hosts share it.

--- a/src/net/upstream/host.rs
+++ b/src/net/upstream/host.rs
@@ -1,7 +1,6 @@
 //! One database host: its entry in the endpoint list, and what this gateway keeps about it.
 
 use crate::net::endpoint_list::{EndpointEntry, EndpointPhase};
-use crate::net::upstream::connection::Connection;
 use crate::net::upstream::load_report::NANOSECONDS_PER_MILLISECOND;
 use crate::net::upstream::reachability::HostReachability;
 use irisrouter::routing::{Endpoint, EndpointState, GroupId, MemberId, Timestamp, ZoneId};
@@ -37,8 +36,6 @@
     pub(super) accepts_requests: bool,
     /// Changes when its process or its address does: a connection to an earlier incarnation is not used again.
     pub(super) incarnation: u64,
-    /// Idle connections, in the order in which they became idle.
-    pub(super) idle: Vec<Connection>,
     /// Since when the list does not contain it any more.
     pub(super) removed_at: Option<Instant>,
     /// A drain command, or a later list than this gateway's, has it out of service, whatever this gateway's list says.
@@ -57,7 +54,6 @@
             entry: entry.clone(),
             accepts_requests: false,
             incarnation: 0,
-            idle: Vec::new(),
             removed_at: None,
             drained: false,
             in_flight: Rc::default(),
@@ -75,7 +71,7 @@
         self.removed_at.is_none() && self.entry.phase == EndpointPhase::InService
     }
 
-    /// Takes a new entry of the list, and closes the idle connections that are of no use with it.
+    /// Takes a new entry of the list.
     pub(super) fn apply_entry(&mut self, entry: &EndpointEntry, only_listed_drains_bind: bool) {
         self.accepts_requests = match entry.phase {
             EndpointPhase::InService => !self.drained,
@@ -88,19 +84,17 @@
         let restarted = moved || entry.phase == EndpointPhase::Terminated;
         self.incarnation += u64::from(restarted);
         self.entry = entry.clone();
-        let first_idle = self.idle.first();
-        let leads_elsewhere =
-            first_idle.is_some_and(|connection| connection.incarnation != self.incarnation);
-        if !self.accepts_requests || leads_elsewhere {
-            self.idle.clear();
-        }
     }
 
     /// The list says that it was removed, or does not contain it any more.
     pub(super) fn mark_removed(&mut self, only_listed_drains_bind: bool) {
         self.accepts_requests &= only_listed_drains_bind;
         self.removed_at = self.removed_at.or_else(|| Some(Instant::now()));
-        self.idle.clear();
+    }
+
+    /// Whether a connection to this incarnation of the host may be used for further requests.
+    pub(super) fn accepts_requests_at(&self, incarnation: u64) -> bool {
+        self.accepts_requests && self.incarnation == incarnation
     }
 
     /// Its entry as the router takes it.
--- a/src/net/upstream/pool.rs
+++ b/src/net/upstream/pool.rs
@@ -72,36 +72,27 @@
 
     /// Closes the connection that has been idle longest; returns whether there was one.
     fn close_longest_idle(&self) -> bool {
-        let mut registry = self.registry.borrow_mut();
-        let hosts = registry.hosts.values_mut();
-        let with_idle = hosts.filter(|host| !host.idle.is_empty());
-        let oldest = with_idle.min_by_key(|host| host.idle[0].idle_since);
-        oldest.map(|host| host.idle.remove(0)).is_some()
+        self.registry.borrow_mut().idle.close_longest_idle()
     }
 
     /// The connection that was used last of those that have been idle long enough: it is the warmest, and the others can
     /// reach their idle timeout.
     pub(super) fn check_out(&self, member: MemberId) -> Option<Connection> {
         let mut registry = self.registry.borrow_mut();
-        let host = registry.hosts.get_mut(member)?;
         let idle_timeout = self.limits.idle_timeout.get();
         let now = Instant::now();
-        // They are in the order in which they became idle.
         let may_be_used = |connection: &Connection| now - connection.idle_since >= MIN_IDLE_TIME;
-        let position = host.idle.iter().rposition(may_be_used)?;
-        let connection = host.idle.remove(position);
+        let connection = registry.idle.take_last(member, may_be_used)?;
         (now - connection.idle_since < idle_timeout).then_some(connection)
     }
 
     /// Makes a connection idle, or closes it where its host takes no requests or has changed since it came up.
     pub(super) fn check_in(&self, member: MemberId, mut connection: Connection) {
         let mut registry = self.registry.borrow_mut();
-        let Some(host) = registry.hosts.get_mut(member) else {
-            return;
-        };
-        if host.accepts_requests && host.incarnation == connection.incarnation {
+        let host = registry.hosts.get(member);
+        if host.is_some_and(|host| host.accepts_requests_at(connection.incarnation)) {
             connection.idle_since = Instant::now();
-            host.idle.push(connection);
+            registry.idle.insert(member, connection);
         }
     }
 
@@ -120,11 +111,9 @@
         let mut registry = self.registry.borrow_mut();
         registry.forget_removed_hosts();
         let idle_timeout = self.limits.idle_timeout.get();
-        for host in registry.hosts.values_mut() {
-            host.idle.retain(|connection| {
-                connection.idle_since.elapsed() < idle_timeout && connection.is_usable()
-            });
-        }
+        registry.idle.retain(|connection| {
+            connection.idle_since.elapsed() < idle_timeout && connection.is_usable()
+        });
     }
 }
 
--- a/src/net/upstream/registry.rs
+++ b/src/net/upstream/registry.rs
@@ -3,9 +3,11 @@
 use crate::net::buffers::Pool;
 use crate::net::endpoint_list::{EndpointEntry, EndpointList, EndpointPhase};
 use crate::net::metrics::Metrics;
+use crate::net::upstream::connection::Connection;
 use crate::net::upstream::drains::DrainState;
 use crate::net::upstream::host::Host;
 use crate::net::upstream::host_table::HostTable;
+use crate::net::upstream::idle_connections::IdleConnections;
 use crate::net::upstream::pool::ConnectionLimits;
 use crate::net::{duration, Clock};
 use irisrouter::platform_settings::{NameTable, PlatformSettings};
@@ -43,6 +45,8 @@
     /// The hosts that the list contains or contained lately. A member id is never used again: late attempts at a host that
     /// has been forgotten must not reach another one.
     pub(super) hosts: HostTable,
+    /// The idle connections to them.
+    pub(super) idle: IdleConnections<Connection>,
     pub(super) members_by_name: HashMap<String, MemberId>,
     next_member: u32,
     /// All groups that the list has ever named.
@@ -147,8 +151,12 @@
         let member = self.member_for_name(&entry.id);
         let zone = self.zone_id(&entry.locality);
         self.hosts.insert_if_absent(member, || Host::new(entry));
+        let idle = &mut self.idle;
         let endpoint = self.hosts.update(member, |host| {
             host.apply_entry(entry, only_listed_drains_bind);
+            idle.retain_of(member, |connection| {
+                host.accepts_requests_at(connection.incarnation)
+            });
             host.endpoint(member, zone)
         });
         endpoint.expect("the host is in the table")
@@ -186,6 +194,9 @@
                 host.removed_at = None;
             }
         });
+        if removed {
+            self.idle.retain_of(member, |_| false);
+        }
     }
 
     /// The member id of this name, a new one where it has none.
