Keep the maps of hosts and members small, so that a look-up stays in the cache

Cause: the maps held whole hosts and members, some 300 bytes each, so that a look-up among 3,200 of them went through memory that had left the processor's cache, 16,000 times a second.

Change: hosts and members are boxed; the index by fleet id holds its one entry in place (smallvec).

--- a/src/net/upstream/host_table.rs
+++ b/src/net/upstream/host_table.rs
@@ -4,7 +4,8 @@
 use crate::net::upstream::host::Host;
 use irisrouter::routing::{GroupId, MemberId};
 use irisrouter_cluster_types::HostId;
-use std::collections::{btree_map, BTreeMap, BTreeSet, HashMap};
+use smallvec::SmallVec;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// A member and its group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,12 +19,13 @@
 /// All hosts, and the indexes to them.
 #[derive(Default)]
 pub(super) struct HostTable {
-    hosts: BTreeMap<MemberId, Host>,
+    /// Boxed, so that the map itself stays small.
+    hosts: BTreeMap<MemberId, Box<Host>>,
     /// The hosts of each fleet id, in ascending order: two names may share an id.
     by_fleet_id: HashMap<HostId, BTreeSet<MemberId>>,
     /// The same for the hosts that accept requests, with their groups. Each result that another gateway sends is looked up
     /// here, and what it needs stands in one place.
-    accepting_by_fleet_id: HashMap<HostId, Vec<GroupMember>>,
+    accepting_by_fleet_id: HashMap<HostId, SmallVec<[GroupMember; 1]>>,
     /// The hosts of each group that accept requests; no entry for a group without any.
     accepting: BTreeMap<GroupId, BTreeSet<MemberId>>,
     /// The hosts that the list does not contain any more.
@@ -34,33 +36,33 @@
 impl HostTable {
     /// A host.
     pub(super) fn get(&self, member: MemberId) -> Option<&Host> {
-        self.hosts.get(&member)
+        self.hosts.get(&member).map(Box::as_ref)
     }
 
     /// A host, to change what no index depends on; see [`HostTable::update`].
     pub(super) fn get_mut(&mut self, member: MemberId) -> Option<&mut Host> {
-        self.hosts.get_mut(&member)
+        self.hosts.get_mut(&member).map(Box::as_mut)
     }
 
     /// All hosts, in the order of their member ids.
-    pub(super) fn iter(&self) -> btree_map::Iter<'_, MemberId, Host> {
-        self.hosts.iter()
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&MemberId, &Host)> {
+        self.hosts.iter().map(|(member, host)| (member, &**host))
     }
 
     /// All hosts, in the order of their member ids.
-    pub(super) fn values(&self) -> btree_map::Values<'_, MemberId, Host> {
-        self.hosts.values()
+    pub(super) fn values(&self) -> impl Iterator<Item = &Host> {
+        self.hosts.values().map(Box::as_ref)
     }
 
     /// All hosts, to change what no index depends on.
-    pub(super) fn values_mut(&mut self) -> btree_map::ValuesMut<'_, MemberId, Host> {
-        self.hosts.values_mut()
+    pub(super) fn values_mut(&mut self) -> impl Iterator<Item = &mut Host> {
+        self.hosts.values_mut().map(Box::as_mut)
     }
 
     /// Adds a host, unless the member id has one.
     pub(super) fn insert_if_absent(&mut self, member: MemberId, host: impl FnOnce() -> Host) {
         if !self.hosts.contains_key(&member) {
-            let host = host();
+            let host = Box::new(host());
             let same_id = self.by_fleet_id.entry(host.fleet_id).or_default();
             same_id.insert(member);
             self.index(member, &host);
@@ -86,7 +88,7 @@
     }
 
     /// Removes a host, and returns it.
-    pub(super) fn remove(&mut self, member: MemberId) -> Option<Host> {
+    pub(super) fn remove(&mut self, member: MemberId) -> Option<Box<Host>> {
         let host = self.hosts.remove(&member)?;
         self.remove_accepting(&host, host.group(), member);
         self.removed.remove(&member);
@@ -111,7 +113,7 @@
     /// The hosts that accept requests and that the fleet knows by this id.
     pub(super) fn accepting_with_fleet_id(&self, fleet_id: HostId) -> &[GroupMember] {
         let members = self.accepting_by_fleet_id.get(&fleet_id);
-        members.map_or(&[], Vec::as_slice)
+        members.map_or(&[], SmallVec::as_slice)
     }
 
     /// The hosts of a group that accept requests.
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -39,8 +39,8 @@
     pub(super) settings: Settings,
     /// Time of the present batch.
     pub(super) now: Timestamp,
-    /// The members of all groups.
-    pub(super) members: BTreeMap<MemberId, Member>,
+    /// The members of all groups; boxed, so that the map itself stays small.
+    pub(super) members: BTreeMap<MemberId, Box<Member>>,
     /// The groups.
     pub(super) groups: BTreeMap<GroupId, Group>,
     /// The groups with queued requests, and those in which something has changed: queued requests
--- a/src/routing/fleet_updates.rs
+++ b/src/routing/fleet_updates.rs
@@ -82,7 +82,7 @@
         let member = self
             .members
             .entry(endpoint.member)
-            .or_insert_with(|| Member::new(endpoint, limit));
+            .or_insert_with(|| Box::new(Member::new(endpoint, limit)));
         if member.apply_endpoint(endpoint, self.now) == ProcessChange::Restarted {
             member.concurrency_limit.limit = member.concurrency_limit.limit.min(limit);
         }
--- a/src/routing/group.rs
+++ b/src/routing/group.rs
@@ -23,7 +23,7 @@
 
 impl Group {
     /// The endpoint list has changed.
-    pub(super) fn endpoints_changed(&mut self, members: &BTreeMap<MemberId, Member>) {
+    pub(super) fn endpoints_changed(&mut self, members: &BTreeMap<MemberId, Box<Member>>) {
         let in_service = |id: &&MemberId| {
             members
                 .get(id)
--- a/src/routing/snapshot.rs
+++ b/src/routing/snapshot.rs
@@ -56,7 +56,7 @@
             members: (fleet.members.iter())
                 .map(|(&id, member)| SnapshotMember {
                     id,
-                    member: member.clone(),
+                    member: Member::clone(member),
                 })
                 .collect(),
             class_latency: measurements.usual.to_vec(),
