Watch the peer socket only between bursts, so that a datagram does not wake the process

A send waited for room in the socket, in the middle of the services' work and of a shutdown.

Change: after a turn with datagrams the next one comes 10 ms later, by a timer; only after an empty one the runtime watches the socket. Sends do not wait: a datagram that the system has no room for is lost, for which every service is made.

--- a/src/net/cluster/peer_sender.rs
+++ b/src/net/cluster/peer_sender.rs
@@ -2,9 +2,8 @@
 
 use crate::net::cluster::outbox::OutgoingDatagram;
 use crate::net::metrics::{increment, Counter};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
-use tokio::net::UdpSocket;
 
 /// The sending half of the peer socket.
 #[derive(Clone)]
@@ -15,7 +14,7 @@
 }
 
 impl PeerSender {
-    /// A sender on this socket.
+    /// A sender on this socket, which does not block.
     pub const fn new(socket: Rc<UdpSocket>, broadcast_address: SocketAddr) -> Self {
         PeerSender {
             socket,
@@ -23,21 +22,21 @@
         }
     }
 
-    /// Sends datagrams, and counts those that the system accepted. A datagram that is lost is not
-    /// sent again: every service is designed for lost datagrams.
-    pub async fn send_all(&self, datagrams: Vec<OutgoingDatagram>, sent: &Counter) {
+    /// Sends datagrams, and counts those that the system accepted. A datagram that is lost, or that
+    /// the system has no room for, is not sent again: every service is designed for lost datagrams.
+    pub fn send_all(&self, datagrams: Vec<OutgoingDatagram>, sent: &Counter) {
         for datagram in datagrams {
-            self.send(&datagram.bytes, datagram.to, sent).await;
+            self.send(&datagram.bytes, datagram.to, sent);
         }
     }
 
     /// Sends a datagram to all gateways, and counts it if the system accepted it.
-    pub async fn broadcast(&self, bytes: &[u8], sent: &Counter) {
-        self.send(bytes, self.broadcast_address, sent).await;
+    pub fn broadcast(&self, bytes: &[u8], sent: &Counter) {
+        self.send(bytes, self.broadcast_address, sent);
     }
 
-    async fn send(&self, bytes: &[u8], to: SocketAddr, sent: &Counter) {
-        if self.socket.send_to(bytes, to).await.is_ok() {
+    fn send(&self, bytes: &[u8], to: SocketAddr, sent: &Counter) {
+        if self.socket.send_to(bytes, to).is_ok() {
             increment(sent);
         }
     }
--- a/src/net/cluster/peer_socket.rs
+++ b/src/net/cluster/peer_socket.rs
@@ -18,18 +18,17 @@
 use std::collections::HashMap;
 use std::fmt::Display;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::net::UdpSocket;
-use tokio::time::{sleep, sleep_until, Instant};
+use tokio::time::{sleep, Instant};
 
 /// The longest time without a look at the services, where none of them has work earlier.
 const IDLE_WAIT: Duration = Duration::from_millis(500);
 /// How long datagrams wait for one another, so that a burst of them is taken in one turn: short
 /// against the age at which results of health checks are of no more use.
-const RECEIVE_INTERVAL: Duration = Duration::from_millis(5);
+const RECEIVE_INTERVAL: Duration = Duration::from_millis(10);
 /// The most datagrams that are received in one turn. Requests go on before the next turn.
 const MAX_DATAGRAMS_PER_TURN: usize = 64;
 /// One byte more than the longest datagram, so that longer ones are recognized as too long.
@@ -152,13 +151,13 @@
     /// Receives datagrams and does the services' work, for ever.
     pub async fn run(self: Rc<Self>) {
         let services = &self.dependencies.services;
-        let mut receive_at = Instant::now();
+        let mut next_turn = std::pin::pin!(self.next_turn(0));
         loop {
-            let wait = self.advance_services().await;
+            let wait = self.advance_services();
             tokio::select! {
-                () = self.datagrams_ready(receive_at) => {
-                    self.receive_waiting().await;
-                    receive_at = Instant::now() + RECEIVE_INTERVAL;
+                () = &mut next_turn => {
+                    let received = self.receive_waiting();
+                    next_turn.set(self.next_turn(received));
                 }
                 () = services.write_intent_send_requested() => {}
                 () = services.drain_send_requested() => {}
@@ -168,40 +167,55 @@
         }
     }
 
-    /// Returns once datagrams may be waiting, but not before this time.
-    async fn datagrams_ready(&self, not_before: Instant) {
-        sleep_until(not_before).await;
-        // An error is reported by the call that receives.
-        let _ = self.socket.readable().await;
+    /// Waits for the next turn, after one in which so many datagrams were received.
+    async fn next_turn(&self, received: usize) {
+        if received > 0 {
+            sleep(RECEIVE_INTERVAL).await;
+        } else {
+            self.datagram_ready().await;
+        }
+    }
+
+    /// Waits until a datagram comes. The runtime watches the socket only meanwhile: else each
+    /// datagram would wake it, also between two turns.
+    async fn datagram_ready(&self) {
+        let watched = self.socket.try_clone();
+        match watched.and_then(tokio::net::UdpSocket::from_std) {
+            // An error is reported by the call that receives.
+            Ok(watched) => drop(watched.readable().await),
+            Err(_) => sleep(RECEIVE_INTERVAL).await,
+        }
     }
 
-    /// Receives the datagrams that are waiting, as many as one turn takes.
-    async fn receive_waiting(&self) {
+    /// Receives the datagrams that are waiting, as many as one turn takes, and returns how many
+    /// there were.
+    fn receive_waiting(&self) -> usize {
         let mut buffer = [0; RECEIVE_BUFFER_BYTES];
-        for _ in 0..MAX_DATAGRAMS_PER_TURN {
-            match self.socket.try_recv_from(&mut buffer) {
-                Ok((length, from)) => self.receive(&buffer[..length], from).await,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+        for received in 0..MAX_DATAGRAMS_PER_TURN {
+            match self.socket.recv_from(&mut buffer) {
+                Ok((length, from)) => self.receive(&buffer[..length], from),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return received,
                 // The system reports on this call that an earlier datagram was not delivered.
                 Err(_) => increment(&self.dependencies.metrics.gossip.ignored),
             }
         }
+        MAX_DATAGRAMS_PER_TURN
     }
 
     /// Does the work of all services that is due, and returns the time until some service has work
     /// again.
-    async fn advance_services(&self) -> Duration {
+    fn advance_services(&self) -> Duration {
         let mut wait = IDLE_WAIT;
         if self.dependencies.share_health_checks {
             let groups = self.groups_in_service();
-            wait = wait.min(self.advance_leases(&groups).await);
-            wait = wait.min(self.advance_drains().await);
-            wait = wait.min(self.advance_endpoint_watch().await);
-            wait = wait.min(self.advance_site_failover().await);
+            wait = wait.min(self.advance_leases(&groups));
+            wait = wait.min(self.advance_drains());
+            wait = wait.min(self.advance_endpoint_watch());
+            wait = wait.min(self.advance_site_failover());
             wait = wait.min(self.health_checks.start_due_rounds());
         }
-        wait = wait.min(self.advance_membership().await);
-        wait.min(self.advance_write_intents().await)
+        wait = wait.min(self.advance_membership());
+        wait.min(self.advance_write_intents())
     }
 
     /// The groups with hosts in service. The schedule of health checks learns of them when they
@@ -218,81 +232,79 @@
         Rc::clone(&known.groups)
     }
 
-    async fn advance_leases(&self, groups: &[GroupId]) -> Duration {
+    fn advance_leases(&self, groups: &[GroupId]) -> Duration {
         let services = &self.dependencies.services;
         let Some(leases) = &services.leases else {
             return IDLE_WAIT;
         };
         let datagrams = leases.advance(services.leased_tasks(groups).into_iter());
         let sent = &self.dependencies.metrics.leases.sent;
-        self.sender.send_all(datagrams, sent).await;
+        self.sender.send_all(datagrams, sent);
         until(leases.due())
     }
 
-    async fn advance_drains(&self) -> Duration {
+    fn advance_drains(&self) -> Duration {
         let Some(drains) = &self.dependencies.services.drains else {
             return IDLE_WAIT;
         };
         let sent = &self.dependencies.metrics.drains.sent;
-        self.sender.send_all(drains.advance(), sent).await;
+        self.sender.send_all(drains.advance(), sent);
         drains.due()
     }
 
-    async fn advance_endpoint_watch(&self) -> Duration {
+    fn advance_endpoint_watch(&self) -> Duration {
         let Some(endpoint_watch) = &self.dependencies.services.endpoint_watch else {
             return IDLE_WAIT;
         };
         if let Some(heartbeat) = endpoint_watch.heartbeat() {
             let sent = &self.dependencies.metrics.endpoint_watch.heartbeats;
-            self.sender.broadcast(&heartbeat, sent).await;
+            self.sender.broadcast(&heartbeat, sent);
         }
         endpoint_watch.due()
     }
 
-    async fn advance_site_failover(&self) -> Duration {
+    fn advance_site_failover(&self) -> Duration {
         let Some(site_failover) = &self.dependencies.services.site_failover else {
             return IDLE_WAIT;
         };
         let sent = &self.dependencies.metrics.site_failover.sent;
-        self.sender.send_all(site_failover.advance(), sent).await;
+        self.sender.send_all(site_failover.advance(), sent);
         site_failover.due()
     }
 
-    async fn advance_membership(&self) -> Duration {
+    fn advance_membership(&self) -> Duration {
         let Some(membership) = &self.dependencies.services.membership else {
             return IDLE_WAIT;
         };
         let sent = &self.dependencies.metrics.membership.sent;
-        self.sender.send_all(membership.advance(), sent).await;
+        self.sender.send_all(membership.advance(), sent);
         until(membership.due())
     }
 
-    async fn advance_write_intents(&self) -> Duration {
+    fn advance_write_intents(&self) -> Duration {
         let Some(write_intents) = &self.dependencies.services.write_intents else {
             return IDLE_WAIT;
         };
         let sent = &self.dependencies.metrics.write_intents.sent;
-        self.sender.send_all(write_intents.advance(), sent).await;
+        self.sender.send_all(write_intents.advance(), sent);
         until(write_intents.due())
     }
 
     /// Releases all leases, and announces to a few other gateways that this one stops.
-    pub async fn leave(&self) {
+    pub fn leave(&self) {
         let metrics = &self.dependencies.metrics;
         if let Some(leases) = &self.dependencies.services.leases {
             let datagrams = leases.release_all();
-            self.sender.send_all(datagrams, &metrics.leases.sent).await;
+            self.sender.send_all(datagrams, &metrics.leases.sent);
         }
         if let Some(membership) = &self.dependencies.services.membership {
             let datagrams = membership.leave();
-            self.sender
-                .send_all(datagrams, &metrics.membership.sent)
-                .await;
+            self.sender.send_all(datagrams, &metrics.membership.sent);
         }
     }
 
     /// Receives a datagram of another gateway.
-    async fn receive(&self, datagram: &[u8], from: SocketAddr) {
+    fn receive(&self, datagram: &[u8], from: SocketAddr) {
         let Some(&gateway) = self.gateways_by_address.get(&from) else {
             // A datagram from an address outside the list must not make a member of an unknown
             // process.
@@ -304,7 +316,7 @@
             return;
         }
         match &self.dependencies.services.membership {
-            Some(membership) => self.dispatch(datagram, gateway, from, membership).await,
+            Some(membership) => self.dispatch(datagram, gateway, from, membership),
             // All other services need membership.
             None => self.health_checks.receive(datagram, gateway, from),
         }
@@ -312,7 +324,7 @@
 
     /// Hands a datagram to the service of its protocol, and sends what the service answers. A
     /// datagram for a service that is off is ignored.
-    async fn dispatch(
+    fn dispatch(
         &self,
         datagram: &[u8],
         gateway: GatewayId,
@@ -324,14 +336,12 @@
         match Protocol::of(datagram) {
             Protocol::Membership => {
                 let answers = membership.receive(datagram, gateway);
-                self.sender
-                    .send_all(answers, &metrics.membership.sent)
-                    .await;
+                self.sender.send_all(answers, &metrics.membership.sent);
             }
             Protocol::Leases => match &services.leases {
                 Some(leases) => {
                     let answers = leases.receive(datagram, gateway);
-                    self.sender.send_all(answers, &metrics.leases.sent).await;
+                    self.sender.send_all(answers, &metrics.leases.sent);
                 }
                 // Without leases the datagram is treated as health-check results, and ignored as
                 // malformed.
@@ -341,13 +351,13 @@
                 if let Some(write_intents) = &services.write_intents {
                     let answers = write_intents.receive(datagram, gateway);
                     let sent = &metrics.write_intents.sent;
-                    self.sender.send_all(answers, sent).await;
+                    self.sender.send_all(answers, sent);
                 }
             }
             Protocol::Drains => {
                 if let Some(drains) = &services.drains {
                     let answers = drains.receive(datagram, gateway);
-                    self.sender.send_all(answers, &metrics.drains.sent).await;
+                    self.sender.send_all(answers, &metrics.drains.sent);
                 }
             }
             Protocol::EndpointWatch => {
@@ -382,9 +392,9 @@
 }
 
 fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
-    let socket = std::net::UdpSocket::bind(address)?;
+    let socket = UdpSocket::bind(address)?;
     socket.set_nonblocking(true)?;
-    UdpSocket::from_std(socket)
+    Ok(socket)
 }
 
 /// The time until an instant; zero if it has passed.
--- a/src/net/cluster/shared_health_checks.rs
+++ b/src/net/cluster/shared_health_checks.rs
@@ -149,7 +149,7 @@
             // Later results are shared as they arrive.
             deadline = Instant::now() + RESULT_WAIT;
             if !results.is_empty() {
-                self.share(&results).await;
+                self.share(&results);
                 self.router.post(Event::SharedHealthChecks(results));
             }
         }
@@ -173,9 +173,7 @@
             self.upstream.health_check_with_fence(member, fence).await;
         if let Some(lease) = lease.filter(|_| fenced) {
             let datagrams = lease.leases.token_rejected(lease.group);
-            self.sender
-                .send_all(datagrams, &self.metrics.leases.sent)
-                .await;
+            self.sender.send_all(datagrams, &self.metrics.leases.sent);
         }
         let result = match &event {
             Event::HealthChecked {
@@ -195,7 +193,7 @@
 
     /// Sends results to all gateways. A result that is lost only delays what the others know: they
     /// run rounds of their own when none arrive.
-    async fn share(&self, results: &[SharedHealthCheck]) {
+    fn share(&self, results: &[SharedHealthCheck]) {
         let checked_at = unix_nanoseconds(self.clock.now());
         for chunk in results.chunks(message::MAX_RESULTS) {
             let results: Vec<HealthCheckResult> = chunk
@@ -207,9 +205,7 @@
                     checked_at,
                     results,
                 });
-                self.sender
-                    .broadcast(&datagram, &self.metrics.gossip.sent)
-                    .await;
+                self.sender.broadcast(&datagram, &self.metrics.gossip.sent);
             }
         }
     }
--- a/src/net/lifecycle/peer_socket_task.rs
+++ b/src/net/lifecycle/peer_socket_task.rs
@@ -38,10 +38,10 @@
     }
 
     /// Releases the leases of this gateway and announces that it leaves, if the socket is open.
-    pub async fn leave(&self) {
+    pub fn leave(&self) {
         let socket = self.0.borrow().clone();
         if let Some(socket) = socket {
-            socket.leave().await;
+            socket.leave();
         }
     }
 
--- a/src/net/lifecycle/shutdown.rs
+++ b/src/net/lifecycle/shutdown.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 /// The platform kills the process no sooner than this after the longest deadline.
 const KILL_DELAY: Duration = Duration::from_millis(700);
@@ -86,8 +86,8 @@
         let started = Instant::now();
         let schedule = self.announce(started);
         // The other gateways are informed meanwhile: a socket that takes no datagram must not delay the schedule.
-        let leave = timeout(schedule.accept_all_until, self.peer_socket.leave());
-        let (_, ()) = tokio::join!(leave, self.accept_last_requests(started, schedule));
+        self.peer_socket.leave();
+        self.accept_last_requests(started, schedule).await;
         let Self {
             parts,
             client_listener,
