Apply a change of the list to the members and groups that it names

Cause: Fleet::apply_endpoint_list walked all members three times and all groups twice for each list, also for a change of one host; the lists of a large fleet change all the time.

Change: a change goes through the members that it names and their groups; members that may be forgotten come from the set of those removed. A complete list still goes through all.

--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -41,6 +41,8 @@
     pub(super) now: Timestamp,
     /// The members of all groups; boxed, so that the map itself stays small.
     pub(super) members: BTreeMap<MemberId, Box<Member>>,
+    /// The members that have been removed, or are missing from a complete list.
+    pub(super) removed_members: BTreeSet<MemberId>,
     /// The groups.
     pub(super) groups: BTreeMap<GroupId, Group>,
     /// The groups with queued requests, and those in which something has changed: queued requests
@@ -66,6 +68,7 @@
             settings,
             now: Timestamp::ZERO,
             members: BTreeMap::new(),
+            removed_members: BTreeSet::new(),
             groups: BTreeMap::new(),
             pending_groups: BTreeSet::new(),
             health_check_queue: HealthCheckQueue::default(),
--- a/src/routing/fleet_updates.rs
+++ b/src/routing/fleet_updates.rs
@@ -46,28 +46,48 @@
         self.settings = settings.clone();
     }
 
-    /// Takes the endpoint list, or changes to it.
+    /// Takes the endpoint list, or changes to it. Changes concern the members that they name, and
+    /// their groups.
     pub(super) fn apply_endpoint_list(&mut self, complete: bool, endpoints: &[Endpoint]) {
-        for member in self.members.values_mut() {
-            member.service.removed |= complete;
+        if complete {
+            for member in self.members.values_mut() {
+                member.service.removed = true;
+            }
         }
         for endpoint in endpoints {
             self.apply_endpoint(endpoint);
         }
-        for member in self.members.values_mut() {
-            member.service.removed_at = if member.service.removed {
-                member.service.removed_at.min(self.now)
-            } else {
-                Timestamp::MAX
-            };
+        let concerned: BTreeSet<MemberId> = if complete {
+            self.members.keys().copied().collect()
+        } else {
+            endpoints.iter().map(|endpoint| endpoint.member).collect()
+        };
+        let mut groups = BTreeSet::new();
+        for id in concerned {
+            self.note_removal(id);
+            groups.insert(self.member(id).identity.group);
         }
         self.forget_removed_members();
-        for (&id, group) in &mut self.groups {
+        for id in groups {
+            let group = self.groups.get_mut(&id).expect("groups stay known");
             group.endpoints_changed(&self.members);
             self.pending_groups.insert(id);
         }
     }
 
+    /// Notes whether a member is removed, and since when.
+    fn note_removal(&mut self, id: MemberId) {
+        let now = self.now;
+        let service = &mut self.member_mut(id).service;
+        if service.removed {
+            service.removed_at = service.removed_at.min(now);
+            self.removed_members.insert(id);
+        } else {
+            service.removed_at = Timestamp::MAX;
+            self.removed_members.remove(&id);
+        }
+    }
+
     fn apply_endpoint(&mut self, endpoint: &Endpoint) {
         if !self.members.contains_key(&endpoint.member) {
             let group = self.groups.entry(endpoint.group).or_default();
@@ -92,21 +112,28 @@
     /// that replace it are warm.
     fn forget_removed_members(&mut self) {
         let long_ago = self.now - 2 * self.settings.rules.warm_up_time;
-        let forgotten: BTreeSet<MemberId> = (self.members.iter())
-            .filter(|(_, member)| !self.accepts_requests(member) && member.is_forgettable(long_ago))
-            .map(|(&id, _)| id)
-            .collect();
-        for id in &forgotten {
-            if let Some(member) = self.members.remove(id) {
-                let sent_at = member.health_check.sent_at;
-                self.health_check_queue.forget(*id, sent_at);
-            }
-        }
-        for group in self.groups.values_mut() {
-            group.members.retain(|id| !forgotten.contains(id));
+        let is_forgotten = |id: &MemberId| {
+            let member = self.member(*id);
+            !self.accepts_requests(member) && member.is_forgettable(long_ago)
+        };
+        let removed = self.removed_members.iter().copied();
+        let forgotten: Vec<MemberId> = removed.filter(is_forgotten).collect();
+        for id in forgotten {
+            self.forget_member(id);
         }
     }
 
+    fn forget_member(&mut self, id: MemberId) {
+        let Some(member) = self.members.remove(&id) else {
+            return;
+        };
+        self.removed_members.remove(&id);
+        let sent_at = member.health_check.sent_at;
+        self.health_check_queue.forget(id, sent_at);
+        let group = self.group_mut(member.identity.group);
+        group.members.retain(|&other| other != id);
+    }
+
     /// A request of this class is sent to a member.
     pub(super) fn request_sent(&mut self, id: MemberId, class: usize) {
         let now = self.now;
--- a/tests/gateway/harness/fleet.rs
+++ b/tests/gateway/harness/fleet.rs
@@ -1,12 +1,14 @@
 //! A fleet of thousands of database hosts, all of them played by two listeners: one for the primaries, one for the
 //! replicas.
 
-use super::discovery::Discovery;
+use super::discovery::{Discovery, EndpointList};
 use super::gateway::Gateway;
 use super::host::{reply_with_row, Host};
 use super::peers::{join_gateways, PeerGateway};
 use serde_json::{json, Value};
 use std::net::UdpSocket;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
 
 /// Hosts of one group: a primary and its replicas.
 const GROUP_SIZE: usize = 12;
@@ -36,8 +38,8 @@
         fleet
     }
 
-    fn list(&self) -> super::discovery::EndpointList {
-        super::discovery::EndpointList::Members(json!(self.entries()))
+    fn list(&self) -> EndpointList {
+        EndpointList::Members(json!(self.entries()))
     }
 
     /// The groups, by the names of their hosts; the first of each is the primary.
@@ -76,6 +78,20 @@
         (gateway, peer)
     }
 
+    /// Publishes changes of the list until the gateway has had this many, at least this far apart. Each is of one host of
+    /// the first group: it drains, and is in service again with the next change.
+    pub fn publish_changes(&self, changes: usize, interval: Duration) {
+        for change in 0..changes {
+            let phase = ["terminating", "in_service"][change % 2];
+            let host = change / 2 % GROUP_SIZE;
+            let entry = self.entry(host, phase);
+            let start = Instant::now();
+            self.discovery
+                .publish(EndpointList::Changes(json!([entry])));
+            sleep(interval.saturating_sub(start.elapsed()));
+        }
+    }
+
     /// Connections that the hosts have accepted.
     pub fn connections(&self) -> usize {
         self.primaries.connections() + self.replicas.connections()
--- a/tests/gateway/large_fleet.rs
+++ b/tests/gateway/large_fleet.rs
@@ -16,6 +16,9 @@
 /// How long clients send requests.
 const TRAFFIC_DURATION: Duration = Duration::from_secs(8);
 const CLIENTS: u64 = 15;
+/// Changes of the list on a day that has them, and the time between two of them.
+const CHANGES: usize = 700;
+const CHANGE_INTERVAL: Duration = Duration::from_millis(10);
 /// Pause between two requests of a client.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(500);
 /// How long clients wait for their answers, in turn.
@@ -108,10 +111,23 @@
     connections: usize,
 }
 
-fn play_day(hosts: usize) -> Day {
+/// What the list of hosts does on a day.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ListChanges {
+    None,
+    /// One host changes, a hundred times a second.
+    OneHost,
+}
+
+fn play_day(hosts: usize, list_changes: ListChanges) -> Day {
     let fleet = LargeFleet::start(hosts);
     let (gateway, _peer) = fleet.start_gateway();
-    let traffic = send_traffic(&gateway, fleet.groups().len());
+    let traffic = thread::scope(|scope| {
+        if list_changes == ListChanges::OneHost {
+            scope.spawn(|| fleet.publish_changes(CHANGES, CHANGE_INTERVAL));
+        }
+        send_traffic(&gateway, fleet.groups().len())
+    });
     Day {
         traffic,
         used: usage(gateway.process_id()),
@@ -119,11 +135,11 @@
     }
 }
 
-#[test]
-fn costs_of_a_gateway_do_not_grow_with_its_hosts() {
+/// Plays a day with the usual and with the largest number of hosts, and checks the growth of its costs.
+fn check_costs(list_changes: ListChanges) {
     let (usual, large) = thread::scope(|scope| {
-        let usual = scope.spawn(|| play_day(USUAL_HOSTS));
-        let large = scope.spawn(|| play_day(MOST_HOSTS));
+        let usual = scope.spawn(|| play_day(USUAL_HOSTS, list_changes));
+        let large = scope.spawn(|| play_day(MOST_HOSTS, list_changes));
         (usual.join().unwrap(), large.join().unwrap())
     });
     println!("{usual:?}\n{large:?}");
@@ -138,3 +154,13 @@
     assert!(large.connections as f64 <= 2.5 * usual.connections as f64 + 40.0);
     assert!(served(&large) >= 0.85 * served(&usual));
 }
+
+#[test]
+fn costs_of_a_gateway_do_not_grow_with_its_hosts() {
+    check_costs(ListChanges::None);
+}
+
+#[test]
+fn costs_of_a_change_of_the_list_do_not_grow_with_the_hosts() {
+    check_costs(ListChanges::OneHost);
+}
