Soak gateways in fleets of up to 3,200 listed hosts, with another gateway's health checks

Each seed now also draws groups that are listed and that no client uses, of twelve hosts each: none, 16 or 266. Where there are any, the testbed plays a gateway that sends the results of all groups every 0.2 s, and one host of the list changes a second. The rest of a seed's plan is as before.

--- a/crates/testbed/src/cli/cluster_commands.rs
+++ b/crates/testbed/src/cli/cluster_commands.rs
@@ -135,6 +135,7 @@
     Plan {
         gateways: args.gateways as usize,
         sets: args.lease_ms.map_or(1, |_| args.sets),
+        listed_sets: 0,
         zones: vec!["a".into()],
         seed,
         program: program.to_path_buf(),
--- a/crates/testbed/src/cluster/gateway_config.rs
+++ b/crates/testbed/src/cluster/gateway_config.rs
@@ -9,14 +9,13 @@
 /// Longest pause that a refusal asks clients to keep, in nanoseconds.
 const MAX_RETRY_AFTER_NS: u64 = 5_000_000_000;
 
+/// Gateways of a fleet that shares health checks, as a gateway is told; those that do not run are unreachable.
+const SHARING_GATEWAYS: usize = 60;
+
 impl Cluster {
     /// The configuration for the next start of a gateway, with these deadlines in percent of the default ones.
     pub(super) fn gateway_config(&self, gateway: usize, deadline_percent: u64) -> Value {
-        let members: Vec<Value> = self.hosts.iter().map(|h| h.entry(gateway)).collect();
-        let peers: Vec<String> = self.relay.known[gateway]
-            .iter()
-            .map(ToString::to_string)
-            .collect();
+        let peers = self.peer_addresses(gateway);
         let starts = u64::from(self.slots[gateway].starts);
         let limits = self.plan.limits;
         let seed = self.plan.seed ^ (gateway as u64) << 8 ^ starts;
@@ -30,11 +29,25 @@
             "peers": peers,
             "peers_all": self.relay.broadcast[gateway].to_string(),
             "limits": { "cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.sockets },
-            "known": { "revision": 1, "complete": true, "members": members },
+            "known": { "revision": 1, "complete": true, "members": self.discovery.first_entries(gateway) },
             "settings": self.platform_settings(gateway, deadline_percent),
         })
     }
 
+    /// The addresses at which a gateway knows each gateway of the fleet.
+    fn peer_addresses(&self, gateway: usize) -> Vec<String> {
+        let known = self.relay.known[gateway].iter();
+        let mut addresses: Vec<String> = known
+            .chain(&self.checking_gateway)
+            .map(ToString::to_string)
+            .collect();
+        if self.checking_gateway.is_some() {
+            let absent = addresses.len()..SHARING_GATEWAYS;
+            addresses.extend(absent.map(|number| format!("127.0.1.{number}:1")));
+        }
+        addresses
+    }
+
     /// The platform's settings object as a gateway gets it.
     fn platform_settings(&self, gateway: usize, deadline_percent: u64) -> Value {
         let mut scenario = Scenario {
@@ -49,6 +62,9 @@
             class.aim_ms = class.aim_ms.min(class.deadline_ms);
         }
         let mut settings = settings::object(&scenario);
+        if self.checking_gateway.is_some() {
+            settings["Balancers"] = json!(SHARING_GATEWAYS);
+        }
         settings["Me"] = json!(gateway);
         settings["Bounds"]["Peers"] = json!(true);
         settings["Bounds"]["MaxRetryAfterNs"] = json!(MAX_RETRY_AFTER_NS);
--- a/crates/testbed/src/cluster/mod.rs
+++ b/crates/testbed/src/cluster/mod.rs
@@ -28,6 +28,7 @@
 use stand_ins::discovery::Discovery;
 use stand_ins::host::Host;
 use stand_ins::StandIns;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitStatus;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -55,6 +56,9 @@
     pub gateways: usize,
     /// Number of sets, each of a primary and a replica.
     pub sets: u64,
+    /// Number of further sets, which are listed and which no client uses. Where there are any, a gateway that the
+    /// testbed plays sends the health checks of all sets, and the list changes.
+    pub listed_sets: u64,
     /// The zones, to which gateways and hosts are assigned in turn; one at least.
     pub zones: Vec<String>,
     /// Seeds every draw of the run.
@@ -110,6 +114,8 @@
     slots: Vec<Slot>,
     /// The list of database hosts.
     pub discovery: Discovery,
+    /// The address of the gateway that checks all sets for the others, where one does.
+    checking_gateway: Option<SocketAddr>,
     directory: PathBuf,
     /// Ends the stand-ins' thread when it is dropped.
     _stop_stand_ins: oneshot::Sender<()>,
@@ -133,6 +139,7 @@
             relay,
             hosts,
             discovery,
+            checking_gateway,
         } = stand_ins;
         let mut cluster = Cluster {
             clock,
@@ -141,6 +148,7 @@
             hosts,
             slots: (0..plan.gateways).map(|_| Slot::default()).collect(),
             discovery,
+            checking_gateway,
             directory,
             plan,
             _stop_stand_ins: stop,
--- a/crates/testbed/src/cluster/site_loss.rs
+++ b/crates/testbed/src/cluster/site_loss.rs
@@ -116,6 +116,7 @@
     let cluster = Cluster::start(Plan {
         gateways: GATEWAYS,
         sets: SETS,
+        listed_sets: 0,
         zones: [LOST_ZONE, "b", "c"].map(String::from).to_vec(),
         seed,
         program,
--- a/crates/testbed/src/cluster/stand_ins/discovery.rs
+++ b/crates/testbed/src/cluster/stand_ins/discovery.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 
 /// The stand-in of the discovery service.
+#[derive(Clone)]
 pub struct Discovery {
     /// Its addresses, one for each gateway.
     pub addresses: Vec<SocketAddr>,
@@ -84,6 +85,12 @@
         Ok(Discovery { addresses, service })
     }
 
+    /// The hosts as a gateway saw them at the start.
+    #[must_use]
+    pub fn first_entries(&self, gateway: usize) -> &[Value] {
+        &self.service.entries[gateway]
+    }
+
     /// Puts a host into a phase, in the next version of the list.
     pub fn set_phase(&self, host_id: &str, phase: &str) {
         self.service.list.send_modify(|list| {
--- a/crates/testbed/src/cluster/stand_ins/mod.rs
+++ b/crates/testbed/src/cluster/stand_ins/mod.rs
@@ -4,6 +4,7 @@
 pub mod discovery;
 pub mod host;
 mod host_connection;
+mod listed_sets;
 mod protocol;
 
 use super::relay::Relay;
@@ -11,6 +12,9 @@
 use discovery::Discovery;
 use host::{Host, HostSpec};
 use irisrouter_simulation::spec::Spec;
+use listed_sets::{CheckingGateway, ListedSets};
+use serde_json::Value;
+use std::net::SocketAddr;
 use std::sync::{mpsc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -20,6 +24,8 @@
     pub(super) relay: Relay,
     pub(super) hosts: Vec<Host>,
     pub(super) discovery: Discovery,
+    /// The address of the gateway that checks all sets for the others, where one does.
+    pub(super) checking_gateway: Option<SocketAddr>,
 }
 
 /// Starts the stand-ins on a thread of their own, which ends when the sender that is returned is dropped.
@@ -70,14 +76,29 @@
                 hosts.push(Host::start(spec, plan.gateways, clock).await?);
             }
         }
-        let entries = (0..plan.gateways)
-            .map(|gateway| hosts.iter().map(|host| host.entry(gateway)).collect())
-            .collect();
+        let listed = ListedSets {
+            first: plan.sets,
+            count: plan.listed_sets,
+        };
+        let listed_entries = listed.entries(&plan.zones[0]);
+        let entries = |gateway| -> Vec<Value> {
+            let of_hosts = hosts.iter().map(|host| host.entry(gateway));
+            of_hosts.chain(listed_entries.iter().cloned()).collect()
+        };
+        let entries = (0..plan.gateways).map(entries).collect();
         let discovery = Discovery::start(entries, clock).await?;
+        let mut checking_gateway = None;
+        if plan.listed_sets > 0 {
+            let gateway = CheckingGateway::new(listed, &hosts, &relay).await?;
+            checking_gateway = Some(gateway.address()?);
+            tokio::spawn(gateway.run());
+            listed.spawn_list_changes(&discovery);
+        }
         Ok(StandIns {
             relay,
             hosts,
             discovery,
+            checking_gateway,
         })
     }
 }
--- a/crates/testbed/src/soak/plan.rs
+++ b/crates/testbed/src/soak/plan.rs
@@ -20,6 +20,9 @@
 /// Limits on descriptors; the least allows some forty clients.
 const SOCKETS: [u64; 3] = [120, 200, 512];
 
+/// Groups that are listed and that no client uses: none, as many as in a usual fleet, and as in the largest.
+const LISTED_SETS: [u64; 4] = [0, 0, 16, 266];
+
 /// What a client does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case", tag = "client")]
@@ -152,6 +155,8 @@
     pub gateways: usize,
     /// How many groups of a primary and a replica.
     pub groups: usize,
+    /// How many further groups are listed that no client uses, of twelve hosts each.
+    pub listed_sets: u64,
     /// The deadlines of all classes at the start, in percent of what they are by default.
     pub deadline_percent: u64,
     /// The limits of each gateway.
@@ -194,6 +199,7 @@
             seed,
             gateways,
             groups,
+            listed_sets: draw_listed_sets(seed),
             deadline_percent,
             limits,
             clients,
@@ -203,6 +209,12 @@
     }
 }
 
+/// Drawn apart from the rest of the plan.
+fn draw_listed_sets(seed: u64) -> u64 {
+    let mut rng = Rng::new(seed, Stream::EndpointList);
+    LISTED_SETS[rng.index(LISTED_SETS.len())]
+}
+
 fn draw_clients(rng: &mut Rng) -> Vec<ClientBehavior> {
     (0..6 + rng.index(14)).map(|_| draw_client(rng)).collect()
 }
--- a/crates/testbed/src/soak/run.rs
+++ b/crates/testbed/src/soak/run.rs
@@ -75,6 +75,7 @@
     let mut cluster = Cluster::start(Plan {
         gateways: plan.gateways,
         sets: plan.groups as u64,
+        listed_sets: plan.listed_sets,
         zones: vec!["a".into()],
         seed: plan.seed,
         program,
--- a/crates/testbed/tests/common/mod.rs
+++ b/crates/testbed/tests/common/mod.rs
@@ -36,6 +36,7 @@
     Plan {
         gateways,
         sets: 1,
+        listed_sets: 0,
         zones: vec!["a".into()],
         seed,
         program: gateway(),
