Hold a gateway of a large fleet to its answers in bursts, list changes and reloads

no_answer_is_lost_in_bursts_of_datagrams_changes_of_the_list_and_reloads: 3,200 hosts, a tenth of a core, other gateways' datagrams, five bursts of 2,670 more at once with a SIGHUP behind each, ten changes of the list a second. No answer may come over 0.5 s past its deadline.

--- a/tests/gateway/harness/peers.rs
+++ b/tests/gateway/harness/peers.rs
@@ -41,6 +41,9 @@
 
 /// Another gateway, which checks the hosts of all groups and sends the results.
 pub struct PeerGateway {
+    socket: UdpSocket,
+    gateway_address: SocketAddr,
+    groups: Vec<Vec<String>>,
     stopped: Arc<AtomicBool>,
     sender: Option<JoinHandle<()>>,
 }
@@ -52,18 +55,31 @@
         let address: SocketAddr = address.parse().unwrap();
         let stopped = Arc::new(AtomicBool::new(false));
         let is_stopped = Arc::clone(&stopped);
+        let (sending_socket, all_groups) = (socket.try_clone().unwrap(), groups.clone());
         let sender = spawn(move || {
             while !is_stopped.load(Ordering::Relaxed) {
-                send_round(&socket, address, &groups);
+                send_round(&sending_socket, address, &all_groups);
             }
         });
         PeerGateway {
+            socket,
+            gateway_address: address,
+            groups,
             stopped,
             sender: Some(sender),
         }
     }
 }
 
+impl PeerGateway {
+    /// Sends the results of so many rounds of all groups at once, as if they had been held up.
+    pub fn send_burst(&self, rounds: usize) {
+        for group in self.groups.iter().cycle().take(rounds * self.groups.len()) {
+            let _ = self.socket.send_to(&results(group), self.gateway_address);
+        }
+    }
+}
+
 impl Drop for PeerGateway {
     fn drop(&mut self) {
         self.stopped.store(true, Ordering::Relaxed);
--- a/tests/gateway/large_fleet.rs
+++ b/tests/gateway/large_fleet.rs
@@ -23,6 +23,9 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(500);
 /// How long clients wait for their answers, in turn.
 const DEADLINES_MS: [u64; 5] = [0, 1, 50, 200, 400];
+/// Bursts of datagrams, each with a reload, and how many rounds of all groups come at once in one.
+const DISTURBANCES: u32 = 5;
+const ROUNDS_PER_BURST: usize = 10;
 /// The gateway's part of a core.
 const CORE_SHARE: f64 = 0.1;
 
@@ -103,6 +106,27 @@
     assert!(traffic.served > 0, "{traffic:?}");
 }
 
+#[test]
+fn no_answer_is_lost_in_bursts_of_datagrams_changes_of_the_list_and_reloads() {
+    let fleet = LargeFleet::start(MOST_HOSTS);
+    let (gateway, peer) = fleet.start_gateway();
+    let _share = ProcessorShare::limit(gateway.process_id(), CORE_SHARE);
+    let traffic = thread::scope(|scope| {
+        scope.spawn(|| fleet.publish_changes(CHANGES / 10, 10 * CHANGE_INTERVAL));
+        scope.spawn(|| {
+            for _ in 0..DISTURBANCES {
+                thread::sleep(TRAFFIC_DURATION / (DISTURBANCES + 1));
+                peer.send_burst(ROUNDS_PER_BURST);
+                gateway.signal("-HUP");
+            }
+        });
+        send_traffic(&gateway, fleet.groups().len())
+    });
+    assert_eq!(traffic.unanswered, 0, "{traffic:?}");
+    assert!(traffic.latest <= MAX_LATENESS, "{traffic:?}");
+    assert!(traffic.served > 0, "{traffic:?}");
+}
+
 /// What a day at a gateway came to.
 #[derive(Clone, Copy, Debug)]
 struct Day {
