Measure an event of one group while requests of others are held, and 10,200 members

benches/batch.rs gets 3,200 and 10,200 members and event_with_requests_held: requests held for 267 groups, and health checks of another one.

--- a/benches/batch.rs
+++ b/benches/batch.rs
@@ -13,6 +13,10 @@
 
 const MS: TimeDelta = TimeDelta::from_millis(1);
 const MEMBERS_OF_A_SET: u32 = 5;
+/// Ids of held requests, and groups without members for which they are.
+const HELD_REQUESTS_FROM: u64 = 1 << 32;
+const EMPTY_GROUPS_FROM: i64 = 1 << 32;
+const EMPTY_GROUPS: u64 = 267;
 
 fn settings(gateways: u32) -> Settings {
     let json = serde_json::json!({
@@ -137,7 +141,7 @@
 fn request(c: &mut Criterion) {
     for gateways in [2, 48] {
         let mut group = c.benchmark_group(format!("request_{gateways}_gateways"));
-        for members in [10, 100, 1_000] {
+        for members in [10, 100, 1_000, 3_200, 10_200] {
             group.bench_function(BenchmarkId::from_parameter(members), |b| {
                 let mut served = Served::new(members, gateways);
                 b.iter_batched(
@@ -151,5 +155,48 @@
     }
 }
 
-criterion_group!(benches, request);
+/// A request for a group without members, which is held.
+fn held_request(number: u64, now: Timestamp) -> Event {
+    Event::Request {
+        id: RequestId(HELD_REQUESTS_FROM + number),
+        class: 0,
+        tenant: None,
+        session: None,
+        deadline: now + 1_000_000 * MS,
+        work: None,
+        group: GroupId(EMPTY_GROUPS_FROM + (number % EMPTY_GROUPS) as i64),
+        last_write_age: None,
+        retry: false,
+    }
+}
+
+/// An event of one group while requests of other groups are held.
+fn event_with_requests_held(c: &mut Criterion) {
+    let mut group = c.benchmark_group("event_with_requests_held");
+    for held in [0, 100, 1_000, 5_000] {
+        group.bench_function(BenchmarkId::from_parameter(held), |b| {
+            let mut served = Served::new(1_000, 48);
+            let now = served.now;
+            let requests: Vec<Event> = (0..held).map(|n| held_request(n, now)).collect();
+            served.router.batch(now, &requests);
+            let checked = Event::HealthChecked {
+                member: MemberId(0),
+                outcome: Outcome::Ok,
+                elapsed: MS,
+                report: None,
+            };
+            b.iter(|| {
+                served.now += TimeDelta::NANOSECOND;
+                black_box(
+                    served
+                        .router
+                        .batch(served.now, std::slice::from_ref(&checked)),
+                )
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, request, event_with_requests_held);
 criterion_main!(benches);
