Select again for the queued requests of unchanged groups once a tick, not for each event

Cause: each event, of whatever group, selected again for all queued requests of all groups, and a class whose newest request found no member still walked the rest of its queue. With all primaries lost a gateway holds hundreds of requests, and each datagram, answer and arrival paid for all of them.

Change: a batch goes through the groups in which something has changed, and through all with queued requests once a tick, and when the timer fires, as some wait for time to pass. A class stops at its first request that finds no member; finished ones are dropped from the front. What a group's own events decide is as before; a request that waits for time alone, among events of other groups, is sent up to a tick later than it was.

--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -45,9 +45,10 @@
     pub(super) removed_members: BTreeSet<MemberId>,
     /// The groups.
     pub(super) groups: BTreeMap<GroupId, Group>,
-    /// The groups with queued requests, and those in which something has changed: queued requests
-    /// are to be selected for again.
-    pub(super) pending_groups: BTreeSet<GroupId>,
+    /// The groups in which something has changed since queued requests were last selected for.
+    pub(super) changed_groups: BTreeSet<GroupId>,
+    /// The groups with queued requests.
+    pub(super) queued_groups: BTreeSet<GroupId>,
     /// The members in the order of their periodic health checks.
     pub(super) health_check_queue: HealthCheckQueue,
     /// Usual latency of each class.
@@ -70,7 +71,8 @@
             members: BTreeMap::new(),
             removed_members: BTreeSet::new(),
             groups: BTreeMap::new(),
-            pending_groups: BTreeSet::new(),
+            changed_groups: BTreeSet::new(),
+            queued_groups: BTreeSet::new(),
             health_check_queue: HealthCheckQueue::default(),
             load: FleetLoad::new(),
             shared_limit: SharedConcurrencyLimit::new(),
--- a/src/routing/request.rs
+++ b/src/routing/request.rs
@@ -125,6 +125,11 @@
         (self.by_id.get_mut(&id)).expect("requests stay in the table until they are finished")
     }
 
+    /// The request, if it is queued.
+    pub(super) fn queued(&self, id: RequestId) -> Option<&Request> {
+        self.by_id.get(&id).filter(|request| request.queued)
+    }
+
     /// The request, if it has no final answer yet.
     pub(super) fn unanswered(&self, id: RequestId) -> Option<&Request> {
         self.by_id.get(&id).filter(|request| !request.answered)
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -17,6 +17,7 @@
 use super::snapshot::RoutingSnapshot;
 use super::time::{TimeDelta, Timestamp};
 use super::timer::TimerSchedule;
+use std::collections::BTreeSet;
 
 /// Share of the latency objective that a read waits for a health check to prove a replica recent,
 /// or a member to have room, before it takes the second choice.
@@ -30,6 +31,8 @@
     pub(super) health_checks: HealthCheckBudget,
     pub(super) failover: FailoverDirectives,
     pub(super) timer: TimerSchedule,
+    /// When all queued requests are selected for again.
+    select_for_all_at: Timestamp,
     pub(super) rng: oorandom::Rand64,
     /// The actions of the present batch.
     pub(super) actions: Vec<Action>,
@@ -51,6 +54,7 @@
                 .collect(),
             health_checks: HealthCheckBudget::new(),
             timer: TimerSchedule::default(),
+            select_for_all_at: Timestamp::ZERO,
         }
     }
 
@@ -60,8 +64,7 @@
         for event in events {
             self.observe(event);
         }
-        let groups: Vec<GroupId> = self.fleet.pending_groups.iter().copied().collect();
-        for group in groups {
+        for group in self.take_groups_to_select_for() {
             self.dispatch_queued(group);
             self.send_health_checks_on_demand(group);
         }
@@ -70,6 +73,17 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// The groups whose queued requests are selected for now: those in which something has changed
+    /// and, once a tick, all others, as what they wait for may come with time.
+    fn take_groups_to_select_for(&mut self) -> BTreeSet<GroupId> {
+        let mut groups = std::mem::take(&mut self.fleet.changed_groups);
+        if self.fleet.now >= self.select_for_all_at {
+            self.select_for_all_at = self.fleet.now + self.fleet.settings.tick;
+            groups.extend(&self.fleet.queued_groups);
+        }
+        groups
+    }
+
     /// What this router has learnt.
     pub fn snapshot(&self) -> RoutingSnapshot {
         RoutingSnapshot::of(&self.fleet)
@@ -88,7 +102,8 @@
             } => self.fleet.apply_endpoint_list(*complete, endpoints),
             Event::EndpointListLost => self.actions.push(Action::WatchEndpoints),
             Event::Request { .. } => self.request_arrived(event),
-            Event::Streaming { .. } | Event::TimerFired => {}
+            Event::Streaming { .. } => {}
+            Event::TimerFired => self.select_for_all_at = self.fleet.now,
             Event::AttemptEnded { .. } => self.attempt_ended(event),
             Event::ClientGone { id } => self.close(*id),
             Event::HealthChecked {
@@ -190,7 +205,7 @@
             status: *status,
             report: *report,
         };
-        self.fleet.pending_groups.insert(request.group);
+        self.fleet.changed_groups.insert(request.group);
         self.fleet.attempt_ended(&result);
         if *finished {
             self.close(*id);
@@ -200,3 +215,7 @@
         self.requests.remove_if_finished(*id);
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/router.rs"]
+mod tests;
--- a/src/routing/selection.rs
+++ b/src/routing/selection.rs
@@ -53,8 +53,10 @@
             let still_queued = self.dispatch_class(class, queue);
             self.fleet.group_mut(group_id).queues[class] = still_queued;
         }
-        if !self.fleet.groups[&group_id].has_queued_requests() {
-            self.fleet.pending_groups.remove(&group_id);
+        if self.fleet.groups[&group_id].has_queued_requests() {
+            self.fleet.queued_groups.insert(group_id);
+        } else {
+            self.fleet.queued_groups.remove(&group_id);
         }
     }
 
@@ -73,30 +75,35 @@
     }
 
     /// Sends what it can of a queue, and returns the rest in the same order.
-    fn dispatch_class(&mut self, class: usize, queue: VecDeque<RequestId>) -> VecDeque<RequestId> {
+    fn dispatch_class(
+        &mut self,
+        class: usize,
+        mut queue: VecDeque<RequestId>,
+    ) -> VecDeque<RequestId> {
         // All requests of a class wait for the same thing, except session reads and long ones.
         let independent = self.fleet.settings.classes[class].freshness == Freshness::Session
             || self.fleet.is_long_read(class);
         let mut still_queued = VecDeque::new();
-        let mut blocked = false;
         // Newest first: in an overload the oldest would be sent with too little time left.
-        for id in queue.into_iter().rev() {
-            let request = self.requests.by_id.get(&id);
-            let Some(request) = request.filter(|request| request.queued) else {
+        while let Some(id) = queue.pop_back() {
+            let Some(request) = self.requests.queued(id) else {
                 continue;
             };
-            if blocked && !independent {
-                still_queued.push_front(id);
+            let selected = self.select(request, None);
+            if selected.is_some_and(|member| self.send(id, member)) {
                 continue;
             }
-            let selected = self.select(request, None);
-            if !selected.is_some_and(|member| self.send(id, member)) {
-                self.note_unmet_needs(id);
-                blocked = true;
-                still_queued.push_front(id);
+            self.note_unmet_needs(id);
+            still_queued.push_front(id);
+            if !independent {
+                break;
             }
         }
-        still_queued
+        while (queue.front()).is_some_and(|&id| self.requests.queued(id).is_none()) {
+            queue.pop_front();
+        }
+        queue.append(&mut still_queued);
+        queue
     }
 
     /// The member that a request goes to now; with none it stays queued.
