--- a/crates/testbed/src/cluster/stand_ins/discovery.rs
+++ b/crates/testbed/src/cluster/stand_ins/discovery.rs
@@ -12,6 +12,7 @@
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::task::spawn_blocking;
 
 /// The stand-in of the discovery service.
 #[derive(Clone)]
@@ -128,7 +129,7 @@
 
 impl Service {
     /// Serves a connection of a gateway until it ends.
-    async fn serve(&self, stream: TcpStream, gateway: usize) -> Option<()> {
+    async fn serve(self: &Arc<Self>, stream: TcpStream, gateway: usize) -> Option<()> {
         let mut stream = BufReader::new(stream);
         loop {
             let request = Request::read(&mut stream).await?;
@@ -145,7 +146,9 @@
             if let (Some(from), true) = (request.from, request.is_long_poll()) {
                 self.hold(gateway, from, request.hold, &mut stream).await?;
             }
-            let body = self.body(gateway);
+            // A long list takes a while, and the hosts run on this thread.
+            let service = Arc::clone(self);
+            let body = spawn_blocking(move || service.body(gateway)).await.ok()?;
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
             let response = format!("{head}{body}");
             stream.write_all(response.as_bytes()).await.ok()?;
