--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -12,6 +12,7 @@
 use super::latency::ClassLatency;
 use super::load::FleetLoad;
 use super::member::Member;
+use super::selection_schedule::SelectionSchedule;
 use super::settings::{Freshness, Settings};
 use super::slow_start::warmth;
 use super::time::{TimeDelta, Timestamp};
@@ -45,10 +46,8 @@
     pub(super) removed_members: BTreeSet<MemberId>,
     /// The groups.
     pub(super) groups: BTreeMap<GroupId, Group>,
-    /// The groups in which something has changed since queued requests were last selected for.
-    pub(super) changed_groups: BTreeSet<GroupId>,
-    /// The groups with queued requests.
-    pub(super) queued_groups: BTreeSet<GroupId>,
+    /// For which groups queued requests are selected for next.
+    pub(super) selection: SelectionSchedule,
     /// The members in the order of their periodic health checks.
     pub(super) health_check_queue: HealthCheckQueue,
     /// Usual latency of each class.
@@ -71,8 +70,7 @@
             members: BTreeMap::new(),
             removed_members: BTreeSet::new(),
             groups: BTreeMap::new(),
-            changed_groups: BTreeSet::new(),
-            queued_groups: BTreeSet::new(),
+            selection: SelectionSchedule::default(),
             health_check_queue: HealthCheckQueue::default(),
             load: FleetLoad::new(),
             shared_limit: SharedConcurrencyLimit::new(),
--- a/src/routing/fleet_updates.rs
+++ b/src/routing/fleet_updates.rs
@@ -71,7 +71,7 @@
         for id in groups {
             let group = self.groups.get_mut(&id).expect("groups stay known");
             group.endpoints_changed(&self.members);
-            self.changed_groups.insert(id);
+            self.selection.group_changed(id);
         }
     }
 
@@ -299,7 +299,7 @@
             Outcome::ConnectFailed | Outcome::Reset | Outcome::TimedOut => self.failed_to_reach(id),
             _ => {}
         }
-        self.changed_groups.insert(group);
+        self.selection.group_changed(group);
         if let Some(report) = report {
             self.apply_report(id, report);
         }
@@ -328,7 +328,7 @@
     fn select_again(&mut self, id: GroupId) {
         let group = self.group_mut(id);
         if group.has_queued_requests() {
-            self.changed_groups.insert(id);
+            self.selection.group_changed(id);
         } else {
             group.health_checks.reset_needs();
         }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -30,6 +30,7 @@
 mod retry_budget;
 mod router;
 mod selection;
+mod selection_schedule;
 mod settings;
 mod slow_start;
 mod snapshot;
--- a/src/routing/retry.rs
+++ b/src/routing/retry.rs
@@ -54,7 +54,7 @@
         let group = self.fleet.groups.entry(request.group).or_default();
         group.queues.resize(classes, VecDeque::new());
         group.queues[class].push_back(id);
-        self.fleet.changed_groups.insert(request.group);
+        self.fleet.selection.group_changed(request.group);
         self.review_before_giving_up(id);
     }
 
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -10,14 +10,12 @@
 use super::fleet::Fleet;
 use super::fleet_updates::AttemptResult;
 use super::health_check::HealthCheckBudget;
-use super::identifiers::GroupId;
 use super::request::{Request, RequestTable};
 use super::retry_budget::RetryBudget;
 use super::settings::{RequestClass, Settings, StalenessCheck};
 use super::snapshot::RoutingSnapshot;
 use super::time::{TimeDelta, Timestamp};
 use super::timer::TimerSchedule;
-use std::collections::BTreeSet;
 
 /// Share of the latency objective that a read waits for a health check to prove a replica recent,
 /// or a member to have room, before it takes the second choice.
@@ -31,8 +29,6 @@
     pub(super) health_checks: HealthCheckBudget,
     pub(super) failover: FailoverDirectives,
     pub(super) timer: TimerSchedule,
-    /// When all queued requests are selected for again.
-    select_for_all_at: Timestamp,
     pub(super) rng: oorandom::Rand64,
     /// The actions of the present batch.
     pub(super) actions: Vec<Action>,
@@ -54,7 +50,6 @@
                 .collect(),
             health_checks: HealthCheckBudget::new(),
             timer: TimerSchedule::default(),
-            select_for_all_at: Timestamp::ZERO,
         }
     }
 
@@ -64,7 +59,8 @@
         for event in events {
             self.observe(event);
         }
-        for group in self.take_groups_to_select_for() {
+        let tick = self.fleet.settings.tick;
+        for group in self.fleet.selection.take_due(now, tick) {
             self.dispatch_queued(group);
             self.send_health_checks_on_demand(group);
         }
@@ -73,17 +69,6 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// The groups whose queued requests are selected for now: those in which something has changed
-    /// and, once a tick, all others, as what they wait for may come with time.
-    fn take_groups_to_select_for(&mut self) -> BTreeSet<GroupId> {
-        let mut groups = std::mem::take(&mut self.fleet.changed_groups);
-        if self.fleet.now >= self.select_for_all_at {
-            self.select_for_all_at = self.fleet.now + self.fleet.settings.tick;
-            groups.extend(&self.fleet.queued_groups);
-        }
-        groups
-    }
-
     /// What this router has learnt.
     pub fn snapshot(&self) -> RoutingSnapshot {
         RoutingSnapshot::of(&self.fleet)
@@ -103,7 +88,7 @@
             Event::EndpointListLost => self.actions.push(Action::WatchEndpoints),
             Event::Request { .. } => self.request_arrived(event),
             Event::Streaming { .. } => {}
-            Event::TimerFired => self.select_for_all_at = self.fleet.now,
+            Event::TimerFired => self.fleet.selection.timer_fired(self.fleet.now),
             Event::AttemptEnded { .. } => self.attempt_ended(event),
             Event::ClientGone { id } => self.close(*id),
             Event::HealthChecked {
@@ -205,7 +190,7 @@
             status: *status,
             report: *report,
         };
-        self.fleet.changed_groups.insert(request.group);
+        self.fleet.selection.group_changed(request.group);
         self.fleet.attempt_ended(&result);
         if *finished {
             self.close(*id);
--- a/src/routing/selection.rs
+++ b/src/routing/selection.rs
@@ -53,11 +53,8 @@
             let still_queued = self.dispatch_class(class, queue);
             self.fleet.group_mut(group_id).queues[class] = still_queued;
         }
-        if self.fleet.groups[&group_id].has_queued_requests() {
-            self.fleet.queued_groups.insert(group_id);
-        } else {
-            self.fleet.queued_groups.remove(&group_id);
-        }
+        let queued = self.fleet.groups[&group_id].has_queued_requests();
+        self.fleet.selection.set_queued(group_id, queued);
     }
 
     /// Classes with queued requests, the highest priority weight for the usual latency first.
--- a/src/routing/timer.rs
+++ b/src/routing/timer.rs
@@ -32,7 +32,7 @@
     pub(super) fn set_timer(&mut self) {
         let now = self.fleet.now;
         let soon = now + self.fleet.settings.tick * TICKS_WHILE_QUEUED;
-        let queued = !self.fleet.queued_groups.is_empty();
+        let queued = self.fleet.selection.has_queued();
         let wanted_at = if queued {
             Some(soon)
         } else {
--- a/tests/unit/router.rs
+++ b/tests/unit/router.rs
@@ -4,7 +4,7 @@
 use crate::platform_settings::PlatformSettings;
 use crate::routing::endpoint::{Endpoint, EndpointState};
 use crate::routing::event::Outcome;
-use crate::routing::identifiers::{MemberId, RequestId, ZoneId};
+use crate::routing::identifiers::{GroupId, MemberId, RequestId, ZoneId};
 
 const MILLISECOND: TimeDelta = TimeDelta::from_millis(1);
 const FIRST: RequestId = RequestId(1);
