Select again for all queued requests with each event, as before

By reading: the health checks that queued groups need come from one budget, which an arriving request pays into; once a tick, its own group took it before the groups that had waited. That part is not traced.

Change: a batch goes through all groups with queued requests again. What does else stays: a class stops at its first request that finds no member.

The unit test is stricter: a queued request is sent when its pause ends, and not up to a tick later.

--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -59,8 +59,7 @@
         for event in events {
             self.observe(event);
         }
-        let tick = self.fleet.settings.tick;
-        for group in self.fleet.selection.take_due(now, tick) {
+        for group in self.fleet.selection.take_due() {
             self.dispatch_queued(group);
             self.send_health_checks_on_demand(group);
         }
@@ -87,8 +86,7 @@
             } => self.fleet.apply_endpoint_list(*complete, endpoints),
             Event::EndpointListLost => self.actions.push(Action::WatchEndpoints),
             Event::Request { .. } => self.request_arrived(event),
-            Event::Streaming { .. } => {}
-            Event::TimerFired => self.fleet.selection.timer_fired(self.fleet.now),
+            Event::Streaming { .. } | Event::TimerFired => {}
             Event::AttemptEnded { .. } => self.attempt_ended(event),
             Event::ClientGone { id } => self.close(*id),
             Event::HealthChecked {
--- a/src/routing/selection_schedule.rs
+++ b/src/routing/selection_schedule.rs
@@ -1,7 +1,6 @@
-//! For which groups queued requests are selected for, and when.
+//! The groups for which queued requests are selected for in a batch.
 
 use super::identifiers::GroupId;
-use super::time::{TimeDelta, Timestamp};
 use std::collections::BTreeSet;
 
 /// The groups whose queued requests wait to be selected for again.
@@ -11,8 +10,6 @@
     changed: BTreeSet<GroupId>,
     /// The groups with queued requests.
     queued: BTreeSet<GroupId>,
-    /// When the groups with queued requests are all due.
-    all_due_at: Timestamp,
 }
 
 impl SelectionSchedule {
@@ -21,11 +18,6 @@
         self.changed.insert(id);
     }
 
-    /// The timer has fired: all groups with queued requests are due.
-    pub(super) fn timer_fired(&mut self, now: Timestamp) {
-        self.all_due_at = now;
-    }
-
     /// Sets whether a group has queued requests.
     pub(super) fn set_queued(&mut self, id: GroupId, queued: bool) {
         if queued {
@@ -40,14 +32,11 @@
         !self.queued.is_empty()
     }
 
-    /// Takes the groups that are due: those in which something has changed and, once a tick, all
-    /// with queued requests, as what these wait for may come with time.
-    pub(super) fn take_due(&mut self, now: Timestamp, tick: TimeDelta) -> BTreeSet<GroupId> {
+    /// Takes the groups that are due: those in which something has changed, and those with queued
+    /// requests, as what these wait for may come with time, and as all share the budgets.
+    pub(super) fn take_due(&mut self) -> BTreeSet<GroupId> {
         let mut due = std::mem::take(&mut self.changed);
-        if now >= self.all_due_at {
-            self.all_due_at = now + tick;
-            due.extend(&self.queued);
-        }
+        due.extend(&self.queued);
         due
     }
 }
--- a/tests/unit/router.rs
+++ b/tests/unit/router.rs
@@ -60,7 +60,7 @@
 /// Guards against queued requests that wait for events of their own group only: what keeps this one
 /// is a pause, which ends by itself.
 #[test]
-fn queued_request_is_sent_within_a_tick_while_only_other_groups_have_events() {
+fn queued_request_is_sent_at_once_when_its_pause_ends_while_only_other_groups_have_events() {
     let mut now = Timestamp::ZERO + TimeDelta::from_secs(1_000);
     let mut router = router(now);
     assert!(is_sent(FIRST, &router.batch(now, &[read(FIRST, now)])));
@@ -90,7 +90,7 @@
     let mut sent = false;
     while !sent {
         now += MILLISECOND;
-        assert!(now <= pause_ends_at + router.fleet.settings.tick + MILLISECOND);
+        assert!(now <= pause_ends_at + MILLISECOND);
         sent = is_sent(
             SECOND,
             &router.batch(now, std::slice::from_ref(&of_other_group)),
