Move the indexes to hosts into a package, and their tests and two others out of the sources

Cause: four cfg(test) blocks had come into the sources, for cores that have no I/O.

Change: crates/host-index holds the index to the hosts and the idle connections, generic, with their property tests; HostTable is the hosts and that index.

--- a/src/net/upstream/idle_connections.rs
+++ b/crates/host-index/src/idle_connections.rs
@@ -1,8 +1,8 @@
 //! The idle connections to all hosts, by host and in the order in which they became idle: a host without any costs
 //! nothing, however many hosts there are.
 
-use irisrouter::routing::MemberId;
 use std::collections::{BTreeMap, HashMap};
+use std::hash::Hash;
 
 /// An idle connection, and its place in the order in which connections became idle.
 struct IdleConnection<C> {
@@ -10,16 +10,16 @@
     connection: C,
 }
 
-/// Idle connections, of type `C`, to hosts.
-pub(super) struct IdleConnections<C> {
+/// Idle connections, of type `C`, to members `M`.
+pub struct IdleConnections<M, C> {
     /// Those of each host, in the order in which they became idle; no entry for a host without any.
-    by_host: HashMap<MemberId, Vec<IdleConnection<C>>>,
+    by_host: HashMap<M, Vec<IdleConnection<C>>>,
     /// The hosts of all connections, in the order in which the connections became idle.
-    order: BTreeMap<u64, MemberId>,
+    order: BTreeMap<u64, M>,
     next_sequence: u64,
 }
 
-impl<C> Default for IdleConnections<C> {
+impl<M, C> Default for IdleConnections<M, C> {
     fn default() -> Self {
         IdleConnections {
             by_host: HashMap::new(),
@@ -29,9 +29,9 @@
     }
 }
 
-impl<C> IdleConnections<C> {
+impl<M: Copy + Eq + Hash, C> IdleConnections<M, C> {
     /// Adds a connection that becomes idle now.
-    pub(super) fn insert(&mut self, member: MemberId, connection: C) {
+    pub fn insert(&mut self, member: M, connection: C) {
         let sequence = self.next_sequence;
         self.next_sequence += 1;
         self.order.insert(sequence, member);
@@ -43,11 +43,7 @@
     }
 
     /// Takes the connection to a host that became idle last of those that may be used.
-    pub(super) fn take_last(
-        &mut self,
-        member: MemberId,
-        may_be_used: impl Fn(&C) -> bool,
-    ) -> Option<C> {
+    pub fn take_last(&mut self, member: M, may_be_used: impl Fn(&C) -> bool) -> Option<C> {
         let of_host = self.by_host.get(&member)?;
         let position = of_host
             .iter()
@@ -55,14 +51,14 @@
         self.take(member, position)
     }
 
-    /// Closes the connection that has been idle longest; returns whether there was one.
-    pub(super) fn close_longest_idle(&mut self) -> bool {
-        let oldest = self.order.first_key_value().map(|(_, &member)| member);
-        oldest.is_some_and(|member| self.take(member, 0).is_some())
+    /// Takes the connection that has been idle longest.
+    pub fn take_longest_idle(&mut self) -> Option<C> {
+        let (_, &member) = self.order.first_key_value()?;
+        self.take(member, 0)
     }
 
     /// Closes the connections to a host that are not to be kept.
-    pub(super) fn retain_of(&mut self, member: MemberId, keep: impl Fn(&C) -> bool) {
+    pub fn retain_of(&mut self, member: M, keep: impl Fn(&C) -> bool) {
         let Some(of_host) = self.by_host.get_mut(&member) else {
             return;
         };
@@ -80,14 +76,14 @@
     }
 
     /// Closes the connections to all hosts that are not to be kept.
-    pub(super) fn retain(&mut self, keep: impl Fn(&C) -> bool) {
-        let members: Vec<MemberId> = self.by_host.keys().copied().collect();
+    pub fn retain(&mut self, keep: impl Fn(&C) -> bool) {
+        let members: Vec<M> = self.by_host.keys().copied().collect();
         for member in members {
             self.retain_of(member, &keep);
         }
     }
 
-    fn take(&mut self, member: MemberId, position: usize) -> Option<C> {
+    fn take(&mut self, member: M, position: usize) -> Option<C> {
         let of_host = self.by_host.get_mut(&member)?;
         let idle = of_host.remove(position);
         if of_host.is_empty() {
@@ -97,7 +93,3 @@
         Some(idle.connection)
     }
 }
-
-#[cfg(test)]
-#[path = "../../../tests/unit/idle_connections.rs"]
-mod tests;
--- a/src/net/upstream/host.rs
+++ b/src/net/upstream/host.rs
@@ -6,6 +6,7 @@
 use irisrouter::routing::{Endpoint, EndpointState, GroupId, MemberId, Timestamp, ZoneId};
 use irisrouter_cluster_types::HostId;
 use irisrouter_gossip::message;
+use irisrouter_host_index::IndexedState;
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::time::Instant;
@@ -66,6 +67,16 @@
         GroupId(self.entry.cell)
     }
 
+    /// What the index to the hosts depends on.
+    pub(super) fn indexed_state(&self) -> IndexedState<GroupId> {
+        IndexedState {
+            fleet_id: self.fleet_id,
+            group: self.group(),
+            accepts_requests: self.accepts_requests,
+            removed: self.removed_at.is_some(),
+        }
+    }
+
     /// Whether the list has it in service.
     pub(super) fn in_service(&self) -> bool {
         self.removed_at.is_none() && self.entry.phase == EndpointPhase::InService
--- a/src/net/upstream/host_lookup.rs
+++ b/src/net/upstream/host_lookup.rs
@@ -40,17 +40,19 @@
 
     /// The hosts of a group that accept requests.
     pub fn members_in_service(&self, group: GroupId) -> Vec<MemberId> {
-        self.registry.borrow().hosts.accepting(group).collect()
+        let registry = self.registry.borrow();
+        registry.hosts.index().accepting(group).collect()
     }
 
     /// The groups that have hosts which accept requests, in ascending order.
     pub fn groups_in_service(&self) -> Vec<GroupId> {
-        self.registry.borrow().hosts.groups_in_service().collect()
+        let registry = self.registry.borrow();
+        registry.hosts.index().groups_in_service().collect()
     }
 
     /// A number that changes whenever [`Upstream::groups_in_service`] does.
     pub fn groups_version(&self) -> u64 {
-        self.registry.borrow().hosts.groups_version()
+        self.registry.borrow().hosts.index().groups_version()
     }
 
     /// The id by which the fleet knows a host.
@@ -63,7 +65,7 @@
     /// The host which accepts requests and which the fleet knows by this id; `None` where two have the id.
     pub fn member_by_fleet_id(&self, fleet_id: HostId) -> Option<GroupMember> {
         let registry = self.registry.borrow();
-        match registry.hosts.accepting_with_fleet_id(fleet_id) {
+        match registry.hosts.index().accepting_with_fleet_id(fleet_id) {
             [only] => Some(*only),
             _ => None,
         }
@@ -80,27 +82,25 @@
     pub fn requests_in_flight(&self, fleet_id: HostId) -> usize {
         let registry = self.registry.borrow();
         let hosts = registry.hosts.with_fleet_id(fleet_id);
-        hosts.map(|(_, host)| host.in_flight.get()).sum()
+        hosts.map(|host| host.in_flight.get()).sum()
     }
 
     /// The name of the host that the fleet knows by this id; where the list has none, the id.
     pub fn host_name(&self, fleet_id: HostId) -> String {
         let registry = self.registry.borrow();
         let host = registry.hosts.with_fleet_id(fleet_id).next();
-        host.map_or_else(
-            || format!("host {fleet_id}"),
-            |(_, host)| host.entry.id.clone(),
-        )
+        host.map_or_else(|| format!("host {fleet_id}"), |host| host.entry.id.clone())
     }
 
     /// Whether another host of the same group would still accept requests without this one.
     pub fn can_spare(&self, fleet_id: HostId) -> bool {
         let registry = self.registry.borrow();
         let hosts = &registry.hosts;
-        let Some((_, host)) = hosts.with_fleet_id(fleet_id).next() else {
+        let Some(host) = hosts.with_fleet_id(fleet_id).next() else {
             return false;
         };
         let mut accepting = hosts
+            .index()
             .accepting(host.group())
             .filter_map(|member| hosts.get(member));
         accepting.any(|other| other.fleet_id != fleet_id)
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -8,7 +8,6 @@
 mod host;
 mod host_lookup;
 mod host_table;
-mod idle_connections;
 mod load_report;
 mod pool;
 mod reachability;
--- a/src/net/upstream/pool.rs
+++ b/src/net/upstream/pool.rs
@@ -72,7 +72,8 @@
 
     /// Closes the connection that has been idle longest; returns whether there was one.
     fn close_longest_idle(&self) -> bool {
-        self.registry.borrow_mut().idle.close_longest_idle()
+        let longest_idle = self.registry.borrow_mut().idle.take_longest_idle();
+        longest_idle.is_some()
     }
 
     /// The connection that was used last of those that have been idle long enough: it is the warmest, and the others can
@@ -121,7 +122,7 @@
     fn forget_removed_hosts(&mut self) {
         let is_old = |removed_at: Instant| removed_at.elapsed() >= REMOVED_HOST_RETENTION;
         let forgotten = |host: &Host| !host.accepts_requests && host.removed_at.is_some_and(is_old);
-        let removed = self.hosts.removed();
+        let removed = self.hosts.index().removed();
         let forgotten: Vec<MemberId> = removed
             .filter(|&member| self.hosts.get(member).is_some_and(forgotten))
             .collect();
--- a/src/net/upstream/registry.rs
+++ b/src/net/upstream/registry.rs
@@ -7,12 +7,12 @@
 use crate::net::upstream::drains::DrainState;
 use crate::net::upstream::host::Host;
 use crate::net::upstream::host_table::HostTable;
-use crate::net::upstream::idle_connections::IdleConnections;
 use crate::net::upstream::pool::ConnectionLimits;
 use crate::net::{duration, Clock};
 use irisrouter::platform_settings::{NameTable, PlatformSettings};
 use irisrouter::routing::{Endpoint, EndpointState, Event, GroupId, MemberId, ZoneId};
 use irisrouter_endpoint_watch::Revision;
+use irisrouter_host_index::IdleConnections;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
@@ -46,7 +46,7 @@
     /// has been forgotten must not reach another one.
     pub(super) hosts: HostTable,
     /// The idle connections to them.
-    pub(super) idle: IdleConnections<Connection>,
+    pub(super) idle: IdleConnections<MemberId, Connection>,
     pub(super) members_by_name: HashMap<String, MemberId>,
     next_member: u32,
     /// All groups that the list has ever named.
--- a/src/routing/health_check.rs
+++ b/src/routing/health_check.rs
@@ -297,7 +297,3 @@
         })
     }
 }
-
-#[cfg(test)]
-#[path = "../../tests/unit/health_check.rs"]
-mod tests;
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -198,7 +198,3 @@
         self.requests.remove_if_finished(*id);
     }
 }
-
-#[cfg(test)]
-#[path = "../../tests/unit/router.rs"]
-mod tests;
--- /dev/null
+++ b/tests/queued_requests.rs
@@ -0,0 +1,104 @@
+//! When queued requests are selected for again.
+
+use irisrouter::platform_settings::PlatformSettings;
+use irisrouter::routing::{
+    Action, Endpoint, EndpointState, Event, GroupId, MemberId, Outcome, RequestId, Router,
+    TimeDelta, Timestamp, ZoneId,
+};
+
+const MILLISECOND: TimeDelta = TimeDelta::from_millis(1);
+const GROUP_OF_REQUESTS: u32 = 1;
+const OTHER_GROUP: u32 = 0;
+
+/// A router of a deployment whose gateways pause between two requests to one member, with two groups of one member each.
+fn router(now: Timestamp) -> Router {
+    let settings = include_str!("gateway/settings.json");
+    let mut settings: serde_json::Value = serde_json::from_str(settings).expect("JSON");
+    settings["Balancers"] = 16.into();
+    settings["Bounds"]["Probes"] = false.into();
+    let platform = PlatformSettings::parse(&settings, 1).expect("valid settings");
+    let mut router = Router::new(platform.settings);
+    let endpoint = |group: u32| Endpoint {
+        member: MemberId(group),
+        group: GroupId(i64::from(group)),
+        zone: ZoneId(0),
+        state: EndpointState::Ready,
+        primary: false,
+        size: 1.0,
+        started: None,
+    };
+    let endpoints = [OTHER_GROUP, GROUP_OF_REQUESTS].map(endpoint).to_vec();
+    router.batch(
+        now,
+        &[Event::EndpointList {
+            complete: true,
+            endpoints,
+        }],
+    );
+    router
+}
+
+fn read(id: RequestId, now: Timestamp) -> Event {
+    Event::Request {
+        id,
+        class: 0,
+        tenant: None,
+        session: None,
+        deadline: now + TimeDelta::from_secs(20),
+        work: None,
+        group: GroupId(i64::from(GROUP_OF_REQUESTS)),
+        last_write_age: None,
+        retry: false,
+    }
+}
+
+fn is_sent(id: RequestId, actions: &[Action]) -> bool {
+    let starts =
+        |action: &Action| matches!(action, Action::StartAttempt { id: sent, .. } if *sent == id);
+    actions.iter().any(starts)
+}
+
+/// How long a second read waits for the pause behind the first, while this group has an event each millisecond.
+fn wait_behind_a_pause(group_with_events: u32) -> TimeDelta {
+    let start = Timestamp::ZERO + TimeDelta::from_secs(1_000);
+    let mut router = router(start);
+    let [first, second] = [1, 2].map(RequestId);
+    assert!(is_sent(first, &router.batch(start, &[read(first, start)])));
+    let answered = Event::AttemptEnded {
+        id: first,
+        attempt: 0,
+        member: MemberId(GROUP_OF_REQUESTS),
+        outcome: Outcome::Ok,
+        elapsed: MILLISECOND,
+        finished: true,
+        status: None,
+        report: None,
+    };
+    router.batch(start, &[answered]);
+    assert!(!is_sent(
+        second,
+        &router.batch(start, &[read(second, start)])
+    ));
+    let event = Event::HealthChecked {
+        member: MemberId(group_with_events),
+        outcome: Outcome::Ok,
+        elapsed: MILLISECOND,
+        report: None,
+    };
+    let mut now = start;
+    loop {
+        now += MILLISECOND;
+        assert!(now - start < TimeDelta::from_secs(9), "it is given up");
+        if is_sent(second, &router.batch(now, std::slice::from_ref(&event))) {
+            return now - start;
+        }
+    }
+}
+
+/// Guards against queued requests that wait for events of their own group: a pause ends by itself.
+#[test]
+fn queued_request_is_sent_as_soon_by_events_of_another_group_as_by_those_of_its_own() {
+    let wait = wait_behind_a_pause(GROUP_OF_REQUESTS);
+    assert!(wait > TimeDelta::from_secs(1), "there is a pause");
+    assert_eq!(wait_behind_a_pause(OTHER_GROUP), wait);
+}
