Play the large fleet in the testbed, with several gateways whose links break

Cause: the tests of the large fleet drove processes from the gateway's own test harness, and the gateway that checks all hosts stood there and in the soak's stand-ins.

Change: crates/testbed gets the share of a core (processor), reads with short deadlines (timed_reads), counters, and one gateway that checks all sets, which can hold its datagrams back and send them at once. The listed hosts answer, played by two stand-ins. The stand-in of discovery sends changes where they are asked for, and counts the bytes. The four tests moved, with their bounds; the table's row of list bytes is checked now. One is new: gateways_of_a_large_fleet_lose_no_answer_while_links_break_and_one_is_killed, three gateways with a tenth of a core each, a third of the datagrams lost and all late, partitions, bursts.

--- /dev/null
+++ b/crates/testbed/src/cluster/counters.rs
@@ -0,0 +1,33 @@
+//! The counters of a gateway, as it prints them.
+
+use super::{Cluster, PATIENCE};
+use std::collections::BTreeMap;
+
+/// What the line of a gateway's counters contains before them.
+pub const COUNTERS_LINE: &str = ": counters ";
+
+impl Cluster {
+    /// Asks a gateway for its counters; none where it does not print them.
+    #[must_use]
+    pub fn counters(&self, gateway: usize) -> Option<BTreeMap<String, u64>> {
+        let seen = self.history.look(<[_]>::len);
+        self.signal(gateway, "-USR1");
+        self.history.wait(PATIENCE, |lines| {
+            let new = lines
+                .iter()
+                .skip(seen)
+                .filter(|line| line.gateway == gateway);
+            let printed = new.filter_map(|line| line.text.split_once(COUNTERS_LINE));
+            printed.map(|(_, counters)| parse(counters)).next()
+        })
+    }
+}
+
+fn parse(counters: &str) -> BTreeMap<String, u64> {
+    let pairs = counters
+        .split_whitespace()
+        .filter_map(|pair| pair.split_once('='));
+    pairs
+        .filter_map(|(name, value)| Some((name.to_string(), value.parse().ok()?)))
+        .collect()
+}
--- a/crates/testbed/src/cluster/gateway_config.rs
+++ b/crates/testbed/src/cluster/gateway_config.rs
@@ -10,7 +10,7 @@
 const MAX_RETRY_AFTER_NS: u64 = 5_000_000_000;
 
 /// Gateways of a fleet that shares health checks, as a gateway is told; those that do not run are unreachable.
-const SHARING_GATEWAYS: usize = 60;
+const SHARING_GATEWAYS: usize = 900;
 
 impl Cluster {
     /// The configuration for the next start of a gateway, with these deadlines in percent of the default ones.
@@ -38,12 +38,19 @@
     fn peer_addresses(&self, gateway: usize) -> Vec<String> {
         let known = self.relay.known[gateway].iter();
         let mut addresses: Vec<String> = known
-            .chain(&self.checking_gateway)
-            .map(ToString::to_string)
+            .copied()
+            .chain(
+                self.checking_gateway
+                    .as_ref()
+                    .map(|gateway| gateway.address),
+            )
+            .map(|address| address.to_string())
             .collect();
         if self.checking_gateway.is_some() {
             let absent = addresses.len()..SHARING_GATEWAYS;
-            addresses.extend(absent.map(|number| format!("127.0.1.{number}:1")));
+            addresses.extend(
+                absent.map(|number| format!("127.0.{}.{}:1", 1 + number / 250, number % 250)),
+            );
         }
         addresses
     }
--- a/crates/testbed/src/cluster/mod.rs
+++ b/crates/testbed/src/cluster/mod.rs
@@ -6,29 +6,33 @@
 //! and checks what the gateways logged.
 
 mod clock;
+mod counters;
 mod error;
 mod gateway_config;
 pub mod leases;
 pub mod load;
 mod parallel;
 pub mod process;
+pub mod processor;
 pub mod relay;
 pub mod schedule;
 pub mod site_loss;
 pub mod stand_ins;
+pub mod timed_reads;
 pub mod views;
 
 pub use clock::Clock;
+pub use counters::COUNTERS_LINE;
 pub use error::ClusterError;
 pub use parallel::run_in_parallel;
 
 use process::{History, Launch, Process, ProcessId};
 use relay::Relay;
 use serde::Serialize;
+use stand_ins::checking_gateway::CheckingGateway;
 use stand_ins::discovery::Discovery;
 use stand_ins::host::Host;
 use stand_ins::StandIns;
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitStatus;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -56,8 +60,8 @@
     pub gateways: usize,
     /// Number of sets, each of a primary and a replica.
     pub sets: u64,
-    /// Number of further sets, which are listed and which no client uses. Where there are any, a gateway that the
-    /// testbed plays sends the health checks of all sets, and the list changes.
+    /// Number of further sets, each of a primary and eleven replicas. Where there are any, a gateway that the testbed
+    /// plays sends the health checks of all sets.
     pub listed_sets: u64,
     /// The zones, to which gateways and hosts are assigned in turn; one at least.
     pub zones: Vec<String>,
@@ -114,8 +118,8 @@
     slots: Vec<Slot>,
     /// The list of database hosts.
     pub discovery: Discovery,
-    /// The address of the gateway that checks all sets for the others, where one does.
-    checking_gateway: Option<SocketAddr>,
+    /// The gateway that checks all sets for the others, where there are listed sets.
+    pub checking_gateway: Option<CheckingGateway>,
     directory: PathBuf,
     /// Ends the stand-ins' thread when it is dropped.
     _stop_stand_ins: oneshot::Sender<()>,
--- a/crates/testbed/src/cluster/process.rs
+++ b/crates/testbed/src/cluster/process.rs
@@ -180,6 +180,12 @@
         }
     }
 
+    /// The system's number of the process.
+    #[must_use]
+    pub fn system_id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends the process a signal, named as `kill` takes it.
     pub fn signal(&self, name: &str) {
         let _ = Command::new("kill")
--- a/tests/gateway/harness/processor.rs
+++ b/crates/testbed/src/cluster/processor.rs
@@ -17,23 +17,26 @@
 /// What a process has used so far.
 #[derive(Clone, Copy, Debug)]
 pub struct ProcessUsage {
+    /// Its processor time.
     pub processor_time: Duration,
-    pub peak_memory_kb: usize,
+    /// The most memory that it has had.
+    pub peak_memory_kb: u64,
+    /// Its open descriptors.
     pub descriptors: usize,
 }
 
-/// What a process with one thread has used so far.
-pub fn usage(process_id: u32) -> ProcessUsage {
-    let status = fs::read_to_string(format!("/proc/{process_id}/status")).unwrap();
-    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let peak = peak.unwrap().trim().trim_end_matches(" kB");
-    ProcessUsage {
-        processor_time: processor_time(process_id).unwrap(),
-        peak_memory_kb: peak.parse().unwrap(),
-        descriptors: fs::read_dir(format!("/proc/{process_id}/fd"))
-            .unwrap()
-            .count(),
-    }
+/// What a process with one thread has used so far; none where it has ended.
+#[must_use]
+pub fn usage(process_id: u32) -> Option<ProcessUsage> {
+    let status = fs::read_to_string(format!("/proc/{process_id}/status")).ok()?;
+    let peak = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmHWM:"))?;
+    Some(ProcessUsage {
+        processor_time: processor_time(process_id)?,
+        peak_memory_kb: peak.trim().trim_end_matches(" kB").parse().ok()?,
+        descriptors: fs::read_dir(format!("/proc/{process_id}/fd")).ok()?.count(),
+    })
 }
 
 /// The processor time of a process with one thread; none once it has ended.
@@ -51,7 +54,8 @@
 }
 
 impl ProcessorShare {
-    /// Limits a process with one thread.
+    /// Limits a process with one thread to this part of a core.
+    #[must_use]
     pub fn limit(process_id: u32, share: f64) -> Self {
         let ended = Arc::new(AtomicBool::new(false));
         let is_ended = Arc::clone(&ended);
--- a/crates/testbed/src/cluster/stand_ins/discovery.rs
+++ b/crates/testbed/src/cluster/stand_ins/discovery.rs
@@ -37,8 +37,15 @@
 #[derive(Clone)]
 struct List {
     revision: u64,
-    /// By host: its phase, where that is not `in_service`.
-    phases: BTreeMap<String, String>,
+    /// By host: its last change, where there was one.
+    changes: BTreeMap<String, PhaseChange>,
+}
+
+/// The change of a host's phase.
+#[derive(Clone)]
+struct PhaseChange {
+    revision: u64,
+    phase: String,
 }
 
 struct Service {
@@ -49,6 +56,8 @@
     calls: Mutex<Vec<Call>>,
     /// By gateway: the number of its open long polls.
     open_long_polls: Mutex<BTreeMap<usize, usize>>,
+    /// By gateway: the bytes of the lists that it was sent.
+    list_bytes: Mutex<BTreeMap<usize, u64>>,
     /// Gateways that are answered 503.
     refused: Mutex<BTreeSet<usize>>,
 }
@@ -65,10 +74,11 @@
             entries,
             list: watch::Sender::new(List {
                 revision: 1,
-                phases: BTreeMap::new(),
+                changes: BTreeMap::new(),
             }),
             calls: Mutex::default(),
             open_long_polls: Mutex::default(),
+            list_bytes: Mutex::default(),
             refused: Mutex::default(),
         });
         let mut addresses = Vec::new();
@@ -92,11 +102,22 @@
         &self.service.entries[gateway]
     }
 
+    /// The bytes of the lists that a gateway was sent.
+    #[must_use]
+    pub fn list_bytes(&self, gateway: usize) -> u64 {
+        let sent = lock(&self.service.list_bytes);
+        sent.get(&gateway).copied().unwrap_or_default()
+    }
+
     /// Puts a host into a phase, in the next version of the list.
     pub fn set_phase(&self, host_id: &str, phase: &str) {
         self.service.list.send_modify(|list| {
             list.revision += 1;
-            list.phases.insert(host_id.into(), phase.into());
+            let change = PhaseChange {
+                revision: list.revision,
+                phase: phase.into(),
+            };
+            list.changes.insert(host_id.into(), change);
         });
     }
 
@@ -148,23 +169,32 @@
             }
             // A long list takes a while, and the hosts run on this thread.
             let service = Arc::clone(self);
-            let body = spawn_blocking(move || service.body(gateway)).await.ok()?;
+            let body = spawn_blocking(move || service.body(gateway, request.from));
+            let body = body.await.ok()?;
+            *lock(&self.list_bytes).entry(gateway).or_default() += body.len() as u64;
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
             let response = format!("{head}{body}");
             stream.write_all(response.as_bytes()).await.ok()?;
         }
     }
 
-    /// The list as a gateway sees it.
-    fn body(&self, gateway: usize) -> String {
+    /// The list as a gateway sees it, or the changes since a revision.
+    fn body(&self, gateway: usize, from: Option<u64>) -> String {
         let list = self.list.borrow().clone();
-        let mut members = self.entries[gateway].clone();
+        let changed = |id: &str| list.changes.get(id);
+        let is_sent = |entry: &&Value| {
+            let change = entry["id"].as_str().and_then(changed);
+            from.is_none_or(|from| change.is_some_and(|change| change.revision > from))
+        };
+        let sent = self.entries[gateway].iter().filter(is_sent);
+        let mut members: Vec<Value> = sent.cloned().collect();
         for member in &mut members {
-            if let Some(phase) = member["id"].as_str().and_then(|id| list.phases.get(id)) {
-                member["phase"] = json!(phase);
+            if let Some(change) = member["id"].as_str().and_then(changed) {
+                member["phase"] = json!(change.phase);
             }
         }
-        json!({"revision": list.revision, "complete": true, "members": members}).to_string()
+        json!({"revision": list.revision, "complete": from.is_none(), "members": members})
+            .to_string()
     }
 
     /// Waits for a version after revision `from`, for `hold` at most; none where the caller leaves first.
--- a/crates/testbed/src/cluster/stand_ins/mod.rs
+++ b/crates/testbed/src/cluster/stand_ins/mod.rs
@@ -1,20 +1,22 @@
 //! Stand-ins for what the gateways of a cluster connect to, as small as its tests need them: database hosts, the discovery
 //! service, and the relay between gateways. They run on one thread, which ends with the cluster.
 
+pub mod checking_gateway;
 pub mod discovery;
 pub mod host;
 mod host_connection;
-mod listed_sets;
+pub mod listed_sets;
 mod protocol;
 
 use super::relay::Relay;
 use super::{Clock, ClusterError, Plan};
+use crate::sockets::SocketError;
+use checking_gateway::CheckingGateway;
 use discovery::Discovery;
 use host::{Host, HostSpec};
 use irisrouter_simulation::spec::Spec;
-use listed_sets::{CheckingGateway, ListedSets};
+use listed_sets::{ListedHost, ListedSets};
 use serde_json::Value;
-use std::net::SocketAddr;
 use std::sync::{mpsc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -24,8 +26,8 @@
     pub(super) relay: Relay,
     pub(super) hosts: Vec<Host>,
     pub(super) discovery: Discovery,
-    /// The address of the gateway that checks all sets for the others, where one does.
-    pub(super) checking_gateway: Option<SocketAddr>,
+    /// The gateway that checks all sets for the others, where one does.
+    pub(super) checking_gateway: Option<CheckingGateway>,
 }
 
 /// Starts the stand-ins on a thread of their own, which ends when the sender that is returned is dropped.
@@ -76,23 +78,19 @@
                 hosts.push(Host::start(spec, plan.gateways, clock).await?);
             }
         }
-        let listed = ListedSets {
-            first: plan.sets,
-            count: plan.listed_sets,
-        };
-        let listed_entries = listed.entries(&plan.zones[0]);
+        let (zone, listed_sets) = (&plan.zones[0], plan.listed_sets);
+        let listed = ListedSets::start(plan.sets, listed_sets, zone, plan.gateways, clock).await?;
         let entries = |gateway| -> Vec<Value> {
             let of_hosts = hosts.iter().map(|host| host.entry(gateway));
-            of_hosts.chain(listed_entries.iter().cloned()).collect()
+            of_hosts.chain(listed.entries(gateway)).collect()
         };
         let entries = (0..plan.gateways).map(entries).collect();
         let discovery = Discovery::start(entries, clock).await?;
         let mut checking_gateway = None;
-        if plan.listed_sets > 0 {
-            let gateway = CheckingGateway::new(listed, &hosts, &relay).await?;
-            checking_gateway = Some(gateway.address()?);
-            tokio::spawn(gateway.run());
-            listed.spawn_list_changes(&discovery);
+        if listed_sets > 0 {
+            let sets = listed.sets().into_iter().chain(sets_of(&hosts)).collect();
+            let receivers = relay.listen.clone();
+            checking_gateway = Some(CheckingGateway::start(sets, receivers).await?);
         }
         Ok(StandIns {
             relay,
@@ -103,6 +101,16 @@
     }
 }
 
+/// The hosts that run, by set.
+fn sets_of(hosts: &[Host]) -> Vec<Vec<ListedHost>> {
+    let listed = |host: &Host| ListedHost {
+        id: host.id.clone(),
+        primary: host.primary,
+    };
+    let sets = hosts.chunk_by(|a, b| a.set == b.set);
+    sets.map(|set| set.iter().map(listed).collect()).collect()
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/testbed/src/soak/run.rs
+++ b/crates/testbed/src/soak/run.rs
@@ -7,7 +7,8 @@
     AttemptRecord, DrainRecord, GatewayEnd, Records, RequestEnd, UnfinishedMessage,
 };
 use crate::cluster::stand_ins::host::Host;
-use crate::cluster::{Clock, Cluster, ClusterError, EndpointListMode, Plan};
+use crate::cluster::stand_ins::listed_sets::host_id;
+use crate::cluster::{Clock, Cluster, ClusterError, EndpointListMode, Plan, COUNTERS_LINE};
 use crate::loopback::host::comment_fields;
 use irisrouter_simulation::spec::Spec;
 use serde::Serialize;
@@ -32,8 +33,9 @@
 const LAG_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// The clients end this long after the last kill at the latest.
 const CLIENTS_END: Duration = Duration::from_secs(3);
-/// What the line of a gateway's counters contains.
-const COUNTERS_LINE: &str = ": counters ";
+/// Changes of a listed host that no client uses, and the time between two of them, in milliseconds.
+const LISTED_HOST_CHANGES: u64 = 80;
+const LISTED_HOST_CHANGE_INTERVAL_MS: u64 = 100;
 /// Log lines that must not occur.
 const FORBIDDEN_LOG: [&str; 2] = ["panicked", "router task has failed"];
 
@@ -305,6 +307,9 @@
         gateway: usize,
         refuse: bool,
     },
+    ChangeListedHost {
+        in_service: bool,
+    },
     Crowd {
         gateway: usize,
         connections: usize,
@@ -383,6 +388,7 @@
             }
             Step::ResetHost { host } => self.cluster.hosts[host].reset_connections(),
             Step::Drain { host } => self.drain(host),
+            Step::ChangeListedHost { in_service } => self.change_listed_host(in_service),
             Step::Reload {
                 gateway,
                 deadline_percent,
@@ -436,6 +442,17 @@
         });
     }
 
+    /// Takes a host that no client uses out of service, or puts it back.
+    fn change_listed_host(&mut self, in_service: bool) {
+        let phase = if in_service {
+            "in_service"
+        } else {
+            "terminating"
+        };
+        let host = host_id(self.plan.groups as u64, 1);
+        self.cluster.discovery.set_phase(&host, phase);
+    }
+
     fn add_crowd(&mut self, gateway: usize, connections: usize) {
         let Some(address) = self.cluster.process(gateway).map(|process| process.address) else {
             return;
@@ -555,6 +572,16 @@
             }
         }
     }
+    if plan.listed_sets > 0 {
+        let changes = (0..LISTED_HOST_CHANGES).map(|number| {
+            let in_service = number % 2 == 1;
+            (
+                number * LISTED_HOST_CHANGE_INTERVAL_MS,
+                Step::ChangeListedHost { in_service },
+            )
+        });
+        steps.extend(changes);
+    }
     for (gateway, termination) in plan.terminations.iter().enumerate() {
         let reload_before = termination.reload_before;
         let step = Step::Terminate {
--- /dev/null
+++ b/crates/testbed/tests/large_fleet.rs
@@ -0,0 +1,190 @@
+//! Gateways in front of thousands of hosts, while another gateway sends them the health checks of all of them.
+
+mod common;
+
+use irisrouter_testbed::cluster::processor::{usage, ProcessUsage, ProcessorShare};
+use irisrouter_testbed::cluster::stand_ins::listed_sets::{host_id, SET_SIZE};
+use irisrouter_testbed::cluster::timed_reads::{ReadCounts, TimedReads};
+use irisrouter_testbed::cluster::{Cluster, Plan};
+use std::thread;
+use std::time::Duration;
+
+/// Sets of a usual fleet, 192 hosts, and of the operators' largest, 3,204.
+const USUAL_SETS: u64 = 16;
+const MOST_SETS: u64 = 267;
+/// An answer that comes later than this after its deadline counts as lost.
+const MAX_LATENESS: Duration = Duration::from_millis(500);
+/// The gateway's part of a core.
+const CORE_SHARE: f64 = 0.1;
+/// Changes of the list on a day that has them, and the time between two of them.
+const CHANGES: u64 = 700;
+const CHANGE_INTERVAL: Duration = Duration::from_millis(10);
+/// How long the results of the health checks are held back before they come all at once.
+const HOLD: Duration = Duration::from_millis(1_500);
+
+fn start(gateways: usize, listed_sets: u64) -> Cluster {
+    Cluster::start(Plan {
+        listed_sets,
+        ..common::plan(gateways, 1, String::new())
+    })
+    .expect("a cluster")
+}
+
+fn send_reads(cluster: &Cluster, gateway: usize, sets: u64) -> ReadCounts {
+    let address = cluster.process(gateway).expect("it runs").address;
+    let reads = TimedReads {
+        clients: 15,
+        interval: Duration::from_millis(500),
+        duration: Duration::from_secs(8),
+        sets,
+    };
+    reads.run(address).expect("a runtime")
+}
+
+fn limit(cluster: &Cluster, gateway: usize) -> ProcessorShare {
+    let process = cluster.process(gateway).expect("it runs");
+    ProcessorShare::limit(process.system_id(), CORE_SHARE)
+}
+
+#[track_caller]
+fn assert_none_lost(reads: ReadCounts) {
+    assert_eq!(reads.unanswered, 0, "{reads:?}");
+    assert!(reads.latest <= MAX_LATENESS, "{reads:?}");
+    assert!(reads.served > 0, "{reads:?}");
+}
+
+/// Changes the list so many times: a host of a set that few ask drains, and is in service again with the next change.
+fn change_list(cluster: &Cluster, changes: u64, interval: Duration) {
+    for change in 0..changes {
+        let phase = ["terminating", "in_service"][(change % 2) as usize];
+        let host = host_id(1, change / 2 % SET_SIZE);
+        cluster.discovery.set_phase(&host, phase);
+        thread::sleep(interval);
+    }
+}
+
+#[test]
+fn no_answer_is_lost_with_thousands_of_hosts_and_a_part_of_a_core() {
+    let cluster = start(1, MOST_SETS);
+    let _share = limit(&cluster, 0);
+    assert_none_lost(send_reads(&cluster, 0, MOST_SETS));
+}
+
+#[test]
+fn no_answer_is_lost_in_bursts_of_datagrams_changes_of_the_list_and_reloads() {
+    let cluster = start(1, MOST_SETS);
+    let _share = limit(&cluster, 0);
+    let checking_gateway = cluster.checking_gateway.as_ref().expect("one that checks");
+    let reads = thread::scope(|scope| {
+        scope.spawn(|| change_list(&cluster, CHANGES / 10, 10 * CHANGE_INTERVAL));
+        scope.spawn(|| {
+            for _ in 0..4 {
+                checking_gateway.hold(true);
+                thread::sleep(HOLD);
+                checking_gateway.hold(false);
+                cluster.signal(0, "-HUP");
+                thread::sleep(HOLD / 5);
+            }
+        });
+        send_reads(&cluster, 0, MOST_SETS)
+    });
+    assert_none_lost(reads);
+}
+
+/// Datagrams between the gateways are lost, late and cut off, one gateway stands still again and again, another is killed
+/// and starts again with all hosts; results that were held back come all at once.
+#[test]
+fn gateways_of_a_large_fleet_lose_no_answer_while_links_break_and_one_is_killed() {
+    let mut cluster = start(3, MOST_SETS);
+    let _shares = [limit(&cluster, 0), limit(&cluster, 1)];
+    cluster.relay.network().loss = 0.3;
+    cluster.relay.network().delay = Duration::from_millis(100);
+    cluster.partition(&[0], &[1, 2]);
+    cluster.crash(2);
+    cluster.launch(2).expect("it starts again");
+    let _restarted_share = limit(&cluster, 2);
+    let checking_gateway = cluster.checking_gateway.as_ref().expect("one that checks");
+    let reads = thread::scope(|scope| {
+        scope.spawn(|| {
+            for _ in 0..4 {
+                checking_gateway.hold(true);
+                thread::sleep(HOLD);
+                checking_gateway.hold(false);
+                cluster.heal();
+                cluster.partition(&[1], &[0, 2]);
+            }
+        });
+        let readers = [0, 1, 2].map(|gateway| {
+            let cluster = &cluster;
+            scope.spawn(move || send_reads(cluster, gateway, MOST_SETS))
+        });
+        readers.map(|reader| reader.join().expect("reads"))
+    });
+    reads.into_iter().for_each(assert_none_lost);
+}
+
+/// What a day at a gateway came to.
+#[derive(Clone, Copy, Debug)]
+struct Day {
+    reads: ReadCounts,
+    used: ProcessUsage,
+    connections: u64,
+    list_bytes: u64,
+}
+
+/// What the list of hosts does on a day.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ListChanges {
+    None,
+    /// One host changes, a hundred times a second.
+    OneHost,
+}
+
+fn play_day(listed_sets: u64, list_changes: ListChanges) -> Day {
+    let cluster = start(1, listed_sets);
+    let reads = thread::scope(|scope| {
+        if list_changes == ListChanges::OneHost {
+            scope.spawn(|| change_list(&cluster, CHANGES, CHANGE_INTERVAL));
+        }
+        send_reads(&cluster, 0, listed_sets)
+    });
+    let counters = cluster.counters(0).expect("counters");
+    let process = cluster.process(0).expect("it runs");
+    Day {
+        reads,
+        used: usage(process.system_id()).expect("it runs"),
+        connections: counters["upstream_opened"],
+        list_bytes: cluster.discovery.list_bytes(0),
+    }
+}
+
+/// Plays a day with the usual and with the largest number of hosts, and checks the growth of its costs.
+fn check_costs(list_changes: ListChanges) {
+    let (usual, large) = thread::scope(|scope| {
+        let usual = scope.spawn(|| play_day(USUAL_SETS, list_changes));
+        let large = scope.spawn(|| play_day(MOST_SETS, list_changes));
+        (usual.join().expect("a day"), large.join().expect("a day"))
+    });
+    println!("{usual:?}\n{large:?}");
+    let thousands = (MOST_SETS * SET_SIZE) as f64 / 1_000.0;
+    let processor = |day: &Day| day.used.processor_time.as_secs_f64();
+    let memory_mb = |day: &Day| day.used.peak_memory_kb as f64 / 1_024.0;
+    let list_kb = |day: &Day| day.list_bytes as f64 / 1_024.0;
+    // The operators' limits on the growth over the same day.
+    assert!(processor(&large) <= 1.4 * processor(&usual) + 0.02 + 0.03 * thousands);
+    assert!(memory_mb(&large) <= 1.5 * memory_mb(&usual) + 8.0 + 4.0 * thousands);
+    assert!(large.used.descriptors <= 2 * usual.used.descriptors + 40);
+    assert!(large.connections as f64 <= 2.5 * usual.connections as f64 + 40.0);
+    assert!(list_kb(&large) <= 2.0 * list_kb(&usual) + 64.0 + 500.0 * thousands);
+    assert!(large.reads.served_share() >= 0.85 * usual.reads.served_share());
+}
+
+#[test]
+fn costs_of_a_gateway_do_not_grow_with_its_hosts() {
+    check_costs(ListChanges::None);
+}
+
+#[test]
+fn costs_of_a_change_of_the_list_do_not_grow_with_the_hosts() {
+    check_costs(ListChanges::OneHost);
+}
--- a/tests/gateway/harness/discovery.rs
+++ b/tests/gateway/harness/discovery.rs
@@ -10,8 +10,6 @@
 pub enum EndpointList {
     /// A list with these members.
     Members(Value),
-    /// A change of these members.
-    Changes(Value),
     /// Something that is no JSON.
     Malformed,
 }
@@ -95,7 +93,6 @@
     published: &Monitor<PublishedList>,
     requests: &Monitor<Vec<String>>,
 ) -> Option<()> {
-    stream.set_nodelay(true).ok()?;
     let mut writer = stream.try_clone().ok()?;
     let mut lines = BufReader::new(stream).lines();
     loop {
@@ -120,10 +117,6 @@
             json!({"revision": published.revision, "complete": true, "members": members})
                 .to_string()
         }
-        EndpointList::Changes(members) => {
-            json!({"revision": published.revision, "complete": false, "members": members})
-                .to_string()
-        }
         EndpointList::Malformed => "{\"revision\":".to_string(),
     }
 }
--- a/tests/gateway/harness/gateway.rs
+++ b/tests/gateway/harness/gateway.rs
@@ -175,11 +175,6 @@
         }
     }
 
-    /// The id of the process.
-    pub fn process_id(&self) -> u32 {
-        self.child.id()
-    }
-
     /// The address at which the console listens.
     pub fn console_address(&self) -> SocketAddr {
         self.log
--- a/tests/gateway/harness/host.rs
+++ b/tests/gateway/harness/host.rs
@@ -58,7 +58,6 @@
     pub events: Monitor<Vec<String>>,
     /// The role that the host reports.
     pub is_primary: Monitor<bool>,
-    accepted: Monitor<usize>,
 }
 
 impl Host {
@@ -70,15 +69,12 @@
             address: listener.local_addr().unwrap(),
             events: Monitor::new(Vec::new()),
             is_primary: Monitor::new(is_primary),
-            accepted: Monitor::new(0),
         };
-        let accepted = host.accepted.clone();
         let statement_count = Monitor::new(0);
         let events = host.events.clone();
         let is_primary = host.is_primary.clone();
         spawn(move || {
             for (number, stream) in listener.incoming().enumerate() {
-                accepted.update(|count| *count += 1);
                 let mut connection = HostConnection {
                     stream: stream.unwrap(),
                     number,
@@ -111,11 +107,6 @@
         })
     }
 
-    /// Connections accepted so far.
-    pub fn connections(&self) -> usize {
-        self.accepted.update(|count| *count)
-    }
-
     /// Waits for an event that contains this text.
     pub fn wait_for_event(&self, text: &str) {
         self.events.wait_for(text, |events| {
--- a/tests/gateway/harness/mod.rs
+++ b/tests/gateway/harness/mod.rs
@@ -4,14 +4,12 @@
 
 pub mod client;
 pub mod discovery;
-pub mod fleet;
 pub mod gateway;
 pub mod host;
 pub mod manual_host;
 pub mod messages;
 pub mod monitor;
 pub mod peers;
-pub mod processor;
 pub mod scripted_discovery;
 
 use std::time::Duration;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,7 +9,6 @@
 mod drains;
 mod harness;
 mod hot_restart;
-mod large_fleet;
 mod limits;
 mod peers;
 mod pipelining;
