--- a/review/standins/src/case_cut.rs
+++ b/review/standins/src/case_cut.rs
@@ -7,26 +7,56 @@
 use crate::settings;
 use crate::util::{finish, free_tcp_port, ms, unix_ms, Gateway};
 use std::io::{self, Write};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+/// Values go up to 4 MiB.
 const LONG_VALUE: usize = 1 << 20;
-const BEFORE_HANG: usize = 300_000;
+/// A host gives a value in pieces.
+const PIECE: usize = 64 << 10;
+const PIECE_EVERY: Duration = Duration::from_millis(25);
 const WORK_MS: f64 = 100.0;
-/// Requests; one of six hosts (USER: up to 18%) hangs.
-const CLIENTS: usize = 24;
+/// One of six hosts hangs (USER: up to 18%).
+const HOSTS: usize = 6;
+const HANGING: usize = 1;
 /// USER: databases take requests and answer none for 7.9 to 23 s.
 const HANG: Duration = Duration::from_millis(14_000);
+const CLIENTS: usize = 40;
+const CLIENT_EVERY: Duration = Duration::from_millis(25);
+/// When the host hangs, after the first client.
+const HANG_AT: Duration = Duration::from_millis(800);
 
 struct Member {
     name: String,
     primary: bool,
-    hangs: bool,
+    /// Until then the host does nothing at all.
+    hangs_until: Mutex<Option<Instant>>,
+}
+
+impl Member {
+    fn wait_while_hanging(&self) {
+        loop {
+            let until = *self.hangs_until.lock().unwrap();
+            let left = until.map_or(Duration::ZERO, |until| {
+                until.saturating_duration_since(Instant::now())
+            });
+            if left.is_zero() {
+                return;
+            }
+            thread::sleep(left);
+        }
+    }
 }
 
 impl Behaviour for Member {
+    fn connect_delay(&self) -> Duration {
+        self.wait_while_hanging();
+        ms(5.0)
+    }
+
     fn usage(&self) -> String {
+        self.wait_while_hanging();
         let position = if self.primary {
             unix_ms()
         } else {
@@ -47,33 +77,42 @@
         let mut out = description();
         out.extend(data_row(&vec![b'x'; LONG_VALUE]));
         out.extend(row_end(role, position));
-        let (head, rest) = out.split_at(BEFORE_HANG);
-        connection.stream.write_all(head)?;
-        rec!("{}: id={id}: {BEFORE_HANG} bytes given", self.name);
-        if self.hangs {
-            thread::sleep(HANG);
+        let mut given = 0;
+        for piece in out.chunks(PIECE) {
+            self.wait_while_hanging();
+            if let Err(error) = connection.stream.write_all(piece) {
+                rec!(
+                    "{}: id={id}: {given} bytes given, then the gateway's end is gone: {error}",
+                    self.name
+                );
+                return Err(error);
+            }
+            given += piece.len();
+            thread::sleep(PIECE_EVERY);
         }
-        let result = connection.stream.write_all(rest);
-        rec!("{}: id={id}: the rest given, {result:?}", self.name);
-        result
+        rec!("{}: id={id}: all {given} bytes given", self.name);
+        Ok(())
     }
 }
 
 pub fn run(trouble: bool) -> ! {
-    let entries: Vec<Entry> = (0..6)
+    let hosts: Vec<Arc<Member>> = (0..HOSTS)
         .map(|number| {
-            let member = Member {
+            Arc::new(Member {
                 name: format!("s-{number}"),
                 primary: number == 0,
-                hangs: trouble && number == 1,
-            };
-            Entry {
-                id: member.name.clone(),
-                zone: "gasan",
-                kind: "std-3core",
-                access: Some(if number == 0 { "writer" } else { "reader" }),
-                address: host::start(Arc::new(member)),
-            }
+                hangs_until: Mutex::new(None),
+            })
+        })
+        .collect();
+    let entries: Vec<Entry> = hosts
+        .iter()
+        .map(|member| Entry {
+            id: member.name.clone(),
+            zone: "gasan",
+            kind: "std-3core",
+            access: Some(if member.primary { "writer" } else { "reader" }),
+            address: host::start(Arc::clone(member) as Arc<dyn Behaviour>),
         })
         .collect();
     let members = agent::members(&entries);
@@ -86,13 +125,22 @@
         &agent.to_string(),
         &members,
         &settings,
-        "",
     );
-    let gateway = Gateway::start("n0", listen, &config, None);
+    let gateway = Gateway::start("n0", listen, &config);
     gateway.wait_ready();
+    if trouble {
+        let host = Arc::clone(&hosts[HANGING]);
+        thread::spawn(move || {
+            thread::sleep(HANG_AT);
+            *host.hangs_until.lock().unwrap() = Some(Instant::now() + HANG);
+            rec!("{} hangs for {HANG:?}", host.name);
+            host.wait_while_hanging();
+            rec!("{} goes on", host.name);
+        });
+    }
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
-            thread::sleep(ms(60.0));
+            thread::sleep(CLIENT_EVERY);
             thread::spawn(move || {
                 let Ok(mut client) = Client::connect(listen) else { return None };
                 let id = format!("c{number}");
@@ -101,13 +149,17 @@
                 );
                 client.send(&text).ok()?;
                 let answer = client.answer(Duration::from_secs(40));
-                let (told, whole) = match answer {
-                    Answer::Row(value) => (format!("served, {} bytes", value.len()), value.len() == LONG_VALUE),
-                    Answer::Ended(partial) => (format!("the connection ended after {partial} bytes"), false),
+                let (told, held) = match &answer {
+                    Answer::Row(value) => {
+                        (format!("served, {} bytes", value.len()), value.len() == LONG_VALUE)
+                    }
+                    Answer::Ended(partial) => {
+                        (format!("the connection ended after {partial} bytes"), false)
+                    }
                     other => (format!("{other:?}"), matches!(other, Answer::Error(..))),
                 };
                 rec!("client: {id}: {told}");
-                Some(whole)
+                Some(held)
             })
         })
         .collect();
@@ -115,12 +167,16 @@
         .into_iter()
         .map(|c| c.join().unwrap_or(None))
         .collect();
+    // The hanging host goes on before the end.
+    if trouble {
+        thread::sleep(HANG);
+    }
     thread::sleep(ms(1000.0));
     gateway.record_log();
-    let cut = results
-        .iter()
-        .filter(|whole| **whole == Some(false))
-        .count();
+    if !gateway.runs() {
+        finish(2, "the gateway has ended");
+    }
+    let cut = results.iter().filter(|held| **held == Some(false)).count();
     if results.contains(&None) {
         finish(2, "a client could not send");
     }
@@ -130,5 +186,8 @@
             &format!("{cut} of {} values were cut off", results.len()),
         );
     }
-    finish(0, "all values came whole");
+    finish(
+        0,
+        "every value came whole, or its request was refused or failed before it",
+    );
 }
--- a/review/standins/src/case_pipeline.rs
+++ b/review/standins/src/case_pipeline.rs
@@ -101,9 +101,8 @@
         &agent.to_string(),
         &members,
         &settings,
-        "",
     );
-    let gateway = Gateway::start("n0", listen, &config, None);
+    let gateway = Gateway::start("n0", listen, &config);
     gateway.wait_ready();
     let mut lost = Vec::new();
     let mut answered = 0;
--- a/review/standins/src/case_stale.rs
+++ b/review/standins/src/case_stale.rs
@@ -214,9 +214,8 @@
                 &agent.to_string(),
                 &members,
                 &settings,
-                "",
             );
-            Gateway::start(&name, listen, &config, None)
+            Gateway::start(&name, listen, &config)
         })
         .collect();
     for gateway in &gateways {
--- a/review/standins/src/settings.rs
+++ b/review/standins/src/settings.rs
@@ -48,21 +48,14 @@
     )
 }
 
-/// The whole configuration of one gateway. `peers` is its part on other gateways, or nothing.
-pub fn config(
-    name: &str,
-    listen: &str,
-    discovery: &str,
-    members: &str,
-    settings: &str,
-    peers: &str,
-) -> String {
+/// The whole configuration of one gateway.
+pub fn config(name: &str, listen: &str, discovery: &str, members: &str, settings: &str) -> String {
     let seed = name.bytes().fold(0x8c1f_30d2_7a5b_e964_u64, |s, b| {
         s.rotate_left(7) ^ u64::from(b)
     });
     format!(
         r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","seed":"{seed:016x}",
- "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},{peers}
+ "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
  "known":{{"revision":1,"complete":true,"members":{members}}},
  "settings":{settings}}}"#
     )
--- a/review/standins/src/util.rs
+++ b/review/standins/src/util.rs
@@ -2,7 +2,7 @@
 
 use std::fs::{self, File};
 use std::io::{self, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, OnceLock};
@@ -86,13 +86,6 @@
         .unwrap()
 }
 
-pub fn free_udp_port() -> SocketAddr {
-    UdpSocket::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
-}
-
 /// The root of the project.
 pub fn root() -> PathBuf {
     std::env::var("REVIEW_ROOT")
@@ -159,7 +152,7 @@
 
 impl Gateway {
     /// Starts a gateway with the command of the deploy file.
-    pub fn start(name: &str, listen: SocketAddr, config: &str, operators: Option<&str>) -> Self {
+    pub fn start(name: &str, listen: SocketAddr, config: &str) -> Self {
         let folder = work_folder().join(name);
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).unwrap();
@@ -186,11 +179,6 @@
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log_file);
-        if let Some(text) = operators {
-            let path = work_folder().join("operators.jsonnet");
-            fs::write(&path, text).unwrap();
-            command.env("IRISROUTER_OPERATORS", &path);
-        }
         let child = match command.spawn() {
             Ok(child) => Arc::new(Mutex::new(child)),
             Err(error) => finish(2, &format!("the gateway cannot be started: {error}")),
@@ -220,14 +208,6 @@
         finish(2, &format!("gateway {} is not ready", self.name));
     }
 
-    /// SIGKILL.
-    pub fn kill(&self) {
-        let mut child = self.child.lock().unwrap();
-        let _ = child.kill();
-        let _ = child.wait();
-        rec!("gateway {} killed (SIGKILL)", self.name);
-    }
-
     /// Whether the process still runs.
     pub fn runs(&self) -> bool {
         matches!(self.child.lock().unwrap().try_wait(), Ok(None))
