--- a/review/standins/src/case_pipeline.rs
+++ b/review/standins/src/case_pipeline.rs
@@ -52,6 +52,7 @@
         thread::sleep(ms(WORK_MS));
         if !text.contains("'long") {
             let commit = (class == "count-write").then(|| unix_ms() as i64);
+            rec!("{}: id={id}: run, answered", self.name);
             return connection.row(id.as_bytes(), role, commit);
         }
         let mut out = description();
@@ -63,9 +64,10 @@
         connection.stream.write_all(&out[..BEFORE_BREAK])?;
         thread::sleep(ms(20.0));
         rec!(
-            "{}: id={id}: the connection breaks within the value",
+            "{}: id={id}: the connection is reset within the value",
             self.name
         );
+        connection.reset_at_end()?;
         Err(io::ErrorKind::ConnectionReset.into())
     }
 }
@@ -122,6 +124,9 @@
             ),
             format!("SELECT payload FROM entries WHERE ref = 'c{round}' {}", comment(3, "page-read", 1000, "")),
         ];
+        for text in &statements {
+            rec!("client: sent: {text}");
+        }
         let bytes: Vec<u8> = statements.iter().flat_map(|text| query(text)).collect();
         if client.stream.write_all(&bytes).is_err() {
             finish(2, "the client cannot send");
--- a/review/standins/src/host.rs
+++ b/review/standins/src/host.rs
@@ -3,10 +3,25 @@
 use crate::client::message;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
+/// `struct linger` of Linux: with it, a close is a reset.
+#[repr(C)]
+struct Linger {
+    on: i32,
+    seconds: i32,
+}
+
+const SOL_SOCKET: i32 = 1;
+const SO_LINGER: i32 = 13;
+
+extern "C" {
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const Linger, length: u32) -> i32;
+}
+
 /// What a host does; one value for each host.
 pub trait Behaviour: Send + Sync + 'static {
     /// Time from the arrival of a new connection until it comes up.
@@ -90,6 +105,27 @@
         self.stream.write_all(&out)
     }
 
+    /// Makes the end of this connection a reset.
+    pub fn reset_at_end(&self) -> io::Result<()> {
+        let option = Linger { on: 1, seconds: 0 };
+        let length = std::mem::size_of::<Linger>() as u32;
+        // SAFETY: the descriptor is open while `self.stream` lives, and `option` is a `struct linger` of this length.
+        let result = unsafe {
+            setsockopt(
+                self.stream.as_raw_fd(),
+                SOL_SOCKET,
+                SO_LINGER,
+                &option,
+                length,
+            )
+        };
+        if result == 0 {
+            Ok(())
+        } else {
+            Err(io::Error::last_os_error())
+        }
+    }
+
     fn read_exact_or_end(&mut self, bytes: &mut [u8]) -> io::Result<bool> {
         match self.stream.read_exact(bytes) {
             Ok(()) => Ok(true),
