--- a/review/standins/src/util.rs
+++ b/review/standins/src/util.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -123,6 +124,25 @@
     std::process::exit(code);
 }
 
+/// Time of the last oversleep of over 10 ms of a thread that only sleeps, in Unix milliseconds.
+static LAST_LAG: AtomicU64 = AtomicU64::new(0);
+
+/// Watches for moments in which this machine kept the driver's own threads waiting.
+pub fn watch_lag() {
+    thread::spawn(|| loop {
+        let before = unix_ms();
+        thread::sleep(Duration::from_millis(2));
+        if unix_ms() - before > 12.0 {
+            LAST_LAG.store(unix_ms() as u64, Ordering::SeqCst);
+        }
+    });
+}
+
+/// Whether the driver's threads were kept waiting in the last 300 ms, so that its own times can't be trusted.
+pub fn lagged_lately() -> bool {
+    unix_ms() - (LAST_LAG.load(Ordering::SeqCst) as f64) < 300.0
+}
+
 /// Ends the case with 2 after this time, whatever it does.
 pub fn watchdog(limit: Duration) {
     thread::spawn(move || {
