--- a/review/standins/src/case_cut.rs
+++ b/review/standins/src/case_cut.rs
@@ -7,6 +7,7 @@
 use crate::settings;
 use crate::util::{finish, free_tcp_port, ms, unix_ms, Gateway};
 use std::io::{self, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -32,6 +33,7 @@
     primary: bool,
     /// Until then the host does nothing at all.
     hangs_until: Mutex<Option<Instant>>,
+    in_flight: AtomicU64,
 }
 
 impl Member {
@@ -63,15 +65,26 @@
             unix_ms() - 8.0
         };
         format!(
-            "x0={:.3},x1={},inflight=1",
+            "x0={:.3},x1={},inflight={}",
             position / 1e3,
-            u8::from(self.primary)
+            u8::from(self.primary),
+            self.in_flight.load(Ordering::SeqCst)
         )
     }
 
     fn statement(&self, text: &str, connection: &mut HostConnection) -> io::Result<()> {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        let result = self.give_value(text, connection);
+        self.in_flight.fetch_sub(1, Ordering::SeqCst);
+        result
+    }
+}
+
+impl Member {
+    fn give_value(&self, text: &str, connection: &mut HostConnection) -> io::Result<()> {
         let id = field(text, "id").unwrap_or_default();
         let role = if self.primary { "writer" } else { "reader" };
+        rec!("{}: id={id} runs", self.name);
         thread::sleep(ms(WORK_MS));
         let position = Some((unix_ms() - 8.0) as i64);
         let mut out = description();
@@ -102,6 +115,7 @@
                 name: format!("s-{number}"),
                 primary: number == 0,
                 hangs_until: Mutex::new(None),
+                in_flight: AtomicU64::new(0),
             })
         })
         .collect();
@@ -148,6 +162,7 @@
                     "SELECT payload FROM entries WHERE ref = 'tour{number}' /* id={id},c=tour-pages,d=1200,cluster=1 */"
                 );
                 client.send(&text).ok()?;
+                rec!("client: {id} sent");
                 let answer = client.answer(Duration::from_secs(40));
                 let (told, held) = match &answer {
                     Answer::Row(value) => {
