Keep the connection when a streamed value breaks off, and answer what is behind it

Cause: forward_streamed told the client of an incomplete value by ending its connection, although the commands behind it had been read.

Change: the missing part of the announced length is padded and an ErrorResponse takes the place of CommandComplete, so that the client can tell and the connection goes on.

Two tests pinned the end of the connection and were wrong by this: the end of long_value_is_streamed_at_the_pace_of_its_client now expects the row, the error and ReadyForQuery, message by message; queries_behind_a_truncated_value_are_logged is replaced by requests_behind_a_value_that_breaks_off_are_answered, for a reset within the value and an error behind it.

--- a/src/net/downstream/answer_writer.rs
+++ b/src/net/downstream/answer_writer.rs
@@ -1,12 +1,10 @@
-//! Writes to a client: complete answers, answers that are forwarded while they arrive, and the error that ends a
-//! connection.
+//! Writes to a client: answers, and the error that ends a connection.
 
 use crate::net::buffers::Buffer;
 use crate::net::downstream::connection::{ClientConnection, ConnectionEnd};
 use crate::net::metrics::increment;
 use crate::net::pg::{self, code};
 use crate::net::request::retry_after_milliseconds;
-use crate::net::upstream::{StreamChunk, StreamedAnswer};
 use crate::net::write_all;
 use irisrouter::routing::TimeDelta;
 use std::time::Duration;
@@ -25,7 +23,7 @@
 impl ClientConnection {
     /// Writes all of these bytes; does nothing if there are none. After a long write, reads the input that the client
     /// sent meanwhile.
-    pub(super) async fn write(&mut self, bytes: &Buffer) -> Result<(), ConnectionEnd> {
+    pub(super) async fn write(&mut self, bytes: &[u8]) -> Result<(), ConnectionEnd> {
         if bytes.is_empty() {
             return Ok(());
         }
@@ -52,25 +50,6 @@
         Ok(self.listener.pool.acquire())
     }
 
-    /// Forwards a long answer while it arrives, and returns its last part, which is not written yet. An answer that
-    /// breaks off ends the connection, because the client cannot otherwise detect that it is incomplete.
-    pub(super) async fn forward_streamed(
-        &mut self,
-        streamed: StreamedAnswer,
-    ) -> Result<Buffer, ConnectionEnd> {
-        let StreamedAnswer { head, mut rest } = streamed;
-        self.write(&head).await?;
-        drop(head);
-        loop {
-            let received = self.wait_while_connected(rest.recv()).await;
-            match received? {
-                Some(StreamChunk::Data(chunk)) => self.write(&chunk).await?,
-                Some(StreamChunk::Last(chunk)) => return self.reserve_ready_for_query(chunk).await,
-                None => return Err(ConnectionEnd::Truncated),
-            }
-        }
-    }
-
     /// Reports a protocol violation to the client and ends the connection.
     pub(super) async fn end_with_violation(&mut self, message: &str) -> ConnectionEnd {
         increment(&self.metrics().requests.malformed);
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -38,9 +38,6 @@
 pub(super) enum ConnectionEnd {
     /// The client has disconnected or the network has failed, so that nothing more can be sent.
     Disconnected,
-    /// The host's answer broke off after a part of it was forwarded. Only the end of the connection tells the client
-    /// that the value is incomplete.
-    Truncated,
     /// The gateway closes the connection while no answer is due.
     Closed,
     /// The gateway closes the connection after sending an error that states the reason.
@@ -330,7 +327,6 @@
     async fn close(&mut self, reason: ConnectionEnd) {
         match reason {
             ConnectionEnd::Disconnected => {}
-            ConnectionEnd::Truncated => self.report_unanswered(reason),
             ConnectionEnd::Closed | ConnectionEnd::ErrorSent => {
                 self.report_unanswered(reason);
                 self.linger().await;
@@ -339,8 +335,8 @@
     }
 
     /// Counts and logs the complete queries that were read but get no answer because the gateway closes the connection
-    /// before their turn. This is expected after a protocol violation, a Terminate message or a truncated answer; in
-    /// any other case it is a fault.
+    /// before their turn. This is expected after a protocol violation or a Terminate message; in any other case it is a
+    /// fault.
     fn report_unanswered(&self, reason: ConnectionEnd) {
         let unanswered = self.input.unanswered_queries();
         if unanswered == 0 {
--- a/src/net/downstream/mod.rs
+++ b/src/net/downstream/mod.rs
@@ -10,3 +10,4 @@
 pub mod listener;
 mod query;
 mod read_times;
+mod streamed_answer;
--- a/src/net/upstream/response_stream.rs
+++ b/src/net/upstream/response_stream.rs
@@ -22,6 +22,8 @@
 pub struct StreamedAnswer {
     /// Messages of the answer up to the first bytes of the value.
     pub head: Buffer,
+    /// Number of bytes of the value's message that follow the head.
+    pub remaining: usize,
     /// Channel for the rest of the answer. If it closes without [`StreamChunk::Last`], the value is incomplete.
     pub rest: mpsc::Receiver<StreamChunk>,
 }
@@ -57,8 +59,12 @@
         }
         unread.advance(available);
         let (chunks, rest) = mpsc::channel(MAX_QUEUED_CHUNKS);
-        on_stream(StreamedAnswer { head, rest });
         let remaining = length - available;
+        on_stream(StreamedAnswer {
+            head,
+            remaining,
+            rest,
+        });
         self.stream_value(connection, remaining, &chunks).await?;
         let reader = ReplyReader::resume(reply, unread, self.buffers.acquire());
         let reading = reader.read(connection, LongRowHandling::ReadWhole);
--- a/tests/gateway/harness/client.rs
+++ b/tests/gateway/harness/client.rs
@@ -86,3 +86,19 @@
         .trim()
         .to_string()
 }
+
+/// Asserts that an answer is a row whose end is an error, which tells the client that the value is incomplete, and that
+/// the session goes on.
+pub fn assert_incomplete_value(answer: &str) {
+    let lines: Vec<&str> = answer.lines().collect();
+    let [description, row, error, ready] = lines[..] else {
+        panic!("{} lines, the last: {:?}", lines.len(), lines.last());
+    };
+    assert_eq!(description, "RowDescription");
+    assert!(row.starts_with("DataRow vvvv"));
+    assert!(
+        error.starts_with("ErrorResponse SERROR VERROR CXX000 Mthe value is incomplete"),
+        "{error}"
+    );
+    assert_eq!(ready, "ReadyForQuery");
+}
