Break off a value whose host hangs when a shutdown owes answers to what is behind it

Callers saw: commands behind a value over 64 KiB whose host hangs were answered 10.0 s after SIGTERM, or never, as the kill comes after 3.7 s.

Cause: forward_streamed waited for its host without regard to the shutdown's deadline for answers.

Change: from that deadline on, a value with queries behind it is padded and ended by an error like one that broke off; one without goes on. Input is read before each part of a value, so that queries and a disconnect are seen while it flows.

--- a/src/net/downstream/client_input.rs
+++ b/src/net/downstream/client_input.rs
@@ -230,7 +230,10 @@
 
     /// Reads the available input without waiting. The runtime may report a socket as readable when it is not, and a
     /// read that waited for bytes would then have no time limit.
-    fn read_available(&mut self, purpose: ReadPurpose) -> Result<ReadProgress, ConnectionEnd> {
+    pub(super) fn read_available(
+        &mut self,
+        purpose: ReadPurpose,
+    ) -> Result<ReadProgress, ConnectionEnd> {
         // A client that never stops sending must not keep its connection open until the process is killed: once the
         // shutdown has ended reading, only the rest of a partial message is read.
         let max_bytes = if self.listener.request_context.reading_has_ended() {
--- a/src/net/downstream/streamed_answer.rs
+++ b/src/net/downstream/streamed_answer.rs
@@ -6,11 +6,19 @@
 
 use crate::net::buffers::Buffer;
 use crate::net::downstream::connection::{ClientConnection, ConnectionEnd};
+use crate::net::downstream::input_buffer::ReadPurpose;
 use crate::net::pg::{self, code};
+use crate::net::request::RequestContext;
 use crate::net::upstream::{StreamChunk, StreamedAnswer};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
 
 /// Bytes that take the place of the missing part of a value.
 static PADDING: [u8; 64 * 1024] = [0; 64 * 1024];
+/// Interval between two checks, after the shutdown's deadline for answers, whether queries wait behind an answer.
+const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
 impl ClientConnection {
     /// Forwards a long answer while it arrives, and returns its last part, which is not written yet.
@@ -26,7 +34,7 @@
         self.write(&head).await?;
         drop(head);
         loop {
-            match self.wait_while_connected(rest.recv()).await? {
+            match self.next_chunk(&mut rest).await? {
                 Some(StreamChunk::Data(chunk)) => {
                     remaining -= chunk.len();
                     self.write(&chunk).await?;
@@ -37,6 +45,30 @@
         }
     }
 
+    /// Returns the next part of an answer. Returns `None` if the answer has broken off, or has to be broken off: queries
+    /// wait behind it, and the shutdown's deadline for their answers has passed.
+    async fn next_chunk(
+        &mut self,
+        rest: &mut mpsc::Receiver<StreamChunk>,
+    ) -> Result<Option<StreamChunk>, ConnectionEnd> {
+        let context = Rc::clone(&self.listener.request_context);
+        // An answer that arrives without a pause would otherwise keep queries and a disconnect from being noticed.
+        self.read_available(ReadPurpose::ReadAhead)?;
+        while !context.answers_are_overdue() || self.input.unanswered_queries() == 0 {
+            let received = async {
+                tokio::select! {
+                    biased;
+                    chunk = rest.recv() => Some(chunk),
+                    () = overdue_check(&context) => None,
+                }
+            };
+            if let Some(chunk) = self.wait_while_connected(received).await? {
+                return Ok(chunk);
+            }
+        }
+        Ok(None)
+    }
+
     /// Pads a value whose last `missing` bytes have not arrived, and returns the error that follows it.
     async fn end_incomplete_value(&mut self, missing: usize) -> Result<Buffer, ConnectionEnd> {
         let mut remaining = missing;
@@ -52,3 +84,10 @@
         Ok(out)
     }
 }
+
+/// Returns when a connection has to check whether queries wait behind its answer: never before the shutdown's deadline
+/// for answers, and at intervals from then on.
+async fn overdue_check(context: &RequestContext) {
+    context.answers_overdue().await;
+    sleep(OVERDUE_CHECK_INTERVAL).await;
+}
--- a/src/net/request/context.rs
+++ b/src/net/request/context.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::Instant;
+use tokio::time::{sleep_until, Instant};
 
 /// Deadlines of a gateway that is shutting down.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,6 +53,17 @@
         deadlines.is_some_and(|deadlines| deadlines.answer_by <= now)
     }
 
+    /// Waits until the gateway is shutting down and its deadline for answers has passed.
+    pub async fn answers_overdue(&self) {
+        let mut shutdown = self.shutdown.subscribe();
+        let announced = shutdown.wait_for(Option::is_some).await;
+        let deadlines = announced.ok().and_then(|deadlines| *deadlines);
+        match deadlines {
+            Some(deadlines) => sleep_until(deadlines.answer_by).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Returns whether the gateway is shutting down and no longer reads requests.
     pub fn reading_has_ended(&self) -> bool {
         let now = Instant::now();
--- a/tests/gateway/pipelining.rs
+++ b/tests/gateway/pipelining.rs
@@ -463,3 +463,29 @@
     }
     gateway.wait_for_counter(" truncated=2 ");
 }
+
+/// Guards against a value whose host hangs while the gateway shuts down: the requests behind it would get no answer.
+#[test]
+fn requests_behind_a_value_whose_host_hangs_are_answered_before_the_kill_after_sigterm() {
+    let host = Host::start("s-1", true, |_, text| match text {
+        _ if text.contains("long") => HostReply::PausedRow(1 << 20),
+        _ => HostReply::Row("a1b2"),
+    });
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let mut client = gateway.client();
+    let long_read = query_message(&statement("read", 9_000).replace("7f3a", "long"));
+    client.send(&[long_read, read_query_with_wait("02", 9_000)].concat());
+    host.wait_for_event("long");
+    let terminated = Instant::now();
+    gateway.signal("-TERM");
+    gateway.wait_for_log("stopping");
+    client.send(&read_query_with_wait("03", 9_000));
+    let answers = read_answers(&mut client, 3);
+    let elapsed = terminated.elapsed();
+    assert_incomplete_value(&answers[0]);
+    for answer in &answers[1..] {
+        assert!(answer.ends_with("ReadyForQuery"), "{answer}");
+    }
+    assert!(elapsed < EARLIEST_KILL, "{elapsed:?}");
+}
