Check every rule again before the first byte of an attempt, and send it elsewhere if one fails

The position was recent enough when the replica was selected, and no longer when the connection came up 0.1 to 0.26 s later.

Connections to an older process or address of a host are not used any more, by requests and health checks. What is not permitted ends as NotSent, and the router selects again. The request task's own copy of the resend window is gone. The router is shared through RouterHandle; no borrow is held across an await. The testbed's virtual gateways ask in the same place.

--- a/crates/testbed/src/gateway/mod.rs
+++ b/crates/testbed/src/gateway/mod.rs
@@ -238,6 +238,12 @@
         self.router.batch(Timestamp::from_nanos(now), &events)
     }
 
+    /// Whether an attempt whose connection is up may be sent: its host takes requests, and the router permits it.
+    pub fn permits_send(&mut self, now: Ns, host: HostId, id: RequestId, attempt: u32) -> bool {
+        let now = Timestamp::from_nanos(now);
+        self.is_ready(host) && self.router.permit_send(now, id, attempt).is_some()
+    }
+
     /// Takes an idle connection to a host, and closes those that have been idle for too long.
     pub fn check_out(&mut self, now: Ns, host: HostId, epoch: u32, idle_timeout: Ns) -> CheckedOut {
         let Some(idle) = self.idle.get_mut(&host) else {
--- a/crates/testbed/src/virtual_run/attempts.rs
+++ b/crates/testbed/src/virtual_run/attempts.rs
@@ -127,11 +127,10 @@
         let Some(gateway) = self.running(attempt.process).filter(|_| connecting) else {
             return self.fleet.close(now, host, epoch);
         };
-        if !gateway.is_ready(host) {
-            // The list has changed while the connection came up, and the first byte counts.
-            let AttemptId {
-                request, number, ..
-            } = attempt;
+        let AttemptId {
+            request, number, ..
+        } = attempt;
+        if !gateway.permits_send(now, host, request, number) {
             gateway.end_attempt(now, request, number, Outcome::NotSent, None);
             self.fleet.close(now, host, epoch);
             return self.schedule_batch(attempt.process.gateway);
--- a/src/net/lifecycle/shared_parts.rs
+++ b/src/net/lifecycle/shared_parts.rs
@@ -23,7 +23,7 @@
     pub metrics: Rc<Metrics>,
     /// Buffers for messages.
     pub buffers: Rc<Pool>,
-    /// Sends events to the router task.
+    /// The router.
     pub router: Rc<RouterHandle>,
     /// The database hosts and the connections to them.
     pub upstream: Rc<Upstream>,
@@ -39,7 +39,8 @@
         let clock = Clock::new();
         let metrics = Rc::<Metrics>::default();
         let buffers = Pool::new(config.memory_limit / BUFFER_MEMORY_DIVISOR);
-        let router = Rc::<RouterHandle>::default();
+        let classes = Rc::new(Classes::new(&config.platform));
+        let router = Rc::new(RouterHandle::new(classes.settings().clone()));
         let router_handle = Rc::clone(&router);
         let upstream = Upstream::new(
             &config.platform,
@@ -55,7 +56,7 @@
             buffers,
             router,
             upstream: Rc::new(upstream),
-            classes: Rc::new(Classes::new(&config.platform)),
+            classes,
             serving_state: Rc::default(),
         }
     }
--- a/src/net/lifecycle/startup.rs
+++ b/src/net/lifecycle/startup.rs
@@ -19,7 +19,6 @@
 use crate::net::request::RequestContext;
 use crate::net::router_task::run_router;
 use crate::net::upstream::{Upstream, IDLE_CLOSE_INTERVAL};
-use irisrouter::routing::Router;
 use irisrouter_endpoint_watch::Revision;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -123,9 +122,7 @@
 
 /// Starts the task that makes the routing decisions. The task never returns.
 pub fn spawn_router(parts: &SharedParts) -> JoinHandle<()> {
-    let settings = parts.classes.settings().clone();
     spawn_local(run_router(
-        Router::new(settings),
         Rc::clone(&parts.router),
         Rc::clone(&parts.upstream),
         parts.clock,
--- a/src/net/request/attempts.rs
+++ b/src/net/request/attempts.rs
@@ -2,12 +2,13 @@
 
 use crate::net::request::context::RequestContext;
 use crate::net::request::write_intent::WriteIntent;
-use crate::net::upstream::{AttemptResult, OutgoingStatement, Statement, StreamedAnswer};
+use crate::net::upstream::{
+    AttemptResult, OutgoingStatement, SendDeadline, Statement, StreamedAnswer,
+};
 use crate::net::{duration, time_delta};
-use irisrouter::routing::{MemberId, Outcome, TimeDelta};
+use irisrouter::routing::{MemberId, Outcome, RequestId, TimeDelta};
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::task::{self, AbortHandle, JoinError, JoinSet};
 use tokio::time::Instant;
@@ -17,8 +18,6 @@
     /// Member that the attempt is sent to.
     pub(super) member: MemberId,
     started_at: Instant,
-    /// Whether the outcome of the attempt proves that it never ran; false until it has ended.
-    never_ran: bool,
     task: AbortHandle,
 }
 
@@ -27,11 +26,6 @@
     pub(super) fn elapsed(&self) -> TimeDelta {
         time_delta(self.started_at.elapsed())
     }
-
-    /// Records whether the outcome proves that the attempt never ran.
-    pub(super) fn record_outcome(&mut self, outcome: Outcome) {
-        self.never_ran = outcome.never_ran();
-    }
 }
 
 /// A long answer that has begun to arrive.
@@ -62,10 +56,8 @@
     /// Long answers that have begun to arrive.
     pub(super) streams: UnboundedReceiver<StartedStream>,
     stream_sender: UnboundedSender<StartedStream>,
+    request: RequestId,
     statement: Rc<Statement>,
-    /// Time from the start of the first attempt that may have run until no further attempt may be sent; `None` for no
-    /// limit.
-    resend_window: Option<Duration>,
     /// Set once the request has been answered or its client has left. An attempt that was started earlier, but whose
     /// connection is ready only afterwards, is then not sent.
     request_finished: Rc<Cell<bool>>,
@@ -77,8 +69,8 @@
     /// Creates the attempts of a request for which none has been started yet.
     pub(super) fn new(
         context: Rc<RequestContext>,
+        request: RequestId,
         statement: Statement,
-        resend_window: Option<Duration>,
         write_intent: Option<Rc<WriteIntent>>,
     ) -> Self {
         let (stream_sender, streams) = unbounded_channel();
@@ -87,8 +79,8 @@
             running: JoinSet::new(),
             streams,
             stream_sender,
+            request,
             statement: Rc::new(statement),
-            resend_window,
             request_finished: Rc::new(Cell::new(false)),
             write_intent,
             context,
@@ -104,6 +96,7 @@
     pub(super) fn start(&mut self, member: MemberId, timeout: TimeDelta) {
         let attempt = AttemptTask {
             context: Rc::clone(&self.context),
+            request: self.request,
             statement: Rc::clone(&self.statement),
             request_finished: Rc::clone(&self.request_finished),
             stream_sender: self.stream_sender.clone(),
@@ -111,26 +104,15 @@
             attempt_number: self.started.len(),
             member,
             timeout,
-            send_deadline: self.resend_deadline(),
         };
         let task = self.running.spawn_local(attempt.run());
         self.started.push(StartedAttempt {
             member,
             started_at: Instant::now(),
-            never_ran: false,
             task,
         });
     }
 
-    /// Returns the time until which another attempt may be sent; `None` for no limit. It is checked when the connection
-    /// is ready: the router starts attempts within the resend window, but a connection may be ready only after its end.
-    fn resend_deadline(&self) -> Option<Instant> {
-        let may_have_run = self.started.iter().filter(|attempt| !attempt.never_ran);
-        let first = may_have_run.map(|attempt| attempt.started_at).min();
-        let window = self.resend_window.zip(first);
-        window.map(|(window, first)| first + window)
-    }
-
     /// Aborts the task of an attempt.
     pub(super) fn cancel(&self, attempt: u32) {
         if let Some(attempt) = self.started.get(attempt as usize) {
@@ -156,6 +138,7 @@
 /// The parameters that the task of an attempt runs with.
 struct AttemptTask {
     context: Rc<RequestContext>,
+    request: RequestId,
     statement: Rc<Statement>,
     request_finished: Rc<Cell<bool>>,
     stream_sender: UnboundedSender<StartedStream>,
@@ -164,8 +147,6 @@
     member: MemberId,
     /// Time from the start of the attempt to its latest end.
     timeout: TimeDelta,
-    /// The attempt is not sent after this time; `None` for no limit.
-    send_deadline: Option<Instant>,
 }
 
 impl AttemptTask {
@@ -200,13 +181,23 @@
         };
         let upstream = &self.context.upstream;
         upstream
-            .attempt(outgoing, || self.may_be_sent(), on_stream)
+            .attempt(outgoing, || self.send_deadline(), on_stream)
             .await
     }
 
-    /// Returns whether the attempt may still be sent; asked when its connection is ready.
-    fn may_be_sent(&self) -> bool {
-        let in_time = |deadline| Instant::now() < deadline;
-        !self.request_finished.get() && self.send_deadline.is_none_or(in_time)
+    /// Returns the time by which the statement has to be written, or `None` if it must not be sent any more. Called
+    /// when the connection is ready.
+    fn send_deadline(&self) -> Option<SendDeadline> {
+        if self.request_finished.get() {
+            return None;
+        }
+        let now = self.context.clock.now();
+        let attempt = self.attempt_number as u32;
+        let permit = self
+            .context
+            .router
+            .permit_send(now, self.request, attempt)?;
+        let time_left = permit.send_by.map(|send_by| duration(send_by - now));
+        Some(SendDeadline(time_left.map(|left| Instant::now() + left)))
     }
 }
--- a/src/net/request/lifecycle.rs
+++ b/src/net/request/lifecycle.rs
@@ -9,10 +9,8 @@
 use crate::net::request::earlier_attempts::CheckedRequest;
 use crate::net::request::write_intent::{ResendError, WriteIntent};
 use crate::net::router_task::{RegisteredRequest, RequestCommand};
-use crate::net::{duration, time_delta};
-use irisrouter::routing::{
-    Event, Idempotency, MemberId, Outcome, ReplicationStatus, RequestClass, RequestId, TimeDelta,
-};
+use crate::net::time_delta;
+use irisrouter::routing::{Event, MemberId, Outcome, ReplicationStatus, RequestId, TimeDelta};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -138,8 +136,8 @@
             answer,
             attempts: Attempts::new(
                 Rc::clone(&context),
+                id,
                 request.statement,
-                resend_window(&request.class.class),
                 write_intent.clone(),
             ),
             streaming_attempt: None,
@@ -224,7 +222,6 @@
             }
             return;
         }
-        self.attempts.started[attempt].record_outcome(result.outcome);
         if result.outcome == Outcome::Cancelled {
             // `Upstream::attempt` counts an attempt when it returns, which it does not do for an aborted attempt.
             self.context.metrics.record_attempt(Outcome::Cancelled);
@@ -345,11 +342,3 @@
         () = sleep_until(deadline) => {}
     }
 }
-
-/// Returns the time from the first attempt that may have run until no further attempt may be sent; `None` for no limit.
-fn resend_window(class: &RequestClass) -> Option<Duration> {
-    match class.idempotency {
-        Idempotency::Keyed { window, .. } => Some(duration(window)),
-        Idempotency::Idempotent | Idempotency::NotIdempotent => None,
-    }
-}
--- a/src/net/router_task.rs
+++ b/src/net/router_task.rs
@@ -5,7 +5,10 @@
 
 use crate::net::upstream::Upstream;
 use crate::net::{duration, Clock};
-use irisrouter::routing::{Action, Event, MemberId, RequestId, Router, RoutingSnapshot, TimeDelta};
+use irisrouter::routing::{
+    Action, Event, MemberId, RequestId, Router, RoutingSnapshot, SendPermit, Settings, TimeDelta,
+    Timestamp,
+};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -49,8 +52,9 @@
 ///
 /// The router task and all tasks that post events share it. All of them run on one thread and no borrow is held across
 /// an await, so `Cell` and `RefCell` are sufficient.
-#[derive(Default)]
 pub struct RouterHandle {
+    /// The router. Only [`run_router`] passes events to it.
+    router: RefCell<Router>,
     /// Events that were posted and that the router task has not taken yet, in order.
     events: RefCell<Vec<Event>>,
     /// Wakes the router task.
@@ -62,6 +66,23 @@
 }
 
 impl RouterHandle {
+    /// Creates a router with these settings, which processes its events once [`run_router`] runs.
+    pub fn new(settings: Settings) -> Self {
+        RouterHandle {
+            router: RefCell::new(Router::new(settings)),
+            events: RefCell::default(),
+            wakeup: Notify::new(),
+            command_senders: RefCell::default(),
+            next_request: Cell::default(),
+            snapshot_requests: RefCell::default(),
+        }
+    }
+
+    /// Returns the permission to send an attempt now, or `None` if it must not be sent, see [`Router::permit_send`].
+    pub fn permit_send(&self, now: Timestamp, id: RequestId, attempt: u32) -> Option<SendPermit> {
+        self.router.borrow_mut().permit_send(now, id, attempt)
+    }
+
     /// Posts an event, which the router processes in its next batch.
     pub fn post(&self, event: Event) {
         self.events.borrow_mut().push(event);
@@ -103,20 +124,15 @@
         }
     }
 
-    fn answer_snapshot_requests(&self, router: &Router) {
+    fn answer_snapshot_requests(&self) {
         for sender in self.snapshot_requests.take() {
-            let _ = sender.send(router.snapshot());
+            let _ = sender.send(self.router.borrow().snapshot());
         }
     }
 }
 
 /// Runs the router; never returns.
-pub async fn run_router(
-    mut router: Router,
-    handle: Rc<RouterHandle>,
-    upstream: Rc<Upstream>,
-    clock: Clock,
-) {
+pub async fn run_router(handle: Rc<RouterHandle>, upstream: Rc<Upstream>, clock: Clock) {
     let mut timer: Option<Instant> = None;
     loop {
         let deadline = timer;
@@ -127,12 +143,13 @@
                 handle.events.borrow_mut().push(Event::TimerFired);
             }
         }
-        handle.answer_snapshot_requests(&router);
+        handle.answer_snapshot_requests();
         let events = handle.events.take();
         if events.is_empty() {
             continue;
         }
-        for action in router.batch(clock.now(), &events) {
+        let actions = handle.router.borrow_mut().batch(clock.now(), &events);
+        for action in actions {
             if let Some(requested) = carry_out(action, &handle, &upstream) {
                 // Only the earliest timer is kept: each time a timer fires, the router sets another one if it needs it.
                 timer = Some(timer.map_or(requested, |current| current.min(requested)));
--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -33,6 +33,10 @@
     pub deadline: Instant,
 }
 
+/// Time by which the last byte of a statement has to be written; `None` if only the deadline of its reply limits it.
+#[derive(Clone, Copy, Debug)]
+pub struct SendDeadline(pub Option<Instant>);
+
 /// The result of an attempt.
 pub struct AttemptResult {
     /// Outcome of the attempt.
@@ -55,17 +59,19 @@
 }
 
 impl Upstream {
-    /// Sends a statement to a host and waits for its reply until the deadline. `may_be_sent` is called once a
-    /// connection is ready; if it returns false, nothing is sent. When a long reply begins, it is given to `on_stream`;
+    /// Sends a statement to a host and waits for its reply until the deadline. `send_deadline` is called once a
+    /// connection is ready; if it returns `None`, nothing is sent. When a long reply begins, it is given to `on_stream`;
     /// the deadline doesn't apply to the rest of that reply.
     pub async fn attempt(
         &self,
         outgoing: OutgoingStatement<'_>,
-        may_be_sent: impl Fn() -> bool,
+        send_deadline: impl Fn() -> Option<SendDeadline>,
         on_stream: impl FnOnce(StreamedAnswer),
     ) -> AttemptResult {
         let member = outgoing.member;
-        let result = self.send_statement(outgoing, may_be_sent, on_stream).await;
+        let result = self
+            .send_statement(outgoing, send_deadline, on_stream)
+            .await;
         self.metrics.record_attempt(result.outcome);
         self.record_result(member, result.outcome, ExchangeKind::Request);
         result
@@ -74,7 +80,7 @@
     async fn send_statement(
         &self,
         outgoing: OutgoingStatement<'_>,
-        may_be_sent: impl Fn() -> bool,
+        send_deadline: impl Fn() -> Option<SendDeadline>,
         on_stream: impl FnOnce(StreamedAnswer),
     ) -> AttemptResult {
         let OutgoingStatement {
@@ -86,9 +92,10 @@
             Ok(connection) => connection,
             Err(outcome) => return outcome.into(),
         };
-        // While the connection was set up, the host may have gone out of service or the client may have left. This is
-        // checked before the first byte is written, because from then on the statement counts as sent.
-        let Some(_in_flight) = self.begin_request(member).filter(|_| may_be_sent()) else {
+        // While the connection was set up, the host may have gone out of service, or a rule may have come to forbid the
+        // attempt. This is checked before the first byte is written, because from then on the statement counts as sent.
+        let in_flight = self.begin_request(member, connection.incarnation);
+        let Some((_in_flight, SendDeadline(send_deadline))) = in_flight.zip(send_deadline()) else {
             self.check_in(member, connection);
             return Outcome::NotSent.into();
         };
@@ -100,6 +107,7 @@
             member,
             connection,
             message,
+            write_deadline: send_deadline.map_or(deadline, |limit| limit.min(deadline)),
             deadline,
         };
         let query_reply = match self.exchange(query, Some(on_stream)).await {
--- a/src/net/upstream/exchange.rs
+++ b/src/net/upstream/exchange.rs
@@ -19,6 +19,8 @@
     pub(super) connection: Connection,
     /// The query message.
     pub(super) message: Buffer,
+    /// Time by which the query must have been written.
+    pub(super) write_deadline: Instant,
     /// Time by which the reply must have arrived; a long reply must have begun by then.
     pub(super) deadline: Instant,
 }
@@ -48,10 +50,11 @@
             member,
             mut connection,
             message: mut buffer,
+            write_deadline,
             deadline,
         } = query;
         let writing = write_all(&mut connection.stream, &buffer);
-        if !matches!(timeout_at(deadline, writing).await, Ok(Ok(()))) {
+        if !matches!(timeout_at(write_deadline, writing).await, Ok(Ok(()))) {
             return Err(Outcome::ConnectFailed);
         }
         buffer.clear();
--- a/src/net/upstream/health_check.rs
+++ b/src/net/upstream/health_check.rs
@@ -99,7 +99,7 @@
         deadline: Instant,
     ) -> Result<QueryReply, Outcome> {
         let connection = self.connection(member, deadline).await?;
-        let Some(_in_flight) = self.begin_request(member) else {
+        let Some(_in_flight) = self.begin_request(member, connection.incarnation) else {
             self.check_in(member, connection);
             return Err(Outcome::NotSent);
         };
@@ -110,6 +110,7 @@
             member,
             connection,
             message,
+            write_deadline: deadline,
             deadline,
         };
         // A load report is short, so there is no long value to stream.
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -15,7 +15,7 @@
 mod reply;
 mod response_stream;
 
-pub use attempt::{AttemptResult, OutgoingStatement, Statement};
+pub use attempt::{AttemptResult, OutgoingStatement, SendDeadline, Statement};
 pub use health_check::{Fence, HealthCheck};
 pub use host_table::GroupMember;
 pub use pool::IDLE_CLOSE_INTERVAL;
--- a/src/net/upstream/pool.rs
+++ b/src/net/upstream/pool.rs
@@ -100,11 +100,11 @@
     }
 
     /// Counts a request as in flight at a host until the guard is dropped. Returns `None` if the host accepts no
-    /// requests.
-    pub(super) fn begin_request(&self, member: MemberId) -> Option<CountGuard> {
+    /// requests, or is no longer the incarnation that the request's connection was opened to.
+    pub(super) fn begin_request(&self, member: MemberId, incarnation: u64) -> Option<CountGuard> {
         let registry = self.registry.borrow();
         let host = registry.hosts.get(member);
-        let host = host.filter(|host| host.accepts_requests)?;
+        let host = host.filter(|host| host.accepts_requests_at(incarnation))?;
         Some(CountGuard::new(&host.in_flight))
     }
 
--- a/src/routing/admission.rs
+++ b/src/routing/admission.rs
@@ -33,7 +33,8 @@
     /// Returns whether the attempt was sent.
     pub(super) fn send(&mut self, id: RequestId, member: MemberId) -> bool {
         let request = self.requests.get(id);
-        if !self.rules_allow(request, member) {
+        let connect_timeout = self.fleet.settings.limits.connect_timeout;
+        if !self.rules_allow(request, member, connect_timeout) {
             return false;
         }
         let now = self.fleet.now;
@@ -60,14 +61,20 @@
         true
     }
 
-    /// Returns whether all five rules allow an attempt at this member.
-    fn rules_allow(&self, request: &Request, id: MemberId) -> bool {
+    /// Returns whether all five rules allow an attempt at this member. `setup_time` is the longest
+    /// time that may pass until its first byte is sent.
+    pub(super) fn rules_allow(
+        &self,
+        request: &Request,
+        id: MemberId,
+        setup_time: TimeDelta,
+    ) -> bool {
         let member = self.fleet.member(id);
         // Rule 3: draining members get no attempts, from the start of the drain rather than from
         // the end of the grace period.
         let in_service = self.fleet.in_service(id) && member.identity.group == request.group;
         self.can_be_answered_in_time(request)
-            && self.cannot_take_effect_twice(request, member)
+            && self.cannot_take_effect_twice(request, member, setup_time)
             && in_service
             // Rule 4: the load budget of a member in slow start is not exceeded.
             && self.slow_start_admits(id, request)
@@ -83,7 +90,12 @@
     }
 
     /// Rule 2: no request takes effect twice.
-    fn cannot_take_effect_twice(&self, request: &Request, member: &Member) -> bool {
+    fn cannot_take_effect_twice(
+        &self,
+        request: &Request,
+        member: &Member,
+        setup_time: TimeDelta,
+    ) -> bool {
         let limits = &self.fleet.settings.limits;
         if request.is_in_flight() && !limits.hedged_requests {
             return false;
@@ -96,9 +108,8 @@
             Idempotency::Idempotent => true,
             Idempotency::NotIdempotent => !request.may_have_run(),
             Idempotency::Keyed { scope, window } => may_have_run.all(|attempt| {
-                // What counts is when the repeat arrives at the member, and a connection may have
-                // to be established first.
-                let arrives_after = self.fleet.now - attempt.sent_at + limits.connect_timeout;
+                // What counts is when the repeat arrives at the member.
+                let arrives_after = self.fleet.now - attempt.sent_at + setup_time;
                 let earlier = self.fleet.members.get(&attempt.member);
                 let same_zone =
                     earlier.is_some_and(|other| other.identity.zone == member.identity.zone);
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -5,8 +5,8 @@
 //! current time, its outputs are [`Action`]s. The same router runs in the gateway, in the
 //! simulator's adapter and in the testbed.
 //!
-//! The decisions are in `router`, `selection`, `admission` and `retry` (the `policy` files of
-//! `deploy/balancer.toml`). The other modules hold the state that decisions are based on: `fleet`
+//! The decisions are in `router`, `selection`, `admission`, `send_check` and `retry` (the `policy`
+//! files of `deploy/balancer.toml`). The other modules hold the state that decisions are based on: `fleet`
 //! has the estimates for members, groups and classes, and `request` has the unfinished requests.
 
 mod action;
@@ -32,6 +32,7 @@
 mod router;
 mod selection;
 mod selection_schedule;
+mod send_check;
 mod settings;
 mod slow_start;
 mod snapshot;
@@ -46,6 +47,7 @@
 pub use identifiers::{GroupId, MemberId, RequestId, SessionId, ZoneId};
 pub use member::Member;
 pub use router::Router;
+pub use send_check::SendPermit;
 pub use settings::{
     DeduplicationScope, Freshness, Idempotency, Limits, LoadReportSource, RequestClass,
     RoleInEndpointList, SafetyRules, Settings, StalenessCheck, Tenant,
--- a/tests/gateway/harness/host.rs
+++ b/tests/gateway/harness/host.rs
@@ -163,14 +163,7 @@
 
     fn send_load_report(&mut self) -> Option<()> {
         let is_primary = self.is_primary.update(|value| *value);
-        let now = unix_ms();
-        let report = format!(
-            "x0={}.{:03},x1={},util=0.1",
-            now / 1000,
-            now % 1000,
-            u8::from(is_primary)
-        );
-        self.send(&row_reply(&report, is_primary))
+        self.send(&load_report_reply(is_primary))
     }
 
     fn answer_statement(&mut self, text: &str) -> Option<()> {
@@ -252,12 +245,25 @@
     [message(b'T', &column), message(b'D', &cell)].concat()
 }
 
+/// The load report of a host whose data are current.
+pub fn load_report_reply(is_primary: bool) -> Vec<u8> {
+    let now = unix_ms();
+    let report = format!(
+        "x0={}.{:03},x1={},util=0.1",
+        now / 1000,
+        now % 1000,
+        u8::from(is_primary)
+    );
+    row_reply(&report, is_primary)
+}
+
 fn error_reply(code: &str) -> Vec<u8> {
     let fields = format!("SERROR\0C{code}\0Mno\0\0");
     [message(b'E', fields.as_bytes()), ready_for_query()].concat()
 }
 
-fn unix_ms() -> u128 {
+/// The Unix time in milliseconds.
+pub fn unix_ms() -> u128 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap()
--- a/tests/gateway/harness/manual_host.rs
+++ b/tests/gateway/harness/manual_host.rs
@@ -3,6 +3,7 @@
 
 use super::discovery::Discovery;
 use super::gateway::Gateway;
+use super::host::load_report_reply;
 use super::messages::{read_message, read_startup};
 use super::TEST_TIMEOUT;
 use serde_json::{json, Value};
@@ -70,6 +71,11 @@
         .unwrap();
 }
 
+/// Answers a health check as a replica whose data are current.
+pub fn send_load_report(stream: &mut TcpStream) {
+    stream.write_all(&load_report_reply(false)).unwrap();
+}
+
 /// Reads the next query on a connection; `None` if the connection has ended.
 pub fn read_query(stream: &mut TcpStream) -> Option<String> {
     let (_, body) = read_message(stream)?;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod drains;
 mod harness;
 mod hot_restart;
+mod late_connections;
 mod limits;
 mod peers;
 mod pipelining;
