Hedge a read again when one of its two attempts was not sent

Cause: a hedged attempt that is not sent after all (its host drains or its data age while it connects) left the read with its first attempt, at a member that is suspected, and with the retry token spent.

Change: the token is returned and the read is reviewed at once, so that another member is chosen.

Measured: hedged_read_that_was_not_sent_is_hedged_again_at_another_member failed before (no further attempt) and passes.

--- a/src/routing/retry.rs
+++ b/src/routing/retry.rs
@@ -25,7 +25,13 @@
     /// for a retry, or given up.
     pub(super) fn retry_or_give_up(&mut self, id: RequestId, outcome: Outcome, elapsed: TimeDelta) {
         let request = self.requests.get(id);
-        if request.answered || request.is_in_flight() {
+        if request.answered {
+            return;
+        }
+        if request.is_in_flight() {
+            if outcome == Outcome::NotSent {
+                self.hedge_again(id);
+            }
             return;
         }
         let idempotency = self.class(request).idempotency;
@@ -142,6 +148,13 @@
         }
     }
 
+    /// Handles one of two attempts in flight that was not sent after all: the request may be hedged
+    /// again at once, as if the attempt had not been started.
+    fn hedge_again(&mut self, id: RequestId) {
+        self.retry_budget.refund(HEDGE_COST);
+        self.requests.review_at(self.fleet.now, id);
+    }
+
     /// Gives a request its final answer at once: rejected if a repeat is harmless, otherwise
     /// failed.
     pub(super) fn give_up(&mut self, id: RequestId) {
--- a/src/routing/retry_budget.rs
+++ b/src/routing/retry_budget.rs
@@ -46,6 +46,11 @@
         self.tokens >= cost
     }
 
+    /// Returns this cost to the budget, for an attempt that was paid for and not sent.
+    pub(super) fn refund(&mut self, cost: f64) {
+        self.tokens = (self.tokens + cost).min(MAX_TOKENS);
+    }
+
     /// Takes this cost from the budget.
     pub(super) fn withdraw(&mut self, cost: f64) {
         self.tokens -= cost;
--- a/tests/send_check.rs
+++ b/tests/send_check.rs
@@ -165,6 +165,30 @@
     assert_eq!(harness.permit(id, 1), None);
 }
 
+#[test]
+fn hedged_read_that_was_not_sent_is_hedged_again_at_another_member() {
+    let mut harness = unchecked_harness();
+    // Enough answers to show that the usual latency is far below the objective.
+    for _ in 0..80 {
+        let (id, member) = harness.submit_and_select(ANY_READ);
+        harness.answer_as_replica(id, member);
+    }
+    let (id, silent) = harness.submit_and_select(ANY_READ);
+    let actions = harness.run_for(400 * MILLISECOND);
+    let hedge = sent_to(id, &actions).expect("the read is hedged");
+    harness.list_changes(vec![endpoint(hedge, EndpointState::Draining)]);
+    assert_eq!(harness.permit(id, 1), None);
+    let next = harness.select_again(id, 1, hedge).expect("hedged again");
+    assert!(next != hedge && next != silent);
+    assert!(harness.permit(id, 2).is_some());
+    harness.end_attempt(id, 0, silent, Outcome::Ok, Role::Replica);
+    assert_eq!(
+        harness.permit(id, 2),
+        None,
+        "the other attempt has been answered"
+    );
+}
+
 #[test]
 fn restarted_member_gets_only_what_its_slow_start_admits() {
     const ROUTERS: u64 = 30;
