Number write intents and look-ups, so that late messages change nothing newer

Cause: a withdrawal named the writer and the key only, as did records, acknowledgements, look-ups and their answers.

Change: each intent and look-up has a sequence number that grows over restarts, on the wire as well (first byte 0xC2, 25 bytes a message; 0xC1 is rejected and counted). A withdrawal is retained like a record and removes its own intent only; answers count for their own look-up or record; a withdrawal ends its record operation. The expiry queue now has one entry for each key.

--- a/crates/datagram/src/magic.rs
+++ b/crates/datagram/src/magic.rs
@@ -6,7 +6,7 @@
 /// Lease protocol: decides which gateway performs which task.
 pub const LEASES: u8 = 0xB1;
 /// Write-intent protocol: records keyed writes that may have been executed.
-pub const WRITE_INTENTS: u8 = 0xC1;
+pub const WRITE_INTENTS: u8 = 0xC2;
 /// Site-failover protocol: carries the load reports of the gateways, and the plan made from them.
 pub const SITE_FAILOVER: u8 = 0xD2;
 /// Drain protocol: coordinates drains of database hosts.
--- a/crates/write-intents/src/action.rs
+++ b/crates/write-intents/src/action.rs
@@ -1,10 +1,11 @@
 //! Actions that the caller of [`IntentStore`](crate::IntentStore) has to carry out.
 
+use crate::SequenceNumber;
 use irisrouter_cluster_types::{GatewayId, UnixMilliseconds};
 
 /// Identifies a record operation or a look-up that this gateway has started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct OperationId(pub u64);
+pub struct OperationId(pub SequenceNumber);
 
 /// The outcome of a record operation or a look-up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/write-intents/src/codec.rs
+++ b/crates/write-intents/src/codec.rs
@@ -2,14 +2,17 @@
 //! messages. Its size is limited, and its first byte states the version.
 //!
 //! ```text
-//! 0      magic and version: 0xC1 (`irisrouter_datagram::magic` lists all protocols on the peer socket)
-//! 1      count of messages, then 17 bytes each:
+//! 0      magic and version: 0xC2 (`irisrouter_datagram::magic` lists all protocols on the peer socket)
+//! 1      count of messages, then 25 bytes each:
 //! 0      kind: 0 record, 1 acknowledged, 2 look up, 3 found, 4 not found, 5 withdraw
-//! 1..9   key (u64, big-endian)
-//! 9..17  Unix milliseconds (u64) of the first attempt that may have run; 0 if the kind carries no time
+//! 1..9   number (u64, big-endian) of the intent that is recorded, acknowledged or withdrawn, or of the look-up
+//! 9..17  key (u64)
+//! 17..25 Unix milliseconds (u64) of the first attempt that may have run; 0 if the kind carries no time
 //! ```
+//!
+//! Version 1 had no number, so that a message which arrived late was taken for a later one. Its datagrams are rejected.
 
-use crate::KeyHash;
+use crate::{KeyHash, SequenceNumber};
 use bytes::BufMut;
 use irisrouter_cluster_types::UnixMilliseconds;
 use irisrouter_datagram::{decode_items, encode_items, has_magic, max_items, Reader, WireValue};
@@ -55,6 +58,8 @@
 pub struct IntentMessage {
     /// The kind of the message.
     pub kind: MessageKind,
+    /// Number of the intent that is recorded, acknowledged or withdrawn, or of the look-up that is asked or answered.
+    pub number: SequenceNumber,
     /// The key that the message is about.
     pub key: KeyHash,
     /// Time of the first attempt that may have run, or 0 if the kind carries no time.
@@ -64,9 +69,10 @@
 impl IntentMessage {
     /// Creates a message without a time.
     #[must_use]
-    pub const fn new(kind: MessageKind, key: KeyHash) -> Self {
+    pub const fn new(kind: MessageKind, number: SequenceNumber, key: KeyHash) -> Self {
         Self {
             kind,
+            number,
             key,
             first_sent_at: NO_TIME,
         }
@@ -74,11 +80,12 @@
 }
 
 impl WireValue for IntentMessage {
-    const ENCODED_BYTES: usize = 17;
+    const ENCODED_BYTES: usize = 25;
 
     fn encode(&self, buffer: &mut Vec<u8>) {
         // The variants of MessageKind and the entries of KINDS are in the same order.
         buffer.put_u8(self.kind as u8);
+        buffer.put_u64(self.number.0);
         buffer.put_u64(self.key.0);
         buffer.put_u64(self.first_sent_at.0);
     }
@@ -86,6 +93,7 @@
     fn decode(reader: &mut Reader<'_>) -> Result<Self, WireError> {
         Ok(Self {
             kind: reader.one_of("kind", &KINDS)?,
+            number: SequenceNumber(reader.u64()?),
             key: KeyHash(reader.u64()?),
             first_sent_at: UnixMilliseconds(reader.u64()?),
         })
--- a/crates/write-intents/src/lib.rs
+++ b/crates/write-intents/src/lib.rs
@@ -19,6 +19,10 @@
 //! answer, at least one replica answers. A gateway that was started recently may have lost records of an earlier
 //! process. Until [`RETENTION`] has passed since its start, it does not answer look-ups of keys that it does not know.
 //!
+//! Datagrams may be lost, repeated and reordered. Each intent and each look-up has a [`SequenceNumber`], which its
+//! messages carry: a withdrawal removes the record of its own intent only, a record that arrives after its withdrawal is
+//! ignored, and an answer counts only for the look-up or the record that it answers.
+//!
 //! The package does no I/O, reads no clock and spawns no async tasks.
 
 mod action;
@@ -27,6 +31,7 @@
 mod operation;
 mod replicas;
 mod retention;
+mod sequence_number;
 mod store;
 
 pub use action::{Action, OperationId, Outcome};
@@ -35,4 +40,5 @@
 pub use operation::MAX_SILENT;
 pub use replicas::{replica_order, LOOKUP_CANDIDATES, RECORD_CANDIDATES, REPLICAS};
 pub use retention::{MAX_RETAINED_KEYS, RETENTION};
+pub use sequence_number::SequenceNumber;
 pub use store::IntentStore;
--- a/crates/write-intents/src/operation.rs
+++ b/crates/write-intents/src/operation.rs
@@ -2,7 +2,7 @@
 
 use crate::codec::{IntentMessage, MessageKind};
 use crate::replicas::{LOOKUP_CANDIDATES, RECORD_CANDIDATES, REPLICAS};
-use crate::{KeyHash, OperationId, Outcome};
+use crate::{KeyHash, OperationId, Outcome, SequenceNumber};
 use irisrouter_cluster_types::{GatewayId, Milliseconds, Timestamp, UnixMilliseconds};
 
 /// Maximum number of gateways that may leave a look-up unanswered without making it inconclusive. One, for the gateway
@@ -19,7 +19,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Purpose {
     /// Records at the replicas that a write may have run from `first_sent_at` on.
-    Record { first_sent_at: UnixMilliseconds },
+    Record {
+        intent: SequenceNumber,
+        first_sent_at: UnixMilliseconds,
+    },
     /// Determines whether a write may have run.
     LookUp,
 }
@@ -112,14 +115,31 @@
         })
     }
 
+    /// Returns whether this operation records the intent with this number.
+    pub(crate) fn records(&self, number: SequenceNumber) -> bool {
+        matches!(self.purpose, Purpose::Record { intent, .. } if intent == number)
+    }
+
+    /// Returns the number that the operation's messages and their answers carry.
+    const fn message_number(&self) -> SequenceNumber {
+        match self.purpose {
+            Purpose::Record { intent, .. } => intent,
+            Purpose::LookUp => self.id.0,
+        }
+    }
+
     fn message(&self) -> IntentMessage {
         match self.purpose {
-            Purpose::Record { first_sent_at } => IntentMessage {
+            Purpose::Record {
+                intent,
+                first_sent_at,
+            } => IntentMessage {
                 kind: MessageKind::Record,
+                number: intent,
                 key: self.key,
                 first_sent_at,
             },
-            Purpose::LookUp => IntentMessage::new(MessageKind::LookUp, self.key),
+            Purpose::LookUp => IntentMessage::new(MessageKind::LookUp, self.id.0, self.key),
         }
     }
 
@@ -130,7 +150,8 @@
         from: GatewayId,
         answer: &IntentMessage,
     ) -> Option<Outcome> {
-        if self.key != answer.key || !self.candidates.contains(&from) {
+        let is_expected = self.message_number() == answer.number && self.key == answer.key;
+        if !is_expected || !self.candidates.contains(&from) {
             return None;
         }
         let decided = match (answer.kind, self.purpose) {
@@ -138,7 +159,7 @@
                 Some(Outcome::MayHaveRunSince(answer.first_sent_at))
             }
             (MessageKind::NotFound, Purpose::LookUp) => None,
-            (MessageKind::Acknowledged, Purpose::Record { first_sent_at })
+            (MessageKind::Acknowledged, Purpose::Record { first_sent_at, .. })
                 if first_sent_at == answer.first_sent_at =>
             {
                 None
--- a/crates/write-intents/src/retention.rs
+++ b/crates/write-intents/src/retention.rs
@@ -1,6 +1,6 @@
 //! The records that one gateway retains until they expire, both its own and those of other writers.
 
-use crate::KeyHash;
+use crate::{KeyHash, SequenceNumber};
 use irisrouter_cluster_types::{GatewayId, Milliseconds, Timestamp, UnixMilliseconds};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -10,21 +10,40 @@
 /// Maximum number of keys that one gateway retains. Without this limit, the writes of other gateways could exhaust the
 /// memory. At the limit, records of new keys are not acknowledged, and their writers do not send the writes.
 pub const MAX_RETAINED_KEYS: usize = 65_536;
-/// Maximum number of entries for the writers of one key. Any further writers share the last entry, which keeps the
-/// earliest time.
-const MAX_WRITERS: usize = 8;
+/// Maximum number of intents that are retained for one key. Any further intents share the last entry, which keeps the
+/// earliest time and cannot be withdrawn.
+const MAX_INTENTS: usize = 8;
 
-/// The time from which the write of one writer may have run.
-#[derive(Debug, Clone)]
+/// Identifies an intent among those of all gateways.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct IntentId {
+    /// Gateway that sends the write.
+    pub(crate) writer: GatewayId,
+    /// Number of the intent at that gateway.
+    pub(crate) number: SequenceNumber,
+}
+
+/// Whether the write of an intent may have run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum IntentState {
+    /// It may have run from this time on.
+    MayHaveRunSince(UnixMilliseconds),
+    /// It never ran. The entry is retained because a record of the intent may still arrive.
+    Withdrawn,
+}
+
+/// An intent of one key.
+#[derive(Debug, Clone, Copy)]
 struct Intent {
-    writer: GatewayId,
-    first_sent_at: UnixMilliseconds,
+    /// `None` if several intents share the entry.
+    id: Option<IntentId>,
+    state: IntentState,
 }
 
 /// The records of one key.
 #[derive(Debug, Clone, Default)]
 struct KeyRecord {
-    /// One entry for each writer. There are few, because only gateways that received the write have an entry.
+    /// There are few, because only gateways that received the write have an entry.
     intents: Vec<Intent>,
     expires_at: Timestamp,
 }
@@ -43,18 +62,36 @@
 }
 
 impl RetainedIntents {
-    /// Records the time from which the write of `writer` may have run. Returns false, and records nothing, if the key
-    /// is new and the limit of keys is reached.
+    /// Records the time from which the write of an intent may have run, unless the intent has been withdrawn. Returns
+    /// false, and records nothing, if the key is new and the limit of keys is reached.
     pub(crate) fn record(
         &mut self,
         now: Timestamp,
-        writer: GatewayId,
+        id: IntentId,
         key: KeyHash,
         first_sent_at: UnixMilliseconds,
     ) -> bool {
+        let record = self.record_of(now, key);
+        record.is_some_and(|record| {
+            record.add(id, first_sent_at);
+            true
+        })
+    }
+
+    /// Withdraws an intent, whether or not its record has arrived.
+    pub(crate) fn withdraw(&mut self, now: Timestamp, id: IntentId, key: KeyHash) {
+        // At the limit of keys, a record that arrives later is kept, and its write counts as one that may have run.
+        if let Some(record) = self.record_of(now, key) {
+            record.withdraw(id);
+        }
+    }
+
+    /// Returns the record of a key, which is retained from `now` on. Returns `None` if the key is new and the limit of
+    /// keys is reached.
+    fn record_of(&mut self, now: Timestamp, key: KeyHash) -> Option<&mut KeyRecord> {
         if !self.records.contains_key(&key) {
             if self.records.len() >= MAX_RETAINED_KEYS {
-                return false;
+                return None;
             }
             self.expiry_queue.push_back(RecordedKey {
                 recorded_at: now,
@@ -63,18 +100,7 @@
         }
         let record = self.records.entry(key).or_default();
         record.expires_at = now + RETENTION;
-        record.add(writer, first_sent_at);
-        true
-    }
-
-    /// Removes the entry of one writer for a key.
-    pub(crate) fn withdraw(&mut self, writer: GatewayId, key: KeyHash) {
-        if let Some(record) = self.records.get_mut(&key) {
-            record.intents.retain(|intent| intent.writer != writer);
-            if record.intents.is_empty() {
-                self.records.remove(&key);
-            }
-        }
+        Some(record)
     }
 
     /// Returns the earliest time from which a write with this key may have run, or `None` if there
@@ -84,8 +110,7 @@
         if now >= record.expires_at {
             return None;
         }
-        let times = record.intents.iter().map(|intent| intent.first_sent_at);
-        times.min()
+        record.first_sent_at()
     }
 
     /// Drops the records that have expired at `now`.
@@ -123,19 +148,66 @@
 }
 
 impl KeyRecord {
-    fn add(&mut self, writer: GatewayId, first_sent_at: UnixMilliseconds) {
-        let full = self.intents.len() >= MAX_WRITERS;
-        let writer_index = self
-            .intents
-            .iter()
-            .position(|intent| intent.writer == writer);
-        let index = writer_index.or(full.then_some(MAX_WRITERS - 1));
-        match index.and_then(|index| self.intents.get_mut(index)) {
-            Some(intent) => intent.first_sent_at = intent.first_sent_at.min(first_sent_at),
-            None => self.intents.push(Intent {
-                writer,
-                first_sent_at,
-            }),
+    fn add(&mut self, id: IntentId, first_sent_at: UnixMilliseconds) {
+        if let Some(intent) = self.find(id) {
+            intent.allow_from(first_sent_at);
+            return;
+        }
+        self.make_room();
+        if self.intents.len() < MAX_INTENTS {
+            self.intents.push(Intent {
+                id: Some(id),
+                state: IntentState::MayHaveRunSince(first_sent_at),
+            });
+        } else if let Some(shared) = self.intents.last_mut() {
+            shared.id = None;
+            shared.allow_from(first_sent_at);
+        }
+    }
+
+    fn withdraw(&mut self, id: IntentId) {
+        if let Some(intent) = self.find(id) {
+            intent.state = IntentState::Withdrawn;
+            return;
+        }
+        self.make_room();
+        if self.intents.len() < MAX_INTENTS {
+            self.intents.push(Intent {
+                id: Some(id),
+                state: IntentState::Withdrawn,
+            });
+        }
+    }
+
+    fn find(&mut self, id: IntentId) -> Option<&mut Intent> {
+        self.intents.iter_mut().find(|intent| intent.id == Some(id))
+    }
+
+    /// Removes the oldest withdrawn intent if there is no room for another one.
+    fn make_room(&mut self) {
+        let is_withdrawn = |intent: &Intent| intent.state == IntentState::Withdrawn;
+        if self.intents.len() >= MAX_INTENTS {
+            if let Some(oldest) = self.intents.iter().position(is_withdrawn) {
+                self.intents.remove(oldest);
+            }
+        }
+    }
+
+    /// Returns the earliest time from which a write may have run; `None` if all intents have been withdrawn.
+    fn first_sent_at(&self) -> Option<UnixMilliseconds> {
+        let times = self.intents.iter().filter_map(|intent| match intent.state {
+            IntentState::MayHaveRunSince(time) => Some(time),
+            IntentState::Withdrawn => None,
+        });
+        times.min()
+    }
+}
+
+impl Intent {
+    /// Records that the write may have run from this time on, unless the intent has been withdrawn.
+    fn allow_from(&mut self, time: UnixMilliseconds) {
+        if let IntentState::MayHaveRunSince(earliest) = &mut self.state {
+            *earliest = time.min(*earliest);
         }
     }
 }
--- a/crates/write-intents/src/store.rs
+++ b/crates/write-intents/src/store.rs
@@ -4,8 +4,8 @@
 use crate::codec::{self, IntentMessage, MessageKind, WireError};
 use crate::operation::{LocalRecords, Operation, Purpose};
 use crate::replicas::{first_replicas, RECORD_CANDIDATES};
-use crate::retention::{RetainedIntents, RETENTION};
-use crate::{Action, KeyHash, OperationId, Outcome};
+use crate::retention::{IntentId, RetainedIntents, RETENTION};
+use crate::{Action, KeyHash, OperationId, Outcome, SequenceNumber};
 use irisrouter_cluster_types::{GatewayId, Timestamp, UnixMilliseconds};
 use std::collections::BTreeMap;
 
@@ -19,22 +19,23 @@
     started: Timestamp,
     retained: RetainedIntents,
     operations: Vec<Operation>,
-    last_operation: u64,
+    next_number: SequenceNumber,
     /// Messages that are waiting to be packed into datagrams, by destination gateway.
     outbox: BTreeMap<GatewayId, Vec<IntentMessage>>,
     actions: Vec<Action>,
 }
 
 impl IntentStore {
-    /// Creates the store of gateway `local_gateway`, whose process starts at `now`.
+    /// Creates the store of gateway `local_gateway`, whose process starts at `now`. `first_number` must be larger than
+    /// every number that an earlier process of the gateway has used.
     #[must_use]
-    pub fn new(local_gateway: GatewayId, now: Timestamp) -> Self {
+    pub fn new(local_gateway: GatewayId, now: Timestamp, first_number: SequenceNumber) -> Self {
         Self {
             local_gateway,
             started: now,
             retained: RetainedIntents::default(),
             operations: Vec::new(),
-            last_operation: 0,
+            next_number: first_number,
             outbox: BTreeMap::new(),
             actions: Vec::new(),
         }
@@ -46,20 +47,30 @@
         self.started = now;
     }
 
-    /// Records that a write with this key may have run from `first_sent_at` on. The replicas are chosen among
+    /// Returns the number of a new intent, which is recorded and withdrawn under this number.
+    pub fn new_intent(&mut self) -> SequenceNumber {
+        self.take_number()
+    }
+
+    /// Records that the write of an intent may have run from `first_sent_at` on. The replicas are chosen among
     /// `gateways`, which are all gateways that are not considered down. If there is no other gateway, the record
     /// succeeds without a replica, because no other gateway could receive a retry of the write.
     pub fn record(
         &mut self,
         now: Timestamp,
+        intent: SequenceNumber,
         key: KeyHash,
         first_sent_at: UnixMilliseconds,
         gateways: &[GatewayId],
     ) -> OperationId {
         // The record is also kept locally, because the client may retry the write through this gateway.
-        self.retained
-            .record(now, self.local_gateway, key, first_sent_at);
-        self.start_operation(now, key, Purpose::Record { first_sent_at }, gateways)
+        let id = self.local_intent(intent);
+        self.retained.record(now, id, key, first_sent_at);
+        let purpose = Purpose::Record {
+            intent,
+            first_sent_at,
+        };
+        self.start_operation(now, key, purpose, gateways)
     }
 
     /// Looks up whether a write with this key may have run.
@@ -73,16 +84,30 @@
         operation
     }
 
-    /// Withdraws the record that this gateway made for a key, because the write never ran.
-    pub fn withdraw(&mut self, key: KeyHash, gateways: &[GatewayId]) {
-        self.retained.withdraw(self.local_gateway, key);
-        let message = IntentMessage::new(MessageKind::Withdraw, key);
+    /// Withdraws an intent, because its write never ran. A record operation of the intent that is in progress ends.
+    pub fn withdraw(
+        &mut self,
+        now: Timestamp,
+        intent: SequenceNumber,
+        key: KeyHash,
+        gateways: &[GatewayId],
+    ) {
+        self.retained.withdraw(now, self.local_intent(intent), key);
+        self.end_operations(|operation| operation.records(intent).then_some(Outcome::NotRecorded));
+        let message = IntentMessage::new(MessageKind::Withdraw, intent, key);
         for to in first_replicas(key, gateways, self.local_gateway, RECORD_CANDIDATES) {
             self.send(to, message);
         }
         self.pack_outbox();
     }
 
+    const fn local_intent(&self, number: SequenceNumber) -> IntentId {
+        IntentId {
+            writer: self.local_gateway,
+            number,
+        }
+    }
+
     /// Processes a datagram from gateway `from`.
     ///
     /// # Errors
@@ -101,22 +126,26 @@
     }
 
     fn process_message(&mut self, now: Timestamp, from: GatewayId, message: &IntentMessage) {
+        let intent = IntentId {
+            writer: from,
+            number: message.number,
+        };
         match message.kind {
             MessageKind::Record => {
-                let recorded = self
-                    .retained
-                    .record(now, from, message.key, message.first_sent_at);
+                let recorded =
+                    self.retained
+                        .record(now, intent, message.key, message.first_sent_at);
                 if recorded {
                     let kind = MessageKind::Acknowledged;
                     self.send(from, IntentMessage { kind, ..*message });
                 }
             }
             MessageKind::LookUp => {
-                if let Some(answer) = self.look_up_answer(now, message.key) {
+                if let Some(answer) = self.look_up_answer(now, message) {
                     self.send(from, answer);
                 }
             }
-            MessageKind::Withdraw => self.retained.withdraw(from, message.key),
+            MessageKind::Withdraw => self.retained.withdraw(now, intent, message.key),
             MessageKind::Acknowledged | MessageKind::Found | MessageKind::NotFound => {
                 self.process_answer(from, message);
             }
@@ -125,16 +154,18 @@
 
     /// Returns the answer to the look-up of another gateway. Returns `None` if the key is not known and this gateway
     /// may have lost records.
-    fn look_up_answer(&self, now: Timestamp, key: KeyHash) -> Option<IntentMessage> {
+    fn look_up_answer(&self, now: Timestamp, look_up: &IntentMessage) -> Option<IntentMessage> {
+        let IntentMessage { number, key, .. } = *look_up;
         if let Some(first_sent_at) = self.retained.first_sent_at(now, key) {
             return Some(IntentMessage {
                 kind: MessageKind::Found,
+                number,
                 key,
                 first_sent_at,
             });
         }
         match self.local_records(now) {
-            LocalRecords::Complete => Some(IntentMessage::new(MessageKind::NotFound, key)),
+            LocalRecords::Complete => Some(IntentMessage::new(MessageKind::NotFound, number, key)),
             LocalRecords::MayBeIncomplete => None,
         }
     }
@@ -184,9 +215,14 @@
         }
     }
 
+    fn take_number(&mut self) -> SequenceNumber {
+        let number = self.next_number;
+        self.next_number = number.next();
+        number
+    }
+
     fn next_operation(&mut self) -> OperationId {
-        self.last_operation += 1;
-        OperationId(self.last_operation)
+        OperationId(self.take_number())
     }
 
     fn start_operation(
--- a/src/net/cluster/write_intents.rs
+++ b/src/net/cluster/write_intents.rs
@@ -8,8 +8,11 @@
 use crate::net::cluster::service_clock::ServiceClock;
 use crate::net::log::log;
 use crate::net::metrics::{increment, Metrics};
+use crate::net::unix_milliseconds;
 use irisrouter_cluster_types::{GatewayId, Timestamp, UnixMilliseconds};
-use irisrouter_write_intents::{Action, IntentStore, KeyHash, OperationId, Outcome};
+use irisrouter_write_intents::{
+    Action, IntentStore, KeyHash, OperationId, Outcome, SequenceNumber,
+};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -17,6 +20,8 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
 
+const MICROSECONDS_PER_MILLISECOND: u64 = 1_000;
+
 /// Result of looking up whether an earlier attempt of a write may have been executed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EarlierAttempt {
@@ -58,6 +63,7 @@
             store: RefCell::new(IntentStore::new(
                 membership.local_gateway(),
                 Timestamp::ZERO,
+                first_sequence_number(),
             )),
             membership,
             clock: ServiceClock::start(),
@@ -81,12 +87,22 @@
         marked_as_retry || !self.clients_mark_retries
     }
 
+    /// Returns the number of a new intent.
+    pub fn new_intent(&self) -> SequenceNumber {
+        self.store.borrow_mut().new_intent()
+    }
+
     /// Records the intent of a write at its replicas before the write is sent; the write may be executed from
     /// `first_sent_at` on. Returns whether enough replicas acknowledged the intent.
-    pub async fn record(&self, key: KeyHash, first_sent_at: UnixMilliseconds) -> bool {
+    pub async fn record(
+        &self,
+        intent: SequenceNumber,
+        key: KeyHash,
+        first_sent_at: UnixMilliseconds,
+    ) -> bool {
         let gateways = self.alive_or_suspect_gateways();
         let outcome = self
-            .run_operation(|store, now| store.record(now, key, first_sent_at, &gateways))
+            .run_operation(|store, now| store.record(now, intent, key, first_sent_at, &gateways))
             .await;
         let recorded = outcome == Some(Outcome::Recorded);
         increment(if recorded {
@@ -119,9 +135,9 @@
     }
 
     /// Withdraws the intent of a write that was never executed.
-    pub fn withdraw(&self, key: KeyHash) {
+    pub fn withdraw(&self, intent: SequenceNumber, key: KeyHash) {
         let gateways = self.alive_or_suspect_gateways();
-        self.update_store(|store, _| store.withdraw(key, &gateways));
+        self.update_store(|store, now| store.withdraw(now, intent, key, &gateways));
     }
 
     /// Processes a datagram from gateway `from`. Returns the datagrams to send.
@@ -195,3 +211,9 @@
         }
     }
 }
+
+/// Returns the number of this process's first intent: the Unix time in microseconds, which is larger than the numbers of
+/// earlier processes, because a gateway begins fewer than a million intents and look-ups a second.
+fn first_sequence_number() -> SequenceNumber {
+    SequenceNumber(unix_milliseconds().saturating_mul(MICROSECONDS_PER_MILLISECOND))
+}
--- a/src/net/request/write_intent.rs
+++ b/src/net/request/write_intent.rs
@@ -4,7 +4,7 @@
 use crate::net::{duration, unix_milliseconds};
 use irisrouter::routing::{Idempotency, Outcome, RequestClass};
 use irisrouter_cluster_types::UnixMilliseconds;
-use irisrouter_write_intents::KeyHash;
+use irisrouter_write_intents::{KeyHash, SequenceNumber};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -39,6 +39,7 @@
 /// The write intent of a keyed write, and what is known of the write's attempts.
 pub(super) struct WriteIntent {
     write_intents: Rc<WriteIntentService>,
+    number: SequenceNumber,
     key: KeyHash,
     /// Time from which on an earlier attempt of another gateway may have run; `None` if no such attempt is
     /// known.
@@ -53,6 +54,7 @@
     pub(super) fn new(write_intents: &Rc<WriteIntentService>, key: KeyHash) -> Self {
         WriteIntent {
             write_intents: Rc::clone(write_intents),
+            number: write_intents.new_intent(),
             key,
             earlier_attempt_sent_at: None,
             record_state: Cell::new(RecordState::Unrecorded),
@@ -94,7 +96,11 @@
         let first_sent_at = self
             .earlier_attempt_sent_at
             .unwrap_or_else(|| UnixMilliseconds(unix_milliseconds()));
-        if self.write_intents.record(self.key, first_sent_at).await {
+        let recorded = self
+            .write_intents
+            .record(self.number, self.key, first_sent_at)
+            .await;
+        if recorded {
             self.record_state.set(RecordState::Recorded);
         }
         // Another attempt of this request may have recorded the intent in the meantime.
@@ -113,7 +119,7 @@
     pub(super) fn all_attempts_ended(&self) {
         let maybe_recorded = self.record_state.get() != RecordState::Unrecorded;
         if maybe_recorded && !self.may_have_run.get() {
-            self.write_intents.withdraw(self.key);
+            self.write_intents.withdraw(self.number, self.key);
         }
     }
 }
