Takeover test: look at the lease that is lost after SIGTERM, not at the first one of the run

Traced by the log lines that it prints now: the gateway had lost an earlier epoch of the same lease to a contender 1 s before SIGTERM (1,045 ms, superseded), had it again (2,079 ms) and lost it by its stop (SIGTERM 2,093, line 2,095 ms). The test took the first loss of the run. It now takes the first one from SIGTERM on; what that line has to say is unchanged.

--- a/crates/testbed/tests/takeover.rs
+++ b/crates/testbed/tests/takeover.rs
@@ -373,9 +373,16 @@
             "leases: this gateway no longer holds the lease on the health checks of set 1 ";
         let line = lines
             .iter()
-            .find(|l| l.gateway == holder && l.text.contains(lost_lease))
-            .expect("a log line about the loss of the lease");
-        assert!(line.text.contains("this gateway stops"), "{}", line.text);
+            .find(|l| l.at >= from && l.gateway == holder && l.text.contains(lost_lease))
+            .expect("a log line about the loss of the lease after SIGTERM");
+        let of_set: Vec<&Line> = lines
+            .iter()
+            .filter(|l| l.text.contains("health checks of set 1 "))
+            .collect();
+        assert!(
+            line.text.contains("this gateway stops"),
+            "terminated gateway {holder} at {from}: {of_set:#?}"
+        );
     });
 }
 
