Let evacuate end for clients that always have a request outstanding

Cause: a connection closed only when no input had been read, and reading ahead never paused in a drain.

Change: from 1 s after the call (or after the connect) no further request is read; what was read is answered, then the connection is half-closed and read out. A disconnect is still noticed, by read-closed readiness. The end of reading in a shutdown goes the same way; it used to read on byte by byte while an answer was awaited.

--- a/src/net/downstream/client_input.rs
+++ b/src/net/downstream/client_input.rs
@@ -17,6 +17,7 @@
 use std::future::Future;
 use std::io;
 use std::time::Duration;
+use tokio::io::Interest;
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, Instant};
 
@@ -31,6 +32,12 @@
 /// How long a connection may be idle while clients are being disconnected. Connections in use are closed after an
 /// answer before this time, so that few requests arrive at the moment when their connection is closed.
 const DRAIN_IDLE_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long requests are read from a connection once clients are being disconnected. Without a limit, a client that
+/// always has a request outstanding would never be disconnected.
+const DRAIN_READ_PERIOD: Duration = Duration::from_secs(1);
+/// Interval between two checks whether a client has disconnected while nothing is read from it. Short compared with the
+/// 0.1 s after which no attempt may start for it.
+const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Pause between two reads from a client that floods. With [`MAX_DROPPING_READS`] buffers per read this allows 64 MB
 /// per second, fast enough to notice in time that a client has sent a lot and disconnected.
 const FLOOD_READ_INTERVAL: Duration = Duration::from_millis(1);
@@ -234,12 +241,12 @@
         &mut self,
         purpose: ReadPurpose,
     ) -> Result<ReadProgress, ConnectionEnd> {
-        // A client that never stops sending must not keep its connection open until the process is killed: once the
-        // shutdown has ended reading, only the rest of a partial message is read.
-        let max_bytes = if self.listener.request_context.reading_has_ended() {
-            self.input.missing_bytes()
-        } else {
-            usize::MAX
+        // A client that never stops sending must not keep its connection open: once reading has ended, only the rest of
+        // a partial message is read, in its turn.
+        let max_bytes = match (self.reading_has_ended(), purpose) {
+            (false, _) => usize::MAX,
+            (true, ReadPurpose::NextMessage) => self.input.missing_bytes(),
+            (true, ReadPurpose::ReadAhead) => return Ok(ReadProgress::NothingAvailable),
         };
         if self.input.is_dropping() {
             return self.read_and_drop(max_bytes);
@@ -298,21 +305,43 @@
         Ok(())
     }
 
+    /// Returns whether no further request is read: the shutdown has ended reading, or clients are being disconnected and
+    /// this one has had [`DRAIN_READ_PERIOD`] for its last requests.
+    pub(super) fn reading_has_ended(&self) -> bool {
+        let disconnecting_since = self.listener.serving_state.disconnecting_since();
+        let is_drained = disconnecting_since
+            .is_some_and(|since| since.max(self.connected_at).elapsed() >= DRAIN_READ_PERIOD);
+        is_drained || self.listener.request_context.reading_has_ended()
+    }
+
     /// Awaits `operation` and returns its value, or returns an error as soon as the client disconnects. Input that
-    /// arrives meanwhile is read ahead as far as memory allows and dropped beyond that.
+    /// arrives meanwhile is read ahead as far as memory allows and dropped beyond that; once reading has ended, it stays
+    /// unread.
     pub(super) async fn wait_while_connected<T>(
         &mut self,
         operation: impl Future<Output = T>,
     ) -> Result<T, ConnectionEnd> {
         let mut operation = std::pin::pin!(operation);
         loop {
+            let reading_has_ended = self.reading_has_ended();
             tokio::select! {
                 biased;
                 value = &mut operation => return Ok(value),
-                readable = self.wait_until_readable() => {
+                readable = self.wait_until_readable(), if !reading_has_ended => {
                     readable?;
                     self.read_available(ReadPurpose::ReadAhead)?;
                 }
+                end = self.wait_until_disconnected(), if reading_has_ended => return Err(end),
+            }
+        }
+    }
+
+    /// Waits until the client disconnects, without reading what it has sent.
+    async fn wait_until_disconnected(&self) -> ConnectionEnd {
+        loop {
+            match self.stream.ready(Interest::READABLE).await {
+                Ok(ready) if !ready.is_read_closed() => sleep(DISCONNECT_CHECK_INTERVAL).await,
+                _ => return ConnectionEnd::Disconnected,
             }
         }
     }
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -87,6 +87,7 @@
     /// Time from which the current message is timed: when the client connected, when the previous message was processed
     /// or, after an idle wait, when the first bytes of the message arrived.
     pub(super) message_started_at: Instant,
+    pub(super) connected_at: Instant,
     /// When bytes last arrived from the client.
     pub(super) last_input_at: Instant,
     /// Whether messages of the extended query protocol are ignored until the next Sync, as the protocol requires after
@@ -111,6 +112,7 @@
         input: InputBuffer::new(Rc::clone(&listener.pool)),
         reading_paused_since: None,
         message_started_at: now,
+        connected_at: now,
         last_input_at: now,
         skipping_until_sync: false,
         cancel_registration: None,
@@ -148,13 +150,12 @@
 
     /// Returns whether to close the connection now that an answer has been written. While clients are being
     /// disconnected, a connection is closed right after an answer because the client then notices the close together
-    /// with the answer; the connection stays open if the next request has already arrived.
+    /// with the answer; the connection stays open if the next request has already arrived, unless reading has ended.
     fn should_close_after_answer(&mut self) -> Result<bool, ConnectionEnd> {
         if !self.listener.serving_state.mode().disconnects_clients() || !self.input.is_empty() {
             return Ok(false);
         }
-        let reading_has_ended = self.listener.request_context.reading_has_ended();
-        Ok(reading_has_ended || !self.read_before_close()?)
+        Ok(self.reading_has_ended() || !self.read_before_close()?)
     }
 
     /// Reads and answers the client's startup messages, up to and including the first ReadyForQuery.
--- a/src/net/serving_state.rs
+++ b/src/net/serving_state.rs
@@ -1,6 +1,8 @@
 //! Whether the process serves clients: one value, which the console and the signals set and the connections read.
 
+use std::cell::Cell;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Whether, and how, the process serves clients. The modes after `Serving` are listed in the order in which a process
 /// passes through them when it ends.
@@ -27,23 +29,42 @@
 
 /// The mode of the process. It is one value because separate flags for the console, the connections and the signals
 /// could disagree: clients could be accepted because of one flag and disconnected because of another.
-pub struct ServingState(watch::Sender<ServingMode>);
+pub struct ServingState {
+    mode: watch::Sender<ServingMode>,
+    /// Time since which clients are being disconnected; `None` while they are not.
+    disconnecting_since: Cell<Option<Instant>>,
+}
 
 impl Default for ServingState {
     fn default() -> Self {
-        ServingState(watch::Sender::new(ServingMode::Starting))
+        ServingState {
+            mode: watch::Sender::new(ServingMode::Starting),
+            disconnecting_since: Cell::new(None),
+        }
     }
 }
 
 impl ServingState {
     /// Returns the current mode.
     pub fn mode(&self) -> ServingMode {
-        *self.0.borrow()
+        *self.mode.borrow()
+    }
+
+    /// Returns the time since which clients are being disconnected, or `None` while they are not.
+    pub fn disconnecting_since(&self) -> Option<Instant> {
+        self.disconnecting_since.get()
+    }
+
+    fn update_disconnecting_since(&self) {
+        let since = self.disconnecting_since.get();
+        let disconnects = self.mode().disconnects_clients();
+        self.disconnecting_since
+            .set(disconnects.then(|| since.unwrap_or_else(Instant::now)));
     }
 
     /// Returns a receiver that is notified of each change of the mode.
     pub fn subscribe(&self) -> watch::Receiver<ServingMode> {
-        self.0.subscribe()
+        self.mode.subscribe()
     }
 
     /// Records that the process can serve clients. If the console drained it during the start, it stays drained.
@@ -78,18 +99,20 @@
 
     /// From this call on, only requests in flight are served.
     pub fn close(&self) {
-        self.0.send_replace(ServingMode::Closing);
+        self.mode.send_replace(ServingMode::Closing);
+        self.update_disconnecting_since();
     }
 
     /// Changes the mode to `to` if it is one of `from`. Receivers are notified only if the mode changes.
     fn transition(&self, from: &[ServingMode], to: ServingMode) {
-        self.0.send_if_modified(|mode| {
+        self.mode.send_if_modified(|mode| {
             let changes = from.contains(mode);
             if changes {
                 *mode = to;
             }
             changes
         });
+        self.update_disconnecting_since();
     }
 }
 
--- a/tests/gateway/drains.rs
+++ b/tests/gateway/drains.rs
@@ -9,8 +9,9 @@
 };
 use insta::assert_snapshot;
 use serde_json::json;
-use std::io::Read;
-use std::time::Duration;
+use std::io::{Read, Write};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
 
 /// Guards against a gateway drain that keeps clients connected or interrupts their requests, and against a gateway that
 /// cannot be activated again.
@@ -62,6 +63,52 @@
     assert_eq!(gateway.exit_code(), Some(0));
 }
 
+/// Guards against an `evacuate` that never ends for a client which always has requests outstanding, and against requests
+/// that were read and get no answer when it does.
+#[test]
+fn evacuated_gateway_disconnects_clients_that_always_have_requests_outstanding() {
+    const DISCONNECTED_WITHIN: Duration = Duration::from_secs(4);
+    let host = Host::start("s-1", true, |_, _| {
+        std::thread::sleep(Duration::from_millis(10));
+        HostReply::Row("a1b2")
+    });
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let request_ids = AtomicU32::new(0);
+    let next_request =
+        || read_query_message(&format!("{:x}", request_ids.fetch_add(1, Ordering::SeqCst)));
+    let answered: usize = std::thread::scope(|scope| {
+        let clients: Vec<_> = [2, 10, 50]
+            .map(|outstanding| {
+                let mut client = gateway.client();
+                scope.spawn(move || {
+                    (0..outstanding).for_each(|_| client.send(&next_request()));
+                    let mut answered = 0;
+                    while client.read_until_ready().ends_with("ReadyForQuery") {
+                        answered += 1;
+                        // Fails once the gateway has closed the connection.
+                        let _ = client.stream.write_all(&next_request());
+                    }
+                    answered
+                })
+            })
+            .into_iter()
+            .collect();
+        std::thread::sleep(Duration::from_millis(300));
+        let called = Instant::now();
+        gateway.call_console("evacuate\n");
+        let answered = clients
+            .into_iter()
+            .map(|client| client.join().unwrap())
+            .sum();
+        let elapsed = called.elapsed();
+        assert!(elapsed < DISCONNECTED_WITHIN, "{elapsed:?}");
+        answered
+    });
+    let statements = host.statements().len();
+    assert_eq!(answered, statements, "answers and statements at the host");
+}
+
 /// Guards against closing a connection that has unread input: the close would reset the connection and discard the last
 /// answer.
 #[test]
