Claim no lease while stopping or in a minority partition

Beside it: a stopping gateway claimed again after the duration of a lease, or at an offer, as nothing told the manager that it stops; and in a minority partition late answers started a claim until the task was next due.

Change: LeaseManager::stop is final; relinquish and the end of a candidacy drop the pre-vote; votes count only where a claim may be made.

--- a/crates/leases/src/manager.rs
+++ b/crates/leases/src/manager.rs
@@ -46,6 +46,8 @@
     /// Time at which this gateway entered a minority partition. `None` in a majority partition, and again once all
     /// leases have been released.
     minority_entered_at: Option<Timestamp>,
+    /// Whether this gateway is stopping, and therefore claims no lease any more.
+    stopped: bool,
     /// Wall clock time at the origin of the caller's clock.
     clock_origin: UnixMilliseconds,
     last_pre_vote_round: u16,
@@ -72,6 +74,7 @@
             alive_gateways: vec![local.gateway],
             side: PartitionSide::Minority,
             minority_entered_at: None,
+            stopped: false,
             clock_origin: UnixMilliseconds::default(),
             last_pre_vote_round: 0,
             outbox: Outbox::default(),
@@ -150,8 +153,14 @@
         self.relinquish(now, task, LeaseChange::Superseded);
     }
 
+    /// Releases all leases because the gateway stops. From now on it claims none; as a voter it goes on.
+    pub fn stop(&mut self, now: Timestamp) {
+        self.stopped = true;
+        self.release_all(now);
+    }
+
     /// Releases all leases because the gateway stops or is in a minority partition.
-    pub fn release_all(&mut self, now: Timestamp) {
+    fn release_all(&mut self, now: Timestamp) {
         let tasks: Vec<TaskId> = self.tasks.keys().copied().collect();
         for task in tasks {
             self.relinquish(now, task, LeaseChange::Stopped);
--- a/crates/leases/src/manager/answers.rs
+++ b/crates/leases/src/manager/answers.rs
@@ -39,10 +39,11 @@
 
     /// Processes the answer of a voter that would grant a request. Starts a claim once a majority of the voters would.
     fn process_vacant_vote(&mut self, now: Timestamp, voter: usize, message: &LeaseMessage) {
+        let may_claim = self.may_claim();
         let Some(state) = self.tasks.get_mut(&message.task) else {
             return;
         };
-        if state.record_vacant(voter, message.round, message.epoch) {
+        if may_claim && state.record_vacant(voter, message.round, message.epoch) {
             self.start_claim(now, message.task);
         }
     }
--- a/crates/leases/src/manager/claims.rs
+++ b/crates/leases/src/manager/claims.rs
@@ -57,15 +57,21 @@
         self.request_grants(now, task);
     }
 
+    /// Returns whether this gateway may claim leases.
+    pub(super) fn may_claim(&self) -> bool {
+        self.side == PartitionSide::Majority && !self.stopped
+    }
+
     /// As a gateway that does not hold the lease, starts a pre-vote, requests the grants again, or ends the claim.
     fn advance_claim(&mut self, now: Timestamp, task: TaskId) {
         let settings = self.settings;
-        let may_claim = self.side == PartitionSide::Majority;
+        let may_claim = self.may_claim();
         let Some(state) = self.tasks.get_mut(&task) else {
             return;
         };
         if !may_claim || !state.candidacy.is_candidate() {
             state.claim.end();
+            state.pre_vote = None;
             state.next_due = now + settings.lease_duration;
         } else if state.claim.epoch().is_none() {
             self.start_pre_vote(now, task);
@@ -165,6 +171,8 @@
             return;
         };
         state.claim.end();
+        // A late answer to a pre-vote in progress must not start a claim.
+        state.pre_vote = None;
         state.outranked_since = None;
         state.next_due = now + self.settings.lease_duration;
         let first = state.candidacy.first;
--- a/src/net/cluster/leases.rs
+++ b/src/net/cluster/leases.rs
@@ -197,10 +197,10 @@
         self.carry_out_actions(&mut manager)
     }
 
-    /// Releases all leases because this gateway stops. Returns the datagrams to send.
-    pub fn release_all(&self) -> Vec<OutgoingDatagram> {
+    /// Releases all leases because this gateway stops; it claims none any more. Returns the datagrams to send.
+    pub fn stop(&self) -> Vec<OutgoingDatagram> {
         let mut manager = self.manager.borrow_mut();
-        manager.release_all(self.now());
+        manager.stop(self.now());
         self.carry_out_actions(&mut manager)
     }
 
--- a/src/net/cluster/peer_socket.rs
+++ b/src/net/cluster/peer_socket.rs
@@ -301,7 +301,7 @@
     pub fn leave(&self) {
         let metrics = &self.dependencies.metrics;
         if let Some(leases) = &self.dependencies.services.leases {
-            let datagrams = leases.release_all();
+            let datagrams = leases.stop();
             self.sender.send_all(datagrams, &metrics.leases.sent);
         }
         if let Some(membership) = &self.dependencies.services.membership {
