--- a/src/net/downstream/client_input.rs
+++ b/src/net/downstream/client_input.rs
@@ -322,6 +322,7 @@
         operation: impl Future<Output = T>,
     ) -> Result<T, ConnectionEnd> {
         let mut operation = std::pin::pin!(operation);
+        self.reserve_ids_ahead();
         loop {
             let reading_has_ended = self.reading_has_ended();
             tokio::select! {
@@ -330,6 +331,7 @@
                 readable = self.wait_until_readable(), if !reading_has_ended => {
                     readable?;
                     self.read_available(ReadPurpose::ReadAhead)?;
+                    self.reserve_ids_ahead();
                 }
                 end = self.wait_until_disconnected(), if reading_has_ended => return Err(end),
             }
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -9,6 +9,7 @@
 use crate::net::downstream::input_buffer::InputBuffer;
 use crate::net::downstream::listener::ClientListener;
 use crate::net::downstream::query::Query;
+use crate::net::downstream::reserved_ids::ReservedIds;
 use crate::net::log::log;
 use crate::net::metrics::{increment, Metrics};
 use crate::net::pg::{self, code, Startup};
@@ -81,6 +82,8 @@
     pub(super) permit: ConnectionPermit,
     /// Input that was read and has not been processed.
     pub(super) input: InputBuffer,
+    /// Ids of the requests in the input that wait for their turn.
+    pub(super) reserved_ids: ReservedIds,
     /// Start of a long write during which no input was read. `None` once all input that arrived during the write has
     /// been read.
     pub(super) reading_paused_since: Option<Instant>,
@@ -110,6 +113,7 @@
         stream,
         permit,
         input: InputBuffer::new(Rc::clone(&listener.pool)),
+        reserved_ids: ReservedIds::default(),
         reading_paused_since: None,
         message_started_at: now,
         connected_at: now,
@@ -273,7 +277,7 @@
 
     /// Parses the message if it is a query, while its body is still in the input. Returns `None` for messages of other
     /// types.
-    fn parse_if_query(&self, message: &Message) -> Option<Query> {
+    fn parse_if_query(&mut self, message: &Message) -> Option<Query> {
         (message.tag == pg::tag::QUERY).then(|| self.parse_query(&message.body))
     }
 
--- a/src/net/downstream/input_buffer.rs
+++ b/src/net/downstream/input_buffer.rs
@@ -31,6 +31,8 @@
     /// `None` while there is no input, so that an idle connection holds no buffer.
     buffer: Option<Buffer>,
     read_times: ReadTimes,
+    /// Number of bytes that have been processed since the start of the connection.
+    position: u64,
     /// Dropped messages, which follow those in the buffer. While there are any, nothing is added to the buffer.
     dropped: DroppedInput,
 }
@@ -42,6 +44,7 @@
             pool,
             buffer: None,
             read_times: ReadTimes::default(),
+            position: 0,
             dropped: DroppedInput::default(),
         }
     }
@@ -51,6 +54,11 @@
         self.buffer.as_deref().map_or(&[], |buffer| buffer)
     }
 
+    /// Returns the number of bytes that have been processed, which is the position of the unprocessed bytes.
+    pub(super) fn position(&self) -> u64 {
+        self.position
+    }
+
     /// Returns the number of unprocessed bytes in the buffer.
     pub(super) fn len(&self) -> usize {
         self.unprocessed().len()
@@ -141,6 +149,7 @@
             buffer.advance(length);
         }
         self.read_times.consume(length);
+        self.position += length as u64;
         self.release_if_empty();
     }
 
--- a/src/net/downstream/mod.rs
+++ b/src/net/downstream/mod.rs
@@ -10,4 +10,5 @@
 pub mod listener;
 mod query;
 mod read_times;
+mod reserved_ids;
 mod streamed_answer;
--- a/src/net/downstream/query.rs
+++ b/src/net/downstream/query.rs
@@ -6,7 +6,7 @@
 use crate::net::duration;
 use crate::net::metrics::increment;
 use crate::net::pg::{self, code};
-use crate::net::request::{retry_after_milliseconds, Answer, ClientRequest};
+use crate::net::request::{retry_after_milliseconds, Answer, ClientRequest, OpenId};
 use crate::net::upstream::Statement;
 use irisrouter::routing::{
     Freshness, GroupId, Idempotency, RequestClass, SessionId, TimeDelta, Timestamp,
@@ -81,10 +81,11 @@
 impl ClientConnection {
     /// Parses the message at the beginning of the input. The request's timeout is counted from the arrival of its last
     /// byte, regardless of how long earlier requests took.
-    pub(super) fn parse_query(&self, body: &MessageBody) -> Query {
+    pub(super) fn parse_query(&mut self, body: &MessageBody) -> Query {
         let MessageBody::InInput(range) = body else {
             return Query::NoMemory;
         };
+        let reserved_id = self.reserved_ids.take(self.input.position());
         let text = match pg::query(&self.input.unprocessed()[range.clone()]) {
             Ok(text) => text,
             Err(malformed) => return Query::Violation(malformed.0),
@@ -99,7 +100,7 @@
         }
         let arrived_at = self.input.arrival_of(range.end);
         let queue_time = arrived_at.map_or(Duration::ZERO, |arrived_at| arrived_at.elapsed());
-        match self.parse_request(text, queue_time) {
+        match self.parse_request(text, queue_time, reserved_id) {
             Ok(request) => Query::Request {
                 request: Box::new(request),
                 queue_time,
@@ -220,10 +221,12 @@
     }
 
     /// Validates a statement and converts it into a request, with `queue_time` subtracted from its timeout.
+    /// `reserved_id` is its id if that was reserved while the request waited for its turn.
     fn parse_request(
         &self,
         text: &[u8],
         queue_time: Duration,
+        reserved_id: Option<OpenId>,
     ) -> Result<ClientRequest, QueryError> {
         let context = &self.listener.request_context;
         let statement =
@@ -244,8 +247,8 @@
         let timeout =
             Duration::from_secs_f64(statement.timeout_ms / 1e3).min(duration(class.deadline));
         let text_copy = self.copy_statement(text).ok_or(QueryError::NoMemory)?;
-        let id = context
-            .reserve_id(statement.id)
+        let id = reserved_id
+            .or_else(|| context.reserve_id(statement.id))
             .ok_or(StatementError::DuplicateRequestId)?;
         Ok(ClientRequest {
             id,
--- a/src/net/request/mod.rs
+++ b/src/net/request/mod.rs
@@ -9,4 +9,4 @@
 mod write_intent;
 
 pub use answer::{retry_after_milliseconds, Answer};
-pub use context::{ClientRequest, RequestContext, ShutdownDeadlines};
+pub use context::{ClientRequest, OpenId, RequestContext, ShutdownDeadlines};
--- a/tests/gateway/pipelining.rs
+++ b/tests/gateway/pipelining.rs
@@ -193,7 +193,8 @@
     let mut client = gateway.client();
     let message = read_query_with_wait("02", 300);
     client.send(&[&write_message("slow", 10, 600)[..], &message[..20]].concat());
-    assert!(client.read_until_ready().contains("CXX000"));
+    let first = client.read_until_ready();
+    assert!(first.contains("CXX000"), "{first}");
     client.send(&message[20..]);
     let answer = client.read_until_ready();
     assert!(answer.contains("DataRow a1b2"), "{answer}");
@@ -489,3 +490,50 @@
     }
     assert!(elapsed < EARLIEST_KILL, "{elapsed:?}");
 }
+
+/// Guards against a client that takes the id of a request which waits behind another one on its connection: the waiting
+/// request would be rejected, and the later one served.
+#[test]
+fn id_belongs_to_the_request_that_arrived_first_even_if_it_waits_for_its_turn() {
+    let host = Host::start("s-1", true, no_reply_to_slow);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let mut owner = gateway.client();
+    let mut other = gateway.client();
+    let invalid = query_message(&statement("nosuch", 9_000).replace("9b1f", "ef01"));
+    // Sent at once, so that all of them have been read when the first one reaches its host.
+    let pipelined = [
+        write_message("slow0", 10, 2_000),
+        write_message("abcd", 10, 20_000),
+        invalid,
+        read_query_with_wait("aaaa", 20_000),
+    ];
+    owner.send(&pipelined.concat());
+    host.wait_for_event("slow0");
+    let taken = |answer: &str| answer.contains("C42601 Mthe id of a request that is open");
+    let answer = client_answer(&mut other, &read_query_with_wait("abcd", 9_000));
+    assert!(taken(&answer), "{answer}");
+    let answer = client_answer(&mut other, &read_query_with_wait("ef01", 9_000));
+    assert!(
+        answer.contains("DataRow a1b2"),
+        "an invalid request reserves nothing: {answer}"
+    );
+    let answers = read_answers(&mut owner, 4);
+    assert!(answers[0].contains("CXX000"), "{answers:?}");
+    assert!(answers[1].contains("DataRow a1b2"), "{answers:?}");
+    assert!(
+        answers[2].contains("C42601 Man unknown class"),
+        "{answers:?}"
+    );
+    assert!(answers[3].contains("DataRow a1b2"), "{answers:?}");
+    // Ids are released when their requests are answered, and when their connection ends.
+    owner.send(&write_message("slow9", 10, 9_000));
+    host.wait_for_event("slow9");
+    owner.send(&read_query_with_wait("bbbb", 9_000));
+    drop(owner);
+    gateway.wait_for_counter(" client_gone=1 ");
+    for id in ["abcd", "aaaa", "bbbb"] {
+        let answer = client_answer(&mut other, &read_query_with_wait(id, 9_000));
+        assert!(answer.contains("DataRow a1b2"), "{id}: {answer}");
+    }
+}
