Pipelining tests: find the primary before a first write with a short deadline

The tests mean a write that its host does not answer, so the primary is found by a first write now; deadlines and assertions are as they were.

--- a/tests/gateway/pipelining.rs
+++ b/tests/gateway/pipelining.rs
@@ -24,6 +24,15 @@
     ))
 }
 
+/// A client of a gateway that has found the primary of the group. On a busy machine, a first write with a short deadline
+/// would be rejected before the primary is found.
+fn client_of_known_primary(gateway: &Gateway) -> Client {
+    let mut client = gateway.client();
+    let answer = client_answer(&mut client, &write_message("first", 10, 20_000));
+    assert!(answer.contains("DataRow a1b2"), "{answer}");
+    client
+}
+
 /// Reads `count` answers; the last one may be the end of the connection.
 fn read_answers(client: &mut Client, count: usize) -> Vec<String> {
     (0..count).map(|_| client.read_until_ready()).collect()
@@ -36,7 +45,7 @@
     let host = Host::start("s-1", true, no_reply_to_slow);
     let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
     let gateway = Gateway::start(&discovery, &[&host]);
-    let mut client = gateway.client();
+    let mut client = client_of_known_primary(&gateway);
     client.send(&write_message("slow", 10, 500));
     host.wait_for_event("slow");
     for number in 0..6 {
@@ -177,7 +186,7 @@
         .iter()
         .map(|message| client_answer(&mut alone, message))
         .collect();
-    let mut client = gateway.client();
+    let mut client = client_of_known_primary(&gateway);
     client.send(&[write_message("slow", 10, 300), messages.concat()].concat());
     assert!(client.read_until_ready().contains("CXX000"));
     assert_eq!(read_answers(&mut client, messages.len()), expected);
@@ -190,7 +199,7 @@
     let host = Host::start("s-1", true, no_reply_to_slow);
     let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
     let gateway = Gateway::start(&discovery, &[&host]);
-    let mut client = gateway.client();
+    let mut client = client_of_known_primary(&gateway);
     let message = read_query_with_wait("02", 300);
     client.send(&[&write_message("slow", 10, 600)[..], &message[..20]].concat());
     let first = client.read_until_ready();
@@ -268,7 +277,7 @@
     let host = Host::start("s-1", true, no_reply_to_slow);
     let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
     let gateway = Gateway::start(&discovery, &[&host]);
-    let mut client = gateway.client();
+    let mut client = client_of_known_primary(&gateway);
     client.send(&write_message("slow", 10, 1_500));
     host.wait_for_event("slow");
     for number in 0..30 {
@@ -303,7 +312,7 @@
     let host = Host::start("s-1", true, no_reply_to_slow);
     let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
     let gateway = Gateway::start(&discovery, &[&host]);
-    let mut client = gateway.client();
+    let mut client = client_of_known_primary(&gateway);
     client.send(
         &[
             write_message("slow", 10, 300),
@@ -498,7 +507,7 @@
     let host = Host::start("s-1", true, no_reply_to_slow);
     let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
     let gateway = Gateway::start(&discovery, &[&host]);
-    let mut owner = gateway.client();
+    let mut owner = client_of_known_primary(&gateway);
     let mut other = gateway.client();
     let invalid = query_message(&statement("nosuch", 9_000).replace("9b1f", "ef01"));
     // Sent at once, so that all of them have been read when the first one reaches its host.
