--- a/crates/testbed/src/cli/arguments.rs
+++ b/crates/testbed/src/cli/arguments.rs
@@ -1,6 +1,7 @@
 //! The arguments of the command line. Their comments are what `--help` prints.
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
+use irisrouter_testbed::flood::FloodKind;
 use std::path::PathBuf;
 
 /// The laboratory of irisrouter: whole fleets of gateways, database sets and clients, with everything that can go
@@ -69,6 +70,8 @@
     SiteLoss(SiteLossArgs),
     /// Soak real gateways in random clients and faults up to their end, and check every answer; ten seconds a seed.
     Soak(SoakArgs),
+    /// Flood a real gateway that has a share of a processor core, and time the answers to other clients.
+    Flood(FloodArgs),
     /// Print the JSON Schema that scenarios are checked against.
     Schema,
 }
@@ -186,6 +189,31 @@
     pub json: Option<PathBuf>,
 }
 
+#[derive(Args)]
+pub struct FloodArgs {
+    /// What the flooding clients send; nothing for an undisturbed run.
+    #[arg(long, value_enum)]
+    pub kind: Option<FloodKind>,
+    /// How many clients flood the gateway.
+    #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u64).range(1..=400))]
+    pub clients: u64,
+    /// The flooding clients do not read their answers.
+    #[arg(long)]
+    pub ignore_answers: bool,
+    /// The share of a processor core that the gateway has.
+    #[arg(long, default_value_t = 0.4)]
+    pub core_share: f64,
+    /// How long the flood lasts, in milliseconds.
+    #[arg(long, default_value_t = 6_000, value_parser = clap::value_parser!(u64).range(100..=600_000))]
+    pub flood_ms: u64,
+    /// The seed of the flood's random names.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// The gateway's program; the one beside this program where nothing is said.
+    #[arg(long, value_name = "FILE")]
+    pub gateway: Option<PathBuf>,
+}
+
 #[derive(Args)]
 pub struct SoakArgs {
     /// The first run's seed: the same one draws the same clients and faults.
--- a/crates/testbed/src/cli/cluster_commands.rs
+++ b/crates/testbed/src/cli/cluster_commands.rs
@@ -1,11 +1,12 @@
 //! Commands that start several real gateways: schedules of faults, soaks, and the loss of a site.
 
-use super::arguments::{ClusterArgs, SiteLossArgs, SoakArgs};
+use super::arguments::{ClusterArgs, FloodArgs, SiteLossArgs, SoakArgs};
 use super::output::{print_json, print_text, progress_bar, write_json};
 use super::{gateway_program, CommandError};
 use irisrouter_testbed::cluster::schedule::{self, Fault, FaultKinds, Pace, Verdict};
 use irisrouter_testbed::cluster::site_loss::{self, FailoverPlans, SiteLossResults};
 use irisrouter_testbed::cluster::{run_in_parallel, EndpointListMode, GatewayLimits, Plan};
+use irisrouter_testbed::flood::{self, FloodPlan};
 use irisrouter_testbed::soak::plan::SoakPlan;
 use irisrouter_testbed::soak::{run as soak_run, summary as soak_summary};
 use std::path::Path;
@@ -114,6 +115,22 @@
     }
 }
 
+/// Floods a real gateway and prints how the other clients' reads were answered.
+pub fn flood(args: &FloodArgs) -> Result<(), CommandError> {
+    end_gateways_on_signal()?;
+    let program = gateway_program(args.gateway.as_ref())?;
+    let plan = FloodPlan {
+        kind: args.kind,
+        clients: args.clients as usize,
+        reads_answers: !args.ignore_answers,
+        flood_ms: args.flood_ms,
+        core_share: args.core_share,
+        seed: args.seed,
+        limits: GatewayLimits::default(),
+    };
+    print_json(&flood::run(plan, program)?)
+}
+
 fn pace(args: &ClusterArgs) -> Pace {
     Pace {
         lease_ms: args.lease_ms,
--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -27,6 +27,7 @@
         Command::Cluster(args) => cluster_commands::cluster(&args),
         Command::SiteLoss(args) => cluster_commands::site_loss(&args),
         Command::Soak(args) => cluster_commands::soak(&args),
+        Command::Flood(args) => cluster_commands::flood(&args),
         Command::Schema => output::print_json(&irisrouter_config::schema::<Scenario>()),
     }
 }
--- a/crates/testbed/src/cluster/stand_ins/host_connection.rs
+++ b/crates/testbed/src/cluster/stand_ins/host_connection.rs
@@ -2,6 +2,7 @@
 
 use super::host::{HealthCheck, SharedHost};
 use super::{lock, protocol};
+use crate::flood::UNANSWERED_READ;
 use crate::loopback::host::comment_fields;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -51,6 +52,9 @@
         }
         let text = &message.body[..message.body.len().saturating_sub(1)];
         let text = String::from_utf8(text.to_vec()).ok()?;
+        if text.contains(UNANSWERED_READ) {
+            continue;
+        }
         let answer = host.answer(gateway, &text, arrived_at).await;
         host.wait_for_link(gateway).await;
         let answer = [answer, protocol::ready_for_query()].concat();
--- a/crates/testbed/src/cluster/timed_reads.rs
+++ b/crates/testbed/src/cluster/timed_reads.rs
@@ -1,6 +1,8 @@
 //! Sends reads with short deadlines, and measures how long after their deadlines the answers arrive.
 
 use super::ClusterError;
+use crate::flood::UNANSWERED_READ;
+use serde::Serialize;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -12,6 +14,8 @@
 const DEADLINES_MS: [u64; 5] = [0, 1, 50, 200, 400];
 /// Time after which a read without an answer counts as unanswered; also limits the time to connect.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+/// An answer that arrives later than this after its deadline counts as lost.
+pub const LATE_ANSWER: Duration = Duration::from_millis(500);
 /// Distance between the numbers of the sets of two successive reads of a client, modulo the number of sets.
 const SET_STRIDE: u64 = 7_919;
 
@@ -26,10 +30,12 @@
     pub duration: Duration,
     /// Number of sets, from set 0 on, to which clients send reads.
     pub sets: u64,
+    /// Every read of a client whose number is a multiple of this is one that its host does not answer; 0 for none.
+    pub unanswered_every: u64,
 }
 
 /// The outcomes of the reads.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
 pub struct ReadCounts {
     /// Number of reads that were sent.
     pub requests: usize,
@@ -37,6 +43,8 @@
     pub served: usize,
     /// Number of reads without an answer: timed out, or ended by an error that is not from the server.
     pub unanswered: usize,
+    /// Number of reads that were answered later than [`LATE_ANSWER`] after their deadlines.
+    pub late: usize,
     /// Longest time from the deadline of a read to its end.
     pub max_lateness: Duration,
 }
@@ -46,6 +54,7 @@
         self.requests += other.requests;
         self.served += other.served;
         self.unanswered += other.unanswered;
+        self.late += other.late;
         self.max_lateness = self.max_lateness.max(other.max_lateness);
     }
 
@@ -107,8 +116,14 @@
         let id = (client << 32) + number + 1;
         let deadline_ms = DEADLINES_MS[((client + number) % DEADLINES_MS.len() as u64) as usize];
         let set = (client + number).wrapping_mul(SET_STRIDE) % self.sets;
+        let is_unanswered = self.unanswered_every > 0 && number % self.unanswered_every == 0;
+        let reference = if is_unanswered {
+            UNANSWERED_READ
+        } else {
+            "7f3a"
+        };
         let statement = format!(
-            "SELECT payload FROM entries WHERE ref = '7f3a' /* id={id:x},c=page-read,d={deadline_ms},cluster={set} */"
+            "SELECT payload FROM entries WHERE ref = '{reference}' /* id={id:x},c=page-read,d={deadline_ms},cluster={set} */"
         );
         let sent_at = Instant::now();
         let answer = timeout(ANSWER_TIMEOUT, connection.simple_query(&statement)).await;
@@ -124,6 +139,7 @@
             requests: 1,
             served: usize::from(matches!(answer, Ok(Ok(_)))),
             unanswered: usize::from(!answered),
+            late: usize::from(answered && lateness > LATE_ANSWER),
             max_lateness: lateness,
         }
     }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cluster;
 pub mod compare;
 pub mod demo;
+pub mod flood;
 pub mod gateway;
 pub mod loopback;
 pub mod report;
--- a/crates/testbed/tests/large_fleet.rs
+++ b/crates/testbed/tests/large_fleet.rs
@@ -38,6 +38,7 @@
         interval: Duration::from_millis(500),
         duration: Duration::from_secs(8),
         sets,
+        unanswered_every: 0,
     };
     reads.run(address).expect("a runtime")
 }
