--- a/crates/testbed/src/cluster/timed_reads.rs
+++ b/crates/testbed/src/cluster/timed_reads.rs
@@ -116,7 +116,8 @@
         let id = (client << 32) + number + 1;
         let deadline_ms = DEADLINES_MS[((client + number) % DEADLINES_MS.len() as u64) as usize];
         let set = (client + number).wrapping_mul(SET_STRIDE) % self.sets;
-        let is_unanswered = self.unanswered_every > 0 && number % self.unanswered_every == 0;
+        let is_unanswered =
+            self.unanswered_every > 0 && number.is_multiple_of(self.unanswered_every);
         let reference = if is_unanswered {
             UNANSWERED_READ
         } else {
--- a/crates/testbed/src/flood/mod.rs
+++ b/crates/testbed/src/flood/mod.rs
@@ -24,6 +24,8 @@
 const UNANSWERED_EVERY: u64 = 2;
 /// Time for which the gateway's last counters are awaited.
 const COUNTERS_WAIT: Duration = Duration::from_millis(500);
+/// The beginning of the gateway's line about its event loop.
+const EVENT_LOOP_LINE: &str = "event loop ";
 
 /// The parameters of a run.
 #[derive(Debug, Clone, Serialize)]
@@ -116,12 +118,17 @@
     })
 }
 
+/// The last two lines that the gateway printed when it was asked for its counters: of the event loop, and of the counters.
 fn last_counters(cluster: &Cluster) -> String {
-    cluster.history.inspect_lines(|lines| {
-        let last = lines
-            .iter()
-            .rev()
-            .find(|line| line.text.contains(COUNTERS_LINE));
-        last.map_or_else(String::new, |line| line.text.clone())
-    })
+    let last_line = |text: &str| {
+        cluster.history.inspect_lines(|lines| {
+            let last = lines.iter().rev().find(|line| line.text.contains(text));
+            last.map_or_else(String::new, |line| line.text.clone())
+        })
+    };
+    format!(
+        "{}; {}",
+        last_line(EVENT_LOOP_LINE),
+        last_line(COUNTERS_LINE)
+    )
 }
--- a/src/net/admin/counter_report.rs
+++ b/src/net/admin/counter_report.rs
@@ -14,9 +14,10 @@
 }
 
 impl CounterReport {
-    /// Prints one line of counters and, if membership is enabled, one line of members. The rate limit for log lines
+    /// Prints one line of the event loop, one of counters and, if membership is enabled, one of members. The rate limit for log lines
     /// does not apply.
     pub fn print(&self) {
+        eprintln!("irisrouter: {}", self.metrics.event_loop);
         eprintln!("irisrouter: {}", self.metrics);
         if let Some(membership) = &self.membership {
             eprintln!("irisrouter: {}", membership.status_line());
--- a/src/net/downstream/answer_writer.rs
+++ b/src/net/downstream/answer_writer.rs
@@ -21,8 +21,7 @@
 const READY_FOR_QUERY_RESERVE: usize = 16;
 
 impl ClientConnection {
-    /// Writes all of these bytes; does nothing if there are none. After a long write, reads the input that the client
-    /// sent meanwhile.
+    /// Writes all of these bytes; does nothing if there are none.
     pub(super) async fn write(&mut self, bytes: &[u8]) -> Result<(), ConnectionEnd> {
         if bytes.is_empty() {
             return Ok(());
@@ -32,7 +31,8 @@
             .await
             .map_err(|_| ConnectionEnd::Disconnected)??;
         if started.elapsed() > LONG_WRITE_THRESHOLD {
-            self.read_after_long_write(started)?;
+            increment(&self.metrics().connections.input_paused);
+            self.record_reading_pause(started);
         }
         Ok(())
     }
@@ -88,9 +88,8 @@
         message: &str,
         detail: Option<&str>,
     ) -> ConnectionEnd {
-        let mut out = self.listener.pool.acquire();
-        pg::put_error(&mut out, "FATAL", code, message, detail);
-        match self.write(&out).await {
+        pg::put_error(self.answers_mut(), "FATAL", code, message, detail);
+        match self.flush_answers().await {
             Ok(()) => ConnectionEnd::ErrorSent,
             Err(end) => end,
         }
--- a/src/net/downstream/client_input.rs
+++ b/src/net/downstream/client_input.rs
@@ -10,6 +10,8 @@
 use crate::net::downstream::connection::{ClientConnection, ConnectionEnd};
 use crate::net::downstream::connection_limit::{EvictableWait, WaitKind};
 use crate::net::downstream::input_buffer::ReadPurpose;
+use crate::net::downstream::read_times::ReadingPause;
+use crate::net::log::log;
 use crate::net::metrics::increment;
 use crate::net::read_now;
 use crate::net::serving_state::ServingMode;
@@ -43,8 +45,11 @@
 const FLOOD_READ_INTERVAL: Duration = Duration::from_millis(1);
 /// Maximum number of buffers of input that are read and dropped in one step.
 const MAX_DROPPING_READS: usize = 8;
-/// Maximum number of reads after a long write, for the input that arrived during the write.
-const MAX_READS_AFTER_LONG_WRITE: usize = 256;
+/// Maximum number of bytes in one read.
+const MAX_READ_BYTES: usize = 32 * 1024;
+/// Number of unprocessed messages of a client from which nothing more is read ahead: far more than a client sends that
+/// waits for its answers.
+const MAX_OWED_MESSAGES: usize = 16 * 1024;
 /// Maximum number of bytes in the last read before a connection is closed: enough to detect that input has arrived.
 const FINAL_READ_SIZE: usize = 4096;
 
@@ -78,6 +83,15 @@
     Partial,
 }
 
+/// When input is read ahead during a wait for an answer.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum ReadTurn {
+    /// At once. The first read of each wait notices a client that has left.
+    Immediate,
+    /// In the order of the connections that do more than others.
+    Queued,
+}
+
 /// A wait for input from the client.
 #[derive(Clone, Copy)]
 struct InputWait {
@@ -109,7 +123,10 @@
             kind,
             message_progress,
         };
-        if !self.wait_for_input(wait).await? {
+        let wait_started = Instant::now();
+        let is_readable = self.wait_for_input(wait).await?;
+        self.turn.record_wait(wait_started.elapsed());
+        if !is_readable {
             // Input that arrived just before the connection was to be closed has been read already.
             return Ok(ReadProgress::Read);
         }
@@ -171,7 +188,7 @@
                 return Ok(ReadProgress::NothingAvailable);
             };
             self.input.drop_bytes(&scratch);
-            self.last_input_at = Instant::now();
+            self.record_input(length);
             remaining -= length;
             if remaining == 0 {
                 break;
@@ -180,8 +197,18 @@
         Ok(ReadProgress::Read)
     }
 
-    /// Returns the number of bytes that were read, or `None` if no bytes were available. Ends the pause in reading that
-    /// a long write began once the socket holds no more input.
+    /// Records that bytes were read. More of them may be left in the socket.
+    fn record_input(&mut self, length: usize) {
+        let now = Instant::now();
+        self.last_input_at = now;
+        self.turn.record_bytes(length, now);
+        self.presence.input_left_unread(now);
+        let may_continue = |pause: &mut ReadingPause| pause.record_read(length);
+        self.reading_pause.take_if(|pause| !may_continue(pause));
+    }
+
+    /// Returns the number of bytes that were read, or `None` if no bytes were available. Ends an interruption of reading
+    /// once the socket holds no more input.
     fn handle_read_result(
         &mut self,
         result: io::Result<usize>,
@@ -191,7 +218,8 @@
             Ok(length) => Ok(Some(length)),
             Err(error) if error.kind() == io::ErrorKind::Interrupted => Ok(None),
             Err(error) if is_nothing_to_read(&error) => {
-                self.reading_paused_since = None;
+                self.reading_pause = None;
+                self.presence.all_input_read();
                 Ok(None)
             }
             Err(error) => Err(error.into()),
@@ -248,6 +276,9 @@
             (true, ReadPurpose::NextMessage) => self.input.missing_bytes(),
             (true, ReadPurpose::ReadAhead) => return Ok(ReadProgress::NothingAvailable),
         };
+        if purpose == ReadPurpose::ReadAhead && self.is_reading_suspended() {
+            return Ok(ReadProgress::NothingAvailable);
+        }
         if self.input.is_dropping() {
             return self.read_and_drop(max_bytes);
         }
@@ -260,15 +291,16 @@
                 }
             };
         };
-        let result = self.stream.try_read_buf(&mut space.limit(max_bytes));
+        let mut limited = space.limit(max_bytes.min(MAX_READ_BYTES));
+        let result = self.stream.try_read_buf(&mut limited);
         let Some(length) = self.handle_read_result(result)? else {
             return Ok(ReadProgress::NothingAvailable);
         };
-        let now = Instant::now();
         // Input that is read after an interruption may have arrived at the beginning of it.
-        let arrived_at = self.reading_paused_since.unwrap_or(now);
+        let interrupted_since = self.reading_pause.map(|pause| pause.since);
+        let arrived_at = interrupted_since.unwrap_or_else(Instant::now);
         self.input.record_read(length, arrived_at);
-        self.last_input_at = now;
+        self.record_input(length);
         Ok(ReadProgress::Read)
     }
 
@@ -292,19 +324,44 @@
         }
     }
 
-    /// Reads the input that arrived during a long write, which began at `since`, and records that time as its arrival.
-    /// A request in this input may be given less time than its timeout, but never more.
-    pub(super) fn read_after_long_write(&mut self, since: Instant) -> Result<(), ConnectionEnd> {
-        increment(&self.metrics().connections.input_paused);
-        self.reading_paused_since = Some(since);
-        let mut reads = 0;
-        while self.reading_paused_since.is_some() && reads < MAX_READS_AFTER_LONG_WRITE {
+    /// Records that no input has been read since this time. It counts as the arrival of the input that is read next: a
+    /// request in this input may be given less time than its timeout, but never more.
+    pub(super) fn record_reading_pause(&mut self, since: Instant) {
+        self.reading_pause
+            .get_or_insert_with(|| ReadingPause::new(since));
+        self.presence.input_left_unread(since);
+    }
+
+    /// Reads the input that arrived during an interruption of reading, so that the end of the connection is noticed
+    /// before an attempt is started.
+    pub(super) async fn catch_up_on_input(&mut self) -> Result<(), ConnectionEnd> {
+        while self.reading_pause.is_some()
+            && !self.is_reading_suspended()
+            && !self.reading_has_ended()
+        {
             self.read_available(ReadPurpose::ReadAhead)?;
-            reads += 1;
+            self.reserve_ids_ahead();
+            self.listener.turns.next_turn().await;
         }
         Ok(())
     }
 
+    /// Returns whether nothing is read ahead because the client has sent too many messages that wait for their turn.
+    fn is_reading_suspended(&self) -> bool {
+        let owed = self.reserved_ids.waiting_messages() + self.input.dropped_queries();
+        owed >= MAX_OWED_MESSAGES
+    }
+
+    /// Counts a suspension of reading, and logs the first one of a connection.
+    fn record_suspension(&mut self) {
+        increment(&self.metrics().connections.reading_suspended);
+        self.record_reading_pause(Instant::now());
+        if !std::mem::replace(&mut self.has_been_suspended, true) {
+            let client = self.client_name();
+            log!("client {client}: sends faster than it is answered, {MAX_OWED_MESSAGES} messages wait");
+        }
+    }
+
     /// Returns whether no further request is read: the shutdown has ended reading, or clients are being disconnected and
     /// this one has had [`DRAIN_READ_PERIOD`] for its last requests.
     pub(super) fn reading_has_ended(&self) -> bool {
@@ -323,17 +380,23 @@
     ) -> Result<T, ConnectionEnd> {
         let mut operation = std::pin::pin!(operation);
         self.reserve_ids_ahead();
+        let mut read_turn = ReadTurn::Immediate;
+        let mut is_suspended = false;
         loop {
-            let reading_has_ended = self.reading_has_ended();
+            if self.is_reading_suspended() && !std::mem::replace(&mut is_suspended, true) {
+                self.record_suspension();
+            }
+            let reads = !is_suspended && !self.reading_has_ended();
             tokio::select! {
                 biased;
                 value = &mut operation => return Ok(value),
-                readable = self.wait_until_readable(), if !reading_has_ended => {
+                readable = self.wait_to_read_ahead(read_turn), if reads => {
                     readable?;
                     self.read_available(ReadPurpose::ReadAhead)?;
                     self.reserve_ids_ahead();
+                    read_turn = ReadTurn::Queued;
                 }
-                end = self.wait_until_disconnected(), if reading_has_ended => return Err(end),
+                end = self.wait_until_disconnected(), if !reads => return Err(end),
             }
         }
     }
@@ -348,12 +411,17 @@
         }
     }
 
-    /// Waits until the socket is readable. For a client that floods, pauses first to limit its rate.
-    async fn wait_until_readable(&self) -> io::Result<()> {
+    /// Waits until the socket is readable and it is this connection's turn to read. For a client that floods, pauses
+    /// first to limit its rate.
+    async fn wait_to_read_ahead(&self, turn: ReadTurn) -> io::Result<()> {
         if self.input.is_flooding() {
             sleep(FLOOD_READ_INTERVAL).await;
         }
-        self.stream.readable().await
+        self.stream.readable().await?;
+        if turn == ReadTurn::Queued {
+            self.listener.turns.next_turn().await;
+        }
+        Ok(())
     }
 }
 
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -1,21 +1,19 @@
-//! One client connection, from startup to close. Messages are processed in the order in which they arrive, and each is
-//! answered before the next one is processed.
+//! One client connection, from startup to close. `messages` processes the messages in between.
 
 use crate::net::buffers::Buffer;
 use crate::net::downstream::cancel::CancelRegistration;
 use crate::net::downstream::client_input::ReadProgress;
 use crate::net::downstream::connection_limit::{ConnectionPermit, WaitKind};
-use crate::net::downstream::dropped_input::DroppedMessage;
 use crate::net::downstream::input_buffer::InputBuffer;
 use crate::net::downstream::listener::ClientListener;
-use crate::net::downstream::query::Query;
+use crate::net::downstream::read_times::ReadingPause;
 use crate::net::downstream::reserved_ids::ReservedIds;
+use crate::net::downstream::turns::Turn;
 use crate::net::log::log;
 use crate::net::metrics::{increment, Metrics};
-use crate::net::pg::{self, code, Startup};
-use std::convert::Infallible;
+use crate::net::pg::{self, Startup};
+use crate::net::request::ClientPresence;
 use std::io;
-use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -31,6 +29,8 @@
 
 /// Maximum number of request ids in one log line.
 const MAX_LOGGED_IDS: usize = 5;
+/// Maximum number of requests for encryption on one connection: PostgreSQL has two kinds of encryption.
+const MAX_ENCRYPTION_REQUESTS: usize = 2;
 /// The answer to a request for encryption: it is refused, and the client continues without encryption.
 const ENCRYPTION_REFUSED: &[u8] = b"N";
 
@@ -51,21 +51,6 @@
     }
 }
 
-/// A message from the client.
-struct Message {
-    /// The type byte of the message; see [`pg::tag`].
-    tag: u8,
-    body: MessageBody,
-}
-
-/// Location of a message's body.
-pub(super) enum MessageBody {
-    /// The body is at this range of the unprocessed input, which begins with the message.
-    InInput(Range<usize>),
-    /// The body was discarded because no memory was available for it.
-    Discarded,
-}
-
 /// What the client may send after a startup message, which has no type byte.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum StartupProgress {
@@ -84,9 +69,17 @@
     pub(super) input: InputBuffer,
     /// Ids of the requests in the input that wait for their turn.
     pub(super) reserved_ids: ReservedIds,
-    /// Start of a long write during which no input was read. `None` once all input that arrived during the write has
-    /// been read.
-    pub(super) reading_paused_since: Option<Instant>,
+    /// The last interruption of reading. `None` once all input that arrived during it has been read.
+    pub(super) reading_pause: Option<ReadingPause>,
+    /// Whether reading has been suspended on this connection before.
+    pub(super) has_been_suspended: bool,
+    /// Whether the client is known to be still connected.
+    pub(super) presence: Rc<ClientPresence>,
+    /// The work of the current turn.
+    pub(super) turn: Turn,
+    /// Answers of the current turn that have not been written yet. `None` if there are none, so that an idle connection
+    /// holds no buffer.
+    pub(super) answers: Option<Buffer>,
     /// Time from which the current message is timed: when the client connected, when the previous message was processed
     /// or, after an idle wait, when the first bytes of the message arrived.
     pub(super) message_started_at: Instant,
@@ -95,7 +88,7 @@
     pub(super) last_input_at: Instant,
     /// Whether messages of the extended query protocol are ignored until the next Sync, as the protocol requires after
     /// an error.
-    skipping_until_sync: bool,
+    pub(super) skipping_until_sync: bool,
     /// Registration of the client's cancel key. `None` before startup is complete, while a query is waiting for its
     /// answer, and if no key could be generated.
     pub(super) cancel_registration: Option<CancelRegistration>,
@@ -114,7 +107,11 @@
         permit,
         input: InputBuffer::new(Rc::clone(&listener.pool)),
         reserved_ids: ReservedIds::default(),
-        reading_paused_since: None,
+        reading_pause: None,
+        has_been_suspended: false,
+        presence: Rc::default(),
+        turn: Turn::default(),
+        answers: None,
         message_started_at: now,
         connected_at: now,
         last_input_at: now,
@@ -135,35 +132,21 @@
         &self.listener.request_context.metrics
     }
 
-    /// Serves the client until the connection has to be closed, and returns the reason.
-    async fn serve_messages(&mut self) -> Result<Infallible, ConnectionEnd> {
-        self.stream.set_nodelay(true)?;
-        self.perform_startup().await?;
-        loop {
-            let message = self.next_message().await?;
-            let query = self.parse_if_query(&message);
-            self.consume_message(&message);
-            let mut out = self.listener.pool.acquire();
-            self.handle_message(message.tag, query, &mut out).await?;
-            self.write(&out).await?;
-            if self.should_close_after_answer()? {
-                return Err(ConnectionEnd::Closed);
+    /// Reads and answers the client's startup messages, up to and including the first ReadyForQuery.
+    pub(super) async fn perform_startup(&mut self) -> Result<(), ConnectionEnd> {
+        for _ in 0..=MAX_ENCRYPTION_REQUESTS {
+            let purpose = self.next_startup_message().await?;
+            if self.handle_startup(purpose).await? == StartupProgress::Complete {
+                return Ok(());
             }
         }
+        Err(self
+            .end_with_violation("too many requests for encryption")
+            .await)
     }
 
-    /// Returns whether to close the connection now that an answer has been written. While clients are being
-    /// disconnected, a connection is closed right after an answer because the client then notices the close together
-    /// with the answer; the connection stays open if the next request has already arrived, unless reading has ended.
-    fn should_close_after_answer(&mut self) -> Result<bool, ConnectionEnd> {
-        if !self.listener.serving_state.mode().disconnects_clients() || !self.input.is_empty() {
-            return Ok(false);
-        }
-        Ok(self.reading_has_ended() || !self.read_before_close()?)
-    }
-
-    /// Reads and answers the client's startup messages, up to and including the first ReadyForQuery.
-    async fn perform_startup(&mut self) -> Result<(), ConnectionEnd> {
+    /// Returns the purpose of the next startup message once it has arrived completely.
+    async fn next_startup_message(&mut self) -> Result<Startup, ConnectionEnd> {
         loop {
             match pg::startup(self.input.unprocessed()) {
                 Err(malformed) => return Err(self.end_with_violation(malformed.0).await),
@@ -174,16 +157,13 @@
                 }
                 Ok(Some(message)) => {
                     self.input.consume(message.length);
-                    if self.handle_startup(message.purpose).await? == StartupProgress::Complete {
-                        return Ok(());
-                    }
+                    return Ok(message.purpose);
                 }
             }
         }
     }
 
     async fn handle_startup(&mut self, purpose: Startup) -> Result<StartupProgress, ConnectionEnd> {
-        let mut out = self.listener.pool.acquire();
         match purpose {
             Startup::Encryption => {
                 self.stream.write_all(ENCRYPTION_REFUSED).await?;
@@ -204,8 +184,10 @@
                     .cancel_registration
                     .as_ref()
                     .map(CancelRegistration::key);
+                let mut out = self.listener.pool.acquire();
                 pg::put_startup_response(&mut out, key);
                 self.write(&out).await?;
+                self.listener.turns.next_turn().await;
                 Ok(StartupProgress::Complete)
             }
         }
@@ -218,114 +200,13 @@
         if queries < 2 {
             return Ok(());
         }
-        let mut out = self.listener.pool.acquire();
-        pg::put_startup_response(&mut out, None);
+        pg::put_startup_response(self.answers_mut(), None);
         for _ in 0..queries {
-            self.put_capacity_rejection(&mut out);
-            pg::put_ready(&mut out);
+            self.put_capacity_rejection();
+            pg::put_ready(self.answers_mut());
         }
         self.input.consume(self.input.len());
-        self.write(&out).await
-    }
-
-    /// Returns the next message once it has arrived completely, or once it has been dropped because no memory was
-    /// available for it.
-    async fn next_message(&mut self) -> Result<Message, ConnectionEnd> {
-        self.message_started_at = Instant::now();
-        loop {
-            match pg::frame(self.input.unprocessed()) {
-                Err(malformed) => return Err(self.end_with_violation(malformed.0).await),
-                Ok(Some(frame)) => {
-                    return Ok(Message {
-                        tag: frame.tag,
-                        body: MessageBody::InInput(frame.body),
-                    })
-                }
-                Ok(None) => {}
-            }
-            if let Some(dropped) = self.input.next_dropped() {
-                if let Some(message) = self.handle_dropped(dropped).await? {
-                    return Ok(message);
-                }
-            } else if self.read_more(WaitKind::Idle).await? == ReadProgress::NoMemory {
-                self.input.start_dropping();
-            }
-        }
-    }
-
-    /// Handles the next dropped message. Returns `None` after reading more of a message that is incomplete.
-    async fn handle_dropped(
-        &mut self,
-        dropped: DroppedMessage,
-    ) -> Result<Option<Message>, ConnectionEnd> {
-        match dropped {
-            DroppedMessage::Query => Ok(Some(Message {
-                tag: pg::tag::QUERY,
-                body: MessageBody::Discarded,
-            })),
-            DroppedMessage::Incomplete { missing } => {
-                self.receive_and_drop(missing).await?;
-                Ok(None)
-            }
-            DroppedMessage::Terminate => Err(ConnectionEnd::Closed),
-            DroppedMessage::Violation => {
-                let message = "a message that is not supported is sent ahead of an answer";
-                Err(self.end_with_violation(message).await)
-            }
-        }
-    }
-
-    /// Parses the message if it is a query, while its body is still in the input. Returns `None` for messages of other
-    /// types.
-    fn parse_if_query(&mut self, message: &Message) -> Option<Query> {
-        (message.tag == pg::tag::QUERY).then(|| self.parse_query(&message.body))
-    }
-
-    fn consume_message(&mut self, message: &Message) {
-        if let MessageBody::InInput(body) = &message.body {
-            self.input.consume(body.end);
-        }
-    }
-
-    /// Handles one message and appends its answer to `out`. Only simple queries are supported: the first message of an
-    /// extended query is answered with an error, and the others are ignored until Sync.
-    async fn handle_message(
-        &mut self,
-        tag: u8,
-        query: Option<Query>,
-        out: &mut Buffer,
-    ) -> Result<(), ConnectionEnd> {
-        use pg::tag::{
-            BIND, CLOSE, DESCRIBE, EXECUTE, FLUSH, FUNCTION_CALL, PARSE, SYNC, TERMINATE,
-        };
-        if let Some(query) = query {
-            return self.execute_query(query, out).await;
-        }
-        match tag {
-            TERMINATE => return Err(ConnectionEnd::Closed),
-            SYNC => {
-                self.skipping_until_sync = false;
-                pg::put_ready(out);
-            }
-            PARSE | BIND | DESCRIBE | EXECUTE | CLOSE | FLUSH if self.skipping_until_sync => {}
-            PARSE | BIND | DESCRIBE | EXECUTE | CLOSE | FLUSH => {
-                self.put_unsupported(out);
-                self.skipping_until_sync = true;
-            }
-            FUNCTION_CALL => {
-                self.put_unsupported(out);
-                pg::put_ready(out);
-            }
-            // The gateway never starts a COPY, so that COPY messages are unexpected too.
-            _ => return Err(self.end_with_violation("an unknown message").await),
-        }
-        Ok(())
-    }
-
-    fn put_unsupported(&self, out: &mut Buffer) {
-        increment(&self.metrics().requests.malformed);
-        let message = "only simple queries are spoken here";
-        pg::put_error(out, "ERROR", code::FEATURE_NOT_SUPPORTED, message, None);
+        self.flush_answers().await
     }
 
     /// Closes the connection in a way that lets the last answer arrive.
@@ -334,11 +215,19 @@
             ConnectionEnd::Disconnected => {}
             ConnectionEnd::Closed | ConnectionEnd::ErrorSent => {
                 self.report_unanswered(reason);
-                self.linger().await;
+                if self.flush_answers().await.is_ok() {
+                    self.linger().await;
+                }
             }
         }
     }
 
+    /// Returns the client's address for the log.
+    pub(super) fn client_name(&self) -> String {
+        let client = self.stream.peer_addr();
+        client.map_or_else(|error| error.to_string(), |address| address.to_string())
+    }
+
     /// Counts and logs the complete queries that were read but get no answer because the gateway closes the connection
     /// before their turn. This is expected after a protocol violation or a Terminate message; in any other case it is a
     /// fault.
@@ -351,8 +240,7 @@
         requests
             .unanswered
             .set(requests.unanswered.get() + unanswered as u64);
-        let client = self.stream.peer_addr();
-        let client = client.map_or_else(|error| error.to_string(), |address| address.to_string());
+        let client = self.client_name();
         let ids = self.input.first_request_ids(MAX_LOGGED_IDS).join(" ");
         log!("client {client}: the gateway ends the connection ({reason:?}), {unanswered} queries unanswered: {ids}");
     }
@@ -382,6 +270,7 @@
                             .ok_or(io::ErrorKind::FileTooLarge)?;
                     }
                 }
+                listener.turns.next_turn().await;
             }
         };
         tokio::select! {
--- a/src/net/downstream/input_buffer.rs
+++ b/src/net/downstream/input_buffer.rs
@@ -79,6 +79,11 @@
         self.dropped.is_flooding()
     }
 
+    /// Returns the number of complete queries that were dropped and not rejected yet.
+    pub(super) fn dropped_queries(&self) -> usize {
+        self.dropped.queries()
+    }
+
     /// Returns the number of complete queries that have not been processed, dropped ones included.
     pub(super) fn unanswered_queries(&self) -> usize {
         pg::complete_queries(self.unprocessed()).count() + self.dropped.queries()
--- a/src/net/downstream/listener.rs
+++ b/src/net/downstream/listener.rs
@@ -4,6 +4,7 @@
 use crate::net::downstream::cancel::CancelRegistry;
 use crate::net::downstream::connection::serve_connection;
 use crate::net::downstream::connection_limit::ConnectionLimit;
+use crate::net::downstream::turns::TurnQueue;
 use crate::net::log::log;
 use crate::net::metrics::increment;
 use crate::net::request::classes::Classes;
@@ -18,6 +19,8 @@
 /// How long a terminating process waits for each further connection in the accept queue. Without this wait, the runtime
 /// would not have noticed the connections that arrived last, and they would be reset.
 const ACCEPT_QUEUE_TIMEOUT: Duration = Duration::from_millis(2);
+/// Number of connections that are accepted before the runtime polls its sockets and timers.
+const MAX_ACCEPTS_PER_TURN: usize = 4;
 /// Pause after a failed accept, for example because the process has no file descriptors left. The connection stays in
 /// the queue, so that retrying without a pause would be a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -36,20 +39,25 @@
     pub serving_state: Rc<ServingState>,
     /// The cancel keys of all client connections.
     pub cancels: Rc<CancelRegistry>,
+    /// The client connections that wait for their next turn.
+    pub turns: TurnQueue,
 }
 
 impl ClientListener {
     /// Marks the process as serving, then accepts clients; never returns.
     pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
         self.serving_state.mark_ready();
+        let mut accepted = 0;
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
                     self.spawn_connection(stream);
-                    // Yields so that evicted connections close their sockets first: otherwise a burst of new clients
+                    accepted += 1;
+                    // At the limit, evicted connections close their sockets first: otherwise a burst of new clients
                     // would use up all file descriptors.
-                    if self.connection_limit.is_full() {
+                    if accepted >= MAX_ACCEPTS_PER_TURN || self.connection_limit.is_full() {
                         yield_now().await;
+                        accepted = 0;
                     }
                 }
                 Err(error) => {
--- a/src/net/downstream/query.rs
+++ b/src/net/downstream/query.rs
@@ -2,7 +2,8 @@
 
 use crate::net::buffers::Buffer;
 use crate::net::downstream::cancel::{CancelRegistration, CancellableQuery};
-use crate::net::downstream::connection::{ClientConnection, ConnectionEnd, MessageBody};
+use crate::net::downstream::connection::{ClientConnection, ConnectionEnd};
+use crate::net::downstream::messages::MessageBody;
 use crate::net::duration;
 use crate::net::metrics::increment;
 use crate::net::pg::{self, code};
@@ -41,13 +42,16 @@
 
 /// A query as parsed from its message.
 pub(super) enum Query {
+    /// A query that is answered without a database host.
+    Immediate(ImmediateAnswer),
+    /// A valid request.
+    Request(QueuedRequest),
+}
+
+/// Why a query is answered without a database host.
+pub(super) enum ImmediateAnswer {
     /// The query has no statement.
     Empty,
-    /// A valid request, and the time since the last byte of its message arrived.
-    Request {
-        request: Box<ClientRequest>,
-        queue_time: Duration,
-    },
     /// The statement cannot be converted into a request.
     Invalid(StatementError),
     /// No memory is available for the query at present.
@@ -58,6 +62,21 @@
     Violation(&'static str),
 }
 
+/// A valid request, and the time that it has waited for its turn.
+pub(super) struct QueuedRequest {
+    request: Box<ClientRequest>,
+    /// Time since the last byte of its message arrived.
+    queue_time: Duration,
+}
+
+impl QueuedRequest {
+    /// Subtracts a further wait from the time that is left for the request.
+    pub(super) fn subtract_wait(&mut self, wait: Duration) {
+        self.request.timeout = self.request.timeout.saturating_sub(wait);
+        self.queue_time += wait;
+    }
+}
+
 /// Why a query cannot be converted into a request.
 enum QueryError {
     Statement(StatementError),
@@ -83,115 +102,131 @@
     /// byte, regardless of how long earlier requests took.
     pub(super) fn parse_query(&mut self, body: &MessageBody) -> Query {
         let MessageBody::InInput(range) = body else {
-            return Query::NoMemory;
+            return Query::Immediate(ImmediateAnswer::NoMemory);
         };
         let reserved_id = self.reserved_ids.take(self.input.position());
         let text = match pg::query(&self.input.unprocessed()[range.clone()]) {
             Ok(text) => text,
-            Err(malformed) => return Query::Violation(malformed.0),
+            Err(malformed) => {
+                return Query::Immediate(ImmediateAnswer::Violation(malformed.0));
+            }
         };
         if pg::is_empty(text) {
-            return Query::Empty;
+            return Query::Immediate(ImmediateAnswer::Empty);
         }
         // Many requests may be waiting at this point: rejecting them one by one through the router would take longer
         // than the time before the process is killed.
         if self.listener.request_context.answers_are_overdue() {
-            return Query::ShuttingDown;
+            return Query::Immediate(ImmediateAnswer::ShuttingDown);
         }
         let arrived_at = self.input.arrival_of(range.end);
         let queue_time = arrived_at.map_or(Duration::ZERO, |arrived_at| arrived_at.elapsed());
         match self.parse_request(text, queue_time, reserved_id) {
-            Ok(request) => Query::Request {
+            Ok(request) => Query::Request(QueuedRequest {
                 request: Box::new(request),
                 queue_time,
-            },
-            Err(QueryError::Statement(error)) => Query::Invalid(error),
-            Err(QueryError::NoMemory) => Query::NoMemory,
+            }),
+            Err(QueryError::Statement(error)) => Query::Immediate(ImmediateAnswer::Invalid(error)),
+            Err(QueryError::NoMemory) => Query::Immediate(ImmediateAnswer::NoMemory),
         }
     }
 
-    /// Executes one query and appends its complete answer, including ReadyForQuery, to `out`. If the answer was
-    /// forwarded while it arrived, only its last part is put into `out`.
-    pub(super) async fn execute_query(
+    /// Adds the answer, including ReadyForQuery, to the answers of the current turn.
+    pub(super) async fn put_immediate_answer(
         &mut self,
-        query: Query,
-        out: &mut Buffer,
+        answer: ImmediateAnswer,
     ) -> Result<(), ConnectionEnd> {
-        let requests = &self.metrics().requests;
-        match query {
-            Query::Violation(message) => return Err(self.end_with_violation(message).await),
-            Query::Empty => self.put_empty_query_response(out),
-            Query::Invalid(error) => {
-                increment(&requests.malformed);
+        match answer {
+            ImmediateAnswer::Violation(message) => {
+                return Err(self.end_with_violation(message).await)
+            }
+            ImmediateAnswer::Empty => self.put_empty_query_response(),
+            ImmediateAnswer::Invalid(error) => {
+                increment(&self.metrics().requests.malformed);
+                let out = self.answers_mut();
                 pg::put_error(out, "ERROR", code::SYNTAX_ERROR, &error.to_string(), None);
             }
-            Query::NoMemory => {
-                increment(&requests.no_memory);
-                self.put_capacity_rejection(out);
+            ImmediateAnswer::NoMemory => {
+                increment(&self.metrics().requests.no_memory);
+                self.put_capacity_rejection();
             }
-            Query::ShuttingDown => {
-                increment(&requests.expired);
-                self.put_capacity_rejection(out);
-            }
-            Query::Request {
-                request,
-                queue_time,
-            } => {
-                // The router rejects this request because no time is left for an attempt.
-                if request.timeout.is_zero() && !queue_time.is_zero() {
-                    increment(&requests.expired);
-                }
-                let outcome = self.wait_for_answer(*request).await?;
-                self.put_outcome(outcome, out).await?;
+            ImmediateAnswer::ShuttingDown => {
+                increment(&self.metrics().requests.expired);
+                self.put_capacity_rejection();
             }
         }
-        pg::put_ready(out);
+        pg::put_ready(self.answers_mut());
+        Ok(())
+    }
+
+    /// Serves a request and writes its complete answer, including ReadyForQuery. If the answer was forwarded while it
+    /// arrived, only its last part is left to write.
+    pub(super) async fn serve_request(
+        &mut self,
+        queued: QueuedRequest,
+    ) -> Result<(), ConnectionEnd> {
+        let QueuedRequest {
+            request,
+            queue_time,
+        } = queued;
+        // The router rejects this request because no time is left for an attempt.
+        if request.timeout.is_zero() && !queue_time.is_zero() {
+            increment(&self.metrics().requests.expired);
+        }
+        let outcome = self.wait_for_answer(*request).await?;
+        let is_rejected = matches!(outcome, QueryOutcome::Answered(Answer::Rejected { .. }));
+        let mut out = self.outcome_messages(outcome).await?;
+        pg::put_ready(&mut out);
+        self.write(&out).await?;
+        // Requests that are rejected at once can arrive as fast as queries that the gateway answers by itself.
+        if is_rejected {
+            self.listener.turns.next_turn().await;
+        }
         Ok(())
     }
 
     /// Rejects a query because memory, connections or time have run out, owing to other clients or to a shutdown.
-    pub(super) fn put_capacity_rejection(&self, out: &mut Buffer) {
-        put_rejection(self.reconnect_delay_ms(), out);
+    pub(super) fn put_capacity_rejection(&mut self) {
+        let retry_after_ms = self.reconnect_delay_ms();
+        put_rejection(retry_after_ms, self.answers_mut());
     }
 
     /// Answers an empty query, which clients send to check a connection: with an error if clients are being
     /// disconnected.
-    fn put_empty_query_response(&self, out: &mut Buffer) {
+    fn put_empty_query_response(&mut self) {
         if self.listener.serving_state.mode().disconnects_clients() {
             let message = "clients are sent away";
+            let out = self.answers_mut();
             pg::put_error(out, "ERROR", code::CANNOT_CONNECT_NOW, message, None);
         } else {
             // The message has no body.
-            pg::put(out, pg::tag::EMPTY_QUERY_RESPONSE, |_| {});
+            pg::put(self.answers_mut(), pg::tag::EMPTY_QUERY_RESPONSE, |_| {});
         }
     }
 
-    /// Puts the answer, without ReadyForQuery, into `out`.
-    async fn put_outcome(
-        &mut self,
-        outcome: QueryOutcome,
-        out: &mut Buffer,
-    ) -> Result<(), ConnectionEnd> {
+    /// Returns the answer without ReadyForQuery, or the part of it that has not been forwarded.
+    async fn outcome_messages(&mut self, outcome: QueryOutcome) -> Result<Buffer, ConnectionEnd> {
+        let mut out = self.listener.pool.acquire();
         match outcome {
             QueryOutcome::Cancelled => {
                 let message = "canceling statement due to user request";
-                pg::put_error(out, "ERROR", code::QUERY_CANCELED, message, None);
+                pg::put_error(&mut out, "ERROR", code::QUERY_CANCELED, message, None);
             }
             QueryOutcome::Answered(Answer::Served(row)) => {
-                *out = self.reserve_ready_for_query(row).await?;
+                return self.reserve_ready_for_query(row).await;
             }
             QueryOutcome::Answered(Answer::Streamed(streamed)) => {
-                *out = self.forward_streamed(streamed).await?;
+                return self.forward_streamed(streamed).await;
             }
             QueryOutcome::Answered(Answer::Rejected { retry_after }) => {
-                put_rejection(retry_after_milliseconds(retry_after), out);
+                put_rejection(retry_after_milliseconds(retry_after), &mut out);
             }
             QueryOutcome::Answered(Answer::Failed) => {
                 let message = "no answer could be had, and it may have run";
-                pg::put_error(out, "ERROR", code::INTERNAL_ERROR, message, None);
+                pg::put_error(&mut out, "ERROR", code::INTERNAL_ERROR, message, None);
             }
         }
-        Ok(())
+        Ok(out)
     }
 
     /// Starts the request's task and waits for its answer. If the query is cancelled or the client disconnects, the
@@ -255,6 +290,7 @@
             session: session_id(&statement, class),
             class: class_handle,
             group,
+            presence: Rc::clone(&self.presence),
             timeout: timeout.saturating_sub(queue_time),
             minimum_position,
             retry: statement.retry,
--- a/src/net/downstream/read_times.rs
+++ b/src/net/downstream/read_times.rs
@@ -7,6 +7,10 @@
 /// Maximum number of reads whose times are recorded separately. Beyond it, the two oldest are merged.
 const MAX_READS: usize = 256;
 
+/// Number of bytes that the operating systems of both sides hold for a connection at most. Without this limit, a client
+/// that never stops sending would lose time from each of its requests after one interruption.
+const MAX_SOCKET_BYTES: usize = 16 << 20;
+
 /// One read, or several that were merged.
 #[derive(Clone, Copy, Debug)]
 struct Read {
@@ -81,6 +85,31 @@
     }
 }
 
+/// An interruption of reading. Input that is read after it may have arrived at its beginning.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReadingPause {
+    /// Time at which reading was interrupted.
+    pub(super) since: Instant,
+    /// Number of bytes read since the interruption ended.
+    bytes_read: usize,
+}
+
+impl ReadingPause {
+    /// Creates an interruption that began at this time.
+    pub(super) fn new(since: Instant) -> Self {
+        ReadingPause {
+            since,
+            bytes_read: 0,
+        }
+    }
+
+    /// Records a read, and returns whether more input from the time of the interruption may follow.
+    pub(super) fn record_read(&mut self, length: usize) -> bool {
+        self.bytes_read += length;
+        self.bytes_read < MAX_SOCKET_BYTES
+    }
+}
+
 #[cfg(test)]
 #[path = "../../../tests/unit/read_times.rs"]
 mod tests;
--- a/src/net/downstream/reserved_ids.rs
+++ b/src/net/downstream/reserved_ids.rs
@@ -26,9 +26,23 @@
     waiting: VecDeque<WaitingRequest>,
     /// Position up to which the input has been searched for requests.
     searched_to: u64,
+    /// Number of complete messages in the searched part of the input.
+    messages: usize,
 }
 
 impl ReservedIds {
+    /// Returns the number of complete messages that wait for their turn.
+    pub(super) fn waiting_messages(&self) -> usize {
+        self.messages
+    }
+
+    /// Records that the message at this position leaves the input.
+    pub(super) fn message_consumed(&mut self, position: u64) {
+        if position < self.searched_to {
+            self.messages -= 1;
+        }
+    }
+
     /// Removes and returns the id that was reserved for the request at this position; `None` if there is none. Releases
     /// the ids of requests before it.
     pub(super) fn take(&mut self, position: u64) -> Option<OpenId> {
@@ -69,6 +83,7 @@
                 self.reserved_ids.waiting.push_back(waiting);
             }
             position += frame.body.end as u64;
+            self.reserved_ids.messages += 1;
         }
         self.reserved_ids.searched_to = position;
     }
--- a/src/net/lifecycle/startup.rs
+++ b/src/net/lifecycle/startup.rs
@@ -10,12 +10,14 @@
 use crate::net::discovery;
 use crate::net::downstream::connection_limit::{ConnectionLimit, IDLE_EVICTION_INTERVAL};
 use crate::net::downstream::listener::ClientListener;
+use crate::net::downstream::turns::TurnQueue;
 use crate::net::endpoint_list::{EndpointList, ListPosition};
 use crate::net::hot_restart::{self, HotRestart};
 use crate::net::lifecycle::listening_socket::{bind_console, ListeningSocket};
 use crate::net::lifecycle::shared_parts::SharedParts;
 use crate::net::lifecycle::StartupError;
 use crate::net::log::log;
+use crate::net::metrics::{record_max, Metrics};
 use crate::net::request::RequestContext;
 use crate::net::router_task::run_router;
 use crate::net::upstream::{Upstream, IDLE_CLOSE_INTERVAL};
@@ -26,13 +28,18 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::{spawn_local, JoinHandle};
-use tokio::time::{interval, timeout};
+use tokio::time::{interval, timeout, MissedTickBehavior};
 
 /// How long a process that inherits its listener waits for the first answer of discovery before it accepts clients. The
 /// wait is limited because a discovery service that does not answer must not keep the gateway from serving clients with
 /// the endpoint list that it already has.
 const FIRST_DISCOVERY_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Interval between two measurements of the delay of timers.
+const EVENT_LOOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// A timer that fires later than this is logged.
+const LOGGED_TIMER_DELAY: Duration = Duration::from_millis(200);
+
 /// Applies the endpoint list of the configuration file. Returns the position from which discovery continues: the
 /// revision of that list if it has members, otherwise none.
 pub fn apply_known_endpoints(upstream: &Upstream, endpoints: &EndpointList) -> ListPosition {
@@ -82,6 +89,7 @@
         connection_limit,
         serving_state: Rc::clone(&parts.serving_state),
         cancels: Rc::default(),
+        turns: TurnQueue::default(),
     })
 }
 
@@ -166,6 +174,8 @@
     spawn_local(repeat(IDLE_EVICTION_INTERVAL, move || {
         connection_limit.evict_longest_idle()
     }));
+    let metrics = Rc::clone(&parts.metrics);
+    spawn_local(watch_event_loop(metrics));
 }
 
 async fn repeat(period: Duration, action: impl Fn()) {
@@ -176,6 +186,20 @@
     }
 }
 
+/// Measures how late the runtime's timers fire, which is how long a task has kept the others from running. Logs long
+/// delays.
+async fn watch_event_loop(metrics: Rc<Metrics>) {
+    let mut ticks = interval(EVENT_LOOP_CHECK_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        let delay = ticks.tick().await.elapsed();
+        record_max(&metrics.event_loop.timer_delay_us, delay);
+        if delay >= LOGGED_TIMER_DELAY {
+            log!("timers fired {delay:?} late");
+        }
+    }
+}
+
 /// Starts the task that accepts clients.
 ///
 /// With an inherited listener the task first waits for an answer of discovery, because another process of this gateway
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -7,6 +7,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt;
+use std::time::Duration;
 
 /// A count since the start of the process. It is a `Cell` because all tasks share the counters on one thread.
 pub type Counter = Cell<u64>;
@@ -16,6 +17,15 @@
     counter.set(counter.get() + 1);
 }
 
+/// A largest value since the start of the process.
+pub type Maximum = Cell<u64>;
+
+/// Records a duration in microseconds if it is the longest one so far.
+pub fn record_max(longest_us: &Maximum, duration: Duration) {
+    let microseconds = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+    longest_us.set(longest_us.get().max(microseconds));
+}
+
 /// Requests and their final answers.
 #[derive(Default)]
 pub struct RequestMetrics {
@@ -57,6 +67,21 @@
     pub downstream_evicted: Counter,
     /// Number of times that the gateway paused reading from a client because a write to that client took long.
     pub input_paused: Counter,
+    /// Number of times that a connection used up a turn, because its client sent faster than the gateway processes.
+    pub turns_used_up: Counter,
+    /// Number of times that the gateway stopped reading from a client because it owed that client too many answers.
+    pub reading_suspended: Counter,
+    /// Attempts that were not sent because the gateway could not tell whether their client was still connected.
+    pub presence_unknown: Counter,
+}
+
+/// The event loop, which runs all tasks.
+#[derive(Default)]
+pub struct EventLoopMetrics {
+    /// Longest delay of a timer, in microseconds.
+    pub timer_delay_us: Maximum,
+    /// Longest turn of a client connection, in microseconds.
+    pub longest_turn_us: Maximum,
 }
 
 /// Health check results that gateways share.
@@ -155,6 +180,8 @@
     pub requests: RequestMetrics,
     /// Connections.
     pub connections: ConnectionMetrics,
+    /// The event loop.
+    pub event_loop: EventLoopMetrics,
     /// Health checks sent to database hosts.
     pub health_checks: Counter,
     /// Shared health check results.
@@ -215,13 +242,16 @@
     }
 
     /// Counters that are printed only if they are not 0, in the order in which they are printed.
-    fn rare_counters(&self) -> [(&'static str, &Counter); 5] {
+    fn rare_counters(&self) -> [(&'static str, &Counter); 8] {
         [
             ("expired", &self.requests.expired),
             ("no_memory", &self.requests.no_memory),
             ("undecided", &self.requests.undecided),
             ("unanswered", &self.requests.unanswered),
             ("input_paused", &self.connections.input_paused),
+            ("turns_used_up", &self.connections.turns_used_up),
+            ("reading_suspended", &self.connections.reading_suspended),
+            ("presence_unknown", &self.connections.presence_unknown),
         ]
     }
 
@@ -259,6 +289,16 @@
     }
 }
 
+impl fmt::Display for EventLoopMetrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (delay, turn) = (self.timer_delay_us.get(), self.longest_turn_us.get());
+        write!(
+            f,
+            "event loop timer_delay_us={delay} longest_turn_us={turn}"
+        )
+    }
+}
+
 impl fmt::Display for Metrics {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "counters")?;
--- a/src/net/request/attempts.rs
+++ b/src/net/request/attempts.rs
@@ -1,6 +1,8 @@
 //! The attempts of one request, each of which runs in its own task.
 
+use crate::net::metrics::increment;
 use crate::net::request::context::RequestContext;
+use crate::net::request::presence::ClientPresence;
 use crate::net::request::write_intent::WriteIntent;
 use crate::net::upstream::{
     AttemptResult, OutgoingStatement, SendDeadline, Statement, StreamedAnswer,
@@ -61,6 +63,7 @@
     /// Set once the request has been answered or its client has left. An attempt that was started earlier, but whose
     /// connection is ready only afterwards, is then not sent.
     request_finished: Rc<Cell<bool>>,
+    presence: Rc<ClientPresence>,
     write_intent: Option<Rc<WriteIntent>>,
     context: Rc<RequestContext>,
 }
@@ -71,6 +74,7 @@
         context: Rc<RequestContext>,
         request: RequestId,
         statement: Statement,
+        presence: Rc<ClientPresence>,
         write_intent: Option<Rc<WriteIntent>>,
     ) -> Self {
         let (stream_sender, streams) = unbounded_channel();
@@ -82,6 +86,7 @@
             request,
             statement: Rc::new(statement),
             request_finished: Rc::new(Cell::new(false)),
+            presence,
             write_intent,
             context,
         }
@@ -99,6 +104,7 @@
             request: self.request,
             statement: Rc::clone(&self.statement),
             request_finished: Rc::clone(&self.request_finished),
+            presence: Rc::clone(&self.presence),
             stream_sender: self.stream_sender.clone(),
             write_intent: self.write_intent.clone(),
             attempt_number: self.started.len(),
@@ -141,6 +147,7 @@
     request: RequestId,
     statement: Rc<Statement>,
     request_finished: Rc<Cell<bool>>,
+    presence: Rc<ClientPresence>,
     stream_sender: UnboundedSender<StartedStream>,
     write_intent: Option<Rc<WriteIntent>>,
     attempt_number: usize,
@@ -191,6 +198,10 @@
         if self.request_finished.get() {
             return None;
         }
+        if !self.presence.allows_attempts(Instant::now()) {
+            increment(&self.context.metrics.connections.presence_unknown);
+            return None;
+        }
         let now = self.context.clock.now();
         let attempt = self.attempt_number as u32;
         let permit = self
--- a/src/net/request/context.rs
+++ b/src/net/request/context.rs
@@ -4,6 +4,7 @@
 use crate::net::cluster::write_intents::WriteIntentService;
 use crate::net::metrics::Metrics;
 use crate::net::request::classes::ClassHandle;
+use crate::net::request::presence::ClientPresence;
 use crate::net::router_task::RouterHandle;
 use crate::net::upstream::{Statement, Upstream};
 use crate::net::Clock;
@@ -106,6 +107,8 @@
     pub group: GroupId,
     /// Session of the request, in classes whose freshness depends on one.
     pub session: Option<SessionId>,
+    /// Whether the client is known to be still connected.
+    pub presence: Rc<ClientPresence>,
     /// Time from now until the client stops waiting for the answer.
     pub timeout: Duration,
     /// Log position, as Unix time, up to which the answer must include all commits.
--- a/src/net/request/lifecycle.rs
+++ b/src/net/request/lifecycle.rs
@@ -138,6 +138,7 @@
                 Rc::clone(&context),
                 id,
                 request.statement,
+                request.presence,
                 write_intent.clone(),
             ),
             streaming_attempt: None,
--- a/src/net/request/mod.rs
+++ b/src/net/request/mod.rs
@@ -6,7 +6,9 @@
 mod context;
 mod earlier_attempts;
 mod lifecycle;
+mod presence;
 mod write_intent;
 
 pub use answer::{retry_after_milliseconds, Answer};
 pub use context::{ClientRequest, OpenId, RequestContext, ShutdownDeadlines};
+pub use presence::ClientPresence;
--- a/src/net/upstream/reply.rs
+++ b/src/net/upstream/reply.rs
@@ -6,10 +6,14 @@
 use bytes::Buf;
 use std::io::ErrorKind;
 use tokio::io::AsyncReadExt;
+use tokio::task::yield_now;
 
 /// Minimum free capacity of a buffer before a read, in bytes: enough for a typical reply without a row.
 const MIN_READ_BYTES: usize = 1024;
 
+/// Number of reads after which a reply that is still incomplete lets other tasks run.
+const MAX_READS_PER_TURN: usize = 8;
+
 /// How a row with a long value is handled.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(super) enum LongRowHandling {
@@ -114,6 +118,7 @@
         connection: &mut Connection,
         long_row_handling: LongRowHandling,
     ) -> Result<Received, ReplyError> {
+        let mut reads = 0_usize;
         loop {
             match self.parse_messages(long_row_handling)? {
                 ParseProgress::Incomplete => {}
@@ -137,6 +142,10 @@
                 }
                 _ => return Err(ReplyError::ConnectionLost),
             }
+            reads += 1;
+            if reads.is_multiple_of(MAX_READS_PER_TURN) {
+                yield_now().await;
+            }
         }
     }
 
