Router: give up a request at once whose time is over when it arrives

Clients of a class were rejected while expired requests of the same class arrived without pause: selection tries the newest request first and stops at the first one that cannot be sent, and an expired one cannot.

An expired request is not queued any more. The test failed before: the second read was given up.

--- a/src/routing/admission.rs
+++ b/src/routing/admission.rs
@@ -83,7 +83,7 @@
 
     /// Rule 1: no attempt is sent after the final answer, when its answer would be too late, or
     /// beyond the maximum number of attempts.
-    fn can_be_answered_in_time(&self, request: &Request) -> bool {
+    pub(super) fn can_be_answered_in_time(&self, request: &Request) -> bool {
         !request.answered
             && self.fleet.now < self.answer_deadline(request)
             && self.has_attempts_left(request)
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -135,7 +135,9 @@
         self.fund_health_checks();
         self.requests.by_id.insert(*id, request);
         self.retry_budget.deposit();
-        if self.failover_plan_admits(*class) {
+        // A queued request that is too late to be sent would keep the others of its class from being tried.
+        let is_in_time = self.can_be_answered_in_time(self.requests.get(*id));
+        if is_in_time && self.failover_plan_admits(*class) {
             self.enqueue(*id);
         } else {
             self.give_up(*id);
--- a/tests/queued_requests.rs
+++ b/tests/queued_requests.rs
@@ -62,6 +62,17 @@
 /// Returns how long a second read waits for the pause after the first, while the given group has an
 /// event each millisecond.
 fn wait_for_pause(group_with_events: u32) -> TimeDelta {
+    wait_with_events(|_| Event::HealthChecked {
+        member: MemberId(group_with_events),
+        outcome: Outcome::Ok,
+        elapsed: MILLISECOND,
+        report: None,
+    })
+}
+
+/// Returns how long a second read waits for the pause after the first, while one of these events happens each
+/// millisecond.
+fn wait_with_events(mut event_at: impl FnMut(Timestamp) -> Event) -> TimeDelta {
     let start = Timestamp::ZERO + TimeDelta::from_secs(1_000);
     let mut router = router(start);
     let [first, second] = [1, 2].map(RequestId);
@@ -81,12 +92,6 @@
         second,
         &router.batch(start, &[read(second, start)])
     ));
-    let event = Event::HealthChecked {
-        member: MemberId(group_with_events),
-        outcome: Outcome::Ok,
-        elapsed: MILLISECOND,
-        report: None,
-    };
     let mut now = start;
     loop {
         now += MILLISECOND;
@@ -94,7 +99,7 @@
             now - start < TimeDelta::from_secs(9),
             "the second read was given up"
         );
-        if is_sent(second, &router.batch(now, std::slice::from_ref(&event))) {
+        if is_sent(second, &router.batch(now, &[event_at(now)])) {
             return now - start;
         }
     }
@@ -111,3 +116,14 @@
     );
     assert_eq!(wait_for_pause(OTHER_GROUP), wait);
 }
+
+/// Guards against expired requests that keep the other requests of their class from being tried.
+#[test]
+fn queued_request_is_sent_as_soon_while_expired_requests_arrive_all_the_time() {
+    let mut next_id = 3;
+    let wait = wait_with_events(|now| {
+        next_id += 1;
+        read(RequestId(next_id), now - TimeDelta::from_secs(20))
+    });
+    assert_eq!(wait, wait_for_pause(GROUP_OF_REQUESTS));
+}
