Hold less memory for slow readers, and evict slow writers before quiet clients

Seen with 900 clients that read values of 4 MiB slowly at 32 MB, 1,500 descriptors and 0.5 of a core: peak 36.8 MB, over the limit. Each stream held seven buffers of 8 KiB that count towards no budget: the copy of the statement, two for the reply, four chunks, and one for an answer that was never put together.

A statement's copy takes what it needs, a stream holds one queued chunk and one that is written and reserves its place before it reads, and empty buffers go back.

A client in the middle of a message for 2 s is evicted before one that is quiet for 0.15 s; before, it was not evicted at all.

Turns: released are a sixteenth of those that wait, at least one.

--- a/src/net/buffers.rs
+++ b/src/net/buffers.rs
@@ -72,6 +72,19 @@
     }
 }
 
+impl Pool {
+    /// Returns a copy of these bytes that takes no more memory than they need, or `None` if the budget for large
+    /// messages does not allow it. For bytes that are kept for long.
+    pub fn copy(self: &Rc<Self>, bytes: &[u8]) -> Option<Buffer> {
+        let mut copy = Buffer {
+            bytes: BytesMut::new(),
+            extra_bytes: 0,
+            pool: Rc::clone(self),
+        };
+        copy.append(bytes).then_some(copy)
+    }
+}
+
 impl Buffer {
     /// Reserves space for `additional` bytes, and returns whether the budget for large messages allows it. Without a
     /// budget, a thousand connections with large messages would exceed the memory limit.
@@ -132,8 +145,9 @@
         let extra_bytes = self.pool.extra_bytes.get() - self.extra_bytes;
         self.pool.extra_bytes.set(extra_bytes);
         let mut free = self.pool.free.borrow_mut();
-        // A buffer that has grown is freed instead of reused, so that all free buffers have the same size.
-        if self.extra_bytes == 0 && free.len() < MAX_FREE_BUFFERS {
+        // Only buffers of the usual size are reused, so that all free buffers have the same size.
+        let has_usual_size = self.extra_bytes == 0 && self.bytes.capacity() >= BUFFER_SIZE / 2;
+        if has_usual_size && free.len() < MAX_FREE_BUFFERS {
             let mut bytes = std::mem::take(&mut self.bytes);
             bytes.clear();
             bytes.reserve(BUFFER_SIZE);
--- a/src/net/downstream/client_input.rs
+++ b/src/net/downstream/client_input.rs
@@ -13,8 +13,8 @@
 use crate::net::downstream::read_times::ReadingPause;
 use crate::net::log::log;
 use crate::net::metrics::increment;
-use crate::net::read_now;
 use crate::net::serving_state::ServingMode;
+use crate::net::{is_nothing_to_read, read_now};
 use bytes::BufMut;
 use std::future::Future;
 use std::io;
@@ -235,15 +235,7 @@
             self.listener.serving_state.subscribe(),
             self.message_started_at + DRAIN_IDLE_TIMEOUT,
         );
-        let kind = if self.permit.over_limit {
-            WaitKind::Closing
-        } else {
-            wait.kind
-        };
-        // After startup, a partial message protects its connection from eviction until its deadline; an idle connection
-        // may be evicted.
-        let mut evictable =
-            (nothing_received || kind != WaitKind::Idle).then(|| self.permit.allow_eviction(kind));
+        let mut evictable = self.allow_eviction(wait);
         tokio::select! {
             biased;
             readable = self.stream.readable() => {
@@ -251,11 +243,25 @@
                 Ok(InputEvent::Readable)
             }
             () = drained, if nothing_received => Ok(InputEvent::Draining),
-            () = wait_for_eviction(&mut evictable) => Ok(InputEvent::Evicted),
+            () = evictable.evicted() => Ok(InputEvent::Evicted),
             () = sleep_until(deadline), if !idle => Ok(InputEvent::TimedOut),
         }
     }
 
+    /// Allows the connection to be evicted during a wait. After startup, the time of a partial message counts from its
+    /// start.
+    fn allow_eviction(&self, wait: InputWait) -> EvictableWait<'_> {
+        let now = Instant::now();
+        let (kind, since) = match (wait.kind, wait.message_progress) {
+            _ if self.permit.over_limit => (WaitKind::Closing, now),
+            (WaitKind::Idle, MessageProgress::Partial) => {
+                (WaitKind::PartialMessage, self.message_started_at)
+            }
+            (kind, _) => (kind, now),
+        };
+        self.permit.allow_eviction(kind, since)
+    }
+
     /// Returns the time at which an incomplete message times out if no more bytes of it arrive.
     fn input_deadline(&self) -> Instant {
         let time_for_size = Duration::from_secs_f64(self.input.len() as f64 / MIN_INPUT_RATE);
@@ -425,14 +431,6 @@
     }
 }
 
-/// Returns whether a read failed only because no bytes were available.
-fn is_nothing_to_read(error: &io::Error) -> bool {
-    matches!(
-        error.kind(),
-        io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted
-    )
-}
-
 /// Returns once clients are being disconnected and `idle_until` has passed.
 async fn wait_for_idle_drain(mut mode: watch::Receiver<ServingMode>, idle_until: Instant) {
     loop {
@@ -449,12 +447,3 @@
         }
     }
 }
-
-/// Returns once the connection is evicted. Never returns if `wait` is `None`, because the connection may not be evicted
-/// then.
-async fn wait_for_eviction(wait: &mut Option<EvictableWait<'_>>) {
-    match wait {
-        Some(wait) => wait.evicted().await,
-        None => std::future::pending().await,
-    }
-}
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -187,7 +187,6 @@
                 let mut out = self.listener.pool.acquire();
                 pg::put_startup_response(&mut out, key);
                 self.write(&out).await?;
-                self.listener.turns.next_turn().await;
                 Ok(StartupProgress::Complete)
             }
         }
@@ -255,7 +254,7 @@
             listener,
             ..
         } = self;
-        let mut evictable_wait = permit.allow_eviction(WaitKind::Closing);
+        let mut evictable_wait = permit.allow_eviction(WaitKind::Closing, Instant::now());
         let discarding = async {
             stream.shutdown().await?;
             let mut buffer = listener.pool.acquire();
--- a/src/net/downstream/connection_limit.rs
+++ b/src/net/downstream/connection_limit.rs
@@ -16,6 +16,9 @@
 /// How long a connection may be idle between two requests before it may be evicted, as the platform specifies. Clients
 /// that send one request and stay connected would otherwise hold all connections for ever.
 const IDLE_GRACE: Duration = Duration::from_secs(2);
+/// How long a message may take to arrive before its connection may be evicted. Clients that write slowly would otherwise
+/// hold their connections while clients that are only quiet are evicted.
+const PARTIAL_MESSAGE_GRACE: Duration = Duration::from_secs(2);
 /// How long a connection may be idle while more connections than usual are open. The platform lets clients hold a third
 /// of a gateway's descriptors: many clients that each send one request and stay connected would leave none for clients
 /// that send one request after another.
@@ -31,6 +34,8 @@
     Closing,
     /// The client has not completed its startup yet.
     Starting,
+    /// A message of the client has arrived in part.
+    PartialMessage,
     /// The connection is idle between two requests.
     Idle,
 }
@@ -39,12 +44,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct WaitKey {
     kind: WaitKind,
+    since: Instant,
     sequence: u64,
 }
 
 /// A connection that may be evicted.
 struct WaitEntry {
-    since: Instant,
     counted: Rc<Cell<bool>>,
     /// Dropping this sender evicts the connection.
     _evict_sender: oneshot::Sender<()>,
@@ -132,6 +137,7 @@
         // no longer counts, so that evicting it again frees nothing.
         while self.is_full()
             && (self.evict_longest_waiting(WaitKind::Starting, STARTING_GRACE)
+                || self.evict_longest_waiting(WaitKind::PartialMessage, PARTIAL_MESSAGE_GRACE)
                 || self.evict_longest_waiting(WaitKind::Idle, IDLE_GRACE))
         {}
         let over_limit = self.is_full();
@@ -145,10 +151,12 @@
         })
     }
 
-    /// Evicts the connections that have been idle longest, while more connections than usual are open.
+    /// While more connections than usual are open, evicts those whose message has taken longest to arrive, and then
+    /// those that have been idle longest.
     pub fn evict_longest_idle(&self) {
         while self.counted_connections.get() > self.crowding_threshold
-            && self.evict_longest_waiting(WaitKind::Idle, CROWDED_IDLE_GRACE)
+            && (self.evict_longest_waiting(WaitKind::PartialMessage, PARTIAL_MESSAGE_GRACE)
+                || self.evict_longest_waiting(WaitKind::Idle, CROWDED_IDLE_GRACE))
         {}
     }
 
@@ -156,14 +164,8 @@
     /// whether it did.
     fn evict_longest_waiting(&self, kind: WaitKind, grace: Duration) -> bool {
         let mut waits = self.waits.borrow_mut();
-        let all_of_kind = WaitKey { kind, sequence: 0 }..=WaitKey {
-            kind,
-            sequence: u64::MAX,
-        };
-        let longest_waiting = waits.range(all_of_kind).next();
-        let due_key = longest_waiting
-            .filter(|(_, wait)| wait.since.elapsed() >= grace)
-            .map(|(&key, _)| key);
+        let longest_waiting = waits.keys().find(|key| key.kind == kind).copied();
+        let due_key = longest_waiting.filter(|key| key.since.elapsed() >= grace);
         let Some(evicted) = due_key.and_then(|key| waits.remove(&key)) else {
             return false;
         };
@@ -181,19 +183,22 @@
 }
 
 impl ConnectionPermit {
-    /// Allows the connection to be evicted until the result is dropped. Must be called only while its client waits for
-    /// no answer.
-    pub fn allow_eviction(&self, kind: WaitKind) -> EvictableWait<'_> {
+    /// Allows the connection to be evicted until the result is dropped. The wait counts from `since`. Must be called
+    /// only while the connection's client waits for no answer.
+    pub fn allow_eviction(&self, kind: WaitKind, since: Instant) -> EvictableWait<'_> {
         let connection_limit = &*self.connection_limit;
         if kind == WaitKind::Closing {
             connection_limit.stop_counting(&self.counted);
         }
         let sequence = connection_limit.next_sequence.get();
         connection_limit.next_sequence.set(sequence + 1);
-        let key = WaitKey { kind, sequence };
+        let key = WaitKey {
+            kind,
+            since,
+            sequence,
+        };
         let (evict_sender, evicted) = oneshot::channel();
         let entry = WaitEntry {
-            since: Instant::now(),
             counted: Rc::clone(&self.counted),
             _evict_sender: evict_sender,
         };
--- a/src/net/downstream/query.rs
+++ b/src/net/downstream/query.rs
@@ -206,27 +206,31 @@
 
     /// Returns the answer without ReadyForQuery, or the part of it that has not been forwarded.
     async fn outcome_messages(&mut self, outcome: QueryOutcome) -> Result<Buffer, ConnectionEnd> {
-        let mut out = self.listener.pool.acquire();
         match outcome {
             QueryOutcome::Cancelled => {
                 let message = "canceling statement due to user request";
-                pg::put_error(&mut out, "ERROR", code::QUERY_CANCELED, message, None);
-            }
-            QueryOutcome::Answered(Answer::Served(row)) => {
-                return self.reserve_ready_for_query(row).await;
+                Ok(self.error_message(code::QUERY_CANCELED, message))
             }
+            QueryOutcome::Answered(Answer::Served(row)) => self.reserve_ready_for_query(row).await,
             QueryOutcome::Answered(Answer::Streamed(streamed)) => {
-                return self.forward_streamed(streamed).await;
+                self.forward_streamed(streamed).await
             }
             QueryOutcome::Answered(Answer::Rejected { retry_after }) => {
+                let mut out = self.listener.pool.acquire();
                 put_rejection(retry_after_milliseconds(retry_after), &mut out);
+                Ok(out)
             }
             QueryOutcome::Answered(Answer::Failed) => {
                 let message = "no answer could be had, and it may have run";
-                pg::put_error(&mut out, "ERROR", code::INTERNAL_ERROR, message, None);
+                Ok(self.error_message(code::INTERNAL_ERROR, message))
             }
         }
-        Ok(out)
+    }
+
+    fn error_message(&self, code: &str, message: &str) -> Buffer {
+        let mut out = self.listener.pool.acquire();
+        pg::put_error(&mut out, "ERROR", code, message, None);
+        out
     }
 
     /// Starts the request's task and waits for its answer. If the query is cancelled or the client disconnects, the
@@ -281,7 +285,7 @@
         // A client with an unlimited timeout could otherwise keep its request open for ever.
         let timeout =
             Duration::from_secs_f64(statement.timeout_ms / 1e3).min(duration(class.deadline));
-        let text_copy = self.copy_statement(text).ok_or(QueryError::NoMemory)?;
+        let text_copy = self.listener.pool.copy(text).ok_or(QueryError::NoMemory)?;
         let id = reserved_id
             .or_else(|| context.reserve_id(statement.id))
             .ok_or(StatementError::DuplicateRequestId)?;
@@ -319,12 +323,6 @@
         }
         Ok(position)
     }
-
-    /// Copies a statement into a pooled buffer. Returns `None` if no memory is available for it.
-    fn copy_statement(&self, text: &[u8]) -> Option<Buffer> {
-        let mut text_copy = self.listener.pool.acquire();
-        text_copy.append(text).then_some(text_copy)
-    }
 }
 
 /// Returns the session that the statement's session key identifies, if requests of the class belong to sessions.
--- a/src/net/downstream/turns.rs
+++ b/src/net/downstream/turns.rs
@@ -2,10 +2,13 @@
 //!
 //! All tasks share one thread. A client can send messages that the gateway answers by itself faster than the gateway
 //! processes them, so that its connection never waits for input. A connection therefore ends its turn after a bounded
-//! amount of work, and connections that have ended a turn begin the next one one after the other.
+//! amount of work, and connections that have ended a turn begin the next one in order, a few at a time.
 
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::Semaphore;
+use tokio::sync::oneshot;
 use tokio::task::yield_now;
 use tokio::time::Instant;
 
@@ -16,6 +19,10 @@
 /// Time after which a turn ends.
 const MAX_TURN_TIME: Duration = Duration::from_millis(1);
 
+/// The part of the waiting connections that has its turn between two polls of the runtime, but at least one. It bounds
+/// the wait in the queue where many connections wait and each poll takes long.
+const QUEUE_DIVISOR: usize = 16;
+
 /// The work that a connection has done in its current turn.
 #[derive(Debug, Default)]
 pub(super) struct Turn {
@@ -65,27 +72,65 @@
 }
 
 /// The queue of the connections that wait for their next turn.
+#[derive(Default)]
 pub struct TurnQueue {
-    first_in_queue: Semaphore,
+    state: Rc<QueueState>,
 }
 
-impl Default for TurnQueue {
-    fn default() -> Self {
-        TurnQueue {
-            first_in_queue: Semaphore::new(1),
-        }
-    }
+#[derive(Default)]
+struct QueueState {
+    /// Number of connections that have left the queue and wait until the runtime has polled its sockets and timers.
+    released: Cell<usize>,
+    /// The connections in the queue, first come, first served.
+    waiting: RefCell<VecDeque<oneshot::Sender<Release>>>,
+}
+
+/// The release of one connection from the queue, which ends when this is dropped.
+struct Release {
+    state: Rc<QueueState>,
 }
 
 impl TurnQueue {
     /// Waits for the next turn, in the order of the calls. Between two turns the runtime polls its sockets and timers,
-    /// and runs all other tasks that are ready.
+    /// and other tasks that are ready run.
     pub(super) async fn next_turn(&self) {
-        // The semaphore is never closed, so that acquiring it does not fail.
-        let first = self.first_in_queue.acquire().await;
+        let (sender, released) = oneshot::channel();
+        self.state.waiting.borrow_mut().push_back(sender);
+        self.state.release_next();
+        // The sender stays in the queue until it is used, so that receiving does not fail.
+        let release = released.await;
         // Tasks that yield run again only after the runtime has polled its sockets and timers.
         yield_now().await;
-        drop(first);
+        drop(release);
+    }
+}
+
+impl QueueState {
+    /// Releases as many connections as may be released at the same time.
+    fn release_next(self: &Rc<Self>) {
+        while let Some(sender) = self.pop_next() {
+            self.released.set(self.released.get() + 1);
+            let state = Rc::clone(self);
+            // Where the connection has stopped waiting, the release is dropped, which ends it.
+            let _ = sender.send(Release { state });
+        }
+    }
+
+    /// Removes the first connection from the queue unless enough connections are released already.
+    fn pop_next(&self) -> Option<oneshot::Sender<Release>> {
+        let mut waiting = self.waiting.borrow_mut();
+        while waiting.front().is_some_and(oneshot::Sender::is_closed) {
+            waiting.pop_front();
+        }
+        let limit = (waiting.len() / QUEUE_DIVISOR).max(1);
+        (self.released.get() < limit).then(|| waiting.pop_front())?
+    }
+}
+
+impl Drop for Release {
+    fn drop(&mut self) {
+        self.state.released.set(self.state.released.get() - 1);
+        self.state.release_next();
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -119,6 +119,14 @@
     Ok(())
 }
 
+/// Returns whether a read failed only because no bytes were available.
+pub fn is_nothing_to_read(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted
+    )
+}
+
 /// Returns whether a system call failed because the operating system is short of memory.
 fn is_short_of_memory(error: &io::Error) -> bool {
     const ENOMEM: i32 = 12;
--- a/src/net/upstream/response_stream.rs
+++ b/src/net/upstream/response_stream.rs
@@ -1,19 +1,19 @@
 //! Streaming of long values to the client while they arrive, without holding a whole value in memory.
 
 use crate::net::buffers::Buffer;
+use crate::net::is_nothing_to_read;
 use crate::net::pg::Reply;
 use crate::net::upstream::connection::Connection;
 use crate::net::upstream::registry::Upstream;
 use crate::net::upstream::reply::{LongRow, LongRowHandling, Received, ReplyError, ReplyReader};
 use bytes::{Buf, BufMut};
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 /// Maximum number of chunks of a long value that are queued for a client, in addition to the one that is being written.
 /// While the queue is full, nothing more is read from the host, which bounds the memory that a slow client takes.
-const MAX_QUEUED_CHUNKS: usize = 2;
+const MAX_QUEUED_CHUNKS: usize = 1;
 /// Time without any bytes from the host in the middle of a long value after which the connection counts as lost. It is
 /// far longer than any pause between two packets.
 const HOST_SILENCE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -60,12 +60,15 @@
         unread.advance(available);
         let (chunks, rest) = mpsc::channel(MAX_QUEUED_CHUNKS);
         let remaining = length - available;
+        // Bytes behind the value have arrived only if the value is complete.
+        let unread = (remaining == 0).then_some(unread);
         on_stream(StreamedAnswer {
             head,
             remaining,
             rest,
         });
         self.stream_value(connection, remaining, &chunks).await?;
+        let unread = unread.unwrap_or_else(|| self.buffers.acquire());
         let reader = ReplyReader::resume(reply, unread, self.buffers.acquire());
         let reading = reader.read(connection, LongRowHandling::ReadWhole);
         let received = timeout(HOST_SILENCE_TIMEOUT, reading)
@@ -73,7 +76,8 @@
             .map_err(|_| ReplyError::ConnectionLost)??;
         match received {
             Received::Complete(complete) if complete.reply.served() => {
-                send_chunk(&chunks, StreamChunk::Last(complete.row)).await?;
+                let sent = chunks.send(StreamChunk::Last(complete.row)).await;
+                sent.map_err(|_| ReplyError::ClientGone)?;
                 Ok(complete.reply)
             }
             _ => Err(ReplyError::ErrorAfterRow),
@@ -88,24 +92,21 @@
         chunks: &mpsc::Sender<StreamChunk>,
     ) -> Result<(), ReplyError> {
         while remaining > 0 {
+            let place = chunks.reserve().await.map_err(|_| ReplyError::ClientGone)?;
+            let waiting = connection.stream.readable();
+            if !matches!(timeout(HOST_SILENCE_TIMEOUT, waiting).await, Ok(Ok(()))) {
+                return Err(ReplyError::ConnectionLost);
+            }
             let mut chunk = self.buffers.acquire();
             let mut limited = (&mut *chunk).limit(remaining);
-            let reading = connection.stream.read_buf(&mut limited);
-            match timeout(HOST_SILENCE_TIMEOUT, reading).await {
-                Ok(Ok(n)) if n > 0 => remaining -= n,
-                _ => return Err(ReplyError::ConnectionLost),
+            match connection.stream.try_read_buf(&mut limited) {
+                Ok(0) => return Err(ReplyError::ConnectionLost),
+                Ok(length) => remaining -= length,
+                Err(error) if is_nothing_to_read(&error) => continue,
+                Err(_) => return Err(ReplyError::ConnectionLost),
             }
-            send_chunk(chunks, StreamChunk::Data(chunk)).await?;
+            place.send(StreamChunk::Data(chunk));
         }
         Ok(())
     }
 }
-
-/// Queues a chunk; waits while the queue is full.
-async fn send_chunk(
-    chunks: &mpsc::Sender<StreamChunk>,
-    chunk: StreamChunk,
-) -> Result<(), ReplyError> {
-    let sent = chunks.send(chunk).await;
-    sent.map_err(|_| ReplyError::ClientGone)
-}
--- a/tests/gateway/harness/gateway.rs
+++ b/tests/gateway/harness/gateway.rs
@@ -254,6 +254,18 @@
         assert!(status.success());
     }
 
+    /// Returns the peak resident memory of the process, in kilobytes.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        peak.unwrap()
+            .trim()
+            .trim_end_matches(" kB")
+            .parse()
+            .unwrap()
+    }
+
     /// Waits for the end of the process and returns its exit code.
     pub fn exit_code(&mut self) -> Option<i32> {
         self.child.wait().unwrap().code()
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -8,6 +8,8 @@
 use insta::assert_snapshot;
 use serde_json::{json, Value};
 use std::io::Read;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
 
 #[test]
 fn idle_upstream_connection_is_closed_before_its_host_closes_it() {
@@ -134,3 +136,60 @@
         "a client may be idle between two requests"
     );
 }
+
+/// Guards against clients that write slowly and hold their connections while quiet clients are evicted for them.
+#[test]
+fn client_that_stopped_in_a_message_is_evicted_before_one_that_is_quiet() {
+    let host = Host::start("s-1", true, reply_with_row);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    // 38 connections are allowed, of which 20 are in use at normal load.
+    let limit_descriptors = |config: &mut Value| config["limits"]["sockets"] = json!(120);
+    let gateway = Gateway::start_with_config(&discovery, &[&host], limit_descriptors);
+    let mut quiet = gateway.client();
+    let mut slow: Vec<Client> = (0..19).map(|_| gateway.client()).collect();
+    let message = query_message(&statement("read", 9_000));
+    let started = Instant::now();
+    let mut sent = 0;
+    // Each client writes a byte every 0.1 s for longer than a message may take in a crowd.
+    while started.elapsed() < Duration::from_millis(2_200) {
+        slow.iter_mut().for_each(|c| c.send(&message[sent..=sent]));
+        sent += 1;
+        assert!(quiet.query("").starts_with("Empty"));
+        sleep(Duration::from_millis(100));
+    }
+    let mut later: Vec<Client> = (0..5).map(|_| gateway.client()).collect();
+    assert!(quiet.query(&statement("read", 9_000)).contains("a1b2"));
+    assert!(later[0].query("").starts_with("Empty"));
+    // The others are ended later because they write nothing more.
+    let answers = slow.iter_mut().map(Client::read_until_ready);
+    let evicted = answers.filter(|answer| answer.contains("C53300"));
+    assert_eq!(evicted.count(), later.len());
+}
+
+/// Guards against memory that grows with the clients that read long values slowly.
+#[test]
+fn clients_that_read_long_values_slowly_do_not_exceed_the_memory_limit() {
+    const CLIENTS: usize = 300;
+    const MEMORY_MB: u64 = 16;
+    const VALUE_LENGTH: usize = 8 << 20;
+    let host = Host::start("s-1", true, |_, _| HostReply::PausedRow(VALUE_LENGTH));
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start_with_config(&discovery, &[&host], |config| {
+        config["limits"] = json!({"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 2_000});
+        config["settings"]["Bounds"]["Probes"] = json!(false);
+    });
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| gateway.client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        let id = format!("{number:04x}");
+        client.send(&query_message(
+            &statement("read", 19_000).replace("9b1f", &id),
+        ));
+    }
+    let mut served = 0;
+    for client in &mut clients {
+        served += usize::from(client.read_byte() == b'T');
+    }
+    let peak_mb = gateway.peak_memory_kb() / 1_024;
+    assert!(peak_mb < MEMORY_MB, "{peak_mb} MB for {served} values");
+    assert!(served > 0);
+}
--- a/tests/unit/turns.rs
+++ b/tests/unit/turns.rs
@@ -1,6 +1,6 @@
 use super::*;
-use std::cell::{Cell, RefCell};
-use std::rc::Rc;
+use std::future::{poll_fn, Future};
+use std::task::Poll;
 use tokio::task::{spawn_local, LocalSet};
 
 #[test]
@@ -80,3 +80,29 @@
         "{turns:?}"
     );
 }
+
+#[test]
+fn connection_that_stops_waiting_does_not_keep_the_others_in_the_queue() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let queue = TurnQueue::default();
+    LocalSet::new().block_on(&runtime, async {
+        let mut first = Box::pin(queue.next_turn());
+        let mut second = Box::pin(queue.next_turn());
+        let mut third = Box::pin(queue.next_turn());
+        // The first is released, the others wait; then the first and the second stop waiting.
+        poll_fn(|context| {
+            for waiting in [&mut first, &mut second, &mut third] {
+                assert!(waiting.as_mut().poll(context).is_pending());
+            }
+            Poll::Ready(())
+        })
+        .await;
+        drop(second);
+        drop(first);
+        third.await;
+    });
+    assert_eq!(queue.state.released.get(), 0);
+}
