Keep the id of a request whose client left while an attempt may run

Ids over 256 bytes are malformed: reserved ids count towards no budget, and 1,024 long ones could be reserved for each connection. The other process of a hot restart does not know these ids (open).

--- a/crates/pg/src/statement.rs
+++ b/crates/pg/src/statement.rs
@@ -6,6 +6,9 @@
 /// Maximum time that a client may state as its timeout, in milliseconds: one day.
 const MAX_TIMEOUT_MS: f64 = 86_400_000.0;
 
+/// Maximum length of a request's id, in bytes: ids are kept in memory while their requests are open.
+const MAX_ID_LENGTH: usize = 256;
+
 /// The fields of the comment at the end of a statement, and the first quoted string of the statement.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Statement<'a> {
@@ -87,6 +90,9 @@
         .id
         .filter(|id| !id.is_empty())
         .ok_or(Malformed("no id in the comment"))?;
+    if id.len() > MAX_ID_LENGTH {
+        return Err(Malformed("an id that is too long"));
+    }
     let timeout_text = fields
         .timeout_text
         .ok_or(Malformed("no d in the comment"))?;
--- a/src/net/downstream/query.rs
+++ b/src/net/downstream/query.rs
@@ -287,7 +287,7 @@
             Duration::from_secs_f64(statement.timeout_ms / 1e3).min(duration(class.deadline));
         let text_copy = self.listener.pool.copy(text).ok_or(QueryError::NoMemory)?;
         let id = reserved_id
-            .or_else(|| context.reserve_id(statement.id))
+            .or_else(|| context.open_ids.reserve(statement.id))
             .ok_or(StatementError::DuplicateRequestId)?;
         Ok(ClientRequest {
             id,
--- a/src/net/downstream/reserved_ids.rs
+++ b/src/net/downstream/reserved_ids.rs
@@ -94,6 +94,8 @@
         let context = &self.listener.request_context;
         self.listener.classes.find(statement.class)?;
         let is_valid = context.upstream.may_have_group(GroupId(statement.group));
-        is_valid.then(|| context.reserve_id(statement.id)).flatten()
+        is_valid
+            .then(|| context.open_ids.reserve(statement.id))
+            .flatten()
     }
 }
--- a/src/net/lifecycle/startup.rs
+++ b/src/net/lifecycle/startup.rs
@@ -22,7 +22,6 @@
 use crate::net::router_task::run_router;
 use crate::net::upstream::{Upstream, IDLE_CLOSE_INTERVAL};
 use irisrouter_endpoint_watch::Revision;
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -102,7 +101,7 @@
         shutdown: watch::Sender::new(None),
         write_intents: services.write_intents.clone(),
         site_failover: services.site_failover.clone(),
-        open_ids: RefCell::default(),
+        open_ids: Rc::default(),
     }
 }
 
--- a/src/net/request/context.rs
+++ b/src/net/request/context.rs
@@ -4,14 +4,13 @@
 use crate::net::cluster::write_intents::WriteIntentService;
 use crate::net::metrics::Metrics;
 use crate::net::request::classes::ClassHandle;
+use crate::net::request::open_ids::{OpenId, OpenIds};
 use crate::net::request::presence::ClientPresence;
 use crate::net::router_task::RouterHandle;
 use crate::net::upstream::{Statement, Upstream};
 use crate::net::Clock;
 use irisrouter::routing::{GroupId, SessionId, Timestamp};
 use irisrouter_write_intents::KeyHash;
-use std::cell::RefCell;
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -42,8 +41,8 @@
     pub write_intents: Option<Rc<WriteIntentService>>,
     /// Site failover; `None` unless the operators have enabled it.
     pub site_failover: Option<Rc<SiteFailoverService>>,
-    /// Ids of the open requests: those that are not finished, or that have an attempt which has not ended.
-    pub open_ids: RefCell<HashSet<Box<str>>>,
+    /// Ids of the open requests.
+    pub open_ids: Rc<OpenIds>,
 }
 
 impl RequestContext {
@@ -71,30 +70,6 @@
         let deadlines = *self.shutdown.borrow();
         deadlines.is_some_and(|deadlines| deadlines.read_until <= now)
     }
-
-    /// Reserves an id. Returns `None` while another open request has it.
-    ///
-    /// Otherwise a database host would treat the second request as a retry of the first, and answer it with the row of
-    /// another client.
-    pub fn reserve_id(self: &Rc<Self>, id: &str) -> Option<OpenId> {
-        let is_new = self.open_ids.borrow_mut().insert(id.into());
-        is_new.then(|| OpenId {
-            context: Rc::clone(self),
-            id: id.into(),
-        })
-    }
-}
-
-/// The id of an open request; no other request can have it until this is dropped.
-pub struct OpenId {
-    context: Rc<RequestContext>,
-    id: Box<str>,
-}
-
-impl Drop for OpenId {
-    fn drop(&mut self) {
-        self.context.open_ids.borrow_mut().remove(&self.id);
-    }
 }
 
 /// A request, as the downstream creates it from what its client sent.
--- a/src/net/request/lifecycle.rs
+++ b/src/net/request/lifecycle.rs
@@ -5,8 +5,9 @@
 use crate::net::request::answer::{Answer, PendingAnswer};
 use crate::net::request::attempts::{Attempts, EndedAttempt, JoinedAttempt, StartedStream};
 use crate::net::request::classes::ClassHandle;
-use crate::net::request::context::{ClientRequest, OpenId, RequestContext, ShutdownDeadlines};
+use crate::net::request::context::{ClientRequest, RequestContext, ShutdownDeadlines};
 use crate::net::request::earlier_attempts::CheckedRequest;
+use crate::net::request::open_ids::OpenId;
 use crate::net::request::write_intent::{ResendError, WriteIntent};
 use crate::net::router_task::{RegisteredRequest, RequestCommand};
 use crate::net::time_delta;
@@ -74,8 +75,10 @@
     /// the shutdown had already begun when the request arrived, because its deadline then takes the shutdown into
     /// account.
     shutdown: Option<watch::Receiver<Option<ShutdownDeadlines>>>,
+    /// Whether the client left before its answer.
+    is_abandoned: bool,
     // The id and the class are held until the last attempt has ended.
-    _open_id: OpenId,
+    open_id: OpenId,
     _class: Rc<ClassHandle>,
 }
 
@@ -146,7 +149,8 @@
             decision_deadline: (checked.deadline - ANSWER_MARGIN).max(now + MIN_DECISION_TIME),
             shutdown: subscribe_to_shutdown(&context),
             context,
-            _open_id: request.id,
+            is_abandoned: false,
+            open_id: request.id,
             _class: request.class,
         }
     }
@@ -173,6 +177,10 @@
         }
         self.end_undelivered_attempts();
         self.context.router.unregister(self.id);
+        if self.is_abandoned && !self.attempts.started.is_empty() {
+            let ids = &self.context.open_ids;
+            ids.keep_abandoned(self.open_id, Instant::now());
+        }
     }
 
     /// Waits for the next event. Of the events that are ready at the same time, the one listed first is returned.
@@ -242,6 +250,7 @@
 
     fn on_client_gone(&mut self) {
         self.answer.abandon();
+        self.is_abandoned = true;
         increment(&self.context.metrics.requests.client_gone);
         self.context.router.post(Event::ClientGone { id: self.id });
     }
--- a/src/net/request/mod.rs
+++ b/src/net/request/mod.rs
@@ -6,9 +6,11 @@
 mod context;
 mod earlier_attempts;
 mod lifecycle;
+mod open_ids;
 mod presence;
 mod write_intent;
 
 pub use answer::{retry_after_milliseconds, Answer};
-pub use context::{ClientRequest, OpenId, RequestContext, ShutdownDeadlines};
+pub use context::{ClientRequest, RequestContext, ShutdownDeadlines};
+pub use open_ids::OpenId;
 pub use presence::ClientPresence;
