Bound the memory for the commits of sessions

65,536 sessions are known one by one. Beyond that the older half is forgotten, and a session without an entry needs the latest forgotten position, so that no read becomes stale.

--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -13,10 +13,11 @@
 use super::load::FleetLoad;
 use super::member::Member;
 use super::selection_schedule::SelectionSchedule;
+use super::session_commits::SessionCommits;
 use super::settings::{Freshness, Settings};
 use super::slow_start::warm_up_share;
 use super::time::{TimeDelta, Timestamp};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The fleet is large if one gateway's part of a member's initial limit is below this. Limits per
 /// gateway are then useless, because they round to zero.
@@ -57,9 +58,9 @@
     pub(super) load: FleetLoad,
     /// Limit on the requests of all gateways in flight at a member, for large fleets.
     pub(super) shared_limit: SharedConcurrencyLimit,
-    /// Position of the last commit of each session. It is recorded only if session reads do not
+    /// Positions of the last commits of sessions. They are recorded only if session reads do not
     /// carry the age of their session's last write.
-    pub(super) session_commits: HashMap<SessionId, Timestamp>,
+    pub(super) session_commits: SessionCommits,
 }
 
 impl Fleet {
@@ -76,7 +77,7 @@
             health_check_queue: HealthCheckQueue::default(),
             load: FleetLoad::new(),
             shared_limit: SharedConcurrencyLimit::new(),
-            session_commits: HashMap::new(),
+            session_commits: SessionCommits::default(),
         }
     }
 
@@ -150,7 +151,7 @@
             let position = |age| self.now - age + COMMIT_ROUNDING_MARGIN;
             return last_write_age.map_or(Timestamp::MIN, position);
         }
-        let commit = session.and_then(|session| self.session_commits.get(&session).copied());
+        let commit = session.map(|session| self.session_commits.position(session));
         commit.unwrap_or(Timestamp::MIN)
     }
 
--- a/src/routing/fleet_updates.rs
+++ b/src/routing/fleet_updates.rs
@@ -250,8 +250,7 @@
         if let (true, Some(session), Some(position)) =
             (stores_commit, result.session, status.position)
         {
-            let commit = self.session_commits.entry(session).or_insert(position);
-            *commit = (*commit).max(position);
+            self.session_commits.record(session, position);
         }
     }
 
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -33,6 +33,7 @@
 mod selection;
 mod selection_schedule;
 mod send_check;
+mod session_commits;
 mod settings;
 mod slow_start;
 mod snapshot;
