Keep streaming a long value whose host is silent for up to a minute

The limit is 60 s. A stream that waits holds no buffer, and ends at once when its client leaves; before, it went on until the limit. Both tests are new; the first one takes 11 s.

--- a/src/net/upstream/response_stream.rs
+++ b/src/net/upstream/response_stream.rs
@@ -14,9 +14,9 @@
 /// Maximum number of chunks of a long value that are queued for a client, in addition to the one that is being written.
 /// While the queue is full, nothing more is read from the host, which bounds the memory that a slow client takes.
 const MAX_QUEUED_CHUNKS: usize = 1;
-/// Time without any bytes from the host in the middle of a long value after which the connection counts as lost. It is
-/// far longer than any pause between two packets.
-const HOST_SILENCE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time without any bytes from the host in the middle of a long value after which the connection counts as lost. Hosts
+/// may hang for up to half a minute and then go on. A stream that waits takes a connection, but no buffer.
+const HOST_SILENCE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// An answer that is streamed to the client while it arrives.
 pub struct StreamedAnswer {
@@ -93,9 +93,14 @@
     ) -> Result<(), ReplyError> {
         while remaining > 0 {
             let place = chunks.reserve().await.map_err(|_| ReplyError::ClientGone)?;
-            let waiting = connection.stream.readable();
-            if !matches!(timeout(HOST_SILENCE_TIMEOUT, waiting).await, Ok(Ok(()))) {
-                return Err(ReplyError::ConnectionLost);
+            tokio::select! {
+                biased;
+                () = chunks.closed() => return Err(ReplyError::ClientGone),
+                waited = timeout(HOST_SILENCE_TIMEOUT, connection.stream.readable()) => {
+                    if !matches!(waited, Ok(Ok(()))) {
+                        return Err(ReplyError::ConnectionLost);
+                    }
+                }
             }
             let mut chunk = self.buffers.acquire();
             let mut limited = (&mut *chunk).limit(remaining);
--- a/tests/gateway/streaming.rs
+++ b/tests/gateway/streaming.rs
@@ -6,6 +6,8 @@
 use crate::harness::host::{Host, HostReply};
 use crate::harness::messages::{query_message, statement};
 use std::io::Read;
+use std::thread::sleep;
+use std::time::Duration;
 
 /// Guards against long values that are delayed, buffered as a whole, or read from a host faster than their client reads
 /// them; and against a truncated value that is returned as a complete one, or whose request is retried after its first
@@ -77,3 +79,34 @@
     gateway.signal("-USR1");
     gateway.wait_for_log(" served=4 truncated=2 ");
 }
+
+/// Guards against a long value that is cut off while its host hangs and would go on.
+#[test]
+fn long_value_is_whole_although_its_host_is_silent_for_a_while() {
+    const LENGTH: usize = 200_000;
+    const SILENCE: Duration = Duration::from_secs(11);
+    let host = Host::start("s-1", true, |_, _| HostReply::PausedRow(LENGTH));
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let mut client = gateway.client();
+    client.send(&query_message(&statement("read", 9_000)));
+    host.wait_for_event("FROM");
+    sleep(SILENCE);
+    host.resume();
+    let answer = client.read_until_ready();
+    assert!(answer.ends_with("CommandComplete SELECT 1\nReadyForQuery"));
+}
+
+/// Guards against a stream that goes on at a silent host after its client has left.
+#[test]
+fn client_that_leaves_a_long_value_whose_host_is_silent_ends_the_attempt() {
+    const LENGTH: usize = 200_000;
+    let host = Host::start("s-1", true, |_, _| HostReply::PausedRow(LENGTH));
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let mut client = gateway.client();
+    client.send(&query_message(&statement("read", 9_000)));
+    client.stream.read_exact(&mut [0; LENGTH / 4]).unwrap();
+    drop(client);
+    gateway.wait_for_counter(" attempt_cancelled=1");
+}
