Soak: floods, slow crowds, parts of a core, long answers and peak memory

New rule: peak memory above the limit, for limits of 16 MB and more. Not played: an id that comes again, a value that breaks off for good, hosts that read slowly.

--- a/crates/testbed/src/cluster/stand_ins/host_connection.rs
+++ b/crates/testbed/src/cluster/stand_ins/host_connection.rs
@@ -15,6 +15,13 @@
 
 /// Maximum recorded length of a statement, in bytes, which limits memory because a run sends thousands of statements.
 const MAX_RECORDED_BYTES: usize = 4_096;
+/// A read whose text contains this is answered with a long value.
+pub const LONG_READ: &str = "long";
+/// Length of a long value, in bytes, in addition to the text of its read.
+const LONG_VALUE_BYTES: usize = 150_000;
+/// Size of the pieces in which an answer is written, in bytes, and the time between two of them.
+const PIECE_BYTES: usize = 16_384;
+const PIECE_INTERVAL: Duration = Duration::from_millis(8);
 /// SQLSTATE of the answer to a health check whose fencing token is outdated.
 const OUTDATED_TOKEN: &str = "40001";
 /// SQLSTATE of the answer to a write that was sent to a replica.
@@ -58,10 +65,22 @@
         let answer = host.answer(gateway, &text, arrived_at).await;
         host.wait_for_link(gateway).await;
         let answer = [answer, protocol::ready_for_query()].concat();
-        stream.write_all(&answer).await.ok()?;
+        write_answer(stream, &answer).await?;
     }
 }
 
+/// Writes an answer; a long one in pieces with pauses between them.
+async fn write_answer(stream: &mut TcpStream, answer: &[u8]) -> Option<()> {
+    let mut pieces = answer.chunks(PIECE_BYTES).peekable();
+    while let Some(piece) = pieces.next() {
+        stream.write_all(piece).await.ok()?;
+        if pieces.peek().is_some() {
+            tokio::time::sleep(PIECE_INTERVAL).await;
+        }
+    }
+    Some(())
+}
+
 /// The part of a statement that is recorded: the end of a long one, because it has the comment there.
 fn recorded(text: &str) -> &str {
     let from = text.len().saturating_sub(MAX_RECORDED_BYTES);
@@ -90,6 +109,10 @@
             tokio::time::sleep(busy).await;
         }
         match fields.get("k").filter(|_| text.starts_with("INSERT")) {
+            None if text.contains(LONG_READ) => {
+                let value = [text, &"0".repeat(LONG_VALUE_BYTES)].concat();
+                protocol::row(&value, self.primary)
+            }
             None => protocol::row(text, self.primary),
             Some(_) if !self.primary => protocol::error(READ_ONLY),
             Some(key) => self.apply_write(key).await,
--- a/crates/testbed/src/cluster/stand_ins/mod.rs
+++ b/crates/testbed/src/cluster/stand_ins/mod.rs
@@ -9,6 +9,8 @@
 pub mod listed_sets;
 mod protocol;
 
+pub use host_connection::LONG_READ;
+
 use super::relay::Relay;
 use super::{Clock, ClusterError, Plan};
 use crate::sockets::SocketError;
--- a/crates/testbed/src/flood/mod.rs
+++ b/crates/testbed/src/flood/mod.rs
@@ -5,7 +5,7 @@
 mod sender;
 
 pub use kind::{FloodKind, UNANSWERED_READ};
-pub use sender::FloodSenders;
+pub use sender::{FloodSenders, FloodTotals, SenderPlan};
 
 use crate::cluster::processor::{usage, ProcessorShare};
 use crate::cluster::timed_reads::{ReadCounts, TimedReads};
@@ -46,6 +46,18 @@
     pub limits: GatewayLimits,
 }
 
+impl FloodPlan {
+    /// What the flooding clients do; `None` for an undisturbed run.
+    fn senders(&self) -> Option<SenderPlan> {
+        self.kind.map(|kind| SenderPlan {
+            kind,
+            clients: self.clients,
+            reads_answers: self.reads_answers,
+            seed: self.seed,
+        })
+    }
+}
+
 /// The results of a run.
 #[derive(Debug, Clone, Serialize)]
 pub struct FloodResults {
@@ -99,9 +111,12 @@
     let (reads, totals) = thread::scope(|scope| {
         let readers = scope.spawn(|| reads.run(address));
         thread::sleep(QUIET_TIME);
-        let senders = FloodSenders::start(address, &plan);
+        let senders = plan
+            .senders()
+            .map(|senders| FloodSenders::start(address, senders));
         thread::sleep(flood);
-        (readers.join(), senders.stop())
+        let totals = senders.map(FloodSenders::stop).unwrap_or_default();
+        (readers.join(), totals)
     });
     let reads = reads.map_err(|_| ClusterError::Panicked)??;
     let used = usage(process_id);
--- a/crates/testbed/src/flood/sender.rs
+++ b/crates/testbed/src/flood/sender.rs
@@ -1,6 +1,6 @@
 //! The flooding clients: each writes at full speed on a thread of its own, and reads its answers on another one.
 
-use super::{FloodKind, FloodPlan};
+use super::FloodKind;
 use irisrouter_simulation::rng::{Rng, Stream};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -20,6 +20,19 @@
 /// The last message of the answer to the startup message.
 const READY_FOR_QUERY: &[u8] = b"Z\0\0\0\x05I";
 
+/// What the senders of a flood do.
+#[derive(Debug, Clone, Copy)]
+pub struct SenderPlan {
+    /// The messages that they send.
+    pub kind: FloodKind,
+    /// Number of clients.
+    pub clients: usize,
+    /// Whether they read their answers.
+    pub reads_answers: bool,
+    /// The seed of the random names.
+    pub seed: u64,
+}
+
 /// What the senders of a flood have done.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct FloodTotals {
@@ -49,17 +62,15 @@
 }
 
 impl FloodSenders {
-    /// Starts the senders that the plan asks for.
+    /// Starts the senders.
     #[must_use]
-    pub fn start(address: SocketAddr, plan: &FloodPlan) -> Self {
+    pub fn start(address: SocketAddr, plan: SenderPlan) -> Self {
         let shared = Arc::<SharedState>::default();
-        let senders = plan.kind.map_or(0, |_| plan.clients);
-        let threads = (0..senders as u64)
-            .zip(std::iter::repeat(plan.kind).flatten())
-            .map(|(number, kind)| {
+        let threads = (0..plan.clients as u64)
+            .map(|number| {
                 let mut sender = Sender {
                     address,
-                    kind,
+                    kind: plan.kind,
                     reads_answers: plan.reads_answers,
                     rng: Rng::new(plan.seed ^ number << 32, Stream::Faults),
                     shared: Arc::clone(&shared),
--- a/crates/testbed/src/soak/check.rs
+++ b/crates/testbed/src/soak/check.rs
@@ -1,6 +1,6 @@
 //! Judges the records of a run by the rules on answers. Each bound is that of the protocol, and the machine's measured lag.
 
-use super::records::{AttemptRecord, Records, RequestEnd, RequestRecord};
+use super::records::{AttemptRecord, MemoryRecord, Records, RequestEnd, RequestRecord};
 use serde::Serialize;
 use std::collections::HashMap;
 
@@ -19,6 +19,10 @@
 /// A request that is sent in this last moment before a connection ends may not have been read: its client sends it again.
 pub const CROSSING_MS: u64 = 100;
 
+/// The memory of a gateway with a lower limit than this, in megabytes, is not checked: the program itself needs more than
+/// the lowest limits.
+pub const LEAST_CHECKED_MEMORY_MB: u64 = 16;
+
 /// A rule that did not hold.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case", tag = "rule")]
@@ -80,6 +84,11 @@
         /// For how long, in milliseconds; nothing, where its connection was never ended.
         held_ms: Option<u64>,
     },
+    /// A gateway exceeded its memory limit.
+    MemoryExceeded {
+        /// The memory.
+        memory: MemoryRecord,
+    },
     /// A gateway ended by itself, or its log has a line that must not occur.
     Crash {
         /// What was seen.
@@ -100,6 +109,11 @@
     check_unfinished(records, slack, &mut violations);
     let repeated = records.repeated_writes.iter().cloned();
     violations.extend(repeated.map(|(key, times)| SoakViolation::Duplicate { key, times }));
+    let exceeds = |memory: &MemoryRecord| {
+        memory.limit_mb >= LEAST_CHECKED_MEMORY_MB && memory.peak_kb > memory.limit_mb * 1_024
+    };
+    let exceeded = records.peak_memory.iter().copied().filter(exceeds);
+    violations.extend(exceeded.map(|memory| SoakViolation::MemoryExceeded { memory }));
     let crashes = records.crashes.iter().cloned();
     violations.extend(crashes.map(|what| SoakViolation::Crash { what }));
     violations
--- a/crates/testbed/src/soak/client.rs
+++ b/crates/testbed/src/soak/client.rs
@@ -3,6 +3,7 @@
 use super::connection::{ClientConnection, ConnectionState, Pieces};
 use super::plan::ClientBehavior;
 use super::records::{RequestEnd, RequestRecord, UnfinishedMessage};
+use crate::cluster::stand_ins::LONG_READ;
 use crate::cluster::Clock;
 use irisrouter_simulation::rng::{Rng, Stream};
 use std::cell::RefCell;
@@ -25,6 +26,8 @@
 const WRITE_SHARE: f64 = 0.3;
 /// The share of writes among those of clients with values of their own size.
 const LARGE_WRITE_SHARE: f64 = 0.7;
+/// The share of reads that are answered with a long value.
+const LONG_READ_SHARE: f64 = 0.05;
 /// The classes that reads are of.
 const READ_CLASSES: [&str; 2] = ["page-read", "report"];
 /// The class that writes are of.
@@ -240,8 +243,13 @@
                  /* id={id},c={class},d={wait_ms},k={id},cluster={group} */"
             )
         } else {
+            let kind = if self.rng.chance(LONG_READ_SHARE) {
+                LONG_READ
+            } else {
+                ""
+            };
             format!(
-                "SELECT payload FROM entries WHERE ref = '{id}' \
+                "SELECT payload FROM entries WHERE ref = '{kind}{id}' \
                  /* id={id},c={class},d={wait_ms},cluster={group} */"
             )
         };
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -7,6 +7,7 @@
 pub mod check;
 mod client;
 mod connection;
+pub mod overload;
 pub mod plan;
 pub mod records;
 pub mod run;
--- a/crates/testbed/src/soak/plan.rs
+++ b/crates/testbed/src/soak/plan.rs
@@ -1,5 +1,6 @@
 //! What a soak plays, drawn from a seed: the same seed gives the same plan.
 
+use super::overload::Overload;
 use crate::cluster::GatewayLimits;
 use irisrouter_simulation::rng::{Rng, Stream};
 use serde::Serialize;
@@ -167,6 +168,8 @@
     pub faults: Vec<TimedFault>,
     /// The end of each gateway.
     pub terminations: Vec<Termination>,
+    /// What overloads the gateways.
+    pub overload: Overload,
 }
 
 impl SoakPlan {
@@ -205,6 +208,7 @@
             clients,
             faults,
             terminations: terminations.collect(),
+            overload: Overload::draw(seed, gateways),
         }
     }
 }
--- a/crates/testbed/src/soak/records.rs
+++ b/crates/testbed/src/soak/records.rs
@@ -90,6 +90,17 @@
     pub listed_at: u64,
 }
 
+/// The peak memory of a gateway.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct MemoryRecord {
+    /// The gateway.
+    pub gateway: usize,
+    /// Its memory limit, in megabytes.
+    pub limit_mb: u64,
+    /// Its peak resident memory, in kilobytes.
+    pub peak_kb: u64,
+}
+
 /// Everything that was seen in one run.
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct Records {
@@ -103,6 +114,8 @@
     pub unfinished: Vec<UnfinishedMessage>,
     /// The end of each gateway.
     pub ends: Vec<GatewayEnd>,
+    /// The peak memory of each gateway.
+    pub peak_memory: Vec<MemoryRecord>,
     /// Hosts that were taken out of service.
     pub drains: Vec<DrainRecord>,
     /// Log lines of a gateway that must not occur, and processes that ended by themselves before their SIGTERM.
--- a/crates/testbed/src/soak/run.rs
+++ b/crates/testbed/src/soak/run.rs
@@ -2,13 +2,16 @@
 
 use super::check::{check, SoakViolation};
 use super::client::{GatewayClients, GatewayFate};
+use super::overload::{connect_slow_client, SlowCrowd, SoakFlood};
 use super::plan::{ClientBehavior, SoakFault, SoakPlan};
 use super::records::{
-    AttemptRecord, DrainRecord, GatewayEnd, Records, RequestEnd, UnfinishedMessage,
+    AttemptRecord, DrainRecord, GatewayEnd, MemoryRecord, Records, RequestEnd, UnfinishedMessage,
 };
+use crate::cluster::processor::{usage, ProcessorShare};
 use crate::cluster::stand_ins::host::Host;
 use crate::cluster::stand_ins::listed_sets::host_id;
 use crate::cluster::{Clock, Cluster, ClusterError, EndpointListMode, Plan, COUNTERS_LINE};
+use crate::flood::{FloodSenders, SenderPlan};
 use crate::loopback::host::comment_fields;
 use irisrouter_simulation::spec::Spec;
 use serde::Serialize;
@@ -89,6 +92,7 @@
     let fates: Vec<Arc<GatewayFate>> = (0..plan.gateways).map(|_| Arc::default()).collect();
     let clients = ClientThread::new(&cluster, &plan, &fates);
     let handle = std::thread::spawn(move || clients.run());
+    let _shares = limit_processor_shares(&cluster, &plan);
     let mut player = Player::new(&mut cluster, &plan, fates);
     player.play()?;
     let Player {
@@ -96,12 +100,14 @@
         drains,
         mut crashes,
         longest_stall_ms,
+        peak_memory,
         ..
     } = player;
     let mut records = handle.join().map_err(|_| ClusterError::Panicked)??;
     crashes.extend(forbidden_log_lines(&cluster));
     records.ends = ends;
     records.drains = drains;
+    records.peak_memory = peak_memory;
     records.crashes = crashes;
     // A gateway that stands still is as late as a machine that does.
     records.lag_ms += longest_stall_ms;
@@ -117,6 +123,16 @@
     })
 }
 
+/// Limits all gateways to the plan's share of a processor core until the result is dropped.
+fn limit_processor_shares(cluster: &Cluster, plan: &SoakPlan) -> Vec<ProcessorShare> {
+    let share = plan.overload.core_share;
+    let processes = (0..plan.gateways).filter_map(|gateway| cluster.process(gateway));
+    let limited = processes.filter(|_| share < 1.0);
+    limited
+        .map(|process| ProcessorShare::limit(process.system_id(), share))
+        .collect()
+}
+
 fn forbidden_log_lines(cluster: &Cluster) -> Vec<String> {
     cluster.history.inspect_lines(|lines| {
         let is_forbidden = |text: &str| FORBIDDEN_LOG.iter().any(|word| text.contains(word));
@@ -314,6 +330,14 @@
         gateway: usize,
         connections: usize,
     },
+    SlowCrowd {
+        gateway: usize,
+        clients: usize,
+    },
+    BeginFlood {
+        flood: SoakFlood,
+    },
+    EndFlood,
     Terminate {
         gateway: usize,
         reload_before: bool,
@@ -331,6 +355,8 @@
     /// By gateway: the deadlines in force, in percent of the default ones.
     deadline_percent: Vec<u64>,
     crowd: Vec<TcpStream>,
+    flood: Option<FloodSenders>,
+    peak_memory: Vec<MemoryRecord>,
     ends: Vec<GatewayEnd>,
     drains: Vec<DrainRecord>,
     crashes: Vec<String>,
@@ -349,6 +375,8 @@
             fates,
             deadline_percent: vec![plan.deadline_percent; plan.gateways],
             crowd: Vec::new(),
+            flood: None,
+            peak_memory: Vec::new(),
             ends: vec![not_ended; plan.gateways],
             drains: Vec::new(),
             crashes: Vec::new(),
@@ -367,6 +395,7 @@
         // The clients see the ends of their connections.
         std::thread::sleep(CLIENTS_END.min(Duration::from_millis(200)));
         self.crowd.clear();
+        self.end_flood();
         Ok(())
     }
 
@@ -411,6 +440,9 @@
                 gateway,
                 connections,
             } => self.add_crowd(gateway, connections),
+            Step::SlowCrowd { gateway, clients } => self.add_slow_crowd(gateway, clients),
+            Step::BeginFlood { flood } => self.begin_flood(flood),
+            Step::EndFlood => self.end_flood(),
             Step::Terminate {
                 gateway,
                 reload_before,
@@ -461,6 +493,45 @@
         self.crowd.extend(opened);
     }
 
+    fn add_slow_crowd(&mut self, gateway: usize, clients: usize) {
+        let Some(address) = self.cluster.process(gateway).map(|process| process.address) else {
+            return;
+        };
+        let opened = (0..clients).filter_map(|_| connect_slow_client(address));
+        self.crowd.extend(opened);
+    }
+
+    fn begin_flood(&mut self, flood: SoakFlood) {
+        let Some(process) = self.cluster.process(flood.gateway) else {
+            return;
+        };
+        let senders = SenderPlan {
+            kind: flood.kind,
+            clients: flood.clients,
+            reads_answers: flood.reads_answers,
+            seed: self.plan.seed,
+        };
+        self.flood = Some(FloodSenders::start(process.address, senders));
+    }
+
+    fn end_flood(&mut self) {
+        if let Some(flood) = self.flood.take() {
+            let _ = flood.stop();
+        }
+    }
+
+    /// Records the peak memory of a gateway that is about to be killed.
+    fn record_memory(&mut self, gateway: usize) {
+        let process = self.cluster.process(gateway);
+        let used = process.and_then(|process| usage(process.system_id()));
+        let record = used.map(|used| MemoryRecord {
+            gateway,
+            limit_mb: self.plan.limits.memory_mb,
+            peak_kb: used.peak_memory_kb,
+        });
+        self.peak_memory.extend(record);
+    }
+
     fn terminate(&mut self, gateway: usize, reload_before: bool) {
         if let Some(status) = self.cluster.exit_status(gateway) {
             let what = format!("gateway {gateway} ended before SIGTERM: {status}");
@@ -498,6 +569,7 @@
                     .saturating_sub(COUNTERS_BEFORE_KILL_MS),
             );
             self.cluster.signal(gateway, "-USR1");
+            self.record_memory(gateway);
             self.sleep_until(self.ends[gateway].killed_at);
             if let Some(status) = self.cluster.exit_status(gateway) {
                 if !status.success() {
@@ -572,6 +644,18 @@
             }
         }
     }
+    if let Some(flood) = plan.overload.flood {
+        steps.push((flood.at_ms, Step::BeginFlood { flood }));
+        steps.push((flood.at_ms + flood.ms, Step::EndFlood));
+    }
+    if let Some(SlowCrowd {
+        at_ms,
+        gateway,
+        clients,
+    }) = plan.overload.slow_crowd
+    {
+        steps.push((at_ms, Step::SlowCrowd { gateway, clients }));
+    }
     if plan.listed_sets > 0 {
         let changes = (0..LISTED_HOST_CHANGES).map(|number| {
             let in_service = number % 2 == 1;
--- a/crates/testbed/tests/soak.rs
+++ b/crates/testbed/tests/soak.rs
@@ -7,7 +7,8 @@
 use irisrouter_testbed::soak::check::{self, check, SoakViolation};
 use irisrouter_testbed::soak::plan::SoakPlan;
 use irisrouter_testbed::soak::records::{
-    AttemptRecord, DrainRecord, GatewayEnd, Records, RequestEnd, RequestRecord, UnfinishedMessage,
+    AttemptRecord, DrainRecord, GatewayEnd, MemoryRecord, Records, RequestEnd, RequestRecord,
+    UnfinishedMessage,
 };
 use irisrouter_testbed::soak::{run, summary};
 
@@ -204,3 +205,17 @@
     assert!(violations.is_empty(), "{}", summary::text(&verdicts));
     assert!(verdicts.iter().all(|verdict| verdict.counts.served > 0));
 }
+
+#[test]
+fn memory_above_the_limit_is_a_broken_rule() {
+    let with_peak = |peak_kb: u64| Records {
+        peak_memory: vec![MemoryRecord {
+            gateway: 0,
+            limit_mb: 16,
+            peak_kb,
+        }],
+        ..Records::default()
+    };
+    assert_kept(&with_peak(16 * 1_024));
+    assert_eq!(broken_rule(&with_peak(16 * 1_024 + 1)), "memory_exceeded");
+}
