--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -12,3 +12,4 @@
 pub mod records;
 pub mod run;
 pub mod summary;
+mod timeline;
--- a/crates/testbed/src/soak/run.rs
+++ b/crates/testbed/src/soak/run.rs
@@ -2,11 +2,12 @@
 
 use super::check::{check, SoakViolation};
 use super::client::{GatewayClients, GatewayFate};
-use super::overload::{connect_slow_client, SlowCrowd, SoakFlood};
+use super::overload::{connect_slow_client, SoakFlood};
 use super::plan::{ClientBehavior, SoakFault, SoakPlan};
 use super::records::{
     AttemptRecord, DrainRecord, GatewayEnd, MemoryRecord, Records, RequestEnd, UnfinishedMessage,
 };
+use super::timeline::{timeline, Step};
 use crate::cluster::processor::{usage, ProcessorShare};
 use crate::cluster::stand_ins::host::Host;
 use crate::cluster::stand_ins::listed_sets::host_id;
@@ -30,15 +31,10 @@
 const LONGEST_COUNTED_DEADLINE_MS: u64 = 3_000;
 /// A gateway is asked for its counters this long before it is killed, in milliseconds.
 const COUNTERS_BEFORE_KILL_MS: u64 = 30;
-/// Between the first SIGTERM and those that repeat it, in milliseconds.
-const REPEATED_SIGNAL_MS: u64 = 60;
 /// Between two looks at how late the machine wakes a task.
 const LAG_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// The clients end this long after the last kill at the latest.
 const CLIENTS_END: Duration = Duration::from_secs(3);
-/// Changes of a listed host that no client uses, and the time between two of them, in milliseconds.
-const LISTED_HOST_CHANGES: u64 = 80;
-const LISTED_HOST_CHANGE_INTERVAL_MS: u64 = 100;
 /// Log lines that must not occur.
 const FORBIDDEN_LOG: [&str; 2] = ["panicked", "router task has failed"];
 
@@ -288,65 +284,6 @@
     }
 }
 
-/// A step of the run: a fault that begins or ends, or a signal.
-#[derive(Debug, Clone, Copy)]
-enum Step {
-    CutHost {
-        host: usize,
-        cut: bool,
-    },
-    SlowWrites {
-        host: usize,
-        ms: u64,
-    },
-    ResetHost {
-        host: usize,
-    },
-    Drain {
-        host: usize,
-    },
-    Reload {
-        gateway: usize,
-        deadline_percent: u64,
-    },
-    Signals {
-        gateway: usize,
-        count: usize,
-    },
-    Stop {
-        gateway: usize,
-    },
-    Continue {
-        gateway: usize,
-    },
-    RefuseList {
-        gateway: usize,
-        refuse: bool,
-    },
-    ChangeListedHost {
-        in_service: bool,
-    },
-    Crowd {
-        gateway: usize,
-        connections: usize,
-    },
-    SlowCrowd {
-        gateway: usize,
-        clients: usize,
-    },
-    BeginFlood {
-        flood: SoakFlood,
-    },
-    EndFlood,
-    Terminate {
-        gateway: usize,
-        reload_before: bool,
-    },
-    TerminateAgain {
-        gateway: usize,
-    },
-}
-
 /// Plays the faults and the end of each gateway.
 struct Player<'a> {
     cluster: &'a mut Cluster,
@@ -589,95 +526,3 @@
     let longest = classes.iter().map(|class| class.deadline_ms);
     (longest.fold(0.0, f64::max) * deadline_percent as f64 / 100.0) as u64
 }
-
-/// The steps of a plan, in the order of their times.
-fn timeline(plan: &SoakPlan) -> Vec<(u64, Step)> {
-    let mut steps = Vec::new();
-    for timed in &plan.faults {
-        let at = timed.at_ms;
-        match timed.fault {
-            SoakFault::HostHangs { host, ms } => {
-                steps.push((at, Step::CutHost { host, cut: true }));
-                steps.push((at + ms, Step::CutHost { host, cut: false }));
-            }
-            SoakFault::SlowWrites { host, ms } => steps.push((at, Step::SlowWrites { host, ms })),
-            SoakFault::HostResets {
-                host,
-                count,
-                interval_ms,
-            } => {
-                let times = (0..count as u64).map(|number| at + number * interval_ms);
-                steps.extend(times.map(|at| (at, Step::ResetHost { host })));
-            }
-            SoakFault::Drain { host } => steps.push((at, Step::Drain { host })),
-            SoakFault::Reload {
-                gateway,
-                deadline_percent,
-            } => {
-                let step = Step::Reload {
-                    gateway,
-                    deadline_percent,
-                };
-                steps.push((at, step));
-            }
-            SoakFault::Signals { gateway, count } => {
-                steps.push((at, Step::Signals { gateway, count }));
-            }
-            SoakFault::Stall { gateway, ms } => {
-                steps.push((at, Step::Stop { gateway }));
-                steps.push((at + ms, Step::Continue { gateway }));
-            }
-            SoakFault::DiscoveryDown { gateway, ms } => {
-                let refuse = |refuse| Step::RefuseList { gateway, refuse };
-                steps.push((at, refuse(true)));
-                steps.push((at + ms, refuse(false)));
-            }
-            SoakFault::Crowd {
-                gateway,
-                connections,
-            } => {
-                let step = Step::Crowd {
-                    gateway,
-                    connections,
-                };
-                steps.push((at, step));
-            }
-        }
-    }
-    if let Some(flood) = plan.overload.flood {
-        steps.push((flood.at_ms, Step::BeginFlood { flood }));
-        steps.push((flood.at_ms + flood.ms, Step::EndFlood));
-    }
-    if let Some(SlowCrowd {
-        at_ms,
-        gateway,
-        clients,
-    }) = plan.overload.slow_crowd
-    {
-        steps.push((at_ms, Step::SlowCrowd { gateway, clients }));
-    }
-    if plan.listed_sets > 0 {
-        let changes = (0..LISTED_HOST_CHANGES).map(|number| {
-            let in_service = number % 2 == 1;
-            (
-                number * LISTED_HOST_CHANGE_INTERVAL_MS,
-                Step::ChangeListedHost { in_service },
-            )
-        });
-        steps.extend(changes);
-    }
-    for (gateway, termination) in plan.terminations.iter().enumerate() {
-        let reload_before = termination.reload_before;
-        let step = Step::Terminate {
-            gateway,
-            reload_before,
-        };
-        steps.push((termination.at_ms, step));
-        if termination.repeated {
-            let again = termination.at_ms + REPEATED_SIGNAL_MS;
-            steps.push((again, Step::TerminateAgain { gateway }));
-        }
-    }
-    steps.sort_by_key(|(at, _)| *at);
-    steps
-}
