--- a/crates/testbed/src/cli/arguments.rs
+++ b/crates/testbed/src/cli/arguments.rs
@@ -206,6 +206,9 @@
     /// How long the flood lasts, in milliseconds.
     #[arg(long, default_value_t = 6_000, value_parser = clap::value_parser!(u64).range(100..=600_000))]
     pub flood_ms: u64,
+    /// Every so many reads of the other clients are not answered by their host; 0 for none.
+    #[arg(long, default_value_t = 2)]
+    pub unanswered_every: u64,
     /// The seed of the flood's random names.
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
--- a/crates/testbed/src/cli/cluster_commands.rs
+++ b/crates/testbed/src/cli/cluster_commands.rs
@@ -125,6 +125,7 @@
         reads_answers: !args.ignore_answers,
         flood_ms: args.flood_ms,
         core_share: args.core_share,
+        unanswered_every: args.unanswered_every,
         seed: args.seed,
         limits: GatewayLimits::default(),
     };
--- a/crates/testbed/src/flood/mod.rs
+++ b/crates/testbed/src/flood/mod.rs
@@ -20,8 +20,6 @@
 /// Number of clients that send reads, and the time between two reads of a client.
 const READERS: u64 = 40;
 const READ_INTERVAL: Duration = Duration::from_millis(250);
-/// Every second read is one that its host does not answer, so that its answer depends on the gateway's timers.
-const UNANSWERED_EVERY: u64 = 2;
 /// Time for which the gateway's last counters are awaited.
 const COUNTERS_WAIT: Duration = Duration::from_millis(500);
 /// The beginning of the gateway's line about its event loop.
@@ -40,6 +38,9 @@
     pub flood_ms: u64,
     /// Share of a processor core that the gateway has, 0 to 1.
     pub core_share: f64,
+    /// Every read of a reader whose number is a multiple of this is one that its host does not answer, so that its answer
+    /// depends on the gateway's timers; 0 for none.
+    pub unanswered_every: u64,
     /// The seed of the flood's random names.
     pub seed: u64,
     /// Resource limits of the gateway.
@@ -106,7 +107,7 @@
         interval: READ_INTERVAL,
         duration: flood + 2 * QUIET_TIME,
         sets: 1,
-        unanswered_every: UNANSWERED_EVERY,
+        unanswered_every: plan.unanswered_every,
     };
     let (reads, totals) = thread::scope(|scope| {
         let readers = scope.spawn(|| reads.run(address));
--- a/crates/testbed/tests/flood.rs
+++ b/crates/testbed/tests/flood.rs
@@ -5,8 +5,9 @@
 use irisrouter_testbed::cluster::GatewayLimits;
 use irisrouter_testbed::flood::{run, FloodKind, FloodPlan, FloodResults};
 
-/// Share of a processor core of a gateway in these tests.
+/// Shares of a processor core of a gateway in these tests.
 const CORE_SHARE: f64 = 0.4;
+const SMALL_CORE_SHARE: f64 = 0.1;
 
 fn plan(kind: FloodKind) -> FloodPlan {
     FloodPlan {
@@ -15,6 +16,7 @@
         reads_answers: true,
         flood_ms: 3_000,
         core_share: CORE_SHARE,
+        unanswered_every: 2,
         seed: 1,
         limits: GatewayLimits::default(),
     }
@@ -46,3 +48,34 @@
 fn flood_behind_an_unanswered_request_does_not_delay_the_answers_to_other_clients() {
     assert_others_are_answered_in_time(plan(FloodKind::EmptyBehindRead));
 }
+
+/// Guards against work that grows with names that have not been seen before.
+#[test]
+fn flood_under_ever_new_names_does_not_delay_the_answers_to_other_clients() {
+    for kind in [
+        FloodKind::UnknownClass,
+        FloodKind::UnknownGroup,
+        FloodKind::Reads,
+    ] {
+        assert_others_are_answered_in_time(FloodPlan {
+            flood_ms: 1_500,
+            core_share: SMALL_CORE_SHARE,
+            ..plan(kind)
+        });
+    }
+}
+
+/// Guards against a delay that grows with the number of flooding clients.
+#[test]
+fn flood_of_unsound_statements_by_a_hundred_clients_does_not_delay_the_answers_to_others() {
+    let results = assert_others_are_answered_in_time(FloodPlan {
+        clients: 100,
+        flood_ms: 1_500,
+        limits: GatewayLimits {
+            memory_mb: 64,
+            sockets: 2_048,
+        },
+        ..plan(FloodKind::Malformed)
+    });
+    assert!(results.reads.requests >= 500, "{results:?}");
+}
--- a/src/net/request/presence.rs
+++ b/src/net/request/presence.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// No attempt may start more than 0.1 s after its client has left. The rest of that time is for starting the attempt.
-const MAX_UNKNOWN_TIME: Duration = Duration::from_millis(80);
+/// No attempt may start more than 0.1 s after its client has left. Half of that time is for starting the attempt.
+const MAX_UNKNOWN_TIME: Duration = Duration::from_millis(50);
 
 /// What the gateway knows about the presence of a client. The end of a client's connection arrives behind the client's
 /// input, so that it cannot be noticed while some of that input is unread.
--- a/tests/gateway/cancellation.rs
+++ b/tests/gateway/cancellation.rs
@@ -5,6 +5,7 @@
 use crate::harness::host::{Host, HostReply};
 use crate::harness::manual_host::{read_query, send_authentication_ok, ManualHost};
 use crate::harness::messages::{query_message, read_query_message, statement};
+use std::io::Write;
 use std::net::TcpStream;
 use std::time::Duration;
 
@@ -189,3 +190,23 @@
     assert!(answer.contains("C42601"), "{answer}");
     assert_eq!(host.statements().len(), 1);
 }
+
+/// Guards against an attempt for a client whose end stands behind input that the gateway does not read.
+#[test]
+fn client_that_leaves_behind_suspended_reading_gets_no_attempt() {
+    const UNREAD_FOR: Duration = Duration::from_millis(200);
+    let manual_host = ManualHost::start();
+    let discovery = Discovery::start(vec![manual_host.entry("in_service")]);
+    let gateway = manual_host.start_gateway_without_health_checks(&discovery);
+    let mut leaving = gateway.client();
+    leaving.send(&read_query_message("1111"));
+    let late = manual_host.accept();
+    let timeout = Some(Duration::from_millis(50));
+    leaving.stream.set_write_timeout(timeout).unwrap();
+    let many_queries = query_message("").repeat(100_000);
+    while leaving.stream.write_all(&many_queries).is_ok() {}
+    drop(leaving);
+    std::thread::sleep(UNREAD_FOR);
+    assert_only_the_next_request_is_sent(&gateway, late);
+    gateway.wait_for_counter(" reading_suspended=1");
+}
--- a/tests/gateway/harness/manual_host.rs
+++ b/tests/gateway/harness/manual_host.rs
@@ -15,6 +15,7 @@
 /// A host that accepts connections and sends nothing by itself.
 pub struct ManualHost {
     address: SocketAddr,
+    listener: TcpListener,
     connections: Receiver<TcpStream>,
 }
 
@@ -24,17 +25,25 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let (sender, connections) = channel();
+        let accepting = listener.try_clone().unwrap();
         spawn(move || {
-            listener
+            accepting
                 .incoming()
                 .all(|stream| sender.send(stream.unwrap()).is_ok())
         });
         ManualHost {
             address,
+            listener,
             connections,
         }
     }
 
+    /// Limits the receive buffer of the connections that are accepted from now on.
+    pub fn limit_receive_buffer(&self, bytes: usize) {
+        let socket = socket2::SockRef::from(&self.listener);
+        socket.set_recv_buffer_size(bytes).unwrap();
+    }
+
     /// The host's entry in an endpoint list.
     pub fn entry(&self, phase: &str) -> Value {
         json!({"id": "s-1", "host_port": self.address.to_string(), "locality": "a", "flavor": "m", "cell": 2,
--- a/tests/gateway/streaming.rs
+++ b/tests/gateway/streaming.rs
@@ -4,10 +4,11 @@
 use crate::harness::discovery::Discovery;
 use crate::harness::gateway::Gateway;
 use crate::harness::host::{Host, HostReply};
+use crate::harness::manual_host::{send_authentication_ok, ManualHost};
 use crate::harness::messages::{query_message, statement};
 use std::io::Read;
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Guards against long values that are delayed, buffered as a whole, or read from a host faster than their client reads
 /// them; and against a truncated value that is returned as a complete one, or whose request is retried after its first
@@ -110,3 +111,25 @@
     drop(client);
     gateway.wait_for_counter(" attempt_cancelled=1");
 }
+
+/// Guards against a final answer that waits for a large request to be written to a host that does not read it.
+#[test]
+fn answer_to_a_large_request_whose_host_reads_nothing_comes_in_time() {
+    const TEXT_LENGTH: usize = 200_000;
+    const WAIT: Duration = Duration::from_millis(600);
+    const LATEST_ANSWER: Duration = Duration::from_millis(500);
+    let manual_host = ManualHost::start();
+    manual_host.limit_receive_buffer(4_096);
+    let discovery = Discovery::start(vec![manual_host.entry("in_service")]);
+    let gateway = manual_host.start_gateway_without_health_checks(&discovery);
+    let mut client = gateway.client();
+    let text = statement("read", WAIT.as_millis() as u64).replace("7f3a", &"0".repeat(TEXT_LENGTH));
+    let started = Instant::now();
+    client.send(&query_message(&text));
+    let mut connection = manual_host.accept();
+    send_authentication_ok(&mut connection);
+    let answer = client.read_until_ready();
+    let elapsed = started.elapsed();
+    assert!(answer.starts_with("ErrorResponse SERROR"), "{answer}");
+    assert!(elapsed <= WAIT + LATEST_ANSWER, "{elapsed:?}");
+}
