Send requests of a drained client whose reading has ended

Trace: 1 s after evacuate nothing more is read; if the last read brought bytes, the client counted as unknown for good (presence.rs), each attempt ended as not sent, and the request waited for its deadline of 9 s.

While reading is only suspended, attempts stay forbidden. The new test forces the order: half a request before the drain, the rest after reading has ended, a connection that comes up 0.2 s later.

--- a/src/net/downstream/client_input.rs
+++ b/src/net/downstream/client_input.rs
@@ -219,7 +219,7 @@
             Err(error) if error.kind() == io::ErrorKind::Interrupted => Ok(None),
             Err(error) if is_nothing_to_read(&error) => {
                 self.reading_pause = None;
-                self.presence.all_input_read();
+                self.presence.confirm_connected();
                 Ok(None)
             }
             Err(error) => Err(error.into()),
@@ -411,7 +411,14 @@
     async fn wait_until_disconnected(&self) -> ConnectionEnd {
         loop {
             match self.stream.ready(Interest::READABLE).await {
-                Ok(ready) if !ready.is_read_closed() => sleep(DISCONNECT_CHECK_INTERVAL).await,
+                Ok(ready) if !ready.is_read_closed() => {
+                    // While reading is only suspended, the client may have sent more than the operating system holds,
+                    // and its end is then not visible.
+                    if !self.is_reading_suspended() {
+                        self.presence.confirm_connected();
+                    }
+                    sleep(DISCONNECT_CHECK_INTERVAL).await;
+                }
                 _ => return ConnectionEnd::Disconnected,
             }
         }
--- a/src/net/request/presence.rs
+++ b/src/net/request/presence.rs
@@ -23,8 +23,8 @@
         self.unread_since.set(Some(since));
     }
 
-    /// Records that all input was read, and that the connection has not ended.
-    pub fn all_input_read(&self) {
+    /// Records that all input was read, or that its end would be visible, and that the connection has not ended.
+    pub fn confirm_connected(&self) {
         self.unread_since.set(None);
     }
 
--- a/tests/gateway/drains.rs
+++ b/tests/gateway/drains.rs
@@ -163,3 +163,26 @@
         "no health check to a draining host"
     );
 }
+
+/// Guards against requests that get no attempt because reading from their client has ended during a drain.
+#[test]
+fn request_completed_after_reading_has_ended_is_sent_when_its_connection_comes_up_late() {
+    const READING_ENDED: Duration = Duration::from_millis(1_200);
+    const LATE_CONNECTION: Duration = Duration::from_millis(200);
+    let manual_host = ManualHost::start();
+    let discovery = Discovery::start(vec![manual_host.entry("in_service")]);
+    let gateway = manual_host.start_gateway_without_health_checks(&discovery);
+    let mut client = gateway.client();
+    let request = read_query_message("1111");
+    let (begin, rest) = request.split_at(request.len() / 2);
+    client.send(begin);
+    std::thread::sleep(Duration::from_millis(50));
+    gateway.call_console("evacuate\n");
+    std::thread::sleep(READING_ENDED);
+    client.send(rest);
+    let mut late = manual_host.accept();
+    std::thread::sleep(LATE_CONNECTION);
+    send_authentication_ok(&mut late);
+    let seen = read_query(&mut late).expect("the request");
+    assert!(seen.contains("id=1111"), "{seen}");
+}
--- a/tests/unit/presence.rs
+++ b/tests/unit/presence.rs
@@ -9,6 +9,6 @@
     presence.input_left_unread(now + MAX_UNKNOWN_TIME);
     assert!(presence.allows_attempts(now + MAX_UNKNOWN_TIME));
     assert!(!presence.allows_attempts(now + MAX_UNKNOWN_TIME + Duration::from_nanos(1)));
-    presence.all_input_read();
+    presence.confirm_connected();
     assert!(presence.allows_attempts(now + 10 * MAX_UNKNOWN_TIME));
 }
