--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -1,7 +1,7 @@
 //! The cases.
 
 use crate::discovery::Discovery;
-use crate::gateway::{self, Gateway, Place};
+use crate::gateway::{self, Gateway, Listening, Place};
 use crate::record::{now_ms, sleep_ms, Record};
 use crate::set::{hex, Pace, Set};
 use crate::settings::{Class, Settings};
@@ -102,8 +102,8 @@
         Scene { place: Place::new(), discovery, set, settings: settings.json() }
     }
 
-    fn gateway(&self, name: &str, record: &Record) -> Gateway {
-        gateway::start(name, &self.place, self.discovery.address, &self.discovery.json(), &self.settings, record)
+    fn gateway(&self, name: &str, listening: Listening, record: &Record) -> Gateway {
+        gateway::start(name, &self.place, listening, self.discovery.address, &self.discovery.json(), &self.settings, record)
     }
 }
 
@@ -111,7 +111,7 @@
 pub fn long_write(record: &Record) -> Verdict {
     const SESSIONS: usize = 30;
     let scene = Scene::new(&session_settings(), 4, PACE, record);
-    let _gateway = scene.gateway("n0", record);
+    let _gateway = scene.gateway("n0", Listening::Passed, record);
     let address = scene.place.address();
     warm_up(address, record);
     let size = std::env::var("VALUE").ok().and_then(|text| text.parse().ok()).unwrap_or(80_000);
@@ -139,7 +139,7 @@
 pub fn upgrade_session(record: &Record) -> Verdict {
     const SESSIONS: usize = 20;
     let scene = Scene::new(&session_settings(), 4, PACE, record);
-    let old = scene.gateway("n0", record);
+    let old = scene.gateway("n0", Listening::Passed, record);
     let address = scene.place.address();
     warm_up(address, record);
     let mut sessions: Vec<(String, Client)> = (0..SESSIONS).map(|number| (format!("s{number:02}"), connect(address))).collect();
@@ -149,7 +149,7 @@
     }
     scene.set.apply_slowly(record);
     sleep_ms(1_500);
-    let new = trouble().then(|| scene.gateway("n0-new", record));
+    let new = trouble().then(|| scene.gateway("n0-new", Listening::Passed, record));
     let tasks: Vec<_> = sessions
         .into_iter()
         .enumerate()
@@ -230,7 +230,7 @@
     // 4 MiB in 60 pieces, one each 40 ms: 2.4 s in all.
     let pace = Pace { pieces: 60, piece_pause_ms: 40, bulk_bytes: BYTES, ..PACE };
     let scene = Scene::new(&settings, 2, pace, record);
-    let mut old = scene.gateway("n0", record);
+    let mut old = scene.gateway("n0", Listening::Passed, record);
     let address = scene.place.address();
     let mut warm = connect(address);
     for number in 0..10 {
@@ -238,7 +238,7 @@
         ask(&mut warm, record, &format!("page client {number}"), &id, &read_text("p", "page-read", 1_000, &id));
     }
     let mut client = connect(address);
-    let new = trouble().then(|| scene.gateway("n0-new", record));
+    let new = trouble().then(|| scene.gateway("n0-new", Listening::Passed, record));
     let id = new_id();
     let text = read_text("b", "bulk", 1_200, &id);
     let asked = Instant::now();
@@ -277,3 +277,113 @@
         Err(format!("{} after {took:?}; its host went on giving it, and the kill was not due before {:?} after SIGTERM", answer.short(), longest + Duration::from_millis(700)))
     }
 }
+
+/// A long value is on its way when the gateway is told to end, and the client has sent another query behind it.
+pub fn shutdown_value(record: &Record) -> Verdict {
+    const BYTES: usize = 4 << 20;
+    let class = |name, effect, freshness, deadline_ms| Class { name, effect, freshness, bound_ms: 0, aim_ms: 400, deadline_ms };
+    let settings = Settings {
+        classes: vec![class("page-read", "retryable", "eventual", 1_000), class("bulk", "retryable", "eventual", 1_200), class("count-write", "dedup", "mutate", 2_000)],
+        session_marks: "brought",
+        server_checks: "await",
+    };
+    // The platform kills no sooner than the longest deadline and 0.7 s after the signal.
+    let kill_after = Duration::from_millis(2_700);
+    // 4 MiB in 60 pieces, one each 43 ms: 2.6 s in all.
+    let pace = Pace { pieces: 60, piece_pause_ms: 43, bulk_bytes: BYTES, ..PACE };
+    let scene = Scene::new(&settings, 2, pace, record);
+    let mut gateway = scene.gateway("n0", Listening::Own, record);
+    let address = gateway.address;
+    let mut warm = connect(address);
+    for number in 0..10 {
+        let id = new_id();
+        ask(&mut warm, record, &format!("page client {number}"), &id, &read_text("p", "page-read", 1_000, &id));
+    }
+    let mut client = connect(address);
+    let (bulk, page) = (new_id(), new_id());
+    record.line(&format!("client: sends {bulk} (bulk) and, behind it, {page} (page-read)"));
+    let asked = Instant::now();
+    let _ = client.send(&read_text("b", "bulk", 1_200, &bulk));
+    let _ = client.send(&read_text("p", "page-read", 1_000, &page));
+    let (sender, receiver) = std::sync::mpsc::channel();
+    let log = record.clone();
+    std::thread::spawn(move || {
+        for id in [bulk, page] {
+            let answer = client.answer();
+            log.line(&format!("client: {id} is answered: {}, {:?} after both were sent", answer.short(), asked.elapsed()));
+            let _ = sender.send((answer, asked.elapsed()));
+        }
+    });
+    let mut signalled = None;
+    if trouble() {
+        sleep_ms(50);
+        gateway.signal("TERM");
+        signalled = Some(Instant::now());
+    }
+    let answer = |limit: Duration| receiver.recv_timeout(limit);
+    if let Some(signalled) = signalled {
+        let left = gateway.wait_for_end(kill_after.saturating_sub(signalled.elapsed()));
+        record.line(&format!("platform: {:?} after SIGTERM the gateway has ended by itself: {left}", signalled.elapsed()));
+        if !left {
+            gateway.signal("KILL");
+        }
+    }
+    let Ok((value, took)) = answer(Duration::from_secs(20)) else {
+        return Err("the request for a long value never had an end".into());
+    };
+    let behind = answer(Duration::from_secs(20)).map_or_else(|_| "nothing".to_string(), |(behind, _)| behind.short());
+    let whole = matches!(&value, Answer::Row(value) if value.len() == BYTES && value.iter().all(|&byte| byte == b'v'));
+    let killed = signalled.is_some_and(|signalled| asked + took >= signalled + kill_after);
+    if killed && matches!(value, Answer::Ended(_)) {
+        // The request came before SIGTERM, so that SIGKILL is an excuse.
+        Ok(format!("SIGKILL found the value on its way, {}", value.short()))
+    } else if whole {
+        Ok(format!("the value came whole after {took:?}, and behind it {behind}"))
+    } else {
+        Err(format!("the value was broken off after {took:?} ({}), and its host went on giving it; SIGKILL was not due before {kill_after:?} after SIGTERM", value.short()))
+    }
+}
+
+/// A write comes to the older process of a gateway right after its SIGTERM, while the primary hangs.
+pub fn upgrade_request(record: &Record) -> Verdict {
+    let class = |name, effect, freshness, deadline_ms| Class { name, effect, freshness, bound_ms: 0, aim_ms: 400, deadline_ms };
+    let settings = Settings {
+        classes: vec![class("page-read", "retryable", "eventual", 1_000), class("count-write", "dedup", "mutate", 2_000)],
+        session_marks: "brought",
+        server_checks: "await",
+    };
+    let kill_after = Duration::from_millis(2_700);
+    // One of four hosts hangs.
+    let scene = Scene::new(&settings, 3, PACE, record);
+    let mut old = scene.gateway("n0", Listening::Passed, record);
+    let address = scene.place.address();
+    let mut client = connect(address);
+    let new = trouble().then(|| scene.gateway("n0-new", Listening::Passed, record));
+    for number in 0..4 {
+        let id = new_id();
+        ask(&mut client, record, &format!("clerk, entry {number}"), &id, &write_text("c", b"count", &id));
+    }
+    scene.set.hosts[0].hang();
+    let signalled = Instant::now();
+    if new.is_some() {
+        old.signal("TERM");
+    }
+    sleep_ms(100);
+    let (id, log, sent) = (new_id(), record.clone(), Instant::now());
+    let writing = std::thread::spawn(move || ask(&mut client, &log, "clerk", &id, &write_text("c", b"count", &id)));
+    if new.is_some() {
+        let left = old.wait_for_end(kill_after.saturating_sub(signalled.elapsed()));
+        record.line(&format!("platform: {:?} after SIGTERM the older process has ended by itself: {left}", signalled.elapsed()));
+        if !left {
+            old.signal("KILL");
+        }
+    }
+    let Ok(answer) = writing.join() else {
+        cannot_run("the client has failed");
+    };
+    drop(new);
+    match answer {
+        Answer::Ended(_) => Err(format!("a write that the older process had taken was never answered: {} {:?} after it was sent, and it has 2 s", answer.short(), sent.elapsed())),
+        answer => Ok(format!("the write was answered: {}", answer.short())),
+    }
+}
--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -48,24 +48,38 @@
     name: String,
     log: Arc<Mutex<Vec<String>>>,
     pub console: SocketAddr,
+    pub address: SocketAddr,
     record: Record,
 }
 
-/// Starts a process of the gateway; its clients' socket is held by the platform and passed on as descriptor 3.
-pub fn start(name: &str, place: &Place, discovery: SocketAddr, known: &str, settings: &str, record: &Record) -> Gateway {
+/// Where a gateway gets its clients' socket from.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Listening {
+    /// The platform holds it and passes it on as descriptor 3.
+    Passed,
+    /// The gateway listens by itself.
+    Own,
+}
+
+/// Starts a process of the gateway.
+pub fn start(name: &str, place: &Place, listening: Listening, discovery: SocketAddr, known: &str, settings: &str, record: &Record) -> Gateway {
+    let listen = if listening == Listening::Own { "127.0.0.1:0".to_string() } else { place.address().to_string() };
     let config = format!(
-        r#"{{"name":"{name}","listen":"{}","discovery":"{discovery}","console":"127.0.0.1:0","seed":"8c1f30d27a5be964",
+        r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","console":"127.0.0.1:0","seed":"8c1f30d27a5be964",
 "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},"settings":{settings}}}"#,
-        place.address()
     );
     let path = place.directory.join(format!("{name}.json"));
     std::fs::write(&path, config).unwrap();
-    let mut child = Command::new("/bin/sh")
-        .args(["-c", &format!("exec 3<&0 0</dev/null; {}", run_command())])
-        .stdin(OwnedFd::from(place.socket.try_clone().unwrap()))
+    let mut command = Command::new("/bin/sh");
+    if listening == Listening::Passed {
+        command.args(["-c", &format!("exec 3<&0 0</dev/null; {}", run_command())]);
+        command.stdin(OwnedFd::from(place.socket.try_clone().unwrap())).env("BALANCER_PASSED_SOCKET", "3");
+    } else {
+        command.args(["-c", &run_command()]).stdin(Stdio::null());
+    }
+    let mut child = command
         .stdout(Stdio::null())
         .stderr(Stdio::piped())
-        .env("BALANCER_PASSED_SOCKET", "3")
         .env("TMPDIR", &place.directory)
         .env("BALANCER_CONFIG", &path)
         .env("BALANCER_NAME", name)
@@ -85,8 +99,9 @@
             collected.lock().unwrap().push(line);
         }
     });
-    let mut gateway = Gateway { child, name: name.into(), log, console: "127.0.0.1:0".parse().unwrap(), record: record.clone() };
+    let mut gateway = Gateway { child, name: name.into(), log, console: place.address(), address: place.address(), record: record.clone() };
     gateway.console = gateway.wait_for_log("operators call ").rsplit(' ').next().unwrap().parse().unwrap();
+    gateway.address = gateway.wait_for_log("listens on ").rsplit(' ').next().unwrap().parse().unwrap();
     gateway.wait_ready();
     gateway
 }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -38,6 +38,8 @@
         "long-write" => cases::long_write,
         "upgrade-session" => cases::upgrade_session,
         "upgrade-value" => cases::upgrade_value,
+        "upgrade-request" => cases::upgrade_request,
+        "shutdown-value" => cases::shutdown_value,
         _ => cannot_run("no such case"),
     };
     let verdict = run(&record);
--- a/review/standins-2/src/set.rs
+++ b/review/standins-2/src/set.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 
 /// For how long the replicas apply the log more slowly: 10 to 21 s.
@@ -38,6 +39,7 @@
     pub address: SocketAddr,
     primary: bool,
     slowed: Arc<Mutex<Option<u64>>>,
+    silent: AtomicBool,
     delay_ms: u64,
     log: Arc<Mutex<HashMap<String, Vec<Commit>>>>,
     pace: Pace,
@@ -62,6 +64,7 @@
                     address: listener.local_addr().unwrap(),
                     primary: number == 0,
                     slowed: Arc::clone(&slowed),
+                    silent: AtomicBool::new(false),
                     delay_ms: 2 + 3 * number as u64,
                     log: Arc::clone(&log),
                     pace,
@@ -108,6 +111,12 @@
         usual.min(since - self.delay_ms + applied as u64)
     }
 
+    /// From now on the host takes requests and answers none.
+    pub fn hang(&self) {
+        self.record.line(&format!("{}: hangs from now on", self.id));
+        self.silent.store(true, Ordering::Relaxed);
+    }
+
     fn serve(&self, mut stream: TcpStream) -> Option<()> {
         stream.set_nodelay(true).ok()?;
         read_startup(&mut stream).ok()?;
@@ -132,6 +141,12 @@
 
     fn statement(&self, stream: &mut TcpStream, text: &str) -> Option<()> {
         let (id, class) = (field(text, "id")?, field(text, "c")?);
+        if self.silent.load(Ordering::Relaxed) {
+            self.record.line(&format!("{}: {id} {class}: taken, and the host hangs", self.id));
+            // Whoever waits gets nothing; the connection stays open until the other side ends it.
+            while read_message(stream).is_ok() {}
+            return None;
+        }
         if class.contains("write") {
             if !self.primary {
                 self.record.line(&format!("{}: {id} {class}: 25006", self.id));
