--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -387,3 +387,47 @@
         answer => Ok(format!("the write was answered: {}", answer.short())),
     }
 }
+
+/// While an upgrade lasts, a bad client sends what another client's open request said, with its id.
+pub fn upgrade_id(record: &Record) -> Verdict {
+    let class = |name, effect, freshness, deadline_ms| Class { name, effect, freshness, bound_ms: 0, aim_ms: 600, deadline_ms };
+    let settings = Settings {
+        classes: vec![class("page-read", "retryable", "eventual", 1_200), class("count-write", "fragile", "mutate", 3_000)],
+        session_marks: "brought",
+        server_checks: "await",
+    };
+    // USER: 89 to 150 ms of work.
+    let pace = Pace { work_ms: 140, ..PACE };
+    let scene = Scene::new(&settings, 4, pace, record);
+    let old = scene.gateway("n0", Listening::Passed, record);
+    let address = scene.place.address();
+    let mut client = connect(address);
+    let new = trouble().then(|| scene.gateway("n0-new", Listening::Passed, record));
+    for number in 0..3 {
+        let id = new_id();
+        ask(&mut client, record, &format!("counter, booking {number}"), &id, &write_text("tour", b"seat", &id));
+    }
+    if new.is_some() {
+        old.signal("TERM");
+    }
+    let id = new_id();
+    let text = write_text("tour", b"the last seat", &id);
+    let (log, sent, of) = (record.clone(), text.clone(), id.clone());
+    let usual = std::thread::spawn(move || ask(&mut client, &log, "counter", &of, &sent));
+    sleep_ms(40);
+    // The older process accepts nobody any more, so that this connection is the newer one's.
+    let mut other = connect(address);
+    let other_answer = ask(&mut other, record, "bad client", &id, &text);
+    let Ok(answer) = usual.join() else {
+        cannot_run("the client has failed");
+    };
+    sleep_ms(300);
+    let runs = scene.set.times_run(&id);
+    record.line(&format!("hosts have run {id} {runs} times"));
+    drop((old, new));
+    match (runs, &answer) {
+        (0, _) => cannot_run("the request has not run at all"),
+        (1, _) => Ok(format!("{id} ran once; its client got {}, the bad client {}", answer.short(), other_answer.short())),
+        _ => Err(format!("{id}, a request that must never run twice, ran {runs} times; its client got {}, the bad client {}", answer.short(), other_answer.short())),
+    }
+}
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -40,6 +40,7 @@
         "upgrade-value" => cases::upgrade_value,
         "upgrade-request" => cases::upgrade_request,
         "shutdown-value" => cases::shutdown_value,
+        "upgrade-id" => cases::upgrade_id,
         _ => cannot_run("no such case"),
     };
     let verdict = run(&record);
--- a/review/standins-2/src/set.rs
+++ b/review/standins-2/src/set.rs
@@ -40,6 +40,8 @@
     primary: bool,
     slowed: Arc<Mutex<Option<u64>>>,
     silent: AtomicBool,
+    /// How often writes have run, by their ids.
+    runs: Arc<Mutex<HashMap<String, usize>>>,
     delay_ms: u64,
     log: Arc<Mutex<HashMap<String, Vec<Commit>>>>,
     pace: Pace,
@@ -48,6 +50,7 @@
 
 pub struct Set {
     pub hosts: Vec<Arc<Host>>,
+    runs: Arc<Mutex<HashMap<String, usize>>>,
     slowed: Arc<Mutex<Option<u64>>>,
 }
 
@@ -56,6 +59,7 @@
     pub fn start(replicas: usize, pace: Pace, record: &Record) -> Set {
         let log = Arc::new(Mutex::new(HashMap::new()));
         let slowed = Arc::new(Mutex::new(None));
+        let runs = Arc::new(Mutex::new(HashMap::new()));
         let hosts = (0..=replicas)
             .map(|number| {
                 let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -65,6 +69,7 @@
                     primary: number == 0,
                     slowed: Arc::clone(&slowed),
                     silent: AtomicBool::new(false),
+                    runs: Arc::clone(&runs),
                     delay_ms: 2 + 3 * number as u64,
                     log: Arc::clone(&log),
                     pace,
@@ -80,7 +85,12 @@
                 host
             })
             .collect();
-        Set { hosts, slowed }
+        Set { hosts, runs, slowed }
+    }
+
+    /// How often a write has run, by its id.
+    pub fn times_run(&self, id: &str) -> usize {
+        self.runs.lock().unwrap().get(id).copied().unwrap_or(0)
     }
 
     /// From now on, and for [`SLOW_MS`], all replicas apply the log more slowly.
@@ -155,6 +165,7 @@
             sleep_ms(self.pace.work_ms);
             let payload = unhex(text.split("\\x").nth(1)?.split('\'').next()?);
             let at_ms = now_ms() + 1;
+            *self.runs.lock().unwrap().entry(id.to_string()).or_default() += 1;
             let commit = Commit { at_ms, payload: payload.clone() };
             self.log.lock().unwrap().entry(key(text).to_string()).or_default().push(commit);
             self.record.line(&format!("{}: {id} {class} of {}: committed at {at_ms}, {} bytes", self.id, key(text), payload.len()));
