Review, cases renumbered by gravity, and case 10: a keyed write is applied twice

Tried: three gateways with takeover and write intents, an upgrade, the newer process killed with a keyed write on its way, its repeat 2 s later elsewhere.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,4 +4,4 @@
 cd "$here/../.." || exit 2
 driver=review/standins-2/target/release/review-2
 [ -x "$driver" ] || { echo "build first: cargo build --release; review/build-2.sh" >&2; exit 2; }
-exec "$driver" shutdown-value "$here/record.txt"
+exec "$driver" upgrade-session "$here/record.txt"
--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -1,7 +1,8 @@
 //! The cases.
 
 use crate::discovery::Discovery;
-use crate::gateway::{self, Gateway, Listening, Place};
+use crate::gateway::{self, Fleet, Gateway, Listening, Place};
+use crate::peers::Peers;
 use crate::record::{now_ms, sleep_ms, Record};
 use crate::set::{hex, Pace, Set};
 use crate::settings::{Class, Settings};
@@ -15,7 +16,7 @@
 /// Err: the rule was broken, and how.
 pub type Verdict = Result<String, String>;
 
-const PACE: Pace = Pace { work_ms: 30, report_ms: 1_000, pieces: 1, piece_pause_ms: 0, bulk_bytes: 0 };
+const PACE: Pace = Pace { work_ms: 30, report_ms: 1_000, pieces: 1, piece_pause_ms: 0, keyed: true, bulk_bytes: 0 };
 
 /// Classes as those of the first deployment, with sessions whose marks the gateway keeps.
 fn session_settings() -> Settings {
@@ -29,6 +30,7 @@
         ],
         session_marks: "kept",
         server_checks: "none",
+        gateway: (0, 1),
     }
 }
 
@@ -103,7 +105,7 @@
     }
 
     fn gateway(&self, name: &str, listening: Listening, record: &Record) -> Gateway {
-        gateway::start(name, &self.place, listening, self.discovery.address, &self.discovery.json(), &self.settings, record)
+        gateway::start(name, &self.place, listening, &Fleet::default(), self.discovery.address, &self.discovery.json(), &self.settings, record)
     }
 }
 
@@ -225,6 +227,7 @@
         classes: vec![class("page-read", "retryable", "eventual", 1_000), class("bulk", "retryable", "eventual", 1_200), class("count-write", "dedup", "mutate", 2_000)],
         session_marks: "brought",
         server_checks: "await",
+        gateway: (0, 1),
     };
     let longest = Duration::from_millis(2_000);
     // 4 MiB in 60 pieces, one each 40 ms: 2.4 s in all.
@@ -286,6 +289,7 @@
         classes: vec![class("page-read", "retryable", "eventual", 1_000), class("bulk", "retryable", "eventual", 1_200), class("count-write", "dedup", "mutate", 2_000)],
         session_marks: "brought",
         server_checks: "await",
+        gateway: (0, 1),
     };
     // The platform kills no sooner than the longest deadline and 0.7 s after the signal.
     let kill_after = Duration::from_millis(2_700);
@@ -351,6 +355,7 @@
         classes: vec![class("page-read", "retryable", "eventual", 1_000), class("count-write", "dedup", "mutate", 2_000)],
         session_marks: "brought",
         server_checks: "await",
+        gateway: (0, 1),
     };
     let kill_after = Duration::from_millis(2_700);
     // One of four hosts hangs.
@@ -395,9 +400,10 @@
         classes: vec![class("page-read", "retryable", "eventual", 1_200), class("count-write", "fragile", "mutate", 3_000)],
         session_marks: "brought",
         server_checks: "await",
+        gateway: (0, 1),
     };
     // USER: 89 to 150 ms of work.
-    let pace = Pace { work_ms: 140, ..PACE };
+    let pace = Pace { work_ms: 140, keyed: false, ..PACE };
     let scene = Scene::new(&settings, 4, pace, record);
     let old = scene.gateway("n0", Listening::Passed, record);
     let address = scene.place.address();
@@ -431,3 +437,64 @@
         _ => Err(format!("{id}, a request that must never run twice, ran {runs} times; its client got {}, the bad client {}", answer.short(), other_answer.short())),
     }
 }
+
+/// A keyed write is sent by the newer process of an upgrade, which is killed; its client comes again elsewhere.
+pub fn upgrade_intent(record: &Record) -> Verdict {
+    const GATEWAYS: usize = 3;
+    let class = |name, effect, freshness, deadline_ms| Class { name, effect, freshness, bound_ms: 0, aim_ms: 400, deadline_ms };
+    let settings = |number| Settings {
+        classes: vec![class("page-read", "retryable", "eventual", 1_000), class("count-write", "dedup", "mutate", 2_000)],
+        session_marks: "brought",
+        server_checks: "await",
+        gateway: (number, GATEWAYS),
+    };
+    let pace = Pace { work_ms: 50, ..PACE };
+    let scene = Scene::new(&settings(0), 4, pace, record);
+    let peers = Peers::start(GATEWAYS);
+    let operators = r#"{ membership: { enabled: true }, takeover: { enabled: true, writes: true } }"#;
+    let fleet = |number| Fleet { keys: peers.config(number), operators: operators.into() };
+    let places: Vec<Place> = (0..GATEWAYS).map(|_| Place::new()).collect();
+    let start = |name: &str, number: usize| {
+        let (known, settings) = (scene.discovery.json(), settings(number).json());
+        gateway::start(name, &places[number], Listening::Passed, &fleet(number), scene.discovery.address, &known, &settings, record)
+    };
+    let gateways: Vec<Gateway> = (0..GATEWAYS).map(|number| start(&format!("n{number}"), number)).collect();
+    // Long after the 10 s for which a gateway that was started may not know every record.
+    sleep_ms(14_000);
+    let mut warm = connect(places[0].address());
+    for number in 0..3 {
+        let id = new_id();
+        ask(&mut warm, record, &format!("clerk, entry {number}"), &id, &write_text("warm", b"count", &id));
+    }
+    let mut killed = None;
+    if trouble() {
+        killed = Some(start("n0-new", 0));
+        gateways[0].signal("TERM");
+        sleep_ms(50);
+    }
+    let mut client = connect(places[0].address());
+    let (id, key) = (new_id(), new_id());
+    let text = write_text("vote", b"1204", &id).replace(&format!("k=k{id}"), &format!("k={key}"));
+    let (log, sent, of) = (record.clone(), text.clone(), id.clone());
+    let first = std::thread::spawn(move || ask(&mut client, &log, "clerk", &of, &sent));
+    scene.set.wait_until_taken(&id);
+    sleep_ms(10);
+    let victim = killed.as_ref().unwrap_or(&gateways[0]);
+    victim.signal("KILL");
+    let answer = first.join().unwrap_or(Answer::Ended(0));
+    // The front notices after 1 to 3.6 s, and the clerk's application comes again at another gateway.
+    sleep_ms(2_000);
+    let mut client = connect(places[1].address());
+    let again = new_id();
+    let text = text.replace(&format!("id={id}"), &format!("id={again}")).replace(&format!("k={key}"), &format!("k={key},r=1"));
+    let second = ask(&mut client, record, "clerk, once more", &again, &text);
+    sleep_ms(300);
+    let runs = scene.set.times_run(&id) + scene.set.times_run(&again);
+    record.line(&format!("the hosts have applied the write with key {key} {runs} times"));
+    drop((gateways, killed));
+    match runs {
+        0 => cannot_run("the write was not applied at all"),
+        1 => Ok(format!("applied once; {}, then {}", answer.short(), second.short())),
+        _ => Err(format!("the write with key {key} was applied {runs} times; {}, then {}", answer.short(), second.short())),
+    }
+}
--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -61,15 +61,28 @@
     Own,
 }
 
+/// What a gateway is told of the others: the keys of its configuration, and the operators' file.
+#[derive(Default)]
+pub struct Fleet {
+    pub keys: String,
+    pub operators: String,
+}
+
 /// Starts a process of the gateway.
-pub fn start(name: &str, place: &Place, listening: Listening, discovery: SocketAddr, known: &str, settings: &str, record: &Record) -> Gateway {
+pub fn start(name: &str, place: &Place, listening: Listening, fleet: &Fleet, discovery: SocketAddr, known: &str, settings: &str, record: &Record) -> Gateway {
     let listen = if listening == Listening::Own { "127.0.0.1:0".to_string() } else { place.address().to_string() };
     let config = format!(
         r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","console":"127.0.0.1:0","seed":"8c1f30d27a5be964",
-"limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},"settings":{settings}}}"#,
+"limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},{}"known":{known},"settings":{settings}}}"#,
+        fleet.keys
     );
     let path = place.directory.join(format!("{name}.json"));
     std::fs::write(&path, config).unwrap();
+    let operators = (!fleet.operators.is_empty()).then(|| {
+        let path = place.directory.join("operators.jsonnet");
+        std::fs::write(&path, &fleet.operators).unwrap();
+        path.display().to_string()
+    });
     let mut command = Command::new("/bin/sh");
     if listening == Listening::Passed {
         command.args(["-c", &format!("exec 3<&0 0</dev/null; {}", run_command())]);
@@ -86,7 +99,7 @@
         .env("BALANCER_DISCOVERY", discovery.to_string())
         .env_remove("BALANCER_LISTEN")
         .env_remove("BALANCER_CONSOLE")
-        .env_remove("IRISROUTER_OPERATORS")
+        .env("IRISROUTER_OPERATORS", operators.as_deref().unwrap_or(""))
         .spawn()
         .unwrap_or_else(|error| crate::cannot_run(&format!("the gateway does not start: {error}")));
     RUNNING.lock().unwrap().push(child.id());
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,6 +4,7 @@
 mod cases;
 mod discovery;
 mod gateway;
+mod peers;
 mod record;
 mod set;
 mod settings;
@@ -41,6 +42,7 @@
         "upgrade-request" => cases::upgrade_request,
         "shutdown-value" => cases::shutdown_value,
         "upgrade-id" => cases::upgrade_id,
+        "upgrade-intent" => cases::upgrade_intent,
         _ => cannot_run("no such case"),
     };
     let verdict = run(&record);
--- a/review/standins-2/src/set.rs
+++ b/review/standins-2/src/set.rs
@@ -16,6 +16,8 @@
 /// so that it can apply two; eight times more slowly (4 to 16 times) that is a quarter.
 const SLOW_PACE: f64 = 0.25;
 const USUAL_PACE: f64 = 2.0;
+/// How long the set drops the repeat of a keyed write.
+const REPEATS_DROPPED_MS: u64 = 1_200;
 
 struct Commit {
     at_ms: u64,
@@ -30,6 +32,8 @@
     /// Number of pieces in which a long value is given, and the pause between two of them.
     pub pieces: usize,
     pub piece_pause_ms: u64,
+    /// Whether the set drops repeats of writes by their keys.
+    pub keyed: bool,
     /// Size of the value of a class `bulk`.
     pub bulk_bytes: usize,
 }
@@ -40,6 +44,10 @@
     primary: bool,
     slowed: Arc<Mutex<Option<u64>>>,
     silent: AtomicBool,
+    /// Ids of the requests that hosts have taken, in order.
+    taken: Arc<Mutex<Vec<String>>>,
+    /// When the keyed writes ran.
+    keys: Arc<Mutex<HashMap<String, u64>>>,
     /// How often writes have run, by their ids.
     runs: Arc<Mutex<HashMap<String, usize>>>,
     delay_ms: u64,
@@ -51,6 +59,7 @@
 pub struct Set {
     pub hosts: Vec<Arc<Host>>,
     runs: Arc<Mutex<HashMap<String, usize>>>,
+    taken: Arc<Mutex<Vec<String>>>,
     slowed: Arc<Mutex<Option<u64>>>,
 }
 
@@ -60,6 +69,8 @@
         let log = Arc::new(Mutex::new(HashMap::new()));
         let slowed = Arc::new(Mutex::new(None));
         let runs = Arc::new(Mutex::new(HashMap::new()));
+        let taken = Arc::new(Mutex::new(Vec::new()));
+        let keys = Arc::new(Mutex::new(HashMap::new()));
         let hosts = (0..=replicas)
             .map(|number| {
                 let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -70,6 +81,8 @@
                     slowed: Arc::clone(&slowed),
                     silent: AtomicBool::new(false),
                     runs: Arc::clone(&runs),
+                    taken: Arc::clone(&taken),
+                    keys: Arc::clone(&keys),
                     delay_ms: 2 + 3 * number as u64,
                     log: Arc::clone(&log),
                     pace,
@@ -85,7 +98,17 @@
                 host
             })
             .collect();
-        Set { hosts, runs, slowed }
+        Set { hosts, runs, taken, slowed }
+    }
+
+    /// Waits until a host has taken a request, for 2 s at most.
+    pub fn wait_until_taken(&self, id: &str) {
+        for _ in 0..1_000 {
+            if self.taken.lock().unwrap().iter().any(|taken| taken == id) {
+                return;
+            }
+            sleep_ms(2);
+        }
     }
 
     /// How often a write has run, by its id.
@@ -151,6 +174,7 @@
 
     fn statement(&self, stream: &mut TcpStream, text: &str) -> Option<()> {
         let (id, class) = (field(text, "id")?, field(text, "c")?);
+        self.taken.lock().unwrap().push(id.to_string());
         if self.silent.load(Ordering::Relaxed) {
             self.record.line(&format!("{}: {id} {class}: taken, and the host hangs", self.id));
             // Whoever waits gets nothing; the connection stays open until the other side ends it.
@@ -164,6 +188,10 @@
             }
             sleep_ms(self.pace.work_ms);
             let payload = unhex(text.split("\\x").nth(1)?.split('\'').next()?);
+            if self.drops_repeat(field(text, "k")) {
+                self.record.line(&format!("{}: {id} {class}: a repeat within 1.2 s, dropped", self.id));
+                return self.answer(stream, &payload, Some(now_ms()));
+            }
             let at_ms = now_ms() + 1;
             *self.runs.lock().unwrap().entry(id.to_string()).or_default() += 1;
             let commit = Commit { at_ms, payload: payload.clone() };
@@ -194,6 +222,19 @@
         self.answer(stream, &value, Some(position))
     }
 
+    /// Whether the set has run a write with this key in the last 1.2 s.
+    fn drops_repeat(&self, key: Option<&str>) -> bool {
+        let Some(key) = key else {
+            return false;
+        };
+        let mut keys = self.keys.lock().unwrap();
+        let known = keys.get(key).is_some_and(|&ran_at| now_ms() < ran_at + REPEATS_DROPPED_MS);
+        if self.pace.keyed && !known {
+            keys.insert(key.to_string(), now_ms());
+        }
+        known
+    }
+
     fn answer(&self, stream: &mut TcpStream, value: &[u8], position: Option<u64>) -> Option<()> {
         let role = if self.primary { "writer" } else { "reader" };
         let position = position.unwrap_or_else(|| self.position());
--- a/review/standins-2/src/settings.rs
+++ b/review/standins-2/src/settings.rs
@@ -13,6 +13,8 @@
     pub classes: Vec<Class>,
     pub session_marks: &'static str,
     pub server_checks: &'static str,
+    /// The number of this gateway, and how many there are.
+    pub gateway: (usize, usize),
 }
 
 impl Settings {
@@ -27,15 +29,15 @@
         let freshness = list(&|class| format!("\"{}\"", class.freshness));
         let bounds = list(&|class| (class.bound_ms * 1_000_000).to_string());
         format!(
-            r#"{{"Balancers":1,"Me":0,"MyZone":"a","Zones":["a"],"Kinds":["std-5"],"Classes":[{classes}],
-"Bounds":{{"Cancel":true,"ConnectTimeoutNs":250000000,"IdleCloseNs":30000000000,"MaxRetryAfterNs":1000000000,"MostTries":6,"Peers":false,"Probes":true,"RetryAfter":true,"SecondCopies":true,"StreamsPerConn":1,"MostHeld":10000}},
+            r#"{{"Balancers":{},"Me":{},"MyZone":"a","Zones":["a"],"Kinds":["std-5"],"Classes":[{classes}],
+"Bounds":{{"Cancel":true,"ConnectTimeoutNs":250000000,"IdleCloseNs":30000000000,"MaxRetryAfterNs":1000000000,"MostTries":6,"Peers":{},"Probes":true,"RetryAfter":true,"SecondCopies":true,"StreamsPerConn":1,"MostHeld":10000}},
 "Clients":{{"MarksRetry":true}},
 "Domain":{{"CatchUpWaitNs":50000000,"ClassBoundNs":[{bounds}],"Freshness":[{freshness}],"PositionZeroNs":0,"RoleInList":"none","ServerChecks":"{}","SessionMarks":"{}","Stamps":true,"Synchronous":false}},
 "LoadInfo":{{"Fields":["x0","x1","load_share"],"How":"probe"}},"MembershipMode":"push","OverShareWorth":0.1,
 "Penalties":{{"Probe":0.04}},"RoundNs":5000000,
 "Rules":{{"AnswerSlackNs":20000000,"AskWithinNs":10000000000,"ColdNs":14000000000,"DrainGraceNs":500000000,"OverloadFactor":2.0,"StartCapacity":0.15,"TipAfterNs":3000000000}},
 "Tenants":[],"Weights":"nominal","WorthBy":"request"}}"#,
-            self.server_checks, self.session_marks
+            self.gateway.1, self.gateway.0, self.gateway.1 > 1, self.server_checks, self.session_marks
         )
     }
 }
