--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -16,11 +16,25 @@
 /// Err: the rule was broken, and how.
 pub type Verdict = Result<String, String>;
 
-const PACE: Pace = Pace { work_ms: 30, report_ms: 1_000, pieces: 1, piece_pause_ms: 0, keyed: true, bulk_bytes: 0 };
+const PACE: Pace = Pace {
+    work_ms: 30,
+    report_ms: 1_000,
+    pieces: 1,
+    piece_pause_ms: 0,
+    keyed: true,
+    bulk_bytes: 0,
+};
 
 /// Classes as those of the first deployment, with sessions whose marks the gateway keeps.
 fn session_settings() -> Settings {
-    let class = |name, effect, freshness, bound_ms, aim_ms, deadline_ms| Class { name, effect, freshness, bound_ms, aim_ms, deadline_ms };
+    let class = |name, effect, freshness, bound_ms, aim_ms, deadline_ms| Class {
+        name,
+        effect,
+        freshness,
+        bound_ms,
+        aim_ms,
+        deadline_ms,
+    };
     Settings {
         classes: vec![
             class("page-read", "retryable", "lag_bound", 300, 300, 1_000),
@@ -43,7 +57,10 @@
 /// Sends a statement, and records it and its answer.
 fn ask(client: &mut Client, record: &Record, who: &str, id: &str, text: &str) -> Answer {
     let shown: String = text.chars().take(60).collect();
-    record.line(&format!("{who}: sends {id}: {shown}... ({} bytes)", text.len()));
+    record.line(&format!(
+        "{who}: sends {id}: {shown}... ({} bytes)",
+        text.len()
+    ));
     let answer = client.ask(text);
     record.line(&format!("{who}: {id} is answered: {}", answer.short()));
     answer
@@ -72,7 +89,12 @@
 }
 
 /// Reads what the session has written last. Says what is wrong with the answer if it is a stale one.
-fn own_read(client: &mut Client, record: &Record, session: &str, written: &[u8]) -> Result<bool, String> {
+fn own_read(
+    client: &mut Client,
+    record: &Record,
+    session: &str,
+    written: &[u8],
+) -> Result<bool, String> {
     let id = new_id();
     match ask(client, record, session, &id, &read_text(session, "own-read", 1_000, &id)) {
         Answer::Row(value) if value == written => Ok(true),
@@ -101,11 +123,25 @@
     fn new(settings: &Settings, replicas: usize, pace: Pace, record: &Record) -> Scene {
         let set = Set::start(replicas, pace, record);
         let discovery = Discovery::start(set.entries(), record.clone());
-        Scene { place: Place::new(), discovery, set, settings: settings.json() }
+        Scene {
+            place: Place::new(),
+            discovery,
+            set,
+            settings: settings.json(),
+        }
     }
 
     fn gateway(&self, name: &str, listening: Listening, record: &Record) -> Gateway {
-        gateway::start(name, &self.place, listening, &Fleet::default(), self.discovery.address, &self.discovery.json(), &self.settings, record)
+        gateway::start(
+            name,
+            &self.place,
+            listening,
+            &Fleet::default(),
+            self.discovery.address,
+            &self.discovery.json(),
+            &self.settings,
+            record,
+        )
     }
 }
 
@@ -116,21 +152,32 @@
     let _gateway = scene.gateway("n0", Listening::Passed, record);
     let address = scene.place.address();
     warm_up(address, record);
-    let size = std::env::var("VALUE").ok().and_then(|text| text.parse().ok()).unwrap_or(80_000);
+    let size = std::env::var("VALUE")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(80_000);
     if trouble() {
         scene.set.apply_slowly(record);
     }
     sleep_ms(1_000);
     let sessions: Vec<_> = (0..SESSIONS)
         .map(|number| {
-            let (session, mut client, record) = (format!("s{number:02}"), connect(address), record.clone());
+            let (session, mut client, record) =
+                (format!("s{number:02}"), connect(address), record.clone());
             std::thread::spawn(move || {
                 sleep_ms(200 * number as u64);
                 let payload = vec![b'a' + number as u8 % 26; size];
                 let id = new_id();
-                let answer = ask(&mut client, &record, &session, &id, &write_text(&session, &payload, &id));
+                let answer = ask(
+                    &mut client,
+                    &record,
+                    &session,
+                    &id,
+                    &write_text(&session, &payload, &id),
+                );
                 sleep_ms(300);
-                served(&answer, &payload).then(|| own_read(&mut client, &record, &session, &payload))
+                served(&answer, &payload)
+                    .then(|| own_read(&mut client, &record, &session, &payload))
             })
         })
         .collect();
@@ -144,10 +191,18 @@
     let old = scene.gateway("n0", Listening::Passed, record);
     let address = scene.place.address();
     warm_up(address, record);
-    let mut sessions: Vec<(String, Client)> = (0..SESSIONS).map(|number| (format!("s{number:02}"), connect(address))).collect();
+    let mut sessions: Vec<(String, Client)> = (0..SESSIONS)
+        .map(|number| (format!("s{number:02}"), connect(address)))
+        .collect();
     for (session, client) in &mut sessions {
         let id = new_id();
-        ask(client, record, session, &id, &read_text(session, "own-read", 1_000, &id));
+        ask(
+            client,
+            record,
+            session,
+            &id,
+            &read_text(session, "own-read", 1_000, &id),
+        );
     }
     scene.set.apply_slowly(record);
     sleep_ms(1_500);
@@ -161,14 +216,22 @@
                 sleep_ms(5 * number as u64);
                 let payload = format!("{session} wrote this at {}", now_ms()).into_bytes();
                 let id = new_id();
-                let answer = ask(&mut client, &record, &session, &id, &write_text(&session, &payload, &id));
+                let answer = ask(
+                    &mut client,
+                    &record,
+                    &session,
+                    &id,
+                    &write_text(&session, &payload, &id),
+                );
                 if !served(&answer, &payload) {
                     return None;
                 }
                 let mut next = if trouble() {
                     // The older process closes the connection, which rests; the session goes on with a new one.
                     client.wait_for_close();
-                    record.line(&format!("{session}: the gateway has closed its connection, it opens another"));
+                    record.line(&format!(
+                        "{session}: the gateway has closed its connection, it opens another"
+                    ));
                     connect(address)
                 } else {
                     sleep_ms(300);
@@ -211,34 +274,64 @@
         }
     }
     if fresh + stale.len() < all / 2 {
-        cannot_run(&format!("only {} of {all} sessions were served", fresh + stale.len()));
+        cannot_run(&format!(
+            "only {} of {all} sessions were served",
+            fresh + stale.len()
+        ));
     }
     match stale.first() {
-        None => Ok(format!("{fresh} of {all} own-reads saw the write, none was stale")),
-        Some(first) => Err(format!("{} of {all} own-reads were stale; the first: {first}", stale.len())),
+        None => Ok(format!(
+            "{fresh} of {all} own-reads saw the write, none was stale"
+        )),
+        Some(first) => Err(format!(
+            "{} of {all} own-reads were stale; the first: {first}",
+            stale.len()
+        )),
     }
 }
 
 /// A long value is on its way through the older process of a gateway when the newer one replaces it.
 pub fn upgrade_value(record: &Record) -> Verdict {
     const BYTES: usize = 4 << 20;
-    let class = |name, effect, freshness, deadline_ms| Class { name, effect, freshness, bound_ms: 0, aim_ms: 400, deadline_ms };
+    let class = |name, effect, freshness, deadline_ms| Class {
+        name,
+        effect,
+        freshness,
+        bound_ms: 0,
+        aim_ms: 400,
+        deadline_ms,
+    };
     let settings = Settings {
-        classes: vec![class("page-read", "retryable", "eventual", 1_000), class("bulk", "retryable", "eventual", 1_200), class("count-write", "dedup", "mutate", 2_000)],
+        classes: vec![
+            class("page-read", "retryable", "eventual", 1_000),
+            class("bulk", "retryable", "eventual", 1_200),
+            class("count-write", "dedup", "mutate", 2_000),
+        ],
         session_marks: "brought",
         server_checks: "await",
         gateway: (0, 1),
     };
     let longest = Duration::from_millis(2_000);
     // 4 MiB in 60 pieces, one each 40 ms: 2.4 s in all.
-    let pace = Pace { pieces: 60, piece_pause_ms: 40, bulk_bytes: BYTES, ..PACE };
+    let pace = Pace {
+        pieces: 60,
+        piece_pause_ms: 40,
+        bulk_bytes: BYTES,
+        ..PACE
+    };
     let scene = Scene::new(&settings, 2, pace, record);
     let mut old = scene.gateway("n0", Listening::Passed, record);
     let address = scene.place.address();
     let mut warm = connect(address);
     for number in 0..10 {
         let id = new_id();
-        ask(&mut warm, record, &format!("page client {number}"), &id, &read_text("p", "page-read", 1_000, &id));
+        ask(
+            &mut warm,
+            record,
+            &format!("page client {number}"),
+            &id,
+            &read_text("p", "page-read", 1_000, &id),
+        );
     }
     let mut client = connect(address);
     let new = trouble().then(|| scene.gateway("n0-new", Listening::Passed, record));
@@ -252,7 +345,10 @@
     let reading = std::thread::spawn(move || {
         let answer = client.answer();
         let took = asked.elapsed();
-        log.line(&format!("bulk client: {}, {took:?} after its request", answer.short()));
+        log.line(&format!(
+            "bulk client: {}, {took:?} after its request",
+            answer.short()
+        ));
         let _ = sender.send((answer, took));
     });
     if new.is_some() {
@@ -263,7 +359,10 @@
         // The platform kills no sooner than the longest deadline and 0.7 s after the signal.
         let kill_after = longest + Duration::from_millis(700);
         let left = old.wait_for_end(kill_after.saturating_sub(signalled.elapsed()));
-        record.line(&format!("platform: {:?} after SIGTERM the older process has ended by itself: {left}", signalled.elapsed()));
+        record.line(&format!(
+            "platform: {:?} after SIGTERM the older process has ended by itself: {left}",
+            signalled.elapsed()
+        ));
         if !left {
             old.signal("KILL");
         }
@@ -284,9 +383,20 @@
 /// A long value is on its way when the gateway is told to end, and the client has sent another query behind it.
 pub fn shutdown_value(record: &Record) -> Verdict {
     const BYTES: usize = 4 << 20;
-    let class = |name, effect, freshness, deadline_ms| Class { name, effect, freshness, bound_ms: 0, aim_ms: 400, deadline_ms };
+    let class = |name, effect, freshness, deadline_ms| Class {
+        name,
+        effect,
+        freshness,
+        bound_ms: 0,
+        aim_ms: 400,
+        deadline_ms,
+    };
     let settings = Settings {
-        classes: vec![class("page-read", "retryable", "eventual", 1_000), class("bulk", "retryable", "eventual", 1_200), class("count-write", "dedup", "mutate", 2_000)],
+        classes: vec![
+            class("page-read", "retryable", "eventual", 1_000),
+            class("bulk", "retryable", "eventual", 1_200),
+            class("count-write", "dedup", "mutate", 2_000),
+        ],
         session_marks: "brought",
         server_checks: "await",
         gateway: (0, 1),
@@ -294,18 +404,31 @@
     // The platform kills no sooner than the longest deadline and 0.7 s after the signal.
     let kill_after = Duration::from_millis(2_700);
     // 4 MiB in 60 pieces, one each 43 ms: 2.6 s in all.
-    let pace = Pace { pieces: 60, piece_pause_ms: 43, bulk_bytes: BYTES, ..PACE };
+    let pace = Pace {
+        pieces: 60,
+        piece_pause_ms: 43,
+        bulk_bytes: BYTES,
+        ..PACE
+    };
     let scene = Scene::new(&settings, 2, pace, record);
     let mut gateway = scene.gateway("n0", Listening::Own, record);
     let address = gateway.address;
     let mut warm = connect(address);
     for number in 0..10 {
         let id = new_id();
-        ask(&mut warm, record, &format!("page client {number}"), &id, &read_text("p", "page-read", 1_000, &id));
+        ask(
+            &mut warm,
+            record,
+            &format!("page client {number}"),
+            &id,
+            &read_text("p", "page-read", 1_000, &id),
+        );
     }
     let mut client = connect(address);
     let (bulk, page) = (new_id(), new_id());
-    record.line(&format!("client: sends {bulk} (bulk) and, behind it, {page} (page-read)"));
+    record.line(&format!(
+        "client: sends {bulk} (bulk) and, behind it, {page} (page-read)"
+    ));
     let asked = Instant::now();
     let _ = client.send(&read_text("b", "bulk", 1_200, &bulk));
     let _ = client.send(&read_text("p", "page-read", 1_000, &page));
@@ -314,7 +437,11 @@
     std::thread::spawn(move || {
         for id in [bulk, page] {
             let answer = client.answer();
-            log.line(&format!("client: {id} is answered: {}, {:?} after both were sent", answer.short(), asked.elapsed()));
+            log.line(&format!(
+                "client: {id} is answered: {}, {:?} after both were sent",
+                answer.short(),
+                asked.elapsed()
+            ));
             let _ = sender.send((answer, asked.elapsed()));
         }
     });
@@ -327,7 +454,10 @@
     let answer = |limit: Duration| receiver.recv_timeout(limit);
     if let Some(signalled) = signalled {
         let left = gateway.wait_for_end(kill_after.saturating_sub(signalled.elapsed()));
-        record.line(&format!("platform: {:?} after SIGTERM the gateway has ended by itself: {left}", signalled.elapsed()));
+        record.line(&format!(
+            "platform: {:?} after SIGTERM the gateway has ended by itself: {left}",
+            signalled.elapsed()
+        ));
         if !left {
             gateway.signal("KILL");
         }
@@ -335,14 +465,20 @@
     let Ok((value, took)) = answer(Duration::from_secs(20)) else {
         return Err("the request for a long value never had an end".into());
     };
-    let behind = answer(Duration::from_secs(20)).map_or_else(|_| "nothing".to_string(), |(behind, _)| behind.short());
+    let behind = answer(Duration::from_secs(20))
+        .map_or_else(|_| "nothing".to_string(), |(behind, _)| behind.short());
     let whole = matches!(&value, Answer::Row(value) if value.len() == BYTES && value.iter().all(|&byte| byte == b'v'));
     let killed = signalled.is_some_and(|signalled| asked + took >= signalled + kill_after);
     if killed && matches!(value, Answer::Ended(_)) {
         // The request came before SIGTERM, so that SIGKILL is an excuse.
-        Ok(format!("SIGKILL found the value on its way, {}", value.short()))
+        Ok(format!(
+            "SIGKILL found the value on its way, {}",
+            value.short()
+        ))
     } else if whole {
-        Ok(format!("the value came whole after {took:?}, and behind it {behind}"))
+        Ok(format!(
+            "the value came whole after {took:?}, and behind it {behind}"
+        ))
     } else {
         Err(format!("the value was broken off after {took:?} ({}), and its host went on giving it; SIGKILL was not due before {kill_after:?} after SIGTERM", value.short()))
     }
@@ -350,9 +486,19 @@
 
 /// A write comes to the older process of a gateway right after its SIGTERM, while the primary hangs.
 pub fn upgrade_request(record: &Record) -> Verdict {
-    let class = |name, effect, freshness, deadline_ms| Class { name, effect, freshness, bound_ms: 0, aim_ms: 400, deadline_ms };
+    let class = |name, effect, freshness, deadline_ms| Class {
+        name,
+        effect,
+        freshness,
+        bound_ms: 0,
+        aim_ms: 400,
+        deadline_ms,
+    };
     let settings = Settings {
-        classes: vec![class("page-read", "retryable", "eventual", 1_000), class("count-write", "dedup", "mutate", 2_000)],
+        classes: vec![
+            class("page-read", "retryable", "eventual", 1_000),
+            class("count-write", "dedup", "mutate", 2_000),
+        ],
         session_marks: "brought",
         server_checks: "await",
         gateway: (0, 1),
@@ -366,7 +512,13 @@
     let new = trouble().then(|| scene.gateway("n0-new", Listening::Passed, record));
     for number in 0..4 {
         let id = new_id();
-        ask(&mut client, record, &format!("clerk, entry {number}"), &id, &write_text("c", b"count", &id));
+        ask(
+            &mut client,
+            record,
+            &format!("clerk, entry {number}"),
+            &id,
+            &write_text("c", b"count", &id),
+        );
     }
     scene.set.hosts[0].hang();
     let signalled = Instant::now();
@@ -375,10 +527,21 @@
     }
     sleep_ms(100);
     let (id, log, sent) = (new_id(), record.clone(), Instant::now());
-    let writing = std::thread::spawn(move || ask(&mut client, &log, "clerk", &id, &write_text("c", b"count", &id)));
+    let writing = std::thread::spawn(move || {
+        ask(
+            &mut client,
+            &log,
+            "clerk",
+            &id,
+            &write_text("c", b"count", &id),
+        )
+    });
     if new.is_some() {
         let left = old.wait_for_end(kill_after.saturating_sub(signalled.elapsed()));
-        record.line(&format!("platform: {:?} after SIGTERM the older process has ended by itself: {left}", signalled.elapsed()));
+        record.line(&format!(
+            "platform: {:?} after SIGTERM the older process has ended by itself: {left}",
+            signalled.elapsed()
+        ));
         if !left {
             old.signal("KILL");
         }
@@ -395,15 +558,29 @@
 
 /// While an upgrade lasts, a bad client sends what another client's open request said, with its id.
 pub fn upgrade_id(record: &Record) -> Verdict {
-    let class = |name, effect, freshness, deadline_ms| Class { name, effect, freshness, bound_ms: 0, aim_ms: 600, deadline_ms };
+    let class = |name, effect, freshness, deadline_ms| Class {
+        name,
+        effect,
+        freshness,
+        bound_ms: 0,
+        aim_ms: 600,
+        deadline_ms,
+    };
     let settings = Settings {
-        classes: vec![class("page-read", "retryable", "eventual", 1_200), class("count-write", "fragile", "mutate", 3_000)],
+        classes: vec![
+            class("page-read", "retryable", "eventual", 1_200),
+            class("count-write", "fragile", "mutate", 3_000),
+        ],
         session_marks: "brought",
         server_checks: "await",
         gateway: (0, 1),
     };
     // USER: 89 to 150 ms of work.
-    let pace = Pace { work_ms: 140, keyed: false, ..PACE };
+    let pace = Pace {
+        work_ms: 140,
+        keyed: false,
+        ..PACE
+    };
     let scene = Scene::new(&settings, 4, pace, record);
     let old = scene.gateway("n0", Listening::Passed, record);
     let address = scene.place.address();
@@ -411,7 +588,13 @@
     let new = trouble().then(|| scene.gateway("n0-new", Listening::Passed, record));
     for number in 0..3 {
         let id = new_id();
-        ask(&mut client, record, &format!("counter, booking {number}"), &id, &write_text("tour", b"seat", &id));
+        ask(
+            &mut client,
+            record,
+            &format!("counter, booking {number}"),
+            &id,
+            &write_text("tour", b"seat", &id),
+        );
     }
     if new.is_some() {
         old.signal("TERM");
@@ -441,30 +624,64 @@
 /// A keyed write is sent by the newer process of an upgrade, which is killed; its client comes again elsewhere.
 pub fn upgrade_intent(record: &Record) -> Verdict {
     const GATEWAYS: usize = 3;
-    let class = |name, effect, freshness, deadline_ms| Class { name, effect, freshness, bound_ms: 0, aim_ms: 400, deadline_ms };
+    let class = |name, effect, freshness, deadline_ms| Class {
+        name,
+        effect,
+        freshness,
+        bound_ms: 0,
+        aim_ms: 400,
+        deadline_ms,
+    };
     let settings = |number| Settings {
-        classes: vec![class("page-read", "retryable", "eventual", 1_000), class("count-write", "dedup", "mutate", 2_000)],
+        classes: vec![
+            class("page-read", "retryable", "eventual", 1_000),
+            class("count-write", "dedup", "mutate", 2_000),
+        ],
         session_marks: "brought",
         server_checks: "await",
         gateway: (number, GATEWAYS),
     };
-    let pace = Pace { work_ms: 50, ..PACE };
+    let pace = Pace {
+        work_ms: 50,
+        ..PACE
+    };
     let scene = Scene::new(&settings(0), 4, pace, record);
     let peers = Peers::start(GATEWAYS);
-    let operators = r#"{ membership: { enabled: true }, takeover: { enabled: true, writes: true } }"#;
-    let fleet = |number| Fleet { keys: peers.config(number), operators: operators.into() };
+    let operators =
+        r#"{ membership: { enabled: true }, takeover: { enabled: true, writes: true } }"#;
+    let fleet = |number| Fleet {
+        keys: peers.config(number),
+        operators: operators.into(),
+    };
     let places: Vec<Place> = (0..GATEWAYS).map(|_| Place::new()).collect();
     let start = |name: &str, number: usize| {
         let (known, settings) = (scene.discovery.json(), settings(number).json());
-        gateway::start(name, &places[number], Listening::Passed, &fleet(number), scene.discovery.address, &known, &settings, record)
+        gateway::start(
+            name,
+            &places[number],
+            Listening::Passed,
+            &fleet(number),
+            scene.discovery.address,
+            &known,
+            &settings,
+            record,
+        )
     };
-    let gateways: Vec<Gateway> = (0..GATEWAYS).map(|number| start(&format!("n{number}"), number)).collect();
+    let gateways: Vec<Gateway> = (0..GATEWAYS)
+        .map(|number| start(&format!("n{number}"), number))
+        .collect();
     // Long after the 10 s for which a gateway that was started may not know every record.
     sleep_ms(14_000);
     let mut warm = connect(places[0].address());
     for number in 0..3 {
         let id = new_id();
-        ask(&mut warm, record, &format!("clerk, entry {number}"), &id, &write_text("warm", b"count", &id));
+        ask(
+            &mut warm,
+            record,
+            &format!("clerk, entry {number}"),
+            &id,
+            &write_text("warm", b"count", &id),
+        );
     }
     let mut killed = None;
     if trouble() {
@@ -486,15 +703,27 @@
     sleep_ms(2_000);
     let mut client = connect(places[1].address());
     let again = new_id();
-    let text = text.replace(&format!("id={id}"), &format!("id={again}")).replace(&format!("k={key}"), &format!("k={key},r=1"));
+    let text = text
+        .replace(&format!("id={id}"), &format!("id={again}"))
+        .replace(&format!("k={key}"), &format!("k={key},r=1"));
     let second = ask(&mut client, record, "clerk, once more", &again, &text);
     sleep_ms(300);
     let runs = scene.set.times_run(&id) + scene.set.times_run(&again);
-    record.line(&format!("the hosts have applied the write with key {key} {runs} times"));
+    record.line(&format!(
+        "the hosts have applied the write with key {key} {runs} times"
+    ));
     drop((gateways, killed));
     match runs {
         0 => cannot_run("the write was not applied at all"),
-        1 => Ok(format!("applied once; {}, then {}", answer.short(), second.short())),
-        _ => Err(format!("the write with key {key} was applied {runs} times; {}, then {}", answer.short(), second.short())),
+        1 => Ok(format!(
+            "applied once; {}, then {}",
+            answer.short(),
+            second.short()
+        )),
+        _ => Err(format!(
+            "the write with key {key} was applied {runs} times; {}, then {}",
+            answer.short(),
+            second.short()
+        )),
     }
 }
--- a/review/standins-2/src/discovery.rs
+++ b/review/standins-2/src/discovery.rs
@@ -32,14 +32,27 @@
             entry.id, entry.address, entry.phase, entry.up_since_ms
         )
     }).collect();
-    format!(r#"{{"revision":{},"complete":true,"members":[{}]}}"#, list.revision, entries.join(","))
+    format!(
+        r#"{{"revision":{},"complete":true,"members":[{}]}}"#,
+        list.revision,
+        entries.join(",")
+    )
 }
 
 impl Discovery {
     pub fn start(entries: Vec<Entry>, record: Record) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let list = Arc::new((Mutex::new(List { revision: 41, entries }), Condvar::new()));
-        let discovery = Discovery { address: listener.local_addr().unwrap(), list };
+        let list = Arc::new((
+            Mutex::new(List {
+                revision: 41,
+                entries,
+            }),
+            Condvar::new(),
+        ));
+        let discovery = Discovery {
+            address: listener.local_addr().unwrap(),
+            list,
+        };
         let served = discovery.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -72,22 +85,34 @@
                     break;
                 }
             }
-            let number = |name: &str| path.split(['?', '&']).find_map(|part| part.strip_prefix(name)?.parse::<u64>().ok());
+            let number = |name: &str| {
+                path.split(['?', '&'])
+                    .find_map(|part| part.strip_prefix(name)?.parse::<u64>().ok())
+            };
             let body = match number("from=") {
                 None => {
                     record.line(&format!("discovery: {path}"));
                     self.json()
                 }
                 Some(from) => {
-                    let until = Instant::now() + Duration::from_millis(number("hold_ms=").unwrap_or(0));
+                    let until =
+                        Instant::now() + Duration::from_millis(number("hold_ms=").unwrap_or(0));
                     let mut list = self.list.0.lock().unwrap();
                     while list.revision <= from && Instant::now() < until {
-                        list = self.list.1.wait_timeout(list, until - Instant::now()).unwrap().0;
+                        list = self
+                            .list
+                            .1
+                            .wait_timeout(list, until - Instant::now())
+                            .unwrap()
+                            .0;
                     }
                     if list.revision > from {
                         list_json(&list)
                     } else {
-                        format!(r#"{{"revision":{},"complete":false,"members":[]}}"#, list.revision)
+                        format!(
+                            r#"{{"revision":{},"complete":false,"members":[]}}"#,
+                            list.revision
+                        )
                     }
                 }
             };
--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -11,10 +11,13 @@
 
 /// The command `run` of the deploy file.
 fn run_command() -> String {
-    let text = std::fs::read_to_string("deploy/balancer.toml").unwrap_or_else(|_| crate::cannot_run("no deploy/balancer.toml"));
+    let text = std::fs::read_to_string("deploy/balancer.toml")
+        .unwrap_or_else(|_| crate::cannot_run("no deploy/balancer.toml"));
     let line = text.lines().find_map(|line| line.strip_prefix("run"));
     let command = line.and_then(|line| line.split('"').nth(1));
-    command.unwrap_or_else(|| crate::cannot_run("no run in the deploy file")).to_string()
+    command
+        .unwrap_or_else(|| crate::cannot_run("no run in the deploy file"))
+        .to_string()
 }
 
 /// What the platform keeps for one gateway over all of its processes: the clients' socket and TMPDIR.
@@ -27,9 +30,13 @@
     pub fn new() -> Place {
         static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
         let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        let directory = std::env::temp_dir().join(format!("irisrouter-review-{}-{number}", std::process::id()));
+        let directory =
+            std::env::temp_dir().join(format!("irisrouter-review-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&directory).unwrap();
-        Place { socket: TcpListener::bind("127.0.0.1:0").unwrap(), directory }
+        Place {
+            socket: TcpListener::bind("127.0.0.1:0").unwrap(),
+            directory,
+        }
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -69,8 +76,21 @@
 }
 
 /// Starts a process of the gateway.
-pub fn start(name: &str, place: &Place, listening: Listening, fleet: &Fleet, discovery: SocketAddr, known: &str, settings: &str, record: &Record) -> Gateway {
-    let listen = if listening == Listening::Own { "127.0.0.1:0".to_string() } else { place.address().to_string() };
+pub fn start(
+    name: &str,
+    place: &Place,
+    listening: Listening,
+    fleet: &Fleet,
+    discovery: SocketAddr,
+    known: &str,
+    settings: &str,
+    record: &Record,
+) -> Gateway {
+    let listen = if listening == Listening::Own {
+        "127.0.0.1:0".to_string()
+    } else {
+        place.address().to_string()
+    };
     let config = format!(
         r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","console":"127.0.0.1:0","seed":"8c1f30d27a5be964",
 "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},{}"known":{known},"settings":{settings}}}"#,
@@ -86,7 +106,9 @@
     let mut command = Command::new("/bin/sh");
     if listening == Listening::Passed {
         command.args(["-c", &format!("exec 3<&0 0</dev/null; {}", run_command())]);
-        command.stdin(OwnedFd::from(place.socket.try_clone().unwrap())).env("BALANCER_PASSED_SOCKET", "3");
+        command
+            .stdin(OwnedFd::from(place.socket.try_clone().unwrap()))
+            .env("BALANCER_PASSED_SOCKET", "3");
     } else {
         command.args(["-c", &run_command()]).stdin(Stdio::null());
     }
@@ -112,9 +134,28 @@
             collected.lock().unwrap().push(line);
         }
     });
-    let mut gateway = Gateway { child, name: name.into(), log, console: place.address(), address: place.address(), record: record.clone() };
-    gateway.console = gateway.wait_for_log("operators call ").rsplit(' ').next().unwrap().parse().unwrap();
-    gateway.address = gateway.wait_for_log("listens on ").rsplit(' ').next().unwrap().parse().unwrap();
+    let mut gateway = Gateway {
+        child,
+        name: name.into(),
+        log,
+        console: place.address(),
+        address: place.address(),
+        record: record.clone(),
+    };
+    gateway.console = gateway
+        .wait_for_log("operators call ")
+        .rsplit(' ')
+        .next()
+        .unwrap()
+        .parse()
+        .unwrap();
+    gateway.address = gateway
+        .wait_for_log("listens on ")
+        .rsplit(' ')
+        .next()
+        .unwrap()
+        .parse()
+        .unwrap();
     gateway.wait_ready();
     gateway
 }
@@ -123,7 +164,13 @@
     fn wait_for_log(&self, text: &str) -> String {
         let until = Instant::now() + Duration::from_secs(30);
         while Instant::now() < until {
-            if let Some(line) = self.log.lock().unwrap().iter().find(|line| line.contains(text)) {
+            if let Some(line) = self
+                .log
+                .lock()
+                .unwrap()
+                .iter()
+                .find(|line| line.contains(text))
+            {
                 return line.clone();
             }
             sleep_ms(5);
@@ -136,7 +183,11 @@
         while Instant::now() < until {
             let answer = self.call("readyz");
             if answer.starts_with("+OK") {
-                self.record.line(&format!("{}: readyz is answered {}", self.name, answer.trim()));
+                self.record.line(&format!(
+                    "{}: readyz is answered {}",
+                    self.name,
+                    answer.trim()
+                ));
                 return;
             }
             sleep_ms(20);
@@ -154,8 +205,11 @@
     }
 
     pub fn signal(&self, name: &str) {
-        self.record.line(&format!("platform: SIG{name} to {}", self.name));
-        let status = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+        self.record
+            .line(&format!("platform: SIG{name} to {}", self.name));
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &self.child.id().to_string()])
+            .status();
         if !status.is_ok_and(|status| status.success()) {
             self.record.line("platform: the signal could not be sent");
         }
@@ -166,7 +220,8 @@
         let until = Instant::now() + limit;
         loop {
             if let Ok(Some(status)) = self.child.try_wait() {
-                self.record.line(&format!("{} has ended by itself: {status}", self.name));
+                self.record
+                    .line(&format!("{} has ended by itself: {status}", self.name));
                 return true;
             }
             if Instant::now() >= until {
@@ -190,8 +245,13 @@
 
 /// Kills what still runs, by its id.
 pub fn kill_all() {
-    let running = RUNNING.lock().map(|mut ids| std::mem::take(&mut *ids)).unwrap_or_default();
+    let running = RUNNING
+        .lock()
+        .map(|mut ids| std::mem::take(&mut *ids))
+        .unwrap_or_default();
     for id in running {
-        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+        let _ = Command::new("kill")
+            .args(["-KILL", &id.to_string()])
+            .status();
     }
 }
--- a/review/standins-2/src/peers.rs
+++ b/review/standins-2/src/peers.rs
@@ -20,11 +20,19 @@
     pub fn start(gateways: usize) -> Peers {
         let bind = || UdpSocket::bind("127.0.0.1:0").unwrap();
         // The gateways bind these ports later.
-        let listen: Vec<SocketAddr> = (0..gateways).map(|_| bind()).collect::<Vec<_>>().iter().map(|socket| socket.local_addr().unwrap()).collect();
+        let listen: Vec<SocketAddr> = (0..gateways)
+            .map(|_| bind())
+            .collect::<Vec<_>>()
+            .iter()
+            .map(|socket| socket.local_addr().unwrap())
+            .collect();
         let relays: Arc<Vec<UdpSocket>> = Arc::new((0..gateways).map(|_| bind()).collect());
         let broadcast = bind();
         let peers = Peers {
-            addresses: relays.iter().map(|socket| socket.local_addr().unwrap()).collect(),
+            addresses: relays
+                .iter()
+                .map(|socket| socket.local_addr().unwrap())
+                .collect(),
             listen: listen.clone(),
             all: broadcast.local_addr().unwrap(),
         };
@@ -38,15 +46,26 @@
 
     /// The keys of the configuration of one gateway.
     pub fn config(&self, gateway: usize) -> String {
-        let all: Vec<String> = self.addresses.iter().map(|address| format!("\"{address}\"")).collect();
-        format!(r#""peer_listen":"{}","peers":[{}],"peers_all":"{}","#, self.listen[gateway], all.join(","), self.all)
+        let all: Vec<String> = self
+            .addresses
+            .iter()
+            .map(|address| format!("\"{address}\""))
+            .collect();
+        format!(
+            r#""peer_listen":"{}","peers":[{}],"peers_all":"{}","#,
+            self.listen[gateway],
+            all.join(","),
+            self.all
+        )
     }
 }
 
 fn forward(inbox: &UdpSocket, relays: &[UdpSocket], listen: &[SocketAddr], to: Option<usize>) {
     let mut buffer = [0; 512];
     while let Ok((length, sender)) = inbox.recv_from(&mut buffer) {
-        let Some(from) = listen.iter().position(|&address| address == sender) else { continue };
+        let Some(from) = listen.iter().position(|&address| address == sender) else {
+            continue;
+        };
         sleep_ms(DELAY_MS);
         for receiver in 0..listen.len() {
             if receiver != from && to.is_none_or(|to| to == receiver) && length <= 256 {
--- a/review/standins-2/src/record.rs
+++ b/review/standins-2/src/record.rs
@@ -13,8 +13,12 @@
 
 impl Record {
     pub fn create(path: &str) -> Record {
-        let file = File::create(path).unwrap_or_else(|error| crate::cannot_run(&format!("{path}: {error}")));
-        Record { start: Instant::now(), file: Arc::new(Mutex::new(file)) }
+        let file = File::create(path)
+            .unwrap_or_else(|error| crate::cannot_run(&format!("{path}: {error}")));
+        Record {
+            start: Instant::now(),
+            file: Arc::new(Mutex::new(file)),
+        }
     }
 
     pub fn line(&self, text: &str) {
@@ -26,7 +30,10 @@
 
 /// Unix time in milliseconds.
 pub fn now_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
 }
 
 pub fn sleep_ms(milliseconds: u64) {
--- a/review/standins-2/src/set.rs
+++ b/review/standins-2/src/set.rs
@@ -75,7 +75,11 @@
             .map(|number| {
                 let listener = TcpListener::bind("127.0.0.1:0").unwrap();
                 let host = Arc::new(Host {
-                    id: if number == 0 { "s-primary".into() } else { format!("s-replica{number}") },
+                    id: if number == 0 {
+                        "s-primary".into()
+                    } else {
+                        format!("s-replica{number}")
+                    },
                     address: listener.local_addr().unwrap(),
                     primary: number == 0,
                     slowed: Arc::clone(&slowed),
@@ -98,7 +102,12 @@
                 host
             })
             .collect();
-        Set { hosts, runs, taken, slowed }
+        Set {
+            hosts,
+            runs,
+            taken,
+            slowed,
+        }
     }
 
     /// Waits until a host has taken a request, for 2 s at most.
@@ -123,7 +132,12 @@
     }
 
     pub fn entries(&self) -> Vec<Entry> {
-        let entry = |host: &Arc<Host>| Entry { id: host.id.clone(), address: host.address, phase: "in_service", up_since_ms: 0 };
+        let entry = |host: &Arc<Host>| Entry {
+            id: host.id.clone(),
+            address: host.address,
+            phase: "in_service",
+            up_since_ms: 0,
+        };
         self.hosts.iter().map(entry).collect()
     }
 }
@@ -153,7 +167,9 @@
     fn serve(&self, mut stream: TcpStream) -> Option<()> {
         stream.set_nodelay(true).ok()?;
         read_startup(&mut stream).ok()?;
-        stream.write_all(&[message(b'R', &[0; 4]), ready()].concat()).ok()?;
+        stream
+            .write_all(&[message(b'R', &[0; 4]), ready()].concat())
+            .ok()?;
         loop {
             let (tag, body) = read_message(&mut stream).ok()?;
             if tag != b'Q' {
@@ -162,7 +178,12 @@
             let text = String::from_utf8_lossy(&body[..body.len() - 1]).into_owned();
             if text == "SHOW usage" {
                 let position = self.position();
-                let report = format!("x0={}.{:03},x1={},util=0.2", position / 1000, position % 1000, u8::from(self.primary));
+                let report = format!(
+                    "x0={}.{:03},x1={},util=0.2",
+                    position / 1000,
+                    position % 1000,
+                    u8::from(self.primary)
+                );
                 self.answer(&mut stream, report.as_bytes(), None)?;
             } else if text == "SELECT 1" {
                 self.answer(&mut stream, b"1", None)?;
@@ -176,27 +197,47 @@
         let (id, class) = (field(text, "id")?, field(text, "c")?);
         self.taken.lock().unwrap().push(id.to_string());
         if self.silent.load(Ordering::Relaxed) {
-            self.record.line(&format!("{}: {id} {class}: taken, and the host hangs", self.id));
+            self.record.line(&format!(
+                "{}: {id} {class}: taken, and the host hangs",
+                self.id
+            ));
             // Whoever waits gets nothing; the connection stays open until the other side ends it.
             while read_message(stream).is_ok() {}
             return None;
         }
         if class.contains("write") {
             if !self.primary {
-                self.record.line(&format!("{}: {id} {class}: 25006", self.id));
+                self.record
+                    .line(&format!("{}: {id} {class}: 25006", self.id));
                 return stream.write_all(&[error("25006"), ready()].concat()).ok();
             }
             sleep_ms(self.pace.work_ms);
             let payload = unhex(text.split("\\x").nth(1)?.split('\'').next()?);
             if self.drops_repeat(field(text, "k")) {
-                self.record.line(&format!("{}: {id} {class}: a repeat within 1.2 s, dropped", self.id));
+                self.record.line(&format!(
+                    "{}: {id} {class}: a repeat within 1.2 s, dropped",
+                    self.id
+                ));
                 return self.answer(stream, &payload, Some(now_ms()));
             }
             let at_ms = now_ms() + 1;
             *self.runs.lock().unwrap().entry(id.to_string()).or_default() += 1;
-            let commit = Commit { at_ms, payload: payload.clone() };
-            self.log.lock().unwrap().entry(key(text).to_string()).or_default().push(commit);
-            self.record.line(&format!("{}: {id} {class} of {}: committed at {at_ms}, {} bytes", self.id, key(text), payload.len()));
+            let commit = Commit {
+                at_ms,
+                payload: payload.clone(),
+            };
+            self.log
+                .lock()
+                .unwrap()
+                .entry(key(text).to_string())
+                .or_default()
+                .push(commit);
+            self.record.line(&format!(
+                "{}: {id} {class} of {}: committed at {at_ms}, {} bytes",
+                self.id,
+                key(text),
+                payload.len()
+            ));
             return self.answer(stream, &payload, Some(at_ms));
         }
         if class == "report" {
@@ -204,10 +245,18 @@
             return self.answer(stream, b"report", None);
         }
         if class == "bulk" {
-            self.record.line(&format!("{}: {id} {class}: gives {} bytes in pieces", self.id, self.pace.bulk_bytes));
+            self.record.line(&format!(
+                "{}: {id} {class}: gives {} bytes in pieces",
+                self.id, self.pace.bulk_bytes
+            ));
             let done = self.answer(stream, &vec![b'v'; self.pace.bulk_bytes], None);
-            let end = if done.is_some() { "has given all of it" } else { "the gateway has closed its connection" };
-            self.record.line(&format!("{}: {id} {class}: {end}", self.id));
+            let end = if done.is_some() {
+                "has given all of it"
+            } else {
+                "the gateway has closed its connection"
+            };
+            self.record
+                .line(&format!("{}: {id} {class}: {end}", self.id));
             return done;
         }
         sleep_ms(self.pace.work_ms);
@@ -215,10 +264,20 @@
         let value = {
             let log = self.log.lock().unwrap();
             let commits = log.get(key(text));
-            let seen = commits.and_then(|commits| commits.iter().rev().find(|commit| self.primary || commit.at_ms <= position));
+            let seen = commits.and_then(|commits| {
+                commits
+                    .iter()
+                    .rev()
+                    .find(|commit| self.primary || commit.at_ms <= position)
+            });
             seen.map_or(b"nothing".to_vec(), |commit| commit.payload.clone())
         };
-        self.record.line(&format!("{}: {id} {class} of {}: read at position {position}, {} bytes", self.id, key(text), value.len()));
+        self.record.line(&format!(
+            "{}: {id} {class} of {}: read at position {position}, {} bytes",
+            self.id,
+            key(text),
+            value.len()
+        ));
         self.answer(stream, &value, Some(position))
     }
 
@@ -228,7 +287,9 @@
             return false;
         };
         let mut keys = self.keys.lock().unwrap();
-        let known = keys.get(key).is_some_and(|&ran_at| now_ms() < ran_at + REPEATS_DROPPED_MS);
+        let known = keys
+            .get(key)
+            .is_some_and(|&ran_at| now_ms() < ran_at + REPEATS_DROPPED_MS);
         if self.pace.keyed && !known {
             keys.insert(key.to_string(), now_ms());
         }
@@ -263,5 +324,8 @@
 
 fn unhex(text: &str) -> Vec<u8> {
     let digit = |byte: u8| (byte as char).to_digit(16).unwrap_or(0) as u8;
-    text.as_bytes().chunks(2).map(|pair| digit(pair[0]) << 4 | digit(*pair.get(1).unwrap_or(&b'0'))).collect()
+    text.as_bytes()
+        .chunks(2)
+        .map(|pair| digit(pair[0]) << 4 | digit(*pair.get(1).unwrap_or(&b'0')))
+        .collect()
 }
--- a/review/standins-2/src/settings.rs
+++ b/review/standins-2/src/settings.rs
@@ -19,7 +19,9 @@
 
 impl Settings {
     pub fn json(&self) -> String {
-        let list = |of: &dyn Fn(&Class) -> String| self.classes.iter().map(of).collect::<Vec<_>>().join(",");
+        let list = |of: &dyn Fn(&Class) -> String| {
+            self.classes.iter().map(of).collect::<Vec<_>>().join(",")
+        };
         let classes = list(&|class| {
             format!(
                 r#"{{"Name":"{}","Effect":"{}","Group":"cell","AimNs":{}000000,"DeadlineNs":{}000000,"LateWorth":0.0,"Streamed":false,"WindowNs":1200000000,"Worth":1.0}}"#,
@@ -37,7 +39,11 @@
 "Penalties":{{"Probe":0.04}},"RoundNs":5000000,
 "Rules":{{"AnswerSlackNs":20000000,"AskWithinNs":10000000000,"ColdNs":14000000000,"DrainGraceNs":500000000,"OverloadFactor":2.0,"StartCapacity":0.15,"TipAfterNs":3000000000}},
 "Tenants":[],"Weights":"nominal","WorthBy":"request"}}"#,
-            self.gateway.1, self.gateway.0, self.gateway.1 > 1, self.server_checks, self.session_marks
+            self.gateway.1,
+            self.gateway.0,
+            self.gateway.1 > 1,
+            self.server_checks,
+            self.session_marks
         )
     }
 }
--- a/review/standins-2/src/wire.rs
+++ b/review/standins-2/src/wire.rs
@@ -63,7 +63,10 @@
 pub enum Answer {
     Row(Vec<u8>),
     Empty,
-    Error { code: String, value_bytes: usize },
+    Error {
+        code: String,
+        value_bytes: usize,
+    },
     /// The connection ended first, after so many bytes of the answer.
     Ended(usize),
 }
@@ -74,8 +77,12 @@
             Answer::Row(value) if value.len() > 40 => format!("a row of {} bytes", value.len()),
             Answer::Row(value) => format!("row {}", String::from_utf8_lossy(value)),
             Answer::Empty => "EmptyQueryResponse".into(),
-            Answer::Error { code, value_bytes } => format!("error {code} behind {value_bytes} bytes of a row"),
-            Answer::Ended(bytes) => format!("the connection ended after {bytes} bytes of the answer"),
+            Answer::Error { code, value_bytes } => {
+                format!("error {code} behind {value_bytes} bytes of a row")
+            }
+            Answer::Ended(bytes) => {
+                format!("the connection ended after {bytes} bytes of the answer")
+            }
         }
     }
 }
@@ -118,7 +125,10 @@
     }
 
     pub fn answer(&mut self) -> Answer {
-        let mut counted = Counted { stream: &mut self.stream, bytes: 0 };
+        let mut counted = Counted {
+            stream: &mut self.stream,
+            bytes: 0,
+        };
         let (mut value, mut complete, mut empty, mut code) = (Vec::new(), false, false, None);
         loop {
             let Ok((tag, body)) = read_message(&mut counted) else {
@@ -134,7 +144,10 @@
             }
         }
         match code {
-            Some(code) => Answer::Error { code, value_bytes: value.len() },
+            Some(code) => Answer::Error {
+                code,
+                value_bytes: value.len(),
+            },
             None if complete => Answer::Row(value),
             None if empty => Answer::Empty,
             None => Answer::Ended(counted.bytes),
@@ -157,14 +170,23 @@
 
 fn sqlstate(body: &[u8]) -> String {
     let fields = body.split(|&byte| byte == 0);
-    let code = fields.into_iter().find(|field| field.first() == Some(&b'C'));
-    code.map_or_else(String::new, |field| String::from_utf8_lossy(&field[1..]).into())
+    let code = fields
+        .into_iter()
+        .find(|field| field.first() == Some(&b'C'));
+    code.map_or_else(String::new, |field| {
+        String::from_utf8_lossy(&field[1..]).into()
+    })
 }
 
 /// The value of a name in the comment of a statement.
 pub fn field<'a>(text: &'a str, name: &str) -> Option<&'a str> {
     let comment = text.rsplit_once("/*")?.1.trim_end().trim_end_matches("*/");
-    comment.split(',').find_map(|pair| pair.trim().strip_prefix(name)?.strip_prefix('=').map(str::trim))
+    comment.split(',').find_map(|pair| {
+        pair.trim()
+            .strip_prefix(name)?
+            .strip_prefix('=')
+            .map(str::trim)
+    })
 }
 
 /// The first quoted string of a statement.
