--- a/review/standins-2/src/set.rs
+++ b/review/standins-2/src/set.rs
@@ -210,7 +210,7 @@
             while read_message(stream).is_ok() {}
             return None;
         }
-        if class.contains("write") {
+        if text.starts_with("INSERT") {
             if !self.primary {
                 self.record
                     .line(&format!("{}: {id} {class}: 25006", self.id));
