Share the ids of open requests between the processes of a hot restart

What callers saw: while a hot restart lasted, a request with the id of one that was open at the other process was passed on.

Cause: OpenIds belonged to one process, and nothing that the processes told each other had the ids. The same held in the other direction, for ids of clients that had left, after a process had ended with attempts on their way, and for a process that started while the older one was stopped.

Change: src/net/claims. Each process publishes the ids of its open requests in a file in the shared directory; to claim an id, a process takes one lock, searches the files of the others and enters the id into its own. A request that must not run twice is sent only with its claim. Alone, a process publishes nothing.

--- a/src/net/downstream/query.rs
+++ b/src/net/downstream/query.rs
@@ -224,6 +224,10 @@
                 let message = "no answer could be had, and it may have run";
                 Ok(self.error_message(code::INTERNAL_ERROR, message))
             }
+            QueryOutcome::Answered(Answer::DuplicateId) => {
+                let message = StatementError::DuplicateRequestId.to_string();
+                Ok(self.error_message(code::SYNTAX_ERROR, &message))
+            }
         }
     }
 
--- a/src/net/downstream/reserved_ids.rs
+++ b/src/net/downstream/reserved_ids.rs
@@ -95,7 +95,7 @@
         self.listener.classes.find(statement.class)?;
         let is_valid = context.upstream.may_have_group(GroupId(statement.group));
         is_valid
-            .then(|| context.open_ids.reserve(statement.id))
+            .then(|| context.open_ids.reserve_waiting(statement.id))
             .flatten()
     }
 }
--- a/src/net/hot_restart.rs
+++ b/src/net/hot_restart.rs
@@ -13,6 +13,7 @@
 use crate::net::endpoint_list::EndpointList;
 use crate::net::log::log;
 use crate::net::request::classes::Classes;
+use crate::net::request::OpenIds;
 use crate::net::router_task::RouterHandle;
 use crate::net::upstream::Upstream;
 use irisrouter::routing::{Event, RoutingSnapshot};
@@ -144,6 +145,8 @@
     pub router: Rc<RouterHandle>,
     /// The names of the request classes.
     pub classes: Rc<Classes>,
+    /// The ids of the open requests.
+    pub open_ids: Rc<OpenIds>,
 }
 
 /// This process's side of hot restarts, both as successor and as predecessor.
@@ -226,6 +229,8 @@
 
     async fn serve_successor(&self) -> io::Result<()> {
         let stream = self.accept_successor().await?;
+        // Before the successor accepts clients, which it does once it has the document.
+        self.dependencies.open_ids.refresh_claims();
         let document = self.document().await;
         let mut stream = BufReader::new(stream);
         write_line(&mut stream, &document).await?;
@@ -263,6 +268,7 @@
 
     /// Reports the usage to the process on one side, and receives its reports, until the connection ends.
     async fn share_limits(&self, side: Side, stream: BufReader<UnixStream>) {
+        self.dependencies.open_ids.neighbor_connected();
         let (reader, writer) = tokio::io::split(stream);
         let result: io::Result<Infallible> = tokio::select! {
             result = self.send_usage(side, writer) => result,
@@ -271,6 +277,7 @@
         // Whatever ended the connection, the process on that side counts as one that uses no resources any more.
         let _ = result;
         self.set_usage(side, ResourceUsage::default());
+        self.dependencies.open_ids.neighbor_disconnected();
     }
 
     async fn send_usage(
--- a/src/net/lifecycle/gateway.rs
+++ b/src/net/lifecycle/gateway.rs
@@ -51,7 +51,7 @@
         if let Some(address) = config.console_address {
             spawn_console(address, &parts, &services)?;
         }
-        let client_listener = build_client_listener(&parts, &services, &descriptors);
+        let client_listener = build_client_listener(&config, &parts, &services, &descriptors);
         let revision = start_hot_restart(&config, &parts, &client_listener).await;
         position.revision = position.revision.max(revision);
         let router_task = spawn_router(&parts);
--- a/src/net/lifecycle/startup.rs
+++ b/src/net/lifecycle/startup.rs
@@ -4,6 +4,7 @@
 //! All tasks run on one thread.
 
 use crate::net::admin::console::{self, Console};
+use crate::net::claims;
 use crate::net::cluster::services::ClusterServices;
 use crate::net::config::{Config, ListenerSource};
 use crate::net::descriptor_budget::DescriptorBudget;
@@ -18,11 +19,12 @@
 use crate::net::lifecycle::StartupError;
 use crate::net::log::log;
 use crate::net::metrics::{record_max, Metrics};
-use crate::net::request::RequestContext;
+use crate::net::request::{OpenIds, RequestContext};
 use crate::net::router_task::run_router;
 use crate::net::upstream::{Upstream, IDLE_CLOSE_INTERVAL};
 use irisrouter_endpoint_watch::Revision;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -71,8 +73,10 @@
     Ok(())
 }
 
-/// Builds the part that serves clients. It does not accept connections yet.
+/// Builds the part that serves clients, and joins the other processes of this gateway. It does not accept connections
+/// yet.
 pub fn build_client_listener(
+    config: &Config,
     parts: &SharedParts,
     services: &ClusterServices,
     descriptors: &DescriptorBudget,
@@ -82,7 +86,7 @@
         descriptors.usual_client_connections,
     );
     Rc::new(ClientListener {
-        request_context: Rc::new(build_request_context(parts, services)),
+        request_context: Rc::new(build_request_context(config, parts, services)),
         pool: Rc::clone(&parts.buffers),
         classes: Rc::clone(&parts.classes),
         connection_limit,
@@ -92,7 +96,12 @@
     })
 }
 
-fn build_request_context(parts: &SharedParts, services: &ClusterServices) -> RequestContext {
+fn build_request_context(
+    config: &Config,
+    parts: &SharedParts,
+    services: &ClusterServices,
+) -> RequestContext {
+    let shared_directory = config.hot_restart_socket.as_deref().and_then(Path::parent);
     RequestContext {
         router: Rc::clone(&parts.router),
         upstream: Rc::clone(&parts.upstream),
@@ -101,7 +110,7 @@
         shutdown: watch::Sender::new(None),
         write_intents: services.write_intents.clone(),
         site_failover: services.site_failover.clone(),
-        open_ids: Rc::default(),
+        open_ids: Rc::new(OpenIds::join(shared_directory.map(Path::to_path_buf))),
     }
 }
 
@@ -120,6 +129,7 @@
         buffers: Rc::clone(&parts.buffers),
         router: Rc::clone(&parts.router),
         classes: Rc::clone(&parts.classes),
+        open_ids: Rc::clone(&client_listener.request_context.open_ids),
     };
     let hot_restart = Rc::new(HotRestart::new(path, dependencies));
     let revision = hot_restart.take_over().await;
@@ -165,7 +175,7 @@
 }
 
 /// Starts the tasks that close idle connections to database hosts and, where many clients are connected, the client
-/// connections that have been quiet longest.
+/// connections that have been quiet longest, and the task that notices other processes of this gateway.
 pub fn spawn_housekeeping(parts: &SharedParts, client_listener: &ClientListener) {
     let upstream = Rc::clone(&parts.upstream);
     spawn_local(repeat(IDLE_CLOSE_INTERVAL, move || upstream.close_idle()));
@@ -173,6 +183,10 @@
     spawn_local(repeat(IDLE_EVICTION_INTERVAL, move || {
         connection_limit.evict_longest_idle()
     }));
+    let open_ids = Rc::clone(&client_listener.request_context.open_ids);
+    spawn_local(repeat(claims::REFRESH_INTERVAL, move || {
+        open_ids.refresh_claims();
+    }));
     let metrics = Rc::clone(&parts.metrics);
     spawn_local(watch_event_loop(metrics));
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,18 +9,19 @@
 //! 3. `buffers`: pooled memory for messages
 //! 4. `pg`: the framing of the PostgreSQL protocol
 //! 5. `descriptor_budget`: the division of the process's descriptors
-//! 6. `serving_state`: whether the process serves clients
-//! 7. `endpoint_list`: the list of database hosts, from any source
-//! 8. `config`: the environment, the configuration file and the operators' file
-//! 9. `upstream`: database hosts and the connections to them
-//! 10. `router_task`: the task that owns the router
-//! 11. `cluster`: the services through which gateways cooperate
-//! 12. `request`: one request from its arrival to its final answer
-//! 13. `discovery`: keeps the endpoint list up to date
-//! 14. `downstream`: the connections of clients
-//! 15. `admin`: the console and the printed counters
-//! 16. `hot_restart`: the hand-over between two versions of one gateway
-//! 17. `lifecycle`: start, signals, reload and shutdown; connects all other modules
+//! 6. `claims`: ids that all processes of a gateway respect
+//! 7. `serving_state`: whether the process serves clients
+//! 8. `endpoint_list`: the list of database hosts, from any source
+//! 9. `config`: the environment, the configuration file and the operators' file
+//! 10. `upstream`: database hosts and the connections to them
+//! 11. `router_task`: the task that owns the router
+//! 12. `cluster`: the services through which gateways cooperate
+//! 13. `request`: one request from its arrival to its final answer
+//! 14. `discovery`: keeps the endpoint list up to date
+//! 15. `downstream`: the connections of clients
+//! 16. `admin`: the console and the printed counters
+//! 17. `hot_restart`: the hand-over between two versions of one gateway
+//! 18. `lifecycle`: start, signals, reload and shutdown; connects all other modules
 //!
 //! All of them may use the clock, the time conversions and the socket functions in this file.
 //!
@@ -29,6 +30,7 @@
 
 pub mod admin;
 pub mod buffers;
+pub mod claims;
 pub mod cluster;
 pub mod config;
 pub mod descriptor_budget;
--- a/src/net/request/answer.rs
+++ b/src/net/request/answer.rs
@@ -23,6 +23,8 @@
     },
     /// The request failed, and it is unknown whether it ran.
     Failed,
+    /// Another process of the gateway has an open request with the same id.
+    DuplicateId,
 }
 
 /// The answer that a client is waiting for, until it is sent or the client leaves.
@@ -56,6 +58,7 @@
             Answer::Served(_) | Answer::Streamed(_) => &requests.served,
             Answer::Rejected { .. } => &requests.rejected,
             Answer::Failed => &requests.failed,
+            Answer::DuplicateId => &requests.malformed,
         });
         // Sending fails if the client has just left; it needs no answer then.
         let _ = sender.send(answer);
--- a/src/net/request/attempts.rs
+++ b/src/net/request/attempts.rs
@@ -2,6 +2,7 @@
 
 use crate::net::metrics::increment;
 use crate::net::request::context::RequestContext;
+use crate::net::request::open_ids::OpenId;
 use crate::net::request::presence::ClientPresence;
 use crate::net::request::write_intent::WriteIntent;
 use crate::net::upstream::{
@@ -58,37 +59,41 @@
     /// Long answers that have begun to arrive.
     pub(super) streams: UnboundedReceiver<StartedStream>,
     stream_sender: UnboundedSender<StartedStream>,
-    request: RequestId,
-    statement: Rc<Statement>,
+    request: Rc<RequestAttributes>,
     /// Set once the request has been answered or its client has left. An attempt that was started earlier, but whose
     /// connection is ready only afterwards, is then not sent.
     request_finished: Rc<Cell<bool>>,
-    presence: Rc<ClientPresence>,
-    write_intent: Option<Rc<WriteIntent>>,
-    context: Rc<RequestContext>,
+}
+
+/// What all attempts of a request have in common.
+pub(super) struct RequestAttributes {
+    /// Id of the request at the router.
+    pub(super) id: RequestId,
+    /// Id that the client gave the request.
+    pub(super) open_id: Rc<OpenId>,
+    /// Whether an attempt may be sent only while the id of the request is claimed among the processes of the gateway.
+    pub(super) must_not_run_twice: bool,
+    /// Statement that is sent.
+    pub(super) statement: Statement,
+    /// Whether the client is known to be still connected.
+    pub(super) presence: Rc<ClientPresence>,
+    /// Write intent that is recorded before an attempt is sent.
+    pub(super) write_intent: Option<Rc<WriteIntent>>,
+    /// The state that all requests share.
+    pub(super) context: Rc<RequestContext>,
 }
 
 impl Attempts {
     /// Creates the attempts of a request for which none has been started yet.
-    pub(super) fn new(
-        context: Rc<RequestContext>,
-        request: RequestId,
-        statement: Statement,
-        presence: Rc<ClientPresence>,
-        write_intent: Option<Rc<WriteIntent>>,
-    ) -> Self {
+    pub(super) fn new(request: RequestAttributes) -> Self {
         let (stream_sender, streams) = unbounded_channel();
         Attempts {
             started: Vec::new(),
             running: JoinSet::new(),
             streams,
             stream_sender,
-            request,
-            statement: Rc::new(statement),
+            request: Rc::new(request),
             request_finished: Rc::new(Cell::new(false)),
-            presence,
-            write_intent,
-            context,
         }
     }
 
@@ -100,13 +105,9 @@
     /// Starts an attempt, which ends `timeout` from now at the latest.
     pub(super) fn start(&mut self, member: MemberId, timeout: TimeDelta) {
         let attempt = AttemptTask {
-            context: Rc::clone(&self.context),
-            request: self.request,
-            statement: Rc::clone(&self.statement),
+            request: Rc::clone(&self.request),
             request_finished: Rc::clone(&self.request_finished),
-            presence: Rc::clone(&self.presence),
             stream_sender: self.stream_sender.clone(),
-            write_intent: self.write_intent.clone(),
             attempt_number: self.started.len(),
             member,
             timeout,
@@ -143,13 +144,9 @@
 
 /// The parameters that the task of an attempt runs with.
 struct AttemptTask {
-    context: Rc<RequestContext>,
-    request: RequestId,
-    statement: Rc<Statement>,
+    request: Rc<RequestAttributes>,
     request_finished: Rc<Cell<bool>>,
-    presence: Rc<ClientPresence>,
     stream_sender: UnboundedSender<StartedStream>,
-    write_intent: Option<Rc<WriteIntent>>,
     attempt_number: usize,
     member: MemberId,
     /// Time from the start of the attempt to its latest end.
@@ -164,7 +161,7 @@
             return Outcome::NotSent.into();
         }
         let task_started_at = Instant::now();
-        if let Some(write_intent) = &self.write_intent {
+        if let Some(write_intent) = &self.request.write_intent {
             // The write is sent only after other gateways have recorded its intent. A gateway without that record would
             // send a retry of the write even after the resend window.
             if !write_intent.record().await {
@@ -175,7 +172,7 @@
         let timeout = self.timeout - time_delta(task_started_at.elapsed());
         let outgoing = OutgoingStatement {
             member: self.member,
-            statement: &self.statement,
+            statement: &self.request.statement,
             deadline: Instant::now() + duration(timeout),
         };
         let on_stream = |answer| {
@@ -186,7 +183,7 @@
             // Sending fails if the task of the request has ended. The answer is dropped then, which ends the stream.
             let _ = self.stream_sender.send(stream);
         };
-        let upstream = &self.context.upstream;
+        let upstream = &self.request.context.upstream;
         upstream
             .attempt(outgoing, || self.send_deadline(), on_stream)
             .await
@@ -198,16 +195,20 @@
         if self.request_finished.get() {
             return None;
         }
-        if !self.presence.allows_attempts(Instant::now()) {
-            increment(&self.context.metrics.connections.presence_unknown);
+        let RequestAttributes {
+            presence, context, ..
+        } = &*self.request;
+        if !presence.allows_attempts(Instant::now()) {
+            increment(&context.metrics.connections.presence_unknown);
             return None;
         }
-        let now = self.context.clock.now();
+        let now = context.clock.now();
         let attempt = self.attempt_number as u32;
-        let permit = self
-            .context
-            .router
-            .permit_send(now, self.request, attempt)?;
+        let permit = context.router.permit_send(now, self.request.id, attempt)?;
+        let marked = self.request.open_id.mark_sent(Instant::now());
+        if marked.is_err() && self.request.must_not_run_twice {
+            return None;
+        }
         let time_left = permit.send_by.map(|send_by| duration(send_by - now));
         Some(SendDeadline(time_left.map(|left| Instant::now() + left)))
     }
--- a/src/net/request/lifecycle.rs
+++ b/src/net/request/lifecycle.rs
@@ -3,10 +3,13 @@
 
 use crate::net::metrics::increment;
 use crate::net::request::answer::{Answer, PendingAnswer};
-use crate::net::request::attempts::{Attempts, EndedAttempt, JoinedAttempt, StartedStream};
+use crate::net::request::attempts::{
+    Attempts, EndedAttempt, JoinedAttempt, RequestAttributes, StartedStream,
+};
 use crate::net::request::classes::ClassHandle;
 use crate::net::request::context::{ClientRequest, RequestContext, ShutdownDeadlines};
 use crate::net::request::earlier_attempts::CheckedRequest;
+use crate::net::request::id_claim::{may_run_twice, UnclaimedRequest};
 use crate::net::request::open_ids::OpenId;
 use crate::net::request::write_intent::{ResendError, WriteIntent};
 use crate::net::router_task::{RegisteredRequest, RequestCommand};
@@ -37,6 +40,10 @@
         }
         let mut answer = PendingAnswer::new(answer, Rc::clone(&self.metrics));
         let deadline = self.answer_deadline(request.timeout);
+        if let Err(unclaimed) = self.claim_id(&request, &mut answer, deadline).await {
+            self.end_unclaimed(unclaimed, answer);
+            return;
+        }
         match self.check_earlier_attempts(&request, deadline).await {
             Ok(checked) => Lifecycle::begin(self, request, checked, answer).run().await,
             Err(ResendError::WindowExpired | ResendError::Unproven) => {
@@ -45,6 +52,20 @@
         }
     }
 
+    /// Answers a request that is not routed because its id is not claimed.
+    fn end_unclaimed(&self, unclaimed: UnclaimedRequest, mut answer: PendingAnswer) {
+        match unclaimed {
+            UnclaimedRequest::Duplicate => {
+                answer.send(Answer::DuplicateId);
+            }
+            UnclaimedRequest::Expired => {
+                let retry_after = TimeDelta::ZERO;
+                answer.send(Answer::Rejected { retry_after });
+            }
+            UnclaimedRequest::ClientGone => increment(&self.metrics.requests.client_gone),
+        }
+    }
+
     /// Returns the time by which a client with this timeout needs its answer. It is not later than the shutdown's
     /// deadline for answers.
     fn answer_deadline(&self, timeout: Duration) -> Instant {
@@ -78,7 +99,7 @@
     /// Whether the client left before its answer.
     is_abandoned: bool,
     // The id and the class are held until the last attempt has ended.
-    open_id: OpenId,
+    open_id: Rc<OpenId>,
     _class: Rc<ClassHandle>,
 }
 
@@ -133,24 +154,27 @@
             retry: request.retry,
         });
         let write_intent = checked.write_intent.map(Rc::new);
+        let open_id = Rc::new(request.id);
         Lifecycle {
             id,
             commands,
             answer,
-            attempts: Attempts::new(
-                Rc::clone(&context),
+            attempts: Attempts::new(RequestAttributes {
                 id,
-                request.statement,
-                request.presence,
-                write_intent.clone(),
-            ),
+                open_id: Rc::clone(&open_id),
+                must_not_run_twice: !may_run_twice(&request.class.class),
+                statement: request.statement,
+                presence: request.presence,
+                write_intent: write_intent.clone(),
+                context: Rc::clone(&context),
+            }),
             streaming_attempt: None,
             write_intent,
             decision_deadline: (checked.deadline - ANSWER_MARGIN).max(now + MIN_DECISION_TIME),
             shutdown: subscribe_to_shutdown(&context),
             context,
             is_abandoned: false,
-            open_id: request.id,
+            open_id,
             _class: request.class,
         }
     }
@@ -320,7 +344,7 @@
 }
 
 /// Subscribes to the shutdown deadlines. Returns `None` if the shutdown has already begun.
-fn subscribe_to_shutdown(
+pub(super) fn subscribe_to_shutdown(
     context: &RequestContext,
 ) -> Option<watch::Receiver<Option<ShutdownDeadlines>>> {
     let notice = context.shutdown.subscribe();
@@ -331,7 +355,7 @@
 /// Waits until the deadline of a decision, or until the shutdown's deadline for answers where that is earlier.
 /// Otherwise this answer, and those to the requests that are queued behind it, would be due only after the process is
 /// killed.
-async fn decision_timeout(
+pub(super) async fn decision_timeout(
     shutdown: &mut Option<watch::Receiver<Option<ShutdownDeadlines>>>,
     deadline: Instant,
 ) {
--- a/src/net/request/mod.rs
+++ b/src/net/request/mod.rs
@@ -5,6 +5,7 @@
 pub mod classes;
 mod context;
 mod earlier_attempts;
+mod id_claim;
 mod lifecycle;
 mod open_ids;
 mod presence;
@@ -12,5 +13,5 @@
 
 pub use answer::{retry_after_milliseconds, Answer};
 pub use context::{ClientRequest, RequestContext, ShutdownDeadlines};
-pub use open_ids::OpenId;
+pub use open_ids::{OpenId, OpenIds};
 pub use presence::ClientPresence;
