Soak hot restarts with copied ids, and measure the round trip of a request

What claims cost a request was not measured.

Change: tests/gateway/hot_restart_soak.rs draws from a seed when processes of one gateway start, stop for a while, get signals in series, end 3.7 s after SIGTERM or are killed, while clients keep their connections and copiers send what others have just sent, with the same ids.

--- a/tests/gateway/harness/gateway.rs
+++ b/tests/gateway/harness/gateway.rs
@@ -64,18 +64,19 @@
     std::env::temp_dir().join(format!("{prefix}-{}-{number}", std::process::id()))
 }
 
-/// Starts the program with this configuration text, and passes the socket on as descriptor 3 if there is one. Returns
-/// the process and the path of its configuration file.
+/// Starts a program with this configuration text, and passes the socket on as descriptor 3 if there is one. Returns the
+/// process and the path of its configuration file.
 fn launch(
+    program: &str,
     config: &str,
     discovery: Option<SocketAddr>,
     socket: Option<&InheritedSocket>,
 ) -> (Child, PathBuf) {
     let path = unique_path("irisrouter");
     std::fs::write(&path, config).unwrap();
-    let mut command = Command::new(PROGRAM);
+    let mut command = Command::new(program);
     if let Some(socket) = socket {
-        command = command_with_socket(socket);
+        command = command_with_socket(program, socket);
     }
     command
         .env("BALANCER_CONFIG", &path)
@@ -90,10 +91,10 @@
 }
 
 /// A shell that moves its standard input to descriptor 3 and becomes the program.
-fn command_with_socket(socket: &InheritedSocket) -> Command {
+fn command_with_socket(program: &str, socket: &InheritedSocket) -> Command {
     let mut command = Command::new("sh");
     command
-        .args(["-c", "exec \"$0\" 3<&0 0</dev/null", PROGRAM])
+        .args(["-c", "exec \"$0\" 3<&0 0</dev/null", program])
         .stdin(OwnedFd::from(socket.listener.try_clone().unwrap()))
         .env("BALANCER_PASSED_SOCKET", "3")
         .env("TMPDIR", &socket.directory);
@@ -109,7 +110,7 @@
 
 /// Starts the program with a configuration that it rejects, and waits for its exit.
 pub fn start_with_invalid_config(config: &str) -> StartupFailure {
-    let (child, path) = launch(config, None, None);
+    let (child, path) = launch(PROGRAM, config, None, None);
     let output = child.wait_with_output().unwrap();
     std::fs::remove_file(&path).unwrap();
     let stderr = String::from_utf8(output.stderr).unwrap();
@@ -150,13 +151,29 @@
         discovery: &Discovery,
         hosts: &[&Host],
         adjust: impl FnOnce(&mut Value),
+    ) -> Self {
+        Self::start_program(PROGRAM, socket, discovery, hosts, adjust)
+    }
+
+    /// Starts a gateway of another version of the program, as [`Gateway::start_with_socket`] does.
+    pub fn start_program(
+        program: &str,
+        socket: Option<&InheritedSocket>,
+        discovery: &Discovery,
+        hosts: &[&Host],
+        adjust: impl FnOnce(&mut Value),
     ) -> Self {
         let members: Vec<Value> = hosts.iter().map(|h| h.entry("in_service", 0)).collect();
         let mut config = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
             "console": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": {"revision": 1, "complete": true, "members": members}, "settings": base_settings()});
         adjust(&mut config);
-        let (mut child, config_path) = launch(&config.to_string(), Some(discovery.address), socket);
+        let (mut child, config_path) = launch(
+            program,
+            &config.to_string(),
+            Some(discovery.address),
+            socket,
+        );
         let log = Monitor::new(Vec::<String>::new());
         let collected = log.clone();
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod drains;
 mod harness;
 mod hot_restart;
+mod hot_restart_soak;
 mod ids_across_processes;
 mod late_connections;
 mod limits;
