Let a stopping process that owes answers outlast the earliest kill

Cause: finish_open_requests waited for the longest deadline from the end of accepting, which is the signal where the listener is inherited, while requests are read for up to 1 s more.

--- a/src/net/lifecycle/shutdown.rs
+++ b/src/net/lifecycle/shutdown.rs
@@ -36,6 +36,9 @@
 /// thirds are for closing the connections. Unless deadlines are short, those are longer than the 0.15 s for which a
 /// machine may be paused.
 const READ_DIVISOR: u32 = 3;
+/// Time after the earliest kill for which a process that still owes an answer goes on. What it loses by ending on its own
+/// is lost, whereas the platform excuses what the kill finds; and the kill may come later than it is due.
+const EXIT_AFTER_KILL: Duration = Duration::from_secs(1);
 /// Minimum time that clients have to close their side of a connection that the gateway has closed.
 const LAST_CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between two checks whether a step of the shutdown is complete. Short compared with
@@ -107,7 +110,7 @@
         } = self;
         stop_accepting(&client_listener, listener, accept_task).await;
         parts.serving_state.close();
-        finish_open_requests(&parts, &client_listener).await;
+        finish_open_requests(&parts, &client_listener, started).await;
         client_listener.request_context.open_ids.leave();
     }
 
@@ -160,15 +163,14 @@
     }
 }
 
-/// Waits until all connections are closed and all requests have ended. The wait is limited to the longest deadline of
-/// the requests in flight, or to [`LAST_CLOSE_TIMEOUT`] if that is longer. A request keeps the deadline of the class
-/// with which it arrived, even if the settings have changed since.
-async fn finish_open_requests(parts: &SharedParts, client_listener: &ClientListener) {
-    let time_limit = parts
-        .classes
-        .longest_deadline_in_use()
-        .max(LAST_CLOSE_TIMEOUT);
-    let deadline = Instant::now() + time_limit;
+/// Waits until all connections are closed and all requests have ended, until [`exit_deadline`] at the latest.
+async fn finish_open_requests(
+    parts: &SharedParts,
+    client_listener: &ClientListener,
+    started: Instant,
+) {
+    let longest_deadline = parts.classes.longest_deadline_in_use();
+    let deadline = exit_deadline(started, Instant::now(), longest_deadline);
     let has_work = || {
         client_listener.connection_limit.open_connections() > 0 || parts.router.open_requests() > 0
     };
@@ -181,6 +183,16 @@
     }
 }
 
+/// Returns the time at which a shutdown that began at `started` ends although connections or requests are open. Requests
+/// were accepted until `now`, and `longest_deadline` is the longest of their classes: a request keeps the deadline of the
+/// class with which it arrived, even if the settings have changed since.
+fn exit_deadline(started: Instant, now: Instant, longest_deadline: Duration) -> Instant {
+    let after_last_request = now + longest_deadline.max(LAST_CLOSE_TIMEOUT);
+    // Requests on open connections are accepted for a while after `now` too. Their answers are due before the kill.
+    let after_kill = started + longest_deadline + KILL_DELAY + EXIT_AFTER_KILL;
+    after_last_request.max(after_kill)
+}
+
 #[cfg(test)]
 #[path = "../../../tests/unit/shutdown.rs"]
 mod tests;
--- a/tests/gateway/shutdown.rs
+++ b/tests/gateway/shutdown.rs
@@ -2,13 +2,15 @@
 
 use crate::harness::client::Client;
 use crate::harness::discovery::Discovery;
-use crate::harness::gateway::Gateway;
-use crate::harness::host::{no_reply_to_slow, Host};
+use crate::harness::gateway::{Gateway, InheritedSocket};
+use crate::harness::host::{no_reply_to_slow, Host, HostReply};
 use crate::harness::manual_host::{read_query, send_authentication_ok, ManualHost};
 use crate::harness::messages::{query_message, slow_query_message, statement};
 use insta::assert_snapshot;
 use serde_json::json;
 use std::io::Read;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
 
 #[test]
 fn new_clients_are_served_and_open_requests_finished_after_sigterm() {
@@ -104,3 +106,68 @@
         .log
         .update(|l| assert!(!l.iter().any(|l| l.contains(" received=0")), "{l:?}"));
 }
+
+/// Guards against the older process of a hot restart that ends before the answer of a request which it took after
+/// SIGTERM (review case 6), and with it the client's connection.
+#[test]
+fn older_process_of_a_hot_restart_answers_what_it_takes_after_sigterm() {
+    const DEADLINE: Duration = Duration::from_millis(1_500);
+    // SIGKILL is due 0.7 s after the longest deadline.
+    const EARLIEST_KILL: Duration = Duration::from_millis(2_200);
+    let host = Host::start("s-1", true, no_reply_to_slow);
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let socket = InheritedSocket::new();
+    let start = || {
+        Gateway::start_with_socket(Some(&socket), &discovery, &[&host], |config| {
+            for class in config["settings"]["Classes"].as_array_mut().unwrap() {
+                class["DeadlineNs"] = json!(DEADLINE.as_nanos() as u64);
+            }
+        })
+    };
+    let mut older = start();
+    let mut client = older.client();
+    assert!(client.query(&statement("once", 1_500)).contains("a1b2"));
+    let _newer = start();
+    let terminated = Instant::now();
+    older.signal("-TERM");
+    older.wait_for_log("stopping");
+    sleep(Duration::from_millis(200));
+    client.send(&slow_query_message(1_500));
+    let answer = client.read_until_ready();
+    assert!(
+        answer.starts_with("ErrorResponse SERROR VERROR CXX000"),
+        "{answer}"
+    );
+    assert!(terminated.elapsed() < EARLIEST_KILL);
+    assert_eq!(older.exit_code(), Some(0));
+}
+
+/// Guards against the older process of a hot restart that ends in the middle of a value which its host still gives
+/// (review case 6, second variant).
+#[test]
+fn older_process_of_a_hot_restart_does_not_cut_off_a_value_before_the_kill() {
+    const DEADLINE: Duration = Duration::from_millis(800);
+    const EARLIEST_KILL: Duration = Duration::from_millis(1_500);
+    let host = Host::start("s-1", true, |_, text| match text {
+        _ if text.contains("long") => HostReply::PausedRow(1 << 20),
+        _ => HostReply::Row("a1b2"),
+    });
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let socket = InheritedSocket::new();
+    let older = Gateway::start_with_socket(Some(&socket), &discovery, &[&host], |config| {
+        for class in config["settings"]["Classes"].as_array_mut().unwrap() {
+            class["DeadlineNs"] = json!(DEADLINE.as_nanos() as u64);
+        }
+    });
+    let mut client = older.client();
+    let long_read = statement("read", 800).replace("7f3a", "long");
+    client.send(&query_message(&long_read));
+    host.wait_for_event("long");
+    let terminated = Instant::now();
+    older.signal("-TERM");
+    older.wait_for_log("stopping");
+    sleep(EARLIEST_KILL.saturating_sub(terminated.elapsed()));
+    host.resume();
+    let answer = client.read_until_ready();
+    assert!(answer.contains("CommandComplete"), "{}", answer.len());
+}
--- a/tests/unit/shutdown.rs
+++ b/tests/unit/shutdown.rs
@@ -42,3 +42,20 @@
         );
     }
 }
+
+/// Guards against a process that ends before the answers that it owes are due, and before the platform kills it: the
+/// time for which it waits must not be a share of the time until the kill.
+#[test]
+fn process_with_open_requests_outlasts_the_earliest_kill_whatever_the_deadlines_are() {
+    let started = Instant::now();
+    for ms in [150, 300, 800, 1_000, 2_000, 3_000, 12_000, 30_000] {
+        let longest = Duration::from_millis(ms);
+        let schedule = ShutdownSchedule::new(longest);
+        let kill_at = longest.min(LONGEST_COUNTED_DEADLINE) + KILL_DELAY;
+        for accepted_until in [Duration::ZERO, schedule.accept_requests_until] {
+            let exit = exit_deadline(started, started + accepted_until, longest) - started;
+            assert!(exit > kill_at, "{ms} ms: {exit:?}");
+            assert!(exit >= accepted_until + longest, "{ms} ms: {exit:?}");
+        }
+    }
+}
