Break off a value at a shutdown only if its host has stopped giving it

Cause: next_chunk asked whether answers were due and queries waited, and not whether the host hung.

Change: it also asks that the host has given nothing for 0.2 s.

--- a/src/net/downstream/streamed_answer.rs
+++ b/src/net/downstream/streamed_answer.rs
@@ -13,12 +13,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 
 /// Bytes that take the place of the missing part of a value.
 static PADDING: [u8; 64 * 1024] = [0; 64 * 1024];
 /// Interval between two checks, after the shutdown's deadline for answers, whether queries wait behind an answer.
 const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// Time without a byte after which a host counts as having stopped giving its answer. Longer than the 0.15 s for which a
+/// machine may be paused.
+const HOST_PAUSE: Duration = Duration::from_millis(200);
 
 impl ClientConnection {
     /// Forwards a long answer while it arrives, and returns its last part, which is not written yet.
@@ -46,7 +49,7 @@
     }
 
     /// Returns the next part of an answer. Returns `None` if the answer has broken off, or has to be broken off: queries
-    /// wait behind it, and the shutdown's deadline for their answers has passed.
+    /// wait behind it, the shutdown's deadline for their answers has passed, and the host has stopped giving the answer.
     async fn next_chunk(
         &mut self,
         rest: &mut mpsc::Receiver<StreamChunk>,
@@ -54,7 +57,11 @@
         let context = Rc::clone(&self.listener.request_context);
         // An answer that arrives without a pause would otherwise keep queries and a disconnect from being noticed.
         self.read_available(ReadPurpose::ReadAhead)?;
-        while !context.answers_are_overdue() || self.input.unanswered_queries() == 0 {
+        let waiting_since = Instant::now();
+        while !context.answers_are_overdue()
+            || self.input.unanswered_queries() == 0
+            || waiting_since.elapsed() < HOST_PAUSE
+        {
             let received = async {
                 tokio::select! {
                     biased;
--- a/tests/gateway/harness/host.rs
+++ b/tests/gateway/harness/host.rs
@@ -222,7 +222,7 @@
 }
 
 /// A complete reply: a row of one column, and the role of the host.
-fn row_reply(value: &str, is_primary: bool) -> Vec<u8> {
+pub fn row_reply(value: &str, is_primary: bool) -> Vec<u8> {
     let role = if is_primary { "writer" } else { "reader" };
     [
         row_messages(value),
--- a/tests/gateway/pipelining.rs
+++ b/tests/gateway/pipelining.rs
@@ -3,11 +3,12 @@
 use crate::harness::client::{assert_incomplete_value, Client};
 use crate::harness::discovery::Discovery;
 use crate::harness::gateway::Gateway;
-use crate::harness::host::{no_reply_to_slow, Host, HostReply};
+use crate::harness::host::{no_reply_to_slow, row_reply, Host, HostReply};
 use crate::harness::manual_host::{read_query, send_authentication_ok, ManualHost};
 use crate::harness::messages::{query_message, read_query_message, startup_message, statement};
 use serde_json::json;
 use std::io::Write;
+use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 /// Minimum time from SIGTERM until the platform kills the gateway, for settings whose deadlines are 3 s or longer.
@@ -500,6 +501,47 @@
     assert!(elapsed < EARLIEST_KILL, "{elapsed:?}");
 }
 
+/// Guards against a planned shutdown that breaks off a long value which its host still gives, for the sake of a query
+/// behind it (second review, `shutdown-value`).
+#[test]
+fn value_that_its_host_still_gives_is_not_broken_off_for_a_query_behind_it() {
+    const DEADLINE: Duration = Duration::from_millis(800);
+    const EARLIEST_KILL: Duration = Duration::from_millis(1_500);
+    const LENGTH: usize = 1 << 20;
+    const PIECES: usize = 40;
+    let manual_host = ManualHost::start();
+    let discovery = Discovery::start(vec![manual_host.entry("in_service")]);
+    let gateway = Gateway::start_with_config(&discovery, &[], |config| {
+        config["known"]["members"] = json!([manual_host.entry("in_service")]);
+        config["settings"]["Bounds"]["Probes"] = json!(false);
+        for class in config["settings"]["Classes"].as_array_mut().unwrap() {
+            class["DeadlineNs"] = json!(DEADLINE.as_nanos() as u64);
+        }
+    });
+    let mut client = gateway.client();
+    let queries = [
+        read_query_with_wait("01", 800),
+        read_query_with_wait("02", 800),
+    ];
+    client.send(&queries.concat());
+    let mut host = manual_host.accept();
+    send_authentication_ok(&mut host);
+    read_query(&mut host).unwrap();
+    let terminated = Instant::now();
+    gateway.signal("-TERM");
+    gateway.wait_for_log("stopping");
+    // The last piece is given 50 ms before the kill is due.
+    let pause = (EARLIEST_KILL - Duration::from_millis(50)) / PIECES as u32;
+    let reply = row_reply(&"v".repeat(LENGTH), false);
+    for (number, piece) in reply.chunks(reply.len().div_ceil(PIECES)).enumerate() {
+        let due = terminated + pause * (number as u32 + 1);
+        sleep(due.saturating_duration_since(Instant::now()));
+        host.write_all(piece).unwrap();
+    }
+    let answer = client.read_until_ready();
+    assert!(answer.contains("CommandComplete"), "{}", answer.len());
+}
+
 /// Guards against a client that takes the id of a request which waits behind another one on its connection: the waiting
 /// request would be rejected, and the later one served.
 #[test]
