Remember a session's write although its position is unknown

Cause: the end of a streamed attempt is posted when the stream begins, without a status, and what comes behind the row was dropped. A write was remembered only together with its position.

Change: a write that may have run is recorded at each end of an attempt, without a position as of now; Event::StreamEnded tells the router what came behind a streamed row.

--- a/src/net/request/lifecycle.rs
+++ b/src/net/request/lifecycle.rs
@@ -14,7 +14,9 @@
 use crate::net::request::write_intent::{ResendError, WriteIntent};
 use crate::net::router_task::{RegisteredRequest, RequestCommand};
 use crate::net::time_delta;
-use irisrouter::routing::{Event, MemberId, Outcome, ReplicationStatus, RequestId, TimeDelta};
+use irisrouter::routing::{
+    Event, MemberId, Outcome, ReplicationStatus, RequestId, SessionId, StreamEnd, TimeDelta,
+};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -98,9 +100,10 @@
     shutdown: Option<watch::Receiver<Option<ShutdownDeadlines>>>,
     /// Whether the client left before its answer.
     is_abandoned: bool,
+    session: Option<SessionId>,
     // The id and the class are held until the last attempt has ended.
     open_id: Rc<OpenId>,
-    _class: Rc<ClassHandle>,
+    class: Rc<ClassHandle>,
 }
 
 /// An event in the lifecycle of a request.
@@ -175,7 +178,8 @@
             context,
             is_abandoned: false,
             open_id,
-            _class: request.class,
+            session: request.session,
+            class: request.class,
         }
     }
 
@@ -253,6 +257,13 @@
             if result.outcome != Outcome::Ok {
                 increment(&self.context.metrics.requests.truncated);
             }
+            // What the host said behind the row: its role, and the position of a write.
+            self.context.router.post(Event::StreamEnded(StreamEnd {
+                member: self.attempts.started[attempt].member,
+                class: self.class.slot,
+                session: self.session,
+                status: result.status,
+            }));
             return;
         }
         if result.outcome == Outcome::Cancelled {
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -62,6 +62,19 @@
     }
 }
 
+/// The end of a streamed answer, complete or not.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StreamEnd {
+    /// The member.
+    pub member: MemberId,
+    /// Class of the request, as an index into the settings.
+    pub class: usize,
+    /// Session of the client, if it has one.
+    pub session: Option<SessionId>,
+    /// Role and position of the member, if the answer was complete and has them.
+    pub status: Option<ReplicationStatus>,
+}
+
 /// Something that happened, as the caller reports it to the router.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -120,6 +133,8 @@
         /// Load report that was part of the answer.
         report: Option<LoadReport>,
     },
+    /// A streamed answer has ended, some time after the end of its attempt, which is reported when the stream begins.
+    StreamEnded(StreamEnd),
     /// The client has disconnected, or has been answered without the router.
     ClientGone {
         /// The request.
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -32,7 +32,7 @@
 const SLOW_START_LONG_DIVISOR: f64 = 2.0;
 /// Margin that is added to a session's position, because commit times are rounded up and positions
 /// down to the millisecond.
-const COMMIT_ROUNDING_MARGIN: TimeDelta = TimeDelta::from_millis(1);
+pub(super) const COMMIT_ROUNDING_MARGIN: TimeDelta = TimeDelta::from_millis(1);
 /// Number of connect timeouts for which a report that a member is full counts.
 const FULL_REPORT_LIFETIME: i64 = 4;
 
--- a/src/routing/fleet_updates.rs
+++ b/src/routing/fleet_updates.rs
@@ -3,8 +3,8 @@
 
 use super::concurrency_limit::{ConcurrencyLimit, Promptness};
 use super::endpoint::{Endpoint, LoadReport, ReplicationStatus, SharedHealthCheck};
-use super::event::Outcome;
-use super::fleet::Fleet;
+use super::event::{Outcome, StreamEnd};
+use super::fleet::{Fleet, COMMIT_ROUNDING_MARGIN};
 use super::identifiers::{GroupId, MemberId, SessionId};
 use super::latency::SAMPLE_WEIGHT;
 use super::member::{Member, ProcessChange};
@@ -152,7 +152,10 @@
     pub(super) fn attempt_ended(&mut self, result: &AttemptResult) {
         self.apply_outcome(result);
         if let Some(status) = result.status {
-            self.apply_status(result, status);
+            self.apply_status(result.member, status);
+        }
+        if !result.outcome.never_ran() {
+            self.record_session_write(result.class, result.session, result.status);
         }
         if let Some(report) = result.report {
             self.apply_report(result.member, report);
@@ -162,6 +165,17 @@
         }
     }
 
+    /// Applies what the end of a streamed answer tells about its member and its session.
+    pub(super) fn stream_ended(&mut self, end: &StreamEnd) {
+        let status = end
+            .status
+            .filter(|_| self.members.contains_key(&end.member));
+        if let Some(status) = status {
+            self.apply_status(end.member, status);
+        }
+        self.record_session_write(end.class, end.session, end.status);
+    }
+
     /// Applies the outcome of an attempt to the member's health, latency and limits.
     fn apply_outcome(&mut self, result: &AttemptResult) {
         let id = result.member;
@@ -240,18 +254,29 @@
         self.reachability_changed(id);
     }
 
-    /// Applies the status that an answer contains. The position of a write is stored for its
-    /// session if session reads do not carry the age of their session's last write.
-    fn apply_status(&mut self, result: &AttemptResult, status: ReplicationStatus) {
+    /// Applies the status that an answer contains.
+    fn apply_status(&mut self, id: MemberId, status: ReplicationStatus) {
         let now = self.now;
-        let member = self.member_mut(result.member);
+        let member = self.member_mut(id);
         member.replication.apply_status(status, now);
-        let stores_commit = self.is_write(result.class) && !self.settings.last_write_age_carried;
-        if let (true, Some(session), Some(position)) =
-            (stores_commit, result.session, status.position)
-        {
-            self.session_commits.record(session, position);
-        }
+    }
+
+    /// Stores the position of a write that may have run for its session, if session reads do not
+    /// carry the age of their session's last write. Where the position is unknown, it is no later
+    /// than now.
+    fn record_session_write(
+        &mut self,
+        class: usize,
+        session: Option<SessionId>,
+        status: Option<ReplicationStatus>,
+    ) {
+        let stores_commit = self.is_write(class) && !self.settings.last_write_age_carried;
+        let Some(session) = session.filter(|_| stores_commit) else {
+            return;
+        };
+        let position = status.and_then(|status| status.position);
+        let position = position.unwrap_or(self.now + COMMIT_ROUNDING_MARGIN);
+        self.session_commits.record(session, position);
     }
 
     /// Applies a load report from an answer or from a health check of this gateway.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -44,7 +44,7 @@
 pub use endpoint::{
     Endpoint, EndpointState, LoadReport, ReplicationStatus, Role, SharedHealthCheck,
 };
-pub use event::{Event, FailoverDirectives, Outcome, RecoveryRamp};
+pub use event::{Event, FailoverDirectives, Outcome, RecoveryRamp, StreamEnd};
 pub use identifiers::{GroupId, MemberId, RequestId, SessionId, ZoneId};
 pub use member::Member;
 pub use router::Router;
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -90,6 +90,7 @@
             Event::Request { .. } => self.request_arrived(event),
             Event::Streaming { .. } | Event::TimerFired => {}
             Event::AttemptEnded { .. } => self.attempt_ended(event),
+            Event::StreamEnded(end) => self.fleet.stream_ended(end),
             Event::ClientGone { id } => self.close(*id),
             Event::HealthChecked {
                 member,
--- a/tests/gateway/harness/host.rs
+++ b/tests/gateway/harness/host.rs
@@ -61,6 +61,8 @@
     pub events: Monitor<Vec<String>>,
     /// The role that the host reports.
     pub is_primary: Monitor<bool>,
+    /// How far the position that the host reports is behind the current time, in milliseconds.
+    pub lag_ms: Monitor<u128>,
 }
 
 impl Host {
@@ -72,10 +74,12 @@
             address: listener.local_addr().unwrap(),
             events: Monitor::new(Vec::new()),
             is_primary: Monitor::new(is_primary),
+            lag_ms: Monitor::new(0),
         };
         let statement_count = Monitor::new(0);
         let events = host.events.clone();
         let is_primary = host.is_primary.clone();
+        let lag_ms = host.lag_ms.clone();
         spawn(move || {
             for (number, stream) in listener.incoming().enumerate() {
                 let mut connection = HostConnection {
@@ -84,6 +88,7 @@
                     script,
                     events: events.clone(),
                     is_primary: is_primary.clone(),
+                    lag_ms: lag_ms.clone(),
                     statement_count: statement_count.clone(),
                 };
                 spawn(move || {
@@ -132,6 +137,7 @@
     script: ReplyScript,
     events: Monitor<Vec<String>>,
     is_primary: Monitor<bool>,
+    lag_ms: Monitor<u128>,
     statement_count: Monitor<usize>,
 }
 
@@ -163,7 +169,8 @@
 
     fn send_load_report(&mut self) -> Option<()> {
         let is_primary = self.is_primary.update(|value| *value);
-        self.send(&load_report_reply(is_primary))
+        let lag_ms = self.lag_ms.update(|value| *value);
+        self.send(&load_report_reply(is_primary, lag_ms))
     }
 
     fn answer_statement(&mut self, text: &str) -> Option<()> {
@@ -245,13 +252,13 @@
     [message(b'T', &column), message(b'D', &cell)].concat()
 }
 
-/// The load report of a host whose data are current.
-pub fn load_report_reply(is_primary: bool) -> Vec<u8> {
-    let now = unix_ms();
+/// The load report of a host whose data are this old.
+pub fn load_report_reply(is_primary: bool, lag_ms: u128) -> Vec<u8> {
+    let position = unix_ms() - lag_ms;
     let report = format!(
         "x0={}.{:03},x1={},util=0.1",
-        now / 1000,
-        now % 1000,
+        position / 1000,
+        position % 1000,
         u8::from(is_primary)
     );
     row_reply(&report, is_primary)
--- a/tests/gateway/harness/manual_host.rs
+++ b/tests/gateway/harness/manual_host.rs
@@ -82,7 +82,7 @@
 
 /// Answers a health check as a replica whose data are current.
 pub fn send_load_report(stream: &mut TcpStream) {
-    stream.write_all(&load_report_reply(false)).unwrap();
+    stream.write_all(&load_report_reply(false, 0)).unwrap();
 }
 
 /// Reads the next query on a connection; `None` if the connection has ended.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -17,5 +17,6 @@
 mod pipelining;
 mod protocol;
 mod retries;
+mod session_writes;
 mod shutdown;
 mod streaming;
