Share the last session write between the processes of a hot restart

Cause: the positions of sessions' writes belong to the router of one process, and nothing told the other one of them.

Change: each process publishes the position of the last write of any session in the header of its claim table, before the client of that write is told; a read of a session needs a member that has reached the latest position of the other processes. While one has not published, a read needs data as new as itself. OpenIds no longer passes calls on to Claims.

--- a/src/net/claims/mod.rs
+++ b/src/net/claims/mod.rs
@@ -1,4 +1,5 @@
-//! Claims: the ids of open requests that all processes of one gateway respect while a hot restart lasts.
+//! Claims: the state that all processes of one gateway share while a hot restart lasts: the ids of open requests, and the
+//! position of the last write of any session.
 //!
 //! A process that shares its claims keeps them in a file in the shared directory, its claim table. To claim an id, it
 //! takes a lock on the directory, searches the tables of the other processes, and enters the id into its own. Exactly
--- a/src/net/claims/others.rs
+++ b/src/net/claims/others.rs
@@ -3,6 +3,7 @@
 use super::directory::SharedDirectory;
 use super::registry::{ClaimError, RETENTION};
 use super::table::{ClaimKey, ClaimState, Generation, TableFile};
+use irisrouter::routing::Timestamp;
 use std::io;
 use std::path::{Path, PathBuf};
 use tokio::time::Instant;
@@ -24,6 +25,8 @@
     noticed_at: Instant,
     /// Whether attempts of the owner may still run.
     has_sent_claims: bool,
+    /// Position of the last write of any session that the owner knew.
+    last_session_write: Option<Timestamp>,
 }
 
 /// The tables of all other processes. All methods but [`OtherProcesses::is_empty`] are called with the lock of the
@@ -31,6 +34,8 @@
 #[derive(Debug, Default)]
 pub(super) struct OtherProcesses {
     processes: Vec<OtherProcess>,
+    /// Position of the last session write of the processes whose tables are gone.
+    last_session_write_of_ended: Option<Timestamp>,
 }
 
 impl OtherProcesses {
@@ -55,6 +60,11 @@
         for process in &mut self.processes {
             process.notice_end(now);
         }
+        for process in &self.processes {
+            let end = process.end.as_ref();
+            let position = end.and_then(|end| end.last_session_write);
+            self.last_session_write_of_ended = self.last_session_write_of_ended.max(position);
+        }
         self.processes.retain(|process| process.still_counts(now));
         Ok(())
     }
@@ -72,6 +82,29 @@
         Ok(())
     }
 
+    /// Returns the position of the last session write of the processes that have ended.
+    pub(super) fn last_session_write_of_ended(&self) -> Option<Timestamp> {
+        self.last_session_write_of_ended
+    }
+
+    /// Returns the position of the last write of any session at another process.
+    ///
+    /// # Errors
+    ///
+    /// [`ClaimError::NotAcknowledged`] if a running process has not published its position since this process joined in
+    /// generation `joined_in`.
+    pub(super) fn last_session_write(
+        &mut self,
+        joined_in: Generation,
+    ) -> Result<Option<Timestamp>, ClaimError> {
+        let mut last = self.last_session_write_of_ended;
+        for process in &mut self.processes {
+            process.check_acknowledged(joined_in)?;
+            last = last.max(process.table.last_session_write()?);
+        }
+        Ok(last)
+    }
+
     fn has(&self, path: &Path) -> bool {
         self.processes
             .iter()
@@ -102,6 +135,7 @@
                 noticed_at: now,
                 // A table that cannot be read counts until the end of its retention.
                 has_sent_claims: self.table.has_sent_claims().unwrap_or(true),
+                last_session_write: self.table.last_session_write().unwrap_or(None),
             });
         }
     }
@@ -126,6 +160,10 @@
             Some(ClaimState::Unsent) if !self.has_ended() => return Err(ClaimError::Taken),
             Some(ClaimState::Unsent) | None => {}
         }
+        self.check_acknowledged(joined_in)
+    }
+
+    fn check_acknowledged(&mut self, joined_in: Generation) -> Result<(), ClaimError> {
         self.has_acknowledged = self.has_acknowledged || self.table.acknowledged()? >= joined_in;
         if self.has_acknowledged || self.has_ended() {
             Ok(())
--- a/src/net/claims/registry.rs
+++ b/src/net/claims/registry.rs
@@ -4,6 +4,7 @@
 use super::others::OtherProcesses;
 use super::table::{ClaimKey, ClaimState, Generation, Slot, SlotsInUse, TableFile};
 use crate::net::log::log;
+use irisrouter::routing::Timestamp;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::path::{Path, PathBuf};
@@ -186,6 +187,23 @@
         }
     }
 
+    /// Records the position of a session's write, before its client is told of it.
+    pub fn record_session_write(&self, position: Timestamp) {
+        if let Some(member) = &mut *self.member.borrow_mut() {
+            let result = member.record_session_write(Some(position));
+            self.report(result.map_err(ClaimError::from));
+        }
+    }
+
+    /// Returns a position that no session's write at another process is later than; `None` if there is no such write.
+    /// Where another process has not told its position, it is `now`.
+    pub fn session_writes_elsewhere(&self, now: Timestamp) -> Option<Timestamp> {
+        match &mut *self.member.borrow_mut() {
+            Some(member) => member.session_writes_elsewhere().unwrap_or(Some(now)),
+            None => (self.neighbors.get() > 0 || self.lock_was_held.get()).then_some(now),
+        }
+    }
+
     /// Notices processes that have joined or ended. Publishes the open claims once this process is no longer alone.
     pub fn refresh<'a>(
         &self,
@@ -226,6 +244,8 @@
     known: Generation,
     /// Whether this process publishes its claims and respects those of others.
     is_sharing: bool,
+    /// Position of the last session write at this process or at one that has ended.
+    last_session_write: Option<Timestamp>,
     next_scan: Instant,
     /// Slots of released claims that could not be cleared yet.
     uncleared: Vec<Slot>,
@@ -240,8 +260,9 @@
         table.acknowledge(generation)?;
         let mut others = OtherProcesses::default();
         others.rescan(&directory, table.path(), now)?;
-        Ok(Member {
+        let member = Member {
             is_sharing: !others.is_empty(),
+            last_session_write: others.last_session_write_of_ended(),
             directory,
             table,
             slots: SlotsInUse::default(),
@@ -250,7 +271,9 @@
             known: generation,
             next_scan: now + SCAN_INTERVAL,
             uncleared: Vec::new(),
-        })
+        };
+        member.publish_session_write()?;
+        Ok(member)
     }
 
     fn claim(
@@ -269,6 +292,36 @@
         self.enter(claim, key, purpose)
     }
 
+    /// Raises the position of the last session write, and publishes it to the other processes if there are any.
+    fn record_session_write(&mut self, position: Option<Timestamp>) -> io::Result<()> {
+        if position <= self.last_session_write {
+            return Ok(());
+        }
+        self.last_session_write = position;
+        if self.is_sharing {
+            self.publish_session_write()?;
+        }
+        Ok(())
+    }
+
+    fn publish_session_write(&self) -> io::Result<()> {
+        self.last_session_write.map_or(Ok(()), |position| {
+            self.table.write_last_session_write(position)
+        })
+    }
+
+    fn session_writes_elsewhere(&mut self) -> Result<Option<Timestamp>, ClaimError> {
+        if !self.is_sharing {
+            return Ok(self.others.last_session_write_of_ended());
+        }
+        let generation = self.directory.generation()?;
+        if generation != self.known {
+            let lock = self.directory.lock()?;
+            self.meet_others(&lock, generation, Instant::now())?;
+        }
+        self.others.last_session_write(self.joined_in)
+    }
+
     /// Enters a claim into the table of this process.
     fn enter(
         &mut self,
@@ -332,6 +385,7 @@
     ) -> Result<(), ClaimError> {
         self.others
             .rescan(&self.directory, self.table.path(), now)?;
+        self.record_session_write(self.others.last_session_write_of_ended())?;
         self.acknowledge(generation)
     }
 
@@ -348,6 +402,7 @@
         &mut self,
         open_claims: impl Iterator<Item = (ClaimKey, &'a OpenClaim)>,
     ) -> Result<(), ClaimError> {
+        self.publish_session_write()?;
         self.table.clear_all()?;
         self.slots = SlotsInUse::default();
         self.uncleared.clear();
--- a/src/net/claims/table.rs
+++ b/src/net/claims/table.rs
@@ -4,6 +4,7 @@
 //! begins with a header; behind it are buckets of slots. The bucket of a claim follows from its key, so that a look-up
 //! reads one bucket. Every version of the program that uses this name of the file uses this layout.
 
+use irisrouter::routing::Timestamp;
 use std::collections::HashMap;
 use std::fs::{self, File, OpenOptions};
 use std::io;
@@ -11,8 +12,11 @@
 use std::path::{Path, PathBuf};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Size of the header, in bytes. It contains the acknowledged generation; the rest is reserved.
+/// Size of the header, in bytes. It contains the acknowledged generation and the position of the last session write; the
+/// rest is reserved.
 const HEADER_BYTES: u64 = 64;
+const GENERATION_OFFSET: u64 = 0;
+const SESSION_WRITE_OFFSET: u64 = 8;
 /// Size of a slot, in bytes: a key and a state.
 const SLOT_BYTES: usize = 16;
 const SLOTS_PER_BUCKET: usize = 16;
@@ -161,13 +165,28 @@
     /// Returns the newest generation for which the owner has published all its claims.
     pub(super) fn acknowledged(&self) -> io::Result<Generation> {
         let mut bytes = [0; 8];
-        self.file.read_exact_at(&mut bytes, 0)?;
+        self.file.read_exact_at(&mut bytes, GENERATION_OFFSET)?;
         Ok(Generation(u64::from_le_bytes(bytes)))
     }
 
     /// Records that all claims of this process are published, or that it has none.
     pub(super) fn acknowledge(&self, generation: Generation) -> io::Result<()> {
-        self.file.write_all_at(&generation.0.to_le_bytes(), 0)
+        self.file
+            .write_all_at(&generation.0.to_le_bytes(), GENERATION_OFFSET)
+    }
+
+    /// Returns the position of the last write of any session that the owner knows; `None` if it knows none.
+    pub(super) fn last_session_write(&self) -> io::Result<Option<Timestamp>> {
+        let mut bytes = [0; 8];
+        self.file.read_exact_at(&mut bytes, SESSION_WRITE_OFFSET)?;
+        let nanoseconds = i64::from_le_bytes(bytes);
+        Ok((nanoseconds != 0).then_some(Timestamp::from_nanos(nanoseconds)))
+    }
+
+    /// Records the position of the last write of any session.
+    pub(super) fn write_last_session_write(&self, position: Timestamp) -> io::Result<()> {
+        let bytes = position.as_nanos().to_le_bytes();
+        self.file.write_all_at(&bytes, SESSION_WRITE_OFFSET)
     }
 
     /// Returns whether the owner has ended. If that cannot be found out, it counts as running.
--- a/src/net/hot_restart.rs
+++ b/src/net/hot_restart.rs
@@ -8,6 +8,7 @@
 //! Other versions of this program read the documents, so the keys and the name of the socket must not change.
 
 use crate::net::buffers::Pool;
+use crate::net::claims::Claims;
 use crate::net::descriptor_budget::RESERVED_DESCRIPTORS;
 use crate::net::downstream::connection_limit::ConnectionLimit;
 use crate::net::endpoint_list::EndpointList;
@@ -147,6 +148,8 @@
     pub classes: Rc<Classes>,
     /// The ids of the open requests.
     pub open_ids: Rc<OpenIds>,
+    /// What the processes of the gateway share.
+    pub claims: Rc<Claims>,
 }
 
 /// This process's side of hot restarts, both as successor and as predecessor.
@@ -268,7 +271,7 @@
 
     /// Reports the usage to the process on one side, and receives its reports, until the connection ends.
     async fn share_limits(&self, side: Side, stream: BufReader<UnixStream>) {
-        self.dependencies.open_ids.neighbor_connected();
+        self.dependencies.claims.neighbor_connected();
         let (reader, writer) = tokio::io::split(stream);
         let result: io::Result<Infallible> = tokio::select! {
             result = self.send_usage(side, writer) => result,
@@ -277,7 +280,7 @@
         // Whatever ended the connection, the process on that side counts as one that uses no resources any more.
         let _ = result;
         self.set_usage(side, ResourceUsage::default());
-        self.dependencies.open_ids.neighbor_disconnected();
+        self.dependencies.claims.neighbor_disconnected();
     }
 
     async fn send_usage(
--- a/src/net/lifecycle/shutdown.rs
+++ b/src/net/lifecycle/shutdown.rs
@@ -111,7 +111,7 @@
         stop_accepting(&client_listener, listener, accept_task).await;
         parts.serving_state.close();
         finish_open_requests(&parts, &client_listener, started).await;
-        client_listener.request_context.open_ids.leave();
+        client_listener.request_context.claims.leave();
     }
 
     /// Changes the serving state, and tells all requests and connections the deadlines of the shutdown.
--- a/src/net/lifecycle/startup.rs
+++ b/src/net/lifecycle/startup.rs
@@ -4,7 +4,7 @@
 //! All tasks run on one thread.
 
 use crate::net::admin::console::{self, Console};
-use crate::net::claims;
+use crate::net::claims::{self, Claims};
 use crate::net::cluster::services::ClusterServices;
 use crate::net::config::{Config, ListenerSource};
 use crate::net::descriptor_budget::DescriptorBudget;
@@ -29,7 +29,7 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::{spawn_local, JoinHandle};
-use tokio::time::{interval, timeout, MissedTickBehavior};
+use tokio::time::{interval, timeout, Instant, MissedTickBehavior};
 
 /// How long a process that inherits its listener waits for the first answer of discovery before it accepts clients. The
 /// wait is limited because a discovery service that does not answer must not keep the gateway from serving clients with
@@ -102,6 +102,8 @@
     services: &ClusterServices,
 ) -> RequestContext {
     let shared_directory = config.hot_restart_socket.as_deref().and_then(Path::parent);
+    let claims = Rc::new(Claims::new(shared_directory.map(Path::to_path_buf)));
+    claims.join(Instant::now());
     RequestContext {
         router: Rc::clone(&parts.router),
         upstream: Rc::clone(&parts.upstream),
@@ -110,7 +112,9 @@
         shutdown: watch::Sender::new(None),
         write_intents: services.write_intents.clone(),
         site_failover: services.site_failover.clone(),
-        open_ids: Rc::new(OpenIds::join(shared_directory.map(Path::to_path_buf))),
+        open_ids: Rc::new(OpenIds::new(Rc::clone(&claims))),
+        claims,
+        classes: Rc::clone(&parts.classes),
     }
 }
 
@@ -130,6 +134,7 @@
         router: Rc::clone(&parts.router),
         classes: Rc::clone(&parts.classes),
         open_ids: Rc::clone(&client_listener.request_context.open_ids),
+        claims: Rc::clone(&client_listener.request_context.claims),
     };
     let hot_restart = Rc::new(HotRestart::new(path, dependencies));
     let revision = hot_restart.take_over().await;
--- a/src/net/request/context.rs
+++ b/src/net/request/context.rs
@@ -1,9 +1,10 @@
 //! The state that all requests share, and the request as the downstream creates it.
 
+use crate::net::claims::Claims;
 use crate::net::cluster::site_failover::SiteFailoverService;
 use crate::net::cluster::write_intents::WriteIntentService;
 use crate::net::metrics::Metrics;
-use crate::net::request::classes::ClassHandle;
+use crate::net::request::classes::{ClassHandle, Classes};
 use crate::net::request::open_ids::{OpenId, OpenIds};
 use crate::net::request::presence::ClientPresence;
 use crate::net::router_task::RouterHandle;
@@ -43,6 +44,10 @@
     pub site_failover: Option<Rc<SiteFailoverService>>,
     /// Ids of the open requests.
     pub open_ids: Rc<OpenIds>,
+    /// What the processes of the gateway share while a hot restart lasts.
+    pub claims: Rc<Claims>,
+    /// The request classes and the router's settings.
+    pub classes: Rc<Classes>,
 }
 
 impl RequestContext {
--- a/src/net/request/lifecycle.rs
+++ b/src/net/request/lifecycle.rs
@@ -15,7 +15,8 @@
 use crate::net::router_task::{RegisteredRequest, RequestCommand};
 use crate::net::time_delta;
 use irisrouter::routing::{
-    Event, MemberId, Outcome, ReplicationStatus, RequestId, SessionId, StreamEnd, TimeDelta,
+    latest_commit_position, Event, Freshness, MemberId, Outcome, ReplicationStatus, RequestId,
+    SessionId, StreamEnd, TimeDelta, Timestamp,
 };
 use std::rc::Rc;
 use std::time::Duration;
@@ -54,6 +55,24 @@
         }
     }
 
+    /// Returns whether the gateway knows what sessions wrote from the answers of hosts, and not from its clients.
+    fn keeps_session_writes(&self) -> bool {
+        !self.classes.settings().last_write_age_carried
+    }
+
+    /// Returns a position that no write of the request's session at another process of the gateway is later than, if
+    /// the request has to see the writes of its session.
+    fn session_writes_elsewhere(
+        &self,
+        request: &ClientRequest,
+        now: Timestamp,
+    ) -> Option<Timestamp> {
+        let is_needed = request.class.class.freshness == Freshness::Session
+            && request.session.is_some()
+            && self.keeps_session_writes();
+        is_needed.then(|| self.claims.session_writes_elsewhere(now))?
+    }
+
     /// Answers a request that is not routed because its id is not claimed.
     fn end_unclaimed(&self, unclaimed: UnclaimedRequest, mut answer: PendingAnswer) {
         match unclaimed {
@@ -142,6 +161,9 @@
         let now = Instant::now();
         let until_deadline = checked.deadline.saturating_duration_since(now);
         let decision_time = until_deadline.saturating_sub(DECISION_MARGIN);
+        let required_position = request
+            .minimum_position
+            .max(context.session_writes_elsewhere(&request, arrived_at));
         let RegisteredRequest { id, commands } = context.router.register();
         context.router.post(Event::Request {
             id,
@@ -151,9 +173,7 @@
             deadline: arrived_at + time_delta(decision_time),
             work: None,
             group: request.group,
-            last_write_age: request
-                .minimum_position
-                .map(|position| arrived_at - position),
+            last_write_age: required_position.map(|position| arrived_at - position),
             retry: request.retry,
         });
         let write_intent = checked.write_intent.map(Rc::new);
@@ -233,6 +253,7 @@
     /// it.
     fn on_stream_started(&mut self, stream: StartedStream) {
         let StartedStream { attempt, answer } = stream;
+        self.share_session_write(None);
         if !self.answer.send(Answer::Streamed(answer)) {
             return;
         }
@@ -252,6 +273,9 @@
         if let Some(write_intent) = &self.write_intent {
             write_intent.attempt_ended(result.outcome);
         }
+        if !result.outcome.never_ran() {
+            self.share_session_write(result.status);
+        }
         if self.streaming_attempt == Some(attempt) {
             // The end of this attempt was posted to the router when its stream began.
             if result.outcome != Outcome::Ok {
@@ -283,6 +307,16 @@
         });
     }
 
+    /// Tells the other processes of the gateway of a session's write before its client is told: of the next read of the
+    /// session, another process may be asked.
+    fn share_session_write(&self, status: Option<ReplicationStatus>) {
+        let is_write = self.class.class.freshness == Freshness::Write;
+        if is_write && self.session.is_some() && self.context.keeps_session_writes() {
+            let position = latest_commit_position(status, self.context.clock.now());
+            self.context.claims.record_session_write(position);
+        }
+    }
+
     fn on_client_gone(&mut self) {
         self.answer.abandon();
         self.is_abandoned = true;
--- a/src/net/request/open_ids.rs
+++ b/src/net/request/open_ids.rs
@@ -6,7 +6,6 @@
 use crate::net::claims::{self, ClaimError, ClaimKey, ClaimPurpose, Claims, OpenClaim};
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -24,7 +23,7 @@
     /// abandoned ids.
     reserved: RefCell<HashMap<Box<str>, Rc<OpenClaim>>>,
     abandoned: RefCell<VecDeque<AbandonedId>>,
-    claims: Claims,
+    claims: Rc<Claims>,
 }
 
 /// The id of a request whose client has left.
@@ -41,15 +40,12 @@
 }
 
 impl OpenIds {
-    /// Creates the ids of a process whose gateway shares this directory, and joins the other processes. Without a
-    /// directory, the process is the only one of its gateway.
-    pub fn join(shared_directory: Option<PathBuf>) -> Self {
-        let ids = OpenIds {
-            claims: Claims::new(shared_directory),
+    /// Creates the ids of a process that claims them among the processes of its gateway.
+    pub fn new(claims: Rc<Claims>) -> Self {
+        OpenIds {
+            claims,
             ..OpenIds::default()
-        };
-        ids.claims.join(Instant::now());
-        ids
+        }
     }
 
     /// Reserves the id of a request that is served next. Returns `None` while another open request has it. If it is
@@ -109,21 +105,6 @@
         self.claims.refresh(now, open_claims);
     }
 
-    /// Records that a neighbor in a hot restart is connected.
-    pub fn neighbor_connected(&self) {
-        self.claims.neighbor_connected();
-    }
-
-    /// Records that a neighbor in a hot restart is no longer connected.
-    pub fn neighbor_disconnected(&self) {
-        self.claims.neighbor_disconnected();
-    }
-
-    /// Removes from the shared directory what is no longer needed when this process ends.
-    pub fn leave(&self) {
-        self.claims.leave();
-    }
-
     fn release_abandoned(&self, now: Instant) {
         while let Some(released) = self.pop_due(now) {
             drop(released);
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -104,6 +104,7 @@
         /// Group whose members can serve the request.
         group: GroupId,
         /// Age of the session's last write; `None` if there was none or requests do not carry it.
+        /// Where the router keeps the positions of sessions' writes, a write that it does not know.
         last_write_age: Option<TimeDelta>,
         /// Whether the client marks the request as a retry.
         retry: bool,
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -13,7 +13,7 @@
 use super::load::FleetLoad;
 use super::member::Member;
 use super::selection_schedule::SelectionSchedule;
-use super::session_commits::SessionCommits;
+use super::session_commits::{SessionCommits, COMMIT_ROUNDING_MARGIN};
 use super::settings::{Freshness, Settings};
 use super::slow_start::warm_up_share;
 use super::time::{TimeDelta, Timestamp};
@@ -30,9 +30,6 @@
 /// A class is too long for a member in slow start if its usual latency is above the limit of short
 /// classes divided by this. The limit is divided because slow links lengthen all latencies.
 const SLOW_START_LONG_DIVISOR: f64 = 2.0;
-/// Margin that is added to a session's position, because commit times are rounded up and positions
-/// down to the millisecond.
-pub(super) const COMMIT_ROUNDING_MARGIN: TimeDelta = TimeDelta::from_millis(1);
 /// Number of connect timeouts for which a report that a member is full counts.
 const FULL_REPORT_LIFETIME: i64 = 4;
 
@@ -147,12 +144,13 @@
         session: Option<SessionId>,
         last_write_age: Option<TimeDelta>,
     ) -> Timestamp {
+        let position_of_age = |age| self.now - age + COMMIT_ROUNDING_MARGIN;
+        let given = last_write_age.map_or(Timestamp::MIN, position_of_age);
         if self.settings.last_write_age_carried {
-            let position = |age| self.now - age + COMMIT_ROUNDING_MARGIN;
-            return last_write_age.map_or(Timestamp::MIN, position);
+            return given;
         }
         let commit = session.map(|session| self.session_commits.position(session));
-        commit.unwrap_or(Timestamp::MIN)
+        commit.unwrap_or(Timestamp::MIN).max(given)
     }
 
     /// Returns the member that was last observed as primary. A member that is out of service, or
--- a/src/routing/fleet_updates.rs
+++ b/src/routing/fleet_updates.rs
@@ -4,10 +4,11 @@
 use super::concurrency_limit::{ConcurrencyLimit, Promptness};
 use super::endpoint::{Endpoint, LoadReport, ReplicationStatus, SharedHealthCheck};
 use super::event::{Outcome, StreamEnd};
-use super::fleet::{Fleet, COMMIT_ROUNDING_MARGIN};
+use super::fleet::Fleet;
 use super::identifiers::{GroupId, MemberId, SessionId};
 use super::latency::SAMPLE_WEIGHT;
 use super::member::{Member, ProcessChange};
+use super::session_commits::latest_commit_position;
 use super::settings::{Settings, StalenessCheck};
 use super::time::{TimeDelta, Timestamp};
 use std::collections::BTreeSet;
@@ -274,8 +275,7 @@
         let Some(session) = session.filter(|_| stores_commit) else {
             return;
         };
-        let position = status.and_then(|status| status.position);
-        let position = position.unwrap_or(self.now + COMMIT_ROUNDING_MARGIN);
+        let position = latest_commit_position(status, self.now);
         self.session_commits.record(session, position);
     }
 
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -49,6 +49,7 @@
 pub use member::Member;
 pub use router::Router;
 pub use send_check::SendPermit;
+pub use session_commits::latest_commit_position;
 pub use settings::{
     DeduplicationScope, Freshness, Idempotency, Limits, LoadReportSource, RequestClass,
     RoleInEndpointList, SafetyRules, Settings, StalenessCheck, Tenant,
--- a/src/routing/session_commits.rs
+++ b/src/routing/session_commits.rs
@@ -1,12 +1,23 @@
 //! Positions of the last commits of sessions, in bounded memory.
 
+use super::endpoint::ReplicationStatus;
 use super::identifiers::SessionId;
-use super::time::Timestamp;
+use super::time::{TimeDelta, Timestamp};
 use std::collections::HashMap;
 
+/// Margin that is added to a time, because commit times are rounded up and positions down to the
+/// millisecond.
+pub(super) const COMMIT_ROUNDING_MARGIN: TimeDelta = TimeDelta::from_millis(1);
 /// Maximum number of sessions whose commits are known one by one.
 const MAX_SESSIONS: usize = 65_536;
 
+/// Returns the position of a write that may have run and whose attempt has ended now with this
+/// status. Where the status has none, it is the latest possible one.
+pub fn latest_commit_position(status: Option<ReplicationStatus>, now: Timestamp) -> Timestamp {
+    let position = status.and_then(|status| status.position);
+    position.unwrap_or(now + COMMIT_ROUNDING_MARGIN)
+}
+
 /// The position of the last commit of each session. The oldest commits are forgotten one by one when there are too many
 /// sessions; a session without a known commit then counts as one that committed last among the forgotten ones, so that
 /// no read is answered from data that is too old.
