Do not use a connection again after ReadyForQuery alone

Cause: exchange returned a connection to the pool as soon as the reply had ended, whether or not it contained an answer.

Change: a connection is used again only after a complete row or an error.

--- a/src/net/upstream/exchange.rs
+++ b/src/net/upstream/exchange.rs
@@ -33,9 +33,15 @@
     pub(super) row: Option<Buffer>,
 }
 
+/// Returns whether the next query on the connection gets its own reply: the host has sent an answer to this one, and
+/// nothing can follow. A row that comes after ReadyForQuery alone would be taken for the next query's.
+fn is_reusable_after(reply: &Reply) -> bool {
+    reply.ready && (reply.served() || reply.error.is_some())
+}
+
 impl Upstream {
     /// Writes a query and reads its reply. A long reply is streamed to `on_stream`; without `on_stream`, it is read
-    /// as a whole. The connection is reused only after a complete reply.
+    /// as a whole. The connection is reused only after a complete reply with an answer.
     ///
     /// # Errors
     ///
@@ -71,7 +77,7 @@
             .finish_reply(&mut connection, received, on_stream)
             .await;
         let reply = result.map_err(|error| self.outcome_without_reply(member, &error))?;
-        if reply.reply.ready {
+        if is_reusable_after(&reply.reply) {
             self.check_in(member, connection);
         }
         Ok(reply)
--- a/tests/gateway/protocol.rs
+++ b/tests/gateway/protocol.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 use std::io::{Read, Write};
 use std::net::Shutdown;
+use std::thread::sleep;
 use std::time::Duration;
 
 /// The complete answer of a host: a row with the value `x`.
@@ -205,6 +206,32 @@
     }
 }
 
+/// Guards against the row of one request that is returned to the next one: a host ends its answer without a row, and sends
+/// the row when the next statement arrives on the connection.
+#[test]
+fn connection_whose_host_answered_with_ready_for_query_alone_is_not_used_again() {
+    let host = Host::start("s-1", true, |n, _| match n {
+        0 => HostReply::Raw(b"Z\0\0\0\x05I"),
+        _ => HostReply::Row("late"),
+    });
+    let discovery = Discovery::start(vec![host.entry("in_service", 0)]);
+    let gateway = Gateway::start(&discovery, &[&host]);
+    let mut client = gateway.client();
+    let first = client.query(&statement("once", 9_000));
+    assert!(first.contains("CXX000"), "{first}");
+    // A connection rests for 10 ms before it is used again.
+    sleep(Duration::from_millis(100));
+    let _ = client.query(&statement("once", 9_000));
+    let statements = host.statements();
+    let connections: Vec<&str> = statements
+        .iter()
+        .filter_map(|statement| statement.split_once(':'))
+        .map(|(connection, _)| connection)
+        .collect();
+    assert_eq!(connections.len(), 2);
+    assert_ne!(connections[0], connections[1]);
+}
+
 /// Guards against forwarding an incomplete row as a complete one: the host stops after each byte of its answer in turn,
 /// and closes or resets the connection.
 #[test]
