Send no keyed write before the gateway knows others to record it with

Cause: the newer process has no peer socket while the older one runs, so that it knows no other gateway, and a record without candidates counted as made. The same held at each start until the first gateway had answered.

Change: a record waits up to 0.3 s until another gateway is known, and then ends the attempt as not sent. 2 s after its socket was opened a gateway that has met no other one counts as alone. The newer process tries every 50 ms to open its socket.

--- a/src/net/cluster/write_intents.rs
+++ b/src/net/cluster/write_intents.rs
@@ -13,14 +13,22 @@
 use irisrouter_write_intents::{
     Action, IntentStore, KeyHash, OperationId, Outcome, SequenceNumber,
 };
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{oneshot, Notify};
-use tokio::time::Instant;
+use tokio::time::{sleep, Instant};
 
 const MICROSECONDS_PER_MILLISECOND: u64 = 1_000;
+/// How long a record waits until this process knows other gateways. After it the attempt ends as not sent.
+const FLEET_WAIT: Duration = Duration::from_millis(300);
+/// Interval between two checks whether other gateways are known.
+const FLEET_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Time from the opening of the peer socket after which this gateway counts as the only one that runs, if it has met no
+/// other one.
+const JOIN_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Result of looking up whether an earlier attempt of a write may have been executed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,6 +54,9 @@
     datagrams_queued: Notify,
     /// Whether clients mark their retries. If they do not, any write may be a retry.
     clients_mark_retries: bool,
+    /// When the peer socket was opened; `None` while it is not open. During a hot restart the older process has its
+    /// address.
+    socket_opened_at: Cell<Option<Instant>>,
 }
 
 impl WriteIntentService {
@@ -72,6 +83,7 @@
             outbox: Outbox::new(gateways),
             datagrams_queued: Notify::new(),
             clients_mark_retries,
+            socket_opened_at: Cell::new(None),
         }
     }
 
@@ -79,6 +91,30 @@
     /// this gateway are not known to this one, so it does not report a write as unknown until they have expired.
     pub fn on_socket_opened(&self) {
         self.store.borrow_mut().on_socket_opened(self.clock.now());
+        self.socket_opened_at.set(Some(Instant::now()));
+    }
+
+    /// Returns whether this process knows which other gateways run. Until it does, it has no replicas for its intents.
+    fn knows_fleet(&self) -> bool {
+        let Some(opened_at) = self.socket_opened_at.get() else {
+            return false;
+        };
+        let local = self.membership.local_gateway();
+        let gateways = self.alive_or_suspect_gateways();
+        let knows_another = gateways.iter().any(|&gateway| gateway != local);
+        knows_another || self.membership.fleet_size() <= 1 || opened_at.elapsed() >= JOIN_TIMEOUT
+    }
+
+    /// Waits until this process knows which other gateways run. Returns whether it does.
+    async fn wait_for_fleet(&self) -> bool {
+        let deadline = Instant::now() + FLEET_WAIT;
+        while !self.knows_fleet() {
+            if Instant::now() >= deadline {
+                return false;
+            }
+            sleep(FLEET_CHECK_INTERVAL).await;
+        }
+        true
     }
 
     /// Returns whether a write may be a retry of a write that another gateway has sent. `marked_as_retry` is whether
@@ -93,13 +129,18 @@
     }
 
     /// Records the intent of a write at its replicas before the write is sent; the write may be executed from
-    /// `first_sent_at` on. Returns whether enough replicas acknowledged the intent.
+    /// `first_sent_at` on. Returns whether enough replicas acknowledged the intent; none are enough only if no other
+    /// gateway runs.
     pub async fn record(
         &self,
         intent: SequenceNumber,
         key: KeyHash,
         first_sent_at: UnixMilliseconds,
     ) -> bool {
+        if !self.wait_for_fleet().await {
+            increment(&self.metrics.write_intents.not_recorded);
+            return false;
+        }
         let gateways = self.alive_or_suspect_gateways();
         let outcome = self
             .run_operation(|store, now| store.record(now, intent, key, first_sent_at, &gateways))
--- a/src/net/lifecycle/peer_socket_task.rs
+++ b/src/net/lifecycle/peer_socket_task.rs
@@ -15,7 +15,7 @@
 /// Pause between two attempts to bind the peer socket. During a hot restart the older process holds the address. The
 /// pause is short, so that the newer process cooperates with the other gateways soon after the older one has ended, and
 /// long enough that the attempts cost next to nothing.
-const OPEN_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+const OPEN_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The peer socket of this process; empty until the socket is open.
 #[derive(Default)]
--- a/tests/compatibility/main.rs
+++ b/tests/compatibility/main.rs
@@ -4,6 +4,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod closed_peer_socket;
 mod configuration;
 mod console;
 mod handover;
