--- a/src/net/request/earlier_attempts.rs
+++ b/src/net/request/earlier_attempts.rs
@@ -3,7 +3,7 @@
 
 use crate::net::cluster::write_intents::{EarlierAttempt, WriteIntentService};
 use crate::net::request::context::{ClientRequest, RequestContext};
-use crate::net::request::lifecycle::ANSWER_MARGIN;
+use crate::net::request::shutdown_notice::ANSWER_MARGIN;
 use crate::net::request::write_intent::{ResendError, WriteIntent};
 use irisrouter_write_intents::KeyHash;
 use tokio::time::{timeout_at, Instant};
--- a/src/net/request/id_claim.rs
+++ b/src/net/request/id_claim.rs
@@ -3,7 +3,9 @@
 use crate::net::claims::{ClaimError, ClaimPurpose};
 use crate::net::request::answer::PendingAnswer;
 use crate::net::request::context::{ClientRequest, RequestContext};
-use crate::net::request::lifecycle::{decision_timeout, subscribe_to_shutdown, ANSWER_MARGIN};
+use crate::net::request::shutdown_notice::{
+    decision_timeout, subscribe_to_shutdown, ANSWER_MARGIN,
+};
 use irisrouter::routing::{Idempotency, RequestClass};
 use std::time::Duration;
 use tokio::time::{sleep, Instant};
--- a/src/net/request/lifecycle.rs
+++ b/src/net/request/lifecycle.rs
@@ -11,24 +11,23 @@
 use crate::net::request::earlier_attempts::CheckedRequest;
 use crate::net::request::id_claim::{may_run_twice, UnclaimedRequest};
 use crate::net::request::open_ids::OpenId;
+use crate::net::request::shutdown_notice::{
+    decision_timeout, subscribe_to_shutdown, ANSWER_MARGIN,
+};
 use crate::net::request::write_intent::{ResendError, WriteIntent};
 use crate::net::router_task::{RegisteredRequest, RequestCommand};
 use crate::net::time_delta;
 use irisrouter::routing::{
-    latest_commit_position, Event, Freshness, MemberId, Outcome, ReplicationStatus, RequestId,
-    SessionId, StreamEnd, TimeDelta, Timestamp,
+    Event, MemberId, Outcome, ReplicationStatus, RequestId, SessionId, StreamEnd, TimeDelta,
 };
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{sleep_until, Instant};
+use tokio::time::Instant;
 
 /// Time from the router's deadline to the client's. It leaves time for timers, which fire up to a millisecond late, for
 /// the router's decision and for writing the answer.
 const DECISION_MARGIN: Duration = Duration::from_millis(5);
-/// Time before the client's deadline at which a request without a decision fails. It is less than [`DECISION_MARGIN`],
-/// because otherwise requests would fail here that the router would have rejected as not run.
-pub(super) const ANSWER_MARGIN: Duration = Duration::from_millis(1);
 /// Minimum time that the router has for its decision, even if the request's deadline has passed, so that the router can
 /// reject such a request as not run.
 const MIN_DECISION_TIME: Duration = Duration::from_millis(20);
@@ -55,24 +54,6 @@
         }
     }
 
-    /// Returns whether the gateway knows what sessions wrote from the answers of hosts, and not from its clients.
-    fn keeps_session_writes(&self) -> bool {
-        !self.classes.settings().last_write_age_carried
-    }
-
-    /// Returns a position that no write of the request's session at another process of the gateway is later than, if
-    /// the request has to see the writes of its session.
-    fn session_writes_elsewhere(
-        &self,
-        request: &ClientRequest,
-        now: Timestamp,
-    ) -> Option<Timestamp> {
-        let is_needed = request.class.class.freshness == Freshness::Session
-            && request.session.is_some()
-            && self.keeps_session_writes();
-        is_needed.then(|| self.claims.session_writes_elsewhere(now))?
-    }
-
     /// Answers a request that is not routed because its id is not claimed.
     fn end_unclaimed(&self, unclaimed: UnclaimedRequest, mut answer: PendingAnswer) {
         match unclaimed {
@@ -253,7 +234,8 @@
     /// it.
     fn on_stream_started(&mut self, stream: StartedStream) {
         let StartedStream { attempt, answer } = stream;
-        self.share_session_write(None);
+        self.context
+            .share_session_write(&self.class.class, self.session, None);
         if !self.answer.send(Answer::Streamed(answer)) {
             return;
         }
@@ -274,7 +256,9 @@
             write_intent.attempt_ended(result.outcome);
         }
         if !result.outcome.never_ran() {
-            self.share_session_write(result.status);
+            let class = &self.class.class;
+            self.context
+                .share_session_write(class, self.session, result.status);
         }
         if self.streaming_attempt == Some(attempt) {
             // The end of this attempt was posted to the router when its stream began.
@@ -307,16 +291,6 @@
         });
     }
 
-    /// Tells the other processes of the gateway of a session's write before its client is told: of the next read of the
-    /// session, another process may be asked.
-    fn share_session_write(&self, status: Option<ReplicationStatus>) {
-        let is_write = self.class.class.freshness == Freshness::Write;
-        if is_write && self.session.is_some() && self.context.keeps_session_writes() {
-            let position = latest_commit_position(status, self.context.clock.now());
-            self.context.claims.record_session_write(position);
-        }
-    }
-
     fn on_client_gone(&mut self) {
         self.answer.abandon();
         self.is_abandoned = true;
@@ -387,37 +361,3 @@
         });
     }
 }
-
-/// Subscribes to the shutdown deadlines. Returns `None` if the shutdown has already begun.
-pub(super) fn subscribe_to_shutdown(
-    context: &RequestContext,
-) -> Option<watch::Receiver<Option<ShutdownDeadlines>>> {
-    let notice = context.shutdown.subscribe();
-    let has_begun = notice.borrow().is_some();
-    (!has_begun).then_some(notice)
-}
-
-/// Waits until the deadline of a decision, or until the shutdown's deadline for answers where that is earlier.
-/// Otherwise this answer, and those to the requests that are queued behind it, would be due only after the process is
-/// killed.
-pub(super) async fn decision_timeout(
-    shutdown: &mut Option<watch::Receiver<Option<ShutdownDeadlines>>>,
-    deadline: Instant,
-) {
-    let Some(notice) = shutdown else {
-        return sleep_until(deadline).await;
-    };
-    let answer_by = async {
-        let announced = notice.wait_for(Option::is_some).await;
-        let deadlines = announced.ok().and_then(|deadlines| *deadlines);
-        deadlines.map(|deadlines| deadlines.answer_by)
-    };
-    tokio::select! {
-        biased;
-        answer_by = answer_by => {
-            let earlier_deadline = answer_by.map_or(deadline, |by| deadline.min(by - ANSWER_MARGIN));
-            sleep_until(earlier_deadline).await;
-        }
-        () = sleep_until(deadline) => {}
-    }
-}
--- a/src/net/request/mod.rs
+++ b/src/net/request/mod.rs
@@ -9,6 +9,8 @@
 mod lifecycle;
 mod open_ids;
 mod presence;
+mod session_writes;
+mod shutdown_notice;
 mod write_intent;
 
 pub use answer::{retry_after_milliseconds, Answer};
